--- /dev/null
+++ b/src/passlane/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for agent programs that run on borrowed machines."""
--- /dev/null
+++ b/src/passlane/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP applications (ASGI) for callers and operators."""
--- /dev/null
+++ b/src/passlane/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of engines, applications, the platform list and the weights store."""
--- /dev/null
+++ b/src/passlane/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that compare passlane with baselines and measure slopes."""
--- /dev/null
+++ b/src/passlane/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/passlane/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control group: versioned configuration and its acceptance by the fleet."""
--- /dev/null
+++ b/src/passlane/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry point of passlaned: builds the supervisor tree for the configured roles."""
--- /dev/null
+++ b/src/passlane/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, applications, the platform list and the weights store."""
--- /dev/null
+++ b/src/passlane/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, heartbeats and the assignment of partitions to nodes."""
--- /dev/null
+++ b/src/passlane/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages exchanged between passlane's own processes."""
--- /dev/null
+++ b/src/passlane/messages/base.py
@@ -0,0 +1,34 @@
+"""Base class of messages, and the codec for them (MessagePack by msgspec).
+
+A message is encoded as a map whose key ``type`` holds the class name, so a
+decoder for a union of classes picks the right one.
+"""
+
+from typing import Any, TypeVar
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Base of every message, command and result; immutable, tagged by class name."""
+
+
+MessageType = TypeVar("MessageType", bound=Message)
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: msgspec.Struct) -> bytes:
+    """Return the MessagePack encoding of ``message``, with its type tag."""
+    return _encoder.encode(message)
+
+
+def message_decoder(union: Any) -> "msgspec.msgpack.Decoder[Any]":
+    """Return a strict decoder for ``union``, a class or a union of message classes.
+
+    Raises
+    ------
+    msgspec.ValidationError, msgspec.DecodeError
+        By the decoder, when the bytes do not hold one of the classes.
+    """
+    return msgspec.msgpack.Decoder(union)
--- /dev/null
+++ b/src/passlane/messages/common.py
@@ -0,0 +1,107 @@
+"""Values that several kinds of messages share."""
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.base import Message
+
+
+class Address(msgspec.Struct, frozen=True, order=True):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address written as ``host:port``; raise ``ValueError`` otherwise."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not port.isdigit():
+            raise ValueError(f"expected host:port, got {text!r}")
+        return cls(host=host, port=int(port))
+
+
+class NotLeaderError(PasslaneError):
+    """The request must go to the leader; ``leader`` is its address as far as known."""
+
+    def __init__(self, message: str, leader: Address | None) -> None:
+        super().__init__(ErrorCode.NOT_LEADER, message, verdict=Verdict.NOT_RUN)
+        self.leader = leader
+
+
+class ErrorReply(Message, frozen=True):
+    """An error as it travels between processes; see ``passlane.errors``."""
+
+    code: ErrorCode
+    message: str
+    verdict: Verdict
+    retry_after_s: float | None = None
+    leader_hint: Address | None = None
+
+    def to_exception(self) -> PasslaneError:
+        """Return the exception that this reply stands for."""
+        if self.code is ErrorCode.NOT_LEADER:
+            return NotLeaderError(self.message, self.leader_hint)
+        return PasslaneError(
+            self.code,
+            self.message,
+            verdict=self.verdict,
+            retry_after_s=self.retry_after_s,
+        )
+
+    @classmethod
+    def from_exception(cls, error: PasslaneError) -> "ErrorReply":
+        """Return the reply that stands for ``error``."""
+        return cls(
+            code=error.code,
+            message=error.message,
+            verdict=error.verdict,
+            retry_after_s=error.retry_after_s,
+            leader_hint=error.leader if isinstance(error, NotLeaderError) else None,
+        )
+
+
+class Amounts(msgspec.Struct, frozen=True):
+    """Countable things a program may spend.
+
+    Attributes
+    ----------
+    tokens
+        Prompt and generated tokens.
+    calls
+        Calls to engines and applications.
+    money_micros
+        Money in millionths of the tenant's currency unit.
+    """
+
+    tokens: int = 0
+    calls: int = 0
+    money_micros: int = 0
+
+    def plus(self, other: "Amounts") -> "Amounts":
+        """Return the sum of both."""
+        return Amounts(
+            tokens=self.tokens + other.tokens,
+            calls=self.calls + other.calls,
+            money_micros=self.money_micros + other.money_micros,
+        )
+
+    def minus(self, other: "Amounts") -> "Amounts":
+        """Return this less ``other``; parts may be negative."""
+        return Amounts(
+            tokens=self.tokens - other.tokens,
+            calls=self.calls - other.calls,
+            money_micros=self.money_micros - other.money_micros,
+        )
+
+    def fits_within(self, limit: "Amounts") -> bool:
+        """Return whether no part is larger than the same part of ``limit``."""
+        return (
+            self.tokens <= limit.tokens
+            and self.calls <= limit.calls
+            and self.money_micros <= limit.money_micros
+        )
--- /dev/null
+++ b/src/passlane/messages/control.py
@@ -0,0 +1,183 @@
+"""Commands, queries and results of the control group (configuration).
+
+A change is *pending* once the group has recorded it, and *accepted* when each
+region has reported that all its members hold it or have lost their lease. Only an
+accepted revision is acted on, so it is in force everywhere and never reverts.
+"""
+
+import msgspec
+
+from passlane.identifiers import NodeId, Revision
+from passlane.messages.base import Message
+from passlane.messages.common import Address
+
+
+class Document(msgspec.Struct, frozen=True):
+    """One version of one configuration document.
+
+    ``version`` counts the changes of this document from 1; ``revision`` is the number
+    of the change over all documents. ``body`` is JSON; ``None`` marks a deletion.
+    """
+
+    kind: str
+    name: str
+    version: int
+    revision: Revision
+    body: str | None
+
+
+class PutDocument(Message, frozen=True):
+    """Write a document if its version is still ``expected_version`` (0: must be new)."""
+
+    kind: str
+    name: str
+    body: str | None
+    expected_version: int
+    idempotency_key: str
+
+
+class WithdrawChange(Message, frozen=True):
+    """Take back a change that is still pending."""
+
+    revision: Revision
+    idempotency_key: str
+
+
+class AcceptRevision(Message, frozen=True):
+    """Mark all changes up to ``revision`` as accepted; proposed by the control leader."""
+
+    revision: Revision
+
+
+class SetRegions(Message, frozen=True):
+    """Record which regions must report before a change is accepted."""
+
+    regions: tuple[str, ...]
+
+
+class PutResult(Message, frozen=True):
+    """The change was recorded (now, or when the same key was first sent)."""
+
+    document: Document
+
+
+class VersionConflict(Message, frozen=True):
+    """Another change came first; ``current`` is the document as it stands."""
+
+    kind: str
+    name: str
+    current_version: int
+    current: Document | None
+
+
+class ControlDone(Message, frozen=True):
+    """The command took effect."""
+
+
+class ControlRefusal(Message, frozen=True):
+    """The command was refused and changed nothing."""
+
+    code: str
+    message: str
+
+
+class ReadDocuments(Message, frozen=True):
+    """Query: documents by kind and name (``None``: all); answered by ``Documents``."""
+
+    kind: str | None = None
+    name: str | None = None
+
+
+class Documents(Message, frozen=True):
+    """Answer to ``ReadDocuments``, with the newest and the accepted revision."""
+
+    documents: tuple[Document, ...]
+    newest_revision: Revision
+    accepted_revision: Revision
+
+
+class MemberVersion(msgspec.Struct, frozen=True):
+    """How far one node has come with the configuration."""
+
+    node_id: NodeId
+    prepared_revision: Revision
+    revision_in_force: Revision
+
+
+class RegionReport(Message, frozen=True):
+    """Sent by each region's store leader to the control leader; answered by a delta.
+
+    Attributes
+    ----------
+    prepared_revision
+        Newest revision that every member with a lease holds.
+    laggards
+        Members that are behind ``prepared_revision`` of the others, at most a few.
+    """
+
+    region: str
+    term: int
+    held_revision: Revision
+    prepared_revision: Revision
+    revision_in_force: Revision
+    member_count: int
+    laggards: tuple[MemberVersion, ...] = ()
+
+
+class ConfigurationDelta(Message, frozen=True):
+    """Changes after ``from_revision`` up to ``to_revision``.
+
+    With ``is_snapshot`` the documents are the whole configuration and replace all.
+    """
+
+    from_revision: Revision
+    to_revision: Revision
+    accepted_revision: Revision
+    documents: tuple[Document, ...] = ()
+    is_snapshot: bool = False
+
+
+class ReadProgress(Message, frozen=True):
+    """Query: how far a revision has come; answered by ``Progress``."""
+
+    revision: Revision
+
+
+class RegionProgress(msgspec.Struct, frozen=True):
+    """How far one region has come; ``report_age_s`` is the age of its last report."""
+
+    region: str
+    prepared_revision: Revision
+    revision_in_force: Revision
+    member_count: int
+    report_age_s: float
+    laggards: tuple[MemberVersion, ...] = ()
+
+
+class Progress(Message, frozen=True):
+    """Answer to ``ReadProgress``."""
+
+    accepted_revision: Revision
+    in_force_everywhere: bool
+    regions: tuple[RegionProgress, ...]
+
+
+class ControlMember(msgspec.Struct, frozen=True):
+    """A replica of a group as shown to operators."""
+
+    replica_id: str
+    address: Address
+    is_leader: bool
+
+
+ControlCommand = PutDocument | WithdrawChange | AcceptRevision | SetRegions
+ControlQuery = ReadDocuments | ReadProgress | RegionReport
+ControlResult = (
+    PutResult
+    | VersionConflict
+    | ControlDone
+    | ControlRefusal
+    | Documents
+    | Progress
+    | ConfigurationDelta
+)
--- /dev/null
+++ b/src/passlane/messages/node.py
@@ -0,0 +1,115 @@
+"""Messages between nodes: a call forwarded to its program's leader, and its events."""
+
+import msgspec
+
+from passlane.errors import ErrorCode, Verdict
+from passlane.identifiers import NodeId, ProgramId, TenantId
+from passlane.messages.base import Message
+from passlane.messages.common import Amounts
+from passlane.messages.store import CallKind, Turn
+
+
+class CallRequest(Message, frozen=True):
+    """A call as a caller asked for it; forwarded to the leader of its program.
+
+    Attributes
+    ----------
+    sequence
+        The caller's own count of the program's calls from 0; ``None`` when not given.
+    idempotency_key
+        The caller's name for this call; a repeat gets the recorded outcome.
+    turns
+        New messages of a model call, without the history that passlane keeps.
+    arguments
+        JSON arguments of a tool call.
+    timeout_s
+        Seconds the caller is ready to wait from now.
+    """
+
+    request_id: str
+    tenant_id: TenantId
+    program_id: ProgramId
+    kind: CallKind
+    target: str
+    turns: tuple[Turn, ...] = ()
+    arguments: str = ""
+    max_tokens: int = 256
+    sequence: int | None = None
+    idempotency_key: str | None = None
+    timeout_s: float = 60.0
+
+
+class CreateProgramRequest(Message, frozen=True):
+    """A caller's wish to start a program; answered by ``store.ProgramResult``."""
+
+    request_id: str
+    tenant_id: TenantId
+    program_id: ProgramId
+    budget: Amounts
+    parent_id: ProgramId | None = None
+    deadline_s: float | None = None
+
+
+class EndProgramRequest(Message, frozen=True):
+    """A caller's wish to end a program; answered by ``store.StoreDone``."""
+
+    request_id: str
+    tenant_id: TenantId
+    program_id: ProgramId
+
+
+class ReadProgramRequest(Message, frozen=True):
+    """A caller's wish to see a program; answered by ``store.ProgramResult``."""
+
+    request_id: str
+    tenant_id: TenantId
+    program_id: ProgramId
+
+
+class TextChunk(Message, frozen=True):
+    """Part of a generated answer; ``position`` counts its tokens from 0."""
+
+    position: int
+    text: str
+
+
+class CallAnswered(Message, frozen=True):
+    """Last event of a call that has an outcome, which is durable by then."""
+
+    sequence: int
+    verdict: Verdict
+    body: str
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    generated_tokens: int = 0
+    attempts: int = 1
+
+
+class CallRefused(Message, frozen=True):
+    """Last event of a call that failed or was refused."""
+
+    code: ErrorCode
+    message: str
+    verdict: Verdict
+    retry_after_s: float | None = None
+
+
+CallEvent = TextChunk | CallAnswered | CallRefused
+
+
+class TransferProgram(msgspec.Struct, frozen=True):
+    """State of one program that a leaving node hands to its successor."""
+
+    program_id: ProgramId
+    next_sequence: int
+
+
+class BeginHandover(Message, frozen=True):
+    """The old leader names partitions it is about to give up, to the new leader."""
+
+    from_node: NodeId
+    partitions: tuple[int, ...]
+
+
+class HandoverReady(Message, frozen=True):
+    """The new leader buffers calls for the partitions until it holds their epoch."""
--- /dev/null
+++ b/src/passlane/node/__init__.py
@@ -0,0 +1,1 @@
+"""The shell of a node: routes calls to the leader of their program and runs them."""
--- /dev/null
+++ b/src/passlane/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Ring log, metrics and health."""
--- /dev/null
+++ b/src/passlane/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Starlark policies: checking, bounded evaluation and fallback."""
--- /dev/null
+++ b/src/passlane/raft/__init__.py
@@ -0,0 +1,1 @@
+"""Raft as a pure state machine: events and time in, instructions out."""
--- /dev/null
+++ b/src/passlane/raft/instructions.py
@@ -0,0 +1,109 @@
+"""Instructions that a Raft replica gives to its shell, to be carried out in order."""
+
+from dataclasses import dataclass
+
+from passlane.identifiers import ReplicaId
+from passlane.messages.common import Address
+from passlane.messages.raft import AnyRaftMessage, GroupMembership, LogEntry
+
+
+@dataclass(frozen=True, slots=True)
+class SaveHardState:
+    """Make term and vote durable; later ``SendMessage`` in this batch wait for that."""
+
+    term: int
+    voted_for: ReplicaId | None
+
+
+@dataclass(frozen=True, slots=True)
+class AppendEntries:
+    """Write entries to the log, after cutting it off from ``entries[0].index`` on.
+
+    The shell answers with ``EntriesSynced``; several may share one sync.
+    """
+
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send a message to a replica; it may get lost."""
+
+    address: Address
+    message: AnyRaftMessage
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyEntries:
+    """Entries became committed; apply them in order. Tokens name local proposals."""
+
+    entries: tuple[LogEntry, ...]
+    tokens: tuple[int | None, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RejectProposals:
+    """Proposals that will not be appended here.
+
+    ``may_be_committed`` is true when they were appended but leadership was lost.
+    """
+
+    tokens: tuple[int, ...]
+    leader: Address | None
+    may_be_committed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AllowRead:
+    """The read may go ahead once ``index`` is applied here."""
+
+    token: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class RejectRead:
+    """The read cannot be served here."""
+
+    token: int
+    leader: Address | None
+
+
+@dataclass(frozen=True, slots=True)
+class InstallSnapshot:
+    """Make the snapshot durable, restore the state from it, then drop the old log."""
+
+    last_index: int
+    last_term: int
+    membership: GroupMembership
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LeadershipChanged:
+    """The known leader changed; ``is_leader`` tells whether it is this replica."""
+
+    term: int
+    leader: Address | None
+    is_leader: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipChanged:
+    """The membership in force changed (appended, not yet committed)."""
+
+    membership: GroupMembership
+
+
+Instruction = (
+    SaveHardState
+    | AppendEntries
+    | SendMessage
+    | ApplyEntries
+    | RejectProposals
+    | AllowRead
+    | RejectRead
+    | InstallSnapshot
+    | LeadershipChanged
+    | MembershipChanged
+)
--- /dev/null
+++ b/src/passlane/runtime/interfaces.py
@@ -0,0 +1,157 @@
+"""Interfaces to the outside world: network, HTTP, disk, randomness.
+
+Every part of the daemons reaches the outside only through an ``Environment``, so
+that the simulation can put its own network, disk and random numbers in their
+place. Time comes from ``anyio.current_time`` and ``anyio.sleep``, which follow the
+virtual clock under trio's ``MockClock``.
+"""
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from anyio.abc import ByteStream
+
+from passlane.messages.common import Address
+
+AsgiApplication = Callable[[Any, Any, Any], Awaitable[None]]
+"""An ASGI 3 application: ``await application(scope, receive, send)``."""
+
+ConnectionHandler = Callable[[ByteStream], Awaitable[None]]
+"""Serves one accepted connection until it ends."""
+
+
+class Network(Protocol):
+    """Byte streams over TCP, or their simulated kin."""
+
+    async def connect(self, address: Address) -> ByteStream:
+        """Open a connection; raise ``OSError`` when that fails."""
+        ...
+
+    async def serve(self, address: Address, handler: ConnectionHandler) -> None:
+        """Accept connections at ``address`` and run ``handler`` for each until cancelled.
+
+        Raises
+        ------
+        OSError
+            When the address cannot be listened on.
+        """
+        ...
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A request to a back end. ``path`` starts with ``/``; ``body`` is whole."""
+
+    method: str
+    address: Address
+    path: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+class HttpResponse(Protocol):
+    """An answer whose head has arrived; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Return the body's parts as they arrive; raise ``OSError`` when it breaks off."""
+        ...
+
+
+class HttpConnectionError(OSError):
+    """A request could not be sent or its answer broke off.
+
+    Attributes
+    ----------
+    bytes_left
+        ``False`` only if it is certain that no byte of the request left this process.
+    """
+
+    def __init__(self, message: str, *, bytes_left: bool) -> None:
+        super().__init__(message)
+        self.bytes_left = bytes_left
+
+
+class HttpClient(Protocol):
+    """Sends requests; owns its connections, one request at a time on each."""
+
+    def exchange(self, request: HttpRequest) -> AbstractAsyncContextManager[HttpResponse]:
+        """Send a request and give its answer; leaving early closes the connection.
+
+        Raises
+        ------
+        HttpConnectionError
+            On entry or while the body is read.
+        """
+        ...
+
+
+class HttpServer(Protocol):
+    """Serves ASGI applications."""
+
+    async def serve(self, address: Address, application: AsgiApplication) -> None:
+        """Serve ``application`` at ``address`` until cancelled."""
+        ...
+
+
+class AppendFile(Protocol):
+    """A file that is only appended to. Written data lasts once ``sync`` returned."""
+
+    def write(self, data: bytes) -> None:
+        """Append ``data``; raise ``OSError`` (``ENOSPC`` when the disk is full)."""
+        ...
+
+    async def sync(self) -> None:
+        """Return when all data written before the call is durable."""
+        ...
+
+    def close(self) -> None:
+        """Close the file without syncing."""
+        ...
+
+
+class Disk(Protocol):
+    """Files below one data folder. Names are relative, with ``/`` between parts."""
+
+    def list_files(self, folder: str) -> list[str]:
+        """Return the sorted names of the files in ``folder``; empty if there is none."""
+        ...
+
+    def read(self, name: str) -> bytes:
+        """Return the whole file; raise ``FileNotFoundError`` if there is none."""
+        ...
+
+    def open_append(self, name: str) -> AppendFile:
+        """Open a file for appending; make it and its folders if there is none."""
+        ...
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Put ``data`` in place of the file, whole and durable or not at all."""
+        ...
+
+    async def truncate(self, name: str, length: int) -> None:
+        """Cut the file to ``length`` bytes, durably."""
+        ...
+
+    async def remove(self, name: str) -> None:
+        """Remove the file, durably; do nothing if there is none."""
+        ...
+
+
+@dataclass(frozen=True)
+class Environment:
+    """All that a daemon may touch outside itself.
+
+    ``random`` is for jitter, two-choice routing and identifiers; seeded in simulation.
+    """
+
+    network: Network
+    http_client: HttpClient
+    http_server: HttpServer
+    disk: Disk
+    random: random.Random
--- /dev/null
+++ b/src/passlane/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision logic: ordering, placement, limits, retries."""
--- /dev/null
+++ b/src/passlane/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings of the daemon, checked at start."""
--- /dev/null
+++ b/src/passlane/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic simulation: clock, network, disk, faults, scenarios, invariants."""
--- /dev/null
+++ b/src/passlane/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable log and snapshots on the data folder."""
--- /dev/null
+++ b/src/passlane/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store group: program records as a replicated state machine, and its service."""
--- /dev/null
+++ b/src/passlane/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Supervisor tree: restart rules for long-lived tasks."""
--- /dev/null
+++ b/src/passlane/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Framed messages over byte streams: server, client and connections."""
--- /dev/null
+++ b/src/passlane/transport/interfaces.py
@@ -0,0 +1,63 @@
+"""What services register with a server, and how clients call them.
+
+Three shapes of exchange: a request with one reply, a request with a stream of
+replies, and a one-way message. Errors travel as ``ErrorReply`` and are raised at
+the client as ``PasslaneError``.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
+from typing import Any, Protocol, TypeVar
+
+from passlane.messages.base import Message
+from passlane.messages.common import Address
+
+RequestType = TypeVar("RequestType", bound=Message)
+ReplyType = TypeVar("ReplyType", bound=Message)
+
+UnaryHandler = Callable[[Any], Awaitable[Message]]
+StreamHandler = Callable[[Any], AsyncIterator[Message]]
+OneWayHandler = Callable[[Any], Awaitable[None]]
+
+
+class Router(Protocol):
+    """Where services register the requests they answer, by class."""
+
+    def add_unary(self, request: type[RequestType], handler: UnaryHandler) -> None:
+        """Answer each ``request`` with the one message that ``handler`` returns."""
+        ...
+
+    def add_stream(self, request: type[RequestType], handler: StreamHandler) -> None:
+        """Answer each ``request`` with the messages that ``handler`` yields."""
+        ...
+
+    def add_one_way(self, request: type[RequestType], handler: OneWayHandler) -> None:
+        """Handle each ``request`` without an answer."""
+        ...
+
+
+class Caller(Protocol):
+    """Sends messages to other processes; keeps one connection for each address."""
+
+    async def call(
+        self, address: Address, request: Message, reply: type[ReplyType], *, timeout_s: float
+    ) -> ReplyType:
+        """Send a request and return its reply.
+
+        Raises
+        ------
+        PasslaneError
+            As the other side raised it; ``UNAVAILABLE`` with ``not_run`` when no
+            connection was had; ``CONNECTION_LOST`` or ``TIMEOUT`` with ``may_have_run``.
+        """
+        ...
+
+    def stream(
+        self, address: Address, request: Message, *, timeout_s: float
+    ) -> AbstractAsyncContextManager[AsyncIterator[Message]]:
+        """Send a request and give its replies; leaving early cancels it at the server."""
+        ...
+
+    async def send(self, address: Address, message: Message) -> None:
+        """Send a one-way message if a connection can be had soon; drop it otherwise."""
+        ...
