--- /dev/null
+++ b/src/passlane/api/asgi.py
@@ -0,0 +1,211 @@
+"""Small helpers for ASGI applications: bodies, answers, bearer tokens, routes.
+
+An application reads its request with ``read_request``, finds the handler with a
+``PathRouter`` and answers with ``send_response``. Streams of events are sent by the
+caller's own code with ``start_stream`` and ``send_chunk``.
+"""
+
+import hmac
+from collections.abc import Awaitable, Callable, Mapping, MutableMapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Generic, TypeVar
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.settings.model import TokenSettings
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+JSON_TYPE = "application/json"
+PROBLEM_TYPE = "application/problem+json"
+TEXT_TYPE = "text/plain; charset=utf-8"
+EVENT_STREAM_TYPE = "text/event-stream"
+
+HandlerType = TypeVar("HandlerType")
+
+_json_encoder = msgspec.json.Encoder()
+
+
+@dataclass(frozen=True)
+class Request:
+    """A whole HTTP request. Header names are in lower case, the path is already percent-decoded."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class Response:
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = JSON_TYPE
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+def json_response(status: int, value: Any, headers: Mapping[str, str] | None = None) -> Response:
+    """Return an answer that holds ``value`` (structs and plain values) as JSON."""
+    return Response(status=status, body=_json_encoder.encode(value), headers=headers or {})
+
+
+def text_response(status: int, text: str) -> Response:
+    """Return an answer of plain text."""
+    return Response(status=status, body=text.encode(), content_type=TEXT_TYPE)
+
+
+def request_headers(scope: Scope) -> dict[str, str]:
+    """Return the headers of a request, names in lower case; the last of a name wins."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1") for name, value in scope["headers"]
+    }
+
+
+async def read_body(receive: Receive, max_bytes: int) -> bytes:
+    """Return the whole body of a request.
+
+    Raises
+    ------
+    PasslaneError
+        ``BODY_TOO_LARGE`` beyond ``max_bytes``; ``CONNECTION_LOST`` when the client
+        went away before the body was whole.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            raise PasslaneError(ErrorCode.CONNECTION_LOST, "the client went away")
+        part: bytes = event.get("body", b"")
+        size += len(part)
+        if size > max_bytes:
+            raise PasslaneError(
+                ErrorCode.BODY_TOO_LARGE, f"the body may have {max_bytes} bytes at most"
+            )
+        parts.append(part)
+        if not event.get("more_body", False):
+            return b"".join(parts)
+
+
+async def read_request(scope: Scope, receive: Receive, max_bytes: int) -> Request:
+    """Return the whole request; raise as ``read_body`` does."""
+    return Request(
+        method=scope["method"],
+        path=scope["path"],
+        query=dict(parse_qsl(scope.get("query_string", b"").decode("latin-1"))),
+        headers=request_headers(scope),
+        body=await read_body(receive, max_bytes),
+    )
+
+
+async def start_stream(
+    send: Send, status: int, content_type: str, headers: Mapping[str, str] | None = None
+) -> None:
+    """Send the head of an answer; its body follows in chunks."""
+    pairs = [(b"content-type", content_type.encode("latin-1"))]
+    for name, value in (headers or {}).items():
+        pairs.append((name.lower().encode("latin-1"), value.encode("latin-1")))
+    await send({"type": "http.response.start", "status": status, "headers": pairs})
+
+
+async def send_chunk(send: Send, data: bytes, *, last: bool = False) -> None:
+    """Send part of an answer's body; ``last`` ends the answer."""
+    await send({"type": "http.response.body", "body": data, "more_body": not last})
+
+
+async def send_response(send: Send, response: Response) -> None:
+    """Send a whole answer."""
+    headers = {**response.headers, "content-length": str(len(response.body))}
+    await start_stream(send, response.status, response.content_type, headers)
+    await send_chunk(send, response.body, last=True)
+
+
+def bearer_token(headers: Mapping[str, str]) -> str | None:
+    """Return the token of an ``Authorization: Bearer`` header, if there is one."""
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        return None
+    return token.strip()
+
+
+def require_token(headers: Mapping[str, str], known: Sequence[TokenSettings]) -> TokenSettings:
+    """Return the settings of the request's bearer token.
+
+    Each known token is compared in constant time, and all of them are compared, so
+    that the time taken tells nothing about them.
+
+    Raises
+    ------
+    PasslaneError
+        ``UNAUTHORIZED`` when the token is missing or unknown.
+    """
+    given = (bearer_token(headers) or "").encode()
+    found: TokenSettings | None = None
+    for candidate in known:
+        if hmac.compare_digest(given, candidate.token.encode()):
+            found = candidate
+    if found is None or not given:
+        raise PasslaneError(ErrorCode.UNAUTHORIZED, "a known bearer token is needed")
+    return found
+
+
+@dataclass(frozen=True)
+class RouteMatch(Generic[HandlerType]):
+    """The handler of a request and the variable parts of its path, by name."""
+
+    handler: HandlerType
+    parameters: Mapping[str, str]
+
+
+class PathRouter(Generic[HandlerType]):
+    """Finds handlers by method and path. Patterns look like ``/v1/programs/{id}``."""
+
+    def __init__(self) -> None:
+        self._routes: list[tuple[str, tuple[str, ...], HandlerType]] = []
+
+    def add(self, method: str, pattern: str, handler: HandlerType) -> None:
+        """Route requests of ``method`` whose path fits ``pattern`` to ``handler``."""
+        self._routes.append((method, _parts(pattern), handler))
+
+    def find(self, method: str, path: str) -> RouteMatch[HandlerType]:
+        """Return the handler for a request; ``path`` is as it stands in the ASGI scope.
+
+        Raises
+        ------
+        PasslaneError
+            ``NOT_FOUND`` for an unknown path, ``METHOD_NOT_ALLOWED`` for a known one.
+        """
+        path_is_known = False
+        for route_method, pattern, handler in self._routes:
+            parameters = _match(pattern, _parts(path))
+            if parameters is None:
+                continue
+            if route_method == method:
+                return RouteMatch(handler=handler, parameters=parameters)
+            path_is_known = True
+        if path_is_known:
+            raise PasslaneError(ErrorCode.METHOD_NOT_ALLOWED, f"{method} is not offered here")
+        raise PasslaneError(ErrorCode.NOT_FOUND, "there is nothing at this path")
+
+
+def _parts(path: str) -> tuple[str, ...]:
+    return tuple(path.strip("/").split("/"))
+
+
+def _match(pattern: tuple[str, ...], parts: tuple[str, ...]) -> dict[str, str] | None:
+    if len(pattern) != len(parts):
+        return None
+    parameters: dict[str, str] = {}
+    for expected, part in zip(pattern, parts, strict=True):
+        if expected.startswith("{"):
+            parameters[expected[1:-1]] = part
+        elif expected != part:
+            return None
+    return parameters
--- a/src/passlane/errors.py
+++ b/src/passlane/errors.py
@@ -24,6 +24,8 @@
     UNAUTHORIZED = "unauthorized"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    PRECONDITION_REQUIRED = "precondition_required"
     UNKNOWN_PROGRAM = "unknown_program"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_TOOL = "unknown_tool"
