--- /dev/null
+++ b/src/passlane/backends/engine_client.py
@@ -0,0 +1,214 @@
+"""Client of a model engine: streams of tokens, load, cache events, fenced orders."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+import anyio
+import msgspec
+
+from passlane.backends.event_lines import EventLines
+from passlane.backends.failures import (
+    BackendError,
+    error_of_connection,
+    error_of_response,
+    error_of_timeout,
+    read_whole,
+)
+from passlane.errors import ErrorCode, Verdict
+from passlane.messages.backends import (
+    CacheEvents,
+    CacheSnapshot,
+    EngineCancel,
+    EngineChatRequest,
+    EngineChunk,
+    EngineLoad,
+    EngineOrder,
+    OrderReply,
+)
+from passlane.messages.common import Address
+from passlane.runtime.interfaces import (
+    HttpClient,
+    HttpConnectionError,
+    HttpRequest,
+    HttpResponse,
+)
+
+END_OF_STREAM = b"[DONE]"
+JSON_HEADERS = {"content-type": "application/json"}
+MAX_REPLY_BYTES = 16_000_000
+
+ReplyBody = TypeVar("ReplyBody")
+ChunkHandler = Callable[[EngineChunk], None]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTimeouts:
+    """How long an engine may stay silent, in seconds.
+
+    Attributes
+    ----------
+    first_token_s
+        From the request to the first token; the engine may queue the request meanwhile.
+    next_token_s
+        Between two tokens; longer means that the engine hangs.
+    control_s
+        For load reports, cache events, orders and cancels.
+    """
+
+    first_token_s: float = 30.0
+    next_token_s: float = 5.0
+    control_s: float = 2.0
+
+
+class EngineClient:
+    """Speaks to one engine. Holds no connection itself: the HTTP client owns them."""
+
+    def __init__(
+        self, http: HttpClient, address: Address, timeouts: EngineTimeouts | None = None
+    ) -> None:
+        self._http = http
+        self._address = address
+        self._timeouts = timeouts or EngineTimeouts()
+        self._chunk_decoder = msgspec.json.Decoder(EngineChunk)
+
+    async def stream_chat(self, request: EngineChatRequest, on_chunk: ChunkHandler) -> EngineChunk:
+        """Run a chat request, give each token to ``on_chunk`` and return the last event.
+
+        Chunks that carry another attempt's id are dropped. Leaving early, by an error or
+        by cancellation, closes the connection, which frees the engine's slot too.
+
+        Raises
+        ------
+        BackendError
+            With the verdict that the failure proves.
+        """
+        http_request = self._post("/v1/chat/completions", request)
+        silence_s = self._timeouts.first_token_s
+        try:
+            with anyio.move_on_after(silence_s) as silence:
+                async with self._http.exchange(http_request) as response:
+                    if response.status != 200:
+                        raise await error_of_response(response)
+                    final = await self._read_chunks(request, response, on_chunk, silence)
+        except HttpConnectionError as error:
+            raise error_of_connection(error) from error
+        if silence.cancelled_caught:
+            raise error_of_timeout(silence_s)
+        return final
+
+    async def _read_chunks(
+        self,
+        request: EngineChatRequest,
+        response: HttpResponse,
+        on_chunk: ChunkHandler,
+        silence: anyio.CancelScope,
+    ) -> EngineChunk:
+        lines = EventLines()
+        async for data in response.chunks():
+            silence.deadline = anyio.current_time() + self._timeouts.next_token_s
+            for line in self._feed(lines, data):
+                if line == END_OF_STREAM:
+                    continue
+                chunk = self._decode_chunk(line)
+                if chunk.attempt_id != request.attempt_id:
+                    continue
+                if chunk.finish_reason is not None:
+                    return chunk
+                on_chunk(chunk)
+        raise BackendError(
+            ErrorCode.BACKEND_FAILED,
+            "the engine's stream ended before the answer",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+    def _feed(self, lines: EventLines, data: bytes) -> list[bytes]:
+        try:
+            return lines.feed(data)
+        except ValueError as error:
+            raise _unreadable(error) from error
+
+    def _decode_chunk(self, line: bytes) -> EngineChunk:
+        try:
+            return self._chunk_decoder.decode(line)
+        except msgspec.MsgspecError as error:
+            raise _unreadable(error) from error
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Ask the engine to stop an attempt; raise ``BackendError`` if it cannot be asked."""
+        await self._exchange(self._post("/v1/cancel", EngineCancel(attempt_id)))
+
+    async def read_load(self) -> EngineLoad:
+        """Return the engine's load report; raise ``BackendError``."""
+        return _decode(await self._exchange(self._get("/v1/load")), EngineLoad)
+
+    async def read_cache_events(self, after: int) -> CacheEvents:
+        """Return the cache events after number ``after``; raise ``BackendError``."""
+        body = await self._exchange(self._get(f"/v1/cache/events?after={after}"))
+        return _decode(body, CacheEvents)
+
+    async def read_cache(self) -> CacheSnapshot:
+        """Return what the whole cache holds; raise ``BackendError``."""
+        return _decode(await self._exchange(self._get("/v1/cache")), CacheSnapshot)
+
+    async def order(self, order: EngineOrder) -> OrderReply:
+        """Give a fenced order.
+
+        Raises
+        ------
+        BackendError
+            ``STALE_FENCING_TOKEN`` when the engine has seen a higher token.
+        """
+        return _decode(await self._exchange(self._post("/v1/orders", order)), OrderReply)
+
+    def _get(self, path: str) -> HttpRequest:
+        return HttpRequest(method="GET", address=self._address, path=path)
+
+    def _post(self, path: str, body: msgspec.Struct) -> HttpRequest:
+        return HttpRequest(
+            method="POST",
+            address=self._address,
+            path=path,
+            headers=JSON_HEADERS,
+            body=msgspec.json.encode(body),
+        )
+
+    async def _exchange(self, request: HttpRequest) -> bytes:
+        return await exchange_whole(self._http, request, self._timeouts.control_s)
+
+
+async def exchange_whole(http: HttpClient, request: HttpRequest, timeout_s: float) -> bytes:
+    """Send a request and return the body of its successful answer.
+
+    Raises
+    ------
+    BackendError
+        For a broken connection, a time-out or an error status, with its verdict.
+    """
+    body = b""
+    try:
+        with anyio.move_on_after(timeout_s) as scope:
+            async with http.exchange(request) as response:
+                if not 200 <= response.status < 300:
+                    raise await error_of_response(response)
+                body = await read_whole(response, MAX_REPLY_BYTES)
+    except HttpConnectionError as error:
+        raise error_of_connection(error) from error
+    if scope.cancelled_caught:
+        raise error_of_timeout(timeout_s)
+    return body
+
+
+def _decode(body: bytes, reply_type: type[ReplyBody]) -> ReplyBody:
+    try:
+        return msgspec.json.decode(body, type=reply_type)
+    except msgspec.MsgspecError as error:
+        raise _unreadable(error) from error
+
+
+def _unreadable(error: Exception) -> BackendError:
+    return BackendError(
+        ErrorCode.BACKEND_FAILED,
+        f"the back end's answer cannot be read: {error}",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/src/passlane/backends/failures.py
@@ -0,0 +1,146 @@
+"""What a failed exchange with a back end says about whether the request has run."""
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.runtime.interfaces import HttpConnectionError, HttpResponse
+
+MAX_PROBLEM_BYTES = 64_000
+"""Most bytes read of a refusal's body."""
+
+REFUSAL_STATUSES = frozenset({409, 429, 503})
+"""Statuses that prove, together with a problem body, that the request did not run."""
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+class BackendError(PasslaneError):
+    """An exchange with a back end failed.
+
+    Parameters
+    ----------
+    is_final
+        The back end rejected the request itself: sending it again would not help.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        *,
+        verdict: Verdict,
+        is_final: bool = False,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(code, message, verdict=verdict, retry_after_s=retry_after_s)
+        self.is_final = is_final
+
+
+class ProblemBody(msgspec.Struct, frozen=True):
+    """The parts of a back end's ``application/problem+json`` body that matter here."""
+
+    detail: str = ""
+    title: str = ""
+    code: str = ""
+    verdict: str | None = None
+
+
+def error_of_connection(error: HttpConnectionError) -> BackendError:
+    """Return the failure that a broken connection stands for."""
+    if error.bytes_left:
+        return BackendError(
+            ErrorCode.BACKEND_FAILED,
+            f"the connection to the back end broke: {error}",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+    return BackendError(
+        ErrorCode.UNAVAILABLE,
+        f"the back end could not be reached: {error}",
+        verdict=Verdict.NOT_RUN,
+    )
+
+
+def error_of_timeout(seconds: float) -> BackendError:
+    """Return the failure of an exchange that was cut off after ``seconds``."""
+    return BackendError(
+        ErrorCode.TIMEOUT,
+        f"the back end gave no answer within {seconds:g} s",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+
+
+async def error_of_response(response: HttpResponse) -> BackendError:
+    """Return the failure that an answer with an error status stands for.
+
+    Only a refusal status with a problem body, or a body that says ``not_run`` itself,
+    proves that nothing ran.
+    """
+    problem = await _read_problem(response)
+    message = _message(response.status, problem)
+    verdict = _verdict(response.status, problem)
+    code = _code(response.status, problem)
+    is_rejection = 400 <= response.status < 500 and response.status not in REFUSAL_STATUSES
+    return BackendError(
+        code,
+        message,
+        verdict=verdict,
+        is_final=is_rejection and verdict is Verdict.NOT_RUN,
+        retry_after_s=_retry_after(response),
+    )
+
+
+async def _read_problem(response: HttpResponse) -> ProblemBody | None:
+    if not response.headers.get("content-type", "").startswith(PROBLEM_TYPE):
+        return None
+    try:
+        body = await read_whole(response, MAX_PROBLEM_BYTES)
+        return msgspec.json.decode(body, type=ProblemBody)
+    except (OSError, BackendError, msgspec.MsgspecError):
+        return None
+
+
+async def read_whole(response: HttpResponse, max_bytes: int) -> bytes:
+    """Return an answer's whole body; raise ``BackendError`` beyond ``max_bytes``."""
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in response.chunks():
+        size += len(chunk)
+        if size > max_bytes:
+            raise BackendError(
+                ErrorCode.BACKEND_FAILED,
+                f"the back end's answer has more than {max_bytes} bytes",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+def _verdict(status: int, problem: ProblemBody | None) -> Verdict:
+    if problem is None:
+        return Verdict.MAY_HAVE_RUN
+    if problem.verdict is not None:
+        is_not_run = problem.verdict == Verdict.NOT_RUN.value
+        return Verdict.NOT_RUN if is_not_run else Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN if status in REFUSAL_STATUSES else Verdict.MAY_HAVE_RUN
+
+
+def _code(status: int, problem: ProblemBody | None) -> ErrorCode:
+    if problem is not None and problem.code == ErrorCode.STALE_FENCING_TOKEN.value:
+        return ErrorCode.STALE_FENCING_TOKEN
+    if status >= 500 and status not in REFUSAL_STATUSES:
+        return ErrorCode.BACKEND_FAILED
+    return ErrorCode.BACKEND_REFUSED
+
+
+def _message(status: int, problem: ProblemBody | None) -> str:
+    detail = (problem.detail or problem.title) if problem is not None else ""
+    return f"the back end answered with status {status}" + (f": {detail}" if detail else "")
+
+
+def _retry_after(response: HttpResponse) -> float | None:
+    value = response.headers.get("retry-after", "")
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < float("inf") else None
--- a/src/passlane/messages/node.py
+++ b/src/passlane/messages/node.py
@@ -24,6 +24,12 @@
         JSON arguments of a tool call.
     timeout_s
         Seconds the caller is ready to wait from now.
+    resume_from, resume_text
+        Tokens the caller already has of this answer and their text; set when the
+        request is sent again after its leader was lost.
+    is_named
+        Whether the caller itself named the call (by key or sequence) and so can ask for
+        its outcome again; a call that nobody can ask for is cancelled with its caller.
     """
 
     request_id: str
@@ -37,6 +43,9 @@
     sequence: int | None = None
     idempotency_key: str | None = None
     timeout_s: float = 60.0
+    resume_from: int = 0
+    resume_text: str = ""
+    is_named: bool = False
 
 
 class CreateProgramRequest(Message, frozen=True):
--- /dev/null
+++ b/src/passlane/programs/call_machine.py
@@ -0,0 +1,442 @@
+"""State machine of one call, from its intent to its answer.
+
+The path of a call: intent recorded, placed, dispatched as an attempt, streaming, outcome
+recorded, answered. Whether a failed attempt is repeated depends on its verdict alone: what
+did not run may be sent again, a model call may be resumed elsewhere, and a tool call that
+must not be repeated is never sent again once it may have run.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from passlane.errors import ErrorCode, Verdict
+from passlane.identifiers import CallId
+from passlane.messages.backends import OperationState
+from passlane.messages.common import Amounts
+from passlane.messages.node import CallAnswered, CallRefused
+from passlane.messages.store import CallKind, CallOutcome, CallRecord, CallState, Turn
+from passlane.programs.call_events import (
+    AttemptFailed,
+    AttemptFinished,
+    CallerGone,
+    CallEventIn,
+    DeadlinePassed,
+    IntentRecorded,
+    IntentRefused,
+    OutcomeRecorded,
+    OutcomeRefused,
+    RetryDue,
+    StartOrdered,
+    StartRefused,
+    StatusReceived,
+    TokenReceived,
+)
+from passlane.programs.call_instructions import (
+    AskStatus,
+    CallInstruction,
+    CancelAttempt,
+    RecordIntent,
+    RecordOutcome,
+    RequestPlacement,
+    SendAnswer,
+    SendToken,
+    StartAttempt,
+    WaitBeforeRetry,
+    WithdrawPlacement,
+)
+
+MAX_ATTEMPTS = 4
+"""Most attempts at one call within one request."""
+
+MAX_STATUS_QUERIES = 6
+"""Most status queries before a doubtful operation is answered as such."""
+
+FIRST_RETRY_DELAY_S = 0.05
+"""Pause before the first repeat; doubled for each further one."""
+
+COME_BACK_AFTER_S = 1.0
+"""Advice to callers when a back end failed and gave none of its own."""
+
+
+class CallPhase(enum.Enum):
+    """Where a call is on its path."""
+
+    CREATED = enum.auto()
+    RECORDING_INTENT = enum.auto()
+    PLACING = enum.auto()
+    RUNNING = enum.auto()
+    PAUSED_BEFORE_RETRY = enum.auto()
+    ASKING_STATUS = enum.auto()
+    PAUSED_BEFORE_STATUS = enum.auto()
+    RECORDING_OUTCOME = enum.auto()
+    ANSWERED = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class CallPlan:
+    """What is fixed about a call.
+
+    Attributes
+    ----------
+    new_prompt_tokens
+        Estimated tokens of the caller's new messages, which are charged to the budget.
+    reserve
+        Reserved from the budget; the call never spends more.
+    price_micros
+        Price of a tool call that ran.
+    offers_status
+        Whether the application tells what became of an operation.
+    is_named
+        Whether the caller can ask for the outcome again.
+    resume_texts
+        Texts of tokens that the caller already has.
+    """
+
+    call_id: CallId
+    kind: CallKind
+    repeatable: bool
+    max_tokens: int
+    reserve: Amounts
+    new_prompt_tokens: int = 0
+    price_micros: int = 0
+    offers_status: bool = False
+    is_named: bool = False
+    resume_texts: tuple[str, ...] = ()
+
+
+class CallMachine:
+    """Decides what happens next to one call; see the module's text."""
+
+    def __init__(self, plan: CallPlan, attempt_prefix: str) -> None:
+        self.plan = plan
+        self.phase = CallPhase.CREATED
+        self.attempts = 0
+        self.texts: list[str] = list(plan.resume_texts)
+        self.sequence = -1
+        self._attempt_prefix = attempt_prefix
+        self._attempt_id: str | None = None
+        self._backend = ""
+        self._failed_backends: set[str] = set()
+        self._status_queries = 0
+        self._may_have_run = False
+        self._caller_gone = False
+        self._outcome: CallOutcome | None = None
+        self._usage = AttemptFinished(attempt_id="")
+        self._last_failure: AttemptFailed | None = None
+
+    @property
+    def attempt_id(self) -> str | None:
+        """Attempt whose answer counts; any other is late and is dropped."""
+        return self._attempt_id
+
+    def start(self) -> list[CallInstruction]:
+        """Return the first instruction of the call."""
+        self.phase = CallPhase.RECORDING_INTENT
+        return [RecordIntent()]
+
+    def handle(self, event: CallEventIn, now: float) -> list[CallInstruction]:
+        """Take one event at local time ``now`` (seconds) and return what to do."""
+        del now
+        if self.phase is CallPhase.ANSWERED:
+            return []
+        match event:
+            case TokenReceived():
+                return self._on_token(event)
+            case IntentRecorded():
+                return self._on_intent_recorded(event)
+            case IntentRefused():
+                return self._refuse(event.code, event.message, event.retry_after_s)
+            case StartOrdered():
+                return self._on_start_ordered(event)
+            case StartRefused():
+                return self._on_start_refused(event)
+            case AttemptFinished():
+                return self._on_attempt_finished(event)
+            case AttemptFailed():
+                return self._on_attempt_failed(event)
+            case StatusReceived():
+                return self._on_status(event)
+            case RetryDue():
+                return self._on_retry_due()
+            case OutcomeRecorded():
+                return self._on_outcome_recorded()
+            case OutcomeRefused():
+                return self._on_outcome_refused(event)
+            case CallerGone():
+                return self._on_caller_gone()
+            case DeadlinePassed():
+                return self._on_deadline()
+
+    # Intent.
+
+    def _on_intent_recorded(self, event: IntentRecorded) -> list[CallInstruction]:
+        if self.phase is not CallPhase.RECORDING_INTENT:
+            return []
+        self.sequence = event.call.sequence
+        if event.call.state is CallState.FINISHED:
+            return self._answer_recorded(event.call)
+        if self._caller_gone and not self.plan.is_named:
+            return self._give_up_unnamed()
+        if event.already_recorded and not event.proved_not_run:
+            # An earlier leader or an earlier request may have sent it already.
+            self._may_have_run = True
+            if not self._may_repeat_after_doubt:
+                return self._resolve_doubt()
+        return self._place()
+
+    def _answer_recorded(self, call: CallRecord) -> list[CallInstruction]:
+        if call.outcome is None:
+            raise ValueError(f"finished call {call.call_id} has no outcome")
+        self._outcome = call.outcome
+        self.texts = []
+        return self._on_outcome_recorded()
+
+    # Placement and attempts.
+
+    @property
+    def _may_repeat_after_doubt(self) -> bool:
+        return self.plan.kind is CallKind.MODEL or self.plan.repeatable
+
+    def _place(self) -> list[CallInstruction]:
+        self.phase = CallPhase.PLACING
+        excluded = frozenset(self._failed_backends)
+        return [RequestPlacement(excluded=excluded, resume_from=len(self.texts))]
+
+    def _on_start_ordered(self, event: StartOrdered) -> list[CallInstruction]:
+        if self.phase is not CallPhase.PLACING:
+            return []
+        self.phase = CallPhase.RUNNING
+        self.attempts += 1
+        self._backend = event.backend
+        self._attempt_id = f"{self._attempt_prefix}.{self.attempts}"
+        return [
+            StartAttempt(
+                attempt_id=self._attempt_id,
+                backend=event.backend,
+                priority=event.priority,
+                resume_from=len(self.texts),
+                resume_text="".join(self.texts),
+            )
+        ]
+
+    def _on_start_refused(self, event: StartRefused) -> list[CallInstruction]:
+        if self.phase is not CallPhase.PLACING:
+            return []
+        return self._refuse(event.code, event.message, event.retry_after_s)
+
+    def _on_token(self, event: TokenReceived) -> list[CallInstruction]:
+        if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
+            return []
+        if event.position < len(self.texts):
+            return []
+        if event.position > len(self.texts):
+            return self._fail_on_gap(event)
+        if len(self.texts) >= self.plan.max_tokens:
+            return []
+        self._may_have_run = True
+        self.texts.append(event.text)
+        return [SendToken(position=event.position, text=event.text)]
+
+    def _fail_on_gap(self, event: TokenReceived) -> list[CallInstruction]:
+        """Give up an attempt that lost a token: what follows would not be the answer."""
+        failure = AttemptFailed(
+            attempt_id=event.attempt_id,
+            verdict=Verdict.MAY_HAVE_RUN,
+            code=ErrorCode.BACKEND_FAILED,
+            message=f"token {len(self.texts)} of the answer is missing",
+        )
+        return [CancelAttempt(event.attempt_id), *self._on_attempt_failed(failure)]
+
+    def _on_attempt_finished(self, event: AttemptFinished) -> list[CallInstruction]:
+        if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
+            return []
+        if self.plan.kind is CallKind.MODEL and event.generated_tokens != len(self.texts):
+            failure = AttemptFailed(
+                attempt_id=event.attempt_id,
+                verdict=Verdict.MAY_HAVE_RUN,
+                code=ErrorCode.BACKEND_FAILED,
+                message="the answer ended before its last token",
+            )
+            return self._on_attempt_failed(failure)
+        self._usage = event
+        body = event.body if self.plan.kind is CallKind.TOOL else "".join(self.texts)
+        return self._record(self._ran(body))
+
+    def _ran(self, body: str) -> CallOutcome:
+        spent = Amounts(
+            tokens=min(self.plan.new_prompt_tokens + len(self.texts), self.plan.reserve.tokens),
+            calls=1,
+            money_micros=self.plan.price_micros,
+        )
+        return CallOutcome(verdict=Verdict.RAN, body=body, spent=spent)
+
+    def _on_attempt_failed(self, event: AttemptFailed) -> list[CallInstruction]:
+        if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
+            return []
+        self._attempt_id = None
+        self._last_failure = event
+        self._failed_backends.add(self._backend)
+        if event.verdict is not Verdict.NOT_RUN:
+            self._may_have_run = True
+            if not self._may_repeat_after_doubt:
+                return self._resolve_doubt()
+        if event.is_final:
+            return self._record(self._failed(event.verdict, event.code, event.message))
+        if self.attempts >= MAX_ATTEMPTS or not event.retry_allowed:
+            retry_after_s = event.retry_after_s or COME_BACK_AFTER_S
+            return self._refuse(event.code, event.message, retry_after_s)
+        if self.plan.kind is CallKind.MODEL:
+            # Another engine is asked at once; the pause is for the only place there is.
+            return self._place()
+        self.phase = CallPhase.PAUSED_BEFORE_RETRY
+        return [WaitBeforeRetry(self._retry_delay(self.attempts))]
+
+    def _retry_delay(self, tries: int) -> float:
+        return FIRST_RETRY_DELAY_S * float(2 ** max(0, tries - 1))
+
+    def _on_retry_due(self) -> list[CallInstruction]:
+        if self.phase is CallPhase.PAUSED_BEFORE_RETRY:
+            return self._place()
+        if self.phase is CallPhase.PAUSED_BEFORE_STATUS:
+            self.phase = CallPhase.ASKING_STATUS
+            return [AskStatus()]
+        return []
+
+    # Doubtful operations.
+
+    def _resolve_doubt(self) -> list[CallInstruction]:
+        """Find out what became of an operation that must not be sent again."""
+        if not self.plan.offers_status or self._status_queries >= MAX_STATUS_QUERIES:
+            return self._record_doubt()
+        self._status_queries += 1
+        if self._status_queries == 1:
+            self.phase = CallPhase.ASKING_STATUS
+            return [AskStatus()]
+        self.phase = CallPhase.PAUSED_BEFORE_STATUS
+        return [WaitBeforeRetry(self._retry_delay(self._status_queries))]
+
+    def _record_doubt(self) -> list[CallInstruction]:
+        code = self._last_failure.code if self._last_failure else ErrorCode.BACKEND_FAILED
+        message = "the operation may have run and is not sent again"
+        return self._record(self._failed(Verdict.MAY_HAVE_RUN, code, message))
+
+    def _on_status(self, event: StatusReceived) -> list[CallInstruction]:
+        if self.phase is not CallPhase.ASKING_STATUS:
+            return []
+        match event.state:
+            case OperationState.DONE:
+                return self._record(self._ran(event.result))
+            case OperationState.REJECTED:
+                message = event.result or "the application rejected the operation"
+                outcome = self._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_REFUSED, message)
+                return self._record(outcome)
+            case OperationState.UNKNOWN:
+                message = "the application never ran the operation and no longer will"
+                outcome = self._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message)
+                return self._record(outcome)
+            case _:
+                return self._resolve_doubt()
+
+    # Outcome and answer.
+
+    def _failed(self, verdict: Verdict, code: ErrorCode, message: str) -> CallOutcome:
+        """Return the outcome of a failure; a doubtful charge counts as spent."""
+        spent = Amounts() if verdict is Verdict.NOT_RUN else self.plan.reserve
+        return CallOutcome(verdict=verdict, error_code=code, error_message=message, spent=spent)
+
+    def _record(self, outcome: CallOutcome) -> list[CallInstruction]:
+        self.phase = CallPhase.RECORDING_OUTCOME
+        self._outcome = outcome
+        return [RecordOutcome(outcome=outcome, turns=self._answer_turns(outcome))]
+
+    def _answer_turns(self, outcome: CallOutcome) -> tuple[Turn, ...]:
+        if outcome.verdict is not Verdict.RAN:
+            return ()
+        if self.plan.kind is CallKind.MODEL:
+            return (Turn(role="assistant", content=outcome.body),)
+        return (Turn(role="tool", content=outcome.body, name=self._backend or None),)
+
+    def _on_outcome_recorded(self) -> list[CallInstruction]:
+        outcome = self._outcome
+        if outcome is None:
+            return []
+        self.phase = CallPhase.ANSWERED
+        if outcome.error_code is not None:
+            refused = CallRefused(outcome.error_code, outcome.error_message, outcome.verdict)
+            return [SendAnswer(refused)]
+        answered = CallAnswered(
+            sequence=self.sequence,
+            verdict=outcome.verdict,
+            body=outcome.body,
+            prompt_tokens=self._usage.prompt_tokens,
+            cached_tokens=self._usage.cached_tokens,
+            generated_tokens=self._usage.generated_tokens or len(self.texts),
+            attempts=self.attempts,
+        )
+        return [SendAnswer(answered)]
+
+    def _on_outcome_refused(self, event: OutcomeRefused) -> list[CallInstruction]:
+        if self.phase is not CallPhase.RECORDING_OUTCOME or self._outcome is None:
+            return []
+        self.phase = CallPhase.ANSWERED
+        # The outcome may be recorded by a later leader, which the same request finds.
+        verdict = self._outcome.verdict
+        if verdict is Verdict.RAN:
+            verdict = Verdict.MAY_HAVE_RUN
+        refused = CallRefused(event.code, event.message, verdict, COME_BACK_AFTER_S)
+        return [SendAnswer(refused, left_open=True)]
+
+    def _refuse(
+        self, code: ErrorCode, message: str, retry_after_s: float | None
+    ) -> list[CallInstruction]:
+        """Answer at once and leave the call open, so that the same call can be repeated."""
+        self.phase = CallPhase.ANSWERED
+        verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
+        refused = CallRefused(code, message, verdict, retry_after_s)
+        proved_not_run = not self._may_have_run
+        return [SendAnswer(refused, left_open=True, proved_not_run=proved_not_run)]
+
+    # The caller.
+
+    def _on_caller_gone(self) -> list[CallInstruction]:
+        self._caller_gone = True
+        if self.plan.is_named or self.plan.kind is CallKind.TOOL:
+            # The caller can ask again and then gets the outcome; let it come about.
+            return []
+        return self._stop_work() + self._give_up_unnamed()
+
+    def _give_up_unnamed(self) -> list[CallInstruction]:
+        if self.phase in (CallPhase.RECORDING_OUTCOME, CallPhase.ANSWERED):
+            return []
+        if self.phase is CallPhase.RECORDING_INTENT and self.sequence < 0:
+            return []
+        verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
+        message = "the caller left before the answer was complete"
+        return self._record(self._failed(verdict, ErrorCode.CONNECTION_LOST, message))
+
+    def _stop_work(self) -> list[CallInstruction]:
+        if self.phase is CallPhase.PLACING:
+            return [WithdrawPlacement()]
+        if self.phase is CallPhase.RUNNING and self._attempt_id is not None:
+            attempt_id, self._attempt_id = self._attempt_id, None
+            return [CancelAttempt(attempt_id)]
+        return []
+
+    def _on_deadline(self) -> list[CallInstruction]:
+        if self.phase is CallPhase.RECORDING_OUTCOME:
+            return self._on_outcome_refused(
+                OutcomeRefused(ErrorCode.DEADLINE_EXCEEDED, "the outcome was not recorded in time")
+            )
+        was_running = self.phase is CallPhase.RUNNING
+        instructions = self._stop_work()
+        self._may_have_run = self._may_have_run or was_running
+        message = "the call did not end within its time"
+        if self.phase is CallPhase.RECORDING_INTENT:
+            # The intent may still become durable, but nothing is sent from here.
+            return self._refuse(ErrorCode.DEADLINE_EXCEEDED, message, COME_BACK_AFTER_S)
+        if self._may_have_run and not self._may_repeat_after_doubt:
+            code = ErrorCode.DEADLINE_EXCEEDED
+            outcome = self._failed(Verdict.MAY_HAVE_RUN, code, message)
+            return instructions + self._record(outcome)
+        refused = self._refuse(ErrorCode.DEADLINE_EXCEEDED, message, COME_BACK_AFTER_S)
+        return instructions + refused
