--- /dev/null
+++ b/src/passlane/configuration/parsing.py
@@ -0,0 +1,84 @@
+"""Parses document bodies into their structs, with errors that name the place."""
+
+from typing import Any
+
+import msgspec
+
+from passlane.configuration.documents import BODY_TYPES, DocumentBody, DocumentKind
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.common import Address
+
+MAX_NAME_LENGTH = 200
+MAX_BODY_CHARACTERS = 200_000
+
+_encoder = msgspec.json.Encoder()
+_decoders: dict[DocumentKind, "msgspec.json.Decoder[DocumentBody]"] = {
+    kind: msgspec.json.Decoder(body_type) for kind, body_type in BODY_TYPES.items()
+}
+
+
+def parse_kind(kind: str) -> DocumentKind:
+    """Return the kind of that name; raise ``INVALID_DOCUMENT`` if there is none."""
+    try:
+        return DocumentKind(kind)
+    except ValueError:
+        known = ", ".join(member.value for member in DocumentKind)
+        raise _invalid(f"unknown kind {kind!r}; kinds are {known}") from None
+
+
+def check_name(name: str) -> None:
+    """Raise ``INVALID_DOCUMENT`` unless ``name`` can name a document."""
+    if not name or len(name) > MAX_NAME_LENGTH:
+        raise _invalid(f"a name has 1 to {MAX_NAME_LENGTH} characters")
+    if "/" in name or not name.isprintable() or name != name.strip():
+        raise _invalid("a name has no '/', no control characters and no spaces at its ends")
+
+
+def parse_body(kind: DocumentKind, body: str) -> DocumentBody:
+    """Return the struct that a recorded body (JSON) stands for.
+
+    Raises
+    ------
+    PasslaneError
+        ``INVALID_DOCUMENT`` with the key that is wrong.
+    """
+    if len(body) > MAX_BODY_CHARACTERS:
+        raise _invalid(f"a body has {MAX_BODY_CHARACTERS} characters at most")
+    try:
+        return _decoders[kind].decode(body)
+    except msgspec.MsgspecError as error:
+        raise _invalid(str(error)) from error
+
+
+def parse_fields(kind: DocumentKind, fields: dict[str, Any]) -> DocumentBody:
+    """Return the struct for fields as people write them, ``address = "host:port"``.
+
+    Raises
+    ------
+    PasslaneError
+        ``INVALID_DOCUMENT`` with the key that is wrong.
+    """
+    try:
+        return msgspec.convert(_with_address(fields), BODY_TYPES[kind])
+    except (ValueError, msgspec.MsgspecError) as error:
+        raise _invalid(str(error)) from error
+
+
+def encode_body(body: DocumentBody) -> str:
+    """Return the JSON that is recorded: every field, defaults too, in a fixed order."""
+    return _encoder.encode(body).decode()
+
+
+def _with_address(fields: dict[str, Any]) -> dict[str, Any]:
+    address = fields.get("address")
+    if not isinstance(address, str):
+        return fields
+    try:
+        parsed = Address.parse(address)
+    except ValueError as error:
+        raise ValueError(f"{error} - at `$.address`") from None
+    return {**fields, "address": {"host": parsed.host, "port": parsed.port}}
+
+
+def _invalid(message: str) -> PasslaneError:
+    return PasslaneError(ErrorCode.INVALID_DOCUMENT, message)
--- a/src/passlane/messages/control.py
+++ b/src/passlane/messages/control.py
@@ -11,6 +11,9 @@
 from passlane.messages.base import Message
 from passlane.messages.common import Address
 
+NO_REVISION = Revision(0)
+"""The revision of an empty configuration."""
+
 
 class Document(msgspec.Struct, frozen=True):
     """One version of one configuration document.
@@ -113,6 +116,8 @@
         Newest revision that every member with a lease holds.
     laggards
         Members that are behind ``prepared_revision`` of the others, at most a few.
+    held_floor
+        ``floor_revision`` of the snapshot that ``held_revision`` was built on.
     """
 
     region: str
@@ -122,12 +127,16 @@
     revision_in_force: Revision
     member_count: int
     laggards: tuple[MemberVersion, ...] = ()
+    held_floor: Revision = NO_REVISION
 
 
 class ConfigurationDelta(Message, frozen=True):
-    """Changes after ``from_revision`` up to ``to_revision``.
+    """Changes after ``from_revision`` up to ``to_revision``, in the order of revisions.
 
-    With ``is_snapshot`` the documents are the whole configuration and replace all.
+    A long delta comes in parts: ``to_revision`` is then below the newest revision, and
+    the holder asks again from there. A holder acts on ``accepted_revision`` only once it
+    holds it. With ``is_snapshot`` the parts start over from nothing; the holder hands
+    ``floor_revision`` back when it asks for the next part.
     """
 
     from_revision: Revision
@@ -135,6 +144,7 @@
     accepted_revision: Revision
     documents: tuple[Document, ...] = ()
     is_snapshot: bool = False
+    floor_revision: Revision = NO_REVISION
 
 
 class ReadProgress(Message, frozen=True):
