--- a/src/passlane/backends/failures.py
+++ b/src/passlane/backends/failures.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.backends import OperationState
 from passlane.runtime.interfaces import HttpConnectionError, HttpResponse
 
 MAX_PROBLEM_BYTES = 64_000
@@ -37,12 +38,18 @@
 
 
 class ProblemBody(msgspec.Struct, frozen=True):
-    """The parts of a back end's ``application/problem+json`` body that matter here."""
+    """The parts of a refusal's JSON body that matter here.
+
+    A problem (RFC 9457) has ``detail``, ``title``, ``code`` and ``verdict``; an
+    application's own refusal has ``state`` ``rejected`` and a reason in ``result``.
+    """
 
     detail: str = ""
     title: str = ""
     code: str = ""
     verdict: str | None = None
+    state: str = ""
+    result: str = ""
 
 
 def error_of_connection(error: HttpConnectionError) -> BackendError:
@@ -72,12 +79,12 @@
 async def error_of_response(response: HttpResponse) -> BackendError:
     """Return the failure that an answer with an error status stands for.
 
-    Only a refusal status with a problem body, or a body that says ``not_run`` itself,
-    proves that nothing ran.
+    Only a refusal status with a problem body, or a body that says itself that nothing
+    ran, proves it.
     """
     problem = await _read_problem(response)
     message = _message(response.status, problem)
-    verdict = _verdict(response.status, problem)
+    verdict = _verdict(response, problem)
     code = _code(response.status, problem)
     is_rejection = 400 <= response.status < 500 and response.status not in REFUSAL_STATUSES
     return BackendError(
@@ -90,13 +97,14 @@
 
 
 async def _read_problem(response: HttpResponse) -> ProblemBody | None:
-    if not response.headers.get("content-type", "").startswith(PROBLEM_TYPE):
+    if "json" not in response.headers.get("content-type", ""):
         return None
     try:
         body = await read_whole(response, MAX_PROBLEM_BYTES)
-        return msgspec.json.decode(body, type=ProblemBody)
+        problem = msgspec.json.decode(body, type=ProblemBody)
     except (OSError, BackendError, msgspec.MsgspecError):
         return None
+    return problem
 
 
 async def read_whole(response: HttpResponse, max_bytes: int) -> bytes:
@@ -115,13 +123,17 @@
     return b"".join(parts)
 
 
-def _verdict(status: int, problem: ProblemBody | None) -> Verdict:
+def _verdict(response: HttpResponse, problem: ProblemBody | None) -> Verdict:
     if problem is None:
         return Verdict.MAY_HAVE_RUN
     if problem.verdict is not None:
         is_not_run = problem.verdict == Verdict.NOT_RUN.value
-        return Verdict.NOT_RUN if is_not_run else Verdict.MAY_HAVE_RUN
-    return Verdict.NOT_RUN if status in REFUSAL_STATUSES else Verdict.MAY_HAVE_RUN
+    elif problem.state:
+        is_not_run = problem.state == OperationState.REJECTED.value
+    else:
+        is_problem = response.headers.get("content-type", "").startswith(PROBLEM_TYPE)
+        is_not_run = is_problem and response.status in REFUSAL_STATUSES
+    return Verdict.NOT_RUN if is_not_run else Verdict.MAY_HAVE_RUN
 
 
 def _code(status: int, problem: ProblemBody | None) -> ErrorCode:
@@ -133,7 +145,7 @@
 
 
 def _message(status: int, problem: ProblemBody | None) -> str:
-    detail = (problem.detail or problem.title) if problem is not None else ""
+    detail = "" if problem is None else problem.detail or problem.result or problem.title
     return f"the back end answered with status {status}" + (f": {detail}" if detail else "")
 
 
--- /dev/null
+++ b/src/passlane/node/led_program.py
@@ -0,0 +1,107 @@
+"""A program as its leading node keeps it in memory."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from passlane.errors import Verdict
+from passlane.identifiers import CallId, EngineId, Epoch, Partition, ProgramId, TenantId
+from passlane.messages.common import Amounts
+from passlane.messages.store import (
+    CallOutcome,
+    CallRecord,
+    CallState,
+    EngineHold,
+    ProgramRecord,
+    ProgramState,
+    Turn,
+)
+from passlane.programs.program_queue import ProgramQueue
+
+
+@dataclass(frozen=True, slots=True)
+class OpenCall:
+    """A recorded call without an outcome that nothing works on.
+
+    Attributes
+    ----------
+    texts
+        Tokens of its answer that were generated so far.
+    new_prompt_tokens
+        Estimated tokens of the caller's messages in it.
+    proved_not_run
+        Whether this leader knows that nothing of it ran.
+    """
+
+    call: CallRecord
+    texts: tuple[str, ...] = ()
+    new_prompt_tokens: int = 0
+    proved_not_run: bool = False
+
+    def abandoned_outcome(self) -> CallOutcome:
+        """Return the outcome to record when the program goes on without this call."""
+        verdict = Verdict.NOT_RUN if self.proved_not_run else Verdict.MAY_HAVE_RUN
+        spent = Amounts() if self.proved_not_run else self.call.reserved
+        return CallOutcome(verdict=verdict, spent=spent)
+
+
+class LedProgram:
+    """History, calls and queue of a program, valid for one epoch of its partition.
+
+    Attributes
+    ----------
+    deadline
+        Local monotonic time in seconds at which the program's life is over.
+    """
+
+    def __init__(self, record: ProgramRecord, epoch: Epoch, now: float) -> None:
+        self.program_id: ProgramId = record.program_id
+        self.tenant_id: TenantId = record.tenant_id
+        self.partition: Partition = record.partition
+        self.epoch = epoch
+        self.parent_id = record.parent_id
+        self.budget = record.budget
+        self.is_ended = record.state is ProgramState.ENDED
+        self.turns: list[Turn] = list(record.turns)
+        self.calls: dict[CallId, CallRecord] = {call.call_id: call for call in record.calls}
+        self.holds: dict[EngineId, int] = {
+            hold.engine_id: hold.incarnation for hold in record.holds
+        }
+        self.next_sequence = record.next_sequence
+        self.queue = ProgramQueue(record.next_sequence, now)
+        self.open_call: OpenCall | None = self._find_open_call()
+        self.deadline = None if record.deadline_s is None else now + record.deadline_s
+        self.last_used_at = now
+
+    def _find_open_call(self) -> OpenCall | None:
+        for call in reversed(self.calls.values()):
+            if call.state is CallState.BEGUN:
+                return OpenCall(call)
+        return None
+
+    def note_begun(self, call: CallRecord, turns: tuple[Turn, ...]) -> None:
+        """Take in that a call's intent is recorded; its turns are appended once."""
+        if call.call_id not in self.calls:
+            self.turns.extend(turns)
+        self.calls[call.call_id] = call
+        self.next_sequence = max(self.next_sequence, call.sequence + 1)
+
+    def note_finished(
+        self, call_id: CallId, outcome: CallOutcome, turns: tuple[Turn, ...]
+    ) -> None:
+        """Take in that a call's outcome is recorded."""
+        call = self.calls[call_id]
+        self.calls[call_id] = msgspec.structs.replace(
+            call, state=CallState.FINISHED, outcome=outcome
+        )
+        self.turns.extend(turns)
+        if self.open_call is not None and self.open_call.call.call_id == call_id:
+            self.open_call = None
+
+    def note_hold(self, hold: EngineHold) -> None:
+        """Take in that an engine may hold memory for the program."""
+        self.holds[hold.engine_id] = max(hold.incarnation, self.holds.get(hold.engine_id, 0))
+
+    def note_release(self, engine_id: EngineId) -> None:
+        """Take in that an engine holds nothing any more."""
+        self.holds.pop(engine_id, None)
--- /dev/null
+++ b/src/passlane/node/model_dispatcher.py
@@ -0,0 +1,203 @@
+"""Shell of the scheduler: tells it what happens and carries out what it decides."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from passlane.configuration.documents import EngineBody
+from passlane.errors import ErrorCode
+from passlane.identifiers import CallId, EngineId, ProgramId
+from passlane.programs.call_events import CallEventIn, StartOrdered, StartRefused
+from passlane.scheduling.events import (
+    CallArrived,
+    CallEnded,
+    CallFirstToken,
+    CallWithdrawn,
+    EnginesChanged,
+    EnginesLeaving,
+    Event,
+    ProgramEnded,
+    ProgramPaused,
+    TimeAdvanced,
+)
+from passlane.scheduling.instructions import (
+    Instruction,
+    MoveCache,
+    RefuseCall,
+    ReleaseCache,
+    RequestCacheSnapshot,
+    StartCall,
+    WakeAt,
+    WatchEngines,
+)
+from passlane.scheduling.retry_budget import RetryBudget
+
+PlacementListener = Callable[[CallEventIn], None]
+
+
+class SchedulerLike(Protocol):
+    """The part of ``scheduling.scheduler.Scheduler`` that is used here."""
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take one event and return instructions."""
+        ...
+
+
+class CacheOrders(Protocol):
+    """Carries out the scheduler's orders about cached memory and its wishes to watch."""
+
+    def release_cache(self, program_id: ProgramId, engine_id: EngineId) -> None:
+        """Order an engine to drop what it holds for a paused program."""
+        ...
+
+    def move_cache(self, program_id: ProgramId, source: EngineId, destination: EngineId) -> None:
+        """Order an engine to import a program's cache from another."""
+        ...
+
+    def watch(self, engine_ids: frozenset[EngineId]) -> None:
+        """Poll these engines from now on."""
+        ...
+
+    def fetch_snapshot(self, engine_id: EngineId) -> None:
+        """Fetch an engine's whole cache view."""
+        ...
+
+
+class ModelDispatcher:
+    """Connects calls that wait for an engine with the scheduler.
+
+    ``orders`` must be set before the first event.
+    """
+
+    def __init__(self, scheduler: SchedulerLike) -> None:
+        self._scheduler = scheduler
+        self._listeners: dict[CallId, PlacementListener] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._events: deque[Event] = deque()
+        self._is_handling = False
+        self._wake_at: float | None = None
+        self._wake_changed = anyio.Event()
+        self._reasons: dict[ProgramId, str] = {}
+        self.orders: CacheOrders | None = None
+
+    def place(self, call: CallArrived, listener: PlacementListener) -> None:
+        """Ask for a place; ``listener`` gets ``StartOrdered`` or ``StartRefused``."""
+        self._listeners[call.call_id] = listener
+        self.tell(call)
+
+    def withdraw(self, call_id: CallId) -> None:
+        """Take a call back, queued or started."""
+        self._listeners.pop(call_id, None)
+        self.tell(CallWithdrawn(call_id))
+
+    def note_first_token(self, call_id: CallId) -> None:
+        """Tell that a started call brought its first token."""
+        self.tell(CallFirstToken(call_id))
+
+    def note_ended(self, ended: CallEnded, engine_id: str) -> None:
+        """Tell that a started call ended at its engine."""
+        self._listeners.pop(ended.call_id, None)
+        if ended.succeeded:
+            self._budget_of(engine_id).record_request()
+        self.tell(ended)
+
+    def note_program_paused(self, program_id: ProgramId, expected_s: float) -> None:
+        """Tell that a program went to a tool."""
+        self.tell(ProgramPaused(program_id, expected_s))
+
+    def note_program_ended(self, program_id: ProgramId) -> None:
+        """Tell that a program ended."""
+        self.tell(ProgramEnded(program_id))
+
+    def change_engines(
+        self, engines: dict[EngineId, EngineBody], leaving: frozenset[EngineId]
+    ) -> None:
+        """Tell which engines there are and which of them are leaving."""
+        self.tell(EnginesChanged(engines))
+        self.tell(EnginesLeaving(leaving))
+
+    def try_retry(self, engine_id: str) -> bool:
+        """Take one retry from the budget of the engine that failed."""
+        return self._budget_of(engine_id).try_spend()
+
+    def _budget_of(self, engine_id: str) -> RetryBudget:
+        return self._budgets.setdefault(engine_id, RetryBudget())
+
+    def tell(self, event: Event) -> None:
+        """Give the scheduler an event and carry out its instructions."""
+        self._events.append(event)
+        if self._is_handling:
+            return
+        self._is_handling = True
+        try:
+            while self._events:
+                now = anyio.current_time()
+                for instruction in self._scheduler.handle(self._events.popleft(), now):
+                    self._carry_out(instruction)
+        finally:
+            self._is_handling = False
+
+    def _carry_out(self, instruction: Instruction) -> None:
+        match instruction:
+            case StartCall(call_id, engine_id, priority, _):
+                self._notify(call_id, StartOrdered(engine_id, priority))
+            case RefuseCall(call_id, code, message, retry_after_s):
+                self._notify(call_id, StartRefused(code, message, retry_after_s))
+            case WakeAt(time):
+                self._set_wake(time)
+            case _:
+                self._carry_out_order(instruction)
+
+    def _carry_out_order(self, instruction: Instruction) -> None:
+        if self.orders is None:
+            return
+        match instruction:
+            case ReleaseCache(program_id, engine_id):
+                self.orders.release_cache(program_id, engine_id)
+            case MoveCache(program_id, source, destination):
+                self.orders.move_cache(program_id, source, destination)
+            case WatchEngines(engine_ids):
+                self.orders.watch(engine_ids)
+            case RequestCacheSnapshot(engine_id):
+                self.orders.fetch_snapshot(engine_id)
+
+    def _notify(self, call_id: CallId, event: CallEventIn) -> None:
+        listener = self._listeners.pop(call_id, None)
+        if listener is None:
+            # Nobody waits for this place any more: give it back.
+            if isinstance(event, StartOrdered):
+                self.tell(CallWithdrawn(call_id))
+            return
+        listener(event)
+
+    def _set_wake(self, time: float) -> None:
+        self._wake_at = time
+        self._wake_changed.set()
+
+    async def run(self) -> None:
+        """Wake the scheduler at the times it asked for, until cancelled."""
+        while True:
+            self._wake_changed = anyio.Event()
+            if self._wake_at is None:
+                await self._wake_changed.wait()
+                continue
+            delay_s = self._wake_at - anyio.current_time()
+            if delay_s > 0:
+                with anyio.move_on_after(delay_s):
+                    await self._wake_changed.wait()
+                    continue
+            self._wake_at = None
+            self.tell(TimeAdvanced())
+
+
+def unavailable(message: str, retry_after_s: float) -> StartRefused:
+    """Return the refusal of a call for which no back end can be had now."""
+    return StartRefused(ErrorCode.UNAVAILABLE, message, retry_after_s)
+
+
+def jittered(seconds: float, source: random.Random) -> float:
+    """Return ``seconds`` spread by a fifth to both sides, against herds."""
+    return seconds * source.uniform(0.8, 1.2)
--- /dev/null
+++ b/src/passlane/node/tool_dispatcher.py
@@ -0,0 +1,79 @@
+"""Decides whether a tool call may go to its application now.
+
+Each application has a circuit breaker with half-open probes, a retry budget and a
+limit of calls in flight from this node.
+"""
+
+from dataclasses import dataclass, field
+
+from passlane.errors import ErrorCode
+from passlane.identifiers import ApplicationId
+from passlane.programs.call_events import StartOrdered, StartRefused
+from passlane.scheduling.circuit_breaker import CircuitBreaker
+from passlane.scheduling.config import BreakerConfig
+from passlane.scheduling.retry_budget import RetryBudget
+
+BUSY_RETRY_AFTER_S = 0.5
+"""Advice to callers when an application has enough calls in flight."""
+
+
+@dataclass
+class _ApplicationState:
+    breaker: CircuitBreaker = field(default_factory=lambda: CircuitBreaker(BreakerConfig()))
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    in_flight: int = 0
+
+
+class ToolDispatcher:
+    """Breakers, retry budgets and in-flight counts of the applications."""
+
+    def __init__(self) -> None:
+        self._applications: dict[ApplicationId, _ApplicationState] = {}
+
+    def check(
+        self, application_id: ApplicationId, max_in_flight: int, now: float
+    ) -> StartRefused | None:
+        """Return the refusal that a call would get now, or ``None``."""
+        state = self._state_of(application_id)
+        if not state.breaker.allows(now):
+            opens_at = state.breaker.opens_next_at(now)
+            retry_after_s = BUSY_RETRY_AFTER_S if opens_at is None else opens_at - now
+            message = f"application {application_id} is failing and is left alone for a while"
+            return StartRefused(
+                ErrorCode.UNAVAILABLE, message, max(retry_after_s, BUSY_RETRY_AFTER_S)
+            )
+        if state.in_flight >= max_in_flight:
+            message = f"application {application_id} has enough calls in flight"
+            return StartRefused(ErrorCode.QUEUE_FULL, message, BUSY_RETRY_AFTER_S)
+        return None
+
+    def start(
+        self, application_id: ApplicationId, max_in_flight: int, now: float
+    ) -> StartOrdered | StartRefused:
+        """Take a place at the application, to be given back by ``finish``."""
+        refusal = self.check(application_id, max_in_flight, now)
+        if refusal is not None:
+            return refusal
+        state = self._state_of(application_id)
+        state.breaker.record_start(now)
+        state.budget.record_request()
+        state.in_flight += 1
+        return StartOrdered(application_id)
+
+    def finish(self, application_id: ApplicationId, *, healthy: bool | None, now: float) -> None:
+        """Give a place back; ``healthy`` is ``None`` if the attempt told nothing."""
+        state = self._state_of(application_id)
+        state.in_flight -= 1
+        if healthy is None:
+            state.breaker.record_abandoned()
+        elif healthy:
+            state.breaker.record_success()
+        else:
+            state.breaker.record_failure(now)
+
+    def try_retry(self, application_id: ApplicationId) -> bool:
+        """Take one retry from the application's budget."""
+        return self._state_of(application_id).budget.try_spend()
+
+    def _state_of(self, application_id: ApplicationId) -> _ApplicationState:
+        return self._applications.setdefault(application_id, _ApplicationState())
