--- a/src/passlane/messages/store.py
+++ b/src/passlane/messages/store.py
@@ -22,6 +22,7 @@
 )
 from passlane.messages.base import Message
 from passlane.messages.common import Address, Amounts
+from passlane.messages.control import ConfigurationDelta
 
 
 class CallKind(enum.StrEnum):
@@ -45,8 +46,11 @@
     FINISHED = "finished"
 
 
-class Turn(msgspec.Struct, frozen=True):
-    """One message of a program's history, in the chat-completions sense."""
+class Turn(msgspec.Struct, frozen=True, gc=False):
+    """One message of a program's history, in the chat-completions sense.
+
+    Holds strings only, so the garbage collector need not look at it.
+    """
 
     role: str
     content: str
@@ -140,7 +144,12 @@
     """Record the intent of a call and reserve its budget, before anything is dispatched.
 
     ``sequence`` must equal the program's ``next_sequence``; ``turns`` are the caller's
-    new messages, appended to the history at once.
+    new messages, appended to the history at once. ``want_history`` asks for the history
+    in the result, ``turns`` included; a leader that keeps it in memory does not ask.
+
+    Sent again in the same epoch it changes nothing. Sent again by a later leader for a
+    repeatable call that has no outcome, it counts the old reservation as spent and
+    reserves anew, because the call is about to run a second time.
     """
 
     program_id: ProgramId
@@ -155,6 +164,7 @@
     reserve: Amounts
     turns: tuple[Turn, ...] = ()
     application_id: ApplicationId | None = None
+    want_history: bool = False
 
 
 class FinishCall(Message, frozen=True):
@@ -170,7 +180,10 @@
 
 
 class EndProgram(Message, frozen=True):
-    """Record the end of a program; its holds are to be released."""
+    """Record the end of a program and of its sub-agents; their holds are to be released.
+
+    A call in flight may still record its outcome afterwards; no new call may begin.
+    """
 
     program_id: ProgramId
     partition: Partition
@@ -202,12 +215,17 @@
 
 
 class PartitionAssignment(msgspec.Struct, frozen=True):
-    """Which node leads a partition, in which epoch."""
+    """Which node leads a partition, in which epoch.
+
+    ``incarnation`` is the life of the node's process that was meant: a restarted process
+    does not lead what an earlier life led, for it has another incarnation.
+    """
 
     partition: Partition
     node_id: NodeId
     address: Address
     epoch: Epoch
+    incarnation: int = 0
 
 
 class AssignPartitions(Message, frozen=True):
@@ -216,6 +234,17 @@
     assignments: tuple[PartitionAssignment, ...]
 
 
+class RecordConfiguration(Message, frozen=True):
+    """Keep configuration fetched from the control group, for the nodes of this region.
+
+    Replicated so that the region can start nodes and change its store leader while it
+    is cut off from the control group. A delta that does not join on to what is held is
+    refused with ``VERSION_CONFLICT``.
+    """
+
+    delta: ConfigurationDelta
+
+
 class StoreDone(Message, frozen=True):
     """The command took effect (now, or when it was first sent)."""
 
@@ -235,9 +264,14 @@
 
 
 class EndProgramResult(Message, frozen=True):
-    """What engines still hold for the ended program."""
+    """What engines still hold for the ended program.
+
+    ``ended_children`` are the sub-agents, at any depth, that ended with it just now; the
+    leaders of their partitions release what they hold.
+    """
 
     holds: tuple[EngineHold, ...]
+    ended_children: tuple[ProgramId, ...] = ()
 
 
 class StoreRefusal(Message, frozen=True):
@@ -301,6 +335,7 @@
     | RecordRelease
     | RemoveEndedPrograms
     | AssignPartitions
+    | RecordConfiguration
 )
 StoreQuery = ReadProgram | ListPrograms | ReadAssignments
 StoreResult = (
--- /dev/null
+++ b/src/passlane/store/assignments.py
@@ -0,0 +1,74 @@
+"""The partition table: which node leads which partition, in which epoch."""
+
+from passlane.errors import ErrorCode
+from passlane.identifiers import Epoch, Partition
+from passlane.messages.store import AssignPartitions, PartitionAssignment
+from passlane.store.refusal import CommandRefusedError
+
+NEVER_ASSIGNED = Epoch(0)
+"""Recorded epoch of a partition that no node has led yet."""
+
+
+class AssignmentTable:
+    """Assignments by partition, and a version that grows with each change."""
+
+    def __init__(self) -> None:
+        self._by_partition: dict[Partition, PartitionAssignment] = {}
+        self.version = 0
+
+    def epoch_of(self, partition: Partition) -> Epoch:
+        """Return the recorded epoch of a partition."""
+        assignment = self._by_partition.get(partition)
+        return NEVER_ASSIGNED if assignment is None else assignment.epoch
+
+    def all(self) -> tuple[PartitionAssignment, ...]:
+        """Return all assignments by number of the partition."""
+        return tuple(self._by_partition[number] for number in sorted(self._by_partition))
+
+    def require_current(self, partition: Partition, epoch: Epoch) -> None:
+        """Refuse a command whose epoch is not the recorded one.
+
+        Raises
+        ------
+        CommandRefusedError
+            ``STALE_EPOCH``: another node leads by now, or the epoch was never given.
+        """
+        recorded = self.epoch_of(partition)
+        if epoch == recorded and epoch != NEVER_ASSIGNED:
+            return
+        reason = "is over" if epoch < recorded else "was never assigned"
+        raise CommandRefusedError(
+            ErrorCode.STALE_EPOCH, f"epoch {epoch} of partition {partition} {reason}"
+        )
+
+    def assign(self, command: AssignPartitions) -> None:
+        """Record new leaders, all or none; sent again it changes nothing.
+
+        Raises
+        ------
+        CommandRefusedError
+            ``STALE_EPOCH`` when an epoch is not the recorded one plus one;
+            ``BAD_REQUEST`` when a partition is named twice.
+        """
+        changed = [
+            assignment
+            for assignment in command.assignments
+            if self._by_partition.get(assignment.partition) != assignment
+        ]
+        if len({assignment.partition for assignment in changed}) != len(changed):
+            raise CommandRefusedError(ErrorCode.BAD_REQUEST, "a partition is named twice")
+        for assignment in changed:
+            if assignment.epoch != self.epoch_of(assignment.partition) + 1:
+                raise CommandRefusedError(
+                    ErrorCode.STALE_EPOCH,
+                    f"partition {assignment.partition} was assigned by another command",
+                )
+        for assignment in changed:
+            self._by_partition[assignment.partition] = assignment
+        if changed:
+            self.version += 1
+
+    def restore(self, assignments: tuple[PartitionAssignment, ...], version: int) -> None:
+        """Replace the table by that of a snapshot."""
+        self._by_partition = {assignment.partition: assignment for assignment in assignments}
+        self.version = version
--- /dev/null
+++ b/src/passlane/store/calls.py
@@ -0,0 +1,124 @@
+"""Beginning and finishing calls: order, budget, idempotency."""
+
+import msgspec
+
+from passlane.errors import ErrorCode
+from passlane.messages.store import (
+    BeginCall,
+    BeginCallResult,
+    CallRecord,
+    CallState,
+    FinishCall,
+    Turn,
+)
+from passlane.store.accounts import AccountChain
+from passlane.store.program import StoredProgram
+from passlane.store.refusal import CommandRefusedError
+
+
+def begin_call(
+    program: StoredProgram, accounts: AccountChain, command: BeginCall
+) -> BeginCallResult:
+    """Record the intent of a call, or find it recorded.
+
+    Raises
+    ------
+    CommandRefusedError
+        ``IDEMPOTENCY_MISMATCH``, ``PROGRAM_ENDED``, ``WRONG_SEQUENCE``,
+        ``BUDGET_EXCEEDED`` or ``BAD_REQUEST``; nothing is changed then.
+    """
+    recorded = program.calls.get(command.call_id)
+    if recorded is not None:
+        call = _begin_again(program, accounts, recorded, command)
+    else:
+        call = _begin_new(program, accounts, command)
+    history = tuple(program.turns) if command.want_history else ()
+    return BeginCallResult(call=call, already_recorded=recorded is not None, history=history)
+
+
+def _begin_new(program: StoredProgram, accounts: AccountChain, command: BeginCall) -> CallRecord:
+    if program.is_ended:
+        raise CommandRefusedError(ErrorCode.PROGRAM_ENDED, "the program has ended")
+    if command.sequence != program.next_sequence:
+        raise CommandRefusedError(
+            ErrorCode.WRONG_SEQUENCE,
+            f"the next call has sequence number {program.next_sequence}, not {command.sequence}",
+        )
+    if program.open_call is not None:
+        raise CommandRefusedError(
+            ErrorCode.WRONG_SEQUENCE, "the previous call has not finished yet"
+        )
+    accounts.reserve(command.reserve)
+    call = CallRecord(
+        call_id=command.call_id,
+        sequence=command.sequence,
+        kind=command.kind,
+        target=command.target,
+        repeatable=command.repeatable,
+        request_digest=command.request_digest,
+        reserved=command.reserve,
+        epoch=command.epoch,
+        application_id=command.application_id,
+    )
+    program.calls[call.call_id] = call
+    program.open_call = call.call_id
+    program.next_sequence += 1
+    program.turns.extend(command.turns)
+    return call
+
+
+def _begin_again(
+    program: StoredProgram, accounts: AccountChain, recorded: CallRecord, command: BeginCall
+) -> CallRecord:
+    same = (
+        recorded.request_digest == command.request_digest and recorded.sequence == command.sequence
+    )
+    if not same:
+        raise CommandRefusedError(
+            ErrorCode.IDEMPOTENCY_MISMATCH, "the call's identifier belongs to another request"
+        )
+    runs_again = (
+        recorded.state is CallState.BEGUN
+        and recorded.repeatable
+        and recorded.epoch < command.epoch
+        and not program.is_ended
+    )
+    if not runs_again:
+        return recorded
+    accounts.renew_reservation(recorded.reserved, command.reserve)
+    call = msgspec.structs.replace(recorded, reserved=command.reserve, epoch=command.epoch)
+    program.calls[call.call_id] = call
+    return call
+
+
+def finish_call(program: StoredProgram, accounts: AccountChain, command: FinishCall) -> None:
+    """Record the outcome of a call; the first outcome stays.
+
+    Raises
+    ------
+    CommandRefusedError
+        ``NOT_FOUND`` for a call that has not begun; ``BUDGET_EXCEEDED`` when more was
+        spent than reserved; ``BAD_REQUEST`` for a negative amount.
+    """
+    call = program.calls.get(command.call_id)
+    if call is None:
+        raise CommandRefusedError(ErrorCode.NOT_FOUND, "the call has not begun")
+    if call.state is CallState.FINISHED:
+        return
+    accounts.settle(call.reserved, command.outcome.spent)
+    program.calls[call.call_id] = msgspec.structs.replace(
+        call, state=CallState.FINISHED, outcome=command.outcome
+    )
+    program.open_call = None
+    program.turns.extend(_share_text(command))
+    if command.hold is not None:
+        program.record_hold(command.hold)
+
+
+def _share_text(command: FinishCall) -> tuple[Turn, ...]:
+    """Return the new turns; one that repeats the outcome's text shares its string."""
+    body = command.outcome.body
+    return tuple(
+        Turn(role=turn.role, content=body, name=turn.name) if turn.content == body else turn
+        for turn in command.turns
+    )
