Frames, connections and the simulated network they are tested on

The processes need one way to talk: requests with one reply, streams and one-way messages over one connection per peer. A frame is a fixed header and a MessagePack body; the version byte comes first so that foreign bytes are refused by their first byte. Streams carry credit, so a reader that is slow holds back only its own stream. A connection on which an answer is due but nothing arrives is pinged and given up after three seconds, because TCP alone would keep a half-open one for minutes. Weighed and left out: one task per one-way message, since tasks may run in any order and pipelined replication needs arrival order. The HTTP client owns single connections and reports bytes_left as false only when connecting failed.

--- /dev/null
+++ b/src/passlane/observability/logging.py
@@ -0,0 +1,71 @@
+"""Structured logs by structlog, kept in a ring in memory.
+
+Every line carries the context that was bound with ``bind_context`` (request, program
+and attempt ids). Values under keys that name secrets are replaced before a line is
+kept.
+"""
+
+from contextlib import AbstractContextManager
+from typing import Any, cast
+
+import anyio
+import sniffio
+import structlog
+from structlog.typing import EventDict, FilteringBoundLogger, WrappedLogger
+
+from passlane.observability.ring import RingLog, RingProcessor
+
+REDACTED = "[redacted]"
+SECRET_KEYS = frozenset({"token", "authorization", "secret", "password"})
+
+
+def get_logger(name: str) -> FilteringBoundLogger:
+    """Return a logger whose lines carry ``component=name``."""
+    return cast(FilteringBoundLogger, structlog.get_logger(component=name))
+
+
+def bind_context(**identifiers: str) -> AbstractContextManager[None]:
+    """Put identifiers, such as ``program_id``, on every line logged inside the context."""
+    return structlog.contextvars.bound_contextvars(**identifiers)
+
+
+def redact_secrets(_logger: WrappedLogger, _method: str, line: EventDict) -> EventDict:
+    """Replace the values of keys that name secrets."""
+    for key in SECRET_KEYS.intersection(line):
+        line[key] = REDACTED
+    return line
+
+
+def add_time(_logger: WrappedLogger, _method: str, line: EventDict) -> EventDict:
+    """Add the loop's monotonic time in seconds; nothing outside a running loop."""
+    try:
+        line["time_s"] = round(anyio.current_time(), 6)
+    except (sniffio.AsyncLibraryNotFoundError, RuntimeError):
+        line["time_s"] = None
+    return line
+
+
+def configure_logging(ring: RingLog, **identity: Any) -> None:
+    """Send all log lines to ``ring``.
+
+    Parameters
+    ----------
+    ring
+        Keeps the newest lines.
+    identity
+        Bound to every line, such as ``process="node-1"``.
+    """
+    structlog.contextvars.bind_contextvars(**identity)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            add_time,
+            structlog.processors.format_exc_info,
+            redact_secrets,
+            RingProcessor(ring),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger("debug"),
+        logger_factory=structlog.ReturnLoggerFactory(),
+        cache_logger_on_first_use=False,
+    )
--- /dev/null
+++ b/src/passlane/runtime/http_client.py
@@ -0,0 +1,196 @@
+"""HTTP requests to back ends over single connections of httpcore, owned explicitly.
+
+Each connection carries one request at a time. A connection whose answer was read to
+its end waits for the next request to the same address; any other is closed, so a late
+answer can never be taken for that of another request.
+"""
+
+import select
+import ssl
+from collections.abc import AsyncIterator, Iterable, Mapping
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import httpcore
+from anyio.abc import ByteStream, SocketAttribute
+
+from passlane.messages.common import Address
+from passlane.runtime.interfaces import HttpConnectionError, HttpRequest, Network
+
+CONNECT_TIMEOUT_S = 2.0
+IDLE_EXPIRY_S = 4.0
+"""Shorter than the usual five seconds after which servers close idle connections."""
+MAX_IDLE_PER_ADDRESS = 64
+
+
+class _ByteStreamAdapter(httpcore.AsyncNetworkStream):
+    """Lets httpcore read and write an anyio byte stream."""
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        try:
+            with anyio.fail_after(timeout):
+                return await self._stream.receive(max_bytes)
+        except anyio.EndOfStream:
+            return b""
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise httpcore.ReadError(str(error)) from error
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        if not buffer:
+            return
+        try:
+            with anyio.fail_after(timeout):
+                await self._stream.send(buffer)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise httpcore.WriteError(str(error)) from error
+
+    async def aclose(self) -> None:
+        await anyio.aclose_forcefully(self._stream)
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        raise NotImplementedError("back ends are reached without TLS")
+
+    def get_extra_info(self, info: str) -> Any:
+        if info != "is_readable":
+            return None
+        raw_socket = self._stream.extra(SocketAttribute.raw_socket, None)
+        return raw_socket is not None and _is_readable(raw_socket.fileno())
+
+
+def _is_readable(file_descriptor: int) -> bool:
+    """Return whether something, such as the end of the stream, waits to be read."""
+    poll = select.poll()
+    poll.register(file_descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+class _Response:
+    """An answer whose head has arrived; implements ``runtime.interfaces.HttpResponse``."""
+
+    def __init__(self, response: httpcore.Response) -> None:
+        self.status = response.status
+        self.headers: Mapping[str, str] = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in response.headers
+        }
+        self._response = response
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body's parts as they arrive."""
+        try:
+            async for part in self._response.aiter_stream():
+                yield part
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise HttpConnectionError(f"the answer broke off: {error}", bytes_left=True) from error
+
+
+@dataclass(frozen=True, slots=True)
+class _IdleConnection:
+    """A connection whose last answer was read to its end, at time ``since``."""
+
+    connection: httpcore.AsyncHTTP11Connection
+    since: float
+
+    def is_usable(self) -> bool:
+        """Whether the server has most likely not closed it."""
+        is_young = anyio.current_time() - self.since < IDLE_EXPIRY_S
+        return is_young and self.connection.is_idle() and not self.connection.has_expired()
+
+
+class SingleConnectionHttpClient:
+    """Sends each request on a connection of its own; implements ``HttpClient``."""
+
+    def __init__(self, network: Network) -> None:
+        self._network = network
+        self._idle: dict[Address, list[_IdleConnection]] = {}
+
+    @asynccontextmanager
+    async def exchange(self, request: HttpRequest) -> AsyncIterator[_Response]:
+        """Send a request and give its answer; leaving early closes the connection."""
+        connection = await self._take_idle(request)
+        if connection is None:
+            connection = await self._open(request.address)
+        try:
+            response = await self._send(connection, request)
+            try:
+                yield _Response(response)
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await response.aclose()
+        finally:
+            await self._give_back(request.address, connection)
+
+    async def _take_idle(self, request: HttpRequest) -> httpcore.AsyncHTTP11Connection | None:
+        if request.fresh_connection:
+            return None
+        idle = self._idle.get(request.address, [])
+        while idle:
+            candidate = idle.pop()
+            if candidate.is_usable():
+                return candidate.connection
+            await candidate.connection.aclose()
+        return None
+
+    async def _open(self, address: Address) -> httpcore.AsyncHTTP11Connection:
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await self._network.connect(address)
+        except OSError as error:
+            raise HttpConnectionError(
+                f"cannot connect to {address}: {error}", bytes_left=False
+            ) from error
+        return httpcore.AsyncHTTP11Connection(
+            origin=httpcore.Origin(b"http", address.host.encode(), address.port),
+            stream=_ByteStreamAdapter(stream),
+        )
+
+    async def _send(
+        self, connection: httpcore.AsyncHTTP11Connection, request: HttpRequest
+    ) -> httpcore.Response:
+        try:
+            return await connection.handle_async_request(_to_httpcore(request))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise HttpConnectionError(
+                f"no answer from {request.address}: {error}", bytes_left=True
+            ) from error
+
+    async def _give_back(
+        self, address: Address, connection: httpcore.AsyncHTTP11Connection
+    ) -> None:
+        idle = self._idle.setdefault(address, [])
+        if connection.is_idle() and len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(_IdleConnection(connection, anyio.current_time()))
+            return
+        with anyio.CancelScope(shield=True), suppress(httpcore.NetworkError):
+            await connection.aclose()
+
+
+def _to_httpcore(request: HttpRequest) -> httpcore.Request:
+    headers = [("Host", str(request.address)), *request.headers.items()]
+    if request.body or request.method in ("POST", "PUT"):
+        headers.append(("Content-Length", str(len(request.body))))
+    return httpcore.Request(
+        method=request.method,
+        url=httpcore.URL(
+            scheme=b"http",
+            host=request.address.host.encode(),
+            port=request.address.port,
+            target=request.path.encode(),
+        ),
+        headers=_encoded(headers),
+        content=request.body,
+    )
+
+
+def _encoded(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
--- /dev/null
+++ b/src/passlane/runtime/http_server.py
@@ -0,0 +1,76 @@
+"""ASGI applications served by uvicorn."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import anyio
+import uvicorn
+
+from passlane.messages.common import Address
+from passlane.runtime.interfaces import AsgiApplication
+
+KEEP_ALIVE_S = 75
+GRACEFUL_STOP_S = 5
+"""Requests in flight get this long to finish once the server is stopped."""
+LISTEN_BACKLOG = 2_048
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no signal handlers."""
+        yield
+
+
+def _listening_socket(address: Address) -> socket.socket:
+    """Return a bound socket; raise ``OSError`` where uvicorn would end the process."""
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listening.bind((address.host, address.port))
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
+class UvicornHttpServer:
+    """Serves applications by uvicorn; implements ``runtime.interfaces.HttpServer``."""
+
+    async def serve(self, address: Address, application: AsgiApplication) -> None:
+        """Serve until cancelled; then let requests in flight finish and return.
+
+        Raises
+        ------
+        OSError
+            When the address cannot be listened on.
+        """
+        config = uvicorn.Config(
+            application,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            backlog=LISTEN_BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=GRACEFUL_STOP_S,
+        )
+        server = _Server(config)
+        listening = _listening_socket(address)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_shielded, server, listening)
+            try:
+                await anyio.sleep_forever()
+            finally:
+                server.should_exit = True
+
+    @staticmethod
+    async def _run_shielded(server: _Server, listening: socket.socket) -> None:
+        # Shielded, so that a cancelled server can finish what it has begun.
+        with anyio.CancelScope(shield=True):
+            await server.serve(sockets=[listening])
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -43,13 +43,18 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """A request to a back end. ``path`` starts with ``/``; ``body`` is whole."""
+    """A request to a back end. ``path`` starts with ``/``; ``body`` is whole.
+
+    ``fresh_connection`` asks for a new connection: on a kept one a failure cannot be
+    told from a server that closed it while the request was on its way.
+    """
 
     method: str
     address: Address
     path: str
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
+    fresh_connection: bool = False
 
 
 class HttpResponse(Protocol):
--- /dev/null
+++ b/src/passlane/simulation/network.py
@@ -0,0 +1,308 @@
+"""A simulated network: byte streams with delays by zone, cuts, resets and silence.
+
+Data is never lost or reordered inside a connection, as with TCP. A cut holds data
+back until it heals, as retransmission would; a broken connection loses what is on
+its way. Each process sees the network through a ``HostNetwork`` of its own.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import anyio.lowlevel
+from anyio.abc import ByteStream, TaskGroup
+
+from passlane.messages.common import Address
+from passlane.runtime.interfaces import ConnectionHandler
+
+PIPE_BYTES = 262_144
+"""Bytes on their way in one direction before a sender has to wait."""
+JITTER_FRACTION = 0.2
+
+
+@dataclass(frozen=True)
+class DelayModel:
+    """One-way delays in seconds, by the zones of both ends."""
+
+    zone_of_host: Mapping[str, str]
+    same_zone_s: float = 0.0002
+    other_zone_s: float = 0.0015
+
+    def delay_s(self, source: str, destination: str) -> float:
+        """Return the delay from one host to another, without jitter."""
+        if source == destination:
+            return 0.0
+        same = self.zone_of_host.get(source) == self.zone_of_host.get(destination)
+        return self.same_zone_s if same else self.other_zone_s
+
+
+class _Pipe:
+    """One direction of a connection."""
+
+    def __init__(self, network: "SimulatedNetwork", source: str, destination: str) -> None:
+        self._network = network
+        self.source = source
+        self.destination = destination
+        self._parts: deque[tuple[float, bytes]] = deque()
+        self._bytes = 0
+        self._last_arrival = 0.0
+        self._changed = anyio.Event()
+        self._is_finished = False
+        self._is_broken = False
+
+    def wake(self) -> None:
+        """Let waiting ends look again."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def break_off(self) -> None:
+        """Lose what is on its way; both ends see a broken connection."""
+        self._is_broken = True
+        self._parts.clear()
+        self.wake()
+
+    def finish(self) -> None:
+        """End the stream after what was sent."""
+        self._is_finished = True
+        self.wake()
+
+    async def send(self, data: bytes) -> None:
+        while self._bytes > PIPE_BYTES and not self._is_broken:
+            await self._changed.wait()
+        if self._is_broken or self._is_finished:
+            raise anyio.BrokenResourceError
+        arrival = anyio.current_time() + self._network.draw_delay(self.source, self.destination)
+        self._last_arrival = max(self._last_arrival, arrival)
+        self._parts.append((self._last_arrival, bytes(data)))
+        self._bytes += len(data)
+        self.wake()
+
+    async def receive(self, max_bytes: int) -> bytes:
+        while True:
+            if self._is_broken:
+                raise anyio.BrokenResourceError
+            wait_s = self._wait_s()
+            if wait_s is not None and wait_s <= 0.0:
+                return self._take(max_bytes)
+            changed = self._changed
+            with anyio.move_on_after(wait_s):
+                await changed.wait()
+
+    def _wait_s(self) -> float | None:
+        """Return how long to wait for the next part; ``None`` until something changes."""
+        if self._network.is_blocked(self.source, self.destination):
+            return None
+        if self._parts:
+            return self._parts[0][0] - anyio.current_time()
+        return 0.0 if self._is_finished else None
+
+    def _take(self, max_bytes: int) -> bytes:
+        if not self._parts:
+            raise anyio.EndOfStream
+        arrival, part = self._parts.popleft()
+        if len(part) > max_bytes:
+            self._parts.appendleft((arrival, part[max_bytes:]))
+            part = part[:max_bytes]
+        self._bytes -= len(part)
+        self.wake()
+        return part
+
+
+class SimulatedStream(ByteStream):
+    """One end of a simulated connection."""
+
+    def __init__(self, connection: "_Connection", incoming: _Pipe, outgoing: _Pipe) -> None:
+        self._connection = connection
+        self._incoming = incoming
+        self._outgoing = outgoing
+        self._is_closed = False
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        """Return bytes that arrived; see ``anyio.abc.ByteStream``."""
+        await anyio.lowlevel.checkpoint()
+        if self._is_closed:
+            raise anyio.ClosedResourceError
+        return await self._incoming.receive(max_bytes)
+
+    async def send(self, item: bytes) -> None:
+        """Send bytes; see ``anyio.abc.ByteStream``."""
+        await anyio.lowlevel.checkpoint()
+        if self._is_closed:
+            raise anyio.ClosedResourceError
+        await self._outgoing.send(item)
+
+    async def send_eof(self) -> None:
+        """End the outgoing direction."""
+        self._outgoing.finish()
+
+    async def aclose(self) -> None:
+        """Close both directions; what was sent still arrives."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._outgoing.finish()
+            self._incoming.break_off()
+        await anyio.lowlevel.checkpoint()
+
+    @property
+    def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
+        """Return no extra attributes."""
+        return {}
+
+
+class _Connection:
+    """A connection between two hosts."""
+
+    def __init__(self, network: "SimulatedNetwork", client: str, server: str) -> None:
+        self.hosts = frozenset({client, server})
+        self.pipes = (_Pipe(network, client, server), _Pipe(network, server, client))
+        self.client_end = SimulatedStream(self, self.pipes[1], self.pipes[0])
+        self.server_end = SimulatedStream(self, self.pipes[0], self.pipes[1])
+
+    def break_off(self) -> None:
+        for pipe in self.pipes:
+            pipe.break_off()
+
+    def wake(self) -> None:
+        for pipe in self.pipes:
+            pipe.wake()
+
+
+@dataclass(frozen=True)
+class _Listener:
+    host: str
+    handler: ConnectionHandler
+    tasks: TaskGroup
+
+
+class SimulatedNetwork:
+    """All hosts, their listeners and connections, and the faults between them.
+
+    Parameters
+    ----------
+    random_source
+        Draws the jitter of delays.
+    delays
+        One-way delays between hosts.
+    """
+
+    def __init__(self, random_source: random.Random, delays: DelayModel) -> None:
+        self._random = random_source
+        self._delays = delays
+        self._listeners: dict[Address, _Listener] = {}
+        self._connections: list[_Connection] = []
+        self._blocked: set[tuple[str, str]] = set()
+        self._changed = anyio.Event()
+
+    def host(self, name: str) -> "HostNetwork":
+        """Return the network as the process on host ``name`` (an IP number) sees it."""
+        return HostNetwork(self, name)
+
+    # Faults.
+
+    def block(self, source: str, destination: str) -> None:
+        """Hold back all that goes from one host to another (a one-way cut)."""
+        self._blocked.add((source, destination))
+
+    def unblock(self, source: str, destination: str) -> None:
+        """Let data go again; what was held back arrives."""
+        self._blocked.discard((source, destination))
+        self._wake_all()
+
+    def cut(self, some: set[str], others: set[str]) -> None:
+        """Cut two sets of hosts off from each other, in silence."""
+        for one in sorted(some):
+            for other in sorted(others):
+                self.block(one, other)
+                self.block(other, one)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._blocked.clear()
+        self._wake_all()
+
+    def break_connections(self, host: str, other: str | None = None) -> None:
+        """Reset the connections of a host (only those with ``other``, if given)."""
+        for connection in list(self._connections):
+            if host in connection.hosts and (other is None or other in connection.hosts):
+                self._connections.remove(connection)
+                connection.break_off()
+
+    def remove_listeners(self, host: str) -> None:
+        """Forget what listens on a host, as when its process dies."""
+        for address in [a for a, entry in self._listeners.items() if entry.host == host]:
+            del self._listeners[address]
+
+    def is_blocked(self, source: str, destination: str) -> bool:
+        """Whether data from one host to another is held back."""
+        return (source, destination) in self._blocked
+
+    def draw_delay(self, source: str, destination: str) -> float:
+        """Return a one-way delay with jitter."""
+        base = self._delays.delay_s(source, destination)
+        return base * (1.0 + JITTER_FRACTION * self._random.random())
+
+    # Connections.
+
+    def _wake_all(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+        for connection in self._connections:
+            connection.wake()
+
+    async def connect(self, client: str, address: Address) -> ByteStream:
+        """Open a connection; wait in silence while the way is cut."""
+        await self._wait_until_open(client, address.host)
+        await anyio.sleep(self.draw_delay(client, address.host))
+        await anyio.sleep(self.draw_delay(address.host, client))
+        await self._wait_until_open(client, address.host)
+        listener = self._listeners.get(address)
+        if listener is None:
+            raise ConnectionRefusedError(f"nothing listens at {address}")
+        connection = _Connection(self, client, address.host)
+        self._connections.append(connection)
+        listener.tasks.start_soon(self._serve_connection, listener, connection)
+        return connection.client_end
+
+    async def _wait_until_open(self, client: str, server: str) -> None:
+        while self.is_blocked(client, server) or self.is_blocked(server, client):
+            await self._changed.wait()
+
+    async def _serve_connection(self, listener: _Listener, connection: _Connection) -> None:
+        try:
+            await listener.handler(connection.server_end)
+        finally:
+            if connection in self._connections:
+                self._connections.remove(connection)
+            await anyio.aclose_forcefully(connection.server_end)
+
+    async def serve(self, host: str, address: Address, handler: ConnectionHandler) -> None:
+        """Accept connections at ``address`` until cancelled."""
+        if address in self._listeners:
+            raise OSError(f"{address} is in use")
+        async with anyio.create_task_group() as tasks:
+            listener = _Listener(host, handler, tasks)
+            self._listeners[address] = listener
+            try:
+                await anyio.sleep_forever()
+            finally:
+                if self._listeners.get(address) is listener:
+                    del self._listeners[address]
+
+
+class HostNetwork:
+    """The network as one process sees it; implements ``runtime.interfaces.Network``."""
+
+    def __init__(self, network: SimulatedNetwork, host: str) -> None:
+        self._network = network
+        self._host = host
+
+    async def connect(self, address: Address) -> ByteStream:
+        """Open a connection; raise ``OSError`` when that fails."""
+        return await self._network.connect(self._host, address)
+
+    async def serve(self, address: Address, handler: ConnectionHandler) -> None:
+        """Accept connections and run ``handler`` for each until cancelled."""
+        await self._network.serve(self._host, address, handler)
--- /dev/null
+++ b/src/passlane/transport/client_connection.py
@@ -0,0 +1,242 @@
+"""The calling end of one connection between passlane's processes."""
+
+import itertools
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import msgspec
+from anyio.abc import ByteStream
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.base import Message, encode_message
+from passlane.messages.common import ErrorReply
+from passlane.messages.registry import decode_any_message
+from passlane.observability.logging import get_logger
+from passlane.transport.channel import FrameChannel
+from passlane.transport.credit import CREDIT_BATCH, STREAM_WINDOW
+from passlane.transport.frames import MAX_VALUE, Frame, FrameKind
+
+PING_AFTER_S = 1.0
+"""A busy connection that was quiet for this long is pinged."""
+SILENCE_LIMIT_S = 3.0
+"""A busy connection that was quiet for this long is given up as half-open."""
+
+_STREAM_BUFFER = STREAM_WINDOW + 2
+_log = get_logger("transport.client")
+
+
+def timeout_in_milliseconds(timeout_s: float) -> int:
+    """Return the time-out as it travels in a request's frame."""
+    return min(MAX_VALUE, max(1, math.ceil(timeout_s * 1000)))
+
+
+class _PendingRequest:
+    """A request whose replies are awaited; its buffer holds at most a stream's window."""
+
+    def __init__(self) -> None:
+        self.sender, self.receiver = anyio.create_memory_object_stream[Message](_STREAM_BUFFER)
+        self.is_ended = False
+
+    def deliver(self, message: Message) -> None:
+        """Hand over one reply; a server that overruns its credit breaks the protocol."""
+        try:
+            self.sender.send_nowait(message)
+        except anyio.WouldBlock:
+            raise PasslaneError(
+                ErrorCode.PROTOCOL_ERROR, "the server sent more than it had credit for"
+            ) from None
+        except anyio.BrokenResourceError:
+            # The caller has just given up; its answer goes nowhere.
+            return
+
+    def end(self) -> None:
+        """Mark the end of the replies."""
+        self.is_ended = True
+        self.sender.close()
+
+
+class ClientConnection:
+    """Sends requests on one connection, many at a time, and hands out the replies."""
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._channel = FrameChannel(stream)
+        self._pending: dict[int, _PendingRequest] = {}
+        self._request_ids = itertools.count(1)
+        self._sent_since_receipt = False
+        self.last_used = anyio.current_time()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._channel.is_closed
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request waits for an answer."""
+        return not self._pending
+
+    async def run(self) -> None:
+        """Read replies until the connection ends; then fail what still waits."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write)
+                tasks.start_soon(self._watch_silence)
+                await self._read()
+                tasks.cancel_scope.cancel()
+        finally:
+            await self.close()
+
+    async def close(self) -> None:
+        """Close the connection; requests under way fail with ``CONNECTION_LOST``."""
+        await self._channel.close()
+        for pending in self._pending.values():
+            pending.sender.close()
+        self._pending.clear()
+
+    async def _write(self) -> None:
+        try:
+            await self._channel.run_writer()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            await self._channel.close()
+
+    async def _read(self) -> None:
+        try:
+            async for frame in self._channel.frames():
+                self._sent_since_receipt = False
+                self._receive(frame)
+        except PasslaneError as error:
+            _log.warning("connection_closed", code=error.code.value, reason=error.message)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            _log.debug("connection_lost")
+
+    async def _watch_silence(self) -> None:
+        """Close a connection on which an answer is due but nothing arrives."""
+        while True:
+            await anyio.sleep(PING_AFTER_S)
+            if self.is_idle and not self._sent_since_receipt:
+                continue
+            quiet_s = anyio.current_time() - self._channel.last_received
+            if quiet_s >= SILENCE_LIMIT_S:
+                _log.info("connection_silent", quiet_s=quiet_s)
+                await self._channel.close()
+                return
+            if quiet_s >= PING_AFTER_S and not self.is_closed:
+                self._channel.enqueue(Frame(FrameKind.PING))
+
+    def _receive(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.PONG:
+            return
+        pending = self._pending.get(frame.request_id)
+        if pending is None:
+            # Late replies of a request that was given up are dropped.
+            return
+        match frame.kind:
+            case FrameKind.REPLY | FrameKind.ERROR:
+                pending.deliver(self._decode(frame))
+                pending.end()
+            case FrameKind.STREAM_ITEM:
+                pending.deliver(self._decode(frame))
+            case FrameKind.STREAM_END:
+                pending.end()
+            case _:
+                raise PasslaneError(
+                    ErrorCode.PROTOCOL_ERROR, f"a server must not send {frame.kind.name}"
+                )
+
+    @staticmethod
+    def _decode(frame: Frame) -> Message:
+        try:
+            message: Message = decode_any_message(frame.body)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"malformed body: {error}") from error
+        return message
+
+    def _note_use(self) -> None:
+        now = anyio.current_time()
+        if self.is_idle and not self._sent_since_receipt:
+            # Silence counts from the first message after a quiet time, not from before.
+            self._channel.last_received = now
+        self._sent_since_receipt = True
+        self.last_used = now
+
+    def send_one_way(self, message: Message) -> bool:
+        """Queue a one-way message; return ``False`` when it was dropped."""
+        if self.is_closed or self._channel.is_congested:
+            return False
+        self._note_use()
+        self._channel.enqueue(Frame(FrameKind.ONE_WAY, body=encode_message(message)))
+        return True
+
+    async def call(self, request: Message, timeout_s: float) -> Message:
+        """Send a request and return its one reply; errors are raised."""
+        async with self.stream(request, timeout_s) as replies:
+            return await anext(replies)
+
+    @asynccontextmanager
+    async def stream(
+        self, request: Message, timeout_s: float
+    ) -> AsyncIterator[AsyncIterator[Message]]:
+        """Send a request and give its replies; leaving early cancels it at the server."""
+        request_id = next(self._request_ids)
+        frame = Frame(
+            FrameKind.REQUEST,
+            request_id,
+            timeout_in_milliseconds(timeout_s),
+            encode_message(request),
+        )
+        self._note_use()
+        self._channel.enqueue(frame)
+        pending = _PendingRequest()
+        self._pending[request_id] = pending
+        try:
+            with anyio.move_on_after(timeout_s) as scope:
+                yield _Replies(self._channel, request_id, pending)
+        finally:
+            self._forget(request_id, pending)
+        if scope.cancelled_caught:
+            raise PasslaneError(
+                ErrorCode.TIMEOUT,
+                f"no whole answer within {timeout_s:g} s",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+
+    def _forget(self, request_id: int, pending: _PendingRequest) -> None:
+        self._pending.pop(request_id, None)
+        pending.sender.close()
+        pending.receiver.close()
+        if not pending.is_ended and not self.is_closed:
+            self._channel.enqueue(Frame(FrameKind.CANCEL, request_id))
+
+
+class _Replies(AsyncIterator[Message]):
+    """The replies of one request, in order; grants credit as they are taken."""
+
+    def __init__(self, channel: FrameChannel, request_id: int, pending: _PendingRequest) -> None:
+        self._channel = channel
+        self._request_id = request_id
+        self._pending = pending
+        self._taken = 0
+
+    async def __anext__(self) -> Message:
+        """Return the next reply; raise the error that the server answered with."""
+        try:
+            message = await self._pending.receiver.receive()
+        except anyio.EndOfStream:
+            raise self._end() from None
+        if isinstance(message, ErrorReply):
+            raise message.to_exception()
+        self._taken += 1
+        if self._taken % CREDIT_BATCH == 0 and not self._channel.is_closed:
+            self._channel.enqueue(Frame(FrameKind.CREDIT, self._request_id, CREDIT_BATCH))
+        return message
+
+    def _end(self) -> Exception:
+        if self._pending.is_ended:
+            return StopAsyncIteration()
+        return PasslaneError(
+            ErrorCode.CONNECTION_LOST,
+            "the connection broke before the answer was whole",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
--- /dev/null
+++ b/src/passlane/transport/frames.py
@@ -0,0 +1,113 @@
+"""The frame format between passlane's processes.
+
+A frame is a header of fixed size and a body of MessagePack::
+
+    version (1 byte) | kind (1) | body length (4) | request id (8) | value (4) | body
+
+All numbers are big-endian. ``value`` is the time-out in milliseconds of a request and
+the number of granted items of a credit frame; 0 otherwise. The version stands
+first so that a foreign protocol is recognised by its first byte.
+"""
+
+import enum
+import struct
+from dataclasses import dataclass
+
+from passlane.errors import ErrorCode, PasslaneError
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 16_000_000
+"""Largest body that is sent or accepted."""
+
+_HEADER = struct.Struct(">BBIQI")
+HEADER_BYTES = _HEADER.size
+MAX_VALUE = 2**32 - 1
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame means."""
+
+    REQUEST = 1
+    REPLY = 2
+    STREAM_ITEM = 3
+    STREAM_END = 4
+    ERROR = 5
+    CANCEL = 6
+    CREDIT = 7
+    ONE_WAY = 8
+    PING = 9
+    PONG = 10
+
+
+_KINDS = {int(kind): kind for kind in FrameKind}
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One frame; see the module's description for its parts."""
+
+    kind: FrameKind
+    request_id: int = 0
+    value: int = 0
+    body: bytes = b""
+
+
+def encode_frame(frame: Frame, max_frame_bytes: int = MAX_FRAME_BYTES) -> bytes:
+    """Return the bytes of ``frame``.
+
+    Raises
+    ------
+    PasslaneError
+        ``FRAME_TOO_LARGE`` when the body is larger than ``max_frame_bytes``.
+    """
+    length = len(frame.body)
+    if length > max_frame_bytes:
+        raise PasslaneError(
+            ErrorCode.FRAME_TOO_LARGE, f"a body of {length} bytes is above {max_frame_bytes}"
+        )
+    header = _HEADER.pack(PROTOCOL_VERSION, frame.kind, length, frame.request_id, frame.value)
+    return header + frame.body
+
+
+class FrameDecoder:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self._max_frame_bytes = max_frame_bytes
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Frame]:
+        """Take more bytes and return the frames that are complete by now.
+
+        Raises
+        ------
+        PasslaneError
+            ``PROTOCOL_ERROR`` for another version or an unknown kind,
+            ``FRAME_TOO_LARGE`` for a body above the limit.
+        """
+        self._buffer += data
+        frames: list[Frame] = []
+        position = 0
+        while len(self._buffer) - position >= HEADER_BYTES:
+            header = _HEADER.unpack_from(self._buffer, position)
+            version, kind, length, request_id, value = header
+            self._check(version, kind, length)
+            end = position + HEADER_BYTES + length
+            if len(self._buffer) < end:
+                break
+            body = bytes(memoryview(self._buffer)[position + HEADER_BYTES : end])
+            frames.append(Frame(_KINDS[kind], request_id, value, body))
+            position = end
+        del self._buffer[:position]
+        return frames
+
+    def _check(self, version: int, kind: int, length: int) -> None:
+        if version != PROTOCOL_VERSION:
+            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"protocol version {version} is unknown")
+        if kind not in _KINDS:
+            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"frame kind {kind} is unknown")
+        if length > self._max_frame_bytes:
+            raise PasslaneError(
+                ErrorCode.FRAME_TOO_LARGE,
+                f"a body of {length} bytes is above {self._max_frame_bytes}",
+            )
--- /dev/null
+++ b/src/passlane/transport/server.py
@@ -0,0 +1,47 @@
+"""Accepts connections from other passlane processes and answers their requests."""
+
+from anyio.abc import ByteStream
+
+from passlane.messages.common import Address
+from passlane.observability.logging import get_logger
+from passlane.runtime.interfaces import Environment
+from passlane.transport.router import MessageRouter
+from passlane.transport.server_connection import ServerConnection
+
+_log = get_logger("transport.server")
+
+
+class MessageServer:
+    """Serves a router's handlers at one address.
+
+    Parameters
+    ----------
+    environment
+        Gives the network.
+    address
+        Where to listen.
+    router
+        Handlers; classes may be added while the server runs.
+    """
+
+    def __init__(self, environment: Environment, address: Address, router: MessageRouter) -> None:
+        self._network = environment.network
+        self._address = address
+        self._router = router
+
+    async def run(self) -> None:
+        """Accept connections until cancelled.
+
+        Raises
+        ------
+        OSError
+            When the address cannot be listened on.
+        """
+        await self._network.serve(self._address, self._serve_connection)
+
+    async def _serve_connection(self, stream: ByteStream) -> None:
+        try:
+            await ServerConnection(stream, self._router).run()
+        except Exception:
+            # One broken connection must not end the server.
+            _log.exception("connection_failed")
--- /dev/null
+++ b/src/passlane/transport/server_connection.py
@@ -0,0 +1,202 @@
+"""The serving end of one connection between passlane's processes."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
+
+import anyio
+import msgspec
+from anyio.abc import ByteStream, TaskGroup
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.base import Message, encode_message
+from passlane.messages.common import ErrorReply
+from passlane.messages.registry import decode_any_message
+from passlane.observability.logging import get_logger
+from passlane.transport.channel import FrameChannel
+from passlane.transport.credit import CreditGate
+from passlane.transport.frames import Frame, FrameKind
+from passlane.transport.router import MessageRouter
+
+MAX_REQUESTS_IN_FLIGHT = 4_096
+"""Requests on one connection beyond this are refused as not run."""
+MAX_QUEUED_ONE_WAY = 4_096
+"""One-way messages beyond this are dropped; their senders expect losses."""
+OVERLOAD_RETRY_AFTER_S = 0.5
+
+_log = get_logger("transport.server")
+
+
+class ServerConnection:
+    """Answers the requests that arrive on one connection.
+
+    Requests run at the same time, each in its own task; one-way messages run one after
+    another in the order of arrival, as pipelined replication needs.
+    """
+
+    def __init__(self, stream: ByteStream, router: MessageRouter) -> None:
+        self._channel = FrameChannel(stream)
+        self._router = router
+        self._scopes: dict[int, anyio.CancelScope] = {}
+        self._credits: dict[int, CreditGate] = {}
+        self._one_way_sender, self._one_way_receiver = anyio.create_memory_object_stream[Message](
+            MAX_QUEUED_ONE_WAY
+        )
+
+    async def run(self) -> None:
+        """Serve until the connection ends; a fault on it harms nothing else."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write)
+                tasks.start_soon(self._handle_one_way_messages)
+                await self._read(tasks)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._one_way_sender.close()
+            self._one_way_receiver.close()
+            await self._channel.close()
+
+    async def _write(self) -> None:
+        try:
+            await self._channel.run_writer()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            # The reader notices the broken connection too and ends the whole.
+            await self._channel.close()
+
+    async def _read(self, tasks: TaskGroup) -> None:
+        try:
+            async for frame in self._channel.frames():
+                self._receive(frame, tasks)
+        except PasslaneError as error:
+            _log.warning("connection_closed", code=error.code.value, reason=error.message)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            _log.debug("connection_lost")
+
+    def _receive(self, frame: Frame, tasks: TaskGroup) -> None:
+        match frame.kind:
+            case FrameKind.REQUEST:
+                self._start_request(frame, tasks)
+            case FrameKind.ONE_WAY:
+                self._queue_one_way(self._decode(frame))
+            case FrameKind.CANCEL:
+                if scope := self._scopes.get(frame.request_id):
+                    scope.cancel()
+            case FrameKind.CREDIT:
+                if gate := self._credits.get(frame.request_id):
+                    gate.grant(frame.value)
+            case FrameKind.PING:
+                self._send(Frame(FrameKind.PONG))
+            case _:
+                raise PasslaneError(
+                    ErrorCode.PROTOCOL_ERROR, f"a client must not send {frame.kind.name}"
+                )
+
+    @staticmethod
+    def _decode(frame: Frame) -> Message:
+        try:
+            message: Message = decode_any_message(frame.body)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"malformed body: {error}") from error
+        return message
+
+    def _start_request(self, frame: Frame, tasks: TaskGroup) -> None:
+        request = self._decode(frame)
+        if frame.request_id in self._scopes:
+            raise PasslaneError(
+                ErrorCode.PROTOCOL_ERROR, f"request id {frame.request_id} is in use"
+            )
+        if len(self._scopes) >= MAX_REQUESTS_IN_FLIGHT:
+            self._send_error(frame.request_id, self._overload_error())
+            return
+        scope = anyio.CancelScope(deadline=anyio.current_time() + frame.value / 1000)
+        self._scopes[frame.request_id] = scope
+        tasks.start_soon(self._serve_request, frame.request_id, request, scope)
+
+    @staticmethod
+    def _overload_error() -> PasslaneError:
+        return PasslaneError(
+            ErrorCode.QUEUE_FULL,
+            "too many requests in flight on this connection",
+            verdict=Verdict.NOT_RUN,
+            retry_after_s=OVERLOAD_RETRY_AFTER_S,
+        )
+
+    async def _serve_request(
+        self, request_id: int, request: Message, scope: anyio.CancelScope
+    ) -> None:
+        try:
+            with scope:
+                await self._answer(request_id, request)
+        except PasslaneError as error:
+            self._send_error(request_id, error)
+        except Exception:
+            _log.exception("handler_failed", request=type(request).__name__)
+            self._send_error(
+                request_id,
+                PasslaneError(
+                    ErrorCode.INTERNAL, "the handler failed", verdict=Verdict.MAY_HAVE_RUN
+                ),
+            )
+        finally:
+            self._scopes.pop(request_id, None)
+            self._credits.pop(request_id, None)
+        if scope.cancelled_caught:
+            self._send_error(
+                request_id,
+                PasslaneError(
+                    ErrorCode.TIMEOUT, "cancelled or past its time", verdict=Verdict.MAY_HAVE_RUN
+                ),
+            )
+
+    async def _answer(self, request_id: int, request: Message) -> None:
+        if unary := self._router.unary_handler(request):
+            reply = await unary(request)
+            self._send(Frame(FrameKind.REPLY, request_id, body=encode_message(reply)))
+        elif stream := self._router.stream_handler(request):
+            await self._answer_stream(request_id, stream(request))
+        else:
+            raise self._router.not_served_error(request)
+
+    async def _answer_stream(self, request_id: int, items: AsyncIterator[Message]) -> None:
+        gate = CreditGate()
+        self._credits[request_id] = gate
+        async with aclosing(_as_generator(items)) as generator:
+            async for item in generator:
+                await gate.take()
+                await self._channel.wait_until_uncongested()
+                self._send(Frame(FrameKind.STREAM_ITEM, request_id, body=encode_message(item)))
+        self._send(Frame(FrameKind.STREAM_END, request_id))
+
+    def _send(self, frame: Frame) -> None:
+        if not self._channel.is_closed:
+            self._channel.enqueue(frame)
+
+    def _send_error(self, request_id: int, error: PasslaneError) -> None:
+        body = encode_message(ErrorReply.from_exception(error))
+        self._send(Frame(FrameKind.ERROR, request_id, body=body))
+
+    def _queue_one_way(self, message: Message) -> None:
+        try:
+            self._one_way_sender.send_nowait(message)
+        except anyio.WouldBlock:
+            _log.warning("one_way_dropped", message=type(message).__name__)
+
+    async def _handle_one_way_messages(self) -> None:
+        async for message in self._one_way_receiver:
+            handler = self._router.one_way_handler(message)
+            if handler is None:
+                continue
+            try:
+                await handler(message)
+            except Exception:
+                _log.exception("handler_failed", request=type(message).__name__)
+
+
+async def _as_generator(items: AsyncIterator[Message]) -> AsyncGenerator[Message, None]:
+    """Yield from ``items`` and close it when this generator is closed."""
+    try:
+        async for item in items:
+            yield item
+    finally:
+        close = getattr(items, "aclose", None)
+        if close is not None:
+            await close()
