Scheduler state machine: order, placement, breakers, limits

A node needs to decide when and where each model call runs from views that lag and have gaps. Calls wait in one queue per model and are bound to an engine only when it has a free slot; binding at arrival was ruled out because the load reports are a quarter of a second old and the slower choice could not be taken back. Order is class, weighted fair share among tenants, then attained service with ageing, which is a static sort key because every key ages at the same rate; the starvation bound is max_attained_tokens / ageing_tokens_per_s (10 s). Load reports are corrected by the node's own calls at the time the report describes.

--- /dev/null
+++ b/src/passlane/scheduling/config.py
@@ -0,0 +1,142 @@
+"""Constants of the scheduler, in one place; units stand in the field names."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class QueueConfig:
+    """Order and length of the queues.
+
+    Attributes
+    ----------
+    max_calls
+        Most calls that wait for one model at this node; the next is refused at once.
+    class_step_s
+        A call that has waited this long per class above 0 is served with class 0.
+    ageing_tokens_per_s
+        Attained service, in tokens, that one second of waiting outweighs.
+    max_attained_tokens
+        Attained service counts up to this many tokens, which bounds starvation.
+    urgent_s
+        A call goes to the front of its tenant's calls when its deadline is this near.
+    lookahead
+        How many calls that wait for a better engine may be passed over in one round.
+    """
+
+    max_calls: int = 1_000
+    class_step_s: float = 5.0
+    ageing_tokens_per_s: float = 4_000.0
+    max_attained_tokens: int = 40_000
+    urgent_s: float = 1.0
+    lookahead: int = 32
+
+    @property
+    def starvation_bound_s(self) -> float:
+        """Seconds after which no younger call of the same tenant and class goes ahead."""
+        return self.max_attained_tokens / self.ageing_tokens_per_s
+
+
+@dataclass(frozen=True, slots=True)
+class EngineConfig:
+    """What is assumed of an engine until it was measured.
+
+    Attributes
+    ----------
+    step_s
+        Duration of one decoding step with an empty batch.
+    step_per_running_s
+        What each running call adds to a step.
+    prefill_tokens_per_s
+        Prompt tokens computed in a second.
+    import_tokens_per_s
+        Cached tokens moved between engines in a second.
+    mean_generated_tokens
+        Length of an answer until answers were seen.
+    slots_over_batch
+        Calls that may wait at an engine beyond its batch.
+    """
+
+    step_s: float = 0.003
+    step_per_running_s: float = 0.0001
+    prefill_tokens_per_s: float = 8_000.0
+    import_tokens_per_s: float = 200_000.0
+    mean_generated_tokens: float = 64.0
+    slots_over_batch: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementConfig:
+    """Weights of the placement cost, all in seconds.
+
+    Attributes
+    ----------
+    other_zone_s
+        Cost of an engine in another zone.
+    eviction_weight
+        Share of the prefill time of evicted tokens that is charged to the new call.
+    neighbour_weight
+        Share of the delay that a prefill causes to the running calls that is charged.
+    stay_bonus_s
+        A call leaves the engine that holds its prefix only for a gain above this.
+    jitter_s
+        Random part, so that several nodes with the same lagging view do not all choose
+        the same engine.
+    """
+
+    other_zone_s: float = 0.003
+    eviction_weight: float = 0.5
+    neighbour_weight: float = 0.25
+    stay_bonus_s: float = 0.02
+    jitter_s: float = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class BreakerConfig:
+    """When an engine that fails is left alone, and for how long."""
+
+    failures_to_open: int = 3
+    open_s: float = 1.0
+    max_open_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class RetentionConfig:
+    """When the cache of a paused program is released.
+
+    Attributes
+    ----------
+    pressure
+        Share of an engine's cache in use above which idle programs are released.
+    overdue_factor
+        A program paused this many times its expected pause is taken as not returning.
+    min_overdue_s
+        But not before it has paused this long.
+    """
+
+    pressure: float = 0.9
+    overdue_factor: float = 8.0
+    min_overdue_s: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerConfig:
+    """All constants of a scheduler.
+
+    Attributes
+    ----------
+    watched_engines_per_model
+        Engines that this node watches, and places calls on, for each model.
+    report_timeout_s
+        A load report older than this says nothing any more.
+    max_programs
+        Programs remembered; the longest idle are forgotten first.
+    """
+
+    queue: QueueConfig = field(default_factory=QueueConfig)
+    engine: EngineConfig = field(default_factory=EngineConfig)
+    placement: PlacementConfig = field(default_factory=PlacementConfig)
+    breaker: BreakerConfig = field(default_factory=BreakerConfig)
+    retention: RetentionConfig = field(default_factory=RetentionConfig)
+    watched_engines_per_model: int = 16
+    report_timeout_s: float = 5.0
+    max_programs: int = 20_000
--- /dev/null
+++ b/src/passlane/scheduling/placement.py
@@ -0,0 +1,125 @@
+"""Where a call goes: estimated time at each engine, from prefix hit, load and zone."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from passlane.scheduling.config import SchedulerConfig
+from passlane.scheduling.engine_view import EngineView
+from passlane.scheduling.events import CallArrived
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """What running a call at an engine is estimated to cost, in seconds.
+
+    Attributes
+    ----------
+    cost_s
+        The figure that is compared: own time and what others lose by it.
+    service_s
+        Time from sending until the whole answer, at the engine.
+    cached_tokens
+        Tokens of the prompt thought to be in the engine's cache.
+    can_start
+        Whether the engine has a free slot now.
+    """
+
+    engine: EngineView
+    cost_s: float
+    service_s: float
+    cached_tokens: int
+    can_start: bool
+
+
+def is_eligible(engine: EngineView, call: CallArrived, now: float) -> bool:
+    """Return whether the call may be sent to the engine at all."""
+    return (
+        not engine.leaving
+        and engine.engine_id not in call.excluded
+        and engine.has_model(call.model)
+        and engine.breaker.allows(now)
+    )
+
+
+class Placement:
+    """Estimates the cost of a call at engines.
+
+    Parameters
+    ----------
+    own_zone
+        Zone of this node.
+    random
+        Seeded source for breaking ties.
+    config
+        Weights and assumptions.
+    """
+
+    def __init__(self, own_zone: str, random: Random, config: SchedulerConfig) -> None:
+        self._own_zone = own_zone
+        self._random = random
+        self._config = config
+        self._mean_generated = config.engine.mean_generated_tokens
+
+    @property
+    def mean_generated_tokens(self) -> float:
+        """Length of answers as learned so far, in tokens."""
+        return self._mean_generated
+
+    def learn_generated(self, tokens: int) -> None:
+        """Learn the usual length of an answer."""
+        self._mean_generated += 0.05 * (tokens - self._mean_generated)
+
+    def expected_generated(self, call: CallArrived) -> float:
+        """Return how long the call's answer is expected to be, in tokens."""
+        return max(1.0, min(self._mean_generated, call.max_tokens))
+
+    def estimates(
+        self, call: CallArrived, engines: Iterable[EngineView], now: float
+    ) -> list[Estimate]:
+        """Return the estimates for the eligible engines, the cheapest first."""
+        found = [
+            self.estimate(call, engine, now) for engine in engines if is_eligible(engine, call, now)
+        ]
+        found.sort(key=lambda estimate: estimate.cost_s)
+        return found
+
+    def estimate(self, call: CallArrived, engine: EngineView, now: float) -> Estimate:
+        """Return what the call would cost at this engine."""
+        weights = self._config.placement
+        occupancy = engine.occupancy(now)
+        cached = min(engine.cache.tokens_of(call.program_id), call.prompt_tokens)
+        missing = call.prompt_tokens - cached
+        prefill_s = engine.prefill_s(missing, now)
+        step_s = engine.step_s(occupancy + 1, now)
+        decode_s = self.expected_generated(call) * step_s
+        wait_s = self._wait_s(engine, occupancy, step_s)
+        others = min(occupancy, engine.body.max_batch)
+        neighbours_s = prefill_s * others * weights.neighbour_weight
+        zone_s = 0.0 if engine.body.zone == self._own_zone else weights.other_zone_s
+        eviction_s = self._eviction_s(call, engine, missing, now)
+        zone_s += self._random.random() * weights.jitter_s
+        if cached > 0:
+            zone_s -= weights.stay_bonus_s
+        return Estimate(
+            engine=engine,
+            cost_s=wait_s + prefill_s + decode_s + neighbours_s + zone_s + eviction_s,
+            service_s=wait_s + prefill_s + decode_s,
+            cached_tokens=cached,
+            can_start=occupancy < engine.slots(),
+        )
+
+    def _wait_s(self, engine: EngineView, occupancy: int, step_s: float) -> float:
+        """Return the time until a batch slot is free, from the mean length of answers."""
+        ahead = occupancy + 1 - engine.body.max_batch
+        if ahead <= 0:
+            return 0.0
+        slot_s = self._mean_generated * step_s / engine.body.max_batch
+        return ahead * slot_s
+
+    def _eviction_s(self, call: CallArrived, engine: EngineView, missing: int, now: float) -> float:
+        """Return the time to compute again what this call would push out of the cache."""
+        added = missing + self.expected_generated(call)
+        free = engine.body.cache_tokens - engine.cached_tokens()
+        evicted = max(0.0, min(added, added - free))
+        return self._config.placement.eviction_weight * engine.prefill_s(int(evicted), now)
--- /dev/null
+++ b/src/passlane/scheduling/scheduler.py
@@ -0,0 +1,404 @@
+"""The scheduler of one node: decides when and where each model call runs.
+
+A plain state machine: an event and the local monotonic time go in, instructions come
+out. Calls wait in one queue for each model and are bound to an engine only when one has
+a free slot, so that a late decision uses the newest view.
+"""
+
+import math
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from passlane.configuration.documents import EngineBody
+from passlane.errors import ErrorCode
+from passlane.identifiers import CallId, EngineId
+from passlane.scheduling import events, instructions
+from passlane.scheduling.attained_service import AttainedService
+from passlane.scheduling.cache_view import CacheUpdate
+from passlane.scheduling.config import SchedulerConfig
+from passlane.scheduling.engine_view import EngineView, RunningCall
+from passlane.scheduling.placement import Estimate, Placement
+from passlane.scheduling.queue import CallQueue, QueuedCall
+from passlane.scheduling.retention import CacheRetention
+from passlane.scheduling.speed import FleetSpeed
+from passlane.scheduling.watched_engines import watched_engines
+
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 30.0
+BATCH_PRIORITY_STEP = 10
+
+
+class Scheduler:
+    """Queues, places and limits the model calls of the programs that one node leads.
+
+    Parameters
+    ----------
+    own_zone
+        Zone of the node; engines there are nearer.
+    random
+        Seeded source for tie-breaking between equal engines.
+    config
+        Constants; see ``passlane.scheduling.config``.
+    node_key
+        The node's name, which decides what subset of a large fleet it watches; drawn
+        from ``random`` if empty.
+    """
+
+    def __init__(
+        self,
+        own_zone: str,
+        random: Random,
+        config: SchedulerConfig | None = None,
+        *,
+        node_key: str = "",
+    ) -> None:
+        self._config = config or SchedulerConfig()
+        self._own_zone = own_zone
+        self._node_key = node_key or f"{random.getrandbits(64):x}"
+        self._bodies: dict[EngineId, EngineBody] = {}
+        self._engines: dict[EngineId, EngineView] = {}
+        self._fleet_speed = FleetSpeed()
+        self._leaving: frozenset[EngineId] = frozenset()
+        self._queues: dict[str, CallQueue] = {}
+        self._running: dict[CallId, tuple[events.CallArrived, EngineId]] = {}
+        self._programs = AttainedService(self._config.max_programs)
+        self._placement = Placement(own_zone, random, self._config)
+        self._retention = CacheRetention(self._config)
+        self._recheck_at = math.inf
+        self._output: list[instructions.Instruction] = []
+        self._handlers: dict[type, Callable[[Any, float], None]] = {
+            events.CallArrived: self._call_arrived,
+            events.CallFirstToken: self._call_first_token,
+            events.CallEnded: self._call_ended,
+            events.CallWithdrawn: self._call_withdrawn,
+            events.ProgramPaused: self._program_paused,
+            events.ProgramEnded: self._program_ended,
+            events.EnginesChanged: self._engines_changed,
+            events.EnginesLeaving: self._engines_leaving,
+            events.LoadReported: self._load_reported,
+            events.CacheEventsReported: self._cache_events_reported,
+            events.CacheSnapshotReported: self._cache_snapshot_reported,
+            events.EngineUnreachable: self._engine_unreachable,
+            events.TimeAdvanced: self._time_advanced,
+        }
+
+    @property
+    def queued_calls(self) -> int:
+        """Calls that wait at this node, over all models."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    @property
+    def running_calls(self) -> int:
+        """Calls of this node that are at engines."""
+        return len(self._running)
+
+    def in_flight_at(self, engine_id: EngineId) -> int:
+        """Return how many calls of this node are at an engine."""
+        engine = self._engines.get(engine_id)
+        return 0 if engine is None else len(engine.running)
+
+    def handle(self, event: events.Event, now: float) -> list[instructions.Instruction]:
+        """Take in one event at local monotonic time ``now`` and return what to do."""
+        self._output = []
+        self._recheck_at = math.inf
+        self._refuse_expired(now)
+        self._handlers[type(event)](event, now)
+        self._dispatch(now)
+        self._ask_for_wake_up(now)
+        return self._output
+
+    # Calls.
+
+    def _call_arrived(self, event: events.CallArrived, now: float) -> None:
+        if not any(event.model in body.models for body in self._bodies.values()):
+            self._refuse(event, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None)
+            return
+        if event.deadline <= now:
+            self._refuse(event, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", None)
+            return
+        queue = self._queue_of(event.model)
+        if not queue.has_room_for(event.tenant_id):
+            self._refuse(
+                event,
+                ErrorCode.QUEUE_FULL,
+                "too many calls of the tenant, or in all, wait for the model",
+                self._retry_after_s(event.model, now),
+            )
+            return
+        progress = self._programs.of(event.program_id)
+        progress.paused_at = None
+        progress.prefix_tokens = event.prompt_tokens
+        queue.add(event, progress.attained_tokens, now)
+
+    def _call_first_token(self, event: events.CallFirstToken, now: float) -> None:
+        """Nothing to decide: the call's whole duration is learned from at its end."""
+
+    def _call_ended(self, event: events.CallEnded, now: float) -> None:
+        running = self._running.pop(event.call_id, None)
+        if running is None:
+            return
+        call, engine_id = running
+        progress = self._programs.of(call.program_id)
+        progress.active_calls = max(progress.active_calls - 1, 0)
+        computed = max(event.prompt_tokens - event.cached_tokens, 0) + event.generated_tokens
+        progress.attained_tokens += computed
+        engine = self._engines.get(engine_id)
+        at_engine = None if engine is None else engine.record_end(event.call_id, now)
+        if engine is None or at_engine is None:
+            return
+        if not event.succeeded:
+            engine.breaker.record_failure(now)
+            return
+        engine.breaker.record_success()
+        engine.record_duration(at_engine, now)
+        self._placement.learn_generated(event.generated_tokens)
+        progress.prefix_tokens = event.prompt_tokens + event.generated_tokens
+        engine.cache.record(call.program_id, progress.prefix_tokens)
+
+    def _call_withdrawn(self, event: events.CallWithdrawn, now: float) -> None:
+        for queue in self._queues.values():
+            if queue.remove(event.call_id) is not None:
+                return
+        running = self._running.pop(event.call_id, None)
+        if running is None:
+            return
+        call, engine_id = running
+        progress = self._programs.of(call.program_id)
+        progress.active_calls = max(progress.active_calls - 1, 0)
+        engine = self._engines.get(engine_id)
+        if engine is not None:
+            engine.record_end(event.call_id, now)
+            engine.breaker.record_abandoned()
+
+    # Programs.
+
+    def _program_paused(self, event: events.ProgramPaused, now: float) -> None:
+        progress = self._programs.of(event.program_id)
+        progress.paused_at = now
+        progress.expected_s = event.expected_s
+        if progress.last_engine is not None:
+            self._release_under_pressure(progress.last_engine, now)
+
+    def _program_ended(self, event: events.ProgramEnded, now: float) -> None:
+        self._programs.forget(event.program_id)
+        for engine in self._engines.values():
+            if engine.cache.tokens_of(event.program_id) > 0:
+                engine.cache.record(event.program_id, 0)
+                self._output.append(instructions.ReleaseCache(event.program_id, engine.engine_id))
+
+    def _release_under_pressure(self, engine_id: EngineId, now: float) -> None:
+        engine = self._engines.get(engine_id)
+        if engine is None:
+            return
+        for program_id in self._retention.to_release(engine, self._programs, now):
+            engine.cache.record(program_id, 0)
+            self._output.append(instructions.ReleaseCache(program_id, engine_id))
+
+    # Engines.
+
+    def _engines_changed(self, event: events.EnginesChanged, now: float) -> None:
+        self._bodies = dict(event.engines)
+        watched = watched_engines(
+            self._node_key, self._own_zone, self._bodies, self._config.watched_engines_per_model
+        )
+        for engine_id in [known for known in self._engines if known not in watched]:
+            del self._engines[engine_id]
+        for engine_id in sorted(watched):
+            body = self._bodies[engine_id]
+            view = self._engines.get(engine_id)
+            if view is None or view.body.address != body.address:
+                view = EngineView(engine_id, body, self._config, self._fleet_speed)
+                self._engines[engine_id] = view
+            view.body = body
+            view.leaving = engine_id in self._leaving
+        self._output.append(instructions.WatchEngines(watched))
+        self._refuse_unserved(now)
+
+    def _engines_leaving(self, event: events.EnginesLeaving, now: float) -> None:
+        newly_leaving = event.engine_ids - self._leaving
+        self._leaving = event.engine_ids
+        for engine in self._engines.values():
+            engine.leaving = engine.engine_id in self._leaving
+        for engine_id in sorted(newly_leaving):
+            if engine_id in self._engines:
+                self._move_caches(self._engines[engine_id], now)
+
+    def _move_caches(self, leaving: EngineView, now: float) -> None:
+        others = list(self._engines.values())
+        for move in self._retention.moves_from(leaving, others, self._programs, now):
+            tokens = leaving.cache.tokens_of(move.program_id)
+            self._engines[move.destination].cache.record(move.program_id, tokens)
+            self._output.append(
+                instructions.MoveCache(move.program_id, leaving.engine_id, move.destination)
+            )
+
+    def _load_reported(self, event: events.LoadReported, now: float) -> None:
+        engine = self._engines.get(event.load.engine_id)
+        if engine is None:
+            return
+        engine.see_load(event.load, now)
+        self._release_under_pressure(engine.engine_id, now)
+
+    def _cache_events_reported(self, event: events.CacheEventsReported, now: float) -> None:
+        engine = self._engines.get(event.engine_id)
+        if engine is None:
+            return
+        engine.cache.apply_events(event.events)
+        if engine.cache.unsure:
+            self._output.append(instructions.RequestCacheSnapshot(event.engine_id))
+
+    def _cache_snapshot_reported(self, event: events.CacheSnapshotReported, now: float) -> None:
+        engine = self._engines.get(event.engine_id)
+        if engine is not None and engine.cache.apply_snapshot(event.snapshot) is CacheUpdate.STALE:
+            self._output.append(instructions.RequestCacheSnapshot(event.engine_id))
+
+    def _engine_unreachable(self, event: events.EngineUnreachable, now: float) -> None:
+        engine = self._engines.get(event.engine_id)
+        if engine is not None:
+            engine.breaker.record_failure(now)
+
+    def _time_advanced(self, event: events.TimeAdvanced, now: float) -> None:
+        for engine_id in self._engines:
+            self._release_under_pressure(engine_id, now)
+
+    # Dispatch.
+
+    def _dispatch(self, now: float) -> None:
+        for model, queue in self._queues.items():
+            while len(queue) > 0 and self._start_one(model, queue, now):
+                pass
+
+    def _start_one(self, model: str, queue: CallQueue, now: float) -> bool:
+        """Start the first waiting call for which now is the time; return whether one was."""
+        if not any(
+            engine.occupancy(now) < engine.slots() and engine.has_model(model)
+            for engine in self._engines.values()
+        ):
+            return False
+        for queued in queue.in_order(now, self._config.queue.lookahead):
+            estimate = self._choose(queued, now)
+            if estimate is not None:
+                queue.remove(queued.call.call_id)
+                self._start(queued, estimate, queue, now)
+                return True
+        return False
+
+    def _choose(self, queued: QueuedCall, now: float) -> Estimate | None:
+        """Return the engine to start the call on now, or ``None`` if it should wait.
+
+        It waits for a full engine that is still cheaper than a free one, because its
+        prefix is there, but not longer than computing the prefix again would take.
+        """
+        estimates = self._placement.estimates(queued.call, self._engines.values(), now)
+        startable = [estimate for estimate in estimates if estimate.can_start]
+        if not startable:
+            return None
+        best = startable[0]
+        if estimates[0] is best:
+            return best
+        waited_s = now - queued.arrived_at
+        gain_s = best.cost_s - estimates[0].cost_s
+        if waited_s >= gain_s:
+            return best
+        self._recheck_at = min(self._recheck_at, queued.arrived_at + gain_s)
+        return None
+
+    def _start(self, queued: QueuedCall, estimate: Estimate, queue: CallQueue, now: float) -> None:
+        call = queued.call
+        engine = estimate.engine
+        progress = self._programs.of(call.program_id)
+        progress.last_engine = engine.engine_id
+        progress.active_calls += 1
+        engine.record_start(
+            RunningCall(
+                call_id=call.call_id,
+                program_id=call.program_id,
+                started_at=now,
+                expected_s=estimate.service_s,
+                expected_slowdown=engine.slowdown(now),
+            )
+        )
+        self._running[call.call_id] = (call, engine.engine_id)
+        missing = call.prompt_tokens - estimate.cached_tokens
+        queue.charge(call, missing + self._placement.expected_generated(call))
+        self._output.append(
+            instructions.StartCall(
+                call_id=call.call_id,
+                engine_id=engine.engine_id,
+                priority=call.service_class * BATCH_PRIORITY_STEP,
+                reason=self._reason(queued, estimate, progress.attained_tokens, now),
+            )
+        )
+
+    def _reason(
+        self, queued: QueuedCall, estimate: Estimate, attained_tokens: int, now: float
+    ) -> str:
+        call = queued.call
+        return (
+            f"class {call.service_class}, {attained_tokens} tokens attained, "
+            f"waited {now - queued.arrived_at:.3f} s; {estimate.engine.engine_id}: "
+            f"{estimate.cached_tokens} of {call.prompt_tokens} prompt tokens cached, "
+            f"{estimate.engine.occupancy(now) - 1} other calls, cost {estimate.cost_s:.3f} s"
+        )
+
+    # Refusals and wake-ups.
+
+    def _queue_of(self, model: str) -> CallQueue:
+        queue = self._queues.get(model)
+        if queue is None:
+            queue = self._queues[model] = CallQueue(self._config.queue)
+        return queue
+
+    def _refuse(
+        self,
+        call: events.CallArrived,
+        code: ErrorCode,
+        message: str,
+        retry_after_s: float | None,
+    ) -> None:
+        self._output.append(instructions.RefuseCall(call.call_id, code, message, retry_after_s))
+
+    def _refuse_expired(self, now: float) -> None:
+        for model, queue in self._queues.items():
+            for queued in queue.take_expired(now):
+                self._refuse(
+                    queued.call,
+                    ErrorCode.DEADLINE_EXCEEDED,
+                    "the deadline passed before an engine was free",
+                    self._retry_after_s(model, now),
+                )
+
+    def _refuse_unserved(self, now: float) -> None:
+        """Refuse the waiting calls whose model no engine serves any more."""
+        for model, queue in self._queues.items():
+            if any(model in body.models for body in self._bodies.values()):
+                continue
+            for queued in list(queue.in_order(now, len(queue))):
+                queue.remove(queued.call.call_id)
+                self._refuse(
+                    queued.call, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None
+                )
+
+    def _retry_after_s(self, model: str, now: float) -> float:
+        """Return when a slot is likely to be free for a call that comes now."""
+        rate = 0.0
+        for engine in self._engines.values():
+            if engine.leaving or not engine.has_model(model):
+                continue
+            batch = engine.body.max_batch
+            answer_s = self._placement.mean_generated_tokens * engine.step_s(batch, now)
+            rate += batch / max(answer_s, 1e-6)
+        if rate <= 0:
+            return MAX_RETRY_AFTER_S
+        wait_s = len(self._queue_of(model)) / rate
+        return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+
+    def _ask_for_wake_up(self, now: float) -> None:
+        times = [queue.next_deadline() for queue in self._queues.values()]
+        if any(len(queue) > 0 for queue in self._queues.values()):
+            times += [engine.breaker.opens_next_at(now) for engine in self._engines.values()]
+            times.append(self._recheck_at)
+        coming = [time for time in times if time is not None and time < math.inf]
+        if coming:
+            self._output.append(instructions.WakeAt(min(coming)))
--- /dev/null
+++ b/tests/scheduling/test_limits.py
@@ -0,0 +1,88 @@
+"""Circuit breaker, retry budget, rate limit and the watched subset of engines."""
+
+import unittest
+
+from passlane.configuration.documents import EngineBody
+from passlane.identifiers import EngineId
+from passlane.messages.common import Address
+from passlane.scheduling.circuit_breaker import BreakerState, CircuitBreaker
+from passlane.scheduling.config import BreakerConfig
+from passlane.scheduling.rate_limit import TenantLimiter, TenantLimits
+from passlane.scheduling.retry_budget import RetryBudget, RetryBudgetConfig
+from passlane.scheduling.watched_engines import watched_engines
+
+
+class CircuitBreakerTest(unittest.TestCase):
+    def test_stays_open_longer_each_time_the_probe_fails(self):
+        breaker = CircuitBreaker(BreakerConfig(failures_to_open=2, open_s=1.0, max_open_s=3.0))
+        breaker.record_failure(0.0)
+        self.assertTrue(breaker.allows(0.0))
+        breaker.record_failure(0.0)
+        now, open_times = 0.0, []
+        for _ in range(3):
+            self.assertFalse(breaker.allows(now))
+            opens_at = breaker.opens_next_at(now)
+            open_times.append(opens_at - now)
+            now = opens_at
+            self.assertTrue(breaker.allows(now))
+            breaker.record_start(now)
+            self.assertFalse(breaker.allows(now), "only one probe at a time")
+            breaker.record_failure(now)
+        self.assertEqual([1.0, 2.0, 3.0], open_times)
+        now = breaker.opens_next_at(now)
+        breaker.record_start(now)
+        breaker.record_success()
+        self.assertIs(BreakerState.CLOSED, breaker.state(now))
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_retries_are_a_share_of_requests(self):
+        budget = RetryBudget(RetryBudgetConfig(retries_per_request=0.1, max_retries=2.0))
+        self.assertEqual([True, True, False], [budget.try_spend() for _ in range(3)])
+        retries = 0
+        for _ in range(1_000):
+            budget.record_request()
+            retries += budget.try_spend()
+        self.assertAlmostEqual(100, retries, delta=1)
+
+
+class TenantLimiterTest(unittest.TestCase):
+    def test_rate_and_concurrency(self):
+        limiter = TenantLimiter(TenantLimits(calls_per_second=10, max_calls_in_flight=3, burst=2))
+        admissions = [limiter.admit(0.0) for _ in range(3)]
+        self.assertEqual([True, True, False], [item.admitted for item in admissions])
+        self.assertAlmostEqual(0.1, admissions[2].retry_after_s)
+        self.assertTrue(limiter.admit(0.1).admitted)
+        self.assertIn("in flight", limiter.admit(0.3).reason)
+        limiter.release()
+        self.assertTrue(limiter.admit(0.3).admitted)
+
+
+class WatchedEnginesTest(unittest.TestCase):
+    def engines(self, count: int) -> dict[EngineId, EngineBody]:
+        address = Address(host="127.0.0.1", port=1)
+        return {
+            EngineId(f"e{n}"): EngineBody(address=address, zone=f"z{n % 4}", models=(f"m{n % 3}",))
+            for n in range(count)
+        }
+
+    def test_bounded_spread_and_stable(self):
+        engines = self.engines(300)
+        counts = dict.fromkeys(engines, 0)
+        for number in range(100):
+            watched = watched_engines(f"n{number}", "z1", engines, 8)
+            self.assertEqual(24, len(watched))
+            self.assertEqual(4, len({engines[engine_id].zone for engine_id in watched}))
+            for engine_id in watched:
+                counts[engine_id] += 1
+        self.assertGreater(sum(count > 0 for count in counts.values()), 280)
+        before = watched_engines("n1", "z1", engines, 8)
+        removed = next(iter(before))
+        del engines[removed]
+        after = watched_engines("n1", "z1", engines, 8)
+        self.assertEqual(before - {removed}, before & after)
+        self.assertEqual(1, len(after - before))
+
+
+if __name__ == "__main__":
+    unittest.main()
