--- a/src/passlane/backends/application_client.py
+++ b/src/passlane/backends/application_client.py
@@ -40,6 +40,8 @@
                 "idempotency-key": request.operation_id,
             },
             body=msgspec.json.encode(request),
+            # On a kept connection a refusal to connect could not be told from a lost answer.
+            fresh_connection=True,
         )
         body = await exchange_whole(self._http, http_request, timeout_s)
         reply = _decode_reply(body, request.operation_id)
--- a/src/passlane/backends/engine_client.py
+++ b/src/passlane/backends/engine_client.py
@@ -36,6 +36,7 @@
 
 END_OF_STREAM = b"[DONE]"
 JSON_HEADERS = {"content-type": "application/json"}
+STALE_ORDER_STATUS = 409
 MAX_REPLY_BYTES = 16_000_000
 
 ReplyBody = TypeVar("ReplyBody")
@@ -159,7 +160,17 @@
         BackendError
             ``STALE_FENCING_TOKEN`` when the engine has seen a higher token.
         """
-        return _decode(await self._exchange(self._post("/v1/orders", order)), OrderReply)
+        try:
+            body = await self._exchange(self._post("/v1/orders", order))
+        except BackendError as error:
+            if error.status != STALE_ORDER_STATUS:
+                raise
+            raise BackendError(
+                ErrorCode.STALE_FENCING_TOKEN,
+                "the engine has seen a newer fencing token",
+                verdict=Verdict.NOT_RUN,
+            ) from error
+        return _decode(body, OrderReply)
 
     def _get(self, path: str) -> HttpRequest:
         return HttpRequest(method="GET", address=self._address, path=path)
--- a/src/passlane/backends/failures.py
+++ b/src/passlane/backends/failures.py
@@ -12,6 +12,12 @@
 REFUSAL_STATUSES = frozenset({409, 429, 503})
 """Statuses that prove, together with a problem body, that the request did not run."""
 
+REJECTION_STATUSES = frozenset({400, 404, 405, 413, 415, 422})
+"""Statuses that speak about the request itself, whoever sends it and when."""
+
+STALE_TOKEN_CODES = frozenset({ErrorCode.STALE_FENCING_TOKEN.value, ErrorCode.STALE_EPOCH.value})
+"""Codes by which a back end says that a newer leader has spoken to it."""
+
 PROBLEM_TYPE = "application/problem+json"
 
 
@@ -22,6 +28,8 @@
     ----------
     is_final
         The back end rejected the request itself: sending it again would not help.
+    status
+        HTTP status of the answer, if there was one.
     """
 
     def __init__(
@@ -32,9 +40,11 @@
         verdict: Verdict,
         is_final: bool = False,
         retry_after_s: float | None = None,
+        status: int | None = None,
     ) -> None:
         super().__init__(code, message, verdict=verdict, retry_after_s=retry_after_s)
         self.is_final = is_final
+        self.status = status
 
 
 class ProblemBody(msgspec.Struct, frozen=True):
@@ -86,13 +96,14 @@
     message = _message(response.status, problem)
     verdict = _verdict(response, problem)
     code = _code(response.status, problem)
-    is_rejection = 400 <= response.status < 500 and response.status not in REFUSAL_STATUSES
+    is_rejection = response.status in REJECTION_STATUSES
     return BackendError(
         code,
         message,
         verdict=verdict,
         is_final=is_rejection and verdict is Verdict.NOT_RUN,
         retry_after_s=_retry_after(response),
+        status=response.status,
     )
 
 
@@ -137,7 +148,7 @@
 
 
 def _code(status: int, problem: ProblemBody | None) -> ErrorCode:
-    if problem is not None and problem.code == ErrorCode.STALE_FENCING_TOKEN.value:
+    if problem is not None and problem.code in STALE_TOKEN_CODES:
         return ErrorCode.STALE_FENCING_TOKEN
     if status >= 500 and status not in REFUSAL_STATUSES:
         return ErrorCode.BACKEND_FAILED
--- a/src/passlane/messages/node.py
+++ b/src/passlane/messages/node.py
@@ -122,3 +122,9 @@
 
 class HandoverReady(Message, frozen=True):
     """The new leader buffers calls for the partitions until it holds their epoch."""
+
+
+class ProgramEndedNotice(Message, frozen=True):
+    """Tells the leader of a sub-agent's partition that it ended with its parent."""
+
+    program_id: ProgramId
--- /dev/null
+++ b/src/passlane/node/call_runner.py
@@ -0,0 +1,437 @@
+"""Shell of one call: carries out what its state machine decides."""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+
+import anyio
+
+from passlane.configuration.view import ToolOffer
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.identifiers import EngineId
+from passlane.messages.node import CallAnswered, CallRefused, CallRequest, TextChunk
+from passlane.messages.store import (
+    BeginCall,
+    BeginCallResult,
+    CallKind,
+    EngineHold,
+    FinishCall,
+)
+from passlane.node.call_reports import CallReport
+from passlane.node.call_services import LEADERSHIP_CODES, CallServices
+from passlane.node.led_program import LedProgram, OpenCall
+from passlane.node.model_attempt import ModelAttempt
+from passlane.node.subscription import Subscription
+from passlane.node.tool_attempt import ToolAttempt, ask_status
+from passlane.observability.logging import get_logger
+from passlane.programs.call_events import (
+    CallerGone,
+    CallEventIn,
+    DeadlinePassed,
+    IntentRecorded,
+    IntentRefused,
+    OutcomeRecorded,
+    OutcomeRefused,
+    RetryDue,
+    StatusReceived,
+)
+from passlane.programs.call_identity import request_digest
+from passlane.programs.call_instructions import (
+    AskStatus,
+    CallInstruction,
+    CancelAttempt,
+    RecordIntent,
+    RecordOutcome,
+    RequestPlacement,
+    SendAnswer,
+    SendToken,
+    StartAttempt,
+    WaitBeforeRetry,
+    WithdrawPlacement,
+)
+from passlane.programs.call_machine import CallMachine, CallPhase, CallPlan
+from passlane.scheduling.events import CallArrived
+
+Work = Callable[[], Awaitable[None]]
+
+CLEAR_REFUSALS = frozenset(
+    {
+        ErrorCode.BUDGET_EXCEEDED,
+        ErrorCode.PROGRAM_ENDED,
+        ErrorCode.DISK_FULL,
+        ErrorCode.IDEMPOTENCY_MISMATCH,
+    }
+)
+"""Refusals of an intent that leave the program in memory as true as it was."""
+
+_log = get_logger(__name__)
+
+STORE_TIMEOUT_S = 15.0
+"""How long a command may take, over changes of the store's leader."""
+
+
+@dataclass(frozen=True)
+class CallSetUp:
+    """What is known of a call when its turn comes.
+
+    Attributes
+    ----------
+    sequence
+        The number under which it is recorded.
+    deadline
+        Local monotonic time in seconds by which the caller gives up.
+    offer
+        The tool, for a tool call.
+    reopened
+        The open call that this request repeats, if it does.
+    """
+
+    request: CallRequest
+    plan: CallPlan
+    sequence: int
+    deadline: float
+    arrived_at: float
+    attempt_prefix: str
+    offer: ToolOffer | None = None
+    service_class: int = 1
+    weight: float = 1.0
+    reopened: OpenCall | None = None
+
+
+class CallRunner:
+    """Runs one call of a program to its answer.
+
+    Parameters
+    ----------
+    settle
+        Settles the program's open call, if another one is open, before this one begins.
+    on_over
+        Told once, when the call is answered and nothing of it goes on.
+
+    Attributes
+    ----------
+    store_failed
+        The record in the store may differ from the program in memory.
+    left_open
+        The answer, if the call was answered without a recorded outcome.
+    """
+
+    def __init__(
+        self,
+        services: CallServices,
+        program: LedProgram,
+        set_up: CallSetUp,
+        settle: Callable[[], Awaitable[None]],
+        on_over: Callable[["CallRunner"], None],
+    ) -> None:
+        self.set_up = set_up
+        self.call_id = set_up.plan.call_id
+        self.program = program
+        self.store_failed = False
+        self.left_open: SendAnswer | None = None
+        self.machine = CallMachine(set_up.plan, set_up.attempt_prefix)
+        self._services = services
+        self._settle = settle
+        self._on_over = on_over
+        self._subscriptions: list[Subscription] = []
+        self._inbox: deque[CallEventIn] = deque()
+        self._is_handling = False
+        self._scopes: set[anyio.CancelScope] = set()
+        self._attempt_scopes: dict[str, anyio.CancelScope] = {}
+        self._hold: EngineHold | None = None
+        self._store_work = 0
+        self._is_over = False
+        self._first_token_at: float | None = None
+        self._backend = ""
+
+    # Callers.
+
+    def subscribe(self, subscription: Subscription) -> None:
+        """Give the answer to one more caller, with the tokens that are there already."""
+        self._subscriptions.append(subscription)
+        for position, text in enumerate(self.machine.texts):
+            subscription.push(TextChunk(position, text))
+
+    def unsubscribe(self, subscription: Subscription) -> None:
+        """Take in that a caller has gone."""
+        if subscription in self._subscriptions:
+            self._subscriptions.remove(subscription)
+        if not self._subscriptions and not self._is_over:
+            self.post(CallerGone())
+
+    # Life.
+
+    def start(self) -> None:
+        """Begin; the call then goes on by itself."""
+        self._spawn(self._watch_deadline)
+        for instruction in self.machine.start():
+            self._carry_out(instruction)
+
+    def abort(self, error: PasslaneError) -> None:
+        """Stop all work at once; callers get ``error``, which may send them elsewhere."""
+        if self._is_over:
+            return
+        self._is_over = True
+        for subscription in self._subscriptions:
+            subscription.fail(error)
+        self._subscriptions.clear()
+        if self.machine.phase is CallPhase.PLACING and self.set_up.plan.kind is CallKind.MODEL:
+            self._services.models.withdraw(self.call_id)
+        self._cancel_all()
+
+    def post(self, event: CallEventIn) -> None:
+        """Give the state machine an event and carry out its instructions."""
+        self._inbox.append(event)
+        if self._is_handling or self._is_over:
+            return
+        self._is_handling = True
+        try:
+            while self._inbox and not self._is_over:
+                now = anyio.current_time()
+                for instruction in self.machine.handle(self._inbox.popleft(), now):
+                    self._carry_out(instruction)
+        finally:
+            self._is_handling = False
+        self._check_over()
+
+    def _check_over(self) -> None:
+        is_answered = self.machine.phase is CallPhase.ANSWERED
+        if is_answered and self._store_work == 0 and not self._is_over:
+            self._is_over = True
+            self._cancel_all()
+            self._on_over(self)
+
+    def _cancel_all(self) -> None:
+        for scope in tuple(self._scopes):
+            scope.cancel()
+
+    def _spawn(self, work: Work, scope: anyio.CancelScope | None = None) -> None:
+        self._services.tasks.start_soon(self._run_in_scope, work, scope or anyio.CancelScope())
+
+    async def _run_in_scope(self, work: Work, scope: anyio.CancelScope) -> None:
+        """Run a part of the call; a fault in it ends this call and no other."""
+        if self._is_over:
+            return
+        self._scopes.add(scope)
+        try:
+            with scope:
+                await work()
+        except Exception as error:
+            _log.error("call failed by a fault", call_id=self.call_id, error=repr(error))
+            self._fail_by_fault()
+        finally:
+            self._scopes.discard(scope)
+
+    def _fail_by_fault(self) -> None:
+        if self._is_over:
+            return
+        self.store_failed = True
+        message = "the call was stopped by an internal fault"
+        error = PasslaneError(ErrorCode.INTERNAL, message, verdict=Verdict.MAY_HAVE_RUN)
+        self.abort(error)
+        self._on_over(self)
+
+    async def _watch_deadline(self) -> None:
+        await anyio.sleep_until(self.set_up.deadline)
+        self.post(DeadlinePassed())
+
+    # Instructions.
+
+    def _carry_out(self, instruction: CallInstruction) -> None:
+        match instruction:
+            case SendToken(position, text):
+                self._send_token(position, text)
+            case RecordIntent():
+                self._spawn_store_work(self._record_intent)
+            case RequestPlacement(excluded, _):
+                self._request_placement(excluded)
+            case WithdrawPlacement():
+                if self.set_up.plan.kind is CallKind.MODEL:
+                    self._services.models.withdraw(self.call_id)
+            case StartAttempt():
+                self._start_attempt(instruction)
+            case CancelAttempt(attempt_id):
+                self._cancel_attempt(attempt_id)
+            case AskStatus():
+                self._spawn(self._ask_status)
+            case WaitBeforeRetry(delay_s):
+                self._spawn(partial(self._wait_before_retry, delay_s))
+            case RecordOutcome():
+                self._spawn_store_work(partial(self._record_outcome, instruction))
+            case SendAnswer():
+                self._send_answer(instruction)
+
+    def _send_token(self, position: int, text: str) -> None:
+        if self._first_token_at is None:
+            self._first_token_at = anyio.current_time()
+        for subscription in self._subscriptions:
+            subscription.push(TextChunk(position, text))
+
+    def _send_answer(self, instruction: SendAnswer) -> None:
+        answer = instruction.answer
+        if instruction.left_open:
+            self.left_open = instruction
+        is_moved = isinstance(answer, CallRefused) and answer.code in LEADERSHIP_CODES
+        for subscription in self._subscriptions:
+            if is_moved:
+                subscription.fail(self._services.not_leader_error(self.program))
+            else:
+                subscription.push(answer)
+        self._subscriptions.clear()
+        if not is_moved:
+            self._publish_report(answer)
+
+    def _publish_report(self, answer: CallAnswered | CallRefused) -> None:
+        report = CallReport(
+            request=self.set_up.request,
+            call_id=self.call_id,
+            sequence=self.set_up.sequence,
+            arrived_at=self.set_up.arrived_at,
+            first_token_at=self._first_token_at,
+            ended_at=anyio.current_time(),
+            backend=self._backend,
+            attempts=self.machine.attempts,
+            answer=answer,
+        )
+        self._services.reports.publish(report)
+
+    # The store.
+
+    def _spawn_store_work(self, work: Work) -> None:
+        self._store_work += 1
+        self._spawn(partial(self._do_store_work, work))
+
+    async def _do_store_work(self, work: Work) -> None:
+        try:
+            await work()
+        finally:
+            self._store_work -= 1
+        self._check_over()
+
+    async def _record_intent(self) -> None:
+        try:
+            result = await self._begin_call()
+        except PasslaneError as error:
+            if error.code not in CLEAR_REFUSALS:
+                self.store_failed = True
+            self.post(IntentRefused(error.code, error.message, error.retry_after_s))
+            return
+        self.program.note_begun(result.call, self.set_up.request.turns)
+        # Nothing was sent in this epoch before: a record of it is this command's own echo.
+        is_echo = self.set_up.reopened is None and result.call.epoch == self.program.epoch
+        reopened = self.set_up.reopened
+        is_proved = is_echo or (reopened is not None and reopened.proved_not_run)
+        self.post(IntentRecorded(result.call, result.already_recorded, is_proved))
+
+    async def _begin_call(self) -> BeginCallResult:
+        await self._settle()
+        reopened = self.set_up.reopened
+        if reopened is not None and not self._must_renew(reopened):
+            return BeginCallResult(call=reopened.call, already_recorded=True)
+        plan = self.set_up.plan
+        request = self.set_up.request
+        command = BeginCall(
+            program_id=self.program.program_id,
+            partition=self.program.partition,
+            epoch=self.program.epoch,
+            call_id=self.call_id,
+            sequence=self.set_up.sequence,
+            kind=plan.kind,
+            target=plan.target,
+            repeatable=plan.repeatable,
+            request_digest=request_digest(request),
+            reserve=plan.reserve,
+            turns=request.turns,
+            application_id=None if self.set_up.offer is None else self.set_up.offer.application_id,
+        )
+        return await self._services.store.begin_call(command, STORE_TIMEOUT_S)
+
+    def _must_renew(self, reopened: OpenCall) -> bool:
+        """Return whether running the call again needs a reservation of its own."""
+        return reopened.call.repeatable and reopened.call.epoch < self.program.epoch
+
+    async def _record_outcome(self, instruction: RecordOutcome) -> None:
+        command = FinishCall(
+            program_id=self.program.program_id,
+            partition=self.program.partition,
+            epoch=self.program.epoch,
+            call_id=self.call_id,
+            outcome=instruction.outcome,
+            turns=instruction.turns,
+            hold=self._hold,
+        )
+        try:
+            await self._services.store.finish_call(command, STORE_TIMEOUT_S)
+        except PasslaneError as error:
+            self.store_failed = True
+            self.post(OutcomeRefused(error.code, error.message))
+            return
+        self.program.note_finished(self.call_id, instruction.outcome, instruction.turns)
+        if self._hold is not None:
+            self.program.note_hold(self._hold)
+        self.post(OutcomeRecorded())
+
+    # Placement and attempts.
+
+    def _request_placement(self, excluded: frozenset[str]) -> None:
+        offer = self.set_up.offer
+        if offer is not None:
+            now = anyio.current_time()
+            limit = offer.application.max_in_flight
+            self.post(self._services.tools.start(offer.application_id, limit, now))
+            return
+        arrived = CallArrived(
+            call_id=self.call_id,
+            program_id=self.program.program_id,
+            tenant_id=self.program.tenant_id,
+            model=self.set_up.plan.target,
+            prompt_tokens=self.program.prompt_tokens,
+            max_tokens=self.set_up.plan.max_tokens,
+            deadline=self.set_up.deadline,
+            service_class=self.set_up.service_class,
+            weight=self.set_up.weight,
+            excluded=frozenset(EngineId(backend) for backend in excluded),
+        )
+        self._services.models.place(arrived, self.post)
+
+    def _start_attempt(self, start: StartAttempt) -> None:
+        self._backend = start.backend
+        scope = anyio.CancelScope()
+        self._attempt_scopes[start.attempt_id] = scope
+        work = partial(self._run_model, start)
+        if self.set_up.offer is not None:
+            work = partial(self._run_tool, start, self.set_up.offer)
+        self._spawn(work, scope)
+
+    async def _run_model(self, start: StartAttempt) -> None:
+        attempt = ModelAttempt(
+            self._services, self.program, self.set_up.plan, start, self.post, self._note_hold
+        )
+        await attempt.run()
+
+    def _note_hold(self, hold: EngineHold) -> None:
+        self._hold = hold
+
+    async def _run_tool(self, start: StartAttempt, offer: ToolOffer) -> None:
+        arguments = self.set_up.request.arguments
+        attempt = ToolAttempt(
+            self._services, self.program, self.set_up.plan, offer, arguments, start, self.post
+        )
+        await attempt.run()
+
+    def _cancel_attempt(self, attempt_id: str) -> None:
+        """Close the attempt's connection, by which the back end learns of it."""
+        scope = self._attempt_scopes.pop(attempt_id, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _ask_status(self) -> None:
+        if self.set_up.offer is None:
+            self.post(StatusReceived(None))
+            return
+        await ask_status(self._services, self.set_up.offer, self.set_up.plan, self.post)
+
+    async def _wait_before_retry(self, delay_s: float) -> None:
+        await anyio.sleep(delay_s)
+        self.post(RetryDue())
--- /dev/null
+++ b/src/passlane/node/lease_leadership.py
@@ -0,0 +1,27 @@
+"""Leadership as the node's lease gives it, on the node's own clock."""
+
+import anyio
+
+from passlane.identifiers import Epoch, Partition
+from passlane.membership.node_lease import NodeLease
+from passlane.messages.common import Address
+
+
+class LeaseLeadership:
+    """Answers from the lease at the present moment; implements ``Leadership``.
+
+    A partition that is being handed over counts as led until it is released, so that
+    its calls in flight can finish.
+    """
+
+    def __init__(self, lease: NodeLease) -> None:
+        self._lease = lease
+
+    def epoch_of(self, partition: Partition) -> Epoch | None:
+        """Return the epoch in which this node leads, ``None`` without a valid lease."""
+        return self._lease.epoch_of(partition, anyio.current_time())
+
+    def leader_of(self, partition: Partition) -> Address | None:
+        """Return the internal address of the leader as far as known."""
+        assignment = self._lease.leader_of(partition)
+        return None if assignment is None else assignment.address
--- a/src/passlane/node/led_program.py
+++ b/src/passlane/node/led_program.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passlane.errors import Verdict
+from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import CallId, EngineId, Epoch, Partition, ProgramId, TenantId
 from passlane.messages.common import Amounts
 from passlane.messages.store import (
@@ -17,6 +17,7 @@
     Turn,
 )
 from passlane.programs.program_queue import ProgramQueue
+from passlane.programs.token_estimate import estimate_tokens
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +43,12 @@
         """Return the outcome to record when the program goes on without this call."""
         verdict = Verdict.NOT_RUN if self.proved_not_run else Verdict.MAY_HAVE_RUN
         spent = Amounts() if self.proved_not_run else self.call.reserved
-        return CallOutcome(verdict=verdict, spent=spent)
+        return CallOutcome(
+            verdict=verdict,
+            error_code=ErrorCode.BACKEND_FAILED,
+            error_message="the program went on without this call",
+            spent=spent,
+        )
 
 
 class LedProgram:
@@ -50,6 +56,8 @@
 
     Attributes
     ----------
+    prompt_tokens
+        Estimated tokens of the history.
     deadline
         Local monotonic time in seconds at which the program's life is over.
     """
@@ -63,6 +71,7 @@
         self.budget = record.budget
         self.is_ended = record.state is ProgramState.ENDED
         self.turns: list[Turn] = list(record.turns)
+        self.prompt_tokens = estimate_tokens(record.turns)
         self.calls: dict[CallId, CallRecord] = {call.call_id: call for call in record.calls}
         self.holds: dict[EngineId, int] = {
             hold.engine_id: hold.incarnation for hold in record.holds
@@ -82,22 +91,24 @@
     def note_begun(self, call: CallRecord, turns: tuple[Turn, ...]) -> None:
         """Take in that a call's intent is recorded; its turns are appended once."""
         if call.call_id not in self.calls:
-            self.turns.extend(turns)
+            self._append(turns)
         self.calls[call.call_id] = call
         self.next_sequence = max(self.next_sequence, call.sequence + 1)
 
-    def note_finished(
-        self, call_id: CallId, outcome: CallOutcome, turns: tuple[Turn, ...]
-    ) -> None:
+    def note_finished(self, call_id: CallId, outcome: CallOutcome, turns: tuple[Turn, ...]) -> None:
         """Take in that a call's outcome is recorded."""
         call = self.calls[call_id]
         self.calls[call_id] = msgspec.structs.replace(
             call, state=CallState.FINISHED, outcome=outcome
         )
-        self.turns.extend(turns)
+        self._append(turns)
         if self.open_call is not None and self.open_call.call.call_id == call_id:
             self.open_call = None
 
+    def _append(self, turns: tuple[Turn, ...]) -> None:
+        self.turns.extend(turns)
+        self.prompt_tokens += estimate_tokens(turns)
+
     def note_hold(self, hold: EngineHold) -> None:
         """Take in that an engine may hold memory for the program."""
         self.holds[hold.engine_id] = max(hold.incarnation, self.holds.get(hold.engine_id, 0))
--- /dev/null
+++ b/src/passlane/node/local_caller.py
@@ -0,0 +1,98 @@
+"""Serves a node's requests to itself without a connection."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.base import Message
+from passlane.messages.common import Address
+from passlane.transport.interfaces import (
+    Caller,
+    OneWayHandler,
+    ReplyType,
+    RequestType,
+    Router,
+    StreamHandler,
+    UnaryHandler,
+)
+
+
+class LocalCaller:
+    """A ``Caller`` that answers requests to the own address by the own handlers.
+
+    It is a ``Router`` too: handlers that are added to it are added to ``router``, which
+    serves the other processes.
+    """
+
+    def __init__(self, own_address: Address, caller: Caller, router: Router) -> None:
+        self._own_address = own_address
+        self._caller = caller
+        self._router = router
+        self._unary: dict[type[Message], UnaryHandler] = {}
+        self._stream: dict[type[Message], StreamHandler] = {}
+        self._one_way: dict[type[Message], OneWayHandler] = {}
+
+    def add_unary(self, request: type[RequestType], handler: UnaryHandler) -> None:
+        """Answer each ``request``, from here or elsewhere, with one message."""
+        self._unary[request] = handler
+        self._router.add_unary(request, handler)
+
+    def add_stream(self, request: type[RequestType], handler: StreamHandler) -> None:
+        """Answer each ``request``, from here or elsewhere, with a stream."""
+        self._stream[request] = handler
+        self._router.add_stream(request, handler)
+
+    def add_one_way(self, request: type[RequestType], handler: OneWayHandler) -> None:
+        """Handle each ``request``, from here or elsewhere, without an answer."""
+        self._one_way[request] = handler
+        self._router.add_one_way(request, handler)
+
+    async def call(
+        self, address: Address, request: Message, reply: type[ReplyType], *, timeout_s: float
+    ) -> ReplyType:
+        """Send a request and return its reply; see ``Caller.call``."""
+        handler = self._unary.get(type(request)) if address == self._own_address else None
+        if handler is None:
+            return await self._caller.call(address, request, reply, timeout_s=timeout_s)
+        with anyio.move_on_after(timeout_s):
+            answer = await handler(request)
+            if isinstance(answer, reply):
+                return answer
+            raise PasslaneError(
+                ErrorCode.PROTOCOL_ERROR,
+                f"unexpected reply {type(answer).__name__}",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        raise PasslaneError(
+            ErrorCode.TIMEOUT,
+            f"no reply within {timeout_s:g} s",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+    def stream(
+        self, address: Address, request: Message, *, timeout_s: float
+    ) -> AbstractAsyncContextManager[AsyncIterator[Message]]:
+        """Send a request and give its replies; see ``Caller.stream``."""
+        handler = self._stream.get(type(request)) if address == self._own_address else None
+        if handler is None:
+            return self._caller.stream(address, request, timeout_s=timeout_s)
+        return _stream_locally(handler, request)
+
+    async def send(self, address: Address, message: Message) -> None:
+        """Send a one-way message; see ``Caller.send``."""
+        handler = self._one_way.get(type(message)) if address == self._own_address else None
+        if handler is None:
+            await self._caller.send(address, message)
+        else:
+            await handler(message)
+
+
+@asynccontextmanager
+async def _stream_locally(
+    handler: StreamHandler, request: Message
+) -> AsyncIterator[AsyncIterator[Message]]:
+    """Give the handler's replies and close it when they are left early."""
+    async with aclosing(handler(request)) as replies:  # type: ignore[type-var]
+        yield replies
--- /dev/null
+++ b/src/passlane/node/model_attempt.py
@@ -0,0 +1,135 @@
+"""One attempt at a model call: the hold is recorded, then the engine's stream is read."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import xxhash
+
+from passlane.backends.failures import BackendError
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.identifiers import EngineId
+from passlane.messages.backends import EngineChatRequest, EngineChunk
+from passlane.messages.store import EngineHold
+from passlane.node.call_services import LEADERSHIP_CODES, CallServices
+from passlane.node.fencing import chat_token
+from passlane.node.led_program import LedProgram
+from passlane.programs.call_events import (
+    AttemptFailed,
+    AttemptFinished,
+    CallEventIn,
+    TokenReceived,
+)
+from passlane.programs.call_instructions import StartAttempt
+from passlane.programs.call_machine import CallPlan
+from passlane.scheduling.events import CallEnded
+
+MODEL_NOT_LOADED_STATUS = 404
+"""An engine without the model says so by this status; another engine may have it."""
+
+
+@dataclass
+class ModelAttempt:
+    """Runs one attempt and reports what happens to ``post``.
+
+    ``note_hold`` is told which life of the engine holds memory, as the engine gave it.
+    """
+
+    services: CallServices
+    program: LedProgram
+    plan: CallPlan
+    start: StartAttempt
+    post: Callable[[CallEventIn], None]
+    note_hold: Callable[[EngineHold], None]
+    _has_token: bool = False
+
+    @property
+    def engine_id(self) -> EngineId:
+        """The engine of this attempt."""
+        return EngineId(self.start.backend)
+
+    async def run(self) -> None:
+        """Run the attempt to its end and report it, to the scheduler too."""
+        ended: CallEnded | None = CallEnded(self.plan.call_id, succeeded=False)
+        event: CallEventIn
+        try:
+            final = await self._stream()
+            self._note_incarnation(final)
+            ended = CallEnded(
+                self.plan.call_id,
+                succeeded=True,
+                prompt_tokens=final.prompt_tokens,
+                cached_tokens=final.cached_tokens,
+                generated_tokens=final.generated_tokens,
+            )
+            event = AttemptFinished(
+                self.start.attempt_id,
+                prompt_tokens=final.prompt_tokens,
+                cached_tokens=final.cached_tokens,
+                answer_tokens=final.position,
+            )
+        except PasslaneError as error:
+            event = self._failure(error)
+            if not isinstance(error, BackendError):
+                # The store or the leadership failed, which says nothing about the engine.
+                ended = None
+        except anyio.get_cancelled_exc_class():
+            self.services.models.withdraw(self.plan.call_id)
+            raise
+        if ended is None:
+            self.services.models.withdraw(self.plan.call_id)
+        else:
+            self.services.models.note_ended(ended, self.start.backend)
+        self.post(event)
+
+    async def _stream(self) -> EngineChunk:
+        engine = self.services.configuration().engines.get(self.engine_id)
+        if engine is None:
+            raise BackendError(
+                ErrorCode.UNAVAILABLE, "the engine was removed", verdict=Verdict.NOT_RUN
+            )
+        await self.services.record_hold(self.program, self.engine_id)
+        if not self.services.leads(self.program):
+            raise self.services.not_leader_error(self.program)
+        client = self.services.engines.client(engine.address)
+        return await client.stream_chat(self._request(), self._on_chunk)
+
+    def _request(self) -> EngineChatRequest:
+        return EngineChatRequest(
+            model=self.plan.target,
+            messages=tuple(self.program.turns),
+            max_tokens=self.plan.max_tokens,
+            attempt_id=self.start.attempt_id,
+            program_id=self.program.program_id,
+            epoch=chat_token(self.program.epoch),
+            priority=self.start.priority,
+            seed=xxhash.xxh32_intdigest(self.plan.call_id.encode()),
+            resume_from=self.start.resume_from,
+            resume_text=self.start.resume_text,
+        )
+
+    def _on_chunk(self, chunk: EngineChunk) -> None:
+        if not self._has_token:
+            self._has_token = True
+            self.services.models.note_first_token(self.plan.call_id)
+        self.post(TokenReceived(chunk.attempt_id, chunk.position, chunk.text))
+
+    def _note_incarnation(self, final: EngineChunk) -> None:
+        self.services.engines.note_incarnation(self.engine_id, final.incarnation)
+        self.note_hold(EngineHold(engine_id=self.engine_id, incarnation=final.incarnation))
+
+    def _failure(self, error: PasslaneError) -> AttemptFailed:
+        is_stale = error.code in LEADERSHIP_CODES
+        is_final = isinstance(error, BackendError) and error.is_final
+        if isinstance(error, BackendError) and error.status == MODEL_NOT_LOADED_STATUS:
+            is_final = False
+        may_retry = not is_stale and self.services.models.try_retry(self.start.backend)
+        return AttemptFailed(
+            attempt_id=self.start.attempt_id,
+            verdict=error.verdict,
+            code=error.code,
+            message=error.message,
+            is_final=is_final,
+            retry_allowed=may_retry,
+            retry_after_s=error.retry_after_s,
+        )
--- a/src/passlane/node/model_dispatcher.py
+++ b/src/passlane/node/model_dispatcher.py
@@ -1,6 +1,5 @@
 """Shell of the scheduler: tells it what happens and carries out what it decides."""
 
-import random
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -8,7 +7,6 @@
 import anyio
 
 from passlane.configuration.documents import EngineBody
-from passlane.errors import ErrorCode
 from passlane.identifiers import CallId, EngineId, ProgramId
 from passlane.programs.call_events import CallEventIn, StartOrdered, StartRefused
 from passlane.scheduling.events import (
@@ -174,8 +172,9 @@
         listener(event)
 
     def _set_wake(self, time: float) -> None:
-        self._wake_at = time
-        self._wake_changed.set()
+        if self._wake_at is None or time < self._wake_at:
+            self._wake_at = time
+            self._wake_changed.set()
 
     async def run(self) -> None:
         """Wake the scheduler at the times it asked for, until cancelled."""
@@ -191,13 +190,3 @@
                     continue
             self._wake_at = None
             self.tell(TimeAdvanced())
-
-
-def unavailable(message: str, retry_after_s: float) -> StartRefused:
-    """Return the refusal of a call for which no back end can be had now."""
-    return StartRefused(ErrorCode.UNAVAILABLE, message, retry_after_s)
-
-
-def jittered(seconds: float, source: random.Random) -> float:
-    """Return ``seconds`` spread by a fifth to both sides, against herds."""
-    return seconds * source.uniform(0.8, 1.2)
--- /dev/null
+++ b/src/passlane/node/node_core.py
@@ -0,0 +1,104 @@
+"""The parts of a running node, wired together; made anew for each start of the service."""
+
+from dataclasses import dataclass
+
+from passlane.configuration.view import ConfigurationView
+from passlane.errors import PasslaneError
+from passlane.identifiers import EngineId, ProgramId
+from passlane.messages.backends import EngineOrder, OrderKind
+from passlane.node.admission import Admission
+from passlane.node.call_services import CallServices
+from passlane.node.engine_poller import EnginePoller
+from passlane.node.fencing import chat_token, program_scope
+from passlane.node.forwarder import Forwarder
+from passlane.node.leader_service import LeaderService
+from passlane.node.memory_sweep import MemorySweep
+from passlane.node.program_directory import ProgramDirectory
+from passlane.node.release_loop import PendingRelease, ReleaseLoop
+from passlane.observability.logging import get_logger
+
+_log = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class NodeCore:
+    """Everything that lives as long as one run of the node."""
+
+    services: CallServices
+    directory: ProgramDirectory
+    admission: Admission
+    releases: ReleaseLoop
+    poller: EnginePoller
+    leader: LeaderService
+    forwarder: Forwarder
+    sweep: MemorySweep
+
+
+class SchedulerOrders:
+    """Carries out the scheduler's orders about caches; implements ``CacheOrders``."""
+
+    def __init__(
+        self,
+        services: CallServices,
+        directory: ProgramDirectory,
+        releases: ReleaseLoop,
+        poller: EnginePoller,
+    ) -> None:
+        self._services = services
+        self._directory = directory
+        self._releases = releases
+        self._poller = poller
+
+    def release_cache(self, program_id: ProgramId, engine_id: EngineId) -> None:
+        """Release what an engine holds for a program that pauses; its end has its own way."""
+        program = self._directory.program_in_memory(program_id)
+        if program is None or program.is_ended:
+            return
+        program.note_release(engine_id)
+        self._releases.add(
+            PendingRelease(program_id, program.partition, program.epoch, engine_id, False)
+        )
+
+    def move_cache(self, program_id: ProgramId, source: EngineId, destination: EngineId) -> None:
+        """Order ``destination`` to import the program's cache from ``source``."""
+        if self._directory.program_in_memory(program_id) is not None:
+            self._services.tasks.start_soon(self._move, program_id, source, destination)
+
+    async def _move(self, program_id: ProgramId, source: EngineId, destination: EngineId) -> None:
+        program = self._directory.program_in_memory(program_id)
+        engines = self._services.configuration().engines
+        if program is None or source not in engines or destination not in engines:
+            return
+        order = EngineOrder(
+            kind=OrderKind.IMPORT_CACHE,
+            scope=program_scope(program_id),
+            fencing_token=chat_token(program.epoch),
+            program_id=program_id,
+            argument=str(engines[source].address),
+        )
+        try:
+            await self._services.record_hold(program, destination)
+            await self._services.engines.client(engines[destination].address).order(order)
+        except PasslaneError as error:
+            # The cache is computed anew where it is missed; nothing else depends on it.
+            _log.info("cache not moved", program_id=program_id, code=error.code.value)
+
+    def watch(self, engine_ids: frozenset[EngineId]) -> None:
+        """Poll these engines from now on."""
+        self._poller.watch(engine_ids)
+
+    def fetch_snapshot(self, engine_id: EngineId) -> None:
+        """Fetch an engine's whole cache view."""
+        self._poller.fetch_snapshot(engine_id)
+
+
+def engines_to_avoid(
+    configuration: ConfigurationView, leaving: frozenset[EngineId]
+) -> frozenset[EngineId]:
+    """Return the engines that get no new work: drained by operators or leaving by themselves."""
+    drained = {
+        engine_id
+        for engine_id in configuration.engines
+        if configuration.is_draining("engine", engine_id)
+    }
+    return leaving | drained
--- /dev/null
+++ b/src/passlane/node/program_directory.py
@@ -0,0 +1,131 @@
+"""The programs that this node has in memory, loaded from the store on first use."""
+
+from itertools import count
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.identifiers import Epoch, Partition, ProgramId
+from passlane.messages.common import NotLeaderError
+from passlane.messages.store import ProgramRecord
+from passlane.node.call_services import CallServices
+from passlane.node.led_program import LedProgram
+from passlane.node.program_host import ProgramHost
+from passlane.programs.partitions import partition_of
+
+IDLE_S = 600.0
+"""A program that was not used for this long is dropped from memory."""
+
+
+class ProgramDirectory:
+    """Loads, keeps and drops programs. A program is valid for one epoch of its partition."""
+
+    def __init__(self, services: CallServices, partition_count: int) -> None:
+        self._services = services
+        self._partition_count = partition_count
+        self._hosts: dict[ProgramId, ProgramHost] = {}
+        self._loading: dict[ProgramId, anyio.Event] = {}
+        self._run_numbers = count(1)
+
+    @property
+    def hosts(self) -> tuple[ProgramHost, ...]:
+        """All programs in memory."""
+        return tuple(self._hosts.values())
+
+    def partition_of(self, program_id: ProgramId) -> Partition:
+        """Return the partition of a program."""
+        return partition_of(program_id, self._partition_count)
+
+    def require_epoch(self, partition: Partition) -> Epoch:
+        """Return the epoch in which this node leads a partition.
+
+        Raises
+        ------
+        NotLeaderError
+            When it does not lead it now.
+        """
+        epoch = self._services.leadership.epoch_of(partition)
+        if epoch is None:
+            leader = self._services.leadership.leader_of(partition)
+            raise NotLeaderError("this node does not lead the program", leader)
+        return epoch
+
+    async def host(self, program_id: ProgramId) -> ProgramHost:
+        """Return a program that this node leads, from memory or from the store.
+
+        Raises
+        ------
+        PasslaneError
+            ``NOT_LEADER``, ``UNKNOWN_PROGRAM``, or as the store fails.
+        """
+        while True:
+            epoch = self.require_epoch(self.partition_of(program_id))
+            host = self._hosts.get(program_id)
+            if host is not None and host.program.epoch == epoch:
+                return host
+            loading = self._loading.get(program_id)
+            if loading is None:
+                return await self._load(program_id, epoch)
+            await loading.wait()
+
+    async def _load(self, program_id: ProgramId, epoch: Epoch) -> ProgramHost:
+        done = self._loading[program_id] = anyio.Event()
+        try:
+            record = await self._services.store.read(program_id)
+            if self.require_epoch(record.partition) != epoch:
+                raise PasslaneError(
+                    ErrorCode.NOT_LEADER, "leadership changed while the program was loaded"
+                )
+            return self.adopt(record, epoch)
+        finally:
+            del self._loading[program_id]
+            done.set()
+
+    def adopt(self, record: ProgramRecord, epoch: Epoch) -> ProgramHost:
+        """Keep a program whose record was read or written in this epoch."""
+        known = self._hosts.get(record.program_id)
+        if known is not None and known.program.epoch == epoch:
+            return known
+        program = LedProgram(record, epoch, anyio.current_time())
+        host = ProgramHost(
+            self._services, program, lambda: next(self._run_numbers), self._drop_stale
+        )
+        self._hosts[record.program_id] = host
+        return host
+
+    def _drop_stale(self, host: ProgramHost) -> None:
+        """Drop a program that must be read again; its callers ask this node again."""
+        leader = self._services.leadership.leader_of(host.program.partition)
+        self._drop(host, NotLeaderError("the program is loaded again", leader))
+
+    def _drop(self, host: ProgramHost, error: PasslaneError) -> None:
+        if self._hosts.get(host.program.program_id) is host:
+            del self._hosts[host.program.program_id]
+        host.abort(error)
+
+    def drop_partition(self, partition: Partition) -> None:
+        """Stop all work for a partition that this node leads no longer."""
+        for host in self.hosts:
+            if host.program.partition == partition:
+                self._drop(host, self._services.not_leader_error(host.program))
+
+    def program_in_memory(self, program_id: ProgramId) -> LedProgram | None:
+        """Return a program if it is in memory and still led here."""
+        host = self._hosts.get(program_id)
+        if host is None or not self._services.leads(host.program):
+            return None
+        return host.program
+
+    def hosts_of(self, partition: Partition) -> list[ProgramHost]:
+        """Return the programs in memory of a partition."""
+        return [host for host in self.hosts if host.program.partition == partition]
+
+    def drop_idle(self, now: float) -> None:
+        """Drop programs that have not been used for a while."""
+        for host in self.hosts:
+            if host.is_idle and now - host.program.last_used_at > IDLE_S:
+                del self._hosts[host.program.program_id]
+
+    def forget(self, host: ProgramHost) -> None:
+        """Drop an ended program."""
+        self._hosts.pop(host.program.program_id, None)
--- /dev/null
+++ b/src/passlane/node/program_host.py
@@ -0,0 +1,359 @@
+"""Shell of one program: its queue, the call that runs, and callers that wait."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.identifiers import CallId
+from passlane.messages.node import CallRefused, CallRequest
+from passlane.messages.store import CallKind, CallRecord, CallState, FinishCall
+from passlane.node.call_planning import PlannedCall, plan_recovery
+from passlane.node.call_runner import STORE_TIMEOUT_S, CallRunner, CallSetUp
+from passlane.node.call_services import CallServices
+from passlane.node.led_program import LedProgram, OpenCall
+from passlane.node.subscription import Subscription
+from passlane.programs.call_events import StopRequested
+from passlane.programs.call_identity import request_digest
+from passlane.programs.program_queue import (
+    BeginQueuedCall,
+    QueuedCall,
+    QueueInstruction,
+    RefuseQueuedCall,
+)
+from passlane.programs.recorded_answer import recorded_answer
+
+RECOVERY_TIMEOUT_S = 10.0
+"""How long a doubtful operation of an earlier leader is looked into."""
+
+BUSY_RETRY_AFTER_S = 0.2
+
+
+@dataclass
+class WaitingCall:
+    """A call whose turn has not come."""
+
+    request: CallRequest
+    planned: PlannedCall
+    deadline: float
+    arrived_at: float
+    subscriptions: list[Subscription] = field(default_factory=list)
+
+
+class ProgramHost:
+    """Runs the calls of one program in order.
+
+    Parameters
+    ----------
+    next_run_number
+        Gives a number that is used once within this process, for attempt ids.
+    on_stale
+        Told when the program in memory may differ from its record and must be reloaded.
+    """
+
+    def __init__(
+        self,
+        services: CallServices,
+        program: LedProgram,
+        next_run_number: Callable[[], int],
+        on_stale: Callable[["ProgramHost"], None],
+    ) -> None:
+        self.program = program
+        self._services = services
+        self._next_run_number = next_run_number
+        self._on_stale = on_stale
+        self._waiting: dict[CallId, WaitingCall] = {}
+        self._runner: CallRunner | None = None
+        self._idle = anyio.Event()
+        self._idle.set()
+        self._armed_expiry: float | None = None
+        self._stop: StopRequested | None = None
+        self._is_closed = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call runs or waits."""
+        return self._runner is None and not self._waiting
+
+    # Callers.
+
+    def submit(self, request: CallRequest, planned: PlannedCall, deadline: float) -> Subscription:
+        """Take a call, or a repeat of one, and return the flow of its events.
+
+        Raises
+        ------
+        PasslaneError
+            When it is refused at once: nothing of it has run by this request.
+        """
+        subscription = Subscription(request.resume_from)
+        call_id = planned.plan.call_id
+        recorded = self.program.calls.get(call_id)
+        if recorded is not None:
+            _require_same_request(recorded, request)
+        if self._runner is not None and self._runner.call_id == call_id:
+            self._runner.subscribe(subscription)
+        elif call_id in self._waiting:
+            self._waiting[call_id].subscriptions.append(subscription)
+        elif recorded is not None and recorded.state is CallState.FINISHED:
+            subscription.push(recorded_answer(recorded))
+        else:
+            self._require_open()
+            self._take_new(request, planned, deadline, subscription)
+        return subscription
+
+    def _require_open(self) -> None:
+        if self.program.is_ended:
+            raise PasslaneError(ErrorCode.PROGRAM_ENDED, "the program has ended")
+        if self._stop is not None:
+            raise PasslaneError(self._stop.code, self._stop.message)
+
+    def _take_new(
+        self,
+        request: CallRequest,
+        planned: PlannedCall,
+        deadline: float,
+        subscription: Subscription,
+    ) -> None:
+        now = anyio.current_time()
+        call_id = planned.plan.call_id
+        waiting = WaitingCall(request, planned, deadline, now, [subscription])
+        open_call = self.program.open_call
+        if open_call is not None and open_call.call.call_id == call_id:
+            self._reopen(waiting, open_call)
+            return
+        self._waiting[call_id] = waiting
+        instructions = self.program.queue.add(QueuedCall(call_id, request.sequence, now), now)
+        self._carry_out(instructions)
+        if call_id in self._waiting:
+            self._services.tasks.start_soon(self._watch_waiting, waiting)
+
+    def _reopen(self, waiting: WaitingCall, open_call: OpenCall) -> None:
+        if not self.program.queue.resume(open_call.call.call_id):
+            raise PasslaneError(
+                ErrorCode.QUEUE_FULL,
+                "the program is busy with another call",
+                retry_after_s=BUSY_RETRY_AFTER_S,
+            )
+        self._start(waiting, open_call.call.sequence, open_call)
+
+    def release(self, call_id: CallId, subscription: Subscription) -> None:
+        """Take in that a caller stopped listening."""
+        subscription.release()
+        if self._runner is not None and self._runner.call_id == call_id:
+            self._runner.unsubscribe(subscription)
+            return
+        waiting = self._waiting.get(call_id)
+        if waiting is not None and subscription in waiting.subscriptions:
+            waiting.subscriptions.remove(subscription)
+            if not waiting.subscriptions:
+                del self._waiting[call_id]
+                self.program.queue.withdraw(call_id)
+
+    # The queue.
+
+    def _carry_out(self, instructions: list[QueueInstruction]) -> None:
+        for instruction in instructions:
+            match instruction:
+                case RefuseQueuedCall():
+                    self._refuse(instruction)
+                case BeginQueuedCall(call_id, sequence):
+                    self._start(self._waiting.pop(call_id), sequence, None)
+        self._arm_expiry()
+
+    def _refuse(self, instruction: RefuseQueuedCall) -> None:
+        waiting = self._waiting.pop(instruction.call_id)
+        refused = CallRefused(
+            instruction.code, instruction.message, Verdict.NOT_RUN, instruction.retry_after_s
+        )
+        for subscription in waiting.subscriptions:
+            subscription.push(refused)
+
+    async def _watch_waiting(self, waiting: WaitingCall) -> None:
+        """Refuse a call whose time is up before its turn came."""
+        call_id = waiting.planned.plan.call_id
+        await anyio.sleep_until(waiting.deadline)
+        if self._waiting.get(call_id) is waiting:
+            self.program.queue.withdraw(call_id)
+            message = "the program's earlier calls took until the deadline"
+            self._refuse(RefuseQueuedCall(call_id, ErrorCode.DEADLINE_EXCEEDED, message, None))
+
+    def _arm_expiry(self) -> None:
+        expiry = self.program.queue.next_expiry()
+        if expiry is not None and (self._armed_expiry is None or expiry < self._armed_expiry):
+            self._armed_expiry = expiry
+            self._services.tasks.start_soon(self._advance_at, expiry)
+
+    async def _advance_at(self, time: float) -> None:
+        await anyio.sleep_until(time)
+        if self._armed_expiry == time:
+            self._armed_expiry = None
+        if not self._is_closed:
+            self._carry_out(self.program.queue.advance(anyio.current_time()))
+
+    # The running call.
+
+    def _start(self, waiting: WaitingCall, sequence: int, reopened: OpenCall | None) -> None:
+        planned = waiting.planned
+        plan = planned.plan
+        if reopened is not None and len(reopened.texts) > len(plan.resume_texts):
+            plan = replace(plan, resume_texts=reopened.texts)
+        set_up = CallSetUp(
+            request=waiting.request,
+            plan=plan,
+            sequence=sequence,
+            deadline=waiting.deadline,
+            arrived_at=waiting.arrived_at,
+            attempt_prefix=self._attempt_prefix(plan.call_id),
+            offer=planned.offer,
+            reopened=reopened,
+        )
+        settle = partial(self.settle, keep=plan.call_id)
+        runner = CallRunner(self._services, self.program, set_up, settle, self._on_call_over)
+        self._runner = runner
+        self._idle = anyio.Event()
+        for subscription in waiting.subscriptions:
+            runner.subscribe(subscription)
+        runner.start()
+
+    def _attempt_prefix(self, call_id: CallId) -> str:
+        return f"{call_id}.{self.program.epoch}.{self._next_run_number()}"
+
+    def _on_call_over(self, runner: CallRunner) -> None:
+        if runner is not self._runner:
+            return
+        self._runner = None
+        self._idle.set()
+        self.program.last_used_at = anyio.current_time()
+        self._keep_open_call(runner)
+        if self._is_closed:
+            return
+        if runner.store_failed:
+            self._on_stale(self)
+            return
+        now = anyio.current_time()
+        queue = self.program.queue
+        self._carry_out(queue.finish(runner.call_id, self.program.next_sequence, now))
+
+    def _keep_open_call(self, runner: CallRunner) -> None:
+        call = self.program.calls.get(runner.call_id)
+        if call is None or call.state is CallState.FINISHED or runner.left_open is None:
+            return
+        self.program.open_call = OpenCall(
+            call=call,
+            texts=tuple(runner.machine.texts),
+            proved_not_run=runner.left_open.proved_not_run,
+        )
+
+    # Open calls.
+
+    async def settle(self, keep: CallId | None = None) -> None:
+        """Record an outcome for the open call, unless it is ``keep``; the program goes on.
+
+        Raises
+        ------
+        PasslaneError
+            When the store does not take the outcome.
+        """
+        open_call = self.program.open_call
+        if open_call is None or open_call.call.call_id == keep:
+            return
+        call = open_call.call
+        is_doubtful = call.kind is CallKind.TOOL and not open_call.proved_not_run
+        if is_doubtful and not call.repeatable:
+            await self._resolve(open_call)
+            return
+        outcome = open_call.abandoned_outcome()
+        command = FinishCall(
+            program_id=self.program.program_id,
+            partition=self.program.partition,
+            epoch=self.program.epoch,
+            call_id=call.call_id,
+            outcome=outcome,
+        )
+        await self._services.store.finish_call(command, STORE_TIMEOUT_S)
+        self.program.note_finished(call.call_id, outcome, ())
+
+    async def _resolve(self, open_call: OpenCall) -> None:
+        """Find out what became of an operation of an earlier leader, and record it."""
+        call = open_call.call
+        planned = plan_recovery(call, self._services.configuration())
+        now = anyio.current_time()
+        request = CallRequest(
+            request_id=f"recovery-{call.call_id}",
+            tenant_id=self.program.tenant_id,
+            program_id=self.program.program_id,
+            kind=call.kind,
+            target=call.target,
+        )
+        set_up = CallSetUp(
+            request=request,
+            plan=planned.plan,
+            sequence=call.sequence,
+            deadline=now + RECOVERY_TIMEOUT_S,
+            arrived_at=now,
+            attempt_prefix=self._attempt_prefix(call.call_id),
+            offer=planned.offer,
+            reopened=open_call,
+        )
+        over = anyio.Event()
+        runner = CallRunner(
+            self._services, self.program, set_up, _settle_nothing, lambda _: over.set()
+        )
+        runner.start()
+        await over.wait()
+        if runner.store_failed:
+            raise PasslaneError(
+                ErrorCode.UNAVAILABLE,
+                "what became of the program's last operation could not be recorded",
+                retry_after_s=1.0,
+            )
+
+    # The end.
+
+    async def stop(self, code: ErrorCode, message: str) -> None:
+        """Take no more calls, stop a running model call, and wait until nothing runs."""
+        self._stop = StopRequested(code, message)
+        for call_id in list(self._waiting):
+            self.program.queue.withdraw(call_id)
+            self._refuse(RefuseQueuedCall(call_id, code, message, None))
+        if self._runner is not None:
+            self._runner.post(self._stop)
+        await self._idle.wait()
+        await self.settle()
+
+    def resume(self) -> None:
+        """Take calls again, for the program's end could not be recorded."""
+        self._stop = None
+
+    async def wait_idle(self) -> None:
+        """Return when no call runs or waits."""
+        while not self.is_idle:
+            await self._idle.wait()
+            await anyio.sleep(0)
+
+    def abort(self, error: PasslaneError) -> None:
+        """Stop all work at once, for this node no longer leads the program."""
+        self._is_closed = True
+        for waiting in self._waiting.values():
+            for subscription in waiting.subscriptions:
+                subscription.fail(error)
+        self._waiting.clear()
+        if self._runner is not None:
+            self._runner.abort(error)
+            self._runner = None
+        self._idle.set()
+
+
+async def _settle_nothing() -> None:
+    """Stand in where a call has no predecessor to settle."""
+
+
+def _require_same_request(recorded: CallRecord, request: CallRequest) -> None:
+    is_same = recorded.request_digest == request_digest(request)
+    is_same = is_same and request.sequence in (None, recorded.sequence)
+    if not is_same:
+        raise PasslaneError(
+            ErrorCode.IDEMPOTENCY_MISMATCH, "the key or sequence belongs to another request"
+        )
--- /dev/null
+++ b/src/passlane/node/service.py
@@ -0,0 +1,320 @@
+"""The node's service: takes callers' requests, and leads the programs of its partitions."""
+
+from collections.abc import Sequence
+from functools import partial
+
+import anyio
+from anyio.abc import TaskGroup
+
+from passlane.configuration.view import ConfigurationView
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.identifiers import EngineId, NodeId, Partition, Revision
+from passlane.membership.events import (
+    HandoverCancelled,
+    HandoverRequested,
+    LeadershipGained,
+    LeadershipLost,
+    MembershipChange,
+)
+from passlane.messages.common import Address
+from passlane.messages.control import ConfigurationDelta
+from passlane.messages.node import (
+    CallRequest,
+    CreateProgramRequest,
+    EndProgramRequest,
+    ProgramEndedNotice,
+    ReadProgramRequest,
+)
+from passlane.messages.store import ProgramRecord, ProgramResult, StoreDone
+from passlane.node.admission import Admission
+from passlane.node.call_reports import CallReports, ReportSink
+from passlane.node.call_services import CallServices
+from passlane.node.engine_poller import EnginePoller
+from passlane.node.engine_registry import EngineRegistry
+from passlane.node.forwarder import Emit, Forwarder
+from passlane.node.heartbeat import HeartbeatLoop
+from passlane.node.leader_service import LeaderService
+from passlane.node.lease_leadership import LeaseLeadership
+from passlane.node.local_caller import LocalCaller
+from passlane.node.memory_sweep import MemorySweep
+from passlane.node.model_dispatcher import ModelDispatcher
+from passlane.node.node_core import NodeCore, SchedulerOrders, engines_to_avoid
+from passlane.node.program_directory import ProgramDirectory
+from passlane.node.program_host import ProgramHost
+from passlane.node.program_store import ProgramStore
+from passlane.node.release_loop import ReleaseLoop
+from passlane.node.tool_dispatcher import ToolDispatcher
+from passlane.observability.logging import get_logger
+from passlane.replication.client import GroupClient
+from passlane.runtime.interfaces import Environment
+from passlane.scheduling.config import QueueConfig, SchedulerConfig
+from passlane.scheduling.scheduler import Scheduler
+from passlane.settings.model import Settings
+from passlane.transport.interfaces import Caller, Router
+
+HOUSEKEEPING_S = 1.0
+DRAIN_POLL_S = 0.05
+DRAIN_RETRY_AFTER_S = 1.0
+UNARY_TIMEOUT_S = 15.0
+INCARNATION_BITS = 62
+
+_log = get_logger(__name__)
+
+
+class NodeService:
+    """One node. ``run`` must be under way for requests to be taken.
+
+    Parameters
+    ----------
+    settings
+        The process's settings.
+    environment
+        The outside world.
+    caller, router
+        Connections to other processes, and where requests from them arrive.
+    store
+        Client of the region's store group.
+    sinks
+        Told of each finished call, such as metrics and the trace recorder.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        environment: Environment,
+        caller: Caller,
+        router: Router,
+        store: GroupClient,
+        sinks: Sequence[ReportSink] = (),
+    ) -> None:
+        self._settings = settings
+        self._environment = environment
+        self._local = LocalCaller(settings.addresses.internal, caller, router)
+        self._store = store
+        self._reports = CallReports(list(sinks))
+        self._configuration = ConfigurationView()
+        self._leaving_engines: frozenset[EngineId] = frozenset()
+        self._is_draining = False
+        self._requests = 0
+        self._core: NodeCore | None = None
+        self._heartbeat = self._new_heartbeat()
+
+    def _new_heartbeat(self) -> HeartbeatLoop:
+        source = self._environment.random
+        incarnation = source.getrandbits(INCARNATION_BITS) + 1
+        return HeartbeatLoop(self._settings, self._store, self, source, incarnation)
+
+    # State.
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes callers' requests."""
+        return self._core is not None and self._heartbeat.has_lease and not self.is_draining
+
+    @property
+    def configuration(self) -> ConfigurationView:
+        """The configuration that the node holds and acts on."""
+        return self._configuration
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the node refuses new requests and gives up its partitions."""
+        own = NodeId(self._settings.process.name)
+        return self._is_draining or own in self._configuration.draining_nodes()
+
+    # Life.
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            core = self._build_core(tasks)
+            self._core = core
+            self._register(core)
+            self._tell_engines()
+            try:
+                tasks.start_soon(self._heartbeat.run)
+                tasks.start_soon(core.services.models.run)
+                tasks.start_soon(core.sweep.run)
+                await self._keep_house(core)
+            finally:
+                self._core = None
+
+    def _build_core(self, tasks: TaskGroup) -> NodeCore:
+        settings = self._settings
+        source = self._environment.random
+        http = self._environment.http_client
+        leadership = LeaseLeadership(self._heartbeat.lease)
+        services = CallServices(
+            store=ProgramStore(self._store),
+            models=ModelDispatcher(self._new_scheduler()),
+            tools=ToolDispatcher(),
+            engines=EngineRegistry(http),
+            http=http,
+            leadership=leadership,
+            configuration=lambda: self._configuration,
+            tasks=tasks,
+            reports=self._reports,
+            led_partitions=lambda: self._heartbeat.lease.led_partitions,
+        )
+        partition_count = settings.membership.partitions
+        directory = ProgramDirectory(services, partition_count)
+        admission = Admission(settings.node.max_queued_calls)
+        releases = ReleaseLoop(services, source)
+        poller = EnginePoller(services, tasks, settings.node.engine_poll_s, source)
+        leader = LeaderService(services, directory, admission, releases, self._local)
+        services.models.orders = SchedulerOrders(services, directory, releases, poller)
+        return NodeCore(
+            services=services,
+            directory=directory,
+            admission=admission,
+            releases=releases,
+            poller=poller,
+            leader=leader,
+            forwarder=Forwarder(self._local, leadership, partition_count, source),
+            sweep=MemorySweep(services, directory, leader, releases, poller, source),
+        )
+
+    def _new_scheduler(self) -> Scheduler:
+        node = self._settings.node
+        config = SchedulerConfig(
+            queue=QueueConfig(max_calls=node.max_queued_calls),
+            watched_engines_per_model=node.watched_engines_per_model,
+        )
+        process = self._settings.process
+        return Scheduler(process.zone, self._environment.random, config, node_key=process.name)
+
+    def _register(self, core: NodeCore) -> None:
+        self._local.add_stream(CallRequest, core.leader.serve_call)
+        self._local.add_unary(CreateProgramRequest, core.leader.create)
+        self._local.add_unary(EndProgramRequest, core.leader.end)
+        self._local.add_unary(ReadProgramRequest, core.leader.read)
+        self._local.add_one_way(ProgramEndedNotice, core.leader.note_ended)
+
+    async def _keep_house(self, core: NodeCore) -> None:
+        while True:
+            await anyio.sleep(HOUSEKEEPING_S)
+            now = anyio.current_time()
+            core.directory.drop_idle(now)
+            for host in core.directory.hosts:
+                deadline = host.program.deadline
+                if deadline is not None and deadline <= now and not host.program.is_ended:
+                    host.program.deadline = None
+                    core.services.tasks.start_soon(self._end_late, core, host)
+
+    async def _end_late(self, core: NodeCore, host: ProgramHost) -> None:
+        """End a program whose time is used up."""
+        try:
+            await core.leader.end_host(
+                host, ErrorCode.LIMIT_EXCEEDED, "the program's time is used up"
+            )
+        except PasslaneError as error:
+            _log.warning("late program not ended", code=error.code.value)
+            host.program.deadline = anyio.current_time() + HOUSEKEEPING_S
+
+    async def drain(self) -> None:
+        """Refuse new requests, finish those in flight and give up all partitions."""
+        self._is_draining = True
+        self._heartbeat.beat_soon()
+        with anyio.move_on_after(self._settings.node.drain_timeout_s) as scope:
+            while self._requests > 0 or self._heartbeat.lease.led_partitions:
+                await anyio.sleep(DRAIN_POLL_S)
+        if scope.cancelled_caught:
+            _log.warning("drain cut short", requests=self._requests)
+
+    # What heartbeats bring.
+
+    def take_configuration(
+        self, delta: ConfigurationDelta | None, accepted_revision: Revision
+    ) -> None:
+        """Take in changes, and act on what is accepted and held."""
+        before = self._configuration.revision_in_force
+        if delta is not None:
+            self._configuration = self._configuration.apply_delta(delta)
+        self._configuration = self._configuration.accept(accepted_revision)
+        if self._configuration.revision_in_force != before:
+            self._tell_engines()
+
+    def take_leaving_engines(self, names: Sequence[EngineId]) -> None:
+        """Send no new work to engines of these names."""
+        leaving = frozenset(names)
+        if leaving != self._leaving_engines:
+            self._leaving_engines = leaving
+            self._tell_engines()
+
+    def _tell_engines(self) -> None:
+        if self._core is not None:
+            configuration = self._configuration
+            avoided = engines_to_avoid(configuration, self._leaving_engines)
+            self._core.services.models.change_engines(dict(configuration.engines), avoided)
+
+    def take_membership_change(self, change: MembershipChange) -> None:
+        """Begin or stop to lead a partition, or begin to hand it over."""
+        core = self._core
+        if core is None:
+            return
+        match change:
+            case LeadershipGained(partition, _):
+                core.leader.keep_partition(partition)
+                core.sweep.partition_gained(partition)
+            case LeadershipLost(partition, _):
+                core.leader.forget_partition(partition)
+                core.leader.keep_partition(partition)
+            case HandoverRequested(partition, _, _, to_address):
+                core.services.tasks.start_soon(self._hand_over, core, partition, to_address)
+            case HandoverCancelled(partition, _):
+                core.leader.keep_partition(partition)
+
+    async def _hand_over(self, core: NodeCore, partition: Partition, successor: Address) -> None:
+        """Finish the partition's calls, then release it to its next leader."""
+        limit_s = self._settings.node.drain_timeout_s
+        await core.leader.finish_partition(partition, successor, limit_s)
+        if core.leader.is_leaving(partition):
+            self._heartbeat.release(partition)
+
+    # Callers.
+
+    async def run_call(self, request: CallRequest, emit: Emit) -> None:
+        """Run a call wherever its program is led and give its events to ``emit``.
+
+        Raises
+        ------
+        PasslaneError
+            When it was refused or failed; with its verdict.
+        """
+        core = self._require_open()
+        self._requests += 1
+        try:
+            await core.forwarder.run_call(request, emit)
+        finally:
+            self._requests -= 1
+
+    async def create_program(self, request: CreateProgramRequest) -> ProgramRecord:
+        """Create a program and return its record; raise ``PasslaneError``."""
+        core = self._require_open()
+        ask = partial(core.forwarder.ask, request.program_id, request)
+        return (await ask(ProgramResult, UNARY_TIMEOUT_S)).record
+
+    async def read_program(self, request: ReadProgramRequest) -> ProgramRecord:
+        """Return a program's record; raise ``PasslaneError``."""
+        core = self._require_open()
+        ask = partial(core.forwarder.ask, request.program_id, request)
+        return (await ask(ProgramResult, UNARY_TIMEOUT_S)).record
+
+    async def end_program(self, request: EndProgramRequest) -> None:
+        """End a program; raise ``PasslaneError``."""
+        core = self._require_open()
+        await core.forwarder.ask(request.program_id, request, StoreDone, UNARY_TIMEOUT_S)
+
+    def _require_open(self) -> NodeCore:
+        """Return the running parts; refuse while the node starts or drains."""
+        if self._core is None:
+            raise PasslaneError(
+                ErrorCode.UNAVAILABLE, "the node is starting", retry_after_s=DRAIN_RETRY_AFTER_S
+            )
+        if self.is_draining:
+            raise PasslaneError(
+                ErrorCode.DRAINING,
+                "the node is stopping; ask another one",
+                retry_after_s=DRAIN_RETRY_AFTER_S,
+            )
+        return self._core
--- /dev/null
+++ b/src/passlane/node/tool_attempt.py
@@ -0,0 +1,103 @@
+"""One attempt at a tool call, and the question what became of an operation."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from passlane.backends.application_client import ApplicationClient
+from passlane.backends.failures import BackendError
+from passlane.configuration.view import ToolOffer
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.backends import ToolRequest
+from passlane.node.call_services import CallServices
+from passlane.node.led_program import LedProgram
+from passlane.programs.call_events import (
+    AttemptFailed,
+    AttemptFinished,
+    CallEventIn,
+    StatusReceived,
+)
+from passlane.programs.call_instructions import StartAttempt
+from passlane.programs.call_machine import CallPlan
+
+
+@dataclass(frozen=True)
+class ToolAttempt:
+    """Runs one attempt at an application and reports it to ``post``."""
+
+    services: CallServices
+    program: LedProgram
+    plan: CallPlan
+    offer: ToolOffer
+    arguments: str
+    start: StartAttempt
+    post: Callable[[CallEventIn], None]
+
+    async def run(self) -> None:
+        """Run the attempt to its end."""
+        healthy: bool | None = None
+        event: CallEventIn
+        try:
+            if not self.services.leads(self.program):
+                raise self.services.not_leader_error(self.program)
+            reply = await self._client().run_tool(
+                self.offer.tool.name, self._request(), self.offer.tool.timeout_s
+            )
+            healthy = True
+            event = AttemptFinished(self.start.attempt_id, body=reply.result)
+        except PasslaneError as error:
+            healthy = _health(error)
+            event = self._failure(error)
+        finally:
+            self.services.tools.finish(
+                self.offer.application_id, healthy=healthy, now=anyio.current_time()
+            )
+        self.post(event)
+
+    def _client(self) -> ApplicationClient:
+        return ApplicationClient(self.services.http, self.offer.application.address)
+
+    def _request(self) -> ToolRequest:
+        return ToolRequest(
+            operation_id=self.plan.call_id,
+            attempt_id=self.start.attempt_id,
+            arguments=self.arguments,
+        )
+
+    def _failure(self, error: PasslaneError) -> AttemptFailed:
+        is_final = isinstance(error, BackendError) and error.is_final
+        # A rejection or a lost leadership is no reason for a retry.
+        may_retry = isinstance(error, BackendError) and not is_final
+        return AttemptFailed(
+            attempt_id=self.start.attempt_id,
+            verdict=error.verdict,
+            code=error.code,
+            message=error.message,
+            is_final=is_final,
+            retry_allowed=may_retry and self.services.tools.try_retry(self.offer.application_id),
+            retry_after_s=error.retry_after_s,
+        )
+
+
+async def ask_status(
+    services: CallServices, offer: ToolOffer, plan: CallPlan, post: Callable[[CallEventIn], None]
+) -> None:
+    """Ask what became of the operation and report ``StatusReceived``."""
+    client = ApplicationClient(services.http, offer.application.address)
+    try:
+        reply = await client.read_status(plan.call_id)
+    except PasslaneError:
+        post(StatusReceived(None))
+        return
+    post(StatusReceived(reply.state, reply.result))
+
+
+def _health(error: PasslaneError) -> bool | None:
+    """Return whether the failure speaks for or against the application's health."""
+    if not isinstance(error, BackendError):
+        return None
+    if error.is_final:
+        return True
+    is_failure = error.verdict is not Verdict.NOT_RUN or error.code is ErrorCode.UNAVAILABLE
+    return False if is_failure else None
--- a/src/passlane/programs/call_events.py
+++ b/src/passlane/programs/call_events.py
@@ -58,15 +58,15 @@
 class AttemptFinished:
     """An attempt brought its whole answer.
 
-    ``body`` is the tool's answer; a model's answer is made of its tokens. ``generated_tokens``
-    is the engine's count of the whole answer, resumed part included; ``None`` for a tool.
+    ``body`` is the tool's answer; a model's answer is made of its tokens. ``answer_tokens``
+    is the length of the whole answer, resumed part included; ``None`` for a tool.
     """
 
     attempt_id: str
     body: str = ""
     prompt_tokens: int = 0
     cached_tokens: int = 0
-    generated_tokens: int | None = None
+    answer_tokens: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +128,14 @@
     """The caller's time is up."""
 
 
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The program is to end, or has used up its time; ``code`` tells the caller why."""
+
+    code: ErrorCode
+    message: str
+
+
 CallEventIn = (
     IntentRecorded
     | IntentRefused
@@ -142,4 +150,5 @@
     | OutcomeRefused
     | CallerGone
     | DeadlinePassed
+    | StopRequested
 )
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -29,6 +29,7 @@
     StartOrdered,
     StartRefused,
     StatusReceived,
+    StopRequested,
     TokenReceived,
 )
 from passlane.programs.call_instructions import (
@@ -44,6 +45,7 @@
     WaitBeforeRetry,
     WithdrawPlacement,
 )
+from passlane.programs.recorded_answer import recorded_answer
 
 MAX_ATTEMPTS = 4
 """Most attempts at one call within one request."""
@@ -94,6 +96,7 @@
 
     call_id: CallId
     kind: CallKind
+    target: str
     repeatable: bool
     max_tokens: int
     reserve: Amounts
@@ -166,6 +169,8 @@
                 return self._on_caller_gone()
             case DeadlinePassed():
                 return self._on_deadline()
+            case StopRequested():
+                return self._on_stop(event)
 
     # Intent.
 
@@ -174,7 +179,8 @@
             return []
         self.sequence = event.call.sequence
         if event.call.state is CallState.FINISHED:
-            return self._answer_recorded(event.call)
+            self.phase = CallPhase.ANSWERED
+            return [SendAnswer(recorded_answer(event.call))]
         if self._caller_gone and not self.plan.is_named:
             return self._give_up_unnamed()
         if event.already_recorded and not event.proved_not_run:
@@ -184,13 +190,6 @@
                 return self._resolve_doubt()
         return self._place()
 
-    def _answer_recorded(self, call: CallRecord) -> list[CallInstruction]:
-        if call.outcome is None:
-            raise ValueError(f"finished call {call.call_id} has no outcome")
-        self._outcome = call.outcome
-        self.texts = []
-        return self._on_outcome_recorded()
-
     # Placement and attempts.
 
     @property
@@ -250,7 +249,7 @@
     def _on_attempt_finished(self, event: AttemptFinished) -> list[CallInstruction]:
         if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
             return []
-        if self.plan.kind is CallKind.MODEL and event.generated_tokens != len(self.texts):
+        if self.plan.kind is CallKind.MODEL and event.answer_tokens != len(self.texts):
             failure = AttemptFailed(
                 attempt_id=event.attempt_id,
                 verdict=Verdict.MAY_HAVE_RUN,
@@ -354,7 +353,7 @@
             return ()
         if self.plan.kind is CallKind.MODEL:
             return (Turn(role="assistant", content=outcome.body),)
-        return (Turn(role="tool", content=outcome.body, name=self._backend or None),)
+        return (Turn(role="tool", content=outcome.body, name=self.plan.target),)
 
     def _on_outcome_recorded(self) -> list[CallInstruction]:
         outcome = self._outcome
@@ -370,7 +369,7 @@
             body=outcome.body,
             prompt_tokens=self._usage.prompt_tokens,
             cached_tokens=self._usage.cached_tokens,
-            generated_tokens=self._usage.generated_tokens or len(self.texts),
+            generated_tokens=len(self.texts),
             attempts=self.attempts,
         )
         return [SendAnswer(answered)]
@@ -440,3 +439,11 @@
             return instructions + self._record(outcome)
         refused = self._refuse(ErrorCode.DEADLINE_EXCEEDED, message, COME_BACK_AFTER_S)
         return instructions + refused
+
+    def _on_stop(self, event: StopRequested) -> list[CallInstruction]:
+        """Stop a model call; a tool call that is under way ends by itself, to be recorded."""
+        is_tool_under_way = self.plan.kind is CallKind.TOOL and self.phase is not CallPhase.PLACING
+        if self.phase is CallPhase.RECORDING_OUTCOME or is_tool_under_way:
+            return []
+        instructions = self._stop_work()
+        return instructions + self._refuse(event.code, event.message, None)
