Raft: replica with pre-vote, check-quorum, pipelined replication, read index and membership

The whole replica is one plain state machine: events and local time in, instructions out, so that the same code runs under the disk-and-network shell and under a heap of simulated events. An acknowledgement is only sent once entries are durable, and what was known to match an earlier leader's log is forgotten at each new term, because a follower would otherwise acknowledge entries the new leader does not have. Messages gained sender_address (default None), since a replica that has not joined yet could not answer otherwise.

--- a/src/passlane/messages/raft.py
+++ b/src/passlane/messages/raft.py
@@ -43,13 +43,17 @@
     members: tuple[GroupMember, ...]
 
 
-class RaftMessage(Message, frozen=True):
-    """Common part: group, sender, receiver and the sender's term."""
+class RaftMessage(Message, frozen=True, kw_only=True):
+    """Common part: group, sender, receiver and the sender's term.
+
+    ``sender_address`` lets a replica answer that does not know the membership yet.
+    """
 
     group: str
     sender: ReplicaId
     receiver: ReplicaId
     term: int
+    sender_address: Address | None = None
 
 
 class VoteRequest(RaftMessage, frozen=True):
--- /dev/null
+++ b/src/passlane/raft/follower.py
@@ -0,0 +1,212 @@
+"""What a replica does for a leader: taking entries and snapshots, acknowledging them."""
+
+from passlane.identifiers import ReplicaId
+from passlane.messages.common import Address
+from passlane.messages.raft import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    SnapshotReply,
+    SnapshotRequest,
+)
+from passlane.raft.membership import member_of
+from passlane.raft.progress import Snapshot
+from passlane.raft.state import ReplicaState
+
+
+class SnapshotAssembly:
+    """A snapshot that arrives in chunks.
+
+    Parameters
+    ----------
+    last_index, last_term
+        What the snapshot covers; chunks of another snapshot start a new assembly.
+    """
+
+    def __init__(self, last_index: int, last_term: int) -> None:
+        self.last_index = last_index
+        self.last_term = last_term
+        self.data = bytearray()
+
+    def add(self, request: SnapshotRequest) -> bool:
+        """Add a chunk; return whether the snapshot is whole. Other chunks are ignored."""
+        if request.offset != len(self.data):
+            return False
+        self.data += request.data
+        return request.is_last
+
+
+class Follower:
+    """The part of a replica that follows the leader of the current term.
+
+    Only entries known to equal the leader's are acknowledged, and only once durable.
+
+    Parameters
+    ----------
+    state
+        The replica's shared state.
+    """
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._state = state
+        self._known_term = 0
+        self._matched_index = 0
+        self._read_round = 0
+        self._assembly: SnapshotAssembly | None = None
+
+    def handle_append(self, request: AppendRequest) -> None:
+        """Take entries from the leader, or tell it where to retry."""
+        self._enter_term()
+        self._read_round = max(self._read_round, request.read_round)
+        if not self._matches(request):
+            hint = self._conflict_index(request.previous_index)
+            self._reply_append(request.sender, success=False, conflict_index=hint)
+            return
+        end_index = request.previous_index + len(request.entries)
+        self._take_entries(request.entries)
+        self._matched_index = max(self._matched_index, end_index)
+        self._state.commit(min(request.commit_index, self._matched_index))
+        if self._is_worth_answering(request):
+            self._reply_append(request.sender, success=True)
+
+    def handle_snapshot(self, request: SnapshotRequest) -> None:
+        """Take one chunk of a snapshot."""
+        self._enter_term()
+        state = self._state
+        if self._covers(request):
+            self._matched_index = max(self._matched_index, request.last_index)
+            state.commit(request.last_index)
+            if state.log.synced_index >= request.last_index:
+                self._reply_snapshot(request.sender, request.last_index, installed=True)
+            return
+        assembly = self._assembly_for(request)
+        if assembly.add(request):
+            self._install(request, bytes(assembly.data))
+            return
+        self._reply_snapshot(request.sender, request.last_index, installed=False)
+
+    def note_synced(self) -> None:
+        """Acknowledge what has become durable."""
+        self._enter_term()
+        leader_id = self._state.leader_id
+        if leader_id is not None and self._matched_index > 0:
+            self._reply_append(leader_id, success=True)
+
+    def note_installed(self, last_index: int) -> None:
+        """Acknowledge a snapshot that has become durable."""
+        self._enter_term()
+        leader_id = self._state.leader_id
+        if leader_id is not None and self._matched_index >= last_index:
+            self._reply_snapshot(leader_id, last_index, installed=True)
+
+    def refuse_append(self, request: AppendRequest) -> None:
+        """Tell a leader of an older term of the newer one."""
+        self._enter_term()
+        self._reply_append(request.sender, success=False, address=request.sender_address)
+
+    def _enter_term(self) -> None:
+        """Forget the former leader's log when the term is new: it says nothing of this one's."""
+        if self._known_term == self._state.term:
+            return
+        self._known_term = self._state.term
+        self._matched_index = 0
+        self._read_round = 0
+        self._assembly = None
+
+    def _matches(self, request: AppendRequest) -> bool:
+        log = self._state.log
+        if request.previous_index <= log.base_index:
+            return True
+        return log.term_at(request.previous_index) == request.previous_term
+
+    def _conflict_index(self, previous_index: int) -> int:
+        """Return the first index that may differ: the start of the conflicting term."""
+        log = self._state.log
+        if previous_index > log.last_index:
+            return log.last_index + 1
+        first_index = log.first_index_of_term(previous_index)
+        return max(first_index, self._state.commit_index + 1)
+
+    def _take_entries(self, entries: tuple[LogEntry, ...]) -> None:
+        log = self._state.log
+        for position, entry in enumerate(entries):
+            is_held = entry.index <= log.base_index or log.term_at(entry.index) == entry.term
+            if not is_held:
+                self._state.append_entries(entries[position:])
+                return
+
+    def _is_worth_answering(self, request: AppendRequest) -> bool:
+        """Return whether to answer now; otherwise the answer follows the sync."""
+        end_index = request.previous_index + len(request.entries)
+        return not request.entries or self._state.log.synced_index >= end_index
+
+    def _covers(self, request: SnapshotRequest) -> bool:
+        """Return whether all that the snapshot holds is in the log already."""
+        state = self._state
+        if request.last_index <= state.commit_index:
+            return True
+        return state.log.term_at(request.last_index) == request.last_term
+
+    def _assembly_for(self, request: SnapshotRequest) -> SnapshotAssembly:
+        assembly = self._assembly
+        wanted = (request.last_index, request.last_term)
+        if assembly is None or (assembly.last_index, assembly.last_term) != wanted:
+            assembly = SnapshotAssembly(*wanted)
+            self._assembly = assembly
+        return assembly
+
+    def _install(self, request: SnapshotRequest, data: bytes) -> None:
+        self._assembly = None
+        self._matched_index = request.last_index
+        snapshot = Snapshot(request.last_index, request.last_term, request.membership, data)
+        self._state.install_snapshot(snapshot)
+
+    def _reply_append(
+        self,
+        receiver: ReplicaId,
+        *,
+        success: bool,
+        conflict_index: int = 0,
+        address: Address | None = None,
+    ) -> None:
+        state = self._state
+        address = address or self._address_of(receiver)
+        if address is None:
+            return
+        reply = AppendReply(
+            group=state.config.group,
+            sender=state.own_id,
+            receiver=receiver,
+            term=state.term,
+            sender_address=state.config.address,
+            success=success,
+            synced_index=min(state.log.synced_index, self._matched_index),
+            conflict_index=conflict_index,
+            read_round=self._read_round,
+        )
+        state.send(address, reply)
+
+    def _reply_snapshot(self, receiver: ReplicaId, last_index: int, *, installed: bool) -> None:
+        state = self._state
+        address = self._address_of(receiver)
+        if address is None:
+            return
+        next_offset = len(self._assembly.data) if self._assembly is not None else 0
+        reply = SnapshotReply(
+            group=state.config.group,
+            sender=state.own_id,
+            receiver=receiver,
+            term=state.term,
+            sender_address=state.config.address,
+            last_index=last_index,
+            next_offset=next_offset,
+            installed=installed,
+        )
+        state.send(address, reply)
+
+    def _address_of(self, replica_id: ReplicaId) -> Address | None:
+        state = self._state
+        if replica_id == state.leader_id:
+            return state.leader_address
+        member = member_of(state.membership, replica_id)
+        return member.address if member is not None else None
--- /dev/null
+++ b/src/passlane/raft/leader.py
@@ -0,0 +1,264 @@
+"""What a replica does while it leads: proposals, reads, membership, transfer."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from passlane.identifiers import ReplicaId
+from passlane.messages.raft import (
+    AppendReply,
+    EntryKind,
+    GroupMembership,
+    LogEntry,
+    SnapshotReply,
+    TimeoutNow,
+)
+from passlane.raft.events import MemberAdded, MemberRemoved
+from passlane.raft.instructions import RejectProposals
+from passlane.raft.membership import (
+    encode_membership,
+    member_of,
+    replaced_voter,
+    voters_of,
+    with_learner,
+    with_voter,
+    without,
+)
+from passlane.raft.reads import ReadRounds
+from passlane.raft.replication import Replicator
+from passlane.raft.state import ReplicaState
+
+
+@dataclass(slots=True)
+class LeadershipTransfer:
+    """A hand-over of leadership under way; given up at ``deadline``."""
+
+    target: ReplicaId
+    deadline: float
+    is_asked: bool = False
+
+
+class Leader:
+    """One replica's leadership of one term.
+
+    Parameters
+    ----------
+    state
+        The replica's shared state.
+    now
+        Local time of the election.
+    """
+
+    def __init__(self, state: ReplicaState, now: float) -> None:
+        self._state = state
+        self._replicator = Replicator(state, now)
+        self._reads = ReadRounds(state)
+        self._changes: deque[MemberAdded | MemberRemoved] = deque()
+        self._transfer: LeadershipTransfer | None = None
+        self.next_heartbeat_at = now
+
+    def start(self, now: float) -> None:
+        """Announce the leadership and append a first entry of the own term.
+
+        Entries of older terms cannot be committed by themselves, so without it reads and
+        older proposals would wait for the next command.
+        """
+        state = self._state
+        state.set_leader(state.own_id, state.config.address)
+        self._append([(EntryKind.NO_OPERATION, b"")], now)
+        self._send_heartbeats(now)
+
+    def advance_time(self, now: float) -> None:
+        """Send heartbeats when they are due and give up an overdue transfer."""
+        if self._transfer is not None and now >= self._transfer.deadline:
+            self._transfer = None
+        if now >= self.next_heartbeat_at:
+            self._send_heartbeats(now)
+
+    def hears_quorum(self, now: float) -> bool:
+        """Return whether a majority was heard lately; otherwise it must step down."""
+        return self._replicator.hears_quorum(now)
+
+    def propose(self, tokens: Sequence[int], commands: Sequence[bytes], now: float) -> None:
+        """Append commands, unless leadership is being handed over."""
+        if self._transfer is not None:
+            self._refuse(tokens)
+            return
+        first_index = self._state.log.last_index + 1
+        for offset, token in enumerate(tokens):
+            self._state.tokens[first_index + offset] = token
+        self._append([(EntryKind.COMMAND, command) for command in commands], now)
+
+    def request_read(self, token: int, now: float) -> None:
+        """Confirm the leadership for a read."""
+        self._reads.request(token)
+        self._advance_reads(now)
+
+    def request_change(self, change: MemberAdded | MemberRemoved, now: float) -> None:
+        """Queue a change of membership; one is under way at a time."""
+        self._changes.append(change)
+        self._advance_membership(now)
+
+    def request_transfer(self, now: float) -> None:
+        """Hand leadership to the most advanced voter."""
+        target = self._replicator.most_advanced_voter(now)
+        if self._transfer is not None or target is None:
+            return
+        deadline = now + self._state.config.election_timeout_s
+        self._transfer = LeadershipTransfer(target=target, deadline=deadline)
+        self._advance_transfer()
+
+    def handle_append_reply(self, reply: AppendReply, now: float) -> None:
+        """Take over a follower's acknowledgement."""
+        progress = self._replicator.followers.get(reply.sender)
+        if progress is None:
+            return
+        progress.last_heard = now
+        self._reads.confirm(reply.sender, reply.read_round)
+        self._replicator.handle_append_reply(reply, self._reads.current_round, now)
+        self.advance(now)
+
+    def handle_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
+        """Take over how far a follower has got with a snapshot."""
+        progress = self._replicator.followers.get(reply.sender)
+        if progress is None:
+            return
+        progress.last_heard = now
+        self._replicator.handle_snapshot_reply(reply, self._reads.current_round, now)
+        self.advance(now)
+
+    def advance(self, now: float) -> None:
+        """Do all that newly durable entries allow."""
+        self._replicator.advance_commit()
+        self._advance_reads(now)
+        self._advance_membership(now)
+        self._advance_transfer()
+
+    @property
+    def is_removed(self) -> bool:
+        """Whether a committed membership does not hold this replica any more."""
+        state = self._state
+        if state.memberships.current_index > state.commit_index:
+            return False
+        return member_of(state.membership, state.own_id) is None
+
+    def stop(self) -> None:
+        """Answer all callers that wait, since leadership was lost."""
+        state = self._state
+        if state.tokens:
+            tokens = tuple(state.tokens.values())
+            state.tokens.clear()
+            state.emit(RejectProposals(tokens=tokens, leader=None, may_be_committed=True))
+        self._refuse([change.token for change in self._changes])
+        self._reads.reject_all()
+
+    def hand_over(self, now: float) -> None:
+        """Ask the most advanced voter to stand for election at once."""
+        target = self._replicator.most_advanced_voter(now)
+        if target is not None:
+            self._send_timeout_now(target)
+
+    def _send_heartbeats(self, now: float) -> None:
+        self.next_heartbeat_at = now + self._state.config.heartbeat_s
+        self._replicator.send_heartbeats(self._reads.current_round, now)
+
+    def _append(self, contents: Sequence[tuple[EntryKind, bytes]], now: float) -> None:
+        state = self._state
+        first_index = state.log.last_index + 1
+        entries = [
+            LogEntry(index=first_index + offset, term=state.term, kind=kind, data=data)
+            for offset, (kind, data) in enumerate(contents)
+        ]
+        state.append_entries(entries)
+        self._replicator.send_entries_to_all(self._reads.current_round, now)
+
+    def _refuse(self, tokens: Sequence[int]) -> None:
+        if tokens:
+            self._state.emit(
+                RejectProposals(tokens=tuple(tokens), leader=None, may_be_committed=False)
+            )
+
+    def _has_committed_in_own_term(self) -> bool:
+        state = self._state
+        return state.log.term_at(state.commit_index) == state.term
+
+    def _advance_reads(self, now: float) -> None:
+        # Before an entry of its own term is committed a new leader may not know yet all
+        # that earlier leaders committed.
+        if not self._has_committed_in_own_term():
+            return
+        self._reads.allow_confirmed()
+        while self._reads.start_round():
+            self._send_heartbeats(now)
+            self._reads.allow_confirmed()
+
+    def _advance_membership(self, now: float) -> None:
+        state = self._state
+        if state.memberships.current_index > state.commit_index:
+            return
+        if not self._has_committed_in_own_term():
+            return
+        if self._changes:
+            change = self._changes.popleft()
+            self._append_change(change, now)
+            return
+        membership = self._next_automatic_change()
+        if membership is not None:
+            self._append_membership(membership, now)
+
+    def _append_change(self, change: MemberAdded | MemberRemoved, now: float) -> None:
+        state = self._state
+        if isinstance(change, MemberAdded):
+            membership = with_learner(state.membership, change.replica_id, change.address)
+        else:
+            membership = without(state.membership, change.replica_id)
+        if not voters_of(membership):
+            self._refuse([change.token])
+            return
+        state.tokens[state.log.last_index + 1] = change.token
+        self._append_membership(membership, now)
+
+    def _next_automatic_change(self) -> GroupMembership | None:
+        """Return the membership that makes a caught-up learner a voter, if there is one.
+
+        A learner that took over a lost voter's address first removes that voter: the
+        lost one would only make majorities harder to reach.
+        """
+        state = self._state
+        for member in state.membership.members:
+            progress = self._replicator.followers.get(member.replica_id)
+            if member.is_voter or progress is None:
+                continue
+            if progress.synced_index < state.commit_index:
+                continue
+            lost = replaced_voter(state.membership, member)
+            if lost is not None and lost.replica_id != state.own_id:
+                return without(state.membership, lost.replica_id)
+            return with_voter(state.membership, member.replica_id)
+        return None
+
+    def _append_membership(self, membership: GroupMembership, now: float) -> None:
+        self._append([(EntryKind.MEMBERSHIP, encode_membership(membership))], now)
+        self._replicator.update_members(now)
+        self._replicator.send_entries_to_all(self._reads.current_round, now)
+
+    def _advance_transfer(self) -> None:
+        transfer = self._transfer
+        if transfer is None or transfer.is_asked:
+            return
+        progress = self._replicator.followers.get(transfer.target)
+        if progress is None or progress.synced_index < self._state.log.last_index:
+            return
+        transfer.is_asked = True
+        self._send_timeout_now(transfer.target)
+
+    def _send_timeout_now(self, target: ReplicaId) -> None:
+        state = self._state
+        message = TimeoutNow(
+            group=state.config.group,
+            sender=state.own_id,
+            receiver=target,
+            term=state.term,
+            sender_address=state.config.address,
+        )
+        state.send(self._replicator.followers[target].address, message)
--- /dev/null
+++ b/src/passlane/raft/reads.py
@@ -0,0 +1,70 @@
+"""Linearizable reads: a leader confirms by a round of heartbeats that it still leads."""
+
+from passlane.identifiers import ReplicaId
+from passlane.raft.instructions import AllowRead, RejectRead
+from passlane.raft.membership import is_quorum
+from passlane.raft.state import ReplicaState
+
+
+class ReadRounds:
+    """Reads that wait for a majority to confirm the leader, one round at a time.
+
+    A reply confirms a read only if its round began after the read was asked for, so reads
+    that come while a round is under way wait for the next one and share it.
+
+    Parameters
+    ----------
+    state
+        The replica's shared state.
+    """
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._state = state
+        self._waiting: list[int] = []
+        self._confirming: list[int] = []
+        self._confirmed_by: set[ReplicaId] = set()
+        self._read_index = 0
+        self.current_round = 0
+
+    def request(self, token: int) -> None:
+        """Queue a read."""
+        self._waiting.append(token)
+
+    def start_round(self) -> bool:
+        """Start a round if reads wait for one and none is under way.
+
+        Returns
+        -------
+        bool
+            Whether one was started, so that heartbeats should be sent now.
+        """
+        if self._confirming or not self._waiting:
+            return False
+        self._confirming = self._waiting
+        self._waiting = []
+        self._read_index = self._state.commit_index
+        self._confirmed_by = {self._state.own_id}
+        self.current_round += 1
+        return True
+
+    def confirm(self, replica_id: ReplicaId, read_round: int) -> None:
+        """Note that a replica acknowledged the leader's term in a round."""
+        if self._confirming and read_round >= self.current_round:
+            self._confirmed_by.add(replica_id)
+
+    def allow_confirmed(self) -> None:
+        """Allow the reads of the round if a majority has confirmed it."""
+        if not self._confirming:
+            return
+        if not is_quorum(self._state.membership, self._confirmed_by):
+            return
+        for token in self._confirming:
+            self._state.emit(AllowRead(token=token, index=self._read_index))
+        self._confirming = []
+
+    def reject_all(self) -> None:
+        """Reject all reads, since this replica leads no more."""
+        for token in (*self._confirming, *self._waiting):
+            self._state.emit(RejectRead(token=token, leader=None))
+        self._confirming = []
+        self._waiting = []
--- /dev/null
+++ b/src/passlane/raft/state.py
@@ -0,0 +1,162 @@
+"""State that all roles of a replica share, and the instructions it has to give."""
+
+import random as random_module
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from passlane.identifiers import ReplicaId
+from passlane.messages.common import Address
+from passlane.messages.raft import AnyRaftMessage, EntryKind, GroupMembership, LogEntry
+from passlane.raft.config import ReplicaConfig
+from passlane.raft.errors import RaftInvariantError
+from passlane.raft.instructions import (
+    AppendEntries,
+    ApplyEntries,
+    InstallSnapshot,
+    Instruction,
+    LeadershipChanged,
+    MembershipChanged,
+    SaveHardState,
+    SendMessage,
+)
+from passlane.raft.log_view import LogView
+from passlane.raft.membership import MembershipHistory, decode_membership, voters_of
+from passlane.raft.progress import Snapshot
+
+
+@dataclass(slots=True)
+class ReplicaState:
+    """Durable and volatile state of one replica.
+
+    Attributes
+    ----------
+    term, voted_for
+        Current term and the vote given in it; durable before a message depends on them.
+    commit_index
+        Entries up to here are known to be committed.
+    applied_index
+        Entries up to here were handed out to be applied.
+    leader_id, leader_address
+        The leader of the current term as far as known.
+    tokens
+        Tokens of this leader's proposals by log index, until they are applied.
+    """
+
+    config: ReplicaConfig
+    random: random_module.Random
+    term: int
+    voted_for: ReplicaId | None
+    log: LogView
+    snapshot: Snapshot | None
+    memberships: MembershipHistory
+    commit_index: int
+    applied_index: int
+    leader_id: ReplicaId | None = None
+    leader_address: Address | None = None
+    tokens: dict[int, int] = field(default_factory=dict)
+    _instructions: list[Instruction] = field(default_factory=list)
+
+    @property
+    def own_id(self) -> ReplicaId:
+        """Identity of this replica."""
+        return self.config.replica_id
+
+    @property
+    def membership(self) -> GroupMembership:
+        """The newest membership, committed or not."""
+        return self.memberships.current
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica votes by the newest membership that it knows."""
+        return self.own_id in voters_of(self.membership)
+
+    def emit(self, instruction: Instruction) -> None:
+        """Add an instruction to those that the current event leads to."""
+        self._instructions.append(instruction)
+
+    def take_instructions(self) -> list[Instruction]:
+        """Return the instructions gathered, and start a new list."""
+        instructions = self._instructions
+        self._instructions = []
+        return instructions
+
+    def send(self, address: Address, message: AnyRaftMessage) -> None:
+        """Send a message."""
+        self.emit(SendMessage(address=address, message=message))
+
+    def save_hard_state(self, term: int, voted_for: ReplicaId | None) -> None:
+        """Take over a term and a vote, durably."""
+        self.term = term
+        self.voted_for = voted_for
+        self.emit(SaveHardState(term=term, voted_for=voted_for))
+
+    def set_leader(self, leader_id: ReplicaId | None, address: Address | None) -> None:
+        """Note who leads the current term, and tell when that is news."""
+        if leader_id == self.leader_id and address == self.leader_address:
+            return
+        self.leader_id = leader_id
+        self.leader_address = address
+        is_leader = leader_id == self.own_id
+        self.emit(LeadershipChanged(term=self.term, leader=address, is_leader=is_leader))
+
+    def append_entries(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries to the log, cutting it off from the first one's index on."""
+        first_index = entries[0].index
+        if first_index <= self.commit_index:
+            raise RaftInvariantError(f"entry {first_index} is committed and cannot be replaced")
+        is_membership_changed = self.memberships.truncate_from(first_index)
+        self.log.append(entries)
+        self.emit(AppendEntries(entries=tuple(entries)))
+        for entry in entries:
+            if entry.kind is EntryKind.MEMBERSHIP:
+                self.memberships.append(entry.index, decode_membership(entry.data))
+                is_membership_changed = True
+        if is_membership_changed:
+            self.emit(MembershipChanged(membership=self.membership))
+
+    def commit(self, index: int) -> None:
+        """Take over a commit index and hand out what may be applied."""
+        self.commit_index = max(self.commit_index, min(index, self.log.last_index))
+        self.apply_committed()
+
+    def apply_committed(self) -> None:
+        """Hand out entries that are committed and durable here.
+
+        Applying only what is durable here keeps a snapshot from running ahead of the log.
+        """
+        last_index = min(self.commit_index, self.log.synced_index)
+        if last_index <= self.applied_index:
+            return
+        entries = self.log.between(self.applied_index + 1, last_index)
+        tokens = tuple(self.tokens.pop(entry.index, None) for entry in entries)
+        self.applied_index = last_index
+        self.emit(ApplyEntries(entries=entries, tokens=tokens))
+
+    def keep_snapshot(self, last_index: int, last_term: int, data: bytes) -> None:
+        """Keep a snapshot that was taken here, and drop what it makes needless."""
+        if self.snapshot is not None and last_index <= self.snapshot.last_index:
+            return
+        if last_index > self.applied_index:
+            raise RaftInvariantError(f"snapshot at {last_index} runs ahead of what was applied")
+        membership = self.memberships.at(last_index)
+        self.snapshot = Snapshot(last_index, last_term, membership, data)
+        self.log.compact(last_index - self.config.trailing_entries)
+        self.memberships.compact(self.log.base_index)
+
+    def install_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace state and log by a snapshot from the leader."""
+        self.snapshot = snapshot
+        self.log.reset(snapshot.last_index, snapshot.last_term)
+        self.memberships.reset(snapshot.last_index, snapshot.membership)
+        self.commit_index = snapshot.last_index
+        self.applied_index = snapshot.last_index
+        self.emit(
+            InstallSnapshot(
+                last_index=snapshot.last_index,
+                last_term=snapshot.last_term,
+                membership=snapshot.membership,
+                data=snapshot.data,
+            )
+        )
+        self.emit(MembershipChanged(membership=snapshot.membership))
