--- /dev/null
+++ b/src/passlane/replication/driver.py
@@ -0,0 +1,347 @@
+"""Carries out what a Raft replica instructs: writes, sends, applies, snapshots.
+
+``ReplicaDriver.step`` hands an event to the replica and carries out the instructions
+without waiting. What takes time (syncs, snapshots, sending) runs in tasks beside it,
+which report back by further events.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+
+from passlane.messages.common import Address
+from passlane.messages.raft import EntryKind
+from passlane.observability.logging import get_logger
+from passlane.raft.events import (
+    EntriesSynced,
+    Event,
+    HardStateSynced,
+    MessageReceived,
+    SnapshotInstalled,
+    SnapshotTaken,
+    TimeAdvanced,
+    TransferRequested,
+)
+from passlane.raft.instructions import (
+    AllowRead,
+    AppendEntries,
+    ApplyEntries,
+    InstallSnapshot,
+    Instruction,
+    LeadershipChanged,
+    MembershipChanged,
+    RejectProposals,
+    RejectRead,
+    SaveHardState,
+    SendMessage,
+)
+from passlane.raft.replica import Replica
+from passlane.replication.interfaces import StateMachine
+from passlane.replication.peer_sender import PeerSender
+from passlane.replication.pending import PendingRequests, rejection
+from passlane.replication.snapshot_rule import SnapshotRule
+from passlane.storage.formats import HardState, LogPosition, storage_corrupt
+from passlane.storage.log import SegmentedLog
+from passlane.storage.reserve import is_disk_full
+from passlane.storage.snapshots import Snapshot, SnapshotStore
+
+MAX_DEFERRED_MESSAGES = 256
+MIN_TICK_S = 0.001
+SPACE_RETRY_S = 0.5
+"""Pause between tries to get space back on a full disk."""
+
+logger = get_logger(__name__)
+
+
+@dataclass(slots=True)
+class Storage:
+    """The files of one replica."""
+
+    log: SegmentedLog
+    snapshots: SnapshotStore
+
+
+class ReplicaDriver:
+    """Runs one replica between its files, its peers and its state machine.
+
+    Parameters
+    ----------
+    applied
+        Position up to which ``state_machine`` stands already (its snapshot's).
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        storage: Storage,
+        state_machine: StateMachine,
+        sender: PeerSender,
+        proposals: PendingRequests,
+        reads: PendingRequests,
+        snapshot_rule: SnapshotRule,
+        applied: LogPosition,
+    ) -> None:
+        self.replica = replica
+        self.log = storage.log
+        self.applied = applied
+        self.leader_address: Address | None = None
+        self.term = 0
+        self._snapshots = storage.snapshots
+        self._state_machine = state_machine
+        self._sender = sender
+        self._proposals = proposals
+        self._reads = reads
+        self._snapshot_rule = snapshot_rule
+        self._leads = False
+        self._waiting_reads: list[AllowRead] = []
+        self._held_messages: deque[SendMessage] = deque()
+        self._unsynced_hard_state: HardState | None = None
+        self._installing: InstallSnapshot | None = None
+        self._deferred_instructions: list[Instruction] = []
+        self._deferred_events: deque[Event] = deque()
+        self._sleeps_until = 0.0
+        self._time_changed = anyio.Event()
+        self._write_arrived = anyio.Event()
+        self._snapshot_wanted = anyio.Event()
+        self._became_full = anyio.Event()
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and has applied an entry of its own term."""
+        return self._leads and self.applied.term == self.term
+
+    async def run(self) -> None:
+        """Run the tasks beside the loop until one fails or all are cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._advance_time)
+            tasks.start_soon(self._sync_writes)
+            tasks.start_soon(self._keep_snapshots)
+            tasks.start_soon(self._watch_space)
+
+    def step(self, event: Event) -> None:
+        """Hand an event to the replica and carry out what it instructs."""
+        if self._installing is not None and not isinstance(event, SnapshotInstalled):
+            self._defer(event)
+            return
+        self._carry_out(self.replica.handle(event, anyio.current_time()))
+        if self.replica.next_deadline() < self._sleeps_until:
+            self._time_changed.set()
+
+    def _defer(self, event: Event) -> None:
+        """Keep an event until the snapshot is installed; messages may be dropped."""
+        if isinstance(event, TimeAdvanced):
+            return
+        if isinstance(event, MessageReceived) and (
+            len(self._deferred_events) >= MAX_DEFERRED_MESSAGES
+        ):
+            return
+        self._deferred_events.append(event)
+
+    def _carry_out(self, instructions: list[Instruction]) -> None:
+        """Carry out instructions in order; those after an installation wait for it."""
+        for position, instruction in enumerate(instructions):
+            if isinstance(instruction, InstallSnapshot):
+                self._installing = instruction
+                self._deferred_instructions = instructions[position + 1 :]
+                self._snapshot_wanted.set()
+                return
+            self._carry_out_one(instruction)
+
+    def _carry_out_one(self, instruction: Instruction) -> None:
+        """Carry out one instruction."""
+        match instruction:
+            case SendMessage():
+                self._send(instruction)
+            case AppendEntries():
+                self.log.append(instruction.entries)
+                self._note_write()
+            case ApplyEntries():
+                self._apply(instruction)
+            case SaveHardState(term, voted_for):
+                self._save_hard_state(HardState(term=term, voted_for=voted_for))
+            case AllowRead():
+                self._waiting_reads.append(instruction)
+                self._release_reads()
+            case RejectProposals():
+                for token in instruction.tokens:
+                    error = rejection(
+                        instruction.leader, may_be_committed=instruction.may_be_committed
+                    )
+                    self._proposals.fail(token, error)
+            case RejectRead():
+                error = rejection(instruction.leader, may_be_committed=False)
+                self._reads.fail(instruction.token, error)
+            case LeadershipChanged():
+                self._change_leadership(instruction)
+            case MembershipChanged():
+                logger.info("membership", members=instruction.membership.members)
+
+    # Writing.
+
+    def _save_hard_state(self, hard_state: HardState) -> None:
+        """Write term and vote; messages wait until they are durable."""
+        self._unsynced_hard_state = hard_state
+        self.log.save_hard_state(hard_state)
+        self._note_write()
+
+    def _note_write(self) -> None:
+        """Wake the tasks that look after writes."""
+        self._write_arrived.set()
+        if self.log.is_full:
+            self._became_full.set()
+
+    def _send(self, instruction: SendMessage) -> None:
+        """Send a message, after those that wait for the hard state."""
+        if self._unsynced_hard_state is not None:
+            self._held_messages.append(instruction)
+        else:
+            self._sender.send(instruction.address, instruction.message)
+
+    async def _sync_writes(self) -> None:
+        """Sync what was written; all writes made during one sync share the next."""
+        while True:
+            await self._write_arrived.wait()
+            self._write_arrived = anyio.Event()
+            if not self.log.has_unsynced:
+                continue
+            try:
+                state = await self.log.sync()
+            except OSError as error:
+                # After a failed sync nobody knows what the disk holds.
+                raise storage_corrupt(f"a sync of the log failed: {error}") from error
+            if self._unsynced_hard_state == state.hard_state:
+                self._release_messages()
+                self.step(HardStateSynced(term=state.hard_state.term))
+            self.step(EntriesSynced(last_index=state.last.index, last_term=state.last.term))
+
+    def _release_messages(self) -> None:
+        """Send the messages that waited for the hard state."""
+        self._unsynced_hard_state = None
+        while self._held_messages:
+            instruction = self._held_messages.popleft()
+            self._sender.send(instruction.address, instruction.message)
+
+    async def _watch_space(self) -> None:
+        """On a full disk, hand leadership on, and try until there is space again."""
+        if self.log.is_full:
+            self._became_full.set()
+        while True:
+            await self._became_full.wait()
+            logger.error("disk full", term=self.term, is_leader=self._leads)
+            if self._leads:
+                self.step(TransferRequested())
+            while not await self.log.recover_space():
+                self._write_arrived.set()
+                await anyio.sleep(SPACE_RETRY_S)
+            self._write_arrived.set()
+            self._became_full = anyio.Event()
+            logger.warning("disk has space again", term=self.term)
+
+    # Applying and reading.
+
+    def _apply(self, instruction: ApplyEntries) -> None:
+        """Apply committed entries and answer those who proposed them here."""
+        for entry, token in zip(instruction.entries, instruction.tokens, strict=True):
+            result = b""
+            if entry.kind is EntryKind.COMMAND:
+                result = self._state_machine.apply(entry.index, entry.data)
+            self.applied = LogPosition(entry.index, entry.term)
+            self._snapshot_rule.note_applied(len(entry.data))
+            if token is not None:
+                self._proposals.complete(token, result)
+        self._release_reads()
+        if self._snapshot_rule.is_due:
+            self._snapshot_wanted.set()
+
+    def _release_reads(self) -> None:
+        """Let reads go ahead whose index is applied."""
+        waiting = self._waiting_reads
+        self._waiting_reads = [read for read in waiting if read.index > self.applied.index]
+        for read in waiting:
+            if read.index <= self.applied.index:
+                self._reads.complete(read.token, b"")
+
+    def _change_leadership(self, change: LeadershipChanged) -> None:
+        """Note who leads."""
+        self.term = change.term
+        self.leader_address = change.leader
+        self._leads = change.is_leader
+        logger.info("leadership", term=change.term, leader=change.leader, own=change.is_leader)
+
+    # Snapshots.
+
+    async def _keep_snapshots(self) -> None:
+        """Take and install snapshots, one at a time."""
+        while True:
+            await self._snapshot_wanted.wait()
+            self._snapshot_wanted = anyio.Event()
+            if self._installing is not None:
+                await self._install(self._installing)
+            elif self._snapshot_rule.is_due:
+                await self._take_snapshot()
+
+    async def _take_snapshot(self) -> None:
+        """Save the state machine's state and drop the log before it."""
+        last = self.applied
+        snapshot = Snapshot(
+            last=last,
+            membership=self.replica.membership_at(last.index),
+            data=self._state_machine.take_snapshot(),
+        )
+        self._snapshot_rule.note_snapshot(len(snapshot.data))
+        if not await self._save(snapshot) or self._installing is not None:
+            return
+        taken = SnapshotTaken(last_index=last.index, last_term=last.term, data=snapshot.data)
+        self.step(taken)
+        await self.log.remove_before(last.index)
+
+    async def _save(self, snapshot: Snapshot) -> bool:
+        """Save a snapshot; return false if the disk is full."""
+        try:
+            await self._snapshots.save(snapshot)
+        except OSError as error:
+            if not is_disk_full(error):
+                raise
+            self.log.is_full = True
+            self._became_full.set()
+            return False
+        return True
+
+    async def _save_with_patience(self, snapshot: Snapshot) -> None:
+        """Save a snapshot, however long the disk is full."""
+        while True:
+            if await self._save(snapshot):
+                return
+            await anyio.sleep(SPACE_RETRY_S)
+
+    async def _install(self, instruction: InstallSnapshot) -> None:
+        """Put a snapshot of the leader in place of state and log."""
+        last = LogPosition(instruction.last_index, instruction.last_term)
+        snapshot = Snapshot(last=last, membership=instruction.membership, data=instruction.data)
+        await self._save_with_patience(snapshot)
+        self._state_machine.restore_snapshot(instruction.data)
+        self.applied = last
+        self.log.reset(last)
+        self._note_write()
+        self._snapshot_rule.note_snapshot(len(instruction.data))
+        self._installing = None
+        self._carry_out(self._deferred_instructions)
+        self.step(SnapshotInstalled(last_index=last.index))
+        await self.log.remove_before(last.index)
+        deferred = list(self._deferred_events)
+        self._deferred_events.clear()
+        for event in deferred:
+            self.step(event)
+
+    # Time.
+
+    async def _advance_time(self) -> None:
+        """Tell the replica of time whenever it has something to do."""
+        while True:
+            self.step(TimeAdvanced())
+            self._time_changed = anyio.Event()
+            earliest = anyio.current_time() + MIN_TICK_S
+            self._sleeps_until = max(self.replica.next_deadline(), earliest)
+            with anyio.CancelScope(deadline=self._sleeps_until):
+                await self._time_changed.wait()
--- /dev/null
+++ b/src/passlane/replication/joining.py
@@ -0,0 +1,183 @@
+"""How a replica finds out whether it founds its group, belongs to it, or must join it.
+
+The first member that the settings name settles who the founders are, once all the
+others have told it the identities of their empty folders; the others take its word.
+Any other replica without membership (a new machine, a wiped disk, a damaged log) is
+added by the leader under a new identity, as a learner that votes once it has caught up.
+"""
+
+import random as random_module
+from collections.abc import Awaitable, Callable, Sequence
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.identifiers import ReplicaId
+from passlane.messages.common import Address
+from passlane.messages.raft import GroupMember, GroupMembership
+from passlane.messages.replication import (
+    GroupStatus,
+    GroupStatusRequest,
+    JoinReply,
+    JoinRequest,
+)
+from passlane.observability.logging import get_logger
+from passlane.replication.client import GroupClient
+from passlane.settings.model import PeerSettings
+from passlane.storage.formats import Identity
+from passlane.storage.identity import IdentityFile
+from passlane.transport.interfaces import Caller
+
+STATUS_TIMEOUT_S = 1.0
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 1.0
+JOIN_TIMEOUT_S = 5.0
+
+logger = get_logger(__name__)
+
+
+def founder_statuses(
+    members: Sequence[PeerSettings], statuses: dict[str, GroupStatus]
+) -> tuple[GroupMember, ...]:
+    """Return the founders, or none while a member is silent or may not found."""
+    founders = []
+    for member in members:
+        status = statuses.get(member.name)
+        if status is None or not status.may_found:
+            return ()
+        founder = GroupMember(replica_id=status.replica_id, address=member.internal, is_voter=True)
+        founders.append(founder)
+    return tuple(founders)
+
+
+class GroupEntry:
+    """Brings one replica into its group; made anew for each start.
+
+    Parameters
+    ----------
+    own_name
+        This replica's name among ``members``.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        own_name: str,
+        members: Sequence[PeerSettings],
+        caller: Caller,
+        random: random_module.Random,
+        identity_file: IdentityFile,
+    ) -> None:
+        self._group = group
+        self._own_name = own_name
+        self._members = members
+        self._peers = [member for member in members if member.name != own_name]
+        self._caller = caller
+        self._random = random
+        self._identity_file = identity_file
+
+    @property
+    def own_address(self) -> Address:
+        """Address of this replica, by the settings."""
+        for member in self._members:
+            if member.name == self._own_name:
+                return member.internal
+        raise PasslaneError(
+            ErrorCode.INVALID_SETTINGS,
+            f"{self._own_name} is not among the members of group {self._group}",
+        )
+
+    async def settle(self, identity: Identity) -> Identity:
+        """Return once this replica is a founder, or knows that it has a group to join."""
+        pause_s = FIRST_PAUSE_S
+        while not identity.is_member:
+            statuses = await self._ask_peers()
+            founders = self._settled_founders(identity, statuses)
+            if any(member.replica_id == identity.replica_id for member in founders):
+                return await self._identity_file.mark_founder(identity, founders)
+            if any(status.is_member for status in statuses.values()):
+                return identity
+            logger.info(
+                "waiting for members",
+                group=self._group,
+                replica=identity.replica_id,
+                answered=sorted(statuses),
+            )
+            await anyio.sleep(self._random.uniform(pause_s / 2, pause_s))
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+        return identity
+
+    def _settled_founders(
+        self, identity: Identity, statuses: dict[str, GroupStatus]
+    ) -> tuple[GroupMember, ...]:
+        """Return the founders as the first member has settled or now settles them."""
+        if not identity.may_found:
+            return ()
+        first = self._members[0].name
+        if first != self._own_name:
+            return statuses[first].founders if first in statuses else ()
+        if any(status.is_member for status in statuses.values()):
+            return ()
+        own = GroupStatus(replica_id=identity.replica_id, is_member=False, may_found=True)
+        return founder_statuses(self._members, {**statuses, self._own_name: own})
+
+    async def _ask_peers(self) -> dict[str, GroupStatus]:
+        """Return the status of each peer that answers, by name."""
+        statuses: dict[str, GroupStatus] = {}
+
+        async def ask(peer: PeerSettings) -> None:
+            request = GroupStatusRequest(group=self._group)
+            try:
+                statuses[peer.name] = await self._caller.call(
+                    peer.internal, request, GroupStatus, timeout_s=STATUS_TIMEOUT_S
+                )
+            except PasslaneError as error:
+                logger.debug("no status", group=self._group, peer=peer.name, code=error.code)
+
+        async with anyio.create_task_group() as tasks:
+            for peer in self._peers:
+                tasks.start_soon(ask, peer)
+        return statuses
+
+    async def join(self, replica_id: ReplicaId) -> None:
+        """Ask the leader to take this replica in, until it votes and none is left of old."""
+        addresses = [peer.internal for peer in self._peers]
+        client = GroupClient(self._caller, addresses, self._random)
+        request = JoinRequest(group=self._group, replica_id=replica_id, address=self.own_address)
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                reply = await client.execute(request, JoinReply, timeout_s=JOIN_TIMEOUT_S)
+            except PasslaneError as error:
+                logger.warning("not taken in yet", group=self._group, code=error.code)
+            else:
+                if reply.is_voter and reply.is_replaced:
+                    return
+            await anyio.sleep(self._random.uniform(pause_s / 2, pause_s))
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+
+async def take_in(
+    request: JoinRequest,
+    membership: GroupMembership,
+    add: Callable[[ReplicaId, Address], Awaitable[None]],
+    remove: Callable[[ReplicaId], Awaitable[None]],
+) -> JoinReply:
+    """Answer a ``JoinRequest`` as the leader, one change of membership at a time.
+
+    The replica is added first, as a learner. Once it votes, the identities that had its
+    address before are removed: their files are gone.
+    """
+    own = [m for m in membership.members if m.replica_id == request.replica_id]
+    older = [
+        member
+        for member in membership.members
+        if member.address == request.address and member.replica_id != request.replica_id
+    ]
+    is_voter = bool(own) and own[0].is_voter
+    if not own:
+        await add(request.replica_id, request.address)
+    elif is_voter and older:
+        await remove(older[0].replica_id)
+        older = older[1:]
+    return JoinReply(is_voter=is_voter, is_replaced=not older)
--- /dev/null
+++ b/src/passlane/replication/replica_host.py
@@ -0,0 +1,402 @@
+"""Runs one replica of a Raft group in this process: files, peers, state machine.
+
+After damage to its files the replica does not go on with what is left of them: it
+takes a new identity in a new folder and is repaired from the other replicas, like a
+machine that was replaced. The damaged files stay until that has succeeded.
+"""
+
+from dataclasses import dataclass
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.identifiers import ReplicaId
+from passlane.messages.common import Address, NotLeaderError
+from passlane.messages.raft import GroupMember, RaftMessage
+from passlane.messages.replication import (
+    GroupStatus,
+    GroupStatusRequest,
+    JoinReply,
+    JoinRequest,
+)
+from passlane.observability.logging import get_logger
+from passlane.raft.config import ReplicaConfig
+from passlane.raft.events import (
+    CommandsProposed,
+    MemberAdded,
+    MemberRemoved,
+    MessageReceived,
+    ReadRequested,
+    TransferRequested,
+)
+from passlane.raft.replica import Replica
+from passlane.replication.driver import ReplicaDriver, Storage
+from passlane.replication.interfaces import StateMachine
+from passlane.replication.joining import GroupEntry, take_in
+from passlane.replication.message_dispatch import GroupHandlers, dispatch_for
+from passlane.replication.peer_sender import PeerSender
+from passlane.replication.pending import PendingRequests
+from passlane.replication.snapshot_rule import SnapshotRule
+from passlane.runtime.interfaces import Environment
+from passlane.settings.model import GroupSettings
+from passlane.storage.formats import START_OF_LOG, Identity, storage_corrupt
+from passlane.storage.identity import IdentityFile
+from passlane.storage.log import SegmentedLog
+from passlane.storage.recovery import RecoveredLog
+from passlane.storage.snapshots import Snapshot, SnapshotStore
+from passlane.transport.interfaces import Caller, Router
+
+DISK_FULL_RETRY_AFTER_S = 2.0
+NOT_READY_RETRY_AFTER_S = 0.5
+TIMEOUT_IN_ELECTION_TIMEOUTS = 10
+"""A proposal or read is given up after so many election time-outs."""
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Files:
+    """What was found in a replica's folder."""
+
+    log: SegmentedLog
+    recovered: RecoveredLog
+    store: SnapshotStore
+    snapshot: Snapshot | None
+
+
+class ReplicaHost:
+    """One replica of ``group``; implements ``ReplicatedGroup``.
+
+    Parameters
+    ----------
+    group
+        Name of the Raft group.
+    own_name
+        Name of this replica among ``settings.members``.
+    state_machine
+        Must be empty; it is brought to the replica's state by ``run``.
+    folder
+        Folder of the group below the data folder.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        own_name: str,
+        settings: GroupSettings,
+        state_machine: StateMachine,
+        environment: Environment,
+        caller: Caller,
+        router: Router,
+        folder: str,
+    ) -> None:
+        self._group = group
+        self._settings = settings
+        self._state_machine = state_machine
+        self._empty_state = state_machine.take_snapshot()
+        self._environment = environment
+        self._caller = caller
+        self._folder = folder
+        self._identity_file = IdentityFile(environment.disk, folder, group, own_name)
+        self._entry = GroupEntry(
+            group,
+            own_name,
+            settings.members,
+            caller,
+            environment.random,
+            self._identity_file,
+        )
+        self._identity: Identity | None = None
+        self._driver: ReplicaDriver | None = None
+        self._proposals = self._new_pending(ErrorCode.TIMEOUT, Verdict.MAY_HAVE_RUN)
+        self._reads = self._new_pending(ErrorCode.UNAVAILABLE, Verdict.NOT_RUN)
+        self._batch: list[tuple[int, bytes]] = []
+        self._batch_arrived = anyio.Event()
+        self._timeout_s = TIMEOUT_IN_ELECTION_TIMEOUTS * settings.election_timeout_s
+        handlers = GroupHandlers(
+            on_raft_message=self._take_raft_message,
+            on_status_request=self._answer_status,
+            on_join_request=self._answer_join,
+        )
+        dispatch_for(router).add_group(group, handlers)
+
+    @staticmethod
+    def _new_pending(code: ErrorCode, verdict: Verdict) -> PendingRequests:
+        """Return an empty table of callers that get this error when they wait too long."""
+        error = PasslaneError(
+            code,
+            "no majority of replicas answered in time",
+            verdict=verdict,
+            retry_after_s=NOT_READY_RETRY_AFTER_S,
+        )
+        return PendingRequests(error)
+
+    # The interface of ``ReplicatedGroup``.
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and has applied an entry of its own term."""
+        return self._driver is not None and self._driver.is_leader
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Address of the leader as far as known."""
+        return self._driver.leader_address if self._driver is not None else None
+
+    @property
+    def term(self) -> int:
+        """Current term; serves as fencing token for what the leader orders."""
+        return self._driver.replica.term if self._driver is not None else 0
+
+    @property
+    def replica_id(self) -> ReplicaId | None:
+        """Identity of this replica; ``None`` until its files are open."""
+        return self._identity.replica_id if self._identity is not None else None
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica votes, by the membership that it knows."""
+        if self._driver is None:
+            return False
+        members = self._driver.replica.membership.members
+        return any(m.replica_id == self.replica_id and m.is_voter for m in members)
+
+    @property
+    def is_disk_full(self) -> bool:
+        """Whether new work is refused for want of space."""
+        return self._driver is not None and self._driver.log.is_full
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last entry that the state machine has applied."""
+        return self._driver.applied.index if self._driver is not None else 0
+
+    async def propose(self, command: bytes) -> bytes:
+        """Replicate a command and return its result; see ``ReplicatedGroup``."""
+        driver = self._ready_driver()
+        if driver.log.is_full:
+            raise PasslaneError(
+                ErrorCode.DISK_FULL,
+                f"the disk of group {self._group} is full",
+                retry_after_s=DISK_FULL_RETRY_AFTER_S,
+            )
+        token = self._proposals.add()
+        self._batch.append((token, command))
+        self._batch_arrived.set()
+        return await self._proposals.wait(token, self._timeout_s)
+
+    async def read_barrier(self) -> None:
+        """Return once local state holds all that was committed before the call."""
+        driver = self._ready_driver()
+        token = self._reads.add()
+        driver.step(ReadRequested(token=token))
+        await self._reads.wait(token, self._timeout_s)
+
+    def transfer_leadership(self) -> None:
+        """Hand leadership to another replica, as before a planned stop."""
+        if self._driver is not None:
+            self._driver.step(TransferRequested())
+
+    def _ready_driver(self) -> ReplicaDriver:
+        """Return the driver; refuse while the replica is not running."""
+        if self._driver is None:
+            raise NotLeaderError(f"the replica of group {self._group} is not running", None)
+        return self._driver
+
+    # Running.
+
+    async def run(self) -> None:
+        """Run the replica until cancelled; repair it from the others after damage.
+
+        Raises
+        ------
+        PasslaneError
+            ``STORAGE_CORRUPT`` when the files are damaged and there is no other replica.
+        """
+        while True:
+            try:
+                await self._run_on_files()
+            except* PasslaneError as group:
+                error = _single_error(group)
+                if error.code is not ErrorCode.STORAGE_CORRUPT:
+                    raise
+                await self._abandon_files(error)
+
+    async def _run_on_files(self) -> None:
+        """Open the files, join the group if need be, and run."""
+        identity = await self._load_identity()
+        files = await self._open_files(identity)
+        self._identity = identity
+        try:
+            identity = await self._entry.settle(identity)
+            self._identity = identity
+            await self._run_replica(identity, files)
+        finally:
+            files.log.close()
+            self._stop_serving()
+
+    def _stop_serving(self) -> None:
+        """Answer those who wait: this replica no longer runs."""
+        self._driver = None
+        self._batch = []
+        message = "the replica stopped"
+        self._proposals.fail_all(ErrorCode.LEASE_LOST, message, Verdict.MAY_HAVE_RUN)
+        self._reads.fail_all(ErrorCode.UNAVAILABLE, message, Verdict.NOT_RUN)
+
+    async def _load_identity(self) -> Identity:
+        """Return the identity on disk, or a new one for an empty folder."""
+        identity = self._identity_file.load()
+        if identity is None:
+            identity = await self._identity_file.create(self._environment.random, may_found=True)
+        return identity
+
+    async def _abandon_files(self, error: PasslaneError) -> None:
+        """Take a new identity in a new folder, to be repaired from the other replicas."""
+        logger.error("storage is damaged", group=self._group, message=error.message)
+        if len(self._settings.members) < 2:
+            raise error
+        identity = await self._identity_file.create(self._environment.random, may_found=False)
+        logger.warning("repair under new identity", group=self._group, replica=identity.replica_id)
+
+    async def _open_files(self, identity: Identity) -> _Files:
+        """Read snapshot and log."""
+        disk = self._environment.disk
+        folder = self._identity_file.generation_folder(identity.generation)
+        store = SnapshotStore(disk, folder, self._group)
+        snapshot = store.load()
+        log, recovered = await SegmentedLog.open(
+            disk,
+            folder,
+            self._group,
+            self._settings.segment_bytes,
+            snapshot.last if snapshot is not None else START_OF_LOG,
+        )
+        if identity.is_member and recovered.is_new:
+            log.close()
+            raise storage_corrupt(f"group {self._group}: the log is gone")
+        return _Files(log, recovered, store, snapshot)
+
+    async def _run_replica(self, identity: Identity, files: _Files) -> None:
+        """Run the replica and what belongs to it."""
+        async with anyio.create_task_group() as tasks:
+            driver = self._build_driver(identity, files, PeerSender(self._caller, tasks))
+            self._driver = driver
+            tasks.start_soon(driver.run)
+            tasks.start_soon(self._propose_batches, driver)
+            tasks.start_soon(self._finish_joining, identity)
+
+    def _build_driver(self, identity: Identity, files: _Files, sender: PeerSender) -> ReplicaDriver:
+        """Return the driver of a replica that stands where its files end."""
+        snapshot = files.snapshot
+        self._state_machine.restore_snapshot(
+            snapshot.data if snapshot is not None else self._empty_state
+        )
+        rule = SnapshotRule(self._settings.snapshot_every_entries)
+        rule.note_snapshot(len(snapshot.data) if snapshot is not None else 0)
+        return ReplicaDriver(
+            replica=self._build_replica(identity, files),
+            storage=Storage(log=files.log, snapshots=files.store),
+            state_machine=self._state_machine,
+            sender=sender,
+            proposals=self._proposals,
+            reads=self._reads,
+            snapshot_rule=rule,
+            applied=snapshot.last if snapshot is not None else START_OF_LOG,
+        )
+
+    def _build_replica(self, identity: Identity, files: _Files) -> Replica:
+        """Return the Raft state machine as of the files."""
+        config = ReplicaConfig(
+            group=self._group,
+            replica_id=identity.replica_id,
+            address=self._entry.own_address,
+            heartbeat_s=self._settings.heartbeat_s,
+            election_timeout_s=self._settings.election_timeout_s,
+            max_batch_bytes=self._settings.max_batch_bytes,
+        )
+        snapshot = files.snapshot
+        last = snapshot.last if snapshot is not None else START_OF_LOG
+        members: tuple[GroupMember, ...] = identity.founders
+        if snapshot is not None:
+            members = snapshot.membership.members
+        return Replica(
+            config,
+            self._environment.random,
+            hard_term=files.recovered.hard_state.term,
+            voted_for=files.recovered.hard_state.voted_for,
+            snapshot_last_index=last.index,
+            snapshot_last_term=last.term,
+            snapshot_data=snapshot.data if snapshot is not None else b"",
+            entries=files.recovered.entries,
+            members=members,
+        )
+
+    async def _propose_batches(self, driver: ReplicaDriver) -> None:
+        """Hand on all proposals that came in during one turn of the loop together."""
+        while True:
+            await self._batch_arrived.wait()
+            self._batch_arrived = anyio.Event()
+            batch, self._batch = self._batch, []
+            if batch:
+                tokens, commands = zip(*batch, strict=True)
+                driver.step(CommandsProposed(tokens=tokens, commands=commands))
+
+    async def _finish_joining(self, identity: Identity) -> None:
+        """Be taken into the group, and only then forget damaged files."""
+        if not identity.is_member:
+            await self._entry.join(identity.replica_id)
+            identity = await self._identity_file.mark_joined(identity)
+            self._identity = identity
+        await self._identity_file.remove_older_generations(identity)
+
+    # Messages of other replicas.
+
+    def _take_raft_message(self, message: RaftMessage) -> None:
+        """Hand on a message if it is meant for this identity."""
+        if self._driver is not None and message.receiver == self.replica_id:
+            self._driver.step(MessageReceived(message))  # type: ignore[arg-type]
+
+    async def _answer_status(self, request: GroupStatusRequest) -> GroupStatus:
+        """Tell what this replica's disk says about the group."""
+        identity = self._identity
+        if identity is None:
+            raise PasslaneError(
+                ErrorCode.UNAVAILABLE,
+                f"the files of group {request.group} are not open yet",
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            )
+        return GroupStatus(
+            replica_id=identity.replica_id,
+            is_member=identity.is_member,
+            may_found=identity.may_found and not identity.is_member,
+            founders=identity.founders,
+        )
+
+    async def _answer_join(self, request: JoinRequest) -> JoinReply:
+        """Take in a replica, if this one leads."""
+        driver = self._ready_driver()
+        if not driver.is_leader:
+            raise NotLeaderError(f"not the leader of group {self._group}", driver.leader_address)
+        return await take_in(request, driver.replica.membership, self._add, self._remove)
+
+    async def _add(self, replica_id: ReplicaId, address: Address) -> None:
+        """Add a learner; return once that is committed."""
+        token = self._proposals.add()
+        event = MemberAdded(token=token, replica_id=replica_id, address=address)
+        self._ready_driver().step(event)
+        await self._proposals.wait(token, self._timeout_s)
+
+    async def _remove(self, replica_id: ReplicaId) -> None:
+        """Remove a member; return once that is committed."""
+        token = self._proposals.add()
+        self._ready_driver().step(MemberRemoved(token=token, replica_id=replica_id))
+        await self._proposals.wait(token, self._timeout_s)
+
+
+def _single_error(group: BaseExceptionGroup[PasslaneError]) -> PasslaneError:
+    """Return the first of the errors that ended the tasks."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    assert isinstance(error, PasslaneError)
+    return error
--- /dev/null
+++ b/src/passlane/replication/snapshot_rule.py
@@ -0,0 +1,32 @@
+"""Decides when a snapshot is worth its cost."""
+
+
+class SnapshotRule:
+    """Counts what was applied since the last snapshot.
+
+    A snapshot writes the whole state. It is due after ``every_entries`` entries, but not
+    before the log has grown by as many bytes as the last snapshot had: so snapshots at most double
+    what is written, and a restart reads at most about twice the state.
+    """
+
+    def __init__(self, every_entries: int) -> None:
+        self._every_entries = every_entries
+        self._entries = 0
+        self._bytes = 0
+        self._snapshot_bytes = 0
+
+    def note_applied(self, size_bytes: int) -> None:
+        """Count an entry that was applied."""
+        self._entries += 1
+        self._bytes += size_bytes
+
+    def note_snapshot(self, size_bytes: int) -> None:
+        """Start counting anew after a snapshot of ``size_bytes``."""
+        self._entries = 0
+        self._bytes = 0
+        self._snapshot_bytes = size_bytes
+
+    @property
+    def is_due(self) -> bool:
+        """Whether a snapshot should be taken now."""
+        return self._entries >= self._every_entries and self._bytes >= self._snapshot_bytes
--- /dev/null
+++ b/src/passlane/storage/identity.py
@@ -0,0 +1,112 @@
+"""The identity file: which replica a data folder belongs to.
+
+A replica's identity lives and dies with its files. A folder that was wiped, or whose
+files are damaged, gets a new identity, so that nothing the lost files promised (a vote,
+an acknowledged entry) can be contradicted under the old one.
+"""
+
+import random
+
+import msgspec
+
+from passlane.errors import PasslaneError
+from passlane.identifiers import ReplicaId
+from passlane.messages.raft import GroupMember
+from passlane.runtime.interfaces import Disk
+from passlane.storage.formats import Identity, decode_payload, storage_corrupt
+from passlane.storage.records import FORMAT_VERSION, RecordKind, encode_record, read_record
+
+IDENTITY_NAME = "identity"
+_RANDOM_BITS = 48
+
+
+class IdentityFile:
+    """The file ``identity`` in a group's folder, and the numbered folders beside it."""
+
+    def __init__(self, disk: Disk, folder: str, group: str, own_name: str) -> None:
+        self._disk = disk
+        self._folder = folder
+        self._name = f"{folder}/{IDENTITY_NAME}"
+        self._group = group
+        self._own_name = own_name
+
+    def generation_folder(self, generation: int) -> str:
+        """Return the folder with the log and snapshot of a generation."""
+        return f"{self._folder}/{generation:04d}"
+
+    def load(self) -> Identity | None:
+        """Return the identity; ``None`` if the folder has never held one.
+
+        Raises
+        ------
+        PasslaneError
+            ``STORAGE_CORRUPT`` when the file is damaged, belongs to another group or
+            another format, or is gone while a log is there.
+        """
+        try:
+            content = memoryview(self._disk.read(self._name))
+        except FileNotFoundError:
+            if self._next_generation() > 1:
+                raise storage_corrupt(f"{self._name} is missing beside a log") from None
+            return None
+        record = read_record(content, 0)
+        if record is None or record.kind is not RecordKind.IDENTITY:
+            raise storage_corrupt(f"{self._name} is damaged")
+        identity = decode_payload(Identity, record.payload, self._name)
+        if identity.format_version != FORMAT_VERSION or identity.group != self._group:
+            raise storage_corrupt(f"{self._name}: of another group or format: {identity}")
+        return identity
+
+    async def create(self, source: random.Random, *, may_found: bool) -> Identity:
+        """Make and save a new identity in the next empty generation's folder."""
+        suffix = f"{source.getrandbits(_RANDOM_BITS):012x}"
+        identity = Identity(
+            format_version=FORMAT_VERSION,
+            group=self._group,
+            replica_id=ReplicaId(f"{self._own_name}-{suffix}"),
+            generation=self._next_generation(),
+            may_found=may_found,
+        )
+        await self._save(identity)
+        return identity
+
+    async def mark_founder(self, identity: Identity, founders: tuple[GroupMember, ...]) -> Identity:
+        """Record that this replica founds its group together with ``founders``."""
+        founder = msgspec.structs.replace(identity, is_member=True, founders=founders)
+        await self._save(founder)
+        return founder
+
+    async def mark_joined(self, identity: Identity) -> Identity:
+        """Record that a leader has added this replica to its group."""
+        member = msgspec.structs.replace(identity, is_member=True, may_found=False)
+        await self._save(member)
+        return member
+
+    async def remove_older_generations(self, identity: Identity) -> None:
+        """Remove damaged files that were kept until this replica was whole again."""
+        for generation in range(1, identity.generation):
+            folder = self.generation_folder(generation)
+            for name in self._disk.list_files(folder):
+                await self._disk.remove(f"{folder}/{name}")
+
+    def _next_generation(self) -> int:
+        """Return the number after the highest generation that has files."""
+        highest = self._stored_generation()
+        while self._disk.list_files(self.generation_folder(highest + 1)):
+            highest += 1
+        return highest + 1
+
+    def _stored_generation(self) -> int:
+        """Return the generation in the identity file; 0 if it cannot be read."""
+        try:
+            record = read_record(memoryview(self._disk.read(self._name)), 0)
+            if record is None:
+                return 0
+            return decode_payload(Identity, record.payload, self._name).generation
+        except (FileNotFoundError, PasslaneError):
+            return 0
+
+    async def _save(self, identity: Identity) -> None:
+        """Write the file, whole and durable."""
+        content = encode_record(RecordKind.IDENTITY, msgspec.msgpack.encode(identity))
+        await self._disk.replace(self._name, content)
--- /dev/null
+++ b/src/passlane/storage/records.py
@@ -0,0 +1,98 @@
+"""Framing of the records in a log segment.
+
+Each record is a fixed header and a payload::
+
+    marker (2 bytes)  kind (1)  zero (1)  payload length (4)  crc32c (4)  payload
+
+The checksum covers kind, length and payload. Integers are little-endian. The marker
+lets a reader find the records that follow a damaged one.
+"""
+
+import enum
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import crc32c
+
+FORMAT_VERSION = 1
+"""Version of the segment format; written into each segment's first record."""
+
+MARKER = b"\xd7\x5a"
+MAX_PAYLOAD_BYTES = 64_000_000
+
+_HEADER = struct.Struct("<2sBxII")
+_CHECKED = struct.Struct("<BI")
+HEADER_BYTES = _HEADER.size
+
+
+class RecordKind(enum.IntEnum):
+    """What a record's payload holds."""
+
+    SEGMENT_START = 1
+    ENTRY = 2
+    HARD_STATE = 3
+    LOG_RESET = 4
+    SYNCED_MARK = 5
+    IDENTITY = 6
+    SNAPSHOT_HEADER = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """A record that passed its checksum; ``start`` and ``end`` are file offsets."""
+
+    kind: RecordKind
+    payload: memoryview
+    start: int
+    end: int
+
+
+def _checksum(kind: int, payload: bytes | memoryview) -> int:
+    """Return the CRC-32C over kind, length and payload."""
+    return crc32c.crc32c(payload, crc32c.crc32c(_CHECKED.pack(kind, len(payload))))
+
+
+def encode_record(kind: RecordKind, payload: bytes) -> bytes:
+    """Return the record as it is written to the file."""
+    checksum = _checksum(kind, payload)
+    return _HEADER.pack(MARKER, kind, len(payload), checksum) + payload
+
+
+def read_record(data: memoryview, start: int) -> Record | None:
+    """Return the record at ``start``; ``None`` if it is cut short or damaged."""
+    payload_start = start + HEADER_BYTES
+    if payload_start > len(data):
+        return None
+    marker, kind, length, checksum = _HEADER.unpack_from(data, start)
+    end = payload_start + length
+    if marker != MARKER or length > MAX_PAYLOAD_BYTES or end > len(data):
+        return None
+    payload = data[payload_start:end]
+    if _checksum(kind, payload) != checksum or kind not in _KNOWN_KINDS:
+        return None
+    return Record(kind=RecordKind(kind), payload=payload, start=start, end=end)
+
+
+_KNOWN_KINDS = frozenset(RecordKind)
+
+
+def read_records(data: memoryview) -> Iterator[Record]:
+    """Yield the records from the start of ``data`` up to the first damaged one."""
+    offset = 0
+    while (record := read_record(data, offset)) is not None:
+        yield record
+        offset = record.end
+
+
+def find_records(data: bytes, start: int) -> Iterator[Record]:
+    """Yield the whole records that can be found at or after ``start``, over any damage."""
+    view = memoryview(data)
+    offset = data.find(MARKER, start)
+    while offset >= 0:
+        record = read_record(view, offset)
+        if record is None:
+            offset = data.find(MARKER, offset + 1)
+        else:
+            yield record
+            offset = data.find(MARKER, record.end)
--- /dev/null
+++ b/src/passlane/storage/recovery.py
@@ -0,0 +1,211 @@
+"""Reads the segments of a log after a restart; pure, works on the files' bytes.
+
+Records are replayed in order. An entry whose index is already there replaces it and
+all that follow, as a Raft follower does when its leader overwrites a conflicting
+suffix. What cannot be read is one of two things:
+
+- before the last synced mark: the disk lost what it had promised to keep, so the log
+  is refused;
+- after it: a write that a crash interrupted, which nobody was told of, so it is cut.
+"""
+
+from dataclasses import dataclass, field
+
+from passlane.messages.raft import LogEntry
+from passlane.storage.formats import (
+    HardState,
+    LogPosition,
+    LogReset,
+    SegmentStart,
+    SyncedMark,
+    decode_payload,
+    storage_corrupt,
+)
+from passlane.storage.records import (
+    FORMAT_VERSION,
+    Record,
+    RecordKind,
+    find_records,
+    read_records,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SegmentFile:
+    """A segment as read from the disk."""
+
+    number: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TailCut:
+    """The log's unsynced end to cut off: from ``offset`` of ``segment`` on."""
+
+    segment: int
+    offset: int
+
+
+@dataclass(slots=True)
+class RecoveredLog:
+    """The log as it stood at the last crash or stop.
+
+    Attributes
+    ----------
+    entries
+        Entries after the snapshot, without gaps.
+    highest_index
+        For each segment, the highest entry index that it holds.
+    synced_segment
+        Segments before this one are known to be durable.
+    is_new
+        Whether there was no segment at all.
+    cut
+        Where the interrupted last write begins, if there is one.
+    """
+
+    hard_state: HardState = field(default_factory=HardState)
+    entries: list[LogEntry] = field(default_factory=list)
+    highest_index: dict[int, int] = field(default_factory=dict)
+    synced_segment: int = 0
+    is_new: bool = False
+    cut: TailCut | None = None
+
+
+class _InconsistentError(Exception):
+    """The records stop making sense here."""
+
+
+def recover_log(segments: list[SegmentFile], group: str, snapshot: LogPosition) -> RecoveredLog:
+    """Return what ``segments`` (in order) hold after the snapshot.
+
+    Raises
+    ------
+    PasslaneError
+        ``STORAGE_CORRUPT`` when synced records are damaged or missing.
+    """
+    durable = _durable_position(segments)
+    replay = _Replay(group, snapshot)
+    replay.log.synced_segment = durable[0]
+    replay.log.is_new = not segments
+    for position, segment in enumerate(segments):
+        offset, reason = replay.read_segment(segment)
+        if reason is None:
+            continue
+        if (segment.number, offset) < durable:
+            raise storage_corrupt(
+                f"log of group {group}: segment {segment.number} is damaged at byte {offset}"
+                f" although it was synced up to byte {durable[1]} of segment {durable[0]}: {reason}"
+            )
+        replay.log.cut = TailCut(segment=segment.number, offset=offset)
+        for later in segments[position + 1 :]:
+            replay.log.highest_index.pop(later.number, None)
+        break
+    replay.drop_entries_in_snapshot()
+    return replay.log
+
+
+def _durable_position(segments: list[SegmentFile]) -> tuple[int, int]:
+    """Return the highest (segment, offset) up to which all was synced."""
+    highest = (0, 0)
+    for segment in segments:
+        for record in find_records(segment.data, 0):
+            if record.kind is not RecordKind.SYNCED_MARK:
+                continue
+            mark = decode_payload(SyncedMark, record.payload, f"segment {segment.number}")
+            highest = max(highest, (mark.segment, mark.offset))
+    return highest
+
+
+class _Replay:
+    """Applies records in order to the state of the log."""
+
+    def __init__(self, group: str, snapshot: LogPosition) -> None:
+        self.log = RecoveredLog()
+        self._group = group
+        self._snapshot = snapshot
+        self._next_segment: int | None = None
+
+    def read_segment(self, segment: SegmentFile) -> tuple[int, str | None]:
+        """Apply a segment's records; return where and why it stops making sense."""
+        if self._next_segment is not None and segment.number != self._next_segment:
+            return 0, f"segment {self._next_segment} is missing"
+        self._next_segment = segment.number + 1
+        self.log.highest_index[segment.number] = 0
+        end = 0
+        for record in read_records(memoryview(segment.data)):
+            try:
+                self._apply(record, segment.number)
+            except _InconsistentError as error:
+                return record.start, str(error)
+            end = record.end
+        if end < len(segment.data) or end == 0:
+            return end, "a record is cut short or its checksum is wrong"
+        return end, None
+
+    def _apply(self, record: Record, segment: int) -> None:
+        """Apply one record."""
+        where = f"group {self._group}, segment {segment}, byte {record.start}"
+        is_start = record.kind is RecordKind.SEGMENT_START
+        if is_start != (record.start == 0):
+            raise _InconsistentError("the segment does not begin with its start record")
+        match record.kind:
+            case RecordKind.ENTRY:
+                entry = decode_payload(LogEntry, record.payload, where)
+                self._apply_entry(entry, segment)
+            case RecordKind.HARD_STATE:
+                self.log.hard_state = decode_payload(HardState, record.payload, where)
+            case RecordKind.LOG_RESET:
+                self._apply_reset(decode_payload(LogReset, record.payload, where))
+            case RecordKind.SEGMENT_START:
+                self._check_start(decode_payload(SegmentStart, record.payload, where), segment)
+            case RecordKind.SYNCED_MARK:
+                pass
+            case _:
+                raise storage_corrupt(f"{where}: {record.kind.name} does not belong in a log")
+
+    def _check_start(self, start: SegmentStart, segment: int) -> None:
+        """Refuse a segment of another format, group or place."""
+        expected = SegmentStart(FORMAT_VERSION, self._group, segment)
+        if start != expected:
+            raise storage_corrupt(f"segment {segment}: expected {expected}, found {start}")
+
+    def _apply_entry(self, entry: LogEntry, segment: int) -> None:
+        """Append an entry, in place of those from its index on."""
+        entries = self.log.entries
+        if entries:
+            keep = entry.index - entries[0].index
+            if not 0 <= keep <= len(entries):
+                raise _InconsistentError(f"entry {entry.index} follows entry {entries[-1].index}")
+            del entries[keep:]
+        elif entry.index > self._snapshot.index + 1:
+            raise _InconsistentError(
+                f"entry {entry.index} follows the snapshot of {self._snapshot.index}"
+            )
+        entries.append(entry)
+        highest = self.log.highest_index
+        highest[segment] = max(highest[segment], entry.index)
+
+    def _apply_reset(self, reset: LogReset) -> None:
+        """Empty the log; it goes on after the snapshot that was installed."""
+        if reset.last_index > self._snapshot.index:
+            raise _InconsistentError(
+                f"the log goes on after a snapshot of {reset.last_index},"
+                f" but the snapshot is of {self._snapshot.index}"
+            )
+        self.log.entries.clear()
+
+    def drop_entries_in_snapshot(self) -> None:
+        """Drop entries that the snapshot covers, and all if it contradicts them.
+
+        A crash between the snapshot of another replica being durable and the log being
+        reset leaves an old log whose rest must not be kept.
+        """
+        entries = self.log.entries
+        if not entries or self._snapshot.index < entries[0].index:
+            return
+        covered = self._snapshot.index - entries[0].index + 1
+        if covered > len(entries) or entries[covered - 1].term != self._snapshot.term:
+            entries.clear()
+            return
+        del entries[:covered]
--- /dev/null
+++ b/tests/replication/cluster.py
@@ -0,0 +1,183 @@
+"""Three replicas in one run on the virtual clock, over an in-memory caller."""
+
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.common import Address
+from passlane.replication.client import GroupClient
+from passlane.replication.replica_host import ReplicaHost
+from passlane.runtime.interfaces import Environment
+from passlane.settings.model import GroupSettings, PeerSettings
+from passlane.simulation.disk import SimulatedDisk
+from passlane.transport.router import MessageRouter
+
+GROUP = "store"
+DELAY_S = 0.001
+
+
+class ListMachine:
+    """Keeps the commands that were applied; the result is how many there are."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, command):
+        self.commands.append(command)
+        return str(len(self.commands)).encode()
+
+    def take_snapshot(self):
+        return msgspec.msgpack.encode(self.commands)
+
+    def restore_snapshot(self, data):
+        self.commands = msgspec.msgpack.decode(data, type=list[bytes])
+
+
+class MemoryCaller:
+    """Hands messages to the routers of other members; a member that is down is silent."""
+
+    def __init__(self, cluster, own):
+        self._cluster = cluster
+        self._own = own
+
+    async def call(self, address, request, reply, *, timeout_s):
+        await anyio.sleep(DELAY_S)
+        member = self._cluster.reachable(self._own, address)
+        if member is None:
+            raise PasslaneError(ErrorCode.UNAVAILABLE, f"{address} is down")
+        handler = member.router.unary_handler(request)
+        with anyio.move_on_after(timeout_s):
+            return await handler(request)
+        raise PasslaneError(ErrorCode.TIMEOUT, "no answer", verdict=Verdict.MAY_HAVE_RUN)
+
+    async def send(self, address, message):
+        await anyio.sleep(DELAY_S)
+        member = self._cluster.reachable(self._own, address)
+        if member is not None:
+            await member.router.one_way_handler(message)(message)
+
+
+@dataclass
+class Member:
+    """One process: its disk outlives it."""
+
+    peer: PeerSettings
+    disk: SimulatedDisk
+    router: MessageRouter = field(default_factory=MessageRouter)
+    machine: ListMachine = field(default_factory=ListMachine)
+    host: ReplicaHost | None = None
+    scope: anyio.CancelScope | None = None
+    failure: BaseException | None = None
+
+
+class Cluster:
+    """Members by name; ``start``, ``kill`` and ``client`` act on them."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, seed: int, **settings) -> None:
+        self.tasks = tasks
+        self.random = random.Random(seed)
+        peers = tuple(
+            PeerSettings(name=name, internal=Address("127.0.0.1", 7000 + number))
+            for number, name in enumerate("abc")
+        )
+        self.settings = GroupSettings(members=peers, **settings)
+        self.members = {
+            peer.name: Member(peer, SimulatedDisk(random.Random(seed * 10 + number)))
+            for number, peer in enumerate(peers)
+        }
+        self.cut = set()
+
+    def reachable(self, own, address):
+        member = next(m for m in self.members.values() if m.peer.internal == address)
+        is_cut = own in self.cut or member.peer.name in self.cut
+        return member if member.scope is not None and not is_cut else None
+
+    def start(self, *names):
+        for name in names or self.members:
+            member = self.members[name]
+            member.router, member.machine = MessageRouter(), ListMachine()
+            environment = Environment(
+                network=None,
+                http_client=None,
+                http_server=None,
+                disk=member.disk,
+                random=random.Random(self.random.random()),
+            )
+            member.host = ReplicaHost(
+                GROUP,
+                name,
+                self.settings,
+                member.machine,
+                environment,
+                MemoryCaller(self, name),
+                member.router,
+                GROUP,
+            )
+            member.failure = None
+            member.scope = anyio.CancelScope()
+            self.tasks.start_soon(self._run, member, member.scope)
+
+    async def _run(self, member, scope):
+        try:
+            with scope:
+                await member.host.run()
+        except BaseExceptionGroup as group:
+            member.failure = group
+        except PasslaneError as error:
+            member.failure = error
+        finally:
+            if member.scope is scope:
+                member.scope = None
+
+    def kill(self, name, *, power=True):
+        member = self.members[name]
+        if power:
+            member.disk.lose_power()
+        else:
+            member.disk.kill_process()
+        if member.scope is not None:
+            member.scope.cancel()
+            member.scope = None
+
+    def client(self):
+        addresses = [peer.internal for peer in self.settings.members]
+        return GroupClient(MemoryCaller(self, "client"), addresses, self.random)
+
+    def leader(self):
+        return next((m for m in self.members.values() if m.scope and m.host.is_leader), None)
+
+    async def until(self, condition, timeout_s=30.0):
+        """Wait for a condition; fail if it does not come about in virtual time."""
+        with anyio.fail_after(timeout_s):
+            while True:
+                if value := condition():
+                    return value
+                await anyio.sleep(0.01)
+
+    async def propose(self, command, timeout_s=30.0):
+        """Propose at whoever leads until it is committed; commands may be repeated."""
+        with anyio.fail_after(timeout_s):
+            while True:
+                leader = await self.until(self.leader, timeout_s)
+                try:
+                    return await leader.host.propose(command)
+                except PasslaneError:
+                    await anyio.sleep(0.05)
+
+    def commands(self, name):
+        """The distinct commands that a member has applied, in order."""
+        return list(dict.fromkeys(self.members[name].machine.commands))
+
+
+@asynccontextmanager
+async def running_cluster(seed, **settings):
+    async with anyio.create_task_group() as tasks:
+        cluster = Cluster(tasks, seed, **settings)
+        cluster.start()
+        yield cluster
+        tasks.cancel_scope.cancel()
