--- a/src/passlane/messages/membership.py
+++ b/src/passlane/messages/membership.py
@@ -7,18 +7,35 @@
 
 import msgspec
 
-from passlane.identifiers import EngineId, NodeId, Revision
+from passlane.identifiers import EngineId, Epoch, NodeId, Partition, Revision
 from passlane.messages.base import Message
 from passlane.messages.common import Address
 from passlane.messages.control import ConfigurationDelta
 from passlane.messages.store import PartitionAssignment
 
 
+class PartitionRelease(msgspec.Struct, frozen=True):
+    """A node has stopped leading a partition in an epoch and will not take it up again."""
+
+    partition: Partition
+    epoch: Epoch
+
+
+class HandoverOrder(msgspec.Struct, frozen=True):
+    """A node shall finish its calls of a partition and release it to another node."""
+
+    partition: Partition
+    epoch: Epoch
+    to_node: NodeId
+    to_address: Address
+
+
 class NodeHeartbeat(Message, frozen=True):
     """Sent by a node at each heartbeat interval.
 
     ``incarnation`` differs for each start of the process. ``prepared_revision`` is the
     newest configuration the node holds, ``revision_in_force`` the one it acts on.
+    ``released`` is repeated until the table names another epoch for the partition.
     """
 
     node_id: NodeId
@@ -29,6 +46,7 @@
     revision_in_force: Revision
     table_version: int
     draining: bool = False
+    released: tuple[PartitionRelease, ...] = ()
 
 
 class NodeView(msgspec.Struct, frozen=True):
@@ -38,12 +56,27 @@
     address: Address
     zone: str
     draining: bool
+    has_lease: bool = False
+    partitions: int = 0
+    prepared_revision: Revision = Revision(0)
+    revision_in_force: Revision = Revision(0)
+
+
+class ReadMembers(Message, frozen=True):
+    """Query to the store leader: the nodes of its region; answered by ``Members``."""
+
+
+class Members(Message, frozen=True):
+    """Answer to ``ReadMembers``, by name of the node."""
+
+    nodes: tuple[NodeView, ...]
 
 
 class HeartbeatReply(Message, frozen=True):
     """Renews the lease and brings what is new.
 
-    The lease lasts ``lease_s`` seconds counted from when the node sent the heartbeat.
+    The lease lasts ``lease_s`` seconds counted from when the node sent the heartbeat; 0
+    means that the node has no lease (yet). ``handovers`` are repeated while they stand.
     ``table`` is ``None`` when the node's ``table_version`` is current. The node acts on
     ``accepted_revision`` as soon as it holds it.
     """
@@ -54,3 +87,4 @@
     table: tuple[PartitionAssignment, ...] | None = None
     configuration: ConfigurationDelta | None = None
     leaving_engines: tuple[EngineId, ...] = ()
+    handovers: tuple[HandoverOrder, ...] = ()
