--- a/src/passlane/settings/model.py
+++ b/src/passlane/settings/model.py
@@ -64,6 +64,15 @@
     segment_bytes: int = 8_000_000
 
 
+class ControlSettings(_Section, frozen=True):
+    """What the control group asks for before it accepts a change.
+
+    ``regions`` must each hold a change first; empty means the process's own region.
+    """
+
+    regions: tuple[str, ...] = ()
+
+
 class MembershipSettings(_Section, frozen=True):
     """Leases of nodes and the assignment of partitions."""
 
@@ -131,6 +140,7 @@
     regions: tuple[str, ...] = ()
     store_group: GroupSettings = GroupSettings()
     control_group: GroupSettings = GroupSettings()
+    control: ControlSettings = ControlSettings()
     membership: MembershipSettings = MembershipSettings()
     node: NodeSettings = NodeSettings()
     security: SecuritySettings = SecuritySettings()
--- /dev/null
+++ b/tests/runtime/test_http.py
@@ -0,0 +1,152 @@
+"""The HTTP client says honestly what left; abandoned connections are not used again."""
+
+import random
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from passlane.messages.common import Address
+from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.runtime.http_server import UvicornHttpServer
+from passlane.runtime.interfaces import HttpConnectionError, HttpRequest
+from passlane.runtime.network import TcpNetwork
+from passlane.simulation.http_server import SimulatedHttpServer
+from passlane.simulation.network import DelayModel, SimulatedNetwork
+from passlane.simulation.runner import run_simulation
+
+CLIENT_HOST = "10.0.0.1"
+BACK_END = Address("10.0.0.2", 8000)
+
+
+async def application(scope: Any, receive: Any, send: Any) -> None:
+    """Stream ten chunks, one each 100 ms; ``/hang`` never answers."""
+    await receive()
+    if scope["path"] == "/hang":
+        await anyio.sleep_forever()
+    headers = [(b"content-type", b"text/plain")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    for number in range(10):
+        await anyio.sleep(0.1)
+        body = f"{scope['path']} {number};".encode()
+        await send({"type": "http.response.body", "body": body, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
+
+
+class Ground:
+    """A simulated network with one back end and one client; counts connections."""
+
+    def __init__(self) -> None:
+        self.network = SimulatedNetwork(random.Random(2), DelayModel({}))
+        self.client = SingleConnectionHttpClient(self.network.host(CLIENT_HOST))
+
+    async def serve(self) -> None:
+        server = SimulatedHttpServer(self.network.host(BACK_END.host))
+        await server.serve(BACK_END, application)
+
+    async def fetch(self, path: str) -> str:
+        request = HttpRequest("POST", BACK_END, path, body=b"{}")
+        async with self.client.exchange(request) as response:
+            return b"".join([part async for part in response.chunks()]).decode()
+
+
+def simulate(body: Callable[[Ground], Awaitable[None]]) -> None:
+    async def main() -> None:
+        ground = Ground()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ground.serve)
+            await anyio.sleep(0.01)
+            await body(ground)
+            tasks.cancel_scope.cancel()
+
+    run_simulation(main, seed=1)
+
+
+class BytesLeftTest(unittest.TestCase):
+    async def expect_error(self, ground: Ground, path: str, *, bytes_left: bool) -> None:
+        with self.assertRaises(HttpConnectionError) as caught:
+            await ground.fetch(path)
+        self.assertIs(caught.exception.bytes_left, bytes_left)
+
+    def test_refused_connection_sent_nothing(self) -> None:
+        async def body(ground: Ground) -> None:
+            ground.network.remove_listeners(BACK_END.host)
+            await self.expect_error(ground, "/x", bytes_left=False)
+
+        simulate(body)
+
+    def test_silent_connection_attempt_sent_nothing_and_ends(self) -> None:
+        async def body(ground: Ground) -> None:
+            ground.network.cut({CLIENT_HOST}, {BACK_END.host})
+            await self.expect_error(ground, "/x", bytes_left=False)
+            self.assertLess(anyio.current_time(), 5.0)
+
+        simulate(body)
+
+    def test_loss_before_and_in_the_answer_may_have_sent(self) -> None:
+        async def body(ground: Ground) -> None:
+            for path, after_s in (("/hang", 0.5), ("/x", 0.5)):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(lambda p: self.expect_error(ground, p, bytes_left=True), path)
+                    await anyio.sleep(after_s)
+                    ground.network.break_connections(BACK_END.host)
+
+        simulate(body)
+
+    def test_abandoned_answer_never_reaches_the_next_request(self) -> None:
+        async def body(ground: Ground) -> None:
+            for number in range(5):
+                request = HttpRequest("POST", BACK_END, f"/abandoned{number}", body=b"{}")
+                async with ground.client.exchange(request) as response:
+                    async for _ in response.chunks():
+                        break
+                with anyio.move_on_after(0.35):
+                    await ground.fetch(f"/cancelled{number}")
+                answer = await ground.fetch(f"/wanted{number}")
+                self.assertEqual(answer, "".join(f"/wanted{number} {n};" for n in range(10)))
+
+        simulate(body)
+
+
+class RealServerTest(unittest.TestCase):
+    def test_uvicorn_answers_and_a_stop_lets_the_answer_in_flight_finish(self) -> None:
+        async def main() -> None:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                address = Address("127.0.0.1", probe.getsockname()[1])
+            client = SingleConnectionHttpClient(TcpNetwork())
+            answers: list[str] = []
+
+            async def fetch(path: str) -> None:
+                request = HttpRequest("GET", address, path)
+                async with client.exchange(request) as response:
+                    parts = [part async for part in response.chunks()]
+                    answers.append(b"".join(parts).decode())
+
+            async with anyio.create_task_group() as tasks:
+                server_scope = anyio.CancelScope()
+
+                async def serve() -> None:
+                    with server_scope:
+                        await UvicornHttpServer().serve(address, application)
+
+                tasks.start_soon(serve)
+                while True:
+                    try:
+                        await fetch("/first")
+                        break
+                    except HttpConnectionError as error:
+                        self.assertFalse(error.bytes_left)
+                        await anyio.sleep(0.01)
+                tasks.start_soon(fetch, "/second")
+                await anyio.sleep(0.3)
+                server_scope.cancel()
+            self.assertTrue(answers[1].endswith("/second 9;"))
+
+        anyio.run(main, backend="asyncio")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -24,7 +24,7 @@
 from passlane.transport.server import MessageServer
 
 
-def setUpModule() -> None:  # noqa: N802
+def setUpModule() -> None:
     configure_logging(RingLog(max_lines=100))
 
 
