--- /dev/null
+++ b/src/passlane/bench/fleet.py
@@ -0,0 +1,334 @@
+"""Starts the processes of a fleet on loopback, disturbs them and stops them again.
+
+Signals go only to processes that this rig started, by their ids.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+import httpcore
+import msgspec
+
+from passlane.bench.fleet_files import (
+    CONFIGURATION_FILE,
+    ProcessFile,
+    ProcessKind,
+    copy_example,
+)
+from passlane.messages.backends import LedgerLine
+from passlane.messages.common import Address
+
+READY_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 40.0
+POLL_INTERVAL_S = 0.1
+REQUEST_TIMEOUT_S = 2.0
+STATUS_OK = 200
+LOG_LINES_SHOWN = 20
+
+
+class FleetError(Exception):
+    """The fleet did not do what the rig waits for."""
+
+
+@dataclass
+class FleetProcess:
+    """A process of the fleet; ``popen`` is set while it has been started."""
+
+    file: ProcessFile
+    popen: "subprocess.Popen[bytes] | None" = None
+    starts: int = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has been started and not ended."""
+        return self.popen is not None and self.popen.poll() is None
+
+
+class Fleet:
+    """The processes of one example.
+
+    Parameters
+    ----------
+    example
+        Folder with the settings files.
+    folder
+        Run folder: settings with free ports, data, logs.
+
+    Used as a context manager it stops all that it started, whatever happens.
+    """
+
+    def __init__(self, example: Path, folder: Path) -> None:
+        self.folder = folder.resolve()
+        files = copy_example(example, self.folder)
+        self.processes = {file.name: FleetProcess(file) for file in files}
+
+    def __enter__(self) -> Self:
+        """Return the fleet; nothing is started yet."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop all processes."""
+        self.stop_all()
+
+    # Who is there.
+
+    def names(self, kind: ProcessKind, role: str | None = None) -> list[str]:
+        """Return the names of the processes of a kind, for daemons perhaps of one role."""
+        return [
+            name
+            for name, process in self.processes.items()
+            if process.file.kind is kind and (role is None or role in process.file.roles)
+        ]
+
+    def node_names(self) -> list[str]:
+        """Return the names of the nodes."""
+        return self.names(ProcessKind.DAEMON, "node")
+
+    def callers_address(self, name: str) -> Address:
+        """Return a node's address for callers."""
+        address = self.processes[name].file.callers
+        if address is None:
+            raise FleetError(f"{name} is no node")
+        return address
+
+    def running_callers_addresses(self) -> list[Address]:
+        """Return the callers' addresses of the nodes that run."""
+        return [
+            self.callers_address(name)
+            for name in self.node_names()
+            if self.processes[name].is_running
+        ]
+
+    def operators_addresses(self) -> list[Address]:
+        """Return the operators' addresses of the running daemons with the control role."""
+        return [
+            self.processes[name].file.health
+            for name in self.names(ProcessKind.DAEMON, "control")
+            if self.processes[name].is_running
+        ]
+
+    def operator_token(self) -> str:
+        """Return the first operators' token of the example."""
+        name = self.names(ProcessKind.DAEMON, "control")[0]
+        fields = tomllib.loads(self.processes[name].file.settings.read_text())
+        return str(fields["security"]["operators"][0]["token"])
+
+    def caller_tokens(self) -> Mapping[str, str]:
+        """Return the callers' tokens by tenant."""
+        settings = self.processes[self.node_names()[0]].file.settings
+        entries = tomllib.loads(settings.read_text())["security"]["callers"]
+        return {entry["tenant"]: entry["token"] for entry in entries}
+
+    # Starting and stopping.
+
+    def start(self, name: str) -> None:
+        """Start a process, or start it again after it ended."""
+        process = self.processes[name]
+        if process.is_running:
+            raise FleetError(f"{name} runs already")
+        process.starts += 1
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process.popen = subprocess.Popen(
+                self._command(process), cwd=self.folder, stdout=log, stderr=log
+            )
+
+    def start_all(self) -> None:
+        """Start all processes, back ends first."""
+        daemons = self.names(ProcessKind.DAEMON)
+        others = [name for name in self.processes if name not in daemons]
+        for name in others + daemons:
+            self.start(name)
+
+    def stop(self, name: str) -> int:
+        """Send SIGTERM and return the exit code; SIGKILL if the process takes too long."""
+        process = self.processes[name]
+        if process.popen is None:
+            raise FleetError(f"{name} was not started")
+        self._signal(process, signal.SIGCONT)
+        self._signal(process, signal.SIGTERM)
+        return self._wait_for_end(process)
+
+    def stop_all(self) -> Mapping[str, int]:
+        """Stop all processes, nodes first, and return their exit codes."""
+        codes: dict[str, int] = {}
+        for group in self._stop_order():
+            running = [process for process in group if process.is_running]
+            for process in running:
+                self._signal(process, signal.SIGCONT)
+                self._signal(process, signal.SIGTERM)
+            for process in running:
+                codes[process.file.name] = self._wait_for_end(process)
+        return codes
+
+    def kill(self, name: str) -> None:
+        """Send SIGKILL and wait for the end."""
+        process = self.processes[name]
+        self._signal(process, signal.SIGKILL)
+        if process.popen is not None:
+            process.popen.wait()
+
+    def freeze(self, name: str) -> None:
+        """Send SIGSTOP: the process stands still in silence."""
+        self._signal(self.processes[name], signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Send SIGCONT: the process goes on as if no time had passed."""
+        self._signal(self.processes[name], signal.SIGCONT)
+
+    # Watching.
+
+    def wait_ready(self, names: Sequence[str] | None = None) -> float:
+        """Wait until processes (all if not named) are ready; return the seconds it took.
+
+        Raises
+        ------
+        FleetError
+            When one has ended, or is not ready in time; the message shows its log.
+        """
+        began = time.monotonic()
+        waiting = list(names or self.processes)
+        while waiting:
+            waiting = [name for name in waiting if not self._is_ready(name)]
+            if waiting and time.monotonic() - began > READY_TIMEOUT_S:
+                raise FleetError(f"not ready: {waiting}\n{self.log_tail(waiting[0])}")
+            if waiting:
+                time.sleep(POLL_INTERVAL_S)
+        return time.monotonic() - began
+
+    def log_tail(self, name: str) -> str:
+        """Return the last lines that a process wrote."""
+        path = self.folder / f"{name}.log"
+        if not path.exists():
+            return ""
+        return "\n".join(path.read_text(errors="replace").splitlines()[-LOG_LINES_SHOWN:])
+
+    def get(self, address: Address, path: str) -> "httpcore.Response":
+        """Return the answer to a GET without a token."""
+        return httpcore.request("GET", f"http://{address}{path}", extensions=_timeouts())
+
+    def ledger(self) -> list[LedgerLine]:
+        """Return the ledgers of all running applications, one after the other."""
+        lines: list[LedgerLine] = []
+        for name in self.names(ProcessKind.APPLICATION):
+            response = self.get(self.processes[name].file.health, "/v1/ledger")
+            lines += msgspec.json.decode(response.content, type=list[LedgerLine])
+        return lines
+
+    # The operators' client.
+
+    def passlane(self, *arguments: str) -> "subprocess.CompletedProcess[str]":
+        """Run ``passlane`` against the control group and return what it printed."""
+        addresses = ",".join(str(address) for address in self.operators_addresses())
+        environment = {
+            **os.environ,
+            "PASSLANE_ADDRESS": addresses,
+            "PASSLANE_TOKEN": self.operator_token(),
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "passlane.cli.main", *arguments],
+            cwd=self.folder,
+            env=environment,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    def apply_configuration(self) -> None:
+        """Apply the example's configuration and wait until it is in force everywhere.
+
+        Raises
+        ------
+        FleetError
+            When the client says otherwise.
+        """
+        done = self.passlane("apply", "-f", CONFIGURATION_FILE, "--wait")
+        if done.returncode != 0:
+            raise FleetError(f"apply failed ({done.returncode}): {done.stdout}{done.stderr}")
+
+    def _command(self, process: FleetProcess) -> list[str]:
+        """Return the command line of a process."""
+        settings = str(process.file.settings)
+        if process.file.kind is ProcessKind.DAEMON:
+            return [sys.executable, "-m", "passlane.daemon.main", "--settings", settings]
+        return [
+            sys.executable,
+            "-m",
+            "passlane.emulator.main",
+            process.file.kind.value,
+            "--settings",
+            settings,
+            "--incarnation",
+            str(process.starts),
+        ]
+
+    def _stop_order(self) -> Iterator[list[FleetProcess]]:
+        """Yield the processes in groups: nodes, other daemons, back ends."""
+        nodes = [self.processes[name] for name in self.node_names()]
+        daemons = [self.processes[name] for name in self.names(ProcessKind.DAEMON)]
+        yield nodes
+        yield [process for process in daemons if process not in nodes]
+        yield [process for process in self.processes.values() if process not in daemons]
+
+    def _is_ready(self, name: str) -> bool:
+        """Return whether a process answers that it is ready."""
+        process = self.processes[name]
+        if not process.is_running:
+            code = process.popen.returncode if process.popen else None
+            raise FleetError(f"{name} ended with {code}\n{self.log_tail(name)}")
+        is_daemon = process.file.kind is ProcessKind.DAEMON
+        try:
+            response = self.get(process.file.health, "/readyz" if is_daemon else "/")
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+            return False
+        return response.status == STATUS_OK or not is_daemon
+
+    @staticmethod
+    def _signal(process: FleetProcess, number: signal.Signals) -> None:
+        """Send a signal to a process that the rig started and that still runs."""
+        if process.popen is not None and process.popen.poll() is None:
+            process.popen.send_signal(number)
+
+    @staticmethod
+    def _wait_for_end(process: FleetProcess) -> int:
+        """Return the exit code; kill the process if it does not end in time."""
+        if process.popen is None:
+            return 0
+        try:
+            return process.popen.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.popen.kill()
+            return process.popen.wait()
+
+
+def _timeouts() -> dict[str, dict[str, float]]:
+    """Return the extension that bounds each part of a request."""
+    return {"timeout": dict.fromkeys(("connect", "read", "write", "pool"), REQUEST_TIMEOUT_S)}
+
+
+def program_leader(fleet: Fleet, program_id: str) -> str:
+    """Return the name of the node that leads a program, as ``passlane`` shows it.
+
+    Raises
+    ------
+    FleetError
+        When the client does not say.
+    """
+    done = fleet.passlane("programs", "show", program_id, "--output", "json")
+    if done.returncode != 0:
+        raise FleetError(f"programs show failed: {done.stdout}{done.stderr}")
+    return str(json.loads(done.stdout)["leader"])
--- /dev/null
+++ b/src/passlane/messages/traces.py
@@ -0,0 +1,137 @@
+"""Lines of a recorded trace: what callers did, what failed, and the outcomes stated.
+
+A trace is a file of JSON lines (see docs/design/traces.md). Times are seconds from the
+trace's start. A call starts at its time or when its program's earlier call has its
+outcome, whichever is later.
+"""
+
+import enum
+
+import msgspec
+
+from passlane.errors import ErrorCode, Verdict
+from passlane.identifiers import ProgramId, TenantId
+from passlane.messages.common import Amounts
+from passlane.messages.store import CallKind, Turn
+
+TRACE_FORMAT = 1
+
+
+class _Line(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, tag=True):
+    """Base of a trace's lines: ``type`` holds the class name, unknown keys are errors."""
+
+
+class TraceStart(_Line, frozen=True):
+    """First line: the format's version and the deployment that the trace belongs to."""
+
+    format: int
+    name: str
+    deployment: str
+    description: str = ""
+
+
+class ProgramCreated(_Line, frozen=True):
+    """A caller started a program, perhaps as a sub-agent of another."""
+
+    at_s: float
+    tenant: TenantId
+    program: ProgramId
+    parent: ProgramId | None = None
+    budget: Amounts | None = None
+
+
+class CallMade(_Line, frozen=True):
+    """A caller made a call; a redacted recording keeps the length of contents only."""
+
+    at_s: float
+    program: ProgramId
+    sequence: int
+    kind: CallKind
+    target: str
+    turns: tuple[Turn, ...] = ()
+    arguments: str = ""
+    max_tokens: int = 256
+    idempotency_key: str | None = None
+
+
+class ProgramEndAsked(_Line, frozen=True):
+    """A caller ended a program."""
+
+    at_s: float
+    program: ProgramId
+
+
+class FaultKind(enum.StrEnum):
+    """Failures that a trace may hold; targets are names of the deployment's processes."""
+
+    KILL_LEADER = "kill_leader"
+    KILL = "kill"
+    RESTART = "restart"
+    RESTART_ENGINE = "restart_engine"
+
+
+class FaultInjected(_Line, frozen=True):
+    """Something failed.
+
+    ``target`` is a process, or for ``KILL_LEADER`` the program whose leader dies.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: str
+
+
+class CallOutcomeStated(_Line, frozen=True):
+    """The outcome that a call must have; ``None`` leaves a point open."""
+
+    program: ProgramId
+    sequence: int
+    verdict: Verdict
+    error_code: ErrorCode | None = None
+    answer: str | None = None
+
+
+class LedgerStated(_Line, frozen=True):
+    """How often an operation must have run, found by its tool and arguments."""
+
+    tool: str
+    arguments: str
+    runs: int
+
+
+class HistoryStated(_Line, frozen=True):
+    """The roles of a program's turns, in order, and texts that must stand in them."""
+
+    program: ProgramId
+    roles: tuple[str, ...]
+    contains: tuple[str, ...] = ()
+
+
+class MemoryStated(_Line, frozen=True):
+    """For how many programs the engines may hold memory after the last call."""
+
+    held_programs: int
+
+
+class SpentStated(_Line, frozen=True):
+    """What a program must have spent in the end; never above its budget."""
+
+    program: ProgramId
+    calls: int
+    money_micros: int
+
+
+TraceAction = ProgramCreated | CallMade | ProgramEndAsked | FaultInjected
+TraceOutcome = CallOutcomeStated | LedgerStated | HistoryStated | MemoryStated | SpentStated
+TraceLine = (
+    TraceStart
+    | ProgramCreated
+    | CallMade
+    | ProgramEndAsked
+    | FaultInjected
+    | CallOutcomeStated
+    | LedgerStated
+    | HistoryStated
+    | MemoryStated
+    | SpentStated
+)
