Control group: versioned documents, withdrawals, acceptance by regions

Withdrawing a change writes a later revision with the earlier body; acceptance may not stop between the two, which was ruled in after seeing that the plain way puts the withdrawn body in force for a moment and then reverts it.

--- a/src/passlane/configuration/documents.py
+++ b/src/passlane/configuration/documents.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -22,6 +23,19 @@
     DRAIN = "drain"
 
 
+Count = Annotated[int, msgspec.Meta(ge=1)]
+"""A whole number from 1."""
+
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+"""A time in seconds, above 0."""
+
+Rate = Annotated[float, msgspec.Meta(gt=0)]
+"""Events a second, above 0."""
+
+Money = Annotated[int, msgspec.Meta(ge=0)]
+"""Money in millionths of the tenant's currency unit."""
+
+
 class _Body(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Base of document bodies: unknown fields are errors."""
 
@@ -43,8 +57,8 @@
     address: Address
     zone: str
     models: tuple[str, ...]
-    max_batch: int = 16
-    cache_tokens: int = 100_000
+    max_batch: Count = 16
+    cache_tokens: Count = 100_000
 
 
 class ToolBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -57,8 +71,8 @@
     name: str
     repeatable: bool = False
     offers_status: bool = True
-    timeout_s: float = 10.0
-    price_micros: int = 0
+    timeout_s: Seconds = 10.0
+    price_micros: Money = 0
 
 
 class ApplicationBody(_Body, frozen=True):
@@ -67,7 +81,7 @@
     address: Address
     zone: str
     tools: tuple[ToolBody, ...]
-    max_in_flight: int = 64
+    max_in_flight: Count = 64
 
 
 class TenantBody(_Body, frozen=True):
@@ -76,22 +90,30 @@
     service: str
     default_budget: Amounts = Amounts(tokens=200_000, calls=470, money_micros=0)
     max_budget: Amounts = Amounts(tokens=2_000_000, calls=4_700, money_micros=10**12)
-    max_programs: int = 1_000
-    max_calls_in_flight: int = 64
-    calls_per_second: float = 100.0
+    max_programs: Count = 1_000
+    max_calls_in_flight: Count = 64
+    calls_per_second: Rate = 100.0
 
 
 class PolicyBody(_Body, frozen=True):
     """A Starlark policy; see docs/design/policies.md for the functions it may define."""
 
     source: str
-    max_steps: int = 20_000
+    max_steps: Count = 20_000
+
+
+class DrainKind(enum.StrEnum):
+    """Kinds of things that can be drained."""
+
+    ENGINE = "engine"
+    APPLICATION = "application"
+    NODE = "node"
 
 
 class DrainBody(_Body, frozen=True):
     """Marks an engine, application or node as leaving: it receives no new work."""
 
-    target_kind: str
+    target_kind: DrainKind
     target: str
 
 
--- a/src/passlane/configuration/ledger.py
+++ b/src/passlane/configuration/ledger.py
@@ -68,14 +68,13 @@
         """Return the pending change of that number, if it is pending."""
         return self._pending.get(revision)
 
-    def version_before(self, change: Document) -> Document | None:
-        """Return the version of the same document that a pending change replaced."""
-        earlier = [
-            document
-            for document in self._pending.values()
-            if key_of(document) == key_of(change) and document.revision < change.revision
-        ]
-        return earlier[-1] if earlier else self._accepted.get(key_of(change))
+    def pending_changes_of(self, kind: str, name: str) -> list[Document]:
+        """Return the pending changes of one document, oldest first."""
+        return [change for change in self._pending.values() if key_of(change) == (kind, name)]
+
+    def accepted_version(self, kind: str, name: str) -> Document | None:
+        """Return the accepted version of a document; a deletion has no body."""
+        return self._accepted.get((kind, name))
 
     def append(self, change: Document) -> None:
         """Add the next pending change; its revision must be the next one."""
--- a/src/passlane/configuration/references.py
+++ b/src/passlane/configuration/references.py
@@ -8,6 +8,8 @@
     ApplicationBody,
     DocumentBody,
     DocumentKind,
+    DrainBody,
+    DrainKind,
     EngineBody,
     ServiceBody,
     TenantBody,
@@ -36,23 +38,26 @@
 def needs_of(body: DocumentBody) -> frozenset[Reference]:
     """Return what a document refers to."""
     if isinstance(body, TenantBody):
-        return frozenset({Reference(DocumentKind.SERVICE, body.service)})
+        return frozenset({Reference(DocumentKind.SERVICE.value, body.service)})
     if isinstance(body, ServiceBody):
         needs = {Reference(MODEL, model) for model in body.models}
         needs |= {Reference(TOOL, tool) for tool in body.tools}
         if body.policy is not None:
-            needs.add(Reference(DocumentKind.POLICY, body.policy))
+            needs.add(Reference(DocumentKind.POLICY.value, body.policy))
         return frozenset(needs)
+    if isinstance(body, DrainBody) and body.target_kind is not DrainKind.NODE:
+        return frozenset({Reference(body.target_kind.value, body.target)})
     return frozenset()
 
 
 def provisions_of(kind: DocumentKind, name: str, body: DocumentBody) -> frozenset[Reference]:
     """Return what a document lets others refer to."""
+    provisions = {Reference(kind.value, name)}
     if isinstance(body, EngineBody):
-        return frozenset(Reference(MODEL, model) for model in body.models)
+        provisions |= {Reference(MODEL, model) for model in body.models}
     if isinstance(body, ApplicationBody):
-        return frozenset(Reference(TOOL, tool.name) for tool in body.tools)
-    return frozenset({Reference(kind.value, name)})
+        provisions |= {Reference(TOOL, tool.name) for tool in body.tools}
+    return frozenset(provisions)
 
 
 class ReferenceIndex:
--- /dev/null
+++ b/src/passlane/control/service.py
@@ -0,0 +1,191 @@
+"""Serves the control group's messages on one replica; only the leader answers."""
+
+from collections.abc import Callable
+
+import anyio
+import structlog
+
+from passlane.configuration.documents import DocumentKind, PolicyBody
+from passlane.configuration.parsing import parse_body, parse_kind
+from passlane.control.acceptance import AcceptanceTracker
+from passlane.control.machine import ControlStateMachine
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.identifiers import Revision
+from passlane.messages.base import Message, encode_message, message_decoder
+from passlane.messages.common import NotLeaderError
+from passlane.messages.control import (
+    AcceptRevision,
+    ConfigurationDelta,
+    ControlRefusal,
+    ControlResult,
+    Documents,
+    Progress,
+    PutDocument,
+    ReadDocuments,
+    ReadProgress,
+    RegionReport,
+    SetRegions,
+    WithdrawChange,
+)
+from passlane.replication.interfaces import ReplicatedGroup
+from passlane.runtime.interfaces import Environment
+from passlane.transport.interfaces import Router
+
+PolicyChecker = Callable[[str, int], list[str]]
+"""Checks a policy's source within a number of steps; returns the problems found."""
+
+LEADERSHIP_CHECK_S = 0.1
+RETRY_DELAY_S = 0.5
+
+_result_decoder = message_decoder(ControlResult)
+_log = structlog.get_logger(__name__)
+
+
+def accept_any_policy(source: str, max_steps: int) -> list[str]:
+    """Find no problem; for configurations without policies."""
+    return []
+
+
+class ControlService:
+    """Answers operators' changes and regions' reports; proposes acceptance as leader.
+
+    Parameters
+    ----------
+    regions
+        Regions that must hold a change before it is accepted.
+    check_policy
+        Called with the source of each new policy before it is recorded.
+    """
+
+    def __init__(
+        self,
+        group: ReplicatedGroup,
+        machine: ControlStateMachine,
+        environment: Environment,
+        router: Router,
+        *,
+        regions: tuple[str, ...] = (),
+        check_policy: PolicyChecker = accept_any_policy,
+    ) -> None:
+        self._group = group
+        self._machine = machine
+        self._environment = environment
+        self._regions = tuple(sorted(regions))
+        self._check_policy = check_policy
+        self._tracker = AcceptanceTracker()
+        self._reports_term = 0
+        self._acceptance_due = anyio.Event()
+        router.add_unary(PutDocument, self.put_document)
+        router.add_unary(WithdrawChange, self.withdraw_change)
+        router.add_unary(ReadDocuments, self.read_documents)
+        router.add_unary(ReadProgress, self.read_progress)
+        router.add_unary(RegionReport, self.receive_report)
+
+    async def run(self) -> None:
+        """Propose regions and accepted revisions while this replica leads."""
+        while True:
+            with anyio.move_on_after(LEADERSHIP_CHECK_S):
+                await self._acceptance_due.wait()
+            self._acceptance_due = anyio.Event()
+            if not self._group.is_leader:
+                continue
+            try:
+                await self._propose_what_is_due()
+            except PasslaneError as error:
+                # Whatever became of the proposal: it is idempotent and is looked at again.
+                _log.info("control_proposal_failed", code=error.code.value)
+                await anyio.sleep(RETRY_DELAY_S)
+
+    async def put_document(self, request: PutDocument) -> Message:
+        """Record a change after checking it; the reply is the group's answer."""
+        self._require_leadership()
+        problem = self._problem_with(request)
+        if problem is not None:
+            return ControlRefusal(code=ErrorCode.INVALID_DOCUMENT.value, message=problem)
+        return await self._propose(request)
+
+    async def withdraw_change(self, request: WithdrawChange) -> Message:
+        """Withdraw a pending change."""
+        self._require_leadership()
+        return await self._propose(request)
+
+    async def read_documents(self, request: ReadDocuments) -> Documents:
+        """Return the newest versions of documents, pending changes included."""
+        await self._read_barrier()
+        ledger = self._machine.ledger
+        return Documents(
+            documents=tuple(ledger.newest_documents(request.kind, request.name)),
+            newest_revision=ledger.held_revision,
+            accepted_revision=ledger.accepted_revision,
+        )
+
+    async def read_progress(self, request: ReadProgress) -> Progress:
+        """Return how far a revision has come, region by region."""
+        await self._read_barrier()
+        self._forget_reports_of_earlier_terms()
+        return self._tracker.progress(
+            request.revision,
+            self._machine.ledger.accepted_revision,
+            self._machine.regions,
+            anyio.current_time(),
+        )
+
+    async def receive_report(self, report: RegionReport) -> ConfigurationDelta:
+        """Keep a region's report and return what the region lacks.
+
+        No read barrier is needed: what is handed out is committed, and an answer that
+        lags behind only means that the region asks again.
+        """
+        self._require_leadership()
+        self._forget_reports_of_earlier_terms()
+        if not self._tracker.record(report, anyio.current_time()):
+            _log.warning("stale_region_report", region=report.region, term=report.term)
+        if self._revision_to_accept() is not None:
+            self._acceptance_due.set()
+        return self._machine.ledger.delta_since(report.held_revision, report.held_floor)
+
+    async def _propose_what_is_due(self) -> None:
+        self._forget_reports_of_earlier_terms()
+        if self._regions and self._machine.regions != self._regions:
+            await self._propose(SetRegions(regions=self._regions))
+        revision = self._revision_to_accept()
+        if revision is not None:
+            await self._propose(AcceptRevision(revision=revision))
+            _log.info("revision_accepted", revision=self._machine.ledger.accepted_revision)
+
+    def _revision_to_accept(self) -> Revision | None:
+        prepared = self._tracker.prepared_everywhere(self._machine.regions)
+        acceptable = self._machine.acceptable_revision(prepared)
+        return acceptable if acceptable > self._machine.ledger.accepted_revision else None
+
+    def _problem_with(self, request: PutDocument) -> str | None:
+        if request.body is None:
+            return None
+        try:
+            body = parse_body(parse_kind(request.kind), request.body)
+        except PasslaneError as error:
+            return error.message
+        if request.kind != DocumentKind.POLICY or not isinstance(body, PolicyBody):
+            return None
+        problems = self._check_policy(body.source, body.max_steps)
+        return "; ".join(problems) if problems else None
+
+    async def _propose(self, command: Message) -> ControlResult:
+        reply = await self._group.propose(encode_message(command))
+        result: ControlResult = _result_decoder.decode(reply)
+        return result
+
+    async def _read_barrier(self) -> None:
+        self._require_leadership()
+        await self._group.read_barrier()
+
+    def _require_leadership(self) -> None:
+        if not self._group.is_leader:
+            raise NotLeaderError(
+                "this replica does not lead the control group", self._group.leader_address
+            )
+
+    def _forget_reports_of_earlier_terms(self) -> None:
+        if self._reports_term != self._group.term:
+            self._tracker.clear()
+            self._reports_term = self._group.term
