Callers' HTTP: reading requests, writing answers and streams, problems

Cause: callers speak the chat-completions format and tools' JSON over HTTP, and get errors as problem documents with a code and a verdict. Before: the node had no way in for callers.

--- /dev/null
+++ b/src/passlane/api/callers.py
@@ -0,0 +1,250 @@
+"""The callers' HTTP interface: programs, chat completions and tools."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from passlane.api.asgi import (
+    PathRouter,
+    Receive,
+    Request,
+    Response,
+    Scope,
+    Send,
+    json_response,
+    read_request,
+    request_headers,
+    require_token,
+    send_response,
+)
+from passlane.api.caller_input import (
+    ChatBody,
+    ProgramBody,
+    check_chat,
+    check_program,
+    checked_json,
+    checked_program_id,
+    decode_body,
+    key_of,
+    program_id_of_key,
+    program_of,
+    sequence_of,
+    timeout_of,
+)
+from passlane.api.answers import Emit, StreamedAnswer, WholeAnswer, run_until_gone
+from passlane.api.caller_output import CompletionWriter, program_view, tool_result
+from passlane.api.problems import problem_response
+from passlane.configuration.view import ConfigurationView
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.identifiers import ProgramId, TenantId
+from passlane.messages.common import Amounts
+from passlane.messages.node import (
+    CallRequest,
+    CreateProgramRequest,
+    EndProgramRequest,
+    ReadProgramRequest,
+)
+from passlane.messages.store import CallKind, ProgramRecord, Turn
+from passlane.observability.logging import get_logger
+from passlane.runtime.interfaces import AsgiApplication
+from passlane.settings.model import Settings
+
+_log = get_logger(__name__)
+
+
+class NodeApi(Protocol):
+    """What the callers' interface needs of the node's service."""
+
+    @property
+    def configuration(self) -> ConfigurationView:
+        """The configuration in force."""
+        ...
+
+    def new_identifier(self) -> str:
+        """Return a new identifier that nobody can guess."""
+        ...
+
+    async def run_call(self, request: CallRequest, emit: Emit) -> None:
+        """Run a call and give its events to ``emit``; raise ``PasslaneError``."""
+        ...
+
+    async def create_program(self, request: CreateProgramRequest) -> ProgramRecord:
+        """Create a program; raise ``PasslaneError``."""
+        ...
+
+    async def read_program(self, request: ReadProgramRequest) -> ProgramRecord:
+        """Read a program; raise ``PasslaneError``."""
+        ...
+
+    async def end_program(self, request: EndProgramRequest) -> None:
+        """End a program; raise ``PasslaneError``."""
+        ...
+
+
+@dataclass(frozen=True)
+class Exchange:
+    """One request of a known tenant, and the ASGI callables to answer it."""
+
+    tenant_id: TenantId
+    request: Request
+    parameters: Mapping[str, str]
+    receive: Receive
+    send: Send
+
+
+Handler = Callable[[Exchange], Awaitable[Response | None]]
+
+
+def build_caller_application(service: NodeApi, settings: Settings) -> AsgiApplication:
+    """Return the ASGI application that callers speak to."""
+    return CallerApplication(service, settings)
+
+
+class CallerApplication:
+    """Routes requests, checks tokens, and turns every error into a problem."""
+
+    def __init__(self, service: NodeApi, settings: Settings) -> None:
+        self._service = service
+        self._settings = settings
+        self._router: PathRouter[Handler] = PathRouter()
+        self._router.add("POST", "/v1/programs", self._create_program)
+        self._router.add("GET", "/v1/programs/{id}", self._read_program)
+        self._router.add("DELETE", "/v1/programs/{id}", self._end_program)
+        self._router.add("POST", "/v1/chat/completions", self._complete_chat)
+        self._router.add("POST", "/v1/tools/{tool}", self._run_tool)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI connection; only HTTP is known."""
+        if scope["type"] != "http":
+            return
+        try:
+            response = await self._serve(scope, receive, send)
+        except PasslaneError as error:
+            response = problem_response(error)
+        except Exception:
+            # The verdict must be the careful one: nothing is known of how far it came.
+            _log.exception("request failed by a fault", path=scope["path"])
+            message = "the request was stopped by an internal fault"
+            error = PasslaneError(ErrorCode.INTERNAL, message, verdict=Verdict.MAY_HAVE_RUN)
+            response = problem_response(error)
+        if response is not None:
+            await send_response(send, response)
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> Response | None:
+        """Serve a request; return what is still to be sent."""
+        match = self._router.find(scope["method"], scope["path"])
+        token = require_token(request_headers(scope), self._settings.security.callers)
+        if token.tenant is None:
+            raise PasslaneError(ErrorCode.FORBIDDEN, "the token belongs to no tenant")
+        request = await read_request(scope, receive, self._settings.node.max_body_bytes)
+        exchange = Exchange(token.tenant, request, match.parameters, receive, send)
+        return await match.handler(exchange)
+
+    # Programs.
+
+    async def _create_program(self, exchange: Exchange) -> Response:
+        body = decode_body(exchange.request.body or b"{}", ProgramBody)
+        check_program(body)
+        key = key_of(exchange.request.headers)
+        tenant_id = exchange.tenant_id
+        if key is None:
+            program_id = ProgramId(f"p-{self._service.new_identifier()}")
+        else:
+            program_id = program_id_of_key(tenant_id, key)
+        request = CreateProgramRequest(
+            request_id=self._service.new_identifier(),
+            tenant_id=tenant_id,
+            program_id=program_id,
+            budget=body.budget or self._default_budget(tenant_id, body),
+            parent_id=body.parent_id,
+            deadline_s=body.deadline_s,
+        )
+        record = await self._service.create_program(request)
+        headers = {"location": f"/v1/programs/{record.program_id}"}
+        return json_response(201, program_view(record), headers)
+
+    def _default_budget(self, tenant_id: TenantId, body: ProgramBody) -> Amounts:
+        """Return the tenant's default; a sub-agent spends from its parent without one."""
+        tenant = self._service.configuration.tenants.get(tenant_id)
+        if body.parent_id is not None or tenant is None:
+            return Amounts()
+        return tenant.default_budget
+
+    async def _read_program(self, exchange: Exchange) -> Response:
+        request = ReadProgramRequest(
+            request_id=self._service.new_identifier(),
+            tenant_id=exchange.tenant_id,
+            program_id=checked_program_id(exchange.parameters["id"]),
+        )
+        return json_response(200, program_view(await self._service.read_program(request)))
+
+    async def _end_program(self, exchange: Exchange) -> Response:
+        request = EndProgramRequest(
+            request_id=self._service.new_identifier(),
+            tenant_id=exchange.tenant_id,
+            program_id=checked_program_id(exchange.parameters["id"]),
+        )
+        await self._service.end_program(request)
+        return Response(status=204)
+
+    # Calls.
+
+    async def _complete_chat(self, exchange: Exchange) -> Response | None:
+        body = decode_body(exchange.request.body, ChatBody)
+        check_chat(body)
+        request = self._call_request(
+            exchange,
+            kind=CallKind.MODEL,
+            target=body.model,
+            turns=tuple(message.to_turn() for message in body.messages),
+            max_tokens=body.token_limit,
+        )
+        writer = CompletionWriter(
+            request.request_id, body.model, request.program_id, body.token_limit
+        )
+        if body.stream:
+            answer = StreamedAnswer(exchange.send, writer)
+            await run_until_gone(self._service.run_call, request, answer, exchange.receive)
+            return None
+        whole = WholeAnswer()
+        await run_until_gone(self._service.run_call, request, whole, exchange.receive)
+        return json_response(200, writer.whole(whole.answered()))
+
+    async def _run_tool(self, exchange: Exchange) -> Response:
+        request = self._call_request(
+            exchange,
+            kind=CallKind.TOOL,
+            target=exchange.parameters["tool"],
+            arguments=checked_json(exchange.request.body),
+        )
+        whole = WholeAnswer()
+        await run_until_gone(self._service.run_call, request, whole, exchange.receive)
+        return json_response(200, tool_result(request.program_id, whole.answered()))
+
+    def _call_request(
+        self,
+        exchange: Exchange,
+        *,
+        kind: CallKind,
+        target: str,
+        turns: tuple[Turn, ...] = (),
+        arguments: str = "",
+        max_tokens: int = 0,
+    ) -> CallRequest:
+        headers = exchange.request.headers
+        sequence = sequence_of(headers)
+        key = key_of(headers)
+        return CallRequest(
+            request_id=self._service.new_identifier(),
+            tenant_id=exchange.tenant_id,
+            program_id=program_of(headers),
+            kind=kind,
+            target=target,
+            turns=turns,
+            arguments=arguments,
+            max_tokens=max_tokens,
+            sequence=sequence,
+            idempotency_key=key,
+            timeout_s=timeout_of(headers, self._settings.node.call_timeout_s),
+            is_named=sequence is not None or key is not None,
+        )
--- a/src/passlane/node/call_services.py
+++ b/src/passlane/node/call_services.py
@@ -12,8 +12,8 @@
 from passlane.messages.store import EngineHold, RecordHold
 from passlane.node.call_reports import CallReports
 from passlane.node.engine_registry import EngineRegistry
-from passlane.node.led_program import LedProgram
 from passlane.node.leadership import Leadership
+from passlane.node.led_program import LedProgram
 from passlane.node.model_dispatcher import ModelDispatcher
 from passlane.node.program_store import ProgramStore
 from passlane.node.tool_dispatcher import ToolDispatcher
--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -166,9 +166,7 @@
             raise
         program.is_ended = True
         self._services.models.note_program_ended(program.program_id)
-        self._releases.add_holds(
-            program.program_id, program.partition, program.epoch, result.holds
-        )
+        self._releases.add_holds(program.program_id, program.partition, program.epoch, result.holds)
         for child_id in result.ended_children:
             await self._tell_ended(child_id)
 
--- a/src/passlane/node/program_host.py
+++ b/src/passlane/node/program_host.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import anyio
+import anyio.lowlevel
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import CallId
@@ -331,7 +332,7 @@
         """Return when no call runs or waits."""
         while not self.is_idle:
             await self._idle.wait()
-            await anyio.sleep(0)
+            await anyio.lowlevel.checkpoint()
 
     def abort(self, error: PasslaneError) -> None:
         """Stop all work at once, for this node no longer leads the program."""
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -53,7 +53,6 @@
 from passlane.transport.interfaces import Caller, Router
 
 HOUSEKEEPING_S = 1.0
-DRAIN_POLL_S = 0.05
 DRAIN_RETRY_AFTER_S = 1.0
 UNARY_TIMEOUT_S = 15.0
 INCARNATION_BITS = 62
@@ -96,6 +95,7 @@
         self._leaving_engines: frozenset[EngineId] = frozenset()
         self._is_draining = False
         self._requests = 0
+        self._quieter = anyio.Event()
         self._core: NodeCore | None = None
         self._heartbeat = self._new_heartbeat()
 
@@ -217,7 +217,8 @@
         self._heartbeat.beat_soon()
         with anyio.move_on_after(self._settings.node.drain_timeout_s) as scope:
             while self._requests > 0 or self._heartbeat.lease.led_partitions:
-                await anyio.sleep(DRAIN_POLL_S)
+                self._quieter = anyio.Event()
+                await self._quieter.wait()
         if scope.cancelled_caught:
             _log.warning("drain cut short", requests=self._requests)
 
@@ -259,6 +260,7 @@
             case LeadershipLost(partition, _):
                 core.leader.forget_partition(partition)
                 core.leader.keep_partition(partition)
+                self._quieter.set()
             case HandoverRequested(partition, _, _, to_address):
                 core.services.tasks.start_soon(self._hand_over, core, partition, to_address)
             case HandoverCancelled(partition, _):
@@ -273,6 +275,10 @@
 
     # Callers.
 
+    def new_identifier(self) -> str:
+        """Return a new identifier of 128 random bits."""
+        return f"{self._environment.random.getrandbits(128):032x}"
+
     async def run_call(self, request: CallRequest, emit: Emit) -> None:
         """Run a call wherever its program is led and give its events to ``emit``.
 
@@ -287,6 +293,7 @@
             await core.forwarder.run_call(request, emit)
         finally:
             self._requests -= 1
+            self._quieter.set()
 
     async def create_program(self, request: CreateProgramRequest) -> ProgramRecord:
         """Create a program and return its record; raise ``PasslaneError``."""
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -14,7 +14,7 @@
 from passlane.messages.backends import OperationState
 from passlane.messages.common import Amounts
 from passlane.messages.node import CallAnswered, CallRefused
-from passlane.messages.store import CallKind, CallOutcome, CallRecord, CallState, Turn
+from passlane.messages.store import CallKind, CallOutcome, CallState, Turn
 from passlane.programs.call_events import (
     AttemptFailed,
     AttemptFinished,
