Log: marks no longer refuse a healthy log, nor understate what was synced

A test that writes at random, loses power inside syncs and reopens the log found two faults in the synced marks. A finished segment now gets one more sync, once per segment. The targets of all files are now taken before the first sync.

Ruled out as causes: the search for records behind damage, and the replay of overwritten suffixes, which the same test covers.

--- a/src/passlane/storage/log.py
+++ b/src/passlane/storage/log.py
@@ -207,20 +207,23 @@
         the next one.
         """
         state = self._written
+        unsynced = [
+            (segment, segment.written)
+            for segment in self._open_segments
+            if segment.written > segment.synced
+        ]
+        if not unsynced:
+            return state
         mark = self._mark_at_end()
-        for segment in list(self._open_segments):
-            written = segment.written
-            if written > segment.synced:
-                await segment.file.sync()
-                segment.synced = written
+        for segment, written in unsynced:
+            await segment.file.sync()
+            segment.synced = written
         self._close_finished_segments()
         self._write_synced_mark(mark)
         return state
 
     def _mark_at_end(self) -> SyncedMark:
         """Return the mark that says that all written so far is durable."""
-        if not self._open_segments:
-            return SyncedMark(segment=0, offset=0)
         current = self._open_segments[-1]
         return SyncedMark(segment=current.number, offset=current.size)
 
@@ -299,6 +302,9 @@
         except OSError:
             file.close()
             raise
+        if self._open_segments:
+            # It may end in a mark, which no sync has covered yet.
+            self._open_segments[-1].written += 1
         segment = _OpenSegment(number=number, file=file, size=size, written=1)
         self._open_segments.append(segment)
         self._highest_index[number] = 0
