--- a/src/passlane/simulation/network.py
+++ b/src/passlane/simulation/network.py
@@ -17,6 +17,7 @@
 
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import ConnectionHandler
+from passlane.simulation.event_log import EventLog
 
 PIPE_BYTES = 262_144
 """Bytes on their way in one direction before a sender has to wait."""
@@ -74,6 +75,7 @@
             await self._changed.wait()
         if self._is_broken or self._is_finished:
             raise anyio.BrokenResourceError
+        self._network.note_send(self.source, self.destination, len(data))
         arrival = anyio.current_time() + self._network.draw_delay(self.source, self.destination)
         self._last_arrival = max(self._last_arrival, arrival)
         self._parts.append((self._last_arrival, bytes(data)))
@@ -186,14 +188,24 @@
         Draws the jitter of delays.
     delays
         One-way delays between hosts.
+    event_log
+        Its hash takes in every send, so that two runs that differ anywhere differ there.
     """
 
-    def __init__(self, random_source: random.Random, delays: DelayModel) -> None:
+    def __init__(
+        self,
+        random_source: random.Random,
+        delays: DelayModel,
+        event_log: EventLog | None = None,
+    ) -> None:
         self._random = random_source
         self._delays = delays
+        self._event_log = event_log or EventLog()
         self._listeners: dict[Address, _Listener] = {}
         self._connections: list[_Connection] = []
         self._blocked: set[tuple[str, str]] = set()
+        self._isolated: set[str] = set()
+        self._half_open: list[tuple[str, _Connection]] = []
         self._changed = anyio.Event()
 
     def host(self, name: str) -> "HostNetwork":
@@ -218,8 +230,18 @@
                 self.block(one, other)
                 self.block(other, one)
 
+    def isolate(self, host: str) -> None:
+        """Hold back all that goes to or from a host, as when its machine is gone or frozen."""
+        self._isolated.add(host)
+
+    def reconnect(self, host: str) -> None:
+        """End the isolation of a host; connections of its former process are reset."""
+        self._isolated.discard(host)
+        self._reset_half_open(host)
+        self._wake_all()
+
     def heal(self) -> None:
-        """End all cuts."""
+        """End all cuts between hosts; isolated hosts stay so."""
         self._blocked.clear()
         self._wake_all()
 
@@ -230,6 +252,26 @@
                 self._connections.remove(connection)
                 connection.break_off()
 
+    def drop_connections(self, host: str, *, reset_peers: bool) -> None:
+        """End all connections of a host's process, which is dead.
+
+        With ``reset_peers`` the other ends see it at once. Without, they see nothing until
+        the host answers again; then what they send is answered by a reset.
+        """
+        for connection in [c for c in self._connections if host in c.hosts]:
+            if reset_peers:
+                self._connections.remove(connection)
+                connection.break_off()
+            else:
+                self._half_open.append((host, connection))
+
+    def _reset_half_open(self, host: str) -> None:
+        for entry in [entry for entry in self._half_open if entry[0] == host]:
+            self._half_open.remove(entry)
+            if entry[1] in self._connections:
+                self._connections.remove(entry[1])
+            entry[1].break_off()
+
     def remove_listeners(self, host: str) -> None:
         """Forget what listens on a host, as when its process dies."""
         for address in [a for a, entry in self._listeners.items() if entry.host == host]:
@@ -237,8 +279,16 @@
 
     def is_blocked(self, source: str, destination: str) -> bool:
         """Whether data from one host to another is held back."""
+        if source == destination:
+            return False
+        if source in self._isolated or destination in self._isolated:
+            return True
         return (source, destination) in self._blocked
 
+    def note_send(self, source: str, destination: str, size: int) -> None:
+        """Take one send into the hash of the run."""
+        self._event_log.fingerprint(f"send {source} {destination} {size}")
+
     def draw_delay(self, source: str, destination: str) -> float:
         """Return a one-way delay with jitter."""
         base = self._delays.delay_s(source, destination)
--- /dev/null
+++ b/src/passlane/simulation/observer.py
@@ -0,0 +1,179 @@
+"""What can be seen from outside a fleet: callers' answers, engines' requests, ledgers, operators.
+
+Nothing here looks into a daemon. The invariants in ``passlane.simulation.invariants`` judge by
+these records alone.
+"""
+
+from dataclasses import dataclass, field
+
+from passlane.errors import Verdict
+from passlane.messages.backends import EngineChatRequest, EngineOrder
+
+
+@dataclass
+class SeenAttempt:
+    """One HTTP request of a caller and what came back.
+
+    Attributes
+    ----------
+    node
+        Name of the node that was asked.
+    status
+        Status of the answer; ``None`` when the connection failed or broke off.
+    is_whole
+        Whether the answer came to its proper end.
+    verdict, code
+        As an error answer gives them.
+    text
+        Generated text as streamed, or a tool's result.
+    """
+
+    node: str
+    sent_at: float
+    ended_at: float | None = None
+    status: int | None = None
+    is_whole: bool = False
+    verdict: Verdict | None = None
+    code: str = ""
+    text: str = ""
+    retry_after_s: float | None = None
+    connected: bool = True
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the whole answer arrived."""
+        return self.is_whole and self.status == 200
+
+
+@dataclass
+class SeenCall:
+    """One call of a program as its caller made it, with every attempt at it."""
+
+    program_id: str
+    sequence: int
+    target: str
+    marker: str
+    is_tool: bool
+    attempts: list[SeenAttempt] = field(default_factory=list)
+
+    @property
+    def answer(self) -> SeenAttempt | None:
+        """The first whole answer, if there was one."""
+        return next((attempt for attempt in self.attempts if attempt.succeeded), None)
+
+
+@dataclass
+class SeenProgram:
+    """One program as its caller saw it.
+
+    Attributes
+    ----------
+    ended_at
+        When the end was acknowledged; ``None`` if it never was.
+    final_turns
+        Contents of the history, as read when all was over; ``None`` if unreadable.
+    """
+
+    program_id: str
+    tenant: str
+    max_calls: int
+    max_money_micros: int
+    max_tokens: int
+    calls: list[SeenCall] = field(default_factory=list)
+    created: bool = False
+    ended_at: float | None = None
+    final_turns: list[tuple[str, str]] | None = None
+    final_spent: tuple[int, int, int] | None = None
+
+
+@dataclass(frozen=True)
+class SeenPrompt:
+    """A chat request as it arrived at an engine."""
+
+    time: float
+    engine: str
+    request: EngineChatRequest
+
+
+@dataclass(frozen=True)
+class SeenOrder:
+    """An order as it arrived at an engine."""
+
+    time: float
+    engine: str
+    order: EngineOrder
+
+
+@dataclass(frozen=True)
+class SeenToolRun:
+    """One line of an application's ledger, with the time when it appeared."""
+
+    time: float
+    application: str
+    operation_id: str
+    tool: str
+    arguments: str
+
+
+@dataclass(frozen=True)
+class SeenDocument:
+    """The version of a document that one process gave to an operator."""
+
+    time: float
+    process: str
+    name: str
+    version: int
+    is_accepted: bool
+
+
+@dataclass(frozen=True)
+class SeenChange:
+    """A change that an operator made.
+
+    ``accepted_at`` is when the system said that it is in force everywhere.
+    """
+
+    name: str
+    expected_version: int
+    version: int | None
+    key: str
+    body: str
+    sent_at: float
+    answered_at: float | None
+    status: int | None
+    accepted_at: float | None = None
+
+
+@dataclass(frozen=True)
+class Departure:
+    """A back end that was marked as leaving, by the platform or by an operator."""
+
+    time: float
+    name: str
+    is_accepted: bool
+
+
+@dataclass(frozen=True)
+class PlannedStop:
+    """A node that was stopped as planned (SIGTERM)."""
+
+    node: str
+    began_at: float
+    ended_at: float
+
+
+@dataclass
+class Observations:
+    """All that was seen in one run."""
+
+    programs: dict[str, SeenProgram] = field(default_factory=dict)
+    prompts: list[SeenPrompt] = field(default_factory=list)
+    orders: list[SeenOrder] = field(default_factory=list)
+    tool_runs: list[SeenToolRun] = field(default_factory=list)
+    documents: list[SeenDocument] = field(default_factory=list)
+    changes: list[SeenChange] = field(default_factory=list)
+    departures: list[Departure] = field(default_factory=list)
+    planned_stops: list[PlannedStop] = field(default_factory=list)
+    held_at_end: dict[str, dict[str, int]] = field(default_factory=dict)
+    failures: list[str] = field(default_factory=list)
+    finished_at: float = 0.0
