Regions of the control group have one place in the settings

The list of regions that must hold a change had been added at the top level of the settings, while the settings' own checks now bring a section for the control group with the same list. Two keys with one meaning would let a file set one and the daemon read the other, so the top-level one goes away before anything uses it. Keeping both with one as a fallback was ruled out for the same reason. Nothing to measure.

--- a/src/passlane/settings/model.py
+++ b/src/passlane/settings/model.py
@@ -128,7 +128,6 @@
     addresses: AddressSettings
     store_addresses: tuple[Address, ...] = ()
     control_addresses: tuple[Address, ...] = ()
-    regions: tuple[str, ...] = ()
     store_group: GroupSettings = GroupSettings()
     control_group: GroupSettings = GroupSettings()
     membership: MembershipSettings = MembershipSettings()
@@ -136,7 +135,3 @@
     security: SecuritySettings = SecuritySettings()
     observability: ObservabilitySettings = ObservabilitySettings()
     delays: SimulatedDelaySettings = SimulatedDelaySettings()
-
-    def required_regions(self) -> tuple[str, ...]:
-        """Return the regions that must hold a change before it is accepted."""
-        return self.regions or (self.process.region,)
