Node: leader service, forwarding, recovery, release of memory, callers' HTTP

A node leads programs of its partitions and forwards the calls of others. Recording an outcome for a caller that has gone was ruled out, because a lost connection between nodes looks the same; the call stays open instead and is settled by the next one.

--- a/src/passlane/api/caller_input.py
+++ b/src/passlane/api/caller_input.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Mapping
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import msgspec
 import xxhash
@@ -86,7 +86,7 @@
 def checked_json(body: bytes) -> str:
     """Return a body that holds any JSON as text; an empty one stands for ``{}``."""
     text = body.strip() or b"{}"
-    decode_body(text, Any)  # type: ignore[arg-type]
+    decode_body(text, object)
     return text.decode()
 
 
--- a/src/passlane/api/callers.py
+++ b/src/passlane/api/callers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from passlane.api.answers import Emit, StreamedAnswer, WholeAnswer, run_until_gone
 from passlane.api.asgi import (
     PathRouter,
     Receive,
@@ -31,7 +32,6 @@
     sequence_of,
     timeout_of,
 )
-from passlane.api.answers import Emit, StreamedAnswer, WholeAnswer, run_until_gone
 from passlane.api.caller_output import CompletionWriter, program_view, tool_result
 from passlane.api.problems import problem_response
 from passlane.configuration.view import ConfigurationView
@@ -125,8 +125,8 @@
             # The verdict must be the careful one: nothing is known of how far it came.
             _log.exception("request failed by a fault", path=scope["path"])
             message = "the request was stopped by an internal fault"
-            error = PasslaneError(ErrorCode.INTERNAL, message, verdict=Verdict.MAY_HAVE_RUN)
-            response = problem_response(error)
+            fault = PasslaneError(ErrorCode.INTERNAL, message, verdict=Verdict.MAY_HAVE_RUN)
+            response = problem_response(fault)
         if response is not None:
             await send_response(send, response)
 
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -391,10 +391,20 @@
             deadline=self.set_up.deadline,
             service_class=self.set_up.service_class,
             weight=self.set_up.weight,
-            excluded=frozenset(EngineId(backend) for backend in excluded),
+            excluded=self._engines_to_exclude(excluded),
         )
         self._services.models.place(arrived, self.post)
 
+    def _engines_to_exclude(self, failed: frozenset[str]) -> frozenset[EngineId]:
+        """Return the engines that failed this call, unless there is no other one.
+
+        When all of them have failed it, the breakers decide which is tried again.
+        """
+        engines = self._services.configuration().engines_with(self.set_up.plan.target)
+        if failed.issuperset(engines):
+            return frozenset()
+        return frozenset(EngineId(backend) for backend in failed)
+
     def _start_attempt(self, start: StartAttempt) -> None:
         self._backend = start.backend
         scope = anyio.CancelScope()
--- a/src/passlane/node/call_services.py
+++ b/src/passlane/node/call_services.py
@@ -7,7 +7,7 @@
 
 from passlane.configuration.view import ConfigurationView
 from passlane.errors import ErrorCode, PasslaneError, Verdict
-from passlane.identifiers import EngineId, Partition
+from passlane.identifiers import EngineId
 from passlane.messages.common import NotLeaderError
 from passlane.messages.store import EngineHold, RecordHold
 from passlane.node.call_reports import CallReports
@@ -46,7 +46,6 @@
     configuration: Callable[[], ConfigurationView]
     tasks: TaskGroup
     reports: CallReports
-    led_partitions: Callable[[], tuple[Partition, ...]]
 
     def leads(self, program: LedProgram) -> bool:
         """Return whether this node still leads the program in the epoch it was loaded in."""
--- a/src/passlane/node/leadership.py
+++ b/src/passlane/node/leadership.py
@@ -13,6 +13,10 @@
         """Return the epoch in which this node leads, or ``None``; only under a valid lease."""
         ...
 
+    def led_partitions(self) -> tuple[Partition, ...]:
+        """Return the partitions that this node leads as long as its lease is valid."""
+        ...
+
     def leader_of(self, partition: Partition) -> Address | None:
         """Return the internal address of the leader as far as known."""
         ...
--- a/src/passlane/node/lease_leadership.py
+++ b/src/passlane/node/lease_leadership.py
@@ -21,6 +21,10 @@
         """Return the epoch in which this node leads, ``None`` without a valid lease."""
         return self._lease.epoch_of(partition, anyio.current_time())
 
+    def led_partitions(self) -> tuple[Partition, ...]:
+        """Return the partitions that this node leads as long as its lease is valid."""
+        return self._lease.led_partitions
+
     def leader_of(self, partition: Partition) -> Address | None:
         """Return the internal address of the leader as far as known."""
         assignment = self._lease.leader_of(partition)
--- a/src/passlane/node/memory_sweep.py
+++ b/src/passlane/node/memory_sweep.py
@@ -92,7 +92,7 @@
     async def _sweep(self) -> None:
         led = frozenset(
             partition
-            for partition in self._services.led_partitions()
+            for partition in self._services.leadership.led_partitions()
             if self._services.leadership.epoch_of(partition) is not None
         )
         if not led:
--- a/src/passlane/node/model_attempt.py
+++ b/src/passlane/node/model_attempt.py
@@ -119,11 +119,11 @@
         self.note_hold(EngineHold(engine_id=self.engine_id, incarnation=final.incarnation))
 
     def _failure(self, error: PasslaneError) -> AttemptFailed:
-        is_stale = error.code in LEADERSHIP_CODES
+        is_hopeless = error.code in LEADERSHIP_CODES or error.code is ErrorCode.PROGRAM_ENDED
         is_final = isinstance(error, BackendError) and error.is_final
         if isinstance(error, BackendError) and error.status == MODEL_NOT_LOADED_STATUS:
             is_final = False
-        may_retry = not is_stale and self.services.models.try_retry(self.start.backend)
+        may_retry = not is_hopeless and self.services.models.try_retry(self.start.backend)
         return AttemptFailed(
             attempt_id=self.start.attempt_id,
             verdict=error.verdict,
--- a/src/passlane/node/node_core.py
+++ b/src/passlane/node/node_core.py
@@ -1,21 +1,42 @@
 """The parts of a running node, wired together; made anew for each start of the service."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from anyio.abc import TaskGroup
+
 from passlane.configuration.view import ConfigurationView
 from passlane.errors import PasslaneError
 from passlane.identifiers import EngineId, ProgramId
 from passlane.messages.backends import EngineOrder, OrderKind
+from passlane.messages.node import (
+    CallRequest,
+    CreateProgramRequest,
+    EndProgramRequest,
+    ProgramEndedNotice,
+    ReadProgramRequest,
+)
 from passlane.node.admission import Admission
+from passlane.node.call_reports import CallReports
 from passlane.node.call_services import CallServices
 from passlane.node.engine_poller import EnginePoller
+from passlane.node.engine_registry import EngineRegistry
 from passlane.node.fencing import chat_token, program_scope
 from passlane.node.forwarder import Forwarder
 from passlane.node.leader_service import LeaderService
+from passlane.node.leadership import Leadership
 from passlane.node.memory_sweep import MemorySweep
+from passlane.node.model_dispatcher import ModelDispatcher
 from passlane.node.program_directory import ProgramDirectory
+from passlane.node.program_store import ProgramStore
 from passlane.node.release_loop import PendingRelease, ReleaseLoop
+from passlane.node.tool_dispatcher import ToolDispatcher
 from passlane.observability.logging import get_logger
+from passlane.runtime.interfaces import Environment
+from passlane.scheduling.config import QueueConfig, SchedulerConfig
+from passlane.scheduling.scheduler import Scheduler
+from passlane.settings.model import Settings
+from passlane.transport.interfaces import Caller, Router
 
 _log = get_logger(__name__)
 
@@ -102,3 +123,66 @@
         if configuration.is_draining("engine", engine_id)
     }
     return leaving | drained
+
+
+def build_core(
+    settings: Settings,
+    environment: Environment,
+    tasks: TaskGroup,
+    *,
+    store: ProgramStore,
+    caller: Caller,
+    leadership: Leadership,
+    configuration: Callable[[], ConfigurationView],
+    reports: CallReports,
+) -> NodeCore:
+    """Return the parts of a node, wired together; their tasks run in ``tasks``."""
+    source = environment.random
+    http = environment.http_client
+    services = CallServices(
+        store=store,
+        models=ModelDispatcher(_build_scheduler(settings, environment)),
+        tools=ToolDispatcher(),
+        engines=EngineRegistry(http),
+        http=http,
+        leadership=leadership,
+        configuration=configuration,
+        tasks=tasks,
+        reports=reports,
+    )
+    partition_count = settings.membership.partitions
+    directory = ProgramDirectory(services, partition_count)
+    admission = Admission(settings.node.max_queued_calls)
+    releases = ReleaseLoop(services, source)
+    poller = EnginePoller(services, tasks, settings.node.engine_poll_s, source)
+    leader = LeaderService(services, directory, admission, releases, caller)
+    services.models.orders = SchedulerOrders(services, directory, releases, poller)
+    return NodeCore(
+        services=services,
+        directory=directory,
+        admission=admission,
+        releases=releases,
+        poller=poller,
+        leader=leader,
+        forwarder=Forwarder(caller, leadership, partition_count, source),
+        sweep=MemorySweep(services, directory, leader, releases, poller, source),
+    )
+
+
+def _build_scheduler(settings: Settings, environment: Environment) -> Scheduler:
+    node = settings.node
+    config = SchedulerConfig(
+        queue=QueueConfig(max_calls=node.max_queued_calls),
+        watched_engines_per_model=node.watched_engines_per_model,
+    )
+    process = settings.process
+    return Scheduler(process.zone, environment.random, config, node_key=process.name)
+
+
+def register_handlers(core: NodeCore, router: Router) -> None:
+    """Let other nodes reach the programs that this one leads."""
+    router.add_stream(CallRequest, core.leader.serve_call)
+    router.add_unary(CreateProgramRequest, core.leader.create)
+    router.add_unary(EndProgramRequest, core.leader.end)
+    router.add_unary(ReadProgramRequest, core.leader.read)
+    router.add_one_way(ProgramEndedNotice, core.leader.note_ended)
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -22,33 +22,25 @@
     CallRequest,
     CreateProgramRequest,
     EndProgramRequest,
-    ProgramEndedNotice,
     ReadProgramRequest,
 )
 from passlane.messages.store import ProgramRecord, ProgramResult, StoreDone
-from passlane.node.admission import Admission
 from passlane.node.call_reports import CallReports, ReportSink
-from passlane.node.call_services import CallServices
-from passlane.node.engine_poller import EnginePoller
-from passlane.node.engine_registry import EngineRegistry
-from passlane.node.forwarder import Emit, Forwarder
+from passlane.node.forwarder import Emit
 from passlane.node.heartbeat import HeartbeatLoop
-from passlane.node.leader_service import LeaderService
 from passlane.node.lease_leadership import LeaseLeadership
 from passlane.node.local_caller import LocalCaller
-from passlane.node.memory_sweep import MemorySweep
-from passlane.node.model_dispatcher import ModelDispatcher
-from passlane.node.node_core import NodeCore, SchedulerOrders, engines_to_avoid
-from passlane.node.program_directory import ProgramDirectory
+from passlane.node.node_core import (
+    NodeCore,
+    build_core,
+    engines_to_avoid,
+    register_handlers,
+)
 from passlane.node.program_host import ProgramHost
 from passlane.node.program_store import ProgramStore
-from passlane.node.release_loop import ReleaseLoop
-from passlane.node.tool_dispatcher import ToolDispatcher
 from passlane.observability.logging import get_logger
 from passlane.replication.client import GroupClient
 from passlane.runtime.interfaces import Environment
-from passlane.scheduling.config import QueueConfig, SchedulerConfig
-from passlane.scheduling.scheduler import Scheduler
 from passlane.settings.model import Settings
 from passlane.transport.interfaces import Caller, Router
 
@@ -129,7 +121,7 @@
         async with anyio.create_task_group() as tasks:
             core = self._build_core(tasks)
             self._core = core
-            self._register(core)
+            register_handlers(core, self._local)
             self._tell_engines()
             try:
                 tasks.start_soon(self._heartbeat.run)
@@ -140,55 +132,16 @@
                 self._core = None
 
     def _build_core(self, tasks: TaskGroup) -> NodeCore:
-        settings = self._settings
-        source = self._environment.random
-        http = self._environment.http_client
-        leadership = LeaseLeadership(self._heartbeat.lease)
-        services = CallServices(
+        return build_core(
+            self._settings,
+            self._environment,
+            tasks,
             store=ProgramStore(self._store),
-            models=ModelDispatcher(self._new_scheduler()),
-            tools=ToolDispatcher(),
-            engines=EngineRegistry(http),
-            http=http,
-            leadership=leadership,
+            caller=self._local,
+            leadership=LeaseLeadership(self._heartbeat.lease),
             configuration=lambda: self._configuration,
-            tasks=tasks,
             reports=self._reports,
-            led_partitions=lambda: self._heartbeat.lease.led_partitions,
-        )
-        partition_count = settings.membership.partitions
-        directory = ProgramDirectory(services, partition_count)
-        admission = Admission(settings.node.max_queued_calls)
-        releases = ReleaseLoop(services, source)
-        poller = EnginePoller(services, tasks, settings.node.engine_poll_s, source)
-        leader = LeaderService(services, directory, admission, releases, self._local)
-        services.models.orders = SchedulerOrders(services, directory, releases, poller)
-        return NodeCore(
-            services=services,
-            directory=directory,
-            admission=admission,
-            releases=releases,
-            poller=poller,
-            leader=leader,
-            forwarder=Forwarder(self._local, leadership, partition_count, source),
-            sweep=MemorySweep(services, directory, leader, releases, poller, source),
-        )
-
-    def _new_scheduler(self) -> Scheduler:
-        node = self._settings.node
-        config = SchedulerConfig(
-            queue=QueueConfig(max_calls=node.max_queued_calls),
-            watched_engines_per_model=node.watched_engines_per_model,
         )
-        process = self._settings.process
-        return Scheduler(process.zone, self._environment.random, config, node_key=process.name)
-
-    def _register(self, core: NodeCore) -> None:
-        self._local.add_stream(CallRequest, core.leader.serve_call)
-        self._local.add_unary(CreateProgramRequest, core.leader.create)
-        self._local.add_unary(EndProgramRequest, core.leader.end)
-        self._local.add_unary(ReadProgramRequest, core.leader.read)
-        self._local.add_one_way(ProgramEndedNotice, core.leader.note_ended)
 
     async def _keep_house(self, core: NodeCore) -> None:
         while True:
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -402,16 +402,16 @@
         if self.plan.is_named or self.plan.kind is CallKind.TOOL:
             # The caller can ask again and then gets the outcome; let it come about.
             return []
-        return self._stop_work() + self._give_up_unnamed()
+        return self._give_up_unnamed()
 
     def _give_up_unnamed(self) -> list[CallInstruction]:
-        if self.phase in (CallPhase.RECORDING_OUTCOME, CallPhase.ANSWERED):
+        """Leave the call open: its caller's node may have lost only the connection to here."""
+        if self.phase is CallPhase.RECORDING_OUTCOME:
             return []
         if self.phase is CallPhase.RECORDING_INTENT and self.sequence < 0:
             return []
-        verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
         message = "the caller left before the answer was complete"
-        return self._record(self._failed(verdict, ErrorCode.CONNECTION_LOST, message))
+        return self._stop_work() + self._refuse(ErrorCode.CONNECTION_LOST, message, None)
 
     def _stop_work(self) -> list[CallInstruction]:
         if self.phase is CallPhase.PLACING:
