--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -201,17 +201,22 @@
         in_fleet(scenario, nodes=2)
 
     def test_leader_change_between_intent_and_outcome_of_a_charge(self) -> None:
-        for behaviour, verdict in (("hang", Verdict.RAN), ("unsent", Verdict.NOT_RUN)):
+        # The application has run the charge after 5 ms; before that it never will.
+        cases = (("hang", 0.006, Verdict.RAN), ("unsent", 0.004, Verdict.NOT_RUN))
+        for behaviour, moment_s, verdict in cases:
             with self.subTest(behaviour):
 
                 async def scenario(
-                    fleet: Fleet, behaviour: str = behaviour, verdict: Verdict = verdict
+                    fleet: Fleet,
+                    behaviour: str = behaviour,
+                    moment_s: float = moment_s,
+                    verdict: Verdict = verdict,
                 ) -> None:
                     fleet.application.behaviours = [behaviour]
                     answer = Answer()
                     async with anyio.create_task_group() as tasks:
                         tasks.start_soon(fleet.call, charge(), answer, 1)
-                        await anyio.sleep(0.006)
+                        await anyio.sleep(moment_s)
                         self.assertEqual(fleet.record().calls[0].state, CallState.BEGUN)
                         fleet.lead(1)
                     assert answer.last is not None
