Operators' HTTP interface and the command line passlane

Operators had no way in: the control group answered only the internal protocol. Every process now serves documents with ETag and If-Match, progress, withdrawal, status, programs and the log, and the client passlane covers them with stated exit codes and JSON output.

--- /dev/null
+++ b/src/passlane/api/document_routes.py
@@ -0,0 +1,209 @@
+"""Operators' routes for documents and changes; they go to the control group.
+
+Versions are shown as ``ETag``. A change names the version it was based on by
+``If-Match``, or ``If-None-Match: *`` for a new document. An ``Idempotency-Key`` lets a
+change be sent again after a lost answer.
+"""
+
+import random as random_module
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+import msgspec
+
+from passlane.api.asgi import PathRouter, Request, Response, json_response
+from passlane.api.operator_problems import conflict_response
+from passlane.api.operator_views import DocumentList, change_view, document_view
+from passlane.configuration.parsing import check_name, encode_body, parse_fields, parse_kind
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.identifiers import Revision
+from passlane.messages.base import Message
+from passlane.messages.control import (
+    NO_REVISION,
+    ControlRefusal,
+    Documents,
+    Progress,
+    PutDocument,
+    PutResult,
+    ReadDocuments,
+    ReadProgress,
+    VersionConflict,
+    WithdrawChange,
+)
+
+REQUEST_TIMEOUT_S = 10.0
+OK = 200
+CREATED = 201
+KEY_BITS = 128
+MAX_KEY_LENGTH = 200
+
+
+class GroupExecutor(Protocol):
+    """Sends a request to the leader of a group; see ``replication.client.GroupClient``."""
+
+    async def execute(self, request: Message, reply: type[Any], *, timeout_s: float) -> Any:
+        """Return the leader's reply."""
+        ...
+
+
+class Handler(Protocol):
+    """Answers requests of one route."""
+
+    async def __call__(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer one request; ``parameters`` are the variable parts of its path."""
+        ...
+
+
+class DocumentRoutes:
+    """Reads, writes and withdraws through the control group.
+
+    Parameters
+    ----------
+    random
+        Source of idempotency keys for changes that come without one.
+    """
+
+    def __init__(self, control: GroupExecutor, random: random_module.Random) -> None:
+        self._control = control
+        self._random = random
+
+    def add_to(self, router: PathRouter[Handler]) -> None:
+        """Register the routes."""
+        router.add("GET", "/v1/documents", self.list_documents)
+        router.add("GET", "/v1/documents/{kind}/{name}", self.read_document)
+        router.add("PUT", "/v1/documents/{kind}/{name}", self.put_document)
+        router.add("DELETE", "/v1/documents/{kind}/{name}", self.delete_document)
+        router.add("GET", "/v1/progress/{revision}", self.read_progress)
+        router.add("POST", "/v1/withdraw/{revision}", self.withdraw)
+
+    async def list_documents(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer with all documents, or those of ``?kind=``."""
+        kind = request.query.get("kind")
+        if kind is not None:
+            parse_kind(kind)
+        found = await self._read(ReadDocuments(kind=kind))
+        return json_response(
+            OK,
+            DocumentList(
+                documents=tuple(
+                    document_view(document, found.accepted_revision) for document in found.documents
+                ),
+                newest_revision=found.newest_revision,
+                accepted_revision=found.accepted_revision,
+            ),
+        )
+
+    async def read_document(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer with the newest version of one document."""
+        kind, name = parameters["kind"], parameters["name"]
+        parse_kind(kind)
+        found = await self._read(ReadDocuments(kind=kind, name=name))
+        if not found.documents:
+            raise PasslaneError(ErrorCode.NOT_FOUND, f"there is no {kind} {name!r}")
+        document = found.documents[0]
+        view = document_view(document, found.accepted_revision)
+        return json_response(OK, view, {"etag": _etag(document.version)})
+
+    async def put_document(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Record a new document or a new version of one."""
+        kind = parse_kind(parameters["kind"])
+        check_name(parameters["name"])
+        body = encode_body(parse_fields(kind, _json_object(request.body)))
+        return await self._change(request, parameters, body)
+
+    async def delete_document(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Record the deletion of a document."""
+        parse_kind(parameters["kind"])
+        return await self._change(request, parameters, None)
+
+    async def read_progress(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer with how far a revision has come."""
+        revision = _revision(parameters)
+        progress = await self._control.execute(
+            ReadProgress(revision=revision), Progress, timeout_s=REQUEST_TIMEOUT_S
+        )
+        return json_response(OK, progress)
+
+    async def withdraw(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Withdraw a pending change."""
+        command = WithdrawChange(revision=_revision(parameters), idempotency_key=self._key(request))
+        return self._change_response(await self._send(command))
+
+    async def _change(
+        self, request: Request, parameters: Mapping[str, str], body: str | None
+    ) -> Response:
+        command = PutDocument(
+            kind=parameters["kind"],
+            name=parameters["name"],
+            body=body,
+            expected_version=_expected_version(request),
+            idempotency_key=self._key(request),
+        )
+        return self._change_response(await self._send(command))
+
+    async def _send(self, command: Message) -> Message:
+        reply: Message = await self._control.execute(command, Message, timeout_s=REQUEST_TIMEOUT_S)
+        return reply
+
+    async def _read(self, query: ReadDocuments) -> Documents:
+        found: Documents = await self._control.execute(
+            query, Documents, timeout_s=REQUEST_TIMEOUT_S
+        )
+        return found
+
+    @staticmethod
+    def _change_response(reply: Message) -> Response:
+        if isinstance(reply, PutResult):
+            document = reply.document
+            status = CREATED if document.version == 1 else OK
+            return json_response(status, change_view(document), {"etag": _etag(document.version)})
+        if isinstance(reply, VersionConflict):
+            return conflict_response(reply, NO_REVISION)
+        if isinstance(reply, ControlRefusal):
+            raise PasslaneError(ErrorCode(reply.code), reply.message)
+        raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "unexpected reply of the control group")
+
+    def _key(self, request: Request) -> str:
+        key = request.headers.get("idempotency-key")
+        if key is None:
+            return f"{self._random.getrandbits(KEY_BITS):032x}"
+        if not key or len(key) > MAX_KEY_LENGTH:
+            raise PasslaneError(
+                ErrorCode.BAD_REQUEST, f"Idempotency-Key has 1 to {MAX_KEY_LENGTH} characters"
+            )
+        return key
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        return msgspec.json.decode(body, type=dict[str, Any])
+    except msgspec.MsgspecError as error:
+        raise PasslaneError(
+            ErrorCode.BAD_REQUEST, f"the body is no JSON object: {error}"
+        ) from error
+
+
+def _etag(version: int) -> str:
+    return f'"{version}"'
+
+
+def _expected_version(request: Request) -> int:
+    if request.headers.get("if-none-match") == "*":
+        return 0
+    tag = request.headers.get("if-match")
+    if tag is None:
+        raise PasslaneError(
+            ErrorCode.PRECONDITION_REQUIRED,
+            "If-Match with the document's version, or If-None-Match: * for a new one, is needed",
+        )
+    version = tag.strip().strip('"')
+    if not version.isdecimal():
+        raise PasslaneError(ErrorCode.BAD_REQUEST, "If-Match holds no version")
+    return int(version)
+
+
+def _revision(parameters: Mapping[str, str]) -> Revision:
+    text = parameters["revision"]
+    if not text.isdecimal():
+        raise PasslaneError(ErrorCode.BAD_REQUEST, "a revision is a whole number")
+    return Revision(int(text))
--- /dev/null
+++ b/src/passlane/api/operator_views.py
@@ -0,0 +1,103 @@
+"""JSON bodies of the operators' HTTP interface."""
+
+import msgspec
+
+from passlane.identifiers import NodeId, Revision
+from passlane.messages.common import Address
+from passlane.messages.control import ControlStatus, Document, PendingChange, RegionProgress
+
+
+class DocumentView(msgspec.Struct, frozen=True):
+    """A document; ``is_accepted`` is false while its newest version is pending."""
+
+    kind: str
+    name: str
+    version: int
+    revision: Revision
+    is_accepted: bool
+    body: msgspec.Raw | None
+
+
+class DocumentList(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/documents``."""
+
+    documents: tuple[DocumentView, ...]
+    newest_revision: Revision
+    accepted_revision: Revision
+
+
+class ChangeView(msgspec.Struct, frozen=True):
+    """A recorded change: its document as it stands now and the number to watch."""
+
+    kind: str
+    name: str
+    version: int
+    revision: Revision
+    is_deletion: bool
+
+
+class ReplicaView(msgspec.Struct, frozen=True):
+    """A replica of a group, as the settings name it."""
+
+    address: Address
+    is_leader: bool
+
+
+class NodeLoad(msgspec.Struct, frozen=True):
+    """A node and the number of partitions that it leads."""
+
+    node_id: NodeId
+    partitions: int
+
+
+class SystemStatus(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/status``.
+
+    ``problems`` names the groups that did not answer; their parts are empty then.
+    """
+
+    process: str
+    region: str
+    zone: str
+    control_members: tuple[ReplicaView, ...]
+    store_members: tuple[Address, ...]
+    control_term: int
+    newest_revision: Revision
+    accepted_revision: Revision
+    pending_count: int
+    pending: tuple[PendingChange, ...]
+    regions: tuple[RegionProgress, ...]
+    nodes: tuple[NodeLoad, ...]
+    calls_in_flight: int | None
+    problems: tuple[str, ...] = ()
+
+
+def document_view(document: Document, accepted_revision: Revision) -> DocumentView:
+    """Return a document as operators see it."""
+    return DocumentView(
+        kind=document.kind,
+        name=document.name,
+        version=document.version,
+        revision=document.revision,
+        is_accepted=document.revision <= accepted_revision,
+        body=None if document.body is None else msgspec.Raw(document.body.encode()),
+    )
+
+
+def change_view(document: Document) -> ChangeView:
+    """Return what a change has written."""
+    return ChangeView(
+        kind=document.kind,
+        name=document.name,
+        version=document.version,
+        revision=document.revision,
+        is_deletion=document.body is None,
+    )
+
+
+def replica_views(
+    addresses: tuple[Address, ...], status: ControlStatus | None
+) -> tuple[ReplicaView, ...]:
+    """Return the control replicas, the leader marked if it is known."""
+    leader = None if status is None else status.leader
+    return tuple(ReplicaView(address, address == leader) for address in addresses)
--- /dev/null
+++ b/src/passlane/api/operators.py
@@ -0,0 +1,219 @@
+"""The operators' HTTP interface, served by every process.
+
+What concerns the configuration goes to the control group, what concerns programs to the
+region's store group; the log and the process's own part of the status are local.
+"""
+
+import random as random_module
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import msgspec
+import structlog
+
+from passlane.api.asgi import (
+    PathRouter,
+    Receive,
+    Request,
+    Response,
+    Scope,
+    Send,
+    json_response,
+    read_request,
+    request_headers,
+    require_token,
+    send_response,
+)
+from passlane.api.document_routes import OK, DocumentRoutes, GroupExecutor, Handler
+from passlane.api.operator_problems import problem_response
+from passlane.api.operator_views import NodeLoad, SystemStatus, replica_views
+from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.identifiers import ProgramId
+from passlane.messages.base import Message
+from passlane.messages.control import NO_REVISION, ControlStatus, ReadControlStatus
+from passlane.messages.store import (
+    Assignments,
+    ListPrograms,
+    ProgramList,
+    ProgramResult,
+    ReadAssignments,
+    ReadProgram,
+    StoreRefusal,
+)
+from passlane.settings.model import Settings
+
+MAX_BODY_BYTES = 1_000_000
+STORE_TIMEOUT_S = 5.0
+STATUS_TIMEOUT_S = 3.0
+DEFAULT_LOG_LINES = 200
+
+_log = structlog.get_logger(__name__)
+
+
+class LogRing(Protocol):
+    """Newest log lines of the process; see ``observability.ring.RingLog``."""
+
+    def lines(self, newest: int | None = None) -> list[bytes]:
+        """Return the newest lines, oldest first, each as JSON."""
+        ...
+
+
+def build_operator_application(
+    settings: Settings,
+    *,
+    control: GroupExecutor,
+    store: GroupExecutor,
+    ring: LogRing,
+    random: random_module.Random | None = None,
+    calls_in_flight: Callable[[], int] | None = None,
+) -> "OperatorApplication":
+    """Return the ASGI application for operators.
+
+    Parameters
+    ----------
+    control, store
+        Clients of the control group and of the region's store group.
+    ring
+        The process's log.
+    random
+        Source of idempotency keys for changes that come without one.
+    calls_in_flight
+        Number of calls that this process has in flight, if it is a node.
+    """
+    router: PathRouter[Handler] = PathRouter()
+    DocumentRoutes(control, random or random_module.SystemRandom()).add_to(router)
+    StatusRoutes(settings, control, store, ring, calls_in_flight).add_to(router)
+    return OperatorApplication(settings, router)
+
+
+class OperatorApplication:
+    """Checks the operator's token, finds the route, and turns errors into problems."""
+
+    def __init__(self, settings: Settings, router: PathRouter[Handler]) -> None:
+        self._tokens = settings.security.operators
+        self._router = router
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        await send_response(send, await self._respond(scope, receive))
+
+    async def _respond(self, scope: Scope, receive: Receive) -> Response:
+        try:
+            require_token(request_headers(scope), self._tokens)
+            request = await read_request(scope, receive, MAX_BODY_BYTES)
+            route = self._router.find(request.method, request.path)
+            return await route.handler(request, route.parameters)
+        except PasslaneError as error:
+            return problem_response(error)
+        except Exception:
+            _log.exception("operator_request_failed", path=scope["path"])
+            return problem_response(
+                PasslaneError(
+                    ErrorCode.INTERNAL,
+                    "internal error; see the log",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                )
+            )
+
+
+class StatusRoutes:
+    """Reads programs, the log and the state of the whole."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        control: GroupExecutor,
+        store: GroupExecutor,
+        ring: LogRing,
+        calls_in_flight: Callable[[], int] | None,
+    ) -> None:
+        self._settings = settings
+        self._control = control
+        self._store = store
+        self._ring = ring
+        self._calls_in_flight = calls_in_flight
+
+    def add_to(self, router: PathRouter[Handler]) -> None:
+        """Register the routes."""
+        router.add("GET", "/v1/status", self.read_status)
+        router.add("GET", "/v1/programs", self.list_programs)
+        router.add("GET", "/v1/programs/{id}", self.read_program)
+        router.add("GET", "/v1/log", self.read_log)
+
+    async def list_programs(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer with one line for each program of the region."""
+        return json_response(OK, await self._ask_store(ListPrograms(), ProgramList))
+
+    async def read_program(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer with the whole record of a program."""
+        query = ReadProgram(program_id=ProgramId(parameters["id"]))
+        result = await self._ask_store(query, ProgramResult)
+        return json_response(OK, result.record)
+
+    async def read_log(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer with the newest lines of this process's log, oldest first."""
+        text = request.query.get("lines", str(DEFAULT_LOG_LINES))
+        if not text.isdecimal():
+            raise PasslaneError(ErrorCode.BAD_REQUEST, "lines is a whole number")
+        lines = [msgspec.Raw(line) for line in self._ring.lines(int(text))]
+        return json_response(OK, lines)
+
+    async def read_status(self, request: Request, parameters: Mapping[str, str]) -> Response:
+        """Answer with regions, members, partitions and what is in flight.
+
+        A group that does not answer is named instead of failing the whole request:
+        the status is wanted most when something is down.
+        """
+        problems: list[str] = []
+        status: ControlStatus | None = None
+        nodes: tuple[NodeLoad, ...] = ()
+        try:
+            status = await self._control.execute(
+                ReadControlStatus(), ControlStatus, timeout_s=STATUS_TIMEOUT_S
+            )
+        except PasslaneError as error:
+            problems.append(f"control group: {error}")
+        try:
+            nodes = await self._read_node_loads()
+        except PasslaneError as error:
+            problems.append(f"store group: {error}")
+        return json_response(OK, self._system_status(status, nodes, problems))
+
+    async def _read_node_loads(self) -> tuple[NodeLoad, ...]:
+        reply = await self._store.execute(
+            ReadAssignments(), Assignments, timeout_s=STATUS_TIMEOUT_S
+        )
+        counts = Counter(assignment.node_id for assignment in reply.assignments)
+        return tuple(NodeLoad(node_id, counts[node_id]) for node_id in sorted(counts))
+
+    def _system_status(
+        self, status: ControlStatus | None, nodes: tuple[NodeLoad, ...], problems: list[str]
+    ) -> SystemStatus:
+        process = self._settings.process
+        return SystemStatus(
+            process=process.name,
+            region=process.region,
+            zone=process.zone,
+            control_members=replica_views(self._settings.control_addresses, status),
+            store_members=self._settings.store_addresses,
+            control_term=status.term if status else 0,
+            newest_revision=status.newest_revision if status else NO_REVISION,
+            accepted_revision=status.accepted_revision if status else NO_REVISION,
+            pending_count=status.pending_count if status else 0,
+            pending=status.pending if status else (),
+            regions=status.regions if status else (),
+            nodes=nodes,
+            calls_in_flight=self._calls_in_flight() if self._calls_in_flight else None,
+            problems=tuple(problems),
+        )
+
+    async def _ask_store(self, query: Message, reply: type[Any]) -> Any:
+        answer = await self._store.execute(query, Message, timeout_s=STORE_TIMEOUT_S)
+        if isinstance(answer, StoreRefusal):
+            raise PasslaneError(answer.code, answer.message)
+        if not isinstance(answer, reply):
+            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "unexpected reply of the store group")
+        return answer
--- /dev/null
+++ b/src/passlane/cli/inspection.py
@@ -0,0 +1,165 @@
+"""Commands that only look: ``status``, ``programs list``, ``programs show`` and ``log``."""
+
+from typing import Any, ClassVar
+
+import msgspec
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from passlane.api.operator_views import SystemStatus
+from passlane.cli.client import OperatorClient
+from passlane.cli.command import OperatorCommand
+from passlane.cli.exit_codes import ExitCode
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.store import ProgramRecord
+
+DEFAULT_LOG_LINES = 100
+
+
+class StatusCommand(OperatorCommand):
+    """Shows the state of the whole."""
+
+    name = "status"
+    description = "Shows regions, members, leaders, partitions and what is in flight."
+
+    async def run_with(self, client: OperatorClient) -> ExitCode:
+        """Print the status; a group that did not answer gives the exit code 6."""
+        status = await client.read_status()
+        if self.wants_json:
+            self.show_json(status)
+        else:
+            self._show(status)
+        return ExitCode.UNAVAILABLE if status.problems else ExitCode.OK
+
+    def _show(self, status: SystemStatus) -> None:
+        in_flight = (
+            ""
+            if status.calls_in_flight is None
+            else (f", {status.calls_in_flight} calls in flight")
+        )
+        lines = [
+            f"process {status.process} in region {status.region}, zone {status.zone}{in_flight}",
+            f"configuration: accepted revision {status.accepted_revision}, "
+            f"newest {status.newest_revision}, {status.pending_count} pending",
+        ]
+        lines += [
+            f"control {member.address}" + (", leader" if member.is_leader else "")
+            for member in status.control_members
+        ]
+        lines += [f"store {address}" for address in status.store_members]
+        lines += [
+            f"pending revision {change.revision}: {change.kind}/{change.name}"
+            for change in status.pending
+        ]
+        lines += [
+            f"region {region.region}: prepared {region.prepared_revision}, "
+            f"in force {region.revision_in_force}, {region.member_count} nodes, "
+            + _report_age(region.report_age_s)
+            for region in status.regions
+        ]
+        lines += [
+            f"node {node.node_id}: leads {node.partitions} partitions" for node in status.nodes
+        ]
+        lines += [f"no answer: {problem}" for problem in status.problems]
+        self.show_lines(lines)
+
+
+class ProgramsListCommand(OperatorCommand):
+    """Lists programs."""
+
+    name = "programs list"
+    description = "Lists the programs of the server's region."
+
+    async def run_with(self, client: OperatorClient) -> ExitCode:
+        """Print one line for each program."""
+        found = await client.list_programs()
+        if self.wants_json:
+            self.show_json(found)
+            return ExitCode.OK
+        rows = [
+            (
+                program.program_id,
+                program.tenant_id,
+                program.state.value,
+                program.partition,
+                program.calls,
+                f"{program.spent.tokens}/{program.budget.tokens}",
+            )
+            for program in found.programs
+        ]
+        self.show_table(("PROGRAM", "TENANT", "STATE", "PARTITION", "CALLS", "TOKENS"), rows)
+        return ExitCode.OK
+
+
+class ProgramsShowCommand(OperatorCommand):
+    """Shows one program."""
+
+    name = "programs show"
+    description = "Shows the record of a program: history, calls, budget, memory held."
+    arguments: ClassVar[list[Argument]] = [argument("program", "Program id.")]
+
+    async def run_with(self, client: OperatorClient) -> ExitCode:
+        """Print the record."""
+        record = await client.read_program(self.argument("program"))
+        if self.wants_json:
+            self.show_json(record)
+        else:
+            self._show(record)
+        return ExitCode.OK
+
+    def _show(self, record: ProgramRecord) -> None:
+        lines = [
+            f"program {record.program_id} of {record.tenant_id}, {record.state.value}, "
+            f"partition {record.partition}",
+            f"spent {_amounts(record.spent)}; reserved {_amounts(record.reserved)}; "
+            f"budget {_amounts(record.budget)}",
+        ]
+        for call in record.calls:
+            verdict = "" if call.outcome is None else f", {call.outcome.verdict.value}"
+            lines.append(
+                f"call {call.sequence} {call.call_id}: {call.kind.value} {call.target}, "
+                f"{call.state.value}{verdict}"
+            )
+        lines += [f"{turn.role}: {turn.content}" for turn in record.turns]
+        lines += [f"engine {hold.engine_id} holds memory" for hold in record.holds]
+        self.show_lines(lines)
+
+
+class LogCommand(OperatorCommand):
+    """Shows the newest log lines of a process."""
+
+    name = "log"
+    description = "Shows the newest lines of the server's log, which is kept in memory."
+    extra_options: ClassVar[list[Option]] = [
+        option("lines", "l", "Lines to show.", flag=False, default=str(DEFAULT_LOG_LINES))
+    ]
+
+    async def run_with(self, client: OperatorClient) -> ExitCode:
+        """Print the lines."""
+        text = self.option("lines")
+        if not text.isdecimal():
+            raise PasslaneError(ErrorCode.BAD_REQUEST, "--lines is a whole number")
+        lines = await client.read_log(int(text))
+        if self.wants_json:
+            self.show_json(lines)
+        else:
+            self.show_lines([_log_line(line) for line in lines])
+        return ExitCode.OK
+
+
+def _report_age(report_age_s: float | None) -> str:
+    return "has not reported" if report_age_s is None else f"last report {report_age_s:.1f} s ago"
+
+
+def _amounts(amounts: msgspec.Struct) -> str:
+    parts: dict[str, Any] = msgspec.structs.asdict(amounts)
+    return ", ".join(f"{value} {name}" for name, value in parts.items())
+
+
+def _log_line(line: dict[str, Any]) -> str:
+    event = line.pop("event", "")
+    level = line.pop("level", "")
+    timestamp = line.pop("timestamp", "")
+    rest = " ".join(f"{key}={value}" for key, value in line.items())
+    return f"{timestamp} {level} {event} {rest}".strip()
--- /dev/null
+++ b/src/passlane/cli/proofs.py
@@ -0,0 +1,108 @@
+"""Commands that prove and measure: ``sim``, ``trace replay`` and ``bench run``.
+
+The packages behind them are imported only when they are asked for, so that the other
+commands start quickly.
+"""
+
+import importlib
+import re
+from pathlib import Path
+from typing import Any, ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from passlane.cli.command import OutputCommand
+from passlane.cli.exit_codes import ExitCode
+from passlane.errors import ErrorCode, PasslaneError
+
+DEFAULT_SEEDS = "0-9"
+_SEEDS = re.compile(r"^(\d+)(?:-(\d+))?$")
+
+
+class SimulationRunCommand(OutputCommand):
+    """Runs scenarios on a virtual clock."""
+
+    name = "sim run"
+    description = "Runs a scenario, or all, with many seeds; exit code 1 if a promise broke."
+    extra_options: ClassVar[list[Option]] = [
+        option("scenario", None, "Name of a scenario, or all.", flag=False, default="all"),
+        option("seeds", None, "First and last seed, as A-B.", flag=False, default=DEFAULT_SEEDS),
+        option("defect", None, "A deliberate fault that must be caught.", flag=False),
+    ]
+
+    def execute_command(self) -> ExitCode:
+        """Run the scenarios."""
+        simulation = _load("passlane.simulation.cli")
+        seeds = parse_seeds(self.option("seeds"))
+        return _exit_code(simulation.run(self.option("scenario"), seeds, self.option("defect")))
+
+
+class SimulationListCommand(OutputCommand):
+    """Lists scenarios."""
+
+    name = "sim list"
+    description = "Lists the scenarios: the promise and the failure that each provokes."
+
+    def execute_command(self) -> ExitCode:
+        """Print the scenarios."""
+        scenarios = _load("passlane.simulation.cli").list_scenarios()
+        if self.wants_json:
+            self.show_json(scenarios)
+        else:
+            self.show_lines([str(scenario) for scenario in scenarios])
+        return ExitCode.OK
+
+
+class TraceReplayCommand(OutputCommand):
+    """Replays recorded traces."""
+
+    name = "trace replay"
+    description = "Replays traces and compares the outcomes with those stated in them."
+    arguments: ClassVar[list[Argument]] = [argument("files", "Trace files.", multiple=True)]
+
+    def execute_command(self) -> ExitCode:
+        """Replay the files."""
+        paths = [Path(name) for name in self.argument("files")]
+        missing = [str(path) for path in paths if not path.is_file()]
+        if missing:
+            raise PasslaneError(ErrorCode.NOT_FOUND, f"no such file: {', '.join(missing)}")
+        return _exit_code(_load("passlane.emulator.replay").replay_files(paths))
+
+
+class BenchRunCommand(OutputCommand):
+    """Runs an experiment."""
+
+    name = "bench run"
+    description = "Runs an experiment against its baselines."
+    arguments: ClassVar[list[Argument]] = [argument("experiment", "Name of the experiment.")]
+    extra_options: ClassVar[list[Option]] = [
+        option("report", None, "Folder for JSON and plots.", flag=False)
+    ]
+
+    def execute_command(self) -> ExitCode:
+        """Run the experiment."""
+        report = self.option("report")
+        folder = None if report is None else Path(report)
+        return _exit_code(_load("passlane.bench.cli").run(self.argument("experiment"), folder))
+
+
+def parse_seeds(text: str) -> range:
+    """Return the seeds that ``A-B`` or ``A`` stands for, both ends included."""
+    match = _SEEDS.match(text)
+    if match is None:
+        raise PasslaneError(ErrorCode.BAD_REQUEST, "--seeds is A-B, two whole numbers")
+    first = int(match.group(1))
+    last = int(match.group(2) or first)
+    if last < first:
+        raise PasslaneError(ErrorCode.BAD_REQUEST, "--seeds: the last is below the first")
+    return range(first, last + 1)
+
+
+def _load(module: str) -> Any:
+    return importlib.import_module(module)
+
+
+def _exit_code(code: int) -> ExitCode:
+    return ExitCode.OK if code == 0 else ExitCode.FAILED
--- a/src/passlane/configuration/ledger.py
+++ b/src/passlane/configuration/ledger.py
@@ -68,6 +68,10 @@
         """Return the pending change of that number, if it is pending."""
         return self._pending.get(revision)
 
+    def pending_changes(self) -> list[Document]:
+        """Return all pending changes, oldest first."""
+        return list(self._pending.values())
+
     def pending_changes_of(self, kind: str, name: str) -> list[Document]:
         """Return the pending changes of one document, oldest first."""
         return [change for change in self._pending.values() if key_of(change) == (kind, name)]
--- a/src/passlane/control/acceptance.py
+++ b/src/passlane/control/acceptance.py
@@ -1,10 +1,17 @@
 """Decides which revision every region holds, from the regions' reports."""
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from passlane.identifiers import Revision
-from passlane.messages.control import NO_REVISION, Progress, RegionProgress, RegionReport
+from passlane.messages.control import (
+    NO_REVISION,
+    Progress,
+    RegionProgress,
+    RegionReport,
+    TargetInFlight,
+)
 
 
 @dataclass(frozen=True)
@@ -49,7 +56,7 @@
     ) -> Progress:
         """Return how far ``revision`` has come.
 
-        A region that has not reported is shown with revision 0 and an endless age.
+        A region that has not reported is shown with revision 0 and no age.
         """
         shown = tuple(self._region_progress(region, now) for region in regions)
         in_force = bool(shown) and all(region.revision_in_force >= revision for region in shown)
@@ -57,8 +64,17 @@
             accepted_revision=accepted,
             in_force_everywhere=in_force and accepted >= revision,
             regions=shown,
+            in_flight=self._in_flight(regions),
         )
 
+    def _in_flight(self, regions: Sequence[str]) -> tuple[TargetInFlight, ...]:
+        calls: Counter[tuple[str, str]] = Counter()
+        for region in regions:
+            received = self._reports.get(region)
+            for entry in received.report.in_flight if received else ():
+                calls[entry.target_kind, entry.target] += entry.calls
+        return tuple(TargetInFlight(kind, name, calls[kind, name]) for kind, name in sorted(calls))
+
     def _prepared(self, region: str) -> Revision:
         received = self._reports.get(region)
         return NO_REVISION if received is None else received.report.prepared_revision
@@ -71,7 +87,7 @@
                 prepared_revision=NO_REVISION,
                 revision_in_force=NO_REVISION,
                 member_count=0,
-                report_age_s=float("inf"),
+                report_age_s=None,
             )
         report = received.report
         return RegionProgress(
--- a/src/passlane/control/service.py
+++ b/src/passlane/control/service.py
@@ -18,9 +18,13 @@
     ConfigurationDelta,
     ControlRefusal,
     ControlResult,
+    ControlStatus,
+    Document,
     Documents,
+    PendingChange,
     Progress,
     PutDocument,
+    ReadControlStatus,
     ReadDocuments,
     ReadProgress,
     RegionReport,
@@ -36,6 +40,7 @@
 
 LEADERSHIP_CHECK_S = 0.1
 RETRY_DELAY_S = 0.5
+SHOWN_PENDING_CHANGES = 100
 
 _result_decoder = message_decoder(ControlResult)
 _log = structlog.get_logger(__name__)
@@ -79,6 +84,7 @@
         router.add_unary(WithdrawChange, self.withdraw_change)
         router.add_unary(ReadDocuments, self.read_documents)
         router.add_unary(ReadProgress, self.read_progress)
+        router.add_unary(ReadControlStatus, self.read_status)
         router.add_unary(RegionReport, self.receive_report)
 
     async def run(self) -> None:
@@ -130,6 +136,28 @@
             anyio.current_time(),
         )
 
+    async def read_status(self, request: ReadControlStatus) -> ControlStatus:
+        """Return the state of the group and of the regions."""
+        await self._read_barrier()
+        self._forget_reports_of_earlier_terms()
+        ledger = self._machine.ledger
+        pending = ledger.pending_changes()
+        progress = self._tracker.progress(
+            ledger.held_revision,
+            ledger.accepted_revision,
+            self._machine.regions,
+            anyio.current_time(),
+        )
+        return ControlStatus(
+            leader=self._group.leader_address,
+            term=self._group.term,
+            newest_revision=ledger.held_revision,
+            accepted_revision=ledger.accepted_revision,
+            pending_count=len(pending),
+            pending=tuple(_pending_change(change) for change in pending[:SHOWN_PENDING_CHANGES]),
+            regions=progress.regions,
+        )
+
     async def receive_report(self, report: RegionReport) -> ConfigurationDelta:
         """Keep a region's report and return what the region lacks.
 
@@ -189,3 +217,13 @@
         if self._reports_term != self._group.term:
             self._tracker.clear()
             self._reports_term = self._group.term
+
+
+def _pending_change(change: Document) -> PendingChange:
+    return PendingChange(
+        kind=change.kind,
+        name=change.name,
+        version=change.version,
+        revision=change.revision,
+        is_deletion=change.body is None,
+    )
--- a/src/passlane/messages/control.py
+++ b/src/passlane/messages/control.py
@@ -107,6 +107,14 @@
     revision_in_force: Revision
 
 
+class TargetInFlight(msgspec.Struct, frozen=True):
+    """Calls in flight at something that is being drained (kinds as in drain documents)."""
+
+    target_kind: str
+    target: str
+    calls: int
+
+
 class RegionReport(Message, frozen=True):
     """Sent by each region's store leader to the control leader; answered by a delta.
 
@@ -118,6 +126,9 @@
         Members that are behind ``prepared_revision`` of the others, at most a few.
     held_floor
         ``floor_revision`` of the snapshot that ``held_revision`` was built on.
+    in_flight
+        Calls in flight, summed over the members, at what is being drained; targets
+        without any are left out.
     """
 
     region: str
@@ -128,6 +139,7 @@
     member_count: int
     laggards: tuple[MemberVersion, ...] = ()
     held_floor: Revision = NO_REVISION
+    in_flight: tuple[TargetInFlight, ...] = ()
 
 
 class ConfigurationDelta(Message, frozen=True):
@@ -154,34 +166,56 @@
 
 
 class RegionProgress(msgspec.Struct, frozen=True):
-    """How far one region has come; ``report_age_s`` is the age of its last report."""
+    """How far one region has come.
+
+    ``report_age_s`` is the age of its last report in seconds; ``None`` before the first.
+    """
 
     region: str
     prepared_revision: Revision
     revision_in_force: Revision
     member_count: int
-    report_age_s: float
+    report_age_s: float | None
     laggards: tuple[MemberVersion, ...] = ()
 
 
 class Progress(Message, frozen=True):
-    """Answer to ``ReadProgress``."""
+    """Answer to ``ReadProgress``; ``in_flight`` sums what the regions have reported."""
 
     accepted_revision: Revision
     in_force_everywhere: bool
     regions: tuple[RegionProgress, ...]
+    in_flight: tuple[TargetInFlight, ...] = ()
+
+
+class PendingChange(msgspec.Struct, frozen=True):
+    """A change that is not accepted yet, as shown to operators."""
+
+    kind: str
+    name: str
+    version: int
+    revision: Revision
+    is_deletion: bool
+
+
+class ReadControlStatus(Message, frozen=True):
+    """Query: the state of the control group; answered by ``ControlStatus``."""
 
 
-class ControlMember(msgspec.Struct, frozen=True):
-    """A replica of a group as shown to operators."""
+class ControlStatus(Message, frozen=True):
+    """Answer to ``ReadControlStatus``; ``pending`` holds the oldest pending changes."""
 
-    replica_id: str
-    address: Address
-    is_leader: bool
+    leader: Address | None
+    term: int
+    newest_revision: Revision
+    accepted_revision: Revision
+    pending_count: int
+    pending: tuple[PendingChange, ...]
+    regions: tuple[RegionProgress, ...]
 
 
 ControlCommand = PutDocument | WithdrawChange | AcceptRevision | SetRegions
-ControlQuery = ReadDocuments | ReadProgress | RegionReport
+ControlQuery = ReadDocuments | ReadProgress | ReadControlStatus | RegionReport
 ControlResult = (
     PutResult
     | VersionConflict
@@ -189,5 +223,6 @@
     | ControlRefusal
     | Documents
     | Progress
+    | ControlStatus
     | ConfigurationDelta
 )
--- a/src/passlane/node/led_program.py
+++ b/src/passlane/node/led_program.py
@@ -86,9 +86,7 @@
         self.calls[call.call_id] = call
         self.next_sequence = max(self.next_sequence, call.sequence + 1)
 
-    def note_finished(
-        self, call_id: CallId, outcome: CallOutcome, turns: tuple[Turn, ...]
-    ) -> None:
+    def note_finished(self, call_id: CallId, outcome: CallOutcome, turns: tuple[Turn, ...]) -> None:
         """Take in that a call's outcome is recorded."""
         call = self.calls[call_id]
         self.calls[call_id] = msgspec.structs.replace(
