--- /dev/null
+++ b/src/passlane/bench/registry.py
@@ -0,0 +1,64 @@
+"""Names of the experiments and where each one's code is.
+
+The modules are imported only when their experiment is run, so that listing the
+experiments is fast and one that lacks a library harms no other.
+"""
+
+import importlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+ExperimentFunction = Callable[[Path | None], int]
+"""Runs an experiment, writes its report below the folder if one is given, and returns
+the exit code: 0 if it ran to its end."""
+
+
+@dataclass(frozen=True)
+class Experiment:
+    """An experiment that ``passlane bench run`` knows.
+
+    Attributes
+    ----------
+    module, function
+        Where its ``ExperimentFunction`` is.
+    summary
+        One line that says what it measures.
+    """
+
+    name: str
+    module: str
+    function: str
+    summary: str
+
+    def load(self) -> ExperimentFunction:
+        """Import the experiment's module and return its function."""
+        loaded: ExperimentFunction = getattr(importlib.import_module(self.module), self.function)
+        return loaded
+
+
+EXPERIMENTS: tuple[Experiment, ...] = (
+    Experiment(
+        "scheduling",
+        "passlane.bench.scheduling",
+        "run_all",
+        "program latency and wasted cache against three baselines, all scenarios",
+    ),
+    Experiment(
+        "scheduling-quick",
+        "passlane.bench.scheduling",
+        "run_quick",
+        "the same on steady load only, one seed",
+    ),
+    Experiment(
+        "scheduler-cost",
+        "passlane.bench.scheduler_cost",
+        "run",
+        "processor time of the scheduler per call, by calls queued and engines watched",
+    ),
+)
+
+
+def find_experiment(name: str) -> Experiment | None:
+    """Return the experiment of that name, or ``None``."""
+    return next((item for item in EXPERIMENTS if item.name == name), None)
--- a/src/passlane/scheduling/config.py
+++ b/src/passlane/scheduling/config.py
@@ -1,14 +1,24 @@
 """Constants of the scheduler, in one place; units stand in the field names."""
 
+import enum
 from dataclasses import dataclass, field
 
 
+class Ordering(enum.StrEnum):
+    """How waiting calls are ordered: by the rules of ``queue``, or just by arrival."""
+
+    PROGRAMS = "programs"
+    ARRIVAL = "arrival"
+
+
 @dataclass(frozen=True, slots=True)
 class QueueConfig:
     """Order and length of the queues.
 
     Attributes
     ----------
+    ordering
+        Rules of the order; by arrival is there to compare with.
     max_calls
         Most calls that wait for one model at this node; the next is refused at once.
     class_step_s
@@ -23,6 +33,7 @@
         How many calls that wait for a better engine may be passed over in one round.
     """
 
+    ordering: Ordering = Ordering.PROGRAMS
     max_calls: int = 1_000
     class_step_s: float = 5.0
     ageing_tokens_per_s: float = 4_000.0
@@ -111,11 +122,14 @@
         A program paused this many times its expected pause is taken as not returning.
     min_overdue_s
         But not before it has paused this long.
+    enabled
+        Whether anything is released or moved before a program's end.
     """
 
     pressure: float = 0.9
     overdue_factor: float = 8.0
     min_overdue_s: float = 10.0
+    enabled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/passlane/scheduling/queue.py
+++ b/src/passlane/scheduling/queue.py
@@ -21,9 +21,11 @@
 from dataclasses import dataclass, field
 
 from passlane.identifiers import CallId, TenantId
-from passlane.scheduling.config import QueueConfig
+from passlane.scheduling.config import Ordering, QueueConfig
 from passlane.scheduling.events import CallArrived
 
+_ANY_TENANT = TenantId("")
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedCall:
@@ -100,17 +102,16 @@
         """
         if len(self._calls) >= self._config.max_calls:
             return False
+        if self._config.ordering is Ordering.ARRIVAL:
+            return True
         share = self._config.max_calls // (len(self._waiting_of) + 1)
         return self._waiting_of[tenant_id] < max(share, 1)
 
     def add(self, call: CallArrived, attained_tokens: int, now: float) -> None:
         """Queue a call whose program has attained that much service so far."""
-        counted = min(attained_tokens, self._config.max_attained_tokens)
-        due = now + counted / self._config.ageing_tokens_per_s
-        due = min(due, call.deadline - self._config.urgent_s)
-        queued = QueuedCall(call, now, due, self._next_number)
+        queued = QueuedCall(call, now, self._due(call, attained_tokens, now), self._next_number)
         self._next_number += 1
-        key = (call.tenant_id, call.service_class)
+        key = self._lane_key(call)
         lane = self._lanes.get(key)
         if lane is None:
             lane = self._lanes[key] = _Lane(*key)
@@ -132,7 +133,7 @@
         self._waiting_of[tenant_id] -= 1
         if self._waiting_of[tenant_id] == 0:
             del self._waiting_of[tenant_id]
-        key = (tenant_id, queued.call.service_class)
+        key = self._lane_key(queued.call)
         lane = self._lanes[key]
         lane.remove(queued)
         if not lane.calls:
@@ -195,6 +196,18 @@
             heapq.heappop(self._deadlines)
         return None
 
+    def _due(self, call: CallArrived, attained_tokens: int, now: float) -> float:
+        if self._config.ordering is Ordering.ARRIVAL:
+            return now
+        counted = min(attained_tokens, self._config.max_attained_tokens)
+        due = now + counted / self._config.ageing_tokens_per_s
+        return min(due, call.deadline - self._config.urgent_s)
+
+    def _lane_key(self, call: CallArrived) -> tuple[TenantId, int]:
+        if self._config.ordering is Ordering.ARRIVAL:
+            return (_ANY_TENANT, 0)
+        return (call.tenant_id, call.service_class)
+
     def _forget_idle_tenants(self) -> None:
         self._service = {
             tenant_id: service
--- a/src/passlane/scheduling/retention.py
+++ b/src/passlane/scheduling/retention.py
@@ -31,6 +31,8 @@
         Programs that are overdue go first, the longest overdue before the others, until
         the engine is below the pressure limit again.
         """
+        if not self._config.retention.enabled:
+            return []
         limit = self._config.retention.pressure * engine.body.cache_tokens
         excess = engine.cached_tokens() - limit
         if excess <= 0:
@@ -61,6 +63,8 @@
         A cache is moved when the import takes less time than computing it again, the
         program is expected back, and another engine of the model has room for it.
         """
+        if not self._config.retention.enabled:
+            return []
         rooms = {
             engine.engine_id: engine.body.cache_tokens - engine.cached_tokens()
             for engine in others
--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -43,6 +43,8 @@
     node_key
         The node's name, which decides what subset of a large fleet it watches; drawn
         from ``random`` if empty.
+    placement
+        Other rules of placement, to compare with.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         config: SchedulerConfig | None = None,
         *,
         node_key: str = "",
+        placement: Placement | None = None,
     ) -> None:
         self._config = config or SchedulerConfig()
         self._own_zone = own_zone
@@ -63,7 +66,7 @@
         self._queues: dict[str, CallQueue] = {}
         self._running: dict[CallId, tuple[events.CallArrived, EngineId]] = {}
         self._programs = AttainedService(self._config.max_programs)
-        self._placement = Placement(own_zone, random, self._config)
+        self._placement = placement or Placement(own_zone, random, self._config)
         self._retention = CacheRetention(self._config)
         self._recheck_at = math.inf
         self._output: list[instructions.Instruction] = []
