Starlark policies: checking, bounded evaluation, governor, two examples

Operators must be able to say who comes first, who shares and what a program may spend without being able to break a node. Policies are Starlark, frozen after their top level has run, so a call can neither keep state nor do I/O; steps are counted by the interpreter's own questions (one in about 1,000 instructions), which repeats on any machine, where a bound in wall time was ruled out. A submitted policy is parsed, run and dry-run on recorded calls; one that still fails later falls back to a declared default and is reported with a count.

--- /dev/null
+++ b/tests/policy/test_policy.py
@@ -0,0 +1,130 @@
+"""Policies: what is refused at submission, and what happens when one fails later."""
+
+import unittest
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from passlane.configuration.documents import PolicyBody, ServiceBody, TenantBody
+from passlane.identifiers import ProgramId, TenantId
+from passlane.messages.common import Amounts
+from passlane.policy.checking import check_policy
+from passlane.policy.facts import CallFacts, ProgramFacts
+from passlane.policy.governor import PolicyGovernor
+
+EXAMPLES = Path(__file__).parents[2] / "examples" / "policies"
+MAX_STEPS = 20_000
+TENANT = TenantId("shop")
+
+
+@dataclass
+class Configuration:
+    tenants: dict = field(default_factory=dict)
+    services: dict = field(default_factory=dict)
+    policies: dict = field(default_factory=dict)
+
+
+def configuration(source: str | None) -> Configuration:
+    tenant = TenantBody(
+        service="disputes",
+        default_budget=Amounts(tokens=100, calls=10),
+        max_budget=Amounts(tokens=1_000, calls=50, money_micros=5),
+    )
+    policies = {} if source is None else {"p": PolicyBody(source=source)}
+    return Configuration({TENANT: tenant}, {"disputes": ServiceBody(policy="p")}, policies)
+
+
+def facts(**changes) -> CallFacts:
+    return CallFacts(**{"tenant": TENANT, "program": ProgramId("p1"), "model": "m", **changes})
+
+
+class CheckPolicyTest(unittest.TestCase):
+    def test_examples_are_accepted(self):
+        files = sorted(EXAMPLES.glob("*.star"))
+        self.assertEqual(["music-house.star", "topup.star"], [file.name for file in files])
+        for file in files:
+            self.assertEqual([], check_policy(file.read_text(), MAX_STEPS), file.name)
+
+    def test_faults_are_found_before_acceptance(self):
+        loop = "def classify(call):\n  for i in range(100000000):\n    pass\n  return {}"
+        deep = "def f(n):\n  return f(n + 1)\ndef classify(call):\n  return f(0)"
+        late = (
+            "def classify(call):\n  if call['sequence'] > 100:\n    return {'class': 1 // 0}\n"
+            "  return {'class': 0}"
+        )
+        cases = {
+            "def f(:": "line 1: Parse error",
+            "x = 1": "defines none of",
+            "classify = 3": "must be a function",
+            "load('other.star', 'x')\ndef classify(c): return {}": "No imports",
+            loop: "more than 20000 steps",
+            deep: "classify:",
+            late: "line 3: classify",
+            "def classify(call): return call['secret']": "not found",
+            "def classify(call): return {'class': 1.5}": "whole number",
+            "def classify(call): return {'class': -1}": "from 0 to 9",
+            "def classify(call): return {'weight': 0}": "weight must be from",
+            "def classify(call): return {'clas': 1}": "unknown fields: clas",
+            "def share(tenant): return True": "must be a number",
+            "def budget(program): return {'tokens': -1}": "must not be negative",
+            "def budget(program): return {'tokens': 1.5}": "budget:",
+            "x = '" + "a" * 70_000 + "'": "longer than",
+        }
+        for source, expected in cases.items():
+            with self.subTest(source[:40]):
+                problems = "; ".join(str(item) for item in check_policy(source, MAX_STEPS))
+                self.assertIn(expected, problems)
+
+
+class PolicyGovernorTest(unittest.TestCase):
+    def governor(self, source: str | None) -> PolicyGovernor:
+        governor = PolicyGovernor()
+        governor.update(configuration(source))
+        return governor
+
+    def test_budget_is_cut_to_tenant_and_policy(self):
+        governor = self.governor("def budget(program): return {'calls': 20, 'deadline_s': 9.0}")
+        program = ProgramFacts(tenant=TENANT, program=ProgramId("p1"))
+        asked = Amounts(tokens=5_000, calls=40, money_micros=99)
+        decision = governor.budget(program, asked)
+        self.assertEqual(Amounts(tokens=1_000, calls=20, money_micros=5), decision.budget)
+        self.assertEqual(9.0, decision.deadline_s)
+        self.assertEqual(Amounts(tokens=100, calls=10), governor.budget(program, None).budget)
+
+    def test_run_time_error_falls_back_and_is_reported(self):
+        governor = self.governor(
+            "def classify(call):\n"
+            "  if call['prompt_tokens'] == 77:\n    return {'class': 1 // 0}\n"
+            "  return {'class': 0, 'weight': 3.0}\n"
+            "def share(tenant): return 2.0"
+        )
+        self.assertEqual(0, governor.classify(facts()).service_class)
+        self.assertEqual(6.0, governor.classify(facts()).weight)
+        for _ in range(3):
+            self.assertEqual(1, governor.classify(facts(prompt_tokens=77)).service_class)
+        problems = governor.take_problems()
+        self.assertEqual([("p", 3)], [(item.policy, item.times) for item in problems])
+        self.assertIn("zero", problems[0].message)
+        self.assertEqual([], governor.take_problems())
+        self.assertIn("default", governor.explain(facts(prompt_tokens=77)))
+
+    def test_policy_is_replaced_while_running(self):
+        governor = self.governor("def classify(call): return {'class': 0}")
+        self.assertEqual(0, governor.classify(facts()).service_class)
+        governor.update(configuration("def classify(call): return {'class': 4}"))
+        self.assertEqual(4, governor.classify(facts()).service_class)
+        governor.update(configuration("def f(:"))
+        self.assertEqual(1, governor.classify(facts()).service_class)
+        self.assertEqual(1, len(governor.take_problems()))
+        governor.update(configuration(None))
+        self.assertEqual(1, governor.classify(facts(tenant=TenantId("x"))).service_class)
+
+    def test_calls_leave_no_state_behind(self):
+        governor = self.governor(
+            "seen = []\ndef classify(call):\n  seen.append(1)\n  return {'class': len(seen)}"
+        )
+        self.assertEqual(1, governor.classify(facts()).service_class)
+        self.assertIn("classify", governor.take_problems()[0].message)
+
+
+if __name__ == "__main__":
+    unittest.main()
