--- a/src/passlane/scheduling/config.py
+++ b/src/passlane/scheduling/config.py
@@ -116,19 +116,26 @@
 
     Attributes
     ----------
-    pressure
-        Share of an engine's cache in use above which idle programs are released.
-    overdue_factor
-        A program paused this many times its expected pause is taken as not returning.
+    return_quantile, margin
+        A program is overdue when it has paused ``margin`` times as long as this share
+        of the pauses of its kind that ended with a return.
     min_overdue_s
         But not before it has paused this long.
+    overdue_factor, min_unlearned_s
+        Used in place of the above until enough pauses were seen: this many times the
+        expected pause, but not before the given time.
+    pressure
+        Share of an engine's cache in use above which the margin is given up.
     enabled
         Whether anything is released or moved before a program's end.
     """
 
-    pressure: float = 0.9
+    return_quantile: float = 0.99
+    margin: float = 1.5
+    min_overdue_s: float = 2.0
     overdue_factor: float = 8.0
-    min_overdue_s: float = 10.0
+    min_unlearned_s: float = 10.0
+    pressure: float = 0.9
     enabled: bool = True
 
 
--- a/src/passlane/scheduling/retention.py
+++ b/src/passlane/scheduling/retention.py
@@ -1,5 +1,6 @@
-"""Which caches of paused programs are kept, released, or moved off a leaving engine."""
+"""Which caches of paused programs are released, or moved off a leaving engine."""
 
+import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -7,6 +8,7 @@
 from passlane.scheduling.attained_service import AttainedService, ProgramProgress
 from passlane.scheduling.config import SchedulerConfig
 from passlane.scheduling.engine_view import EngineView
+from passlane.scheduling.pauses import PauseStatistics
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,38 +20,52 @@
 
 
 class CacheRetention:
-    """Weighs the return of paused programs against the pressure on an engine's cache."""
+    """Weighs the return of paused programs against the pressure on an engine's cache.
+
+    Each pause gets a time at which the program is overdue: a margin above the longest
+    usual pause of its kind, without the margin if its engine's cache is nearly full.
+    """
 
     def __init__(self, config: SchedulerConfig) -> None:
         self._config = config
+        self._pauses = PauseStatistics(config.retention)
+        self._overdue_at: list[tuple[float, float, ProgramId]] = []
 
-    def to_release(
-        self, engine: EngineView, programs: AttainedService, now: float
-    ) -> list[ProgramId]:
-        """Return the programs whose cache at a full engine is not worth keeping.
+    def pause(
+        self,
+        program_id: ProgramId,
+        progress: ProgramProgress,
+        engine: EngineView | None,
+        now: float,
+    ) -> None:
+        """Note that a program went to a tool or that its caller went away."""
+        if not self._config.retention.enabled or progress.paused_at is None:
+            return
+        under_pressure = (
+            engine is not None and engine.cache_pressure() >= self._config.retention.pressure
+        )
+        wait_s = self._pauses.overdue_after_s(progress.expected_s, under_pressure=under_pressure)
+        entry = (progress.paused_at + wait_s, progress.paused_at, program_id)
+        heapq.heappush(self._overdue_at, entry)
 
-        Programs that are overdue go first, the longest overdue before the others, until
-        the engine is below the pressure limit again.
-        """
-        if not self._config.retention.enabled:
-            return []
-        limit = self._config.retention.pressure * engine.body.cache_tokens
-        excess = engine.cached_tokens() - limit
-        if excess <= 0:
-            return []
-        overdue: list[tuple[float, ProgramId]] = []
-        for program_id in engine.cache.programs():
+    def resume(self, progress: ProgramProgress, now: float) -> None:
+        """Note that a paused program made its next call."""
+        if progress.paused_at is not None:
+            self._pauses.learn(progress.expected_s, now - progress.paused_at)
+
+    def next_overdue(self) -> float | None:
+        """Return when the next paused program may be overdue."""
+        return self._overdue_at[0][0] if self._overdue_at else None
+
+    def take_overdue(self, programs: AttainedService, now: float) -> list[ProgramId]:
+        """Return the programs that are overdue since the last time."""
+        overdue = []
+        while self._overdue_at and self._overdue_at[0][0] <= now:
+            _, paused_at, program_id = heapq.heappop(self._overdue_at)
             progress = programs.get(program_id)
-            if progress is not None and self._is_overdue(progress, now):
-                paused_s = now - (progress.paused_at or 0.0)
-                overdue.append((-paused_s / max(progress.expected_s, 0.1), program_id))
-        released = []
-        for _, program_id in sorted(overdue):
-            if excess <= 0:
-                break
-            excess -= engine.cache.tokens_of(program_id)
-            released.append(program_id)
-        return released
+            if progress is not None and progress.paused_at == paused_at:
+                overdue.append(program_id)
+        return overdue
 
     def moves_from(
         self,
@@ -90,7 +106,7 @@
         returning: list[tuple[float, ProgramId]] = []
         for program_id in leaving.cache.programs():
             progress = programs.get(program_id)
-            if progress is None or self._is_overdue(progress, now):
+            if progress is None:
                 continue
             back_at = now if progress.paused_at is None else progress.paused_at
             returning.append((back_at + progress.expected_s, program_id))
@@ -99,10 +115,3 @@
     def _is_import_faster(self, tokens: int) -> bool:
         engine = self._config.engine
         return tokens > 0 and engine.import_tokens_per_s > engine.prefill_tokens_per_s
-
-    def _is_overdue(self, progress: ProgramProgress, now: float) -> bool:
-        if progress.active_calls > 0 or progress.paused_at is None:
-            return False
-        retention = self._config.retention
-        limit_s = max(retention.overdue_factor * progress.expected_s, retention.min_overdue_s)
-        return now - progress.paused_at > limit_s
--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -12,7 +12,7 @@
 
 from passlane.configuration.documents import EngineBody
 from passlane.errors import ErrorCode
-from passlane.identifiers import CallId, EngineId
+from passlane.identifiers import CallId, EngineId, ProgramId
 from passlane.scheduling import events, instructions
 from passlane.scheduling.attained_service import AttainedService
 from passlane.scheduling.cache_view import CacheUpdate
@@ -106,6 +106,7 @@
         self._output = []
         self._recheck_at = math.inf
         self._refuse_expired(now)
+        self._release_overdue(now)
         self._handlers[type(event)](event, now)
         self._dispatch(now)
         self._ask_for_wake_up(now)
@@ -130,6 +131,7 @@
             )
             return
         progress = self._programs.of(event.program_id)
+        self._retention.resume(progress, now)
         progress.paused_at = None
         progress.prefix_tokens = event.prompt_tokens
         queue.add(event, progress.attained_tokens, now)
@@ -180,23 +182,25 @@
         progress = self._programs.of(event.program_id)
         progress.paused_at = now
         progress.expected_s = event.expected_s
+        engine = None
         if progress.last_engine is not None:
-            self._release_under_pressure(progress.last_engine, now)
+            engine = self._engines.get(progress.last_engine)
+        self._retention.pause(event.program_id, progress, engine, now)
 
     def _program_ended(self, event: events.ProgramEnded, now: float) -> None:
         self._programs.forget(event.program_id)
-        for engine in self._engines.values():
-            if engine.cache.tokens_of(event.program_id) > 0:
-                engine.cache.record(event.program_id, 0)
-                self._output.append(instructions.ReleaseCache(event.program_id, engine.engine_id))
+        self._release_everywhere(event.program_id)
 
-    def _release_under_pressure(self, engine_id: EngineId, now: float) -> None:
-        engine = self._engines.get(engine_id)
-        if engine is None:
-            return
-        for program_id in self._retention.to_release(engine, self._programs, now):
-            engine.cache.record(program_id, 0)
-            self._output.append(instructions.ReleaseCache(program_id, engine_id))
+    def _release_overdue(self, now: float) -> None:
+        """Release the caches of programs that most likely never return."""
+        for program_id in self._retention.take_overdue(self._programs, now):
+            self._release_everywhere(program_id)
+
+    def _release_everywhere(self, program_id: ProgramId) -> None:
+        for engine in self._engines.values():
+            if engine.cache.tokens_of(program_id) > 0:
+                engine.cache.record(program_id, 0)
+                self._output.append(instructions.ReleaseCache(program_id, engine.engine_id))
 
     # Engines.
 
@@ -238,10 +242,8 @@
 
     def _load_reported(self, event: events.LoadReported, now: float) -> None:
         engine = self._engines.get(event.load.engine_id)
-        if engine is None:
-            return
-        engine.see_load(event.load, now)
-        self._release_under_pressure(engine.engine_id, now)
+        if engine is not None:
+            engine.see_load(event.load, now)
 
     def _cache_events_reported(self, event: events.CacheEventsReported, now: float) -> None:
         engine = self._engines.get(event.engine_id)
@@ -262,8 +264,7 @@
             engine.breaker.record_failure(now)
 
     def _time_advanced(self, event: events.TimeAdvanced, now: float) -> None:
-        for engine_id in self._engines:
-            self._release_under_pressure(engine_id, now)
+        """Nothing more to do: deadlines and overdue programs are looked at with each event."""
 
     # Dispatch.
 
@@ -399,6 +400,7 @@
 
     def _ask_for_wake_up(self, now: float) -> None:
         times = [queue.next_deadline() for queue in self._queues.values()]
+        times.append(self._retention.next_overdue())
         if any(len(queue) > 0 for queue in self._queues.values()):
             times += [engine.breaker.opens_next_at(now) for engine in self._engines.values()]
             times.append(self._recheck_at)
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -163,22 +163,27 @@
         self.assertEqual(1, len(starts(scheduler.handle(events.TimeAdvanced(), wake_at))))
         self.assertEqual(1, len(starts(scheduler.handle(ended(10), wake_at + 0.1))))
 
-    def test_ended_program_is_released_and_overdue_ones_under_pressure(self):
-        small = EngineBody(
-            address=Address(host="127.0.0.1", port=1), zone="a", models=("m",), cache_tokens=3_000
-        )
-        scheduler = self.scheduler({E1: small})
-        for number, program in enumerate(("p", "q", "r")):
-            scheduler.handle(call(number, program), 0.0)
-            scheduler.handle(ended(number), 0.1)
-        output = scheduler.handle(events.ProgramEnded(ProgramId("p")), 0.2)
-        self.assertIn(instructions.ReleaseCache(ProgramId("p"), E1), output)
-        scheduler.handle(events.ProgramPaused(ProgramId("q"), 1.0), 0.2)
-        scheduler.handle(events.ProgramPaused(ProgramId("r"), 1_000.0), 0.2)
-        scheduler.handle(call(5, "s"), 100.0)
-        output = scheduler.handle(ended(5), 100.1) + scheduler.handle(events.TimeAdvanced(), 100.2)
+    def test_cache_is_released_at_the_end_and_when_a_return_is_unlikely(self):
+        scheduler = self.scheduler({E1: engine(max_batch=100)})
+        now = 0.0
+        for number in range(100):
+            now += 1.0
+            scheduler.handle(call(number, "p"), now)
+            scheduler.handle(ended(number), now + 0.2)
+            scheduler.handle(events.ProgramPaused(ProgramId("p"), 0.8), now + 0.2)
+        for number, program in enumerate(("gone", "back")):
+            scheduler.handle(call(200 + number, program), now)
+            scheduler.handle(ended(200 + number), now + 0.2)
+            scheduler.handle(events.ProgramPaused(ProgramId(program), 0.8), now + 0.2)
+        self.assertNotIn("Release", str(scheduler.handle(call(300, "back"), now + 1.0)))
+        scheduler.handle(ended(300), now + 1.2)
+        scheduler.handle(events.ProgramPaused(ProgramId("p"), 0.8), now + 1.2)
+        scheduler.handle(events.ProgramEnded(ProgramId("p")), now + 1.2)
+        output = scheduler.handle(events.TimeAdvanced(), now + 3.0)
         released = [i for i in output if isinstance(i, instructions.ReleaseCache)]
-        self.assertEqual([instructions.ReleaseCache(ProgramId("q"), E1)], released)
+        self.assertEqual([instructions.ReleaseCache(ProgramId("gone"), E1)], released)
+        output = scheduler.handle(events.ProgramEnded(ProgramId("back")), now + 3.1)
+        self.assertIn(instructions.ReleaseCache(ProgramId("back"), E1), output)
 
     def test_flooding_tenant_does_not_delay_another(self):
         scheduler = self.scheduler(queue=QueueConfig(max_calls=200))
