--- a/src/passlane/emulator/application_app.py
+++ b/src/passlane/emulator/application_app.py
@@ -9,12 +9,10 @@
     Handling,
 )
 from passlane.emulator.asgi import (
-    JSON_TYPE,
     STATUS_OK,
     Exchange,
     Route,
     build_application,
-    last_part,
 )
 from passlane.messages.backends import ToolRequest
 from passlane.runtime.interfaces import AsgiApplication
@@ -35,8 +33,8 @@
     handlers = _ApplicationHandlers(model, one_way_delay_s)
     return build_application(
         (
-            Route("POST", "/v1/tools/", handlers.tool),
-            Route("GET", "/v1/operations/", handlers.status),
+            Route("POST", "/v1/tools/{tool}", handlers.tool),
+            Route("GET", "/v1/operations/{id}", handlers.status),
             Route("GET", "/v1/ledger", handlers.ledger),
         )
     )
@@ -51,9 +49,9 @@
 
     async def tool(self, exchange: Exchange) -> None:
         """Serve ``POST /v1/tools/{tool}``."""
-        request = msgspec.json.decode(exchange.body, type=ToolRequest)
+        request = msgspec.json.decode(exchange.request.body, type=ToolRequest)
         await anyio.sleep(self._delay_s)
-        planned = self._model.receive(last_part(exchange.path), request, anyio.current_time())
+        planned = self._model.receive(exchange.parameters["tool"], request, anyio.current_time())
         if isinstance(planned, ApplicationAnswer):
             await self._answer(exchange, planned)
             return
@@ -65,7 +63,7 @@
     async def status(self, exchange: Exchange) -> None:
         """Serve ``GET /v1/operations/{id}``."""
         await anyio.sleep(self._delay_s)
-        reply = self._model.status(last_part(exchange.path))
+        reply = self._model.status(exchange.parameters["id"])
         await self._answer(exchange, ApplicationAnswer(STATUS_OK, reply))
 
     async def ledger(self, exchange: Exchange) -> None:
@@ -92,11 +90,10 @@
         if answer.breaks_off:
             await exchange.break_off()
             return
-        body = msgspec.json.encode(answer.reply)
         if answer.copies == 1:
-            await exchange.answer_bytes(answer.status, body)
+            await exchange.answer(answer.status, answer.reply)
             return
-        await exchange.start(answer.status, JSON_TYPE)
-        for _ in range(answer.copies):
-            await exchange.send_part(body + b"\n")
-        await exchange.finish()
+        body = msgspec.json.encode(answer.reply) + b"\n"
+        await exchange.start_json()
+        await exchange.send_part(body)
+        await exchange.send_part(body, last=True)
--- a/src/passlane/emulator/asgi.py
+++ b/src/passlane/emulator/asgi.py
@@ -1,87 +1,85 @@
-"""The little that the emulated back ends need of ASGI: routes, JSON and broken answers."""
+"""What the emulated back ends share: exchanges, refusals and answers that break off."""
 
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
-from urllib.parse import parse_qs
 
 import msgspec
 
+from passlane.api.asgi import (
+    EVENT_STREAM_TYPE,
+    JSON_TYPE,
+    PROBLEM_TYPE,
+    PathRouter,
+    Receive,
+    Request,
+    Response,
+    Send,
+    json_response,
+    read_request,
+    send_chunk,
+    send_response,
+    start_stream,
+)
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.runtime.interfaces import AsgiApplication
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
-JSON_TYPE = b"application/json"
-EVENT_STREAM_TYPE = b"text/event-stream"
 STATUS_OK = 200
 STATUS_ACCEPTED = 202
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
 STATUS_UNAVAILABLE = 503
+MAX_BODY_BYTES = 16_000_000
 
 
-class ErrorBody(msgspec.Struct, frozen=True):
-    """JSON body of an error: a code and a sentence."""
+class Problem(msgspec.Struct, frozen=True):
+    """Body of a refusal (RFC 9457) with a code and the verdict: nothing ran."""
 
+    status: int
     code: str
-    message: str
+    detail: str
+    title: str = "refused"
+    verdict: Verdict = Verdict.NOT_RUN
 
 
 @dataclass(frozen=True)
 class Exchange:
-    """One HTTP request and the way to answer it.
-
-    Attributes
-    ----------
-    method, path
-        From the request line, without the query.
-    query
-        First value of each query parameter.
-    body
-        The whole body.
-    """
+    """One HTTP request and the ways to answer it; ``parameters`` come from the path."""
 
-    method: str
-    path: str
-    body: bytes
+    request: Request
+    parameters: Mapping[str, str]
     receive: Receive
     send: Send
-    query: Mapping[str, str] = field(default_factory=dict)
 
-    async def answer(self, status: int, body: msgspec.Struct | tuple[msgspec.Struct, ...]) -> None:
+    async def answer(self, status: int, body: Any) -> None:
         """Send a whole JSON answer."""
-        await self.answer_bytes(status, msgspec.json.encode(body))
-
-    async def answer_error(self, status: int, code: str, message: str) -> None:
-        """Send an error."""
-        await self.answer(status, ErrorBody(code, message))
+        await send_response(self.send, json_response(status, body))
 
-    async def answer_bytes(self, status: int, body: bytes) -> None:
-        """Send a whole answer."""
-        await self.start(status, JSON_TYPE, len(body))
-        await self.send({"type": "http.response.body", "body": body})
+    async def refuse(
+        self, status: int, code: str, detail: str, retry_after_s: float | None = None
+    ) -> None:
+        """Send a refusal that proves that nothing ran."""
+        body = msgspec.json.encode(Problem(status, code, detail))
+        headers = {} if retry_after_s is None else {"retry-after": f"{retry_after_s:g}"}
+        await send_response(self.send, Response(status, body, PROBLEM_TYPE, headers))
 
-    async def start(self, status: int, content_type: bytes, length: int | None = None) -> None:
-        """Send the head of an answer; without a length the body comes in parts."""
-        headers = [(b"content-type", content_type)]
-        if length is not None:
-            headers.append((b"content-length", str(length).encode()))
-        await self.send({"type": "http.response.start", "status": status, "headers": headers})
+    async def start_events(self) -> None:
+        """Send the head of a stream of server-sent events."""
+        await start_stream(self.send, STATUS_OK, EVENT_STREAM_TYPE)
 
-    async def send_part(self, body: bytes) -> None:
-        """Send a part of the body; more follows."""
-        await self.send({"type": "http.response.body", "body": body, "more_body": True})
+    async def start_json(self) -> None:
+        """Send the head of a JSON answer that comes in parts."""
+        await start_stream(self.send, STATUS_OK, JSON_TYPE)
 
-    async def finish(self) -> None:
-        """Send the end of a body that came in parts."""
-        await self.send({"type": "http.response.body", "body": b""})
+    async def send_part(self, body: bytes, *, last: bool = False) -> None:
+        """Send a part of the body."""
+        await send_chunk(self.send, body, last=last)
 
     async def break_off(self) -> None:
         """Promise more than is sent, so that the server closes the connection."""
-        await self.start(STATUS_OK, JSON_TYPE, 1)
-        await self.send_part(b"")
+        await start_stream(self.send, STATUS_OK, JSON_TYPE, {"content-length": "1"})
+        await send_chunk(self.send, b"")
 
     async def wait_for_disconnect(self) -> None:
         """Return when the other side has closed the connection."""
@@ -94,66 +92,43 @@
 
 @dataclass(frozen=True)
 class Route:
-    """A method and a path; a path that ends in ``/`` stands for all below it."""
+    """A method and a pattern such as ``/v1/tools/{tool}``, and who serves them."""
 
     method: str
-    path: str
+    pattern: str
     handler: Handler
 
-    def matches(self, method: str, path: str) -> bool:
-        """Return whether the route serves this request."""
-        if method != self.method:
-            return False
-        if self.path.endswith("/"):
-            return path.startswith(self.path) and len(path) > len(self.path)
-        return path == self.path
-
-
-def last_part(path: str) -> str:
-    """Return what follows the last ``/``."""
-    return path.rpartition("/")[2]
-
 
 def build_application(routes: tuple[Route, ...]) -> AsgiApplication:
     """Return an ASGI application that serves ``routes``; malformed bodies get status 400."""
+    router: PathRouter[Handler] = PathRouter()
+    for route in routes:
+        router.add(route.method, route.pattern, route.handler)
 
     async def application(scope: Any, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        body = await _read_body(receive)
-        if body is None:
-            return
-        query = {
-            name: values[0] for name, values in parse_qs(scope["query_string"].decode()).items()
-        }
-        exchange = Exchange(scope["method"], scope["path"], body, receive, send, query)
-        handler = _find(routes, exchange)
-        if handler is None:
-            await exchange.answer_error(STATUS_NOT_FOUND, "not_found", "no such path")
-            return
         try:
-            await handler(exchange)
-        except msgspec.DecodeError as error:
-            await exchange.answer_error(STATUS_BAD_REQUEST, "bad_request", str(error))
+            request = await read_request(scope, receive, MAX_BODY_BYTES)
+        except PasslaneError:
+            return  # The client left, or sends more than it may.
+        await _serve(router, request, receive, send)
 
     return application
 
 
-def _find(routes: tuple[Route, ...], exchange: Exchange) -> Handler | None:
-    """Return the handler of the first route that serves a request."""
-    for route in routes:
-        if route.matches(exchange.method, exchange.path):
-            return route.handler
-    return None
-
-
-async def _read_body(receive: Receive) -> bytes | None:
-    """Return the whole body; ``None`` when the client left before its end."""
-    parts: list[bytes] = []
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            return None
-        parts.append(message.get("body", b""))
-        if not message.get("more_body", False):
-            return b"".join(parts)
+async def _serve(
+    router: PathRouter[Handler], request: Request, receive: Receive, send: Send
+) -> None:
+    """Let the handler of a request answer it."""
+    try:
+        match = router.find(request.method, request.path)
+    except PasslaneError as error:
+        nobody = Exchange(request, {}, receive, send)
+        await nobody.refuse(STATUS_NOT_FOUND, error.code, error.message)
+        return
+    exchange = Exchange(request, match.parameters, receive, send)
+    try:
+        await match.handler(exchange)
+    except msgspec.MsgspecError as error:
+        await exchange.refuse(STATUS_BAD_REQUEST, ErrorCode.BAD_REQUEST, str(error))
--- a/src/passlane/emulator/engine_app.py
+++ b/src/passlane/emulator/engine_app.py
@@ -1,14 +1,15 @@
 """The engines' HTTP protocol over an engine service, as an ASGI application."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import anyio
 import msgspec
 
 from passlane.emulator.answer_text import Answer, count_tokens
 from passlane.emulator.asgi import (
-    EVENT_STREAM_TYPE,
     STATUS_ACCEPTED,
+    STATUS_BAD_REQUEST,
     STATUS_CONFLICT,
     STATUS_NOT_FOUND,
     STATUS_OK,
@@ -24,6 +25,7 @@
     Submission,
 )
 from passlane.emulator.engine_service import EngineService, RequestRefusedError, StreamItem
+from passlane.errors import ErrorCode
 from passlane.messages.backends import (
     EngineCancel,
     EngineChatRequest,
@@ -43,12 +45,25 @@
 CacheReader = Callable[[Address, str], Awaitable[int]]
 """Asks the engine at an address how many tokens it holds for a program."""
 
-_STATUS_OF_REASON = {
-    RefusalReason.QUEUE_FULL: STATUS_UNAVAILABLE,
-    RefusalReason.MODEL_NOT_LOADED: STATUS_NOT_FOUND,
-    RefusalReason.STALE_EPOCH: STATUS_CONFLICT,
-    RefusalReason.TOO_LONG: 400,
-    RefusalReason.DUPLICATE_ATTEMPT: STATUS_CONFLICT,
+RETRY_AFTER_S = 0.5
+"""When to come back to an engine whose queue is full."""
+
+
+@dataclass(frozen=True)
+class _Refusal:
+    """How a reason to take no request looks in HTTP."""
+
+    status: int
+    code: ErrorCode
+    retry_after_s: float | None = None
+
+
+_REFUSALS = {
+    RefusalReason.QUEUE_FULL: _Refusal(STATUS_UNAVAILABLE, ErrorCode.QUEUE_FULL, RETRY_AFTER_S),
+    RefusalReason.MODEL_NOT_LOADED: _Refusal(STATUS_NOT_FOUND, ErrorCode.UNKNOWN_MODEL),
+    RefusalReason.STALE_EPOCH: _Refusal(STATUS_CONFLICT, ErrorCode.STALE_FENCING_TOKEN),
+    RefusalReason.TOO_LONG: _Refusal(STATUS_BAD_REQUEST, ErrorCode.LIMIT_EXCEEDED),
+    RefusalReason.DUPLICATE_ATTEMPT: _Refusal(STATUS_CONFLICT, ErrorCode.BACKEND_REFUSED),
 }
 
 
@@ -103,7 +118,7 @@
 
     async def chat(self, exchange: Exchange) -> None:
         """Serve ``POST /v1/chat/completions`` as a stream of server-sent events."""
-        request = msgspec.json.decode(exchange.body, type=EngineChatRequest)
+        request = msgspec.json.decode(exchange.request.body, type=EngineChatRequest)
         # The way back is waited for here too, which spares a timer for each token.
         await anyio.sleep(2 * self._delay_s)
         settings = self._service.settings
@@ -120,7 +135,7 @@
                 anyio.create_task_group() as watchers,
             ):
                 watchers.start_soon(_cancel_on_disconnect, exchange, watchers.cancel_scope)
-                await exchange.start(STATUS_OK, EVENT_STREAM_TYPE)
+                await exchange.start_events()
                 async for item in items:
                     await self._send_item(exchange, request, answer, item)
                 watchers.cancel_scope.cancel()
@@ -129,7 +144,7 @@
 
     async def cancel(self, exchange: Exchange) -> None:
         """Serve ``POST /v1/cancel``."""
-        request = msgspec.json.decode(exchange.body, type=EngineCancel)
+        request = msgspec.json.decode(exchange.request.body, type=EngineCancel)
         await self._answer(exchange, CancelReply(self._service.cancel(request.attempt_id)))
 
     async def load(self, exchange: Exchange) -> None:
@@ -139,9 +154,11 @@
 
     async def cache_events(self, exchange: Exchange) -> None:
         """Serve ``GET /v1/cache/events?after=N``."""
-        after = exchange.query.get("after", "0")
+        after = exchange.request.query.get("after", "0")
         if not after.isdigit():
-            await exchange.answer_error(400, "bad_request", "after must be a number")
+            await exchange.refuse(
+                STATUS_BAD_REQUEST, ErrorCode.BAD_REQUEST, "after must be a number"
+            )
             return
         self._service.settle()
         events = self._service.model.cache_events(int(after), anyio.current_time())
@@ -154,7 +171,7 @@
 
     async def order(self, exchange: Exchange) -> None:
         """Serve ``POST /v1/orders``: 200 done, 202 in progress, 409 stale token."""
-        order = msgspec.json.decode(exchange.body, type=EngineOrder)
+        order = msgspec.json.decode(exchange.request.body, type=EngineOrder)
         stale = self._service.model.is_stale(order)
         available = 0
         if order.kind is OrderKind.IMPORT_CACHE and not stale:
@@ -219,8 +236,7 @@
             generated_tokens=item.generated_tokens,
             incarnation=self._service.incarnation,
         )
-        await exchange.send_part(_event(chunk) + DONE_EVENT)
-        await exchange.finish()
+        await exchange.send_part(_event(chunk) + DONE_EVENT, last=True)
 
     async def _refuse(
         self, exchange: Exchange, group: BaseExceptionGroup[RequestRefusedError]
@@ -229,8 +245,10 @@
         error = group.exceptions[0]
         if not isinstance(error, RequestRefusedError):
             raise group
-        status = _STATUS_OF_REASON[error.reason]
-        await exchange.answer_error(status, error.reason.value, "refused; nothing ran")
+        refusal = _REFUSALS[error.reason]
+        await exchange.refuse(
+            refusal.status, refusal.code, error.reason.value, refusal.retry_after_s
+        )
 
 
 def _submission(request: EngineChatRequest, answer: Answer) -> Submission:
--- a/src/passlane/emulator/main.py
+++ b/src/passlane/emulator/main.py
@@ -1,14 +1,13 @@
 """``python -m passlane.emulator.main KIND --settings FILE``: an emulated back end as a process."""
 
 import argparse
-import random
+import signal
 import sys
 from pathlib import Path
 
 import anyio
-import httpcore
 import msgspec
-import uvicorn
+from anyio.abc import TaskGroup
 
 from passlane.emulator.application_app import build_tool_application
 from passlane.emulator.application_model import ApplicationModel
@@ -16,17 +15,16 @@
 from passlane.emulator.engine_service import EngineService
 from passlane.emulator.platform_app import build_platform_application
 from passlane.emulator.platform_model import PlatformModel
+from passlane.emulator.remote_cache import remote_cache_reader
 from passlane.emulator.settings import EmulatorSettings, load_emulator_settings
 from passlane.errors import PasslaneError
 from passlane.identifiers import EngineId
-from passlane.messages.backends import CacheSnapshot
 from passlane.messages.common import Address
-from passlane.runtime.interfaces import AsgiApplication
+from passlane.runtime.interfaces import AsgiApplication, Environment
+from passlane.runtime.real import build_environment
 
 KINDS = ("engine", "application", "platform")
 EXIT_INVALID_SETTINGS = 2
-IDLE_CONNECTION_S = 75
-SHUTDOWN_TIMEOUT_S = 2
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -56,65 +54,35 @@
 
 
 async def _serve(kind: str, settings: EmulatorSettings) -> None:
-    """Serve a back end until the server is told to stop."""
-    generator = random.Random(settings.seed)
+    """Serve a back end until a signal tells it to stop."""
+    environment = build_environment(Path(), settings.seed)
     async with anyio.create_task_group() as tasks:
-        if kind == "engine":
-            service = EngineService(
-                settings.engine, EngineId(settings.name), generator, settings.incarnation
-            )
-            tasks.start_soon(service.run)
-            application = build_engine_application(
-                service, _read_remote_cache, settings.one_way_delay_s
-            )
-        elif kind == "application":
-            application = build_tool_application(
-                ApplicationModel(settings.application, generator), settings.one_way_delay_s
-            )
-        else:
-            application = _platform_application(settings)
-        await _run_server(application, settings.listen)
+        application = _build(kind, settings, environment, tasks)
+        tasks.start_soon(environment.http_server.serve, settings.listen, application)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
         tasks.cancel_scope.cancel()
 
 
-def _platform_application(settings: EmulatorSettings) -> AsgiApplication:
-    """Return the application of an emulated platform."""
+def _build(
+    kind: str, settings: EmulatorSettings, environment: Environment, tasks: TaskGroup
+) -> AsgiApplication:
+    """Return the application of a back end; what it runs besides is started in ``tasks``."""
+    if kind == "engine":
+        service = EngineService(
+            settings.engine, EngineId(settings.name), environment.random, settings.incarnation
+        )
+        tasks.start_soon(service.run)
+        reader = remote_cache_reader(environment.http_client)
+        return build_engine_application(service, reader, settings.one_way_delay_s)
+    if kind == "application":
+        model = ApplicationModel(settings.application, environment.random)
+        return build_tool_application(model, settings.one_way_delay_s)
     platform = settings.platform
-    model = PlatformModel(platform.machines, platform.lag_s, anyio.current_time())
-    return build_platform_application(model)
-
-
-async def _run_server(application: AsgiApplication, listen: Address) -> None:
-    """Serve until a signal arrives."""
-    config = uvicorn.Config(
-        application,
-        host=listen.host,
-        port=listen.port,
-        http="httptools",
-        lifespan="off",
-        access_log=False,
-        log_level="critical",
-        timeout_keep_alive=IDLE_CONNECTION_S,
-        timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
+    return build_platform_application(
+        PlatformModel(platform.machines, platform.lag_s, anyio.current_time())
     )
-    await uvicorn.Server(config).serve()
-
-
-async def _read_remote_cache(address: Address, program_id: str) -> int:
-    """Ask another engine how many tokens it holds for a program.
-
-    Raises
-    ------
-    OSError
-        When it can't be asked.
-    """
-    try:
-        async with httpcore.AsyncConnectionPool() as pool:
-            response = await pool.request("GET", f"http://{address}/v1/cache")
-        snapshot = msgspec.json.decode(response.content, type=CacheSnapshot)
-    except (httpcore.NetworkError, httpcore.ProtocolError, msgspec.DecodeError) as error:
-        raise OSError(f"engine at {address}: {error}") from error
-    return sum(entry.tokens for entry in snapshot.entries if entry.program_id == program_id)
 
 
 if __name__ == "__main__":
--- a/src/passlane/emulator/platform_app.py
+++ b/src/passlane/emulator/platform_app.py
@@ -23,7 +23,7 @@
         await exchange.answer(STATUS_OK, model.read(anyio.current_time()))
 
     async def change(exchange: Exchange) -> None:
-        machine = msgspec.json.decode(exchange.body, type=PlatformMachine)
+        machine = msgspec.json.decode(exchange.request.body, type=PlatformMachine)
         _apply(model, machine, anyio.current_time())
         await exchange.answer(STATUS_OK, machine)
 
--- a/tests/emulator/test_engine_app.py
+++ b/tests/emulator/test_engine_app.py
@@ -55,6 +55,7 @@
             "method": "POST",
             "path": "/v1/chat/completions",
             "query_string": b"",
+            "headers": [],
         }
         await self._application(scope, receive, send)
 
