--- a/src/passlane/bench/fleet.py
+++ b/src/passlane/bench/fleet.py
@@ -3,7 +3,6 @@
 Signals go only to processes that this rig started, by their ids.
 """
 
-import json
 import os
 import signal
 import subprocess
@@ -122,6 +121,12 @@
             if self.processes[name].is_running
         ]
 
+    def store_addresses(self) -> list[Address]:
+        """Return the internal addresses of the store replicas."""
+        settings = self.processes[self.node_names()[0]].file.settings
+        fields = tomllib.loads(settings.read_text())
+        return [Address.parse(text) for text in fields["store_addresses"]]
+
     def operator_token(self) -> str:
         """Return the first operators' token of the example."""
         name = self.names(ProcessKind.DAEMON, "control")[0]
@@ -318,17 +323,3 @@
 def _timeouts() -> dict[str, dict[str, float]]:
     """Return the extension that bounds each part of a request."""
     return {"timeout": dict.fromkeys(("connect", "read", "write", "pool"), REQUEST_TIMEOUT_S)}
-
-
-def program_leader(fleet: Fleet, program_id: str) -> str:
-    """Return the name of the node that leads a program, as ``passlane`` shows it.
-
-    Raises
-    ------
-    FleetError
-        When the client does not say.
-    """
-    done = fleet.passlane("programs", "show", program_id, "--output", "json")
-    if done.returncode != 0:
-        raise FleetError(f"programs show failed: {done.stdout}{done.stderr}")
-    return str(json.loads(done.stdout)["leader"])
--- /dev/null
+++ b/src/passlane/bench/process_replay.py
@@ -0,0 +1,112 @@
+"""A fleet of processes as a replay sees it: callers over HTTP, faults by signals."""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from passlane.bench.fleet import Fleet, FleetError
+from passlane.bench.fleet_files import ProcessKind
+from passlane.emulator.caller import Caller
+from passlane.identifiers import NodeId, ProgramId, TenantId
+from passlane.messages.backends import CacheSnapshot, LedgerLine
+from passlane.messages.common import Address
+from passlane.messages.store import Assignments, ReadAssignments
+from passlane.messages.traces import FaultInjected, FaultKind
+from passlane.programs.partitions import partition_of
+from passlane.replication.client import GroupClient
+from passlane.runtime.interfaces import Environment, HttpRequest
+from passlane.runtime.real import build_environment
+from passlane.transport.client import ConnectionPool
+
+QUERY_TIMEOUT_S = 5.0
+
+
+class ProcessReplayFleet:
+    """Implements ``ReplayFleet`` over a running fleet of processes."""
+
+    def __init__(
+        self, fleet: Fleet, environment: Environment, store: GroupClient, tasks: TaskGroup
+    ) -> None:
+        self._fleet = fleet
+        self._environment = environment
+        self._store = store
+        self._tasks = tasks
+        self._tokens = fleet.caller_tokens()
+        self.killed: list[str] = []
+
+    def caller(self, tenant: TenantId) -> Caller:
+        """Return a caller of a tenant that knows all nodes."""
+        addresses = [self._fleet.callers_address(name) for name in self._fleet.node_names()]
+        return Caller(self._environment.http_client, addresses, self._tokens[tenant])
+
+    async def inject(self, fault: FaultInjected, program_id: str | None) -> None:
+        """Kill the leader of a program, or let all engines lose their memory."""
+        if fault.kind is FaultKind.RESTART_ENGINES:
+            for address in self._addresses(ProcessKind.ENGINE):
+                await self._request("POST", address, "/v1/test/restart")
+            return
+        if program_id is None:
+            raise FleetError("the fault's program is not known yet")
+        name = await self.leader_of(program_id)
+        self._fleet.kill(name)
+        self.killed.append(name)
+        self._tasks.start_soon(self._start_later, name, fault.restart_after_s)
+
+    async def leader_of(self, program_id: str) -> NodeId:
+        """Return the node that leads a program, as the store records it."""
+        answer = await self._store.execute(
+            ReadAssignments(), Assignments, timeout_s=QUERY_TIMEOUT_S
+        )
+        partition = partition_of(ProgramId(program_id), len(answer.assignments))
+        return next(
+            assignment.node_id
+            for assignment in answer.assignments
+            if assignment.partition == partition
+        )
+
+    async def ledger(self) -> Sequence[LedgerLine]:
+        """Return the ledgers of all applications."""
+        lines: list[LedgerLine] = []
+        for address in self._addresses(ProcessKind.APPLICATION):
+            content = await self._request("GET", address, "/v1/ledger")
+            lines += msgspec.json.decode(content, type=list[LedgerLine])
+        return lines
+
+    async def held_programs(self) -> int:
+        """Return for how many programs the engines hold memory."""
+        programs: set[ProgramId] = set()
+        for address in self._addresses(ProcessKind.ENGINE):
+            content = await self._request("GET", address, "/v1/cache")
+            snapshot = msgspec.json.decode(content, type=CacheSnapshot)
+            programs.update(entry.program_id for entry in snapshot.entries)
+        return len(programs)
+
+    async def _start_later(self, name: str, delay_s: float) -> None:
+        """Start a killed process again."""
+        await anyio.sleep(delay_s)
+        self._fleet.start(name)
+
+    def _addresses(self, kind: ProcessKind) -> list[Address]:
+        """Return the addresses of the back ends of a kind."""
+        return [self._fleet.processes[name].file.health for name in self._fleet.names(kind)]
+
+    async def _request(self, method: str, address: Address, path: str) -> bytes:
+        """Return the body of a back end's answer."""
+        request = HttpRequest(method=method, address=address, path=path)
+        async with self._environment.http_client.exchange(request) as response:
+            return b"".join([part async for part in response.chunks()])
+
+
+@asynccontextmanager
+async def process_replay_fleet(fleet: Fleet) -> AsyncIterator[ProcessReplayFleet]:
+    """Give the fleet as a replay sees it, with connections that are closed at the end."""
+    environment = build_environment(fleet.folder, seed=None)
+    pool = ConnectionPool(environment)
+    store = GroupClient(pool, fleet.store_addresses(), environment.random)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(pool.run)
+        yield ProcessReplayFleet(fleet, environment, store, tasks)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/src/passlane/emulator/trace_files.py
@@ -0,0 +1,93 @@
+"""Reads recorded traces; every fault names the file and the line."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.traces import (
+    TRACE_FORMAT,
+    TraceAction,
+    TraceLine,
+    TraceOutcome,
+    TraceStart,
+)
+
+_decoder = msgspec.json.Decoder(TraceLine)
+
+
+@dataclass(frozen=True)
+class NumberedAction:
+    """Something that happened, and the line that tells it."""
+
+    number: int
+    action: TraceAction
+
+
+@dataclass(frozen=True)
+class NumberedOutcome:
+    """A stated outcome, and the line that states it."""
+
+    number: int
+    outcome: TraceOutcome
+
+
+@dataclass(frozen=True)
+class Trace:
+    """A whole trace."""
+
+    path: Path
+    start: TraceStart
+    actions: tuple[NumberedAction, ...]
+    outcomes: tuple[NumberedOutcome, ...]
+
+
+def read_trace(path: Path) -> Trace:
+    """Return the trace in a file.
+
+    Raises
+    ------
+    PasslaneError
+        With code ``bad_request`` when the file can't be read, a line is no trace line, or
+        the first line is not a ``TraceStart`` of a known format.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise PasslaneError(ErrorCode.BAD_REQUEST, f"{path}: {error}") from error
+    lines = [
+        (number, _decode(path, number, line))
+        for number, line in enumerate(text.splitlines(), start=1)
+        if line.strip()
+    ]
+    start = lines[0][1] if lines else None
+    if not isinstance(start, TraceStart) or start.format != TRACE_FORMAT:
+        raise _fault(path, 1, f"expected a TraceStart of format {TRACE_FORMAT}")
+    return Trace(
+        path=path,
+        start=start,
+        actions=tuple(
+            NumberedAction(number, line)
+            for number, line in lines[1:]
+            if isinstance(line, TraceAction)
+        ),
+        outcomes=tuple(
+            NumberedOutcome(number, line)
+            for number, line in lines[1:]
+            if isinstance(line, TraceOutcome)
+        ),
+    )
+
+
+def _decode(path: Path, number: int, line: str) -> TraceLine:
+    """Return one line."""
+    try:
+        return _decoder.decode(line)
+    except msgspec.MsgspecError as error:
+        raise _fault(path, number, str(error)) from error
+
+
+def _fault(path: Path, number: int, message: str) -> PasslaneError:
+    """Return the error for a line."""
+    return PasslaneError(ErrorCode.BAD_REQUEST, f"{path}:{number}: {message}")
--- a/src/passlane/messages/traces.py
+++ b/src/passlane/messages/traces.py
@@ -62,31 +62,36 @@
 
 
 class FaultKind(enum.StrEnum):
-    """Failures that a trace may hold; targets are names of the deployment's processes."""
+    """Failures that a trace may hold."""
 
     KILL_LEADER = "kill_leader"
-    KILL = "kill"
-    RESTART = "restart"
-    RESTART_ENGINE = "restart_engine"
+    RESTART_ENGINES = "restart_engines"
 
 
 class FaultInjected(_Line, frozen=True):
     """Something failed.
 
-    ``target`` is a process, or for ``KILL_LEADER`` the program whose leader dies.
+    ``KILL_LEADER`` ends the node that leads ``program`` and starts it again after
+    ``restart_after_s``; ``RESTART_ENGINES`` lets all engines lose their memory.
     """
 
     at_s: float
     kind: FaultKind
-    target: str
+    program: ProgramId | None = None
+    restart_after_s: float = 5.0
 
 
 class CallOutcomeStated(_Line, frozen=True):
-    """The outcome that a call must have; ``None`` leaves a point open."""
+    """The outcome that a call must have; ``None`` leaves a point open.
+
+    ``idempotency_key`` tells calls of one sequence number apart, for example one that was
+    refused from the one that took its place.
+    """
 
     program: ProgramId
     sequence: int
     verdict: Verdict
+    idempotency_key: str | None = None
     error_code: ErrorCode | None = None
     answer: str | None = None
 
