--- /dev/null
+++ b/src/passlane/daemon/assembly.py
@@ -0,0 +1,133 @@
+"""Builds a daemon from its settings and an environment, real or simulated."""
+
+from collections.abc import Mapping
+
+import anyio
+
+from passlane.api.operators import build_operator_application
+from passlane.daemon.parts import ControlPart, NodePart, Part, PartContext, StorePart
+from passlane.observability.health import HealthApplication, ReadinessCheck
+from passlane.observability.logging import get_logger
+from passlane.observability.metrics import Metrics
+from passlane.observability.ring import RingLog
+from passlane.replication.client import GroupClient
+from passlane.runtime.interfaces import Environment
+from passlane.settings.model import Role, Settings
+from passlane.supervision.specification import ChildSpecification
+from passlane.supervision.supervisor import Supervisor
+from passlane.transport.client import ConnectionPool
+from passlane.transport.router import MessageRouter
+from passlane.transport.server import MessageServer
+
+DRAIN_MARGIN_S = 5.0
+"""Added to the node's own bound for draining before the daemon stops anyway."""
+
+_log = get_logger("daemon")
+
+_PART_OF_ROLE: Mapping[Role, type[ControlPart] | type[StorePart] | type[NodePart]] = {
+    Role.CONTROL: ControlPart,
+    Role.STORE: StorePart,
+    Role.NODE: NodePart,
+}
+
+
+class Daemon:
+    """One process of passlane: its supervisor tree and how it stops.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    environment
+        The outside world.
+    ring
+        The process's log, written to ``observability.dump_folder`` when a part fails
+        for good.
+    """
+
+    def __init__(self, settings: Settings, environment: Environment, ring: RingLog) -> None:
+        self._settings = settings
+        self._environment = environment
+        self._ring = ring
+        self.metrics = Metrics()
+        self._router = MessageRouter()
+        self._pool = ConnectionPool(environment)
+        self._parts = self._build_parts()
+        self._scope = anyio.CancelScope()
+        self._is_draining = False
+
+    def _build_parts(self) -> list[Part]:
+        context = PartContext(
+            self._settings, self._environment, self._pool, self._router, self.metrics
+        )
+        # In this order, whatever the order in the file: nodes need the groups.
+        ordered = [role for role in _PART_OF_ROLE if role in self._settings.process.roles]
+        return [_PART_OF_ROLE[role](context) for role in ordered]
+
+    async def run(self) -> None:
+        """Run until stopped.
+
+        Raises
+        ------
+        TooManyRestartsError
+            When a part failed for good; the log has been written out by then.
+        """
+        supervisor = Supervisor("daemon", self._children(), on_failure=self._write_out_log)
+        with self._scope:
+            await supervisor.run()
+
+    def _children(self) -> list[ChildSpecification]:
+        server = MessageServer(self._environment, self._settings.addresses.internal, self._router)
+        children = [
+            ChildSpecification("connections", self._pool.run),
+            ChildSpecification("messages", server.run),
+            ChildSpecification("operators", self._serve_operators),
+        ]
+        children += [ChildSpecification(part.name, part.run) for part in self._parts]
+        return children
+
+    async def _serve_operators(self) -> None:
+        settings = self._settings
+        random = self._environment.random
+        application = build_operator_application(
+            settings,
+            control=GroupClient(self._pool, settings.control_addresses, random),
+            store=GroupClient(self._pool, settings.store_addresses, random),
+            ring=self._ring,
+        )
+        checks: dict[str, ReadinessCheck] = {part.name: part.is_ready for part in self._parts}
+        checks["not_draining"] = lambda: not self._is_draining
+        await self._environment.http_server.serve(
+            settings.addresses.operators,
+            HealthApplication(self.metrics, checks, application),
+        )
+
+    async def _write_out_log(self, child: str) -> None:
+        try:
+            name = await self._ring.write_out(
+                self._environment.disk, self._settings.observability.dump_folder, child
+            )
+        except OSError:
+            _log.exception("log_not_written_out")
+        else:
+            _log.info("log_written_out", file=name)
+
+    async def drain_and_stop(self) -> None:
+        """Refuse new work, let what is in flight finish, then stop."""
+        self._is_draining = True
+        limit_s = self._settings.node.drain_timeout_s + DRAIN_MARGIN_S
+        with anyio.move_on_after(limit_s) as scope:
+            async with anyio.create_task_group() as tasks:
+                for part in self._parts:
+                    tasks.start_soon(self._drain_part, part)
+        if scope.cancelled_caught:
+            _log.warning("drain_cut_short", limit_s=limit_s)
+        self._scope.cancel()
+
+    @staticmethod
+    async def _drain_part(part: Part) -> None:
+        try:
+            await part.drain()
+        except Exception:
+            # A part that cannot drain must not keep the others from it.
+            _log.exception("drain_failed", part=part.name)
--- /dev/null
+++ b/src/passlane/daemon/parts.py
@@ -0,0 +1,201 @@
+"""The parts of a daemon, one for each role; each is a child of the daemon's supervisor.
+
+A part is run as a whole and rebuilt as a whole: when anything in it fails, all of it
+starts again from what is on disk or in the store group.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+
+from passlane.api.callers import build_caller_application
+from passlane.control.machine import ControlStateMachine
+from passlane.control.service import ControlService
+from passlane.node.service import NodeService
+from passlane.observability.metrics import Metrics
+from passlane.replication.client import GroupClient
+from passlane.replication.replica_host import ReplicaHost
+from passlane.runtime.interfaces import Environment
+from passlane.settings.model import Settings
+from passlane.store.machine import StoreStateMachine
+from passlane.store.service import StoreService
+from passlane.transport.client import ConnectionPool
+from passlane.transport.router import MessageRouter
+
+CONTROL_GROUP = "control"
+CONTROL_FOLDER = "control"
+STORE_FOLDER = "store"
+TRANSFER_POLL_S = 0.01
+TRANSFER_POLLS = 200
+
+
+def store_group_name(region: str) -> str:
+    """Return the name of a region's store group."""
+    return f"store-{region}"
+
+
+@dataclass(frozen=True)
+class PartContext:
+    """What every part of one daemon shares."""
+
+    settings: Settings
+    environment: Environment
+    pool: ConnectionPool
+    router: MessageRouter
+    metrics: Metrics
+
+
+class Part(Protocol):
+    """One role of a daemon."""
+
+    name: str
+
+    async def run(self) -> None:
+        """Run the part until cancelled; may be called again after a failure."""
+        ...
+
+    def is_ready(self) -> bool:
+        """Whether the part takes work."""
+        ...
+
+    async def drain(self) -> None:
+        """Refuse new work and return when what was in flight has ended."""
+        ...
+
+
+async def _hand_over_leadership(host: ReplicaHost) -> None:
+    """Ask another replica to lead and wait a while for that.
+
+    When none can, this replica just stops; the others elect a leader as after a crash.
+    """
+    if not host.is_leader:
+        return
+    host.transfer_leadership()
+    for _ in range(TRANSFER_POLLS):
+        if not host.is_leader:
+            return
+        await anyio.sleep(TRANSFER_POLL_S)
+
+
+class ControlPart:
+    """A replica of the control group and the service on top of it."""
+
+    name = "control"
+
+    def __init__(self, context: PartContext) -> None:
+        self._context = context
+        self._host: ReplicaHost | None = None
+
+    async def run(self) -> None:
+        """Run the replica and its service."""
+        context = self._context
+        settings = context.settings
+        machine = ControlStateMachine()
+        host = ReplicaHost(
+            CONTROL_GROUP,
+            settings.process.name,
+            settings.control_group,
+            machine,
+            context.environment,
+            context.pool,
+            context.router,
+            CONTROL_FOLDER,
+        )
+        service = ControlService(
+            host,
+            machine,
+            context.environment,
+            context.router,
+            regions=settings.control.regions or (settings.process.region,),
+        )
+        self._host = host
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(host.run)
+            tasks.start_soon(service.run)
+
+    def is_ready(self) -> bool:
+        """Whether a leader of the group is known."""
+        return self._host is not None and self._host.leader_address is not None
+
+    async def drain(self) -> None:
+        """Hand leadership to another replica if this one leads."""
+        if self._host is not None:
+            await _hand_over_leadership(self._host)
+
+
+class StorePart:
+    """A replica of the region's store group and the service on top of it."""
+
+    name = "store"
+
+    def __init__(self, context: PartContext) -> None:
+        self._context = context
+        self._host: ReplicaHost | None = None
+
+    async def run(self) -> None:
+        """Run the replica and its service."""
+        context = self._context
+        settings = context.settings
+        machine = StoreStateMachine()
+        host = ReplicaHost(
+            store_group_name(settings.process.region),
+            settings.process.name,
+            settings.store_group,
+            machine,
+            context.environment,
+            context.pool,
+            context.router,
+            STORE_FOLDER,
+        )
+        control = GroupClient(context.pool, settings.control_addresses, context.environment.random)
+        service = StoreService(
+            host, machine, settings, context.environment, context.router, control
+        )
+        self._host = host
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(host.run)
+            tasks.start_soon(service.run)
+
+    def is_ready(self) -> bool:
+        """Whether a leader of the group is known."""
+        return self._host is not None and self._host.leader_address is not None
+
+    async def drain(self) -> None:
+        """Hand leadership to another replica if this one leads."""
+        if self._host is not None:
+            await _hand_over_leadership(self._host)
+
+
+class NodePart:
+    """The node's service and the HTTP server for callers."""
+
+    name = "node"
+
+    def __init__(self, context: PartContext) -> None:
+        self._context = context
+        self._service: NodeService | None = None
+
+    async def run(self) -> None:
+        """Run the service and the callers' HTTP server."""
+        context = self._context
+        settings = context.settings
+        callers_address = settings.addresses.callers
+        if callers_address is None:
+            raise ValueError("a node needs addresses.callers")
+        store = GroupClient(context.pool, settings.store_addresses, context.environment.random)
+        service = NodeService(settings, context.environment, context.pool, context.router, store)
+        application = build_caller_application(service, settings)
+        self._service = service
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(service.run)
+            tasks.start_soon(context.environment.http_server.serve, callers_address, application)
+
+    def is_ready(self) -> bool:
+        """Whether the node holds a lease and takes calls."""
+        return self._service is not None and self._service.is_ready
+
+    async def drain(self) -> None:
+        """Refuse new calls and let those in flight finish."""
+        if self._service is not None:
+            await self._service.drain()
--- a/src/passlane/simulation/fleet_plan.py
+++ b/src/passlane/simulation/fleet_plan.py
@@ -30,6 +30,15 @@
 OPERATOR_TOKEN = "operator-token-for-simulation"
 REGION = "region"
 
+GROUP = GroupSettings(heartbeat_s=0.1, election_timeout_s=0.5, snapshot_every_entries=400)
+MEMBERSHIP = MembershipSettings(partitions=8, clock_drift_fraction=0.05)
+NODE = NodeSettings(
+    call_timeout_s=30.0,
+    drain_timeout_s=20.0,
+    engine_poll_s=0.5,
+    platform_list=Address(PLATFORM_HOST, PLATFORM_PORT),
+)
+
 
 def caller_token(tenant: str) -> str:
     """Return the bearer token of a tenant's callers."""
@@ -61,16 +70,9 @@
     tenants: tuple[str, ...] = ("shops", "school")
     same_zone_s: float = 0.0002
     other_zone_s: float = 0.0015
-    group: GroupSettings = GroupSettings(
-        heartbeat_s=0.1, election_timeout_s=0.5, snapshot_every_entries=400
-    )
-    membership: MembershipSettings = MembershipSettings(partitions=8, clock_drift_fraction=0.05)
-    node: NodeSettings = NodeSettings(
-        call_timeout_s=30.0,
-        drain_timeout_s=20.0,
-        engine_poll_s=0.5,
-        platform_list=Address(PLATFORM_HOST, PLATFORM_PORT),
-    )
+    group: GroupSettings = GROUP
+    membership: MembershipSettings = MEMBERSHIP
+    node: NodeSettings = NODE
     clock_rates: Mapping[str, float] = field(default_factory=dict)
 
     def zone_of(self, number: int) -> str:
