--- a/src/passlane/emulator/caller.py
+++ b/src/passlane/emulator/caller.py
@@ -80,7 +80,11 @@
     attempts
         Requests that were sent.
     latency_s, first_token_s
-        From the first request to the end, and to the first token of the last one.
+        From the first request to the end, and to the first token.
+    ended_at_s
+        When the call ended, on the caller's clock.
+    token_gaps_s
+        Times between the pieces of text of the last request.
     """
 
     verdict: Verdict | None = None
@@ -89,6 +93,7 @@
     message: str = ""
     attempts: int = 0
     latency_s: float = 0.0
+    ended_at_s: float = 0.0
     first_token_s: float | None = None
     token_gaps_s: list[float] = field(default_factory=list)
 
@@ -206,20 +211,21 @@
         with anyio.move_on_after(self._timeout_s):
             while True:
                 attempts += 1
-                attempt = await self._send(method, path, headers, body)
+                attempt = await self._send(method, path, headers, body, began)
                 result = attempt.result
                 if attempt.repeat_after_s is None:
                     break
                 self._next += 1
                 await anyio.sleep(min(attempt.repeat_after_s, LONGEST_PAUSE_S))
         result.attempts = attempts
-        result.latency_s = anyio.current_time() - began
+        result.ended_at_s = anyio.current_time()
+        result.latency_s = result.ended_at_s - began
         return result
 
     async def _send(
-        self, method: str, path: str, headers: Mapping[str, str], body: Any
+        self, method: str, path: str, headers: Mapping[str, str], body: Any, began: float
     ) -> _Attempt:
-        """Send a request once."""
+        """Send a request once, for a call that began at ``began``."""
         address = self._addresses[self._next % len(self._addresses)]
         request = HttpRequest(
             method=method,
@@ -234,17 +240,17 @@
         )
         try:
             async with self._http_client.exchange(request) as response:
-                return await self._read(response)
+                return await self._read(response, began)
         except OSError as error:
             lost = CallResult(code="connection_lost", message=str(error))
             return _Attempt(lost, PAUSE_BEFORE_REPEAT_S)
 
-    async def _read(self, response: HttpResponse) -> _Attempt:
+    async def _read(self, response: HttpResponse, began: float) -> _Attempt:
         """Read an answer of whichever kind."""
         if response.status >= FIRST_ERROR_STATUS:
             return await self._read_problem(response)
         if response.headers.get("content-type", "").startswith("text/event-stream"):
-            return await self._read_stream(response)
+            return await self._read_stream(response, began)
         answer = await _whole(response)
         return _Attempt(CallResult(verdict=Verdict.RAN, answer=answer.decode()))
 
@@ -258,9 +264,8 @@
         result = _failure(problem)
         return _Attempt(result, problem.retry_after_s)
 
-    async def _read_stream(self, response: HttpResponse) -> _Attempt:
+    async def _read_stream(self, response: HttpResponse, began: float) -> _Attempt:
         """Read a stream of events up to its proper end."""
-        began = anyio.current_time()
         result = CallResult()
         lines = EventLines()
         last_token_at: float | None = None
