Simulated fleet: callers, operators and the cluster around the daemons

Cause: whole daemons on the virtual clock need callers who resend, operators who change documents, back ends that note what they are sent, and one object that starts and disturbs them all. Ruled out: driving the daemons' objects directly, since only HTTP shows what users see. Before: simulated parts without a fleet.

--- a/src/passlane/api/callers.py
+++ b/src/passlane/api/callers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from passlane.api.answers import Emit, StreamedAnswer, WholeAnswer, run_until_gone
 from passlane.api.asgi import (
     PathRouter,
     Receive,
@@ -31,7 +32,6 @@
     sequence_of,
     timeout_of,
 )
-from passlane.api.answers import Emit, StreamedAnswer, WholeAnswer, run_until_gone
 from passlane.api.caller_output import CompletionWriter, program_view, tool_result
 from passlane.api.problems import problem_response
 from passlane.configuration.view import ConfigurationView
--- a/src/passlane/daemon/assembly.py
+++ b/src/passlane/daemon/assembly.py
@@ -112,6 +112,10 @@
         else:
             _log.info("log_written_out", file=name)
 
+    def leads(self, group: str) -> bool:
+        """Whether this process leads the group of that name, ``control`` or ``store``."""
+        return any(part.name == group and part.is_leader() for part in self._parts)
+
     async def drain_and_stop(self) -> None:
         """Refuse new work, let what is in flight finish, then stop."""
         self._is_draining = True
--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -59,6 +59,10 @@
         """Whether the part takes work."""
         ...
 
+    def is_leader(self) -> bool:
+        """Whether the part leads its group; false for a part without one."""
+        ...
+
     async def drain(self) -> None:
         """Refuse new work and return when what was in flight has ended."""
         ...
@@ -118,6 +122,10 @@
         """Whether a leader of the group is known."""
         return self._host is not None and self._host.leader_address is not None
 
+    def is_leader(self) -> bool:
+        """Whether this replica leads the group."""
+        return self._host is not None and self._host.is_leader
+
     async def drain(self) -> None:
         """Hand leadership to another replica if this one leads."""
         if self._host is not None:
@@ -161,6 +169,10 @@
         """Whether a leader of the group is known."""
         return self._host is not None and self._host.leader_address is not None
 
+    def is_leader(self) -> bool:
+        """Whether this replica leads the group."""
+        return self._host is not None and self._host.is_leader
+
     async def drain(self) -> None:
         """Hand leadership to another replica if this one leads."""
         if self._host is not None:
@@ -195,6 +207,10 @@
         """Whether the node holds a lease and takes calls."""
         return self._service is not None and self._service.is_ready
 
+    def is_leader(self) -> bool:
+        """Return ``False``: a node has no group of its own."""
+        return False
+
     async def drain(self) -> None:
         """Refuse new calls and let those in flight finish."""
         if self._service is not None:
--- a/src/passlane/simulation/back_ends.py
+++ b/src/passlane/simulation/back_ends.py
@@ -1,18 +1,20 @@
 """Emulated engines, applications and the platform's list on simulated hosts."""
 
 import random
+from typing import Any
 
 import anyio
-from anyio.abc import TaskGroup
+import msgspec
 
 from passlane.emulator.application_app import build_tool_application
-from passlane.emulator.application_model import ApplicationModel, ApplicationSettings
+from passlane.emulator.application_model import ApplicationModel, ApplicationSettings, Handling
 from passlane.emulator.engine_app import build_engine_application
 from passlane.emulator.engine_service import EngineService
 from passlane.emulator.engine_settings import EngineModelSettings
 from passlane.emulator.platform_app import build_platform_application
 from passlane.emulator.platform_model import PlatformModel
 from passlane.identifiers import EngineId
+from passlane.messages.backends import EngineChatRequest, EngineOrder
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import AsgiApplication
 from passlane.simulation.event_log import EventLog
@@ -24,8 +26,11 @@
 )
 from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import SimulatedNetwork
+from passlane.simulation.observer import Observations, SeenOrder, SeenPrompt, SeenToolRun
 
 PLATFORM_LAG_S = 2.0
+CHAT_PATH = "/v1/chat/completions"
+ORDERS_PATH = "/v1/orders"
 
 
 class _BackEnd:
@@ -42,6 +47,10 @@
         """IP number of the back end."""
         return self.address.host
 
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        raise NotImplementedError
+
     async def _serve(self, application: AsgiApplication) -> None:
         server = SimulatedHttpServer(self._network.host(self.host))
         await server.serve(self.address, application)
@@ -58,9 +67,11 @@
         network: SimulatedNetwork,
         seed: int,
         event_log: EventLog,
+        observations: Observations,
     ) -> None:
         super().__init__(name, Address(host, ENGINE_PORT), network)
         self._event_log = event_log
+        self._seen = observations
         self.service = EngineService(
             settings, EngineId(name), random.Random(f"{seed} {name}"), incarnation=1
         )
@@ -70,7 +81,29 @@
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.service.run)
-            tasks.start_soon(self._serve, build_engine_application(self.service))
+            tasks.start_soon(self._serve, self._observe)
+
+    async def _observe(self, scope: Any, receive: Any, send: Any) -> None:
+        """Note what arrives, then let the emulated engine answer."""
+        application = build_engine_application(self.service)
+        path = scope["path"]
+        if path not in (CHAT_PATH, ORDERS_PATH):
+            await application(scope, receive, send)
+            return
+        event = await receive()
+        if path == CHAT_PATH:
+            prompt = msgspec.json.decode(event["body"], type=EngineChatRequest)
+            self._seen.prompts.append(SeenPrompt(anyio.current_time(), self.name, prompt))
+            self._event_log.record("prompt", f"{self.name} {prompt.program_id}")
+        else:
+            order = msgspec.json.decode(event["body"], type=EngineOrder)
+            self._seen.orders.append(SeenOrder(anyio.current_time(), self.name, order))
+        pending = [event]
+
+        async def replay() -> Any:
+            return pending.pop() if pending else await receive()
+
+        await application(scope, replay, send)
 
     def crash_and_restart(self) -> None:
         """Lose all memory and connections; the engine is back at once."""
@@ -84,6 +117,38 @@
         return {entry.program_id: entry.tokens for entry in snapshot.entries}
 
 
+class _ObservedApplicationModel(ApplicationModel):
+    """Notes the time of each line of the ledger."""
+
+    def __init__(
+        self,
+        settings: ApplicationSettings,
+        generator: random.Random,
+        name: str,
+        event_log: EventLog,
+        observations: Observations,
+    ) -> None:
+        super().__init__(settings, generator)
+        self._name = name
+        self._event_log = event_log
+        self._seen = observations
+
+    def run(self, handling: Handling) -> None:
+        """Run an operation and note it."""
+        super().run(handling)
+        request = handling.request
+        self._event_log.record("ran", f"{self._name} {handling.tool} {request.arguments}")
+        self._seen.tool_runs.append(
+            SeenToolRun(
+                time=anyio.current_time(),
+                application=self._name,
+                operation_id=request.operation_id,
+                tool=handling.tool,
+                arguments=request.arguments,
+            )
+        )
+
+
 class SimulatedApplication(_BackEnd):
     """An emulated application with its ledger."""
 
@@ -94,9 +159,12 @@
         settings: ApplicationSettings,
         network: SimulatedNetwork,
         seed: int,
+        event_log: EventLog,
+        observations: Observations,
     ) -> None:
         super().__init__(name, Address(host, APPLICATION_PORT), network)
-        self.model = ApplicationModel(settings, random.Random(f"{seed} {name}"))
+        source = random.Random(f"{seed} {name}")
+        self.model = _ObservedApplicationModel(settings, source, name, event_log, observations)
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -113,9 +181,3 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         await self._serve(build_platform_application(self.model))
-
-
-def start_back_ends(tasks: TaskGroup, back_ends: list[_BackEnd]) -> None:
-    """Start serving all of them."""
-    for back_end in back_ends:
-        tasks.start_soon(back_end.run)  # type: ignore[attr-defined]
--- /dev/null
+++ b/src/passlane/simulation/callers.py
@@ -0,0 +1,278 @@
+"""Simulated callers: they run programs call by call and repeat what failed."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import msgspec
+
+from passlane.errors import Verdict
+from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.simulation.event_log import EventLog
+from passlane.simulation.fleet_plan import CALLER_HOST, FleetPlan, caller_token
+from passlane.simulation.http_calls import HttpAnswer, fetch
+from passlane.simulation.network import SimulatedNetwork
+from passlane.simulation.observer import Observations, SeenAttempt, SeenCall, SeenProgram
+
+ATTEMPT_TIMEOUT_S = 35.0
+CALL_PATIENCE_S = 120.0
+"""A caller repeats a call for so long, then gives the program up."""
+PAUSE_S = 0.5
+SETTLED_ERRORS = 3
+"""So many equal answers of an error that stands mean that the outcome is recorded."""
+FINAL_STATUSES = frozenset({400, 403, 404, 409, 422})
+CREATED = 201
+NO_CONTENT = 204
+MODEL = "agent"
+TOOL = "charge"
+
+
+@dataclass(frozen=True)
+class CallScript:
+    """One call of a scripted program; ``pause_s`` goes before it."""
+
+    is_tool: bool = False
+    is_streamed: bool = True
+    max_tokens: int = 64
+    pause_s: float = 0.2
+
+
+@dataclass(frozen=True)
+class ProgramScript:
+    """A program: its tenant, its budget and its calls."""
+
+    tenant: str
+    calls: Sequence[CallScript]
+    max_tokens: int = 100_000
+    max_calls: int = 100
+    max_money_micros: int = 1_000_000
+
+
+class SimulatedCallers:
+    """Runs programs through the nodes and notes every answer."""
+
+    def __init__(
+        self,
+        plan: FleetPlan,
+        network: SimulatedNetwork,
+        observations: Observations,
+        event_log: EventLog,
+        random_source: random.Random,
+    ) -> None:
+        self._plan = plan
+        self._client = SingleConnectionHttpClient(network.host(CALLER_HOST))
+        self._seen = observations
+        self._event_log = event_log
+        self._random = random_source
+
+    async def run_program(self, name: str, script: ProgramScript) -> SeenProgram | None:
+        """Run one program to its end; return what was seen of it."""
+        program = await self._create(name, script)
+        if program is None:
+            return None
+        for sequence, call in enumerate(script.calls):
+            await anyio.sleep(call.pause_s)
+            if not await self.make_call(program, sequence, call):
+                break
+        await self.end(program)
+        return program
+
+    async def _create(self, name: str, script: ProgramScript) -> SeenProgram | None:
+        budget = {
+            "tokens": script.max_tokens,
+            "calls": script.max_calls,
+            "money_micros": script.max_money_micros,
+        }
+        answer = await self._repeat(
+            script.tenant, "POST", "/v1/programs", {"idempotency-key": name}, {"budget": budget}
+        )
+        if answer is None or answer.status != CREATED:
+            self._event_log.record("caller", f"{name} was not created")
+            return None
+        program_id = msgspec.json.decode(answer.body)["program_id"]
+        program = SeenProgram(
+            program_id=program_id,
+            tenant=script.tenant,
+            max_calls=script.max_calls,
+            max_money_micros=script.max_money_micros,
+            max_tokens=script.max_tokens,
+            created=True,
+        )
+        self._seen.programs[program_id] = program
+        self._event_log.record("caller", f"{name} is {program_id}")
+        return program
+
+    async def _repeat(
+        self, tenant: str, method: str, path: str, headers: dict[str, str], body: Any
+    ) -> HttpAnswer | None:
+        """Send an idempotent request to one node after another until one answers it."""
+        encoded = b"" if body is None else msgspec.json.encode(body)
+        with anyio.move_on_after(CALL_PATIENCE_S):
+            while True:
+                node = self._random.choice(self._plan.node_names())
+                answer = await self._fetch(tenant, node, method, path, headers, encoded)
+                if answer.is_whole and answer.status is not None and answer.status < 500:
+                    return answer
+                await anyio.sleep(PAUSE_S)
+        return None
+
+    async def _fetch(
+        self,
+        tenant: str,
+        node: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> HttpAnswer:
+        return await fetch(
+            self._client,
+            self._plan.callers_address(node),
+            method,
+            path,
+            headers={"authorization": f"Bearer {caller_token(tenant)}", **headers},
+            body=body,
+            timeout_s=ATTEMPT_TIMEOUT_S,
+        )
+
+    async def make_call(self, program: SeenProgram, sequence: int, script: CallScript) -> bool:
+        """Make one call and repeat it until it is answered; return whether it was."""
+        call = SeenCall(
+            program_id=program.program_id,
+            sequence=sequence,
+            target=TOOL if script.is_tool else MODEL,
+            marker=f"call:{program.program_id}:{sequence}",
+            is_tool=script.is_tool,
+        )
+        program.calls.append(call)
+        deadline = anyio.current_time() + CALL_PATIENCE_S
+        while anyio.current_time() < deadline:
+            node = self._random.choice(self._plan.node_names())
+            attempt = await self._attempt(program, call, script, node)
+            self._note(call, attempt)
+            if attempt.succeeded:
+                return True
+            if _is_settled(call):
+                return False
+            await anyio.sleep(attempt.retry_after_s or PAUSE_S)
+        return False
+
+    def _note(self, call: SeenCall, attempt: SeenAttempt) -> None:
+        verdict = attempt.verdict.value if attempt.verdict else "-"
+        self._event_log.record(
+            "answer",
+            f"{call.marker} {call.target} from {attempt.node}: {attempt.status} whole="
+            f"{attempt.is_whole} {attempt.code} {verdict} {len(attempt.text)} characters",
+        )
+
+    async def _attempt(
+        self, program: SeenProgram, call: SeenCall, script: CallScript, node: str
+    ) -> SeenAttempt:
+        attempt = SeenAttempt(node=node, sent_at=anyio.current_time())
+        call.attempts.append(attempt)
+        headers = {
+            "passlane-program": program.program_id,
+            "passlane-sequence": str(call.sequence),
+            "idempotency-key": f"{program.program_id}-{call.sequence}",
+        }
+        if call.is_tool:
+            path = f"/v1/tools/{call.target}"
+            body: Any = {"marker": call.marker}
+        else:
+            path = "/v1/chat/completions"
+            message = {"role": "user", "content": f"{call.marker} what comes next?"}
+            body = {
+                "model": call.target,
+                "messages": [message],
+                "max_tokens": script.max_tokens,
+                "stream": script.is_streamed,
+            }
+        answer = await self._fetch(
+            program.tenant, node, "POST", path, headers, msgspec.json.encode(body)
+        )
+        attempt.ended_at = anyio.current_time()
+        _read_answer(attempt, answer, is_tool=call.is_tool, is_streamed=script.is_streamed)
+        return attempt
+
+    async def end(self, program: SeenProgram) -> None:
+        """End a program; note the time when that was acknowledged."""
+        path = f"/v1/programs/{program.program_id}"
+        answer = await self._repeat(program.tenant, "DELETE", path, {}, None)
+        if answer is not None and answer.status == NO_CONTENT:
+            program.ended_at = anyio.current_time()
+        self._event_log.record("caller", f"{program.program_id} ended: {program.ended_at}")
+
+    async def read_final(self, program: SeenProgram) -> None:
+        """Read the program's history and what it spent, when all is over."""
+        path = f"/v1/programs/{program.program_id}"
+        answer = await self._repeat(program.tenant, "GET", path, {}, None)
+        if answer is None or answer.status != 200:
+            return
+        view = msgspec.json.decode(answer.body)
+        program.final_turns = [(turn["role"], turn["content"]) for turn in view["history"]]
+        spent = view["spent"]
+        program.final_spent = (
+            spent.get("tokens", 0),
+            spent.get("calls", 0),
+            spent.get("money_micros", 0),
+        )
+
+
+def _is_settled(call: SeenCall) -> bool:
+    """Whether the last answers say that the call's outcome will not change any more."""
+    last = call.attempts[-1]
+    if last.status in FINAL_STATUSES and last.is_whole:
+        return True
+    newest = call.attempts[-SETTLED_ERRORS:]
+    same = all(attempt.is_whole and attempt.code == last.code for attempt in newest)
+    return len(newest) == SETTLED_ERRORS and same and last.verdict is Verdict.MAY_HAVE_RUN
+
+
+def _read_answer(
+    attempt: SeenAttempt, answer: HttpAnswer, *, is_tool: bool, is_streamed: bool
+) -> None:
+    attempt.status = answer.status
+    attempt.connected = answer.connected
+    if not answer.is_whole:
+        return
+    if answer.status != 200:
+        _read_problem(attempt, msgspec.json.decode(answer.body or b"{}"))
+        attempt.is_whole = True
+        return
+    if is_tool:
+        attempt.text = msgspec.json.encode(msgspec.json.decode(answer.body)["result"]).decode()
+        attempt.is_whole = True
+    elif is_streamed:
+        _read_events(attempt, answer.body)
+    else:
+        choice = msgspec.json.decode(answer.body)["choices"][0]
+        attempt.text = choice["message"]["content"]
+        attempt.is_whole = True
+
+
+def _read_problem(attempt: SeenAttempt, problem: dict[str, Any]) -> None:
+    attempt.code = problem.get("code", "")
+    attempt.verdict = Verdict(problem["verdict"]) if "verdict" in problem else None
+    attempt.retry_after_s = problem.get("retry_after_s")
+
+
+def _read_events(attempt: SeenAttempt, body: bytes) -> None:
+    """Read server-sent events; the answer is whole if its last chunk and end are there."""
+    parts: list[str] = []
+    has_end = False
+    for line in body.split(b"\n"):
+        if not line.startswith(b"data: ") or line == b"data: [DONE]":
+            continue
+        event = msgspec.json.decode(line.removeprefix(b"data: "))
+        if "error" in event:
+            _read_problem(attempt, event["error"])
+            attempt.status = event["error"].get("status")
+            attempt.is_whole = True
+            return
+        choice = event["choices"][0]
+        parts.append(choice["delta"].get("content") or "")
+        has_end = has_end or choice["finish_reason"] is not None
+    attempt.text = "".join(parts)
+    attempt.is_whole = has_end and b"data: [DONE]" in body
--- /dev/null
+++ b/src/passlane/simulation/cluster.py
@@ -0,0 +1,253 @@
+"""A simulated fleet: daemons, back ends, callers, operators, and the faults between them."""
+
+import random
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from passlane.daemon.assembly import Daemon
+from passlane.emulator.application_model import ApplicationSettings
+from passlane.emulator.engine_settings import EngineModelSettings
+from passlane.simulation.back_ends import SimulatedApplication, SimulatedEngine, SimulatedPlatform
+from passlane.simulation.callers import MODEL, TOOL, SimulatedCallers
+from passlane.simulation.disk import SimulatedDisk
+from passlane.simulation.event_log import EventLog
+from passlane.simulation.fleet_plan import FleetPlan
+from passlane.simulation.invariants import TOOL_PRICE_MICROS
+from passlane.simulation.network import DelayModel, SimulatedNetwork
+from passlane.simulation.observer import Observations, PlannedStop
+from passlane.simulation.operators import SimulatedOperators
+from passlane.simulation.process import DaemonFactory, SimulatedProcess
+
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.2
+ENGINE_SETTINGS = EngineModelSettings(answer_tokens_min=8, answer_tokens_max=40)
+APPLICATION_SETTINGS = ApplicationSettings(tools=(TOOL,))
+READY_PATH = "/readyz"
+
+
+class FleetNotReadyError(Exception):
+    """The fleet did not come up, although nothing was disturbed."""
+
+
+@dataclass
+class ClusterOptions:
+    """What differs between fleets besides their plan.
+
+    Attributes
+    ----------
+    build_daemon
+        Makes each daemon; replaced to seed defects.
+    """
+
+    engine: EngineModelSettings = ENGINE_SETTINGS
+    application: ApplicationSettings = APPLICATION_SETTINGS
+    build_daemon: DaemonFactory = Daemon
+    wrap_disk: Callable[[SimulatedDisk], SimulatedDisk] = field(default=lambda disk: disk)
+
+
+class Cluster:
+    """A running fleet; made by ``run_cluster``."""
+
+    def __init__(
+        self, plan: FleetPlan, seed: int, options: ClusterOptions, tasks: TaskGroup
+    ) -> None:
+        self.plan = plan
+        self.seed = seed
+        self.random = random.Random(f"{seed} scenario")
+        self.event_log = EventLog()
+        self.observations = Observations()
+        self._tasks = tasks
+        delays = DelayModel(plan.zone_of_host(), plan.same_zone_s, plan.other_zone_s)
+        self.network = SimulatedNetwork(random.Random(f"{seed} network"), delays, self.event_log)
+        self.processes = {
+            name: self._build_process(name, options)
+            for name in plan.store_names() + plan.node_names()
+        }
+        self.engines = {
+            name: SimulatedEngine(
+                name,
+                plan.host_of(name),
+                options.engine,
+                self.network,
+                seed,
+                self.event_log,
+                self.observations,
+            )
+            for name in plan.engine_names()
+        }
+        self.applications = {
+            name: SimulatedApplication(
+                name,
+                plan.host_of(name),
+                options.application,
+                self.network,
+                seed,
+                self.event_log,
+                self.observations,
+            )
+            for name in plan.application_names()
+        }
+        self.platform = SimulatedPlatform(list(self.engines), self.network)
+        self.callers = SimulatedCallers(
+            plan,
+            self.network,
+            self.observations,
+            self.event_log,
+            random.Random(f"{seed} callers"),
+        )
+        self.operators = SimulatedOperators(
+            plan,
+            self.network,
+            self.observations,
+            self.event_log,
+            random.Random(f"{seed} operators"),
+        )
+
+    def _build_process(self, name: str, options: ClusterOptions) -> SimulatedProcess:
+        disk = options.wrap_disk(SimulatedDisk(random.Random(f"{self.seed} disk {name}")))
+        return SimulatedProcess(
+            self.plan.settings_of(name),
+            self.network,
+            disk,
+            self.seed,
+            self.event_log,
+            options.build_daemon,
+        )
+
+    @property
+    def tasks(self) -> TaskGroup:
+        """Task group of the whole run, for what a scenario does in the background."""
+        return self._tasks
+
+    # Life of the fleet.
+
+    async def start(self) -> None:
+        """Start everything, wait until it is ready, and submit the configuration."""
+        back_ends = [*self.engines.values(), *self.applications.values(), self.platform]
+        for back_end in back_ends:
+            self._tasks.start_soon(back_end.run)
+        for process in self.processes.values():
+            process.start(self._tasks)
+        await self.wait_ready()
+        await self._submit_configuration()
+        self._tasks.start_soon(self.operators.watch_documents)
+
+    async def wait_ready(self, names: Iterable[str] | None = None) -> None:
+        """Wait until the processes say that they take work."""
+        waiting = list(self.processes if names is None else names)
+        with anyio.move_on_after(READY_TIMEOUT_S):
+            while waiting:
+                answer = await self.operators.request(waiting[0], "GET", READY_PATH)
+                if answer.is_whole and answer.status == 200:
+                    waiting.pop(0)
+                else:
+                    await anyio.sleep(POLL_S)
+        if waiting:
+            raise FleetNotReadyError(f"not ready within {READY_TIMEOUT_S} s: {waiting}")
+
+    async def _submit_configuration(self) -> None:
+        for kind, name, body in self.documents():
+            change = await self.operators.change(kind, name, body, 0, key=f"first-{kind}-{name}")
+            if change.accepted_at is None:
+                raise FleetNotReadyError(f"{kind}/{name} did not come into force: {change}")
+
+    def documents(self) -> list[tuple[str, str, Any]]:
+        """Return the first documents: kind, name, body."""
+        documents: list[tuple[str, str, Any]] = [
+            ("engine", name, self._engine_body(engine)) for name, engine in self.engines.items()
+        ]
+        for name, application in self.applications.items():
+            tool = {"name": TOOL, "repeatable": False, "price_micros": TOOL_PRICE_MICROS}
+            body = {
+                "address": msgspec.to_builtins(application.address),
+                "zone": self.plan.zone_of_name(name),
+                "tools": [{**tool, "timeout_s": 4.0}],
+            }
+            documents.append(("application", name, body))
+        documents.append(("service", "service", {"models": [MODEL], "tools": [TOOL]}))
+        for tenant in self.plan.tenants:
+            documents.append(("tenant", tenant, {"service": "service"}))
+        return documents
+
+    def _engine_body(self, engine: SimulatedEngine) -> dict[str, Any]:
+        settings = engine.service.settings
+        return {
+            "address": msgspec.to_builtins(engine.address),
+            "zone": self.plan.zone_of_name(engine.name),
+            "models": list(settings.models),
+            "max_batch": settings.max_batch,
+            "cache_tokens": settings.cache_tokens,
+        }
+
+    # Disturbances.
+
+    def start_process(self, name: str) -> None:
+        """Start a process again."""
+        self.processes[name].start(self._tasks)
+
+    async def stop_as_planned(self, name: str) -> None:
+        """Stop a process by SIGTERM's way and note that it was planned."""
+        began_at = anyio.current_time()
+        await self.processes[name].stop()
+        self.observations.planned_stops.append(PlannedStop(name, began_at, anyio.current_time()))
+
+    def cut_off(self, names: Iterable[str]) -> None:
+        """Cut processes off from all other hosts, in silence."""
+        names = list(names)
+        hosts = {self.plan.host_of(name) for name in names}
+        others = set(self.plan.zone_of_host()) - hosts
+        self.event_log.record("cut", " ".join(names))
+        self.network.cut(hosts, others)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.event_log.record("heal", "")
+        self.network.heal()
+
+    def leader_of(self, group: str) -> str | None:
+        """Return which store process leads ``control`` or ``store``, looking inside.
+
+        Only for choosing whom to disturb; no invariant uses it.
+        """
+        for name in self.plan.store_names():
+            daemon = self.processes[name].daemon
+            if daemon is not None and daemon.leads(group):
+                return name
+        return None
+
+    # The end of a run.
+
+    async def finish(self, quiet_s: float) -> None:
+        """Heal all, let the fleet settle, and take the last observations."""
+        self.heal()
+        for process in self.processes.values():
+            if not process.is_running:
+                process.start(self._tasks)
+        await anyio.sleep(quiet_s)
+        for program in list(self.observations.programs.values()):
+            await self.callers.read_final(program)
+        for process in self.processes.values():
+            await self.operators.read_documents(process.name)
+            if process.failure is not None:
+                self.observations.failures.append(f"{process.name}: {process.failure}")
+        for name, engine in self.engines.items():
+            self.observations.held_at_end[name] = engine.held_programs()
+        self.observations.finished_at = anyio.current_time()
+
+
+@asynccontextmanager
+async def run_cluster(
+    plan: FleetPlan, seed: int, options: ClusterOptions | None = None
+) -> AsyncIterator[Cluster]:
+    """Give a started fleet; end it on leaving."""
+    async with anyio.create_task_group() as tasks:
+        cluster = Cluster(plan, seed, options or ClusterOptions(), tasks)
+        await cluster.start()
+        yield cluster
+        tasks.cancel_scope.cancel()
--- a/src/passlane/simulation/invariants.py
+++ b/src/passlane/simulation/invariants.py
@@ -305,10 +305,9 @@
         for document in seen.documents:
             behind = document.is_accepted and document.version < change.version
             if document.name == change.name and document.time > limit and behind:
-                yield (
-                    f"{change.name}: {document.process} had version {document.version} at "
-                    f"{document.time:.3f}, {change.version} was accepted at {change.accepted_at:.3f}"
-                )
+                had = f"{document.process} had version {document.version} at {document.time:.3f}"
+                accepted = f"{change.version} was accepted at {change.accepted_at:.3f}"
+                yield f"{change.name}: {had}, {accepted}"
 
 
 def _lost_races(seen: Observations) -> Iterator[str]:
@@ -326,9 +325,7 @@
 
 INVARIANTS: tuple[Invariant, ...] = (
     Invariant("order", "The calls of one program run in order.", calls_run_in_order),
-    Invariant(
-        "history", "A history is never lost and never mixed.", history_is_kept_and_unmixed
-    ),
+    Invariant("history", "A history is never lost and never mixed.", history_is_kept_and_unmixed),
     Invariant("budget", "A program never spends beyond its budget.", budgets_are_kept),
     Invariant(
         "memory",
@@ -345,9 +342,7 @@
         "A leaving back end gets no new work after seconds.",
         leaving_back_ends_get_no_new_work,
     ),
-    Invariant(
-        "planned-stop", "A planned stop cuts off no request.", planned_stops_cut_nothing_off
-    ),
+    Invariant("planned-stop", "A planned stop cuts off no request.", planned_stops_cut_nothing_off),
     Invariant(
         "configuration",
         "An accepted configuration is in force everywhere and never reverts.",
--- /dev/null
+++ b/src/passlane/simulation/operators.py
@@ -0,0 +1,146 @@
+"""Simulated operators: they submit, change and read documents through the daemons' HTTP."""
+
+import random
+from typing import Any
+
+import anyio
+import msgspec
+
+from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.simulation.event_log import EventLog
+from passlane.simulation.fleet_plan import OPERATOR_HOST, OPERATOR_TOKEN, FleetPlan
+from passlane.simulation.http_calls import HttpAnswer, fetch
+from passlane.simulation.network import SimulatedNetwork
+from passlane.simulation.observer import Observations, SeenChange, SeenDocument
+
+REQUEST_TIMEOUT_S = 12.0
+PAUSE_S = 0.3
+WATCH_INTERVAL_S = 1.0
+CHANGED_STATUSES = frozenset({200, 201})
+ANSWERED_BELOW = 500
+
+
+class SimulatedOperators:
+    """Sends requests of operators and notes every answer."""
+
+    def __init__(
+        self,
+        plan: FleetPlan,
+        network: SimulatedNetwork,
+        observations: Observations,
+        event_log: EventLog,
+        random_source: random.Random,
+    ) -> None:
+        self._plan = plan
+        self._client = SingleConnectionHttpClient(network.host(OPERATOR_HOST))
+        self._seen = observations
+        self._event_log = event_log
+        self._random = random_source
+
+    async def request(
+        self,
+        process: str,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: Any = None,
+    ) -> HttpAnswer:
+        """Send one request to one process."""
+        return await fetch(
+            self._client,
+            self._plan.operators_address(process),
+            method,
+            path,
+            headers={"authorization": f"Bearer {OPERATOR_TOKEN}", **(headers or {})},
+            body=b"" if body is None else msgspec.json.encode(body),
+            timeout_s=REQUEST_TIMEOUT_S,
+        )
+
+    async def change(
+        self,
+        kind: str,
+        name: str,
+        body: Any,
+        expected_version: int,
+        key: str,
+        patience_s: float = 60.0,
+    ) -> SeenChange:
+        """Submit a change and repeat it with the same key until it is answered."""
+        path = f"/v1/documents/{kind}/{name}"
+        headers = {"idempotency-key": key}
+        if expected_version:
+            headers["if-match"] = f'"{expected_version}"'
+        else:
+            headers["if-none-match"] = "*"
+        sent_at = anyio.current_time()
+        status: int | None = None
+        version: int | None = None
+        revision: int | None = None
+        with anyio.move_on_after(patience_s):
+            while status is None:
+                process = self._random.choice(self._plan.store_names())
+                answer = await self.request(process, "PUT", path, headers, body)
+                if answer.is_whole and (answer.status or ANSWERED_BELOW) < ANSWERED_BELOW:
+                    status = answer.status
+                    if status in CHANGED_STATUSES:
+                        view = msgspec.json.decode(answer.body)
+                        version, revision = view["version"], view["revision"]
+                else:
+                    await anyio.sleep(PAUSE_S)
+        answered_at = anyio.current_time() if status is not None else None
+        self._event_log.record("operator", f"{path} {key}: {status} version {version}")
+        accepted_at = None
+        if revision is not None:
+            accepted_at = await self.wait_in_force(revision, patience_s)
+        change = SeenChange(
+            name=f"{kind}/{name}",
+            expected_version=expected_version,
+            version=version,
+            key=key,
+            body=msgspec.json.encode(body).decode(),
+            sent_at=sent_at,
+            answered_at=answered_at,
+            status=200 if status in CHANGED_STATUSES else status,
+            accepted_at=accepted_at,
+        )
+        self._seen.changes.append(change)
+        return change
+
+    async def wait_in_force(self, revision: int, patience_s: float) -> float | None:
+        """Wait until a revision is accepted and in force; return when that was said."""
+        with anyio.move_on_after(patience_s):
+            while True:
+                process = self._random.choice(self._plan.store_names())
+                answer = await self.request(process, "GET", f"/v1/progress/{revision}")
+                if answer.is_whole and answer.status == 200:
+                    progress = msgspec.json.decode(answer.body)
+                    if progress.get("in_force_everywhere"):
+                        self._event_log.record("operator", f"revision {revision} is in force")
+                        return anyio.current_time()
+                await anyio.sleep(PAUSE_S)
+        return None
+
+    async def watch_documents(self) -> None:
+        """Read all documents from every process again and again, until cancelled."""
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            for process in self._plan.store_names() + self._plan.node_names():
+                await self.read_documents(process)
+
+    async def read_documents(self, process: str) -> None:
+        """Note the versions that one process gives."""
+        with anyio.move_on_after(WATCH_INTERVAL_S):
+            answer = await self.request(process, "GET", "/v1/documents")
+            if not answer.is_whole or answer.status != 200:
+                return
+            now = anyio.current_time()
+            for view in msgspec.json.decode(answer.body)["documents"]:
+                self._seen.documents.append(
+                    SeenDocument(
+                        time=now,
+                        process=process,
+                        name=f"{view['kind']}/{view['name']}",
+                        version=view["version"],
+                        is_accepted=view["is_accepted"],
+                    )
+                )
