--- a/src/passlane/api/callers.py
+++ b/src/passlane/api/callers.py
@@ -125,8 +125,8 @@
             # The verdict must be the careful one: nothing is known of how far it came.
             _log.exception("request failed by a fault", path=scope["path"])
             message = "the request was stopped by an internal fault"
-            error = PasslaneError(ErrorCode.INTERNAL, message, verdict=Verdict.MAY_HAVE_RUN)
-            response = problem_response(error)
+            fault = PasslaneError(ErrorCode.INTERNAL, message, verdict=Verdict.MAY_HAVE_RUN)
+            response = problem_response(fault)
         if response is not None:
             await send_response(send, response)
 
