--- a/src/passlane/bench/fleet.py
+++ b/src/passlane/bench/fleet.py
@@ -241,7 +241,7 @@
         addresses = ",".join(str(address) for address in self.operators_addresses())
         environment = {
             **os.environ,
-            "PASSLANE_ADDRESS": addresses,
+            "PASSLANE_SERVER": addresses,
             "PASSLANE_TOKEN": self.operator_token(),
         }
         return subprocess.run(
--- a/src/passlane/emulator/settings.py
+++ b/src/passlane/emulator/settings.py
@@ -1,6 +1,7 @@
 """The settings file of an emulated back end's process, as typed structs."""
 
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -54,7 +55,15 @@
     """
     try:
         fields = msgspec.toml.decode(path.read_bytes())
-        fields["listen"] = msgspec.to_builtins(Address.parse(str(fields.get("listen", ""))))
-        return msgspec.convert(fields, EmulatorSettings)
-    except (OSError, msgspec.DecodeError, ValueError) as error:
+    except (OSError, msgspec.DecodeError) as error:
+        raise PasslaneError(ErrorCode.INVALID_SETTINGS, f"{path}: {error}") from error
+    return parse_emulator_settings(path, fields)
+
+
+def parse_emulator_settings(path: Path, fields: dict[str, Any]) -> EmulatorSettings:
+    """Return the settings held by ``fields``; raise as ``load_emulator_settings``."""
+    try:
+        listen = msgspec.to_builtins(Address.parse(str(fields.get("listen", ""))))
+        return msgspec.convert({**fields, "listen": listen}, EmulatorSettings)
+    except (ValueError, msgspec.MsgspecError) as error:
         raise PasslaneError(ErrorCode.INVALID_SETTINGS, f"{path}: {error}") from error
