--- a/src/passlane/membership/lease_table.py
+++ b/src/passlane/membership/lease_table.py
@@ -85,8 +85,6 @@
         self._members.expire(self._planner.leading, now)
         member = self._members.hear(heartbeat, now)
         self._planner.take_releases(member.life, heartbeat.released)
-        if self._planner.is_losing(member.life):
-            return LeaseDecision(lease_s=0.0)
         if not self._members.grant(member, required_revision, now):
             return LeaseDecision(lease_s=0.0)
         orders = self._planner.orders_for(member.life, self._eligible(now))
--- a/src/passlane/membership/partition_planner.py
+++ b/src/passlane/membership/partition_planner.py
@@ -1,6 +1,7 @@
 """Who shall lead each partition: lost leaders replaced, live ones relieved in order.
 
-A partition without a live leader is assigned at once. One that a live node leads is
+A partition without a live leader is assigned at once: a node whose lease has ended
+never takes up again what it led, even if it gets a new lease first. One that a live node leads is
 never taken away: the node is ordered to hand it over, and only once it has released
 the partition is the next leader assigned.
 """
@@ -58,7 +59,6 @@
         self._epochs: dict[Partition, Epoch] = {}
         self._released: dict[Partition, Epoch] = {}
         self._moves: dict[Partition, Move] = {}
-        self._losing: set[NodeLife] = set()
 
     def record_assignments(self, assignments: Iterable[PartitionAssignment]) -> None:
         """Take over the recorded table; whatever was proposed is decided by it."""
@@ -68,7 +68,6 @@
             partition = assignment.partition
             self._leaders[partition] = NodeLife(assignment.node_id, assignment.incarnation)
             self._epochs[partition] = assignment.epoch
-        self._losing.clear()
         self._released = {
             partition: epoch
             for partition, epoch in self._released.items()
@@ -85,13 +84,6 @@
         """The lives that the recorded table names."""
         return frozenset(self._leaders.values())
 
-    def is_losing(self, life: NodeLife) -> bool:
-        """Return whether partitions of ``life`` are being assigned anew as leaderless.
-
-        Until that is decided it must not get a lease: it would go on leading them.
-        """
-        return life in self._losing
-
     def count_led(self, life: NodeLife) -> int:
         """Return the number of partitions that the table gives to ``life``."""
         return sum(1 for leader in self._leaders.values() if leader == life)
@@ -128,7 +120,6 @@
             target = self._target_for(partition, candidates, loads)
             if target is None:
                 continue
-            self._note_loss(partition)
             loads[target] = loads.get(target, 0) + 1
             planned.append(
                 PartitionAssignment(
@@ -141,10 +132,6 @@
             )
         return tuple(planned)
 
-    def _note_loss(self, partition: Partition) -> None:
-        if partition not in self._released and partition in self._leaders:
-            self._losing.add(self._leaders[partition])
-
     def _leaderless(self, active: Collection[NodeLife]) -> list[Partition]:
         """Return the partitions that nobody leads, or whose leader has stopped."""
         return [
--- a/src/passlane/messages/membership.py
+++ b/src/passlane/messages/membership.py
@@ -35,6 +35,7 @@
 
     ``incarnation`` differs for each start of the process. ``prepared_revision`` is the
     newest configuration the node holds, ``revision_in_force`` the one it acts on.
+    ``configuration_floor`` is the ``floor_revision`` of the snapshot that it began with.
     ``released`` is repeated until the table names another epoch for the partition.
     """
 
@@ -47,6 +48,7 @@
     table_version: int
     draining: bool = False
     released: tuple[PartitionRelease, ...] = ()
+    configuration_floor: Revision = Revision(0)
 
 
 class NodeView(msgspec.Struct, frozen=True):
--- a/src/passlane/messages/store.py
+++ b/src/passlane/messages/store.py
@@ -238,8 +238,8 @@
     """Keep configuration fetched from the control group, for the nodes of this region.
 
     Replicated so that the region can start nodes and change its store leader while it
-    is cut off from the control group. A delta that does not join on to what is held is
-    refused with ``VERSION_CONFLICT``.
+    is cut off from the control group. A delta that does not join on to what is held
+    changes nothing.
     """
 
     delta: ConfigurationDelta
--- /dev/null
+++ b/src/passlane/store/leader_term.py
@@ -0,0 +1,108 @@
+"""What a store leader does in its term besides answering requests."""
+
+import anyio
+
+from passlane.membership.lease_table import LeaseTable
+from passlane.messages.membership import HeartbeatReply, NodeHeartbeat
+from passlane.messages.store import AssignPartitions
+from passlane.observability.logging import get_logger
+from passlane.replication.client import GroupClient
+from passlane.replication.interfaces import ReplicatedGroup
+from passlane.runtime.interfaces import Environment
+from passlane.settings.model import Settings
+from passlane.store.configuration_relay import ConfigurationRelay
+from passlane.store.drains import DrainedNodes
+from passlane.store.machine import StoreStateMachine
+from passlane.store.platform_watch import PlatformWatch
+from passlane.store.proposals import propose_until_decided
+from passlane.store.retention import RetentionLoop
+
+PLANS_PER_HEARTBEAT = 5
+"""How often in a heartbeat interval the leader looks for partitions to assign."""
+
+logger = get_logger(__name__)
+
+
+class LeaderTerm:
+    """Leases, assignments, configuration and retention, from gaining to losing leadership.
+
+    Parameters
+    ----------
+    number
+        The group's term in which this replica leads.
+    started_at
+        Time on the loop's clock at which this replica was known to lead.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        group: ReplicatedGroup,
+        machine: StoreStateMachine,
+        settings: Settings,
+        environment: Environment,
+        control: GroupClient | None,
+        retention_s: float,
+        started_at: float,
+    ) -> None:
+        self.number = number
+        self._group = group
+        self._machine = machine
+        self._plan_interval_s = settings.membership.heartbeat_s / PLANS_PER_HEARTBEAT
+        self.lease_table = LeaseTable(settings.membership, machine.assignments.all(), started_at)
+        self._drained = DrainedNodes(machine.configuration)
+        self._platform = PlatformWatch(environment.http_client, settings.node.platform_list)
+        self._retention = RetentionLoop(group, machine, retention_s)
+        self._relay: ConfigurationRelay | None = None
+        if control is not None:
+            self._relay = ConfigurationRelay(
+                region=settings.process.region,
+                interval_s=settings.membership.heartbeat_s,
+                group=group,
+                machine=machine,
+                lease_table=self.lease_table,
+                control=control,
+            )
+
+    async def run(self) -> None:
+        """Carry out the duties until cancelled."""
+        async with anyio.create_task_group() as duties:
+            duties.start_soon(self._assign_partitions)
+            duties.start_soon(self._platform.run)
+            duties.start_soon(self._retention.run)
+            if self._relay is not None:
+                duties.start_soon(self._relay.run)
+
+    def answer(self, heartbeat: NodeHeartbeat) -> HeartbeatReply:
+        """Return the reply to a heartbeat, once a barrier has proved that this is the leader."""
+        configuration = self._machine.configuration
+        table = self._machine.assignments
+        decision = self.lease_table.answer_heartbeat(
+            heartbeat, configuration.held_revision, anyio.current_time()
+        )
+        is_table_news = heartbeat.table_version != table.version
+        is_configuration_news = heartbeat.prepared_revision < configuration.held_revision
+        return HeartbeatReply(
+            lease_s=decision.lease_s,
+            table_version=table.version,
+            accepted_revision=configuration.accepted_revision,
+            table=table.all() if is_table_news else None,
+            configuration=configuration.delta_since(
+                heartbeat.prepared_revision, heartbeat.configuration_floor
+            )
+            if is_configuration_news
+            else None,
+            leaving_engines=self._platform.leaving_engines,
+            handovers=decision.handovers,
+        )
+
+    async def _assign_partitions(self) -> None:
+        while True:
+            self.lease_table.set_leaving(self._drained.nodes() | self._platform.leaving_nodes)
+            planned = self.lease_table.plan_assignments(anyio.current_time())
+            if planned:
+                await propose_until_decided(self._group, AssignPartitions(assignments=planned))
+                self.lease_table.record_assignments(self._machine.assignments.all())
+                logger.info("partitions_assigned", partitions=len(planned))
+            await anyio.sleep(self._plan_interval_s)
--- a/src/passlane/store/machine.py
+++ b/src/passlane/store/machine.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from passlane.configuration.ledger import ConfigurationLedger
 from passlane.errors import ErrorCode
 from passlane.identifiers import Partition, ProgramId
 from passlane.messages.base import Message, encode_message, message_decoder
@@ -38,12 +39,12 @@
 from passlane.store.accounts import AccountChain
 from passlane.store.assignments import AssignmentTable
 from passlane.store.calls import begin_call, finish_call
-from passlane.store.held_configuration import HeldConfiguration
 from passlane.store.program import StoredProgram
 from passlane.store.program_table import ProgramTable
 from passlane.store.refusal import CommandRefusedError
 from passlane.store.snapshot import (
     FORMAT_VERSION,
+    ConfigurationSnapshot,
     StoreSnapshot,
     decode_snapshot,
     encode_snapshot,
@@ -64,7 +65,7 @@
     def __init__(self) -> None:
         self.programs = ProgramTable()
         self.assignments = AssignmentTable()
-        self.configuration = HeldConfiguration()
+        self.configuration = ConfigurationLedger()
         self._decoder = message_decoder(StoreCommand)
         self._handlers: dict[type[Any], Callable[[Any], Message]] = {
             CreateProgram: self._create_program,
@@ -114,7 +115,7 @@
                 programs=tuple(program.to_record() for program in self.programs),
                 assignments=self.assignments.all(),
                 table_version=self.assignments.version,
-                configuration=self.configuration.to_snapshot(),
+                configuration=ConfigurationSnapshot.of(self.configuration),
             )
         )
 
@@ -133,7 +134,7 @@
             programs.add(program_from_record(record, 0 if parent is None else parent.depth + 1))
         self.programs = programs
         self.assignments.restore(snapshot.assignments, snapshot.table_version)
-        self.configuration.restore(snapshot.configuration)
+        snapshot.configuration.load_into(self.configuration)
 
     def _program_of(self, command: ProgramCommand) -> StoredProgram:
         """Return the program of a command, once its epoch proved current."""
@@ -182,7 +183,7 @@
         return DONE
 
     def _record_configuration(self, command: RecordConfiguration) -> Message:
-        self.configuration.record(command.delta)
+        self.configuration.apply_delta(command.delta)
         return DONE
 
     def _read_program(self, program_id: ProgramId) -> Message:
--- a/src/passlane/store/snapshot.py
+++ b/src/passlane/store/snapshot.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from passlane.messages.control import ConfigurationDelta
+from passlane.configuration.ledger import ConfigurationLedger
+from passlane.identifiers import Revision
+from passlane.messages.control import Document
 from passlane.messages.store import (
     CallState,
     PartitionAssignment,
@@ -17,6 +19,38 @@
 """Grows with each change of the snapshot's layout."""
 
 
+class ConfigurationSnapshot(msgspec.Struct, frozen=True):
+    """The region's ledger of documents."""
+
+    accepted: tuple[Document, ...]
+    pending: tuple[Document, ...]
+    held_revision: Revision
+    accepted_revision: Revision
+    floor_revision: Revision
+
+    @classmethod
+    def of(cls, ledger: ConfigurationLedger) -> "ConfigurationSnapshot":
+        """Return what ``ledger`` holds."""
+        accepted, pending = ledger.dump()
+        return cls(
+            accepted=accepted,
+            pending=pending,
+            held_revision=ledger.held_revision,
+            accepted_revision=ledger.accepted_revision,
+            floor_revision=ledger.floor_revision,
+        )
+
+    def load_into(self, ledger: ConfigurationLedger) -> None:
+        """Replace what ``ledger`` holds."""
+        ledger.load(
+            self.accepted,
+            self.pending,
+            self.held_revision,
+            self.accepted_revision,
+            self.floor_revision,
+        )
+
+
 class StoreSnapshot(msgspec.Struct, frozen=True):
     """The whole state: programs in the order of their creation, table, configuration."""
 
@@ -24,7 +58,7 @@
     programs: tuple[ProgramRecord, ...]
     assignments: tuple[PartitionAssignment, ...]
     table_version: int
-    configuration: ConfigurationDelta
+    configuration: ConfigurationSnapshot
 
 
 _encoder = msgspec.msgpack.Encoder()
