Node: policies, metrics, trace recorder, explanations of placements

Policies decided nothing at a node so far: class and weight of a call and the budget and life of a program now come from the governor, asked at each placement and creation, so that a replaced policy takes effect with the next decision and no call is dropped. The pause that the scheduler expects is counted from the end of a model call and not from the start of a tool call, because most tools and all people run outside the system.

--- a/src/passlane/api/callers.py
+++ b/src/passlane/api/callers.py
@@ -34,7 +34,6 @@
 )
 from passlane.api.caller_output import CompletionWriter, program_view, tool_result
 from passlane.api.problems import problem_response
-from passlane.configuration.view import ConfigurationView
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId, TenantId
 from passlane.messages.common import Amounts
@@ -55,11 +54,6 @@
 class NodeApi(Protocol):
     """What the callers' interface needs of the node's service."""
 
-    @property
-    def configuration(self) -> ConfigurationView:
-        """The configuration in force."""
-        ...
-
     def new_identifier(self) -> str:
         """Return a new identifier that nobody can guess."""
         ...
@@ -155,7 +149,7 @@
             request_id=self._service.new_identifier(),
             tenant_id=tenant_id,
             program_id=program_id,
-            budget=body.budget or self._default_budget(tenant_id, body),
+            budget=body.budget or Amounts(),
             parent_id=body.parent_id,
             deadline_s=body.deadline_s,
         )
@@ -163,13 +157,6 @@
         headers = {"location": f"/v1/programs/{record.program_id}"}
         return json_response(201, program_view(record), headers)
 
-    def _default_budget(self, tenant_id: TenantId, body: ProgramBody) -> Amounts:
-        """Return the tenant's default; a sub-agent spends from its parent without one."""
-        tenant = self._service.configuration.tenants.get(tenant_id)
-        if body.parent_id is not None or tenant is None:
-            return Amounts()
-        return tenant.default_budget
-
     async def _read_program(self, exchange: Exchange) -> Response:
         request = ReadProgramRequest(
             request_id=self._service.new_identifier(),
--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -196,7 +196,14 @@
         if callers_address is None:
             raise ValueError("a node needs addresses.callers")
         store = GroupClient(context.pool, settings.store_addresses, context.environment.random)
-        service = NodeService(settings, context.environment, context.pool, context.router, store)
+        service = NodeService(
+            settings,
+            context.environment,
+            context.pool,
+            context.router,
+            store,
+            metrics=context.metrics,
+        )
         application = build_caller_application(service, settings)
         self._service = service
         async with anyio.create_task_group() as tasks:
--- a/src/passlane/messages/node.py
+++ b/src/passlane/messages/node.py
@@ -49,7 +49,10 @@
 
 
 class CreateProgramRequest(Message, frozen=True):
-    """A caller's wish to start a program; answered by ``store.ProgramResult``."""
+    """A caller's wish to start a program; answered by ``store.ProgramResult``.
+
+    An empty ``budget`` leaves it open: the tenant's default, or for a sub-agent its parent's.
+    """
 
     request_id: str
     tenant_id: TenantId
@@ -128,3 +131,22 @@
     """Tells the leader of a sub-agent's partition that it ended with its parent."""
 
     program_id: ProgramId
+
+
+class ExplainProgram(Message, frozen=True):
+    """An operator's question why a program's last call ran where and when it did."""
+
+    program_id: ProgramId
+
+
+class ProgramExplanation(Message, frozen=True):
+    """Answer to ``ExplainProgram``.
+
+    ``placement`` is the scheduler's reason for the last model call, empty if there was none
+    at this leader; ``policy`` says which policy governs the program and what it decides.
+    """
+
+    program_id: ProgramId
+    leader: NodeId
+    placement: str
+    policy: str
--- a/src/passlane/node/call_reports.py
+++ b/src/passlane/node/call_reports.py
@@ -3,7 +3,13 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from passlane.messages.node import CallAnswered, CallRefused, CallRequest
+from passlane.identifiers import ProgramId
+from passlane.messages.node import (
+    CallAnswered,
+    CallRefused,
+    CallRequest,
+    CreateProgramRequest,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,10 +28,18 @@
 
 
 class ReportSink(Protocol):
-    """Takes reports of finished calls."""
+    """Takes reports of programs and finished calls; its methods must not raise."""
 
     def take(self, report: CallReport) -> None:
-        """Take in one report; must not raise."""
+        """Take in that a call was answered."""
+        ...
+
+    def take_created(self, request: CreateProgramRequest) -> None:
+        """Take in that a program was created."""
+        ...
+
+    def take_ended(self, program_id: ProgramId) -> None:
+        """Take in that a program ended."""
         ...
 
 
@@ -39,3 +53,13 @@
         """Give a report to every sink."""
         for sink in self.sinks:
             sink.take(report)
+
+    def publish_created(self, request: CreateProgramRequest) -> None:
+        """Tell every sink of a new program."""
+        for sink in self.sinks:
+            sink.take_created(request)
+
+    def publish_ended(self, program_id: ProgramId) -> None:
+        """Tell every sink of a program's end."""
+        for sink in self.sinks:
+            sink.take_ended(program_id)
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -22,6 +22,7 @@
 from passlane.node.call_services import LEADERSHIP_CODES, CallServices
 from passlane.node.led_program import LedProgram, OpenCall
 from passlane.node.model_attempt import ModelAttempt
+from passlane.node.policy_facts import call_facts
 from passlane.node.subscription import Subscription
 from passlane.node.tool_attempt import ToolAttempt, ask_status
 from passlane.observability.logging import get_logger
@@ -94,8 +95,6 @@
     arrived_at: float
     attempt_prefix: str
     offer: ToolOffer | None = None
-    service_class: int = 1
-    weight: float = 1.0
     reopened: OpenCall | None = None
 
 
@@ -375,22 +374,25 @@
     # Placement and attempts.
 
     def _request_placement(self, excluded: frozenset[str]) -> None:
+        plan = self.set_up.plan
         offer = self.set_up.offer
         if offer is not None:
             now = anyio.current_time()
             limit = offer.application.max_in_flight
             self.post(self._services.tools.start(offer.application_id, limit, now))
             return
+        facts = call_facts(self.program, plan.target, self.set_up.sequence, plan.max_tokens)
+        decision = self._services.policies.classify(facts)
         arrived = CallArrived(
             call_id=self.call_id,
             program_id=self.program.program_id,
             tenant_id=self.program.tenant_id,
-            model=self.set_up.plan.target,
+            model=plan.target,
             prompt_tokens=self.program.prompt_tokens,
-            max_tokens=self.set_up.plan.max_tokens,
+            max_tokens=plan.max_tokens,
             deadline=self.set_up.deadline,
-            service_class=self.set_up.service_class,
-            weight=self.set_up.weight,
+            service_class=decision.service_class,
+            weight=decision.weight,
             excluded=self._engines_to_exclude(excluded),
         )
         self._services.models.place(arrived, self.post)
--- a/src/passlane/node/call_services.py
+++ b/src/passlane/node/call_services.py
@@ -17,6 +17,7 @@
 from passlane.node.model_dispatcher import ModelDispatcher
 from passlane.node.program_store import ProgramStore
 from passlane.node.tool_dispatcher import ToolDispatcher
+from passlane.policy.governor import PolicyGovernor
 from passlane.runtime.interfaces import HttpClient
 
 HOLD_TIMEOUT_S = 5.0
@@ -46,6 +47,7 @@
     configuration: Callable[[], ConfigurationView]
     tasks: TaskGroup
     reports: CallReports
+    policies: PolicyGovernor
 
     def leads(self, program: LedProgram) -> bool:
         """Return whether this node still leads the program in the epoch it was loaded in."""
--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -5,14 +5,16 @@
 import anyio
 
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.identifiers import Partition, ProgramId, TenantId
+from passlane.identifiers import NodeId, Partition, ProgramId, TenantId
 from passlane.messages.common import Address, Amounts, NotLeaderError
 from passlane.messages.node import (
     CallEvent,
     CallRequest,
     CreateProgramRequest,
     EndProgramRequest,
+    ExplainProgram,
     ProgramEndedNotice,
+    ProgramExplanation,
     ReadProgramRequest,
 )
 from passlane.messages.store import (
@@ -27,16 +29,16 @@
 from passlane.node.call_planning import plan_call
 from passlane.node.call_services import CallServices
 from passlane.node.led_program import LedProgram
+from passlane.node.policy_facts import call_facts, program_facts
 from passlane.node.program_directory import ProgramDirectory
 from passlane.node.program_host import ProgramHost
 from passlane.node.release_loop import ReleaseLoop
 from passlane.node.subscription import Subscription
+from passlane.policy.governor import BudgetDecision
 from passlane.programs.call_identity import call_id_of
 from passlane.transport.interfaces import Caller
 
 STORE_TIMEOUT_S = 10.0
-TOOL_PAUSE_S = 5.0
-"""Usual pause of a program at a tool, until the policy says otherwise."""
 
 
 class LeaderService:
@@ -49,12 +51,14 @@
         admission: Admission,
         releases: ReleaseLoop,
         caller: Caller,
+        own_name: NodeId,
     ) -> None:
         self._services = services
         self._directory = directory
         self._admission = admission
         self._releases = releases
         self._caller = caller
+        self._own_name = own_name
         self._successors: dict[Partition, Address] = {}
 
     # Calls.
@@ -84,10 +88,7 @@
         recorded = host.program.calls.get(call_id_of(request))
         application_id = None if recorded is None else recorded.application_id
         planned = plan_call(request, self._services.configuration(), application_id)
-        subscription = host.submit(request, planned, deadline)
-        if request.kind is CallKind.TOOL:
-            self._services.models.note_program_paused(request.program_id, TOOL_PAUSE_S)
-        return subscription
+        return host.submit(request, planned, deadline)
 
     def _require_staying(self, program_id: ProgramId) -> None:
         """Refuse work for a partition that is about to be given up."""
@@ -111,30 +112,51 @@
         self._require_staying(request.program_id)
         partition = self._directory.partition_of(request.program_id)
         epoch = self._directory.require_epoch(partition)
+        limits = self._limits_of(request)
         command = CreateProgram(
             program_id=request.program_id,
             tenant_id=request.tenant_id,
             partition=partition,
             epoch=epoch,
-            budget=self._checked_budget(request),
+            budget=limits.budget,
             parent_id=request.parent_id,
-            deadline_s=request.deadline_s,
+            deadline_s=limits.deadline_s,
         )
         record = await self._services.store.create(command, STORE_TIMEOUT_S)
         self._directory.adopt(record, epoch)
+        self._services.reports.publish_created(request)
         return ProgramResult(record)
 
-    def _checked_budget(self, request: CreateProgramRequest) -> Amounts:
-        tenant = self._services.configuration().tenants.get(request.tenant_id)
-        if tenant is None:
+    def _limits_of(self, request: CreateProgramRequest) -> BudgetDecision:
+        """Return the budget and life that the tenant and its policy allow the program.
+
+        A sub-agent that asks for no budget spends from its parent's.
+        """
+        if request.tenant_id not in self._services.configuration().tenants:
             raise PasslaneError(
                 ErrorCode.FORBIDDEN, "the tenant is not configured", retry_after_s=5.0
             )
-        if not request.budget.fits_within(tenant.max_budget):
-            raise PasslaneError(
-                ErrorCode.BUDGET_EXCEEDED, "the budget is larger than the tenant may give"
-            )
-        return request.budget
+        is_sub_agent = request.parent_id is not None
+        facts = program_facts(
+            request.tenant_id, request.program_id, request.budget, is_sub_agent=is_sub_agent
+        )
+        asked = None if request.budget == Amounts() else request.budget
+        decision = self._services.policies.budget(facts, asked)
+        budget = Amounts() if asked is None and is_sub_agent else decision.budget
+        lives = [one for one in (request.deadline_s, decision.deadline_s) if one is not None]
+        return BudgetDecision(budget, min(lives, default=None), decision.tool_pause_s)
+
+    async def explain(self, request: ExplainProgram) -> ProgramExplanation:
+        """Say why the program's last model call ran where and when it did."""
+        host = await self._directory.host(request.program_id)
+        program = host.program
+        facts = call_facts(program, "", program.next_sequence, 0)
+        return ProgramExplanation(
+            program_id=program.program_id,
+            leader=self._own_name,
+            placement=self._services.models.reason_of(program.program_id),
+            policy=self._services.policies.explain(facts),
+        )
 
     async def read(self, request: ReadProgramRequest) -> ProgramResult:
         """Return the program's record."""
@@ -165,6 +187,7 @@
             host.resume()
             raise
         program.is_ended = True
+        self._services.reports.publish_ended(program.program_id)
         self._services.models.note_program_ended(program.program_id)
         self._releases.add_holds(program.program_id, program.partition, program.epoch, result.holds)
         for child_id in result.ended_children:
--- a/src/passlane/node/led_program.py
+++ b/src/passlane/node/led_program.py
@@ -58,6 +58,10 @@
     ----------
     prompt_tokens
         Estimated tokens of the history.
+    spent_tokens
+        Tokens spent by its own calls.
+    pause_s
+        Usual pause between two of its model calls.
     deadline
         Local monotonic time in seconds at which the program's life is over.
     """
@@ -76,6 +80,8 @@
         self.holds: dict[EngineId, int] = {
             hold.engine_id: hold.incarnation for hold in record.holds
         }
+        self.spent_tokens = record.spent.tokens
+        self.pause_s = 0.0
         self.next_sequence = record.next_sequence
         self.queue = ProgramQueue(record.next_sequence, now)
         self.open_call: OpenCall | None = self._find_open_call()
@@ -101,6 +107,7 @@
         self.calls[call_id] = msgspec.structs.replace(
             call, state=CallState.FINISHED, outcome=outcome
         )
+        self.spent_tokens += outcome.spent.tokens
         self._append(turns)
         if self.open_call is not None and self.open_call.call.call_id == call_id:
             self.open_call = None
--- a/src/passlane/node/model_dispatcher.py
+++ b/src/passlane/node/model_dispatcher.py
@@ -1,7 +1,8 @@
 """Shell of the scheduler: tells it what happens and carries out what it decides."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
@@ -33,6 +34,9 @@
 )
 from passlane.scheduling.retry_budget import RetryBudget
 
+MAX_REASONS = 2_000
+"""Programs whose last placement can be explained."""
+
 PlacementListener = Callable[[CallEventIn], None]
 
 
@@ -64,6 +68,12 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class _WaitingCall:
+    program_id: ProgramId
+    listener: PlacementListener
+
+
 class ModelDispatcher:
     """Connects calls that wait for an engine with the scheduler.
 
@@ -72,23 +82,23 @@
 
     def __init__(self, scheduler: SchedulerLike) -> None:
         self._scheduler = scheduler
-        self._listeners: dict[CallId, PlacementListener] = {}
+        self._waiting: dict[CallId, _WaitingCall] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._events: deque[Event] = deque()
         self._is_handling = False
         self._wake_at: float | None = None
         self._wake_changed = anyio.Event()
-        self._reasons: dict[ProgramId, str] = {}
+        self._reasons: OrderedDict[ProgramId, str] = OrderedDict()
         self.orders: CacheOrders | None = None
 
     def place(self, call: CallArrived, listener: PlacementListener) -> None:
         """Ask for a place; ``listener`` gets ``StartOrdered`` or ``StartRefused``."""
-        self._listeners[call.call_id] = listener
+        self._waiting[call.call_id] = _WaitingCall(call.program_id, listener)
         self.tell(call)
 
     def withdraw(self, call_id: CallId) -> None:
         """Take a call back, queued or started."""
-        self._listeners.pop(call_id, None)
+        self._waiting.pop(call_id, None)
         self.tell(CallWithdrawn(call_id))
 
     def note_first_token(self, call_id: CallId) -> None:
@@ -97,7 +107,7 @@
 
     def note_ended(self, ended: CallEnded, engine_id: str) -> None:
         """Tell that a started call ended at its engine."""
-        self._listeners.pop(ended.call_id, None)
+        self._waiting.pop(ended.call_id, None)
         if ended.succeeded:
             self._budget_of(engine_id).record_request()
         self.tell(ended)
@@ -140,7 +150,8 @@
 
     def _carry_out(self, instruction: Instruction) -> None:
         match instruction:
-            case StartCall(call_id, engine_id, priority, _):
+            case StartCall(call_id, engine_id, priority, reason):
+                self._keep_reason(call_id, reason)
                 self._notify(call_id, StartOrdered(engine_id, priority))
             case RefuseCall(call_id, code, message, retry_after_s):
                 self._notify(call_id, StartRefused(code, message, retry_after_s))
@@ -162,14 +173,27 @@
             case RequestCacheSnapshot(engine_id):
                 self.orders.fetch_snapshot(engine_id)
 
+    def _keep_reason(self, call_id: CallId, reason: str) -> None:
+        waiting = self._waiting.get(call_id)
+        if waiting is None:
+            return
+        self._reasons[waiting.program_id] = reason
+        self._reasons.move_to_end(waiting.program_id)
+        if len(self._reasons) > MAX_REASONS:
+            self._reasons.popitem(last=False)
+
+    def reason_of(self, program_id: ProgramId) -> str:
+        """Return why the program's last call was started where and when it was."""
+        return self._reasons.get(program_id, "")
+
     def _notify(self, call_id: CallId, event: CallEventIn) -> None:
-        listener = self._listeners.pop(call_id, None)
-        if listener is None:
+        waiting = self._waiting.pop(call_id, None)
+        if waiting is None:
             # Nobody waits for this place any more: give it back.
             if isinstance(event, StartOrdered):
                 self.tell(CallWithdrawn(call_id))
             return
-        listener(event)
+        waiting.listener(event)
 
     def _set_wake(self, time: float) -> None:
         if self._wake_at is None or time < self._wake_at:
--- a/src/passlane/node/node_core.py
+++ b/src/passlane/node/node_core.py
@@ -7,12 +7,13 @@
 
 from passlane.configuration.view import ConfigurationView
 from passlane.errors import PasslaneError
-from passlane.identifiers import EngineId, ProgramId
+from passlane.identifiers import EngineId, NodeId, ProgramId
 from passlane.messages.backends import EngineOrder, OrderKind
 from passlane.messages.node import (
     CallRequest,
     CreateProgramRequest,
     EndProgramRequest,
+    ExplainProgram,
     ProgramEndedNotice,
     ReadProgramRequest,
 )
@@ -32,6 +33,7 @@
 from passlane.node.release_loop import PendingRelease, ReleaseLoop
 from passlane.node.tool_dispatcher import ToolDispatcher
 from passlane.observability.logging import get_logger
+from passlane.policy.governor import PolicyGovernor
 from passlane.runtime.interfaces import Environment
 from passlane.scheduling.config import QueueConfig, SchedulerConfig
 from passlane.scheduling.scheduler import Scheduler
@@ -135,6 +137,7 @@
     leadership: Leadership,
     configuration: Callable[[], ConfigurationView],
     reports: CallReports,
+    policies: PolicyGovernor,
 ) -> NodeCore:
     """Return the parts of a node, wired together; their tasks run in ``tasks``."""
     source = environment.random
@@ -149,13 +152,16 @@
         configuration=configuration,
         tasks=tasks,
         reports=reports,
+        policies=policies,
     )
     partition_count = settings.membership.partitions
     directory = ProgramDirectory(services, partition_count)
     admission = Admission(settings.node.max_queued_calls)
     releases = ReleaseLoop(services, source)
     poller = EnginePoller(services, tasks, settings.node.engine_poll_s, source)
-    leader = LeaderService(services, directory, admission, releases, caller)
+    leader = LeaderService(
+        services, directory, admission, releases, caller, NodeId(settings.process.name)
+    )
     services.models.orders = SchedulerOrders(services, directory, releases, poller)
     return NodeCore(
         services=services,
@@ -185,4 +191,5 @@
     router.add_unary(CreateProgramRequest, core.leader.create)
     router.add_unary(EndProgramRequest, core.leader.end)
     router.add_unary(ReadProgramRequest, core.leader.read)
+    router.add_unary(ExplainProgram, core.leader.explain)
     router.add_one_way(ProgramEndedNotice, core.leader.note_ended)
--- /dev/null
+++ b/src/passlane/node/node_metrics.py
@@ -0,0 +1,63 @@
+"""Metrics of a node: calls by outcome and latency, and gauges of what it holds."""
+
+from passlane.identifiers import ProgramId
+from passlane.messages.node import CallAnswered, CreateProgramRequest
+from passlane.node.call_reports import CallReport
+from passlane.node.node_core import NodeCore
+from passlane.observability.metrics import Metrics
+
+ANSWERED = "answered"
+
+
+class NodeMetrics:
+    """Counts finished calls; implements ``ReportSink``."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._calls = metrics.counter("calls", "Calls by kind and result", ("kind", "result"))
+        self._latency = metrics.histogram(
+            "call_seconds", "Time from a call's arrival at its leader to its answer", ("kind",)
+        )
+        self._first_token = metrics.histogram(
+            "first_token_seconds", "Time from a call's arrival at its leader to its first token"
+        )
+        self._attempts = metrics.counter("attempts", "Attempts at back ends", ("kind",))
+        self._programs = metrics.counter("programs", "Programs created and ended", ("event",))
+
+    def take(self, report: CallReport) -> None:
+        """Count a call."""
+        kind = report.request.kind.value
+        answer = report.answer
+        result = ANSWERED if isinstance(answer, CallAnswered) else answer.code.value
+        self._calls.labels(kind, result).inc()
+        self._attempts.labels(kind).inc(report.attempts)
+        self._latency.labels(kind).observe(report.ended_at - report.arrived_at)
+        if report.first_token_at is not None:
+            self._first_token.observe(report.first_token_at - report.arrived_at)
+
+    def take_created(self, request: CreateProgramRequest) -> None:
+        """Count a new program."""
+        self._programs.labels("created").inc()
+
+    def take_ended(self, program_id: ProgramId) -> None:
+        """Count a program's end."""
+        self._programs.labels("ended").inc()
+
+    def watch(self, core: NodeCore) -> None:
+        """Show what the running parts hold, whenever the metrics are read."""
+        gauge = self._metrics.gauge
+        gauge("pending_releases", "Releases of engine memory not acknowledged yet").set_function(
+            lambda: core.releases.pending_count
+        )
+        gauge("programs_in_memory", "Programs that this node has in memory").set_function(
+            lambda: len(core.directory.hosts)
+        )
+        gauge("requests_in_flight", "Requests admitted and not answered yet").set_function(
+            lambda: core.admission.in_flight
+        )
+        gauge("led_partitions", "Partitions that this node leads").set_function(
+            lambda: len(core.services.leadership.led_partitions())
+        )
+        gauge(
+            "held_engine_memories", "Engines that hold memory, summed over programs in memory"
+        ).set_function(lambda: sum(len(host.program.holds) for host in core.directory.hosts))
--- a/src/passlane/node/program_directory.py
+++ b/src/passlane/node/program_directory.py
@@ -10,6 +10,7 @@
 from passlane.messages.store import ProgramRecord
 from passlane.node.call_services import CallServices
 from passlane.node.led_program import LedProgram
+from passlane.node.policy_facts import DEFAULT_PAUSE_S, program_facts
 from passlane.node.program_host import ProgramHost
 from passlane.programs.partitions import partition_of
 
@@ -87,12 +88,23 @@
         if known is not None and known.program.epoch == epoch:
             return known
         program = LedProgram(record, epoch, anyio.current_time())
+        program.pause_s = self._usual_pause_s(program)
         host = ProgramHost(
             self._services, program, lambda: next(self._run_numbers), self._drop_stale
         )
         self._hosts[record.program_id] = host
         return host
 
+    def _usual_pause_s(self, program: LedProgram) -> float:
+        facts = program_facts(
+            program.tenant_id,
+            program.program_id,
+            program.budget,
+            is_sub_agent=program.parent_id is not None,
+        )
+        decision = self._services.policies.budget(facts, program.budget)
+        return DEFAULT_PAUSE_S if decision.tool_pause_s is None else decision.tool_pause_s
+
     def _drop_stale(self, host: ProgramHost) -> None:
         """Drop a program that must be read again; its callers ask this node again."""
         leader = self._services.leadership.leader_of(host.program.partition)
--- a/src/passlane/node/program_host.py
+++ b/src/passlane/node/program_host.py
@@ -228,6 +228,9 @@
         self._idle.set()
         self.program.last_used_at = anyio.current_time()
         self._keep_open_call(runner)
+        if runner.set_up.plan.kind is CallKind.MODEL and not self.program.is_ended:
+            program = self.program
+            self._services.models.note_program_paused(program.program_id, program.pause_s)
         if self._is_closed:
             return
         if runner.store_failed:
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -36,9 +36,13 @@
     engines_to_avoid,
     register_handlers,
 )
+from passlane.node.node_metrics import NodeMetrics
 from passlane.node.program_host import ProgramHost
 from passlane.node.program_store import ProgramStore
+from passlane.node.trace_recorder import TraceRecorder
 from passlane.observability.logging import get_logger
+from passlane.observability.metrics import Metrics
+from passlane.policy.governor import PolicyGovernor
 from passlane.replication.client import GroupClient
 from passlane.runtime.interfaces import Environment
 from passlane.settings.model import Settings
@@ -65,8 +69,8 @@
         Connections to other processes, and where requests from them arrive.
     store
         Client of the region's store group.
-    sinks
-        Told of each finished call, such as metrics and the trace recorder.
+    metrics
+        Where the node's counters and gauges are shown.
     """
 
     def __init__(
@@ -76,13 +80,17 @@
         caller: Caller,
         router: Router,
         store: GroupClient,
-        sinks: Sequence[ReportSink] = (),
+        metrics: Metrics | None = None,
     ) -> None:
         self._settings = settings
         self._environment = environment
         self._local = LocalCaller(settings.addresses.internal, caller, router)
         self._store = store
-        self._reports = CallReports(list(sinks))
+        self._metrics = None if metrics is None else NodeMetrics(metrics)
+        self._recorder = self._new_recorder()
+        sinks: list[ReportSink | None] = [self._metrics, self._recorder]
+        self._reports = CallReports([sink for sink in sinks if sink is not None])
+        self._policies = PolicyGovernor()
         self._configuration = ConfigurationView()
         self._leaving_engines: frozenset[EngineId] = frozenset()
         self._is_draining = False
@@ -96,6 +104,18 @@
         incarnation = source.getrandbits(INCARNATION_BITS) + 1
         return HeartbeatLoop(self._settings, self._store, self, source, incarnation)
 
+    def _new_recorder(self) -> TraceRecorder | None:
+        """Return the trace recorder if the settings ask for one; a file for each start."""
+        node = self._settings.node
+        if node.trace_file is None:
+            return None
+        start = f"{self._environment.random.getrandbits(INCARNATION_BITS):016x}"
+        return TraceRecorder(
+            f"{node.trace_file}-{start}.jsonl",
+            self._settings.process.region,
+            redacts_content=node.trace_redacts_content,
+        )
+
     # State.
 
     @property
@@ -121,12 +141,16 @@
         async with anyio.create_task_group() as tasks:
             core = self._build_core(tasks)
             self._core = core
+            if self._metrics is not None:
+                self._metrics.watch(core)
             register_handlers(core, self._local)
             self._tell_engines()
             try:
                 tasks.start_soon(self._heartbeat.run)
                 tasks.start_soon(core.services.models.run)
                 tasks.start_soon(core.sweep.run)
+                if self._recorder is not None:
+                    tasks.start_soon(self._recorder.run, self._environment.disk)
                 await self._keep_house(core)
             finally:
                 self._core = None
@@ -141,6 +165,7 @@
             leadership=LeaseLeadership(self._heartbeat.lease),
             configuration=lambda: self._configuration,
             reports=self._reports,
+            policies=self._policies,
         )
 
     async def _keep_house(self, core: NodeCore) -> None:
@@ -148,12 +173,19 @@
             await anyio.sleep(HOUSEKEEPING_S)
             now = anyio.current_time()
             core.directory.drop_idle(now)
+            self._report_policy_problems()
             for host in core.directory.hosts:
                 deadline = host.program.deadline
                 if deadline is not None and deadline <= now and not host.program.is_ended:
                     host.program.deadline = None
                     core.services.tasks.start_soon(self._end_late, core, host)
 
+    def _report_policy_problems(self) -> None:
+        for report in self._policies.take_problems():
+            _log.warning(
+                "policy failed", policy=report.policy, error=report.message, times=report.times
+            )
+
     async def _end_late(self, core: NodeCore, host: ProgramHost) -> None:
         """End a program whose time is used up."""
         try:
@@ -186,6 +218,7 @@
             self._configuration = self._configuration.apply_delta(delta)
         self._configuration = self._configuration.accept(accepted_revision)
         if self._configuration.revision_in_force != before:
+            self._policies.update(self._configuration)
             self._tell_engines()
 
     def take_leaving_engines(self, names: Sequence[EngineId]) -> None:
--- a/tests/node/nodes.py
+++ b/tests/node/nodes.py
@@ -36,6 +36,7 @@
 from passlane.node.call_reports import CallReports
 from passlane.node.node_core import NodeCore, build_core, register_handlers
 from passlane.node.program_store import ProgramStore
+from passlane.policy.governor import PolicyGovernor
 from passlane.simulation.runner import run_simulation
 from passlane.transport.router import MessageRouter
 
@@ -134,6 +135,8 @@
         self.http.servers[self.addresses["application"]] = self.application.serve
         self.configuration = make_configuration(self.addresses, **tool)
         self.reports = CallReports()
+        self.policies = PolicyGovernor()
+        self.policies.update(self.configuration)
         self.leaderships = [FakeLeadership(f"n{one}", 7000 + 10 * one) for one in range(nodes)]
         self.nodes = [self._build(leadership) for leadership in self.leaderships]
         self.epoch = 0
@@ -148,6 +151,7 @@
             leadership=leadership,
             configuration=lambda: self.configuration,
             reports=self.reports,
+            policies=self.policies,
         )
         router = MessageRouter()
         register_handlers(core, router)
