--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -50,6 +50,12 @@
         "run_quick",
         "the same on steady load only, one seed",
     ),
+    Experiment(
+        "scheduling-sweep",
+        "passlane.bench.scheduling",
+        "run_sweep",
+        "the same on steady load at several rates, one seed",
+    ),
     Experiment(
         "scheduler-cost",
         "passlane.bench.scheduler_cost",
