--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -153,6 +153,11 @@
         """Address of the leader as far as known."""
         return self._state.leader_address
 
+    @property
+    def log(self) -> LogView:
+        """The log as held in memory; to be read only."""
+        return self._state.log
+
     @property
     def commit_index(self) -> int:
         """Index up to which entries are known to be committed."""
