Test the store service with heartbeat loops on a virtual clock

The pure machines were tested, the shells that join them were not: barrier before each answer, the term check after it, the configuration's way from the control group over the region to a node and back, draining and retention. The fixture is one replica without Raft and a caller without a network, so that what fails here is the service itself.

--- /dev/null
+++ b/tests/store/test_service.py
@@ -0,0 +1,183 @@
+"""Store service and heartbeat loops of nodes together, on a virtual clock."""
+
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.identifiers import Epoch, Partition, ProgramId, TenantId
+from passlane.membership.events import HandoverRequested, LeadershipGained, LeadershipLost
+from passlane.messages.common import Amounts
+from passlane.messages.membership import Members, ReadMembers
+from passlane.messages.store import (
+    CreateProgram,
+    EndProgram,
+    ListPrograms,
+    ProgramList,
+)
+from passlane.node.heartbeat import HeartbeatLoop
+from passlane.simulation.runner import run_simulation
+from passlane.store.machine import StoreStateMachine
+from passlane.store.proposals import propose
+from passlane.store.service import StoreService
+from store.service_fixture import (
+    CONTROL,
+    STORE,
+    ControlStub,
+    DirectCaller,
+    OneReplicaGroup,
+    RecordingListener,
+    settings_of,
+)
+
+
+class Region:
+    """One store replica, a control stub, and nodes, in one task group."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, retention_s: float = 3600.0) -> None:
+        self.tasks = tasks
+        self.caller = DirectCaller()
+        self.control = ControlStub(self.caller.routers[CONTROL])
+        self.machine = StoreStateMachine()
+        self.group = OneReplicaGroup(self.machine)
+        environment: Any = SimpleNamespace(http_client=None)
+        service = StoreService(
+            self.group,
+            self.machine,
+            settings_of("store"),
+            environment,
+            self.caller.routers[STORE],
+            self.caller.client_of(CONTROL),
+            retention_s=retention_s,
+        )
+        tasks.start_soon(service.run)
+
+    def start_node(self, name: str) -> tuple[HeartbeatLoop, RecordingListener]:
+        listener = RecordingListener()
+        loop = HeartbeatLoop(
+            settings_of(name),
+            self.caller.client_of(STORE),
+            listener,
+            random.Random(name),
+            incarnation=7,
+        )
+        self.tasks.start_soon(loop.run)
+        return loop, listener
+
+
+def simulate(scenario: Callable[[Region], Awaitable[None]], **options: float) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            await scenario(Region(tasks, **options))
+            tasks.cancel_scope.cancel()
+
+    run_simulation(main, seed=1)
+
+
+class StoreServiceTest(unittest.TestCase):
+    def test_change_is_accepted_once_all_nodes_hold_it_and_a_cut_off_region_goes_on(self) -> None:
+        async def scenario(region: Region) -> None:
+            first_revision = region.control.put("first")
+            nodes = [region.start_node(f"n{number}") for number in range(2)]
+            await anyio.sleep(5)
+            for loop, listener in nodes:
+                self.assertEqual(listener.configuration.revision_in_force, first_revision)
+                self.assertEqual(len(loop.lease.led_partitions), 2)
+            region.caller.cut_off.add(CONTROL)
+            region.control.put("second")
+            newcomer, listener = region.start_node("n2")
+            await anyio.sleep(5)
+            self.assertTrue(newcomer.has_lease)
+            self.assertEqual(listener.configuration.revision_in_force, first_revision)
+            region.caller.cut_off.clear()
+            await anyio.sleep(3)
+            self.assertEqual(listener.configuration.revision_in_force, first_revision + 1)
+
+        simulate(scenario)
+
+    def test_node_that_cannot_reach_the_store_stops_and_another_takes_over(self) -> None:
+        async def scenario(region: Region) -> None:
+            loop, listener = region.start_node("n0")
+            await anyio.sleep(5)
+            region.group.is_leader = False
+            await anyio.sleep(2.5)
+            self.assertFalse(loop.has_lease)
+            self.assertEqual(listener.count(LeadershipLost), 4)
+            region.group.term, region.group.is_leader = 2, True
+            await anyio.sleep(5)
+            self.assertEqual(listener.count(LeadershipGained), 8)
+            self.assertEqual({a.epoch for a in region.machine.assignments.all()}, {2})
+
+        simulate(scenario)
+
+    def test_leader_of_an_earlier_term_answers_no_heartbeat(self) -> None:
+        async def scenario(region: Region) -> None:
+            await anyio.sleep(0.1)
+            # Deposed and chosen again between two looks: its lease table is of the old term.
+            region.group.term = 2
+            with self.assertRaises(PasslaneError) as raised:
+                await region.caller.client_of(STORE).execute(ReadMembers(), Members, timeout_s=0.01)
+            self.assertEqual(raised.exception.code, ErrorCode.NOT_LEADER)
+
+        simulate(scenario)
+
+    def test_drained_node_hands_over_in_order(self) -> None:
+        async def scenario(region: Region) -> None:
+            leaving, listener = region.start_node("n0")
+            staying, _ = region.start_node("n1")
+            await anyio.sleep(5)
+            listener.is_draining = True
+            leaving.beat_soon()
+            await anyio.sleep(1)
+            ordered = [c for c in listener.changes if isinstance(c, HandoverRequested)]
+            self.assertEqual({order.to_node for order in ordered}, {"n1"})
+            self.assertEqual(len(leaving.lease.led_partitions), 2, "leads until it releases")
+            for order in ordered:
+                leaving.release(order.partition)
+            await anyio.sleep(1)
+            self.assertEqual(len(staying.lease.led_partitions), 4)
+            region.tasks.cancel_scope.cancel()
+
+        simulate(scenario)
+
+    def test_heartbeats_at_one_moment_share_a_barrier(self) -> None:
+        async def scenario(region: Region) -> None:
+            await anyio.sleep(0.1)
+            before = region.group.barriers
+            client = region.caller.client_of(STORE)
+            async with anyio.create_task_group() as readers:
+                for _ in range(50):
+                    readers.start_soon(self._read_list, client)
+            self.assertLessEqual(region.group.barriers - before, 2)
+
+        simulate(scenario)
+
+    async def _read_list(self, client: Any) -> None:
+        await client.execute(ListPrograms(), ProgramList, timeout_s=1.0)
+
+    def test_ended_programs_go_after_their_retention(self) -> None:
+        async def scenario(region: Region) -> None:
+            region.start_node("n0")
+            await anyio.sleep(5)
+            names = (ProgramId("p"), Partition(0), Epoch(1))
+            await propose(
+                region.group,
+                CreateProgram(
+                    names[0], TenantId("t"), names[1], names[2], budget=Amounts(tokens=1)
+                ),
+            )
+            await propose(region.group, EndProgram(*names))
+            await anyio.sleep(25)
+            self.assertEqual(len(region.machine.programs), 1)
+            await anyio.sleep(20)
+            self.assertEqual(len(region.machine.programs), 0)
+
+        simulate(scenario, retention_s=30.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
