Daemons assembled from their roles; whole fleets on a virtual clock

The daemon builds its supervisor tree from settings and an environment, so the simulation starts the very daemons that run on machines. A CancelScope made before the loop ran ended each process at its start on loopback, which the simulation could not show; the daemon is now built inside the loop.

--- a/src/passlane/daemon/main.py
+++ b/src/passlane/daemon/main.py
@@ -17,6 +17,7 @@
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
 from passlane.runtime.delayed_network import DelayedNetwork
+from passlane.runtime.interfaces import Environment
 from passlane.runtime.network import TcpNetwork
 from passlane.runtime.real import build_environment
 from passlane.settings.loader import SettingsError, load_settings
@@ -76,16 +77,16 @@
     configure_logging(ring, process=settings.process.name)
     network = DelayedNetwork(TcpNetwork(), settings.process.zone, settings.delays)
     environment = build_environment(Path(settings.process.data_folder), seed=None, network=network)
-    daemon = Daemon(settings, environment, ring)
     try:
-        anyio.run(_run_until_signal, daemon, backend="asyncio")
+        anyio.run(_run_until_signal, settings, environment, ring, backend="asyncio")
     except TooManyRestartsError as error:
         print(f"passlaned: {error}", file=sys.stderr)
         return EXIT_FAILED
     return EXIT_OK
 
 
-async def _run_until_signal(daemon: Daemon) -> None:
+async def _run_until_signal(settings: Settings, environment: Environment, ring: RingLog) -> None:
+    daemon = Daemon(settings, environment, ring)
     failures: list[TooManyRestartsError] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_drain_on_signal, daemon)
--- a/src/passlane/simulation/cluster.py
+++ b/src/passlane/simulation/cluster.py
@@ -61,7 +61,7 @@
         self.seed = seed
         self.random = random.Random(f"{seed} scenario")
         self.event_log = EventLog()
-        self.observations = Observations()
+        self.observations = Observations(engine_settings=options.engine)
         self._tasks = tasks
         delays = DelayModel(plan.zone_of_host(), plan.same_zone_s, plan.other_zone_s)
         self.network = SimulatedNetwork(random.Random(f"{seed} network"), delays, self.event_log)
--- a/src/passlane/simulation/observer.py
+++ b/src/passlane/simulation/observer.py
@@ -6,9 +6,12 @@
 
 from dataclasses import dataclass, field
 
+from passlane.emulator.engine_settings import EngineModelSettings
 from passlane.errors import Verdict
 from passlane.messages.backends import EngineChatRequest, EngineOrder
 
+ENGINE_DEFAULTS = EngineModelSettings()
+
 
 @dataclass
 class SeenAttempt:
@@ -164,8 +167,13 @@
 
 @dataclass
 class Observations:
-    """All that was seen in one run."""
+    """All that was seen in one run.
+
+    ``engine_settings`` is what the emulated engines follow, so that the right answer to a
+    prompt can be computed.
+    """
 
+    engine_settings: EngineModelSettings = ENGINE_DEFAULTS
     programs: dict[str, SeenProgram] = field(default_factory=dict)
     prompts: list[SeenPrompt] = field(default_factory=list)
     orders: list[SeenOrder] = field(default_factory=list)
