--- a/tests/replication/cluster.py
+++ b/tests/replication/cluster.py
@@ -169,6 +169,17 @@
                 except PasslaneError:
                     await anyio.sleep(0.05)
 
+    async def read(self, timeout_s=30.0):
+        """Read the commands at whoever leads, which may change meanwhile."""
+        with anyio.fail_after(timeout_s):
+            while True:
+                leader = await self.until(self.leader, timeout_s)
+                try:
+                    await leader.host.read_barrier()
+                    return leader.machine.commands
+                except PasslaneError:
+                    await anyio.sleep(0.05)
+
     def commands(self, name):
         """The distinct commands that a member has applied, in order."""
         return list(dict.fromkeys(self.members[name].machine.commands))
