Send only changed assignments, and plan at once after a release

The whole partition table went to every node at each change: about 90 bytes a partition, so 46 KB to each node for a table of 512. Assignments are never deleted, so the changes since the version that a node names are enough; they are found from the order of changes without a log.

A released partition waited for the next look of the planner (a fifth of a heartbeat interval); the planner is now woken by the release. Answering a heartbeat no longer goes over all members: leases are ended by the planner's look or when the member itself is heard, and handovers are worked out only for a node that has some.

Ruled out: pushing the table to nodes from the store leader, which would need connections the other way round.

--- a/src/passlane/membership/lease_table.py
+++ b/src/passlane/membership/lease_table.py
@@ -82,12 +82,14 @@
         required_revision
             Configuration that a node must hold before it gets its first lease.
         """
-        self._members.expire(self._planner.leading, now)
         member = self._members.hear(heartbeat, now)
-        self._planner.take_releases(member.life, heartbeat.released)
-        if not self._members.grant(member, required_revision, now):
+        life = member.life
+        self._planner.take_releases(life, heartbeat.released)
+        if not self._members.grant(member, life in self._planner.leading, required_revision, now):
             return LeaseDecision(lease_s=0.0)
-        orders = self._planner.orders_for(member.life, self._eligible(now))
+        if not self._planner.has_moves_from(life):
+            return LeaseDecision(lease_s=self._lease_s)
+        orders = self._planner.orders_for(life, self._eligible(now))
         return LeaseDecision(lease_s=self._lease_s, handovers=orders)
 
     def plan_assignments(self, now: float) -> tuple[PartitionAssignment, ...]:
--- a/src/passlane/membership/members.py
+++ b/src/passlane/membership/members.py
@@ -76,10 +76,14 @@
         member.heard_at = now
         return member
 
-    def grant(self, member: Member, required_revision: Revision, now: float) -> bool:
+    def grant(
+        self, member: Member, is_leading: bool, required_revision: Revision, now: float
+    ) -> bool:
         """Renew or give a lease if the member may have one; return whether it has."""
-        if not member.has_lease(now) and not self._may_join(member, required_revision, now):
-            return False
+        if not member.has_lease(now):
+            self._end_lease(member, is_leading, now)
+            if not self._may_join(member, required_revision, now):
+                return False
         member.lease_until = now + self._guarded_lease_s
         return True
 
@@ -98,13 +102,14 @@
         for member in list(self._members.values()):
             if member.has_lease(now):
                 continue
-            if member.lease_until != NO_LEASE:
-                self._end_lease(member, member.life in leading, now)
+            self._end_lease(member, member.life in leading, now)
             if member.heard_at + self._guarded_lease_s < now:
                 del self._members[member.life]
         self._damper.forget_old(now)
 
     def _end_lease(self, member: Member, is_leading: bool, now: float) -> None:
+        if member.lease_until == NO_LEASE:
+            return
         member.lease_until = NO_LEASE
         was_drained = member.heartbeat is not None and member.heartbeat.draining
         if is_leading or not was_drained:
--- a/src/passlane/membership/node_lease.py
+++ b/src/passlane/membership/node_lease.py
@@ -92,7 +92,7 @@
             self._valid_until = max(self._valid_until, ends_at)
         if reply.table is not None and reply.table_version > self.table_version:
             self.table_version = reply.table_version
-            self._table = {assignment.partition: assignment for assignment in reply.table}
+            self._table.update((assignment.partition, assignment) for assignment in reply.table)
         if reply.table_version < self.table_version:
             return changes
         return changes + self._update_led(now) + self._update_handovers(reply)
--- a/src/passlane/membership/partition_planner.py
+++ b/src/passlane/membership/partition_planner.py
@@ -48,6 +48,11 @@
     ----------
     partition_count
         Number of partitions; they are numbered from 0.
+
+    Attributes
+    ----------
+    leading
+        The lives that the recorded table names.
     """
 
     def __init__(self, partition_count: int) -> None:
@@ -55,6 +60,7 @@
         self._max_balancing_moves = max(
             MIN_BALANCING_MOVES, partition_count // PARTITIONS_PER_BALANCING_MOVE
         )
+        self.leading: frozenset[NodeLife] = frozenset()
         self._leaders: dict[Partition, NodeLife] = {}
         self._epochs: dict[Partition, Epoch] = {}
         self._released: dict[Partition, Epoch] = {}
@@ -68,6 +74,7 @@
             partition = assignment.partition
             self._leaders[partition] = NodeLife(assignment.node_id, assignment.incarnation)
             self._epochs[partition] = assignment.epoch
+        self.leading = frozenset(self._leaders.values())
         self._released = {
             partition: epoch
             for partition, epoch in self._released.items()
@@ -79,10 +86,9 @@
             if self._leaders.get(partition) == move.source
         }
 
-    @property
-    def leading(self) -> frozenset[NodeLife]:
-        """The lives that the recorded table names."""
-        return frozenset(self._leaders.values())
+    def has_moves_from(self, life: NodeLife) -> bool:
+        """Return whether ``life`` has partitions to hand over."""
+        return any(move.source == life for move in self._moves.values())
 
     def count_led(self, life: NodeLife) -> int:
         """Return the number of partitions that the table gives to ``life``."""
--- a/src/passlane/messages/membership.py
+++ b/src/passlane/messages/membership.py
@@ -79,8 +79,9 @@
 
     The lease lasts ``lease_s`` seconds counted from when the node sent the heartbeat; 0
     means that the node has no lease (yet). ``handovers`` are repeated while they stand.
-    ``table`` is ``None`` when the node's ``table_version`` is current. The node acts on
-    ``accepted_revision`` as soon as it holds it.
+    ``table`` holds the assignments that changed since the node's ``table_version``, and
+    is ``None`` when that is current. The node acts on ``accepted_revision`` as soon as it
+    holds it.
     """
 
     lease_s: float
--- a/src/passlane/store/assignments.py
+++ b/src/passlane/store/assignments.py
@@ -14,6 +14,8 @@
 
     def __init__(self) -> None:
         self._by_partition: dict[Partition, PartitionAssignment] = {}
+        # In the order of changes: a partition that is assigned anew moves to the end.
+        self._changed_in: dict[Partition, int] = {}
         self.version = 0
 
     def epoch_of(self, partition: Partition) -> Epoch:
@@ -25,6 +27,15 @@
         """Return all assignments by number of the partition."""
         return tuple(self._by_partition[number] for number in sorted(self._by_partition))
 
+    def changed_since(self, version: int) -> tuple[PartitionAssignment, ...]:
+        """Return what a holder of the table as of ``version`` lacks, by partition."""
+        changed: list[Partition] = []
+        for partition in reversed(self._changed_in):
+            if self._changed_in[partition] <= version:
+                break
+            changed.append(partition)
+        return tuple(self._by_partition[partition] for partition in sorted(changed))
+
     def require_current(self, partition: Partition, epoch: Epoch) -> None:
         """Refuse a command whose epoch is not the recorded one.
 
@@ -63,12 +74,17 @@
                     ErrorCode.STALE_EPOCH,
                     f"partition {assignment.partition} was assigned by another command",
                 )
+        if not changed:
+            return
+        self.version += 1
         for assignment in changed:
             self._by_partition[assignment.partition] = assignment
-        if changed:
-            self.version += 1
+            self._changed_in.pop(assignment.partition, None)
+            self._changed_in[assignment.partition] = self.version
 
     def restore(self, assignments: tuple[PartitionAssignment, ...], version: int) -> None:
         """Replace the table by that of a snapshot."""
         self._by_partition = {assignment.partition: assignment for assignment in assignments}
+        # A snapshot does not tell when each changed: holders of older tables get all.
+        self._changed_in = {partition: version for partition in self._by_partition}
         self.version = version
--- a/src/passlane/store/leader_term.py
+++ b/src/passlane/store/leader_term.py
@@ -54,6 +54,7 @@
         self._drained = DrainedNodes(machine.configuration)
         self._platform = PlatformWatch(environment.http_client, settings.node.platform_list)
         self._retention = RetentionLoop(group, machine, retention_s)
+        self._plan_wanted = anyio.Event()
         self._relay: ConfigurationRelay | None = None
         if control is not None:
             self._relay = ConfigurationRelay(
@@ -81,13 +82,15 @@
         decision = self.lease_table.answer_heartbeat(
             heartbeat, configuration.held_revision, anyio.current_time()
         )
+        if heartbeat.released:
+            self._plan_wanted.set()
         is_table_news = heartbeat.table_version != table.version
         is_configuration_news = heartbeat.prepared_revision < configuration.held_revision
         return HeartbeatReply(
             lease_s=decision.lease_s,
             table_version=table.version,
             accepted_revision=configuration.accepted_revision,
-            table=table.all() if is_table_news else None,
+            table=table.changed_since(heartbeat.table_version) if is_table_news else None,
             configuration=configuration.delta_since(
                 heartbeat.prepared_revision, heartbeat.configuration_floor
             )
@@ -99,10 +102,13 @@
 
     async def _assign_partitions(self) -> None:
         while True:
+            self._plan_wanted = anyio.Event()
             self.lease_table.set_leaving(self._drained.nodes() | self._platform.leaving_nodes)
             planned = self.lease_table.plan_assignments(anyio.current_time())
             if planned:
                 await propose_until_decided(self._group, AssignPartitions(assignments=planned))
                 self.lease_table.record_assignments(self._machine.assignments.all())
                 logger.info("partitions_assigned", partitions=len(planned))
-            await anyio.sleep(self._plan_interval_s)
+            # What a node has released waits for its next leader: look at once.
+            with anyio.move_on_after(self._plan_interval_s):
+                await self._plan_wanted.wait()
--- a/tests/membership/lease_simulation.py
+++ b/tests/membership/lease_simulation.py
@@ -189,7 +189,7 @@
             lease_s=decision.lease_s,
             table_version=self.recorded.version if leads else heartbeat.table_version,
             accepted_revision=NO_REVISION,
-            table=self.recorded.all() if news and leads else None,
+            table=self.recorded.changed_since(heartbeat.table_version) if news and leads else None,
             handovers=decision.handovers,
         )
         node = self.nodes[heartbeat.node_id]
