--- a/src/passlane/membership/partition_planner.py
+++ b/src/passlane/membership/partition_planner.py
@@ -1,6 +1,7 @@
 """Who shall lead each partition: lost leaders replaced, live ones relieved in order.
 
-A partition without a live leader is assigned at once. One that a live node leads is
+A partition without a live leader is assigned at once: a node whose lease has ended
+never takes up again what it led, even if it gets a new lease first. One that a live node leads is
 never taken away: the node is ordered to hand it over, and only once it has released
 the partition is the next leader assigned.
 """
@@ -47,6 +48,11 @@
     ----------
     partition_count
         Number of partitions; they are numbered from 0.
+
+    Attributes
+    ----------
+    leading
+        The lives that the recorded table names.
     """
 
     def __init__(self, partition_count: int) -> None:
@@ -54,11 +60,11 @@
         self._max_balancing_moves = max(
             MIN_BALANCING_MOVES, partition_count // PARTITIONS_PER_BALANCING_MOVE
         )
+        self.leading: frozenset[NodeLife] = frozenset()
         self._leaders: dict[Partition, NodeLife] = {}
         self._epochs: dict[Partition, Epoch] = {}
         self._released: dict[Partition, Epoch] = {}
         self._moves: dict[Partition, Move] = {}
-        self._losing: set[NodeLife] = set()
 
     def record_assignments(self, assignments: Iterable[PartitionAssignment]) -> None:
         """Take over the recorded table; whatever was proposed is decided by it."""
@@ -68,7 +74,7 @@
             partition = assignment.partition
             self._leaders[partition] = NodeLife(assignment.node_id, assignment.incarnation)
             self._epochs[partition] = assignment.epoch
-        self._losing.clear()
+        self.leading = frozenset(self._leaders.values())
         self._released = {
             partition: epoch
             for partition, epoch in self._released.items()
@@ -80,17 +86,9 @@
             if self._leaders.get(partition) == move.source
         }
 
-    @property
-    def leading(self) -> frozenset[NodeLife]:
-        """The lives that the recorded table names."""
-        return frozenset(self._leaders.values())
-
-    def is_losing(self, life: NodeLife) -> bool:
-        """Return whether partitions of ``life`` are being assigned anew as leaderless.
-
-        Until that is decided it must not get a lease: it would go on leading them.
-        """
-        return life in self._losing
+    def has_moves_from(self, life: NodeLife) -> bool:
+        """Return whether ``life`` has partitions to hand over."""
+        return any(move.source == life for move in self._moves.values())
 
     def count_led(self, life: NodeLife) -> int:
         """Return the number of partitions that the table gives to ``life``."""
@@ -128,7 +126,6 @@
             target = self._target_for(partition, candidates, loads)
             if target is None:
                 continue
-            self._note_loss(partition)
             loads[target] = loads.get(target, 0) + 1
             planned.append(
                 PartitionAssignment(
@@ -141,10 +138,6 @@
             )
         return tuple(planned)
 
-    def _note_loss(self, partition: Partition) -> None:
-        if partition not in self._released and partition in self._leaders:
-            self._losing.add(self._leaders[partition])
-
     def _leaderless(self, active: Collection[NodeLife]) -> list[Partition]:
         """Return the partitions that nobody leads, or whose leader has stopped."""
         return [
