--- a/tests/replication/cluster.py
+++ b/tests/replication/cluster.py
@@ -76,7 +76,15 @@
 
 
 class Cluster:
-    """Members by name; ``start``, ``kill`` and ``client`` act on them."""
+    """Members by name; ``start``, ``kill`` and ``client`` act on them.
+
+    A subclass may run another state machine, and a service on top of each replica.
+    """
+
+    machine_class = ListMachine
+
+    async def run_member(self, member):
+        await member.host.run()
 
     def __init__(self, tasks: anyio.abc.TaskGroup, seed: int, **settings) -> None:
         self.tasks = tasks
@@ -100,7 +108,7 @@
     def start(self, *names):
         for name in names or self.members:
             member = self.members[name]
-            member.router, member.machine = MessageRouter(), ListMachine()
+            member.router, member.machine = MessageRouter(), self.machine_class()
             environment = Environment(
                 network=None,
                 http_client=None,
@@ -125,7 +133,7 @@
     async def _run(self, member, scope):
         try:
             with scope:
-                await member.host.run()
+                await self.run_member(member)
         except BaseExceptionGroup as group:
             member.failure = group
         except PasslaneError as error:
