Silent-leader test: a client of its own makes the stale read

Cause: the short read, meant to fail, made the operator's client forget which replica leads, so its next write never reached the cut-off leader and was answered not_run instead of may_have_run.

--- a/tests/control/test_control_group.py
+++ b/tests/control/test_control_group.py
@@ -112,13 +112,14 @@
     async def test_a_cut_off_leader_accepts_nothing_and_its_changes_run_once(self, cluster):
         base = await cluster.send(put("p", "base", 0, "k1"))
         await cluster.until_in_force(base.document.revision)
-        await cluster.send(ReadDocuments(), "ann")  # so that Ann's client knows the leader
+        for name in ("ann", "amy"):  # so that their clients know the leader
+            await cluster.send(ReadDocuments(), name)
         old = (await cluster.until(cluster.leader)).peer.name
-        for name in (old, "ann", "north"):
+        for name in (old, "ann", "amy", "north"):
             cluster.sides[name] = 1
         self.assertTrue(cluster.members[old].host.is_leader)
         with self.assertRaises(PasslaneError):
-            await cluster.send(ReadDocuments(), "ann", timeout_s=0.05)
+            await cluster.send(ReadDocuments(), "amy", timeout_s=0.05)
         with self.assertRaises(PasslaneError) as caught:
             await cluster.send(put("p", "ann", 1, "ann"), "ann", timeout_s=5.0)
         self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
