--- a/src/passlane/simulation/callers.py
+++ b/src/passlane/simulation/callers.py
@@ -79,6 +79,21 @@
         await self.end(program)
         return program
 
+    async def run_program_open(self, name: str, script: ProgramScript) -> SeenProgram | None:
+        """Create a program and leave its calls to the scenario."""
+        return await self._create(name, script)
+
+    async def make_call_several_times(
+        self, program: SeenProgram, sequence: int, script: CallScript, copies: int
+    ) -> None:
+        """Send one call through several nodes at the same time, then as usual."""
+        call = self._new_call(program, sequence, script)
+        async with anyio.create_task_group() as tasks:
+            for node in self._random.choices(self._plan.node_names(), k=copies):
+                tasks.start_soon(self._attempt, program, call, script, node)
+        if call.answer is None:
+            await self._repeat_call(program, call, script)
+
     async def _create(self, name: str, script: ProgramScript) -> SeenProgram | None:
         budget = {
             "tokens": script.max_tokens,
@@ -139,6 +154,10 @@
 
     async def make_call(self, program: SeenProgram, sequence: int, script: CallScript) -> bool:
         """Make one call and repeat it until it is answered; return whether it was."""
+        call = self._new_call(program, sequence, script)
+        return await self._repeat_call(program, call, script)
+
+    def _new_call(self, program: SeenProgram, sequence: int, script: CallScript) -> SeenCall:
         call = SeenCall(
             program_id=program.program_id,
             sequence=sequence,
@@ -147,6 +166,9 @@
             is_tool=script.is_tool,
         )
         program.calls.append(call)
+        return call
+
+    async def _repeat_call(self, program: SeenProgram, call: SeenCall, script: CallScript) -> bool:
         deadline = anyio.current_time() + CALL_PATIENCE_S
         while anyio.current_time() < deadline:
             node = self._random.choice(self._plan.node_names())
--- a/src/passlane/simulation/disk.py
+++ b/src/passlane/simulation/disk.py
@@ -165,6 +165,10 @@
         if self.capacity_bytes is not None and self.used_bytes() + size > self.capacity_bytes:
             raise OSError(errno.ENOSPC, "no space left on the simulated disk")
 
+    def file_names(self) -> list[str]:
+        """Return the sorted names of all files."""
+        return sorted(self._files)
+
     def used_bytes(self) -> int:
         """Return the size of all files."""
         return sum(len(file.content) for file in self._files.values())
--- a/src/passlane/simulation/observer.py
+++ b/src/passlane/simulation/observer.py
@@ -144,6 +144,7 @@
     sent_at: float
     answered_at: float | None
     status: int | None
+    revision: int | None = None
     accepted_at: float | None = None
 
 
--- /dev/null
+++ b/src/passlane/simulation/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Named scenarios: a fleet, what is done to it, and which promise that endangers."""
--- /dev/null
+++ b/src/passlane/simulation/scenarios/back_ends.py
@@ -0,0 +1,199 @@
+"""Scenarios about engines, applications and programs that misbehave."""
+
+import anyio
+
+from passlane.emulator.application_model import ApplicationSettings, Behaviour
+from passlane.emulator.engine_settings import EngineModelSettings
+from passlane.simulation.callers import TOOL, CallScript, ProgramScript
+from passlane.simulation.cluster import (
+    APPLICATION_SETTINGS,
+    ENGINE_SETTINGS,
+    Cluster,
+    ClusterOptions,
+)
+from passlane.simulation.observer import Departure
+from passlane.simulation.scenarios.base import Scenario, load, pause
+
+SLOW_ENGINE = EngineModelSettings(answer_tokens_min=100, answer_tokens_max=200, step_base_s=0.02)
+FAULTY_ENGINE = EngineModelSettings(
+    answer_tokens_min=8, answer_tokens_max=40, failure_probability=0.15
+)
+FAULTY_APPLICATION = ApplicationSettings(
+    tools=(TOOL,),
+    hang_probability=0.05,
+    hang_after_probability=0.05,
+    refuse_probability=0.15,
+    fail_before_probability=0.15,
+    fail_after_probability=0.15,
+    answer_twice_probability=0.1,
+)
+
+
+async def engine_leaving(cluster: Cluster) -> None:
+    """Let the platform list an engine as leaving; end it half a minute later."""
+    engine = cluster.random.choice(cluster.plan.engine_names())
+    async with load(cluster, calls=16):
+        await pause(cluster, 1.0, 3.0)
+        now = anyio.current_time()
+        cluster.platform.model.mark_leaving(engine, 30.0, now)
+        cluster.event_log.record("leaving", engine)
+        cluster.observations.departures.append(Departure(now, engine, is_accepted=False))
+
+
+async def engine_drained(cluster: Cluster) -> None:
+    """Have an operator drain an engine."""
+    engine = cluster.random.choice(cluster.plan.engine_names())
+    async with load(cluster, calls=12):
+        await pause(cluster, 1.0, 3.0)
+        body = {"target_kind": "engine", "target": engine}
+        change = await cluster.operators.change("drain", f"engine-{engine}", body, 0, "drain")
+        if change.accepted_at is not None:
+            cluster.observations.departures.append(
+                Departure(change.accepted_at, engine, is_accepted=True)
+            )
+
+
+async def engine_restarted(cluster: Cluster) -> None:
+    """Restart engines, whose memory is gone then, while they stream."""
+    async with load(cluster, programs=8):
+        for _ in range(3):
+            await pause(cluster, 0.5, 2.0)
+            engine = cluster.random.choice(cluster.plan.engine_names())
+            cluster.engines[engine].crash_and_restart()
+
+
+async def engine_unreachable(cluster: Cluster) -> None:
+    """Cut an engine off in silence for a while."""
+    engine = cluster.random.choice(cluster.plan.engine_names())
+    async with load(cluster):
+        await pause(cluster, 1.0, 3.0)
+        cluster.cut_off([engine])
+        await pause(cluster, 5.0, 15.0)
+        cluster.heal()
+
+
+async def hung_tool(cluster: Cluster) -> None:
+    """Let the application hang before or after it ran."""
+    model = next(iter(cluster.applications.values())).model
+    for _ in range(3):
+        hangs = cluster.random.choice((Behaviour.HANG, Behaviour.HANG_AFTER))
+        model.force(hangs)
+    async with load(cluster, programs=4):
+        pass
+
+
+async def caller_resends_everything(cluster: Cluster) -> None:
+    """Send each call several times at once through different nodes."""
+    script = ProgramScript(cluster.plan.tenants[0], [])
+    async with anyio.create_task_group() as tasks:
+        for number in range(4):
+            tasks.start_soon(_run_with_resends, cluster, f"resent-{number}", script)
+
+
+async def _run_with_resends(cluster: Cluster, name: str, script: ProgramScript) -> None:
+    program = await cluster.callers.run_program_open(name, script)
+    if program is None:
+        return
+    for sequence in range(5):
+        call = CallScript(is_tool=sequence % 2 == 1, is_streamed=False)
+        await cluster.callers.make_call_several_times(program, sequence, call, copies=3)
+    await cluster.callers.end(program)
+
+
+async def endless_program(cluster: Cluster) -> None:
+    """Run a program that would go on for ever, until its budget stops it."""
+    calls = [CallScript(max_tokens=16, pause_s=0.05, is_tool=n % 4 == 3) for n in range(60)]
+    script = ProgramScript(cluster.plan.tenants[0], calls, max_calls=20, max_money_micros=3_000)
+    async with load(cluster, programs=3), anyio.create_task_group() as tasks:
+        tasks.start_soon(cluster.callers.run_program, "endless", script)
+
+
+async def budget_over_crashes(cluster: Cluster) -> None:
+    """Spend small budgets while nodes and stores die."""
+    calls = [CallScript(is_tool=n % 2 == 1, max_tokens=16, pause_s=0.3) for n in range(30)]
+    async with anyio.create_task_group() as tasks:
+        for number in range(4):
+            script = ProgramScript(
+                cluster.plan.tenants[number % 2],
+                calls,
+                max_calls=10,
+                max_money_micros=4_000,
+                max_tokens=2_000,
+            )
+            tasks.start_soon(cluster.callers.run_program, f"small-{number}", script)
+        for _ in range(3):
+            await pause(cluster, 0.5, 1.5)
+            name = cluster.random.choice(list(cluster.processes))
+            cluster.processes[name].kill(power_lost=True)
+            await pause(cluster, 2.0, 4.0)
+            cluster.start_process(name)
+
+
+def _engine_options(engine: EngineModelSettings) -> ClusterOptions:
+    return ClusterOptions(engine=engine, application=APPLICATION_SETTINGS)
+
+
+BACK_END_SCENARIOS = (
+    Scenario(
+        "engine-leaving",
+        ("leaving",),
+        "the platform lists an engine as leaving, late",
+        engine_leaving,
+    ),
+    Scenario("engine-drained", ("leaving",), "an operator drains an engine", engine_drained),
+    Scenario(
+        "engine-restarted",
+        ("answers", "memory"),
+        "engines restart with their memory gone while they stream",
+        engine_restarted,
+        options=_engine_options(SLOW_ENGINE),
+    ),
+    Scenario(
+        "engine-streams-break",
+        ("answers",),
+        "engines break streams off in the middle",
+        engine_restarted,
+        options=_engine_options(FAULTY_ENGINE),
+    ),
+    Scenario(
+        "engine-unreachable",
+        ("answers", "memory"),
+        "an engine is cut off in silence",
+        engine_unreachable,
+    ),
+    Scenario(
+        "hung-tool",
+        ("not-run", "at-most-once"),
+        "tools hang before or after they ran",
+        hung_tool,
+        must_answer=0.5,
+    ),
+    Scenario(
+        "faulty-application",
+        ("not-run", "at-most-once"),
+        "tools fail before or after they ran, hang, refuse, or answer twice",
+        hung_tool,
+        options=ClusterOptions(engine=ENGINE_SETTINGS, application=FAULTY_APPLICATION),
+        must_answer=0.4,
+    ),
+    Scenario(
+        "caller-resends-everything",
+        ("order", "at-most-once", "answers"),
+        "callers send each call several times at once",
+        caller_resends_everything,
+    ),
+    Scenario(
+        "endless-program",
+        ("budget",),
+        "a program loops without end",
+        endless_program,
+        must_answer=0.2,
+    ),
+    Scenario(
+        "budget-over-crashes",
+        ("budget", "at-most-once"),
+        "small budgets are spent while nodes and stores die",
+        budget_over_crashes,
+        must_answer=0.1,
+    ),
+)
