A repeat of an operation that may have run is never refused as not_run

Cause: a refusal that was given before the program's record was read (no leader known, a node that drains, a leader over its limit) said not_run, although an earlier request under the same key may have run the operation. A caller that reads this as a word about the charge makes a new one. Ruled out: answering may_have_run for every early refusal, since a leader that has the record can tell a repeat from a new charge; and looking up the record before each refusal, since refusals under load must stay cheap.

--- a/src/passlane/node/admission.py
+++ b/src/passlane/node/admission.py
@@ -29,6 +29,10 @@
         """Requests admitted and not yet answered."""
         return self._requests
 
+    def limit_requests(self, max_requests: int) -> None:
+        """Change how many requests are admitted at a time; those in flight go on."""
+        self._max_requests = max_requests
+
     @contextmanager
     def admit(self, tenant_id: TenantId, tenant: TenantBody | None, now: float) -> Iterator[None]:
         """Hold a place for one request of a tenant.
--- a/src/passlane/node/forwarder.py
+++ b/src/passlane/node/forwarder.py
@@ -18,6 +18,7 @@
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.node import CallAnswered, CallEvent, CallRefused, CallRequest, TextChunk
 from passlane.node.leadership import Leadership
+from passlane.node.refusal_verdicts import may_be_repeat
 from passlane.programs.partitions import partition_of
 from passlane.transport.interfaces import Caller
 
@@ -50,7 +51,7 @@
         self.texts: list[str] = [request.resume_text] if request.resume_from else []
         self.next_position = request.resume_from
         self.is_over = False
-        self.may_have_run = False
+        self.may_have_run = may_be_repeat(request)
         self._emit = emit
 
     async def take(self, event: CallEvent) -> None:
--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -4,11 +4,12 @@
 
 import anyio
 
-from passlane.errors import ErrorCode, PasslaneError
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import NodeId, Partition, ProgramId, TenantId
 from passlane.messages.common import Address, Amounts, NotLeaderError
 from passlane.messages.node import (
     CallEvent,
+    CallRefused,
     CallRequest,
     CreateProgramRequest,
     EndProgramRequest,
@@ -32,6 +33,11 @@
 from passlane.node.policy_facts import call_facts, program_facts
 from passlane.node.program_directory import ProgramDirectory
 from passlane.node.program_host import ProgramHost
+from passlane.node.refusal_verdicts import (
+    RefusalJudge,
+    error_with_verdict,
+    refusal_with_verdict,
+)
 from passlane.node.release_loop import ReleaseLoop
 from passlane.node.subscription import Subscription
 from passlane.policy.governor import BudgetDecision
@@ -71,12 +77,33 @@
         PasslaneError
             When it was refused at once, or must go to another node.
         """
+        judge = RefusalJudge(request)
+        known = self._directory.program_in_memory(request.program_id)
+        if known is not None:
+            judge.note_record(known)
+        try:
+            async for event in self._serve(request, judge):
+                if isinstance(event, CallRefused):
+                    event = refusal_with_verdict(event, self._verdict(judge, request))
+                yield event
+        except PasslaneError as error:
+            raise error_with_verdict(error, self._verdict(judge, request)) from error
+
+    def _verdict(self, judge: RefusalJudge, request: CallRequest) -> Verdict:
+        return judge.verdict(self._directory.program_in_memory(request.program_id))
+
+    def limit_requests(self, max_requests: int) -> None:
+        """Change how many calls are admitted at a time."""
+        self._admission.limit_requests(max_requests)
+
+    async def _serve(self, request: CallRequest, judge: RefusalJudge) -> AsyncIterator[CallEvent]:
         self._require_staying(request.program_id)
         now = anyio.current_time()
         tenant = self._services.configuration().tenants.get(request.tenant_id)
         with self._admission.admit(request.tenant_id, tenant, now):
             host = await self._host(request.program_id, request.tenant_id)
             self._require_staying(request.program_id)
+            judge.note_record(host.program)
             subscription = self._submit(host, request, now + request.timeout_s)
             try:
                 async for event in subscription.events():
--- /dev/null
+++ b/src/passlane/node/refusal_verdicts.py
@@ -0,0 +1,68 @@
+"""What a refusal may say of an operation that an earlier request may have started.
+
+A caller that lost an answer sends the same operation again, under the same key or
+sequence number. If the repeat is refused, ``not_run`` would be read as a word about the
+operation, so it is only said where the program's record shows that nothing ran.
+"""
+
+from passlane.errors import PasslaneError, Verdict
+from passlane.messages.node import CallRefused, CallRequest
+from passlane.messages.store import CallKind, CallState
+from passlane.node.led_program import LedProgram
+from passlane.programs.call_identity import call_id_of
+
+
+def may_be_repeat(request: CallRequest) -> bool:
+    """Return whether an earlier request may have started the same operation."""
+    return request.kind is CallKind.TOOL and request.is_named
+
+
+def verdict_without_record(request: CallRequest) -> Verdict:
+    """Return the verdict of a refusal by a process that has not seen the program's record."""
+    return Verdict.MAY_HAVE_RUN if may_be_repeat(request) else Verdict.NOT_RUN
+
+
+class RefusalJudge:
+    """Decides for the program's leader what a refusal of one request may say."""
+
+    def __init__(self, request: CallRequest) -> None:
+        self._request = request
+        self._is_new = not may_be_repeat(request)
+
+    def note_record(self, program: LedProgram) -> None:
+        """Take in the program's record as it was when the request arrived.
+
+        Where it holds no such call, nothing ran before, and the refusal's own word counts.
+        """
+        if call_id_of(self._request) not in program.calls:
+            self._is_new = True
+
+    def verdict(self, program: LedProgram | None) -> Verdict:
+        """Return the verdict in place of ``not_run``; ``program`` is as in memory now."""
+        if self._is_new:
+            return Verdict.NOT_RUN
+        call = None if program is None else program.calls.get(call_id_of(self._request))
+        if program is None or call is None:
+            return Verdict.MAY_HAVE_RUN
+        if call.state is CallState.FINISHED and call.outcome is not None:
+            return call.outcome.verdict
+        open_call = program.open_call
+        if open_call is not None and open_call.call.call_id == call.call_id:
+            return Verdict.NOT_RUN if open_call.proved_not_run else Verdict.MAY_HAVE_RUN
+        return Verdict.MAY_HAVE_RUN
+
+
+def refusal_with_verdict(refused: CallRefused, verdict: Verdict) -> CallRefused:
+    """Return the refusal; where it says ``not_run``, with ``verdict`` instead."""
+    if refused.verdict is not Verdict.NOT_RUN:
+        return refused
+    return CallRefused(refused.code, refused.message, verdict, refused.retry_after_s)
+
+
+def error_with_verdict(error: PasslaneError, verdict: Verdict) -> PasslaneError:
+    """Return the error; where it says ``not_run``, with ``verdict`` instead."""
+    if error.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
+        return error
+    return PasslaneError(
+        error.code, error.message, verdict=verdict, retry_after_s=error.retry_after_s
+    )
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -39,6 +39,7 @@
 from passlane.node.node_metrics import NodeMetrics
 from passlane.node.program_host import ProgramHost
 from passlane.node.program_store import ProgramStore
+from passlane.node.refusal_verdicts import error_with_verdict, verdict_without_record
 from passlane.node.trace_recorder import TraceRecorder
 from passlane.observability.logging import get_logger
 from passlane.observability.metrics import Metrics
@@ -273,7 +274,10 @@
         PasslaneError
             When it was refused or failed; with its verdict.
         """
-        core = self._require_open()
+        try:
+            core = self._require_open()
+        except PasslaneError as error:
+            raise error_with_verdict(error, verdict_without_record(request)) from error
         self._requests += 1
         try:
             await core.forwarder.run_call(request, emit)
--- a/src/passlane/simulation/invariants.py
+++ b/src/passlane/simulation/invariants.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
@@ -228,17 +229,35 @@
 
 
 def refused_as_not_run_did_not_run(seen: Observations) -> list[str]:
-    """Check that a tool call whose every answer said ``not_run`` never ran."""
+    """Check that no tool call was refused as ``not_run`` that ran before or runs at last."""
     runs = _runs_by_call(seen)
+    first_runs = _first_runs(seen)
     violations: list[str] = []
     for call in _calls(seen):
+        key = (call.program_id, call.sequence)
         verdicts = {attempt.verdict for attempt in call.attempts if attempt.connected}
         only_refused = bool(verdicts) and verdicts == {Verdict.NOT_RUN}
-        if call.is_tool and only_refused and runs[(call.program_id, call.sequence)]:
+        if call.is_tool and only_refused and runs[key]:
             violations.append(f"{call.marker}: was refused as not run, but ran")
+        violations += [
+            f"{call.marker}: ran at {first_runs[key]:.3f}, but was refused as not run afterwards"
+            for attempt in call.attempts
+            if call.is_tool
+            and attempt.verdict is Verdict.NOT_RUN
+            and first_runs.get(key, math.inf) < attempt.sent_at
+        ]
     return violations
 
 
+def _first_runs(seen: Observations) -> dict[tuple[str, int], float]:
+    """Return when each tool call first ran."""
+    times: dict[tuple[str, int], float] = {}
+    for run in seen.tool_runs:
+        if (key := _run_sequence(run)) is not None:
+            times[key] = min(run.time, times.get(key, math.inf))
+    return times
+
+
 def charges_run_at_most_once(seen: Observations) -> list[str]:
     """Check that no charge ran twice, and that one that was answered ran."""
     runs = _runs_by_call(seen)
--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -184,6 +184,33 @@
 
         in_fleet(scenario)
 
+    def test_repeat_of_a_charge_that_ran_is_never_refused_as_not_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            first = await fleet.call(charge(), node=1)
+            self.assertEqual(first.answered.verdict, Verdict.RAN)
+            fleet.network.cut_off(fleet.leaderships[0].address)
+            without_leader = await fleet.call(charge(), node=1)
+            self.assertEqual(without_leader.refused.code, ErrorCode.UNAVAILABLE)
+            self.assertEqual(without_leader.refused.verdict, Verdict.MAY_HAVE_RUN)
+            # The next leader is too busy to look into the program's record.
+            fleet.lead(1)
+            fleet.nodes[1].leader.limit_requests(0)
+            when_busy = await fleet.call(charge(), node=1)
+            self.assertEqual(when_busy.refused.code, ErrorCode.QUEUE_FULL)
+            self.assertEqual(when_busy.refused.verdict, Verdict.MAY_HAVE_RUN)
+            fleet.nodes[1].leader.limit_requests(10)
+            again = await fleet.call(charge(), node=1)
+            self.assertEqual(again.answered.verdict, Verdict.RAN)
+            # Now its record is in memory, and tells a repeat from a new charge.
+            fleet.nodes[1].leader.limit_requests(0)
+            repeat = await fleet.call(charge(), node=1)
+            self.assertEqual(repeat.refused.verdict, Verdict.RAN)
+            new = await fleet.call(charge("another"), node=1)
+            self.assertEqual(new.refused.verdict, Verdict.NOT_RUN)
+            self.assertEqual(len(fleet.application.ledger), 1)
+
+        in_fleet(scenario, nodes=2)
+
 
 class LeaderChangeTest(unittest.TestCase):
     def test_leader_lost_mid_stream_and_the_next_goes_on(self) -> None:
