--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -62,6 +62,18 @@
         "run",
         "processor time of the scheduler per call, by calls queued and engines watched",
     ),
+    Experiment(
+        "storage",
+        "passlane.bench.storage",
+        "run",
+        "appends with and without group commit, one replica and three, stalls, restarts",
+    ),
+    Experiment(
+        "storage-state",
+        "passlane.bench.storage",
+        "run_states",
+        "time, stalls of the loop and memory of a snapshot, by the size of the state",
+    ),
 )
 
 
