--- a/src/passlane/bench/hollow.py
+++ b/src/passlane/bench/hollow.py
@@ -63,6 +63,7 @@
         self.name = settings.process.name
         self.loop = HeartbeatLoop(settings, store, self, source, source.getrandbits(62) + 1)
         self.in_force_at: dict[Revision, float] = {}
+        self._changed = anyio.Event()
 
     def take_configuration(
         self, delta: ConfigurationDelta | None, accepted_revision: Revision
@@ -74,6 +75,13 @@
         self.configuration = self.configuration.accept(accepted_revision)
         for revision in range(before + 1, self.configuration.revision_in_force + 1):
             self.in_force_at[Revision(revision)] = anyio.current_time()
+            self._changed.set()
+
+    async def wait_in_force(self, revision: Revision) -> None:
+        """Return once the node acts on ``revision``."""
+        while revision not in self.in_force_at:
+            self._changed = anyio.Event()
+            await self._changed.wait()
 
     def take_leaving_engines(self, names: Sequence[EngineId]) -> None:
         """Take no notice: a hollow node has no engines."""
