Name the key in every refusal of a submitted document, and test the operators' API

Cause: a refused document told the operator what was wrong but not where, and the operators' HTTP routes and the command line had no tests of their own. Each finding about a document now carries the path of its key, the command line prints it, and the configuration experiment measures the state that documents take. Ruled out: repeating the check in the command line, since the two would drift apart. Conclusion: an operator's mistake is named by file and key, and the routes are held by tests that call them in process.

--- a/src/passlane/api/operator_views.py
+++ b/src/passlane/api/operator_views.py
@@ -15,7 +15,7 @@
     version: int
     revision: Revision
     is_accepted: bool
-    body: msgspec.Raw | None
+    body: msgspec.Raw
 
 
 class DocumentList(msgspec.Struct, frozen=True):
@@ -80,7 +80,7 @@
         version=document.version,
         revision=document.revision,
         is_accepted=document.revision <= accepted_revision,
-        body=None if document.body is None else msgspec.Raw(document.body.encode()),
+        body=msgspec.Raw((document.body or "null").encode()),
     )
 
 
--- a/src/passlane/api/problems.py
+++ b/src/passlane/api/problems.py
@@ -21,6 +21,7 @@
     ErrorCode.WRONG_SEQUENCE: 409,
     ErrorCode.VERSION_CONFLICT: 409,
     ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.PRECONDITION_REQUIRED: 428,
     ErrorCode.IDEMPOTENCY_MISMATCH: 422,
     ErrorCode.INVALID_DOCUMENT: 422,
     ErrorCode.LIMIT_EXCEEDED: 429,
@@ -63,15 +64,20 @@
 def problem_response(error: PasslaneError) -> Response:
     """Return the answer that stands for an error."""
     problem = problem_of(error)
+    return Response(
+        status=problem.status,
+        body=msgspec.json.encode(problem),
+        content_type=PROBLEM_TYPE,
+        headers=problem_headers(error),
+    )
+
+
+def problem_headers(error: PasslaneError) -> dict[str, str]:
+    """Return the headers that go with an error."""
     headers: dict[str, str] = {}
     if error.retry_after_s is not None and math.isfinite(error.retry_after_s):
         # The header holds whole seconds; rounding up never sends a caller back too early.
         headers["retry-after"] = str(max(math.ceil(error.retry_after_s), 0))
     if error.code is ErrorCode.UNAUTHORIZED:
         headers["www-authenticate"] = "Bearer"
-    return Response(
-        status=problem.status,
-        body=msgspec.json.encode(problem),
-        content_type=PROBLEM_TYPE,
-        headers=headers,
-    )
+    return headers
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -74,6 +74,12 @@
         "run_states",
         "time, stalls of the loop and memory of a snapshot, by the size of the state",
     ),
+    Experiment(
+        "configuration",
+        "passlane.bench.configuration",
+        "run",
+        "bytes, processor time and memory of changes and documents, over documents",
+    ),
 )
 
 
--- a/src/passlane/cli/command.py
+++ b/src/passlane/cli/command.py
@@ -14,6 +14,7 @@
 from passlane.cli.exit_codes import ExitCode, exit_code_of
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.runtime.interfaces import HttpClient
 from passlane.runtime.network import TcpNetwork
 
 TEXT = "text"
@@ -91,7 +92,17 @@
 
 
 class OperatorCommand(OutputCommand):
-    """A command that talks to a server."""
+    """A command that talks to a server.
+
+    Parameters
+    ----------
+    http
+        Sends the requests; by default over TCP.
+    """
+
+    def __init__(self, http: HttpClient | None = None) -> None:
+        super().__init__()
+        self._http = http
 
     @classmethod
     def common_options(cls) -> list[Option]:
@@ -103,7 +114,7 @@
         target = find_target(
             ConnectionOptions(self.option("server"), self.option("token"), self.option("settings"))
         )
-        http = SingleConnectionHttpClient(TcpNetwork())
+        http = self._http or SingleConnectionHttpClient(TcpNetwork())
         client = OperatorClient(http, target.servers, target.token)
         return anyio.run(self.run_with, client)
 
--- a/src/passlane/cli/documents.py
+++ b/src/passlane/cli/documents.py
@@ -158,7 +158,7 @@
         if self.wants_json:
             self.show_json(document)
             return ExitCode.OK
-        body = msgspec.json.format(bytes(document.body or b"null"), indent=2).decode()
+        body = msgspec.json.format(bytes(document.body), indent=2).decode()
         self.show_lines(
             [
                 f"{document.kind}/{document.name} version {document.version}, "
@@ -219,7 +219,7 @@
 
 
 def _has_body(document: DocumentView, draft: DocumentDraft) -> bool:
-    recorded = bytes(document.body or b"null")
+    recorded = bytes(document.body)
     return bool(msgspec.json.decode(recorded) == msgspec.json.decode(draft.body))
 
 
--- a/src/passlane/cli/main.py
+++ b/src/passlane/cli/main.py
@@ -15,6 +15,7 @@
 )
 from passlane.cli.policies import PolicyCheckCommand
 from passlane.cli.proofs import (
+    BenchListCommand,
     BenchRunCommand,
     SimulationListCommand,
     SimulationRunCommand,
@@ -36,6 +37,7 @@
     SimulationRunCommand,
     SimulationListCommand,
     TraceReplayCommand,
+    BenchListCommand,
     BenchRunCommand,
 )
 
--- a/src/passlane/cli/policies.py
+++ b/src/passlane/cli/policies.py
@@ -41,7 +41,9 @@
         checking = importlib.import_module("passlane.policy.checking")
         policies = self._policies(Path(self.argument("file")))
         found = [
-            PolicyProblems(name, tuple(checking.check_policy(body.source, body.max_steps)))
+            PolicyProblems(
+                name, tuple(checking.describe_policy_problems(body.source, body.max_steps))
+            )
             for name, body in policies
         ]
         if self.wants_json:
--- a/src/passlane/cli/proofs.py
+++ b/src/passlane/cli/proofs.py
@@ -83,9 +83,19 @@
 
     def execute_command(self) -> ExitCode:
         """Run the experiment."""
-        report = self.option("report")
-        folder = None if report is None else Path(report)
-        return _exit_code(_load("passlane.bench.cli").run(self.argument("experiment"), folder))
+        bench = _load("passlane.bench.cli")
+        return _exit_code(bench.run(self.argument("experiment"), self.option("report")))
+
+
+class BenchListCommand(OutputCommand):
+    """Lists experiments."""
+
+    name = "bench list"
+    description = "Lists the experiments and what each measures."
+
+    def execute_command(self) -> ExitCode:
+        """Print the experiments."""
+        return _exit_code(_load("passlane.bench.cli").list_experiments())
 
 
 def parse_seeds(text: str) -> range:
--- a/src/passlane/configuration/references.py
+++ b/src/passlane/configuration/references.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from passlane.configuration.documents import (
     ApplicationBody,
@@ -19,8 +19,7 @@
 from passlane.messages.control import Document
 
 
-@dataclass(frozen=True)
-class Reference:
+class Reference(NamedTuple):
     """A thing that documents name: a service, a policy, a model or a tool."""
 
     kind: str
@@ -35,6 +34,12 @@
 KEPT_WHILE_IN_USE = frozenset({DocumentKind.SERVICE.value, DocumentKind.POLICY.value})
 
 
+# Nothing refers to these, and tenants are by far the most numerous documents.
+NEVER_REFERRED_TO = frozenset({DocumentKind.TENANT, DocumentKind.DRAIN})
+
+NOTHING: frozenset[Reference] = frozenset()
+
+
 def needs_of(body: DocumentBody) -> frozenset[Reference]:
     """Return what a document refers to."""
     if isinstance(body, TenantBody):
@@ -47,11 +52,13 @@
         return frozenset(needs)
     if isinstance(body, DrainBody) and body.target_kind is not DrainKind.NODE:
         return frozenset({Reference(body.target_kind.value, body.target)})
-    return frozenset()
+    return NOTHING
 
 
 def provisions_of(kind: DocumentKind, name: str, body: DocumentBody) -> frozenset[Reference]:
     """Return what a document lets others refer to."""
+    if kind in NEVER_REFERRED_TO:
+        return NOTHING
     provisions = {Reference(kind.value, name)}
     if isinstance(body, EngineBody):
         provisions |= {Reference(MODEL, model) for model in body.models}
@@ -68,6 +75,7 @@
         self._provisions: dict[DocumentKey, frozenset[Reference]] = {}
         self._needed: Counter[Reference] = Counter()
         self._provided: Counter[Reference] = Counter()
+        self._shared: dict[frozenset[Reference], frozenset[Reference]] = {}
 
     @classmethod
     def of(cls, documents: Iterable[Document]) -> "ReferenceIndex":
@@ -81,12 +89,12 @@
 
     def problem_with(self, kind: str, name: str, body: DocumentBody | None) -> str | None:
         """Return why a change would break a reference, or ``None`` if it breaks none."""
-        needs = frozenset() if body is None else needs_of(body)
+        needs = NOTHING if body is None else needs_of(body)
         missing = [reference for reference in needs if self._provided[reference] == 0]
         if missing:
             return f"there is no {_names(missing)}"
-        kept = frozenset() if body is None else provisions_of(DocumentKind(kind), name, body)
-        lost = self._provisions.get((kind, name), frozenset()) - kept
+        kept = NOTHING if body is None else provisions_of(DocumentKind(kind), name, body)
+        lost = self._provisions.get((kind, name), NOTHING) - kept
         in_use = [
             reference
             for reference in lost
@@ -97,14 +105,26 @@
     def put(self, kind: str, name: str, body: DocumentBody | None) -> None:
         """Record a change; ``None`` deletes the document."""
         key = (kind, name)
-        _take_off(self._needed, self._needs.pop(key, frozenset()))
-        _take_off(self._provided, self._provisions.pop(key, frozenset()))
+        _take_off(self._needed, self._needs.pop(key, NOTHING))
+        _take_off(self._provided, self._provisions.pop(key, NOTHING))
         if body is None:
             return
-        self._needs[key] = needs_of(body)
-        self._provisions[key] = provisions_of(DocumentKind(kind), name, body)
-        self._needed.update(self._needs[key])
-        self._provided.update(self._provisions[key])
+        self._add(self._needs, self._needed, key, needs_of(body))
+        provisions = provisions_of(DocumentKind(kind), name, body)
+        self._add(self._provisions, self._provided, key, provisions)
+
+    def _add(
+        self,
+        references_of: dict[DocumentKey, frozenset[Reference]],
+        counts: Counter[Reference],
+        key: DocumentKey,
+        references: frozenset[Reference],
+    ) -> None:
+        if not references:
+            return
+        # Thousands of tenants need the same service: they share one set.
+        references_of[key] = self._shared.setdefault(references, references)
+        counts.update(references)
 
 
 def _take_off(counts: Counter[Reference], references: Iterable[Reference]) -> None:
--- a/src/passlane/daemon/assembly.py
+++ b/src/passlane/daemon/assembly.py
@@ -94,6 +94,7 @@
             control=GroupClient(self._pool, settings.control_addresses, random),
             store=GroupClient(self._pool, settings.store_addresses, random),
             ring=self._ring,
+            random=random,
         )
         checks: dict[str, ReadinessCheck] = {part.name: part.is_ready for part in self._parts}
         checks["not_draining"] = lambda: not self._is_draining
--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -14,6 +14,7 @@
 from passlane.control.service import ControlService
 from passlane.node.service import NodeService
 from passlane.observability.metrics import Metrics
+from passlane.policy.checking import describe_policy_problems
 from passlane.replication.client import GroupClient
 from passlane.replication.replica_host import ReplicaHost
 from passlane.runtime.interfaces import Environment
@@ -112,6 +113,7 @@
             context.environment,
             context.router,
             regions=settings.control.regions or (settings.process.region,),
+            check_policy=describe_policy_problems,
         )
         self._host = host
         async with anyio.create_task_group() as tasks:
--- /dev/null
+++ b/tests/cli/test_main.py
@@ -0,0 +1,177 @@
+"""The command line: exit codes, output, and what stands in document files."""
+
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+from cleo.testers.command_tester import CommandTester
+
+from api.in_process_http import InProcessHttp
+from api.test_operators import HERE, SETTINGS, TOKEN, DownGroup
+from passlane.api.operators import build_operator_application
+from passlane.cli.connection import ConnectionOptions, find_target
+from passlane.cli.documents import ApplyCommand, DeleteCommand, GetCommand, WithdrawCommand
+from passlane.cli.drains import DrainCommand, UndrainCommand
+from passlane.cli.exit_codes import ExitCode
+from passlane.cli.inspection import ProgramsListCommand, StatusCommand
+from passlane.cli.main import build_application
+from passlane.cli.proofs import parse_seeds
+from passlane.control.machine import ControlStateMachine
+from passlane.control.service import ControlService
+from passlane.errors import PasslaneError
+from passlane.messages.control import AcceptRevision, SetRegions
+from passlane.observability.ring import RingLog
+from passlane.transport.router import MessageRouter
+
+CONNECTION = f"--server {HERE} --token {TOKEN}"
+DOCUMENTS = """
+[[document]]
+kind = "service"
+name = "tutor"
+policy = "fair"
+
+[[document]]
+kind = "policy"
+name = "fair"
+source_file = "fair.star"
+"""
+
+
+class SingleReplica:
+    """A group of one that applies commands at once; also the client for it."""
+
+    is_leader = True
+    leader_address = HERE
+    term = 1
+
+    def __init__(self):
+        self.machine = ControlStateMachine()
+        self.machine.execute(SetRegions(("north",)))
+        self.router = MessageRouter()
+        self.service = ControlService(self, self.machine, None, self.router)
+
+    async def propose(self, command):
+        return self.machine.apply(0, command)
+
+    async def read_barrier(self):
+        return None
+
+    async def execute(self, request, reply, *, timeout_s):
+        return await self.router.unary_handler(request)(request)
+
+
+class CommandLineTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.file = self.folder / "documents.toml"
+        self.group = SingleReplica()
+        application = build_operator_application(
+            SETTINGS,
+            control=self.group,
+            store=DownGroup(),
+            ring=RingLog(10),
+            random=random.Random(1),
+        )
+        self.http = InProcessHttp(application)
+
+    def run_command(self, command, arguments=""):
+        tester = CommandTester(command(self.http))
+        code = tester.execute(f"{arguments} {CONNECTION}")
+        return code, tester.io.fetch_output() + tester.io.fetch_error()
+
+    def write(self, text, source="1"):
+        self.file.write_text(text)
+        (self.folder / "fair.star").write_text(source)
+
+    def apply(self, extra=""):
+        return self.run_command(ApplyCommand, f"-f {self.file} {extra}")
+
+    def test_apply_puts_documents_in_an_order_in_which_references_exist(self):
+        self.write(DOCUMENTS)
+        code, output = self.apply()
+        self.assertEqual(code, ExitCode.OK, output)
+        self.assertLess(output.index("policy/fair created"), output.index("service/tutor created"))
+        code, output = self.apply()
+        self.assertEqual((code, output.count("unchanged")), (ExitCode.OK, 2))
+        self.assertEqual(self.group.machine.ledger.held_revision, 2)
+
+    def test_apply_based_on_an_old_version_is_a_conflict(self):
+        self.write(DOCUMENTS)
+        self.apply()
+        self.write('kind = "policy"\nname = "fair"\nversion = 1\nsource = "2"')
+        self.assertEqual(self.apply()[0], ExitCode.OK)
+        self.write('kind = "policy"\nname = "fair"\nversion = 1\nsource = "3"')
+        code, output = self.apply("--output json")
+        self.assertEqual(code, ExitCode.CONFLICT)
+        self.assertEqual(msgspec.json.decode(output)["code"], "version_conflict")
+
+    def test_errors_in_files_name_file_place_and_key(self):
+        cases = {
+            'kind = "engine"\nname = "e"\naddress = "x"\nzone = "z"\nmodels = []': "address",
+            'kind = "policy"\nname = "p"\nsource = "1"\nmax_steps = 0': "max_steps",
+            'kind = "poem"\nname = "p"': "poem",
+            'kind = "policy"\nname = "p"\nsource_file = "none.star"': "source_file",
+            "kind = ": "not TOML",
+            '[[document]]\nkind = "policy"\nname = "a"\nsource = "1"\n[[document]]\nname = "b"': (
+                "document 2: kind"
+            ),
+        }
+        for text, expected in cases.items():
+            self.write(text)
+            code, output = self.apply()
+            with self.subTest(expected=expected):
+                self.assertEqual(code, ExitCode.INVALID)
+                self.assertIn(f"{self.file}: ", output)
+                self.assertIn(expected, output)
+        self.assertEqual(self.group.machine.ledger.held_revision, 0)
+
+    def test_withdraw_only_while_pending(self):
+        self.write(DOCUMENTS)
+        self.apply()
+        self.assertEqual(self.run_command(WithdrawCommand, "2")[0], ExitCode.OK)
+        self.assertEqual(self.run_command(GetCommand, "service tutor")[0], ExitCode.NOT_FOUND)
+        self.group.machine.execute(AcceptRevision(3))
+        self.assertEqual(self.run_command(WithdrawCommand, "1")[0], ExitCode.CONFLICT)
+        self.assertEqual(self.run_command(DeleteCommand, "policy fair")[0], ExitCode.OK)
+
+    def test_drain_waits_for_what_is_in_force_and_undrain_takes_it_back(self):
+        code, output = self.run_command(DrainCommand, "node node-1 --wait --timeout 0.01")
+        self.assertEqual(code, ExitCode.NOT_YET)
+        self.assertIn("region north: has not reported", output)
+        self.assertEqual(self.run_command(UndrainCommand, "node node-1")[0], ExitCode.OK)
+        self.assertEqual(self.run_command(UndrainCommand, "node node-1")[0], ExitCode.NOT_FOUND)
+        self.assertEqual(self.run_command(DrainCommand, "engine none")[0], ExitCode.INVALID)
+
+    def test_what_does_not_answer_has_a_code_of_its_own(self):
+        code, output = self.run_command(StatusCommand)
+        self.assertEqual(code, ExitCode.UNAVAILABLE)
+        self.assertIn("no answer: store group", output)
+        self.assertEqual(self.run_command(ProgramsListCommand)[0], ExitCode.UNAVAILABLE)
+
+    def test_every_command_offers_json(self):
+        for command in build_application().all().values():
+            if type(command).__module__.startswith("passlane."):
+                with self.subTest(command=command.name):
+                    self.assertTrue(command.definition.has_option("output"))
+
+    def test_options_go_before_variables(self):
+        variables = {"PASSLANE_SERVER": "10.0.0.1:1,10.0.0.2:2", "PASSLANE_TOKEN": "t"}
+        target = find_target(ConnectionOptions(token="mine"), variables)
+        self.assertEqual((len(target.servers), target.token), (2, "mine"))
+        for options in (ConnectionOptions(token="t"), ConnectionOptions(server="here")):
+            with self.assertRaises(PasslaneError):
+                find_target(options, {})
+
+    def test_seeds_are_a_range_with_both_ends(self):
+        self.assertEqual(parse_seeds("3-5"), range(3, 6))
+        for text in ("5-3", "a-b", "-1"):
+            with self.assertRaises(PasslaneError):
+                parse_seeds(text)
+
+
+if __name__ == "__main__":
+    unittest.main()
