A follower whose term agrees only in part catches up

A follower's refusal names the start of its conflicting term as the place to retry. When the first entries of that term had been acknowledged and only the later ones differ, this place lies before what the leader knows to be durable there. The leader took such a refusal for an old one and ignored it, on every heartbeat: the follower stayed behind until the next election, and one more lost machine would have stopped the group.

Stale votes and lost messages were ruled out by the trace: the leader's progress stood at PROBE with 42 known equal, the follower's log of 44 refused each time.

A refusal now also names the entry that it is about. That tells old refusals apart exactly, and the retry goes no further back than what is known to be equal.

--- a/src/passlane/messages/raft.py
+++ b/src/passlane/messages/raft.py
@@ -83,10 +83,15 @@
 
 
 class AppendReply(RaftMessage, frozen=True):
-    """Answer: entries up to ``synced_index`` match and are durable, or a hint where to retry."""
+    """Answer: entries up to ``synced_index`` match and are durable, or a hint where to retry.
+
+    A refusal names the entry that differs or lacks, ``refused_index``, and the first one
+    that may differ, ``conflict_index``.
+    """
 
     success: bool
     synced_index: int
+    refused_index: int = 0
     conflict_index: int = 0
     read_round: int = 0
 
--- a/src/passlane/raft/follower.py
+++ b/src/passlane/raft/follower.py
@@ -59,8 +59,7 @@
         self._enter_term()
         self._read_round = max(self._read_round, request.read_round)
         if not self._matches(request):
-            hint = self._conflict_index(request.previous_index)
-            self._reply_append(request.sender, success=False, conflict_index=hint)
+            self._refuse_append(request)
             return
         end_index = request.previous_index + len(request.entries)
         self._take_entries(request.entries)
@@ -99,11 +98,21 @@
         if leader_id is not None and self._matched_index >= last_index:
             self._reply_snapshot(leader_id, last_index, installed=True)
 
-    def refuse_append(self, request: AppendRequest) -> None:
+    def refuse_leader(self, request: AppendRequest) -> None:
         """Tell a leader of an older term of the newer one."""
         self._enter_term()
         self._reply_append(request.sender, success=False, address=request.sender_address)
 
+    def _refuse_append(self, request: AppendRequest) -> None:
+        """Tell the leader where the logs may differ."""
+        refused_index = request.previous_index
+        self._reply_append(
+            request.sender,
+            success=False,
+            refused_index=refused_index,
+            conflict_index=self._conflict_index(refused_index),
+        )
+
     def _enter_term(self) -> None:
         """Forget the former leader's log when the term is new: it says nothing of this one's."""
         if self._known_term == self._state.term:
@@ -166,6 +175,7 @@
         receiver: ReplicaId,
         *,
         success: bool,
+        refused_index: int = 0,
         conflict_index: int = 0,
         address: Address | None = None,
     ) -> None:
@@ -181,6 +191,7 @@
             sender_address=state.config.address,
             success=success,
             synced_index=min(state.log.synced_index, self._matched_index),
+            refused_index=refused_index,
             conflict_index=conflict_index,
             read_round=self._read_round,
         )
--- a/src/passlane/raft/progress.py
+++ b/src/passlane/raft/progress.py
@@ -88,17 +88,24 @@
             self.in_flight.popleft()
         return True
 
-    def reject(self, conflict_index: int) -> bool:
+    def reject(self, refused_index: int, conflict_index: int) -> bool:
         """Go back to where its log may match; return whether a new probe is due.
 
-        A report that contradicts what is known to be durable there is an old one that
-        was overtaken, as is a second report that asks for the same probe.
+        Parameters
+        ----------
+        refused_index
+            The entry that the follower lacks, or holds with another term. A report about
+            one that is known to be equal there, or about another one than is being probed,
+            is an old one that was overtaken.
+        conflict_index
+            The first entry that may differ. It may lie before what is known to be equal,
+            because only a part of a term's entries agrees.
         """
-        if self.mode is ReplicationMode.SNAPSHOT or conflict_index <= self.synced_index:
+        if self.mode is ReplicationMode.SNAPSHOT or refused_index <= self.synced_index:
             return False
-        if self.mode is ReplicationMode.PROBE and conflict_index >= self.next_index:
+        if self.mode is ReplicationMode.PROBE and refused_index != self.next_index - 1:
             return False
-        self.next_index = conflict_index
+        self.next_index = max(min(conflict_index, refused_index), self.synced_index + 1)
         self.in_flight.clear()
         self.mode = ReplicationMode.PROBE
         return True
--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -276,7 +276,7 @@
                     self._follow(message, now)
                     self._follower.handle_append(message)
                 else:
-                    self._follower.refuse_append(message)
+                    self._follower.refuse_leader(message)
             case SnapshotRequest():
                 if is_current:
                     self._follow(message, now)
--- a/src/passlane/raft/replication.py
+++ b/src/passlane/raft/replication.py
@@ -80,7 +80,7 @@
         progress = self.followers[reply.sender]
         if reply.success:
             progress.acknowledge(reply.synced_index)
-        elif progress.reject(reply.conflict_index):
+        elif progress.reject(reply.refused_index, reply.conflict_index):
             self._probe(reply.sender, progress, read_round, now)
         self.send_entries(reply.sender, read_round, now)
 
