--- a/src/passlane/raft/election.py
+++ b/src/passlane/raft/election.py
@@ -119,8 +119,11 @@
     def answer_vote(self, request: VoteRequest, now: float) -> None:
         """Give or refuse a vote in the current term."""
         state = self._state
-        is_free = state.voted_for in (None, request.sender)
-        granted = request.term == state.term and is_free and self._is_up_to_date(request)
+        granted = (
+            request.term == state.term
+            and self._is_vote_free(request)
+            and self._is_up_to_date(request)
+        )
         if granted:
             self.restart_timer(now)
             if state.voted_for is None:
@@ -143,6 +146,9 @@
         if is_quorum(self._state.membership, self._granted):
             self.start(now, is_transfer=False)
 
+    def _is_vote_free(self, request: VoteRequest) -> bool:
+        return self._state.voted_for in (None, request.sender)
+
     def _is_up_to_date(self, request: VoteRequest) -> bool:
         log = self._state.log
         return (request.last_term, request.last_index) >= (log.last_term, log.last_index)
--- a/src/passlane/raft/follower.py
+++ b/src/passlane/raft/follower.py
@@ -149,6 +149,10 @@
         end_index = request.previous_index + len(request.entries)
         return not request.entries or self._state.log.synced_index >= end_index
 
+    def _acknowledged_index(self) -> int:
+        """Return how far the log is known to equal the leader's and is durable."""
+        return min(self._state.log.synced_index, self._matched_index)
+
     def _covers(self, request: SnapshotRequest) -> bool:
         """Return whether all that the snapshot holds is in the log already."""
         state = self._state
@@ -190,7 +194,7 @@
             term=state.term,
             sender_address=state.config.address,
             success=success,
-            synced_index=min(state.log.synced_index, self._matched_index),
+            synced_index=self._acknowledged_index(),
             refused_index=refused_index,
             conflict_index=conflict_index,
             read_round=self._read_round,
--- a/src/passlane/raft/leader.py
+++ b/src/passlane/raft/leader.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import ClassVar
 
 from passlane.identifiers import ReplicaId
 from passlane.messages.raft import (
@@ -24,6 +25,7 @@
     with_voter,
     without,
 )
+from passlane.raft.progress import FollowerProgress
 from passlane.raft.reads import ReadRounds
 from passlane.raft.replication import Replicator
 from passlane.raft.state import ReplicaState
@@ -47,12 +49,20 @@
         The replica's shared state.
     now
         Local time of the election.
+
+    Attributes
+    ----------
+    replicator_class, reads_class
+        Classes of the leader's parts; see ``Replica``.
     """
 
+    replicator_class: ClassVar[type[Replicator]] = Replicator
+    reads_class: ClassVar[type[ReadRounds]] = ReadRounds
+
     def __init__(self, state: ReplicaState, now: float) -> None:
         self._state = state
-        self._replicator = Replicator(state, now)
-        self._reads = ReadRounds(state)
+        self._replicator = self.replicator_class(state, now)
+        self._reads = self.reads_class(state)
         self._changes: deque[MemberAdded | MemberRemoved] = deque()
         self._transfer: LeadershipTransfer | None = None
         self.next_heartbeat_at = now
@@ -138,9 +148,7 @@
     def is_removed(self) -> bool:
         """Whether a committed membership does not hold this replica any more."""
         state = self._state
-        if state.memberships.current_index > state.commit_index:
-            return False
-        return member_of(state.membership, state.own_id) is None
+        return not self._is_change_under_way() and member_of(state.membership, state.own_id) is None
 
     def stop(self) -> None:
         """Answer all callers that wait, since leadership was lost."""
@@ -148,7 +156,7 @@
         if state.tokens:
             tokens = tuple(state.tokens.values())
             state.tokens.clear()
-            state.emit(RejectProposals(tokens=tokens, leader=None, may_be_committed=True))
+            self._reject_unfinished(tokens)
         self._refuse([change.token for change in self._changes])
         self._reads.reject_all()
 
@@ -178,25 +186,29 @@
                 RejectProposals(tokens=tuple(tokens), leader=None, may_be_committed=False)
             )
 
+    def _reject_unfinished(self, tokens: tuple[int, ...]) -> None:
+        """Tell callers that what was appended for them may or may not be committed."""
+        self._state.emit(RejectProposals(tokens=tokens, leader=None, may_be_committed=True))
+
     def _has_committed_in_own_term(self) -> bool:
         state = self._state
         return state.log.term_at(state.commit_index) == state.term
 
     def _advance_reads(self, now: float) -> None:
-        # Before an entry of its own term is committed a new leader may not know yet all
-        # that earlier leaders committed.
-        if not self._has_committed_in_own_term():
+        if not self._may_read():
             return
         self._reads.allow_confirmed()
         while self._reads.start_round():
             self._send_heartbeats(now)
             self._reads.allow_confirmed()
 
+    def _may_read(self) -> bool:
+        # Before an entry of its own term is committed a new leader may not know yet all
+        # that earlier leaders committed.
+        return self._has_committed_in_own_term()
+
     def _advance_membership(self, now: float) -> None:
-        state = self._state
-        if state.memberships.current_index > state.commit_index:
-            return
-        if not self._has_committed_in_own_term():
+        if self._is_change_under_way() or not self._has_committed_in_own_term():
             return
         if self._changes:
             change = self._changes.popleft()
@@ -206,6 +218,10 @@
         if membership is not None:
             self._append_membership(membership, now)
 
+    def _is_change_under_way(self) -> bool:
+        state = self._state
+        return state.memberships.current_index > state.commit_index
+
     def _append_change(self, change: MemberAdded | MemberRemoved, now: float) -> None:
         state = self._state
         if isinstance(change, MemberAdded):
@@ -229,7 +245,7 @@
             progress = self._replicator.followers.get(member.replica_id)
             if member.is_voter or progress is None:
                 continue
-            if progress.synced_index < state.commit_index:
+            if not self._has_caught_up(progress):
                 continue
             lost = replaced_voter(state.membership, member)
             if lost is not None and lost.replica_id != state.own_id:
@@ -237,6 +253,10 @@
             return with_voter(state.membership, member.replica_id)
         return None
 
+    def _has_caught_up(self, learner: FollowerProgress) -> bool:
+        """Return whether a learner durably holds all that is committed."""
+        return learner.synced_index >= self._state.commit_index
+
     def _append_membership(self, membership: GroupMembership, now: float) -> None:
         self._append([(EntryKind.MEMBERSHIP, encode_membership(membership))], now)
         self._replicator.update_members(now)
--- a/src/passlane/raft/reads.py
+++ b/src/passlane/raft/reads.py
@@ -54,9 +54,7 @@
 
     def allow_confirmed(self) -> None:
         """Allow the reads of the round if a majority has confirmed it."""
-        if not self._confirming:
-            return
-        if not is_quorum(self._state.membership, self._confirmed_by):
+        if not self._confirming or not self._is_confirmed():
             return
         for token in self._confirming:
             self._state.emit(AllowRead(token=token, index=self._read_index))
@@ -68,3 +66,6 @@
             self._state.emit(RejectRead(token=token, leader=None))
         self._confirming = []
         self._waiting = []
+
+    def _is_confirmed(self) -> bool:
+        return is_quorum(self._state.membership, self._confirmed_by)
--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -3,6 +3,7 @@
 import math
 import random as random_module
 from collections.abc import Sequence
+from typing import ClassVar
 
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
@@ -72,8 +73,18 @@
         Membership as of the snapshot, or the first members of the group when there is no
         snapshot. Empty for a replica that has not joined yet: it stays a silent
         learner until a leader adds it.
+
+    Attributes
+    ----------
+    elections_class, follower_class, leader_class
+        Classes of the replica's parts. A subclass may name others, as the simulation
+        does to put a deliberate fault in the place of one rule.
     """
 
+    elections_class: ClassVar[type[Elections]] = Elections
+    follower_class: ClassVar[type[Follower]] = Follower
+    leader_class: ClassVar[type[Leader]] = Leader
+
     def __init__(
         self,
         config: ReplicaConfig,
@@ -110,8 +121,8 @@
             commit_index=snapshot_last_index,
             applied_index=snapshot_last_index,
         )
-        self._elections = Elections(self._state)
-        self._follower = Follower(self._state)
+        self._elections = self.elections_class(self._state)
+        self._follower = self.follower_class(self._state)
         self._leader: Leader | None = None
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
@@ -314,5 +325,5 @@
     def _become_leader(self, now: float) -> None:
         self._elections.stand_down(now)
         self._elections.forget_leader()
-        self._leader = Leader(self._state, now)
+        self._leader = self.leader_class(self._state, now)
         self._leader.start(now)
--- a/src/passlane/raft/replication.py
+++ b/src/passlane/raft/replication.py
@@ -130,13 +130,15 @@
 
     def _majority_index(self) -> int:
         state = self._state
-        synced = [
-            state.log.synced_index if voter == state.own_id else self.followers[voter].synced_index
-            for voter in voters_of(state.membership)
-        ]
+        synced = [self._synced_index_of(voter) for voter in voters_of(state.membership)]
         synced.sort(reverse=True)
         return synced[len(synced) // 2] if synced else 0
 
+    def _synced_index_of(self, voter: ReplicaId) -> int:
+        if voter == self._state.own_id:
+            return self._state.log.synced_index
+        return self.followers[voter].synced_index
+
     def _has_room(self, progress: FollowerProgress) -> bool:
         return (
             progress.mode is ReplicationMode.PIPELINE
--- a/src/passlane/simulation/raft_disk.py
+++ b/src/passlane/simulation/raft_disk.py
@@ -66,11 +66,24 @@
             return self.entries[-1].index
         return self.snapshot.last_index if self.snapshot is not None else 0
 
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry that is durable, in the log or in the snapshot."""
+        if self.entries:
+            return self.entries[-1].term
+        return self.snapshot.last_term if self.snapshot is not None else 0
+
     @property
     def has_unsynced_hard_state(self) -> bool:
         """Whether a term or vote is not durable yet."""
         return any(isinstance(write, HardStateWrite) for write in self.unsynced)
 
+    @property
+    def unsynced_vote(self) -> ReplicaId | None:
+        """Whom a vote names that is not durable yet; ``None`` if there is none."""
+        votes = [w.voted_for for w in self.unsynced if isinstance(w, HardStateWrite)]
+        return votes[-1] if votes else None
+
     def sync(self, count: int) -> list[DiskWrite]:
         """Make the oldest ``count`` writes durable and return them."""
         synced = [self.unsynced.popleft() for _ in range(count)]
--- /dev/null
+++ b/src/passlane/simulation/raft_faulty_parts.py
@@ -0,0 +1,125 @@
+"""Parts of a Raft replica that lack one rule each; see ``raft_defects``."""
+
+from passlane.identifiers import ReplicaId
+from passlane.messages.raft import AppendRequest, LogEntry, VoteRequest
+from passlane.raft.election import Elections
+from passlane.raft.follower import Follower
+from passlane.raft.instructions import RejectProposals
+from passlane.raft.leader import Leader
+from passlane.raft.progress import FollowerProgress
+from passlane.raft.reads import ReadRounds
+from passlane.raft.replication import Replicator
+from passlane.simulation.raft_host import SimulatedReplicaHost
+
+
+class HostThatVotesBeforeSync(SimulatedReplicaHost):
+    """Sends messages although the term and the vote they rest on are not durable."""
+
+    def _may_send(self) -> bool:
+        return True
+
+
+class FollowerThatAcknowledgesBeforeSync(Follower):
+    """Acknowledges entries that a crash may still lose."""
+
+    def _acknowledged_index(self) -> int:
+        return self._matched_index
+
+    def _is_worth_answering(self, request: AppendRequest) -> bool:
+        return True
+
+
+class FollowerThatIgnoresMismatch(Follower):
+    """Takes entries although the one before them differs from the leader's."""
+
+    def _matches(self, request: AppendRequest) -> bool:
+        return request.previous_index <= self._state.log.last_index
+
+
+class FollowerThatKeepsConflicts(Follower):
+    """Keeps an entry that differs from the leader's at the same index."""
+
+    def _take_entries(self, entries: tuple[LogEntry, ...]) -> None:
+        last_index = self._state.log.last_index
+        missing = tuple(entry for entry in entries if entry.index > last_index)
+        if missing:
+            self._state.append_entries(missing)
+
+
+class ElectionsThatVoteTwice(Elections):
+    """Gives a vote to every candidate of a term."""
+
+    def _is_vote_free(self, request: VoteRequest) -> bool:
+        return True
+
+
+class ElectionsThatVoteForAnyLog(Elections):
+    """Votes for a candidate that lacks entries which this replica holds."""
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        return True
+
+
+class ReplicatorThatCommitsOldTerms(Replicator):
+    """Commits an entry of an older term as soon as a majority holds it."""
+
+    def advance_commit(self) -> bool:
+        """Commit what a majority of voters holds durably, of whatever term."""
+        index = self._majority_index()
+        if index <= self._state.commit_index:
+            return False
+        self._state.commit(index)
+        return True
+
+
+class ReplicatorThatCountsItsUnsyncedEntries(Replicator):
+    """Counts the leader's own entries before they are durable."""
+
+    def _synced_index_of(self, voter: ReplicaId) -> int:
+        if voter == self._state.own_id:
+            return self._state.log.last_index
+        return self.followers[voter].synced_index
+
+
+class ReplicatorThatSkipsCheckQuorum(Replicator):
+    """Goes on leading although no majority answers."""
+
+    def hears_quorum(self, now: float) -> bool:
+        """Return that a majority was heard."""
+        return True
+
+
+class ReadsWithoutConfirmation(ReadRounds):
+    """Allows a read without asking a majority whether this replica still leads."""
+
+    def _is_confirmed(self) -> bool:
+        return True
+
+
+class LeaderThatReadsBeforeItsFirstCommit(Leader):
+    """Allows reads before an entry of its own term is committed."""
+
+    def _may_read(self) -> bool:
+        return True
+
+
+class LeaderThatPromotesEarly(Leader):
+    """Lets a learner vote before it holds all that is committed."""
+
+    def _has_caught_up(self, learner: FollowerProgress) -> bool:
+        return True
+
+
+class LeaderThatChangesMembersAtOnce(Leader):
+    """Begins a change of membership before the former one is committed."""
+
+    def _is_change_under_way(self) -> bool:
+        return False
+
+
+class LeaderThatDeniesItsEntries(Leader):
+    """Tells a caller that its command did not run although it may still be committed."""
+
+    def _reject_unfinished(self, tokens: tuple[int, ...]) -> None:
+        rejection = RejectProposals(tokens=tokens, leader=None, may_be_committed=False)
+        self._state.emit(rejection)
