--- a/tests/raft/replicas.py
+++ b/tests/raft/replicas.py
@@ -60,7 +60,8 @@
         log: Sequence[LogEntry] = (),
         replica_id: ReplicaId = A,
         max_batch_bytes: int = 1_000_000,
-        trailing_entries: int = 0,
+        max_in_flight_batches: int = 16,
+        snapshot_chunk_bytes: int = 1_000,
     ) -> None:
         config = ReplicaConfig(
             group=GROUP,
@@ -68,7 +69,9 @@
             address=ADDRESSES[replica_id],
             election_timeout_s=ELECTION_TIMEOUT_S,
             max_batch_bytes=max_batch_bytes,
-            trailing_entries=trailing_entries,
+            max_in_flight_batches=max_in_flight_batches,
+            snapshot_chunk_bytes=snapshot_chunk_bytes,
+            trailing_entries=0,
         )
         self.now = 0.0
         self.replica = Replica(
