--- a/src/passlane/configuration/ledger.py
+++ b/src/passlane/configuration/ledger.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from passlane.configuration.catch_up import continues, starts_over
 from passlane.identifiers import Revision
 from passlane.messages.control import NO_REVISION, ConfigurationDelta, Document
 
@@ -112,6 +113,8 @@
         max_bytes
             Rough size at which the answer is cut; the holder asks again for the rest.
         """
+        if self.accepted_revision < held_floor:
+            return self._nothing_for(held_revision, held_floor)
         restart = max(held_revision, held_floor) < self.floor_revision
         since = NO_REVISION if restart else held_revision
         documents = self._first_documents(self._after(since), max_bytes)
@@ -126,16 +129,23 @@
             floor_revision=self.floor_revision if restart else held_floor,
         )
 
+    def _nothing_for(self, held_revision: Revision, held_floor: Revision) -> ConfigurationDelta:
+        """Return the answer to a holder whose snapshot is newer than this ledger."""
+        return ConfigurationDelta(
+            from_revision=held_revision,
+            to_revision=held_revision,
+            accepted_revision=self.accepted_revision,
+            floor_revision=held_floor,
+        )
+
     def apply_delta(self, delta: ConfigurationDelta) -> None:
-        """Take in a delta; what is old or leaves a gap changes nothing.
+        """Take in a delta; one that is old, leaves a gap or mixes snapshots changes nothing.
 
         A snapshot starts over, except for the accepted revision, which never goes back.
         """
-        if delta.is_snapshot and max(self.held_revision, self.floor_revision) < (
-            delta.floor_revision
-        ):
+        if starts_over(self.held_revision, self.floor_revision, delta):
             self._clear(delta.floor_revision)
-        if delta.from_revision > self.held_revision:
+        if not continues(self.held_revision, self.floor_revision, delta):
             return
         for document in delta.documents:
             if document.revision > self.held_revision:
--- a/src/passlane/configuration/view.py
+++ b/src/passlane/configuration/view.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from passlane.configuration.catch_up import continues, starts_over
 from passlane.configuration.documents import (
     ApplicationBody,
     DocumentBody,
@@ -79,11 +80,12 @@
     _starts_over: bool = False
 
     def apply_delta(self, delta: ConfigurationDelta) -> "ConfigurationView":
-        """Return the view with a delta taken in; one that is old or leaves a gap is not."""
+        """Return the view with a delta taken in.
+
+        One that is old, leaves a gap or mixes snapshots changes nothing.
+        """
         view = self
-        if delta.is_snapshot and max(self.held_revision, self.floor_revision) < (
-            delta.floor_revision
-        ):
+        if starts_over(self.held_revision, self.floor_revision, delta):
             view = replace(
                 view,
                 held_revision=NO_REVISION,
@@ -91,7 +93,7 @@
                 _pending=(),
                 _starts_over=True,
             )
-        if delta.from_revision > view.held_revision:
+        if not continues(view.held_revision, view.floor_revision, delta):
             return self
         fresh = tuple(
             document for document in delta.documents if document.revision > view.held_revision
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -22,7 +22,8 @@
     WithdrawChange,
 )
 
-SEEDS = range(60)
+# With the last three, parts of different snapshots once brought back what was deleted.
+SEEDS = (*range(60), 850, 1082, 1862)
 STEPS = 120
 
 
@@ -225,6 +226,32 @@
         self.assertEqual(view.revision_in_force, ledger.accepted_revision)
         self.check(operator, ConfigurationView(), view)
 
+    def test_parts_of_different_snapshots_never_mix(self) -> None:
+        source = ConfigurationLedger(max_tombstones=1)
+        for revision in range(1, 4):
+            source.append(Document("policy", f"p{revision}", 1, Revision(revision), policy("1")))
+        source.accept(Revision(3))
+        late_part = source.delta_since(Revision(0), max_bytes=1)
+        lagging = ConfigurationLedger()
+        lagging.apply_delta(late_part)
+        for revision, name in ((4, "p1"), (5, "p2"), (6, "p4")):
+            body = policy("2") if name == "p4" else None
+            source.append(Document("policy", name, 2, Revision(revision), body))
+        source.accept(Revision(6))
+        self.assertEqual(source.floor_revision, 4)
+        first_part = source.delta_since(Revision(1), max_bytes=1)
+        for holder in (ConfigurationLedger(), ConfigurationView()):
+            with self.subTest(holder=type(holder).__name__):
+                holder = holder.apply_delta(first_part) or holder
+                held = holder.held_revision
+                self.assertEqual(first_part.floor_revision, holder.floor_revision)
+                self.assertLess(held, holder.floor_revision)
+                behind = lagging.delta_since(Revision(0), holder.floor_revision)
+                self.assertEqual((behind.documents, behind.to_revision), ((), 0))
+                for old in (late_part, behind):
+                    holder = holder.apply_delta(old) or holder
+                    self.assertEqual(holder.held_revision, held)
+
     def test_a_view_is_always_the_state_at_an_accepted_revision_and_never_goes_back(self) -> None:
         restarts = sum(self.run_seed(seed) for seed in SEEDS)
         self.assertGreater(restarts, 0, "no holder ever fell below the floor")
