--- a/src/passlane/bench/fleet_run.py
+++ b/src/passlane/bench/fleet_run.py
@@ -35,7 +35,7 @@
     check_program,
     with_children,
 )
-from passlane.emulator.replayer import ProgramShown
+from passlane.emulator.replay_outcomes import ProgramShown
 from passlane.emulator.workload import (
     MUSIC_HOUSE_WORKLOAD,
     TOP_UP_WORKLOAD,
--- a/src/passlane/emulator/load_checks.py
+++ b/src/passlane/emulator/load_checks.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from passlane.emulator.load import MadeCall, ProgramOutcome, ToolArguments
-from passlane.emulator.replayer import ProgramShown
+from passlane.emulator.replay_outcomes import ProgramShown
 from passlane.errors import Verdict
 from passlane.messages.backends import LedgerLine
 from passlane.messages.store import CallKind, Turn
