Forget the limits of idle tenants

Cause: nothing ever called Admission.forget_idle, so a node kept a limiter for each tenant it had ever seen; and had it been called, it would have given a tenant that had used up its rate a new burst. Now idle limiters are looked for each time that twice as many are remembered, and a limiter is idle only when its rate is saved up in full and no call is in flight, so forgetting it gives the tenant nothing. Conclusion: the state of limits follows the tenants that are active at a node and not those that exist.

--- a/src/passlane/node/admission.py
+++ b/src/passlane/node/admission.py
@@ -10,6 +10,8 @@
 
 FULL_RETRY_AFTER_S = 1.0
 """Advice to callers when the node has as many requests as it may."""
+MIN_LIMITERS_BEFORE_SWEEP = 64
+"""So many tenants are remembered before idle ones are looked for."""
 
 
 class Admission:
@@ -23,6 +25,12 @@
         self._max_requests = max_requests
         self._requests = 0
         self._tenants: dict[TenantId, TenantLimiter] = {}
+        self._sweep_above = MIN_LIMITERS_BEFORE_SWEEP
+
+    @property
+    def remembered_tenants(self) -> int:
+        """Tenants whose rate or calls in flight are remembered now."""
+        return len(self._tenants)
 
     @property
     def in_flight(self) -> int:
@@ -53,7 +61,7 @@
                 "this node has as many requests as it takes",
                 retry_after_s=FULL_RETRY_AFTER_S,
             )
-        limiter = self._limiter(tenant_id, tenant)
+        limiter = self._limiter(tenant_id, tenant, now)
         admission = limiter.admit(now)
         if not admission.admitted:
             raise PasslaneError(
@@ -66,18 +74,29 @@
             self._requests -= 1
             limiter.release()
 
-    def _limiter(self, tenant_id: TenantId, tenant: TenantBody) -> TenantLimiter:
+    def _limiter(self, tenant_id: TenantId, tenant: TenantBody, now: float) -> TenantLimiter:
         limits = TenantLimits(
             calls_per_second=tenant.calls_per_second,
             max_calls_in_flight=tenant.max_calls_in_flight,
         )
         limiter = self._tenants.get(tenant_id)
         if limiter is None:
+            self._forget_idle(now)
             limiter = self._tenants[tenant_id] = TenantLimiter(limits)
         limiter.change(limits)
         return limiter
 
-    def forget_idle(self) -> None:
-        """Drop the limiters of tenants without requests; call now and then."""
-        for tenant_id in [one for one, limiter in self._tenants.items() if limiter.in_flight == 0]:
-            del self._tenants[tenant_id]
+    def _forget_idle(self, now: float) -> None:
+        """Drop the limiters of idle tenants, each time that twice as many are remembered.
+
+        A tenant is idle when its rate is saved up in full and no call is in flight, so
+        forgetting it gives it nothing.
+        """
+        if len(self._tenants) < self._sweep_above:
+            return
+        self._tenants = {
+            tenant_id: limiter
+            for tenant_id, limiter in self._tenants.items()
+            if not limiter.is_idle(now)
+        }
+        self._sweep_above = max(2 * len(self._tenants), MIN_LIMITERS_BEFORE_SWEEP)
--- a/src/passlane/scheduling/rate_limit.py
+++ b/src/passlane/scheduling/rate_limit.py
@@ -30,6 +30,11 @@
             return float("inf")
         return max((1.0 - self._tokens) / self._rate_per_s, MIN_RETRY_AFTER_S)
 
+    def is_full(self, now: float) -> bool:
+        """Return whether as much is saved up as may be, so that a new bucket is the same."""
+        self._refill(now)
+        return self._tokens >= self._burst
+
     def _refill(self, now: float) -> None:
         if self._updated_at is not None:
             elapsed_s = max(now - self._updated_at, 0.0)
@@ -79,6 +84,10 @@
         """Calls admitted and not yet released."""
         return self._in_flight
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether the limiter remembers nothing that a new one would not know."""
+        return self._in_flight == 0 and self._bucket.is_full(now)
+
     def change(self, limits: TenantLimits) -> None:
         """Use other limits from now on."""
         if limits == self._limits:
