Replace leaving engines in a node's watched subset

Cause: a node places calls only on the engines that it watches, and the choice of that subset did not know which engines were leaving. At a large fleet a node whose whole subset left, as when a zone is emptied, held its calls until their deadlines though other engines served the model. The subset is now chosen among engines that stay; leaving ones and those that still run calls of the node are watched besides, until they are gone. Ruled out: dropping leaving engines from view, which would lose the calls that run there and the prefixes that can move. Before: the new test of a subset of 4 of 20 engines that leaves found no replacement and failed. Conclusion: a planned stop of many engines no longer strands a node.

--- /dev/null
+++ b/src/passlane/scheduling/fleet_view.py
@@ -0,0 +1,110 @@
+"""The engines as one node sees them: which it watches, and what it knows of each."""
+
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
+
+from passlane.configuration.documents import EngineBody
+from passlane.identifiers import EngineId, ProgramId
+from passlane.scheduling.config import SchedulerConfig
+from passlane.scheduling.engine_view import EngineView
+from passlane.scheduling.speed import FleetSpeed
+from passlane.scheduling.watched_engines import watched_engines
+
+
+class FleetView:
+    """Views of the engines that the node watches.
+
+    Besides the subset that new calls go to, an engine is watched while it is leaving or
+    still runs calls of this node, so that these end well and cached prefixes can move.
+
+    Parameters
+    ----------
+    node_key, own_zone
+        Decide which subset of a large fleet is watched.
+    config
+        Constants of the scheduler.
+    """
+
+    def __init__(self, node_key: str, own_zone: str, config: SchedulerConfig) -> None:
+        self._node_key = node_key
+        self._own_zone = own_zone
+        self._config = config
+        self._bodies: dict[EngineId, EngineBody] = {}
+        self._models: frozenset[str] = frozenset()
+        self._views: dict[EngineId, EngineView] = {}
+        self._leaving: frozenset[EngineId] = frozenset()
+        self._speed = FleetSpeed()
+
+    def __iter__(self) -> Iterator[EngineView]:
+        """Iterate over the views, always in the same order."""
+        return iter(self._views.values())
+
+    def get(self, engine_id: EngineId) -> EngineView | None:
+        """Return the view of an engine, or ``None`` if it is not watched."""
+        return self._views.get(engine_id)
+
+    @property
+    def views(self) -> Mapping[EngineId, EngineView]:
+        """Views of all watched engines."""
+        return MappingProxyType(self._views)
+
+    @property
+    def watched(self) -> frozenset[EngineId]:
+        """Engines that are watched now."""
+        return frozenset(self._views)
+
+    def serves(self, model: str) -> bool:
+        """Return whether any engine of the configuration serves the model."""
+        return model in self._models
+
+    def has_free_slot(self, model: str, now: float) -> bool:
+        """Return whether any watched engine of the model could take a call now."""
+        return any(
+            engine.occupancy(now) < engine.slots() and engine.has_model(model)
+            for engine in self._views.values()
+        )
+
+    def holders_of(self, program_id: ProgramId) -> list[EngineView]:
+        """Return the engines thought to hold cache for a program."""
+        return [view for view in self._views.values() if view.cache.tokens_of(program_id) > 0]
+
+    def change_engines(self, engines: Mapping[EngineId, EngineBody]) -> None:
+        """Take in the engines of the configuration in force; those missing are gone."""
+        self._bodies = dict(engines)
+        self._models = frozenset(model for body in engines.values() for model in body.models)
+        self._update_views()
+
+    def change_leaving(self, leaving: frozenset[EngineId]) -> list[EngineView]:
+        """Take in which engines are leaving; return the views of those that newly are."""
+        newly_leaving = sorted(leaving - self._leaving)
+        self._leaving = leaving
+        self._update_views()
+        return [self._views[engine_id] for engine_id in newly_leaving if engine_id in self._views]
+
+    def _update_views(self) -> None:
+        wanted = self._wanted()
+        for engine_id in [known for known in self._views if known not in wanted]:
+            del self._views[engine_id]
+        for engine_id in sorted(wanted):
+            body = self._bodies[engine_id]
+            view = self._views.get(engine_id)
+            if view is None or view.body.address != body.address:
+                view = EngineView(engine_id, body, self._config, self._speed)
+                self._views[engine_id] = view
+            view.body = body
+            view.leaving = engine_id in self._leaving
+
+    def _wanted(self) -> frozenset[EngineId]:
+        subset = watched_engines(
+            self._node_key,
+            self._own_zone,
+            self._bodies,
+            self._config.watched_engines_per_model,
+            self._leaving,
+        )
+        still_needed = {
+            engine_id
+            for engine_id, view in self._views.items()
+            if engine_id in self._bodies and (engine_id in self._leaving or view.running)
+        }
+        return subset | still_needed
--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -10,7 +10,6 @@
 from random import Random
 from typing import Any
 
-from passlane.configuration.documents import EngineBody
 from passlane.errors import ErrorCode
 from passlane.identifiers import CallId, EngineId, ProgramId
 from passlane.scheduling import events, instructions
@@ -18,11 +17,10 @@
 from passlane.scheduling.cache_view import CacheUpdate
 from passlane.scheduling.config import SchedulerConfig
 from passlane.scheduling.engine_view import EngineView, RunningCall
+from passlane.scheduling.fleet_view import FleetView
 from passlane.scheduling.placement import Estimate, Placement
 from passlane.scheduling.queue import CallQueue, QueuedCall
 from passlane.scheduling.retention import CacheRetention
-from passlane.scheduling.speed import FleetSpeed
-from passlane.scheduling.watched_engines import watched_engines
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 30.0
@@ -57,12 +55,8 @@
         placement: Placement | None = None,
     ) -> None:
         self._config = config or SchedulerConfig()
-        self._own_zone = own_zone
-        self._node_key = node_key or f"{random.getrandbits(64):x}"
-        self._bodies: dict[EngineId, EngineBody] = {}
-        self._engines: dict[EngineId, EngineView] = {}
-        self._fleet_speed = FleetSpeed()
-        self._leaving: frozenset[EngineId] = frozenset()
+        node_key = node_key or f"{random.getrandbits(64):x}"
+        self._engines = FleetView(node_key, own_zone, self._config)
         self._queues: dict[str, CallQueue] = {}
         self._running: dict[CallId, tuple[events.CallArrived, EngineId]] = {}
         self._programs = AttainedService(self._config.max_programs)
@@ -115,7 +109,7 @@
     # Calls.
 
     def _call_arrived(self, event: events.CallArrived, now: float) -> None:
-        if not any(event.model in body.models for body in self._bodies.values()):
+        if not self._engines.serves(event.model):
             self._refuse(event, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None)
             return
         if event.deadline <= now:
@@ -197,45 +191,29 @@
             self._release_everywhere(program_id)
 
     def _release_everywhere(self, program_id: ProgramId) -> None:
-        for engine in self._engines.values():
-            if engine.cache.tokens_of(program_id) > 0:
-                engine.cache.record(program_id, 0)
-                self._output.append(instructions.ReleaseCache(program_id, engine.engine_id))
+        for engine in self._engines.holders_of(program_id):
+            engine.cache.record(program_id, 0)
+            self._output.append(instructions.ReleaseCache(program_id, engine.engine_id))
 
     # Engines.
 
     def _engines_changed(self, event: events.EnginesChanged, now: float) -> None:
-        self._bodies = dict(event.engines)
-        watched = watched_engines(
-            self._node_key, self._own_zone, self._bodies, self._config.watched_engines_per_model
-        )
-        for engine_id in [known for known in self._engines if known not in watched]:
-            del self._engines[engine_id]
-        for engine_id in sorted(watched):
-            body = self._bodies[engine_id]
-            view = self._engines.get(engine_id)
-            if view is None or view.body.address != body.address:
-                view = EngineView(engine_id, body, self._config, self._fleet_speed)
-                self._engines[engine_id] = view
-            view.body = body
-            view.leaving = engine_id in self._leaving
-        self._output.append(instructions.WatchEngines(watched))
+        self._engines.change_engines(event.engines)
+        self._output.append(instructions.WatchEngines(self._engines.watched))
         self._refuse_unserved(now)
 
     def _engines_leaving(self, event: events.EnginesLeaving, now: float) -> None:
-        newly_leaving = event.engine_ids - self._leaving
-        self._leaving = event.engine_ids
-        for engine in self._engines.values():
-            engine.leaving = engine.engine_id in self._leaving
-        for engine_id in sorted(newly_leaving):
-            if engine_id in self._engines:
-                self._move_caches(self._engines[engine_id], now)
+        watched_before = self._engines.watched
+        newly_leaving = self._engines.change_leaving(event.engine_ids)
+        if self._engines.watched != watched_before:
+            self._output.append(instructions.WatchEngines(self._engines.watched))
+        for engine in newly_leaving:
+            self._move_caches(engine, now)
 
     def _move_caches(self, leaving: EngineView, now: float) -> None:
-        others = list(self._engines.values())
-        for move in self._retention.moves_from(leaving, others, self._programs, now):
+        for move in self._retention.moves_from(leaving, self._engines, self._programs, now):
             tokens = leaving.cache.tokens_of(move.program_id)
-            self._engines[move.destination].cache.record(move.program_id, tokens)
+            self._engines.views[move.destination].cache.record(move.program_id, tokens)
             self._output.append(
                 instructions.MoveCache(move.program_id, leaving.engine_id, move.destination)
             )
@@ -275,10 +253,7 @@
 
     def _start_one(self, model: str, queue: CallQueue, now: float) -> bool:
         """Start the first waiting call for which now is the time; return whether one was."""
-        if not any(
-            engine.occupancy(now) < engine.slots() and engine.has_model(model)
-            for engine in self._engines.values()
-        ):
+        if not self._engines.has_free_slot(model, now):
             return False
         for queued in queue.in_order(now, self._config.queue.lookahead):
             estimate = self._choose(queued, now)
@@ -294,7 +269,7 @@
         It waits for a full engine that is still cheaper than a free one, because its
         prefix is there, but not longer than computing the prefix again would take.
         """
-        estimates = self._placement.estimates(queued.call, self._engines.values(), now)
+        estimates = self._placement.estimates(queued.call, self._engines, now)
         startable = [estimate for estimate in estimates if estimate.can_start]
         if not startable:
             return None
@@ -376,7 +351,7 @@
     def _refuse_unserved(self, now: float) -> None:
         """Refuse the waiting calls whose model no engine serves any more."""
         for model, queue in self._queues.items():
-            if any(model in body.models for body in self._bodies.values()):
+            if self._engines.serves(model):
                 continue
             for queued in list(queue.in_order(now, len(queue))):
                 queue.remove(queued.call.call_id)
@@ -387,7 +362,7 @@
     def _retry_after_s(self, model: str, now: float) -> float:
         """Return when a slot is likely to be free for a call that comes now."""
         rate = 0.0
-        for engine in self._engines.values():
+        for engine in self._engines:
             if engine.leaving or not engine.has_model(model):
                 continue
             batch = engine.body.max_batch
@@ -402,7 +377,7 @@
         times = [queue.next_deadline() for queue in self._queues.values()]
         times.append(self._retention.next_overdue())
         if any(len(queue) > 0 for queue in self._queues.values()):
-            times += [engine.breaker.opens_next_at(now) for engine in self._engines.values()]
+            times += [engine.breaker.opens_next_at(now) for engine in self._engines]
             times.append(self._recheck_at)
         coming = [time for time in times if time is not None and time < math.inf]
         if coming:
--- a/src/passlane/scheduling/watched_engines.py
+++ b/src/passlane/scheduling/watched_engines.py
@@ -5,6 +5,7 @@
 one engine so changes the subsets only where that engine was or will be among them.
 """
 
+from collections import defaultdict
 from collections.abc import Mapping
 
 import xxhash
@@ -16,9 +17,13 @@
 
 
 def watched_engines(
-    node_key: str, own_zone: str, engines: Mapping[EngineId, EngineBody], per_model: int
+    node_key: str,
+    own_zone: str,
+    engines: Mapping[EngineId, EngineBody],
+    per_model: int,
+    leaving: frozenset[EngineId] = frozenset(),
 ) -> frozenset[EngineId]:
-    """Return the engines that a node watches.
+    """Return the engines that a node watches in order to place calls on them.
 
     Parameters
     ----------
@@ -28,32 +33,34 @@
         Most engines watched for each model. Up to half of them are taken from the
         node's own zone first, the rest from all zones, so that the loss of a zone
         leaves some.
+    leaving
+        Engines that get no new work; others take their places.
     """
-    models = {model for body in engines.values() for model in body.models}
+    serving: dict[str, list[EngineId]] = defaultdict(list)
+    for engine_id, body in engines.items():
+        if engine_id not in leaving:
+            for model in body.models:
+                serving[model].append(engine_id)
     watched: set[EngineId] = set()
-    for model in models:
-        watched |= _watched_for_model(node_key, own_zone, engines, model, per_model)
+    for model, candidates in serving.items():
+        if len(candidates) > per_model:
+            candidates.sort(key=lambda one: _score(node_key, model, one), reverse=True)
+            candidates = _nearby_first(own_zone, engines, candidates, per_model)
+        watched.update(candidates)
     return frozenset(watched)
 
 
-def _watched_for_model(
-    node_key: str,
+def _nearby_first(
     own_zone: str,
     engines: Mapping[EngineId, EngineBody],
-    model: str,
+    ranked: list[EngineId],
     per_model: int,
-) -> set[EngineId]:
-    serving = [engine_id for engine_id, body in engines.items() if model in body.models]
-    if len(serving) <= per_model:
-        return set(serving)
-    serving.sort(key=lambda engine_id: _score(node_key, model, engine_id), reverse=True)
-    nearby = [engine_id for engine_id in serving if engines[engine_id].zone == own_zone]
-    chosen = set(nearby[: int(per_model * OWN_ZONE_SHARE)])
-    for engine_id in serving:
-        if len(chosen) >= per_model:
-            break
-        chosen.add(engine_id)
-    return chosen
+) -> list[EngineId]:
+    """Return the best of the own zone up to their share, then the best of all zones."""
+    nearby = [engine_id for engine_id in ranked if engines[engine_id].zone == own_zone]
+    chosen = nearby[: int(per_model * OWN_ZONE_SHARE)]
+    others = [engine_id for engine_id in ranked if engine_id not in chosen]
+    return chosen + others[: per_model - len(chosen)]
 
 
 def _score(node_key: str, model: str, engine_id: EngineId) -> int:
--- a/tests/scheduling/test_limits.py
+++ b/tests/scheduling/test_limits.py
@@ -83,6 +83,21 @@
         self.assertEqual(before - {removed}, before & after)
         self.assertEqual(1, len(after - before))
 
+    def test_leaving_engines_are_replaced_in_the_subset(self):
+        """Else a node whose whole subset leaves could place nothing, though others serve."""
+        engines = self.engines(300)
+        leaving = watched_engines("n1", "z1", engines, 8)
+        after = watched_engines("n1", "z1", engines, 8, leaving)
+        self.assertEqual(24, len(after))
+        self.assertFalse(after & leaving)
+
+    def test_leaving_engines_do_not_count_as_serving(self):
+        engines = self.engines(3)
+        self.assertEqual(
+            frozenset({EngineId("e1"), EngineId("e2")}),
+            watched_engines("n1", "z1", engines, 8, frozenset({EngineId("e0")})),
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -151,6 +151,23 @@
             for start in starts(scheduler.handle(call(number, "p"), 1.0)):
                 self.assertEqual(other, start.engine_id)
 
+    def test_calls_are_placed_when_the_whole_watched_subset_leaves(self):
+        engines = {EngineId(f"e{number}"): engine() for number in range(20)}
+        scheduler = self.scheduler(engines, watched_engines_per_model=4)
+        first = starts(scheduler.handle(call(1, "p"), 0.0))[0].engine_id
+        output = scheduler.handle(events.EnginesChanged(engines), 0.0)
+        watched = next(i for i in output if isinstance(i, instructions.WatchEngines)).engine_ids
+        output = scheduler.handle(events.EnginesLeaving(watched), 1.0)
+        now_watched = next(i for i in output if isinstance(i, instructions.WatchEngines))
+        self.assertEqual(4, len(now_watched.engine_ids - watched))
+        start = starts(scheduler.handle(call(2), 1.0))[0]
+        self.assertNotIn(start.engine_id, watched)
+        # The call that was running there still ends well and frees its place.
+        self.assertEqual(1, scheduler.in_flight_at(first))
+        scheduler.handle(ended(1), 1.5)
+        self.assertEqual(0, scheduler.in_flight_at(first))
+        self.assertEqual(1, scheduler.running_calls)
+
     def test_failing_engine_is_left_alone_then_probed_with_one_call(self):
         scheduler = self.scheduler({E1: engine()})
         for number in range(3):
