A disk that was full for a moment no longer refuses work for ever

After a sync the log writes a mark. When this mark was the first write to meet the full disk, the log was noted as full, but nobody was told, so the replica refused every proposal even when there was space again. The second fault is a race: while the reserve was set aside again, a write that found no space went into the backlog, and the end of the recovery then declared the log not full. Ruled out: the recovery itself, which the log lines show ending on store-0.

--- a/src/passlane/replication/driver.py
+++ b/src/passlane/replication/driver.py
@@ -210,6 +210,9 @@
             except OSError as error:
                 # After a failed sync nobody knows what the disk holds.
                 raise storage_corrupt(f"a sync of the log failed: {error}") from error
+            if self.log.is_full:
+                # The mark that a sync leaves in the log may be the first to find no space.
+                self._became_full.set()
             if self._unsynced_hard_state == state.hard_state:
                 self._release_messages()
                 self.step(HardStateSynced(term=state.hard_state.term))
--- a/src/passlane/storage/log.py
+++ b/src/passlane/storage/log.py
@@ -245,7 +245,9 @@
                 self._backlog.pop(0)
         if self._backlog:
             return False
-        self.is_full = not await self._reserve.hold()
+        has_reserve = await self._reserve.hold()
+        # The disk may have filled up again during the wait.
+        self.is_full = not has_reserve or self.has_backlog
         return not self.is_full
 
     async def remove_before(self, index: int) -> int:
--- a/tests/replication/test_replica_host.py
+++ b/tests/replication/test_replica_host.py
@@ -161,6 +161,20 @@
         await cluster.propose(b"1")
         await cluster.until(lambda: all(b"1" in cluster.commands(n) for n in "abc"))
 
+    @on_seeds()
+    async def test_every_amount_of_space_left_is_recovered_from(self, cluster):
+        """Whichever write meets the full disk first: an entry, a term, or the mark of a sync."""
+        await cluster.propose(b"0")
+        for space_left in range(0, 160, 32):
+            command = b"at %d" % space_left
+            for member in cluster.members.values():
+                member.disk.capacity_bytes = member.disk.used_bytes() + space_left
+            with anyio.move_on_after(2.0):
+                await cluster.propose(command)
+            for member in cluster.members.values():
+                member.disk.capacity_bytes = None
+            await cluster.propose(b"after " + command)
+
     @on_seeds()
     async def test_leader_with_a_full_disk_hands_over(self, cluster):
         await cluster.propose(b"0")
--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -15,6 +15,7 @@
 from passlane.storage.formats import START_OF_LOG, HardState, LogPosition
 from passlane.storage.identity import IdentityFile
 from passlane.storage.log import SegmentedLog
+from passlane.storage.reserve import RESERVE_BYTES
 from passlane.storage.snapshots import Snapshot, SnapshotStore
 
 SEGMENT_BYTES = 400
@@ -184,6 +185,25 @@
 
         self.simulate(scenario, [0])
 
+    def test_space_lost_again_while_it_is_recovered_is_noticed(self):
+        async def scenario(source, disk):
+            log, _ = await open_log(disk)
+            disk.capacity_bytes = disk.used_bytes()
+            log.append((entry(1, 1),))
+            disk.capacity_bytes = None
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(log.recover_space)
+                for _ in range(1_000):
+                    await anyio.sleep(0.00001)
+                    if not log.has_backlog and disk.used_bytes() >= RESERVE_BYTES:
+                        break
+                disk.capacity_bytes = disk.used_bytes()
+                log.append((entry(2, 1),))
+            self.assertTrue(log.has_backlog)
+            self.assertTrue(log.is_full)
+
+        self.simulate(scenario, range(10))
+
     def test_flipped_bit_in_snapshot_or_identity_is_refused(self):
         async def scenario(source, disk):
             store = SnapshotStore(disk, "g/0001", "g")
