Engines are brought to the models that the accepted configuration names

Cause: nothing gave an engine the order to load a model. A document that named a new model for an engine so came into force and changed nothing, and a model that was taken away stayed a place for calls. The region's store leader now compares each engine with its document and orders what is missing; the fencing token is the document's revision, so a leader that acts on an older one is refused by the engine without any state of its own. Ruled out: orders by the nodes, which would come 400 times over, and by the control leader, which a region that is cut off does not reach. Before: with the duty left out the new fleet test fails ('tutor' not found in the engine's models). After: it passes, and a stale order is refused; at most 10 checks a second and 8 at once, whatever the number of engines. Engines' roles are not ordered, since placement does not use them.

--- a/src/passlane/scheduling/engine_view.py
+++ b/src/passlane/scheduling/engine_view.py
@@ -116,10 +116,10 @@
         return max(reported, self.cache.total_tokens)
 
     def has_model(self, model: str) -> bool:
-        """Return whether the engine serves the model, by its report or its configuration."""
-        if self._load is not None and self._load.models:
-            return model in self._load.models
-        return model in self.body.models
+        """Return whether the engine shall serve the model and, by its report, has loaded it."""
+        if model not in self.body.models:
+            return False
+        return self._load is None or not self._load.models or model in self._load.models
 
     def slots(self) -> int:
         """Return how many calls may be at the engine at once."""
--- /dev/null
+++ b/src/passlane/store/engine_reconciler.py
@@ -0,0 +1,124 @@
+"""Brings the engines of a region to the models that the accepted configuration names.
+
+A duty of the region's store leader: it compares what each engine of the region's zones
+serves with what the configuration wants, again and again, and gives fenced orders. The
+checks are spread evenly, so the cost does not depend on how many engines there are.
+"""
+
+import anyio
+
+from passlane.backends.engine_client import EngineClient
+from passlane.backends.failures import BackendError
+from passlane.configuration.documents import DocumentKind, EngineBody
+from passlane.configuration.ledger import ConfigurationLedger
+from passlane.configuration.parsing import parse_body
+from passlane.errors import PasslaneError
+from passlane.identifiers import EngineId, Revision
+from passlane.membership.lease_table import LeaseTable
+from passlane.messages.control import NO_REVISION, Document
+from passlane.observability.logging import get_logger
+from passlane.runtime.interfaces import HttpClient
+from passlane.store.engine_targets import EngineTarget, orders_for
+
+CHECK_INTERVAL_S = 5.0
+"""Seconds between two checks of an engine, while that keeps within the rate below."""
+
+MAX_CHECKS_PER_S = 10.0
+MAX_CHECKS_AT_ONCE = 8
+
+logger = get_logger(__name__)
+
+
+class EngineReconciler:
+    """Checks engines and orders models while this replica leads.
+
+    Parameters
+    ----------
+    configuration
+        The region's copy of the configuration; only accepted documents count.
+    lease_table
+        Tells the zones of the region, by its nodes.
+    """
+
+    def __init__(
+        self, configuration: ConfigurationLedger, lease_table: LeaseTable, http_client: HttpClient
+    ) -> None:
+        self._configuration = configuration
+        self._lease_table = lease_table
+        self._http_client = http_client
+        self._checks_allowed = anyio.Semaphore(MAX_CHECKS_AT_ONCE)
+        self._wanted_since: dict[EngineTarget, float] = {}
+        self._targets: tuple[EngineTarget, ...] = ()
+        self._as_of = NO_REVISION
+
+    async def run(self) -> None:
+        """Check one engine after the other until cancelled."""
+        async with anyio.create_task_group() as checks:
+            while True:
+                targets = self._targets_here()
+                spacing_s = max(CHECK_INTERVAL_S / max(len(targets), 1), 1.0 / MAX_CHECKS_PER_S)
+                for target in targets:
+                    await self._checks_allowed.acquire()
+                    checks.start_soon(self._check, target)
+                    await anyio.sleep(spacing_s)
+                if not targets:
+                    await anyio.sleep(CHECK_INTERVAL_S)
+
+    def _targets_here(self) -> tuple[EngineTarget, ...]:
+        """Return the engines in the zones where the region has nodes."""
+        self._refresh_targets()
+        zones = {view.zone for view in self._lease_table.views(anyio.current_time())}
+        return tuple(target for target in self._targets if target.body.zone in zones)
+
+    def _refresh_targets(self) -> None:
+        accepted = self._configuration.accepted_revision
+        if accepted == self._as_of:
+            return
+        self._as_of = accepted
+        documents, _ = self._configuration.dump()
+        engines = (document for document in documents if document.kind == DocumentKind.ENGINE)
+        found = (target_of(document) for document in engines)
+        self._targets = tuple(target for target in found if target is not None)
+        now = anyio.current_time()
+        self._wanted_since = {
+            target: self._wanted_since.get(target, now) for target in self._targets
+        }
+
+    async def _check(self, target: EngineTarget) -> None:
+        try:
+            await self._reconcile(target)
+        except BackendError as error:
+            # Tried again at the next check; an engine that is down needs no model.
+            logger.info("engine_not_checked", engine=target.engine_id, code=error.code.value)
+        finally:
+            self._checks_allowed.release()
+
+    async def _reconcile(self, target: EngineTarget) -> None:
+        """Compare one engine with its target and give it the orders it needs."""
+        client = EngineClient(self._http_client, target.body.address)
+        load = await client.read_load()
+        now = anyio.current_time()
+        wanted_for_s = now - self._wanted_since.get(target, now)
+        for order in orders_for(target, load, wanted_for_s):
+            await client.order(order)
+            logger.info(
+                "engine_ordered",
+                engine=target.engine_id,
+                order=order.kind.value,
+                model=order.argument,
+                token=order.fencing_token,
+            )
+
+
+def target_of(document: Document) -> EngineTarget | None:
+    """Return the target that an engine's document names; ``None`` if it is deleted."""
+    if document.body is None:
+        return None
+    try:
+        body = parse_body(DocumentKind.ENGINE, document.body)
+    except PasslaneError:
+        # The control group checks documents; one it let through must not stop the loop.
+        return None
+    if not isinstance(body, EngineBody):
+        return None
+    return EngineTarget(EngineId(document.name), body, Revision(document.revision))
--- a/src/passlane/store/leader_term.py
+++ b/src/passlane/store/leader_term.py
@@ -12,6 +12,7 @@
 from passlane.settings.model import Settings
 from passlane.store.configuration_relay import ConfigurationRelay
 from passlane.store.drains import DrainedNodes
+from passlane.store.engine_reconciler import EngineReconciler
 from passlane.store.machine import StoreStateMachine
 from passlane.store.platform_watch import PlatformWatch
 from passlane.store.proposals import propose_until_decided
@@ -53,6 +54,9 @@
         self.lease_table = LeaseTable(settings.membership, machine.assignments.all(), started_at)
         self._drained = DrainedNodes(machine.configuration)
         self._platform = PlatformWatch(environment.http_client, settings.node.platform_list)
+        self._engines = EngineReconciler(
+            machine.configuration, self.lease_table, environment.http_client
+        )
         self._retention = RetentionLoop(group, machine, retention_s)
         self._plan_wanted = anyio.Event()
         self._relay: ConfigurationRelay | None = None
@@ -72,6 +76,7 @@
             duties.start_soon(self._assign_partitions)
             duties.start_soon(self._platform.run)
             duties.start_soon(self._retention.run)
+            duties.start_soon(self._engines.run)
             if self._relay is not None:
                 duties.start_soon(self._relay.run)
 
--- /dev/null
+++ b/tests/store/test_engine_reconciler.py
@@ -0,0 +1,88 @@
+"""Engines come to serve the models that the accepted configuration names."""
+
+import unittest
+
+import anyio
+
+from passlane.backends.engine_client import EngineClient
+from passlane.configuration.documents import EngineBody
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.identifiers import EngineId, Revision
+from passlane.messages.backends import EngineLoad, EngineOrder, OrderKind
+from passlane.messages.common import Address
+from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.simulation.cluster import Cluster, run_cluster
+from passlane.simulation.fleet_plan import OPERATOR_HOST, FleetPlan
+from passlane.simulation.runner import run_simulation
+from passlane.store.engine_targets import (
+    MODELS_SCOPE,
+    UNLOAD_AFTER_S,
+    EngineTarget,
+    orders_for,
+)
+
+ENGINE = "engine-0"
+BODY = EngineBody(address=Address("127.0.0.1", 1), zone="a", models=("agent", "tutor"))
+TARGET = EngineTarget(EngineId(ENGINE), BODY, Revision(7))
+LOADED_S = 30.0
+"""Longer than a check's interval and the download of a model."""
+
+
+def load_of(*models: str, running: int = 0) -> EngineLoad:
+    return EngineLoad(EngineId(ENGINE), 1, running, 0, 0, 0, models)
+
+
+class OrdersTest(unittest.TestCase):
+    def test_missing_models_are_ordered_under_the_revision_of_the_document(self) -> None:
+        orders = orders_for(TARGET, load_of("agent"), 0.0)
+        expected = EngineOrder(OrderKind.LOAD_MODEL, MODELS_SCOPE, 7, argument="tutor")
+        self.assertEqual(orders, (expected,))
+
+    def test_an_engine_that_serves_what_it_should_gets_no_order(self) -> None:
+        self.assertEqual(orders_for(TARGET, load_of("tutor", "agent"), 1e6), ())
+
+    def test_a_busy_engine_keeps_an_unwanted_model_until_no_call_can_need_it(self) -> None:
+        busy = load_of("agent", "tutor", "old", running=1)
+        self.assertEqual(orders_for(TARGET, busy, UNLOAD_AFTER_S - 1.0), ())
+        unload = orders_for(TARGET, busy, UNLOAD_AFTER_S)
+        self.assertEqual([order.kind for order in unload], [OrderKind.UNLOAD_MODEL])
+        idle = load_of("agent", "tutor", "old")
+        self.assertEqual(orders_for(TARGET, idle, 0.0), unload)
+
+
+async def change_models(cluster: Cluster, models: list[str], version: int) -> None:
+    body = next(body for _, name, body in cluster.documents() if name == ENGINE)
+    changed = {**body, "models": models}
+    key = f"models-{version}"
+    change = await cluster.operators.change("engine", ENGINE, changed, version, key)
+    assert change.revision is not None
+
+
+class ReconcilerTest(unittest.TestCase):
+    def test_a_changed_document_changes_the_engine_and_fences_older_orders(self) -> None:
+        async def main() -> None:
+            async with run_cluster(FleetPlan(), seed=5) as cluster:
+                model = cluster.engines[ENGINE].service.model
+                original = list(model.current_load().models)
+                await change_models(cluster, [*original, "tutor"], 1)
+                await anyio.sleep(LOADED_S)
+                self.assertIn("tutor", model.current_load().models)
+                await self.expect_stale_order_refused(cluster)
+                await change_models(cluster, original, 2)
+                await anyio.sleep(LOADED_S)
+                self.assertEqual(list(model.current_load().models), original)
+
+        run_simulation(main, seed=5)
+
+    async def expect_stale_order_refused(self, cluster: Cluster) -> None:
+        """A leader that still acts on an older revision cannot undo the change."""
+        http = SingleConnectionHttpClient(cluster.network.host(OPERATOR_HOST))
+        client = EngineClient(http, cluster.engines[ENGINE].address)
+        with self.assertRaises(PasslaneError) as caught:
+            await client.order(EngineOrder(OrderKind.UNLOAD_MODEL, MODELS_SCOPE, 1, None, "tutor"))
+        self.assertEqual(caught.exception.code, ErrorCode.STALE_FENCING_TOKEN)
+        self.assertIn("tutor", cluster.engines[ENGINE].service.model.current_load().models)
+
+
+if __name__ == "__main__":
+    unittest.main()
