--- /dev/null
+++ b/src/passlane/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Works out what each role needs at the size that is designed for, from measured slopes."""
