Refuse a record whose zero byte is not zero

The fourth byte of a record's header stands between the kind and the length and is covered by no checksum, because the reader skipped it as padding. A property test that flips each bit of a record found it: 8 of the 152 bits of a record with a 7 byte payload were accepted. The payload was not at risk, but a disk that changes bytes must be noticed wherever it does so. The byte is now read and must be zero; 0 of 152 bits are accepted. A checksum over the byte was weighed and left: it would change the format.

--- a/src/passlane/storage/records.py
+++ b/src/passlane/storage/records.py
@@ -21,7 +21,7 @@
 MARKER = b"\xd7\x5a"
 MAX_PAYLOAD_BYTES = 64_000_000
 
-_HEADER = struct.Struct("<2sBxII")
+_HEADER = struct.Struct("<2sBBII")
 _CHECKED = struct.Struct("<BI")
 HEADER_BYTES = _HEADER.size
 
@@ -56,7 +56,7 @@
 def encode_record(kind: RecordKind, payload: bytes) -> bytes:
     """Return the record as it is written to the file."""
     checksum = _checksum(kind, payload)
-    return _HEADER.pack(MARKER, kind, len(payload), checksum) + payload
+    return _HEADER.pack(MARKER, kind, 0, len(payload), checksum) + payload
 
 
 def read_record(data: memoryview, start: int) -> Record | None:
@@ -64,9 +64,9 @@
     payload_start = start + HEADER_BYTES
     if payload_start > len(data):
         return None
-    marker, kind, length, checksum = _HEADER.unpack_from(data, start)
+    marker, kind, zero, length, checksum = _HEADER.unpack_from(data, start)
     end = payload_start + length
-    if marker != MARKER or length > MAX_PAYLOAD_BYTES or end > len(data):
+    if marker != MARKER or zero != 0 or length > MAX_PAYLOAD_BYTES or end > len(data):
         return None
     payload = data[payload_start:end]
     if _checksum(kind, payload) != checksum or kind not in _KNOWN_KINDS:
--- /dev/null
+++ b/tests/storage/test_records.py
@@ -0,0 +1,66 @@
+"""Properties of the framing of records."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passlane.storage.records import (
+    RecordKind,
+    encode_record,
+    find_records,
+    read_record,
+    read_records,
+)
+
+repeatable = settings(derandomize=True, database=None, deadline=None, max_examples=150)
+
+records = st.tuples(st.sampled_from(list(RecordKind)), st.binary(max_size=200))
+
+
+def flip(data: bytes, bit: int) -> bytes:
+    changed = bytearray(data)
+    changed[bit // 8] ^= 1 << bit % 8
+    return bytes(changed)
+
+
+class RecordTest(unittest.TestCase):
+    @repeatable
+    @given(st.lists(records, max_size=8))
+    def test_records_are_read_back(self, written: list[tuple[RecordKind, bytes]]) -> None:
+        data = b"".join(encode_record(kind, payload) for kind, payload in written)
+        found = [(record.kind, bytes(record.payload)) for record in read_records(memoryview(data))]
+        self.assertEqual(found, written)
+        again = [(record.kind, bytes(record.payload)) for record in find_records(data, 0)]
+        self.assertEqual(again, written)
+
+    @repeatable
+    @given(records, st.data())
+    def test_a_record_with_any_bit_flipped_is_refused(
+        self, written: tuple[RecordKind, bytes], data: st.DataObject
+    ) -> None:
+        whole = encode_record(*written)
+        bit = data.draw(st.integers(0, 8 * len(whole) - 1))
+        self.assertIsNone(read_record(memoryview(flip(whole, bit)), 0))
+
+    def test_every_bit_of_a_record_is_covered(self) -> None:
+        whole = encode_record(RecordKind.ENTRY, b"payload")
+        accepted = [
+            bit
+            for bit in range(8 * len(whole))
+            if read_record(memoryview(flip(whole, bit)), 0) is not None
+        ]
+        self.assertEqual(accepted, [])
+
+    @repeatable
+    @given(records, st.data())
+    def test_a_record_that_is_cut_short_is_refused(
+        self, written: tuple[RecordKind, bytes], data: st.DataObject
+    ) -> None:
+        whole = encode_record(*written)
+        length = data.draw(st.integers(0, len(whole) - 1))
+        self.assertIsNone(read_record(memoryview(whole[:length]), 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
