--- a/src/passlane/bench/storage.py
+++ b/src/passlane/bench/storage.py
@@ -33,7 +33,9 @@
 REPLICAS = (1, 3)
 RESTART_ENTRIES = (10_000, 50_000, 100_000)
 TAIL_ENTRIES = 1_000
-STATE_PROGRAMS = (25, 100, 400, 1_000)
+STATE_PROGRAMS = (25, 100, 400, 1_000, 2_000)
+"""The last is a region's share: 10,000 programs over five regions."""
+MOST_PROGRAMS_IN_ONE_GO = 1_000
 TOKENS_PER_PROGRAM = 200_000
 
 
@@ -143,8 +145,16 @@
     """Run the experiments on snapshots of growing state below ``root``."""
     states: list[StateResult] = []
     for programs in STATE_PROGRAMS:
-        result = await measure_state(root, programs=programs, tokens_per_program=TOKENS_PER_PROGRAM)
-        states.append(result)
+        for in_parts in (False, True):
+            if not in_parts and programs > MOST_PROGRAMS_IN_ONE_GO:
+                continue
+            result = await measure_state(
+                root,
+                programs=programs,
+                tokens_per_program=TOKENS_PER_PROGRAM,
+                in_parts=in_parts,
+            )
+            states.append(result)
     return StateReport(states=tuple(states))
 
 
--- a/src/passlane/bench/storage_group.py
+++ b/src/passlane/bench/storage_group.py
@@ -3,6 +3,7 @@
 import random
 import tempfile
 import time
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -41,13 +42,15 @@
         self.count += 1
         return b""
 
-    def take_snapshot(self) -> bytes:
+    def snapshot_parts(self) -> Iterator[bytes]:
         """Return the count."""
-        return str(self.count).encode()
+        return iter((str(self.count).encode(),))
 
-    def restore_snapshot(self, data: bytes) -> None:
+    def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
         """Take over a count."""
-        self.count = int(data)
+        for part in parts:
+            self.count = int(part)
+            yield
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/passlane/bench/storage_log.py
+++ b/src/passlane/bench/storage_log.py
@@ -17,7 +17,7 @@
 from passlane.messages.raft import EntryKind, GroupMembership, LogEntry
 from passlane.storage.formats import START_OF_LOG, LogPosition
 from passlane.storage.log import SegmentedLog
-from passlane.storage.snapshots import Snapshot, SnapshotStore
+from passlane.storage.snapshots import SnapshotStore
 
 FOLDER = "bench/0001"
 GROUP = "bench"
@@ -154,7 +154,7 @@
         names = disk.list_files(FOLDER)
         disk_bytes = sum(len(disk.read(f"{FOLDER}/{name}")) for name in names if name != "reserve")
         started = time.perf_counter()
-        snapshot = SnapshotStore(disk, FOLDER, GROUP).load()
+        snapshot = await SnapshotStore(disk, FOLDER, GROUP).load()
         last = snapshot.last if snapshot is not None else START_OF_LOG
         log, recovered = await SegmentedLog.open(disk, FOLDER, GROUP, SEGMENT_BYTES, last)
         open_s = time.perf_counter() - started
@@ -186,6 +186,6 @@
         store = SnapshotStore(disk, FOLDER, GROUP)
         # The state holds as much as a thousandth of the commands; most replace others.
         data = bytes(snapshot_at * payload_bytes // 1_000)
-        await store.save(Snapshot(LogPosition(snapshot_at, 1), GroupMembership(()), data))
+        await store.save(LogPosition(snapshot_at, 1), GroupMembership(()), (data,))
         await log.remove_before(snapshot_at)
     log.close()
--- a/src/passlane/bench/storage_results.py
+++ b/src/passlane/bench/storage_results.py
@@ -56,17 +56,24 @@
 class StateResult(msgspec.Struct, frozen=True):
     """What a snapshot of the store's state costs, by the size of the state.
 
-    ``longest_stall_ms`` is how long the loop did nothing else; the memory figures are
-    resident bytes.
+    A stall is how late a timer of the loop fires. ``append_p99_ms`` is of synced appends
+    to a log on the same disk; ``quiet`` figures were taken just before. ``extra_bytes``
+    is how much the resident memory grew while the snapshot was taken.
     """
 
+    name: str
     programs: int
     tokens_per_program: int
     snapshot_bytes: int
     snapshot_s: float
+    quiet_longest_stall_ms: float
     longest_stall_ms: float
-    peak_extra_bytes: int
+    p99_stall_ms: float
+    quiet_append_p99_ms: float
+    append_p99_ms: float
+    extra_bytes: int
     restore_s: float
+    restore_longest_stall_ms: float
 
 
 class StorageReport(msgspec.Struct, frozen=True):
--- a/src/passlane/bench/store_machine.py
+++ b/src/passlane/bench/store_machine.py
@@ -4,7 +4,7 @@
 import sys
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import msgspec
@@ -170,6 +170,12 @@
     return (time.process_time() - began) * 1e3
 
 
+def _exhaust(steps: Iterator[None]) -> None:
+    """Run an operation to its end that stops on the way to let the loop go on."""
+    for _ in steps:
+        pass
+
+
 def _snapshot_points(programs: int) -> tuple[Point, Point, Point]:
     """Return time to take, time to restore (both ms), and size (MB) of one snapshot."""
     driver = _Driver()
@@ -179,12 +185,16 @@
             driver.call(f"p{number}")
     text_mb = programs * SNAPSHOT_CALLS * 2 * TURN_CHARACTERS / 1e6
     taken: list[bytes] = []
-    take_ms = _timed(lambda: taken.append(driver.machine.take_snapshot()))
+    take_ms = _timed(lambda: taken.extend(driver.machine.snapshot_parts()))
     restored = StoreStateMachine()
-    restore_ms = _timed(lambda: restored.restore_snapshot(taken[0]))
+    restore_ms = _timed(lambda: _exhaust(restored.restore_parts(taken)))
     if len(restored.programs) != programs:
         raise RuntimeError("the snapshot did not restore")
-    return Point(text_mb, take_ms), Point(text_mb, restore_ms), Point(text_mb, len(taken[0]) / 1e6)
+    return (
+        Point(text_mb, take_ms),
+        Point(text_mb, restore_ms),
+        Point(text_mb, sum(map(len, taken)) / 1e6),
+    )
 
 
 def measure_store_machine() -> StoreMachineReport:
--- a/src/passlane/control/machine.py
+++ b/src/passlane/control/machine.py
@@ -5,6 +5,8 @@
 was seen before are answered as at the first time.
 """
 
+from collections.abc import Iterable, Iterator
+
 import msgspec
 
 from passlane.configuration.ledger import ConfigurationLedger
@@ -107,6 +109,16 @@
             )
         )
 
+    def snapshot_parts(self) -> Iterator[bytes]:
+        """Return the whole state as one part: it is small beside a store's."""
+        return iter((self.take_snapshot(),))
+
+    def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
+        """Replace the state by that of a snapshot; yields once it is decoded."""
+        data = b"".join(parts)
+        yield
+        self.restore_snapshot(data)
+
     def restore_snapshot(self, data: bytes) -> None:
         """Replace the state by that of a snapshot."""
         snapshot = decode_snapshot(data)
--- a/src/passlane/raft/events.py
+++ b/src/passlane/raft/events.py
@@ -11,6 +11,7 @@
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
 from passlane.messages.raft import AnyRaftMessage, GroupMember
+from passlane.raft.snapshot_data import SnapshotData
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,14 +62,18 @@
 
     last_index: int
     last_term: int
-    data: bytes
+    data: SnapshotData
 
 
 @dataclass(frozen=True, slots=True)
 class SnapshotInstalled:
-    """The snapshot received from the leader is durable and the state restored from it."""
+    """The snapshot received from the leader is durable and the state restored from it.
+
+    ``data`` is where it is kept from now on; ``None`` keeps it as it was received.
+    """
 
     last_index: int
+    data: SnapshotData | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/passlane/raft/instructions.py
+++ b/src/passlane/raft/instructions.py
@@ -5,6 +5,7 @@
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
 from passlane.messages.raft import AnyRaftMessage, GroupMembership, LogEntry
+from passlane.raft.snapshot_data import SnapshotData
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +77,7 @@
     last_index: int
     last_term: int
     membership: GroupMembership
-    data: bytes
+    data: SnapshotData
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/passlane/raft/progress.py
+++ b/src/passlane/raft/progress.py
@@ -6,6 +6,7 @@
 
 from passlane.messages.common import Address
 from passlane.messages.raft import GroupMembership
+from passlane.raft.snapshot_data import SnapshotData
 
 
 class ReplicationMode(enum.Enum):
@@ -26,7 +27,7 @@
     last_index: int
     last_term: int
     membership: GroupMembership
-    data: bytes
+    data: SnapshotData
 
 
 @dataclass(slots=True)
--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -3,6 +3,7 @@
 import math
 import random as random_module
 from collections.abc import Sequence
+from dataclasses import replace
 
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
@@ -43,6 +44,7 @@
 from passlane.raft.log_view import LogView
 from passlane.raft.membership import MembershipHistory, decode_membership
 from passlane.raft.progress import Snapshot
+from passlane.raft.snapshot_data import SnapshotData
 from passlane.raft.state import ReplicaState
 
 
@@ -83,7 +85,7 @@
         voted_for: ReplicaId | None,
         snapshot_last_index: int,
         snapshot_last_term: int,
-        snapshot_data: bytes,
+        snapshot_data: SnapshotData,
         entries: Sequence[LogEntry],
         members: Sequence[GroupMember],
     ) -> None:
@@ -238,6 +240,8 @@
         snapshot = self._state.snapshot
         if snapshot is None or snapshot.last_index != event.last_index:
             return
+        if event.data is not None:
+            self._state.snapshot = replace(snapshot, data=event.data)
         self._state.log.mark_synced(snapshot.last_index, snapshot.last_term)
         self._follower.note_installed(event.last_index)
 
--- a/src/passlane/raft/state.py
+++ b/src/passlane/raft/state.py
@@ -22,6 +22,7 @@
 from passlane.raft.log_view import LogView
 from passlane.raft.membership import MembershipHistory, decode_membership, voters_of
 from passlane.raft.progress import Snapshot
+from passlane.raft.snapshot_data import SnapshotData
 
 
 @dataclass(slots=True)
@@ -133,7 +134,7 @@
         self.applied_index = last_index
         self.emit(ApplyEntries(entries=entries, tokens=tokens))
 
-    def keep_snapshot(self, last_index: int, last_term: int, data: bytes) -> None:
+    def keep_snapshot(self, last_index: int, last_term: int, data: SnapshotData) -> None:
         """Keep a snapshot that was taken here, and drop what it makes needless."""
         if self.snapshot is not None and last_index <= self.snapshot.last_index:
             return
--- a/src/passlane/replication/driver.py
+++ b/src/passlane/replication/driver.py
@@ -6,13 +6,14 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
 
 import anyio
 
+from passlane.errors import PasslaneError
 from passlane.messages.common import Address
 from passlane.messages.raft import EntryKind
 from passlane.observability.logging import get_logger
+from passlane.raft.errors import RaftInvariantError
 from passlane.raft.events import (
     EntriesSynced,
     Event,
@@ -40,28 +41,18 @@
 from passlane.replication.interfaces import StateMachine
 from passlane.replication.peer_sender import PeerSender
 from passlane.replication.pending import PendingRequests, rejection
+from passlane.replication.snapshot_keeper import SnapshotKeeper
 from passlane.replication.snapshot_rule import SnapshotRule
 from passlane.storage.formats import HardState, LogPosition, storage_corrupt
 from passlane.storage.log import SegmentedLog
-from passlane.storage.reserve import is_disk_full
-from passlane.storage.snapshots import Snapshot, SnapshotStore
+from passlane.storage.reserve import SPACE_RETRY_S
 
 MAX_DEFERRED_MESSAGES = 256
 MIN_TICK_S = 0.001
-SPACE_RETRY_S = 0.5
-"""Pause between tries to get space back on a full disk."""
 
 logger = get_logger(__name__)
 
 
-@dataclass(slots=True)
-class Storage:
-    """The files of one replica."""
-
-    log: SegmentedLog
-    snapshots: SnapshotStore
-
-
 class ReplicaDriver:
     """Runs one replica between its files, its peers and its state machine.
 
@@ -74,7 +65,8 @@
     def __init__(
         self,
         replica: Replica,
-        storage: Storage,
+        log: SegmentedLog,
+        snapshots: SnapshotKeeper,
         state_machine: StateMachine,
         sender: PeerSender,
         proposals: PendingRequests,
@@ -83,11 +75,11 @@
         applied: LogPosition,
     ) -> None:
         self.replica = replica
-        self.log = storage.log
+        self.log = log
         self.applied = applied
         self.leader_address: Address | None = None
         self.term = 0
-        self._snapshots = storage.snapshots
+        self._snapshots = snapshots
         self._state_machine = state_machine
         self._sender = sender
         self._proposals = proposals
@@ -105,6 +97,8 @@
         self._write_arrived = anyio.Event()
         self._snapshot_wanted = anyio.Event()
         self._became_full = anyio.Event()
+        self._failure: PasslaneError | RaftInvariantError | None = None
+        self._failed = anyio.Event()
 
     @property
     def is_leader(self) -> bool:
@@ -118,16 +112,31 @@
             tasks.start_soon(self._sync_writes)
             tasks.start_soon(self._keep_snapshots)
             tasks.start_soon(self._watch_space)
+            tasks.start_soon(self._raise_failure)
 
     def step(self, event: Event) -> None:
         """Hand an event to the replica and carry out what it instructs."""
+        if self._failure is not None:
+            return
         if self._installing is not None and not isinstance(event, SnapshotInstalled):
             self._defer(event)
             return
-        self._carry_out(self.replica.handle(event, anyio.current_time()))
+        try:
+            self._carry_out(self.replica.handle(event, anyio.current_time()))
+        except (PasslaneError, RaftInvariantError) as error:
+            # The caller may be a connection that has nothing to do with the fault.
+            self._failure = error
+            self._failed.set()
+            return
         if self.replica.next_deadline() < self._sleeps_until:
             self._time_changed.set()
 
+    async def _raise_failure(self) -> None:
+        """End the replica once an event has shown that it must not go on."""
+        await self._failed.wait()
+        assert self._failure is not None
+        raise self._failure
+
     def _defer(self, event: Event) -> None:
         """Keep an event until the snapshot is installed; messages may be dropped."""
         if isinstance(event, TimeAdvanced):
@@ -191,6 +200,11 @@
         if self.log.is_full:
             self._became_full.set()
 
+    def _note_full(self) -> None:
+        """Refuse new work until there is space again."""
+        self.log.is_full = True
+        self._became_full.set()
+
     def _send(self, instruction: SendMessage) -> None:
         """Send a message, after those that wait for the hard state."""
         if self._unsynced_hard_state is not None:
@@ -284,50 +298,26 @@
     async def _take_snapshot(self) -> None:
         """Save the state machine's state and drop the log before it."""
         last = self.applied
-        snapshot = Snapshot(
-            last=last,
-            membership=self.replica.membership_at(last.index),
-            data=self._state_machine.take_snapshot(),
-        )
-        self._snapshot_rule.note_snapshot(len(snapshot.data))
-        if not await self._save(snapshot) or self._installing is not None:
+        snapshot = await self._snapshots.take(last, self.replica.membership_at(last.index))
+        if snapshot is None:
+            self._note_full()
+            return
+        if self._installing is not None:
             return
         taken = SnapshotTaken(last_index=last.index, last_term=last.term, data=snapshot.data)
         self.step(taken)
         await self.log.remove_before(last.index)
 
-    async def _save(self, snapshot: Snapshot) -> bool:
-        """Save a snapshot; return false if the disk is full."""
-        try:
-            await self._snapshots.save(snapshot)
-        except OSError as error:
-            if not is_disk_full(error):
-                raise
-            self.log.is_full = True
-            self._became_full.set()
-            return False
-        return True
-
-    async def _save_with_patience(self, snapshot: Snapshot) -> None:
-        """Save a snapshot, however long the disk is full."""
-        while True:
-            if await self._save(snapshot):
-                return
-            await anyio.sleep(SPACE_RETRY_S)
-
     async def _install(self, instruction: InstallSnapshot) -> None:
         """Put a snapshot of the leader in place of state and log."""
-        last = LogPosition(instruction.last_index, instruction.last_term)
-        snapshot = Snapshot(last=last, membership=instruction.membership, data=instruction.data)
-        await self._save_with_patience(snapshot)
-        self._state_machine.restore_snapshot(instruction.data)
+        snapshot = await self._snapshots.install(instruction)
+        last = snapshot.last
         self.applied = last
         self.log.reset(last)
         self._note_write()
-        self._snapshot_rule.note_snapshot(len(instruction.data))
         self._installing = None
         self._carry_out(self._deferred_instructions)
-        self.step(SnapshotInstalled(last_index=last.index))
+        self.step(SnapshotInstalled(last_index=last.index, data=snapshot.data))
         await self.log.remove_before(last.index)
         deferred = list(self._deferred_events)
         self._deferred_events.clear()
--- a/src/passlane/replication/interfaces.py
+++ b/src/passlane/replication/interfaces.py
@@ -1,5 +1,6 @@
 """What a replicated group offers to the service on top of it, and what it asks of it."""
 
+from collections.abc import Iterable, Iterator
 from typing import Protocol
 
 from passlane.messages.common import Address
@@ -16,12 +17,20 @@
         """Apply one committed command and return its encoded result; never raise."""
         ...
 
-    def take_snapshot(self) -> bytes:
-        """Return the whole state, encoded, with a format version."""
+    def snapshot_parts(self) -> Iterator[bytes]:
+        """Return the whole state as of this call, encoded, in parts.
+
+        Commands are applied between two parts and must not show in those that follow.
+        A part should take no more than milliseconds to encode: the loop stands still.
+        An iterator that is dropped half-way ends that snapshot; there is one at a time.
+        """
         ...
 
-    def restore_snapshot(self, data: bytes) -> None:
-        """Replace the state by that of a snapshot."""
+    def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
+        """Replace the state by that of a snapshot; yields whenever the loop may go on.
+
+        The old state stays in place until the last part was taken.
+        """
         ...
 
 
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -30,12 +30,13 @@
     TransferRequested,
 )
 from passlane.raft.replica import Replica
-from passlane.replication.driver import ReplicaDriver, Storage
+from passlane.replication.driver import ReplicaDriver
 from passlane.replication.interfaces import StateMachine
 from passlane.replication.joining import GroupEntry, take_in
 from passlane.replication.message_dispatch import GroupHandlers, dispatch_for
 from passlane.replication.peer_sender import PeerSender
 from passlane.replication.pending import PendingRequests
+from passlane.replication.snapshot_keeper import SnapshotKeeper, restore_state
 from passlane.replication.snapshot_rule import SnapshotRule
 from passlane.runtime.interfaces import Environment
 from passlane.settings.model import GroupSettings
@@ -93,7 +94,7 @@
         self._group = group
         self._settings = settings
         self._state_machine = state_machine
-        self._empty_state = state_machine.take_snapshot()
+        self._empty_state = tuple(state_machine.snapshot_parts())
         self._environment = environment
         self._caller = caller
         self._folder = folder
@@ -263,7 +264,7 @@
         disk = self._environment.disk
         folder = self._identity_file.generation_folder(identity.generation)
         store = SnapshotStore(disk, folder, self._group)
-        snapshot = store.load()
+        snapshot = await store.load()
         log, recovered = await SegmentedLog.open(
             disk,
             folder,
@@ -279,23 +280,25 @@
     async def _run_replica(self, identity: Identity, files: _Files) -> None:
         """Run the replica and what belongs to it."""
         async with anyio.create_task_group() as tasks:
-            driver = self._build_driver(identity, files, PeerSender(self._caller, tasks))
+            driver = await self._build_driver(identity, files, PeerSender(self._caller, tasks))
             self._driver = driver
             tasks.start_soon(driver.run)
             tasks.start_soon(self._propose_batches, driver)
             tasks.start_soon(self._finish_joining, identity)
 
-    def _build_driver(self, identity: Identity, files: _Files, sender: PeerSender) -> ReplicaDriver:
+    async def _build_driver(
+        self, identity: Identity, files: _Files, sender: PeerSender
+    ) -> ReplicaDriver:
         """Return the driver of a replica that stands where its files end."""
         snapshot = files.snapshot
-        self._state_machine.restore_snapshot(
-            snapshot.data if snapshot is not None else self._empty_state
-        )
+        parts = snapshot.parts() if snapshot is not None else self._empty_state
+        await restore_state(self._state_machine, parts)
         rule = SnapshotRule(self._settings.snapshot_every_entries)
-        rule.note_snapshot(len(snapshot.data) if snapshot is not None else 0)
+        rule.note_size(len(snapshot.data) if snapshot is not None else 0)
         return ReplicaDriver(
             replica=self._build_replica(identity, files),
-            storage=Storage(log=files.log, snapshots=files.store),
+            log=files.log,
+            snapshots=SnapshotKeeper(files.store, self._state_machine, rule),
             state_machine=self._state_machine,
             sender=sender,
             proposals=self._proposals,
--- a/src/passlane/replication/snapshot_rule.py
+++ b/src/passlane/replication/snapshot_rule.py
@@ -5,8 +5,8 @@
     """Counts what was applied since the last snapshot.
 
     A snapshot writes the whole state. It is due after ``every_entries`` entries, but not
-    before the log has grown by as many bytes as the last snapshot had: so snapshots at most double
-    what is written, and a restart reads at most about twice the state.
+    before the log has grown by as many bytes as the last snapshot had: so snapshots at
+    most double what is written, and a restart reads at most about twice the state.
     """
 
     def __init__(self, every_entries: int) -> None:
@@ -20,10 +20,13 @@
         self._entries += 1
         self._bytes += size_bytes
 
-    def note_snapshot(self, size_bytes: int) -> None:
-        """Start counting anew after a snapshot of ``size_bytes``."""
+    def note_begun(self) -> None:
+        """Start counting anew: a snapshot is taken of the state as it is now."""
         self._entries = 0
         self._bytes = 0
+
+    def note_size(self, size_bytes: int) -> None:
+        """Take over the size of the newest snapshot."""
         self._snapshot_bytes = size_bytes
 
     @property
--- a/src/passlane/runtime/disk.py
+++ b/src/passlane/runtime/disk.py
@@ -7,9 +7,11 @@
 
 import errno
 import os
-from collections.abc import Callable
+import weakref
+from collections.abc import Callable, Iterable
 from functools import partial
 from pathlib import Path, PurePosixPath
+from typing import TypeVar
 
 import anyio
 import anyio.to_thread
@@ -17,10 +19,17 @@
 TEMPORARY_SUFFIX = ".new"
 """Ending of a file that is being written beside the one it will replace."""
 
+SYNC_EVERY_BYTES = 4_000_000
+"""A file written in parts is synced as it grows, so that no sync has gigabytes to write
+while syncs of the log wait behind it."""
+
 MAX_SYNC_THREADS = 8
 """Most files of one data folder that are synced at the same time."""
 
 
+Result = TypeVar("Result")
+
+
 def _sync_folder(folder: Path) -> None:
     """Make the names in ``folder`` durable."""
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
@@ -47,22 +56,41 @@
         view = view[written:]
 
 
-def _replace_file(path: Path, data: bytes) -> None:
-    """Write beside, sync, rename, sync the folder (worker thread)."""
-    _make_folder(path.parent)
-    beside = path.with_name(path.name + TEMPORARY_SUFFIX)
-    try:
-        descriptor = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        try:
-            _write_all(descriptor, data)
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-    except OSError:
-        beside.unlink(missing_ok=True)
-        raise
-    beside.rename(path)
-    _sync_folder(path.parent)
+class _ReplacementFile:
+    """A file written beside the one that it replaces at the end (worker thread)."""
+
+    def __init__(self, path: Path) -> None:
+        _make_folder(path.parent)
+        self._path = path
+        self._beside = path.with_name(path.name + TEMPORARY_SUFFIX)
+        self._unsynced_bytes = 0
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        self._descriptor = os.open(self._beside, flags, 0o600)
+
+    def write(self, data: bytes) -> None:
+        """Append ``data``, and sync when enough has gathered."""
+        _write_all(self._descriptor, data)
+        self._unsynced_bytes += len(data)
+        if self._unsynced_bytes >= SYNC_EVERY_BYTES:
+            os.fdatasync(self._descriptor)
+            self._unsynced_bytes = 0
+
+    def put_in_place(self) -> None:
+        """Sync, rename, sync the folder."""
+        os.fsync(self._descriptor)
+        self._close()
+        self._beside.rename(self._path)
+        _sync_folder(self._path.parent)
+
+    def abandon(self) -> None:
+        """Remove the file if it was not put in place."""
+        self._close()
+        self._beside.unlink(missing_ok=True)
+
+    def _close(self) -> None:
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
 
 
 def _truncate_file(path: Path, length: int) -> None:
@@ -83,6 +111,32 @@
     _sync_folder(path.parent)
 
 
+class RealReadableFile:
+    """A file opened for reading; see ``ReadableFile``."""
+
+    def __init__(self, path: Path) -> None:
+        self._descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+        self._size = os.fstat(self._descriptor).st_size
+        weakref.finalize(self, os.close, self._descriptor)
+
+    @property
+    def size(self) -> int:
+        """Length in bytes when the file was opened."""
+        return self._size
+
+    def read_at(self, offset: int, length: int) -> bytes:
+        """Return up to ``length`` bytes from ``offset`` on; fewer at the end of the file."""
+        parts = []
+        while length > 0:
+            part = os.pread(self._descriptor, length, offset)
+            if not part:
+                break
+            parts.append(part)
+            offset += len(part)
+            length -= len(part)
+        return b"".join(parts)
+
+
 class RealAppendFile:
     """A file opened for appending; see ``AppendFile``.
 
@@ -143,6 +197,10 @@
         """Return the whole file; raise ``FileNotFoundError`` if there is none."""
         return self._path(name).read_bytes()
 
+    def open_read(self, name: str) -> RealReadableFile:
+        """Open a file for reading; raise ``FileNotFoundError`` if there is none."""
+        return RealReadableFile(self._path(name))
+
     def open_append(self, name: str) -> RealAppendFile:
         """Open a file for appending; make it and its folders if there is none."""
         path = self._path(name)
@@ -151,7 +209,21 @@
 
     async def replace(self, name: str, data: bytes) -> None:
         """Put ``data`` in place of the file, whole and durable or not at all."""
-        await self._run(partial(_replace_file, self._path(name), data))
+        await self.replace_with_parts(name, (data,))
+
+    async def replace_with_parts(self, name: str, parts: Iterable[bytes]) -> None:
+        """Put the joined ``parts`` in place of the file, whole and durable or not at all.
+
+        Each part is taken from ``parts`` on the loop and written on a worker thread.
+        """
+        file = await self._run(partial(_ReplacementFile, self._path(name)))
+        try:
+            for part in parts:
+                await self._run(partial(file.write, part))
+            await self._run(file.put_in_place)
+        except BaseException:
+            file.abandon()
+            raise
 
     async def truncate(self, name: str, length: int) -> None:
         """Cut the file to ``length`` bytes, durably."""
@@ -161,9 +233,9 @@
         """Remove the file, durably; do nothing if there is none."""
         await self._run(partial(_remove_file, self._path(name)))
 
-    async def _run(self, function: Callable[[], None]) -> None:
+    async def _run(self, function: Callable[[], Result]) -> Result:
         """Run a blocking function on a worker thread."""
-        await anyio.to_thread.run_sync(function, limiter=self._thread_limiter())
+        return await anyio.to_thread.run_sync(function, limiter=self._thread_limiter())
 
     def _thread_limiter(self) -> anyio.CapacityLimiter:
         """Return the limiter, made on first use because it needs a running loop."""
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -120,6 +120,22 @@
         ...
 
 
+class ReadableFile(Protocol):
+    """A file opened for reading in pieces; it is closed when it is dropped.
+
+    It goes on reading the same bytes after its name was replaced or removed.
+    """
+
+    @property
+    def size(self) -> int:
+        """Length in bytes."""
+        ...
+
+    def read_at(self, offset: int, length: int) -> bytes:
+        """Return up to ``length`` bytes from ``offset`` on; fewer at the end of the file."""
+        ...
+
+
 class Disk(Protocol):
     """Files below one data folder. Names are relative, with ``/`` between parts."""
 
@@ -131,6 +147,10 @@
         """Return the whole file; raise ``FileNotFoundError`` if there is none."""
         ...
 
+    def open_read(self, name: str) -> ReadableFile:
+        """Open a file for reading; raise ``FileNotFoundError`` if there is none."""
+        ...
+
     def open_append(self, name: str) -> AppendFile:
         """Open a file for appending; make it and its folders if there is none."""
         ...
@@ -139,6 +159,13 @@
         """Put ``data`` in place of the file, whole and durable or not at all."""
         ...
 
+    async def replace_with_parts(self, name: str, parts: Iterable[bytes]) -> None:
+        """Put the joined ``parts`` in place of the file, whole and durable or not at all.
+
+        The loop goes on between two parts, so that a large file holds nothing up.
+        """
+        ...
+
     async def truncate(self, name: str, length: int) -> None:
         """Cut the file to ``length`` bytes, durably."""
         ...
--- a/src/passlane/simulation/disk.py
+++ b/src/passlane/simulation/disk.py
@@ -7,9 +7,11 @@
 
 import errno
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.lowlevel
 
 
 @dataclass(slots=True)
@@ -57,6 +59,22 @@
             raise OSError(errno.EBADF, f"{self._name} is closed")
 
 
+class SimulatedReadableFile:
+    """A file of a ``SimulatedDisk`` opened for reading."""
+
+    def __init__(self, file: _File) -> None:
+        self._file = file
+
+    @property
+    def size(self) -> int:
+        """Length in bytes."""
+        return len(self._file.content)
+
+    def read_at(self, offset: int, length: int) -> bytes:
+        """Return up to ``length`` bytes from ``offset`` on, as they are on the disk now."""
+        return bytes(self._file.content[offset : offset + length])
+
+
 class SimulatedDisk:
     """Files in memory with the durability of a real disk.
 
@@ -88,6 +106,7 @@
         self._files: dict[str, _File] = {}
         self.capacity_bytes = capacity_bytes
         self.sync_s = sync_s
+        self._unfinished_bytes = 0
         self.incarnation = 0
         self.syncs = 0
 
@@ -103,6 +122,10 @@
         """Return the whole file; raise ``FileNotFoundError`` if there is none."""
         return bytes(self._existing(name).content)
 
+    def open_read(self, name: str) -> SimulatedReadableFile:
+        """Open a file for reading; raise ``FileNotFoundError`` if there is none."""
+        return SimulatedReadableFile(self._existing(name))
+
     def open_append(self, name: str) -> SimulatedAppendFile:
         """Open a file for appending; make it if there is none."""
         file = self._files.setdefault(name, _File())
@@ -110,11 +133,25 @@
 
     async def replace(self, name: str, data: bytes) -> None:
         """Put ``data`` in place of the file, whole and durable or not at all."""
+        await self.replace_with_parts(name, (data,))
+
+    async def replace_with_parts(self, name: str, parts: Iterable[bytes]) -> None:
+        """Put the joined ``parts`` in place of the file, whole and durable or not at all."""
         incarnation = self.incarnation
-        self.take_space(len(data))
-        await self.delay()
-        self._check_alive(incarnation)
-        self._files[name] = _File(bytearray(data), len(data), name_is_durable=True)
+        content = bytearray()
+        try:
+            for part in parts:
+                self.take_space(len(part))
+                content += part
+                self._unfinished_bytes += len(part)
+                await anyio.lowlevel.checkpoint()
+                self._check_alive(incarnation)
+            await self.delay()
+            self._check_alive(incarnation)
+        finally:
+            if incarnation == self.incarnation:
+                self._unfinished_bytes -= len(content)
+        self._files[name] = _File(content, len(content), name_is_durable=True)
 
     async def truncate(self, name: str, length: int) -> None:
         """Cut the file to ``length`` bytes, durably."""
@@ -148,6 +185,7 @@
     def kill_process(self) -> None:
         """End the process that uses the disk; what it wrote stays, synced or not."""
         self.incarnation += 1
+        self._unfinished_bytes = 0
 
     def flip_bit(self, name: str, offset: int) -> None:
         """Change one bit of a file."""
@@ -170,8 +208,9 @@
         return sorted(self._files)
 
     def used_bytes(self) -> int:
-        """Return the size of all files."""
-        return sum(len(file.content) for file in self._files.values())
+        """Return the size of all files and of those being written to replace one."""
+        finished = sum(len(file.content) for file in self._files.values())
+        return finished + self._unfinished_bytes
 
     async def delay(self) -> None:
         """Wait as long as a sync takes."""
--- a/src/passlane/simulation/raft_host.py
+++ b/src/passlane/simulation/raft_host.py
@@ -415,7 +415,7 @@
         self._allowed_reads = waiting
 
     def _install(self, instruction: InstallSnapshot) -> None:
-        self.machine = CommandLog.from_snapshot(instruction.data)
+        self.machine = CommandLog.from_snapshot(instruction.data[:])
         self.applied_index = instruction.last_index
         self.cluster.invariants.note_restored(
             self.disk.replica_id, instruction.last_index, self.machine.digest
@@ -428,7 +428,7 @@
                 instruction.last_index,
                 instruction.last_term,
                 instruction.membership,
-                instruction.data,
+                instruction.data[:],
                 replaces_log=True,
             )
         )
--- a/src/passlane/storage/formats.py
+++ b/src/passlane/storage/formats.py
@@ -80,15 +80,19 @@
 
 
 class SnapshotHeader(msgspec.Struct, frozen=True):
-    """Stands before a snapshot's data."""
+    """Stands before a snapshot's parts."""
 
     format_version: int
     group: str
     last_index: int
     last_term: int
     membership: GroupMembership
-    data_length: int
-    data_checksum: int
+
+
+class SnapshotEnd(msgspec.Struct, frozen=True, array_like=True):
+    """Stands after a snapshot's parts, so that a missing one is noticed."""
+
+    parts: int
 
 
 StructType = TypeVar("StructType", bound=msgspec.Struct)
--- a/src/passlane/storage/records.py
+++ b/src/passlane/storage/records.py
@@ -36,6 +36,8 @@
     SYNCED_MARK = 5
     IDENTITY = 6
     SNAPSHOT_HEADER = 7
+    SNAPSHOT_PART = 8
+    SNAPSHOT_END = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,16 @@
     return _HEADER.pack(MARKER, kind, 0, len(payload), checksum) + payload
 
 
+def record_bytes(header: bytes) -> int | None:
+    """Return the size of the record that begins with ``header``; ``None`` if it is none."""
+    if len(header) < HEADER_BYTES:
+        return None
+    marker, _, _, length, _ = _HEADER.unpack_from(header, 0)
+    if marker != MARKER or length > MAX_PAYLOAD_BYTES:
+        return None
+    return HEADER_BYTES + int(length)
+
+
 def read_record(data: memoryview, start: int) -> Record | None:
     """Return the record at ``start``; ``None`` if it is cut short or damaged."""
     payload_start = start + HEADER_BYTES
--- a/src/passlane/storage/reserve.py
+++ b/src/passlane/storage/reserve.py
@@ -7,6 +7,9 @@
 RESERVE_BYTES = 2_000_000
 """Size of the reserve: room for two of the largest batches of entries."""
 
+SPACE_RETRY_S = 0.5
+"""Pause between tries to get space back on a full disk."""
+
 
 def is_disk_full(error: OSError) -> bool:
     """Return whether ``error`` says that there is no space left."""
--- a/src/passlane/storage/snapshots.py
+++ b/src/passlane/storage/snapshots.py
@@ -1,30 +1,114 @@
-"""Keeps the newest snapshot of a replica's state machine in one file."""
+"""Keeps the newest snapshot of a replica's state machine in one file.
 
+The file is a header record, one record for each part of the state, and an end record
+with the number of parts; each has its own checksum. What follows the header is what
+one replica sends to another. Neither writing nor reading holds the whole in memory.
+"""
+
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-import crc32c
+import anyio.lowlevel
 import msgspec
 
 from passlane.messages.raft import GroupMembership
-from passlane.runtime.interfaces import Disk
+from passlane.raft.snapshot_data import SnapshotData
+from passlane.runtime.interfaces import Disk, ReadableFile
 from passlane.storage.formats import (
     LogPosition,
+    SnapshotEnd,
     SnapshotHeader,
     decode_payload,
     storage_corrupt,
 )
-from passlane.storage.records import FORMAT_VERSION, RecordKind, encode_record, read_record
+from passlane.storage.records import (
+    HEADER_BYTES,
+    Record,
+    RecordKind,
+    encode_record,
+    read_record,
+    record_bytes,
+)
+from passlane.storage.snapshot_data import BLOCK_BYTES, BlockChecksums, FileSnapshotData
 
 SNAPSHOT_NAME = "snapshot"
 
+SNAPSHOT_FORMAT_VERSION = 2
+"""Version of the file's layout; 1 held the state as one undivided block."""
+
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """The state up to ``last``, and the group's membership as of then."""
+    """The state up to ``last``, and the group's membership as of then.
+
+    ``data`` is the encoded state as it is sent to other replicas; it stays on the disk.
+    """
 
     last: LogPosition
     membership: GroupMembership
-    data: bytes
+    data: SnapshotData
+
+    def parts(self) -> Iterator[bytes]:
+        """Yield the parts of the state.
+
+        Raises
+        ------
+        PasslaneError
+            ``STORAGE_CORRUPT`` at the first damaged or missing part.
+        """
+        return read_parts(self.data)
+
+
+def read_parts(data: SnapshotData) -> Iterator[bytes]:
+    """Yield the payload of each part; refuse data that is damaged or not whole."""
+    offset = 0
+    count = 0
+    while True:
+        record = _record_at(data, offset)
+        offset += record.end
+        if record.kind is RecordKind.SNAPSHOT_END:
+            break
+        if record.kind is not RecordKind.SNAPSHOT_PART:
+            raise storage_corrupt(f"{record.kind.name} does not belong in a snapshot")
+        count += 1
+        yield bytes(record.payload)
+    end = decode_payload(SnapshotEnd, record.payload, "the snapshot's end")
+    if end.parts != count or offset != len(data):
+        raise storage_corrupt(f"the snapshot has {count} parts instead of {end.parts}")
+
+
+def _record_at(data: SnapshotData, offset: int) -> Record:
+    """Return the record at ``offset``; refuse a damaged one."""
+    size = record_bytes(data[offset : offset + HEADER_BYTES])
+    record = None
+    if size is not None:
+        record = read_record(memoryview(data[offset : offset + size]), 0)
+    if record is None:
+        raise storage_corrupt(f"the snapshot is damaged or cut short at byte {offset} of its data")
+    return record
+
+
+def _encode_parts(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield the records of all parts and the end record."""
+    count = 0
+    for part in parts:
+        count += 1
+        yield encode_record(RecordKind.SNAPSHOT_PART, part)
+    yield encode_record(RecordKind.SNAPSHOT_END, msgspec.msgpack.encode(SnapshotEnd(count)))
+
+
+def _slices(data: SnapshotData) -> Iterator[bytes]:
+    """Yield received data in pieces."""
+    for offset in range(0, len(data), BLOCK_BYTES):
+        yield data[offset : offset + BLOCK_BYTES]
+
+
+def _with_head(head: bytes, records: Iterable[bytes], checksums: BlockChecksums) -> Iterator[bytes]:
+    """Yield ``head`` and the records, and take the checksums of the records."""
+    yield head
+    for record in records:
+        checksums.add(record)
+        yield record
 
 
 class SnapshotStore:
@@ -35,56 +119,86 @@
         self._name = f"{folder}/{SNAPSHOT_NAME}"
         self._group = group
 
-    async def save(self, snapshot: Snapshot) -> None:
-        """Put ``snapshot`` in place of the last one; durable on return.
+    async def save(
+        self, last: LogPosition, membership: GroupMembership, parts: Iterable[bytes]
+    ) -> Snapshot:
+        """Put a snapshot of ``parts`` in place of the last one; durable on return.
+
+        Parts are taken one at a time, and the loop goes on in between.
 
         Raises
         ------
         OSError
             ``ENOSPC`` when the disk is full; the last snapshot then stays.
         """
-        header = SnapshotHeader(
-            format_version=FORMAT_VERSION,
-            group=self._group,
-            last_index=snapshot.last.index,
-            last_term=snapshot.last.term,
-            membership=snapshot.membership,
-            data_length=len(snapshot.data),
-            data_checksum=crc32c.crc32c(snapshot.data),
-        )
-        head = encode_record(RecordKind.SNAPSHOT_HEADER, msgspec.msgpack.encode(header))
-        await self._disk.replace(self._name, head + snapshot.data)
+        return await self._write(last, membership, _encode_parts(parts))
 
-    def load(self) -> Snapshot | None:
+    async def save_received(
+        self, last: LogPosition, membership: GroupMembership, data: SnapshotData
+    ) -> Snapshot:
+        """Put a snapshot whose ``data`` another replica sent in place of the last one.
+
+        Raises
+        ------
+        OSError
+            ``ENOSPC`` when the disk is full; the last snapshot then stays.
+        """
+        return await self._write(last, membership, _slices(data))
+
+    async def load(self) -> Snapshot | None:
         """Return the newest snapshot; ``None`` if there is none.
 
+        Its parts are checked when they are read.
+
         Raises
         ------
         PasslaneError
-            ``STORAGE_CORRUPT`` when it is damaged or of another group.
+            ``STORAGE_CORRUPT`` when its header is damaged or of another group or format.
         """
         try:
-            content = memoryview(self._disk.read(self._name))
+            file = self._disk.open_read(self._name)
         except FileNotFoundError:
             return None
-        record = read_record(content, 0)
-        if record is None or record.kind is not RecordKind.SNAPSHOT_HEADER:
-            raise storage_corrupt(f"{self._name}: the header is damaged")
-        header = decode_payload(SnapshotHeader, record.payload, self._name)
-        data = content[record.end :]
-        self._check(header, data)
+        header, start = self._read_header(file)
+        checksums = BlockChecksums()
+        while data := file.read_at(start + checksums.length, BLOCK_BYTES):
+            checksums.add(data)
+            await anyio.lowlevel.checkpoint()
         return Snapshot(
             last=LogPosition(header.last_index, header.last_term),
             membership=header.membership,
-            data=bytes(data),
+            data=FileSnapshotData(file, start, checksums),
         )
 
-    def _check(self, header: SnapshotHeader, data: memoryview) -> None:
-        """Refuse a snapshot that is damaged or not of this group and format."""
-        if header.format_version != FORMAT_VERSION or header.group != self._group:
+    def _read_header(self, file: ReadableFile) -> tuple[SnapshotHeader, int]:
+        """Return the header and where it ends."""
+        size = record_bytes(file.read_at(0, HEADER_BYTES))
+        record = None
+        if size is not None:
+            record = read_record(memoryview(file.read_at(0, size)), 0)
+        if record is None or record.kind is not RecordKind.SNAPSHOT_HEADER:
+            raise storage_corrupt(f"{self._name}: the header is damaged")
+        header = decode_payload(SnapshotHeader, record.payload, self._name)
+        if header.format_version != SNAPSHOT_FORMAT_VERSION or header.group != self._group:
             raise storage_corrupt(
                 f"{self._name}: of group {header.group}, format {header.format_version};"
-                f" expected group {self._group}, format {FORMAT_VERSION}"
+                f" expected group {self._group}, format {SNAPSHOT_FORMAT_VERSION}"
             )
-        if len(data) != header.data_length or crc32c.crc32c(data) != header.data_checksum:
-            raise storage_corrupt(f"{self._name}: the data is damaged")
+        return header, record.end
+
+    async def _write(
+        self, last: LogPosition, membership: GroupMembership, records: Iterable[bytes]
+    ) -> Snapshot:
+        """Write header and records; return the snapshot as it stands on the disk."""
+        header = SnapshotHeader(
+            format_version=SNAPSHOT_FORMAT_VERSION,
+            group=self._group,
+            last_index=last.index,
+            last_term=last.term,
+            membership=membership,
+        )
+        head = encode_record(RecordKind.SNAPSHOT_HEADER, msgspec.msgpack.encode(header))
+        checksums = BlockChecksums()
+        await self._disk.replace_with_parts(self._name, _with_head(head, records, checksums))
+        file = self._disk.open_read(self._name)
+        return Snapshot(last, membership, FileSnapshotData(file, len(head), checksums))
--- a/src/passlane/store/machine.py
+++ b/src/passlane/store/machine.py
@@ -5,7 +5,7 @@
 records are built only when they are read.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -42,14 +42,7 @@
 from passlane.store.program import StoredProgram
 from passlane.store.program_table import ProgramTable
 from passlane.store.refusal import CommandRefusedError
-from passlane.store.snapshot import (
-    FORMAT_VERSION,
-    ConfigurationSnapshot,
-    StoreSnapshot,
-    decode_snapshot,
-    encode_snapshot,
-    program_from_record,
-)
+from passlane.store.snapshot import RestoredState, encode_parts, head_of
 
 DONE = StoreDone()
 
@@ -107,34 +100,31 @@
             case ReadAssignments():
                 return Assignments(assignments=self.assignments.all())
 
-    def take_snapshot(self) -> bytes:
-        """Return the whole state, encoded, with a format version."""
-        return encode_snapshot(
-            StoreSnapshot(
-                format_version=FORMAT_VERSION,
-                programs=tuple(program.to_record() for program in self.programs),
-                assignments=self.assignments.all(),
-                table_version=self.assignments.version,
-                configuration=ConfigurationSnapshot.of(self.configuration),
-            )
-        )
+    def snapshot_parts(self) -> Iterator[bytes]:
+        """Return the whole state as of this call, encoded, in parts.
+
+        Commands may be applied between two parts. There is one snapshot at a time.
+        """
+        head = head_of(self.assignments, self.configuration)
+        accepted, pending = self.configuration.dump()
+        return encode_parts(head, accepted, pending, self.programs.start_capture())
 
-    def restore_snapshot(self, data: bytes) -> None:
-        """Replace the state by that of a snapshot.
+    def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
+        """Replace the state by that of a snapshot, at the end; yields after each part.
 
         Raises
         ------
         ValueError
             When the bytes are no snapshot of a known format; the state stays as it was.
         """
-        snapshot = decode_snapshot(data)
-        programs = ProgramTable()
-        for record in snapshot.programs:
-            parent = None if record.parent_id is None else programs.find(record.parent_id)
-            programs.add(program_from_record(record, 0 if parent is None else parent.depth + 1))
-        self.programs = programs
-        self.assignments.restore(snapshot.assignments, snapshot.table_version)
-        snapshot.configuration.load_into(self.configuration)
+        restored = RestoredState()
+        for part in parts:
+            restored.add(part)
+            yield
+        head = restored.head()
+        self.programs = restored.programs
+        self.assignments.restore(head.assignments, head.table_version)
+        head.configuration.load_into(self.configuration, restored.accepted, restored.pending)
 
     def _program_of(self, command: ProgramCommand) -> StoredProgram:
         """Return the program of a command, once its epoch proved current."""
--- a/src/passlane/store/program_table.py
+++ b/src/passlane/store/program_table.py
@@ -1,6 +1,7 @@
 """All programs, by identifier and by partition."""
 
 from collections.abc import Iterator
+from weakref import ReferenceType, ref
 
 from passlane.errors import ErrorCode
 from passlane.identifiers import Partition, ProgramId
@@ -8,6 +9,7 @@
 from passlane.store.accounts import Account, AccountChain, require_not_negative
 from passlane.store.program import StoredProgram
 from passlane.store.refusal import CommandRefusedError
+from passlane.store.snapshot_capture import SnapshotCapture
 
 MAX_DEPTH = 16
 """Most levels of sub-agents below a root program."""
@@ -22,6 +24,8 @@
     def __init__(self) -> None:
         self._programs: dict[ProgramId, StoredProgram] = {}
         self._by_partition: dict[Partition, dict[ProgramId, StoredProgram]] = {}
+        # Weak, so that a snapshot that is given up half-way ends by itself.
+        self._capture: ReferenceType[SnapshotCapture] | None = None
 
     def __len__(self) -> int:
         return len(self._programs)
@@ -33,12 +37,31 @@
         """Return the programs of one partition, in the order of their creation."""
         return iter(self._by_partition.get(partition, {}).values())
 
+    def start_capture(self) -> SnapshotCapture:
+        """Return the programs as they are now, for a snapshot to take one by one.
+
+        There is one at a time: an older capture is no longer told of changes.
+        """
+        capture = SnapshotCapture(self)
+        self._capture = ref(capture)
+        return capture
+
+    def _note_change(self, program: StoredProgram) -> None:
+        """Tell a snapshot under way that the program is about to change."""
+        if self._capture is None:
+            return
+        capture = self._capture()
+        if capture is None:
+            self._capture = None
+        else:
+            capture.note_change(program)
+
     def find(self, program_id: ProgramId) -> StoredProgram | None:
         """Return the program, or ``None`` if there is no record of it."""
         return self._programs.get(program_id)
 
     def get(self, program_id: ProgramId, partition: Partition) -> StoredProgram:
-        """Return the program of a command.
+        """Return the program of a command, which may change it.
 
         Raises
         ------
@@ -53,6 +76,7 @@
             raise CommandRefusedError(
                 ErrorCode.BAD_REQUEST, "the program belongs to another partition"
             )
+        self._note_change(program)
         return program
 
     def add(self, program: StoredProgram) -> None:
@@ -105,10 +129,11 @@
         return parent
 
     def accounts_of(self, program: StoredProgram) -> AccountChain:
-        """Return the accounts that the program spends from."""
+        """Return the accounts that the program spends from, for a change."""
         accounts: list[Account] = []
         current: StoredProgram | None = program
         while current is not None:
+            self._note_change(current)
             accounts.append(current.account)
             parent_id = current.parent_id
             current = None if parent_id is None else self._programs.get(parent_id)
@@ -116,12 +141,14 @@
 
     def end(self, program: StoredProgram) -> tuple[ProgramId, ...]:
         """End the program and its sub-agents; return the sub-agents that ended now."""
+        self._note_change(program)
         program.state = ProgramState.ENDED
         ended: list[ProgramId] = []
         remaining = list(program.children)
         while remaining:
             child = self._programs[remaining.pop()]
             if not child.is_ended:
+                self._note_change(child)
                 child.state = ProgramState.ENDED
                 ended.append(child.program_id)
             remaining.extend(child.children)
--- a/src/passlane/store/snapshot.py
+++ b/src/passlane/store/snapshot.py
@@ -1,4 +1,11 @@
-"""The snapshot of the store's state machine: its format and its codec."""
+"""The snapshot of the store's state machine: its format and its codec.
+
+A snapshot is a head, then parts with documents, then parts with programs in the order
+of their creation. A part is small, so that encoding one holds up the loop for
+milliseconds; only a program of very long history makes a larger one.
+"""
+
+from collections.abc import Iterator
 
 import msgspec
 
@@ -13,78 +20,174 @@
     Turn,
 )
 from passlane.store.accounts import Account
+from passlane.store.assignments import AssignmentTable
 from passlane.store.program import StoredProgram
+from passlane.store.program_table import ProgramTable
+from passlane.store.snapshot_capture import SnapshotCapture
+
+FORMAT_VERSION = 2
+"""Grows with each change of the snapshot's layout; 1 was not divided into parts."""
+
+DOCUMENTS_IN_PART = 500
 
-FORMAT_VERSION = 1
-"""Grows with each change of the snapshot's layout."""
+ITEMS_IN_PART = 200
+"""A part ends with the program that brings its turns and calls to this number."""
 
 
-class ConfigurationSnapshot(msgspec.Struct, frozen=True):
-    """The region's ledger of documents."""
+class ConfigurationHead(msgspec.Struct, frozen=True):
+    """Revisions of the region's ledger of documents."""
 
-    accepted: tuple[Document, ...]
-    pending: tuple[Document, ...]
     held_revision: Revision
     accepted_revision: Revision
     floor_revision: Revision
 
     @classmethod
-    def of(cls, ledger: ConfigurationLedger) -> "ConfigurationSnapshot":
-        """Return what ``ledger`` holds."""
-        accepted, pending = ledger.dump()
+    def of(cls, ledger: ConfigurationLedger) -> "ConfigurationHead":
+        """Return the revisions of ``ledger``."""
         return cls(
-            accepted=accepted,
-            pending=pending,
             held_revision=ledger.held_revision,
             accepted_revision=ledger.accepted_revision,
             floor_revision=ledger.floor_revision,
         )
 
-    def load_into(self, ledger: ConfigurationLedger) -> None:
+    def load_into(
+        self, ledger: ConfigurationLedger, accepted: list[Document], pending: list[Document]
+    ) -> None:
         """Replace what ``ledger`` holds."""
         ledger.load(
-            self.accepted,
-            self.pending,
+            tuple(accepted),
+            tuple(pending),
             self.held_revision,
             self.accepted_revision,
             self.floor_revision,
         )
 
 
-class StoreSnapshot(msgspec.Struct, frozen=True):
-    """The whole state: programs in the order of their creation, table, configuration."""
+class SnapshotHead(msgspec.Struct, frozen=True, tag="head"):
+    """First part: the partition table and the revisions."""
 
     format_version: int
-    programs: tuple[ProgramRecord, ...]
     assignments: tuple[PartitionAssignment, ...]
     table_version: int
-    configuration: ConfigurationSnapshot
+    configuration: ConfigurationHead
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(StoreSnapshot)
+class AcceptedDocuments(msgspec.Struct, frozen=True, tag="accepted"):
+    """Some of the accepted documents."""
+
+    documents: tuple[Document, ...]
+
+
+class PendingDocuments(msgspec.Struct, frozen=True, tag="pending"):
+    """Some of the pending documents."""
 
+    documents: tuple[Document, ...]
 
-def encode_snapshot(snapshot: StoreSnapshot) -> bytes:
-    """Return the snapshot as MessagePack."""
-    return _encoder.encode(snapshot)
 
+class Programs(msgspec.Struct, frozen=True, tag="programs"):
+    """Some of the programs; a sub-agent stands after its parent."""
+
+    records: tuple[ProgramRecord, ...]
+
+
+SnapshotPart = SnapshotHead | AcceptedDocuments | PendingDocuments | Programs
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[SnapshotPart] = msgspec.msgpack.Decoder(SnapshotPart)
+
+
+def head_of(assignments: AssignmentTable, configuration: ConfigurationLedger) -> SnapshotHead:
+    """Return the first part."""
+    return SnapshotHead(
+        format_version=FORMAT_VERSION,
+        assignments=assignments.all(),
+        table_version=assignments.version,
+        configuration=ConfigurationHead.of(configuration),
+    )
 
-def decode_snapshot(data: bytes) -> StoreSnapshot:
-    """Return the snapshot in ``data``.
 
-    Raises
-    ------
-    ValueError
-        When the bytes are no snapshot, or of a format this version does not know.
-    """
-    try:
-        snapshot = _decoder.decode(data)
-    except msgspec.DecodeError as error:
-        raise ValueError(f"not a store snapshot: {error}") from error
-    if snapshot.format_version != FORMAT_VERSION:
-        raise ValueError(f"store snapshot has unknown format {snapshot.format_version}")
-    return snapshot
+def encode_parts(
+    head: SnapshotHead,
+    accepted: tuple[Document, ...],
+    pending: tuple[Document, ...],
+    capture: SnapshotCapture,
+) -> Iterator[bytes]:
+    """Yield all parts as MessagePack, each made when it is asked for."""
+    yield _encoder.encode(head)
+    for documents in _groups_of_documents(accepted):
+        yield _encoder.encode(AcceptedDocuments(documents))
+    for documents in _groups_of_documents(pending):
+        yield _encoder.encode(PendingDocuments(documents))
+    for records in _groups_of_records(capture):
+        yield _encoder.encode(Programs(records))
+
+
+def _groups_of_documents(documents: tuple[Document, ...]) -> Iterator[tuple[Document, ...]]:
+    for start in range(0, len(documents), DOCUMENTS_IN_PART):
+        yield documents[start : start + DOCUMENTS_IN_PART]
+
+
+def _groups_of_records(capture: SnapshotCapture) -> Iterator[tuple[ProgramRecord, ...]]:
+    group: list[ProgramRecord] = []
+    items = 0
+    for record in capture.records():
+        group.append(record)
+        items += 1 + len(record.turns) + len(record.calls)
+        if items >= ITEMS_IN_PART:
+            yield tuple(group)
+            group = []
+            items = 0
+    if group:
+        yield tuple(group)
+
+
+class RestoredState:
+    """The state as far as the parts of a snapshot were added, in order."""
+
+    def __init__(self) -> None:
+        self._head: SnapshotHead | None = None
+        self.accepted: list[Document] = []
+        self.pending: list[Document] = []
+        self.programs = ProgramTable()
+
+    def add(self, data: bytes) -> None:
+        """Add the next part.
+
+        Raises
+        ------
+        ValueError
+            When the bytes are no part, or of a format that this version does not know.
+        """
+        try:
+            part = _decoder.decode(data)
+        except msgspec.DecodeError as error:
+            raise ValueError(f"not a part of a store snapshot: {error}") from error
+        match part:
+            case SnapshotHead():
+                self._take_head(part)
+            case AcceptedDocuments():
+                self.accepted.extend(part.documents)
+            case PendingDocuments():
+                self.pending.extend(part.documents)
+            case Programs():
+                for record in part.records:
+                    self._add_program(record)
+
+    def head(self) -> SnapshotHead:
+        """Return the first part; raise ``ValueError`` if there was none."""
+        if self._head is None:
+            raise ValueError("the store snapshot has no head")
+        return self._head
+
+    def _take_head(self, head: SnapshotHead) -> None:
+        if head.format_version != FORMAT_VERSION:
+            raise ValueError(f"store snapshot has unknown format {head.format_version}")
+        self._head = head
+
+    def _add_program(self, record: ProgramRecord) -> None:
+        parent = None if record.parent_id is None else self.programs.find(record.parent_id)
+        depth = 0 if parent is None else parent.depth + 1
+        self.programs.add(program_from_record(record, depth))
 
 
 def program_from_record(record: ProgramRecord, depth: int) -> StoredProgram:
--- a/tests/replication/cluster.py
+++ b/tests/replication/cluster.py
@@ -19,6 +19,7 @@
 
 GROUP = "store"
 DELAY_S = 0.001
+COMMANDS_IN_PART = 7
 
 
 class ListMachine:
@@ -31,11 +32,19 @@
         self.commands.append(command)
         return str(len(self.commands)).encode()
 
-    def take_snapshot(self):
-        return msgspec.msgpack.encode(self.commands)
+    def snapshot_parts(self):
+        commands = list(self.commands)
+        return (
+            msgspec.msgpack.encode(commands[start : start + COMMANDS_IN_PART])
+            for start in range(0, len(commands), COMMANDS_IN_PART)
+        )
 
-    def restore_snapshot(self, data):
-        self.commands = msgspec.msgpack.decode(data, type=list[bytes])
+    def restore_parts(self, parts):
+        commands = []
+        for part in parts:
+            commands += msgspec.msgpack.decode(part, type=list[bytes])
+            yield
+        self.commands = commands
 
 
 class MemoryCaller:
--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -15,7 +15,7 @@
 from passlane.storage.formats import START_OF_LOG, HardState, LogPosition
 from passlane.storage.identity import IdentityFile
 from passlane.storage.log import SegmentedLog
-from passlane.storage.snapshots import Snapshot, SnapshotStore
+from passlane.storage.snapshots import SnapshotStore
 
 SEGMENT_BYTES = 400
 
@@ -189,12 +189,17 @@
             store = SnapshotStore(disk, "g/0001", "g")
             identities = IdentityFile(disk, "g", "g", "a")
             identity = await identities.create(source, may_found=True)
-            await store.save(Snapshot(LogPosition(7, 2), GroupMembership(()), b"state" * 50))
-            self.assertEqual(store.load().last, LogPosition(7, 2))
-            for name, load in (("g/0001/snapshot", store.load), ("g/identity", identities.load)):
+            parts = [b"state" * 50, b"", b"more"]
+            await store.save(LogPosition(7, 2), GroupMembership(()), parts)
+            loaded = await store.load()
+            self.assertEqual(loaded.last, LogPosition(7, 2))
+            self.assertEqual(list(loaded.parts()), parts)
+            for name in ("g/0001/snapshot", "g/identity"):
                 disk.flip_bit(name, source.randrange(len(disk.read(name))))
-                with self.assertRaises(PasslaneError):
-                    load()
+            with self.assertRaises(PasslaneError):
+                list((await store.load()).parts())
+            with self.assertRaises(PasslaneError):
+                identities.load()
             renewed = await identities.create(source, may_found=False)
             self.assertNotEqual(renewed.replica_id, identity.replica_id)
             self.assertGreater(renewed.generation, identity.generation)
--- a/tests/store/command_streams.py
+++ b/tests/store/command_streams.py
@@ -33,6 +33,16 @@
 TENANT = TenantId("tenant")
 
 
+def snapshot_of(machine: StoreStateMachine) -> list[bytes]:
+    """Return a snapshot that no command came in between."""
+    return list(machine.snapshot_parts())
+
+
+def restore(machine: StoreStateMachine, parts: list[bytes]) -> None:
+    for _ in machine.restore_parts(parts):
+        pass
+
+
 def assign(partition: int, epoch: int, node: str = "n1") -> AssignPartitions:
     assignment = PartitionAssignment(
         partition=Partition(partition), node_id=NodeId(node), address=ADDRESS, epoch=Epoch(epoch)
--- a/tests/store/test_machine.py
+++ b/tests/store/test_machine.py
@@ -30,7 +30,16 @@
     StoreResult,
 )
 from passlane.store.machine import StoreStateMachine
-from store.command_streams import BUDGET, Stream, assign, begin, create, finish
+from store.command_streams import (
+    BUDGET,
+    Stream,
+    assign,
+    begin,
+    create,
+    finish,
+    restore,
+    snapshot_of,
+)
 
 _results = message_decoder(StoreResult)
 
@@ -70,10 +79,10 @@
             stream.note(command, result)
             self._check_epoch(stream, command, result)
             if index == snapshot_at:
-                replica.restore_snapshot(machine.take_snapshot())
+                restore(replica, snapshot_of(machine))
             elif index > snapshot_at:
                 self.assertEqual(run(replica, command), result)
-        self.assertEqual(replica.take_snapshot(), machine.take_snapshot())
+        self.assertEqual(snapshot_of(replica), snapshot_of(machine))
         self._check_programs(machine, stream)
         return sum(map(len, stream.histories.values()))
 
@@ -110,10 +119,10 @@
         run(self.machine, create("p"))
 
     def refusal(self, command: StoreCommand) -> ErrorCode:
-        before = self.machine.take_snapshot()
+        before = snapshot_of(self.machine)
         result = run(self.machine, command)
         assert isinstance(result, StoreRefusal), result
-        self.assertEqual(self.machine.take_snapshot(), before)
+        self.assertEqual(snapshot_of(self.machine), before)
         return result.code
 
     def test_old_and_invented_epochs_are_refused(self) -> None:
@@ -152,12 +161,12 @@
     def test_first_outcome_stays(self) -> None:
         run(self.machine, begin("p", 0))
         run(self.machine, finish("p", 0))
-        before = self.machine.take_snapshot()
+        before = snapshot_of(self.machine)
         late = finish("p", 0, spent=Amounts(tokens=9, calls=1))
         changed = msgspec.structs.replace(late.outcome, verdict=Verdict.MAY_HAVE_RUN)
         late = msgspec.structs.replace(late, outcome=changed)
         self.assertIsInstance(run(self.machine, late), StoreDone)
-        self.assertEqual(self.machine.take_snapshot(), before)
+        self.assertEqual(snapshot_of(self.machine), before)
 
     def test_second_run_under_a_new_leader_is_paid_again(self) -> None:
         run(self.machine, begin("p", 0, reserve=Amounts(tokens=150)))
@@ -221,13 +230,13 @@
         self.assertEqual(again, EndProgramResult(holds=(hold,)))
 
     def test_bytes_that_are_no_command_change_nothing(self) -> None:
-        before = self.machine.take_snapshot()
+        before = snapshot_of(self.machine)
         refusal = _results.decode(self.machine.apply(2, b"\xff\x00"))
         self.assertIsInstance(refusal, StoreRefusal)
-        self.assertEqual(self.machine.take_snapshot(), before)
+        self.assertEqual(snapshot_of(self.machine), before)
         with self.assertRaises(ValueError):
-            self.machine.restore_snapshot(b"\x81\xa1a\x01")
-        self.assertEqual(self.machine.take_snapshot(), before)
+            restore(self.machine, [b"\x81\xa1a\x01"])
+        self.assertEqual(snapshot_of(self.machine), before)
 
 
 class RegionConfigurationTest(unittest.TestCase):
@@ -239,7 +248,7 @@
         gap = ConfigurationDelta(Revision(4), Revision(5), Revision(1), (document,))
         run(machine, RecordConfiguration(gap))
         restored = StoreStateMachine()
-        restored.restore_snapshot(machine.take_snapshot())
+        restore(restored, snapshot_of(machine))
         ledger = restored.configuration
         self.assertEqual((ledger.held_revision, ledger.accepted_revision), (1, 1))
         self.assertEqual(ledger.newest("tenant", "a"), document)
