Keep call records out of the garbage collector's sight

Python's collector walks every tracked object in a full collection, and the loop stands still meanwhile. A store of 1,000 programs with 235 calls each held 497,093 tracked objects, 470,000 of them call records and outcomes; one full collection took 182 to 200 ms in three tries. They are immutable and refer to nothing that could refer back, so they cannot be part of a cycle and need not be tracked. Now there are 26,091 tracked objects and a full collection takes 19 to 22 ms. Freezing the collector's generations after a restart was weighed, but it does nothing for records that are made later.

--- a/src/passlane/messages/common.py
+++ b/src/passlane/messages/common.py
@@ -65,7 +65,7 @@
         )
 
 
-class Amounts(msgspec.Struct, frozen=True):
+class Amounts(msgspec.Struct, frozen=True, gc=False):
     """Countable things a program may spend.
 
     Attributes
--- a/src/passlane/messages/store.py
+++ b/src/passlane/messages/store.py
@@ -57,14 +57,14 @@
     name: str | None = None
 
 
-class EngineHold(msgspec.Struct, frozen=True):
+class EngineHold(msgspec.Struct, frozen=True, gc=False):
     """Memory that an engine holds for a program, valid for one life of the engine."""
 
     engine_id: EngineId
     incarnation: int
 
 
-class CallOutcome(msgspec.Struct, frozen=True):
+class CallOutcome(msgspec.Struct, frozen=True, gc=False):
     """How a call ended.
 
     Attributes
@@ -86,8 +86,12 @@
     spent: Amounts = Amounts()
 
 
-class CallRecord(msgspec.Struct, frozen=True):
-    """A call as recorded; ``outcome`` is set once ``state`` is ``FINISHED``."""
+class CallRecord(msgspec.Struct, frozen=True, gc=False):
+    """A call as recorded; ``outcome`` is set once ``state`` is ``FINISHED``.
+
+    Like all that a store keeps by the hundred thousand, it refers to nothing that could
+    refer back to it, so the garbage collector need not look at it.
+    """
 
     call_id: CallId
     sequence: int
