Look at the partition table in one pass, not once for each node

The store leader worked out the partitions of every node by going through the whole table once for each, ten times a second; heartbeats then waited for more than their timeout, leases ended, and each ended lease made another table to send to everyone. Slow sending was ruled out by a profile: hashing and comparing lives led the list.

The weights of rendezvous hashing are worked out only among the least loaded nodes, lives are named tuples, and what changed since a version of the table is found once for all nodes that ask.

--- a/src/passlane/membership/partition_planner.py
+++ b/src/passlane/membership/partition_planner.py
@@ -172,14 +172,18 @@
         }
         if not candidates.eligible:
             return
-        for source in candidates.draining:
-            self._drain(source, candidates)
-        if not candidates.draining:
+        if candidates.draining:
+            settled = self._settled_partitions()
+            for source in candidates.draining:
+                self._drain(source, settled.get(source, ()), candidates)
+        else:
             self._balance(candidates)
 
-    def _drain(self, source: NodeLife, candidates: Candidates) -> None:
+    def _drain(
+        self, source: NodeLife, partitions: Iterable[Partition], candidates: Candidates
+    ) -> None:
         loads = self._loads(candidates.active)
-        for partition in self._settled_partitions(source):
+        for partition in partitions:
             target = choose_target(partition, candidates.eligible, loads)
             if target is not None:
                 loads[target] = loads.get(target, 0) + 1
@@ -189,14 +193,15 @@
         if self._moves or self._leaderless(candidates.active):
             # One round after the other: loads are even again only when all have arrived.
             return
-        led = {life: self._settled_partitions(life) for life in candidates.eligible}
+        settled = self._settled_partitions()
+        led = {life: settled.get(life, []) for life in candidates.eligible}
         for move in balancing_moves(led, self._max_balancing_moves):
             self._moves[move.partition] = move
 
-    def _settled_partitions(self, life: NodeLife) -> list[Partition]:
-        """Return the partitions that ``life`` leads and is not handing over."""
-        return [
-            partition
-            for partition, leader in sorted(self._leaders.items())
-            if leader == life and partition not in self._moves and partition not in self._released
-        ]
+    def _settled_partitions(self) -> dict[NodeLife, list[Partition]]:
+        """Return, for each life, what it leads and is not handing over, by number."""
+        settled: dict[NodeLife, list[Partition]] = {}
+        for partition in sorted(self._leaders):
+            if partition not in self._moves and partition not in self._released:
+                settled.setdefault(self._leaders[partition], []).append(partition)
+        return settled
--- a/src/passlane/membership/placement.py
+++ b/src/passlane/membership/placement.py
@@ -2,15 +2,18 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import xxhash
 
 from passlane.identifiers import NodeId, Partition
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class NodeLife:
-    """One run of a node's process."""
+class NodeLife(NamedTuple):
+    """One run of a node's process.
+
+    A named tuple, because planning hashes and compares lives very often.
+    """
 
     node_id: NodeId
     incarnation: int
@@ -38,9 +41,19 @@
     partition: Partition, candidates: Iterable[NodeLife], loads: Mapping[NodeLife, int]
 ) -> NodeLife | None:
     """Return the least loaded candidate, among equals the one of the highest weight."""
-    return min(
-        candidates,
-        key=lambda life: (loads.get(life, 0), -rendezvous_weight(partition, life.node_id)),
+    least_loaded: list[NodeLife] = []
+    least_load = 0
+    for life in candidates:
+        load = loads.get(life, 0)
+        if not least_loaded or load < least_load:
+            least_loaded = [life]
+            least_load = load
+        elif load == least_load:
+            least_loaded.append(life)
+    # Weights are worked out for these alone: hashing is most of the time of a large plan.
+    return max(
+        least_loaded,
+        key=lambda life: rendezvous_weight(partition, life.node_id),
         default=None,
     )
 
--- a/src/passlane/store/assignments.py
+++ b/src/passlane/store/assignments.py
@@ -16,6 +16,8 @@
         self._by_partition: dict[Partition, PartitionAssignment] = {}
         # In the order of changes: a partition that is assigned anew moves to the end.
         self._changed_in: dict[Partition, int] = {}
+        # Answers of ``changed_since`` for the present version, by the version asked about.
+        self._changes: dict[int, tuple[PartitionAssignment, ...]] = {}
         self.version = 0
 
     def epoch_of(self, partition: Partition) -> Epoch:
@@ -28,7 +30,16 @@
         return tuple(self._by_partition[number] for number in sorted(self._by_partition))
 
     def changed_since(self, version: int) -> tuple[PartitionAssignment, ...]:
-        """Return what a holder of the table as of ``version`` lacks, by partition."""
+        """Return what a holder of the table as of ``version`` lacks, by partition.
+
+        Many nodes lack the same after a change, so each answer is worked out once.
+        """
+        known = self._changes.get(version)
+        if known is None:
+            known = self._changes[version] = self._find_changed_since(version)
+        return known
+
+    def _find_changed_since(self, version: int) -> tuple[PartitionAssignment, ...]:
         changed: list[Partition] = []
         for partition in reversed(self._changed_in):
             if self._changed_in[partition] <= version:
@@ -77,6 +88,7 @@
         if not changed:
             return
         self.version += 1
+        self._changes.clear()
         for assignment in changed:
             self._by_partition[assignment.partition] = assignment
             self._changed_in.pop(assignment.partition, None)
@@ -87,4 +99,5 @@
         self._by_partition = {assignment.partition: assignment for assignment in assignments}
         # A snapshot does not tell when each changed: holders of older tables get all.
         self._changed_in = {partition: version for partition in self._by_partition}
+        self._changes.clear()
         self.version = version
