Let bench run find the experiments on membership, configuration and the store

The modules configuration_spread, membership and store_machine could only be started by their module names.

--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -80,6 +80,24 @@
         "run",
         "bytes, processor time and memory of changes and documents, over documents",
     ),
+    Experiment(
+        "configuration-spread",
+        "passlane.bench.configuration_spread",
+        "run",
+        "time until a change is in force on 400 nodes, with nodes lost, frozen and cut off",
+    ),
+    Experiment(
+        "membership",
+        "passlane.bench.membership",
+        "run",
+        "bytes and processor time of heartbeats and leases, by the number of nodes",
+    ),
+    Experiment(
+        "store-machine",
+        "passlane.bench.store_machine",
+        "run",
+        "processor time of store commands, memory of records, snapshots",
+    ),
 )
 
 
