--- a/src/passlane/storage/snapshot_data.py
+++ b/src/passlane/storage/snapshot_data.py
@@ -16,7 +16,8 @@
 class BlockChecksums:
     """CRC-32C of each block of a stream of bytes, which is added in pieces of any size."""
 
-    def __init__(self) -> None:
+    def __init__(self, block_bytes: int = BLOCK_BYTES) -> None:
+        self.block_bytes = block_bytes
         self._whole_blocks: list[int] = []
         self._open_block = 0
         self.length = 0
@@ -25,12 +26,12 @@
         """Count the next piece."""
         offset = 0
         while offset < len(data):
-            room = BLOCK_BYTES - self.length % BLOCK_BYTES
+            room = self.block_bytes - self.length % self.block_bytes
             piece = data[offset : offset + room]
             self._open_block = crc32c.crc32c(piece, self._open_block)
             self.length += len(piece)
             offset += len(piece)
-            if self.length % BLOCK_BYTES == 0:
+            if self.length % self.block_bytes == 0:
                 self._whole_blocks.append(self._open_block)
                 self._open_block = 0
 
@@ -38,10 +39,10 @@
         """Return whether ``data`` is the block of that number."""
         if block < len(self._whole_blocks):
             expected = self._whole_blocks[block]
-            expected_bytes = BLOCK_BYTES
+            expected_bytes = self.block_bytes
         else:
             expected = self._open_block
-            expected_bytes = self.length % BLOCK_BYTES
+            expected_bytes = self.length % self.block_bytes
         return len(data) == expected_bytes and crc32c.crc32c(data) == expected
 
 
@@ -76,17 +77,19 @@
             raise ValueError("only contiguous slices can be read")
         if begin >= end:
             return b""
-        first_block = begin // BLOCK_BYTES
-        last_block = (end - 1) // BLOCK_BYTES
+        block_bytes = self._checksums.block_bytes
+        first_block = begin // block_bytes
+        last_block = (end - 1) // block_bytes
         blocks = b"".join(self._block(number) for number in range(first_block, last_block + 1))
-        skipped = first_block * BLOCK_BYTES
+        skipped = first_block * block_bytes
         return blocks[begin - skipped : end - skipped]
 
     def _block(self, number: int) -> bytes:
         """Return a block that passed its checksum; the last one read is kept."""
         if self._last_block is not None and self._last_block[0] == number:
             return self._last_block[1]
-        data = self._file.read_at(self._start + number * BLOCK_BYTES, BLOCK_BYTES)
+        block_bytes = self._checksums.block_bytes
+        data = self._file.read_at(self._start + number * block_bytes, block_bytes)
         if not self._checksums.matches(number, data):
             raise storage_corrupt(f"block {number} of a snapshot was damaged on the disk")
         self._last_block = (number, data)
