The control leader's decisions stand in a plain state machine of their own

LeaderDuties now takes reports and returns the commands due; the service only proposes them. Ruled out: moving it into the replicated machine, because reports are not replicated and differ between replicas.

--- a/src/passlane/control/service.py
+++ b/src/passlane/control/service.py
@@ -7,14 +7,12 @@
 
 from passlane.configuration.documents import DocumentKind, PolicyBody
 from passlane.configuration.parsing import parse_body, parse_kind
-from passlane.control.acceptance import AcceptanceTracker
+from passlane.control.leader_duties import LeaderDuties
 from passlane.control.machine import ControlStateMachine
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.identifiers import Revision
 from passlane.messages.base import Message, encode_message, message_decoder
 from passlane.messages.common import NotLeaderError
 from passlane.messages.control import (
-    AcceptRevision,
     ConfigurationDelta,
     ControlRefusal,
     ControlResult,
@@ -28,7 +26,6 @@
     ReadDocuments,
     ReadProgress,
     RegionReport,
-    SetRegions,
     WithdrawChange,
 )
 from passlane.replication.interfaces import ReplicatedGroup
@@ -75,11 +72,9 @@
         self._group = group
         self._machine = machine
         self._environment = environment
-        self._regions = tuple(sorted(regions))
         self._check_policy = check_policy
-        self._tracker = AcceptanceTracker()
-        self._reports_term = 0
-        self._acceptance_due = anyio.Event()
+        self._duties = LeaderDuties(machine, regions)
+        self._proposal_due = anyio.Event()
         router.add_unary(PutDocument, self.put_document)
         router.add_unary(WithdrawChange, self.withdraw_change)
         router.add_unary(ReadDocuments, self.read_documents)
@@ -91,8 +86,8 @@
         """Propose regions and accepted revisions while this replica leads."""
         while True:
             with anyio.move_on_after(LEADERSHIP_CHECK_S):
-                await self._acceptance_due.wait()
-            self._acceptance_due = anyio.Event()
+                await self._proposal_due.wait()
+            self._proposal_due = anyio.Event()
             if not self._group.is_leader:
                 continue
             try:
@@ -128,25 +123,15 @@
     async def read_progress(self, request: ReadProgress) -> Progress:
         """Return how far a revision has come, region by region."""
         await self._read_barrier()
-        self._forget_reports_of_earlier_terms()
-        return self._tracker.progress(
-            request.revision,
-            self._machine.ledger.accepted_revision,
-            self._machine.regions,
-            anyio.current_time(),
-        )
+        return self._duties.progress(request.revision, self._group.term, anyio.current_time())
 
     async def read_status(self, request: ReadControlStatus) -> ControlStatus:
         """Return the state of the group and of the regions."""
         await self._read_barrier()
-        self._forget_reports_of_earlier_terms()
         ledger = self._machine.ledger
         pending = ledger.pending_changes()
-        progress = self._tracker.progress(
-            ledger.held_revision,
-            ledger.accepted_revision,
-            self._machine.regions,
-            anyio.current_time(),
+        progress = self._duties.progress(
+            ledger.held_revision, self._group.term, anyio.current_time()
         )
         return ControlStatus(
             leader=self._group.leader_address,
@@ -165,26 +150,17 @@
         lags behind only means that the region asks again.
         """
         self._require_leadership()
-        self._forget_reports_of_earlier_terms()
-        if not self._tracker.record(report, anyio.current_time()):
+        term = self._group.term
+        if not self._duties.take_report(report, term, anyio.current_time()):
             _log.warning("stale_region_report", region=report.region, term=report.term)
-        if self._revision_to_accept() is not None:
-            self._acceptance_due.set()
+        if self._duties.commands_due(term):
+            self._proposal_due.set()
         return self._machine.ledger.delta_since(report.held_revision, report.held_floor)
 
     async def _propose_what_is_due(self) -> None:
-        self._forget_reports_of_earlier_terms()
-        if self._regions and self._machine.regions != self._regions:
-            await self._propose(SetRegions(regions=self._regions))
-        revision = self._revision_to_accept()
-        if revision is not None:
-            await self._propose(AcceptRevision(revision=revision))
-            _log.info("revision_accepted", revision=self._machine.ledger.accepted_revision)
-
-    def _revision_to_accept(self) -> Revision | None:
-        prepared = self._tracker.prepared_everywhere(self._machine.regions)
-        acceptable = self._machine.acceptable_revision(prepared)
-        return acceptable if acceptable > self._machine.ledger.accepted_revision else None
+        for command in self._duties.commands_due(self._group.term):
+            await self._propose(command)
+            _log.info("control_proposal_done", command=type(command).__name__)
 
     def _problem_with(self, request: PutDocument) -> str | None:
         if request.body is None:
@@ -213,11 +189,6 @@
                 "this replica does not lead the control group", self._group.leader_address
             )
 
-    def _forget_reports_of_earlier_terms(self) -> None:
-        if self._reports_term != self._group.term:
-            self._tracker.clear()
-            self._reports_term = self._group.term
-
 
 def _pending_change(change: Document) -> PendingChange:
     return PendingChange(
