--- a/src/passlane/api/document_routes.py
+++ b/src/passlane/api/document_routes.py
@@ -127,7 +127,7 @@
     async def withdraw(self, request: Request, parameters: Mapping[str, str]) -> Response:
         """Withdraw a pending change."""
         command = WithdrawChange(revision=_revision(parameters), idempotency_key=self._key(request))
-        return self._change_response(await self._send(command))
+        return _change_response(await self._send(command), OK)
 
     async def _change(
         self, request: Request, parameters: Mapping[str, str], body: str | None
@@ -139,7 +139,8 @@
             expected_version=_expected_version(request),
             idempotency_key=self._key(request),
         )
-        return self._change_response(await self._send(command))
+        status = CREATED if command.expected_version == 0 else OK
+        return _change_response(await self._send(command), status)
 
     async def _send(self, command: Message) -> Message:
         reply: Message = await self._control.execute(command, Message, timeout_s=REQUEST_TIMEOUT_S)
@@ -151,18 +152,6 @@
         )
         return found
 
-    @staticmethod
-    def _change_response(reply: Message) -> Response:
-        if isinstance(reply, PutResult):
-            document = reply.document
-            status = CREATED if document.version == 1 else OK
-            return json_response(status, change_view(document), {"etag": _etag(document.version)})
-        if isinstance(reply, VersionConflict):
-            return conflict_response(reply, NO_REVISION)
-        if isinstance(reply, ControlRefusal):
-            raise PasslaneError(ErrorCode(reply.code), reply.message)
-        raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "unexpected reply of the control group")
-
     def _key(self, request: Request) -> str:
         key = request.headers.get("idempotency-key")
         if key is None:
@@ -174,6 +163,17 @@
         return key
 
 
+def _change_response(reply: Message, status: int) -> Response:
+    if isinstance(reply, PutResult):
+        document = reply.document
+        return json_response(status, change_view(document), {"etag": _etag(document.version)})
+    if isinstance(reply, VersionConflict):
+        return conflict_response(reply, NO_REVISION)
+    if isinstance(reply, ControlRefusal):
+        raise PasslaneError(ErrorCode(reply.code), reply.message)
+    raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "unexpected reply of the control group")
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         return msgspec.json.decode(body, type=dict[str, Any])
--- a/src/passlane/control/machine.py
+++ b/src/passlane/control/machine.py
@@ -207,7 +207,7 @@
         document = Document(
             kind=kind,
             name=name,
-            version=1 if newest is None else newest.version + 1,
+            version=self._next_version(newest),
             revision=Revision(self.ledger.held_revision + 1),
             body=body,
         )
@@ -215,6 +215,16 @@
         self._references.put(kind, name, parsed)
         return document
 
+    def _next_version(self, newest: Document | None) -> int:
+        """Return a version above any that the document ever had.
+
+        Of a document whose deletion has been dropped nothing is known any more. Its last
+        version was at most the revision of that deletion, so at most the floor.
+        """
+        if newest is not None:
+            return newest.version + 1
+        return self.ledger.floor_revision + 1
+
     def _accept(self, revision: Revision) -> ControlResult:
         self.ledger.accept(self.acceptable_revision(revision))
         self._withdrawals = tuple(
--- a/src/passlane/messages/control.py
+++ b/src/passlane/messages/control.py
@@ -18,8 +18,9 @@
 class Document(msgspec.Struct, frozen=True):
     """One version of one configuration document.
 
-    ``version`` counts the changes of this document from 1; ``revision`` is the number
-    of the change over all documents. ``body`` is JSON; ``None`` marks a deletion.
+    ``version`` grows by 1 with each change of this document; it starts at 1, or higher
+    where a document of that name may have been deleted long ago. ``revision`` is the
+    number of the change over all documents. ``body`` is JSON; ``None`` marks a deletion.
     """
 
     kind: str
