A store leader that was replaced unawares reports nothing to the control group

Cause: a region's report was built from the store leader's lease table without proof of leadership. A leader that was frozen past the lease time finds all members' leases ended in its table and so reports "prepared" up to all it holds, with 0 members, while its successor renews leases of nodes that lack the newest change. If the control leader is new and has not heard from the successor yet, the term check does not help, and a change could be accepted before every member held it. A read barrier goes before each report: one more round within the region for each heartbeat interval and region. Ruled out: reporting nothing without members, because a region without nodes must not hold up changes.

--- a/src/passlane/store/configuration_relay.py
+++ b/src/passlane/store/configuration_relay.py
@@ -21,7 +21,10 @@
     """Runs on a region's store leader.
 
     Each answer of the control group is replicated in the region before any node gets
-    it, so that what the region has reported as held survives its store leader.
+    it, so that what the region has reported as held survives its store leader. A report
+    is sent only once a barrier has proved that this replica still led when it was made:
+    in the table of a leader that was replaced unawares the members' leases have ended,
+    so it would report for none of them.
     """
 
     def __init__(
@@ -50,12 +53,15 @@
 
     async def _exchange(self) -> bool:
         """Send one report and keep the answer; return whether more is to be fetched."""
+        report = self._report()
         try:
+            # Proves that nobody else gave leases when the report was made.
+            await self._group.read_barrier()
             delta = await self._control.execute(
-                self._report(), ConfigurationDelta, timeout_s=REPORT_TIMEOUT_S
+                report, ConfigurationDelta, timeout_s=REPORT_TIMEOUT_S
             )
         except PasslaneError:
-            # Cut off from the control group: the region goes on with what it holds.
+            # Deposed, or cut off from the control group: the region goes on with what it holds.
             return False
         held = self._machine.configuration
         is_news = (
--- a/tests/store/service_fixture.py
+++ b/tests/store/service_fixture.py
@@ -46,11 +46,15 @@
 
 
 class OneReplicaGroup:
-    """Applies each command at once; ``is_leader`` and ``term`` are set by the test."""
+    """Applies each command at once; ``is_leader`` and ``term`` are set by the test.
+
+    ``is_replaced`` stands for a leader that does not know yet that another one leads.
+    """
 
     def __init__(self, machine: StoreStateMachine) -> None:
         self.machine = machine
         self.is_leader = True
+        self.is_replaced = False
         self.leader_address: Address | None = None
         self.term = 1
         self.barriers = 0
@@ -67,6 +71,8 @@
         self.barriers += 1
         await anyio.sleep(HOP_S)
         self._require_leadership()
+        if self.is_replaced:
+            raise NotLeaderError("another replica leads", None)
 
     def _require_leadership(self) -> None:
         if not self.is_leader:
--- a/tests/store/test_service.py
+++ b/tests/store/test_service.py
@@ -111,6 +111,20 @@
 
         simulate(scenario)
 
+    def test_leader_that_was_replaced_unawares_reports_nothing(self) -> None:
+        async def scenario(region: Region) -> None:
+            region.start_node("n0")
+            await anyio.sleep(5)
+            region.group.is_replaced = True
+            await anyio.sleep(1)
+            region.control.reports.clear()
+            # Its members' leases end in its own table, but they renew them elsewhere.
+            await anyio.sleep(10)
+            self.assertEqual(region.control.reports, [])
+            region.tasks.cancel_scope.cancel()
+
+        simulate(scenario)
+
     def test_node_that_cannot_reach_the_store_stops_and_another_takes_over(self) -> None:
         async def scenario(region: Region) -> None:
             loop, listener = region.start_node("n0")
