Replay faults during the call they belong to; keep the daemons' logs in a ring

The kill of the node in worker-lost was timed from the trace's start, so when an earlier call was slow it struck before the charge and proved nothing; a fault can now name the call during which it happens. Faults that disturb a tool or announce a leaving engine, calls that are not repeated, texts that a history must lack and engines that must stay quiet are new, for the traces to come. The demo prints pauses, sub-agents and faults; it and the replay cut long pauses further, and traces without faults of one deployment share a fleet. Children of the rig now run the rig's own code, whichever folder PYTHONPATH names.

--- a/src/passlane/bench/demo.py
+++ b/src/passlane/bench/demo.py
@@ -18,10 +18,25 @@
 from passlane.bench.fleet import Fleet, FleetError
 from passlane.bench.fleet_files import ProcessKind
 from passlane.bench.process_replay import ProcessReplayFleet, process_replay_fleet
-from passlane.emulator.replayer import Mismatch, PlayedCall, TraceReplay
+from passlane.emulator.caller import CallResult
+from passlane.emulator.replayer import (
+    Mismatch,
+    PlayedAction,
+    PlayedCall,
+    PlayedPause,
+    PlayedStep,
+    TraceReplay,
+)
 from passlane.emulator.trace_files import Trace, read_trace
 from passlane.messages.backends import LedgerLine
-from passlane.messages.traces import CallMade
+from passlane.messages.store import CallKind
+from passlane.messages.traces import (
+    CallMade,
+    FaultInjected,
+    FaultKind,
+    ProgramCreated,
+    ProgramEndAsked,
+)
 
 ROOT = Path(__file__).resolve().parents[3]
 EXAMPLE = ROOT / "examples" / "small"
@@ -31,7 +46,7 @@
     "music-house-moved-booking.jsonl",
 )
 TRACE_WITH_KILLS = "amre-topup-worker-lost.jsonl"
-LONGEST_PAUSE_S = 2.0
+LONGEST_PAUSE_S = 0.5
 CHARGE_TOOL = "charge"
 
 
@@ -59,6 +74,8 @@
         fleet.apply_configuration()
         print("configuration applied and in force everywhere")
         failed = anyio.run(_play_all, fleet, traces)
+        # A process that is just starting has no handler for the signal to stop yet.
+        fleet.wait_ready(fleet.running_names())
         codes = fleet.stop_all()
     daemons = fleet.names(ProcessKind.DAEMON)
     bad = {name: code for name, code in codes.items() if name in daemons and code != 0}
@@ -80,11 +97,8 @@
     """Play one trace and print what happens."""
     print(f"\n{trace.start.name} ({trace.start.deployment}): {trace.start.description}")
     began = anyio.current_time()
-    replay = TraceReplay(trace, target, LONGEST_PAUSE_S, on_call=_print_call)
+    replay = TraceReplay(trace, target, LONGEST_PAUSE_S, on_step=_print_step)
     mismatches = await replay.run()
-    for name in target.killed:
-        print(f"  killed in the middle (SIGKILL): {name}")
-    target.killed.clear()
     for mismatch in mismatches:
         print(f"  {trace.path.name}:{mismatch.line}: {mismatch.message}")
     outcome = "came true" if not mismatches else f"{len(mismatches)} did not come true"
@@ -93,22 +107,48 @@
     return mismatches
 
 
-def _print_call(played: PlayedCall) -> None:
+def _print_step(step: PlayedStep) -> None:
+    """Print what a program did, or what was done to the fleet."""
+    match step:
+        case PlayedCall(call=call, result=result):
+            _print_call(call, result)
+        case PlayedPause(program, recorded_s, played_s):
+            print(f"  {program} pauses for {recorded_s:.0f} s (played as {played_s:.1f} s)")
+        case PlayedAction(action):
+            print(f"  {_describe_action(action)}")
+
+
+def _describe_action(action: ProgramCreated | ProgramEndAsked | FaultInjected) -> str:
+    """Return a program's start or end, or a fault, in a few words."""
+    match action:
+        case ProgramCreated(program=program, parent=None):
+            return f"{program} starts"
+        case ProgramCreated(program=program, parent=parent):
+            return f"{program} starts as a sub-agent of {parent}, and spends from its budget"
+        case ProgramEndAsked(program=program):
+            return f"{program} ends"
+        case FaultInjected(kind=FaultKind.KILL_LEADER, program=program):
+            return f"fault: the node that leads {program} is killed (SIGKILL)"
+        case FaultInjected(kind=kind):
+            return f"fault: {kind.value}"
+
+
+def _print_call(call: CallMade, result: CallResult) -> None:
     """Print one call: its place in the program, what, how long, verdict."""
-    call, result = played.call, played.result
     verdict = "no answer" if result.verdict is None else result.verdict.value
     first = ""
     if result.first_token_s is not None:
         first = f", first token {result.first_token_s * 1000:.0f} ms"
     print(
-        f"  {_label(call):36} {result.latency_s * 1000:7.0f} ms{first:24} {verdict}"
+        f"  {_label(call):42} {result.latency_s * 1000:7.0f} ms{first:24} {verdict}"
         f" {result.code} after {result.attempts} request(s)"
     )
 
 
 def _label(call: CallMade) -> str:
     """Return a call's program, number and target."""
-    return f"{call.program} #{call.sequence} {call.target}"
+    kind = "model" if call.kind is CallKind.MODEL else "tool"
+    return f"{call.program} #{call.sequence} {kind} {call.target}"
 
 
 def _print_ledger(ledger: Sequence[LedgerLine]) -> None:
--- a/src/passlane/bench/fleet.py
+++ b/src/passlane/bench/fleet.py
@@ -33,6 +33,7 @@
 REQUEST_TIMEOUT_S = 2.0
 STATUS_OK = 200
 LOG_LINES_SHOWN = 20
+SOURCE_FOLDER = Path(__file__).resolve().parents[2]
 
 
 class FleetError(Exception):
@@ -94,6 +95,10 @@
             if process.file.kind is kind and (role is None or role in process.file.roles)
         ]
 
+    def running_names(self) -> list[str]:
+        """Return the names of the processes that run."""
+        return [name for name, process in self.processes.items() if process.is_running]
+
     def node_names(self) -> list[str]:
         """Return the names of the nodes."""
         return self.names(ProcessKind.DAEMON, "node")
@@ -149,7 +154,11 @@
         process.starts += 1
         with (self.folder / f"{name}.log").open("ab") as log:
             process.popen = subprocess.Popen(
-                self._command(process), cwd=self.folder, stdout=log, stderr=log
+                self._command(process),
+                cwd=self.folder,
+                env=_process_environment(),
+                stdout=log,
+                stderr=log,
             )
 
     def start_all(self) -> None:
@@ -240,7 +249,7 @@
         """Run ``passlane`` against the control group and return what it printed."""
         addresses = ",".join(str(address) for address in self.operators_addresses())
         environment = {
-            **os.environ,
+            **_process_environment(),
             "PASSLANE_SERVER": addresses,
             "PASSLANE_TOKEN": self.operator_token(),
         }
@@ -320,6 +329,11 @@
             return process.popen.wait()
 
 
+def _process_environment() -> dict[str, str]:
+    """Return the environment in which processes run the same code as the rig."""
+    return {**os.environ, "PYTHONPATH": str(SOURCE_FOLDER)}
+
+
 def _timeouts() -> dict[str, dict[str, float]]:
     """Return the extension that bounds each part of a request."""
     return {"timeout": dict.fromkeys(("connect", "read", "write", "pool"), REQUEST_TIMEOUT_S)}
--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -9,9 +9,12 @@
 
 from passlane.bench.fleet import Fleet, FleetError
 from passlane.bench.fleet_files import ProcessKind
+from passlane.emulator.application_app import ForcedBehaviour
 from passlane.emulator.caller import Caller
+from passlane.emulator.engine_app import EngineQuiet
+from passlane.emulator.platform_model import LEAVING
 from passlane.identifiers import NodeId, ProgramId, TenantId
-from passlane.messages.backends import CacheSnapshot, LedgerLine
+from passlane.messages.backends import CacheSnapshot, LedgerLine, PlatformMachine
 from passlane.messages.common import Address
 from passlane.messages.store import Assignments, ReadAssignments
 from passlane.messages.traces import FaultInjected, FaultKind
@@ -43,17 +46,22 @@
         return Caller(self._environment.http_client, addresses, self._tokens[tenant])
 
     async def inject(self, fault: FaultInjected, program_id: str | None) -> None:
-        """Kill the leader of a program, or let all engines lose their memory."""
-        if fault.kind is FaultKind.RESTART_ENGINES:
-            for address in self._addresses(ProcessKind.ENGINE):
-                await self._request("POST", address, "/v1/test/restart")
-            return
-        if program_id is None:
-            raise FleetError("the fault's program is not known yet")
-        name = await self.leader_of(program_id)
-        self._fleet.kill(name)
-        self.killed.append(name)
-        self._tasks.start_soon(self._start_later, name, fault.restart_after_s)
+        """Let something fail; see ``FaultInjected``."""
+        match fault.kind:
+            case FaultKind.KILL_LEADER:
+                await self._kill_leader(program_id, fault.restart_after_s)
+            case FaultKind.RESTART_ENGINES:
+                for address in self._addresses(ProcessKind.ENGINE):
+                    await self._request("POST", address, "/v1/test/restart")
+            case FaultKind.DISTURB_TOOL:
+                # Which application has the tool does not matter: the others never see it.
+                forced = ForcedBehaviour(fault.target, fault.behaviour)
+                for address in self._addresses(ProcessKind.APPLICATION):
+                    await self._request("POST", address, "/v1/test/behaviour", forced)
+            case FaultKind.ENGINE_LEAVES:
+                leaving = PlatformMachine(name=fault.target, state=LEAVING)
+                for address in self._addresses(ProcessKind.PLATFORM):
+                    await self._request("POST", address, "/v1/test/machines", leaving)
 
     async def leader_of(self, program_id: str) -> NodeId:
         """Return the node that leads a program, as the store records it."""
@@ -84,6 +92,21 @@
             programs.update(entry.program_id for entry in snapshot.entries)
         return len(programs)
 
+    async def engine_quiet_s(self, engine: str) -> float | None:
+        """Return the seconds since an engine's last request; ``None`` if it got none."""
+        address = self._fleet.processes[engine].file.health
+        content = await self._request("GET", address, "/v1/test/quiet")
+        return msgspec.json.decode(content, type=EngineQuiet).quiet_s
+
+    async def _kill_leader(self, program_id: str | None, restart_after_s: float) -> None:
+        """Kill the node that leads a program, and start it again later."""
+        if program_id is None:
+            raise FleetError("the fault's program is not known yet")
+        name = await self.leader_of(program_id)
+        self._fleet.kill(name)
+        self.killed.append(name)
+        self._tasks.start_soon(self._start_later, name, restart_after_s)
+
     async def _start_later(self, name: str, delay_s: float) -> None:
         """Start a killed process again."""
         await anyio.sleep(delay_s)
@@ -93,9 +116,12 @@
         """Return the addresses of the back ends of a kind."""
         return [self._fleet.processes[name].file.health for name in self._fleet.names(kind)]
 
-    async def _request(self, method: str, address: Address, path: str) -> bytes:
+    async def _request(
+        self, method: str, address: Address, path: str, body: msgspec.Struct | None = None
+    ) -> bytes:
         """Return the body of a back end's answer."""
-        request = HttpRequest(method=method, address=address, path=path)
+        content = b"" if body is None else msgspec.json.encode(body)
+        request = HttpRequest(method=method, address=address, path=path, body=content)
         async with self._environment.http_client.exchange(request) as response:
             return b"".join([part async for part in response.chunks()])
 
--- a/src/passlane/emulator/application_app.py
+++ b/src/passlane/emulator/application_app.py
@@ -6,6 +6,7 @@
 from passlane.emulator.application_model import (
     ApplicationAnswer,
     ApplicationModel,
+    Behaviour,
     Handling,
 )
 from passlane.emulator.asgi import (
@@ -18,6 +19,13 @@
 from passlane.runtime.interfaces import AsgiApplication
 
 
+class ForcedBehaviour(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/test/behaviour``: what the next request for ``tool`` meets."""
+
+    tool: str
+    behaviour: Behaviour
+
+
 def build_tool_application(
     model: ApplicationModel, one_way_delay_s: float = 0.0
 ) -> AsgiApplication:
@@ -36,6 +44,7 @@
             Route("POST", "/v1/tools/{tool}", handlers.tool),
             Route("GET", "/v1/operations/{id}", handlers.status),
             Route("GET", "/v1/ledger", handlers.ledger),
+            Route("POST", "/v1/test/behaviour", handlers.force),
         )
     )
 
@@ -70,6 +79,12 @@
         """Serve ``GET /v1/ledger``: a line for each time an operation ran."""
         await exchange.answer(STATUS_OK, self._model.ledger())
 
+    async def force(self, exchange: Exchange) -> None:
+        """Serve ``POST /v1/test/behaviour``, for tests only: disturb the next request."""
+        forced = msgspec.json.decode(exchange.request.body, type=ForcedBehaviour)
+        self._model.force(forced.behaviour, forced.tool)
+        await exchange.answer(STATUS_OK, forced)
+
     async def _run(self, planned: Handling) -> None:
         """Run the operation at its time, if it runs at all."""
         if planned.runs_at is not None:
--- a/src/passlane/emulator/application_model.py
+++ b/src/passlane/emulator/application_model.py
@@ -4,7 +4,6 @@
 ``answer`` are called at those times. Faults and delays are drawn from a seeded generator.
 """
 
-import enum
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -12,6 +11,7 @@
 import msgspec
 
 from passlane.messages.backends import LedgerLine, OperationState, ToolReply, ToolRequest
+from passlane.messages.traces import ToolBehaviour
 
 
 class ApplicationSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -56,17 +56,8 @@
     answer_twice_probability: float = 0.0
 
 
-class Behaviour(enum.StrEnum):
-    """What the application does with one request."""
-
-    NORMAL = "normal"
-    SLOW = "slow"
-    HANG = "hang"
-    HANG_AFTER = "hang_after"
-    REFUSE = "refuse"
-    FAIL_BEFORE = "fail_before"
-    FAIL_AFTER = "fail_after"
-    ANSWER_TWICE = "answer_twice"
+Behaviour = ToolBehaviour
+"""What the application does with one request; traces use the same names."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +96,14 @@
     result: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class _ForcedBehaviour:
+    """What the next request shall meet; ``tool`` is ``None`` for a request of any tool."""
+
+    behaviour: Behaviour
+    tool: str | None
+
+
 class ApplicationModel:
     """One emulated application.
 
@@ -121,12 +120,16 @@
         self._random = generator
         self._operations: dict[str, _Operation] = {}
         self._ledger: list[LedgerLine] = []
-        self._next_behaviours: list[Behaviour] = []
+        self._forced: list[_ForcedBehaviour] = []
         self.requests_received = 0
 
-    def force(self, behaviour: Behaviour) -> None:
-        """Let the next request that is not forced yet behave this way; for tests."""
-        self._next_behaviours.append(behaviour)
+    def offers(self, tool: str) -> bool:
+        """Return whether the application has a tool of this name."""
+        return tool in self._settings.tools
+
+    def force(self, behaviour: Behaviour, tool: str | None = None) -> None:
+        """Let the next request (for ``tool`` if given) behave this way; for tests."""
+        self._forced.append(_ForcedBehaviour(behaviour, tool))
 
     def receive(self, tool: str, request: ToolRequest, now: float) -> Handling | ApplicationAnswer:
         """Plan the handling of a request, or give its answer when it is known at once."""
@@ -138,7 +141,7 @@
             return self._rejection(409, request, known.result)
         if known is not None and self._settings.deduplicates:
             return ApplicationAnswer(200, self.status(request.operation_id))
-        behaviour = self._draw_behaviour()
+        behaviour = self._take_forced(tool) or self._draw_behaviour()
         if behaviour is Behaviour.REFUSE:
             return self._rejection(503, request, "try again later")
         return self._plan(tool, request, behaviour, now)
@@ -211,10 +214,15 @@
         """Draw the time of one half of an operation, in seconds."""
         return self._random.uniform(self._settings.run_min_s, self._settings.run_max_s)
 
+    def _take_forced(self, tool: str) -> Behaviour | None:
+        """Return the behaviour that was forced first for a request for ``tool``."""
+        for place, forced in enumerate(self._forced):
+            if forced.tool in (None, tool):
+                return self._forced.pop(place).behaviour
+        return None
+
     def _draw_behaviour(self) -> Behaviour:
-        """Draw what happens to a request, unless it was forced."""
-        if self._next_behaviours:
-            return self._next_behaviours.pop(0)
+        """Draw what happens to a request."""
         settings = self._settings
         shares = (
             (Behaviour.SLOW, settings.slow_probability),
--- a/src/passlane/emulator/caller.py
+++ b/src/passlane/emulator/caller.py
@@ -173,8 +173,13 @@
         turns: Sequence[Turn],
         max_tokens: int,
         key: str | None = None,
+        *,
+        repeats: bool = True,
     ) -> CallResult:
-        """Make a model call and return the whole streamed answer."""
+        """Make a model call and return the whole streamed answer.
+
+        Without ``repeats`` the first answer is final, whatever it is.
+        """
         body = {
             "model": model,
             "messages": [msgspec.to_builtins(turn) for turn in turns],
@@ -182,7 +187,7 @@
             "stream": True,
         }
         headers = _call_headers(program_id, sequence, key)
-        return await self._repeat("POST", "/v1/chat/completions", headers, body)
+        return await self._repeat("POST", "/v1/chat/completions", headers, body, repeats=repeats)
 
     async def tool_call(
         self,
@@ -191,18 +196,26 @@
         tool: str,
         arguments: str,
         key: str | None = None,
+        *,
+        repeats: bool = True,
     ) -> CallResult:
-        """Make a tool call; ``arguments`` is JSON."""
+        """Make a tool call; ``arguments`` is JSON, ``repeats`` as in a model call."""
         headers = _call_headers(program_id, sequence, key)
         body = msgspec.Raw(arguments.encode())
-        result = await self._repeat("POST", f"/v1/tools/{tool}", headers, body)
+        result = await self._repeat("POST", f"/v1/tools/{tool}", headers, body, repeats=repeats)
         if result.succeeded:
             answer = msgspec.json.decode(result.answer, type=_ToolAnswer)
             result.answer = bytes(answer.result).decode()
         return result
 
     async def _repeat(
-        self, method: str, path: str, headers: Mapping[str, str], body: Any
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: Any,
+        *,
+        repeats: bool = True,
     ) -> CallResult:
         """Send a request until its answer is final or time is up."""
         began = anyio.current_time()
@@ -213,7 +226,7 @@
                 attempts += 1
                 attempt = await self._send(method, path, headers, body, began)
                 result = attempt.result
-                if attempt.repeat_after_s is None:
+                if attempt.repeat_after_s is None or not repeats:
                     break
                 self._next += 1
                 await anyio.sleep(min(attempt.repeat_after_s, LONGEST_PAUSE_S))
--- a/src/passlane/emulator/engine_app.py
+++ b/src/passlane/emulator/engine_app.py
@@ -99,10 +99,17 @@
             Route("GET", "/v1/cache", handlers.cache),
             Route("POST", "/v1/orders", handlers.order),
             Route("POST", "/v1/test/restart", handlers.restart),
+            Route("GET", "/v1/test/quiet", handlers.quiet),
         )
     )
 
 
+class EngineQuiet(msgspec.Struct, frozen=True):
+    """Seconds since an engine's last request; ``None`` if there never was one."""
+
+    quiet_s: float | None
+
+
 class _EngineHandlers:
     """One method for each path of the engines' protocol."""
 
@@ -187,6 +194,10 @@
         self._service.restart()
         await self._answer(exchange, self._service.model.current_load())
 
+    async def quiet(self, exchange: Exchange) -> None:
+        """Serve ``GET /v1/test/quiet``, for tests only: how long nobody asked for tokens."""
+        await exchange.answer(STATUS_OK, EngineQuiet(self._service.quiet_s()))
+
     async def _tokens_elsewhere(self, order: EngineOrder) -> int:
         """Ask the engine named by an import order what it holds; 0 if it can't be asked."""
         if self._read_remote_cache is None or order.program_id is None:
--- a/src/passlane/emulator/engine_service.py
+++ b/src/passlane/emulator/engine_service.py
@@ -45,6 +45,7 @@
     generator: random.Random
     incarnation: int = 1
     model: EngineModel = field(init=False)
+    last_request_at: float | None = field(init=False, default=None)
     _streams: dict[str, MemoryObjectSendStream[StreamItem]] = field(init=False)
     _changed: anyio.Event | None = field(init=False, default=None)
 
@@ -89,6 +90,7 @@
             On entry, when the engine does not take the request.
         """
         self.settle()
+        self.last_request_at = anyio.current_time()
         reason = self.model.submit(submission, anyio.current_time())
         if reason is not None:
             raise RequestRefusedError(reason)
@@ -102,6 +104,12 @@
             receiver.close()
             self._cancel_if_current(attempt_id, sender)
 
+    def quiet_s(self) -> float | None:
+        """Return the seconds since the last request; ``None`` if there never was one."""
+        if self.last_request_at is None:
+            return None
+        return anyio.current_time() - self.last_request_at
+
     def cancel(self, attempt_id: str) -> bool:
         """Stop a request; its stream breaks off. Return whether it was there."""
         self.settle()
--- a/src/passlane/emulator/replay.py
+++ b/src/passlane/emulator/replay.py
@@ -1,27 +1,48 @@
-"""``passlane trace replay``: plays traces on simulated fleets of their deployments."""
+"""``passlane trace replay``: plays traces on simulated fleets of their deployments.
 
+Traces of one deployment in which nothing fails are played side by side on one fleet; a
+trace with faults has a fleet of its own. The daemons' log lines are kept in a ring and
+written out only when an outcome did not come true.
+"""
+
+import sys
 import tempfile
-from collections.abc import Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
+import anyio
+import structlog
+
 from passlane.emulator.example_files import SimulatedExample, read_simulated_example
-from passlane.emulator.replayer import Mismatch, TraceReplay
+from passlane.emulator.replayer import Mismatch, ReplayFleet, TraceReplay
 from passlane.emulator.simulated_replay import simulated_replay_fleet
 from passlane.emulator.trace_files import Trace, read_trace
 from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.traces import FaultInjected
+from passlane.observability.logging import configure_logging
+from passlane.observability.ring import RingLog
 from passlane.simulation.runner import run_simulation
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
-LONGEST_PAUSE_S = 10.0
+LONGEST_PAUSE_S = 2.0
 SEED = 1
+RING_LINES = 500
 
 
 def replay_files(paths: Sequence[Path]) -> int:
     """Replay traces and print what came true; return 1 if anything did not."""
+    traces: list[Trace] = []
     failed = 0
     for path in paths:
         try:
-            failed += _replay_file(path)
+            traces.append(read_trace(path))
+        except PasslaneError as error:
+            print(error)
+            failed += 1
+    for group in group_traces(traces):
+        try:
+            failed += _replay_and_print(group)
         except PasslaneError as error:
             print(error)
             failed += 1
@@ -36,30 +57,86 @@
     PasslaneError
         When there is no example of the trace's deployment.
     """
-    with tempfile.TemporaryDirectory(prefix="passlane-replay-") as folder:
-        example = read_simulated_example(_example_of(trace), Path(folder))
+    return replay_group([trace], seed)[trace.path]
 
-    async def play() -> list[Mismatch]:
-        return await _play(trace, example, seed)
 
-    return run_simulation(play, seed)
+def replay_group(traces: Sequence[Trace], seed: int = SEED) -> Mapping[Path, list[Mismatch]]:
+    """Replay traces of one deployment side by side; return what did not come true.
 
+    Raises
+    ------
+    PasslaneError
+        When there is no example of the traces' deployment.
+    """
+    with tempfile.TemporaryDirectory(prefix="passlane-replay-") as folder:
+        example = read_simulated_example(_example_of(traces[0]), Path(folder))
+
+    async def play() -> Mapping[Path, list[Mismatch]]:
+        return await _play(traces, example, seed)
 
-async def _play(trace: Trace, example: SimulatedExample, seed: int) -> list[Mismatch]:
-    """Start the fleet and play the trace."""
-    async with simulated_replay_fleet(example, seed) as fleet:
-        return await TraceReplay(trace, fleet, LONGEST_PAUSE_S).run()
+    return run_simulation(play, seed)
 
 
-def _replay_file(path: Path) -> int:
-    """Replay one file; return how many lines did not come true."""
-    trace = read_trace(path)
-    mismatches = replay(trace)
-    for mismatch in mismatches:
-        print(f"{path}:{mismatch.line}: {mismatch.message}")
-    if not mismatches:
-        print(f"{path}: {len(trace.outcomes)} stated outcomes came true")
-    return len(mismatches)
+def group_traces(traces: Sequence[Trace]) -> list[list[Trace]]:
+    """Return which traces share a fleet: those of a deployment that inject no fault."""
+    shared: dict[str, list[Trace]] = {}
+    alone: list[list[Trace]] = []
+    for trace in traces:
+        if any(isinstance(numbered.action, FaultInjected) for numbered in trace.actions):
+            alone.append([trace])
+        else:
+            shared.setdefault(trace.start.deployment, []).append(trace)
+    return [*shared.values(), *alone]
+
+
+async def _play(
+    traces: Sequence[Trace], example: SimulatedExample, seed: int
+) -> Mapping[Path, list[Mismatch]]:
+    """Start the fleet and play the traces side by side."""
+    mismatches: dict[Path, list[Mismatch]] = {}
+
+    async def play_one(trace: Trace, fleet: ReplayFleet) -> None:
+        mismatches[trace.path] = await TraceReplay(trace, fleet, LONGEST_PAUSE_S).run()
+
+    async with simulated_replay_fleet(example, seed) as fleet, anyio.create_task_group() as tasks:
+        for trace in traces:
+            tasks.start_soon(play_one, trace, fleet)
+    return mismatches
+
+
+def _replay_and_print(traces: Sequence[Trace]) -> int:
+    """Replay a group; return how many lines did not come true."""
+    with _logs_in_ring() as ring:
+        mismatches = replay_group(traces)
+    for trace in traces:
+        for mismatch in mismatches[trace.path]:
+            print(f"{trace.path}:{mismatch.line}: {mismatch.message}")
+        if not mismatches[trace.path]:
+            print(f"{trace.path}: {len(trace.outcomes)} stated outcomes came true")
+    failed = sum(len(found) for found in mismatches.values())
+    if failed:
+        _write_out(ring)
+    return failed
+
+
+@contextmanager
+def _logs_in_ring() -> Iterator[RingLog]:
+    """Keep all log lines in a ring, and leave logging as it was."""
+    before = structlog.get_config()
+    ring = RingLog(RING_LINES)
+    configure_logging(ring)
+    try:
+        yield ring
+    finally:
+        structlog.configure(**before)
+
+
+def _write_out(ring: RingLog) -> None:
+    """Write the daemons' newest log lines to the error stream."""
+    lines = ring.lines()
+    print(f"the newest {len(lines)} log lines of the fleet:", file=sys.stderr)
+    for line in lines:
+        print(line.decode(), file=sys.stderr)
 
 
 def _example_of(trace: Trace) -> Path:
--- a/src/passlane/emulator/replay_outcomes.py
+++ b/src/passlane/emulator/replay_outcomes.py
@@ -1,6 +1,6 @@
 """Compares what a replay saw with the outcomes that its trace states."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Protocol
 
 import anyio
@@ -15,6 +15,7 @@
 from passlane.messages.traces import (
     CallMade,
     CallOutcomeStated,
+    EngineQuietStated,
     HistoryStated,
     LedgerStated,
     MemoryStated,
@@ -37,6 +38,10 @@
         """Return for how many programs the engines hold memory."""
         ...
 
+    async def engine_quiet_s(self, engine: str) -> float | None:
+        """Return the seconds since an engine's last request; ``None`` if it got none."""
+        ...
+
 
 class ProgramShown(msgspec.Struct, frozen=True):
     """The parts of a program, as passlane shows it, that outcomes are compared with."""
@@ -88,12 +93,21 @@
         What the back ends tell.
     show
         Reads a program from passlane.
+    leaving_since
+        When each leaving engine was listed as such, on the clock of the replay.
     """
 
-    def __init__(self, results: CallResults, records: BackEndRecords, show: ShowProgram) -> None:
+    def __init__(
+        self,
+        results: CallResults,
+        records: BackEndRecords,
+        show: ShowProgram,
+        leaving_since: Mapping[str, float],
+    ) -> None:
         self._results = results
         self._records = records
         self._show = show
+        self._leaving_since = leaving_since
 
     async def compare(self, outcome: TraceOutcome) -> str | None:
         """Return how an outcome differs from what happened; ``None`` if it came true."""
@@ -108,6 +122,8 @@
                 return _compare_spent(outcome, await self._show(outcome.program))
             case MemoryStated():
                 return await self._compare_memory(outcome)
+            case EngineQuietStated():
+                return await self._compare_quiet(outcome)
 
     async def _compare_memory(self, stated: MemoryStated) -> str | None:
         """Wait until the engines hold no more than stated."""
@@ -120,6 +136,19 @@
             return None
         return f"engines hold memory for {held} programs, expected {stated.held_programs}"
 
+    async def _compare_quiet(self, stated: EngineQuietStated) -> str | None:
+        """Compare an engine's last request with the time since when it is leaving."""
+        since = self._leaving_since.get(stated.engine)
+        if since is None:
+            return f"{stated.engine} was never listed as leaving"
+        quiet_s = await self._records.engine_quiet_s(stated.engine)
+        if quiet_s is None:
+            return None
+        late_s = anyio.current_time() - since - quiet_s
+        if late_s <= stated.within_s:
+            return None
+        return f"{stated.engine} got a request {late_s:.1f} s after it was listed as leaving"
+
 
 def key_of(call: CallMade) -> str:
     """Return the idempotency key that a call is sent under."""
@@ -168,7 +197,10 @@
         return f"the history has roles {roles}, expected {stated.roles}"
     whole = "\n".join(turn.content for turn in shown.history)
     missing = [text for text in stated.contains if text not in whole]
-    return f"the history lacks {missing}" if missing else None
+    foreign = [text for text in stated.lacks if text in whole]
+    if missing or foreign:
+        return f"the history lacks {missing} and wrongly holds {foreign}"
+    return None
 
 
 def _compare_spent(stated: SpentStated, shown: ProgramShown) -> str | None:
--- a/src/passlane/emulator/simulated_replay.py
+++ b/src/passlane/emulator/simulated_replay.py
@@ -42,6 +42,7 @@
 READY_TIMEOUT_S = 60.0
 READY_POLL_S = 0.2
 IN_FORCE_TIMEOUT_S = 30.0
+LEAVES_IN_S = 60.0
 QUERY_TIMEOUT_S = 10.0
 STATUS_OK = 200
 
@@ -74,6 +75,10 @@
             ApplicationModel(settings.application, self._generator(settings))
             for settings in example.applications
         ]
+        self._platforms = [
+            PlatformModel(settings.platform.machines, settings.platform.lag_s, 0.0)
+            for settings in example.platforms
+        ]
         environment = build_simulated_environment(
             self._network.host(OUTSIDE_HOST),
             SimulatedDisk(random.Random(seed)),
@@ -98,16 +103,18 @@
         return Caller(self._http_client, addresses, token)
 
     async def inject(self, fault: FaultInjected, program_id: str | None) -> None:
-        """Kill the leader of a program, or let all engines lose their memory."""
-        if fault.kind is FaultKind.RESTART_ENGINES:
-            for engine in self._engines:
-                engine.restart()
-            return
-        if program_id is None:
-            raise PasslaneError(ErrorCode.BAD_REQUEST, "the fault's program is not known yet")
-        process = self._processes[await self._leader_of(program_id)]
-        process.kill()
-        self._tasks.start_soon(self._start_later, process, fault.restart_after_s)
+        """Let something fail; see ``FaultInjected``."""
+        match fault.kind:
+            case FaultKind.KILL_LEADER:
+                await self._kill_leader(program_id, fault.restart_after_s)
+            case FaultKind.RESTART_ENGINES:
+                for engine in self._engines:
+                    engine.restart()
+            case FaultKind.DISTURB_TOOL:
+                self._application_with(fault.target).force(fault.behaviour, fault.target)
+            case FaultKind.ENGINE_LEAVES:
+                for platform in self._platforms:
+                    platform.mark_leaving(fault.target, LEAVES_IN_S, anyio.current_time())
 
     async def ledger(self) -> Sequence[LedgerLine]:
         """Return the ledgers of all applications."""
@@ -120,6 +127,10 @@
             held.update(engine.model.cache.tokens_by_program())
         return len(held)
 
+    async def engine_quiet_s(self, engine: str) -> float | None:
+        """Return the seconds since an engine's last request; ``None`` if it got none."""
+        return next(service.quiet_s() for service in self._engines if service.engine_id == engine)
+
     # Life of the fleet.
 
     async def start(self) -> None:
@@ -133,8 +144,7 @@
             self._serve(settings.listen, build_engine_application(engine, reader))
         for model, settings in zip(self._applications, self._example.applications, strict=True):
             self._serve(settings.listen, build_tool_application(model))
-        for settings in self._example.platforms:
-            platform = PlatformModel(settings.platform.machines, settings.platform.lag_s, 0.0)
+        for platform, settings in zip(self._platforms, self._example.platforms, strict=True):
             self._serve(settings.listen, build_platform_application(platform))
         for process in self._processes.values():
             process.start(self._tasks)
@@ -162,6 +172,21 @@
             if Role.NODE in process.settings.process.roles
         ]
 
+    def _application_with(self, tool: str) -> ApplicationModel:
+        """Return the application that offers a tool."""
+        for model in self._applications:
+            if model.offers(tool):
+                return model
+        raise PasslaneError(ErrorCode.NOT_FOUND, f"no application offers the tool {tool}")
+
+    async def _kill_leader(self, program_id: str | None, restart_after_s: float) -> None:
+        """Kill the node that leads a program, and start it again later."""
+        if program_id is None:
+            raise PasslaneError(ErrorCode.BAD_REQUEST, "the fault's program is not known yet")
+        process = self._processes[await self._leader_of(program_id)]
+        process.kill()
+        self._tasks.start_soon(self._start_later, process, restart_after_s)
+
     async def _start_later(self, process: SimulatedProcess, delay_s: float) -> None:
         """Start a killed process again."""
         await anyio.sleep(delay_s)
--- a/src/passlane/messages/traces.py
+++ b/src/passlane/messages/traces.py
@@ -41,7 +41,11 @@
 
 
 class CallMade(_Line, frozen=True):
-    """A caller made a call; a redacted recording keeps the length of contents only."""
+    """A caller made a call; a redacted recording keeps the length of contents only.
+
+    ``repeats`` says whether the caller comes back when it is told to; one that does not
+    takes the first refusal as its outcome.
+    """
 
     at_s: float
     program: ProgramId
@@ -52,6 +56,7 @@
     arguments: str = ""
     max_tokens: int = 256
     idempotency_key: str | None = None
+    repeats: bool = True
 
 
 class ProgramEndAsked(_Line, frozen=True):
@@ -61,24 +66,54 @@
     program: ProgramId
 
 
+class ToolBehaviour(enum.StrEnum):
+    """What an application does with one request.
+
+    ``SLOW`` is late; ``HANG`` never runs nor answers, ``HANG_AFTER`` runs and never
+    answers; ``REFUSE`` proves that nothing ran; ``FAIL_BEFORE`` and ``FAIL_AFTER`` break
+    the connection before or after the operation ran; ``ANSWER_TWICE`` sends the answer
+    two times.
+    """
+
+    NORMAL = "normal"
+    SLOW = "slow"
+    HANG = "hang"
+    HANG_AFTER = "hang_after"
+    REFUSE = "refuse"
+    FAIL_BEFORE = "fail_before"
+    FAIL_AFTER = "fail_after"
+    ANSWER_TWICE = "answer_twice"
+
+
 class FaultKind(enum.StrEnum):
     """Failures that a trace may hold."""
 
     KILL_LEADER = "kill_leader"
     RESTART_ENGINES = "restart_engines"
+    DISTURB_TOOL = "disturb_tool"
+    ENGINE_LEAVES = "engine_leaves"
 
 
 class FaultInjected(_Line, frozen=True):
     """Something failed.
 
     ``KILL_LEADER`` ends the node that leads ``program`` and starts it again after
-    ``restart_after_s``; ``RESTART_ENGINES`` lets all engines lose their memory.
+    ``restart_after_s``; ``RESTART_ENGINES`` ends all engines' streams and lets them lose
+    their memory. ``DISTURB_TOOL`` lets the next request for the tool ``target`` go wrong as
+    ``behaviour`` says. ``ENGINE_LEAVES`` lets the platform list the engine ``target`` as
+    leaving.
+
+    With ``during_call`` it happens as long after the program's call of that sequence number
+    was made as the recorded times say, however late that call is in a replay.
     """
 
     at_s: float
     kind: FaultKind
     program: ProgramId | None = None
     restart_after_s: float = 5.0
+    during_call: int | None = None
+    target: str = ""
+    behaviour: ToolBehaviour = ToolBehaviour.NORMAL
 
 
 class CallOutcomeStated(_Line, frozen=True):
@@ -105,11 +140,12 @@
 
 
 class HistoryStated(_Line, frozen=True):
-    """The roles of a program's turns, in order, and texts that must stand in them."""
+    """The roles of a program's turns, in order, and texts that they must hold or must not."""
 
     program: ProgramId
     roles: tuple[str, ...]
     contains: tuple[str, ...] = ()
+    lacks: tuple[str, ...] = ()
 
 
 class MemoryStated(_Line, frozen=True):
@@ -118,6 +154,13 @@
     held_programs: int
 
 
+class EngineQuietStated(_Line, frozen=True):
+    """An engine must get no request later than ``within_s`` after it was listed as leaving."""
+
+    engine: str
+    within_s: float
+
+
 class SpentStated(_Line, frozen=True):
     """What a program must have spent in the end; never above its budget."""
 
@@ -127,7 +170,14 @@
 
 
 TraceAction = ProgramCreated | CallMade | ProgramEndAsked | FaultInjected
-TraceOutcome = CallOutcomeStated | LedgerStated | HistoryStated | MemoryStated | SpentStated
+TraceOutcome = (
+    CallOutcomeStated
+    | LedgerStated
+    | HistoryStated
+    | MemoryStated
+    | SpentStated
+    | EngineQuietStated
+)
 TraceLine = (
     TraceStart
     | ProgramCreated
@@ -139,4 +189,5 @@
     | HistoryStated
     | MemoryStated
     | SpentStated
+    | EngineQuietStated
 )
--- a/tests/emulator/test_replay_outcomes.py
+++ b/tests/emulator/test_replay_outcomes.py
@@ -13,6 +13,7 @@
 from passlane.messages.traces import (
     CallMade,
     CallOutcomeStated,
+    EngineQuietStated,
     HistoryStated,
     LedgerStated,
     MemoryStated,
@@ -52,6 +53,9 @@
     async def held_programs(self) -> int:
         return 1
 
+    async def engine_quiet_s(self, engine: str) -> float | None:
+        return -3.0  # As if the last request came three seconds after the start.
+
 
 async def show(program: ProgramId) -> ProgramShown:
     history = (Turn("user", "hello"), Turn("assistant", "good day"))
@@ -59,7 +63,7 @@
 
 
 def compare(results: CallResults, outcome: TraceOutcome) -> str | None:
-    comparison = OutcomeComparison(results, FixedRecords(), show)
+    comparison = OutcomeComparison(results, FixedRecords(), show, {"engine-1": 0.0})
     return run_simulation(lambda: comparison.compare(outcome), seed=1)
 
 
@@ -135,6 +139,23 @@
             SpentStated(program=PROGRAM, calls=2, money_micros=0),
         )
 
+    def test_history_may_not_hold_what_it_lacks_by_statement(self) -> None:
+        roles = ("user", "assistant")
+        self.check(
+            HistoryStated(program=PROGRAM, roles=roles, lacks=("farewell",)),
+            HistoryStated(program=PROGRAM, roles=roles, lacks=("good day",)),
+        )
+
+    def test_leaving_engine_must_get_no_late_request(self) -> None:
+        self.check(
+            EngineQuietStated(engine="engine-1", within_s=3.5),
+            EngineQuietStated(engine="engine-1", within_s=2.5),
+        )
+
+    def test_engine_that_never_left_does_not_come_true(self) -> None:
+        outcome = EngineQuietStated(engine="engine-2", within_s=5.0)
+        self.assertIsNotNone(compare(CallResults(), outcome))
+
     def test_memory_may_not_exceed_what_is_stated(self) -> None:
         self.check(MemoryStated(held_programs=1), MemoryStated(held_programs=0))
 
