Measure cache that no later call used, and pauses as a node sees them

Cause: the experiment told the scheduler of a pause only when another call was to follow, which no node can know; so the caches of programs that never came back were never overdue. A real node notes a pause after each answer, and now the experiment does so too. A second fault of the measure: it counted memory held for gone programs, but not copies left behind by programs that had gone on elsewhere, so a strategy that scatters a program over all engines looked thrifty. Token-seconds of entries that no later call used are counted besides. Ruled out: a change of the workloads.

--- a/src/passlane/bench/results.py
+++ b/src/passlane/bench/results.py
@@ -31,7 +31,7 @@
     program, victims
         Latency of all measured programs, and of those that are not the flooding
         tenant's and began after the scenario's disturbance.
-    recomputed_tokens, needed_tokens, idle_token_seconds
+    recomputed_tokens, needed_tokens, idle_token_seconds, unused_token_seconds
         Wasted cache; see ``cache_waste``.
     unfinished, failed, refusals
         Programs that had not ended at the limit, programs given up, refusals answered.
@@ -49,6 +49,7 @@
     recomputed_tokens: int
     needed_tokens: int
     idle_token_seconds: float
+    unused_token_seconds: float
     unfinished: int
     failed: int
     refusals: int
@@ -72,8 +73,8 @@
 
 HEADER = (
     f"{'deployment':12}{'scenario':15}{'strategy':14}{'load':>6}{'seed':>5}{'p50 s':>8}{'p95 s':>8}"
-    f"{'p99 s':>8}{'victim95':>9}{'recomp k':>10}{'idle kts':>10}{'busy':>6}{'refus':>7}"
-    f"{'unfin':>6}{'fail':>6}"
+    f"{'p99 s':>8}{'victim95':>9}{'recomp k':>10}{'idle kts':>10}{'unused kts':>11}{'busy':>6}"
+    f"{'refus':>7}{'unfin':>6}{'fail':>6}"
 )
 
 
@@ -84,7 +85,8 @@
         f"{result.programs_per_s:6.1f}{result.seed:5}"
         f"{result.program.p50_s:8.2f}{result.program.p95_s:8.2f}{result.program.p99_s:8.2f}"
         f"{result.victims.p95_s:9.2f}{result.recomputed_tokens / 1e3:10.0f}"
-        f"{result.idle_token_seconds / 1e3:10.0f}{result.busy_fraction:6.2f}"
+        f"{result.idle_token_seconds / 1e3:10.0f}{result.unused_token_seconds / 1e3:11.0f}"
+        f"{result.busy_fraction:6.2f}"
         f"{result.refusals:7}{result.unfinished:6}{result.failed:6}"
     )
 
--- a/src/passlane/bench/scheduling.py
+++ b/src/passlane/bench/scheduling.py
@@ -48,6 +48,7 @@
         recomputed_tokens=fleet.waste.recomputed_tokens,
         needed_tokens=fleet.waste.needed_tokens,
         idle_token_seconds=fleet.waste.idle_token_seconds,
+        unused_token_seconds=fleet.waste.unused_token_seconds,
         unfinished=fleet.unfinished,
         failed=len(measured) - len(completed),
         refusals=sum(item.refusals for item in fleet.results),
--- a/src/passlane/bench/virtual_client.py
+++ b/src/passlane/bench/virtual_client.py
@@ -98,10 +98,8 @@
         call = self._plan.calls[self._position]
         if result.succeeded:
             self._waste.record_call(ProgramId(self._plan.name), result)
-            if self._position + 1 < len(self._plan.calls):
-                self._node.tell(
-                    events.ProgramPaused(ProgramId(self._plan.name), call.expected_pause_s)
-                )
+            # As a real node, this one can't know whether another call will follow.
+            self._node.tell(events.ProgramPaused(ProgramId(self._plan.name), call.expected_pause_s))
         self._heap.after(self._delay_s, lambda: self._hear(result))
 
     def _hear(self, result: CallResult) -> None:
--- a/src/passlane/bench/virtual_node.py
+++ b/src/passlane/bench/virtual_node.py
@@ -18,9 +18,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CallResult:
-    """What the caller hears: usage of a call that ran, or when to come back."""
+    """What the caller hears: usage of a call that ran, or when to come back.
+
+    ``engine_id`` tells the experiment where the call ran.
+    """
 
     succeeded: bool
+    engine_id: EngineId | None = None
     prompt_tokens: int = 0
     cached_tokens: int = 0
     generated_tokens: int = 0
@@ -112,7 +116,7 @@
             refusal = self._engines[start.engine_id].submit(
                 submission,
                 lambda finished: self._later(
-                    start.engine_id, lambda: self._finished(start.call_id, finished)
+                    start.engine_id, lambda: self._finished(start, finished)
                 ),
             )
             if refusal is not None:
@@ -120,7 +124,8 @@
 
         self._later(start.engine_id, arrive)
 
-    def _finished(self, call_id: CallId, finished: FinishedRequest) -> None:
+    def _finished(self, start: instructions.StartCall, finished: FinishedRequest) -> None:
+        call_id = start.call_id
         if finished.reason is not FinishReason.STOP:
             self._failed(call_id)
             return
@@ -137,6 +142,7 @@
         call.on_result(
             CallResult(
                 succeeded=True,
+                engine_id=start.engine_id,
                 prompt_tokens=finished.prompt_tokens,
                 cached_tokens=finished.cached_tokens,
                 generated_tokens=finished.generated_tokens,
