A restarted node no longer refuses callers of a tenant that it does not know yet

After all machines had lost power, a call was forwarded to the node that had led its program. That node had just started, held no configuration, and answered 403 "the tenant is not configured", which callers take as final. Ruled out: the node that was asked, which held the configuration at revision 6. A node now checks that it leads the program before it judges the tenant, since only a node with a lease is sure to hold the configuration.

--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -98,6 +98,8 @@
 
     async def _serve(self, request: CallRequest, judge: RefusalJudge) -> AsyncIterator[CallEvent]:
         self._require_staying(request.program_id)
+        # Only a leader is sure to hold the configuration that knows the tenant.
+        self._directory.require_epoch(self._directory.partition_of(request.program_id))
         now = anyio.current_time()
         tenant = self._services.configuration().tenants.get(request.tenant_id)
         with self._admission.admit(request.tenant_id, tenant, now):
--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -6,6 +6,7 @@
 
 from node.fakes import OTHER_TENANT
 from node.nodes import PROGRAM, Answer, Fleet, charge, chat, in_fleet, whole_text
+from passlane.configuration.view import ConfigurationView
 from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.common import Amounts
@@ -79,6 +80,20 @@
 
         in_fleet(scenario)
 
+    def test_restarted_node_without_configuration_does_not_judge_the_tenant(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            configuration, fleet.configuration = fleet.configuration, ConfigurationView()
+            fleet.leaderships[0].epoch = None
+            answer = Answer()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.call, chat(), answer)
+                await anyio.sleep(1.0)
+                fleet.configuration = configuration
+                fleet.lead(0)
+            self.assertEqual(answer.answered.body, whole_text())
+
+        in_fleet(scenario)
+
     def test_unnamed_call_is_cancelled_with_its_caller(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             with anyio.move_on_after(0.02):
