Scenarios about configuration change documents that are accepted

The changes of these scenarios named tools that no application offers. Since references are checked when a document is submitted, each change was refused with status 422, so racing operators, resends, cut-off leaders and restarts after hundreds of changes were no longer provoked at all, and held for nothing. They now change tenants, and a change that is neither made nor in conflict, or does not come into force, counts as a failure of the run.

--- a/src/passlane/simulation/operators.py
+++ b/src/passlane/simulation/operators.py
@@ -18,6 +18,7 @@
 PAUSE_S = 0.3
 WATCH_INTERVAL_S = 2.0
 CHANGED_STATUSES = frozenset({200, 201})
+CONFLICT_STATUSES = frozenset({409, 412})
 ANSWERED_BELOW = 500
 
 
@@ -70,7 +71,8 @@
     ) -> SeenChange:
         """Submit a change and repeat it with the same key until it is answered.
 
-        With ``wait`` it also waits until the change is in force everywhere.
+        With ``wait`` it also waits until the change is in force everywhere. A change that is
+        neither made nor in conflict with another counts as a failure of the run.
         """
         path = f"/v1/documents/{kind}/{name}"
         headers = {"idempotency-key": key}
@@ -95,9 +97,13 @@
                     await anyio.sleep(PAUSE_S)
         answered_at = anyio.current_time() if status is not None else None
         self._event_log.record("operator", f"{path} {key}: {status} version {version}")
+        if status not in CHANGED_STATUSES | CONFLICT_STATUSES:
+            self._seen.failures.append(f"operators: {path} {key} was answered with {status}")
         accepted_at = None
         if revision is not None and wait:
             accepted_at = await self.wait_in_force(revision, patience_s)
+            if accepted_at is None:
+                self._seen.failures.append(f"operators: {path} {key} did not come into force")
         change = SeenChange(
             name=f"{kind}/{name}",
             expected_version=expected_version,
--- a/src/passlane/simulation/scenarios/base.py
+++ b/src/passlane/simulation/scenarios/base.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 
@@ -15,6 +16,8 @@
 LOAD_CALLS = 6
 TOOL_EVERY = 3
 SPREAD_S = 2.0
+CHANGED_KIND = "tenant"
+"""Kind of the documents that scenarios change; nothing in the load depends on them."""
 
 ScenarioBody = Callable[[Cluster], Awaitable[None]]
 
@@ -81,6 +84,11 @@
     await cluster.callers.run_program(name, script)
 
 
+def numbered_document(number: int) -> dict[str, Any]:
+    """Return a valid body of a document of kind ``CHANGED_KIND``, different for each number."""
+    return {"service": "service", "max_programs": 1 + number}
+
+
 async def pause(cluster: Cluster, shortest_s: float, longest_s: float) -> None:
     """Sleep for a time drawn by the seed."""
     await anyio.sleep(cluster.random.uniform(shortest_s, longest_s))
--- a/src/passlane/simulation/scenarios/groups.py
+++ b/src/passlane/simulation/scenarios/groups.py
@@ -3,18 +3,30 @@
 import anyio
 
 from passlane.simulation.cluster import Cluster
-from passlane.simulation.scenarios.base import Scenario, load, pause, wait_for_leader
+from passlane.simulation.scenarios.base import (
+    CHANGED_KIND,
+    Scenario,
+    load,
+    numbered_document,
+    pause,
+    wait_for_leader,
+)
 
 CHANGES_PASSED_BY = 200
+RACED = f"{CHANGED_KIND}/raced"
 
 
 async def _change_configuration(cluster: Cluster, count: int, name: str = "extra") -> int:
-    """Submit one version of a service after another; return the last version."""
+    """Submit one version of a document after another; return the last version."""
     version = 0
     for number in range(count):
-        body = {"models": ["agent"], "tools": [f"tool-{number}"]}
         change = await cluster.operators.change(
-            "service", name, body, version, f"{name}-{number}", wait=number == count - 1
+            CHANGED_KIND,
+            name,
+            numbered_document(number),
+            version,
+            f"{name}-{number}",
+            wait=number == count - 1,
         )
         version = change.version or version
     return version
@@ -81,16 +93,16 @@
         version = 0
         for round_number in range(6):
             async with anyio.create_task_group() as tasks:
-                for operator in ("ann", "bob"):
-                    body = {"models": ["agent"], "tools": [f"{operator}-{round_number}"]}
+                for number, operator in enumerate(("ann", "bob")):
+                    body = numbered_document(10 * round_number + number)
                     key = f"{operator}-{round_number}"
                     tasks.start_soon(_race, cluster, body, version, key)
-            made = [c.version for c in cluster.observations.changes if c.name == "service/raced"]
+            made = [c.version for c in cluster.observations.changes if c.name == RACED]
             version = max((number for number in made if number), default=version)
 
 
 async def _race(cluster: Cluster, body: object, version: int, key: str) -> None:
-    await cluster.operators.change("service", "raced", body, version, key, wait=False)
+    await cluster.operators.change(CHANGED_KIND, "raced", body, version, key, wait=False)
 
 
 async def resend_after_lost_answer(cluster: Cluster) -> None:
@@ -112,13 +124,14 @@
 
 
 async def _change_once(cluster: Cluster, number: int) -> None:
-    body = {"models": ["agent"], "tools": [f"tool-{number}"]}
-    await cluster.operators.change("service", f"resent-{number}", body, 0, f"resent-{number}")
+    name = f"resent-{number}"
+    await cluster.operators.change(CHANGED_KIND, name, numbered_document(number), 0, name)
 
 
 async def _resend(cluster: Cluster, number: int) -> None:
     """Send the answered change once more: it must get the first answer again."""
-    before = [c for c in cluster.observations.changes if c.name == f"service/resent-{number}"]
+    name = f"{CHANGED_KIND}/resent-{number}"
+    before = [change for change in cluster.observations.changes if change.name == name]
     await _change_once(cluster, number)
     after = cluster.observations.changes[-1]
     if before and before[-1].version != after.version:
--- a/src/passlane/simulation/scenarios/mixed.py
+++ b/src/passlane/simulation/scenarios/mixed.py
@@ -6,7 +6,13 @@
 import anyio
 
 from passlane.simulation.cluster import Cluster
-from passlane.simulation.scenarios.base import Scenario, load, pause
+from passlane.simulation.scenarios.base import (
+    CHANGED_KIND,
+    Scenario,
+    load,
+    numbered_document,
+    pause,
+)
 
 ROUNDS = 6
 
@@ -50,9 +56,9 @@
 
 
 async def _change(cluster: Cluster) -> None:
-    number = cluster.random.randrange(10**9)
-    body = {"models": ["agent"], "tools": [f"tool-{number}"]}
-    await cluster.operators.change("service", f"mixed-{number}", body, 0, f"mixed-{number}")
+    number = cluster.random.randrange(10**6)
+    name = f"mixed-{number}"
+    await cluster.operators.change(CHANGED_KIND, name, numbered_document(number), 0, name)
 
 
 DISTURBANCES: tuple[Callable[[Cluster], Coroutine[Any, Any, None]], ...] = (
