--- a/src/passlane/store/service.py
+++ b/src/passlane/store/service.py
@@ -34,7 +34,7 @@
 from passlane.store.retention import DEFAULT_RETENTION_S
 from passlane.transport.interfaces import Router
 
-LEADERSHIP_POLL_S = 0.02
+LEADERSHIP_POLL_S = 0.05
 """Seconds between two looks at whether this replica leads."""
 
 NODE_COMMANDS: tuple[type[Message], ...] = (
--- a/src/passlane/transport/channel.py
+++ b/src/passlane/transport/channel.py
@@ -65,12 +65,10 @@
     async def run_writer(self) -> None:
         """Write queued frames until cancelled or the connection breaks."""
         while True:
-            await self._queue_filled.wait()
-            batch = self._take_batch()
-            if not batch:
+            if not self._queue:
                 self._queue_filled = anyio.Event()
-                continue
-            await self._stream.send(batch)
+                await self._queue_filled.wait()
+            await self._stream.send(self._take_batch())
 
     def _take_batch(self) -> bytes:
         parts: list[bytes] = []
