passlane sim list prints again, and sim run spreads seeds over processes

The list ended with "'NoneType' object is not iterable": the simulation printed it and returned nothing, while the command expected lines. It now returns a typed listing that the command prints as text or JSON. All seeds of a scenario are run and counted, where the first broken one used to end it; events and log lines are shown for the first broken seed only.

--- a/src/passlane/cli/proofs.py
+++ b/src/passlane/cli/proofs.py
@@ -30,13 +30,16 @@
         option("scenario", None, "Name of a scenario, or all.", flag=False, default="all"),
         option("seeds", None, "First and last seed, as A-B.", flag=False, default=DEFAULT_SEEDS),
         option("defect", None, "A deliberate fault that must be caught.", flag=False),
+        option("jobs", None, "Processes to spread the runs over.", flag=False, default="1"),
     ]
 
     def execute_command(self) -> ExitCode:
         """Run the scenarios."""
         simulation = _load("passlane.simulation.cli")
         seeds = parse_seeds(self.option("seeds"))
-        return _exit_code(simulation.run(self.option("scenario"), seeds, self.option("defect")))
+        jobs = parse_jobs(self.option("jobs"))
+        code = simulation.run(self.option("scenario"), seeds, self.option("defect"), jobs)
+        return _exit_code(code)
 
 
 class SimulationListCommand(OutputCommand):
@@ -47,11 +50,11 @@
 
     def execute_command(self) -> ExitCode:
         """Print the scenarios."""
-        scenarios = _load("passlane.simulation.cli").list_scenarios()
+        listing = _load("passlane.simulation.cli").list_scenarios()
         if self.wants_json:
-            self.show_json(scenarios)
+            self.show_json(listing)
         else:
-            self.show_lines([str(scenario) for scenario in scenarios])
+            self.show_lines(listing.lines())
         return ExitCode.OK
 
 
@@ -110,6 +113,13 @@
     return range(first, last + 1)
 
 
+def parse_jobs(text: str) -> int:
+    """Return a number of processes, at least 1."""
+    if not text.isdecimal() or int(text) < 1:
+        raise PasslaneError(ErrorCode.BAD_REQUEST, "--jobs is a whole number from 1")
+    return int(text)
+
+
 def _load(module: str) -> Any:
     return importlib.import_module(module)
 
--- a/src/passlane/simulation/cli.py
+++ b/src/passlane/simulation/cli.py
@@ -1,12 +1,16 @@
-"""Runs scenarios by name over seeds and prints what broke; used by ``passlane sim``."""
+"""Entry points of ``passlane sim list`` and ``passlane sim run``."""
 
+import itertools
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
-from passlane.simulation.defects import DEFECTS, Defect
-from passlane.simulation.execution import RunResult, run_scenario
-from passlane.simulation.scenarios.base import Scenario
+import msgspec
+
+from passlane.simulation.defects import DEFECTS
+from passlane.simulation.execution import RunResult
 from passlane.simulation.scenarios.catalog import SCENARIOS
+from passlane.simulation.sweep import RunRequest, run_all
 
 ALL = "all"
 EXIT_KEPT = 0
@@ -14,21 +18,78 @@
 EXIT_UNKNOWN = 2
 EVENTS_SHOWN = 40
 LOG_LINES_SHOWN = 15
+LOG_LINE_CHARACTERS = 400
+
+
+class ScenarioSummary(msgspec.Struct, frozen=True):
+    """A scenario as it is listed."""
+
+    name: str
+    promises: tuple[str, ...]
+    failure: str
+
+
+class DefectSummary(msgspec.Struct, frozen=True):
+    """A deliberate fault as it is listed, and the seed that shows it."""
+
+    name: str
+    promise: str
+    scenario: str
+    seed: int
+    description: str
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """All scenarios and defects."""
+
+    scenarios: tuple[ScenarioSummary, ...]
+    defects: tuple[DefectSummary, ...]
 
+    def lines(self) -> list[str]:
+        """Return the listing as text, one line for each entry."""
+        lines = [
+            f"{one.name:<34} {', '.join(one.promises):<44} {one.failure}" for one in self.scenarios
+        ]
+        lines += [
+            f"defect {one.name:<27} {one.promise:<44} {one.description} "
+            f"({one.scenario}, seed {one.seed})"
+            for one in self.defects
+        ]
+        return lines
 
-def list_scenarios() -> None:
-    """Print each scenario with its promises and its failure, and each defect."""
-    for scenario in SCENARIOS.values():
-        print(f"{scenario.name:<34} {', '.join(scenario.promises):<40} {scenario.failure}")
-    for defect in DEFECTS.values():
-        print(
-            f"defect {defect.name:<27} {defect.invariant:<40} "
-            f"{defect.description} (in {defect.scenario})"
-        )
 
+def list_scenarios() -> Listing:
+    """Return each scenario with its promises and its failure, and each defect."""
+    return Listing(
+        scenarios=tuple(
+            ScenarioSummary(one.name, one.promises, one.failure) for one in SCENARIOS.values()
+        ),
+        defects=tuple(
+            DefectSummary(one.name, one.promise, one.scenario, one.seed, one.description)
+            for one in DEFECTS.values()
+        ),
+    )
 
-def run(scenario: str, seeds: Sequence[int], defect: str | None = None) -> int:
-    """Run one scenario, or all, with each seed; return the exit code.
+
+@dataclass
+class _Tally:
+    """What came of the runs of one scenario."""
+
+    runs: int = 0
+    virtual_s: float = 0.0
+    cpu_s: float = 0.0
+    broken_seeds: tuple[int, ...] = ()
+
+    def add(self, result: RunResult) -> None:
+        self.runs += 1
+        self.virtual_s += result.virtual_s
+        self.cpu_s += result.cpu_s
+        if result.violations:
+            self.broken_seeds += (result.seed,)
+
+
+def run(scenario: str, seeds: Sequence[int], defect: str | None = None, jobs: int = 1) -> int:
+    """Run one scenario, or all, with each seed; print what came of it.
 
     Parameters
     ----------
@@ -38,6 +99,8 @@
         Seeds to run.
     defect
         Name of a deliberate fault to run with.
+    jobs
+        Processes to spread the runs over.
 
     Returns
     -------
@@ -50,39 +113,52 @@
     if defect is not None and defect not in DEFECTS:
         print(f"unknown defect {defect!r}; see: passlane sim list")
         return EXIT_UNKNOWN
-    chosen = list(SCENARIOS.values()) if scenario == ALL else [SCENARIOS[scenario]]
-    fault = None if defect is None else DEFECTS[defect]
-    broken = [name.name for name in chosen if not _run_seeds(name, seeds, fault)]
+    names = list(SCENARIOS) if scenario == ALL else [scenario]
+    requests = [RunRequest(name, seed, defect) for name in names for seed in seeds]
+    began = time.monotonic()
+    broken = _report_runs(run_all(requests, jobs))
+    elapsed_s = time.monotonic() - began
+    summary = f"{len(names)} scenarios, {len(seeds)} seeds each, {elapsed_s / 60:.1f} minutes"
     if broken:
-        print(f"broken: {', '.join(broken)}")
+        print(f"broken: {', '.join(broken)} ({summary})")
         return EXIT_BROKEN
-    print(f"every promise held: {len(chosen)} scenarios, {len(seeds)} seeds each")
+    print(f"every promise held: {summary}")
     return EXIT_KEPT
 
 
-def _run_seeds(scenario: Scenario, seeds: Sequence[int], defect: Defect | None) -> bool:
-    """Run a scenario with each seed; stop at the first broken promise."""
-    began = time.process_time()
-    virtual_s = 0.0
-    for seed in seeds:
-        result = run_scenario(scenario, seed, defect)
-        virtual_s += result.virtual_s
-        if result.violations:
-            _print_violations(result)
-            return False
-    cpu_s = time.process_time() - began
-    print(f"{scenario.name}: held, {len(seeds)} seeds, {virtual_s:.0f} s in {cpu_s:.1f} CPU s")
-    return True
+def _report_runs(results: Iterable[RunResult]) -> list[str]:
+    """Print each scenario's outcome as it is known; return the broken scenarios' names."""
+    broken = []
+    for name, group in itertools.groupby(results, key=lambda result: result.scenario):
+        tally = _Tally()
+        for result in group:
+            tally.add(result)
+            if result.violations:
+                _print_violations(result, with_events=len(tally.broken_seeds) == 1)
+        if tally.broken_seeds:
+            broken.append(name)
+        print(f"{name}: {_outcome(tally)}", flush=True)
+    return broken
+
+
+def _outcome(tally: _Tally) -> str:
+    cost = f"{tally.virtual_s:.0f} virtual s in {tally.cpu_s:.0f} CPU s"
+    if not tally.broken_seeds:
+        return f"held, {tally.runs} seeds, {cost}"
+    seeds = ", ".join(map(str, tally.broken_seeds))
+    return f"broken with {len(tally.broken_seeds)} of {tally.runs} seeds ({seeds}), {cost}"
 
 
-def _print_violations(result: RunResult) -> None:
+def _print_violations(result: RunResult, *, with_events: bool) -> None:
     print(f"{result.scenario}: broken with seed {result.seed}")
     for violation in result.violations:
         print(f"  promise {violation.invariant}: {violation.detail}")
     print(f"  calls answered: {result.answered} of {result.calls}; hash {result.digest}")
+    if not with_events:
+        return
     print("  newest events:")
     for event in result.events[-EVENTS_SHOWN:]:
         print(f"    {event}")
     print("  newest log lines:")
     for line in result.log_lines[-LOG_LINES_SHOWN:]:
-        print(f"    {line[:400]}")
+        print(f"    {line[:LOG_LINE_CHARACTERS]}")
--- a/src/passlane/simulation/defects.py
+++ b/src/passlane/simulation/defects.py
@@ -12,20 +12,18 @@
 
     Attributes
     ----------
-    invariant
-        The promise that it breaks.
-    scenario
+    promise
+        Name of the invariant that it breaks.
+    scenario, seed
         Where that shows.
-    within_seeds
-        It is caught within this many seeds, counted from 0.
     apply
         Returns the options of a fleet with the fault in it.
     """
 
     name: str
-    invariant: str
+    promise: str
     scenario: str
-    within_seeds: int
+    seed: int
     description: str
     apply: Callable[[ClusterOptions], ClusterOptions]
 
--- a/src/passlane/simulation/execution.py
+++ b/src/passlane/simulation/execution.py
@@ -1,6 +1,7 @@
 """Runs one scenario with one seed and judges it."""
 
 import itertools
+import time
 from dataclasses import dataclass
 
 import anyio
@@ -18,6 +19,7 @@
 RUN_LIMIT_S = 1_200.0
 """Virtual seconds after which a run is given up as hanging."""
 LOG_LINES = 2_000
+EVENTS_KEPT = 1_000
 LIVENESS = "liveness"
 """Name of the check that the load was answered and the fleet came up."""
 
@@ -39,9 +41,9 @@
     digest
         Hash of the event log; the same for the same scenario, seed and defect.
     events, log_lines
-        The newest events and log lines, for a reader of a failed run.
-    virtual_s
-        Length of the run on the virtual clock.
+        The newest events and log lines of a run that broke a promise; else empty.
+    virtual_s, cpu_s
+        Length of the run on the virtual clock, and the processor time that it took.
     """
 
     scenario: str
@@ -51,12 +53,14 @@
     events: tuple[str, ...]
     log_lines: tuple[str, ...]
     virtual_s: float
+    cpu_s: float
     calls: int
     answered: int
 
 
 def run_scenario(scenario: Scenario, seed: int, defect: Defect | None = None) -> RunResult:
     """Run a scenario on a virtual clock and return what came of it."""
+    began = time.process_time()
     ring = RingLog(LOG_LINES)
     configure_logging(ring)
     holder: list[Cluster] = []
@@ -85,9 +89,10 @@
         seed=seed,
         violations=tuple(problems),
         digest=cluster.event_log.digest(),
-        events=tuple(cluster.event_log.newest(200)),
-        log_lines=tuple(line.decode() for line in ring.lines()),
+        events=tuple(cluster.event_log.newest(EVENTS_KEPT)) if problems else (),
+        log_lines=tuple(line.decode() for line in ring.lines()) if problems else (),
         virtual_s=ended_at,
+        cpu_s=time.process_time() - began,
         calls=calls,
         answered=answered,
     )
--- a/tests/simulation/test_network.py
+++ b/tests/simulation/test_network.py
@@ -4,6 +4,7 @@
 import unittest
 
 import anyio
+import anyio.lowlevel
 
 from passlane.messages.common import Address
 from passlane.simulation.event_log import EventLog
@@ -43,7 +44,6 @@
         echo = Echo(seed)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(echo.serve)
-            await anyio.sleep(0)
             await anyio.lowlevel.checkpoint()
             await scenario(echo)
             tasks.cancel_scope.cancel()
