Call verdicts: a cancelled attempt is never not_run, and a charge given up is answered at once

(1) A model call stopped before its first token was refused as not_run although its request had left. (2) A final rejection of a later attempt was recorded as not_run although an earlier attempt may have run. (4) A repeat whose time was up before the record was read marked the open charge as proved not run, after which the next repeat would have sent it a second time. (5) A repeat that joined a call whose answer had been given already waited for ever.

--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -97,6 +97,11 @@
     offer: ToolOffer | None = None
     reopened: OpenCall | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an earlier request for the same call may have run it."""
+        return self.reopened is not None and not self.reopened.proved_not_run
+
 
 class CallRunner:
     """Runs one call of a program to its answer.
@@ -129,11 +134,14 @@
         self.program = program
         self.store_failed = False
         self.left_open: SendAnswer | None = None
-        self.machine = CallMachine(set_up.plan, set_up.attempt_prefix)
+        self.machine = CallMachine(
+            set_up.plan, set_up.attempt_prefix, may_have_run=set_up.may_have_run
+        )
         self._services = services
         self._settle = settle
         self._on_over = on_over
         self._subscriptions: list[Subscription] = []
+        self._answer: CallAnswered | CallRefused | None = None
         self._inbox: deque[CallEventIn] = deque()
         self._is_handling = False
         self._scopes: set[anyio.CancelScope] = set()
@@ -148,9 +156,13 @@
 
     def subscribe(self, subscription: Subscription) -> None:
         """Give the answer to one more caller, with the tokens that are there already."""
-        self._subscriptions.append(subscription)
         for position, text in enumerate(self.machine.texts):
             subscription.push(TextChunk(position, text))
+        if self._answer is None:
+            self._subscriptions.append(subscription)
+        else:
+            # The store is still at work on the call, but its answer was given.
+            self._give_answer(subscription, self._answer)
 
     def unsubscribe(self, subscription: Subscription) -> None:
         """Take in that a caller has gone."""
@@ -211,7 +223,8 @@
     async def _run_in_scope(self, work: Work, scope: anyio.CancelScope) -> None:
         """Run a part of the call; a fault in it ends this call and no other."""
         if self._is_over:
-            return
+            # The work still begins, so that it gives back what was taken for it.
+            scope.cancel()
         self._scopes.add(scope)
         try:
             with scope:
@@ -271,16 +284,19 @@
         answer = instruction.answer
         if instruction.left_open:
             self.left_open = instruction
-        is_moved = isinstance(answer, CallRefused) and answer.code in LEADERSHIP_CODES
+        self._answer = answer
         for subscription in self._subscriptions:
-            if is_moved:
-                subscription.fail(self._services.not_leader_error(self.program))
-            else:
-                subscription.push(answer)
+            self._give_answer(subscription, answer)
         self._subscriptions.clear()
-        if not is_moved:
+        if not _is_moved(answer):
             self._publish_report(answer)
 
+    def _give_answer(self, subscription: Subscription, answer: CallAnswered | CallRefused) -> None:
+        if _is_moved(answer):
+            subscription.fail(self._services.not_leader_error(self.program))
+        else:
+            subscription.push(answer)
+
     def _publish_report(self, answer: CallAnswered | CallRefused) -> None:
         report = CallReport(
             request=self.set_up.request,
@@ -447,3 +463,8 @@
     async def _wait_before_retry(self, delay_s: float) -> None:
         await anyio.sleep(delay_s)
         self.post(RetryDue())
+
+
+def _is_moved(answer: CallAnswered | CallRefused) -> bool:
+    """Return whether the answer means that another node leads the program."""
+    return isinstance(answer, CallRefused) and answer.code in LEADERSHIP_CODES
--- a/src/passlane/node/program_host.py
+++ b/src/passlane/node/program_host.py
@@ -26,8 +26,8 @@
 )
 from passlane.programs.recorded_answer import recorded_answer
 
-RECOVERY_TIMEOUT_S = 10.0
-"""How long a doubtful operation of an earlier leader is looked into."""
+RECOVERY_TIMEOUT_S = 30.0
+"""How long a doubtful operation is looked into; all status queries of a call take less."""
 
 BUSY_RETRY_AFTER_S = 0.2
 
@@ -307,7 +307,7 @@
         )
         runner.start()
         await over.wait()
-        if runner.store_failed:
+        if runner.store_failed or runner.left_open is not None:
             raise PasslaneError(
                 ErrorCode.UNAVAILABLE,
                 "what became of the program's last operation could not be recorded",
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -108,9 +108,17 @@
 
 
 class CallMachine:
-    """Decides what happens next to one call; see the module's text."""
+    """Decides what happens next to one call; see the module's text.
 
-    def __init__(self, plan: CallPlan, attempt_prefix: str) -> None:
+    Parameters
+    ----------
+    attempt_prefix
+        Begins the ids of its attempts; never used before.
+    may_have_run
+        Whether an earlier request for the same call may have run it.
+    """
+
+    def __init__(self, plan: CallPlan, attempt_prefix: str, *, may_have_run: bool = False) -> None:
         self.plan = plan
         self.phase = CallPhase.CREATED
         self.attempts = 0
@@ -121,7 +129,7 @@
         self._backend = ""
         self._failed_backends: set[str] = set()
         self._status_queries = 0
-        self._may_have_run = False
+        self._may_have_run = may_have_run
         self._caller_gone = False
         self._outcome: CallOutcome | None = None
         self._usage = AttemptFinished(attempt_id="")
@@ -280,7 +288,9 @@
             if not self._may_repeat_after_doubt:
                 return self._resolve_doubt()
         if event.is_final:
-            return self._record(self._failed(event.verdict, event.code, event.message))
+            # The rejection speaks for its own attempt only.
+            verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else event.verdict
+            return self._record(self._failed(verdict, event.code, event.message))
         if self.attempts >= MAX_ATTEMPTS or not event.retry_allowed:
             retry_after_s = event.retry_after_s or COME_BACK_AFTER_S
             return self._refuse(event.code, event.message, retry_after_s)
@@ -418,6 +428,7 @@
             return [WithdrawPlacement()]
         if self.phase is CallPhase.RUNNING and self._attempt_id is not None:
             attempt_id, self._attempt_id = self._attempt_id, None
+            self._may_have_run = True
             return [CancelAttempt(attempt_id)]
         return []
 
@@ -426,17 +437,10 @@
             return self._on_outcome_refused(
                 OutcomeRefused(ErrorCode.DEADLINE_EXCEEDED, "the outcome was not recorded in time")
             )
-        was_running = self.phase is CallPhase.RUNNING
+        # A doubtful operation stays open: a repeat of the request, the program's next call
+        # or the sweep finds out what became of it, while this caller is answered now.
         instructions = self._stop_work()
-        self._may_have_run = self._may_have_run or was_running
         message = "the call did not end within its time"
-        if self.phase is CallPhase.RECORDING_INTENT:
-            # The intent may still become durable, but nothing is sent from here.
-            return self._refuse(ErrorCode.DEADLINE_EXCEEDED, message, COME_BACK_AFTER_S)
-        if self._may_have_run and not self._may_repeat_after_doubt:
-            code = ErrorCode.DEADLINE_EXCEEDED
-            outcome = self._failed(Verdict.MAY_HAVE_RUN, code, message)
-            return instructions + self._record(outcome)
         refused = self._refuse(ErrorCode.DEADLINE_EXCEEDED, message, COME_BACK_AFTER_S)
         return instructions + refused
 
--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -9,6 +9,7 @@
 from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.common import Amounts
+from passlane.messages.node import CallRefused
 from passlane.messages.store import BeginCall, CallState, FinishCall, ProgramState
 
 
@@ -153,6 +154,42 @@
 
         in_fleet(scenario)
 
+    def test_charge_given_up_at_its_deadline_is_answered_at_once_and_found_later(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.application.behaviours = ["hang"]
+            began_at = anyio.current_time()
+            given_up = await fleet.call(charge(timeout_s=0.5))
+            self.assertEqual(given_up.refused.code, ErrorCode.DEADLINE_EXCEEDED)
+            self.assertEqual(given_up.refused.verdict, Verdict.MAY_HAVE_RUN)
+            self.assertIsNotNone(given_up.refused.retry_after_s)
+            self.assertAlmostEqual(anyio.current_time() - began_at, 0.5, places=3)
+            # A repeat whose time is up before the record is looked at proves nothing.
+            hasty = await fleet.call(charge(timeout_s=0.0))
+            self.assertEqual(hasty.refused.verdict, Verdict.MAY_HAVE_RUN)
+            again = await fleet.call(charge())
+            while isinstance(again.last, CallRefused):
+                self.assertNotEqual(again.refused.verdict, Verdict.NOT_RUN)
+                await anyio.sleep(again.refused.retry_after_s or 0)
+                again = await fleet.call(charge())
+            self.assertEqual(again.answered.verdict, Verdict.RAN)
+            self.assertEqual(fleet.application.requests, 1)
+            self.assertEqual(fleet.record().spent.money_micros, 5)
+
+        in_fleet(scenario)
+
+    def test_doubtful_charge_is_settled_before_the_programs_next_call(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.application.behaviours = ["hang"]
+            await fleet.call(charge(timeout_s=0.5))
+            self.assertEqual(fleet.record().calls[0].state, CallState.BEGUN)
+            await fleet.call(chat())
+            outcome = fleet.record().calls[0].outcome
+            assert outcome is not None
+            self.assertEqual(outcome.verdict, Verdict.RAN)
+            self.assertEqual(fleet.application.requests, 1)
+
+        in_fleet(scenario)
+
     def test_charge_that_never_arrived_is_refused_for_good(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             fleet.application.behaviours = ["unsent"]
--- /dev/null
+++ b/tests/programs/call_driver.py
@@ -0,0 +1,181 @@
+"""Drives the state machine of one call and keeps what a back end and a caller would see."""
+
+from dataclasses import dataclass, field
+
+from passlane.errors import ErrorCode, Verdict
+from passlane.identifiers import CallId, Epoch
+from passlane.messages.common import Amounts
+from passlane.messages.node import CallAnswered, CallRefused
+from passlane.messages.store import CallKind, CallOutcome, CallRecord, CallState
+from passlane.programs.call_events import (
+    AttemptFailed,
+    AttemptFinished,
+    CallEventIn,
+    IntentRecorded,
+    OutcomeRecorded,
+    StartOrdered,
+    TokenReceived,
+)
+from passlane.programs.call_instructions import (
+    CallInstruction,
+    CancelAttempt,
+    RecordOutcome,
+    SendAnswer,
+    SendToken,
+    StartAttempt,
+)
+from passlane.programs.call_machine import CallMachine, CallPlan
+
+CALL_ID = CallId("p/k1")
+PRICE_MICROS = 5
+
+
+def call_plan(
+    kind: CallKind = CallKind.MODEL,
+    *,
+    repeatable: bool | None = None,
+    max_tokens: int = 4,
+    offers_status: bool = True,
+    is_named: bool = True,
+    resume_texts: tuple[str, ...] = (),
+) -> CallPlan:
+    """A plan of a model call, or of a charge that must not be repeated."""
+    is_model = kind is CallKind.MODEL
+    return CallPlan(
+        call_id=CALL_ID,
+        kind=kind,
+        target="m" if is_model else "charge",
+        repeatable=is_model if repeatable is None else repeatable,
+        max_tokens=max_tokens if is_model else 0,
+        reserve=Amounts(tokens=20, calls=1) if is_model else Amounts(0, 1, PRICE_MICROS),
+        new_prompt_tokens=3 if is_model else 0,
+        price_micros=0 if is_model else PRICE_MICROS,
+        offers_status=offers_status and not is_model,
+        is_named=is_named,
+        resume_texts=resume_texts,
+    )
+
+
+def call_record(plan: CallPlan, outcome: CallOutcome | None = None) -> CallRecord:
+    """The call as the store holds it."""
+    return CallRecord(
+        call_id=plan.call_id,
+        sequence=0,
+        kind=plan.kind,
+        target=plan.target,
+        repeatable=plan.repeatable,
+        request_digest="d",
+        reserved=plan.reserve,
+        epoch=Epoch(1),
+        state=CallState.BEGUN if outcome is None else CallState.FINISHED,
+        outcome=outcome,
+    )
+
+
+@dataclass
+class CallDriver:
+    """One request for a call, from its start to its answer.
+
+    Attributes
+    ----------
+    started, cancelled, tokens, outcomes, answers
+        What the machine has ordered so far.
+    """
+
+    plan: CallPlan
+    prefix: str = "a"
+    may_have_run: bool = False
+    started: list[StartAttempt] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    tokens: list[SendToken] = field(default_factory=list)
+    outcomes: list[RecordOutcome] = field(default_factory=list)
+    answers: list[SendAnswer] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.machine = CallMachine(self.plan, self.prefix, may_have_run=self.may_have_run)
+        self.machine.start()
+
+    def post(self, event: CallEventIn) -> list[CallInstruction]:
+        """Give the machine an event and keep its instructions."""
+        instructions = self.machine.handle(event, 0.0)
+        for instruction in instructions:
+            match instruction:
+                case StartAttempt():
+                    self.started.append(instruction)
+                case CancelAttempt(attempt_id):
+                    self.cancelled.append(attempt_id)
+                case SendToken():
+                    self.tokens.append(instruction)
+                case RecordOutcome():
+                    self.outcomes.append(instruction)
+                case SendAnswer():
+                    self.answers.append(instruction)
+        return instructions
+
+    # Usual steps.
+
+    def begin(self, *, already_recorded: bool = False, proved_not_run: bool = False) -> None:
+        """The intent is recorded."""
+        self.post(IntentRecorded(call_record(self.plan), already_recorded, proved_not_run))
+
+    def dispatch(self, backend: str = "engine-1") -> str:
+        """A place is found; return the attempt's id."""
+        self.post(StartOrdered(backend))
+        return self.started[-1].attempt_id
+
+    def token(self, position: int, attempt_id: str | None = None) -> list[CallInstruction]:
+        """An attempt, by default the last one, brings a token."""
+        return self.post(TokenReceived(attempt_id or self._last(), position, f"t{position}"))
+
+    def finish(self, answer_tokens: int | None = None, body: str = "") -> list[CallInstruction]:
+        """The last attempt brings its answer."""
+        return self.post(AttemptFinished(self._last(), body=body, answer_tokens=answer_tokens))
+
+    def fail(
+        self,
+        verdict: Verdict,
+        *,
+        is_final: bool = False,
+        retry_allowed: bool = True,
+        retry_after_s: float | None = None,
+    ) -> list[CallInstruction]:
+        """The last attempt fails."""
+        return self.post(
+            AttemptFailed(
+                self._last(),
+                verdict,
+                ErrorCode.BACKEND_FAILED,
+                "failed",
+                is_final=is_final,
+                retry_allowed=retry_allowed,
+                retry_after_s=retry_after_s,
+            )
+        )
+
+    def record_outcome(self) -> None:
+        """The store takes the outcome."""
+        self.post(OutcomeRecorded())
+
+    def _last(self) -> str:
+        return self.started[-1].attempt_id
+
+    # What the caller got.
+
+    @property
+    def texts(self) -> list[str]:
+        """Tokens that the caller got."""
+        return [token.text for token in self.tokens]
+
+    @property
+    def answered(self) -> CallAnswered:
+        """The answer."""
+        answer = self.answers[0].answer
+        assert isinstance(answer, CallAnswered), answer
+        return answer
+
+    @property
+    def refused(self) -> CallRefused:
+        """The refusal."""
+        answer = self.answers[0].answer
+        assert isinstance(answer, CallRefused), answer
+        return answer
--- /dev/null
+++ b/tests/programs/test_program_queue.py
@@ -0,0 +1,131 @@
+"""The order of a program's calls."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passlane.errors import ErrorCode
+from passlane.identifiers import CallId
+from passlane.programs.program_queue import (
+    MAX_QUEUED_CALLS,
+    PREDECESSOR_WAIT_S,
+    BeginQueuedCall,
+    ProgramQueue,
+    QueuedCall,
+    QueueInstruction,
+    RefuseQueuedCall,
+)
+
+
+def add(
+    queue: ProgramQueue, name: str, sequence: int | None = None, now: float = 0.0
+) -> list[QueueInstruction]:
+    return queue.add(QueuedCall(CallId(name), sequence, now), now)
+
+
+def begun(instructions: list[QueueInstruction]) -> list[str]:
+    return [one.call_id for one in instructions if isinstance(one, BeginQueuedCall)]
+
+
+def refused(instructions: list[QueueInstruction]) -> list[RefuseQueuedCall]:
+    return [one for one in instructions if isinstance(one, RefuseQueuedCall)]
+
+
+class ProgramQueueTest(unittest.TestCase):
+    def test_calls_without_numbers_run_as_they_arrive(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        self.assertEqual(begun(add(queue, "a")), ["a"])
+        self.assertEqual(add(queue, "b") + add(queue, "c"), [])
+        self.assertEqual(begun(queue.finish(CallId("a"), 1, 0.0)), ["b"])
+        self.assertEqual(begun(queue.finish(CallId("b"), 2, 0.0)), ["c"])
+
+    def test_early_call_waits_for_its_predecessor(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        self.assertEqual(add(queue, "b", 1), [])
+        self.assertEqual(begun(add(queue, "a", 0)), ["a"])
+        self.assertEqual(begun(queue.finish(CallId("a"), 1, 0.0)), ["b"])
+
+    def test_early_call_is_refused_when_its_predecessor_does_not_come(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        add(queue, "c", 2)
+        self.assertEqual(queue.next_expiry(), PREDECESSOR_WAIT_S)
+        self.assertEqual(queue.advance(PREDECESSOR_WAIT_S - 0.01), [])
+        (refusal,) = refused(queue.advance(PREDECESSOR_WAIT_S))
+        self.assertEqual(refusal.code, ErrorCode.WRONG_SEQUENCE)
+        self.assertIsNotNone(refusal.retry_after_s)
+        self.assertTrue(queue.is_empty)
+
+    def test_wait_for_a_predecessor_does_not_run_while_another_call_does(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        add(queue, "a", 0)
+        add(queue, "c", 2)
+        self.assertIsNone(queue.next_expiry())
+        self.assertEqual(queue.finish(CallId("a"), 1, 50.0), [])
+        self.assertEqual(queue.next_expiry(), 50.0 + PREDECESSOR_WAIT_S)
+
+    def test_number_that_is_taken_is_refused_without_advice_to_come_back(self) -> None:
+        queue = ProgramQueue(5, 0.0)
+        (refusal,) = refused(add(queue, "old", 4))
+        self.assertEqual(refusal.code, ErrorCode.WRONG_SEQUENCE)
+        self.assertIsNone(refusal.retry_after_s)
+
+    def test_waiting_call_whose_number_is_taken_meanwhile_is_refused(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        add(queue, "a")
+        add(queue, "b")
+        add(queue, "c", 1)
+        instructions = queue.finish(CallId("a"), 1, 0.0)
+        self.assertEqual(begun(instructions), ["b"])
+        (refusal,) = refused(queue.finish(CallId("b"), 2, 0.0))
+        self.assertEqual(refusal.call_id, "c")
+
+    def test_full_queue_refuses_at_once_with_a_time_to_come_back(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        for number in range(MAX_QUEUED_CALLS + 1):
+            self.assertEqual(refused(add(queue, f"c{number}")), [])
+        (refusal,) = refused(add(queue, "late"))
+        self.assertEqual(refusal.code, ErrorCode.QUEUE_FULL)
+        self.assertIsNotNone(refusal.retry_after_s)
+
+    def test_recorded_call_runs_again_only_when_nothing_else_does(self) -> None:
+        queue = ProgramQueue(3, 0.0)
+        self.assertTrue(queue.resume(CallId("open")))
+        self.assertFalse(queue.resume(CallId("open")))
+        self.assertEqual(add(queue, "next", 3), [])
+        self.assertEqual(begun(queue.finish(CallId("open"), 3, 0.0)), ["next"])
+
+    def test_withdrawn_call_is_passed_over(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        add(queue, "a")
+        add(queue, "b")
+        add(queue, "c")
+        queue.withdraw(CallId("b"))
+        self.assertEqual(begun(queue.finish(CallId("a"), 1, 0.0)), ["c"])
+
+    def test_end_of_a_call_that_does_not_run_changes_nothing(self) -> None:
+        queue = ProgramQueue(0, 0.0)
+        add(queue, "a")
+        add(queue, "b")
+        self.assertEqual(queue.finish(CallId("b"), 1, 0.0), [])
+        self.assertEqual(queue.running, "a")
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=200)
+    @given(st.permutations(range(8)), st.data())
+    def test_numbered_calls_run_in_their_order_whatever_the_arrival(
+        self, arrivals: list[int], data: st.DataObject
+    ) -> None:
+        queue = ProgramQueue(0, 0.0)
+        ran: list[str] = []
+        for number in arrivals:
+            ran += begun(add(queue, str(number), number))
+            if queue.running is not None and data.draw(st.booleans()):
+                ran += begun(queue.finish(queue.running, len(ran), 0.0))
+        while queue.running is not None:
+            ran += begun(queue.finish(queue.running, len(ran), 0.0))
+        self.assertEqual(ran, [str(number) for number in range(8)])
+        self.assertTrue(queue.is_empty)
+
+
+if __name__ == "__main__":
+    unittest.main()
