A program whose end could not be settled takes calls again

Ending a program first settles its last operation. When that failed (the store was away), the error left the program closed in memory although its record said it was running, so each later call was refused as program_ended until the program was loaded anew. The stop now lies inside the part that opens the program again when the end cannot be recorded.

--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -204,11 +204,11 @@
         program = host.program
         if program.is_ended:
             return
-        await host.stop(code, message)
         command = EndProgram(
             program_id=program.program_id, partition=program.partition, epoch=program.epoch
         )
         try:
+            await host.stop(code, message)
             result = await self._services.store.end(command, STORE_TIMEOUT_S)
         except PasslaneError:
             host.resume()
