--- a/src/passlane/node/model_dispatcher.py
+++ b/src/passlane/node/model_dispatcher.py
@@ -47,6 +47,10 @@
         """Take one event and return instructions."""
         ...
 
+    def in_flight_at(self, engine_id: EngineId) -> int:
+        """Return how many calls of this node are at an engine."""
+        ...
+
 
 class CacheOrders(Protocol):
     """Carries out the scheduler's orders about cached memory and its wishes to watch."""
@@ -59,6 +63,10 @@
         """Order an engine to import a program's cache from another."""
         ...
 
+    def note_use(self, engine_id: EngineId) -> None:
+        """Take note of a call that starts on an engine."""
+        ...
+
     def watch(self, engine_ids: frozenset[EngineId]) -> None:
         """Poll these engines from now on."""
         ...
@@ -131,6 +139,10 @@
         """Take one retry from the budget of the engine that failed."""
         return self._budget_of(engine_id).try_spend()
 
+    def in_flight_at(self, engine_id: EngineId) -> int:
+        """Return how many calls of this node are at an engine."""
+        return self._scheduler.in_flight_at(engine_id)
+
     def _budget_of(self, engine_id: str) -> RetryBudget:
         return self._budgets.setdefault(engine_id, RetryBudget())
 
@@ -152,6 +164,7 @@
         match instruction:
             case StartCall(call_id, engine_id, priority, reason):
                 self._keep_reason(call_id, reason)
+                self._note_use(engine_id)
                 self._notify(call_id, StartOrdered(engine_id, priority))
             case RefuseCall(call_id, code, message, retry_after_s):
                 self._notify(call_id, StartRefused(code, message, retry_after_s))
@@ -160,6 +173,10 @@
             case _:
                 self._carry_out_order(instruction)
 
+    def _note_use(self, engine_id: EngineId) -> None:
+        if self.orders is not None:
+            self.orders.note_use(engine_id)
+
     def _carry_out_order(self, instruction: Instruction) -> None:
         if self.orders is None:
             return
--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -15,7 +15,8 @@
 from passlane.storage.formats import START_OF_LOG, HardState, LogPosition
 from passlane.storage.identity import IdentityFile
 from passlane.storage.log import SegmentedLog
-from passlane.storage.snapshots import Snapshot, SnapshotStore
+from passlane.storage.reserve import RESERVE_BYTES
+from passlane.storage.snapshots import SnapshotStore
 
 SEGMENT_BYTES = 400
 
@@ -184,17 +185,41 @@
 
         self.simulate(scenario, [0])
 
+    def test_space_lost_again_while_it_is_recovered_is_noticed(self):
+        async def scenario(source, disk):
+            log, _ = await open_log(disk)
+            disk.capacity_bytes = disk.used_bytes()
+            log.append((entry(1, 1),))
+            disk.capacity_bytes = None
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(log.recover_space)
+                for _ in range(1_000):
+                    await anyio.sleep(0.00001)
+                    if not log.has_backlog and disk.used_bytes() >= RESERVE_BYTES:
+                        break
+                disk.capacity_bytes = disk.used_bytes()
+                log.append((entry(2, 1),))
+            self.assertTrue(log.has_backlog)
+            self.assertTrue(log.is_full)
+
+        self.simulate(scenario, range(10))
+
     def test_flipped_bit_in_snapshot_or_identity_is_refused(self):
         async def scenario(source, disk):
             store = SnapshotStore(disk, "g/0001", "g")
             identities = IdentityFile(disk, "g", "g", "a")
             identity = await identities.create(source, may_found=True)
-            await store.save(Snapshot(LogPosition(7, 2), GroupMembership(()), b"state" * 50))
-            self.assertEqual(store.load().last, LogPosition(7, 2))
-            for name, load in (("g/0001/snapshot", store.load), ("g/identity", identities.load)):
+            parts = [b"state" * 50, b"", b"more"]
+            await store.save(LogPosition(7, 2), GroupMembership(()), parts)
+            loaded = await store.load()
+            self.assertEqual(loaded.last, LogPosition(7, 2))
+            self.assertEqual(list(loaded.parts()), parts)
+            for name in ("g/0001/snapshot", "g/identity"):
                 disk.flip_bit(name, source.randrange(len(disk.read(name))))
-                with self.assertRaises(PasslaneError):
-                    load()
+            with self.assertRaises(PasslaneError):
+                list((await store.load()).parts())
+            with self.assertRaises(PasslaneError):
+                identities.load()
             renewed = await identities.create(source, may_found=False)
             self.assertNotEqual(renewed.replica_id, identity.replica_id)
             self.assertGreater(renewed.generation, identity.generation)
