Split opening the files and gathering proposals out of the replica host

Moving the answers to other replicas out as well was weighed and left, since they need the host's identity, driver and pending callers all at once.

--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -5,14 +5,12 @@
 machine that was replaced. The damaged files stay until that has succeeded.
 """
 
-from dataclasses import dataclass
-
 import anyio
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address, NotLeaderError
-from passlane.messages.raft import GroupMember, RaftMessage
+from passlane.messages.raft import RaftMessage
 from passlane.messages.replication import (
     GroupStatus,
     GroupStatusRequest,
@@ -22,29 +20,26 @@
 from passlane.observability.logging import get_logger
 from passlane.raft.config import ReplicaConfig
 from passlane.raft.events import (
-    CommandsProposed,
     MemberAdded,
     MemberRemoved,
     MessageReceived,
     ReadRequested,
     TransferRequested,
 )
-from passlane.raft.replica import Replica
 from passlane.replication.driver import ReplicaDriver
 from passlane.replication.interfaces import StateMachine
 from passlane.replication.joining import GroupEntry, take_in
 from passlane.replication.message_dispatch import GroupHandlers, dispatch_for
 from passlane.replication.peer_sender import PeerSender
 from passlane.replication.pending import PendingRequests
+from passlane.replication.proposal_batch import ProposalBatch
+from passlane.replication.replica_files import ReplicaFiles, build_replica, open_files
 from passlane.replication.snapshot_keeper import SnapshotKeeper, restore_state
 from passlane.replication.snapshot_rule import SnapshotRule
 from passlane.runtime.interfaces import Environment
 from passlane.settings.model import GroupSettings
-from passlane.storage.formats import START_OF_LOG, Identity, storage_corrupt
+from passlane.storage.formats import Identity
 from passlane.storage.identity import IdentityFile
-from passlane.storage.log import SegmentedLog
-from passlane.storage.recovery import RecoveredLog
-from passlane.storage.snapshots import Snapshot, SnapshotStore
 from passlane.transport.interfaces import Caller, Router
 
 DISK_FULL_RETRY_AFTER_S = 2.0
@@ -55,16 +50,6 @@
 logger = get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class _Files:
-    """What was found in a replica's folder."""
-
-    log: SegmentedLog
-    recovered: RecoveredLog
-    store: SnapshotStore
-    snapshot: Snapshot | None
-
-
 class ReplicaHost:
     """One replica of ``group``; implements ``ReplicatedGroup``.
 
@@ -111,9 +96,8 @@
         self._driver: ReplicaDriver | None = None
         self._proposals = self._new_pending(ErrorCode.TIMEOUT, Verdict.MAY_HAVE_RUN)
         self._reads = self._new_pending(ErrorCode.UNAVAILABLE, Verdict.NOT_RUN)
-        self._batch: list[tuple[int, bytes]] = []
-        self._batch_arrived = anyio.Event()
         self._timeout_s = TIMEOUT_IN_ELECTION_TIMEOUTS * settings.election_timeout_s
+        self._batch = ProposalBatch(self._proposals, self._timeout_s)
         handlers = GroupHandlers(
             on_raft_message=self._take_raft_message,
             on_status_request=self._answer_status,
@@ -181,10 +165,7 @@
                 f"the disk of group {self._group} is full",
                 retry_after_s=DISK_FULL_RETRY_AFTER_S,
             )
-        token = self._proposals.add()
-        self._batch.append((token, command))
-        self._batch_arrived.set()
-        return await self._proposals.wait(token, self._timeout_s)
+        return await self._batch.propose(command)
 
     async def read_barrier(self) -> None:
         """Return once local state holds all that was committed before the call."""
@@ -239,10 +220,8 @@
     def _stop_serving(self) -> None:
         """Answer those who wait: this replica no longer runs."""
         self._driver = None
-        self._batch = []
-        message = "the replica stopped"
-        self._proposals.fail_all(ErrorCode.LEASE_LOST, message, Verdict.MAY_HAVE_RUN)
-        self._reads.fail_all(ErrorCode.UNAVAILABLE, message, Verdict.NOT_RUN)
+        self._batch.fail_all()
+        self._reads.fail_all(ErrorCode.UNAVAILABLE, "the replica stopped", Verdict.NOT_RUN)
 
     async def _load_identity(self) -> Identity:
         """Return the identity on disk, or a new one for an empty folder."""
@@ -259,44 +238,38 @@
         identity = await self._identity_file.create(self._environment.random, may_found=False)
         logger.warning("repair under new identity", group=self._group, replica=identity.replica_id)
 
-    async def _open_files(self, identity: Identity) -> _Files:
+    async def _open_files(self, identity: Identity) -> ReplicaFiles:
         """Read snapshot and log."""
-        disk = self._environment.disk
-        folder = self._identity_file.generation_folder(identity.generation)
-        store = SnapshotStore(disk, folder, self._group)
-        snapshot = await store.load()
-        log, recovered = await SegmentedLog.open(
-            disk,
-            folder,
+        return await open_files(
+            self._environment.disk,
+            self._identity_file.generation_folder(identity.generation),
             self._group,
+            identity,
             self._settings.segment_bytes,
-            snapshot.last if snapshot is not None else START_OF_LOG,
         )
-        if identity.is_member and recovered.is_new:
-            log.close()
-            raise storage_corrupt(f"group {self._group}: the log is gone")
-        return _Files(log, recovered, store, snapshot)
 
-    async def _run_replica(self, identity: Identity, files: _Files) -> None:
+    async def _run_replica(self, identity: Identity, files: ReplicaFiles) -> None:
         """Run the replica and what belongs to it."""
         async with anyio.create_task_group() as tasks:
             driver = await self._build_driver(identity, files, PeerSender(self._caller, tasks))
             self._driver = driver
             tasks.start_soon(driver.run)
-            tasks.start_soon(self._propose_batches, driver)
+            tasks.start_soon(self._batch.run, driver.step)
             tasks.start_soon(self._finish_joining, identity)
 
     async def _build_driver(
-        self, identity: Identity, files: _Files, sender: PeerSender
+        self, identity: Identity, files: ReplicaFiles, sender: PeerSender
     ) -> ReplicaDriver:
         """Return the driver of a replica that stands where its files end."""
         snapshot = files.snapshot
         parts = snapshot.parts() if snapshot is not None else self._empty_state
         await restore_state(self._state_machine, parts)
         rule = SnapshotRule(self._settings.snapshot_every_entries)
-        rule.note_size(len(snapshot.data) if snapshot is not None else 0)
+        rule.note_size(files.snapshot_bytes)
         return ReplicaDriver(
-            replica=self._build_replica(identity, files),
+            replica=build_replica(
+                self._replica_config(identity), self._environment.random, identity, files
+            ),
             log=files.log,
             snapshots=SnapshotKeeper(files.store, self._state_machine, rule),
             state_machine=self._state_machine,
@@ -304,12 +277,12 @@
             proposals=self._proposals,
             reads=self._reads,
             snapshot_rule=rule,
-            applied=snapshot.last if snapshot is not None else START_OF_LOG,
+            applied=files.snapshot_last,
         )
 
-    def _build_replica(self, identity: Identity, files: _Files) -> Replica:
-        """Return the Raft state machine as of the files."""
-        config = ReplicaConfig(
+    def _replica_config(self, identity: Identity) -> ReplicaConfig:
+        """Return the Raft replica's configuration."""
+        return ReplicaConfig(
             group=self._group,
             replica_id=identity.replica_id,
             address=self._entry.own_address,
@@ -317,32 +290,6 @@
             election_timeout_s=self._settings.election_timeout_s,
             max_batch_bytes=self._settings.max_batch_bytes,
         )
-        snapshot = files.snapshot
-        last = snapshot.last if snapshot is not None else START_OF_LOG
-        members: tuple[GroupMember, ...] = identity.founders
-        if snapshot is not None:
-            members = snapshot.membership.members
-        return Replica(
-            config,
-            self._environment.random,
-            hard_term=files.recovered.hard_state.term,
-            voted_for=files.recovered.hard_state.voted_for,
-            snapshot_last_index=last.index,
-            snapshot_last_term=last.term,
-            snapshot_data=snapshot.data if snapshot is not None else b"",
-            entries=files.recovered.entries,
-            members=members,
-        )
-
-    async def _propose_batches(self, driver: ReplicaDriver) -> None:
-        """Hand on all proposals that came in during one turn of the loop together."""
-        while True:
-            await self._batch_arrived.wait()
-            self._batch_arrived = anyio.Event()
-            batch, self._batch = self._batch, []
-            if batch:
-                tokens, commands = zip(*batch, strict=True)
-                driver.step(CommandsProposed(tokens=tokens, commands=commands))
 
     async def _finish_joining(self, identity: Identity) -> None:
         """Be taken into the group, and only then forget damaged files."""
