The command line: delete works, drains show progress, apply stops with a report

The tests called the command without the application. Ruled out: reading partitions from the assignment table, which leaves out nodes that lead nothing.

--- a/src/passlane/api/document_routes.py
+++ b/src/passlane/api/document_routes.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from passlane.api.asgi import PathRouter, Request, Response, json_response
+from passlane.api.groups import GroupExecutor
 from passlane.api.operator_problems import conflict_response
 from passlane.api.operator_views import DocumentList, change_view, document_view
 from passlane.configuration.parsing import check_name, encode_body, parse_fields, parse_kind
@@ -19,7 +20,6 @@
 from passlane.identifiers import Revision
 from passlane.messages.base import Message
 from passlane.messages.control import (
-    NO_REVISION,
     ControlRefusal,
     Documents,
     Progress,
@@ -38,14 +38,6 @@
 MAX_KEY_LENGTH = 200
 
 
-class GroupExecutor(Protocol):
-    """Sends a request to the leader of a group; see ``replication.client.GroupClient``."""
-
-    async def execute(self, request: Message, reply: type[Any], *, timeout_s: float) -> Any:
-        """Return the leader's reply."""
-        ...
-
-
 class Handler(Protocol):
     """Answers requests of one route."""
 
@@ -168,7 +160,7 @@
         document = reply.document
         return json_response(status, change_view(document), {"etag": _etag(document.version)})
     if isinstance(reply, VersionConflict):
-        return conflict_response(reply, NO_REVISION)
+        return conflict_response(reply)
     if isinstance(reply, ControlRefusal):
         raise PasslaneError(ErrorCode(reply.code), reply.message)
     raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "unexpected reply of the control group")
--- a/src/passlane/api/operator_problems.py
+++ b/src/passlane/api/operator_problems.py
@@ -8,7 +8,6 @@
 from passlane.api.operator_views import DocumentView, document_view
 from passlane.api.problems import Problem, problem_headers, problem_of
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.identifiers import Revision
 from passlane.messages.control import VersionConflict
 
 # Where operators' HTTP differs: a version that was named in If-Match and is not the
@@ -36,15 +35,14 @@
     return _respond(_with_retry(error), None, None)
 
 
-def conflict_response(conflict: VersionConflict, accepted_revision: Revision) -> Response:
+def conflict_response(conflict: VersionConflict) -> Response:
     """Return the answer to a change that was based on another version."""
     error = PasslaneError(
         ErrorCode.VERSION_CONFLICT,
-        f"{conflict.kind} {conflict.name!r} is at version {conflict.current_version}; "
-        "nothing was changed",
+        f"{conflict.kind} {conflict.name!r} is at version {conflict.current_version}",
     )
     current = conflict.current
-    view = None if current is None else document_view(current, accepted_revision)
+    view = None if current is None else document_view(current, conflict.accepted_revision)
     return _respond(error, conflict.current_version, view)
 
 
--- a/src/passlane/api/operator_views.py
+++ b/src/passlane/api/operator_views.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
-from passlane.identifiers import NodeId, Revision
+from passlane.identifiers import Revision
 from passlane.messages.common import Address
 from passlane.messages.control import ControlStatus, Document, PendingChange, RegionProgress
+from passlane.messages.membership import NodeView
 
 
 class DocumentView(msgspec.Struct, frozen=True):
@@ -43,17 +44,12 @@
     is_leader: bool
 
 
-class NodeLoad(msgspec.Struct, frozen=True):
-    """A node and the number of partitions that it leads."""
-
-    node_id: NodeId
-    partitions: int
-
-
 class SystemStatus(msgspec.Struct, frozen=True):
     """Answer to ``GET /v1/status``.
 
-    ``problems`` names the groups that did not answer; their parts are empty then.
+    ``nodes`` are those of the process's region, ``calls_in_flight`` those of the process
+    itself if it is a node. ``problems`` names the groups that did not answer; their parts
+    are empty then.
     """
 
     process: str
@@ -67,7 +63,7 @@
     pending_count: int
     pending: tuple[PendingChange, ...]
     regions: tuple[RegionProgress, ...]
-    nodes: tuple[NodeLoad, ...]
+    nodes: tuple[NodeView, ...]
     calls_in_flight: int | None
     problems: tuple[str, ...] = ()
 
--- a/src/passlane/api/operators.py
+++ b/src/passlane/api/operators.py
@@ -5,12 +5,10 @@
 """
 
 import random as random_module
-from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 import msgspec
-import structlog
 
 from passlane.api.asgi import (
     PathRouter,
@@ -25,22 +23,23 @@
     require_token,
     send_response,
 )
-from passlane.api.document_routes import OK, DocumentRoutes, GroupExecutor, Handler
+from passlane.api.document_routes import OK, DocumentRoutes, Handler
+from passlane.api.groups import GroupExecutor, NamedGroup
 from passlane.api.operator_problems import problem_response
-from passlane.api.operator_views import NodeLoad, SystemStatus, replica_views
+from passlane.api.operator_views import SystemStatus, replica_views
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.base import Message
 from passlane.messages.control import NO_REVISION, ControlStatus, ReadControlStatus
+from passlane.messages.membership import Members, NodeView, ReadMembers
 from passlane.messages.store import (
-    Assignments,
     ListPrograms,
     ProgramList,
     ProgramResult,
-    ReadAssignments,
     ReadProgram,
     StoreRefusal,
 )
+from passlane.observability.logging import get_logger
 from passlane.settings.model import Settings
 
 MAX_BODY_BYTES = 1_000_000
@@ -48,7 +47,7 @@
 STATUS_TIMEOUT_S = 3.0
 DEFAULT_LOG_LINES = 200
 
-_log = structlog.get_logger(__name__)
+_log = get_logger(__name__)
 
 
 class LogRing(Protocol):
@@ -81,6 +80,8 @@
     calls_in_flight
         Number of calls that this process has in flight, if it is a node.
     """
+    control = NamedGroup("control group", control)
+    store = NamedGroup("store group", store)
     router: PathRouter[Handler] = PathRouter()
     DocumentRoutes(control, random or random_module.SystemRandom()).add_to(router)
     StatusRoutes(settings, control, store, ring, calls_in_flight).add_to(router)
@@ -169,28 +170,22 @@
         """
         problems: list[str] = []
         status: ControlStatus | None = None
-        nodes: tuple[NodeLoad, ...] = ()
+        nodes: tuple[NodeView, ...] = ()
         try:
             status = await self._control.execute(
                 ReadControlStatus(), ControlStatus, timeout_s=STATUS_TIMEOUT_S
             )
         except PasslaneError as error:
-            problems.append(f"control group: {error}")
+            problems.append(error.message)
         try:
-            nodes = await self._read_node_loads()
+            members = await self._store.execute(ReadMembers(), Members, timeout_s=STATUS_TIMEOUT_S)
+            nodes = members.nodes
         except PasslaneError as error:
-            problems.append(f"store group: {error}")
+            problems.append(error.message)
         return json_response(OK, self._system_status(status, nodes, problems))
 
-    async def _read_node_loads(self) -> tuple[NodeLoad, ...]:
-        reply = await self._store.execute(
-            ReadAssignments(), Assignments, timeout_s=STATUS_TIMEOUT_S
-        )
-        counts = Counter(assignment.node_id for assignment in reply.assignments)
-        return tuple(NodeLoad(node_id, counts[node_id]) for node_id in sorted(counts))
-
     def _system_status(
-        self, status: ControlStatus | None, nodes: tuple[NodeLoad, ...], problems: list[str]
+        self, status: ControlStatus | None, nodes: tuple[NodeView, ...], problems: list[str]
     ) -> SystemStatus:
         process = self._settings.process
         return SystemStatus(
--- a/src/passlane/cli/command.py
+++ b/src/passlane/cli/command.py
@@ -12,7 +12,7 @@
 from passlane.cli.client import OperatorClient
 from passlane.cli.connection import ConnectionOptions, find_target
 from passlane.cli.exit_codes import ExitCode, exit_code_of
-from passlane.errors import ErrorCode, PasslaneError
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.runtime.interfaces import HttpClient
 from passlane.runtime.network import TcpNetwork
@@ -68,12 +68,21 @@
         """Do the work of the command."""
         raise NotImplementedError
 
-    def show_error(self, error: PasslaneError) -> None:
-        """Print an error: JSON on the output if asked for, else a line on stderr."""
+    def show_error(self, error: PasslaneError, subject: str | None = None) -> None:
+        """Print an error: JSON on the output if asked for, else a line on stderr.
+
+        ``subject`` names what of several things failed.
+        """
         if self.wants_json:
             self.show_json(FailureReport(error.code.value, error.message, error.verdict.value))
             return
-        self.line_error(f"{self.name}: {error} [{error.verdict.value}]")
+        place = self.name if subject is None else f"{self.name}: {subject}"
+        line = f"{place}: {error}{self.describe_verdict(error.verdict)}"
+        self.line_error(line.replace("<", "\\<"))
+
+    def describe_verdict(self, verdict: Verdict) -> str:
+        """Return what a failure means for what the command was to do; nothing by default."""
+        return ""
 
     def show_json(self, value: Any) -> None:
         """Print a struct as JSON."""
--- a/src/passlane/cli/documents.py
+++ b/src/passlane/cli/documents.py
@@ -1,6 +1,5 @@
 """Commands for documents: ``apply``, ``get``, ``delete`` and ``withdraw``."""
 
-from collections.abc import Sequence
 from pathlib import Path
 from typing import ClassVar
 
@@ -9,32 +8,19 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from passlane.api.operator_views import ChangeView, DocumentView
-from passlane.cli.client import OperatorClient
-from passlane.cli.command import OperatorCommand
-from passlane.cli.exit_codes import ExitCode
-from passlane.cli.waiting import (
-    DEFAULT_TIMEOUT_S,
-    describe_progress,
-    is_in_force,
-    parse_timeout,
-    wait_for_progress,
+from passlane.api.operator_views import DocumentView
+from passlane.cli.changing import (
+    WAIT_OPTIONS,
+    AppliedDocument,
+    ChangingCommand,
+    applied_document,
 )
+from passlane.cli.client import OperatorClient
+from passlane.cli.command import FailureReport, OperatorCommand
+from passlane.cli.exit_codes import ExitCode, exit_code_of
 from passlane.configuration.files import DocumentDraft, load_document_files
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.identifiers import Revision
-from passlane.messages.control import Progress
-
-WAIT_OPTIONS = [
-    option("wait", "w", "Return when the change is in force everywhere.", flag=True),
-    option(
-        "timeout",
-        None,
-        "Seconds to wait at most.",
-        flag=False,
-        default=str(DEFAULT_TIMEOUT_S),
-    ),
-]
 
 UNCHANGED = "unchanged"
 CREATED = "created"
@@ -43,55 +29,15 @@
 WITHDRAWN = "withdrawn"
 
 
-class AppliedDocument(msgspec.Struct, frozen=True):
-    """What became of one document; ``revision`` is that of its newest version."""
-
-    kind: str
-    name: str
-    result: str
-    version: int
-    revision: Revision
+class ApplyFailure(FailureReport, frozen=True):
+    """JSON output of an ``apply`` that stopped in the middle.
 
+    ``documents`` are recorded; ``not_tried`` come after the one that failed.
+    """
 
-class ChangeReport(msgspec.Struct, frozen=True):
-    """JSON output of commands that change documents."""
-
+    failed: str
     documents: tuple[AppliedDocument, ...]
-    progress: Progress | None = None
-
-
-class ChangingCommand(OperatorCommand):
-    """A command that changes documents and may wait until that is in force."""
-
-    async def finish(self, client: OperatorClient, applied: Sequence[AppliedDocument]) -> ExitCode:
-        """Wait if asked to, print what was done, and return the exit code."""
-        if not self.option("wait"):
-            self._show(applied, None, None)
-            return ExitCode.OK
-        timeout_s = parse_timeout(self.option("timeout"))
-        revision = max(document.revision for document in applied)
-        progress = await wait_for_progress(client, revision, timeout_s, is_in_force)
-        self._show(applied, progress, revision)
-        return ExitCode.OK if is_in_force(progress) else ExitCode.NOT_YET
-
-    def _show(
-        self,
-        applied: Sequence[AppliedDocument],
-        progress: Progress | None,
-        waited_for: Revision | None,
-    ) -> None:
-        if self.wants_json:
-            self.show_json(ChangeReport(tuple(applied), progress))
-            return
-        self.show_lines(
-            [
-                f"{document.kind}/{document.name} {document.result}, "
-                f"version {document.version}, revision {document.revision}"
-                for document in applied
-            ]
-        )
-        if waited_for is not None:
-            self.show_lines(describe_progress(progress, waited_for))
+    not_tried: tuple[str, ...]
 
 
 class ApplyCommand(ChangingCommand):
@@ -110,9 +56,37 @@
         if path is None:
             raise PasslaneError(ErrorCode.BAD_REQUEST, "-f FILE is needed")
         drafts = load_document_files(Path(path))
-        applied = [await self._apply(client, draft) for draft in drafts]
+        applied: list[AppliedDocument] = []
+        for number, draft in enumerate(drafts):
+            try:
+                applied.append(await self._apply(client, draft))
+            except PasslaneError as error:
+                return self._stop(error, applied, drafts[number:])
         return await self.finish(client, applied)
 
+    def _stop(
+        self, error: PasslaneError, applied: list[AppliedDocument], left: list[DocumentDraft]
+    ) -> ExitCode:
+        """Say what was recorded before the first of ``left`` failed; return the exit code."""
+        failed, *not_tried = (f"{draft.kind}/{draft.name}" for draft in left)
+        if self.wants_json:
+            self.show_json(
+                ApplyFailure(
+                    error.code.value,
+                    error.message,
+                    error.verdict.value,
+                    failed,
+                    tuple(applied),
+                    tuple(not_tried),
+                )
+            )
+            return exit_code_of(error.code)
+        self.show_applied(applied)
+        self.show_error(error, failed)
+        if not_tried:
+            self.line_error(f"not tried: {', '.join(not_tried)}")
+        return exit_code_of(error.code)
+
     @staticmethod
     async def _apply(client: OperatorClient, draft: DocumentDraft) -> AppliedDocument:
         current = await client.read_document(draft.kind, draft.name)
@@ -124,7 +98,7 @@
         if expected is None:
             expected = 0 if current is None else current.version
         change = await client.put_document(draft.kind, draft.name, draft.body, expected)
-        return _applied(change, CREATED if current is None else CHANGED)
+        return applied_document(change, CREATED if current is None else CHANGED)
 
 
 class GetCommand(OperatorCommand):
@@ -146,6 +120,9 @@
         if self.wants_json:
             self.show_json(found)
             return ExitCode.OK
+        if not found.documents:
+            self.show_lines(["no documents" if kind is None else f"no documents of kind {kind}"])
+            return ExitCode.OK
         rows = [
             (document.kind, document.name, document.version, document.revision, _state(document))
             for document in found.documents
@@ -179,20 +156,20 @@
         argument("name", "Name of the document."),
     ]
     extra_options: ClassVar[list[Option]] = [
-        option("version", None, "Delete only this version; default: the newest.", flag=False),
+        option("if-version", None, "Delete only this version; default: the newest.", flag=False),
         *WAIT_OPTIONS,
     ]
 
     async def run_with(self, client: OperatorClient) -> ExitCode:
         """Delete the document at the version that stands now."""
         kind, name = self.argument("kind"), self.argument("name")
-        version = self.option("version")
+        version = self.option("if-version")
         if version is None:
             version = (await _existing(client, kind, name)).version
         elif not version.isdecimal():
-            raise PasslaneError(ErrorCode.BAD_REQUEST, "--version is a whole number")
+            raise PasslaneError(ErrorCode.BAD_REQUEST, "--if-version is a whole number")
         change = await client.delete_document(kind, name, int(version))
-        return await self.finish(client, [_applied(change, DELETED)])
+        return await self.finish(client, [applied_document(change, DELETED)])
 
 
 class WithdrawCommand(ChangingCommand):
@@ -211,11 +188,7 @@
         if not text.isdecimal():
             raise PasslaneError(ErrorCode.BAD_REQUEST, "a revision is a whole number")
         change = await client.withdraw(Revision(int(text)))
-        return await self.finish(client, [_applied(change, WITHDRAWN)])
-
-
-def _applied(change: ChangeView, result: str) -> AppliedDocument:
-    return AppliedDocument(change.kind, change.name, result, change.version, change.revision)
+        return await self.finish(client, [applied_document(change, WITHDRAWN)])
 
 
 def _has_body(document: DocumentView, draft: DocumentDraft) -> bool:
--- a/src/passlane/cli/drains.py
+++ b/src/passlane/cli/drains.py
@@ -1,5 +1,6 @@
 """Commands ``drain`` and ``undrain``: mark something as leaving, and take that back."""
 
+from dataclasses import dataclass
 from typing import ClassVar
 
 import msgspec
@@ -7,15 +8,23 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
+from passlane.cli.changing import (
+    TIMEOUT_OPTION,
+    WAIT_OPTIONS,
+    ChangingCommand,
+    applied_document,
+)
 from passlane.cli.client import OperatorClient
 from passlane.cli.command import OperatorCommand
-from passlane.cli.documents import DELETED, WAIT_OPTIONS, AppliedDocument, ChangingCommand
+from passlane.cli.documents import DELETED
 from passlane.cli.exit_codes import ExitCode
 from passlane.cli.waiting import (
+    ChangePrinter,
     describe_progress,
     is_in_force,
     parse_timeout,
-    wait_for_progress,
+    poll_until,
+    summarize_progress,
 )
 from passlane.configuration.documents import DocumentKind, DrainBody, DrainKind
 from passlane.configuration.parsing import encode_body
@@ -30,56 +39,133 @@
 
 
 class DrainReport(msgspec.Struct, frozen=True):
-    """JSON output of ``drain``; ``calls_in_flight`` is ``None`` if it is not known yet."""
+    """JSON output of ``drain``; counts are ``None`` while they are not known.
+
+    ``partitions`` is how many a drained node still leads; ``None`` for other targets
+    and for a node that the server's region does not list.
+    """
 
     target_kind: str
     target: str
     revision: Revision
     in_force_everywhere: bool
     calls_in_flight: int | None
+    partitions: int | None
     progress: Progress | None
 
 
-class DrainCommand(OperatorCommand):
+@dataclass(frozen=True)
+class DrainTarget:
+    """What is drained, and the revision that said so."""
+
+    kind: DrainKind
+    name: str
+    revision: Revision
+
+
+@dataclass(frozen=True)
+class DrainState:
+    """How far a drain is. ``partitions`` is ``None`` unless a listed node is drained."""
+
+    target: DrainTarget
+    progress: Progress
+    partitions: int | None
+
+    @property
+    def calls(self) -> int | None:
+        """Calls in flight at the target; ``None`` before all nodes act on the drain."""
+        if not is_in_force(self.progress):
+            return None
+        return sum(
+            entry.calls
+            for entry in self.progress.in_flight
+            if entry.target_kind == self.target.kind and entry.target == self.target.name
+        )
+
+    @property
+    def is_done(self) -> bool:
+        """Whether nothing is in flight at the target, and a drained node leads nothing."""
+        leads_nothing = self.target.kind is not DrainKind.NODE or self.partitions == 0
+        return self.calls == 0 and leads_nothing
+
+    def summary(self) -> str:
+        """Return one line for printing on change."""
+        if self.calls is None:
+            return summarize_progress(self.progress, self.target.revision)
+        return ", ".join(self.counts())
+
+    def counts(self) -> list[str]:
+        """Return what is left at the target, in words."""
+        counts = [f"calls in flight there: {_or_unknown(self.calls)}"]
+        if self.target.kind is DrainKind.NODE:
+            counts.append(f"partitions led: {_or_unknown(self.partitions)}")
+        return counts
+
+
+class DrainCommand(ChangingCommand):
     """Marks an engine, node or application as leaving."""
 
     name = "drain"
     description = "Gives an engine, node or application no new work."
     arguments: ClassVar[list[Argument]] = TARGET_ARGUMENTS
     extra_options: ClassVar[list[Option]] = [
-        option("wait", "w", "Return when nothing is in flight there any more.", flag=True),
-        WAIT_OPTIONS[1],
+        option("wait", "w", "Show progress; return when nothing is left there.", flag=True),
+        TIMEOUT_OPTION,
     ]
 
     async def run_with(self, client: OperatorClient) -> ExitCode:
         """Write the drain document; with ``--wait`` watch until nothing is in flight."""
-        kind, target = _target(self)
-        revision = await _mark(client, kind, target)
+        kind, name = _target(self)
+        target = DrainTarget(kind, name, await _mark(client, kind, name))
+        if not self.wants_json:
+            self.show_lines([f"{kind}/{name} is marked as leaving, revision {target.revision}"])
         if not self.option("wait"):
-            self._show(kind, target, revision, None)
+            self._show_json_report(target, None)
             return ExitCode.OK
-
-        def is_empty(progress: Progress | None) -> bool:
-            return is_in_force(progress) and _calls_at(progress, kind, target) == 0
-
-        timeout_s = parse_timeout(self.option("timeout"))
-        progress = await wait_for_progress(client, revision, timeout_s, is_empty)
-        self._show(kind, target, revision, progress)
-        return ExitCode.OK if is_empty(progress) else ExitCode.NOT_YET
-
-    def _show(
-        self, kind: DrainKind, target: str, revision: Revision, progress: Progress | None
-    ) -> None:
-        calls = _calls_at(progress, kind, target) if progress is not None else None
-        if self.wants_json:
-            self.show_json(
-                DrainReport(kind, target, revision, is_in_force(progress), calls, progress)
+        state = await self._wait(client, target)
+        self._show_json_report(target, state)
+        if not self.wants_json:
+            self._show_outcome(target, state)
+        return ExitCode.OK if state is not None and state.is_done else ExitCode.NOT_YET
+
+    async def _wait(self, client: OperatorClient, target: DrainTarget) -> DrainState | None:
+        printer = ChangePrinter(self.show_progress_line)
+
+        async def read() -> DrainState:
+            progress = await client.read_progress(target.revision)
+            return DrainState(target, progress, await _partitions_of(client, target))
+
+        return await poll_until(
+            read,
+            lambda state: state.is_done,
+            parse_timeout(self.option("timeout")),
+            lambda state: printer.print(state.summary()),
+        )
+
+    def _show_outcome(self, target: DrainTarget, state: DrainState | None) -> None:
+        self.show_lines(describe_progress(state.progress if state else None, target.revision))
+        if state is None:
+            return
+        self.show_lines(state.counts())
+        if target.kind is DrainKind.NODE and state.partitions is None:
+            self.show_lines(
+                ["the server's region lists no such node: it is gone, or in another region"]
             )
+
+    def _show_json_report(self, target: DrainTarget, state: DrainState | None) -> None:
+        if not self.wants_json:
             return
-        self.show_lines([f"{kind}/{target} is marked as leaving, revision {revision}"])
-        if self.option("wait"):
-            self.show_lines(describe_progress(progress, revision))
-            self.show_lines([f"calls in flight there: {'unknown' if calls is None else calls}"])
+        self.show_json(
+            DrainReport(
+                target_kind=target.kind,
+                target=target.name,
+                revision=target.revision,
+                in_force_everywhere=state is not None and is_in_force(state.progress),
+                calls_in_flight=None if state is None else state.calls,
+                partitions=None if state is None else state.partitions,
+                progress=None if state is None else state.progress,
+            )
+        )
 
 
 class UndrainCommand(ChangingCommand):
@@ -98,8 +184,7 @@
         if document is None:
             raise PasslaneError(ErrorCode.NOT_FOUND, f"{kind} {target!r} is not being drained")
         change = await client.delete_document(DocumentKind.DRAIN, name, document.version)
-        applied = AppliedDocument(change.kind, name, DELETED, change.version, change.revision)
-        return await self.finish(client, [applied])
+        return await self.finish(client, [applied_document(change, DELETED)])
 
 
 def drain_name(kind: DrainKind, target: str) -> str:
@@ -126,11 +211,13 @@
     return change.revision
 
 
-def _calls_at(progress: Progress | None, kind: DrainKind, target: str) -> int | None:
-    if progress is None:
+async def _partitions_of(client: OperatorClient, target: DrainTarget) -> int | None:
+    if target.kind is not DrainKind.NODE:
         return None
-    return sum(
-        entry.calls
-        for entry in progress.in_flight
-        if entry.target_kind == kind and entry.target == target
-    )
+    status = await client.read_status()
+    led = (node.partitions for node in status.nodes if node.node_id == target.name)
+    return next(led, None)
+
+
+def _or_unknown(count: int | None) -> str:
+    return "unknown" if count is None else str(count)
--- a/src/passlane/cli/inspection.py
+++ b/src/passlane/cli/inspection.py
@@ -1,4 +1,4 @@
-"""Commands that only look: ``status``, ``programs list``, ``programs show`` and ``log``."""
+"""Commands ``programs list``, ``programs show`` and ``log``."""
 
 from typing import Any, ClassVar
 
@@ -7,7 +7,6 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from passlane.api.operator_views import SystemStatus
 from passlane.cli.client import OperatorClient
 from passlane.cli.command import OperatorCommand
 from passlane.cli.exit_codes import ExitCode
@@ -17,54 +16,6 @@
 DEFAULT_LOG_LINES = 100
 
 
-class StatusCommand(OperatorCommand):
-    """Shows the state of the whole."""
-
-    name = "status"
-    description = "Shows regions, members, leaders, partitions and what is in flight."
-
-    async def run_with(self, client: OperatorClient) -> ExitCode:
-        """Print the status; a group that did not answer gives the exit code 6."""
-        status = await client.read_status()
-        if self.wants_json:
-            self.show_json(status)
-        else:
-            self._show(status)
-        return ExitCode.UNAVAILABLE if status.problems else ExitCode.OK
-
-    def _show(self, status: SystemStatus) -> None:
-        in_flight = (
-            ""
-            if status.calls_in_flight is None
-            else (f", {status.calls_in_flight} calls in flight")
-        )
-        lines = [
-            f"process {status.process} in region {status.region}, zone {status.zone}{in_flight}",
-            f"configuration: accepted revision {status.accepted_revision}, "
-            f"newest {status.newest_revision}, {status.pending_count} pending",
-        ]
-        lines += [
-            f"control {member.address}" + (", leader" if member.is_leader else "")
-            for member in status.control_members
-        ]
-        lines += [f"store {address}" for address in status.store_members]
-        lines += [
-            f"pending revision {change.revision}: {change.kind}/{change.name}"
-            for change in status.pending
-        ]
-        lines += [
-            f"region {region.region}: prepared {region.prepared_revision}, "
-            f"in force {region.revision_in_force}, {region.member_count} nodes, "
-            + _report_age(region.report_age_s)
-            for region in status.regions
-        ]
-        lines += [
-            f"node {node.node_id}: leads {node.partitions} partitions" for node in status.nodes
-        ]
-        lines += [f"no answer: {problem}" for problem in status.problems]
-        self.show_lines(lines)
-
-
 class ProgramsListCommand(OperatorCommand):
     """Lists programs."""
 
@@ -77,6 +28,9 @@
         if self.wants_json:
             self.show_json(found)
             return ExitCode.OK
+        if not found.programs:
+            self.show_lines(["no programs in the server's region"])
+            return ExitCode.OK
         rows = [
             (
                 program.program_id,
@@ -148,18 +102,16 @@
         return ExitCode.OK
 
 
-def _report_age(report_age_s: float | None) -> str:
-    return "has not reported" if report_age_s is None else f"last report {report_age_s:.1f} s ago"
-
-
 def _amounts(amounts: msgspec.Struct) -> str:
     parts: dict[str, Any] = msgspec.structs.asdict(amounts)
     return ", ".join(f"{value} {name}" for name, value in parts.items())
 
 
 def _log_line(line: dict[str, Any]) -> str:
-    event = line.pop("event", "")
-    level = line.pop("level", "")
-    timestamp = line.pop("timestamp", "")
-    rest = " ".join(f"{key}={value}" for key, value in line.items())
-    return f"{timestamp} {level} {event} {rest}".strip()
+    """Return time (seconds of the process's clock), level, component, event, and the rest."""
+    rest = dict(line)
+    time_s = rest.pop("time_s", None)
+    time = "-" if time_s is None else f"{time_s:.3f}"
+    words = [time, *(str(rest.pop(key, "-")) for key in ("level", "component", "event"))]
+    words += [f"{key}={value}" for key, value in rest.items()]
+    return " ".join(words)
--- a/src/passlane/cli/main.py
+++ b/src/passlane/cli/main.py
@@ -2,18 +2,22 @@
 
 import importlib.metadata
 import sys
+from collections.abc import Sequence
 
 from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
 
 from passlane.cli.documents import ApplyCommand, DeleteCommand, GetCommand, WithdrawCommand
 from passlane.cli.drains import DrainCommand, UndrainCommand
+from passlane.cli.exit_codes import ExitCode
 from passlane.cli.inspection import (
     LogCommand,
     ProgramsListCommand,
     ProgramsShowCommand,
-    StatusCommand,
 )
 from passlane.cli.policies import PolicyCheckCommand
+from passlane.cli.policy_explain import PolicyExplainCommand
 from passlane.cli.proofs import (
     BenchListCommand,
     BenchRunCommand,
@@ -21,6 +25,7 @@
     SimulationRunCommand,
     TraceReplayCommand,
 )
+from passlane.cli.status import StatusCommand
 
 COMMANDS = (
     ApplyCommand,
@@ -29,6 +34,7 @@
     WithdrawCommand,
     StatusCommand,
     PolicyCheckCommand,
+    PolicyExplainCommand,
     DrainCommand,
     UndrainCommand,
     ProgramsListCommand,
@@ -50,11 +56,24 @@
     return application
 
 
-def main() -> int:
-    """Run the command line and return its exit code."""
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line and return its exit code.
+
+    Parameters
+    ----------
+    arguments
+        Words after the program's name; by default those of the process.
+    """
     application = build_application()
     application.auto_exits(False)
-    return application.run()
+    application.catch_exceptions(False)
+    words = None if arguments is None else ArgvInput(["passlane", *arguments])
+    try:
+        return application.run(words)
+    except CleoError as error:
+        # An unknown command or option, a missing argument: nothing was tried.
+        print(f"passlane: {str(error).strip().rstrip('.')}; see 'passlane list'", file=sys.stderr)
+        return int(ExitCode.USAGE)
 
 
 if __name__ == "__main__":
--- a/src/passlane/cli/waiting.py
+++ b/src/passlane/cli/waiting.py
@@ -1,6 +1,7 @@
 """Waits until a change is in force everywhere, and says who is not there yet."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 
@@ -13,6 +14,8 @@
 POLL_INTERVAL_S = 0.25
 DEFAULT_TIMEOUT_S = 30.0
 
+State = TypeVar("State")
+
 
 def parse_timeout(text: str) -> float:
     """Return the seconds that an option gives; raise ``BAD_REQUEST`` otherwise."""
@@ -25,28 +28,72 @@
     return timeout_s
 
 
-async def wait_for_progress(
-    client: OperatorClient,
-    revision: Revision,
+async def poll_until(
+    read: Callable[[], Awaitable[State]],
+    is_done: Callable[[State], bool],
     timeout_s: float,
-    is_done: Callable[[Progress | None], bool],
-) -> Progress | None:
-    """Return the progress of ``revision`` once ``is_done``, or the last at the time-out.
+    on_state: Callable[[State], None] | None = None,
+) -> State | None:
+    """Read a state again and again until ``is_done``; return the last one that was read.
+
+    ``None`` when no server told the state in that time. A server that does not answer
+    for a while does not end the wait; the change may still be coming through.
 
-    ``None`` when no server told the progress in that time. A server that does not
-    answer for a while does not end the wait; the change may still be coming through.
+    Parameters
+    ----------
+    on_state
+        Told each state that was read.
     """
-    progress: Progress | None = None
+    state: State | None = None
     with anyio.move_on_after(timeout_s):
-        while not is_done(progress):
+        while state is None or not is_done(state):
+            if state is not None:
+                await anyio.sleep(POLL_INTERVAL_S)
             try:
-                progress = await client.read_progress(revision)
+                state = await read()
             except PasslaneError as error:
                 if exit_code_of(error.code) is not ExitCode.UNAVAILABLE:
                     raise
-            if not is_done(progress):
                 await anyio.sleep(POLL_INTERVAL_S)
-    return progress
+                continue
+            if on_state is not None:
+                on_state(state)
+    return state
+
+
+async def wait_for_progress(
+    client: OperatorClient,
+    revision: Revision,
+    timeout_s: float,
+    is_done: Callable[[Progress], bool],
+    on_state: Callable[[Progress], None] | None = None,
+) -> Progress | None:
+    """Return the progress of ``revision`` once ``is_done``, or the last at the time-out."""
+
+    async def read() -> Progress:
+        return await client.read_progress(revision)
+
+    return await poll_until(read, is_done, timeout_s, on_state)
+
+
+class ChangePrinter:
+    """Prints a line when it differs from the one before.
+
+    Parameters
+    ----------
+    show
+        Prints one line.
+    """
+
+    def __init__(self, show: Callable[[str], None]) -> None:
+        self._show = show
+        self._last = ""
+
+    def print(self, line: str) -> None:
+        """Print ``line`` unless it was the last one printed."""
+        if line != self._last:
+            self._last = line
+            self._show(line)
 
 
 def is_in_force(progress: Progress | None) -> bool:
@@ -54,6 +101,24 @@
     return progress is not None and progress.in_force_everywhere
 
 
+def summarize_progress(progress: Progress, revision: Revision) -> str:
+    """Return one line on how far ``revision`` is, without times, for printing on change."""
+    state = "accepted" if progress.accepted_revision >= revision else "pending"
+    waiting = [region for region in progress.regions if region.revision_in_force < revision]
+    if not waiting:
+        return f"revision {revision} {state}"
+    return f"revision {revision} {state}; waiting for " + ", ".join(map(_summary_of, waiting))
+
+
+def _summary_of(region: RegionProgress) -> str:
+    if region.report_age_s is None:
+        return f"region {region.region} (has not reported)"
+    return (
+        f"region {region.region} (prepared {region.prepared_revision}, "
+        f"in force {region.revision_in_force})"
+    )
+
+
 def describe_progress(progress: Progress | None, revision: Revision) -> list[str]:
     """Return lines that say what is in force where, and who holds the change up."""
     if progress is None:
@@ -61,7 +126,7 @@
     if progress.in_force_everywhere:
         return [f"revision {revision} is in force everywhere"]
     state = "accepted" if progress.accepted_revision >= revision else "pending"
-    lines = [f"revision {revision} is {state}, not in force everywhere yet"]
+    lines = [f"revision {revision} is {state}, not in force everywhere yet; not there:"]
     for region in progress.regions:
         if region.revision_in_force < revision:
             lines += _describe_region(region, revision)
--- a/src/passlane/control/machine.py
+++ b/src/passlane/control/machine.py
@@ -160,6 +160,7 @@
                 name=command.name,
                 current_version=current_version,
                 current=newest if exists else None,
+                accepted_revision=self.ledger.accepted_revision,
             )
         if command.body is None and not exists:
             raise PasslaneError(ErrorCode.NOT_FOUND, "there is no such document")
--- a/src/passlane/control/service.py
+++ b/src/passlane/control/service.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import anyio
-import structlog
 
 from passlane.configuration.documents import DocumentKind, PolicyBody
 from passlane.configuration.parsing import parse_body, parse_kind
@@ -28,6 +27,7 @@
     RegionReport,
     WithdrawChange,
 )
+from passlane.observability.logging import get_logger
 from passlane.replication.interfaces import ReplicatedGroup
 from passlane.runtime.interfaces import Environment
 from passlane.transport.interfaces import Router
@@ -40,7 +40,7 @@
 SHOWN_PENDING_CHANGES = 100
 
 _result_decoder = message_decoder(ControlResult)
-_log = structlog.get_logger(__name__)
+_log = get_logger(__name__)
 
 
 def accept_any_policy(source: str, max_steps: int) -> list[str]:
--- a/src/passlane/messages/control.py
+++ b/src/passlane/messages/control.py
@@ -66,12 +66,17 @@
 
 
 class VersionConflict(Message, frozen=True):
-    """Another change came first; ``current`` is the document as it stands."""
+    """Another change came first; ``current`` is the document as it stands.
+
+    ``current`` is left out when the refused change is sent again: what the document was
+    at the first time is not kept. ``accepted_revision`` is as of the first time.
+    """
 
     kind: str
     name: str
     current_version: int
     current: Document | None
+    accepted_revision: Revision = NO_REVISION
 
 
 class ControlDone(Message, frozen=True):
--- a/tests/api/test_operators.py
+++ b/tests/api/test_operators.py
@@ -121,6 +121,10 @@
             self.assertEqual(caught.exception.current_version, 2)
             body = msgspec.json.decode(bytes(caught.exception.current.body))
             self.assertEqual(body["source"], "2")
+            await cluster.until_in_force(2)
+            with self.assertRaises(ApiError) as caught:
+                await client.put_document("policy", "p", '{"source":"4"}', 1)
+            self.assertTrue(caught.exception.current.is_accepted)
 
         self.run_with_group(scenario)
 
