--- a/src/passlane/bench/configuration.py
+++ b/src/passlane/bench/configuration.py
@@ -8,6 +8,7 @@
 import gc
 import time
 import tracemalloc
+import zlib
 from collections.abc import Callable
 from pathlib import Path
 from typing import TypeVar
@@ -36,6 +37,8 @@
 CHANGES_MEASURED = 300
 REPORTS_MEASURED = 3_000
 CHANGES_PER_DAY = 9_500
+ALLOWED_BYTES_PER_SECOND = 6_000
+"""What a node may spend on control."""
 SECONDS_PER_DAY = 86_400
 MICROSECONDS = 1e6
 MILLISECONDS = 1e3
@@ -53,12 +56,20 @@
 
 
 class FirstLoad(msgspec.Struct, frozen=True):
-    """What a process that holds nothing fetches, with the largest number of tenants."""
+    """What a node that holds nothing fetches, with the largest number of tenants.
+
+    ``store_milliseconds`` is what its store leader spends on all parts,
+    ``deflated_bytes`` what they would take if each were compressed (level 1), and
+    ``seconds_at_allowance`` the time for ``bytes`` at a node's allowance for control.
+    """
 
     tenants: int
     documents: int
     parts: int
     bytes: int
+    deflated_bytes: int
+    seconds_at_allowance: float
+    store_milliseconds: float
     node_milliseconds: float
 
 
@@ -68,6 +79,9 @@
     sizes: MessageSizes
     first_load: FirstLoad
     lines: tuple[Line, ...]
+    control_memory_bytes: float
+    store_memory_bytes: float
+    node_memory_bytes: float
     change_bytes_per_node_second: float
     change_core_fraction_per_node: float
 
@@ -161,16 +175,22 @@
 
 
 def _measure_first_load(state: MeasuredState, tenants: int) -> FirstLoad:
-    parts = whole_deltas(state.machine.ledger)
     started = time.process_time()
+    parts = whole_deltas(state.machine.ledger)
+    encoded = [encode_message(part) for part in parts]
+    served = time.process_time()
     copy_view(parts)
-    used_s = time.process_time() - started
+    loaded = time.process_time()
+    size = sum(map(len, encoded))
     return FirstLoad(
         tenants=tenants,
         documents=tenants + FIXED_DOCUMENTS,
         parts=len(parts),
-        bytes=sum(len(encode_message(part)) for part in parts),
-        node_milliseconds=used_s * MILLISECONDS,
+        bytes=size,
+        deflated_bytes=sum(len(zlib.compress(part, 1)) for part in encoded),
+        seconds_at_allowance=size / ALLOWED_BYTES_PER_SECOND,
+        store_milliseconds=(served - started) * MILLISECONDS,
+        node_milliseconds=(loaded - served) * MILLISECONDS,
     )
 
 
@@ -234,15 +254,17 @@
         fit_line(series, "documents", unit, measured.points[series])
         for series, unit in _UNITS.items()
     )
-    node_change = next(line for line in lines if line.name == "node change")
+    values = {line.name: line.at(first_load.documents) for line in lines}
     changes_per_second = CHANGES_PER_DAY / SECONDS_PER_DAY
-    node_us = node_change.at(first_load.documents)
     return ConfigurationReport(
         sizes=sizes,
         first_load=first_load,
         lines=lines,
+        control_memory_bytes=values["control memory"],
+        store_memory_bytes=values["store memory"],
+        node_memory_bytes=values["node memory"],
         change_bytes_per_node_second=changes_per_second * sizes.delta_with_one_change,
-        change_core_fraction_per_node=changes_per_second * node_us / MICROSECONDS,
+        change_core_fraction_per_node=changes_per_second * values["node change"] / MICROSECONDS,
     )
 
 
@@ -251,8 +273,16 @@
         print(f"{field}: {value} bytes")
     load = result.first_load
     print(
-        f"first load of {load.documents} documents: {load.parts} parts, {load.bytes} bytes, "
-        f"{load.node_milliseconds:.0f} ms on the node"
+        f"first load of {load.documents} documents: {load.parts} parts, {load.bytes} bytes "
+        f"({load.deflated_bytes} if compressed), {load.store_milliseconds:.0f} ms on the store "
+        f"leader, {load.node_milliseconds:.0f} ms on the node; "
+        f"at {ALLOWED_BYTES_PER_SECOND} bytes/s it would take {load.seconds_at_allowance:.0f} s"
+    )
+    print(
+        f"memory at {load.documents} documents: "
+        f"control {result.control_memory_bytes / 1e6:.1f} MB, "
+        f"store {result.store_memory_bytes / 1e6:.1f} MB, "
+        f"node {result.node_memory_bytes / 1e6:.1f} MB"
     )
     for line in result.lines:
         print(line.to_text())
