A call's place is given back when its caller has its answer, and loading ends at its deadline

The leader's events went through three nested generators, and only the outermost was closed when the answer had been given; the others, with the place in the admission count, waited for the garbage collector. The new test of the metrics saw one request in flight after all had been answered. The flow is an iterator of its own now, inside one context manager.

While a program was loaded from a slow store, its caller waited up to 10 s whatever its own time was; with a store that takes 4 s each way, a call with 1 s is now refused after 1 s with deadline_exceeded, not_run and a time to come back.

--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -1,6 +1,7 @@
 """Serves the programs that this node leads."""
 
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import anyio
 
@@ -45,6 +46,7 @@
 from passlane.transport.interfaces import Caller
 
 STORE_TIMEOUT_S = 10.0
+LOADING_RETRY_AFTER_S = 1.0
 
 
 class LeaderService:
@@ -82,10 +84,11 @@
         if known is not None:
             judge.note_record(known)
         try:
-            async for event in self._serve(request, judge):
-                if isinstance(event, CallRefused):
-                    event = refusal_with_verdict(event, self._verdict(judge, request))
-                yield event
+            async with self._subscribe(request, judge) as subscription:
+                async for event in subscription:
+                    if isinstance(event, CallRefused):
+                        event = refusal_with_verdict(event, self._verdict(judge, request))
+                    yield event
         except PasslaneError as error:
             raise error_with_verdict(error, self._verdict(judge, request)) from error
 
@@ -96,23 +99,36 @@
         """Change how many calls are admitted at a time."""
         self._admission.limit_requests(max_requests)
 
-    async def _serve(self, request: CallRequest, judge: RefusalJudge) -> AsyncIterator[CallEvent]:
+    @asynccontextmanager
+    async def _subscribe(
+        self, request: CallRequest, judge: RefusalJudge
+    ) -> AsyncIterator[Subscription]:
+        """Hold a place for the call and give the flow of its events."""
         self._require_staying(request.program_id)
         # Only a leader is sure to hold the configuration that knows the tenant.
         self._directory.require_epoch(self._directory.partition_of(request.program_id))
         now = anyio.current_time()
         tenant = self._services.configuration().tenants.get(request.tenant_id)
         with self._admission.admit(request.tenant_id, tenant, now):
-            host = await self._host(request.program_id, request.tenant_id)
+            host = await self._host_in_time(request)
             self._require_staying(request.program_id)
             judge.note_record(host.program)
             subscription = self._submit(host, request, now + request.timeout_s)
             try:
-                async for event in subscription.events():
-                    yield event
+                yield subscription
             finally:
                 host.release(call_id_of(request), subscription)
 
+    async def _host_in_time(self, request: CallRequest) -> ProgramHost:
+        """Return the call's program; refuse at the caller's deadline if it is not loaded."""
+        with anyio.move_on_after(request.timeout_s):
+            return await self._host(request.program_id, request.tenant_id)
+        raise PasslaneError(
+            ErrorCode.DEADLINE_EXCEEDED,
+            "the program was not loaded within the call's time",
+            retry_after_s=LOADING_RETRY_AFTER_S,
+        )
+
     def _submit(self, host: ProgramHost, request: CallRequest, deadline: float) -> Subscription:
         recorded = host.program.calls.get(call_id_of(request))
         application_id = None if recorded is None else recorded.application_id
--- a/src/passlane/node/subscription.py
+++ b/src/passlane/node/subscription.py
@@ -46,12 +46,19 @@
             self.is_open = False
             self._send.close()
 
-    async def events(self) -> AsyncIterator[CallEvent]:
-        """Yield the events until the last one; raise what ``fail`` was given."""
-        async for event in self._receive:
-            if isinstance(event, PasslaneError):
-                raise event
-            yield event
+    def __aiter__(self) -> AsyncIterator[CallEvent]:
+        """Give the events until the last one."""
+        return self
+
+    async def __anext__(self) -> CallEvent:
+        """Return the next event; raise what ``fail`` was given."""
+        try:
+            event = await self._receive.receive()
+        except anyio.EndOfStream:
+            raise StopAsyncIteration from None
+        if isinstance(event, PasslaneError):
+            raise event
+        return event
 
     def release(self) -> None:
         """Free the flow when its reader has gone."""
