Node metrics: attempts and refusals by verdict, queue lengths, failed policies; housekeeping apart

Until now only calls that had reached the front of their program were counted, so a refusal at admission, in the program's queue or by a node without a leader showed nowhere, and attempts had no verdict. Refusals are counted where the callers' node gives them, by code and verdict; attempts at back ends by kind and verdict; gauges show calls that wait for an engine and calls that wait in their program; failures of policies are counted by policy.

The rounds that end late programs moved out of the service into housekeeping, where they can be tested without heartbeats.

--- a/src/passlane/node/call_reports.py
+++ b/src/passlane/node/call_reports.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.node import (
     CallAnswered,
@@ -10,6 +11,8 @@
     CallRequest,
     CreateProgramRequest,
 )
+from passlane.messages.store import CallKind
+from passlane.policy.governor import PolicyProblemReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +30,15 @@
     answer: CallAnswered | CallRefused
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptReport:
+    """One attempt at a back end; ``verdict`` is ``RAN`` if it brought its answer."""
+
+    kind: CallKind
+    backend: str
+    verdict: Verdict
+
+
 class ReportSink(Protocol):
     """Takes reports of programs and finished calls; its methods must not raise."""
 
@@ -43,11 +55,28 @@
         ...
 
 
+class FailureSink(Protocol):
+    """Takes reports of what did not go smoothly; its methods must not raise."""
+
+    def take_attempt(self, report: AttemptReport) -> None:
+        """Take in that an attempt at a back end is over."""
+        ...
+
+    def take_refusal(self, code: ErrorCode, verdict: Verdict) -> None:
+        """Take in that a caller of this node was answered by an error."""
+        ...
+
+    def take_policy_failure(self, report: PolicyProblemReport) -> None:
+        """Take in that a policy failed and its default was used."""
+        ...
+
+
 @dataclass
 class CallReports:
     """Passes reports on to all sinks."""
 
     sinks: list[ReportSink] = field(default_factory=list)
+    failure_sinks: list[FailureSink] = field(default_factory=list)
 
     def publish(self, report: CallReport) -> None:
         """Give a report to every sink."""
@@ -63,3 +92,18 @@
         """Tell every sink of a program's end."""
         for sink in self.sinks:
             sink.take_ended(program_id)
+
+    def publish_attempt(self, report: AttemptReport) -> None:
+        """Tell every failure sink of an attempt."""
+        for sink in self.failure_sinks:
+            sink.take_attempt(report)
+
+    def publish_refusal(self, code: ErrorCode, verdict: Verdict) -> None:
+        """Tell every failure sink of a refusal."""
+        for sink in self.failure_sinks:
+            sink.take_refusal(code, verdict)
+
+    def publish_policy_failure(self, report: PolicyProblemReport) -> None:
+        """Tell every failure sink of a policy that failed."""
+        for sink in self.failure_sinks:
+            sink.take_policy_failure(report)
--- a/src/passlane/node/forwarder.py
+++ b/src/passlane/node/forwarder.py
@@ -17,6 +17,7 @@
 from passlane.messages.base import Message
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.node import CallAnswered, CallEvent, CallRefused, CallRequest, TextChunk
+from passlane.node.call_reports import CallReports
 from passlane.node.leadership import Leadership
 from passlane.node.refusal_verdicts import may_be_repeat
 from passlane.programs.partitions import partition_of
@@ -47,12 +48,13 @@
 class _Progress:
     """What the caller has received of an answer so far."""
 
-    def __init__(self, request: CallRequest, emit: Emit) -> None:
+    def __init__(self, request: CallRequest, emit: Emit, reports: CallReports) -> None:
         self.texts: list[str] = [request.resume_text] if request.resume_from else []
         self.next_position = request.resume_from
         self.is_over = False
         self.may_have_run = may_be_repeat(request)
         self._emit = emit
+        self._reports = reports
 
     async def take(self, event: CallEvent) -> None:
         """Pass an event on, but for tokens that the caller has."""
@@ -63,6 +65,8 @@
             self.texts.append(event.text)
         else:
             self.is_over = True
+        if isinstance(event, CallRefused):
+            self._reports.publish_refusal(event.code, event.verdict)
         await self._emit(event)
 
 
@@ -75,11 +79,13 @@
         leadership: Leadership,
         partition_count: int,
         source: random.Random,
+        reports: CallReports,
     ) -> None:
         self._caller = caller
         self._leadership = leadership
         self._partition_count = partition_count
         self._random = source
+        self._reports = reports
 
     async def run_call(self, request: CallRequest, emit: Emit) -> None:
         """Run a call and give its events to ``emit``; the last one ends the call.
@@ -89,7 +95,13 @@
         PasslaneError
             When it was refused, or no leader was found; the verdict covers all tries.
         """
-        progress = _Progress(request, emit)
+        try:
+            await self._run_to_end(request, _Progress(request, emit, self._reports))
+        except PasslaneError as error:
+            self._reports.publish_refusal(error.code, error.verdict)
+            raise
+
+    async def _run_to_end(self, request: CallRequest, progress: "_Progress") -> None:
         deadline = anyio.current_time() + request.timeout_s
         search = _LeaderSearch(self, request.program_id, deadline)
         while not progress.is_over:
--- /dev/null
+++ b/src/passlane/node/housekeeping.py
@@ -0,0 +1,52 @@
+"""What a node does now and then: ends late programs, drops idle ones, reports policies."""
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.node.node_core import NodeCore
+from passlane.node.program_host import ProgramHost
+from passlane.observability.logging import get_logger
+
+INTERVAL_S = 1.0
+"""Seconds between two rounds; a program runs at most this much beyond its time."""
+
+_log = get_logger(__name__)
+
+
+class Housekeeping:
+    """Rounds over the programs in memory and the policies in force."""
+
+    def __init__(self, core: NodeCore) -> None:
+        self._core = core
+
+    async def run(self) -> None:
+        """Make rounds until cancelled."""
+        while True:
+            await anyio.sleep(INTERVAL_S)
+            now = anyio.current_time()
+            self._core.directory.drop_idle(now)
+            self._report_policy_problems()
+            self._end_late_programs(now)
+
+    def _report_policy_problems(self) -> None:
+        for report in self._core.services.policies.take_problems():
+            self._core.services.reports.publish_policy_failure(report)
+            _log.warning(
+                "policy failed", policy=report.policy, error=report.message, times=report.times
+            )
+
+    def _end_late_programs(self, now: float) -> None:
+        for host in self._core.directory.hosts:
+            program = host.program
+            if program.deadline is None or program.deadline > now or program.is_ended:
+                continue
+            program.deadline = None
+            self._core.services.tasks.start_soon(self._end_late, host)
+
+    async def _end_late(self, host: ProgramHost) -> None:
+        message = "the program's time is used up"
+        try:
+            await self._core.leader.end_host(host, ErrorCode.LIMIT_EXCEEDED, message)
+        except PasslaneError as error:
+            _log.warning("late program not ended", code=error.code.value)
+            host.program.deadline = anyio.current_time() + INTERVAL_S
--- a/src/passlane/node/model_attempt.py
+++ b/src/passlane/node/model_attempt.py
@@ -11,6 +11,7 @@
 from passlane.identifiers import EngineId
 from passlane.messages.backends import EngineChatRequest, EngineChunk
 from passlane.messages.store import EngineHold
+from passlane.node.call_reports import AttemptReport
 from passlane.node.call_services import LEADERSHIP_CODES, CallServices
 from passlane.node.fencing import chat_token
 from passlane.node.led_program import LedProgram
@@ -51,7 +52,7 @@
     async def run(self) -> None:
         """Run the attempt to its end and report it, to the scheduler too."""
         ended: CallEnded | None = CallEnded(self.plan.call_id, succeeded=False)
-        event: CallEventIn
+        event: AttemptFinished | AttemptFailed
         try:
             final = await self._stream()
             self._note_incarnation(final)
@@ -75,13 +76,19 @@
                 ended = None
         except anyio.get_cancelled_exc_class():
             self.services.models.withdraw(self.plan.call_id)
+            self._report(Verdict.MAY_HAVE_RUN)
             raise
         if ended is None:
             self.services.models.withdraw(self.plan.call_id)
         else:
             self.services.models.note_ended(ended, self.start.backend)
+        self._report(event.verdict if isinstance(event, AttemptFailed) else Verdict.RAN)
         self.post(event)
 
+    def _report(self, verdict: Verdict) -> None:
+        report = AttemptReport(self.plan.kind, self.start.backend, verdict)
+        self.services.reports.publish_attempt(report)
+
     async def _stream(self) -> EngineChunk:
         engine = self.services.configuration().engines.get(self.engine_id)
         if engine is None:
--- a/src/passlane/node/model_dispatcher.py
+++ b/src/passlane/node/model_dispatcher.py
@@ -47,6 +47,11 @@
         """Take one event and return instructions."""
         ...
 
+    @property
+    def queued_calls(self) -> int:
+        """Calls that wait at this node, over all models."""
+        ...
+
     def in_flight_at(self, engine_id: EngineId) -> int:
         """Return how many calls of this node are at an engine."""
         ...
@@ -139,6 +144,11 @@
         """Take one retry from the budget of the engine that failed."""
         return self._budget_of(engine_id).try_spend()
 
+    @property
+    def queued_calls(self) -> int:
+        """Calls that wait for an engine."""
+        return self._scheduler.queued_calls
+
     def in_flight_at(self, engine_id: EngineId) -> int:
         """Return how many calls of this node are at an engine."""
         return self._scheduler.in_flight_at(engine_id)
--- a/src/passlane/node/node_core.py
+++ b/src/passlane/node/node_core.py
@@ -175,7 +175,7 @@
         releases=releases,
         poller=poller,
         leader=leader,
-        forwarder=Forwarder(caller, leadership, partition_count, source),
+        forwarder=Forwarder(caller, leadership, partition_count, source, reports),
         sweep=MemorySweep(services, directory, leader, releases, poller, source),
     )
 
--- a/src/passlane/node/node_metrics.py
+++ b/src/passlane/node/node_metrics.py
@@ -1,16 +1,18 @@
 """Metrics of a node: calls by outcome and latency, and gauges of what it holds."""
 
+from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.node import CallAnswered, CreateProgramRequest
-from passlane.node.call_reports import CallReport
+from passlane.node.call_reports import AttemptReport, CallReport
 from passlane.node.node_core import NodeCore
 from passlane.observability.metrics import Metrics
+from passlane.policy.governor import PolicyProblemReport
 
 ANSWERED = "answered"
 
 
 class NodeMetrics:
-    """Counts finished calls; implements ``ReportSink``."""
+    """Counts what happens; implements ``ReportSink`` and ``FailureSink``."""
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
@@ -21,7 +23,15 @@
         self._first_token = metrics.histogram(
             "first_token_seconds", "Time from a call's arrival at its leader to its first token"
         )
-        self._attempts = metrics.counter("attempts", "Attempts at back ends", ("kind",))
+        self._attempts = metrics.counter(
+            "attempts", "Attempts at back ends, by whether they ran", ("kind", "verdict")
+        )
+        self._refusals = metrics.counter(
+            "refusals", "Errors given to this node's callers", ("code", "verdict")
+        )
+        self._policy_failures = metrics.counter(
+            "policy_failures", "Decisions by default because a policy failed", ("policy",)
+        )
         self._programs = metrics.counter("programs", "Programs created and ended", ("event",))
 
     def take(self, report: CallReport) -> None:
@@ -30,7 +40,6 @@
         answer = report.answer
         result = ANSWERED if isinstance(answer, CallAnswered) else answer.code.value
         self._calls.labels(kind, result).inc()
-        self._attempts.labels(kind).inc(report.attempts)
         self._latency.labels(kind).observe(report.ended_at - report.arrived_at)
         if report.first_token_at is not None:
             self._first_token.observe(report.first_token_at - report.arrived_at)
@@ -43,6 +52,18 @@
         """Count a program's end."""
         self._programs.labels("ended").inc()
 
+    def take_attempt(self, report: AttemptReport) -> None:
+        """Count an attempt."""
+        self._attempts.labels(report.kind.value, report.verdict.value).inc()
+
+    def take_refusal(self, code: ErrorCode, verdict: Verdict) -> None:
+        """Count a refusal."""
+        self._refusals.labels(code.value, verdict.value).inc()
+
+    def take_policy_failure(self, report: PolicyProblemReport) -> None:
+        """Count the failures of a policy."""
+        self._policy_failures.labels(report.policy).inc(report.times)
+
     def watch(self, core: NodeCore) -> None:
         """Show what the running parts hold, whenever the metrics are read."""
         gauge = self._metrics.gauge
@@ -55,6 +76,12 @@
         gauge("requests_in_flight", "Requests admitted and not answered yet").set_function(
             lambda: core.admission.in_flight
         )
+        gauge("calls_queued_for_engines", "Calls that wait for an engine").set_function(
+            lambda: core.services.models.queued_calls
+        )
+        gauge(
+            "calls_queued_in_programs", "Calls that wait for an earlier call of their program"
+        ).set_function(lambda: sum(host.waiting_count for host in core.directory.hosts))
         gauge("led_partitions", "Partitions that this node leads").set_function(
             lambda: len(core.services.leadership.led_partitions())
         )
--- a/src/passlane/node/program_host.py
+++ b/src/passlane/node/program_host.py
@@ -78,6 +78,11 @@
         """Whether no call runs or waits."""
         return self._runner is None and not self._waiting
 
+    @property
+    def waiting_count(self) -> int:
+        """Calls that wait for their turn."""
+        return len(self._waiting)
+
     # Callers.
 
     def submit(self, request: CallRequest, planned: PlannedCall, deadline: float) -> Subscription:
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -29,6 +29,7 @@
 from passlane.node.drain_progress import in_flight_at_drained
 from passlane.node.forwarder import Emit
 from passlane.node.heartbeat import HeartbeatLoop
+from passlane.node.housekeeping import Housekeeping
 from passlane.node.lease_leadership import LeaseLeadership
 from passlane.node.local_caller import LocalCaller
 from passlane.node.node_core import (
@@ -38,7 +39,6 @@
     register_handlers,
 )
 from passlane.node.node_metrics import NodeMetrics
-from passlane.node.program_host import ProgramHost
 from passlane.node.program_store import ProgramStore
 from passlane.node.refusal_verdicts import error_with_verdict, verdict_without_record
 from passlane.node.trace_recorder import TraceRecorder
@@ -50,7 +50,6 @@
 from passlane.settings.model import Settings
 from passlane.transport.interfaces import Caller, Router
 
-HOUSEKEEPING_S = 1.0
 DRAIN_RETRY_AFTER_S = 1.0
 UNARY_TIMEOUT_S = 15.0
 INCARNATION_BITS = 62
@@ -91,7 +90,10 @@
         self._metrics = None if metrics is None else NodeMetrics(metrics)
         self._recorder = self._new_recorder()
         sinks: list[ReportSink | None] = [self._metrics, self._recorder]
-        self._reports = CallReports([sink for sink in sinks if sink is not None])
+        self._reports = CallReports(
+            [sink for sink in sinks if sink is not None],
+            [] if self._metrics is None else [self._metrics],
+        )
         self._policies = PolicyGovernor()
         self._configuration = ConfigurationView()
         self._leaving_engines: frozenset[EngineId] = frozenset()
@@ -164,7 +166,7 @@
                 tasks.start_soon(core.sweep.run)
                 if self._recorder is not None:
                     tasks.start_soon(self._recorder.run, self._environment.disk)
-                await self._keep_house(core)
+                await Housekeeping(core).run()
             finally:
                 self._core = None
 
@@ -181,34 +183,6 @@
             policies=self._policies,
         )
 
-    async def _keep_house(self, core: NodeCore) -> None:
-        while True:
-            await anyio.sleep(HOUSEKEEPING_S)
-            now = anyio.current_time()
-            core.directory.drop_idle(now)
-            self._report_policy_problems()
-            for host in core.directory.hosts:
-                deadline = host.program.deadline
-                if deadline is not None and deadline <= now and not host.program.is_ended:
-                    host.program.deadline = None
-                    core.services.tasks.start_soon(self._end_late, core, host)
-
-    def _report_policy_problems(self) -> None:
-        for report in self._policies.take_problems():
-            _log.warning(
-                "policy failed", policy=report.policy, error=report.message, times=report.times
-            )
-
-    async def _end_late(self, core: NodeCore, host: ProgramHost) -> None:
-        """End a program whose time is used up."""
-        try:
-            await core.leader.end_host(
-                host, ErrorCode.LIMIT_EXCEEDED, "the program's time is used up"
-            )
-        except PasslaneError as error:
-            _log.warning("late program not ended", code=error.code.value)
-            host.program.deadline = anyio.current_time() + HOUSEKEEPING_S
-
     async def drain(self) -> None:
         """Refuse new requests, finish those in flight and give up all partitions."""
         self._is_draining = True
@@ -289,7 +263,9 @@
         try:
             core = self._require_open()
         except PasslaneError as error:
-            raise error_with_verdict(error, verdict_without_record(request)) from error
+            refusal = error_with_verdict(error, verdict_without_record(request))
+            self._reports.publish_refusal(refusal.code, refusal.verdict)
+            raise refusal from error
         self._requests += 1
         try:
             await core.forwarder.run_call(request, emit)
--- a/src/passlane/node/tool_attempt.py
+++ b/src/passlane/node/tool_attempt.py
@@ -10,6 +10,7 @@
 from passlane.configuration.view import ToolOffer
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.backends import ToolRequest
+from passlane.node.call_reports import AttemptReport
 from passlane.node.call_services import CallServices
 from passlane.node.led_program import LedProgram
 from passlane.programs.call_events import (
@@ -37,6 +38,7 @@
     async def run(self) -> None:
         """Run the attempt to its end."""
         healthy: bool | None = None
+        verdict = Verdict.MAY_HAVE_RUN
         event: CallEventIn
         try:
             if not self.services.leads(self.program):
@@ -45,14 +47,18 @@
                 self.offer.tool.name, self._request(), self.offer.tool.timeout_s
             )
             healthy = True
+            verdict = Verdict.RAN
             event = AttemptFinished(self.start.attempt_id, body=reply.result)
         except PasslaneError as error:
             healthy = _health(error)
+            verdict = error.verdict
             event = self._failure(error)
         finally:
             self.services.tools.finish(
                 self.offer.application_id, healthy=healthy, now=anyio.current_time()
             )
+            report = AttemptReport(self.plan.kind, self.start.backend, verdict)
+            self.services.reports.publish_attempt(report)
         self.post(event)
 
     def _client(self) -> ApplicationClient:
