--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -55,7 +55,7 @@
                     await self._request("POST", address, "/v1/test/restart")
             case FaultKind.DISTURB_TOOL:
                 # Which application has the tool does not matter: the others never see it.
-                forced = ForcedBehaviour(fault.target, fault.behaviour)
+                forced = ForcedBehaviour(fault.target, fault.behaviour, program_id)
                 for address in self._addresses(ProcessKind.APPLICATION):
                     await self._request("POST", address, "/v1/test/behaviour", forced)
             case FaultKind.ENGINE_LEAVES:
--- a/src/passlane/emulator/application_app.py
+++ b/src/passlane/emulator/application_app.py
@@ -20,10 +20,14 @@
 
 
 class ForcedBehaviour(msgspec.Struct, frozen=True):
-    """Body of ``POST /v1/test/behaviour``: what the next request for ``tool`` meets."""
+    """Body of ``POST /v1/test/behaviour``: what the next request for ``tool`` meets.
+
+    With ``program_id`` only a request of that program meets it.
+    """
 
     tool: str
     behaviour: Behaviour
+    program_id: str | None = None
 
 
 def build_tool_application(
@@ -82,7 +86,7 @@
     async def force(self, exchange: Exchange) -> None:
         """Serve ``POST /v1/test/behaviour``, for tests only: disturb the next request."""
         forced = msgspec.json.decode(exchange.request.body, type=ForcedBehaviour)
-        self._model.force(forced.behaviour, forced.tool)
+        self._model.force(forced.behaviour, forced.tool, forced.program_id)
         await exchange.answer(STATUS_OK, forced)
 
     async def _run(self, planned: Handling) -> None:
--- a/src/passlane/emulator/application_model.py
+++ b/src/passlane/emulator/application_model.py
@@ -98,10 +98,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _ForcedBehaviour:
-    """What the next request shall meet; ``tool`` is ``None`` for a request of any tool."""
+    """What the next request shall meet; ``None`` stands for any tool or program."""
 
     behaviour: Behaviour
     tool: str | None
+    program_id: str | None
 
 
 class ApplicationModel:
@@ -127,9 +128,11 @@
         """Return whether the application has a tool of this name."""
         return tool in self._settings.tools
 
-    def force(self, behaviour: Behaviour, tool: str | None = None) -> None:
-        """Let the next request (for ``tool`` if given) behave this way; for tests."""
-        self._forced.append(_ForcedBehaviour(behaviour, tool))
+    def force(
+        self, behaviour: Behaviour, tool: str | None = None, program_id: str | None = None
+    ) -> None:
+        """Let the next request (for a tool, of a program, if given) behave this way."""
+        self._forced.append(_ForcedBehaviour(behaviour, tool, program_id))
 
     def receive(self, tool: str, request: ToolRequest, now: float) -> Handling | ApplicationAnswer:
         """Plan the handling of a request, or give its answer when it is known at once."""
@@ -141,7 +144,7 @@
             return self._rejection(409, request, known.result)
         if known is not None and self._settings.deduplicates:
             return ApplicationAnswer(200, self.status(request.operation_id))
-        behaviour = self._take_forced(tool) or self._draw_behaviour()
+        behaviour = self._take_forced(tool, request) or self._draw_behaviour()
         if behaviour is Behaviour.REFUSE:
             return self._rejection(503, request, "try again later")
         return self._plan(tool, request, behaviour, now)
@@ -214,10 +217,11 @@
         """Draw the time of one half of an operation, in seconds."""
         return self._random.uniform(self._settings.run_min_s, self._settings.run_max_s)
 
-    def _take_forced(self, tool: str) -> Behaviour | None:
-        """Return the behaviour that was forced first for a request for ``tool``."""
+    def _take_forced(self, tool: str, request: ToolRequest) -> Behaviour | None:
+        """Return the behaviour that was forced first for such a request."""
+        program_id = request.operation_id.partition("/")[0]
         for place, forced in enumerate(self._forced):
-            if forced.tool in (None, tool):
+            if forced.tool in (None, tool) and forced.program_id in (None, program_id):
                 return self._forced.pop(place).behaviour
         return None
 
--- a/src/passlane/emulator/replay.py
+++ b/src/passlane/emulator/replay.py
@@ -1,8 +1,8 @@
 """``passlane trace replay``: plays traces on simulated fleets of their deployments.
 
-Traces of one deployment in which nothing fails are played side by side on one fleet; a
-trace with faults has a fleet of its own. The daemons' log lines are kept in a ring and
-written out only when an outcome did not come true.
+Traces of one deployment whose faults, if any, concern their own programs only are played
+side by side on one fleet; any other trace has a fleet of its own. The daemons' log lines
+are kept in a ring and written out only when an outcome did not come true.
 """
 
 import sys
@@ -19,7 +19,7 @@
 from passlane.emulator.simulated_replay import simulated_replay_fleet
 from passlane.emulator.trace_files import Trace, read_trace
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.messages.traces import FaultInjected
+from passlane.messages.traces import FaultInjected, FaultKind, TraceAction
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
 from passlane.simulation.runner import run_simulation
@@ -60,9 +60,13 @@
     return replay_group([trace], seed)[trace.path]
 
 
-def replay_group(traces: Sequence[Trace], seed: int = SEED) -> Mapping[Path, list[Mismatch]]:
+def replay_group(
+    traces: Sequence[Trace], seed: int = SEED, ring: RingLog | None = None
+) -> Mapping[Path, list[Mismatch]]:
     """Replay traces of one deployment side by side; return what did not come true.
 
+    The daemons' log lines go to ``ring``, or are dropped without one.
+
     Raises
     ------
     PasslaneError
@@ -74,21 +78,29 @@
     async def play() -> Mapping[Path, list[Mismatch]]:
         return await _play(traces, example, seed)
 
-    return run_simulation(play, seed)
+    with _logs_in(ring or RingLog(RING_LINES)):
+        return run_simulation(play, seed)
 
 
 def group_traces(traces: Sequence[Trace]) -> list[list[Trace]]:
-    """Return which traces share a fleet: those of a deployment that inject no fault."""
+    """Return which traces share a fleet: those of a deployment that harm no other one."""
     shared: dict[str, list[Trace]] = {}
     alone: list[list[Trace]] = []
     for trace in traces:
-        if any(isinstance(numbered.action, FaultInjected) for numbered in trace.actions):
+        if any(_harms_others(numbered.action) for numbered in trace.actions):
             alone.append([trace])
         else:
             shared.setdefault(trace.start.deployment, []).append(trace)
     return [*shared.values(), *alone]
 
 
+def _harms_others(action: TraceAction) -> bool:
+    """Return whether an action is a fault that other programs would notice."""
+    if not isinstance(action, FaultInjected):
+        return False
+    return action.kind is not FaultKind.DISTURB_TOOL or action.program is None
+
+
 async def _play(
     traces: Sequence[Trace], example: SimulatedExample, seed: int
 ) -> Mapping[Path, list[Mismatch]]:
@@ -106,8 +118,8 @@
 
 def _replay_and_print(traces: Sequence[Trace]) -> int:
     """Replay a group; return how many lines did not come true."""
-    with _logs_in_ring() as ring:
-        mismatches = replay_group(traces)
+    ring = RingLog(RING_LINES)
+    mismatches = replay_group(traces, ring=ring)
     for trace in traces:
         for mismatch in mismatches[trace.path]:
             print(f"{trace.path}:{mismatch.line}: {mismatch.message}")
@@ -120,13 +132,12 @@
 
 
 @contextmanager
-def _logs_in_ring() -> Iterator[RingLog]:
+def _logs_in(ring: RingLog) -> Iterator[None]:
     """Keep all log lines in a ring, and leave logging as it was."""
     before = structlog.get_config()
-    ring = RingLog(RING_LINES)
     configure_logging(ring)
     try:
-        yield ring
+        yield
     finally:
         structlog.configure(**before)
 
--- a/src/passlane/emulator/replay_outcomes.py
+++ b/src/passlane/emulator/replay_outcomes.py
@@ -143,7 +143,7 @@
             return f"{stated.engine} was never listed as leaving"
         quiet_s = await self._records.engine_quiet_s(stated.engine)
         if quiet_s is None:
-            return None
+            return f"{stated.engine} never got a request, which proves nothing"
         late_s = anyio.current_time() - since - quiet_s
         if late_s <= stated.within_s:
             return None
--- a/src/passlane/emulator/simulated_replay.py
+++ b/src/passlane/emulator/simulated_replay.py
@@ -111,7 +111,8 @@
                 for engine in self._engines:
                     engine.restart()
             case FaultKind.DISTURB_TOOL:
-                self._application_with(fault.target).force(fault.behaviour, fault.target)
+                application = self._application_with(fault.target)
+                application.force(fault.behaviour, fault.target, program_id)
             case FaultKind.ENGINE_LEAVES:
                 for platform in self._platforms:
                     platform.mark_leaving(fault.target, LEAVES_IN_S, anyio.current_time())
--- a/src/passlane/messages/traces.py
+++ b/src/passlane/messages/traces.py
@@ -99,9 +99,9 @@
 
     ``KILL_LEADER`` ends the node that leads ``program`` and starts it again after
     ``restart_after_s``; ``RESTART_ENGINES`` ends all engines' streams and lets them lose
-    their memory. ``DISTURB_TOOL`` lets the next request for the tool ``target`` go wrong as
-    ``behaviour`` says. ``ENGINE_LEAVES`` lets the platform list the engine ``target`` as
-    leaving.
+    their memory. ``DISTURB_TOOL`` lets the next request for the tool ``target`` (of
+    ``program``, if given) go wrong as ``behaviour`` says. ``ENGINE_LEAVES`` lets the
+    platform list the engine ``target`` as leaving.
 
     With ``during_call`` it happens as long after the program's call of that sequence number
     was made as the recorded times say, however late that call is in a replay.
@@ -155,7 +155,10 @@
 
 
 class EngineQuietStated(_Line, frozen=True):
-    """An engine must get no request later than ``within_s`` after it was listed as leaving."""
+    """An engine must get no request later than ``within_s`` after it was listed as leaving.
+
+    It must have had requests before, so that the statement says something.
+    """
 
     engine: str
     within_s: float
