Replay what nodes record, and read only what a trace can tell

A recording stated the answers of the back ends, which those of a replay can't give again; its deployment was the region, for which there is no settings folder; a program that began before the recording stopped the replay with a KeyError; and the last second was lost on a stop. Ruled out: merging the nodes' files, as each program is told by the node that leads it. Refusals before a call's turn (program ended, wrong sequence) are not recorded; that is left as it was.

--- a/src/passlane/emulator/replay.py
+++ b/src/passlane/emulator/replay.py
@@ -17,7 +17,7 @@
 from passlane.emulator.example_files import SimulatedExample, read_simulated_example
 from passlane.emulator.replayer import Mismatch, ReplayFleet, TraceReplay
 from passlane.emulator.simulated_replay import simulated_replay_fleet
-from passlane.emulator.trace_files import Trace, read_trace
+from passlane.emulator.trace_files import Trace, read_trace, without_partial_programs
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.traces import FaultInjected, FaultKind, TraceAction
 from passlane.observability.logging import configure_logging
@@ -30,19 +30,28 @@
 RING_LINES = 500
 
 
-def replay_files(paths: Sequence[Path]) -> int:
-    """Replay traces and print what came true; return 1 if anything did not."""
+def replay_files(paths: Sequence[Path], settings: Path | None = None) -> int:
+    """Replay traces and print what came true; return 1 if anything did not.
+
+    Parameters
+    ----------
+    paths
+        Files of traces.
+    settings
+        Folder with the settings of the fleet; without it that of the example which is
+        named like the trace's deployment.
+    """
     traces: list[Trace] = []
     failed = 0
     for path in paths:
         try:
-            traces.append(read_trace(path))
+            traces.append(_read_whole_programs(path))
         except PasslaneError as error:
             print(error)
             failed += 1
     for group in group_traces(traces):
         try:
-            failed += _replay_and_print(group)
+            failed += _replay_and_print(group, settings)
         except PasslaneError as error:
             print(error)
             failed += 1
@@ -61,11 +70,15 @@
 
 
 def replay_group(
-    traces: Sequence[Trace], seed: int = SEED, ring: RingLog | None = None
+    traces: Sequence[Trace],
+    seed: int = SEED,
+    ring: RingLog | None = None,
+    settings: Path | None = None,
 ) -> Mapping[Path, list[Mismatch]]:
     """Replay traces of one deployment side by side; return what did not come true.
 
-    The daemons' log lines go to ``ring``, or are dropped without one.
+    The daemons' log lines go to ``ring``, or are dropped without one. ``settings`` is the
+    folder with the fleet's settings, by default the example of the traces' deployment.
 
     Raises
     ------
@@ -73,7 +86,7 @@
         When there is no example of the traces' deployment.
     """
     with tempfile.TemporaryDirectory(prefix="passlane-replay-") as folder:
-        example = read_simulated_example(_example_of(traces[0]), Path(folder))
+        example = read_simulated_example(settings or _example_of(traces[0]), Path(folder))
 
     async def play() -> Mapping[Path, list[Mismatch]]:
         return await _play(traces, example, seed)
@@ -116,10 +129,20 @@
     return mismatches
 
 
-def _replay_and_print(traces: Sequence[Trace]) -> int:
+def _read_whole_programs(path: Path) -> Trace:
+    """Return a trace as far as it can be played, and print what is left out."""
+    trace = read_trace(path)
+    whole = without_partial_programs(trace)
+    left_out = len(trace.actions) - len(whole.actions)
+    if left_out:
+        print(f"{path}: {left_out} lines of programs whose start is not in it are left out")
+    return whole
+
+
+def _replay_and_print(traces: Sequence[Trace], settings: Path | None) -> int:
     """Replay a group; return how many lines did not come true."""
     ring = RingLog(RING_LINES)
-    mismatches = replay_group(traces, ring=ring)
+    mismatches = replay_group(traces, ring=ring, settings=settings)
     for trace in traces:
         for mismatch in mismatches[trace.path]:
             print(f"{trace.path}:{mismatch.line}: {mismatch.message}")
@@ -155,6 +178,7 @@
     folder = EXAMPLES / trace.start.deployment
     if not folder.is_dir():
         raise PasslaneError(
-            ErrorCode.NOT_FOUND, f"{trace.path}:1: no deployment {trace.start.deployment}"
+            ErrorCode.NOT_FOUND,
+            f"{trace.path}:1: no example is named {trace.start.deployment}; give --settings",
         )
     return folder
--- a/src/passlane/emulator/replay_schedule.py
+++ b/src/passlane/emulator/replay_schedule.py
@@ -28,13 +28,13 @@
 
 
 def dependent_chains(actions: Sequence[NumberedAction]) -> list[list[NumberedAction]]:
-    """Return the lines that are played one after the other.
+    """Return the lines that are played one after the other, in the order of their times.
 
     A program and its sub-agents are one chain; each fault is a chain by itself.
     """
     root_of: dict[ProgramId, ProgramId] = {}
     chains: dict[ProgramId | int, list[NumberedAction]] = {}
-    for numbered in actions:
+    for numbered in sorted(actions, key=lambda numbered: numbered.action.at_s):
         action = numbered.action
         if isinstance(action, FaultInjected):
             chains[numbered.number] = [numbered]
--- a/src/passlane/emulator/replayer.py
+++ b/src/passlane/emulator/replayer.py
@@ -217,7 +217,7 @@
     async def _create(self, line: int, action: ProgramCreated) -> None:
         """Start a program and keep the id that it gets."""
         caller = self._fleet.caller(action.tenant)
-        parent_id = None if action.parent is None else self._ids[action.parent]
+        parent_id = None if action.parent is None else self._ids.get(action.parent)
         result = await caller.create_program(action.program, parent_id, action.budget)
         self._expect_success(line, result)
         self._ids[action.program] = result.answer
--- a/src/passlane/emulator/simulated_replay.py
+++ b/src/passlane/emulator/simulated_replay.py
@@ -132,6 +132,14 @@
         """Return the seconds since an engine's last request; ``None`` if it got none."""
         return next(service.quiet_s() for service in self._engines if service.engine_id == engine)
 
+    def node_files(self, folder: str) -> dict[str, bytes]:
+        """Return what the nodes' disks hold in a folder, by file name."""
+        return {
+            name: node.disk.read(f"{folder}/{name}")
+            for node in self._nodes()
+            for name in node.disk.list_files(folder)
+        }
+
     # Life of the fleet.
 
     async def start(self) -> None:
--- a/src/passlane/emulator/trace_files.py
+++ b/src/passlane/emulator/trace_files.py
@@ -1,6 +1,6 @@
 """Reads recorded traces; every fault names the file and the line."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -8,6 +8,7 @@
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.traces import (
     TRACE_FORMAT,
+    ProgramCreated,
     TraceAction,
     TraceLine,
     TraceOutcome,
@@ -80,6 +81,31 @@
     )
 
 
+def without_partial_programs(trace: Trace) -> Trace:
+    """Return a trace without the lines of programs whose start it does not tell.
+
+    A recording misses the start of programs that began before it, or under another leader.
+    """
+    known = {
+        numbered.action.program
+        for numbered in trace.actions
+        if isinstance(numbered.action, ProgramCreated)
+    }
+    return replace(
+        trace,
+        actions=tuple(
+            numbered
+            for numbered in trace.actions
+            if numbered.action.program is None or numbered.action.program in known
+        ),
+        outcomes=tuple(
+            numbered
+            for numbered in trace.outcomes
+            if getattr(numbered.outcome, "program", None) in (None, *known)
+        ),
+    )
+
+
 def _decode(path: Path, number: int, line: str) -> TraceLine:
     """Return one line."""
     try:
--- a/src/passlane/node/trace_recorder.py
+++ b/src/passlane/node/trace_recorder.py
@@ -27,6 +27,7 @@
 from passlane.runtime.interfaces import AppendFile, Disk
 
 WRITE_INTERVAL_S = 1.0
+LAST_WRITE_TIMEOUT_S = 1.0
 MAX_WAITING_LINES = 50_000
 """Lines kept while the disk does not take them; further ones are dropped and counted."""
 
@@ -110,14 +111,13 @@
     def _outcome(self, report: CallReport) -> CallOutcomeStated:
         answer = report.answer
         error_code = None if isinstance(answer, CallAnswered) else answer.code
-        has_text = isinstance(answer, CallAnswered) and not self._redacts_content
+        # What was answered is left open: back ends of a replay have answers of their own.
         return CallOutcomeStated(
             program=report.request.program_id,
             sequence=report.sequence,
             verdict=answer.verdict,
             idempotency_key=report.request.idempotency_key,
             error_code=error_code,
-            answer=answer.body if has_text and isinstance(answer, CallAnswered) else None,
         )
 
     def _at(self, time: float) -> float:
@@ -146,13 +146,15 @@
     # The file.
 
     async def run(self, disk: Disk) -> None:
-        """Write out what was recorded now and then, until cancelled."""
+        """Write out what was recorded now and then, and when cancelled."""
         file = disk.open_append(self._file_name)
         try:
             while True:
                 await anyio.sleep(WRITE_INTERVAL_S)
                 await self._write_out(file)
         finally:
+            with anyio.move_on_after(LAST_WRITE_TIMEOUT_S, shield=True):
+                await self._write_out(file)
             file.close()
 
     async def _write_out(self, file: AppendFile) -> None:
--- a/tests/emulator/test_application_model.py
+++ b/tests/emulator/test_application_model.py
@@ -36,6 +36,21 @@
         serve(self.model, "o")
         self.assertEqual(self.model.runs_by_operation(), {"o": 2})
 
+    def test_forced_behaviour_waits_for_its_tool_and_its_program(self) -> None:
+        model = ApplicationModel(ApplicationSettings(tools=("charge", "find")), random.Random(1))
+        model.force(Behaviour.REFUSE, "charge", "program-1")
+        taken = [
+            model.receive(tool, request(operation), 0.0)
+            for tool, operation in (
+                ("find", "program-1/a"),
+                ("charge", "program-2/a"),
+                ("charge", "program-1/b"),
+                ("charge", "program-1/c"),
+            )
+        ]
+        refused = [isinstance(plan, ApplicationAnswer) for plan in taken]
+        self.assertEqual(refused, [False, False, True, False])
+
     def test_deduplicating_application_gives_the_first_answer_again(self) -> None:
         model = ApplicationModel(ApplicationSettings(deduplicates=True), random.Random(1))
         self.assertEqual(serve(model, "o"), serve(model, "o"))
