A replica is ready only once it votes

/readyz of a store or control process said yes as soon as the replica knew a leader. A wiped replica knows one within a heartbeat, long before it votes: an operator who replaces machines one after the other, each when the former one is ready, could take down the second of three while the first still counted for nothing.

The rule is now that the replica votes, by the membership that it knows, and knows a leader. A rule by how far its log has come was ruled out: a learner with the whole log still does not vote.

--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -121,8 +121,8 @@
             tasks.start_soon(service.run)
 
     def is_ready(self) -> bool:
-        """Whether a leader of the group is known."""
-        return self._host is not None and self._host.leader_address is not None
+        """Whether this replica votes and knows the group's leader."""
+        return self._host is not None and self._host.is_ready
 
     def is_leader(self) -> bool:
         """Whether this replica leads the group."""
@@ -168,8 +168,8 @@
             tasks.start_soon(service.run)
 
     def is_ready(self) -> bool:
-        """Whether a leader of the group is known."""
-        return self._host is not None and self._host.leader_address is not None
+        """Whether this replica votes and knows the group's leader."""
+        return self._host is not None and self._host.is_ready
 
     def is_leader(self) -> bool:
         """Whether this replica leads the group."""
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -146,6 +146,15 @@
         members = self._driver.replica.membership.members
         return any(m.replica_id == self.replica_id and m.is_voter for m in members)
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this replica votes and knows a leader.
+
+        One that is being repaired knows the leader early, but until it votes no other
+        replica of a group of three may be taken down.
+        """
+        return self.leader_address is not None and self.is_voter
+
     @property
     def is_disk_full(self) -> bool:
         """Whether new work is refused for want of space."""
--- a/tests/replication/cluster.py
+++ b/tests/replication/cluster.py
@@ -168,13 +168,13 @@
     def leader(self):
         return next((m for m in self.members.values() if m.scope and m.host.is_leader), None)
 
-    async def until(self, condition, timeout_s=30.0):
+    async def until(self, condition, timeout_s=30.0, every_s=0.01):
         """Wait for a condition; fail if it does not come about in virtual time."""
         with anyio.fail_after(timeout_s):
             while True:
                 if value := condition():
                     return value
-                await anyio.sleep(0.01)
+                await anyio.sleep(every_s)
 
     async def propose(self, command, timeout_s=30.0):
         """Propose at whoever leads until it is committed; commands may be repeated."""
--- a/tests/replication/test_replica_host.py
+++ b/tests/replication/test_replica_host.py
@@ -9,7 +9,7 @@
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
 from passlane.simulation.runner import run_simulation
-from replication.cluster import GROUP, running_cluster
+from replication.cluster import DELAY_S, GROUP, running_cluster
 
 SEEDS = range(6)
 
@@ -119,6 +119,18 @@
         self.assertEqual(len(members), 3)
         self.assertNotIn(old_id, [member.replica_id for member in members])
 
+    @on_seeds()
+    async def test_wiped_replica_is_ready_only_once_it_votes(self, cluster):
+        await propose_all(cluster, numbered(0, 30))
+        cluster.kill("c")
+        cluster.members["c"].disk.wipe()
+        cluster.start("c")
+        wiped = cluster.members["c"].host
+        await cluster.until(lambda: wiped.leader_address is not None, every_s=DELAY_S / 10)
+        self.assertFalse(wiped.is_ready)
+        await cluster.until(lambda: wiped.is_ready)
+        self.assertTrue(wiped.is_voter)
+
     @on_seeds()
     async def test_wiped_majority_does_not_found_the_group_anew(self, cluster):
         await propose_all(cluster, numbered(0, 5))
