--- a/src/passlane/raft/follower.py
+++ b/src/passlane/raft/follower.py
@@ -11,6 +11,7 @@
 )
 from passlane.raft.membership import member_of
 from passlane.raft.progress import Snapshot
+from passlane.raft.snapshot_data import ReceivedSnapshotData, SnapshotData
 from passlane.raft.state import ReplicaState
 
 
@@ -26,13 +27,13 @@
     def __init__(self, last_index: int, last_term: int) -> None:
         self.last_index = last_index
         self.last_term = last_term
-        self.data = bytearray()
+        self.data = ReceivedSnapshotData()
 
     def add(self, request: SnapshotRequest) -> bool:
         """Add a chunk; return whether the snapshot is whole. Other chunks are ignored."""
         if request.offset != len(self.data):
             return False
-        self.data += request.data
+        self.data.append(request.data)
         return request.is_last
 
 
@@ -80,7 +81,7 @@
             return
         assembly = self._assembly_for(request)
         if assembly.add(request):
-            self._install(request, bytes(assembly.data))
+            self._install(request, assembly.data)
             return
         self._reply_snapshot(request.sender, request.last_index, installed=False)
 
@@ -168,7 +169,7 @@
             self._assembly = assembly
         return assembly
 
-    def _install(self, request: SnapshotRequest, data: bytes) -> None:
+    def _install(self, request: SnapshotRequest, data: SnapshotData) -> None:
         self._assembly = None
         self._matched_index = request.last_index
         snapshot = Snapshot(request.last_index, request.last_term, request.membership, data)
--- a/tests/raft/test_follower.py
+++ b/tests/raft/test_follower.py
@@ -6,6 +6,7 @@
 from passlane.raft.errors import RaftInvariantError
 from passlane.raft.events import SnapshotInstalled
 from passlane.raft.instructions import AppendEntries, ApplyEntries, InstallSnapshot
+from passlane.raft.snapshot_data import ReceivedSnapshotData
 from raft.replicas import GROUP, A, B, C, TestedReplica, entries, of_kind, only, sent, voters
 
 
@@ -86,7 +87,7 @@
 
         installed = self.tested.receive(self.chunk(3, b"def", is_last=True))
 
-        self.assertEqual(only(of_kind(InstallSnapshot, installed)).data, b"abcdef")
+        self.assertEqual(only(of_kind(InstallSnapshot, installed)).data[:], b"abcdef")
 
     def test_is_acknowledged_only_once_it_is_durable(self) -> None:
         received = self.tested.receive(self.chunk(0, b"abc", is_last=True))
@@ -97,6 +98,17 @@
         self.assertTrue(only(sent(SnapshotReply, installed)).installed)
         self.assertEqual(self.tested.replica.log.synced_index, 10)
 
+    def test_is_read_in_any_slice_without_being_copied_together(self) -> None:
+        data = ReceivedSnapshotData()
+        for chunk in (b"abc", b"", b"d", b"efgh"):
+            data.append(chunk)
+        whole = b"abcdefgh"
+        self.assertEqual(len(data), len(whole))
+        for start in range(10):
+            for stop in range(10):
+                self.assertEqual(data[start:stop], whole[start:stop])
+        self.assertEqual(data[:], whole)
+
 
 if __name__ == "__main__":
     unittest.main()
