--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -104,6 +104,18 @@
         "run",
         "processor time of store commands, memory of records, snapshots",
     ),
+    Experiment(
+        "raft-failover",
+        "passlane.bench.raft_failover",
+        "run",
+        "time without a leader after a loss, and until a lost replica votes again",
+    ),
+    Experiment(
+        "raft-cost",
+        "passlane.bench.raft_cost",
+        "run",
+        "processor time, messages and bytes of an appended command, by group size",
+    ),
 )
 
 
