--- a/src/passlane/replication/driver.py
+++ b/src/passlane/replication/driver.py
@@ -15,9 +15,7 @@
 from passlane.observability.logging import get_logger
 from passlane.raft.errors import RaftInvariantError
 from passlane.raft.events import (
-    EntriesSynced,
     Event,
-    HardStateSynced,
     MessageReceived,
     SnapshotInstalled,
     SnapshotTaken,
@@ -38,6 +36,7 @@
     SendMessage,
 )
 from passlane.raft.replica import Replica
+from passlane.replication.durable_writes import DurableWrites
 from passlane.replication.interfaces import StateMachine
 from passlane.replication.peer_sender import PeerSender
 from passlane.replication.pending import PendingRequests, rejection
@@ -45,7 +44,6 @@
 from passlane.replication.snapshot_rule import SnapshotRule
 from passlane.storage.formats import HardState, LogPosition, storage_corrupt
 from passlane.storage.log import SegmentedLog
-from passlane.storage.reserve import SPACE_RETRY_S
 
 MAX_DEFERRED_MESSAGES = 256
 MIN_TICK_S = 0.001
@@ -81,22 +79,18 @@
         self.term = 0
         self._snapshots = snapshots
         self._state_machine = state_machine
-        self._sender = sender
+        self._writes = DurableWrites(log, sender, self.step)
         self._proposals = proposals
         self._reads = reads
         self._snapshot_rule = snapshot_rule
         self._leads = False
         self._waiting_reads: list[AllowRead] = []
-        self._held_messages: deque[SendMessage] = deque()
-        self._unsynced_hard_state: HardState | None = None
         self._installing: InstallSnapshot | None = None
         self._deferred_instructions: list[Instruction] = []
         self._deferred_events: deque[Event] = deque()
         self._sleeps_until = 0.0
         self._time_changed = anyio.Event()
-        self._write_arrived = anyio.Event()
         self._snapshot_wanted = anyio.Event()
-        self._became_full = anyio.Event()
         self._failure: PasslaneError | RaftInvariantError | None = None
         self._failed = anyio.Event()
 
@@ -109,7 +103,7 @@
         """Run the tasks beside the loop until one fails or all are cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._advance_time)
-            tasks.start_soon(self._sync_writes)
+            tasks.start_soon(self._writes.sync_for_ever)
             tasks.start_soon(self._keep_snapshots)
             tasks.start_soon(self._watch_space)
             tasks.start_soon(self._raise_failure)
@@ -124,13 +118,19 @@
         try:
             self._carry_out(self.replica.handle(event, anyio.current_time()))
         except (PasslaneError, RaftInvariantError) as error:
-            # The caller may be a connection that has nothing to do with the fault.
-            self._failure = error
-            self._failed.set()
+            self._fail(error)
+            return
+        except OSError as error:
+            self._fail(storage_corrupt(f"the disk failed: {error}"))
             return
         if self.replica.next_deadline() < self._sleeps_until:
             self._time_changed.set()
 
+    def _fail(self, error: PasslaneError | RaftInvariantError) -> None:
+        """End the replica; the caller may be a connection that has no part in the fault."""
+        self._failure = error
+        self._failed.set()
+
     async def _raise_failure(self) -> None:
         """End the replica once an event has shown that it must not go on."""
         await self._failed.wait()
@@ -161,14 +161,13 @@
         """Carry out one instruction."""
         match instruction:
             case SendMessage():
-                self._send(instruction)
+                self._writes.send(instruction)
             case AppendEntries():
-                self.log.append(instruction.entries)
-                self._note_write()
+                self._writes.append(instruction.entries)
             case ApplyEntries():
                 self._apply(instruction)
             case SaveHardState(term, voted_for):
-                self._save_hard_state(HardState(term=term, voted_for=voted_for))
+                self._writes.save_hard_state(HardState(term=term, voted_for=voted_for))
             case AllowRead():
                 self._waiting_reads.append(instruction)
                 self._release_reads()
@@ -186,73 +185,14 @@
             case MembershipChanged():
                 logger.info("membership", members=instruction.membership.members)
 
-    # Writing.
-
-    def _save_hard_state(self, hard_state: HardState) -> None:
-        """Write term and vote; messages wait until they are durable."""
-        self._unsynced_hard_state = hard_state
-        self.log.save_hard_state(hard_state)
-        self._note_write()
-
-    def _note_write(self) -> None:
-        """Wake the tasks that look after writes."""
-        self._write_arrived.set()
-        if self.log.is_full:
-            self._became_full.set()
-
-    def _note_full(self) -> None:
-        """Refuse new work until there is space again."""
-        self.log.is_full = True
-        self._became_full.set()
-
-    def _send(self, instruction: SendMessage) -> None:
-        """Send a message, after those that wait for the hard state."""
-        if self._unsynced_hard_state is not None:
-            self._held_messages.append(instruction)
-        else:
-            self._sender.send(instruction.address, instruction.message)
-
-    async def _sync_writes(self) -> None:
-        """Sync what was written; all writes made during one sync share the next."""
-        while True:
-            await self._write_arrived.wait()
-            self._write_arrived = anyio.Event()
-            if not self.log.has_unsynced:
-                continue
-            try:
-                state = await self.log.sync()
-            except OSError as error:
-                # After a failed sync nobody knows what the disk holds.
-                raise storage_corrupt(f"a sync of the log failed: {error}") from error
-            if self.log.is_full:
-                # The mark that a sync leaves in the log may be the first to find no space.
-                self._became_full.set()
-            if self._unsynced_hard_state == state.hard_state:
-                self._release_messages()
-                self.step(HardStateSynced(term=state.hard_state.term))
-            self.step(EntriesSynced(last_index=state.last.index, last_term=state.last.term))
-
-    def _release_messages(self) -> None:
-        """Send the messages that waited for the hard state."""
-        self._unsynced_hard_state = None
-        while self._held_messages:
-            instruction = self._held_messages.popleft()
-            self._sender.send(instruction.address, instruction.message)
-
     async def _watch_space(self) -> None:
-        """On a full disk, hand leadership on, and try until there is space again."""
-        if self.log.is_full:
-            self._became_full.set()
+        """On a full disk, hand leadership on, and wait until there is space again."""
         while True:
-            await self._became_full.wait()
+            await self._writes.wait_until_full()
             logger.error("disk full", term=self.term, is_leader=self._leads)
             if self._leads:
                 self.step(TransferRequested())
-            while not await self.log.recover_space():
-                self._write_arrived.set()
-                await anyio.sleep(SPACE_RETRY_S)
-            self._write_arrived.set()
-            self._became_full = anyio.Event()
+            await self._writes.recover_space()
             logger.warning("disk has space again", term=self.term)
 
     # Applying and reading.
@@ -303,7 +243,7 @@
         last = self.applied
         snapshot = await self._snapshots.take(last, self.replica.membership_at(last.index))
         if snapshot is None:
-            self._note_full()
+            self._writes.note_full()
             return
         if self._installing is not None:
             return
@@ -316,8 +256,7 @@
         snapshot = await self._snapshots.install(instruction)
         last = snapshot.last
         self.applied = last
-        self.log.reset(last)
-        self._note_write()
+        self._writes.reset_log(last)
         self._installing = None
         self._carry_out(self._deferred_instructions)
         self.step(SnapshotInstalled(last_index=last.index, data=snapshot.data))
--- a/src/passlane/simulation/disk.py
+++ b/src/passlane/simulation/disk.py
@@ -36,6 +36,7 @@
     def write(self, data: bytes) -> None:
         """Append ``data`` whole; raise ``OSError`` (``ENOSPC``) and change nothing if full."""
         self._check_open()
+        self._disk.check_writable()
         self._disk.take_space(len(data))
         self._file.content += data
 
@@ -62,7 +63,9 @@
 class SimulatedReadableFile:
     """A file of a ``SimulatedDisk`` opened for reading."""
 
-    def __init__(self, file: _File) -> None:
+    def __init__(self, disk: "SimulatedDisk", name: str, file: _File) -> None:
+        self._disk = disk
+        self._name = name
         self._file = file
 
     @property
@@ -72,6 +75,7 @@
 
     def read_at(self, offset: int, length: int) -> bytes:
         """Return up to ``length`` bytes from ``offset`` on, as they are on the disk now."""
+        self._disk.check_readable(self._name)
         return bytes(self._file.content[offset : offset + length])
 
 
@@ -93,6 +97,10 @@
         Grows with each crash; files opened before it are dead.
     syncs
         Number of syncs done.
+    unreadable
+        Names of files that cannot be read any more, as when a sector has gone bad.
+    refuses_writes
+        Whether appending fails, as with a broken controller.
     """
 
     def __init__(
@@ -109,6 +117,8 @@
         self._unfinished_bytes = 0
         self.incarnation = 0
         self.syncs = 0
+        self.unreadable: set[str] = set()
+        self.refuses_writes = False
 
     # The interface of ``Disk``.
 
@@ -120,11 +130,13 @@
 
     def read(self, name: str) -> bytes:
         """Return the whole file; raise ``FileNotFoundError`` if there is none."""
-        return bytes(self._existing(name).content)
+        content = self._existing(name).content
+        self.check_readable(name)
+        return bytes(content)
 
     def open_read(self, name: str) -> SimulatedReadableFile:
         """Open a file for reading; raise ``FileNotFoundError`` if there is none."""
-        return SimulatedReadableFile(self._existing(name))
+        return SimulatedReadableFile(self, name, self._existing(name))
 
     def open_append(self, name: str) -> SimulatedAppendFile:
         """Open a file for appending; make it if there is none."""
@@ -152,6 +164,7 @@
             if incarnation == self.incarnation:
                 self._unfinished_bytes -= len(content)
         self._files[name] = _File(content, len(content), name_is_durable=True)
+        self.unreadable.discard(name)
 
     async def truncate(self, name: str, length: int) -> None:
         """Cut the file to ``length`` bytes, durably."""
@@ -195,9 +208,20 @@
         """Lose all files, as when the disk is replaced."""
         self.kill_process()
         self._files.clear()
+        self.unreadable.clear()
 
     # Used by open files.
 
+    def check_readable(self, name: str) -> None:
+        """Raise ``OSError`` with ``EIO`` if the file cannot be read any more."""
+        if name in self.unreadable:
+            raise OSError(errno.EIO, "the simulated disk cannot read", name)
+
+    def check_writable(self) -> None:
+        """Raise ``OSError`` with ``EIO`` if nothing can be appended."""
+        if self.refuses_writes:
+            raise OSError(errno.EIO, "the simulated disk cannot write")
+
     def take_space(self, size: int) -> None:
         """Raise ``OSError`` with ``ENOSPC`` if ``size`` more bytes do not fit."""
         if self.capacity_bytes is not None and self.used_bytes() + size > self.capacity_bytes:
@@ -236,4 +260,4 @@
     def _check_alive(self, incarnation: int) -> None:
         """Refuse to finish an operation begun by a process that a crash has ended."""
         if incarnation != self.incarnation:
-            raise OSError(errno.EIO, "the machine stopped during this operation")
+            raise OSError(errno.EBADF, "the machine stopped during this operation")
--- a/src/passlane/storage/formats.py
+++ b/src/passlane/storage/formats.py
@@ -1,5 +1,6 @@
 """What the records of the log, the snapshot and the identity file hold."""
 
+import errno
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -103,6 +104,13 @@
     return PasslaneError(ErrorCode.STORAGE_CORRUPT, message)
 
 
+def damage_of(error: OSError) -> PasslaneError | None:
+    """Return the error for a disk that failed to read or write; ``None`` for other causes."""
+    if error.errno != errno.EIO:
+        return None
+    return storage_corrupt(f"the disk failed: {error}")
+
+
 def decode_payload(kind: type[StructType], payload: bytes | memoryview, where: str) -> StructType:
     """Return the decoded payload.
 
--- a/src/passlane/storage/identity.py
+++ b/src/passlane/storage/identity.py
@@ -103,7 +103,7 @@
             if record is None:
                 return 0
             return decode_payload(Identity, record.payload, self._name).generation
-        except (FileNotFoundError, PasslaneError):
+        except (OSError, PasslaneError):
             return 0
 
     async def _save(self, identity: Identity) -> None:
