--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -74,6 +74,12 @@
         "run_states",
         "time, stalls of the loop and memory of a snapshot, by the size of the state",
     ),
+    Experiment(
+        "storage-costs",
+        "passlane.bench.storage_costs",
+        "run",
+        "processor time, disk and memory of an append at leader and follower",
+    ),
     Experiment(
         "configuration",
         "passlane.bench.configuration",
--- a/src/passlane/bench/storage_group.py
+++ b/src/passlane/bench/storage_group.py
@@ -1,9 +1,11 @@
 """Experiments on a whole group: one replica against three, in one process."""
 
 import random
+import socket
 import tempfile
 import time
 from collections.abc import Iterable, Iterator
+from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -24,7 +26,8 @@
 from passlane.transport.server import MessageServer
 
 GROUP = "bench"
-FIRST_PORT = 28_500
+LOOPBACK = "127.0.0.1"
+NEVER = 1_000_000_000
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.01
 
@@ -54,7 +57,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Member:
+class Member:
     """A replica with its own server and connections on loopback."""
 
     host: ReplicaHost
@@ -63,7 +66,25 @@
     server: MessageServer
 
 
-def _build_member(peer: PeerSettings, settings: GroupSettings, folder: Path, seed: int) -> _Member:
+def _free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in sockets:
+            probe.bind((LOOPBACK, 0))
+        return [probe.getsockname()[1] for probe in sockets]
+
+
+def group_settings(replicas: int) -> GroupSettings:
+    """Return the settings of a group on loopback that takes no snapshots."""
+    peers = tuple(
+        PeerSettings(name=f"replica-{number}", internal=Address(LOOPBACK, port))
+        for number, port in enumerate(_free_ports(replicas))
+    )
+    return GroupSettings(members=peers, snapshot_every_entries=NEVER)
+
+
+def build_member(peer: PeerSettings, settings: GroupSettings, folder: Path, seed: int) -> Member:
     """Return one replica with its files below ``folder``."""
     disk = CountingDisk(str(folder / peer.name))
     base = build_environment(folder / peer.name, seed)
@@ -79,10 +100,10 @@
     host = ReplicaHost(
         GROUP, peer.name, settings, CountingMachine(), environment, pool, router, GROUP
     )
-    return _Member(host, disk, pool, MessageServer(environment, peer.internal, router))
+    return Member(host, disk, pool, MessageServer(environment, peer.internal, router))
 
 
-async def _wait_for_leader(members: list[_Member]) -> _Member:
+async def _wait_for_leader(members: list[Member]) -> Member:
     """Return the leader once there is one."""
     with anyio.fail_after(READY_TIMEOUT_S):
         while True:
@@ -102,18 +123,40 @@
         watch.note(time.perf_counter() - started)
 
 
+async def _propose_from_all(
+    host: ReplicaHost, payload: bytes, callers: int, duration_s: float, watch: Stopwatch
+) -> None:
+    """Propose for a while from many callers, each waiting for one proposal at a time.
+
+    Raises
+    ------
+    PasslaneError
+        ``UNAVAILABLE`` when the leader changed, as figures of two leaders mean nothing.
+    """
+    deadline = time.perf_counter() + duration_s
+    async with anyio.create_task_group() as proposing:
+        for _ in range(callers):
+            proposing.start_soon(_propose_until, host, payload, deadline, watch)
+    if not host.is_leader:
+        raise PasslaneError(ErrorCode.UNAVAILABLE, "the leader changed during the run")
+
+
+async def propose_for(host: ReplicaHost, payload: bytes, callers: int, duration_s: float) -> int:
+    """Propose for a while from many callers; return how many proposals were applied."""
+    watch = Stopwatch()
+    await _propose_from_all(host, payload, callers, duration_s, watch)
+    return watch.count
+
+
 async def measure_group_appends(
     root: Path, *, replicas: int, callers: int, payload_bytes: int, duration_s: float
 ) -> AppendResult:
     """Measure proposals to a group whose replicas share this process, over loopback."""
-    peers = tuple(
-        PeerSettings(name=f"replica-{number}", internal=Address("127.0.0.1", FIRST_PORT + number))
-        for number in range(replicas)
-    )
-    settings = GroupSettings(members=peers, snapshot_every_entries=1_000_000_000)
+    settings = group_settings(replicas)
     with tempfile.TemporaryDirectory(dir=root) as folder:
         members = [
-            _build_member(peer, settings, Path(folder), seed) for seed, peer in enumerate(peers)
+            build_member(peer, settings, Path(folder), seed)
+            for seed, peer in enumerate(settings.members)
         ]
         async with anyio.create_task_group() as tasks:
             for member in members:
@@ -123,12 +166,7 @@
             leader = await _wait_for_leader(members)
             written, syncs = leader.disk.bytes_written, leader.disk.syncs
             watch = Stopwatch()
-            deadline = time.perf_counter() + duration_s
-            async with anyio.create_task_group() as proposing:
-                for _ in range(callers):
-                    proposing.start_soon(
-                        _propose_until, leader.host, bytes(payload_bytes), deadline, watch
-                    )
+            await _propose_from_all(leader.host, bytes(payload_bytes), callers, duration_s, watch)
             result = watch.append_result(
                 f"{replicas} replicas" if replicas > 1 else "one replica",
                 replicas=replicas,
@@ -137,7 +175,5 @@
                 written=leader.disk.bytes_written - written,
                 syncs=leader.disk.syncs - syncs,
             )
-            if not leader.host.is_leader:
-                raise PasslaneError(ErrorCode.UNAVAILABLE, "the leader changed during the run")
             tasks.cancel_scope.cancel()
     return result
