Find the last synced mark from the end of the log

A restart read every record twice: once to look for synced marks anywhere in the files and once to replay them. Marks only go forward, so the last one that can be read is the highest, and it is searched for from the end by its first four bytes. An entry that holds the bytes of a mark was considered: the marker is no valid UTF-8, so no text of a caller can hold one. The property that a flipped bit in synced records is refused still holds, and a new one covers the search over a damaged record.

--- a/src/passlane/storage/records.py
+++ b/src/passlane/storage/records.py
@@ -97,14 +97,17 @@
         offset = record.end
 
 
-def find_records(data: bytes, start: int) -> Iterator[Record]:
-    """Yield the whole records that can be found at or after ``start``, over any damage."""
+def find_last_record(data: bytes, kind: RecordKind) -> Record | None:
+    """Return the last whole record of ``kind``, over any damage; ``None`` without one.
+
+    It is searched for from the end, so records before it cost nothing.
+    """
     view = memoryview(data)
-    offset = data.find(MARKER, start)
+    beginning = MARKER + bytes((kind, 0))
+    offset = data.rfind(beginning)
     while offset >= 0:
         record = read_record(view, offset)
-        if record is None:
-            offset = data.find(MARKER, offset + 1)
-        else:
-            yield record
-            offset = data.find(MARKER, record.end)
+        if record is not None:
+            return record
+        offset = data.rfind(beginning, 0, offset)
+    return None
--- a/src/passlane/storage/recovery.py
+++ b/src/passlane/storage/recovery.py
@@ -25,7 +25,7 @@
     FORMAT_VERSION,
     Record,
     RecordKind,
-    find_records,
+    find_last_record,
     read_records,
 )
 
@@ -106,15 +106,16 @@
 
 
 def _durable_position(segments: list[SegmentFile]) -> tuple[int, int]:
-    """Return the highest (segment, offset) up to which all was synced."""
-    highest = (0, 0)
-    for segment in segments:
-        for record in find_records(segment.data, 0):
-            if record.kind is not RecordKind.SYNCED_MARK:
-                continue
+    """Return the segment and offset up to which all was synced, by the last mark.
+
+    Marks only go forward, so the last that can be read is the highest.
+    """
+    for segment in reversed(segments):
+        record = find_last_record(segment.data, RecordKind.SYNCED_MARK)
+        if record is not None:
             mark = decode_payload(SyncedMark, record.payload, f"segment {segment.number}")
-            highest = max(highest, (mark.segment, mark.offset))
-    return highest
+            return mark.segment, mark.offset
+    return 0, 0
 
 
 class _Replay:
--- a/tests/storage/test_damage.py
+++ b/tests/storage/test_damage.py
@@ -18,7 +18,7 @@
 from passlane.simulation.disk import SimulatedDisk
 from passlane.simulation.runner import run_simulation
 from passlane.storage.formats import START_OF_LOG, LogPosition, SyncedMark, decode_payload
-from passlane.storage.records import RecordKind, find_records
+from passlane.storage.records import RecordKind, read_records
 from passlane.storage.recovery import RecoveredLog, SegmentFile, recover_log
 from passlane.storage.snapshot_data import BLOCK_BYTES, BlockChecksums, FileSnapshotData
 from passlane.storage.snapshots import SnapshotStore
@@ -74,7 +74,7 @@
     marks = [
         decode_payload(SyncedMark, record.payload, "")
         for segment in segments
-        for record in find_records(segment.data, 0)
+        for record in read_records(memoryview(segment.data))
         if record.kind is RecordKind.SYNCED_MARK
     ]
     durable = max((mark.segment, mark.offset) for mark in marks)
--- a/tests/storage/test_records.py
+++ b/tests/storage/test_records.py
@@ -8,7 +8,7 @@
 from passlane.storage.records import (
     RecordKind,
     encode_record,
-    find_records,
+    find_last_record,
     read_record,
     read_records,
 )
@@ -31,8 +31,25 @@
         data = b"".join(encode_record(kind, payload) for kind, payload in written)
         found = [(record.kind, bytes(record.payload)) for record in read_records(memoryview(data))]
         self.assertEqual(found, written)
-        again = [(record.kind, bytes(record.payload)) for record in find_records(data, 0)]
-        self.assertEqual(again, written)
+
+    @repeatable
+    @given(st.lists(records, max_size=8), st.sampled_from(list(RecordKind)), st.data())
+    def test_the_last_whole_record_of_a_kind_is_found_over_damage(
+        self, written: list[tuple[RecordKind, bytes]], kind: RecordKind, data: st.DataObject
+    ) -> None:
+        encoded = [encode_record(*record) for record in written]
+        damaged = data.draw(st.integers(0, len(written)))
+        if damaged < len(written):
+            bit = data.draw(st.integers(0, 8 * len(encoded[damaged]) - 1))
+            encoded[damaged] = flip(encoded[damaged], bit)
+        expected = [
+            payload
+            for number, (found, payload) in enumerate(written)
+            if found is kind and number != damaged
+        ]
+        record = find_last_record(b"".join(encoded), kind)
+        found = [] if record is None else [bytes(record.payload)]
+        self.assertEqual(found, expected[-1:])
 
     @repeatable
     @given(records, st.data())
