Every command gives JSON when asked; modules carry the names of what they hold

They now print one value at their end and their lines on the error stream meanwhile, with an experiment's JSON files in it. An unknown experiment or scenario is a usage error (2), not a failed check (1). Ruled out: JSON built inside the three packages, because they print as they go and the command line is their only reader. control/keys.py is idempotency.py, cli/inspection.py is programs.py and log.py: a reader looked for the standard term.

--- a/src/passlane/cli/main.py
+++ b/src/passlane/cli/main.py
@@ -11,13 +11,10 @@
 from passlane.cli.documents import ApplyCommand, DeleteCommand, GetCommand, WithdrawCommand
 from passlane.cli.drains import DrainCommand, UndrainCommand
 from passlane.cli.exit_codes import ExitCode
-from passlane.cli.inspection import (
-    LogCommand,
-    ProgramsListCommand,
-    ProgramsShowCommand,
-)
+from passlane.cli.log import LogCommand
 from passlane.cli.policies import PolicyCheckCommand
 from passlane.cli.policy_explain import PolicyExplainCommand
+from passlane.cli.programs import ProgramsListCommand, ProgramsShowCommand
 from passlane.cli.proofs import (
     BenchListCommand,
     BenchRunCommand,
--- a/src/passlane/cli/proofs.py
+++ b/src/passlane/cli/proofs.py
@@ -6,22 +6,26 @@
 
 import importlib
 import re
+import tempfile
+import time
 from pathlib import Path
 from typing import Any, ClassVar
 
+import msgspec
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
 from passlane.cli.command import OutputCommand
 from passlane.cli.exit_codes import ExitCode
+from passlane.cli.running import RunningCommand, exit_code_of_run
 from passlane.errors import ErrorCode, PasslaneError
 
 DEFAULT_SEEDS = "0-9"
 _SEEDS = re.compile(r"^(\d+)(?:-(\d+))?$")
 
 
-class SimulationRunCommand(OutputCommand):
+class SimulationRunCommand(RunningCommand):
     """Runs scenarios on a virtual clock."""
 
     name = "sim run"
@@ -38,8 +42,9 @@
         simulation = _load("passlane.simulation.cli")
         seeds = parse_seeds(self.option("seeds"))
         jobs = parse_jobs(self.option("jobs"))
-        code = simulation.run(self.option("scenario"), seeds, self.option("defect"), jobs)
-        return _exit_code(code)
+        return self.run_and_report(
+            lambda: int(simulation.run(self.option("scenario"), seeds, self.option("defect"), jobs))
+        )
 
 
 class SimulationListCommand(OutputCommand):
@@ -58,7 +63,7 @@
         return ExitCode.OK
 
 
-class TraceReplayCommand(OutputCommand):
+class TraceReplayCommand(RunningCommand):
     """Replays recorded traces."""
 
     name = "trace replay"
@@ -78,10 +83,11 @@
         folder = None if settings is None else Path(settings)
         if folder is not None and not folder.is_dir():
             raise PasslaneError(ErrorCode.NOT_FOUND, f"no such folder: {folder}")
-        return _exit_code(_load("passlane.emulator.replay").replay_files(paths, folder))
+        replay = _load("passlane.emulator.replay")
+        return self.run_and_report(lambda: int(replay.replay_files(paths, folder)))
 
 
-class BenchRunCommand(OutputCommand):
+class BenchRunCommand(RunningCommand):
     """Runs an experiment."""
 
     name = "bench run"
@@ -94,7 +100,13 @@
     def execute_command(self) -> ExitCode:
         """Run the experiment."""
         bench = _load("passlane.bench.cli")
-        return _exit_code(bench.run(self.argument("experiment"), self.option("report")))
+        with tempfile.TemporaryDirectory(prefix="passlane-bench-") as scratch:
+            folder = self.option("report") or (scratch if self.wants_json else None)
+            began_ns = time.time_ns()
+            return self.run_and_report(
+                lambda: int(bench.run(self.argument("experiment"), folder)),
+                lambda: _json_files_since(Path(folder or scratch), began_ns),
+            )
 
 
 class BenchListCommand(OutputCommand):
@@ -105,7 +117,11 @@
 
     def execute_command(self) -> ExitCode:
         """Print the experiments."""
-        return _exit_code(_load("passlane.bench.cli").list_experiments())
+        if self.wants_json:
+            experiments = _load("passlane.bench.registry").EXPERIMENTS
+            self.show_json({item.name: item.summary for item in experiments})
+            return ExitCode.OK
+        return exit_code_of_run(_load("passlane.bench.cli").list_experiments())
 
 
 def parse_seeds(text: str) -> range:
@@ -131,5 +147,9 @@
     return importlib.import_module(module)
 
 
-def _exit_code(code: int) -> ExitCode:
-    return ExitCode.OK if code == 0 else ExitCode.FAILED
+def _json_files_since(folder: Path, began_ns: int) -> dict[str, msgspec.Raw]:
+    """Return the JSON files of a folder that were written since a time (ns of the epoch)."""
+    if not folder.is_dir():
+        return {}
+    fresh = [path for path in folder.glob("*.json") if path.stat().st_mtime_ns >= began_ns]
+    return {path.name: msgspec.Raw(path.read_bytes()) for path in sorted(fresh)}
--- a/src/passlane/control/machine.py
+++ b/src/passlane/control/machine.py
@@ -12,7 +12,7 @@
 from passlane.configuration.ledger import ConfigurationLedger
 from passlane.configuration.parsing import check_name, parse_body, parse_kind
 from passlane.configuration.references import ReferenceIndex
-from passlane.control.keys import (
+from passlane.control.idempotency import (
     RETAINED_KEYS,
     IdempotencyTable,
     KeyedCommand,
--- a/src/passlane/control/snapshot.py
+++ b/src/passlane/control/snapshot.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from passlane.control.keys import RememberedCommand
+from passlane.control.idempotency import RememberedCommand
 from passlane.control.withdrawals import Withdrawal
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.identifiers import Revision
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -18,9 +18,9 @@
 from passlane.cli.documents import ApplyCommand, DeleteCommand, GetCommand, WithdrawCommand
 from passlane.cli.drains import DrainCommand, UndrainCommand
 from passlane.cli.exit_codes import ExitCode
-from passlane.cli.inspection import ProgramsListCommand
 from passlane.cli.main import build_application, main
 from passlane.cli.policy_explain import PolicyExplainCommand
+from passlane.cli.programs import ProgramsListCommand
 from passlane.cli.proofs import parse_seeds
 from passlane.cli.status import StatusCommand
 from passlane.control.machine import ControlStateMachine
@@ -216,6 +216,23 @@
                 own = {option.name for option in command.definition.options}
                 self.assertEqual(own & common, set())
 
+    def test_runs_report_one_json_value_and_keep_their_lines(self):
+        code, report = self.run_json("trace", "replay", __file__)
+        self.assertEqual((code, report["passed"]), (ExitCode.FAILED, False))
+        self.assertIn(__file__, report["lines"][0])
+        code, report = self.run_json("bench", "run", "none")
+        self.assertEqual((code, report["passed"]), (ExitCode.USAGE, False))
+        code, report = self.run_json("sim", "run", "--scenario", "none")
+        self.assertEqual((code, report["passed"]), (ExitCode.USAGE, False))
+        code, report = self.run_json("bench", "list")
+        self.assertIn("configuration", report)
+
+    def run_json(self, *words):
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(io.StringIO()):
+            code = main([*words, "--output", "json"])
+        return code, msgspec.json.decode(output.getvalue())
+
     def test_exit_codes_are_documented(self):
         page = Path(__file__).parents[2] / "docs" / "operations" / "command-line.md"
         for code in ExitCode:
--- a/tests/control/test_group_faults.py
+++ b/tests/control/test_group_faults.py
@@ -7,7 +7,7 @@
 from control.group_model import FleetModel, Parts
 from passlane.configuration.view import ConfigurationView
 from passlane.control.acceptance import AcceptanceTracker
-from passlane.control.keys import IdempotencyTable
+from passlane.control.idempotency import IdempotencyTable
 from passlane.control.leader_duties import LeaderDuties
 from passlane.control.machine import ControlStateMachine
 from passlane.identifiers import Revision
