--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -17,6 +17,7 @@
 from passlane.policy.checking import describe_policy_problems
 from passlane.replication.client import GroupClient
 from passlane.replication.replica_host import ReplicaHost
+from passlane.replication.replica_metrics import expose_replica
 from passlane.runtime.interfaces import Environment
 from passlane.settings.model import Settings
 from passlane.store.machine import StoreStateMachine
@@ -116,6 +117,7 @@
             check_policy=describe_policy_problems,
         )
         self._host = host
+        expose_replica(context.metrics, CONTROL_GROUP, host)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
@@ -148,8 +150,9 @@
         context = self._context
         settings = context.settings
         machine = StoreStateMachine()
+        group = store_group_name(settings.process.region)
         host = ReplicaHost(
-            store_group_name(settings.process.region),
+            group,
             settings.process.name,
             settings.store_group,
             machine,
@@ -163,6 +166,7 @@
             host, machine, settings, context.environment, context.router, control
         )
         self._host = host
+        expose_replica(context.metrics, group, host)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
