Test how soon a machine on the platform's list gets nothing new

The promise is that a back end that is leaving gets no new work after a few seconds, but only the scheduler's end of it was tested. The new tests run the store service, its watch of the platform's list and real heartbeat loops on a virtual clock, with a list that changes at three different moments of the heartbeat. Each node knows a leaving engine after one look at the list (1 s) and one heartbeat (at most 0.6 s), so within 1.62 s of the list's change; a leaving node has its orders one look at the partition table later (0.1 s). A list out of reach changes nothing that is known. The region of test_service moved to a module of its own so that both use it; no test of it was changed.

--- a/tests/store/test_service.py
+++ b/tests/store/test_service.py
@@ -1,9 +1,6 @@
 """Store service and heartbeat loops of nodes together, on a virtual clock."""
 
-import random
 import unittest
-from collections.abc import Awaitable, Callable
-from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -20,76 +17,17 @@
     ListPrograms,
     ProgramList,
 )
-from passlane.node.heartbeat import HeartbeatLoop
-from passlane.simulation.runner import run_simulation
-from passlane.store.machine import StoreStateMachine
 from passlane.store.proposals import propose
-from passlane.store.service import StoreService
+from store.region import Region, simulate
 from store.service_fixture import (
     CONTROL,
     STORE,
-    ControlStub,
-    DirectCaller,
-    OneReplicaGroup,
-    RecordingListener,
     settings_of,
 )
 
 SETTINGS = settings_of("any").membership
 
 
-class Region:
-    """One store replica, a control stub, and nodes, in one task group."""
-
-    def __init__(self, tasks: anyio.abc.TaskGroup, retention_s: float = 3600.0) -> None:
-        self.tasks = tasks
-        self.caller = DirectCaller()
-        self.control = ControlStub(self.caller.routers[CONTROL])
-        self.scopes: dict[str, anyio.CancelScope] = {}
-        self.machine = StoreStateMachine()
-        self.group = OneReplicaGroup(self.machine)
-        environment: Any = SimpleNamespace(http_client=None)
-        service = StoreService(
-            self.group,
-            self.machine,
-            settings_of("store"),
-            environment,
-            self.caller.routers[STORE],
-            self.caller.client_of(CONTROL),
-            retention_s=retention_s,
-        )
-        tasks.start_soon(service.run)
-
-    def start_node(self, name: str) -> tuple[HeartbeatLoop, RecordingListener]:
-        listener = RecordingListener()
-        loop = HeartbeatLoop(
-            settings_of(name),
-            self.caller.client_of(STORE),
-            listener,
-            random.Random(name),
-            incarnation=7,
-        )
-        self.scopes[name] = anyio.CancelScope()
-        self.tasks.start_soon(self._run_node, loop, self.scopes[name])
-        return loop, listener
-
-    async def _run_node(self, loop: HeartbeatLoop, scope: anyio.CancelScope) -> None:
-        with scope:
-            await loop.run()
-
-    def stop_node(self, name: str) -> None:
-        self.scopes[name].cancel()
-
-
-def simulate(scenario: Callable[[Region], Awaitable[None]], **options: float) -> None:
-    async def main() -> None:
-        async with anyio.create_task_group() as tasks:
-            await scenario(Region(tasks, **options))
-            tasks.cancel_scope.cancel()
-
-    run_simulation(main, seed=1)
-
-
 class StoreServiceTest(unittest.TestCase):
     def test_change_is_accepted_once_all_nodes_hold_it_and_a_cut_off_region_goes_on(self) -> None:
         async def scenario(region: Region) -> None:
