--- a/tests/membership/lease_simulation.py
+++ b/tests/membership/lease_simulation.py
@@ -79,6 +79,7 @@
     seed: int
     has_faults: bool = True
     has_barrier: bool = True
+    settings: MembershipSettings | None = None
     now: float = 0.0
     term: int = 0
     leader: StoreReplica | None = None
@@ -87,7 +88,8 @@
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
-        self.settings = UNDAMPED if self.seed % 2 else SETTINGS
+        if self.settings is None:
+            self.settings = UNDAMPED if self.seed % 2 else SETTINGS
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order: Iterator[int] = itertools.count()
         self.recorded = AssignmentTable()
@@ -140,6 +142,7 @@
         new = self.random.choice([replica for replica in self.replicas if replica is not old])
         new.term = self.term
         new.proposal = ()
+        assert self.settings is not None
         new.table = LeaseTable(self.settings, self.recorded.all(), new.clock.at(self.now))
         self.leader = new
         self.later(0.1, lambda: self._plan(new, new.term))
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -6,6 +6,7 @@
     NO_REVISION,
     PARTITIONS,
     SETTINGS,
+    UNDAMPED,
     Clock,
     Region,
     heartbeat_of,
@@ -17,6 +18,7 @@
 from passlane.messages.common import Address
 from passlane.messages.membership import HeartbeatReply
 from passlane.messages.store import PartitionAssignment
+from passlane.settings.model import MembershipSettings
 
 FAULTS_UNTIL_S = 60.0
 CALM_S = 90.0
@@ -79,6 +81,29 @@
         self.assertEqual(region.problems, [])
 
 
+class FlappingTest(unittest.TestCase):
+    """Node n0 stands still for longer than its lease, again and again."""
+
+    SEEDS = range(0, 12, 2)
+    FREEZES = 10
+
+    def _changes(self, seed: int, settings: MembershipSettings) -> int:
+        """Return how many changes of the partition table the node's freezes cause."""
+        region = Region(seed, has_faults=False, settings=settings)
+        region.run(10)
+        before = region.recorded.version
+        for _ in range(self.FREEZES):
+            region.freeze_node("n0", 3.0)
+            region.run(region.now + 5.0)
+        self.assertEqual(region.problems, [])
+        return region.recorded.version - before
+
+    def test_damping_halves_the_changes_that_a_flapping_node_causes(self) -> None:
+        damped = sum(self._changes(seed, SETTINGS) for seed in self.SEEDS)
+        undamped = sum(self._changes(seed, UNDAMPED) for seed in self.SEEDS)
+        self.assertLess(2 * damped, undamped)
+
+
 class DriftTest(unittest.TestCase):
     def test_slow_node_stops_before_fast_store_assigns(self) -> None:
         drift = SETTINGS.clock_drift_fraction
--- a/tests/store/test_machine.py
+++ b/tests/store/test_machine.py
@@ -201,6 +201,39 @@
         self.assertEqual(self.refusal(over_cap), ErrorCode.BUDGET_EXCEEDED)
         self.assertEqual(read(self.machine, "p").spent, Amounts(tokens=5, calls=1))
 
+    def test_parent_and_sub_agent_under_two_leaders_share_one_budget(self) -> None:
+        run(self.machine, assign(1, 1, "n2"))
+        run(self.machine, create("c", 1, parent_id="p", budget=Amounts()))
+        most = BUDGET.tokens
+        run(self.machine, begin("p", 0, reserve=Amounts(tokens=most // 2, calls=1)))
+        child = begin("c", 0, 1, reserve=Amounts(tokens=most // 2, calls=1))
+        self.assertIsInstance(run(self.machine, child), BeginCallResult)
+        # Both leaders are lost with what they had reserved, and two others run both again.
+        run(self.machine, assign(0, 2, "n3"))
+        run(self.machine, assign(1, 2, "n4"))
+        again = begin("c", 0, 1, epoch=2, reserve=Amounts(tokens=1, calls=1))
+        self.assertEqual(self.refusal(again), ErrorCode.BUDGET_EXCEEDED)
+        self.assertEqual(self.refusal(finish("c", 0, 1)), ErrorCode.STALE_EPOCH)
+        run(self.machine, finish("p", 0, epoch=2))
+        self.assertIsInstance(run(self.machine, again), BeginCallResult)
+        record = read(self.machine, "p")
+        self.assertTrue(record.spent.plus(record.reserved).fits_within(BUDGET))
+        # The first run of the child counts in full, because nobody knows what it cost.
+        self.assertEqual(record.spent.tokens, 5 + most // 2)
+
+    def test_repeats_after_a_snapshot_get_the_first_answers(self) -> None:
+        run(self.machine, begin("p", 0))
+        run(self.machine, finish("p", 0))
+        run(self.machine, begin("p", 1, repeatable=False))
+        restored = StoreStateMachine()
+        restore(restored, snapshot_of(self.machine))
+        before = snapshot_of(restored)
+        commands = [create("p"), begin("p", 0), finish("p", 0), begin("p", 1, repeatable=False)]
+        for command in commands:
+            self.assertEqual(run(restored, command), run(self.machine, command))
+            self.assertNotIsInstance(run(restored, command), StoreRefusal)
+        self.assertEqual(snapshot_of(restored), before)
+
     def test_spending_more_than_reserved_or_below_zero_is_refused(self) -> None:
         negative = begin("p", 0, reserve=Amounts(tokens=-1))
         self.assertEqual(self.refusal(negative), ErrorCode.BAD_REQUEST)
