--- a/src/passlane/node/node_core.py
+++ b/src/passlane/node/node_core.py
@@ -178,7 +178,7 @@
         releases=releases,
         poller=poller,
         leader=leader,
-        forwarder=Forwarder(caller, leadership, partition_count, source),
+        forwarder=Forwarder(caller, leadership, partition_count, source, reports),
         incoming=incoming,
         sweep=MemorySweep(services, directory, leader, releases, poller, source),
     )
