A stopping node that is cut off waits for its lease and not for the drain's limit

A stopping node waits until the partition table gives away what it has released. When the store group cannot be reached that never comes, and the node would have stayed for the whole limit of a drain, 30 s, for nothing: once its lease has ended others take its partitions over without the releases. The wait now ends with the lease. The new test cuts a node off right after its releases and fails with a timeout on the code before this change; with it the wait ends within the 2 s of the lease.

--- a/src/passlane/node/heartbeat.py
+++ b/src/passlane/node/heartbeat.py
@@ -132,9 +132,13 @@
         self._await_table(partition)
 
     async def wait_released(self) -> None:
-        """Return once the partition table gives away all that this node has released."""
-        while self.lease.releases:
-            await self._replied.wait()
+        """Return once the partition table gives away all that this node has released.
+
+        Returns too when the lease ends: then others take over without the releases.
+        """
+        while self.lease.releases and self.has_lease:
+            with anyio.move_on_after(self.lease.valid_until - anyio.current_time()):
+                await self._replied.wait()
 
     def expect(self, partition: Partition) -> None:
         """Ask often for a while: a partition was released that this node is to lead."""
--- a/tests/store/test_service.py
+++ b/tests/store/test_service.py
@@ -138,6 +138,19 @@
 
         simulate(scenario)
 
+    def test_stopping_node_that_is_cut_off_waits_no_longer_than_its_lease(self) -> None:
+        async def scenario(region: Region) -> None:
+            leaving, _ = region.start_node("n0")
+            await anyio.sleep(5)
+            region.caller.cut_off.add(STORE)
+            for partition in leaving.lease.led_partitions:
+                leaving.release(partition)
+            with anyio.fail_after(SETTINGS.lease_s):
+                await leaving.wait_released()
+            self.assertFalse(leaving.has_lease)
+
+        simulate(scenario)
+
     def test_node_that_awaits_nothing_any_more_asks_at_the_usual_pace(self) -> None:
         async def scenario(region: Region) -> None:
             loop, _ = region.start_node("n0")
