--- a/src/passlane/bench/configuration_spread.py
+++ b/src/passlane/bench/configuration_spread.py
@@ -1,269 +1,224 @@
 """Time until a change of configuration is in force on 400 nodes, on a virtual clock.
 
-Five regions with a store leader each, and one control leader far away from all of them.
-Services, heartbeat loops and configuration views are the real ones; messages pass
-through the real codec and take the delays below; groups commit after stated delays.
+Changes come at random times, whether or not earlier ones are in force. Two times are
+taken of each: from the operator's request until the control group accepts the change,
+and from then until the last node acts on it.
 """
 
 import random
 import sys
-from collections.abc import AsyncIterator
-from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
-from typing import Any
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 
-from passlane.bench.hollow import HollowGroup, HollowNode, hollow_settings
-from passlane.configuration.documents import ServiceBody
-from passlane.control.machine import ControlStateMachine
-from passlane.control.service import ControlService
-from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.bench.configuration_fleet import REGIONS, ConfigurationFleet, wait_in_force
 from passlane.identifiers import Revision
-from passlane.messages.base import Message, encode_message
-from passlane.messages.common import Address
-from passlane.messages.control import PutDocument, PutResult
-from passlane.messages.registry import decode_any_message
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
-from passlane.replication.client import GroupClient
-from passlane.runtime.real import build_environment
 from passlane.simulation.runner import run_simulation
-from passlane.store.machine import StoreStateMachine
-from passlane.store.service import StoreService
-from passlane.transport.interfaces import Caller, ReplyType
-from passlane.transport.router import MessageRouter
 
-REGIONS = tuple(f"region-{number}" for number in range(5))
-CONTROL = "control"
 NODES = 400
-PARTITIONS = 128
 CHANGES = 12
-CHANGE_EVERY_S = 4.0
+SECONDS_A_DAY = 86_400.0
+DAILY_CHANGES = 9_500
+BOUND_S = 12.0
+"""Time in which a change is to be in force everywhere."""
+
 SETTLE_S = 8.0
 """Time for all nodes to join before the first change."""
-GIVE_UP_S = 30.0
-CUT_OFF_S = 20.0
-
-SAME_REGION_S = 0.0015
-OTHER_REGION_S = 0.060
-STORE_COMMIT_S = 0.005
-CONTROL_COMMIT_S = 0.120
-"""One-way delays, and the time a group needs to commit: a round to a majority."""
-
-PORT = 7000
+DISTURBED_NODES = 20
+CUT_S = 20.0
+BURST_INTERVAL_S = 0.25
+RUN_LIMIT_S = 600.0
+"""Virtual seconds after which a scenario is given up as hanging."""
 RING_LINES = 1_000
 REPORT_FILE = "configuration-spread.json"
 
 
+@dataclass(frozen=True)
+class SpreadScenario:
+    """What disturbs the spread.
+
+    Attributes
+    ----------
+    interval_s
+        Mean time between two changes.
+    lost_nodes, cut_nodes
+        Nodes that die just before the first change, or are cut off for ``CUT_S``.
+    cuts_region, cuts_region_late
+        Whether a region is cut off from the control group for ``CUT_S``, from before the
+        first change, or from the moment at which that was accepted.
+    """
+
+    name: str
+    interval_s: float = SECONDS_A_DAY / DAILY_CHANGES
+    lost_nodes: int = 0
+    cut_nodes: int = 0
+    cuts_region: bool = False
+    cuts_region_late: bool = False
+
+
+SCENARIOS = (
+    SpreadScenario("9,500 changes a day"),
+    SpreadScenario("burst", interval_s=BURST_INTERVAL_S),
+    SpreadScenario("nodes lost", lost_nodes=DISTURBED_NODES),
+    SpreadScenario("nodes cut off", cut_nodes=DISTURBED_NODES),
+    SpreadScenario("region cut off before", cuts_region=True),
+    SpreadScenario("region cut off after acceptance", cuts_region_late=True),
+)
+
+
+class ChangeTimes(msgspec.Struct, frozen=True):
+    """Seconds that one change took.
+
+    ``acceptance_s`` counts from the request, ``in_force_s`` from the acceptance until all
+    nodes that were not cut off acted on it.
+    """
+
+    acceptance_s: float
+    in_force_s: float
+
+    @property
+    def total_s(self) -> float:
+        """Seconds from the request until the change was in force."""
+        return self.acceptance_s + self.in_force_s
+
+
 class SpreadResult(msgspec.Struct, frozen=True):
-    """Seconds from the operator's request until a change was in force on all live nodes.
+    """What one scenario measured.
 
-    ``lost_nodes`` nodes fell silent just before the first change, at once; ``cut_off``
-    is the time, in seconds, for which one region was cut off from the control group from
-    the first change on.
+    ``catch_up_s`` is the time, in seconds, from the end of the cut until the nodes that
+    were cut off by themselves acted on the first change; 0 without such nodes.
     """
 
     scenario: str
     nodes: int
-    lost_nodes: int
-    cut_off_s: float
-    seconds: tuple[float, ...]
+    changes: tuple[ChangeTimes, ...]
     median_s: float
     highest_s: float
+    highest_acceptance_s: float
+    highest_in_force_s: float
+    over_bound: int
+    catch_up_s: float
 
 
 class SpreadReport(msgspec.Struct, frozen=True):
-    """All scenarios."""
+    """All scenarios, and the time in which a change is to be in force."""
 
+    bound_s: float
     results: tuple[SpreadResult, ...]
 
 
-class _World:
-    """Where the routers of the processes are, and which regions are cut off."""
-
-    def __init__(self) -> None:
-        self.routers: dict[Address, MessageRouter] = {}
-        self.region_of: dict[Address, str] = {}
-        self.cut_off: set[str] = set()
-
-    def add_process(self, region: str) -> tuple[Address, MessageRouter]:
-        address = Address(f"10.0.0.{len(self.routers)}", PORT)
-        self.routers[address] = MessageRouter()
-        self.region_of[address] = region
-        return address, self.routers[address]
-
-    def is_cut(self, source: str, destination: str) -> bool:
-        return source != destination and bool({source, destination} & self.cut_off)
-
-
-class _DelayedCaller(Caller):
-    """Calls handlers of this process after the delay between regions, by the codec."""
-
-    def __init__(self, world: _World, region: str) -> None:
-        self._world = world
-        self._region = region
-
-    async def call(
-        self, address: Address, request: Message, reply: type[ReplyType], *, timeout_s: float
-    ) -> ReplyType:
-        with anyio.move_on_after(timeout_s):
-            answer: ReplyType = await self._exchange(address, encode_message(request))
-            return answer
-        raise PasslaneError(ErrorCode.TIMEOUT, "no answer", verdict=Verdict.MAY_HAVE_RUN)
-
-    async def _exchange(self, address: Address, request: bytes) -> Any:
-        region = self._world.region_of[address]
-        delay_s = SAME_REGION_S if region == self._region else OTHER_REGION_S
-        await self._cross(region, delay_s)
-        message = decode_any_message(request)
-        handler = self._world.routers[address].unary_handler(message)
-        assert handler is not None
-        reply = encode_message(await handler(message))
-        await self._cross(region, delay_s)
-        return decode_any_message(reply)
-
-    async def _cross(self, region: str, delay_s: float) -> None:
-        await anyio.sleep(delay_s)
-        if self._world.is_cut(self._region, region):
-            await anyio.sleep_forever()
-
-    def stream(
-        self, address: Address, request: Message, *, timeout_s: float
-    ) -> AbstractAsyncContextManager[AsyncIterator[Message]]:
-        raise NotImplementedError
-
-    async def send(self, address: Address, message: Message) -> None:
-        raise NotImplementedError
-
-
-class _Fleet:
-    """All regions and their nodes."""
-
-    def __init__(self, tasks: TaskGroup) -> None:
-        self._tasks = tasks
-        self.world = _World()
-        self.environment = build_environment(Path("unused"), seed=1)
-        self.control = self._start_control()
-        self.nodes: list[HollowNode] = []
-        self._scopes: dict[str, anyio.CancelScope] = {}
-        stores = {region: self._start_store(region) for region in REGIONS}
-        for number in range(NODES):
-            region = REGIONS[number % len(REGIONS)]
-            self._start_node(f"node-{number}", region, stores[region])
-
-    def client(self, region: str, address: Address, seed: str) -> GroupClient:
-        return GroupClient(_DelayedCaller(self.world, region), [address], random.Random(seed))
-
-    def _start_control(self) -> Address:
-        address, router = self.world.add_process(CONTROL)
-        machine = ControlStateMachine()
-        group = HollowGroup(machine, CONTROL_COMMIT_S)
-        service = ControlService(group, machine, self.environment, router, regions=REGIONS)
-        self._tasks.start_soon(service.run)
-        return address
-
-    def _start_store(self, region: str) -> Address:
-        address, router = self.world.add_process(region)
-        machine = StoreStateMachine()
-        group = HollowGroup(machine, STORE_COMMIT_S)
-        settings = hollow_settings("store", region, PARTITIONS)
-        control = self.client(region, self.control, region)
-        service = StoreService(group, machine, settings, self.environment, router, control)
-        self._tasks.start_soon(service.run)
-        return address
-
-    def _start_node(self, name: str, region: str, store: Address) -> None:
-        settings = hollow_settings(name, region, PARTITIONS)
-        client = self.client(region, store, name)
-        node = HollowNode(settings, client, random.Random(name))
-        self.nodes.append(node)
-        self._scopes[name] = anyio.CancelScope()
-        self._tasks.start_soon(self._run_node, node, self._scopes[name])
-
-    async def _run_node(self, node: HollowNode, scope: anyio.CancelScope) -> None:
-        with scope:
-            await node.loop.run()
-
-    def lose_nodes(self, count: int) -> None:
-        """Let nodes fall silent at once, each with a lease that has just been renewed."""
-        for node in self.nodes[:count]:
-            self._scopes[node.name].cancel()
-        del self.nodes[:count]
-
-    async def put(self, number: int) -> Revision:
-        body = msgspec.json.encode(ServiceBody()).decode()
-        request = PutDocument("service", f"service-{number}", body, 0, f"key-{number}")
-        client = self.client(CONTROL, self.control, "operator")
-        result = await client.execute(request, PutResult, timeout_s=GIVE_UP_S)
-        return result.document.revision
-
-    async def wait_in_force(self, revision: Revision) -> float:
-        """Return the time at which the last node began to act on a revision."""
-        for node in self.nodes:
-            await node.wait_in_force(revision)
-        return max(node.in_force_at[revision] for node in self.nodes)
-
-
-async def _run_scenario(scenario: str, lost_nodes: int, cut_off_s: float) -> SpreadResult:
-    seconds: list[float] = []
+class _Run:
+    """One scenario in a fleet."""
+
+    def __init__(self, fleet: ConfigurationFleet, scenario: SpreadScenario) -> None:
+        self._fleet = fleet
+        self._scenario = scenario
+        self._healed_at = 0.0
+        self._cut_off = fleet.nodes[: scenario.cut_nodes]
+        self._times: list[ChangeTimes] = []
+        self._catch_up_s = 0.0
+
+    async def run(self) -> SpreadResult:
+        """Make all changes and wait until they are in force."""
+        self._disturb()
+        source = random.Random(self._scenario.name)
+        async with anyio.create_task_group() as changes:
+            for number in range(CHANGES):
+                changes.start_soon(self._change, number)
+                await anyio.sleep(source.expovariate(1.0 / self._scenario.interval_s))
+        return self._result()
+
+    def _disturb(self) -> None:
+        scenario = self._scenario
+        self._fleet.lose_nodes(scenario.lost_nodes)
+        self._fleet.world.cut_nodes.update(node.name for node in self._cut_off)
+        if scenario.cuts_region:
+            self._fleet.world.cut_regions.add(REGIONS[0])
+
+    async def _heal_later(self) -> None:
+        await anyio.sleep(CUT_S)
+        self._fleet.world.cut_nodes.clear()
+        self._fleet.world.cut_regions.clear()
+        self._healed_at = anyio.current_time()
+
+    async def _change(self, number: int) -> None:
+        began_at = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            if number == 0 and not self._scenario.cuts_region_late:
+                tasks.start_soon(self._heal_later)
+            revision = await self._fleet.put(number)
+            accepted_at = await self._fleet.wait_accepted(revision)
+            if number == 0 and self._scenario.cuts_region_late:
+                self._fleet.world.cut_regions.add(REGIONS[0])
+                tasks.start_soon(self._heal_later)
+            reachable = [node for node in self._fleet.nodes if node not in self._cut_off]
+            in_force_at = await wait_in_force(reachable, revision)
+            self._times.append(
+                ChangeTimes(round(accepted_at - began_at, 3), round(in_force_at - accepted_at, 3))
+            )
+            if number == 0 and self._cut_off:
+                await self._measure_catch_up(revision)
+
+    async def _measure_catch_up(self, revision: Revision) -> None:
+        caught_up_at = await wait_in_force(self._cut_off, revision)
+        self._catch_up_s = round(caught_up_at - self._healed_at, 3)
+
+    def _result(self) -> SpreadResult:
+        totals = sorted(times.total_s for times in self._times)
+        return SpreadResult(
+            scenario=self._scenario.name,
+            nodes=len(self._fleet.nodes),
+            changes=tuple(self._times),
+            median_s=round(totals[len(totals) // 2], 3),
+            highest_s=round(totals[-1], 3),
+            highest_acceptance_s=max(times.acceptance_s for times in self._times),
+            highest_in_force_s=max(times.in_force_s for times in self._times),
+            over_bound=sum(total > BOUND_S for total in totals),
+            catch_up_s=self._catch_up_s,
+        )
+
+
+async def _run_scenario(scenario: SpreadScenario) -> SpreadResult:
     async with anyio.create_task_group() as tasks:
-        fleet = _Fleet(tasks)
+        fleet = ConfigurationFleet(tasks, NODES)
         await anyio.sleep(SETTLE_S)
         joined = sum(node.loop.has_lease for node in fleet.nodes)
         if joined != NODES:
             raise RuntimeError(f"only {joined} of {NODES} nodes have a lease")
-        fleet.lose_nodes(lost_nodes)
-        if cut_off_s:
-            fleet.world.cut_off.add(REGIONS[0])
-            tasks.start_soon(_heal, fleet.world, cut_off_s)
-        source = random.Random(scenario)
-        for number in range(CHANGES):
-            began = anyio.current_time()
-            revision = await fleet.put(number)
-            seconds.append(await fleet.wait_in_force(revision) - began)
-            await anyio.sleep(source.uniform(0, CHANGE_EVERY_S))
+        with anyio.fail_after(RUN_LIMIT_S):
+            result = await _Run(fleet, scenario).run()
         tasks.cancel_scope.cancel()
-    ordered = sorted(seconds)
-    return SpreadResult(
-        scenario=scenario,
-        nodes=NODES,
-        lost_nodes=lost_nodes,
-        cut_off_s=cut_off_s,
-        seconds=tuple(round(value, 3) for value in seconds),
-        median_s=round(ordered[len(ordered) // 2], 3),
-        highest_s=round(ordered[-1], 3),
-    )
-
+    return result
 
-async def _heal(world: _World, after_s: float) -> None:
-    await anyio.sleep(after_s)
-    world.cut_off.clear()
 
-
-def measure_spread() -> SpreadReport:
-    """Run all scenarios."""
-    scenarios = (("quiet", 0, 0.0), ("nodes lost", 20, 0.0), ("region cut off", 0, CUT_OFF_S))
-    return SpreadReport(
-        tuple(run_simulation(partial(_run_scenario, *scenario), seed=1) for scenario in scenarios)
-    )
+def measure_spread(scenario: SpreadScenario) -> SpreadResult:
+    """Run one scenario."""
+    return run_simulation(partial(_run_scenario, scenario), seed=1)
 
 
 def run(report: Path | None) -> int:
     """Measure, print and write ``configuration-spread.json``."""
     configure_logging(RingLog(RING_LINES))
-    result = measure_spread()
-    for row in result.results:
+    results = []
+    for scenario in SCENARIOS:
+        row = measure_spread(scenario)
+        results.append(row)
         print(
-            f"{row.scenario}: {row.nodes} nodes, {row.lost_nodes} lost, "
-            f"cut off for {row.cut_off_s:g} s: median {row.median_s} s, "
-            f"highest {row.highest_s} s, all {row.seconds}"
+            f"{row.scenario}: {len(row.changes)} changes on {row.nodes} nodes, median "
+            f"{row.median_s:.2f} s, highest {row.highest_s:.2f} s (accepted after at most "
+            f"{row.highest_acceptance_s:.2f} s, in force at most {row.highest_in_force_s:.2f} s "
+            f"later), {row.over_bound} over {BOUND_S:g} s, catch-up {row.catch_up_s:.2f} s",
+            flush=True,
         )
     if report is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
+        encoded = msgspec.json.format(
+            msgspec.json.encode(SpreadReport(BOUND_S, tuple(results))), indent=1
+        )
         (report / REPORT_FILE).write_bytes(encoded)
     return 0
 
--- a/src/passlane/bench/hollow.py
+++ b/src/passlane/bench/hollow.py
@@ -76,12 +76,13 @@
         self.configuration = self.configuration.accept(accepted_revision)
         for revision in range(before + 1, self.configuration.revision_in_force + 1):
             self.in_force_at[Revision(revision)] = anyio.current_time()
+        if self.configuration.revision_in_force > before:
             self._changed.set()
+            self._changed = anyio.Event()
 
     async def wait_in_force(self, revision: Revision) -> None:
         """Return once the node acts on ``revision``."""
         while revision not in self.in_force_at:
-            self._changed = anyio.Event()
             await self._changed.wait()
 
     def take_leaving_engines(self, names: Sequence[EngineId]) -> None:
