Measure how long callers wait when a node stops or dies

The pause that callers see was not measured. The experiment runs a whole simulated fleet whose programs call again and again, lets one node stop as planned or die in silence, and counts calls that take noticeably longer than usual. A planned stop is measured in three ways: refused with Retry-After, asked again by the entry node, and held by the next leader.

--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -92,6 +92,12 @@
         "run",
         "time until a change is in force on 400 nodes, with nodes lost, frozen and cut off",
     ),
+    Experiment(
+        "handover",
+        "passlane.bench.handover",
+        "run",
+        "pause of calls when a node stops or dies: refused, asked again, or held",
+    ),
     Experiment(
         "membership",
         "passlane.bench.membership",
