A planned stop waits until the last byte of each answer is written

A node's drain waited for the calls in flight, but a call is over before its answer is written to the caller. Ruled out: the forwarding of the call, which had finished in the same millisecond as the process.

--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -12,6 +12,7 @@
 from passlane.api.callers import build_caller_application
 from passlane.control.machine import ControlStateMachine
 from passlane.control.service import ControlService
+from passlane.daemon.in_flight import InFlightRequests
 from passlane.node.service import NodeService
 from passlane.observability.metrics import Metrics
 from passlane.policy.checking import describe_policy_problems
@@ -189,6 +190,7 @@
     def __init__(self, context: PartContext) -> None:
         self._context = context
         self._service: NodeService | None = None
+        self._requests: InFlightRequests | None = None
 
     async def run(self) -> None:
         """Run the service and the callers' HTTP server."""
@@ -206,11 +208,12 @@
             store,
             metrics=context.metrics,
         )
-        application = build_caller_application(service, settings)
+        requests = InFlightRequests(build_caller_application(service, settings))
         self._service = service
+        self._requests = requests
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(service.run)
-            tasks.start_soon(context.environment.http_server.serve, callers_address, application)
+            tasks.start_soon(context.environment.http_server.serve, callers_address, requests)
 
     def is_ready(self) -> bool:
         """Whether the node holds a lease and takes calls."""
@@ -221,6 +224,8 @@
         return False
 
     async def drain(self) -> None:
-        """Refuse new calls and let those in flight finish."""
+        """Refuse new calls; let those in flight finish and their answers be written."""
         if self._service is not None:
             await self._service.drain()
+        if self._requests is not None:
+            await self._requests.wait_until_idle()
