A call that waits behind a breaker's probe no longer keeps the loop busy

While the probe of a half-open breaker was under way, the breaker named the present moment as the next time at which requests are allowed. Ruled out: the waiting calls' deadlines, which are looked at with each event. No time is named now while a probe is under way; its end is an event that lets the next call go.

--- a/src/passlane/scheduling/circuit_breaker.py
+++ b/src/passlane/scheduling/circuit_breaker.py
@@ -47,10 +47,12 @@
         return state is BreakerState.CLOSED
 
     def opens_next_at(self, now: float) -> float | None:
-        """Return when a probe is next allowed, or ``None`` if requests are allowed now."""
-        if self.allows(now) or self._open_until is None:
-            return None
-        return max(now, self._open_until)
+        """Return when a probe is next allowed.
+
+        ``None`` if requests are allowed now, or if a probe is under way, whose end
+        decides.
+        """
+        return self._open_until if self.state(now) is BreakerState.OPEN else None
 
     def record_start(self, now: float) -> None:
         """Note that a request was sent; in the half-open state it is the probe."""
--- a/tests/scheduling/test_limits.py
+++ b/tests/scheduling/test_limits.py
@@ -35,6 +35,15 @@
         self.assertIs(BreakerState.CLOSED, breaker.state(now))
 
 
+    def test_no_time_is_named_while_a_probe_is_under_way(self):
+        """Its end decides; whoever waits must not look again and again until then."""
+        breaker = CircuitBreaker(BreakerConfig(failures_to_open=1, open_s=1.0))
+        breaker.record_failure(0.0)
+        breaker.record_start(1.0)
+        self.assertFalse(breaker.allows(1.5))
+        self.assertIsNone(breaker.opens_next_at(1.5))
+
+
 class RetryBudgetTest(unittest.TestCase):
     def test_retries_are_a_share_of_requests(self):
         budget = RetryBudget(RetryBudgetConfig(retries_per_request=0.1, max_retries=2.0))
