A replica that moves to another address counts again

A replica that moved with its files took itself for a member and told nobody: the leader went on sending to the old address, and the others, who hear the leader, refused it their votes. A machine without files at a new address was added, but the lost one, known by its address alone, stayed a voter: a group of four with one that never answers.

Now a replica that finds another address for itself in its membership tells the leader, and a replica with a new identity takes the place of the former identities of its process, whose name they bear. These go before the new one is added.

--- a/src/passlane/messages/replication.py
+++ b/src/passlane/messages/replication.py
@@ -30,17 +30,22 @@
 
 
 class JoinRequest(Message, frozen=True):
-    """Asks the leader to take in a replica with a new identity; sent until it votes."""
+    """Asks the leader to take in a replica, or its new address; sent until it votes.
+
+    ``is_known`` is true for a replica that kept its identity and only moved.
+    """
 
     group: str
     replica_id: ReplicaId
     address: Address
+    is_known: bool = False
 
 
 class JoinReply(Message, frozen=True):
     """How far the replica's joining has come.
 
-    ``is_replaced`` is true once no older identity at the same address is a member.
+    ``is_replaced`` is true once no older identity of the same process, or at the same
+    address, is a member.
     """
 
     is_voter: bool
--- a/src/passlane/replication/joining.py
+++ b/src/passlane/replication/joining.py
@@ -22,10 +22,11 @@
     JoinRequest,
 )
 from passlane.observability.logging import get_logger
+from passlane.raft.membership import member_of
 from passlane.replication.client import GroupClient
 from passlane.settings.model import PeerSettings
 from passlane.storage.formats import Identity
-from passlane.storage.identity import IdentityFile
+from passlane.storage.identity import IdentityFile, process_name_of
 from passlane.transport.interfaces import Caller
 
 STATUS_TIMEOUT_S = 1.0
@@ -139,11 +140,14 @@
                 tasks.start_soon(ask, peer)
         return statuses
 
-    async def join(self, replica_id: ReplicaId) -> None:
-        """Ask the leader to take this replica in, until it votes and none is left of old."""
+    async def join(self, replica_id: ReplicaId, *, is_known: bool) -> None:
+        """Ask the leader to take this replica in, until it votes and none is left of old.
+
+        ``is_known`` tells that the replica kept its identity and only has a new address.
+        """
         addresses = [peer.internal for peer in self._peers]
         client = GroupClient(self._caller, addresses, self._random)
-        request = JoinRequest(group=self._group, replica_id=replica_id, address=self.own_address)
+        request = JoinRequest(self._group, replica_id, self.own_address, is_known=is_known)
         pause_s = FIRST_PAUSE_S
         while True:
             try:
@@ -165,19 +169,27 @@
 ) -> JoinReply:
     """Answer a ``JoinRequest`` as the leader, one change of membership at a time.
 
-    The replica is added first, as a learner. Once it votes, the identities that had its
-    address before are removed: their files are gone.
+    The former identities of the process, and those at its address, go first: their files
+    are gone, and voters that are counted but never answer make majorities harder to
+    reach. Then the replica is added as a learner, which votes once it has caught up.
     """
-    own = [m for m in membership.members if m.replica_id == request.replica_id]
-    older = [
-        member
-        for member in membership.members
-        if member.address == request.address and member.replica_id != request.replica_id
-    ]
-    is_voter = bool(own) and own[0].is_voter
-    if not own:
-        await add(request.replica_id, request.address)
-    elif is_voter and older:
+    own = member_of(membership, request.replica_id)
+    older = () if request.is_known else _replaced_by(request, membership)
+    if older:
         await remove(older[0].replica_id)
         older = older[1:]
+    elif own is None or own.address != request.address:
+        await add(request.replica_id, request.address)
+    is_voter = own is not None and own.is_voter
     return JoinReply(is_voter=is_voter, is_replaced=not older)
+
+
+def _replaced_by(request: JoinRequest, membership: GroupMembership) -> tuple[GroupMember, ...]:
+    """Return the members whose place a replica with a new identity takes."""
+    name = process_name_of(request.replica_id)
+    return tuple(
+        member
+        for member in membership.members
+        if member.replica_id != request.replica_id
+        and (member.address == request.address or process_name_of(member.replica_id) == name)
+    )
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -26,6 +26,7 @@
     ReadRequested,
     TransferRequested,
 )
+from passlane.raft.membership import member_of
 from passlane.replication.driver import ReplicaDriver
 from passlane.replication.interfaces import StateMachine
 from passlane.replication.joining import GroupEntry, take_in
@@ -306,12 +307,21 @@
 
     async def _finish_joining(self, identity: Identity) -> None:
         """Be taken into the group, and only then forget damaged files."""
-        if not identity.is_member:
-            await self._entry.join(identity.replica_id)
+        if identity.is_member:
+            await self._tell_new_address(identity)
+        else:
+            await self._entry.join(identity.replica_id, is_known=False)
             identity = await self._identity_file.mark_joined(identity)
             self._identity = identity
         await self._identity_file.remove_older_generations(identity)
 
+    async def _tell_new_address(self, identity: Identity) -> None:
+        """Tell the leader where this replica is reached, if it moved with its files."""
+        membership = self._ready_driver().replica.membership
+        own = member_of(membership, identity.replica_id)
+        if own is not None and own.address != self._entry.own_address:
+            await self._entry.join(identity.replica_id, is_known=True)
+
     # Messages of other replicas.
 
     def _take_raft_message(self, message: RaftMessage) -> None:
--- a/src/passlane/storage/identity.py
+++ b/src/passlane/storage/identity.py
@@ -18,6 +18,13 @@
 
 IDENTITY_NAME = "identity"
 _RANDOM_BITS = 48
+_SUFFIX_MARK = "-"
+
+
+def process_name_of(replica_id: ReplicaId) -> str:
+    """Return the name of the process that an identity was made for."""
+    name, _, _ = replica_id.rpartition(_SUFFIX_MARK)
+    return name or replica_id
 
 
 class IdentityFile:
@@ -63,7 +70,7 @@
         identity = Identity(
             format_version=FORMAT_VERSION,
             group=self._group,
-            replica_id=ReplicaId(f"{self._own_name}-{suffix}"),
+            replica_id=ReplicaId(f"{self._own_name}{_SUFFIX_MARK}{suffix}"),
             generation=self._next_generation(),
             may_found=may_found,
         )
--- a/tests/replication/cluster.py
+++ b/tests/replication/cluster.py
@@ -110,7 +110,10 @@
         self.cut = set()
 
     def reachable(self, own, address):
-        member = next(m for m in self.members.values() if m.peer.internal == address)
+        at_address = (m for m in self.members.values() if m.peer.internal == address)
+        member = next(at_address, None)
+        if member is None:
+            return None
         is_cut = own in self.cut or member.peer.name in self.cut
         return member if member.scope is not None and not is_cut else None
 
@@ -151,6 +154,13 @@
             if member.scope is scope:
                 member.scope = None
 
+    def move(self, name, address):
+        """Give a member another address from its next start on, in all settings."""
+        member = self.members[name]
+        member.peer = PeerSettings(name=name, internal=address)
+        peers = tuple(member.peer for member in self.members.values())
+        self.settings = msgspec.structs.replace(self.settings, members=peers)
+
     def kill(self, name, *, power=True):
         member = self.members[name]
         if power:
--- a/tests/replication/test_replica_host.py
+++ b/tests/replication/test_replica_host.py
@@ -5,6 +5,7 @@
 import anyio
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.common import Address
 from passlane.messages.replication import GroupStatus, GroupStatusRequest
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
@@ -131,6 +132,42 @@
         await cluster.until(lambda: wiped.is_ready)
         self.assertTrue(wiped.is_voter)
 
+    @on_seeds()
+    async def test_machine_at_a_new_address_takes_the_place_of_the_lost_one(self, cluster):
+        await self.move_c(cluster, keeps_files=False)
+
+    @on_seeds()
+    async def test_machine_that_moves_with_its_files_is_found_again(self, cluster):
+        await self.move_c(cluster, keeps_files=True)
+
+    async def move_c(self, cluster, *, keeps_files):
+        """Move a replica to another address while commands pass; it must count again."""
+        moved = cluster.members["c"]
+        await propose_all(cluster, numbered(0, 20))
+        await cluster.until(lambda: moved.host.is_ready)
+        old_id = moved.host.replica_id
+        cluster.kill("c")
+        await propose_all(cluster, numbered(20, 40))
+        if not keeps_files:
+            moved.disk.wipe()
+        cluster.move("c", Address("127.0.0.9", 7000))
+        cluster.start("c")
+        await applied_everywhere(cluster, numbered(0, 40))
+        await cluster.until(lambda: moved.host.is_ready)
+
+        def voters():
+            leader = cluster.leader()
+            if leader is None:
+                return {}
+            members = leader.host._driver.replica.membership.members
+            return {m.replica_id: m.address for m in members if m.is_voter}
+
+        await cluster.until(lambda: len(voters()) == 3)
+        self.assertEqual(voters()[moved.host.replica_id], moved.peer.internal)
+        self.assertEqual(moved.host.replica_id == old_id, keeps_files)
+        cluster.kill("a")
+        await cluster.propose(b"after")
+
     @on_seeds()
     async def test_wiped_majority_does_not_found_the_group_anew(self, cluster):
         await propose_all(cluster, numbered(0, 5))
