An emulated engine survives a reader that leaves while its tokens are due

Ruled out: the kill and restart of engines before (the log shows the exception, not a signal) and the ports. The stream is now forgotten before the request is cancelled.

--- a/src/passlane/emulator/engine_service.py
+++ b/src/passlane/emulator/engine_service.py
@@ -132,6 +132,9 @@
     ) -> None:
         """Stop a request whose reader left, unless it ended already."""
         if self._streams.get(attempt_id) is sender:
+            # Nothing more may be sent to it, not even what is due before it is cancelled.
+            del self._streams[attempt_id]
+            sender.close()
             self.cancel(attempt_id)
 
     def _new_model(self) -> EngineModel:
