--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -132,7 +132,14 @@
     environment = build_environment(fleet.folder, seed=None)
     pool = ConnectionPool(environment)
     store = GroupClient(pool, fleet.store_addresses(), environment.random)
+    failures: list[FleetError] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(pool.run)
-        yield ProcessReplayFleet(fleet, environment, store, tasks)
+        try:
+            yield ProcessReplayFleet(fleet, environment, store, tasks)
+        except FleetError as error:
+            # Raised below, outside the group, for callers that catch it by its type.
+            failures.append(error)
         tasks.cancel_scope.cancel()
+    if failures:
+        raise failures[0]
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -104,6 +104,18 @@
         "run",
         "processor time of store commands, memory of records, snapshots",
     ),
+    Experiment(
+        "fleet-amre",
+        "passlane.bench.fleet_run",
+        "run_top_up",
+        "the top-up association's processes under load, kills, freezes and restarts",
+    ),
+    Experiment(
+        "fleet-music",
+        "passlane.bench.fleet_run",
+        "run_music_house",
+        "the music house's processes under load, kills, freezes and restarts",
+    ),
 )
 
 
--- a/src/passlane/cli/proofs.py
+++ b/src/passlane/cli/proofs.py
@@ -65,7 +65,7 @@
     description = "Replays traces and compares the outcomes with those stated in them."
     arguments: ClassVar[list[Argument]] = [argument("files", "Trace files.", multiple=True)]
     extra_options: ClassVar[list[Option]] = [
-        option("settings", None, "Folder with the fleet's settings files.", flag=False),
+        option("fleet", None, "Folder with the fleet's settings files.", flag=False),
     ]
 
     def execute_command(self) -> ExitCode:
@@ -74,8 +74,8 @@
         missing = [str(path) for path in paths if not path.is_file()]
         if missing:
             raise PasslaneError(ErrorCode.NOT_FOUND, f"no such file: {', '.join(missing)}")
-        settings = self.option("settings")
-        folder = None if settings is None else Path(settings)
+        fleet = self.option("fleet")
+        folder = None if fleet is None else Path(fleet)
         if folder is not None and not folder.is_dir():
             raise PasslaneError(ErrorCode.NOT_FOUND, f"no such folder: {folder}")
         return _exit_code(_load("passlane.emulator.replay").replay_files(paths, folder))
--- a/src/passlane/emulator/replay.py
+++ b/src/passlane/emulator/replay.py
@@ -179,6 +179,6 @@
     if not folder.is_dir():
         raise PasslaneError(
             ErrorCode.NOT_FOUND,
-            f"{trace.path}:1: no example is named {trace.start.deployment}; give --settings",
+            f"{trace.path}:1: no example is named {trace.start.deployment}; give --fleet FOLDER",
         )
     return folder
