--- a/src/passlane/raft/instructions.py
+++ b/src/passlane/raft/instructions.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
-from passlane.messages.raft import AnyRaftMessage, GroupMembership, LogEntry
+from passlane.messages.raft import AnyRaftMessage, GroupMembership, LogEntry, SnapshotRequest
 from passlane.raft.snapshot_data import SnapshotData
 
 
@@ -34,6 +36,25 @@
     message: AnyRaftMessage
 
 
+@dataclass(frozen=True, slots=True)
+class SendSnapshotChunk:
+    """Send the bytes of ``data`` from ``message.offset`` to ``end`` in ``message``.
+
+    The shell reads them, since they may be on the disk; ``message.data`` is empty.
+    """
+
+    address: Address
+    message: SnapshotRequest
+    data: SnapshotData
+    end: int
+
+    def read(self) -> SendMessage:
+        """Return the message with its bytes, to be sent like any other."""
+        chunk = self.data[self.message.offset : self.end]
+        message = msgspec.structs.replace(self.message, data=chunk)
+        return SendMessage(address=self.address, message=message)
+
+
 @dataclass(frozen=True, slots=True)
 class ApplyEntries:
     """Entries became committed; apply them in order. Tokens name local proposals."""
@@ -100,6 +121,7 @@
     SaveHardState
     | AppendEntries
     | SendMessage
+    | SendSnapshotChunk
     | ApplyEntries
     | RejectProposals
     | AllowRead
--- a/src/passlane/raft/replication.py
+++ b/src/passlane/raft/replication.py
@@ -8,6 +8,7 @@
     SnapshotReply,
     SnapshotRequest,
 )
+from passlane.raft.instructions import SendSnapshotChunk
 from passlane.raft.membership import is_quorum, voters_of
 from passlane.raft.progress import FollowerProgress, ReplicationMode, SnapshotTransfer
 from passlane.raft.state import ReplicaState
@@ -225,7 +226,7 @@
             last_term=snapshot.last_term,
             membership=snapshot.membership,
             offset=transfer.next_offset,
-            data=snapshot.data[transfer.next_offset : end],
+            data=b"",
             is_last=end >= len(snapshot.data),
         )
-        state.send(progress.address, request)
+        state.emit(SendSnapshotChunk(progress.address, request, snapshot.data, end))
--- a/src/passlane/replication/driver.py
+++ b/src/passlane/replication/driver.py
@@ -34,6 +34,7 @@
     RejectRead,
     SaveHardState,
     SendMessage,
+    SendSnapshotChunk,
 )
 from passlane.raft.replica import Replica
 from passlane.replication.durable_writes import DurableWrites
@@ -162,6 +163,8 @@
         match instruction:
             case SendMessage():
                 self._writes.send(instruction)
+            case SendSnapshotChunk():
+                self._writes.send(instruction.read())
             case AppendEntries():
                 self._writes.append(instruction.entries)
             case ApplyEntries():
--- a/src/passlane/simulation/raft_host.py
+++ b/src/passlane/simulation/raft_host.py
@@ -38,6 +38,7 @@
     RejectRead,
     SaveHardState,
     SendMessage,
+    SendSnapshotChunk,
 )
 from passlane.raft.membership import decode_membership, voters_of
 from passlane.raft.replica import Replica
@@ -309,6 +310,9 @@
             case SendMessage():
                 self._held.append(instruction)
                 self._release_messages()
+            case SendSnapshotChunk():
+                self._held.append(instruction.read())
+                self._release_messages()
             case ApplyEntries():
                 self._apply(instruction)
             case RejectProposals():
--- a/tests/raft/replicas.py
+++ b/tests/raft/replicas.py
@@ -25,7 +25,7 @@
     MessageReceived,
     TimeAdvanced,
 )
-from passlane.raft.instructions import Instruction, SendMessage
+from passlane.raft.instructions import Instruction, SendMessage, SendSnapshotChunk
 from passlane.raft.replica import Replica
 
 GROUP = "tested"
@@ -236,9 +236,18 @@
     return [instruction for instruction in instructions if isinstance(instruction, kind)]
 
 
+def with_chunk(instruction: Instruction) -> Instruction:
+    """Read the chunk of a snapshot that is to be sent, as the shell does."""
+    return instruction.read() if isinstance(instruction, SendSnapshotChunk) else instruction
+
+
 def sent(kind: type[T], instructions: Iterable[Instruction]) -> list[T]:
     """Return the messages of one kind that the instructions send."""
-    messages = [instruction.message for instruction in of_kind(SendMessage, instructions)]
+    messages = [
+        instruction.message
+        for instruction in map(with_chunk, instructions)
+        if isinstance(instruction, SendMessage)
+    ]
     return [message for message in messages if isinstance(message, kind)]
 
 
