--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -74,6 +74,12 @@
         "run_states",
         "time, stalls of the loop and memory of a snapshot, by the size of the state",
     ),
+    Experiment(
+        "storage-costs",
+        "passlane.bench.storage_costs",
+        "run",
+        "processor time, disk and memory of an append at leader and follower",
+    ),
     Experiment(
         "configuration",
         "passlane.bench.configuration",
@@ -92,6 +98,12 @@
         "run",
         "time until a change is in force on 400 nodes, with nodes lost, frozen and cut off",
     ),
+    Experiment(
+        "handover",
+        "passlane.bench.handover",
+        "run",
+        "pause of calls when a node stops or dies: refused, asked again, or held",
+    ),
     Experiment(
         "membership",
         "passlane.bench.membership",
@@ -105,6 +117,7 @@
         "processor time of store commands, memory of records, snapshots",
     ),
     Experiment(
+<<<<<<< HEAD
         "fleet-amre",
         "passlane.bench.fleet_run",
         "run_top_up",
@@ -115,6 +128,18 @@
         "passlane.bench.fleet_run",
         "run_music_house",
         "the music house's processes under load, kills, freezes and restarts",
+=======
+        "raft-failover",
+        "passlane.bench.raft_failover",
+        "run",
+        "time without a leader after a loss, and until a lost replica votes again",
+    ),
+    Experiment(
+        "raft-cost",
+        "passlane.bench.raft_cost",
+        "run",
+        "processor time, messages and bytes of an appended command, by group size",
+>>>>>>> main
     ),
 )
 
--- a/tests/store/test_service.py
+++ b/tests/store/test_service.py
@@ -1,9 +1,6 @@
 """Store service and heartbeat loops of nodes together, on a virtual clock."""
 
-import random
 import unittest
-from collections.abc import Awaitable, Callable
-from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -20,63 +17,15 @@
     ListPrograms,
     ProgramList,
 )
-from passlane.node.heartbeat import HeartbeatLoop
-from passlane.simulation.runner import run_simulation
-from passlane.store.machine import StoreStateMachine
 from passlane.store.proposals import propose
-from passlane.store.service import StoreService
+from store.region import Region, simulate
 from store.service_fixture import (
     CONTROL,
     STORE,
-    ControlStub,
-    DirectCaller,
-    OneReplicaGroup,
-    RecordingListener,
     settings_of,
 )
 
-
-class Region:
-    """One store replica, a control stub, and nodes, in one task group."""
-
-    def __init__(self, tasks: anyio.abc.TaskGroup, retention_s: float = 3600.0) -> None:
-        self.tasks = tasks
-        self.caller = DirectCaller()
-        self.control = ControlStub(self.caller.routers[CONTROL])
-        self.machine = StoreStateMachine()
-        self.group = OneReplicaGroup(self.machine)
-        environment: Any = SimpleNamespace(http_client=None)
-        service = StoreService(
-            self.group,
-            self.machine,
-            settings_of("store"),
-            environment,
-            self.caller.routers[STORE],
-            self.caller.client_of(CONTROL),
-            retention_s=retention_s,
-        )
-        tasks.start_soon(service.run)
-
-    def start_node(self, name: str) -> tuple[HeartbeatLoop, RecordingListener]:
-        listener = RecordingListener()
-        loop = HeartbeatLoop(
-            settings_of(name),
-            self.caller.client_of(STORE),
-            listener,
-            random.Random(name),
-            incarnation=7,
-        )
-        self.tasks.start_soon(loop.run)
-        return loop, listener
-
-
-def simulate(scenario: Callable[[Region], Awaitable[None]], **options: float) -> None:
-    async def main() -> None:
-        async with anyio.create_task_group() as tasks:
-            await scenario(Region(tasks, **options))
-            tasks.cancel_scope.cancel()
-
-    run_simulation(main, seed=1)
+SETTINGS = settings_of("any").membership
 
 
 class StoreServiceTest(unittest.TestCase):
@@ -170,6 +119,58 @@
 
         simulate(scenario)
 
+    def test_node_that_stops_after_its_last_release_leaves_no_lease_to_wait_for(self) -> None:
+        async def scenario(region: Region) -> None:
+            leaving, listener = region.start_node("n0")
+            staying, _ = region.start_node("n1")
+            await anyio.sleep(5)
+            listener.is_draining = True
+            leaving.beat_soon()
+            await anyio.sleep(1)
+            for partition in leaving.lease.led_partitions:
+                leaving.release(partition)
+                staying.expect(partition)
+            await leaving.wait_released()
+            region.stop_node("n0")
+            await anyio.sleep(0.1)
+            self.assertEqual(len(staying.lease.led_partitions), 4)
+            region.tasks.cancel_scope.cancel()
+
+        simulate(scenario)
+
+    def test_stopping_node_that_is_cut_off_waits_no_longer_than_its_lease(self) -> None:
+        async def scenario(region: Region) -> None:
+            leaving, _ = region.start_node("n0")
+            await anyio.sleep(5)
+            region.caller.cut_off.add(STORE)
+            for partition in leaving.lease.led_partitions:
+                leaving.release(partition)
+            with anyio.fail_after(SETTINGS.lease_s):
+                await leaving.wait_released()
+            self.assertFalse(leaving.has_lease)
+
+        simulate(scenario)
+
+    def test_node_that_awaits_nothing_any_more_asks_at_the_usual_pace(self) -> None:
+        async def scenario(region: Region) -> None:
+            loop, _ = region.start_node("n0")
+            await anyio.sleep(5)
+            usual = await self._barriers_in(region, 10 * SETTINGS.heartbeat_s)
+            loop.expect(Partition(77))
+            self.assertGreater(await self._barriers_in(region, 1.0), usual)
+            await anyio.sleep(SETTINGS.lease_s)
+            self.assertLessEqual(
+                await self._barriers_in(region, 10 * SETTINGS.heartbeat_s), usual + 4
+            )
+            region.tasks.cancel_scope.cancel()
+
+        simulate(scenario)
+
+    async def _barriers_in(self, region: Region, duration_s: float) -> int:
+        before = region.group.barriers
+        await anyio.sleep(duration_s)
+        return region.group.barriers - before
+
     def test_heartbeats_at_one_moment_share_a_barrier(self) -> None:
         async def scenario(region: Region) -> None:
             await anyio.sleep(0.1)
