--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -117,6 +117,18 @@
         "processor time of store commands, memory of records, snapshots",
     ),
     Experiment(
+<<<<<<< HEAD
+        "fleet-amre",
+        "passlane.bench.fleet_run",
+        "run_top_up",
+        "the top-up association's processes under load, kills, freezes and restarts",
+    ),
+    Experiment(
+        "fleet-music",
+        "passlane.bench.fleet_run",
+        "run_music_house",
+        "the music house's processes under load, kills, freezes and restarts",
+=======
         "raft-failover",
         "passlane.bench.raft_failover",
         "run",
@@ -139,6 +151,7 @@
         "passlane.bench.fleet_run",
         "run_music_house",
         "the music house's processes under load, kills, freezes and restarts",
+>>>>>>> emulator
     ),
 )
 
