Read an engine's new cache events from the end of its log

Cause: the emulated engine looked through its whole log of up to 2,000 events for each reader and each poll, though readers want the few last ones. It now walks back from the newest event and stops at the number that the reader names. Ruled out: an index by number, which the gaps of lost events would make harder to read.

--- a/src/passlane/emulator/cache_event_log.py
+++ b/src/passlane/emulator/cache_event_log.py
@@ -42,8 +42,10 @@
 
     def events_after(self, number: int, now: float) -> tuple[CacheEvent, ...]:
         """Return the events after ``number`` that are published by ``now``, in order."""
-        return tuple(
-            published.event
-            for published in self._published
-            if published.event.number > number and published.visible_at <= now
-        )
+        newer: list[CacheEvent] = []
+        for published in reversed(self._published):
+            if published.event.number <= number:
+                break
+            if published.visible_at <= now:
+                newer.append(published.event)
+        return tuple(reversed(newer))
