Keep a flooding tenant from harming others, and new programs from thrashing caches

Cause: fair queuing orders the calls that wait, but a tenant with few calls was harmed at the engines: a flood filled every batch and pushed all prefixes out of the caches, and then every call computed its prompt again. The same collapse came without a flood when more programs were under way than the caches hold. Now new programs of heavy tenants wait while caches turn over fast, a tenant that fills a good part of all batches or caches takes only room to spare, first calls have lanes of their own, and a refused tenant is told to come back when its own waiting calls are likely served.

--- a/src/passlane/bench/baselines.py
+++ b/src/passlane/bench/baselines.py
@@ -12,7 +12,13 @@
 
 import xxhash
 
-from passlane.scheduling.config import Ordering, QueueConfig, RetentionConfig, SchedulerConfig
+from passlane.scheduling.config import (
+    CrowdingConfig,
+    Ordering,
+    QueueConfig,
+    RetentionConfig,
+    SchedulerConfig,
+)
 from passlane.scheduling.engine_view import EngineView
 from passlane.scheduling.events import CallArrived
 from passlane.scheduling.placement import Estimate, Placement, is_eligible
@@ -99,6 +105,7 @@
         config,
         queue=QueueConfig(ordering=Ordering.ARRIVAL, max_calls=config.queue.max_calls),
         retention=RetentionConfig(enabled=False),
+        crowding=CrowdingConfig(enabled=False),
     )
     placement = _PLACEMENTS[strategy](zone, generator, plain)
     return Scheduler(zone, generator, plain, placement=placement)
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -44,6 +44,18 @@
         "run_all",
         "program latency and wasted cache against three baselines, all scenarios",
     ),
+    Experiment(
+        "scheduling-topup",
+        "passlane.bench.scheduling",
+        "run_top_up",
+        "the same for the top-up association alone",
+    ),
+    Experiment(
+        "scheduling-music-house",
+        "passlane.bench.scheduling",
+        "run_music_house",
+        "the same for the music house alone",
+    ),
     Experiment(
         "scheduling-quick",
         "passlane.bench.scheduling",
--- a/src/passlane/bench/results.py
+++ b/src/passlane/bench/results.py
@@ -29,8 +29,8 @@
     Attributes
     ----------
     program, victims
-        Latency of all measured programs, and of those that are not the flooding
-        tenant's and began after the scenario's disturbance.
+        Latency of all measured programs, and of those that began after the scenario's
+        disturbance, are not the flooding tenant's and have no hung tool.
     recomputed_tokens, needed_tokens, idle_token_seconds, unused_token_seconds
         Wasted cache; see ``cache_waste``.
     unfinished, failed, refusals
--- a/src/passlane/bench/virtual_client.py
+++ b/src/passlane/bench/virtual_client.py
@@ -91,6 +91,7 @@
             max_tokens=call.max_tokens,
             deadline=self._heap.now + CALL_TIMEOUT_S,
             service_class=self._plan.service_class,
+            is_sub_agent=self._plan.is_sub_agent,
         )
         self._node.call(arrived, call.answer_tokens, self._node_answered)
 
--- a/src/passlane/bench/workloads.py
+++ b/src/passlane/bench/workloads.py
@@ -60,6 +60,8 @@
     starts_at: float
     calls: list[CallPlan]
     ending: Ending = Ending.ENDED
+    is_sub_agent: bool = False
+    has_hung_tool: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +170,7 @@
     def _sub_agent(self, name: str, tenant: str) -> ProgramPlan:
         calls = [self._call(first=index == 0) for index in range(self._random.randint(2, 4))]
         calls[-1].pause_s = 0.0
-        return ProgramPlan(name, tenant, 0, 0.0, calls)
+        return ProgramPlan(name, tenant, 0, 0.0, calls, is_sub_agent=True)
 
 
 class MusicHouseWorkload:
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -394,6 +394,7 @@
             service_class=decision.service_class,
             weight=decision.weight,
             excluded=self._engines_to_exclude(excluded),
+            is_sub_agent=self.program.parent_id is not None,
         )
         self._services.models.place(arrived, self.post)
 
--- a/src/passlane/scheduling/cache_view.py
+++ b/src/passlane/scheduling/cache_view.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from dataclasses import dataclass
 
 from passlane.identifiers import ProgramId
 from passlane.messages.backends import CacheEvent, CacheEventKind, CacheEvents, CacheSnapshot
@@ -19,11 +20,17 @@
     GAP = "gap"
 
 
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    tokens: int
+    used_at: float
+
+
 class CacheView:
     """Tokens of each program's prefix that an engine is thought to hold."""
 
     def __init__(self) -> None:
-        self._tokens: dict[ProgramId, int] = {}
+        self._entries: dict[ProgramId, _Entry] = {}
         self._total = 0
         self._incarnation: int | None = None
         self._last_number: int | None = None
@@ -44,20 +51,28 @@
         """Incarnation that the view is of; ``None`` until one was seen."""
         return self._incarnation
 
+    @property
+    def oldest_used_at(self) -> float | None:
+        """Local time when the entry was last used that the engine would evict next."""
+        first = next(iter(self._entries.values()), None)
+        return None if first is None else first.used_at
+
     def tokens_of(self, program_id: ProgramId) -> int:
         """Return the tokens thought to be held for a program."""
-        return self._tokens.get(program_id, 0)
+        entry = self._entries.get(program_id)
+        return 0 if entry is None else entry.tokens
 
     def programs(self) -> tuple[ProgramId, ...]:
         """Return the programs of which something is thought to be held."""
-        return tuple(self._tokens)
+        return tuple(self._entries)
 
-    def record(self, program_id: ProgramId, tokens: int) -> None:
+    def record(self, program_id: ProgramId, tokens: int, used_at: float) -> None:
         """Note tokens known from an own call's answer; 0 removes the program."""
-        previous = self._tokens.pop(program_id, 0)
-        self._total -= previous
+        previous = self._entries.pop(program_id, None)
+        if previous is not None:
+            self._total -= previous.tokens
         if tokens > 0:
-            self._tokens[program_id] = tokens
+            self._entries[program_id] = _Entry(tokens, used_at)
             self._total += tokens
 
     def see_incarnation(self, incarnation: int) -> bool:
@@ -76,7 +91,7 @@
             self._unsure = False
         return is_restart
 
-    def apply_events(self, update: CacheEvents) -> CacheUpdate:
+    def apply_events(self, update: CacheEvents, now: float) -> CacheUpdate:
         """Apply published events; say whether some were missed before them."""
         if self._is_old(update.incarnation):
             return CacheUpdate.STALE
@@ -90,33 +105,37 @@
                 self._unsure = True
                 result = CacheUpdate.GAP
             self._last_number = event.number
-            self._apply(event)
+            self._apply(event, now)
         return result
 
-    def apply_snapshot(self, snapshot: CacheSnapshot) -> CacheUpdate:
+    def apply_snapshot(self, snapshot: CacheSnapshot, now: float) -> CacheUpdate:
         """Replace the view by the engine's whole cache."""
         if self._is_old(snapshot.incarnation):
             return CacheUpdate.STALE
         self.see_incarnation(snapshot.incarnation)
         if self._last_number is not None and snapshot.number < self._last_number:
             return CacheUpdate.STALE
+        before = dict(self._entries)
         self._clear()
         for entry in snapshot.entries:
-            self.record(entry.program_id, entry.tokens)
+            known = before.get(entry.program_id)
+            used_at = now if known is None else known.used_at
+            self.record(entry.program_id, entry.tokens, used_at)
         self._last_number = snapshot.number
         self._unsure = False
         return CacheUpdate.APPLIED
 
-    def _apply(self, event: CacheEvent) -> None:
+    def _apply(self, event: CacheEvent, now: float) -> None:
         if event.kind is CacheEventKind.EVICTED:
-            self.record(event.program_id, 0)
+            self.record(event.program_id, 0, now)
             return
         # The event may be older than the last own call, which made the prefix longer.
-        self.record(event.program_id, max(event.tokens, self.tokens_of(event.program_id)))
+        tokens = max(event.tokens, self.tokens_of(event.program_id))
+        self.record(event.program_id, tokens, now)
 
     def _is_old(self, incarnation: int) -> bool:
         return self._incarnation is not None and incarnation < self._incarnation
 
     def _clear(self) -> None:
-        self._tokens.clear()
+        self._entries.clear()
         self._total = 0
--- a/src/passlane/scheduling/config.py
+++ b/src/passlane/scheduling/config.py
@@ -29,8 +29,9 @@
         Attained service counts up to this many tokens, which bounds starvation.
     urgent_s
         A call goes to the front of its tenant's calls when its deadline is this near.
-    lookahead
-        How many calls that wait for a better engine may be passed over in one round.
+    lookahead, lane_lookahead
+        How many calls that wait for a better engine may be passed over in one round, in
+        all and of one lane.
     """
 
     ordering: Ordering = Ordering.PROGRAMS
@@ -40,6 +41,7 @@
     max_attained_tokens: int = 40_000
     urgent_s: float = 1.0
     lookahead: int = 32
+    lane_lookahead: int = 8
 
     @property
     def starvation_bound_s(self) -> float:
@@ -47,6 +49,45 @@
         return self.max_attained_tokens / self.ageing_tokens_per_s
 
 
+@dataclass(frozen=True, slots=True)
+class CrowdingConfig:
+    """When calls wait so that programs under way are not harmed.
+
+    Attributes
+    ----------
+    near_heaviest
+        A tenant's use is heavy above the mean of all active tenants, if it is also more
+        than this share of what the heaviest tenant uses.
+    tolerance, excessive_share
+        A tenant's use is excessive above this many times the mean, if its running calls
+        fill more than this share of all batches or its programs that of all caches.
+    min_running, min_programs
+        Fewer running calls, or programs under way, than this are never heavy use.
+    active_s
+        A tenant counts among those that share for this long after its last call.
+    min_residence_s, long_residence_s
+        A new program waits while its prompt would push out prefixes used this recently:
+        the first for tenants with heavy use, the second with excessive use.
+    batch_fraction, free_cache_fraction
+        Calls of a tenant with excessive use start only at engines whose batch is filled
+        less than this, and its new programs leave this share of the cache free.
+    enabled
+        Whether any call waits for these reasons.
+    """
+
+    near_heaviest: float = 0.5
+    tolerance: float = 1.5
+    excessive_share: float = 0.3
+    min_running: int = 2
+    min_programs: int = 4
+    active_s: float = 10.0
+    min_residence_s: float = 3.0
+    long_residence_s: float = 60.0
+    batch_fraction: float = 0.5
+    free_cache_fraction: float = 0.5
+    enabled: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class EngineConfig:
     """What is assumed of an engine until it was measured.
@@ -154,6 +195,7 @@
     """
 
     queue: QueueConfig = field(default_factory=QueueConfig)
+    crowding: CrowdingConfig = field(default_factory=CrowdingConfig)
     engine: EngineConfig = field(default_factory=EngineConfig)
     placement: PlacementConfig = field(default_factory=PlacementConfig)
     breaker: BreakerConfig = field(default_factory=BreakerConfig)
--- a/src/passlane/scheduling/engine_view.py
+++ b/src/passlane/scheduling/engine_view.py
@@ -21,7 +21,7 @@
     """A call that this node has sent to the engine and that has not ended.
 
     ``expected_s`` is the duration that was expected when it was sent, with
-    ``expected_slowdown`` counted in.
+    ``expected_slowdown`` counted in; ``new_tokens`` is what it adds to the cache.
     """
 
     call_id: CallId
@@ -29,6 +29,7 @@
     started_at: float
     expected_s: float
     expected_slowdown: float
+    new_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,15 +106,31 @@
             others = 0
         return len(self.running) + others
 
+    def has_spare_batch(self, fraction: float, now: float) -> bool:
+        """Return whether less than this share of the batch is filled."""
+        return self.occupancy(now) < fraction * self.body.max_batch
+
     def cache_pressure(self) -> float:
         """Return the share of the engine's cache in use, from 0 to 1 or a little above."""
         capacity = max(self.body.cache_tokens, 1)
         return self.cached_tokens() / capacity
 
     def cached_tokens(self) -> int:
-        """Return the tokens in the engine's cache, by its report or by the cache view."""
+        """Return the tokens in the engine's cache, by its report or by the cache view.
+
+        What own running calls add is counted besides, where the figure can't hold it yet.
+        """
         reported = 0 if self._load is None else self._load.cached_tokens
-        return max(reported, self.cache.total_tokens)
+        viewed = self.cache.total_tokens
+        for call in self.running.values():
+            viewed += call.new_tokens
+            if call.started_at > self._load_as_of:
+                reported += call.new_tokens
+        return max(reported, viewed)
+
+    def free_cache_tokens(self) -> int:
+        """Return the tokens that the cache can take without evicting anything."""
+        return max(self.body.cache_tokens - self.cached_tokens(), 0)
 
     def has_model(self, model: str) -> bool:
         """Return whether the engine serves the model, by its report or its configuration."""
--- a/src/passlane/scheduling/events.py
+++ b/src/passlane/scheduling/events.py
@@ -31,6 +31,8 @@
         Share of the tenant among others of the same class; more is more.
     excluded
         Engines that must not be chosen (already failed for this call).
+    is_sub_agent
+        Whether the program was started by another, which waits for it.
     """
 
     call_id: CallId
@@ -43,6 +45,7 @@
     service_class: int = 1
     weight: float = 1.0
     excluded: frozenset[EngineId] = frozenset()
+    is_sub_agent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/passlane/scheduling/fleet_view.py
+++ b/src/passlane/scheduling/fleet_view.py
@@ -64,6 +64,25 @@
             for engine in self._views.values()
         )
 
+    def batch_fill(self, model: str, now: float) -> float:
+        """Return the filled share of the batches of a model's engines, 0 if there are none."""
+        engines = self._staying(model)
+        places = sum(engine.body.max_batch for engine in engines)
+        return sum(engine.occupancy(now) for engine in engines) / max(places, 1)
+
+    def cache_pressure(self, model: str) -> float:
+        """Return the filled share of the caches of a model's engines, 0 if there are none."""
+        engines = self._staying(model)
+        capacity = sum(engine.body.cache_tokens for engine in engines)
+        return sum(engine.cached_tokens() for engine in engines) / max(capacity, 1)
+
+    def _staying(self, model: str) -> list[EngineView]:
+        return [
+            engine
+            for engine in self._views.values()
+            if not engine.leaving and engine.has_model(model)
+        ]
+
     def holders_of(self, program_id: ProgramId) -> list[EngineView]:
         """Return the engines thought to hold cache for a program."""
         return [view for view in self._views.values() if view.cache.tokens_of(program_id) > 0]
--- a/src/passlane/scheduling/placement.py
+++ b/src/passlane/scheduling/placement.py
@@ -109,6 +109,11 @@
             can_start=occupancy < engine.slots(),
         )
 
+    def new_tokens(self, call: CallArrived, estimate: Estimate) -> float:
+        """Return what the call would add to the engine's cache, in tokens."""
+        missing = call.prompt_tokens - estimate.cached_tokens
+        return missing + self.expected_generated(call)
+
     def _wait_s(self, engine: EngineView, occupancy: int, step_s: float) -> float:
         """Return the time until a batch slot is free, from the mean length of answers."""
         ahead = occupancy + 1 - engine.body.max_batch
@@ -120,6 +125,5 @@
     def _eviction_s(self, call: CallArrived, engine: EngineView, missing: int, now: float) -> float:
         """Return the time to compute again what this call would push out of the cache."""
         added = missing + self.expected_generated(call)
-        free = engine.body.cache_tokens - engine.cached_tokens()
-        evicted = max(0.0, min(added, added - free))
+        evicted = max(0.0, added - engine.free_cache_tokens())
         return self._config.placement.eviction_weight * engine.prefill_s(int(evicted), now)
--- a/src/passlane/scheduling/queue.py
+++ b/src/passlane/scheduling/queue.py
@@ -2,14 +2,16 @@
 
 Order, first rule first:
 
-1. class: lower first; a lane (the calls of one tenant and class) moves up one class for
-   each ``class_step_s`` that its longest-waiting call has waited;
+1. class: lower first; a lane moves up one class for each ``class_step_s`` that its
+   longest-waiting call has waited;
 2. tenants of a class share by weighted fair queuing: the one that has had the least
    service for its weight comes first;
 3. calls of one lane are ordered by arrival plus ``attained service / ageing rate``: least
    attained service first, but a second of waiting makes up for ``ageing_tokens_per_s``;
 4. a call whose deadline is near goes to the front of its lane.
 
+A lane holds the calls of one tenant and class; the first calls of programs have lanes of
+their own, so that the calls of programs under way can go on while new ones must wait.
 Because attained service is capped, no call that arrived ``starvation_bound_s`` later
 than another goes ahead of it in its lane, unless its deadline is near.
 """
@@ -19,19 +21,33 @@
 from collections import Counter, OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from passlane.identifiers import CallId, TenantId
 from passlane.scheduling.config import Ordering, QueueConfig
 from passlane.scheduling.events import CallArrived
 
-_ANY_TENANT = TenantId("")
+
+class _LaneKey(NamedTuple):
+    """Calls that share a lane."""
+
+    tenant_id: TenantId
+    service_class: int
+    is_first: bool
+
+
+_ARRIVAL_LANE = _LaneKey(TenantId(""), 0, False)
 
 
 @dataclass(frozen=True, slots=True)
 class QueuedCall:
-    """A waiting call with its place in the lane's order."""
+    """A waiting call with its place in the lane's order.
+
+    ``is_first`` tells that it begins a program of its own.
+    """
 
     call: CallArrived
+    is_first: bool
     arrived_at: float
     due: float
     number: int
@@ -44,7 +60,7 @@
 
 @dataclass(slots=True)
 class _Lane:
-    """Waiting calls of one tenant and class, sorted by ``order_key``."""
+    """Waiting calls of one lane, sorted by ``order_key``."""
 
     tenant_id: TenantId
     service_class: int
@@ -78,7 +94,7 @@
 
     def __init__(self, config: QueueConfig) -> None:
         self._config = config
-        self._lanes: dict[tuple[TenantId, int], _Lane] = {}
+        self._lanes: dict[_LaneKey, _Lane] = {}
         self._calls: dict[CallId, QueuedCall] = {}
         self._deadlines: list[tuple[float, int, CallId]] = []
         self._service: dict[TenantId, float] = {}
@@ -107,14 +123,20 @@
         share = self._config.max_calls // (len(self._waiting_of) + 1)
         return self._waiting_of[tenant_id] < max(share, 1)
 
-    def add(self, call: CallArrived, attained_tokens: int, now: float) -> None:
-        """Queue a call whose program has attained that much service so far."""
-        queued = QueuedCall(call, now, self._due(call, attained_tokens, now), self._next_number)
+    def add(
+        self, call: CallArrived, attained_tokens: int, now: float, *, is_first: bool = False
+    ) -> None:
+        """Queue a call whose program has attained that much service so far.
+
+        ``is_first`` tells that it begins a program of its own.
+        """
+        due = self._due(call, attained_tokens, now)
+        queued = QueuedCall(call, is_first, now, due, self._next_number)
         self._next_number += 1
-        key = self._lane_key(call)
+        key = self._lane_key(queued)
         lane = self._lanes.get(key)
         if lane is None:
-            lane = self._lanes[key] = _Lane(*key)
+            lane = self._lanes[key] = _Lane(key.tenant_id, key.service_class)
         lane.add(queued)
         self._calls[call.call_id] = queued
         self._waiting_of[call.tenant_id] += 1
@@ -133,7 +155,7 @@
         self._waiting_of[tenant_id] -= 1
         if self._waiting_of[tenant_id] == 0:
             del self._waiting_of[tenant_id]
-        key = self._lane_key(queued.call)
+        key = self._lane_key(queued)
         lane = self._lanes[key]
         lane.remove(queued)
         if not lane.calls:
@@ -148,8 +170,12 @@
         if len(self._service) > 4 * len(self._lanes) + 1_000:
             self._forget_idle_tenants()
 
-    def in_order(self, now: float, limit: int) -> Iterator[QueuedCall]:
-        """Yield up to ``limit`` waiting calls, the first to be served first.
+    def waiting_of(self, tenant_id: TenantId) -> int:
+        """Return how many calls of a tenant wait here."""
+        return self._waiting_of[tenant_id]
+
+    def in_order(self, now: float, lane_limit: int) -> Iterator[QueuedCall]:
+        """Yield waiting calls, up to ``lane_limit`` of each lane, the first to be served first.
 
         The queue may be changed only after the iteration has been left.
         """
@@ -160,14 +186,12 @@
             service = self._service.get(lane.tenant_id, 0.0)
             heads.append((effective, service, first.due, first.number, 0, lane))
         heapq.heapify(heads)
-        for _ in range(limit):
-            if not heads:
-                return
+        while heads:
             effective, service, _, _, index, lane = heads[0]
             queued = lane.calls[index]
             yield queued
             following = index + 1
-            if following >= len(lane.calls):
+            if following >= min(len(lane.calls), lane_limit):
                 heapq.heappop(heads)
                 continue
             next_call = lane.calls[following]
@@ -203,10 +227,10 @@
         due = now + counted / self._config.ageing_tokens_per_s
         return min(due, call.deadline - self._config.urgent_s)
 
-    def _lane_key(self, call: CallArrived) -> tuple[TenantId, int]:
+    def _lane_key(self, queued: QueuedCall) -> _LaneKey:
         if self._config.ordering is Ordering.ARRIVAL:
-            return (_ANY_TENANT, 0)
-        return (call.tenant_id, call.service_class)
+            return _ARRIVAL_LANE
+        return _LaneKey(queued.call.tenant_id, queued.call.service_class, queued.is_first)
 
     def _forget_idle_tenants(self) -> None:
         self._service = {
--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -16,11 +16,13 @@
 from passlane.scheduling.attained_service import AttainedService
 from passlane.scheduling.cache_view import CacheUpdate
 from passlane.scheduling.config import SchedulerConfig
+from passlane.scheduling.crowding import Crowding, CrowdingRules
 from passlane.scheduling.engine_view import EngineView, RunningCall
 from passlane.scheduling.fleet_view import FleetView
 from passlane.scheduling.placement import Estimate, Placement
 from passlane.scheduling.queue import CallQueue, QueuedCall
 from passlane.scheduling.retention import CacheRetention
+from passlane.scheduling.tenant_shares import TenantShares
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 30.0
@@ -62,6 +64,10 @@
         self._programs = AttainedService(self._config.max_programs)
         self._placement = placement or Placement(own_zone, random, self._config)
         self._retention = CacheRetention(self._config)
+        self._shares = TenantShares(self._config.crowding)
+        self._crowding = CrowdingRules(
+            self._config.crowding, self._engines, self._programs, self._shares, self._placement
+        )
         self._recheck_at = math.inf
         self._output: list[instructions.Instruction] = []
         self._handlers: dict[type, Callable[[Any, float], None]] = {
@@ -121,14 +127,20 @@
                 event,
                 ErrorCode.QUEUE_FULL,
                 "too many calls of the tenant, or in all, wait for the model",
-                self._retry_after_s(event.model, now),
+                self._retry_after_s(event, now),
             )
             return
         progress = self._programs.of(event.program_id)
         self._retention.resume(progress, now)
         progress.paused_at = None
         progress.prefix_tokens = event.prompt_tokens
-        queue.add(event, progress.attained_tokens, now)
+        is_first = (
+            progress.attained_tokens == 0
+            and not event.is_sub_agent
+            and not self._engines.holders_of(event.program_id)
+        )
+        queue.add(event, progress.attained_tokens, now, is_first=is_first)
+        self._shares.record_arrival(event.tenant_id, event.weight, now)
 
     def _call_first_token(self, event: events.CallFirstToken, now: float) -> None:
         """Nothing to decide: the call's whole duration is learned from at its end."""
@@ -138,6 +150,7 @@
         if running is None:
             return
         call, engine_id = running
+        self._shares.record_end(call.tenant_id, now)
         progress = self._programs.of(call.program_id)
         progress.active_calls = max(progress.active_calls - 1, 0)
         computed = max(event.prompt_tokens - event.cached_tokens, 0) + event.generated_tokens
@@ -153,7 +166,7 @@
         engine.record_duration(at_engine, now)
         self._placement.learn_generated(event.generated_tokens)
         progress.prefix_tokens = event.prompt_tokens + event.generated_tokens
-        engine.cache.record(call.program_id, progress.prefix_tokens)
+        engine.cache.record(call.program_id, progress.prefix_tokens, now)
 
     def _call_withdrawn(self, event: events.CallWithdrawn, now: float) -> None:
         for queue in self._queues.values():
@@ -163,6 +176,7 @@
         if running is None:
             return
         call, engine_id = running
+        self._shares.record_end(call.tenant_id, now)
         progress = self._programs.of(call.program_id)
         progress.active_calls = max(progress.active_calls - 1, 0)
         engine = self._engines.get(engine_id)
@@ -183,16 +197,17 @@
 
     def _program_ended(self, event: events.ProgramEnded, now: float) -> None:
         self._programs.forget(event.program_id)
-        self._release_everywhere(event.program_id)
+        self._release_everywhere(event.program_id, now)
 
     def _release_overdue(self, now: float) -> None:
         """Release the caches of programs that most likely never return."""
         for program_id in self._retention.take_overdue(self._programs, now):
-            self._release_everywhere(program_id)
+            self._programs.close(program_id)
+            self._release_everywhere(program_id, now)
 
-    def _release_everywhere(self, program_id: ProgramId) -> None:
+    def _release_everywhere(self, program_id: ProgramId, now: float) -> None:
         for engine in self._engines.holders_of(program_id):
-            engine.cache.record(program_id, 0)
+            engine.cache.record(program_id, 0, now)
             self._output.append(instructions.ReleaseCache(program_id, engine.engine_id))
 
     # Engines.
@@ -213,7 +228,7 @@
     def _move_caches(self, leaving: EngineView, now: float) -> None:
         for move in self._retention.moves_from(leaving, self._engines, self._programs, now):
             tokens = leaving.cache.tokens_of(move.program_id)
-            self._engines.views[move.destination].cache.record(move.program_id, tokens)
+            self._engines.views[move.destination].cache.record(move.program_id, tokens, now)
             self._output.append(
                 instructions.MoveCache(move.program_id, leaving.engine_id, move.destination)
             )
@@ -227,13 +242,15 @@
         engine = self._engines.get(event.engine_id)
         if engine is None:
             return
-        engine.cache.apply_events(event.events)
+        engine.cache.apply_events(event.events, now)
         if engine.cache.unsure:
             self._output.append(instructions.RequestCacheSnapshot(event.engine_id))
 
     def _cache_snapshot_reported(self, event: events.CacheSnapshotReported, now: float) -> None:
         engine = self._engines.get(event.engine_id)
-        if engine is not None and engine.cache.apply_snapshot(event.snapshot) is CacheUpdate.STALE:
+        if engine is None:
+            return
+        if engine.cache.apply_snapshot(event.snapshot, now) is CacheUpdate.STALE:
             self._output.append(instructions.RequestCacheSnapshot(event.engine_id))
 
     def _engine_unreachable(self, event: events.EngineUnreachable, now: float) -> None:
@@ -255,26 +272,37 @@
         """Start the first waiting call for which now is the time; return whether one was."""
         if not self._engines.has_free_slot(model, now):
             return False
-        for queued in queue.in_order(now, self._config.queue.lookahead):
-            estimate = self._choose(queued, now)
+        crowding = self._crowding.assess(model, now)
+        tried = 0
+        for queued in queue.in_order(now, self._config.queue.lane_lookahead):
+            if crowding is not None and crowding.must_wait(queued):
+                continue
+            tried += 1
+            if tried > self._config.queue.lookahead:
+                return False
+            estimate = self._choose(queued, crowding, now)
             if estimate is not None:
                 queue.remove(queued.call.call_id)
                 self._start(queued, estimate, queue, now)
                 return True
         return False
 
-    def _choose(self, queued: QueuedCall, now: float) -> Estimate | None:
+    def _choose(self, queued: QueuedCall, crowding: Crowding | None, now: float) -> Estimate | None:
         """Return the engine to start the call on now, or ``None`` if it should wait.
 
         It waits for a full engine that is still cheaper than a free one, because its
         prefix is there, but not longer than computing the prefix again would take.
         """
         estimates = self._placement.estimates(queued.call, self._engines, now)
-        startable = [estimate for estimate in estimates if estimate.can_start]
-        if not startable:
-            return None
-        best = startable[0]
-        if estimates[0] is best:
+        best = next(
+            (
+                estimate
+                for estimate in estimates
+                if estimate.can_start and (crowding is None or crowding.may_start(queued, estimate))
+            ),
+            None,
+        )
+        if best is None or best is estimates[0]:
             return best
         waited_s = now - queued.arrived_at
         gain_s = best.cost_s - estimates[0].cost_s
@@ -289,6 +317,7 @@
         progress = self._programs.of(call.program_id)
         progress.last_engine = engine.engine_id
         progress.active_calls += 1
+        self._programs.open(progress, call.tenant_id)
         engine.record_start(
             RunningCall(
                 call_id=call.call_id,
@@ -296,11 +325,12 @@
                 started_at=now,
                 expected_s=estimate.service_s,
                 expected_slowdown=engine.slowdown(now),
+                new_tokens=int(self._placement.new_tokens(call, estimate)),
             )
         )
+        self._shares.record_start(call.tenant_id, call.weight, now)
         self._running[call.call_id] = (call, engine.engine_id)
-        missing = call.prompt_tokens - estimate.cached_tokens
-        queue.charge(call, missing + self._placement.expected_generated(call))
+        queue.charge(call, self._placement.new_tokens(call, estimate))
         self._output.append(
             instructions.StartCall(
                 call_id=call.call_id,
@@ -339,13 +369,13 @@
         self._output.append(instructions.RefuseCall(call.call_id, code, message, retry_after_s))
 
     def _refuse_expired(self, now: float) -> None:
-        for model, queue in self._queues.items():
+        for queue in self._queues.values():
             for queued in queue.take_expired(now):
                 self._refuse(
                     queued.call,
                     ErrorCode.DEADLINE_EXCEEDED,
                     "the deadline passed before an engine was free",
-                    self._retry_after_s(model, now),
+                    self._retry_after_s(queued.call, now),
                 )
 
     def _refuse_unserved(self, now: float) -> None:
@@ -359,18 +389,23 @@
                     queued.call, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None
                 )
 
-    def _retry_after_s(self, model: str, now: float) -> float:
-        """Return when a slot is likely to be free for a call that comes now."""
+    def _retry_after_s(self, call: events.CallArrived, now: float) -> float:
+        """Return when the tenant's waiting calls are likely to have been served.
+
+        That is at the rate of its fair share, when it has more calls waiting than that.
+        """
         rate = 0.0
         for engine in self._engines:
-            if engine.leaving or not engine.has_model(model):
+            if engine.leaving or not engine.has_model(call.model):
                 continue
             batch = engine.body.max_batch
             answer_s = self._placement.mean_generated_tokens * engine.step_s(batch, now)
             rate += batch / max(answer_s, 1e-6)
         if rate <= 0:
             return MAX_RETRY_AFTER_S
-        wait_s = len(self._queue_of(model)) / rate
+        queue = self._queue_of(call.model)
+        share = self._shares.fair_share(call.tenant_id)
+        wait_s = max(len(queue), queue.waiting_of(call.tenant_id) / share) / rate
         return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
     def _ask_for_wake_up(self, now: float) -> None:
