--- a/src/passlane/bench/hollow.py
+++ b/src/passlane/bench/hollow.py
@@ -15,7 +15,7 @@
 from passlane.identifiers import EngineId, Revision
 from passlane.membership.events import HandoverRequested, MembershipChange
 from passlane.messages.common import Address
-from passlane.messages.control import ConfigurationDelta
+from passlane.messages.control import ConfigurationDelta, TargetInFlight
 from passlane.node.heartbeat import HeartbeatLoop
 from passlane.replication.client import GroupClient
 from passlane.replication.interfaces import StateMachine
@@ -60,6 +60,7 @@
     def __init__(self, settings: Settings, store: GroupClient, source: random.Random) -> None:
         self.configuration = ConfigurationView()
         self.is_draining = False
+        self.in_flight_at_drained: tuple[TargetInFlight, ...] = ()
         self.name = settings.process.name
         self.loop = HeartbeatLoop(settings, store, self, source, source.getrandbits(62) + 1)
         self.in_force_at: dict[Revision, float] = {}
@@ -75,12 +76,13 @@
         self.configuration = self.configuration.accept(accepted_revision)
         for revision in range(before + 1, self.configuration.revision_in_force + 1):
             self.in_force_at[Revision(revision)] = anyio.current_time()
+        if self.configuration.revision_in_force > before:
             self._changed.set()
+            self._changed = anyio.Event()
 
     async def wait_in_force(self, revision: Revision) -> None:
         """Return once the node acts on ``revision``."""
         while revision not in self.in_force_at:
-            self._changed = anyio.Event()
             await self._changed.wait()
 
     def take_leaving_engines(self, names: Sequence[EngineId]) -> None:
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -86,12 +86,60 @@
         "run_states",
         "time, stalls of the loop and memory of a snapshot, by the size of the state",
     ),
+    Experiment(
+        "storage-costs",
+        "passlane.bench.storage_costs",
+        "run",
+        "processor time, disk and memory of an append at leader and follower",
+    ),
     Experiment(
         "configuration",
         "passlane.bench.configuration",
         "run",
         "bytes, processor time and memory of changes and documents, over documents",
     ),
+    Experiment(
+        "engine-polling",
+        "passlane.bench.engine_polling",
+        "run",
+        "bytes and processor time of a node for polling engines, by polls a second",
+    ),
+    Experiment(
+        "configuration-spread",
+        "passlane.bench.configuration_spread",
+        "run",
+        "time until a change is in force on 400 nodes, with nodes lost, frozen and cut off",
+    ),
+    Experiment(
+        "handover",
+        "passlane.bench.handover",
+        "run",
+        "pause of calls when a node stops or dies: refused, asked again, or held",
+    ),
+    Experiment(
+        "membership",
+        "passlane.bench.membership",
+        "run",
+        "bytes and processor time of heartbeats and leases, by the number of nodes",
+    ),
+    Experiment(
+        "store-machine",
+        "passlane.bench.store_machine",
+        "run",
+        "processor time of store commands, memory of records, snapshots",
+    ),
+    Experiment(
+        "raft-failover",
+        "passlane.bench.raft_failover",
+        "run",
+        "time without a leader after a loss, and until a lost replica votes again",
+    ),
+    Experiment(
+        "raft-cost",
+        "passlane.bench.raft_cost",
+        "run",
+        "processor time, messages and bytes of an appended command, by group size",
+    ),
 )
 
 
--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -1,6 +1,7 @@
 """Serves the programs that this node leads."""
 
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import anyio
 
@@ -29,6 +30,7 @@
 from passlane.node.admission import Admission
 from passlane.node.call_planning import plan_call
 from passlane.node.call_services import CallServices
+from passlane.node.incoming_partitions import IncomingPartitions
 from passlane.node.led_program import LedProgram
 from passlane.node.policy_facts import call_facts, program_facts
 from passlane.node.program_directory import ProgramDirectory
@@ -45,6 +47,7 @@
 from passlane.transport.interfaces import Caller
 
 STORE_TIMEOUT_S = 10.0
+LOADING_RETRY_AFTER_S = 1.0
 
 
 class LeaderService:
@@ -58,6 +61,7 @@
         releases: ReleaseLoop,
         caller: Caller,
         own_name: NodeId,
+        incoming: IncomingPartitions,
     ) -> None:
         self._services = services
         self._directory = directory
@@ -65,6 +69,7 @@
         self._releases = releases
         self._caller = caller
         self._own_name = own_name
+        self._incoming = incoming
         self._successors: dict[Partition, Address] = {}
 
     # Calls.
@@ -82,10 +87,11 @@
         if known is not None:
             judge.note_record(known)
         try:
-            async for event in self._serve(request, judge):
-                if isinstance(event, CallRefused):
-                    event = refusal_with_verdict(event, self._verdict(judge, request))
-                yield event
+            async with self._subscribe(request, judge) as subscription:
+                async for event in subscription:
+                    if isinstance(event, CallRefused):
+                        event = refusal_with_verdict(event, self._verdict(judge, request))
+                    yield event
         except PasslaneError as error:
             raise error_with_verdict(error, self._verdict(judge, request)) from error
 
@@ -96,21 +102,38 @@
         """Change how many calls are admitted at a time."""
         self._admission.limit_requests(max_requests)
 
-    async def _serve(self, request: CallRequest, judge: RefusalJudge) -> AsyncIterator[CallEvent]:
+    @asynccontextmanager
+    async def _subscribe(
+        self, request: CallRequest, judge: RefusalJudge
+    ) -> AsyncIterator[Subscription]:
+        """Hold a place for the call and give the flow of its events."""
+        deadline = anyio.current_time() + request.timeout_s
         self._require_staying(request.program_id)
+        await self._incoming.hold(self._directory.partition_of(request.program_id), request)
+        # Only a leader is sure to hold the configuration that knows the tenant.
+        self._directory.require_epoch(self._directory.partition_of(request.program_id))
         now = anyio.current_time()
         tenant = self._services.configuration().tenants.get(request.tenant_id)
         with self._admission.admit(request.tenant_id, tenant, now):
-            host = await self._host(request.program_id, request.tenant_id)
+            host = await self._host_in_time(request, deadline)
             self._require_staying(request.program_id)
             judge.note_record(host.program)
-            subscription = self._submit(host, request, now + request.timeout_s)
+            subscription = self._submit(host, request, deadline)
             try:
-                async for event in subscription.events():
-                    yield event
+                yield subscription
             finally:
                 host.release(call_id_of(request), subscription)
 
+    async def _host_in_time(self, request: CallRequest, deadline: float) -> ProgramHost:
+        """Return the call's program; refuse at the caller's deadline if it is not loaded."""
+        with anyio.move_on_after(deadline - anyio.current_time()):
+            return await self._host(request.program_id, request.tenant_id)
+        raise PasslaneError(
+            ErrorCode.DEADLINE_EXCEEDED,
+            "the program was not loaded within the call's time",
+            retry_after_s=LOADING_RETRY_AFTER_S,
+        )
+
     def _submit(self, host: ProgramHost, request: CallRequest, deadline: float) -> Subscription:
         recorded = host.program.calls.get(call_id_of(request))
         application_id = None if recorded is None else recorded.application_id
@@ -204,11 +227,11 @@
         program = host.program
         if program.is_ended:
             return
-        await host.stop(code, message)
         command = EndProgram(
             program_id=program.program_id, partition=program.partition, epoch=program.epoch
         )
         try:
+            await host.stop(code, message)
             result = await self._services.store.end(command, STORE_TIMEOUT_S)
         except PasslaneError:
             host.resume()
@@ -265,11 +288,12 @@
 
     # Handover.
 
-    async def finish_partition(
-        self, partition: Partition, successor: Address, timeout_s: float
-    ) -> None:
-        """Take no new calls for a partition and wait until its calls have ended."""
+    def redirect(self, partition: Partition, successor: Address) -> None:
+        """Take no new calls for a partition; send them to its next leader."""
         self._successors[partition] = successor
+
+    async def finish_partition(self, partition: Partition, timeout_s: float) -> None:
+        """Wait until the calls of a partition have ended."""
         with anyio.move_on_after(timeout_s):
             for host in self._directory.hosts_of(partition):
                 await host.wait_idle()
@@ -282,9 +306,16 @@
         """Take calls for a partition (again)."""
         self._successors.pop(partition, None)
 
-    def is_leaving(self, partition: Partition) -> bool:
-        """Return whether a partition is being handed over."""
-        return partition in self._successors
+    def successor_of(self, partition: Partition) -> Address | None:
+        """Return where the calls of a partition are sent while it is handed over."""
+        return self._successors.get(partition)
+
+    def forget_arrived(self) -> None:
+        """Drop the successors that the own partition table names by now; call now and then."""
+        leadership = self._services.leadership
+        for partition, successor in list(self._successors.items()):
+            if leadership.leader_of(partition) == successor:
+                del self._successors[partition]
 
 
 def _has_doubtful_operation(program: LedProgram) -> bool:
--- a/src/passlane/node/node_core.py
+++ b/src/passlane/node/node_core.py
@@ -24,10 +24,12 @@
 from passlane.node.engine_registry import EngineRegistry
 from passlane.node.fencing import chat_token, program_scope
 from passlane.node.forwarder import Forwarder
+from passlane.node.incoming_partitions import IncomingPartitions
 from passlane.node.leader_service import LeaderService
 from passlane.node.leadership import Leadership
 from passlane.node.memory_sweep import MemorySweep
 from passlane.node.model_dispatcher import ModelDispatcher
+from passlane.node.poll_pace import PollPace
 from passlane.node.program_directory import ProgramDirectory
 from passlane.node.program_store import ProgramStore
 from passlane.node.release_loop import PendingRelease, ReleaseLoop
@@ -54,6 +56,7 @@
     poller: EnginePoller
     leader: LeaderService
     forwarder: Forwarder
+    incoming: IncomingPartitions
     sweep: MemorySweep
 
 
@@ -106,6 +109,10 @@
             # The cache is computed anew where it is missed; nothing else depends on it.
             _log.info("cache not moved", program_id=program_id, code=error.code.value)
 
+    def note_use(self, engine_id: EngineId) -> None:
+        """Poll an engine often while this node sends calls to it."""
+        self._poller.note_use(engine_id)
+
     def watch(self, engine_ids: frozenset[EngineId]) -> None:
         """Poll these engines from now on."""
         self._poller.watch(engine_ids)
@@ -158,9 +165,10 @@
     directory = ProgramDirectory(services, partition_count)
     admission = Admission(settings.node.max_queued_calls)
     releases = ReleaseLoop(services, source)
-    poller = EnginePoller(services, tasks, settings.node.engine_poll_s, source)
+    incoming = IncomingPartitions()
+    poller = EnginePoller(services, tasks, _poll_pace(settings), source)
     leader = LeaderService(
-        services, directory, admission, releases, caller, NodeId(settings.process.name)
+        services, directory, admission, releases, caller, NodeId(settings.process.name), incoming
     )
     services.models.orders = SchedulerOrders(services, directory, releases, poller)
     return NodeCore(
@@ -170,11 +178,17 @@
         releases=releases,
         poller=poller,
         leader=leader,
-        forwarder=Forwarder(caller, leadership, partition_count, source),
+        forwarder=Forwarder(caller, leadership, partition_count, source, reports),
+        incoming=incoming,
         sweep=MemorySweep(services, directory, leader, releases, poller, source),
     )
 
 
+def _poll_pace(settings: Settings) -> PollPace:
+    node = settings.node
+    return PollPace(node.engine_poll_s, node.idle_engine_poll_s, node.max_engine_polls_per_s)
+
+
 def _build_scheduler(settings: Settings, environment: Environment) -> Scheduler:
     node = settings.node
     config = SchedulerConfig(
--- a/src/passlane/raft/follower.py
+++ b/src/passlane/raft/follower.py
@@ -11,6 +11,7 @@
 )
 from passlane.raft.membership import member_of
 from passlane.raft.progress import Snapshot
+from passlane.raft.snapshot_data import ReceivedSnapshotData, SnapshotData
 from passlane.raft.state import ReplicaState
 
 
@@ -26,13 +27,13 @@
     def __init__(self, last_index: int, last_term: int) -> None:
         self.last_index = last_index
         self.last_term = last_term
-        self.data = bytearray()
+        self.data = ReceivedSnapshotData()
 
     def add(self, request: SnapshotRequest) -> bool:
         """Add a chunk; return whether the snapshot is whole. Other chunks are ignored."""
         if request.offset != len(self.data):
             return False
-        self.data += request.data
+        self.data.append(request.data)
         return request.is_last
 
 
@@ -59,8 +60,7 @@
         self._enter_term()
         self._read_round = max(self._read_round, request.read_round)
         if not self._matches(request):
-            hint = self._conflict_index(request.previous_index)
-            self._reply_append(request.sender, success=False, conflict_index=hint)
+            self._refuse_append(request)
             return
         end_index = request.previous_index + len(request.entries)
         self._take_entries(request.entries)
@@ -81,7 +81,7 @@
             return
         assembly = self._assembly_for(request)
         if assembly.add(request):
-            self._install(request, bytes(assembly.data))
+            self._install(request, assembly.data)
             return
         self._reply_snapshot(request.sender, request.last_index, installed=False)
 
@@ -99,11 +99,21 @@
         if leader_id is not None and self._matched_index >= last_index:
             self._reply_snapshot(leader_id, last_index, installed=True)
 
-    def refuse_append(self, request: AppendRequest) -> None:
+    def refuse_leader(self, request: AppendRequest) -> None:
         """Tell a leader of an older term of the newer one."""
         self._enter_term()
         self._reply_append(request.sender, success=False, address=request.sender_address)
 
+    def _refuse_append(self, request: AppendRequest) -> None:
+        """Tell the leader where the logs may differ."""
+        refused_index = request.previous_index
+        self._reply_append(
+            request.sender,
+            success=False,
+            refused_index=refused_index,
+            conflict_index=self._conflict_index(refused_index),
+        )
+
     def _enter_term(self) -> None:
         """Forget the former leader's log when the term is new: it says nothing of this one's."""
         if self._known_term == self._state.term:
@@ -140,6 +150,10 @@
         end_index = request.previous_index + len(request.entries)
         return not request.entries or self._state.log.synced_index >= end_index
 
+    def _acknowledged_index(self) -> int:
+        """Return how far the log is known to equal the leader's and is durable."""
+        return min(self._state.log.synced_index, self._matched_index)
+
     def _covers(self, request: SnapshotRequest) -> bool:
         """Return whether all that the snapshot holds is in the log already."""
         state = self._state
@@ -155,7 +169,7 @@
             self._assembly = assembly
         return assembly
 
-    def _install(self, request: SnapshotRequest, data: bytes) -> None:
+    def _install(self, request: SnapshotRequest, data: SnapshotData) -> None:
         self._assembly = None
         self._matched_index = request.last_index
         snapshot = Snapshot(request.last_index, request.last_term, request.membership, data)
@@ -166,6 +180,7 @@
         receiver: ReplicaId,
         *,
         success: bool,
+        refused_index: int = 0,
         conflict_index: int = 0,
         address: Address | None = None,
     ) -> None:
@@ -180,7 +195,8 @@
             term=state.term,
             sender_address=state.config.address,
             success=success,
-            synced_index=min(state.log.synced_index, self._matched_index),
+            synced_index=self._acknowledged_index(),
+            refused_index=refused_index,
             conflict_index=conflict_index,
             read_round=self._read_round,
         )
--- a/src/passlane/replication/driver.py
+++ b/src/passlane/replication/driver.py
@@ -6,17 +6,16 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
 
 import anyio
 
+from passlane.errors import PasslaneError
 from passlane.messages.common import Address
 from passlane.messages.raft import EntryKind
 from passlane.observability.logging import get_logger
+from passlane.raft.errors import RaftInvariantError
 from passlane.raft.events import (
-    EntriesSynced,
     Event,
-    HardStateSynced,
     MessageReceived,
     SnapshotInstalled,
     SnapshotTaken,
@@ -37,31 +36,21 @@
     SendMessage,
 )
 from passlane.raft.replica import Replica
+from passlane.replication.durable_writes import DurableWrites
 from passlane.replication.interfaces import StateMachine
 from passlane.replication.peer_sender import PeerSender
 from passlane.replication.pending import PendingRequests, rejection
+from passlane.replication.snapshot_keeper import SnapshotKeeper
 from passlane.replication.snapshot_rule import SnapshotRule
 from passlane.storage.formats import HardState, LogPosition, storage_corrupt
 from passlane.storage.log import SegmentedLog
-from passlane.storage.reserve import is_disk_full
-from passlane.storage.snapshots import Snapshot, SnapshotStore
 
 MAX_DEFERRED_MESSAGES = 256
 MIN_TICK_S = 0.001
-SPACE_RETRY_S = 0.5
-"""Pause between tries to get space back on a full disk."""
 
 logger = get_logger(__name__)
 
 
-@dataclass(slots=True)
-class Storage:
-    """The files of one replica."""
-
-    log: SegmentedLog
-    snapshots: SnapshotStore
-
-
 class ReplicaDriver:
     """Runs one replica between its files, its peers and its state machine.
 
@@ -74,7 +63,8 @@
     def __init__(
         self,
         replica: Replica,
-        storage: Storage,
+        log: SegmentedLog,
+        snapshots: SnapshotKeeper,
         state_machine: StateMachine,
         sender: PeerSender,
         proposals: PendingRequests,
@@ -83,28 +73,26 @@
         applied: LogPosition,
     ) -> None:
         self.replica = replica
-        self.log = storage.log
+        self.log = log
         self.applied = applied
         self.leader_address: Address | None = None
         self.term = 0
-        self._snapshots = storage.snapshots
+        self._snapshots = snapshots
         self._state_machine = state_machine
-        self._sender = sender
+        self._writes = DurableWrites(log, sender, self.step)
         self._proposals = proposals
         self._reads = reads
         self._snapshot_rule = snapshot_rule
         self._leads = False
         self._waiting_reads: list[AllowRead] = []
-        self._held_messages: deque[SendMessage] = deque()
-        self._unsynced_hard_state: HardState | None = None
         self._installing: InstallSnapshot | None = None
         self._deferred_instructions: list[Instruction] = []
         self._deferred_events: deque[Event] = deque()
         self._sleeps_until = 0.0
         self._time_changed = anyio.Event()
-        self._write_arrived = anyio.Event()
         self._snapshot_wanted = anyio.Event()
-        self._became_full = anyio.Event()
+        self._failure: PasslaneError | RaftInvariantError | None = None
+        self._failed = anyio.Event()
 
     @property
     def is_leader(self) -> bool:
@@ -115,19 +103,40 @@
         """Run the tasks beside the loop until one fails or all are cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._advance_time)
-            tasks.start_soon(self._sync_writes)
+            tasks.start_soon(self._writes.sync_for_ever)
             tasks.start_soon(self._keep_snapshots)
             tasks.start_soon(self._watch_space)
+            tasks.start_soon(self._raise_failure)
 
     def step(self, event: Event) -> None:
         """Hand an event to the replica and carry out what it instructs."""
+        if self._failure is not None:
+            return
         if self._installing is not None and not isinstance(event, SnapshotInstalled):
             self._defer(event)
             return
-        self._carry_out(self.replica.handle(event, anyio.current_time()))
+        try:
+            self._carry_out(self.replica.handle(event, anyio.current_time()))
+        except (PasslaneError, RaftInvariantError) as error:
+            self._fail(error)
+            return
+        except OSError as error:
+            self._fail(storage_corrupt(f"the disk failed: {error}"))
+            return
         if self.replica.next_deadline() < self._sleeps_until:
             self._time_changed.set()
 
+    def _fail(self, error: PasslaneError | RaftInvariantError) -> None:
+        """End the replica; the caller may be a connection that has no part in the fault."""
+        self._failure = error
+        self._failed.set()
+
+    async def _raise_failure(self) -> None:
+        """End the replica once an event has shown that it must not go on."""
+        await self._failed.wait()
+        assert self._failure is not None
+        raise self._failure
+
     def _defer(self, event: Event) -> None:
         """Keep an event until the snapshot is installed; messages may be dropped."""
         if isinstance(event, TimeAdvanced):
@@ -152,14 +161,13 @@
         """Carry out one instruction."""
         match instruction:
             case SendMessage():
-                self._send(instruction)
+                self._writes.send(instruction)
             case AppendEntries():
-                self.log.append(instruction.entries)
-                self._note_write()
+                self._writes.append(instruction.entries)
             case ApplyEntries():
                 self._apply(instruction)
             case SaveHardState(term, voted_for):
-                self._save_hard_state(HardState(term=term, voted_for=voted_for))
+                self._writes.save_hard_state(HardState(term=term, voted_for=voted_for))
             case AllowRead():
                 self._waiting_reads.append(instruction)
                 self._release_reads()
@@ -177,65 +185,14 @@
             case MembershipChanged():
                 logger.info("membership", members=instruction.membership.members)
 
-    # Writing.
-
-    def _save_hard_state(self, hard_state: HardState) -> None:
-        """Write term and vote; messages wait until they are durable."""
-        self._unsynced_hard_state = hard_state
-        self.log.save_hard_state(hard_state)
-        self._note_write()
-
-    def _note_write(self) -> None:
-        """Wake the tasks that look after writes."""
-        self._write_arrived.set()
-        if self.log.is_full:
-            self._became_full.set()
-
-    def _send(self, instruction: SendMessage) -> None:
-        """Send a message, after those that wait for the hard state."""
-        if self._unsynced_hard_state is not None:
-            self._held_messages.append(instruction)
-        else:
-            self._sender.send(instruction.address, instruction.message)
-
-    async def _sync_writes(self) -> None:
-        """Sync what was written; all writes made during one sync share the next."""
-        while True:
-            await self._write_arrived.wait()
-            self._write_arrived = anyio.Event()
-            if not self.log.has_unsynced:
-                continue
-            try:
-                state = await self.log.sync()
-            except OSError as error:
-                # After a failed sync nobody knows what the disk holds.
-                raise storage_corrupt(f"a sync of the log failed: {error}") from error
-            if self._unsynced_hard_state == state.hard_state:
-                self._release_messages()
-                self.step(HardStateSynced(term=state.hard_state.term))
-            self.step(EntriesSynced(last_index=state.last.index, last_term=state.last.term))
-
-    def _release_messages(self) -> None:
-        """Send the messages that waited for the hard state."""
-        self._unsynced_hard_state = None
-        while self._held_messages:
-            instruction = self._held_messages.popleft()
-            self._sender.send(instruction.address, instruction.message)
-
     async def _watch_space(self) -> None:
-        """On a full disk, hand leadership on, and try until there is space again."""
-        if self.log.is_full:
-            self._became_full.set()
+        """On a full disk, hand leadership on, and wait until there is space again."""
         while True:
-            await self._became_full.wait()
+            await self._writes.wait_until_full()
             logger.error("disk full", term=self.term, is_leader=self._leads)
             if self._leads:
                 self.step(TransferRequested())
-            while not await self.log.recover_space():
-                self._write_arrived.set()
-                await anyio.sleep(SPACE_RETRY_S)
-            self._write_arrived.set()
-            self._became_full = anyio.Event()
+            await self._writes.recover_space()
             logger.warning("disk has space again", term=self.term)
 
     # Applying and reading.
@@ -284,50 +241,25 @@
     async def _take_snapshot(self) -> None:
         """Save the state machine's state and drop the log before it."""
         last = self.applied
-        snapshot = Snapshot(
-            last=last,
-            membership=self.replica.membership_at(last.index),
-            data=self._state_machine.take_snapshot(),
-        )
-        self._snapshot_rule.note_snapshot(len(snapshot.data))
-        if not await self._save(snapshot) or self._installing is not None:
+        snapshot = await self._snapshots.take(last, self.replica.membership_at(last.index))
+        if snapshot is None:
+            self._writes.note_full()
+            return
+        if self._installing is not None:
             return
         taken = SnapshotTaken(last_index=last.index, last_term=last.term, data=snapshot.data)
         self.step(taken)
         await self.log.remove_before(last.index)
 
-    async def _save(self, snapshot: Snapshot) -> bool:
-        """Save a snapshot; return false if the disk is full."""
-        try:
-            await self._snapshots.save(snapshot)
-        except OSError as error:
-            if not is_disk_full(error):
-                raise
-            self.log.is_full = True
-            self._became_full.set()
-            return False
-        return True
-
-    async def _save_with_patience(self, snapshot: Snapshot) -> None:
-        """Save a snapshot, however long the disk is full."""
-        while True:
-            if await self._save(snapshot):
-                return
-            await anyio.sleep(SPACE_RETRY_S)
-
     async def _install(self, instruction: InstallSnapshot) -> None:
         """Put a snapshot of the leader in place of state and log."""
-        last = LogPosition(instruction.last_index, instruction.last_term)
-        snapshot = Snapshot(last=last, membership=instruction.membership, data=instruction.data)
-        await self._save_with_patience(snapshot)
-        self._state_machine.restore_snapshot(instruction.data)
+        snapshot = await self._snapshots.install(instruction)
+        last = snapshot.last
         self.applied = last
-        self.log.reset(last)
-        self._note_write()
-        self._snapshot_rule.note_snapshot(len(instruction.data))
+        self._writes.reset_log(last)
         self._installing = None
         self._carry_out(self._deferred_instructions)
-        self.step(SnapshotInstalled(last_index=last.index))
+        self.step(SnapshotInstalled(last_index=last.index, data=snapshot.data))
         await self.log.remove_before(last.index)
         deferred = list(self._deferred_events)
         self._deferred_events.clear()
--- a/src/passlane/simulation/disk.py
+++ b/src/passlane/simulation/disk.py
@@ -7,9 +7,11 @@
 
 import errno
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.lowlevel
 
 
 @dataclass(slots=True)
@@ -34,6 +36,7 @@
     def write(self, data: bytes) -> None:
         """Append ``data`` whole; raise ``OSError`` (``ENOSPC``) and change nothing if full."""
         self._check_open()
+        self._disk.check_writable()
         self._disk.take_space(len(data))
         self._file.content += data
 
@@ -57,6 +60,25 @@
             raise OSError(errno.EBADF, f"{self._name} is closed")
 
 
+class SimulatedReadableFile:
+    """A file of a ``SimulatedDisk`` opened for reading."""
+
+    def __init__(self, disk: "SimulatedDisk", name: str, file: _File) -> None:
+        self._disk = disk
+        self._name = name
+        self._file = file
+
+    @property
+    def size(self) -> int:
+        """Length in bytes."""
+        return len(self._file.content)
+
+    def read_at(self, offset: int, length: int) -> bytes:
+        """Return up to ``length`` bytes from ``offset`` on, as they are on the disk now."""
+        self._disk.check_readable(self._name)
+        return bytes(self._file.content[offset : offset + length])
+
+
 class SimulatedDisk:
     """Files in memory with the durability of a real disk.
 
@@ -75,6 +97,10 @@
         Grows with each crash; files opened before it are dead.
     syncs
         Number of syncs done.
+    unreadable
+        Names of files that cannot be read any more, as when a sector has gone bad.
+    refuses_writes
+        Whether appending fails, as with a broken controller.
     """
 
     def __init__(
@@ -88,8 +114,11 @@
         self._files: dict[str, _File] = {}
         self.capacity_bytes = capacity_bytes
         self.sync_s = sync_s
+        self._unfinished_bytes = 0
         self.incarnation = 0
         self.syncs = 0
+        self.unreadable: set[str] = set()
+        self.refuses_writes = False
 
     # The interface of ``Disk``.
 
@@ -101,7 +130,13 @@
 
     def read(self, name: str) -> bytes:
         """Return the whole file; raise ``FileNotFoundError`` if there is none."""
-        return bytes(self._existing(name).content)
+        content = self._existing(name).content
+        self.check_readable(name)
+        return bytes(content)
+
+    def open_read(self, name: str) -> SimulatedReadableFile:
+        """Open a file for reading; raise ``FileNotFoundError`` if there is none."""
+        return SimulatedReadableFile(self, name, self._existing(name))
 
     def open_append(self, name: str) -> SimulatedAppendFile:
         """Open a file for appending; make it if there is none."""
@@ -110,11 +145,26 @@
 
     async def replace(self, name: str, data: bytes) -> None:
         """Put ``data`` in place of the file, whole and durable or not at all."""
+        await self.replace_with_parts(name, (data,))
+
+    async def replace_with_parts(self, name: str, parts: Iterable[bytes]) -> None:
+        """Put the joined ``parts`` in place of the file, whole and durable or not at all."""
         incarnation = self.incarnation
-        self.take_space(len(data))
-        await self.delay()
-        self._check_alive(incarnation)
-        self._files[name] = _File(bytearray(data), len(data), name_is_durable=True)
+        content = bytearray()
+        try:
+            for part in parts:
+                self.take_space(len(part))
+                content += part
+                self._unfinished_bytes += len(part)
+                await anyio.lowlevel.checkpoint()
+                self._check_alive(incarnation)
+            await self.delay()
+            self._check_alive(incarnation)
+        finally:
+            if incarnation == self.incarnation:
+                self._unfinished_bytes -= len(content)
+        self._files[name] = _File(content, len(content), name_is_durable=True)
+        self.unreadable.discard(name)
 
     async def truncate(self, name: str, length: int) -> None:
         """Cut the file to ``length`` bytes, durably."""
@@ -148,6 +198,7 @@
     def kill_process(self) -> None:
         """End the process that uses the disk; what it wrote stays, synced or not."""
         self.incarnation += 1
+        self._unfinished_bytes = 0
 
     def flip_bit(self, name: str, offset: int) -> None:
         """Change one bit of a file."""
@@ -157,9 +208,20 @@
         """Lose all files, as when the disk is replaced."""
         self.kill_process()
         self._files.clear()
+        self.unreadable.clear()
 
     # Used by open files.
 
+    def check_readable(self, name: str) -> None:
+        """Raise ``OSError`` with ``EIO`` if the file cannot be read any more."""
+        if name in self.unreadable:
+            raise OSError(errno.EIO, "the simulated disk cannot read", name)
+
+    def check_writable(self) -> None:
+        """Raise ``OSError`` with ``EIO`` if nothing can be appended."""
+        if self.refuses_writes:
+            raise OSError(errno.EIO, "the simulated disk cannot write")
+
     def take_space(self, size: int) -> None:
         """Raise ``OSError`` with ``ENOSPC`` if ``size`` more bytes do not fit."""
         if self.capacity_bytes is not None and self.used_bytes() + size > self.capacity_bytes:
@@ -170,8 +232,9 @@
         return sorted(self._files)
 
     def used_bytes(self) -> int:
-        """Return the size of all files."""
-        return sum(len(file.content) for file in self._files.values())
+        """Return the size of all files and of those being written to replace one."""
+        finished = sum(len(file.content) for file in self._files.values())
+        return finished + self._unfinished_bytes
 
     async def delay(self) -> None:
         """Wait as long as a sync takes."""
@@ -197,4 +260,4 @@
     def _check_alive(self, incarnation: int) -> None:
         """Refuse to finish an operation begun by a process that a crash has ended."""
         if incarnation != self.incarnation:
-            raise OSError(errno.EIO, "the machine stopped during this operation")
+            raise OSError(errno.EBADF, "the machine stopped during this operation")
--- a/tests/replication/test_replica_host.py
+++ b/tests/replication/test_replica_host.py
@@ -9,7 +9,7 @@
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
 from passlane.simulation.runner import run_simulation
-from replication.cluster import GROUP, running_cluster
+from replication.cluster import DELAY_S, GROUP, running_cluster
 
 SEEDS = range(6)
 
@@ -119,6 +119,18 @@
         self.assertEqual(len(members), 3)
         self.assertNotIn(old_id, [member.replica_id for member in members])
 
+    @on_seeds()
+    async def test_wiped_replica_is_ready_only_once_it_votes(self, cluster):
+        await propose_all(cluster, numbered(0, 30))
+        cluster.kill("c")
+        cluster.members["c"].disk.wipe()
+        cluster.start("c")
+        wiped = cluster.members["c"].host
+        await cluster.until(lambda: wiped.leader_address is not None, every_s=DELAY_S / 10)
+        self.assertFalse(wiped.is_ready)
+        await cluster.until(lambda: wiped.is_ready)
+        self.assertTrue(wiped.is_voter)
+
     @on_seeds()
     async def test_wiped_majority_does_not_found_the_group_anew(self, cluster):
         await propose_all(cluster, numbered(0, 5))
@@ -161,6 +173,20 @@
         await cluster.propose(b"1")
         await cluster.until(lambda: all(b"1" in cluster.commands(n) for n in "abc"))
 
+    @on_seeds()
+    async def test_every_amount_of_space_left_is_recovered_from(self, cluster):
+        """Whichever write meets the full disk first: an entry, a term, or the mark of a sync."""
+        await cluster.propose(b"0")
+        for space_left in range(0, 160, 32):
+            command = b"at %d" % space_left
+            for member in cluster.members.values():
+                member.disk.capacity_bytes = member.disk.used_bytes() + space_left
+            with anyio.move_on_after(2.0):
+                await cluster.propose(command)
+            for member in cluster.members.values():
+                member.disk.capacity_bytes = None
+            await cluster.propose(b"after " + command)
+
     @on_seeds()
     async def test_leader_with_a_full_disk_hands_over(self, cluster):
         await cluster.propose(b"0")
