--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -129,7 +129,6 @@
         "processor time of store commands, memory of records, snapshots",
     ),
     Experiment(
-<<<<<<< HEAD
         "fleet-amre",
         "passlane.bench.fleet_run",
         "run_top_up",
@@ -140,7 +139,8 @@
         "passlane.bench.fleet_run",
         "run_music_house",
         "the music house's processes under load, kills, freezes and restarts",
-=======
+    ),
+    Experiment(
         "raft-failover",
         "passlane.bench.raft_failover",
         "run",
@@ -152,19 +152,6 @@
         "run",
         "processor time, messages and bytes of an appended command, by group size",
     ),
-    Experiment(
-        "fleet-amre",
-        "passlane.bench.fleet_run",
-        "run_top_up",
-        "the top-up association's processes under load, kills, freezes and restarts",
-    ),
-    Experiment(
-        "fleet-music",
-        "passlane.bench.fleet_run",
-        "run_music_house",
-        "the music house's processes under load, kills, freezes and restarts",
->>>>>>> emulator
-    ),
 )
 
 
--- a/src/passlane/cli/proofs.py
+++ b/src/passlane/cli/proofs.py
@@ -63,6 +63,22 @@
         return ExitCode.OK
 
 
+class SimulationDefectsCommand(RunningCommand):
+    """Checks that deliberate faults are noticed."""
+
+    name = "sim defects"
+    description = "Runs each deliberate fault; exit code 1 if one was not noticed."
+    extra_options: ClassVar[list[Option]] = [
+        option("jobs", None, "Processes to spread the runs over.", flag=False, default="1"),
+    ]
+
+    def execute_command(self) -> ExitCode:
+        """Run the defects."""
+        jobs = parse_jobs(self.option("jobs"))
+        simulation = _load("passlane.simulation.cli")
+        return self.run_and_report(lambda: int(simulation.check_defects(jobs)))
+
+
 class TraceReplayCommand(RunningCommand):
     """Replays recorded traces."""
 
