--- a/src/passlane/cli/main.py
+++ b/src/passlane/cli/main.py
@@ -18,6 +18,7 @@
 from passlane.cli.proofs import (
     BenchListCommand,
     BenchRunCommand,
+    SimulationDefectsCommand,
     SimulationListCommand,
     SimulationRunCommand,
     TraceReplayCommand,
@@ -39,6 +40,7 @@
     LogCommand,
     SimulationRunCommand,
     SimulationListCommand,
+    SimulationDefectsCommand,
     TraceReplayCommand,
     BenchListCommand,
     BenchRunCommand,
--- a/src/passlane/cli/proofs.py
+++ b/src/passlane/cli/proofs.py
@@ -63,6 +63,22 @@
         return ExitCode.OK
 
 
+class SimulationDefectsCommand(RunningCommand):
+    """Checks that deliberate faults are noticed."""
+
+    name = "sim defects"
+    description = "Runs each deliberate fault; exit code 1 if one was not noticed."
+    extra_options: ClassVar[list[Option]] = [
+        option("jobs", None, "Processes to spread the runs over.", flag=False, default="1"),
+    ]
+
+    def execute_command(self) -> ExitCode:
+        """Run the defects."""
+        jobs = parse_jobs(self.option("jobs"))
+        simulation = _load("passlane.simulation.cli")
+        return self.run_and_report(lambda: int(simulation.check_defects(jobs)))
+
+
 class TraceReplayCommand(RunningCommand):
     """Replays recorded traces."""
 
@@ -70,7 +86,7 @@
     description = "Replays traces and compares the outcomes with those stated in them."
     arguments: ClassVar[list[Argument]] = [argument("files", "Trace files.", multiple=True)]
     extra_options: ClassVar[list[Option]] = [
-        option("settings", None, "Folder with the fleet's settings files.", flag=False),
+        option("fleet", None, "Folder with the fleet's settings files.", flag=False),
     ]
 
     def execute_command(self) -> ExitCode:
@@ -79,8 +95,8 @@
         missing = [str(path) for path in paths if not path.is_file()]
         if missing:
             raise PasslaneError(ErrorCode.NOT_FOUND, f"no such file: {', '.join(missing)}")
-        settings = self.option("settings")
-        folder = None if settings is None else Path(settings)
+        fleet = self.option("fleet")
+        folder = None if fleet is None else Path(fleet)
         if folder is not None and not folder.is_dir():
             raise PasslaneError(ErrorCode.NOT_FOUND, f"no such folder: {folder}")
         replay = _load("passlane.emulator.replay")
