Hand a partition over at a quiet moment, and wait for gaps without spinning

While a partition was handed over, all its programs waited for the longest call that was running in any of them: new calls were sent away from the start. The old leader now takes new calls for up to 2 s more, and hands over at the first moment at which none runs; only after that are calls held at the next leader. Waiting for such a moment without a bound was ruled out, because at the size to design for most programs have a call under way at any time.

Found on the way: waiting for a program to be idle never let go of the processor while a call waited for an earlier one of its program.

--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -292,11 +292,14 @@
         """Take no new calls for a partition; send them to its next leader."""
         self._successors[partition] = successor
 
-    async def finish_partition(self, partition: Partition, timeout_s: float) -> None:
-        """Wait until the calls of a partition have ended."""
+    async def wait_quiet(self, partition: Partition, timeout_s: float) -> None:
+        """Wait for a moment at which no call of a partition runs, but not for long."""
         with anyio.move_on_after(timeout_s):
-            for host in self._directory.hosts_of(partition):
-                await host.wait_idle()
+            while busy := self._busy_hosts(partition):
+                await busy[0].wait_idle()
+
+    def _busy_hosts(self, partition: Partition) -> list[ProgramHost]:
+        return [host for host in self._directory.hosts_of(partition) if not host.is_idle]
 
     def forget_partition(self, partition: Partition) -> None:
         """Drop what is in memory of a partition that is led elsewhere now."""
--- a/src/passlane/node/partition_handover.py
+++ b/src/passlane/node/partition_handover.py
@@ -13,6 +13,9 @@
 from passlane.observability.logging import get_logger
 from passlane.transport.interfaces import Caller, Router
 
+QUIET_WAIT_S = 2.0
+"""New calls are still taken for so long, in the hope for a moment without any."""
+
 _log = get_logger(__name__)
 
 
@@ -44,18 +47,35 @@
         router.add_one_way(HandoverNotice, self._take_notice)
 
     async def hand_over(self, order: HandoverRequested) -> None:
-        """Finish the partition's calls, then release it to its next leader."""
+        """Release a partition to its next leader at a moment when none of its calls runs.
+
+        Calls that come are taken until there is such a moment, or for ``QUIET_WAIT_S``.
+        After that they are sent to the next leader, which holds them until the last call
+        that runs here has ended.
+        """
         partition, successor = order.partition, order.to_address
-        self._leader.redirect(partition, successor)
         await self._notify(successor, partition, order.epoch, HandoverStage.BEGUN)
-        await self._leader.finish_partition(partition, self._timeout_s)
-        if self._leader.successor_of(partition) != successor:
+        await self._leader.wait_quiet(partition, QUIET_WAIT_S)
+        if not self._stands(order):
+            return
+        self._leader.redirect(partition, successor)
+        await self._leader.wait_quiet(partition, self._timeout_s)
+        if not self._stands(order):
             return
         self._heartbeat.release(partition)
         # Nodes that do not know of the change yet are still shown the way.
         self._leader.redirect(partition, successor)
         await self._notify(successor, partition, order.epoch, HandoverStage.RELEASED)
 
+    def _stands(self, order: HandoverRequested) -> bool:
+        """Return whether the store leader still wants this handover."""
+        current = self._heartbeat.lease.handover_of(order.partition)
+        return (
+            current is not None
+            and current.epoch == order.epoch
+            and current.to_address == order.to_address
+        )
+
     async def cancel(self, partition: Partition, epoch: Epoch) -> None:
         """Keep a partition that was to be handed over."""
         successor = self._leader.successor_of(partition)
--- a/src/passlane/node/program_host.py
+++ b/src/passlane/node/program_host.py
@@ -29,6 +29,9 @@
 RECOVERY_TIMEOUT_S = 30.0
 """How long a doubtful operation is looked into; all status queries of a call take less."""
 
+WAITING_POLL_S = 0.02
+"""Seconds between two looks whether calls that wait for an earlier one are gone."""
+
 BUSY_RETRY_AFTER_S = 0.2
 
 
@@ -339,8 +342,11 @@
     async def wait_idle(self) -> None:
         """Return when no call runs or waits."""
         while not self.is_idle:
-            await self._idle.wait()
-            await anyio.lowlevel.checkpoint()
+            if self._runner is not None:
+                await self._idle.wait()
+            else:
+                # Calls wait for one that comes before them in their program.
+                await anyio.sleep(WAITING_POLL_S)
 
     def abort(self, error: PasslaneError) -> None:
         """Stop all work at once, for this node no longer leads the program."""
