--- a/src/passlane/simulation/disk.py
+++ b/src/passlane/simulation/disk.py
@@ -101,6 +101,8 @@
         Names of files that cannot be read any more, as when a sector has gone bad.
     refuses_writes
         Whether appending fails, as with a broken controller.
+    keeps_unsynced
+        Whether a crash may keep a part of what was not synced; it loses all of that else.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         self.syncs = 0
         self.unreadable: set[str] = set()
         self.refuses_writes = False
+        self.keeps_unsynced = True
 
     # The interface of ``Disk``.
 
@@ -243,7 +246,7 @@
     def _tear(self, file: _File) -> None:
         """Keep a random part of the unsynced bytes, the last of them perhaps garbled."""
         unsynced = len(file.content) - file.durable_length
-        kept = self._random.randint(0, unsynced)
+        kept = self._random.randint(0, unsynced) if self.keeps_unsynced else 0
         del file.content[file.durable_length + kept :]
         if kept and self._random.random() < 0.5:
             garbled = self._random.randint(1, kept)
