Measure the configuration with tenants that differ, and weigh what a start costs

Cause: all tenants of the experiment had the same body, so the figure for compressed parts (0.24 MB) said nothing about real ones. Each now has limits of its own.

--- a/src/passlane/bench/configuration_state.py
+++ b/src/passlane/bench/configuration_state.py
@@ -73,7 +73,7 @@
         command = PutDocument(
             kind="tenant",
             name=tenant_name(index),
-            body=tenant_body(self.random.randrange(10**6, 10**7)),
+            body=tenant_body(self.random),
             expected_version=self.versions[index],
             idempotency_key=f"{self.random.getrandbits(128):032x}",
         )
@@ -93,7 +93,7 @@
     for kind, name, body in _fixed_documents():
         _put(machine, source, kind, name, body)
     for index in range(tenants):
-        _put(machine, source, "tenant", tenant_name(index), tenant_body(2_000_000))
+        _put(machine, source, "tenant", tenant_name(index), tenant_body(source))
     machine.execute(AcceptRevision(machine.ledger.held_revision))
     service = ControlService(
         SingleReplica(machine),
@@ -150,10 +150,20 @@
     return f"kiosk-{index:06d}"
 
 
-def tenant_body(max_tokens: int) -> str:
-    """Return the body of a tenant's document."""
+def tenant_body(source: random.Random) -> str:
+    """Return the body of a tenant's document, with limits of its own."""
     return encode_body(
-        TenantBody(service="disputes", max_budget=Amounts(tokens=max_tokens, calls=4_700))
+        TenantBody(
+            service="disputes",
+            default_budget=Amounts(tokens=source.randrange(10**4, 10**6), calls=470),
+            max_budget=Amounts(
+                tokens=source.randrange(10**6, 10**7),
+                calls=source.randrange(470, 4_700),
+                money_micros=source.randrange(10**9),
+            ),
+            max_programs=source.choice((10, 100, 1_000)),
+            calls_per_second=source.choice((1.0, 5.0, 20.0, 100.0)),
+        )
     )
 
 
