--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -44,6 +44,18 @@
         "run_all",
         "program latency and wasted cache against three baselines, all scenarios",
     ),
+    Experiment(
+        "scheduling-topup",
+        "passlane.bench.scheduling",
+        "run_top_up",
+        "the same for the top-up association alone",
+    ),
+    Experiment(
+        "scheduling-music-house",
+        "passlane.bench.scheduling",
+        "run_music_house",
+        "the same for the music house alone",
+    ),
     Experiment(
         "scheduling-quick",
         "passlane.bench.scheduling",
@@ -98,6 +110,12 @@
         "run",
         "time until a change is in force on 400 nodes, with nodes lost, frozen and cut off",
     ),
+    Experiment(
+        "handover",
+        "passlane.bench.handover",
+        "run",
+        "pause of calls when a node stops or dies: refused, asked again, or held",
+    ),
     Experiment(
         "membership",
         "passlane.bench.membership",
@@ -110,6 +128,30 @@
         "run",
         "processor time of store commands, memory of records, snapshots",
     ),
+    Experiment(
+        "fleet-amre",
+        "passlane.bench.fleet_run",
+        "run_top_up",
+        "the top-up association's processes under load, kills, freezes and restarts",
+    ),
+    Experiment(
+        "fleet-music",
+        "passlane.bench.fleet_run",
+        "run_music_house",
+        "the music house's processes under load, kills, freezes and restarts",
+    ),
+    Experiment(
+        "raft-failover",
+        "passlane.bench.raft_failover",
+        "run",
+        "time without a leader after a loss, and until a lost replica votes again",
+    ),
+    Experiment(
+        "raft-cost",
+        "passlane.bench.raft_cost",
+        "run",
+        "processor time, messages and bytes of an appended command, by group size",
+    ),
 )
 
 
