The configuration's defects import the table of keys under its new name

Only the import changes. Checked: mypy over 377 source files, and the tests of the simulation's command line (30 tests with those of the API and the command line) pass.

--- a/src/passlane/simulation/defects/configuration.py
+++ b/src/passlane/simulation/defects/configuration.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from passlane.control.keys import IdempotencyTable, KeyedResult, RememberedCommand
+from passlane.control.idempotency import IdempotencyTable, KeyedResult, RememberedCommand
 from passlane.control.machine import ControlStateMachine
 from passlane.messages.control import PutDocument
 from passlane.simulation.defects.base import Defect, replacing
