Routes and tokens of the API stand in modules of their own

Cause: api/asgi.py held bodies, answers, tokens and routes, four jobs in one module of 222 lines. Ruled out: a package of its own for routing, because only the two applications and the emulators use it.

--- a/src/passlane/api/asgi.py
+++ b/src/passlane/api/asgi.py
@@ -1,20 +1,18 @@
-"""Small helpers for ASGI applications: bodies, answers, bearer tokens, routes.
+"""Whole requests and answers on top of ASGI, and streamed answers in chunks.
 
 An application reads its request with ``read_request``, finds the handler with a
-``PathRouter`` and answers with ``send_response``. Streams of events are sent by the
+``routing.PathRouter`` and answers with ``send_response``. Streams of events are sent by the
 caller's own code with ``start_stream`` and ``send_chunk``.
 """
 
-import hmac
-from collections.abc import Awaitable, Callable, Mapping, MutableMapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, MutableMapping
 from dataclasses import dataclass, field
-from typing import Any, Generic, TypeVar
-from urllib.parse import parse_qsl, quote, unquote
+from typing import Any
+from urllib.parse import parse_qsl, quote
 
 import msgspec
 
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.settings.model import TokenSettings
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -25,8 +23,6 @@
 TEXT_TYPE = "text/plain; charset=utf-8"
 EVENT_STREAM_TYPE = "text/event-stream"
 
-HandlerType = TypeVar("HandlerType")
-
 _json_encoder = msgspec.json.Encoder()
 
 
@@ -134,89 +130,3 @@
     headers = {**response.headers, "content-length": str(len(response.body))}
     await start_stream(send, response.status, response.content_type, headers)
     await send_chunk(send, response.body, last=True)
-
-
-def bearer_token(headers: Mapping[str, str]) -> str | None:
-    """Return the token of an ``Authorization: Bearer`` header, if there is one."""
-    scheme, _, token = headers.get("authorization", "").partition(" ")
-    if scheme.lower() != "bearer" or not token.strip():
-        return None
-    return token.strip()
-
-
-def require_token(headers: Mapping[str, str], known: Sequence[TokenSettings]) -> TokenSettings:
-    """Return the settings of the request's bearer token.
-
-    Each known token is compared in constant time, and all of them are compared, so
-    that the time taken tells nothing about them.
-
-    Raises
-    ------
-    PasslaneError
-        ``UNAUTHORIZED`` when the token is missing or unknown.
-    """
-    given = (bearer_token(headers) or "").encode()
-    found: TokenSettings | None = None
-    for candidate in known:
-        if hmac.compare_digest(given, candidate.token.encode()):
-            found = candidate
-    if found is None or not given:
-        raise PasslaneError(ErrorCode.UNAUTHORIZED, "a known bearer token is needed")
-    return found
-
-
-@dataclass(frozen=True)
-class RouteMatch(Generic[HandlerType]):
-    """The handler of a request and the variable parts of its path, by name."""
-
-    handler: HandlerType
-    parameters: Mapping[str, str]
-
-
-class PathRouter(Generic[HandlerType]):
-    """Finds handlers by method and path. Patterns look like ``/v1/programs/{id}``."""
-
-    def __init__(self) -> None:
-        self._routes: list[tuple[str, tuple[str, ...], HandlerType]] = []
-
-    def add(self, method: str, pattern: str, handler: HandlerType) -> None:
-        """Route requests of ``method`` whose path fits ``pattern`` to ``handler``."""
-        self._routes.append((method, _parts(pattern), handler))
-
-    def find(self, method: str, path: str) -> RouteMatch[HandlerType]:
-        """Return the handler for a request whose ``path`` is as ``request_path`` gives it.
-
-        Parameters come decoded.
-
-        Raises
-        ------
-        PasslaneError
-            ``NOT_FOUND`` for an unknown path, ``METHOD_NOT_ALLOWED`` for a known one.
-        """
-        path_is_known = False
-        for route_method, pattern, handler in self._routes:
-            parameters = _match(pattern, _parts(path))
-            if parameters is None:
-                continue
-            if route_method == method:
-                return RouteMatch(handler=handler, parameters=parameters)
-            path_is_known = True
-        if path_is_known:
-            raise PasslaneError(ErrorCode.METHOD_NOT_ALLOWED, f"{method} is not offered here")
-        raise PasslaneError(ErrorCode.NOT_FOUND, "there is nothing at this path")
-
-
-def _parts(path: str) -> tuple[str, ...]:
-    return tuple(path.strip("/").split("/"))
-
-
-def _match(pattern: tuple[str, ...], parts: tuple[str, ...]) -> dict[str, str] | None:
-    if len(pattern) != len(parts):
-        return None
-    parameters: dict[str, str] = {}
-    for expected, part in zip(pattern, parts, strict=True):
-        if expected.startswith("{"):
-            parameters[expected[1:-1]] = unquote(part)
-        elif expected != part:
-            return None
-    return parameters
--- a/src/passlane/api/callers.py
+++ b/src/passlane/api/callers.py
@@ -6,7 +6,6 @@
 
 from passlane.api.answers import Emit, StreamedAnswer, WholeAnswer, run_until_gone
 from passlane.api.asgi import (
-    PathRouter,
     Receive,
     Request,
     Response,
@@ -16,7 +15,6 @@
     read_request,
     request_headers,
     request_path,
-    require_token,
     send_response,
 )
 from passlane.api.caller_input import (
@@ -35,6 +33,8 @@
 )
 from passlane.api.caller_output import CompletionWriter, program_view, tool_result
 from passlane.api.problems import problem_response
+from passlane.api.routing import PathRouter
+from passlane.api.tokens import require_token
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId, TenantId
 from passlane.messages.common import Amounts
--- a/src/passlane/api/document_routes.py
+++ b/src/passlane/api/document_routes.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
-from passlane.api.asgi import PathRouter, Request, Response, json_response
+from passlane.api.asgi import Request, Response, json_response
 from passlane.api.groups import GroupExecutor
 from passlane.api.operator_problems import conflict_response
 from passlane.api.operator_views import DocumentList, change_view, document_view
+from passlane.api.routing import PathRouter
 from passlane.configuration.parsing import check_name, encode_body, parse_fields, parse_kind
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.identifiers import Revision
--- a/src/passlane/api/operators.py
+++ b/src/passlane/api/operators.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from passlane.api.asgi import (
-    PathRouter,
     Receive,
     Request,
     Response,
@@ -20,13 +19,14 @@
     json_response,
     read_request,
     request_headers,
-    require_token,
     send_response,
 )
 from passlane.api.document_routes import OK, DocumentRoutes, Handler
 from passlane.api.groups import GroupExecutor, NamedGroup
 from passlane.api.operator_problems import problem_response
 from passlane.api.operator_views import SystemStatus, replica_views
+from passlane.api.routing import PathRouter
+from passlane.api.tokens import require_token
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.base import Message
--- a/src/passlane/emulator/asgi.py
+++ b/src/passlane/emulator/asgi.py
@@ -10,7 +10,6 @@
     EVENT_STREAM_TYPE,
     JSON_TYPE,
     PROBLEM_TYPE,
-    PathRouter,
     Receive,
     Request,
     Response,
@@ -21,6 +20,7 @@
     send_response,
     start_stream,
 )
+from passlane.api.routing import PathRouter
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.runtime.interfaces import AsgiApplication
 
