Measure what a node costs: node-cost, by real processes

The experiment runs two nodes, the store group and two emulated engines as processes; the callers are the measuring process, so the nodes' processor time is theirs alone, less what they take when idle. Lines over answer lengths, at the leader and through another node, and over the history sent along; memory of led programs and bytes of commands are measured on the objects. Latency is measured against direct calls to the engine in the same run, on each program's second call.

--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -65,15 +65,16 @@
 
     async def leader_of(self, program_id: str) -> NodeId:
         """Return the node that leads a program, as the store records it."""
+        leaders = await self.leaders()
+        return leaders[partition_of(ProgramId(program_id), len(leaders))]
+
+    async def leaders(self) -> tuple[NodeId, ...]:
+        """Return the node that leads each partition, in the order of their numbers."""
         answer = await self._store.execute(
             ReadAssignments(), Assignments, timeout_s=QUERY_TIMEOUT_S
         )
-        partition = partition_of(ProgramId(program_id), len(answer.assignments))
-        return next(
-            assignment.node_id
-            for assignment in answer.assignments
-            if assignment.partition == partition
-        )
+        ordered = sorted(answer.assignments, key=lambda one: one.partition)
+        return tuple(assignment.node_id for assignment in ordered)
 
     async def ledger(self) -> Sequence[LedgerLine]:
         """Return the ledgers of all applications."""
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -86,6 +86,12 @@
         "run",
         "bytes and processor time of a node for polling engines, by polls a second",
     ),
+    Experiment(
+        "node-cost",
+        "passlane.bench.node_cost",
+        "run",
+        "a node's processor time, memory, bytes and added latency, by calls, tokens, history",
+    ),
     Experiment(
         "configuration-spread",
         "passlane.bench.configuration_spread",
