Keep both sides' experiments where two lists met

Ruled out: taking one side, which would lose the other's experiments. Before: a syntax error in the list. After: both sides' entries stand in it; nothing else changed.

--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -117,7 +117,6 @@
         "processor time of store commands, memory of records, snapshots",
     ),
     Experiment(
-<<<<<<< HEAD
         "fleet-amre",
         "passlane.bench.fleet_run",
         "run_top_up",
@@ -128,7 +127,8 @@
         "passlane.bench.fleet_run",
         "run_music_house",
         "the music house's processes under load, kills, freezes and restarts",
-=======
+    ),
+    Experiment(
         "raft-failover",
         "passlane.bench.raft_failover",
         "run",
@@ -139,7 +139,6 @@
         "passlane.bench.raft_cost",
         "run",
         "processor time, messages and bytes of an appended command, by group size",
->>>>>>> main
     ),
 )
 
