--- a/src/passlane/bench/baselines.py
+++ b/src/passlane/bench/baselines.py
@@ -96,11 +96,15 @@
 
 
 def build_scheduler(
-    strategy: Strategy, zone: str, generator: random.Random, config: SchedulerConfig
+    strategy: Strategy,
+    zone: str,
+    generator: random.Random,
+    config: SchedulerConfig,
+    node_key: str = "",
 ) -> Scheduler:
     """Return a scheduler that follows the strategy."""
     if strategy is Strategy.PASSLANE:
-        return Scheduler(zone, generator, config)
+        return Scheduler(zone, generator, config, node_key=node_key)
     plain = dataclasses.replace(
         config,
         queue=QueueConfig(ordering=Ordering.ARRIVAL, max_calls=config.queue.max_calls),
@@ -108,4 +112,4 @@
         crowding=CrowdingConfig(enabled=False),
     )
     placement = _PLACEMENTS[strategy](zone, generator, plain)
-    return Scheduler(zone, generator, plain, placement=placement)
+    return Scheduler(zone, generator, plain, node_key=node_key, placement=placement)
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -72,7 +72,19 @@
         "scheduler-cost",
         "passlane.bench.scheduler_cost",
         "run",
-        "processor time of the scheduler per call, by calls queued and engines watched",
+        "processor time of the scheduler per call, by calls queued, engines and tenants",
+    ),
+    Experiment(
+        "watched-subset",
+        "passlane.bench.watched_subset",
+        "run",
+        "program latency by how many of 48 engines each of 16 nodes watches",
+    ),
+    Experiment(
+        "scheduler-memory",
+        "passlane.bench.scheduler_memory",
+        "run",
+        "memory of the scheduler per engine watched, program and tenant",
     ),
     Experiment(
         "storage",
--- a/src/passlane/bench/virtual_fleet.py
+++ b/src/passlane/bench/virtual_fleet.py
@@ -1,6 +1,7 @@
 """One run on the event heap: engines, nodes with their schedulers, and callers."""
 
 import enum
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -54,6 +55,8 @@
         Rate at which programs start, without bursts and flood.
     duration_s
         Programs start during this time; those after ``warm_up_s`` are measured.
+    max_polls_per_s
+        Polls of engines by one node.
     """
 
     deployment: Deployment
@@ -64,6 +67,7 @@
     duration_s: float = 180.0
     warm_up_s: float = 30.0
     config: SchedulerConfig = SchedulerConfig()  # noqa: RUF009
+    max_polls_per_s: float = math.inf
 
 
 class VirtualFleet:
@@ -138,7 +142,7 @@
             is_near = self.engines[engine_id].zone == zone
             return deployment.local_delay_s if is_near else deployment.zone_delay_s
 
-        return VirtualNode(self.heap, scheduler, self.engines, delay_to)
+        return VirtualNode(self.heap, scheduler, self.engines, delay_to, self.plan.max_polls_per_s)
 
     def _node_for(self, program: str) -> VirtualNode:
         return self.nodes[xxhash.xxh64_intdigest(program.encode()) % len(self.nodes)]
--- a/src/passlane/bench/virtual_node.py
+++ b/src/passlane/bench/virtual_node.py
@@ -1,6 +1,7 @@
 """A node on the event heap: a real scheduler with the shell's work done in virtual time."""
 
 import functools
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -45,6 +46,9 @@
     ----------
     delay_to
         One-way delay in seconds to an engine.
+    max_polls_per_s
+        All watched engines together are polled at most this often; each at most every
+        ``POLL_S``.
     """
 
     def __init__(
@@ -53,11 +57,13 @@
         scheduler: Scheduler,
         engines: Mapping[EngineId, VirtualEngine],
         delay_to: Callable[[EngineId], float],
+        max_polls_per_s: float = math.inf,
     ) -> None:
         self.scheduler = scheduler
         self._heap = heap
         self._engines = engines
         self._delay_to = delay_to
+        self._max_polls_per_s = max_polls_per_s
         self._calls: dict[CallId, _Call] = {}
         self._attempts = 0
         self._watched: frozenset[EngineId] = frozenset()
@@ -178,7 +184,7 @@
         self._watched = engine_ids
         for position, engine_id in enumerate(sorted(engine_ids - self._polling)):
             self._polling.add(engine_id)
-            delay_s = POLL_S * position / max(len(engine_ids), 1)
+            delay_s = self._poll_interval_s() * position / max(len(engine_ids), 1)
             self._heap.after(delay_s, functools.partial(self._poll, engine_id))
 
     def _poll(self, engine_id: EngineId) -> None:
@@ -194,7 +200,10 @@
         self._later(
             engine_id, lambda: self.tell(events.CacheEventsReported(engine_id, cache_events))
         )
-        self._heap.after(POLL_S, lambda: self._poll(engine_id))
+        self._heap.after(self._poll_interval_s(), lambda: self._poll(engine_id))
+
+    def _poll_interval_s(self) -> float:
+        return max(POLL_S, len(self._watched) / self._max_polls_per_s)
 
     def _fetch_snapshot(self, engine_id: EngineId) -> None:
         if engine_id in self._snapshot_asked:
--- a/src/passlane/bench/workloads.py
+++ b/src/passlane/bench/workloads.py
@@ -247,6 +247,6 @@
     deployment: Deployment, programs_per_s: float, generator: random.Random
 ) -> Workload:
     """Return the workload of a deployment."""
-    if deployment.name == TOP_UP.name:
+    if deployment.name.startswith(TOP_UP.name):
         return TopUpWorkload(programs_per_s, generator)
     return MusicHouseWorkload(programs_per_s, generator)
