--- a/src/passlane/api/document_routes.py
+++ b/src/passlane/api/document_routes.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from passlane.api.asgi import PathRouter, Request, Response, json_response
+from passlane.api.groups import GroupExecutor
 from passlane.api.operator_problems import conflict_response
 from passlane.api.operator_views import DocumentList, change_view, document_view
 from passlane.configuration.parsing import check_name, encode_body, parse_fields, parse_kind
@@ -19,7 +20,6 @@
 from passlane.identifiers import Revision
 from passlane.messages.base import Message
 from passlane.messages.control import (
-    NO_REVISION,
     ControlRefusal,
     Documents,
     Progress,
@@ -38,14 +38,6 @@
 MAX_KEY_LENGTH = 200
 
 
-class GroupExecutor(Protocol):
-    """Sends a request to the leader of a group; see ``replication.client.GroupClient``."""
-
-    async def execute(self, request: Message, reply: type[Any], *, timeout_s: float) -> Any:
-        """Return the leader's reply."""
-        ...
-
-
 class Handler(Protocol):
     """Answers requests of one route."""
 
@@ -127,7 +119,7 @@
     async def withdraw(self, request: Request, parameters: Mapping[str, str]) -> Response:
         """Withdraw a pending change."""
         command = WithdrawChange(revision=_revision(parameters), idempotency_key=self._key(request))
-        return self._change_response(await self._send(command))
+        return _change_response(await self._send(command), OK)
 
     async def _change(
         self, request: Request, parameters: Mapping[str, str], body: str | None
@@ -139,7 +131,8 @@
             expected_version=_expected_version(request),
             idempotency_key=self._key(request),
         )
-        return self._change_response(await self._send(command))
+        status = CREATED if command.expected_version == 0 else OK
+        return _change_response(await self._send(command), status)
 
     async def _send(self, command: Message) -> Message:
         reply: Message = await self._control.execute(command, Message, timeout_s=REQUEST_TIMEOUT_S)
@@ -151,18 +144,6 @@
         )
         return found
 
-    @staticmethod
-    def _change_response(reply: Message) -> Response:
-        if isinstance(reply, PutResult):
-            document = reply.document
-            status = CREATED if document.version == 1 else OK
-            return json_response(status, change_view(document), {"etag": _etag(document.version)})
-        if isinstance(reply, VersionConflict):
-            return conflict_response(reply, NO_REVISION)
-        if isinstance(reply, ControlRefusal):
-            raise PasslaneError(ErrorCode(reply.code), reply.message)
-        raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "unexpected reply of the control group")
-
     def _key(self, request: Request) -> str:
         key = request.headers.get("idempotency-key")
         if key is None:
@@ -174,6 +155,17 @@
         return key
 
 
+def _change_response(reply: Message, status: int) -> Response:
+    if isinstance(reply, PutResult):
+        document = reply.document
+        return json_response(status, change_view(document), {"etag": _etag(document.version)})
+    if isinstance(reply, VersionConflict):
+        return conflict_response(reply)
+    if isinstance(reply, ControlRefusal):
+        raise PasslaneError(ErrorCode(reply.code), reply.message)
+    raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "unexpected reply of the control group")
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         return msgspec.json.decode(body, type=dict[str, Any])
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -44,6 +44,18 @@
         "run_all",
         "program latency and wasted cache against three baselines, all scenarios",
     ),
+    Experiment(
+        "scheduling-topup",
+        "passlane.bench.scheduling",
+        "run_top_up",
+        "the same for the top-up association alone",
+    ),
+    Experiment(
+        "scheduling-music-house",
+        "passlane.bench.scheduling",
+        "run_music_house",
+        "the same for the music house alone",
+    ),
     Experiment(
         "scheduling-quick",
         "passlane.bench.scheduling",
@@ -74,6 +86,12 @@
         "run_states",
         "time, stalls of the loop and memory of a snapshot, by the size of the state",
     ),
+    Experiment(
+        "storage-costs",
+        "passlane.bench.storage_costs",
+        "run",
+        "processor time, disk and memory of an append at leader and follower",
+    ),
     Experiment(
         "configuration",
         "passlane.bench.configuration",
@@ -86,6 +104,54 @@
         "run",
         "bytes and processor time of a node for polling engines, by polls a second",
     ),
+    Experiment(
+        "configuration-spread",
+        "passlane.bench.configuration_spread",
+        "run",
+        "time until a change is in force on 400 nodes, with nodes lost, frozen and cut off",
+    ),
+    Experiment(
+        "handover",
+        "passlane.bench.handover",
+        "run",
+        "pause of calls when a node stops or dies: refused, asked again, or held",
+    ),
+    Experiment(
+        "membership",
+        "passlane.bench.membership",
+        "run",
+        "bytes and processor time of heartbeats and leases, by the number of nodes",
+    ),
+    Experiment(
+        "store-machine",
+        "passlane.bench.store_machine",
+        "run",
+        "processor time of store commands, memory of records, snapshots",
+    ),
+    Experiment(
+        "raft-failover",
+        "passlane.bench.raft_failover",
+        "run",
+        "time without a leader after a loss, and until a lost replica votes again",
+    ),
+    Experiment(
+        "raft-cost",
+        "passlane.bench.raft_cost",
+        "run",
+        "processor time, messages and bytes of an appended command, by group size",
+    ),
+    Experiment(
+        "fleet-amre",
+        "passlane.bench.fleet_run",
+        "run_top_up",
+        "the top-up association's processes under load, kills, freezes and restarts",
+    ),
+    Experiment(
+        "fleet-music",
+        "passlane.bench.fleet_run",
+        "run_music_house",
+        "the music house's processes under load, kills, freezes and restarts",
+    ),
 )
 
 
--- a/src/passlane/control/machine.py
+++ b/src/passlane/control/machine.py
@@ -5,12 +5,14 @@
 was seen before are answered as at the first time.
 """
 
+from collections.abc import Iterable, Iterator
+
 import msgspec
 
 from passlane.configuration.ledger import ConfigurationLedger
 from passlane.configuration.parsing import check_name, parse_body, parse_kind
 from passlane.configuration.references import ReferenceIndex
-from passlane.control.keys import (
+from passlane.control.idempotency import (
     RETAINED_KEYS,
     IdempotencyTable,
     KeyedCommand,
@@ -107,6 +109,16 @@
             )
         )
 
+    def snapshot_parts(self) -> Iterator[bytes]:
+        """Return the whole state as one part: it is small beside a store's."""
+        return iter((self.take_snapshot(),))
+
+    def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
+        """Replace the state by that of a snapshot; yields once it is decoded."""
+        data = b"".join(parts)
+        yield
+        self.restore_snapshot(data)
+
     def restore_snapshot(self, data: bytes) -> None:
         """Replace the state by that of a snapshot."""
         snapshot = decode_snapshot(data)
@@ -160,6 +172,7 @@
                 name=command.name,
                 current_version=current_version,
                 current=newest if exists else None,
+                accepted_revision=self.ledger.accepted_revision,
             )
         if command.body is None and not exists:
             raise PasslaneError(ErrorCode.NOT_FOUND, "there is no such document")
@@ -207,7 +220,7 @@
         document = Document(
             kind=kind,
             name=name,
-            version=1 if newest is None else newest.version + 1,
+            version=self._next_version(newest),
             revision=Revision(self.ledger.held_revision + 1),
             body=body,
         )
@@ -215,6 +228,16 @@
         self._references.put(kind, name, parsed)
         return document
 
+    def _next_version(self, newest: Document | None) -> int:
+        """Return a version above any that the document ever had.
+
+        Of a document whose deletion has been dropped nothing is known any more. Its last
+        version was at most the revision of that deletion, so at most the floor.
+        """
+        if newest is not None:
+            return newest.version + 1
+        return self.ledger.floor_revision + 1
+
     def _accept(self, revision: Revision) -> ControlResult:
         self.ledger.accept(self.acceptable_revision(revision))
         self._withdrawals = tuple(
--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -18,6 +18,7 @@
 from passlane.policy.checking import describe_policy_problems
 from passlane.replication.client import GroupClient
 from passlane.replication.replica_host import ReplicaHost
+from passlane.replication.replica_metrics import expose_replica
 from passlane.runtime.interfaces import Environment
 from passlane.settings.model import Settings
 from passlane.store.machine import StoreStateMachine
@@ -117,13 +118,14 @@
             check_policy=describe_policy_problems,
         )
         self._host = host
+        expose_replica(context.metrics, CONTROL_GROUP, host)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
 
     def is_ready(self) -> bool:
-        """Whether a leader of the group is known."""
-        return self._host is not None and self._host.leader_address is not None
+        """Whether this replica votes and knows the group's leader."""
+        return self._host is not None and self._host.is_ready
 
     def is_leader(self) -> bool:
         """Whether this replica leads the group."""
@@ -149,8 +151,9 @@
         context = self._context
         settings = context.settings
         machine = StoreStateMachine()
+        group = store_group_name(settings.process.region)
         host = ReplicaHost(
-            store_group_name(settings.process.region),
+            group,
             settings.process.name,
             settings.store_group,
             machine,
@@ -164,13 +167,14 @@
             host, machine, settings, context.environment, context.router, control
         )
         self._host = host
+        expose_replica(context.metrics, group, host)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
 
     def is_ready(self) -> bool:
-        """Whether a leader of the group is known."""
-        return self._host is not None and self._host.leader_address is not None
+        """Whether this replica votes and knows the group's leader."""
+        return self._host is not None and self._host.is_ready
 
     def is_leader(self) -> bool:
         """Whether this replica leads the group."""
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -8,7 +8,7 @@
 
 from passlane.configuration.view import ConfigurationView
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.identifiers import EngineId, NodeId, Partition, Revision
+from passlane.identifiers import EngineId, NodeId, Revision
 from passlane.membership.events import (
     HandoverCancelled,
     HandoverRequested,
@@ -16,8 +16,7 @@
     LeadershipLost,
     MembershipChange,
 )
-from passlane.messages.common import Address
-from passlane.messages.control import ConfigurationDelta
+from passlane.messages.control import ConfigurationDelta, TargetInFlight
 from passlane.messages.node import (
     CallRequest,
     CreateProgramRequest,
@@ -26,8 +25,10 @@
 )
 from passlane.messages.store import ProgramRecord, ProgramResult, StoreDone
 from passlane.node.call_reports import CallReports, ReportSink
+from passlane.node.drain_progress import in_flight_at_drained
 from passlane.node.forwarder import Emit
-from passlane.node.heartbeat import HeartbeatLoop
+from passlane.node.heartbeat import HeartbeatLoop, longest_pause_s
+from passlane.node.housekeeping import Housekeeping
 from passlane.node.lease_leadership import LeaseLeadership
 from passlane.node.local_caller import LocalCaller
 from passlane.node.node_core import (
@@ -37,7 +38,7 @@
     register_handlers,
 )
 from passlane.node.node_metrics import NodeMetrics
-from passlane.node.program_host import ProgramHost
+from passlane.node.partition_handover import PartitionHandover
 from passlane.node.program_store import ProgramStore
 from passlane.node.refusal_verdicts import error_with_verdict, verdict_without_record
 from passlane.node.trace_recorder import TraceRecorder
@@ -49,7 +50,6 @@
 from passlane.settings.model import Settings
 from passlane.transport.interfaces import Caller, Router
 
-HOUSEKEEPING_S = 1.0
 DRAIN_RETRY_AFTER_S = 1.0
 UNARY_TIMEOUT_S = 15.0
 INCARNATION_BITS = 62
@@ -90,7 +90,10 @@
         self._metrics = None if metrics is None else NodeMetrics(metrics)
         self._recorder = self._new_recorder()
         sinks: list[ReportSink | None] = [self._metrics, self._recorder]
-        self._reports = CallReports([sink for sink in sinks if sink is not None])
+        self._reports = CallReports(
+            [sink for sink in sinks if sink is not None],
+            [] if self._metrics is None else [self._metrics],
+        )
         self._policies = PolicyGovernor()
         self._configuration = ConfigurationView()
         self._leaving_engines: frozenset[EngineId] = frozenset()
@@ -135,6 +138,17 @@
         own = NodeId(self._settings.process.name)
         return self._is_draining or own in self._configuration.draining_nodes()
 
+    @property
+    def in_flight_at_drained(self) -> tuple[TargetInFlight, ...]:
+        """Calls in flight at what operators are draining."""
+        if self._core is None:
+            return ()
+        services = self._core.services
+        own = NodeId(self._settings.process.name)
+        return in_flight_at_drained(
+            self._configuration, services.models, services.tools, own, self._requests
+        )
+
     # Life.
 
     async def run(self) -> None:
@@ -145,6 +159,7 @@
             if self._metrics is not None:
                 self._metrics.watch(core)
             register_handlers(core, self._local)
+            self._handover_of(core).register(self._local)
             self._tell_engines()
             try:
                 tasks.start_soon(self._heartbeat.run)
@@ -152,7 +167,7 @@
                 tasks.start_soon(core.sweep.run)
                 if self._recorder is not None:
                     tasks.start_soon(self._recorder.run, self._environment.disk)
-                await self._keep_house(core)
+                await Housekeeping(core).run()
             finally:
                 self._core = None
 
@@ -169,33 +184,14 @@
             policies=self._policies,
         )
 
-    async def _keep_house(self, core: NodeCore) -> None:
-        while True:
-            await anyio.sleep(HOUSEKEEPING_S)
-            now = anyio.current_time()
-            core.directory.drop_idle(now)
-            self._report_policy_problems()
-            for host in core.directory.hosts:
-                deadline = host.program.deadline
-                if deadline is not None and deadline <= now and not host.program.is_ended:
-                    host.program.deadline = None
-                    core.services.tasks.start_soon(self._end_late, core, host)
-
-    def _report_policy_problems(self) -> None:
-        for report in self._policies.take_problems():
-            _log.warning(
-                "policy failed", policy=report.policy, error=report.message, times=report.times
-            )
-
-    async def _end_late(self, core: NodeCore, host: ProgramHost) -> None:
-        """End a program whose time is used up."""
-        try:
-            await core.leader.end_host(
-                host, ErrorCode.LIMIT_EXCEEDED, "the program's time is used up"
-            )
-        except PasslaneError as error:
-            _log.warning("late program not ended", code=error.code.value)
-            host.program.deadline = anyio.current_time() + HOUSEKEEPING_S
+    def _handover_of(self, core: NodeCore) -> PartitionHandover:
+        return PartitionHandover(
+            core.leader,
+            core.incoming,
+            self._heartbeat,
+            self._local,
+            self._settings.node.drain_timeout_s,
+        )
 
     async def drain(self) -> None:
         """Refuse new requests, finish those in flight and give up all partitions."""
@@ -205,6 +201,9 @@
             while self._requests > 0 or self._heartbeat.lease.led_partitions:
                 self._quieter = anyio.Event()
                 await self._quieter.wait()
+            await self._heartbeat.wait_released()
+            # Until each node has the new table, calls that it sends here are redirected.
+            await anyio.sleep(longest_pause_s(self._settings.membership.heartbeat_s))
         if scope.cancelled_caught:
             _log.warning("drain cut short", requests=self._requests)
 
@@ -243,22 +242,16 @@
         match change:
             case LeadershipGained(partition, _):
                 core.leader.keep_partition(partition)
+                core.incoming.end_wait(partition)
                 core.sweep.partition_gained(partition)
             case LeadershipLost(partition, _):
                 core.leader.forget_partition(partition)
                 core.leader.keep_partition(partition)
                 self._quieter.set()
-            case HandoverRequested(partition, _, _, to_address):
-                core.services.tasks.start_soon(self._hand_over, core, partition, to_address)
-            case HandoverCancelled(partition, _):
-                core.leader.keep_partition(partition)
-
-    async def _hand_over(self, core: NodeCore, partition: Partition, successor: Address) -> None:
-        """Finish the partition's calls, then release it to its next leader."""
-        limit_s = self._settings.node.drain_timeout_s
-        await core.leader.finish_partition(partition, successor, limit_s)
-        if core.leader.is_leaving(partition):
-            self._heartbeat.release(partition)
+            case HandoverRequested():
+                core.services.tasks.start_soon(self._handover_of(core).hand_over, change)
+            case HandoverCancelled(partition, epoch):
+                core.services.tasks.start_soon(self._handover_of(core).cancel, partition, epoch)
 
     # Callers.
 
@@ -277,7 +270,9 @@
         try:
             core = self._require_open()
         except PasslaneError as error:
-            raise error_with_verdict(error, verdict_without_record(request)) from error
+            refusal = error_with_verdict(error, verdict_without_record(request))
+            self._reports.publish_refusal(refusal.code, refusal.verdict)
+            raise refusal from error
         self._requests += 1
         try:
             await core.forwarder.run_call(request, emit)
--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -3,6 +3,8 @@
 import math
 import random as random_module
 from collections.abc import Sequence
+from dataclasses import replace
+from typing import ClassVar
 
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
@@ -43,6 +45,7 @@
 from passlane.raft.log_view import LogView
 from passlane.raft.membership import MembershipHistory, decode_membership
 from passlane.raft.progress import Snapshot
+from passlane.raft.snapshot_data import SnapshotData
 from passlane.raft.state import ReplicaState
 
 
@@ -72,8 +75,18 @@
         Membership as of the snapshot, or the first members of the group when there is no
         snapshot. Empty for a replica that has not joined yet: it stays a silent
         learner until a leader adds it.
+
+    Attributes
+    ----------
+    elections_class, follower_class, leader_class
+        Classes of the replica's parts. A subclass may name others, as the simulation
+        does to put a deliberate fault in the place of one rule.
     """
 
+    elections_class: ClassVar[type[Elections]] = Elections
+    follower_class: ClassVar[type[Follower]] = Follower
+    leader_class: ClassVar[type[Leader]] = Leader
+
     def __init__(
         self,
         config: ReplicaConfig,
@@ -83,7 +96,7 @@
         voted_for: ReplicaId | None,
         snapshot_last_index: int,
         snapshot_last_term: int,
-        snapshot_data: bytes,
+        snapshot_data: SnapshotData,
         entries: Sequence[LogEntry],
         members: Sequence[GroupMember],
     ) -> None:
@@ -110,8 +123,8 @@
             commit_index=snapshot_last_index,
             applied_index=snapshot_last_index,
         )
-        self._elections = Elections(self._state)
-        self._follower = Follower(self._state)
+        self._elections = self.elections_class(self._state)
+        self._follower = self.follower_class(self._state)
         self._leader: Leader | None = None
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
@@ -238,6 +251,8 @@
         snapshot = self._state.snapshot
         if snapshot is None or snapshot.last_index != event.last_index:
             return
+        if event.data is not None:
+            self._state.snapshot = replace(snapshot, data=event.data)
         self._state.log.mark_synced(snapshot.last_index, snapshot.last_term)
         self._follower.note_installed(event.last_index)
 
@@ -276,7 +291,7 @@
                     self._follow(message, now)
                     self._follower.handle_append(message)
                 else:
-                    self._follower.refuse_append(message)
+                    self._follower.refuse_leader(message)
             case SnapshotRequest():
                 if is_current:
                     self._follow(message, now)
@@ -314,5 +329,5 @@
     def _become_leader(self, now: float) -> None:
         self._elections.stand_down(now)
         self._elections.forget_leader()
-        self._leader = Leader(self._state, now)
+        self._leader = self.leader_class(self._state, now)
         self._leader.start(now)
--- a/src/passlane/storage/formats.py
+++ b/src/passlane/storage/formats.py
@@ -1,5 +1,6 @@
 """What the records of the log, the snapshot and the identity file hold."""
 
+import errno
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -80,15 +81,19 @@
 
 
 class SnapshotHeader(msgspec.Struct, frozen=True):
-    """Stands before a snapshot's data."""
+    """Stands before a snapshot's parts."""
 
     format_version: int
     group: str
     last_index: int
     last_term: int
     membership: GroupMembership
-    data_length: int
-    data_checksum: int
+
+
+class SnapshotEnd(msgspec.Struct, frozen=True, array_like=True):
+    """Stands after a snapshot's parts, so that a missing one is noticed."""
+
+    parts: int
 
 
 StructType = TypeVar("StructType", bound=msgspec.Struct)
@@ -99,6 +104,13 @@
     return PasslaneError(ErrorCode.STORAGE_CORRUPT, message)
 
 
+def damage_of(error: OSError) -> PasslaneError | None:
+    """Return the error for a disk that failed to read or write; ``None`` for other causes."""
+    if error.errno != errno.EIO:
+        return None
+    return storage_corrupt(f"the disk failed: {error}")
+
+
 def decode_payload(kind: type[StructType], payload: bytes | memoryview, where: str) -> StructType:
     """Return the decoded payload.
 
