Work out each role's needs at the design size from measured slopes

Cause: the capacity page has to rest on measured lines, and to be made again when they change. The experiment runs what has no report yet, takes each line at the size that is designed for, and writes tables with the formula, the bound and the mechanism; it fills the marked part of docs/CAPACITY.md when that is there. Ruled out: figures typed into the page by hand, which nobody would keep true, and one large benchmark, which could not be run in parts.

--- a/src/passlane/bench/capacity/estimate.py
+++ b/src/passlane/bench/capacity/estimate.py
@@ -1,10 +1,11 @@
 """One worked-out figure: how much of something a role needs at a stated size."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import msgspec
 
-from passlane.bench.straight_line import Line
+from passlane.bench.capacity.slopes import MeasuredLine
 
 
 class Term(msgspec.Struct, frozen=True):
@@ -13,8 +14,7 @@
     ``label`` says in words where the factor comes from; empty when it is 1.
     """
 
-    experiment: str
-    line: Line
+    measured: MeasuredLine
     x: float
     factor: float = 1.0
     label: str = ""
@@ -22,17 +22,30 @@
     @property
     def value(self) -> float:
         """The summand, in the estimate's unit."""
-        return self.line.at(self.x) * self.factor
+        return self.measured.line.at(self.x) * self.factor
 
     def to_text(self) -> str:
         """Return the summand as a formula with its source."""
+        line = self.measured.line
         times = f" * {self.label}" if self.label else ""
         return (
-            f"({self.line.intercept:.3g} + {self.line.slope:.3g} * {self.x:,.4g} "
-            f"{self.line.x_unit}){times} [{self.experiment}: {self.line.name}]"
+            f"({line.intercept:.3g} + {line.slope:.3g} * {self.x:,.4g} {line.x_unit}){times} "
+            f"[{self.measured.experiment}: {line.name}]"
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Constant:
+    """One summand that is known without a line, such as a measured size of a message."""
+
+    value: float
+    label: str
+
+    def to_text(self) -> str:
+        """Return what the summand is."""
+        return f"{self.value:,.4g} ({self.label})"
+
+
 class Estimate(msgspec.Struct, frozen=True):
     """A figure at the size that is designed for.
 
@@ -66,7 +79,7 @@
     role: str,
     quantity: str,
     unit: str,
-    terms: Iterable[Term],
+    terms: Iterable[Term | Constant],
     mechanism: str,
     bound: float | None = None,
 ) -> Estimate:
--- a/src/passlane/bench/capacity/page.py
+++ b/src/passlane/bench/capacity/page.py
@@ -46,9 +46,10 @@
         "| experiment | line | points (x: y) | fit | largest residual |",
         "|---|---|---|---|---|",
     ]
-    for experiment, line in slopes.all_lines():
+    for measured in slopes.lines:
+        line = measured.line
         rows.append(
-            f"| `{experiment}` | {line.name} | {_points(line)} "
+            f"| `{measured.experiment}` | {line.name} | {_points(line)} "
             f"| {line.intercept:.4g} + {line.slope:.4g} * {line.x_unit}, in {line.y_unit} "
             f"| {line.largest_residual:.2g} |"
         )
--- a/src/passlane/bench/capacity/slopes.py
+++ b/src/passlane/bench/capacity/slopes.py
@@ -1,7 +1,8 @@
 """Finds the lines that other experiments have fitted, in their JSON reports."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -11,36 +12,63 @@
 
 
 class MissingSlopeError(Exception):
-    """A report holds no line of the name that an estimate needs."""
+    """The reports do not hold just one line of the name that an estimate needs."""
+
+
+@dataclass(frozen=True, slots=True)
+class MeasuredLine:
+    """A line and the experiment that fitted it."""
+
+    experiment: str
+    line: Line
 
 
 class Slopes:
-    """Lines by the name of their report and their own name."""
+    """The lines of all reports, in a stable order."""
+
+    def __init__(self, lines: Sequence[MeasuredLine]) -> None:
+        self.lines = tuple(lines)
 
-    def __init__(self, lines: dict[tuple[str, str], Line]) -> None:
-        self._lines = lines
+    def find(self, experiment: str, name: str, x_unit: str | None = None) -> MeasuredLine:
+        """Return a line by its experiment and name, and what it runs over if that is needed.
 
-    def line(self, experiment: str, name: str) -> Line:
-        """Return the line ``name`` of an experiment; raise ``MissingSlopeError``."""
-        line = self._lines.get((experiment, name))
-        if line is None:
-            known = sorted(known for owner, known in self._lines if owner == experiment)
-            raise MissingSlopeError(f"{experiment} has no line {name!r}, only {known}")
-        return line
+        Raises
+        ------
+        MissingSlopeError
+            When there is no such line, or more than one.
+        """
+        found = [
+            measured
+            for measured in self.lines
+            if measured.experiment == experiment
+            and measured.line.name == name
+            and x_unit in (None, measured.line.x_unit)
+        ]
+        if len(found) != 1:
+            raise MissingSlopeError(f"{experiment} has {len(found)} lines {name!r}")
+        return found[0]
 
-    def all_lines(self) -> Iterator[tuple[str, Line]]:
-        """Yield each line with the name of its experiment, in a stable order."""
-        for experiment, name in sorted(self._lines):
-            yield experiment, self._lines[experiment, name]
+    def find_prefix(self, experiment: str, prefix: str) -> MeasuredLine:
+        """Return the line whose name begins so; raise ``MissingSlopeError`` as ``find``."""
+        names = {
+            measured.line.name
+            for measured in self.lines
+            if measured.experiment == experiment and measured.line.name.startswith(prefix)
+        }
+        if len(names) != 1:
+            raise MissingSlopeError(f"{experiment} has {len(names)} lines {prefix!r}...")
+        return self.find(experiment, names.pop())
 
 
 def load_slopes(folder: Path) -> Slopes:
     """Return all lines of the reports ``EXPERIMENT.json`` in ``folder``."""
-    lines: dict[tuple[str, str], Line] = {}
-    for path in sorted(folder.glob("*.json")):
-        for line in _lines_within(json.loads(path.read_bytes())):
-            lines[path.stem, line.name] = line
-    return Slopes(lines)
+    return Slopes(
+        [
+            MeasuredLine(path.stem, line)
+            for path in sorted(folder.glob("*.json"))
+            for line in _lines_within(json.loads(path.read_bytes()))
+        ]
+    )
 
 
 def _lines_within(value: Any) -> Iterator[Line]:
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -170,6 +170,18 @@
         "run",
         "processor time, messages and bytes of an appended command, by group size",
     ),
+    Experiment(
+        "idle-fleet",
+        "passlane.bench.idle_fleet",
+        "run",
+        "memory and processor time of real daemons without work, by their roles",
+    ),
+    Experiment(
+        "capacity",
+        "passlane.bench.capacity.experiment",
+        "run",
+        "what each role needs at the design size, worked out from measured slopes",
+    ),
 )
 
 
