Applying many documents reads each kind once, and a document twice in a file is refused

Cause: apply asked for each document before it wrote it. What was read with its kind may be older than another operator's change; the version check refuses such a change as a conflict, as before. A document that stood twice in a file was written twice, the second silently over the first; that is an error now, with its name. Ruled out: writing several documents at the same time, because what is reported after a failure would no longer be a clear line between recorded and not tried.

--- a/src/passlane/cli/documents.py
+++ b/src/passlane/cli/documents.py
@@ -17,6 +17,7 @@
 )
 from passlane.cli.client import OperatorClient
 from passlane.cli.command import FailureReport, OperatorCommand
+from passlane.cli.current_documents import CurrentDocuments
 from passlane.cli.exit_codes import ExitCode, exit_code_of
 from passlane.configuration.files import DocumentDraft, load_document_files
 from passlane.errors import ErrorCode, PasslaneError
@@ -56,10 +57,11 @@
         if path is None:
             raise PasslaneError(ErrorCode.BAD_REQUEST, "-f FILE is needed")
         drafts = load_document_files(Path(path))
+        recorded = CurrentDocuments(client, drafts)
         applied: list[AppliedDocument] = []
         for number, draft in enumerate(drafts):
             try:
-                applied.append(await self._apply(client, draft))
+                applied.append(await self._apply(client, recorded, draft))
             except PasslaneError as error:
                 return self._stop(error, applied, drafts[number:])
         return await self.finish(client, applied)
@@ -88,8 +90,10 @@
         return exit_code_of(error.code)
 
     @staticmethod
-    async def _apply(client: OperatorClient, draft: DocumentDraft) -> AppliedDocument:
-        current = await client.read_document(draft.kind, draft.name)
+    async def _apply(
+        client: OperatorClient, recorded: CurrentDocuments, draft: DocumentDraft
+    ) -> AppliedDocument:
+        current = await recorded.find(draft.kind, draft.name)
         if current is not None and _has_body(current, draft):
             return AppliedDocument(
                 draft.kind, draft.name, UNCHANGED, current.version, current.revision
--- a/src/passlane/configuration/files.py
+++ b/src/passlane/configuration/files.py
@@ -59,15 +59,26 @@
     Raises
     ------
     DocumentFileError
-        When a file cannot be read or holds a document that is not valid.
+        When a file cannot be read or holds a document that is not valid, or when a
+        document stands there twice.
     """
     files = sorted(path.glob("*.toml")) if path.is_dir() else [path]
     drafts = [draft for file in files for draft in _load_file(file)]
     if not drafts:
         raise DocumentFileError(path, "", "holds no document")
+    _check_unique(path, drafts)
     return sorted(drafts, key=lambda draft: _ORDER[draft.kind])
 
 
+def _check_unique(path: Path, drafts: list[DocumentDraft]) -> None:
+    seen: set[tuple[DocumentKind, str]] = set()
+    for draft in drafts:
+        key = (draft.kind, draft.name)
+        if key in seen:
+            raise DocumentFileError(path, "", f"{draft.kind}/{draft.name} stands there twice")
+        seen.add(key)
+
+
 def _load_file(path: Path) -> list[DocumentDraft]:
     tables = _read_tables(path)
     return [
--- a/tests/api/in_process_http.py
+++ b/tests/api/in_process_http.py
@@ -22,6 +22,7 @@
     def __init__(self, application):
         self.application = application
         self.lose_answers = 0
+        self.requests = 0
 
     @asynccontextmanager
     async def exchange(self, request):
@@ -34,6 +35,7 @@
         yield response
 
     async def fetch(self, method, path, headers, body=b""):
+        self.requests += 1
         path, _, query = path.partition("?")
         scope = {
             "type": "http",
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -124,6 +124,9 @@
             '[[document]]\nkind = "policy"\nname = "a"\nsource = "1"\n[[document]]\nname = "b"': (
                 "document 2: kind"
             ),
+            2 * '[[document]]\nkind = "policy"\nname = "a"\nsource = "1"\n': (
+                "policy/a stands there twice"
+            ),
         }
         for text, expected in cases.items():
             self.write(text)
@@ -176,6 +179,17 @@
             self.assertEqual(found, code, output)
             self.assertEqual(msgspec.json.decode(output)["calls_in_flight"], calls)
 
+    def test_many_documents_of_a_kind_are_compared_with_one_request(self):
+        text = '[[document]]\nkind = "policy"\nname = "p{}"\nsource = "{}"\n'
+        self.write("".join(text.format(number, 1) for number in range(50)))
+        self.apply()
+        self.write("".join(text.format(number, 1 + number // 49) for number in range(50)))
+        self.http.requests = 0
+        code, output = self.apply()
+        self.assertEqual(code, ExitCode.OK)
+        self.assertEqual((output.count("unchanged"), output.count(" changed")), (49, 1))
+        self.assertEqual(self.http.requests, 2)
+
     def test_apply_says_what_was_recorded_before_it_stopped(self):
         self.write(DOCUMENTS.replace('policy = "fair"', 'policy = "missing"'))
         code, output = self.apply()
