Test that a rebuilt index of references decides as the one that saw every change

Cause: replicas that restart rebuild the index from the newest documents, the others keep theirs; if the two ever differed, replicas would answer the same command in two ways. tests/configuration was empty, and the rule was tested through policies and services only. 150 generated sequences of engines, policies, services and tenants agree after each change, and services and policies in use stay.

--- /dev/null
+++ b/tests/configuration/test_references.py
@@ -0,0 +1,82 @@
+"""References between documents: what may change, and that a rebuilt index says the same."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from passlane.configuration.documents import (
+    DocumentKind,
+    EngineBody,
+    PolicyBody,
+    ServiceBody,
+    TenantBody,
+)
+from passlane.configuration.parsing import encode_body
+from passlane.configuration.references import ReferenceIndex
+from passlane.identifiers import Revision
+from passlane.messages.common import Address
+from passlane.messages.control import Document
+
+NAMES = st.sampled_from(("a", "b"))
+MODELS = st.lists(NAMES, max_size=2, unique=True).map(tuple)
+BODIES = {
+    DocumentKind.ENGINE: st.builds(
+        EngineBody, address=st.just(Address("h", 1)), zone=st.just("z"), models=MODELS
+    ),
+    DocumentKind.POLICY: st.just(PolicyBody(source="1")),
+    DocumentKind.SERVICE: st.builds(ServiceBody, models=MODELS, policy=st.none() | NAMES),
+    DocumentKind.TENANT: st.builds(TenantBody, service=NAMES),
+}
+CHANGES = st.sampled_from(sorted(BODIES)).flatmap(
+    lambda kind: st.tuples(st.just(kind), NAMES, st.none() | BODIES[kind])
+)
+
+
+def rebuilt(documents):
+    """Return the index that a replica has after a restart."""
+    return ReferenceIndex.of(
+        Document(kind, name, 1, Revision(1), encode_body(body))
+        for (kind, name), body in documents.items()
+    )
+
+
+class ReferencesTest(unittest.TestCase):
+    @settings(max_examples=150, derandomize=True, database=None, deadline=None)
+    @given(st.lists(CHANGES, max_size=25))
+    def test_a_rebuilt_index_decides_as_the_one_that_saw_every_change(self, changes):
+        index = ReferenceIndex()
+        documents = {}
+        for kind, name, body in changes:
+            problem = index.problem_with(kind, name, body)
+            self.assertEqual(rebuilt(documents).problem_with(kind, name, body), problem)
+            if problem is not None:
+                continue
+            index.put(kind, name, body)
+            if body is None:
+                documents.pop((kind, name), None)
+            else:
+                documents[kind, name] = body
+            self.assert_kept(documents)
+
+    def assert_kept(self, documents):
+        """Services and policies that others refer to exist."""
+        for body in documents.values():
+            if isinstance(body, TenantBody):
+                self.assertIn((DocumentKind.SERVICE, body.service), documents)
+            if isinstance(body, ServiceBody) and body.policy is not None:
+                self.assertIn((DocumentKind.POLICY, body.policy), documents)
+
+    def test_a_service_in_use_stays_and_a_machine_may_go(self):
+        index = ReferenceIndex()
+        engine = EngineBody(address=Address("h", 1), zone="z", models=("m",))
+        index.put("engine", "e", engine)
+        index.put("service", "s", ServiceBody(models=("m",)))
+        index.put("tenant", "t", TenantBody(service="s"))
+        self.assertIn("service 's'", index.problem_with("service", "s", None))
+        self.assertIsNone(index.problem_with("engine", "e", None))
+        self.assertIsNone(index.problem_with("tenant", "t", None))
+
+
+if __name__ == "__main__":
+    unittest.main()
