The operators' application takes its randomness from its caller alone

Cause: it fell back to the machine's own source of random numbers when none was given, which would make a simulated run differ from the next one without anybody noticing. The daemon and both tests give one already, so the fallback was never used.

--- a/src/passlane/api/operators.py
+++ b/src/passlane/api/operators.py
@@ -64,7 +64,7 @@
     control: GroupExecutor,
     store: GroupExecutor,
     ring: LogRing,
-    random: random_module.Random | None = None,
+    random: random_module.Random,
     calls_in_flight: Callable[[], int] | None = None,
 ) -> "OperatorApplication":
     """Return the ASGI application for operators.
@@ -83,7 +83,7 @@
     control = NamedGroup("control group", control)
     store = NamedGroup("store group", store)
     router: PathRouter[Handler] = PathRouter()
-    DocumentRoutes(control, random or random_module.SystemRandom()).add_to(router)
+    DocumentRoutes(control, random).add_to(router)
     StatusRoutes(settings, control, store, ring, calls_in_flight).add_to(router)
     return OperatorApplication(settings, router)
 
