--- a/src/passlane/bench/demo.py
+++ b/src/passlane/bench/demo.py
@@ -15,10 +15,11 @@
 
 import anyio
 
-from passlane.bench.fleet import Fleet, FleetError
+from passlane.bench.fleet import Fleet
 from passlane.bench.fleet_files import ProcessKind
+from passlane.bench.fleet_process import FleetError
 from passlane.bench.process_replay import ProcessReplayFleet, process_replay_fleet
-from passlane.emulator.caller import CallResult
+from passlane.emulator.caller_answers import CallResult
 from passlane.emulator.replayer import (
     Mismatch,
     PlayedAction,
--- a/src/passlane/bench/idle_fleet.py
+++ b/src/passlane/bench/idle_fleet.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from passlane.bench.fleet import Fleet, FleetProcess
+from passlane.bench.fleet import Fleet
 from passlane.bench.fleet_files import ProcessKind
+from passlane.bench.fleet_process import FleetProcess
 from passlane.bench.process_usage import ProcessUsage, read_usage
 
 EXAMPLE = Path(__file__).resolve().parents[3] / "examples" / "small"
--- a/src/passlane/bench/playground.py
+++ b/src/passlane/bench/playground.py
@@ -14,8 +14,9 @@
 
 import anyio
 
-from passlane.bench.fleet import Fleet, FleetError
+from passlane.bench.fleet import Fleet
 from passlane.bench.fleet_files import CONFIGURATION_FILE
+from passlane.bench.fleet_process import FleetError
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
 VARIABLES_FILE = "variables.sh"
--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -7,8 +7,9 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from passlane.bench.fleet import Fleet, FleetError
+from passlane.bench.fleet import Fleet
 from passlane.bench.fleet_files import ProcessKind
+from passlane.bench.fleet_process import FleetError
 from passlane.emulator.application_app import ForcedBehaviour
 from passlane.emulator.caller import Caller
 from passlane.emulator.engine_app import EngineQuiet
--- /dev/null
+++ b/src/passlane/emulator/caller_answers.py
@@ -0,0 +1,148 @@
+"""Reads what passlane answers to a caller: whole answers, streams and errors."""
+
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from passlane.backends.event_lines import EventLines
+from passlane.errors import Verdict
+from passlane.runtime.interfaces import HttpResponse
+
+END_OF_STREAM = b"[DONE]"
+FIRST_ERROR_STATUS = 300
+PAUSE_BEFORE_REPEAT_S = 0.2
+"""A caller's pause when an answer was lost, in seconds."""
+
+
+class CallProblem(msgspec.Struct, frozen=True):
+    """An error as callers get it (RFC 9457), the parts that a caller acts on."""
+
+    code: str = ""
+    detail: str = ""
+    verdict: Verdict | None = None
+    retry_after_s: float | None = None
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    """New text of a streamed answer."""
+
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    """One choice of a chunk; only the first is used."""
+
+    delta: _Delta = _Delta()
+    finish_reason: str | None = None
+
+
+class _ChatChunk(msgspec.Struct, frozen=True):
+    """One event of a streamed answer, or with ``code`` of its failure."""
+
+    choices: tuple[_Choice, ...] = ()
+    error: CallProblem | None = None
+    code: str = ""
+
+
+@dataclass
+class CallResult:
+    """What a caller got for one call.
+
+    Attributes
+    ----------
+    verdict
+        ``ran`` for a whole answer, else what the error says; ``None`` if nothing came.
+    answer
+        The generated text, or the tool's JSON answer.
+    attempts
+        Requests that were sent.
+    latency_s, first_token_s
+        From the first request to the end, and to the first token.
+    ended_at_s
+        When the call ended, on the caller's clock.
+    token_gaps_s
+        Times between the pieces of text of the last request.
+    """
+
+    verdict: Verdict | None = None
+    answer: str = ""
+    code: str = ""
+    message: str = ""
+    attempts: int = 0
+    latency_s: float = 0.0
+    ended_at_s: float = 0.0
+    first_token_s: float | None = None
+    token_gaps_s: list[float] = field(default_factory=list)
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the whole answer arrived."""
+        return self.verdict is Verdict.RAN and not self.code
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """How one request went; ``repeat_after_s`` is ``None`` when its answer is final."""
+
+    result: CallResult
+    repeat_after_s: float | None = None
+
+
+async def read_attempt(response: HttpResponse, began: float) -> Attempt:
+    """Read an answer of whichever kind."""
+    if response.status >= FIRST_ERROR_STATUS:
+        return await _read_problem(response)
+    if response.headers.get("content-type", "").startswith("text/event-stream"):
+        return await _read_stream(response, began)
+    answer = await _whole(response)
+    return Attempt(CallResult(verdict=Verdict.RAN, answer=answer.decode()))
+
+
+async def _read_problem(response: HttpResponse) -> Attempt:
+    """Read an error; it is repeated when the answer says when to come back."""
+    content = await _whole(response)
+    try:
+        problem = msgspec.json.decode(content, type=CallProblem)
+    except msgspec.MsgspecError:
+        problem = CallProblem(code=f"status_{response.status}")
+    result = _failure(problem)
+    return Attempt(result, problem.retry_after_s)
+
+
+async def _read_stream(response: HttpResponse, began: float) -> Attempt:
+    """Read a stream of events up to its proper end."""
+    result = CallResult()
+    lines = EventLines()
+    last_token_at: float | None = None
+    async for data in response.chunks():
+        for line in lines.feed(data):
+            if line == END_OF_STREAM:
+                result.verdict = result.verdict or Verdict.RAN
+                return Attempt(result)
+            chunk = msgspec.json.decode(line, type=_ChatChunk)
+            if chunk.error is not None or chunk.code:
+                problem = chunk.error or msgspec.json.decode(line, type=CallProblem)
+                return Attempt(_failure(problem), problem.retry_after_s)
+            text = "".join(choice.delta.content or "" for choice in chunk.choices[:1])
+            if not text:
+                continue
+            now = anyio.current_time()
+            if last_token_at is None:
+                result.first_token_s = now - began
+            else:
+                result.token_gaps_s.append(now - last_token_at)
+            last_token_at = now
+            result.answer += text
+    broken = CallResult(code="connection_lost", message="the stream broke off")
+    return Attempt(broken, PAUSE_BEFORE_REPEAT_S)
+
+
+def _failure(problem: CallProblem) -> CallResult:
+    """Return the result that an error stands for."""
+    return CallResult(verdict=problem.verdict, code=problem.code, message=problem.detail)
+
+
+async def _whole(response: HttpResponse) -> bytes:
+    """Return an answer's whole body."""
+    return b"".join([part async for part in response.chunks()])
--- a/src/passlane/emulator/load.py
+++ b/src/passlane/emulator/load.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from passlane.emulator.answer_text import BYTES_PER_TOKEN
-from passlane.emulator.caller import Caller, CallResult
+from passlane.emulator.caller import Caller
+from passlane.emulator.caller_answers import CallResult
 from passlane.emulator.workload import (
     ModelStep,
     PauseStep,
--- a/src/passlane/emulator/replay_outcomes.py
+++ b/src/passlane/emulator/replay_outcomes.py
@@ -6,7 +6,8 @@
 import anyio
 import msgspec
 
-from passlane.emulator.caller import CallResult, default_key
+from passlane.emulator.caller import default_key
+from passlane.emulator.caller_answers import CallResult
 from passlane.errors import Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.backends import LedgerLine
--- a/src/passlane/emulator/replayer.py
+++ b/src/passlane/emulator/replayer.py
@@ -12,7 +12,8 @@
 import anyio
 import msgspec
 
-from passlane.emulator.caller import Caller, CallResult
+from passlane.emulator.caller import Caller
+from passlane.emulator.caller_answers import CallResult
 from passlane.emulator.replay_outcomes import (
     BackEndRecords,
     CallResults,
--- a/tests/emulator/test_load_checks.py
+++ b/tests/emulator/test_load_checks.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from passlane.emulator.caller import CallResult
+from passlane.emulator.caller_answers import CallResult
 from passlane.emulator.load import MadeCall, ProgramOutcome
 from passlane.emulator.load_checks import (
     Violation,
--- a/tests/emulator/test_replay_outcomes.py
+++ b/tests/emulator/test_replay_outcomes.py
@@ -3,7 +3,7 @@
 import unittest
 from collections.abc import Sequence
 
-from passlane.emulator.caller import CallResult
+from passlane.emulator.caller_answers import CallResult
 from passlane.emulator.replay_outcomes import CallResults, OutcomeComparison, ProgramShown
 from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import ProgramId
