--- a/src/passlane/bench/baselines.py
+++ b/src/passlane/bench/baselines.py
@@ -12,7 +12,13 @@
 
 import xxhash
 
-from passlane.scheduling.config import Ordering, QueueConfig, RetentionConfig, SchedulerConfig
+from passlane.scheduling.config import (
+    CrowdingConfig,
+    Ordering,
+    QueueConfig,
+    RetentionConfig,
+    SchedulerConfig,
+)
 from passlane.scheduling.engine_view import EngineView
 from passlane.scheduling.events import CallArrived
 from passlane.scheduling.placement import Estimate, Placement, is_eligible
@@ -90,15 +96,20 @@
 
 
 def build_scheduler(
-    strategy: Strategy, zone: str, generator: random.Random, config: SchedulerConfig
+    strategy: Strategy,
+    zone: str,
+    generator: random.Random,
+    config: SchedulerConfig,
+    node_key: str = "",
 ) -> Scheduler:
     """Return a scheduler that follows the strategy."""
     if strategy is Strategy.PASSLANE:
-        return Scheduler(zone, generator, config)
+        return Scheduler(zone, generator, config, node_key=node_key)
     plain = dataclasses.replace(
         config,
         queue=QueueConfig(ordering=Ordering.ARRIVAL, max_calls=config.queue.max_calls),
         retention=RetentionConfig(enabled=False),
+        crowding=CrowdingConfig(enabled=False),
     )
     placement = _PLACEMENTS[strategy](zone, generator, plain)
-    return Scheduler(zone, generator, plain, placement=placement)
+    return Scheduler(zone, generator, plain, node_key=node_key, placement=placement)
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -44,6 +44,18 @@
         "run_all",
         "program latency and wasted cache against three baselines, all scenarios",
     ),
+    Experiment(
+        "scheduling-topup",
+        "passlane.bench.scheduling",
+        "run_top_up",
+        "the same for the top-up association alone",
+    ),
+    Experiment(
+        "scheduling-music-house",
+        "passlane.bench.scheduling",
+        "run_music_house",
+        "the same for the music house alone",
+    ),
     Experiment(
         "scheduling-quick",
         "passlane.bench.scheduling",
@@ -60,7 +72,19 @@
         "scheduler-cost",
         "passlane.bench.scheduler_cost",
         "run",
-        "processor time of the scheduler per call, by calls queued and engines watched",
+        "processor time of the scheduler per call, by calls queued, engines and tenants",
+    ),
+    Experiment(
+        "watched-subset",
+        "passlane.bench.watched_subset",
+        "run",
+        "program latency by how many of 48 engines each of 16 nodes watches",
+    ),
+    Experiment(
+        "scheduler-memory",
+        "passlane.bench.scheduler_memory",
+        "run",
+        "memory of the scheduler per engine watched, program and tenant",
     ),
     Experiment(
         "storage",
@@ -92,6 +116,12 @@
         "run",
         "bytes and processor time of a node for polling engines, by polls a second",
     ),
+    Experiment(
+        "node-cost",
+        "passlane.bench.node_cost",
+        "run",
+        "a node's processor time, memory, bytes and added latency, by calls, tokens, history",
+    ),
     Experiment(
         "configuration-spread",
         "passlane.bench.configuration_spread",
