Keep the fleet rig's error and process under the name of its package module

After the split of the rig two measurements of nodes failed the type check: they import FleetError from passlane.bench.fleet, which no longer exported it by name. The module names what it exports; mypy reports 2 errors before and none after.

--- a/src/passlane/bench/fleet.py
+++ b/src/passlane/bench/fleet.py
@@ -25,6 +25,8 @@
 from passlane.messages.backends import LedgerLine
 from passlane.messages.common import Address
 
+__all__ = ["Fleet", "FleetError", "FleetProcess"]
+
 READY_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.1
 REQUEST_TIMEOUT_S = 2.0
