--- a/tests/traces/test_recording.py
+++ b/tests/traces/test_recording.py
@@ -15,6 +15,7 @@
 from passlane.emulator.simulated_replay import simulated_replay_fleet
 from passlane.emulator.trace_files import read_trace
 from passlane.messages.traces import CallOutcomeStated
+from passlane.settings.model import NodeSettings
 from passlane.simulation.runner import run_simulation
 from traces.replay_checks import TRACES
 
@@ -64,6 +65,10 @@
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
 
+    def test_nothing_is_recorded_and_texts_are_kept_back_unless_settings_say_so(self) -> None:
+        self.assertIsNone(NodeSettings().trace_file)
+        self.assertTrue(NodeSettings().trace_redacts_content)
+
     def test_redacted_recording_replays(self) -> None:
         settings = example_that_records(self.folder, redacts=True)
         paths = record(settings, self.folder)
