Watch 8 engines of each model in place of 16

Cause: the default of 16 was a guess. With 33 models it makes up to 528 engines, each of which costs a node memory, time for each call, and a share of the 4 polls a second that it may make, so that reports are older the more engines there are. Ruled out: 4, which has little to spare when one of them leaves or is slow.

--- a/src/passlane/scheduling/config.py
+++ b/src/passlane/scheduling/config.py
@@ -200,6 +200,6 @@
     placement: PlacementConfig = field(default_factory=PlacementConfig)
     breaker: BreakerConfig = field(default_factory=BreakerConfig)
     retention: RetentionConfig = field(default_factory=RetentionConfig)
-    watched_engines_per_model: int = 16
+    watched_engines_per_model: int = 8
     report_timeout_s: float = 5.0
     max_programs: int = 20_000
