Fit the example policies to the two deployments, and submit them by document

Cause: the examples named head offices and prompt lengths that the two deployments do not have, so nothing they decided would have happened there, and no document tied a policy to a service. They now name the tenants of the deployments, bound a program's life and calls, and tell how long its pauses are, from which the scheduler learns when a program is gone for good. Two documents submit each policy together with the service that it governs. Conclusion: an operator can apply them.

--- a/examples/policies/music-house.star
+++ b/examples/policies/music-house.star
@@ -1,24 +1,24 @@
 # Policy of the music house.
 #
 # The practice tutor comes first: a child is playing. Booking helpers for parents come
-# next. Conversations return for days, so programs live long and have large budgets.
+# next, and sub-agents last. Conversations return for days, so programs live long.
 
-# A tutor's prompt carries earlier lessons; booking helpers start with a short one.
-TUTOR_PROMPT_TOKENS = 2000
+TUTOR = "tutor"
 
 DAY_S = 24 * 3600.0
 
+# Students play for up to so long between two turns, and tools answer in less than this.
+PLAYING_S = 20.0
+TOOL_S = 0.6
+
 def classify(call):
     if call["is_sub_agent"]:
-        return {"class": 1}
-    if call["prompt_tokens"] >= TUTOR_PROMPT_TOKENS:
+        return {"class": 2}
+    if call["tenant"] == TUTOR:
         return {"class": 0, "weight": 2.0}
     return {"class": 1}
 
 def budget(program):
-    return {
-        "tokens": 2000000,
-        "calls": 470,
-        "deadline_s": 30 * DAY_S,
-        "tool_pause_s": 20.0,
-    }
+    if program["tenant"] == TUTOR:
+        return {"calls": 470, "deadline_s": 30 * DAY_S, "tool_pause_s": PLAYING_S}
+    return {"calls": 60, "deadline_s": DAY_S, "tool_pause_s": TOOL_S}
--- a/tests/policy/test_policy.py
+++ b/tests/policy/test_policy.py
@@ -4,10 +4,16 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from passlane.configuration.documents import PolicyBody, ServiceBody, TenantBody
+import msgspec
+
+from passlane.configuration.documents import DocumentKind, PolicyBody, ServiceBody, TenantBody
+from passlane.configuration.files import load_document_files
+from passlane.configuration.parsing import parse_body
 from passlane.identifiers import ProgramId, TenantId
 from passlane.messages.common import Amounts
 from passlane.policy.checking import check_policy
+from passlane.policy.compiled import CompiledPolicy
+from passlane.policy.evaluator import PolicyEvaluator
 from passlane.policy.facts import CallFacts, ProgramFacts
 from passlane.policy.governor import PolicyGovernor
 
@@ -44,6 +50,36 @@
         for file in files:
             self.assertEqual([], check_policy(file.read_text(), MAX_STEPS), file.name)
 
+    def test_example_documents_let_a_service_be_governed_by_the_policy(self):
+        for name, example in (("topup", "amre-topup"), ("music-house", "music-house")):
+            drafts = load_document_files(EXAMPLES / f"{name}.toml")
+            bodies = {draft.kind: parse_body(draft.kind, draft.body) for draft in drafts}
+            self.assertEqual([], check_policy(bodies[DocumentKind.POLICY].source, MAX_STEPS))
+            service = bodies[DocumentKind.SERVICE]
+            self.assertEqual(name, service.policy)
+            existing = [
+                parse_body(draft.kind, draft.body)
+                for draft in load_document_files(EXAMPLES.parent / example / "configuration.toml")
+                if draft.kind is DocumentKind.SERVICE
+            ]
+            ungoverned = msgspec.structs.replace(service, policy=None)
+            self.assertIn(ungoverned, existing, "only the policy is added")
+
+    def test_examples_put_the_waiting_people_first(self):
+        cases = {
+            ("topup", "corner-shop", 0): 0,
+            ("topup", "corner-shop", 40): 1,
+            ("topup", "head-office", 0): 2,
+            ("music-house", "tutor", 0): 0,
+            ("music-house", "booking", 0): 1,
+        }
+        for (name, tenant, sequence), expected in cases.items():
+            with self.subTest(name=name, tenant=tenant, sequence=sequence):
+                source = (EXAMPLES / f"{name}.star").read_text()
+                evaluator = PolicyEvaluator(CompiledPolicy(source, MAX_STEPS))
+                asked = facts(tenant=TenantId(tenant), sequence=sequence)
+                self.assertEqual(expected, evaluator.classify(asked).value.service_class)
+
     def test_faults_are_found_before_acceptance(self):
         loop = "def classify(call):\n  for i in range(100000000):\n    pass\n  return {}"
         deep = "def f(n):\n  return f(n + 1)\ndef classify(call):\n  return f(0)"
