Take the queues of all models out of the scheduler

Cause: scheduler.py had grown to 419 lines, with the queues of each model, what is taken out of them, and the estimate of when a refused caller should come back between its events. ModelQueues now holds these; the scheduler keeps what it does with each event. Ruled out: splitting the dispatch out as well, as it needs nearly all of the state. Before 419 lines, after 383.

--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -19,13 +19,12 @@
 from passlane.scheduling.crowding import Crowding, CrowdingRules
 from passlane.scheduling.engine_view import EngineView, RunningCall
 from passlane.scheduling.fleet_view import FleetView
+from passlane.scheduling.model_queues import ModelQueues
 from passlane.scheduling.placement import Estimate, Placement
 from passlane.scheduling.queue import CallQueue, QueuedCall
 from passlane.scheduling.retention import CacheRetention
 from passlane.scheduling.tenant_shares import TenantShares
 
-MIN_RETRY_AFTER_S = 0.1
-MAX_RETRY_AFTER_S = 30.0
 BATCH_PRIORITY_STEP = 10
 
 
@@ -59,12 +58,12 @@
         self._config = config or SchedulerConfig()
         node_key = node_key or f"{random.getrandbits(64):x}"
         self._engines = FleetView(node_key, own_zone, self._config)
-        self._queues: dict[str, CallQueue] = {}
         self._running: dict[CallId, tuple[events.CallArrived, EngineId]] = {}
         self._programs = AttainedService(self._config.max_programs)
         self._placement = placement or Placement(own_zone, random, self._config)
         self._retention = CacheRetention(self._config)
         self._shares = TenantShares(self._config.crowding)
+        self._queues = ModelQueues(self._config.queue, self._engines, self._placement, self._shares)
         self._crowding = CrowdingRules(
             self._config.crowding, self._engines, self._programs, self._shares, self._placement
         )
@@ -89,7 +88,7 @@
     @property
     def queued_calls(self) -> int:
         """Calls that wait at this node, over all models."""
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._queues)
 
     @property
     def running_calls(self) -> int:
@@ -121,13 +120,13 @@
         if event.deadline <= now:
             self._refuse(event, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", None)
             return
-        queue = self._queue_of(event.model)
+        queue = self._queues.of_model(event.model)
         if not queue.has_room_for(event.tenant_id):
             self._refuse(
                 event,
                 ErrorCode.QUEUE_FULL,
                 "too many calls of the tenant, or in all, wait for the model",
-                self._retry_after_s(event, now),
+                self._queues.retry_after_s(event, now),
             )
             return
         progress = self._programs.of(event.program_id)
@@ -169,9 +168,8 @@
         engine.cache.record(call.program_id, progress.prefix_tokens, now)
 
     def _call_withdrawn(self, event: events.CallWithdrawn, now: float) -> None:
-        for queue in self._queues.values():
-            if queue.remove(event.call_id) is not None:
-                return
+        if self._queues.remove(event.call_id):
+            return
         running = self._running.pop(event.call_id, None)
         if running is None:
             return
@@ -353,12 +351,6 @@
 
     # Refusals and wake-ups.
 
-    def _queue_of(self, model: str) -> CallQueue:
-        queue = self._queues.get(model)
-        if queue is None:
-            queue = self._queues[model] = CallQueue(self._config.queue)
-        return queue
-
     def _refuse(
         self,
         call: events.CallArrived,
@@ -369,49 +361,21 @@
         self._output.append(instructions.RefuseCall(call.call_id, code, message, retry_after_s))
 
     def _refuse_expired(self, now: float) -> None:
-        for queue in self._queues.values():
-            for queued in queue.take_expired(now):
-                self._refuse(
-                    queued.call,
-                    ErrorCode.DEADLINE_EXCEEDED,
-                    "the deadline passed before an engine was free",
-                    self._retry_after_s(queued.call, now),
-                )
+        for queued in self._queues.take_expired(now):
+            self._refuse(
+                queued.call,
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the deadline passed before an engine was free",
+                self._queues.retry_after_s(queued.call, now),
+            )
 
     def _refuse_unserved(self, now: float) -> None:
-        """Refuse the waiting calls whose model no engine serves any more."""
-        for model, queue in self._queues.items():
-            if self._engines.serves(model):
-                continue
-            for queued in list(queue.in_order(now, len(queue))):
-                queue.remove(queued.call.call_id)
-                self._refuse(
-                    queued.call, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None
-                )
-
-    def _retry_after_s(self, call: events.CallArrived, now: float) -> float:
-        """Return when the tenant's waiting calls are likely to have been served.
-
-        That is at the rate of its fair share, when it has more calls waiting than that.
-        """
-        rate = 0.0
-        for engine in self._engines:
-            if engine.leaving or not engine.has_model(call.model):
-                continue
-            batch = engine.body.max_batch
-            answer_s = self._placement.mean_generated_tokens * engine.step_s(batch, now)
-            rate += batch / max(answer_s, 1e-6)
-        if rate <= 0:
-            return MAX_RETRY_AFTER_S
-        queue = self._queue_of(call.model)
-        share = self._shares.fair_share(call.tenant_id)
-        wait_s = max(len(queue), queue.waiting_of(call.tenant_id) / share) / rate
-        return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+        for queued in self._queues.take_unserved(now):
+            self._refuse(queued.call, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None)
 
     def _ask_for_wake_up(self, now: float) -> None:
-        times = [queue.next_deadline() for queue in self._queues.values()]
-        times.append(self._retention.next_overdue())
-        if any(len(queue) > 0 for queue in self._queues.values()):
+        times = [self._queues.next_deadline(), self._retention.next_overdue()]
+        if len(self._queues) > 0:
             times += [engine.breaker.opens_next_at(now) for engine in self._engines]
             times.append(self._recheck_at)
         coming = [time for time in times if time is not None and time < math.inf]
