--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -98,6 +98,12 @@
         "run",
         "bytes, processor time and memory of changes and documents, over documents",
     ),
+    Experiment(
+        "transport",
+        "passlane.bench.transport",
+        "run",
+        "processor time and bytes of messages between processes, by their size",
+    ),
     Experiment(
         "engine-polling",
         "passlane.bench.engine_polling",
