--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -72,7 +72,19 @@
         "scheduler-cost",
         "passlane.bench.scheduler_cost",
         "run",
-        "processor time of the scheduler per call, by calls queued and engines watched",
+        "processor time of the scheduler per call, by calls queued, engines and tenants",
+    ),
+    Experiment(
+        "watched-subset",
+        "passlane.bench.watched_subset",
+        "run",
+        "program latency by how many of 48 engines each of 16 nodes watches",
+    ),
+    Experiment(
+        "scheduler-memory",
+        "passlane.bench.scheduler_memory",
+        "run",
+        "memory of the scheduler per engine watched, program and tenant",
     ),
     Experiment(
         "storage",
@@ -110,6 +122,12 @@
         "run",
         "bytes and processor time of a node for polling engines, by polls a second",
     ),
+    Experiment(
+        "node-cost",
+        "passlane.bench.node_cost",
+        "run",
+        "a node's processor time, memory, bytes and added latency, by calls, tokens, history",
+    ),
     Experiment(
         "configuration-spread",
         "passlane.bench.configuration_spread",
@@ -134,18 +152,6 @@
         "run",
         "processor time of store commands, memory of records, snapshots",
     ),
-    Experiment(
-        "raft-failover",
-        "passlane.bench.raft_failover",
-        "run",
-        "time without a leader after a loss, and until a lost replica votes again",
-    ),
-    Experiment(
-        "raft-cost",
-        "passlane.bench.raft_cost",
-        "run",
-        "processor time, messages and bytes of an appended command, by group size",
-    ),
     Experiment(
         "fleet-amre",
         "passlane.bench.fleet_run",
@@ -158,6 +164,18 @@
         "run_music_house",
         "the music house's processes under load, kills, freezes and restarts",
     ),
+    Experiment(
+        "raft-failover",
+        "passlane.bench.raft_failover",
+        "run",
+        "time without a leader after a loss, and until a lost replica votes again",
+    ),
+    Experiment(
+        "raft-cost",
+        "passlane.bench.raft_cost",
+        "run",
+        "processor time, messages and bytes of an appended command, by group size",
+    ),
 )
 
 
--- a/src/passlane/simulation/disk.py
+++ b/src/passlane/simulation/disk.py
@@ -97,12 +97,12 @@
         Grows with each crash; files opened before it are dead.
     syncs
         Number of syncs done.
-    keeps_unsynced
-        Whether a crash may keep a part of what was not synced; it loses all of that else.
     unreadable
         Names of files that cannot be read any more, as when a sector has gone bad.
     refuses_writes
         Whether appending fails, as with a broken controller.
+    keeps_unsynced
+        Whether a crash may keep a part of what was not synced; it loses all of that else.
     """
 
     def __init__(
@@ -119,9 +119,9 @@
         self._unfinished_bytes = 0
         self.incarnation = 0
         self.syncs = 0
-        self.keeps_unsynced = True
         self.unreadable: set[str] = set()
         self.refuses_writes = False
+        self.keeps_unsynced = True
 
     # The interface of ``Disk``.
 
