A leader whose disk hangs hands over

Heartbeats need no disk, so a leader whose syncs do not end goes on leading: nobody else stands for election, and nothing is applied or answered until its disk goes on, although a majority of the followers holds every command. The simulation had slow disks, but none that hung; a fault for that is now among the random ones.

A leader that has waited eight election time-outs for its own log, while a follower holds durably more, hands over to that one. A shorter limit was ruled out by the existing test of slow syncs on all replicas, which must not cost leadership; a longer one would outlast the callers, who give up after ten. The new unit test failed before (no hand-over was asked for), as did the one with the real shell.

--- a/src/passlane/bench/raft_failover.py
+++ b/src/passlane/bench/raft_failover.py
@@ -4,6 +4,7 @@
 protocol: each is given in election time-outs, as a distribution over seeds.
 """
 
+import math
 import random
 from collections.abc import Callable
 from pathlib import Path
@@ -111,10 +112,15 @@
     leader.deliver(TransferRequested())
 
 
+def _hang_disk(cluster: RaftCluster, leader: SimulatedReplicaHost) -> None:
+    leader.disk_hangs_until = math.inf
+
+
 LOSSES: dict[str, Loss] = {
     "leader killed": _kill,
     "leader cut off in silence": _silence,
     "planned hand-over": _hand_over,
+    "leader's disk hangs": _hang_disk,
 }
 
 
@@ -223,5 +229,8 @@
 ) -> Distribution:
     ratios = sorted(time / timeout_s for time in times if time is not None)
     last = len(ratios) - 1
-    values = [ratios[round(last * percentile / 100)] for percentile in _PERCENTILES]
+    values = [
+        ratios[round(last * percentile / 100)] if ratios else math.inf
+        for percentile in _PERCENTILES
+    ]
     return Distribution(name, replicas, timeout_s, len(times), len(times) - len(ratios), *values)
--- a/src/passlane/raft/leader.py
+++ b/src/passlane/raft/leader.py
@@ -14,6 +14,7 @@
     SnapshotReply,
     TimeoutNow,
 )
+from passlane.raft.disk_watch import STALL_ELECTION_TIMEOUTS, DiskWatch
 from passlane.raft.events import MemberAdded, MemberRemoved
 from passlane.raft.instructions import RejectProposals
 from passlane.raft.membership import (
@@ -65,6 +66,7 @@
         self._reads = self.reads_class(state)
         self._changes: deque[MemberAdded | MemberRemoved] = deque()
         self._transfer: LeadershipTransfer | None = None
+        self._disk = DiskWatch(STALL_ELECTION_TIMEOUTS * state.config.election_timeout_s, now)
         self.next_heartbeat_at = now
 
     def start(self, now: float) -> None:
@@ -82,6 +84,7 @@
         """Send heartbeats when they are due and give up an overdue transfer."""
         if self._transfer is not None and now >= self._transfer.deadline:
             self._transfer = None
+        self._hand_over_if_disk_hangs(now)
         if now >= self.next_heartbeat_at:
             self._send_heartbeats(now)
 
@@ -257,6 +260,20 @@
         """Return whether a learner durably holds all that is committed."""
         return learner.synced_index >= self._state.commit_index
 
+    def _hand_over_if_disk_hangs(self, now: float) -> None:
+        """Let a follower lead that holds what this replica cannot make durable.
+
+        Heartbeats need no disk, so nobody else would notice; but nothing is applied, and
+        no caller answered, until the leader's own disk goes on.
+        """
+        log = self._state.log
+        self._disk.note(log.synced_index, log.last_index, now)
+        if not self._disk.is_hanging(now):
+            return
+        self._disk.restart(now)
+        if self._replicator.is_follower_ahead(now):
+            self.request_transfer(now)
+
     def _append_membership(self, membership: GroupMembership, now: float) -> None:
         self._append([(EntryKind.MEMBERSHIP, encode_membership(membership))], now)
         self._replicator.update_members(now)
--- a/src/passlane/raft/replication.py
+++ b/src/passlane/raft/replication.py
@@ -129,6 +129,13 @@
         ]
         return max(candidates)[1] if candidates else None
 
+    def is_follower_ahead(self, now: float) -> bool:
+        """Return whether a voter that answers holds durably more than the leader does."""
+        voter = self.most_advanced_voter(now)
+        return (
+            voter is not None and self.followers[voter].synced_index > self._state.log.synced_index
+        )
+
     def _majority_index(self) -> int:
         state = self._state
         synced = [self._synced_index_of(voter) for voter in voters_of(state.membership)]
--- a/src/passlane/simulation/raft_defects.py
+++ b/src/passlane/simulation/raft_defects.py
@@ -29,7 +29,10 @@
     crash_within_sync,
     isolate_leader,
     isolate_one,
+    lose_messages,
     shrink,
+    slow_disk,
+    split,
     wipe_one,
 )
 from passlane.simulation.raft_faulty_parts import (
@@ -240,6 +243,7 @@
                 network=CONGESTED_NETWORK,
                 election_timeout_s=0.15,
             ),
+            (slow_disk, isolate_leader, lose_messages),
         ),
         RaftDefect(
             "promote-early",
@@ -267,6 +271,7 @@
                 replica_factory=replica_with(leader_class=LeaderThatDeniesItsEntries),
                 mean_fault_pause_s=0.2,
             ),
+            (isolate_leader, split),
         ),
     )
 }
--- a/src/passlane/simulation/raft_fault_actions.py
+++ b/src/passlane/simulation/raft_fault_actions.py
@@ -41,6 +41,7 @@
         cluster.loss_fraction = 0.0
         for host in cluster.hosts:
             host.sync_slowdown = 1.0
+            host.disk_hangs_until = 0.0
             if host.replica is None and self.is_in_use(host):
                 host.start()
 
@@ -135,6 +136,11 @@
 
         self.later(mean_s, end)
 
+    def hang_disk(self, host: SimulatedReplicaHost, mean_s: float) -> None:
+        """Let no sync of a host end for a random time."""
+        self.cluster.note_trace(f"disk of {host.disk.replica_id} hangs")
+        host.disk_hangs_until = self.cluster.now + self.random.expovariate(1.0 / mean_s)
+
     def lose_messages(self, fraction: float, mean_s: float) -> None:
         """Lose a share of all messages."""
         self.cluster.loss_fraction = fraction
--- a/src/passlane/simulation/raft_faults.py
+++ b/src/passlane/simulation/raft_faults.py
@@ -92,6 +92,13 @@
     actions.slow_disk(actions.pick(), 2.0)
 
 
+def hang_leader_disk(actions: FaultActions) -> None:
+    """Let the leader's disk finish no sync for a while."""
+    leader = actions.leader()
+    if leader is not None:
+        actions.hang_disk(leader, 3.0)
+
+
 def lose_messages(actions: FaultActions) -> None:
     """Lose a good part of all messages."""
     actions.lose_messages(_HEAVY_LOSS, 1.0)
@@ -155,6 +162,7 @@
     freeze_one,
     freeze_leader,
     slow_disk,
+    hang_leader_disk,
     lose_messages,
     transfer,
     wipe_one,
--- a/src/passlane/simulation/raft_host.py
+++ b/src/passlane/simulation/raft_host.py
@@ -54,6 +54,7 @@
 _TIMER_SLACK_S = 1e-6
 _FASTEST_SYNC_S = 0.0002
 _SLOWEST_SYNC_S = 0.002
+_HANG_CHECK_S = 0.1
 _LONGEST_BACKLOG_S = 0.005
 
 
@@ -166,6 +167,7 @@
         self.replica_factory = replica_factory
         self.frozen_until = 0.0
         self.sync_slowdown = 1.0
+        self.disk_hangs_until = 0.0
         self.machine = CommandLog()
         self.applied_index = 0
         self._snapshot_every = snapshot_every
@@ -342,6 +344,9 @@
         if self.cluster.now < self.frozen_until:
             self._schedule(self.frozen_until, lambda: self._finish_sync(count))
             return
+        if self.cluster.now < self.disk_hangs_until:
+            self._schedule(self.cluster.now + _HANG_CHECK_S, lambda: self._finish_sync(count))
+            return
         self._is_syncing = False
         writes = self.disk.sync(count)
         self._release_messages()
--- a/tests/raft/test_elections.py
+++ b/tests/raft/test_elections.py
@@ -183,5 +183,40 @@
         )
 
 
+class HangingDiskTest(unittest.TestCase):
+    """The leader's disk hangs: a follower holds everything, but nothing is answered."""
+
+    def wait_for_transfer(self, tested: TestedReplica, *, follower_index: int) -> list[TimeoutNow]:
+        asked: list[TimeoutNow] = []
+        for _ in range(20):
+            asked += sent(TimeoutNow, tested.wait(0.5 * ELECTION_TIMEOUT_S))
+            asked += sent(TimeoutNow, tested.acknowledge(B, follower_index))
+        return asked
+
+    def test_hands_over_to_a_follower_that_holds_more(self) -> None:
+        tested = TestedReplica()
+        tested.become_leader(B)
+        tested.commit_all(B)
+        tested.propose(1)
+        asked = self.wait_for_transfer(tested, follower_index=2)
+        self.assertEqual(asked[0].receiver, B)
+
+    def test_keeps_leading_when_no_follower_holds_more(self) -> None:
+        tested = TestedReplica()
+        tested.become_leader(B)
+        tested.commit_all(B)
+        tested.propose(1)
+        self.assertEqual(self.wait_for_transfer(tested, follower_index=1), [])
+
+    def test_keeps_leading_while_its_disk_goes_on(self) -> None:
+        tested = TestedReplica()
+        tested.become_leader(B)
+        tested.commit_all(B)
+        for token in range(20):
+            tested.propose(token)
+            self.assertEqual(sent(TimeoutNow, tested.wait(0.5 * ELECTION_TIMEOUT_S)), [])
+            tested.commit_all(B)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/replication/test_replica_host.py
+++ b/tests/replication/test_replica_host.py
@@ -250,6 +250,15 @@
         self.assertEqual(leader.host.term, term)
         self.assertEqual(cluster.commands(leader.peer.name), [b"0", b"1"])
 
+    @on_seeds()
+    async def test_leader_whose_disk_hangs_hands_over(self, cluster):
+        await cluster.propose(b"0")
+        leader = cluster.leader()
+        leader.disk.sync_s = (60.0, 60.0)
+        await cluster.propose(b"1", timeout_s=10.0)
+        self.assertIsNot(cluster.leader(), leader)
+        self.assertTrue(leader.host.is_voter)
+
     @on_seeds()
     async def test_cut_off_leader_neither_writes_nor_reads(self, cluster):
         await cluster.propose(b"0")
