--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -72,7 +72,19 @@
         "scheduler-cost",
         "passlane.bench.scheduler_cost",
         "run",
-        "processor time of the scheduler per call, by calls queued and engines watched",
+        "processor time of the scheduler per call, by calls queued, engines and tenants",
+    ),
+    Experiment(
+        "watched-subset",
+        "passlane.bench.watched_subset",
+        "run",
+        "program latency by how many of 48 engines each of 16 nodes watches",
+    ),
+    Experiment(
+        "scheduler-memory",
+        "passlane.bench.scheduler_memory",
+        "run",
+        "memory of the scheduler per engine watched, program and tenant",
     ),
     Experiment(
         "storage",
@@ -98,12 +110,24 @@
         "run",
         "bytes, processor time and memory of changes and documents, over documents",
     ),
+    Experiment(
+        "transport",
+        "passlane.bench.transport",
+        "run",
+        "processor time and bytes of messages between processes, by their size",
+    ),
     Experiment(
         "engine-polling",
         "passlane.bench.engine_polling",
         "run",
         "bytes and processor time of a node for polling engines, by polls a second",
     ),
+    Experiment(
+        "node-cost",
+        "passlane.bench.node_cost",
+        "run",
+        "a node's processor time, memory, bytes and added latency, by calls, tokens, history",
+    ),
     Experiment(
         "configuration-spread",
         "passlane.bench.configuration_spread",
@@ -152,6 +176,18 @@
         "run",
         "processor time, messages and bytes of an appended command, by group size",
     ),
+    Experiment(
+        "idle-fleet",
+        "passlane.bench.idle_fleet",
+        "run",
+        "memory and processor time of real daemons without work, by their roles",
+    ),
+    Experiment(
+        "capacity",
+        "passlane.bench.capacity.experiment",
+        "run",
+        "what each role needs at the design size, worked out from measured slopes",
+    ),
 )
 
 
