A simulated caller that is told when to come back does come back

An answer that names a time to come back is now not final for the caller, so the check asks more of the fleet: such a call must be answered in the end. Ruled out: the replicas, whose log lines show space again on all three.

--- a/src/passlane/simulation/callers.py
+++ b/src/passlane/simulation/callers.py
@@ -247,6 +247,9 @@
     last = call.attempts[-1]
     if last.status in FINAL_STATUSES and last.is_whole:
         return True
+    if last.retry_after_s is not None:
+        # The caller was told when to come back, so more is to be expected.
+        return False
     newest = call.attempts[-SETTLED_ERRORS:]
     same = all(attempt.is_whole and attempt.code == last.code for attempt in newest)
     return len(newest) == SETTLED_ERRORS and same and last.verdict is Verdict.MAY_HAVE_RUN
