--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -7,8 +7,9 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from passlane.bench.fleet import Fleet, FleetError
+from passlane.bench.fleet import Fleet
 from passlane.bench.fleet_files import ProcessKind
+from passlane.bench.fleet_process import FleetError
 from passlane.emulator.application_app import ForcedBehaviour
 from passlane.emulator.caller import Caller
 from passlane.emulator.engine_app import EngineQuiet
@@ -65,15 +66,16 @@
 
     async def leader_of(self, program_id: str) -> NodeId:
         """Return the node that leads a program, as the store records it."""
+        leaders = await self.leaders()
+        return leaders[partition_of(ProgramId(program_id), len(leaders))]
+
+    async def leaders(self) -> tuple[NodeId, ...]:
+        """Return the node that leads each partition, in the order of their numbers."""
         answer = await self._store.execute(
             ReadAssignments(), Assignments, timeout_s=QUERY_TIMEOUT_S
         )
-        partition = partition_of(ProgramId(program_id), len(answer.assignments))
-        return next(
-            assignment.node_id
-            for assignment in answer.assignments
-            if assignment.partition == partition
-        )
+        ordered = sorted(answer.assignments, key=lambda one: one.partition)
+        return tuple(assignment.node_id for assignment in ordered)
 
     async def ledger(self) -> Sequence[LedgerLine]:
         """Return the ledgers of all applications."""
@@ -132,7 +134,14 @@
     environment = build_environment(fleet.folder, seed=None)
     pool = ConnectionPool(environment)
     store = GroupClient(pool, fleet.store_addresses(), environment.random)
+    failures: list[FleetError] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(pool.run)
-        yield ProcessReplayFleet(fleet, environment, store, tasks)
+        try:
+            yield ProcessReplayFleet(fleet, environment, store, tasks)
+        except FleetError as error:
+            # Raised below, outside the group, for callers that catch it by its type.
+            failures.append(error)
         tasks.cancel_scope.cancel()
+    if failures:
+        raise failures[0]
--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -16,14 +16,15 @@
 from passlane.scheduling.attained_service import AttainedService
 from passlane.scheduling.cache_view import CacheUpdate
 from passlane.scheduling.config import SchedulerConfig
+from passlane.scheduling.crowding import Crowding, CrowdingRules
 from passlane.scheduling.engine_view import EngineView, RunningCall
 from passlane.scheduling.fleet_view import FleetView
+from passlane.scheduling.model_queues import ModelQueues
 from passlane.scheduling.placement import Estimate, Placement
 from passlane.scheduling.queue import CallQueue, QueuedCall
 from passlane.scheduling.retention import CacheRetention
+from passlane.scheduling.tenant_shares import TenantShares
 
-MIN_RETRY_AFTER_S = 0.1
-MAX_RETRY_AFTER_S = 30.0
 BATCH_PRIORITY_STEP = 10
 
 
@@ -57,11 +58,15 @@
         self._config = config or SchedulerConfig()
         node_key = node_key or f"{random.getrandbits(64):x}"
         self._engines = FleetView(node_key, own_zone, self._config)
-        self._queues: dict[str, CallQueue] = {}
         self._running: dict[CallId, tuple[events.CallArrived, EngineId]] = {}
         self._programs = AttainedService(self._config.max_programs)
         self._placement = placement or Placement(own_zone, random, self._config)
         self._retention = CacheRetention(self._config)
+        self._shares = TenantShares(self._config.crowding)
+        self._queues = ModelQueues(self._config.queue, self._engines, self._placement, self._shares)
+        self._crowding = CrowdingRules(
+            self._config.crowding, self._engines, self._programs, self._shares, self._placement
+        )
         self._recheck_at = math.inf
         self._output: list[instructions.Instruction] = []
         self._handlers: dict[type, Callable[[Any, float], None]] = {
@@ -83,7 +88,7 @@
     @property
     def queued_calls(self) -> int:
         """Calls that wait at this node, over all models."""
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._queues)
 
     @property
     def running_calls(self) -> int:
@@ -115,20 +120,26 @@
         if event.deadline <= now:
             self._refuse(event, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", None)
             return
-        queue = self._queue_of(event.model)
+        queue = self._queues.of_model(event.model)
         if not queue.has_room_for(event.tenant_id):
             self._refuse(
                 event,
                 ErrorCode.QUEUE_FULL,
                 "too many calls of the tenant, or in all, wait for the model",
-                self._retry_after_s(event.model, now),
+                self._queues.retry_after_s(event, now),
             )
             return
         progress = self._programs.of(event.program_id)
         self._retention.resume(progress, now)
         progress.paused_at = None
         progress.prefix_tokens = event.prompt_tokens
-        queue.add(event, progress.attained_tokens, now)
+        is_first = (
+            progress.attained_tokens == 0
+            and not event.is_sub_agent
+            and not self._engines.holders_of(event.program_id)
+        )
+        queue.add(event, progress.attained_tokens, now, is_first=is_first)
+        self._shares.record_arrival(event.tenant_id, event.weight, now)
 
     def _call_first_token(self, event: events.CallFirstToken, now: float) -> None:
         """Nothing to decide: the call's whole duration is learned from at its end."""
@@ -138,6 +149,7 @@
         if running is None:
             return
         call, engine_id = running
+        self._shares.record_end(call.tenant_id, now)
         progress = self._programs.of(call.program_id)
         progress.active_calls = max(progress.active_calls - 1, 0)
         computed = max(event.prompt_tokens - event.cached_tokens, 0) + event.generated_tokens
@@ -153,16 +165,16 @@
         engine.record_duration(at_engine, now)
         self._placement.learn_generated(event.generated_tokens)
         progress.prefix_tokens = event.prompt_tokens + event.generated_tokens
-        engine.cache.record(call.program_id, progress.prefix_tokens)
+        engine.cache.record(call.program_id, progress.prefix_tokens, now)
 
     def _call_withdrawn(self, event: events.CallWithdrawn, now: float) -> None:
-        for queue in self._queues.values():
-            if queue.remove(event.call_id) is not None:
-                return
+        if self._queues.remove(event.call_id):
+            return
         running = self._running.pop(event.call_id, None)
         if running is None:
             return
         call, engine_id = running
+        self._shares.record_end(call.tenant_id, now)
         progress = self._programs.of(call.program_id)
         progress.active_calls = max(progress.active_calls - 1, 0)
         engine = self._engines.get(engine_id)
@@ -183,16 +195,17 @@
 
     def _program_ended(self, event: events.ProgramEnded, now: float) -> None:
         self._programs.forget(event.program_id)
-        self._release_everywhere(event.program_id)
+        self._release_everywhere(event.program_id, now)
 
     def _release_overdue(self, now: float) -> None:
         """Release the caches of programs that most likely never return."""
         for program_id in self._retention.take_overdue(self._programs, now):
-            self._release_everywhere(program_id)
+            self._programs.close(program_id)
+            self._release_everywhere(program_id, now)
 
-    def _release_everywhere(self, program_id: ProgramId) -> None:
+    def _release_everywhere(self, program_id: ProgramId, now: float) -> None:
         for engine in self._engines.holders_of(program_id):
-            engine.cache.record(program_id, 0)
+            engine.cache.record(program_id, 0, now)
             self._output.append(instructions.ReleaseCache(program_id, engine.engine_id))
 
     # Engines.
@@ -213,7 +226,7 @@
     def _move_caches(self, leaving: EngineView, now: float) -> None:
         for move in self._retention.moves_from(leaving, self._engines, self._programs, now):
             tokens = leaving.cache.tokens_of(move.program_id)
-            self._engines.views[move.destination].cache.record(move.program_id, tokens)
+            self._engines.views[move.destination].cache.record(move.program_id, tokens, now)
             self._output.append(
                 instructions.MoveCache(move.program_id, leaving.engine_id, move.destination)
             )
@@ -227,13 +240,15 @@
         engine = self._engines.get(event.engine_id)
         if engine is None:
             return
-        engine.cache.apply_events(event.events)
+        engine.cache.apply_events(event.events, now)
         if engine.cache.unsure:
             self._output.append(instructions.RequestCacheSnapshot(event.engine_id))
 
     def _cache_snapshot_reported(self, event: events.CacheSnapshotReported, now: float) -> None:
         engine = self._engines.get(event.engine_id)
-        if engine is not None and engine.cache.apply_snapshot(event.snapshot) is CacheUpdate.STALE:
+        if engine is None:
+            return
+        if engine.cache.apply_snapshot(event.snapshot, now) is CacheUpdate.STALE:
             self._output.append(instructions.RequestCacheSnapshot(event.engine_id))
 
     def _engine_unreachable(self, event: events.EngineUnreachable, now: float) -> None:
@@ -255,26 +270,37 @@
         """Start the first waiting call for which now is the time; return whether one was."""
         if not self._engines.has_free_slot(model, now):
             return False
-        for queued in queue.in_order(now, self._config.queue.lookahead):
-            estimate = self._choose(queued, now)
+        crowding = self._crowding.assess(model, now)
+        tried = 0
+        for queued in queue.in_order(now, self._config.queue.lane_lookahead):
+            if crowding is not None and crowding.must_wait(queued):
+                continue
+            tried += 1
+            if tried > self._config.queue.lookahead:
+                return False
+            estimate = self._choose(queued, crowding, now)
             if estimate is not None:
                 queue.remove(queued.call.call_id)
                 self._start(queued, estimate, queue, now)
                 return True
         return False
 
-    def _choose(self, queued: QueuedCall, now: float) -> Estimate | None:
+    def _choose(self, queued: QueuedCall, crowding: Crowding | None, now: float) -> Estimate | None:
         """Return the engine to start the call on now, or ``None`` if it should wait.
 
         It waits for a full engine that is still cheaper than a free one, because its
         prefix is there, but not longer than computing the prefix again would take.
         """
         estimates = self._placement.estimates(queued.call, self._engines, now)
-        startable = [estimate for estimate in estimates if estimate.can_start]
-        if not startable:
-            return None
-        best = startable[0]
-        if estimates[0] is best:
+        best = next(
+            (
+                estimate
+                for estimate in estimates
+                if estimate.can_start and (crowding is None or crowding.may_start(queued, estimate))
+            ),
+            None,
+        )
+        if best is None or best is estimates[0]:
             return best
         waited_s = now - queued.arrived_at
         gain_s = best.cost_s - estimates[0].cost_s
@@ -289,6 +315,7 @@
         progress = self._programs.of(call.program_id)
         progress.last_engine = engine.engine_id
         progress.active_calls += 1
+        self._programs.open(progress, call.tenant_id)
         engine.record_start(
             RunningCall(
                 call_id=call.call_id,
@@ -296,11 +323,12 @@
                 started_at=now,
                 expected_s=estimate.service_s,
                 expected_slowdown=engine.slowdown(now),
+                new_tokens=int(self._placement.new_tokens(call, estimate)),
             )
         )
+        self._shares.record_start(call.tenant_id, call.weight, now)
         self._running[call.call_id] = (call, engine.engine_id)
-        missing = call.prompt_tokens - estimate.cached_tokens
-        queue.charge(call, missing + self._placement.expected_generated(call))
+        queue.charge(call, self._placement.new_tokens(call, estimate))
         self._output.append(
             instructions.StartCall(
                 call_id=call.call_id,
@@ -323,12 +351,6 @@
 
     # Refusals and wake-ups.
 
-    def _queue_of(self, model: str) -> CallQueue:
-        queue = self._queues.get(model)
-        if queue is None:
-            queue = self._queues[model] = CallQueue(self._config.queue)
-        return queue
-
     def _refuse(
         self,
         call: events.CallArrived,
@@ -339,44 +361,21 @@
         self._output.append(instructions.RefuseCall(call.call_id, code, message, retry_after_s))
 
     def _refuse_expired(self, now: float) -> None:
-        for model, queue in self._queues.items():
-            for queued in queue.take_expired(now):
-                self._refuse(
-                    queued.call,
-                    ErrorCode.DEADLINE_EXCEEDED,
-                    "the deadline passed before an engine was free",
-                    self._retry_after_s(model, now),
-                )
+        for queued in self._queues.take_expired(now):
+            self._refuse(
+                queued.call,
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the deadline passed before an engine was free",
+                self._queues.retry_after_s(queued.call, now),
+            )
 
     def _refuse_unserved(self, now: float) -> None:
-        """Refuse the waiting calls whose model no engine serves any more."""
-        for model, queue in self._queues.items():
-            if self._engines.serves(model):
-                continue
-            for queued in list(queue.in_order(now, len(queue))):
-                queue.remove(queued.call.call_id)
-                self._refuse(
-                    queued.call, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None
-                )
-
-    def _retry_after_s(self, model: str, now: float) -> float:
-        """Return when a slot is likely to be free for a call that comes now."""
-        rate = 0.0
-        for engine in self._engines:
-            if engine.leaving or not engine.has_model(model):
-                continue
-            batch = engine.body.max_batch
-            answer_s = self._placement.mean_generated_tokens * engine.step_s(batch, now)
-            rate += batch / max(answer_s, 1e-6)
-        if rate <= 0:
-            return MAX_RETRY_AFTER_S
-        wait_s = len(self._queue_of(model)) / rate
-        return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+        for queued in self._queues.take_unserved(now):
+            self._refuse(queued.call, ErrorCode.UNKNOWN_MODEL, "no engine serves the model", None)
 
     def _ask_for_wake_up(self, now: float) -> None:
-        times = [queue.next_deadline() for queue in self._queues.values()]
-        times.append(self._retention.next_overdue())
-        if any(len(queue) > 0 for queue in self._queues.values()):
+        times = [self._queues.next_deadline(), self._retention.next_overdue()]
+        if len(self._queues) > 0:
             times += [engine.breaker.opens_next_at(now) for engine in self._engines]
             times.append(self._recheck_at)
         coming = [time for time in times if time is not None and time < math.inf]
