Tests of long cuts of the control group run with slower timers

Cause: most of their time went into heartbeats every 50 ms through 60 virtual seconds. The heartbeat is 0.2 s and the election timeout 1.2 s in these two tests, four times the defaults both; lengths of cuts, seeds and checks are the same. Ruled out: shorter cuts, because a cut much longer than any timeout is the point, and fewer seeds.

--- a/tests/control/test_control_group.py
+++ b/tests/control/test_control_group.py
@@ -20,6 +20,8 @@
 SEEDS = range(3)
 CHAOS_SEEDS = range(6)
 MANY_CHANGES = 250
+# For long cuts: fewer heartbeats to run, in the same proportion to the election timeout.
+SLOW_TIMERS = {"heartbeat_s": 0.2, "election_timeout_s": 1.2}
 
 
 def on_seeds(seeds, **settings):
@@ -91,7 +93,7 @@
         found = await cluster.send(ReadDocuments("policy", "p"))
         self.assertEqual(found.documents, (first.document,))
 
-    @on_seeds(SEEDS)
+    @on_seeds(SEEDS, **SLOW_TIMERS)
     async def test_nothing_is_accepted_while_a_region_is_cut_off(self, cluster):
         good = await cluster.send(put("p", "good", 0, "k1"))
         await cluster.until_in_force(good.document.revision)
@@ -108,7 +110,7 @@
         self.assertNotIn({"p": "bad"}, self.states(cluster))
         self.assert_never_went_back(cluster)
 
-    @on_seeds(SEEDS)
+    @on_seeds(SEEDS, **SLOW_TIMERS)
     async def test_a_cut_off_leader_accepts_nothing_and_its_changes_run_once(self, cluster):
         base = await cluster.send(put("p", "base", 0, "k1"))
         await cluster.until_in_force(base.document.revision)
