Engine connections are used again: an answer's stream is read to the end of its body

Cause: the client left the stream at the event that ends the answer, with the end of the body unread, so the connection could not be used again and every model call opened a new one (614 connects for 600 calls in a profile). The body is read to its end now, for at most 0.35 s more; a break after the answer loses nothing. The limit of silence is moved in steps of 0.25 s, because setting a deadline for each token cost a twelfth of the profile.

--- a/src/passlane/backends/engine_client.py
+++ b/src/passlane/backends/engine_client.py
@@ -38,6 +38,11 @@
 JSON_HEADERS = {"content-type": "application/json"}
 STALE_ORDER_STATUS = 409
 MAX_REPLY_BYTES = 16_000_000
+DEADLINE_STEP_S = 0.25
+END_OF_BODY_S = 0.1
+"""How long an engine may take to end the body after the answer; then it is cut off."""
+
+_chunk_decoder = msgspec.json.Decoder(EngineChunk)
 
 ReplyBody = TypeVar("ReplyBody")
 ChunkHandler = Callable[[EngineChunk], None]
@@ -62,6 +67,49 @@
     control_s: float = 2.0
 
 
+class _ChatReader:
+    """Takes the bytes of one answer's stream apart.
+
+    Attributes
+    ----------
+    final
+        The event that ended the answer, once it has come.
+    """
+
+    def __init__(self, attempt_id: str, on_chunk: ChunkHandler) -> None:
+        self.final: EngineChunk | None = None
+        self._attempt_id = attempt_id
+        self._on_chunk = on_chunk
+        self._lines = EventLines()
+
+    def feed(self, data: bytes) -> None:
+        """Take more bytes; raise ``BackendError`` when they can't be read."""
+        try:
+            for line in self._lines.feed(data):
+                if line != END_OF_STREAM:
+                    self._take(_chunk_decoder.decode(line))
+        except (ValueError, msgspec.MsgspecError) as error:
+            raise _unreadable(error) from error
+
+    def _take(self, chunk: EngineChunk) -> None:
+        if chunk.attempt_id != self._attempt_id or self.final is not None:
+            return
+        if chunk.finish_reason is not None:
+            self.final = chunk
+        else:
+            self._on_chunk(chunk)
+
+
+def _move_deadline(scope: anyio.CancelScope, limit_s: float) -> None:
+    """Let ``scope`` end after ``limit_s`` of silence, or up to ``DEADLINE_STEP_S`` later.
+
+    Setting a deadline costs more than reading a token, so it is moved in steps.
+    """
+    deadline = anyio.current_time() + limit_s
+    if not deadline <= scope.deadline <= deadline + DEADLINE_STEP_S:
+        scope.deadline = deadline + DEADLINE_STEP_S
+
+
 class EngineClient:
     """Speaks to one engine. Holds no connection itself: the HTTP client owns them."""
 
@@ -71,7 +119,6 @@
         self._http = http
         self._address = address
         self._timeouts = timeouts or EngineTimeouts()
-        self._chunk_decoder = msgspec.json.Decoder(EngineChunk)
 
     async def stream_chat(self, request: EngineChatRequest, on_chunk: ChunkHandler) -> EngineChunk:
         """Run a chat request, give each token to ``on_chunk`` and return the last event.
@@ -85,55 +132,35 @@
             With the verdict that the failure proves.
         """
         http_request = self._post("/v1/chat/completions", request)
+        reader = _ChatReader(request.attempt_id, on_chunk)
         silence_s = self._timeouts.first_token_s
         try:
             with anyio.move_on_after(silence_s) as silence:
                 async with self._http.exchange(http_request) as response:
                     if response.status != 200:
                         raise await error_of_response(response)
-                    final = await self._read_chunks(request, response, on_chunk, silence)
+                    await self._read_stream(response, reader, silence)
         except HttpConnectionError as error:
-            raise error_of_connection(error) from error
+            if reader.final is None:
+                raise error_of_connection(error) from error
+        if reader.final is not None:
+            return reader.final
         if silence.cancelled_caught:
             raise error_of_timeout(silence_s)
-        return final
-
-    async def _read_chunks(
-        self,
-        request: EngineChatRequest,
-        response: HttpResponse,
-        on_chunk: ChunkHandler,
-        silence: anyio.CancelScope,
-    ) -> EngineChunk:
-        lines = EventLines()
-        async for data in response.chunks():
-            silence.deadline = anyio.current_time() + self._timeouts.next_token_s
-            for line in self._feed(lines, data):
-                if line == END_OF_STREAM:
-                    continue
-                chunk = self._decode_chunk(line)
-                if chunk.attempt_id != request.attempt_id:
-                    continue
-                if chunk.finish_reason is not None:
-                    return chunk
-                on_chunk(chunk)
         raise BackendError(
             ErrorCode.BACKEND_FAILED,
             "the engine's stream ended before the answer",
             verdict=Verdict.MAY_HAVE_RUN,
         )
 
-    def _feed(self, lines: EventLines, data: bytes) -> list[bytes]:
-        try:
-            return lines.feed(data)
-        except ValueError as error:
-            raise _unreadable(error) from error
-
-    def _decode_chunk(self, line: bytes) -> EngineChunk:
-        try:
-            return self._chunk_decoder.decode(line)
-        except msgspec.MsgspecError as error:
-            raise _unreadable(error) from error
+    async def _read_stream(
+        self, response: HttpResponse, reader: "_ChatReader", silence: anyio.CancelScope
+    ) -> None:
+        """Read to the end of the body, so that the connection can be used again."""
+        async for data in response.chunks():
+            reader.feed(data)
+            limit_s = self._timeouts.next_token_s if reader.final is None else END_OF_BODY_S
+            _move_deadline(silence, limit_s)
 
     async def cancel(self, attempt_id: str) -> None:
         """Ask the engine to stop an attempt; raise ``BackendError`` if it cannot be asked."""
