--- a/src/passlane/api/answers.py
+++ b/src/passlane/api/answers.py
@@ -81,7 +81,7 @@
     async def emit(self, event: CallEvent) -> None:
         """Take one event and send it on."""
         match event:
-            case TextChunk(_, text):
+            case TextChunk(text=text):
                 await self._send_text(text)
             case CallAnswered():
                 await self._send_end(event)
--- a/src/passlane/messages/node.py
+++ b/src/passlane/messages/node.py
@@ -79,10 +79,11 @@
 
 
 class TextChunk(Message, frozen=True):
-    """Part of a generated answer; ``position`` counts its tokens from 0."""
+    """Part of a generated answer: ``tokens`` tokens, the first at ``position`` from 0."""
 
     position: int
     text: str
+    tokens: int = 1
 
 
 class CallAnswered(Message, frozen=True):
--- a/src/passlane/node/forwarder.py
+++ b/src/passlane/node/forwarder.py
@@ -61,7 +61,7 @@
         if isinstance(event, TextChunk):
             if event.position < self.next_position:
                 return
-            self.next_position = event.position + 1
+            self.next_position = event.position + event.tokens
             self.texts.append(event.text)
         else:
             self.is_over = True
