Split the call machine, the call runner and the program host by job

The plan of a call and its phases, the outcomes that are recorded, the records in the store, the set-up of a call with its arrival at the scheduler, and the recovery of a doubtful operation are modules of their own now.

--- a/src/passlane/node/call_planning.py
+++ b/src/passlane/node/call_planning.py
@@ -9,7 +9,7 @@
 from passlane.messages.node import CallRequest
 from passlane.messages.store import CallKind, CallRecord
 from passlane.programs.call_identity import call_id_of
-from passlane.programs.call_machine import CallPlan
+from passlane.programs.call_plan import CallPlan
 from passlane.programs.token_estimate import estimate_tokens
 
 
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -2,27 +2,23 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from functools import partial
 
 import anyio
 
 from passlane.configuration.view import ToolOffer
 from passlane.errors import ErrorCode, PasslaneError, Verdict
-from passlane.identifiers import EngineId
-from passlane.messages.node import CallAnswered, CallRefused, CallRequest, TextChunk
+from passlane.messages.node import CallAnswered, CallRefused, TextChunk
 from passlane.messages.store import (
-    BeginCall,
-    BeginCallResult,
     CallKind,
     EngineHold,
-    FinishCall,
 )
+from passlane.node.call_records import CallRecords
 from passlane.node.call_reports import CallReport
 from passlane.node.call_services import LEADERSHIP_CODES, CallServices
-from passlane.node.led_program import LedProgram, OpenCall
+from passlane.node.call_set_up import CallSetUp, arrival_of
+from passlane.node.led_program import LedProgram
 from passlane.node.model_attempt import ModelAttempt
-from passlane.node.policy_facts import call_facts
 from passlane.node.subscription import Subscription
 from passlane.node.tool_attempt import ToolAttempt, ask_status
 from passlane.observability.logging import get_logger
@@ -30,14 +26,9 @@
     CallerGone,
     CallEventIn,
     DeadlinePassed,
-    IntentRecorded,
-    IntentRefused,
-    OutcomeRecorded,
-    OutcomeRefused,
     RetryDue,
     StatusReceived,
 )
-from passlane.programs.call_identity import request_digest
 from passlane.programs.call_instructions import (
     AskStatus,
     CallInstruction,
@@ -51,57 +42,13 @@
     WaitBeforeRetry,
     WithdrawPlacement,
 )
-from passlane.programs.call_machine import CallMachine, CallPhase, CallPlan
-from passlane.scheduling.events import CallArrived
+from passlane.programs.call_machine import CallMachine
+from passlane.programs.call_plan import CallPhase
 
 Work = Callable[[], Awaitable[None]]
 
-CLEAR_REFUSALS = frozenset(
-    {
-        ErrorCode.BUDGET_EXCEEDED,
-        ErrorCode.PROGRAM_ENDED,
-        ErrorCode.DISK_FULL,
-        ErrorCode.IDEMPOTENCY_MISMATCH,
-    }
-)
-"""Refusals of an intent that leave the program in memory as true as it was."""
-
 _log = get_logger(__name__)
 
-STORE_TIMEOUT_S = 15.0
-"""How long a command may take, over changes of the store's leader."""
-
-
-@dataclass(frozen=True)
-class CallSetUp:
-    """What is known of a call when its turn comes.
-
-    Attributes
-    ----------
-    sequence
-        The number under which it is recorded.
-    deadline
-        Local monotonic time in seconds by which the caller gives up.
-    offer
-        The tool, for a tool call.
-    reopened
-        The open call that this request repeats, if it does.
-    """
-
-    request: CallRequest
-    plan: CallPlan
-    sequence: int
-    deadline: float
-    arrived_at: float
-    attempt_prefix: str
-    offer: ToolOffer | None = None
-    reopened: OpenCall | None = None
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether an earlier request for the same call may have run it."""
-        return self.reopened is not None and not self.reopened.proved_not_run
-
 
 class CallRunner:
     """Runs one call of a program to its answer.
@@ -115,8 +62,6 @@
 
     Attributes
     ----------
-    store_failed
-        The record in the store may differ from the program in memory.
     left_open
         The answer, if the call was answered without a recorded outcome.
     """
@@ -132,13 +77,12 @@
         self.set_up = set_up
         self.call_id = set_up.plan.call_id
         self.program = program
-        self.store_failed = False
         self.left_open: SendAnswer | None = None
         self.machine = CallMachine(
             set_up.plan, set_up.attempt_prefix, may_have_run=set_up.may_have_run
         )
         self._services = services
-        self._settle = settle
+        self._records = CallRecords(services.store, program, set_up, settle)
         self._on_over = on_over
         self._subscriptions: list[Subscription] = []
         self._answer: CallAnswered | CallRefused | None = None
@@ -149,6 +93,7 @@
         self._hold: EngineHold | None = None
         self._store_work = 0
         self._is_over = False
+        self._is_faulty = False
         self._first_token_at: float | None = None
         self._backend = ""
 
@@ -235,10 +180,15 @@
         finally:
             self._scopes.discard(scope)
 
+    @property
+    def store_failed(self) -> bool:
+        """Whether the record in the store may differ from the program in memory."""
+        return self._is_faulty or self._records.have_failed
+
     def _fail_by_fault(self) -> None:
         if self._is_over:
             return
-        self.store_failed = True
+        self._is_faulty = True
         message = "the call was stopped by an internal fault"
         error = PasslaneError(ErrorCode.INTERNAL, message, verdict=Verdict.MAY_HAVE_RUN)
         self.abort(error)
@@ -325,104 +275,23 @@
         self._check_over()
 
     async def _record_intent(self) -> None:
-        try:
-            result = await self._begin_call()
-        except PasslaneError as error:
-            if error.code not in CLEAR_REFUSALS:
-                self.store_failed = True
-            self.post(IntentRefused(error.code, error.message, error.retry_after_s))
-            return
-        self.program.note_begun(result.call, self.set_up.request.turns)
-        # Nothing was sent in this epoch before: a record of it is this command's own echo.
-        is_echo = self.set_up.reopened is None and result.call.epoch == self.program.epoch
-        reopened = self.set_up.reopened
-        is_proved = is_echo or (reopened is not None and reopened.proved_not_run)
-        self.post(IntentRecorded(result.call, result.already_recorded, is_proved))
-
-    async def _begin_call(self) -> BeginCallResult:
-        await self._settle()
-        reopened = self.set_up.reopened
-        if reopened is not None and not self._must_renew(reopened):
-            return BeginCallResult(call=reopened.call, already_recorded=True)
-        plan = self.set_up.plan
-        request = self.set_up.request
-        command = BeginCall(
-            program_id=self.program.program_id,
-            partition=self.program.partition,
-            epoch=self.program.epoch,
-            call_id=self.call_id,
-            sequence=self.set_up.sequence,
-            kind=plan.kind,
-            target=plan.target,
-            repeatable=plan.repeatable,
-            request_digest=request_digest(request),
-            reserve=plan.reserve,
-            turns=request.turns,
-            application_id=None if self.set_up.offer is None else self.set_up.offer.application_id,
-        )
-        return await self._services.store.begin_call(command, STORE_TIMEOUT_S)
-
-    def _must_renew(self, reopened: OpenCall) -> bool:
-        """Return whether running the call again needs a reservation of its own."""
-        return reopened.call.repeatable and reopened.call.epoch < self.program.epoch
+        self.post(await self._records.record_intent())
 
     async def _record_outcome(self, instruction: RecordOutcome) -> None:
-        command = FinishCall(
-            program_id=self.program.program_id,
-            partition=self.program.partition,
-            epoch=self.program.epoch,
-            call_id=self.call_id,
-            outcome=instruction.outcome,
-            turns=instruction.turns,
-            hold=self._hold,
-        )
-        try:
-            await self._services.store.finish_call(command, STORE_TIMEOUT_S)
-        except PasslaneError as error:
-            self.store_failed = True
-            self.post(OutcomeRefused(error.code, error.message))
-            return
-        self.program.note_finished(self.call_id, instruction.outcome, instruction.turns)
-        if self._hold is not None:
-            self.program.note_hold(self._hold)
-        self.post(OutcomeRecorded())
+        self.post(await self._records.record_outcome(instruction, self._hold))
 
     # Placement and attempts.
 
     def _request_placement(self, excluded: frozenset[str]) -> None:
-        plan = self.set_up.plan
         offer = self.set_up.offer
         if offer is not None:
             now = anyio.current_time()
             limit = offer.application.max_in_flight
             self.post(self._services.tools.start(offer.application_id, limit, now))
             return
-        facts = call_facts(self.program, plan.target, self.set_up.sequence, plan.max_tokens)
-        decision = self._services.policies.classify(facts)
-        arrived = CallArrived(
-            call_id=self.call_id,
-            program_id=self.program.program_id,
-            tenant_id=self.program.tenant_id,
-            model=plan.target,
-            prompt_tokens=self.program.prompt_tokens,
-            max_tokens=plan.max_tokens,
-            deadline=self.set_up.deadline,
-            service_class=decision.service_class,
-            weight=decision.weight,
-            excluded=self._engines_to_exclude(excluded),
-        )
+        arrived = arrival_of(self._services, self.program, self.set_up, excluded)
         self._services.models.place(arrived, self.post)
 
-    def _engines_to_exclude(self, failed: frozenset[str]) -> frozenset[EngineId]:
-        """Return the engines that failed this call, unless there is no other one.
-
-        When all of them have failed it, the breakers decide which is tried again.
-        """
-        engines = self._services.configuration().engines_with(self.set_up.plan.target)
-        if failed.issuperset(engines):
-            return frozenset()
-        return frozenset(EngineId(backend) for backend in failed)
-
     def _start_attempt(self, start: StartAttempt) -> None:
         self._backend = start.backend
         scope = anyio.CancelScope()
--- a/src/passlane/node/model_attempt.py
+++ b/src/passlane/node/model_attempt.py
@@ -22,7 +22,7 @@
     TokenReceived,
 )
 from passlane.programs.call_instructions import StartAttempt
-from passlane.programs.call_machine import CallPlan
+from passlane.programs.call_plan import CallPlan
 from passlane.scheduling.events import CallEnded
 
 MODEL_NOT_LOADED_STATUS = 404
--- /dev/null
+++ b/src/passlane/node/operation_recovery.py
@@ -0,0 +1,68 @@
+"""Finds out what became of an operation that nobody waits for any more."""
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.node import CallRequest
+from passlane.node.call_planning import plan_recovery
+from passlane.node.call_runner import CallRunner
+from passlane.node.call_services import CallServices
+from passlane.node.call_set_up import CallSetUp
+from passlane.node.led_program import LedProgram, OpenCall
+
+RECOVERY_TIMEOUT_S = 30.0
+"""How long a doubtful operation is looked into; all status queries of a call take less."""
+
+RETRY_AFTER_S = 1.0
+
+
+async def resolve_operation(
+    services: CallServices, program: LedProgram, open_call: OpenCall, attempt_prefix: str
+) -> None:
+    """Ask the application about an open call and record the outcome; send nothing again.
+
+    Raises
+    ------
+    PasslaneError
+        ``UNAVAILABLE`` when no outcome could be recorded; the call stays open.
+    """
+    set_up = _set_up(services, program, open_call, attempt_prefix)
+    over = anyio.Event()
+    runner = CallRunner(services, program, set_up, _settle_nothing, lambda _: over.set())
+    runner.start()
+    await over.wait()
+    if runner.store_failed or runner.left_open is not None:
+        raise PasslaneError(
+            ErrorCode.UNAVAILABLE,
+            "what became of the program's last operation could not be recorded",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+
+def _set_up(
+    services: CallServices, program: LedProgram, open_call: OpenCall, attempt_prefix: str
+) -> CallSetUp:
+    call = open_call.call
+    planned = plan_recovery(call, services.configuration())
+    now = anyio.current_time()
+    request = CallRequest(
+        request_id=f"recovery-{call.call_id}",
+        tenant_id=program.tenant_id,
+        program_id=program.program_id,
+        kind=call.kind,
+        target=call.target,
+    )
+    return CallSetUp(
+        request=request,
+        plan=planned.plan,
+        sequence=call.sequence,
+        deadline=now + RECOVERY_TIMEOUT_S,
+        arrived_at=now,
+        attempt_prefix=attempt_prefix,
+        offer=planned.offer,
+        reopened=open_call,
+    )
+
+
+async def _settle_nothing() -> None:
+    """Stand in where a call has no predecessor to settle."""
--- a/src/passlane/node/program_host.py
+++ b/src/passlane/node/program_host.py
@@ -11,10 +11,13 @@
 from passlane.identifiers import CallId
 from passlane.messages.node import CallRefused, CallRequest
 from passlane.messages.store import CallKind, CallRecord, CallState, FinishCall
-from passlane.node.call_planning import PlannedCall, plan_recovery
-from passlane.node.call_runner import STORE_TIMEOUT_S, CallRunner, CallSetUp
+from passlane.node.call_planning import PlannedCall
+from passlane.node.call_records import STORE_TIMEOUT_S
+from passlane.node.call_runner import CallRunner
 from passlane.node.call_services import CallServices
+from passlane.node.call_set_up import CallSetUp
 from passlane.node.led_program import LedProgram, OpenCall
+from passlane.node.operation_recovery import resolve_operation
 from passlane.node.subscription import Subscription
 from passlane.programs.call_events import StopRequested
 from passlane.programs.call_identity import request_digest
@@ -26,9 +29,6 @@
 )
 from passlane.programs.recorded_answer import recorded_answer
 
-RECOVERY_TIMEOUT_S = 30.0
-"""How long a doubtful operation is looked into; all status queries of a call take less."""
-
 BUSY_RETRY_AFTER_S = 0.2
 
 
@@ -271,7 +271,8 @@
         call = open_call.call
         is_doubtful = call.kind is CallKind.TOOL and not open_call.proved_not_run
         if is_doubtful and not call.repeatable:
-            await self._resolve(open_call)
+            prefix = self._attempt_prefix(call.call_id)
+            await resolve_operation(self._services, self.program, open_call, prefix)
             return
         outcome = open_call.abandoned_outcome()
         command = FinishCall(
@@ -284,41 +285,6 @@
         await self._services.store.finish_call(command, STORE_TIMEOUT_S)
         self.program.note_finished(call.call_id, outcome, ())
 
-    async def _resolve(self, open_call: OpenCall) -> None:
-        """Find out what became of an operation of an earlier leader, and record it."""
-        call = open_call.call
-        planned = plan_recovery(call, self._services.configuration())
-        now = anyio.current_time()
-        request = CallRequest(
-            request_id=f"recovery-{call.call_id}",
-            tenant_id=self.program.tenant_id,
-            program_id=self.program.program_id,
-            kind=call.kind,
-            target=call.target,
-        )
-        set_up = CallSetUp(
-            request=request,
-            plan=planned.plan,
-            sequence=call.sequence,
-            deadline=now + RECOVERY_TIMEOUT_S,
-            arrived_at=now,
-            attempt_prefix=self._attempt_prefix(call.call_id),
-            offer=planned.offer,
-            reopened=open_call,
-        )
-        over = anyio.Event()
-        runner = CallRunner(
-            self._services, self.program, set_up, _settle_nothing, lambda _: over.set()
-        )
-        runner.start()
-        await over.wait()
-        if runner.store_failed or runner.left_open is not None:
-            raise PasslaneError(
-                ErrorCode.UNAVAILABLE,
-                "what became of the program's last operation could not be recorded",
-                retry_after_s=1.0,
-            )
-
     # The end.
 
     async def stop(self, code: ErrorCode, message: str) -> None:
@@ -355,10 +321,6 @@
         self._idle.set()
 
 
-async def _settle_nothing() -> None:
-    """Stand in where a call has no predecessor to settle."""
-
-
 def _require_same_request(recorded: CallRecord, request: CallRequest) -> None:
     is_same = recorded.request_digest == request_digest(request)
     is_same = is_same and request.sequence in (None, recorded.sequence)
--- a/src/passlane/node/tool_attempt.py
+++ b/src/passlane/node/tool_attempt.py
@@ -20,7 +20,7 @@
     StatusReceived,
 )
 from passlane.programs.call_instructions import StartAttempt
-from passlane.programs.call_machine import CallPlan
+from passlane.programs.call_plan import CallPlan
 
 
 @dataclass(frozen=True)
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -6,15 +6,10 @@
 must not be repeated is never sent again once it may have run.
 """
 
-import enum
-from dataclasses import dataclass
-
 from passlane.errors import ErrorCode, Verdict
-from passlane.identifiers import CallId
 from passlane.messages.backends import OperationState
-from passlane.messages.common import Amounts
 from passlane.messages.node import CallAnswered, CallRefused
-from passlane.messages.store import CallKind, CallOutcome, CallState, Turn
+from passlane.messages.store import CallKind, CallOutcome, CallState
 from passlane.programs.call_events import (
     AttemptFailed,
     AttemptFinished,
@@ -45,6 +40,8 @@
     WaitBeforeRetry,
     WithdrawPlacement,
 )
+from passlane.programs.call_outcomes import answer_turns, failed_outcome, ran_outcome
+from passlane.programs.call_plan import CallPhase, CallPlan
 from passlane.programs.recorded_answer import recorded_answer
 
 MAX_ATTEMPTS = 4
@@ -60,53 +57,6 @@
 """Advice to callers when a back end failed and gave none of its own."""
 
 
-class CallPhase(enum.Enum):
-    """Where a call is on its path."""
-
-    CREATED = enum.auto()
-    RECORDING_INTENT = enum.auto()
-    PLACING = enum.auto()
-    RUNNING = enum.auto()
-    PAUSED_BEFORE_RETRY = enum.auto()
-    ASKING_STATUS = enum.auto()
-    PAUSED_BEFORE_STATUS = enum.auto()
-    RECORDING_OUTCOME = enum.auto()
-    ANSWERED = enum.auto()
-
-
-@dataclass(frozen=True, slots=True)
-class CallPlan:
-    """What is fixed about a call.
-
-    Attributes
-    ----------
-    new_prompt_tokens
-        Estimated tokens of the caller's new messages, which are charged to the budget.
-    reserve
-        Reserved from the budget; the call never spends more.
-    price_micros
-        Price of a tool call that ran.
-    offers_status
-        Whether the application tells what became of an operation.
-    is_named
-        Whether the caller can ask for the outcome again.
-    resume_texts
-        Texts of tokens that the caller already has.
-    """
-
-    call_id: CallId
-    kind: CallKind
-    target: str
-    repeatable: bool
-    max_tokens: int
-    reserve: Amounts
-    new_prompt_tokens: int = 0
-    price_micros: int = 0
-    offers_status: bool = False
-    is_named: bool = False
-    resume_texts: tuple[str, ...] = ()
-
-
 class CallMachine:
     """Decides what happens next to one call; see the module's text.
 
@@ -267,15 +217,7 @@
             return self._on_attempt_failed(failure)
         self._usage = event
         body = event.body if self.plan.kind is CallKind.TOOL else "".join(self.texts)
-        return self._record(self._ran(body))
-
-    def _ran(self, body: str) -> CallOutcome:
-        spent = Amounts(
-            tokens=min(self.plan.new_prompt_tokens + len(self.texts), self.plan.reserve.tokens),
-            calls=1,
-            money_micros=self.plan.price_micros,
-        )
-        return CallOutcome(verdict=Verdict.RAN, body=body, spent=spent)
+        return self._record(ran_outcome(self.plan, body, len(self.texts)))
 
     def _on_attempt_failed(self, event: AttemptFailed) -> list[CallInstruction]:
         if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
@@ -290,7 +232,7 @@
         if event.is_final:
             # The rejection speaks for its own attempt only.
             verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else event.verdict
-            return self._record(self._failed(verdict, event.code, event.message))
+            return self._record(failed_outcome(self.plan, verdict, event.code, event.message))
         if self.attempts >= MAX_ATTEMPTS or not event.retry_allowed:
             retry_after_s = event.retry_after_s or COME_BACK_AFTER_S
             return self._refuse(event.code, event.message, retry_after_s)
@@ -327,43 +269,35 @@
     def _record_doubt(self) -> list[CallInstruction]:
         code = self._last_failure.code if self._last_failure else ErrorCode.BACKEND_FAILED
         message = "the operation may have run and is not sent again"
-        return self._record(self._failed(Verdict.MAY_HAVE_RUN, code, message))
+        return self._record(failed_outcome(self.plan, Verdict.MAY_HAVE_RUN, code, message))
 
     def _on_status(self, event: StatusReceived) -> list[CallInstruction]:
         if self.phase is not CallPhase.ASKING_STATUS:
             return []
         match event.state:
             case OperationState.DONE:
-                return self._record(self._ran(event.result))
+                return self._record(ran_outcome(self.plan, event.result, 0))
             case OperationState.REJECTED:
                 message = event.result or "the application rejected the operation"
-                outcome = self._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_REFUSED, message)
+                outcome = failed_outcome(
+                    self.plan, Verdict.NOT_RUN, ErrorCode.BACKEND_REFUSED, message
+                )
                 return self._record(outcome)
             case OperationState.UNKNOWN:
                 message = "the application never ran the operation and no longer will"
-                outcome = self._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message)
+                outcome = failed_outcome(
+                    self.plan, Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message
+                )
                 return self._record(outcome)
             case _:
                 return self._resolve_doubt()
 
     # Outcome and answer.
 
-    def _failed(self, verdict: Verdict, code: ErrorCode, message: str) -> CallOutcome:
-        """Return the outcome of a failure; a doubtful charge counts as spent."""
-        spent = Amounts() if verdict is Verdict.NOT_RUN else self.plan.reserve
-        return CallOutcome(verdict=verdict, error_code=code, error_message=message, spent=spent)
-
     def _record(self, outcome: CallOutcome) -> list[CallInstruction]:
         self.phase = CallPhase.RECORDING_OUTCOME
         self._outcome = outcome
-        return [RecordOutcome(outcome=outcome, turns=self._answer_turns(outcome))]
-
-    def _answer_turns(self, outcome: CallOutcome) -> tuple[Turn, ...]:
-        if outcome.verdict is not Verdict.RAN:
-            return ()
-        if self.plan.kind is CallKind.MODEL:
-            return (Turn(role="assistant", content=outcome.body),)
-        return (Turn(role="tool", content=outcome.body, name=self.plan.target),)
+        return [RecordOutcome(outcome=outcome, turns=answer_turns(self.plan, outcome))]
 
     def _on_outcome_recorded(self) -> list[CallInstruction]:
         outcome = self._outcome
--- a/tests/programs/call_driver.py
+++ b/tests/programs/call_driver.py
@@ -24,7 +24,8 @@
     SendToken,
     StartAttempt,
 )
-from passlane.programs.call_machine import CallMachine, CallPlan
+from passlane.programs.call_machine import CallMachine
+from passlane.programs.call_plan import CallPlan
 
 CALL_ID = CallId("p/k1")
 PRICE_MICROS = 5
--- a/tests/programs/test_call_machine.py
+++ b/tests/programs/test_call_machine.py
@@ -24,12 +24,8 @@
     WaitBeforeRetry,
     WithdrawPlacement,
 )
-from passlane.programs.call_machine import (
-    FIRST_RETRY_DELAY_S,
-    MAX_ATTEMPTS,
-    MAX_STATUS_QUERIES,
-    CallPhase,
-)
+from passlane.programs.call_machine import FIRST_RETRY_DELAY_S, MAX_ATTEMPTS, MAX_STATUS_QUERIES
+from passlane.programs.call_plan import CallPhase
 from programs.call_driver import PRICE_MICROS, CallDriver, call_plan, call_record
 
 STOP = StopRequested(ErrorCode.PROGRAM_ENDED, "the program is ending")
--- a/tests/programs/test_call_orders.py
+++ b/tests/programs/test_call_orders.py
@@ -29,7 +29,7 @@
     StatusReceived,
     StopRequested,
 )
-from passlane.programs.call_machine import CallPhase
+from passlane.programs.call_plan import CallPhase
 from programs.call_driver import CallDriver, call_plan, call_record
 
 ANSWER_TOKENS = 3
