A fleet run tells the verdict of the calls that ended programs, callers at their distance

Programs that stopped early were counted by the code alone, which does not say whether the call had run: two of 170 in one run were 'backend_failed'. The verdict now stands before the code. Ruled out was a delay in the nodes' settings, since it would not be the callers'.

--- a/src/passlane/bench/fleet_report.py
+++ b/src/passlane/bench/fleet_report.py
@@ -34,7 +34,7 @@
     programs, completed
         Programs that callers started, and those that came to their end.
     stopped_by
-        How many programs each code ended early.
+        How many programs each verdict and code ended early, sub-agents included.
     doubled_operations, lost_histories
         Operations that may run once and ran more often; programs whose history lacks an
         answered call or can't be read. Both are also among the ``violations``.
--- a/src/passlane/bench/fleet_run.py
+++ b/src/passlane/bench/fleet_run.py
@@ -39,7 +39,13 @@
 TOP_UP = "amre-topup"
 MUSIC_HOUSE = "music-house"
 WORKLOADS = {TOP_UP: TOP_UP_WORKLOAD, MUSIC_HOUSE: MUSIC_HOUSE_WORKLOAD}
-EXPERIMENT_SECONDS = 30.0
+CALLER_DELAYS_S = {TOP_UP: 0.003, MUSIC_HOUSE: 0.001}
+"""One-way delay between the callers of each deployment and its nodes, in seconds."""
+
+EXPERIMENT_SECONDS = 40.0
+EXPERIMENT_QUIET_S = 1.5
+"""Short, so that most kinds of disturbance come up in one run."""
+
 MUSIC_HOUSE_PAUSE_SCALE = 0.02
 MUSIC_HOUSE_TURNS_MAX = 40
 """Lessons go on for hours with pauses of minutes; the run must end."""
@@ -89,7 +95,12 @@
 
 def run_top_up(report: Path | None) -> int:
     """Run the top-up association's fleet; an experiment."""
-    return run(FleetRunOptions(EXAMPLES / TOP_UP, report=report))
+    options = FleetRunOptions(
+        EXAMPLES / TOP_UP,
+        disturbances=DisturbanceSettings(quiet_s=EXPERIMENT_QUIET_S),
+        report=report,
+    )
+    return run(options)
 
 
 def run_music_house(report: Path | None) -> int:
@@ -98,6 +109,7 @@
         EXAMPLES / MUSIC_HOUSE,
         turns_max=MUSIC_HOUSE_TURNS_MAX,
         pause_scale=MUSIC_HOUSE_PAUSE_SCALE,
+        disturbances=DisturbanceSettings(quiet_s=EXPERIMENT_QUIET_S),
         report=report,
     )
     return run(options)
@@ -133,7 +145,8 @@
     """Play the load against the running fleet, disturb it and judge it."""
     plans = list(generate_programs(options.workload, options.seed, options.seconds))
     disturber = Disturber(fleet, options.disturbances, options.seed)
-    async with process_replay_fleet(fleet) as target:
+    delay_s = CALLER_DELAYS_S[options.example.name]
+    async with process_replay_fleet(fleet, delay_s) as target:
         runner = LoadRunner(target.caller, options.pause_scale)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(disturber.run, options.seconds)
--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -21,11 +21,16 @@
 from passlane.messages.traces import FaultInjected, FaultKind
 from passlane.programs.partitions import partition_of
 from passlane.replication.client import GroupClient
-from passlane.runtime.interfaces import Environment, HttpRequest
+from passlane.runtime.delayed_network import DelayedNetwork
+from passlane.runtime.interfaces import Environment, HttpRequest, Network
+from passlane.runtime.network import TcpNetwork
 from passlane.runtime.real import build_environment
+from passlane.settings.model import SimulatedDelaySettings
 from passlane.transport.client import ConnectionPool
 
 QUERY_TIMEOUT_S = 5.0
+ZONE_OF_CALLERS = "callers"
+ZONE_OF_NODES = "nodes"
 
 
 class ProcessReplayFleet:
@@ -128,10 +133,31 @@
             return b"".join([part async for part in response.chunks()])
 
 
+def _network_of_callers(fleet: Fleet, delay_s: float) -> Network:
+    """Return a network on which all hosts with nodes are so far away."""
+    hosts = {fleet.callers_address(name).host for name in fleet.node_names()}
+    delays = SimulatedDelaySettings(
+        zone_of_host=dict.fromkeys(hosts, ZONE_OF_NODES), other_zone_s=delay_s
+    )
+    return DelayedNetwork(TcpNetwork(), ZONE_OF_CALLERS, delays)
+
+
 @asynccontextmanager
-async def process_replay_fleet(fleet: Fleet) -> AsyncIterator[ProcessReplayFleet]:
-    """Give the fleet as a replay sees it, with connections that are closed at the end."""
-    environment = build_environment(fleet.folder, seed=None)
+async def process_replay_fleet(
+    fleet: Fleet, caller_delay_s: float = 0.0
+) -> AsyncIterator[ProcessReplayFleet]:
+    """Give the fleet as a replay sees it, with connections that are closed at the end.
+
+    Parameters
+    ----------
+    fleet
+        A running fleet.
+    caller_delay_s
+        One-way delay between callers and nodes, added on the callers' side.
+    """
+    environment = build_environment(
+        fleet.folder, seed=None, network=_network_of_callers(fleet, caller_delay_s)
+    )
     pool = ConnectionPool(environment)
     store = GroupClient(pool, fleet.store_addresses(), environment.random)
     failures: list[FleetError] = []
--- a/src/passlane/emulator/load.py
+++ b/src/passlane/emulator/load.py
@@ -49,7 +49,8 @@
     latency_s
         From the moment it should have started to its last answer, without the pauses.
     stopped_by
-        Code of the error that ended the program early; empty if it came to its end.
+        Verdict and code of the error that ended the program early; empty if it came to
+        its end.
     """
 
     plan: ProgramPlan
@@ -111,7 +112,7 @@
         began = anyio.current_time()
         created = await caller.create_program(outcome.plan.program_id, parent_id)
         if not created.succeeded:
-            outcome.stopped_by = created.code or "no_answer"
+            outcome.stopped_by = _stop_reason(created)
             return
         outcome.program_id = created.answer
         paused_s = 0.0
@@ -141,10 +142,16 @@
         call.result.ended_at_s -= self._began
         outcome.calls.append(call)
         if not call.result.succeeded:
-            outcome.stopped_by = call.result.code or "no_answer"
+            outcome.stopped_by = _stop_reason(call.result)
         return call.result.succeeded
 
 
+def _stop_reason(result: CallResult) -> str:
+    """Return the verdict and the code of a call that ends its program."""
+    verdict = "no_answer" if result.verdict is None else result.verdict.value
+    return f"{verdict} {result.code}".strip()
+
+
 async def _model_call(
     caller: Caller, outcome: ProgramOutcome, sequence: int, step: ModelStep
 ) -> MadeCall:
