--- a/src/passlane/simulation/callers.py
+++ b/src/passlane/simulation/callers.py
@@ -8,8 +8,8 @@
 import anyio
 import msgspec
 
-from passlane.errors import Verdict
 from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.simulation.answer_reading import read_answer
 from passlane.simulation.event_log import EventLog
 from passlane.simulation.fleet_plan import CALLER_HOST, FleetPlan, caller_token
 from passlane.simulation.http_calls import HttpAnswer, fetch
@@ -29,9 +29,14 @@
 
 @dataclass(frozen=True)
 class CallScript:
-    """One call of a scripted program; ``pause_s`` goes before it."""
+    """One call of a scripted program; ``pause_s`` goes before it.
+
+    A call that is not ``is_named`` carries neither sequence number nor idempotency key. It
+    is sent once, since a repeat of it would be another call.
+    """
 
     is_tool: bool = False
+    is_named: bool = True
     is_streamed: bool = True
     max_tokens: int = 64
     pause_s: float = 0.2
@@ -72,7 +77,7 @@
             return None
         for sequence, call in enumerate(script.calls):
             await anyio.sleep(call.pause_s)
-            if not await self.make_call(program, sequence, call):
+            if not await self.make_call(program, sequence, call) and call.is_named:
                 break
         await self.end(program)
         return program
@@ -162,7 +167,12 @@
     async def make_call(self, program: SeenProgram, sequence: int, script: CallScript) -> bool:
         """Make one call and repeat it until it is answered; return whether it was."""
         call = self._new_call(program, sequence, script)
-        return await self._repeat_call(program, call, script)
+        if script.is_named:
+            return await self._repeat_call(program, call, script)
+        node = self._random.choice(self._plan.node_names())
+        attempt = await self._attempt(program, call, script, node)
+        self._note(call, attempt)
+        return attempt.succeeded
 
     def _new_call(self, program: SeenProgram, sequence: int, script: CallScript) -> SeenCall:
         call = SeenCall(
@@ -201,11 +211,10 @@
     ) -> SeenAttempt:
         attempt = SeenAttempt(node=node, sent_at=anyio.current_time())
         call.attempts.append(attempt)
-        headers = {
-            "passlane-program": program.program_id,
-            "passlane-sequence": str(call.sequence),
-            "idempotency-key": f"{program.program_id}-{call.sequence}",
-        }
+        headers = {"passlane-program": program.program_id}
+        if script.is_named:
+            headers["passlane-sequence"] = str(call.sequence)
+            headers["idempotency-key"] = f"{program.program_id}-{call.sequence}"
         if call.is_tool:
             path = f"/v1/tools/{call.target}"
             body: Any = {"marker": call.marker}
@@ -222,7 +231,7 @@
             program.tenant, node, "POST", path, headers, msgspec.json.encode(body)
         )
         attempt.ended_at = anyio.current_time()
-        _read_answer(attempt, answer, is_tool=call.is_tool, is_streamed=script.is_streamed)
+        read_answer(attempt, answer, is_tool=call.is_tool, is_streamed=script.is_streamed)
         return attempt
 
     async def end(self, program: SeenProgram) -> None:
@@ -253,51 +262,3 @@
     """Whether the last answers say that the call's outcome will not change any more."""
     last = call.attempts[-1]
     return (last.status in FINAL_STATUSES and last.is_whole) or call.is_left_in_doubt
-
-
-def _read_answer(
-    attempt: SeenAttempt, answer: HttpAnswer, *, is_tool: bool, is_streamed: bool
-) -> None:
-    attempt.status = answer.status
-    attempt.connected = answer.connected
-    if not answer.is_whole:
-        return
-    if answer.status != 200:
-        _read_problem(attempt, msgspec.json.decode(answer.body or b"{}"))
-        attempt.is_whole = True
-        return
-    if is_tool:
-        attempt.text = msgspec.json.encode(msgspec.json.decode(answer.body)["result"]).decode()
-        attempt.is_whole = True
-    elif is_streamed:
-        _read_events(attempt, answer.body)
-    else:
-        choice = msgspec.json.decode(answer.body)["choices"][0]
-        attempt.text = choice["message"]["content"]
-        attempt.is_whole = True
-
-
-def _read_problem(attempt: SeenAttempt, problem: dict[str, Any]) -> None:
-    attempt.code = problem.get("code", "")
-    attempt.verdict = Verdict(problem["verdict"]) if "verdict" in problem else None
-    attempt.retry_after_s = problem.get("retry_after_s")
-
-
-def _read_events(attempt: SeenAttempt, body: bytes) -> None:
-    """Read server-sent events; the answer is whole if its last chunk and end are there."""
-    parts: list[str] = []
-    has_end = False
-    for line in body.split(b"\n"):
-        if not line.startswith(b"data: ") or line == b"data: [DONE]":
-            continue
-        event = msgspec.json.decode(line.removeprefix(b"data: "))
-        if "error" in event:
-            _read_problem(attempt, event["error"])
-            attempt.status = event["error"].get("status")
-            attempt.is_whole = True
-            return
-        choice = event["choices"][0]
-        parts.append(choice["delta"].get("content") or "")
-        has_end = has_end or choice["finish_reason"] is not None
-    attempt.text = "".join(parts)
-    attempt.is_whole = has_end and b"data: [DONE]" in body
--- a/src/passlane/simulation/network.py
+++ b/src/passlane/simulation/network.py
@@ -5,24 +5,19 @@
 its way. Each process sees the network through a ``HostNetwork`` of its own.
 """
 
-import math
 import random
-from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
 
 import anyio
 import anyio.lowlevel
-import trio
 from anyio.abc import ByteStream, TaskGroup
 
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import ConnectionHandler
 from passlane.simulation.event_log import EventLog
+from passlane.simulation.streams import Pipe, SimulatedStream
 
-PIPE_BYTES = 262_144
-"""Bytes on their way in one direction before a sender has to wait."""
 JITTER_FRACTION = 0.2
 
 
@@ -42,143 +37,14 @@
         return self.same_zone_s if same else self.other_zone_s
 
 
-class _Pipe:
-    """One direction of a connection."""
-
-    def __init__(self, network: "SimulatedNetwork", source: str, destination: str) -> None:
-        self._network = network
-        self.source = source
-        self.destination = destination
-        self._parts: deque[tuple[float, bytes]] = deque()
-        self._bytes = 0
-        self._last_arrival = 0.0
-        self._space_made = anyio.Event()
-        self._waiting_receiver: anyio.CancelScope | None = None
-        self._is_finished = False
-        self._is_broken = False
-
-    def wake(self) -> None:
-        """Let waiting ends look again."""
-        self._space_made.set()
-        self._space_made = anyio.Event()
-        self._wake_receiver_at(-math.inf)
-
-    def _wake_receiver_at(self, time: float) -> None:
-        """Let the receiver look at ``time``, unless it does so earlier anyway."""
-        scope = self._waiting_receiver
-        if scope is not None and time < scope.deadline:
-            scope.deadline = time
-
-    def break_off(self) -> None:
-        """Lose what is on its way; both ends see a broken connection."""
-        self._is_broken = True
-        self._parts.clear()
-        self.wake()
-
-    def finish(self) -> None:
-        """End the stream after what was sent."""
-        self._is_finished = True
-        self.wake()
-
-    async def send(self, data: bytes) -> None:
-        while self._bytes > PIPE_BYTES and not self._is_broken:
-            await self._space_made.wait()
-        if self._is_broken or self._is_finished:
-            raise anyio.BrokenResourceError
-        self._network.note_send(self.source, self.destination, len(data))
-        arrival = anyio.current_time() + self._network.draw_delay(self.source, self.destination)
-        self._last_arrival = max(self._last_arrival, arrival)
-        self._parts.append((self._last_arrival, bytes(data)))
-        self._bytes += len(data)
-        if not self._network.is_blocked(self.source, self.destination):
-            self._wake_receiver_at(self._parts[0][0])
-
-    async def receive(self, max_bytes: int) -> bytes:
-        while True:
-            if self._is_broken:
-                raise anyio.BrokenResourceError
-            wait_s = self._wait_s()
-            if wait_s <= 0.0:
-                return self._take(max_bytes)
-            with anyio.CancelScope(deadline=anyio.current_time() + wait_s) as scope:
-                self._waiting_receiver = scope
-                try:
-                    # Simulations run on trio; anyio's own would open another scope.
-                    await trio.sleep_forever()
-                finally:
-                    self._waiting_receiver = None
-
-    def _wait_s(self) -> float:
-        """Return how long to wait for the next part; infinite until something changes."""
-        if self._network.is_blocked(self.source, self.destination):
-            return math.inf
-        if self._parts:
-            return self._parts[0][0] - anyio.current_time()
-        return 0.0 if self._is_finished else math.inf
-
-    def _take(self, max_bytes: int) -> bytes:
-        if not self._parts:
-            raise anyio.EndOfStream
-        arrival, part = self._parts.popleft()
-        if len(part) > max_bytes:
-            self._parts.appendleft((arrival, part[max_bytes:]))
-            part = part[:max_bytes]
-        self._bytes -= len(part)
-        if self._bytes <= PIPE_BYTES:
-            self._space_made.set()
-            self._space_made = anyio.Event()
-        return part
-
-
-class SimulatedStream(ByteStream):
-    """One end of a simulated connection."""
-
-    def __init__(self, connection: "_Connection", incoming: _Pipe, outgoing: _Pipe) -> None:
-        self._connection = connection
-        self._incoming = incoming
-        self._outgoing = outgoing
-        self._is_closed = False
-
-    async def receive(self, max_bytes: int = 65_536) -> bytes:
-        """Return bytes that arrived; see ``anyio.abc.ByteStream``."""
-        await anyio.lowlevel.checkpoint_if_cancelled()
-        if self._is_closed:
-            raise anyio.ClosedResourceError
-        return await self._incoming.receive(max_bytes)
-
-    async def send(self, item: bytes) -> None:
-        """Send bytes; see ``anyio.abc.ByteStream``."""
-        await anyio.lowlevel.checkpoint_if_cancelled()
-        if self._is_closed:
-            raise anyio.ClosedResourceError
-        await self._outgoing.send(item)
-
-    async def send_eof(self) -> None:
-        """End the outgoing direction."""
-        self._outgoing.finish()
-
-    async def aclose(self) -> None:
-        """Close both directions; what was sent still arrives."""
-        if not self._is_closed:
-            self._is_closed = True
-            self._outgoing.finish()
-            self._incoming.break_off()
-        await anyio.lowlevel.checkpoint()
-
-    @property
-    def extra_attributes(self) -> Mapping[Any, Callable[[], Any]]:
-        """Return no extra attributes."""
-        return {}
-
-
 class _Connection:
     """A connection between two hosts."""
 
     def __init__(self, network: "SimulatedNetwork", client: str, server: str) -> None:
         self.hosts = frozenset({client, server})
-        self.pipes = (_Pipe(network, client, server), _Pipe(network, server, client))
-        self.client_end = SimulatedStream(self, self.pipes[1], self.pipes[0])
-        self.server_end = SimulatedStream(self, self.pipes[0], self.pipes[1])
+        self.pipes = (Pipe(network, client, server), Pipe(network, server, client))
+        self.client_end = SimulatedStream(self.pipes[1], self.pipes[0])
+        self.server_end = SimulatedStream(self.pipes[0], self.pipes[1])
 
     def break_off(self) -> None:
         for pipe in self.pipes:
--- a/src/passlane/simulation/scenarios/nodes.py
+++ b/src/passlane/simulation/scenarios/nodes.py
@@ -7,6 +7,8 @@
 from passlane.simulation.fleet_plan import FleetPlan
 from passlane.simulation.scenarios.base import Scenario, load, pause
 
+UNNAMED_CALLS = 16
+
 
 async def undisturbed(cluster: Cluster) -> None:
     """Run the load and nothing else."""
@@ -101,6 +103,29 @@
             await cluster.wait_ready([name])
 
 
+async def unnamed_calls(cluster: Cluster) -> None:
+    """Send calls without numbers or keys while nodes are cut off from the store or die."""
+    calls = [
+        CallScript(is_tool=place % 2 == 1, is_named=False, max_tokens=32, pause_s=0.2)
+        for place in range(UNNAMED_CALLS)
+    ]
+    stores = {cluster.plan.host_of(store) for store in cluster.plan.store_names()}
+    async with anyio.create_task_group() as tasks:
+        for number in range(6):
+            script = ProgramScript(cluster.plan.tenants[number % 2], calls)
+            tasks.start_soon(cluster.callers.run_program, f"unnamed-{number}", script)
+        for _ in range(2):
+            await pause(cluster, 0.3, 1.5)
+            cut, killed = cluster.random.sample(cluster.plan.node_names(), 2)
+            cluster.event_log.record("cut", f"{cut} from the store")
+            cluster.network.cut({cluster.plan.host_of(cut)}, stores)
+            await pause(cluster, 0.5, 4.0)
+            cluster.processes[killed].kill(in_silence=cluster.random.random() < 0.5)
+            await pause(cluster, 0.0, 2.0)
+            cluster.heal()
+            cluster.start_process(killed)
+
+
 async def zone_lost(cluster: Cluster) -> None:
     """Lose every machine of one zone at once and get them back later."""
     zone = cluster.random.choice(cluster.plan.zones)
@@ -163,6 +188,13 @@
         "every process is restarted as planned, one after another",
         rolling_restart,
     ),
+    Scenario(
+        "unnamed-calls",
+        ("not-run", "order"),
+        "callers give no keys, while nodes are cut off from the store or die",
+        unnamed_calls,
+        must_answer=0.3,
+    ),
     Scenario(
         "zone-lost",
         ("history", "answers"),
