Connections close their iterator of frames themselves

When a connection's reader was cancelled, its iterator of frames was left to the garbage collector, which warned of it and closed it later. Both ends now close it where they use it. The same was tried for the body of HTTP answers and taken back: httpcore leaves iterators of its own behind, so the warnings stayed, and its type says nothing of closing.

--- a/src/passlane/transport/channel.py
+++ b/src/passlane/transport/channel.py
@@ -1,7 +1,7 @@
 """Frames over one byte stream: a queue of outgoing frames and an iterator of incoming ones."""
 
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import anyio
 from anyio.abc import ByteStream
@@ -83,7 +83,7 @@
             self._queue_lowered = anyio.Event()
         return b"".join(parts)
 
-    async def frames(self) -> AsyncIterator[Frame]:
+    async def frames(self) -> AsyncGenerator[Frame, None]:
         """Yield incoming frames until the other side ends the connection.
 
         Raises
--- a/src/passlane/transport/client_connection.py
+++ b/src/passlane/transport/client_connection.py
@@ -3,7 +3,7 @@
 import itertools
 import math
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 
 import anyio
 import msgspec
@@ -103,9 +103,10 @@
 
     async def _read(self) -> None:
         try:
-            async for frame in self._channel.frames():
-                self._sent_since_receipt = False
-                self._receive(frame)
+            async with aclosing(self._channel.frames()) as frames:
+                async for frame in frames:
+                    self._sent_since_receipt = False
+                    self._receive(frame)
         except PasslaneError as error:
             _log.warning("connection_closed", code=error.code.value, reason=error.message)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
--- a/src/passlane/transport/server_connection.py
+++ b/src/passlane/transport/server_connection.py
@@ -64,8 +64,9 @@
 
     async def _read(self, tasks: TaskGroup) -> None:
         try:
-            async for frame in self._channel.frames():
-                self._receive(frame, tasks)
+            async with aclosing(self._channel.frames()) as frames:
+                async for frame in frames:
+                    self._receive(frame, tasks)
         except PasslaneError as error:
             _log.warning("connection_closed", code=error.code.value, reason=error.message)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
