--- a/src/passlane/simulation/defects/back_ends.py
+++ b/src/passlane/simulation/defects/back_ends.py
@@ -41,7 +41,7 @@
         "stop-without-drain",
         "planned-stop",
         "planned-stop",
-        2,
+        3,
         "a node that is stopped ends at once",
         replacing(Replacement(Daemon, "drain_and_stop", _stop_at_once)),
     ),
--- a/src/passlane/simulation/defects/programs.py
+++ b/src/passlane/simulation/defects/programs.py
@@ -7,6 +7,7 @@
 from passlane.node.release_loop import PendingRelease, ReleaseLoop
 from passlane.programs.call_instructions import CallInstruction
 from passlane.programs.call_machine import CallMachine
+from passlane.programs.call_outcomes import failed_outcome
 from passlane.programs.program_queue import BeginQueuedCall, ProgramQueue, QueueInstruction
 from passlane.simulation.cluster import ClusterOptions
 from passlane.simulation.defects.base import Defect, replacing
@@ -17,7 +18,7 @@
 UNSYNCED_BYTES = 2_000
 """So many of the newest bytes are not durable although a sync was reported."""
 
-_ran = CallMachine._ran
+_record = CallMachine._record
 
 
 def _begin_newest_call(queue: ProgramQueue, now: float) -> list[QueueInstruction]:
@@ -34,19 +35,19 @@
     return True
 
 
-def _answer_without_last_token(machine: CallMachine, body: str) -> CallOutcome:
-    """Return the outcome with the last word of a model's answer missing."""
-    whole = _ran(machine, body)
-    if not machine.texts:
-        return whole
-    kept = "".join(machine.texts[:-1])
-    return CallOutcome(verdict=whole.verdict, body=kept, spent=whole.spent)
+def _record_without_last_token(machine: CallMachine, outcome: CallOutcome) -> list[CallInstruction]:
+    """Record an outcome with the last word of a model's answer missing."""
+    if outcome.verdict is Verdict.RAN and machine.texts:
+        kept = "".join(machine.texts[:-1])
+        outcome = CallOutcome(verdict=outcome.verdict, body=kept, spent=outcome.spent)
+    return _record(machine, outcome)
 
 
 def _record_doubt_as_not_run(machine: CallMachine) -> list[CallInstruction]:
-    """Record of an operation that may have run that it did not."""
+    """Record of an operation that may have run that it did not, without asking."""
     message = "the operation is taken as not run"
-    return machine._record(machine._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message))
+    outcome = failed_outcome(machine.plan, Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message)
+    return machine._record(outcome)
 
 
 def _repeat_after_doubt(_machine: CallMachine) -> bool:
@@ -122,7 +123,7 @@
         "undisturbed",
         0,
         "the recorded answer lacks its last token",
-        replacing(Replacement(CallMachine, "_ran", _answer_without_last_token)),
+        replacing(Replacement(CallMachine, "_record", _record_without_last_token)),
     ),
     Defect(
         "doubt-recorded-as-not-run",
@@ -130,7 +131,7 @@
         "hung-tool",
         0,
         "a charge without an answer is recorded as not run",
-        replacing(Replacement(CallMachine, "_record_doubt", _record_doubt_as_not_run)),
+        replacing(Replacement(CallMachine, "_resolve_doubt", _record_doubt_as_not_run)),
     ),
     Defect(
         "doubtful-charge-repeated",
