--- a/src/passlane/bench/process_replay.py
+++ b/src/passlane/bench/process_replay.py
@@ -7,8 +7,9 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from passlane.bench.fleet import Fleet, FleetError
+from passlane.bench.fleet import Fleet
 from passlane.bench.fleet_files import ProcessKind
+from passlane.bench.fleet_process import FleetError
 from passlane.emulator.application_app import ForcedBehaviour
 from passlane.emulator.caller import Caller
 from passlane.emulator.engine_app import EngineQuiet
@@ -55,7 +56,7 @@
                     await self._request("POST", address, "/v1/test/restart")
             case FaultKind.DISTURB_TOOL:
                 # Which application has the tool does not matter: the others never see it.
-                forced = ForcedBehaviour(fault.target, fault.behaviour)
+                forced = ForcedBehaviour(fault.target, fault.behaviour, program_id)
                 for address in self._addresses(ProcessKind.APPLICATION):
                     await self._request("POST", address, "/v1/test/behaviour", forced)
             case FaultKind.ENGINE_LEAVES:
@@ -133,7 +134,14 @@
     environment = build_environment(fleet.folder, seed=None)
     pool = ConnectionPool(environment)
     store = GroupClient(pool, fleet.store_addresses(), environment.random)
+    failures: list[FleetError] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(pool.run)
-        yield ProcessReplayFleet(fleet, environment, store, tasks)
+        try:
+            yield ProcessReplayFleet(fleet, environment, store, tasks)
+        except FleetError as error:
+            # Raised below, outside the group, for callers that catch it by its type.
+            failures.append(error)
         tasks.cancel_scope.cancel()
+    if failures:
+        raise failures[0]
--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -44,6 +44,18 @@
         "run_all",
         "program latency and wasted cache against three baselines, all scenarios",
     ),
+    Experiment(
+        "scheduling-topup",
+        "passlane.bench.scheduling",
+        "run_top_up",
+        "the same for the top-up association alone",
+    ),
+    Experiment(
+        "scheduling-music-house",
+        "passlane.bench.scheduling",
+        "run_music_house",
+        "the same for the music house alone",
+    ),
     Experiment(
         "scheduling-quick",
         "passlane.bench.scheduling",
@@ -60,7 +72,19 @@
         "scheduler-cost",
         "passlane.bench.scheduler_cost",
         "run",
-        "processor time of the scheduler per call, by calls queued and engines watched",
+        "processor time of the scheduler per call, by calls queued, engines and tenants",
+    ),
+    Experiment(
+        "watched-subset",
+        "passlane.bench.watched_subset",
+        "run",
+        "program latency by how many of 48 engines each of 16 nodes watches",
+    ),
+    Experiment(
+        "scheduler-memory",
+        "passlane.bench.scheduler_memory",
+        "run",
+        "memory of the scheduler per engine watched, program and tenant",
     ),
     Experiment(
         "storage",
@@ -74,12 +98,24 @@
         "run_states",
         "time, stalls of the loop and memory of a snapshot, by the size of the state",
     ),
+    Experiment(
+        "storage-costs",
+        "passlane.bench.storage_costs",
+        "run",
+        "processor time, disk and memory of an append at leader and follower",
+    ),
     Experiment(
         "configuration",
         "passlane.bench.configuration",
         "run",
         "bytes, processor time and memory of changes and documents, over documents",
     ),
+    Experiment(
+        "transport",
+        "passlane.bench.transport",
+        "run",
+        "processor time and bytes of messages between processes, by their size",
+    ),
     Experiment(
         "engine-polling",
         "passlane.bench.engine_polling",
@@ -98,6 +134,12 @@
         "run",
         "time until a change is in force on 400 nodes, with nodes lost, frozen and cut off",
     ),
+    Experiment(
+        "handover",
+        "passlane.bench.handover",
+        "run",
+        "pause of calls when a node stops or dies: refused, asked again, or held",
+    ),
     Experiment(
         "membership",
         "passlane.bench.membership",
@@ -110,6 +152,42 @@
         "run",
         "processor time of store commands, memory of records, snapshots",
     ),
+    Experiment(
+        "fleet-amre",
+        "passlane.bench.fleet_run",
+        "run_top_up",
+        "the top-up association's processes under load, kills, freezes and restarts",
+    ),
+    Experiment(
+        "fleet-music",
+        "passlane.bench.fleet_run",
+        "run_music_house",
+        "the music house's processes under load, kills, freezes and restarts",
+    ),
+    Experiment(
+        "raft-failover",
+        "passlane.bench.raft_failover",
+        "run",
+        "time without a leader after a loss, and until a lost replica votes again",
+    ),
+    Experiment(
+        "raft-cost",
+        "passlane.bench.raft_cost",
+        "run",
+        "processor time, messages and bytes of an appended command, by group size",
+    ),
+    Experiment(
+        "idle-fleet",
+        "passlane.bench.idle_fleet",
+        "run",
+        "memory and processor time of real daemons without work, by their roles",
+    ),
+    Experiment(
+        "capacity",
+        "passlane.bench.capacity.experiment",
+        "run",
+        "what each role needs at the design size, worked out from measured slopes",
+    ),
 )
 
 
--- a/src/passlane/control/machine.py
+++ b/src/passlane/control/machine.py
@@ -12,7 +12,7 @@
 from passlane.configuration.ledger import ConfigurationLedger
 from passlane.configuration.parsing import check_name, parse_body, parse_kind
 from passlane.configuration.references import ReferenceIndex
-from passlane.control.keys import (
+from passlane.control.idempotency import (
     RETAINED_KEYS,
     IdempotencyTable,
     KeyedCommand,
@@ -172,6 +172,7 @@
                 name=command.name,
                 current_version=current_version,
                 current=newest if exists else None,
+                accepted_revision=self.ledger.accepted_revision,
             )
         if command.body is None and not exists:
             raise PasslaneError(ErrorCode.NOT_FOUND, "there is no such document")
--- a/src/passlane/emulator/replayer.py
+++ b/src/passlane/emulator/replayer.py
@@ -12,7 +12,8 @@
 import anyio
 import msgspec
 
-from passlane.emulator.caller import Caller, CallResult
+from passlane.emulator.caller import Caller
+from passlane.emulator.caller_answers import CallResult
 from passlane.emulator.replay_outcomes import (
     BackEndRecords,
     CallResults,
@@ -217,7 +218,7 @@
     async def _create(self, line: int, action: ProgramCreated) -> None:
         """Start a program and keep the id that it gets."""
         caller = self._fleet.caller(action.tenant)
-        parent_id = None if action.parent is None else self._ids[action.parent]
+        parent_id = None if action.parent is None else self._ids.get(action.parent)
         result = await caller.create_program(action.program, parent_id, action.budget)
         self._expect_success(line, result)
         self._ids[action.program] = result.answer
--- a/src/passlane/emulator/simulated_replay.py
+++ b/src/passlane/emulator/simulated_replay.py
@@ -111,7 +111,8 @@
                 for engine in self._engines:
                     engine.restart()
             case FaultKind.DISTURB_TOOL:
-                self._application_with(fault.target).force(fault.behaviour, fault.target)
+                application = self._application_with(fault.target)
+                application.force(fault.behaviour, fault.target, program_id)
             case FaultKind.ENGINE_LEAVES:
                 for platform in self._platforms:
                     platform.mark_leaving(fault.target, LEAVES_IN_S, anyio.current_time())
@@ -131,6 +132,14 @@
         """Return the seconds since an engine's last request; ``None`` if it got none."""
         return next(service.quiet_s() for service in self._engines if service.engine_id == engine)
 
+    def node_files(self, folder: str) -> dict[str, bytes]:
+        """Return what the nodes' disks hold in a folder, by file name."""
+        return {
+            name: node.disk.read(f"{folder}/{name}")
+            for node in self._nodes()
+            for name in node.disk.list_files(folder)
+        }
+
     # Life of the fleet.
 
     async def start(self) -> None:
--- a/src/passlane/node/call_set_up.py
+++ b/src/passlane/node/call_set_up.py
@@ -61,6 +61,7 @@
         service_class=decision.service_class,
         weight=decision.weight,
         excluded=_engines_to_exclude(services, plan.target, failed),
+        is_sub_agent=program.parent_id is not None,
     )
 
 
--- a/src/passlane/node/housekeeping.py
+++ b/src/passlane/node/housekeeping.py
@@ -25,6 +25,7 @@
             await anyio.sleep(INTERVAL_S)
             now = anyio.current_time()
             self._core.directory.drop_idle(now)
+            self._core.leader.forget_arrived()
             self._report_policy_problems()
             self._end_late_programs(now)
 
--- a/src/passlane/raft/replication.py
+++ b/src/passlane/raft/replication.py
@@ -8,6 +8,7 @@
     SnapshotReply,
     SnapshotRequest,
 )
+from passlane.raft.instructions import SendSnapshotChunk
 from passlane.raft.membership import is_quorum, voters_of
 from passlane.raft.progress import FollowerProgress, ReplicationMode, SnapshotTransfer
 from passlane.raft.state import ReplicaState
@@ -130,13 +131,15 @@
 
     def _majority_index(self) -> int:
         state = self._state
-        synced = [
-            state.log.synced_index if voter == state.own_id else self.followers[voter].synced_index
-            for voter in voters_of(state.membership)
-        ]
+        synced = [self._synced_index_of(voter) for voter in voters_of(state.membership)]
         synced.sort(reverse=True)
         return synced[len(synced) // 2] if synced else 0
 
+    def _synced_index_of(self, voter: ReplicaId) -> int:
+        if voter == self._state.own_id:
+            return self._state.log.synced_index
+        return self.followers[voter].synced_index
+
     def _has_room(self, progress: FollowerProgress) -> bool:
         return (
             progress.mode is ReplicationMode.PIPELINE
@@ -223,7 +226,7 @@
             last_term=snapshot.last_term,
             membership=snapshot.membership,
             offset=transfer.next_offset,
-            data=snapshot.data[transfer.next_offset : end],
+            data=b"",
             is_last=end >= len(snapshot.data),
         )
-        state.send(progress.address, request)
+        state.emit(SendSnapshotChunk(progress.address, request, snapshot.data, end))
--- a/tests/membership/lease_simulation.py
+++ b/tests/membership/lease_simulation.py
@@ -79,6 +79,7 @@
     seed: int
     has_faults: bool = True
     has_barrier: bool = True
+    settings: MembershipSettings | None = None
     now: float = 0.0
     term: int = 0
     leader: StoreReplica | None = None
@@ -87,7 +88,8 @@
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
-        self.settings = UNDAMPED if self.seed % 2 else SETTINGS
+        if self.settings is None:
+            self.settings = UNDAMPED if self.seed % 2 else SETTINGS
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order: Iterator[int] = itertools.count()
         self.recorded = AssignmentTable()
@@ -140,6 +142,7 @@
         new = self.random.choice([replica for replica in self.replicas if replica is not old])
         new.term = self.term
         new.proposal = ()
+        assert self.settings is not None
         new.table = LeaseTable(self.settings, self.recorded.all(), new.clock.at(self.now))
         self.leader = new
         self.later(0.1, lambda: self._plan(new, new.term))
@@ -252,13 +255,6 @@
 
     # What is observed.
 
-    def leaders_of(self, partition: Partition) -> list[str]:
-        return [
-            node.life
-            for node in self.nodes.values()
-            if node.is_alive and node.lease.epoch_of(partition, node.clock.at(self.now)) is not None
-        ]
-
     def loads(self) -> list[int]:
         now = self.now
         return sorted(
@@ -267,7 +263,12 @@
         )
 
     def _check(self) -> None:
-        for partition in map(Partition, range(PARTITIONS)):
-            leaders = self.leaders_of(partition)
-            if len(leaders) > 1:
-                self.problems.append(f"{self.now}: {leaders} lead partition {partition}")
+        leaders: dict[Partition, list[str]] = {}
+        for node in self.nodes.values():
+            if not node.is_alive or not node.lease.is_valid(node.clock.at(self.now)):
+                continue
+            for partition in node.lease.led_partitions:
+                leaders.setdefault(partition, []).append(node.life)
+        for partition, lives in leaders.items():
+            if len(lives) > 1:
+                self.problems.append(f"{self.now}: {lives} lead partition {partition}")
--- a/tests/raft/replicas.py
+++ b/tests/raft/replicas.py
@@ -25,7 +25,7 @@
     MessageReceived,
     TimeAdvanced,
 )
-from passlane.raft.instructions import Instruction, SendMessage
+from passlane.raft.instructions import Instruction, SendMessage, SendSnapshotChunk
 from passlane.raft.replica import Replica
 
 GROUP = "tested"
@@ -60,7 +60,8 @@
         log: Sequence[LogEntry] = (),
         replica_id: ReplicaId = A,
         max_batch_bytes: int = 1_000_000,
-        trailing_entries: int = 0,
+        max_in_flight_batches: int = 16,
+        snapshot_chunk_bytes: int = 1_000,
     ) -> None:
         config = ReplicaConfig(
             group=GROUP,
@@ -68,7 +69,9 @@
             address=ADDRESSES[replica_id],
             election_timeout_s=ELECTION_TIMEOUT_S,
             max_batch_bytes=max_batch_bytes,
-            trailing_entries=trailing_entries,
+            max_in_flight_batches=max_in_flight_batches,
+            snapshot_chunk_bytes=snapshot_chunk_bytes,
+            trailing_entries=0,
         )
         self.now = 0.0
         self.replica = Replica(
@@ -233,9 +236,18 @@
     return [instruction for instruction in instructions if isinstance(instruction, kind)]
 
 
+def with_chunk(instruction: Instruction) -> Instruction:
+    """Read the chunk of a snapshot that is to be sent, as the shell does."""
+    return instruction.read() if isinstance(instruction, SendSnapshotChunk) else instruction
+
+
 def sent(kind: type[T], instructions: Iterable[Instruction]) -> list[T]:
     """Return the messages of one kind that the instructions send."""
-    messages = [instruction.message for instruction in of_kind(SendMessage, instructions)]
+    messages = [
+        instruction.message
+        for instruction in map(with_chunk, instructions)
+        if isinstance(instruction, SendMessage)
+    ]
     return [message for message in messages if isinstance(message, kind)]
 
 
