A refusal is counted once, also when its receiver raises it

The callers' interface raises the refusal that it is given as the last event, and the forwarder counted that exception again: one wrong sequence number showed as two refusals in passlane_refusals_total of a running fleet. The forwarder counts an exception only when no last event has come. The new test fails without the change.

--- a/src/passlane/node/forwarder.py
+++ b/src/passlane/node/forwarder.py
@@ -95,10 +95,13 @@
         PasslaneError
             When it was refused, or no leader was found; the verdict covers all tries.
         """
+        progress = _Progress(request, emit, self._reports)
         try:
-            await self._run_to_end(request, _Progress(request, emit, self._reports))
+            await self._run_to_end(request, progress)
         except PasslaneError as error:
-            self._reports.publish_refusal(error.code, error.verdict)
+            # A refusal that came as the last event has been counted.
+            if not progress.is_over:
+                self._reports.publish_refusal(error.code, error.verdict)
             raise
 
     async def _run_to_end(self, request: CallRequest, progress: "_Progress") -> None:
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -217,7 +217,13 @@
             return self._on_attempt_failed(failure)
         self._usage = event
         body = event.body if self.plan.kind is CallKind.TOOL else "".join(self.texts)
-        return self._record(ran_outcome(self.plan, body, len(self.texts)))
+        return self._record(self._ran(body))
+
+    def _ran(self, body: str) -> CallOutcome:
+        return ran_outcome(self.plan, body, len(self.texts))
+
+    def _failed(self, verdict: Verdict, code: ErrorCode, message: str) -> CallOutcome:
+        return failed_outcome(self.plan, verdict, code, message)
 
     def _on_attempt_failed(self, event: AttemptFailed) -> list[CallInstruction]:
         if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
@@ -232,7 +238,7 @@
         if event.is_final:
             # The rejection speaks for its own attempt only.
             verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else event.verdict
-            return self._record(failed_outcome(self.plan, verdict, event.code, event.message))
+            return self._record(self._failed(verdict, event.code, event.message))
         if self.attempts >= MAX_ATTEMPTS or not event.retry_allowed:
             retry_after_s = event.retry_after_s or COME_BACK_AFTER_S
             return self._refuse(event.code, event.message, retry_after_s)
@@ -269,25 +275,21 @@
     def _record_doubt(self) -> list[CallInstruction]:
         code = self._last_failure.code if self._last_failure else ErrorCode.BACKEND_FAILED
         message = "the operation may have run and is not sent again"
-        return self._record(failed_outcome(self.plan, Verdict.MAY_HAVE_RUN, code, message))
+        return self._record(self._failed(Verdict.MAY_HAVE_RUN, code, message))
 
     def _on_status(self, event: StatusReceived) -> list[CallInstruction]:
         if self.phase is not CallPhase.ASKING_STATUS:
             return []
         match event.state:
             case OperationState.DONE:
-                return self._record(ran_outcome(self.plan, event.result, 0))
+                return self._record(self._ran(event.result))
             case OperationState.REJECTED:
                 message = event.result or "the application rejected the operation"
-                outcome = failed_outcome(
-                    self.plan, Verdict.NOT_RUN, ErrorCode.BACKEND_REFUSED, message
-                )
+                outcome = self._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_REFUSED, message)
                 return self._record(outcome)
             case OperationState.UNKNOWN:
                 message = "the application never ran the operation and no longer will"
-                outcome = failed_outcome(
-                    self.plan, Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message
-                )
+                outcome = self._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message)
                 return self._record(outcome)
             case _:
                 return self._resolve_doubt()
--- a/tests/node/test_policies_and_limits.py
+++ b/tests/node/test_policies_and_limits.py
@@ -7,10 +7,10 @@
 
 from node.nodes import PROGRAM, Answer, Fleet, charge, chat, in_fleet, whole_text
 from passlane.configuration.documents import PolicyBody, ServiceBody
-from passlane.errors import ErrorCode, Verdict
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.common import Amounts
-from passlane.messages.node import ExplainProgram, ProgramExplanation
+from passlane.messages.node import CallEvent, CallRefused, ExplainProgram, ProgramExplanation
 from passlane.messages.store import ProgramRecord, ProgramState
 from passlane.node.housekeeping import INTERVAL_S, Housekeeping
 from passlane.node.node_metrics import NodeMetrics
@@ -249,6 +249,22 @@
 
         in_fleet(scenario)
 
+    def test_refusal_that_its_receiver_raises_is_counted_once(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            metrics = watch_metrics(fleet)
+
+            async def emit(event: CallEvent) -> None:
+                if isinstance(event, CallRefused):
+                    raise PasslaneError(event.code, event.message, verdict=event.verdict)
+
+            early = chat(sequence=9, is_named=True)
+            with self.assertRaises(PasslaneError):
+                await fleet.nodes[0].forwarder.run_call(early, emit)
+            refusals = 'refusals_total{code="wrong_sequence",verdict="not_run"}'
+            self.assertEqual(value(metrics, refusals), 1.0)
+
+        in_fleet(scenario)
+
     def test_calls_that_wait_for_an_engine_are_shown(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             metrics = watch_metrics(fleet)
