passlane programs explain: ask a program's leader why its last call ran where it did

The node could explain a program, but no operator could ask: the question had no route and no command. Any process now finds the leader in the store's assignments and asks it; the command prints engine, reason and policy. policy explain, which takes a tenant and explains its policy without any program, stays as it is.

--- a/src/passlane/api/operators.py
+++ b/src/passlane/api/operators.py
@@ -22,6 +22,7 @@
     send_response,
 )
 from passlane.api.document_routes import OK, DocumentRoutes, Handler
+from passlane.api.explanation_routes import ExplanationRoutes
 from passlane.api.groups import GroupExecutor, NamedGroup
 from passlane.api.operator_problems import problem_response
 from passlane.api.operator_views import SystemStatus, replica_views
@@ -41,6 +42,7 @@
 )
 from passlane.observability.logging import get_logger
 from passlane.settings.model import Settings
+from passlane.transport.interfaces import Caller
 
 MAX_BODY_BYTES = 1_000_000
 STORE_TIMEOUT_S = 5.0
@@ -66,6 +68,7 @@
     ring: LogRing,
     random: random_module.Random,
     calls_in_flight: Callable[[], int] | None = None,
+    caller: Caller | None = None,
 ) -> "OperatorApplication":
     """Return the ASGI application for operators.
 
@@ -79,12 +82,16 @@
         Source of idempotency keys for changes that come without one.
     calls_in_flight
         Number of calls that this process has in flight, if it is a node.
+    caller
+        Connections to the nodes, which explain programs; without it nothing is explained.
     """
     control = NamedGroup("control group", control)
     store = NamedGroup("store group", store)
     router: PathRouter[Handler] = PathRouter()
     DocumentRoutes(control, random).add_to(router)
     StatusRoutes(settings, control, store, ring, calls_in_flight).add_to(router)
+    if caller is not None:
+        ExplanationRoutes(store, caller).add_to(router)
     return OperatorApplication(settings, router)
 
 
--- a/src/passlane/cli/client.py
+++ b/src/passlane/cli/client.py
@@ -14,6 +14,7 @@
 from passlane.identifiers import Revision
 from passlane.messages.common import Address
 from passlane.messages.control import Progress
+from passlane.messages.node import ProgramExplanation
 from passlane.messages.store import ProgramList, ProgramRecord
 from passlane.runtime.interfaces import HttpClient, HttpConnectionError, HttpRequest
 
@@ -90,6 +91,11 @@
         """Return the record of a program."""
         return await self._get(f"/v1/programs/{quote(program_id, safe='')}", ProgramRecord)
 
+    async def explain_program(self, program_id: str) -> ProgramExplanation:
+        """Return what the program's leader says of its last model call."""
+        path = f"/v1/programs/{quote(program_id, safe='')}/explanation"
+        return await self._get(path, ProgramExplanation)
+
     async def read_log(self, lines: int) -> list[dict[str, Any]]:
         """Return the newest lines of the server's log."""
         return await self._get(f"/v1/log?lines={lines}", list[dict[str, Any]])
--- a/src/passlane/cli/main.py
+++ b/src/passlane/cli/main.py
@@ -14,7 +14,11 @@
 from passlane.cli.log import LogCommand
 from passlane.cli.policies import PolicyCheckCommand
 from passlane.cli.policy_explain import PolicyExplainCommand
-from passlane.cli.programs import ProgramsListCommand, ProgramsShowCommand
+from passlane.cli.programs import (
+    ProgramsExplainCommand,
+    ProgramsListCommand,
+    ProgramsShowCommand,
+)
 from passlane.cli.proofs import (
     BenchListCommand,
     BenchRunCommand,
@@ -37,6 +41,7 @@
     UndrainCommand,
     ProgramsListCommand,
     ProgramsShowCommand,
+    ProgramsExplainCommand,
     LogCommand,
     SimulationRunCommand,
     SimulationListCommand,
--- a/src/passlane/cli/programs.py
+++ b/src/passlane/cli/programs.py
@@ -1,4 +1,4 @@
-"""Commands ``programs list`` and ``programs show``."""
+"""Commands ``programs list``, ``programs show`` and ``programs explain``."""
 
 from typing import Any, ClassVar
 
@@ -76,6 +76,30 @@
         self.show_lines(lines)
 
 
+class ProgramsExplainCommand(OperatorCommand):
+    """Explains a program's last model call."""
+
+    name = "programs explain"
+    description = "Says why a program's last model call ran where it did, and by which policy."
+    arguments: ClassVar[list[Argument]] = [argument("program", "Program id.")]
+
+    async def run_with(self, client: OperatorClient) -> ExitCode:
+        """Print the explanation."""
+        found = await client.explain_program(self.argument("program"))
+        if self.wants_json:
+            self.show_json(found)
+            return ExitCode.OK
+        placement = found.placement or "no model call since this node leads the program"
+        self.show_lines(
+            [
+                f"program {found.program_id}, led by {found.leader}",
+                f"placement: {placement}",
+                f"policy: {found.policy}",
+            ]
+        )
+        return ExitCode.OK
+
+
 def _amounts(amounts: msgspec.Struct) -> str:
     parts: dict[str, Any] = msgspec.structs.asdict(amounts)
     return ", ".join(f"{value} {name}" for name, value in parts.items())
--- a/src/passlane/daemon/assembly.py
+++ b/src/passlane/daemon/assembly.py
@@ -95,6 +95,7 @@
             store=GroupClient(self._pool, settings.store_addresses, random),
             ring=self._ring,
             random=random,
+            caller=self._pool,
         )
         checks: dict[str, ReadinessCheck] = {part.name: part.is_ready for part in self._parts}
         checks["not_draining"] = lambda: not self._is_draining
