Hold a tenant with excessive use to free cache, and let its programs end

Cause: a new program of a tenant with excessive use could push out prefixes that had not been used for 60 s. That exception is gone, and with it its constant. A program under way may go on where its prefix still is, since otherwise it would hold its cache and never come to its end.

--- a/src/passlane/scheduling/config.py
+++ b/src/passlane/scheduling/config.py
@@ -65,9 +65,9 @@
         Fewer running calls, or programs under way, than this are never heavy use.
     active_s
         A tenant counts among those that share for this long after its last call.
-    min_residence_s, long_residence_s
-        A new program waits while its prompt would push out prefixes used this recently:
-        the first for tenants with heavy use, the second with excessive use.
+    min_residence_s
+        A new program of a tenant with heavy use waits while its prompt would push out
+        prefixes used this recently.
     batch_fraction, free_cache_fraction
         Calls of a tenant with excessive use start only at engines whose batch is filled
         less than this, and its new programs leave this share of the cache free.
@@ -82,7 +82,6 @@
     min_programs: int = 4
     active_s: float = 10.0
     min_residence_s: float = 3.0
-    long_residence_s: float = 60.0
     batch_fraction: float = 0.5
     free_cache_fraction: float = 0.5
     enabled: bool = True
--- a/src/passlane/scheduling/crowding.py
+++ b/src/passlane/scheduling/crowding.py
@@ -52,11 +52,14 @@
 
 @dataclass(slots=True)
 class _Room:
-    """Most tokens that any engine of a model can take by each of the rules."""
+    """What the engines of a model can take by each of the rules.
+
+    The first two are the most tokens that any engine can take.
+    """
 
     heavy_program: float = 0.0
     excessive_program: float = 0.0
-    excessive_call: float = 0.0
+    has_spare_batch: bool = False
 
 
 class CrowdingRules:
@@ -122,15 +125,18 @@
         return engine.has_spare_batch(self._config.batch_fraction, now)
 
     def room_for_program(self, engine: EngineView, load: TenantLoad, now: float) -> float:
-        """Return the tokens that a new program may add: any number where caches last."""
-        is_excessive = load is TenantLoad.EXCESSIVE
-        config = self._config
-        residence_s = config.long_residence_s if is_excessive else config.min_residence_s
+        """Return the tokens that a new program of a tenant that is not light may add.
+
+        With heavy use that is any number where caches last, with excessive use only what
+        leaves a share of the cache free.
+        """
+        free = engine.free_cache_tokens()
+        if load is TenantLoad.EXCESSIVE:
+            return free - self._config.free_cache_fraction * engine.body.cache_tokens
         oldest = engine.cache.oldest_used_at
-        if oldest is not None and now - oldest >= residence_s:
+        if oldest is not None and now - oldest >= self._config.min_residence_s:
             return math.inf
-        kept_free = config.free_cache_fraction if is_excessive else 0.0
-        return engine.free_cache_tokens() - kept_free * engine.body.cache_tokens
+        return free
 
     def _levels(self, uses: Mapping[TenantId, int], fill: float) -> _Levels:
         """Return the levels for calls or programs that fill their places to this share."""
@@ -157,7 +163,7 @@
             if self.has_spare_batch(engine, now):
                 excessive = self.room_for_program(engine, TenantLoad.EXCESSIVE, now)
                 room.excessive_program = max(room.excessive_program, excessive)
-                room.excessive_call = max(room.excessive_call, engine.free_cache_tokens())
+                room.has_spare_batch = True
         return room
 
 
@@ -182,8 +188,9 @@
         new_tokens = self._rules.new_tokens(queued)
         if load is TenantLoad.HEAVY:
             return queued.is_first and new_tokens > self._room.heavy_program
-        room = self._room.excessive_program if queued.is_first else self._room.excessive_call
-        return new_tokens > room
+        if not queued.is_first:
+            return not self._room.has_spare_batch
+        return new_tokens > self._room.excessive_program
 
     def may_start(self, queued: QueuedCall, estimate: Estimate) -> bool:
         """Return whether the call may start at the estimate's engine."""
@@ -191,14 +198,14 @@
         if load is TenantLoad.LIGHT:
             return True
         engine = estimate.engine
-        new_tokens = self._rules.new_tokens(queued, estimate)
-        if queued.is_first and new_tokens > self._rules.room_for_program(engine, load, self._now):
+        if load is TenantLoad.EXCESSIVE and not self._rules.has_spare_batch(engine, self._now):
             return False
-        if load is TenantLoad.HEAVY:
-            return True
-        return self._rules.has_spare_batch(engine, self._now) and (
-            queued.is_first or new_tokens <= engine.free_cache_tokens()
-        )
+        new_tokens = self._rules.new_tokens(queued, estimate)
+        if queued.is_first:
+            return new_tokens <= self._rules.room_for_program(engine, load, self._now)
+        # A program under way goes on where its prefix is, so that it can come to its end.
+        is_cached = estimate.cached_tokens > 0
+        return load is TenantLoad.HEAVY or is_cached or new_tokens <= engine.free_cache_tokens()
 
     def _load_of(self, tenant_id: TenantId) -> TenantLoad:
         load = self._loads.get(tenant_id)
