A tenant begins no more programs than its document allows

Cause: max_programs stood in the tenant's document and was checked nowhere, so an operator who set it was given nothing. The store group, which knows all programs of a region, now refuses the next one with limit_exceeded; the node adds when to come back. Ruled out: a count at each node, which would allow the limit once for every node, and counting sub-agents, since a program half-way through would be refused its next one. Before: any number was created.

--- a/src/passlane/configuration/documents.py
+++ b/src/passlane/configuration/documents.py
@@ -85,7 +85,10 @@
 
 
 class TenantBody(_Body, frozen=True):
-    """A tenant: its service and limits."""
+    """A tenant: its service and limits.
+
+    ``max_programs`` counts programs under way in one region, sub-agents left out.
+    """
 
     service: str
     default_budget: Amounts = Amounts(tokens=200_000, calls=470, money_micros=0)
--- a/src/passlane/messages/store.py
+++ b/src/passlane/messages/store.py
@@ -132,7 +132,8 @@
 class CreateProgram(Message, frozen=True):
     """Record a new program; a sub-agent names its parent and spends its budget.
 
-    ``deadline_s`` bounds the program's life in seconds from its creation.
+    ``deadline_s`` bounds the program's life in seconds from its creation. A program that
+    is no sub-agent is refused while its tenant has ``max_programs`` of them under way.
     """
 
     program_id: ProgramId
@@ -142,6 +143,7 @@
     budget: Amounts
     parent_id: ProgramId | None = None
     deadline_s: float | None = None
+    max_programs: int | None = None
 
 
 class BeginCall(Message, frozen=True):
--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -23,6 +23,7 @@
     CallKind,
     CreateProgram,
     EndProgram,
+    ProgramRecord,
     ProgramResult,
     ProgramState,
     StoreDone,
@@ -48,6 +49,8 @@
 
 STORE_TIMEOUT_S = 10.0
 LOADING_RETRY_AFTER_S = 1.0
+PROGRAM_LIMIT_RETRY_AFTER_S = 10.0
+"""When a tenant that has as many programs as it may should try to begin another."""
 
 
 class LeaderService:
@@ -171,12 +174,21 @@
             budget=limits.budget,
             parent_id=request.parent_id,
             deadline_s=limits.deadline_s,
+            max_programs=self._services.configuration().tenants[request.tenant_id].max_programs,
         )
-        record = await self._services.store.create(command, STORE_TIMEOUT_S)
+        record = await self._record_new(command)
         self._directory.adopt(record, epoch)
         self._services.reports.publish_created(request)
         return ProgramResult(record)
 
+    async def _record_new(self, command: CreateProgram) -> ProgramRecord:
+        try:
+            return await self._services.store.create(command, STORE_TIMEOUT_S)
+        except PasslaneError as error:
+            if error.code is ErrorCode.LIMIT_EXCEEDED and command.parent_id is None:
+                error.retry_after_s = PROGRAM_LIMIT_RETRY_AFTER_S
+            raise
+
     def _limits_of(self, request: CreateProgramRequest) -> BudgetDecision:
         """Return the budget and life that the tenant and its policy allow the program.
 
--- a/src/passlane/store/program_table.py
+++ b/src/passlane/store/program_table.py
@@ -1,10 +1,11 @@
 """All programs, by identifier and by partition."""
 
+from collections import Counter
 from collections.abc import Iterator
 from weakref import ReferenceType, ref
 
 from passlane.errors import ErrorCode
-from passlane.identifiers import Partition, ProgramId
+from passlane.identifiers import Partition, ProgramId, TenantId
 from passlane.messages.store import CreateProgram, ProgramState
 from passlane.store.accounts import Account, AccountChain, require_not_negative
 from passlane.store.program import StoredProgram
@@ -24,6 +25,8 @@
     def __init__(self) -> None:
         self._programs: dict[ProgramId, StoredProgram] = {}
         self._by_partition: dict[Partition, dict[ProgramId, StoredProgram]] = {}
+        # Programs under way that are no sub-agents.
+        self._open_roots: Counter[TenantId] = Counter()
         # Weak, so that a snapshot that is given up half-way ends by itself.
         self._capture: ReferenceType[SnapshotCapture] | None = None
 
@@ -85,6 +88,8 @@
         self._by_partition.setdefault(program.partition, {})[program.program_id] = program
         if program.parent_id is not None:
             self._programs[program.parent_id].children[program.program_id] = None
+        elif not program.is_ended:
+            self._open_roots[program.tenant_id] += 1
 
     def create(self, command: CreateProgram) -> StoredProgram:
         """Create the program, or return it if the same command created it before.
@@ -93,6 +98,7 @@
         ------
         CommandRefusedError
             ``IDEMPOTENCY_MISMATCH`` when the identifier is taken by another program;
+            ``LIMIT_EXCEEDED`` when the tenant has as many programs as it may;
             what ``_check_parent`` raises; ``BAD_REQUEST`` for a negative budget.
         """
         existing = self._programs.get(command.program_id)
@@ -100,7 +106,11 @@
             _require_same_program(existing, command)
             return existing
         require_not_negative(command.budget)
-        parent = None if command.parent_id is None else self._check_parent(command)
+        if command.parent_id is None:
+            parent = None
+            self._check_program_count(command)
+        else:
+            parent = self._check_parent(command)
         program = StoredProgram(
             program_id=command.program_id,
             tenant_id=command.tenant_id,
@@ -114,6 +124,13 @@
         self.add(program)
         return program
 
+    def _check_program_count(self, command: CreateProgram) -> None:
+        limit = command.max_programs
+        if limit is not None and self._open_roots[command.tenant_id] >= limit:
+            raise CommandRefusedError(
+                ErrorCode.LIMIT_EXCEEDED, f"the tenant has {limit} programs under way already"
+            )
+
     def _check_parent(self, command: CreateProgram) -> StoredProgram:
         """Return the parent that a new sub-agent names, if it may have sub-agents."""
         assert command.parent_id is not None
@@ -142,6 +159,8 @@
     def end(self, program: StoredProgram) -> tuple[ProgramId, ...]:
         """End the program and its sub-agents; return the sub-agents that ended now."""
         self._note_change(program)
+        if program.parent_id is None and not program.is_ended:
+            self._forget_open_root(program.tenant_id)
         program.state = ProgramState.ENDED
         ended: list[ProgramId] = []
         remaining = list(program.children)
@@ -154,6 +173,12 @@
             remaining.extend(child.children)
         return tuple(ended)
 
+    def _forget_open_root(self, tenant_id: TenantId) -> None:
+        """Count one program less, and keep no zero: tenants come and go."""
+        self._open_roots[tenant_id] -= 1
+        if not self._open_roots[tenant_id]:
+            del self._open_roots[tenant_id]
+
     def remove(self, program_id: ProgramId) -> bool:
         """Remove an ended program; return whether its record is gone.
 
--- a/tests/store/test_machine.py
+++ b/tests/store/test_machine.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from passlane.errors import ErrorCode, Verdict
-from passlane.identifiers import EngineId, Epoch, Partition, ProgramId, Revision
+from passlane.identifiers import EngineId, Epoch, Partition, ProgramId, Revision, TenantId
 from passlane.messages.base import Message, encode_message, message_decoder
 from passlane.messages.common import Amounts
 from passlane.messages.control import ConfigurationDelta, Document
@@ -125,6 +125,26 @@
         self.assertEqual(snapshot_of(self.machine), before)
         return result.code
 
+    def test_a_tenant_begins_no_more_programs_than_it_may(self) -> None:
+        limit = 2  # "p" is one of them.
+        run(self.machine, create("q", max_programs=limit))
+        self.assertEqual(self.refusal(create("r", max_programs=limit)), ErrorCode.LIMIT_EXCEEDED)
+        run(self.machine, create("q", max_programs=limit))
+        child = create("c", max_programs=limit, parent_id=ProgramId("q"))
+        self.assertIsInstance(run(self.machine, child), ProgramResult)
+        other = create("o", max_programs=limit, tenant_id=TenantId("other"))
+        self.assertIsInstance(run(self.machine, other), ProgramResult)
+        restored = StoreStateMachine()
+        restore(restored, snapshot_of(self.machine))
+        for machine in (self.machine, restored):
+            self.assertIsInstance(
+                run(machine, create("r", max_programs=limit)), StoreRefusal, "the count was lost"
+            )
+            for _ in range(2):
+                run(machine, EndProgram(ProgramId("p"), Partition(0), Epoch(1)))
+            run(machine, create("r", max_programs=limit))
+            self.assertIsInstance(run(machine, create("s", max_programs=limit)), StoreRefusal)
+
     def test_old_and_invented_epochs_are_refused(self) -> None:
         run(self.machine, assign(0, 2))
         self.assertEqual(self.refusal(begin("p", 0, epoch=1)), ErrorCode.STALE_EPOCH)
