Restore a replica's state where it is kept

Replica built its state from what the disk holds within its constructor, and the simulated host held the state machine that it replicates. Both stood apart from what they belong to and made long files longer. The state now restores itself, and the simulated state machine has its own module.

--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -12,7 +12,6 @@
     AnyRaftMessage,
     AppendReply,
     AppendRequest,
-    EntryKind,
     GroupMember,
     GroupMembership,
     LogEntry,
@@ -43,7 +42,6 @@
 from passlane.raft.instructions import Instruction, RejectProposals, RejectRead
 from passlane.raft.leader import Leader
 from passlane.raft.log_view import LogView
-from passlane.raft.membership import MembershipHistory, decode_membership
 from passlane.raft.progress import Snapshot
 from passlane.raft.snapshot_data import SnapshotData
 from passlane.raft.state import ReplicaState
@@ -100,28 +98,18 @@
         entries: Sequence[LogEntry],
         members: Sequence[GroupMember],
     ) -> None:
-        memberships = MembershipHistory(snapshot_last_index, members)
-        for entry in entries:
-            if entry.index > snapshot_last_index and entry.kind is EntryKind.MEMBERSHIP:
-                memberships.append(entry.index, decode_membership(entry.data))
-        log = LogView(snapshot_last_index, snapshot_last_term, entries)
-        if log.last_term > hard_term:
-            # The entries reached the disk before the term did; no vote of it left here.
-            hard_term, voted_for = log.last_term, None
-        snapshot = None
-        if snapshot_last_index > 0:
-            membership = GroupMembership(members=tuple(members))
-            snapshot = Snapshot(snapshot_last_index, snapshot_last_term, membership, snapshot_data)
-        self._state = ReplicaState(
-            config=config,
-            random=random,
-            term=hard_term,
+        self._state = ReplicaState.restore(
+            config,
+            random,
+            hard_term=hard_term,
             voted_for=voted_for,
-            log=log,
-            snapshot=snapshot,
-            memberships=memberships,
-            commit_index=snapshot_last_index,
-            applied_index=snapshot_last_index,
+            snapshot=Snapshot(
+                snapshot_last_index,
+                snapshot_last_term,
+                GroupMembership(members=tuple(members)),
+                snapshot_data,
+            ),
+            entries=entries,
         )
         self._elections = self.elections_class(self._state)
         self._follower = self.follower_class(self._state)
--- a/src/passlane/raft/state.py
+++ b/src/passlane/raft/state.py
@@ -57,6 +57,43 @@
     tokens: dict[int, int] = field(default_factory=dict)
     _instructions: list[Instruction] = field(default_factory=list)
 
+    @classmethod
+    def restore(
+        cls,
+        config: ReplicaConfig,
+        random: random_module.Random,
+        *,
+        hard_term: int,
+        voted_for: ReplicaId | None,
+        snapshot: Snapshot,
+        entries: Sequence[LogEntry],
+    ) -> "ReplicaState":
+        """Return the state that a replica finds on its disk.
+
+        ``snapshot`` ends at index 0 when there is none; it then only names the first
+        members of the group.
+        """
+        base_index = snapshot.last_index
+        memberships = MembershipHistory(base_index, snapshot.membership.members)
+        for entry in entries:
+            if entry.index > base_index and entry.kind is EntryKind.MEMBERSHIP:
+                memberships.append(entry.index, decode_membership(entry.data))
+        log = LogView(base_index, snapshot.last_term, entries)
+        if log.last_term > hard_term:
+            # The entries reached the disk before the term did; no vote of it left here.
+            hard_term, voted_for = log.last_term, None
+        return cls(
+            config=config,
+            random=random,
+            term=hard_term,
+            voted_for=voted_for,
+            log=log,
+            snapshot=snapshot if base_index > 0 else None,
+            memberships=memberships,
+            commit_index=base_index,
+            applied_index=base_index,
+        )
+
     @property
     def own_id(self) -> ReplicaId:
         """Identity of this replica."""
--- a/src/passlane/simulation/raft_host.py
+++ b/src/passlane/simulation/raft_host.py
@@ -7,9 +7,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-import crc32c
-import msgspec
-
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
 from passlane.messages.raft import AnyRaftMessage, EntryKind, LogEntry
@@ -42,6 +39,7 @@
 )
 from passlane.raft.membership import decode_membership, voters_of
 from passlane.raft.replica import Replica
+from passlane.simulation.raft_command_log import CommandLog
 from passlane.simulation.raft_disk import (
     DiskWrite,
     EntriesWrite,
@@ -58,35 +56,6 @@
 _LONGEST_BACKLOG_S = 0.005
 
 
-class CommandLog:
-    """State machine of the simulation: each command once, in order, and a digest."""
-
-    def __init__(self) -> None:
-        self.commands: list[bytes] = []
-        self.known: set[bytes] = set()
-        self.digest = 0
-
-    def apply(self, command: bytes) -> None:
-        """Add a command unless it is there already."""
-        if command in self.known:
-            return
-        self.known.add(command)
-        self.commands.append(command)
-        self.digest = crc32c.crc32c(command, self.digest)
-
-    def take_snapshot(self) -> bytes:
-        """Return the whole state."""
-        return msgspec.msgpack.encode(self.commands)
-
-    @classmethod
-    def from_snapshot(cls, data: bytes) -> "CommandLog":
-        """Return the state that a snapshot holds."""
-        machine = cls()
-        for command in msgspec.msgpack.decode(data, type=list[bytes]):
-            machine.apply(command)
-        return machine
-
-
 @dataclass(frozen=True, slots=True)
 class ProposalOutcome:
     """What the host tells of a proposal."""
