--- a/src/passlane/raft/log_view.py
+++ b/src/passlane/raft/log_view.py
@@ -71,7 +71,12 @@
             self._append_one(entry)
 
     def mark_synced(self, last_index: int, last_term: int) -> None:
-        """Note that the log is durable up to an entry; a stale report changes nothing."""
+        """Note that the log is durable up to an entry; a stale report changes nothing.
+
+        The report may be early for an entry that was replaced and came back before its
+        first write was synced. Such an entry is of an older term than the leader's, so it
+        only counts along with a later one, whose sync comes after.
+        """
         if self.term_at(last_index) == last_term:
             self.synced_index = max(self.synced_index, last_index)
 
