A request's head and body leave in one piece

The HTTP library writes a request's head and body apart, which were two system calls and two packets for each call to a back end and each poll; it also opened a scope of time for each read although no time-out is ever given. Writes are kept until the answer is waited for now, and without a time-out there is no scope. A server that refuses early is still read: a break while sending is left to the read that follows, as before.

The new test counts the sends and fails without the change.

--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -8,7 +8,7 @@
 import select
 import ssl
 from collections.abc import AsyncIterator, Iterable, Mapping
-from contextlib import asynccontextmanager, suppress
+from contextlib import AbstractContextManager, asynccontextmanager, nullcontext, suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -26,14 +26,20 @@
 
 
 class _ByteStreamAdapter(httpcore.AsyncNetworkStream):
-    """Lets httpcore read and write an anyio byte stream."""
+    """Lets httpcore read and write an anyio byte stream.
+
+    httpcore writes a request's head and body apart; they leave together, when the answer
+    is waited for.
+    """
 
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
+        self._unsent: list[bytes] = []
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         try:
-            with anyio.fail_after(timeout):
+            with _time_limit(timeout):
+                await self._send_unsent()
                 return await self._stream.receive(max_bytes)
         except anyio.EndOfStream:
             return b""
@@ -41,13 +47,17 @@
             raise httpcore.ReadError(str(error)) from error
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        if not buffer:
+        if buffer:
+            self._unsent.append(buffer)
+
+    async def _send_unsent(self) -> None:
+        """Send what was written; a server that refuses early may have answered all the same."""
+        if not self._unsent:
             return
-        try:
-            with anyio.fail_after(timeout):
-                await self._stream.send(buffer)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise httpcore.WriteError(str(error)) from error
+        data = b"".join(self._unsent)
+        self._unsent.clear()
+        with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await self._stream.send(data)
 
     async def aclose(self) -> None:
         await anyio.aclose_forcefully(self._stream)
@@ -67,6 +77,11 @@
         return raw_socket is not None and _is_readable(raw_socket.fileno())
 
 
+def _time_limit(timeout: float | None) -> AbstractContextManager[object]:
+    """Return a limit of time; without one, what costs nothing."""
+    return nullcontext() if timeout is None else anyio.fail_after(timeout)
+
+
 def _is_readable(file_descriptor: int) -> bool:
     """Return whether something, such as the end of the stream, waits to be read."""
     poll = select.poll()
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -36,6 +36,54 @@
     await send({"type": "http.response.body", "body": b""})
 
 
+class CountingStream:
+    """A byte stream that counts its sends and has one answer to give."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.sent: list[bytes] = []
+        self._answer = [answer]
+
+    async def send(self, item: bytes) -> None:
+        self.sent.append(item)
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        if not self._answer:
+            raise anyio.EndOfStream
+        return self._answer.pop()
+
+    async def aclose(self) -> None:
+        """Close nothing."""
+
+    def extra(self, attribute: Any, default: Any = None) -> Any:
+        return default
+
+
+class OneStreamNetwork:
+    """Connects every address to one stream."""
+
+    def __init__(self, stream: CountingStream) -> None:
+        self._stream = stream
+
+    async def connect(self, address: Address) -> CountingStream:
+        return self._stream
+
+
+class SentTogetherTest(unittest.TestCase):
+    def test_head_and_body_of_a_request_leave_together(self) -> None:
+        stream = CountingStream(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+        async def main() -> None:
+            client = SingleConnectionHttpClient(OneStreamNetwork(stream))  # type: ignore[arg-type]
+            request = HttpRequest("POST", BACK_END, "/x", body=b"body")
+            async with client.exchange(request) as response:
+                parts = [part async for part in response.chunks()]
+            self.assertEqual(b"".join(parts), b"ok")
+
+        run_simulation(main, 1)
+        self.assertEqual(len(stream.sent), 1)
+        self.assertTrue(stream.sent[0].endswith(b"body"))
+
+
 class Ground:
     """A simulated network with one back end and one client; counts connections."""
 
