--- a/src/passlane/emulator/replay.py
+++ b/src/passlane/emulator/replay.py
@@ -25,7 +25,7 @@
 from passlane.simulation.runner import run_simulation
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
-LONGEST_PAUSE_S = 2.0
+LONGEST_PAUSE_S = 1.0
 SEED = 1
 RING_LINES = 500
 
