--- a/src/passlane/simulation/callers.py
+++ b/src/passlane/simulation/callers.py
@@ -261,4 +261,4 @@
 def _is_settled(call: SeenCall) -> bool:
     """Whether the last answers say that the call's outcome will not change any more."""
     last = call.attempts[-1]
-    return (last.status in FINAL_STATUSES and last.is_whole) or call.is_left_in_doubt
+    return (last.status in FINAL_STATUSES and last.is_whole) or call.has_recorded_failure
--- a/src/passlane/simulation/defects/programs.py
+++ b/src/passlane/simulation/defects/programs.py
@@ -2,9 +2,14 @@
 
 from dataclasses import replace
 
-from passlane.errors import ErrorCode, Verdict
-from passlane.messages.store import CallOutcome
+import msgspec
+
+from passlane.identifiers import ProgramId
+from passlane.messages.backends import OperationState
+from passlane.messages.base import Message
+from passlane.messages.store import CallOutcome, ProgramResult
 from passlane.node.release_loop import PendingRelease, ReleaseLoop
+from passlane.programs.call_events import StatusReceived
 from passlane.programs.call_instructions import CallInstruction
 from passlane.programs.call_machine import CallMachine
 from passlane.programs.program_queue import BeginQueuedCall, ProgramQueue, QueueInstruction
@@ -13,11 +18,14 @@
 from passlane.simulation.disk import SimulatedAppendFile, SimulatedDisk
 from passlane.simulation.replacement import Replacement
 from passlane.store.accounts import Account
+from passlane.store.machine import StoreStateMachine
 
 UNSYNCED_BYTES = 2_000
 """So many of the newest bytes are not durable although a sync was reported."""
 
 _ran = CallMachine._ran
+_on_status = CallMachine._on_status
+_read_program = StoreStateMachine._read_program
 
 
 def _begin_newest_call(queue: ProgramQueue, now: float) -> list[QueueInstruction]:
@@ -43,10 +51,21 @@
     return CallOutcome(verdict=whole.verdict, body=kept, spent=whole.spent)
 
 
-def _record_doubt_as_not_run(machine: CallMachine) -> list[CallInstruction]:
-    """Record of an operation that may have run that it did not."""
-    message = "the operation is taken as not run"
-    return machine._record(machine._failed(Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message))
+def _read_turns_of_another(machine: StoreStateMachine, program_id: ProgramId) -> Message:
+    """Answer a read of one program with the turns of another one."""
+    result = _read_program(machine, program_id)
+    other = next((one for one in machine.programs if one.program_id != program_id), None)
+    if other is None or not isinstance(result, ProgramResult):
+        return result
+    mixed = msgspec.structs.replace(result.record, turns=tuple(other.turns))
+    return ProgramResult(record=mixed)
+
+
+def _take_done_for_unknown(machine: CallMachine, event: StatusReceived) -> list[CallInstruction]:
+    """Conclude from the status of an operation that ran that it did not."""
+    if event.state is OperationState.DONE:
+        event = StatusReceived(OperationState.UNKNOWN)
+    return _on_status(machine, event)
 
 
 def _repeat_after_doubt(_machine: CallMachine) -> bool:
@@ -100,6 +119,14 @@
         "replicas acknowledge what no disk has",
         _with_late_syncs,
     ),
+    Defect(
+        "turns-of-another-program",
+        "history",
+        "worker-killed-between-turns",
+        0,
+        "a program that is loaded again gets another one's turns",
+        replacing(Replacement(StoreStateMachine, "_read_program", _read_turns_of_another)),
+    ),
     Defect(
         "budget-unchecked",
         "budget",
@@ -125,12 +152,12 @@
         replacing(Replacement(CallMachine, "_ran", _answer_without_last_token)),
     ),
     Defect(
-        "doubt-recorded-as-not-run",
+        "status-misread",
         "not-run",
         "hung-tool",
         0,
-        "a charge without an answer is recorded as not run",
-        replacing(Replacement(CallMachine, "_record_doubt", _record_doubt_as_not_run)),
+        "a charge that ran, as its status says, is recorded as not run",
+        replacing(Replacement(CallMachine, "_on_status", _take_done_for_unknown)),
     ),
     Defect(
         "doubtful-charge-repeated",
--- a/src/passlane/simulation/observer.py
+++ b/src/passlane/simulation/observer.py
@@ -67,24 +67,24 @@
         return next((attempt for attempt in self.attempts if attempt.succeeded), None)
 
     @property
-    def is_left_in_doubt(self) -> bool:
-        """Whether it is recorded that a tool may have run, and nobody knows any better.
+    def has_recorded_failure(self) -> bool:
+        """Whether a tool call's failure is recorded: asking again will not change it.
 
-        The same answer several times, without advice to come back, says so.
+        The same error several times, without advice to come back, says so.
         """
         newest = self.attempts[-EQUAL_ANSWERS:]
         return (
             self.is_tool
             and len(newest) == EQUAL_ANSWERS
-            and len({attempt.code for attempt in newest}) == 1
-            and all(
-                attempt.is_whole
-                and attempt.verdict is Verdict.MAY_HAVE_RUN
-                and attempt.retry_after_s is None
-                for attempt in newest
-            )
+            and len({(attempt.code, attempt.verdict) for attempt in newest}) == 1
+            and all(attempt.is_whole and attempt.retry_after_s is None for attempt in newest)
         )
 
+    @property
+    def is_left_in_doubt(self) -> bool:
+        """Whether it is recorded that a tool may have run, and nobody knows any better."""
+        return self.has_recorded_failure and self.attempts[-1].verdict is Verdict.MAY_HAVE_RUN
+
 
 @dataclass
 class SeenProgram:
--- a/src/passlane/simulation/scenarios/back_ends.py
+++ b/src/passlane/simulation/scenarios/back_ends.py
@@ -74,9 +74,9 @@
 async def hung_tool(cluster: Cluster) -> None:
     """Let the application hang before or after it ran."""
     model = next(iter(cluster.applications.values())).model
-    for _ in range(3):
-        hangs = cluster.random.choice((Behaviour.HANG, Behaviour.HANG_AFTER))
-        model.force(hangs)
+    drawn = cluster.random.choice((Behaviour.HANG, Behaviour.HANG_AFTER))
+    for behaviour in (Behaviour.HANG_AFTER, Behaviour.HANG, drawn):
+        model.force(behaviour)
     async with load(cluster, programs=4):
         pass
 
