--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -6,15 +6,10 @@
 must not be repeated is never sent again once it may have run.
 """
 
-import enum
-from dataclasses import dataclass
-
 from passlane.errors import ErrorCode, Verdict
-from passlane.identifiers import CallId
 from passlane.messages.backends import OperationState
-from passlane.messages.common import Amounts
 from passlane.messages.node import CallAnswered, CallRefused
-from passlane.messages.store import CallKind, CallOutcome, CallState, Turn
+from passlane.messages.store import CallKind, CallOutcome, CallState
 from passlane.programs.call_events import (
     AttemptFailed,
     AttemptFinished,
@@ -45,6 +40,8 @@
     WaitBeforeRetry,
     WithdrawPlacement,
 )
+from passlane.programs.call_outcomes import answer_turns, failed_outcome, ran_outcome
+from passlane.programs.call_plan import CallPhase, CallPlan
 from passlane.programs.recorded_answer import recorded_answer
 
 MAX_ATTEMPTS = 4
@@ -60,53 +57,6 @@
 """Advice to callers when a back end failed and gave none of its own."""
 
 
-class CallPhase(enum.Enum):
-    """Where a call is on its path."""
-
-    CREATED = enum.auto()
-    RECORDING_INTENT = enum.auto()
-    PLACING = enum.auto()
-    RUNNING = enum.auto()
-    PAUSED_BEFORE_RETRY = enum.auto()
-    ASKING_STATUS = enum.auto()
-    PAUSED_BEFORE_STATUS = enum.auto()
-    RECORDING_OUTCOME = enum.auto()
-    ANSWERED = enum.auto()
-
-
-@dataclass(frozen=True, slots=True)
-class CallPlan:
-    """What is fixed about a call.
-
-    Attributes
-    ----------
-    new_prompt_tokens
-        Estimated tokens of the caller's new messages, which are charged to the budget.
-    reserve
-        Reserved from the budget; the call never spends more.
-    price_micros
-        Price of a tool call that ran.
-    offers_status
-        Whether the application tells what became of an operation.
-    is_named
-        Whether the caller can ask for the outcome again.
-    resume_texts
-        Texts of tokens that the caller already has.
-    """
-
-    call_id: CallId
-    kind: CallKind
-    target: str
-    repeatable: bool
-    max_tokens: int
-    reserve: Amounts
-    new_prompt_tokens: int = 0
-    price_micros: int = 0
-    offers_status: bool = False
-    is_named: bool = False
-    resume_texts: tuple[str, ...] = ()
-
-
 class CallMachine:
     """Decides what happens next to one call; see the module's text.
 
@@ -270,12 +220,10 @@
         return self._record(self._ran(body))
 
     def _ran(self, body: str) -> CallOutcome:
-        spent = Amounts(
-            tokens=min(self.plan.new_prompt_tokens + len(self.texts), self.plan.reserve.tokens),
-            calls=1,
-            money_micros=self.plan.price_micros,
-        )
-        return CallOutcome(verdict=Verdict.RAN, body=body, spent=spent)
+        return ran_outcome(self.plan, body, len(self.texts))
+
+    def _failed(self, verdict: Verdict, code: ErrorCode, message: str) -> CallOutcome:
+        return failed_outcome(self.plan, verdict, code, message)
 
     def _on_attempt_failed(self, event: AttemptFailed) -> list[CallInstruction]:
         if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
@@ -348,22 +296,10 @@
 
     # Outcome and answer.
 
-    def _failed(self, verdict: Verdict, code: ErrorCode, message: str) -> CallOutcome:
-        """Return the outcome of a failure; a doubtful charge counts as spent."""
-        spent = Amounts() if verdict is Verdict.NOT_RUN else self.plan.reserve
-        return CallOutcome(verdict=verdict, error_code=code, error_message=message, spent=spent)
-
     def _record(self, outcome: CallOutcome) -> list[CallInstruction]:
         self.phase = CallPhase.RECORDING_OUTCOME
         self._outcome = outcome
-        return [RecordOutcome(outcome=outcome, turns=self._answer_turns(outcome))]
-
-    def _answer_turns(self, outcome: CallOutcome) -> tuple[Turn, ...]:
-        if outcome.verdict is not Verdict.RAN:
-            return ()
-        if self.plan.kind is CallKind.MODEL:
-            return (Turn(role="assistant", content=outcome.body),)
-        return (Turn(role="tool", content=outcome.body, name=self.plan.target),)
+        return [RecordOutcome(outcome=outcome, turns=answer_turns(self.plan, outcome))]
 
     def _on_outcome_recorded(self) -> list[CallInstruction]:
         outcome = self._outcome
--- a/src/passlane/simulation/defects/programs.py
+++ b/src/passlane/simulation/defects/programs.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.backends import OperationState
 from passlane.messages.base import Message
@@ -12,6 +13,7 @@
 from passlane.programs.call_events import StatusReceived
 from passlane.programs.call_instructions import CallInstruction
 from passlane.programs.call_machine import CallMachine
+from passlane.programs.call_outcomes import failed_outcome
 from passlane.programs.program_queue import BeginQueuedCall, ProgramQueue, QueueInstruction
 from passlane.simulation.cluster import ClusterOptions
 from passlane.simulation.defects.base import Defect, replacing
@@ -23,7 +25,7 @@
 UNSYNCED_BYTES = 2_000
 """So many of the newest bytes are not durable although a sync was reported."""
 
-_ran = CallMachine._ran
+_record = CallMachine._record
 _on_status = CallMachine._on_status
 _read_program = StoreStateMachine._read_program
 
@@ -42,13 +44,12 @@
     return True
 
 
-def _answer_without_last_token(machine: CallMachine, body: str) -> CallOutcome:
-    """Return the outcome with the last word of a model's answer missing."""
-    whole = _ran(machine, body)
-    if not machine.texts:
-        return whole
-    kept = "".join(machine.texts[:-1])
-    return CallOutcome(verdict=whole.verdict, body=kept, spent=whole.spent)
+def _record_without_last_token(machine: CallMachine, outcome: CallOutcome) -> list[CallInstruction]:
+    """Record an outcome with the last word of a model's answer missing."""
+    if outcome.verdict is Verdict.RAN and machine.texts:
+        kept = "".join(machine.texts[:-1])
+        outcome = CallOutcome(verdict=outcome.verdict, body=kept, spent=outcome.spent)
+    return _record(machine, outcome)
 
 
 def _read_turns_of_another(machine: StoreStateMachine, program_id: ProgramId) -> Message:
@@ -68,6 +69,13 @@
     return _on_status(machine, event)
 
 
+def _record_doubt_as_not_run(machine: CallMachine) -> list[CallInstruction]:
+    """Record of an operation that may have run that it did not, without asking."""
+    message = "the operation is taken as not run"
+    outcome = failed_outcome(machine.plan, Verdict.NOT_RUN, ErrorCode.BACKEND_FAILED, message)
+    return machine._record(outcome)
+
+
 def _repeat_after_doubt(_machine: CallMachine) -> bool:
     return True
 
@@ -149,7 +157,7 @@
         "undisturbed",
         0,
         "the recorded answer lacks its last token",
-        replacing(Replacement(CallMachine, "_ran", _answer_without_last_token)),
+        replacing(Replacement(CallMachine, "_record", _record_without_last_token)),
     ),
     Defect(
         "status-misread",
@@ -159,6 +167,14 @@
         "a charge that ran, as its status says, is recorded as not run",
         replacing(Replacement(CallMachine, "_on_status", _take_done_for_unknown)),
     ),
+    Defect(
+        "doubt-recorded-as-not-run",
+        "not-run",
+        "hung-tool",
+        0,
+        "a charge without an answer is recorded as not run",
+        replacing(Replacement(CallMachine, "_resolve_doubt", _record_doubt_as_not_run)),
+    ),
     Defect(
         "doubtful-charge-repeated",
         "at-most-once",
