--- a/src/passlane/simulation/defects/programs.py
+++ b/src/passlane/simulation/defects/programs.py
@@ -2,9 +2,15 @@
 
 from dataclasses import replace
 
+import msgspec
+
 from passlane.errors import ErrorCode, Verdict
-from passlane.messages.store import CallOutcome
+from passlane.identifiers import ProgramId
+from passlane.messages.backends import OperationState
+from passlane.messages.base import Message
+from passlane.messages.store import CallOutcome, ProgramResult
 from passlane.node.release_loop import PendingRelease, ReleaseLoop
+from passlane.programs.call_events import StatusReceived
 from passlane.programs.call_instructions import CallInstruction
 from passlane.programs.call_machine import CallMachine
 from passlane.programs.call_outcomes import failed_outcome
@@ -14,11 +20,14 @@
 from passlane.simulation.disk import SimulatedAppendFile, SimulatedDisk
 from passlane.simulation.replacement import Replacement
 from passlane.store.accounts import Account
+from passlane.store.machine import StoreStateMachine
 
 UNSYNCED_BYTES = 2_000
 """So many of the newest bytes are not durable although a sync was reported."""
 
 _record = CallMachine._record
+_on_status = CallMachine._on_status
+_read_program = StoreStateMachine._read_program
 
 
 def _begin_newest_call(queue: ProgramQueue, now: float) -> list[QueueInstruction]:
@@ -43,6 +52,23 @@
     return _record(machine, outcome)
 
 
+def _read_turns_of_another(machine: StoreStateMachine, program_id: ProgramId) -> Message:
+    """Answer a read of one program with the turns of another one."""
+    result = _read_program(machine, program_id)
+    other = next((one for one in machine.programs if one.program_id != program_id), None)
+    if other is None or not isinstance(result, ProgramResult):
+        return result
+    mixed = msgspec.structs.replace(result.record, turns=tuple(other.turns))
+    return ProgramResult(record=mixed)
+
+
+def _take_done_for_unknown(machine: CallMachine, event: StatusReceived) -> list[CallInstruction]:
+    """Conclude from the status of an operation that ran that it did not."""
+    if event.state is OperationState.DONE:
+        event = StatusReceived(OperationState.UNKNOWN)
+    return _on_status(machine, event)
+
+
 def _record_doubt_as_not_run(machine: CallMachine) -> list[CallInstruction]:
     """Record of an operation that may have run that it did not, without asking."""
     message = "the operation is taken as not run"
@@ -101,6 +127,14 @@
         "replicas acknowledge what no disk has",
         _with_late_syncs,
     ),
+    Defect(
+        "turns-of-another-program",
+        "history",
+        "worker-killed-between-turns",
+        0,
+        "a program that is loaded again gets another one's turns",
+        replacing(Replacement(StoreStateMachine, "_read_program", _read_turns_of_another)),
+    ),
     Defect(
         "budget-unchecked",
         "budget",
@@ -125,6 +159,14 @@
         "the recorded answer lacks its last token",
         replacing(Replacement(CallMachine, "_record", _record_without_last_token)),
     ),
+    Defect(
+        "status-misread",
+        "not-run",
+        "hung-tool",
+        0,
+        "a charge that ran, as its status says, is recorded as not run",
+        replacing(Replacement(CallMachine, "_on_status", _take_done_for_unknown)),
+    ),
     Defect(
         "doubt-recorded-as-not-run",
         "not-run",
