A simulated caller makes a refused charge anew under a key of its own

The charge in flight at a lost node had never reached the application; its status query said so, and closed the operation for ever, so not_run was recorded and every repeat of the key got it again. That is what an idempotency key promises. The simulated caller, unlike a person at a counter, went on asking under the old key until its patience ended. Ruled out: running it again under the same key, since the application refuses an operation that it has declared unknown, and counting the refusal as an answer, which would let a system through that refuses everything.

--- a/src/passlane/simulation/observer.py
+++ b/src/passlane/simulation/observer.py
@@ -52,7 +52,10 @@
 
 @dataclass
 class SeenCall:
-    """One call of a program as its caller made it, with every attempt at it."""
+    """One call of a program as its caller made it, with every attempt at it.
+
+    ``is_made_anew`` says that the caller made another call in place of this one.
+    """
 
     program_id: str
     sequence: int
@@ -60,6 +63,7 @@
     marker: str
     is_tool: bool
     attempts: list[SeenAttempt] = field(default_factory=list)
+    is_made_anew: bool = False
 
     @property
     def answer(self) -> SeenAttempt | None:
@@ -80,6 +84,11 @@
             and all(attempt.is_whole and attempt.retry_after_s is None for attempt in newest)
         )
 
+    @property
+    def is_refused_for_good(self) -> bool:
+        """Whether it is recorded that a tool did not run, and will not under this key."""
+        return self.has_recorded_failure and self.attempts[-1].verdict is Verdict.NOT_RUN
+
     @property
     def is_left_in_doubt(self) -> bool:
         """Whether it is recorded that a tool may have run, and nobody knows any better."""
