The node-cost experiment raises its tenant's number of programs too

Cause: the experiment keeps more than 1,000 programs under way for one tenant, which the tenant's limit now refuses: the run ended with limit_exceeded after its first line. Ruled out: ending programs between the lines, since their memory at the nodes is part of what is measured. The other limits of the tenant were raised there already. Before: exit code 1 after 108 s.

--- a/src/passlane/bench/node_fleet.py
+++ b/src/passlane/bench/node_fleet.py
@@ -35,7 +35,10 @@
 )
 SETTINGS_OF_TENANTS = (
     (r"tokens = \d+, calls = \d+", "tokens = 2000000, calls = 4000"),
-    (r'(service = "counter"\n)', r"\1calls_per_second = 10000.0" + "\n"),
+    (
+        r'(service = "counter"\n)',
+        r"\1calls_per_second = 10000.0" + "\n" + "max_programs = 100000\n",
+    ),
     (r"cache_tokens = \d+", "cache_tokens = 4000000"),
 )
 IDLE_MEASURED_S = 5.0
