Share the running of a replica between the parts of a daemon

The control part and the store part each kept the same constructor, the same three questions about their replica and the same end of run, so a change to one could miss the other. Both now build their replica and service and hand them to one base class. Joining the building of the replicas too was ruled out, since it would hide that they differ in group, settings, folder and service. Behaviour is unchanged.

--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -85,15 +85,48 @@
         await anyio.sleep(TRANSFER_POLL_S)
 
 
-class ControlPart:
-    """A replica of the control group and the service on top of it."""
+class _Service(Protocol):
+    """What a replica's part runs on top of the replica."""
+
+    async def run(self) -> None:
+        """Run the service until cancelled."""
+        ...
 
-    name = "control"
+
+class _ReplicaPart:
+    """What the parts with a replica of a group share."""
 
     def __init__(self, context: PartContext) -> None:
         self._context = context
         self._host: ReplicaHost | None = None
 
+    async def _run_replica(self, group: str, host: ReplicaHost, service: _Service) -> None:
+        """Expose the replica's metrics; run it and its service until cancelled."""
+        self._host = host
+        expose_replica(self._context.metrics, group, host)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(host.run)
+            tasks.start_soon(service.run)
+
+    def is_ready(self) -> bool:
+        """Whether this replica votes and knows the group's leader."""
+        return self._host is not None and self._host.is_ready
+
+    def is_leader(self) -> bool:
+        """Whether this replica leads the group."""
+        return self._host is not None and self._host.is_leader
+
+    async def drain(self) -> None:
+        """Hand leadership to another replica if this one leads."""
+        if self._host is not None:
+            await _hand_over_leadership(self._host)
+
+
+class ControlPart(_ReplicaPart):
+    """A replica of the control group and the service on top of it."""
+
+    name = "control"
+
     async def run(self) -> None:
         """Run the replica and its service."""
         context = self._context
@@ -117,35 +150,14 @@
             regions=settings.control.regions or (settings.process.region,),
             check_policy=describe_policy_problems,
         )
-        self._host = host
-        expose_replica(context.metrics, CONTROL_GROUP, host)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(host.run)
-            tasks.start_soon(service.run)
+        await self._run_replica(CONTROL_GROUP, host, service)
 
-    def is_ready(self) -> bool:
-        """Whether this replica votes and knows the group's leader."""
-        return self._host is not None and self._host.is_ready
 
-    def is_leader(self) -> bool:
-        """Whether this replica leads the group."""
-        return self._host is not None and self._host.is_leader
-
-    async def drain(self) -> None:
-        """Hand leadership to another replica if this one leads."""
-        if self._host is not None:
-            await _hand_over_leadership(self._host)
-
-
-class StorePart:
+class StorePart(_ReplicaPart):
     """A replica of the region's store group and the service on top of it."""
 
     name = "store"
 
-    def __init__(self, context: PartContext) -> None:
-        self._context = context
-        self._host: ReplicaHost | None = None
-
     async def run(self) -> None:
         """Run the replica and its service."""
         context = self._context
@@ -166,24 +178,7 @@
         service = StoreService(
             host, machine, settings, context.environment, context.router, control
         )
-        self._host = host
-        expose_replica(context.metrics, group, host)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(host.run)
-            tasks.start_soon(service.run)
-
-    def is_ready(self) -> bool:
-        """Whether this replica votes and knows the group's leader."""
-        return self._host is not None and self._host.is_ready
-
-    def is_leader(self) -> bool:
-        """Whether this replica leads the group."""
-        return self._host is not None and self._host.is_leader
-
-    async def drain(self) -> None:
-        """Hand leadership to another replica if this one leads."""
-        if self._host is not None:
-            await _hand_over_leadership(self._host)
+        await self._run_replica(group, host, service)
 
 
 class NodePart:
