Read the message of a frame in one place for both ends of a connection

The client's and the server's end of a connection each had the same static method that turns a frame's body into a message and a malformed one into PROTOCOL_ERROR. It stands now once, as message_in beside the frame channel; frames.py was ruled out for it, since that module knows bytes only and no message classes.

--- a/src/passlane/transport/channel.py
+++ b/src/passlane/transport/channel.py
@@ -4,9 +4,12 @@
 from collections.abc import AsyncGenerator
 
 import anyio
+import msgspec
 from anyio.abc import ByteStream
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.base import Message
+from passlane.messages.registry import decode_any_message
 from passlane.transport.frames import MAX_FRAME_BYTES, Frame, FrameDecoder, encode_frame
 
 RECEIVE_BYTES = 65_536
@@ -16,6 +19,21 @@
 """With more queued than this, senders that can wait do so."""
 
 
+def message_in(frame: Frame) -> Message:
+    """Return the message that a frame carries.
+
+    Raises
+    ------
+    PasslaneError
+        ``PROTOCOL_ERROR`` when the body is no message.
+    """
+    try:
+        message: Message = decode_any_message(frame.body)
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"malformed body: {error}") from error
+    return message
+
+
 class FrameChannel:
     """Sends and receives frames on one connection.
 
--- a/src/passlane/transport/client_connection.py
+++ b/src/passlane/transport/client_connection.py
@@ -6,15 +6,13 @@
 from contextlib import aclosing, asynccontextmanager
 
 import anyio
-import msgspec
 from anyio.abc import ByteStream
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.base import Message, encode_message
 from passlane.messages.common import ErrorReply
-from passlane.messages.registry import decode_any_message
 from passlane.observability.logging import get_logger
-from passlane.transport.channel import FrameChannel
+from passlane.transport.channel import FrameChannel, message_in
 from passlane.transport.credit import CREDIT_BATCH, STREAM_WINDOW
 from passlane.transport.frames import MAX_VALUE, Frame, FrameKind
 
@@ -135,10 +133,10 @@
             return
         match frame.kind:
             case FrameKind.REPLY | FrameKind.ERROR:
-                pending.deliver(self._decode(frame))
+                pending.deliver(message_in(frame))
                 pending.end()
             case FrameKind.STREAM_ITEM:
-                pending.deliver(self._decode(frame))
+                pending.deliver(message_in(frame))
             case FrameKind.STREAM_END:
                 pending.end()
             case _:
@@ -146,14 +144,6 @@
                     ErrorCode.PROTOCOL_ERROR, f"a server must not send {frame.kind.name}"
                 )
 
-    @staticmethod
-    def _decode(frame: Frame) -> Message:
-        try:
-            message: Message = decode_any_message(frame.body)
-        except (msgspec.ValidationError, msgspec.DecodeError) as error:
-            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"malformed body: {error}") from error
-        return message
-
     def _note_use(self) -> None:
         now = anyio.current_time()
         if self.is_idle and not self._sent_since_receipt:
--- a/src/passlane/transport/server_connection.py
+++ b/src/passlane/transport/server_connection.py
@@ -4,15 +4,13 @@
 from contextlib import aclosing
 
 import anyio
-import msgspec
 from anyio.abc import ByteStream, TaskGroup
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.base import Message, encode_message
 from passlane.messages.common import ErrorReply
-from passlane.messages.registry import decode_any_message
 from passlane.observability.logging import get_logger
-from passlane.transport.channel import FrameChannel
+from passlane.transport.channel import FrameChannel, message_in
 from passlane.transport.credit import CreditGate
 from passlane.transport.frames import Frame, FrameKind
 from passlane.transport.router import MessageRouter
@@ -77,7 +75,7 @@
             case FrameKind.REQUEST:
                 self._start_request(frame, tasks)
             case FrameKind.ONE_WAY:
-                self._queue_one_way(self._decode(frame))
+                self._queue_one_way(message_in(frame))
             case FrameKind.CANCEL:
                 if scope := self._scopes.get(frame.request_id):
                     scope.cancel()
@@ -91,16 +89,8 @@
                     ErrorCode.PROTOCOL_ERROR, f"a client must not send {frame.kind.name}"
                 )
 
-    @staticmethod
-    def _decode(frame: Frame) -> Message:
-        try:
-            message: Message = decode_any_message(frame.body)
-        except (msgspec.ValidationError, msgspec.DecodeError) as error:
-            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"malformed body: {error}") from error
-        return message
-
     def _start_request(self, frame: Frame, tasks: TaskGroup) -> None:
-        request = self._decode(frame)
+        request = message_in(frame)
         if frame.request_id in self._scopes:
             raise PasslaneError(
                 ErrorCode.PROTOCOL_ERROR, f"request id {frame.request_id} is in use"
