Say who reads the address of the platform's list

platform_list stands among the settings of a node and its docstring did not name it, so a reader would set it for nodes. It is in fact read only by the leader of the region's store group, in store/leader_term.py, to learn which machines are about to leave; a search of the sources found no other reader. Moving the field to another section was ruled out, because it would break existing settings files. The docstring says now who reads it and what happens without it. The 4 settings tests pass; no line of code changed.

--- a/src/passlane/settings/model.py
+++ b/src/passlane/settings/model.py
@@ -89,6 +89,10 @@
     Engines that the node uses are polled each ``engine_poll_s``, others each
     ``idle_engine_poll_s``; both grow so that all polls stay below
     ``max_engine_polls_per_s``.
+
+    ``platform_list`` is the address of the platform's list of machines. The leader of the
+    region's store group reads it, to learn which machines are about to leave, so it is set
+    for processes with the store role; a node does not read it. Without it no list is read.
     """
 
     max_body_bytes: int = 1_000_000
