Close an answer's body together with its exchange

When an answer was left early, as after an unreadable line of an engine or a body that is too long, its body's generators were left to the garbage collector, which closes them at some later turn of the loop and warns of it under trio. The response owns its body's generator now and the exchange closes it when it ends, so that no user of the client has to. Surrounding each of the users with aclosing was ruled out: there are nine, and a tenth could forget it. In the runtime tests, with ResourceWarnings shown, the warnings of unclosed async generators went from four to two; the two left are inside httpcore, between its own generators, and can't be reached from here. An open socket and its transport that the same tests leave behind are warned of as before.

--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -7,10 +7,16 @@
 
 import select
 import ssl
-from collections.abc import AsyncIterator, Iterable, Mapping
-from contextlib import AbstractContextManager, asynccontextmanager, nullcontext, suppress
+from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
+from contextlib import (
+    AbstractContextManager,
+    aclosing,
+    asynccontextmanager,
+    nullcontext,
+    suppress,
+)
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 import anyio
 import httpcore
@@ -99,15 +105,27 @@
             for name, value in response.headers
         }
         self._response = response
+        self._body = self._read_body()
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body's parts as they arrive."""
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Return the body's parts as they arrive."""
+        return self._body
+
+    async def _read_body(self) -> AsyncGenerator[bytes, None]:
+        # httpcore declares an iterator; it is a generator, to be closed when left early.
+        parts = cast(AsyncGenerator[bytes, None], self._response.aiter_stream())
         try:
-            async for part in self._response.aiter_stream():
-                yield part
+            async with aclosing(parts):
+                async for part in parts:
+                    yield part
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise HttpConnectionError(f"the answer broke off: {error}", bytes_left=True) from error
 
+    async def aclose(self) -> None:
+        """End the answer, read to its end or not."""
+        await self._body.aclose()
+        await self._response.aclose()
+
 
 @dataclass(frozen=True, slots=True)
 class _IdleConnection:
@@ -136,9 +154,9 @@
         if connection is None:
             connection = await self._open(request.address)
         try:
-            response = await self._send(connection, request)
+            response = _Response(await self._send(connection, request))
             try:
-                yield _Response(response)
+                yield response
             finally:
                 with anyio.CancelScope(shield=True):
                     await response.aclose()
