Take a call that runs out of the scheduler's books in one place

The end and the withdrawal of a started call repeated the same seven lines: pop the call, count its tenant's and its program's running calls down. They call one method now, and the pair of call and engine that was a bare tuple is a small typed record, named apart from engine_view.RunningCall, which is another thing. Joining the engine's part of the two was ruled out, since a withdrawn call says nothing for or against the engine's health. What the second look-up of a program costs was not measured.

--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -28,6 +29,14 @@
 BATCH_PRIORITY_STEP = 10
 
 
+@dataclass(frozen=True, slots=True)
+class _StartedCall:
+    """A call of this node that is at an engine."""
+
+    call: events.CallArrived
+    engine_id: EngineId
+
+
 class Scheduler:
     """Queues, places and limits the model calls of the programs that one node leads.
 
@@ -58,7 +67,7 @@
         self._config = config or SchedulerConfig()
         node_key = node_key or f"{random.getrandbits(64):x}"
         self._engines = FleetView(node_key, own_zone, self._config)
-        self._running: dict[CallId, tuple[events.CallArrived, EngineId]] = {}
+        self._running: dict[CallId, _StartedCall] = {}
         self._programs = AttainedService(self._config.max_programs)
         self._placement = placement or Placement(own_zone, random, self._config)
         self._retention = CacheRetention(self._config)
@@ -145,13 +154,11 @@
         """Nothing to decide: the call's whole duration is learned from at its end."""
 
     def _call_ended(self, event: events.CallEnded, now: float) -> None:
-        running = self._running.pop(event.call_id, None)
+        running = self._take_running(event.call_id, now)
         if running is None:
             return
-        call, engine_id = running
-        self._shares.record_end(call.tenant_id, now)
+        call, engine_id = running.call, running.engine_id
         progress = self._programs.of(call.program_id)
-        progress.active_calls = max(progress.active_calls - 1, 0)
         computed = max(event.prompt_tokens - event.cached_tokens, 0) + event.generated_tokens
         progress.attained_tokens += computed
         engine = self._engines.get(engine_id)
@@ -170,18 +177,24 @@
     def _call_withdrawn(self, event: events.CallWithdrawn, now: float) -> None:
         if self._queues.remove(event.call_id):
             return
-        running = self._running.pop(event.call_id, None)
+        running = self._take_running(event.call_id, now)
         if running is None:
             return
-        call, engine_id = running
-        self._shares.record_end(call.tenant_id, now)
-        progress = self._programs.of(call.program_id)
-        progress.active_calls = max(progress.active_calls - 1, 0)
-        engine = self._engines.get(engine_id)
+        engine = self._engines.get(running.engine_id)
         if engine is not None:
             engine.record_end(event.call_id, now)
             engine.breaker.record_abandoned()
 
+    def _take_running(self, call_id: CallId, now: float) -> _StartedCall | None:
+        """Count a call as running no longer; return it if it did run."""
+        running = self._running.pop(call_id, None)
+        if running is None:
+            return None
+        self._shares.record_end(running.call.tenant_id, now)
+        progress = self._programs.of(running.call.program_id)
+        progress.active_calls = max(progress.active_calls - 1, 0)
+        return running
+
     # Programs.
 
     def _program_paused(self, event: events.ProgramPaused, now: float) -> None:
@@ -327,7 +340,7 @@
             )
         )
         self._shares.record_start(call.tenant_id, call.weight, now)
-        self._running[call.call_id] = (call, engine.engine_id)
+        self._running[call.call_id] = _StartedCall(call, engine.engine_id)
         queue.charge(call, self._placement.new_tokens(call, estimate))
         self._output.append(
             instructions.StartCall(
