Name the counting of a policy's steps for what it does

The step limit of a policy had is_exceeded, a method that counts a question and so changes the limit, and exceeded, a property that only looks; which of the two has the effect could not be told from the names. The method is count_question now and the property is_exceeded, and the docstrings say what is counted and how often. Passing a lambda in place of the method was ruled out, as it would hide the count.

--- a/src/passlane/policy/compiled.py
+++ b/src/passlane/policy/compiled.py
@@ -26,24 +26,28 @@
 
 
 class _StepLimit:
-    """Counts the interpreter's questions, so that the limit is the same on any machine."""
+    """Bounds the steps of one evaluation by the interpreter's questions whether to go on.
+
+    Questions are counted, not seconds, so that the limit is the same on any machine.
+    """
 
     def __init__(self, max_steps: int) -> None:
         self._questions_left = max(max_steps // STEPS_PER_CHECK, 1)
 
-    def is_exceeded(self) -> bool:
+    def count_question(self) -> bool:
+        """Count one question; return whether the interpreter is to stop."""
         self._questions_left -= 1
-        return self.exceeded
+        return self.is_exceeded
 
     @property
-    def exceeded(self) -> bool:
+    def is_exceeded(self) -> bool:
         """Whether the interpreter was told to stop."""
         return self._questions_left < 0
 
 
 def _options(limit: _StepLimit) -> starlark.EvalOptions:
     return starlark.EvalOptions(
-        check_cancelled=limit.is_exceeded, max_callstack_size=MAX_CALL_DEPTH
+        check_cancelled=limit.count_question, max_callstack_size=MAX_CALL_DEPTH
     )
 
 
@@ -55,7 +59,7 @@
     source
         Starlark text.
     max_steps
-        Bound on the instructions of one call, counted in thousands.
+        Bound on the instructions of one call; looked at once in ``STEPS_PER_CHECK`` of them.
 
     Raises
     ------
@@ -96,7 +100,7 @@
         return result.value
 
     def _error(self, error: starlark.StarlarkError, limit: _StepLimit) -> PolicyError:
-        if limit.exceeded:
+        if limit.is_exceeded:
             return PolicyError(f"takes more than {self.max_steps} steps")
         return policy_error(error)
 
