Ask for a program's record in one place; name two times to come back

Creating and reading a program went to the leader by the same two lines with a partial that served no purpose, so both go through one method now. The five seconds after which a caller comes back when its tenant is not configured, or when all applications with a tool are draining, stood as bare numbers within calls; each has a name and a docstring. One common constant was ruled out: the two answers have nothing to do with each other and may change apart.

--- a/src/passlane/node/call_planning.py
+++ b/src/passlane/node/call_planning.py
@@ -12,6 +12,9 @@
 from passlane.programs.call_plan import CallPlan
 from passlane.programs.token_estimate import estimate_tokens
 
+DRAINING_RETRY_AFTER_S = 5.0
+"""When a caller should try again after all applications with its tool were draining."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlannedCall:
@@ -110,7 +113,9 @@
         if not configuration.is_draining("application", offer.application_id):
             return offer
     raise PasslaneError(
-        ErrorCode.DRAINING, "the applications with this tool are leaving", retry_after_s=5.0
+        ErrorCode.DRAINING,
+        "the applications with this tool are leaving",
+        retry_after_s=DRAINING_RETRY_AFTER_S,
     )
 
 
--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -49,6 +49,8 @@
 
 STORE_TIMEOUT_S = 10.0
 LOADING_RETRY_AFTER_S = 1.0
+UNKNOWN_TENANT_RETRY_AFTER_S = 5.0
+"""When a caller should try again whose tenant the configuration does not name (yet)."""
 PROGRAM_LIMIT_RETRY_AFTER_S = 10.0
 """When a tenant that has as many programs as it may should try to begin another."""
 
@@ -196,7 +198,9 @@
         """
         if request.tenant_id not in self._services.configuration().tenants:
             raise PasslaneError(
-                ErrorCode.FORBIDDEN, "the tenant is not configured", retry_after_s=5.0
+                ErrorCode.FORBIDDEN,
+                "the tenant is not configured",
+                retry_after_s=UNKNOWN_TENANT_RETRY_AFTER_S,
             )
         is_sub_agent = request.parent_id is not None
         facts = program_facts(
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -1,7 +1,6 @@
 """The node's service: takes callers' requests, and leads the programs of its partitions."""
 
 from collections.abc import Sequence
-from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -282,15 +281,20 @@
 
     async def create_program(self, request: CreateProgramRequest) -> ProgramRecord:
         """Create a program and return its record; raise ``PasslaneError``."""
-        core = self._require_open()
-        ask = partial(core.forwarder.ask, request.program_id, request)
-        return (await ask(ProgramResult, UNARY_TIMEOUT_S)).record
+        return await self._ask_for_record(request)
 
     async def read_program(self, request: ReadProgramRequest) -> ProgramRecord:
         """Return a program's record; raise ``PasslaneError``."""
+        return await self._ask_for_record(request)
+
+    async def _ask_for_record(
+        self, request: CreateProgramRequest | ReadProgramRequest
+    ) -> ProgramRecord:
         core = self._require_open()
-        ask = partial(core.forwarder.ask, request.program_id, request)
-        return (await ask(ProgramResult, UNARY_TIMEOUT_S)).record
+        result = await core.forwarder.ask(
+            request.program_id, request, ProgramResult, UNARY_TIMEOUT_S
+        )
+        return result.record
 
     async def end_program(self, request: EndProgramRequest) -> None:
         """End a program; raise ``PasslaneError``."""
