Say what the small private classes of node and scheduling keep

A search by syntax tree found methods without a docstring on the private classes of the lanes, the pause groups and the tenants' levels, and two private records of the node without one; their readers had to work out from the code, for one, that the quantile of pauses may be some pauses old. They are described now, and a sentence on releases that ended in a misplaced else reads as English. Renaming them was ruled out as needless. No line of code changed; before, the search listed six such methods in scheduling, now none.

--- a/src/passlane/node/incoming_partitions.py
+++ b/src/passlane/node/incoming_partitions.py
@@ -19,6 +19,8 @@
 
 
 class _Incoming:
+    """A partition on its way to this node; ``is_over`` is set when the wait for it ends."""
+
     __slots__ = ("announced_at", "epoch", "is_over")
 
     def __init__(self, epoch: Epoch, announced_at: float) -> None:
--- a/src/passlane/node/model_dispatcher.py
+++ b/src/passlane/node/model_dispatcher.py
@@ -83,6 +83,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _WaitingCall:
+    """A call that waits for a place, and who is told of it."""
+
     program_id: ProgramId
     listener: PlacementListener
 
--- a/src/passlane/node/release_loop.py
+++ b/src/passlane/node/release_loop.py
@@ -80,7 +80,7 @@
             self._pending.pop(release, None)
 
     def _leads(self, release: PendingRelease) -> bool:
-        """Return whether the release is still this node's; a later leader takes it up else."""
+        """Return whether the release is still this node's; if not, a later leader sends it."""
         return self._services.leadership.epoch_of(release.partition) == release.epoch
 
     async def _try_release(self, release: PendingRelease) -> bool:
--- a/src/passlane/scheduling/crowding.py
+++ b/src/passlane/scheduling/crowding.py
@@ -44,6 +44,7 @@
     excessive_count: float
 
     def load_of(self, use: int, weight: float) -> TenantLoad:
+        """Return how heavy a tenant with this use and this weight is."""
         use_per_weight = use / weight
         if use_per_weight > self.excessive and use > self.excessive_count:
             return TenantLoad.EXCESSIVE
--- a/src/passlane/scheduling/pauses.py
+++ b/src/passlane/scheduling/pauses.py
@@ -24,10 +24,15 @@
         self._quantile_s: float | None = None
 
     def learn(self, pause_s: float) -> None:
+        """Take in one more pause."""
         self._pauses_s.append(pause_s)
         self._since_sort += 1
 
     def quantile_s(self, quantile: float) -> float | None:
+        """Return the pause that this part of all stayed below, or ``None`` for too few.
+
+        Sorting is put off, so the value may be a few pauses old.
+        """
         if len(self._pauses_s) < SAMPLES_NEEDED:
             return None
         if self._quantile_s is None or self._since_sort >= SAMPLES_BETWEEN_SORTS:
--- a/src/passlane/scheduling/queue.py
+++ b/src/passlane/scheduling/queue.py
@@ -60,7 +60,10 @@
 
 @dataclass(slots=True)
 class _Lane:
-    """Waiting calls of one lane, sorted by ``order_key``."""
+    """Waiting calls of one lane, sorted by ``order_key``.
+
+    ``arrivals`` holds the same calls' times of arrival by their number, oldest first.
+    """
 
     tenant_id: TenantId
     service_class: int
@@ -68,15 +71,18 @@
     arrivals: OrderedDict[int, float] = field(default_factory=OrderedDict)
 
     def add(self, queued: QueuedCall) -> None:
+        """Put a call in its place."""
         bisect.insort(self.calls, queued, key=lambda item: item.order_key)
         self.arrivals[queued.number] = queued.arrived_at
 
     def remove(self, queued: QueuedCall) -> None:
+        """Take out a call that is in the lane."""
         index = bisect.bisect_left(self.calls, queued.order_key, key=lambda item: item.order_key)
         del self.calls[index]
         del self.arrivals[queued.number]
 
     def effective_class(self, now: float, class_step_s: float) -> int:
+        """Return the class, one better for each ``class_step_s`` that the oldest call waited."""
         if self.service_class <= 0 or class_step_s <= 0:
             return self.service_class
         waited_s = now - next(iter(self.arrivals.values()))
