Drop the time that a pause was told and did not use

CacheRetention.pause took the current time, but it works from the time at which the program paused, which its progress holds; a reader had to look for a use that was not there. The parameter and the one argument for it are gone. The 39 scheduling tests pass and no decision changed.

--- a/src/passlane/scheduling/retention.py
+++ b/src/passlane/scheduling/retention.py
@@ -36,7 +36,6 @@
         program_id: ProgramId,
         progress: ProgramProgress,
         engine: EngineView | None,
-        now: float,
     ) -> None:
         """Note that a program went to a tool or that its caller went away."""
         if not self._config.retention.enabled or progress.paused_at is None:
--- a/src/passlane/scheduling/scheduler.py
+++ b/src/passlane/scheduling/scheduler.py
@@ -204,7 +204,7 @@
         engine = None
         if progress.last_engine is not None:
             engine = self._engines.get(progress.last_engine)
-        self._retention.pause(event.program_id, progress, engine, now)
+        self._retention.pause(event.program_id, progress, engine)
 
     def _program_ended(self, event: events.ProgramEnded, now: float) -> None:
         self._programs.forget(event.program_id)
