Build the refusal of a wrong sequence number in one place

A call's sequence number that is taken was refused with the same message in two places of the program's queue, and one that came early with nearly the same in a third. One method builds all three now, from the reason and the time to come back. Joining the refusal of a full queue as well was ruled out, since its code and message are others.

--- a/src/passlane/programs/program_queue.py
+++ b/src/passlane/programs/program_queue.py
@@ -80,8 +80,7 @@
     def add(self, call: QueuedCall, now: float) -> list[QueueInstruction]:
         """Take a new call that the program's record does not know."""
         if call.sequence is not None and call.sequence < self.next_sequence:
-            message = f"sequence {call.sequence} is taken; the next is {self.next_sequence}"
-            return [RefuseQueuedCall(call.call_id, ErrorCode.WRONG_SEQUENCE, message, None)]
+            return [self._wrong_sequence(call, "is taken", None)]
         if len(self._waiting) >= MAX_QUEUED_CALLS:
             message = f"the program has {MAX_QUEUED_CALLS} calls waiting"
             return [
@@ -139,18 +138,16 @@
             if call.sequence is None or call.sequence == self.next_sequence:
                 kept.append(call)
             elif call.sequence < self.next_sequence:
-                message = f"sequence {call.sequence} is taken; the next is {self.next_sequence}"
-                refused.append(
-                    RefuseQueuedCall(call.call_id, ErrorCode.WRONG_SEQUENCE, message, None)
-                )
+                refused.append(self._wrong_sequence(call, "is taken", None))
             elif now >= self._expiry(call):
-                message = f"sequence {call.sequence} came early; the next is {self.next_sequence}"
-                refused.append(
-                    RefuseQueuedCall(
-                        call.call_id, ErrorCode.WRONG_SEQUENCE, message, COME_BACK_AFTER_S
-                    )
-                )
+                refused.append(self._wrong_sequence(call, "came early", COME_BACK_AFTER_S))
             else:
                 kept.append(call)
         self._waiting = kept
         return refused
+
+    def _wrong_sequence(
+        self, call: QueuedCall, reason: str, retry_after_s: float | None
+    ) -> RefuseQueuedCall:
+        message = f"sequence {call.sequence} {reason}; the next is {self.next_sequence}"
+        return RefuseQueuedCall(call.call_id, ErrorCode.WRONG_SEQUENCE, message, retry_after_s)
