A leader's hand-over of leadership gets a module of its own

leader.py had grown to 301 lines and kept the state of a transfer beside proposals, reads and membership: five methods there touched only that state and the followers' progress. They move to raft/transfer.py as LeadershipTransfer, which the leader asks to request, advance, give up or ask at once.

--- a/src/passlane/raft/leader.py
+++ b/src/passlane/raft/leader.py
@@ -1,18 +1,15 @@
-"""What a replica does while it leads: proposals, reads, membership, transfer."""
+"""What a replica does while it leads: proposals, reads, changes of membership."""
 
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import ClassVar
 
-from passlane.identifiers import ReplicaId
 from passlane.messages.raft import (
     AppendReply,
     EntryKind,
     GroupMembership,
     LogEntry,
     SnapshotReply,
-    TimeoutNow,
 )
 from passlane.raft.disk_watch import STALL_ELECTION_TIMEOUTS, DiskWatch
 from passlane.raft.events import MemberAdded, MemberRemoved
@@ -30,15 +27,7 @@
 from passlane.raft.reads import ReadRounds
 from passlane.raft.replication import Replicator
 from passlane.raft.state import ReplicaState
-
-
-@dataclass(slots=True)
-class LeadershipTransfer:
-    """A hand-over of leadership under way; given up at ``deadline``."""
-
-    target: ReplicaId
-    deadline: float
-    is_asked: bool = False
+from passlane.raft.transfer import LeadershipTransfer
 
 
 class Leader:
@@ -65,7 +54,7 @@
         self._replicator = self.replicator_class(state, now)
         self._reads = self.reads_class(state)
         self._changes: deque[MemberAdded | MemberRemoved] = deque()
-        self._transfer: LeadershipTransfer | None = None
+        self._transfer = LeadershipTransfer(state, self._replicator)
         self._disk = DiskWatch(STALL_ELECTION_TIMEOUTS * state.config.election_timeout_s, now)
         self.next_heartbeat_at = now
 
@@ -82,8 +71,7 @@
 
     def advance_time(self, now: float) -> None:
         """Send heartbeats when they are due and give up an overdue transfer."""
-        if self._transfer is not None and now >= self._transfer.deadline:
-            self._transfer = None
+        self._transfer.give_up_if_overdue(now)
         self._hand_over_if_disk_hangs(now)
         if now >= self.next_heartbeat_at:
             self._send_heartbeats(now)
@@ -94,7 +82,7 @@
 
     def propose(self, tokens: Sequence[int], commands: Sequence[bytes], now: float) -> None:
         """Append commands, unless leadership is being handed over."""
-        if self._transfer is not None:
+        if self._transfer.is_under_way:
             self._refuse(tokens)
             return
         first_index = self._state.log.last_index + 1
@@ -114,12 +102,7 @@
 
     def request_transfer(self, now: float) -> None:
         """Hand leadership to the most advanced voter."""
-        target = self._replicator.most_advanced_voter(now)
-        if self._transfer is not None or target is None:
-            return
-        deadline = now + self._state.config.election_timeout_s
-        self._transfer = LeadershipTransfer(target=target, deadline=deadline)
-        self._advance_transfer()
+        self._transfer.request(now)
 
     def handle_append_reply(self, reply: AppendReply, now: float) -> None:
         """Take over a follower's acknowledgement."""
@@ -145,7 +128,7 @@
         self._replicator.advance_commit()
         self._advance_reads(now)
         self._advance_membership(now)
-        self._advance_transfer()
+        self._transfer.advance()
 
     @property
     def is_removed(self) -> bool:
@@ -165,9 +148,7 @@
 
     def hand_over(self, now: float) -> None:
         """Ask the most advanced voter to stand for election at once."""
-        target = self._replicator.most_advanced_voter(now)
-        if target is not None:
-            self._send_timeout_now(target)
+        self._transfer.ask_at_once(now)
 
     def _send_heartbeats(self, now: float) -> None:
         self.next_heartbeat_at = now + self._state.config.heartbeat_s
@@ -184,6 +165,7 @@
         self._replicator.send_entries_to_all(self._reads.current_round, now)
 
     def _refuse(self, tokens: Sequence[int]) -> None:
+        """Tell callers that nothing was appended for them."""
         if tokens:
             self._state.emit(
                 RejectProposals(tokens=tuple(tokens), leader=None, may_be_committed=False)
@@ -278,24 +260,3 @@
         self._append([(EntryKind.MEMBERSHIP, encode_membership(membership))], now)
         self._replicator.update_members(now)
         self._replicator.send_entries_to_all(self._reads.current_round, now)
-
-    def _advance_transfer(self) -> None:
-        transfer = self._transfer
-        if transfer is None or transfer.is_asked:
-            return
-        progress = self._replicator.followers.get(transfer.target)
-        if progress is None or progress.synced_index < self._state.log.last_index:
-            return
-        transfer.is_asked = True
-        self._send_timeout_now(transfer.target)
-
-    def _send_timeout_now(self, target: ReplicaId) -> None:
-        state = self._state
-        message = TimeoutNow(
-            group=state.config.group,
-            sender=state.own_id,
-            receiver=target,
-            term=state.term,
-            sender_address=state.config.address,
-        )
-        state.send(self._replicator.followers[target].address, message)
