Raft messages share one place that fills in their common fields

Each of the seven messages of election, follower, replicator and transfer wrote out group, sender, receiver and the sender's address. ReplicaState.header_to returns them as a typed dictionary, so mypy still checks each field; a base-class constructor was ruled out because the messages are frozen structs. Finding a member's address, written twice, becomes membership.address_of.

--- a/src/passlane/raft/election.py
+++ b/src/passlane/raft/election.py
@@ -11,7 +11,7 @@
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
 from passlane.messages.raft import VoteReply, VoteRequest
-from passlane.raft.membership import is_quorum, member_of
+from passlane.raft.membership import address_of, is_quorum
 from passlane.raft.state import ReplicaState
 
 
@@ -159,11 +159,8 @@
             if member.replica_id == state.own_id or not member.is_voter:
                 continue
             request = VoteRequest(
-                group=state.config.group,
-                sender=state.own_id,
-                receiver=member.replica_id,
+                **state.header_to(member.replica_id),
                 term=state.term + 1 if is_pre_vote else state.term,
-                sender_address=state.config.address,
                 last_index=state.log.last_index,
                 last_term=state.log.last_term,
                 is_pre_vote=is_pre_vote,
@@ -177,11 +174,8 @@
         if address is None:
             return
         reply = VoteReply(
-            group=state.config.group,
-            sender=state.own_id,
-            receiver=request.sender,
+            **state.header_to(request.sender),
             term=term,
-            sender_address=state.config.address,
             granted=granted,
             is_pre_vote=request.is_pre_vote,
         )
@@ -190,5 +184,4 @@
     def _reply_address(self, request: VoteRequest) -> Address | None:
         if request.sender_address is not None:
             return request.sender_address
-        member = member_of(self._state.membership, request.sender)
-        return member.address if member is not None else None
+        return address_of(self._state.membership, request.sender)
--- a/src/passlane/raft/follower.py
+++ b/src/passlane/raft/follower.py
@@ -9,7 +9,7 @@
     SnapshotReply,
     SnapshotRequest,
 )
-from passlane.raft.membership import member_of
+from passlane.raft.membership import address_of
 from passlane.raft.progress import Snapshot
 from passlane.raft.snapshot_data import ReceivedSnapshotData, SnapshotData
 from passlane.raft.state import ReplicaState
@@ -189,11 +189,8 @@
         if address is None:
             return
         reply = AppendReply(
-            group=state.config.group,
-            sender=state.own_id,
-            receiver=receiver,
+            **state.header_to(receiver),
             term=state.term,
-            sender_address=state.config.address,
             success=success,
             synced_index=self._acknowledged_index(),
             refused_index=refused_index,
@@ -209,11 +206,8 @@
             return
         next_offset = len(self._assembly.data) if self._assembly is not None else 0
         reply = SnapshotReply(
-            group=state.config.group,
-            sender=state.own_id,
-            receiver=receiver,
+            **state.header_to(receiver),
             term=state.term,
-            sender_address=state.config.address,
             last_index=last_index,
             next_offset=next_offset,
             installed=installed,
@@ -224,5 +218,4 @@
         state = self._state
         if replica_id == state.leader_id:
             return state.leader_address
-        member = member_of(state.membership, replica_id)
-        return member.address if member is not None else None
+        return address_of(state.membership, replica_id)
--- a/src/passlane/raft/membership.py
+++ b/src/passlane/raft/membership.py
@@ -39,6 +39,12 @@
     return None
 
 
+def address_of(membership: GroupMembership, replica_id: ReplicaId) -> Address | None:
+    """Return the address of a member; ``None`` if it is none."""
+    member = member_of(membership, replica_id)
+    return member.address if member is not None else None
+
+
 def is_quorum(membership: GroupMembership, replicas: Collection[ReplicaId]) -> bool:
     """Return whether ``replicas`` hold a majority of the voters."""
     voters = voters_of(membership)
--- a/src/passlane/raft/replication.py
+++ b/src/passlane/raft/replication.py
@@ -185,11 +185,8 @@
         previous_term = state.log.term_at(previous_index) if previous_index > 0 else 0
         assert previous_term is not None
         return AppendRequest(
-            group=state.config.group,
-            sender=state.own_id,
-            receiver=replica_id,
+            **state.header_to(replica_id),
             term=state.term,
-            sender_address=state.config.address,
             previous_index=previous_index,
             previous_term=previous_term,
             commit_index=state.commit_index,
@@ -224,11 +221,8 @@
         end = transfer.next_offset + state.config.snapshot_chunk_bytes
         transfer.sent_at = now
         request = SnapshotRequest(
-            group=state.config.group,
-            sender=state.own_id,
-            receiver=replica_id,
+            **state.header_to(replica_id),
             term=state.term,
-            sender_address=state.config.address,
             last_index=snapshot.last_index,
             last_term=snapshot.last_term,
             membership=snapshot.membership,
--- a/src/passlane/raft/state.py
+++ b/src/passlane/raft/state.py
@@ -3,6 +3,7 @@
 import random as random_module
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import TypedDict
 
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address
@@ -25,6 +26,15 @@
 from passlane.raft.snapshot_data import SnapshotData
 
 
+class MessageHeader(TypedDict):
+    """What every message of a replica says of its group, sender and receiver."""
+
+    group: str
+    sender: ReplicaId
+    receiver: ReplicaId
+    sender_address: Address
+
+
 @dataclass(slots=True)
 class ReplicaState:
     """Durable and volatile state of one replica.
@@ -119,6 +129,15 @@
         self._instructions = []
         return instructions
 
+    def header_to(self, receiver: ReplicaId) -> MessageHeader:
+        """Return the fields that a message to ``receiver`` shares with all others."""
+        return {
+            "group": self.config.group,
+            "sender": self.own_id,
+            "receiver": receiver,
+            "sender_address": self.config.address,
+        }
+
     def send(self, address: Address, message: AnyRaftMessage) -> None:
         """Send a message."""
         self.emit(SendMessage(address=address, message=message))
--- a/src/passlane/raft/transfer.py
+++ b/src/passlane/raft/transfer.py
@@ -73,10 +73,7 @@
     def _send_timeout_now(self, target: ReplicaId) -> None:
         state = self._state
         message = TimeoutNow(
-            group=state.config.group,
-            sender=state.own_id,
-            receiver=target,
+            **state.header_to(target),
             term=state.term,
-            sender_address=state.config.address,
         )
         state.send(self._replicator.followers[target].address, message)
