Taking members in and out leaves the module that runs a replica

Answering a request to join, and adding and removing members, needs only the driver and the waiting proposals, so it moves to replication/membership_changes.py; the two proposals share one method. What a disk says of a group goes to joining.status_of, damage in a group of errors beside damage_of, and the host asks the replica whether it votes rather than searching the members again.

--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -149,6 +149,11 @@
         """Whether this replica leads its current term."""
         return self._leader is not None
 
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica votes by the newest membership that it knows."""
+        return self._state.is_voter
+
     @property
     def leader_address(self) -> Address | None:
         """Address of the leader as far as known."""
--- a/src/passlane/replication/joining.py
+++ b/src/passlane/replication/joining.py
@@ -51,6 +51,16 @@
     return tuple(founders)
 
 
+def status_of(identity: Identity) -> GroupStatus:
+    """Return what a replica's disk says about its group."""
+    return GroupStatus(
+        replica_id=identity.replica_id,
+        is_member=identity.is_member,
+        may_found=identity.may_found and not identity.is_member,
+        founders=identity.founders,
+    )
+
+
 class GroupEntry:
     """Brings one replica into its group; made anew for each start.
 
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -14,14 +14,10 @@
 from passlane.messages.replication import (
     GroupStatus,
     GroupStatusRequest,
-    JoinReply,
-    JoinRequest,
 )
 from passlane.observability.logging import get_logger
 from passlane.raft.config import ReplicaConfig
 from passlane.raft.events import (
-    MemberAdded,
-    MemberRemoved,
     MessageReceived,
     ReadRequested,
     TransferRequested,
@@ -29,7 +25,8 @@
 from passlane.raft.membership import member_of
 from passlane.replication.driver import ReplicaDriver
 from passlane.replication.interfaces import StateMachine
-from passlane.replication.joining import GroupEntry, take_in
+from passlane.replication.joining import GroupEntry, status_of
+from passlane.replication.membership_changes import MembershipChanges
 from passlane.replication.message_dispatch import GroupHandlers, dispatch_for
 from passlane.replication.peer_sender import PeerSender
 from passlane.replication.pending import PendingRequests
@@ -39,7 +36,7 @@
 from passlane.replication.snapshot_rule import SnapshotRule
 from passlane.runtime.interfaces import Environment
 from passlane.settings.model import GroupSettings
-from passlane.storage.formats import Identity, damage_of
+from passlane.storage.formats import Identity, damage_in
 from passlane.storage.identity import IdentityFile
 from passlane.transport.interfaces import Caller, Router
 
@@ -101,10 +98,11 @@
         self._reads = self._new_pending(ErrorCode.UNAVAILABLE, Verdict.NOT_RUN)
         self._timeout_s = TIMEOUT_IN_ELECTION_TIMEOUTS * settings.election_timeout_s
         self._batch = ProposalBatch(self._proposals, self._timeout_s)
+        changes = MembershipChanges(self._ready_driver, self._proposals, self._timeout_s)
         handlers = GroupHandlers(
             on_raft_message=self._take_raft_message,
             on_status_request=self._answer_status,
-            on_join_request=self._answer_join,
+            on_join_request=changes.answer_join,
         )
         dispatch_for(router).add_group(group, handlers)
 
@@ -144,10 +142,7 @@
     @property
     def is_voter(self) -> bool:
         """Whether this replica votes, by the membership that it knows."""
-        if self._driver is None:
-            return False
-        members = self._driver.replica.membership.members
-        return any(m.replica_id == self.replica_id and m.is_voter for m in members)
+        return self._driver is not None and self._driver.replica.is_voter
 
     @property
     def is_ready(self) -> bool:
@@ -211,7 +206,7 @@
             try:
                 await self._run_on_files()
             except* (PasslaneError, OSError) as group:
-                error = _damage_in(group)
+                error = damage_in(group)
                 if error is None:
                     raise
                 await self._abandon_files(error)
@@ -331,48 +326,10 @@
 
     async def _answer_status(self, request: GroupStatusRequest) -> GroupStatus:
         """Tell what this replica's disk says about the group."""
-        identity = self._identity
-        if identity is None:
+        if self._identity is None:
             raise PasslaneError(
                 ErrorCode.UNAVAILABLE,
                 f"the files of group {request.group} are not open yet",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
-        return GroupStatus(
-            replica_id=identity.replica_id,
-            is_member=identity.is_member,
-            may_found=identity.may_found and not identity.is_member,
-            founders=identity.founders,
-        )
-
-    async def _answer_join(self, request: JoinRequest) -> JoinReply:
-        """Take in a replica, if this one leads."""
-        driver = self._ready_driver()
-        if not driver.is_leader:
-            raise NotLeaderError(f"not the leader of group {self._group}", driver.leader_address)
-        return await take_in(request, driver.replica.membership, self._add, self._remove)
-
-    async def _add(self, replica_id: ReplicaId, address: Address) -> None:
-        """Add a learner; return once that is committed."""
-        token = self._proposals.add()
-        event = MemberAdded(token=token, replica_id=replica_id, address=address)
-        self._ready_driver().step(event)
-        await self._proposals.wait(token, self._timeout_s)
-
-    async def _remove(self, replica_id: ReplicaId) -> None:
-        """Remove a member; return once that is committed."""
-        token = self._proposals.add()
-        self._ready_driver().step(MemberRemoved(token=token, replica_id=replica_id))
-        await self._proposals.wait(token, self._timeout_s)
-
-
-def _damage_in(group: BaseExceptionGroup[PasslaneError | OSError]) -> PasslaneError | None:
-    """Return the damage that ended the tasks; ``None`` if they ended for another reason."""
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    if isinstance(error, OSError):
-        return damage_of(error)
-    if isinstance(error, PasslaneError) and error.code is ErrorCode.STORAGE_CORRUPT:
-        return error
-    return None
+        return status_of(self._identity)
--- a/src/passlane/storage/formats.py
+++ b/src/passlane/storage/formats.py
@@ -111,6 +111,21 @@
     return storage_corrupt(f"the disk failed: {error}")
 
 
+def damage_in(group: BaseExceptionGroup[PasslaneError | OSError]) -> PasslaneError | None:
+    """Return the damage that a group of errors stands for; ``None`` for other causes.
+
+    Only the first error of the group counts.
+    """
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    if isinstance(error, OSError):
+        return damage_of(error)
+    if isinstance(error, PasslaneError) and error.code is ErrorCode.STORAGE_CORRUPT:
+        return error
+    return None
+
+
 def decode_payload(kind: type[StructType], payload: bytes | memoryview, where: str) -> StructType:
     """Return the decoded payload.
 
