The pauses between tries of a request stand in one place

The doubling pause with jitter was written out three times, twice in joining.py and once in client.py; it becomes replication/backoff.py. The back-off in the transport was left apart: it is a pure function of a count of failures and does not sleep.

--- a/src/passlane/replication/client.py
+++ b/src/passlane/replication/client.py
@@ -9,6 +9,7 @@
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.base import Message
 from passlane.messages.common import Address, NotLeaderError
+from passlane.replication.backoff import Backoff
 from passlane.transport.interfaces import Caller
 
 ReplyType = TypeVar("ReplyType", bound=Message)
@@ -63,16 +64,13 @@
             ``may_have_run`` if any try may have run.
         """
         deadline = anyio.current_time() + timeout_s
-        pause_s = FIRST_PAUSE_S
+        backoff = Backoff(self._random, FIRST_PAUSE_S, LONGEST_PAUSE_S)
         verdict = Verdict.NOT_RUN
         follows_hint = False
         while True:
             address = self._leader or self._random.choice(self._addresses)
-            remaining_s = deadline - anyio.current_time()
             try:
-                result = await self._caller.call(
-                    address, request, reply, timeout_s=min(remaining_s, ATTEMPT_TIMEOUT_S)
-                )
+                return await self._try(address, request, reply, deadline)
             except PasslaneError as error:
                 if error.code not in _RETRIED_CODES:
                     raise
@@ -80,19 +78,24 @@
                     verdict = Verdict.MAY_HAVE_RUN
                 hint = self._note_failure(error, address)
                 last_error = error
-            else:
-                self._leader = address
-                return result
             # A first hint is followed at once; two replicas may point at each other.
-            if hint and not follows_hint:
-                follows_hint = True
-            else:
-                follows_hint = False
-                await anyio.sleep(self._random.uniform(pause_s / 2, pause_s))
-                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+            follows_hint = hint and not follows_hint
+            if not follows_hint:
+                await backoff.pause()
             if anyio.current_time() >= deadline:
                 raise self._final_error(last_error, verdict) from last_error
 
+    async def _try(
+        self, address: Address, request: Message, reply: type[ReplyType], deadline: float
+    ) -> ReplyType:
+        """Send the request to one replica; one that answers is taken for the leader."""
+        remaining_s = deadline - anyio.current_time()
+        result = await self._caller.call(
+            address, request, reply, timeout_s=min(remaining_s, ATTEMPT_TIMEOUT_S)
+        )
+        self._leader = address
+        return result
+
     def _note_failure(self, error: PasslaneError, address: Address) -> bool:
         """Choose where to try next; return whether the error named a leader."""
         leader = error.leader if isinstance(error, NotLeaderError) else None
--- a/src/passlane/replication/joining.py
+++ b/src/passlane/replication/joining.py
@@ -23,6 +23,7 @@
 )
 from passlane.observability.logging import get_logger
 from passlane.raft.membership import member_of
+from passlane.replication.backoff import Backoff
 from passlane.replication.client import GroupClient
 from passlane.settings.model import PeerSettings
 from passlane.storage.formats import Identity
@@ -100,7 +101,7 @@
 
     async def settle(self, identity: Identity) -> Identity:
         """Return once this replica is a founder, or knows that it has a group to join."""
-        pause_s = FIRST_PAUSE_S
+        backoff = Backoff(self._random, FIRST_PAUSE_S, LONGEST_PAUSE_S)
         while not identity.is_member:
             statuses = await self._ask_peers()
             founders = self._settled_founders(identity, statuses)
@@ -114,8 +115,7 @@
                 replica=identity.replica_id,
                 answered=sorted(statuses),
             )
-            await anyio.sleep(self._random.uniform(pause_s / 2, pause_s))
-            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+            await backoff.pause()
         return identity
 
     def _settled_founders(
@@ -158,7 +158,7 @@
         addresses = [peer.internal for peer in self._peers]
         client = GroupClient(self._caller, addresses, self._random)
         request = JoinRequest(self._group, replica_id, self.own_address, is_known=is_known)
-        pause_s = FIRST_PAUSE_S
+        backoff = Backoff(self._random, FIRST_PAUSE_S, LONGEST_PAUSE_S)
         while True:
             try:
                 reply = await client.execute(request, JoinReply, timeout_s=JOIN_TIMEOUT_S)
@@ -167,8 +167,7 @@
             else:
                 if reply.is_voter and reply.is_replaced:
                     return
-            await anyio.sleep(self._random.uniform(pause_s / 2, pause_s))
-            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+            await backoff.pause()
 
 
 async def take_in(
