Two docstrings read as the others do

The module docstring of the partition planner had a line far longer than its neighbours, left by an edit of its first sentence, and OpenSegment.is_synced had none although it is used from three places. A script that parses the packages of this area lists no other missing docstring but for two nested functions, which need none. No code changes; the 8 tests of tests/membership and the 22 of tests/storage pass.

--- a/src/passlane/membership/partition_planner.py
+++ b/src/passlane/membership/partition_planner.py
@@ -1,9 +1,9 @@
 """Who shall lead each partition: lost leaders replaced, live ones relieved in order.
 
 A partition without a live leader is assigned at once: a node whose lease has ended
-never takes up again what it led, even if it gets a new lease first. One that a live node leads is
-never taken away: the node is ordered to hand it over, and only once it has released
-the partition is the next leader assigned.
+never takes up again what it led, even if it gets a new lease first. One that a live node
+leads is never taken away: the node is ordered to hand it over, and only once it has
+released the partition is the next leader assigned.
 """
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
--- a/src/passlane/storage/segments.py
+++ b/src/passlane/storage/segments.py
@@ -32,6 +32,7 @@
 
     @property
     def is_synced(self) -> bool:
+        """Whether all that was written is durable."""
         return self.written == self.synced
 
 
