Recorded documents are read tolerantly in one place

The store leader's list of drained nodes and its engine reconciler each decoded documents with the same rule: one that cannot be parsed is passed over. Both now call parsing.parse_recorded, and drains.py loses a decoder of its own. Parsing every accepted document in DrainedNodes was ruled out, as it would cost time at each revision; kinds are still filtered first.

--- a/src/passlane/configuration/parsing.py
+++ b/src/passlane/configuration/parsing.py
@@ -7,6 +7,7 @@
 from passlane.configuration.documents import BODY_TYPES, DocumentBody, DocumentKind
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
+from passlane.messages.control import Document
 
 MAX_NAME_LENGTH = 200
 MAX_BODY_CHARACTERS = 200_000
@@ -50,6 +51,20 @@
         raise _invalid(str(error)) from error
 
 
+def parse_recorded(document: Document) -> DocumentBody | None:
+    """Return the body of a recorded document; ``None`` if it is deleted or cannot be parsed.
+
+    The control group checks documents before it records them; one that it let through all
+    the same must not stop those that act on the others.
+    """
+    if document.body is None:
+        return None
+    try:
+        return parse_body(parse_kind(document.kind), document.body)
+    except PasslaneError:
+        return None
+
+
 def parse_fields(kind: DocumentKind, fields: dict[str, Any]) -> DocumentBody:
     """Return the struct for fields as people write them, ``address = "host:port"``.
 
--- a/src/passlane/store/drains.py
+++ b/src/passlane/store/drains.py
@@ -1,17 +1,14 @@
 """Nodes that operators have marked as leaving, by documents of kind ``drain``."""
 
-import msgspec
-
 from passlane.configuration.documents import DocumentKind, DrainBody
 from passlane.configuration.ledger import ConfigurationLedger
+from passlane.configuration.parsing import parse_recorded
 from passlane.identifiers import NodeId
-from passlane.messages.control import NO_REVISION, Document
+from passlane.messages.control import NO_REVISION
 
 NODE_TARGET = "node"
 """``target_kind`` of a drain that names a node."""
 
-_decoder = msgspec.json.Decoder(DrainBody)
-
 
 class DrainedNodes:
     """The nodes that accepted drain documents name, worked out once for each revision."""
@@ -28,19 +25,10 @@
         if as_of != self._as_of:
             self._as_of = as_of
             accepted, _ = held.dump()
+            drains = (document for document in accepted if document.kind == DocumentKind.DRAIN)
             self._nodes = frozenset(
                 NodeId(body.target)
-                for body in map(_drain_of, accepted)
-                if body is not None and body.target_kind == NODE_TARGET
+                for body in map(parse_recorded, drains)
+                if isinstance(body, DrainBody) and body.target_kind == NODE_TARGET
             )
         return self._nodes
-
-
-def _drain_of(document: Document) -> DrainBody | None:
-    if document.kind != DocumentKind.DRAIN or document.body is None:
-        return None
-    try:
-        return _decoder.decode(document.body)
-    except msgspec.DecodeError:
-        # The control group checks documents; one it let through must not stop the loop.
-        return None
--- a/src/passlane/store/engine_reconciler.py
+++ b/src/passlane/store/engine_reconciler.py
@@ -11,8 +11,7 @@
 from passlane.backends.failures import BackendError
 from passlane.configuration.documents import DocumentKind, EngineBody
 from passlane.configuration.ledger import ConfigurationLedger
-from passlane.configuration.parsing import parse_body
-from passlane.errors import PasslaneError
+from passlane.configuration.parsing import parse_recorded
 from passlane.identifiers import EngineId, Revision
 from passlane.membership.lease_table import LeaseTable
 from passlane.messages.control import NO_REVISION, Document
@@ -111,14 +110,8 @@
 
 
 def target_of(document: Document) -> EngineTarget | None:
-    """Return the target that an engine's document names; ``None`` if it is deleted."""
-    if document.body is None:
-        return None
-    try:
-        body = parse_body(DocumentKind.ENGINE, document.body)
-    except PasslaneError:
-        # The control group checks documents; one it let through must not stop the loop.
-        return None
+    """Return the target that an engine's document names; ``None`` for any other document."""
+    body = parse_recorded(document)
     if not isinstance(body, EngineBody):
         return None
     return EngineTarget(EngineId(document.name), body, Revision(document.revision))
