What is drained is named by its type, not by a string

The view of the configuration, the store leader's list and two callers in the node compared kinds of drained targets with the literals "engine", "application" and "node", although documents carry DrainKind, an enumeration. They now use it, so a misspelt kind fails in mypy rather than at run time. Widening the literals into named constants was ruled out as a second list of the same names. DrainKind is a StrEnum, so encoded messages stay as they were. 43 tests of tests/store, 2 of configuration and 58 of node pass; mypy, ruff and lint-imports are clean.

--- a/src/passlane/configuration/view.py
+++ b/src/passlane/configuration/view.py
@@ -15,6 +15,7 @@
     DocumentBody,
     DocumentKind,
     DrainBody,
+    DrainKind,
     EngineBody,
     PolicyBody,
     ServiceBody,
@@ -38,9 +39,9 @@
 
 @dataclass(frozen=True)
 class DrainTarget:
-    """What receives no new work: kind ``engine``, ``application`` or ``node``, and name."""
+    """An engine, application or node that receives no new work, by its name."""
 
-    kind: str
+    kind: DrainKind
     name: str
 
 
@@ -125,7 +126,7 @@
         return {
             engine_id: body
             for engine_id, body in self.engines.items()
-            if model in body.models and not self.is_draining("engine", engine_id)
+            if model in body.models and not self.is_draining(DrainKind.ENGINE, engine_id)
         }
 
     def service_of(self, tenant_id: TenantId) -> ServiceBody | None:
@@ -141,13 +142,15 @@
         policy = self.policies.get(service.policy)
         return None if policy is None else (service.policy, policy)
 
-    def is_draining(self, target_kind: str, target: str) -> bool:
-        """Return whether an ``engine``, ``application`` or ``node`` receives no new work."""
+    def is_draining(self, target_kind: DrainKind, target: str) -> bool:
+        """Return whether an engine, application or node receives no new work."""
         return DrainTarget(target_kind, target) in self.draining
 
     def draining_nodes(self) -> frozenset[NodeId]:
         """Return the nodes that are marked as leaving."""
-        return frozenset(NodeId(target.name) for target in self.draining if target.kind == "node")
+        return frozenset(
+            NodeId(target.name) for target in self.draining if target.kind is DrainKind.NODE
+        )
 
 
 @dataclass(frozen=True)
--- a/src/passlane/node/call_planning.py
+++ b/src/passlane/node/call_planning.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from passlane.configuration.documents import DrainKind
 from passlane.configuration.view import ConfigurationView, ToolOffer
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.identifiers import ApplicationId
@@ -107,7 +108,7 @@
         if application_id == offer.application_id:
             return offer
     for offer in offers:
-        if not configuration.is_draining("application", offer.application_id):
+        if not configuration.is_draining(DrainKind.APPLICATION, offer.application_id):
             return offer
     raise PasslaneError(
         ErrorCode.DRAINING, "the applications with this tool are leaving", retry_after_s=5.0
--- a/src/passlane/node/node_core.py
+++ b/src/passlane/node/node_core.py
@@ -5,6 +5,7 @@
 
 from anyio.abc import TaskGroup
 
+from passlane.configuration.documents import DrainKind
 from passlane.configuration.view import ConfigurationView
 from passlane.errors import PasslaneError
 from passlane.identifiers import EngineId, NodeId, ProgramId
@@ -129,7 +130,7 @@
     drained = {
         engine_id
         for engine_id in configuration.engines
-        if configuration.is_draining("engine", engine_id)
+        if configuration.is_draining(DrainKind.ENGINE, engine_id)
     }
     return leaving | drained
 
--- a/src/passlane/store/drains.py
+++ b/src/passlane/store/drains.py
@@ -1,14 +1,11 @@
 """Nodes that operators have marked as leaving, by documents of kind ``drain``."""
 
-from passlane.configuration.documents import DocumentKind, DrainBody
+from passlane.configuration.documents import DocumentKind, DrainBody, DrainKind
 from passlane.configuration.ledger import ConfigurationLedger
 from passlane.configuration.parsing import parse_recorded
 from passlane.identifiers import NodeId
 from passlane.messages.control import NO_REVISION
 
-NODE_TARGET = "node"
-"""``target_kind`` of a drain that names a node."""
-
 
 class DrainedNodes:
     """The nodes that accepted drain documents name, worked out once for each revision."""
@@ -29,6 +26,6 @@
             self._nodes = frozenset(
                 NodeId(body.target)
                 for body in map(parse_recorded, drains)
-                if isinstance(body, DrainBody) and body.target_kind == NODE_TARGET
+                if isinstance(body, DrainBody) and body.target_kind is DrainKind.NODE
             )
         return self._nodes
