Write experiment reports and find free addresses in one place each

They now call `write_report` of bench/report_files.py and `free_address` of bench/loopback.py. Ruled out: the transport report (two spaces, newline at the end), the storage reports (also printed) and the fleet run (not indented) keep their own lines, since joining them would change their contents, and the storage group reserves several ports at once, which one address after another does not promise.

--- a/src/passlane/bench/configuration.py
+++ b/src/passlane/bench/configuration.py
@@ -26,6 +26,7 @@
     region_report,
     whole_deltas,
 )
+from passlane.bench.report_files import write_report
 from passlane.bench.straight_line import Line, Point, fit_line
 from passlane.configuration.ledger import ConfigurationLedger
 from passlane.control.machine import ControlStateMachine
@@ -123,9 +124,7 @@
     assert sizes is not None and first_load is not None
     result = _conclude(measured, sizes, first_load)
     _print(result)
-    if report is not None:
-        data = msgspec.json.format(msgspec.json.encode(result), indent=1)
-        (report / "configuration.json").write_bytes(data)
+    write_report(report, "configuration.json", result)
     return 0
 
 
--- a/src/passlane/bench/configuration_spread.py
+++ b/src/passlane/bench/configuration_spread.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from passlane.bench.configuration_fleet import REGIONS, ConfigurationFleet, wait_in_force
+from passlane.bench.report_files import write_report
 from passlane.identifiers import Revision
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
@@ -215,11 +216,7 @@
             f"later), {row.over_bound} over {BOUND_S:g} s, catch-up {row.catch_up_s:.2f} s",
             flush=True,
         )
-    if report is not None:
-        encoded = msgspec.json.format(
-            msgspec.json.encode(SpreadReport(BOUND_S, tuple(results))), indent=1
-        )
-        (report / REPORT_FILE).write_bytes(encoded)
+    write_report(report, REPORT_FILE, SpreadReport(BOUND_S, tuple(results)))
     return 0
 
 
--- a/src/passlane/bench/engine_polling.py
+++ b/src/passlane/bench/engine_polling.py
@@ -4,7 +4,6 @@
 own client over TCP on the loopback interface.
 """
 
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +17,8 @@
 from passlane.backends.engine_client import EngineClient
 from passlane.backends.failures import BackendError
 from passlane.bench.hollow import CountingNetwork
+from passlane.bench.loopback import free_address
+from passlane.bench.report_files import write_report
 from passlane.bench.straight_line import Line, Point, fit_line
 from passlane.messages.common import Address
 from passlane.runtime.http_client import SingleConnectionHttpClient
@@ -48,12 +49,6 @@
     node_core: Line
 
 
-def _free_address() -> Address:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", listener.getsockname()[1])
-
-
 def _start_engine(address: Address, folder: Path) -> "subprocess.Popen[bytes]":
     """Start an emulated engine as a process of its own."""
     settings = folder / "engine.toml"
@@ -95,7 +90,7 @@
 
 def measure_polling() -> PollingReport:
     """Run all points and return them with their lines."""
-    address = _free_address()
+    address = free_address()
     with tempfile.TemporaryDirectory() as folder:
         engine = _start_engine(address, Path(folder))
         try:
@@ -126,7 +121,5 @@
         )
     for line in (result.node_bytes, result.node_core):
         print(line.to_text())
-    if report is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
-        (report / REPORT_FILE).write_bytes(encoded)
+    write_report(report, REPORT_FILE, result)
     return 0
--- a/src/passlane/bench/handover.py
+++ b/src/passlane/bench/handover.py
@@ -20,6 +20,7 @@
 import anyio
 import msgspec
 
+from passlane.bench.report_files import write_report
 from passlane.emulator.engine_settings import EngineModelSettings
 from passlane.node import forwarder, incoming_partitions, node_core
 from passlane.node.incoming_partitions import IncomingPartitions
@@ -267,9 +268,7 @@
             f"{row.refusals} refusals, at most {row.most_held_bytes} bytes held",
             flush=True,
         )
-    if report is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(HandoverReport(tuple(results))), indent=1)
-        (report / REPORT_FILE).write_bytes(encoded)
+    write_report(report, REPORT_FILE, HandoverReport(tuple(results)))
     return 0
 
 
--- a/src/passlane/bench/idle_fleet.py
+++ b/src/passlane/bench/idle_fleet.py
@@ -12,6 +12,7 @@
 from passlane.bench.fleet_files import ProcessKind
 from passlane.bench.fleet_process import FleetProcess
 from passlane.bench.process_usage import ProcessUsage, read_usage
+from passlane.bench.report_files import write_report
 
 EXAMPLE = Path(__file__).resolve().parents[3] / "examples" / "small"
 SETTLE_S = 5.0
@@ -91,9 +92,7 @@
             f"{role.roles}: {role.processes} processes, {role.resident_bytes / 1e6:.1f} MB and "
             f"{role.core_fraction:.3%} of a core each"
         )
-    if report is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
-        (report / REPORT_FILE).write_bytes(encoded)
+    write_report(report, REPORT_FILE, result)
     return 0
 
 
--- a/src/passlane/bench/membership.py
+++ b/src/passlane/bench/membership.py
@@ -5,7 +5,6 @@
 """
 
 import random
-import socket
 import subprocess
 import sys
 import time
@@ -16,6 +15,8 @@
 import msgspec
 
 from passlane.bench.hollow import CountingNetwork, HollowNode, hollow_settings
+from passlane.bench.loopback import free_address
+from passlane.bench.report_files import write_report
 from passlane.bench.straight_line import Line, Point, fit_line
 from passlane.messages.common import Address
 from passlane.observability.logging import configure_logging
@@ -136,17 +137,11 @@
     return node
 
 
-def _free_address() -> Address:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", listener.getsockname()[1])
-
-
 def measure_membership(node_points: tuple[int, ...] = NODE_POINTS) -> MembershipReport:
     """Run all points and return them with their lines."""
     points = []
     for nodes in node_points:
-        address = _free_address()
+        address = free_address()
         store = _StoreProcess(address)
         try:
             points.append(anyio.run(_measure, nodes, address, store))
@@ -179,9 +174,7 @@
         )
     for line in (result.node_bytes, result.node_core, result.store_core):
         print(line.to_text())
-    if report is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
-        (report / REPORT_FILE).write_bytes(encoded)
+    write_report(report, REPORT_FILE, result)
     return 0 if all(point.nodes == point.nodes_with_lease for point in result.points) else 1
 
 
--- a/src/passlane/bench/node_cost.py
+++ b/src/passlane/bench/node_cost.py
@@ -23,6 +23,7 @@
     running_node_fleet,
 )
 from passlane.bench.node_memory import memory_lines, store_bytes_line
+from passlane.bench.report_files import write_report
 from passlane.bench.straight_line import Line, Point, fit_line
 from passlane.identifiers import ProgramId
 from passlane.messages.backends import EngineChatRequest, EngineChunk
@@ -99,9 +100,7 @@
             f"{added.by_node.p50 * MILLISECONDS:.2f} ms: {added.added_p50_s * MILLISECONDS:+.2f} ms"
             f" = {added.added_steps:.2f} steps, ratio {added.ratio_p50:.3f}"
         )
-    if report is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
-        (report / REPORT_FILE).write_bytes(encoded)
+    write_report(report, REPORT_FILE, result)
     return 0
 
 
--- a/src/passlane/bench/raft_cost.py
+++ b/src/passlane/bench/raft_cost.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from passlane.bench.raft_metered_group import GROUP, MeteredGroup
+from passlane.bench.report_files import write_report
 from passlane.bench.straight_line import Line, Point, fit_line
 from passlane.messages.raft import SnapshotRequest
 from passlane.raft.events import CommandsProposed, MessageReceived, TimeAdvanced
@@ -123,10 +124,8 @@
         print(cost.to_text())
     for snapshot in snapshots:
         print(snapshot.to_text())
-    if report is not None:
-        content = RaftCostReport(tuple(points), tuple(lines), tuple(idle), tuple(snapshots))
-        path = report / "raft-cost.json"
-        path.write_bytes(msgspec.json.format(msgspec.json.encode(content), indent=1))
+    content = RaftCostReport(tuple(points), tuple(lines), tuple(idle), tuple(snapshots))
+    write_report(report, "raft-cost.json", content)
     return 0
 
 
--- a/src/passlane/bench/raft_failover.py
+++ b/src/passlane/bench/raft_failover.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from passlane.bench.report_files import write_report
 from passlane.raft.events import TransferRequested
 from passlane.raft.membership import voters_of
 from passlane.simulation.raft_cluster import ClusterOptions, NetworkConditions, RaftCluster
@@ -140,9 +141,7 @@
     print("in election time-outs:")
     for result in results:
         print(result.to_text())
-    if report is not None:
-        path = report / "raft-failover.json"
-        path.write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1))
+    write_report(report, "raft-failover.json", results)
     return 0
 
 
--- a/src/passlane/bench/scheduler_memory.py
+++ b/src/passlane/bench/scheduler_memory.py
@@ -9,8 +9,7 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
-import msgspec
-
+from passlane.bench.report_files import write_report
 from passlane.bench.scheduler_load import (
     arriving_call,
     build_scheduler,
@@ -46,9 +45,7 @@
         for point in line.points:
             print(f"{line.name}: x={point.x:.0f} {point.y:.1f} KiB")
         print(line.to_text())
-    if report is not None:
-        content = msgspec.json.format(msgspec.json.encode(lines), indent=1)
-        (report / REPORT_FILE).write_bytes(content)
+    write_report(report, REPORT_FILE, lines)
     return 0
 
 
--- a/src/passlane/bench/scheduling.py
+++ b/src/passlane/bench/scheduling.py
@@ -3,9 +3,8 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-import msgspec
-
 from passlane.bench.baselines import Strategy
+from passlane.bench.report_files import write_report
 from passlane.bench.results import HEADER, RunResult, format_row, latency_of
 from passlane.bench.virtual_fleet import FLOOD_TENANT, RunPlan, Scenario, VirtualFleet
 from passlane.bench.workloads import MUSIC_HOUSE, TOP_UP, Deployment
@@ -68,7 +67,7 @@
     for plan in plans:
         results.append(run_one(plan))
         print(format_row(results[-1]), flush=True)
-        _write(report, name, results)
+        write_report(report, f"{name}.json", results)
     return results
 
 
@@ -147,10 +146,3 @@
         duration_s=duration_s,
         warm_up_s=duration_s * WARM_UP_SHARE,
     )
-
-
-def _write(report: Path | None, name: str, results: list[RunResult]) -> None:
-    if report is not None:
-        (report / f"{name}.json").write_bytes(
-            msgspec.json.format(msgspec.json.encode(results), indent=1)
-        )
--- a/src/passlane/bench/storage_costs.py
+++ b/src/passlane/bench/storage_costs.py
@@ -18,6 +18,7 @@
 import msgspec
 from anyio.from_thread import BlockingPortal, start_blocking_portal
 
+from passlane.bench.report_files import write_report
 from passlane.bench.storage_group import (
     Member,
     build_member,
@@ -212,7 +213,5 @@
     for line in costs.lines():
         print(line.to_text())
         print("  " + ", ".join(f"{point.x:.4g}: {point.y:.4g}" for point in line.points))
-    if folder is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(costs), indent=1)
-        (folder / REPORT_FILE).write_bytes(encoded)
+    write_report(folder, REPORT_FILE, costs)
     return 0
--- a/src/passlane/bench/store_machine.py
+++ b/src/passlane/bench/store_machine.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from passlane.bench.report_files import write_report
 from passlane.bench.straight_line import Line, Point, fit_line
 from passlane.errors import Verdict
 from passlane.identifiers import CallId, Epoch, NodeId, Partition, ProgramId, TenantId
@@ -228,9 +229,7 @@
     ):
         print(line.to_text())
         print("  " + ", ".join(f"{point.x:g}: {point.y:.4g}" for point in line.points))
-    if report is not None:
-        encoded = msgspec.json.format(msgspec.json.encode(result), indent=1)
-        (report / REPORT_FILE).write_bytes(encoded)
+    write_report(report, REPORT_FILE, result)
     return 0
 
 
--- a/src/passlane/bench/transport.py
+++ b/src/passlane/bench/transport.py
@@ -4,7 +4,6 @@
 times are those of sender and receiver together.
 """
 
-import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
@@ -15,6 +14,7 @@
 import msgspec
 
 from passlane.bench.hollow import CountingNetwork
+from passlane.bench.loopback import free_address
 from passlane.bench.straight_line import Line, Point, fit_line
 from passlane.errors import Verdict
 from passlane.identifiers import ProgramId
@@ -116,12 +116,6 @@
             await anyio.lowlevel.checkpoint()
 
 
-def _free_address() -> Address:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", listener.getsockname()[1])
-
-
 async def _cost(exchange: Callable[[str], Awaitable[None]], text: str) -> float:
     """Return the processor time of one message in microseconds."""
     began = time.process_time()
@@ -149,7 +143,7 @@
 async def measure_transport() -> TransportReport:
     """Measure all lines."""
     network = CountingNetwork(build_environment(Path("unused"), seed=1).network)
-    ends = _Ends(network, _free_address())
+    ends = _Ends(network, free_address())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(ends.server.run)
         tasks.start_soon(ends.pool.run)
--- a/src/passlane/bench/watched_subset.py
+++ b/src/passlane/bench/watched_subset.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from passlane.bench.baselines import Strategy
+from passlane.bench.report_files import write_report
 from passlane.bench.results import HEADER, RunResult, format_row
 from passlane.bench.scheduling import run_one
 from passlane.bench.virtual_fleet import RunPlan, Scenario
@@ -42,9 +43,7 @@
     for watched in WATCHED_POINTS:
         results.append(SubsetResult(watched, run_one(_plan(watched))))
         print(f"{watched:8} {format_row(results[-1].result)}", flush=True)
-    if report is not None:
-        content = msgspec.json.format(msgspec.json.encode(results), indent=1)
-        (report / REPORT_FILE).write_bytes(content)
+    write_report(report, REPORT_FILE, results)
     return 0
 
 
