Keep the scheduling experiment's table out of the test run's output

test_report_and_plot_are_written printed the experiment's whole table between the dots of the test run, because run_many prints each row as it is measured. The test now captures standard output with contextlib.redirect_stdout. Giving run_many a switch against printing was ruled out, since the table is what a person runs the experiment for. All assertions are kept, and one is added: the captured text holds the row of every result.

--- a/tests/bench/test_scheduling_experiment.py
+++ b/tests/bench/test_scheduling_experiment.py
@@ -1,7 +1,9 @@
 """The scheduling experiment: repeatable, the same load for all, and its measures."""
 
+import io
 import tempfile
 import unittest
+from contextlib import redirect_stdout
 from pathlib import Path
 from unittest import mock
 
@@ -11,7 +13,7 @@
 from passlane.bench.cache_waste import SAMPLE_S, CacheWaste
 from passlane.bench.event_heap import EventHeap
 from passlane.bench.plots import plot_results
-from passlane.bench.results import RunResult
+from passlane.bench.results import RunResult, format_row
 from passlane.bench.scheduling import run_many, run_one
 from passlane.bench.virtual_engine import VirtualEngine
 from passlane.bench.virtual_fleet import (
@@ -60,7 +62,10 @@
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
             plans = [plan(strategy, Scenario.STEADY) for strategy in Strategy]
-            results = run_many(plans, folder, "some")
+            with redirect_stdout(io.StringIO()) as table:
+                results = run_many(plans, folder, "some")
+            for result in results:
+                self.assertIn(format_row(result), table.getvalue())
             written = msgspec.json.decode((folder / "some.json").read_bytes(), type=list[RunResult])
             self.assertEqual(results, written)
             plot_results(results, folder)
