Close streamed answers that are not read to their end

A caller that read `[DONE]` or an error event left the answer's generator to the garbage collector, and under trio each such answer gave four ResourceWarnings. HttpResponse.chunks now says that it is an async generator, the caller closes it with contextlib.aclosing, and the HTTP client does so with httpcore's outer one. The loop over events became a small reader class, with the same decisions. Reading on to the body's end was ruled out: a server that holds the connection open would then hold up the caller.

--- a/src/passlane/emulator/caller_answers.py
+++ b/src/passlane/emulator/caller_answers.py
@@ -1,5 +1,6 @@
 """Reads what passlane answers to a caller: whole answers, streams and errors."""
 
+from contextlib import aclosing
 from dataclasses import dataclass, field
 
 import anyio
@@ -112,32 +113,51 @@
 
 async def _read_stream(response: HttpResponse, began: float) -> Attempt:
     """Read a stream of events up to its proper end."""
-    result = CallResult()
+    reader = _StreamReader(began)
     lines = EventLines()
-    last_token_at: float | None = None
-    async for data in response.chunks():
-        for line in lines.feed(data):
-            if line == END_OF_STREAM:
-                result.verdict = result.verdict or Verdict.RAN
-                return Attempt(result)
-            chunk = msgspec.json.decode(line, type=_ChatChunk)
-            if chunk.error is not None or chunk.code:
-                problem = chunk.error or msgspec.json.decode(line, type=CallProblem)
-                return Attempt(_failure(problem), problem.retry_after_s)
-            text = "".join(choice.delta.content or "" for choice in chunk.choices[:1])
-            if not text:
-                continue
-            now = anyio.current_time()
-            if last_token_at is None:
-                result.first_token_s = now - began
-            else:
-                result.token_gaps_s.append(now - last_token_at)
-            last_token_at = now
-            result.answer += text
+    async with aclosing(response.chunks()) as parts:
+        async for data in parts:
+            for line in lines.feed(data):
+                attempt = reader.read(line)
+                if attempt is not None:
+                    return attempt
     broken = CallResult(code="connection_lost", message="the stream broke off")
     return Attempt(broken, PAUSE_BEFORE_REPEAT_S)
 
 
+class _StreamReader:
+    """Gathers the result of one streamed answer, for a call that began at ``began``."""
+
+    def __init__(self, began: float) -> None:
+        self._began = began
+        self._result = CallResult()
+        self._last_token_at: float | None = None
+
+    def read(self, line: bytes) -> Attempt | None:
+        """Take in one event's data; return the attempt when it ends the stream."""
+        if line == END_OF_STREAM:
+            self._result.verdict = self._result.verdict or Verdict.RAN
+            return Attempt(self._result)
+        chunk = msgspec.json.decode(line, type=_ChatChunk)
+        if chunk.error is not None or chunk.code:
+            problem = chunk.error or msgspec.json.decode(line, type=CallProblem)
+            return Attempt(_failure(problem), problem.retry_after_s)
+        text = "".join(choice.delta.content or "" for choice in chunk.choices[:1])
+        if text:
+            self._note_text(text)
+        return None
+
+    def _note_text(self, text: str) -> None:
+        """Add text to the answer, and the time since the text before it."""
+        now = anyio.current_time()
+        if self._last_token_at is None:
+            self._result.first_token_s = now - self._began
+        else:
+            self._result.token_gaps_s.append(now - self._last_token_at)
+        self._last_token_at = now
+        self._result.answer += text
+
+
 def _failure(problem: CallProblem) -> CallResult:
     """Return the result that an error stands for."""
     return CallResult(verdict=problem.verdict, code=problem.code, message=problem.detail)
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -7,8 +7,8 @@
 
 import select
 import ssl
-from collections.abc import AsyncIterator, Iterable, Mapping
-from contextlib import AbstractContextManager, asynccontextmanager, nullcontext, suppress
+from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
+from contextlib import AbstractContextManager, aclosing, asynccontextmanager, nullcontext, suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -100,11 +100,12 @@
         }
         self._response = response
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body's parts as they arrive."""
         try:
-            async for part in self._response.aiter_stream():
-                yield part
+            async with aclosing(self._response.aiter_stream()) as parts:  # type: ignore[type-var]
+                async for part in parts:
+                    yield part
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise HttpConnectionError(f"the answer broke off: {error}", bytes_left=True) from error
 
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
+from collections.abc import AsyncGenerator, Awaitable, Callable, Iterable, Mapping
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -63,8 +63,11 @@
     status: int
     headers: Mapping[str, str]
 
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Return the body's parts as they arrive; raise ``OSError`` when it breaks off."""
+    def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Return the body's parts as they arrive; raise ``OSError`` when it breaks off.
+
+        A reader that stops before the end closes the generator (``contextlib.aclosing``).
+        """
         ...
 
 
