Give simulated callers and operators one base for what they share

SimulatedCallers and SimulatedOperators had the same constructor line for line, apart from the host that their requests come from. It now stands once, in SimulatedClients, and each kind names its host.

--- a/src/passlane/simulation/callers.py
+++ b/src/passlane/simulation/callers.py
@@ -1,6 +1,5 @@
 """Simulated callers: they run programs call by call and repeat what failed."""
 
-import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -8,13 +7,11 @@
 import anyio
 import msgspec
 
-from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.simulation.answer_reading import read_answer
-from passlane.simulation.event_log import EventLog
-from passlane.simulation.fleet_plan import CALLER_HOST, FleetPlan, caller_token
+from passlane.simulation.fleet_plan import CALLER_HOST, caller_token
 from passlane.simulation.http_calls import HttpAnswer, fetch
-from passlane.simulation.network import SimulatedNetwork
-from passlane.simulation.observer import Observations, SeenAttempt, SeenCall, SeenProgram
+from passlane.simulation.observer import SeenAttempt, SeenCall, SeenProgram
+from passlane.simulation.simulated_clients import SimulatedClients
 
 ATTEMPT_TIMEOUT_S = 35.0
 CALL_PATIENCE_S = 120.0
@@ -53,22 +50,10 @@
     max_money_micros: int = 1_000_000
 
 
-class SimulatedCallers:
+class SimulatedCallers(SimulatedClients):
     """Runs programs through the nodes and notes every answer."""
 
-    def __init__(
-        self,
-        plan: FleetPlan,
-        network: SimulatedNetwork,
-        observations: Observations,
-        event_log: EventLog,
-        random_source: random.Random,
-    ) -> None:
-        self._plan = plan
-        self._client = SingleConnectionHttpClient(network.host(CALLER_HOST))
-        self._seen = observations
-        self._event_log = event_log
-        self._random = random_source
+    host = CALLER_HOST
 
     async def run_program(self, name: str, script: ProgramScript) -> SeenProgram | None:
         """Run one program to its end; return what was seen of it."""
--- a/src/passlane/simulation/operators.py
+++ b/src/passlane/simulation/operators.py
@@ -1,18 +1,15 @@
 """Simulated operators: they submit, change and read documents through the daemons' HTTP."""
 
 import itertools
-import random
 from typing import Any
 
 import anyio
 import msgspec
 
-from passlane.runtime.http_client import SingleConnectionHttpClient
-from passlane.simulation.event_log import EventLog
-from passlane.simulation.fleet_plan import OPERATOR_HOST, OPERATOR_TOKEN, FleetPlan
+from passlane.simulation.fleet_plan import OPERATOR_HOST, OPERATOR_TOKEN
 from passlane.simulation.http_calls import HttpAnswer, fetch
-from passlane.simulation.network import SimulatedNetwork
-from passlane.simulation.observer import Observations, SeenChange, SeenDocument
+from passlane.simulation.observer import SeenChange, SeenDocument
+from passlane.simulation.simulated_clients import SimulatedClients
 
 REQUEST_TIMEOUT_S = 12.0
 PAUSE_S = 0.3
@@ -22,22 +19,10 @@
 ANSWERED_BELOW = 500
 
 
-class SimulatedOperators:
+class SimulatedOperators(SimulatedClients):
     """Sends requests of operators and notes every answer."""
 
-    def __init__(
-        self,
-        plan: FleetPlan,
-        network: SimulatedNetwork,
-        observations: Observations,
-        event_log: EventLog,
-        random_source: random.Random,
-    ) -> None:
-        self._plan = plan
-        self._client = SingleConnectionHttpClient(network.host(OPERATOR_HOST))
-        self._seen = observations
-        self._event_log = event_log
-        self._random = random_source
+    host = OPERATOR_HOST
 
     async def request(
         self,
