--- a/src/passlane/simulation/cluster.py
+++ b/src/passlane/simulation/cluster.py
@@ -17,8 +17,7 @@
 from passlane.simulation.callers import MODEL, TOOL, SimulatedCallers
 from passlane.simulation.disk import SimulatedDisk
 from passlane.simulation.event_log import EventLog
-from passlane.simulation.fleet_plan import FleetPlan
-from passlane.simulation.invariants import TOOL_PRICE_MICROS
+from passlane.simulation.fleet_plan import TOOL_PRICE_MICROS, FleetPlan
 from passlane.simulation.network import DelayModel, SimulatedNetwork
 from passlane.simulation.observer import Observations, PlannedStop
 from passlane.simulation.operators import SimulatedOperators
--- a/src/passlane/simulation/fleet_plan.py
+++ b/src/passlane/simulation/fleet_plan.py
@@ -29,6 +29,8 @@
 OPERATOR_HOST = "10.8.0.2"
 OPERATOR_TOKEN = "operator-token-for-simulation"
 REGION = "region"
+TOOL_PRICE_MICROS = 1_000
+"""Price of each run of a tool in simulated fleets."""
 
 GROUP = GroupSettings(heartbeat_s=0.2, election_timeout_s=0.8, snapshot_every_entries=100)
 MEMBERSHIP = MembershipSettings(partitions=8, clock_drift_fraction=0.05)
