--- a/src/passlane/bench/node_memory.py
+++ b/src/passlane/bench/node_memory.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from passlane.bench.straight_line import Line, Point, fit_line
+from passlane.bench.straight_line import Line, measure_line
 from passlane.errors import Verdict
 from passlane.identifiers import CallId, EngineId, Epoch, Partition, ProgramId, TenantId
 from passlane.messages.base import Message, encode_message
@@ -86,8 +86,7 @@
 
 
 def _line(name: str, x_unit: str, xs: tuple[int, ...], measure: Callable[[int], float]) -> Line:
-    points = [Point(x, measure(x)) for x in xs]
-    return fit_line(name, x_unit, "bytes", points)
+    return measure_line(name, x_unit, "bytes", xs, measure)
 
 
 def memory_lines() -> tuple[Line, ...]:
--- a/src/passlane/bench/scheduler_cost.py
+++ b/src/passlane/bench/scheduler_cost.py
@@ -18,7 +18,7 @@
     load_report,
     started_calls,
 )
-from passlane.bench.straight_line import Line, Point, fit_line
+from passlane.bench.straight_line import Line, measure_line
 from passlane.identifiers import CallId
 from passlane.scheduling import events
 
@@ -54,8 +54,7 @@
 
 
 def _measure(name: str, x_unit: str, sizes: Iterable[int], cost: Callable[[int], float]) -> Line:
-    points = [Point(size, cost(size)) for size in sizes]
-    return fit_line(name, x_unit, "microseconds", points)
+    return measure_line(name, x_unit, "microseconds", sizes, cost)
 
 
 def _cost_by_queued(queued: int) -> float:
--- a/src/passlane/bench/scheduler_memory.py
+++ b/src/passlane/bench/scheduler_memory.py
@@ -7,6 +7,7 @@
 import gc
 import tracemalloc
 from collections.abc import Callable, Iterable
+from functools import partial
 from pathlib import Path
 
 from passlane.bench.report_files import write_report
@@ -18,7 +19,7 @@
     load_report,
     started_calls,
 )
-from passlane.bench.straight_line import Line, Point, fit_line
+from passlane.bench.straight_line import Line, measure_line
 from passlane.configuration.documents import TenantBody
 from passlane.identifiers import TenantId
 from passlane.node.admission import Admission
@@ -50,8 +51,7 @@
 
 
 def _measure(name: str, x_unit: str, sizes: Iterable[int], build: Callable[[int], object]) -> Line:
-    points = [Point(size, _kept_kib(build, size)) for size in sizes]
-    return fit_line(name, x_unit, "KiB", points)
+    return measure_line(name, x_unit, "KiB", sizes, partial(_kept_kib, build))
 
 
 def _kept_kib(build: Callable[[int], object], size: int) -> float:
--- a/src/passlane/bench/straight_line.py
+++ b/src/passlane/bench/straight_line.py
@@ -1,6 +1,6 @@
 """Least-squares lines through measured points, as the capacity page uses them."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -49,3 +49,11 @@
     intercept = mean_y - slope * mean_x
     residuals = [abs(point.y - intercept - slope * point.x) for point in points]
     return Line(name, x_unit, y_unit, intercept, slope, max(residuals), tuple(points))
+
+
+def measure_line(
+    name: str, x_unit: str, y_unit: str, sizes: Iterable[int], measure: Callable[[int], float]
+) -> Line:
+    """Measure at each size, in order, and return the line through the results."""
+    points = [Point(size, measure(size)) for size in sizes]
+    return fit_line(name, x_unit, y_unit, points)
