Say what the measured configuration replica holds without an outside term

The docstring of build_state in bench/configuration_state.py spoke of engines and models of a text that a reader of the code does not have. It now says that they are those that the product is designed for, with so many tenants.

--- a/src/passlane/bench/configuration_state.py
+++ b/src/passlane/bench/configuration_state.py
@@ -86,7 +86,7 @@
 
 
 def build_state(tenants: int) -> MeasuredState:
-    """Return a replica that holds the letter's engines and models and so many tenants."""
+    """Return a replica with so many tenants, and the models and engines designed for."""
     machine = ControlStateMachine()
     machine.execute(SetRegions(REGIONS))
     source = random.Random(SEED)
