Take the sending of a change out of the simulated operators' long function

SimulatedOperators.change was 60 lines: it built the request, repeated it, read the answer, waited and noted all that. Sending until one process answers is now _submit, reading the answer _read_change, with a small class for what came back.

--- a/src/passlane/simulation/operators.py
+++ b/src/passlane/simulation/operators.py
@@ -1,6 +1,7 @@
 """Simulated operators: they submit, change and read documents through the daemons' HTTP."""
 
 import itertools
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -19,6 +20,22 @@
 ANSWERED_BELOW = 500
 
 
+@dataclass(frozen=True)
+class _SubmittedChange:
+    """How a change was answered; ``status`` is ``None`` when it was not."""
+
+    status: int | None = None
+    version: int | None = None
+    revision: int | None = None
+
+
+def _read_change(answer: HttpAnswer) -> _SubmittedChange:
+    if answer.status not in CHANGED_STATUSES:
+        return _SubmittedChange(answer.status)
+    view = msgspec.json.decode(answer.body)
+    return _SubmittedChange(answer.status, view["version"], view["revision"])
+
+
 class SimulatedOperators(SimulatedClients):
     """Sends requests of operators and notes every answer."""
 
@@ -66,44 +83,46 @@
         else:
             headers["if-none-match"] = "*"
         sent_at = anyio.current_time()
-        status: int | None = None
-        version: int | None = None
-        revision: int | None = None
-        with anyio.move_on_after(patience_s):
-            while status is None:
-                process = self._random.choice(self._plan.store_names())
-                answer = await self.request(process, "PUT", path, headers, body)
-                if answer.is_whole and (answer.status or ANSWERED_BELOW) < ANSWERED_BELOW:
-                    status = answer.status
-                    if status in CHANGED_STATUSES:
-                        view = msgspec.json.decode(answer.body)
-                        version, revision = view["version"], view["revision"]
-                else:
-                    await anyio.sleep(PAUSE_S)
-        answered_at = anyio.current_time() if status is not None else None
-        self._event_log.record("operator", f"{path} {key}: {status} version {version}")
-        if status not in CHANGED_STATUSES | CONFLICT_STATUSES:
-            self._seen.failures.append(f"operators: {path} {key} was answered with {status}")
+        result = await self._submit(path, headers, body, patience_s)
+        answered_at = anyio.current_time() if result.status is not None else None
+        self._event_log.record(
+            "operator", f"{path} {key}: {result.status} version {result.version}"
+        )
+        if result.status not in CHANGED_STATUSES | CONFLICT_STATUSES:
+            self._seen.failures.append(f"operators: {path} {key} was answered with {result.status}")
         accepted_at = None
-        if revision is not None and wait:
-            accepted_at = await self.wait_in_force(revision, patience_s)
+        if result.revision is not None and wait:
+            accepted_at = await self.wait_in_force(result.revision, patience_s)
             if accepted_at is None:
                 self._seen.failures.append(f"operators: {path} {key} did not come into force")
         change = SeenChange(
             name=f"{kind}/{name}",
             expected_version=expected_version,
-            version=version,
-            revision=revision,
+            version=result.version,
+            revision=result.revision,
             key=key,
             body=msgspec.json.encode(body).decode(),
             sent_at=sent_at,
             answered_at=answered_at,
-            status=200 if status in CHANGED_STATUSES else status,
+            status=200 if result.status in CHANGED_STATUSES else result.status,
             accepted_at=accepted_at,
         )
         self._seen.changes.append(change)
         return change
 
+    async def _submit(
+        self, path: str, headers: dict[str, str], body: Any, patience_s: float
+    ) -> _SubmittedChange:
+        """Send a change to one process after another until one of them answers it."""
+        with anyio.move_on_after(patience_s):
+            while True:
+                process = self._random.choice(self._plan.store_names())
+                answer = await self.request(process, "PUT", path, headers, body)
+                if answer.is_whole and (answer.status or ANSWERED_BELOW) < ANSWERED_BELOW:
+                    return _read_change(answer)
+                await anyio.sleep(PAUSE_S)
+        return _SubmittedChange()
+
     async def wait_in_force(self, revision: int, patience_s: float) -> float | None:
         """Wait until a revision is accepted and in force; return when that was said."""
         with anyio.move_on_after(patience_s):
