--- a/src/passlane/bench/scheduler_cost.py
+++ b/src/passlane/bench/scheduler_cost.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable, Iterable
 from pathlib import Path
 
-import msgspec
-
+from passlane.bench.report_files import write_report
 from passlane.bench.scheduler_load import (
     arriving_call,
     build_scheduler,
@@ -19,7 +18,7 @@
     load_report,
     started_calls,
 )
-from passlane.bench.straight_line import Line, Point, fit_line
+from passlane.bench.straight_line import Line, measure_line
 from passlane.identifiers import CallId
 from passlane.scheduling import events
 
@@ -50,15 +49,12 @@
         for point in line.points:
             print(f"{line.name}: x={point.x:.0f} {point.y:.1f} us")
         print(line.to_text())
-    if report is not None:
-        content = msgspec.json.format(msgspec.json.encode(lines), indent=1)
-        (report / REPORT_FILE).write_bytes(content)
+    write_report(report, REPORT_FILE, lines)
     return 0
 
 
 def _measure(name: str, x_unit: str, sizes: Iterable[int], cost: Callable[[int], float]) -> Line:
-    points = [Point(size, cost(size)) for size in sizes]
-    return fit_line(name, x_unit, "microseconds", points)
+    return measure_line(name, x_unit, "microseconds", sizes, cost)
 
 
 def _cost_by_queued(queued: int) -> float:
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -107,7 +107,7 @@
         self._response = response
         self._body = self._read_body()
 
-    def chunks(self) -> AsyncIterator[bytes]:
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Return the body's parts as they arrive."""
         return self._body
 
