--- a/src/passlane/bench/transport.py
+++ b/src/passlane/bench/transport.py
@@ -16,7 +16,7 @@
 from passlane.bench.hollow import CountingNetwork
 from passlane.bench.loopback import free_address
 from passlane.bench.straight_line import Line, Point, fit_line
-from passlane.errors import Verdict
+from passlane.errors import PasslaneError, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.common import Address
 from passlane.messages.node import CallAnswered, TextChunk
@@ -29,6 +29,8 @@
 TEXT_BYTES_POINTS = (0, 1_000, 4_000, 16_000, 64_000)
 IN_FLIGHT = 32
 MESSAGES = 60 * IN_FLIGHT
+READY_S = 5.0
+READY_STEP_S = 0.02
 TIMEOUT_S = 30.0
 MICROSECONDS = 1e6
 REPORT_FILE = "transport.json"
@@ -79,6 +81,16 @@
     async def _take(self, _message: CallAnswered) -> None:
         self.taken += 1
 
+    async def wait_ready(self) -> None:
+        """Return once the server answers; raise ``TimeoutError`` if it does not."""
+        with anyio.fail_after(READY_S):
+            while True:
+                try:
+                    await self.call_one_by_one("", 1)
+                    return
+                except PasslaneError:
+                    await anyio.sleep(READY_STEP_S)
+
     async def call_one_by_one(self, text: str, count: int = MESSAGES) -> None:
         """Make calls, each after the answer to the one before."""
         request = TextChunk(0, text)
@@ -147,6 +159,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(ends.server.run)
         tasks.start_soon(ends.pool.run)
+        await ends.wait_ready()
         report = TransportReport(
             messages=MESSAGES,
             calls_one_by_one=await _line("call, one in flight", ends.call_one_by_one),
