Engines' targets follow documents that arrive after their acceptance is known

Cause: the store leader worked its targets out again only when the accepted revision moved. Configuration arrives in parts, and each part tells the newest accepted revision, so engines in a later part were left out until the next change. The look-up of drained nodes beside it already took both revisions into account; the two now ask the ledger in the same way. Ruled out: holding the accepted revision back in the ledger, since others rely on it. Before: the new test fails with no target where one is expected.

--- a/src/passlane/configuration/ledger.py
+++ b/src/passlane/configuration/ledger.py
@@ -81,6 +81,10 @@
         """Return the accepted version of a document; a deletion has no body."""
         return self._accepted.get((kind, name))
 
+    def accepted_of(self, kind: str) -> Iterator[Document]:
+        """Yield the accepted documents of a kind, deletions too."""
+        return (document for document in self._accepted.values() if document.kind == kind)
+
     def append(self, change: Document) -> None:
         """Add the next pending change; its revision must be the next one."""
         if change.revision != self.held_revision + 1:
--- a/src/passlane/store/drains.py
+++ b/src/passlane/store/drains.py
@@ -21,8 +21,7 @@
         as_of = (held.held_revision, held.accepted_revision)
         if as_of != self._as_of:
             self._as_of = as_of
-            accepted, _ = held.dump()
-            drains = (document for document in accepted if document.kind == DocumentKind.DRAIN)
+            drains = held.accepted_of(DocumentKind.DRAIN)
             self._nodes = frozenset(
                 NodeId(body.target)
                 for body in map(parse_recorded, drains)
--- a/src/passlane/store/engine_reconciler.py
+++ b/src/passlane/store/engine_reconciler.py
@@ -48,7 +48,7 @@
         self._checks_allowed = anyio.Semaphore(MAX_CHECKS_AT_ONCE)
         self._wanted_since: dict[EngineTarget, float] = {}
         self._targets: tuple[EngineTarget, ...] = ()
-        self._as_of = NO_REVISION
+        self._as_of = (NO_REVISION, NO_REVISION)
 
     async def run(self) -> None:
         """Check one engine after the other until cancelled."""
@@ -65,20 +65,23 @@
 
     def _targets_here(self) -> tuple[EngineTarget, ...]:
         """Return the engines in the zones where the region has nodes."""
-        self._refresh_targets()
-        zones = {view.zone for view in self._lease_table.views(anyio.current_time())}
-        return tuple(target for target in self._targets if target.body.zone in zones)
-
-    def _refresh_targets(self) -> None:
-        accepted = self._configuration.accepted_revision
-        if accepted == self._as_of:
-            return
-        self._as_of = accepted
-        documents, _ = self._configuration.dump()
-        engines = (document for document in documents if document.kind == DocumentKind.ENGINE)
-        found = (target_of(document) for document in engines)
-        self._targets = tuple(target for target in found if target is not None)
         now = anyio.current_time()
+        zones = {view.zone for view in self._lease_table.views(now)}
+        return tuple(target for target in self.targets(now) if target.body.zone in zones)
+
+    def targets(self, now: float) -> tuple[EngineTarget, ...]:
+        """Return all engines that accepted documents name, worked out once for each revision."""
+        held = self._configuration
+        # Accepted documents may still arrive in parts: the held revision counts too.
+        as_of = (held.held_revision, held.accepted_revision)
+        if as_of != self._as_of:
+            self._as_of = as_of
+            self._refresh_targets(now)
+        return self._targets
+
+    def _refresh_targets(self, now: float) -> None:
+        found = map(target_of, self._configuration.accepted_of(DocumentKind.ENGINE))
+        self._targets = tuple(target for target in found if target is not None)
         self._wanted_since = {
             target: self._wanted_since.get(target, now) for target in self._targets
         }
--- a/tests/store/test_engine_reconciler.py
+++ b/tests/store/test_engine_reconciler.py
@@ -1,19 +1,27 @@
 """Engines come to serve the models that the accepted configuration names."""
 
 import unittest
+from random import Random
 
 import anyio
 
 from passlane.backends.engine_client import EngineClient
 from passlane.configuration.documents import EngineBody
+from passlane.configuration.ledger import ConfigurationLedger
+from passlane.configuration.parsing import encode_body
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.identifiers import EngineId, Revision
+from passlane.membership.lease_table import LeaseTable
 from passlane.messages.backends import EngineLoad, EngineOrder, OrderKind
 from passlane.messages.common import Address
+from passlane.messages.control import NO_REVISION, Document
 from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.settings.model import MembershipSettings
 from passlane.simulation.cluster import Cluster, run_cluster
 from passlane.simulation.fleet_plan import OPERATOR_HOST, FleetPlan
+from passlane.simulation.network import DelayModel, SimulatedNetwork
 from passlane.simulation.runner import run_simulation
+from passlane.store.engine_reconciler import EngineReconciler
 from passlane.store.engine_targets import (
     MODELS_SCOPE,
     UNLOAD_AFTER_S,
@@ -50,6 +58,24 @@
         self.assertEqual(orders_for(TARGET, idle, 0.0), unload)
 
 
+class TargetsTest(unittest.TestCase):
+    def test_an_accepted_document_that_arrives_later_becomes_a_target(self) -> None:
+        source = ConfigurationLedger()
+        source.append(Document("service", "s", 1, Revision(1), "{}"))
+        source.append(Document("engine", ENGINE, 1, Revision(2), encode_body(BODY)))
+        source.accept(Revision(2))
+        held = ConfigurationLedger()
+        lease_table = LeaseTable(MembershipSettings(), (), 0.0)
+        http = SingleConnectionHttpClient(SimulatedNetwork(Random(1), DelayModel({})).host("h"))
+        reconciler = EngineReconciler(held, lease_table, http)
+        held.apply_delta(source.delta_since(NO_REVISION, max_bytes=1))
+        self.assertEqual((held.held_revision, held.accepted_revision), (1, 2))
+        self.assertEqual(reconciler.targets(0.0), ())
+        held.apply_delta(source.delta_since(held.held_revision))
+        expected = EngineTarget(EngineId(ENGINE), BODY, Revision(2))
+        self.assertEqual(reconciler.targets(0.0), (expected,))
+
+
 async def change_models(cluster: Cluster, models: list[str], version: int) -> None:
     body = next(body for _, name, body in cluster.documents() if name == ENGINE)
     changed = {**body, "models": models}
