--- /dev/null
+++ b/src/passlane/daemon/fleet_context.py
@@ -0,0 +1,49 @@
+"""What the processes of a fleet share, whatever their role."""
+
+from dataclasses import dataclass
+
+from passlane.messages.common import Address
+from passlane.messages.fleet import Announce
+from passlane.observability.metrics import Metrics
+from passlane.platform.instance_list import InstanceList
+from passlane.runtime.interfaces import Environment
+from passlane.settings.fleet import FleetSettings
+from passlane.transport.client import ConnectionPool
+from passlane.transport.router import MessageRouter
+
+
+@dataclass(frozen=True)
+class FleetContext:
+    """The parts of one process that its role builds on."""
+
+    settings: FleetSettings
+    environment: Environment
+    pool: ConnectionPool
+    router: MessageRouter
+    metrics: Metrics
+
+    @property
+    def replica_name(self) -> str:
+        """Name of this process among replicas: its IP number, which seeds tell too."""
+        return self.settings.addresses.internal.host
+
+    def announcement(self) -> Announce:
+        """Return what every process tells of itself."""
+        process = self.settings.process
+        return Announce(
+            name=process.name,
+            role=process.role,
+            replica_name=self.replica_name,
+            address=self.settings.addresses.internal,
+            zone=process.zone,
+        )
+
+    def seed_addresses(self, settings: FleetSettings | None = None) -> tuple[Address, ...]:
+        """Return the seeds' internal addresses; internal ports are alike everywhere."""
+        used = settings or self.settings
+        port = used.addresses.internal.port
+        return tuple(Address(seed.host, port) for seed in used.seeds)
+
+    def instance_list(self) -> InstanceList:
+        """Return the platform's list of back ends."""
+        return InstanceList(self.environment.http_client, self.settings.backend_list.address)
--- /dev/null
+++ b/src/passlane/daemon/fleet_control.py
@@ -0,0 +1,94 @@
+"""A control replica of a fleet: configuration, directory, operators' requests."""
+
+import anyio
+
+from passlane.daemon.fleet_context import FleetContext
+from passlane.daemon.parts import CONTROL_FOLDER, CONTROL_GROUP, hand_over_leadership
+from passlane.fleet.follower import FleetFollower
+from passlane.fleet.machine import FleetStateMachine
+from passlane.fleet.operator import FleetOperator
+from passlane.fleet.service import FleetService
+from passlane.messages.common import Address
+from passlane.platform.operator_api import OperatorApi
+from passlane.replication.replica_host import ReplicaHost
+from passlane.settings.fleet import FleetSettings
+from passlane.settings.model import GroupSettings, PeerSettings
+
+HEARTBEAT_S = 0.2
+ELECTION_TIMEOUT_S = 0.8
+SNAPSHOT_EVERY_ENTRIES = 500
+SEGMENT_BYTES = 2_000_000
+
+
+class FleetControl:
+    """Runs the parts of a control replica."""
+
+    def __init__(self, context: FleetContext) -> None:
+        self._context = context
+        self._scope = anyio.CancelScope()
+        random = context.environment.random
+        self._follower = FleetFollower(
+            context.announcement, context.seed_addresses(), context.pool, random
+        )
+        machine = FleetStateMachine()
+        self._host = self._build_host(machine)
+        self._service = FleetService(self._host, machine, context.router, context.pool)
+        self._operator = FleetOperator(context.pool, self._control_addresses, random)
+
+    def _build_host(self, machine: FleetStateMachine) -> ReplicaHost:
+        context = self._context
+        own = PeerSettings(name=context.replica_name, internal=context.settings.addresses.internal)
+        seeds = [PeerSettings(name=a.host, internal=a) for a in context.seed_addresses()]
+        is_seed = own in seeds
+        return ReplicaHost(
+            CONTROL_GROUP,
+            own.name,
+            GroupSettings(
+                members=tuple(seeds) if is_seed else (*seeds, own),
+                heartbeat_s=HEARTBEAT_S,
+                election_timeout_s=ELECTION_TIMEOUT_S,
+                snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
+                segment_bytes=SEGMENT_BYTES,
+            ),
+            machine,
+            context.environment,
+            context.pool,
+            context.router,
+            CONTROL_FOLDER,
+            may_found=is_seed and context.settings.process.is_first_start,
+            find_members=self._found_members,
+        )
+
+    def _found_members(self) -> list[PeerSettings]:
+        known = [PeerSettings(name=a.host, internal=a) for a in self._follower.controls]
+        members = [
+            PeerSettings(name=m.address.host, internal=m.address) for m in self._host.members
+        ]
+        return known + members
+
+    def _control_addresses(self) -> tuple[Address, ...]:
+        return self._follower.controls
+
+    async def run(self) -> None:
+        """Run until stopped."""
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._host.run)
+                tasks.start_soon(self._service.run)
+                tasks.start_soon(self._follower.run)
+                tasks.start_soon(self._serve_operators)
+
+    async def _serve_operators(self) -> None:
+        address = self._context.settings.addresses.operators
+        assert address is not None
+        application = OperatorApi(self._operator)
+        await self._context.environment.http_server.serve(address, application)
+
+    def reload(self, settings: FleetSettings) -> None:
+        """Take over what may change while the process runs."""
+        self._follower.replace_seeds(self._context.seed_addresses(settings))
+
+    async def drain_and_stop(self) -> None:
+        """Hand over leadership, then stop."""
+        await hand_over_leadership(self._host)
+        self._scope.cancel()
--- /dev/null
+++ b/src/passlane/daemon/fleet_main.py
@@ -0,0 +1,158 @@
+"""Runs one process of a fleet on the platform: the composition root of ``passlane.platform``."""
+
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Protocol
+
+import anyio
+
+from passlane.daemon.fleet_context import FleetContext
+from passlane.messages.fleet import FleetRole
+from passlane.observability.logging import configure_logging, get_logger
+from passlane.observability.metrics import Metrics
+from passlane.observability.ring import RingLog
+from passlane.observability.standard_output import StandardOutputLog
+from passlane.platform.names import SETTINGS_VARIABLE
+from passlane.runtime.real import build_environment
+from passlane.settings.fleet import FleetSettings, load_fleet_settings
+from passlane.settings.loader import SettingsError
+from passlane.supervision.specification import ChildSpecification
+from passlane.supervision.supervisor import Supervisor, TooManyRestartsError
+from passlane.transport.client import ConnectionPool
+from passlane.transport.router import MessageRouter
+from passlane.transport.server import MessageServer
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+RING_LINES = 2_000
+NODE_FOLDER = "/tmp/passlane"
+"""A node keeps no files; its disk is never used."""
+SETTINGS_CHECK_S = 1.0
+
+_log = get_logger("daemon")
+
+
+class FleetProcess(Protocol):
+    """A process of one role."""
+
+    async def run(self) -> None:
+        """Run until stopped."""
+        ...
+
+    def reload(self, settings: FleetSettings) -> None:
+        """Take over what may change while the process runs."""
+        ...
+
+    async def drain_and_stop(self) -> None:
+        """Finish what is under way, then stop."""
+        ...
+
+
+def _build_process(context: FleetContext) -> FleetProcess:
+    """Return the process for the settings' role; each role imports only what it uses."""
+    role = context.settings.process.role
+    if role is FleetRole.NODE:
+        from passlane.daemon.fleet_node import FleetNode
+
+        return FleetNode(context)
+    if role is FleetRole.CONTROL:
+        from passlane.daemon.fleet_control import FleetControl
+
+        return FleetControl(context)
+    from passlane.daemon.fleet_store import FleetStore
+
+    return FleetStore(context)
+
+
+class FleetDaemon:
+    """One process: its supervisor tree, its signals, its settings file."""
+
+    def __init__(self, path: Path, settings: FleetSettings, output: StandardOutputLog) -> None:
+        self._path = path
+        self._settings = settings
+        self._output = output
+        folder = settings.process.data_folder or NODE_FOLDER
+        environment = build_environment(Path(folder), seed=None)
+        self._pool = ConnectionPool(environment)
+        router = MessageRouter()
+        self._server = MessageServer(environment, settings.addresses.internal, router)
+        context = FleetContext(settings, environment, self._pool, router, Metrics())
+        self._process = _build_process(context)
+
+    async def run(self) -> None:
+        """Run until a signal has stopped the process."""
+        children = [
+            ChildSpecification("log", self._output.run),
+            ChildSpecification("connections", self._pool.run),
+            ChildSpecification("messages", self._server.run),
+            ChildSpecification("settings", self._watch_settings),
+        ]
+        supervisor = Supervisor("fleet", children)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(supervisor.run)
+            tasks.start_soon(self._take_signals)
+            await self._process.run()
+            tasks.cancel_scope.cancel()
+
+    async def _take_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                _log.info("signal", number=int(number))
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    break
+        await self._process.drain_and_stop()
+
+    async def _watch_settings(self) -> None:
+        """Reload the settings when the file has changed without a signal."""
+        while True:
+            await anyio.sleep(SETTINGS_CHECK_S)
+            self._reload()
+
+    def _reload(self) -> None:
+        """Take over changed settings; a file that is half written waits for the next look."""
+        try:
+            settings = load_fleet_settings(self._path)
+        except SettingsError as error:
+            _log.warning("settings_not_reloaded", problem=str(error))
+            return
+        if settings != self._settings:
+            self._settings = settings
+            _log.info("settings_reloaded", seeds=[str(seed) for seed in settings.seeds])
+            self._process.reload(settings)
+
+
+async def _run(path: Path, settings: FleetSettings, output: StandardOutputLog) -> None:
+    """Build and run the daemon; its parts need the running loop."""
+    await FleetDaemon(path, settings, output).run()
+
+
+def main(variables: Mapping[str, str] = os.environ) -> int:
+    """Run the process whose settings file the platform names."""
+    path = Path(variables.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_fleet_settings(path)
+    except SettingsError as error:
+        print(f"passlane: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    output = StandardOutputLog()
+    configure_logging(RingLog(RING_LINES), output, process=settings.process.name)
+    _log.info("started", role=settings.process.role.value, zone=settings.process.zone)
+    exit_code = EXIT_OK
+    try:
+        anyio.run(_run, path, settings, output, backend="asyncio")
+    except TooManyRestartsError as error:
+        _log.error("failed", message=error.message)
+        exit_code = EXIT_FAILED
+    _log.info("stopped", exit_code=exit_code)
+    output.flush()
+    return exit_code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/passlane/daemon/fleet_node.py
@@ -0,0 +1,123 @@
+"""The node of a fleet: relays clients' requests to back ends."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from passlane.daemon.fleet_context import FleetContext
+from passlane.daemon.in_flight import InFlightRequests
+from passlane.fleet.follower import FleetFollower
+from passlane.messages.common import Address
+from passlane.messages.routes import RouteConfiguration
+from passlane.observability.logging import get_logger
+from passlane.platform.client_ingress import ClientIngress
+from passlane.platform.engine_client import EngineClient
+from passlane.platform.readiness import ReadinessApplication
+from passlane.relay.list_reader import BackendListReader
+from passlane.relay.registry import BackendRegistry
+from passlane.relay.service import RelayService
+from passlane.runtime.interfaces import HttpLimits
+from passlane.settings.fleet import FleetSettings
+from passlane.turns.client import TurnStoreClient
+
+UNREADY_BEFORE_CLOSE_S = 2.4
+"""A stopping node says for so long that it isn't ready before it closes its address."""
+LONGEST_SETTLING_S = 1.0
+
+_log = get_logger(__name__)
+
+
+class FleetNode:
+    """Runs the parts of a node."""
+
+    def __init__(self, context: FleetContext) -> None:
+        self._context = context
+        random = context.environment.random
+        self._registry = BackendRegistry()
+        self._limits = HttpLimits()
+        self._is_draining = False
+        self._scope = anyio.CancelScope()
+        self._relay: RelayService | None = None
+        self._requests: InFlightRequests | None = None
+        self._follower = FleetFollower(
+            context.announcement, context.seed_addresses(), context.pool, random
+        )
+        self._follower.on_configuration(self._take_configuration)
+        self._store = TurnStoreClient(context.pool, self._store_addresses, random)
+
+    async def run(self) -> None:
+        """Run until stopped."""
+        context = self._context
+        reader = BackendListReader(
+            context.instance_list(),
+            self._registry,
+            context.settings.backend_list.rate_per_s,
+            lambda: self._follower.node_count,
+            context.environment.random,
+        )
+        async with anyio.create_task_group() as tasks:
+            self._relay = self._build_relay(tasks)
+            tasks.start_soon(self._follower.run)
+            tasks.start_soon(reader.run)
+            tasks.start_soon(self._serve_readiness)
+            with self._scope:
+                await self._serve_clients(self._relay)
+            await self._finish_settling()
+            tasks.cancel_scope.cancel()
+
+    async def _finish_settling(self) -> None:
+        """Let settlements that were just begun reach the store."""
+        await anyio.sleep(LONGEST_SETTLING_S / 2)
+
+    def _build_relay(self, tasks: TaskGroup) -> RelayService:
+        context = self._context
+        relay = RelayService(
+            context.settings.process.zone,
+            self._registry,
+            EngineClient(context.environment.http_client),
+            self._store,
+            tasks,
+            context.metrics,
+        )
+        if self._follower.configuration is not None:
+            relay.replace_configuration(self._follower.configuration)
+        return relay
+
+    async def _serve_clients(self, relay: RelayService) -> None:
+        address = self._context.settings.addresses.callers
+        assert address is not None
+        ingress = ClientIngress(relay, lambda: self._is_draining)
+        self._requests = InFlightRequests(ingress)
+        await self._context.environment.http_server.serve(address, self._requests, self._limits)
+
+    async def _serve_readiness(self) -> None:
+        address = self._context.settings.addresses.readiness
+        assert address is not None
+        application = ReadinessApplication(self.is_ready)
+        await self._context.environment.http_server.serve(address, application)
+
+    def is_ready(self) -> bool:
+        """Whether this node can serve: it knows routes, back ends and the store group."""
+        knows_fleet = self._follower.configuration is not None and bool(self._follower.stores)
+        return knows_fleet and self._registry.updated_at is not None and not self._is_draining
+
+    def _store_addresses(self) -> list[Address]:
+        return [store.address for store in self._follower.stores]
+
+    def _take_configuration(self, configuration: RouteConfiguration) -> None:
+        limits = configuration.limits
+        self._limits.max_header_bytes = limits.max_header_bytes
+        self._limits.header_timeout_s = limits.header_timeout_s
+        self._limits.idle_timeout_s = limits.idle_timeout_s
+        if self._relay is not None:
+            self._relay.replace_configuration(configuration)
+
+    def reload(self, settings: FleetSettings) -> None:
+        """Take over what may change while the process runs."""
+        self._follower.replace_seeds(self._context.seed_addresses(settings))
+
+    async def drain_and_stop(self) -> None:
+        """Be no longer ready, serve what still comes, then close and finish."""
+        self._is_draining = True
+        _log.info("draining")
+        await anyio.sleep(UNREADY_BEFORE_CLOSE_S)
+        self._scope.cancel()
--- /dev/null
+++ b/src/passlane/daemon/fleet_store.py
@@ -0,0 +1,130 @@
+"""A store replica of a fleet: budgets and histories of programs."""
+
+import anyio
+import msgspec
+
+from passlane.daemon.fleet_context import FleetContext
+from passlane.daemon.parts import STORE_FOLDER, hand_over_leadership
+from passlane.fleet.follower import FleetFollower
+from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
+from passlane.observability.logging import get_logger
+from passlane.replication.replica_host import ReplicaHost
+from passlane.settings.fleet import FleetSettings
+from passlane.settings.model import GroupSettings, PeerSettings
+from passlane.storage.identity import IdentityFile, process_name_of
+from passlane.turns.machine import TurnStateMachine
+from passlane.turns.service import TurnService
+
+TURN_GROUP = "turns"
+HEARTBEAT_S = 0.1
+ELECTION_TIMEOUT_S = 0.5
+
+_log = get_logger(__name__)
+
+
+class FleetStore:
+    """Runs the parts of a store replica."""
+
+    def __init__(self, context: FleetContext) -> None:
+        self._context = context
+        self._scope = anyio.CancelScope()
+        self._host: ReplicaHost | None = None
+        self._may_found = False
+        self._follower = FleetFollower(
+            self._announcement, context.seed_addresses(), context.pool, context.environment.random
+        )
+        context.router.add_unary(RemoveReplica, self._remove_replica)
+
+    async def run(self) -> None:
+        """Run until stopped."""
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._run_replica)
+                tasks.start_soon(self._follower.run)
+
+    async def _run_replica(self) -> None:
+        """Wait until the group's members are known, unless the disk tells; then run."""
+        context = self._context
+        disk = context.environment.disk
+        identity_file = IdentityFile(disk, STORE_FOLDER, TURN_GROUP, context.replica_name)
+        identity = identity_file.load()
+        is_member = identity is not None and identity.is_member
+        self._may_found = not is_member and context.settings.process.is_first_start
+        founders = () if is_member else await self._wait_for_founders()
+        machine = TurnStateMachine()
+        host = self._build_host(machine, founders)
+        self._host = host
+        service = TurnService(host, machine, context.router)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(host.run)
+            tasks.start_soon(service.run)
+
+    async def _wait_for_founders(self) -> tuple[NamedAddress, ...]:
+        while True:
+            view = self._follower.view
+            if view is not None and view.store_founders:
+                return view.store_founders
+            await self._follower.wait_for_change()
+
+    def _build_host(
+        self, machine: TurnStateMachine, founders: tuple[NamedAddress, ...]
+    ) -> ReplicaHost:
+        context = self._context
+        own = PeerSettings(name=context.replica_name, internal=context.settings.addresses.internal)
+        members = [PeerSettings(name=f.name, internal=f.address) for f in founders]
+        is_founder = own in members
+        self._may_found = self._may_found and is_founder
+        return ReplicaHost(
+            TURN_GROUP,
+            own.name,
+            GroupSettings(
+                members=tuple(members) if is_founder else (*members, own),
+                heartbeat_s=HEARTBEAT_S,
+                election_timeout_s=ELECTION_TIMEOUT_S,
+            ),
+            machine,
+            context.environment,
+            context.pool,
+            context.router,
+            STORE_FOLDER,
+            may_found=self._may_found,
+            find_members=self._found_members,
+            may_join=self._may_join,
+        )
+
+    def _found_members(self) -> list[PeerSettings]:
+        known = [PeerSettings(name=s.name, internal=s.address) for s in self._follower.stores]
+        members = self._host.members if self._host is not None else ()
+        return known + [PeerSettings(name=m.address.host, internal=m.address) for m in members]
+
+    def _may_join(self) -> bool:
+        view = self._follower.view
+        return view is None or self._context.replica_name not in view.retired_replicas
+
+    def _announcement(self) -> Announce:
+        host = self._host
+        members: tuple[NamedAddress, ...] = ()
+        if host is not None and host.is_leader:
+            members = tuple(
+                sorted(NamedAddress(process_name_of(m.replica_id), m.address) for m in host.members)
+            )
+        return msgspec.structs.replace(
+            self._context.announcement(), may_found=self._may_found, group_members=members
+        )
+
+    async def _remove_replica(self, request: RemoveReplica) -> ReplicaRemoved:
+        """Remove a retired replica, if this one leads."""
+        if self._host is not None:
+            await self._host.remove_member(request.replica_name)
+            _log.info("replica_removed", replica=request.replica_name)
+        return ReplicaRemoved(request.replica_name)
+
+    def reload(self, settings: FleetSettings) -> None:
+        """Take over what may change while the process runs."""
+        self._follower.replace_seeds(self._context.seed_addresses(settings))
+
+    async def drain_and_stop(self) -> None:
+        """Hand over leadership, then stop."""
+        if self._host is not None:
+            await hand_over_leadership(self._host)
+        self._scope.cancel()
--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -71,7 +71,7 @@
         ...
 
 
-async def _hand_over_leadership(host: ReplicaHost) -> None:
+async def hand_over_leadership(host: ReplicaHost) -> None:
     """Ask another replica to lead and wait a while for that.
 
     When none can, this replica just stops; the others elect a leader as after a crash.
@@ -119,7 +119,7 @@
     async def drain(self) -> None:
         """Hand leadership to another replica if this one leads."""
         if self._host is not None:
-            await _hand_over_leadership(self._host)
+            await hand_over_leadership(self._host)
 
 
 class ControlPart(_ReplicaPart):
--- /dev/null
+++ b/src/passlane/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that know only seeds: discovery, forming of groups, the configuration in force."""
--- /dev/null
+++ b/src/passlane/fleet/directory.py
@@ -0,0 +1,93 @@
+"""What the leader of the control group remembers of the processes that announce themselves."""
+
+from dataclasses import dataclass
+
+from passlane.messages.fleet import Announce, FleetRole, NamedAddress
+
+FORGET_AFTER_S = 6.0
+"""A process that was silent for this long is no longer counted."""
+FOUNDING_PAUSE_S = 1.5
+"""The store group is founded once no further store process came for this long."""
+
+
+@dataclass(slots=True)
+class _Known:
+    """The newest announcement of a process and when it came."""
+
+    announcement: Announce
+    first_at: float
+    last_at: float
+
+
+class FleetDirectory:
+    """Processes by name; soft state that a new leader gathers anew.
+
+    ``number`` grows whenever an address that others need has changed.
+    """
+
+    def __init__(self, first_number: int) -> None:
+        self.number = first_number
+        self._known: dict[str, _Known] = {}
+        self._group_members: tuple[NamedAddress, ...] = ()
+
+    def note(self, announcement: Announce, now: float) -> bool:
+        """Take over an announcement; return whether the view of the fleet has changed."""
+        self._forget_silent(now)
+        known = self._known.get(announcement.name)
+        is_new = known is None or known.announcement.address != announcement.address
+        first_at = now if known is None or is_new else known.first_at
+        self._known[announcement.name] = _Known(announcement, first_at, now)
+        members = announcement.group_members
+        has_changed = is_new or bool(members and members != self._group_members)
+        if members:
+            self._group_members = members
+        if has_changed:
+            self.number += 1
+        return has_changed
+
+    def _forget_silent(self, now: float) -> None:
+        silent = [n for n, known in self._known.items() if now - known.last_at > FORGET_AFTER_S]
+        for name in silent:
+            del self._known[name]
+            self.number += 1
+
+    def stores(self) -> tuple[NamedAddress, ...]:
+        """Return the store replicas: those that announce themselves, and the group's members."""
+        announced = {self._address_of(known) for known in self._of_role(FleetRole.STORE)}
+        return tuple(sorted(announced | set(self._group_members)))
+
+    def controls(self) -> tuple[NamedAddress, ...]:
+        """Return the control replicas that announce themselves."""
+        return tuple(sorted(self._address_of(known) for known in self._of_role(FleetRole.CONTROL)))
+
+    def node_count(self) -> int:
+        """Return how many nodes announce themselves."""
+        return len(self._of_role(FleetRole.NODE))
+
+    def store_count(self) -> int:
+        """Return how many store processes announce themselves."""
+        return len(self._of_role(FleetRole.STORE))
+
+    def announcement_of(self, name: str) -> Announce | None:
+        """Return the newest announcement of the machine of this name."""
+        known = self._known.get(name)
+        return known.announcement if known is not None else None
+
+    def group_members(self) -> tuple[NamedAddress, ...]:
+        """Return the members of the store group as its leader told them last."""
+        return self._group_members
+
+    def founders_due(self, now: float) -> tuple[NamedAddress, ...]:
+        """Return the first members of the store group, or none while more may come."""
+        stores = [k for k in self._of_role(FleetRole.STORE) if k.announcement.may_found]
+        if not stores or now - max(known.first_at for known in stores) < FOUNDING_PAUSE_S:
+            return ()
+        return tuple(sorted(self._address_of(known) for known in stores))
+
+    def _of_role(self, role: FleetRole) -> list[_Known]:
+        return [known for known in self._known.values() if known.announcement.role is role]
+
+    @staticmethod
+    def _address_of(known: _Known) -> NamedAddress:
+        announcement = known.announcement
+        return NamedAddress(name=announcement.replica_name, address=announcement.address)
--- /dev/null
+++ b/src/passlane/fleet/follower.py
@@ -0,0 +1,143 @@
+"""Follows the fleet: announces this process and takes over configuration and addresses."""
+
+import random as random_module
+from collections.abc import Callable, Sequence
+
+import anyio
+
+from passlane.errors import PasslaneError
+from passlane.messages.common import Address, NotLeaderError
+from passlane.messages.fleet import Announce, FleetView, NamedAddress
+from passlane.messages.routes import RouteConfiguration
+from passlane.observability.logging import get_logger
+from passlane.transport.interfaces import Caller
+
+WAIT_S = 0.8
+"""The leader holds an announcement for this long when there is nothing new."""
+ANSWER_MARGIN_S = 0.5
+RETRY_PAUSE_S = 0.1
+SHORTEST_PERIOD_S = 0.05
+
+_log = get_logger(__name__)
+
+
+class FleetFollower:
+    """Keeps what this process knows of the fleet up to date.
+
+    Parameters
+    ----------
+    announcement
+        Returns what this process tells of itself now; version, view and wait are filled in.
+    seeds
+        Internal addresses of some control replicas, right at the time of the start.
+    """
+
+    def __init__(
+        self,
+        announcement: Callable[[], Announce],
+        seeds: Sequence[Address],
+        caller: Caller,
+        random: random_module.Random,
+    ) -> None:
+        self._announcement = announcement
+        self._seeds = tuple(seeds)
+        self._caller = caller
+        self._random = random
+        self._leader: Address | None = None
+        self._listeners: list[Callable[[RouteConfiguration], None]] = []
+        self._changed = anyio.Event()
+        self.view: FleetView | None = None
+        self.configuration: RouteConfiguration | None = None
+        self.confirmed_at: float | None = None
+
+    def on_configuration(self, listener: Callable[[RouteConfiguration], None]) -> None:
+        """Call ``listener`` with each newer configuration."""
+        self._listeners.append(listener)
+
+    def replace_seeds(self, seeds: Sequence[Address]) -> None:
+        """Take over seeds of a reloaded settings file."""
+        self._seeds = tuple(seeds)
+
+    @property
+    def controls(self) -> tuple[Address, ...]:
+        """Control replicas to turn to: those last told of, then the seeds."""
+        known = self.view.controls if self.view is not None else ()
+        addresses = [member.address for member in known]
+        return tuple(dict.fromkeys([*addresses, *self._seeds]))
+
+    @property
+    def stores(self) -> tuple[NamedAddress, ...]:
+        """Store replicas as last told of."""
+        return self.view.stores if self.view is not None else ()
+
+    @property
+    def node_count(self) -> int:
+        """How many nodes there are; at least 1."""
+        return max(1, self.view.node_count) if self.view is not None else 1
+
+    async def wait_for_change(self) -> None:
+        """Return when the view has changed."""
+        await self._changed.wait()
+
+    async def run(self) -> None:
+        """Announce and follow until cancelled."""
+        while True:
+            started = anyio.current_time()
+            address = self._leader or self._random.choice(self.controls)
+            try:
+                view = await self._announce_to(address)
+            except PasslaneError as error:
+                self._note_failure(error, address)
+                await anyio.sleep(self._random.uniform(0.5, 1.0) * RETRY_PAUSE_S)
+                continue
+            self._leader = address
+            self._take_over(view)
+            shortest_end = started + SHORTEST_PERIOD_S
+            await anyio.sleep(max(0.0, shortest_end - anyio.current_time()))
+
+    async def _announce_to(self, address: Address) -> FleetView:
+        own = self._announcement()
+        request = Announce(
+            name=own.name,
+            role=own.role,
+            replica_name=own.replica_name,
+            address=own.address,
+            zone=own.zone,
+            may_found=own.may_found,
+            group_members=own.group_members,
+            configuration_version=self.configuration.version if self.configuration else 0,
+            view_number=self.view.number if self.view is not None else 0,
+            wait_s=WAIT_S,
+        )
+        return await self._caller.call(
+            address, request, FleetView, timeout_s=WAIT_S + ANSWER_MARGIN_S
+        )
+
+    def _note_failure(self, error: PasslaneError, address: Address) -> None:
+        hint = error.leader if isinstance(error, NotLeaderError) else None
+        if self._leader is not None:
+            _log.info("control_lost", address=str(address), code=error.code.value)
+        self._leader = hint if hint != address else None
+
+    def _take_over(self, view: FleetView) -> None:
+        """Take over a view; an older configuration than the one held has no effect."""
+        has_changed = self.view is None or view.number != self.view.number
+        self.view = view
+        self.confirmed_at = anyio.current_time()
+        configuration = view.configuration
+        held = self.configuration.version if self.configuration is not None else 0
+        if configuration is not None and configuration.version > held:
+            self.configuration = configuration
+            _log.info("configuration_in_force", version=configuration.version, before=held)
+            for listener in self._listeners:
+                listener(configuration)
+        if has_changed:
+            _log.info(
+                "fleet_view",
+                number=view.number,
+                controls=[member.name for member in view.controls],
+                stores=[member.name for member in view.stores],
+                nodes=view.node_count,
+            )
+            self._changed.set()
+            self._changed = anyio.Event()
--- /dev/null
+++ b/src/passlane/fleet/machine.py
@@ -0,0 +1,80 @@
+"""The replicated state of a fleet: the configuration in force, and the store group's founders."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from passlane.messages.base import Message, encode_message, message_decoder
+from passlane.messages.fleet import (
+    ForbidReplica,
+    FoundStoreGroup,
+    NamedAddress,
+    ReplicaForbidden,
+    StoreGroupFounded,
+)
+from passlane.messages.routes import (
+    ConfigurationReplaced,
+    ReplaceConfiguration,
+    RouteConfiguration,
+)
+
+FleetCommand = ReplaceConfiguration | FoundStoreGroup | ForbidReplica
+
+_command_decoder = message_decoder(FleetCommand)
+
+
+class FleetState(msgspec.Struct, frozen=True):
+    """All replicated state; ``retired`` maps names of machines to names of replicas."""
+
+    configuration: RouteConfiguration | None = None
+    store_founders: tuple[NamedAddress, ...] = ()
+    retired: dict[str, str] = {}
+
+
+_state_decoder = msgspec.msgpack.Decoder(FleetState)
+
+
+class FleetStateMachine:
+    """Applies changes of the fleet's configuration (a ``StateMachine``)."""
+
+    def __init__(self) -> None:
+        self.state = FleetState()
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one committed command and return its encoded result."""
+        return encode_message(self.execute(_command_decoder.decode(command)))
+
+    def execute(self, command: Any) -> Message:
+        """Apply one command and return its result."""
+        if isinstance(command, ReplaceConfiguration):
+            return self._replace(command.configuration)
+        if isinstance(command, ForbidReplica):
+            retired = {**self.state.retired, command.name: command.replica_name}
+            self.state = msgspec.structs.replace(self.state, retired=retired)
+            return ReplicaForbidden(name=command.name)
+        assert isinstance(command, FoundStoreGroup)
+        return self._found(command)
+
+    def _replace(self, configuration: RouteConfiguration) -> ConfigurationReplaced:
+        held = self.state.configuration
+        if held is not None and configuration.version <= held.version:
+            return ConfigurationReplaced(version=held.version, is_new=False)
+        self.state = msgspec.structs.replace(self.state, configuration=configuration)
+        return ConfigurationReplaced(version=configuration.version, is_new=True)
+
+    def _found(self, command: FoundStoreGroup) -> StoreGroupFounded:
+        if not self.state.store_founders:
+            self.state = msgspec.structs.replace(self.state, store_founders=command.members)
+        return StoreGroupFounded(members=self.state.store_founders)
+
+    def snapshot_parts(self) -> Iterator[bytes]:
+        """Return the state as of this call; it is small enough for one part."""
+        return iter((msgspec.msgpack.encode(self.state),))
+
+    def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
+        """Replace the state by that of a snapshot."""
+        for part in parts:
+            state = _state_decoder.decode(part)
+            yield
+            self.state = state
--- /dev/null
+++ b/src/passlane/fleet/service.py
@@ -0,0 +1,239 @@
+"""Serves a fleet's configuration and directory on one replica of the control group."""
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.fleet.directory import FleetDirectory
+from passlane.fleet.machine import FleetStateMachine
+from passlane.messages.base import Message, encode_message, message_decoder
+from passlane.messages.common import NotLeaderError
+from passlane.messages.fleet import (
+    Announce,
+    FleetView,
+    ForbidReplica,
+    FoundStoreGroup,
+    ReadRetirement,
+    RemoveReplica,
+    ReplicaForbidden,
+    ReplicaRemoved,
+    RetirementState,
+    RetireStore,
+    StoreGroupFounded,
+    StoreRetirement,
+)
+from passlane.messages.routes import (
+    ConfigurationReplaced,
+    CurrentConfiguration,
+    ReadConfiguration,
+    ReplaceConfiguration,
+    RouteConfiguration,
+)
+from passlane.observability.logging import get_logger
+from passlane.replication.interfaces import ReplicatedGroup
+from passlane.routes.checks import check_configuration
+from passlane.transport.interfaces import Caller, Router
+
+DUTIES_PERIOD_S = 0.25
+MAX_WAIT_S = 1.5
+MIN_STORES_LEFT = 3
+"""A store machine is emptied only if this many are left, so that one may be lost."""
+REMOVE_TIMEOUT_S = 1.0
+
+_result_decoder = message_decoder(ConfigurationReplaced | StoreGroupFounded | ReplicaForbidden)
+_log = get_logger(__name__)
+
+
+class FleetService:
+    """Answers announcements and operators' requests; only the leader does.
+
+    Parameters
+    ----------
+    caller
+        Reaches the store group to remove retired replicas.
+    """
+
+    def __init__(
+        self,
+        group: ReplicatedGroup,
+        machine: FleetStateMachine,
+        router: Router,
+        caller: Caller,
+    ) -> None:
+        self._group = group
+        self._machine = machine
+        self._caller = caller
+        self._directory = FleetDirectory(0)
+        self._directory_term = 0
+        self._changed = anyio.Event()
+        router.add_unary(Announce, self.announce)
+        router.add_unary(ReplaceConfiguration, self.replace_configuration)
+        router.add_unary(ReadConfiguration, self.read_configuration)
+        router.add_unary(RetireStore, self.retire_store)
+        router.add_unary(ReadRetirement, self.read_retirement)
+
+    async def run(self) -> None:
+        """Carry out the leader's duties until cancelled."""
+        while True:
+            await anyio.sleep(DUTIES_PERIOD_S)
+            if not self._group.is_leader:
+                continue
+            try:
+                await self._found_store_group()
+                await self._remove_retired()
+            except PasslaneError as error:
+                _log.info("fleet_duty_failed", code=error.code.value, message=error.message)
+
+    async def announce(self, request: Announce) -> FleetView:
+        """Note a process and tell it of the fleet; held while there is nothing new for it."""
+        self._require_leadership()
+        now = anyio.current_time()
+        if self._current_directory().note(request, now):
+            self._wake_waiting()
+        if not self._has_news_for(request):
+            await self._wait_for_news(request, now + min(request.wait_s, MAX_WAIT_S))
+        self._require_leadership()
+        return self._view_for(request)
+
+    async def replace_configuration(self, request: ReplaceConfiguration) -> Message:
+        """Put a configuration in force; the reply means that it lasts."""
+        self._require_leadership()
+        check_configuration(request.configuration)
+        reply = await self._propose(request)
+        self._wake_waiting()
+        _log.info(
+            "configuration_replaced",
+            sent_version=request.configuration.version,
+            held_version=getattr(reply, "version", None),
+            is_new=getattr(reply, "is_new", None),
+        )
+        return reply
+
+    async def read_configuration(self, request: ReadConfiguration) -> CurrentConfiguration:
+        """Return the newest configuration, which includes all acknowledged before the call."""
+        self._require_leadership()
+        await self._group.read_barrier()
+        return CurrentConfiguration(configuration=self._machine.state.configuration)
+
+    async def retire_store(self, request: RetireStore) -> StoreRetirement:
+        """Begin to empty a store machine; the same order again is answered the same way."""
+        self._require_leadership()
+        if request.name in self._machine.state.retired:
+            return self._retirement_of(request.name)
+        directory = self._current_directory()
+        announcement = directory.announcement_of(request.name)
+        if announcement is None or announcement.replica_name not in self._store_names():
+            raise PasslaneError(ErrorCode.NOT_FOUND, f"no store machine {request.name}")
+        if directory.store_count() - 1 < MIN_STORES_LEFT:
+            raise PasslaneError(ErrorCode.VERSION_CONFLICT, "too few store machines would be left")
+        await self._propose(ForbidReplica(request.name, announcement.replica_name))
+        _log.info("store_retirement_began", name=request.name)
+        return self._retirement_of(request.name)
+
+    async def read_retirement(self, request: ReadRetirement) -> StoreRetirement:
+        """Return how far a store machine has been emptied."""
+        self._require_leadership()
+        await self._group.read_barrier()
+        if request.name not in self._machine.state.retired:
+            raise PasslaneError(ErrorCode.NOT_FOUND, f"{request.name} is not being emptied")
+        return self._retirement_of(request.name)
+
+    # Announcements.
+
+    def _current_directory(self) -> FleetDirectory:
+        """Return the directory of this term of leadership."""
+        if self._directory_term != self._group.term:
+            self._directory_term = self._group.term
+            # Views of a later leader must not look older to those that hold one.
+            self._directory = FleetDirectory(self._group.term << 24)
+        return self._directory
+
+    def _has_news_for(self, request: Announce) -> bool:
+        configuration = self._machine.state.configuration
+        version = configuration.version if configuration is not None else 0
+        return (
+            version > request.configuration_version
+            or self._current_directory().number != request.view_number
+        )
+
+    async def _wait_for_news(self, request: Announce, deadline: float) -> None:
+        while anyio.current_time() < deadline and not self._has_news_for(request):
+            changed = self._changed
+            with anyio.CancelScope(deadline=deadline):
+                await changed.wait()
+
+    def _wake_waiting(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _view_for(self, request: Announce) -> FleetView:
+        directory = self._current_directory()
+        state = self._machine.state
+        return FleetView(
+            number=directory.number,
+            controls=directory.controls(),
+            stores=directory.stores(),
+            store_founders=state.store_founders,
+            retired_replicas=tuple(sorted(state.retired.values())),
+            node_count=directory.node_count(),
+            configuration_version=state.configuration.version if state.configuration else 0,
+            configuration=self._configuration_newer_than(request.configuration_version),
+        )
+
+    def _configuration_newer_than(self, version: int) -> RouteConfiguration | None:
+        configuration = self._machine.state.configuration
+        if configuration is None or configuration.version <= version:
+            return None
+        return configuration
+
+    # Duties.
+
+    async def _found_store_group(self) -> None:
+        if self._machine.state.store_founders:
+            return
+        founders = self._current_directory().founders_due(anyio.current_time())
+        if founders:
+            await self._propose(FoundStoreGroup(founders))
+            _log.info("store_group_founded", members=[member.name for member in founders])
+            self._current_directory().number += 1
+            self._wake_waiting()
+
+    async def _remove_retired(self) -> None:
+        """Ask the store group to drop the replicas of retired machines."""
+        retired = self._machine.state.retired
+        for name, replica_name in retired.items():
+            if self._retirement_of(name).state is RetirementState.RUNNING:
+                await self._remove_replica(replica_name)
+
+    async def _remove_replica(self, replica_name: str) -> None:
+        request = RemoveReplica(replica_name)
+        for member in self._current_directory().group_members():
+            try:
+                await self._caller.call(
+                    member.address, request, ReplicaRemoved, timeout_s=REMOVE_TIMEOUT_S
+                )
+            except PasslaneError as error:
+                _log.debug("replica_not_removed", at=member.name, code=error.code.value)
+            else:
+                return
+
+    def _retirement_of(self, name: str) -> StoreRetirement:
+        replica_name = self._machine.state.retired[name]
+        is_member = replica_name in {m.name for m in self._current_directory().group_members()}
+        # A new leader of the control group doesn't know the members before the store group's
+        # leader has told them.
+        is_known = bool(self._current_directory().group_members())
+        is_done = is_known and not is_member
+        state = RetirementState.COMPLETED if is_done else RetirementState.RUNNING
+        return StoreRetirement(name=name, state=state)
+
+    def _store_names(self) -> set[str]:
+        return {store.name for store in self._current_directory().stores()}
+
+    def _require_leadership(self) -> None:
+        if not self._group.is_leader:
+            leader = self._group.leader_address
+            raise NotLeaderError("not the leader of the control group", leader)
+
+    async def _propose(self, command: Message) -> Message:
+        result: Message = _result_decoder.decode(await self._group.propose(encode_message(command)))
+        return result
--- /dev/null
+++ b/src/passlane/messages/fleet.py
@@ -0,0 +1,137 @@
+"""How processes that know only a few seeds find the others and follow the configuration."""
+
+import enum
+
+import msgspec
+
+from passlane.messages.base import Message
+from passlane.messages.common import Address
+from passlane.messages.routes import RouteConfiguration
+
+
+class FleetRole(enum.StrEnum):
+    """What a process of the fleet does."""
+
+    NODE = "node"
+    CONTROL = "control"
+    STORE = "store"
+
+
+class NamedAddress(msgspec.Struct, frozen=True, order=True):
+    """A replica's name in its group and its internal address."""
+
+    name: str
+    address: Address
+
+
+class Announce(Message, frozen=True, kw_only=True):
+    """Sent again and again by every process to the leader of the control group.
+
+    Attributes
+    ----------
+    name
+        Name of the machine, as operators call it.
+    replica_name
+        Name of the process among the replicas of its group.
+    may_found
+        Whether the process is a store replica whose disk never held anything.
+    group_members
+        Replicas of the store group, told by the one that leads it; else empty.
+    configuration_version
+        Version in force at the sender; 0 for none.
+    view_number
+        Number of the view that the sender holds.
+    wait_s
+        The answer is held for this long unless there is something new.
+    """
+
+    name: str
+    role: FleetRole
+    replica_name: str
+    address: Address
+    zone: str
+    may_found: bool = False
+    group_members: tuple[NamedAddress, ...] = ()
+    configuration_version: int = 0
+    view_number: int = 0
+    wait_s: float = 0.0
+
+
+class FleetView(Message, frozen=True, kw_only=True):
+    """What the leader of the control group knows of the fleet.
+
+    ``configuration`` is set only when it is newer than what the receiver holds;
+    ``number`` changes with any of the addresses.
+    """
+
+    number: int
+    controls: tuple[NamedAddress, ...]
+    stores: tuple[NamedAddress, ...]
+    store_founders: tuple[NamedAddress, ...]
+    retired_replicas: tuple[str, ...] = ()
+    node_count: int
+    configuration_version: int
+    configuration: RouteConfiguration | None = None
+
+
+class FoundStoreGroup(Message, frozen=True):
+    """Settles the first members of the store group; only the first such command counts."""
+
+    members: tuple[NamedAddress, ...]
+
+
+class StoreGroupFounded(Message, frozen=True):
+    """Answers ``FoundStoreGroup`` with the members that count."""
+
+    members: tuple[NamedAddress, ...]
+
+
+class RetirementState(enum.StrEnum):
+    """How far a store machine has been emptied."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+
+
+class RetireStore(Message, frozen=True):
+    """Asks that the store machine of this name be emptied."""
+
+    name: str
+
+
+class StoreRetirement(Message, frozen=True):
+    """Answers ``RetireStore`` and ``ReadRetirement``."""
+
+    name: str
+    state: RetirementState
+
+
+class ReadRetirement(Message, frozen=True):
+    """Asks how far a store machine has been emptied."""
+
+    name: str
+
+
+class ForbidReplica(Message, frozen=True):
+    """Records that the machine of this name is retired and its replica never joins again."""
+
+    name: str
+    replica_name: str
+
+
+class ReplicaForbidden(Message, frozen=True):
+    """Answers ``ForbidReplica``."""
+
+    name: str
+
+
+class RemoveReplica(Message, frozen=True):
+    """Asks the leader of the store group to remove a replica for good."""
+
+    replica_name: str
+
+
+class ReplicaRemoved(Message, frozen=True):
+    """Answers ``RemoveReplica`` once the membership without it is committed."""
+
+    replica_name: str
--- /dev/null
+++ b/src/passlane/messages/turns.py
@@ -0,0 +1,80 @@
+"""Turns of programs as the store group keeps them: budgets, reservations, histories."""
+
+import msgspec
+
+from passlane.messages.base import Message
+
+
+class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
+    """One turn that ended whole; ``previous`` is the turn that it goes on from.
+
+    ``content`` is what the turn adds to a prompt: its input, then its output.
+    """
+
+    turn_id: str
+    previous: str | None
+    content: bytes
+    retention_s: float
+
+
+class ReserveTurn(Message, frozen=True, kw_only=True):
+    """Reserves the most that a turn may generate, before it is sent to an engine.
+
+    ``budget_tokens`` is what all turns of the program may generate; ``None`` for no limit.
+    Repeating it for the same attempt reserves nothing more.
+    """
+
+    program_id: str
+    attempt_id: str
+    most_tokens: int
+    budget_tokens: int | None
+    previous: str | None = None
+    retention_s: float = 0.0
+
+
+class TurnReserved(Message, frozen=True):
+    """The turn may run; ``history`` goes before its new input."""
+
+    history: bytes = b""
+
+
+class BudgetSpent(Message, frozen=True):
+    """The program's budget cannot hold the turn; it has not run and never will."""
+
+    spent_tokens: int
+    reserved_tokens: int
+
+
+class TurnUnknown(Message, frozen=True):
+    """No turn of that id is kept."""
+
+    turn_id: str
+
+
+class SettleTurn(Message, frozen=True, kw_only=True):
+    """Ends a reservation with the tokens that the client got; keeps a turn that ended whole."""
+
+    program_id: str
+    attempt_id: str
+    tokens: int
+    turn: KeptTurn | None = None
+
+
+class TurnSettled(Message, frozen=True):
+    """Answers ``SettleTurn`` once it is durable."""
+
+
+class AdvanceAge(Message, frozen=True):
+    """Tells that some seconds have passed at the leader; what is too old is forgotten."""
+
+    seconds: float
+
+
+class AgeAdvanced(Message, frozen=True):
+    """Answers ``AdvanceAge``."""
+
+    age_s: float
+
+
+TurnCommand = ReserveTurn | SettleTurn | AdvanceAge
+TurnResult = TurnReserved | BudgetSpent | TurnUnknown | TurnSettled | AgeAdvanced
--- a/src/passlane/observability/logging.py
+++ b/src/passlane/observability/logging.py
@@ -14,6 +14,7 @@
 from structlog.typing import EventDict, FilteringBoundLogger, WrappedLogger
 
 from passlane.observability.ring import RingLog, RingProcessor
+from passlane.observability.standard_output import StandardOutputLog
 
 REDACTED = "[redacted]"
 SECRET_KEYS = frozenset({"token", "authorization", "secret", "password"})
@@ -45,13 +46,17 @@
     return line
 
 
-def configure_logging(ring: RingLog, **identity: Any) -> None:
-    """Send all log lines to ``ring``.
+def configure_logging(
+    ring: RingLog, output: StandardOutputLog | None = None, **identity: Any
+) -> None:
+    """Send all log lines to ``ring``, and those from level info on to ``output``.
 
     Parameters
     ----------
     ring
         Keeps the newest lines.
+    output
+        Writes lines to standard output; ``None`` writes none.
     identity
         Bound to every line, such as ``process="node-1"``.
     """
@@ -63,6 +68,7 @@
             add_time,
             structlog.processors.format_exc_info,
             redact_secrets,
+            *([output] if output is not None else []),
             RingProcessor(ring),
         ],
         wrapper_class=structlog.make_filtering_bound_logger("debug"),
--- /dev/null
+++ b/src/passlane/platform/answer_writer.py
@@ -0,0 +1,79 @@
+"""Writes answers to clients of the platform over ASGI."""
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from passlane.api.asgi import Send
+from passlane.relay.calls import Header
+
+_encoder = msgspec.json.Encoder()
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    """Body of an answer of this system's own."""
+
+    reason: str
+
+
+class AsgiAnswerWriter:
+    """Implements ``relay.backends.AnswerWriter``.
+
+    Parameters
+    ----------
+    must_close
+        Returns whether clients are to open another connection for their next request.
+    """
+
+    def __init__(self, send: Send, must_close: Callable[[], bool]) -> None:
+        self._send = send
+        self._must_close = must_close
+        self._is_finished = False
+        self._status = 0
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head was written."""
+        return self._status != 0
+
+    @property
+    def status(self) -> int:
+        """Status that was written; 0 before the head."""
+        return self._status
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the whole answer was written."""
+        return self._is_finished
+
+    async def start(self, status: int, headers: Sequence[Header], length: int | None) -> None:
+        """Write the head; without a length the body goes out in chunks."""
+        encoded = [
+            (header.name.encode("latin-1"), header.value.encode("latin-1")) for header in headers
+        ]
+        if length is not None:
+            encoded.append((b"content-length", str(length).encode("ascii")))
+        if self._must_close():
+            encoded.append((b"connection", b"close"))
+        self._status = status
+        await self._send({"type": "http.response.start", "status": status, "headers": encoded})
+
+    async def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if data:
+            await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+        self._is_finished = True
+
+    async def refuse(self, status: int, reason: str, retry_after_s: float | None) -> None:
+        """Write a whole answer of this system's own."""
+        body = _encoder.encode(_Refusal(reason))
+        headers = [Header("content-type", "application/json")]
+        if retry_after_s is not None:
+            headers.append(Header("retry-after", f"{retry_after_s:g}"))
+        await self.start(status, headers, len(body))
+        await self.write(body)
+        await self.finish()
--- /dev/null
+++ b/src/passlane/platform/client_ingress.py
@@ -0,0 +1,97 @@
+"""The HTTP that clients of the platform speak to a node."""
+
+from collections.abc import Callable
+
+import anyio
+
+from passlane.api.asgi import Receive, Scope, Send, read_body
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.observability.logging import get_logger
+from passlane.platform.answer_writer import AsgiAnswerWriter
+from passlane.platform.request_format import parse_call
+from passlane.relay.calls import Header
+from passlane.relay.request import AnswerAbortedError
+from passlane.relay.service import RelayService
+
+BAD_REQUEST = 400
+BODY_TOO_LARGE = 413
+INTERNAL_ERROR = 500
+DEFAULT_MAX_BODY_BYTES = 4_194_304
+
+_log = get_logger(__name__)
+
+
+class ClientIngress:
+    """ASGI application that hands clients' requests to the relay.
+
+    Parameters
+    ----------
+    is_draining
+        Returns whether the process is about to stop.
+    """
+
+    def __init__(self, relay: RelayService, is_draining: Callable[[], bool]) -> None:
+        self._relay = relay
+        self._is_draining = is_draining
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        arrived_at = anyio.current_time()
+        writer = AsgiAnswerWriter(send, self._is_draining)
+        headers = [
+            Header(name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in scope["headers"]
+        ]
+        try:
+            body = await self._read_body(headers, receive)
+            call = parse_call(scope["method"], _target(scope), headers, body, arrived_at)
+        except PasslaneError as error:
+            await self._refuse(error, writer)
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
+            try:
+                await self._relay.handle(call, writer)
+            except AnswerAbortedError:
+                # Returning without an end makes the server close the connection, so that
+                # the answer doesn't look whole.
+                pass
+            except Exception:
+                _log.exception("request_failed", request_id=call.request_id)
+                if not writer.has_started:
+                    await writer.refuse(INTERNAL_ERROR, "internal", None)
+            tasks.cancel_scope.cancel()
+
+    async def _read_body(self, headers: list[Header], receive: Receive) -> bytes:
+        configuration = self._relay.configuration
+        limit = configuration.limits.max_body_bytes if configuration else DEFAULT_MAX_BODY_BYTES
+        for header in headers:
+            if header.name == "content-length" and int(header.value) > limit:
+                raise PasslaneError(ErrorCode.BODY_TOO_LARGE, f"at most {limit} bytes are taken")
+        return await read_body(receive, limit)
+
+    @staticmethod
+    async def _refuse(error: PasslaneError, writer: AsgiAnswerWriter) -> None:
+        """Refuse a request that could not be read."""
+        _log.info("request_unreadable", code=error.code.value, message=error.message)
+        if error.code is ErrorCode.CONNECTION_LOST:
+            return
+        too_large = error.code is ErrorCode.BODY_TOO_LARGE
+        await writer.refuse(BODY_TOO_LARGE if too_large else BAD_REQUEST, error.message, None)
+
+
+async def _cancel_when_gone(receive: Receive, scope: anyio.CancelScope) -> None:
+    """Cancel the work on a request once its client has closed the connection."""
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+def _target(scope: Scope) -> str:
+    path: str = scope["raw_path"].decode("latin-1")
+    query = scope["query_string"]
+    return f"{path}?{query.decode('latin-1')}" if query else path
--- /dev/null
+++ b/src/passlane/platform/configuration_format.py
@@ -0,0 +1,140 @@
+"""The platform's configuration document and the product's route configuration."""
+
+from typing import Literal
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.routes import (
+    RequestLimits,
+    Route,
+    RouteConfiguration,
+    RoutedService,
+    RouteKind,
+    ServiceShare,
+)
+
+MILLISECONDS = 1_000.0
+WHOLE_WEIGHT = 1
+
+_KINDS = {
+    "safe": RouteKind.REPEATABLE,
+    "unsafe": RouteKind.AT_MOST_ONCE,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class _Part(msgspec.Struct, frozen=True):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: Literal["safe", "unsafe", "streaming"] = "unsafe"
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 5
+    service: str | None = None
+    traffic_split: tuple[_Part, ...] | None = None
+    max_attempts: int = 1
+    retained: bool = False
+    retention_s: float = 0.0
+    resumable: bool = False
+    target_gap_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int = 0
+    chunk_tokens: int = 1
+
+
+class _Service(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Document(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+
+
+_decoder = msgspec.json.Decoder(_Document)
+
+
+def parse_configuration(source: bytes) -> RouteConfiguration:
+    """Return the configuration that a document holds; it is not checked yet.
+
+    Raises
+    ------
+    PasslaneError
+        ``INVALID_DOCUMENT`` when it cannot be read whole.
+    """
+    try:
+        document = _decoder.decode(source)
+    except msgspec.MsgspecError as error:
+        raise PasslaneError(ErrorCode.INVALID_DOCUMENT, str(error)) from error
+    return RouteConfiguration(
+        version=document.version,
+        routes=tuple(_route_of(route) for route in document.routes),
+        services=tuple(_service_of(service) for service in document.services),
+        limits=_limits_of(document.limits),
+        source=source,
+    )
+
+
+def _route_of(route: _Route) -> Route:
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=_KINDS[route.kind],
+        timeout_s=route.timeout_ms / MILLISECONDS,
+        target_latency_s=route.target_latency_ms / MILLISECONDS,
+        priority=route.priority,
+        shares=_shares_of(route),
+        max_attempts=route.max_attempts,
+        keeps_turns=route.retained,
+        retention_s=route.retention_s,
+        is_resumable=route.resumable,
+        target_gap_s=route.target_gap_ms / MILLISECONDS,
+    )
+
+
+def _shares_of(route: _Route) -> tuple[ServiceShare, ...]:
+    if route.traffic_split:
+        return tuple(ServiceShare(part.service, part.weight) for part in route.traffic_split)
+    return (ServiceShare(route.service, WHOLE_WEIGHT),) if route.service is not None else ()
+
+
+def _service_of(service: _Service) -> RoutedService:
+    engine = service.engine
+    return RoutedService(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_conns,
+        slots=engine.slots if engine is not None else 0,
+        tokens_per_event=engine.chunk_tokens if engine is not None else 0,
+    )
+
+
+def _limits_of(limits: _Limits) -> RequestLimits:
+    return RequestLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_ms / MILLISECONDS,
+        idle_timeout_s=limits.idle_timeout_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/src/passlane/platform/engine_client.py
@@ -0,0 +1,98 @@
+"""Requests to the platform's engines and applications."""
+
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+
+from passlane.platform import names
+from passlane.relay.backends import (
+    AnswerHead,
+    BackendRecord,
+    BackendRequest,
+    Refusal,
+)
+from passlane.relay.calls import Header
+from passlane.runtime.interfaces import HttpClient, HttpRequest, HttpResponse
+
+WRONG_INSTANCE_STATUS = 421
+FIRST_FAILURE_STATUS = 300
+MILLISECONDS = 1_000
+
+
+class EngineAnswer:
+    """An engine's answer; implements ``relay.backends.BackendAnswer``."""
+
+    def __init__(self, response: HttpResponse, request_id: str) -> None:
+        self._response = response
+        self.head = _head_of(response, request_id)
+
+    def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Return the body's parts as they arrive."""
+        return self._response.chunks()
+
+
+class EngineClient:
+    """Implements ``relay.backends.RelayBackends``."""
+
+    def __init__(self, http_client: HttpClient) -> None:
+        self._http_client = http_client
+
+    @asynccontextmanager
+    async def exchange(
+        self, backend: BackendRecord, request: BackendRequest
+    ) -> AsyncIterator[EngineAnswer]:
+        """Send a request and give its answer."""
+        call = request.call
+        http_request = HttpRequest(
+            method=call.method,
+            address=backend.address,
+            path=call.target,
+            headers=_headers_for(backend, request),
+            body=request.body,
+            host=call.host,
+        )
+        async with self._http_client.exchange(http_request) as response:
+            yield EngineAnswer(response, call.request_id)
+
+
+def _headers_for(backend: BackendRecord, request: BackendRequest) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    for header in request.call.headers:
+        before = headers.get(header.name)
+        headers[header.name] = f"{before}, {header.value}" if before else header.value
+    headers[names.DEADLINE_MS] = str(int(request.remaining_s * MILLISECONDS))
+    headers[names.TARGET_INSTANCE] = backend.instance_id
+    if request.priority is not None:
+        headers[names.REQUEST_PRIORITY] = str(request.priority)
+    if request.last_event_id is not None:
+        headers[names.LAST_EVENT_ID] = request.last_event_id
+    return headers
+
+
+def _head_of(response: HttpResponse, request_id: str) -> AnswerHead:
+    headers = response.headers
+    echoed = headers.get(names.ATTEMPT_ID, request_id)
+    length = headers.get("content-length")
+    return AnswerHead(
+        status=response.status,
+        headers=tuple(
+            Header(name, value)
+            for name, value in headers.items()
+            if name not in names.CONNECTION_HEADERS
+        ),
+        refusal=_refusal_of(response) if echoed == request_id else None,
+        is_authentic=echoed == request_id and _has_marks(response.status, headers),
+        length=int(length) if length is not None else None,
+    )
+
+
+def _refusal_of(response: HttpResponse) -> Refusal | None:
+    if response.status == WRONG_INSTANCE_STATUS:
+        return Refusal.WRONG_INSTANCE
+    return Refusal.NOT_EXECUTED if names.NOT_EXECUTED in response.headers else None
+
+
+def _has_marks(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether a success bears the engine's signature and its body unencoded."""
+    if status >= FIRST_FAILURE_STATUS:
+        return True
+    return names.SIGNATURE in headers and "content-encoding" not in headers
--- a/src/passlane/raft/config.py
+++ b/src/passlane/raft/config.py
@@ -9,6 +9,7 @@
 _DEFAULT_CHUNK_BYTES = 256_000
 _DEFAULT_IN_FLIGHT_BATCHES = 16
 _DEFAULT_TRAILING_ENTRIES = 1_000
+_DEFAULT_REPLACED_VOTER_SILENCE_S = 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,6 +36,9 @@
         Most unacknowledged ``AppendRequest`` with entries per follower.
     snapshot_chunk_bytes
         Most bytes of a snapshot in one ``SnapshotRequest``.
+    replaced_voter_silence_s
+        A voter that was silent for so long, and already when another became a voter, is
+        removed by the leader.
     trailing_entries
         Entries kept in memory behind a snapshot, so that a follower that is a little
         behind needs no snapshot.
@@ -48,4 +52,5 @@
     max_batch_bytes: int = _DEFAULT_BATCH_BYTES
     max_in_flight_batches: int = _DEFAULT_IN_FLIGHT_BATCHES
     snapshot_chunk_bytes: int = _DEFAULT_CHUNK_BYTES
+    replaced_voter_silence_s: float = _DEFAULT_REPLACED_VOTER_SILENCE_S
     trailing_entries: int = _DEFAULT_TRAILING_ENTRIES
--- a/src/passlane/raft/leader.py
+++ b/src/passlane/raft/leader.py
@@ -56,6 +56,7 @@
         self._changes: deque[MemberAdded | MemberRemoved] = deque()
         self._transfer = LeadershipTransfer(state, self._replicator)
         self._disk = DiskWatch(STALL_ELECTION_TIMEOUTS * state.config.election_timeout_s, now)
+        self._promoted_at: float | None = None
         self.next_heartbeat_at = now
 
     def start(self, now: float) -> None:
@@ -199,7 +200,7 @@
             change = self._changes.popleft()
             self._append_change(change, now)
             return
-        membership = self._next_automatic_change()
+        membership = self._next_automatic_change(now)
         if membership is not None:
             self._append_membership(membership, now)
 
@@ -219,7 +220,11 @@
         state.tokens[state.log.last_index + 1] = change.token
         self._append_membership(membership, now)
 
-    def _next_automatic_change(self) -> GroupMembership | None:
+    def _next_automatic_change(self, now: float) -> GroupMembership | None:
+        """Return the next change of membership that nobody has to ask for, if there is one."""
+        return self._next_promotion(now) or self._next_removal(now)
+
+    def _next_promotion(self, now: float) -> GroupMembership | None:
         """Return the membership that makes a caught-up learner a voter, if there is one.
 
         A learner that took over a lost voter's address first removes that voter: the
@@ -235,9 +240,27 @@
             lost = replaced_voter(state.membership, member)
             if lost is not None and lost.replica_id != state.own_id:
                 return without(state.membership, lost.replica_id)
+            self._promoted_at = now
             return with_voter(state.membership, member.replica_id)
         return None
 
+    def _next_removal(self, now: float) -> GroupMembership | None:
+        """Return the membership without a voter that a newer one has replaced, if there is one.
+
+        A voter that was silent already when another was promoted counts as replaced: a
+        machine that is gone for good would only make majorities harder to reach. One that
+        comes back after all asks to be taken in again.
+        """
+        if self._promoted_at is None:
+            return None
+        for voter in voters_of(self._state.membership):
+            progress = self._replicator.followers.get(voter)
+            if progress is None or progress.last_heard >= self._promoted_at:
+                continue
+            if now - progress.last_heard >= self._state.config.replaced_voter_silence_s:
+                return without(self._state.membership, voter)
+        return None
+
     def _has_caught_up(self, learner: FollowerProgress) -> bool:
         """Return whether a learner durably holds all that is committed."""
         return learner.synced_index >= self._state.commit_index
--- /dev/null
+++ b/src/passlane/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Requests relayed to back ends: placement, verdicts, retries and streams."""
--- /dev/null
+++ b/src/passlane/relay/attempts.py
@@ -0,0 +1,161 @@
+"""The attempts of one request at back ends: choice, verdicts, retries."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from passlane.errors import Verdict
+from passlane.messages.routes import Route, RoutedService
+from passlane.relay.backends import (
+    BackendAnswer,
+    BackendRequest,
+    RelayBackends,
+)
+from passlane.relay.calls import RelayedCall
+from passlane.relay.placement import (
+    PlacementKey,
+    choose_backend,
+    note_failure,
+    note_success,
+)
+from passlane.relay.registry import BackendLoad, BackendRegistry
+from passlane.relay.verdicts import Judgement, is_gone, judge_answer, may_run_again
+from passlane.runtime.interfaces import HttpConnectionError
+
+SECOND_ROUND_PAUSE_S = 0.02
+WAIT_SHARE_OF_TARGET = 0.25
+"""A request that no back end takes is refused after this share of its target latency."""
+UNAVAILABLE_RETRY_AFTER_S = 0.25
+
+Deliver = Callable[[BackendAnswer], Awaitable[None]]
+"""Passes an answer on; raises ``HttpConnectionError`` when the answer breaks off."""
+
+
+class RequestRefusedError(Exception):
+    """No back end ran the request; it may be tried again later."""
+
+
+class RequestFailedError(Exception):
+    """The request may have run, and no whole answer came of it."""
+
+
+class RequestAttempts:
+    """Sends one request to back ends until one answers.
+
+    Attributes
+    ----------
+    verdict
+        Whether the request may have run so far.
+    tried
+        Instances that were tried, in order; for the log.
+    """
+
+    def __init__(
+        self,
+        call: RelayedCall,
+        route: Route,
+        service: RoutedService,
+        body: bytes,
+        own_zone: str,
+        registry: BackendRegistry,
+        backends: RelayBackends,
+    ) -> None:
+        self._call = call
+        self._route = route
+        self._service = service
+        self._body = body
+        self._registry = registry
+        self._backends = backends
+        is_model = service.tokens_per_event > 0
+        affinity = call.program.program_id if call.program is not None and is_model else ""
+        self._key = PlacementKey(affinity=affinity, own_zone=own_zone)
+        self._priority = route.priority if is_model else None
+        self._runs = 0
+        self._refused: set[str] = set()
+        self.verdict = Verdict.NOT_RUN
+        self.tried: list[str] = []
+        self.last_event_id = call.last_event_id
+
+    async def run(self, limit_at: float, deliver: Deliver) -> None:
+        """Send the request until an answer was delivered.
+
+        Raises
+        ------
+        RequestRefusedError
+            When no back end took the request.
+        RequestFailedError
+            When it may have run and cannot be sent again.
+        """
+        give_up_at = self._call.arrived_at + WAIT_SHARE_OF_TARGET * self._route.target_latency_s
+        while True:
+            now = anyio.current_time()
+            candidates = self._registry.of_service(self._service.name)
+            load = choose_backend(candidates, self._key, self._refused, now)
+            if load is None:
+                await self._wait_for_room(give_up_at)
+                continue
+            if await self._attempt(load, limit_at, deliver):
+                return
+
+    async def _wait_for_room(self, give_up_at: float) -> None:
+        """Let back ends that refused be tried once more, as long as that is worth while."""
+        if anyio.current_time() + SECOND_ROUND_PAUSE_S > give_up_at:
+            if self.verdict is Verdict.NOT_RUN:
+                raise RequestRefusedError("no back end took the request")
+            raise RequestFailedError("no further back end took the request")
+        await anyio.sleep(SECOND_ROUND_PAUSE_S)
+        self._refused.clear()
+
+    async def _attempt(self, load: BackendLoad, limit_at: float, deliver: Deliver) -> bool:
+        """Send the request to one back end; return whether its answer was delivered."""
+        self.tried.append(load.record.instance_id)
+        load.in_flight += 1
+        verdict_before = self.verdict
+        # From here on a cancellation must not be taken for "not run".
+        self.verdict = Verdict.MAY_HAVE_RUN
+        try:
+            async with self._backends.exchange(load.record, self._request(limit_at)) as answer:
+                if await self._take(answer, load, deliver):
+                    return True
+            self.verdict = verdict_before
+        except HttpConnectionError as error:
+            self._note_broken(error, load, verdict_before)
+        finally:
+            load.in_flight -= 1
+        return False
+
+    def _request(self, limit_at: float) -> BackendRequest:
+        return BackendRequest(
+            call=self._call,
+            body=self._body,
+            remaining_s=max(0.0, limit_at - anyio.current_time()),
+            priority=self._priority,
+            last_event_id=self.last_event_id,
+        )
+
+    async def _take(self, answer: BackendAnswer, load: BackendLoad, deliver: Deliver) -> bool:
+        """Deliver an answer, or note a refusal; return whether it was delivered."""
+        judgement = judge_answer(answer.head)
+        if judgement is Judgement.NOT_RUN:
+            self._refused.add(load.record.instance_id)
+            if is_gone(answer.head):
+                self._registry.remove(load.record.instance_id)
+            return False
+        if judgement is Judgement.UNTRUSTED:
+            raise HttpConnectionError("not an answer to this request", bytes_left=True)
+        await deliver(answer)
+        note_success(load)
+        return True
+
+    def _note_broken(
+        self, error: HttpConnectionError, load: BackendLoad, verdict_before: Verdict
+    ) -> None:
+        """Note a failed attempt; raise if the request must not be sent again."""
+        note_failure(load, anyio.current_time())
+        self._refused.add(load.record.instance_id)
+        if not error.bytes_left:
+            self.verdict = verdict_before
+            return
+        self._runs += 1
+        if not may_run_again(self._route, self._runs):
+            raise RequestFailedError(str(error)) from error
--- /dev/null
+++ b/src/passlane/relay/backends.py
@@ -0,0 +1,159 @@
+"""What the relay asks of back ends, and what it learns from their answers."""
+
+import enum
+from collections.abc import AsyncGenerator, Sequence
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import Protocol
+
+from passlane.messages.common import Address
+from passlane.relay.calls import Header, RelayedCall
+
+
+class BackendState(enum.StrEnum):
+    """Whether a back end takes new requests."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class BackendRecord:
+    """A back end as the platform lists it; ``instance_id`` changes with each start."""
+
+    instance_id: str
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    state: BackendState
+
+
+class Refusal(enum.StrEnum):
+    """How a back end says that it did not run a request."""
+
+    NOT_EXECUTED = "not_executed"
+    """It is full, or the deadline has passed in its queue."""
+    WRONG_INSTANCE = "wrong_instance"
+    """Another instance has the address now."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of a back end's answer.
+
+    Attributes
+    ----------
+    refusal
+        Set if the answer proves that the request did not run.
+    is_authentic
+        Whether the answer bears the marks of a whole answer to this very request.
+    headers
+        Headers that are passed on to the caller.
+    length
+        Length of the body in bytes, if it was told.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    refusal: Refusal | None
+    is_authentic: bool
+    length: int | None
+
+
+class BackendAnswer(Protocol):
+    """An answer whose head has arrived."""
+
+    head: AnswerHead
+
+    def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Return the body's parts as they arrive; raise ``OSError`` when it breaks off."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class BackendRequest:
+    """A call together with what the relay has decided about it.
+
+    Attributes
+    ----------
+    body
+        What the back end is to get; differs from the call's for turns with a history.
+    remaining_s
+        Time that the back end has left.
+    priority
+        Rank at a model engine, 0 first; ``None`` for other back ends.
+    last_event_id
+        The event after which a stream is to go on.
+    """
+
+    call: RelayedCall
+    body: bytes
+    remaining_s: float
+    priority: int | None = None
+    last_event_id: str | None = None
+
+
+class RelayBackends(Protocol):
+    """Sends requests to back ends."""
+
+    def exchange(
+        self, backend: BackendRecord, request: BackendRequest
+    ) -> AbstractAsyncContextManager[BackendAnswer]:
+        """Send a request and give its answer; leaving early closes the connection.
+
+        Raises
+        ------
+        HttpConnectionError
+            On entry or while the body is read; ``bytes_left`` tells whether it may run.
+        """
+        ...
+
+
+class BackendList(Protocol):
+    """The platform's list of back ends."""
+
+    async def read(self) -> Sequence[BackendRecord]:
+        """Return the whole list.
+
+        Raises
+        ------
+        PasslaneError
+            ``UNAVAILABLE`` when it cannot be had; ``LIMIT_EXCEEDED`` over the call rate.
+        """
+        ...
+
+
+class AnswerWriter(Protocol):
+    """Writes the answer to the caller of one request."""
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head was written."""
+        ...
+
+    @property
+    def status(self) -> int:
+        """Status that was written; 0 before the head."""
+        ...
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the whole answer was written."""
+        ...
+
+    async def start(self, status: int, headers: Sequence[Header], length: int | None) -> None:
+        """Write the head; without a length the body ends with ``finish``."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        ...
+
+    async def finish(self) -> None:
+        """End the body; the caller now knows that it is whole."""
+        ...
+
+    async def refuse(self, status: int, reason: str, retry_after_s: float | None) -> None:
+        """Write a whole answer of this system's own."""
+        ...
--- /dev/null
+++ b/src/passlane/relay/calls.py
@@ -0,0 +1,81 @@
+"""A request as the relay sees it, whoever's HTTP it came in by."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """One header that is passed on as it came."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other prompts may begin with too."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProgramContext:
+    """The program that a request belongs to.
+
+    Attributes
+    ----------
+    session_id
+        The line of turns; ``None`` if the caller named none.
+    deadline_at
+        Local time at which the program should be over; ``None`` if unknown.
+    budget_tokens
+        Tokens that all turns of the program may generate; ``None`` for no limit.
+    """
+
+    program_id: str
+    session_id: str | None
+    deadline_at: float | None
+    budget_tokens: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedCall:
+    """A whole request to be passed on to a back end.
+
+    Attributes
+    ----------
+    request_id
+        The caller's id of this attempt.
+    target
+        Path with query, unchanged.
+    headers
+        Headers that are passed on as they came.
+    arrived_at, deadline_at
+        Local times of the request's arrival and of the caller's deadline.
+    most_tokens
+        The most tokens that a model may generate.
+    previous_turn
+        The turn that this one goes on from; ``None`` for a first turn.
+    last_event_id
+        Where the caller has got to in a stream that it takes up again.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes
+    arrived_at: float
+    deadline_at: float
+    program: ProgramContext | None = None
+    most_tokens: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
+    previous_turn: str | None = None
+    last_event_id: str | None = None
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition("?")[0]
--- /dev/null
+++ b/src/passlane/relay/delivery.py
@@ -0,0 +1,99 @@
+"""Passes a back end's answer on to the caller, whole or event by event."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
+
+from passlane.relay.backends import AnswerWriter, BackendAnswer
+from passlane.relay.events import EventSplitter
+from passlane.runtime.interfaces import HttpConnectionError
+
+MAX_BUFFERED_BYTES = 256_000
+"""Longer bodies are passed on as they arrive."""
+
+BeforeEnd = Callable[["StreamDelivery"], Awaitable[None]]
+"""Called when a stream is whole, before the caller learns that it is."""
+
+
+class WholeDelivery:
+    """Passes on an answer once all of it has arrived, so that a broken one is never begun."""
+
+    def __init__(self, writer: AnswerWriter) -> None:
+        self._writer = writer
+        self.status: int | None = None
+
+    async def deliver(self, answer: BackendAnswer) -> None:
+        """Read an answer and write it; raise ``HttpConnectionError`` when it breaks off."""
+        body = bytearray()
+        has_started = False
+        async with aclosing(answer.chunks()) as chunks:
+            async for chunk in chunks:
+                body += chunk
+                if len(body) > MAX_BUFFERED_BYTES and not has_started:
+                    has_started = True
+                    await self._start(answer, answer.head.length)
+                if has_started:
+                    await self._writer.write(bytes(body))
+                    body.clear()
+        if not has_started:
+            await self._start(answer, len(body))
+            await self._writer.write(bytes(body))
+        await self._writer.finish()
+
+    async def _start(self, answer: BackendAnswer, length: int | None) -> None:
+        self.status = answer.head.status
+        await self._writer.start(answer.head.status, answer.head.headers, length)
+
+
+class StreamDelivery:
+    """Passes on the whole events of a stream as they arrive.
+
+    Attributes
+    ----------
+    events
+        Events written to the caller.
+    output
+        The data of each event, with a line feed behind each.
+    is_whole
+        Whether the stream came to its end.
+    """
+
+    def __init__(self, writer: AnswerWriter, before_end: BeforeEnd) -> None:
+        self._writer = writer
+        self._before_end = before_end
+        self.status: int | None = None
+        self.events = 0
+        self.output = bytearray()
+        self.last_event_id: str | None = None
+        self.is_whole = False
+
+    async def deliver(self, answer: BackendAnswer) -> None:
+        """Read a stream and write it; raise ``HttpConnectionError`` when it breaks off.
+
+        The answer of a second engine that goes on with the stream keeps the head of the
+        first.
+        """
+        if not self._writer.has_started:
+            self.status = answer.head.status
+            await self._writer.start(answer.head.status, answer.head.headers, None)
+        elif answer.head.status != self.status:
+            raise HttpConnectionError("the stream did not go on", bytes_left=True)
+        splitter = EventSplitter()
+        async with aclosing(answer.chunks()) as chunks:
+            async for chunk in chunks:
+                await self._pass_on(splitter, chunk)
+        if splitter.pending:
+            await self._writer.write(splitter.pending)
+        self.is_whole = True
+        await self._before_end(self)
+        await self._writer.finish()
+
+    async def _pass_on(self, splitter: EventSplitter, chunk: bytes) -> None:
+        events = splitter.feed(chunk)
+        if not events:
+            return
+        self.events += len(events)
+        for event in events:
+            self.output += event.data + b"\n"
+            if event.event_id is not None:
+                self.last_event_id = event.event_id
+        await self._writer.write(b"".join(event.raw for event in events))
--- /dev/null
+++ b/src/passlane/relay/progress.py
@@ -0,0 +1,39 @@
+"""What became of one request, for its log line and its metrics."""
+
+from dataclasses import dataclass, field
+
+from passlane.errors import Verdict
+
+
+@dataclass(slots=True)
+class RequestProgress:
+    """Facts gathered while a request is served.
+
+    Attributes
+    ----------
+    version
+        Version of the configuration that the request was served by.
+    route, service
+        Names, once they are chosen.
+    status
+        Status told to the caller; 0 for none.
+    reason
+        Why the request ended as it did.
+    tried
+        Instances that it was sent to, in order.
+    events
+        Events of a stream that were written to the caller.
+    """
+
+    request_id: str
+    version: int = 0
+    route: str = ""
+    service: str = ""
+    kind: str = "none"
+    status: int = 0
+    reason: str = "answered"
+    verdict: Verdict = Verdict.NOT_RUN
+    tried: list[str] = field(default_factory=list)
+    events: int = 0
+    reserved_s: float | None = None
+    first_part_s: float | None = None
--- /dev/null
+++ b/src/passlane/relay/registry.py
@@ -0,0 +1,67 @@
+"""Which back ends there are, and how much this node has under way at each."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from passlane.relay.backends import BackendRecord, BackendState
+
+
+@dataclass(slots=True)
+class BackendLoad:
+    """A back end and what this node knows of it.
+
+    Attributes
+    ----------
+    in_flight
+        Requests of this node under way there.
+    avoid_until
+        Local time before which it is only used if there is no other.
+    failures
+        Failures in a row.
+    """
+
+    record: BackendRecord
+    in_flight: int = 0
+    avoid_until: float = 0.0
+    failures: int = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes new requests."""
+        return self.record.state is BackendState.READY
+
+
+class BackendRegistry:
+    """Back ends by instance, as the newest list tells."""
+
+    def __init__(self) -> None:
+        self._loads: dict[str, BackendLoad] = {}
+        self.updated_at: float | None = None
+
+    def update(self, records: Iterable[BackendRecord], now: float) -> list[BackendRecord]:
+        """Take over a whole list; return the back ends that no longer take requests."""
+        loads: dict[str, BackendLoad] = {}
+        for record in records:
+            load = self._loads.get(record.instance_id) or BackendLoad(record)
+            load.record = record
+            loads[record.instance_id] = load
+        gone = [load.record for load in self._loads.values() if load.is_ready]
+        usable = {instance_id for instance_id, load in loads.items() if load.is_ready}
+        self._loads = loads
+        self.updated_at = now
+        return [record for record in gone if record.instance_id not in usable]
+
+    def of_service(self, service: str) -> list[BackendLoad]:
+        """Return the back ends of a service that take new requests."""
+        return [
+            load
+            for load in self._loads.values()
+            if load.record.service == service and load.is_ready
+        ]
+
+    def remove(self, instance_id: str) -> None:
+        """Forget a back end that is known to be gone, until a list names it again."""
+        self._loads.pop(instance_id, None)
+
+    def __len__(self) -> int:
+        return len(self._loads)
--- /dev/null
+++ b/src/passlane/relay/request.py
@@ -0,0 +1,179 @@
+"""Serves one request whose route is known: account, attempts, delivery, final answer."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from passlane.errors import PasslaneError, Verdict
+from passlane.messages.routes import Route, RoutedService, RouteKind
+from passlane.messages.turns import BudgetSpent, TurnUnknown
+from passlane.relay.attempts import (
+    UNAVAILABLE_RETRY_AFTER_S,
+    RequestAttempts,
+    RequestFailedError,
+    RequestRefusedError,
+)
+from passlane.relay.backends import AnswerWriter, BackendAnswer, RelayBackends
+from passlane.relay.calls import RelayedCall
+from passlane.relay.delivery import StreamDelivery, WholeDelivery
+from passlane.relay.progress import RequestProgress
+from passlane.relay.registry import BackendRegistry
+from passlane.relay.turn_account import TurnAccount
+from passlane.relay.verdicts import UNAVAILABLE, status_when_given_up
+
+NOT_FOUND = 404
+BUDGET_SPENT = 402
+STORE_RETRY_AFTER_S = 0.3
+TURN_SETTLE_TIMEOUT_S = 3.0
+
+
+class AnswerAbortedError(Exception):
+    """An answer that had begun cannot be ended; its connection must be closed."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestContext:
+    """What one request is served with."""
+
+    call: RelayedCall
+    route: Route
+    service: RoutedService
+    own_zone: str
+    registry: BackendRegistry
+    backends: RelayBackends
+
+
+class RequestRelay:
+    """Serves one request.
+
+    Parameters
+    ----------
+    account
+        The turn's account in the store group; ``None`` for requests without one.
+    """
+
+    def __init__(
+        self,
+        context: RequestContext,
+        writer: AnswerWriter,
+        account: TurnAccount | None,
+        progress: RequestProgress,
+    ) -> None:
+        self._context = context
+        self._call = context.call
+        self._route = context.route
+        self._writer = writer
+        self._account = account
+        self._progress = progress
+        self._attempts: RequestAttempts | None = None
+        self._stream: StreamDelivery | None = None
+
+    async def run(self) -> None:
+        """Serve the request until it is answered or its time is over.
+
+        Raises
+        ------
+        AnswerAbortedError
+            When the answer had begun and cannot be ended.
+        """
+        limit_at = min(self._call.deadline_at, self._call.arrived_at + self._route.timeout_s)
+        try:
+            with anyio.CancelScope(deadline=limit_at) as scope:
+                await self._run_within(limit_at)
+            if scope.cancelled_caught:
+                await self._give_up("out_of_time", is_late=True)
+        finally:
+            self._note_progress()
+            if self._account is not None:
+                self._account.settle_in_background(self._delivered_tokens())
+
+    async def _run_within(self, limit_at: float) -> None:
+        history = b""
+        if self._account is not None:
+            reserved = await self._reserve(self._account, limit_at)
+            if reserved is None:
+                return
+            history = reserved
+        attempts = RequestAttempts(
+            self._call,
+            self._route,
+            self._context.service,
+            history + self._call.body,
+            self._context.own_zone,
+            self._context.registry,
+            self._context.backends,
+        )
+        self._attempts = attempts
+        try:
+            await attempts.run(limit_at, self._deliver)
+        except RequestRefusedError as error:
+            await self._refuse(UNAVAILABLE, str(error), UNAVAILABLE_RETRY_AFTER_S)
+        except RequestFailedError as error:
+            await self._give_up(str(error), is_late=False)
+
+    async def _reserve(self, account: TurnAccount, limit_at: float) -> bytes | None:
+        """Return the turn's history; ``None`` if the request was refused."""
+        try:
+            answer = await account.reserve(limit_at)
+        except PasslaneError as error:
+            await self._refuse(UNAVAILABLE, f"store_{error.code.value}", STORE_RETRY_AFTER_S)
+            return None
+        self._progress.reserved_s = anyio.current_time() - self._call.arrived_at
+        if isinstance(answer, BudgetSpent):
+            await self._refuse(BUDGET_SPENT, "budget_spent", None)
+            return None
+        if isinstance(answer, TurnUnknown):
+            await self._refuse(NOT_FOUND, "turn_unknown", None)
+            return None
+        return answer.history
+
+    async def _deliver(self, answer: BackendAnswer) -> None:
+        self._progress.first_part_s = anyio.current_time() - self._call.arrived_at
+        if self._route.kind is not RouteKind.STREAM or answer.head.status >= 300:
+            await WholeDelivery(self._writer).deliver(answer)
+            return
+        if self._stream is None:
+            self._stream = StreamDelivery(self._writer, self._before_end)
+        try:
+            await self._stream.deliver(answer)
+        finally:
+            if self._attempts is not None and self._stream.last_event_id is not None:
+                self._attempts.last_event_id = self._stream.last_event_id
+
+    async def _before_end(self, stream: StreamDelivery) -> None:
+        """Make a whole turn durable before its caller learns that it has ended."""
+        if self._account is None:
+            return
+        try:
+            await self._account.settle_whole(
+                self._delivered_tokens(), bytes(stream.output), TURN_SETTLE_TIMEOUT_S
+            )
+        except PasslaneError as error:
+            self._progress.reason = f"turn_not_durable_{error.code.value}"
+            raise AnswerAbortedError(self._progress.reason) from error
+
+    def _delivered_tokens(self) -> int:
+        events = self._stream.events if self._stream is not None else 0
+        return events * self._context.service.tokens_per_event
+
+    async def _refuse(self, status: int, reason: str, retry_after_s: float | None) -> None:
+        self._progress.status = status
+        self._progress.reason = reason
+        await self._writer.refuse(status, reason, retry_after_s)
+
+    async def _give_up(self, reason: str, *, is_late: bool) -> None:
+        """Give the final answer of a request that has none from a back end."""
+        self._progress.reason = reason
+        if self._writer.has_started:
+            raise AnswerAbortedError(reason)
+        verdict = self._attempts.verdict if self._attempts is not None else Verdict.NOT_RUN
+        status = status_when_given_up(verdict, is_late=is_late)
+        retry_after_s = UNAVAILABLE_RETRY_AFTER_S if status == UNAVAILABLE else None
+        await self._refuse(status, reason, retry_after_s)
+
+    def _note_progress(self) -> None:
+        if self._attempts is not None:
+            self._progress.verdict = self._attempts.verdict
+            self._progress.tried = self._attempts.tried
+        if self._stream is not None:
+            self._progress.events = self._stream.events
--- /dev/null
+++ b/src/passlane/relay/service.py
@@ -0,0 +1,155 @@
+"""Takes requests to be relayed: finds their route, serves them, logs what became of them."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from passlane.messages.routes import Route, RouteConfiguration, RouteKind
+from passlane.observability.logging import get_logger
+from passlane.observability.metrics import Metrics
+from passlane.relay.backends import AnswerWriter, RelayBackends
+from passlane.relay.calls import RelayedCall
+from passlane.relay.progress import RequestProgress
+from passlane.relay.registry import BackendRegistry
+from passlane.relay.request import NOT_FOUND, RequestContext, RequestRelay
+from passlane.relay.turn_account import TurnAccount, needs_account
+from passlane.relay.verdicts import UNAVAILABLE
+from passlane.routes.table import RouteTable, ShareSelector
+from passlane.turns.client import TurnStoreClient
+
+CONFLICT = 409
+NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+
+_log = get_logger(__name__)
+
+
+class RelayService:
+    """Relays requests by the newest configuration.
+
+    Parameters
+    ----------
+    tasks
+        Where work goes on that outlives a request.
+    """
+
+    def __init__(
+        self,
+        own_zone: str,
+        registry: BackendRegistry,
+        backends: RelayBackends,
+        store: TurnStoreClient,
+        tasks: TaskGroup,
+        metrics: Metrics,
+    ) -> None:
+        self._own_zone = own_zone
+        self._registry = registry
+        self._backends = backends
+        self._store = store
+        self._tasks = tasks
+        self._table: RouteTable | None = None
+        self._selector = ShareSelector()
+        self._under_way: set[str] = set()
+        self._requests = metrics.counter(
+            "relayed_requests", "Relayed requests by kind of route and status", ("kind", "status")
+        )
+        self._latency = metrics.histogram(
+            "relayed_request_seconds", "Time to the end of relayed requests", ("kind",)
+        )
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether a configuration is in force."""
+        return self._table is not None
+
+    @property
+    def configuration(self) -> RouteConfiguration | None:
+        """The configuration in force."""
+        return self._table.configuration if self._table is not None else None
+
+    def replace_configuration(self, configuration: RouteConfiguration) -> None:
+        """Route by another configuration from the next request on."""
+        self._table = RouteTable(configuration)
+
+    async def handle(self, call: RelayedCall, writer: AnswerWriter) -> None:
+        """Answer one request.
+
+        Raises
+        ------
+        AnswerAbortedError
+            When the answer had begun and cannot be ended.
+        """
+        progress = RequestProgress(call.request_id)
+        try:
+            await self._handle(call, writer, progress)
+        finally:
+            self._note_end(call, writer, progress)
+
+    async def _handle(
+        self, call: RelayedCall, writer: AnswerWriter, progress: RequestProgress
+    ) -> None:
+        table = self._table
+        if table is None:
+            progress.status, progress.reason = UNAVAILABLE, "no_configuration"
+            await writer.refuse(UNAVAILABLE, progress.reason, NO_CONFIGURATION_RETRY_AFTER_S)
+            return
+        progress.version = table.version
+        route = table.find(call.host, call.path)
+        if route is None:
+            progress.status, progress.reason = NOT_FOUND, "no_route"
+            await writer.refuse(NOT_FOUND, progress.reason, None)
+            return
+        progress.route = route.name
+        progress.kind = route.kind.value
+        if call.request_id in self._under_way:
+            progress.status, progress.reason = CONFLICT, "request_under_way"
+            await writer.refuse(CONFLICT, progress.reason, None)
+            return
+        self._under_way.add(call.request_id)
+        try:
+            await self._relay(call, route, table, writer, progress)
+        finally:
+            self._under_way.discard(call.request_id)
+
+    async def _relay(
+        self,
+        call: RelayedCall,
+        route: Route,
+        table: RouteTable,
+        writer: AnswerWriter,
+        progress: RequestProgress,
+    ) -> None:
+        service = table.service(self._selector.choose(route))
+        progress.service = service.name
+        context = RequestContext(
+            call, route, service, self._own_zone, self._registry, self._backends
+        )
+        account: TurnAccount | None = None
+        if route.kind is RouteKind.STREAM and needs_account(call, route):
+            account = TurnAccount(call, route, self._store, self._tasks)
+        await RequestRelay(context, writer, account, progress).run()
+
+    def _note_end(self, call: RelayedCall, writer: AnswerWriter, progress: RequestProgress) -> None:
+        """Count the request and write its one line."""
+        elapsed_s = anyio.current_time() - call.arrived_at
+        status = progress.status or (writer.status if writer.has_started else 0)
+        self._requests.labels(progress.kind, str(status)).inc()
+        self._latency.labels(progress.kind).observe(elapsed_s)
+        _log.info(
+            "request_ended",
+            request_id=call.request_id,
+            program_id=call.program.program_id if call.program is not None else None,
+            route=progress.route,
+            service=progress.service,
+            version=progress.version,
+            status=status,
+            reason=progress.reason if writer.is_finished else progress.reason + "_unfinished",
+            verdict=progress.verdict.value,
+            tried=progress.tried,
+            events=progress.events,
+            reserved_s=_rounded(progress.reserved_s),
+            first_part_s=_rounded(progress.first_part_s),
+            elapsed_s=_rounded(elapsed_s),
+        )
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return round(seconds, 4) if seconds is not None else None
--- /dev/null
+++ b/src/passlane/relay/turn_account.py
@@ -0,0 +1,107 @@
+"""One turn's account in the store group: reservation, history, settlement."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from passlane.errors import PasslaneError
+from passlane.messages.routes import Route
+from passlane.messages.turns import KeptTurn, ReserveTurn, SettleTurn
+from passlane.observability.logging import get_logger
+from passlane.relay.calls import RelayedCall
+from passlane.turns.client import ReserveAnswer, TurnStoreClient
+
+RESERVE_TIMEOUT_S = 1.5
+BACKGROUND_SETTLE_S = 10.0
+
+_log = get_logger(__name__)
+
+
+def needs_account(call: RelayedCall, route: Route) -> bool:
+    """Whether a call is a turn whose budget or history the store group keeps."""
+    has_budget = call.program is not None and call.program.budget_tokens is not None
+    return has_budget or route.keeps_turns
+
+
+class TurnAccount:
+    """Reserves a turn before it is sent and settles it after, exactly once.
+
+    Parameters
+    ----------
+    tasks
+        Where settlements that nobody waits for go on.
+    """
+
+    def __init__(
+        self, call: RelayedCall, route: Route, store: TurnStoreClient, tasks: TaskGroup
+    ) -> None:
+        self._call = call
+        self._route = route
+        self._store = store
+        self._tasks = tasks
+        self._is_reserved = False
+        self._is_settled = False
+
+    @property
+    def _program_id(self) -> str:
+        program = self._call.program
+        return program.program_id if program is not None else self._call.request_id
+
+    async def reserve(self, limit_at: float) -> ReserveAnswer:
+        """Reserve the most that the turn may generate; see ``TurnStoreClient.reserve``."""
+        program = self._call.program
+        request = ReserveTurn(
+            program_id=self._program_id,
+            attempt_id=self._call.request_id,
+            most_tokens=self._call.most_tokens,
+            budget_tokens=program.budget_tokens if program is not None else None,
+            previous=self._call.previous_turn if self._route.keeps_turns else None,
+            retention_s=self._route.retention_s,
+        )
+        # Whatever becomes of the answer, the reservation may stand from here on.
+        self._is_reserved = True
+        timeout_s = min(RESERVE_TIMEOUT_S, limit_at - anyio.current_time())
+        return await self._store.reserve(request, timeout_s=timeout_s)
+
+    async def settle_whole(self, tokens: int, output: bytes, timeout_s: float) -> None:
+        """Settle a turn that ended whole and keep it if its route says so.
+
+        Raises
+        ------
+        PasslaneError
+            When it is not certain that the turn is durable.
+        """
+        if not self._route.keeps_turns:
+            self.settle_in_background(tokens)
+            return
+        turn = KeptTurn(
+            turn_id=self._call.request_id,
+            previous=self._call.previous_turn,
+            content=self._call.body + output,
+            retention_s=self._route.retention_s,
+        )
+        await self._store.settle(self._settlement(tokens, turn), timeout_s=timeout_s)
+        self._is_settled = True
+
+    def settle_in_background(self, tokens: int) -> None:
+        """Settle a turn without waiting; does nothing if it was settled or never reserved."""
+        if self._is_settled or not self._is_reserved:
+            return
+        self._is_settled = True
+        self._tasks.start_soon(self._settle_later, self._settlement(tokens, None))
+
+    def _settlement(self, tokens: int, turn: KeptTurn | None) -> SettleTurn:
+        return SettleTurn(
+            program_id=self._program_id,
+            attempt_id=self._call.request_id,
+            tokens=tokens,
+            turn=turn,
+        )
+
+    async def _settle_later(self, settlement: SettleTurn) -> None:
+        try:
+            await self._store.settle(settlement, timeout_s=BACKGROUND_SETTLE_S)
+        except PasslaneError as error:
+            # The reservation stays: the program may spend less, never more.
+            _log.warning(
+                "turn_not_settled", request_id=settlement.attempt_id, code=error.code.value
+            )
--- /dev/null
+++ b/src/passlane/relay/verdicts.py
@@ -0,0 +1,56 @@
+"""Judges what a back end's answer means for a request: pass it on, try again, or fail."""
+
+import enum
+
+from passlane.errors import Verdict
+from passlane.messages.routes import Route
+from passlane.relay.backends import AnswerHead, Refusal
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+UNAVAILABLE = 503
+
+
+class Judgement(enum.Enum):
+    """What to do with an answer."""
+
+    PASS_ON = "pass_on"
+    NOT_RUN = "not_run"
+    """The request did not run: it may be sent to another back end."""
+    UNTRUSTED = "untrusted"
+    """The request may have run, but this is no answer to it."""
+
+
+def judge_answer(head: AnswerHead) -> Judgement:
+    """Return what to do with an answer whose head has arrived.
+
+    A status that promises "not run" is only believed where the back end proves it, and
+    is never passed on without that proof.
+    """
+    if head.refusal is not None:
+        return Judgement.NOT_RUN
+    if not head.is_authentic or head.status in NOT_RUN_STATUSES:
+        return Judgement.UNTRUSTED
+    return Judgement.PASS_ON
+
+
+def is_gone(head: AnswerHead) -> bool:
+    """Whether the answer shows that the instance is no longer at its address."""
+    return head.refusal is Refusal.WRONG_INSTANCE
+
+
+def may_run_again(route: Route, runs: int) -> bool:
+    """Whether a request that may have run ``runs`` times may be sent to one more back end."""
+    return route.is_repeatable and runs < route.max_attempts
+
+
+def status_when_given_up(verdict: Verdict, *, is_late: bool) -> int:
+    """Return the final status of a request that got no answer.
+
+    Only a request that certainly did not run gets a status that promises so.
+    """
+    if verdict is Verdict.NOT_RUN:
+        return UNAVAILABLE
+    return GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
--- a/src/passlane/replication/joining.py
+++ b/src/passlane/replication/joining.py
@@ -35,6 +35,9 @@
 LONGEST_PAUSE_S = 1.0
 JOIN_TIMEOUT_S = 5.0
 
+FindMembers = Callable[[], Sequence[PeerSettings]]
+"""Returns replicas of a group that a process has heard of."""
+
 logger = get_logger(__name__)
 
 
@@ -69,6 +72,8 @@
     ----------
     own_name
         This replica's name among ``members``.
+    find_members
+        Returns further replicas of the group that this process has heard of.
     """
 
     def __init__(
@@ -79,15 +84,28 @@
         caller: Caller,
         random: random_module.Random,
         identity_file: IdentityFile,
+        find_members: FindMembers | None = None,
     ) -> None:
         self._group = group
         self._own_name = own_name
         self._members = members
-        self._peers = [member for member in members if member.name != own_name]
+        self._find_members = find_members
         self._caller = caller
         self._random = random
         self._identity_file = identity_file
 
+    @property
+    def _peers(self) -> list[PeerSettings]:
+        """The other replicas that are known, by the settings or by hearsay."""
+        found = self._find_members() if self._find_members is not None else ()
+        known = {member.internal: member for member in (*self._members, *found)}
+        return [member for member in known.values() if member.name != self._own_name]
+
+    @property
+    def has_peers(self) -> bool:
+        """Whether any other replica is known."""
+        return bool(self._peers)
+
     @property
     def own_address(self) -> Address:
         """Address of this replica, by the settings."""
@@ -155,11 +173,12 @@
 
         ``is_known`` tells that the replica kept its identity and only has a new address.
         """
-        addresses = [peer.internal for peer in self._peers]
-        client = GroupClient(self._caller, addresses, self._random)
         request = JoinRequest(self._group, replica_id, self.own_address, is_known=is_known)
         backoff = Backoff(self._random, FIRST_PAUSE_S, LONGEST_PAUSE_S)
         while True:
+            # Made anew for each try: other replicas may have become known since.
+            addresses = [peer.internal for peer in self._peers]
+            client = GroupClient(self._caller, addresses, self._random)
             try:
                 reply = await client.execute(request, JoinReply, timeout_s=JOIN_TIMEOUT_S)
             except PasslaneError as error:
--- a/src/passlane/replication/membership_changes.py
+++ b/src/passlane/replication/membership_changes.py
@@ -9,6 +9,7 @@
 from passlane.replication.driver import ReplicaDriver
 from passlane.replication.joining import take_in
 from passlane.replication.pending import PendingRequests
+from passlane.storage.identity import process_name_of
 
 
 class MembershipChanges:
@@ -50,6 +51,23 @@
             raise NotLeaderError(f"not the leader of group {request.group}", driver.leader_address)
         return await take_in(request, driver.replica.membership, self._add, self._remove)
 
+    async def remove(self, process_name: str) -> None:
+        """Remove the replicas of a process, if the local replica leads.
+
+        Raises
+        ------
+        NotLeaderError
+            When the local replica does not lead.
+        PasslaneError
+            ``TIMEOUT`` when a change was not committed in time.
+        """
+        driver = self._ready_driver()
+        if not driver.is_leader:
+            raise NotLeaderError("not the leader of the group", driver.leader_address)
+        for member in driver.replica.membership.members:
+            if process_name_of(member.replica_id) == process_name:
+                await self._remove(member.replica_id)
+
     async def _add(self, replica_id: ReplicaId, address: Address) -> None:
         """Add a learner; return once that is committed."""
         token = self._proposals.add()
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -5,12 +5,14 @@
 machine that was replaced. The damaged files stay until that has succeeded.
 """
 
+from collections.abc import Callable
+
 import anyio
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address, NotLeaderError
-from passlane.messages.raft import RaftMessage
+from passlane.messages.raft import GroupMember, RaftMessage
 from passlane.messages.replication import (
     GroupStatus,
     GroupStatusRequest,
@@ -25,7 +27,7 @@
 from passlane.raft.membership import member_of
 from passlane.replication.driver import ReplicaDriver
 from passlane.replication.interfaces import StateMachine
-from passlane.replication.joining import GroupEntry, status_of
+from passlane.replication.joining import FindMembers, GroupEntry, status_of
 from passlane.replication.membership_changes import MembershipChanges
 from passlane.replication.message_dispatch import GroupHandlers, dispatch_for
 from passlane.replication.peer_sender import PeerSender
@@ -47,9 +49,18 @@
 TIMEOUT_IN_ELECTION_TIMEOUTS = 10
 """A proposal or read is given up after so many election time-outs."""
 
+EVICTION_CHECK_S = 0.5
+EVICTED_AFTER_ELECTION_TIMEOUTS = 4
+"""A member without a leader for so many election time-outs asks to be taken in again."""
+
 logger = get_logger(__name__)
 
 
+def _always() -> bool:
+    """Allow a replica to join again."""
+    return True
+
+
 class ReplicaHost:
     """One replica of ``group``; implements ``ReplicatedGroup``.
 
@@ -63,6 +74,12 @@
         Must be empty; it is brought to the replica's state by ``run``.
     folder
         Folder of the group below the data folder.
+    may_found
+        Whether this replica may be one of the group's first members.
+    find_members
+        Returns further replicas of the group that this process has heard of.
+    may_join
+        Whether this replica may ask to be taken in again after it was removed.
     """
 
     def __init__(
@@ -75,8 +92,14 @@
         caller: Caller,
         router: Router,
         folder: str,
+        *,
+        may_found: bool = True,
+        find_members: FindMembers | None = None,
+        may_join: Callable[[], bool] = _always,
     ) -> None:
         self._group = group
+        self._may_found = may_found
+        self._may_join = may_join
         self._settings = settings
         self._state_machine = state_machine
         self._empty_state = tuple(state_machine.snapshot_parts())
@@ -91,6 +114,7 @@
             caller,
             environment.random,
             self._identity_file,
+            find_members,
         )
         self._identity: Identity | None = None
         self._driver: ReplicaDriver | None = None
@@ -99,6 +123,7 @@
         self._timeout_s = TIMEOUT_IN_ELECTION_TIMEOUTS * settings.election_timeout_s
         self._batch = ProposalBatch(self._proposals, self._timeout_s)
         changes = MembershipChanges(self._ready_driver, self._proposals, self._timeout_s)
+        self._changes = changes
         handlers = GroupHandlers(
             on_raft_message=self._take_raft_message,
             on_status_request=self._answer_status,
@@ -139,6 +164,11 @@
         """Identity of this replica; ``None`` until its files are open."""
         return self._identity.replica_id if self._identity is not None else None
 
+    @property
+    def members(self) -> tuple[GroupMember, ...]:
+        """Members of the group by the membership that this replica knows."""
+        return self._driver.replica.membership.members if self._driver is not None else ()
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica votes, by the membership that it knows."""
@@ -181,6 +211,10 @@
         driver.step(ReadRequested(token=token))
         await self._reads.wait(token, self._timeout_s)
 
+    async def remove_member(self, process_name: str) -> None:
+        """Remove the replicas of a process as the leader; see ``MembershipChanges.remove``."""
+        await self._changes.remove(process_name)
+
     def transfer_leadership(self) -> None:
         """Hand leadership to another replica, as before a planned stop."""
         if self._driver is not None:
@@ -236,7 +270,9 @@
         """Return the identity on disk, or a new one for an empty folder."""
         identity = self._identity_file.load()
         if identity is None:
-            identity = await self._identity_file.create(self._environment.random, may_found=True)
+            identity = await self._identity_file.create(
+                self._environment.random, may_found=self._may_found
+            )
         return identity
 
     async def _abandon_files(self, error: PasslaneError) -> None:
@@ -304,11 +340,32 @@
         """Be taken into the group, and only then forget damaged files."""
         if identity.is_member:
             await self._tell_new_address(identity)
+            await self._identity_file.remove_older_generations(identity)
+            await self._rejoin_when_evicted(identity)
         else:
             await self._entry.join(identity.replica_id, is_known=False)
             identity = await self._identity_file.mark_joined(identity)
             self._identity = identity
         await self._identity_file.remove_older_generations(identity)
+        await self._rejoin_when_evicted(identity)
+
+    async def _rejoin_when_evicted(self, identity: Identity) -> None:
+        """Ask to be taken in again whenever no leader was heard of for long.
+
+        While this replica was away it may have been counted as replaced. Its files are as
+        they were, so it comes back under its own identity; a leader that still has it as a
+        member changes nothing.
+        """
+        limit_s = EVICTED_AFTER_ELECTION_TIMEOUTS * self._settings.election_timeout_s
+        last_led_at = anyio.current_time()
+        while True:
+            await anyio.sleep(EVICTION_CHECK_S)
+            if self.leader_address is not None or not self._may_join():
+                last_led_at = anyio.current_time()
+            elif anyio.current_time() - last_led_at > limit_s and self._entry.has_peers:
+                logger.warning("no leader; asking to be taken in", group=self._group)
+                await self._entry.join(identity.replica_id, is_known=True)
+                last_led_at = anyio.current_time()
 
     async def _tell_new_address(self, identity: Identity) -> None:
         """Tell the leader where this replica is reached, if it moved with its files."""
--- /dev/null
+++ b/src/passlane/routes/checks.py
@@ -0,0 +1,44 @@
+"""Finds what makes a route configuration invalid."""
+
+from collections.abc import Iterator
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.routes import Route, RouteConfiguration
+
+
+def check_configuration(configuration: RouteConfiguration) -> None:
+    """Raise ``PasslaneError`` (``INVALID_DOCUMENT``) with the first problem, if there is one."""
+    for problem in find_problems(configuration):
+        raise PasslaneError(ErrorCode.INVALID_DOCUMENT, problem)
+
+
+def find_problems(configuration: RouteConfiguration) -> Iterator[str]:
+    """Give each problem of a configuration as one sentence."""
+    if configuration.version < 1:
+        yield "the version must be positive"
+    services = {service.name for service in configuration.services}
+    if len(services) < len(configuration.services):
+        yield "two services have the same name"
+    places: set[tuple[str, str]] = set()
+    for route in configuration.routes:
+        yield from _route_problems(route, services)
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            yield f"route {route.name}: another route has the same host and prefix"
+        places.add(place)
+
+
+def _route_problems(route: Route, services: set[str]) -> Iterator[str]:
+    for share in route.shares:
+        if share.service not in services:
+            yield f"route {route.name}: unknown service {share.service}"
+        if share.weight < 0:
+            yield f"route {route.name}: a weight is negative"
+    if sum(share.weight for share in route.shares) <= 0:
+        yield f"route {route.name}: the weights add up to 0"
+    if route.timeout_s <= 0:
+        yield f"route {route.name}: the time-out is 0"
+    if route.max_attempts < 1:
+        yield f"route {route.name}: the most attempts must be at least 1"
+    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+        yield f"route {route.name}: the prefix must start and end with a slash"
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -5,6 +5,7 @@
 answer can never be taken for that of another request.
 """
 
+import re
 import select
 import ssl
 from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
@@ -28,7 +29,10 @@
 CONNECT_TIMEOUT_S = 2.0
 IDLE_EXPIRY_S = 4.0
 """Shorter than the usual five seconds after which servers close idle connections."""
+KEEP_ALIVE_MARGIN_S = 0.4
+"""A connection is not used in the last moments before its server closes it."""
 MAX_IDLE_PER_ADDRESS = 64
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
 class _ByteStreamAdapter(httpcore.AsyncNetworkStream):
@@ -100,10 +104,7 @@
 
     def __init__(self, response: httpcore.Response) -> None:
         self.status = response.status
-        self.headers: Mapping[str, str] = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in response.headers
-        }
+        self.headers: Mapping[str, str] = _joined_headers(response)
         self._response = response
         self._body = self._read_body()
 
@@ -133,10 +134,11 @@
 
     connection: httpcore.AsyncHTTP11Connection
     since: float
+    expiry_s: float
 
     def is_usable(self) -> bool:
         """Whether the server has most likely not closed it."""
-        is_young = anyio.current_time() - self.since < IDLE_EXPIRY_S
+        is_young = anyio.current_time() - self.since < self.expiry_s
         return is_young and self.connection.is_idle() and not self.connection.has_expired()
 
 
@@ -153,15 +155,17 @@
         connection = await self._take_idle(request)
         if connection is None:
             connection = await self._open(request.address)
+        expiry_s = IDLE_EXPIRY_S
         try:
             response = _Response(await self._send(connection, request))
+            expiry_s = _idle_expiry_s(response.headers)
             try:
                 yield response
             finally:
                 with anyio.CancelScope(shield=True):
                     await response.aclose()
         finally:
-            await self._give_back(request.address, connection)
+            await self._give_back(request.address, connection, expiry_s)
 
     async def _take_idle(self, request: HttpRequest) -> httpcore.AsyncHTTP11Connection | None:
         if request.fresh_connection:
@@ -198,18 +202,49 @@
             ) from error
 
     async def _give_back(
-        self, address: Address, connection: httpcore.AsyncHTTP11Connection
+        self,
+        address: Address,
+        connection: httpcore.AsyncHTTP11Connection,
+        expiry_s: float,
     ) -> None:
         idle = self._idle.setdefault(address, [])
-        if connection.is_idle() and len(idle) < MAX_IDLE_PER_ADDRESS:
-            idle.append(_IdleConnection(connection, anyio.current_time()))
+        is_clean = connection.is_idle() and not _has_unasked_bytes(connection)
+        if is_clean and expiry_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(_IdleConnection(connection, anyio.current_time(), expiry_s))
             return
         with anyio.CancelScope(shield=True), suppress(httpcore.NetworkError):
             await connection.aclose()
 
 
+def _has_unasked_bytes(connection: httpcore.AsyncHTTP11Connection) -> bool:
+    """Return whether more has arrived than the answer that was asked for.
+
+    It would be taken for the next request's answer. httpcore has no public way to ask.
+    """
+    trailing, _ = connection._h11_state.trailing_data
+    return bool(trailing)
+
+
+def _joined_headers(response: httpcore.Response) -> dict[str, str]:
+    """Return the headers by lower-case name; values of one name are joined by commas."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in response.headers:
+        name = raw_name.decode("latin-1").lower()
+        value = raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return headers
+
+
+def _idle_expiry_s(headers: Mapping[str, str]) -> float:
+    """Return how long a connection may rest, by what the server has told."""
+    match = _KEEP_ALIVE_TIMEOUT.search(headers.get("keep-alive", ""))
+    if match is None:
+        return IDLE_EXPIRY_S
+    return max(0.0, int(match[1]) - KEEP_ALIVE_MARGIN_S)
+
+
 def _to_httpcore(request: HttpRequest) -> httpcore.Request:
-    headers = [("Host", str(request.address)), *request.headers.items()]
+    headers = [("Host", request.host or str(request.address)), *request.headers.items()]
     if request.body or request.method in ("POST", "PUT"):
         headers.append(("Content-Length", str(len(request.body))))
     return httpcore.Request(
--- /dev/null
+++ b/src/passlane/runtime/http_limits.py
@@ -0,0 +1,100 @@
+"""Limits on what an HTTP client may send, and how long it may take; uvicorn has none."""
+
+import asyncio
+from typing import Any
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from passlane.runtime.interfaces import HttpLimits
+
+REQUEST_TIMEOUT = b"408 Request Timeout"
+HEADERS_TOO_LARGE = b"431 Request Header Fields Too Large"
+
+
+class LimitedHttpProtocol(HttpToolsProtocol):
+    """uvicorn's connection with limits on headers and on time.
+
+    Parameters
+    ----------
+    limits
+        Asked anew for each request.
+    """
+
+    def __init__(self, *args: Any, limits: HttpLimits, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._limits = limits
+        self._header_bytes = 0
+        self._header_timer: asyncio.TimerHandle | None = None
+        self._is_refused = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Begin to wait for a first request."""
+        super().connection_made(transport)
+        self.timeout_keep_alive = self._limits.idle_timeout_s  # type: ignore[assignment]
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self._limits.idle_timeout_s, self.timeout_keep_alive_handler
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the timer of a connection that has ended."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes, unless the connection was refused."""
+        if not self._is_refused:
+            super().data_received(data)
+
+    def on_message_begin(self) -> None:
+        """Begin a request: its headers must be whole in time."""
+        super().on_message_begin()
+        self._header_bytes = 0
+        self.timeout_keep_alive = self._limits.idle_timeout_s  # type: ignore[assignment]
+        self._stop_header_timer()
+        self._header_timer = self.loop.call_later(
+            self._limits.header_timeout_s, self._refuse, REQUEST_TIMEOUT
+        )
+
+    def on_url(self, url: bytes) -> None:
+        """Count the target among the headers."""
+        self._header_bytes += len(url)
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Count a header; refuse the request when there is too much."""
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > self._limits.max_header_bytes:
+            self._refuse(HEADERS_TOO_LARGE)
+        super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Hand a request to the application, unless it was refused."""
+        self._stop_header_timer()
+        if not self._is_refused:
+            super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of a body, unless the request was refused."""
+        if not self._is_refused:
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End a request, unless it was refused."""
+        if not self._is_refused:
+            super().on_message_complete()
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _refuse(self, status: bytes) -> None:
+        """Answer with a status, if no answer is under way, and close the connection."""
+        if self._is_refused or self.transport.is_closing():
+            return
+        self._is_refused = True
+        self._stop_header_timer()
+        if self.cycle is None or self.cycle.response_complete:
+            head = b"HTTP/1.1 %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+            self.transport.write(head % status)
+        self.transport.close()
--- a/src/passlane/runtime/http_server.py
+++ b/src/passlane/runtime/http_server.py
@@ -1,16 +1,20 @@
 """ASGI applications served by uvicorn."""
 
+import asyncio
 import contextlib
+import logging
 import socket
 from collections.abc import Iterator
+from functools import partial
+from typing import cast
 
 import anyio
 import uvicorn
 
 from passlane.messages.common import Address
-from passlane.runtime.interfaces import AsgiApplication
+from passlane.runtime.http_limits import LimitedHttpProtocol
+from passlane.runtime.interfaces import AsgiApplication, HttpLimits
 
-KEEP_ALIVE_S = 75
 GRACEFUL_STOP_S = 5
 """Requests in flight get this long to finish once the server is stopped."""
 LISTEN_BACKLOG = 2_048
@@ -39,10 +43,23 @@
     return listening
 
 
+def _protocol_with(limits: HttpLimits) -> type[asyncio.Protocol]:
+    """Return uvicorn's factory of connections that keep these limits."""
+    return cast(type[asyncio.Protocol], partial(LimitedHttpProtocol, limits=limits))
+
+
 class UvicornHttpServer:
     """Serves applications by uvicorn; implements ``runtime.interfaces.HttpServer``."""
 
-    async def serve(self, address: Address, application: AsgiApplication) -> None:
+    def __init__(self) -> None:
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+
+    async def serve(
+        self,
+        address: Address,
+        application: AsgiApplication,
+        limits: HttpLimits | None = None,
+    ) -> None:
         """Serve until cancelled; then let requests in flight finish and return.
 
         Raises
@@ -52,14 +69,14 @@
         """
         config = uvicorn.Config(
             application,
-            http="httptools",
+            http=_protocol_with(limits or HttpLimits()),
             ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
             server_header=False,
             backlog=LISTEN_BACKLOG,
-            timeout_keep_alive=KEEP_ALIVE_S,
+            date_header=False,
             timeout_graceful_shutdown=GRACEFUL_STOP_S,
         )
         server = _Server(config)
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -45,6 +45,7 @@
 class HttpRequest:
     """A request to a back end. ``path`` starts with ``/``; ``body`` is whole.
 
+    ``host`` is the value of the header ``Host`` where that is not the address.
     ``fresh_connection`` asks for a new connection: on a kept one a failure cannot be
     told from a server that closed it while the request was on its way.
     """
@@ -55,6 +56,7 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
     fresh_connection: bool = False
+    host: str | None = None
 
 
 class HttpResponse(Protocol):
@@ -99,10 +101,37 @@
         ...
 
 
+DEFAULT_HEADER_BYTES = 65_536
+DEFAULT_HEADER_TIMEOUT_S = 10.0
+DEFAULT_IDLE_TIMEOUT_S = 75.0
+
+
+@dataclass(slots=True)
+class HttpLimits:
+    """Limits of one server; may be changed while it runs.
+
+    Attributes
+    ----------
+    header_timeout_s
+        Time from the first byte of a request to the end of its headers.
+    idle_timeout_s
+        How long a connection may rest between two requests.
+    """
+
+    max_header_bytes: int = DEFAULT_HEADER_BYTES
+    header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
+    idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+
+
 class HttpServer(Protocol):
     """Serves ASGI applications."""
 
-    async def serve(self, address: Address, application: AsgiApplication) -> None:
+    async def serve(
+        self,
+        address: Address,
+        application: AsgiApplication,
+        limits: HttpLimits | None = None,
+    ) -> None:
         """Serve ``application`` at ``address`` until cancelled."""
         ...
 
--- a/src/passlane/runtime/network.py
+++ b/src/passlane/runtime/network.py
@@ -1,18 +1,27 @@
 """TCP connections through anyio."""
 
+import socket
+
 import anyio
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import ConnectionHandler
 
+SILENCE_LIMIT_MS = 3_000
+"""A connection ends once sent bytes were not acknowledged for this long: a machine that
+lost power, or lies behind a cut, sends no reset."""
+
 
 class TcpNetwork:
     """The real network; implements ``runtime.interfaces.Network``."""
 
     async def connect(self, address: Address) -> ByteStream:
         """Open a TCP connection; raise ``OSError`` when that fails."""
-        return await anyio.connect_tcp(address.host, address.port)
+        stream = await anyio.connect_tcp(address.host, address.port)
+        raw_socket = stream.extra(SocketAttribute.raw_socket)
+        raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
+        return stream
 
     async def serve(self, address: Address, handler: ConnectionHandler) -> None:
         """Accept TCP connections and run ``handler`` for each until cancelled."""
--- /dev/null
+++ b/src/passlane/settings/fleet.py
@@ -0,0 +1,93 @@
+"""Settings of a process that finds its fleet from seeds; TOML, as all of passlane's settings.
+
+The file holds what a machine is told at its start. What the process decides from it stands
+in the code of the parts that use it.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from passlane.messages.common import Address
+from passlane.messages.fleet import FleetRole
+from passlane.settings.checks import SettingsProblem
+from passlane.settings.loader import SettingsError, convert_settings, read_toml
+
+MAX_PORT = 65_535
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Base of sections: an unknown key is an error."""
+
+
+class FleetProcessSettings(_Section, frozen=True):
+    """Who this process is and where its files live; nodes have no data folder."""
+
+    name: str
+    role: FleetRole
+    zone: str
+    data_folder: str = ""
+    is_first_start: bool = False
+
+
+class FleetAddressSettings(_Section, frozen=True):
+    """Where this process listens; what its role does not serve is left out."""
+
+    internal: Address
+    callers: Address | None = None
+    readiness: Address | None = None
+    operators: Address | None = None
+    metrics: Address | None = None
+
+
+class BackendListSettings(_Section, frozen=True):
+    """The platform's list of back ends and the calls a second that all nodes may make."""
+
+    address: Address
+    rate_per_s: float
+
+
+class FleetTimingSettings(_Section, frozen=True):
+    """Bounds in seconds that a stop must keep."""
+
+    grace_s: float = 8.0
+
+
+class FleetSettings(_Section, frozen=True):
+    """The whole settings file; ``seeds`` are operators' addresses of control replicas."""
+
+    process: FleetProcessSettings
+    addresses: FleetAddressSettings
+    seeds: tuple[Address, ...]
+    backend_list: BackendListSettings
+    timing: FleetTimingSettings = FleetTimingSettings()
+
+
+def load_fleet_settings(path: Path) -> FleetSettings:
+    """Return the checked settings of a file; raise ``SettingsError`` otherwise."""
+    data: dict[str, Any] = read_toml(path)
+    settings = convert_settings(path, data, FleetSettings)
+    problems = list(_find_problems(settings))
+    if problems:
+        raise SettingsError(path, problems)
+    return settings
+
+
+def _find_problems(settings: FleetSettings) -> Iterator[SettingsProblem]:
+    role = settings.process.role
+    if not settings.seeds:
+        yield SettingsProblem("seeds", "expected at least one address")
+    if role is FleetRole.NODE:
+        for field in ("callers", "readiness"):
+            if getattr(settings.addresses, field) is None:
+                yield SettingsProblem(f"addresses.{field}", "a node needs it")
+    elif not settings.process.data_folder:
+        yield SettingsProblem("process.data_folder", "a replica needs a folder")
+    if role is FleetRole.CONTROL and settings.addresses.operators is None:
+        yield SettingsProblem("addresses.operators", "a control replica needs it")
+    if settings.backend_list.rate_per_s <= 0:
+        yield SettingsProblem("backend_list.rate_per_s", "expected a positive number")
+    if not 0 < settings.addresses.internal.port <= MAX_PORT:
+        yield SettingsProblem("addresses.internal", "expected a port from 1 to 65535")
--- a/src/passlane/settings/loader.py
+++ b/src/passlane/settings/loader.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 from types import MappingProxyType
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 from msgspec.inspect import CustomType, StructType, Type, UnionType, VarTupleType, type_info
@@ -18,6 +18,8 @@
 from passlane.settings.checks import SettingsProblem, find_problems
 from passlane.settings.model import Settings
 
+SettingsType = TypeVar("SettingsType", bound=msgspec.Struct)
+
 NO_OVERRIDES: Mapping[str, Any] = MappingProxyType({})
 _VALIDATION_MESSAGE = re.compile(r"^(?P<text>.*?)(?: - at `\$\.?(?P<key>[^`]*)`)?$")
 _UNKNOWN_FIELD = re.compile(r"unknown field `(?P<field>[^`]+)`")
@@ -49,7 +51,7 @@
     SettingsError
         When the file cannot be read, holds unknown keys or values that don't fit.
     """
-    data = _read(path)
+    data = read_toml(path)
     for key, value in overrides.items():
         _put(data, key, value)
     return parse_settings(path, data)
@@ -57,20 +59,28 @@
 
 def parse_settings(path: Path, data: dict[str, Any]) -> Settings:
     """Return the checked settings held by ``data``; ``path`` stands in errors only."""
+    settings = convert_settings(path, data, Settings)
+    problems = find_problems(settings)
+    if problems:
+        raise SettingsError(path, problems)
+    return settings
+
+
+def convert_settings(
+    path: Path, data: dict[str, Any], settings_class: type[SettingsType]
+) -> SettingsType:
+    """Return ``data`` as a struct of settings; raise ``SettingsError`` if it doesn't fit."""
     try:
-        converted = _with_addresses(data, type_info(Settings), "")
-        settings = msgspec.convert(converted, Settings)
+        converted = _with_addresses(data, type_info(settings_class), "")
+        return msgspec.convert(converted, settings_class)
     except _AddressError as error:
         raise SettingsError(path, [error.problem]) from None
     except msgspec.ValidationError as error:
         raise SettingsError(path, [_problem_of(error)]) from None
-    problems = find_problems(settings)
-    if problems:
-        raise SettingsError(path, problems)
-    return settings
 
 
-def _read(path: Path) -> dict[str, Any]:
+def read_toml(path: Path) -> dict[str, Any]:
+    """Return what a TOML file holds; raise ``SettingsError`` when it cannot be read."""
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
--- a/src/passlane/simulation/http_server.py
+++ b/src/passlane/simulation/http_server.py
@@ -13,7 +13,7 @@
 from anyio.abc import ByteStream
 
 from passlane.messages.common import Address
-from passlane.runtime.interfaces import AsgiApplication, Network
+from passlane.runtime.interfaces import AsgiApplication, HttpLimits, Network
 
 _RECEIVE_BYTES = 65_536
 
@@ -24,8 +24,16 @@
     def __init__(self, network: Network) -> None:
         self._network = network
 
-    async def serve(self, address: Address, application: AsgiApplication) -> None:
-        """Serve until cancelled; raise ``OSError`` when the address is in use."""
+    async def serve(
+        self,
+        address: Address,
+        application: AsgiApplication,
+        limits: HttpLimits | None = None,
+    ) -> None:
+        """Serve until cancelled; raise ``OSError`` when the address is in use.
+
+        The simulated callers keep all limits.
+        """
 
         async def handle(stream: ByteStream) -> None:
             await _ServerConnection(stream, application).run()
--- /dev/null
+++ b/src/passlane/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Turns of programs in the store group: budgets, reservations and histories."""
