--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -97,7 +97,8 @@
 
     def is_ready(self) -> bool:
         """Whether this node can serve: it knows routes, back ends and the store group."""
-        knows_fleet = self._follower.configuration is not None and bool(self._follower.stores)
+        follower = self._follower
+        knows_fleet = follower.configuration is not None and follower.has_seen_store_leader
         return knows_fleet and self._registry.updated_at is not None and not self._is_draining
 
     def _store_addresses(self) -> list[Address]:
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -48,7 +48,7 @@
         self._changed = anyio.Event()
         self.view: FleetView | None = None
         self.configuration: RouteConfiguration | None = None
-        self.confirmed_at: float | None = None
+        self.has_seen_store_leader = False
 
     def on_configuration(self, listener: Callable[[RouteConfiguration], None]) -> None:
         """Call ``listener`` with each newer configuration."""
@@ -123,7 +123,8 @@
         """Take over a view; an older configuration than the one held has no effect."""
         has_changed = self.view is None or view.number != self.view.number
         self.view = view
-        self.confirmed_at = anyio.current_time()
+        # A new leader of the control group hears of the store's leader a moment later.
+        self.has_seen_store_leader = self.has_seen_store_leader or view.has_store_leader
         configuration = view.configuration
         held = self.configuration.version if self.configuration is not None else 0
         if configuration is not None and configuration.version > held:
--- a/src/passlane/fleet/service.py
+++ b/src/passlane/fleet/service.py
@@ -174,6 +174,7 @@
             stores=directory.stores(),
             store_founders=state.store_founders,
             retired_replicas=tuple(sorted(state.retired.values())),
+            has_store_leader=bool(directory.group_members()),
             node_count=directory.node_count(),
             configuration_version=state.configuration.version if state.configuration else 0,
             configuration=self._configuration_newer_than(request.configuration_version),
--- a/src/passlane/messages/fleet.py
+++ b/src/passlane/messages/fleet.py
@@ -61,7 +61,8 @@
     """What the leader of the control group knows of the fleet.
 
     ``configuration`` is set only when it is newer than what the receiver holds;
-    ``number`` changes with any of the addresses.
+    ``number`` changes with any of the addresses. ``has_store_leader`` is true once the
+    leader of the store group has announced itself.
     """
 
     number: int
@@ -69,6 +70,7 @@
     stores: tuple[NamedAddress, ...]
     store_founders: tuple[NamedAddress, ...]
     retired_replicas: tuple[str, ...] = ()
+    has_store_leader: bool = False
     node_count: int
     configuration_version: int
     configuration: RouteConfiguration | None = None
--- /dev/null
+++ b/tests/fleet/test_machine.py
@@ -0,0 +1,97 @@
+"""The replicated configuration of a fleet, and the founding of its store group."""
+
+import unittest
+
+from passlane.fleet.directory import FORGET_AFTER_S, FOUNDING_PAUSE_S, FleetDirectory
+from passlane.fleet.machine import FleetStateMachine
+from passlane.messages.common import Address
+from passlane.messages.fleet import Announce, FleetRole, FoundStoreGroup, NamedAddress
+from passlane.messages.routes import ConfigurationReplaced, ReplaceConfiguration
+from routes.test_checks import configuration, route
+
+
+def member(number):
+    return NamedAddress(f"10.0.0.{number}", Address(f"10.0.0.{number}", 7000))
+
+
+def announce(number, role=FleetRole.STORE, **changes):
+    own = member(number)
+    values = {
+        "name": f"machine-{number}",
+        "role": role,
+        "replica_name": own.name,
+        "address": own.address,
+        "zone": "a",
+        "may_found": role is FleetRole.STORE,
+    }
+    return Announce(**(values | changes))
+
+
+class FleetStateMachineTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = FleetStateMachine()
+
+    def replace(self, version, **changes):
+        return self.machine.execute(
+            ReplaceConfiguration(configuration(route(**changes), version=version))
+        )
+
+    def test_the_highest_version_prevails_whatever_the_order(self):
+        self.assertEqual(self.replace(3), ConfigurationReplaced(3, True))
+        self.assertEqual(self.replace(7), ConfigurationReplaced(7, True))
+        self.assertEqual(self.replace(5), ConfigurationReplaced(7, False))
+        self.assertEqual(self.machine.state.configuration.version, 7)
+
+    def test_other_content_under_the_version_held_has_no_effect(self):
+        self.replace(3, timeout_s=1.0)
+        self.assertEqual(self.replace(3, timeout_s=2.0), ConfigurationReplaced(3, False))
+        self.assertEqual(self.machine.state.configuration.routes[0].timeout_s, 1.0)
+
+    def test_only_the_first_founding_counts(self):
+        self.machine.execute(FoundStoreGroup((member(1), member(2))))
+        self.machine.execute(FoundStoreGroup((member(3),)))
+        self.assertEqual(self.machine.state.store_founders, (member(1), member(2)))
+
+    def test_a_snapshot_restores_everything(self):
+        self.replace(3)
+        self.machine.execute(FoundStoreGroup((member(1),)))
+        restored = FleetStateMachine()
+        for _ in restored.restore_parts(self.machine.snapshot_parts()):
+            pass
+        self.assertEqual(restored.state, self.machine.state)
+
+
+class FleetDirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = FleetDirectory(0)
+
+    def test_founders_are_those_that_came_before_a_pause(self):
+        self.directory.note(announce(1), 0.0)
+        self.directory.note(announce(2), 1.0)
+        self.assertEqual(self.directory.founders_due(1.0 + FOUNDING_PAUSE_S - 0.1), ())
+        self.directory.note(announce(1), 2.0)
+        founders = self.directory.founders_due(1.0 + FOUNDING_PAUSE_S)
+        self.assertEqual(founders, (member(1), member(2)))
+
+    def test_an_emptied_machine_founds_nothing(self):
+        self.directory.note(announce(1, may_found=False), 0.0)
+        self.assertEqual(self.directory.founders_due(10.0), ())
+
+    def test_silent_processes_are_forgotten_and_the_view_is_new(self):
+        self.directory.note(announce(1, FleetRole.NODE), 0.0)
+        self.directory.note(announce(2, FleetRole.NODE), 0.0)
+        number = self.directory.number
+        self.directory.note(announce(2, FleetRole.NODE), FORGET_AFTER_S + 1.0)
+        self.assertEqual(self.directory.node_count(), 1)
+        self.assertGreater(self.directory.number, number)
+
+    def test_members_told_by_the_groups_leader_count_among_the_stores(self):
+        self.directory.note(announce(1, group_members=(member(1), member(2))), 0.0)
+        self.assertEqual(self.directory.stores(), (member(1), member(2)))
+        self.assertEqual(self.directory.store_count(), 1)
+
+    def test_nothing_new_keeps_the_views_number(self):
+        self.assertTrue(self.directory.note(announce(1), 0.0))
+        number = self.directory.number
+        self.assertFalse(self.directory.note(announce(1), 1.0))
+        self.assertEqual(self.directory.number, number)
--- /dev/null
+++ b/tests/on_platform/fleet.py
@@ -0,0 +1,319 @@
+"""A whole fleet on the virtual clock: control, store and node processes, and the platform."""
+
+import inspect
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+import trio.testing
+
+from on_platform.stand_in import StandInEngine, StandInList, configuration
+from passlane.daemon.fleet_context import FleetContext
+from passlane.daemon.fleet_control import FleetControl
+from passlane.daemon.fleet_node import FleetNode
+from passlane.daemon.fleet_store import FleetStore
+from passlane.messages.common import Address
+from passlane.messages.fleet import FleetRole
+from passlane.observability.metrics import Metrics
+from passlane.runtime.http_client import SingleConnectionHttpClient
+from passlane.runtime.interfaces import HttpConnectionError, HttpRequest
+from passlane.settings.fleet import (
+    BackendListSettings,
+    FleetAddressSettings,
+    FleetProcessSettings,
+    FleetSettings,
+)
+from passlane.simulation.disk import SimulatedDisk
+from passlane.simulation.environment import build_simulated_environment
+from passlane.simulation.event_log import EventLog
+from passlane.simulation.network import DelayModel, SimulatedNetwork
+from passlane.transport.client import ConnectionPool
+from passlane.transport.router import MessageRouter
+from passlane.transport.server import MessageServer
+
+INTERNAL_PORT = 7000
+CALLERS_PORT = 8001
+READINESS_PORT = 8002
+OPERATORS_PORT = 8003
+LIST_ADDRESS = Address("10.9.0.1", 80)
+CLIENT_HOST = "10.8.0.1"
+_PROCESS_OF_ROLE = {
+    FleetRole.CONTROL: FleetControl,
+    FleetRole.STORE: FleetStore,
+    FleetRole.NODE: FleetNode,
+}
+
+
+@dataclass
+class Machine:
+    """One machine of the fleet; its disk outlives its process."""
+
+    name: str
+    role: FleetRole
+    host: str
+    disk: SimulatedDisk
+    is_first_start: bool = True
+    scope: anyio.CancelScope | None = None
+    process: object = None
+    lives: int = 0
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+    is_whole: bool
+
+
+class Fleet:
+    """Machines by name, and clients and operators that call them."""
+
+    def __init__(self, tasks, seed):
+        self.tasks = tasks
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.network = SimulatedNetwork(random.Random(seed), DelayModel({}), EventLog())
+        self.machines = {}
+        self.engines = [
+            StandInEngine(f"i-{n}", Address(f"10.7.0.{n}", 80), "models") for n in range(1, 4)
+        ]
+        self.list = StandInList(self.engines)
+        self.client = SingleConnectionHttpClient(self.network.host(CLIENT_HOST))
+
+    def add(self, role, number):
+        """Add a machine that was never started."""
+        place = list(FleetRole).index(role)
+        host = f"10.{place}.0.{number}"
+        name = f"{role.value}-{number}"
+        disk = SimulatedDisk(random.Random(f"{self.seed} {name}"))
+        self.machines[name] = Machine(name, role, host, disk)
+        return self.machines[name]
+
+    def settings_of(self, machine):
+        controls = [m.host for m in self.machines.values() if m.role is FleetRole.CONTROL]
+        host = machine.host
+        return FleetSettings(
+            process=FleetProcessSettings(
+                name=machine.name,
+                role=machine.role,
+                zone="a",
+                data_folder="data",
+                is_first_start=machine.is_first_start,
+            ),
+            addresses=FleetAddressSettings(
+                internal=Address(host, INTERNAL_PORT),
+                callers=Address(host, CALLERS_PORT),
+                readiness=Address(host, READINESS_PORT),
+                operators=Address(host, OPERATORS_PORT),
+            ),
+            seeds=tuple(Address(seed, OPERATORS_PORT) for seed in controls[:3]),
+            backend_list=BackendListSettings(address=LIST_ADDRESS, rate_per_s=40.0),
+        )
+
+    def start(self, name):
+        machine = self.machines[name]
+        machine.lives += 1
+        machine.scope = anyio.CancelScope()
+        self.network.reconnect(machine.host)
+        self.tasks.start_soon(self._live, machine, machine.scope)
+
+    async def _live(self, machine, scope):
+        environment = build_simulated_environment(
+            self.network.host(machine.host),
+            machine.disk,
+            random.Random(f"{self.seed} {machine.name} {machine.lives}"),
+        )
+        settings = self.settings_of(machine)
+        pool = ConnectionPool(environment)
+        router = MessageRouter()
+        context = FleetContext(settings, environment, pool, router, Metrics())
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(pool.run)
+                server = MessageServer(environment, settings.addresses.internal, router)
+                tasks.start_soon(server.run)
+                machine.process = _PROCESS_OF_ROLE[machine.role](context)
+                await machine.process.run()
+                tasks.cancel_scope.cancel()
+
+    def kill(self, name, *, wipe=False, power=True):
+        """End a machine's process at once; it is not started for the first time again."""
+        machine = self.machines[name]
+        machine.is_first_start = False
+        machine.scope.cancel()
+        machine.scope = None
+        if power:
+            machine.disk.lose_power()
+        else:
+            machine.disk.kill_process()
+        self.network.drop_connections(machine.host, reset_peers=True)
+        self.network.remove_listeners(machine.host)
+        if wipe:
+            machine.disk = SimulatedDisk(random.Random(f"{self.seed} {name} {machine.lives}"))
+
+    async def serve_platform(self):
+        for address, application in [
+            (LIST_ADDRESS, self.list),
+            *((engine.address, engine) for engine in self.engines),
+        ]:
+            environment = build_simulated_environment(
+                self.network.host(address.host), None, random.Random(0)
+            )
+            self.tasks.start_soon(environment.http_server.serve, address, application)
+
+    async def fetch(self, address, method, path, headers=None, body=b"", timeout_s=6.0):
+        """Send one request; ``None`` when no answer came."""
+        request = HttpRequest(method, address, path, headers or {}, body, True)
+        try:
+            with anyio.fail_after(timeout_s):
+                async with self.client.exchange(request) as response:
+                    parts = bytearray()
+                    is_whole = False
+                    try:
+                        async for part in response.chunks():
+                            parts += part
+                        is_whole = True
+                    except HttpConnectionError:
+                        pass
+                    return Answer(response.status, dict(response.headers), bytes(parts), is_whole)
+        except (HttpConnectionError, TimeoutError):
+            return None
+
+    async def operate(self, method, path, body=b"", *, name="control-1"):
+        address = Address(self.machines[name].host, OPERATORS_PORT)
+        return await self.fetch(address, method, path, {}, body, timeout_s=1.5)
+
+    async def put_configuration(self, version, **changes):
+        """Send a configuration until it is acknowledged, by any running control replica."""
+        body = configuration(version, **changes)
+        with anyio.fail_after(30):
+            while True:
+                names = [m.name for m in self.running(FleetRole.CONTROL)]
+                answer = await self.operate(
+                    "POST", "/api/config/put", body, name=self.random.choice(names)
+                )
+                if answer is not None and answer.status == 200:
+                    return body
+                await anyio.sleep(0.1)
+
+    async def turn(self, request_id, *, node="node-1", previous=None, budget=10_000, **headers):
+        """Take one turn of a program at a node."""
+        address = Address(self.machines[node].host, CALLERS_PORT)
+        all_headers = {
+            "x-passlane-attempt-id": request_id,
+            "x-passlane-program-id": "program",
+            "x-passlane-session-id": "session",
+            "x-passlane-program-deadline-ms": "9000",
+            "x-passlane-token-budget": str(budget),
+            "x-passlane-token-usage": "100,30",
+            "x-passlane-deadline-ms": "4000",
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        if previous is not None:
+            all_headers["x-passlane-previous-turn"] = previous
+        request = HttpRequest(
+            "POST",
+            address,
+            "/turns/x",
+            all_headers,
+            f"<{request_id}>".encode(),
+            True,
+            "one.example",
+        )
+        return await self._turn(request)
+
+    async def _turn(self, request):
+        try:
+            with anyio.fail_after(6.0):
+                async with self.client.exchange(request) as response:
+                    parts = bytearray()
+                    is_whole = False
+                    try:
+                        async for part in response.chunks():
+                            parts += part
+                        is_whole = True
+                    except HttpConnectionError:
+                        pass
+                    return Answer(response.status, dict(response.headers), bytes(parts), is_whole)
+        except (HttpConnectionError, TimeoutError):
+            return None
+
+    async def turn_until_whole(self, request_id, **options):
+        """Repeat a turn, each time under another id, until it ends whole; return that id."""
+        with anyio.fail_after(30):
+            for number in range(1_000):
+                attempt = f"{request_id}.{number}"
+                answer = await self.turn(attempt, **options)
+                if answer is not None and answer.status == 200 and answer.is_whole:
+                    return attempt
+                await anyio.sleep(0.1)
+        raise AssertionError("no turn ended whole")
+
+    def running(self, role):
+        return [m for m in self.machines.values() if m.role is role and m.scope is not None]
+
+    def body_run_for(self, request_id):
+        """The body that an engine got for a request; ``None`` if none ran it."""
+        for engine in self.engines:
+            for run_id, body in engine.runs:
+                if run_id == request_id:
+                    return body
+        return None
+
+    async def until_ready(self, node="node-1", timeout_s=20.0):
+        address = Address(self.machines[node].host, READINESS_PORT)
+        with anyio.fail_after(timeout_s):
+            while True:
+                answer = await self.fetch(address, "GET", "/api/readyz", timeout_s=1.0)
+                if answer is not None and answer.status == 200:
+                    return
+                await anyio.sleep(0.1)
+
+    async def until(self, condition, timeout_s=30.0):
+        """Wait until a condition, which may be asynchronous, holds."""
+        with anyio.fail_after(timeout_s):
+            while True:
+                value = condition()
+                if inspect.isawaitable(value):
+                    value = await value
+                if value:
+                    return
+                await anyio.sleep(0.05)
+
+    def store_voters(self, name):
+        """Hosts of the voters, as one store replica knows them."""
+        process = self.machines[name].process
+        host = process._host if process is not None else None
+        return {m.address.host for m in host.members if m.is_voter} if host else set()
+
+
+@asynccontextmanager
+async def running_fleet(seed, controls=3, stores=3, nodes=2):
+    """Run a fleet whose first configuration is in force."""
+    async with anyio.create_task_group() as tasks:
+        fleet = Fleet(tasks, seed)
+        for role, count in (
+            (FleetRole.CONTROL, controls),
+            (FleetRole.STORE, stores),
+            (FleetRole.NODE, nodes),
+        ):
+            for number in range(1, count + 1):
+                fleet.add(role, number)
+        await fleet.serve_platform()
+        for name in fleet.machines:
+            fleet.start(name)
+        await fleet.put_configuration(1)
+        for number in range(1, nodes + 1):
+            await fleet.until_ready(f"node-{number}")
+        yield fleet
+        tasks.cancel_scope.cancel()
+
+
+def run_on_virtual_clock(main, seed=0):
+    """Run an async function on the virtual clock, with trio's own choices seeded."""
+    from trio._core import _run
+
+    _run._r.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return anyio.run(main, backend="trio", backend_options={"clock": clock})
--- /dev/null
+++ b/tests/on_platform/stand_in.py
@@ -0,0 +1,136 @@
+"""A stand-in of the platform, by its published protocol: the list of engines and engines."""
+
+import hashlib
+import json
+
+import anyio
+
+from passlane.api.asgi import read_request
+
+EVENTS = 3
+
+
+class StandInEngine:
+    """Answers every request with a stream of events; remembers what it ran.
+
+    Attributes
+    ----------
+    event_delay_s
+        Pause before each event.
+    """
+
+    def __init__(self, instance_id, address, service):
+        self.instance_id = instance_id
+        self.address = address
+        self.service = service
+        self.state = "ready"
+        self.runs = []
+        self.event_delay_s = 0.01
+
+    async def __call__(self, scope, receive, send):
+        request = await read_request(scope, receive, 10_000_000)
+        headers = request.headers
+        own_id = [(b"x-passlane-instance-id", self.instance_id.encode())]
+        if headers.get("x-passlane-target-instance") != self.instance_id:
+            await self._answer(send, 421, own_id, b"")
+            return
+        request_id = headers["x-passlane-attempt-id"]
+        self.runs.append((request_id, request.body))
+        answer_headers = [
+            (b"x-passlane-attempt-id", request_id.encode()),
+            (b"x-passlane-response-signature", b"signed"),
+            (b"content-type", b"text/event-stream"),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": answer_headers})
+        for number in range(1, EVENTS + 1):
+            await anyio.sleep(self.event_delay_s)
+            event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+            await send({"type": "http.response.body", "body": event, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+
+    @staticmethod
+    async def _answer(send, status, headers, body):
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    def output_of(self, request_id):
+        """What the data of a turn's events adds to the history."""
+        return "".join(f"{request_id}.{n}\n" for n in range(1, EVENTS + 1)).encode()
+
+
+class StandInList:
+    """Answers with the list of engines, in pages of two."""
+
+    def __init__(self, engines):
+        self.engines = engines
+        self.calls = 0
+
+    async def __call__(self, scope, receive, send):
+        request = await read_request(scope, receive, 1_000)
+        self.calls += 1
+        start = int(request.query.get("page_token", "0"))
+        page = self.engines[start : start + 2]
+        end = start + 2
+        body = {
+            "instances": [
+                {
+                    "id": engine.instance_id,
+                    "service": engine.service,
+                    "address": str(engine.address),
+                    "zone": "a",
+                    "version": "v1",
+                    "slots": 4,
+                    "state": engine.state,
+                    "cold_left_ms": 0,
+                }
+                for engine in page
+            ],
+            "next_token": str(end) if end < len(self.engines) else None,
+        }
+        data = json.dumps(body).encode()
+        headers = [(b"content-type", b"application/json")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": data})
+
+
+def configuration(version, *, budget_service="models", timeout_ms=4000, extra_routes=()):
+    """Return a configuration document of the platform."""
+    routes = [
+        {
+            "name": "turns",
+            "host": "one.example",
+            "path_prefix": "/turns/",
+            "kind": "streaming",
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": 250,
+            "priority": 1,
+            "service": budget_service,
+            "max_attempts": 1,
+            "retained": True,
+            "retention_s": 60.0,
+            "resumable": False,
+            "target_gap_ms": 200,
+        },
+        *extra_routes,
+    ]
+    services = [
+        {
+            "name": "models",
+            "health_path": "/healthz",
+            "max_conns": 10,
+            "engine": {"slots": 4, "chunk_tokens": 9},
+        }
+    ]
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    document = {"version": version, "routes": routes, "services": services, "limits": limits}
+    return json.dumps(document).encode()
+
+
+def digest(data):
+    """Return a short digest, for messages of assertions."""
+    return hashlib.blake2b(data, digest_size=4).hexdigest()
--- /dev/null
+++ b/tests/on_platform/test_fleet.py
@@ -0,0 +1,172 @@
+"""A whole fleet on the virtual clock, from seeds on, over the platform's protocol."""
+
+import functools
+import unittest
+
+import anyio
+
+from on_platform.fleet import run_on_virtual_clock, running_fleet
+from passlane.messages.fleet import FleetRole
+
+
+def on_seeds(*seeds, **options):
+    """Run a test's body inside a running fleet, once for each seed."""
+
+    def decorate(body):
+        @functools.wraps(body)
+        def test(self):
+            for seed in seeds or (0, 1):
+                with self.subTest(seed=seed):
+
+                    async def main(seed=seed):
+                        async with running_fleet(seed, **options) as fleet:
+                            await body(self, fleet)
+
+                    run_on_virtual_clock(main, seed)
+
+        return test
+
+    return decorate
+
+
+class FleetTest(unittest.TestCase):
+    @on_seeds()
+    async def test_turns_go_on_from_one_another_through_any_node(self, fleet):
+        first = await fleet.turn("one", node="node-1")
+        self.assertEqual((first.status, first.is_whole), (200, True))
+        self.assertEqual(first.headers["x-passlane-response-signature"], "signed")
+        second = await fleet.turn("two", node="node-2", previous="one")
+        self.assertTrue(second.is_whole)
+        output = fleet.engines[0].output_of("one")
+        self.assertEqual(fleet.body_run_for("two"), b"<one>" + output + b"<two>")
+
+    @on_seeds()
+    async def test_an_unknown_turn_is_not_found_and_reaches_no_engine(self, fleet):
+        answer = await fleet.turn("one", previous="never")
+        self.assertEqual(answer.status, 404)
+        self.assertIsNone(fleet.body_run_for("one"))
+
+    @on_seeds()
+    async def test_a_budget_holds_over_all_nodes(self, fleet):
+        statuses = [
+            (await fleet.turn(str(n), node=f"node-{n % 2 + 1}", budget=100)).status
+            for n in range(6)
+        ]
+        # Three events of nine tokens each turn, thirty reserved for the next.
+        self.assertEqual(statuses, [200, 200, 200, 402, 402, 402])
+        self.assertIsNone(fleet.body_run_for("3"))
+
+    @on_seeds()
+    async def test_the_newest_configuration_is_read_back_as_it_was_sent(self, fleet):
+        newest = await fleet.put_configuration(9, timeout_ms=3000)
+        await fleet.put_configuration(5, timeout_ms=2000)
+        for name in ("control-1", "control-2", "control-3"):
+            answer = await fleet.operate("GET", "/api/config/get", name=name)
+            self.assertEqual((answer.status, answer.body), (200, newest))
+
+    @on_seeds()
+    async def test_an_invalid_configuration_changes_nothing(self, fleet):
+        before = (await fleet.operate("GET", "/api/config/get")).body
+        for body in (b"{", before.replace(b'"version": 1', b'"version": 8')[:-9]):
+            answer = await fleet.operate("POST", "/api/config/put", body)
+            self.assertEqual(answer.status, 400)
+        self.assertEqual((await fleet.operate("GET", "/api/config/get")).body, before)
+
+    @on_seeds()
+    async def test_a_configuration_and_a_turn_outlive_a_loss_of_power_everywhere(self, fleet):
+        await fleet.put_configuration(2)
+        self.assertTrue((await fleet.turn("one")).is_whole)
+        names = list(fleet.machines)
+        for name in names:
+            fleet.kill(name)
+        await anyio.sleep(2.0)
+        for name in names:
+            fleet.start(name)
+        await fleet.until_ready(timeout_s=10.0)
+        last = await fleet.turn_until_whole("two", previous="one")
+        self.assertTrue(fleet.body_run_for(last).startswith(b"<one>"))
+        answer = await fleet.operate("GET", "/api/config/get")
+        self.assertIn(b'"version": 2', answer.body)
+
+
+class ReplacedMachineTest(unittest.TestCase):
+    @on_seeds()
+    async def test_a_wiped_store_machine_votes_again_before_the_next_is_lost(self, fleet):
+        await fleet.turn("one")
+        for lost in ("store-1", "store-2", "store-3"):
+            fleet.kill(lost, wipe=True)
+            await anyio.sleep(0.5)
+            fleet.start(lost)
+            await anyio.sleep(4.3)
+        last = await fleet.turn_until_whole("two", previous="one")
+        self.assertTrue(fleet.body_run_for(last).startswith(b"<one>"))
+
+    @on_seeds()
+    async def test_store_machines_at_other_addresses_take_the_place_of_those_that_are_gone(
+        self, fleet
+    ):
+        await fleet.turn("one")
+        for number in (1, 2, 3):
+            fleet.kill(f"store-{number}", wipe=True)
+            await anyio.sleep(2.0)
+            machine = fleet.add(FleetRole.STORE, number + 10)
+            machine.is_first_start = False
+            fleet.start(machine.name)
+            await anyio.sleep(4.3)
+        last = await fleet.turn_until_whole("two", previous="one")
+        self.assertTrue(fleet.body_run_for(last).startswith(b"<one>"))
+        voters = fleet.store_voters("store-13")
+        self.assertEqual(voters, {fleet.machines[f"store-{n}"].host for n in (11, 12, 13)})
+
+    @on_seeds()
+    async def test_a_store_that_was_counted_as_replaced_is_taken_in_again(self, fleet):
+        fleet.kill("store-1")
+        machine = fleet.add(FleetRole.STORE, 4)
+        machine.is_first_start = False
+        fleet.start(machine.name)
+        host = fleet.machines["store-1"].host
+        await fleet.until(
+            lambda: fleet.store_voters("store-4") and host not in fleet.store_voters("store-4")
+        )
+        fleet.start("store-1")
+        await fleet.until(lambda: host in fleet.store_voters("store-4"))
+
+    @on_seeds(controls=5)
+    async def test_control_machines_at_other_addresses_take_the_place_of_those_that_are_gone(
+        self, fleet
+    ):
+        newest = b""
+        for number in (4, 5):
+            fleet.kill(f"control-{number}", wipe=True)
+            await anyio.sleep(1.0)
+            machine = fleet.add(FleetRole.CONTROL, number + 10)
+            machine.is_first_start = False
+            fleet.start(machine.name)
+            await anyio.sleep(4.3)
+            newest = await fleet.put_configuration(number)
+        answer = await fleet.operate("GET", "/api/config/get", name="control-15")
+        self.assertEqual(answer.body, newest)
+
+
+class RetirementTest(unittest.TestCase):
+    @on_seeds(stores=4)
+    async def test_a_store_machine_is_emptied_and_its_turns_stay(self, fleet):
+        await fleet.turn("one")
+        answer = await fleet.operate("POST", "/api/retire/store-1/start", b'{"duration_s":5}')
+        self.assertEqual(answer.status, 200)
+
+        async def is_completed():
+            answer = await fleet.operate("GET", "/api/retire/store-1/get")
+            return answer is not None and b"completed" in answer.body
+
+        await fleet.until(is_completed, timeout_s=10.0)
+        fleet.kill("store-1", wipe=True)
+        await anyio.sleep(0.5)
+        self.assertTrue((await fleet.turn("two", previous="one")).is_whole)
+
+    @on_seeds()
+    async def test_too_few_left_or_an_unknown_machine_is_refused(self, fleet):
+        answer = await fleet.operate("POST", "/api/retire/store-1/start", b"{}")
+        self.assertEqual(answer.status, 409)
+        answer = await fleet.operate("POST", "/api/retire/store-9/start", b"{}")
+        self.assertEqual(answer.status, 404)
--- /dev/null
+++ b/tests/on_platform/test_formats.py
@@ -0,0 +1,164 @@
+"""Requests, configurations and answers of the platform as the product's types."""
+
+import unittest
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.routes import RouteKind, ServiceShare
+from passlane.platform.configuration_format import parse_configuration
+from passlane.platform.engine_client import EngineAnswer
+from passlane.platform.request_format import parse_call
+from passlane.relay.backends import Refusal
+from passlane.relay.calls import Header, PromptPart
+
+TURN_HEADERS = {
+    "host": "one.example",
+    "x-passlane-attempt-id": "9c41",
+    "x-passlane-program-id": "3fa8",
+    "x-passlane-session-id": "77d2",
+    "x-passlane-program-deadline-ms": "5200",
+    "x-passlane-token-budget": "2304",
+    "x-passlane-token-usage": "1840,288",
+    "x-passlane-previous-turn": "40c8",
+    "x-passlane-deadline-ms": "4000",
+    "x-passlane-prompt-prefix": "5c1e:800,91bd:410",
+    "connection": "keep-alive, X-Hop",
+    "x-hop": "1",
+    "x-own": "2",
+}
+
+
+def headers(**changes):
+    values = TURN_HEADERS | {name.replace("_", "-"): value for name, value in changes.items()}
+    return [Header(name, value) for name, value in values.items() if value is not None]
+
+
+class RequestFormatTest(unittest.TestCase):
+    def parse(self, **changes):
+        return parse_call("POST", "/a/b?c=d", headers(**changes), b"body", 10.0)
+
+    def test_a_turn(self):
+        call = self.parse()
+        self.assertEqual((call.request_id, call.path, call.host), ("9c41", "/a/b", "one.example"))
+        self.assertEqual(call.deadline_at, 14.0)
+        self.assertEqual((call.program.program_id, call.program.budget_tokens), ("3fa8", 2304))
+        self.assertEqual((call.most_tokens, call.previous_turn), (288, "40c8"))
+        self.assertEqual(call.prompt_parts, (PromptPart("5c1e", 800), PromptPart("91bd", 410)))
+
+    def test_headers_of_one_connection_are_not_passed_on(self):
+        names = {header.name for header in self.parse().headers}
+        self.assertFalse(names & {"connection", "x-hop", "host"})
+        self.assertIn("x-own", names)
+
+    def test_what_is_missing_or_malformed_is_refused(self):
+        for changes in (
+            {"x_passlane_attempt_id": None},
+            {"x_passlane_deadline_ms": "soon"},
+            {"x_passlane_token_usage": "1840"},
+            {"x_passlane_token_budget": "-1"},
+            {"x_passlane_prompt_prefix": "5c1e"},
+        ):
+            with self.subTest(changes), self.assertRaises(PasslaneError) as caught:
+                self.parse(**changes)
+            self.assertIs(caught.exception.code, ErrorCode.BAD_REQUEST)
+
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/p/",
+            "kind": "streaming",
+            "timeout_ms": 4000,
+            "target_latency_ms": 250,
+            "priority": 1,
+            "traffic_split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+            "max_attempts": 1,
+            "retained": True,
+            "retention_s": 60.0,
+            "resumable": False,
+            "target_gap_ms": 200,
+            "unknown_field": 1,
+        },
+        {
+            "name": "q",
+            "host": "h",
+            "path_prefix": "/q/",
+            "kind": "safe",
+            "timeout_ms": 100,
+            "service": "b",
+        },
+    ],
+    "services": [
+        {
+            "name": "a",
+            "health_path": "/",
+            "max_conns": 5,
+            "engine": {"slots": 12, "chunk_tokens": 9},
+        },
+        {"name": "b", "health_path": "/", "max_conns": 5},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+
+class ConfigurationFormatTest(unittest.TestCase):
+    def test_a_document(self):
+        source = msgspec.json.encode(DOCUMENT)
+        parsed = parse_configuration(source)
+        first, second = parsed.routes
+        self.assertEqual((parsed.version, parsed.source), (7, source))
+        self.assertEqual((first.kind, first.timeout_s), (RouteKind.STREAM, 4.0))
+        self.assertEqual(first.shares, (ServiceShare("a", 90), ServiceShare("b", 10)))
+        self.assertTrue(first.keeps_turns)
+        self.assertEqual(second.shares, (ServiceShare("b", 1),))
+        self.assertEqual(parsed.services[0].tokens_per_event, 9)
+        self.assertEqual(parsed.limits.idle_timeout_s, 15.0)
+
+    def test_what_cannot_be_read_whole_is_invalid(self):
+        source = msgspec.json.encode(DOCUMENT)
+        without_routes = {k: v for k, v in DOCUMENT.items() if k != "routes"}
+        for broken in (source[:-20], b"", b"[]", msgspec.json.encode(without_routes)):
+            with self.subTest(broken), self.assertRaises(PasslaneError) as caught:
+                parse_configuration(broken)
+            self.assertIs(caught.exception.code, ErrorCode.INVALID_DOCUMENT)
+
+
+class FakeResponse:
+    def __init__(self, status, **headers):
+        self.status = status
+        self.headers = {name.replace("_", "-"): value for name, value in headers.items()}
+
+
+def head_of(status, **headers):
+    return EngineAnswer(FakeResponse(status, **headers), "own").head
+
+
+class EngineAnswerTest(unittest.TestCase):
+    def test_a_success_needs_signature_own_id_and_no_encoding(self):
+        marks = {"x_passlane_attempt_id": "own", "x_passlane_response_signature": "s"}
+        self.assertTrue(head_of(200, **marks).is_authentic)
+        self.assertFalse(head_of(200, x_passlane_attempt_id="own").is_authentic)
+        self.assertFalse(head_of(200, **(marks | {"x_passlane_attempt_id": "x"})).is_authentic)
+        self.assertFalse(head_of(200, **marks, content_encoding="gzip").is_authentic)
+
+    def test_a_refusal_counts_only_for_the_own_request(self):
+        self.assertIs(head_of(503, x_passlane_not_executed="1").refusal, Refusal.NOT_EXECUTED)
+        self.assertIs(head_of(421).refusal, Refusal.WRONG_INSTANCE)
+        late = head_of(503, x_passlane_not_executed="1", x_passlane_attempt_id="other")
+        self.assertIsNone(late.refusal)
+        self.assertFalse(late.is_authentic)
+        self.assertIsNone(head_of(503).refusal)
+
+    def test_headers_of_the_connection_stay_behind(self):
+        head = head_of(200, content_length="5", connection="close", content_type="text/plain")
+        self.assertEqual([header.name for header in head.headers], ["content-type"])
+        self.assertEqual(head.length, 5)
--- /dev/null
+++ b/tests/relay/fakes.py
@@ -0,0 +1,150 @@
+"""Back ends, a store and a writer that tests script."""
+
+from collections import deque
+from contextlib import asynccontextmanager
+
+import anyio
+import anyio.lowlevel
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.common import Address
+from passlane.messages.turns import TurnReserved
+from passlane.relay.backends import AnswerHead, BackendRecord, BackendState, Refusal
+from passlane.relay.calls import Header, ProgramContext, RelayedCall
+from passlane.runtime.interfaces import HttpConnectionError
+
+SIGNATURE = Header("signature", "s")
+
+
+def backend(instance_id="i-1", *, service="models", zone="a", slots=4, state=BackendState.READY):
+    return BackendRecord(instance_id, service, Address("10.0.0.1", 80), zone, slots, state)
+
+
+def call(request_id="r-1", *, body=b"new", path="/first/x", budget=None, most=10, **changes):
+    program = ProgramContext("p", "s", None, budget) if budget is not None else None
+    values = {
+        "request_id": request_id,
+        "method": "POST",
+        "host": "one.example",
+        "target": path,
+        "headers": (),
+        "body": body,
+        "arrived_at": anyio.current_time(),
+        "deadline_at": anyio.current_time() + 5.0,
+        "program": program,
+        "most_tokens": most,
+    }
+    return RelayedCall(**(values | changes))
+
+
+def head(status=200, *, refusal=None, is_authentic=True, length=None):
+    return AnswerHead(status, (SIGNATURE,), refusal, is_authentic, length)
+
+
+FULL = head(503, refusal=Refusal.NOT_EXECUTED)
+MOVED = head(421, refusal=Refusal.WRONG_INSTANCE)
+
+
+class Script:
+    """One answer of a back end.
+
+    ``broken`` ends the body early; ``unreachable`` fails before any byte has left;
+    ``delay_s`` passes before each part.
+    """
+
+    def __init__(self, head, *parts, broken=False, delay_s=0.0):
+        self.head = head
+        self.parts = parts
+        self.broken = broken
+        self.delay_s = delay_s
+
+    async def chunks(self):
+        for part in self.parts:
+            await anyio.sleep(self.delay_s)
+            yield part
+        if self.broken:
+            raise HttpConnectionError("broke off", bytes_left=True)
+
+
+class Unreachable:
+    """A back end whose machine takes no connection."""
+
+
+class Reset:
+    """A back end that resets the connection before it answers."""
+
+
+class ScriptedBackends:
+    """Gives the scripts in order, whichever back end is asked."""
+
+    def __init__(self, *scripts):
+        self.scripts = deque(scripts)
+        self.requests = []
+        self.asked = []
+
+    @asynccontextmanager
+    async def exchange(self, record, request):
+        self.requests.append(request)
+        self.asked.append(record.instance_id)
+        script = self.scripts.popleft()
+        await anyio.lowlevel.checkpoint()
+        if isinstance(script, Unreachable):
+            raise HttpConnectionError("no connection", bytes_left=False)
+        if isinstance(script, Reset):
+            raise HttpConnectionError("reset", bytes_left=True)
+        yield script
+
+
+class RecordingWriter:
+    """Keeps what was written."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = ()
+        self.body = b""
+        self.is_finished = False
+        self.retry_after_s = None
+        self.times = []
+
+    @property
+    def has_started(self):
+        return self.status != 0
+
+    async def start(self, status, headers, length):
+        assert not self.has_started
+        self.status = status
+        self.headers = headers
+
+    async def write(self, data):
+        self.body += data
+        self.times.append(anyio.current_time())
+
+    async def finish(self):
+        self.is_finished = True
+
+    async def refuse(self, status, reason, retry_after_s):
+        await self.start(status, (), None)
+        self.retry_after_s = retry_after_s
+        await self.finish()
+
+
+class ScriptedStore:
+    """Answers reservations as told; keeps settlements."""
+
+    def __init__(self, answer=None, *, is_lost=False, settle_fails=False):
+        self.answer = answer or TurnReserved()
+        self.is_lost = is_lost
+        self.settle_fails = settle_fails
+        self.reserved = []
+        self.settled = []
+
+    async def reserve(self, request, *, timeout_s):
+        self.reserved.append(request)
+        if self.is_lost:
+            raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader")
+        return self.answer
+
+    async def settle(self, request, *, timeout_s):
+        if self.settle_fails:
+            raise PasslaneError(ErrorCode.TIMEOUT, "no majority")
+        self.settled.append(request)
--- /dev/null
+++ b/tests/relay/test_placement.py
@@ -0,0 +1,76 @@
+"""Where requests go: their program's engine first, then load and zone."""
+
+import unittest
+
+from passlane.relay.list_reader import read_period_s
+from passlane.relay.placement import (
+    PlacementKey,
+    choose_backend,
+    note_failure,
+    note_success,
+)
+from passlane.relay.registry import BackendLoad, BackendRegistry
+from relay.fakes import backend
+
+
+def loads(count, **changes):
+    return [BackendLoad(backend(f"i-{number}", **changes)) for number in range(count)]
+
+
+class PlacementTest(unittest.TestCase):
+    def test_a_program_stays_with_its_engine(self):
+        candidates = loads(6)
+        key = PlacementKey("program", "a")
+        first = choose_backend(candidates, key, (), 0.0)
+        self.assertIs(choose_backend(candidates[::-1], key, (), 0.0), first)
+
+    def test_programs_spread(self):
+        candidates = loads(6)
+        chosen = {
+            choose_backend(candidates, PlacementKey(str(n), "a"), (), 0.0).record.instance_id
+            for n in range(100)
+        }
+        self.assertEqual(len(chosen), 6)
+
+    def test_a_full_or_failing_engine_comes_after_the_others(self):
+        candidates = loads(3)
+        key = PlacementKey("program", "a")
+        first = choose_backend(candidates, key, (), 0.0)
+        first.in_flight = 2
+        second = choose_backend(candidates, key, (), 0.0)
+        self.assertIsNot(second, first)
+        first.in_flight = 0
+        note_failure(first, 0.0)
+        self.assertIs(choose_backend(candidates, key, (), 0.1), second)
+        self.assertIs(choose_backend(candidates, key, (), 10.0), first)
+        note_success(first)
+        self.assertIs(choose_backend(candidates, key, (), 0.1), first)
+
+    def test_plain_requests_go_to_the_least_loaded_and_the_own_zone(self):
+        near, far = BackendLoad(backend("n", zone="a")), BackendLoad(backend("f", zone="b"))
+        key = PlacementKey("", "a")
+        self.assertIs(choose_backend([far, near], key, (), 0.0), near)
+        near.in_flight = 1
+        self.assertIs(choose_backend([far, near], key, (), 0.0), far)
+
+    def test_each_is_tried_once(self):
+        candidates = loads(2)
+        key = PlacementKey("", "a")
+        self.assertIsNone(choose_backend(candidates, key, ("i-0", "i-1"), 0.0))
+
+
+class RegistryTest(unittest.TestCase):
+    def test_what_is_no_longer_listed_is_gone_and_counts_are_kept(self):
+        registry = BackendRegistry()
+        registry.update([backend("i-1"), backend("i-2")], 0.0)
+        registry.of_service("models")[0].in_flight = 3
+        gone = registry.update([backend("i-1")], 1.0)
+        self.assertEqual([record.instance_id for record in gone], ["i-2"])
+        self.assertEqual([load.in_flight for load in registry.of_service("models")], [3])
+
+
+class ReadPeriodTest(unittest.TestCase):
+    def test_all_nodes_together_stay_within_the_rate(self):
+        for nodes in (1, 8, 70, 400):
+            period_s = read_period_s(nodes, 44.0, 1)
+            self.assertLess(nodes / (0.85 * period_s), 44.0)
--- /dev/null
+++ b/tests/relay/test_service.py
@@ -0,0 +1,225 @@
+"""One relayed request from end to end, with scripted back ends and store."""
+
+import unittest
+
+import anyio
+import trio.testing
+
+from passlane.messages.routes import RouteKind, ServiceShare
+from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
+from passlane.observability.metrics import Metrics
+from passlane.relay.backends import BackendState
+from passlane.relay.registry import BackendRegistry
+from passlane.relay.request import AnswerAbortedError
+from passlane.relay.service import RelayService
+from relay.fakes import (
+    FULL,
+    MOVED,
+    RecordingWriter,
+    Reset,
+    Script,
+    ScriptedBackends,
+    ScriptedStore,
+    Unreachable,
+    backend,
+    call,
+    head,
+)
+from routes.test_checks import configuration, route
+
+EVENT_1 = b"id: 1\ndata: one\n\n"
+EVENT_2 = b"id: 2\ndata: two\n\n"
+STREAM = {"kind": RouteKind.STREAM, "timeout_s": 4.0}
+TURNS = STREAM | {"keeps_turns": True, "retention_s": 60.0}
+
+
+class RelayCase(unittest.TestCase):
+    def relay(self, scripts, *, call_changes=None, store=None, records=None, **route_changes):
+        """Relay one call on a virtual clock; return writer, back ends, store and error."""
+        self.writer = RecordingWriter()
+        self.backends = ScriptedBackends(*scripts)
+        self.store = store or ScriptedStore()
+        self.error = None
+
+        async def main():
+            registry = BackendRegistry()
+            made = [backend("i-1"), backend("i-2")] if records is None else records
+            registry.update(made, anyio.current_time())
+            async with anyio.create_task_group() as tasks:
+                service = RelayService("a", registry, self.backends, self.store, tasks, Metrics())
+                service.replace_configuration(configuration(route(**route_changes)))
+                self.started_at = anyio.current_time()
+                try:
+                    await service.handle(call(**(call_changes or {})), self.writer)
+                except AnswerAbortedError as error:
+                    self.error = error
+                self.ended_at = anyio.current_time()
+                self.registry = registry
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+    @property
+    def elapsed_s(self):
+        return self.ended_at - self.started_at
+
+
+class RepeatableTest(RelayCase):
+    def test_status_body_and_signature_pass_unchanged(self):
+        self.relay([Script(head(201), b"whole ", b"body")])
+        self.assertEqual((self.writer.status, self.writer.body), (201, b"whole body"))
+        self.assertEqual(self.writer.headers[0].value, "s")
+        self.assertTrue(self.writer.is_finished)
+
+    def test_a_full_back_end_is_passed_over(self):
+        self.relay([Script(FULL), Script(head(), b"ok")])
+        self.assertEqual(self.writer.body, b"ok")
+        self.assertEqual(len(set(self.backends.asked)), 2)
+
+    def test_when_all_are_full_the_refusal_comes_early_with_a_time_to_come_back(self):
+        self.relay([Script(FULL)] * 40)
+        self.assertEqual(self.writer.status, 503)
+        self.assertGreater(self.writer.retry_after_s, 0)
+        self.assertLessEqual(self.elapsed_s, 0.06)
+
+    def test_a_broken_answer_is_asked_for_again_within_the_most_attempts(self):
+        self.relay([Script(head(), b"ha", broken=True), Script(head(), b"ok")], max_attempts=2)
+        self.assertEqual((self.writer.status, self.writer.body), (200, b"ok"))
+
+    def test_no_more_back_ends_run_it_than_allowed(self):
+        self.relay([Reset(), Reset(), Script(head(), b"ok")], max_attempts=2)
+        self.assertEqual(self.writer.status, 502)
+        self.assertEqual(len(self.backends.asked), 2)
+
+    def test_silence_ends_with_the_routes_time(self):
+        self.relay([Script(head(), b"late", delay_s=60.0)])
+        self.assertEqual(self.writer.status, 504)
+        self.assertAlmostEqual(self.elapsed_s, 1.0, places=3)
+
+    def test_no_back_end_at_all_is_a_refusal(self):
+        self.relay([], records=[backend(state=BackendState.DRAINING)])
+        self.assertEqual(self.writer.status, 503)
+
+
+class AtMostOnceTest(RelayCase):
+    def test_an_answer_that_was_lost_promises_nothing(self):
+        self.relay([Reset()], kind=RouteKind.AT_MOST_ONCE, max_attempts=3)
+        self.assertEqual(self.writer.status, 502)
+        self.assertEqual(len(self.backends.asked), 1)
+
+    def test_a_back_end_without_a_connection_ran_nothing(self):
+        scripts = [Unreachable(), Script(head(), b"ok")]
+        self.relay(scripts, kind=RouteKind.AT_MOST_ONCE)
+        self.assertEqual(self.writer.body, b"ok")
+
+    def test_another_instance_at_the_address_ran_nothing(self):
+        scripts = [Script(MOVED), Script(head(), b"ok")]
+        self.relay(scripts, kind=RouteKind.AT_MOST_ONCE)
+        self.assertEqual(self.writer.body, b"ok")
+        self.assertEqual(len(self.registry), 1)
+
+    def test_a_promise_of_not_run_needs_proof(self):
+        for status in (503, 429, 408, 421):
+            self.relay([Script(head(status), b"")], kind=RouteKind.AT_MOST_ONCE)
+            self.assertEqual(self.writer.status, 502)
+
+    def test_a_success_without_its_marks_is_no_answer(self):
+        scripts = [Script(head(200, is_authentic=False), b"other")]
+        self.relay(scripts, kind=RouteKind.AT_MOST_ONCE)
+        self.assertEqual((self.writer.status, self.writer.body), (502, b""))
+
+    def test_a_failure_of_the_back_end_passes_as_it_is(self):
+        self.relay([Script(head(500), b"sorry")], kind=RouteKind.AT_MOST_ONCE)
+        self.assertEqual((self.writer.status, self.writer.body), (500, b"sorry"))
+
+    def test_out_of_time_after_it_was_sent_is_no_promise(self):
+        scripts = [Script(head(), b"late", delay_s=60.0)]
+        self.relay(scripts, kind=RouteKind.AT_MOST_ONCE)
+        self.assertEqual(self.writer.status, 504)
+
+
+class RouteTest(RelayCase):
+    def test_no_route_is_not_found(self):
+        self.relay([], call_changes={"path": "/unknown/"})
+        self.assertEqual(self.writer.status, 404)
+
+    def test_without_a_configuration_nothing_is_said_about_routes(self):
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                service = RelayService(
+                    "a", BackendRegistry(), ScriptedBackends(), ScriptedStore(), tasks, Metrics()
+                )
+                writer = RecordingWriter()
+                await service.handle(call(), writer)
+                self.assertEqual(writer.status, 503)
+                self.assertIsNotNone(writer.retry_after_s)
+
+        anyio.run(main, backend="trio")
+
+
+class StreamTest(RelayCase):
+    def test_each_event_passes_as_it_arrives(self):
+        self.relay([Script(head(), EVENT_1, EVENT_2, delay_s=0.1)], **STREAM)
+        self.assertEqual(self.writer.body, EVENT_1 + EVENT_2)
+        self.assertAlmostEqual(self.writer.times[1] - self.writer.times[0], 0.1, places=3)
+
+    def test_a_broken_stream_never_looks_whole(self):
+        self.relay([Script(head(), EVENT_1, b"id: 2\nda", broken=True)], **STREAM)
+        self.assertIsNotNone(self.error)
+        self.assertEqual(self.writer.body, EVENT_1)
+        self.assertFalse(self.writer.is_finished)
+
+    def test_a_resumable_stream_goes_on_after_the_last_whole_event(self):
+        scripts = [
+            Script(head(), EVENT_1, b"id: 2\nda", broken=True),
+            Script(head(), EVENT_2),
+        ]
+        self.relay(scripts, **STREAM, is_resumable=True, max_attempts=2)
+        self.assertEqual(self.writer.body, EVENT_1 + EVENT_2)
+        self.assertTrue(self.writer.is_finished)
+        self.assertEqual(self.backends.requests[1].last_event_id, "1")
+
+
+class TurnTest(RelayCase):
+    def setUp(self):
+        self.changes = {"budget": 100, "previous_turn": "before"}
+
+    def test_a_turn_runs_with_its_history_and_is_kept_before_its_end_is_told(self):
+        store = ScriptedStore(TurnReserved(history=b"old"))
+        self.relay([Script(head(), EVENT_1)], call_changes=self.changes, store=store, **TURNS)
+        self.assertEqual(self.backends.requests[0].body, b"oldnew")
+        kept = store.settled[0].turn
+        self.assertEqual(kept.content, b"newone\n")
+        self.assertEqual((kept.turn_id, kept.previous), ("r-1", "before"))
+        self.assertTrue(self.writer.is_finished)
+
+    def test_a_turn_that_may_not_last_does_not_end(self):
+        store = ScriptedStore(settle_fails=True)
+        self.relay([Script(head(), EVENT_1)], call_changes=self.changes, store=store, **TURNS)
+        self.assertIsNotNone(self.error)
+        self.assertFalse(self.writer.is_finished)
+
+    def test_a_spent_budget_and_an_unknown_turn_run_nothing(self):
+        for answer, status in ((BudgetSpent(90, 0), 402), (TurnUnknown("before"), 404)):
+            store = ScriptedStore(answer)
+            self.relay([], call_changes=self.changes, store=store, **TURNS)
+            self.assertEqual(self.writer.status, status)
+
+    def test_without_the_store_nothing_is_said_about_turns_and_the_reservation_is_undone(self):
+        store = ScriptedStore(is_lost=True)
+        self.relay([], call_changes=self.changes, store=store, **TURNS)
+        self.assertEqual(self.writer.status, 503)
+        self.assertIsNotNone(self.writer.retry_after_s)
+        self.assertEqual(store.settled[0].tokens, 0)
+
+    def test_a_turn_that_did_not_run_gives_its_reservation_back(self):
+        self.relay([Script(FULL)] * 40, call_changes=self.changes, **TURNS)
+        self.assertEqual(self.writer.status, 503)
+        self.assertEqual([(s.tokens, s.turn) for s in self.store.settled], [(0, None)])
+
+    def test_what_the_client_got_of_a_broken_turn_is_spent(self):
+        scripts = [Script(head(), EVENT_1, EVENT_2, broken=True)]
+        self.relay(scripts, call_changes=self.changes, **TURNS, shares=(ServiceShare("models", 1),))
+        self.assertIsNotNone(self.error)
+        self.assertEqual(self.store.settled[0].turn, None)
+        self.assertEqual(self.store.settled[0].tokens, 2 * 9)
--- /dev/null
+++ b/tests/routes/test_checks.py
@@ -0,0 +1,84 @@
+"""What makes a route configuration invalid."""
+
+import unittest
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.routes import (
+    RequestLimits,
+    Route,
+    RouteConfiguration,
+    RoutedService,
+    RouteKind,
+    ServiceShare,
+)
+from passlane.routes.checks import check_configuration
+
+
+def route(**changes):
+    values = {
+        "name": "first",
+        "host": "one.example",
+        "path_prefix": "/first/",
+        "kind": RouteKind.REPEATABLE,
+        "timeout_s": 1.0,
+        "target_latency_s": 0.2,
+        "priority": 1,
+        "shares": (ServiceShare("models", 1),),
+        "max_attempts": 1,
+    }
+    return Route(**(values | changes))
+
+
+def configuration(*routes, version=1):
+    return RouteConfiguration(
+        version=version,
+        routes=routes or (route(),),
+        services=(
+            RoutedService(
+                name="models", health_path="/", max_connections=10, slots=4, tokens_per_event=9
+            ),
+            RoutedService(name="tools", health_path="/", max_connections=10),
+        ),
+        limits=RequestLimits(
+            max_header_bytes=1000, max_body_bytes=1000, header_timeout_s=1.0, idle_timeout_s=5.0
+        ),
+        source=b"{}",
+    )
+
+
+class CheckTest(unittest.TestCase):
+    def assert_invalid(self, broken):
+        with self.assertRaises(PasslaneError) as caught:
+            check_configuration(broken)
+        self.assertIs(caught.exception.code, ErrorCode.INVALID_DOCUMENT)
+
+    def test_a_proper_configuration_is_valid(self):
+        check_configuration(configuration(route(), route(name="second", path_prefix="/second/")))
+
+    def test_unknown_service(self):
+        self.assert_invalid(configuration(route(shares=(ServiceShare("gone", 1),))))
+
+    def test_weights_that_add_up_to_nothing(self):
+        shares = (ServiceShare("models", 0), ServiceShare("tools", 0))
+        self.assert_invalid(configuration(route(shares=shares)))
+        self.assert_invalid(configuration(route(shares=())))
+
+    def test_two_routes_at_one_place(self):
+        self.assert_invalid(configuration(route(), route(name="second", host="ONE.example")))
+
+    def test_no_time(self):
+        self.assert_invalid(configuration(route(timeout_s=0.0)))
+
+    def test_a_prefix_needs_slashes_at_both_ends(self):
+        self.assert_invalid(configuration(route(path_prefix="/first")))
+        self.assert_invalid(configuration(route(path_prefix="first/")))
+
+    def test_a_version_is_positive(self):
+        self.assert_invalid(configuration(version=0))
+
+    def test_a_service_is_named_once(self):
+        doubled = configuration()
+        services = doubled.services + doubled.services[:1]
+        self.assert_invalid(msgspec.structs.replace(doubled, services=services))
--- a/tests/run.py
+++ b/tests/run.py
@@ -27,7 +27,9 @@
         str(TESTS), pattern=pattern, top_level_dir=str(TESTS)
     )
     result = unittest.TextTestRunner(stream=sys.stdout, verbosity=1).run(suite)
-    failed = {test.id() for test, _ in result.failures + result.errors}
+    # A test with subtests fails once, however many of its subtests do.
+    failures = result.failures + result.errors
+    failed = {getattr(test, "test_case", test).id() for test, _ in failures}
     failed |= {test.id() for test in result.unexpectedSuccesses}
     excused = failed & known_red_tests()
     for test_id in sorted(excused):
--- /dev/null
+++ b/tests/turns/test_machine.py
@@ -0,0 +1,142 @@
+"""Budgets, reservations and histories of turns in the replicated state."""
+
+import unittest
+
+from passlane.messages.base import encode_message
+from passlane.messages.turns import (
+    AdvanceAge,
+    BudgetSpent,
+    KeptTurn,
+    ReserveTurn,
+    SettleTurn,
+    TurnReserved,
+    TurnUnknown,
+)
+from passlane.turns.machine import RETENTION_MARGIN_S, TurnStateMachine
+
+
+def reserve(attempt, *, program="p", most=10, budget=30, previous=None):
+    return ReserveTurn(
+        program_id=program,
+        attempt_id=attempt,
+        most_tokens=most,
+        budget_tokens=budget,
+        previous=previous,
+        retention_s=60.0,
+    )
+
+
+def settle(attempt, tokens=10, *, program="p", previous=None, content=None):
+    turn = None
+    if content is not None:
+        turn = KeptTurn(turn_id=attempt, previous=previous, content=content, retention_s=60.0)
+    return SettleTurn(program_id=program, attempt_id=attempt, tokens=tokens, turn=turn)
+
+
+class BudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = TurnStateMachine()
+
+    def test_reserved_and_spent_tokens_count_together(self):
+        self.assertIsInstance(self.machine.execute(reserve("a")), TurnReserved)
+        self.machine.execute(settle("a", 10))
+        self.assertIsInstance(self.machine.execute(reserve("b")), TurnReserved)
+        self.assertIsInstance(self.machine.execute(reserve("c")), TurnReserved)
+        refusal = self.machine.execute(reserve("d"))
+        self.assertEqual(refusal, BudgetSpent(spent_tokens=10, reserved_tokens=20))
+
+    def test_a_turn_that_did_not_run_gives_its_reservation_back(self):
+        for attempt in ("a", "b", "c"):
+            self.machine.execute(reserve(attempt))
+        self.machine.execute(settle("c", 0))
+        self.assertIsInstance(self.machine.execute(reserve("d")), TurnReserved)
+
+    def test_a_repeated_command_counts_once(self):
+        for _ in range(5):
+            self.assertIsInstance(self.machine.execute(reserve("a")), TurnReserved)
+        for _ in range(5):
+            self.machine.execute(settle("a", 10))
+        self.machine.execute(reserve("b"))
+        self.assertIsInstance(self.machine.execute(reserve("c")), TurnReserved)
+        self.assertIsInstance(self.machine.execute(reserve("d")), BudgetSpent)
+
+    def test_spending_is_kept_for_as_long_as_a_program_may_come_again(self):
+        self.machine.execute(reserve("a", most=30))
+        self.machine.execute(settle("a", 30))
+        self.machine.execute(AdvanceAge(seconds=60.0))
+        self.assertIsInstance(self.machine.execute(reserve("b")), BudgetSpent)
+
+    def test_a_program_without_a_budget_is_never_refused(self):
+        for number in range(100):
+            self.assertIsInstance(
+                self.machine.execute(reserve(str(number), budget=None)), TurnReserved
+            )
+
+
+class HistoryTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = TurnStateMachine()
+        self.keep("one", b"1")
+        self.keep("two", b"2", previous="one")
+
+    def keep(self, turn_id, content, previous=None):
+        self.machine.execute(reserve(turn_id, budget=None))
+        self.machine.execute(settle(turn_id, 1, previous=previous, content=content))
+
+    def test_a_history_goes_from_the_oldest_turn_on(self):
+        self.keep("three", b"3", previous="two")
+        self.assertEqual(self.machine.history_of("three"), b"123")
+
+    def test_several_turns_may_go_on_from_one_whatever_their_program(self):
+        self.keep("left", b"l", previous="two")
+        self.keep("right", b"r", previous="two")
+        self.assertEqual(self.machine.history_of("left"), b"12l")
+        self.assertEqual(self.machine.history_of("right"), b"12r")
+        other = reserve("x", program="another", previous="left")
+        self.assertIsInstance(self.machine.execute(other), TurnReserved)
+
+    def test_an_unknown_turn_reserves_nothing(self):
+        answer = self.machine.execute(reserve("x", most=28, previous="never"))
+        self.assertEqual(answer, TurnUnknown(turn_id="never"))
+        self.assertIsInstance(self.machine.execute(reserve("y", most=28)), TurnReserved)
+
+    def test_a_turn_lives_as_long_as_a_later_one_needs_it(self):
+        self.machine.execute(AdvanceAge(seconds=50.0))
+        self.keep("three", b"3", previous="two")
+        self.machine.execute(AdvanceAge(seconds=55.0))
+        self.assertEqual(self.machine.history_of("three"), b"123")
+
+    def test_an_old_turn_is_forgotten(self):
+        self.machine.execute(AdvanceAge(seconds=60.0 + RETENTION_MARGIN_S + 1.0))
+        answer = self.machine.execute(reserve("x", previous="two"))
+        self.assertEqual(answer, TurnUnknown(turn_id="two"))
+
+
+class SnapshotTest(unittest.TestCase):
+    def test_a_restored_state_answers_alike_and_snapshots_show_one_moment(self):
+        machine = TurnStateMachine()
+        for number in range(250):
+            turn_id = str(number)
+            machine.execute(reserve(turn_id, program=turn_id))
+            previous = str(number - 1) if number else None
+            machine.execute(
+                settle(turn_id, 25, program=turn_id, previous=previous, content=b"%d," % number)
+            )
+        machine.execute(reserve("open", program="0", most=5))
+        parts = machine.snapshot_parts()
+        machine.execute(reserve("late", program="249", most=5))
+        machine.execute(AdvanceAge(seconds=1000.0))
+        restored = TurnStateMachine()
+        for _ in restored.restore_parts(parts):
+            pass
+        self.assertEqual(restored.age_s, 0.0)
+        self.assertEqual(restored.history_of("249"), b"".join(b"%d," % n for n in range(250)))
+        self.assertIsInstance(restored.execute(reserve("more", program="0", most=5)), BudgetSpent)
+        self.assertIsInstance(
+            restored.execute(reserve("more", program="249", most=5)), TurnReserved
+        )
+
+    def test_apply_decodes_commands(self):
+        machine = TurnStateMachine()
+        result = machine.apply(1, encode_message(reserve("a")))
+        self.assertEqual(result, encode_message(TurnReserved()))
