A node that is cut off is not ready, says so to its clients, and refuses turns early

With the store's leader cut off, turns waited 2.1 s for another. After all processes were killed, 315 requests got no_configuration while the control group elected a leader. Ruled out: the stores themselves; the three others served the other fronts at that time.

Change: readiness needs the control group's leader heard within 2.5 s and the store group not lost for 1 s; a node looks for the store's leader while it is lost, answers turns within 0.3 s meanwhile, and closes kept connections. Shorter elections (control 0.5 s, stores 0.35 s) and attempts (0.5 s). A stop closes after 2.2 s, so that it ends within its grace. asyncio's line for each write to a connection that is gone is left out.

Tests: two of the fleet's tests on the virtual clock failed before this change.

--- a/src/passlane/daemon/fleet_control.py
+++ b/src/passlane/daemon/fleet_control.py
@@ -14,8 +14,8 @@
 from passlane.settings.fleet import FleetSettings
 from passlane.settings.model import GroupSettings, PeerSettings
 
-HEARTBEAT_S = 0.2
-ELECTION_TIMEOUT_S = 0.8
+HEARTBEAT_S = 0.15
+ELECTION_TIMEOUT_S = 0.5
 SNAPSHOT_EVERY_ENTRIES = 500
 SEGMENT_BYTES = 2_000_000
 
--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -19,9 +19,9 @@
 from passlane.settings.fleet import FleetSettings
 from passlane.turns.client import TurnStoreClient
 
-UNREADY_BEFORE_CLOSE_S = 2.4
+UNREADY_BEFORE_CLOSE_S = 2.2
 """A stopping node says for so long that it isn't ready before it closes its address."""
-LONGEST_SETTLING_S = 1.0
+SETTLING_S = 0.2
 
 _log = get_logger(__name__)
 
@@ -58,6 +58,7 @@
             self._relay = self._build_relay(tasks)
             tasks.start_soon(self._follower.run)
             tasks.start_soon(reader.run)
+            tasks.start_soon(self._store.run)
             tasks.start_soon(self._serve_readiness)
             with self._scope:
                 await self._serve_clients(self._relay)
@@ -66,7 +67,7 @@
 
     async def _finish_settling(self) -> None:
         """Let settlements that were just begun reach the store."""
-        await anyio.sleep(LONGEST_SETTLING_S / 2)
+        await anyio.sleep(SETTLING_S)
 
     def _build_relay(self, tasks: TaskGroup) -> RelayService:
         context = self._context
@@ -85,7 +86,8 @@
     async def _serve_clients(self, relay: RelayService) -> None:
         address = self._context.settings.addresses.callers
         assert address is not None
-        ingress = ClientIngress(relay, lambda: self._is_draining)
+        # Clients of a node that is not ready are told to connect anew, elsewhere.
+        ingress = ClientIngress(relay, lambda: not self.is_ready())
         self._requests = InFlightRequests(ingress)
         await self._context.environment.http_server.serve(address, self._requests, self._limits)
 
@@ -96,10 +98,16 @@
         await self._context.environment.http_server.serve(address, application)
 
     def is_ready(self) -> bool:
-        """Whether this node can serve: it knows routes, back ends and the store group."""
+        """Whether this node can serve: it knows routes, back ends and the store group.
+
+        One that is cut off from the machines that count is not ready, so that clients
+        are led to others.
+        """
         follower = self._follower
         knows_fleet = follower.configuration is not None and follower.has_seen_store_leader
-        return knows_fleet and self._registry.updated_at is not None and not self._is_draining
+        is_lost = follower.is_lost or self._store.is_lost
+        has_list = self._registry.updated_at is not None
+        return knows_fleet and has_list and not is_lost and not self._is_draining
 
     def _store_addresses(self) -> list[Address]:
         return [store.address for store in self._follower.stores]
--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -16,8 +16,8 @@
 from passlane.turns.service import TurnService
 
 TURN_GROUP = "turns"
-HEARTBEAT_S = 0.1
-ELECTION_TIMEOUT_S = 0.5
+HEARTBEAT_S = 0.08
+ELECTION_TIMEOUT_S = 0.35
 
 _log = get_logger(__name__)
 
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -16,6 +16,7 @@
 """The leader holds an announcement for this long when there is nothing new."""
 ANSWER_MARGIN_S = 0.5
 RETRY_PAUSE_S = 0.1
+LOST_AFTER_S = 2.5
 SHORTEST_PERIOD_S = 0.05
 
 _log = get_logger(__name__)
@@ -49,6 +50,7 @@
         self.view: FleetView | None = None
         self.configuration: RouteConfiguration | None = None
         self.has_seen_store_leader = False
+        self._confirmed_at: float | None = None
 
     def on_configuration(self, listener: Callable[[RouteConfiguration], None]) -> None:
         """Call ``listener`` with each newer configuration."""
@@ -58,6 +60,12 @@
         """Take over seeds of a reloaded settings file."""
         self._seeds = tuple(seeds)
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the control group's leader was not heard for longer than it is replaced in."""
+        confirmed_at = self._confirmed_at
+        return confirmed_at is None or anyio.current_time() - confirmed_at >= LOST_AFTER_S
+
     @property
     def controls(self) -> tuple[Address, ...]:
         """Control replicas to turn to: those last told of, then the seeds."""
@@ -124,6 +132,7 @@
         has_changed = self.view is None or view.number != self.view.number
         self.view = view
         # A new leader of the control group hears of the store's leader a moment later.
+        self._confirmed_at = anyio.current_time()
         self.has_seen_store_leader = self.has_seen_store_leader or view.has_store_leader
         configuration = view.configuration
         held = self.configuration.version if self.configuration is not None else 0
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -76,5 +76,13 @@
     age_s: float
 
 
+class FindTurnStore(Message, frozen=True):
+    """Asks whether the receiver leads the store group; others answer as for a command."""
+
+
+class TurnStoreFound(Message, frozen=True):
+    """Answers ``FindTurnStore`` by the leader."""
+
+
 TurnCommand = ReserveTurn | SettleTurn | AdvanceAge
 TurnResult = TurnReserved | BudgetSpent | TurnUnknown | TurnSettled | AgeAdvanced
--- a/src/passlane/platform/client_ingress.py
+++ b/src/passlane/platform/client_ingress.py
@@ -26,20 +26,20 @@
 
     Parameters
     ----------
-    is_draining
-        Returns whether the process is about to stop.
+    must_close
+        Returns whether clients are to open another connection for their next request.
     """
 
-    def __init__(self, relay: RelayService, is_draining: Callable[[], bool]) -> None:
+    def __init__(self, relay: RelayService, must_close: Callable[[], bool]) -> None:
         self._relay = relay
-        self._is_draining = is_draining
+        self._must_close = must_close
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
             return
         arrived_at = anyio.current_time()
-        writer = AsgiAnswerWriter(send, self._is_draining)
+        writer = AsgiAnswerWriter(send, self._must_close)
         headers = [
             Header(name.decode("latin-1"), value.decode("latin-1"))
             for name, value in scope["headers"]
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -80,6 +80,9 @@
         progress = RequestProgress(call.request_id)
         try:
             await self._handle(call, writer, progress)
+        except anyio.get_cancelled_exc_class():
+            progress.reason = "client_left"
+            raise
         finally:
             self._note_end(call, writer, progress)
 
@@ -141,7 +144,8 @@
             service=progress.service,
             version=progress.version,
             status=status,
-            reason=progress.reason if writer.is_finished else progress.reason + "_unfinished",
+            reason=progress.reason,
+            is_whole=writer.is_finished,
             verdict=progress.verdict.value,
             tried=progress.tried,
             events=progress.events,
--- a/src/passlane/runtime/http_server.py
+++ b/src/passlane/runtime/http_server.py
@@ -15,7 +15,7 @@
 from passlane.runtime.http_limits import LimitedHttpProtocol
 from passlane.runtime.interfaces import AsgiApplication, HttpLimits
 
-GRACEFUL_STOP_S = 5
+GRACEFUL_STOP_S = 4
 """Requests in flight get this long to finish once the server is stopped."""
 LISTEN_BACKLOG = 2_048
 
@@ -52,7 +52,9 @@
     """Serves applications by uvicorn; implements ``runtime.interfaces.HttpServer``."""
 
     def __init__(self) -> None:
-        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        # Each write to a connection that is gone would be a line on standard error.
+        for noisy in ("uvicorn.error", "asyncio"):
+            logging.getLogger(noisy).setLevel(logging.CRITICAL)
 
     async def serve(
         self,
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -10,6 +10,7 @@
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.turns import (
     BudgetSpent,
+    FindTurnStore,
     ReserveTurn,
     SettleTurn,
     TurnReserved,
@@ -19,7 +20,11 @@
 from passlane.observability.logging import get_logger
 from passlane.transport.interfaces import Caller
 
-ATTEMPT_TIMEOUT_S = 0.7
+ATTEMPT_TIMEOUT_S = 0.5
+LOST_AFTER_S = 1.0
+"""The store group counts as lost once nothing was heard of its leader for this long."""
+PROBE_PERIOD_S = 0.4
+TIMEOUT_WHILE_LOST_S = 0.3
 RETRY_PAUSE_S = 0.04
 NOT_READY_RETRY_AFTER_S = 0.3
 
@@ -47,6 +52,24 @@
         self._addresses = addresses
         self._random = random
         self._leader: Address | None = None
+        self._failing_since: float | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether requests have failed for so long that the group counts as lost."""
+        since = self._failing_since
+        return since is not None and anyio.current_time() - since >= LOST_AFTER_S
+
+    async def run(self) -> None:
+        """Look for the leader while requests fail, until cancelled."""
+        while True:
+            await anyio.sleep(PROBE_PERIOD_S)
+            if self._failing_since is None:
+                continue
+            try:
+                await self._execute(FindTurnStore(), PROBE_PERIOD_S)
+            except PasslaneError as error:
+                _log.debug("store_not_found", code=error.code.value)
 
     async def reserve(self, request: ReserveTurn, *, timeout_s: float) -> ReserveAnswer:
         """Reserve a turn's tokens and get its history.
@@ -54,9 +77,11 @@
         Raises
         ------
         PasslaneError
-            When no leader answered in time; the reservation may have been made.
+            When no leader answered in time; the reservation may have been made. While
+            the group is lost that is said early, so that the caller turns elsewhere.
         """
-        answer = await self._execute(request, timeout_s)
+        limit_s = min(timeout_s, TIMEOUT_WHILE_LOST_S) if self.is_lost else timeout_s
+        answer = await self._execute(request, limit_s)
         if isinstance(answer, TurnReserved | BudgetSpent | TurnUnknown):
             return answer
         raise self._unexpected(answer)
@@ -90,7 +115,7 @@
                     if self._note_failure(failure, address):
                         continue
                 else:
-                    self._leader = address
+                    self._note_success(address)
                     return answer
             await anyio.sleep(self._random.uniform(0.5, 1.0) * RETRY_PAUSE_S)
 
@@ -100,8 +125,17 @@
             return self._leader
         return self._random.choice(addresses) if addresses else None
 
+    def _note_success(self, address: Address) -> None:
+        """Note which replica leads."""
+        if self.is_lost:
+            _log.info("store_regained", address=str(address))
+        self._leader = address
+        self._failing_since = None
+
     def _note_failure(self, error: PasslaneError, address: Address) -> bool:
         """Note where the leader may be; return whether to go there at once."""
+        if self._failing_since is None:
+            self._failing_since = anyio.current_time()
         hint = error.leader if isinstance(error, NotLeaderError) else None
         if self._leader is not None:
             _log.info("store_leader_lost", address=str(address), code=error.code.value)
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -7,10 +7,12 @@
 from passlane.messages.common import NotLeaderError
 from passlane.messages.turns import (
     AdvanceAge,
+    FindTurnStore,
     ReserveTurn,
     SettleTurn,
     TurnReserved,
     TurnResult,
+    TurnStoreFound,
 )
 from passlane.observability.logging import get_logger
 from passlane.replication.interfaces import ReplicatedGroup
@@ -32,6 +34,7 @@
         self._machine = machine
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
+        router.add_unary(FindTurnStore, self.find)
 
     async def run(self) -> None:
         """Advance the age of the state while this replica leads, until cancelled."""
@@ -58,6 +61,11 @@
         self._require_leadership()
         return await self._propose(request)
 
+    async def find(self, request: FindTurnStore) -> Message:
+        """Tell a node that lost the store group that its leader is here."""
+        self._require_leadership()
+        return TurnStoreFound()
+
     def _require_leadership(self) -> None:
         if not self._group.is_leader:
             raise NotLeaderError("not the leader of the store group", self._group.leader_address)
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -261,6 +261,11 @@
                     return body
         return None
 
+    async def is_not_ready(self, node):
+        address = Address(self.machines[node].host, READINESS_PORT)
+        answer = await self.fetch(address, "GET", "/api/readyz", timeout_s=1.0)
+        return answer is not None and answer.status == 503
+
     async def until_ready(self, node="node-1", timeout_s=20.0):
         address = Address(self.machines[node].host, READINESS_PORT)
         with anyio.fail_after(timeout_s):
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -89,6 +89,36 @@
         self.assertIn(b'"version": 2', answer.body)
 
 
+class CutOffNodeTest(unittest.TestCase):
+    @on_seeds()
+    async def test_a_node_without_control_and_stores_is_not_ready_and_refuses_early(self, fleet):
+        self.assertTrue((await fleet.turn("one")).is_whole)
+        node = fleet.machines["node-1"].host
+        counted = {m.host for m in fleet.machines.values() if m.role is not FleetRole.NODE}
+        fleet.network.cut({node}, counted)
+        await fleet.turn("two")
+        await fleet.until(lambda: fleet.is_not_ready("node-1"), timeout_s=4.0)
+        started = anyio.current_time()
+        refused = await fleet.turn("three")
+        self.assertEqual(refused.status, 503)
+        self.assertLess(anyio.current_time() - started, 0.4)
+        self.assertEqual(refused.headers["connection"], "close")
+        self.assertIsNone(fleet.body_run_for("three"))
+        fleet.network.heal()
+        await fleet.until_ready("node-1", timeout_s=10.0)
+        self.assertTrue((await fleet.turn("four", previous="one")).is_whole)
+
+    @on_seeds()
+    async def test_a_cut_off_store_leader_is_replaced_within_a_turns_patience(self, fleet):
+        await fleet.turn("one")
+        leader = next(m for m in fleet.running(FleetRole.STORE) if m.process._host.is_leader).host
+        counted = {m.host for m in fleet.machines.values() if m.role is not FleetRole.NODE}
+        fleet.network.cut({leader}, counted - {leader})
+        started = anyio.current_time()
+        self.assertTrue((await fleet.turn("two", previous="one")).is_whole)
+        self.assertLess(anyio.current_time() - started, 1.5)
+
+
 class ReplacedMachineTest(unittest.TestCase):
     @on_seeds()
     async def test_a_wiped_store_machine_votes_again_before_the_next_is_lost(self, fleet):
