--- a/src/passlane/daemon/fleet_main.py
+++ b/src/passlane/daemon/fleet_main.py
@@ -31,7 +31,7 @@
 RING_LINES = 2_000
 NODE_FOLDER = "/tmp/passlane"
 """A node keeps no files; its disk is never used."""
-SETTINGS_CHECK_S = 1.0
+SETTINGS_CHECK_S = 2.0
 
 _log = get_logger("daemon")
 
@@ -133,7 +133,7 @@
 
 
 def main(variables: Mapping[str, str] = os.environ) -> int:
-    """Run the process whose settings file the platform names."""
+    """Run the process whose settings file the platform names; return the exit code."""
     path = Path(variables.get(SETTINGS_VARIABLE, ""))
     try:
         settings = load_fleet_settings(path)
@@ -152,7 +152,3 @@
     _log.info("stopped", exit_code=exit_code)
     output.flush()
     return exit_code
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/src/passlane/observability/standard_output.py
+++ b/src/passlane/observability/standard_output.py
@@ -14,7 +14,7 @@
 from structlog.typing import EventDict, WrappedLogger
 
 MAX_WAITING_LINES = 2_000
-FLUSH_PERIOD_S = 0.25
+FLUSH_PERIOD_S = 0.5
 MAX_WRITE_BYTES = 60_000
 _HIDDEN_LEVEL = "debug"
 
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -23,7 +23,7 @@
 
 NOT_FOUND = 404
 BUDGET_SPENT = 402
-STORE_RETRY_AFTER_S = 0.3
+STORE_RETRY_AFTER_S = 0.5
 TURN_SETTLE_TIMEOUT_S = 3.0
 
 
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -17,7 +17,7 @@
 from passlane.turns.client import TurnStoreClient
 
 CONFLICT = 409
-NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+NO_CONFIGURATION_RETRY_AFTER_S = 1.0
 
 _log = get_logger(__name__)
 
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -32,6 +32,8 @@
 KEEP_ALIVE_MARGIN_S = 0.4
 """A connection is not used in the last moments before its server closes it."""
 MAX_IDLE_PER_ADDRESS = 64
+SWEEP_PERIOD_S = 5.0
+"""Connections that rest unused are looked through so often."""
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -148,6 +150,7 @@
     def __init__(self, network: Network) -> None:
         self._network = network
         self._idle: dict[Address, list[_IdleConnection]] = {}
+        self._next_sweep_at = 0.0
 
     @asynccontextmanager
     async def exchange(self, request: HttpRequest) -> AsyncIterator[_Response]:
@@ -201,12 +204,32 @@
                 f"no answer from {request.address}: {error}", bytes_left=True
             ) from error
 
+    async def _sweep(self) -> None:
+        """Now and then close what will not be used again, such as for servers that are gone."""
+        now = anyio.current_time()
+        if now < self._next_sweep_at:
+            return
+        self._next_sweep_at = now + SWEEP_PERIOD_S
+        unusable: list[_IdleConnection] = []
+        for address, idle in list(self._idle.items()):
+            kept = [connection for connection in idle if connection.is_usable()]
+            unusable += [connection for connection in idle if connection not in kept]
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+        with anyio.CancelScope(shield=True):
+            for idle_connection in unusable:
+                with suppress(httpcore.NetworkError):
+                    await idle_connection.connection.aclose()
+
     async def _give_back(
         self,
         address: Address,
         connection: httpcore.AsyncHTTP11Connection,
         expiry_s: float,
     ) -> None:
+        await self._sweep()
         idle = self._idle.setdefault(address, [])
         is_clean = connection.is_idle() and not _has_unasked_bytes(connection)
         if is_clean and expiry_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS:
--- a/src/passlane/runtime/http_server.py
+++ b/src/passlane/runtime/http_server.py
@@ -21,7 +21,20 @@
 
 
 class _Server(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
+    """A server that leaves signals to the daemon, and sleeps until it is stopped."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stopped = asyncio.Event()
+
+    def stop(self) -> None:
+        """Accept no more connections, and let requests in flight finish."""
+        self.should_exit = True
+        self._stopped.set()
+
+    async def main_loop(self) -> None:
+        """Wait for ``stop``; uvicorn would wake up ten times a second to look for it."""
+        await self._stopped.wait()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -88,7 +101,7 @@
             try:
                 await anyio.sleep_forever()
             finally:
-                server.should_exit = True
+                server.stop()
 
     @staticmethod
     async def _run_shielded(server: _Server, listening: socket.socket) -> None:
--- /dev/null
+++ b/tests/observability/test_standard_output.py
@@ -0,0 +1,52 @@
+"""Log lines on standard output: bounded, never blocking, the newest kept."""
+
+import json
+import os
+import unittest
+
+from passlane.observability.standard_output import MAX_WAITING_LINES, StandardOutputLog
+
+
+class StandardOutputLogTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.log = StandardOutputLog(writer)
+
+    def add(self, number, level="info", text=""):
+        self.log(None, "info", {"event": "line", "number": number, "level": level, "text": text})
+
+    def read(self):
+        return [json.loads(line) for line in os.read(self.reader, 10_000_000).splitlines()]
+
+    def test_lines_are_written_in_order_and_details_are_not(self):
+        for number in range(3):
+            self.add(number)
+        self.add(3, level="debug")
+        self.log.flush()
+        self.assertEqual([line["number"] for line in self.read()], [0, 1, 2])
+
+    def test_a_reader_that_stands_still_costs_lines_but_blocks_nothing(self):
+        count = 2 * MAX_WAITING_LINES
+        for number in range(count):
+            self.add(number, text="x" * 200)
+            if number % 100 == 0:
+                self.log.flush()
+        lines = []
+        while not lines or lines[-1].get("number") != count - 1:
+            self.log.flush()
+            lines += self.read_whole_lines()
+        numbers = [line["number"] for line in lines if line["event"] == "line"]
+        dropped = sum(line["count"] for line in lines if line["event"] == "log_lines_dropped")
+        self.assertEqual(len(numbers) + dropped, count)
+        self.assertGreater(dropped, 0)
+        self.assertEqual(numbers, sorted(numbers))
+
+    _rest = b""
+
+    def read_whole_lines(self):
+        data = self._rest + os.read(self.reader, 10_000_000)
+        *whole, self._rest = data.split(b"\n")
+        return [json.loads(line) for line in whole]
--- a/tests/raft/test_membership.py
+++ b/tests/raft/test_membership.py
@@ -9,6 +9,8 @@
 from passlane.raft.membership import decode_membership, encode_membership
 from raft.replicas import ADDRESSES, A, B, C, D, TestedReplica, of_kind, sent, voters
 
+STEP_S = 0.1
+
 
 def proposed_memberships(instructions: list[Instruction]) -> list[dict[ReplicaId, bool]]:
     """Return who votes by each membership that was appended."""
@@ -72,6 +74,38 @@
         promotion = self.tested.acknowledge(renewed, self.tested.replica.log.last_index)
         self.assertEqual(proposed_memberships(promotion), [{A: True, B: True, renewed: True}])
 
+    def promote_d_while_c_is_silent(self) -> None:
+        self.tested.wait(STEP_S)
+        self.add(D)
+        self.tested.commit_all(B)
+        self.tested.acknowledge(D, self.tested.replica.log.last_index)
+        self.tested.commit_all(B, D)
+
+    def hear_b_and_d_for(self, seconds: float) -> list[Instruction]:
+        """Let time pass in which B and D answer heartbeats and C says nothing."""
+        instructions: list[Instruction] = []
+        for _ in range(int(seconds / STEP_S)):
+            instructions += self.tested.wait(STEP_S)
+            instructions += self.tested.commit_all(B, D)
+        return instructions
+
+    def test_a_voter_that_was_silent_when_another_was_promoted_is_replaced_by_it(self) -> None:
+        self.promote_d_while_c_is_silent()
+        self.assertEqual(proposed_memberships(self.hear_b_and_d_for(1.5)), [])
+        self.assertEqual(
+            proposed_memberships(self.hear_b_and_d_for(1.0)), [{A: True, B: True, D: True}]
+        )
+
+    def test_a_silent_voter_stays_where_none_is_newer(self) -> None:
+        for _ in range(50):
+            self.assertEqual(proposed_memberships(self.tested.wait(STEP_S)), [])
+            self.assertEqual(proposed_memberships(self.tested.commit_all(B)), [])
+
+    def test_a_voter_heard_after_the_promotion_stays(self) -> None:
+        self.promote_d_while_c_is_silent()
+        self.tested.commit_all(C)
+        self.assertEqual(proposed_memberships(self.hear_b_and_d_for(5.0)), [])
+
     def test_a_removed_leader_hands_over_once_its_removal_is_committed(self) -> None:
         self.tested.handle(MemberRemoved(50, A))
         self.assertTrue(self.tested.replica.is_leader)
