--- a/src/passlane/daemon/fleet_context.py
+++ b/src/passlane/daemon/fleet_context.py
@@ -5,7 +5,6 @@
 from passlane.messages.common import Address
 from passlane.messages.fleet import Announce
 from passlane.observability.metrics import Metrics
-from passlane.platform.instance_list import InstanceList
 from passlane.runtime.interfaces import Environment
 from passlane.settings.fleet import FleetSettings
 from passlane.transport.client import ConnectionPool
@@ -43,7 +42,3 @@
         used = settings or self.settings
         port = used.addresses.internal.port
         return tuple(Address(seed.host, port) for seed in used.seeds)
-
-    def instance_list(self) -> InstanceList:
-        """Return the platform's list of back ends."""
-        return InstanceList(self.environment.http_client, self.settings.backend_list.address)
--- a/src/passlane/daemon/fleet_control.py
+++ b/src/passlane/daemon/fleet_control.py
@@ -3,7 +3,7 @@
 import anyio
 
 from passlane.daemon.fleet_context import FleetContext
-from passlane.daemon.parts import CONTROL_FOLDER, CONTROL_GROUP, hand_over_leadership
+from passlane.daemon.replicas import CONTROL_FOLDER, CONTROL_GROUP, hand_over_leadership
 from passlane.fleet.follower import FleetFollower
 from passlane.fleet.machine import FleetStateMachine
 from passlane.fleet.operator import FleetOperator
--- a/src/passlane/daemon/fleet_main.py
+++ b/src/passlane/daemon/fleet_main.py
@@ -76,7 +76,8 @@
         self._settings = settings
         self._output = output
         folder = settings.process.data_folder or NODE_FOLDER
-        environment = build_environment(Path(folder), seed=None)
+        is_node = settings.process.role is FleetRole.NODE
+        environment = build_environment(Path(folder), seed=None, sends_requests=is_node)
         self._pool = ConnectionPool(environment)
         router = MessageRouter()
         self._server = MessageServer(environment, settings.addresses.internal, router)
--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -11,6 +11,7 @@
 from passlane.observability.logging import get_logger
 from passlane.platform.client_ingress import ClientIngress
 from passlane.platform.engine_client import EngineClient
+from passlane.platform.instance_list import InstanceList
 from passlane.platform.readiness import ReadinessApplication
 from passlane.relay.list_reader import BackendListReader
 from passlane.relay.registry import BackendRegistry
@@ -47,10 +48,11 @@
     async def run(self) -> None:
         """Run until stopped."""
         context = self._context
+        settings = context.settings
         reader = BackendListReader(
-            context.instance_list(),
+            InstanceList(context.environment.http_client, settings.backend_list.address),
             self._registry,
-            context.settings.backend_list.rate_per_s,
+            settings.backend_list.rate_per_s,
             lambda: self._follower.node_count,
             context.environment.random,
         )
--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from passlane.daemon.fleet_context import FleetContext
-from passlane.daemon.parts import STORE_FOLDER, hand_over_leadership
+from passlane.daemon.replicas import STORE_FOLDER, hand_over_leadership
 from passlane.fleet.follower import FleetFollower
 from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
 from passlane.observability.logging import get_logger
--- a/src/passlane/daemon/parts.py
+++ b/src/passlane/daemon/parts.py
@@ -13,6 +13,12 @@
 from passlane.control.machine import ControlStateMachine
 from passlane.control.service import ControlService
 from passlane.daemon.in_flight import InFlightRequests
+from passlane.daemon.replicas import (
+    CONTROL_FOLDER,
+    CONTROL_GROUP,
+    STORE_FOLDER,
+    hand_over_leadership,
+)
 from passlane.node.service import NodeService
 from passlane.observability.metrics import Metrics
 from passlane.policy.checking import describe_policy_problems
@@ -26,12 +32,6 @@
 from passlane.transport.client import ConnectionPool
 from passlane.transport.router import MessageRouter
 
-CONTROL_GROUP = "control"
-CONTROL_FOLDER = "control"
-STORE_FOLDER = "store"
-TRANSFER_POLL_S = 0.01
-TRANSFER_POLLS = 200
-
 
 def store_group_name(region: str) -> str:
     """Return the name of a region's store group."""
@@ -71,20 +71,6 @@
         ...
 
 
-async def hand_over_leadership(host: ReplicaHost) -> None:
-    """Ask another replica to lead and wait a while for that.
-
-    When none can, this replica just stops; the others elect a leader as after a crash.
-    """
-    if not host.is_leader:
-        return
-    host.transfer_leadership()
-    for _ in range(TRANSFER_POLLS):
-        if not host.is_leader:
-            return
-        await anyio.sleep(TRANSFER_POLL_S)
-
-
 class _Service(Protocol):
     """What a replica's part runs on top of the replica."""
 
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -140,6 +140,7 @@
             "request_ended",
             request_id=call.request_id,
             program_id=call.program.program_id if call.program is not None else None,
+            previous_turn=call.previous_turn,
             route=progress.route,
             service=progress.service,
             version=progress.version,
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -11,7 +11,8 @@
 from passlane.turns.client import ReserveAnswer, TurnStoreClient
 
 RESERVE_TIMEOUT_S = 1.5
-BACKGROUND_SETTLE_S = 10.0
+BACKGROUND_SETTLE_S = 30.0
+"""Longer than a node is usually cut off; what is not settled by then stays reserved."""
 
 _log = get_logger(__name__)
 
--- a/src/passlane/runtime/real.py
+++ b/src/passlane/runtime/real.py
@@ -1,17 +1,46 @@
 """The real environment of a daemon: TCP, HTTP, disk and a random generator."""
 
 import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 from passlane.runtime.disk import RealDisk
-from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.runtime.http_server import UvicornHttpServer
-from passlane.runtime.interfaces import Environment, Network
+from passlane.runtime.interfaces import (
+    Environment,
+    HttpClient,
+    HttpConnectionError,
+    HttpRequest,
+    HttpResponse,
+    Network,
+)
 from passlane.runtime.network import TcpNetwork
 
 
+class _NoHttpClient:
+    """Stands for the HTTP client in processes that send no requests."""
+
+    @asynccontextmanager
+    async def exchange(self, request: HttpRequest) -> AsyncIterator[HttpResponse]:
+        """Refuse: nothing leaves this process."""
+        raise HttpConnectionError("this process sends no requests", bytes_left=False)
+        yield
+
+
+def _http_client(network: Network) -> HttpClient:
+    # Imported late: it takes a fifth of a second that replicas need not spend at a start.
+    from passlane.runtime.http_client import SingleConnectionHttpClient
+
+    return SingleConnectionHttpClient(network)
+
+
 def build_environment(
-    data_folder: Path, seed: int | None, network: Network | None = None
+    data_folder: Path,
+    seed: int | None,
+    network: Network | None = None,
+    *,
+    sends_requests: bool = True,
 ) -> Environment:
     """Return the real environment.
 
@@ -23,11 +52,13 @@
         Seed of the random generator; ``None`` takes one from the operating system.
     network
         In place of plain TCP, such as one that adds delays between zones.
+    sends_requests
+        Whether the process sends HTTP requests.
     """
     network = network or TcpNetwork()
     return Environment(
         network=network,
-        http_client=SingleConnectionHttpClient(network),
+        http_client=_http_client(network) if sends_requests else _NoHttpClient(),
         http_server=UvicornHttpServer(),
         disk=RealDisk(data_folder),
         random=random.Random(seed),
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -127,8 +127,9 @@
 
     def _note_success(self, address: Address) -> None:
         """Note which replica leads."""
-        if self.is_lost:
-            _log.info("store_regained", address=str(address))
+        if self._failing_since is not None:
+            lost_s = anyio.current_time() - self._failing_since
+            _log.info("store_leader_found", address=str(address), lost_s=round(lost_s, 3))
         self._leader = address
         self._failing_since = None
 
@@ -136,9 +137,8 @@
         """Note where the leader may be; return whether to go there at once."""
         if self._failing_since is None:
             self._failing_since = anyio.current_time()
-        hint = error.leader if isinstance(error, NotLeaderError) else None
-        if self._leader is not None:
             _log.info("store_leader_lost", address=str(address), code=error.code.value)
+        hint = error.leader if isinstance(error, NotLeaderError) else None
         had_leader = self._leader is not None
         self._leader = hint if hint != address else None
         return self._leader is not None and not had_leader
--- /dev/null
+++ b/tests/on_platform/test_deploy.py
@@ -0,0 +1,79 @@
+"""The files of the deploy folder fit the product."""
+
+import re
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from passlane.messages.fleet import FleetRole
+from passlane.settings.fleet import load_fleet_settings
+from passlane.settings.loader import SettingsError
+
+ROOT = Path(__file__).resolve().parents[2]
+PIN = re.compile(r"^[A-Za-z0-9_]+==.*?(?=^\S|\Z)", re.MULTILINE | re.DOTALL)
+FILLED = """
+seeds = ["10.1.0.34:8144","10.2.0.37:8144"]
+
+[process]
+name = "front-a-1"
+role = "{role}"
+zone = "a"
+data_folder = "{folder}"
+is_first_start = true
+
+[addresses]
+internal = "10.1.0.30:7380"
+{addresses}
+
+[backend_list]
+address = "10.200.0.100:8142"
+rate_per_s = 44.0
+
+[timing]
+grace_s = 8
+"""
+NODE_ADDRESSES = 'callers = "10.1.0.30:8149"\nreadiness = "10.1.0.30:8141"'
+
+
+class DeployTest(unittest.TestCase):
+    def test_pinned_packages_are_those_of_the_lock_file(self):
+        lock = set(PIN.findall((ROOT / "requirements.lock").read_text()))
+        deployed = set(PIN.findall((ROOT / "deploy/requirements.lock").read_text()))
+        self.assertGreater(len(deployed), 5)
+        self.assertEqual(deployed - lock, set())
+
+    def test_each_role_is_deployed_once(self):
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        self.assertEqual(set(deploy["roles"]), {role.value for role in FleetRole})
+
+    def test_the_template_names_only_keys_that_settings_have(self):
+        template = (ROOT / "deploy/settings.toml").read_text()
+        keys = set(re.findall(r"^(?:\{\{#[a-z.]+\}\})?([a-z_]+) = ", template, re.MULTILINE))
+        for key in keys - {"operators"}:
+            self.assertIn(f"{key} = ", FILLED.format(role="", folder="", addresses=NODE_ADDRESSES))
+
+
+class FleetSettingsTest(unittest.TestCase):
+    def load(self, role="node", folder="", addresses=NODE_ADDRESSES, extra=""):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "settings.toml"
+            path.write_text(FILLED.format(role=role, folder=folder, addresses=addresses) + extra)
+            return load_fleet_settings(path)
+
+    def assert_problem(self, key, **changes):
+        with self.assertRaises(SettingsError) as caught:
+            self.load(**changes)
+        self.assertEqual([problem.key for problem in caught.exception.problems], [key])
+
+    def test_a_filled_template_is_read(self):
+        settings = self.load()
+        self.assertIs(settings.process.role, FleetRole.NODE)
+        self.assertEqual(str(settings.seeds[0]), "10.1.0.34:8144")
+
+    def test_faults_are_named_by_their_key(self):
+        self.assert_problem("addresses.callers", addresses='readiness = "10.1.0.30:1"')
+        self.assert_problem("process.data_folder", role="store")
+        self.assert_problem("addresses.operators", role="control", folder="/data")
+        self.assert_problem("process.role", role="broker")
+        self.assert_problem("timing.unknown", extra="unknown = 1\n")
