--- a/src/passlane/daemon/fleet_control.py
+++ b/src/passlane/daemon/fleet_control.py
@@ -16,6 +16,7 @@
 
 HEARTBEAT_S = 0.15
 ELECTION_TIMEOUT_S = 0.5
+FIRST_ELECTION_SHARE = 0.4
 SNAPSHOT_EVERY_ENTRIES = 500
 SEGMENT_BYTES = 2_000_000
 
@@ -47,6 +48,7 @@
                 members=tuple(seeds) if is_seed else (*seeds, own),
                 heartbeat_s=HEARTBEAT_S,
                 election_timeout_s=ELECTION_TIMEOUT_S,
+                first_election_share=FIRST_ELECTION_SHARE,
                 snapshot_every_entries=SNAPSHOT_EVERY_ENTRIES,
                 segment_bytes=SEGMENT_BYTES,
             ),
--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -18,6 +18,7 @@
 TURN_GROUP = "turns"
 HEARTBEAT_S = 0.08
 ELECTION_TIMEOUT_S = 0.35
+FIRST_ELECTION_SHARE = 0.4
 
 _log = get_logger(__name__)
 
@@ -81,6 +82,7 @@
                 members=tuple(members) if is_founder else (*members, own),
                 heartbeat_s=HEARTBEAT_S,
                 election_timeout_s=ELECTION_TIMEOUT_S,
+                first_election_share=FIRST_ELECTION_SHARE,
             ),
             machine,
             context.environment,
--- a/src/passlane/raft/config.py
+++ b/src/passlane/raft/config.py
@@ -30,6 +30,9 @@
     election_timeout_s
         Shortest time without a leader before an election; the longest is twice that. A
         leader that hears no majority for this long steps down.
+    first_election_share
+        A replica that has just started waits for this share of the time-out; the share must
+        be longer than the leader's heartbeat takes.
     max_batch_bytes
         Most bytes of entries in one ``AppendRequest`` (one entry may be larger).
     max_in_flight_batches
@@ -49,6 +52,7 @@
     address: Address
     heartbeat_s: float = 0.05
     election_timeout_s: float = 0.3
+    first_election_share: float = 1.0
     max_batch_bytes: int = _DEFAULT_BATCH_BYTES
     max_in_flight_batches: int = _DEFAULT_IN_FLIGHT_BATCHES
     snapshot_chunk_bytes: int = _DEFAULT_CHUNK_BYTES
--- a/src/passlane/raft/election.py
+++ b/src/passlane/raft/election.py
@@ -50,6 +50,16 @@
         timeout_s = self._state.config.election_timeout_s
         self.deadline = now + timeout_s * (1.0 + self._state.random.random())
 
+    def start_first_timer(self, now: float) -> None:
+        """Put the first election off, by less than a later one if so configured.
+
+        After a loss of all processes nobody leads, and each moment counts. Where there is a
+        leader, its followers refuse the pre-vote of a replica that comes back too eagerly.
+        """
+        config = self._state.config
+        timeout_s = config.election_timeout_s * config.first_election_share
+        self.deadline = now + timeout_s * (1.0 + self._state.random.random())
+
     def stand_down(self, now: float) -> None:
         """Give up an election under way."""
         self._phase = ElectionPhase.IDLE
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -333,6 +333,7 @@
             address=self._entry.own_address,
             heartbeat_s=self._settings.heartbeat_s,
             election_timeout_s=self._settings.election_timeout_s,
+            first_election_share=self._settings.first_election_share,
             max_batch_bytes=self._settings.max_batch_bytes,
         )
 
--- a/src/passlane/settings/model.py
+++ b/src/passlane/settings/model.py
@@ -53,12 +53,14 @@
     """Timing and first members of the replicated groups.
 
     ``members`` are the first voters. An election starts after a random time between one
-    and two ``election_timeout_s`` without a leader.
+    and two ``election_timeout_s`` without a leader, right after a start after
+    ``first_election_share`` of that.
     """
 
     members: tuple[PeerSettings, ...] = ()
     heartbeat_s: float = 0.05
     election_timeout_s: float = 0.3
+    first_election_share: float = 1.0
     snapshot_every_entries: int = 5_000
     max_batch_bytes: int = 1_000_000
     segment_bytes: int = 8_000_000
--- a/src/passlane/transport/peer.py
+++ b/src/passlane/transport/peer.py
@@ -13,7 +13,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 FIRST_BACK_OFF_S = 0.05
-MAX_BACK_OFF_S = 1.0
+MAX_BACK_OFF_S = 0.25
 
 _log = get_logger("transport.client")
 
--- a/tests/raft/replicas.py
+++ b/tests/raft/replicas.py
@@ -62,12 +62,14 @@
         max_batch_bytes: int = 1_000_000,
         max_in_flight_batches: int = 16,
         snapshot_chunk_bytes: int = 1_000,
+        first_election_share: float = 1.0,
     ) -> None:
         config = ReplicaConfig(
             group=GROUP,
             replica_id=replica_id,
             address=ADDRESSES[replica_id],
             election_timeout_s=ELECTION_TIMEOUT_S,
+            first_election_share=first_election_share,
             max_batch_bytes=max_batch_bytes,
             max_in_flight_batches=max_in_flight_batches,
             snapshot_chunk_bytes=snapshot_chunk_bytes,
--- a/tests/raft/test_elections.py
+++ b/tests/raft/test_elections.py
@@ -35,6 +35,19 @@
         self.assertEqual(of_kind(SaveHardState, instructions), [SaveHardState(4, A)])
         self.assertFalse(any(r.is_pre_vote for r in sent(VoteRequest, instructions)))
 
+    def test_a_replica_that_has_just_started_may_wait_for_less_than_one_time_out(self) -> None:
+        tested = TestedReplica(term=3, first_election_share=0.4)
+        asked = sent(VoteRequest, tested.wait(ELECTION_TIMEOUT_S))
+        self.assertEqual({request.receiver for request in asked}, {B, C})
+        self.assertTrue(all(request.is_pre_vote for request in asked))
+        later = sent(VoteRequest, tested.wait(0.99 * ELECTION_TIMEOUT_S))
+        self.assertEqual(later, [])
+
+    def test_a_replica_that_hears_a_leader_at_its_start_stands_for_nothing(self) -> None:
+        tested = TestedReplica(term=3, first_election_share=0.4)
+        tested.append(B, term=3)
+        self.assertEqual(sent(VoteRequest, tested.wait(0.99 * ELECTION_TIMEOUT_S)), [])
+
     def test_counts_its_own_vote_only_once_that_is_durable(self) -> None:
         tested = TestedReplica()
         tested.wait(2 * ELECTION_TIMEOUT_S)
