Counters and histograms of a process at the metrics address of its settings

Cause: a process on the platform counted its requests but showed the figures nowhere; the settings had an address for them that nothing used.

A fault there is logged and harms nothing else. The check for leadership before a change of membership stands once; so does the fleet tests' exchange of one request.

--- a/src/passlane/daemon/fleet_control.py
+++ b/src/passlane/daemon/fleet_control.py
@@ -11,6 +11,7 @@
 from passlane.messages.common import Address
 from passlane.platform.operator_api import OperatorApi
 from passlane.replication.replica_host import ReplicaHost
+from passlane.replication.replica_metrics import expose_replica
 from passlane.settings.fleet import FleetSettings
 from passlane.settings.model import GroupSettings, PeerSettings
 
@@ -33,6 +34,7 @@
         )
         machine = FleetStateMachine()
         self._host = self._build_host(machine)
+        expose_replica(context.metrics, CONTROL_GROUP, self._host)
         self._service = FleetService(self._host, machine, context.router, context.pool)
         self._operator = FleetOperator(context.pool, self._control_addresses, random)
 
--- a/src/passlane/daemon/fleet_main.py
+++ b/src/passlane/daemon/fleet_main.py
@@ -11,6 +11,7 @@
 
 from passlane.daemon.fleet_context import FleetContext
 from passlane.messages.fleet import FleetRole
+from passlane.observability.health import MetricsApplication
 from passlane.observability.logging import configure_logging, get_logger
 from passlane.observability.metrics import Metrics
 from passlane.observability.ring import RingLog
@@ -19,7 +20,7 @@
 from passlane.runtime.real import build_environment
 from passlane.settings.fleet import FleetSettings, load_fleet_settings
 from passlane.settings.loader import SettingsError
-from passlane.supervision.specification import ChildSpecification
+from passlane.supervision.specification import ChildSpecification, RestartRule
 from passlane.supervision.supervisor import Supervisor, TooManyRestartsError
 from passlane.transport.client import ConnectionPool
 from passlane.transport.router import MessageRouter
@@ -81,7 +82,9 @@
         self._pool = ConnectionPool(environment)
         router = MessageRouter()
         self._server = MessageServer(environment, settings.addresses.internal, router)
-        context = FleetContext(settings, environment, self._pool, router, Metrics())
+        self._metrics = Metrics()
+        self._environment = environment
+        context = FleetContext(settings, environment, self._pool, router, self._metrics)
         self._process = _build_process(context)
 
     async def run(self) -> None:
@@ -92,6 +95,11 @@
             ChildSpecification("messages", self._server.run),
             ChildSpecification("settings", self._watch_settings),
         ]
+        if self._settings.addresses.metrics is not None:
+            # Without its metrics a process still does its work.
+            children.append(
+                ChildSpecification("metrics", self._serve_metrics, RestartRule.TEMPORARY)
+            )
         supervisor = Supervisor("fleet", children)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(supervisor.run)
@@ -99,6 +107,12 @@
             await self._process.run()
             tasks.cancel_scope.cancel()
 
+    async def _serve_metrics(self) -> None:
+        address = self._settings.addresses.metrics
+        assert address is not None
+        application = MetricsApplication(self._metrics)
+        await self._environment.http_server.serve(address, application)
+
     async def _take_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for number in signals:
--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -9,6 +9,7 @@
 from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
 from passlane.observability.logging import get_logger
 from passlane.replication.replica_host import ReplicaHost
+from passlane.replication.replica_metrics import expose_replica
 from passlane.settings.fleet import FleetSettings
 from passlane.settings.model import GroupSettings, PeerSettings
 from passlane.storage.identity import IdentityFile, process_name_of
@@ -55,6 +56,7 @@
         machine = TurnStateMachine()
         host = self._build_host(machine, founders)
         self._host = host
+        expose_replica(context.metrics, TURN_GROUP, host)
         service = TurnService(host, machine, context.router)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
--- a/src/passlane/observability/health.py
+++ b/src/passlane/observability/health.py
@@ -62,6 +62,17 @@
         return Readiness(ready=all(parts.values()), parts=parts)
 
 
+class MetricsApplication:
+    """Answers every path with the metrics; for an address that serves nothing else."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        await _answer(send, OK_STATUS, CONTENT_TYPE, self._metrics.expose())
+
+
 async def _answer(send: Any, status: int, content_type: str, body: bytes) -> None:
     headers = [
         (b"content-type", content_type.encode("latin-1")),
--- a/src/passlane/replication/membership_changes.py
+++ b/src/passlane/replication/membership_changes.py
@@ -46,9 +46,7 @@
         PasslaneError
             ``TIMEOUT`` when a change was not committed in time.
         """
-        driver = self._ready_driver()
-        if not driver.is_leader:
-            raise NotLeaderError(f"not the leader of group {request.group}", driver.leader_address)
+        driver = self._leading_driver()
         return await take_in(request, driver.replica.membership, self._add, self._remove)
 
     async def remove(self, process_name: str) -> None:
@@ -61,12 +59,16 @@
         PasslaneError
             ``TIMEOUT`` when a change was not committed in time.
         """
+        for member in self._leading_driver().replica.membership.members:
+            if process_name_of(member.replica_id) == process_name:
+                await self._remove(member.replica_id)
+
+    def _leading_driver(self) -> ReplicaDriver:
+        """Return the driver of a replica that leads; refuse otherwise."""
         driver = self._ready_driver()
         if not driver.is_leader:
             raise NotLeaderError("not the leader of the group", driver.leader_address)
-        for member in driver.replica.membership.members:
-            if process_name_of(member.replica_id) == process_name:
-                await self._remove(member.replica_id)
+        return driver
 
     async def _add(self, replica_id: ReplicaId, address: Address) -> None:
         """Add a learner; return once that is committed."""
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -166,6 +166,9 @@
     async def fetch(self, address, method, path, headers=None, body=b"", timeout_s=6.0):
         """Send one request; ``None`` when no answer came."""
         request = HttpRequest(method, address, path, headers or {}, body, True)
+        return await self._exchange(request, timeout_s)
+
+    async def _exchange(self, request, timeout_s):
         try:
             with anyio.fail_after(timeout_s):
                 async with self.client.exchange(request) as response:
@@ -221,23 +224,7 @@
             True,
             "one.example",
         )
-        return await self._turn(request)
-
-    async def _turn(self, request):
-        try:
-            with anyio.fail_after(6.0):
-                async with self.client.exchange(request) as response:
-                    parts = bytearray()
-                    is_whole = False
-                    try:
-                        async for part in response.chunks():
-                            parts += part
-                        is_whole = True
-                    except HttpConnectionError:
-                        pass
-                    return Answer(response.status, dict(response.headers), bytes(parts), is_whole)
-        except (HttpConnectionError, TimeoutError):
-            return None
+        return await self._exchange(request, 6.0)
 
     async def turn_until_whole(self, request_id, **options):
         """Repeat a turn, each time under another id, until it ends whole; return that id."""
