A body that is too long by its own word gets 413 at once, on every interface

Cause: a declared body of 1 GB got no answer for as long as it wasn't sent: the length was only looked at as the body came. The platform's ingress looked at it; callers' and operators' HTTP did not, and the connection was kept for the rest.

Change: the declared length is checked in one place, before the body is read; the answer closes the connection.

Ruled out: the server's own limits, which end with the headers.

Test: reading a body of a declared 1 GB fails where it waits for a part of it; it did before this change.

--- a/src/passlane/api/asgi.py
+++ b/src/passlane/api/asgi.py
@@ -99,13 +99,30 @@
             return b"".join(parts)
 
 
+def check_declared_length(headers: Mapping[str, str], max_bytes: int) -> None:
+    """Refuse a body by its declared length, before any of it is waited for.
+
+    Raises
+    ------
+    PasslaneError
+        ``BODY_TOO_LARGE`` beyond ``max_bytes``.
+    """
+    declared = headers.get("content-length", "")
+    if declared.isdecimal() and int(declared) > max_bytes:
+        raise PasslaneError(
+            ErrorCode.BODY_TOO_LARGE, f"the body may have {max_bytes} bytes at most"
+        )
+
+
 async def read_request(scope: Scope, receive: Receive, max_bytes: int) -> Request:
     """Return the whole request; raise as ``read_body`` does."""
+    headers = request_headers(scope)
+    check_declared_length(headers, max_bytes)
     return Request(
         method=scope["method"],
         path=request_path(scope),
         query=dict(parse_qsl(scope.get("query_string", b"").decode("latin-1"))),
-        headers=request_headers(scope),
+        headers=headers,
         body=await read_body(receive, max_bytes),
     )
 
--- a/src/passlane/platform/client_ingress.py
+++ b/src/passlane/platform/client_ingress.py
@@ -4,7 +4,14 @@
 
 import anyio
 
-from passlane.api.asgi import Receive, Scope, Send, read_body
+from passlane.api.asgi import (
+    Receive,
+    Scope,
+    Send,
+    check_declared_length,
+    read_body,
+    request_headers,
+)
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.observability.logging import get_logger
 from passlane.platform.answer_writer import AsgiAnswerWriter
@@ -39,17 +46,17 @@
         if scope["type"] != "http":
             return
         arrived_at = anyio.current_time()
-        writer = AsgiAnswerWriter(send, self._must_close)
         headers = [
             Header(name.decode("latin-1"), value.decode("latin-1"))
             for name, value in scope["headers"]
         ]
         try:
-            body = await self._read_body(headers, receive)
+            body = await self._read_body(scope, receive)
             call = parse_call(scope["method"], _target(scope), headers, body, arrived_at)
         except PasslaneError as error:
-            await self._refuse(error, writer)
+            await self._refuse(error, AsgiAnswerWriter(send, _always))
             return
+        writer = AsgiAnswerWriter(send, self._must_close)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
             try:
@@ -64,17 +71,15 @@
                     await writer.refuse(INTERNAL_ERROR, "internal", None)
             tasks.cancel_scope.cancel()
 
-    async def _read_body(self, headers: list[Header], receive: Receive) -> bytes:
+    async def _read_body(self, scope: Scope, receive: Receive) -> bytes:
         configuration = self._relay.configuration
         limit = configuration.limits.max_body_bytes if configuration else DEFAULT_MAX_BODY_BYTES
-        for header in headers:
-            if header.name == "content-length" and int(header.value) > limit:
-                raise PasslaneError(ErrorCode.BODY_TOO_LARGE, f"at most {limit} bytes are taken")
+        check_declared_length(request_headers(scope), limit)
         return await read_body(receive, limit)
 
     @staticmethod
     async def _refuse(error: PasslaneError, writer: AsgiAnswerWriter) -> None:
-        """Refuse a request that could not be read."""
+        """Refuse a request that could not be read; the rest of it isn't waited for."""
         _log.info("request_unreadable", code=error.code.value, message=error.message)
         if error.code is ErrorCode.CONNECTION_LOST:
             return
@@ -82,6 +87,11 @@
         await writer.refuse(BODY_TOO_LARGE if too_large else BAD_REQUEST, error.message, None)
 
 
+def _always() -> bool:
+    """Have the connection closed after the answer."""
+    return True
+
+
 async def _cancel_when_gone(receive: Receive, scope: anyio.CancelScope) -> None:
     """Cancel the work on a request once its client has closed the connection."""
     while True:
--- a/src/passlane/platform/operator_api.py
+++ b/src/passlane/platform/operator_api.py
@@ -77,7 +77,10 @@
                 code=error.code.value,
                 message=error.message,
             )
-            response = json_response(status, _Problem(error.message))
+            # The rest of a body that is too long isn't waited for.
+            closes = error.code is ErrorCode.BODY_TOO_LARGE
+            headers = {"connection": "close"} if closes else {}
+            response = json_response(status, _Problem(error.message), headers)
         await send_response(send, response)
 
     async def _answer(self, request: Request) -> Response:
--- /dev/null
+++ b/tests/api/test_asgi.py
@@ -0,0 +1,32 @@
+"""Whole requests on top of ASGI."""
+
+import unittest
+
+import anyio
+
+from passlane.api.asgi import read_request
+from passlane.errors import ErrorCode, PasslaneError
+
+
+class DeclaredLengthTest(unittest.TestCase):
+    def read(self, declared, body=b""):
+        scope = {
+            "method": "POST",
+            "path": "/",
+            "headers": [(b"content-length", declared.encode())],
+        }
+
+        async def receive():
+            if not body:
+                raise AssertionError("the body was waited for")
+            return {"type": "http.request", "body": body}
+
+        return anyio.run(read_request, scope, receive, 100)
+
+    def test_a_body_that_is_too_long_by_its_own_word_is_refused_before_it_comes(self):
+        with self.assertRaises(PasslaneError) as caught:
+            self.read("1000000000")
+        self.assertIs(caught.exception.code, ErrorCode.BODY_TOO_LARGE)
+
+    def test_a_body_within_the_limit_is_read(self):
+        self.assertEqual(self.read("4", b"body").body, b"body")
--- a/tests/on_platform/test_client_ingress.py
+++ b/tests/on_platform/test_client_ingress.py
@@ -118,6 +118,7 @@
         client = Client(content_length="1000000000", body_is_whole=False)
         serve(relay, client)
         self.assertEqual((client.status, relay.calls), (413, []))
+        self.assertEqual(client.answer_headers[b"connection"], b"close")
 
     def test_a_longer_body_than_the_limit_is_refused(self):
         client = Client(b"x" * 2000)
