One search for the store group's leader, shared by all requests of a node

Nodes found it after 0.12 to 0.86 s, then lost it again up to seven times each: every request that was still waiting for the former leader timed out later, and each such failure made the client forget the leader that it had found since. One turn was refused after 1.5 s for it, others waited for a second. Ruled out: the election itself (0.66 s after the cut, within one and two time-outs), and the transport (a new connection takes one round trip). Change: StoreLeaderFinder asks all replicas at once while the leader is in doubt; a failure at a replica that is not the leader changes nothing; an older term never takes the place of a newer one; requests that wait for a former leader leave it when another is found. A turn that was refused has no reservation and is not settled. Before, four of the seven tests in tests/turns/test_client.py failed.

--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -81,7 +81,9 @@
 
 
 class TurnStoreFound(Message, frozen=True):
-    """Answers ``FindTurnStore`` by the leader."""
+    """Answers ``FindTurnStore`` by the leader, with the term that it leads in."""
+
+    term: int = 0
 
 
 TurnCommand = ReserveTurn | SettleTurn | AdvanceAge
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -5,7 +5,7 @@
 
 from passlane.errors import PasslaneError
 from passlane.messages.routes import Route
-from passlane.messages.turns import KeptTurn, ReserveTurn, SettleTurn
+from passlane.messages.turns import KeptTurn, ReserveTurn, SettleTurn, TurnReserved
 from passlane.observability.logging import get_logger
 from passlane.relay.calls import RelayedCall
 from passlane.turns.client import ReserveAnswer, TurnStoreClient
@@ -61,7 +61,10 @@
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
         timeout_s = min(RESERVE_TIMEOUT_S, limit_at - anyio.current_time())
-        return await self._store.reserve(request, timeout_s=timeout_s)
+        answer = await self._store.reserve(request, timeout_s=timeout_s)
+        # A refused turn has no reservation, so there is nothing to settle.
+        self._is_reserved = isinstance(answer, TurnReserved)
+        return answer
 
     async def settle_whole(self, tokens: int, output: bytes, timeout_s: float) -> None:
         """Settle a turn that ended whole and keep it if its route says so.
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -2,6 +2,7 @@
 
 import random as random_module
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import anyio
 
@@ -10,27 +11,31 @@
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.turns import (
     BudgetSpent,
-    FindTurnStore,
     ReserveTurn,
     SettleTurn,
     TurnReserved,
     TurnSettled,
     TurnUnknown,
 )
-from passlane.observability.logging import get_logger
 from passlane.transport.interfaces import Caller
+from passlane.turns.leader_finder import StoreLeaderFinder
 
-ATTEMPT_TIMEOUT_S = 0.5
-LOST_AFTER_S = 1.0
-"""The store group counts as lost once nothing was heard of its leader for this long."""
-PROBE_PERIOD_S = 0.4
 TIMEOUT_WHILE_LOST_S = 0.3
-RETRY_PAUSE_S = 0.04
-NOT_READY_RETRY_AFTER_S = 0.3
+SLOW_ANSWER_S = 0.12
+"""An answer that takes longer puts the leader in doubt."""
+WATCH_PERIOD_S = 0.06
+RETRY_PAUSE_S = 0.02
 
 ReserveAnswer = TurnReserved | BudgetSpent | TurnUnknown
 
-_log = get_logger(__name__)
+
+@dataclass(eq=False, slots=True)
+class _Attempt:
+    """A request on its way to a replica."""
+
+    address: Address
+    sent_at: float
+    scope: anyio.CancelScope
 
 
 class TurnStoreClient:
@@ -49,27 +54,20 @@
         random: random_module.Random,
     ) -> None:
         self._caller = caller
-        self._addresses = addresses
-        self._random = random
-        self._leader: Address | None = None
-        self._failing_since: float | None = None
+        self._finder = StoreLeaderFinder(caller, addresses, random, self._leave_former_leader)
+        self._under_way: set[_Attempt] = set()
+        self._has_work = anyio.Event()
 
     @property
     def is_lost(self) -> bool:
-        """Whether requests have failed for so long that the group counts as lost."""
-        since = self._failing_since
-        return since is not None and anyio.current_time() - since >= LOST_AFTER_S
+        """Whether the group's leader was not heard for so long that it counts as lost."""
+        return self._finder.is_lost
 
     async def run(self) -> None:
-        """Look for the leader while requests fail, until cancelled."""
-        while True:
-            await anyio.sleep(PROBE_PERIOD_S)
-            if self._failing_since is None:
-                continue
-            try:
-                await self._execute(FindTurnStore(), PROBE_PERIOD_S)
-            except PasslaneError as error:
-                _log.debug("store_not_found", code=error.code.value)
+        """Look for the leader while it is in doubt, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._finder.run)
+            tasks.start_soon(self._watch_attempts)
 
     async def reserve(self, request: ReserveTurn, *, timeout_s: float) -> ReserveAnswer:
         """Reserve a turn's tokens and get its history.
@@ -99,53 +97,62 @@
             raise self._unexpected(answer)
 
     async def _execute(self, request: Message, timeout_s: float) -> Message:
+        """Send a request to the leader, and to the next one if it moves, until it is answered."""
         deadline = anyio.current_time() + timeout_s
-        error = self._unavailable("no store replica is known")
         while True:
+            address = await self._finder.wait_for_leader(deadline)
             remaining_s = deadline - anyio.current_time()
             if remaining_s <= 0:
-                raise error
-            address = self._next_address()
-            if address is not None:
-                limit_s = min(remaining_s, ATTEMPT_TIMEOUT_S)
-                try:
-                    answer = await self._caller.call(address, request, Message, timeout_s=limit_s)
-                except PasslaneError as failure:
-                    error = failure
-                    if self._note_failure(failure, address):
-                        continue
-                else:
-                    self._note_success(address)
-                    return answer
-            await anyio.sleep(self._random.uniform(0.5, 1.0) * RETRY_PAUSE_S)
-
-    def _next_address(self) -> Address | None:
-        addresses = self._addresses()
-        if self._leader is not None:
-            return self._leader
-        return self._random.choice(addresses) if addresses else None
-
-    def _note_success(self, address: Address) -> None:
-        """Note which replica leads."""
-        if self._failing_since is not None:
-            lost_s = anyio.current_time() - self._failing_since
-            _log.info("store_leader_found", address=str(address), lost_s=round(lost_s, 3))
-        self._leader = address
-        self._failing_since = None
-
-    def _note_failure(self, error: PasslaneError, address: Address) -> bool:
-        """Note where the leader may be; return whether to go there at once."""
-        if self._failing_since is None:
-            self._failing_since = anyio.current_time()
-            _log.info("store_leader_lost", address=str(address), code=error.code.value)
+                raise PasslaneError(ErrorCode.TIMEOUT, "the store group did not answer in time")
+            try:
+                answer = await self._attempt(address, request, remaining_s)
+            except PasslaneError as error:
+                self._note_failure(error, address)
+                await anyio.sleep(RETRY_PAUSE_S)
+                continue
+            if answer is not None:
+                self._finder.confirm(address)
+                return answer
+
+    async def _attempt(
+        self, address: Address, request: Message, timeout_s: float
+    ) -> Message | None:
+        """Return a replica's answer; ``None`` when another replica turned out to lead."""
+        attempt = _Attempt(address, anyio.current_time(), anyio.CancelScope())
+        self._under_way.add(attempt)
+        self._has_work.set()
+        try:
+            with attempt.scope:
+                return await self._caller.call(address, request, Message, timeout_s=timeout_s)
+        finally:
+            self._under_way.discard(attempt)
+        return None
+
+    async def _watch_attempts(self) -> None:
+        """Put the leader in doubt while an answer of it is overdue."""
+        while True:
+            await self._has_work.wait()
+            while self._under_way:
+                await anyio.sleep(WATCH_PERIOD_S)
+                overdue_since = anyio.current_time() - SLOW_ANSWER_S
+                for attempt in self._under_way:
+                    if attempt.sent_at <= overdue_since:
+                        self._finder.suspect(attempt.address)
+            self._has_work = anyio.Event()
+
+    def _leave_former_leader(self) -> None:
+        """Call back requests that wait for a replica that no longer leads."""
+        for attempt in self._under_way:
+            if attempt.address != self._finder.leader:
+                attempt.scope.cancel()
+
+    def _note_failure(self, error: PasslaneError, address: Address) -> None:
         hint = error.leader if isinstance(error, NotLeaderError) else None
-        had_leader = self._leader is not None
-        self._leader = hint if hint != address else None
-        return self._leader is not None and not had_leader
-
-    @staticmethod
-    def _unavailable(reason: str) -> PasslaneError:
-        return PasslaneError(ErrorCode.UNAVAILABLE, reason, retry_after_s=NOT_READY_RETRY_AFTER_S)
+        if error.code is ErrorCode.TIMEOUT:
+            # The request's own time is over; whether the leader is gone shows the search.
+            self._finder.suspect(address)
+            return
+        self._finder.reject(address, hint, error.code.value)
 
     @staticmethod
     def _unexpected(answer: Message) -> PasslaneError:
--- /dev/null
+++ b/src/passlane/turns/leader_finder.py
@@ -0,0 +1,164 @@
+"""Finds the leader of the store group among its replicas, and notes when it moves."""
+
+import math
+import random as random_module
+from collections.abc import Callable, Sequence
+
+import anyio
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.common import Address
+from passlane.messages.turns import FindTurnStore, TurnStoreFound
+from passlane.observability.logging import get_logger
+from passlane.transport.interfaces import Caller
+
+LOST_AFTER_S = 1.0
+"""The store group counts as lost once nothing was heard of its leader for this long."""
+PROBE_TIMEOUT_S = 0.3
+FIRST_PAUSE_S = 0.04
+LONGEST_PAUSE_S = 0.25
+"""Between two questions to one replica; doubles while the search goes on."""
+TRUST_S = 0.15
+"""A leader that has just answered is not put in doubt again for this long."""
+
+_log = get_logger(__name__)
+
+
+class StoreLeaderFinder:
+    """Asks all replicas at once which of them leads, as long as that is in doubt.
+
+    All requests of the process share one search. A leader of an older term never takes
+    the place of a newer one, so that a cut-off replica that still believes it leads
+    draws no requests.
+
+    Parameters
+    ----------
+    addresses
+        Returns the replicas' internal addresses as now known.
+    on_moved
+        Called when another replica turns out to lead.
+    """
+
+    def __init__(
+        self,
+        caller: Caller,
+        addresses: Callable[[], Sequence[Address]],
+        random: random_module.Random,
+        on_moved: Callable[[], None],
+    ) -> None:
+        self._caller = caller
+        self._addresses = addresses
+        self._random = random
+        self._on_moved = on_moved
+        self._term = 0
+        self._hint: Address | None = None
+        self._in_doubt_since: float | None = None
+        self._heard_at = -math.inf
+        self._search_wanted = anyio.Event()
+        self._found = anyio.Event()
+        self.leader: Address | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the leader has been in doubt for so long that the group counts as lost."""
+        since = self._in_doubt_since
+        return since is not None and anyio.current_time() - since >= LOST_AFTER_S
+
+    async def wait_for_leader(self, deadline: float) -> Address:
+        """Return the leader's address.
+
+        Raises
+        ------
+        PasslaneError
+            ``UNAVAILABLE`` when none is found in time.
+        """
+        while self.leader is None:
+            self._doubt()
+            found = self._found
+            with anyio.move_on_at(deadline) as scope:
+                await found.wait()
+            if scope.cancelled_caught:
+                raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader of the store group found")
+        return self.leader
+
+    def suspect(self, address: Address) -> None:
+        """Note that an answer of the leader is overdue; it stays unless another one leads."""
+        is_trusted = anyio.current_time() - self._heard_at < TRUST_S
+        if address == self.leader and not is_trusted:
+            self._doubt()
+
+    def reject(self, address: Address, hint: Address | None, reason: str) -> None:
+        """Note that a replica doesn't lead, or can't be reached; ``hint`` may lead instead."""
+        self._hint = hint
+        if address != self.leader:
+            return
+        _log.info("store_leader_lost", address=str(address), reason=reason)
+        self.leader = None
+        self._found = anyio.Event()
+        self._doubt()
+
+    def confirm(self, address: Address) -> None:
+        """Note that a replica answered as the leader."""
+        if address == self.leader:
+            self._heard_at = anyio.current_time()
+            self._in_doubt_since = None
+
+    async def run(self) -> None:
+        """Search whenever the leader is in doubt, until cancelled."""
+        while True:
+            await self._search_wanted.wait()
+            self._search_wanted = anyio.Event()
+            if self._in_doubt_since is not None:
+                await self._search()
+
+    def _doubt(self) -> None:
+        if self._in_doubt_since is None:
+            self._in_doubt_since = anyio.current_time()
+            self._search_wanted.set()
+
+    async def _search(self) -> None:
+        """Ask every replica again and again until the doubt is over."""
+        while self._in_doubt_since is not None:
+            addresses = self._candidates()
+            async with anyio.create_task_group() as tasks:
+                for address in addresses:
+                    tasks.start_soon(self._ask_repeatedly, address, tasks.cancel_scope)
+                # Replicas may have come meanwhile.
+                await anyio.sleep(LOST_AFTER_S)
+                tasks.cancel_scope.cancel()
+
+    def _candidates(self) -> list[Address]:
+        hints = [self._hint] if self._hint is not None else []
+        return list(dict.fromkeys([*self._addresses(), *hints]))
+
+    async def _ask_repeatedly(self, address: Address, search: anyio.CancelScope) -> None:
+        pause_s = FIRST_PAUSE_S
+        while self._in_doubt_since is not None:
+            try:
+                answer = await self._caller.call(
+                    address, FindTurnStore(), TurnStoreFound, timeout_s=PROBE_TIMEOUT_S
+                )
+            except PasslaneError as error:
+                _log.debug("no_store_leader", address=str(address), code=error.code.value)
+            else:
+                self._take_over(address, answer.term)
+            await anyio.sleep(self._random.uniform(0.75, 1.0) * pause_s)
+            pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+        search.cancel()
+
+    def _take_over(self, address: Address, term: int) -> None:
+        """Believe a replica that says it leads, unless a later leader is known."""
+        since = self._in_doubt_since
+        if since is None or (term < self._term and not self.is_lost):
+            return
+        if address != self.leader:
+            lost_s = round(anyio.current_time() - since, 3)
+            _log.info("store_leader_found", address=str(address), term=term, lost_s=lost_s)
+        has_moved = address != self.leader
+        self.leader = address
+        self._term = term
+        self._heard_at = anyio.current_time()
+        self._in_doubt_since = None
+        self._found.set()
+        if has_moved:
+            self._on_moved()
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -64,7 +64,7 @@
     async def find(self, request: FindTurnStore) -> Message:
         """Tell a node that lost the store group that its leader is here."""
         self._require_leadership()
-        return TurnStoreFound()
+        return TurnStoreFound(term=self._group.term)
 
     def _require_leadership(self) -> None:
         if not self._group.is_leader:
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -204,6 +204,7 @@
             store = ScriptedStore(answer)
             self.relay([], call_changes=self.changes, store=store, **TURNS)
             self.assertEqual(self.writer.status, status)
+            self.assertEqual(store.settled, [])
 
     def test_without_the_store_nothing_is_said_about_turns_and_the_reservation_is_undone(self):
         store = ScriptedStore(is_lost=True)
--- /dev/null
+++ b/tests/turns/test_client.py
@@ -0,0 +1,166 @@
+"""A node's access to the store group while its leader changes, is silent, or is away."""
+
+import functools
+import random
+import unittest
+
+import anyio
+import trio.testing
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.common import Address, NotLeaderError
+from passlane.messages.turns import (
+    FindTurnStore,
+    ReserveTurn,
+    TurnReserved,
+    TurnStoreFound,
+)
+from passlane.turns.client import TurnStoreClient
+
+STORES = [Address(f"10.2.0.{number}", 7000) for number in range(1, 5)]
+
+
+def reservation(attempt_id="a"):
+    return ReserveTurn(program_id="p", attempt_id=attempt_id, most_tokens=10, budget_tokens=100)
+
+
+class ScriptedStores:
+    """Store replicas of which one leads; some are silent: they take requests and never answer."""
+
+    def __init__(self, leader):
+        self.leader = leader
+        self.term = 1
+        self.silent = set()
+        self.delay_s = 0.003
+        self.calls = []
+
+    def lead(self, leader):
+        self.leader = leader
+        self.term += 1
+
+    async def call(self, address, request, reply, *, timeout_s):
+        self.calls.append((anyio.current_time(), address, request))
+        with anyio.move_on_after(timeout_s):
+            if address in self.silent:
+                await anyio.sleep_forever()
+            await anyio.sleep(self.delay_s)
+            if address != self.leader:
+                raise NotLeaderError("not the leader", None)
+            if isinstance(request, FindTurnStore):
+                return TurnStoreFound(term=self.term)
+            return TurnReserved()
+        raise PasslaneError(ErrorCode.TIMEOUT, "no answer")
+
+    def sent_to(self, address, kind=ReserveTurn):
+        return [at for at, to, request in self.calls if to == address and isinstance(request, kind)]
+
+
+def on_virtual_clock(leader=STORES[0]):
+    """Run a test's body with a client whose stores are scripted."""
+
+    def decorate(body):
+        @functools.wraps(body)
+        def test(self):
+            async def main():
+                stores = ScriptedStores(leader)
+                client = TurnStoreClient(stores, lambda: STORES, random.Random(1))
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(client.run)
+                    await body(self, client, stores)
+                    tasks.cancel_scope.cancel()
+
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+        return test
+
+    return decorate
+
+
+class TurnStoreClientTest(unittest.TestCase):
+    @on_virtual_clock()
+    async def test_the_leader_is_asked_once_it_is_known(self, client, stores):
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.calls.clear()
+        await client.reserve(reservation("b"), timeout_s=1.0)
+        self.assertEqual([address for _, address, _ in stores.calls], [STORES[0]])
+
+    @on_virtual_clock()
+    async def test_a_request_leaves_a_silent_leader_as_soon_as_another_is_found(
+        self, client, stores
+    ):
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.silent.add(STORES[0])
+        stores.lead(STORES[1])
+        started = anyio.current_time()
+        await client.reserve(reservation("b"), timeout_s=1.5)
+        self.assertLess(anyio.current_time() - started, 0.35)
+
+    @on_virtual_clock()
+    async def test_a_late_failure_of_the_former_leader_changes_nothing(self, client, stores):
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.silent.add(STORES[0])
+        stores.lead(STORES[1])
+        async with anyio.create_task_group() as tasks:
+            for number in range(4):
+                tasks.start_soon(
+                    functools.partial(client.reserve, reservation(f"early-{number}"), timeout_s=1.5)
+                )
+                await anyio.sleep(0.1)
+        await anyio.sleep(1.0)
+        stores.calls.clear()
+        await client.reserve(reservation("late"), timeout_s=1.0)
+        self.assertEqual([address for _, address, _ in stores.calls], [STORES[1]])
+        self.assertFalse(client.is_lost)
+
+    @on_virtual_clock()
+    async def test_all_requests_that_wait_share_one_search(self, client, stores):
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.silent.update(STORES)
+        stores.calls.clear()
+
+        async def fail(number):
+            with self.assertRaises(PasslaneError):
+                await client.reserve(reservation(f"r-{number}"), timeout_s=1.0)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(20):
+                tasks.start_soon(fail, number)
+        probes = [request for _, _, request in stores.calls if isinstance(request, FindTurnStore)]
+        self.assertLessEqual(len(probes), 10 * len(STORES))
+
+    @on_virtual_clock()
+    async def test_a_group_that_is_away_is_lost_then_found_again(self, client, stores):
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.silent.update(STORES)
+        with self.assertRaises(PasslaneError):
+            await client.reserve(reservation("b"), timeout_s=1.5)
+        self.assertTrue(client.is_lost)
+        started = anyio.current_time()
+        with self.assertRaises(PasslaneError):
+            await client.reserve(reservation("c"), timeout_s=1.5)
+        self.assertLess(anyio.current_time() - started, 0.5)
+        stores.silent.clear()
+        stores.lead(STORES[2])
+        await anyio.sleep(0.5)
+        self.assertFalse(client.is_lost)
+        await client.reserve(reservation("d"), timeout_s=0.1)
+
+    @on_virtual_clock()
+    async def test_a_slow_leader_is_kept_while_no_other_leads(self, client, stores):
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.delay_s = 0.4
+        stores.calls.clear()
+        await client.reserve(reservation("b"), timeout_s=1.5)
+        self.assertEqual(len(stores.sent_to(STORES[0])), 1)
+
+    @on_virtual_clock()
+    async def test_an_older_term_never_takes_the_place_of_a_newer_one(self, client, stores):
+        stores.lead(STORES[1])
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.silent.add(STORES[1])
+        stores.leader = STORES[0]
+        stores.term = 1
+        with self.assertRaises(PasslaneError):
+            await client.reserve(reservation("b"), timeout_s=1.0)
+        self.assertEqual(stores.sent_to(STORES[0]), [])
