Nodes judge back ends by what their own requests show

A node avoided a back end only after failures in a row, for half a second at first, and any success ended that; an answer 500 counted as a success, silence counted as nothing at all, and a program's hash led its turns to the same back end again and again. Ruled out: the list (a back end that is grey stays listed as ready), health checks (good while it is grey, and each is priced), an early end of silent requests (a request may still be running, and it may run once). Outliers come last in placement, unless they are more than half of a service. A repeatable request leaves a silent back end for another one while its most attempts allow. Both deliveries report progress, so a slow store or caller is not held against a back end. Tests: tests/relay/test_health.py.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -1,17 +1,19 @@
 """The attempts of one request at back ends: choice, verdicts, retries."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 import anyio
 
 from passlane.errors import Verdict
-from passlane.messages.routes import Route, RoutedService
+from passlane.messages.routes import Route, RoutedService, RouteKind
 from passlane.relay.backends import (
     BackendAnswer,
     BackendRequest,
     RelayBackends,
 )
 from passlane.relay.calls import RelayedCall
+from passlane.relay.health import AttemptWatch, stall_limit_s, typical_latency_s
 from passlane.relay.placement import (
     PlacementKey,
     choose_backend,
@@ -27,7 +29,7 @@
 """A request that no back end takes is refused after this share of its target latency."""
 UNAVAILABLE_RETRY_AFTER_S = 0.25
 
-Deliver = Callable[[BackendAnswer], Awaitable[None]]
+Deliver = Callable[[BackendAnswer, AttemptWatch], Awaitable[None]]
 """Passes an answer on; raises ``HttpConnectionError`` when the answer breaks off."""
 
 
@@ -110,20 +112,41 @@
         """Send the request to one back end; return whether its answer was delivered."""
         self.tried.append(load.record.instance_id)
         load.in_flight += 1
+        started_at = anyio.current_time()
+        watch = load.health.watch(started_at)
+        stall_limit = self._stall_limit_s(started_at)
         verdict_before = self.verdict
         # From here on a cancellation must not be taken for "not run".
         self.verdict = Verdict.MAY_HAVE_RUN
         try:
-            async with self._backends.exchange(load.record, self._request(limit_at)) as answer:
-                if await self._take(answer, load, deliver):
-                    return True
+            silence = anyio.CancelScope(deadline=self._silence_ends_at(started_at + stall_limit))
+            with silence:
+                async with self._backends.exchange(load.record, self._request(limit_at)) as answer:
+                    silence.deadline = math.inf
+                    watch.progressed(anyio.current_time())
+                    if await self._take(answer, load, deliver, watch):
+                        return True
+            if silence.cancelled_caught:
+                raise HttpConnectionError("no answer for too long", bytes_left=True)
             self.verdict = verdict_before
         except HttpConnectionError as error:
+            watch.failed(anyio.current_time())
             self._note_broken(error, load, verdict_before)
         finally:
+            watch.dropped(anyio.current_time(), stall_limit)
             load.in_flight -= 1
         return False
 
+    def _stall_limit_s(self, now: float) -> float:
+        """Return how long back ends of this service may be silent before that is noted."""
+        service = [load.health for load in self._registry.of_service(self._service.name)]
+        return stall_limit_s(typical_latency_s(service, now))
+
+    def _silence_ends_at(self, stalled_at: float) -> float:
+        """Return when to turn from a silent back end to another one, if that is allowed."""
+        is_plain = self._route.kind is RouteKind.REPEATABLE
+        return stalled_at if is_plain and may_run_again(self._route, self._runs + 1) else math.inf
+
     def _request(self, limit_at: float) -> BackendRequest:
         return BackendRequest(
             call=self._call,
@@ -133,7 +156,9 @@
             last_event_id=self.last_event_id,
         )
 
-    async def _take(self, answer: BackendAnswer, load: BackendLoad, deliver: Deliver) -> bool:
+    async def _take(
+        self, answer: BackendAnswer, load: BackendLoad, deliver: Deliver, watch: AttemptWatch
+    ) -> bool:
         """Deliver an answer, or note a refusal; return whether it was delivered."""
         judgement = judge_answer(answer.head)
         if judgement is Judgement.NOT_RUN:
@@ -143,7 +168,7 @@
             return False
         if judgement is Judgement.UNTRUSTED:
             raise HttpConnectionError("not an answer to this request", bytes_left=True)
-        await deliver(answer)
+        await deliver(answer, watch)
         note_success(load)
         return True
 
--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -3,13 +3,19 @@
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing
 
+import anyio
+
 from passlane.relay.backends import AnswerWriter, BackendAnswer
 from passlane.relay.events import EventSplitter
+from passlane.relay.health import AttemptWatch
 from passlane.runtime.interfaces import HttpConnectionError
 
 MAX_BUFFERED_BYTES = 256_000
 """Longer bodies are passed on as they arrive."""
 
+FIRST_SERVER_FAULT = 500
+"""From this status on, an answer counts as a failure of the back end."""
+
 BeforeEnd = Callable[["StreamDelivery"], Awaitable[None]]
 """Called when a stream is whole, before the caller learns that it is."""
 
@@ -21,12 +27,13 @@
         self._writer = writer
         self.status: int | None = None
 
-    async def deliver(self, answer: BackendAnswer) -> None:
+    async def deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         """Read an answer and write it; raise ``HttpConnectionError`` when it breaks off."""
         body = bytearray()
         has_started = False
         async with aclosing(answer.chunks()) as chunks:
             async for chunk in chunks:
+                watch.progressed(anyio.current_time())
                 body += chunk
                 if len(body) > MAX_BUFFERED_BYTES and not has_started:
                     has_started = True
@@ -34,6 +41,7 @@
                 if has_started:
                     await self._writer.write(bytes(body))
                     body.clear()
+        _note_whole(answer, watch)
         if not has_started:
             await self._start(answer, len(body))
             await self._writer.write(bytes(body))
@@ -66,7 +74,7 @@
         self.last_event_id: str | None = None
         self.is_whole = False
 
-    async def deliver(self, answer: BackendAnswer) -> None:
+    async def deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         """Read a stream and write it; raise ``HttpConnectionError`` when it breaks off.
 
         The answer of a second engine that goes on with the stream keeps the head of the
@@ -80,7 +88,9 @@
         splitter = EventSplitter()
         async with aclosing(answer.chunks()) as chunks:
             async for chunk in chunks:
+                watch.progressed(anyio.current_time())
                 await self._pass_on(splitter, chunk)
+        _note_whole(answer, watch)
         if splitter.pending:
             await self._writer.write(splitter.pending)
         self.is_whole = True
@@ -97,3 +107,12 @@
             if event.event_id is not None:
                 self.last_event_id = event.event_id
         await self._writer.write(b"".join(event.raw for event in events))
+
+
+def _note_whole(answer: BackendAnswer, watch: AttemptWatch) -> None:
+    """Note the end of an answer; what follows takes time of other parts of the system."""
+    now = anyio.current_time()
+    if answer.head.status >= FIRST_SERVER_FAULT:
+        watch.failed(now)
+    else:
+        watch.succeeded(now)
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from passlane.relay.health import find_outliers
 from passlane.relay.registry import BackendLoad
 
 FULL_SHARE = 0.5
@@ -32,17 +33,23 @@
 
     Requests of one program go to the same engine, by rendezvous hashing, because that
     engine holds what they have read already. An engine that is full for this node, or
-    that failed lately, comes after all others.
+    that failed lately, comes after all others; so does one that does worse than most.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
         return None
-    if key.affinity:
-        return min(fresh, key=lambda load: (_is_avoided(load, now), _affinity_rank(load, key)))
-    return min(
-        fresh,
-        key=lambda load: (_is_avoided(load, now), _relative_load(load), _zone_rank(load, key)),
-    )
+    everyone = list(candidates)
+    outliers = {
+        everyone[index].record.instance_id
+        for index in find_outliers([load.health for load in everyone], now)
+    }
+
+    def rank(load: BackendLoad) -> tuple[bool, bool, tuple[float, float]]:
+        is_outlier = load.record.instance_id in outliers
+        order = _affinity_rank(load, key) if key.affinity else _plain_rank(load, key)
+        return (is_outlier, _is_avoided(load, now), order)
+
+    return min(fresh, key=rank)
 
 
 def note_failure(load: BackendLoad, now: float) -> None:
@@ -62,16 +69,14 @@
     return load.avoid_until > now
 
 
-def _affinity_rank(load: BackendLoad, key: PlacementKey) -> tuple[int, float]:
+def _affinity_rank(load: BackendLoad, key: PlacementKey) -> tuple[float, float]:
     """Rank by how often the engine is full over for this node, then by hash."""
     room = max(1, math.ceil(load.record.slots * FULL_SHARE))
     weight = xxhash.xxh3_64_intdigest(f"{key.affinity}/{load.record.instance_id}".encode())
     return (load.in_flight // room, -float(weight))
 
 
-def _relative_load(load: BackendLoad) -> float:
-    return load.in_flight / max(1, load.record.slots)
-
-
-def _zone_rank(load: BackendLoad, key: PlacementKey) -> int:
-    return 0 if load.record.zone == key.own_zone else 1
+def _plain_rank(load: BackendLoad, key: PlacementKey) -> tuple[float, float]:
+    """Rank by how full the back end is with this node's requests, then by zone."""
+    fullness = load.in_flight / max(1, load.record.slots)
+    return (fullness, 0.0 if load.record.zone == key.own_zone else 1.0)
--- a/src/passlane/relay/registry.py
+++ b/src/passlane/relay/registry.py
@@ -1,9 +1,10 @@
 """Which back ends there are, and how much this node has under way at each."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from passlane.relay.backends import BackendRecord, BackendState
+from passlane.relay.health import BackendHealth
 
 
 @dataclass(slots=True)
@@ -18,12 +19,15 @@
         Local time before which it is only used if there is no other.
     failures
         Failures in a row.
+    health
+        What this node's requests have shown of it.
     """
 
     record: BackendRecord
     in_flight: int = 0
     avoid_until: float = 0.0
     failures: int = 0
+    health: BackendHealth = field(default_factory=BackendHealth)
 
     @property
     def is_ready(self) -> bool:
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -16,6 +16,7 @@
 from passlane.relay.backends import AnswerWriter, BackendAnswer, RelayBackends
 from passlane.relay.calls import RelayedCall
 from passlane.relay.delivery import StreamDelivery, WholeDelivery
+from passlane.relay.health import AttemptWatch
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.turn_account import TurnAccount
@@ -127,15 +128,15 @@
             return None
         return answer.history
 
-    async def _deliver(self, answer: BackendAnswer) -> None:
+    async def _deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         self._progress.first_part_s = anyio.current_time() - self._call.arrived_at
         if self._route.kind is not RouteKind.STREAM or answer.head.status >= 300:
-            await WholeDelivery(self._writer).deliver(answer)
+            await WholeDelivery(self._writer).deliver(answer, watch)
             return
         if self._stream is None:
             self._stream = StreamDelivery(self._writer, self._before_end)
         try:
-            await self._stream.deliver(answer)
+            await self._stream.deliver(answer, watch)
         finally:
             if self._attempts is not None and self._stream.last_event_id is not None:
                 self._attempts.last_event_id = self._stream.last_event_id
--- /dev/null
+++ b/tests/relay/test_health.py
@@ -0,0 +1,92 @@
+"""Back ends judged by what requests show of them."""
+
+import unittest
+
+from passlane.relay.health import (
+    HALF_LIFE_S,
+    LATENCY_MEMORY_S,
+    SHORTEST_STALL_S,
+    BackendHealth,
+    find_outliers,
+)
+from passlane.relay.placement import PlacementKey, choose_backend
+from passlane.relay.registry import BackendLoad
+from relay.fakes import backend
+
+
+def answered(health, *, times=1, start=0.0, latency_s=0.05):
+    for number in range(times):
+        watch = health.watch(start + number * 0.1)
+        watch.progressed(start + number * 0.1 + latency_s)
+        watch.succeeded(start + number * 0.1 + latency_s)
+
+
+class OutlierTest(unittest.TestCase):
+    def setUp(self):
+        self.backends = [BackendHealth() for _ in range(4)]
+
+    def test_healthy_back_ends_are_no_outliers(self):
+        for health in self.backends:
+            answered(health, times=10)
+        self.assertEqual(find_outliers(self.backends, 1.0), set())
+
+    def test_one_that_fails_a_third_of_its_requests_is_an_outlier(self):
+        for health in self.backends:
+            answered(health, times=4)
+        for _ in range(2):
+            self.backends[2].watch(1.0).failed(1.0)
+        self.assertEqual(find_outliers(self.backends, 1.0), {2})
+
+    def test_a_rare_failure_is_none(self):
+        answered(self.backends[0], times=20)
+        self.backends[0].watch(2.0).failed(2.0)
+        self.assertEqual(find_outliers(self.backends, 2.0), set())
+
+    def test_silence_counts_while_it_lasts_and_for_some_time_after(self):
+        watch = self.backends[1].watch(0.0)
+        self.assertEqual(find_outliers(self.backends, SHORTEST_STALL_S), set())
+        self.assertEqual(find_outliers(self.backends, SHORTEST_STALL_S + 0.1), {1})
+        watch.dropped(2.0, SHORTEST_STALL_S)
+        self.assertEqual(find_outliers(self.backends, 2.1), {1})
+        self.assertEqual(find_outliers(self.backends, 2.1 + HALF_LIFE_S), set())
+
+    def test_a_stream_that_goes_on_is_not_silent(self):
+        watch = self.backends[1].watch(0.0)
+        for tenth in range(1, 20):
+            watch.progressed(tenth / 10)
+        self.assertEqual(find_outliers(self.backends, 2.0), set())
+
+    def test_a_caller_that_leaves_early_says_nothing_of_the_back_end(self):
+        self.backends[1].watch(0.0).dropped(0.1, SHORTEST_STALL_S)
+        self.assertEqual(find_outliers(self.backends, 0.1), set())
+
+    def test_one_that_is_far_slower_than_the_others_is_an_outlier_until_that_is_old(self):
+        for index, health in enumerate(self.backends):
+            answered(health, times=3, latency_s=0.5 if index == 3 else 0.05)
+        self.assertEqual(find_outliers(self.backends, 1.0), {3})
+        self.assertEqual(find_outliers(self.backends, 2.0 + LATENCY_MEMORY_S), set())
+
+    def test_what_most_of_them_show_is_no_fault_of_one(self):
+        for health in self.backends[:3]:
+            health.watch(0.0)
+        self.assertEqual(find_outliers(self.backends, 2.0), set())
+
+    def test_an_ended_request_is_counted_once(self):
+        watch = self.backends[0].watch(0.0)
+        watch.succeeded(0.1)
+        watch.failed(0.1)
+        watch.dropped(9.0, SHORTEST_STALL_S)
+        self.assertEqual(find_outliers(self.backends, 9.0), set())
+        self.assertEqual(self.backends[0].watches, set())
+
+
+class PlacementTest(unittest.TestCase):
+    def test_outliers_come_after_the_others_and_are_used_when_there_is_no_other(self):
+        loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
+        for key in (PlacementKey("program", "a"), PlacementKey("", "a")):
+            first = choose_backend(loads, key, (), 0.0)
+            watch = first.health.watch(0.0)
+            self.assertIsNot(choose_backend(loads, key, (), 1.0), first)
+            others = [load.record.instance_id for load in loads if load is not first]
+            self.assertIs(choose_backend(loads, key, others, 1.0), first)
+            watch.dropped(0.0, SHORTEST_STALL_S)
