One node reads the list of back ends for all of them

Ruled out: reading by the control leader itself (its process loads no HTTP client, which takes a fifth of a second on a core machine, and core machines are the slowest); a slower period for all nodes (a drain binds after 3 s). Reports without change carry a number only. Held announcements are answered when the list changes; the age of the list travels with every view. A node whose list is older than 2 s reads for itself.

--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -54,8 +54,11 @@
             self._registry,
             settings.backend_list.rate_per_s,
             lambda: self._follower.node_count,
+            lambda: self._follower.reads_backends,
+            self._follower.report_backends,
             context.environment.random,
         )
+        self._follower.on_backends(reader.take_over)
         async with anyio.create_task_group() as tasks:
             self._relay = self._build_relay(tasks)
             tasks.start_soon(self._follower.run)
--- a/src/passlane/fleet/directory.py
+++ b/src/passlane/fleet/directory.py
@@ -64,6 +64,10 @@
         """Return how many nodes announce themselves."""
         return len(self._of_role(FleetRole.NODE))
 
+    def node_names(self) -> list[str]:
+        """Return the names of the nodes that announce themselves."""
+        return [known.announcement.name for known in self._of_role(FleetRole.NODE)]
+
     def store_count(self) -> int:
         """Return how many store processes announce themselves."""
         return len(self._of_role(FleetRole.STORE))
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -8,6 +8,7 @@
 from passlane.errors import PasslaneError
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.fleet import Announce, FleetView, NamedAddress
+from passlane.messages.listing import BackendRecord, BackendsReported, ReportBackends
 from passlane.messages.routes import RouteConfiguration
 from passlane.observability.logging import get_logger
 from passlane.transport.interfaces import Caller
@@ -18,6 +19,10 @@
 RETRY_PAUSE_S = 0.1
 LOST_AFTER_S = 2.5
 SHORTEST_PERIOD_S = 0.05
+REPORT_TIMEOUT_S = 0.5
+
+BackendsListener = Callable[[Sequence[BackendRecord], float], None]
+"""Takes a list of back ends and the local time at which it was last known to be right."""
 
 _log = get_logger(__name__)
 
@@ -46,6 +51,9 @@
         self._random = random
         self._leader: Address | None = None
         self._listeners: list[Callable[[RouteConfiguration], None]] = []
+        self._backends_listener: BackendsListener | None = None
+        self._backends: tuple[BackendRecord, ...] = ()
+        self._backends_number = 0
         self._changed = anyio.Event()
         self.view: FleetView | None = None
         self.configuration: RouteConfiguration | None = None
@@ -56,6 +64,33 @@
         """Call ``listener`` with each newer configuration."""
         self._listeners.append(listener)
 
+    def on_backends(self, listener: BackendsListener) -> None:
+        """Call ``listener`` with the list of back ends whenever it is confirmed."""
+        self._backends_listener = listener
+
+    @property
+    def reads_backends(self) -> bool:
+        """Whether this process is to read the list of back ends for all."""
+        return self.view is not None and self.view.reads_backends and not self.is_lost
+
+    async def report_backends(self, records: tuple[BackendRecord, ...]) -> None:
+        """Tell the leader of the control group what the platform lists now."""
+        is_held = self._backends_number > 0 and records == self._backends
+        try:
+            number = await self._send_report(self._backends_number, None if is_held else records)
+            if is_held and number != self._backends_number:
+                await self._send_report(0, records)
+        except PasslaneError as error:
+            _log.info("backends_not_reported", code=error.code.value)
+
+    async def _send_report(self, number: int, records: tuple[BackendRecord, ...] | None) -> int:
+        report = ReportBackends(name=self._announcement().name, number=number, records=records)
+        address = self._leader or self._random.choice(self.controls)
+        answer = await self._caller.call(
+            address, report, BackendsReported, timeout_s=REPORT_TIMEOUT_S
+        )
+        return answer.number
+
     def replace_seeds(self, seeds: Sequence[Address]) -> None:
         """Take over seeds of a reloaded settings file."""
         self._seeds = tuple(seeds)
@@ -115,6 +150,8 @@
             group_members=own.group_members,
             configuration_version=self.configuration.version if self.configuration else 0,
             view_number=self.view.number if self.view is not None else 0,
+            backends_number=self._backends_number,
+            reads_backends=self.view is not None and self.view.reads_backends,
             wait_s=WAIT_S,
         )
         return await self._caller.call(
@@ -134,6 +171,7 @@
         # A new leader of the control group hears of the store's leader a moment later.
         self._confirmed_at = anyio.current_time()
         self.has_seen_store_leader = self.has_seen_store_leader or view.has_store_leader
+        self._take_over_backends(view)
         configuration = view.configuration
         held = self.configuration.version if self.configuration is not None else 0
         if configuration is not None and configuration.version > held:
@@ -151,3 +189,13 @@
             )
             self._changed.set()
             self._changed = anyio.Event()
+
+    def _take_over_backends(self, view: FleetView) -> None:
+        """Take over the list of back ends, or note that the one held is still right."""
+        if view.backends is not None:
+            self._backends = view.backends
+            self._backends_number = view.backends_number
+        is_held = view.backends_number == self._backends_number and self._backends_number > 0
+        if self._backends_listener is None or view.backends_age_s is None or not is_held:
+            return
+        self._backends_listener(self._backends, anyio.current_time() - view.backends_age_s)
--- a/src/passlane/fleet/service.py
+++ b/src/passlane/fleet/service.py
@@ -3,12 +3,14 @@
 import anyio
 
 from passlane.errors import ErrorCode, PasslaneError
+from passlane.fleet.backend_listing import BackendListing
 from passlane.fleet.directory import FleetDirectory
 from passlane.fleet.machine import FleetStateMachine
 from passlane.messages.base import Message, encode_message, message_decoder
 from passlane.messages.common import NotLeaderError
 from passlane.messages.fleet import (
     Announce,
+    FleetRole,
     FleetView,
     ForbidReplica,
     FoundStoreGroup,
@@ -21,6 +23,7 @@
     StoreGroupFounded,
     StoreRetirement,
 )
+from passlane.messages.listing import BackendsReported, ReportBackends
 from passlane.messages.routes import (
     ConfigurationReplaced,
     CurrentConfiguration,
@@ -63,9 +66,11 @@
         self._machine = machine
         self._caller = caller
         self._directory = FleetDirectory(0)
+        self._listing = BackendListing(0)
         self._directory_term = 0
         self._changed = anyio.Event()
         router.add_unary(Announce, self.announce)
+        router.add_unary(ReportBackends, self.report_backends)
         router.add_unary(ReplaceConfiguration, self.replace_configuration)
         router.add_unary(ReadConfiguration, self.read_configuration)
         router.add_unary(RetireStore, self.retire_store)
@@ -78,6 +83,7 @@
             if not self._group.is_leader:
                 continue
             try:
+                self._choose_reader()
                 await self._found_store_group()
                 await self._remove_retired()
             except PasslaneError as error:
@@ -89,11 +95,21 @@
         now = anyio.current_time()
         if self._current_directory().note(request, now):
             self._wake_waiting()
+        self._choose_reader()
         if not self._has_news_for(request):
             await self._wait_for_news(request, now + min(request.wait_s, MAX_WAIT_S))
         self._require_leadership()
         return self._view_for(request)
 
+    async def report_backends(self, request: ReportBackends) -> BackendsReported:
+        """Take over the list of back ends that a node has read."""
+        self._require_leadership()
+        self._current_directory()
+        if self._listing.report(request, anyio.current_time()):
+            _log.info("backends_reported", number=self._listing.number, by=request.name)
+            self._wake_waiting()
+        return BackendsReported(number=self._listing.number)
+
     async def replace_configuration(self, request: ReplaceConfiguration) -> Message:
         """Put a configuration in force; the reply means that it lasts."""
         self._require_leadership()
@@ -145,6 +161,7 @@
             self._directory_term = self._group.term
             # Views of a later leader must not look older to those that hold one.
             self._directory = FleetDirectory(self._group.term << 24)
+            self._listing = BackendListing(self._group.term << 24)
         return self._directory
 
     def _has_news_for(self, request: Announce) -> bool:
@@ -153,8 +170,24 @@
         return (
             version > request.configuration_version
             or self._current_directory().number != request.view_number
+            or self._has_listing_news_for(request)
         )
 
+    def _has_listing_news_for(self, request: Announce) -> bool:
+        if request.role is not FleetRole.NODE:
+            return False
+        return self._wants_list(request) or request.reads_backends != self._is_reader(request)
+
+    def _is_reader(self, request: Announce) -> bool:
+        return request.name == self._listing.reader
+
+    def _choose_reader(self) -> None:
+        """Replace the node that reads the list of back ends if its reports stay out."""
+        nodes = self._current_directory().node_names()
+        if self._listing.choose_reader(nodes, anyio.current_time()):
+            _log.info("backends_reader_chosen", name=self._listing.reader)
+            self._wake_waiting()
+
     async def _wait_for_news(self, request: Announce, deadline: float) -> None:
         while anyio.current_time() < deadline and not self._has_news_for(request):
             changed = self._changed
@@ -178,8 +211,20 @@
             node_count=directory.node_count(),
             configuration_version=state.configuration.version if state.configuration else 0,
             configuration=self._configuration_newer_than(request.configuration_version),
+            backends_number=self._listing.number,
+            backends=self._listing.records if self._wants_list(request) else None,
+            backends_age_s=self._listing_age_s(),
+            reads_backends=self._is_reader(request),
         )
 
+    def _wants_list(self, request: Announce) -> bool:
+        is_node = request.role is FleetRole.NODE
+        return is_node and self._listing.number not in (0, request.backends_number)
+
+    def _listing_age_s(self) -> float | None:
+        read_at = self._listing.read_at
+        return anyio.current_time() - read_at if read_at is not None else None
+
     def _configuration_newer_than(self, version: int) -> RouteConfiguration | None:
         configuration = self._machine.state.configuration
         if configuration is None or configuration.version <= version:
--- a/src/passlane/messages/fleet.py
+++ b/src/passlane/messages/fleet.py
@@ -6,6 +6,7 @@
 
 from passlane.messages.base import Message
 from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord
 from passlane.messages.routes import RouteConfiguration
 
 
@@ -41,6 +42,10 @@
         Version in force at the sender; 0 for none.
     view_number
         Number of the view that the sender holds.
+    backends_number
+        Number of the list of back ends that the sender holds; 0 for none.
+    reads_backends
+        Whether the sender believes that it is to read that list for all.
     wait_s
         The answer is held for this long unless there is something new.
     """
@@ -54,6 +59,8 @@
     group_members: tuple[NamedAddress, ...] = ()
     configuration_version: int = 0
     view_number: int = 0
+    backends_number: int = 0
+    reads_backends: bool = False
     wait_s: float = 0.0
 
 
@@ -62,7 +69,10 @@
 
     ``configuration`` is set only when it is newer than what the receiver holds;
     ``number`` changes with any of the addresses. ``has_store_leader`` is true once the
-    leader of the store group has announced itself.
+    leader of the store group has announced itself. ``backends`` is set only when the
+    receiver holds another list than that of ``backends_number``; ``backends_age_s`` tells
+    how long ago it was last known to be right, ``None`` if there is no list.
+    ``reads_backends`` tells the receiver to read it for all nodes.
     """
 
     number: int
@@ -74,6 +84,10 @@
     node_count: int
     configuration_version: int
     configuration: RouteConfiguration | None = None
+    backends_number: int = 0
+    backends: tuple[BackendRecord, ...] | None = None
+    backends_age_s: float | None = None
+    reads_backends: bool = False
 
 
 class FoundStoreGroup(Message, frozen=True):
--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -3,10 +3,10 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
+from passlane.messages.listing import BackendRecord
 from passlane.platform import names
 from passlane.relay.backends import (
     AnswerHead,
-    BackendRecord,
     BackendRequest,
     Refusal,
 )
--- a/src/passlane/platform/instance_list.py
+++ b/src/passlane/platform/instance_list.py
@@ -6,8 +6,8 @@
 
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord, BackendState
 from passlane.platform import names
-from passlane.relay.backends import BackendRecord, BackendState
 from passlane.runtime.interfaces import HttpClient, HttpConnectionError, HttpRequest
 
 OK = 200
--- a/src/passlane/relay/backends.py
+++ b/src/passlane/relay/backends.py
@@ -6,29 +6,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord
 from passlane.relay.calls import Header, RelayedCall
 
 
-class BackendState(enum.StrEnum):
-    """Whether a back end takes new requests."""
-
-    READY = "ready"
-    DRAINING = "draining"
-
-
-@dataclass(frozen=True, slots=True)
-class BackendRecord:
-    """A back end as the platform lists it; ``instance_id`` changes with each start."""
-
-    instance_id: str
-    service: str
-    address: Address
-    zone: str
-    slots: int
-    state: BackendState
-
-
 class Refusal(enum.StrEnum):
     """How a back end says that it did not run a request."""
 
--- a/src/passlane/relay/list_reader.py
+++ b/src/passlane/relay/list_reader.py
@@ -1,38 +1,54 @@
-"""Reads the platform's list of back ends again and again, within the rate for all nodes."""
+"""Keeps a node's list of back ends up to date, within the rate for all nodes.
+
+The leader of the control group has one node read the platform's list for all and
+passes it on. A node whose list grows old, because that leader or the reader is out of
+reach, reads for itself.
+"""
 
 import random as random_module
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 
 from passlane.errors import PasslaneError
+from passlane.messages.listing import BackendRecord
 from passlane.observability.logging import get_logger
-from passlane.relay.backends import BackendList, BackendRecord
+from passlane.relay.backends import BackendList
 from passlane.relay.registry import BackendRegistry
 
-SHORTEST_PERIOD_S = 0.9
+READ_PERIOD_S = 0.9
 RATE_SHARE = 0.6
-"""Share of the allowed rate that all nodes together use in calm times."""
+"""Share of the allowed rate that all nodes together use when each reads for itself."""
 READ_TIMEOUT_S = 1.0
-FIRST_RETRY_S = 0.2
+RETRY_PAUSE_S = 0.2
+STALE_AFTER_S = 2.0
+"""A list that nobody has confirmed for this long is read again by the node itself."""
+WATCH_PERIOD_S = 0.25
+
+Report = Callable[[tuple[BackendRecord, ...]], Awaitable[None]]
+"""Tells the leader of the control group what was read."""
 
 _log = get_logger(__name__)
 
 
-def read_period_s(node_count: int, rate_per_s: float, pages: int) -> float:
-    """Return how long a node waits between two readings of the whole list."""
-    return max(SHORTEST_PERIOD_S, node_count * pages / (RATE_SHARE * rate_per_s))
+def own_period_s(node_count: int, rate_per_s: float) -> float:
+    """Return how long a node waits between two readings when all of them read."""
+    return max(READ_PERIOD_S, node_count / (RATE_SHARE * rate_per_s))
 
 
 class BackendListReader:
-    """Keeps the registry of back ends up to date.
+    """Reads the list, as the appointed reader or when the list has grown old.
 
     Parameters
     ----------
     rate_per_s
         Calls that all nodes together may make.
     node_count
-        Returns how many nodes read the list.
+        Returns how many nodes there are.
+    is_appointed
+        Returns whether this node is to read for all.
+    report
+        Passes on what the appointed reader has read.
     """
 
     def __init__(
@@ -41,46 +57,77 @@
         registry: BackendRegistry,
         rate_per_s: float,
         node_count: Callable[[], int],
+        is_appointed: Callable[[], bool],
+        report: Report,
         random: random_module.Random,
     ) -> None:
         self._source = source
         self._registry = registry
         self._rate_per_s = rate_per_s
         self._node_count = node_count
+        self._is_appointed = is_appointed
+        self._report = report
         self._random = random
         self._is_lost = False
+        self._next_own_read_at = 0.0
 
     async def run(self) -> None:
-        """Read until cancelled."""
+        """Keep the list up to date until cancelled."""
         while True:
-            is_read = await self._read_once()
-            period_s = read_period_s(self._node_count(), self._rate_per_s, 1)
-            if not is_read:
-                period_s = max(FIRST_RETRY_S, period_s / 2)
-            await anyio.sleep(period_s * self._random.uniform(0.85, 1.0))
+            if self._is_appointed():
+                await self._read_for_all()
+            else:
+                await self._read_if_stale()
+
+    def take_over(self, records: Sequence[BackendRecord], confirmed_at: float) -> None:
+        """Use a list that was right at a local time; an older one has no effect."""
+        updated_at = self._registry.updated_at
+        if updated_at is not None and confirmed_at < updated_at:
+            return
+        before = len(self._registry)
+        gone = self._registry.update(records, confirmed_at)
+        if gone or before != len(self._registry):
+            _log.info(
+                "backends_changed",
+                backends=len(self._registry),
+                gone=[record.instance_id for record in gone],
+                age_s=round(anyio.current_time() - confirmed_at, 3),
+            )
+
+    async def _read_for_all(self) -> None:
+        started = anyio.current_time()
+        records = await self._read()
+        if records is None:
+            await anyio.sleep(RETRY_PAUSE_S)
+            return
+        await self._report(records)
+        await anyio.sleep(max(0.0, started + READ_PERIOD_S - anyio.current_time()))
 
-    async def _read_once(self) -> bool:
+    async def _read_if_stale(self) -> None:
+        now = anyio.current_time()
+        updated_at = self._registry.updated_at
+        is_stale = updated_at is None or now - updated_at > STALE_AFTER_S
+        if is_stale and now >= self._next_own_read_at:
+            records = await self._read()
+            period_s = own_period_s(self._node_count(), self._rate_per_s)
+            if records is None:
+                period_s = max(RETRY_PAUSE_S, period_s / 2)
+            self._next_own_read_at = now + period_s * self._random.uniform(0.85, 1.0)
+        await anyio.sleep(WATCH_PERIOD_S)
+
+    async def _read(self) -> tuple[BackendRecord, ...] | None:
+        """Read the list and use it; ``None`` if it can't be had."""
+        started = anyio.current_time()
         try:
             with anyio.fail_after(READ_TIMEOUT_S):
-                records = await self._source.read()
+                records = tuple(await self._source.read())
         except (PasslaneError, TimeoutError) as error:
             if not self._is_lost:
                 _log.warning("backend_list_lost", reason=str(error))
             self._is_lost = True
-            return False
+            return None
         if self._is_lost:
             _log.info("backend_list_regained")
         self._is_lost = False
-        self._take_over(records)
-        return True
-
-    def _take_over(self, records: Sequence[BackendRecord]) -> None:
-        now = anyio.current_time()
-        before = len(self._registry)
-        gone = self._registry.update(records, now)
-        if gone or before != len(self._registry):
-            _log.info(
-                "backends_changed",
-                backends=len(self._registry),
-                gone=[record.instance_id for record in gone],
-            )
+        self.take_over(records, started)
+        return records
--- a/src/passlane/relay/registry.py
+++ b/src/passlane/relay/registry.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from passlane.relay.backends import BackendRecord, BackendState
+from passlane.messages.listing import BackendRecord, BackendState
 from passlane.relay.health import BackendHealth
 
 
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -200,3 +200,46 @@
         self.assertEqual(answer.status, 409)
         answer = await fleet.operate("POST", "/api/retire/store-9/start", b"{}")
         self.assertEqual(answer.status, 404)
+
+
+class BackendListTest(unittest.TestCase):
+    @on_seeds(nodes=4)
+    async def test_one_node_reads_the_list_for_all(self, fleet):
+        await anyio.sleep(3)
+        before = fleet.list.calls
+        await anyio.sleep(9)
+        pages = 2
+        self.assertLessEqual(fleet.list.calls - before, pages * 12)
+        self.assertGreaterEqual(fleet.list.calls - before, pages * 8)
+
+    @on_seeds(nodes=4)
+    async def test_every_node_leaves_a_draining_engine_soon(self, fleet):
+        await anyio.sleep(3)
+        fleet.engines[0].state = "draining"
+        await anyio.sleep(1.5)
+        self.assertEqual(self.ready_engines(fleet), [{"i-2", "i-3"}] * 4)
+
+    @on_seeds(nodes=4)
+    async def test_a_reader_that_is_killed_is_replaced(self, fleet):
+        await anyio.sleep(3)
+        fleet.kill("node-1")
+        await anyio.sleep(2)
+        fleet.engines[0].state = "draining"
+        await anyio.sleep(1.5)
+        self.assertEqual(self.ready_engines(fleet), [{"i-2", "i-3"}] * 3)
+
+    @on_seeds(nodes=4)
+    async def test_without_the_control_group_nodes_read_for_themselves(self, fleet):
+        await anyio.sleep(3)
+        for number in range(1, 4):
+            fleet.kill(f"control-{number}")
+        fleet.engines[0].state = "draining"
+        await anyio.sleep(3)
+        self.assertEqual(self.ready_engines(fleet), [{"i-2", "i-3"}] * 4)
+
+    def ready_engines(self, fleet):
+        """Engines that each running node would use."""
+        return [
+            {load.record.instance_id for load in machine.process._registry.of_service("models")}
+            for machine in fleet.running(FleetRole.NODE)
+        ]
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -8,8 +8,9 @@
 
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.turns import TurnReserved
-from passlane.relay.backends import AnswerHead, BackendRecord, BackendState, Refusal
+from passlane.relay.backends import AnswerHead, Refusal
 from passlane.relay.calls import Header, ProgramContext, RelayedCall
 from passlane.runtime.interfaces import HttpConnectionError
 
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from passlane.relay.list_reader import read_period_s
+from passlane.relay.list_reader import own_period_s
 from passlane.relay.placement import (
     PlacementKey,
     choose_backend,
@@ -72,5 +72,5 @@
 class ReadPeriodTest(unittest.TestCase):
     def test_all_nodes_together_stay_within_the_rate(self):
         for nodes in (1, 8, 70, 400):
-            period_s = read_period_s(nodes, 44.0, 1)
+            period_s = own_period_s(nodes, 44.0)
             self.assertLess(nodes / (0.85 * period_s), 44.0)
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -5,10 +5,10 @@
 import anyio
 import trio.testing
 
+from passlane.messages.listing import BackendState
 from passlane.messages.routes import RouteKind, ServiceShare
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.metrics import Metrics
-from passlane.relay.backends import BackendState
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request import AnswerAbortedError
 from passlane.relay.service import RelayService
