Nodes look for the store group's leader at their start

Ruled out: the store group itself (it had a leader at 36.21 s) and the control group (leader at 36.08 s). Change: the finder starts in doubt, and takes new replicas into a search under way.

--- a/src/passlane/turns/leader_finder.py
+++ b/src/passlane/turns/leader_finder.py
@@ -16,6 +16,7 @@
 """The store group counts as lost once nothing was heard of its leader for this long."""
 PROBE_TIMEOUT_S = 0.3
 FIRST_PAUSE_S = 0.04
+CANDIDATES_PERIOD_S = 0.05
 LONGEST_PAUSE_S = 0.25
 """Between two questions to one replica; doubles while the search goes on."""
 TRUST_S = 0.15
@@ -104,7 +105,8 @@
             self._in_doubt_since = None
 
     async def run(self) -> None:
-        """Search whenever the leader is in doubt, until cancelled."""
+        """Search at the start and whenever the leader is in doubt, until cancelled."""
+        self._doubt()
         while True:
             await self._search_wanted.wait()
             self._search_wanted = anyio.Event()
@@ -118,14 +120,16 @@
 
     async def _search(self) -> None:
         """Ask every replica again and again until the doubt is over."""
-        while self._in_doubt_since is not None:
-            addresses = self._candidates()
-            async with anyio.create_task_group() as tasks:
-                for address in addresses:
-                    tasks.start_soon(self._ask_repeatedly, address, tasks.cancel_scope)
-                # Replicas may have come meanwhile.
-                await anyio.sleep(LOST_AFTER_S)
-                tasks.cancel_scope.cancel()
+        asked: set[Address] = set()
+        async with anyio.create_task_group() as tasks:
+            while self._in_doubt_since is not None:
+                # Replicas become known while the search goes on.
+                for address in self._candidates():
+                    if address not in asked:
+                        asked.add(address)
+                        tasks.start_soon(self._ask_repeatedly, address, tasks.cancel_scope)
+                await anyio.sleep(CANDIDATES_PERIOD_S)
+            tasks.cancel_scope.cancel()
 
     def _candidates(self) -> list[Address]:
         hints = [self._hint] if self._hint is not None else []
--- a/tests/turns/test_client.py
+++ b/tests/turns/test_client.py
@@ -31,6 +31,7 @@
         self.leader = leader
         self.term = 1
         self.silent = set()
+        self.known = list(STORES)
         self.delay_s = 0.003
         self.calls = []
 
@@ -63,7 +64,7 @@
         def test(self):
             async def main():
                 stores = ScriptedStores(leader)
-                client = TurnStoreClient(stores, lambda: STORES, random.Random(1))
+                client = TurnStoreClient(stores, lambda: stores.known, random.Random(1))
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(client.run)
                     await body(self, client, stores)
@@ -85,6 +86,16 @@
         await client.reserve(reservation("b"), timeout_s=1.0)
         self.assertEqual([address for _, address, _ in stores.calls], [STORES[0]])
 
+    @on_virtual_clock()
+    async def test_the_leader_is_found_before_the_first_request(self, client, stores):
+        stores.known.clear()
+        await anyio.sleep(0.6)
+        stores.known.extend(STORES)
+        await anyio.sleep(0.1)
+        stores.calls.clear()
+        await client.reserve(reservation(), timeout_s=1.0)
+        self.assertEqual([address for _, address, _ in stores.calls], [STORES[0]])
+
     @on_virtual_clock()
     async def test_a_request_leaves_a_silent_leader_as_soon_as_another_is_found(
         self, client, stores
