Programs stay with the engine used last; new ones avoid queues

Ruled out: too few slots (other engines were free), the store (8 ms). Tried first: leaving an engine at any queue (twice the usual wait). Change: the wait of a node's own requests for their first part shows a queue, whoever made it. A program known to this node stays where it was unless the wait is long (0.25 s, four times the usual); a new one goes by its hash, unless there is a short queue. Tests: tests/relay/test_health.py.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -69,8 +69,8 @@
         self._registry = registry
         self._backends = backends
         is_model = service.tokens_per_event > 0
-        affinity = call.program.program_id if call.program is not None and is_model else ""
-        self._key = PlacementKey(affinity=affinity, own_zone=own_zone)
+        self._program_id = call.program.program_id if call.program is not None and is_model else ""
+        self._own_zone = own_zone
         self._priority = route.priority if is_model else None
         self._runs = 0
         self._refused: set[str] = set()
@@ -92,13 +92,20 @@
         while True:
             now = anyio.current_time()
             candidates = self._registry.of_service(self._service.name)
-            load = choose_backend(candidates, self._key, self._refused, now)
+            load = choose_backend(candidates, self._placement_key(), self._refused, now)
             if load is None:
                 await self._wait_for_room(give_up_at)
                 continue
             if await self._attempt(load, limit_at, deliver):
                 return
 
+    def _placement_key(self) -> PlacementKey:
+        return PlacementKey(
+            affinity=self._program_id,
+            own_zone=self._own_zone,
+            used_last=self._registry.places.engine_of(self._program_id),
+        )
+
     async def _wait_for_room(self, give_up_at: float) -> None:
         """Let back ends that refused be tried once more, as long as that is worth while."""
         if anyio.current_time() + SECOND_ROUND_PAUSE_S > give_up_at:
@@ -168,6 +175,8 @@
             return False
         if judgement is Judgement.UNTRUSTED:
             raise HttpConnectionError("not an answer to this request", bytes_left=True)
+        if self._program_id:
+            self._registry.places.note(self._program_id, load.record.instance_id)
         await deliver(answer, watch)
         note_success(load)
         return True
--- a/src/passlane/relay/health.py
+++ b/src/passlane/relay/health.py
@@ -28,6 +28,7 @@
 SHORTEST_STALL_S = 0.4
 """A request without progress for this multiple of the typical latency is stalled."""
 LARGEST_OUTLIER_SHARE = 0.5
+HIGHEST_CONGESTION = 3
 
 
 class AttemptWatch:
@@ -35,18 +36,18 @@
 
     def __init__(self, health: "BackendHealth", now: float) -> None:
         self._health = health
-        self._started_at = now
         self._is_over = False
-        self._has_answered = False
+        self.started_at = now
+        self.has_answered = False
         self.last_progress_at = now
         health.watches.add(self)
 
     def progressed(self, now: float) -> None:
         """Note that a part of the answer arrived."""
         self.last_progress_at = now
-        if not self._has_answered:
-            self._has_answered = True
-            self._health.note_latency(now - self._started_at, now)
+        if not self.has_answered:
+            self.has_answered = True
+            self._health.note_latency(now - self.started_at, now)
 
     def succeeded(self, now: float) -> None:
         """Note that the answer is whole; later notes have no effect."""
@@ -125,6 +126,11 @@
         """Whether a request there has made no progress for too long."""
         return any(now - watch.last_progress_at > stall_limit_s for watch in self.watches)
 
+    def longest_wait_s(self, now: float) -> float:
+        """Return for how long a request there has waited for the first part of its answer."""
+        waiting = [now - watch.started_at for watch in self.watches if not watch.has_answered]
+        return max(waiting, default=0.0)
+
     def is_slow(self, now: float, typical_s: float) -> bool:
         """Whether it answers much later than others do."""
         latency_s = self.latency_s(now)
@@ -150,6 +156,11 @@
     return max(SHORTEST_STALL_S, STALL_FACTOR * typical_s)
 
 
+def congestion_level(health: BackendHealth, tolerated_s: float, now: float) -> int:
+    """Return how much longer than is tolerated requests wait there; 0 for no longer."""
+    return min(HIGHEST_CONGESTION, int(health.longest_wait_s(now) / tolerated_s))
+
+
 def find_outliers(backends: Sequence[BackendHealth], now: float) -> set[int]:
     """Return the indexes of back ends that do worse than most of their service."""
     typical_s = typical_latency_s(backends, now)
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -6,21 +6,31 @@
 
 import xxhash
 
-from passlane.relay.health import find_outliers
+from passlane.relay.health import congestion_level, find_outliers, typical_latency_s
 from passlane.relay.registry import BackendLoad
 
 FULL_SHARE = 0.5
 """A node gives an engine at most this share of its slots before it turns to the next."""
+QUEUE_FACTOR = 2.0
+SHORTEST_QUEUE_S = 0.1
+"""A request that waits longer than this, and this multiple of the usual, shows a queue."""
+LONG_QUEUE_FACTOR = 4.0
+SHORTEST_LONG_QUEUE_S = 0.25
+"""A queue that is worth reading a program's history again at another engine."""
 AVOID_S = 0.5
 LONGEST_AVOID_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class PlacementKey:
-    """What decides where a request goes; ``affinity`` is empty for plain services."""
+    """What decides where a request goes; ``affinity`` is empty for plain services.
+
+    ``used_last`` is the engine that the request's program used last at this node.
+    """
 
     affinity: str
     own_zone: str
+    used_last: str | None = None
 
 
 def choose_backend(
@@ -31,23 +41,33 @@
 ) -> BackendLoad | None:
     """Return the back end for the next attempt; ``None`` if each was tried.
 
-    Requests of one program go to the same engine, by rendezvous hashing, because that
-    engine holds what they have read already. An engine that is full for this node, or
-    that failed lately, comes after all others; so does one that does worse than most.
+    A program stays with the engine that it used last, because that engine holds what the
+    program has read already; to read it again elsewhere takes longer than a short queue.
+    A program that is new to this node goes by rendezvous hashing, as at every other node,
+    unless requests queue there. An engine that is full for this node, that failed lately
+    or that does worse than most comes after all others.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
         return None
     everyone = list(candidates)
-    outliers = {
-        everyone[index].record.instance_id
-        for index in find_outliers([load.health for load in everyone], now)
-    }
-
-    def rank(load: BackendLoad) -> tuple[bool, bool, tuple[float, float]]:
-        is_outlier = load.record.instance_id in outliers
+    health = [load.health for load in everyone]
+    outliers = {everyone[index].record.instance_id for index in find_outliers(health, now)}
+    typical_s = typical_latency_s(health, now)
+    long_s = max(SHORTEST_LONG_QUEUE_S, LONG_QUEUE_FACTOR * typical_s)
+    short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
+
+    def rank(load: BackendLoad) -> tuple[bool, bool, int, bool, int, tuple[float, float]]:
+        instance_id = load.record.instance_id
         order = _affinity_rank(load, key) if key.affinity else _plain_rank(load, key)
-        return (is_outlier, _is_avoided(load, now), order)
+        return (
+            instance_id in outliers,
+            _is_avoided(load, now),
+            congestion_level(load.health, long_s, now),
+            instance_id != key.used_last,
+            congestion_level(load.health, short_s, now),
+            order,
+        )
 
     return min(fresh, key=rank)
 
--- a/tests/relay/test_health.py
+++ b/tests/relay/test_health.py
@@ -10,6 +10,7 @@
     find_outliers,
 )
 from passlane.relay.placement import PlacementKey, choose_backend
+from passlane.relay.program_places import ProgramPlaces
 from passlane.relay.registry import BackendLoad
 from relay.fakes import backend
 
@@ -81,6 +82,32 @@
 
 
 class PlacementTest(unittest.TestCase):
+    def test_a_new_program_avoids_a_queue_and_a_known_one_only_a_long_one(self):
+        loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
+        for load in loads:
+            answered(load.health, times=5)
+        new = PlacementKey("program", "a")
+        first = choose_backend(loads, new, (), 1.0)
+        known = PlacementKey("program", "a", used_last=first.record.instance_id)
+        first.health.watch(1.0)
+        self.assertIs(choose_backend(loads, new, (), 1.05), first)
+        self.assertIsNot(choose_backend(loads, new, (), 1.15), first)
+        self.assertIs(choose_backend(loads, known, (), 1.15), first)
+        self.assertIsNot(choose_backend(loads, known, (), 1.35), first)
+
+    def test_a_program_stays_where_it_is(self):
+        loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
+        for load in loads:
+            known = PlacementKey("program", "a", used_last=load.record.instance_id)
+            self.assertIs(choose_backend(loads, known, (), 0.0), load)
+
+    def test_when_all_queue_the_shortest_queue_is_taken(self):
+        loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
+        for load, since in zip(loads, (0.0, 0.2, 0.1), strict=True):
+            load.health.watch(since)
+        key = PlacementKey("program", "a")
+        self.assertIs(choose_backend(loads, key, (), 0.35), loads[1])
+
     def test_outliers_come_after_the_others_and_are_used_when_there_is_no_other(self):
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for key in (PlacementKey("program", "a"), PlacementKey("", "a")):
@@ -90,3 +117,15 @@
             others = [load.record.instance_id for load in loads if load is not first]
             self.assertIs(choose_backend(loads, key, others, 1.0), first)
             watch.dropped(0.0, SHORTEST_STALL_S)
+
+
+class ProgramPlacesTest(unittest.TestCase):
+    def test_the_program_not_seen_for_longest_is_forgotten(self):
+        places = ProgramPlaces(most=2)
+        places.note("one", "i-1")
+        places.note("two", "i-2")
+        places.note("one", "i-3")
+        places.note("three", "i-1")
+        self.assertEqual(
+            [places.engine_of(name) for name in ("one", "two", "three")], ["i-3", None, "i-1"]
+        )
