Back ends of the own zone are preferred as far as they can carry it

Cause: a program's hash spread its turns over all engines whatever their zone, so three quarters of all prompts and answers crossed zones, and every node kept connections to every engine. Ruled out: compressing what replicas exchange (prompts don't compress: 1,958 bytes become 1,969), shorter Raft messages (some hundred bytes of each commit, a tenth of the bytes at most). Change: weighted rendezvous hashing; a zone's engines take what their part of all engines can carry of a zone's traffic, the rest is spread. Plain back ends of the own zone are filled to a third by one node before others are used.

--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -3,14 +3,16 @@
 import math
 from collections.abc import Collection
 from dataclasses import dataclass
-
-import xxhash
+from typing import NamedTuple
 
 from passlane.relay.health import congestion_level, find_outliers, typical_latency_s
 from passlane.relay.registry import BackendLoad
+from passlane.relay.zone_weights import ZoneWeights
 
 FULL_SHARE = 0.5
 """A node gives an engine at most this share of its slots before it turns to the next."""
+PLAIN_FULL_SHARE = 0.33
+"""The same for back ends that are no model engines."""
 QUEUE_FACTOR = 2.0
 SHORTEST_QUEUE_S = 0.1
 """A request that waits longer than this, and this multiple of the usual, shows a queue."""
@@ -21,6 +23,18 @@
 LONGEST_AVOID_S = 5.0
 
 
+class _Rank(NamedTuple):
+    """Order of preference; the first difference decides, and lower is better."""
+
+    is_outlier: bool
+    is_avoided: bool
+    long_queue: int
+    is_elsewhere: bool
+    short_queue: int
+    fullness: int
+    dislike: float
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementKey:
     """What decides where a request goes; ``affinity`` is empty for plain services.
@@ -43,9 +57,10 @@
 
     A program stays with the engine that it used last, because that engine holds what the
     program has read already; to read it again elsewhere takes longer than a short queue.
-    A program that is new to this node goes by rendezvous hashing, as at every other node,
-    unless requests queue there. An engine that is full for this node, that failed lately
-    or that does worse than most comes after all others.
+    A program that is new to this node goes by rendezvous hashing, as at every other node
+    of its zone, unless requests queue there. Back ends of the own zone are preferred. An
+    engine that is full for this node, that failed lately or that does worse than most
+    comes after all others.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
@@ -57,16 +72,18 @@
     long_s = max(SHORTEST_LONG_QUEUE_S, LONG_QUEUE_FACTOR * typical_s)
     short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
 
-    def rank(load: BackendLoad) -> tuple[bool, bool, int, bool, int, tuple[float, float]]:
+    weights = ZoneWeights.of((load.record for load in everyone), key.own_zone)
+
+    def rank(load: BackendLoad) -> _Rank:
         instance_id = load.record.instance_id
-        order = _affinity_rank(load, key) if key.affinity else _plain_rank(load, key)
-        return (
-            instance_id in outliers,
-            _is_avoided(load, now),
-            congestion_level(load.health, long_s, now),
-            instance_id != key.used_last,
-            congestion_level(load.health, short_s, now),
-            order,
+        return _Rank(
+            is_outlier=instance_id in outliers,
+            is_avoided=load.avoid_until > now,
+            long_queue=congestion_level(load.health, long_s, now),
+            is_elsewhere=instance_id != key.used_last,
+            short_queue=congestion_level(load.health, short_s, now),
+            fullness=_fullness(load, key),
+            dislike=-weights.score(key.affinity or key.own_zone, load.record),
         )
 
     return min(fresh, key=rank)
@@ -85,18 +102,7 @@
     load.avoid_until = 0.0
 
 
-def _is_avoided(load: BackendLoad, now: float) -> bool:
-    return load.avoid_until > now
-
-
-def _affinity_rank(load: BackendLoad, key: PlacementKey) -> tuple[float, float]:
-    """Rank by how often the engine is full over for this node, then by hash."""
-    room = max(1, math.ceil(load.record.slots * FULL_SHARE))
-    weight = xxhash.xxh3_64_intdigest(f"{key.affinity}/{load.record.instance_id}".encode())
-    return (load.in_flight // room, -float(weight))
-
-
-def _plain_rank(load: BackendLoad, key: PlacementKey) -> tuple[float, float]:
-    """Rank by how full the back end is with this node's requests, then by zone."""
-    fullness = load.in_flight / max(1, load.record.slots)
-    return (fullness, 0.0 if load.record.zone == key.own_zone else 1.0)
+def _fullness(load: BackendLoad, key: PlacementKey) -> int:
+    """Return how many times over this node's requests fill its part of a back end."""
+    share = FULL_SHARE if key.affinity else PLAIN_FULL_SHARE
+    return load.in_flight // max(1, math.ceil(load.record.slots * share))
