The store tells which engine a program used last

What a node remembers of programs helps only at that node. Ruled out: a hash that is the same in all zones (that brings back the bytes between zones). Change: a settlement carries the instance that served the turn, a reservation's answer the program's last one; both travel with messages that are sent anyway. ProgramPlaces, the memory of single nodes, is gone.

--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -33,9 +33,13 @@
 
 
 class TurnReserved(Message, frozen=True):
-    """The turn may run; ``history`` goes before its new input."""
+    """The turn may run; ``history`` goes before its new input.
+
+    ``used_last`` is the engine instance that the program used last; empty if unknown.
+    """
 
     history: bytes = b""
+    used_last: str = ""
 
 
 class BudgetSpent(Message, frozen=True):
@@ -52,12 +56,16 @@
 
 
 class SettleTurn(Message, frozen=True, kw_only=True):
-    """Ends a reservation with the tokens that the client got; keeps a turn that ended whole."""
+    """Ends a reservation with the tokens that the client got; keeps a turn that ended whole.
+
+    ``served_by`` is the engine instance that holds what the turn has read; empty if none.
+    """
 
     program_id: str
     attempt_id: str
     tokens: int
     turn: KeptTurn | None = None
+    served_by: str = ""
 
 
 class TurnSettled(Message, frozen=True):
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -44,12 +44,19 @@
 class RequestAttempts:
     """Sends one request to back ends until one answers.
 
+    Parameters
+    ----------
+    used_last
+        The instance that the request's program used last; empty if unknown.
+
     Attributes
     ----------
     verdict
         Whether the request may have run so far.
     tried
         Instances that were tried, in order; for the log.
+    served_by
+        The instance that answered last; empty if none did.
     """
 
     def __init__(
@@ -61,6 +68,7 @@
         own_zone: str,
         registry: BackendRegistry,
         backends: RelayBackends,
+        used_last: str = "",
     ) -> None:
         self._call = call
         self._route = route
@@ -71,11 +79,13 @@
         is_model = service.tokens_per_event > 0
         self._program_id = call.program.program_id if call.program is not None and is_model else ""
         self._own_zone = own_zone
+        self._used_last = used_last
         self._priority = route.priority if is_model else None
         self._runs = 0
         self._refused: set[str] = set()
         self.verdict = Verdict.NOT_RUN
         self.tried: list[str] = []
+        self.served_by = ""
         self.last_event_id = call.last_event_id
 
     async def run(self, limit_at: float, deliver: Deliver) -> None:
@@ -103,7 +113,7 @@
         return PlacementKey(
             affinity=self._program_id,
             own_zone=self._own_zone,
-            used_last=self._registry.places.engine_of(self._program_id),
+            used_last=self._used_last,
         )
 
     async def _wait_for_room(self, give_up_at: float) -> None:
@@ -175,8 +185,7 @@
             return False
         if judgement is Judgement.UNTRUSTED:
             raise HttpConnectionError("not an answer to this request", bytes_left=True)
-        if self._program_id:
-            self._registry.places.note(self._program_id, load.record.instance_id)
+        self.served_by = load.record.instance_id
         await deliver(answer, watch)
         note_success(load)
         return True
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -39,12 +39,12 @@
 class PlacementKey:
     """What decides where a request goes; ``affinity`` is empty for plain services.
 
-    ``used_last`` is the engine that the request's program used last at this node.
+    ``used_last`` is the engine that the request's program used last, at whatever node.
     """
 
     affinity: str
     own_zone: str
-    used_last: str | None = None
+    used_last: str = ""
 
 
 def choose_backend(
@@ -57,8 +57,8 @@
 
     A program stays with the engine that it used last, because that engine holds what the
     program has read already; to read it again elsewhere takes longer than a short queue.
-    A program that is new to this node goes by rendezvous hashing, as at every other node
-    of its zone, unless requests queue there. Back ends of the own zone are preferred. An
+    A new program goes by rendezvous hashing, as at every other node of its zone, unless
+    requests queue there. Back ends of the own zone are preferred. An
     engine that is full for this node, that failed lately or that does worse than most
     comes after all others.
     """
--- a/src/passlane/relay/registry.py
+++ b/src/passlane/relay/registry.py
@@ -5,7 +5,6 @@
 
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.relay.health import BackendHealth
-from passlane.relay.program_places import ProgramPlaces
 
 
 @dataclass(slots=True)
@@ -37,11 +36,10 @@
 
 
 class BackendRegistry:
-    """Back ends by instance, as the newest list tells, and where programs are placed."""
+    """Back ends by instance, as the newest list tells."""
 
     def __init__(self) -> None:
         self._loads: dict[str, BackendLoad] = {}
-        self.places = ProgramPlaces()
         self.updated_at: float | None = None
 
     def update(self, records: Iterable[BackendRecord], now: float) -> list[BackendRecord]:
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -6,7 +6,7 @@
 
 from passlane.errors import PasslaneError, Verdict
 from passlane.messages.routes import Route, RoutedService, RouteKind
-from passlane.messages.turns import BudgetSpent, TurnUnknown
+from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.relay.attempts import (
     UNAVAILABLE_RETRY_AFTER_S,
     RequestAttempts,
@@ -86,23 +86,24 @@
         finally:
             self._note_progress()
             if self._account is not None:
-                self._account.settle_in_background(self._delivered_tokens())
+                self._account.settle_in_background(self._delivered_tokens(), self._served_by())
 
     async def _run_within(self, limit_at: float) -> None:
-        history = b""
+        reserved = TurnReserved()
         if self._account is not None:
-            reserved = await self._reserve(self._account, limit_at)
-            if reserved is None:
+            answer = await self._reserve(self._account, limit_at)
+            if answer is None:
                 return
-            history = reserved
+            reserved = answer
         attempts = RequestAttempts(
             self._call,
             self._route,
             self._context.service,
-            history + self._call.body,
+            reserved.history + self._call.body,
             self._context.own_zone,
             self._context.registry,
             self._context.backends,
+            reserved.used_last,
         )
         self._attempts = attempts
         try:
@@ -112,8 +113,8 @@
         except RequestFailedError as error:
             await self._give_up(str(error), is_late=False)
 
-    async def _reserve(self, account: TurnAccount, limit_at: float) -> bytes | None:
-        """Return the turn's history; ``None`` if the request was refused."""
+    async def _reserve(self, account: TurnAccount, limit_at: float) -> TurnReserved | None:
+        """Reserve the turn; ``None`` if the request was refused."""
         try:
             answer = await account.reserve(limit_at)
         except PasslaneError as error:
@@ -126,7 +127,7 @@
         if isinstance(answer, TurnUnknown):
             await self._refuse(NOT_FOUND, "turn_unknown", None)
             return None
-        return answer.history
+        return answer
 
     async def _deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         self._progress.first_part_s = anyio.current_time() - self._call.arrived_at
@@ -147,12 +148,18 @@
             return
         try:
             await self._account.settle_whole(
-                self._delivered_tokens(), bytes(stream.output), TURN_SETTLE_TIMEOUT_S
+                self._delivered_tokens(),
+                bytes(stream.output),
+                self._served_by(),
+                TURN_SETTLE_TIMEOUT_S,
             )
         except PasslaneError as error:
             self._progress.reason = f"turn_not_durable_{error.code.value}"
             raise AnswerAbortedError(self._progress.reason) from error
 
+    def _served_by(self) -> str:
+        return self._attempts.served_by if self._attempts is not None else ""
+
     def _delivered_tokens(self) -> int:
         events = self._stream.events if self._stream is not None else 0
         return events * self._context.service.tokens_per_event
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -66,7 +66,9 @@
         self._is_reserved = isinstance(answer, TurnReserved)
         return answer
 
-    async def settle_whole(self, tokens: int, output: bytes, timeout_s: float) -> None:
+    async def settle_whole(
+        self, tokens: int, output: bytes, served_by: str, timeout_s: float
+    ) -> None:
         """Settle a turn that ended whole and keep it if its route says so.
 
         Raises
@@ -75,7 +77,7 @@
             When it is not certain that the turn is durable.
         """
         if not self._route.keeps_turns:
-            self.settle_in_background(tokens)
+            self.settle_in_background(tokens, served_by)
             return
         turn = KeptTurn(
             turn_id=self._call.request_id,
@@ -83,22 +85,24 @@
             content=self._call.body + output,
             retention_s=self._route.retention_s,
         )
-        await self._store.settle(self._settlement(tokens, turn), timeout_s=timeout_s)
+        settlement = self._settlement(tokens, turn, served_by)
+        await self._store.settle(settlement, timeout_s=timeout_s)
         self._is_settled = True
 
-    def settle_in_background(self, tokens: int) -> None:
+    def settle_in_background(self, tokens: int, served_by: str) -> None:
         """Settle a turn without waiting; does nothing if it was settled or never reserved."""
         if self._is_settled or not self._is_reserved:
             return
         self._is_settled = True
-        self._tasks.start_soon(self._settle_later, self._settlement(tokens, None))
+        self._tasks.start_soon(self._settle_later, self._settlement(tokens, None, served_by))
 
-    def _settlement(self, tokens: int, turn: KeptTurn | None) -> SettleTurn:
+    def _settlement(self, tokens: int, turn: KeptTurn | None, served_by: str) -> SettleTurn:
         return SettleTurn(
             program_id=self._program_id,
             attempt_id=self._call.request_id,
             tokens=tokens,
             turn=turn,
+            served_by=served_by,
         )
 
     async def _settle_later(self, settlement: SettleTurn) -> None:
--- a/src/passlane/turns/machine.py
+++ b/src/passlane/turns/machine.py
@@ -35,10 +35,11 @@
 
 
 class ProgramSpending(msgspec.Struct):
-    """Tokens of one program: settled, and reserved by attempt."""
+    """Tokens of one program, settled and reserved by attempt, and the engine it used last."""
 
     spent_tokens: int = 0
     reserved: dict[str, int] = {}
+    used_last: str = ""
     keep_until_s: float = 0.0
 
 
@@ -98,18 +99,19 @@
         program = self._programs.setdefault(command.program_id, ProgramSpending())
         self._keep_program(program, command.retention_s)
         if command.attempt_id in program.reserved:
-            return TurnReserved()
+            return TurnReserved(used_last=program.used_last)
         reserved = sum(program.reserved.values())
         wanted = program.spent_tokens + reserved + command.most_tokens
         if command.budget_tokens is not None and wanted > command.budget_tokens:
             return BudgetSpent(spent_tokens=program.spent_tokens, reserved_tokens=reserved)
         program.reserved[command.attempt_id] = command.most_tokens
-        return TurnReserved()
+        return TurnReserved(used_last=program.used_last)
 
     def _settle(self, command: SettleTurn) -> TurnSettled:
         program = self._programs.setdefault(command.program_id, ProgramSpending())
         if program.reserved.pop(command.attempt_id, None) is not None:
             program.spent_tokens += command.tokens
+        program.used_last = command.served_by or program.used_last
         turn = command.turn
         if turn is not None and turn.turn_id not in self._turns:
             self._keep_turn(turn)
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -1,6 +1,7 @@
 """Serves turns on one replica of the store group; only the leader answers."""
 
 import anyio
+import msgspec
 
 from passlane.errors import PasslaneError
 from passlane.messages.base import Message, encode_message, message_decoder
@@ -53,7 +54,8 @@
         self._require_leadership()
         result = await self._propose(request)
         if isinstance(result, TurnReserved) and request.previous is not None:
-            return TurnReserved(history=self._machine.history_of(request.previous))
+            history = self._machine.history_of(request.previous)
+            return msgspec.structs.replace(result, history=history)
         return result
 
     async def settle(self, request: SettleTurn) -> Message:
--- a/tests/relay/test_health.py
+++ b/tests/relay/test_health.py
@@ -10,7 +10,6 @@
     find_outliers,
 )
 from passlane.relay.placement import PlacementKey, choose_backend
-from passlane.relay.program_places import ProgramPlaces
 from passlane.relay.registry import BackendLoad
 from relay.fakes import backend
 
@@ -117,15 +116,3 @@
             others = [load.record.instance_id for load in loads if load is not first]
             self.assertIs(choose_backend(loads, key, others, 1.0), first)
             watch.dropped(0.0, SHORTEST_STALL_S)
-
-
-class ProgramPlacesTest(unittest.TestCase):
-    def test_the_program_not_seen_for_longest_is_forgotten(self):
-        places = ProgramPlaces(most=2)
-        places.note("one", "i-1")
-        places.note("two", "i-2")
-        places.note("one", "i-3")
-        places.note("three", "i-1")
-        self.assertEqual(
-            [places.engine_of(name) for name in ("one", "two", "three")], ["i-3", None, "i-1"]
-        )
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -193,6 +193,13 @@
         self.assertEqual((kept.turn_id, kept.previous), ("r-1", "before"))
         self.assertTrue(self.writer.is_finished)
 
+    def test_a_turn_goes_where_its_program_was_and_tells_where_it_is_now(self):
+        for used_last in ("i-1", "i-2"):
+            store = ScriptedStore(TurnReserved(used_last=used_last))
+            self.relay([Script(head(), EVENT_1)], call_changes=self.changes, store=store, **TURNS)
+            self.assertEqual(self.backends.asked, [used_last])
+            self.assertEqual(store.settled[0].served_by, used_last)
+
     def test_a_turn_that_may_not_last_does_not_end(self):
         store = ScriptedStore(settle_fails=True)
         self.relay([Script(head(), EVENT_1)], call_changes=self.changes, store=store, **TURNS)
--- a/tests/turns/test_machine.py
+++ b/tests/turns/test_machine.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from passlane.messages.base import encode_message
 from passlane.messages.turns import (
     AdvanceAge,
@@ -66,6 +68,15 @@
         self.machine.execute(AdvanceAge(seconds=60.0))
         self.assertIsInstance(self.machine.execute(reserve("b")), BudgetSpent)
 
+    def test_a_program_is_told_which_engine_it_used_last(self):
+        self.assertEqual(self.machine.execute(reserve("a")), TurnReserved(used_last=""))
+        self.machine.execute(msgspec.structs.replace(settle("a"), served_by="i-1"))
+        self.machine.execute(reserve("b"))
+        # A turn that no engine served doesn't change where the program's memory is.
+        self.machine.execute(settle("b", 0))
+        self.assertEqual(self.machine.execute(reserve("c")), TurnReserved(used_last="i-1"))
+        self.assertEqual(self.machine.execute(reserve("c")), TurnReserved(used_last="i-1"))
+
     def test_a_program_without_a_budget_is_never_refused(self):
         for number in range(100):
             self.assertIsInstance(
