Processes start with nothing but what is deployed

Cause: observability/logging.py imported sniffio, which deploy/requirements.lock doesn't list, since anyio no longer needs it. On a machine that has sniffio by chance nothing shows; on a clean one no process would have started. Found when a process was started without the machine's own packages. Change: anyio.NoEventLoopError in its place. A test starts the imports of all roles with everything hidden that is not in deploy/requirements.lock; it failed before.

--- a/src/passlane/observability/logging.py
+++ b/src/passlane/observability/logging.py
@@ -9,7 +9,6 @@
 from typing import Any, cast
 
 import anyio
-import sniffio
 import structlog
 from structlog.typing import EventDict, FilteringBoundLogger, WrappedLogger
 
@@ -41,7 +40,7 @@
     """Add the loop's monotonic time in seconds; nothing outside a running loop."""
     try:
         line["time_s"] = round(anyio.current_time(), 6)
-    except (sniffio.AsyncLibraryNotFoundError, RuntimeError):
+    except anyio.NoEventLoopError:
         line["time_s"] = None
     return line
 
--- a/src/passlane/simulation/event_log.py
+++ b/src/passlane/simulation/event_log.py
@@ -3,7 +3,6 @@
 from collections import deque
 
 import anyio
-import sniffio
 import xxhash
 
 MAX_EVENTS_KEPT = 5_000
@@ -42,5 +41,5 @@
 def _now() -> float:
     try:
         return anyio.current_time()
-    except sniffio.AsyncLibraryNotFoundError:
+    except anyio.NoEventLoopError:
         return 0.0
--- a/tests/on_platform/test_deploy.py
+++ b/tests/on_platform/test_deploy.py
@@ -1,6 +1,8 @@
 """The files of the deploy folder fit the product."""
 
 import re
+import subprocess
+import sys
 import tempfile
 import tomllib
 import unittest
@@ -12,6 +14,28 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 PIN = re.compile(r"^[A-Za-z0-9_]+==.*?(?=^\S|\Z)", re.MULTILINE | re.DOTALL)
+IMPORT_WITH_ONLY = """
+import sys
+from importlib.metadata import packages_distributions
+
+deployed = set(sys.argv[1:])
+hidden = {
+    package
+    for package, distributions in packages_distributions().items()
+    if not deployed.intersection(name.lower().replace("_", "-") for name in distributions)
+}
+
+class Hiding:
+    def find_spec(self, name, path=None, target=None):
+        if name.partition(".")[0] in hidden:
+            raise ModuleNotFoundError(f"{name} is not deployed", name=name)
+
+sys.meta_path.insert(0, Hiding())
+import anyio._backends._asyncio
+import passlane.daemon.fleet_main, passlane.daemon.fleet_node
+import passlane.daemon.fleet_control, passlane.daemon.fleet_store
+import passlane.runtime.http_client, uvicorn.protocols.http.httptools_impl
+"""
 FILLED = """
 seeds = ["10.1.0.34:8144","10.2.0.37:8144"]
 
@@ -43,6 +67,18 @@
         self.assertGreater(len(deployed), 5)
         self.assertEqual(deployed - lock, set())
 
+    def test_processes_start_with_nothing_but_what_is_deployed(self):
+        deployed = {
+            name.split("==")[0].lower().replace("_", "-")
+            for name in PIN.findall((ROOT / "deploy/requirements.lock").read_text())
+        }
+        process = subprocess.run(
+            [sys.executable, "-c", IMPORT_WITH_ONLY, "passlane", *deployed],
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual((process.returncode, process.stderr), (0, ""))
+
     def test_each_role_is_deployed_once(self):
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.assertEqual(set(deploy["roles"]), {role.value for role in FleetRole})
