Control replicas are back sooner after a loss of all processes

Ruled out: the store group (leader at 35.79 s); serving the configuration before an election (a replica may hold one that is not acknowledged yet, or not the newest).

--- a/src/passlane/daemon/fleet_control.py
+++ b/src/passlane/daemon/fleet_control.py
@@ -17,7 +17,7 @@
 
 HEARTBEAT_S = 0.15
 ELECTION_TIMEOUT_S = 0.5
-FIRST_ELECTION_SHARE = 0.4
+FIRST_ELECTION_SHARE = 0.2
 SNAPSHOT_EVERY_ENTRIES = 500
 SEGMENT_BYTES = 2_000_000
 
@@ -34,7 +34,9 @@
         )
         machine = FleetStateMachine()
         self._host = self._build_host(machine)
-        expose_replica(context.metrics, CONTROL_GROUP, self._host)
+        context.metrics.define_when_exposed(
+            lambda metrics: expose_replica(metrics, CONTROL_GROUP, self._host)
+        )
         self._service = FleetService(self._host, machine, context.router, context.pool)
         self._operator = FleetOperator(context.pool, self._control_addresses, random)
 
--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -56,7 +56,9 @@
         machine = TurnStateMachine()
         host = self._build_host(machine, founders)
         self._host = host
-        expose_replica(context.metrics, TURN_GROUP, host)
+        context.metrics.define_when_exposed(
+            lambda metrics: expose_replica(metrics, TURN_GROUP, host)
+        )
         service = TurnService(host, machine, context.router)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -16,7 +16,7 @@
 WAIT_S = 0.8
 """The leader holds an announcement for this long when there is nothing new."""
 ANSWER_MARGIN_S = 0.5
-RETRY_PAUSE_S = 0.1
+RETRY_PAUSE_S = 0.05
 LOST_AFTER_S = 2.5
 SHORTEST_PERIOD_S = 0.05
 REPORT_TIMEOUT_S = 0.5
--- a/src/passlane/observability/health.py
+++ b/src/passlane/observability/health.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from passlane.observability.metrics import CONTENT_TYPE, Metrics
+from passlane.observability.metrics import Metrics
 
 ReadinessCheck = Callable[[], bool]
 
@@ -46,7 +46,7 @@
         """Answer one request."""
         path = scope.get("path") if scope["type"] == "http" else None
         if path == METRICS_PATH:
-            await _answer(send, OK_STATUS, CONTENT_TYPE, self._metrics.expose())
+            await _answer(send, OK_STATUS, self._metrics.content_type(), self._metrics.expose())
         elif path == HEALTH_PATH:
             await _answer(send, OK_STATUS, _JSON, b'{"healthy":true}')
         elif path == READINESS_PATH:
@@ -70,7 +70,7 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one request."""
-        await _answer(send, OK_STATUS, CONTENT_TYPE, self._metrics.expose())
+        await _answer(send, OK_STATUS, self._metrics.content_type(), self._metrics.expose())
 
 
 async def _answer(send: Any, status: int, content_type: str, body: bytes) -> None:
--- a/src/passlane/observability/metrics.py
+++ b/src/passlane/observability/metrics.py
@@ -1,9 +1,15 @@
-"""Metrics of one process, in a registry of its own, in the format of Prometheus."""
+"""Metrics of one process, in a registry of its own, in the format of Prometheus.
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+The library brings a web server and much else; it is imported with the first metric, so
+that replicas, whose metrics are made when they are first asked for, start without it.
+"""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-CONTENT_TYPE = CONTENT_TYPE_LATEST
 NAME_PREFIX = "passlane"
 LATENCY_BUCKETS_S = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0)
 
@@ -16,29 +22,48 @@
     """
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry(auto_describe=False)
+        self._registry_made: CollectorRegistry | None = None
+        self._deferred: list[Callable[[Metrics], None]] = []
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[str, Histogram] = {}
 
-    def counter(self, name: str, description: str, labels: tuple[str, ...] = ()) -> Counter:
+    @property
+    def _registry(self) -> "CollectorRegistry":
+        if self._registry_made is None:
+            from prometheus_client import CollectorRegistry
+
+            self._registry_made = CollectorRegistry(auto_describe=False)
+        return self._registry_made
+
+    def define_when_exposed(self, define: "Callable[[Metrics], None]") -> None:
+        """Have ``define`` make metrics of this process when they are first asked for."""
+        self._deferred.append(define)
+
+    def counter(self, name: str, description: str, labels: tuple[str, ...] = ()) -> "Counter":
         """Return the counter ``passlane_NAME``."""
+        from prometheus_client import Counter
+
         if name not in self._counters:
             self._counters[name] = Counter(
                 name, description, labels, namespace=NAME_PREFIX, registry=self._registry
             )
         return self._counters[name]
 
-    def gauge(self, name: str, description: str, labels: tuple[str, ...] = ()) -> Gauge:
+    def gauge(self, name: str, description: str, labels: tuple[str, ...] = ()) -> "Gauge":
         """Return the gauge ``passlane_NAME``."""
+        from prometheus_client import Gauge
+
         if name not in self._gauges:
             self._gauges[name] = Gauge(
                 name, description, labels, namespace=NAME_PREFIX, registry=self._registry
             )
         return self._gauges[name]
 
-    def histogram(self, name: str, description: str, labels: tuple[str, ...] = ()) -> Histogram:
+    def histogram(self, name: str, description: str, labels: tuple[str, ...] = ()) -> "Histogram":
         """Return the histogram ``passlane_NAME`` of a time in seconds."""
+        from prometheus_client import Histogram
+
         if name not in self._histograms:
             self._histograms[name] = Histogram(
                 name,
@@ -52,4 +77,15 @@
 
     def expose(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
+        from prometheus_client.exposition import generate_latest
+
+        while self._deferred:
+            self._deferred.pop(0)(self)
         return generate_latest(self._registry)
+
+    @staticmethod
+    def content_type() -> str:
+        """Return the media type of what ``expose`` returns."""
+        from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+        return CONTENT_TYPE_LATEST
--- a/src/passlane/runtime/real.py
+++ b/src/passlane/runtime/real.py
@@ -5,12 +5,14 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+from passlane.messages.common import Address
 from passlane.runtime.disk import RealDisk
-from passlane.runtime.http_server import UvicornHttpServer
 from passlane.runtime.interfaces import (
+    AsgiApplication,
     Environment,
     HttpClient,
     HttpConnectionError,
+    HttpLimits,
     HttpRequest,
     HttpResponse,
     Network,
@@ -28,6 +30,21 @@
         yield
 
 
+class _LateHttpServer:
+    """Imports the HTTP server when it is first used, once replicas are already running."""
+
+    async def serve(
+        self,
+        address: Address,
+        application: AsgiApplication,
+        limits: HttpLimits | None = None,
+    ) -> None:
+        """Serve until cancelled; see ``HttpServer.serve``."""
+        from passlane.runtime.http_server import UvicornHttpServer
+
+        await UvicornHttpServer().serve(address, application, limits)
+
+
 def _http_client(network: Network) -> HttpClient:
     # Imported late: it takes a fifth of a second that replicas need not spend at a start.
     from passlane.runtime.http_client import SingleConnectionHttpClient
@@ -59,7 +76,7 @@
     return Environment(
         network=network,
         http_client=_http_client(network) if sends_requests else _NoHttpClient(),
-        http_server=UvicornHttpServer(),
+        http_server=_LateHttpServer(),
         disk=RealDisk(data_folder),
         random=random.Random(seed),
     )
--- a/src/passlane/transport/peer.py
+++ b/src/passlane/transport/peer.py
@@ -12,8 +12,10 @@
 from passlane.transport.client_connection import ClientConnection
 
 CONNECT_TIMEOUT_S = 1.0
-FIRST_BACK_OFF_S = 0.05
-MAX_BACK_OFF_S = 0.25
+FIRST_BACK_OFF_S = 0.03
+MAX_BACK_OFF_S = 0.12
+"""Short, because after a loss of all processes every other one waits for the slowest to
+listen again; a refused connection costs the refusing machine next to nothing."""
 
 _log = get_logger("transport.client")
 
