Split routes begin anywhere in their cycle of shares

Cause: each node began the cycle of a route's weights at the same place, so with 90 to 10 the first five requests of every node went to the greater part. Ruled out: a random choice for each request (keeps the weights only on average; this one keeps them in any run). Change: the cycle begins at a place drawn at random. Test: tests/routes/test_table.py.

--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -83,6 +83,7 @@
             self._store,
             tasks,
             context.metrics,
+            context.environment.random,
         )
         if self._follower.configuration is not None:
             relay.replace_configuration(self._follower.configuration)
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -1,5 +1,7 @@
 """Takes requests to be relayed: finds their route, serves them, logs what became of them."""
 
+from random import Random
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -39,6 +41,7 @@
         store: TurnStoreClient,
         tasks: TaskGroup,
         metrics: Metrics,
+        random: Random,
     ) -> None:
         self._own_zone = own_zone
         self._registry = registry
@@ -46,7 +49,7 @@
         self._store = store
         self._tasks = tasks
         self._table: RouteTable | None = None
-        self._selector = ShareSelector()
+        self._selector = ShareSelector(random)
         self._under_way: set[str] = set()
         self._requests = metrics.counter(
             "relayed_requests", "Relayed requests by kind of route and status", ("kind", "status")
--- a/src/passlane/routes/table.py
+++ b/src/passlane/routes/table.py
@@ -1,9 +1,14 @@
 """Finds the route of a request and spreads requests over the services of a route."""
 
 from dataclasses import dataclass, field
+from math import gcd
+from random import Random
 
 from passlane.messages.routes import Route, RouteConfiguration, RoutedService, ServiceShare
 
+LONGEST_CYCLE = 1_000
+"""Most steps that are taken into the cycle of a route's shares before its first request."""
+
 
 class RouteTable:
     """The routes of one configuration, by host and longest path prefix."""
@@ -46,10 +51,13 @@
     """Gives each service of a route its weight's share of the requests.
 
     Each choice adds every service's weight to its credit and takes the whole from the
-    one with the most, so that the shares hold over any run of requests.
+    one with the most, so that the shares hold over any run of requests. Each route begins
+    anywhere in that cycle, so that they hold as well over many nodes that have had few
+    requests each.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, random: Random) -> None:
+        self._random = random
         self._routes: dict[str, _Credits] = {}
 
     def choose(self, route: Route) -> str:
@@ -59,10 +67,18 @@
             return shares[0].service
         credits = self._routes.get(route.name)
         if credits is None or credits.shares != shares:
-            credits = _Credits(shares, [0.0] * len(shares))
+            credits = self._begin(shares)
             self._routes[route.name] = credits
         return self._take_largest(credits)
 
+    def _begin(self, shares: tuple[ServiceShare, ...]) -> _Credits:
+        """Return the credits at a place in the cycle that is drawn at random."""
+        credits = _Credits(shares, [0.0] * len(shares))
+        cycle = sum(share.weight for share in shares) // gcd(*(share.weight for share in shares))
+        for _ in range(self._random.randrange(min(cycle, LONGEST_CYCLE))):
+            self._take_largest(credits)
+        return credits
+
     @staticmethod
     def _take_largest(credits: _Credits) -> str:
         for position, share in enumerate(credits.shares):
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -1,5 +1,6 @@
 """One relayed request from end to end, with scripted back ends and store."""
 
+import random
 import unittest
 
 import anyio
@@ -46,7 +47,9 @@
             made = [backend("i-1"), backend("i-2")] if records is None else records
             registry.update(made, anyio.current_time())
             async with anyio.create_task_group() as tasks:
-                service = RelayService("a", registry, self.backends, self.store, tasks, Metrics())
+                service = RelayService(
+                    "a", registry, self.backends, self.store, tasks, Metrics(), random.Random(1)
+                )
                 service.replace_configuration(configuration(route(**route_changes)))
                 self.started_at = anyio.current_time()
                 try:
@@ -147,7 +150,13 @@
         async def main():
             async with anyio.create_task_group() as tasks:
                 service = RelayService(
-                    "a", BackendRegistry(), ScriptedBackends(), ScriptedStore(), tasks, Metrics()
+                    "a",
+                    BackendRegistry(),
+                    ScriptedBackends(),
+                    ScriptedStore(),
+                    tasks,
+                    Metrics(),
+                    random.Random(1),
                 )
                 writer = RecordingWriter()
                 await service.handle(call(), writer)
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -1,5 +1,6 @@
 """Choice of a route by host and prefix, and of a service by weight."""
 
+import random
 import unittest
 from collections import Counter
 
@@ -26,19 +27,27 @@
 
 class ShareSelectorTest(unittest.TestCase):
     def test_each_run_of_requests_keeps_the_weights(self):
-        selector = ShareSelector()
+        selector = ShareSelector(random.Random(1))
         shared = route(shares=(ServiceShare("models", 90), ServiceShare("tools", 10)))
         for _ in range(3):
             counts = Counter(selector.choose(shared) for _ in range(100))
             self.assertEqual(counts, {"models": 90, "tools": 10})
 
+    def test_many_nodes_with_few_requests_each_keep_the_weights_together(self):
+        shared = route(shares=(ServiceShare("models", 90), ServiceShare("tools", 10)))
+        counts = Counter()
+        for node in range(100):
+            selector = ShareSelector(random.Random(node))
+            counts.update(selector.choose(shared) for _ in range(4))
+        self.assertAlmostEqual(counts["tools"] / 400, 0.1, delta=0.05)
+
     def test_a_weight_of_nothing_gets_nothing(self):
-        selector = ShareSelector()
+        selector = ShareSelector(random.Random(1))
         shared = route(shares=(ServiceShare("models", 0), ServiceShare("tools", 5)))
         self.assertEqual({selector.choose(shared) for _ in range(10)}, {"tools"})
 
     def test_changed_weights_hold_at_once(self):
-        selector = ShareSelector()
+        selector = ShareSelector(random.Random(1))
         selector.choose(route(shares=(ServiceShare("models", 90), ServiceShare("tools", 10))))
         even = route(shares=(ServiceShare("models", 1), ServiceShare("tools", 1)))
         counts = Counter(selector.choose(even) for _ in range(100))
