A planned stop fits into the grace time of the settings; dead code goes

Cause: the time a process has between SIGTERM and SIGKILL was read from the settings and used by nothing: a node took 2.2 s to be known as not ready and up to 4 s to finish, whatever it was given. With 3 s it would have been killed with requests in flight, with 8 s it gave up 1.6 s that long requests could have had. Change: daemon/stop_times.py divides the grace time. A cancellation is logged as the client's leaving only if the client left. RelayService.has_configuration and the stand-in's digest, used by nothing, are gone.

--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -5,6 +5,7 @@
 
 from passlane.daemon.fleet_context import FleetContext
 from passlane.daemon.in_flight import InFlightRequests
+from passlane.daemon.stop_times import StopTimes
 from passlane.fleet.follower import FleetFollower
 from passlane.messages.common import Address
 from passlane.messages.routes import RouteConfiguration
@@ -20,10 +21,6 @@
 from passlane.settings.fleet import FleetSettings
 from passlane.turns.client import TurnStoreClient
 
-UNREADY_BEFORE_CLOSE_S = 2.2
-"""A stopping node says for so long that it isn't ready before it closes its address."""
-SETTLING_S = 0.2
-
 _log = get_logger(__name__)
 
 
@@ -36,6 +33,7 @@
         self._registry = BackendRegistry()
         self._limits = HttpLimits()
         self._is_draining = False
+        self._stop_times = StopTimes.within(context.settings.timing.grace_s)
         self._scope = anyio.CancelScope()
         self._relay: RelayService | None = None
         self._requests: InFlightRequests | None = None
@@ -72,7 +70,7 @@
 
     async def _finish_settling(self) -> None:
         """Let settlements that were just begun reach the store."""
-        await anyio.sleep(SETTLING_S)
+        await anyio.sleep(self._stop_times.settling_s)
 
     def _build_relay(self, tasks: TaskGroup) -> RelayService:
         context = self._context
@@ -129,10 +127,13 @@
     def reload(self, settings: FleetSettings) -> None:
         """Take over what may change while the process runs."""
         self._follower.replace_seeds(self._context.seed_addresses(settings))
+        self._stop_times = StopTimes.within(settings.timing.grace_s)
 
     async def drain_and_stop(self) -> None:
         """Be no longer ready, serve what still comes, then close and finish."""
         self._is_draining = True
         _log.info("draining")
-        await anyio.sleep(UNREADY_BEFORE_CLOSE_S)
+        times = self._stop_times
+        self._limits.finish_s = times.finish_s
+        await anyio.sleep(times.unready_s)
         self._scope.cancel()
--- a/src/passlane/platform/answer_writer.py
+++ b/src/passlane/platform/answer_writer.py
@@ -19,6 +19,11 @@
 class AsgiAnswerWriter:
     """Implements ``relay.backends.AnswerWriter``.
 
+    Attributes
+    ----------
+    is_abandoned
+        Whether the client has closed its connection.
+
     Parameters
     ----------
     must_close
@@ -30,6 +35,7 @@
         self._must_close = must_close
         self._is_finished = False
         self._status = 0
+        self.is_abandoned = False
 
     @property
     def has_started(self) -> bool:
--- a/src/passlane/platform/client_ingress.py
+++ b/src/passlane/platform/client_ingress.py
@@ -58,7 +58,7 @@
             return
         writer = AsgiAnswerWriter(send, self._must_close)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
+            tasks.start_soon(_cancel_when_gone, receive, writer, tasks.cancel_scope)
             try:
                 await self._relay.handle(call, writer)
             except AnswerAbortedError:
@@ -92,11 +92,14 @@
     return True
 
 
-async def _cancel_when_gone(receive: Receive, scope: anyio.CancelScope) -> None:
+async def _cancel_when_gone(
+    receive: Receive, writer: AsgiAnswerWriter, scope: anyio.CancelScope
+) -> None:
     """Cancel the work on a request once its client has closed the connection."""
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
+            writer.is_abandoned = True
             scope.cancel()
             return
 
--- a/src/passlane/relay/backends.py
+++ b/src/passlane/relay/backends.py
@@ -123,6 +123,11 @@
         """Whether the whole answer was written."""
         ...
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Whether the caller has left."""
+        ...
+
     async def start(self, status: int, headers: Sequence[Header], length: int | None) -> None:
         """Write the head; without a length the body ends with ``finish``."""
         ...
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -58,11 +58,6 @@
             "relayed_request_seconds", "Time to the end of relayed requests", ("kind",)
         )
 
-    @property
-    def has_configuration(self) -> bool:
-        """Whether a configuration is in force."""
-        return self._table is not None
-
     @property
     def configuration(self) -> RouteConfiguration | None:
         """The configuration in force."""
@@ -84,7 +79,7 @@
         try:
             await self._handle(call, writer, progress)
         except anyio.get_cancelled_exc_class():
-            progress.reason = "client_left"
+            progress.reason = "client_left" if writer.is_abandoned else "stopped"
             raise
         finally:
             self._note_end(call, writer, progress)
--- a/src/passlane/runtime/http_server.py
+++ b/src/passlane/runtime/http_server.py
@@ -15,7 +15,6 @@
 from passlane.runtime.http_limits import LimitedHttpProtocol
 from passlane.runtime.interfaces import AsgiApplication, HttpLimits
 
-GRACEFUL_STOP_S = 4
 """Requests in flight get this long to finish once the server is stopped."""
 LISTEN_BACKLOG = 2_048
 
@@ -27,8 +26,10 @@
         super().__init__(config)
         self._stopped = asyncio.Event()
 
-    def stop(self) -> None:
-        """Accept no more connections, and let requests in flight finish."""
+    def stop(self, finish_s: float) -> None:
+        """Accept no more connections, and let requests in flight finish in some seconds."""
+        # uvicorn declares whole seconds, and hands them to asyncio, which takes any number.
+        self.config.timeout_graceful_shutdown = finish_s  # type: ignore[assignment]
         self.should_exit = True
         self._stopped.set()
 
@@ -92,8 +93,8 @@
             server_header=False,
             backlog=LISTEN_BACKLOG,
             date_header=False,
-            timeout_graceful_shutdown=GRACEFUL_STOP_S,
         )
+        limits = limits or HttpLimits()
         server = _Server(config)
         listening = listening_socket(address)
         async with anyio.create_task_group() as tasks:
@@ -101,7 +102,7 @@
             try:
                 await anyio.sleep_forever()
             finally:
-                server.stop()
+                server.stop(limits.finish_s)
 
     @staticmethod
     async def _run_shielded(server: _Server, listening: socket.socket) -> None:
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -104,6 +104,7 @@
 DEFAULT_HEADER_BYTES = 65_536
 DEFAULT_HEADER_TIMEOUT_S = 10.0
 DEFAULT_IDLE_TIMEOUT_S = 75.0
+DEFAULT_FINISH_S = 4.0
 
 
 @dataclass(slots=True)
@@ -116,11 +117,14 @@
         Time from the first byte of a request to the end of its headers.
     idle_timeout_s
         How long a connection may rest between two requests.
+    finish_s
+        How long a server that was cancelled goes on with the requests in flight.
     """
 
     max_header_bytes: int = DEFAULT_HEADER_BYTES
     header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+    finish_s: float = DEFAULT_FINISH_S
 
 
 class HttpServer(Protocol):
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -1,6 +1,5 @@
 """A stand-in of the platform, by its published protocol: the list of engines and engines."""
 
-import hashlib
 import json
 
 import anyio
@@ -129,8 +128,3 @@
     }
     document = {"version": version, "routes": routes, "services": services, "limits": limits}
     return json.dumps(document).encode()
-
-
-def digest(data):
-    """Return a short digest, for messages of assertions."""
-    return hashlib.blake2b(data, digest_size=4).hexdigest()
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -104,6 +104,7 @@
         self.headers = ()
         self.body = b""
         self.is_finished = False
+        self.is_abandoned = False
         self.retry_after_s = None
         self.times = []
 
