Nodes of a zone fill different plain back ends first; an id used twice at once has a test

Change: the order of plain back ends is drawn by the node's name. The 409 for an id that is under way was untested.

--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -15,6 +15,7 @@
 from passlane.platform.instance_list import InstanceList
 from passlane.platform.readiness import ReadinessApplication
 from passlane.relay.list_reader import BackendListReader
+from passlane.relay.placement import NodePlace
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.service import RelayService
 from passlane.runtime.interfaces import HttpLimits
@@ -75,7 +76,7 @@
     def _build_relay(self, tasks: TaskGroup) -> RelayService:
         context = self._context
         relay = RelayService(
-            context.settings.process.zone,
+            NodePlace(context.settings.process.name, context.settings.process.zone),
             self._registry,
             EngineClient(context.environment.http_client),
             self._store,
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -15,6 +15,7 @@
 from passlane.relay.calls import RelayedCall
 from passlane.relay.health import AttemptWatch, stall_limit_s, typical_latency_s
 from passlane.relay.placement import (
+    NodePlace,
     PlacementKey,
     choose_backend,
     note_failure,
@@ -65,7 +66,7 @@
         route: Route,
         service: RoutedService,
         body: bytes,
-        own_zone: str,
+        node: NodePlace,
         registry: BackendRegistry,
         backends: RelayBackends,
         used_last: str = "",
@@ -78,7 +79,7 @@
         self._backends = backends
         is_model = service.tokens_per_event > 0
         self._program_id = call.program.program_id if call.program is not None and is_model else ""
-        self._own_zone = own_zone
+        self._node = node
         self._used_last = used_last
         self._priority = route.priority if is_model else None
         self._runs = 0
@@ -112,7 +113,7 @@
     def _placement_key(self) -> PlacementKey:
         return PlacementKey(
             affinity=self._program_id,
-            own_zone=self._own_zone,
+            node=self._node,
             used_last=self._used_last,
         )
 
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -35,6 +35,14 @@
     dislike: float
 
 
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Which node places requests, and where it is."""
+
+    name: str
+    zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementKey:
     """What decides where a request goes; ``affinity`` is empty for plain services.
@@ -43,7 +51,7 @@
     """
 
     affinity: str
-    own_zone: str
+    node: NodePlace
     used_last: str = ""
 
 
@@ -60,7 +68,8 @@
     A new program goes by rendezvous hashing, as at every other node of its zone, unless
     requests queue there. Back ends of the own zone are preferred. An
     engine that is full for this node, that failed lately or that does worse than most
-    comes after all others.
+    comes after all others. Among plain back ends each node has an order of its own, so that
+    the nodes of a zone don't all fill the same one first.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
@@ -72,7 +81,7 @@
     long_s = max(SHORTEST_LONG_QUEUE_S, LONG_QUEUE_FACTOR * typical_s)
     short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
 
-    weights = ZoneWeights.of((load.record for load in everyone), key.own_zone)
+    weights = ZoneWeights.of((load.record for load in everyone), key.node.zone)
 
     def rank(load: BackendLoad) -> _Rank:
         instance_id = load.record.instance_id
@@ -83,7 +92,7 @@
             is_elsewhere=instance_id != key.used_last,
             short_queue=congestion_level(load.health, short_s, now),
             fullness=_fullness(load, key),
-            dislike=-weights.score(key.affinity or key.own_zone, load.record),
+            dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
     return min(fresh, key=rank)
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -17,6 +17,7 @@
 from passlane.relay.calls import RelayedCall
 from passlane.relay.delivery import StreamDelivery, WholeDelivery
 from passlane.relay.health import AttemptWatch
+from passlane.relay.placement import NodePlace
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.turn_account import TurnAccount
@@ -39,7 +40,7 @@
     call: RelayedCall
     route: Route
     service: RoutedService
-    own_zone: str
+    node: NodePlace
     registry: BackendRegistry
     backends: RelayBackends
 
@@ -100,7 +101,7 @@
             self._route,
             self._context.service,
             reserved.history + self._call.body,
-            self._context.own_zone,
+            self._context.node,
             self._context.registry,
             self._context.backends,
             reserved.used_last,
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -10,6 +10,7 @@
 from passlane.observability.metrics import Metrics
 from passlane.relay.backends import AnswerWriter, RelayBackends
 from passlane.relay.calls import RelayedCall
+from passlane.relay.placement import NodePlace
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request import NOT_FOUND, RequestContext, RequestRelay
@@ -35,7 +36,7 @@
 
     def __init__(
         self,
-        own_zone: str,
+        node: NodePlace,
         registry: BackendRegistry,
         backends: RelayBackends,
         store: TurnStoreClient,
@@ -43,7 +44,7 @@
         metrics: Metrics,
         random: Random,
     ) -> None:
-        self._own_zone = own_zone
+        self._node = node
         self._registry = registry
         self._backends = backends
         self._store = store
@@ -120,9 +121,7 @@
     ) -> None:
         service = table.service(self._selector.choose(route))
         progress.service = service.name
-        context = RequestContext(
-            call, route, service, self._own_zone, self._registry, self._backends
-        )
+        context = RequestContext(call, route, service, self._node, self._registry, self._backends)
         account: TurnAccount | None = None
         if route.kind is RouteKind.STREAM and needs_account(call, route):
             account = TurnAccount(call, route, self._store, self._tasks)
--- a/tests/relay/test_health.py
+++ b/tests/relay/test_health.py
@@ -9,10 +9,12 @@
     BackendHealth,
     find_outliers,
 )
-from passlane.relay.placement import PlacementKey, choose_backend
+from passlane.relay.placement import NodePlace, PlacementKey, choose_backend
 from passlane.relay.registry import BackendLoad
 from relay.fakes import backend
 
+HERE = NodePlace("node-1", "a")
+
 
 def answered(health, *, times=1, start=0.0, latency_s=0.05):
     for number in range(times):
@@ -85,9 +87,9 @@
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for load in loads:
             answered(load.health, times=5)
-        new = PlacementKey("program", "a")
+        new = PlacementKey("program", HERE)
         first = choose_backend(loads, new, (), 1.0)
-        known = PlacementKey("program", "a", used_last=first.record.instance_id)
+        known = PlacementKey("program", HERE, used_last=first.record.instance_id)
         first.health.watch(1.0)
         self.assertIs(choose_backend(loads, new, (), 1.05), first)
         self.assertIsNot(choose_backend(loads, new, (), 1.15), first)
@@ -97,19 +99,19 @@
     def test_a_program_stays_where_it_is(self):
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for load in loads:
-            known = PlacementKey("program", "a", used_last=load.record.instance_id)
+            known = PlacementKey("program", HERE, used_last=load.record.instance_id)
             self.assertIs(choose_backend(loads, known, (), 0.0), load)
 
     def test_when_all_queue_the_shortest_queue_is_taken(self):
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for load, since in zip(loads, (0.0, 0.2, 0.1), strict=True):
             load.health.watch(since)
-        key = PlacementKey("program", "a")
+        key = PlacementKey("program", HERE)
         self.assertIs(choose_backend(loads, key, (), 0.35), loads[1])
 
     def test_outliers_come_after_the_others_and_are_used_when_there_is_no_other(self):
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
-        for key in (PlacementKey("program", "a"), PlacementKey("", "a")):
+        for key in (PlacementKey("program", HERE), PlacementKey("", HERE)):
             first = choose_backend(loads, key, (), 0.0)
             watch = first.health.watch(0.0)
             self.assertIsNot(choose_backend(loads, key, (), 1.0), first)
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -1,9 +1,11 @@
 """Where requests go: their program's engine first, then load and zone."""
 
 import unittest
+from collections import Counter
 
 from passlane.relay.list_reader import own_period_s
 from passlane.relay.placement import (
+    NodePlace,
     PlacementKey,
     choose_backend,
     note_failure,
@@ -12,6 +14,8 @@
 from passlane.relay.registry import BackendLoad, BackendRegistry
 from relay.fakes import backend
 
+HERE = NodePlace("node-1", "a")
+
 
 def loads(count, **changes):
     return [BackendLoad(backend(f"i-{number}", **changes)) for number in range(count)]
@@ -20,21 +24,21 @@
 class PlacementTest(unittest.TestCase):
     def test_a_program_stays_with_its_engine(self):
         candidates = loads(6)
-        key = PlacementKey("program", "a")
+        key = PlacementKey("program", HERE)
         first = choose_backend(candidates, key, (), 0.0)
         self.assertIs(choose_backend(candidates[::-1], key, (), 0.0), first)
 
     def test_programs_spread(self):
         candidates = loads(6)
         chosen = {
-            choose_backend(candidates, PlacementKey(str(n), "a"), (), 0.0).record.instance_id
+            choose_backend(candidates, PlacementKey(str(n), HERE), (), 0.0).record.instance_id
             for n in range(100)
         }
         self.assertEqual(len(chosen), 6)
 
     def test_a_full_or_failing_engine_comes_after_the_others(self):
         candidates = loads(3)
-        key = PlacementKey("program", "a")
+        key = PlacementKey("program", HERE)
         first = choose_backend(candidates, key, (), 0.0)
         first.in_flight = 2
         second = choose_backend(candidates, key, (), 0.0)
@@ -48,7 +52,7 @@
 
     def test_plain_requests_fill_a_third_of_the_own_zone_before_they_go_to_another(self):
         near, far = BackendLoad(backend("n", zone="a")), BackendLoad(backend("f", zone="b"))
-        key = PlacementKey("", "a")
+        key = PlacementKey("", HERE)
         self.assertIs(choose_backend([far, near], key, (), 0.0), near)
         near.in_flight = 1
         self.assertIs(choose_backend([far, near], key, (), 0.0), near)
@@ -57,9 +61,20 @@
         far.in_flight = 2
         self.assertIs(choose_backend([far, near], key, (), 0.0), near)
 
+    def test_nodes_of_a_zone_fill_different_plain_back_ends_first(self):
+        candidates = loads(6)
+        chosen = Counter(
+            choose_backend(
+                candidates, PlacementKey("", NodePlace(f"node-{n}", "a")), (), 0.0
+            ).record.instance_id
+            for n in range(120)
+        )
+        self.assertEqual(len(chosen), 6)
+        self.assertLess(max(chosen.values()), 2 * 120 / 6)
+
     def test_each_is_tried_once(self):
         candidates = loads(2)
-        key = PlacementKey("", "a")
+        key = PlacementKey("", HERE)
         self.assertIsNone(choose_backend(candidates, key, ("i-0", "i-1"), 0.0))
 
 
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -10,6 +10,7 @@
 from passlane.messages.routes import RouteKind, ServiceShare
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.metrics import Metrics
+from passlane.relay.placement import NodePlace
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request import AnswerAbortedError
 from passlane.relay.service import RelayService
@@ -48,7 +49,13 @@
             registry.update(made, anyio.current_time())
             async with anyio.create_task_group() as tasks:
                 service = RelayService(
-                    "a", registry, self.backends, self.store, tasks, Metrics(), random.Random(1)
+                    NodePlace("node-1", "a"),
+                    registry,
+                    self.backends,
+                    self.store,
+                    tasks,
+                    Metrics(),
+                    random.Random(1),
                 )
                 service.replace_configuration(configuration(route(**route_changes)))
                 self.started_at = anyio.current_time()
@@ -150,7 +157,7 @@
         async def main():
             async with anyio.create_task_group() as tasks:
                 service = RelayService(
-                    "a",
+                    NodePlace("node-1", "a"),
                     BackendRegistry(),
                     ScriptedBackends(),
                     ScriptedStore(),
@@ -166,6 +173,36 @@
         anyio.run(main, backend="trio")
 
 
+class SameIdTest(unittest.TestCase):
+    def test_an_id_that_is_under_way_is_refused_and_runs_once(self):
+        async def main():
+            registry = BackendRegistry()
+            registry.update([backend("i-1")], anyio.current_time())
+            backends = ScriptedBackends(Script(head(), b"ok", delay_s=0.2))
+            async with anyio.create_task_group() as tasks:
+                service = RelayService(
+                    NodePlace("node-1", "a"),
+                    registry,
+                    backends,
+                    ScriptedStore(),
+                    tasks,
+                    Metrics(),
+                    random.Random(1),
+                )
+                service.replace_configuration(configuration(route()))
+                first, second = RecordingWriter(), RecordingWriter()
+                tasks.start_soon(service.handle, call("r-1"), first)
+                await anyio.sleep(0.1)
+                await service.handle(call("r-1"), second)
+                self.assertEqual(second.status, 409)
+                await anyio.sleep(0.2)
+            self.assertEqual((first.status, first.body), (200, b"ok"))
+            self.assertEqual(len(backends.asked), 1)
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+
 class StreamTest(RelayCase):
     def test_each_event_passes_as_it_arrives(self):
         self.relay([Script(head(), EVENT_1, EVENT_2, delay_s=0.1)], **STREAM)
