A change in which back ends are outliers is logged, with the request that showed it

Cause: a node that turned away from a back end left no line, so a request that went elsewhere, or a back end without work, could not be explained from the logs. Change: the registry judges a service before each choice and tells what has changed; one line outliers_changed with the request's id, the outliers now and before. Tests for it, and for what was untested: a repeatable request leaves a silent back end, one that may run once doesn't. No change of placement.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -7,6 +7,7 @@
 
 from passlane.errors import Verdict
 from passlane.messages.routes import Route, RoutedService, RouteKind
+from passlane.observability.logging import get_logger
 from passlane.relay.backends import (
     BackendAnswer,
     BackendRequest,
@@ -30,6 +31,8 @@
 """A request that no back end takes is refused after this share of its target latency."""
 UNAVAILABLE_RETRY_AFTER_S = 0.25
 
+_log = get_logger(__name__)
+
 Deliver = Callable[[BackendAnswer, AttemptWatch], Awaitable[None]]
 """Passes an answer on; raises ``HttpConnectionError`` when the answer breaks off."""
 
@@ -102,14 +105,32 @@
         give_up_at = self._call.arrived_at + WAIT_SHARE_OF_TARGET * self._route.target_latency_s
         while True:
             now = anyio.current_time()
-            candidates = self._registry.of_service(self._service.name)
-            load = choose_backend(candidates, self._placement_key(), self._refused, now)
+            load = self._choose(now)
             if load is None:
                 await self._wait_for_room(give_up_at)
                 continue
             if await self._attempt(load, limit_at, deliver):
                 return
 
+    def _choose(self, now: float) -> BackendLoad | None:
+        service = self._service.name
+        change = self._registry.judge(service, now)
+        if change is not None:
+            _log.info(
+                "outliers_changed",
+                request_id=self._call.request_id,
+                service=service,
+                outliers=sorted(change.outliers),
+                before=sorted(change.before),
+            )
+        return choose_backend(
+            self._registry.of_service(service),
+            self._placement_key(),
+            self._refused,
+            now,
+            self._registry.outliers_of(service),
+        )
+
     def _placement_key(self) -> PlacementKey:
         return PlacementKey(
             affinity=self._program_id,
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from passlane.relay.health import congestion_level, find_outliers, typical_latency_s
+from passlane.relay.health import congestion_level, typical_latency_s
 from passlane.relay.registry import BackendLoad
 from passlane.relay.zone_weights import ZoneWeights
 
@@ -60,6 +60,7 @@
     key: PlacementKey,
     tried: Collection[str],
     now: float,
+    outliers: Collection[str] = (),
 ) -> BackendLoad | None:
     """Return the back end for the next attempt; ``None`` if each was tried.
 
@@ -70,13 +71,19 @@
     engine that is full for this node, that failed lately or that does worse than most
     comes after all others. Among plain back ends each node has an order of its own, so that
     the nodes of a zone don't all fill the same one first.
+
+    Parameters
+    ----------
+    tried
+        Instances that this request was already sent to.
+    outliers
+        Instances that do worse than most of their service.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
         return None
     everyone = list(candidates)
     health = [load.health for load in everyone]
-    outliers = {everyone[index].record.instance_id for index in find_outliers(health, now)}
     typical_s = typical_latency_s(health, now)
     long_s = max(SHORTEST_LONG_QUEUE_S, LONG_QUEUE_FACTOR * typical_s)
     short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
--- a/src/passlane/relay/registry.py
+++ b/src/passlane/relay/registry.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from passlane.messages.listing import BackendRecord, BackendState
-from passlane.relay.health import BackendHealth
+from passlane.relay.health import BackendHealth, find_outliers
 
 
 @dataclass(slots=True)
@@ -35,11 +35,21 @@
         return self.record.state is BackendState.READY
 
 
+@dataclass(frozen=True, slots=True)
+class OutlierChange:
+    """The back ends of a service that do worse than most, by instance, now and before."""
+
+    service: str
+    outliers: frozenset[str]
+    before: frozenset[str]
+
+
 class BackendRegistry:
     """Back ends by instance, as the newest list tells."""
 
     def __init__(self) -> None:
         self._loads: dict[str, BackendLoad] = {}
+        self._outliers: dict[str, frozenset[str]] = {}
         self.updated_at: float | None = None
 
     def update(self, records: Iterable[BackendRecord], now: float) -> list[BackendRecord]:
@@ -63,6 +73,21 @@
             if load.record.service == service and load.is_ready
         ]
 
+    def judge(self, service: str, now: float) -> OutlierChange | None:
+        """Judge the back ends of a service anew; return what has changed since the last time."""
+        loads = self.of_service(service)
+        found = find_outliers([load.health for load in loads], now)
+        outliers = frozenset(loads[index].record.instance_id for index in found)
+        before = self._outliers.get(service, frozenset())
+        if outliers == before:
+            return None
+        self._outliers[service] = outliers
+        return OutlierChange(service, outliers, before)
+
+    def outliers_of(self, service: str) -> frozenset[str]:
+        """Return the back ends of a service that were judged to do worse than most."""
+        return self._outliers.get(service, frozenset())
+
     def remove(self, instance_id: str) -> None:
         """Forget a back end that is known to be gone, until a list names it again."""
         self._loads.pop(instance_id, None)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -71,6 +71,10 @@
     """A back end whose machine takes no connection."""
 
 
+class Mute:
+    """A back end that takes the request and never answers."""
+
+
 class Reset:
     """A back end that resets the connection before it answers."""
 
@@ -91,6 +95,8 @@
         await anyio.lowlevel.checkpoint()
         if isinstance(script, Unreachable):
             raise HttpConnectionError("no connection", bytes_left=False)
+        if isinstance(script, Mute):
+            await anyio.sleep_forever()
         if isinstance(script, Reset):
             raise HttpConnectionError("reset", bytes_left=True)
         yield script
--- a/tests/relay/test_health.py
+++ b/tests/relay/test_health.py
@@ -10,7 +10,7 @@
     find_outliers,
 )
 from passlane.relay.placement import NodePlace, PlacementKey, choose_backend
-from passlane.relay.registry import BackendLoad
+from passlane.relay.registry import BackendLoad, BackendRegistry
 from relay.fakes import backend
 
 HERE = NodePlace("node-1", "a")
@@ -113,8 +113,21 @@
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for key in (PlacementKey("program", HERE), PlacementKey("", HERE)):
             first = choose_backend(loads, key, (), 0.0)
-            watch = first.health.watch(0.0)
-            self.assertIsNot(choose_backend(loads, key, (), 1.0), first)
+            worse = {first.record.instance_id}
+            self.assertIsNot(choose_backend(loads, key, (), 1.0, worse), first)
             others = [load.record.instance_id for load in loads if load is not first]
-            self.assertIs(choose_backend(loads, key, others, 1.0), first)
-            watch.dropped(0.0, SHORTEST_STALL_S)
+            self.assertIs(choose_backend(loads, key, others, 1.0, worse), first)
+
+
+class RegistryTest(unittest.TestCase):
+    def test_a_change_of_outliers_is_told_once(self):
+        registry = BackendRegistry()
+        registry.update([backend(f"i-{number}") for number in range(3)], 0.0)
+        self.assertIsNone(registry.judge("models", 0.0))
+        watch = registry.of_service("models")[1].health.watch(0.0)
+        change = registry.judge("models", 1.0)
+        self.assertEqual((change.outliers, change.before), ({"i-1"}, frozenset()))
+        self.assertIsNone(registry.judge("models", 1.1))
+        self.assertEqual(registry.outliers_of("models"), {"i-1"})
+        watch.succeeded(1.2)
+        self.assertEqual(registry.judge("models", 1.2).outliers, frozenset())
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -17,6 +17,7 @@
 from relay.fakes import (
     FULL,
     MOVED,
+    Mute,
     RecordingWriter,
     Reset,
     Script,
@@ -101,6 +102,16 @@
         self.assertEqual(self.writer.status, 502)
         self.assertEqual(len(self.backends.asked), 2)
 
+    def test_a_silent_back_end_is_left_for_another_one(self):
+        self.relay([Mute(), Script(head(), b"ok")], max_attempts=2)
+        self.assertEqual((self.writer.status, self.writer.body), (200, b"ok"))
+        self.assertLess(self.elapsed_s, 0.5)
+
+    def test_silence_is_borne_when_no_other_back_end_may_run_it(self):
+        self.relay([Mute()], max_attempts=1)
+        self.assertEqual(self.writer.status, 504)
+        self.assertEqual(len(self.backends.asked), 1)
+
     def test_silence_ends_with_the_routes_time(self):
         self.relay([Script(head(), b"late", delay_s=60.0)])
         self.assertEqual(self.writer.status, 504)
@@ -112,6 +123,11 @@
 
 
 class AtMostOnceTest(RelayCase):
+    def test_silence_is_borne_by_what_may_run_once(self):
+        self.relay([Mute()], kind=RouteKind.AT_MOST_ONCE, max_attempts=3)
+        self.assertEqual(self.writer.status, 504)
+        self.assertEqual(len(self.backends.asked), 1)
+
     def test_an_answer_that_was_lost_promises_nothing(self):
         self.relay([Reset()], kind=RouteKind.AT_MOST_ONCE, max_attempts=3)
         self.assertEqual(self.writer.status, 502)
