Replays on the virtual clock stand with the simulation

emulator/replay.py and simulated_replay.py built simulated fleets, so the emulator, which also serves fleets of real processes, imported the simulation.

--- a/src/passlane/cli/proofs.py
+++ b/src/passlane/cli/proofs.py
@@ -99,7 +99,7 @@
         folder = None if fleet is None else Path(fleet)
         if folder is not None and not folder.is_dir():
             raise PasslaneError(ErrorCode.NOT_FOUND, f"no such folder: {folder}")
-        replay = _load("passlane.emulator.replay")
+        replay = _load("passlane.simulation.trace_replay")
         return self.run_and_report(lambda: int(replay.replay_files(paths, folder)))
 
 
--- a/src/passlane/emulator/replay.py
+++ b/src/passlane/simulation/trace_replay.py
@@ -16,12 +16,12 @@
 
 from passlane.emulator.example_files import SimulatedExample, read_simulated_example
 from passlane.emulator.replayer import Mismatch, ReplayFleet, TraceReplay
-from passlane.emulator.simulated_replay import simulated_replay_fleet
 from passlane.emulator.trace_files import Trace, read_trace, without_partial_programs
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.traces import FaultInjected, FaultKind, TraceAction
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
+from passlane.simulation.replay_fleet import simulated_replay_fleet
 from passlane.simulation.runner import run_simulation
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
--- a/tests/emulator/test_replay.py
+++ b/tests/simulation/test_trace_replay.py
@@ -6,7 +6,7 @@
 import unittest
 from pathlib import Path
 
-from passlane.emulator.replay import replay_files
+from passlane.simulation.trace_replay import replay_files
 
 GOOD = Path(__file__).resolve().parents[2] / "traces" / "music-house-call-after-end.jsonl"
 
--- a/tests/traces/replay_checks.py
+++ b/tests/traces/replay_checks.py
@@ -6,7 +6,6 @@
 
 from msgspec.structs import replace as changed
 
-from passlane.emulator.replay import group_traces, replay_group
 from passlane.emulator.trace_files import NumberedOutcome, Trace, read_trace
 from passlane.errors import Verdict
 from passlane.messages.traces import (
@@ -18,6 +17,7 @@
     SpentStated,
     TraceOutcome,
 )
+from passlane.simulation.trace_replay import group_traces, replay_group
 
 TRACES = Path(__file__).resolve().parents[2] / "traces"
 WRONG_LINES_FROM = 10_000
--- a/tests/traces/test_recording.py
+++ b/tests/traces/test_recording.py
@@ -10,13 +10,13 @@
 import anyio
 
 from passlane.emulator.example_files import read_simulated_example
-from passlane.emulator.replay import EXAMPLES, replay_files
 from passlane.emulator.replayer import TraceReplay
-from passlane.emulator.simulated_replay import simulated_replay_fleet
 from passlane.emulator.trace_files import read_trace
 from passlane.messages.traces import CallOutcomeStated
 from passlane.settings.model import NodeSettings
+from passlane.simulation.replay_fleet import simulated_replay_fleet
 from passlane.simulation.runner import run_simulation
+from passlane.simulation.trace_replay import EXAMPLES, replay_files
 from traces.replay_checks import TRACES
 
 EXAMPLE = EXAMPLES / "amre-topup"
