A test of the real server waits for the answer's first part, not for 0.3 s

On a busy machine the stop could come before the request. The test still checks that an answer in flight when the server is stopped arrives whole.

--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -168,10 +168,13 @@
             client = SingleConnectionHttpClient(TcpNetwork())
             answers: list[str] = []
 
-            async def fetch(path: str) -> None:
+            async def fetch(path: str, begun: anyio.Event) -> None:
                 request = HttpRequest("GET", address, path)
                 async with client.exchange(request) as response:
-                    parts = [part async for part in response.chunks()]
+                    parts = []
+                    async for part in response.chunks():
+                        parts.append(part)
+                        begun.set()
                     answers.append(b"".join(parts).decode())
 
             async with anyio.create_task_group() as tasks:
@@ -184,13 +187,14 @@
                 tasks.start_soon(serve)
                 while True:
                     try:
-                        await fetch("/first")
+                        await fetch("/first", anyio.Event())
                         break
                     except HttpConnectionError as error:
                         self.assertFalse(error.bytes_left)
                         await anyio.sleep(0.01)
-                tasks.start_soon(fetch, "/second")
-                await anyio.sleep(0.3)
+                begun = anyio.Event()
+                tasks.start_soon(fetch, "/second", begun)
+                await begun.wait()
                 server_scope.cancel()
             self.assertTrue(answers[1].endswith("/second 9;"))
 
