A service's back ends are judged once for each attempt; two pieces that stood twice are one

Cause: each attempt computed the service's typical latency three times and looked through all back ends as often (judgement, placement, stall limit). The first members of a group were built alike in both replicas' roles, and the choice of a control replica stood twice in the follower. Change: ServiceJudgement carries loads, typical latency and outliers; members_at_start; _next_control; a cached property in Metrics. Behaviour is meant to be the same; tests keep their assertions, two of them in the new terms. Not mended: failures in a row (avoid_until) and the decayed counts of health.py judge the same failures twice; one of them could go, which changes placement and so wants measured runs.

--- a/src/passlane/daemon/fleet_control.py
+++ b/src/passlane/daemon/fleet_control.py
@@ -3,7 +3,12 @@
 import anyio
 
 from passlane.daemon.fleet_context import FleetContext
-from passlane.daemon.replicas import CONTROL_FOLDER, CONTROL_GROUP, hand_over_leadership
+from passlane.daemon.replicas import (
+    CONTROL_FOLDER,
+    CONTROL_GROUP,
+    hand_over_leadership,
+    members_at_start,
+)
 from passlane.fleet.follower import FleetFollower
 from passlane.fleet.machine import FleetStateMachine
 from passlane.fleet.operator import FleetOperator
@@ -49,7 +54,7 @@
             CONTROL_GROUP,
             own.name,
             GroupSettings(
-                members=tuple(seeds) if is_seed else (*seeds, own),
+                members=members_at_start(own, seeds),
                 heartbeat_s=HEARTBEAT_S,
                 election_timeout_s=ELECTION_TIMEOUT_S,
                 first_election_share=FIRST_ELECTION_SHARE,
--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from passlane.daemon.fleet_context import FleetContext
-from passlane.daemon.replicas import STORE_FOLDER, hand_over_leadership
+from passlane.daemon.replicas import STORE_FOLDER, hand_over_leadership, members_at_start
 from passlane.fleet.follower import FleetFollower
 from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
 from passlane.observability.logging import get_logger
@@ -83,7 +83,7 @@
             TURN_GROUP,
             own.name,
             GroupSettings(
-                members=tuple(members) if is_founder else (*members, own),
+                members=members_at_start(own, members),
                 heartbeat_s=HEARTBEAT_S,
                 election_timeout_s=ELECTION_TIMEOUT_S,
                 first_election_share=FIRST_ELECTION_SHARE,
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -86,7 +86,7 @@
 
     async def _send_report(self, number: int, records: tuple[BackendRecord, ...] | None) -> int:
         report = ReportBackends(name=self._announcement().name, number=number, records=records)
-        address = self._leader or self._random.choice(self.controls)
+        address = self._next_control()
         answer = await self._caller.call(
             address, report, BackendsReported, timeout_s=REPORT_TIMEOUT_S
         )
@@ -127,7 +127,7 @@
         """Announce and follow until cancelled."""
         while True:
             started = anyio.current_time()
-            address = self._leader or self._random.choice(self.controls)
+            address = self._next_control()
             try:
                 view = await self._announce_to(address)
             except PasslaneError as error:
@@ -139,6 +139,10 @@
             shortest_end = started + SHORTEST_PERIOD_S
             await anyio.sleep(max(0.0, shortest_end - anyio.current_time()))
 
+    def _next_control(self) -> Address:
+        """Return the leader if it is known, else any control replica."""
+        return self._leader or self._random.choice(self.controls)
+
     async def _announce_to(self, address: Address) -> FleetView:
         own = self._announcement()
         request = Announce(
--- a/src/passlane/observability/metrics.py
+++ b/src/passlane/observability/metrics.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -22,19 +23,16 @@
     """
 
     def __init__(self) -> None:
-        self._registry_made: CollectorRegistry | None = None
         self._deferred: list[Callable[[Metrics], None]] = []
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[str, Histogram] = {}
 
-    @property
+    @cached_property
     def _registry(self) -> "CollectorRegistry":
-        if self._registry_made is None:
-            from prometheus_client import CollectorRegistry
+        from prometheus_client import CollectorRegistry
 
-            self._registry_made = CollectorRegistry(auto_describe=False)
-        return self._registry_made
+        return CollectorRegistry(auto_describe=False)
 
     def define_when_exposed(self, define: "Callable[[Metrics], None]") -> None:
         """Have ``define`` make metrics of this process when they are first asked for."""
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -14,7 +14,7 @@
     RelayBackends,
 )
 from passlane.relay.calls import RelayedCall
-from passlane.relay.health import AttemptWatch, stall_limit_s, typical_latency_s
+from passlane.relay.health import AttemptWatch, stall_limit_s
 from passlane.relay.placement import (
     NodePlace,
     PlacementKey,
@@ -22,7 +22,7 @@
     note_failure,
     note_success,
 )
-from passlane.relay.registry import BackendLoad, BackendRegistry
+from passlane.relay.registry import BackendLoad, BackendRegistry, ServiceJudgement
 from passlane.relay.verdicts import Judgement, is_gone, judge_answer, may_run_again
 from passlane.runtime.interfaces import HttpConnectionError
 
@@ -81,9 +81,8 @@
         self._registry = registry
         self._backends = backends
         is_model = service.tokens_per_event > 0
-        self._program_id = call.program.program_id if call.program is not None and is_model else ""
-        self._node = node
-        self._used_last = used_last
+        affinity = call.program.program_id if call.program is not None and is_model else ""
+        self._key = PlacementKey(affinity=affinity, node=node, used_last=used_last)
         self._priority = route.priority if is_model else None
         self._runs = 0
         self._refused: set[str] = set()
@@ -105,38 +104,34 @@
         give_up_at = self._call.arrived_at + WAIT_SHARE_OF_TARGET * self._route.target_latency_s
         while True:
             now = anyio.current_time()
-            load = self._choose(now)
+            judgement = self._judge(now)
+            load = choose_backend(
+                judgement.loads,
+                self._key,
+                self._refused,
+                now,
+                judgement.outliers,
+                judgement.typical_s,
+            )
             if load is None:
                 await self._wait_for_room(give_up_at)
                 continue
-            if await self._attempt(load, limit_at, deliver):
+            stall_limit = stall_limit_s(judgement.typical_s)
+            if await self._attempt(load, stall_limit, limit_at, deliver):
                 return
 
-    def _choose(self, now: float) -> BackendLoad | None:
-        service = self._service.name
-        change = self._registry.judge(service, now)
-        if change is not None:
+    def _judge(self, now: float) -> ServiceJudgement:
+        """Judge the service's back ends, and log which ones are outliers if that has changed."""
+        judgement = self._registry.judge(self._service.name, now)
+        if judgement.has_changed:
             _log.info(
                 "outliers_changed",
                 request_id=self._call.request_id,
-                service=service,
-                outliers=sorted(change.outliers),
-                before=sorted(change.before),
+                service=self._service.name,
+                outliers=sorted(judgement.outliers),
+                before=sorted(judgement.outliers_before),
             )
-        return choose_backend(
-            self._registry.of_service(service),
-            self._placement_key(),
-            self._refused,
-            now,
-            self._registry.outliers_of(service),
-        )
-
-    def _placement_key(self) -> PlacementKey:
-        return PlacementKey(
-            affinity=self._program_id,
-            node=self._node,
-            used_last=self._used_last,
-        )
+        return judgement
 
     async def _wait_for_room(self, give_up_at: float) -> None:
         """Let back ends that refused be tried once more, as long as that is worth while."""
@@ -147,13 +142,14 @@
         await anyio.sleep(SECOND_ROUND_PAUSE_S)
         self._refused.clear()
 
-    async def _attempt(self, load: BackendLoad, limit_at: float, deliver: Deliver) -> bool:
+    async def _attempt(
+        self, load: BackendLoad, stall_limit: float, limit_at: float, deliver: Deliver
+    ) -> bool:
         """Send the request to one back end; return whether its answer was delivered."""
         self.tried.append(load.record.instance_id)
         load.in_flight += 1
         started_at = anyio.current_time()
         watch = load.health.watch(started_at)
-        stall_limit = self._stall_limit_s(started_at)
         verdict_before = self.verdict
         # From here on a cancellation must not be taken for "not run".
         self.verdict = Verdict.MAY_HAVE_RUN
@@ -176,11 +172,6 @@
             load.in_flight -= 1
         return False
 
-    def _stall_limit_s(self, now: float) -> float:
-        """Return how long back ends of this service may be silent before that is noted."""
-        service = [load.health for load in self._registry.of_service(self._service.name)]
-        return stall_limit_s(typical_latency_s(service, now))
-
     def _silence_ends_at(self, stalled_at: float) -> float:
         """Return when to turn from a silent back end to another one, if that is allowed."""
         is_plain = self._route.kind is RouteKind.REPEATABLE
--- a/src/passlane/relay/health.py
+++ b/src/passlane/relay/health.py
@@ -161,9 +161,8 @@
     return min(HIGHEST_CONGESTION, int(health.longest_wait_s(now) / tolerated_s))
 
 
-def find_outliers(backends: Sequence[BackendHealth], now: float) -> set[int]:
+def find_outliers(backends: Sequence[BackendHealth], typical_s: float, now: float) -> set[int]:
     """Return the indexes of back ends that do worse than most of their service."""
-    typical_s = typical_latency_s(backends, now)
     limit_s = stall_limit_s(typical_s)
     outliers = {
         index
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from passlane.relay.health import congestion_level, typical_latency_s
+from passlane.relay.health import congestion_level
 from passlane.relay.registry import BackendLoad
 from passlane.relay.zone_weights import ZoneWeights
 
@@ -61,6 +61,7 @@
     tried: Collection[str],
     now: float,
     outliers: Collection[str] = (),
+    typical_s: float = 0.0,
 ) -> BackendLoad | None:
     """Return the back end for the next attempt; ``None`` if each was tried.
 
@@ -78,17 +79,15 @@
         Instances that this request was already sent to.
     outliers
         Instances that do worse than most of their service.
+    typical_s
+        Typical time to the first part of an answer of the service; 0 if unknown.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
         return None
-    everyone = list(candidates)
-    health = [load.health for load in everyone]
-    typical_s = typical_latency_s(health, now)
     long_s = max(SHORTEST_LONG_QUEUE_S, LONG_QUEUE_FACTOR * typical_s)
     short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
-
-    weights = ZoneWeights.of((load.record for load in everyone), key.node.zone)
+    weights = ZoneWeights.of((load.record for load in candidates), key.node.zone)
 
     def rank(load: BackendLoad) -> _Rank:
         instance_id = load.record.instance_id
--- a/src/passlane/relay/registry.py
+++ b/src/passlane/relay/registry.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from passlane.messages.listing import BackendRecord, BackendState
-from passlane.relay.health import BackendHealth, find_outliers
+from passlane.relay.health import BackendHealth, find_outliers, typical_latency_s
 
 
 @dataclass(slots=True)
@@ -36,12 +36,28 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OutlierChange:
-    """The back ends of a service that do worse than most, by instance, now and before."""
+class ServiceJudgement:
+    """How the back ends of a service do at one moment.
 
-    service: str
+    Attributes
+    ----------
+    loads
+        Those that take new requests.
+    typical_s
+        Their typical time to the first part of an answer; 0 if unknown.
+    outliers, outliers_before
+        Instances that do worse than most, now and by the judgement before.
+    """
+
+    loads: list[BackendLoad]
+    typical_s: float
     outliers: frozenset[str]
-    before: frozenset[str]
+    outliers_before: frozenset[str]
+
+    @property
+    def has_changed(self) -> bool:
+        """Whether there are other outliers than before."""
+        return self.outliers != self.outliers_before
 
 
 class BackendRegistry:
@@ -73,20 +89,16 @@
             if load.record.service == service and load.is_ready
         ]
 
-    def judge(self, service: str, now: float) -> OutlierChange | None:
-        """Judge the back ends of a service anew; return what has changed since the last time."""
+    def judge(self, service: str, now: float) -> ServiceJudgement:
+        """Judge the back ends of a service anew."""
         loads = self.of_service(service)
-        found = find_outliers([load.health for load in loads], now)
+        health = [load.health for load in loads]
+        typical_s = typical_latency_s(health, now)
+        found = find_outliers(health, typical_s, now)
         outliers = frozenset(loads[index].record.instance_id for index in found)
         before = self._outliers.get(service, frozenset())
-        if outliers == before:
-            return None
         self._outliers[service] = outliers
-        return OutlierChange(service, outliers, before)
-
-    def outliers_of(self, service: str) -> frozenset[str]:
-        """Return the back ends of a service that were judged to do worse than most."""
-        return self._outliers.get(service, frozenset())
+        return ServiceJudgement(loads, typical_s, outliers, before)
 
     def remove(self, instance_id: str) -> None:
         """Forget a back end that is known to be gone, until a list names it again."""
--- a/tests/relay/test_health.py
+++ b/tests/relay/test_health.py
@@ -8,11 +8,17 @@
     SHORTEST_STALL_S,
     BackendHealth,
     find_outliers,
+    typical_latency_s,
 )
 from passlane.relay.placement import NodePlace, PlacementKey, choose_backend
 from passlane.relay.registry import BackendLoad, BackendRegistry
 from relay.fakes import backend
 
+
+def outliers_of(backends, now):
+    return find_outliers(backends, typical_latency_s(backends, now), now)
+
+
 HERE = NodePlace("node-1", "a")
 
 
@@ -30,55 +36,55 @@
     def test_healthy_back_ends_are_no_outliers(self):
         for health in self.backends:
             answered(health, times=10)
-        self.assertEqual(find_outliers(self.backends, 1.0), set())
+        self.assertEqual(outliers_of(self.backends, 1.0), set())
 
     def test_one_that_fails_a_third_of_its_requests_is_an_outlier(self):
         for health in self.backends:
             answered(health, times=4)
         for _ in range(2):
             self.backends[2].watch(1.0).failed(1.0)
-        self.assertEqual(find_outliers(self.backends, 1.0), {2})
+        self.assertEqual(outliers_of(self.backends, 1.0), {2})
 
     def test_a_rare_failure_is_none(self):
         answered(self.backends[0], times=20)
         self.backends[0].watch(2.0).failed(2.0)
-        self.assertEqual(find_outliers(self.backends, 2.0), set())
+        self.assertEqual(outliers_of(self.backends, 2.0), set())
 
     def test_silence_counts_while_it_lasts_and_for_some_time_after(self):
         watch = self.backends[1].watch(0.0)
-        self.assertEqual(find_outliers(self.backends, SHORTEST_STALL_S), set())
-        self.assertEqual(find_outliers(self.backends, SHORTEST_STALL_S + 0.1), {1})
+        self.assertEqual(outliers_of(self.backends, SHORTEST_STALL_S), set())
+        self.assertEqual(outliers_of(self.backends, SHORTEST_STALL_S + 0.1), {1})
         watch.dropped(2.0, SHORTEST_STALL_S)
-        self.assertEqual(find_outliers(self.backends, 2.1), {1})
-        self.assertEqual(find_outliers(self.backends, 2.1 + HALF_LIFE_S), set())
+        self.assertEqual(outliers_of(self.backends, 2.1), {1})
+        self.assertEqual(outliers_of(self.backends, 2.1 + HALF_LIFE_S), set())
 
     def test_a_stream_that_goes_on_is_not_silent(self):
         watch = self.backends[1].watch(0.0)
         for tenth in range(1, 20):
             watch.progressed(tenth / 10)
-        self.assertEqual(find_outliers(self.backends, 2.0), set())
+        self.assertEqual(outliers_of(self.backends, 2.0), set())
 
     def test_a_caller_that_leaves_early_says_nothing_of_the_back_end(self):
         self.backends[1].watch(0.0).dropped(0.1, SHORTEST_STALL_S)
-        self.assertEqual(find_outliers(self.backends, 0.1), set())
+        self.assertEqual(outliers_of(self.backends, 0.1), set())
 
     def test_one_that_is_far_slower_than_the_others_is_an_outlier_until_that_is_old(self):
         for index, health in enumerate(self.backends):
             answered(health, times=3, latency_s=0.5 if index == 3 else 0.05)
-        self.assertEqual(find_outliers(self.backends, 1.0), {3})
-        self.assertEqual(find_outliers(self.backends, 2.0 + LATENCY_MEMORY_S), set())
+        self.assertEqual(outliers_of(self.backends, 1.0), {3})
+        self.assertEqual(outliers_of(self.backends, 2.0 + LATENCY_MEMORY_S), set())
 
     def test_what_most_of_them_show_is_no_fault_of_one(self):
         for health in self.backends[:3]:
             health.watch(0.0)
-        self.assertEqual(find_outliers(self.backends, 2.0), set())
+        self.assertEqual(outliers_of(self.backends, 2.0), set())
 
     def test_an_ended_request_is_counted_once(self):
         watch = self.backends[0].watch(0.0)
         watch.succeeded(0.1)
         watch.failed(0.1)
         watch.dropped(9.0, SHORTEST_STALL_S)
-        self.assertEqual(find_outliers(self.backends, 9.0), set())
+        self.assertEqual(outliers_of(self.backends, 9.0), set())
         self.assertEqual(self.backends[0].watches, set())
 
 
@@ -123,11 +129,13 @@
     def test_a_change_of_outliers_is_told_once(self):
         registry = BackendRegistry()
         registry.update([backend(f"i-{number}") for number in range(3)], 0.0)
-        self.assertIsNone(registry.judge("models", 0.0))
+        self.assertFalse(registry.judge("models", 0.0).has_changed)
         watch = registry.of_service("models")[1].health.watch(0.0)
         change = registry.judge("models", 1.0)
-        self.assertEqual((change.outliers, change.before), ({"i-1"}, frozenset()))
-        self.assertIsNone(registry.judge("models", 1.1))
-        self.assertEqual(registry.outliers_of("models"), {"i-1"})
+        self.assertTrue(change.has_changed)
+        self.assertEqual((change.outliers, change.outliers_before), ({"i-1"}, frozenset()))
+        again = registry.judge("models", 1.1)
+        self.assertFalse(again.has_changed)
+        self.assertEqual(again.outliers, {"i-1"})
         watch.succeeded(1.2)
         self.assertEqual(registry.judge("models", 1.2).outliers, frozenset())
