A node that starts lets clients wait instead of resetting or refusing them

Clients have one retry; each refusal costs a program its aim. Change: client, readiness and operator addresses are listened on before the imports; a request that comes within a second of the start waits for the configuration; what is missing decides when a caller is told to come back (as long as the outage has lasted, 0.1 to 1 s) in place of constants of 1 s and 0.5 s. The collector rests during the imports, and what was imported is never looked through again.

--- a/src/passlane/daemon/fleet_main.py
+++ b/src/passlane/daemon/fleet_main.py
@@ -1,9 +1,7 @@
 """Runs one process of a fleet on the platform: the composition root of ``passlane.platform``."""
 
-import os
 import signal
 import sys
-from collections.abc import Mapping
 from pathlib import Path
 from typing import Protocol
 
@@ -16,7 +14,7 @@
 from passlane.observability.metrics import Metrics
 from passlane.observability.ring import RingLog
 from passlane.observability.standard_output import StandardOutputLog
-from passlane.platform.names import SETTINGS_VARIABLE
+from passlane.runtime.early_listening import ListeningSockets
 from passlane.runtime.real import build_environment
 from passlane.settings.fleet import FleetSettings, load_fleet_settings
 from passlane.settings.loader import SettingsError
@@ -72,13 +70,21 @@
 class FleetDaemon:
     """One process: its supervisor tree, its signals, its settings file."""
 
-    def __init__(self, path: Path, settings: FleetSettings, output: StandardOutputLog) -> None:
+    def __init__(
+        self,
+        path: Path,
+        settings: FleetSettings,
+        output: StandardOutputLog,
+        sockets: ListeningSockets,
+    ) -> None:
         self._path = path
         self._settings = settings
         self._output = output
         folder = settings.process.data_folder or NODE_FOLDER
         is_node = settings.process.role is FleetRole.NODE
-        environment = build_environment(Path(folder), seed=None, sends_requests=is_node)
+        environment = build_environment(
+            Path(folder), seed=None, sends_requests=is_node, sockets=sockets
+        )
         self._pool = ConnectionPool(environment)
         router = MessageRouter()
         self._server = MessageServer(environment, settings.addresses.internal, router)
@@ -142,14 +148,21 @@
             self._process.reload(settings)
 
 
-async def _run(path: Path, settings: FleetSettings, output: StandardOutputLog) -> None:
+async def _run(
+    path: Path, settings: FleetSettings, output: StandardOutputLog, sockets: ListeningSockets
+) -> None:
     """Build and run the daemon; its parts need the running loop."""
-    await FleetDaemon(path, settings, output).run()
+    await FleetDaemon(path, settings, output, sockets).run()
 
 
-def main(variables: Mapping[str, str] = os.environ) -> int:
-    """Run the process whose settings file the platform names; return the exit code."""
-    path = Path(variables.get(SETTINGS_VARIABLE, ""))
+def main(path: Path, sockets: ListeningSockets) -> int:
+    """Run the process with this settings file; return the exit code.
+
+    Parameters
+    ----------
+    sockets
+        Those that listen already.
+    """
     try:
         settings = load_fleet_settings(path)
     except SettingsError as error:
@@ -160,7 +173,7 @@
     _log.info("started", role=settings.process.role.value, zone=settings.process.zone)
     exit_code = EXIT_OK
     try:
-        anyio.run(_run, path, settings, output, backend="asyncio")
+        anyio.run(_run, path, settings, output, sockets, backend="asyncio")
     except TooManyRestartsError as error:
         _log.error("failed", message=error.message)
         exit_code = EXIT_FAILED
--- a/src/passlane/daemon/fleet_start.py
+++ b/src/passlane/daemon/fleet_start.py
@@ -1,18 +1,52 @@
-"""The program that the platform starts: ready for signals before anything else is imported.
+"""The program that the platform starts: what must not wait for the imports of the rest.
 
 A reload signal may come while the process is still importing; by default it would end it.
+Clients may connect meanwhile; they wait instead of being reset. Nothing that is imported
+is garbage, so the collector rests until the process runs.
 """
 
+import gc
+import os
 import signal
 import sys
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
 
+from passlane.platform.names import SETTINGS_VARIABLE
+from passlane.runtime.early_listening import ListeningSockets
 
-def main() -> int:
-    """Ignore reload signals until the daemon takes them, then run it."""
+EARLY_ADDRESSES = ("callers", "readiness", "operators")
+"""Settings under ``addresses`` that others connect to from outside the fleet."""
+
+
+def main(variables: Mapping[str, str] = os.environ) -> int:
+    """Listen and ignore reload signals until the daemon takes over, then run it."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    gc.disable()
+    path = Path(variables.get(SETTINGS_VARIABLE, ""))
+    sockets = ListeningSockets()
+    sockets.listen(early_addresses(path))
     from passlane.daemon.fleet_main import main as run
 
-    return run()
+    gc.freeze()
+    gc.enable()
+    return run(path, sockets)
+
+
+def early_addresses(path: Path) -> Iterator[str]:
+    """Return the addresses to listen on at once; none if the settings can't be read.
+
+    What is wrong with the settings is told when they are checked.
+    """
+    try:
+        addresses = tomllib.loads(path.read_text()).get("addresses", {})
+    except (OSError, ValueError):
+        return
+    for name in EARLY_ADDRESSES:
+        address = addresses.get(name)
+        if isinstance(address, str):
+            yield address
 
 
 if __name__ == "__main__":
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -19,12 +19,12 @@
 from passlane.relay.placement import NodePlace
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
+from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount
 from passlane.relay.verdicts import UNAVAILABLE, status_when_given_up
 
 NOT_FOUND = 404
 BUDGET_SPENT = 402
-STORE_RETRY_AFTER_S = 0.5
 TURN_SETTLE_TIMEOUT_S = 3.0
 
 
@@ -117,7 +117,8 @@
         try:
             answer = await account.reserve(limit_at)
         except PasslaneError as error:
-            await self._refuse(UNAVAILABLE, f"store_{error.code.value}", STORE_RETRY_AFTER_S)
+            pause_s = retry_after_s(account.store_outage_s)
+            await self._refuse(UNAVAILABLE, f"store_{error.code.value}", pause_s)
             return None
         self._progress.reserved_s = anyio.current_time() - self._call.arrived_at
         if isinstance(answer, BudgetSpent):
--- /dev/null
+++ b/src/passlane/relay/retry_after.py
@@ -0,0 +1,15 @@
+"""When a refused caller is told to come back.
+
+What is missing (the configuration, the store group's leader) mostly returns soon after it
+was lost, and the longer it stays away the longer it is likely to. So a caller is asked to
+wait about as long as the outage has lasted: a short outage costs little, and a long one
+draws few repeats.
+"""
+
+SHORTEST_RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0
+
+
+def retry_after_s(outage_s: float) -> float:
+    """Return the seconds to wait when something has been missing for ``outage_s``."""
+    return round(min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, outage_s)), 2)
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -14,13 +14,16 @@
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request import NOT_FOUND, RequestContext, RequestRelay
+from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount, needs_account
 from passlane.relay.verdicts import UNAVAILABLE
 from passlane.routes.table import RouteTable, ShareSelector
 from passlane.turns.client import TurnStoreClient
 
 CONFLICT = 409
-NO_CONFIGURATION_RETRY_AFTER_S = 1.0
+START_WAIT_S = 1.0
+"""A node that has started so lately expects its first configuration any moment: requests
+wait for it, since a refusal would cost their callers one of few tries."""
 
 _log = get_logger(__name__)
 
@@ -50,6 +53,8 @@
         self._store = store
         self._tasks = tasks
         self._table: RouteTable | None = None
+        self._has_table = anyio.Event()
+        self._started_at = anyio.current_time()
         self._selector = ShareSelector(random)
         self._under_way: set[str] = set()
         self._requests = metrics.counter(
@@ -67,6 +72,7 @@
     def replace_configuration(self, configuration: RouteConfiguration) -> None:
         """Route by another configuration from the next request on."""
         self._table = RouteTable(configuration)
+        self._has_table.set()
 
     async def handle(self, call: RelayedCall, writer: AnswerWriter) -> None:
         """Answer one request.
@@ -88,10 +94,11 @@
     async def _handle(
         self, call: RelayedCall, writer: AnswerWriter, progress: RequestProgress
     ) -> None:
-        table = self._table
+        table = await self._wait_for_table()
         if table is None:
             progress.status, progress.reason = UNAVAILABLE, "no_configuration"
-            await writer.refuse(UNAVAILABLE, progress.reason, NO_CONFIGURATION_RETRY_AFTER_S)
+            outage_s = anyio.current_time() - self._started_at
+            await writer.refuse(UNAVAILABLE, progress.reason, retry_after_s(outage_s))
             return
         progress.version = table.version
         route = table.find(call.host, call.path)
@@ -111,6 +118,13 @@
         finally:
             self._under_way.discard(call.request_id)
 
+    async def _wait_for_table(self) -> RouteTable | None:
+        """Return the routes; right after the start, once they are known."""
+        if self._table is None:
+            with anyio.CancelScope(deadline=self._started_at + START_WAIT_S):
+                await self._has_table.wait()
+        return self._table
+
     async def _relay(
         self,
         call: RelayedCall,
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -47,6 +47,11 @@
         program = self._call.program
         return program.program_id if program is not None else self._call.request_id
 
+    @property
+    def store_outage_s(self) -> float:
+        """For how long the store group's leader has been in doubt; 0 while it is not."""
+        return self._store.outage_s
+
     async def reserve(self, limit_at: float) -> ReserveAnswer:
         """Reserve the most that the turn may generate; see ``TurnStoreClient.reserve``."""
         program = self._call.program
--- a/src/passlane/runtime/http_server.py
+++ b/src/passlane/runtime/http_server.py
@@ -12,10 +12,10 @@
 import uvicorn
 
 from passlane.messages.common import Address
+from passlane.runtime.early_listening import ListeningSockets, bound_socket
 from passlane.runtime.http_limits import LimitedHttpProtocol
 from passlane.runtime.interfaces import AsgiApplication, HttpLimits
 
-"""Requests in flight get this long to finish once the server is stopped."""
 LISTEN_BACKLOG = 2_048
 
 
@@ -45,16 +45,7 @@
 
 def listening_socket(address: Address) -> socket.socket:
     """Return a bound socket; raise ``OSError`` where uvicorn would end the process."""
-    # asyncio turns Nagle's algorithm off only where the protocol is named, and accepted
-    # sockets inherit it; without that an answer waits 40 ms for a delayed acknowledgement.
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listening.bind((address.host, address.port))
-    except OSError:
-        listening.close()
-        raise
-    return listening
+    return bound_socket(address.host, address.port)
 
 
 def _protocol_with(limits: HttpLimits) -> type[asyncio.Protocol]:
@@ -63,9 +54,16 @@
 
 
 class UvicornHttpServer:
-    """Serves applications by uvicorn; implements ``runtime.interfaces.HttpServer``."""
+    """Serves applications by uvicorn; implements ``runtime.interfaces.HttpServer``.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    sockets
+        Those that listen already; other addresses are listened on when they are served.
+    """
+
+    def __init__(self, sockets: ListeningSockets | None = None) -> None:
+        self._sockets = sockets or ListeningSockets()
         # Each write to a connection that is gone would be a line on standard error.
         for noisy in ("uvicorn.error", "asyncio"):
             logging.getLogger(noisy).setLevel(logging.CRITICAL)
@@ -96,7 +94,7 @@
         )
         limits = limits or HttpLimits()
         server = _Server(config)
-        listening = listening_socket(address)
+        listening = self._sockets.take(str(address)) or listening_socket(address)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_shielded, server, listening)
             try:
--- a/src/passlane/runtime/real.py
+++ b/src/passlane/runtime/real.py
@@ -7,6 +7,7 @@
 
 from passlane.messages.common import Address
 from passlane.runtime.disk import RealDisk
+from passlane.runtime.early_listening import ListeningSockets
 from passlane.runtime.interfaces import (
     AsgiApplication,
     Environment,
@@ -33,6 +34,9 @@
 class _LateHttpServer:
     """Imports the HTTP server when it is first used, once replicas are already running."""
 
+    def __init__(self, sockets: ListeningSockets) -> None:
+        self._sockets = sockets
+
     async def serve(
         self,
         address: Address,
@@ -42,7 +46,7 @@
         """Serve until cancelled; see ``HttpServer.serve``."""
         from passlane.runtime.http_server import UvicornHttpServer
 
-        await UvicornHttpServer().serve(address, application, limits)
+        await UvicornHttpServer(self._sockets).serve(address, application, limits)
 
 
 def _http_client(network: Network) -> HttpClient:
@@ -58,6 +62,7 @@
     network: Network | None = None,
     *,
     sends_requests: bool = True,
+    sockets: ListeningSockets | None = None,
 ) -> Environment:
     """Return the real environment.
 
@@ -71,12 +76,14 @@
         In place of plain TCP, such as one that adds delays between zones.
     sends_requests
         Whether the process sends HTTP requests.
+    sockets
+        Those that listen already.
     """
     network = network or TcpNetwork()
     return Environment(
         network=network,
         http_client=_http_client(network) if sends_requests else _NoHttpClient(),
-        http_server=_LateHttpServer(),
+        http_server=_LateHttpServer(sockets or ListeningSockets()),
         disk=RealDisk(data_folder),
         random=random.Random(seed),
     )
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -62,6 +62,11 @@
         """Whether the group's leader was not heard for so long that it counts as lost."""
         return self._finder.is_lost
 
+    @property
+    def outage_s(self) -> float:
+        """For how long the group's leader has been in doubt; 0 while it is not."""
+        return self._finder.doubt_s
+
     async def run(self) -> None:
         """Look for the leader while it is in doubt, until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/src/passlane/turns/leader_finder.py
+++ b/src/passlane/turns/leader_finder.py
@@ -62,8 +62,13 @@
     @property
     def is_lost(self) -> bool:
         """Whether the leader has been in doubt for so long that the group counts as lost."""
+        return self.doubt_s >= LOST_AFTER_S
+
+    @property
+    def doubt_s(self) -> float:
+        """For how long the leader has been in doubt; 0 while it is not."""
         since = self._in_doubt_since
-        return since is not None and anyio.current_time() - since >= LOST_AFTER_S
+        return anyio.current_time() - since if since is not None else 0.0
 
     async def wait_for_leader(self, deadline: float) -> Address:
         """Return the leader's address.
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -139,9 +139,10 @@
 class ScriptedStore:
     """Answers reservations as told; keeps settlements."""
 
-    def __init__(self, answer=None, *, is_lost=False, settle_fails=False):
+    def __init__(self, answer=None, *, is_lost=False, outage_s=0.0, settle_fails=False):
         self.answer = answer or TurnReserved()
         self.is_lost = is_lost
+        self.outage_s = outage_s
         self.settle_fails = settle_fails
         self.reserved = []
         self.settled = []
