All control replicas are asked at once, and first elections are repeated early

Cause: a process that starts asked one control replica after the other, at random; a replica whose first pre-vote met peers that were not up yet waited out a whole election time-out. Change: without a leader a follower of the fleet asks every replica, again and again, until one gives its view; while no leader was heard since the start, the pre-vote is repeated after the first, shorter time. Tests: elections; waiting requests; sockets that listen early; settings that cannot be read. A test of elections was replaced: it said that after the first short wait a whole time-out follows, which is what was wrong; the new ones say when the wait is short, when it is whole, and that an election under way keeps its time.

--- a/src/passlane/daemon/fleet_start.py
+++ b/src/passlane/daemon/fleet_start.py
@@ -40,11 +40,11 @@
     What is wrong with the settings is told when they are checked.
     """
     try:
-        addresses = tomllib.loads(path.read_text()).get("addresses", {})
-    except (OSError, ValueError):
+        addresses = tomllib.loads(path.read_text())["addresses"]
+    except (OSError, ValueError, KeyError):
         return
     for name in EARLY_ADDRESSES:
-        address = addresses.get(name)
+        address = addresses.get(name) if isinstance(addresses, dict) else None
         if isinstance(address, str):
             yield address
 
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -17,7 +17,12 @@
 WAIT_S = 0.8
 """The leader holds an announcement for this long when there is nothing new."""
 ANSWER_MARGIN_S = 0.5
-RETRY_PAUSE_S = 0.05
+RETRY_PAUSE_S = 0.04
+LONGEST_PAUSE_S = 0.25
+PAUSE_GROWTH = 1.3
+"""A replica that doesn't lead is asked again after such pauses, longer each time: after a
+loss of all processes a leader is elected within some tenths of a second."""
+CANDIDATES_PERIOD_S = 0.05
 LOST_AFTER_S = 2.5
 SHORTEST_PERIOD_S = 0.05
 REPORT_TIMEOUT_S = 0.5
@@ -51,6 +56,7 @@
         self._caller = caller
         self._random = random
         self._leader: Address | None = None
+        self._hint: Address | None = None
         self._listeners: list[Callable[[RouteConfiguration], None]] = []
         self._backends_listener: BackendsListener | None = None
         self._backends: tuple[BackendRecord, ...] = ()
@@ -126,18 +132,49 @@
     async def run(self) -> None:
         """Announce and follow until cancelled."""
         while True:
-            started = anyio.current_time()
-            address = self._next_control()
-            try:
-                view = await self._announce_to(address)
-            except PasslaneError as error:
-                self._note_failure(error, address)
-                await anyio.sleep(self._random.uniform(0.5, 1.0) * RETRY_PAUSE_S)
+            if self._leader is None:
+                await self._find_leader()
                 continue
-            self._leader = address
-            self._take_over(view)
-            shortest_end = started + SHORTEST_PERIOD_S
-            await anyio.sleep(max(0.0, shortest_end - anyio.current_time()))
+            started = anyio.current_time()
+            if await self._try_to_follow(self._leader):
+                shortest_end = started + SHORTEST_PERIOD_S
+                await anyio.sleep(max(0.0, shortest_end - anyio.current_time()))
+
+    async def _find_leader(self) -> None:
+        """Ask all replicas at once, again and again, until one leads and gives its view."""
+        asked: set[Address] = set()
+        async with anyio.create_task_group() as search:
+            while self._leader is None:
+                # Replicas become known while the search goes on.
+                for address in self._candidates():
+                    if address not in asked:
+                        asked.add(address)
+                        search.start_soon(self._ask_repeatedly, address, search.cancel_scope)
+                await anyio.sleep(CANDIDATES_PERIOD_S)
+            search.cancel_scope.cancel()
+
+    async def _ask_repeatedly(self, address: Address, search: anyio.CancelScope) -> None:
+        """Ask one replica until it, or another one, turns out to lead."""
+        pause_s = RETRY_PAUSE_S
+        while not await self._try_to_follow(address):
+            await anyio.sleep(self._random.uniform(0.5, 1.0) * pause_s)
+            pause_s = min(LONGEST_PAUSE_S, PAUSE_GROWTH * pause_s)
+        search.cancel()
+
+    def _candidates(self) -> tuple[Address, ...]:
+        hints = (self._hint,) if self._hint is not None else ()
+        return tuple(dict.fromkeys([*hints, *self.controls]))
+
+    async def _try_to_follow(self, address: Address) -> bool:
+        """Announce to a replica and take over its view; return whether there was one."""
+        try:
+            view = await self._announce_to(address)
+        except PasslaneError as error:
+            self._note_failure(error, address)
+            return False
+        self._leader = address
+        self._take_over(view)
+        return True
 
     def _next_control(self) -> Address:
         """Return the leader if it is known, else any control replica."""
@@ -164,10 +201,12 @@
         )
 
     def _note_failure(self, error: PasslaneError, address: Address) -> None:
-        hint = error.leader if isinstance(error, NotLeaderError) else None
-        if self._leader is not None:
+        """Leave a replica that doesn't lead; it may tell which one does."""
+        if isinstance(error, NotLeaderError) and error.leader is not None:
+            self._hint = error.leader
+        if self._leader == address:
             _log.info("control_lost", address=str(address), code=error.code.value)
-        self._leader = hint if hint != address else None
+            self._leader = None
 
     def _take_over(self, view: FleetView) -> None:
         """Take over a view; an older configuration than the one held has no effect."""
--- a/src/passlane/raft/election.py
+++ b/src/passlane/raft/election.py
@@ -37,6 +37,7 @@
         self._phase = ElectionPhase.IDLE
         self._granted: set[ReplicaId] = set()
         self._heard_from_leader_at = -math.inf
+        self._has_heard_leader = False
         self.deadline = math.inf
 
     @property
@@ -51,7 +52,8 @@
         self.deadline = now + timeout_s * (1.0 + self._state.random.random())
 
     def start_first_timer(self, now: float) -> None:
-        """Put the first election off, by less than a later one if so configured.
+        """Put an election off, by less than a later one if so configured, while no leader
+        was heard since the start.
 
         After a loss of all processes nobody leads, and each moment counts. Where there is a
         leader, its followers refuse the pre-vote of a replica that comes back too eagerly.
@@ -69,6 +71,7 @@
     def note_leader(self, now: float) -> None:
         """Note that the current leader was heard."""
         self._heard_from_leader_at = now
+        self._has_heard_leader = True
         self.stand_down(now)
 
     def forget_leader(self) -> None:
@@ -79,7 +82,11 @@
         """Stand for election if no leader was heard for too long."""
         if now < self.deadline:
             return
-        self.restart_timer(now)
+        if self._has_heard_leader:
+            self.restart_timer(now)
+        else:
+            # The others may not have started yet when they were asked first.
+            self.start_first_timer(now)
         self.forget_leader()
         self._state.set_leader(None, None)
         if self._state.is_voter:
