Nodes that come back are no news to all others; a store group's founders are tried at once

Nodes then waited until the store's leader had announced itself. Change: only replicas' addresses number a view; nodes are counted without. Nodes look for the store's leader among the group's founders too, which are part of the replicated state.

--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -130,7 +130,8 @@
         return knows_fleet and has_list and not is_lost and not self._is_draining
 
     def _store_addresses(self) -> list[Address]:
-        return [store.address for store in self._follower.stores]
+        follower = self._follower
+        return [store.address for store in (*follower.stores, *follower.store_founders)]
 
     def _take_configuration(self, configuration: RouteConfiguration) -> None:
         limits = configuration.limits
--- a/src/passlane/fleet/directory.py
+++ b/src/passlane/fleet/directory.py
@@ -29,7 +29,9 @@
 class FleetDirectory:
     """Processes by name; soft state that a new leader gathers anew.
 
-    ``number`` grows whenever an address that others need has changed.
+    ``number`` grows whenever an address that others need has changed. Nobody needs a
+    node's: if each node that comes back were news to all others, a new leader would have
+    the square of their number to tell.
     """
 
     def __init__(self, first_number: int) -> None:
@@ -46,7 +48,8 @@
         first_at = now if known is None or is_new else known.first_at
         self._known[announcement.name] = _Known(announcement, first_at, now)
         members = announcement.group_members
-        has_changed = is_new or bool(members and members != self._group_members)
+        is_new_replica = is_new and announcement.role is not FleetRole.NODE
+        has_changed = is_new_replica or bool(members and members != self._group_members)
         if members:
             self._group_members = members
         if has_changed:
@@ -56,8 +59,8 @@
     def _forget_silent(self, now: float) -> None:
         silent = [n for n, known in self._known.items() if now - known.last_at > FORGET_AFTER_S]
         for name in silent:
-            del self._known[name]
-            self.number += 1
+            if self._known.pop(name).announcement.role is not FleetRole.NODE:
+                self.number += 1
 
     def stores(self) -> tuple[NamedAddress, ...]:
         """Return the store replicas: those that announce themselves, and the group's members."""
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -121,6 +121,14 @@
         """Store replicas as last told of."""
         return self.view.stores if self.view is not None else ()
 
+    @property
+    def store_founders(self) -> tuple[NamedAddress, ...]:
+        """The first members of the store group; some may be gone.
+
+        A new leader of the control group knows them before any store has announced itself.
+        """
+        return self.view.store_founders if self.view is not None else ()
+
     @property
     def node_count(self) -> int:
         """How many nodes there are; at least 1."""
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -72,6 +72,18 @@
             self.assertEqual(answer.status, 400)
         self.assertEqual((await fleet.operate("GET", "/api/config/get")).body, before)
 
+    @on_seeds(0, 1, 2, 3, 4, nodes=6)
+    async def test_right_after_a_loss_of_all_processes_a_turn_waits_and_is_served(self, fleet):
+        names = list(fleet.machines)
+        for name in names:
+            fleet.kill(name, power=False)
+        for name in names:
+            fleet.start(name)
+        returned_at = anyio.current_time()
+        answer = await fleet.turn("one", node="node-6")
+        self.assertEqual((answer.status, answer.is_whole), (200, True))
+        self.assertLess(anyio.current_time() - returned_at, 0.8)
+
     @on_seeds()
     async def test_a_configuration_and_a_turn_outlive_a_loss_of_power_everywhere(self, fleet):
         await fleet.put_configuration(2)
