--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -26,7 +26,8 @@
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import HttpConnectionError, HttpRequest, Network
 
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.3
+"""A machine that is dark says nothing; nothing was sent, so another one may be tried."""
 IDLE_EXPIRY_S = 4.0
 """Shorter than the usual five seconds after which servers close idle connections."""
 KEEP_ALIVE_MARGIN_S = 0.4
--- a/src/passlane/simulation/raft_command_log.py
+++ b/src/passlane/simulation/raft_command_log.py
@@ -1,6 +1,6 @@
 """The state machine that the simulated Raft group replicates."""
 
-import crc32c
+import google_crc32c
 import msgspec
 
 
@@ -18,7 +18,7 @@
             return
         self.known.add(command)
         self.commands.append(command)
-        self.digest = crc32c.crc32c(command, self.digest)
+        self.digest = google_crc32c.extend(self.digest, command)
 
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
--- a/src/passlane/storage/records.py
+++ b/src/passlane/storage/records.py
@@ -12,7 +12,7 @@
 import struct
 from collections.abc import Iterator
 
-import crc32c
+import google_crc32c
 import msgspec
 
 FORMAT_VERSION = 1
@@ -49,9 +49,10 @@
     end: int
 
 
-def _checksum(kind: int, payload: bytes | memoryview) -> int:
+def _checksum(kind: int, payload: bytes) -> int:
     """Return the CRC-32C over kind, length and payload."""
-    return crc32c.crc32c(payload, crc32c.crc32c(_CHECKED.pack(kind, len(payload))))
+    checked = google_crc32c.value(_CHECKED.pack(kind, len(payload)))
+    return int(google_crc32c.extend(checked, payload))
 
 
 def encode_record(kind: RecordKind, payload: bytes) -> bytes:
@@ -80,7 +81,7 @@
     if marker != MARKER or zero != 0 or length > MAX_PAYLOAD_BYTES or end > len(data):
         return None
     payload = data[payload_start:end]
-    if _checksum(kind, payload) != checksum or kind not in _KNOWN_KINDS:
+    if _checksum(kind, bytes(payload)) != checksum or kind not in _KNOWN_KINDS:
         return None
     return Record(kind=RecordKind(kind), payload=payload, start=start, end=end)
 
--- a/src/passlane/storage/snapshot_data.py
+++ b/src/passlane/storage/snapshot_data.py
@@ -5,7 +5,7 @@
 block is kept in memory: 4 bytes for every 256 KB.
 """
 
-import crc32c
+import google_crc32c
 
 from passlane.runtime.interfaces import ReadableFile
 from passlane.storage.formats import storage_corrupt
@@ -28,7 +28,7 @@
         while offset < len(data):
             room = self.block_bytes - self.length % self.block_bytes
             piece = data[offset : offset + room]
-            self._open_block = crc32c.crc32c(piece, self._open_block)
+            self._open_block = google_crc32c.extend(self._open_block, piece)
             self.length += len(piece)
             offset += len(piece)
             if self.length % self.block_bytes == 0:
@@ -43,7 +43,7 @@
         else:
             expected = self._open_block
             expected_bytes = self.length % self.block_bytes
-        return len(data) == expected_bytes and crc32c.crc32c(data) == expected
+        return len(data) == expected_bytes and google_crc32c.value(data) == expected
 
 
 class FileSnapshotData:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,14 +1,22 @@
 """Messages survive their codec, and foreign bytes are refused."""
 
+import importlib
+import pkgutil
+import subprocess
+import sys
 import unittest
 
 import msgspec
 
+import passlane.messages
 from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import CallId, Epoch, Partition, ProgramId
 from passlane.messages.base import encode_message, message_decoder
 from passlane.messages.common import Address, Amounts, ErrorReply
+from passlane.messages.fleet import ReadRetirement
+from passlane.messages.registry import MessageRegistry
 from passlane.messages.store import CallOutcome, FinishCall, StoreCommand, Turn
+from passlane.messages.turns import FindTurnStore
 
 
 class CodecTest(unittest.TestCase):
@@ -39,5 +47,33 @@
         self.assertFalse(Amounts(tokens=1, calls=2).fits_within(limit))
 
 
+class RegistryTest(unittest.TestCase):
+    def test_every_message_class_of_the_package_has_a_name_of_its_own_and_is_found(self) -> None:
+        for entry in pkgutil.iter_modules(passlane.messages.__path__):
+            importlib.import_module(f"{passlane.messages.__name__}.{entry.name}")
+        # Making the decoder fails where two classes have one name.
+        registry = MessageRegistry()
+        for message in (FindTurnStore(), ReadRetirement("a")):
+            self.assertEqual(registry.decode(encode_message(message)), message)
+
+    def test_classes_that_are_imported_later_are_taken_in(self) -> None:
+        script = """
+from passlane.messages.registry import decode_any_message
+from passlane.messages.base import encode_message
+from passlane.messages.turns import FindTurnStore
+assert decode_any_message(encode_message(FindTurnStore())) == FindTurnStore()
+from passlane.messages.fleet import ReadRetirement
+message = ReadRetirement("a")
+assert decode_any_message(encode_message(message)) == message
+"""
+        subprocess.run([sys.executable, "-c", script], check=True)
+
+    def test_bytes_that_hold_no_known_message_are_refused(self) -> None:
+        registry = MessageRegistry()
+        for body in (b"", b"\xc1", msgspec.msgpack.encode({"type": "NoSuchMessage"})):
+            with self.subTest(body=body), self.assertRaises(msgspec.DecodeError):
+                registry.decode(body)
+
+
 if __name__ == "__main__":
     unittest.main()
