Logs tell why a back end was chosen and how a request stood in time; `passlane requests` sums them up

Cause: `request_ended` had no kind, priority or time left, and the choice of a back end was not logged with what decided it. Change: these fields; a line `backend_chosen` for each attempt, with rank, the node's own load there, the service's usual latency and the age of the list; a command that reads logs and tells, by window, kind and priority, what became of requests, for which reasons, and how long they waited for the store, the back end and delivery. `choose_backend` returns what decided.

--- a/src/passlane/cli/main.py
+++ b/src/passlane/cli/main.py
@@ -27,6 +27,7 @@
     SimulationRunCommand,
     TraceReplayCommand,
 )
+from passlane.cli.request_log import RequestsCommand
 from passlane.cli.status import StatusCommand
 
 COMMANDS = (
@@ -43,6 +44,7 @@
     ProgramsShowCommand,
     ProgramsExplainCommand,
     LogCommand,
+    RequestsCommand,
     SimulationRunCommand,
     SimulationListCommand,
     SimulationDefectsCommand,
--- /dev/null
+++ b/src/passlane/observability/request_log.py
@@ -0,0 +1,168 @@
+"""Reads the request lines of process logs: what became of requests, when, and where they waited.
+
+A line may have a text in front of it, as log collectors put there: it is read from its
+first brace on. Requests are put into windows of time by their arrival, on the machines'
+time of day.
+"""
+
+import enum
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from statistics import quantiles
+
+import msgspec
+
+REQUEST_EVENT = "request_ended"
+FIRST_FAILURE = 300
+FIRST_SERVER_FAULT = 500
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class Outcome(enum.StrEnum):
+    """What became of a request."""
+
+    IN_TIME = "in time"
+    LATE = "late"
+    """Answered whole, but after its route's target."""
+    REFUSED = "refused"
+    """Answered with the promise that it didn't run."""
+    REJECTED = "rejected"
+    """Answered with another status of the caller's fault, such as a spent budget."""
+    FAILED = "failed"
+    """Answered with a fault."""
+    BROKEN_OFF = "broken off"
+    """Not answered whole."""
+
+
+class RequestLine(msgspec.Struct, frozen=True):
+    """The fields of a request's log line that are used here; times in seconds."""
+
+    event: str
+    unix_time_s: float = 0.0
+    elapsed_s: float = 0.0
+    kind: str = ""
+    priority: int | None = None
+    status: int = 0
+    reason: str = ""
+    is_whole: bool = False
+    is_in_time: bool | None = None
+    reserved_s: float | None = None
+    first_part_s: float | None = None
+
+    @property
+    def arrived_at(self) -> float:
+        """Time of day of the request's arrival."""
+        return self.unix_time_s - self.elapsed_s
+
+    @property
+    def outcome(self) -> Outcome:
+        """What became of the request."""
+        if not self.is_whole:
+            return Outcome.BROKEN_OFF
+        if self.status < FIRST_FAILURE:
+            return Outcome.LATE if self.is_in_time is False else Outcome.IN_TIME
+        if self.status in NOT_RUN_STATUSES:
+            return Outcome.REFUSED
+        return Outcome.FAILED if self.status >= FIRST_SERVER_FAULT else Outcome.REJECTED
+
+
+class Waits(msgspec.Struct, frozen=True):
+    """Median and 95th percentile of a wait, in seconds; ``None`` where nothing waited."""
+
+    median_s: float | None
+    high_s: float | None
+
+    @classmethod
+    def of(cls, seconds: list[float]) -> "Waits":
+        """Return the percentiles of some waits."""
+        if not seconds:
+            return cls(None, None)
+        if len(seconds) == 1:
+            return cls(seconds[0], seconds[0])
+        cuts = quantiles(seconds, n=20, method="inclusive")
+        return cls(round(cuts[9], 4), round(cuts[18], 4))
+
+
+class WindowSummary(msgspec.Struct, frozen=True):
+    """Requests of one kind and priority that arrived in one window.
+
+    Attributes
+    ----------
+    starts_s
+        Start of the window, from the first arrival of all.
+    outcomes
+        Number of requests by outcome.
+    reasons
+        Number of requests that had no whole answer of a back end, by reason.
+    reservation, back_end, delivery
+        Waits for the store, from there to the back end's first part, and from there on.
+    """
+
+    starts_s: float
+    kind: str
+    priority: int | None
+    outcomes: dict[Outcome, int]
+    reasons: dict[str, int]
+    reservation: Waits
+    back_end: Waits
+    delivery: Waits
+
+
+_decoder = msgspec.json.Decoder(RequestLine)
+
+
+def read_requests(lines: Iterable[str]) -> Iterator[RequestLine]:
+    """Yield the request lines; lines that are none, or cut short, are passed over."""
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or REQUEST_EVENT not in line:
+            continue
+        try:
+            request = _decoder.decode(line[start:].strip().encode())
+        except msgspec.MsgspecError:
+            continue
+        if request.event == REQUEST_EVENT:
+            yield request
+
+
+def summarize(requests: Iterable[RequestLine], window_s: float) -> list[WindowSummary]:
+    """Return what became of requests, by window, kind and priority."""
+    ordered = sorted(requests, key=lambda request: request.arrived_at)
+    if not ordered:
+        return []
+    first = ordered[0].arrived_at
+    groups: dict[tuple[int, str, int | None], list[RequestLine]] = defaultdict(list)
+    for request in ordered:
+        window = int((request.arrived_at - first) / window_s)
+        groups[window, request.kind, request.priority].append(request)
+    return [
+        _summary_of(window * window_s, kind, priority, group)
+        for (window, kind, priority), group in sorted(groups.items(), key=_order)
+    ]
+
+
+def _order(item: tuple[tuple[int, str, int | None], list[RequestLine]]) -> tuple[int, str, int]:
+    window, kind, priority = item[0]
+    return window, kind, -1 if priority is None else priority
+
+
+def _summary_of(
+    starts_s: float, kind: str, priority: int | None, group: list[RequestLine]
+) -> WindowSummary:
+    answered = [request for request in group if request.first_part_s is not None]
+    outcomes: dict[Outcome, int] = defaultdict(int)
+    reasons: dict[str, int] = defaultdict(int)
+    for request in group:
+        outcomes[request.outcome] += 1
+        if request.outcome not in (Outcome.IN_TIME, Outcome.LATE):
+            reasons[request.reason] += 1
+    return WindowSummary(
+        starts_s=starts_s,
+        kind=kind,
+        priority=priority,
+        outcomes=dict(outcomes),
+        reasons=dict(reasons),
+        reservation=Waits.of([r.reserved_s for r in group if r.reserved_s is not None]),
+        back_end=Waits.of([(r.first_part_s or 0.0) - (r.reserved_s or 0.0) for r in answered]),
+        delivery=Waits.of([r.elapsed_s - (r.first_part_s or 0.0) for r in answered]),
+    )
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -17,6 +17,7 @@
 from passlane.relay.health import AttemptWatch, stall_limit_s
 from passlane.relay.placement import (
     NodePlace,
+    PlacementChoice,
     PlacementKey,
     choose_backend,
     note_failure,
@@ -105,7 +106,7 @@
         while True:
             now = anyio.current_time()
             judgement = self._judge(now)
-            load = choose_backend(
+            choice = choose_backend(
                 judgement.loads,
                 self._key,
                 self._refused,
@@ -113,11 +114,12 @@
                 judgement.outliers,
                 judgement.typical_s,
             )
-            if load is None:
+            if choice is None:
                 await self._wait_for_room(give_up_at)
                 continue
+            self._log_choice(choice, now)
             stall_limit = stall_limit_s(judgement.typical_s)
-            if await self._attempt(load, stall_limit, limit_at, deliver):
+            if await self._attempt(choice.load, stall_limit, limit_at, deliver):
                 return
 
     def _judge(self, now: float) -> ServiceJudgement:
@@ -133,6 +135,26 @@
             )
         return judgement
 
+    def _log_choice(self, choice: PlacementChoice, now: float) -> None:
+        """Log which back end was chosen, and by what."""
+        updated_at = self._registry.updated_at
+        _log.info(
+            "backend_chosen",
+            request_id=self._call.request_id,
+            service=self._service.name,
+            instance=choice.load.record.instance_id,
+            attempt=len(self.tried) + 1,
+            candidates=choice.candidates,
+            in_flight=choice.load.in_flight,
+            is_outlier=choice.rank.is_outlier,
+            is_avoided=choice.rank.is_avoided,
+            long_queue=choice.rank.long_queue,
+            short_queue=choice.rank.short_queue,
+            used_last=self._key.used_last,
+            typical_s=round(choice.typical_s, 4),
+            list_age_s=round(now - updated_at, 3) if updated_at is not None else None,
+        )
+
     async def _wait_for_room(self, give_up_at: float) -> None:
         """Let back ends that refused be tried once more, as long as that is worth while."""
         if anyio.current_time() + SECOND_ROUND_PAUSE_S > give_up_at:
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -24,7 +24,7 @@
 LONGEST_AVOID_S = 5.0
 
 
-class _Rank(NamedTuple):
+class PlacementRank(NamedTuple):
     """Order of preference; the first difference decides, and lower is better."""
 
     is_outlier: bool
@@ -54,6 +54,25 @@
     used_last: str = ""
 
 
+class PlacementChoice(msgspec.Struct, frozen=True):
+    """A back end that was chosen, and what decided it.
+
+    Attributes
+    ----------
+    rank
+        Its rank; all others ranked behind it.
+    candidates
+        How many back ends there were to choose from.
+    typical_s
+        Typical time to the first part of an answer of the service; 0 if unknown.
+    """
+
+    load: BackendLoad
+    rank: PlacementRank
+    candidates: int
+    typical_s: float
+
+
 def choose_backend(
     candidates: Collection[BackendLoad],
     key: PlacementKey,
@@ -61,8 +80,8 @@
     now: float,
     outliers: Collection[str] = (),
     typical_s: float = 0.0,
-) -> BackendLoad | None:
-    """Return the back end for the next attempt; ``None`` if each was tried.
+) -> PlacementChoice | None:
+    """Choose the back end for the next attempt; ``None`` if each was tried.
 
     A program stays with the engine that it used last, because that engine holds what the
     program has read already; to read it again elsewhere takes longer than a short queue.
@@ -88,9 +107,9 @@
     short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
     weights = ZoneWeights.of((load.record for load in candidates), key.node.zone)
 
-    def rank(load: BackendLoad) -> _Rank:
+    def rank(load: BackendLoad) -> PlacementRank:
         instance_id = load.record.instance_id
-        return _Rank(
+        return PlacementRank(
             is_outlier=instance_id in outliers,
             is_avoided=load.avoid_until > now,
             long_queue=congestion_level(load.health, long_s, now),
@@ -100,7 +119,8 @@
             dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
-    return min(fresh, key=rank)
+    chosen = min(fresh, key=rank)
+    return PlacementChoice(chosen, rank(chosen), len(fresh), typical_s)
 
 
 def note_failure(load: BackendLoad, now: float) -> None:
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -14,6 +14,8 @@
         Version of the configuration that the request was served by.
     route, service
         Names, once they are chosen.
+    priority, target_latency_s
+        Of the route.
     status
         Status told to the caller; 0 for none.
     reason
@@ -29,6 +31,8 @@
     route: str = ""
     service: str = ""
     kind: str = "none"
+    priority: int | None = None
+    target_latency_s: float = 0.0
     status: int = 0
     reason: str = "answered"
     verdict: Verdict = Verdict.NOT_RUN
@@ -36,3 +40,13 @@
     events: int = 0
     reserved_s: float | None = None
     first_part_s: float | None = None
+
+    def is_in_time(self, elapsed_s: float) -> bool | None:
+        """Whether the answer came within the route's target; ``None`` without an answer.
+
+        A stream's time counts to its first part, any other answer's to its end.
+        """
+        if self.first_part_s is None:
+            return None
+        taken_s = self.first_part_s if self.events else elapsed_s
+        return taken_s <= self.target_latency_s
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -113,6 +113,8 @@
             return
         progress.route = route.name
         progress.kind = route.kind.value
+        progress.priority = route.priority
+        progress.target_latency_s = route.target_latency_s
         if call.request_id in self._under_way:
             progress.status, progress.reason = CONFLICT, "request_under_way"
             await writer.refuse(CONFLICT, progress.reason, None)
@@ -161,6 +163,8 @@
             previous_turn=call.previous_turn,
             route=progress.route,
             service=progress.service,
+            kind=progress.kind,
+            priority=progress.priority,
             version=progress.version,
             status=status,
             reason=progress.reason,
@@ -170,9 +174,19 @@
             events=progress.events,
             reserved_s=_rounded(progress.reserved_s),
             first_part_s=_rounded(progress.first_part_s),
+            is_in_time=progress.is_in_time(elapsed_s),
+            time_left_s=_rounded(call.deadline_at - anyio.current_time()),
+            program_time_left_s=_program_time_left_s(call),
             elapsed_s=_rounded(elapsed_s),
         )
 
 
+def _program_time_left_s(call: RelayedCall) -> float | None:
+    """Return the time until a call's program should be over; ``None`` if that is unknown."""
+    if call.program is None or call.program.deadline_at is None:
+        return None
+    return _rounded(call.program.deadline_at - anyio.current_time())
+
+
 def _rounded(seconds: float | None) -> float | None:
     return round(seconds, 4) if seconds is not None else None
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -12,8 +12,16 @@
 from passlane.messages.turns import TurnReserved
 from passlane.relay.backends import AnswerHead, Refusal
 from passlane.relay.calls import Header, ProgramContext, RelayedCall
+from passlane.relay.placement import choose_backend
 from passlane.runtime.interfaces import HttpConnectionError
 
+
+def choose(*arguments):
+    """Return the back end that is chosen; ``None`` if there is none."""
+    choice = choose_backend(*arguments)
+    return choice.load if choice is not None else None
+
+
 SIGNATURE = Header("signature", "s")
 
 
--- a/tests/relay/test_health.py
+++ b/tests/relay/test_health.py
@@ -10,9 +10,9 @@
     find_outliers,
     typical_latency_s,
 )
-from passlane.relay.placement import NodePlace, PlacementKey, choose_backend
+from passlane.relay.placement import NodePlace, PlacementKey
 from passlane.relay.registry import BackendLoad, BackendRegistry
-from relay.fakes import backend
+from relay.fakes import backend, choose
 
 
 def outliers_of(backends, now):
@@ -94,35 +94,35 @@
         for load in loads:
             answered(load.health, times=5)
         new = PlacementKey("program", HERE)
-        first = choose_backend(loads, new, (), 1.0)
+        first = choose(loads, new, (), 1.0)
         known = PlacementKey("program", HERE, used_last=first.record.instance_id)
         first.health.watch(1.0)
-        self.assertIs(choose_backend(loads, new, (), 1.05), first)
-        self.assertIsNot(choose_backend(loads, new, (), 1.15), first)
-        self.assertIs(choose_backend(loads, known, (), 1.15), first)
-        self.assertIsNot(choose_backend(loads, known, (), 1.35), first)
+        self.assertIs(choose(loads, new, (), 1.05), first)
+        self.assertIsNot(choose(loads, new, (), 1.15), first)
+        self.assertIs(choose(loads, known, (), 1.15), first)
+        self.assertIsNot(choose(loads, known, (), 1.35), first)
 
     def test_a_program_stays_where_it_is(self):
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for load in loads:
             known = PlacementKey("program", HERE, used_last=load.record.instance_id)
-            self.assertIs(choose_backend(loads, known, (), 0.0), load)
+            self.assertIs(choose(loads, known, (), 0.0), load)
 
     def test_when_all_queue_the_shortest_queue_is_taken(self):
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for load, since in zip(loads, (0.0, 0.2, 0.1), strict=True):
             load.health.watch(since)
         key = PlacementKey("program", HERE)
-        self.assertIs(choose_backend(loads, key, (), 0.35), loads[1])
+        self.assertIs(choose(loads, key, (), 0.35), loads[1])
 
     def test_outliers_come_after_the_others_and_are_used_when_there_is_no_other(self):
         loads = [BackendLoad(backend(f"i-{number}")) for number in range(3)]
         for key in (PlacementKey("program", HERE), PlacementKey("", HERE)):
-            first = choose_backend(loads, key, (), 0.0)
+            first = choose(loads, key, (), 0.0)
             worse = {first.record.instance_id}
-            self.assertIsNot(choose_backend(loads, key, (), 1.0, worse), first)
+            self.assertIsNot(choose(loads, key, (), 1.0, worse), first)
             others = [load.record.instance_id for load in loads if load is not first]
-            self.assertIs(choose_backend(loads, key, others, 1.0, worse), first)
+            self.assertIs(choose(loads, key, others, 1.0, worse), first)
 
 
 class RegistryTest(unittest.TestCase):
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -7,12 +7,11 @@
 from passlane.relay.placement import (
     NodePlace,
     PlacementKey,
-    choose_backend,
     note_failure,
     note_success,
 )
 from passlane.relay.registry import BackendLoad, BackendRegistry
-from relay.fakes import backend
+from relay.fakes import backend, choose
 
 HERE = NodePlace("node-1", "a")
 
@@ -25,13 +24,13 @@
     def test_a_program_stays_with_its_engine(self):
         candidates = loads(6)
         key = PlacementKey("program", HERE)
-        first = choose_backend(candidates, key, (), 0.0)
-        self.assertIs(choose_backend(candidates[::-1], key, (), 0.0), first)
+        first = choose(candidates, key, (), 0.0)
+        self.assertIs(choose(candidates[::-1], key, (), 0.0), first)
 
     def test_programs_spread(self):
         candidates = loads(6)
         chosen = {
-            choose_backend(candidates, PlacementKey(str(n), HERE), (), 0.0).record.instance_id
+            choose(candidates, PlacementKey(str(n), HERE), (), 0.0).record.instance_id
             for n in range(100)
         }
         self.assertEqual(len(chosen), 6)
@@ -39,32 +38,32 @@
     def test_a_full_or_failing_engine_comes_after_the_others(self):
         candidates = loads(3)
         key = PlacementKey("program", HERE)
-        first = choose_backend(candidates, key, (), 0.0)
+        first = choose(candidates, key, (), 0.0)
         first.in_flight = 2
-        second = choose_backend(candidates, key, (), 0.0)
+        second = choose(candidates, key, (), 0.0)
         self.assertIsNot(second, first)
         first.in_flight = 0
         note_failure(first, 0.0)
-        self.assertIs(choose_backend(candidates, key, (), 0.1), second)
-        self.assertIs(choose_backend(candidates, key, (), 10.0), first)
+        self.assertIs(choose(candidates, key, (), 0.1), second)
+        self.assertIs(choose(candidates, key, (), 10.0), first)
         note_success(first)
-        self.assertIs(choose_backend(candidates, key, (), 0.1), first)
+        self.assertIs(choose(candidates, key, (), 0.1), first)
 
     def test_plain_requests_fill_a_third_of_the_own_zone_before_they_go_to_another(self):
         near, far = BackendLoad(backend("n", zone="a")), BackendLoad(backend("f", zone="b"))
         key = PlacementKey("", HERE)
-        self.assertIs(choose_backend([far, near], key, (), 0.0), near)
+        self.assertIs(choose([far, near], key, (), 0.0), near)
         near.in_flight = 1
-        self.assertIs(choose_backend([far, near], key, (), 0.0), near)
+        self.assertIs(choose([far, near], key, (), 0.0), near)
         near.in_flight = 2
-        self.assertIs(choose_backend([far, near], key, (), 0.0), far)
+        self.assertIs(choose([far, near], key, (), 0.0), far)
         far.in_flight = 2
-        self.assertIs(choose_backend([far, near], key, (), 0.0), near)
+        self.assertIs(choose([far, near], key, (), 0.0), near)
 
     def test_nodes_of_a_zone_fill_different_plain_back_ends_first(self):
         candidates = loads(6)
         chosen = Counter(
-            choose_backend(
+            choose(
                 candidates, PlacementKey("", NodePlace(f"node-{n}", "a")), (), 0.0
             ).record.instance_id
             for n in range(120)
@@ -75,7 +74,7 @@
     def test_each_is_tried_once(self):
         candidates = loads(2)
         key = PlacementKey("", HERE)
-        self.assertIsNone(choose_backend(candidates, key, ("i-0", "i-1"), 0.0))
+        self.assertIsNone(choose(candidates, key, ("i-0", "i-1"), 0.0))
 
 
 class RegistryTest(unittest.TestCase):
