--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -101,6 +101,22 @@
         self.assertIn(b'"version": 2', answer.body)
 
 
+    @on_seeds(0, 1, 2, 3)
+    async def test_one_store_and_one_control_disk_may_be_lost_with_all_power(self, fleet):
+        newest = await fleet.put_configuration(2)
+        self.assertTrue((await fleet.turn("one")).is_whole)
+        for name in list(fleet.machines):
+            fleet.kill(name, wipe=name in ("store-1", "control-1"))
+        await anyio.sleep(1.0)
+        for name in list(fleet.machines):
+            fleet.start(name)
+        last = await fleet.turn_until_whole("two", previous="one")
+        self.assertTrue(fleet.body_run_for(last).startswith(b"<one>"))
+        await fleet.until_ready(timeout_s=10.0)
+        answer = await fleet.operate("GET", "/api/config/get", name="control-2")
+        self.assertEqual((answer.status, answer.body), (200, newest))
+
+
 class CutOffNodeTest(unittest.TestCase):
     @on_seeds()
     async def test_a_node_without_control_and_stores_is_not_ready_and_refuses_early(self, fleet):
