--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -13,16 +13,13 @@
 from passlane.messages.routes import RouteConfiguration
 from passlane.observability.logging import get_logger
 from passlane.transport.interfaces import Caller
+from passlane.transport.replica_search import ReplicaSearch, SearchPauses
 
 WAIT_S = 0.8
 """The leader holds an announcement for this long when there is nothing new."""
 ANSWER_MARGIN_S = 0.5
-RETRY_PAUSE_S = 0.04
-LONGEST_PAUSE_S = 0.25
-PAUSE_GROWTH = 1.3
-"""A replica that doesn't lead is asked again after such pauses, longer each time: after a
-loss of all processes a leader is elected within some tenths of a second."""
-CANDIDATES_PERIOD_S = 0.05
+SEARCH_PAUSES = SearchPauses(first_s=0.04, longest_s=0.25, growth=1.3)
+"""After a loss of all processes a leader is elected within some tenths of a second."""
 LOST_AFTER_S = 2.5
 SHORTEST_PERIOD_S = 0.05
 REPORT_TIMEOUT_S = 0.5
@@ -67,6 +64,9 @@
         self._has_configuration = anyio.Event()
         self.has_seen_store_leader = False
         self._confirmed_at: float | None = None
+        self._search = ReplicaSearch(
+            self._candidates, self._try_to_follow, self._has_leader, SEARCH_PAUSES, random
+        )
 
     def on_configuration(self, listener: Callable[[RouteConfiguration], None]) -> None:
         """Call ``listener`` with each newer configuration."""
@@ -146,33 +146,15 @@
         """Announce and follow until cancelled."""
         while True:
             if self._leader is None:
-                await self._find_leader()
+                await self._search.run()
                 continue
             started = anyio.current_time()
             if await self._try_to_follow(self._leader):
                 shortest_end = started + SHORTEST_PERIOD_S
                 await anyio.sleep(max(0.0, shortest_end - anyio.current_time()))
 
-    async def _find_leader(self) -> None:
-        """Ask all replicas at once, again and again, until one leads and gives its view."""
-        asked: set[Address] = set()
-        async with anyio.create_task_group() as search:
-            while self._leader is None:
-                # Replicas become known while the search goes on.
-                for address in self._candidates():
-                    if address not in asked:
-                        asked.add(address)
-                        search.start_soon(self._ask_repeatedly, address, search.cancel_scope)
-                await anyio.sleep(CANDIDATES_PERIOD_S)
-            search.cancel_scope.cancel()
-
-    async def _ask_repeatedly(self, address: Address, search: anyio.CancelScope) -> None:
-        """Ask one replica until it, or another one, turns out to lead."""
-        pause_s = RETRY_PAUSE_S
-        while not await self._try_to_follow(address):
-            await anyio.sleep(self._random.uniform(0.5, 1.0) * pause_s)
-            pause_s = min(LONGEST_PAUSE_S, PAUSE_GROWTH * pause_s)
-        search.cancel()
+    def _has_leader(self) -> bool:
+        return self._leader is not None
 
     def _candidates(self) -> tuple[Address, ...]:
         hints = (self._hint,) if self._hint is not None else ()
--- a/src/passlane/turns/leader_finder.py
+++ b/src/passlane/turns/leader_finder.py
@@ -11,15 +11,13 @@
 from passlane.messages.turns import FindTurnStore, TurnStoreFound
 from passlane.observability.logging import get_logger
 from passlane.transport.interfaces import Caller
+from passlane.transport.replica_search import ReplicaSearch, SearchPauses
 
 LOST_AFTER_S = 1.0
 """The store group counts as lost once nothing was heard of its leader for this long."""
 PROBE_TIMEOUT_S = 0.3
-FIRST_PAUSE_S = 0.04
-CANDIDATES_PERIOD_S = 0.05
-LONGEST_PAUSE_S = 0.18
-"""Between two questions to one replica; doubles while the search goes on. Together with a
-question that nobody answers, it stays below half a second."""
+SEARCH_PAUSES = SearchPauses(first_s=0.04, longest_s=0.18, growth=2.0)
+"""The longest, together with a question that nobody answers, stays below half a second."""
 TRUST_S = 0.15
 """A leader that has just answered is not put in doubt again for this long."""
 
@@ -50,7 +48,6 @@
     ) -> None:
         self._caller = caller
         self._addresses = addresses
-        self._random = random
         self._on_moved = on_moved
         self._term = 0
         self._hint: Address | None = None
@@ -59,6 +56,9 @@
         self._search_wanted = anyio.Event()
         self._found = anyio.Event()
         self.leader: Address | None = None
+        self._search = ReplicaSearch(
+            self._candidates, self._ask, self._is_sure, SEARCH_PAUSES, random
+        )
 
     @property
     def is_lost(self) -> bool:
@@ -117,44 +117,31 @@
             await self._search_wanted.wait()
             self._search_wanted = anyio.Event()
             if self._in_doubt_since is not None:
-                await self._search()
+                await self._search.run()
 
     def _doubt(self) -> None:
         if self._in_doubt_since is None:
             self._in_doubt_since = anyio.current_time()
             self._search_wanted.set()
 
-    async def _search(self) -> None:
-        """Ask every replica again and again until the doubt is over."""
-        asked: set[Address] = set()
-        async with anyio.create_task_group() as tasks:
-            while self._in_doubt_since is not None:
-                # Replicas become known while the search goes on.
-                for address in self._candidates():
-                    if address not in asked:
-                        asked.add(address)
-                        tasks.start_soon(self._ask_repeatedly, address, tasks.cancel_scope)
-                await anyio.sleep(CANDIDATES_PERIOD_S)
-            tasks.cancel_scope.cancel()
-
     def _candidates(self) -> list[Address]:
         hints = [self._hint] if self._hint is not None else []
         return list(dict.fromkeys([*self._addresses(), *hints]))
 
-    async def _ask_repeatedly(self, address: Address, search: anyio.CancelScope) -> None:
-        pause_s = FIRST_PAUSE_S
-        while self._in_doubt_since is not None:
-            try:
-                answer = await self._caller.call(
-                    address, FindTurnStore(), TurnStoreFound, timeout_s=PROBE_TIMEOUT_S
-                )
-            except PasslaneError as error:
-                _log.debug("no_store_leader", address=str(address), code=error.code.value)
-            else:
-                self._take_over(address, answer.term)
-            await anyio.sleep(self._random.uniform(0.75, 1.0) * pause_s)
-            pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
-        search.cancel()
+    async def _ask(self, address: Address) -> bool:
+        """Ask one replica whether it leads; return whether the doubt is over."""
+        try:
+            answer = await self._caller.call(
+                address, FindTurnStore(), TurnStoreFound, timeout_s=PROBE_TIMEOUT_S
+            )
+        except PasslaneError as error:
+            _log.debug("no_store_leader", address=str(address), code=error.code.value)
+        else:
+            self._take_over(address, answer.term)
+        return self._is_sure()
+
+    def _is_sure(self) -> bool:
+        return self._in_doubt_since is None
 
     def _take_over(self, address: Address, term: int) -> None:
         """Believe a replica that says it leads, unless a later leader is known."""
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -100,7 +100,6 @@
         answer = await fleet.operate("GET", "/api/config/get")
         self.assertIn(b'"version": 2', answer.body)
 
-
     @on_seeds(0, 1, 2, 3)
     async def test_one_store_and_one_control_disk_may_be_lost_with_all_power(self, fleet):
         newest = await fleet.put_configuration(2)
