New programs go to engines that hold the shared part of their prompt

Change: a prompt's shared part of 4,000 tokens or more has homes at half of the engines, by rendezvous hashing; a new program goes to the least used home, and elsewhere when all homes have a queue. Smaller parts change nothing.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -23,6 +23,7 @@
     note_failure,
     note_success,
 )
+from passlane.relay.prompt_homes import large_shared_part
 from passlane.relay.registry import BackendLoad, BackendRegistry, ServiceJudgement
 from passlane.relay.verdicts import Judgement, is_gone, judge_answer, may_run_again
 from passlane.runtime.interfaces import HttpConnectionError
@@ -83,7 +84,12 @@
         self._backends = backends
         is_model = service.tokens_per_event > 0
         affinity = call.program.program_id if call.program is not None and is_model else ""
-        self._key = PlacementKey(affinity=affinity, node=node, used_last=used_last)
+        self._key = PlacementKey(
+            affinity=affinity,
+            node=node,
+            used_last=used_last,
+            shared_part=large_shared_part(call.prompt_parts) if is_model else "",
+        )
         self._priority = route.priority if is_model else None
         self._runs = 0
         self._refused: set[str] = set()
@@ -149,6 +155,8 @@
             is_outlier=choice.rank.is_outlier,
             is_avoided=choice.rank.is_avoided,
             long_queue=choice.rank.long_queue,
+            is_away=choice.rank.is_away,
+            shared_part=self._key.shared_part,
             short_queue=choice.rank.short_queue,
             used_last=self._key.used_last,
             typical_s=round(choice.typical_s, 4),
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from passlane.messages.listing import BackendRecord
 from passlane.relay.health import congestion_level
+from passlane.relay.prompt_homes import find_homes
 from passlane.relay.registry import BackendLoad
 from passlane.relay.zone_weights import ZoneWeights
 
@@ -32,6 +34,7 @@
     long_queue: int
     is_elsewhere: bool
     short_queue: int
+    is_away: bool
     fullness: int
     dislike: float
 
@@ -46,12 +49,14 @@
 class PlacementKey(msgspec.Struct, frozen=True):
     """What decides where a request goes; ``affinity`` is empty for plain services.
 
-    ``used_last`` is the engine that the request's program used last, at whatever node.
+    ``used_last`` is the engine that the request's program used last, at whatever node;
+    ``shared_part`` the large part that its prompt shares with others, empty without one.
     """
 
     affinity: str
     node: NodePlace
     used_last: str = ""
+    shared_part: str = ""
 
 
 class PlacementChoice(msgspec.Struct, frozen=True):
@@ -85,8 +90,10 @@
 
     A program stays with the engine that it used last, because that engine holds what the
     program has read already; to read it again elsewhere takes longer than a short queue.
-    A new program goes by rendezvous hashing, as at every other node of its zone, unless
-    requests queue there. Back ends of the own zone are preferred. An
+    A new program whose prompt shares a large part with others goes to the least used of
+    the engines that hold this part. Any other goes by rendezvous hashing, as at every
+    other node of its zone, unless requests queue there, and back ends of the own zone are
+    preferred. An
     engine that is full for this node, that failed lately or that does worse than most
     comes after all others. Among plain back ends each node has an order of its own, so that
     the nodes of a zone don't all fill the same one first.
@@ -105,7 +112,9 @@
         return None
     long_s = max(SHORTEST_LONG_QUEUE_S, LONG_QUEUE_FACTOR * typical_s)
     short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
-    weights = ZoneWeights.of((load.record for load in candidates), key.node.zone)
+    records = [load.record for load in candidates]
+    homes = _homes_of_new_program(key, records)
+    weights = ZoneWeights.of(records, key.node.zone)
 
     def rank(load: BackendLoad) -> PlacementRank:
         instance_id = load.record.instance_id
@@ -115,7 +124,8 @@
             long_queue=congestion_level(load.health, long_s, now),
             is_elsewhere=instance_id != key.used_last,
             short_queue=congestion_level(load.health, short_s, now),
-            fullness=_fullness(load, key),
+            is_away=bool(homes) and instance_id not in homes,
+            fullness=load.in_flight if homes else _fullness(load, key),
             dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
@@ -123,6 +133,13 @@
     return PlacementChoice(chosen, rank(chosen), len(fresh), typical_s)
 
 
+def _homes_of_new_program(key: PlacementKey, records: Collection[BackendRecord]) -> frozenset[str]:
+    """Return the engines for a new program's shared part; empty if there is none."""
+    if not key.shared_part or key.used_last:
+        return frozenset()
+    return find_homes(key.shared_part, records)
+
+
 def note_failure(load: BackendLoad, now: float) -> None:
     """Avoid a back end for a while, longer with each failure in a row."""
     load.failures += 1
--- /dev/null
+++ b/src/passlane/relay/prompt_homes.py
@@ -0,0 +1,41 @@
+"""Which engines are to hold a part that many prompts begin with.
+
+An engine that gets a prompt for the first time reads its shared part anew, and holds up all
+that it generates meanwhile. So programs that share a large part go to half of the engines
+only, the same ones at every node, as long as one of these has no queue.
+"""
+
+import math
+from collections.abc import Collection, Sequence
+
+import xxhash
+
+from passlane.messages.listing import BackendRecord
+from passlane.relay.calls import PromptPart
+
+HOME_SHARE = 0.5
+"""Share of the engines that hold a part: enough of them to spread its programs by load."""
+FEWEST_HOMES = 2
+SMALLEST_LARGE_TOKENS = 4_000
+"""An engine reads some 60 to 160 tokens in a millisecond: smaller parts are read anew in
+little more time than a request takes to another zone and back."""
+
+
+def large_shared_part(parts: Sequence[PromptPart]) -> str:
+    """Return the id of the large part that a prompt shares with others; empty without one.
+
+    The last part of a prompt is its own.
+    """
+    is_shared = len(parts) > 1 and parts[0].tokens >= SMALLEST_LARGE_TOKENS
+    return parts[0].part_id if is_shared else ""
+
+
+def find_homes(part_id: str, records: Collection[BackendRecord]) -> frozenset[str]:
+    """Return the instances that are to hold a part, by rendezvous hashing."""
+    count = max(FEWEST_HOMES, math.ceil(HOME_SHARE * len(records)))
+    by_score = sorted(records, key=lambda record: _score(part_id, record), reverse=True)
+    return frozenset(record.instance_id for record in by_score[:count])
+
+
+def _score(part_id: str, record: BackendRecord) -> int:
+    return xxhash.xxh3_64_intdigest(f"{part_id}/{record.instance_id}".encode())
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -3,6 +3,7 @@
 import unittest
 from collections import Counter
 
+from passlane.relay.calls import PromptPart
 from passlane.relay.list_reader import own_period_s
 from passlane.relay.placement import (
     NodePlace,
@@ -10,6 +11,11 @@
     note_failure,
     note_success,
 )
+from passlane.relay.prompt_homes import (
+    SMALLEST_LARGE_TOKENS,
+    find_homes,
+    large_shared_part,
+)
 from passlane.relay.registry import BackendLoad, BackendRegistry
 from relay.fakes import backend, choose
 
@@ -20,6 +26,65 @@
     return [BackendLoad(backend(f"i-{number}", **changes)) for number in range(count)]
 
 
+class SharedPartTest(unittest.TestCase):
+    def instances_for(self, key_of, candidates, count=60):
+        return {choose(candidates, key_of(n), (), 0.0).record.instance_id for n in range(count)}
+
+    def test_programs_that_share_a_part_use_half_of_the_engines_the_same_at_every_node(self):
+        candidates = loads(6)
+        used = [
+            self.instances_for(
+                lambda n, node=node: PlacementKey(str(n), node, shared_part="p"), candidates
+            )
+            for node in (HERE, NodePlace("node-2", "b"))
+        ]
+        self.assertEqual(len(used[0]), 3)
+        self.assertEqual(used[0], used[1])
+
+    def test_different_parts_use_all_engines(self):
+        used = self.instances_for(
+            lambda n: PlacementKey(str(n), HERE, shared_part=str(n)), loads(6)
+        )
+        self.assertEqual(len(used), 6)
+
+    def test_the_least_used_of_the_homes_is_taken(self):
+        candidates = loads(6)
+        counts = Counter()
+        for n in range(30):
+            load = choose(candidates, PlacementKey(str(n), HERE, shared_part="p"), (), 0.0)
+            load.in_flight += 1
+            counts[load.record.instance_id] += 1
+        self.assertEqual(sorted(counts.values()), [10, 10, 10])
+
+    def test_a_queue_at_all_homes_sends_programs_elsewhere(self):
+        candidates = loads(6)
+        key = PlacementKey("program", HERE, shared_part="p")
+        homes = find_homes("p", [load.record for load in candidates])
+        for load in candidates:
+            if load.record.instance_id in homes:
+                load.health.watch(0.0)
+        self.assertIn(choose(candidates, key, (), 0.05).record.instance_id, homes)
+        self.assertNotIn(choose(candidates, key, (), 0.15).record.instance_id, homes)
+
+    def test_a_program_stays_with_its_engine_whatever_its_part(self):
+        candidates = loads(6)
+        for load in candidates:
+            instance = load.record.instance_id
+            key = PlacementKey("program", HERE, used_last=instance, shared_part="p")
+            self.assertIs(choose(candidates, key, (), 0.0), load)
+
+    def test_small_parts_and_parts_of_one_request_alone_have_no_homes(self):
+        large, small = PromptPart("a", SMALLEST_LARGE_TOKENS), PromptPart("b", 512)
+        self.assertEqual(large_shared_part([large, small]), "a")
+        for parts in ([small, large], [large], []):
+            self.assertEqual(large_shared_part(parts), "")
+
+    def test_there_are_two_homes_while_there_are_two_engines(self):
+        for count, homes in ((0, 0), (1, 1), (2, 2), (3, 2), (23, 12)):
+            records = [load.record for load in loads(count)]
+            self.assertEqual(len(find_homes("p", records)), homes)
+
+
 class PlacementTest(unittest.TestCase):
     def test_a_program_stays_with_its_engine(self):
         candidates = loads(6)
