--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -23,8 +23,8 @@
     note_failure,
     note_success,
 )
-from passlane.relay.prompt_homes import large_shared_part
 from passlane.relay.registry import BackendLoad, BackendRegistry, ServiceJudgement
+from passlane.relay.shared_parts import large_shared_part
 from passlane.relay.verdicts import Judgement, is_gone, judge_answer, may_run_again
 from passlane.runtime.interfaces import HttpConnectionError
 
@@ -155,7 +155,7 @@
             is_outlier=choice.rank.is_outlier,
             is_avoided=choice.rank.is_avoided,
             long_queue=choice.rank.long_queue,
-            is_away=choice.rank.is_away,
+            is_without_part=choice.rank.is_without_part,
             shared_part=self._key.shared_part,
             short_queue=choice.rank.short_queue,
             used_last=self._key.used_last,
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -8,8 +8,8 @@
 
 from passlane.messages.listing import BackendRecord
 from passlane.relay.health import congestion_level
-from passlane.relay.prompt_homes import find_homes
 from passlane.relay.registry import BackendLoad
+from passlane.relay.shared_parts import engines_of_part
 from passlane.relay.zone_weights import ZoneWeights
 
 FULL_SHARE = 0.5
@@ -34,7 +34,7 @@
     long_queue: int
     is_elsewhere: bool
     short_queue: int
-    is_away: bool
+    is_without_part: bool
     fullness: int
     dislike: float
 
@@ -93,10 +93,9 @@
     A new program whose prompt shares a large part with others goes to the least used of
     the engines that hold this part. Any other goes by rendezvous hashing, as at every
     other node of its zone, unless requests queue there, and back ends of the own zone are
-    preferred. An
-    engine that is full for this node, that failed lately or that does worse than most
-    comes after all others. Among plain back ends each node has an order of its own, so that
-    the nodes of a zone don't all fill the same one first.
+    preferred. An engine that is full for this node, that failed lately or that does worse
+    than most comes after all others. Among plain back ends each node has an order of its
+    own, so that the nodes of a zone don't all fill the same one first.
 
     Parameters
     ----------
@@ -113,7 +112,7 @@
     long_s = max(SHORTEST_LONG_QUEUE_S, LONG_QUEUE_FACTOR * typical_s)
     short_s = max(SHORTEST_QUEUE_S, QUEUE_FACTOR * typical_s)
     records = [load.record for load in candidates]
-    homes = _homes_of_new_program(key, records)
+    holders = _engines_for_new_program(key, records)
     weights = ZoneWeights.of(records, key.node.zone)
 
     def rank(load: BackendLoad) -> PlacementRank:
@@ -124,8 +123,8 @@
             long_queue=congestion_level(load.health, long_s, now),
             is_elsewhere=instance_id != key.used_last,
             short_queue=congestion_level(load.health, short_s, now),
-            is_away=bool(homes) and instance_id not in homes,
-            fullness=load.in_flight if homes else _fullness(load, key),
+            is_without_part=bool(holders) and instance_id not in holders,
+            fullness=load.in_flight if holders else _fullness(load, key),
             dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
@@ -133,11 +132,13 @@
     return PlacementChoice(chosen, rank(chosen), len(fresh), typical_s)
 
 
-def _homes_of_new_program(key: PlacementKey, records: Collection[BackendRecord]) -> frozenset[str]:
+def _engines_for_new_program(
+    key: PlacementKey, records: Collection[BackendRecord]
+) -> frozenset[str]:
     """Return the engines for a new program's shared part; empty if there is none."""
     if not key.shared_part or key.used_last:
         return frozenset()
-    return find_homes(key.shared_part, records)
+    return engines_of_part(key.shared_part, records)
 
 
 def note_failure(load: BackendLoad, now: float) -> None:
--- a/src/passlane/relay/prompt_homes.py
+++ b/src/passlane/relay/shared_parts.py
@@ -13,9 +13,9 @@
 from passlane.messages.listing import BackendRecord
 from passlane.relay.calls import PromptPart
 
-HOME_SHARE = 0.5
+ENGINE_SHARE = 0.5
 """Share of the engines that hold a part: enough of them to spread its programs by load."""
-FEWEST_HOMES = 2
+FEWEST_ENGINES = 2
 SMALLEST_LARGE_TOKENS = 4_000
 """An engine reads some 60 to 160 tokens in a millisecond: smaller parts are read anew in
 little more time than a request takes to another zone and back."""
@@ -30,9 +30,9 @@
     return parts[0].part_id if is_shared else ""
 
 
-def find_homes(part_id: str, records: Collection[BackendRecord]) -> frozenset[str]:
+def engines_of_part(part_id: str, records: Collection[BackendRecord]) -> frozenset[str]:
     """Return the instances that are to hold a part, by rendezvous hashing."""
-    count = max(FEWEST_HOMES, math.ceil(HOME_SHARE * len(records)))
+    count = max(FEWEST_ENGINES, math.ceil(ENGINE_SHARE * len(records)))
     by_score = sorted(records, key=lambda record: _score(part_id, record), reverse=True)
     return frozenset(record.instance_id for record in by_score[:count])
 
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -11,12 +11,12 @@
     note_failure,
     note_success,
 )
-from passlane.relay.prompt_homes import (
+from passlane.relay.registry import BackendLoad, BackendRegistry
+from passlane.relay.shared_parts import (
     SMALLEST_LARGE_TOKENS,
-    find_homes,
+    engines_of_part,
     large_shared_part,
 )
-from passlane.relay.registry import BackendLoad, BackendRegistry
 from relay.fakes import backend, choose
 
 HERE = NodePlace("node-1", "a")
@@ -47,7 +47,7 @@
         )
         self.assertEqual(len(used), 6)
 
-    def test_the_least_used_of_the_homes_is_taken(self):
+    def test_the_least_used_of_the_engines_that_hold_it_is_taken(self):
         candidates = loads(6)
         counts = Counter()
         for n in range(30):
@@ -56,15 +56,15 @@
             counts[load.record.instance_id] += 1
         self.assertEqual(sorted(counts.values()), [10, 10, 10])
 
-    def test_a_queue_at_all_homes_sends_programs_elsewhere(self):
+    def test_a_queue_at_all_of_them_sends_programs_elsewhere(self):
         candidates = loads(6)
         key = PlacementKey("program", HERE, shared_part="p")
-        homes = find_homes("p", [load.record for load in candidates])
+        holders = engines_of_part("p", [load.record for load in candidates])
         for load in candidates:
-            if load.record.instance_id in homes:
+            if load.record.instance_id in holders:
                 load.health.watch(0.0)
-        self.assertIn(choose(candidates, key, (), 0.05).record.instance_id, homes)
-        self.assertNotIn(choose(candidates, key, (), 0.15).record.instance_id, homes)
+        self.assertIn(choose(candidates, key, (), 0.05).record.instance_id, holders)
+        self.assertNotIn(choose(candidates, key, (), 0.15).record.instance_id, holders)
 
     def test_a_program_stays_with_its_engine_whatever_its_part(self):
         candidates = loads(6)
@@ -73,16 +73,16 @@
             key = PlacementKey("program", HERE, used_last=instance, shared_part="p")
             self.assertIs(choose(candidates, key, (), 0.0), load)
 
-    def test_small_parts_and_parts_of_one_request_alone_have_no_homes(self):
+    def test_small_parts_and_parts_of_one_request_alone_are_held_nowhere(self):
         large, small = PromptPart("a", SMALLEST_LARGE_TOKENS), PromptPart("b", 512)
         self.assertEqual(large_shared_part([large, small]), "a")
         for parts in ([small, large], [large], []):
             self.assertEqual(large_shared_part(parts), "")
 
-    def test_there_are_two_homes_while_there_are_two_engines(self):
-        for count, homes in ((0, 0), (1, 1), (2, 2), (3, 2), (23, 12)):
+    def test_two_engines_hold_a_part_while_there_are_two_engines(self):
+        for count, holders in ((0, 0), (1, 1), (2, 2), (3, 2), (23, 12)):
             records = [load.record for load in loads(count)]
-            self.assertEqual(len(find_homes("p", records)), homes)
+            self.assertEqual(len(engines_of_part("p", records)), holders)
 
 
 class PlacementTest(unittest.TestCase):
