--- a/src/passlane/simulation/network.py
+++ b/src/passlane/simulation/network.py
@@ -19,6 +19,8 @@
 from passlane.simulation.streams import Pipe, SimulatedStream
 
 JITTER_FRACTION = 0.2
+FIRST_RESEND_S = 1.0
+"""After this long TCP sends an opening packet again that was lost."""
 
 
 @dataclass(frozen=True)
@@ -200,8 +202,11 @@
         return connection.client_end
 
     async def _wait_until_open(self, client: str, server: str) -> None:
+        """Wait as TCP does: an opening packet that was lost is sent again ever later."""
+        pause_s = FIRST_RESEND_S
         while self.is_blocked(client, server) or self.is_blocked(server, client):
-            await self._changed.wait()
+            await anyio.sleep(pause_s)
+            pause_s *= 2.0
 
     async def _serve_connection(self, listener: _Listener, connection: _Connection) -> None:
         try:
--- a/src/passlane/transport/peer.py
+++ b/src/passlane/transport/peer.py
@@ -13,7 +13,8 @@
 
 CONNECT_TIMEOUT_S = 0.3
 """Shorter than the second after which a lost opening packet is sent again: a machine that
-was dark when it was asked is reached as soon as it is back."""
+was dark when it was asked is reached as soon as it is back. Must be longer than the longest
+round trip between two regions."""
 FIRST_BACK_OFF_S = 0.03
 MAX_BACK_OFF_S = 0.12
 """Short, because after a loss of all processes every other one waits for the slowest to
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -124,6 +124,30 @@
 
         simulate(body)
 
+    def test_a_machine_that_was_dark_when_asked_is_reached_soon_after_it_is_back(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            fleet.network.isolate(SERVER.host)
+            asked_at = anyio.current_time()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(reconnect_later, fleet, 0.35)
+                await call_until_answered(fleet)
+            self.assertLess(anyio.current_time() - asked_at, 0.35 + 0.45)
+
+        async def reconnect_later(fleet: Fleet, seconds: float) -> None:
+            await anyio.sleep(seconds)
+            fleet.network.reconnect(SERVER.host)
+
+        async def call_until_answered(fleet: Fleet) -> None:
+            while True:
+                try:
+                    await fleet.call("p")
+                except PasslaneError:
+                    await anyio.sleep(0.02)
+                else:
+                    return
+
+        simulate(body)
+
     def test_unserved_message_is_refused_as_not_run(self) -> None:
         async def body(fleet: Fleet) -> None:
             with self.assertRaises(PasslaneError) as caught:
