One rendezvous hash, one bound socket, one list of a daemon's parts

Cause: reading the whole change again. The hash of key and instance stood in two modules; `listening_socket` only called `bound_socket`, with a second constant for the same backlog; the daemon's arguments were written out twice; the rank of the chosen back end, with its hash, was computed a second time for each attempt. Ruled out: parsing the settings once instead of twice at the start; the second time checks them, after the imports. Change: `relay/rendezvous.py` serves both users; the wrapper is gone; the daemon is built by a partial; ranks are computed once. No behaviour is meant to change. The test of accepted connections binds by the function that is left, its assertions stand.

--- a/src/passlane/daemon/fleet_main.py
+++ b/src/passlane/daemon/fleet_main.py
@@ -2,6 +2,8 @@
 
 import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Protocol
 
@@ -149,15 +151,9 @@
             self._process.reload(settings)
 
 
-async def _run(
-    path: Path,
-    settings: FleetSettings,
-    output: StandardOutputLog,
-    sockets: ListeningSockets,
-    started_at: float,
-) -> None:
+async def _run(build: Callable[[], FleetDaemon]) -> None:
     """Build and run the daemon; its parts need the running loop."""
-    await FleetDaemon(path, settings, output, sockets, started_at).run()
+    await build().run()
 
 
 def main(path: Path, sockets: ListeningSockets, started_at: float) -> int:
@@ -180,7 +176,8 @@
     _log.info("started", role=settings.process.role.value, zone=settings.process.zone)
     exit_code = EXIT_OK
     try:
-        anyio.run(_run, path, settings, output, sockets, started_at, backend="asyncio")
+        build = partial(FleetDaemon, path, settings, output, sockets, started_at)
+        anyio.run(_run, build, backend="asyncio")
     except TooManyRestartsError as error:
         _log.error("failed", message=error.message)
         exit_code = EXIT_FAILED
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -128,8 +128,9 @@
             dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
-    chosen = min(fresh, key=rank)
-    return PlacementChoice(chosen, rank(chosen), len(fresh), typical_s)
+    ranks = [rank(load) for load in fresh]
+    best = min(range(len(fresh)), key=ranks.__getitem__)
+    return PlacementChoice(fresh[best], ranks[best], len(fresh), typical_s)
 
 
 def _engines_for_new_program(
--- a/src/passlane/relay/shared_parts.py
+++ b/src/passlane/relay/shared_parts.py
@@ -8,10 +8,9 @@
 import math
 from collections.abc import Collection, Sequence
 
-import xxhash
-
 from passlane.messages.listing import BackendRecord
 from passlane.relay.calls import PromptPart
+from passlane.relay.rendezvous import rendezvous_digest
 
 ENGINE_SHARE = 0.5
 """Share of the engines that hold a part: enough of them to spread its programs by load."""
@@ -33,9 +32,5 @@
 def engines_of_part(part_id: str, records: Collection[BackendRecord]) -> frozenset[str]:
     """Return the instances that are to hold a part, by rendezvous hashing."""
     count = max(FEWEST_ENGINES, math.ceil(ENGINE_SHARE * len(records)))
-    by_score = sorted(records, key=lambda record: _score(part_id, record), reverse=True)
+    by_score = sorted(records, key=lambda record: rendezvous_digest(part_id, record), reverse=True)
     return frozenset(record.instance_id for record in by_score[:count])
-
-
-def _score(part_id: str, record: BackendRecord) -> int:
-    return xxhash.xxh3_64_intdigest(f"{part_id}/{record.instance_id}".encode())
--- a/src/passlane/relay/zone_weights.py
+++ b/src/passlane/relay/zone_weights.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 
 import msgspec
-import xxhash
 
 from passlane.messages.listing import BackendRecord
+from passlane.relay.rendezvous import rendezvous_digest
 
 SMALLEST_WEIGHT = 1e-6
 """Back ends that no share falls to are still used when there is no other."""
@@ -45,6 +45,5 @@
         the weight.
         """
         weight = self.own if record.zone == self.own_zone else self.other
-        digest = xxhash.xxh3_64_intdigest(f"{key}/{record.instance_id}".encode())
-        uniform = (digest + 0.5) / _HASH_RANGE
+        uniform = (rendezvous_digest(key, record) + 0.5) / _HASH_RANGE
         return -max(weight, SMALLEST_WEIGHT) / math.log(uniform)
--- a/src/passlane/runtime/early_listening.py
+++ b/src/passlane/runtime/early_listening.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import Iterable
 
-EARLY_BACKLOG = 2_048
+LISTEN_BACKLOG = 2_048
 
 
 class ListeningSockets:
@@ -51,7 +51,7 @@
     host, _, port = address.rpartition(":")
     try:
         listening = bound_socket(host, int(port))
-        listening.listen(EARLY_BACKLOG)
+        listening.listen(LISTEN_BACKLOG)
     except (OSError, ValueError, OverflowError):
         return None
     return listening
--- a/src/passlane/runtime/http_server.py
+++ b/src/passlane/runtime/http_server.py
@@ -12,12 +12,10 @@
 import uvicorn
 
 from passlane.messages.common import Address
-from passlane.runtime.early_listening import ListeningSockets, bound_socket
+from passlane.runtime.early_listening import LISTEN_BACKLOG, ListeningSockets, bound_socket
 from passlane.runtime.http_limits import LimitedHttpProtocol
 from passlane.runtime.interfaces import AsgiApplication, HttpLimits
 
-LISTEN_BACKLOG = 2_048
-
 
 class _Server(uvicorn.Server):
     """A server that leaves signals to the daemon, and sleeps until it is stopped."""
@@ -43,11 +41,6 @@
         yield
 
 
-def listening_socket(address: Address) -> socket.socket:
-    """Return a bound socket; raise ``OSError`` where uvicorn would end the process."""
-    return bound_socket(address.host, address.port)
-
-
 def _protocol_with(limits: HttpLimits) -> type[asyncio.Protocol]:
     """Return uvicorn's factory of connections that keep these limits."""
     return cast(type[asyncio.Protocol], partial(LimitedHttpProtocol, limits=limits))
@@ -94,7 +87,8 @@
         )
         limits = limits or HttpLimits()
         server = _Server(config)
-        listening = self._sockets.take(str(address)) or listening_socket(address)
+        # Bound here, since uvicorn would end the process where that fails.
+        listening = self._sockets.take(str(address)) or bound_socket(address.host, address.port)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_shielded, server, listening)
             try:
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -10,8 +10,9 @@
 import anyio
 
 from passlane.messages.common import Address
+from passlane.runtime.early_listening import bound_socket
 from passlane.runtime.http_client import SingleConnectionHttpClient
-from passlane.runtime.http_server import UvicornHttpServer, listening_socket
+from passlane.runtime.http_server import UvicornHttpServer
 from passlane.runtime.interfaces import HttpConnectionError, HttpRequest
 from passlane.runtime.network import TcpNetwork
 from passlane.simulation.http_server import SimulatedHttpServer
@@ -213,7 +214,7 @@
                 accepted.set_result(raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
                 writer.close()
 
-            listening = listening_socket(Address("127.0.0.1", 0))
+            listening = bound_socket("127.0.0.1", 0)
             host, port = listening.getsockname()
             server = await asyncio.start_server(note, sock=listening)
             async with server:
