Simulated runs log without the time of day

Cause: each line took the wall clock, also in runs on the virtual clock, whose lines must repeat. Ruled out: dropping the field; without it lines of two machines cannot be set side by side. Change: only lines that go to standard output carry it, so only those of processes of a fleet. A test says both.

--- a/src/passlane/observability/logging.py
+++ b/src/passlane/observability/logging.py
@@ -38,12 +38,7 @@
 
 
 def add_time(_logger: WrappedLogger, _method: str, line: EventDict) -> EventDict:
-    """Add the time of day and the loop's monotonic time, in seconds.
-
-    The time of day is there to set lines of several machines side by side; nothing is
-    decided by it. Outside a running loop there is no monotonic time.
-    """
-    line["unix_time_s"] = round(time.time(), 3)
+    """Add the loop's monotonic time in seconds; nothing outside a running loop."""
     try:
         line["time_s"] = round(anyio.current_time(), 6)
     except anyio.NoEventLoopError:
@@ -51,6 +46,15 @@
     return line
 
 
+def add_time_of_day(_logger: WrappedLogger, _method: str, line: EventDict) -> EventDict:
+    """Add the time of day in seconds, to set lines of several machines side by side.
+
+    Nothing is decided by it, and simulated runs, which must repeat, log without it.
+    """
+    line["unix_time_s"] = round(time.time(), 3)
+    return line
+
+
 def configure_logging(
     ring: RingLog, output: StandardOutputLog | None = None, **identity: Any
 ) -> None:
@@ -61,7 +65,7 @@
     ring
         Keeps the newest lines.
     output
-        Writes lines to standard output; ``None`` writes none.
+        Writes lines to standard output, with the time of day; ``None`` writes none.
     identity
         Bound to every line, such as ``process="node-1"``.
     """
@@ -73,7 +77,7 @@
             add_time,
             structlog.processors.format_exc_info,
             redact_secrets,
-            *([output] if output is not None else []),
+            *([add_time_of_day, output] if output is not None else []),
             RingProcessor(ring),
         ],
         wrapper_class=structlog.make_filtering_bound_logger("debug"),
--- a/tests/observability/test_observability.py
+++ b/tests/observability/test_observability.py
@@ -11,6 +11,7 @@
 from passlane.observability.logging import bind_context, configure_logging, get_logger
 from passlane.observability.metrics import Metrics
 from passlane.observability.ring import RingLog
+from passlane.observability.standard_output import StandardOutputLog
 from passlane.simulation.disk import SimulatedDisk
 from passlane.simulation.runner import run_simulation
 
@@ -74,6 +75,15 @@
         self.assertEqual(line["time_s"], 5.0)
         self.assertIn("ValueError: broken", line["exception"])
 
+    def test_only_lines_for_standard_output_carry_the_time_of_day(self):
+        get_logger("node").info("in a simulated run")
+        configure_logging(self.ring, StandardOutputLog(descriptor=-1))
+        self.addCleanup(configure_logging, self.ring)
+        get_logger("node").info("in a process")
+        simulated, real = decoded(self.ring)
+        self.assertNotIn("unix_time_s", simulated)
+        self.assertGreater(real["unix_time_s"], 0)
+
 
 class MetricsTest(unittest.TestCase):
     def test_asking_twice_gives_the_same_metric_and_instances_are_separate(self):
