--- a/src/passlane/observability/logging.py
+++ b/src/passlane/observability/logging.py
@@ -11,7 +11,7 @@
 
 import anyio
 import structlog
-from structlog.typing import EventDict, FilteringBoundLogger, WrappedLogger
+from structlog.typing import EventDict, FilteringBoundLogger, Processor, WrappedLogger
 
 from passlane.observability.ring import RingLog, RingProcessor
 from passlane.observability.standard_output import StandardOutputLog
@@ -70,6 +70,7 @@
         Bound to every line, such as ``process="node-1"``.
     """
     structlog.contextvars.bind_contextvars(**identity)
+    written: list[Processor] = [add_time_of_day, output] if output is not None else []
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -77,7 +78,7 @@
             add_time,
             structlog.processors.format_exc_info,
             redact_secrets,
-            *([add_time_of_day, output] if output is not None else []),
+            *written,
             RingProcessor(ring),
         ],
         wrapper_class=structlog.make_filtering_bound_logger("debug"),
