A store group of bounded size: as many voters as the loss to be borne asks for

Cause: every store machine voted.

Ruled out: a smaller share of machines with the role (an added machine may not get it, and an order to empty one may meet one without it); spares that follow as learners (they cost the bytes); the control group as the one who chooses (it hears later).

Change: twice the machines that may be lost, and one, vote; the store group's leader fills places from spares that offer themselves (raft/voter_places.py, no I/O). Founders are spread over zones. An emptied machine is replaced before it leaves. Views name the group's members only. An emptied machine that still announces itself no longer counts among those left.

--- a/src/passlane/daemon/fleet_control.py
+++ b/src/passlane/daemon/fleet_control.py
@@ -42,7 +42,13 @@
         context.metrics.define_when_exposed(
             lambda metrics: expose_replica(metrics, CONTROL_GROUP, self._host)
         )
-        self._service = FleetService(self._host, machine, context.router, context.pool)
+        self._service = FleetService(
+            self._host,
+            machine,
+            context.router,
+            context.pool,
+            context.settings.fault_tolerance.voters,
+        )
         self._operator = FleetOperator(context.pool, self._control_addresses, random)
 
     def _build_host(self, machine: FleetStateMachine) -> ReplicaHost:
--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -6,6 +6,7 @@
 from passlane.daemon.fleet_context import FleetContext
 from passlane.daemon.replicas import STORE_FOLDER, hand_over_leadership, members_at_start
 from passlane.fleet.follower import FleetFollower
+from passlane.messages.common import NotLeaderError
 from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
 from passlane.observability.logging import get_logger
 from passlane.replication.replica_host import ReplicaHost
@@ -37,6 +38,11 @@
         )
         context.router.add_unary(RemoveReplica, self._remove_replica)
 
+    @property
+    def replica(self) -> ReplicaHost | None:
+        """The replica of the store group; ``None`` until the group is known."""
+        return self._host
+
     async def run(self) -> None:
         """Run until stopped."""
         with self._scope:
@@ -87,6 +93,7 @@
                 heartbeat_s=HEARTBEAT_S,
                 election_timeout_s=ELECTION_TIMEOUT_S,
                 first_election_share=FIRST_ELECTION_SHARE,
+                places=context.settings.fault_tolerance.voters,
             ),
             machine,
             context.environment,
@@ -96,6 +103,7 @@
             may_found=self._may_found,
             find_members=self._found_members,
             may_join=self._may_join,
+            zone=context.settings.process.zone,
         )
 
     def _found_members(self) -> list[PeerSettings]:
@@ -119,10 +127,11 @@
         )
 
     async def _remove_replica(self, request: RemoveReplica) -> ReplicaRemoved:
-        """Remove a retired replica, if this one leads."""
-        if self._host is not None:
-            await self._host.remove_member(request.replica_name)
-            _log.info("replica_removed", replica=request.replica_name)
+        """Have a retired replica replaced and removed, if this one leads."""
+        if self._host is None:
+            raise NotLeaderError("the replica of the store group is not running", None)
+        await self._host.remove_member(request.replica_name)
+        _log.info("replica_removal_begun", replica=request.replica_name)
         return ReplicaRemoved(request.replica_name)
 
     def reload(self, settings: FleetSettings) -> None:
--- a/src/passlane/fleet/directory.py
+++ b/src/passlane/fleet/directory.py
@@ -1,5 +1,8 @@
 """What the leader of the control group remembers of the processes that announce themselves."""
 
+from collections import Counter
+from collections.abc import Iterable
+
 import msgspec
 
 from passlane.messages.fleet import Announce, FleetRole, NamedAddress
@@ -19,10 +22,9 @@
 
 
 class _Addresses(msgspec.Struct, frozen=True):
-    """Replicas' addresses as they are under one number of the directory."""
+    """Control replicas' addresses as they are under one number of the directory."""
 
     number: int
-    stores: tuple[NamedAddress, ...]
     controls: tuple[NamedAddress, ...]
 
 
@@ -38,7 +40,7 @@
         self.number = first_number
         self._known: dict[str, _Known] = {}
         self._group_members: tuple[NamedAddress, ...] = ()
-        self._addresses = _Addresses(first_number - 1, (), ())
+        self._addresses = _Addresses(first_number - 1, ())
 
     def note(self, announcement: Announce, now: float) -> bool:
         """Take over an announcement; return whether the view of the fleet has changed."""
@@ -63,8 +65,11 @@
                 self.number += 1
 
     def stores(self) -> tuple[NamedAddress, ...]:
-        """Return the store replicas: those that announce themselves, and the group's members."""
-        return self._current_addresses().stores
+        """Return the members of the store group as its leader told them last; empty before.
+
+        Spares are left out: nobody has anything to ask them.
+        """
+        return self._group_members
 
     def controls(self) -> tuple[NamedAddress, ...]:
         """Return the control replicas that announce themselves."""
@@ -73,13 +78,8 @@
     def _current_addresses(self) -> _Addresses:
         """Return the replicas' addresses, gathered once for each number."""
         if self._addresses.number != self.number:
-            stores = {self._address_of(known) for known in self._of_role(FleetRole.STORE)}
             controls = {self._address_of(known) for known in self._of_role(FleetRole.CONTROL)}
-            self._addresses = _Addresses(
-                number=self.number,
-                stores=tuple(sorted(stores | set(self._group_members))),
-                controls=tuple(sorted(controls)),
-            )
+            self._addresses = _Addresses(self.number, tuple(sorted(controls)))
         return self._addresses
 
     def node_count(self) -> int:
@@ -90,25 +90,25 @@
         """Return the names of the nodes that announce themselves."""
         return [known.announcement.name for known in self._of_role(FleetRole.NODE)]
 
-    def store_count(self) -> int:
-        """Return how many store processes announce themselves."""
-        return len(self._of_role(FleetRole.STORE))
+    def store_names(self) -> list[str]:
+        """Return the names of the store machines that announce themselves."""
+        return [known.announcement.name for known in self._of_role(FleetRole.STORE)]
 
     def announcement_of(self, name: str) -> Announce | None:
         """Return the newest announcement of the machine of this name."""
         known = self._known.get(name)
         return known.announcement if known is not None else None
 
-    def group_members(self) -> tuple[NamedAddress, ...]:
-        """Return the members of the store group as its leader told them last."""
-        return self._group_members
+    def founders_due(self, now: float, places: int) -> tuple[NamedAddress, ...]:
+        """Return the first ``places`` members of the store group, or none while more may come.
 
-    def founders_due(self, now: float) -> tuple[NamedAddress, ...]:
-        """Return the first members of the store group, or none while more may come."""
+        They are spread over zones.
+        """
         stores = [k for k in self._of_role(FleetRole.STORE) if k.announcement.may_found]
         if not stores or now - max(known.first_at for known in stores) < FOUNDING_PAUSE_S:
             return ()
-        return tuple(sorted(self._address_of(known) for known in stores))
+        founders = _spread_over_zones(known.announcement for known in stores)[:places]
+        return tuple(sorted(NamedAddress(f.replica_name, f.address) for f in founders))
 
     def _of_role(self, role: FleetRole) -> list[_Known]:
         return [known for known in self._known.values() if known.announcement.role is role]
@@ -117,3 +117,14 @@
     def _address_of(known: _Known) -> NamedAddress:
         announcement = known.announcement
         return NamedAddress(name=announcement.replica_name, address=announcement.address)
+
+
+def _spread_over_zones(announcements: Iterable[Announce]) -> list[Announce]:
+    """Return announcements in an order in which zones take turns."""
+    ranks: Counter[str] = Counter()
+    ranked = []
+    for announcement in sorted(announcements, key=lambda known: known.replica_name):
+        ranked.append((ranks[announcement.zone], announcement.zone, announcement))
+        ranks[announcement.zone] += 1
+    ranked.sort(key=lambda entry: entry[:2])
+    return [announcement for _, _, announcement in ranked]
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -59,6 +59,7 @@
         self._backends: tuple[BackendRecord, ...] = ()
         self._backends_number = 0
         self._changed = anyio.Event()
+        self._stores: tuple[NamedAddress, ...] = ()
         self.view: FleetView | None = None
         self.configuration: RouteConfiguration | None = None
         self._has_configuration = anyio.Event()
@@ -118,8 +119,12 @@
 
     @property
     def stores(self) -> tuple[NamedAddress, ...]:
-        """Store replicas as last told of."""
-        return self.view.stores if self.view is not None else ()
+        """Members of the store group as last told of.
+
+        A new leader of the control group does not know them before the store group's leader
+        has announced itself; those known before count on meanwhile.
+        """
+        return self._stores
 
     @property
     def store_founders(self) -> tuple[NamedAddress, ...]:
@@ -207,6 +212,7 @@
         """Take over a view; an older configuration than the one held has no effect."""
         has_changed = self.view is None or view.number != self.view.number
         self.view = view
+        self._stores = view.stores or self._stores
         # A new leader of the control group hears of the store's leader a moment later.
         self._confirmed_at = anyio.current_time()
         self.has_seen_store_leader = self.has_seen_store_leader or view.has_store_leader
--- a/src/passlane/fleet/service.py
+++ b/src/passlane/fleet/service.py
@@ -38,8 +38,6 @@
 
 DUTIES_PERIOD_S = 0.25
 MAX_WAIT_S = 1.5
-MIN_STORES_LEFT = 3
-"""A store machine is emptied only if this many are left, so that one may be lost."""
 REMOVE_TIMEOUT_S = 1.0
 
 _result_decoder = message_decoder(ConfigurationReplaced | StoreGroupFounded | ReplicaForbidden)
@@ -53,6 +51,9 @@
     ----------
     caller
         Reaches the store group to remove retired replicas.
+    store_voters
+        How many voters the store group is to have; a store machine is emptied only if as
+        many are left, so that the loss of others can still be borne.
     """
 
     def __init__(
@@ -61,8 +62,10 @@
         machine: FleetStateMachine,
         router: Router,
         caller: Caller,
+        store_voters: int,
     ) -> None:
         self._group = group
+        self._store_voters = store_voters
         self._machine = machine
         self._caller = caller
         self._directory = FleetDirectory(0)
@@ -138,9 +141,10 @@
             return self._retirement_of(request.name)
         directory = self._current_directory()
         announcement = directory.announcement_of(request.name)
-        if announcement is None or announcement.replica_name not in self._store_names():
+        if announcement is None or announcement.role is not FleetRole.STORE:
             raise PasslaneError(ErrorCode.NOT_FOUND, f"no store machine {request.name}")
-        if directory.store_count() - 1 < MIN_STORES_LEFT:
+        left = set(directory.store_names()) - {*self._machine.state.retired, request.name}
+        if len(left) < self._store_voters:
             raise PasslaneError(ErrorCode.VERSION_CONFLICT, "too few store machines would be left")
         await self._propose(ForbidReplica(request.name, announcement.replica_name))
         _log.info("store_retirement_began", name=request.name)
@@ -206,7 +210,7 @@
             stores=directory.stores(),
             store_founders=state.store_founders,
             retired_replicas=tuple(sorted(state.retired.values())),
-            has_store_leader=bool(directory.group_members()),
+            has_store_leader=bool(directory.stores()),
             node_count=directory.node_count(),
             configuration_version=state.configuration.version if state.configuration else 0,
             configuration=self._configuration_for(request),
@@ -241,7 +245,7 @@
     async def _found_store_group(self) -> None:
         if self._machine.state.store_founders:
             return
-        founders = self._current_directory().founders_due(anyio.current_time())
+        founders = self._current_directory().founders_due(anyio.current_time(), self._store_voters)
         if founders:
             await self._propose(FoundStoreGroup(founders))
             _log.info("store_group_founded", members=[member.name for member in founders])
@@ -257,7 +261,7 @@
 
     async def _remove_replica(self, replica_name: str) -> None:
         request = RemoveReplica(replica_name)
-        for member in self._current_directory().group_members():
+        for member in self._current_directory().stores():
             try:
                 await self._caller.call(
                     member.address, request, ReplicaRemoved, timeout_s=REMOVE_TIMEOUT_S
@@ -269,17 +273,14 @@
 
     def _retirement_of(self, name: str) -> StoreRetirement:
         replica_name = self._machine.state.retired[name]
-        is_member = replica_name in {m.name for m in self._current_directory().group_members()}
+        is_member = replica_name in {m.name for m in self._current_directory().stores()}
         # A new leader of the control group doesn't know the members before the store group's
         # leader has told them.
-        is_known = bool(self._current_directory().group_members())
+        is_known = bool(self._current_directory().stores())
         is_done = is_known and not is_member
         state = RetirementState.COMPLETED if is_done else RetirementState.RUNNING
         return StoreRetirement(name=name, state=state)
 
-    def _store_names(self) -> set[str]:
-        return {store.name for store in self._current_directory().stores()}
-
     def _require_leadership(self) -> None:
         if not self._group.is_leader:
             leader = self._group.leader_address
--- a/src/passlane/messages/fleet.py
+++ b/src/passlane/messages/fleet.py
@@ -142,12 +142,12 @@
 
 
 class RemoveReplica(Message, frozen=True):
-    """Asks the leader of the store group to remove a replica for good."""
+    """Asks the leader of the store group to replace a replica and remove it for good."""
 
     replica_name: str
 
 
 class ReplicaRemoved(Message, frozen=True):
-    """Answers ``RemoveReplica`` once the membership without it is committed."""
+    """Answers ``RemoveReplica`` once its leader knows; the members tell when it is done."""
 
     replica_name: str
--- a/src/passlane/messages/raft.py
+++ b/src/passlane/messages/raft.py
@@ -30,11 +30,15 @@
 
 
 class GroupMember(msgspec.Struct, frozen=True):
-    """A replica of the group; a learner receives the log but does not vote."""
+    """A replica of the group; a learner receives the log but does not vote.
+
+    ``zone`` is where it runs, empty if that is not told.
+    """
 
     replica_id: ReplicaId
     address: Address
     is_voter: bool
+    zone: str = ""
 
 
 class GroupMembership(msgspec.Struct, frozen=True):
--- a/src/passlane/messages/replication.py
+++ b/src/passlane/messages/replication.py
@@ -20,25 +20,29 @@
     """What a replica's disk says about a group.
 
     ``may_found`` is true while the disk has never held anything of the group;
-    ``founders`` is set once the first members are settled.
+    ``founders`` is set once the first members are settled; ``zone`` is where the replica
+    runs.
     """
 
     replica_id: ReplicaId
     is_member: bool
     may_found: bool
     founders: tuple[GroupMember, ...] = ()
+    zone: str = ""
 
 
 class JoinRequest(Message, frozen=True):
     """Asks the leader to take in a replica, or its new address; sent until it votes.
 
-    ``is_known`` is true for a replica that kept its identity and only moved.
+    ``is_known`` is true for a replica that kept its identity and only moved; ``zone`` is
+    where it runs. In a group with bounded voters this is an offer that may never be taken.
     """
 
     group: str
     replica_id: ReplicaId
     address: Address
     is_known: bool = False
+    zone: str = ""
 
 
 class JoinReply(Message, frozen=True):
--- a/src/passlane/raft/config.py
+++ b/src/passlane/raft/config.py
@@ -38,9 +38,11 @@
         Most unacknowledged ``AppendRequest`` with entries per follower.
     snapshot_chunk_bytes
         Most bytes of a snapshot in one ``SnapshotRequest``.
+    places
+        How many voters the group is to have; ``None`` lets each member vote.
     replaced_voter_silence_s
         A voter that was silent for so long, and already when another became a voter, is
-        removed by the leader.
+        removed by the leader. With bounded ``places`` a successor is looked for then.
     trailing_entries
         Entries kept in memory behind a snapshot, so that a follower that is a little
         behind needs no snapshot.
@@ -52,6 +54,7 @@
     heartbeat_s: float = 0.05
     election_timeout_s: float = 0.3
     first_election_share: float = 1.0
+    places: int | None = None
     max_batch_bytes: int = _DEFAULT_BATCH_BYTES
     max_in_flight_batches: int = _DEFAULT_IN_FLIGHT_BATCHES
     snapshot_chunk_bytes: int = _DEFAULT_CHUNK_BYTES
--- a/src/passlane/raft/events.py
+++ b/src/passlane/raft/events.py
@@ -87,6 +87,25 @@
     replica_id: ReplicaId
 
 
+class ReplicaOffered(msgspec.Struct, frozen=True):
+    """A replica that does not vote would; counts only in a group with bounded voters.
+
+    ``replaces`` are members whose files are gone, since this replica was made in their
+    place or lives at their address.
+    """
+
+    replica_id: ReplicaId
+    address: Address
+    zone: str = ""
+    replaces: tuple[ReplicaId, ...] = ()
+
+
+class ReplicaReleased(msgspec.Struct, frozen=True):
+    """An operator wants a replica replaced and removed; only with bounded voters."""
+
+    replica_id: ReplicaId
+
+
 class ReplicaStarted(msgspec.Struct, frozen=True):
     """What this replica finds on its disk when it starts.
 
@@ -109,4 +128,6 @@
     | TransferRequested
     | MemberAdded
     | MemberRemoved
+    | ReplicaOffered
+    | ReplicaReleased
 )
--- a/src/passlane/raft/leader.py
+++ b/src/passlane/raft/leader.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import ClassVar
 
+from passlane.identifiers import ReplicaId
 from passlane.messages.raft import (
     AppendReply,
     EntryKind,
@@ -12,7 +13,7 @@
     SnapshotReply,
 )
 from passlane.raft.disk_watch import STALL_ELECTION_TIMEOUTS, DiskWatch
-from passlane.raft.events import MemberAdded, MemberRemoved
+from passlane.raft.events import MemberAdded, MemberRemoved, ReplicaOffered, ReplicaReleased
 from passlane.raft.instructions import RejectProposals
 from passlane.raft.membership import (
     encode_membership,
@@ -28,6 +29,7 @@
 from passlane.raft.replication import Replicator
 from passlane.raft.state import ReplicaState
 from passlane.raft.transfer import LeadershipTransfer
+from passlane.raft.voter_places import GroupView, VoterPlaces
 
 
 class Leader:
@@ -42,12 +44,13 @@
 
     Attributes
     ----------
-    replicator_class, reads_class
+    replicator_class, reads_class, places_class
         Classes of the leader's parts; see ``Replica``.
     """
 
     replicator_class: ClassVar[type[Replicator]] = Replicator
     reads_class: ClassVar[type[ReadRounds]] = ReadRounds
+    places_class: ClassVar[type[VoterPlaces]] = VoterPlaces
 
     def __init__(self, state: ReplicaState, now: float) -> None:
         self._state = state
@@ -57,6 +60,10 @@
         self._transfer = LeadershipTransfer(state, self._replicator)
         self._disk = DiskWatch(STALL_ELECTION_TIMEOUTS * state.config.election_timeout_s, now)
         self._promoted_at: float | None = None
+        config = state.config
+        self._places: VoterPlaces | None = None
+        if config.places is not None:
+            self._places = self.places_class(config.places, config.replaced_voter_silence_s)
         self.next_heartbeat_at = now
 
     def start(self, now: float) -> None:
@@ -75,6 +82,7 @@
         self._transfer.give_up_if_overdue(now)
         self._hand_over_if_disk_hangs(now)
         if now >= self.next_heartbeat_at:
+            self._advance_places(now)
             self._send_heartbeats(now)
 
     def hears_quorum(self, now: float) -> bool:
@@ -101,6 +109,16 @@
         self._changes.append(change)
         self._advance_membership(now)
 
+    def note_offer(self, offered: ReplicaOffered, now: float) -> None:
+        """Note that a replica would vote."""
+        if self._places is not None:
+            self._places.note_offer(offered, now)
+
+    def release(self, released: ReplicaReleased) -> None:
+        """Note that a replica is to be replaced and removed."""
+        if self._places is not None:
+            self._places.release(released.replica_id)
+
     def request_transfer(self, now: float) -> None:
         """Hand leadership to the most advanced voter."""
         self._transfer.request(now)
@@ -114,6 +132,8 @@
         self._reads.confirm(reply.sender, reply.read_round)
         self._replicator.handle_append_reply(reply, self._reads.current_round, now)
         self.advance(now)
+        if self._is_learner(reply.sender):
+            self._advance_places(now)
 
     def handle_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
         """Take over how far a follower has got with a snapshot."""
@@ -204,6 +224,33 @@
         if membership is not None:
             self._append_membership(membership, now)
 
+    def _advance_places(self, now: float) -> None:
+        """Make the next change that the bounded number of voters asks for.
+
+        Looked at with each heartbeat, and when a learner has got further. Only while a
+        majority answers: a leader that was frozen must not take all others for lost when
+        it wakes.
+        """
+        if self._places is None or self._is_change_under_way():
+            return
+        if not self._has_committed_in_own_term() or not self.hears_quorum(now):
+            return
+        state = self._state
+        view = GroupView(
+            membership=state.membership,
+            own_id=state.own_id,
+            followers=self._replicator.followers,
+            commit_index=state.commit_index,
+            now=now,
+        )
+        membership = self._places.next_change(view)
+        if membership is not None:
+            self._append_membership(membership, now)
+
+    def _is_learner(self, replica_id: ReplicaId) -> bool:
+        member = member_of(self._state.membership, replica_id)
+        return member is not None and not member.is_voter
+
     def _is_change_under_way(self) -> bool:
         state = self._state
         return state.memberships.current_index > state.commit_index
@@ -222,6 +269,8 @@
 
     def _next_automatic_change(self, now: float) -> GroupMembership | None:
         """Return the next change of membership that nobody has to ask for, if there is one."""
+        if self._places is not None:
+            return None
         return self._next_promotion(now) or self._next_removal(now)
 
     def _next_promotion(self, now: float) -> GroupMembership | None:
--- a/src/passlane/raft/membership.py
+++ b/src/passlane/raft/membership.py
@@ -53,7 +53,7 @@
 
 
 def with_learner(
-    membership: GroupMembership, replica_id: ReplicaId, address: Address
+    membership: GroupMembership, replica_id: ReplicaId, address: Address, zone: str = ""
 ) -> GroupMembership:
     """Return the membership with a replica added as a learner.
 
@@ -67,7 +67,7 @@
         for member in membership.members
         if member.replica_id != replica_id and (member.is_voter or member.address != address)
     ]
-    added = GroupMember(replica_id=replica_id, address=address, is_voter=is_voter)
+    added = GroupMember(replica_id=replica_id, address=address, is_voter=is_voter, zone=zone)
     return GroupMembership(members=(*kept, added))
 
 
--- a/src/passlane/raft/replica.py
+++ b/src/passlane/raft/replica.py
@@ -24,6 +24,8 @@
     MemberRemoved,
     MessageReceived,
     ReadRequested,
+    ReplicaOffered,
+    ReplicaReleased,
     SnapshotInstalled,
     SnapshotTaken,
     TimeAdvanced,
@@ -191,6 +193,12 @@
                     self._roles.leader.request_transfer(now)
             case MemberAdded() | MemberRemoved():
                 self._request_change(event, now)
+            case ReplicaOffered():
+                if self._roles.leader is not None:
+                    self._roles.leader.note_offer(event, now)
+            case ReplicaReleased():
+                if self._roles.leader is not None:
+                    self._roles.leader.release(event)
 
     def _advance_time(self, now: float) -> None:
         if self._roles.leader is None:
--- a/src/passlane/replication/joining.py
+++ b/src/passlane/replication/joining.py
@@ -50,18 +50,19 @@
         status = statuses.get(member.name)
         if status is None or not status.may_found:
             return ()
-        founder = GroupMember(replica_id=status.replica_id, address=member.internal, is_voter=True)
+        founder = GroupMember(status.replica_id, member.internal, is_voter=True, zone=status.zone)
         founders.append(founder)
     return tuple(founders)
 
 
-def status_of(identity: Identity) -> GroupStatus:
-    """Return what a replica's disk says about its group."""
+def status_of(identity: Identity, zone: str) -> GroupStatus:
+    """Return what a replica's disk says about its group, and where the replica runs."""
     return GroupStatus(
         replica_id=identity.replica_id,
         is_member=identity.is_member,
         may_found=identity.may_found and not identity.is_member,
         founders=identity.founders,
+        zone=zone,
     )
 
 
@@ -72,8 +73,12 @@
     ----------
     own_name
         This replica's name among ``members``.
+    zone
+        Where this replica runs.
     find_members
         Returns further replicas of the group that this process has heard of.
+    may_join
+        Whether this replica may ask to be taken in now.
     """
 
     def __init__(
@@ -84,9 +89,13 @@
         caller: Caller,
         random: random_module.Random,
         identity_file: IdentityFile,
-        find_members: FindMembers | None = None,
+        zone: str,
+        find_members: FindMembers | None,
+        may_join: Callable[[], bool],
     ) -> None:
         self._group = group
+        self._zone = zone
+        self._may_join = may_join
         self._own_name = own_name
         self._members = members
         self._find_members = find_members
@@ -147,7 +156,7 @@
             return statuses[first].founders if first in statuses else ()
         if any(status.is_member for status in statuses.values()):
             return ()
-        own = GroupStatus(replica_id=identity.replica_id, is_member=False, may_found=True)
+        own = status_of(identity, self._zone)
         return founder_statuses(self._members, {**statuses, self._own_name: own})
 
     async def _ask_peers(self) -> dict[str, GroupStatus]:
@@ -171,23 +180,30 @@
     async def join(self, replica_id: ReplicaId, *, is_known: bool) -> None:
         """Ask the leader to take this replica in, until it votes and none is left of old.
 
-        ``is_known`` tells that the replica kept its identity and only has a new address.
+        ``is_known`` tells that the replica kept its identity and only has a new address. A
+        spare of a group with bounded voters goes on asking until it is needed.
         """
-        request = JoinRequest(self._group, replica_id, self.own_address, is_known=is_known)
+        request = JoinRequest(
+            self._group, replica_id, self.own_address, is_known=is_known, zone=self._zone
+        )
         backoff = Backoff(self._random, FIRST_PAUSE_S, LONGEST_PAUSE_S)
         while True:
-            # Made anew for each try: other replicas may have become known since.
-            addresses = [peer.internal for peer in self._peers]
-            client = GroupClient(self._caller, addresses, self._random)
-            try:
-                reply = await client.execute(request, JoinReply, timeout_s=JOIN_TIMEOUT_S)
-            except PasslaneError as error:
-                logger.warning("not taken in yet", group=self._group, code=error.code)
-            else:
-                if reply.is_voter and reply.is_replaced:
-                    return
+            if self._may_join() and await self._ask_to_join(request):
+                return
             await backoff.pause()
 
+    async def _ask_to_join(self, request: JoinRequest) -> bool:
+        """Ask once; return whether this replica votes and none is left of old."""
+        # Made anew for each try: other replicas may have become known since.
+        addresses = [peer.internal for peer in self._peers]
+        client = GroupClient(self._caller, addresses, self._random)
+        try:
+            reply = await client.execute(request, JoinReply, timeout_s=JOIN_TIMEOUT_S)
+        except PasslaneError as error:
+            logger.warning("not taken in yet", group=self._group, code=error.code)
+            return False
+        return reply.is_voter and reply.is_replaced
+
 
 async def take_in(
     request: JoinRequest,
@@ -202,7 +218,7 @@
     reach. Then the replica is added as a learner, which votes once it has caught up.
     """
     own = member_of(membership, request.replica_id)
-    older = () if request.is_known else _replaced_by(request, membership)
+    older = replaced_by(request, membership)
     if older:
         await remove(older[0].replica_id)
         older = older[1:]
@@ -212,8 +228,10 @@
     return JoinReply(is_voter=is_voter, is_replaced=not older)
 
 
-def _replaced_by(request: JoinRequest, membership: GroupMembership) -> tuple[GroupMember, ...]:
+def replaced_by(request: JoinRequest, membership: GroupMembership) -> tuple[GroupMember, ...]:
     """Return the members whose place a replica with a new identity takes."""
+    if request.is_known:
+        return ()
     name = process_name_of(request.replica_id)
     return tuple(
         member
--- a/src/passlane/replication/membership_changes.py
+++ b/src/passlane/replication/membership_changes.py
@@ -1,13 +1,18 @@
-"""Changes to the members of a group that the local replica leads."""
+"""Changes to the members of a group that the local replica leads.
+
+In a group where each replica votes, callers wait until their change is committed. With
+bounded voters (``raft.voter_places``) they only tell the leader what they want.
+"""
 
 from collections.abc import Callable
 
 from passlane.identifiers import ReplicaId
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.replication import JoinReply, JoinRequest
-from passlane.raft.events import MemberAdded, MemberRemoved
+from passlane.raft.events import MemberAdded, MemberRemoved, ReplicaOffered, ReplicaReleased
+from passlane.raft.membership import member_of
 from passlane.replication.driver import ReplicaDriver
-from passlane.replication.joining import take_in
+from passlane.replication.joining import replaced_by, take_in
 from passlane.replication.pending import PendingRequests
 from passlane.storage.identity import process_name_of
 
@@ -24,6 +29,8 @@
         Callers that wait for a proposal of the local replica.
     timeout_s
         Seconds after which a change is given up; it may still come into force.
+    has_bounded_voters
+        Whether the number of voters is bounded.
     """
 
     def __init__(
@@ -31,7 +38,10 @@
         ready_driver: Callable[[], ReplicaDriver],
         proposals: PendingRequests,
         timeout_s: float,
+        *,
+        has_bounded_voters: bool,
     ) -> None:
+        self._has_bounded_voters = has_bounded_voters
         self._ready_driver = ready_driver
         self._proposals = proposals
         self._timeout_s = timeout_s
@@ -47,11 +57,26 @@
             ``TIMEOUT`` when a change was not committed in time.
         """
         driver = self._leading_driver()
+        if self._has_bounded_voters:
+            return self._take_offer(request, driver)
         return await take_in(request, driver.replica.membership, self._add, self._remove)
 
+    @staticmethod
+    def _take_offer(request: JoinRequest, driver: ReplicaDriver) -> JoinReply:
+        """Tell the replica that another one would vote; return whether it does."""
+        membership = driver.replica.membership
+        replaces = tuple(member.replica_id for member in replaced_by(request, membership))
+        own = member_of(membership, request.replica_id)
+        is_voter = own is not None and own.is_voter and own.address == request.address
+        if replaces or not is_voter:
+            driver.step(ReplicaOffered(request.replica_id, request.address, request.zone, replaces))
+        return JoinReply(is_voter=is_voter, is_replaced=not replaces)
+
     async def remove(self, process_name: str) -> None:
         """Remove the replicas of a process, if the local replica leads.
 
+        With bounded voters this returns at once: a voter leaves when its successor votes.
+
         Raises
         ------
         NotLeaderError
@@ -59,8 +84,13 @@
         PasslaneError
             ``TIMEOUT`` when a change was not committed in time.
         """
-        for member in self._leading_driver().replica.membership.members:
-            if process_name_of(member.replica_id) == process_name:
+        driver = self._leading_driver()
+        for member in driver.replica.membership.members:
+            if process_name_of(member.replica_id) != process_name:
+                continue
+            if self._has_bounded_voters:
+                driver.step(ReplicaReleased(member.replica_id))
+            else:
                 await self._remove(member.replica_id)
 
     def _leading_driver(self) -> ReplicaDriver:
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -79,7 +79,9 @@
     find_members
         Returns further replicas of the group that this process has heard of.
     may_join
-        Whether this replica may ask to be taken in again after it was removed.
+        Whether this replica may ask to be taken in, also again after it was removed.
+    zone
+        Where this replica runs; voters are spread over zones if their number is bounded.
     """
 
     def __init__(
@@ -96,8 +98,10 @@
         may_found: bool = True,
         find_members: FindMembers | None = None,
         may_join: Callable[[], bool] = _always,
+        zone: str = "",
     ) -> None:
         self._group = group
+        self._zone = zone
         self._may_found = may_found
         self._may_join = may_join
         self._settings = settings
@@ -114,7 +118,9 @@
             caller,
             environment.random,
             self._identity_file,
+            zone,
             find_members,
+            may_join,
         )
         self._identity: Identity | None = None
         self._driver: ReplicaDriver | None = None
@@ -122,7 +128,12 @@
         self._reads = self._new_pending(ErrorCode.UNAVAILABLE, Verdict.NOT_RUN)
         self._timeout_s = TIMEOUT_IN_ELECTION_TIMEOUTS * settings.election_timeout_s
         self._batch = ProposalBatch(self._proposals, self._timeout_s)
-        changes = MembershipChanges(self._ready_driver, self._proposals, self._timeout_s)
+        changes = MembershipChanges(
+            self._ready_driver,
+            self._proposals,
+            self._timeout_s,
+            has_bounded_voters=settings.places is not None,
+        )
         self._changes = changes
         handlers = GroupHandlers(
             on_raft_message=self._take_raft_message,
@@ -334,6 +345,7 @@
             heartbeat_s=self._settings.heartbeat_s,
             election_timeout_s=self._settings.election_timeout_s,
             first_election_share=self._settings.first_election_share,
+            places=self._settings.places,
             max_batch_bytes=self._settings.max_batch_bytes,
         )
 
@@ -390,4 +402,4 @@
                 f"the files of group {request.group} are not open yet",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
-        return status_of(self._identity)
+        return status_of(self._identity, self._zone)
--- a/src/passlane/settings/fleet.py
+++ b/src/passlane/settings/fleet.py
@@ -55,6 +55,17 @@
     grace_s: float = 8.0
 
 
+class FaultToleranceSettings(_Section, frozen=True):
+    """How many machines with a disk may be lost at once with all promises kept."""
+
+    machines: int = 1
+
+    @property
+    def voters(self) -> int:
+        """Voters that a group needs, so that a majority is left."""
+        return 2 * self.machines + 1
+
+
 class FleetSettings(_Section, frozen=True):
     """The whole settings file; ``seeds`` are operators' addresses of control replicas."""
 
@@ -63,6 +74,7 @@
     seeds: tuple[Address, ...]
     backend_list: BackendListSettings
     timing: FleetTimingSettings = FleetTimingSettings()
+    fault_tolerance: FaultToleranceSettings = FaultToleranceSettings()
 
 
 def load_fleet_settings(path: Path) -> FleetSettings:
@@ -87,6 +99,8 @@
         yield SettingsProblem("process.data_folder", "a replica needs a folder")
     if role is FleetRole.CONTROL and settings.addresses.operators is None:
         yield SettingsProblem("addresses.operators", "a control replica needs it")
+    if settings.fault_tolerance.machines < 0:
+        yield SettingsProblem("fault_tolerance.machines", "expected 0 or more")
     if settings.backend_list.rate_per_s <= 0:
         yield SettingsProblem("backend_list.rate_per_s", "expected a positive number")
     if not 0 < settings.addresses.internal.port <= MAX_PORT:
--- a/src/passlane/simulation/raft_conditions.py
+++ b/src/passlane/simulation/raft_conditions.py
@@ -39,4 +39,8 @@
     ),
     "calm-between-faults": ClusterOptions(max_batch_bytes=1, mean_fault_pause_s=2.0),
     "large-group": ClusterOptions(hosts=9, first_voters=5, mean_fault_pause_s=0.3),
+    "bounded": ClusterOptions(hosts=9, first_voters=5, places=5, mean_fault_pause_s=0.3),
+    "bounded-lossy": ClusterOptions(
+        hosts=7, first_voters=3, places=3, network=LOSSY_NETWORK, mean_fault_pause_s=0.3
+    ),
 }
--- a/src/passlane/simulation/raft_defects.py
+++ b/src/passlane/simulation/raft_defects.py
@@ -12,6 +12,7 @@
 from passlane.raft.reads import ReadRounds
 from passlane.raft.replica import Replica
 from passlane.raft.replication import Replicator
+from passlane.raft.voter_places import VoterPlaces
 from passlane.simulation.raft_cluster import ClusterOptions
 from passlane.simulation.raft_conditions import CONGESTED_NETWORK
 from passlane.simulation.raft_fault_sequences import (
@@ -22,6 +23,7 @@
     lose_majority,
 )
 from passlane.simulation.raft_faults import (
+    BOUNDED_GROUP_FAULTS,
     RANDOM_FAULTS,
     Fault,
     crash_all,
@@ -30,6 +32,7 @@
     isolate_leader,
     isolate_one,
     lose_messages,
+    release,
     shrink,
     slow_disk,
     split,
@@ -46,9 +49,12 @@
     LeaderThatDeniesItsEntries,
     LeaderThatPromotesEarly,
     LeaderThatReadsBeforeItsFirstCommit,
+    PlacesFilledEarly,
+    PlacesFilledTwice,
     ReadsWithoutConfirmation,
     ReplicatorThatCommitsOldTerms,
     ReplicatorThatCountsItsUnsyncedEntries,
+    ReplicatorThatCountsRemovedVoters,
     ReplicatorThatSkipsCheckQuorum,
 )
 from passlane.simulation.raft_host import ReplicaFactory
@@ -99,6 +105,7 @@
     *,
     replicator_class: type[Replicator] = Replicator,
     reads_class: type[ReadRounds] = ReadRounds,
+    places_class: type[VoterPlaces] = VoterPlaces,
 ) -> ReplicaFactory:
     """Return a class of replicas whose leadership is made of the given parts."""
 
@@ -107,9 +114,21 @@
 
     LeaderWithDefect.replicator_class = replicator_class
     LeaderWithDefect.reads_class = reads_class
+    LeaderWithDefect.places_class = places_class
     return replica_with(leader_class=LeaderWithDefect)
 
 
+def bounded_group(replica_factory: ReplicaFactory) -> ClusterOptions:
+    """Return a cluster of nine hosts of which five vote."""
+    return ClusterOptions(
+        hosts=9,
+        first_voters=5,
+        places=5,
+        mean_fault_pause_s=0.3,
+        replica_factory=replica_factory,
+    )
+
+
 ONE_LEADER = "one leader a term"
 LOGS_MATCH = "logs match"
 COMMITTED_STAYS = "committed entries stay"
@@ -117,6 +136,7 @@
 READS_LINEARIZABLE = "reads are linearizable"
 STEPS_DOWN = "a leader in silence steps down"
 VOTERS_CAUGHT_UP = "voters have caught up"
+VOTERS_BOUNDED = "the number of voters is bounded"
 NOT_RUN = "not run means not run"
 OWN_CHECKS = "the replica's own checks"
 
@@ -262,6 +282,30 @@
             ),
             (grow_minority, shrink),
         ),
+        RaftDefect(
+            "fill-place-twice",
+            "two spares are taken in for one place",
+            (VOTERS_BOUNDED,),
+            1,
+            bounded_group(leader_with(places_class=PlacesFilledTwice)),
+            BOUNDED_GROUP_FAULTS,
+        ),
+        RaftDefect(
+            "fill-place-early",
+            "a spare votes before it has caught up",
+            (VOTERS_CAUGHT_UP,),
+            1,
+            bounded_group(leader_with(places_class=PlacesFilledEarly)),
+            BOUNDED_GROUP_FAULTS,
+        ),
+        RaftDefect(
+            "count-removed-voters",
+            "copies of voters that were removed count for a commit",
+            _LOST_ENTRIES,
+            10,
+            bounded_group(leader_with(replicator_class=ReplicatorThatCountsRemovedVoters)),
+            (release, release, lose_leader_with_one_follower),
+        ),
         RaftDefect(
             "deny-entries",
             "a caller is told that its command did not run although it may be committed",
--- a/src/passlane/simulation/raft_faults.py
+++ b/src/passlane/simulation/raft_faults.py
@@ -1,8 +1,9 @@
 """Random faults for the simulated Raft group, alone and together."""
 
+import functools
 from collections.abc import Callable, Sequence
 
-from passlane.raft.events import TransferRequested
+from passlane.raft.events import ReplicaReleased, TransferRequested
 from passlane.raft.membership import voters_of
 from passlane.simulation.raft_cluster import RaftCluster
 from passlane.simulation.raft_fault_actions import FaultActions
@@ -11,6 +12,7 @@
 """Makes something go wrong; most also arrange for its end."""
 
 _SMALLEST_GROUP = 3
+_BEARS_TWO = 5
 _HEAVY_LOSS = 0.2
 _WATCH_SYNC_S = 1.0
 _QUICK_RESTART_S = 0.02
@@ -149,6 +151,29 @@
         leader.remove_member(victim)
 
 
+def release(actions: FaultActions) -> None:
+    """Ask that a random voter be replaced and removed; it may offer itself again later."""
+    leader = actions.leader()
+    if leader is None:
+        return
+    victim = actions.random.choice(voters_of(actions.cluster.committed_membership()))
+    actions.cluster.note_trace(f"release {victim}")
+    leader.deliver(ReplicaReleased(victim))
+
+
+def wipe_two(actions: FaultActions) -> None:
+    """Lose two disks of voters at once, where five vote and each has its disk."""
+    cluster = actions.cluster
+    voters = voters_of(cluster.committed_membership())
+    if len(voters) < _BEARS_TWO or not cluster.is_repaired():
+        return
+    hosts = [host for host in cluster.hosts if host.disk.replica_id in voters]
+    for host in actions.random.sample(hosts, 2):
+        cluster.note_trace(f"wipe {host.disk.replica_id}")
+        cluster.wipe(host)
+        actions.later(0.5, functools.partial(actions.restart, host))
+
+
 RANDOM_FAULTS: tuple[Fault, ...] = (
     crash_one,
     crash_one,
@@ -172,6 +197,16 @@
 )
 
 
+BOUNDED_GROUP_FAULTS: tuple[Fault, ...] = (
+    *(fault for fault in RANDOM_FAULTS if fault not in (grow, shrink)),
+    wipe_two,
+    wipe_two,
+    release,
+    release,
+)
+"""For a group with bounded voters, where spares offer themselves all the time."""
+
+
 class FaultInjector:
     """Brings about faults at random times until it is stopped.
 
--- a/src/passlane/simulation/raft_faulty_parts.py
+++ b/src/passlane/simulation/raft_faulty_parts.py
@@ -1,14 +1,16 @@
 """Parts of a Raft replica that lack one rule each; see ``raft_defects``."""
 
 from passlane.identifiers import ReplicaId
-from passlane.messages.raft import AppendRequest, LogEntry, VoteRequest
+from passlane.messages.raft import AppendRequest, GroupMembership, LogEntry, VoteRequest
 from passlane.raft.election import Elections
 from passlane.raft.follower import Follower
 from passlane.raft.instructions import RejectProposals
 from passlane.raft.leader import Leader
+from passlane.raft.membership import voters_of, with_learner, with_voter
 from passlane.raft.progress import FollowerProgress
 from passlane.raft.reads import ReadRounds
 from passlane.raft.replication import Replicator
+from passlane.raft.voter_places import GroupView, VoterPlaces
 from passlane.simulation.raft_host import SimulatedReplicaHost
 
 
@@ -110,6 +112,49 @@
         return True
 
 
+class PlacesFilledTwice(VoterPlaces):
+    """Takes in every spare that offers itself and lets it vote, whoever votes already."""
+
+    def _without_useless_learner(self, view: GroupView) -> GroupMembership | None:
+        return None
+
+    def _with_caught_up_learner(self, view: GroupView) -> GroupMembership | None:
+        learner = self._caught_up_learner(view)
+        return with_voter(view.membership, learner.replica_id) if learner is not None else None
+
+    def _with_new_learner(self, view: GroupView) -> GroupMembership | None:
+        offer = self._best_offer(view)
+        if offer is None:
+            return None
+        return with_learner(view.membership, offer.replica_id, offer.address, offer.zone)
+
+
+class PlacesFilledEarly(VoterPlaces):
+    """Lets a spare vote before it holds all that is committed."""
+
+    @staticmethod
+    def has_caught_up(progress: FollowerProgress | None, commit_index: int) -> bool:
+        """Take each learner for caught up."""
+        return progress is not None
+
+
+class ReplicatorThatCountsRemovedVoters(Replicator):
+    """Goes on replicating to replicas that were removed, and counts their copies."""
+
+    def update_members(self, now: float) -> None:
+        """Follow the newest membership, and keep whoever was followed before."""
+        former = self.followers
+        super().update_members(now)
+        self.followers = former | self.followers
+
+    def _majority_index(self) -> int:
+        state = self._state
+        synced = [follower.synced_index for follower in self.followers.values()]
+        synced.append(state.log.synced_index)
+        synced.sort(reverse=True)
+        return synced[len(voters_of(state.membership)) // 2]
+
+
 class LeaderThatChangesMembersAtOnce(Leader):
     """Begins a change of membership before the former one is committed."""
 
--- a/src/passlane/simulation/raft_invariants.py
+++ b/src/passlane/simulation/raft_invariants.py
@@ -140,6 +140,13 @@
                 f"{learner} votes with {durable_index} of {commit_index} entries",
             )
 
+    def note_voters(self, count: int, places: int | None) -> None:
+        """At most one voter beyond the places, while a released one has yet to leave."""
+        if places is not None and count > places + 1:
+            raise InvariantViolationError(
+                "the number of voters is bounded", f"{count} voters for {places} places"
+            )
+
     def check_final_state(self, replica_id: ReplicaId, commands: set[bytes]) -> None:
         """In the end each acknowledged command is in each replica's state."""
         missing = self.acknowledged.keys() - commands
--- a/tests/on_platform/test_deploy.py
+++ b/tests/on_platform/test_deploy.py
@@ -54,6 +54,9 @@
 address = "10.200.0.100:8142"
 rate_per_s = 44.0
 
+[fault_tolerance]
+machines = 2
+
 [timing]
 grace_s = 8
 """
@@ -106,6 +109,7 @@
         settings = self.load()
         self.assertIs(settings.process.role, FleetRole.NODE)
         self.assertEqual(str(settings.seeds[0]), "10.1.0.34:8144")
+        self.assertEqual(settings.fault_tolerance.voters, 5)
 
     def test_faults_are_named_by_their_key(self):
         self.assert_problem("addresses.callers", addresses='readiness = "10.1.0.30:1"')
--- a/tests/raft/test_simulated_group.py
+++ b/tests/raft/test_simulated_group.py
@@ -12,6 +12,8 @@
     "lossy": (0, 1, 2, 3),
     "calm-between-faults": (0,),
     "large-group": (0, 1),
+    "bounded": (0, 1, 2),
+    "bounded-lossy": (0, 1),
 }
 
 
