A back end with an idle connection goes first among those with room

Change: among back ends with equal queues and room, those to which a connection of this node rests unused come before the hash. A program still stays with the engine it used last.

--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -36,6 +36,10 @@
     def __init__(self, http_client: HttpClient) -> None:
         self._http_client = http_client
 
+    def has_idle_connection(self, backend: BackendRecord) -> bool:
+        """Whether a request could be sent without opening a connection."""
+        return self._http_client.has_idle_connection(backend.address)
+
     @asynccontextmanager
     async def exchange(
         self, backend: BackendRecord, request: BackendRequest
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -1,7 +1,7 @@
 """The attempts of one request at back ends: choice, verdicts, retries."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 
@@ -119,6 +119,7 @@
                 now,
                 judgement.outliers,
                 judgement.typical_s,
+                self._connected(judgement.loads),
             )
             if choice is None:
                 await self._wait_for_room(give_up_at)
@@ -128,6 +129,13 @@
             if await self._attempt(choice.load, stall_limit, limit_at, deliver):
                 return
 
+    def _connected(self, loads: Sequence[BackendLoad]) -> frozenset[str]:
+        """Return the instances to which a connection rests unused."""
+        has_idle_connection = self._backends.has_idle_connection
+        return frozenset(
+            load.record.instance_id for load in loads if has_idle_connection(load.record)
+        )
+
     def _judge(self, now: float) -> ServiceJudgement:
         """Judge the service's back ends, and log which ones are outliers if that has changed."""
         judgement = self._registry.judge(self._service.name, now)
@@ -158,6 +166,7 @@
             is_without_part=choice.rank.is_without_part,
             shared_part=self._key.shared_part,
             short_queue=choice.rank.short_queue,
+            needs_connection=choice.rank.needs_connection,
             used_last=self._key.used_last,
             typical_s=round(choice.typical_s, 4),
             list_age_s=round(now - updated_at, 3) if updated_at is not None else None,
--- a/src/passlane/relay/backends.py
+++ b/src/passlane/relay/backends.py
@@ -89,6 +89,10 @@
         """
         ...
 
+    def has_idle_connection(self, backend: BackendRecord) -> bool:
+        """Whether a request could be sent without opening a connection."""
+        ...
+
 
 class BackendList(Protocol):
     """The platform's list of back ends."""
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -36,6 +36,7 @@
     short_queue: int
     is_without_part: bool
     fullness: int
+    needs_connection: bool
     dislike: float
 
 
@@ -85,6 +86,7 @@
     now: float,
     outliers: Collection[str] = (),
     typical_s: float = 0.0,
+    connected: Collection[str] = (),
 ) -> PlacementChoice | None:
     """Choose the back end for the next attempt; ``None`` if each was tried.
 
@@ -94,8 +96,10 @@
     the engines that hold this part. Any other goes by rendezvous hashing, as at every
     other node of its zone, unless requests queue there, and back ends of the own zone are
     preferred. An engine that is full for this node, that failed lately or that does worse
-    than most comes after all others. Among plain back ends each node has an order of its
-    own, so that the nodes of a zone don't all fill the same one first.
+    than most comes after all others. Among those with room, one to which a connection rests
+    unused goes first: to open one takes a way there and back, holds a slot for a moment, and
+    counts against what the back end takes. Among plain back ends each node has an order of
+    its own, so that the nodes of a zone don't all fill the same one first.
 
     Parameters
     ----------
@@ -105,6 +109,8 @@
         Instances that do worse than most of their service.
     typical_s
         Typical time to the first part of an answer of the service; 0 if unknown.
+    connected
+        Instances to which a connection of this node rests unused.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
@@ -125,6 +131,7 @@
             short_queue=congestion_level(load.health, short_s, now),
             is_without_part=bool(holders) and instance_id not in holders,
             fullness=load.in_flight if holders else _fullness(load, key),
+            needs_connection=instance_id not in connected,
             dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -138,10 +138,13 @@
     since: float
     expiry_s: float
 
+    def is_young(self) -> bool:
+        """Whether it has rested for less long than its server waits."""
+        return anyio.current_time() - self.since < self.expiry_s
+
     def is_usable(self) -> bool:
         """Whether the server has most likely not closed it."""
-        is_young = anyio.current_time() - self.since < self.expiry_s
-        return is_young and self.connection.is_idle() and not self.connection.has_expired()
+        return self.is_young() and self.connection.is_idle() and not self.connection.has_expired()
 
 
 class SingleConnectionHttpClient:
@@ -170,6 +173,11 @@
         finally:
             await self._give_back(request.address, connection, expiry_s)
 
+    def has_idle_connection(self, address: Address) -> bool:
+        """Whether a request to this address needs no new connection."""
+        idle = self._idle.get(address)
+        return idle is not None and len(idle) > 0 and idle[-1].is_young()
+
     async def _take_idle(self, request: HttpRequest) -> httpcore.AsyncHTTP11Connection | None:
         if request.fresh_connection:
             return None
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -99,6 +99,10 @@
         """
         ...
 
+    def has_idle_connection(self, address: Address) -> bool:
+        """Whether a request to this address needs no new connection."""
+        ...
+
 
 DEFAULT_HEADER_BYTES = 65_536
 DEFAULT_HEADER_TIMEOUT_S = 10.0
--- a/src/passlane/runtime/real.py
+++ b/src/passlane/runtime/real.py
@@ -30,6 +30,10 @@
         raise HttpConnectionError("this process sends no requests", bytes_left=False)
         yield
 
+    def has_idle_connection(self, address: Address) -> bool:
+        """Return that there is none."""
+        return False
+
 
 class _LateHttpServer:
     """Imports the HTTP server when it is first used, once replicas are already running."""
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -16,9 +16,9 @@
 from passlane.runtime.interfaces import HttpConnectionError
 
 
-def choose(*arguments):
+def choose(*arguments, **more):
     """Return the back end that is chosen; ``None`` if there is none."""
-    choice = choose_backend(*arguments)
+    choice = choose_backend(*arguments, **more)
     return choice.load if choice is not None else None
 
 
@@ -90,11 +90,15 @@
 class ScriptedBackends:
     """Gives the scripts in order, whichever back end is asked."""
 
-    def __init__(self, *scripts):
+    def __init__(self, *scripts, connected=()):
+        self.connected = connected
         self.scripts = deque(scripts)
         self.requests = []
         self.asked = []
 
+    def has_idle_connection(self, record):
+        return record.instance_id in self.connected
+
     @asynccontextmanager
     async def exchange(self, record, request):
         self.requests.append(request)
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -125,6 +125,24 @@
         far.in_flight = 2
         self.assertIs(choose([far, near], key, (), 0.0), near)
 
+    def test_with_room_at_several_one_with_an_idle_connection_goes_first(self):
+        candidates = loads(6)
+        for key in (PlacementKey("program", HERE), PlacementKey("", HERE)):
+            first = choose(candidates, key, (), 0.0)
+            others = [load for load in candidates if load is not first]
+            connected = {others[0].record.instance_id}
+            self.assertIs(choose(candidates, key, (), 0.0, connected=connected), others[0])
+            others[0].in_flight = 2
+            self.assertIs(choose(candidates, key, (), 0.0, connected=connected), first)
+            others[0].in_flight = 0
+
+    def test_a_program_stays_with_its_engine_also_where_that_needs_a_connection(self):
+        candidates = loads(3)
+        for load in candidates:
+            key = PlacementKey("program", HERE, used_last=load.record.instance_id)
+            connected = {other.record.instance_id for other in candidates if other is not load}
+            self.assertIs(choose(candidates, key, (), 0.0, connected=connected), load)
+
     def test_nodes_of_a_zone_fill_different_plain_back_ends_first(self):
         candidates = loads(6)
         chosen = Counter(
