Views of the fleet carry addresses only to those that hold others

Change: FleetView.addresses is set only if the asker's view has another number; an order to empty a machine renumbers the view. The stores last told of stay known while a new control leader has heard of none.

--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -72,9 +72,8 @@
 
     async def _wait_for_founders(self) -> tuple[NamedAddress, ...]:
         while True:
-            view = self._follower.view
-            if view is not None and view.store_founders:
-                return view.store_founders
+            if self._follower.store_founders:
+                return self._follower.store_founders
             await self._follower.wait_for_change()
 
     def _build_host(
@@ -112,8 +111,7 @@
         return known + [PeerSettings(name=m.address.host, internal=m.address) for m in members]
 
     def _may_join(self) -> bool:
-        view = self._follower.view
-        return view is None or self._context.replica_name not in view.retired_replicas
+        return self._context.replica_name not in self._follower.retired_replicas
 
     def _announcement(self) -> Announce:
         host = self._host
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -8,7 +8,7 @@
 from passlane.errors import PasslaneError
 from passlane.fleet.packed_configuration import unpack
 from passlane.messages.common import Address, NotLeaderError
-from passlane.messages.fleet import Announce, FleetView, NamedAddress
+from passlane.messages.fleet import Announce, FleetAddresses, FleetView, NamedAddress
 from passlane.messages.listing import BackendRecord, BackendsReported, ReportBackends
 from passlane.messages.routes import RouteConfiguration
 from passlane.observability.logging import get_logger
@@ -59,6 +59,7 @@
         self._backends: tuple[BackendRecord, ...] = ()
         self._backends_number = 0
         self._changed = anyio.Event()
+        self._addresses = FleetAddresses()
         self._stores: tuple[NamedAddress, ...] = ()
         self.view: FleetView | None = None
         self.configuration: RouteConfiguration | None = None
@@ -113,8 +114,7 @@
     @property
     def controls(self) -> tuple[Address, ...]:
         """Control replicas to turn to: those last told of, then the seeds."""
-        known = self.view.controls if self.view is not None else ()
-        addresses = [member.address for member in known]
+        addresses = [member.address for member in self._addresses.controls]
         return tuple(dict.fromkeys([*addresses, *self._seeds]))
 
     @property
@@ -132,7 +132,12 @@
 
         A new leader of the control group knows them before any store has announced itself.
         """
-        return self.view.store_founders if self.view is not None else ()
+        return self._addresses.store_founders
+
+    @property
+    def retired_replicas(self) -> tuple[str, ...]:
+        """Names of store replicas that are never to join again."""
+        return self._addresses.retired_replicas
 
     @property
     def node_count(self) -> int:
@@ -212,7 +217,9 @@
         """Take over a view; an older configuration than the one held has no effect."""
         has_changed = self.view is None or view.number != self.view.number
         self.view = view
-        self._stores = view.stores or self._stores
+        if view.addresses is not None:
+            self._addresses = view.addresses
+            self._stores = view.addresses.stores or self._stores
         # A new leader of the control group hears of the store's leader a moment later.
         self._confirmed_at = anyio.current_time()
         self.has_seen_store_leader = self.has_seen_store_leader or view.has_store_leader
@@ -223,8 +230,8 @@
             _log.info(
                 "fleet_view",
                 number=view.number,
-                controls=[member.name for member in view.controls],
-                stores=[member.name for member in view.stores],
+                controls=[member.name for member in self._addresses.controls],
+                stores=[member.name for member in self._addresses.stores],
                 nodes=view.node_count,
             )
             self._changed.set()
--- a/src/passlane/fleet/service.py
+++ b/src/passlane/fleet/service.py
@@ -11,6 +11,7 @@
 from passlane.messages.common import NotLeaderError
 from passlane.messages.fleet import (
     Announce,
+    FleetAddresses,
     FleetRole,
     FleetView,
     ForbidReplica,
@@ -147,6 +148,8 @@
         if len(left) < self._store_voters:
             raise PasslaneError(ErrorCode.VERSION_CONFLICT, "too few store machines would be left")
         await self._propose(ForbidReplica(request.name, announcement.replica_name))
+        self._current_directory().number += 1
+        self._wake_waiting()
         _log.info("store_retirement_began", name=request.name)
         return self._retirement_of(request.name)
 
@@ -206,10 +209,7 @@
         state = self._machine.state
         return FleetView(
             number=directory.number,
-            controls=directory.controls(),
-            stores=directory.stores(),
-            store_founders=state.store_founders,
-            retired_replicas=tuple(sorted(state.retired.values())),
+            addresses=self._addresses_for(request),
             has_store_leader=bool(directory.stores()),
             node_count=directory.node_count(),
             configuration_version=state.configuration.version if state.configuration else 0,
@@ -220,6 +220,19 @@
             reads_backends=self._is_reader(request),
         )
 
+    def _addresses_for(self, request: Announce) -> FleetAddresses | None:
+        """Return the addresses for a process that holds others; most hold the newest."""
+        directory = self._current_directory()
+        if request.view_number == directory.number:
+            return None
+        state = self._machine.state
+        return FleetAddresses(
+            controls=directory.controls(),
+            stores=directory.stores(),
+            store_founders=state.store_founders,
+            retired_replicas=tuple(sorted(state.retired.values())),
+        )
+
     def _wants_list(self, request: Announce) -> bool:
         is_node = request.role is FleetRole.NODE
         return is_node and self._listing.number not in (0, request.backends_number)
--- a/src/passlane/messages/fleet.py
+++ b/src/passlane/messages/fleet.py
@@ -63,23 +63,41 @@
     wait_s: float = 0.0
 
 
+class FleetAddresses(msgspec.Struct, frozen=True):
+    """Where replicas are reached.
+
+    Attributes
+    ----------
+    controls
+        Control replicas that announce themselves.
+    stores
+        Members of the store group as its leader told them last; empty before.
+    store_founders
+        The first members of the store group.
+    retired_replicas
+        Names of store replicas that are never to join again.
+    """
+
+    controls: tuple[NamedAddress, ...] = ()
+    stores: tuple[NamedAddress, ...] = ()
+    store_founders: tuple[NamedAddress, ...] = ()
+    retired_replicas: tuple[str, ...] = ()
+
+
 class FleetView(Message, frozen=True, kw_only=True):
     """What the leader of the control group knows of the fleet.
 
     ``configuration`` (packed, see ``fleet.packed_configuration``) is set only for nodes,
-    and when it is newer than what the receiver holds;
-    ``number`` changes with any of the addresses. ``has_store_leader`` is true once the
-    leader of the store group has announced itself. ``backends`` is set only when the
-    receiver holds another list than that of ``backends_number``; ``backends_age_s`` tells
-    how long ago it was last known to be right, ``None`` if there is no list.
-    ``reads_backends`` tells the receiver to read it for all nodes.
+    and when it is newer than what the receiver holds. ``number`` changes with any of the
+    ``addresses``, which are set only if the receiver holds others. ``has_store_leader`` is
+    true once the leader of the store group has announced itself. ``backends`` is set only
+    when the receiver holds another list than that of ``backends_number``;
+    ``backends_age_s`` tells how long ago it was last known to be right, ``None`` if there is
+    no list. ``reads_backends`` tells the receiver to read it for all nodes.
     """
 
     number: int
-    controls: tuple[NamedAddress, ...]
-    stores: tuple[NamedAddress, ...]
-    store_founders: tuple[NamedAddress, ...]
-    retired_replicas: tuple[str, ...] = ()
+    addresses: FleetAddresses | None = None
     has_store_leader: bool = False
     node_count: int
     configuration_version: int
