A node starts without the metrics library and uvicorn's command line

Two parts are not needed to serve: the metrics library, which brings a web server (10.6 of 84 ms on a fast core), and uvicorn's command line with click and process supervisors (5 ms).

Ruled out: files.

Change: relayed requests are noted in a bounded list and counted when metrics are asked for or 1,000 wait; uvicorn's package is imported without its __init__ (runtime/packages.py).

--- a/src/passlane/observability/metrics.py
+++ b/src/passlane/observability/metrics.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._deferred: list[Callable[[Metrics], None]] = []
+        self._before_exposure: list[Callable[[], None]] = []
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[str, Histogram] = {}
@@ -38,6 +39,10 @@
         """Have ``define`` make metrics of this process when they are first asked for."""
         self._deferred.append(define)
 
+    def call_before_exposure(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` each time before metrics are exposed, so that all are up to date."""
+        self._before_exposure.append(callback)
+
     def counter(self, name: str, description: str, labels: tuple[str, ...] = ()) -> "Counter":
         """Return the counter ``passlane_NAME``."""
         from prometheus_client import Counter
@@ -79,6 +84,8 @@
 
         while self._deferred:
             self._deferred.pop(0)(self)
+        for callback in self._before_exposure:
+            callback()
         return generate_latest(self._registry)
 
     @staticmethod
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -14,6 +14,7 @@
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request import NOT_FOUND, RequestContext, RequestRelay
+from passlane.relay.request_metrics import RequestMetrics
 from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount, needs_account
 from passlane.relay.verdicts import UNAVAILABLE
@@ -58,12 +59,7 @@
         self._selector = ShareSelector(random)
         self._under_way: set[str] = set()
         self._has_answered = anyio.Event()
-        self._requests = metrics.counter(
-            "relayed_requests", "Relayed requests by kind of route and status", ("kind", "status")
-        )
-        self._latency = metrics.histogram(
-            "relayed_request_seconds", "Time to the end of relayed requests", ("kind",)
-        )
+        self._metrics = RequestMetrics(metrics)
 
     @property
     def configuration(self) -> RouteConfiguration | None:
@@ -154,8 +150,7 @@
         status = progress.status or (writer.status if writer.has_started else 0)
         if writer.is_finished and progress.tried:
             self._has_answered.set()
-        self._requests.labels(progress.kind, str(status)).inc()
-        self._latency.labels(progress.kind).observe(elapsed_s)
+        self._metrics.note_end(progress.kind, status, elapsed_s)
         _log.info(
             "request_ended",
             request_id=call.request_id,
--- a/src/passlane/runtime/http_server.py
+++ b/src/passlane/runtime/http_server.py
@@ -9,18 +9,28 @@
 from typing import cast
 
 import anyio
-import uvicorn
 
 from passlane.messages.common import Address
 from passlane.runtime.early_listening import LISTEN_BACKLOG, ListeningSockets, bound_socket
-from passlane.runtime.http_limits import LimitedHttpProtocol
 from passlane.runtime.interfaces import AsgiApplication, HttpLimits
+from passlane.runtime.packages import skip_initialization
 
+# uvicorn's own command line is most of what ``import uvicorn`` brings.
+_uvicorn = skip_initialization("uvicorn")
 
-class _Server(uvicorn.Server):
+from uvicorn.config import Config  # noqa: E402
+from uvicorn.server import Server  # noqa: E402
+
+from passlane.runtime.http_limits import LimitedHttpProtocol  # noqa: E402
+
+# Modules of uvicorn import this name from the package itself.
+vars(_uvicorn).setdefault("Config", Config)
+
+
+class _Server(Server):
     """A server that leaves signals to the daemon, and sleeps until it is stopped."""
 
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: Config) -> None:
         super().__init__(config)
         self._stopped = asyncio.Event()
 
@@ -74,7 +84,7 @@
         OSError
             When the address cannot be listened on.
         """
-        config = uvicorn.Config(
+        config = Config(
             application,
             http=_protocol_with(limits or HttpLimits()),
             ws="none",
--- a/tests/daemon/test_fleet_start.py
+++ b/tests/daemon/test_fleet_start.py
@@ -1,5 +1,7 @@
 """What a process does before it imports its code."""
 
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -32,3 +34,22 @@
 
     def test_a_missing_file_names_none(self):
         self.assertEqual(list(early_addresses(Path("/nowhere/settings.toml"))), [])
+
+
+class ImportsTest(unittest.TestCase):
+    def test_a_node_starts_without_what_it_does_not_need_to_serve(self):
+        program = (
+            "import sys\n"
+            "import passlane.daemon.fleet_start, passlane.daemon.fleet_main\n"
+            "import passlane.daemon.fleet_node, passlane.runtime.http_server\n"
+            "import passlane.runtime.http_client\n"
+            "from passlane.observability.metrics import Metrics\n"
+            "from passlane.relay.request_metrics import RequestMetrics\n"
+            "RequestMetrics(Metrics()).note_end('stream', 200, 0.1)\n"
+            "unwanted = {'prometheus_client', 'click', 'cleo', 'uvicorn.main', 'starlark'}\n"
+            "print(sorted(unwanted & set(sys.modules)))\n"
+        )
+        process = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, check=True
+        )
+        self.assertEqual(process.stdout.strip(), "[]")
--- /dev/null
+++ b/tests/relay/test_request_metrics.py
@@ -0,0 +1,35 @@
+"""Requests are counted when somebody asks, or when many have ended."""
+
+import unittest
+
+from passlane.observability.metrics import Metrics
+from passlane.relay.request_metrics import MOST_WAITING, RequestMetrics
+
+
+class RequestMetricsTest(unittest.TestCase):
+    def setUp(self):
+        self.metrics = Metrics()
+        self.requests = RequestMetrics(self.metrics)
+
+    def exposed(self):
+        return self.metrics.expose().decode()
+
+    def test_every_request_is_exposed_once(self):
+        self.requests.note_end("stream", 200, 0.2)
+        self.requests.note_end("stream", 503, 0.01)
+        for _ in range(2):
+            text = self.exposed()
+            self.assertIn('relayed_requests_total{kind="stream",status="200"} 1.0', text)
+            self.assertIn('relayed_requests_total{kind="stream",status="503"} 1.0', text)
+            self.assertIn('relayed_request_seconds_count{kind="stream"} 2.0', text)
+
+    def test_without_anybody_asking_no_more_than_a_bound_wait(self):
+        for _ in range(2 * MOST_WAITING + 7):
+            self.requests.note_end("repeatable", 200, 0.01)
+        self.assertEqual(len(self.requests._waiting), 7)
+        total = f'relayed_requests_total{{kind="repeatable",status="200"}} {2 * MOST_WAITING + 7}.0'
+        self.assertIn(total, self.exposed())
+
+
+if __name__ == "__main__":
+    unittest.main()
