The reserve of the disk is not read at each start

Cause: after a loss of power the control group had a leader 0.7 s after the fourth of its six replicas ran. A timeline of two replicas (trial "what a control replica does between its start and its first leader"): imports 0.16 s, opening its files 0.20 and 0.31 s. To learn the size of the reserve, all 2 MB of it were read, at every start of every replica.

Change: the file's size is asked for.

What is left there is the log. Tests: storage/test_reserve (fails first). make lint, make test: 769 passed, 0 failed.

--- a/src/passlane/storage/reserve.py
+++ b/src/passlane/storage/reserve.py
@@ -50,6 +50,6 @@
     def _held_bytes(self) -> int:
         """Return the size of the reserve file."""
         try:
-            return len(self._disk.read(self._name))
+            return self._disk.open_read(self._name).size
         except FileNotFoundError:
             return 0
--- /dev/null
+++ b/tests/storage/test_reserve.py
@@ -0,0 +1,50 @@
+"""The space set aside: what it costs at each start."""
+
+import random
+import unittest
+
+import anyio
+
+from passlane.simulation.disk import SimulatedDisk
+from passlane.storage.reserve import DiskReserve
+
+SIZE_BYTES = 10_000
+
+
+class CountingDisk(SimulatedDisk):
+    """Counts the bytes that are read as whole files."""
+
+    read_bytes = 0
+
+    def read(self, name):
+        content = super().read(name)
+        self.read_bytes += len(content)
+        return content
+
+
+class ReserveTest(unittest.TestCase):
+    def setUp(self):
+        self.disk = CountingDisk(random.Random(0))
+        self.reserve = DiskReserve(self.disk, "group", SIZE_BYTES)
+
+    def test_space_that_is_held_already_is_not_read_again(self):
+        async def main():
+            self.assertTrue(await self.reserve.hold())
+            again = DiskReserve(self.disk, "group", SIZE_BYTES)
+            self.assertTrue(await again.hold())
+
+        anyio.run(main)
+        self.assertEqual(self.disk.read_bytes, 0)
+        self.assertEqual(self.disk.open_read("group/reserve").size, SIZE_BYTES)
+
+    def test_space_of_another_size_is_set_aside_anew(self):
+        async def main():
+            self.assertTrue(await DiskReserve(self.disk, "group", 77).hold())
+            self.assertTrue(await self.reserve.hold())
+
+        anyio.run(main)
+        self.assertEqual(self.disk.open_read("group/reserve").size, SIZE_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
