Nodes are told what has changed in the list of back ends, packed once

Ruled out: the processor of the nodes (15% at most), syncs and the store (no growth from 100 to 300 machines).

Change: fleet/listing_updates.py keeps the changes of the last 64 lists; a node that holds one of them gets the merged changes, any other the whole list, each packed once. A node that is told the same list again only notes the time. The reader compares with what it reported, not with the order in which it holds the list.

--- a/src/passlane/fleet/backend_listing.py
+++ b/src/passlane/fleet/backend_listing.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 
+from passlane.fleet.listing_updates import ListingUpdates
 from passlane.messages.listing import BackendRecord, ReportBackends
 
 REPORT_OVERDUE_S = 1.6
@@ -27,6 +28,8 @@
         Local time of the newest report; ``None`` before the first.
     reader
         Name of the node that reads; ``None`` while there is no node.
+    updates
+        What processes with earlier lists are told.
     """
 
     def __init__(self, first_number: int) -> None:
@@ -35,6 +38,7 @@
         self.records: tuple[BackendRecord, ...] = ()
         self.read_at: float | None = None
         self.reader: str | None = None
+        self.updates = ListingUpdates()
         self._expected_since = 0.0
 
     def report(self, report: ReportBackends, now: float) -> bool:
@@ -48,6 +52,7 @@
             return False
         self.records = report.records
         self.number = self._next_number
+        self.updates.note_list(self.number, self.records)
         self._next_number += 1
         return True
 
--- a/src/passlane/fleet/follower.py
+++ b/src/passlane/fleet/follower.py
@@ -6,6 +6,8 @@
 import anyio
 
 from passlane.errors import PasslaneError
+from passlane.fleet.listing_updates import apply_changes
+from passlane.fleet.listing_updates import unpack as unpack_backends
 from passlane.fleet.packed_configuration import unpack
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.fleet import Announce, FleetAddresses, FleetView, NamedAddress
@@ -58,6 +60,10 @@
         self._backends_listener: BackendsListener | None = None
         self._backends: tuple[BackendRecord, ...] = ()
         self._backends_number = 0
+        # What this process told as the reader; the same list as the one held, in the
+        # platform's order.
+        self._reported: tuple[BackendRecord, ...] = ()
+        self._reported_number = 0
         self._changed = anyio.Event()
         self._addresses = FleetAddresses()
         self._stores: tuple[NamedAddress, ...] = ()
@@ -85,11 +91,13 @@
 
     async def report_backends(self, records: tuple[BackendRecord, ...]) -> None:
         """Tell the leader of the control group what the platform lists now."""
-        is_held = self._backends_number > 0 and records == self._backends
+        is_held = self._reported_number > 0 and records == self._reported
         try:
-            number = await self._send_report(self._backends_number, None if is_held else records)
-            if is_held and number != self._backends_number:
-                await self._send_report(0, records)
+            number = await self._send_report(self._reported_number, None if is_held else records)
+            if is_held and number != self._reported_number:
+                number = await self._send_report(0, records)
+            self._reported = records
+            self._reported_number = number
         except PasslaneError as error:
             _log.info("backends_not_reported", code=error.code.value)
 
@@ -247,11 +255,19 @@
         for listener in self._listeners:
             listener(configuration)
 
+    def _update_backends(self, view: FleetView, update: bytes) -> None:
+        """Bring the list up to date; an update of a list that is not held has no effect."""
+        if view.backends_since not in (0, self._backends_number):
+            _log.info("backends_update_ignored", since=view.backends_since)
+            return
+        held = self._backends if view.backends_since else ()
+        self._backends = apply_changes(held, unpack_backends(update))
+        self._backends_number = view.backends_number
+
     def _take_over_backends(self, view: FleetView) -> None:
         """Take over the list of back ends, or note that the one held is still right."""
-        if view.backends is not None:
-            self._backends = view.backends
-            self._backends_number = view.backends_number
+        if view.backends_update is not None:
+            self._update_backends(view, view.backends_update)
         is_held = view.backends_number == self._backends_number and self._backends_number > 0
         if self._backends_listener is None or view.backends_age_s is None or not is_held:
             return
--- a/src/passlane/fleet/service.py
+++ b/src/passlane/fleet/service.py
@@ -207,6 +207,8 @@
     def _view_for(self, request: Announce) -> FleetView:
         directory = self._current_directory()
         state = self._machine.state
+        updates = self._listing.updates
+        since = updates.since(request.backends_number)
         return FleetView(
             number=directory.number,
             addresses=self._addresses_for(request),
@@ -215,7 +217,8 @@
             configuration_version=state.configuration.version if state.configuration else 0,
             configuration=self._configuration_for(request),
             backends_number=self._listing.number,
-            backends=self._listing.records if self._wants_list(request) else None,
+            backends_since=since,
+            backends_update=updates.update_since(since) if self._wants_list(request) else None,
             backends_age_s=self._listing_age_s(),
             reads_backends=self._is_reader(request),
         )
--- a/src/passlane/messages/fleet.py
+++ b/src/passlane/messages/fleet.py
@@ -6,7 +6,6 @@
 
 from passlane.messages.base import Message
 from passlane.messages.common import Address
-from passlane.messages.listing import BackendRecord
 
 
 class FleetRole(enum.StrEnum):
@@ -90,8 +89,9 @@
     ``configuration`` (packed, see ``fleet.packed_configuration``) is set only for nodes,
     and when it is newer than what the receiver holds. ``number`` changes with any of the
     ``addresses``, which are set only if the receiver holds others. ``has_store_leader`` is
-    true once the leader of the store group has announced itself. ``backends`` is set only
-    when the receiver holds another list than that of ``backends_number``;
+    true once the leader of the store group has announced itself. ``backends_update`` (see
+    ``fleet.listing_updates``) is set only when the receiver holds another list than that
+    of ``backends_number``; it goes on from the list of ``backends_since``, 0 for none;
     ``backends_age_s`` tells how long ago it was last known to be right, ``None`` if there is
     no list. ``reads_backends`` tells the receiver to read it for all nodes.
     """
@@ -103,7 +103,8 @@
     configuration_version: int
     configuration: bytes | None = None
     backends_number: int = 0
-    backends: tuple[BackendRecord, ...] | None = None
+    backends_since: int = 0
+    backends_update: bytes | None = None
     backends_age_s: float | None = None
     reads_backends: bool = False
 
--- a/src/passlane/messages/listing.py
+++ b/src/passlane/messages/listing.py
@@ -26,6 +26,21 @@
     state: BackendState
 
 
+class BackendChanges(msgspec.Struct, frozen=True):
+    """How a list of back ends differs from an earlier one.
+
+    Attributes
+    ----------
+    changed
+        Back ends that are new or are listed otherwise.
+    gone
+        Instances that are no longer listed.
+    """
+
+    changed: tuple[BackendRecord, ...]
+    gone: tuple[str, ...]
+
+
 class ReportBackends(Message, frozen=True, kw_only=True):
     """Tells the leader of the control group what the platform lists now.
 
--- a/src/passlane/relay/list_reader.py
+++ b/src/passlane/relay/list_reader.py
@@ -69,6 +69,7 @@
         self._report = report
         self._random = random
         self._is_lost = False
+        self._taken_over: Sequence[BackendRecord] | None = None
         self._next_own_read_at = 0.0
 
     async def run(self) -> None:
@@ -84,6 +85,10 @@
         updated_at = self._registry.updated_at
         if updated_at is not None and confirmed_at < updated_at:
             return
+        if records is self._taken_over and self._registry.is_as_listed:
+            self._registry.confirm(confirmed_at)
+            return
+        self._taken_over = records
         before = len(self._registry)
         gone = self._registry.update(records, confirmed_at)
         if gone or before != len(self._registry):
--- a/src/passlane/relay/registry.py
+++ b/src/passlane/relay/registry.py
@@ -60,12 +60,21 @@
 
 
 class BackendRegistry:
-    """Back ends by instance, as the newest list tells."""
+    """Back ends by instance, as the newest list tells.
+
+    Attributes
+    ----------
+    updated_at
+        Local time at which the list was last known to be right; ``None`` without a list.
+    is_as_listed
+        Whether none was forgotten since the list was taken over.
+    """
 
     def __init__(self) -> None:
         self._loads: dict[str, BackendLoad] = {}
         self._outliers: dict[str, frozenset[str]] = {}
         self.updated_at: float | None = None
+        self.is_as_listed = True
 
     def update(self, records: Iterable[BackendRecord], now: float) -> list[BackendRecord]:
         """Take over a whole list; return the back ends that no longer take requests."""
@@ -78,8 +87,13 @@
         usable = {instance_id for instance_id, load in loads.items() if load.is_ready}
         self._loads = loads
         self.updated_at = now
+        self.is_as_listed = True
         return [record for record in gone if record.instance_id not in usable]
 
+    def confirm(self, now: float) -> None:
+        """Note that the list held is still right."""
+        self.updated_at = now
+
     def of_service(self, service: str) -> list[BackendLoad]:
         """Return the back ends of a service that take new requests."""
         return [
@@ -102,6 +116,7 @@
     def remove(self, instance_id: str) -> None:
         """Forget a back end that is known to be gone, until a list names it again."""
         self._loads.pop(instance_id, None)
+        self.is_as_listed = False
 
     def __len__(self) -> int:
         return len(self._loads)
--- a/tests/fleet/test_follower.py
+++ b/tests/fleet/test_follower.py
@@ -4,10 +4,14 @@
 import unittest
 
 import anyio
+import anyio.lowlevel
 
+from passlane.fleet.backend_listing import BackendListing
 from passlane.fleet.follower import FleetFollower
 from passlane.messages.common import Address
 from passlane.messages.fleet import Announce, FleetAddresses, FleetRole, FleetView, NamedAddress
+from passlane.messages.listing import BackendsReported, ReportBackends
+from relay.fakes import backend
 
 SEED = Address("10.1.0.1", 7000)
 
@@ -73,5 +77,78 @@
         self.assertEqual(follower.stores, ())
 
 
+class ScriptedReports:
+    """Holds a list as the leader of the control group does; forgets it when told to."""
+
+    def __init__(self):
+        self.listing = BackendListing(100)
+        self.sent = []
+
+    async def call(self, address, request, reply, *, timeout_s):
+        await anyio.lowlevel.checkpoint()
+        self.sent.append(None if request.records is None else len(request.records))
+        self.listing.report(request, 1.0)
+        return BackendsReported(number=self.listing.number)
+
+
+class ReportTest(unittest.TestCase):
+    def test_an_unchanged_list_is_sent_once_and_again_to_a_new_leader(self):
+        control = ScriptedReports()
+        follower = FleetFollower(announcement, [SEED], control, random.Random(0))
+        records = (backend("i-2"), backend("i-1"))
+
+        async def main():
+            await follower.report_backends(records)
+            await follower.report_backends(tuple(records))
+            control.listing = BackendListing(500)
+            await follower.report_backends(tuple(records))
+            await follower.report_backends((*records, backend("i-3")))
+            await follower.report_backends((*records, backend("i-3")))
+
+        anyio.run(main)
+        self.assertEqual(control.sent, [2, None, None, 2, 3, None])
+
+
+class BackendsTest(unittest.TestCase):
+    def lists_after(self, *views):
+        """Return the lists that a follower passes on as it takes over these views."""
+        lists = []
+        control = ScriptedControl(*views)
+        follower = FleetFollower(announcement, [SEED], control, random.Random(0))
+        follower.on_backends(lambda records, confirmed_at: lists.append(records))
+
+        async def main():
+            with anyio.move_on_after(0.15 * (len(views) + 1)):
+                await follower.run()
+
+        anyio.run(main)
+        return lists, control
+
+    def test_updates_follow_one_another_and_one_of_another_list_has_no_effect(self):
+        listing = BackendListing(100)
+
+        def view_of(records, since):
+            listing.report(ReportBackends(name="n", number=0, records=records), 1.0)
+            return FleetView(
+                number=7,
+                node_count=1,
+                configuration_version=0,
+                backends_number=listing.number,
+                backends_since=since,
+                backends_update=listing.updates.update_since(since),
+                backends_age_s=0.1,
+            )
+
+        first, second = (backend("i-1"), backend("i-2")), (backend("i-2"), backend("i-3"))
+        views = [view_of(first, 0), view_of(second, 101), view_of(first, 55)]
+        lists, control = self.lists_after(*views)
+        self.assertEqual(
+            [sorted(r.instance_id for r in one) for one in lists[:2]],
+            [["i-1", "i-2"], ["i-2", "i-3"]],
+        )
+        self.assertEqual(len(lists), 2)
+        self.assertEqual([r.backends_number for r in control.requests[:4]], [0, 101, 102, 102])
+
+
 if __name__ == "__main__":
     unittest.main()
