Logs tell why a replica joins, votes or leaves the store group

A line voter_place_decided for each change that the leader of a group with bounded voters decides on: the reason, the replica, voters and learners after it, the term. The decision is a type of its own (PlaceChange) in place of a bare membership.

--- a/src/passlane/raft/instructions.py
+++ b/src/passlane/raft/instructions.py
@@ -104,6 +104,25 @@
     membership: GroupMembership
 
 
+class PlaceDecided(msgspec.Struct, frozen=True):
+    """The leader of a group with bounded voters decided on a change; for the log.
+
+    Attributes
+    ----------
+    reason
+        A ``voter_places.PlaceReason``.
+    replica_id
+        The replica that joins, votes or leaves.
+    voters, learners
+        How many there are after the change.
+    """
+
+    reason: str
+    replica_id: ReplicaId
+    voters: int
+    learners: int
+
+
 Instruction = (
     SaveHardState
     | AppendEntries
@@ -116,4 +135,5 @@
     | InstallSnapshot
     | LeadershipChanged
     | MembershipChanged
+    | PlaceDecided
 )
--- a/src/passlane/raft/leader.py
+++ b/src/passlane/raft/leader.py
@@ -14,7 +14,7 @@
 )
 from passlane.raft.disk_watch import STALL_ELECTION_TIMEOUTS, DiskWatch
 from passlane.raft.events import MemberAdded, MemberRemoved, ReplicaOffered, ReplicaReleased
-from passlane.raft.instructions import RejectProposals
+from passlane.raft.instructions import PlaceDecided, RejectProposals
 from passlane.raft.membership import (
     encode_membership,
     member_of,
@@ -243,9 +243,13 @@
             commit_index=state.commit_index,
             now=now,
         )
-        membership = self._places.next_change(view)
-        if membership is not None:
-            self._append_membership(membership, now)
+        change = self._places.next_change(view)
+        if change is None:
+            return
+        voters = len(voters_of(change.membership))
+        learners = len(change.membership.members) - voters
+        state.emit(PlaceDecided(change.reason, change.replica_id, voters, learners))
+        self._append_membership(change.membership, now)
 
     def _is_learner(self, replica_id: ReplicaId) -> bool:
         member = member_of(self._state.membership, replica_id)
--- a/src/passlane/raft/voter_places.py
+++ b/src/passlane/raft/voter_places.py
@@ -7,6 +7,7 @@
 its successor votes, so that the number of voters stays the same.
 """
 
+import enum
 from collections import Counter
 from collections.abc import Mapping
 
@@ -22,6 +23,26 @@
 """An offer counts for this long; spares repeat theirs each second (``replication.joining``)."""
 
 
+class PlaceReason(enum.StrEnum):
+    """Why a replica joins, votes or leaves."""
+
+    FILES_LOST = "files_lost"
+    MOVED = "moved"
+    LEARNER_NOT_NEEDED = "learner_not_needed"
+    SILENT = "silent"
+    CAUGHT_UP = "caught_up"
+    SURPLUS = "surplus"
+    PLACE_FREE = "place_free"
+
+
+class PlaceChange(msgspec.Struct, frozen=True):
+    """A membership to change to, the replica that it is about, and why."""
+
+    membership: GroupMembership
+    reason: PlaceReason
+    replica_id: ReplicaId
+
+
 class _Offer(msgspec.Struct, frozen=True):
     """The newest offer of a replica and when it came."""
 
@@ -83,8 +104,8 @@
         """Note that a replica is to be replaced and to leave the group for good."""
         self._released.add(replica_id)
 
-    def next_change(self, view: GroupView) -> GroupMembership | None:
-        """Return the membership to change to, if a change is due.
+    def next_change(self, view: GroupView) -> PlaceChange | None:
+        """Return the next change, if one is due.
 
         The order matters: what only hinders comes out first, then learners that have
         caught up vote, then voters beyond the places leave, then free places are filled.
@@ -98,35 +119,33 @@
             or self._with_new_learner(view)
         )
 
-    def _without_wiped(self, view: GroupView) -> GroupMembership | None:
+    def _without_wiped(self, view: GroupView) -> PlaceChange | None:
         """Remove an identity whose files are gone: it can never answer again."""
         for member in view.membership.members:
             if member.replica_id in self._wiped and member.replica_id != view.own_id:
-                return without(view.membership, member.replica_id)
+                return _leave(view, member, PlaceReason.FILES_LOST)
         self._wiped.clear()
         return None
 
-    def _with_new_address(self, view: GroupView) -> GroupMembership | None:
+    def _with_new_address(self, view: GroupView) -> PlaceChange | None:
         """Take over the address of a member that has moved with its files."""
         for offer in self._offers.values():
             replica = offer.replica
             member = member_of(view.membership, replica.replica_id)
             if member is not None and member.address != replica.address:
-                return with_learner(
-                    view.membership, replica.replica_id, replica.address, replica.zone
-                )
+                return _take_in(view, replica, PlaceReason.MOVED)
         return None
 
-    def _without_useless_learner(self, view: GroupView) -> GroupMembership | None:
+    def _without_useless_learner(self, view: GroupView) -> PlaceChange | None:
         """Remove a learner that is silent, released, or for which there is no place."""
         is_full = len(self._staying_voters(view)) >= self._places
         for learner in _learners(view):
             if is_full or self._is_leaving(learner, view):
                 self._offers.pop(learner.replica_id, None)
-                return without(view.membership, learner.replica_id)
+                return _leave(view, learner, PlaceReason.LEARNER_NOT_NEEDED)
         return None
 
-    def _with_caught_up_learner(self, view: GroupView) -> GroupMembership | None:
+    def _with_caught_up_learner(self, view: GroupView) -> PlaceChange | None:
         """Make a learner vote that holds all that is committed.
 
         If all places are taken, a silent voter leaves first: it would only make majorities
@@ -138,10 +157,11 @@
             return None
         silent = self._silent_voter(view)
         if len(_voters(view)) >= self._places and silent is not None:
-            return without(view.membership, silent.replica_id)
-        return with_voter(view.membership, learner.replica_id)
+            return _leave(view, silent, PlaceReason.SILENT)
+        membership = with_voter(view.membership, learner.replica_id)
+        return PlaceChange(membership, PlaceReason.CAUGHT_UP, learner.replica_id)
 
-    def _without_surplus_voter(self, view: GroupView) -> GroupMembership | None:
+    def _without_surplus_voter(self, view: GroupView) -> PlaceChange | None:
         """Remove a voter beyond the places: a silent one, else a released one.
 
         A leader that was elected in the middle of a replacement has not heard which voter
@@ -152,22 +172,22 @@
             return None
         surplus = self._silent_voter(view) or self._released_voter(view)
         if surplus is not None:
-            return without(view.membership, surplus.replica_id)
+            return _leave(view, surplus, PlaceReason.SURPLUS)
         if self._surplus_since is None:
             self._surplus_since = view.now
         if view.now - self._surplus_since < self._silence_s:
             return None
         youngest = [voter for voter in _voters(view) if voter.replica_id != view.own_id][-1]
-        return without(view.membership, youngest.replica_id)
+        return _leave(view, youngest, PlaceReason.SURPLUS)
 
-    def _with_new_learner(self, view: GroupView) -> GroupMembership | None:
+    def _with_new_learner(self, view: GroupView) -> PlaceChange | None:
         """Take in the best offer if a place is free that no learner is to fill."""
         if len(self._staying_voters(view)) + len(_learners(view)) >= self._places:
             return None
         offer = self._best_offer(view)
         if offer is None:
             return None
-        return with_learner(view.membership, offer.replica_id, offer.address, offer.zone)
+        return _take_in(view, offer, PlaceReason.PLACE_FREE)
 
     def _best_offer(self, view: GroupView) -> ReplicaOffered | None:
         """Return an offer from the zone with the fewest members that stay."""
@@ -223,3 +243,13 @@
 
 def _learners(view: GroupView) -> list[GroupMember]:
     return [member for member in view.membership.members if not member.is_voter]
+
+
+def _leave(view: GroupView, member: GroupMember, reason: PlaceReason) -> PlaceChange:
+    membership = without(view.membership, member.replica_id)
+    return PlaceChange(membership, reason, member.replica_id)
+
+
+def _take_in(view: GroupView, replica: ReplicaOffered, reason: PlaceReason) -> PlaceChange:
+    membership = with_learner(view.membership, replica.replica_id, replica.address, replica.zone)
+    return PlaceChange(membership, reason, replica.replica_id)
--- a/src/passlane/replication/driver.py
+++ b/src/passlane/replication/driver.py
@@ -30,6 +30,7 @@
     Instruction,
     LeadershipChanged,
     MembershipChanged,
+    PlaceDecided,
     RejectProposals,
     RejectRead,
     SaveHardState,
@@ -185,6 +186,15 @@
                 self._reads.fail(instruction.token, error)
             case LeadershipChanged():
                 self._change_leadership(instruction)
+            case PlaceDecided():
+                logger.info(
+                    "voter_place_decided",
+                    reason=instruction.reason,
+                    replica=instruction.replica_id,
+                    voters=instruction.voters,
+                    learners=instruction.learners,
+                    term=self.term,
+                )
             case MembershipChanged():
                 logger.info("membership", members=instruction.membership.members)
 
--- a/src/passlane/simulation/raft_faulty_parts.py
+++ b/src/passlane/simulation/raft_faulty_parts.py
@@ -1,7 +1,7 @@
 """Parts of a Raft replica that lack one rule each; see ``raft_defects``."""
 
 from passlane.identifiers import ReplicaId
-from passlane.messages.raft import AppendRequest, GroupMembership, LogEntry, VoteRequest
+from passlane.messages.raft import AppendRequest, LogEntry, VoteRequest
 from passlane.raft.election import Elections
 from passlane.raft.follower import Follower
 from passlane.raft.instructions import RejectProposals
@@ -10,7 +10,7 @@
 from passlane.raft.progress import FollowerProgress
 from passlane.raft.reads import ReadRounds
 from passlane.raft.replication import Replicator
-from passlane.raft.voter_places import GroupView, VoterPlaces
+from passlane.raft.voter_places import GroupView, PlaceChange, PlaceReason, VoterPlaces
 from passlane.simulation.raft_host import SimulatedReplicaHost
 
 
@@ -115,18 +115,22 @@
 class PlacesFilledTwice(VoterPlaces):
     """Takes in every spare that offers itself and lets it vote, whoever votes already."""
 
-    def _without_useless_learner(self, view: GroupView) -> GroupMembership | None:
+    def _without_useless_learner(self, view: GroupView) -> PlaceChange | None:
         return None
 
-    def _with_caught_up_learner(self, view: GroupView) -> GroupMembership | None:
+    def _with_caught_up_learner(self, view: GroupView) -> PlaceChange | None:
         learner = self._caught_up_learner(view)
-        return with_voter(view.membership, learner.replica_id) if learner is not None else None
+        if learner is None:
+            return None
+        membership = with_voter(view.membership, learner.replica_id)
+        return PlaceChange(membership, PlaceReason.CAUGHT_UP, learner.replica_id)
 
-    def _with_new_learner(self, view: GroupView) -> GroupMembership | None:
+    def _with_new_learner(self, view: GroupView) -> PlaceChange | None:
         offer = self._best_offer(view)
         if offer is None:
             return None
-        return with_learner(view.membership, offer.replica_id, offer.address, offer.zone)
+        membership = with_learner(view.membership, offer.replica_id, offer.address, offer.zone)
+        return PlaceChange(membership, PlaceReason.PLACE_FREE, offer.replica_id)
 
 
 class PlacesFilledEarly(VoterPlaces):
--- a/tests/raft/test_voter_places.py
+++ b/tests/raft/test_voter_places.py
@@ -7,7 +7,7 @@
 from passlane.messages.raft import GroupMember, GroupMembership
 from passlane.raft.events import ReplicaOffered
 from passlane.raft.progress import FollowerProgress
-from passlane.raft.voter_places import OFFER_VALID_S, GroupView, VoterPlaces
+from passlane.raft.voter_places import OFFER_VALID_S, GroupView, PlaceReason, VoterPlaces
 
 PLACES = 3
 SILENCE_S = 2.0
@@ -30,6 +30,7 @@
             )
         )
         self.now = 100.0
+        self.reasons: list[PlaceReason] = []
         self.places = VoterPlaces(PLACES, SILENCE_S)
         self.heard_at = {name: self.now for name in voters}
         self.synced = dict.fromkeys(voters, COMMITTED)
@@ -65,12 +66,13 @@
         changed = self.places.next_change(view)
         if changed is None:
             return None
-        self.membership = changed
-        for member in changed.members:
+        self.reasons.append(changed.reason)
+        self.membership = changed.membership
+        for member in self.membership.members:
             self.heard_at.setdefault(member.replica_id, self.now)
         return " ".join(
             member.replica_id if member.is_voter else f"({member.replica_id})"
-            for member in changed.members
+            for member in self.membership.members
         )
 
 
@@ -102,6 +104,8 @@
         group.synced["d"] = COMMITTED
         self.assertEqual(group.step(), "a b (d)")
         self.assertEqual(group.step(), "a b d")
+        reasons = [PlaceReason.PLACE_FREE, PlaceReason.SILENT, PlaceReason.CAUGHT_UP]
+        self.assertEqual(group.reasons, reasons)
 
     def test_a_voter_that_is_heard_again_keeps_its_place(self) -> None:
         group = Group("abc")
