--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -182,12 +182,6 @@
         "run",
         "memory and processor time of real daemons without work, by their roles",
     ),
-    Experiment(
-        "capacity",
-        "passlane.bench.capacity.experiment",
-        "run",
-        "what each role needs at the design size, worked out from measured slopes",
-    ),
 )
 
 
--- a/src/passlane/bench/scheduler_cost.py
+++ b/src/passlane/bench/scheduler_cost.py
@@ -1,7 +1,7 @@
 """Processor time of the scheduler per call, report and change of the fleet.
 
-Gives the slopes for the capacity page: a node's share of 820 calls a second and its
-subset of 2,200 engines with 33 models.
+Measured at a node's share of 820 calls a second and its subset of 2,200 engines with 33
+models.
 """
 
 import time
--- a/src/passlane/bench/storage_costs.py
+++ b/src/passlane/bench/storage_costs.py
@@ -1,7 +1,7 @@
 """What an append costs at the leader and at a follower: ``passlane bench run storage-costs``.
 
 Three replicas run in one process, each with an event loop on a thread of its own, so
-that the processor time of each can be told apart. The lines feed the capacity page.
+that the processor time of each can be told apart.
 """
 
 import tempfile
--- a/src/passlane/bench/straight_line.py
+++ b/src/passlane/bench/straight_line.py
@@ -1,4 +1,4 @@
-"""Least-squares lines through measured points, as the capacity page uses them."""
+"""Least-squares lines through measured points."""
 
 from collections.abc import Callable, Iterable, Sequence
 
