New programs go to engines by hash again, whichever have idle connections

An idle connection went before the hash for engines too, so nodes, which see their own requests only, filled the engines that they had used last.

--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -96,10 +96,12 @@
     the engines that hold this part. Any other goes by rendezvous hashing, as at every
     other node of its zone, unless requests queue there, and back ends of the own zone are
     preferred. An engine that is full for this node, that failed lately or that does worse
-    than most comes after all others. Among those with room, one to which a connection rests
-    unused goes first: to open one takes a way there and back, holds a slot for a moment, and
-    counts against what the back end takes. Among plain back ends each node has an order of
-    its own, so that the nodes of a zone don't all fill the same one first.
+    than most comes after all others. Among plain back ends with room, one to which a
+    connection rests unused goes first: to open one takes a way there and back, holds a slot
+    for a moment, and counts against what the back end takes. Not so among engines: nodes that
+    see only their own requests would all fill those that they used last. Among plain back
+    ends each node has an order of its own, so that the nodes of a zone don't all fill the
+    same one first.
 
     Parameters
     ----------
@@ -131,7 +133,7 @@
             short_queue=congestion_level(load.health, short_s, now),
             is_without_part=bool(holders) and instance_id not in holders,
             fullness=load.in_flight if holders else _fullness(load, key),
-            needs_connection=instance_id not in connected,
+            needs_connection=not key.affinity and instance_id not in connected,
             dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
