Idle connections and remembered lists are looked up only where they decide

Cause: read again as a newcomer. Each new request to an engine looked up idle connections to all engines though the hash decides there; each of some 250 announcements a second scanned the remembered lists of back ends though no update was wanted; "caught up" stood in the leader and in voter_places.

Ruled out: a common module for the two packed forms (configuration, changes of the list): two lines each, other types and levels.

Change: PlacementKey.is_plain says where idle connections count and how full a back end may get; the scan follows the question whether a list is wanted; FollowerProgress.holds is the one check. Behaviour stays; no test is changed.

Before and after: no figure taken; the work is gone, nothing else.

--- a/src/passlane/fleet/service.py
+++ b/src/passlane/fleet/service.py
@@ -207,8 +207,9 @@
     def _view_for(self, request: Announce) -> FleetView:
         directory = self._current_directory()
         state = self._machine.state
+        wants_list = self._wants_list(request)
         updates = self._listing.updates
-        since = updates.since(request.backends_number)
+        since = updates.since(request.backends_number) if wants_list else 0
         return FleetView(
             number=directory.number,
             addresses=self._addresses_for(request),
@@ -218,7 +219,7 @@
             configuration=self._configuration_for(request),
             backends_number=self._listing.number,
             backends_since=since,
-            backends_update=updates.update_since(since) if self._wants_list(request) else None,
+            backends_update=updates.update_since(since) if wants_list else None,
             backends_age_s=self._listing_age_s(),
             reads_backends=self._is_reader(request),
         )
--- a/src/passlane/raft/leader.py
+++ b/src/passlane/raft/leader.py
@@ -316,7 +316,7 @@
 
     def _has_caught_up(self, learner: FollowerProgress) -> bool:
         """Return whether a learner durably holds all that is committed."""
-        return learner.synced_index >= self._state.commit_index
+        return learner.holds(self._state.commit_index)
 
     def _hand_over_if_disk_hangs(self, now: float) -> None:
         """Let a follower lead that holds what this replica cannot make durable.
--- a/src/passlane/raft/progress.py
+++ b/src/passlane/raft/progress.py
@@ -68,6 +68,10 @@
     in_flight: deque[int] = msgspec.field(default_factory=deque)
     transfer: SnapshotTransfer | None = None
 
+    def holds(self, index: int) -> bool:
+        """Return whether it durably holds all entries up to ``index``."""
+        return self.synced_index >= index
+
     def note_sent(self, last_index: int) -> None:
         """Note that a batch that ends at ``last_index`` was sent."""
         self.in_flight.append(last_index)
--- a/src/passlane/raft/voter_places.py
+++ b/src/passlane/raft/voter_places.py
@@ -216,7 +216,7 @@
     @staticmethod
     def has_caught_up(progress: FollowerProgress | None, commit_index: int) -> bool:
         """Return whether a learner durably holds all that is committed."""
-        return progress is not None and progress.synced_index >= commit_index
+        return progress is not None and progress.holds(commit_index)
 
     def _staying_voters(self, view: GroupView) -> list[GroupMember]:
         return [voter for voter in _voters(view) if not self._is_leaving(voter, view)]
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -130,7 +130,9 @@
                 return
 
     def _connected(self, loads: Sequence[BackendLoad]) -> frozenset[str]:
-        """Return the instances to which a connection rests unused."""
+        """Return the instances to which a connection rests unused, where that decides."""
+        if not self._key.is_plain:
+            return frozenset()
         has_idle_connection = self._backends.has_idle_connection
         return frozenset(
             load.record.instance_id for load in loads if has_idle_connection(load.record)
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -59,6 +59,11 @@
     used_last: str = ""
     shared_part: str = ""
 
+    @property
+    def is_plain(self) -> bool:
+        """Whether the request goes to a plain back end, which holds nothing of a program."""
+        return not self.affinity
+
 
 class PlacementChoice(msgspec.Struct, frozen=True):
     """A back end that was chosen, and what decided it.
@@ -112,7 +117,8 @@
     typical_s
         Typical time to the first part of an answer of the service; 0 if unknown.
     connected
-        Instances to which a connection of this node rests unused.
+        Instances to which a connection of this node rests unused; only looked at for plain
+        back ends.
     """
     fresh = [load for load in candidates if load.record.instance_id not in tried]
     if not fresh:
@@ -133,7 +139,7 @@
             short_queue=congestion_level(load.health, short_s, now),
             is_without_part=bool(holders) and instance_id not in holders,
             fullness=load.in_flight if holders else _fullness(load, key),
-            needs_connection=not key.affinity and instance_id not in connected,
+            needs_connection=key.is_plain and instance_id not in connected,
             dislike=-weights.score(key.affinity or key.node.name, load.record),
         )
 
@@ -166,5 +172,5 @@
 
 def _fullness(load: BackendLoad, key: PlacementKey) -> int:
     """Return how many times over this node's requests fill its part of a back end."""
-    share = FULL_SHARE if key.affinity else PLAIN_FULL_SHARE
+    share = PLAIN_FULL_SHARE if key.is_plain else FULL_SHARE
     return load.in_flight // max(1, math.ceil(load.record.slots * share))
