Headers that belong to the system are dropped from clients' requests

Cause: clients send X-Passlane-Tenant, -Hold, -Pin-Ms, -Kv-Backup and Kv-From, and engines obey them: told to read on from a copy that it doesn't hold, an engine refuses, the next one too, and each node judges them badly for it. Change: one list of owned headers in platform/names.py; a call carries the names that were dropped, and its last log line tells them. How a back end refused is logged (backend_refused). Ruled out: full engines (none was full). Test: failed first (test_formats).

--- a/src/passlane/platform/names.py
+++ b/src/passlane/platform/names.py
@@ -16,6 +16,14 @@
 PREVIOUS_TURN = "x-passlane-previous-turn"
 LAST_EVENT_ID = "last-event-id"
 
+TENANT = "x-passlane-tenant"
+EXPECTED_WEIGHTS = "x-passlane-expect-version"
+HOLD = "x-passlane-hold"
+PIN_MS = "x-passlane-pin-ms"
+MEMORY_BACKUP = "x-passlane-kv-backup"
+MEMORY_COPY = "kv-from"
+MEMORY_SOURCE = "kv-fetch"
+
 READINESS_PATH = "/api/readyz"
 PUT_CONFIGURATION_PATH = "/api/config/put"
 GET_CONFIGURATION_PATH = "/api/config/get"
@@ -41,3 +49,18 @@
     }
 )
 """Headers that concern one connection, or that each side writes itself."""
+
+OWNED_HEADERS = frozenset(
+    {
+        TENANT,
+        TARGET_INSTANCE,
+        REQUEST_PRIORITY,
+        EXPECTED_WEIGHTS,
+        HOLD,
+        PIN_MS,
+        MEMORY_BACKUP,
+        MEMORY_COPY,
+        MEMORY_SOURCE,
+    }
+)
+"""Headers that only this system sets: engines obey them, so a client's own are dropped."""
--- a/src/passlane/platform/request_format.py
+++ b/src/passlane/platform/request_format.py
@@ -39,6 +39,7 @@
         host=values.get("host", ""),
         target=target,
         headers=_passed_on(headers, values.get("connection", "")),
+        dropped_headers=_owned_among(headers),
         body=body,
         arrived_at=now,
         deadline_at=_later(values, names.DEADLINE_MS, now) or NO_DEADLINE,
@@ -52,10 +53,16 @@
 
 def _passed_on(headers: Sequence[Header], connection: str) -> tuple[Header, ...]:
     named = {name.strip().lower() for name in connection.split(",")}
-    dropped = names.CONNECTION_HEADERS | named
+    dropped = names.CONNECTION_HEADERS | names.OWNED_HEADERS | named
     return tuple(header for header in headers if header.name not in dropped)
 
 
+def _owned_among(headers: Sequence[Header]) -> tuple[str, ...]:
+    """Return the names of headers that a client must not set, each once."""
+    found = [header.name for header in headers if header.name in names.OWNED_HEADERS]
+    return tuple(dict.fromkeys(found))
+
+
 def _program_of(values: dict[str, str], now: float) -> ProgramContext | None:
     program_id = values.get(names.PROGRAM_ID)
     if not program_id:
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -233,6 +233,7 @@
         """Deliver an answer, or note a refusal; return whether it was delivered."""
         judgement = judge_answer(answer.head)
         if judgement is Judgement.NOT_RUN:
+            self._log_refusal(answer, load)
             self._refused.add(load.record.instance_id)
             if is_gone(answer.head):
                 self._registry.remove(load.record.instance_id)
@@ -244,6 +245,18 @@
         note_success(load)
         return True
 
+    def _log_refusal(self, answer: BackendAnswer, load: BackendLoad) -> None:
+        """Log how a back end said that it did not run the request."""
+        refusal = answer.head.refusal
+        _log.info(
+            "backend_refused",
+            request_id=self._call.request_id,
+            instance=load.record.instance_id,
+            attempt=len(self.tried),
+            status=answer.head.status,
+            refusal=refusal.value if refusal is not None else None,
+        )
+
     def _note_broken(
         self, error: HttpConnectionError, load: BackendLoad, verdict_before: Verdict
     ) -> None:
--- a/src/passlane/relay/calls.py
+++ b/src/passlane/relay/calls.py
@@ -47,6 +47,8 @@
         Path with query, unchanged.
     headers
         Headers that are passed on as they came.
+    dropped_headers
+        Names of headers that the caller must not set and that are not passed on.
     arrived_at, deadline_at
         Local times of the request's arrival and of the caller's deadline.
     most_tokens
@@ -70,6 +72,7 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     previous_turn: str | None = None
     last_event_id: str | None = None
+    dropped_headers: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -163,6 +163,7 @@
             version=progress.version,
             status=status,
             reason=progress.reason,
+            dropped_headers=call.dropped_headers,
             is_whole=writer.is_finished,
             verdict=progress.verdict.value,
             tried=progress.tried,
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -51,6 +51,27 @@
         self.assertFalse(names & {"connection", "x-hop", "host"})
         self.assertIn("x-own", names)
 
+    def test_headers_of_this_system_are_not_taken_from_clients(self):
+        forged = {
+            "x_passlane_tenant": "other",
+            "x_passlane_hold": "h1",
+            "x_passlane_pin_ms": "4000",
+            "x_passlane_kv_backup": "10.0.0.1:80",
+            "kv_from": "10.0.0.1:80/9c41",
+            "kv_fetch": "10.0.0.1:80",
+            "x_passlane_target_instance": "i-1",
+            "x_passlane_request_priority": "0",
+            "x_passlane_expect_version": "2",
+        }
+        call = self.parse(**forged)
+        names = {header.name for header in call.headers}
+        forged_names = {name.replace("_", "-") for name in forged}
+        self.assertFalse(names & forged_names)
+        self.assertEqual(set(call.dropped_headers), forged_names)
+
+    def test_a_proper_request_has_no_dropped_headers(self):
+        self.assertEqual(self.parse().dropped_headers, ())
+
     def test_what_is_missing_or_malformed_is_refused(self):
         for changes in (
             {"x_passlane_attempt_id": None},
