Tenants: requests need one known key, and programs, turns and ranks are a tenant's

Change: tenants, public and sticky are decoded into typed records and checked; a key is taken as a digest at the boundary and goes no further, so that no log, error or engine can tell it; a request is answered 404 (no route), then 401 (not exactly one known key). Ids of programs and turns are kept under the tenant's name; without a tenant they stay as they were, so files of the version before are read as they are. The tenant's rank takes the place of the route's.

--- a/src/passlane/messages/routes.py
+++ b/src/passlane/messages/routes.py
@@ -47,6 +47,10 @@
         Whether a broken stream may go on at another engine.
     target_gap_s
         Longest pause between events that counts in full; 0 if there is none.
+    is_public
+        Whether a request needs no key, where there are tenants.
+    is_sticky
+        Whether a back end does work faster on an object that it has worked on lately.
     """
 
     name: str
@@ -62,6 +66,8 @@
     retention_s: float = 0.0
     is_resumable: bool = False
     target_gap_s: float = 0.0
+    is_public: bool = False
+    is_sticky: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -91,14 +97,45 @@
     idle_timeout_s: float
 
 
+class Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    """A customer on whose behalf requests come.
+
+    Attributes
+    ----------
+    key_digests
+        Digests of its API keys, see ``routes.tenants.digest_of_key``.
+    priority
+        Rank of its requests in place of the route's; ``None`` leaves the route's.
+    rate_per_s
+        Requests a second that it is allowed over all nodes together; 0 for no limit.
+    burst
+        Requests that may come at once on top of the rate.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether its requests are counted against a rate."""
+        return self.rate_per_s > 0
+
+
 class RouteConfiguration(msgspec.Struct, frozen=True, kw_only=True):
-    """All routes and services under one version; ``source`` is the document as sent."""
+    """All routes and services under one version; ``source`` is the document as sent.
+
+    Without ``tenants`` no request needs a key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[RoutedService, ...]
     limits: RequestLimits
     source: bytes
+    tenants: tuple[Tenant, ...] = ()
 
 
 class ReplaceConfiguration(Message, frozen=True):
--- a/src/passlane/platform/configuration_format.py
+++ b/src/passlane/platform/configuration_format.py
@@ -1,6 +1,6 @@
 """The platform's configuration document and the product's route configuration."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -12,7 +12,9 @@
     RoutedService,
     RouteKind,
     ServiceShare,
+    Tenant,
 )
+from passlane.routes.tenants import digest_of_key
 
 MILLISECONDS = 1_000.0
 WHOLE_WEIGHT = 1
@@ -44,6 +46,8 @@
     retention_s: float = 0.0
     resumable: bool = False
     target_gap_ms: float = 0.0
+    public: bool = False
+    sticky: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -65,11 +69,23 @@
     idle_timeout_ms: float = 15_000
 
 
+_Key = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    api_keys: tuple[_Key, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Document(msgspec.Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
 
 _decoder = msgspec.json.Decoder(_Document)
@@ -93,6 +109,7 @@
         services=tuple(_service_of(service) for service in document.services),
         limits=_limits_of(document.limits),
         source=source,
+        tenants=tuple(_tenant_of(tenant) for tenant in document.tenants),
     )
 
 
@@ -111,6 +128,8 @@
         retention_s=route.retention_s,
         is_resumable=route.resumable,
         target_gap_s=route.target_gap_ms / MILLISECONDS,
+        is_public=route.public,
+        is_sticky=route.sticky,
     )
 
 
@@ -120,6 +139,16 @@
     return (ServiceShare(route.service, WHOLE_WEIGHT),) if route.service is not None else ()
 
 
+def _tenant_of(tenant: _Tenant) -> Tenant:
+    return Tenant(
+        name=tenant.name,
+        key_digests=tuple(digest_of_key(key) for key in tenant.api_keys),
+        priority=tenant.priority,
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+    )
+
+
 def _service_of(service: _Service) -> RoutedService:
     engine = service.engine
     return RoutedService(
--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -67,6 +67,8 @@
     headers[names.TARGET_INSTANCE] = backend.instance_id
     if request.priority is not None:
         headers[names.REQUEST_PRIORITY] = str(request.priority)
+    if request.tenant_name:
+        headers[names.TENANT] = request.tenant_name
     if request.last_event_id is not None:
         headers[names.LAST_EVENT_ID] = request.last_event_id
     return headers
--- a/src/passlane/platform/names.py
+++ b/src/passlane/platform/names.py
@@ -17,6 +17,7 @@
 LAST_EVENT_ID = "last-event-id"
 
 TENANT = "x-passlane-tenant"
+API_KEY = "x-api-key"
 EXPECTED_WEIGHTS = "x-passlane-expect-version"
 HOLD = "x-passlane-hold"
 PIN_MS = "x-passlane-pin-ms"
@@ -64,3 +65,6 @@
     }
 )
 """Headers that only this system sets: engines obey them, so a client's own are dropped."""
+
+UNTOLD_HEADERS = frozenset({API_KEY})
+"""Headers that are for this system alone and reach no back end."""
--- a/src/passlane/platform/request_format.py
+++ b/src/passlane/platform/request_format.py
@@ -5,9 +5,11 @@
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.platform import names
 from passlane.relay.calls import Header, ProgramContext, PromptPart, RelayedCall
+from passlane.routes.tenants import digest_of_key
 
 MILLISECONDS = 1_000.0
 NO_DEADLINE = float("inf")
+_NEVER_PASSED_ON = names.CONNECTION_HEADERS | names.OWNED_HEADERS | names.UNTOLD_HEADERS
 
 
 def parse_call(
@@ -40,6 +42,7 @@
         target=target,
         headers=_passed_on(headers, values.get("connection", "")),
         dropped_headers=_owned_among(headers),
+        key_digests=_key_digests(headers),
         body=body,
         arrived_at=now,
         deadline_at=_later(values, names.DEADLINE_MS, now) or NO_DEADLINE,
@@ -53,7 +56,7 @@
 
 def _passed_on(headers: Sequence[Header], connection: str) -> tuple[Header, ...]:
     named = {name.strip().lower() for name in connection.split(",")}
-    dropped = names.CONNECTION_HEADERS | names.OWNED_HEADERS | named
+    dropped = _NEVER_PASSED_ON | named
     return tuple(header for header in headers if header.name not in dropped)
 
 
@@ -63,6 +66,11 @@
     return tuple(dict.fromkeys(found))
 
 
+def _key_digests(headers: Sequence[Header]) -> tuple[bytes, ...]:
+    """Return the digests of all keys that a request carries; the keys themselves go no further."""
+    return tuple(digest_of_key(header.value) for header in headers if header.name == names.API_KEY)
+
+
 def _program_of(values: dict[str, str], now: float) -> ProgramContext | None:
     program_id = values.get(names.PROGRAM_ID)
     if not program_id:
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -26,6 +26,7 @@
 from passlane.relay.registry import BackendLoad, BackendRegistry, ServiceJudgement
 from passlane.relay.shared_parts import large_shared_part
 from passlane.relay.verdicts import Judgement, is_gone, judge_answer, may_run_again
+from passlane.routes.tenants import Identity
 from passlane.runtime.interfaces import HttpConnectionError
 
 SECOND_ROUND_PAUSE_S = 0.02
@@ -70,6 +71,7 @@
         call: RelayedCall,
         route: Route,
         service: RoutedService,
+        identity: Identity,
         body: bytes,
         node: NodePlace,
         registry: BackendRegistry,
@@ -90,7 +92,8 @@
             used_last=used_last,
             shared_part=large_shared_part(call.prompt_parts) if is_model else "",
         )
-        self._priority = route.priority if is_model else None
+        self._tenant_name = identity.tenant_name
+        self._priority = identity.priority_on(route) if is_model else None
         self._runs = 0
         self._refused: set[str] = set()
         self.verdict = Verdict.NOT_RUN
@@ -225,6 +228,7 @@
             remaining_s=max(0.0, limit_at - anyio.current_time()),
             priority=self._priority,
             last_event_id=self.last_event_id,
+            tenant_name=self._tenant_name,
         )
 
     async def _take(
--- a/src/passlane/relay/backends.py
+++ b/src/passlane/relay/backends.py
@@ -65,6 +65,8 @@
         Rank at a model engine, 0 first; ``None`` for other back ends.
     last_event_id
         The event after which a stream is to go on.
+    tenant_name
+        On whose behalf the request comes; empty without a tenant.
     """
 
     call: RelayedCall
@@ -72,6 +74,7 @@
     remaining_s: float
     priority: int | None = None
     last_event_id: str | None = None
+    tenant_name: str = ""
 
 
 class RelayBackends(Protocol):
--- a/src/passlane/relay/calls.py
+++ b/src/passlane/relay/calls.py
@@ -49,6 +49,8 @@
         Headers that are passed on as they came.
     dropped_headers
         Names of headers that the caller must not set and that are not passed on.
+    key_digests
+        Digests of the API keys that it carries, see ``routes.tenants.digest_of_key``.
     arrived_at, deadline_at
         Local times of the request's arrival and of the caller's deadline.
     most_tokens
@@ -73,6 +75,7 @@
     previous_turn: str | None = None
     last_event_id: str | None = None
     dropped_headers: tuple[str, ...] = ()
+    key_digests: tuple[bytes, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -14,7 +14,11 @@
         Version of the configuration that the request was served by.
     route, service
         Names, once they are chosen.
-    priority, target_latency_s
+    tenant
+        Name of the tenant on whose behalf it came; empty without one.
+    priority
+        The tenant's, or else the route's.
+    target_latency_s
         Of the route.
     status
         Status told to the caller; 0 for none.
@@ -28,6 +32,7 @@
 
     request_id: str
     version: int = 0
+    tenant: str = ""
     route: str = ""
     service: str = ""
     kind: str = "none"
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -22,6 +22,7 @@
 from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount
 from passlane.relay.verdicts import UNAVAILABLE, status_when_given_up
+from passlane.routes.tenants import Identity
 
 NOT_FOUND = 404
 BUDGET_SPENT = 402
@@ -38,6 +39,7 @@
     call: RelayedCall
     route: Route
     service: RoutedService
+    identity: Identity
     node: NodePlace
     registry: BackendRegistry
     backends: RelayBackends
@@ -98,6 +100,7 @@
             self._call,
             self._route,
             self._context.service,
+            self._context.identity,
             reserved.history + self._call.body,
             self._context.node,
             self._context.registry,
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -19,8 +19,10 @@
 from passlane.relay.turn_account import TurnAccount, needs_account
 from passlane.relay.verdicts import UNAVAILABLE
 from passlane.routes.table import RouteTable, ShareSelector
+from passlane.routes.tenants import Identity
 from passlane.turns.client import TurnStoreClient
 
+UNAUTHORIZED = 401
 CONFLICT = 409
 START_WAIT_S = 1.0
 """A node that has started so lately expects its first configuration any moment: requests
@@ -109,15 +111,21 @@
             return
         progress.route = route.name
         progress.kind = route.kind.value
-        progress.priority = route.priority
         progress.target_latency_s = route.target_latency_s
+        identity = table.tenants.identify(route, call.key_digests)
+        if identity is None:
+            progress.status, progress.reason = UNAUTHORIZED, "no_known_key"
+            await writer.refuse(UNAUTHORIZED, progress.reason, None)
+            return
+        progress.tenant = identity.tenant_name
+        progress.priority = identity.priority_on(route)
         if call.request_id in self._under_way:
             progress.status, progress.reason = CONFLICT, "request_under_way"
             await writer.refuse(CONFLICT, progress.reason, None)
             return
         self._under_way.add(call.request_id)
         try:
-            await self._relay(call, route, table, writer, progress)
+            await self._relay(call, route, identity, table, writer, progress)
         finally:
             self._under_way.discard(call.request_id)
 
@@ -132,16 +140,19 @@
         self,
         call: RelayedCall,
         route: Route,
+        identity: Identity,
         table: RouteTable,
         writer: AnswerWriter,
         progress: RequestProgress,
     ) -> None:
         service = table.service(self._selector.choose(route))
         progress.service = service.name
-        context = RequestContext(call, route, service, self._node, self._registry, self._backends)
+        context = RequestContext(
+            call, route, service, identity, self._node, self._registry, self._backends
+        )
         account: TurnAccount | None = None
         if route.kind is RouteKind.STREAM and needs_account(call, route):
-            account = TurnAccount(call, route, self._store, self._tasks)
+            account = TurnAccount(call, route, identity, self._store, self._tasks)
         await RequestRelay(context, writer, account, progress).run()
 
     def _note_end(self, call: RelayedCall, writer: AnswerWriter, progress: RequestProgress) -> None:
@@ -156,6 +167,8 @@
             request_id=call.request_id,
             program_id=call.program.program_id if call.program is not None else None,
             previous_turn=call.previous_turn,
+            tenant=progress.tenant,
+            keys=len(call.key_digests),
             route=progress.route,
             service=progress.service,
             kind=progress.kind,
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -8,6 +8,7 @@
 from passlane.messages.turns import KeptTurn, ReserveTurn, SettleTurn, TurnReserved
 from passlane.observability.logging import get_logger
 from passlane.relay.calls import RelayedCall
+from passlane.routes.tenants import Identity
 from passlane.turns.client import ReserveAnswer, TurnStoreClient
 
 RESERVE_TIMEOUT_S = 1.5
@@ -33,10 +34,16 @@
     """
 
     def __init__(
-        self, call: RelayedCall, route: Route, store: TurnStoreClient, tasks: TaskGroup
+        self,
+        call: RelayedCall,
+        route: Route,
+        identity: Identity,
+        store: TurnStoreClient,
+        tasks: TaskGroup,
     ) -> None:
         self._call = call
         self._route = route
+        self._identity = identity
         self._store = store
         self._tasks = tasks
         self._is_reserved = False
@@ -45,7 +52,13 @@
     @property
     def _program_id(self) -> str:
         program = self._call.program
-        return program.program_id if program is not None else self._call.request_id
+        name = program.program_id if program is not None else self._call.request_id
+        return self._identity.scoped(name)
+
+    @property
+    def _previous_id(self) -> str | None:
+        previous = self._call.previous_turn
+        return self._identity.scoped(previous) if previous is not None else None
 
     @property
     def store_outage_s(self) -> float:
@@ -60,7 +73,7 @@
             attempt_id=self._call.request_id,
             most_tokens=self._call.most_tokens,
             budget_tokens=program.budget_tokens if program is not None else None,
-            previous=self._call.previous_turn if self._route.keeps_turns else None,
+            previous=self._previous_id if self._route.keeps_turns else None,
             retention_s=self._route.retention_s,
         )
         # Whatever becomes of the answer, the reservation may stand from here on.
@@ -85,8 +98,8 @@
             self.settle_in_background(tokens, served_by)
             return
         turn = KeptTurn(
-            turn_id=self._call.request_id,
-            previous=self._call.previous_turn,
+            turn_id=self._identity.scoped(self._call.request_id),
+            previous=self._previous_id,
             content=self._call.body + output,
             retention_s=self._route.retention_s,
         )
--- a/src/passlane/routes/checks.py
+++ b/src/passlane/routes/checks.py
@@ -1,9 +1,10 @@
 """Finds what makes a route configuration invalid."""
 
-from collections.abc import Iterator
+import math
+from collections.abc import Iterable, Iterator
 
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.messages.routes import Route, RouteConfiguration
+from passlane.messages.routes import Route, RouteConfiguration, Tenant
 
 
 def check_configuration(configuration: RouteConfiguration) -> None:
@@ -26,6 +27,26 @@
         if place in places:
             yield f"route {route.name}: another route has the same host and prefix"
         places.add(place)
+    yield from _tenant_problems(configuration.tenants)
+
+
+def _tenant_problems(tenants: Iterable[Tenant]) -> Iterator[str]:
+    """Give the problems of tenants; none of the sentences holds a key."""
+    names: set[str] = set()
+    holders: dict[bytes, str] = {}
+    for tenant in tenants:
+        if not tenant.name:
+            yield "a tenant has no name"
+        if tenant.name in names:
+            yield f"two tenants are named {tenant.name}"
+        names.add(tenant.name)
+        for amount in (tenant.rate_per_s, tenant.burst):
+            if amount < 0 or not math.isfinite(amount):
+                yield f"tenant {tenant.name}: the rate and the burst must be 0 or more"
+        for digest in tenant.key_digests:
+            holder = holders.setdefault(digest, tenant.name)
+            if holder != tenant.name:
+                yield f"tenant {tenant.name}: a key belongs to tenant {holder} too"
 
 
 def _route_problems(route: Route, services: set[str]) -> Iterator[str]:
--- a/src/passlane/routes/table.py
+++ b/src/passlane/routes/table.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from passlane.messages.routes import Route, RouteConfiguration, RoutedService, ServiceShare
+from passlane.routes.tenants import TenantTable
 
 LONGEST_CYCLE = 1_000
 """Most steps that are taken into the cycle of a route's shares before its first request."""
@@ -16,6 +17,7 @@
 
     def __init__(self, configuration: RouteConfiguration) -> None:
         self.configuration = configuration
+        self.tenants = TenantTable(configuration.tenants)
         self._services = {service.name: service for service in configuration.services}
         self._routes: dict[str, list[Route]] = {}
         for route in configuration.routes:
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -204,6 +204,16 @@
                     return body
                 await anyio.sleep(0.1)
 
+    async def put_once(self, version, **changes):
+        """Send a configuration until it gets a clear answer; return that answer."""
+        with anyio.fail_after(30):
+            while True:
+                body = configuration(version, **changes)
+                answer = await self.operate("POST", "/api/config/put", body)
+                if answer is not None and answer.status < 500:
+                    return answer
+                await anyio.sleep(0.1)
+
     async def turn(self, request_id, *, node="node-1", previous=None, budget=10_000, **headers):
         """Take one turn of a program at a node."""
         address = Address(self.machines[node].host, CALLERS_PORT)
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -24,6 +24,8 @@
         self.service = service
         self.state = "ready"
         self.runs = []
+        self.run_headers = {}
+        self.run_times = []
         self.event_delay_s = 0.01
 
     async def __call__(self, scope, receive, send):
@@ -35,6 +37,8 @@
             return
         request_id = headers["x-passlane-attempt-id"]
         self.runs.append((request_id, request.body))
+        self.run_headers[request_id] = headers
+        self.run_times.append(anyio.current_time())
         answer_headers = [
             (b"x-passlane-attempt-id", request_id.encode()),
             (b"x-passlane-response-signature", b"signed"),
@@ -92,7 +96,9 @@
         await send({"type": "http.response.body", "body": data})
 
 
-def configuration(version, *, budget_service="models", timeout_ms=4000, extra_routes=()):
+def configuration(
+    version, *, budget_service="models", timeout_ms=4000, extra_routes=(), tenants=()
+):
     """Return a configuration document of the platform."""
     routes = [
         {
@@ -127,4 +133,6 @@
         "idle_timeout_ms": 15000,
     }
     document = {"version": version, "routes": routes, "services": services, "limits": limits}
+    if tenants:
+        document["tenants"] = list(tenants)
     return json.dumps(document).encode()
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -11,6 +11,7 @@
 from passlane.platform.request_format import parse_call
 from passlane.relay.backends import Refusal
 from passlane.relay.calls import Header, PromptPart
+from passlane.routes.tenants import digest_of_key
 
 TURN_HEADERS = {
     "host": "one.example",
@@ -72,6 +73,17 @@
     def test_a_proper_request_has_no_dropped_headers(self):
         self.assertEqual(self.parse().dropped_headers, ())
 
+    def test_a_key_is_taken_as_a_digest_and_goes_no_further(self):
+        call = self.parse(x_api_key="key-1", connection="X-Api-Key")
+        self.assertEqual(call.key_digests, (digest_of_key("key-1"),))
+        self.assertNotIn("key-1", repr(call))
+
+    def test_each_key_of_a_request_counts(self):
+        twice = [*headers(), Header("x-api-key", "key-1"), Header("x-api-key", "key-1")]
+        call = parse_call("POST", "/a", twice, b"", 10.0)
+        self.assertEqual(len(call.key_digests), 2)
+        self.assertNotIn("x-api-key", {header.name for header in call.headers})
+
     def test_what_is_missing_or_malformed_is_refused(self):
         for changes in (
             {"x_passlane_attempt_id": None},
@@ -152,6 +164,47 @@
                 parse_configuration(broken)
             self.assertIs(caught.exception.code, ErrorCode.INVALID_DOCUMENT)
 
+    def test_tenants(self):
+        tenants = [
+            {
+                "name": "corner",
+                "api_keys": ["key-1", "key-2"],
+                "priority": 0,
+                "rate_per_s": 8,
+                "burst": 4.5,
+            },
+            {"name": "free", "api_keys": []},
+        ]
+        corner, free = self.parse_with_tenants(tenants).tenants
+        self.assertEqual(corner.key_digests, (digest_of_key("key-1"), digest_of_key("key-2")))
+        self.assertEqual((corner.priority, corner.rate_per_s, corner.burst), (0, 8.0, 4.5))
+        self.assertEqual((free.priority, free.is_limited, free.key_digests), (None, False, ()))
+
+    def test_tenants_that_cannot_be_read_are_invalid_and_no_key_is_told(self):
+        for broken in (
+            [{"name": "corner", "api_keys": ["secret", ""]}],
+            [{"name": "corner", "api_keys": ["secret", 5]}],
+            [{"name": "corner", "api_keys": "secret"}],
+            [{"api_keys": ["secret"]}],
+            [{"name": "corner", "rate_per_s": "8"}],
+            "corner",
+        ):
+            with self.subTest(broken), self.assertRaises(PasslaneError) as caught:
+                self.parse_with_tenants(broken)
+            self.assertIs(caught.exception.code, ErrorCode.INVALID_DOCUMENT)
+            self.assertNotIn("secret", str(caught.exception))
+
+    def test_public_and_sticky_routes(self):
+        first, second = DOCUMENT["routes"]
+        source = DOCUMENT | {"routes": [first | {"public": True, "sticky": True}, second]}
+        open_route, other = parse_configuration(msgspec.json.encode(source)).routes
+        self.assertEqual((open_route.is_public, open_route.is_sticky), (True, True))
+        self.assertEqual((other.is_public, other.is_sticky), (False, False))
+
+    @staticmethod
+    def parse_with_tenants(tenants):
+        return parse_configuration(msgspec.json.encode(DOCUMENT | {"tenants": tenants}))
+
 
 class FakeResponse:
     def __init__(self, status, **headers):
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from passlane.messages.listing import BackendState
-from passlane.messages.routes import RouteKind, ServiceShare
+from passlane.messages.routes import RouteKind, ServiceShare, Tenant
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.metrics import Metrics
 from passlane.relay.placement import NodePlace
@@ -15,6 +15,7 @@
 from passlane.relay.request import AnswerAbortedError
 from passlane.relay.retry_after import LONGEST_RETRY_S, SHORTEST_RETRY_S
 from passlane.relay.service import START_WAIT_S, RelayService
+from passlane.routes.tenants import digest_of_key
 from relay.fakes import (
     FULL,
     MOVED,
@@ -38,7 +39,16 @@
 
 
 class RelayCase(unittest.TestCase):
-    def relay(self, scripts, *, call_changes=None, store=None, records=None, **route_changes):
+    def relay(
+        self,
+        scripts,
+        *,
+        call_changes=None,
+        store=None,
+        records=None,
+        tenants=(),
+        **route_changes,
+    ):
         """Relay one call on a virtual clock; return writer, back ends, store and error."""
         self.writer = RecordingWriter()
         self.backends = ScriptedBackends(*scripts)
@@ -59,7 +69,8 @@
                     Metrics(),
                     random.Random(1),
                 )
-                service.replace_configuration(configuration(route(**route_changes)))
+                held = configuration(route(**route_changes), tenants=tenants)
+                service.replace_configuration(held)
                 self.started_at = anyio.current_time()
                 try:
                     await service.handle(call(**(call_changes or {})), self.writer)
@@ -165,6 +176,44 @@
         self.assertEqual(self.writer.status, 504)
 
 
+CORNER = Tenant(name="corner", key_digests=(digest_of_key("key-1"),), priority=3)
+WITH_KEY = {"key_digests": CORNER.key_digests}
+
+
+class TenantTest(RelayCase):
+    def test_the_back_end_learns_the_tenant_and_its_rank(self):
+        self.relay([Script(head(), b"ok")], tenants=[CORNER], call_changes=WITH_KEY)
+        request = self.backends.requests[0]
+        self.assertEqual((request.tenant_name, request.priority), ("corner", 3))
+
+    def test_without_a_known_key_a_request_is_refused_at_once(self):
+        unknown = {"key_digests": (digest_of_key("key-9"),)}
+        for changes in ({}, unknown, {"key_digests": CORNER.key_digests * 2}):
+            with self.subTest(changes):
+                self.relay([], tenants=[CORNER], call_changes=changes)
+                self.assertEqual((self.writer.status, self.elapsed_s), (401, 0.0))
+
+    def test_an_unknown_place_is_not_found_whoever_asks(self):
+        self.relay([], tenants=[CORNER], call_changes={"path": "/unknown/"})
+        self.assertEqual(self.writer.status, 404)
+
+    def test_a_public_route_is_served_without_a_key(self):
+        self.relay([Script(head(), b"ok")], tenants=[CORNER], is_public=True)
+        self.assertEqual(self.writer.status, 200)
+        self.assertEqual(self.backends.requests[0].tenant_name, "")
+
+    def test_programs_and_turns_are_kept_by_tenant(self):
+        call_changes = WITH_KEY | {"budget": 100, "previous_turn": "r-0"}
+        scripts = [Script(head(), EVENT_1)]
+        self.relay(scripts, tenants=[CORNER], call_changes=call_changes, **TURNS)
+        (reserved,), (settled,) = self.store.reserved, self.store.settled
+        self.assertEqual((reserved.program_id, reserved.previous), ("corner\np", "corner\nr-0"))
+        self.assertEqual(settled.program_id, "corner\np")
+        self.assertEqual(
+            (settled.turn.turn_id, settled.turn.previous), ("corner\nr-1", "corner\nr-0")
+        )
+
+
 class RouteTest(RelayCase):
     def test_no_route_is_not_found(self):
         self.relay([], call_changes={"path": "/unknown/"})
--- a/tests/routes/test_checks.py
+++ b/tests/routes/test_checks.py
@@ -1,5 +1,6 @@
 """What makes a route configuration invalid."""
 
+import math
 import unittest
 
 import msgspec
@@ -12,8 +13,10 @@
     RoutedService,
     RouteKind,
     ServiceShare,
+    Tenant,
 )
 from passlane.routes.checks import check_configuration
+from passlane.routes.tenants import digest_of_key
 
 
 def route(**changes):
@@ -31,7 +34,7 @@
     return Route(**(values | changes))
 
 
-def configuration(*routes, version=1):
+def configuration(*routes, version=1, tenants=()):
     return RouteConfiguration(
         version=version,
         routes=routes or (route(),),
@@ -45,6 +48,7 @@
             max_header_bytes=1000, max_body_bytes=1000, header_timeout_s=1.0, idle_timeout_s=5.0
         ),
         source=b"{}",
+        tenants=tuple(tenants),
     )
 
 
@@ -82,3 +86,39 @@
         doubled = configuration()
         services = doubled.services + doubled.services[:1]
         self.assert_invalid(msgspec.structs.replace(doubled, services=services))
+
+
+class TenantCheckTest(CheckTest):
+    def tenant(self, name="corner", keys=("key-1",), **changes):
+        digests = tuple(digest_of_key(key) for key in keys)
+        return Tenant(name=name, key_digests=digests, **changes)
+
+    def test_proper_tenants_are_valid(self):
+        tenants = (
+            self.tenant(keys=("key-1", "key-1", "key-2"), rate_per_s=8, burst=8, priority=0),
+            self.tenant("keyless", ()),
+        )
+        check_configuration(configuration(tenants=tenants))
+
+    def test_a_key_of_two_tenants(self):
+        self.assert_invalid(configuration(tenants=(self.tenant(), self.tenant("other"))))
+
+    def test_a_name_twice_or_none(self):
+        self.assert_invalid(configuration(tenants=(self.tenant(), self.tenant(keys=("key-2",)))))
+        self.assert_invalid(configuration(tenants=(self.tenant(""),)))
+
+    def test_amounts_that_are_negative_or_not_finite(self):
+        for changes in (
+            {"rate_per_s": -1},
+            {"burst": -0.5},
+            {"rate_per_s": math.inf},
+            {"burst": math.nan},
+        ):
+            with self.subTest(changes):
+                self.assert_invalid(configuration(tenants=(self.tenant(**changes),)))
+
+    def test_no_problem_tells_a_key(self):
+        broken = configuration(tenants=(self.tenant(), self.tenant("other")))
+        with self.assertRaises(PasslaneError) as caught:
+            check_configuration(broken)
+        self.assertNotIn("key-1", caught.exception.message)
