Quotas over all nodes: the store group's leader grants, turns carry the draws

Change: a ledger (no I/O, no clock) at the leader of the store group grants each request of a limited tenant, with the moment from which it may be sent. Turns draw with their reservation and, with their settlement, for the tool calls that follow; other calls spend what their node holds or ask. A new leader begins with nothing saved up. A program's first turn is charged against what programs are seen to need; later ones wait. Ruled out: a fixed share for each node (waste), the control leader's announcements (0.8 s slow).

--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -9,6 +9,7 @@
 from passlane.messages.common import NotLeaderError
 from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
 from passlane.observability.logging import get_logger
+from passlane.quotas.ledger import QuotaLedger
 from passlane.replication.replica_host import ReplicaHost
 from passlane.replication.replica_metrics import expose_replica
 from passlane.settings.fleet import FleetSettings
@@ -65,7 +66,7 @@
         context.metrics.define_when_exposed(
             lambda metrics: expose_replica(metrics, TURN_GROUP, host)
         )
-        service = TurnService(host, machine, context.router)
+        service = TurnService(host, machine, context.router, QuotaLedger())
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
--- /dev/null
+++ b/src/passlane/messages/quotas.py
@@ -0,0 +1,75 @@
+"""What a node asks of the one that grants tenants' requests, and what it is told."""
+
+import enum
+
+import msgspec
+
+from passlane.messages.base import Message
+
+
+class QuotaUse(enum.StrEnum):
+    """What a request means to the program that it belongs to."""
+
+    BEGIN_PROGRAM = "begin_program"
+    """The first of a program: more will follow if it is granted."""
+    CONTINUE_PROGRAM = "continue_program"
+    """One of a program under way: without it all that was done is lost."""
+    ALONE = "alone"
+    """It belongs to no program."""
+
+
+class QuotaLimit(msgspec.Struct, frozen=True, kw_only=True):
+    """A tenant's limit over all nodes, as of one version of the configuration."""
+
+    tenant: str
+    rate_per_s: float
+    burst: float
+    version: int
+
+
+class QuotaDraw(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks for a request now, or for requests that are expected to follow.
+
+    Attributes
+    ----------
+    use
+        What the request is for; ``None`` if there is no request now.
+    ahead
+        Requests wanted for the next moment, beyond that.
+    """
+
+    limit: QuotaLimit
+    use: QuotaUse | None
+    ahead: int = 0
+
+
+class DrawQuota(Message, frozen=True):
+    """Carries a draw that goes with no turn."""
+
+    draw: QuotaDraw
+
+
+class QuotaGranted(Message, frozen=True):
+    """The request may be sent ``start_after_s`` from now, and ``ahead`` more soon.
+
+    Those ahead may be sent within ``quotas.allowances.AHEAD_VALID_S``.
+    """
+
+    start_after_s: float = 0.0
+    ahead: int = 0
+
+
+class QuotaRefused(Message, frozen=True, kw_only=True):
+    """The tenant's limit does not hold the request.
+
+    ``available`` is what the tenant may send at once, below 0 if later requests are granted
+    already; ``rate_per_s`` and ``version`` are those that decided.
+    """
+
+    retry_after_s: float
+    available: float
+    rate_per_s: float
+    version: int
+
+
+QuotaAnswer = QuotaGranted | QuotaRefused
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from passlane.messages.base import Message
+from passlane.messages.quotas import QuotaDraw, QuotaRefused
 
 
 class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -21,7 +22,8 @@
     """Reserves the most that a turn may generate, before it is sent to an engine.
 
     ``budget_tokens`` is what all turns of the program may generate; ``None`` for no limit.
-    Repeating it for the same attempt reserves nothing more.
+    Repeating it for the same attempt reserves nothing more. ``quota`` counts the turn against
+    its tenant's limit, ``None`` if there is none; it is not replicated.
     """
 
     program_id: str
@@ -30,16 +32,19 @@
     budget_tokens: int | None
     previous: str | None = None
     retention_s: float = 0.0
+    quota: QuotaDraw | None = None
 
 
 class TurnReserved(Message, frozen=True):
     """The turn may run; ``history`` goes before its new input.
 
     ``used_last`` is the engine instance that the program used last; empty if unknown.
+    ``start_after_s`` is how long its tenant's limit lets it wait before it is sent.
     """
 
     history: bytes = b""
     used_last: str = ""
+    start_after_s: float = 0.0
 
 
 class BudgetSpent(Message, frozen=True):
@@ -59,6 +64,7 @@
     """Ends a reservation with the tokens that the client got; keeps a turn that ended whole.
 
     ``served_by`` is the engine instance that holds what the turn has read; empty if none.
+    ``quota`` asks for the tool calls that are expected to follow; it is not replicated.
     """
 
     program_id: str
@@ -66,10 +72,16 @@
     tokens: int
     turn: KeptTurn | None = None
     served_by: str = ""
+    quota: QuotaDraw | None = None
 
 
 class TurnSettled(Message, frozen=True):
-    """Answers ``SettleTurn`` once it is durable."""
+    """Answers ``SettleTurn`` once it is durable.
+
+    ``ahead`` more requests of the tenant were granted, see ``QuotaGranted``.
+    """
+
+    ahead: int = 0
 
 
 class AdvanceAge(Message, frozen=True):
@@ -96,3 +108,4 @@
 
 TurnCommand = ReserveTurn | SettleTurn | AdvanceAge
 TurnResult = TurnReserved | BudgetSpent | TurnUnknown | TurnSettled | AgeAdvanced
+ReserveAnswer = TurnReserved | BudgetSpent | TurnUnknown | QuotaRefused
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -26,6 +26,10 @@
         Why the request ended as it did.
     tried
         Instances that it was sent to, in order.
+    reserved_s
+        Seconds from its arrival until its turn was reserved.
+    quota_wait_s
+        Seconds that its tenant's limit made it wait; ``None`` without a limit.
     events
         Events of a stream that were written to the caller.
     """
@@ -44,6 +48,7 @@
     tried: list[str] = msgspec.field(default_factory=list)
     events: int = 0
     reserved_s: float | None = None
+    quota_wait_s: float | None = None
     first_part_s: float | None = None
 
     def is_in_time(self, elapsed_s: float) -> bool | None:
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -4,8 +4,10 @@
 import msgspec
 
 from passlane.errors import PasslaneError, Verdict
+from passlane.messages.quotas import QuotaRefused
 from passlane.messages.routes import Route, RoutedService, RouteKind
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
+from passlane.observability.logging import get_logger
 from passlane.relay.attempts import (
     UNAVAILABLE_RETRY_AFTER_S,
     RequestAttempts,
@@ -19,6 +21,7 @@
 from passlane.relay.placement import NodePlace
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
+from passlane.relay.request_quota import RequestQuota
 from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount
 from passlane.relay.verdicts import UNAVAILABLE, status_when_given_up
@@ -26,8 +29,11 @@
 
 NOT_FOUND = 404
 BUDGET_SPENT = 402
+TOO_MANY_REQUESTS = 429
 TURN_SETTLE_TIMEOUT_S = 3.0
 
+_log = get_logger(__name__)
+
 
 class AnswerAbortedError(Exception):
     """An answer that had begun cannot be ended; its connection must be closed."""
@@ -40,6 +46,7 @@
     route: Route
     service: RoutedService
     identity: Identity
+    quota: RequestQuota
     node: NodePlace
     registry: BackendRegistry
     backends: RelayBackends
@@ -90,12 +97,9 @@
                 self._account.settle_in_background(self._delivered_tokens(), self._served_by())
 
     async def _run_within(self, limit_at: float) -> None:
-        reserved = TurnReserved()
-        if self._account is not None:
-            answer = await self._reserve(self._account, limit_at)
-            if answer is None:
-                return
-            reserved = answer
+        reserved = await self._admit(limit_at)
+        if reserved is None:
+            return
         attempts = RequestAttempts(
             self._call,
             self._route,
@@ -115,15 +119,38 @@
         except RequestFailedError as error:
             await self._give_up(str(error), is_late=False)
 
-    async def _reserve(self, account: TurnAccount, limit_at: float) -> TurnReserved | None:
-        """Reserve the turn; ``None`` if the request was refused."""
+    async def _admit(self, limit_at: float) -> TurnReserved | None:
+        """Reserve a turn, or count another request; ``None`` if the request was refused."""
         try:
-            answer = await account.reserve(limit_at)
+            if self._account is not None:
+                admitted = await self._reserve(self._account, limit_at)
+            else:
+                admitted = await self._count(limit_at)
         except PasslaneError as error:
-            pause_s = retry_after_s(account.store_outage_s)
+            pause_s = retry_after_s(self._context.quota.store_outage_s)
             await self._refuse(UNAVAILABLE, f"store_{error.code.value}", pause_s)
             return None
+        if admitted is not None and self._context.quota.limit is not None:
+            self._progress.quota_wait_s = admitted.start_after_s
+            await anyio.sleep(admitted.start_after_s)
+        return admitted
+
+    async def _count(self, limit_at: float) -> TurnReserved | None:
+        """Count a request without an account; ``None`` if it was refused."""
+        is_in_program = self._call.program is not None
+        answer = await self._context.quota.admit(is_in_program=is_in_program, limit_at=limit_at)
+        if isinstance(answer, QuotaRefused):
+            await self._refuse_for_quota(answer)
+            return None
+        return TurnReserved(start_after_s=answer.start_after_s)
+
+    async def _reserve(self, account: TurnAccount, limit_at: float) -> TurnReserved | None:
+        """Reserve the turn; ``None`` if the request was refused."""
+        answer = await account.reserve(limit_at)
         self._progress.reserved_s = anyio.current_time() - self._call.arrived_at
+        if isinstance(answer, QuotaRefused):
+            await self._refuse_for_quota(answer)
+            return None
         if isinstance(answer, BudgetSpent):
             await self._refuse(BUDGET_SPENT, "budget_spent", None)
             return None
@@ -167,6 +194,20 @@
         events = self._stream.events if self._stream is not None else 0
         return events * self._context.service.tokens_per_event
 
+    async def _refuse_for_quota(self, refused: QuotaRefused) -> None:
+        """Refuse a request beyond its tenant's limit, and log what decided."""
+        _log.info(
+            "quota_refused",
+            request_id=self._call.request_id,
+            tenant=self._context.identity.tenant_name,
+            limit_per_s=refused.rate_per_s,
+            limit_version=refused.version,
+            available=round(refused.available, 2),
+            retry_after_s=round(refused.retry_after_s, 3),
+            asked_s=round(anyio.current_time() - self._call.arrived_at, 4),
+        )
+        await self._refuse(TOO_MANY_REQUESTS, "quota_spent", round(refused.retry_after_s, 3))
+
     async def _refuse(self, status: int, reason: str, retry_after_s: float | None) -> None:
         self._progress.status = status
         self._progress.reason = reason
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -8,6 +8,7 @@
 from passlane.messages.routes import Route, RouteConfiguration, RouteKind
 from passlane.observability.logging import get_logger
 from passlane.observability.metrics import Metrics
+from passlane.quotas.allowances import Allowances
 from passlane.relay.backends import AnswerWriter, RelayBackends
 from passlane.relay.calls import RelayedCall
 from passlane.relay.placement import NodePlace
@@ -15,6 +16,7 @@
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request import NOT_FOUND, RequestContext, RequestRelay
 from passlane.relay.request_metrics import RequestMetrics
+from passlane.relay.request_quota import RequestQuota, limit_of
 from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount, needs_account
 from passlane.relay.verdicts import UNAVAILABLE
@@ -59,6 +61,7 @@
         self._has_table = anyio.Event()
         self._started_at = anyio.current_time()
         self._selector = ShareSelector(random)
+        self._allowances = Allowances()
         self._under_way: set[str] = set()
         self._has_answered = anyio.Event()
         self._metrics = RequestMetrics(metrics)
@@ -147,12 +150,14 @@
     ) -> None:
         service = table.service(self._selector.choose(route))
         progress.service = service.name
+        limit = limit_of(identity, table.version)
+        quota = RequestQuota(limit, self._allowances, self._store)
         context = RequestContext(
-            call, route, service, identity, self._node, self._registry, self._backends
+            call, route, service, identity, quota, self._node, self._registry, self._backends
         )
         account: TurnAccount | None = None
         if route.kind is RouteKind.STREAM and needs_account(call, route):
-            account = TurnAccount(call, route, identity, self._store, self._tasks)
+            account = TurnAccount(call, route, identity, quota, self._store, self._tasks)
         await RequestRelay(context, writer, account, progress).run()
 
     def _note_end(self, call: RelayedCall, writer: AnswerWriter, progress: RequestProgress) -> None:
@@ -182,6 +187,7 @@
             tried=progress.tried,
             events=progress.events,
             reserved_s=_rounded(progress.reserved_s),
+            quota_wait_s=_rounded(progress.quota_wait_s),
             first_part_s=_rounded(progress.first_part_s),
             is_in_time=progress.is_in_time(elapsed_s),
             time_left_s=_rounded(call.deadline_at - anyio.current_time()),
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -4,12 +4,20 @@
 from anyio.abc import TaskGroup
 
 from passlane.errors import PasslaneError
+from passlane.messages.quotas import QuotaDraw
 from passlane.messages.routes import Route
-from passlane.messages.turns import KeptTurn, ReserveTurn, SettleTurn, TurnReserved
+from passlane.messages.turns import (
+    KeptTurn,
+    ReserveAnswer,
+    ReserveTurn,
+    SettleTurn,
+    TurnReserved,
+)
 from passlane.observability.logging import get_logger
 from passlane.relay.calls import RelayedCall
+from passlane.relay.request_quota import RequestQuota
 from passlane.routes.tenants import Identity
-from passlane.turns.client import ReserveAnswer, TurnStoreClient
+from passlane.turns.client import TurnStoreClient
 
 RESERVE_TIMEOUT_S = 1.5
 BACKGROUND_SETTLE_S = 30.0
@@ -38,12 +46,14 @@
         call: RelayedCall,
         route: Route,
         identity: Identity,
+        quota: RequestQuota,
         store: TurnStoreClient,
         tasks: TaskGroup,
     ) -> None:
         self._call = call
         self._route = route
         self._identity = identity
+        self._quota = quota
         self._store = store
         self._tasks = tasks
         self._is_reserved = False
@@ -60,11 +70,6 @@
         previous = self._call.previous_turn
         return self._identity.scoped(previous) if previous is not None else None
 
-    @property
-    def store_outage_s(self) -> float:
-        """For how long the store group's leader has been in doubt; 0 while it is not."""
-        return self._store.outage_s
-
     async def reserve(self, limit_at: float) -> ReserveAnswer:
         """Reserve the most that the turn may generate; see ``TurnStoreClient.reserve``."""
         program = self._call.program
@@ -75,6 +80,7 @@
             budget_tokens=program.budget_tokens if program is not None else None,
             previous=self._previous_id if self._route.keeps_turns else None,
             retention_s=self._route.retention_s,
+            quota=self._quota.draw_for_turn(),
         )
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
@@ -94,8 +100,9 @@
         PasslaneError
             When it is not certain that the turn is durable.
         """
+        draw = self._quota.draw_after_turn()
         if not self._route.keeps_turns:
-            self.settle_in_background(tokens, served_by)
+            self.settle_in_background(tokens, served_by, draw)
             return
         turn = KeptTurn(
             turn_id=self._identity.scoped(self._call.request_id),
@@ -103,29 +110,40 @@
             content=self._call.body + output,
             retention_s=self._route.retention_s,
         )
-        settlement = self._settlement(tokens, turn, served_by)
-        await self._store.settle(settlement, timeout_s=timeout_s)
+        await self._send(self._settlement(tokens, turn, served_by, draw), timeout_s)
         self._is_settled = True
 
-    def settle_in_background(self, tokens: int, served_by: str) -> None:
+    def settle_in_background(
+        self, tokens: int, served_by: str, draw: QuotaDraw | None = None
+    ) -> None:
         """Settle a turn without waiting; does nothing if it was settled or never reserved."""
         if self._is_settled or not self._is_reserved:
             return
         self._is_settled = True
-        self._tasks.start_soon(self._settle_later, self._settlement(tokens, None, served_by))
+        settlement = self._settlement(tokens, None, served_by, draw)
+        self._tasks.start_soon(self._settle_later, settlement)
 
-    def _settlement(self, tokens: int, turn: KeptTurn | None, served_by: str) -> SettleTurn:
+    def _settlement(
+        self, tokens: int, turn: KeptTurn | None, served_by: str, draw: QuotaDraw | None
+    ) -> SettleTurn:
         return SettleTurn(
             program_id=self._program_id,
             attempt_id=self._call.request_id,
             tokens=tokens,
             turn=turn,
             served_by=served_by,
+            quota=draw,
         )
 
+    async def _send(self, settlement: SettleTurn, timeout_s: float) -> None:
+        """Settle, and hold what was granted ahead with it."""
+        asked_at = anyio.current_time()
+        settled = await self._store.settle(settlement, timeout_s=timeout_s)
+        self._quota.note_settled(settled, asked_at)
+
     async def _settle_later(self, settlement: SettleTurn) -> None:
         try:
-            await self._store.settle(settlement, timeout_s=BACKGROUND_SETTLE_S)
+            await self._send(settlement, BACKGROUND_SETTLE_S)
         except PasslaneError as error:
             # The reservation stays: the program may spend less, never more.
             _log.warning(
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -10,8 +10,16 @@
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.base import Message
 from passlane.messages.common import Address, NotLeaderError
+from passlane.messages.quotas import (
+    DrawQuota,
+    QuotaAnswer,
+    QuotaDraw,
+    QuotaGranted,
+    QuotaRefused,
+)
 from passlane.messages.turns import (
     BudgetSpent,
+    ReserveAnswer,
     ReserveTurn,
     SettleTurn,
     TurnReserved,
@@ -27,8 +35,6 @@
 WATCH_PERIOD_S = 0.06
 RETRY_PAUSE_S = 0.02
 
-ReserveAnswer = TurnReserved | BudgetSpent | TurnUnknown
-
 
 class _Attempt(msgspec.Struct, eq=False):
     """A request on its way to a replica."""
@@ -87,13 +93,29 @@
             When no leader answered in time; the reservation may have been made. While
             the group is lost that is said early, so that the caller turns elsewhere.
         """
-        limit_s = min(timeout_s, TIMEOUT_WHILE_LOST_S) if self.is_lost else timeout_s
-        answer = await self._execute(request, limit_s)
-        if isinstance(answer, TurnReserved | BudgetSpent | TurnUnknown):
+        answer = await self._execute(request, self._shortened(timeout_s))
+        if isinstance(answer, TurnReserved | BudgetSpent | TurnUnknown | QuotaRefused):
             return answer
         raise self._unexpected(answer)
 
-    async def settle(self, request: SettleTurn, *, timeout_s: float) -> None:
+    async def draw_quota(self, draw: QuotaDraw, *, timeout_s: float) -> QuotaAnswer:
+        """Count a request that is no turn against its tenant's limit.
+
+        Raises
+        ------
+        PasslaneError
+            When no leader answered in time; then the request must not be sent.
+        """
+        answer = await self._execute(DrawQuota(draw), self._shortened(timeout_s))
+        if isinstance(answer, QuotaGranted | QuotaRefused):
+            return answer
+        raise self._unexpected(answer)
+
+    def _shortened(self, timeout_s: float) -> float:
+        """Return how long to wait for an answer: while the group is lost, only for a moment."""
+        return min(timeout_s, TIMEOUT_WHILE_LOST_S) if self.is_lost else timeout_s
+
+    async def settle(self, request: SettleTurn, *, timeout_s: float) -> TurnSettled:
         """Settle a turn; on return that is durable.
 
         Raises
@@ -102,8 +124,9 @@
             When no leader answered in time; it may have been settled.
         """
         answer = await self._execute(request, timeout_s)
-        if not isinstance(answer, TurnSettled):
-            raise self._unexpected(answer)
+        if isinstance(answer, TurnSettled):
+            return answer
+        raise self._unexpected(answer)
 
     async def _execute(self, request: Message, timeout_s: float) -> Message:
         """Send a request to the leader, and to the next one if it moves, until it is answered."""
--- a/src/passlane/turns/machine.py
+++ b/src/passlane/turns/machine.py
@@ -82,6 +82,10 @@
         assert isinstance(command, AdvanceAge)
         return self._advance_age(command)
 
+    def knows_program(self, program_id: str) -> bool:
+        """Whether a turn of the program was reserved of late."""
+        return program_id in self._programs
+
     def history_of(self, turn_id: str | None) -> bytes:
         """Return what the chain that ends with a turn puts before a new input."""
         contents: list[bytes] = []
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -6,6 +6,14 @@
 from passlane.errors import PasslaneError
 from passlane.messages.base import Message, encode_message, message_decoder
 from passlane.messages.common import NotLeaderError
+from passlane.messages.quotas import (
+    DrawQuota,
+    QuotaAnswer,
+    QuotaDraw,
+    QuotaGranted,
+    QuotaRefused,
+    QuotaUse,
+)
 from passlane.messages.turns import (
     AdvanceAge,
     FindTurnStore,
@@ -13,9 +21,11 @@
     SettleTurn,
     TurnReserved,
     TurnResult,
+    TurnSettled,
     TurnStoreFound,
 )
 from passlane.observability.logging import get_logger
+from passlane.quotas.ledger import QuotaLedger
 from passlane.replication.interfaces import ReplicatedGroup
 from passlane.transport.interfaces import Router
 from passlane.turns.machine import TurnStateMachine
@@ -30,12 +40,20 @@
 class TurnService:
     """Proposes reservations and settlements, and reads histories."""
 
-    def __init__(self, group: ReplicatedGroup, machine: TurnStateMachine, router: Router) -> None:
+    def __init__(
+        self,
+        group: ReplicatedGroup,
+        machine: TurnStateMachine,
+        router: Router,
+        quotas: QuotaLedger,
+    ) -> None:
         self._group = group
         self._machine = machine
+        self._quotas = quotas
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
         router.add_unary(FindTurnStore, self.find)
+        router.add_unary(DrawQuota, self.draw_quota)
 
     async def run(self) -> None:
         """Advance the age of the state while this replica leads, until cancelled."""
@@ -52,16 +70,48 @@
     async def reserve(self, request: ReserveTurn) -> Message:
         """Reserve a turn's tokens; the reply holds the history that goes before its input."""
         self._require_leadership()
-        result = await self._propose(request)
-        if isinstance(result, TurnReserved) and request.previous is not None:
+        quota = self._draw_for_turn(request)
+        if isinstance(quota, QuotaRefused):
+            return quota
+        result = await self._propose(_without_quota(request))
+        if not isinstance(result, TurnReserved):
+            self._give_back(request)
+            return result
+        history = b""
+        if request.previous is not None:
             history = self._machine.history_of(request.previous)
-            return msgspec.structs.replace(result, history=history)
-        return result
+        return msgspec.structs.replace(result, history=history, start_after_s=quota.start_after_s)
 
     async def settle(self, request: SettleTurn) -> Message:
         """Settle a turn; the reply means that it is durable on a majority."""
         self._require_leadership()
-        return await self._propose(request)
+        result = await self._propose(_without_quota(request))
+        if request.quota is None or not isinstance(result, TurnSettled):
+            return result
+        granted = self._draw(request.quota)
+        ahead = granted.ahead if isinstance(granted, QuotaGranted) else 0
+        return msgspec.structs.replace(result, ahead=ahead)
+
+    async def draw_quota(self, request: DrawQuota) -> Message:
+        """Count a request that is no turn against its tenant's limit."""
+        self._require_leadership()
+        return self._draw(request.draw)
+
+    def _draw_for_turn(self, request: ReserveTurn) -> QuotaAnswer:
+        """Count a turn against its tenant's limit; only the first of a program begins one."""
+        if request.quota is None:
+            return QuotaGranted()
+        is_known = self._machine.knows_program(request.program_id)
+        use = QuotaUse.CONTINUE_PROGRAM if is_known else QuotaUse.BEGIN_PROGRAM
+        return self._draw(msgspec.structs.replace(request.quota, use=use))
+
+    def _draw(self, draw: QuotaDraw) -> QuotaAnswer:
+        return self._quotas.draw(draw, anyio.current_time())
+
+    def _give_back(self, request: ReserveTurn) -> None:
+        """Give back what was drawn for a turn that will not run."""
+        if request.quota is not None:
+            self._quotas.give_back(request.quota.limit.tenant, anyio.current_time())
 
     async def find(self, request: FindTurnStore) -> Message:
         """Tell a node that lost the store group that its leader is here."""
@@ -69,9 +119,19 @@
         return TurnStoreFound(term=self._group.term)
 
     def _require_leadership(self) -> None:
+        """Refuse unless this replica leads; note the term, which tenants save up from.
+
+        Nodes look for a new leader at once, so its first question comes soon after the start.
+        """
         if not self._group.is_leader:
             raise NotLeaderError("not the leader of the store group", self._group.leader_address)
+        self._quotas.enter_term(self._group.term, anyio.current_time())
 
     async def _propose(self, command: Message) -> Message:
         result: Message = _result_decoder.decode(await self._group.propose(encode_message(command)))
         return result
+
+
+def _without_quota(request: ReserveTurn | SettleTurn) -> ReserveTurn | SettleTurn:
+    """Return the command as it is replicated."""
+    return request if request.quota is None else msgspec.structs.replace(request, quota=None)
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -239,6 +239,17 @@
         )
         return await self._exchange(request, 6.0)
 
+    async def tool_call(self, request_id, *, node="node-1", **headers):
+        """Make one call of a tool at a node."""
+        address = Address(self.machines[node].host, CALLERS_PORT)
+        all_headers = {
+            "x-passlane-attempt-id": request_id,
+            "x-passlane-program-id": "program",
+            "x-passlane-deadline-ms": "3000",
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        request = HttpRequest("POST", address, "/calls/x", all_headers, b"", True, "one.example")
+        return await self._exchange(request, 6.0)
+
     async def turn_until_whole(self, request_id, **options):
         """Repeat a turn, each time under another id, until it ends whole; return that id."""
         with anyio.fail_after(30):
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -116,6 +116,16 @@
             "resumable": False,
             "target_gap_ms": 200,
         },
+        {
+            "name": "calls",
+            "host": "one.example",
+            "path_prefix": "/calls/",
+            "kind": "unsafe",
+            "timeout_ms": 3000,
+            "target_latency_ms": 300,
+            "priority": 2,
+            "service": "models",
+        },
         *extra_routes,
     ]
     services = [
--- /dev/null
+++ b/tests/on_platform/test_quotas.py
@@ -0,0 +1,175 @@
+"""Limits of tenants over a whole fleet on the virtual clock, counted at the engines."""
+
+import unittest
+from bisect import bisect_right
+
+import anyio
+
+from on_platform.test_fleet import on_seeds
+from passlane.messages.fleet import FleetRole
+
+WINDOW_S = 5.0
+OVERAGE = 0.1
+SLACK = 20
+CORNER = {"name": "corner", "api_keys": ["key-1"], "rate_per_s": 8, "burst": 8}
+FREE = {"name": "free", "api_keys": ["key-9"]}
+APPLY_S = 1.0
+
+
+def allowed(tenant):
+    return (tenant["rate_per_s"] * WINDOW_S + tenant["burst"]) * (1 + OVERAGE) + SLACK
+
+
+class Flood:
+    """Sends tool calls of one tenant through all nodes, evenly, and counts the answers."""
+
+    def __init__(self, fleet, *, per_s, key="key-1", nodes=("node-1", "node-2")):
+        self.fleet = fleet
+        self.per_s = per_s
+        self.key = key
+        self.nodes = nodes
+        self.statuses = []
+        self.answers = []
+        self.sent = 0
+
+    async def run(self, for_s):
+        async with anyio.create_task_group() as tasks:
+            for number in range(int(for_s * self.per_s)):
+                tasks.start_soon(self._send, number)
+                await anyio.sleep(1 / self.per_s)
+
+    async def _send(self, number):
+        node = self.nodes[number % len(self.nodes)]
+        answer = await self.fleet.tool_call(f"flood-{self.sent}", node=node, x_api_key=self.key)
+        self.sent += 1
+        self.statuses.append(answer.status if answer is not None else None)
+        self.answers.append(answer)
+
+
+def fullest_window(fleet):
+    moments = sorted(moment for engine in fleet.engines for moment in engine.run_times)
+    return max(
+        bisect_right(moments, start + WINDOW_S) - place for place, start in enumerate(moments)
+    )
+
+
+async def begin(fleet, *tenants):
+    await fleet.put_configuration(2, tenants=tenants)
+    await anyio.sleep(APPLY_S)
+
+
+class QuotaTest(unittest.TestCase):
+    @on_seeds()
+    async def test_a_flood_over_all_nodes_stays_within_the_limit(self, fleet):
+        await begin(fleet, CORNER)
+        flood = Flood(fleet, per_s=40)
+        await flood.run(8.0)
+        self.assertLessEqual(fullest_window(fleet), allowed(CORNER))
+        served = flood.statuses.count(200)
+        self.assertGreater(served, 0.9 * 8 * CORNER["rate_per_s"])
+        self.assertEqual(served + flood.statuses.count(429), len(flood.statuses))
+        refused = [answer for answer in flood.answers if answer.status == 429]
+        self.assertTrue(all(float(answer.headers["retry-after"]) > 0 for answer in refused))
+
+    @on_seeds()
+    async def test_within_the_limit_nothing_is_refused(self, fleet):
+        await begin(fleet, CORNER)
+        flood = Flood(fleet, per_s=6)
+        await flood.run(8.0)
+        self.assertEqual(set(flood.statuses), {200})
+
+    @on_seeds()
+    async def test_a_tenant_without_a_limit_needs_no_grant(self, fleet):
+        await begin(fleet, CORNER, FREE)
+        for machine in fleet.running(FleetRole.STORE):
+            fleet.kill(machine.name)
+        answer = await fleet.tool_call("one", x_api_key="key-9")
+        self.assertEqual(answer.status, 200)
+
+    @on_seeds()
+    async def test_without_the_store_group_nothing_limited_is_sent(self, fleet):
+        await begin(fleet, CORNER)
+        for machine in fleet.running(FleetRole.STORE):
+            fleet.kill(machine.name)
+        await anyio.sleep(2.0)
+        answer = await fleet.tool_call("one", x_api_key="key-1")
+        self.assertEqual(answer.status, 503)
+        self.assertIsNone(fleet.body_run_for("one"))
+
+    @on_seeds()
+    async def test_a_lower_limit_binds_one_window_after_it_is_in_force(self, fleet):
+        await begin(fleet, CORNER)
+        lower = CORNER | {"rate_per_s": 2, "burst": 2}
+        flood = Flood(fleet, per_s=20)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(flood.run, 14.0)
+            await anyio.sleep(3.0)
+            await fleet.put_configuration(3, tenants=[lower])
+            await anyio.sleep(APPLY_S)
+            for engine in fleet.engines:
+                engine.run_times.clear()
+        self.assertLessEqual(fullest_window(fleet), allowed(lower))
+
+    @on_seeds(0, 1, 2, 3)
+    async def test_a_new_store_leader_gives_no_burst_anew(self, fleet):
+        await begin(fleet, CORNER)
+        flood = Flood(fleet, per_s=40)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(flood.run, 8.0)
+            await anyio.sleep(2.0)
+            leader = self.store_leader(fleet)
+            fleet.kill(leader)
+            await anyio.sleep(1.5)
+            fleet.start(leader)
+        self.assertLessEqual(fullest_window(fleet), allowed(CORNER))
+        self.assertGreater(flood.statuses.count(200), 30)
+
+    @on_seeds()
+    async def test_a_restart_of_all_processes_gives_no_burst_anew(self, fleet):
+        await begin(fleet, CORNER)
+        await Flood(fleet, per_s=40).run(2.0)
+        names = list(fleet.machines)
+        for name in names:
+            fleet.kill(name, power=False)
+        for name in names:
+            fleet.start(name)
+        await fleet.until_ready()
+        await Flood(fleet, per_s=40).run(4.0)
+        self.assertLessEqual(fullest_window(fleet), allowed(CORNER))
+
+    def store_leader(self, fleet):
+        (leader,) = (
+            machine.name
+            for machine in fleet.running(FleetRole.STORE)
+            if machine.process.replica is not None and machine.process.replica.is_leader
+        )
+        return leader
+
+
+class WholeProgramsTest(unittest.TestCase):
+    @on_seeds()
+    async def test_turns_draw_for_the_tool_calls_that_follow(self, fleet):
+        await begin(fleet, CORNER)
+        self.assertEqual((await fleet.turn("one", x_api_key="key-1")).status, 200)
+        for machine in fleet.running(FleetRole.STORE):
+            fleet.kill(machine.name)
+        statuses = [
+            (await fleet.tool_call(f"call-{n}", x_api_key="key-1")).status for n in range(2)
+        ]
+        self.assertEqual(statuses, [200, 200])
+
+    @on_seeds()
+    async def test_programs_under_way_go_on_while_new_ones_are_refused(self, fleet):
+        await begin(fleet, CORNER)
+        first = await fleet.turn("first", x_api_key="key-1")
+        self.assertEqual(first.status, 200)
+        new = [
+            await fleet.turn(f"new-{n}", x_api_key="key-1", x_passlane_program_id=f"program-{n}")
+            for n in range(6)
+        ]
+        statuses = [answer.status for answer in new]
+        self.assertIn(429, statuses)
+        refused = new[statuses.index(429)]
+        self.assertGreater(float(refused.headers["retry-after"]), 0.25)
+        second = await fleet.turn("second", previous="first", x_api_key="key-1")
+        self.assertEqual(second.status, 200)
