Limits are counted in sliding windows; a new store leader goes on from what was granted

Change: grants are counted over the window that the operator's settings name; the moment of a grant, also one to come, counts from then on. The leader tells all replicas each 0.15 s what it has granted, on the group's own clock; a new leader, also after a restart of all, goes on from there. Programs under way may use half of the allowed excess. What a program needs is learnt by route.

--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -9,7 +9,7 @@
 from passlane.messages.common import NotLeaderError
 from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
 from passlane.observability.logging import get_logger
-from passlane.quotas.ledger import QuotaLedger
+from passlane.quotas.ledger import QuotaLedger, QuotaRules
 from passlane.replication.replica_host import ReplicaHost
 from passlane.replication.replica_metrics import expose_replica
 from passlane.settings.fleet import FleetSettings
@@ -60,17 +60,24 @@
         is_member = identity is not None and identity.is_member
         self._may_found = not is_member and context.settings.process.is_first_start
         founders = () if is_member else await self._wait_for_founders()
-        machine = TurnStateMachine()
+        quotas = QuotaLedger(self._quota_rules())
+        machine = TurnStateMachine(quotas.note_replicated)
         host = self._build_host(machine, founders)
         self._host = host
         context.metrics.define_when_exposed(
             lambda metrics: expose_replica(metrics, TURN_GROUP, host)
         )
-        service = TurnService(host, machine, context.router, QuotaLedger())
+        service = TurnService(host, machine, context.router, quotas)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
 
+    def _quota_rules(self) -> QuotaRules:
+        quotas = self._context.settings.quotas
+        return QuotaRules(
+            window_s=quotas.window_s, overage=quotas.overage, slack=quotas.slack_requests
+        )
+
     async def _wait_for_founders(self) -> tuple[NamedAddress, ...]:
         while True:
             if self._follower.store_founders:
--- a/src/passlane/messages/quotas.py
+++ b/src/passlane/messages/quotas.py
@@ -34,15 +34,25 @@
     ----------
     use
         What the request is for; ``None`` if there is no request now.
+    route
+        Name of the route of a turn; empty for other requests.
     ahead
         Requests wanted for the next moment, beyond that.
     """
 
     limit: QuotaLimit
     use: QuotaUse | None
+    route: str = ""
     ahead: int = 0
 
 
+class TenantUsage(msgspec.Struct, frozen=True):
+    """Requests that were granted to a tenant."""
+
+    tenant: str
+    granted: int
+
+
 class DrawQuota(Message, frozen=True):
     """Carries a draw that goes with no turn."""
 
@@ -62,13 +72,13 @@
 class QuotaRefused(Message, frozen=True, kw_only=True):
     """The tenant's limit does not hold the request.
 
-    ``available`` is what the tenant may send at once, below 0 if later requests are granted
-    already; ``rate_per_s`` and ``version`` are those that decided.
+    Of the ``capacity`` of a window, by the limit of the configuration's ``version``, so much
+    is ``used``.
     """
 
     retry_after_s: float
-    available: float
-    rate_per_s: float
+    used: float
+    capacity: float
     version: int
 
 
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from passlane.messages.base import Message
-from passlane.messages.quotas import QuotaDraw, QuotaRefused
+from passlane.messages.quotas import QuotaDraw, QuotaRefused, TenantUsage
 
 
 class KeptTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,6 +106,20 @@
     term: int = 0
 
 
-TurnCommand = ReserveTurn | SettleTurn | AdvanceAge
-TurnResult = TurnReserved | BudgetSpent | TurnUnknown | TurnSettled | AgeAdvanced
+class NoteUsage(Message, frozen=True, kw_only=True):
+    """Tells all replicas what the leader has granted to tenants since it told last.
+
+    ``since_age_s`` is the time since the age of the state advanced.
+    """
+
+    usages: tuple[TenantUsage, ...]
+    since_age_s: float
+
+
+class UsageNoted(Message, frozen=True):
+    """Answers ``NoteUsage``."""
+
+
+TurnCommand = ReserveTurn | SettleTurn | AdvanceAge | NoteUsage
+TurnResult = TurnReserved | BudgetSpent | TurnUnknown | TurnSettled | AgeAdvanced | UsageNoted
 ReserveAnswer = TurnReserved | BudgetSpent | TurnUnknown | QuotaRefused
--- a/src/passlane/node/admission.py
+++ b/src/passlane/node/admission.py
@@ -6,7 +6,7 @@
 from passlane.configuration.documents import TenantBody
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.identifiers import TenantId
-from passlane.quotas.rate_limit import TenantLimiter, TenantLimits
+from passlane.scheduling.rate_limit import TenantLimiter, TenantLimits
 
 FULL_RETRY_AFTER_S = 1.0
 """Advice to callers when the node has as many requests as it may."""
--- a/src/passlane/quotas/ledger.py
+++ b/src/passlane/quotas/ledger.py
@@ -1,19 +1,20 @@
 """Grants tenants' requests over all nodes together; kept by the leader of the store group.
 
-A state machine without I/O or clock. What it has granted in any span of time is at most the
-rate times the span, plus the burst. A request that must wait for its moment is granted with
-that moment, so that nobody has to ask again.
+A state machine without I/O or clock. What is granted in any window is at most the rate times
+the window, plus the burst. A request that must wait for its moment is granted with that
+moment, so that nobody has to ask again.
 
 A program that is refused midway has cost engines' time and is worth nothing. So the limit is
-met where programs begin: a new one is granted only while the programs begun of late, at what
-a program is seen to need, leave room for it. Requests of programs under way may wait for
-their moment; a new program may do so for a shorter time.
+met where programs begin: a new one is granted only while the programs begun within the
+window, at what such a program is seen to need, stay within the limit. Requests of programs
+under way may use a part of what the operator lets a limit be exceeded by.
 
-A leader begins with nothing saved up, whatever the leader before has granted: no change of
-leader and no restart gives a tenant its burst anew. It even begins with a small debt, for
-requests that the leader before has granted for moments still to come.
+Replicas that follow note what the leader has granted (``usage_history``). A new leader goes
+on from there: no change of leader and no restart gives a tenant its burst anew.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from passlane.messages.quotas import (
@@ -23,175 +24,190 @@
     QuotaLimit,
     QuotaRefused,
     QuotaUse,
+    TenantUsage,
 )
-from passlane.quotas.rate_limit import MIN_RETRY_AFTER_S, TokenBucket
+from passlane.quotas.allowances import AHEAD_VALID_S
+from passlane.quotas.program_needs import ProgramNeeds
+from passlane.quotas.sliding_window import SlidingWindow
+from passlane.quotas.usage_history import UsageHistory
 
 LONGEST_WAIT_S = {
     QuotaUse.BEGIN_PROGRAM: 0.25,
-    QuotaUse.CONTINUE_PROGRAM: 0.4,
+    QuotaUse.CONTINUE_PROGRAM: 0.5,
     QuotaUse.ALONE: 0.1,
 }
 """A request whose moment lies further ahead is refused. A program of some seconds that is to
 end within 1.3 times its own length bears a wait of 0.25 s; once under way, to be late is
-better than to be lost. Such grants outlive their leader: the longest wait, less the debt of a
-new leader, is what each change of leader may add to the rate."""
-START_DEBT_S = 0.2
-"""Seconds' worth of the rate that a new leader counts as granted by the one before. With it
-two changes within a window of 5 s stay inside the tenth of the limit that may be exceeded."""
-BEGIN_SPREAD_S = 2.0
-"""What a program needs is spread over at least so long: the shortest take about 2 s."""
-EXPECTED_REQUESTS = 12.0
-"""Requests of a program, turns and tool calls, before any were seen: some 3 to 11 turns with
-2 calls each."""
-EXPECTED_WEIGHT = 20.0
-"""Programs' worth of weight that this expectation has against what is seen."""
-FORGET_SHARE = 0.998
-"""Share of what was seen that still counts after one more program has begun. Programs that
-have just begun have made few of their requests, so some hundred are looked back on."""
+better than to be lost."""
+SHORTEST_RETRY_S = 0.05
+"""A caller that is refused needs about as long to come back."""
+EXCESS_SHARE = 0.5
+"""Share of the allowed excess that programs under way may use. The rest covers grants that
+were not replicated when a leader was lost, and requests that reach an engine late."""
 AHEAD_SHARE = 0.5
-"""Requests are granted ahead only out of what exceeds this share of the burst."""
-FORGET_IDLE_S = 60.0
-"""A tenant that has drawn nothing for so long is forgotten; it starts anew with nothing."""
+"""Requests are granted ahead only while less than this share of the limit is used."""
+TRAVEL_S = 0.1
+"""Requests differ by so much in the time from their grant to the engine: a way between zones
+is 1.4 ms, the rest is waiting at a busy node. Windows are counted longer by it."""
 SWEEP_PERIOD_S = 10.0
+"""Tenants with nothing in their window are forgotten so often."""
 
 
-class _Account(msgspec.Struct):
-    """What one tenant was granted.
+class QuotaRules(msgspec.Struct, frozen=True, kw_only=True):
+    """How an operator measures limits.
 
-    ``programs`` is charged, when a program begins, with all that it is expected to need.
+    Attributes
+    ----------
+    window_s
+        A limit holds within any span of this length.
+    overage
+        Share by which a limit may be exceeded.
+    slack
+        Requests by which it may be exceeded on top.
+    puts_programs_first
+        Whether new programs give way to those under way; else the order of arrival decides.
     """
 
-    version: int
-    sent: TokenBucket
-    programs: TokenBucket
-    drawn_at: float
+    window_s: float = 5.0
+    overage: float = 0.0
+    slack: float = 0.0
+    puts_programs_first: bool = True
 
 
-class QuotaLedger:
-    """Grants and refusals of one term of leadership.
+class _Account(msgspec.Struct):
+    """What one tenant was granted within the window.
 
-    Parameters
-    ----------
-    puts_programs_first
-        Whether new programs give way to those under way; else the order of arrival decides.
+    ``programs`` counts, when a program begins, all that it is expected to need.
     """
 
-    def __init__(self, *, puts_programs_first: bool = True) -> None:
-        self._puts_programs_first = puts_programs_first
+    sent: SlidingWindow
+    programs: SlidingWindow
+    limit: QuotaLimit | None = None
+
+
+class QuotaLedger:
+    """Grants and refusals of a leader; knowledge of both at its followers."""
+
+    def __init__(self, rules: QuotaRules) -> None:
+        self._rules = rules
         self._accounts: dict[str, _Account] = {}
-        # Programs and their requests, of all tenants; the older the less they count.
-        self._begun = EXPECTED_WEIGHT
-        self._requests = EXPECTED_WEIGHT * EXPECTED_REQUESTS
+        self._history = UsageHistory(rules.window_s + TRAVEL_S)
+        self._needs = ProgramNeeds()
+        self._untold: dict[str, int] = {}
         self._term = -1
-        self._began_at = 0.0
         self._swept_at = 0.0
 
-    @property
-    def program_need(self) -> float:
-        """Requests that a program is expected to need."""
-        return self._requests / self._begun
-
     def __len__(self) -> int:
         return len(self._accounts)
 
     def enter_term(self, term: int, now: float) -> None:
-        """Begin anew if this is another term of leadership than the last one."""
+        """Go on from what was noted as a follower, if this is another term than the last."""
         if term == self._term:
             return
         self._term = term
         self._accounts = {}
-        self._began_at = now
+        for tenant, granted, at in self._history.grants(now):
+            self._account_of(tenant).sent.add(granted, at)
+
+    def note_replicated(self, usages: Iterable[TenantUsage], group_s: float) -> None:
+        """Note what a leader has granted, as of a moment on the group's clock."""
+        self._history.note(usages, group_s)
+
+    def usages_to_tell(self) -> tuple[TenantUsage, ...]:
+        """Return what was granted since the last call, for all replicas to note."""
+        told = tuple(TenantUsage(tenant, granted) for tenant, granted in self._untold.items())
+        self._untold = {}
+        return told
 
     def draw(self, draw: QuotaDraw, now: float) -> QuotaAnswer:
         """Grant what is asked for, or refuse it with the time to come back."""
-        account = self._account(draw.limit, now)
+        self._forget_idle(now)
+        account = self._account_under(draw.limit)
         start_after_s = 0.0
         if draw.use is not None:
-            wait_s = self._wait_s(account, draw.use, now)
-            if wait_s > LONGEST_WAIT_S[draw.use]:
-                return self._refuse(account, wait_s, now)
-            self._take(account, draw.use, now)
-            start_after_s = wait_s
-        return QuotaGranted(start_after_s, self._take_ahead(account, draw.ahead, now))
-
-    def give_back(self, tenant: str, now: float) -> None:
+            self._needs.note(draw.route, draw.use)
+            start_after_s = self._wait_s(account, draw, draw.use, now)
+            if start_after_s > LONGEST_WAIT_S[draw.use]:
+                return self._refuse(account, start_after_s, now)
+            self._take(account, draw, now + start_after_s)
+        return QuotaGranted(start_after_s, self._take_ahead(account, draw, now))
+
+    def give_back(self, tenant: str) -> None:
         """Take back one request that was granted and will never be sent."""
         account = self._accounts.get(tenant)
         if account is not None:
-            account.sent.available(now)
-            account.sent.give_back(1)
+            account.sent.take_back(1)
 
-    def _account(self, limit: QuotaLimit, now: float) -> _Account:
-        """Return a tenant's account under the newest limit that any node has told."""
-        self._forget_idle(now)
-        account = self._accounts.get(limit.tenant)
+    def _account_of(self, tenant: str) -> _Account:
+        account = self._accounts.get(tenant)
         if account is None:
-            account = self._open_account(limit, now)
-            self._accounts[limit.tenant] = account
-        elif limit.version > account.version:
-            account.version = limit.version
-            account.sent.change(limit.rate_per_s, limit.burst)
-            account.programs.change(limit.rate_per_s, _programs_burst(limit))
-        account.drawn_at = now
+            span_s = self._rules.window_s + TRAVEL_S
+            account = _Account(SlidingWindow(span_s), SlidingWindow(span_s))
+            self._accounts[tenant] = account
         return account
 
-    def _open_account(self, limit: QuotaLimit, now: float) -> _Account:
-        """Open an account that has saved up since this leadership began, if not longer."""
-        sent = TokenBucket(limit.rate_per_s, limit.burst, is_empty=True)
-        programs = TokenBucket(limit.rate_per_s, _programs_burst(limit))
-        sent.take(START_DEBT_S * limit.rate_per_s, self._began_at)
-        sent.available(now)
-        return _Account(limit.version, sent, programs, now)
+    def _account_under(self, limit: QuotaLimit) -> _Account:
+        """Return a tenant's account under the newest limit that any node has told."""
+        account = self._account_of(limit.tenant)
+        if account.limit is None or limit.version > account.limit.version:
+            account.limit = limit
+        return account
 
-    def _wait_s(self, account: _Account, use: QuotaUse, now: float) -> float:
+    def _capacity(self, account: _Account) -> float:
+        """Return the requests that a tenant's limit holds within a window; at least one."""
+        assert account.limit is not None
+        return max(1.0, account.limit.rate_per_s * self._rules.window_s + account.limit.burst)
+
+    def _wait_s(self, account: _Account, draw: QuotaDraw, use: QuotaUse, now: float) -> float:
         """Return the seconds until a request's moment."""
-        wait_s = account.sent.wait_s(1, now)
-        if use is QuotaUse.BEGIN_PROGRAM and self._puts_programs_first:
-            wait_s = max(wait_s, account.programs.wait_s(self.program_need, now))
+        capacity = self._capacity(account)
+        if use is QuotaUse.CONTINUE_PROGRAM:
+            excess = capacity * self._rules.overage + self._rules.slack
+            return account.sent.wait_s(1, capacity + EXCESS_SHARE * excess, now)
+        wait_s = account.sent.wait_s(1, capacity, now)
+        if use is QuotaUse.BEGIN_PROGRAM and self._rules.puts_programs_first:
+            # A program that needs more than a whole window holds may begin when it is alone.
+            need = min(self._needs.of(draw.route), capacity)
+            wait_s = max(wait_s, account.programs.wait_s(need, capacity, now))
         return wait_s
 
-    def _take(self, account: _Account, use: QuotaUse, now: float) -> None:
-        account.sent.take(1, now)
-        if use is QuotaUse.ALONE:
-            return
-        self._requests += 1
-        if use is QuotaUse.BEGIN_PROGRAM:
-            account.programs.take(self.program_need, now)
-            self._begun = self._begun * FORGET_SHARE + 1
-            self._requests *= FORGET_SHARE
-
-    def _take_ahead(self, account: _Account, wanted: int, now: float) -> int:
-        """Grant requests ahead as long as enough is left for those that come without."""
-        spare = account.sent.available(now) - AHEAD_SHARE * account.sent.burst
-        granted = max(0, min(wanted, int(spare)))
-        account.sent.take(granted, now)
-        self._requests += granted
+    def _take(self, account: _Account, draw: QuotaDraw, at: float) -> None:
+        self._grant(account, draw.limit.tenant, 1, at)
+        if draw.use is QuotaUse.BEGIN_PROGRAM:
+            account.programs.add(self._needs.of(draw.route), at)
+
+    def _take_ahead(self, account: _Account, draw: QuotaDraw, now: float) -> int:
+        """Grant requests ahead as long as enough is left for those that come without.
+
+        They count until a window after the last moment at which they may be sent.
+        """
+        spare = AHEAD_SHARE * self._capacity(account) - account.sent.total(now)
+        granted = max(0, min(draw.ahead, int(spare)))
+        if granted:
+            self._needs.note_calls(granted)
+            self._grant(account, draw.limit.tenant, granted, now + AHEAD_VALID_S)
         return granted
 
+    def _grant(self, account: _Account, tenant: str, count: int, at: float) -> None:
+        account.sent.add(count, at)
+        self._untold[tenant] = self._untold.get(tenant, 0) + count
+
     def _refuse(self, account: _Account, wait_s: float, now: float) -> QuotaRefused:
+        assert account.limit is not None
         return QuotaRefused(
-            retry_after_s=max(wait_s, MIN_RETRY_AFTER_S),
-            available=account.sent.available(now),
-            rate_per_s=account.sent.rate_per_s,
-            version=account.version,
+            retry_after_s=max(wait_s, SHORTEST_RETRY_S),
+            used=account.sent.total(now),
+            capacity=self._capacity(account),
+            version=account.limit.version,
         )
 
     def _forget_idle(self, now: float) -> None:
-        """Forget tenants that have long drawn nothing.
-
-        Such a tenant has saved up its burst; to open its account anew gives it as much as
-        was saved up since this leadership began, which is no more.
-        """
+        """Forget tenants that were granted nothing within the window."""
         if now - self._swept_at < SWEEP_PERIOD_S:
             return
         self._swept_at = now
         self._accounts = {
             tenant: account
             for tenant, account in self._accounts.items()
-            if now - account.drawn_at < FORGET_IDLE_S or account.sent.wait_s(1, now) > 0
+            if account.sent.total(now) > 0 or account.programs.total(now) > 0
         }
-
-
-def _programs_burst(limit: QuotaLimit) -> float:
-    """Return the requests that programs which begin at once may come to need."""
-    return max(limit.burst + BEGIN_SPREAD_S * limit.rate_per_s, EXPECTED_REQUESTS)
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -200,9 +200,9 @@
             "quota_refused",
             request_id=self._call.request_id,
             tenant=self._context.identity.tenant_name,
-            limit_per_s=refused.rate_per_s,
             limit_version=refused.version,
-            available=round(refused.available, 2),
+            window_capacity=round(refused.capacity, 1),
+            window_used=round(refused.used, 1),
             retry_after_s=round(refused.retry_after_s, 3),
             asked_s=round(anyio.current_time() - self._call.arrived_at, 4),
         )
--- a/src/passlane/relay/request_quota.py
+++ b/src/passlane/relay/request_quota.py
@@ -65,21 +65,21 @@
             QuotaDraw(limit=self.limit, use=use), timeout_s=timeout_s
         )
 
-    def draw_for_turn(self) -> QuotaDraw | None:
-        """Return the draw that goes with a turn's reservation.
+    def draw_for_turn(self, route: str) -> QuotaDraw | None:
+        """Return the draw that goes with the reservation of a turn on a route.
 
         Whether the turn begins its program is known to the store group alone.
         """
         if self.limit is None:
             return None
-        return QuotaDraw(limit=self.limit, use=QuotaUse.BEGIN_PROGRAM)
+        return QuotaDraw(limit=self.limit, use=QuotaUse.BEGIN_PROGRAM, route=route)
 
     def draw_after_turn(self) -> QuotaDraw | None:
-        """Return the draw that goes with the settlement of a whole turn, if any is wanted."""
+        """Return the draw that goes with the settlement of a whole turn."""
         if self.limit is None:
             return None
         ahead = self._allowances.wanted_after_turn(self.limit.tenant, anyio.current_time())
-        return QuotaDraw(limit=self.limit, use=None, ahead=ahead) if ahead else None
+        return QuotaDraw(limit=self.limit, use=None, ahead=ahead)
 
     def note_settled(self, settled: TurnSettled, asked_at: float) -> None:
         """Hold what was granted with a settlement that was asked for at ``asked_at``."""
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -80,7 +80,7 @@
             budget_tokens=program.budget_tokens if program is not None else None,
             previous=self._previous_id if self._route.keeps_turns else None,
             retention_s=self._route.retention_s,
-            quota=self._quota.draw_for_turn(),
+            quota=self._quota.draw_for_turn(self._route.name),
         )
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
--- a/src/passlane/quotas/rate_limit.py
+++ b/src/passlane/scheduling/rate_limit.py
@@ -6,52 +6,14 @@
 
 
 class TokenBucket:
-    """Lets ``rate_per_s`` requests a second through, and up to ``burst`` at once.
+    """Lets ``rate_per_s`` requests a second through, and up to ``burst`` at once."""
 
-    Requests may be let through ahead of their time (``take``): what is available is then
-    below 0, and each of them has to wait for its own moment.
-
-    Parameters
-    ----------
-    is_empty
-        Whether nothing is saved up at the start.
-    """
-
-    def __init__(self, rate_per_s: float, burst: float, *, is_empty: bool = False) -> None:
+    def __init__(self, rate_per_s: float, burst: float) -> None:
         self._rate_per_s = rate_per_s
         self._burst = max(burst, 1.0)
-        self._tokens = 0.0 if is_empty else self._burst
+        self._tokens = self._burst
         self._updated_at: float | None = None
 
-    @property
-    def rate_per_s(self) -> float:
-        """Requests let through a second."""
-        return self._rate_per_s
-
-    @property
-    def burst(self) -> float:
-        """Requests let through at once, at most."""
-        return self._burst
-
-    def available(self, now: float) -> float:
-        """Return the requests that may go at once; below 0 if some wait for their time."""
-        self._refill(now)
-        return self._tokens
-
-    def wait_s(self, count: float, now: float) -> float:
-        """Return the seconds until ``count`` requests are available; 0 if they are."""
-        missing = count - self.available(now)
-        return max(0.0, missing) / self._rate_per_s
-
-    def take(self, count: float, now: float) -> None:
-        """Let requests through, whether they are available or not."""
-        self._refill(now)
-        self._tokens -= count
-
-    def give_back(self, count: float) -> None:
-        """Take back requests that were let through and never sent."""
-        self._tokens = min(self._tokens + count, self._burst)
-
     def change(self, rate_per_s: float, burst: float) -> None:
         """Use another rate and burst from now on; what was saved up is kept."""
         self._rate_per_s = rate_per_s
--- a/src/passlane/settings/fleet.py
+++ b/src/passlane/settings/fleet.py
@@ -66,6 +66,24 @@
         return 2 * self.machines + 1
 
 
+class QuotaSettings(_Section, frozen=True):
+    """How the limits of tenants are measured.
+
+    Attributes
+    ----------
+    window_s
+        A limit holds within any span of this length, in seconds.
+    overage
+        Share by which a limit may be exceeded.
+    slack_requests
+        Requests by which it may be exceeded on top.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.0
+    slack_requests: float = 0.0
+
+
 class FleetSettings(_Section, frozen=True):
     """The whole settings file; ``seeds`` are operators' addresses of control replicas."""
 
@@ -75,6 +93,7 @@
     backend_list: BackendListSettings
     timing: FleetTimingSettings = FleetTimingSettings()
     fault_tolerance: FaultToleranceSettings = FaultToleranceSettings()
+    quotas: QuotaSettings = QuotaSettings()
 
 
 def load_fleet_settings(path: Path) -> FleetSettings:
@@ -101,6 +120,11 @@
         yield SettingsProblem("addresses.operators", "a control replica needs it")
     if settings.fault_tolerance.machines < 0:
         yield SettingsProblem("fault_tolerance.machines", "expected 0 or more")
+    if settings.quotas.window_s <= 0:
+        yield SettingsProblem("quotas.window_s", "expected a positive number")
+    for field in ("overage", "slack_requests"):
+        if getattr(settings.quotas, field) < 0:
+            yield SettingsProblem(f"quotas.{field}", "expected 0 or more")
     if settings.backend_list.rate_per_s <= 0:
         yield SettingsProblem("backend_list.rate_per_s", "expected a positive number")
     if not 0 < settings.addresses.internal.port <= MAX_PORT:
--- a/src/passlane/turns/machine.py
+++ b/src/passlane/turns/machine.py
@@ -5,17 +5,19 @@
 what must be kept for some seconds is never forgotten early, whoever leads.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import msgspec
 
 from passlane.messages.base import encode_message, message_decoder
+from passlane.messages.quotas import TenantUsage
 from passlane.messages.turns import (
     AdvanceAge,
     AgeAdvanced,
     BudgetSpent,
     KeptTurn,
+    NoteUsage,
     ReserveTurn,
     SettleTurn,
     TurnCommand,
@@ -23,6 +25,7 @@
     TurnResult,
     TurnSettled,
     TurnUnknown,
+    UsageNoted,
 )
 
 RETENTION_MARGIN_S = 15.0
@@ -58,13 +61,22 @@
     turns: tuple[StoredTurn, ...] = ()
 
 
+UsageListener = Callable[[tuple[TenantUsage, ...], float], None]
+
 _part_decoder = msgspec.msgpack.Decoder(SnapshotPart)
 
 
 class TurnStateMachine:
-    """Programs' spending and the tree of turns (a ``StateMachine``)."""
+    """Programs' spending and the tree of turns (a ``StateMachine``).
+
+    Parameters
+    ----------
+    note_usage
+        Told what was granted to tenants, and when on the group's clock; no part of the state.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, note_usage: UsageListener | None = None) -> None:
+        self._note_usage = note_usage
         self.age_s = 0.0
         self._programs: dict[str, ProgramSpending] = {}
         self._turns: dict[str, StoredTurn] = {}
@@ -79,6 +91,8 @@
             return self._reserve(command)
         if isinstance(command, SettleTurn):
             return self._settle(command)
+        if isinstance(command, NoteUsage):
+            return self._pass_usage_on(command)
         assert isinstance(command, AdvanceAge)
         return self._advance_age(command)
 
@@ -141,6 +155,12 @@
         kept_s = max(retention_s, PROGRAM_RETENTION_S) + RETENTION_MARGIN_S
         program.keep_until_s = max(program.keep_until_s, self.age_s + kept_s)
 
+    def _pass_usage_on(self, command: NoteUsage) -> UsageNoted:
+        """Tell whoever counts against limits; the state itself holds nothing of it."""
+        if self._note_usage is not None:
+            self._note_usage(command.usages, self.age_s + command.since_age_s)
+        return UsageNoted()
+
     def _advance_age(self, command: AdvanceAge) -> AgeAdvanced:
         self.age_s += command.seconds
         self._turns = {
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -17,6 +17,7 @@
 from passlane.messages.turns import (
     AdvanceAge,
     FindTurnStore,
+    NoteUsage,
     ReserveTurn,
     SettleTurn,
     TurnReserved,
@@ -33,6 +34,10 @@
 AGE_STEP_S = 5.0
 """The leader tells so often that time has passed."""
 
+USAGE_PERIOD_S = 0.15
+"""The leader tells so often what it has granted to tenants. What was not told when it is lost
+may be granted anew: up to 0.15 s' worth of a rate, within the excess that is left free."""
+
 _result_decoder = message_decoder(TurnResult)
 _log = get_logger(__name__)
 
@@ -50,19 +55,41 @@
         self._group = group
         self._machine = machine
         self._quotas = quotas
+        self._age_advanced_at = anyio.current_time()
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
         router.add_unary(FindTurnStore, self.find)
         router.add_unary(DrawQuota, self.draw_quota)
 
     async def run(self) -> None:
-        """Advance the age of the state while this replica leads, until cancelled."""
+        """Carry out the leader's duties until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._advance_age)
+            tasks.start_soon(self._tell_usage)
+
+    async def _tell_usage(self) -> None:
+        """Tell all replicas what was granted to tenants, while this one leads."""
+        while True:
+            await anyio.sleep(USAGE_PERIOD_S)
+            usages = self._quotas.usages_to_tell()
+            if not usages or not self._group.is_leader:
+                continue
+            since_age_s = anyio.current_time() - self._age_advanced_at
+            try:
+                await self._propose(NoteUsage(usages=usages, since_age_s=since_age_s))
+            except PasslaneError as error:
+                # What is not told is little, and the allowed excess covers it.
+                _log.info("usage_not_told", code=error.code.value, tenants=len(usages))
+
+    async def _advance_age(self) -> None:
+        """Advance the age of the state while this replica leads."""
         while True:
             await anyio.sleep(AGE_STEP_S)
             if not self._group.is_leader:
                 continue
             try:
                 await self._propose(AdvanceAge(seconds=AGE_STEP_S))
+                self._age_advanced_at = anyio.current_time()
             except PasslaneError as error:
                 # The next step follows; too low an age only keeps records for longer.
                 _log.info("age_not_advanced", code=error.code.value)
@@ -85,12 +112,11 @@
     async def settle(self, request: SettleTurn) -> Message:
         """Settle a turn; the reply means that it is durable on a majority."""
         self._require_leadership()
+        granted = self._draw(request.quota) if request.quota is not None else QuotaGranted()
         result = await self._propose(_without_quota(request))
-        if request.quota is None or not isinstance(result, TurnSettled):
+        if not isinstance(result, TurnSettled) or not isinstance(granted, QuotaGranted):
             return result
-        granted = self._draw(request.quota)
-        ahead = granted.ahead if isinstance(granted, QuotaGranted) else 0
-        return msgspec.structs.replace(result, ahead=ahead)
+        return msgspec.structs.replace(result, ahead=granted.ahead)
 
     async def draw_quota(self, request: DrawQuota) -> Message:
         """Count a request that is no turn against its tenant's limit."""
@@ -111,7 +137,7 @@
     def _give_back(self, request: ReserveTurn) -> None:
         """Give back what was drawn for a turn that will not run."""
         if request.quota is not None:
-            self._quotas.give_back(request.quota.limit.tenant, anyio.current_time())
+            self._quotas.give_back(request.quota.limit.tenant)
 
     async def find(self, request: FindTurnStore) -> Message:
         """Tell a node that lost the store group that its leader is here."""
@@ -119,10 +145,7 @@
         return TurnStoreFound(term=self._group.term)
 
     def _require_leadership(self) -> None:
-        """Refuse unless this replica leads; note the term, which tenants save up from.
-
-        Nodes look for a new leader at once, so its first question comes soon after the start.
-        """
+        """Refuse unless this replica leads; in a new term, go on from what others granted."""
         if not self._group.is_leader:
             raise NotLeaderError("not the leader of the store group", self._group.leader_address)
         self._quotas.enter_term(self._group.term, anyio.current_time())
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -24,6 +24,7 @@
     FleetAddressSettings,
     FleetProcessSettings,
     FleetSettings,
+    QuotaSettings,
 )
 from passlane.simulation.disk import SimulatedDisk
 from passlane.simulation.environment import build_simulated_environment
@@ -113,6 +114,7 @@
             seeds=tuple(Address(seed, OPERATORS_PORT) for seed in controls[:3]),
             backend_list=BackendListSettings(address=LIST_ADDRESS, rate_per_s=40.0),
             fault_tolerance=FaultToleranceSettings(machines=self.machines_lost),
+            quotas=QuotaSettings(window_s=5.0, overage=0.1, slack_requests=20.0),
         )
 
     def start(self, name):
--- a/tests/on_platform/test_quotas.py
+++ b/tests/on_platform/test_quotas.py
@@ -40,8 +40,8 @@
 
     async def _send(self, number):
         node = self.nodes[number % len(self.nodes)]
-        answer = await self.fleet.tool_call(f"flood-{self.sent}", node=node, x_api_key=self.key)
         self.sent += 1
+        answer = await self.fleet.tool_call(f"flood-{self.sent}", node=node, x_api_key=self.key)
         self.statuses.append(answer.status if answer is not None else None)
         self.answers.append(answer)
 
@@ -66,7 +66,7 @@
         await flood.run(8.0)
         self.assertLessEqual(fullest_window(fleet), allowed(CORNER))
         served = flood.statuses.count(200)
-        self.assertGreater(served, 0.9 * 8 * CORNER["rate_per_s"])
+        self.assertGreater(served, 8 * CORNER["rate_per_s"])
         self.assertEqual(served + flood.statuses.count(429), len(flood.statuses))
         refused = [answer for answer in flood.answers if answer.status == 429]
         self.assertTrue(all(float(answer.headers["retry-after"]) > 0 for answer in refused))
@@ -165,7 +165,7 @@
         self.assertEqual(first.status, 200)
         new = [
             await fleet.turn(f"new-{n}", x_api_key="key-1", x_passlane_program_id=f"program-{n}")
-            for n in range(6)
+            for n in range(20)
         ]
         statuses = [answer.status for answer in new]
         self.assertIn(429, statuses)
--- /dev/null
+++ b/tests/quotas/test_sliding_window.py
@@ -0,0 +1,48 @@
+"""Counts of what was granted within the last seconds."""
+
+import math
+import random
+import unittest
+
+from passlane.quotas.sliding_window import SLOT_S, SlidingWindow
+
+
+class SlidingWindowTest(unittest.TestCase):
+    def test_what_is_older_than_the_span_no_longer_counts(self):
+        window = SlidingWindow(5.0)
+        window.add(3, 10.0)
+        window.add(2, 12.0)
+        self.assertEqual(window.total(14.9), 5)
+        self.assertEqual(window.total(15.0 + SLOT_S), 2)
+        self.assertEqual(window.total(17.0 + SLOT_S), 0)
+
+    def test_the_wait_ends_when_enough_has_left_the_span(self):
+        window = SlidingWindow(5.0)
+        window.add(3, 10.0)
+        window.add(2, 12.0)
+        self.assertEqual(window.wait_s(1, 6, 13.0), 0.0)
+        self.assertAlmostEqual(window.wait_s(1, 5, 13.0), 2.0)
+        self.assertAlmostEqual(window.wait_s(4, 5, 13.0), 4.0)
+        self.assertEqual(window.wait_s(6, 5, 13.0), math.inf)
+
+    def test_what_counts_at_a_moment_to_come_counts_now(self):
+        window = SlidingWindow(5.0)
+        window.add(5, 10.4)
+        window.add(1, 10.0)
+        self.assertEqual(window.total(10.0), 6)
+        self.assertEqual(window.total(15.2), 5)
+
+    def test_a_count_that_is_taken_back_never_falls_below_nothing(self):
+        window = SlidingWindow(5.0)
+        window.add(1, 10.0)
+        window.add(1, 11.0)
+        window.take_back(3)
+        self.assertEqual(window.total(11.0), 0)
+
+    def test_memory_is_bounded_by_the_span(self):
+        window = SlidingWindow(5.0)
+        source = random.Random(1)
+        for number in range(20_000):
+            window.add(1, 10.0 + number / 1_000 + source.uniform(0, 0.4))
+            window.total(10.0 + number / 1_000)
+        self.assertLessEqual(len(window._slots), 5.5 / SLOT_S)
--- a/tests/scheduling/test_limits.py
+++ b/tests/scheduling/test_limits.py
@@ -5,9 +5,9 @@
 from passlane.configuration.documents import EngineBody
 from passlane.identifiers import EngineId
 from passlane.messages.common import Address
-from passlane.quotas.rate_limit import TenantLimiter, TenantLimits
 from passlane.scheduling.circuit_breaker import BreakerState, CircuitBreaker
 from passlane.scheduling.config import BreakerConfig
+from passlane.scheduling.rate_limit import TenantLimiter, TenantLimits
 from passlane.scheduling.retry_budget import RetryBudget, RetryBudgetConfig
 from passlane.scheduling.watched_engines import watched_engines
 
