--- a/src/passlane/messages/quotas.py
+++ b/src/passlane/messages/quotas.py
@@ -47,10 +47,11 @@
 
 
 class TenantUsage(msgspec.Struct, frozen=True):
-    """Requests that were granted to a tenant."""
+    """Requests that were granted to a tenant; the last of them for ``last_in_s`` from now."""
 
     tenant: str
     granted: int
+    last_in_s: float = 0.0
 
 
 class DrawQuota(Message, frozen=True):
--- a/src/passlane/quotas/ledger.py
+++ b/src/passlane/quotas/ledger.py
@@ -33,7 +33,7 @@
 
 LONGEST_WAIT_S = {
     QuotaUse.BEGIN_PROGRAM: 0.25,
-    QuotaUse.CONTINUE_PROGRAM: 0.5,
+    QuotaUse.CONTINUE_PROGRAM: 0.8,
     QuotaUse.ALONE: 0.1,
 }
 """A request whose moment lies further ahead is refused. A program of some seconds that is to
@@ -41,11 +41,17 @@
 better than to be lost."""
 SHORTEST_RETRY_S = 0.05
 """A caller that is refused needs about as long to come back."""
-EXCESS_SHARE = 0.5
+EXCESS_SHARE = 0.75
 """Share of the allowed excess that programs under way may use. The rest covers grants that
 were not replicated when a leader was lost, and requests that reach an engine late."""
 AHEAD_SHARE = 0.5
 """Requests are granted ahead only while less than this share of the limit is used."""
+SMALLEST_AHEAD_CAPACITY = 200
+"""Of smaller limits nothing is granted ahead: a third of it is never sent, and would be missed.
+Such tenants make few calls, so that asking for each costs the leader little."""
+BEGIN_SHARE = 1.5
+"""New programs are refused once those begun within the window need this multiple of the limit.
+They take up to twice a window, and what each needs is only known as a mean."""
 TRAVEL_S = 0.1
 """Requests differ by so much in the time from their grant to the engine: a way between zones
 is 1.4 ms, the rest is waiting at a busy node. Windows are counted longer by it."""
@@ -85,6 +91,13 @@
     limit: QuotaLimit | None = None
 
 
+class _Untold(msgspec.Struct):
+    """What replicas have not been told yet, and the last moment that it was granted for."""
+
+    granted: int = 0
+    last_at: float = 0.0
+
+
 class QuotaLedger:
     """Grants and refusals of a leader; knowledge of both at its followers."""
 
@@ -93,7 +106,7 @@
         self._accounts: dict[str, _Account] = {}
         self._history = UsageHistory(rules.window_s + TRAVEL_S)
         self._needs = ProgramNeeds()
-        self._untold: dict[str, int] = {}
+        self._untold: dict[str, _Untold] = {}
         self._term = -1
         self._swept_at = 0.0
 
@@ -106,16 +119,19 @@
             return
         self._term = term
         self._accounts = {}
-        for tenant, granted, at in self._history.grants(now):
-            self._account_of(tenant).sent.add(granted, at)
+        for grant in self._history.grants(now):
+            self._account_of(grant.tenant).sent.add(grant.granted, grant.at)
 
     def note_replicated(self, usages: Iterable[TenantUsage], group_s: float) -> None:
         """Note what a leader has granted, as of a moment on the group's clock."""
         self._history.note(usages, group_s)
 
-    def usages_to_tell(self) -> tuple[TenantUsage, ...]:
+    def usages_to_tell(self, now: float) -> tuple[TenantUsage, ...]:
         """Return what was granted since the last call, for all replicas to note."""
-        told = tuple(TenantUsage(tenant, granted) for tenant, granted in self._untold.items())
+        told = tuple(
+            TenantUsage(tenant, untold.granted, max(0.0, untold.last_at - now))
+            for tenant, untold in self._untold.items()
+        )
         self._untold = {}
         return told
 
@@ -168,7 +184,7 @@
         if use is QuotaUse.BEGIN_PROGRAM and self._rules.puts_programs_first:
             # A program that needs more than a whole window holds may begin when it is alone.
             need = min(self._needs.of(draw.route), capacity)
-            wait_s = max(wait_s, account.programs.wait_s(need, capacity, now))
+            wait_s = max(wait_s, account.programs.wait_s(need, BEGIN_SHARE * capacity, now))
         return wait_s
 
     def _take(self, account: _Account, draw: QuotaDraw, at: float) -> None:
@@ -181,7 +197,10 @@
 
         They count until a window after the last moment at which they may be sent.
         """
-        spare = AHEAD_SHARE * self._capacity(account) - account.sent.total(now)
+        capacity = self._capacity(account)
+        if capacity < SMALLEST_AHEAD_CAPACITY:
+            return 0
+        spare = AHEAD_SHARE * capacity - account.sent.total(now)
         granted = max(0, min(draw.ahead, int(spare)))
         if granted:
             self._needs.note_calls(granted)
@@ -190,7 +209,9 @@
 
     def _grant(self, account: _Account, tenant: str, count: int, at: float) -> None:
         account.sent.add(count, at)
-        self._untold[tenant] = self._untold.get(tenant, 0) + count
+        untold = self._untold.setdefault(tenant, _Untold())
+        untold.granted += count
+        untold.last_at = max(untold.last_at, at)
 
     def _refuse(self, account: _Account, wait_s: float, now: float) -> QuotaRefused:
         assert account.limit is not None
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -71,7 +71,7 @@
         """Tell all replicas what was granted to tenants, while this one leads."""
         while True:
             await anyio.sleep(USAGE_PERIOD_S)
-            usages = self._quotas.usages_to_tell()
+            usages = self._quotas.usages_to_tell(anyio.current_time())
             if not usages or not self._group.is_leader:
                 continue
             since_age_s = anyio.current_time() - self._age_advanced_at
