--- a/tests/on_platform/test_quotas.py
+++ b/tests/on_platform/test_quotas.py
@@ -2,16 +2,21 @@
 
 import unittest
 from bisect import bisect_right
+from unittest import mock
 
 import anyio
 
 from on_platform.test_fleet import on_seeds
 from passlane.messages.fleet import FleetRole
+from passlane.messages.quotas import QuotaGranted
+from passlane.quotas.ledger import QuotaLedger
+from passlane.relay.request_quota import RequestQuota
 
 WINDOW_S = 5.0
 OVERAGE = 0.1
 SLACK = 20
 CORNER = {"name": "corner", "api_keys": ["key-1"], "rate_per_s": 8, "burst": 8}
+LARGE = CORNER | {"rate_per_s": 40, "burst": 40}
 FREE = {"name": "free", "api_keys": ["key-9"]}
 APPLY_S = 1.0
 
@@ -126,17 +131,14 @@
 
     @on_seeds()
     async def test_a_restart_of_all_processes_gives_no_burst_anew(self, fleet):
-        await begin(fleet, CORNER)
-        await Flood(fleet, per_s=40).run(2.0)
-        names = list(fleet.machines)
-        for name in names:
-            fleet.kill(name, power=False)
-        for name in names:
-            fleet.start(name)
-        await fleet.until_ready()
-        await Flood(fleet, per_s=40).run(4.0)
+        await flood_around_a_restart(fleet)
         self.assertLessEqual(fullest_window(fleet), allowed(CORNER))
 
+    @on_seeds()
+    async def test_a_node_that_was_cut_off_spends_nothing_granted_long_ago(self, fleet):
+        await flood_behind_a_cut(fleet)
+        self.assertLessEqual(fullest_window(fleet), allowed(LARGE))
+
     def store_leader(self, fleet):
         (leader,) = (
             machine.name
@@ -146,6 +148,63 @@
         return leader
 
 
+async def flood_around_a_restart(fleet):
+    """Flood, kill all processes at once, start them, flood again."""
+    await begin(fleet, CORNER)
+    await Flood(fleet, per_s=40).run(2.0)
+    for name in fleet.machines:
+        fleet.kill(name, power=False)
+    for name in fleet.machines:
+        fleet.start(name)
+    await fleet.until_ready()
+    await Flood(fleet, per_s=40).run(4.0)
+
+
+async def flood_behind_a_cut(fleet):
+    """Let one node hold grants, cut it off from the stores, use up the limit, then both."""
+    await begin(fleet, LARGE)
+    for number in range(60):
+        await fleet.turn(f"turn-{number}", node="node-1", x_api_key="key-1")
+    stores = {machine.host for machine in fleet.running(FleetRole.STORE)}
+    fleet.network.cut({fleet.machines["node-1"].host}, stores)
+    await anyio.sleep(1.0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(Flood(fleet, per_s=150, nodes=("node-2",)).run, 4.0)
+        tasks.start_soon(Flood(fleet, per_s=50, nodes=("node-1",)).run, 4.0)
+
+
+class PlantedDefectTest(unittest.TestCase):
+    """The checks above tell when what they guard is broken."""
+
+    @on_seeds()
+    async def test_a_leader_that_heard_nothing_of_grants_is_caught(self, fleet):
+        with mock.patch.object(QuotaLedger, "note_replicated"):
+            await flood_around_a_restart(fleet)
+        self.assertGreater(fullest_window(fleet), allowed(CORNER))
+
+    @on_seeds()
+    async def test_a_limit_that_each_leader_counts_alone_is_caught(self, fleet):
+        with mock.patch.object(QuotaLedger, "enter_term", forget_all):
+            await flood_around_a_restart(fleet)
+        self.assertGreater(fullest_window(fleet), allowed(CORNER))
+
+    @on_seeds()
+    async def test_a_limit_counted_by_each_node_alone_is_caught(self, fleet):
+        with mock.patch.object(RequestQuota, "admit", grant_always):
+            await begin(fleet, CORNER)
+            await Flood(fleet, per_s=40).run(8.0)
+        self.assertGreater(fullest_window(fleet), allowed(CORNER))
+
+
+def forget_all(ledger, term, now):
+    if term != ledger._term:
+        ledger._term, ledger._accounts = term, {}
+
+
+async def grant_always(quota, *, is_in_program, limit_at):
+    return QuotaGranted()
+
+
 class WholeProgramsTest(unittest.TestCase):
     @on_seeds()
     async def test_turns_draw_for_the_tool_calls_that_follow(self, fleet):
