--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -9,7 +9,8 @@
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
-from passlane.messages.turns import TurnReserved
+from passlane.messages.quotas import QuotaGranted
+from passlane.messages.turns import TurnReserved, TurnSettled
 from passlane.relay.backends import AnswerHead, Refusal
 from passlane.relay.calls import Header, ProgramContext, RelayedCall
 from passlane.relay.placement import choose_backend
@@ -151,13 +152,15 @@
 class ScriptedStore:
     """Answers reservations as told; keeps settlements."""
 
-    def __init__(self, answer=None, *, is_lost=False, outage_s=0.0, settle_fails=False):
+    def __init__(self, answer=None, *, quota=None, is_lost=False, outage_s=0.0, settle_fails=False):
         self.answer = answer or TurnReserved()
         self.is_lost = is_lost
         self.outage_s = outage_s
         self.settle_fails = settle_fails
+        self.quota = quota or QuotaGranted()
         self.reserved = []
         self.settled = []
+        self.drawn = []
 
     async def reserve(self, request, *, timeout_s):
         self.reserved.append(request)
@@ -169,3 +172,10 @@
         if self.settle_fails:
             raise PasslaneError(ErrorCode.TIMEOUT, "no majority")
         self.settled.append(request)
+        return TurnSettled()
+
+    async def draw_quota(self, draw, *, timeout_s):
+        self.drawn.append(draw)
+        if self.is_lost:
+            raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader")
+        return self.quota
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from passlane.messages.listing import BackendState
+from passlane.messages.quotas import QuotaGranted, QuotaRefused, QuotaUse
 from passlane.messages.routes import RouteKind, ServiceShare, Tenant
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.metrics import Metrics
@@ -214,6 +215,55 @@
         )
 
 
+LIMITED = Tenant(name="corner", key_digests=(digest_of_key("key-1"),), rate_per_s=8.0, burst=4.0)
+REFUSED = QuotaRefused(retry_after_s=0.71, used=44.0, capacity=44.0, version=1)
+
+
+class QuotaTest(RelayCase):
+    def test_a_call_beyond_the_limit_is_refused_at_once_with_the_time_to_come_back(self):
+        self.relay([], tenants=[LIMITED], call_changes=WITH_KEY, store=ScriptedStore(quota=REFUSED))
+        self.assertEqual((self.writer.status, self.writer.retry_after_s), (429, 0.71))
+        self.assertEqual(self.elapsed_s, 0.0)
+        self.assertEqual(self.backends.asked, [])
+
+    def test_a_turn_beyond_the_limit_is_refused_and_leaves_nothing_reserved(self):
+        store = ScriptedStore(REFUSED)
+        self.relay([], tenants=[LIMITED], call_changes=WITH_KEY, store=store, **TURNS)
+        self.assertEqual((self.writer.status, self.writer.retry_after_s), (429, 0.71))
+        self.assertEqual(store.settled, [])
+
+    def test_a_request_is_sent_at_its_moment(self):
+        granted = QuotaGranted(start_after_s=0.3)
+        store = ScriptedStore(quota=granted)
+        self.relay([Script(head(), b"ok")], tenants=[LIMITED], call_changes=WITH_KEY, store=store)
+        self.assertEqual(self.writer.body, b"ok")
+        self.assertAlmostEqual(self.elapsed_s, 0.3, places=3)
+
+    def test_the_draw_tells_the_limit_and_what_the_request_is_for(self):
+        for program, use in ((None, QuotaUse.ALONE), (1_000, QuotaUse.CONTINUE_PROGRAM)):
+            changes = WITH_KEY | {"budget": program}
+            self.relay([Script(head(), b"ok")], tenants=[LIMITED], call_changes=changes)
+            (drawn,) = self.store.drawn
+            self.assertEqual((drawn.use, drawn.limit.tenant), (use, "corner"))
+            self.assertEqual((drawn.limit.rate_per_s, drawn.limit.burst), (8.0, 4.0))
+
+    def test_a_whole_turn_draws_for_the_calls_that_follow(self):
+        self.relay([Script(head(), EVENT_1)], tenants=[LIMITED], call_changes=WITH_KEY, **TURNS)
+        (settled,) = self.store.settled
+        self.assertIsNone(settled.quota.use)
+        self.assertGreater(settled.quota.ahead, 0)
+
+    def test_without_whoever_grants_a_limited_call_is_not_sent(self):
+        store = ScriptedStore(is_lost=True)
+        self.relay([], tenants=[LIMITED], call_changes=WITH_KEY, store=store)
+        self.assertEqual(self.writer.status, 503)
+        self.assertEqual(self.backends.asked, [])
+
+    def test_no_limit_no_draw(self):
+        self.relay([Script(head(), b"ok")], tenants=[CORNER], call_changes=WITH_KEY)
+        self.assertEqual(self.store.drawn, [])
+
+
 class RouteTest(RelayCase):
     def test_no_route_is_not_found(self):
         self.relay([], call_changes={"path": "/unknown/"})
--- a/tests/turns/test_machine.py
+++ b/tests/turns/test_machine.py
@@ -5,10 +5,12 @@
 import msgspec
 
 from passlane.messages.base import encode_message
+from passlane.messages.quotas import TenantUsage
 from passlane.messages.turns import (
     AdvanceAge,
     BudgetSpent,
     KeptTurn,
+    NoteUsage,
     ReserveTurn,
     SettleTurn,
     TurnReserved,
@@ -151,3 +153,51 @@
         machine = TurnStateMachine()
         result = machine.apply(1, encode_message(reserve("a")))
         self.assertEqual(result, encode_message(TurnReserved()))
+
+
+class EarlierFilesTest(unittest.TestCase):
+    """Commands and a snapshot as replicas wrote them before there were tenants."""
+
+    RESERVED = (
+        b"\x86\xa4type\xabReserveTurn\xaaprogram_id\xa1p\xaaattempt_id\xa1a\xabmost_tokens\n"
+        b"\xadbudget_tokensd\xabretention_s\xcb@N\x00\x00\x00\x00\x00\x00"
+    )
+    SETTLED = (
+        b"\x86\xa4type\xaaSettleTurn\xaaprogram_id\xa1p\xaaattempt_id\xa1a\xa6tokens\t"
+        b"\xa4turn\x84\xa7turn_id\xa1a\xa8previous\xc0\xa7content\xc4\x03one"
+        b"\xabretention_s\xcb@N\x00\x00\x00\x00\x00\x00\xa9served_by\xa3i-1"
+    )
+    SNAPSHOT = (
+        b"\x83\xa5age_s\xcb\x00\x00\x00\x00\x00\x00\x00\x00\xa8programs\x81\xa1p\x84"
+        b"\xacspent_tokens\t\xa8reserved\x80\xa9used_last\xa3i-1"
+        b"\xackeep_until_s\xcb@R\xc0\x00\x00\x00\x00\x00\xa5turns\x90",
+        b"\x83\xa5age_s\xcb\x00\x00\x00\x00\x00\x00\x00\x00\xa8programs\x80\xa5turns\x91\x82"
+        b"\xa4turn\x84\xa7turn_id\xa1a\xa8previous\xc0\xa7content\xc4\x03one"
+        b"\xabretention_s\xcb@N\x00\x00\x00\x00\x00\x00"
+        b"\xackeep_until_s\xcb@R\xc0\x00\x00\x00\x00\x00",
+    )
+
+    def test_a_log_is_read(self):
+        machine = TurnStateMachine()
+        machine.apply(1, self.RESERVED)
+        machine.apply(2, self.SETTLED)
+        self.assertEqual(machine.history_of("a"), b"one")
+        self.assertTrue(machine.knows_program("p"))
+
+    def test_a_snapshot_is_read(self):
+        machine = TurnStateMachine()
+        for _ in machine.restore_parts(self.SNAPSHOT):
+            pass
+        self.assertEqual(machine.history_of("a"), b"one")
+        self.assertTrue(machine.knows_program("p"))
+
+
+class UsageTest(unittest.TestCase):
+    def test_what_was_granted_is_passed_on_and_is_no_part_of_the_state(self):
+        told = []
+        machine = TurnStateMachine(lambda usages, group_s: told.append((usages, group_s)))
+        before = list(machine.snapshot_parts())
+        usages = (TenantUsage("corner", 3),)
+        machine.apply(1, encode_message(NoteUsage(usages=usages, since_age_s=1.5)))
+        self.assertEqual(told, [(usages, 1.5)])
+        self.assertEqual(list(machine.snapshot_parts()), before)
