--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -6,27 +6,19 @@
 import anyio
 
 from passlane.errors import Verdict
-from passlane.messages.routes import Route, RoutedService, RouteKind
+from passlane.messages.routes import RouteKind
 from passlane.observability.logging import get_logger
-from passlane.relay.backends import (
-    BackendAnswer,
-    BackendRequest,
-    RelayBackends,
-)
-from passlane.relay.calls import RelayedCall
+from passlane.relay.backends import BackendAnswer, BackendRequest
+from passlane.relay.context import RequestContext
 from passlane.relay.health import AttemptWatch, stall_limit_s
 from passlane.relay.placement import (
-    NodePlace,
     PlacementChoice,
-    PlacementKey,
     choose_backend,
     note_failure,
     note_success,
 )
-from passlane.relay.registry import BackendLoad, BackendRegistry, ServiceJudgement
-from passlane.relay.shared_parts import large_shared_part
+from passlane.relay.registry import BackendLoad, ServiceJudgement
 from passlane.relay.verdicts import Judgement, is_gone, judge_answer, may_run_again
-from passlane.routes.tenants import Identity
 from passlane.runtime.interfaces import HttpConnectionError
 
 SECOND_ROUND_PAUSE_S = 0.02
@@ -53,6 +45,8 @@
 
     Parameters
     ----------
+    body
+        What back ends are to get: the call's own body, behind the history of its turn.
     used_last
         The instance that the request's program used last; empty if unknown.
 
@@ -66,40 +60,22 @@
         The instance that answered last; empty if none did.
     """
 
-    def __init__(
-        self,
-        call: RelayedCall,
-        route: Route,
-        service: RoutedService,
-        identity: Identity,
-        body: bytes,
-        node: NodePlace,
-        registry: BackendRegistry,
-        backends: RelayBackends,
-        used_last: str = "",
-    ) -> None:
-        self._call = call
-        self._route = route
-        self._service = service
+    def __init__(self, context: RequestContext, body: bytes, used_last: str = "") -> None:
+        self._call = context.call
+        self._route = context.route
+        self._service = context.service
+        self._registry = context.registry
+        self._backends = context.backends
+        self._key = context.placement_key(used_last)
+        self._tenant_name = context.identity.tenant_name
+        self._priority = context.engine_priority
         self._body = body
-        self._registry = registry
-        self._backends = backends
-        is_model = service.tokens_per_event > 0
-        affinity = call.program.program_id if call.program is not None and is_model else ""
-        self._key = PlacementKey(
-            affinity=affinity,
-            node=node,
-            used_last=used_last,
-            shared_part=large_shared_part(call.prompt_parts) if is_model else "",
-        )
-        self._tenant_name = identity.tenant_name
-        self._priority = identity.priority_on(route) if is_model else None
         self._runs = 0
         self._refused: set[str] = set()
         self.verdict = Verdict.NOT_RUN
         self.tried: list[str] = []
         self.served_by = ""
-        self.last_event_id = call.last_event_id
+        self.last_event_id = context.call.last_event_id
 
     async def run(self, limit_at: float, deliver: Deliver) -> None:
         """Send the request until an answer was delivered.
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -1,11 +1,10 @@
 """Serves one request whose route is known: account, attempts, delivery, final answer."""
 
 import anyio
-import msgspec
 
 from passlane.errors import PasslaneError, Verdict
 from passlane.messages.quotas import QuotaRefused
-from passlane.messages.routes import Route, RoutedService, RouteKind
+from passlane.messages.routes import RouteKind
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.logging import get_logger
 from passlane.relay.attempts import (
@@ -14,18 +13,14 @@
     RequestFailedError,
     RequestRefusedError,
 )
-from passlane.relay.backends import AnswerWriter, BackendAnswer, RelayBackends
-from passlane.relay.calls import RelayedCall
+from passlane.relay.backends import AnswerWriter, BackendAnswer
+from passlane.relay.context import RequestContext
 from passlane.relay.delivery import StreamDelivery, WholeDelivery
 from passlane.relay.health import AttemptWatch
-from passlane.relay.placement import NodePlace
 from passlane.relay.progress import RequestProgress
-from passlane.relay.registry import BackendRegistry
-from passlane.relay.request_quota import RequestQuota
 from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount
 from passlane.relay.verdicts import UNAVAILABLE, status_when_given_up
-from passlane.routes.tenants import Identity
 
 NOT_FOUND = 404
 BUDGET_SPENT = 402
@@ -39,19 +34,6 @@
     """An answer that had begun cannot be ended; its connection must be closed."""
 
 
-class RequestContext(msgspec.Struct, frozen=True):
-    """What one request is served with."""
-
-    call: RelayedCall
-    route: Route
-    service: RoutedService
-    identity: Identity
-    quota: RequestQuota
-    node: NodePlace
-    registry: BackendRegistry
-    backends: RelayBackends
-
-
 class RequestRelay:
     """Serves one request.
 
@@ -100,17 +82,8 @@
         reserved = await self._admit(limit_at)
         if reserved is None:
             return
-        attempts = RequestAttempts(
-            self._call,
-            self._route,
-            self._context.service,
-            self._context.identity,
-            reserved.history + self._call.body,
-            self._context.node,
-            self._context.registry,
-            self._context.backends,
-            reserved.used_last,
-        )
+        body = reserved.history + self._call.body
+        attempts = RequestAttempts(self._context, body, reserved.used_last)
         self._attempts = attempts
         try:
             await attempts.run(limit_at, self._deliver)
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -11,10 +11,11 @@
 from passlane.quotas.allowances import Allowances
 from passlane.relay.backends import AnswerWriter, RelayBackends
 from passlane.relay.calls import RelayedCall
+from passlane.relay.context import RequestContext
 from passlane.relay.placement import NodePlace
 from passlane.relay.progress import RequestProgress
 from passlane.relay.registry import BackendRegistry
-from passlane.relay.request import NOT_FOUND, RequestContext, RequestRelay
+from passlane.relay.request import NOT_FOUND, RequestRelay
 from passlane.relay.request_metrics import RequestMetrics
 from passlane.relay.request_quota import RequestQuota, limit_of
 from passlane.relay.retry_after import retry_after_s
