What a leader grants untold is bounded, so that no loss of leaders exceeds a limit

A new leader's clock for grants fell behind that of the leader before by up to 5 s, so what it told looked old and was forgotten (two leaders lost in a row: 98 where 72 are allowed); a leader that was cut off from its group went on granting (742 where 570 are allowed). Ruled out by the bounded tests: grants held by cut-off nodes, a restart of all. Change: the group's clock goes on from the newest moment heard of; beyond a fifth of the allowed excess a grant waits until a majority holds those before. Programs under way may use half of the excess in place of three quarters.

--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -109,11 +109,11 @@
 class NoteUsage(Message, frozen=True, kw_only=True):
     """Tells all replicas what the leader has granted to tenants since it told last.
 
-    ``since_age_s`` is the time since the age of the state advanced.
+    ``group_s`` is the moment on the group's clock, see ``quotas.usage_history``.
     """
 
     usages: tuple[TenantUsage, ...]
-    since_age_s: float
+    group_s: float
 
 
 class UsageNoted(Message, frozen=True):
--- a/src/passlane/quotas/ledger.py
+++ b/src/passlane/quotas/ledger.py
@@ -41,9 +41,14 @@
 better than to be lost."""
 SHORTEST_RETRY_S = 0.05
 """A caller that is refused needs about as long to come back."""
-EXCESS_SHARE = 0.75
+EXCESS_SHARE = 0.5
 """Share of the allowed excess that programs under way may use. The rest covers grants that
 were not replicated when a leader was lost, and requests that reach an engine late."""
+UNTOLD_SHARE = 0.2
+"""Share of the allowed excess that may be granted before the replicas are told of it. So two
+leaders may be lost within a window, and what they took along stays within the excess."""
+FEWEST_UNTOLD = 1.0
+"""Without an allowed excess each grant but one is told at once."""
 AHEAD_SHARE = 0.5
 """Requests are granted ahead only while less than this share of the limit is used."""
 SMALLEST_AHEAD_CAPACITY = 200
@@ -107,6 +112,9 @@
         self._history = UsageHistory(rules.window_s + TRAVEL_S)
         self._needs = ProgramNeeds()
         self._untold: dict[str, _Untold] = {}
+        self._telling: dict[str, int] = {}
+        self._began_at = 0.0
+        self._group_began_s = 0.0
         self._term = -1
         self._swept_at = 0.0
 
@@ -118,7 +126,8 @@
         if term == self._term:
             return
         self._term = term
-        self._accounts = {}
+        self._accounts, self._untold, self._telling = {}, {}, {}
+        self._began_at, self._group_began_s = now, self._history.newest_s
         for grant in self._history.grants(now):
             self._account_of(grant.tenant).sent.add(grant.granted, grant.at)
 
@@ -126,15 +135,41 @@
         """Note what a leader has granted, as of a moment on the group's clock."""
         self._history.note(usages, group_s)
 
+    def group_s(self, now: float) -> float:
+        """Return the moment on the group's clock, which a leader lets go on."""
+        return self._group_began_s + now - self._began_at
+
     def usages_to_tell(self, now: float) -> tuple[TenantUsage, ...]:
-        """Return what was granted since the last call, for all replicas to note."""
+        """Return what was granted since the last call, for all replicas to note.
+
+        It counts as untold until ``note_told``.
+        """
         told = tuple(
             TenantUsage(tenant, untold.granted, max(0.0, untold.last_at - now))
             for tenant, untold in self._untold.items()
         )
+        for usage in told:
+            self._telling[usage.tenant] = self._telling.get(usage.tenant, 0) + usage.granted
         self._untold = {}
         return told
 
+    def note_told(self, usages: Iterable[TenantUsage]) -> None:
+        """Note that a majority of replicas holds what was to be told."""
+        for usage in usages:
+            left = self._telling.get(usage.tenant, 0) - usage.granted
+            if left > 0:
+                self._telling[usage.tenant] = left
+            else:
+                self._telling.pop(usage.tenant, None)
+
+    def must_tell(self, limit: QuotaLimit) -> bool:
+        """Whether so much of a tenant's grants is untold that no more may be sent before."""
+        untold = self._untold.get(limit.tenant)
+        granted = self._telling.get(limit.tenant, 0) + (untold.granted if untold else 0)
+        account = self._account_under(limit)
+        excess = self._excess(self._capacity(account))
+        return granted > max(FEWEST_UNTOLD, UNTOLD_SHARE * excess)
+
     def draw(self, draw: QuotaDraw, now: float) -> QuotaAnswer:
         """Grant what is asked for, or refuse it with the time to come back."""
         self._forget_idle(now)
@@ -174,12 +209,16 @@
         assert account.limit is not None
         return max(1.0, account.limit.rate_per_s * self._rules.window_s + account.limit.burst)
 
+    def _excess(self, capacity: float) -> float:
+        """Return by how much a limit may be exceeded within a window."""
+        return capacity * self._rules.overage + self._rules.slack
+
     def _wait_s(self, account: _Account, draw: QuotaDraw, use: QuotaUse, now: float) -> float:
         """Return the seconds until a request's moment."""
         capacity = self._capacity(account)
         if use is QuotaUse.CONTINUE_PROGRAM:
-            excess = capacity * self._rules.overage + self._rules.slack
-            return account.sent.wait_s(1, capacity + EXCESS_SHARE * excess, now)
+            capacity += EXCESS_SHARE * self._excess(capacity)
+            return account.sent.wait_s(1, capacity, now)
         wait_s = account.sent.wait_s(1, capacity, now)
         if use is QuotaUse.BEGIN_PROGRAM and self._rules.puts_programs_first:
             # A program that needs more than a whole window holds may begin when it is alone.
--- a/src/passlane/turns/machine.py
+++ b/src/passlane/turns/machine.py
@@ -158,7 +158,7 @@
     def _pass_usage_on(self, command: NoteUsage) -> UsageNoted:
         """Tell whoever counts against limits; the state itself holds nothing of it."""
         if self._note_usage is not None:
-            self._note_usage(command.usages, self.age_s + command.since_age_s)
+            self._note_usage(command.usages, command.group_s)
         return UsageNoted()
 
     def _advance_age(self, command: AdvanceAge) -> AgeAdvanced:
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -11,6 +11,7 @@
     QuotaAnswer,
     QuotaDraw,
     QuotaGranted,
+    QuotaLimit,
     QuotaRefused,
     QuotaUse,
 )
@@ -35,8 +36,8 @@
 """The leader tells so often that time has passed."""
 
 USAGE_PERIOD_S = 0.15
-"""The leader tells so often what it has granted to tenants. What was not told when it is lost
-may be granted anew: up to 0.15 s' worth of a rate, within the excess that is left free."""
+"""The leader tells so often what it has granted to tenants, and at once where much is untold;
+see ``QuotaLedger.must_tell``."""
 
 _result_decoder = message_decoder(TurnResult)
 _log = get_logger(__name__)
@@ -55,7 +56,7 @@
         self._group = group
         self._machine = machine
         self._quotas = quotas
-        self._age_advanced_at = anyio.current_time()
+        self._telling = anyio.Lock()
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
         router.add_unary(FindTurnStore, self.find)
@@ -71,15 +72,14 @@
         """Tell all replicas what was granted to tenants, while this one leads."""
         while True:
             await anyio.sleep(USAGE_PERIOD_S)
-            usages = self._quotas.usages_to_tell(anyio.current_time())
-            if not usages or not self._group.is_leader:
+            if not self._group.is_leader:
                 continue
-            since_age_s = anyio.current_time() - self._age_advanced_at
             try:
-                await self._propose(NoteUsage(usages=usages, since_age_s=since_age_s))
+                async with self._telling:
+                    await self._tell_now()
             except PasslaneError as error:
                 # What is not told is little, and the allowed excess covers it.
-                _log.info("usage_not_told", code=error.code.value, tenants=len(usages))
+                _log.info("usage_not_told", code=error.code.value)
 
     async def _advance_age(self) -> None:
         """Advance the age of the state while this replica leads."""
@@ -89,7 +89,6 @@
                 continue
             try:
                 await self._propose(AdvanceAge(seconds=AGE_STEP_S))
-                self._age_advanced_at = anyio.current_time()
             except PasslaneError as error:
                 # The next step follows; too low an age only keeps records for longer.
                 _log.info("age_not_advanced", code=error.code.value)
@@ -97,7 +96,7 @@
     async def reserve(self, request: ReserveTurn) -> Message:
         """Reserve a turn's tokens; the reply holds the history that goes before its input."""
         self._require_leadership()
-        quota = self._draw_for_turn(request)
+        quota = await self._draw_for_turn(request)
         if isinstance(quota, QuotaRefused):
             return quota
         result = await self._propose(_without_quota(request))
@@ -112,7 +111,9 @@
     async def settle(self, request: SettleTurn) -> Message:
         """Settle a turn; the reply means that it is durable on a majority."""
         self._require_leadership()
-        granted = self._draw(request.quota) if request.quota is not None else QuotaGranted()
+        granted: QuotaAnswer = QuotaGranted()
+        if request.quota is not None:
+            granted = await self._draw(request.quota)
         result = await self._propose(_without_quota(request))
         if not isinstance(result, TurnSettled) or not isinstance(granted, QuotaGranted):
             return result
@@ -121,18 +122,43 @@
     async def draw_quota(self, request: DrawQuota) -> Message:
         """Count a request that is no turn against its tenant's limit."""
         self._require_leadership()
-        return self._draw(request.draw)
+        return await self._draw(request.draw)
 
-    def _draw_for_turn(self, request: ReserveTurn) -> QuotaAnswer:
+    async def _draw_for_turn(self, request: ReserveTurn) -> QuotaAnswer:
         """Count a turn against its tenant's limit; only the first of a program begins one."""
         if request.quota is None:
             return QuotaGranted()
         is_known = self._machine.knows_program(request.program_id)
         use = QuotaUse.CONTINUE_PROGRAM if is_known else QuotaUse.BEGIN_PROGRAM
-        return self._draw(msgspec.structs.replace(request.quota, use=use))
-
-    def _draw(self, draw: QuotaDraw) -> QuotaAnswer:
-        return self._quotas.draw(draw, anyio.current_time())
+        return await self._draw(msgspec.structs.replace(request.quota, use=use))
+
+    async def _draw(self, draw: QuotaDraw) -> QuotaAnswer:
+        """Grant or refuse; a grant may have to wait until replicas were told of others."""
+        answer = self._quotas.draw(draw, anyio.current_time())
+        if isinstance(answer, QuotaGranted) and self._quotas.must_tell(draw.limit):
+            await self._tell_until_little_is_untold(draw.limit)
+        return answer
+
+    async def _tell_until_little_is_untold(self, limit: QuotaLimit) -> None:
+        """Return once replicas know of nearly all grants of a tenant, or raise."""
+        async with self._telling:
+            while self._quotas.must_tell(limit):
+                if not await self._tell_now():
+                    # An earlier command that told of it got no answer: another may lead.
+                    raise NotLeaderError("replicas could not be told of grants", None)
+
+    async def _tell_now(self) -> bool:
+        """Tell all replicas what was granted; on return a majority holds it.
+
+        Returns whether there was anything to tell.
+        """
+        now = anyio.current_time()
+        usages = self._quotas.usages_to_tell(now)
+        if not usages:
+            return False
+        await self._propose(NoteUsage(usages=usages, group_s=self._quotas.group_s(now)))
+        self._quotas.note_told(usages)
+        return True
 
     def _give_back(self, request: ReserveTurn) -> None:
         """Give back what was drawn for a turn that will not run."""
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -299,6 +299,15 @@
                     return
                 await anyio.sleep(0.05)
 
+    def store_leader(self):
+        """The store machine that leads; one that was wiped has no replica for a moment."""
+        (leader,) = (
+            machine
+            for machine in self.running(FleetRole.STORE)
+            if machine.process.replica is not None and machine.process.replica.is_leader
+        )
+        return leader
+
     def store_voters(self, name):
         """Hosts of the voters, as one store replica knows them."""
         process = self.machines[name].process
