--- a/src/passlane/quotas/ledger.py
+++ b/src/passlane/quotas/ledger.py
@@ -153,14 +153,16 @@
         self._untold = {}
         return told
 
-    def note_told(self, usages: Iterable[TenantUsage]) -> None:
-        """Note that a majority of replicas holds what was to be told."""
+    def note_told(self, usages: Iterable[TenantUsage], *, is_told: bool) -> None:
+        """Note whether a majority of replicas holds what was to be told; else it is untold."""
         for usage in usages:
             left = self._telling.get(usage.tenant, 0) - usage.granted
             if left > 0:
                 self._telling[usage.tenant] = left
             else:
                 self._telling.pop(usage.tenant, None)
+            if not is_told:
+                self._untold.setdefault(usage.tenant, _Untold()).granted += usage.granted
 
     def must_tell(self, limit: QuotaLimit) -> bool:
         """Whether so much of a tenant's grants is untold that no more may be sent before."""
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -143,22 +143,21 @@
         """Return once replicas know of nearly all grants of a tenant, or raise."""
         async with self._telling:
             while self._quotas.must_tell(limit):
-                if not await self._tell_now():
-                    # An earlier command that told of it got no answer: another may lead.
-                    raise NotLeaderError("replicas could not be told of grants", None)
+                await self._tell_now()
 
-    async def _tell_now(self) -> bool:
-        """Tell all replicas what was granted; on return a majority holds it.
-
-        Returns whether there was anything to tell.
-        """
+    async def _tell_now(self) -> None:
+        """Tell all replicas what was granted; on return a majority holds it."""
         now = anyio.current_time()
         usages = self._quotas.usages_to_tell(now)
         if not usages:
-            return False
-        await self._propose(NoteUsage(usages=usages, group_s=self._quotas.group_s(now)))
-        self._quotas.note_told(usages)
-        return True
+            return
+        is_told = False
+        try:
+            await self._propose(NoteUsage(usages=usages, group_s=self._quotas.group_s(now)))
+            is_told = True
+        finally:
+            # Without an answer it may be held by a majority or not; it is told once more then.
+            self._quotas.note_told(usages, is_told=is_told)
 
     def _give_back(self, request: ReserveTurn) -> None:
         """Give back what was drawn for a turn that will not run."""
--- a/tests/quotas/test_ledger.py
+++ b/tests/quotas/test_ledger.py
@@ -193,7 +193,17 @@
         self.assertTrue(held.must_tell(limit()))
         usages = held.usages_to_tell(LATER)
         self.assertTrue(held.must_tell(limit()))
-        held.note_told(usages)
+        held.note_told(usages, is_told=True)
+        self.assertFalse(held.must_tell(limit()))
+
+    def test_what_could_not_be_told_is_told_once_more(self):
+        held = lenient_ledger()
+        sent_at(held, [LATER] * 6)
+        held.note_told(held.usages_to_tell(LATER), is_told=False)
+        self.assertTrue(held.must_tell(limit()))
+        usages = held.usages_to_tell(LATER)
+        self.assertEqual(usages, (TenantUsage("corner", 6),))
+        held.note_told(usages, is_told=True)
         self.assertFalse(held.must_tell(limit()))
 
     def test_the_history_is_bounded(self):
