One time limit for answers of the store group; settlements carry no draw for nothing

Cause: found by reading the change. The time that a reservation waits and the time that a draw waits stood twice with the same reason; each settlement of a limited tenant carried a draw also when nothing was wanted ahead, which cost bytes and could let it wait for a telling that it had no part in; unions of answers were spelled out beside their names. Change: ANSWER_TIMEOUT_S in turns/client.py; no draw without requests wanted; the named unions. No grant or refusal differs.

--- a/src/passlane/relay/request_quota.py
+++ b/src/passlane/relay/request_quota.py
@@ -6,10 +6,7 @@
 from passlane.messages.turns import TurnSettled
 from passlane.quotas.allowances import Allowances
 from passlane.routes.tenants import Identity
-from passlane.turns.client import TurnStoreClient
-
-DRAW_TIMEOUT_S = 1.5
-"""As long as a turn waits for its reservation: an election of the store group takes less."""
+from passlane.turns.client import ANSWER_TIMEOUT_S, TurnStoreClient
 
 
 def limit_of(identity: Identity, version: int) -> QuotaLimit | None:
@@ -60,7 +57,7 @@
         if self.limit is None or self._allowances.take(self.limit.tenant, now):
             return QuotaGranted()
         use = QuotaUse.CONTINUE_PROGRAM if is_in_program else QuotaUse.ALONE
-        timeout_s = min(DRAW_TIMEOUT_S, limit_at - now)
+        timeout_s = min(ANSWER_TIMEOUT_S, limit_at - now)
         return await self._store.draw_quota(
             QuotaDraw(limit=self.limit, use=use), timeout_s=timeout_s
         )
@@ -75,11 +72,11 @@
         return QuotaDraw(limit=self.limit, use=QuotaUse.BEGIN_PROGRAM, route=route)
 
     def draw_after_turn(self) -> QuotaDraw | None:
-        """Return the draw that goes with the settlement of a whole turn."""
+        """Return the draw that goes with the settlement of a whole turn, if any is wanted."""
         if self.limit is None:
             return None
         ahead = self._allowances.wanted_after_turn(self.limit.tenant, anyio.current_time())
-        return QuotaDraw(limit=self.limit, use=None, ahead=ahead)
+        return QuotaDraw(limit=self.limit, use=None, ahead=ahead) if ahead else None
 
     def note_settled(self, settled: TurnSettled, asked_at: float) -> None:
         """Hold what was granted with a settlement that was asked for at ``asked_at``."""
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -17,9 +17,8 @@
 from passlane.relay.calls import RelayedCall
 from passlane.relay.request_quota import RequestQuota
 from passlane.routes.tenants import Identity
-from passlane.turns.client import TurnStoreClient
+from passlane.turns.client import ANSWER_TIMEOUT_S, TurnStoreClient
 
-RESERVE_TIMEOUT_S = 1.5
 BACKGROUND_SETTLE_S = 30.0
 """Longer than a node is usually cut off; what is not settled by then stays reserved."""
 
@@ -84,7 +83,7 @@
         )
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
-        timeout_s = min(RESERVE_TIMEOUT_S, limit_at - anyio.current_time())
+        timeout_s = min(ANSWER_TIMEOUT_S, limit_at - anyio.current_time())
         answer = await self._store.reserve(request, timeout_s=timeout_s)
         # A refused turn has no reservation, so there is nothing to settle.
         self._is_reserved = isinstance(answer, TurnReserved)
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -14,21 +14,18 @@
     DrawQuota,
     QuotaAnswer,
     QuotaDraw,
-    QuotaGranted,
-    QuotaRefused,
 )
 from passlane.messages.turns import (
-    BudgetSpent,
     ReserveAnswer,
     ReserveTurn,
     SettleTurn,
-    TurnReserved,
     TurnSettled,
-    TurnUnknown,
 )
 from passlane.transport.interfaces import Caller
 from passlane.turns.leader_finder import StoreLeaderFinder
 
+ANSWER_TIMEOUT_S = 1.5
+"""How long a reservation or a draw waits for its answer: an election of the group takes less."""
 TIMEOUT_WHILE_LOST_S = 0.3
 SLOW_ANSWER_S = 0.12
 """An answer that takes longer puts the leader in doubt."""
@@ -94,7 +91,7 @@
             the group is lost that is said early, so that the caller turns elsewhere.
         """
         answer = await self._execute(request, self._shortened(timeout_s))
-        if isinstance(answer, TurnReserved | BudgetSpent | TurnUnknown | QuotaRefused):
+        if isinstance(answer, ReserveAnswer):
             return answer
         raise self._unexpected(answer)
 
@@ -107,7 +104,7 @@
             When no leader answered in time; then the request must not be sent.
         """
         answer = await self._execute(DrawQuota(draw), self._shortened(timeout_s))
-        if isinstance(answer, QuotaGranted | QuotaRefused):
+        if isinstance(answer, QuotaAnswer):
             return answer
         raise self._unexpected(answer)
 
