Turns of all nodes in one order, at the engine where they end first: the state machine

Cause: each node sees its own requests only, 1 or 2 of 6 places of an engine. So turns wait in engines' own queues in order of arrival, whatever they are worth to their callers; a kind of program that is more urgent pays for a burst of another; engines of unequal pace get the same share; nothing is refused until all are late.

Ruled out: counts told to nodes, which choose (a node learns them each 0.3 s, and all herd to the same engine); places leased to nodes (two for each of 66).

Change: a scheduler that is told of each turn's beginning and end. Order: urgency, programs under way, latest start, tenants by what they were given, programs that loop last. Place: least expected end by wait, learnt pace and what is to be read anew. New programs that can't begin within 0.5 s are told at once when there is room, one after the other, and keep their place in the order. Places come back by the turn's end, or by time. It reuses the queue with lanes and tenant shares, the learnt speed, and the health of back ends.

Conclusion: drives no request yet.

--- /dev/null
+++ b/src/passlane/scheduling/program_admission.py
@@ -0,0 +1,156 @@
+"""When a new program begins, waits a moment, or is told to come back.
+
+A program that is begun while there is no room slows all that are under way, and then all come
+late and none is spared. So a new program begins only when no turn that goes before it waits.
+One that can't begin soon is told at once when there is expected to be room, from the programs
+before it and the rate at which programs are begun, so that callers come back one after the
+other. Who asked first comes first, also after it was told to come back.
+"""
+
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Iterable
+from itertools import chain
+
+import msgspec
+
+from passlane.scheduling.turn_events import TurnAsked
+
+LONGEST_HOLD_S = 0.5
+"""A program expected to begin within this time waits here. To come back takes its caller a new
+connection and two ways more, and callers bear a silence of 2 s."""
+LONGEST_HOLD_AFTER_RETURN_S = 1.2
+"""A caller that came back when it was told to is not sent away again for less."""
+EARLY_TOLERANCE_S = 0.15
+"""Callers come back so much earlier than told and have still come as told: clocks and ways."""
+PROMISE_KEPT_S = 1.0
+"""A caller that has not come back so long after it was to come is not waited for."""
+RATE_MEMORY_S = 1.5
+"""The rate at which programs begin is that of the last seconds: bursts begin and end within
+three to seven."""
+SLOWEST_RATE_SHARE = 0.2
+"""While more urgent programs take nearly all places, few others begin; the rate is not taken to
+be less than this share of what all places could serve, since such times last for seconds."""
+SHORTEST_RETRY_S = 0.15
+LONGEST_RETRY_S = 3.0
+"""Callers heed a told time up to a third of what they have left, mostly 1.3 s; a longer wait is
+told so that they can turn elsewhere."""
+
+
+class _Promise(msgspec.Struct):
+    """A program that was told to come back."""
+
+    first_asked_at: float
+    urgency: int
+    tenant: str
+    come_back_at: float
+
+
+class StartRate:
+    """How many programs a second are begun, of late."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._counted_at = 0.0
+
+    def note(self, now: float) -> None:
+        """Count a program that begins."""
+        self._decay(now)
+        self._count += 1.0
+
+    def per_s(self, now: float) -> float:
+        """Return the rate."""
+        self._decay(now)
+        return self._count / RATE_MEMORY_S
+
+    def _decay(self, now: float) -> None:
+        self._count *= math.exp(-max(0.0, now - self._counted_at) / RATE_MEMORY_S)
+        self._counted_at = now
+
+
+class ProgramAdmission:
+    """New programs of one service: who was told to come back, and when the next can begin."""
+
+    def __init__(self) -> None:
+        self._promises: OrderedDict[str, _Promise] = OrderedDict()
+        self._rate = StartRate()
+
+    def __len__(self) -> int:
+        """Return how many programs were told to come back and have not."""
+        return len(self._promises)
+
+    def first_asked_at(self, program_id: str, now: float) -> float:
+        """Return when a program asked first."""
+        promise = self._promises.get(program_id)
+        return promise.first_asked_at if promise is not None else now
+
+    def came_as_told(self, program_id: str, now: float) -> bool:
+        """Whether a program that asks now was told to come back by now."""
+        promise = self._promises.get(program_id)
+        return promise is not None and now >= promise.come_back_at - EARLY_TOLERANCE_S
+
+    def programs_before(
+        self, asked: TurnAsked, waiting: Iterable[tuple[int, str]], now: float
+    ) -> int:
+        """Return how many new programs go before another, by the order of ``turn_queue``.
+
+        All that are more urgent do. Of its own rank, all of its own tenant do, and of each
+        other tenant as many as its own has.
+
+        Parameters
+        ----------
+        waiting
+            Rank and tenant of each new program that waits.
+        """
+        self._forget_lapsed(now)
+        promised = (
+            (promise.urgency, promise.tenant)
+            for program_id, promise in self._promises.items()
+            if program_id != asked.program_id
+        )
+        own_rank, own_tenant = asked.demand.urgency, asked.demand.tenant
+        more_urgent = 0
+        by_tenant: Counter[str] = Counter()
+        for urgency, tenant in chain(waiting, promised):
+            if urgency < own_rank:
+                more_urgent += 1
+            elif urgency == own_rank:
+                by_tenant[tenant] += 1
+        own = by_tenant.pop(own_tenant, 0)
+        return more_urgent + own + sum(min(count, own + 1) for count in by_tenant.values())
+
+    def expected_wait_s(self, before: int, all_places_per_s: float, now: float) -> float:
+        """Return when a program with so many before it is expected to begin.
+
+        Parameters
+        ----------
+        all_places_per_s
+            Programs a second that all places together could serve.
+        """
+        slowest_per_s = SLOWEST_RATE_SHARE * all_places_per_s
+        return (before + 1) / max(slowest_per_s, self._rate.per_s(now))
+
+    def note_begun(self, program_id: str, now: float) -> None:
+        """Note that a program begins."""
+        self._promises.pop(program_id, None)
+        self._rate.note(now)
+
+    def note_refused(self, asked: TurnAsked, wait_s: float, now: float) -> float:
+        """Note that a program is told to come back; return in how many seconds."""
+        retry_after_s = min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
+        self._promises[asked.program_id] = _Promise(
+            first_asked_at=self.first_asked_at(asked.program_id, now),
+            urgency=asked.demand.urgency,
+            tenant=asked.demand.tenant,
+            come_back_at=now + retry_after_s,
+        )
+        return retry_after_s
+
+    def _forget_lapsed(self, now: float) -> None:
+        lapsed = [
+            program_id
+            for program_id, promise in self._promises.items()
+            if now > promise.come_back_at + PROMISE_KEPT_S
+        ]
+        for program_id in lapsed:
+            del self._promises[program_id]
--- a/src/passlane/scheduling/speed.py
+++ b/src/passlane/scheduling/speed.py
@@ -32,10 +32,16 @@
 
     What was learned fades towards the fleet's figure, so that an engine that was slow
     once is tried again.
+
+    Parameters
+    ----------
+    smoothing
+        Weight of one call in what is learned.
     """
 
-    def __init__(self, fleet: FleetSpeed) -> None:
+    def __init__(self, fleet: FleetSpeed, smoothing: float = SMOOTHING) -> None:
         self._fleet = fleet
+        self._smoothing = smoothing
         self._deviation = 0.0
         self._learned_at = 0.0
 
@@ -62,7 +68,7 @@
         self._fleet.learn(slowdown)
         current = self._faded(now)
         target = math.log(slowdown / self._fleet.slowdown)
-        self._deviation = current + SMOOTHING * (target - current)
+        self._deviation = current + self._smoothing * (target - current)
         self._learned_at = now
 
     def _faded(self, now: float) -> float:
--- /dev/null
+++ b/src/passlane/scheduling/turn_queue.py
@@ -0,0 +1,219 @@
+"""The order of turns that wait for a place, over all nodes.
+
+First rule first:
+
+1. urgency: the lowest rank first;
+2. turns of programs under way before programs that are new;
+3. of those under way, the one that must begin soonest for its program to be over in time;
+   programs that can't be in time any more come after those that can, the longest waiting
+   first, but no turn waits longer than ``LONGEST_LATE_WAIT_S`` for others of its rank;
+4. new programs are shared out fairly among tenants by the service that they were given,
+   and of one tenant the one that asked first, also if it had to come back, is first;
+5. programs that loop without end come after all others.
+"""
+
+import bisect
+from collections.abc import Iterator
+
+import msgspec
+
+from passlane.identifiers import CallId, ProgramId, TenantId
+from passlane.scheduling.config import QueueConfig
+from passlane.scheduling.events import CallArrived
+from passlane.scheduling.queue import CallQueue, QueuedCall
+from passlane.scheduling.turn_events import TurnAsked
+
+LONGEST_LATE_WAIT_S = 0.3
+"""A program that is late already is worth something to its caller until it has taken twice its
+time: with nine turns of 0.4 s it bears some 0.3 s for each turn."""
+LOOKAHEAD = 12
+"""So many turns of one rank are looked at for one whose history the engine holds: reading 4,000
+tokens anew takes an engine 50 ms, and holds up all that it runs."""
+LONGEST_PASSED_OVER_S = 0.1
+"""A turn that has waited longer is not passed over for that: it would cost its program more than
+the reading costs the engine."""
+MOST_NEW_PROGRAMS = 2_000
+_FIRST_TURNS = QueueConfig(max_calls=MOST_NEW_PROGRAMS, class_step_s=0.0, urgent_s=0.0)
+
+
+class WaitingTurn(msgspec.Struct, frozen=True, kw_only=True):
+    """A turn that waits.
+
+    Attributes
+    ----------
+    asked_at
+        When it asked; of a new program, when the program asked first.
+    arrived_at
+        When this attempt asked.
+    latest_start
+        When it must begin for its program to be in time.
+    hold_until
+        When it is refused unless it has a place by then; ``inf`` for turns under way.
+    """
+
+    asked: TurnAsked
+    asked_at: float
+    arrived_at: float
+    latest_start: float
+    hold_until: float
+    is_new_program: bool
+    is_looping: bool = False
+
+    @property
+    def attempt_id(self) -> str:
+        """The attempt that waits."""
+        return self.asked.attempt_id
+
+    @property
+    def urgency(self) -> int:
+        """Rank; 0 goes first."""
+        return self.asked.demand.urgency
+
+
+class _UnderWay:
+    """Waiting turns of programs under way, of one rank, by their latest start."""
+
+    def __init__(self) -> None:
+        self._turns: list[WaitingTurn] = []
+
+    def __len__(self) -> int:
+        return len(self._turns)
+
+    def add(self, turn: WaitingTurn) -> None:
+        bisect.insort(self._turns, turn, key=_order_key)
+
+    def remove(self, turn: WaitingTurn) -> None:
+        index = bisect.bisect_left(self._turns, _order_key(turn), key=_order_key)
+        del self._turns[index]
+
+    def in_order(self, now: float) -> Iterator[WaitingTurn]:
+        """Yield turns, the first to be served first."""
+        in_time = bisect.bisect_left(self._turns, (now, ""), key=_order_key)
+        late = sorted(self._turns[:in_time], key=lambda turn: turn.asked_at)
+        overdue = [turn for turn in late if now - turn.asked_at >= LONGEST_LATE_WAIT_S]
+        yield from overdue
+        yield from self._turns[in_time:]
+        yield from late[len(overdue) :]
+
+
+def _order_key(turn: WaitingTurn) -> tuple[float, str]:
+    return (turn.latest_start, turn.attempt_id)
+
+
+class TurnQueue:
+    """Waiting turns of one service."""
+
+    def __init__(self) -> None:
+        self._under_way: dict[int, _UnderWay] = {}
+        self._new = CallQueue(_FIRST_TURNS)
+        self._looping: dict[str, WaitingTurn] = {}
+        self._turns: dict[str, WaitingTurn] = {}
+
+    def __len__(self) -> int:
+        return len(self._turns)
+
+    @property
+    def new_programs(self) -> int:
+        """New programs that wait."""
+        return len(self._new)
+
+    @property
+    def under_way(self) -> int:
+        """Turns of programs under way that wait, those of looping programs left out."""
+        return len(self._turns) - len(self._new) - len(self._looping)
+
+    def add(self, turn: WaitingTurn) -> None:
+        """Let a turn wait."""
+        self._turns[turn.attempt_id] = turn
+        if turn.is_looping:
+            self._looping[turn.attempt_id] = turn
+        elif turn.is_new_program:
+            call = _call_of(turn.asked, turn.hold_until)
+            self._new.add(call, 0, turn.asked_at, is_first=True)
+        else:
+            self._under_way.setdefault(turn.urgency, _UnderWay()).add(turn)
+
+    def remove(self, attempt_id: str) -> WaitingTurn | None:
+        """Take a turn out; ``None`` if it does not wait here."""
+        turn = self._turns.pop(attempt_id, None)
+        if turn is None:
+            return None
+        if turn.is_looping:
+            del self._looping[attempt_id]
+        elif turn.is_new_program:
+            self._new.remove(CallId(attempt_id))
+        else:
+            self._under_way[turn.urgency].remove(turn)
+        return turn
+
+    def charge(self, asked: TurnAsked, service_s: float) -> None:
+        """Count what a turn gets towards its tenant's share."""
+        self._new.charge(_call_of(asked, 0.0), service_s)
+
+    def new_tenants(self) -> Iterator[tuple[int, str]]:
+        """Yield the rank and the tenant of each new program that waits."""
+        for turn in self._turns.values():
+            if turn.is_new_program:
+                yield turn.urgency, turn.asked.demand.tenant
+
+    def is_before_new(self, urgency: int) -> bool:
+        """Whether a turn waits that goes before a new program of a rank."""
+        return any(len(turns) > 0 and rank <= urgency for rank, turns in self._under_way.items())
+
+    def in_order(self, now: float) -> Iterator[WaitingTurn]:
+        """Yield waiting turns, the first to be served first; not to be changed meanwhile."""
+        new = self._new.in_order(now, MOST_NEW_PROGRAMS)
+        next_new = self._next_of(new)
+        for urgency in sorted(self._under_way):
+            while next_new is not None and next_new.urgency < urgency:
+                yield next_new
+                next_new = self._next_of(new)
+            yield from self._under_way[urgency].in_order(now)
+        while next_new is not None:
+            yield next_new
+            next_new = self._next_of(new)
+        yield from self._looping.values()
+
+    def first_for(self, instance_id: str, now: float) -> WaitingTurn | None:
+        """Return the turn that is to go to an engine that has room.
+
+        That is the first in order, or one of its rank that is not far behind it and whose
+        history the engine holds.
+        """
+        first: WaitingTurn | None = None
+        for number, turn in enumerate(self.in_order(now)):
+            if first is None:
+                first = turn
+                if turn.is_new_program or now - turn.asked_at > LONGEST_PASSED_OVER_S:
+                    return turn
+            if number >= LOOKAHEAD or turn.urgency != first.urgency or turn.is_new_program:
+                break
+            if turn.asked.used_last == instance_id:
+                return turn
+        return first
+
+    def take_held_too_long(self, now: float) -> list[WaitingTurn]:
+        """Take out and return the turns that are to be refused by now."""
+        expired = [self._turns.pop(queued.call.call_id) for queued in self._new.take_expired(now)]
+        looping = [turn for turn in self._looping.values() if turn.hold_until <= now]
+        for turn in looping:
+            self.remove(turn.attempt_id)
+        return expired + looping
+
+    def _next_of(self, new: Iterator[QueuedCall]) -> WaitingTurn | None:
+        queued = next(new, None)
+        return self._turns[queued.call.call_id] if queued is not None else None
+
+
+def _call_of(asked: TurnAsked, hold_until: float) -> CallArrived:
+    demand = asked.demand
+    return CallArrived(
+        call_id=CallId(asked.attempt_id),
+        program_id=ProgramId(asked.program_id),
+        tenant_id=TenantId(demand.tenant),
+        model=demand.service,
+        prompt_tokens=demand.prompt_tokens,
+        max_tokens=asked.most_tokens,
+        deadline=hold_until,
+        service_class=demand.urgency,
+    )
--- /dev/null
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -0,0 +1,356 @@
+"""The scheduler of turns: who goes first, where, who is refused, and what is lost halfway."""
+
+import unittest
+
+from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord, BackendState
+from passlane.messages.placement import TurnDemand, TurnOutcome
+from passlane.scheduling.program_admission import LONGEST_HOLD_S
+from passlane.scheduling.turn_events import (
+    TurnAsked,
+    TurnEnded,
+    TurnNotPlaced,
+    TurnPlaced,
+    TurnWithdrawn,
+)
+from passlane.scheduling.turn_queue import LONGEST_LATE_WAIT_S
+from passlane.scheduling.turn_scheduler import LEARNING_S, SHORTEST_PLACE_S, TurnScheduler
+
+URGENT, USUAL = 0, 2
+
+
+def engine(name: str, slots: int = 2, state: BackendState = BackendState.READY) -> BackendRecord:
+    return BackendRecord(name, "llm", Address("10.0.0.1", 80), "a", slots, state)
+
+
+def asked(attempt: str, program: str = "", **given: object) -> TurnAsked:
+    """Return a turn's question; the first of its program unless it says ``is_first=False``."""
+    demand = {"urgency": USUAL, "program_time_left_s": 5.0, "tenant": "", "memory_tokens": 0}
+    demand |= {key: given.pop(key) for key in list(given) if key in demand}
+    prompt_tokens = given.pop("prompt_tokens", 1_000)
+    facts: dict[str, object] = {"is_first": True, "used_last": "", "most_tokens": 100} | given
+    return TurnAsked(
+        attempt_id=attempt,
+        program_id=program or f"p-{attempt}",
+        demand=TurnDemand(
+            service="llm", route="r", zone="a", prompt_tokens=prompt_tokens, **demand
+        ),
+        **facts,
+    )
+
+
+def ended(attempt: str, at: str = "", took_s: float = 0.1, **outcome: object) -> TurnEnded:
+    return TurnEnded(
+        attempt_id=attempt,
+        served_by=at,
+        outcome=TurnOutcome(engine_s=took_s if at else 0.0, events=5, **outcome),
+    )
+
+
+class SchedulerTest(unittest.TestCase):
+    def setUp(self):
+        self.scheduler = TurnScheduler()
+        self.list_engines(engine("e1"), engine("e2"))
+
+    def list_engines(self, *records: BackendRecord) -> None:
+        self.scheduler.replace_backends(records, 0.0)
+
+    def place(self, attempt: str, program: str = "", now: float = 0.0, **given: object) -> str:
+        """Ask for a turn that is placed at once, and return its engine."""
+        (decision,) = self.scheduler.ask(asked(attempt, program, **given), now)
+        self.assertIsInstance(decision, TurnPlaced)
+        return decision.engine
+
+    def fill(self, count: int = 4) -> None:
+        """Take all places by programs under way."""
+        for number in range(count):
+            self.place(f"full{number}", f"under-way{number}")
+
+    def wait(self, attempt: str, program: str = "", now: float = 0.0, **given: object) -> None:
+        """Ask for a turn that has to wait."""
+        self.assertEqual(self.scheduler.ask(asked(attempt, program, **given), now), [])
+
+    def placed_after(self, attempt: str, now: float) -> list[str]:
+        """End a turn and return the attempts that get a place by it."""
+        decisions = self.scheduler.end(ended(attempt, "e1"), now)
+        return [decision.attempt_id for decision in decisions]
+
+
+class OrderTest(SchedulerTest):
+    def test_the_more_urgent_goes_first(self):
+        self.fill()
+        self.wait("usual", "under-way0", is_first=False)
+        self.wait("urgent", "under-way1", urgency=URGENT, is_first=False)
+        self.assertEqual(self.placed_after("full0", 0.1), ["urgent"])
+
+    def test_an_urgent_new_program_goes_before_less_urgent_ones_under_way(self):
+        self.fill()
+        self.wait("usual", "under-way0", is_first=False)
+        self.wait("urgent", urgency=URGENT)
+        self.assertEqual(self.placed_after("full0", 0.1), ["urgent"])
+
+    def test_programs_under_way_go_before_new_ones(self):
+        self.fill()
+        self.wait("new")
+        self.wait("next", "under-way0", is_first=False)
+        self.assertEqual(self.placed_after("full0", 0.1), ["next"])
+
+    def test_the_program_that_must_begin_soonest_goes_first(self):
+        self.fill(2)
+        self.place("a1", "patient", program_time_left_s=9.0)
+        self.place("b1", "pressed", program_time_left_s=1.0)
+        self.wait("a2", "patient", is_first=False)
+        self.wait("b2", "pressed", is_first=False)
+        self.assertEqual(self.placed_after("full0", 0.1), ["b2"])
+
+    def test_a_program_that_is_late_already_goes_after_those_that_can_be_in_time(self):
+        self.fill(2)
+        self.place("a1", "late", program_time_left_s=0.2)
+        self.place("b1", "in-time", program_time_left_s=5.0)
+        self.wait("a2", "late", now=0.3, is_first=False)
+        self.wait("b2", "in-time", now=0.3, is_first=False)
+        self.assertEqual(self.placed_after("full0", 0.35), ["b2"])
+
+    def test_a_late_program_does_not_starve(self):
+        self.fill(2)
+        self.place("a1", "late", program_time_left_s=0.2)
+        self.place("b1", "in-time", program_time_left_s=5.0)
+        self.wait("a2", "late", now=0.3, is_first=False)
+        self.wait("b2", "in-time", now=0.3 + LONGEST_LATE_WAIT_S, is_first=False)
+        self.assertEqual(self.placed_after("full0", 0.31 + LONGEST_LATE_WAIT_S), ["a2"])
+
+    def test_tenants_share_what_new_programs_get(self):
+        self.list_engines(engine("e1", 6), engine("e2", 6))
+        self.fill(12)
+        for number in range(20):
+            self.scheduler.ask(asked(f"many{number}", tenant="many"), 0.0)
+        self.wait("few", tenant="few")
+        begun = [attempt for full in range(2) for attempt in self.placed_after(f"full{full}", 0.1)]
+        self.assertEqual(begun, ["many0", "few"])
+
+    def test_a_tenant_may_have_all_that_nobody_else_wants(self):
+        engines = [self.place(f"many{number}", tenant="many") for number in range(4)]
+        self.assertEqual(sorted(engines), ["e1", "e1", "e2", "e2"])
+
+    def test_a_program_that_loops_gives_way(self):
+        for number in range(100):
+            self.place(f"loop{number}", "loops", is_first=number == 0)
+            self.scheduler.end(ended(f"loop{number}", "e1"), 0.0)
+        self.fill()
+        self.wait("again", "loops", urgency=URGENT, is_first=False)
+        self.wait("new")
+        self.assertEqual(self.placed_after("full0", 0.1), ["new"])
+
+
+class PlacementTest(SchedulerTest):
+    def test_turns_spread_over_engines(self):
+        engines = [self.place(f"a{number}") for number in range(4)]
+        self.assertEqual(sorted(engines), ["e1", "e1", "e2", "e2"])
+
+    def test_a_program_stays_where_its_history_is(self):
+        first = self.place("a", "p")
+        following = {"is_first": False, "used_last": first, "prompt_tokens": 5_000}
+        self.assertEqual(self.place("b", "p", **following), first)
+
+    def test_a_program_waits_at_its_engine_rather_than_read_its_history_anew(self):
+        self.fill()
+        engine = self.place("b", "under-way0", is_first=False, used_last="e2", prompt_tokens=9_000)
+        self.assertEqual(engine, "e2")
+
+    def test_a_new_program_goes_where_its_shared_part_was_read(self):
+        demand = {"prompt_tokens": 13_000}
+        first = asked("a", **demand)
+        with_part = TurnAsked(
+            attempt_id="a",
+            program_id="p",
+            is_first=True,
+            used_last="",
+            most_tokens=100,
+            demand=TurnDemand(
+                service="llm", route="r", urgency=USUAL, zone="a", prompt_tokens=13_000,
+                shared_part="part", shared_tokens=12_000, memory_tokens=100_000,
+                program_time_left_s=5.0,
+            ),
+        )  # fmt: skip
+        self.assertEqual(first.demand.prompt_tokens, with_part.demand.prompt_tokens)
+        (decision,) = self.scheduler.ask(with_part, 0.0)
+        other = with_part.__class__(
+            attempt_id="b", program_id="q", is_first=True, used_last="", most_tokens=100,
+            demand=with_part.demand,
+        )  # fmt: skip
+        (next_decision,) = self.scheduler.ask(other, 0.0)
+        self.assertEqual(decision.engine, next_decision.engine)
+
+    def test_an_engine_that_is_slower_gets_less_but_not_nothing(self):
+        self.list_engines(engine("e1", 6), engine("e2", 6))
+        placed = {"e1": 0, "e2": 0}
+        open_turns: list[tuple[float, str, str]] = []
+        for number in range(600):
+            now = number * 0.02
+            while open_turns and open_turns[0][0] <= now:
+                at, attempt, instance = open_turns.pop(0)
+                took_s = 0.3 if instance == "e2" else 0.1
+                self.scheduler.end(ended(attempt, instance, took_s), at)
+            self.scheduler.advance(now)
+            (decision,) = self.scheduler.ask(asked(f"t{number}"), now)
+            instance = decision.engine
+            placed[instance] += 1
+            took_s = 0.3 if instance == "e2" else 0.1
+            open_turns.append((now + took_s, f"t{number}", instance))
+            open_turns.sort()
+        self.assertGreater(placed["e1"], 2 * placed["e2"])
+        self.assertGreater(placed["e2"], 10)
+
+    def test_an_engine_gets_no_turn_that_its_memory_does_not_hold(self):
+        self.list_engines(engine("e1", 6))
+        self.place("a", prompt_tokens=6_000, memory_tokens=10_000)
+        self.wait("b", prompt_tokens=6_000, memory_tokens=10_000)
+        self.assertEqual(self.placed_after("a", 0.1), ["b"])
+
+    def test_a_turn_larger_than_an_engine_has_one_of_its_own(self):
+        self.assertIn(self.place("a", prompt_tokens=20_000, memory_tokens=10_000), ("e1", "e2"))
+
+    def test_a_leaving_engine_gets_nothing(self):
+        self.list_engines(engine("e1", state=BackendState.DRAINING), engine("e2"))
+        self.assertEqual([self.place("a"), self.place("b")], ["e2", "e2"])
+
+    def test_an_engine_that_fails_is_left_alone_while_others_do_not(self):
+        self.list_engines(engine("e1"), engine("e2"), engine("e3"))
+        for number in range(3):
+            self.scheduler.end(ended(f"x{number}", failed_at=("e1",)), 0.0)
+        engines = {self.place(f"a{number}") for number in range(4)}
+        self.assertEqual(engines, {"e2", "e3"})
+
+    def test_when_most_engines_fail_none_is_left_alone(self):
+        for number in range(3):
+            self.scheduler.end(ended(f"x{number}", failed_at=("e1", "e2")), 0.0)
+        self.assertIn(self.place("a"), ("e1", "e2"))
+
+    def test_an_engine_that_says_that_it_is_full_gets_nothing_for_a_moment(self):
+        self.scheduler.end(ended("x", full_at=("e1",)), 0.0)
+        self.assertEqual([self.place("a"), self.place("b")], ["e2", "e2"])
+        self.scheduler.advance(1.0)
+        self.assertEqual(self.place("c", now=1.0), "e1")
+
+
+class AdmissionTest(SchedulerTest):
+    def refuse(self, attempt: str, now: float = 0.0, **given: object) -> TurnNotPlaced:
+        (decision,) = self.scheduler.ask(asked(attempt, **given), now)
+        self.assertIsInstance(decision, TurnNotPlaced)
+        return decision
+
+    def crowd(self, now: float = 0.0) -> int:
+        """Let new programs wait until the next one is refused; return how many wait."""
+        for number in range(1_000):
+            if self.scheduler.ask(asked(f"crowd{number}"), now):
+                return number
+        raise AssertionError("all programs are held")
+
+    def test_programs_that_can_begin_soon_wait(self):
+        self.fill()
+        self.wait("a")
+        self.assertEqual(self.placed_after("full0", 0.1), ["a"])
+
+    def test_programs_that_cannot_begin_soon_are_told_at_once_to_come_back_one_by_one(self):
+        self.fill()
+        self.crowd()
+        times = [self.refuse(f"r{number}").retry_after_s for number in range(3)]
+        self.assertEqual(times, sorted(times))
+        self.assertGreater(times[0], LONGEST_HOLD_S)
+        self.assertLess(times[0], times[2])
+
+    def test_a_program_under_way_is_never_refused(self):
+        self.fill()
+        self.crowd()
+        self.wait("next", "under-way0", is_first=False)
+        self.scheduler.advance(2.0)
+        self.assertEqual(self.placed_after("full0", 2.0)[:1], [])
+        # The places of turns whose end nobody told were given back by then.
+
+    def test_a_program_that_waited_too_long_is_told_to_come_back(self):
+        self.fill()
+        self.wait("a")
+        decisions = self.scheduler.advance(LONGEST_HOLD_S + 0.01)
+        self.assertIsInstance(decisions[0], TurnNotPlaced)
+        self.assertEqual(decisions[0].attempt_id, "a")
+
+    def test_who_came_back_as_told_goes_before_those_that_asked_later(self):
+        self.fill()
+        waiting = self.crowd()
+        told = self.refuse("told", program="told").retry_after_s
+        for number in range(waiting):
+            self.scheduler.end(TurnEnded(attempt_id=f"crowd{number}"), 0.0)
+        self.refuse("later", now=told)
+        self.wait("back", program="told", now=told)
+        self.assertEqual(self.placed_after("full0", told), ["back"])
+
+    def test_a_tenant_is_not_refused_for_the_programs_of_another(self):
+        self.list_engines(engine("e1", 6), engine("e2", 6))
+        self.fill(12)
+        for number in range(20):
+            self.scheduler.ask(asked(f"many{number}", tenant="many"), 0.0)
+        self.wait("few", tenant="few")
+
+    def test_an_urgent_program_is_not_kept_waiting_by_others_that_wait(self):
+        self.fill()
+        self.crowd()
+        self.wait("urgent", urgency=URGENT)
+        self.assertEqual(self.placed_after("full0", 0.1), ["urgent"])
+
+
+class LossTest(SchedulerTest):
+    def test_the_place_of_a_turn_whose_node_was_lost_is_given_back_by_time(self):
+        self.fill()
+        self.wait("next", "under-way0", is_first=False)
+        self.assertEqual(self.scheduler.advance(SHORTEST_PLACE_S - 0.1), [])
+        decisions = self.scheduler.advance(SHORTEST_PLACE_S + 0.1)
+        self.assertEqual([d.attempt_id for d in decisions], ["next"])
+
+    def test_an_end_that_comes_after_its_place_was_given_back_counts_once(self):
+        self.fill()
+        self.scheduler.advance(SHORTEST_PLACE_S + 0.1)
+        for _ in range(3):
+            self.scheduler.end(ended("full0", "e1"), SHORTEST_PLACE_S + 0.2)
+        self.assertEqual(self.scheduler.figures("llm").running, 0)
+        for number in range(4):
+            self.place(f"new{number}", now=SHORTEST_PLACE_S + 0.3)
+        self.wait("fifth", now=SHORTEST_PLACE_S + 0.3)
+
+    def test_a_turn_that_asks_again_has_one_place(self):
+        self.place("a")
+        self.place("a", is_first=False)
+        self.assertEqual(self.scheduler.figures("llm").running, 1)
+
+    def test_a_turn_that_is_given_up_while_it_waits_takes_no_place(self):
+        self.fill()
+        self.wait("gone", "under-way0", is_first=False)
+        self.assertEqual(
+            self.scheduler.end(TurnEnded(attempt_id="gone"), 0.1), [TurnWithdrawn("gone")]
+        )
+        self.assertEqual(self.placed_after("full0", 0.2), [])
+
+    def test_a_new_leader_leaves_the_choice_to_nodes_until_it_knows(self):
+        self.fill()
+        self.wait("waits", "under-way0", is_first=False)
+        self.assertEqual(self.scheduler.begin(1.0), [TurnWithdrawn("waits")])
+        self.assertEqual(self.place("a", now=1.1), "")
+        self.assertIn(self.place("b", now=1.1 + LEARNING_S), ("e1", "e2"))
+
+    def test_a_turn_that_a_leader_before_placed_frees_nothing(self):
+        self.fill()
+        self.scheduler.begin(1.0)
+        self.scheduler.end(ended("full0", "e1"), 1.1)
+        self.assertEqual(self.scheduler.figures("llm").running, 0)
+
+    def test_an_engine_that_is_gone_takes_its_places_along(self):
+        self.fill()
+        self.wait("next", "under-way0", is_first=False)
+        decisions = self.scheduler.replace_backends([engine("e2"), engine("e3")], 0.1)
+        self.assertEqual([(d.attempt_id, d.engine) for d in decisions], [("next", "e3")])
+        for number in range(4):
+            self.scheduler.end(ended(f"full{number}"), 0.2)
+        self.assertEqual(self.scheduler.figures("llm").running, 1)
+
+    def test_without_engines_nodes_choose(self):
+        self.list_engines()
+        self.assertEqual(self.place("a"), "")
