The store group's leader gives turns their places, with the reservation that they ask for anyway

Cause: whoever orders the turns of all nodes has to hear of each one's beginning and end. The store's leader does: each turn is reserved and settled there.

Ruled out: a process of its own for it (two messages more for each turn); the engine replicated with the reservation (the place would have to be known before the proposal, so that it would rest for the time of a sync).

Change: a reservation may tell what decides about its turn, a settlement how it went; neither is replicated. The answer names the engine. A program that finds no room reserves nothing. A turn under way is reserved while it waits for its place; the wait for a tenant's limit comes before that for a place. Store processes get the list of back ends.

Conclusion: nodes that tell nothing are served as before.

--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -1,5 +1,7 @@
 """A store replica of a fleet: budgets and histories of programs."""
 
+from collections.abc import Sequence
+
 import anyio
 import msgspec
 
@@ -8,13 +10,16 @@
 from passlane.fleet.follower import FleetFollower
 from passlane.messages.common import NotLeaderError
 from passlane.messages.fleet import Announce, NamedAddress, RemoveReplica, ReplicaRemoved
+from passlane.messages.listing import BackendRecord
 from passlane.observability.logging import get_logger
 from passlane.quotas.ledger import QuotaLedger, QuotaRules
 from passlane.replication.replica_host import ReplicaHost
 from passlane.replication.replica_metrics import expose_replica
+from passlane.scheduling.turn_scheduler import TurnScheduler
 from passlane.settings.fleet import FleetSettings
 from passlane.settings.model import GroupSettings, PeerSettings
 from passlane.storage.identity import IdentityFile, process_name_of
+from passlane.turns.dispatch import TurnDispatcher
 from passlane.turns.machine import TurnStateMachine
 from passlane.turns.service import TurnService
 
@@ -34,9 +39,12 @@
         self._scope = anyio.CancelScope()
         self._host: ReplicaHost | None = None
         self._may_found = False
+        self._backends: Sequence[BackendRecord] = ()
         self._follower = FleetFollower(
             self._announcement, context.seed_addresses(), context.pool, context.environment.random
         )
+        self._dispatcher = TurnDispatcher(TurnScheduler())
+        self._follower.on_backends(self._take_backends)
         context.router.add_unary(RemoveReplica, self._remove_replica)
 
     @property
@@ -67,11 +75,17 @@
         context.metrics.define_when_exposed(
             lambda metrics: expose_replica(metrics, TURN_GROUP, host)
         )
-        service = TurnService(host, machine, context.router, quotas)
+        service = TurnService(host, machine, context.router, quotas, self._dispatcher)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
 
+    def _take_backends(self, records: Sequence[BackendRecord], read_at: float) -> None:
+        """Take over the list of back ends; the same list comes again and again."""
+        if records is not self._backends:
+            self._backends = records
+            self._dispatcher.replace_backends(records)
+
     def _quota_rules(self) -> QuotaRules:
         quotas = self._context.settings.quotas
         return QuotaRules(
--- a/src/passlane/fleet/service.py
+++ b/src/passlane/fleet/service.py
@@ -180,8 +180,6 @@
         )
 
     def _has_listing_news_for(self, request: Announce) -> bool:
-        if request.role is not FleetRole.NODE:
-            return False
         return self._wants_list(request) or request.reads_backends != self._is_reader(request)
 
     def _is_reader(self, request: Announce) -> bool:
@@ -238,8 +236,8 @@
         )
 
     def _wants_list(self, request: Announce) -> bool:
-        is_node = request.role is FleetRole.NODE
-        return is_node and self._listing.number not in (0, request.backends_number)
+        uses_backends = request.role in (FleetRole.NODE, FleetRole.STORE)
+        return uses_backends and self._listing.number not in (0, request.backends_number)
 
     def _listing_age_s(self) -> float | None:
         read_at = self._listing.read_at
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from passlane.messages.base import Message
+from passlane.messages.placement import TurnDemand, TurnOutcome, TurnRefused
 from passlane.messages.quotas import QuotaDraw, QuotaRefused, TenantUsage
 
 
@@ -23,7 +24,8 @@
 
     ``budget_tokens`` is what all turns of the program may generate; ``None`` for no limit.
     Repeating it for the same attempt reserves nothing more. ``quota`` counts the turn against
-    its tenant's limit, ``None`` if there is none; it is not replicated.
+    its tenant's limit, ``None`` if there is none. ``demand`` asks for a place at an engine,
+    ``None`` if the node chooses one itself. Neither is replicated.
     """
 
     program_id: str
@@ -33,18 +35,24 @@
     previous: str | None = None
     retention_s: float = 0.0
     quota: QuotaDraw | None = None
+    demand: TurnDemand | None = None
 
 
 class TurnReserved(Message, frozen=True):
     """The turn may run; ``history`` goes before its new input.
 
     ``used_last`` is the engine instance that the program used last; empty if unknown.
-    ``start_after_s`` is how long its tenant's limit lets it wait before it is sent.
+    ``start_after_s`` is how long its tenant's limit lets it wait before it is sent. ``engine``
+    is the instance where it has a place, empty if the node is to choose one; it waited
+    ``place_wait_s`` for that, after ``limit_wait_s`` for its tenant's limit.
     """
 
     history: bytes = b""
     used_last: str = ""
     start_after_s: float = 0.0
+    engine: str = ""
+    place_wait_s: float = 0.0
+    limit_wait_s: float = 0.0
 
 
 class BudgetSpent(Message, frozen=True):
@@ -64,7 +72,8 @@
     """Ends a reservation with the tokens that the client got; keeps a turn that ended whole.
 
     ``served_by`` is the engine instance that holds what the turn has read; empty if none.
-    ``quota`` asks for the tool calls that are expected to follow; it is not replicated.
+    ``quota`` asks for the tool calls that are expected to follow, ``outcome`` tells how the
+    turn went; neither is replicated.
     """
 
     program_id: str
@@ -73,6 +82,7 @@
     turn: KeptTurn | None = None
     served_by: str = ""
     quota: QuotaDraw | None = None
+    outcome: TurnOutcome | None = None
 
 
 class TurnSettled(Message, frozen=True):
@@ -122,4 +132,4 @@
 
 TurnCommand = ReserveTurn | SettleTurn | AdvanceAge | NoteUsage
 TurnResult = TurnReserved | BudgetSpent | TurnUnknown | TurnSettled | AgeAdvanced | UsageNoted
-ReserveAnswer = TurnReserved | BudgetSpent | TurnUnknown | QuotaRefused
+ReserveAnswer = TurnReserved | BudgetSpent | TurnUnknown | QuotaRefused | TurnRefused
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -29,6 +29,12 @@
 TIMEOUT_WHILE_LOST_S = 0.3
 SLOW_ANSWER_S = 0.12
 """An answer that takes longer puts the leader in doubt."""
+SLOW_PLACE_S = 0.6
+"""The same for a reservation that may wait for a place at an engine; its answers and those to
+other requests of this node tell meanwhile whether the leader is there."""
+PLACE_TIMEOUT_S = 3.0
+"""How long a reservation waits for a place: turns under way are not refused, and a caller
+leaves a stream that stays silent for two seconds or longer."""
 WATCH_PERIOD_S = 0.06
 RETRY_PAUSE_S = 0.02
 
@@ -37,7 +43,7 @@
     """A request on its way to a replica."""
 
     address: Address
-    sent_at: float
+    overdue_at: float
     scope: anyio.CancelScope
 
 
@@ -90,7 +96,10 @@
             When no leader answered in time; the reservation may have been made. While
             the group is lost that is said early, so that the caller turns elsewhere.
         """
-        answer = await self._execute(request, self._shortened(timeout_s))
+        is_held = request.demand is not None
+        limit_s = self._shortened(min(timeout_s, PLACE_TIMEOUT_S if is_held else ANSWER_TIMEOUT_S))
+        slow_s = SLOW_PLACE_S if is_held else SLOW_ANSWER_S
+        answer = await self._execute(request, limit_s, slow_s)
         if isinstance(answer, ReserveAnswer):
             return answer
         raise self._unexpected(answer)
@@ -125,7 +134,9 @@
             return answer
         raise self._unexpected(answer)
 
-    async def _execute(self, request: Message, timeout_s: float) -> Message:
+    async def _execute(
+        self, request: Message, timeout_s: float, slow_s: float = SLOW_ANSWER_S
+    ) -> Message:
         """Send a request to the leader, and to the next one if it moves, until it is answered."""
         deadline = anyio.current_time() + timeout_s
         while True:
@@ -134,7 +145,7 @@
             if remaining_s <= 0:
                 raise PasslaneError(ErrorCode.TIMEOUT, "the store group did not answer in time")
             try:
-                answer = await self._attempt(address, request, remaining_s)
+                answer = await self._attempt(address, request, remaining_s, slow_s)
             except PasslaneError as error:
                 self._note_failure(error, address)
                 await anyio.sleep(RETRY_PAUSE_S)
@@ -144,10 +155,10 @@
                 return answer
 
     async def _attempt(
-        self, address: Address, request: Message, timeout_s: float
+        self, address: Address, request: Message, timeout_s: float, slow_s: float
     ) -> Message | None:
         """Return a replica's answer; ``None`` when another replica turned out to lead."""
-        attempt = _Attempt(address, anyio.current_time(), anyio.CancelScope())
+        attempt = _Attempt(address, anyio.current_time() + slow_s, anyio.CancelScope())
         self._under_way.add(attempt)
         self._has_work.set()
         try:
@@ -163,9 +174,9 @@
             await self._has_work.wait()
             while self._under_way:
                 await anyio.sleep(WATCH_PERIOD_S)
-                overdue_since = anyio.current_time() - SLOW_ANSWER_S
+                now = anyio.current_time()
                 for attempt in self._under_way:
-                    if attempt.sent_at <= overdue_since:
+                    if attempt.overdue_at <= now:
                         self._finder.suspect(attempt.address)
             self._has_work = anyio.Event()
 
--- a/src/passlane/turns/machine.py
+++ b/src/passlane/turns/machine.py
@@ -100,6 +100,11 @@
         """Whether a turn of the program was reserved of late."""
         return program_id in self._programs
 
+    def used_last(self, program_id: str) -> str:
+        """Return the engine instance that a program used last; empty if unknown."""
+        program = self._programs.get(program_id)
+        return program.used_last if program is not None else ""
+
     def history_of(self, turn_id: str | None) -> bytes:
         """Return what the chain that ends with a turn puts before a new input."""
         contents: list[bytes] = []
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -3,9 +3,10 @@
 import anyio
 import msgspec
 
-from passlane.errors import PasslaneError
+from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.base import Message, encode_message, message_decoder
 from passlane.messages.common import NotLeaderError
+from passlane.messages.placement import TurnDemand, TurnRefused
 from passlane.messages.quotas import (
     DrawQuota,
     QuotaAnswer,
@@ -29,7 +30,9 @@
 from passlane.observability.logging import get_logger
 from passlane.quotas.ledger import QuotaLedger
 from passlane.replication.interfaces import ReplicatedGroup
+from passlane.scheduling.turn_events import TurnAsked, TurnEnded, TurnNotPlaced, TurnPlaced
 from passlane.transport.interfaces import Router
+from passlane.turns.dispatch import FIGURES_PERIOD_S, TICK_S, PendingTurn, TurnDispatcher
 from passlane.turns.machine import TurnStateMachine
 
 AGE_STEP_S = 5.0
@@ -52,10 +55,13 @@
         machine: TurnStateMachine,
         router: Router,
         quotas: QuotaLedger,
+        dispatcher: TurnDispatcher,
     ) -> None:
         self._group = group
         self._machine = machine
         self._quotas = quotas
+        self._dispatcher = dispatcher
+        self._term = -1
         self._telling = anyio.Lock()
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
@@ -67,6 +73,24 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._advance_age)
             tasks.start_soon(self._tell_usage)
+            tasks.start_soon(self._advance_dispatch)
+            tasks.start_soon(self._log_places)
+
+    async def _advance_dispatch(self) -> None:
+        """Let the scheduler of turns know that time passes."""
+        while True:
+            await anyio.sleep(TICK_S)
+            if self._group.is_leader:
+                self._dispatcher.advance()
+            else:
+                self._dispatcher.withdraw_all()
+
+    async def _log_places(self) -> None:
+        """Log now and then how full the engines are, while this replica leads."""
+        while True:
+            await anyio.sleep(FIGURES_PERIOD_S)
+            if self._group.is_leader:
+                self._dispatcher.log_figures()
 
     async def _tell_usage(self) -> None:
         """Tell all replicas what was granted to tenants, while this one leads."""
@@ -94,12 +118,55 @@
                 _log.info("age_not_advanced", code=error.code.value)
 
     async def reserve(self, request: ReserveTurn) -> Message:
-        """Reserve a turn's tokens; the reply holds the history that goes before its input."""
+        """Reserve a turn's tokens; the reply holds the history that goes before its input.
+
+        A turn that asks for a place at an engine gets its answer when it has one.
+        """
         self._require_leadership()
         quota = await self._draw_for_turn(request)
         if isinstance(quota, QuotaRefused):
             return quota
-        result = await self._propose(_without_quota(request))
+        if request.demand is None:
+            return await self._reserve_tokens(request, quota)
+        # A place is not kept for a turn that its tenant's limit lets wait.
+        await anyio.sleep(quota.start_after_s)
+        asked = self._asked(request, request.demand)
+        try:
+            return await self._reserve_with_place(request, asked, quota)
+        except BaseException:
+            self._dispatcher.end(TurnEnded(attempt_id=request.attempt_id))
+            raise
+
+    async def _reserve_with_place(
+        self, request: ReserveTurn, asked: TurnAsked, quota: QuotaGranted
+    ) -> Message:
+        """Reserve a turn and wait for its place; a new program has its place first."""
+        pending = self._dispatcher.ask(asked)
+        if asked.is_first:
+            refused = await self._wait_for_place(pending)
+            if refused is not None:
+                self._give_back(request)
+                return refused
+        answer = await self._reserve_tokens(request, quota)
+        if not isinstance(answer, TurnReserved):
+            self._dispatcher.end(TurnEnded(attempt_id=request.attempt_id))
+            return answer
+        refused = await self._wait_for_place(pending)
+        if refused is not None:
+            await self._propose(_released(request))
+            return refused
+        decision = pending.decision
+        assert isinstance(decision, TurnPlaced)
+        return msgspec.structs.replace(
+            answer,
+            engine=decision.engine,
+            place_wait_s=decision.waited_s,
+            start_after_s=0.0,
+            limit_wait_s=quota.start_after_s,
+        )
+
+    async def _reserve_tokens(self, request: ReserveTurn, quota: QuotaGranted) -> Message:
+        result = await self._propose(_as_replicated(request))
         if not isinstance(result, TurnReserved):
             self._give_back(request)
             return result
@@ -108,13 +175,50 @@
             history = self._machine.history_of(request.previous)
         return msgspec.structs.replace(result, history=history, start_after_s=quota.start_after_s)
 
+    def _asked(self, request: ReserveTurn, demand: TurnDemand) -> TurnAsked:
+        return TurnAsked(
+            attempt_id=request.attempt_id,
+            program_id=request.program_id,
+            is_first=not self._machine.knows_program(request.program_id),
+            used_last=self._machine.used_last(request.program_id),
+            most_tokens=request.most_tokens,
+            demand=demand,
+        )
+
+    async def _wait_for_place(self, pending: PendingTurn) -> TurnRefused | None:
+        """Return once a turn has a place, or what refuses it.
+
+        Raises
+        ------
+        PasslaneError
+            ``UNAVAILABLE`` when nobody waits for it here any longer.
+        """
+        decision = await pending.wait()
+        if isinstance(decision, TurnPlaced):
+            return None
+        if isinstance(decision, TurnNotPlaced):
+            return TurnRefused(
+                retry_after_s=decision.retry_after_s,
+                waiting=decision.waiting,
+                busy_share=decision.busy_share,
+            )
+        self._require_leadership()
+        raise PasslaneError(ErrorCode.UNAVAILABLE, "the turn is not waited for any longer")
+
     async def settle(self, request: SettleTurn) -> Message:
         """Settle a turn; the reply means that it is durable on a majority."""
         self._require_leadership()
+        self._dispatcher.end(
+            TurnEnded(
+                attempt_id=request.attempt_id,
+                served_by=request.served_by,
+                outcome=request.outcome,
+            )
+        )
         granted: QuotaAnswer = QuotaGranted()
         if request.quota is not None:
             granted = await self._draw(request.quota)
-        result = await self._propose(_without_quota(request))
+        result = await self._propose(_as_replicated(request))
         if not isinstance(result, TurnSettled) or not isinstance(granted, QuotaGranted):
             return result
         return msgspec.structs.replace(result, ahead=granted.ahead)
@@ -174,12 +278,26 @@
         if not self._group.is_leader:
             raise NotLeaderError("not the leader of the store group", self._group.leader_address)
         self._quotas.enter_term(self._group.term, anyio.current_time())
+        if self._group.term != self._term:
+            self._term = self._group.term
+            self._dispatcher.begin_term()
 
     async def _propose(self, command: Message) -> Message:
         result: Message = _result_decoder.decode(await self._group.propose(encode_message(command)))
         return result
 
 
-def _without_quota(request: ReserveTurn | SettleTurn) -> ReserveTurn | SettleTurn:
-    """Return the command as it is replicated."""
-    return request if request.quota is None else msgspec.structs.replace(request, quota=None)
+def _as_replicated(request: ReserveTurn | SettleTurn) -> ReserveTurn | SettleTurn:
+    """Return the command without what only the leader needs."""
+    if isinstance(request, ReserveTurn):
+        if request.quota is None and request.demand is None:
+            return request
+        return msgspec.structs.replace(request, quota=None, demand=None)
+    if request.quota is None and request.outcome is None:
+        return request
+    return msgspec.structs.replace(request, quota=None, outcome=None)
+
+
+def _released(request: ReserveTurn) -> SettleTurn:
+    """Return the settlement of a turn that was reserved and will not run."""
+    return SettleTurn(program_id=request.program_id, attempt_id=request.attempt_id, tokens=0)
--- /dev/null
+++ b/tests/turns/test_service.py
@@ -0,0 +1,173 @@
+"""Turns on the store group's leader: places beside reservations, and what becomes of both."""
+
+import functools
+import unittest
+
+import anyio
+import trio.testing
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.base import Message, encode_message
+from passlane.messages.common import Address, NotLeaderError
+from passlane.messages.listing import BackendRecord, BackendState
+from passlane.messages.placement import TurnDemand, TurnRefused
+from passlane.messages.turns import BudgetSpent, ReserveTurn, SettleTurn, TurnReserved
+from passlane.quotas.ledger import QuotaLedger, QuotaRules
+from passlane.scheduling.turn_scheduler import LEARNING_S, TurnScheduler
+from passlane.transport.router import MessageRouter
+from passlane.turns.dispatch import TICK_S, TurnDispatcher
+from passlane.turns.machine import TurnStateMachine
+from passlane.turns.service import TurnService
+
+PROPOSE_S = 0.01
+ENGINE = BackendRecord("e1", "llm", Address("10.0.0.1", 80), "a", 1, BackendState.READY)
+
+
+class LoneGroup:
+    """A group of one replica that leads while it is told to."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.is_leader = True
+        self.term = 1
+        self.leader_address = None
+        self.commands = []
+
+    async def propose(self, command):
+        await anyio.sleep(PROPOSE_S)
+        if not self.is_leader:
+            raise PasslaneError(ErrorCode.LEASE_LOST, "not the leader any more")
+        self.commands.append(command)
+        return self.machine.apply(len(self.commands), command)
+
+
+def with_leader(body):
+    """Run a test's body with a service that leads and knows one engine of one place."""
+
+    @functools.wraps(body)
+    def test(self):
+        async def main():
+            machine = TurnStateMachine()
+            self.group = LoneGroup(machine)
+            self.dispatcher = TurnDispatcher(TurnScheduler())
+            quotas = QuotaLedger(QuotaRules())
+            self.service = TurnService(
+                self.group, machine, MessageRouter(), quotas, self.dispatcher
+            )
+            self.dispatcher.replace_backends([ENGINE])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.service.run)
+                # A program under way whose history is at an engine that is gone.
+                await self.settle("before", "under-way", served_by="e9")
+                await anyio.sleep(LEARNING_S)
+                await body(self)
+                tasks.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+    return test
+
+
+class PlaceTest(unittest.TestCase):
+    async def reserve(self, attempt: str, program: str = "p", *, most: int = 10) -> Message:
+        demand = TurnDemand(
+            service="llm", route="r", urgency=1, zone="a", program_time_left_s=5.0,
+            time_left_s=4.0,
+        )  # fmt: skip
+        request = ReserveTurn(
+            program_id=program, attempt_id=attempt, most_tokens=most, budget_tokens=100,
+            demand=demand,
+        )  # fmt: skip
+        return await self.service.reserve(request)
+
+    async def settle(self, attempt: str, program: str = "p", served_by: str = "e1") -> None:
+        await self.service.settle(
+            SettleTurn(program_id=program, attempt_id=attempt, tokens=1, served_by=served_by)
+        )
+
+    @with_leader
+    async def test_a_turn_is_told_where_it_has_a_place(self):
+        answer = await self.reserve("a")
+        self.assertEqual(answer, TurnReserved(engine="e1"))
+
+    @with_leader
+    async def test_the_next_turn_waits_until_the_place_is_given_back(self):
+        await self.reserve("a")
+        await self.settle("a")
+        await self.reserve("b")
+        answers = []
+
+        async def wait():
+            answers.append(await self.reserve("c", "under-way"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            await anyio.sleep(0.2)
+            self.assertEqual(answers, [])
+            await self.settle("b")
+        self.assertEqual(answers[0].engine, "e1")
+        self.assertGreater(answers[0].place_wait_s, 0.19)
+
+    @with_leader
+    async def test_only_reservations_and_settlements_are_replicated(self):
+        await self.reserve("a")
+        await self.settle("a")
+        for command in self.group.commands:
+            self.assertNotIn(b"demand", command)
+            self.assertNotIn(b"outcome", command)
+
+    @with_leader
+    async def test_a_program_that_finds_no_room_reserves_nothing(self):
+        await self.reserve("a")
+        before = len(self.group.commands)
+        answer = await self.reserve("b", "q")
+        self.assertIsInstance(answer, TurnRefused)
+        self.assertEqual(len(self.group.commands), before)
+
+    @with_leader
+    async def test_a_turn_beyond_its_budget_keeps_no_place(self):
+        self.assertIsInstance(await self.reserve("a", most=1_000), BudgetSpent)
+        self.assertEqual((await self.reserve("b", "q")).engine, "e1")
+
+    @with_leader
+    async def test_a_turn_that_nobody_waits_for_keeps_no_place(self):
+        await self.reserve("a")
+        with anyio.move_on_after(0.1):
+            await self.reserve("b", "under-way")
+        await self.settle("a")
+        self.assertEqual((await self.reserve("c", "q")).engine, "e1")
+
+    @with_leader
+    async def test_who_waits_learns_at_once_that_the_leader_has_lost_its_lead(self):
+        await self.reserve("a")
+
+        async def lose():
+            await anyio.sleep(0.1)
+            self.group.is_leader = False
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(lose)
+            started = anyio.current_time()
+            with self.assertRaises(NotLeaderError):
+                await self.reserve("b", "under-way")
+            self.assertLess(anyio.current_time() - started, 0.1 + 2 * TICK_S)
+
+    @with_leader
+    async def test_a_leader_of_another_term_lets_nodes_choose_at_first(self):
+        await self.reserve("a")
+        self.group.term = 2
+        self.assertEqual((await self.reserve("b", "q")).engine, "")
+        await anyio.sleep(LEARNING_S)
+        self.assertEqual((await self.reserve("c", "r")).engine, "e1")
+
+    @with_leader
+    async def test_the_same_attempt_asked_twice_has_one_place(self):
+        first = await self.reserve("a")
+        self.assertEqual(await self.reserve("a"), first)
+        encoded = [c for c in self.group.commands if c == encode_message(
+            ReserveTurn(program_id="p", attempt_id="a", most_tokens=10, budget_tokens=100)
+        )]  # fmt: skip
+        self.assertEqual(len(encoded), 2)
+        await self.settle("a")
+        self.assertEqual((await self.reserve("b", "q")).engine, "e1")
