New programs are begun up to a tenant's limit, not half as much again

Cause: programs begun within a window were let in up to 1.5 times what the limit lets go on.

Ruled out: longer waits for programs under way; they are what makes them late.

Change: 1.0 in place of 1.5.

--- a/src/passlane/quotas/ledger.py
+++ b/src/passlane/quotas/ledger.py
@@ -54,9 +54,9 @@
 SMALLEST_AHEAD_CAPACITY = 200
 """Of smaller limits nothing is granted ahead: a third of it is never sent, and would be missed.
 Such tenants make few calls, so that asking for each costs the leader little."""
-BEGIN_SHARE = 1.5
+BEGIN_SHARE = 1.0
 """New programs are refused once those begun within the window need this multiple of the limit.
-They take up to twice a window, and what each needs is only known as a mean."""
+More would be begun than the limit lets go on, and each turn of a program under way would wait."""
 TRAVEL_S = 0.1
 """Requests differ by so much in the time from their grant to the engine: a way between zones
 is 1.4 ms, the rest is waiting at a busy node. Windows are counted longer by it."""
