Nodes ask for places: turns go where the store's leader has put them

Cause: with tenants that have a rank, all kinds of programs of one tenant had the same rank at engines, so an urgent kind waited behind the turns of another.

Ruled out: the route's rank before the tenant's; the users' pages say that it gives way.

Change: `turns.are_placed_by_store` (off by default, on in the deploy file). A turn tells its service, urgency, prompt and times; it goes to the engine that is named, and elsewhere only if that one refuses or breaks off, which its settlement tells.

Conclusion: the whole fleet's tests run with it, as deployed.

--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -98,6 +98,7 @@
             tasks,
             context.metrics,
             context.environment.random,
+            asks_for_places=context.settings.turns.are_placed_by_store,
         )
         if self._follower.configuration is not None:
             relay.replace_configuration(self._follower.configuration)
--- a/src/passlane/messages/routes.py
+++ b/src/passlane/messages/routes.py
@@ -78,7 +78,8 @@
 class RoutedService(msgspec.Struct, frozen=True, kw_only=True):
     """A group of back ends that answer the same requests.
 
-    ``tokens_per_event`` is 0 for services that are no model engines.
+    ``tokens_per_event`` is 0 for services that are no model engines; ``memory_tokens`` is what
+    one engine holds, 0 if unknown.
     """
 
     name: str
@@ -86,6 +87,7 @@
     max_connections: int
     slots: int = 0
     tokens_per_event: int = 0
+    memory_tokens: int = 0
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/passlane/platform/configuration_format.py
+++ b/src/passlane/platform/configuration_format.py
@@ -53,6 +53,7 @@
 class _Engine(msgspec.Struct, frozen=True):
     slots: int = 0
     chunk_tokens: int = 1
+    kv_capacity: int = 0
 
 
 class _Service(msgspec.Struct, frozen=True, kw_only=True):
@@ -157,6 +158,7 @@
         max_connections=service.max_conns,
         slots=engine.slots if engine is not None else 0,
         tokens_per_event=engine.chunk_tokens if engine is not None else 0,
+        memory_tokens=engine.kv_capacity if engine is not None else 0,
     )
 
 
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -6,6 +6,7 @@
 import anyio
 
 from passlane.errors import Verdict
+from passlane.messages.placement import TurnOutcome
 from passlane.messages.routes import RouteKind
 from passlane.observability.logging import get_logger
 from passlane.relay.backends import BackendAnswer, BackendRequest
@@ -49,6 +50,8 @@
         What back ends are to get: the call's own body, behind the history of its turn.
     used_last
         The instance that the request's program used last; empty if unknown.
+    assigned
+        The instance at which the request has a place; empty if it has none.
 
     Attributes
     ----------
@@ -60,13 +63,15 @@
         The instance that answered last; empty if none did.
     """
 
-    def __init__(self, context: RequestContext, body: bytes, used_last: str = "") -> None:
+    def __init__(
+        self, context: RequestContext, body: bytes, used_last: str = "", assigned: str = ""
+    ) -> None:
         self._call = context.call
         self._route = context.route
         self._service = context.service
         self._registry = context.registry
         self._backends = context.backends
-        self._key = context.placement_key(used_last)
+        self._key = context.placement_key(used_last, assigned)
         self._tenant_name = context.identity.tenant_name
         self._priority = context.engine_priority
         self._body = body
@@ -75,6 +80,10 @@
         self.verdict = Verdict.NOT_RUN
         self.tried: list[str] = []
         self.served_by = ""
+        self._failed_at: list[str] = []
+        self._full_at: list[str] = []
+        self._sent_at = 0.0
+        self._first_part_s = 0.0
         self.last_event_id = context.call.last_event_id
 
     async def run(self, limit_at: float, deliver: Deliver) -> None:
@@ -108,6 +117,17 @@
             if await self._attempt(choice.load, stall_limit, limit_at, deliver):
                 return
 
+    def outcome(self, *, is_whole: bool, events: int) -> TurnOutcome:
+        """Return how the request went so far, for whoever places turns."""
+        engine_s = anyio.current_time() - self._sent_at if is_whole else 0.0
+        return TurnOutcome(
+            engine_s=engine_s,
+            first_part_s=self._first_part_s,
+            events=events,
+            failed_at=tuple(self._failed_at),
+            full_at=tuple(self._full_at),
+        )
+
     def _connected(self, loads: Sequence[BackendLoad]) -> frozenset[str]:
         """Return the instances to which a connection rests unused, where that decides."""
         if not self._key.is_plain:
@@ -149,6 +169,7 @@
             short_queue=choice.rank.short_queue,
             needs_connection=choice.rank.needs_connection,
             used_last=self._key.used_last,
+            assigned=self._key.assigned,
             typical_s=round(choice.typical_s, 4),
             list_age_s=round(now - updated_at, 3) if updated_at is not None else None,
         )
@@ -170,6 +191,7 @@
         load.in_flight += 1
         started_at = anyio.current_time()
         watch = load.health.watch(started_at)
+        self._sent_at = started_at
         verdict_before = self.verdict
         # From here on a cancellation must not be taken for "not run".
         self.verdict = Verdict.MAY_HAVE_RUN
@@ -215,12 +237,14 @@
         if judgement is Judgement.NOT_RUN:
             self._log_refusal(answer, load)
             self._refused.add(load.record.instance_id)
+            self._full_at.append(load.record.instance_id)
             if is_gone(answer.head):
                 self._registry.remove(load.record.instance_id)
             return False
         if judgement is Judgement.UNTRUSTED:
             raise HttpConnectionError("not an answer to this request", bytes_left=True)
         self.served_by = load.record.instance_id
+        self._first_part_s = anyio.current_time() - self._sent_at
         await deliver(answer, watch)
         note_success(load)
         return True
@@ -243,6 +267,7 @@
         """Note a failed attempt; raise if the request must not be sent again."""
         note_failure(load, anyio.current_time())
         self._refused.add(load.record.instance_id)
+        self._failed_at.append(load.record.instance_id)
         if not error.bytes_left:
             self.verdict = verdict_before
             return
--- a/src/passlane/relay/placement.py
+++ b/src/passlane/relay/placement.py
@@ -29,6 +29,7 @@
 class PlacementRank(NamedTuple):
     """Order of preference; the first difference decides, and lower is better."""
 
+    is_not_assigned: bool
     is_outlier: bool
     is_avoided: bool
     long_queue: int
@@ -51,13 +52,15 @@
     """What decides where a request goes; ``affinity`` is empty for plain services.
 
     ``used_last`` is the engine that the request's program used last, at whatever node;
-    ``shared_part`` the large part that its prompt shares with others, empty without one.
+    ``shared_part`` the large part that its prompt shares with others, empty without one;
+    ``assigned`` the engine at which the store group's leader gave it a place, empty without.
     """
 
     affinity: str
     node: NodePlace
     used_last: str = ""
     shared_part: str = ""
+    assigned: str = ""
 
     @property
     def is_plain(self) -> bool:
@@ -95,7 +98,8 @@
 ) -> PlacementChoice | None:
     """Choose the back end for the next attempt; ``None`` if each was tried.
 
-    A program stays with the engine that it used last, because that engine holds what the
+    An engine at which the request has a place goes first: whoever gave it sees all nodes.
+    Else a program stays with the engine that it used last, because that engine holds what the
     program has read already; to read it again elsewhere takes longer than a short queue.
     A new program whose prompt shares a large part with others goes to the least used of
     the engines that hold this part. Any other goes by rendezvous hashing, as at every
@@ -132,6 +136,7 @@
     def rank(load: BackendLoad) -> PlacementRank:
         instance_id = load.record.instance_id
         return PlacementRank(
+            is_not_assigned=instance_id != key.assigned,
             is_outlier=instance_id in outliers,
             is_avoided=load.avoid_until > now,
             long_queue=congestion_level(load.health, long_s, now),
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -30,6 +30,8 @@
         Seconds from its arrival until its turn was reserved.
     quota_wait_s
         Seconds that its tenant's limit made it wait; ``None`` without a limit.
+    place_wait_s
+        Seconds that its turn waited for a place at an engine.
     events
         Events of a stream that were written to the caller.
     """
@@ -49,6 +51,7 @@
     events: int = 0
     reserved_s: float | None = None
     quota_wait_s: float | None = None
+    place_wait_s: float | None = None
     first_part_s: float | None = None
 
     def is_in_time(self, elapsed_s: float) -> bool | None:
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -3,6 +3,7 @@
 import anyio
 
 from passlane.errors import PasslaneError, Verdict
+from passlane.messages.placement import TurnOutcome, TurnRefused
 from passlane.messages.quotas import QuotaRefused
 from passlane.messages.routes import RouteKind
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
@@ -76,6 +77,7 @@
         finally:
             self._note_progress()
             if self._account is not None:
+                self._account.outcome = self._outcome()
                 self._account.settle_in_background(self._delivered_tokens(), self._served_by())
 
     async def _run_within(self, limit_at: float) -> None:
@@ -83,7 +85,7 @@
         if reserved is None:
             return
         body = reserved.history + self._call.body
-        attempts = RequestAttempts(self._context, body, reserved.used_last)
+        attempts = RequestAttempts(self._context, body, reserved.used_last, reserved.engine)
         self._attempts = attempts
         try:
             await attempts.run(limit_at, self._deliver)
@@ -104,7 +106,7 @@
             await self._refuse(UNAVAILABLE, f"store_{error.code.value}", pause_s)
             return None
         if admitted is not None and self._context.quota.limit is not None:
-            self._progress.quota_wait_s = admitted.start_after_s
+            self._progress.quota_wait_s = admitted.start_after_s + admitted.limit_wait_s
             await anyio.sleep(admitted.start_after_s)
         return admitted
 
@@ -130,8 +132,26 @@
         if isinstance(answer, TurnUnknown):
             await self._refuse(NOT_FOUND, "turn_unknown", None)
             return None
+        if isinstance(answer, TurnRefused):
+            await self._refuse_for_room(answer)
+            return None
+        self._progress.place_wait_s = answer.place_wait_s
         return answer
 
+    async def _refuse_for_room(self, refused: TurnRefused) -> None:
+        """Refuse a new program that finds no room, and log what decided."""
+        _log.info(
+            "room_refused",
+            request_id=self._call.request_id,
+            tenant=self._context.identity.tenant_name,
+            urgency=self._context.identity.urgency_on(self._route),
+            waiting=refused.waiting,
+            busy_share=round(refused.busy_share, 3),
+            retry_after_s=round(refused.retry_after_s, 3),
+            asked_s=round(anyio.current_time() - self._call.arrived_at, 4),
+        )
+        await self._refuse(UNAVAILABLE, "no_room", round(refused.retry_after_s, 3))
+
     async def _deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         self._progress.first_part_s = anyio.current_time() - self._call.arrived_at
         if self._route.kind is not RouteKind.STREAM or answer.head.status >= 300:
@@ -149,6 +169,7 @@
         """Make a whole turn durable before its caller learns that it has ended."""
         if self._account is None:
             return
+        self._account.outcome = self._outcome()
         try:
             await self._account.settle_whole(
                 self._delivered_tokens(),
@@ -160,12 +181,21 @@
             self._progress.reason = f"turn_not_durable_{error.code.value}"
             raise AnswerAbortedError(self._progress.reason) from error
 
+    def _outcome(self) -> TurnOutcome | None:
+        """Return how the request went at engines; ``None`` if it reached none."""
+        if self._attempts is None:
+            return None
+        is_whole = self._stream is not None and self._stream.is_whole
+        return self._attempts.outcome(is_whole=is_whole, events=self._events())
+
+    def _events(self) -> int:
+        return self._stream.events if self._stream is not None else 0
+
     def _served_by(self) -> str:
         return self._attempts.served_by if self._attempts is not None else ""
 
     def _delivered_tokens(self) -> int:
-        events = self._stream.events if self._stream is not None else 0
-        return events * self._context.service.tokens_per_event
+        return self._events() * self._context.service.tokens_per_event
 
     async def _refuse_for_quota(self, refused: QuotaRefused) -> None:
         """Refuse a request beyond its tenant's limit, and log what decided."""
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -41,6 +41,8 @@
     ----------
     tasks
         Where work goes on that outlives a request.
+    asks_for_places
+        Whether the store group's leader orders and places turns.
     """
 
     def __init__(
@@ -52,7 +54,10 @@
         tasks: TaskGroup,
         metrics: Metrics,
         random: Random,
+        *,
+        asks_for_places: bool = False,
     ) -> None:
+        self._asks_for_places = asks_for_places
         self._node = node
         self._registry = registry
         self._backends = backends
@@ -158,7 +163,8 @@
         )
         account: TurnAccount | None = None
         if route.kind is RouteKind.STREAM and needs_account(call, route):
-            account = TurnAccount(call, route, identity, quota, self._store, self._tasks)
+            demand = context.turn_demand if self._asks_for_places else None
+            account = TurnAccount(call, route, identity, quota, self._store, self._tasks, demand)
         await RequestRelay(context, writer, account, progress).run()
 
     def _note_end(self, call: RelayedCall, writer: AnswerWriter, progress: RequestProgress) -> None:
@@ -189,6 +195,7 @@
             events=progress.events,
             reserved_s=_rounded(progress.reserved_s),
             quota_wait_s=_rounded(progress.quota_wait_s),
+            place_wait_s=_rounded(progress.place_wait_s),
             first_part_s=_rounded(progress.first_part_s),
             is_in_time=progress.is_in_time(elapsed_s),
             time_left_s=_rounded(call.deadline_at - anyio.current_time()),
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -1,9 +1,11 @@
 """One turn's account in the store group: reservation, history, settlement."""
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from passlane.errors import PasslaneError
+from passlane.messages.placement import TurnDemand, TurnOutcome
 from passlane.messages.quotas import QuotaDraw
 from passlane.messages.routes import Route
 from passlane.messages.turns import (
@@ -17,7 +19,7 @@
 from passlane.relay.calls import RelayedCall
 from passlane.relay.request_quota import RequestQuota
 from passlane.routes.tenants import Identity
-from passlane.turns.client import ANSWER_TIMEOUT_S, TurnStoreClient
+from passlane.turns.client import TurnStoreClient
 
 BACKGROUND_SETTLE_S = 30.0
 """Longer than a node is usually cut off; what is not settled by then stays reserved."""
@@ -36,8 +38,15 @@
 
     Parameters
     ----------
+    demand
+        What decides when and where the turn runs; ``None`` if this node chooses an engine.
     tasks
         Where settlements that nobody waits for go on.
+
+    Attributes
+    ----------
+    outcome
+        How the turn went at engines; told with its settlement.
     """
 
     def __init__(
@@ -48,7 +57,10 @@
         quota: RequestQuota,
         store: TurnStoreClient,
         tasks: TaskGroup,
+        demand: TurnDemand | None = None,
     ) -> None:
+        self._demand = demand
+        self.outcome: TurnOutcome | None = None
         self._call = call
         self._route = route
         self._identity = identity
@@ -72,6 +84,7 @@
     async def reserve(self, limit_at: float) -> ReserveAnswer:
         """Reserve the most that the turn may generate; see ``TurnStoreClient.reserve``."""
         program = self._call.program
+        now = anyio.current_time()
         request = ReserveTurn(
             program_id=self._program_id,
             attempt_id=self._call.request_id,
@@ -80,15 +93,27 @@
             previous=self._previous_id if self._route.keeps_turns else None,
             retention_s=self._route.retention_s,
             quota=self._quota.draw_for_turn(self._route.name),
+            demand=self._demand_at(now, limit_at),
         )
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
-        timeout_s = min(ANSWER_TIMEOUT_S, limit_at - anyio.current_time())
-        answer = await self._store.reserve(request, timeout_s=timeout_s)
+        answer = await self._store.reserve(request, timeout_s=limit_at - now)
         # A refused turn has no reservation, so there is nothing to settle.
         self._is_reserved = isinstance(answer, TurnReserved)
         return answer
 
+    def _demand_at(self, now: float, limit_at: float) -> TurnDemand | None:
+        """Return what the turn demands, with the times that are left at this moment."""
+        if self._demand is None:
+            return None
+        program = self._call.program
+        deadline_at = program.deadline_at if program is not None else None
+        return msgspec.structs.replace(
+            self._demand,
+            time_left_s=limit_at - now,
+            program_time_left_s=deadline_at - now if deadline_at is not None else None,
+        )
+
     async def settle_whole(
         self, tokens: int, output: bytes, served_by: str, timeout_s: float
     ) -> None:
@@ -132,6 +157,7 @@
             turn=turn,
             served_by=served_by,
             quota=draw,
+            outcome=self.outcome,
         )
 
     async def _send(self, settlement: SettleTurn, timeout_s: float) -> None:
--- a/src/passlane/routes/tenants.py
+++ b/src/passlane/routes/tenants.py
@@ -13,6 +13,10 @@
 
 KEY_DIGEST_BYTES = 16
 """Two keys share a digest of 128 bits with a chance far below that of guessing one."""
+RANKS = 10
+"""Ranks of a tenant, of a route and at an engine go from 0 to 9."""
+ROUTE_RANKS = 3
+"""Ranks of routes that engines tell apart within one rank of tenants."""
 SCOPE_MARK = "\n"
 """Separates a tenant's name from an id; no header can hold it."""
 
@@ -37,6 +41,24 @@
         own = self.tenant.priority if self.tenant is not None else None
         return route.priority if own is None else own
 
+    def engine_priority_on(self, route: Route) -> int:
+        """Return the rank of its requests at engines, from 0 to 9.
+
+        Engines order by one small number, so a tenant's rank leaves room for three of routes.
+        """
+        own = self.tenant.priority if self.tenant is not None else None
+        if own is None:
+            return min(route.priority, RANKS - 1)
+        return min(own * ROUTE_RANKS + min(route.priority, ROUTE_RANKS - 1), RANKS - 1)
+
+    def urgency_on(self, route: Route) -> int:
+        """Return the place of its requests in the order of all; the lowest goes first.
+
+        The tenant's rank goes before the route's, which decides among those of one rank.
+        """
+        own = self.tenant.priority if self.tenant is not None else None
+        return route.priority if own is None else own * RANKS + min(route.priority, RANKS - 1)
+
     def scoped(self, name: str) -> str:
         """Return an id as it is kept for this tenant, unlike that of any other tenant.
 
--- a/src/passlane/settings/fleet.py
+++ b/src/passlane/settings/fleet.py
@@ -84,6 +84,19 @@
     slack_requests: float = 0.0
 
 
+class TurnSettings(_Section, frozen=True):
+    """How turns of programs are served.
+
+    Attributes
+    ----------
+    are_placed_by_store
+        Whether the leader of the store group orders the turns of all nodes and chooses their
+        engines; else each node does by itself.
+    """
+
+    are_placed_by_store: bool = False
+
+
 class FleetSettings(_Section, frozen=True):
     """The whole settings file; ``seeds`` are operators' addresses of control replicas."""
 
@@ -94,6 +107,7 @@
     timing: FleetTimingSettings = FleetTimingSettings()
     fault_tolerance: FaultToleranceSettings = FaultToleranceSettings()
     quotas: QuotaSettings = QuotaSettings()
+    turns: TurnSettings = TurnSettings()
 
 
 def load_fleet_settings(path: Path) -> FleetSettings:
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -25,6 +25,7 @@
     FleetProcessSettings,
     FleetSettings,
     QuotaSettings,
+    TurnSettings,
 )
 from passlane.simulation.disk import SimulatedDisk
 from passlane.simulation.environment import build_simulated_environment
@@ -74,6 +75,7 @@
 
     def __init__(self, tasks, seed, machines_lost):
         self.machines_lost = machines_lost
+        self.places_turns = True
         self.tasks = tasks
         self.seed = seed
         self.random = random.Random(seed)
@@ -115,6 +117,7 @@
             backend_list=BackendListSettings(address=LIST_ADDRESS, rate_per_s=40.0),
             fault_tolerance=FaultToleranceSettings(machines=self.machines_lost),
             quotas=QuotaSettings(window_s=5.0, overage=0.1, slack_requests=20.0),
+            turns=TurnSettings(are_placed_by_store=self.places_turns),
         )
 
     def start(self, name):
--- a/tests/on_platform/test_deploy.py
+++ b/tests/on_platform/test_deploy.py
@@ -59,6 +59,9 @@
 
 [timing]
 grace_s = 8
+
+[turns]
+are_placed_by_store = true
 """
 NODE_ADDRESSES = 'callers = "10.1.0.30:8149"\nreadiness = "10.1.0.30:8141"'
 
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -116,6 +116,46 @@
         self.assertEqual((answer.status, answer.body), (200, newest))
 
 
+class PlacedTurnsTest(unittest.TestCase):
+    @on_seeds()
+    async def test_turns_of_all_nodes_share_the_places_of_the_engines(self, fleet):
+        answers = []
+
+        async def take(number):
+            node = f"node-{number % 2 + 1}"
+            program = {"x_passlane_program_id": f"program-{number}"}
+            answers.append(await fleet.turn(f"t{number}", node=node, **program))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(6):
+                tasks.start_soon(take, number)
+        self.assertEqual([answer.status for answer in answers], [200] * 6)
+        used = {engine.instance_id for engine in fleet.engines if engine.bodies}
+        self.assertEqual(len(used), 3)
+
+    @on_seeds()
+    async def test_a_leader_that_is_lost_while_turns_run_holds_nobody_up_for_long(self, fleet):
+        await fleet.turn("before")
+        leader = fleet.store_leader()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fleet.turn, "during")
+            await anyio.sleep(0.01)
+            fleet.kill(leader)
+        started = anyio.current_time()
+        attempt = await fleet.turn_until_whole("after", previous="before")
+        self.assertLess(anyio.current_time() - started, 3.0)
+        self.assertTrue(fleet.body_run_for(attempt).startswith(b"<before>"))
+
+    @on_seeds()
+    async def test_nodes_choose_engines_where_the_store_does_not(self, fleet):
+        fleet.places_turns = False
+        fleet.kill("node-1")
+        fleet.start("node-1")
+        await anyio.sleep(3.0)
+        attempt = await fleet.turn_until_whole("alone")
+        self.assertIsNotNone(fleet.body_run_for(attempt))
+
+
 class CutOffNodeTest(unittest.TestCase):
     @on_seeds()
     async def test_a_node_without_control_and_stores_is_not_ready_and_refuses_early(self, fleet):
