Tests of what a leader says whose outcome the store takes no longer, and of a shared refusal

Cause: defects planted in the change before showed that three of its lines had no test: the verdict of a call whose leader may not record its outcome, the verdict of an ErrorReply that says not leader, and a repeat that joins a waiting call.

--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -315,6 +315,38 @@
 
         in_fleet(scenario, nodes=2)
 
+    def test_charge_whose_outcome_its_leader_may_not_record_is_not_refused_as_not_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            request = charge(idempotency_key=None, is_named=False, timeout_s=3.0)
+            answer = Answer()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.call, request, answer, 1)
+                await anyio.sleep(0.004)
+                # The store has given the program away; only the leader does not know yet.
+                fleet.store.lead(fleet.leaderships[1], fleet.epoch + 1)
+                await anyio.sleep(0.01)
+                self.assertEqual(len(fleet.application.ledger), 1)
+                fleet.network.cut.add(fleet.leaderships[0].address)
+            self.assertEqual(answer.refused.code, ErrorCode.UNAVAILABLE)
+            self.assertEqual(answer.refused.verdict, Verdict.MAY_HAVE_RUN)
+
+        in_fleet(scenario, nodes=2)
+
+    def test_repeat_that_shares_the_refusal_of_a_waiting_charge_is_told_that_it_did_not_run(
+        self,
+    ) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            answers = [Answer(), Answer()]
+            async with anyio.create_task_group() as tasks:
+                for answer in answers:
+                    tasks.start_soon(fleet.call, charge(sequence=9), answer)
+                    await anyio.sleep(0.01)
+            for answer in answers:
+                self.assertEqual(answer.refused.code, ErrorCode.WRONG_SEQUENCE)
+                self.assertEqual(answer.refused.verdict, Verdict.NOT_RUN)
+
+        in_fleet(scenario)
+
     def test_call_sent_again_to_a_busy_leader_is_not_refused_as_not_run(self) -> None:
         # The next leader has asked the application what became of the charge.
         for make, verdict in ((chat, Verdict.MAY_HAVE_RUN), (charge, Verdict.RAN)):
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -12,7 +12,7 @@
 from passlane.errors import ErrorCode, Verdict
 from passlane.identifiers import CallId, Epoch, Partition, ProgramId
 from passlane.messages.base import encode_message, message_decoder
-from passlane.messages.common import Address, Amounts, ErrorReply
+from passlane.messages.common import Address, Amounts, ErrorReply, NotLeaderError
 from passlane.messages.fleet import ReadRetirement
 from passlane.messages.registry import MessageRegistry
 from passlane.messages.store import CallOutcome, FinishCall, StoreCommand, Turn
@@ -37,6 +37,15 @@
         with self.assertRaises(msgspec.ValidationError):
             message_decoder(StoreCommand).decode(encode_message(reply))
 
+    def test_an_error_reply_keeps_its_verdict_and_the_leader(self) -> None:
+        leader = Address("10.0.0.1", 7000)
+        for verdict in Verdict:
+            error = NotLeaderError("moved", leader, verdict=verdict)
+            reply = ErrorReply.from_exception(error)
+            decoded = message_decoder(ErrorReply).decode(encode_message(reply)).to_exception()
+            assert isinstance(decoded, NotLeaderError)
+            self.assertEqual((decoded.verdict, decoded.leader), (verdict, leader))
+
     def test_address_parses_its_own_text(self) -> None:
         address = Address(host="127.0.0.1", port=7001)
         self.assertEqual(Address.parse(str(address)), address)
