A back end's answer proves something only with the request's id, and any failure says what left

Cause: an answer without an id was taken for the request's own, so a spoiled or late refusal was believed; only NetworkError and ProtocolError of httpcore were known, any other exception (ConnectionNotAvailable, OSError, TimeoutError, Python's own) left the client as it was and ended as a 500; a refusal's body was never read, so each refusal cost a new connection to the engine. Change: no id, no proof, for successes and failures alike; a success that says it did not run is neither; the HTTP client turns every exception into HttpConnectionError by whether a byte was given to the network, and logs those that connections are not known to have; a refusal of at most 4 kB that comes within 30 ms is read to its end and its connection kept for other requests. A request that HTTP can't write still counts as sent, so that it is not offered to every engine in turn. Tests changed: test_a_refusal_counts_only_for_the_own_request expected refusals without an id to be believed; it now demands the id. The stand-in's 421 lacked the id that the protocol demands of all answers.

--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -1,9 +1,12 @@
 """Requests to the platform's engines and applications."""
 
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
+
+import anyio
 
 from passlane.messages.listing import BackendRecord
+from passlane.observability.logging import get_logger
 from passlane.platform import names
 from passlane.relay.backends import (
     AnswerHead,
@@ -11,12 +14,24 @@
     Refusal,
 )
 from passlane.relay.calls import Header
-from passlane.runtime.interfaces import HttpClient, HttpRequest, HttpResponse
+from passlane.runtime.interfaces import (
+    HttpClient,
+    HttpConnectionError,
+    HttpRequest,
+    HttpResponse,
+)
 
 WRONG_INSTANCE_STATUS = 421
 FIRST_FAILURE_STATUS = 300
+FIRST_REFUSAL_STATUS = 400
+MAX_REFUSAL_BYTES = 4_096
+"""A refusal's body is read up to here, so that its connection can be kept."""
+REFUSAL_READ_S = 0.03
+"""So long a refusal's body may take; the request waits for it before its next attempt."""
 MILLISECONDS = 1_000
 
+_log = get_logger(__name__)
+
 
 class EngineAnswer:
     """An engine's answer; implements ``relay.backends.BackendAnswer``."""
@@ -53,9 +68,30 @@
             headers=_headers_for(backend, request),
             body=request.body,
             host=call.host,
+            answer_key=call.request_id,
         )
         async with self._http_client.exchange(http_request) as response:
-            yield EngineAnswer(response, call.request_id)
+            answer = EngineAnswer(response, call.request_id)
+            yield answer
+            if answer.head.refusal is not None:
+                await _read_rest(response, call.request_id)
+
+
+async def _read_rest(response: HttpResponse, request_id: str) -> None:
+    """Read a short refusal to its end, so that its connection can be used again.
+
+    A longer one, or one that breaks off or takes its time, is left, which closes it.
+    """
+    size = 0
+    try:
+        with anyio.move_on_after(REFUSAL_READ_S):
+            async with aclosing(response.chunks()) as chunks:
+                async for chunk in chunks:
+                    size += len(chunk)
+                    if size > MAX_REFUSAL_BYTES:
+                        return
+    except HttpConnectionError as error:
+        _log.info("refusal_broke_off", request_id=request_id, error=str(error))
 
 
 def _headers_for(backend: BackendRecord, request: BackendRequest) -> dict[str, str]:
@@ -74,9 +110,14 @@
     return headers
 
 
+def _is_own(headers: Mapping[str, str], request_id: str) -> bool:
+    """Return whether an answer proves to be one to this request: engines echo the id in all."""
+    return headers.get(names.ATTEMPT_ID) == request_id
+
+
 def _head_of(response: HttpResponse, request_id: str) -> AnswerHead:
     headers = response.headers
-    echoed = headers.get(names.ATTEMPT_ID, request_id)
+    is_own = _is_own(headers, request_id)
     length = headers.get("content-length")
     return AnswerHead(
         status=response.status,
@@ -85,8 +126,8 @@
             for name, value in headers.items()
             if name not in names.CONNECTION_HEADERS
         ),
-        refusal=_refusal_of(response) if echoed == request_id else None,
-        is_authentic=echoed == request_id and _has_marks(response.status, headers),
+        refusal=_refusal_of(response) if is_own else None,
+        is_authentic=is_own and _has_marks(response.status, headers),
         length=int(length) if length is not None else None,
     )
 
@@ -94,11 +135,17 @@
 def _refusal_of(response: HttpResponse) -> Refusal | None:
     if response.status == WRONG_INSTANCE_STATUS:
         return Refusal.WRONG_INSTANCE
+    if response.status < FIRST_REFUSAL_STATUS:
+        return None
     return Refusal.NOT_EXECUTED if names.NOT_EXECUTED in response.headers else None
 
 
 def _has_marks(status: int, headers: Mapping[str, str]) -> bool:
-    """Return whether a success bears the engine's signature and its body unencoded."""
+    """Return whether a success bears the engine's signature and its body unencoded.
+
+    One that says besides that the request did not run contradicts itself.
+    """
     if status >= FIRST_FAILURE_STATUS:
         return True
-    return names.SIGNATURE in headers and "content-encoding" not in headers
+    is_plain = "content-encoding" not in headers and names.NOT_EXECUTED not in headers
+    return is_plain and names.SIGNATURE in headers
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -24,6 +24,7 @@
 from anyio.abc import ByteStream, SocketAttribute
 
 from passlane.messages.common import Address
+from passlane.observability.logging import get_logger
 from passlane.runtime.interfaces import HttpConnectionError, HttpRequest, Network
 
 CONNECT_TIMEOUT_S = 0.3
@@ -35,20 +36,38 @@
 MAX_IDLE_PER_ADDRESS = 64
 SWEEP_PERIOD_S = 5.0
 """Connections that rest unused are looked through so often."""
+EXPECTED_FAILURES = (httpcore.NetworkError, httpcore.ProtocolError, OSError)
+"""Failures that connections are known to have; others are logged."""
+UNWRITABLE_REQUEST = (httpcore.LocalProtocolError, ValueError)
+"""Failures of the request itself: HTTP has no form for it."""
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
+_log = get_logger(__name__)
+
+
 class _ByteStreamAdapter(httpcore.AsyncNetworkStream):
     """Lets httpcore read and write an anyio byte stream.
 
     httpcore writes a request's head and body apart; they leave together, when the answer
     is waited for.
+
+    Attributes
+    ----------
+    has_sent
+        Whether bytes of the request under way may have left this process.
     """
 
     def __init__(self, stream: ByteStream) -> None:
+        self.has_sent = False
         self._stream = stream
         self._unsent: list[bytes] = []
 
+    def begin_request(self) -> None:
+        """Forget what was written for earlier requests."""
+        self.has_sent = False
+        self._unsent.clear()
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         try:
             with _time_limit(timeout):
@@ -69,6 +88,7 @@
             return
         data = b"".join(self._unsent)
         self._unsent.clear()
+        self.has_sent = True
         with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
             await self._stream.send(data)
 
@@ -105,10 +125,11 @@
 class _Response:
     """An answer whose head has arrived; implements ``runtime.interfaces.HttpResponse``."""
 
-    def __init__(self, response: httpcore.Response) -> None:
+    def __init__(self, response: httpcore.Response, address: Address) -> None:
         self.status = response.status
         self.headers: Mapping[str, str] = _joined_headers(response)
         self._response = response
+        self._address = address
         self._body = self._read_body()
 
     def chunks(self) -> AsyncGenerator[bytes, None]:
@@ -122,19 +143,78 @@
             async with aclosing(parts):
                 async for part in parts:
                     yield part
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise HttpConnectionError(f"the answer broke off: {error}", bytes_left=True) from error
+        except Exception as error:
+            _log_unexpected(error, self._address)
+            raise HttpConnectionError(
+                f"the answer broke off: {error!r}", bytes_left=True
+            ) from error
 
     async def aclose(self) -> None:
-        """End the answer, read to its end or not."""
-        await self._body.aclose()
-        await self._response.aclose()
+        """End the answer, read to its end or not; a failure here says nothing about it."""
+        try:
+            await self._body.aclose()
+            await self._response.aclose()
+        except Exception as error:
+            _log_unexpected(error, self._address)
+
+
+class _Connection:
+    """One connection, and what was last sent on it.
+
+    Attributes
+    ----------
+    answer_key
+        That of the last request; see ``HttpRequest``.
+    """
+
+    def __init__(self, address: Address, stream: ByteStream) -> None:
+        self.answer_key = ""
+        self._address = address
+        self._stream = _ByteStreamAdapter(stream)
+        self.http = httpcore.AsyncHTTP11Connection(
+            origin=httpcore.Origin(b"http", address.host.encode(), address.port),
+            stream=self._stream,
+        )
+
+    async def send(self, request: HttpRequest) -> httpcore.Response:
+        """Send a request and return the head of its answer.
+
+        Raises
+        ------
+        HttpConnectionError
+            For any failure, whatever the library calls it: what may be promised follows
+            from the bytes alone that were given to the network. A request that cannot be
+            written counts as sent, since no other connection would take it either.
+        """
+        self.answer_key = request.answer_key
+        self._stream.begin_request()
+        try:
+            return await self.http.handle_async_request(_to_httpcore(request))
+        except Exception as error:
+            _log_unexpected(error, self._address)
+            is_unwritable = isinstance(error, UNWRITABLE_REQUEST)
+            raise HttpConnectionError(
+                f"no answer from {self._address}: {error!r}",
+                bytes_left=self._stream.has_sent or is_unwritable,
+            ) from error
+
+    async def close(self) -> None:
+        """Close the connection, whatever state it is in."""
+        with anyio.CancelScope(shield=True):
+            try:
+                await self.http.aclose()
+            except Exception as error:
+                _log_unexpected(error, self._address)
+
+    def is_clean(self) -> bool:
+        """Whether the next answer can only be that of the next request."""
+        return self.http.is_idle() and not _has_unasked_bytes(self.http)
 
 
 class _IdleConnection(msgspec.Struct, frozen=True):
     """A connection whose last answer was read to its end, at time ``since``."""
 
-    connection: httpcore.AsyncHTTP11Connection
+    connection: _Connection
     since: float
     expiry_s: float
 
@@ -144,7 +224,8 @@
 
     def is_usable(self) -> bool:
         """Whether the server has most likely not closed it."""
-        return self.is_young() and self.connection.is_idle() and not self.connection.has_expired()
+        http = self.connection.http
+        return self.is_young() and http.is_idle() and not http.has_expired()
 
 
 class SingleConnectionHttpClient:
@@ -163,7 +244,7 @@
             connection = await self._open(request.address)
         expiry_s = IDLE_EXPIRY_S
         try:
-            response = _Response(await self._send(connection, request))
+            response = _Response(await connection.send(request), request.address)
             expiry_s = _idle_expiry_s(response.headers)
             try:
                 yield response
@@ -178,39 +259,34 @@
         idle = self._idle.get(address)
         return idle is not None and len(idle) > 0 and idle[-1].is_young()
 
-    async def _take_idle(self, request: HttpRequest) -> httpcore.AsyncHTTP11Connection | None:
+    async def _take_idle(self, request: HttpRequest) -> _Connection | None:
         if request.fresh_connection:
             return None
         idle = self._idle.get(request.address, [])
-        while idle:
-            candidate = idle.pop()
-            if candidate.is_usable():
-                return candidate.connection
-            await candidate.connection.aclose()
-        return None
-
-    async def _open(self, address: Address) -> httpcore.AsyncHTTP11Connection:
+        unusable: list[_IdleConnection] = []
+        chosen: _Connection | None = None
+        for candidate in reversed(tuple(idle)):
+            if not candidate.is_usable():
+                idle.remove(candidate)
+                unusable.append(candidate)
+            elif not request.answer_key or candidate.connection.answer_key != request.answer_key:
+                idle.remove(candidate)
+                chosen = candidate.connection
+                break
+        for idle_connection in unusable:
+            await idle_connection.connection.close()
+        return chosen
+
+    async def _open(self, address: Address) -> _Connection:
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await self._network.connect(address)
-        except OSError as error:
+        except Exception as error:
+            _log_unexpected(error, address)
             raise HttpConnectionError(
                 f"cannot connect to {address}: {error}", bytes_left=False
             ) from error
-        return httpcore.AsyncHTTP11Connection(
-            origin=httpcore.Origin(b"http", address.host.encode(), address.port),
-            stream=_ByteStreamAdapter(stream),
-        )
-
-    async def _send(
-        self, connection: httpcore.AsyncHTTP11Connection, request: HttpRequest
-    ) -> httpcore.Response:
-        try:
-            return await connection.handle_async_request(_to_httpcore(request))
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise HttpConnectionError(
-                f"no answer from {request.address}: {error}", bytes_left=True
-            ) from error
+        return _Connection(address, stream)
 
     async def _sweep(self) -> None:
         """Now and then close what will not be used again, such as for servers that are gone."""
@@ -226,25 +302,27 @@
                 self._idle[address] = kept
             else:
                 del self._idle[address]
-        with anyio.CancelScope(shield=True):
-            for idle_connection in unusable:
-                with suppress(httpcore.NetworkError):
-                    await idle_connection.connection.aclose()
+        for idle_connection in unusable:
+            await idle_connection.connection.close()
 
     async def _give_back(
         self,
         address: Address,
-        connection: httpcore.AsyncHTTP11Connection,
+        connection: _Connection,
         expiry_s: float,
     ) -> None:
         await self._sweep()
         idle = self._idle.setdefault(address, [])
-        is_clean = connection.is_idle() and not _has_unasked_bytes(connection)
-        if is_clean and expiry_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS:
+        if connection.is_clean() and expiry_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS:
             idle.append(_IdleConnection(connection, anyio.current_time(), expiry_s))
             return
-        with anyio.CancelScope(shield=True), suppress(httpcore.NetworkError):
-            await connection.aclose()
+        await connection.close()
+
+
+def _log_unexpected(error: Exception, address: Address) -> None:
+    """Log a failure that connections are not known to have; it is treated like the others."""
+    if not isinstance(error, EXPECTED_FAILURES):
+        _log.warning("unexpected_connection_failure", address=str(address), error=repr(error))
 
 
 def _has_unasked_bytes(connection: httpcore.AsyncHTTP11Connection) -> bool:
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -47,6 +47,8 @@
     ``host`` is the value of the header ``Host`` where that is not the address.
     ``fresh_connection`` asks for a new connection: on a kept one a failure cannot be
     told from a server that closed it while the request was on its way.
+    ``answer_key`` is what tells answers apart: a connection whose last request had the same
+    one is not used, since an answer too many on it could not be told from the new answer.
     """
 
     method: str
@@ -56,6 +58,7 @@
     body: bytes = b""
     fresh_connection: bool = False
     host: str | None = None
+    answer_key: str = ""
 
 
 class HttpResponse(Protocol):
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -32,10 +32,11 @@
         request = await read_request(scope, receive, 10_000_000)
         headers = request.headers
         own_id = [(b"x-passlane-instance-id", self.instance_id.encode())]
+        request_id = headers.get("x-passlane-attempt-id", "")
         if headers.get("x-passlane-target-instance") != self.instance_id:
-            await self._answer(send, 421, own_id, b"")
+            echo = [(b"x-passlane-attempt-id", request_id.encode())] if request_id else []
+            await self._answer(send, 421, own_id + echo, b"")
             return
-        request_id = headers["x-passlane-attempt-id"]
         self.runs.append((request_id, request.body))
         self.run_headers[request_id] = headers
         self.run_times.append(anyio.current_time())
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -11,6 +11,7 @@
 from passlane.platform.request_format import parse_call
 from passlane.relay.backends import Refusal
 from passlane.relay.calls import Header, PromptPart
+from passlane.relay.verdicts import Judgement, judge_answer
 from passlane.routes.tenants import digest_of_key
 
 TURN_HEADERS = {
@@ -225,12 +226,30 @@
         self.assertFalse(head_of(200, **marks, content_encoding="gzip").is_authentic)
 
     def test_a_refusal_counts_only_for_the_own_request(self):
-        self.assertIs(head_of(503, x_passlane_not_executed="1").refusal, Refusal.NOT_EXECUTED)
-        self.assertIs(head_of(421).refusal, Refusal.WRONG_INSTANCE)
+        own = {"x_passlane_attempt_id": "own"}
+        full = head_of(503, x_passlane_not_executed="1", **own)
+        self.assertIs(full.refusal, Refusal.NOT_EXECUTED)
+        self.assertIs(head_of(421, **own).refusal, Refusal.WRONG_INSTANCE)
         late = head_of(503, x_passlane_not_executed="1", x_passlane_attempt_id="other")
         self.assertIsNone(late.refusal)
         self.assertFalse(late.is_authentic)
-        self.assertIsNone(head_of(503).refusal)
+        self.assertIsNone(head_of(503, **own).refusal)
+
+    def test_an_answer_without_an_id_proves_nothing(self):
+        marks = {"x_passlane_response_signature": "s"}
+        for status in (200, 400, 408, 421, 429, 500, 503):
+            head = head_of(status, x_passlane_not_executed="1", **marks)
+            self.assertIsNone(head.refusal)
+            self.assertIs(judge_answer(head), Judgement.UNTRUSTED)
+
+    def test_an_answer_that_bears_two_ids_proves_nothing(self):
+        both = head_of(503, x_passlane_not_executed="1", x_passlane_attempt_id="own, other")
+        self.assertIs(judge_answer(both), Judgement.UNTRUSTED)
+
+    def test_a_success_that_says_it_did_not_run_is_neither(self):
+        marks = {"x_passlane_attempt_id": "own", "x_passlane_response_signature": "s"}
+        spoiled = head_of(200, x_passlane_not_executed="1", **marks)
+        self.assertIs(judge_answer(spoiled), Judgement.UNTRUSTED)
 
     def test_headers_of_the_connection_stay_behind(self):
         head = head_of(200, content_length="5", connection="close", content_type="text/plain")
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import httpcore
 
 from passlane.messages.common import Address
 from passlane.runtime.early_listening import bound_socket
@@ -17,6 +18,7 @@
 from passlane.runtime.network import TcpNetwork
 from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import DelayModel, SimulatedNetwork
+from passlane.simulation.replacement import Replacement, replaced
 from passlane.simulation.runner import run_simulation
 
 CLIENT_HOST = "10.0.0.1"
@@ -85,6 +87,132 @@
         self.assertTrue(stream.sent[0].endswith(b"body"))
 
 
+class FailingStream(CountingStream):
+    """A byte stream that raises errors, when it is sent to or read from, after some answers."""
+
+    def __init__(
+        self, *answers: bytes, at_send: Exception | None = None, at_read: Exception | None = None
+    ) -> None:
+        super().__init__(b"")
+        self._answer = list(reversed(answers))
+        self._at_send = at_send
+        self._at_read = at_read
+
+    async def send(self, item: bytes) -> None:
+        if self._at_send is not None and not self._answer:
+            raise self._at_send
+        await super().send(item)
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        if self._at_read is not None and not self._answer:
+            raise self._at_read
+        return await super().receive(max_bytes)
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+UNEXPECTED = (OSError("no buffer space"), TimeoutError(), RuntimeError("busy"), KeyError("odd"))
+"""Failures that neither the network nor the HTTP library is known to have."""
+
+
+class UnexpectedFailureTest(unittest.TestCase):
+    """Whatever fails, and whatever the library calls it, it is told what left."""
+
+    def fail_on(self, stream: FailingStream, requests: int = 1) -> HttpConnectionError:
+        """Send requests; return the error of the last one, after whole answers to the others."""
+        caught: list[HttpConnectionError] = []
+
+        async def main() -> None:
+            client = SingleConnectionHttpClient(OneStreamNetwork(stream))  # type: ignore[arg-type]
+            for _ in range(requests):
+                try:
+                    async with client.exchange(HttpRequest("POST", BACK_END, "/x")) as response:
+                        async for _ in response.chunks():
+                            pass
+                except HttpConnectionError as error:
+                    caught.append(error)
+
+        run_simulation(main, 1)
+        self.assertEqual(len(caught), 1)
+        return caught[0]
+
+    def test_a_failure_while_the_request_is_written_may_have_sent(self) -> None:
+        for error in (anyio.BrokenResourceError(), anyio.ClosedResourceError(), *UNEXPECTED):
+            with self.subTest(repr(error)):
+                self.assertTrue(self.fail_on(FailingStream(at_send=error)).bytes_left)
+
+    def test_a_failure_while_the_answer_is_awaited_may_have_sent(self) -> None:
+        for error in (anyio.BrokenResourceError(), anyio.EndOfStream(), *UNEXPECTED):
+            with self.subTest(repr(error)):
+                self.assertTrue(self.fail_on(FailingStream(at_read=error)).bytes_left)
+
+    def test_a_failure_within_the_body_may_have_sent(self) -> None:
+        for error in UNEXPECTED:
+            with self.subTest(repr(error)):
+                stream = FailingStream(WHOLE[:-1], at_read=error)
+                self.assertTrue(self.fail_on(stream).bytes_left)
+
+    def test_a_kept_connection_that_the_server_has_half_closed_may_have_sent(self) -> None:
+        stream = FailingStream(WHOLE, at_read=anyio.EndOfStream())
+        self.assertTrue(self.fail_on(stream, requests=2).bytes_left)
+
+    def test_a_kept_connection_that_is_reset_while_it_is_written_to_may_have_sent(self) -> None:
+        reset = anyio.BrokenResourceError()
+        stream = FailingStream(WHOLE, at_send=reset, at_read=reset)
+        self.assertTrue(self.fail_on(stream, requests=2).bytes_left)
+
+    def test_a_connection_that_the_library_will_not_use_sent_nothing(self) -> None:
+        handle = httpcore.AsyncHTTP11Connection.handle_async_request
+        for answers in ([], [WHOLE]):
+            with self.subTest(kept=bool(answers)):
+                stream = FailingStream(*answers)
+                left = len(answers)
+
+                async def handle_some(connection: Any, request: Any) -> Any:
+                    nonlocal left
+                    left -= 1
+                    if left < 0:
+                        raise httpcore.ConnectionNotAvailable
+                    return await handle(connection, request)
+
+                name = "handle_async_request"
+                refusing = Replacement(httpcore.AsyncHTTP11Connection, name, handle_some)
+                with replaced([refusing]):
+                    error = self.fail_on(stream, requests=len(answers) + 1)
+                self.assertFalse(error.bytes_left)
+                self.assertEqual(len(stream.sent), len(answers))
+
+    def test_a_request_that_http_cannot_write_is_not_offered_to_others(self) -> None:
+        stream = FailingStream(WHOLE)
+
+        async def main() -> None:
+            client = SingleConnectionHttpClient(OneStreamNetwork(stream))  # type: ignore[arg-type]
+            request = HttpRequest("POST", BACK_END, "/x", headers={"x": "a\nb"})
+            with self.assertRaises(HttpConnectionError) as caught:
+                async with client.exchange(request):
+                    pass
+            self.assertTrue(caught.exception.bytes_left)
+
+        run_simulation(main, 1)
+        self.assertEqual(stream.sent, [])
+
+    def test_a_failure_to_connect_sent_nothing(self) -> None:
+        for error in UNEXPECTED:
+            with self.subTest(repr(error)):
+
+                class Unconnectable:
+                    async def connect(self, address: Address, error: Exception = error) -> None:
+                        raise error
+
+                async def main() -> None:
+                    client = SingleConnectionHttpClient(Unconnectable())  # type: ignore[arg-type]
+                    with self.assertRaises(HttpConnectionError) as caught:
+                        async with client.exchange(HttpRequest("GET", BACK_END, "/x")):
+                            pass
+                    self.assertFalse(caught.exception.bytes_left)
+
+                run_simulation(main, 1)
+
+
 class Ground:
     """A simulated network with one back end and one client; counts connections."""
 
