Refusals of the relay go through one check, and a lost reservation is given back

Cause, by going through each path from a send to a final status: a stream that had begun and was refused or failed at its next engine got a second head; a long answer that broke off after its first part was begun anew at another engine, which the server library ended with an error; a refusal that was proved by its head counted as doubt while it was left; a turn whose first reservation was made and whose answer was lost was refused by limit or budget on the repeat, and its tokens stayed reserved. Ruled out: settling each refused turn, which would cost the store a command for each request beyond a limit; having the store grant a repeat without a draw, since the moment of its start would be lost. Change: truthful_status keeps back a refusal that the attempts don't prove, and logs it as refusal_withheld; nothing is put behind a part of an answer; the store's client tells whether an earlier try may have reserved (Reservation.may_stand), and then the turn is settled with 0 tokens. Answers that prove nothing are logged (backend_answer_untrusted). Tests changed: the fake store answers with Reservation, as the client does; nothing was eased.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -58,6 +58,8 @@
         Instances that were tried, in order; for the log.
     served_by
         The instance that answered last; empty if none did.
+    is_answer_final
+        Set by whoever delivers: the caller has got a part that no other answer can go on with.
     """
 
     def __init__(self, context: RequestContext, body: bytes, used_last: str = "") -> None:
@@ -75,6 +77,7 @@
         self.verdict = Verdict.NOT_RUN
         self.tried: list[str] = []
         self.served_by = ""
+        self.is_answer_final = False
         self.last_event_id = context.call.last_event_id
 
     async def run(self, limit_at: float, deliver: Deliver) -> None:
@@ -181,9 +184,10 @@
                     watch.progressed(anyio.current_time())
                     if await self._take(answer, load, deliver, watch):
                         return True
+                    # The proof holds, whatever becomes of the rest of the refusal.
+                    self.verdict = verdict_before
             if silence.cancelled_caught:
                 raise HttpConnectionError("no answer for too long", bytes_left=True)
-            self.verdict = verdict_before
         except HttpConnectionError as error:
             watch.failed(anyio.current_time())
             self._note_broken(error, load, verdict_before)
@@ -219,6 +223,7 @@
                 self._registry.remove(load.record.instance_id)
             return False
         if judgement is Judgement.UNTRUSTED:
+            self._log_untrusted(answer, load)
             raise HttpConnectionError("not an answer to this request", bytes_left=True)
         self.served_by = load.record.instance_id
         await deliver(answer, watch)
@@ -237,6 +242,17 @@
             refusal=refusal.value if refusal is not None else None,
         )
 
+    def _log_untrusted(self, answer: BackendAnswer, load: BackendLoad) -> None:
+        """Log an answer that does not prove to be one to this request."""
+        _log.warning(
+            "backend_answer_untrusted",
+            request_id=self._call.request_id,
+            instance=load.record.instance_id,
+            attempt=len(self.tried),
+            status=answer.head.status,
+            is_authentic=answer.head.is_authentic,
+        )
+
     def _note_broken(
         self, error: HttpConnectionError, load: BackendLoad, verdict_before: Verdict
     ) -> None:
@@ -247,5 +263,5 @@
             self.verdict = verdict_before
             return
         self._runs += 1
-        if not may_run_again(self._route, self._runs):
+        if self.is_answer_final or not may_run_again(self._route, self._runs):
             raise RequestFailedError(str(error)) from error
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -20,8 +20,9 @@
 from passlane.relay.progress import RequestProgress
 from passlane.relay.retry_after import retry_after_s
 from passlane.relay.turn_account import TurnAccount
-from passlane.relay.verdicts import UNAVAILABLE, status_when_given_up
+from passlane.relay.verdicts import UNAVAILABLE, status_when_given_up, truthful_status
 
+FIRST_FAILURE_STATUS = 300
 NOT_FOUND = 404
 BUDGET_SPENT = 402
 TOO_MANY_REQUESTS = 429
@@ -134,8 +135,9 @@
 
     async def _deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         self._progress.first_part_s = anyio.current_time() - self._call.arrived_at
-        if self._route.kind is not RouteKind.STREAM or answer.head.status >= 300:
-            await WholeDelivery(self._writer).deliver(answer, watch)
+        is_event_stream = answer.head.status < FIRST_FAILURE_STATUS or self._stream is not None
+        if self._route.kind is not RouteKind.STREAM or not is_event_stream:
+            await self._deliver_whole(answer, watch)
             return
         if self._stream is None:
             self._stream = StreamDelivery(self._writer, self._before_end)
@@ -145,6 +147,13 @@
             if self._attempts is not None and self._stream.last_event_id is not None:
                 self._attempts.last_event_id = self._stream.last_event_id
 
+    async def _deliver_whole(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
+        try:
+            await WholeDelivery(self._writer).deliver(answer, watch)
+        finally:
+            if self._attempts is not None:
+                self._attempts.is_answer_final = self._writer.has_started
+
     async def _before_end(self, stream: StreamDelivery) -> None:
         """Make a whole turn durable before its caller learns that it has ended."""
         if self._account is None:
@@ -182,17 +191,39 @@
         await self._refuse(TOO_MANY_REQUESTS, "quota_spent", round(refused.retry_after_s, 3))
 
     async def _refuse(self, status: int, reason: str, retry_after_s: float | None) -> None:
-        self._progress.status = status
+        """Give a final answer of this system's own, which is never more than is known.
+
+        Raises
+        ------
+        AnswerAbortedError
+            When a back end's answer has begun.
+        """
         self._progress.reason = reason
+        if self._writer.has_started:
+            raise AnswerAbortedError(reason)
+        status = self._truthful(status, reason)
+        self._progress.status = status
         await self._writer.refuse(status, reason, retry_after_s)
 
+    @property
+    def _verdict(self) -> Verdict:
+        return self._attempts.verdict if self._attempts is not None else Verdict.NOT_RUN
+
+    def _truthful(self, status: int, reason: str) -> int:
+        truthful = truthful_status(status, self._verdict)
+        if truthful != status:
+            _log.error(
+                "refusal_withheld",
+                request_id=self._call.request_id,
+                status=status,
+                reason=reason,
+                verdict=self._verdict.value,
+            )
+        return truthful
+
     async def _give_up(self, reason: str, *, is_late: bool) -> None:
         """Give the final answer of a request that has none from a back end."""
-        self._progress.reason = reason
-        if self._writer.has_started:
-            raise AnswerAbortedError(reason)
-        verdict = self._attempts.verdict if self._attempts is not None else Verdict.NOT_RUN
-        status = status_when_given_up(verdict, is_late=is_late)
+        status = status_when_given_up(self._verdict, is_late=is_late)
         retry_after_s = UNAVAILABLE_RETRY_AFTER_S if status == UNAVAILABLE else None
         await self._refuse(status, reason, retry_after_s)
 
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -11,7 +11,6 @@
     ReserveAnswer,
     ReserveTurn,
     SettleTurn,
-    TurnReserved,
 )
 from passlane.observability.logging import get_logger
 from passlane.relay.calls import RelayedCall
@@ -84,10 +83,9 @@
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
         timeout_s = min(ANSWER_TIMEOUT_S, limit_at - anyio.current_time())
-        answer = await self._store.reserve(request, timeout_s=timeout_s)
-        # A refused turn has no reservation, so there is nothing to settle.
-        self._is_reserved = isinstance(answer, TurnReserved)
-        return answer
+        reservation = await self._store.reserve(request, timeout_s=timeout_s)
+        self._is_reserved = reservation.may_stand
+        return reservation.answer
 
     async def settle_whole(
         self, tokens: int, output: bytes, served_by: str, timeout_s: float
--- a/src/passlane/relay/verdicts.py
+++ b/src/passlane/relay/verdicts.py
@@ -46,6 +46,16 @@
     return route.is_repeatable and runs < route.max_attempts
 
 
+def truthful_status(status: int, verdict: Verdict) -> int:
+    """Return the status of a refusal, or one that promises nothing if the refusal would be false.
+
+    Every refusal of this system's own goes through here.
+    """
+    if status in NOT_RUN_STATUSES and verdict is not Verdict.NOT_RUN:
+        return BAD_GATEWAY
+    return status
+
+
 def status_when_given_up(verdict: Verdict, *, is_late: bool) -> int:
     """Return the final status of a request that got no answer.
 
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -19,6 +19,7 @@
     ReserveAnswer,
     ReserveTurn,
     SettleTurn,
+    TurnReserved,
     TurnSettled,
 )
 from passlane.transport.interfaces import Caller
@@ -33,6 +34,27 @@
 RETRY_PAUSE_S = 0.02
 
 
+class Reservation(msgspec.Struct, frozen=True):
+    """What came of a reservation.
+
+    Attributes
+    ----------
+    may_stand
+        Whether tokens are reserved, or may be: an earlier try, whose answer was lost, may
+        have reserved them although the repeat was refused. They are to be settled.
+    """
+
+    answer: ReserveAnswer
+    may_stand: bool
+
+
+class _Outcome(msgspec.Struct, frozen=True):
+    """The answer to a command, and whether an earlier try of it may have been carried out."""
+
+    answer: Message
+    may_have_run_before: bool
+
+
 class _Attempt(msgspec.Struct, eq=False):
     """A request on its way to a replica."""
 
@@ -81,7 +103,7 @@
             tasks.start_soon(self._finder.run)
             tasks.start_soon(self._watch_attempts)
 
-    async def reserve(self, request: ReserveTurn, *, timeout_s: float) -> ReserveAnswer:
+    async def reserve(self, request: ReserveTurn, *, timeout_s: float) -> Reservation:
         """Reserve a turn's tokens and get its history.
 
         Raises
@@ -90,10 +112,12 @@
             When no leader answered in time; the reservation may have been made. While
             the group is lost that is said early, so that the caller turns elsewhere.
         """
-        answer = await self._execute(request, self._shortened(timeout_s))
-        if isinstance(answer, ReserveAnswer):
-            return answer
-        raise self._unexpected(answer)
+        outcome = await self._execute(request, self._shortened(timeout_s))
+        answer = outcome.answer
+        if not isinstance(answer, ReserveAnswer):
+            raise self._unexpected(answer)
+        may_stand = isinstance(answer, TurnReserved) or outcome.may_have_run_before
+        return Reservation(answer, may_stand)
 
     async def draw_quota(self, draw: QuotaDraw, *, timeout_s: float) -> QuotaAnswer:
         """Count a request that is no turn against its tenant's limit.
@@ -103,7 +127,7 @@
         PasslaneError
             When no leader answered in time; then the request must not be sent.
         """
-        answer = await self._execute(DrawQuota(draw), self._shortened(timeout_s))
+        answer = (await self._execute(DrawQuota(draw), self._shortened(timeout_s))).answer
         if isinstance(answer, QuotaAnswer):
             return answer
         raise self._unexpected(answer)
@@ -120,14 +144,15 @@
         PasslaneError
             When no leader answered in time; it may have been settled.
         """
-        answer = await self._execute(request, timeout_s)
+        answer = (await self._execute(request, timeout_s)).answer
         if isinstance(answer, TurnSettled):
             return answer
         raise self._unexpected(answer)
 
-    async def _execute(self, request: Message, timeout_s: float) -> Message:
+    async def _execute(self, request: Message, timeout_s: float) -> _Outcome:
         """Send a request to the leader, and to the next one if it moves, until it is answered."""
         deadline = anyio.current_time() + timeout_s
+        may_have_run = False
         while True:
             address = await self._finder.wait_for_leader(deadline)
             remaining_s = deadline - anyio.current_time()
@@ -136,12 +161,14 @@
             try:
                 answer = await self._attempt(address, request, remaining_s)
             except PasslaneError as error:
+                may_have_run |= error.verdict is not Verdict.NOT_RUN
                 self._note_failure(error, address)
                 await anyio.sleep(RETRY_PAUSE_S)
                 continue
             if answer is not None:
                 self._finder.confirm(address)
-                return answer
+                return _Outcome(answer, may_have_run)
+            may_have_run = True
 
     async def _attempt(
         self, address: Address, request: Message, timeout_s: float
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -15,6 +15,7 @@
 from passlane.relay.calls import Header, ProgramContext, RelayedCall
 from passlane.relay.placement import choose_backend
 from passlane.runtime.interfaces import HttpConnectionError
+from passlane.turns.client import Reservation
 
 
 def choose(*arguments, **more):
@@ -59,10 +60,11 @@
     """One answer of a back end.
 
     ``broken`` ends the body early; ``unreachable`` fails before any byte has left;
-    ``delay_s`` passes before each part.
+    ``delay_s`` passes before each part, and ``leave_s`` when the answer is left.
     """
 
-    def __init__(self, head, *parts, broken=False, delay_s=0.0):
+    def __init__(self, head, *parts, broken=False, delay_s=0.0, leave_s=0.0):
+        self.leave_s = leave_s
         self.head = head
         self.parts = parts
         self.broken = broken
@@ -113,6 +115,7 @@
         if isinstance(script, Reset):
             raise HttpConnectionError("reset", bytes_left=True)
         yield script
+        await anyio.sleep(script.leave_s)
 
 
 class RecordingWriter:
@@ -150,9 +153,22 @@
 
 
 class ScriptedStore:
-    """Answers reservations as told; keeps settlements."""
+    """Answers reservations as told; keeps settlements.
 
-    def __init__(self, answer=None, *, quota=None, is_lost=False, outage_s=0.0, settle_fails=False):
+    With ``answer_was_lost`` the answer is that to a repeat, after a first one was lost.
+    """
+
+    def __init__(
+        self,
+        answer=None,
+        *,
+        quota=None,
+        is_lost=False,
+        outage_s=0.0,
+        settle_fails=False,
+        answer_was_lost=False,
+    ):
+        self.answer_was_lost = answer_was_lost
         self.answer = answer or TurnReserved()
         self.is_lost = is_lost
         self.outage_s = outage_s
@@ -166,7 +182,8 @@
         self.reserved.append(request)
         if self.is_lost:
             raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader")
-        return self.answer
+        may_stand = isinstance(self.answer, TurnReserved) or self.answer_was_lost
+        return Reservation(self.answer, may_stand)
 
     async def settle(self, request, *, timeout_s):
         if self.settle_fails:
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -11,12 +11,15 @@
 from passlane.messages.routes import RouteKind, ServiceShare, Tenant
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.metrics import Metrics
+from passlane.relay.attempts import RequestAttempts, RequestFailedError, RequestRefusedError
+from passlane.relay.delivery import MAX_BUFFERED_BYTES
 from passlane.relay.placement import NodePlace
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request import AnswerAbortedError
 from passlane.relay.retry_after import LONGEST_RETRY_S, SHORTEST_RETRY_S
 from passlane.relay.service import START_WAIT_S, RelayService
 from passlane.routes.tenants import digest_of_key
+from passlane.simulation.replacement import Replacement, replaced
 from relay.fakes import (
     FULL,
     MOVED,
@@ -135,7 +138,61 @@
         self.assertEqual(self.writer.status, 503)
 
 
+class BegunAnswerTest(RelayCase):
+    """What the caller has got of an answer can't be taken back, nor another put behind it."""
+
+    def test_a_long_answer_that_breaks_off_after_its_first_part_is_not_begun_anew(self):
+        long_part = b"x" * (MAX_BUFFERED_BYTES + 1)
+        scripts = [Script(head(), long_part, broken=True), Script(head(), b"other")]
+        self.relay(scripts, max_attempts=2)
+        self.assertEqual((self.writer.status, self.writer.body), (200, long_part))
+        self.assertFalse(self.writer.is_finished)
+        self.assertIsNotNone(self.error)
+        self.assertEqual(len(self.backends.asked), 1)
+
+    def test_after_its_first_event_a_stream_gets_no_other_head(self):
+        for later in (head(500), FULL):
+            scripts = [Script(head(), EVENT_1, broken=True)] + [Script(later, b"sorry")] * 200
+            self.relay(scripts, is_resumable=True, max_attempts=2, **STREAM)
+            self.assertEqual((self.writer.status, self.writer.body), (200, EVENT_1))
+            self.assertFalse(self.writer.is_finished)
+            self.assertIsNotNone(self.error)
+
+
+class WithheldRefusalTest(RelayCase):
+    """A refusal is a promise, which is kept back where the attempts don't prove it."""
+
+    def refuse_wrongly(self, scripts, **more):
+        run = RequestAttempts.run
+
+        async def run_and_refuse(attempts, limit_at, deliver):
+            try:
+                await run(attempts, limit_at, deliver)
+            except RequestFailedError as error:
+                raise RequestRefusedError(str(error)) from error
+
+        with replaced([Replacement(RequestAttempts, "run", run_and_refuse)]):
+            self.relay(scripts, **more)
+
+    def test_a_refusal_after_an_attempt_that_may_have_run_is_withheld(self):
+        self.refuse_wrongly([Reset()], kind=RouteKind.AT_MOST_ONCE)
+        self.assertEqual(self.writer.status, 502)
+
+    def test_a_refusal_after_an_event_has_left_is_withheld(self):
+        self.refuse_wrongly([Script(head(), EVENT_1, broken=True)], **STREAM)
+        self.assertEqual((self.writer.status, self.writer.body), (200, EVENT_1))
+        self.assertIsNotNone(self.error)
+
+
 class AtMostOnceTest(RelayCase):
+    def test_a_refusal_after_an_attempt_that_may_have_run_promises_nothing(self):
+        self.relay([Reset()] + [Script(FULL)] * 40, max_attempts=3)
+        self.assertEqual(self.writer.status, 502)
+
+    def test_a_refusal_is_proof_though_the_time_ends_before_it_is_left(self):
+        self.relay([Script(FULL, leave_s=60.0)], kind=RouteKind.AT_MOST_ONCE)
+        self.assertEqual(self.writer.status, 503)
+
     def test_silence_is_borne_by_what_may_run_once(self):
         self.relay([Mute()], kind=RouteKind.AT_MOST_ONCE, max_attempts=3)
         self.assertEqual(self.writer.status, 504)
@@ -400,6 +457,13 @@
         self.assertIsNotNone(self.error)
         self.assertFalse(self.writer.is_finished)
 
+    def test_what_a_lost_answer_reserved_is_given_back_when_the_repeat_is_refused(self):
+        for refusal in (REFUSED, BudgetSpent(spent_tokens=30, reserved_tokens=0)):
+            store = ScriptedStore(refusal, answer_was_lost=True)
+            self.relay([], call_changes={"budget": 100}, store=store, **STREAM)
+            self.assertIn(self.writer.status, (402, 429))
+            self.assertEqual([settlement.tokens for settlement in store.settled], [0])
+
     def test_a_spent_budget_and_an_unknown_turn_run_nothing(self):
         for answer, status in ((BudgetSpent(90, 0), 402), (TurnUnknown("before"), 404)):
             store = ScriptedStore(answer)
--- a/tests/turns/test_client.py
+++ b/tests/turns/test_client.py
@@ -7,9 +7,10 @@
 import anyio
 import trio.testing
 
-from passlane.errors import ErrorCode, PasslaneError
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.turns import (
+    BudgetSpent,
     FindTurnStore,
     ReserveTurn,
     TurnReserved,
@@ -34,6 +35,7 @@
         self.known = list(STORES)
         self.delay_s = 0.003
         self.calls = []
+        self.answers = []
 
     def lead(self, leader):
         self.leader = leader
@@ -49,7 +51,10 @@
                 raise NotLeaderError("not the leader", None)
             if isinstance(request, FindTurnStore):
                 return TurnStoreFound(term=self.term)
-            return TurnReserved()
+            answer = self.answers.pop(0) if self.answers else TurnReserved()
+            if isinstance(answer, PasslaneError):
+                raise answer
+            return answer
         raise PasslaneError(ErrorCode.TIMEOUT, "no answer")
 
     def sent_to(self, address, kind=ReserveTurn):
@@ -86,6 +91,29 @@
         await client.reserve(reservation("b"), timeout_s=1.0)
         self.assertEqual([address for _, address, _ in stores.calls], [STORES[0]])
 
+    @on_virtual_clock()
+    async def test_what_a_lost_answer_may_have_reserved_is_told_with_a_refusal(
+        self, client, stores
+    ):
+        refusal = BudgetSpent(spent_tokens=30, reserved_tokens=0)
+        await client.reserve(reservation(), timeout_s=1.0)
+        stores.answers = [refusal]
+        known = await client.reserve(reservation("b"), timeout_s=1.0)
+        self.assertEqual((known.answer, known.may_stand), (refusal, False))
+        lost = PasslaneError(ErrorCode.CONNECTION_LOST, "reset", verdict=Verdict.MAY_HAVE_RUN)
+        stores.answers = [lost, refusal]
+        doubtful = await client.reserve(reservation("c"), timeout_s=1.0)
+        self.assertEqual((doubtful.answer, doubtful.may_stand), (refusal, True))
+        stores.silent.add(STORES[0])
+        stores.lead(STORES[1])
+        stores.answers = [refusal]
+        moved = await client.reserve(reservation("e"), timeout_s=1.5)
+        self.assertEqual((moved.answer, moved.may_stand), (refusal, True))
+        not_sent = PasslaneError(ErrorCode.UNAVAILABLE, "no connection")
+        stores.answers = [not_sent, refusal]
+        unsent = await client.reserve(reservation("d"), timeout_s=1.0)
+        self.assertFalse(unsent.may_stand)
+
     @on_virtual_clock()
     async def test_the_leader_is_found_before_the_first_request(self, client, stores):
         stores.known.clear()
