Refusals between processes: the call's own is passed on, and a handled request is never not_run

Cause, by going through the ways of errors between nodes: (1) a call's own refusal with a code by which leaders are also changed (unavailable, as when no engine can be reached) was caught by the search for a leader, which then ended without an answer; the caller got the server library's 500 without verdict or time to come back. (2) Where a reply was larger than a frame, the refusal to send it travelled as not_run. (3) A program whose first sending had lost its answer was refused by the second leader's word alone. Ruled out: a type of its own for refusals that the caller's side raises, since the end of the call's events tells them apart already. Change: a refusal that ends the call is raised as it is; what fails after a handler has answered says may_have_run; Forwarder.ask covers all its sendings. error_with_verdict stands with the errors it makes. Before and after: three new tests failed before (no error raised, not_run twice) and hold.

--- a/src/passlane/messages/common.py
+++ b/src/passlane/messages/common.py
@@ -39,6 +39,17 @@
         self.leader = leader
 
 
+def error_with_verdict(error: PasslaneError, verdict: Verdict) -> PasslaneError:
+    """Return the error; where it says ``not_run``, with ``verdict`` instead."""
+    if error.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
+        return error
+    if isinstance(error, NotLeaderError):
+        return NotLeaderError(error.message, error.leader, verdict=verdict)
+    return PasslaneError(
+        error.code, error.message, verdict=verdict, retry_after_s=error.retry_after_s
+    )
+
+
 class ErrorReply(Message, frozen=True):
     """An error as it travels between processes; see ``passlane.errors``."""
 
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -8,6 +8,7 @@
 
 from passlane.configuration.view import ToolOffer
 from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.common import error_with_verdict
 from passlane.messages.node import CallAnswered, CallRefused, TextChunk
 from passlane.messages.store import (
     CallKind,
@@ -19,7 +20,6 @@
 from passlane.node.call_set_up import CallSetUp, arrival_of
 from passlane.node.led_program import LedProgram
 from passlane.node.model_attempt import ModelAttempt
-from passlane.node.refusal_verdicts import error_with_verdict
 from passlane.node.subscription import Subscription
 from passlane.node.tool_attempt import ToolAttempt, ask_status
 from passlane.observability.logging import get_logger
--- a/src/passlane/node/forwarder.py
+++ b/src/passlane/node/forwarder.py
@@ -15,7 +15,7 @@
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId
 from passlane.messages.base import Message
-from passlane.messages.common import Address, NotLeaderError
+from passlane.messages.common import Address, NotLeaderError, error_with_verdict
 from passlane.messages.node import CallAnswered, CallEvent, CallRefused, CallRequest, TextChunk
 from passlane.node.call_reports import CallReports
 from passlane.node.leadership import Leadership
@@ -119,6 +119,9 @@
             try:
                 await self._run_once(search.address(), request, progress, deadline)
             except PasslaneError as error:
+                if progress.is_over:
+                    # The call's own refusal, as the caller's side raises it.
+                    raise
                 progress.note_failure(error)
                 if error.code not in REROUTED_CODES:
                     raise
@@ -175,7 +178,9 @@
             except PasslaneError as error:
                 may_have_run |= error.verdict is not Verdict.NOT_RUN
                 if error.code not in REROUTED_CODES:
-                    raise
+                    # The leader speaks for this sending only.
+                    verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
+                    raise error_with_verdict(error, verdict) from error
                 await search.pause(error, may_have_run)
 
     def leader_of(self, program_id: ProgramId) -> Address | None:
--- a/src/passlane/node/leader_service.py
+++ b/src/passlane/node/leader_service.py
@@ -7,7 +7,7 @@
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import NodeId, Partition, ProgramId, TenantId
-from passlane.messages.common import Address, Amounts, NotLeaderError
+from passlane.messages.common import Address, Amounts, NotLeaderError, error_with_verdict
 from passlane.messages.node import (
     CallEvent,
     CallRefused,
@@ -36,11 +36,7 @@
 from passlane.node.policy_facts import call_facts, program_facts
 from passlane.node.program_directory import ProgramDirectory
 from passlane.node.program_host import ProgramHost
-from passlane.node.refusal_verdicts import (
-    RefusalJudge,
-    error_with_verdict,
-    refusal_with_verdict,
-)
+from passlane.node.refusal_verdicts import RefusalJudge, refusal_with_verdict
 from passlane.node.release_loop import ReleaseLoop
 from passlane.node.subscription import Subscription
 from passlane.policy.governor import BudgetDecision
--- a/src/passlane/node/refusal_verdicts.py
+++ b/src/passlane/node/refusal_verdicts.py
@@ -6,8 +6,7 @@
 is only said where the program's record shows that nothing ran.
 """
 
-from passlane.errors import PasslaneError, Verdict
-from passlane.messages.common import NotLeaderError
+from passlane.errors import Verdict
 from passlane.messages.node import CallRefused, CallRequest
 from passlane.messages.store import CallKind, CallState
 from passlane.node.led_program import LedProgram
@@ -72,14 +71,3 @@
     if refused.verdict is not Verdict.NOT_RUN:
         return refused
     return CallRefused(refused.code, refused.message, verdict, refused.retry_after_s)
-
-
-def error_with_verdict(error: PasslaneError, verdict: Verdict) -> PasslaneError:
-    """Return the error; where it says ``not_run``, with ``verdict`` instead."""
-    if error.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
-        return error
-    if isinstance(error, NotLeaderError):
-        return NotLeaderError(error.message, error.leader, verdict=verdict)
-    return PasslaneError(
-        error.code, error.message, verdict=verdict, retry_after_s=error.retry_after_s
-    )
--- a/src/passlane/node/service.py
+++ b/src/passlane/node/service.py
@@ -15,6 +15,7 @@
     LeadershipLost,
     MembershipChange,
 )
+from passlane.messages.common import error_with_verdict
 from passlane.messages.control import ConfigurationDelta, TargetInFlight
 from passlane.messages.node import (
     CallRequest,
@@ -39,7 +40,7 @@
 from passlane.node.node_metrics import NodeMetrics
 from passlane.node.partition_handover import PartitionHandover
 from passlane.node.program_store import ProgramStore
-from passlane.node.refusal_verdicts import error_with_verdict, verdict_without_record
+from passlane.node.refusal_verdicts import verdict_without_record
 from passlane.node.trace_recorder import TraceRecorder
 from passlane.observability.logging import get_logger
 from passlane.observability.metrics import Metrics
--- a/src/passlane/transport/server_connection.py
+++ b/src/passlane/transport/server_connection.py
@@ -8,7 +8,7 @@
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.base import Message, encode_message
-from passlane.messages.common import ErrorReply
+from passlane.messages.common import ErrorReply, error_with_verdict
 from passlane.observability.logging import get_logger
 from passlane.transport.channel import FrameChannel, message_in
 from passlane.transport.credit import CreditGate
@@ -141,7 +141,7 @@
     async def _answer(self, request_id: int, request: Message) -> None:
         if unary := self._router.unary_handler(request):
             reply = await unary(request)
-            self._send(Frame(FrameKind.REPLY, request_id, body=encode_message(reply)))
+            self._send_reply(Frame(FrameKind.REPLY, request_id, body=encode_message(reply)))
         elif stream := self._router.stream_handler(request):
             await self._answer_stream(request_id, stream(request))
         else:
@@ -154,9 +154,17 @@
             async for item in generator:
                 await gate.take()
                 await self._channel.wait_until_uncongested()
-                self._send(Frame(FrameKind.STREAM_ITEM, request_id, body=encode_message(item)))
+                item_frame = Frame(FrameKind.STREAM_ITEM, request_id, body=encode_message(item))
+                self._send_reply(item_frame)
         self._send(Frame(FrameKind.STREAM_END, request_id))
 
+    def _send_reply(self, frame: Frame) -> None:
+        """Send what a handler has answered; whatever fails, the request has been handled."""
+        try:
+            self._send(frame)
+        except PasslaneError as error:
+            raise error_with_verdict(error, Verdict.MAY_HAVE_RUN) from error
+
     def _send(self, frame: Frame) -> None:
         if not self._channel.is_closed:
             self._channel.enqueue(frame)
--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -5,14 +5,16 @@
 
 import anyio
 
-from node.fakes import OTHER_TENANT
+from node.fakes import OTHER_TENANT, TENANT
 from node.nodes import PROGRAM, Answer, Fleet, charge, chat, in_fleet, whole_text
+from passlane.api.answers import WholeAnswer
 from passlane.configuration.view import ConfigurationView
-from passlane.errors import ErrorCode, Verdict
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId
+from passlane.messages.base import Message
 from passlane.messages.common import Amounts
-from passlane.messages.node import CallRefused, CallRequest
-from passlane.messages.store import BeginCall, CallState, FinishCall, ProgramState
+from passlane.messages.node import CallRefused, CallRequest, CreateProgramRequest
+from passlane.messages.store import BeginCall, CallState, FinishCall, ProgramResult, ProgramState
 
 
 class ModelCallTest(unittest.TestCase):
@@ -67,6 +69,18 @@
 
         in_fleet(scenario)
 
+    def test_refusal_by_a_dead_engine_reaches_the_caller_as_it_is(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            for engine_id in list(fleet.http.servers)[:2]:
+                del fleet.http.servers[engine_id]
+            with self.assertRaises(PasslaneError) as caught:
+                await fleet.nodes[0].forwarder.run_call(chat(), WholeAnswer().emit)
+            self.assertEqual(caught.exception.code, ErrorCode.UNAVAILABLE)
+            self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+            self.assertIsNotNone(caught.exception.retry_after_s)
+
+        in_fleet(scenario)
+
     def test_repeat_joins_and_later_gets_the_recorded_outcome(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             request = chat(sequence=0, is_named=True)
@@ -347,6 +361,23 @@
 
         in_fleet(scenario)
 
+    def test_program_refused_after_a_lost_answer_is_not_refused_as_not_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            lost = PasslaneError(ErrorCode.CONNECTION_LOST, "reset", verdict=Verdict.MAY_HAVE_RUN)
+            errors = [lost, PasslaneError(ErrorCode.LIMIT_EXCEEDED, "too many programs")]
+
+            async def fail(*_: object, **__: object) -> Message:
+                raise errors.pop(0)
+
+            fleet.network.call = fail  # type: ignore[method-assign]
+            with self.assertRaises(PasslaneError) as caught:
+                request = CreateProgramRequest("c", TENANT, ProgramId("new"), Amounts())
+                await fleet.nodes[1].forwarder.ask(request.program_id, request, ProgramResult, 5.0)
+            self.assertEqual(caught.exception.code, ErrorCode.LIMIT_EXCEEDED)
+            self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+        in_fleet(scenario, nodes=2)
+
     def test_call_sent_again_to_a_busy_leader_is_not_refused_as_not_run(self) -> None:
         # The next leader has asked the application what became of the charge.
         for make, verdict in ((chat, Verdict.MAY_HAVE_RUN), (charge, Verdict.RAN)):
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -10,6 +10,7 @@
 
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import Partition, ProgramId
+from passlane.messages.base import Message
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.node import TextChunk
 from passlane.messages.store import ListPrograms, ReadProgram, StoreDone
@@ -19,7 +20,7 @@
 from passlane.simulation.network import DelayModel, SimulatedNetwork
 from passlane.simulation.runner import run_simulation
 from passlane.transport.client import ConnectionPool
-from passlane.transport.frames import HEADER_BYTES, Frame, FrameKind, encode_frame
+from passlane.transport.frames import HEADER_BYTES, MAX_FRAME_BYTES, Frame, FrameKind, encode_frame
 from passlane.transport.router import MessageRouter
 from passlane.transport.server import MessageServer
 
@@ -33,6 +34,10 @@
 OTHER_LEADER = Address("10.0.0.3", 7000)
 
 
+HUGE_ITEM = Partition(-1)
+"""Asks for a stream whose first item no frame holds."""
+
+
 class Fleet:
     """One server, one client and the network between them."""
 
@@ -52,7 +57,7 @@
         blank = Environment(*[cast(object, None)] * 4, random.Random(1))  # type: ignore[arg-type]
         return replace(blank, network=self.network.host(host))
 
-    async def _answer_read(self, request: ReadProgram) -> StoreDone:
+    async def _answer_read(self, request: ReadProgram) -> Message:
         self.seen.append(request.program_id)
         if request.program_id == "elsewhere":
             raise NotLeaderError("not here", OTHER_LEADER)
@@ -62,11 +67,15 @@
             except anyio.get_cancelled_exc_class():
                 self.cancelled.append("slow")
                 raise
+        if request.program_id == "huge":
+            return TextChunk(position=0, text="x" * MAX_FRAME_BYTES)
         if request.program_id == "broken":
             raise KeyError("a fault in the handler")
         return StoreDone()
 
     async def _stream_chunks(self, request: ListPrograms) -> AsyncIterator[TextChunk]:
+        if request.partition == HUGE_ITEM:
+            yield TextChunk(position=0, text="x" * MAX_FRAME_BYTES)
         count = 0 if request.partition is None else int(request.partition)
         try:
             for position in range(count):
@@ -124,6 +133,20 @@
 
         simulate(body)
 
+    def test_a_reply_that_no_frame_holds_is_not_taken_for_a_request_that_did_not_run(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            with self.assertRaises(PasslaneError) as unary:
+                await fleet.call("huge")
+            with self.assertRaises(PasslaneError) as streamed:
+                request = ListPrograms(partition=HUGE_ITEM)
+                async with fleet.pool.stream(SERVER, request, timeout_s=5.0) as items:
+                    await anext(items)
+            for caught in (unary, streamed):
+                self.assertEqual(caught.exception.code, ErrorCode.FRAME_TOO_LARGE)
+                self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+        simulate(body)
+
     def test_a_machine_that_was_dark_when_asked_is_reached_soon_after_it_is_back(self) -> None:
         async def body(fleet: Fleet) -> None:
             fleet.network.isolate(SERVER.host)
