A request that was not sent when the node stops is refused, instead of the server library's 500

Cause: when a node's time to finish is over, the server cancels what is under way, and answers by itself with 500, which promises nothing, also to requests that wait in line for a limit or for room, or whose refusal is just being read. A caller whose request may run once can't try another node then. Ruled out: refusing at the start of the drain, since most of these requests are still served. Change: a request that is cancelled from outside, whose caller is there and whose attempts prove that it did not run, gets 503 with a time to come back; any other is left as before. Before and after: two of five new tests of the relay fail without the change; the other three fail when its conditions are taken out (a sent request, a caller that has left) or hold the answer that has begun. That the server passes such a last answer on is tested with uvicorn itself.

--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -74,6 +74,9 @@
                 await self._run_within(limit_at)
             if scope.cancelled_caught:
                 await self._give_up("out_of_time", is_late=True)
+        except anyio.get_cancelled_exc_class():
+            await self._refuse_if_stopped()
+            raise
         finally:
             self._note_progress()
             if self._account is not None:
@@ -227,6 +230,17 @@
         retry_after_s = UNAVAILABLE_RETRY_AFTER_S if status == UNAVAILABLE else None
         await self._refuse(status, reason, retry_after_s)
 
+    async def _refuse_if_stopped(self) -> None:
+        """Tell a caller whose request this node will not send any more that it did not run.
+
+        Without an answer the server library would give a status that promises nothing.
+        """
+        is_answered = self._writer.has_started or self._writer.is_abandoned
+        if is_answered or self._verdict is not Verdict.NOT_RUN:
+            return
+        with anyio.CancelScope(shield=True):
+            await self._refuse(UNAVAILABLE, "stopped", UNAVAILABLE_RETRY_AFTER_S)
+
     def _note_progress(self) -> None:
         if self._attempts is not None:
             self._progress.verdict = self._attempts.verdict
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -1,9 +1,11 @@
 """One relayed request from end to end, with scripted back ends and store."""
 
+import math
 import random
 import unittest
 
 import anyio
+import msgspec
 import trio.testing
 
 from passlane.messages.listing import BackendState
@@ -51,6 +53,8 @@
         store=None,
         records=None,
         tenants=(),
+        stops_after_s=math.inf,
+        has_left=False,
         **route_changes,
     ):
         """Relay one call on a virtual clock; return writer, back ends, store and error."""
@@ -76,8 +80,10 @@
                 held = configuration(route(**route_changes), tenants=tenants)
                 service.replace_configuration(held)
                 self.started_at = anyio.current_time()
+                self.writer.is_abandoned = has_left
                 try:
-                    await service.handle(call(**(call_changes or {})), self.writer)
+                    with anyio.move_on_after(stops_after_s):
+                        await service.handle(call(**(call_changes or {})), self.writer)
                 except AnswerAbortedError as error:
                     self.error = error
                 self.ended_at = anyio.current_time()
@@ -159,6 +165,38 @@
             self.assertIsNotNone(self.error)
 
 
+class StoppedTest(RelayCase):
+    """The node stops, or the caller leaves, with the request at some step."""
+
+    def test_a_request_that_was_not_sent_is_refused_when_the_node_stops(self):
+        limited = ScriptedStore(quota=QuotaGranted(start_after_s=0.5))
+        tenants = (msgspec.structs.replace(CORNER, rate_per_s=1.0, burst=1),)
+        waiting = {"tenants": tenants, "call_changes": WITH_KEY, "store": limited}
+        self.relay([], stops_after_s=0.1, **waiting)
+        self.assertEqual(self.writer.status, 503)
+        self.assertEqual(self.backends.asked, [])
+        self.assertAlmostEqual(self.elapsed_s, 0.1, places=3)
+
+    def test_one_that_was_sent_is_promised_nothing(self):
+        self.relay([Mute()], kind=RouteKind.AT_MOST_ONCE, stops_after_s=0.1)
+        self.assertEqual(self.writer.status, 0)
+
+    def test_one_whose_refusal_is_read_to_its_end_did_not_run(self):
+        scripts = [Script(FULL, leave_s=60.0)]
+        self.relay(scripts, kind=RouteKind.AT_MOST_ONCE, stops_after_s=0.1)
+        self.assertEqual(self.writer.status, 503)
+
+    def test_an_answer_that_has_begun_is_not_refused(self):
+        scripts = [Script(head(), EVENT_1, EVENT_2, delay_s=0.08)]
+        self.relay(scripts, stops_after_s=0.1, **STREAM)
+        self.assertEqual((self.writer.status, self.writer.body), (200, EVENT_1))
+        self.assertFalse(self.writer.is_finished)
+
+    def test_a_caller_that_has_left_is_not_answered(self):
+        self.relay([], records=[], stops_after_s=0.01, has_left=True)
+        self.assertEqual(self.writer.status, 0)
+
+
 class WithheldRefusalTest(RelayCase):
     """A refusal is a promise, which is kept back where the attempts don't prove it."""
 
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -14,7 +14,7 @@
 from passlane.runtime.early_listening import bound_socket
 from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.runtime.http_server import UvicornHttpServer
-from passlane.runtime.interfaces import HttpConnectionError, HttpRequest
+from passlane.runtime.interfaces import HttpConnectionError, HttpLimits, HttpRequest
 from passlane.runtime.network import TcpNetwork
 from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import DelayModel, SimulatedNetwork
@@ -329,6 +329,46 @@
 
         anyio.run(main, backend="asyncio")
 
+    def test_a_request_that_outlasts_the_stop_gets_what_its_handler_says_at_last(self) -> None:
+        async def refuse_when_stopped(scope: Any, receive: Any, send: Any) -> None:
+            try:
+                await anyio.sleep_forever()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    headers = [(b"content-length", b"4")]
+                    start = {"type": "http.response.start", "status": 503, "headers": headers}
+                    await send(start)
+                    await send({"type": "http.response.body", "body": b"busy"})
+
+        async def main() -> None:
+            listening = bound_socket("127.0.0.1", 0)
+            address = Address("127.0.0.1", listening.getsockname()[1])
+            listening.close()
+            client = SingleConnectionHttpClient(TcpNetwork())
+            told: list[tuple[int, bytes]] = []
+            server_scope = anyio.CancelScope()
+
+            async def serve() -> None:
+                with server_scope:
+                    limits = HttpLimits(finish_s=0.1)
+                    await UvicornHttpServer().serve(address, refuse_when_stopped, limits)
+
+            async def fetch() -> None:
+                async with client.exchange(HttpRequest("GET", address, "/x")) as response:
+                    body = b"".join([part async for part in response.chunks()])
+                    told.append((response.status, body))
+
+            with anyio.fail_after(10):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(serve)
+                    await anyio.sleep(0.3)
+                    tasks.start_soon(fetch)
+                    await anyio.sleep(0.3)
+                    server_scope.cancel()
+            self.assertEqual(told, [(503, b"busy")])
+
+        anyio.run(main, backend="asyncio")
+
 
 class AcceptedSocketTest(unittest.TestCase):
     def test_accepted_connections_send_small_parts_at_once(self) -> None:
