--- a/src/passlane/messages/common.py
+++ b/src/passlane/messages/common.py
@@ -26,13 +26,30 @@
 
 
 class NotLeaderError(PasslaneError):
-    """The request must go to the leader; ``leader`` is its address as far as known."""
+    """The request must go to the leader; ``leader`` is its address as far as known.
 
-    def __init__(self, message: str, leader: Address | None) -> None:
-        super().__init__(ErrorCode.NOT_LEADER, message, verdict=Verdict.NOT_RUN)
+    ``verdict`` is other than ``not_run`` when a leader has lost its office with the request
+    under way.
+    """
+
+    def __init__(
+        self, message: str, leader: Address | None, *, verdict: Verdict = Verdict.NOT_RUN
+    ) -> None:
+        super().__init__(ErrorCode.NOT_LEADER, message, verdict=verdict)
         self.leader = leader
 
 
+def error_with_verdict(error: PasslaneError, verdict: Verdict) -> PasslaneError:
+    """Return the error; where it says ``not_run``, with ``verdict`` instead."""
+    if error.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
+        return error
+    if isinstance(error, NotLeaderError):
+        return NotLeaderError(error.message, error.leader, verdict=verdict)
+    return PasslaneError(
+        error.code, error.message, verdict=verdict, retry_after_s=error.retry_after_s
+    )
+
+
 class ErrorReply(Message, frozen=True):
     """An error as it travels between processes; see ``passlane.errors``."""
 
@@ -45,7 +62,7 @@
     def to_exception(self) -> PasslaneError:
         """Return the exception that this reply stands for."""
         if self.code is ErrorCode.NOT_LEADER:
-            return NotLeaderError(self.message, self.leader_hint)
+            return NotLeaderError(self.message, self.leader_hint, verdict=self.verdict)
         return PasslaneError(
             self.code,
             self.message,
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -8,6 +8,7 @@
 
 from passlane.configuration.view import ToolOffer
 from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.messages.common import error_with_verdict
 from passlane.messages.node import CallAnswered, CallRefused, TextChunk
 from passlane.messages.store import (
     CallKind,
@@ -125,10 +126,14 @@
             self._carry_out(instruction)
 
     def abort(self, error: PasslaneError) -> None:
-        """Stop all work at once; callers get ``error``, which may send them elsewhere."""
+        """Stop all work at once; callers get ``error``, which may send them elsewhere.
+
+        The error gets the call's own verdict: an attempt that is cut off may have run.
+        """
         if self._is_over:
             return
         self._is_over = True
+        error = error_with_verdict(error, self.machine.verdict_if_cut_off)
         for subscription in self._subscriptions:
             subscription.fail(error)
         self._subscriptions.clear()
@@ -243,7 +248,8 @@
 
     def _give_answer(self, subscription: Subscription, answer: CallAnswered | CallRefused) -> None:
         if _is_moved(answer):
-            subscription.fail(self._services.not_leader_error(self.program))
+            error = self._services.not_leader_error(self.program, answer.verdict)
+            subscription.fail(error)
         else:
             subscription.push(answer)
 
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -13,7 +13,6 @@
     ReserveAnswer,
     ReserveTurn,
     SettleTurn,
-    TurnReserved,
 )
 from passlane.observability.logging import get_logger
 from passlane.relay.calls import RelayedCall
@@ -97,10 +96,9 @@
         )
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
-        answer = await self._store.reserve(request, timeout_s=limit_at - now)
-        # A refused turn has no reservation, so there is nothing to settle.
-        self._is_reserved = isinstance(answer, TurnReserved)
-        return answer
+        reservation = await self._store.reserve(request, timeout_s=limit_at - now)
+        self._is_reserved = reservation.may_stand
+        return reservation.answer
 
     def _demand_at(self, now: float, limit_at: float) -> TurnDemand | None:
         """Return what the turn demands, with the times that are left at this moment."""
--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -1,17 +1,20 @@
 """What callers get, and what really ran, when back ends, store and leaders fail."""
 
 import unittest
+from collections.abc import Callable
 
 import anyio
 
-from node.fakes import OTHER_TENANT
+from node.fakes import OTHER_TENANT, TENANT
 from node.nodes import PROGRAM, Answer, Fleet, charge, chat, in_fleet, whole_text
+from passlane.api.answers import WholeAnswer
 from passlane.configuration.view import ConfigurationView
-from passlane.errors import ErrorCode, Verdict
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import ProgramId
+from passlane.messages.base import Message
 from passlane.messages.common import Amounts
-from passlane.messages.node import CallRefused
-from passlane.messages.store import BeginCall, CallState, FinishCall, ProgramState
+from passlane.messages.node import CallRefused, CallRequest, CreateProgramRequest
+from passlane.messages.store import BeginCall, CallState, FinishCall, ProgramResult, ProgramState
 
 
 class ModelCallTest(unittest.TestCase):
@@ -66,6 +69,18 @@
 
         in_fleet(scenario)
 
+    def test_refusal_by_a_dead_engine_reaches_the_caller_as_it_is(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            for engine_id in list(fleet.http.servers)[:2]:
+                del fleet.http.servers[engine_id]
+            with self.assertRaises(PasslaneError) as caught:
+                await fleet.nodes[0].forwarder.run_call(chat(), WholeAnswer().emit)
+            self.assertEqual(caught.exception.code, ErrorCode.UNAVAILABLE)
+            self.assertEqual(caught.exception.verdict, Verdict.NOT_RUN)
+            self.assertIsNotNone(caught.exception.retry_after_s)
+
+        in_fleet(scenario)
+
     def test_repeat_joins_and_later_gets_the_recorded_outcome(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             request = chat(sequence=0, is_named=True)
@@ -263,6 +278,22 @@
 
         in_fleet(scenario, nodes=2)
 
+    def test_repeat_refused_while_the_charge_is_about_to_be_recorded_promises_nothing(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.call(chat())
+            first = Answer()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.call, charge(), first)
+                await anyio.sleep(0.0005)
+                self.assertEqual(len(fleet.record().calls), 1, "the charge is not recorded yet")
+                fleet.nodes[0].leader.limit_requests(0)
+                repeat = await fleet.call(charge())
+            self.assertEqual(first.answered.verdict, Verdict.RAN)
+            self.assertEqual(repeat.refused.code, ErrorCode.QUEUE_FULL)
+            self.assertEqual(repeat.refused.verdict, Verdict.MAY_HAVE_RUN)
+
+        in_fleet(scenario)
+
 
 class LeaderChangeTest(unittest.TestCase):
     def test_leader_lost_mid_stream_and_the_next_goes_on(self) -> None:
@@ -279,6 +310,107 @@
 
         in_fleet(scenario, nodes=2)
 
+    def test_unnamed_charge_cut_off_with_its_leader_is_not_refused_as_not_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            fleet.application.behaviours = ["hang"]
+            request = charge(idempotency_key=None, is_named=False, timeout_s=3.0)
+            answer = Answer()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.call, request, answer, 1)
+                await anyio.sleep(0.006)
+                self.assertEqual(len(fleet.application.ledger), 1)
+                # Its lease is over, and nobody leads for longer than the caller waits.
+                led = fleet.leaderships[0].led_partitions()
+                fleet.leaderships[0].epoch = None
+                for partition in led:
+                    fleet.nodes[0].leader.forget_partition(partition)
+            self.assertEqual(answer.refused.code, ErrorCode.UNAVAILABLE)
+            self.assertEqual(answer.refused.verdict, Verdict.MAY_HAVE_RUN)
+
+        in_fleet(scenario, nodes=2)
+
+    def test_charge_whose_outcome_its_leader_may_not_record_is_not_refused_as_not_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            request = charge(idempotency_key=None, is_named=False, timeout_s=3.0)
+            answer = Answer()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.call, request, answer, 1)
+                await anyio.sleep(0.004)
+                # The store has given the program away; only the leader does not know yet.
+                fleet.store.lead(fleet.leaderships[1], fleet.epoch + 1)
+                await anyio.sleep(0.01)
+                self.assertEqual(len(fleet.application.ledger), 1)
+                fleet.network.cut.add(fleet.leaderships[0].address)
+            self.assertEqual(answer.refused.code, ErrorCode.UNAVAILABLE)
+            self.assertEqual(answer.refused.verdict, Verdict.MAY_HAVE_RUN)
+
+        in_fleet(scenario, nodes=2)
+
+    def test_repeat_that_shares_the_refusal_of_a_waiting_charge_is_told_that_it_did_not_run(
+        self,
+    ) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            answers = [Answer(), Answer()]
+            async with anyio.create_task_group() as tasks:
+                for answer in answers:
+                    tasks.start_soon(fleet.call, charge(sequence=9), answer)
+                    await anyio.sleep(0.01)
+            for answer in answers:
+                self.assertEqual(answer.refused.code, ErrorCode.WRONG_SEQUENCE)
+                self.assertEqual(answer.refused.verdict, Verdict.NOT_RUN)
+
+        in_fleet(scenario)
+
+    def test_program_refused_after_a_lost_answer_is_not_refused_as_not_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            lost = PasslaneError(ErrorCode.CONNECTION_LOST, "reset", verdict=Verdict.MAY_HAVE_RUN)
+            errors = [lost, PasslaneError(ErrorCode.LIMIT_EXCEEDED, "too many programs")]
+
+            async def fail(*_: object, **__: object) -> Message:
+                raise errors.pop(0)
+
+            fleet.network.call = fail  # type: ignore[method-assign]
+            with self.assertRaises(PasslaneError) as caught:
+                request = CreateProgramRequest("c", TENANT, ProgramId("new"), Amounts())
+                await fleet.nodes[1].forwarder.ask(request.program_id, request, ProgramResult, 5.0)
+            self.assertEqual(caught.exception.code, ErrorCode.LIMIT_EXCEEDED)
+            self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+        in_fleet(scenario, nodes=2)
+
+    def test_call_sent_again_to_a_busy_leader_is_not_refused_as_not_run(self) -> None:
+        # The next leader has asked the application what became of the charge.
+        for make, verdict in ((chat, Verdict.MAY_HAVE_RUN), (charge, Verdict.RAN)):
+            with self.subTest(make.__name__):
+
+                async def scenario(
+                    fleet: Fleet,
+                    make: Callable[..., CallRequest] = make,
+                    verdict: Verdict = verdict,
+                ) -> None:
+                    fleet.application.behaviours = ["hang"]
+                    request = make(idempotency_key=None, is_named=False, timeout_s=3.0)
+                    answer = Answer()
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(fleet.call, request, answer, 1)
+                        await anyio.sleep(0.01)
+                        fleet.network.cut_off(fleet.leaderships[0].address)
+                        fleet.nodes[1].leader.limit_requests(0)
+                        fleet.lead(1)
+                    self.assertEqual(answer.refused.code, ErrorCode.QUEUE_FULL)
+                    self.assertEqual(answer.refused.verdict, verdict)
+
+                in_fleet(scenario, nodes=2)
+
+    def test_call_sent_again_that_is_on_no_record_is_refused_as_not_run(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            request = charge(idempotency_key=None, is_named=False, is_resent=True, sequence=9)
+            answer = await fleet.call(request)
+            self.assertEqual(answer.refused.code, ErrorCode.WRONG_SEQUENCE)
+            self.assertEqual(answer.refused.verdict, Verdict.NOT_RUN)
+
+        in_fleet(scenario)
+
     def test_leader_change_between_intent_and_outcome_of_a_charge(self) -> None:
         # The application has run the charge after 5 ms; before that it never will.
         cases = (("hang", 0.006, Verdict.RAN), ("unsent", 0.004, Verdict.NOT_RUN))
