Benchmark of what a turn costs at the store group's leader

Cause: the leader's processor is what binds next, and no experiment said where a turn's time goes there. raft-cost leaves out sockets, syncs and services; storage-group has all replicas on one loop.

Ruled out: cProfile, which doubles the cost of short functions and so moves the shares. Samples by processor time (2 ms apart) are taken instead.

Change: `passlane bench run turn-cost` runs five replicas as processes, sends turns from sixty nodes at random moments, and reports processor time of leader and followers for each turn, by step and function, and the times of answers.

--- a/src/passlane/bench/registry.py
+++ b/src/passlane/bench/registry.py
@@ -176,6 +176,12 @@
         "run",
         "processor time, messages and bytes of an appended command, by group size",
     ),
+    Experiment(
+        "turn-cost",
+        "passlane.bench.turn_cost",
+        "run",
+        "processor time of a turn at the store group's leader by step, latency by rate",
+    ),
     Experiment(
         "idle-fleet",
         "passlane.bench.idle_fleet",
