Proposals gather while the last batch is on its way; settlements without history go along

Cause: each proposal that came in a turn of the loop of its own was an append, a sync and a message to each of four followers of its own. At 300 turns a second (600 proposals) nearly all came alone, and what a batch costs was paid for each.

Ruled out: a fixed pause before each batch, which delays proposals that come alone. Limiting the batches in flight to one without a time limit: a slow disk of a majority would then hold up appends that could travel meanwhile.

Change: a batch goes at once if the last one is committed; else it gathers until that is, 4 ms at most. A settlement that keeps no history and asks for no quota goes with the next proposal of any caller, or 20 ms later. Nobody waits for its answer, and until it is settled a reservation counts as spent, so no program spends beyond its budget. It stays before all that is proposed after it, so the next turn's reservation sees it.

--- a/src/passlane/bench/configuration_state.py
+++ b/src/passlane/bench/configuration_state.py
@@ -50,7 +50,7 @@
     def __init__(self, machine: ControlStateMachine) -> None:
         self._machine = machine
 
-    async def propose(self, command: bytes) -> bytes:
+    async def propose(self, command: bytes, *, may_be_deferred: bool = False) -> bytes:
         """Apply a command."""
         return self._machine.apply(0, command)
 
--- a/src/passlane/bench/hollow.py
+++ b/src/passlane/bench/hollow.py
@@ -43,7 +43,7 @@
         self.leader_address: Address | None = None
         self.term = 1
 
-    async def propose(self, command: bytes) -> bytes:
+    async def propose(self, command: bytes, *, may_be_deferred: bool = False) -> bytes:
         """Apply a command after the delay and return its result."""
         await anyio.sleep(self._commit_s)
         self._index += 1
--- a/src/passlane/replication/interfaces.py
+++ b/src/passlane/replication/interfaces.py
@@ -52,9 +52,12 @@
         """Current term; serves as fencing token for what the leader orders."""
         ...
 
-    async def propose(self, command: bytes) -> bytes:
+    async def propose(self, command: bytes, *, may_be_deferred: bool = False) -> bytes:
         """Replicate a command and return its result.
 
+        One that may be deferred waits for a moment for others to be replicated with. It is
+        never applied after a command that was proposed later.
+
         Raises
         ------
         PasslaneError
--- a/src/passlane/replication/pending.py
+++ b/src/passlane/replication/pending.py
@@ -55,6 +55,13 @@
             raise waiter.error
         return waiter.result
 
+    async def wait_until_done(self, token: int, timeout_s: float) -> None:
+        """Return once ``token`` has got its result or error, or the time is over."""
+        waiter = self._waiters.get(token)
+        if waiter is not None and not waiter.done.is_set():
+            with anyio.move_on_after(timeout_s):
+                await waiter.done.wait()
+
     def complete(self, token: int, result: bytes) -> None:
         """Give a caller its result; one that has gone away is ignored."""
         waiter = self._waiters.get(token)
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -204,7 +204,7 @@
         """Index of the last entry that the state machine has applied."""
         return self._driver.applied.index if self._driver is not None else 0
 
-    async def propose(self, command: bytes) -> bytes:
+    async def propose(self, command: bytes, *, may_be_deferred: bool = False) -> bytes:
         """Replicate a command and return its result; see ``ReplicatedGroup``."""
         driver = self._ready_driver()
         if driver.log.is_full:
@@ -213,7 +213,7 @@
                 f"the disk of group {self._group} is full",
                 retry_after_s=DISK_FULL_RETRY_AFTER_S,
             )
-        return await self._batch.propose(command)
+        return await self._batch.propose(command, may_be_deferred=may_be_deferred)
 
     async def read_barrier(self) -> None:
         """Return once local state holds all that was committed before the call."""
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -114,7 +114,9 @@
         granted: QuotaAnswer = QuotaGranted()
         if request.quota is not None:
             granted = await self._draw(request.quota)
-        result = await self._propose(_without_quota(request))
+        result = await self._propose(
+            _without_quota(request), may_be_deferred=_is_settled_in_background(request)
+        )
         if not isinstance(result, TurnSettled) or not isinstance(granted, QuotaGranted):
             return result
         return msgspec.structs.replace(result, ahead=granted.ahead)
@@ -175,11 +177,22 @@
             raise NotLeaderError("not the leader of the store group", self._group.leader_address)
         self._quotas.enter_term(self._group.term, anyio.current_time())
 
-    async def _propose(self, command: Message) -> Message:
-        result: Message = _result_decoder.decode(await self._group.propose(encode_message(command)))
+    async def _propose(self, command: Message, *, may_be_deferred: bool = False) -> Message:
+        result: Message = _result_decoder.decode(
+            await self._group.propose(encode_message(command), may_be_deferred=may_be_deferred)
+        )
         return result
 
 
 def _without_quota(request: ReserveTurn | SettleTurn) -> ReserveTurn | SettleTurn:
     """Return the command as it is replicated."""
     return request if request.quota is None else msgspec.structs.replace(request, quota=None)
+
+
+def _is_settled_in_background(request: SettleTurn) -> bool:
+    """Whether nobody waits for the answer: nothing is kept and nothing granted with it.
+
+    Until it is settled a reservation counts as spent (docs/PROMISES.md), so no program spends
+    beyond its budget meanwhile.
+    """
+    return request.turn is None and request.quota is None
--- /dev/null
+++ b/tests/replication/test_proposal_batch.py
@@ -0,0 +1,120 @@
+"""Which proposals go together, and how long each may wait for others."""
+
+import functools
+import unittest
+
+import anyio
+import trio.testing
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.replication.pending import PendingRequests
+from passlane.replication.proposal_batch import (
+    LONGEST_DEFERRAL_S,
+    LONGEST_GATHERING_S,
+    ProposalBatch,
+)
+
+TIMEOUT_S = 1.0
+TIMEOUT_ERROR = PasslaneError(ErrorCode.TIMEOUT, "no majority")
+
+
+class ScriptedReplica:
+    """Notes when batches are handed to it; commits each after ``commit_s``."""
+
+    def __init__(self, tasks):
+        self.pending = PendingRequests(TIMEOUT_ERROR)
+        self.batch = ProposalBatch(self.pending, TIMEOUT_S)
+        self.commit_s = 0.002
+        self.handed = []
+        self._tasks = tasks
+        self._began = anyio.current_time()
+        tasks.start_soon(self.batch.run, self._step)
+
+    def _step(self, proposed):
+        at = round(anyio.current_time() - self._began, 6)
+        self.handed.append((at, proposed.commands))
+        self._tasks.start_soon(self._commit, proposed)
+
+    async def _commit(self, proposed):
+        await anyio.sleep(self.commit_s)
+        for token, command in zip(proposed.tokens, proposed.commands, strict=True):
+            self.pending.complete(token, command)
+
+    def propose(self, command, **options):
+        self._tasks.start_soon(functools.partial(self.batch.propose, command, **options))
+
+
+def on_virtual_clock(body):
+    """Run a test's body with a scripted replica."""
+
+    @functools.wraps(body)
+    def test(self):
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                await body(self, ScriptedReplica(tasks))
+                tasks.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+    return test
+
+
+class ProposalBatchTest(unittest.TestCase):
+    @on_virtual_clock
+    async def test_one_that_comes_alone_goes_at_once(self, replica):
+        self.assertEqual(await replica.batch.propose(b"a"), b"a")
+        await anyio.sleep(0.1)
+        await replica.batch.propose(b"b")
+        self.assertEqual(replica.handed, [(0.0, (b"a",)), (0.102, (b"b",))])
+
+    @on_virtual_clock
+    async def test_those_that_come_before_the_last_batch_is_committed_go_together(self, replica):
+        for command in (b"a", b"b", b"c", b"d"):
+            replica.propose(command)
+            await anyio.sleep(0.0006)
+        await anyio.sleep(0.1)
+        self.assertEqual(replica.handed, [(0.0, (b"a",)), (0.002, (b"b", b"c", b"d"))])
+
+    @on_virtual_clock
+    async def test_a_slow_commit_holds_others_up_for_a_moment_only(self, replica):
+        replica.commit_s = 0.5
+        replica.propose(b"a")
+        await anyio.sleep(0.001)
+        replica.propose(b"b")
+        await anyio.sleep(0.1)
+        self.assertEqual(replica.handed, [(0.0, (b"a",)), (LONGEST_GATHERING_S, (b"b",))])
+
+    @on_virtual_clock
+    async def test_a_deferred_one_goes_with_the_next_in_order(self, replica):
+        replica.propose(b"later", may_be_deferred=True)
+        await anyio.sleep(0.005)
+        replica.propose(b"now")
+        await anyio.sleep(0.1)
+        self.assertEqual(replica.handed, [(0.005, (b"later", b"now"))])
+
+    @on_virtual_clock
+    async def test_a_deferred_one_alone_goes_in_time(self, replica):
+        for _ in range(2):
+            answer = await replica.batch.propose(b"later", may_be_deferred=True)
+            self.assertEqual(answer, b"later")
+        moments = [at for at, _ in replica.handed]
+        waits = LONGEST_DEFERRAL_S, 2 * LONGEST_DEFERRAL_S + replica.commit_s
+        self.assertEqual(moments, [round(at, 6) for at in waits])
+
+    @on_virtual_clock
+    async def test_those_that_wait_are_answered_when_the_replica_stops(self, replica):
+        async def fail_soon():
+            await anyio.sleep(0.001)
+            replica.batch.fail_all()
+
+        replica._tasks.start_soon(fail_soon)
+        with self.assertRaises(PasslaneError) as caught:
+            await replica.batch.propose(b"later", may_be_deferred=True)
+        self.assertIs(caught.exception.code, ErrorCode.LEASE_LOST)
+        await anyio.sleep(0.1)
+        self.assertEqual(replica.handed, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
