Calls over an open connection need no scope, no stream and no turn of the loop

Change: an open connection is taken at once. A call waits for its reply by an event; streams are as before.

Tests of the transport cover both ways as before.

--- a/src/passlane/transport/client.py
+++ b/src/passlane/transport/client.py
@@ -54,6 +54,14 @@
                     await peer.close()
 
     async def _connection(self, address: Address, timeout_s: float) -> ClientConnection:
+        peer = self._peers.get(address)
+        connection = peer.open_connection() if peer is not None else None
+        if connection is not None:
+            # Most often: neither a cancel scope nor a turn of the loop is needed then.
+            return connection
+        return await self._new_connection(address, timeout_s)
+
+    async def _new_connection(self, address: Address, timeout_s: float) -> ClientConnection:
         with anyio.move_on_after(timeout_s):
             await self._started.wait()
             assert self._tasks is not None
--- a/src/passlane/transport/client_connection.py
+++ b/src/passlane/transport/client_connection.py
@@ -30,7 +30,31 @@
     return min(MAX_VALUE, max(1, math.ceil(timeout_s * 1000)))
 
 
-class _PendingRequest:
+class _PendingCall:
+    """A request whose one reply is awaited."""
+
+    def __init__(self) -> None:
+        self.reply: Message | None = None
+        self.is_ended = False
+        self.is_over = anyio.Event()
+
+    def deliver(self, message: Message) -> None:
+        """Hand over the reply."""
+        if self.reply is None:
+            self.reply = message
+            self.is_over.set()
+
+    def end(self) -> None:
+        """Mark the end of the replies."""
+        self.is_ended = True
+        self.is_over.set()
+
+    def close(self) -> None:
+        """Wake the caller: nothing more will come."""
+        self.is_over.set()
+
+
+class _PendingStream:
     """A request whose replies are awaited; its buffer holds at most a stream's window."""
 
     def __init__(self) -> None:
@@ -54,13 +78,17 @@
         self.is_ended = True
         self.sender.close()
 
+    def close(self) -> None:
+        """Wake the reader: nothing more will come."""
+        self.sender.close()
+
 
 class ClientConnection:
     """Sends requests on one connection, many at a time, and hands out the replies."""
 
     def __init__(self, stream: ByteStream) -> None:
         self._channel = FrameChannel(stream)
-        self._pending: dict[int, _PendingRequest] = {}
+        self._pending: dict[int, _PendingCall | _PendingStream] = {}
         self._request_ids = itertools.count(1)
         self._sent_since_receipt = False
         self.last_used = anyio.current_time()
@@ -90,7 +118,7 @@
         """Close the connection; requests under way fail with ``CONNECTION_LOST``."""
         await self._channel.close()
         for pending in self._pending.values():
-            pending.sender.close()
+            pending.close()
         self._pending.clear()
 
     async def _write(self) -> None:
@@ -162,14 +190,42 @@
 
     async def call(self, request: Message, timeout_s: float) -> Message:
         """Send a request and return its one reply; errors are raised."""
-        async with self.stream(request, timeout_s) as replies:
-            return await anext(replies)
+        pending = _PendingCall()
+        request_id = self._send_request(request, timeout_s, pending)
+        try:
+            with anyio.move_on_after(timeout_s) as scope:
+                await pending.is_over.wait()
+        finally:
+            self._forget(request_id, pending)
+        if scope.cancelled_caught:
+            raise _no_whole_answer(timeout_s)
+        if pending.reply is None:
+            raise _no_reply() if pending.is_ended else _connection_broken()
+        if isinstance(pending.reply, ErrorReply):
+            raise pending.reply.to_exception()
+        return pending.reply
 
     @asynccontextmanager
     async def stream(
         self, request: Message, timeout_s: float
     ) -> AsyncIterator[AsyncIterator[Message]]:
         """Send a request and give its replies; leaving early cancels it at the server."""
+        pending = _PendingStream()
+        request_id = self._send_request(request, timeout_s, pending)
+        try:
+            with anyio.move_on_after(timeout_s) as scope:
+                yield _Replies(self._channel, request_id, pending)
+        finally:
+            self._forget(request_id, pending)
+            pending.sender.close()
+            pending.receiver.close()
+        if scope.cancelled_caught:
+            raise _no_whole_answer(timeout_s)
+
+    def _send_request(
+        self, request: Message, timeout_s: float, pending: _PendingCall | _PendingStream
+    ) -> int:
+        """Queue a request and return its id, under which its replies will come."""
         request_id = next(self._request_ids)
         frame = Frame(
             FrameKind.REQUEST,
@@ -179,24 +235,11 @@
         )
         self._note_use()
         self._channel.enqueue(frame)
-        pending = _PendingRequest()
         self._pending[request_id] = pending
-        try:
-            with anyio.move_on_after(timeout_s) as scope:
-                yield _Replies(self._channel, request_id, pending)
-        finally:
-            self._forget(request_id, pending)
-        if scope.cancelled_caught:
-            raise PasslaneError(
-                ErrorCode.TIMEOUT,
-                f"no whole answer within {timeout_s:g} s",
-                verdict=Verdict.MAY_HAVE_RUN,
-            )
+        return request_id
 
-    def _forget(self, request_id: int, pending: _PendingRequest) -> None:
+    def _forget(self, request_id: int, pending: _PendingCall | _PendingStream) -> None:
         self._pending.pop(request_id, None)
-        pending.sender.close()
-        pending.receiver.close()
         if not pending.is_ended and not self.is_closed:
             self._channel.enqueue(Frame(FrameKind.CANCEL, request_id))
 
@@ -204,7 +247,7 @@
 class _Replies(AsyncIterator[Message]):
     """The replies of one request, in order; grants credit as they are taken."""
 
-    def __init__(self, channel: FrameChannel, request_id: int, pending: _PendingRequest) -> None:
+    def __init__(self, channel: FrameChannel, request_id: int, pending: _PendingStream) -> None:
         self._channel = channel
         self._request_id = request_id
         self._pending = pending
@@ -226,8 +269,28 @@
     def _end(self) -> Exception:
         if self._pending.is_ended:
             return StopAsyncIteration()
-        return PasslaneError(
-            ErrorCode.CONNECTION_LOST,
-            "the connection broke before the answer was whole",
-            verdict=Verdict.MAY_HAVE_RUN,
-        )
+        return _connection_broken()
+
+
+def _no_whole_answer(timeout_s: float) -> PasslaneError:
+    return PasslaneError(
+        ErrorCode.TIMEOUT,
+        f"no whole answer within {timeout_s:g} s",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _no_reply() -> PasslaneError:
+    return PasslaneError(
+        ErrorCode.PROTOCOL_ERROR,
+        "the server ended its answer without a reply",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _connection_broken() -> PasslaneError:
+    return PasslaneError(
+        ErrorCode.CONNECTION_LOST,
+        "the connection broke before the answer was whole",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
--- a/src/passlane/transport/peer.py
+++ b/src/passlane/transport/peer.py
@@ -61,6 +61,13 @@
         if self._connection is not None:
             await self._connection.close()
 
+    def open_connection(self) -> ClientConnection | None:
+        """Return the connection if it is open."""
+        if self._connection is None or self._connection.is_closed:
+            return None
+        self._last_wanted = anyio.current_time()
+        return self._connection
+
     async def connection(self) -> ClientConnection:
         """Return the open connection, after opening it if need be.
 
@@ -70,8 +77,9 @@
             ``UNAVAILABLE`` with ``not_run`` when it cannot be had.
         """
         self._last_wanted = anyio.current_time()
-        if self._connection is not None and not self._connection.is_closed:
-            return self._connection
+        connection = self.open_connection()
+        if connection is not None:
+            return connection
         if self._connecting is None:
             self._start_connecting()
         assert self._connecting is not None
