One timer for all proposals that wait

Cause: each proposal waited in a cancel scope with a deadline of its own, 11 to 20 us of processor time, though all wait equally long and next to none is ever overdue.

Ruled out: no time limit at the replica, as callers in the same process have none of their own.

Change: the table of waiting callers looks through them when the first one's time is over. A caller that is not answered in time fails at its time, or 50 ms later if others were looked through just before. The first outcome of a caller counts.

--- a/src/passlane/replication/membership_changes.py
+++ b/src/passlane/replication/membership_changes.py
@@ -27,8 +27,6 @@
         none.
     proposals
         Callers that wait for a proposal of the local replica.
-    timeout_s
-        Seconds after which a change is given up; it may still come into force.
     has_bounded_voters
         Whether the number of voters is bounded.
     """
@@ -37,14 +35,12 @@
         self,
         ready_driver: Callable[[], ReplicaDriver],
         proposals: PendingRequests,
-        timeout_s: float,
         *,
         has_bounded_voters: bool,
     ) -> None:
         self._has_bounded_voters = has_bounded_voters
         self._ready_driver = ready_driver
         self._proposals = proposals
-        self._timeout_s = timeout_s
 
     async def answer_join(self, request: JoinRequest) -> JoinReply:
         """Take in a replica, if the local one leads.
@@ -112,4 +108,4 @@
 
     async def _propose(self, change: MemberAdded | MemberRemoved) -> None:
         self._ready_driver().step(change)
-        await self._proposals.wait(change.token, self._timeout_s)
+        await self._proposals.wait(change.token)
--- a/src/passlane/replication/proposal_batch.py
+++ b/src/passlane/replication/proposal_batch.py
@@ -24,13 +24,10 @@
     ----------
     pending
         Callers by token; the driver completes them.
-    timeout_s
-        A caller waits for so long at most.
     """
 
-    def __init__(self, pending: PendingRequests, timeout_s: float) -> None:
+    def __init__(self, pending: PendingRequests) -> None:
         self._pending = pending
-        self._timeout_s = timeout_s
         self._waiting: list[tuple[int, bytes]] = []
         self._arrived = anyio.Event()
         self._wanted = anyio.Event()
@@ -51,7 +48,7 @@
         self._arrived.set()
         if not may_be_deferred:
             self._wanted.set()
-        return await self._pending.wait(token, self._timeout_s)
+        return await self._pending.wait(token)
 
     async def run(self, step: Callable[[CommandsProposed], None]) -> None:
         """Hand proposals to ``step`` until cancelled."""
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -124,14 +124,13 @@
         )
         self._identity: Identity | None = None
         self._driver: ReplicaDriver | None = None
-        self._proposals = self._new_pending(ErrorCode.TIMEOUT, Verdict.MAY_HAVE_RUN)
-        self._reads = self._new_pending(ErrorCode.UNAVAILABLE, Verdict.NOT_RUN)
-        self._timeout_s = TIMEOUT_IN_ELECTION_TIMEOUTS * settings.election_timeout_s
-        self._batch = ProposalBatch(self._proposals, self._timeout_s)
+        timeout_s = TIMEOUT_IN_ELECTION_TIMEOUTS * settings.election_timeout_s
+        self._proposals = self._new_pending(ErrorCode.TIMEOUT, Verdict.MAY_HAVE_RUN, timeout_s)
+        self._reads = self._new_pending(ErrorCode.UNAVAILABLE, Verdict.NOT_RUN, timeout_s)
+        self._batch = ProposalBatch(self._proposals)
         changes = MembershipChanges(
             self._ready_driver,
             self._proposals,
-            self._timeout_s,
             has_bounded_voters=settings.places is not None,
         )
         self._changes = changes
@@ -143,7 +142,7 @@
         dispatch_for(router).add_group(group, handlers)
 
     @staticmethod
-    def _new_pending(code: ErrorCode, verdict: Verdict) -> PendingRequests:
+    def _new_pending(code: ErrorCode, verdict: Verdict, timeout_s: float) -> PendingRequests:
         """Return an empty table of callers that get this error when they wait too long."""
         error = PasslaneError(
             code,
@@ -151,7 +150,7 @@
             verdict=verdict,
             retry_after_s=NOT_READY_RETRY_AFTER_S,
         )
-        return PendingRequests(error)
+        return PendingRequests(error, timeout_s)
 
     # The interface of ``ReplicatedGroup``.
 
@@ -220,7 +219,7 @@
         driver = self._ready_driver()
         token = self._reads.add()
         driver.step(ReadRequested(token=token))
-        await self._reads.wait(token, self._timeout_s)
+        await self._reads.wait(token)
 
     async def remove_member(self, process_name: str) -> None:
         """Remove the replicas of a process as the leader; see ``MembershipChanges.remove``."""
@@ -311,6 +310,8 @@
             self._driver = driver
             tasks.start_soon(driver.run)
             tasks.start_soon(self._batch.run, driver.step)
+            tasks.start_soon(self._proposals.run)
+            tasks.start_soon(self._reads.run)
             tasks.start_soon(self._finish_joining, identity)
 
     async def _build_driver(
--- a/tests/replication/test_proposal_batch.py
+++ b/tests/replication/test_proposal_batch.py
@@ -22,13 +22,14 @@
     """Notes when batches are handed to it; commits each after ``commit_s``."""
 
     def __init__(self, tasks):
-        self.pending = PendingRequests(TIMEOUT_ERROR)
-        self.batch = ProposalBatch(self.pending, TIMEOUT_S)
+        self.pending = PendingRequests(TIMEOUT_ERROR, TIMEOUT_S)
+        self.batch = ProposalBatch(self.pending)
         self.commit_s = 0.002
         self.handed = []
         self._tasks = tasks
         self._began = anyio.current_time()
         tasks.start_soon(self.batch.run, self._step)
+        tasks.start_soon(self.pending.run)
 
     def _step(self, proposed):
         at = round(anyio.current_time() - self._began, 6)
@@ -115,6 +116,28 @@
         await anyio.sleep(0.1)
         self.assertEqual(replica.handed, [])
 
+    @on_virtual_clock
+    async def test_one_that_is_never_committed_fails_at_its_time_and_others_do_not(self, replica):
+        replica.commit_s = 100.0
+        moments = []
+
+        async def propose_and_fail():
+            began = anyio.current_time()
+            with self.assertRaises(PasslaneError) as caught:
+                await replica.batch.propose(b"lost")
+            self.assertIs(caught.exception.code, ErrorCode.TIMEOUT)
+            moments.append(anyio.current_time() - began)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(propose_and_fail)
+                await anyio.sleep(0.3)
+            replica.commit_s = 0.002
+            self.assertEqual(await replica.batch.propose(b"kept"), b"kept")
+        self.assertEqual(len(moments), 3)
+        for waited_s in moments:
+            self.assertAlmostEqual(waited_s, TIMEOUT_S, delta=0.06)
+
 
 if __name__ == "__main__":
     unittest.main()
