Accepted connections go on reading between two receipts

Cause: anyio's socket streams take the socket out of the loop's selector after each receipt and put it back for the next one. The store's leader has a connection from each node, and each carries few messages at a time.

Ruled out: the same for opened connections. The HTTP client learns from an unread socket whether a kept connection was closed, and the store's leader receives next to nothing on those that it opened.

Change: the server's end of connections between processes is a byte stream on a transport of asyncio that reads on until 256 kB are unread.

--- a/src/passlane/runtime/network.py
+++ b/src/passlane/runtime/network.py
@@ -6,6 +6,7 @@
 from anyio.abc import ByteStream, SocketAttribute
 
 from passlane.messages.common import Address
+from passlane.runtime.accepted_stream import serve_tcp
 from passlane.runtime.interfaces import ConnectionHandler
 
 SILENCE_LIMIT_MS = 3_000
@@ -25,6 +26,4 @@
 
     async def serve(self, address: Address, handler: ConnectionHandler) -> None:
         """Accept TCP connections and run ``handler`` for each until cancelled."""
-        listener = await anyio.create_tcp_listener(local_host=address.host, local_port=address.port)
-        async with listener:
-            await listener.serve(handler)
+        await serve_tcp(address, handler)
