Messages to followers go out at once over open connections

Ruled out: one task for all peers, as a peer whose connection opens slowly would hold up the others.

Change: a caller that keeps connections may send over an open one without waiting (`ImmediateSender`). Messages queue, in order, only for a peer without one; its task ends with the queue.

--- a/src/passlane/replication/peer_sender.py
+++ b/src/passlane/replication/peer_sender.py
@@ -2,54 +2,44 @@
 
 from collections import deque
 
-import anyio
 from anyio.abc import TaskGroup
 
 from passlane.messages.base import Message
 from passlane.messages.common import Address
-from passlane.transport.interfaces import Caller
+from passlane.transport.interfaces import Caller, ImmediateSender
 
 MAX_QUEUED_MESSAGES = 256
 """Most messages that wait for one peer; beyond it the oldest are dropped."""
 
-IDLE_TIMEOUT_S = 60.0
-"""A peer's task ends when it had nothing to send for so long."""
-
-
-class _PeerQueue:
-    """Messages that wait for one peer."""
-
-    def __init__(self) -> None:
-        self.messages: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
-        self.arrived = anyio.Event()
-
 
 class PeerSender:
-    """One queue and one task for each address that is sent to."""
+    """Sends over open connections at once, and queues for a peer that has none.
+
+    A queue has a task while it is not empty.
+    """
 
     def __init__(self, caller: Caller, tasks: TaskGroup) -> None:
         self._caller = caller
+        self._immediate = caller if isinstance(caller, ImmediateSender) else None
         self._tasks = tasks
-        self._queues: dict[Address, _PeerQueue] = {}
+        self._queues: dict[Address, deque[Message]] = {}
 
     def send(self, address: Address, message: Message) -> None:
-        """Queue a message; it is sent soon, or lost, as Raft allows."""
+        """Send a message now or soon, or lose it, as Raft allows."""
         queue = self._queues.get(address)
-        if queue is None:
-            queue = _PeerQueue()
-            self._queues[address] = queue
-            self._tasks.start_soon(self._send_queued, address, queue)
-        queue.messages.append(message)
-        queue.arrived.set()
-
-    async def _send_queued(self, address: Address, queue: _PeerQueue) -> None:
-        """Send the messages of one peer until none has come for a while."""
-        while True:
-            with anyio.move_on_after(IDLE_TIMEOUT_S):
-                await queue.arrived.wait()
-            if not queue.messages:
-                del self._queues[address]
-                return
-            queue.arrived = anyio.Event()
-            while queue.messages:
-                await self._caller.send(address, queue.messages.popleft())
+        if queue is not None:
+            queue.append(message)
+            return
+        if self._immediate is not None and self._immediate.send_now(address, message):
+            return
+        self._queues[address] = deque([message], maxlen=MAX_QUEUED_MESSAGES)
+        self._tasks.start_soon(self._send_queued, address)
+
+    async def _send_queued(self, address: Address) -> None:
+        """Send the messages that wait for one peer, until there is none."""
+        queue = self._queues[address]
+        try:
+            while queue:
+                await self._caller.send(address, queue.popleft())
+        finally:
+            del self._queues[address]
--- a/src/passlane/transport/client.py
+++ b/src/passlane/transport/client.py
@@ -54,13 +54,16 @@
                     await peer.close()
 
     async def _connection(self, address: Address, timeout_s: float) -> ClientConnection:
-        peer = self._peers.get(address)
-        connection = peer.open_connection() if peer is not None else None
+        connection = self._open_connection(address)
         if connection is not None:
             # Most often: neither a cancel scope nor a turn of the loop is needed then.
             return connection
         return await self._new_connection(address, timeout_s)
 
+    def _open_connection(self, address: Address) -> ClientConnection | None:
+        peer = self._peers.get(address)
+        return peer.open_connection() if peer is not None else None
+
     async def _new_connection(self, address: Address, timeout_s: float) -> ClientConnection:
         with anyio.move_on_after(timeout_s):
             await self._started.wait()
@@ -106,6 +109,14 @@
         async with connection.stream(request, deadline - anyio.current_time()) as replies:
             yield replies
 
+    def send_now(self, address: Address, message: Message) -> bool:
+        """Send a one-way message over an open connection; see ``ImmediateSender.send_now``."""
+        connection = self._open_connection(address)
+        if connection is None:
+            return False
+        connection.send_one_way(message)
+        return True
+
     async def send(self, address: Address, message: Message) -> None:
         """Send a one-way message, or drop it; see ``Caller.send``."""
         try:
--- a/src/passlane/transport/interfaces.py
+++ b/src/passlane/transport/interfaces.py
@@ -7,7 +7,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
-from typing import Any, Protocol, TypeVar
+from typing import Any, Protocol, TypeVar, runtime_checkable
 
 from passlane.messages.base import Message
 from passlane.messages.common import Address
@@ -36,6 +36,18 @@
         ...
 
 
+@runtime_checkable
+class ImmediateSender(Protocol):
+    """Sends over connections that are open already; most callers can."""
+
+    def send_now(self, address: Address, message: Message) -> bool:
+        """Send a one-way message if a connection is open; return whether it is.
+
+        On a congested connection it is dropped, as by ``Caller.send``.
+        """
+        ...
+
+
 class Caller(Protocol):
     """Sends messages to other processes; keeps one connection for each address."""
 
