--- a/src/passlane/scheduling/program_admission.py
+++ b/src/passlane/scheduling/program_admission.py
@@ -19,8 +19,9 @@
 LONGEST_HOLD_S = 0.5
 """A program expected to begin within this time waits here. To come back takes its caller a new
 connection and two ways more, and callers bear a silence of 2 s."""
-LONGEST_HOLD_AFTER_RETURN_S = 1.2
-"""A caller that came back when it was told to is not sent away again for less."""
+LONGEST_HOLD_AFTER_RETURN_S = 1.5
+"""A caller that came back when it was told to is not sent away again for less. Callers leave a
+stream that is silent for 2 s; sent away too often, they give up the program."""
 EARLY_TOLERANCE_S = 0.15
 """Callers come back so much earlier than told and have still come as told: clocks and ways."""
 PROMISE_KEPT_S = 1.0
--- a/src/passlane/scheduling/program_progress.py
+++ b/src/passlane/scheduling/program_progress.py
@@ -41,6 +41,8 @@
         Turns that have had a place.
     waited_s
         Time that its turns have waited for places.
+    used_last
+        The engine that answered it last; empty if none has.
     """
 
     route: str
@@ -48,6 +50,7 @@
     time_s: float
     turns: int = 0
     waited_s: float = 0.0
+    used_last: str = ""
     last_seen_at: float = 0.0
     has_ended: bool = False
 
@@ -107,11 +110,12 @@
         """Return a program's progress, ``None`` if it had no turn lately."""
         return self._programs.get(program_id)
 
-    def touch(self, program_id: str, now: float) -> None:
+    def note_end(self, program_id: str, served_by: str, now: float) -> None:
         """Note that a turn of a program has ended."""
         program = self._programs.get(program_id)
         if program is not None:
             program.last_seen_at = now
+            program.used_last = served_by or program.used_last
             self._programs.move_to_end(program_id)
 
     def latest_start(self, program: ProgramProgress) -> float:
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -104,6 +104,12 @@
         program = self._programs.see(
             asked.program_id, demand.route, demand.program_time_left_s, now
         )
+        if self._programs.is_looping(program):
+            # It gets places that nobody wants, none beyond an engine's slots.
+            asked = msgspec.structs.replace(asked, used_last="")
+        elif program.used_last:
+            # Newer than what is replicated, which holds settlements back for a moment.
+            asked = msgspec.structs.replace(asked, used_last=program.used_last)
         is_new = asked.is_first and program.turns == 0
         waiting = self._waiting_turn(asked, program, service, is_new=is_new, now=now)
         choice = self._choice_at_once(waiting, service, now)
@@ -125,7 +131,7 @@
         if given_back is None:
             return []
         engine, turn = given_back
-        self._programs.touch(turn.program_id, now)
+        self._programs.note_end(turn.program_id, ended.served_by, now)
         outcome = ended.outcome
         if outcome is not None and outcome.engine_s > 0 and ended.served_by == engine.instance_id:
             engine.learn(turn, outcome, now)
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -218,7 +218,9 @@
         granted: QuotaAnswer = QuotaGranted()
         if request.quota is not None:
             granted = await self._draw(request.quota)
-        result = await self._propose(_as_replicated(request))
+        result = await self._propose(
+            _as_replicated(request), may_be_deferred=_is_settled_in_background(request)
+        )
         if not isinstance(result, TurnSettled) or not isinstance(granted, QuotaGranted):
             return result
         return msgspec.structs.replace(result, ahead=granted.ahead)
@@ -282,8 +284,10 @@
             self._term = self._group.term
             self._dispatcher.begin_term()
 
-    async def _propose(self, command: Message) -> Message:
-        result: Message = _result_decoder.decode(await self._group.propose(encode_message(command)))
+    async def _propose(self, command: Message, *, may_be_deferred: bool = False) -> Message:
+        result: Message = _result_decoder.decode(
+            await self._group.propose(encode_message(command), may_be_deferred=may_be_deferred)
+        )
         return result
 
 
@@ -301,3 +305,12 @@
 def _released(request: ReserveTurn) -> SettleTurn:
     """Return the settlement of a turn that was reserved and will not run."""
     return SettleTurn(program_id=request.program_id, attempt_id=request.attempt_id, tokens=0)
+
+
+def _is_settled_in_background(request: SettleTurn) -> bool:
+    """Whether nobody waits for the answer: nothing is kept and nothing granted with it.
+
+    Until it is settled a reservation counts as spent (docs/PROMISES.md), so no program spends
+    beyond its budget meanwhile.
+    """
+    return request.turn is None and request.quota is None
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -33,7 +33,7 @@
         self.leader_address = None
         self.commands = []
 
-    async def propose(self, command):
+    async def propose(self, command, *, may_be_deferred=False):
         await anyio.sleep(PROPOSE_S)
         if not self.is_leader:
             raise PasslaneError(ErrorCode.LEASE_LOST, "not the leader any more")
