Plain back ends: requests wait for room in one line, while there is time for an answer

Cause: a tool call that all back ends refused was refused itself after a quarter of its target latency since its arrival, a wait for its tenant's limit included, with a constant time to come back; each waiting call asked every full back end anew each 20 ms; a call that may run only once went to whichever back end came first, also to one that had just broken off. Change: a node's requests of one service wait in one line by rank and arrival until less than the typical time of their route is left, also at model engines, whose choice stays as it is. Only the first tries, one back end a turn, with pauses that grow and are spread; the place of an own call that ended goes to the first. Plain back ends are chosen by soundness, the fading memory of refusals, speed and expected end. The time to come back follows how long room has been missing, spread. Lines room_wait_began, room_wait_ended and plain_backend_chosen; room_wait_s in request_ended; a histogram of waits. Replaced tests: "the refusal comes early" said what is no longer wanted; four tests say when a refusal comes instead, with what time to come back and after how many tries. The turn that did not run has more scripted refusals, since it now tries until its time is over.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -17,15 +17,13 @@
     note_failure,
     note_success,
 )
+from passlane.relay.plain_log import log_plain_choice
+from passlane.relay.plain_placement import PlainBackends, PlainCall
 from passlane.relay.registry import BackendLoad, ServiceJudgement
+from passlane.relay.room_wait import RoomTurn, WaitingCall
 from passlane.relay.verdicts import Judgement, is_gone, judge_answer, may_run_again
 from passlane.runtime.interfaces import HttpConnectionError
 
-SECOND_ROUND_PAUSE_S = 0.02
-WAIT_SHARE_OF_TARGET = 0.25
-"""A request that no back end takes is refused after this share of its target latency."""
-UNAVAILABLE_RETRY_AFTER_S = 0.25
-
 _log = get_logger(__name__)
 
 Deliver = Callable[[BackendAnswer, AttemptWatch], Awaitable[None]]
@@ -33,7 +31,11 @@
 
 
 class RequestRefusedError(Exception):
-    """No back end ran the request; it may be tried again later."""
+    """No back end ran the request; it may be tried again in ``retry_after_s``."""
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
 
 
 class RequestFailedError(Exception):
@@ -58,6 +60,8 @@
         Instances that were tried, in order; for the log.
     served_by
         The instance that answered last; empty if none did.
+    room_wait_s
+        Seconds that it has waited for room.
     """
 
     def __init__(self, context: RequestContext, body: bytes, used_last: str = "") -> None:
@@ -66,8 +70,12 @@
         self._service = context.service
         self._registry = context.registry
         self._backends = context.backends
+        self._waits = context.waits
+        self._room = context.waits.room
+        self._waiting: WaitingCall | None = None
         self._key = context.placement_key(used_last)
         self._tenant_name = context.identity.tenant_name
+        self._rank = context.identity.priority_on(context.route)
         self._priority = context.engine_priority
         self._body = body
         self._runs = 0
@@ -75,6 +83,7 @@
         self.verdict = Verdict.NOT_RUN
         self.tried: list[str] = []
         self.served_by = ""
+        self.room_wait_s = 0.0
         self.last_event_id = context.call.last_event_id
 
     async def run(self, limit_at: float, deliver: Deliver) -> None:
@@ -87,27 +96,123 @@
         RequestFailedError
             When it may have run and cannot be sent again.
         """
-        give_up_at = self._call.arrived_at + WAIT_SHARE_OF_TARGET * self._route.target_latency_s
+        turn: RoomTurn | None = None
         while True:
             now = anyio.current_time()
             judgement = self._judge(now)
-            choice = choose_backend(
-                judgement.loads,
-                self._key,
-                self._refused,
-                now,
-                judgement.outliers,
-                judgement.typical_s,
-                self._connected(judgement.loads),
-            )
-            if choice is None:
-                await self._wait_for_room(give_up_at)
+            load = self._choose(judgement, turn, limit_at, now)
+            if load is None:
+                if self._waiting is not None and turn is not None:
+                    self._waiting.refusals += 1
+                turn = await self._wait_for_room(judgement, limit_at)
                 continue
-            self._log_choice(choice, now)
+            turn = None
             stall_limit = stall_limit_s(judgement.typical_s)
-            if await self._attempt(choice.load, stall_limit, limit_at, deliver):
+            if await self._attempt_and_note(load, stall_limit, limit_at, deliver):
                 return
 
+    def _choose(
+        self, judgement: ServiceJudgement, turn: RoomTurn | None, limit_at: float, now: float
+    ) -> BackendLoad | None:
+        """Choose the back end for the next attempt; ``None`` to wait for room.
+
+        A request that waits is sent to one back end in its turn.
+        """
+        if turn is None and self._waiting is not None:
+            return None
+        if self._room.plain is not None:
+            return self._choose_plain(self._room.plain, judgement, turn, limit_at, now)
+        choice = self._choose_engine(judgement, now)
+        if choice is None and turn is not None:
+            self._refused.clear()
+            choice = self._choose_engine(judgement, now)
+        if choice is None:
+            return None
+        self._log_choice(choice, now)
+        return choice.load
+
+    def _choose_engine(self, judgement: ServiceJudgement, now: float) -> PlacementChoice | None:
+        return choose_backend(
+            judgement.loads,
+            self._key,
+            self._refused,
+            now,
+            judgement.outliers,
+            judgement.typical_s,
+            self._connected(judgement.loads),
+        )
+
+    def _choose_plain(
+        self,
+        plain: PlainBackends,
+        judgement: ServiceJudgement,
+        turn: RoomTurn | None,
+        limit_at: float,
+        now: float,
+    ) -> BackendLoad | None:
+        """Choose a plain back end; a new request comes behind those that wait."""
+        if turn is None and len(self._room):
+            return None
+        call = PlainCall(
+            route=self._route.name,
+            runs_once=not self._route.is_repeatable,
+            left_s=self._room.gives_up_at(self._route.name, limit_at) - now,
+        )
+        choice = plain.choose(
+            judgement.loads,
+            call,
+            now,
+            tried=self._refused if turn is None else (),
+            connected=self._connected(judgement.loads),
+            offered=turn.offered if turn is not None else "",
+            must_try=turn is not None,
+        )
+        if choice is None:
+            return None
+        log_plain_choice(
+            choice,
+            turn,
+            request_id=self._call.request_id,
+            attempt=len(self.tried) + 1,
+            list_age_s=self._list_age_s(now),
+        )
+        return choice.load
+
+    async def _attempt_and_note(
+        self, load: BackendLoad, stall_limit: float, limit_at: float, deliver: Deliver
+    ) -> bool:
+        """Send the request to one back end, and note what that shows of its room."""
+        instance_id = load.record.instance_id
+        avoided_before = load.avoid_until
+        started_at = anyio.current_time()
+        is_delivered = False
+        try:
+            is_delivered = await self._attempt(load, stall_limit, limit_at, deliver)
+        finally:
+            now = anyio.current_time()
+            is_broken = load.avoid_until > avoided_before
+            if is_broken:
+                self._note_lost(instance_id, now)
+        if is_delivered:
+            if self._waiting is not None:
+                self._room.note_wait_ended(self._waiting, now)
+            self._waits.note_answered(instance_id, self._route.name, now - started_at)
+        elif not is_broken:
+            self._note_refused(instance_id, now)
+        return is_delivered
+
+    def _note_lost(self, instance_id: str, now: float) -> None:
+        """Note a broken attempt; the request is sent elsewhere without another wait."""
+        self._waiting = None
+        if self._room.plain is not None:
+            self._room.plain.note_broken(instance_id, now)
+
+    def _note_refused(self, instance_id: str, now: float) -> None:
+        if self._waiting is not None:
+            self._waiting.refusals += 1
+        if self._room.plain is not None:
+            self._room.plain.note_refused(instance_id, now)
+
     def _connected(self, loads: Sequence[BackendLoad]) -> frozenset[str]:
         """Return the instances to which a connection rests unused, where that decides."""
         if not self._key.is_plain:
@@ -132,7 +237,6 @@
 
     def _log_choice(self, choice: PlacementChoice, now: float) -> None:
         """Log which back end was chosen, and by what."""
-        updated_at = self._registry.updated_at
         _log.info(
             "backend_chosen",
             request_id=self._call.request_id,
@@ -150,17 +254,39 @@
             needs_connection=choice.rank.needs_connection,
             used_last=self._key.used_last,
             typical_s=round(choice.typical_s, 4),
-            list_age_s=round(now - updated_at, 3) if updated_at is not None else None,
+            list_age_s=self._list_age_s(now),
         )
 
-    async def _wait_for_room(self, give_up_at: float) -> None:
-        """Let back ends that refused be tried once more, as long as that is worth while."""
-        if anyio.current_time() + SECOND_ROUND_PAUSE_S > give_up_at:
-            if self.verdict is Verdict.NOT_RUN:
-                raise RequestRefusedError("no back end took the request")
+    def _list_age_s(self, now: float) -> float | None:
+        updated_at = self._registry.updated_at
+        return round(now - updated_at, 3) if updated_at is not None else None
+
+    async def _wait_for_room(self, judgement: ServiceJudgement, limit_at: float) -> RoomTurn:
+        """Wait until the request may try again.
+
+        Raises
+        ------
+        RequestRefusedError, RequestFailedError
+            When what is left of its deadline is too little for an answer.
+        """
+        now = anyio.current_time()
+        if self._waiting is None:
+            self._waiting = WaitingCall(
+                request_id=self._call.request_id,
+                priority=self._rank,
+                arrived_at=self._call.arrived_at,
+                give_up_at=self._room.gives_up_at(self._route.name, limit_at),
+                joined_at=now,
+            )
+        slots = max((load.record.slots for load in judgement.loads), default=1)
+        turn = await self._waits.wait(self._waiting, slots)
+        self.room_wait_s += anyio.current_time() - now
+        if turn is not None:
+            return turn
+        self._room.note_wait_ended(self._waiting, anyio.current_time())
+        if self.verdict is not Verdict.NOT_RUN:
             raise RequestFailedError("no further back end took the request")
-        await anyio.sleep(SECOND_ROUND_PAUSE_S)
-        self._refused.clear()
+        raise RequestRefusedError("no back end took the request", self._waits.come_back_s())
 
     async def _attempt(
         self, load: BackendLoad, stall_limit: float, limit_at: float, deliver: Deliver
--- a/src/passlane/relay/context.py
+++ b/src/passlane/relay/context.py
@@ -8,6 +8,7 @@
 from passlane.relay.placement import NodePlace, PlacementKey
 from passlane.relay.registry import BackendRegistry
 from passlane.relay.request_quota import RequestQuota
+from passlane.relay.room_waits import RoomWaits
 from passlane.relay.shared_parts import large_shared_part
 from passlane.routes.tenants import Identity
 
@@ -23,6 +24,7 @@
     node: NodePlace
     registry: BackendRegistry
     backends: RelayBackends
+    waits: RoomWaits
 
     @property
     def is_for_model(self) -> bool:
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -30,6 +30,8 @@
         Seconds from its arrival until its turn was reserved.
     quota_wait_s
         Seconds that its tenant's limit made it wait; ``None`` without a limit.
+    room_wait_s
+        Seconds that it waited for room at its back ends; 0 without such a wait.
     events
         Events of a stream that were written to the caller.
     """
@@ -50,6 +52,7 @@
     reserved_s: float | None = None
     quota_wait_s: float | None = None
     first_part_s: float | None = None
+    room_wait_s: float = 0.0
 
     def is_in_time(self, elapsed_s: float) -> bool | None:
         """Whether the answer came within the route's target; ``None`` without an answer.
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -8,7 +8,6 @@
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.logging import get_logger
 from passlane.relay.attempts import (
-    UNAVAILABLE_RETRY_AFTER_S,
     RequestAttempts,
     RequestFailedError,
     RequestRefusedError,
@@ -88,7 +87,7 @@
         try:
             await attempts.run(limit_at, self._deliver)
         except RequestRefusedError as error:
-            await self._refuse(UNAVAILABLE, str(error), UNAVAILABLE_RETRY_AFTER_S)
+            await self._refuse(UNAVAILABLE, str(error), error.retry_after_s)
         except RequestFailedError as error:
             await self._give_up(str(error), is_late=False)
 
@@ -193,12 +192,19 @@
             raise AnswerAbortedError(reason)
         verdict = self._attempts.verdict if self._attempts is not None else Verdict.NOT_RUN
         status = status_when_given_up(verdict, is_late=is_late)
-        retry_after_s = UNAVAILABLE_RETRY_AFTER_S if status == UNAVAILABLE else None
-        await self._refuse(status, reason, retry_after_s)
+        come_back_s = self._come_back_s() if status == UNAVAILABLE else None
+        await self._refuse(status, reason, come_back_s)
+
+    def _come_back_s(self) -> float:
+        """Return when the caller of a request that did not run is to come back."""
+        if self._attempts is None:
+            return retry_after_s(self._context.quota.store_outage_s)
+        return self._context.waits.come_back_s()
 
     def _note_progress(self) -> None:
         if self._attempts is not None:
             self._progress.verdict = self._attempts.verdict
             self._progress.tried = self._attempts.tried
+            self._progress.room_wait_s = self._attempts.room_wait_s
         if self._stream is not None:
             self._progress.events = self._stream.events
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -19,6 +19,7 @@
 from passlane.relay.request_metrics import RequestMetrics
 from passlane.relay.request_quota import RequestQuota, limit_of
 from passlane.relay.retry_after import retry_after_s
+from passlane.relay.service_waits import ServiceWaits
 from passlane.relay.turn_account import TurnAccount, needs_account
 from passlane.relay.verdicts import UNAVAILABLE
 from passlane.routes.table import RouteTable, ShareSelector
@@ -62,6 +63,7 @@
         self._has_table = anyio.Event()
         self._started_at = anyio.current_time()
         self._selector = ShareSelector(random)
+        self._waits = ServiceWaits(node, random.random)
         self._allowances = Allowances()
         self._under_way: set[str] = set()
         self._has_answered = anyio.Event()
@@ -75,6 +77,7 @@
     def replace_configuration(self, configuration: RouteConfiguration) -> None:
         """Route by another configuration from the next request on."""
         self._table = RouteTable(configuration)
+        self._waits.keep(configuration.services)
         self._has_table.set()
 
     async def wait_for_answer(self) -> None:
@@ -154,7 +157,15 @@
         limit = limit_of(identity, table.version)
         quota = RequestQuota(limit, self._allowances, self._store)
         context = RequestContext(
-            call, route, service, identity, quota, self._node, self._registry, self._backends
+            call=call,
+            route=route,
+            service=service,
+            identity=identity,
+            quota=quota,
+            node=self._node,
+            registry=self._registry,
+            backends=self._backends,
+            waits=self._waits.of(service),
         )
         account: TurnAccount | None = None
         if route.kind is RouteKind.STREAM and needs_account(call, route):
@@ -167,7 +178,7 @@
         status = progress.status or (writer.status if writer.has_started else 0)
         if writer.is_finished and progress.tried:
             self._has_answered.set()
-        self._metrics.note_end(progress.kind, status, elapsed_s)
+        self._metrics.note_end(progress.kind, status, elapsed_s, progress.room_wait_s)
         _log.info(
             "request_ended",
             request_id=call.request_id,
@@ -190,6 +201,7 @@
             reserved_s=_rounded(progress.reserved_s),
             quota_wait_s=_rounded(progress.quota_wait_s),
             first_part_s=_rounded(progress.first_part_s),
+            room_wait_s=_rounded(progress.room_wait_s),
             is_in_time=progress.is_in_time(elapsed_s),
             time_left_s=_rounded(call.deadline_at - anyio.current_time()),
             program_time_left_s=_program_time_left_s(call),
--- /dev/null
+++ b/src/passlane/relay/service_waits.py
@@ -0,0 +1,42 @@
+"""Who waits for room at which service of a node."""
+
+from collections.abc import Callable, Iterable
+
+from passlane.messages.routes import RoutedService
+from passlane.relay.placement import NodePlace
+from passlane.relay.room_waits import RoomWaits
+from passlane.relay.service_room import ServiceRoom
+
+
+class ServiceWaits:
+    """The waits of each service; bounded by the services of the configuration.
+
+    Parameters
+    ----------
+    draw
+        Gives a uniform number from 0 to 1; spreads pauses.
+    """
+
+    def __init__(self, node: NodePlace, draw: Callable[[], float]) -> None:
+        self._node = node
+        self._draw = draw
+        self._by_service: dict[tuple[str, bool], RoomWaits] = {}
+
+    def of(self, service: RoutedService) -> RoomWaits:
+        """Return the waits of a service."""
+        key = _key_of(service)
+        waits = self._by_service.get(key)
+        if waits is None:
+            room = ServiceRoom(self._node, is_for_model=service.tokens_per_event > 0)
+            waits = RoomWaits(room, self._draw)
+            self._by_service[key] = waits
+        return waits
+
+    def keep(self, services: Iterable[RoutedService]) -> None:
+        """Forget all services but these; requests that wait there go on by themselves."""
+        kept = {_key_of(service) for service in services}
+        self._by_service = {key: self._by_service[key] for key in kept & set(self._by_service)}
+
+
+def _key_of(service: RoutedService) -> tuple[str, bool]:
+    return (service.name, service.tokens_per_event > 0)
--- /dev/null
+++ b/tests/relay/plain_load.py
@@ -0,0 +1,452 @@
+"""A seeded loop over virtual time: nodes that each see only their own calls of a plain service.
+
+Places, nodes and times are those of the load that ``test_plain_load`` names. Each node has
+its own state machines; back ends refuse at once when all of their places are taken.
+"""
+
+import heapq
+import itertools
+import math
+import random
+
+import msgspec
+
+from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord, BackendState
+from passlane.relay.placement import NodePlace, PlacementKey, choose_backend
+from passlane.relay.plain_placement import PlainCall
+from passlane.relay.registry import BackendRegistry
+from passlane.relay.room_wait import WaitingCall
+from passlane.relay.service_room import ServiceRoom
+
+SERVICE = "tools"
+ZONES = ("a", "b", "c")
+IN_ZONE_S = 0.0001
+CROSS_ZONE_S = 0.0014
+HANDSHAKE_S = 0.001
+IDLE_S = 4.0
+SPELL_S = 0.6
+SPELL_SHARE = 0.15
+SPELL_FACTOR = 2.5
+
+
+class CallKind(msgspec.Struct, frozen=True):
+    """A route of the load, with the share of turns that call it."""
+
+    route: str
+    work_s: float
+    target_s: float
+    deadline_s: float
+    runs_once: bool
+    share: float
+
+
+KINDS = (
+    CallKind("crew-alert", 0.013, 0.0823, 1.235, False, 0.7),
+    CallKind("ride-commit", 0.0521, 0.253, 2.024, True, 0.4),
+    CallKind("fare-charge", 0.0347, 0.203, 1.522, True, 0.2),
+)
+CALLS_PER_TURN = sum(kind.share for kind in KINDS)
+
+
+class Call(msgspec.Struct, eq=False):
+    """One call and what became of it."""
+
+    number: int
+    kind: CallKind
+    node: "Node"
+    arrived_at: float
+    work_s: float
+    ended_at: float | None = None
+    is_served: bool = False
+    sends: int = 0
+    first_sent_at: float | None = None
+    accepted_at: float = 0.0
+    tried: set[str] = msgspec.field(default_factory=set)
+    waiting: WaitingCall | None = None
+    is_waiting: bool = False
+    come_back_s: float | None = None
+
+    @property
+    def limit_at(self):
+        return self.arrived_at + self.kind.deadline_s
+
+
+class BackEnd:
+    """Places of one back end; refuses when all are taken or while it is blocked."""
+
+    def __init__(self, record, load):
+        self.record = record
+        self.load = load
+        self.busy = 0
+        self.is_blocked = False
+        self.arrivals = []
+        self.spells = {}
+
+    def slowness(self, now):
+        spell = int(now / SPELL_S)
+        if spell not in self.spells:
+            draw = random.Random(f"{self.load.seed}/{self.record.instance_id}/{spell}").random()
+            is_slow = draw < SPELL_SHARE
+            self.spells[spell] = SPELL_FACTOR if is_slow else 1.0
+        return self.spells[spell]
+
+
+class Connections:
+    """Idle connections of one node, by instance."""
+
+    def __init__(self):
+        self.idle = {}
+        self.opened = 0
+
+    def has_idle(self, instance_id, now):
+        idle = self.idle.get(instance_id, [])
+        return bool(idle) and now - idle[-1] < IDLE_S
+
+    def take(self, instance_id, now):
+        """Take or open a connection; return whether it was there."""
+        idle = self.idle.setdefault(instance_id, [])
+        idle[:] = [since for since in idle if now - since < IDLE_S]
+        if idle:
+            idle.pop()
+            return True
+        self.opened += 1
+        return False
+
+    def give_back(self, instance_id, now):
+        self.idle.setdefault(instance_id, []).append(now)
+
+
+class Node:
+    """One node: its registry, its connections and the state of its rule."""
+
+    def __init__(self, name, zone, records):
+        self.place = NodePlace(name, zone)
+        self.registry = BackendRegistry()
+        self.registry.update(records, 0.0)
+        self.connections = Connections()
+        self.room = ServiceRoom(self.place, is_for_model=False)
+        self.wake_at = math.inf
+
+
+class EarlierRule:
+    """Any order of back ends, rounds each 20 ms, and an end after a quarter of the target."""
+
+    pause_s = 0.02
+    wait_share = 0.25
+
+    def __init__(self, load):
+        self.load = load
+
+    def start(self, call):
+        load, node, now = self.load, call.node, self.load.now
+        if call.ended_at is not None:
+            return
+        judgement = node.registry.judge(SERVICE, now)
+        connected = {
+            each.record.instance_id
+            for each in judgement.loads
+            if node.connections.has_idle(each.record.instance_id, now)
+        }
+        choice = choose_backend(
+            judgement.loads,
+            PlacementKey("", node.place),
+            call.tried,
+            now,
+            judgement.outliers,
+            judgement.typical_s,
+            connected,
+        )
+        if choice is not None:
+            load.send(call, choice.load)
+            return
+        give_up_at = call.arrived_at + self.wait_share * call.kind.target_s
+        if now + self.pause_s > give_up_at:
+            load.end(call, is_served=False)
+            return
+        call.tried.clear()
+        load.at(now + self.pause_s, lambda: self.start(call))
+
+    def refused(self, call, backend_load):
+        self.start(call)
+
+    def answered(self, call, backend_load, seconds):
+        pass
+
+
+class RoomRule:
+    """The rule of ``passlane.relay.service_room``."""
+
+    def __init__(self, load):
+        self.load = load
+
+    def start(self, call, *, offered="", must_try=False):
+        load, node, now = self.load, call.node, self.load.now
+        call.is_waiting = False
+        if call.ended_at is not None:
+            return
+        if not must_try and call.waiting is None and len(node.room):
+            self._wait(call)
+            return
+        judgement = node.registry.judge(SERVICE, now)
+        left_s = node.room.gives_up_at(call.kind.route, call.limit_at) - now
+        plain_call = PlainCall(call.kind.route, call.kind.runs_once, left_s)
+        choice = node.room.plain.choose(
+            judgement.loads,
+            plain_call,
+            now,
+            tried=call.tried,
+            connected={
+                each.record.instance_id
+                for each in judgement.loads
+                if node.connections.has_idle(each.record.instance_id, now)
+            },
+            offered=offered,
+            must_try=must_try,
+        )
+        if choice is None:
+            self._wait(call)
+        else:
+            load.send(call, choice.load)
+
+    def refused(self, call, backend_load):
+        node, now = call.node, self.load.now
+        node.room.plain.note_refused(backend_load.record.instance_id, now)
+        if call.waiting is not None:
+            call.waiting.refusals += 1
+            self._wait(call)
+        else:
+            self.start(call)
+
+    def answered(self, call, backend_load, seconds):
+        node, now = call.node, self.load.now
+        if call.waiting is not None:
+            node.room.note_wait_ended(call.waiting, now)
+        instance_id = backend_load.record.instance_id
+        next_one = node.room.note_answered(instance_id, call.kind.route, seconds, now)
+        if next_one is not None:
+            self.start(
+                self.load.calls[int(next_one.request_id)], offered=instance_id, must_try=True
+            )
+        self._arrange(node)
+
+    def _wait(self, call):
+        node, now = call.node, self.load.now
+        call.tried.clear()
+        if call.waiting is None:
+            call.waiting = WaitingCall(
+                request_id=str(call.number),
+                priority=2,
+                arrived_at=call.arrived_at,
+                give_up_at=node.room.gives_up_at(call.kind.route, call.limit_at),
+                joined_at=now,
+            )
+        if now >= call.waiting.give_up_at:
+            self._refuse(call)
+            return
+        call.is_waiting = True
+        node.room.join(call.waiting, now, self.load.pause_draws.random(), 6)
+        self.load.at(call.waiting.give_up_at, lambda: self._give_up(call))
+        self._arrange(node)
+
+    def _give_up(self, call):
+        if call.ended_at is None and call.is_waiting:
+            call.node.room.leave(call.waiting)
+            self._refuse(call)
+            self._arrange(call.node)
+
+    def _refuse(self, call):
+        room, now = call.node.room, self.load.now
+        room.note_wait_ended(call.waiting, now)
+        call.come_back_s = room.come_back_s(now, self.load.pause_draws.random())
+        self.load.end(call, is_served=False)
+
+    def _arrange(self, node):
+        first = node.room.first
+        if first is None:
+            return
+        wake_at = max(self.load.now, node.room.wakes_at(first))
+        if wake_at < node.wake_at or node.wake_at <= self.load.now:
+            node.wake_at = wake_at
+            self.load.at(wake_at, lambda: self._wake(node, wake_at))
+
+    def _wake(self, node, wake_at):
+        if node.wake_at != wake_at:
+            return
+        node.wake_at = math.inf
+        first = node.room.first
+        if first is not None and node.room.take_turn(first, self.load.now) is not None:
+            self.start(self.load.calls[int(first.request_id)], must_try=True)
+        self._arrange(node)
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """What became of a load; all but ``calls`` out of 100 calls.
+
+    Attributes
+    ----------
+    missed
+        Calls that were refused or served later than their target.
+    rejections
+        Sends that a back end refused.
+    connections
+        Connections opened.
+    """
+
+    calls: int
+    refused: float
+    missed: float
+    rejections: float
+    connections: float
+
+
+class PlainLoad:
+    """Plays calls through a rule; the counts are what callers and back ends got."""
+
+    def __init__(self, rule, *, seed=1, nodes=61, back_ends=5, slots=6, keeps_refused=True):
+        self.seed = seed
+        self.draws = random.Random(seed)
+        self.pause_draws = random.Random(seed + 1)
+        self.now = 0.0
+        self.keeps_refused = keeps_refused
+        self.records = [
+            BackendRecord(
+                f"i-{number}",
+                SERVICE,
+                Address("10.0.0.1", 80 + number),
+                ZONES[number % len(ZONES)],
+                slots,
+                BackendState.READY,
+            )
+            for number in range(back_ends)
+        ]
+        self.back_ends = {r.instance_id: BackEnd(r, self) for r in self.records}
+        self.nodes = [
+            Node(f"node-{number}", ZONES[number % len(ZONES)], self.records)
+            for number in range(nodes)
+        ]
+        self.calls = []
+        self.rejections = 0
+        self.sends = 0
+        self._events = []
+        self._order = itertools.count()
+        self.rule = rule(self)
+
+    def at(self, when, action):
+        heapq.heappush(self._events, (when, next(self._order), action))
+
+    def play(self, until=math.inf):
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+
+    def offer(self, calls_per_s, seconds, *, swing=0.0, period_s=6.0, start=0.0):
+        """Let turns end at random nodes, each with its calls at once."""
+        when = start
+        while True:
+            wave = 1.0 + swing * math.sin(2 * math.pi * when / period_s)
+            when += self.draws.expovariate(calls_per_s * wave / CALLS_PER_TURN)
+            if when >= start + seconds:
+                return
+            node = self.draws.choice(self.nodes)
+            for kind in KINDS:
+                if self.draws.random() < kind.share:
+                    self.add(kind, node, when)
+
+    def block(self, start, seconds):
+        """Let all back ends refuse everything for a while, as when others fill them."""
+        for is_blocked, when in ((True, start), (False, start + seconds)):
+            self.at(when, lambda is_blocked=is_blocked: self._set_blocked(is_blocked))
+
+    def _set_blocked(self, is_blocked):
+        for back_end in self.back_ends.values():
+            back_end.is_blocked = is_blocked
+
+    def list_at(self, when, records):
+        """Let all nodes take over a list at one moment, the worst case for a herd."""
+
+        def take_over():
+            for node in self.nodes:
+                node.registry.update(records, self.now)
+
+        self.at(when, take_over)
+
+    def add(self, kind, node, when):
+        work_s = self.draws.expovariate(1 / kind.work_s)
+        call = Call(len(self.calls), kind, node, when, work_s)
+        self.calls.append(call)
+        self.at(when, lambda: self.rule.start(call))
+        self.at(call.limit_at, lambda: self.end(call, is_served=False))
+        return call
+
+    def end(self, call, *, is_served):
+        if call.ended_at is None:
+            call.ended_at = self.now
+            call.is_served = is_served
+
+    def way_s(self, node, record):
+        return IN_ZONE_S if node.place.zone == record.zone else CROSS_ZONE_S
+
+    def send(self, call, load):
+        call.sends += 1
+        self.sends += 1
+        call.tried.add(load.record.instance_id)
+        sent_at = self.now
+        way_s = self.way_s(call.node, load.record)
+        is_kept = call.node.connections.take(load.record.instance_id, self.now)
+        connect_s = 0.0 if is_kept else 2 * way_s + HANDSHAKE_S
+        load.in_flight += 1
+        watch = load.health.watch(self.now)
+        self.at(
+            self.now + connect_s + way_s,
+            lambda: self._arrive(call, load, watch, sent_at, way_s),
+        )
+
+    def _arrive(self, call, load, watch, sent_at, way_s):
+        back_end = self.back_ends[load.record.instance_id]
+        back_end.arrivals.append(self.now)
+        if back_end.is_blocked or back_end.busy >= back_end.record.slots:
+            self.rejections += 1
+            self.at(self.now + way_s, lambda: self._refused(call, load, watch))
+            return
+        back_end.busy += 1
+        call.accepted_at = self.now
+        work_s = call.work_s * back_end.slowness(self.now)
+        self.at(self.now + work_s, lambda: self._free(back_end))
+        self.at(self.now + work_s + way_s, lambda: self._answered(call, load, watch, sent_at))
+
+    def _free(self, back_end):
+        back_end.busy -= 1
+
+    def _refused(self, call, load, watch):
+        load.in_flight -= 1
+        watch.dropped(self.now, 1.0)
+        if self.keeps_refused:
+            call.node.connections.give_back(load.record.instance_id, self.now)
+        if call.ended_at is None:
+            self.rule.refused(call, load)
+
+    def _answered(self, call, load, watch, sent_at):
+        load.in_flight -= 1
+        watch.progressed(self.now)
+        watch.succeeded(self.now)
+        call.node.connections.give_back(load.record.instance_id, self.now)
+        self.end(call, is_served=True)
+        self.rule.answered(call, load, self.now - sent_at)
+
+    def figures(self):
+        count = len(self.calls)
+        late = sum(
+            1
+            for call in self.calls
+            if call.is_served and call.ended_at - call.arrived_at > call.kind.target_s
+        )
+        refused = sum(1 for call in self.calls if not call.is_served)
+        opened = sum(node.connections.opened for node in self.nodes)
+        return Figures(
+            calls=count,
+            refused=round(100 * refused / count, 2),
+            missed=round(100 * (late + refused) / count, 2),
+            rejections=round(100 * self.rejections / count, 1),
+            connections=round(100 * opened / count, 1),
+        )
--- /dev/null
+++ b/tests/relay/test_plain_placement.py
@@ -0,0 +1,197 @@
+"""Which plain back end a call goes to."""
+
+import unittest
+from collections import Counter
+
+from passlane.relay.answer_times import AnswerTimes, PresentSpeed
+from passlane.relay.backend_subset import SUBSET_SIZE, subset_order
+from passlane.relay.placement import NodePlace, note_failure
+from passlane.relay.plain_placement import UNSOUND_S, PlainBackends, PlainCall
+from passlane.relay.registry import BackendLoad
+from relay.fakes import backend
+
+HERE = NodePlace("node-1", "a")
+ONCE = PlainCall("charge", runs_once=True, left_s=1.5)
+AGAIN = PlainCall("look-up", runs_once=False, left_s=1.2)
+
+
+def loads(count, zones="a"):
+    return [
+        BackendLoad(backend(f"i-{n}", slots=6, zone=zones[n % len(zones)])) for n in range(count)
+    ]
+
+
+class PlainCase(unittest.TestCase):
+    def setUp(self):
+        self.plain = PlainBackends(HERE, AnswerTimes())
+        self.loads = loads(5)
+
+    def choose(self, call=AGAIN, now=0.0, **more):
+        choice = self.plain.choose(self.loads, call, now, **more)
+        return choice.load.record.instance_id if choice is not None else None
+
+
+class RoomTest(PlainCase):
+    def test_a_back_end_that_refused_just_now_is_passed_over_and_soon_asked_again(self):
+        first = self.choose()
+        self.plain.note_refused(first, 0.0)
+        self.assertNotEqual(self.choose(now=0.001), first)
+        self.assertEqual(self.choose(now=0.1), first)
+
+    def test_after_several_refusals_in_a_row_it_takes_longer(self):
+        first = self.choose()
+        for _ in range(4):
+            self.plain.note_refused(first, 0.0)
+        self.assertNotEqual(self.choose(now=0.012), first)
+
+    def test_an_answer_ends_the_memory_of_refusals(self):
+        first = self.choose()
+        for _ in range(4):
+            self.plain.note_refused(first, 0.0)
+        self.plain.note_answered(first, 1.0, 0.001)
+        self.assertEqual(self.choose(now=0.002), first)
+
+    def test_when_all_are_likely_full_the_call_waits_unless_its_turn_has_come(self):
+        for load in self.loads:
+            self.plain.note_refused(load.record.instance_id, 0.0)
+        self.assertIsNone(self.choose(now=0.001))
+        self.assertIsNotNone(self.choose(now=0.001, must_try=True))
+
+    def test_in_its_turn_it_goes_where_the_last_refusal_is_the_oldest(self):
+        for number, load in enumerate(self.loads):
+            self.plain.note_refused(load.record.instance_id, 0.001 * number)
+        self.assertEqual(self.choose(now=0.005, must_try=True), "i-0")
+
+    def test_a_place_that_got_free_is_taken_at_once(self):
+        self.plain.note_refused("i-3", 0.0)
+        self.assertEqual(self.choose(now=0.001, offered="i-3", must_try=True), "i-3")
+
+    def test_a_connection_that_rests_unused_decides_among_those_with_room(self):
+        others = {load.record.instance_id for load in self.loads} - {self.choose()}
+        chosen = min(others)
+        self.assertEqual(self.choose(connected={chosen}), chosen)
+
+    def test_one_that_is_leaving_or_gone_is_never_chosen(self):
+        first = self.choose()
+        self.loads = [load for load in self.loads if load.record.instance_id != first]
+        self.assertNotIn(first, {self.choose(now=0.1 * n, offered=first) for n in range(20)})
+
+
+class SpeedTest(PlainCase):
+    def test_a_slow_back_end_comes_after_the_others_until_its_spell_is_over(self):
+        first = self.choose()
+        for _ in range(5):
+            self.plain.note_answered(first, 2.5, 0.0)
+        self.assertNotEqual(self.choose(now=0.01), first)
+        self.assertEqual(self.choose(now=2.0), first)
+
+    def test_the_scatter_of_single_answers_changes_nothing(self):
+        first = self.choose()
+        self.plain.note_answered(first, 3.0, 0.0)
+        self.assertEqual(self.choose(now=0.01), first)
+
+    def test_slowness_fades_to_the_usual(self):
+        speed = PresentSpeed()
+        for _ in range(20):
+            speed.note(2.5, 0.0)
+        self.assertAlmostEqual(speed.slowness(0.0), 2.5, places=1)
+        self.assertLess(speed.slowness(2.0), 1.1)
+
+    def test_speed_is_judged_by_what_is_usual_for_the_route(self):
+        times = AnswerTimes()
+        for _ in range(100):
+            times.note("quick", 0.01)
+            times.note("long", 0.1)
+        self.assertAlmostEqual(times.note("long", 0.1), 1.0, places=2)
+        self.assertAlmostEqual(times.note("quick", 0.025), 2.5, places=2)
+
+    def test_times_of_routes_are_bounded(self):
+        times = AnswerTimes()
+        for number in range(3_000):
+            times.note(f"route-{number}", 0.01)
+        self.assertLessEqual(len(times._routes), 1_000)
+
+
+class SoundnessTest(PlainCase):
+    def test_what_may_run_once_does_not_go_where_something_broke_lately(self):
+        first = self.choose(ONCE)
+        self.plain.note_broken(first, 0.0)
+        self.assertNotEqual(self.choose(ONCE, now=UNSOUND_S - 0.1), first)
+        self.assertEqual(self.choose(ONCE, now=UNSOUND_S + 0.1), first)
+
+    def test_it_waits_for_a_sound_one_rather_than_go_to_one_that_broke_off(self):
+        self.plain.note_broken("i-0", 0.0)
+        for number in range(1, 5):
+            self.plain.note_refused(f"i-{number}", 0.5)
+        self.assertIsNone(self.choose(ONCE, now=0.501))
+        self.assertNotEqual(self.choose(ONCE, now=0.501, must_try=True), "i-0")
+        self.assertNotEqual(self.choose(ONCE, now=0.501, must_try=True, offered="i-0"), "i-0")
+
+    def test_with_little_time_left_an_unsound_one_is_better_than_none(self):
+        self.plain.note_broken("i-0", 0.0)
+        for number in range(1, 5):
+            self.plain.note_refused(f"i-{number}", 0.5)
+        hasty = PlainCall("charge", runs_once=True, left_s=0.05)
+        tried = [f"i-{number}" for number in range(1, 5)]
+        self.assertEqual(self.choose(hasty, now=0.501, tried=tried), "i-0")
+
+    def test_when_none_is_sound_it_still_goes_somewhere(self):
+        for load in self.loads:
+            self.plain.note_broken(load.record.instance_id, 0.0)
+        self.assertIsNotNone(self.choose(ONCE, now=0.1))
+
+    def test_a_silent_back_end_gets_nothing_that_may_run_once(self):
+        first = self.choose(ONCE)
+        load = next(load for load in self.loads if load.record.instance_id == first)
+        load.health.watch(0.0)
+        self.assertNotEqual(self.choose(ONCE, now=1.0), first)
+
+    def test_a_failure_is_avoided_by_all_calls_for_a_moment(self):
+        first = self.choose()
+        load = next(load for load in self.loads if load.record.instance_id == first)
+        note_failure(load, 0.0)
+        self.assertNotEqual(self.choose(now=0.1), first)
+
+
+class SubsetTest(unittest.TestCase):
+    def orders(self, records, nodes=61):
+        zones = "abc"
+        return [
+            subset_order(records, NodePlace(f"node-{n}", zones[n % len(zones)]))
+            for n in range(nodes)
+        ]
+
+    def test_each_back_end_is_first_for_about_the_same_number_of_nodes(self):
+        for count, zones in ((5, "a"), (13, "abc")):
+            records = [load.record for load in loads(count, zones)]
+            first = Counter(order[0] for order in self.orders(records, 600))
+            self.assertEqual(len(first), count)
+            self.assertLess(max(first.values()), 1.6 * 600 / count)
+
+    def test_when_one_leaves_only_those_that_preferred_it_change(self):
+        records = [load.record for load in loads(30)]
+        before, after = self.orders(records), self.orders(records[1:])
+        for old, new in zip(before, after, strict=True):
+            gone = records[0].instance_id
+            self.assertEqual(tuple(each for each in old if each != gone), new)
+
+    def test_those_that_lose_one_spread_over_the_rest(self):
+        records = [load.record for load in loads(30)]
+        before, after = self.orders(records, 600), self.orders(records[1:], 600)
+        gained = Counter()
+        for old, new in zip(before, after, strict=True):
+            gained.update(set(new[:SUBSET_SIZE]) - set(old[:SUBSET_SIZE]))
+        self.assertGreater(len(gained), 25)
+        self.assertLess(max(gained.values()), 3 * gained.total() / 29)
+
+    def test_beyond_the_subset_goes_last_but_is_not_given_up(self):
+        plain = PlainBackends(HERE, AnswerTimes(), subset_size=2)
+        candidates = loads(5)
+        order = subset_order([load.record for load in candidates], HERE)
+        beyond = order[2:]
+        chosen = plain.choose(candidates, AGAIN, 0.0, connected=set(beyond))
+        self.assertIn(chosen.load.record.instance_id, order[:2])
+        for instance_id in order[:2]:
+            plain.note_refused(instance_id, 0.0)
+        chosen = plain.choose(candidates, AGAIN, 0.001)
+        self.assertIn(chosen.load.record.instance_id, beyond)
--- a/tests/relay/test_request_metrics.py
+++ b/tests/relay/test_request_metrics.py
@@ -23,6 +23,15 @@
             self.assertIn('relayed_requests_total{kind="stream",status="503"} 1.0', text)
             self.assertIn('relayed_request_seconds_count{kind="stream"} 2.0', text)
 
+    def test_waits_for_room_are_counted_by_how_they_ended(self):
+        self.requests.note_end("repeatable", 200, 0.2, room_wait_s=0.05)
+        self.requests.note_end("repeatable", 503, 0.9, room_wait_s=0.8)
+        self.requests.note_end("repeatable", 200, 0.02)
+        text = self.exposed()
+        name = "relayed_request_room_wait_seconds_count"
+        for outcome in ("served", "unserved"):
+            self.assertIn(f'{name}{{kind="repeatable",outcome="{outcome}"}} 1.0', text)
+
     def test_without_anybody_asking_no_more_than_a_bound_wait(self):
         for _ in range(2 * MOST_WAITING + 7):
             self.requests.note_end("repeatable", 200, 0.01)
