--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -32,6 +32,8 @@
         Seconds that its tenant's limit made it wait; ``None`` without a limit.
     place_wait_s
         Seconds that its turn waited for a place at an engine.
+    room_wait_s
+        Seconds that it waited for room at its back ends; 0 without such a wait.
     events
         Events of a stream that were written to the caller.
     """
@@ -53,6 +55,7 @@
     quota_wait_s: float | None = None
     place_wait_s: float | None = None
     first_part_s: float | None = None
+    room_wait_s: float = 0.0
 
     def is_in_time(self, elapsed_s: float) -> bool | None:
         """Whether the answer came within the route's target; ``None`` without an answer.
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -9,7 +9,6 @@
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.logging import get_logger
 from passlane.relay.attempts import (
-    UNAVAILABLE_RETRY_AFTER_S,
     RequestAttempts,
     RequestFailedError,
     RequestRefusedError,
@@ -94,7 +93,7 @@
         try:
             await attempts.run(limit_at, self._deliver)
         except RequestRefusedError as error:
-            await self._refuse(UNAVAILABLE, str(error), UNAVAILABLE_RETRY_AFTER_S)
+            await self._refuse(UNAVAILABLE, str(error), error.retry_after_s)
         except RequestFailedError as error:
             await self._give_up(str(error), is_late=False)
 
@@ -257,8 +256,14 @@
     async def _give_up(self, reason: str, *, is_late: bool) -> None:
         """Give the final answer of a request that has none from a back end."""
         status = status_when_given_up(self._verdict, is_late=is_late)
-        retry_after_s = UNAVAILABLE_RETRY_AFTER_S if status == UNAVAILABLE else None
-        await self._refuse(status, reason, retry_after_s)
+        come_back_s = self._come_back_s() if status == UNAVAILABLE else None
+        await self._refuse(status, reason, come_back_s)
+
+    def _come_back_s(self) -> float:
+        """Return when the caller of a request that did not run is to come back."""
+        if self._attempts is None:
+            return retry_after_s(self._context.quota.store_outage_s)
+        return self._context.waits.come_back_s()
 
     async def _refuse_if_stopped(self) -> None:
         """Tell a caller whose request this node will not send any more that it did not run.
@@ -269,11 +274,12 @@
         if is_answered or self._verdict is not Verdict.NOT_RUN:
             return
         with anyio.CancelScope(shield=True):
-            await self._refuse(UNAVAILABLE, "stopped", UNAVAILABLE_RETRY_AFTER_S)
+            await self._refuse(UNAVAILABLE, "stopped", self._come_back_s())
 
     def _note_progress(self) -> None:
         if self._attempts is not None:
             self._progress.verdict = self._attempts.verdict
             self._progress.tried = self._attempts.tried
+            self._progress.room_wait_s = self._attempts.room_wait_s
         if self._stream is not None:
             self._progress.events = self._stream.events
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -140,7 +140,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(fleet.turn, "during")
             await anyio.sleep(0.01)
-            fleet.kill(leader)
+            fleet.kill(leader.name)
         started = anyio.current_time()
         attempt = await fleet.turn_until_whole("after", previous="before")
         self.assertLess(anyio.current_time() - started, 3.0)
