Watch what callers leave unread; end the connections of those that stopped

Cause: a caller that stops reading was held for without end.

Ruled out: missing back-pressure. The engine is not read on while the caller's buffer is full.

Requests leave in pieces of 64 KiB.

Tests: the fake writer gets the new attribute of the protocol that it implements. Nothing is eased.

--- a/src/passlane/platform/answer_writer.py
+++ b/src/passlane/platform/answer_writer.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from passlane.api.asgi import Send
+from passlane.relay.backends import CLIENT_LEFT
 from passlane.relay.calls import Header
 
 _encoder = msgspec.json.Encoder()
@@ -22,7 +23,9 @@
     Attributes
     ----------
     is_abandoned
-        Whether the client has closed its connection.
+        Whether the connection of the client has ended.
+    abandon_reason
+        Why it has, if it has.
 
     Parameters
     ----------
@@ -36,6 +39,7 @@
         self._is_finished = False
         self._status = 0
         self.is_abandoned = False
+        self.abandon_reason = CLIENT_LEFT
 
     @property
     def has_started(self) -> bool:
--- a/src/passlane/platform/client_ingress.py
+++ b/src/passlane/platform/client_ingress.py
@@ -19,6 +19,7 @@
 from passlane.relay.calls import Header
 from passlane.relay.request import AnswerAbortedError
 from passlane.relay.service import RelayService
+from passlane.runtime.interfaces import ENDING_STATE, ConnectionEnding
 
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
@@ -58,7 +59,8 @@
             return
         writer = AsgiAnswerWriter(send, self._must_close)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_when_gone, receive, writer, tasks.cancel_scope)
+            ending = scope.get("state", {}).get(ENDING_STATE)
+            tasks.start_soon(_cancel_when_gone, receive, writer, tasks.cancel_scope, ending)
             try:
                 await self._relay.handle(call, writer)
             except AnswerAbortedError:
@@ -93,13 +95,18 @@
 
 
 async def _cancel_when_gone(
-    receive: Receive, writer: AsgiAnswerWriter, scope: anyio.CancelScope
+    receive: Receive,
+    writer: AsgiAnswerWriter,
+    scope: anyio.CancelScope,
+    ending: ConnectionEnding | None,
 ) -> None:
-    """Cancel the work on a request once its client has closed the connection."""
+    """Cancel the work on a request once the connection of its client has ended."""
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
             writer.is_abandoned = True
+            if ending is not None and ending.reason:
+                writer.abandon_reason = ending.reason
             scope.cancel()
             return
 
--- a/src/passlane/relay/backends.py
+++ b/src/passlane/relay/backends.py
@@ -10,6 +10,9 @@
 from passlane.messages.listing import BackendRecord
 from passlane.relay.calls import Header, RelayedCall
 
+CLIENT_LEFT = "client_left"
+"""Why an answer was abandoned whose caller has closed the connection."""
+
 
 class Refusal(enum.StrEnum):
     """How a back end says that it did not run a request."""
@@ -131,7 +134,12 @@
 
     @property
     def is_abandoned(self) -> bool:
-        """Whether the caller has left."""
+        """Whether the caller's connection has ended."""
+        ...
+
+    @property
+    def abandon_reason(self) -> str:
+        """Why it has, if it has."""
         ...
 
     async def start(self, status: int, headers: Sequence[Header], length: int | None) -> None:
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -93,7 +93,7 @@
         try:
             await self._handle(call, writer, progress)
         except anyio.get_cancelled_exc_class():
-            progress.reason = "client_left" if writer.is_abandoned else "stopped"
+            progress.reason = writer.abandon_reason if writer.is_abandoned else "stopped"
             raise
         finally:
             self._note_end(call, writer, progress)
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -8,7 +8,14 @@
 import re
 import select
 import ssl
-from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from contextlib import (
     AbstractContextManager,
     aclosing,
@@ -35,6 +42,9 @@
 MAX_IDLE_PER_ADDRESS = 64
 SWEEP_PERIOD_S = 5.0
 """Connections that rest unused are looked through so often."""
+SEND_PIECE_BYTES = 65_536
+"""A request leaves in pieces of this size: what a server doesn't read is held once, not as a
+copy in the connection too."""
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -67,10 +77,10 @@
         """Send what was written; a server that refuses early may have answered all the same."""
         if not self._unsent:
             return
-        data = b"".join(self._unsent)
-        self._unsent.clear()
+        unsent, self._unsent = self._unsent, []
         with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-            await self._stream.send(data)
+            for piece in _pieces(unsent):
+                await self._stream.send(piece)
 
     async def aclose(self) -> None:
         await anyio.aclose_forcefully(self._stream)
@@ -90,6 +100,16 @@
         return raw_socket is not None and _is_readable(raw_socket.fileno())
 
 
+def _pieces(buffers: Sequence[bytes]) -> Iterator[bytes]:
+    """Return all bytes in pieces of a bounded size; small buffers together in one piece."""
+    if sum(map(len, buffers)) <= SEND_PIECE_BYTES:
+        yield b"".join(buffers)
+        return
+    for buffer in buffers:
+        for start in range(0, len(buffer), SEND_PIECE_BYTES):
+            yield buffer[start : start + SEND_PIECE_BYTES]
+
+
 def _time_limit(timeout: float | None) -> AbstractContextManager[object]:
     """Return a limit of time; without one, what costs nothing."""
     return nullcontext() if timeout is None else anyio.fail_after(timeout)
--- a/src/passlane/runtime/http_limits.py
+++ b/src/passlane/runtime/http_limits.py
@@ -5,7 +5,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from passlane.runtime.interfaces import HttpLimits
+from passlane.runtime.counting_transport import CountingTransport
+from passlane.runtime.interfaces import ENDING_STATE, ConnectionEnding, HttpLimits
 
 REQUEST_TIMEOUT = b"408 Request Timeout"
 HEADERS_TOO_LARGE = b"431 Request Header Fields Too Large"
@@ -14,6 +15,8 @@
 class LimitedHttpProtocol(HttpToolsProtocol):
     """uvicorn's connection with limits on headers and on time.
 
+    Implements ``runtime.interfaces.WatchedConnection`` where its limits name a watch.
+
     Parameters
     ----------
     limits
@@ -26,10 +29,19 @@
         self._header_bytes = 0
         self._header_timer: asyncio.TimerHandle | None = None
         self._is_refused = False
+        self._counter: CountingTransport | None = None
+        self._ending = ConnectionEnding()
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Begin to wait for a first request."""
-        super().connection_made(transport)
+        watch = self._limits.watch
+        if watch is None:
+            super().connection_made(transport)
+        else:
+            self._counter = CountingTransport(transport)
+            super().connection_made(self._counter)
+            self.hold_writers(is_held=False)
+            watch.opened(self)
         self.timeout_keep_alive = self._limits.idle_timeout_s  # type: ignore[assignment]
         self.timeout_keep_alive_task = self.loop.call_later(
             self._limits.idle_timeout_s, self.timeout_keep_alive_handler
@@ -38,8 +50,36 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer of a connection that has ended."""
         self._stop_header_timer()
+        if self._counter is not None and self._limits.watch is not None:
+            self._limits.watch.closed(self)
         super().connection_lost(exc)
 
+    @property
+    def peer(self) -> str:
+        """Address of the reader; empty if unknown."""
+        return f"{self.client[0]}:{self.client[1]}" if self.client is not None else ""
+
+    @property
+    def written_bytes(self) -> int:
+        """Bytes written so far."""
+        return self._counter.written_bytes if self._counter is not None else 0
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of these that the socket hasn't taken."""
+        return self._counter.get_write_buffer_size() if self._counter is not None else 0
+
+    def hold_writers(self, *, is_held: bool) -> None:
+        """Have writers wait as long as anything is unread, or else until the usual bound."""
+        if self._counter is not None:
+            high = 0 if is_held else self._limits.write_buffer_bytes
+            self._counter.set_write_buffer_limits(high)
+
+    def end(self, reason: str) -> None:
+        """Close the connection at once; the application learns the reason."""
+        self._ending.reason = reason
+        self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Take bytes, unless the connection was refused."""
         if not self._is_refused:
@@ -48,6 +88,7 @@
     def on_message_begin(self) -> None:
         """Begin a request: its headers must be whole in time."""
         super().on_message_begin()
+        self.scope["state"][ENDING_STATE] = self._ending
         self._header_bytes = 0
         self.timeout_keep_alive = self._limits.idle_timeout_s  # type: ignore[assignment]
         self._stop_header_timer()
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -108,6 +108,56 @@
 DEFAULT_HEADER_TIMEOUT_S = 10.0
 DEFAULT_IDLE_TIMEOUT_S = 75.0
 DEFAULT_FINISH_S = 4.0
+DEFAULT_WRITE_BUFFER_BYTES = 65_536
+
+
+class WatchedConnection(Protocol):
+    """A connection of a server, on which answers are written."""
+
+    @property
+    def peer(self) -> str:
+        """Address of the reader; empty if unknown."""
+        ...
+
+    @property
+    def written_bytes(self) -> int:
+        """Bytes written to it so far."""
+        ...
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of these that the socket hasn't taken."""
+        ...
+
+    def hold_writers(self, *, is_held: bool) -> None:
+        """Have writers wait as long as anything is unread, or else until the usual bound."""
+        ...
+
+    def end(self, reason: str) -> None:
+        """Close the connection at once; the application learns the reason."""
+        ...
+
+
+class ConnectionWatch(Protocol):
+    """Learns of a server's connections."""
+
+    def opened(self, connection: WatchedConnection) -> None:
+        """Watch a connection."""
+        ...
+
+    def closed(self, connection: WatchedConnection) -> None:
+        """Watch a connection no longer."""
+        ...
+
+
+ENDING_STATE = "passlane.connection_ending"
+"""Where the state of an ASGI scope holds the ``ConnectionEnding`` of a watched connection."""
+
+
+class ConnectionEnding(msgspec.Struct):
+    """Why this side has ended a connection; empty unless it has."""
+
+    reason: str = ""
 
 
 class HttpLimits(msgspec.Struct):
@@ -121,12 +171,18 @@
         How long a connection may rest between two requests.
     finish_s
         How long a server that was cancelled goes on with the requests in flight.
+    write_buffer_bytes
+        Unread bytes of one connection from which on its writers wait.
+    watch
+        Learns of each connection; ``None`` for nobody.
     """
 
     max_header_bytes: int = DEFAULT_HEADER_BYTES
     header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
     finish_s: float = DEFAULT_FINISH_S
+    write_buffer_bytes: int = DEFAULT_WRITE_BUFFER_BYTES
+    watch: ConnectionWatch | None = None
 
 
 class HttpServer(Protocol):
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -124,6 +124,7 @@
         self.body = b""
         self.is_finished = False
         self.is_abandoned = False
+        self.abandon_reason = "client_left"
         self.retry_after_s = None
         self.times = []
 
