A node knows its load, and may refuse what it can't carry

Cause: callers choose nodes by a hash, so a node with a third of another's processor gets as many requests. Nothing told how late its loop runs, and whatever came was begun.

Ruled out: being unready under load. Readiness moves all callers of a node at once to others that may be as full, and it would flap with each busy second.

Change: one timer samples four times a second the loop's lag, and once a second resident memory and descriptors. relay/node_load.py decides from these, from held bytes and from requests under way: take all, refuse new programs first, then all new requests; each refusal is a 503 before anything was reserved or sent, with a time to come back. What is under way goes on. Off unless node_bounds.enabled is set; the change that would be made is logged either way. The machine's memory and descriptors come by the settings template; the bound of what all callers may leave unread is a sixteenth of the memory.

Tests: the fleet's sample settings get the new section; relay tests can give an admission.

--- a/src/passlane/daemon/fleet_node.py
+++ b/src/passlane/daemon/fleet_node.py
@@ -5,6 +5,7 @@
 
 from passlane.daemon.fleet_context import FleetContext
 from passlane.daemon.in_flight import InFlightRequests
+from passlane.daemon.node_bounds import NodeBounds
 from passlane.daemon.start_times import StartPhase, StartTimes
 from passlane.daemon.stop_times import StopTimes
 from passlane.fleet.follower import FleetFollower
@@ -33,7 +34,10 @@
         self._context = context
         random = context.environment.random
         self._registry = BackendRegistry()
-        self._limits = HttpLimits()
+        self._bounds = NodeBounds(context.settings, context.metrics)
+        self._limits = HttpLimits(
+            write_buffer_bytes=self._bounds.caller_bytes, watch=self._bounds.unread
+        )
         self._is_draining = False
         self._stop_times = StopTimes.within(context.settings.timing.grace_s)
         self._scope = anyio.CancelScope()
@@ -64,6 +68,7 @@
             tasks.start_soon(self._follower.run)
             tasks.start_soon(reader.run)
             tasks.start_soon(self._store.run)
+            tasks.start_soon(self._bounds.run)
             tasks.start_soon(self._serve_readiness)
             tasks.start_soon(self._log_start, self._relay)
             with self._scope:
@@ -98,6 +103,7 @@
             tasks,
             context.metrics,
             context.environment.random,
+            self._bounds.admission,
         )
         if self._follower.configuration is not None:
             relay.replace_configuration(self._follower.configuration)
@@ -138,6 +144,7 @@
         self._limits.max_header_bytes = limits.max_header_bytes
         self._limits.header_timeout_s = limits.header_timeout_s
         self._limits.idle_timeout_s = limits.idle_timeout_s
+        self._bounds.take_configuration(configuration)
         if self._relay is not None:
             self._relay.replace_configuration(configuration)
 
--- /dev/null
+++ b/src/passlane/daemon/node_bounds.py
@@ -0,0 +1,162 @@
+"""The bounds of a node: samples how it fares, and lets the parts that decide know."""
+
+from collections.abc import Callable
+
+import anyio
+
+from passlane.messages.routes import RouteConfiguration
+from passlane.observability.logging import get_logger
+from passlane.observability.metrics import Metrics
+from passlane.relay.admission import NodeAdmission
+from passlane.relay.held_bytes import SHARE_OF_MEMORY, HeldBytesBounds
+from passlane.relay.node_load import NodeCapacity, NodeReading
+from passlane.relay.unread_answers import UnreadAnswers
+from passlane.runtime.loop_lag import SAMPLE_PERIOD_S, LoopLag
+from passlane.runtime.process_usage import open_descriptors, resident_bytes
+from passlane.settings.fleet import FleetSettings, MachineSettings, NodeBoundsSettings
+
+MEGABYTE = 1_000_000
+USAGE_PERIOD_SAMPLES = 4
+"""Memory and descriptors are read with each fourth sample, once a second: they grow slowly."""
+PATIENCE_FACTOR = 4.0
+"""A caller gives a stream up after this multiple of its target, if that is longer."""
+MOST_PATIENCE_S = 4.0
+"""A back end cuts off an answer that stays unread for some seconds: it is ended before."""
+
+_log = get_logger(__name__)
+
+
+class NodeBounds:
+    """Samples the node's load.
+
+    Attributes
+    ----------
+    unread
+        What callers leave unread.
+    admission
+        Which requests the node takes on.
+    """
+
+    def __init__(self, settings: FleetSettings, metrics: Metrics) -> None:
+        self._bounds = _held_bytes_bounds(settings)
+        self._settings = settings.node_bounds
+        self._lag = LoopLag()
+        self._resident_bytes: int | None = None
+        self._descriptors: int | None = None
+        self._untold: set[str] = set()
+        self.unread = UnreadAnswers(self._bounds)
+        self.admission = NodeAdmission(
+            _capacity(settings, self._bounds.for_all), is_enabled=settings.node_bounds.enabled
+        )
+        self._metrics = metrics
+        self._exposed: dict[tuple[str, str], int] = {}
+        metrics.call_before_exposure(self._expose)
+
+    @property
+    def caller_bytes(self) -> int:
+        """Bytes that one caller may leave unread before its answer waits."""
+        return self._bounds.for_one
+
+    def take_configuration(self, configuration: RouteConfiguration) -> None:
+        """Wait for slow callers as long as the callers of the slowest route would."""
+        targets = [route.target_latency_s for route in configuration.routes]
+        patience_s = min(MOST_PATIENCE_S, PATIENCE_FACTOR * max(targets, default=0.0))
+        self._bounds = HeldBytesBounds(
+            for_one=self._bounds.for_one,
+            for_all=self._bounds.for_all,
+            longest_stall_s=max(self._settings.longest_stall_s, patience_s),
+        )
+        self.unread.replace_bounds(self._bounds)
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        samples = 0
+        while True:
+            due_at = anyio.current_time() + SAMPLE_PERIOD_S
+            await anyio.sleep_until(due_at)
+            now = anyio.current_time()
+            self._lag.note(due_at, now)
+            if samples % USAGE_PERIOD_SAMPLES == 0:
+                self._read_usage()
+            samples += 1
+            self.unread.look(now)
+            self.admission.observe(self._reading(), now)
+
+    def _reading(self) -> NodeReading:
+        return NodeReading(
+            loop_lag_s=self._lag.mean_s,
+            held_bytes=self.unread.held_bytes + self.admission.body_bytes,
+            under_way=self.admission.under_way,
+            resident_bytes=self._resident_bytes,
+            descriptors=self._descriptors,
+        )
+
+    def _read_usage(self) -> None:
+        self._resident_bytes = self._read("resident_bytes", resident_bytes)
+        self._descriptors = self._read("descriptors", open_descriptors)
+
+    def _read(self, name: str, read: Callable[[], int]) -> int | None:
+        """Return a reading; where it can't be had, ``None`` and one line in the log."""
+        if name in self._untold:
+            return None
+        try:
+            return read()
+        except OSError as error:
+            self._untold.add(name)
+            _log.warning("usage_not_told", reading=name, problem=str(error))
+            return None
+
+    def _expose(self) -> None:
+        """Bring the metrics up to date."""
+        readings = {
+            "loop_lag_seconds": self._lag.mean_s,
+            "loop_lag_worst_seconds": self._lag.worst_s,
+            "unread_answer_bytes": self.unread.held_bytes,
+            "requests_under_way": self.admission.under_way,
+            "request_body_bytes": self.admission.body_bytes,
+            "resident_bytes": self._resident_bytes,
+            "open_descriptors": self._descriptors,
+            "node_admission": int(self.admission.state),
+        }
+        for name, value in readings.items():
+            if value is not None:
+                self._metrics.gauge(name, f"{name} of this node at its last sample").set(value)
+        self._expose_counts("answers_ended_unread", "reason", self.unread.ended)
+        self._expose_counts("node_refusals", "state", self.admission.refused)
+
+    def _expose_counts(self, name: str, label: str, counts: dict[str, int]) -> None:
+        counter = self._metrics.counter(name, f"{name} by {label}", (label,))
+        for value, count in counts.items():
+            counter.labels(value).inc(count - self._exposed.get((name, value), 0))
+            self._exposed[name, value] = count
+
+
+def _held_bytes_bounds(settings: FleetSettings) -> HeldBytesBounds:
+    bounds = settings.node_bounds
+    return HeldBytesBounds(
+        for_one=bounds.caller_bytes,
+        for_all=_all_callers_bytes(bounds, settings.machine),
+        longest_stall_s=bounds.longest_stall_s,
+    )
+
+
+def _all_callers_bytes(bounds: NodeBoundsSettings, machine: MachineSettings) -> int | None:
+    """Return the bound that is set, or else one by the machine's memory if that is told."""
+    if bounds.all_callers_bytes:
+        return bounds.all_callers_bytes
+    if machine.memory_mb is None:
+        return None
+    return max(bounds.caller_bytes, int(machine.memory_mb * MEGABYTE * SHARE_OF_MEMORY))
+
+
+def _capacity(settings: FleetSettings, held_bytes: int | None) -> NodeCapacity:
+    bounds, machine = settings.node_bounds, settings.machine
+    memory_mb, descriptors = machine.memory_mb, machine.descriptors
+    return NodeCapacity(
+        late_loop_s=bounds.late_loop_s,
+        very_late_loop_s=bounds.very_late_loop_s,
+        held_bytes=held_bytes,
+        under_way=bounds.most_under_way or None,
+        resident_bytes=int(memory_mb * MEGABYTE) if memory_mb is not None else None,
+        descriptors=int(descriptors) if descriptors is not None else None,
+    )
--- /dev/null
+++ b/src/passlane/relay/admission.py
@@ -0,0 +1,103 @@
+"""Takes requests on, or refuses them, by how the node fares."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import msgspec
+
+from passlane.observability.logging import get_logger
+from passlane.relay.calls import RelayedCall
+from passlane.relay.known_programs import KnownPrograms
+from passlane.relay.node_load import Admission, NodeCapacity, NodeLoad, NodeReading
+
+REFUSED = "node_at_its_bounds"
+"""Reason of a refusal, for the caller and the log."""
+
+_log = get_logger(__name__)
+
+
+class NodeRefusal(msgspec.Struct, frozen=True):
+    """A refusal before anything was sent, and the seconds after which to come back."""
+
+    reason: str
+    retry_after_s: float
+
+
+class NodeAdmission:
+    """Decides for each request, and counts those under way.
+
+    Attributes
+    ----------
+    under_way
+        Requests that were taken on and haven't ended.
+    body_bytes
+        Bytes of their bodies.
+    refused
+        Requests that were refused, by the state of the node.
+
+    Parameters
+    ----------
+    is_enabled
+        Whether requests are refused; the load is known either way.
+    """
+
+    def __init__(self, capacity: NodeCapacity, *, is_enabled: bool) -> None:
+        self._load = NodeLoad(capacity)
+        self._is_enabled = is_enabled
+        self._programs = KnownPrograms()
+        self.under_way = 0
+        self.body_bytes = 0
+        self.refused: Counter[str] = Counter()
+
+    @classmethod
+    def unbounded(cls) -> "NodeAdmission":
+        """Return one that takes all on."""
+        return cls(NodeCapacity(), is_enabled=False)
+
+    @property
+    def state(self) -> Admission:
+        """What the node takes on, or would if that were enabled."""
+        return self._load.admission
+
+    def observe(self, reading: NodeReading, now: float) -> None:
+        """Decide anew by a reading."""
+        change = self._load.observe(reading, now)
+        if change is None:
+            return
+        _log.warning(
+            "node_admission_changed",
+            before=change.before.name.lower(),
+            now=change.now.name.lower(),
+            cause=change.cause,
+            is_enabled=self._is_enabled,
+            loop_lag_s=round(reading.loop_lag_s, 4),
+            held_bytes=reading.held_bytes,
+            under_way=reading.under_way,
+            resident_bytes=reading.resident_bytes,
+            descriptors=reading.descriptors,
+        )
+
+    def refusal(self, call: RelayedCall, now: float) -> NodeRefusal | None:
+        """Return how to refuse a request; ``None`` if it is taken on."""
+        if not self._is_enabled or self._load.admission is Admission.ALL:
+            return None
+        is_new_program = self._programs.is_new(call, now)
+        if not self._load.refuses(is_new_program=is_new_program):
+            return None
+        self.refused[self._load.admission.name.lower()] += 1
+        return NodeRefusal(REFUSED, self._load.retry_after_s(now))
+
+    @contextmanager
+    def taken_on(self, call: RelayedCall, now: float) -> Iterator[None]:
+        """Count a request as under way."""
+        size = len(call.body)
+        if self._is_enabled:
+            self._programs.note(call, now)
+        self.under_way += 1
+        self.body_bytes += size
+        try:
+            yield
+        finally:
+            self.under_way -= 1
+            self.body_bytes -= size
--- /dev/null
+++ b/src/passlane/relay/node_load.py
@@ -0,0 +1,162 @@
+"""Decides what a node takes on, from how it fares; does no I/O.
+
+Requests under way go first: what has begun is never ended here. First new programs are
+refused, then all new requests.
+"""
+
+import enum
+
+import msgspec
+
+from passlane.relay.retry_after import retry_after_s
+
+LATE_LOOP_S = 0.06
+"""An event that is passed on 0.12 s late makes its stream late; a loop that is late by half of
+that in the mean exceeds it often."""
+VERY_LATE_LOOP_S = 0.25
+"""The whole target of a turn; whatever is taken on now comes late."""
+HIGH_SHARE = 0.8
+"""From this share of memory, descriptors or the like on, new programs are refused."""
+HIGHEST_SHARE = 0.92
+"""From this share on, all is refused: a process over its memory limit is killed, with all that
+it has under way."""
+RELIEF_SHARE = 0.5
+"""A late loop counts as recovered at this share of the threshold."""
+ROOM_RELIEF_SHARE = 0.9
+"""Room counts as recovered at this share of the threshold: memory is rarely given back."""
+SHORTEST_STATE_S = 0.5
+"""A state lasts so long at least, so that one sample more or less doesn't change it."""
+
+
+class Admission(enum.IntEnum):
+    """What a node takes on; the higher, the less."""
+
+    ALL = 0
+    KNOWN_PROGRAMS = 1
+    """Further requests of programs that it has served; nothing else."""
+    NOTHING = 2
+
+
+class NodeReading(msgspec.Struct, frozen=True):
+    """How a node fares; ``None`` for what isn't known.
+
+    Attributes
+    ----------
+    loop_lag_s
+        By how much the loop runs late, in the mean.
+    held_bytes
+        Bytes held for slow readers.
+    under_way
+        Requests under way.
+    resident_bytes
+        Memory that the process occupies.
+    descriptors
+        Descriptors that are open.
+    """
+
+    loop_lag_s: float = 0.0
+    held_bytes: int = 0
+    under_way: int = 0
+    resident_bytes: int | None = None
+    descriptors: int | None = None
+
+
+class NodeCapacity(msgspec.Struct, frozen=True):
+    """What a node can carry; ``None`` for no bound."""
+
+    late_loop_s: float = LATE_LOOP_S
+    very_late_loop_s: float = VERY_LATE_LOOP_S
+    held_bytes: int | None = None
+    under_way: int | None = None
+    resident_bytes: int | None = None
+    descriptors: int | None = None
+
+
+class LoadChange(msgspec.Struct, frozen=True):
+    """A change of what a node takes on.
+
+    Attributes
+    ----------
+    cause
+        Which reading decided; empty when all is taken again.
+    """
+
+    before: Admission
+    now: Admission
+    cause: str
+
+
+class NodeLoad:
+    """What a node takes on; local times.
+
+    Attributes
+    ----------
+    admission
+        What it takes on now.
+    """
+
+    def __init__(self, capacity: NodeCapacity) -> None:
+        self._capacity = capacity
+        self._changed_at = float("-inf")
+        self._refusing_since = 0.0
+        self.admission = Admission.ALL
+
+    def observe(self, reading: NodeReading, now: float) -> LoadChange | None:
+        """Decide anew by a reading; return the change if there is one."""
+        cause, wanted = self._wanted(reading)
+        if wanted < self.admission and now - self._changed_at < SHORTEST_STATE_S:
+            return None
+        if wanted == self.admission:
+            return None
+        change = LoadChange(self.admission, wanted, cause)
+        if self.admission is Admission.ALL:
+            self._refusing_since = now
+        self.admission = wanted
+        self._changed_at = now
+        return change
+
+    def refuses(self, *, is_new_program: bool) -> bool:
+        """Whether a request that has just come is to be refused."""
+        if self.admission is Admission.NOTHING:
+            return True
+        return is_new_program and self.admission is Admission.KNOWN_PROGRAMS
+
+    def retry_after_s(self, now: float) -> float:
+        """Return when a refused caller is to come back, in seconds."""
+        return retry_after_s(now - self._refusing_since)
+
+    def _wanted(self, reading: NodeReading) -> tuple[str, Admission]:
+        """Return the worst of what the single readings ask for, and which reading it is."""
+        capacity = self._capacity
+        wanted = {
+            "loop_lag": self._by_lag(reading.loop_lag_s),
+            "held_bytes": self._by_room(reading.held_bytes, capacity.held_bytes),
+            "under_way": self._by_room(reading.under_way, capacity.under_way),
+            "memory": self._by_room(reading.resident_bytes, capacity.resident_bytes),
+            "descriptors": self._by_room(reading.descriptors, capacity.descriptors),
+        }
+        cause = max(wanted, key=lambda name: wanted[name])
+        return (cause if wanted[cause] else ""), wanted[cause]
+
+    def _by_lag(self, lag_s: float) -> Admission:
+        capacity = self._capacity
+        return self._by_thresholds(
+            lag_s, capacity.late_loop_s, capacity.very_late_loop_s, RELIEF_SHARE
+        )
+
+    def _by_room(self, used: int | None, most: int | None) -> Admission:
+        if used is None or most is None:
+            return Admission.ALL
+        return self._by_thresholds(used, HIGH_SHARE * most, HIGHEST_SHARE * most, ROOM_RELIEF_SHARE)
+
+    def _by_thresholds(
+        self, value: float, high: float, highest: float, relief_share: float
+    ) -> Admission:
+        """Return what a value asks for; a state that holds is left below its threshold only."""
+        if self.admission is Admission.NOTHING:
+            highest *= relief_share
+        if self.admission is not Admission.ALL:
+            high *= relief_share
+        if value >= highest:
+            return Admission.NOTHING
+        return Admission.KNOWN_PROGRAMS if value >= high else Admission.ALL
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -9,6 +9,7 @@
 from passlane.observability.logging import get_logger
 from passlane.observability.metrics import Metrics
 from passlane.quotas.allowances import Allowances
+from passlane.relay.admission import NodeAdmission
 from passlane.relay.backends import AnswerWriter, RelayBackends
 from passlane.relay.calls import RelayedCall
 from passlane.relay.context import RequestContext
@@ -41,6 +42,8 @@
     ----------
     tasks
         Where work goes on that outlives a request.
+    admission
+        Which requests the node takes on; without it, all.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         tasks: TaskGroup,
         metrics: Metrics,
         random: Random,
+        admission: NodeAdmission | None = None,
     ) -> None:
         self._node = node
         self._registry = registry
@@ -66,6 +70,7 @@
         self._under_way: set[str] = set()
         self._has_answered = anyio.Event()
         self._metrics = RequestMetrics(metrics)
+        self._admission = admission or NodeAdmission.unbounded()
 
     @property
     def configuration(self) -> RouteConfiguration | None:
@@ -127,9 +132,15 @@
             progress.status, progress.reason = CONFLICT, "request_under_way"
             await writer.refuse(CONFLICT, progress.reason, None)
             return
+        refusal = self._admission.refusal(call, anyio.current_time())
+        if refusal is not None:
+            progress.status, progress.reason = UNAVAILABLE, refusal.reason
+            await writer.refuse(UNAVAILABLE, refusal.reason, refusal.retry_after_s)
+            return
         self._under_way.add(call.request_id)
         try:
-            await self._relay(call, route, identity, table, writer, progress)
+            with self._admission.taken_on(call, anyio.current_time()):
+                await self._relay(call, route, identity, table, writer, progress)
         finally:
             self._under_way.discard(call.request_id)
 
--- a/src/passlane/settings/fleet.py
+++ b/src/passlane/settings/fleet.py
@@ -12,10 +12,15 @@
 
 from passlane.messages.common import Address
 from passlane.messages.fleet import FleetRole
+from passlane.relay.held_bytes import BYTES_FOR_ONE, LONGEST_STALL_S, SHORTEST_STALL_S
+from passlane.relay.node_load import LATE_LOOP_S, VERY_LATE_LOOP_S
+from passlane.runtime.loop_lag import LARGEST_SAMPLE_S
 from passlane.settings.checks import SettingsProblem
 from passlane.settings.loader import SettingsError, convert_settings, read_toml
 
 MAX_PORT = 65_535
+FEWEST_CALLER_BYTES = 4_096
+"""One event of usual size still fits."""
 
 
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -84,6 +89,51 @@
     slack_requests: float = 0.0
 
 
+class MachineSettings(_Section, frozen=True):
+    """What the machine has for this process; ``None`` where it isn't told.
+
+    Attributes
+    ----------
+    memory_mb
+        Memory in megabytes, beyond which the process is killed.
+    descriptors
+        Descriptors that the process may have open.
+    """
+
+    memory_mb: float | None = None
+    descriptors: float | None = None
+
+
+class NodeBoundsSettings(_Section, frozen=True):
+    """What a node holds for slow readers, and what it takes on; see ``docs/design/node-bounds.md``.
+
+    Attributes
+    ----------
+    enabled
+        Whether a node refuses what it can't carry.
+    caller_bytes
+        Bytes that one caller may leave unread before its answer waits.
+    all_callers_bytes
+        Bytes for all callers; 0 takes a share of the machine's memory, if that is told.
+    longest_stall_s
+        A caller that has taken nothing for so long is ended; more where routes' targets ask for it.
+    late_loop_s
+        A loop that is so late in the mean keeps new programs away.
+    very_late_loop_s
+        A loop that is so late in the mean keeps all new requests away.
+    most_under_way
+        Requests that may be under way at once; 0 for no bound.
+    """
+
+    enabled: bool = False
+    caller_bytes: int = BYTES_FOR_ONE
+    all_callers_bytes: int = 0
+    longest_stall_s: float = LONGEST_STALL_S
+    late_loop_s: float = LATE_LOOP_S
+    very_late_loop_s: float = VERY_LATE_LOOP_S
+    most_under_way: int = 0
+
+
 class FleetSettings(_Section, frozen=True):
     """The whole settings file; ``seeds`` are operators' addresses of control replicas."""
 
@@ -94,6 +144,8 @@
     timing: FleetTimingSettings = FleetTimingSettings()
     fault_tolerance: FaultToleranceSettings = FaultToleranceSettings()
     quotas: QuotaSettings = QuotaSettings()
+    machine: MachineSettings = MachineSettings()
+    node_bounds: NodeBoundsSettings = NodeBoundsSettings()
 
 
 def load_fleet_settings(path: Path) -> FleetSettings:
@@ -127,5 +179,32 @@
             yield SettingsProblem(f"quotas.{field}", "expected 0 or more")
     if settings.backend_list.rate_per_s <= 0:
         yield SettingsProblem("backend_list.rate_per_s", "expected a positive number")
+    yield from _find_machine_problems(settings.machine)
+    yield from _find_bounds_problems(settings.node_bounds)
     if not 0 < settings.addresses.internal.port <= MAX_PORT:
         yield SettingsProblem("addresses.internal", "expected a port from 1 to 65535")
+
+
+def _find_machine_problems(machine: MachineSettings) -> Iterator[SettingsProblem]:
+    for field in ("memory_mb", "descriptors"):
+        value = getattr(machine, field)
+        if value is not None and value <= 0:
+            yield SettingsProblem(f"machine.{field}", "expected a positive number")
+
+
+def _find_bounds_problems(bounds: NodeBoundsSettings) -> Iterator[SettingsProblem]:
+    if bounds.caller_bytes < FEWEST_CALLER_BYTES:
+        yield SettingsProblem("node_bounds.caller_bytes", f"expected {FEWEST_CALLER_BYTES} or more")
+    if bounds.all_callers_bytes and bounds.all_callers_bytes < bounds.caller_bytes:
+        yield SettingsProblem(
+            "node_bounds.all_callers_bytes", "expected 0, or caller_bytes or more"
+        )
+    if bounds.longest_stall_s < SHORTEST_STALL_S:
+        yield SettingsProblem("node_bounds.longest_stall_s", f"expected {SHORTEST_STALL_S} or more")
+    if not 0 < bounds.late_loop_s < bounds.very_late_loop_s < LARGEST_SAMPLE_S:
+        yield SettingsProblem(
+            "node_bounds.late_loop_s",
+            f"expected more than 0, less than very_late_loop_s, and that below {LARGEST_SAMPLE_S}",
+        )
+    if bounds.most_under_way < 0:
+        yield SettingsProblem("node_bounds.most_under_way", "expected 0 or more")
--- /dev/null
+++ b/tests/daemon/test_node_bounds.py
@@ -0,0 +1,92 @@
+"""The bounds of a node come from its settings, its machine and its routes."""
+
+import unittest
+from unittest import mock
+
+import anyio
+import trio.testing
+from structlog.testing import capture_logs
+
+from passlane.daemon import node_bounds
+from passlane.daemon.node_bounds import MOST_PATIENCE_S, NodeBounds
+from passlane.messages.common import Address
+from passlane.messages.fleet import FleetRole
+from passlane.observability.metrics import Metrics
+from passlane.relay.held_bytes import LONGEST_STALL_S
+from passlane.relay.node_load import Admission
+from passlane.settings.fleet import (
+    BackendListSettings,
+    FleetAddressSettings,
+    FleetProcessSettings,
+    FleetSettings,
+    MachineSettings,
+    NodeBoundsSettings,
+)
+from routes.test_checks import configuration, route
+
+
+def settings(machine=None, **bounds):
+    return FleetSettings(
+        process=FleetProcessSettings(name="n", role=FleetRole.NODE, zone="a"),
+        addresses=FleetAddressSettings(internal=Address("10.0.0.1", 1)),
+        seeds=(Address("10.0.0.2", 1),),
+        backend_list=BackendListSettings(address=Address("10.0.0.3", 1), rate_per_s=1.0),
+        machine=machine or MachineSettings(),
+        node_bounds=NodeBoundsSettings(**bounds),
+    )
+
+
+def run_for(bounds, seconds):
+    """Sample on a virtual clock."""
+
+    async def main():
+        with anyio.move_on_after(seconds):
+            await bounds.run()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+
+class NodeBoundsTest(unittest.TestCase):
+    def bounds(self, *arguments, **more):
+        return NodeBounds(settings(*arguments, **more), Metrics())
+
+    def test_the_bound_for_all_callers_comes_from_the_memory_that_is_told(self):
+        made = self.bounds(MachineSettings(memory_mb=128))
+        self.assertEqual(made._bounds.for_all, 8_000_000)
+        self.assertIsNone(self.bounds()._bounds.for_all)
+        made = self.bounds(MachineSettings(memory_mb=128), all_callers_bytes=100_000)
+        self.assertEqual(made._bounds.for_all, 100_000)
+
+    def test_slow_callers_are_waited_for_as_long_as_the_slowest_route_allows(self):
+        made = self.bounds()
+        for target_s, stall_s in ((0.25, LONGEST_STALL_S), (0.75, 3.0), (60.0, MOST_PATIENCE_S)):
+            made.take_configuration(configuration(route(target_latency_s=target_s)))
+            self.assertEqual(made._bounds.longest_stall_s, stall_s)
+
+    def test_memory_beyond_what_the_machine_has_changes_what_is_taken_on(self):
+        made = self.bounds(MachineSettings(memory_mb=1), enabled=True)
+        with capture_logs() as lines:
+            run_for(made, 3.0)
+        self.assertIs(made.admission.state, Admission.NOTHING)
+        (line,) = lines
+        self.assertEqual((line["event"], line["cause"]), ("node_admission_changed", "memory"))
+
+    def test_a_reading_that_is_not_told_leaves_one_line_and_decides_nothing(self):
+        made = self.bounds(MachineSettings(memory_mb=1), enabled=True)
+        failing = mock.Mock(side_effect=OSError("no such file"))
+        with capture_logs() as lines, mock.patch.object(node_bounds, "resident_bytes", failing):
+            run_for(made, 5.0)
+        self.assertEqual([line["event"] for line in lines], ["usage_not_told"])
+        self.assertEqual(failing.call_count, 1)
+        self.assertIs(made.admission.state, Admission.ALL)
+
+    def test_metrics_are_few_and_counted_once(self):
+        metrics = Metrics()
+        made = NodeBounds(settings(), metrics)
+        made.unread.ended["reader_stopped"] = 2
+        metrics.expose()
+        made.unread.ended["reader_stopped"] = 3
+        text = metrics.expose().decode()
+        self.assertIn('passlane_answers_ended_unread_total{reason="reader_stopped"} 3.0', text)
+        self.assertIn("passlane_loop_lag_seconds 0.0", text)
--- a/tests/on_platform/test_deploy.py
+++ b/tests/on_platform/test_deploy.py
@@ -54,6 +54,10 @@
 address = "10.200.0.100:8142"
 rate_per_s = 44.0
 
+[machine]
+memory_mb = 260
+descriptors = 4100
+
 [fault_tolerance]
 machines = 2
 
@@ -110,6 +114,8 @@
         self.assertIs(settings.process.role, FleetRole.NODE)
         self.assertEqual(str(settings.seeds[0]), "10.1.0.34:8144")
         self.assertEqual(settings.fault_tolerance.voters, 5)
+        self.assertEqual((settings.machine.memory_mb, settings.machine.descriptors), (260, 4100))
+        self.assertFalse(settings.node_bounds.enabled)
 
     def test_faults_are_named_by_their_key(self):
         self.assert_problem("addresses.callers", addresses='readiness = "10.1.0.30:1"')
@@ -117,3 +123,15 @@
         self.assert_problem("addresses.operators", role="control", folder="/data")
         self.assert_problem("process.role", role="broker")
         self.assert_problem("timing.unknown", extra="unknown = 1\n")
+
+    def test_bounds_of_a_node_that_make_no_sense_are_named(self):
+        for key, value in (
+            ("caller_bytes", "10"),
+            ("all_callers_bytes", "65_535"),
+            ("longest_stall_s", "0.1"),
+            ("late_loop_s", "0.3"),
+            ("most_under_way", "-1"),
+        ):
+            with self.subTest(key):
+                extra = f"\n[node_bounds]\n{key} = {value}\n"
+                self.assert_problem(f"node_bounds.{key}", extra=extra)
--- /dev/null
+++ b/tests/relay/test_admission.py
@@ -0,0 +1,69 @@
+"""A node at its bounds refuses before it sends or reserves anything, and only new work."""
+
+import anyio
+from structlog.testing import capture_logs
+
+from passlane.messages.turns import TurnReserved
+from passlane.relay.admission import REFUSED, NodeAdmission
+from passlane.relay.node_load import Admission, NodeCapacity, NodeReading
+from relay.fakes import Script, ScriptedStore, call, head
+from relay.test_service import EVENT_1, TURNS, RelayCase
+
+
+def admission_at(state, *, is_enabled=True):
+    """Return the admission of a node that has come to a state."""
+    made = NodeAdmission(NodeCapacity(under_way=100), is_enabled=is_enabled)
+    under_way = {Admission.ALL: 0, Admission.KNOWN_PROGRAMS: 80, Admission.NOTHING: 100}[state]
+    made.observe(NodeReading(under_way=under_way), 0.0)
+    return made
+
+
+class AdmissionTest(RelayCase):
+    def send(self, state, *, is_enabled=True, **call_changes):
+        self.admission = admission_at(state, is_enabled=is_enabled)
+        self.relay(
+            [Script(head(), EVENT_1)],
+            store=ScriptedStore(TurnReserved(history=b"")),
+            call_changes={"budget": 100} | call_changes,
+            **TURNS,
+        )
+        return self.writer.status
+
+    def test_a_new_program_is_refused_before_anything_was_sent_or_reserved(self):
+        with capture_logs() as lines:
+            self.assertEqual(self.send(Admission.KNOWN_PROGRAMS), 503)
+        self.assertEqual((self.backends.requests, self.store.reserved), ([], []))
+        self.assertGreater(self.writer.retry_after_s, 0)
+        (ended,) = [line for line in lines if line["event"] == "request_ended"]
+        self.assertEqual((ended["reason"], ended["verdict"]), (REFUSED, "not_run"))
+        self.assertEqual(self.admission.refused, {"known_programs": 1})
+
+    def test_a_turn_that_goes_on_is_taken_until_nothing_is(self):
+        self.assertEqual(self.send(Admission.KNOWN_PROGRAMS, previous_turn="before"), 200)
+        self.assertEqual(self.send(Admission.NOTHING, previous_turn="before"), 503)
+
+    def test_a_node_that_fares_well_or_must_not_refuse_takes_all(self):
+        self.assertEqual(self.send(Admission.ALL), 200)
+        self.assertEqual(self.send(Admission.NOTHING, is_enabled=False), 200)
+
+    def test_what_is_under_way_is_counted_until_its_end(self):
+        made = admission_at(Admission.ALL)
+
+        async def main():
+            taken = call(body=b"12345", budget=1)
+            with self.assertRaises(ZeroDivisionError), made.taken_on(taken, 0.0):
+                self.assertEqual((made.under_way, made.body_bytes), (1, 5))
+                raise ZeroDivisionError
+            self.assertEqual((made.under_way, made.body_bytes), (0, 0))
+
+        anyio.run(main)
+
+    def test_each_change_is_logged_once_with_what_decided(self):
+        with capture_logs() as lines:
+            made = admission_at(Admission.KNOWN_PROGRAMS)
+            made.observe(NodeReading(under_way=81), 1.0)
+        (line,) = lines
+        self.assertEqual(
+            (line["event"], line["before"], line["now"], line["cause"]),
+            ("node_admission_changed", "all", "known_programs", "under_way"),
+        )
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -40,6 +40,8 @@
 
 
 class RelayCase(unittest.TestCase):
+    admission = None
+
     def relay(
         self,
         scripts,
@@ -69,6 +71,7 @@
                     tasks,
                     Metrics(),
                     random.Random(1),
+                    self.admission,
                 )
                 held = configuration(route(**route_changes), tenants=tenants)
                 service.replace_configuration(held)
