Keep OpenSSL and httpcore's pools out of the fleet's processes

Cause: what a node's imports hold is a large part of its memory, and memory at its peak counts on small machines. By resident set while each module was imported (no package beyond those that are deployed): ssl with the library it loads 3.8 to 4.3 MB, hashlib's use of it 0.4 MB, httpcore's pools, proxies, synchronous twin and certificates 1.2 MB (1,764 against 608 KB for the parts that are used), logging.config 0.6 MB, structlog.dev 0.8 MB, the metrics library 2.3 MB when it is first asked for.

Ruled out: leaving ssl out alone, without hashlib's use of OpenSSL: 33.7 to 32.6 MB, since the library is loaded all the same. Importing ssl when first used: uvicorn reads a constant of it at its import. Metrics and logging.config stay: they are used, or come with what is used.

Change: no role speaks TLS, and blake2b, the only digest that is used, is Python's own. fleet_start leaves OpenSSL out before the loop is imported. The HTTP client imports only the parts of httpcore that it uses; whoever imports httpcore itself later gets it whole.

--- a/src/passlane/daemon/fleet_start.py
+++ b/src/passlane/daemon/fleet_start.py
@@ -2,7 +2,8 @@
 
 A reload signal may come while the process is still importing; by default it would end it.
 Clients may connect meanwhile; they wait instead of being reset. Nothing that is imported
-is garbage, so the collector rests until the process runs.
+is garbage, so the collector rests until the process runs. No role speaks TLS, so OpenSSL
+stays out.
 """
 
 import gc
@@ -16,6 +17,7 @@
 
 from passlane.platform.names import SETTINGS_VARIABLE
 from passlane.runtime.early_listening import ListeningSockets
+from passlane.runtime.without_openssl import leave_openssl_out
 
 EARLY_ADDRESSES = ("callers", "readiness", "operators")
 """Settings under ``addresses`` that others connect to from outside the fleet."""
@@ -29,6 +31,7 @@
     path = Path(variables.get(SETTINGS_VARIABLE, ""))
     sockets = ListeningSockets()
     sockets.listen(early_addresses(path))
+    leave_openssl_out()
     from passlane.daemon.fleet_main import main as run
 
     gc.freeze()
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -26,11 +26,11 @@
 from typing import Any, cast
 
 import anyio
-import httpcore
 import msgspec
 from anyio.abc import ByteStream, SocketAttribute
 
 from passlane.messages.common import Address
+from passlane.runtime import http_connection as httpcore
 from passlane.runtime.interfaces import HttpConnectionError, HttpRequest, Network
 
 CONNECT_TIMEOUT_S = 0.3
--- /dev/null
+++ b/src/passlane/runtime/http_connection.py
@@ -0,0 +1,24 @@
+"""Single HTTP/1.1 connections of httpcore, without its pools, proxies and certificates.
+
+These are most of what ``import httpcore`` brings, more than a megabyte of a node's memory.
+"""
+
+from passlane.runtime.packages import initialization_skipped
+
+with initialization_skipped("httpcore", "httpcore._async"):
+    from httpcore._async.http11 import AsyncHTTP11Connection
+    from httpcore._backends.base import AsyncNetworkStream
+    from httpcore._exceptions import NetworkError, ProtocolError, ReadError
+    from httpcore._models import URL, Origin, Request, Response
+
+__all__ = [
+    "URL",
+    "AsyncHTTP11Connection",
+    "AsyncNetworkStream",
+    "NetworkError",
+    "Origin",
+    "ProtocolError",
+    "ReadError",
+    "Request",
+    "Response",
+]
--- a/src/passlane/runtime/packages.py
+++ b/src/passlane/runtime/packages.py
@@ -2,6 +2,8 @@
 
 import importlib.util
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from types import ModuleType
 
 
@@ -21,3 +23,19 @@
         raise ModuleNotFoundError(package)
     sys.modules[package] = importlib.util.module_from_spec(specification)
     return sys.modules[package]
+
+
+@contextmanager
+def initialization_skipped(*packages: str) -> Iterator[None]:
+    """Let modules of packages be imported inside without running what these import.
+
+    Whoever imports such a package itself later gets it whole, with the same modules.
+    """
+    skipped = [package for package in packages if package not in sys.modules]
+    for package in skipped:
+        skip_initialization(package)
+    try:
+        yield
+    finally:
+        for package in skipped:
+            del sys.modules[package]
--- a/tests/daemon/test_fleet_start.py
+++ b/tests/daemon/test_fleet_start.py
@@ -47,9 +47,80 @@
             "from passlane.relay.request_metrics import RequestMetrics\n"
             "RequestMetrics(Metrics()).note_end('stream', 200, 0.1)\n"
             "unwanted = {'prometheus_client', 'click', 'cleo', 'uvicorn.main', 'starlark'}\n"
+            "unwanted |= {'httpcore._sync', 'httpcore._async.connection_pool', 'certifi'}\n"
             "print(sorted(unwanted & set(sys.modules)))\n"
         )
         process = subprocess.run(
             [sys.executable, "-c", program], capture_output=True, text=True, check=True
         )
         self.assertEqual(process.stdout.strip(), "[]")
+
+
+class PackagesTest(unittest.TestCase):
+    def test_who_imports_a_package_later_gets_it_whole_with_the_same_modules(self):
+        program = (
+            "from passlane.runtime import http_connection\n"
+            "import httpcore\n"
+            "print(callable(httpcore.request), httpcore.AsyncConnectionPool.__name__,\n"
+            "      httpcore.ReadError is http_connection.ReadError,\n"
+            "      httpcore.AsyncHTTP11Connection is http_connection.AsyncHTTP11Connection)\n"
+        )
+        process = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, check=True
+        )
+        self.assertEqual(process.stdout.strip(), "True AsyncConnectionPool True True")
+
+
+class OpensslTest(unittest.TestCase):
+    def run_program(self, program):
+        return subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, check=True
+        ).stdout.strip()
+
+    def test_each_role_runs_without_openssl(self):
+        program = (
+            "import sys\n"
+            "import passlane.daemon.fleet_start\n"
+            "from passlane.runtime.without_openssl import leave_openssl_out\n"
+            "assert leave_openssl_out()\n"
+            "import passlane.daemon.fleet_main, passlane.daemon.fleet_node\n"
+            "import passlane.daemon.fleet_control, passlane.daemon.fleet_store\n"
+            "import passlane.runtime.http_server, passlane.runtime.http_client\n"
+            "from passlane.observability.metrics import Metrics\n"
+            "Metrics().expose()\n"
+            "print('_ssl' in sys.modules, sys.modules['_hashlib'])\n"
+        )
+        self.assertEqual(self.run_program(program), "False None")
+
+    def test_requests_are_sent_and_served_without_openssl(self):
+        program = (
+            "from passlane.runtime.without_openssl import leave_openssl_out\n"
+            "assert leave_openssl_out()\n"
+            "import sys\n"
+            f"sys.path.insert(0, {str(Path(__file__).parents[1])!r})\n"
+            "from runtime.one_exchange import exchange_over_loopback\n"
+            "print(exchange_over_loopback())\n"
+        )
+        self.assertEqual(self.run_program(program), "200 b'hello'")
+
+    def test_whoever_asks_for_tls_is_told_that_there_is_none(self):
+        program = (
+            "from passlane.runtime.without_openssl import TlsNotAvailableError, leave_openssl_out\n"
+            "assert leave_openssl_out()\n"
+            "import ssl\n"
+            "try:\n"
+            "    ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)\n"
+            "except TlsNotAvailableError as error:\n"
+            "    print(error, issubclass(ssl.SSLError, Exception), ssl.SSLError is ssl.SSLError)\n"
+        )
+        self.assertEqual(
+            self.run_program(program), "this process was started without TLS True True"
+        )
+
+    def test_a_process_that_has_the_loop_already_stays_as_it_is(self):
+        program = (
+            "import asyncio, ssl\n"
+            "from passlane.runtime.without_openssl import leave_openssl_out\n"
+            "print(leave_openssl_out(), ssl.SSLContext.__module__)\n"
+        )
+        self.assertEqual(self.run_program(program), "False ssl")
