--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -9,6 +9,7 @@
 from passlane.observability.logging import get_logger
 from passlane.observability.metrics import Metrics
 from passlane.quotas.allowances import Allowances
+from passlane.relay.admission import NodeAdmission
 from passlane.relay.backends import AnswerWriter, RelayBackends
 from passlane.relay.calls import RelayedCall
 from passlane.relay.context import RequestContext
@@ -42,6 +43,8 @@
     ----------
     tasks
         Where work goes on that outlives a request.
+    admission
+        Which requests the node takes on; without it, all.
     asks_for_places
         Whether the store group's leader orders and places turns.
     """
@@ -55,6 +58,7 @@
         tasks: TaskGroup,
         metrics: Metrics,
         random: Random,
+        admission: NodeAdmission | None = None,
         *,
         asks_for_places: bool = False,
     ) -> None:
@@ -73,6 +77,7 @@
         self._under_way: set[str] = set()
         self._has_answered = anyio.Event()
         self._metrics = RequestMetrics(metrics)
+        self._admission = admission or NodeAdmission.unbounded()
 
     @property
     def configuration(self) -> RouteConfiguration | None:
@@ -101,7 +106,7 @@
         try:
             await self._handle(call, writer, progress)
         except anyio.get_cancelled_exc_class():
-            progress.reason = "client_left" if writer.is_abandoned else "stopped"
+            progress.reason = writer.abandon_reason if writer.is_abandoned else "stopped"
             raise
         finally:
             self._note_end(call, writer, progress)
@@ -135,9 +140,15 @@
             progress.status, progress.reason = CONFLICT, "request_under_way"
             await writer.refuse(CONFLICT, progress.reason, None)
             return
+        refusal = self._admission.refusal(call, anyio.current_time())
+        if refusal is not None:
+            progress.status, progress.reason = UNAVAILABLE, refusal.reason
+            await writer.refuse(UNAVAILABLE, refusal.reason, refusal.retry_after_s)
+            return
         self._under_way.add(call.request_id)
         try:
-            await self._relay(call, route, identity, table, writer, progress)
+            with self._admission.taken_on(call, anyio.current_time()):
+                await self._relay(call, route, identity, table, writer, progress)
         finally:
             self._under_way.discard(call.request_id)
 
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -8,7 +8,14 @@
 import re
 import select
 import ssl
-from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from contextlib import (
     AbstractContextManager,
     aclosing,
@@ -19,12 +26,12 @@
 from typing import Any, cast
 
 import anyio
-import httpcore
 import msgspec
 from anyio.abc import ByteStream, SocketAttribute
 
 from passlane.messages.common import Address
 from passlane.observability.logging import get_logger
+from passlane.runtime import http_connection as httpcore
 from passlane.runtime.interfaces import HttpConnectionError, HttpRequest, Network
 
 CONNECT_TIMEOUT_S = 0.3
@@ -40,6 +47,9 @@
 """Failures that connections are known to have; others are logged."""
 UNWRITABLE_REQUEST = (httpcore.LocalProtocolError, ValueError)
 """Failures of the request itself: HTTP has no form for it."""
+SEND_PIECE_BYTES = 65_536
+"""A request leaves in pieces of this size: what a server doesn't read is held once, not as a
+copy in the connection too."""
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -86,11 +96,11 @@
         """Send what was written; a server that refuses early may have answered all the same."""
         if not self._unsent:
             return
-        data = b"".join(self._unsent)
-        self._unsent.clear()
+        unsent, self._unsent = self._unsent, []
         self.has_sent = True
         with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-            await self._stream.send(data)
+            for piece in _pieces(unsent):
+                await self._stream.send(piece)
 
     async def aclose(self) -> None:
         await anyio.aclose_forcefully(self._stream)
@@ -110,6 +120,16 @@
         return raw_socket is not None and _is_readable(raw_socket.fileno())
 
 
+def _pieces(buffers: Sequence[bytes]) -> Iterator[bytes]:
+    """Return all bytes in pieces of a bounded size; small buffers together in one piece."""
+    if sum(map(len, buffers)) <= SEND_PIECE_BYTES:
+        yield b"".join(buffers)
+        return
+    for buffer in buffers:
+        for start in range(0, len(buffer), SEND_PIECE_BYTES):
+            yield buffer[start : start + SEND_PIECE_BYTES]
+
+
 def _time_limit(timeout: float | None) -> AbstractContextManager[object]:
     """Return a limit of time; without one, what costs nothing."""
     return nullcontext() if timeout is None else anyio.fail_after(timeout)
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -130,7 +130,7 @@
             for number in range(6):
                 tasks.start_soon(take, number)
         self.assertEqual([answer.status for answer in answers], [200] * 6)
-        used = {engine.instance_id for engine in fleet.engines if engine.bodies}
+        used = {engine.instance_id for engine in fleet.engines if engine.runs}
         self.assertEqual(len(used), 3)
 
     @on_seeds()
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -50,6 +50,8 @@
 
 
 class RelayCase(unittest.TestCase):
+    admission = None
+
     def relay(
         self,
         scripts,
@@ -82,6 +84,7 @@
                     tasks,
                     Metrics(),
                     random.Random(1),
+                    self.admission,
                     asks_for_places=asks_for_places,
                 )
                 held = configuration(route(**route_changes), tenants=tenants)
