--- a/src/passlane/daemon/fleet_store.py
+++ b/src/passlane/daemon/fleet_store.py
@@ -21,6 +21,7 @@
 from passlane.storage.identity import IdentityFile, process_name_of
 from passlane.turns.dispatch import TurnDispatcher
 from passlane.turns.machine import TurnStateMachine
+from passlane.turns.place_metrics import expose_places
 from passlane.turns.service import TurnService
 
 TURN_GROUP = "turns"
@@ -75,6 +76,9 @@
         context.metrics.define_when_exposed(
             lambda metrics: expose_replica(metrics, TURN_GROUP, host)
         )
+        context.metrics.define_when_exposed(
+            lambda metrics: expose_places(metrics, self._dispatcher.scheduler)
+        )
         service = TurnService(host, machine, context.router, quotas, self._dispatcher)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
