Waits for room at engines end before the caller abandons a silent stream

Cause: found by reading. Requests now wait for room while there is time for an answer; the caller of a stream leaves earlier than at its deadline, once it has heard nothing for the longest of 2 s, 4 targets and 8 pauses. A wait beyond that ends unserved and without an answer. Ruled out: a share of the target or of the deadline (says nothing of when a caller leaves). Before and after: test of a stream at full engines ends with 503 after 2 s (target 0.25 s) and 3 s (0.75 s) where it was 4 s less an answer's time.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -9,6 +9,7 @@
 from passlane.messages.routes import RouteKind
 from passlane.observability.logging import get_logger
 from passlane.relay.backends import BackendAnswer, BackendRequest
+from passlane.relay.caller_patience import first_part_due_at
 from passlane.relay.context import RequestContext
 from passlane.relay.health import AttemptWatch, stall_limit_s
 from passlane.relay.placement import (
@@ -279,7 +280,7 @@
                 request_id=self._call.request_id,
                 priority=self._rank,
                 arrived_at=self._call.arrived_at,
-                give_up_at=self._room.gives_up_at(self._route.name, limit_at),
+                give_up_at=self._gives_up_at(judgement, limit_at, now),
                 joined_at=now,
             )
         slots = max((load.record.slots for load in judgement.loads), default=1)
@@ -292,6 +293,14 @@
             raise RequestFailedError("no further back end took the request")
         raise RequestRefusedError("no back end took the request", self._waits.come_back_s())
 
+    def _gives_up_at(self, judgement: ServiceJudgement, limit_at: float, now: float) -> float:
+        """Return when what is left is too little for a whole answer, or for its first part."""
+        has_begun = self.last_event_id != self._call.last_event_id
+        silent_since = now if has_begun else self._call.arrived_at
+        due_at = first_part_due_at(self._route, silent_since, limit_at)
+        whole_by = self._room.gives_up_at(self._route.name, limit_at)
+        return min(whole_by, due_at - judgement.typical_s)
+
     async def _attempt(
         self, load: BackendLoad, stall_limit: float, limit_at: float, deliver: Deliver
     ) -> bool:
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -458,6 +458,13 @@
         self.assertEqual(self.writer.body, EVENT_1 + EVENT_2)
         self.assertAlmostEqual(self.writer.times[1] - self.writer.times[0], 0.1, places=3)
 
+    def test_a_stream_waits_for_room_no_longer_than_its_caller_bears_silence(self):
+        for target_latency_s, patience_s in ((0.25, 2.0), (0.75, 3.0)):
+            changes = STREAM | {"target_latency_s": target_latency_s}
+            self.relay([Script(FULL)] * 400, **changes)
+            self.assertEqual(self.writer.status, 503)
+            self.assertAlmostEqual(self.elapsed_s, patience_s, places=3)
+
     def test_a_broken_stream_never_looks_whole(self):
         self.relay([Script(head(), EVENT_1, b"id: 2\nda", broken=True)], **STREAM)
         self.assertIsNotNone(self.error)
