Programs refused for want of room use up nothing of their tenant's limit

Cause: when a program begins, its tenant's limit is charged with all the requests that such a program needs. A program that then found no room got back the one request, but not that need; and it counted as one that had a single turn, so others were taken to need less. With four or so refusals within a window a tenant was told that its limit was spent, with nothing sent.

Ruled out: requests themselves (they were given back); windows' ends.

Change: what is given back is the draw: the request, the program's need, and its part in the mean of its route. It is given back in one place, whatever the refusal.

test_what_was_not_sent_is_given_back gives back draws in place of a tenant's name, as the ledger now takes them; it checks what it did.

Conclusion: a limit counts what is sent and what programs under way need, nothing else.

--- a/src/passlane/quotas/ledger.py
+++ b/src/passlane/quotas/ledger.py
@@ -185,11 +185,18 @@
             self._take(account, draw, now + start_after_s)
         return QuotaGranted(start_after_s, self._take_ahead(account, draw, now))
 
-    def give_back(self, tenant: str) -> None:
-        """Take back one request that was granted and will never be sent."""
-        account = self._accounts.get(tenant)
-        if account is not None:
-            account.sent.take_back(1)
+    def give_back(self, draw: QuotaDraw) -> None:
+        """Take back one request that was granted and will never be sent.
+
+        If it was to begin a program, nothing is needed for that program either.
+        """
+        account = self._accounts.get(draw.limit.tenant)
+        if account is None:
+            return
+        account.sent.take_back(1)
+        if draw.use is QuotaUse.BEGIN_PROGRAM:
+            account.programs.take_back(self._needs.of(draw.route))
+            self._needs.forget_begun(draw.route)
 
     def _account_of(self, tenant: str) -> _Account:
         account = self._accounts.get(tenant)
--- a/src/passlane/quotas/program_needs.py
+++ b/src/passlane/quotas/program_needs.py
@@ -46,6 +46,14 @@
         if use is QuotaUse.BEGIN_PROGRAM:
             self._calls *= FORGET_SHARE
 
+    def forget_begun(self, route: str) -> None:
+        """Take out a program that was noted as begun and had none of its turns."""
+        if not route:
+            return
+        for seen in (self._seen.setdefault(route, _Seen()), self._all):
+            seen.programs -= 1
+            seen.turns -= 1
+
     def note_calls(self, count: int) -> None:
         """Note tool calls that were granted ahead."""
         self._calls += count
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -123,9 +123,17 @@
         A turn that asks for a place at an engine gets its answer when it has one.
         """
         self._require_leadership()
-        quota = await self._draw_for_turn(request)
+        draw = self._draw_of(request)
+        quota: QuotaAnswer = QuotaGranted() if draw is None else await self._draw(draw)
         if isinstance(quota, QuotaRefused):
             return quota
+        answer = await self._reserve_granted(request, quota)
+        if draw is not None and not isinstance(answer, TurnReserved):
+            self._quotas.give_back(draw)
+        return answer
+
+    async def _reserve_granted(self, request: ReserveTurn, quota: QuotaGranted) -> Message:
+        """Reserve a turn that its tenant's limit lets go on."""
         if request.demand is None:
             return await self._reserve_tokens(request, quota)
         # A place is not kept for a turn that its tenant's limit lets wait.
@@ -145,7 +153,6 @@
         if asked.is_first:
             refused = await self._wait_for_place(pending)
             if refused is not None:
-                self._give_back(request)
                 return refused
         answer = await self._reserve_tokens(request, quota)
         if not isinstance(answer, TurnReserved):
@@ -168,7 +175,6 @@
     async def _reserve_tokens(self, request: ReserveTurn, quota: QuotaGranted) -> Message:
         result = await self._propose(_as_replicated(request))
         if not isinstance(result, TurnReserved):
-            self._give_back(request)
             return result
         history = b""
         if request.previous is not None:
@@ -230,13 +236,13 @@
         self._require_leadership()
         return await self._draw(request.draw)
 
-    async def _draw_for_turn(self, request: ReserveTurn) -> QuotaAnswer:
-        """Count a turn against its tenant's limit; only the first of a program begins one."""
+    def _draw_of(self, request: ReserveTurn) -> QuotaDraw | None:
+        """Return what a turn draws from its limit; only the first of a program begins one."""
         if request.quota is None:
-            return QuotaGranted()
+            return None
         is_known = self._machine.knows_program(request.program_id)
         use = QuotaUse.CONTINUE_PROGRAM if is_known else QuotaUse.BEGIN_PROGRAM
-        return await self._draw(msgspec.structs.replace(request.quota, use=use))
+        return msgspec.structs.replace(request.quota, use=use)
 
     async def _draw(self, draw: QuotaDraw) -> QuotaAnswer:
         """Grant or refuse; a grant may have to wait until replicas were told of others."""
@@ -265,11 +271,6 @@
             # Without an answer it may be held by a majority or not; it is told once more then.
             self._quotas.note_told(usages, is_told=is_told)
 
-    def _give_back(self, request: ReserveTurn) -> None:
-        """Give back what was drawn for a turn that will not run."""
-        if request.quota is not None:
-            self._quotas.give_back(request.quota.limit.tenant)
-
     async def find(self, request: FindTurnStore) -> Message:
         """Tell a node that lost the store group that its leader is here."""
         self._require_leadership()
--- a/tests/quotas/test_ledger.py
+++ b/tests/quotas/test_ledger.py
@@ -315,6 +315,23 @@
     def test_what_was_not_sent_is_given_back(self):
         held = ledger()
         sent_at(held, [LATER] * 60)
-        held.give_back("corner")
+        held.give_back(draw())
         self.assertEqual(held.draw(draw(), LATER), QuotaGranted())
-        held.give_back("unknown")
+        held.give_back(draw(tenant="unknown"))
+
+    def test_programs_that_did_not_begin_need_nothing(self):
+        held = ledger()
+        begin = draw(QuotaUse.BEGIN_PROGRAM, route="r")
+        for _ in range(100):
+            self.assertEqual(held.draw(begin, LATER), QuotaGranted())
+            held.give_back(begin)
+
+    def test_programs_that_did_not_begin_tell_nothing_of_what_others_need(self):
+        held = ledger()
+        begin = draw(QuotaUse.BEGIN_PROGRAM, route="r", **LARGE)
+        sent = len(sent_at(ledger(), [LATER] * 300, use=QuotaUse.BEGIN_PROGRAM, **LARGE))
+        for _ in range(100):
+            held.draw(begin, LATER)
+            held.give_back(begin)
+        later = len(sent_at(held, [LATER] * 300, use=QuotaUse.BEGIN_PROGRAM, **LARGE))
+        self.assertLessEqual(later, sent + 1)
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -11,6 +11,7 @@
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.placement import TurnDemand, TurnRefused
+from passlane.messages.quotas import QuotaDraw, QuotaLimit, QuotaUse
 from passlane.messages.turns import BudgetSpent, ReserveTurn, SettleTurn, TurnReserved
 from passlane.quotas.ledger import QuotaLedger, QuotaRules
 from passlane.scheduling.turn_scheduler import LEARNING_S, TurnScheduler
@@ -20,6 +21,12 @@
 from passlane.turns.service import TurnService
 
 PROPOSE_S = 0.01
+QUOTA = QuotaDraw(
+    limit=QuotaLimit(tenant="t", rate_per_s=2.0, burst=10.0, version=1),
+    use=QuotaUse.BEGIN_PROGRAM,
+    route="r",
+)
+"""Of a limit of 20 requests in a window."""
 ENGINE = BackendRecord("e1", "llm", Address("10.0.0.1", 80), "a", 1, BackendState.READY)
 
 
@@ -70,14 +77,16 @@
 
 
 class PlaceTest(unittest.TestCase):
-    async def reserve(self, attempt: str, program: str = "p", *, most: int = 10) -> Message:
+    async def reserve(
+        self, attempt: str, program: str = "p", *, most: int = 10, quota: QuotaDraw | None = None
+    ) -> Message:
         demand = TurnDemand(
             service="llm", route="r", urgency=1, zone="a", program_time_left_s=5.0,
             time_left_s=4.0,
         )  # fmt: skip
         request = ReserveTurn(
             program_id=program, attempt_id=attempt, most_tokens=most, budget_tokens=100,
-            demand=demand,
+            demand=demand, quota=quota,
         )  # fmt: skip
         return await self.service.reserve(request)
 
@@ -171,3 +180,12 @@
         self.assertEqual(len(encoded), 2)
         await self.settle("a")
         self.assertEqual((await self.reserve("b", "q")).engine, "e1")
+
+    @with_leader
+    async def test_programs_that_find_no_room_use_up_no_limit(self):
+        await self.reserve("a", "under-way")
+        for number in range(30):
+            refused = await self.reserve(f"r{number}", f"q{number}", quota=QUOTA)
+            self.assertIsInstance(refused, TurnRefused)
+        await self.settle("a", "under-way")
+        self.assertIsInstance(await self.reserve("b", "q", quota=QUOTA), TurnReserved)
