Turns that outlast their place teach what they took

Cause: a place is given back by time after four times what is expected, one second at least, and the end of its turn then counted nothing. So of a service whose turns take longer than a second from the start, and of one that becomes four times slower, nothing was ever learnt: the expected time stayed at what it was, and every place was given back while its turn still ran.

Ruled out: places that are kept longer at first (a lost node would hold them as long).

Change: a turn whose place was given back by time is remembered for 30 s; its end frees nothing, and teaches the service's mean and the engine's pace, once.

Figures: turns of 3 s, one after the other: the mean becomes 3 s with the first end, and the place of the next one is kept as long as it runs; before, it was given back after 1 s each time.

Conclusion: a service of long turns has its places counted from its second turn on.

--- a/src/passlane/scheduling/engine_places.py
+++ b/src/passlane/scheduling/engine_places.py
@@ -25,6 +25,10 @@
 """An engine that refused a turn as full gets none for this long: about the time in which one of
 six turns of 0.3 s ends."""
 
+LATE_END_S = 30.0
+"""The end of a turn teaches for so long after its place was given back by time; bounds what is
+kept of turns whose nodes were lost."""
+
 
 class PlacedTurn(msgspec.Struct):
     """A turn that has a place.
@@ -118,6 +122,7 @@
         self._speeds: dict[str, FleetSpeed] = {}
         self._engine_of: dict[str, EnginePlaces] = {}
         self._usable: dict[str, list[EnginePlaces]] = {}
+        self._expired: OrderedDict[str, tuple[EnginePlaces, PlacedTurn]] = OrderedDict()
 
     def replace_records(self, records: Iterable[BackendRecord]) -> None:
         """Take over the list of back ends; turns at those that are gone have no place."""
@@ -178,14 +183,30 @@
         turn = engine.give_back(attempt_id) if engine is not None else None
         return (engine, turn) if engine is not None and turn is not None else None
 
-    def overdue(self, now: float) -> list[str]:
-        """Return the turns whose places are to be given back by time."""
-        return [
-            turn.attempt_id
+    def expire(self, now: float) -> list[EnginePlaces]:
+        """Give back the places whose time is over; return their engines, one for each place."""
+        overdue = [
+            (engine, turn)
             for engine in self._engines.values()
             for turn in engine.turns.values()
             if turn.until <= now
         ]
+        for engine, turn in overdue:
+            self.give_back(turn.attempt_id)
+            self._expired[turn.attempt_id] = (engine, turn)
+        self._forget_expired(now)
+        return [engine for engine, _ in overdue]
+
+    def take_expired(self, attempt_id: str) -> tuple[EnginePlaces, PlacedTurn] | None:
+        """Return a turn whose place was given back by time, once; ``None`` if it is none."""
+        return self._expired.pop(attempt_id, None)
+
+    def _forget_expired(self, now: float) -> None:
+        while self._expired:
+            attempt_id, (_, turn) = next(iter(self._expired.items()))
+            if now - turn.until < LATE_END_S:
+                return
+            del self._expired[attempt_id]
 
     def busy_share(self, service: str) -> float:
         """Return the taken share of the places of a service; 1 without engines."""
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -14,7 +14,7 @@
 from passlane.messages.listing import BackendRecord
 from passlane.messages.placement import TurnOutcome
 from passlane.relay.health import STALL_WEIGHT
-from passlane.scheduling.engine_places import FULL_PAUSE_S, EngineTable, PlacedTurn
+from passlane.scheduling.engine_places import FULL_PAUSE_S, EnginePlaces, EngineTable, PlacedTurn
 from passlane.scheduling.expected_end import EngineChoice, TurnDurations, choose_engine
 from passlane.scheduling.program_admission import (
     LONGEST_HOLD_AFTER_RETURN_S,
@@ -128,24 +128,19 @@
         given_back = self._engines.give_back(ended.attempt_id)
         if ended.outcome is not None:
             self._note_failures(ended.outcome, now)
-        if given_back is None:
+        placed = given_back or self._engines.take_expired(ended.attempt_id)
+        if placed is None:
             return []
-        engine, turn = given_back
+        engine, turn = placed
         self._programs.note_end(turn.program_id, ended.served_by, now)
-        outcome = ended.outcome
-        if outcome is not None and outcome.engine_s > 0 and ended.served_by == engine.instance_id:
-            engine.learn(turn, outcome, now)
-            durations = self._durations_of(engine.record.service)
-            durations.learn(outcome, engine.speed.against_fleet(now))
-        return self._fill(engine.record.service, now)
+        self._learn(engine, turn, ended, now)
+        return self._fill(engine.record.service, now) if given_back is not None else []
 
     def advance(self, now: float) -> list[TurnDecision]:
         """Give back places by time, refuse what has waited too long, and go on."""
         self._engines.look_again()
-        for attempt_id in self._engines.overdue(now):
-            given_back = self._engines.give_back(attempt_id)
-            if given_back is not None:
-                given_back[0].health.note_failure(now, STALL_WEIGHT)
+        for engine in self._engines.expire(now):
+            engine.health.note_failure(now, STALL_WEIGHT)
         refused: list[TurnDecision] = []
         for name, service in self._services.items():
             for turn in service.queue.take_held_too_long(now):
@@ -321,6 +316,15 @@
 
     # What is learnt.
 
+    def _learn(self, engine: EnginePlaces, turn: PlacedTurn, ended: TurnEnded, now: float) -> None:
+        """Learn from a turn that its engine answered whole, also if its place was over before."""
+        outcome = ended.outcome
+        if outcome is None or outcome.engine_s <= 0 or ended.served_by != engine.instance_id:
+            return
+        engine.learn(turn, outcome, now)
+        durations = self._durations_of(engine.record.service)
+        durations.learn(outcome, engine.speed.against_fleet(now))
+
     def _note_failures(self, outcome: TurnOutcome, now: float) -> None:
         for instance_id in outcome.failed_at:
             engine = self._engines.get(instance_id)
--- a/tests/scheduling/test_turn_figures.py
+++ b/tests/scheduling/test_turn_figures.py
@@ -39,3 +39,30 @@
         for known in scheduler._engines:
             self.assertGreater(known.slowdown, 0.6)
             self.assertLess(known.slowdown, 1.4)
+
+
+class LongTurnsTest(unittest.TestCase):
+    """Turns that all take longer than a place is kept at first."""
+
+    def test_the_end_of_a_turn_teaches_although_its_place_was_given_back(self):
+        scheduler = TurnScheduler()
+        scheduler.replace_backends([engine("e1"), engine("e2")], 0.0)
+        for step in range(20):
+            (placed,) = scheduler.ask(asked(f"t{step}"), 4.0 * step)
+            scheduler.advance(4.0 * step + 2.9)
+            scheduler.end(ended(f"t{step}", placed.engine, 3.0), 4.0 * step + 3.0)
+        scheduler.ask(asked("last"), 100.0)
+        scheduler.advance(102.9)
+        self.assertEqual(scheduler.figures("llm").running, 1)
+
+    def test_an_end_that_comes_late_frees_nothing_and_counts_once(self):
+        scheduler = TurnScheduler()
+        scheduler.replace_backends([engine("e1", 1)], 0.0)
+        scheduler.ask(asked("lost"), 0.0)
+        scheduler.advance(2.0)
+        scheduler.ask(asked("next"), 2.0)
+        scheduler.ask(asked("waits", "under-way", is_first=False), 2.0)
+        for _ in range(2):
+            self.assertEqual(scheduler.end(ended("lost", "e1", 2.1), 2.1), [])
+        self.assertEqual(scheduler.figures("llm").running, 1)
+        self.assertEqual(scheduler._services["llm"].durations._samples, 1)
