Times to come back count each program once, and by when it asked first

Cause: a program that came back and waits was counted twice before others: as one that waits and as one that is to come back. One that was told again counted all of its tenant before itself, those that asked after it too, and so was sent behind them. One that was refused after it had waited here counted as having asked when it was refused.

Change: programs that wait and those that are to come back are counted by id; of a program's own tenant only those that asked no later; the time of asking goes along with the refusal.

The three new tests fail before: 4 for 3, 6 for 3 at most, 0.51 for 0.

Conclusion: told times are as true as the rate is.

--- a/src/passlane/scheduling/program_admission.py
+++ b/src/passlane/scheduling/program_admission.py
@@ -9,10 +9,8 @@
 
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Iterable
-from itertools import chain
-
-import msgspec
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 from passlane.scheduling.turn_events import TurnAsked
 
@@ -38,12 +36,19 @@
 told so that they can turn elsewhere."""
 
 
-class _Promise(msgspec.Struct):
-    """A program that was told to come back."""
+class NewProgram(NamedTuple):
+    """A program that has not begun; ``asked_at`` is when it asked first."""
 
-    first_asked_at: float
+    program_id: str
     urgency: int
     tenant: str
+    asked_at: float
+
+
+class _Promise(NamedTuple):
+    """A program that was told to come back."""
+
+    program: NewProgram
     come_back_at: float
 
 
@@ -83,7 +88,7 @@
     def first_asked_at(self, program_id: str, now: float) -> float:
         """Return when a program asked first."""
         promise = self._promises.get(program_id)
-        return promise.first_asked_at if promise is not None else now
+        return promise.program.asked_at if promise is not None else now
 
     def came_as_told(self, program_id: str, now: float) -> bool:
         """Whether a program that asks now was told to come back by now."""
@@ -91,35 +96,44 @@
         return promise is not None and now >= promise.come_back_at - EARLY_TOLERANCE_S
 
     def programs_before(
-        self, asked: TurnAsked, waiting: Iterable[tuple[int, str]], now: float
+        self, asked: TurnAsked, asked_at: float, waiting: Iterable[NewProgram], now: float
     ) -> int:
         """Return how many new programs go before another, by the order of ``turn_queue``.
 
-        All that are more urgent do. Of its own rank, all of its own tenant do, and of each
-        other tenant as many as its own has.
+        All that are more urgent do. Of its own rank, those of its own tenant that asked no later
+        do, and of each other tenant as many as that and one more.
 
         Parameters
         ----------
+        asked_at
+            When the program asked first.
         waiting
-            Rank and tenant of each new program that waits.
+            Those that wait for a place.
         """
         self._forget_lapsed(now)
-        promised = (
-            (promise.urgency, promise.tenant)
-            for program_id, promise in self._promises.items()
-            if program_id != asked.program_id
-        )
         own_rank, own_tenant = asked.demand.urgency, asked.demand.tenant
-        more_urgent = 0
+        more_urgent = own = 0
         by_tenant: Counter[str] = Counter()
-        for urgency, tenant in chain(waiting, promised):
-            if urgency < own_rank:
+        for other in self._others(asked.program_id, waiting):
+            if other.urgency < own_rank:
                 more_urgent += 1
-            elif urgency == own_rank:
-                by_tenant[tenant] += 1
-        own = by_tenant.pop(own_tenant, 0)
+            elif other.urgency == own_rank and other.tenant != own_tenant:
+                by_tenant[other.tenant] += 1
+            elif other.urgency == own_rank and other.asked_at <= asked_at:
+                own += 1
         return more_urgent + own + sum(min(count, own + 1) for count in by_tenant.values())
 
+    def _others(self, program_id: str, waiting: Iterable[NewProgram]) -> Iterator[NewProgram]:
+        """Yield the programs that wait, then those that are to come back and wait not yet."""
+        seen = {program_id}
+        for other in waiting:
+            if other.program_id not in seen:
+                seen.add(other.program_id)
+                yield other
+        for other_id, promise in self._promises.items():
+            if other_id not in seen:
+                yield promise.program
+
     def expected_wait_s(self, before: int, all_places_per_s: float, now: float) -> float:
         """Return when a program with so many before it is expected to begin.
 
@@ -136,15 +150,12 @@
         self._promises.pop(program_id, None)
         self._rate.note(now)
 
-    def note_refused(self, asked: TurnAsked, wait_s: float, now: float) -> float:
+    def note_refused(self, asked: TurnAsked, asked_at: float, wait_s: float, now: float) -> float:
         """Note that a program is told to come back; return in how many seconds."""
         retry_after_s = min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
-        self._promises[asked.program_id] = _Promise(
-            first_asked_at=self.first_asked_at(asked.program_id, now),
-            urgency=asked.demand.urgency,
-            tenant=asked.demand.tenant,
-            come_back_at=now + retry_after_s,
-        )
+        demand = asked.demand
+        program = NewProgram(asked.program_id, demand.urgency, demand.tenant, asked_at)
+        self._promises[asked.program_id] = _Promise(program, now + retry_after_s)
         return retry_after_s
 
     def _forget_lapsed(self, now: float) -> None:
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -226,13 +226,13 @@
 
     def _before(self, turn: WaitingTurn, service: _Service, now: float) -> int:
         """Return how many new programs go before another."""
-        waiting = service.queue.new_tenants()
-        return service.admission.programs_before(turn.asked, waiting, now)
+        waiting = service.queue.waiting_programs()
+        return service.admission.programs_before(turn.asked, turn.asked_at, waiting, now)
 
     def _refuse(self, turn: WaitingTurn, name: str, service: _Service, now: float) -> TurnNotPlaced:
         before = self._before(turn, service, now)
         wait_s = service.admission.expected_wait_s(before, self._start_rate(turn, service), now)
-        retry_after_s = service.admission.note_refused(turn.asked, wait_s, now)
+        retry_after_s = service.admission.note_refused(turn.asked, turn.asked_at, wait_s, now)
         return TurnNotPlaced(
             attempt_id=turn.attempt_id,
             retry_after_s=retry_after_s,
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -5,7 +5,7 @@
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.placement import TurnDemand, TurnOutcome
-from passlane.scheduling.program_admission import LONGEST_HOLD_S
+from passlane.scheduling.program_admission import LONGEST_HOLD_AFTER_RETURN_S, LONGEST_HOLD_S
 from passlane.scheduling.turn_events import (
     TurnAsked,
     TurnEnded,
@@ -284,6 +284,32 @@
         self.wait("back", program="told", now=told)
         self.assertEqual(self.placed_after("full0", told), ["back"])
 
+    def test_a_program_that_came_back_and_waits_counts_once(self):
+        self.fill()
+        waiting = self.crowd()
+        told = self.refuse("told", program="told").retry_after_s
+        self.wait("back", program="told", now=told)
+        later = self.refuse("later", now=told)
+        self.assertEqual(later.waiting, waiting + 2)
+
+    def test_who_is_told_again_is_not_put_behind_those_that_asked_later(self):
+        self.fill()
+        waiting = self.crowd()
+        told = self.refuse("told", program="told", now=0.05).retry_after_s
+        others = [self.refuse(f"later{number}", now=0.1) for number in range(5)]
+        self.assertEqual(others[-1].waiting, waiting + 6)
+        self.wait("back", program="told", now=0.05 + told)
+        decisions = self.scheduler.advance(0.06 + told + LONGEST_HOLD_AFTER_RETURN_S)
+        again = next(d for d in decisions if d.attempt_id == "back")
+        self.assertLessEqual(again.waiting, waiting + 1)
+
+    def test_who_waited_here_before_it_was_refused_asked_when_it_came(self):
+        self.fill()
+        self.wait("held", program="held")
+        self.scheduler.advance(LONGEST_HOLD_S + 0.01)
+        admission = self.scheduler._services["llm"].admission
+        self.assertEqual(admission.first_asked_at("held", 9.0), 0.0)
+
     def test_a_tenant_is_not_refused_for_the_programs_of_another(self):
         self.list_engines(engine("e1", 6), engine("e2", 6))
         self.fill(12)
