A turn that is preferred for its history gets no place beyond an engine's memory

Cause: when the first turn in order can go to an engine, one whose history is there may go in its place. If that one had no room there, it got the place that was found for the first.

Ruled out: the check of memory itself; turns larger than an engine, which have one alone.

Change: without room for it the first turn in order goes.

Conclusion: memory is a bound for each way to a place.

--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -273,7 +273,11 @@
             return None
         turn = service.queue.first_for(choice.engine.instance_id, now) or first
         if turn is not first:
-            choice = self._choose(turn, service, now) or choice
+            choice_for_turn = self._choose(turn, service, now)
+            if choice_for_turn is None:
+                turn = first
+            else:
+                choice = choice_for_turn
         service.queue.remove(turn.attempt_id)
         return self._place(turn, choice, service, now)
 
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -207,6 +207,16 @@
         self.wait("b", prompt_tokens=6_000, memory_tokens=10_000)
         self.assertEqual(self.placed_after("a", 0.1), ["b"])
 
+    def test_memory_holds_for_a_turn_that_is_preferred_for_its_history(self):
+        self.list_engines(engine("e1", 6))
+        memory = {"memory_tokens": 10_000, "is_first": False}
+        self.place("full", prompt_tokens=9_000, **memory)
+        self.place("half", prompt_tokens=500, **memory)
+        self.wait("first", "p", prompt_tokens=3_000, **memory)
+        self.wait("large", "q", prompt_tokens=9_500, used_last="e1", **memory)
+        decisions = self.scheduler.end(ended("full", "e1"), 0.05)
+        self.assertEqual([decision.attempt_id for decision in decisions], ["first"])
+
     def test_a_turn_larger_than_an_engine_has_one_of_its_own(self):
         self.assertIn(self.place("a", prompt_tokens=20_000, memory_tokens=10_000), ("e1", "e2"))
 
