--- /dev/null
+++ b/tests/scheduling/test_turn_figures.py
@@ -0,0 +1,68 @@
+"""What the scheduler of turns learns stays true, however long it learns."""
+
+import heapq
+import math
+import random
+import unittest
+
+from passlane.scheduling.turn_scheduler import TurnScheduler
+from scheduling.test_turn_scheduler import asked, ended, engine
+
+MEAN_S = 0.15
+
+
+class LearntPaceTest(unittest.TestCase):
+    """Turns of uneven length at engines of which all are alike."""
+
+    def run_turns(self, count: int) -> TurnScheduler:
+        """Play turns whose lengths are lognormal, at two thirds of what engines hold."""
+        draw = random.Random(1)
+        scheduler = TurnScheduler()
+        scheduler.replace_backends([engine(f"e{number}", 6) for number in range(6)], 0.0)
+        running: list[tuple[float, str, str, float]] = []
+        for number in range(count):
+            now = number * MEAN_S / 24
+            while running and running[0][0] <= now:
+                at, attempt, instance, took_s = heapq.heappop(running)
+                scheduler.end(ended(attempt, instance, took_s), at)
+            scheduler.advance(now)
+            for decision in scheduler.ask(asked(f"t{number}"), now):
+                took_s = MEAN_S * math.exp(draw.gauss(-0.125, 0.5))
+                turn = (now + took_s, decision.attempt_id, decision.engine, took_s)
+                heapq.heappush(running, turn)
+        return scheduler
+
+    def test_the_mean_of_turns_and_the_pace_of_engines_do_not_drift(self):
+        scheduler = self.run_turns(4_000)
+        durations = scheduler._services["llm"].durations
+        self.assertAlmostEqual(durations.mean_s, MEAN_S, delta=0.3 * MEAN_S)
+        for known in scheduler._engines:
+            self.assertGreater(known.slowdown, 0.6)
+            self.assertLess(known.slowdown, 1.4)
+
+
+class LongTurnsTest(unittest.TestCase):
+    """Turns that all take longer than a place is kept at first."""
+
+    def test_the_end_of_a_turn_teaches_although_its_place_was_given_back(self):
+        scheduler = TurnScheduler()
+        scheduler.replace_backends([engine("e1"), engine("e2")], 0.0)
+        for step in range(20):
+            (placed,) = scheduler.ask(asked(f"t{step}"), 4.0 * step)
+            scheduler.advance(4.0 * step + 2.9)
+            scheduler.end(ended(f"t{step}", placed.engine, 3.0), 4.0 * step + 3.0)
+        scheduler.ask(asked("last"), 100.0)
+        scheduler.advance(102.9)
+        self.assertEqual(scheduler.figures("llm").running, 1)
+
+    def test_an_end_that_comes_late_frees_nothing_and_counts_once(self):
+        scheduler = TurnScheduler()
+        scheduler.replace_backends([engine("e1", 1)], 0.0)
+        scheduler.ask(asked("lost"), 0.0)
+        scheduler.advance(2.0)
+        scheduler.ask(asked("next"), 2.0)
+        scheduler.ask(asked("waits", "under-way", is_first=False), 2.0)
+        for _ in range(2):
+            self.assertEqual(scheduler.end(ended("lost", "e1", 2.1), 2.1), [])
+        self.assertEqual(scheduler.figures("llm").running, 1)
+        self.assertEqual(scheduler._services["llm"].durations._samples, 1)
