Keep a stream's output only where its turn is kept

Cause: all data of each stream was gathered for the turn's settlement, also on routes that keep no turns, where nobody reads it; it grew with the stream.

Change: the data is gathered only on routes that keep turns.

--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -60,14 +60,22 @@
     events
         Events written to the caller.
     output
-        The data of each event, with a line feed behind each.
+        The data of each event, with a line feed behind each; empty unless it is kept.
     is_whole
         Whether the stream came to its end.
+
+    Parameters
+    ----------
+    keeps_output
+        Whether the output is needed at the end.
     """
 
-    def __init__(self, writer: AnswerWriter, before_end: BeforeEnd) -> None:
+    def __init__(
+        self, writer: AnswerWriter, before_end: BeforeEnd, *, keeps_output: bool = True
+    ) -> None:
         self._writer = writer
         self._before_end = before_end
+        self._keeps_output = keeps_output
         self.status: int | None = None
         self.events = 0
         self.output = bytearray()
@@ -103,7 +111,8 @@
             return
         self.events += len(events)
         for event in events:
-            self.output += event.data + b"\n"
+            if self._keeps_output:
+                self.output += event.data + b"\n"
             if event.event_id is not None:
                 self.last_event_id = event.event_id
         await self._writer.write(b"".join(event.raw for event in events))
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -138,7 +138,9 @@
             await WholeDelivery(self._writer).deliver(answer, watch)
             return
         if self._stream is None:
-            self._stream = StreamDelivery(self._writer, self._before_end)
+            self._stream = StreamDelivery(
+                self._writer, self._before_end, keeps_output=self._route.keeps_turns
+            )
         try:
             await self._stream.deliver(answer, watch)
         finally:
