--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -162,7 +162,9 @@
             await self._deliver_whole(answer, watch)
             return
         if self._stream is None:
-            self._stream = StreamDelivery(self._writer, self._before_end)
+            self._stream = StreamDelivery(
+                self._writer, self._before_end, keeps_output=self._route.keeps_turns
+            )
         try:
             await self._stream.deliver(answer, watch)
         finally:
