Less urgent turns that return to their engine pass an urgent one for 0.1 s at most

Cause: a turn of a program under way that asks was placed wherever there was room for it, whoever waits. An engine has five places more for turns that return to it, so while its programs kept returning it never fell below its slots, and a more urgent turn without history there got nothing.

Change: a turn that asks waits like others while a more urgent one has waited longer than 0.1 s, the time for which a turn is passed over for another's history already.

The new test fails before: four less urgent turns return before the urgent one has its place.

--- a/src/passlane/scheduling/turn_queue.py
+++ b/src/passlane/scheduling/turn_queue.py
@@ -32,7 +32,7 @@
 tokens anew takes an engine 50 ms, and holds up all that it runs."""
 LONGEST_PASSED_OVER_S = 0.1
 """A turn that has waited longer is not passed over for that: it would cost its program more than
-the reading costs the engine."""
+the reading costs the engine. Nor do less urgent ones pass it that return to their engine."""
 MOST_NEW_PROGRAMS = 2_000
 _FIRST_TURNS = QueueConfig(max_calls=MOST_NEW_PROGRAMS, class_step_s=0.0, urgent_s=0.0)
 
@@ -109,6 +109,7 @@
         self._new = CallQueue(_FIRST_TURNS)
         self._looping: dict[str, WaitingTurn] = {}
         self._turns: dict[str, WaitingTurn] = {}
+        self._arrivals: dict[tuple[int, bool], dict[str, float]] = {}
 
     def __len__(self) -> int:
         return len(self._turns)
@@ -128,7 +129,10 @@
         self._turns[turn.attempt_id] = turn
         if turn.is_looping:
             self._looping[turn.attempt_id] = turn
-        elif turn.is_new_program:
+            return
+        arrivals = self._arrivals.setdefault(_rank_of(turn), {})
+        arrivals[turn.attempt_id] = turn.arrived_at
+        if turn.is_new_program:
             call = _call_of(turn.asked, turn.hold_until)
             self._new.add(call, 0, turn.asked_at, is_first=True)
         else:
@@ -141,7 +145,9 @@
             return None
         if turn.is_looping:
             del self._looping[attempt_id]
-        elif turn.is_new_program:
+            return turn
+        del self._arrivals[_rank_of(turn)][attempt_id]
+        if turn.is_new_program:
             self._new.remove(CallId(attempt_id))
         else:
             self._under_way[turn.urgency].remove(turn)
@@ -162,6 +168,15 @@
         """Whether a turn waits that goes before a new program of a rank."""
         return any(len(turns) > 0 and rank <= urgency for rank, turns in self._under_way.items())
 
+    def longest_more_urgent_wait_s(self, urgency: int, now: float) -> float:
+        """Return for how long one more urgent than a rank has waited, at most; 0 without one."""
+        more_urgent = (key for key in self._arrivals if key[0] < urgency)
+        return max((self._longest_wait_s(key, now) for key in more_urgent), default=0.0)
+
+    def _longest_wait_s(self, key: tuple[int, bool], now: float) -> float:
+        """Return the wait of the one that came first."""
+        return now - next(iter(self._arrivals.get(key, {}).values()), now)
+
     def in_order(self, now: float) -> Iterator[WaitingTurn]:
         """Yield waiting turns, the first to be served first; not to be changed meanwhile."""
         new = self._new.in_order(now, MOST_NEW_PROGRAMS)
@@ -197,6 +212,8 @@
     def take_held_too_long(self, now: float) -> list[WaitingTurn]:
         """Take out and return the turns that are to be refused by now."""
         expired = [self._turns.pop(queued.call.call_id) for queued in self._new.take_expired(now)]
+        for turn in expired:
+            del self._arrivals[_rank_of(turn)][turn.attempt_id]
         looping = [turn for turn in self._looping.values() if turn.hold_until <= now]
         for turn in looping:
             self.remove(turn.attempt_id)
@@ -207,6 +224,11 @@
         return self._turns[queued.call.call_id] if queued is not None else None
 
 
+def _rank_of(turn: WaitingTurn) -> tuple[int, bool]:
+    """Return the rank among which a turn waits, and whether it begins a program."""
+    return turn.urgency, turn.is_new_program
+
+
 def _call_of(asked: TurnAsked, hold_until: float) -> CallArrived:
     demand = asked.demand
     return CallArrived(
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -30,7 +30,7 @@
     TurnPlaced,
     TurnWithdrawn,
 )
-from passlane.scheduling.turn_queue import TurnQueue, WaitingTurn
+from passlane.scheduling.turn_queue import LONGEST_PASSED_OVER_S, TurnQueue, WaitingTurn
 
 LEARNING_S = 0.6
 """A new leader knows of no turn under way. Nearly all of them end within this time; until then
@@ -205,6 +205,8 @@
             return None
         if turn.is_new_program and (queue.new_programs or queue.is_before_new(turn.urgency)):
             return None
+        if queue.longest_more_urgent_wait_s(turn.urgency, now) > LONGEST_PASSED_OVER_S:
+            return None
         return self._choose(turn, service, now)
 
     def _hold_or_refuse(
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -119,6 +119,20 @@
         self.wait("b2", "in-time", now=0.3 + LONGEST_LATE_WAIT_S, is_first=False)
         self.assertEqual(self.placed_after("full0", 0.31 + LONGEST_LATE_WAIT_S), ["a2"])
 
+    def test_an_urgent_turn_does_not_wait_for_less_urgent_ones_that_return(self):
+        self.list_engines(engine("e1", 1))
+        self.place("first", "cycles0")
+        for number in range(1, 4):
+            self.place(f"first{number}", f"cycles{number}", is_first=False, used_last="e1")
+        self.wait("urgent", "under-way", now=0.1, urgency=URGENT, is_first=False)
+        begun = []
+        for number, attempt in enumerate(["first", "first1", "first2", "first3"]):
+            now = 0.3 + 0.05 * number
+            begun += self.placed_after(attempt, now)
+            returns = asked(f"back{number}", f"cycles{number}", is_first=False, used_last="e1")
+            begun += [d.attempt_id for d in self.scheduler.ask(returns, now)]
+        self.assertEqual(begun[0], "urgent")
+
     def test_tenants_share_what_new_programs_get(self):
         self.list_engines(engine("e1", 6), engine("e2", 6))
         self.fill(12)
