A large turn gets memory behind small ones that keep coming

Cause: a turn of a program under way that asked was placed where there was memory for it, whoever waited. Small turns that kept coming kept an engine's memory taken, so that a large one, whose program was under way, waited for good.

Ruled out: the order of those that wait: it blocks behind its first, so memory gathers for that.

Change: while a turn of the same rank has waited for 0.3 s (the longest time that a turn waits for others of its rank) and places are free, which it can't use for want of memory, those that ask wait behind it in order.

Conclusion: a large turn waits for its latest start and 0.3 s at most until memory gathers.

--- a/src/passlane/scheduling/turn_queue.py
+++ b/src/passlane/scheduling/turn_queue.py
@@ -173,6 +173,10 @@
         more_urgent = (key for key in self._arrivals if key[0] < urgency)
         return max((self._longest_wait_s(key, now) for key in more_urgent), default=0.0)
 
+    def longest_wait_under_way_s(self, urgency: int, now: float) -> float:
+        """Return for how long one of a rank and of a program under way has waited, at most."""
+        return self._longest_wait_s((urgency, False), now)
+
     def _longest_wait_s(self, key: tuple[int, bool], now: float) -> float:
         """Return the wait of the one that came first."""
         return now - next(iter(self._arrivals.get(key, {}).values()), now)
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -30,7 +30,12 @@
     TurnPlaced,
     TurnWithdrawn,
 )
-from passlane.scheduling.turn_queue import LONGEST_PASSED_OVER_S, TurnQueue, WaitingTurn
+from passlane.scheduling.turn_queue import (
+    LONGEST_LATE_WAIT_S,
+    LONGEST_PASSED_OVER_S,
+    TurnQueue,
+    WaitingTurn,
+)
 
 LEARNING_S = 0.6
 """A new leader knows of no turn under way. Nearly all of them end within this time; until then
@@ -207,8 +212,22 @@
             return None
         if queue.longest_more_urgent_wait_s(turn.urgency, now) > LONGEST_PASSED_OVER_S:
             return None
+        if self._is_memory_awaited(turn, service, now):
+            return None
         return self._choose(turn, service, now)
 
+    def _is_memory_awaited(self, turn: WaitingTurn, service: _Service, now: float) -> bool:
+        """Whether a large turn of the same rank has waited too long for memory.
+
+        Places are free then that it can't use; smaller turns that took them would keep the
+        memory from it.
+        """
+        waited_s = service.queue.longest_wait_under_way_s(turn.urgency, now)
+        if waited_s < LONGEST_LATE_WAIT_S:
+            return False
+        engines = self._engines.usable(turn.asked.demand.service, now)
+        return any(len(engine.turns) < engine.slots for engine in engines)
+
     def _hold_or_refuse(
         self, turn: WaitingTurn, service: _Service, now: float
     ) -> list[TurnDecision]:
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -221,6 +221,32 @@
         self.wait("b", prompt_tokens=6_000, memory_tokens=10_000)
         self.assertEqual(self.placed_after("a", 0.1), ["b"])
 
+    def test_a_large_turn_gets_room_behind_small_ones_that_keep_coming(self):
+        self.list_engines(engine("e1", 6))
+        self.place("full", prompt_tokens=6_000, memory_tokens=10_000)
+        large = {"is_first": False, "prompt_tokens": 8_000, "memory_tokens": 10_000}
+        self.wait("large", "under-way", **large)
+        running = ["full"]
+        placed: list[str] = []
+        for number in range(30):
+            now = 0.05 * number
+            small = asked(
+                f"s{number}",
+                f"q{number}",
+                is_first=False,
+                prompt_tokens=2_000,
+                memory_tokens=10_000,
+            )
+            placed += [d.attempt_id for d in self.scheduler.ask(small, now)]
+            running += [attempt for attempt in placed if attempt not in running]
+            if len(running) > 1 or number > 10:
+                decisions = self.scheduler.end(ended(running.pop(0), "e1"), now)
+                placed += [d.attempt_id for d in decisions]
+                running += [d.attempt_id for d in decisions]
+            if "large" in placed:
+                break
+        self.assertIn("large", placed)
+
     def test_memory_holds_for_a_turn_that_is_preferred_for_its_history(self):
         self.list_engines(engine("e1", 6))
         memory = {"memory_tokens": 10_000, "is_first": False}
