A question that is asked again keeps its place when the first one ends

Cause: a node whose connection broke asks again for the same attempt, and the first question is given up at the leader after the second has come. Its end took the turn from the queue, so that the second was told that nobody waits; or it gave the place back that the second was told, so that the engine got one turn too many.

Ruled out: two places for one attempt (each attempt has one).

Change: only the newest question of an attempt ends its wait or gives its place back.

Callers that leave at 30 moments of a reservation, new and under way, keep none.

Conclusion: repeated questions are safe in either order of events.

--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -62,6 +62,8 @@
         self._quotas = quotas
         self._dispatcher = dispatcher
         self._term = -1
+        # The newest question of each attempt: an older one whose caller has gone ends nothing.
+        self._questions: dict[str, object] = {}
         self._telling = anyio.Lock()
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
@@ -139,11 +141,17 @@
         # A place is not kept for a turn that its tenant's limit lets wait.
         await anyio.sleep(quota.start_after_s)
         asked = self._asked(request, request.demand)
+        question = object()
+        self._questions[request.attempt_id] = question
         try:
             return await self._reserve_with_place(request, asked, quota)
         except BaseException:
-            self._dispatcher.end(TurnEnded(attempt_id=request.attempt_id))
+            if self._questions.get(request.attempt_id) is question:
+                self._dispatcher.end(TurnEnded(attempt_id=request.attempt_id))
             raise
+        finally:
+            if self._questions.get(request.attempt_id) is question:
+                del self._questions[request.attempt_id]
 
     async def _reserve_with_place(
         self, request: ReserveTurn, asked: TurnAsked, quota: QuotaGranted
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -181,6 +181,52 @@
         await self.settle("a")
         self.assertEqual((await self.reserve("b", "q")).engine, "e1")
 
+    async def ask_and_leave(self, attempt: str, program: str, after_s: float, **given) -> None:
+        with anyio.move_on_after(after_s):
+            await self.reserve(attempt, program, **given)
+
+    @with_leader
+    async def test_a_repeated_question_keeps_its_turn_when_the_first_one_ends(self):
+        await self.reserve("a")
+        answers = []
+
+        async def ask_again():
+            await anyio.sleep(0.1)
+            answers.append(await self.reserve("b", "under-way"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.ask_and_leave, "b", "under-way", 0.2)
+            tasks.start_soon(ask_again)
+            await anyio.sleep(0.3)
+            await self.settle("a")
+        self.assertEqual(answers[0].engine, "e1")
+        self.assertGreater(answers[0].place_wait_s, 0.29)
+
+    @with_leader
+    async def test_a_repeated_question_keeps_its_place_when_the_first_one_ends(self):
+        answers = []
+
+        async def ask_again():
+            await anyio.sleep(0.001)
+            answers.append(await self.reserve("b", "under-way"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.ask_and_leave, "b", "under-way", PROPOSE_S / 2)
+            tasks.start_soon(ask_again)
+        self.assertEqual(answers[0].engine, "e1")
+        self.assertEqual(self.dispatcher.scheduler.figures("llm").running, 1)
+
+    @with_leader
+    async def test_who_leaves_at_any_moment_keeps_no_place(self):
+        for number in range(30):
+            await self.ask_and_leave(f"n{number}", f"new{number}", 0.0005 * number)
+            await self.ask_and_leave(f"u{number}", "under-way", 0.0005 * number)
+            if 0.0005 * number < PROPOSE_S:
+                self.assertEqual(self.dispatcher.scheduler.figures("llm").running, 0)
+            await self.settle(f"n{number}", f"new{number}")
+            await self.settle(f"u{number}", "under-way")
+        self.assertEqual(self.dispatcher.scheduler.figures("llm").running, 0)
+
     @with_leader
     async def test_programs_that_find_no_room_use_up_no_limit(self):
         await self.reserve("a", "under-way")
