After the wait for a limit a leader makes sure that it leads, and in which term

Cause: a turn that its tenant's limit lets wait sleeps at the leader for up to 0.8 s. A replica that lost the lead meanwhile and leads again then placed it by what it knew of the former term; one that does not lead put it into the queue of nobody until the next tick.

Ruled out: turns that wait for a place (they are withdrawn when the lead is lost).

Change: leadership is required again after the wait, as before it.

Conclusion: no wait in a reservation is passed without that check.

--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -140,6 +140,7 @@
             return await self._reserve_tokens(request, quota)
         # A place is not kept for a turn that its tenant's limit lets wait.
         await anyio.sleep(quota.start_after_s)
+        self._require_leadership()
         asked = self._asked(request, request.demand)
         question = object()
         self._questions[request.attempt_id] = question
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -227,6 +227,26 @@
             await self.settle(f"u{number}", "under-way")
         self.assertEqual(self.dispatcher.scheduler.figures("llm").running, 0)
 
+    @with_leader
+    async def test_a_leader_of_another_term_knows_so_after_the_wait_for_a_limit(self):
+        limit = QuotaLimit(tenant="t", rate_per_s=2.0, burst=0.0, version=1)
+        quota = QuotaDraw(limit=limit, use=QuotaUse.BEGIN_PROGRAM, route="r")
+        for number in range(10):
+            await self.reserve(f"a{number}", "under-way", quota=quota)
+            await self.settle(f"a{number}", "under-way")
+        await anyio.sleep(4.6)
+        answers = []
+
+        async def wait():
+            answers.append(await self.reserve("b", "under-way", quota=quota))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            await anyio.sleep(0.02)
+            self.group.term = 3
+        self.assertGreater(answers[0].limit_wait_s, 0.1)
+        self.assertEqual(answers[0].engine, "")
+
     @with_leader
     async def test_programs_that_find_no_room_use_up_no_limit(self):
         await self.reserve("a", "under-way")
