A program of which only a settlement is kept is new still

Cause: when a caller leaves while its program's first turn waits for a place, its node settles, since it can't know whether anything was reserved. The settlement made the program known, so that on its return it went before all new ones, was not refused, and drew from its limit as a program under way, until the next step of the state's age (5 s).

Ruled out: refused programs (nothing is settled for them unless an answer was lost).

Change: a program is known if a turn of it was reserved; the replicated state is the same.

Conclusion: to leave and to come back brings nobody ahead.

--- a/src/passlane/turns/machine.py
+++ b/src/passlane/turns/machine.py
@@ -97,8 +97,12 @@
         return self._advance_age(command)
 
     def knows_program(self, program_id: str) -> bool:
-        """Whether a turn of the program was reserved of late."""
-        return program_id in self._programs
+        """Whether a turn of the program was reserved of late.
+
+        A program may have a settlement alone: its caller left before anything was reserved.
+        """
+        program = self._programs.get(program_id)
+        return program is not None and program.keep_until_s > 0.0
 
     def used_last(self, program_id: str) -> str:
         """Return the engine instance that a program used last; empty if unknown."""
