What a program needs leaves out the time for which it was sent away

Cause: a program's time is taken from its first question. One that was told to come back was away for up to 3 s, and that counted as time that programs of its route need. So in a crowd routes seemed to need more, and turns under way counted as late that were not.

Ruled out: waits at the leader (programs that wait much tell nothing already).

Change: until its first place all of a program's time is a wait.

--- a/src/passlane/scheduling/program_progress.py
+++ b/src/passlane/scheduling/program_progress.py
@@ -40,7 +40,8 @@
     turns
         Turns that have had a place.
     waited_s
-        Time that its turns have waited for places.
+        Time that its turns have waited for places; that until its first one, also if it was
+        away because it was told to come back.
     used_last
         The engine that answered it last; empty if none has.
     """
@@ -110,6 +111,14 @@
         """Return a program's progress, ``None`` if it had no turn lately."""
         return self._programs.get(program_id)
 
+    def note_placed(self, program_id: str, asked_at: float, now: float) -> None:
+        """Note that a turn has a place; until its first one a program has waited all the time."""
+        program = self._programs.get(program_id)
+        if program is None:
+            return
+        program.waited_s += now - (asked_at if program.turns else program.first_asked_at)
+        program.turns += 1
+
     def note_end(self, program_id: str, served_by: str, now: float) -> None:
         """Note that a turn of a program has ended."""
         program = self._programs.get(program_id)
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -323,10 +323,7 @@
         )
         self._engines.take(engine, placed)
         engine.note_part(asked.demand)
-        program = self._programs.get(asked.program_id)
-        if program is not None:
-            program.turns += 1
-            program.waited_s += now - turn.arrived_at
+        self._programs.note_placed(asked.program_id, turn.arrived_at, now)
         if turn.is_new_program:
             service.admission.note_begun(asked.program_id, now)
         service.queue.charge(asked, choice.run_s)
--- a/tests/scheduling/test_turn_figures.py
+++ b/tests/scheduling/test_turn_figures.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 
+from passlane.scheduling.turn_events import TurnEnded
 from passlane.scheduling.turn_scheduler import TurnScheduler
 from scheduling.test_turn_scheduler import asked, ended, engine
 
@@ -41,6 +42,24 @@
             self.assertLess(known.slowdown, 1.4)
 
 
+class RouteNeedsTest(unittest.TestCase):
+    def test_the_time_that_a_refused_program_was_away_is_none_that_it_needs(self):
+        scheduler = TurnScheduler()
+        scheduler.replace_backends([engine("e1", 1)], 0.0)
+        for number in range(5):
+            begins = 20.0 * number
+            scheduler.ask(asked(f"full{number}", f"busy{number}"), begins)
+            scheduler.ask(asked(f"a{number}", f"p{number}"), begins)
+            scheduler.end(ended(f"full{number}", "e1"), begins + 0.4)
+            scheduler.end(TurnEnded(attempt_id=f"a{number}"), begins + 0.4)
+            scheduler.ask(asked(f"b{number}", f"p{number}"), begins + 3.0)
+            scheduler.end(ended(f"b{number}", "e1"), begins + 3.1)
+            scheduler.advance(begins + 10.0)
+        scheduler.ask(asked("last", "q"), 120.0)
+        needs = scheduler._programs._needs_of("r")
+        self.assertLess(needs.need_share, 0.2)
+
+
 class LongTurnsTest(unittest.TestCase):
     """Turns that all take longer than a place is kept at first."""
 
