--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -62,6 +62,8 @@
         self._quotas = quotas
         self._dispatcher = dispatcher
         self._term = -1
+        # The newest question of each attempt: an older one whose caller has gone ends nothing.
+        self._questions: dict[str, object] = {}
         self._telling = anyio.Lock()
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
@@ -127,10 +129,15 @@
         quota: QuotaAnswer = QuotaGranted() if draw is None else await self._draw(draw)
         if isinstance(quota, QuotaRefused):
             return quota
-        answer = await self._reserve_granted(request, quota)
-        if draw is not None and not isinstance(answer, TurnReserved):
-            self._quotas.give_back(draw)
-        return answer
+        term = self._term
+        answer: Message | None = None
+        try:
+            answer = await self._reserve_granted(request, quota)
+            return answer
+        finally:
+            # Without this answer the node sends nothing; what another term counts it was told.
+            if draw is not None and not isinstance(answer, TurnReserved) and term == self._term:
+                self._quotas.give_back(draw)
 
     async def _reserve_granted(self, request: ReserveTurn, quota: QuotaGranted) -> Message:
         """Reserve a turn that its tenant's limit lets go on."""
@@ -138,12 +145,19 @@
             return await self._reserve_tokens(request, quota)
         # A place is not kept for a turn that its tenant's limit lets wait.
         await anyio.sleep(quota.start_after_s)
+        self._require_leadership()
         asked = self._asked(request, request.demand)
+        question = object()
+        self._questions[request.attempt_id] = question
         try:
             return await self._reserve_with_place(request, asked, quota)
         except BaseException:
-            self._dispatcher.end(TurnEnded(attempt_id=request.attempt_id))
+            if self._questions.get(request.attempt_id) is question:
+                self._dispatcher.end(TurnEnded(attempt_id=request.attempt_id))
             raise
+        finally:
+            if self._questions.get(request.attempt_id) is question:
+                del self._questions[request.attempt_id]
 
     async def _reserve_with_place(
         self, request: ReserveTurn, asked: TurnAsked, quota: QuotaGranted
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -119,6 +119,20 @@
         self.wait("b2", "in-time", now=0.3 + LONGEST_LATE_WAIT_S, is_first=False)
         self.assertEqual(self.placed_after("full0", 0.31 + LONGEST_LATE_WAIT_S), ["a2"])
 
+    def test_an_urgent_turn_does_not_wait_for_less_urgent_ones_that_return(self):
+        self.list_engines(engine("e1", 1))
+        self.place("first", "cycles0")
+        for number in range(1, 4):
+            self.place(f"first{number}", f"cycles{number}", is_first=False, used_last="e1")
+        self.wait("urgent", "under-way", now=0.1, urgency=URGENT, is_first=False)
+        begun = []
+        for number, attempt in enumerate(["first", "first1", "first2", "first3"]):
+            now = 0.3 + 0.05 * number
+            begun += self.placed_after(attempt, now)
+            returns = asked(f"back{number}", f"cycles{number}", is_first=False, used_last="e1")
+            begun += [d.attempt_id for d in self.scheduler.ask(returns, now)]
+        self.assertEqual(begun[0], "urgent")
+
     def test_tenants_share_what_new_programs_get(self):
         self.list_engines(engine("e1", 6), engine("e2", 6))
         self.fill(12)
@@ -207,6 +221,32 @@
         self.wait("b", prompt_tokens=6_000, memory_tokens=10_000)
         self.assertEqual(self.placed_after("a", 0.1), ["b"])
 
+    def test_a_large_turn_gets_room_behind_small_ones_that_keep_coming(self):
+        self.list_engines(engine("e1", 6))
+        self.place("full", prompt_tokens=6_000, memory_tokens=10_000)
+        large = {"is_first": False, "prompt_tokens": 8_000, "memory_tokens": 10_000}
+        self.wait("large", "under-way", **large)
+        running = ["full"]
+        placed: list[str] = []
+        for number in range(30):
+            now = 0.05 * number
+            small = asked(
+                f"s{number}",
+                f"q{number}",
+                is_first=False,
+                prompt_tokens=2_000,
+                memory_tokens=10_000,
+            )
+            placed += [d.attempt_id for d in self.scheduler.ask(small, now)]
+            running += [attempt for attempt in placed if attempt not in running]
+            if len(running) > 1 or number > 10:
+                decisions = self.scheduler.end(ended(running.pop(0), "e1"), now)
+                placed += [d.attempt_id for d in decisions]
+                running += [d.attempt_id for d in decisions]
+            if "large" in placed:
+                break
+        self.assertIn("large", placed)
+
     def test_memory_holds_for_a_turn_that_is_preferred_for_its_history(self):
         self.list_engines(engine("e1", 6))
         memory = {"memory_tokens": 10_000, "is_first": False}
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -21,6 +21,7 @@
 from passlane.turns.service import TurnService
 
 PROPOSE_S = 0.01
+BEFORE = ReserveTurn(program_id="under-way", attempt_id="before", most_tokens=1, budget_tokens=100)
 QUOTA = QuotaDraw(
     limit=QuotaLimit(tenant="t", rate_per_s=2.0, burst=10.0, version=1),
     use=QuotaUse.BEGIN_PROGRAM,
@@ -65,7 +66,8 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.service.run)
                 # A program under way whose history is at an engine that is gone.
-                await self.settle("before", "under-way", served_by="e9")
+                await self.service.reserve(BEFORE)
+                await self.settle(BEFORE.attempt_id, BEFORE.program_id, served_by="e9")
                 await anyio.sleep(LEARNING_S)
                 await body(self)
                 tasks.cancel_scope.cancel()
@@ -181,6 +183,88 @@
         await self.settle("a")
         self.assertEqual((await self.reserve("b", "q")).engine, "e1")
 
+    async def ask_and_leave(self, attempt: str, program: str, after_s: float, **given) -> None:
+        with anyio.move_on_after(after_s):
+            await self.reserve(attempt, program, **given)
+
+    @with_leader
+    async def test_a_repeated_question_keeps_its_turn_when_the_first_one_ends(self):
+        await self.reserve("a")
+        answers = []
+
+        async def ask_again():
+            await anyio.sleep(0.1)
+            answers.append(await self.reserve("b", "under-way"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.ask_and_leave, "b", "under-way", 0.2)
+            tasks.start_soon(ask_again)
+            await anyio.sleep(0.3)
+            await self.settle("a")
+        self.assertEqual(answers[0].engine, "e1")
+        self.assertGreater(answers[0].place_wait_s, 0.29)
+
+    @with_leader
+    async def test_a_repeated_question_keeps_its_place_when_the_first_one_ends(self):
+        answers = []
+
+        async def ask_again():
+            await anyio.sleep(0.001)
+            answers.append(await self.reserve("b", "under-way"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.ask_and_leave, "b", "under-way", PROPOSE_S / 2)
+            tasks.start_soon(ask_again)
+        self.assertEqual(answers[0].engine, "e1")
+        self.assertEqual(self.dispatcher.scheduler.figures("llm").running, 1)
+
+    @with_leader
+    async def test_who_leaves_at_any_moment_keeps_no_place(self):
+        for number in range(30):
+            await self.ask_and_leave(f"n{number}", f"new{number}", 0.0005 * number)
+            await self.ask_and_leave(f"u{number}", "under-way", 0.0005 * number)
+            if 0.0005 * number < PROPOSE_S:
+                self.assertEqual(self.dispatcher.scheduler.figures("llm").running, 0)
+            await self.settle(f"n{number}", f"new{number}")
+            await self.settle(f"u{number}", "under-way")
+        self.assertEqual(self.dispatcher.scheduler.figures("llm").running, 0)
+
+    @with_leader
+    async def test_callers_that_leave_while_they_wait_use_up_no_limit(self):
+        await self.reserve("a")
+        for number in range(30):
+            await self.ask_and_leave(f"b{number}", "under-way", 0.05, quota=QUOTA)
+            await self.settle(f"b{number}", "under-way", served_by="")
+        await self.settle("a")
+        self.assertIsInstance(await self.reserve("c", "under-way", quota=QUOTA), TurnReserved)
+
+    @with_leader
+    async def test_a_leader_of_another_term_knows_so_after_the_wait_for_a_limit(self):
+        limit = QuotaLimit(tenant="t", rate_per_s=2.0, burst=0.0, version=1)
+        quota = QuotaDraw(limit=limit, use=QuotaUse.BEGIN_PROGRAM, route="r")
+        for number in range(10):
+            await self.reserve(f"a{number}", "under-way", quota=quota)
+            await self.settle(f"a{number}", "under-way")
+        await anyio.sleep(4.6)
+        answers = []
+
+        async def wait():
+            answers.append(await self.reserve("b", "under-way", quota=quota))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            await anyio.sleep(0.02)
+            self.group.term = 3
+        self.assertGreater(answers[0].limit_wait_s, 0.1)
+        self.assertEqual(answers[0].engine, "")
+
+    @with_leader
+    async def test_a_program_whose_first_turn_was_left_is_new_when_it_comes_back(self):
+        await self.reserve("a")
+        await self.ask_and_leave("b", "q", 0.05)
+        await self.settle("b", "q", served_by="")
+        self.assertIsInstance(await self.reserve("c", "q"), TurnRefused)
+
     @with_leader
     async def test_programs_that_find_no_room_use_up_no_limit(self):
         await self.reserve("a", "under-way")
