A settlement that is repeated reports each failure once

Cause: a settlement whose answer was lost is sent again; each time it counted its engines' failures anew, and an engine that had refused as full got nothing for another 50 ms.

Ruled out: its place and what it teaches (both are counted once).

Change: attempts whose failures were noted are remembered, 10,000 at most.

Conclusion: an end counts once in all that it tells.

--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterable
 
 import msgspec
@@ -45,6 +46,9 @@
 """A place is given back after this multiple of the expected time, at least, if nobody tells its
 turn's end: its node was lost, or the engine hangs."""
 LONGEST_LOOPING_HOLD_S = 1.2
+MOST_FAILED_ATTEMPTS = 10_000
+"""So many turns with failures are remembered, so that a settlement that is repeated reports none
+again; more than fail within the seconds for which one is repeated."""
 
 
 class SchedulerFigures(msgspec.Struct, frozen=True):
@@ -74,6 +78,7 @@
         self._programs = ProgramTable()
         self._services: dict[str, _Service] = {}
         self._learning_until = -math.inf
+        self._failed_attempts: OrderedDict[str, None] = OrderedDict()
 
     def begin(self, now: float) -> list[TurnDecision]:
         """Begin anew as a new leader: nothing is known of what is under way."""
@@ -132,7 +137,7 @@
                 return [TurnWithdrawn(ended.attempt_id)]
         given_back = self._engines.give_back(ended.attempt_id)
         if ended.outcome is not None:
-            self._note_failures(ended.outcome, now)
+            self._note_failures(ended.attempt_id, ended.outcome, now)
         placed = given_back or self._engines.take_expired(ended.attempt_id)
         if placed is None:
             return []
@@ -347,7 +352,14 @@
         durations = self._durations_of(engine.record.service)
         durations.learn(outcome, engine.speed.against_fleet(now))
 
-    def _note_failures(self, outcome: TurnOutcome, now: float) -> None:
+    def _note_failures(self, attempt_id: str, outcome: TurnOutcome, now: float) -> None:
+        """Note what failed for a turn, once: its settlement may come again."""
+        has_failed = bool(outcome.failed_at or outcome.full_at)
+        if not has_failed or attempt_id in self._failed_attempts:
+            return
+        self._failed_attempts[attempt_id] = None
+        while len(self._failed_attempts) > MOST_FAILED_ATTEMPTS:
+            self._failed_attempts.popitem(last=False)
         for instance_id in outcome.failed_at:
             engine = self._engines.get(instance_id)
             if engine is not None:
@@ -356,8 +368,7 @@
             engine = self._engines.get(instance_id)
             if engine is not None:
                 engine.full_until = now + FULL_PAUSE_S
-        if outcome.failed_at or outcome.full_at:
-            self._engines.look_again()
+        self._engines.look_again()
 
     def _durations_of(self, name: str) -> TurnDurations:
         return self._services.setdefault(name, _Service()).durations
--- a/tests/scheduling/test_turn_figures.py
+++ b/tests/scheduling/test_turn_figures.py
@@ -60,6 +60,18 @@
         self.assertLess(needs.need_share, 0.2)
 
 
+class RepeatedSettlementTest(unittest.TestCase):
+    def test_a_settlement_that_is_repeated_reports_each_failure_once(self):
+        scheduler = TurnScheduler()
+        scheduler.replace_backends([engine("e1", 1), engine("e2", 1)], 0.0)
+        settled = ended("x", failed_at=("e1",), full_at=("e2",))
+        scheduler.end(settled, 0.0)
+        paused_until = scheduler._engines.get("e2").full_until
+        scheduler.end(settled, 0.2)
+        self.assertLessEqual(scheduler._engines.get("e1").health._failed, 1.0)
+        self.assertEqual(scheduler._engines.get("e2").full_until, paused_until)
+
+
 class LongTurnsTest(unittest.TestCase):
     """Turns that all take longer than a place is kept at first."""
 
