New programs are counted as they come and go, not anew with each refusal

Promises that nobody kept were forgotten with the next refusal only, so after a crowd the metric and the log line of each second told of programs that were to come back, for good.

Ruled out: a bound on the promises, which would break some.

Change: programs are kept by rank, tenant and time of asking (`new_programs.py`), promises by the time at which they lapse, which is looked at with each tick as well. A program of which two turns ask is counted once.

--- a/src/passlane/scheduling/program_admission.py
+++ b/src/passlane/scheduling/program_admission.py
@@ -7,11 +7,12 @@
 other. Who asked first comes first, also after it was told to come back.
 """
 
+import heapq
 import math
-from collections import Counter, OrderedDict
-from collections.abc import Iterable, Iterator
+from collections import Counter
 from typing import NamedTuple
 
+from passlane.scheduling.new_programs import NewProgram, NewPrograms
 from passlane.scheduling.turn_events import TurnAsked
 
 LONGEST_HOLD_S = 0.5
@@ -36,19 +37,10 @@
 told so that they can turn elsewhere."""
 
 
-class NewProgram(NamedTuple):
-    """A program that has not begun; ``asked_at`` is when it asked first."""
-
-    program_id: str
-    urgency: int
-    tenant: str
-    asked_at: float
-
-
 class _Promise(NamedTuple):
     """A program that was told to come back."""
 
-    program: NewProgram
+    first_asked_at: float
     come_back_at: float
 
 
@@ -78,7 +70,10 @@
     """New programs of one service: who was told to come back, and when the next can begin."""
 
     def __init__(self) -> None:
-        self._promises: OrderedDict[str, _Promise] = OrderedDict()
+        self._promises: dict[str, _Promise] = {}
+        self._lapses: list[tuple[float, str]] = []
+        self._waiting: Counter[str] = Counter()
+        self._programs = NewPrograms()
         self._rate = StartRate()
 
     def __len__(self) -> int:
@@ -88,51 +83,31 @@
     def first_asked_at(self, program_id: str, now: float) -> float:
         """Return when a program asked first."""
         promise = self._promises.get(program_id)
-        return promise.program.asked_at if promise is not None else now
+        return promise.first_asked_at if promise is not None else now
 
     def came_as_told(self, program_id: str, now: float) -> bool:
         """Whether a program that asks now was told to come back by now."""
         promise = self._promises.get(program_id)
         return promise is not None and now >= promise.come_back_at - EARLY_TOLERANCE_S
 
-    def programs_before(
-        self, asked: TurnAsked, asked_at: float, waiting: Iterable[NewProgram], now: float
-    ) -> int:
-        """Return how many new programs go before another, by the order of ``turn_queue``.
-
-        All that are more urgent do. Of its own rank, those of its own tenant that asked no later
-        do, and of each other tenant as many as that and one more.
-
-        Parameters
-        ----------
-        asked_at
-            When the program asked first.
-        waiting
-            Those that wait for a place.
-        """
-        self._forget_lapsed(now)
-        own_rank, own_tenant = asked.demand.urgency, asked.demand.tenant
-        more_urgent = own = 0
-        by_tenant: Counter[str] = Counter()
-        for other in self._others(asked.program_id, waiting):
-            if other.urgency < own_rank:
-                more_urgent += 1
-            elif other.urgency == own_rank and other.tenant != own_tenant:
-                by_tenant[other.tenant] += 1
-            elif other.urgency == own_rank and other.asked_at <= asked_at:
-                own += 1
-        return more_urgent + own + sum(min(count, own + 1) for count in by_tenant.values())
-
-    def _others(self, program_id: str, waiting: Iterable[NewProgram]) -> Iterator[NewProgram]:
-        """Yield the programs that wait, then those that are to come back and wait not yet."""
-        seen = {program_id}
-        for other in waiting:
-            if other.program_id not in seen:
-                seen.add(other.program_id)
-                yield other
-        for other_id, promise in self._promises.items():
-            if other_id not in seen:
-                yield promise.program
+    def programs_before(self, asked: TurnAsked, asked_at: float, now: float) -> int:
+        """Return how many new programs go before another that asked first at ``asked_at``."""
+        self.forget_lapsed(now)
+        return self._programs.count_before(_program_of(asked, asked_at))
+
+    def note_waits(self, asked: TurnAsked, asked_at: float) -> None:
+        """Note that a turn of a new program waits for a place."""
+        self._waiting[asked.program_id] += 1
+        self._programs.put(_program_of(asked, asked_at))
+
+    def note_waits_no_longer(self, program_id: str) -> None:
+        """Note that a turn of a new program has left the queue, for whatever reason."""
+        self._waiting[program_id] -= 1
+        if self._waiting[program_id] > 0:
+            return
+        del self._waiting[program_id]
+        if program_id not in self._promises:
+            self._programs.drop(program_id)
 
     def expected_wait_s(self, before: int, all_places_per_s: float, now: float) -> float:
         """Return when a program with so many before it is expected to begin.
@@ -148,21 +123,29 @@
     def note_begun(self, program_id: str, now: float) -> None:
         """Note that a program begins."""
         self._promises.pop(program_id, None)
+        self._programs.drop(program_id)
         self._rate.note(now)
 
     def note_refused(self, asked: TurnAsked, asked_at: float, wait_s: float, now: float) -> float:
         """Note that a program is told to come back; return in how many seconds."""
         retry_after_s = min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
-        demand = asked.demand
-        program = NewProgram(asked.program_id, demand.urgency, demand.tenant, asked_at)
-        self._promises[asked.program_id] = _Promise(program, now + retry_after_s)
+        come_back_at = now + retry_after_s
+        self._promises[asked.program_id] = _Promise(asked_at, come_back_at)
+        heapq.heappush(self._lapses, (come_back_at + PROMISE_KEPT_S, asked.program_id))
+        self._programs.put(_program_of(asked, asked_at))
         return retry_after_s
 
-    def _forget_lapsed(self, now: float) -> None:
-        lapsed = [
-            program_id
-            for program_id, promise in self._promises.items()
-            if now > promise.come_back_at + PROMISE_KEPT_S
-        ]
-        for program_id in lapsed:
+    def forget_lapsed(self, now: float) -> None:
+        """Forget the programs that have not come back in time."""
+        while self._lapses and self._lapses[0][0] < now:
+            lapsed_at, program_id = heapq.heappop(self._lapses)
+            promise = self._promises.get(program_id)
+            if promise is None or promise.come_back_at + PROMISE_KEPT_S > lapsed_at:
+                continue
             del self._promises[program_id]
+            if program_id not in self._waiting:
+                self._programs.drop(program_id)
+
+
+def _program_of(asked: TurnAsked, asked_at: float) -> NewProgram:
+    return NewProgram(asked.program_id, asked.demand.urgency, asked.demand.tenant, asked_at)
--- a/src/passlane/scheduling/turn_queue.py
+++ b/src/passlane/scheduling/turn_queue.py
@@ -20,7 +20,6 @@
 from passlane.identifiers import CallId, ProgramId, TenantId
 from passlane.scheduling.config import QueueConfig
 from passlane.scheduling.events import CallArrived
-from passlane.scheduling.program_admission import NewProgram
 from passlane.scheduling.queue import CallQueue, QueuedCall
 from passlane.scheduling.turn_events import TurnAsked
 
@@ -157,13 +156,6 @@
         """Count what a turn gets towards its tenant's share."""
         self._new.charge(_call_of(asked, 0.0), service_s)
 
-    def waiting_programs(self) -> Iterator[NewProgram]:
-        """Yield the new programs that wait."""
-        for turn in self._turns.values():
-            if turn.is_new_program:
-                asked = turn.asked
-                yield NewProgram(asked.program_id, turn.urgency, asked.demand.tenant, turn.asked_at)
-
     def is_before_new(self, urgency: int) -> bool:
         """Whether a turn waits that goes before a new program of a rank."""
         return any(len(turns) > 0 and rank <= urgency for rank, turns in self._under_way.items())
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -133,7 +133,7 @@
     def end(self, ended: TurnEnded, now: float) -> list[TurnDecision]:
         """Note the end of a turn; those that waited for its place may follow."""
         for service in self._services.values():
-            if service.queue.remove(ended.attempt_id) is not None:
+            if self._leave_queue(service, ended.attempt_id):
                 return [TurnWithdrawn(ended.attempt_id)]
         given_back = self._engines.give_back(ended.attempt_id)
         if ended.outcome is not None:
@@ -153,7 +153,9 @@
             engine.health.note_failure(now, STALL_WEIGHT)
         refused: list[TurnDecision] = []
         for name, service in self._services.items():
+            service.admission.forget_lapsed(now)
             for turn in service.queue.take_held_too_long(now):
+                self._note_left(service, turn)
                 refused.append(self._refuse(turn, name, service, now))
         return refused + self._fill_all(now)
 
@@ -241,22 +243,32 @@
         One that came back as it was told waits in any case.
         """
         if service.admission.came_as_told(turn.asked.program_id, now):
-            service.queue.add(turn)
-            return []
-        before = self._before(turn, service, now)
+            return self._hold(turn, service)
+        before = service.admission.programs_before(turn.asked, turn.asked_at, now)
         wait_s = service.admission.expected_wait_s(before, self._start_rate(turn, service), now)
         if wait_s > turn.hold_until - now:
             return [self._refuse(turn, turn.asked.demand.service, service, now)]
+        return self._hold(turn, service)
+
+    def _hold(self, turn: WaitingTurn, service: _Service) -> list[TurnDecision]:
         service.queue.add(turn)
+        service.admission.note_waits(turn.asked, turn.asked_at)
         return []
 
-    def _before(self, turn: WaitingTurn, service: _Service, now: float) -> int:
-        """Return how many new programs go before another."""
-        waiting = service.queue.waiting_programs()
-        return service.admission.programs_before(turn.asked, turn.asked_at, waiting, now)
+    def _leave_queue(self, service: _Service, attempt_id: str) -> bool:
+        """Take a turn out of the queue; return whether it was there."""
+        turn = service.queue.remove(attempt_id)
+        if turn is not None:
+            self._note_left(service, turn)
+        return turn is not None
+
+    @staticmethod
+    def _note_left(service: _Service, turn: WaitingTurn) -> None:
+        if turn.is_new_program:
+            service.admission.note_waits_no_longer(turn.asked.program_id)
 
     def _refuse(self, turn: WaitingTurn, name: str, service: _Service, now: float) -> TurnNotPlaced:
-        before = self._before(turn, service, now)
+        before = service.admission.programs_before(turn.asked, turn.asked_at, now)
         wait_s = service.admission.expected_wait_s(before, self._start_rate(turn, service), now)
         retry_after_s = service.admission.note_refused(turn.asked, turn.asked_at, wait_s, now)
         return TurnNotPlaced(
@@ -304,7 +316,7 @@
                 turn = first
             else:
                 choice = choice_for_turn
-        service.queue.remove(turn.attempt_id)
+        self._leave_queue(service, turn.attempt_id)
         return self._place(turn, choice, service, now)
 
     def _choose(self, turn: WaitingTurn, service: _Service, now: float) -> EngineChoice | None:
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -5,7 +5,12 @@
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.placement import TurnDemand, TurnOutcome
-from passlane.scheduling.program_admission import LONGEST_HOLD_AFTER_RETURN_S, LONGEST_HOLD_S
+from passlane.scheduling.program_admission import (
+    LONGEST_HOLD_AFTER_RETURN_S,
+    LONGEST_HOLD_S,
+    LONGEST_RETRY_S,
+    PROMISE_KEPT_S,
+)
 from passlane.scheduling.turn_events import (
     TurnAsked,
     TurnEnded,
@@ -353,6 +358,25 @@
         again = next(d for d in decisions if d.attempt_id == "back")
         self.assertLessEqual(again.waiting, waiting + 1)
 
+    def test_programs_that_do_not_come_back_are_not_waited_for(self):
+        self.fill()
+        waiting = self.crowd()
+        self.refuse("gone")
+        self.assertEqual(self.scheduler.figures("llm").told_to_return, 2)
+        for number in range(waiting):
+            self.scheduler.end(TurnEnded(attempt_id=f"crowd{number}"), 0.1)
+        self.scheduler.advance(LONGEST_RETRY_S + PROMISE_KEPT_S + 0.1)
+        self.assertEqual(self.scheduler.figures("llm").told_to_return, 0)
+
+    def test_two_first_turns_of_a_program_count_once(self):
+        self.list_engines(engine("e1", 6), engine("e2", 6))
+        self.fill(12)
+        for attempt in ("a1", "a2"):
+            self.wait(attempt, program="a")
+        self.scheduler.end(TurnEnded(attempt_id="a1"), 0.0)
+        waiting = self.crowd()
+        self.assertEqual(self.refuse("last").waiting, waiting + 2)
+
     def test_who_waited_here_before_it_was_refused_asked_when_it_came(self):
         self.fill()
         self.wait("held", program="held")
