--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -88,6 +88,13 @@
         self.wait("urgent", "under-way1", urgency=URGENT, is_first=False)
         self.assertEqual(self.placed_after("full0", 0.1), ["urgent"])
 
+    def test_the_more_urgent_goes_first_though_it_came_last(self):
+        self.fill()
+        for number in range(3):
+            self.wait(f"usual{number}", f"under-way{number}", is_first=False)
+        self.wait("urgent", "under-way3", now=0.05, urgency=URGENT, is_first=False)
+        self.assertEqual(self.placed_after("full0", 0.1), ["urgent"])
+
     def test_an_urgent_new_program_goes_before_less_urgent_ones_under_way(self):
         self.fill()
         self.wait("usual", "under-way0", is_first=False)
