`passlane requests --by route, tenant or program`; waits for a place and for room

Cause: requests were told apart by kind and priority alone, and where a turn waited for a place was in the reservation as a whole.

Ruled out: a command of its own; several groupings at once.

Conclusion: who waits for a place is seen by kind of program and by tenant.

--- a/src/passlane/cli/request_log.py
+++ b/src/passlane/cli/request_log.py
@@ -12,6 +12,7 @@
 from passlane.cli.exit_codes import ExitCode
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.observability.request_log import (
+    Grouping,
     Outcome,
     Waits,
     WindowSummary,
@@ -20,37 +21,41 @@
 )
 
 DEFAULT_WINDOW_S = 2.0
+_GROUPINGS = ", ".join(Grouping)
 _HEADER = (
-    "from s",
-    "kind",
-    "priority",
     *(outcome.value for outcome in Outcome),
     "reservation",
     "back end",
     "delivery",
+    "place",
+    "room",
     "reasons",
 )
 
 
 class RequestsCommand(OutputCommand):
-    """Summarizes requests by window of time, kind and priority."""
+    """Summarizes requests by window of time and group."""
 
     name = "requests"
     description = "Tells from logs, by window, what became of requests and where they waited."
     arguments: ClassVar[list[Argument]] = [argument("files", "Log files.", multiple=True)]
     extra_options: ClassVar[list[Option]] = [
-        option("window", "w", "Seconds in a window.", flag=False, default=str(DEFAULT_WINDOW_S))
+        option("window", "w", "Seconds in a window.", flag=False, default=str(DEFAULT_WINDOW_S)),
+        option("by", "b", f"Group by one of: {_GROUPINGS}.", flag=False, default=Grouping.KIND),
     ]
 
     def execute_command(self) -> ExitCode:
         """Print the summary."""
         window_s = _positive(self.option("window"))
+        grouping = _grouping_of(self.option("by"))
         paths = [Path(name) for name in self.argument("files")]
-        summaries = summarize(read_requests(_lines_of(paths)), window_s)
+        summaries = summarize(read_requests(_lines_of(paths)), window_s, grouping)
         if self.wants_json:
             self.show_json(summaries)
         else:
-            self.show_table(_HEADER, [_row_of(summary) for summary in summaries])
+            names = ("kind", "priority") if grouping is Grouping.KIND else (grouping.value,)
+            rows = [_row_of(summary, grouping) for summary in summaries]
+            self.show_table(("from s", *names, *_HEADER), rows)
         return ExitCode.OK
 
 
@@ -64,6 +69,13 @@
     return value
 
 
+def _grouping_of(text: str) -> Grouping:
+    try:
+        return Grouping(text)
+    except ValueError as error:
+        raise PasslaneError(ErrorCode.BAD_REQUEST, f"--by is one of: {_GROUPINGS}") from error
+
+
 def _lines_of(paths: Sequence[Path]) -> Iterator[str]:
     for path in paths:
         try:
@@ -73,14 +85,19 @@
             raise PasslaneError(ErrorCode.NOT_FOUND, f"cannot read {path}: {error}") from error
 
 
-def _row_of(summary: WindowSummary) -> list[object]:
+def _row_of(summary: WindowSummary, grouping: Grouping) -> list[object]:
     reasons = [f"{reason}={count}" for reason, count in sorted(summary.reasons.items())]
+    names: list[object] = [summary.group or "-"]
+    if grouping is Grouping.KIND:
+        names.append("-" if summary.priority is None else summary.priority)
+    waits = (
+        summary.reservation, summary.back_end, summary.delivery, summary.place, summary.room
+    )  # fmt: skip
     return [
         f"{summary.starts_s:g}",
-        summary.kind,
-        "-" if summary.priority is None else summary.priority,
+        *names,
         *(summary.outcomes.get(outcome, 0) for outcome in Outcome),
-        *(_text_of(w) for w in (summary.reservation, summary.back_end, summary.delivery)),
+        *(_text_of(wait) for wait in waits),
         " ".join(reasons) or "-",
     ]
 
--- a/src/passlane/observability/request_log.py
+++ b/src/passlane/observability/request_log.py
@@ -34,6 +34,16 @@
     """Not answered whole."""
 
 
+class Grouping(enum.StrEnum):
+    """What requests of one window are told apart by."""
+
+    KIND = "kind"
+    """Kind of request and priority."""
+    ROUTE = "route"
+    TENANT = "tenant"
+    PROGRAM = "program"
+
+
 class RequestLine(msgspec.Struct, frozen=True):
     """The fields of a request's log line that are used here; times in seconds."""
 
@@ -42,12 +52,27 @@
     elapsed_s: float = 0.0
     kind: str = ""
     priority: int | None = None
+    route: str | None = None
+    tenant: str | None = None
+    program_id: str | None = None
     status: int = 0
     reason: str = ""
     is_whole: bool = False
     is_in_time: bool | None = None
     reserved_s: float | None = None
     first_part_s: float | None = None
+    place_wait_s: float | None = None
+    room_wait_s: float | None = None
+
+    def group(self, grouping: Grouping) -> str:
+        """Return by what it is told apart from others; empty if the line doesn't tell."""
+        names = {
+            Grouping.KIND: self.kind,
+            Grouping.ROUTE: self.route,
+            Grouping.TENANT: self.tenant,
+            Grouping.PROGRAM: self.program_id,
+        }
+        return names[grouping] or ""
 
     @property
     def arrived_at(self) -> float:
@@ -84,21 +109,28 @@
 
 
 class WindowSummary(msgspec.Struct, frozen=True):
-    """Requests of one kind and priority that arrived in one window.
+    """Requests of one group that arrived in one window.
 
     Attributes
     ----------
     starts_s
         Start of the window, from the first arrival of all.
+    group
+        Kind, route, tenant or program; empty for requests that have none.
+    kind, priority
+        Empty and ``None`` where kinds are not told apart.
     outcomes
         Number of requests by outcome.
     reasons
         Number of requests that had no whole answer of a back end, by reason.
     reservation, back_end, delivery
         Waits for the store, from there to the back end's first part, and from there on.
+    place, room
+        Parts of these: waits for a place at an engine, and for room at a back end.
     """
 
     starts_s: float
+    group: str
     kind: str
     priority: int | None
     outcomes: dict[Outcome, int]
@@ -106,7 +138,11 @@
     reservation: Waits
     back_end: Waits
     delivery: Waits
+    place: Waits
+    room: Waits
+
 
+_Key = tuple[int, str, int | None]
 
 _decoder = msgspec.json.Decoder(RequestLine)
 
@@ -125,29 +161,36 @@
             yield request
 
 
-def summarize(requests: Iterable[RequestLine], window_s: float) -> list[WindowSummary]:
-    """Return what became of requests, by window, kind and priority."""
+def summarize(
+    requests: Iterable[RequestLine], window_s: float, grouping: Grouping = Grouping.KIND
+) -> list[WindowSummary]:
+    """Return what became of requests, by window and group."""
     ordered = sorted(requests, key=lambda request: request.arrived_at)
     if not ordered:
         return []
     first = ordered[0].arrived_at
-    groups: dict[tuple[int, str, int | None], list[RequestLine]] = defaultdict(list)
+    groups: dict[_Key, list[RequestLine]] = defaultdict(list)
     for request in ordered:
         window = int((request.arrived_at - first) / window_s)
-        groups[window, request.kind, request.priority].append(request)
+        priority = request.priority if grouping is Grouping.KIND else None
+        groups[window, request.group(grouping), priority].append(request)
     return [
-        _summary_of(window * window_s, kind, priority, group)
-        for (window, kind, priority), group in sorted(groups.items(), key=_order)
+        _summary_of(window * window_s, name, priority, group, grouping)
+        for (window, name, priority), group in sorted(groups.items(), key=_order)
     ]
 
 
-def _order(item: tuple[tuple[int, str, int | None], list[RequestLine]]) -> tuple[int, str, int]:
-    window, kind, priority = item[0]
-    return window, kind, -1 if priority is None else priority
+def _order(item: tuple[_Key, list[RequestLine]]) -> tuple[int, str, int]:
+    window, name, priority = item[0]
+    return window, name, -1 if priority is None else priority
 
 
 def _summary_of(
-    starts_s: float, kind: str, priority: int | None, group: list[RequestLine]
+    starts_s: float,
+    name: str,
+    priority: int | None,
+    group: list[RequestLine],
+    grouping: Grouping,
 ) -> WindowSummary:
     answered = [request for request in group if request.first_part_s is not None]
     outcomes: dict[Outcome, int] = defaultdict(int)
@@ -158,11 +201,14 @@
             reasons[request.reason] += 1
     return WindowSummary(
         starts_s=starts_s,
-        kind=kind,
+        group=name,
+        kind=name if grouping is Grouping.KIND else "",
         priority=priority,
         outcomes=dict(outcomes),
         reasons=dict(reasons),
         reservation=Waits.of([r.reserved_s for r in group if r.reserved_s is not None]),
         back_end=Waits.of([(r.first_part_s or 0.0) - (r.reserved_s or 0.0) for r in answered]),
         delivery=Waits.of([r.elapsed_s - (r.first_part_s or 0.0) for r in answered]),
+        place=Waits.of([r.place_wait_s for r in group if r.place_wait_s is not None]),
+        room=Waits.of([r.room_wait_s for r in group if r.room_wait_s is not None]),
     )
--- a/tests/observability/test_request_log.py
+++ b/tests/observability/test_request_log.py
@@ -10,7 +10,13 @@
 
 from passlane.cli.exit_codes import ExitCode
 from passlane.cli.main import main
-from passlane.observability.request_log import Outcome, Waits, read_requests, summarize
+from passlane.observability.request_log import (
+    Grouping,
+    Outcome,
+    Waits,
+    read_requests,
+    summarize,
+)
 
 
 def line(at, *, prefix="", **changes):
@@ -30,8 +36,8 @@
     return prefix + msgspec.json.encode(values | changes).decode() + "\n"
 
 
-def summaries(*lines, window_s=2.0):
-    return summarize(read_requests(lines), window_s)
+def summaries(*lines, window_s=2.0, by=Grouping.KIND):
+    return summarize(read_requests(lines), window_s, by)
 
 
 class RequestLogTest(unittest.TestCase):
@@ -62,6 +68,29 @@
         self.assertEqual(summary.back_end, Waits(0.1, 0.1))
         self.assertEqual(summary.delivery, Waits(0.3, 0.3))
 
+    def test_waits_for_a_place_and_for_room_stand_beside_the_others(self):
+        (summary,) = summaries(line(100.0, place_wait_s=0.05, room_wait_s=0.0), line(100.1))
+        self.assertEqual(summary.place, Waits(0.05, 0.05))
+        self.assertEqual(summary.room, Waits(0.0, 0.0))
+
+    def test_requests_are_grouped_by_route_tenant_or_program(self):
+        lines = (
+            line(100.0, route="alarm", tenant="a", program_id="p"),
+            line(100.1, route="alarm", tenant="b", program_id="q", priority=1),
+            line(100.2, route="session", tenant="b", program_id=None),
+        )
+        expected = {
+            Grouping.ROUTE: [("alarm", 2), ("session", 1)],
+            Grouping.TENANT: [("a", 1), ("b", 2)],
+            Grouping.PROGRAM: [("", 1), ("p", 1), ("q", 1)],
+        }
+        for by, groups in expected.items():
+            with self.subTest(by=by):
+                found = summaries(*lines, by=by)
+                counted = [(s.group, s.outcomes[Outcome.IN_TIME]) for s in found]
+                self.assertEqual(counted, groups)
+                self.assertEqual({s.priority for s in found}, {None})
+
     def test_a_request_that_reached_no_back_end_has_no_such_wait(self):
         (summary,) = summaries(
             line(100.0, status=503, reason="store_unavailable", first_part_s=None, reserved_s=None)
@@ -95,6 +124,21 @@
         self.assertIn("100/100 ms", first)
         self.assertTrue(second.startswith("6"))
 
+    def test_a_table_by_route(self):
+        text = line(100.0, route="alarm", place_wait_s=0.03)
+        code, output, _ = self.run_command("--by=route", text=text)
+        self.assertEqual(code, ExitCode.OK)
+        header, row = output.splitlines()
+        self.assertIn("route", header)
+        self.assertNotIn("priority", header)
+        self.assertIn("alarm", row)
+        self.assertIn("30/30 ms", row)
+
+    def test_an_unknown_grouping_is_a_clear_error(self):
+        code, _, errors = self.run_command("--by=colour")
+        self.assertNotEqual(code, ExitCode.OK)
+        self.assertIn("--by", errors)
+
     def test_json(self):
         code, output, _ = self.run_command("--output", "json", text=line(100.0))
         self.assertEqual(code, ExitCode.OK)
