When all engines of a service are gone, turns that wait are left to nodes

Cause: turns that asked without an engine in the list were left to nodes at once, but those that waited already stayed in the queue until their nodes gave them up after three seconds.

Ruled out: some engines gone (turns go on elsewhere); engines that are leaving, which are listed.

Change: with the list that has none, those that wait are told that their nodes choose.

Figures: both turns that waited are answered with the list, none before.

Conclusion: no turn waits for engines that are gone.

--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -95,9 +95,23 @@
         return list(lost)
 
     def replace_backends(self, records: Iterable[BackendRecord], now: float) -> list[TurnDecision]:
-        """Take over the list of back ends."""
+        """Take over the list of back ends; nodes choose for services that have none any more."""
         self._engines.replace_records(records)
-        return self._fill_all(now)
+        left: list[TurnDecision] = []
+        for name, service in self._services.items():
+            if not self._engines.of_service(name):
+                left += self._leave_to_nodes(service, now)
+        return left + self._fill_all(now)
+
+    def _leave_to_nodes(self, service: _Service, now: float) -> list[TurnPlaced]:
+        """Let nodes choose where turns go that wait here for engines that are gone."""
+        turns = list(service.queue.in_order(now))
+        for turn in turns:
+            self._leave_queue(service, turn.attempt_id)
+        return [
+            TurnPlaced(attempt_id=turn.attempt_id, engine="", waited_s=now - turn.arrived_at)
+            for turn in turns
+        ]
 
     def ask(self, asked: TurnAsked, now: float) -> list[TurnDecision]:
         """Place a turn, let it wait, or refuse it."""
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -19,7 +19,11 @@
     TurnWithdrawn,
 )
 from passlane.scheduling.turn_queue import LONGEST_LATE_WAIT_S
-from passlane.scheduling.turn_scheduler import LEARNING_S, SHORTEST_PLACE_S, TurnScheduler
+from passlane.scheduling.turn_scheduler import (
+    LEARNING_S,
+    SHORTEST_PLACE_S,
+    TurnScheduler,
+)
 
 URGENT, USUAL = 0, 2
 
@@ -458,6 +462,14 @@
             self.scheduler.end(ended(f"full{number}"), 0.2)
         self.assertEqual(self.scheduler.figures("llm").running, 1)
 
+    def test_when_all_engines_are_gone_nodes_choose_for_those_that_wait(self):
+        self.fill()
+        self.wait("next", "under-way0", is_first=False)
+        self.wait("new")
+        decisions = self.scheduler.replace_backends([], 0.1)
+        self.assertEqual({(d.attempt_id, d.engine) for d in decisions}, {("next", ""), ("new", "")})
+        self.assertEqual(self.scheduler.figures("llm").waiting_new, 0)
+
     def test_without_engines_nodes_choose(self):
         self.list_engines()
         self.assertEqual(self.place("a"), "")
