A program that loops is not counted among those that are to begin

Cause: when a turn of a looping program is refused, its program was noted as one that is told to come back, and so counted as a new program before others of its rank, though it goes after all.

Ruled out: the times that looping programs are told (as before).

Change: only new programs are noted.

Figures: one program told to come back before, none now.

Conclusion: who loops costs others no time.

--- a/src/passlane/scheduling/program_admission.py
+++ b/src/passlane/scheduling/program_admission.py
@@ -37,6 +37,11 @@
 told so that they can turn elsewhere."""
 
 
+def retry_after(wait_s: float) -> float:
+    """Return when to tell a caller to come back that is expected to wait so long."""
+    return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
+
+
 class _Promise(NamedTuple):
     """A program that was told to come back."""
 
@@ -126,14 +131,14 @@
         self._programs.drop(program_id)
         self._rate.note(now)
 
-    def note_refused(self, asked: TurnAsked, asked_at: float, wait_s: float, now: float) -> float:
-        """Note that a program is told to come back; return in how many seconds."""
-        retry_after_s = min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
+    def note_refused(
+        self, asked: TurnAsked, asked_at: float, retry_after_s: float, now: float
+    ) -> None:
+        """Note that a program is told to come back in so many seconds."""
         come_back_at = now + retry_after_s
         self._promises[asked.program_id] = _Promise(asked_at, come_back_at)
         heapq.heappush(self._lapses, (come_back_at + PROMISE_KEPT_S, asked.program_id))
         self._programs.put(_program_of(asked, asked_at))
-        return retry_after_s
 
     def forget_lapsed(self, now: float) -> None:
         """Forget the programs that have not come back in time."""
--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -21,6 +21,7 @@
     LONGEST_HOLD_AFTER_RETURN_S,
     LONGEST_HOLD_S,
     ProgramAdmission,
+    retry_after,
 )
 from passlane.scheduling.program_progress import ProgramProgress, ProgramTable
 from passlane.scheduling.turn_events import (
@@ -284,7 +285,9 @@
     def _refuse(self, turn: WaitingTurn, name: str, service: _Service, now: float) -> TurnNotPlaced:
         before = service.admission.programs_before(turn.asked, turn.asked_at, now)
         wait_s = service.admission.expected_wait_s(before, self._start_rate(turn, service), now)
-        retry_after_s = service.admission.note_refused(turn.asked, turn.asked_at, wait_s, now)
+        retry_after_s = retry_after(wait_s)
+        if turn.is_new_program:
+            service.admission.note_refused(turn.asked, turn.asked_at, retry_after_s, now)
         return TurnNotPlaced(
             attempt_id=turn.attempt_id,
             retry_after_s=retry_after_s,
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -21,6 +21,7 @@
 from passlane.scheduling.turn_queue import LONGEST_LATE_WAIT_S
 from passlane.scheduling.turn_scheduler import (
     LEARNING_S,
+    LONGEST_LOOPING_HOLD_S,
     SHORTEST_PLACE_S,
     TurnScheduler,
 )
@@ -470,6 +471,19 @@
         self.assertEqual({(d.attempt_id, d.engine) for d in decisions}, {("next", ""), ("new", "")})
         self.assertEqual(self.scheduler.figures("llm").waiting_new, 0)
 
+    def test_a_program_that_loops_goes_before_no_new_one(self):
+        self.fill()
+        for number in range(100):
+            self.scheduler.end(ended(f"full{number}", "e1"), 0.0)
+            self.place(f"loop{number}", "loops", is_first=False)
+            self.scheduler.end(ended(f"loop{number}", "e1"), 0.0)
+        for number in range(4):
+            self.place(f"again{number}", f"busy{number}")
+        self.wait("loop", "loops", is_first=False)
+        (refused,) = self.scheduler.advance(LONGEST_LOOPING_HOLD_S + 0.01)[:1]
+        self.assertEqual(refused.attempt_id, "loop")
+        self.assertEqual(self.scheduler.figures("llm").told_to_return, 0)
+
     def test_without_engines_nodes_choose(self):
         self.list_engines()
         self.assertEqual(self.place("a"), "")
