--- a/src/passlane/scheduling/turn_scheduler.py
+++ b/src/passlane/scheduling/turn_scheduler.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterable
 
 import msgspec
@@ -20,6 +21,7 @@
     LONGEST_HOLD_AFTER_RETURN_S,
     LONGEST_HOLD_S,
     ProgramAdmission,
+    retry_after,
 )
 from passlane.scheduling.program_progress import ProgramProgress, ProgramTable
 from passlane.scheduling.turn_events import (
@@ -45,6 +47,9 @@
 """A place is given back after this multiple of the expected time, at least, if nobody tells its
 turn's end: its node was lost, or the engine hangs."""
 LONGEST_LOOPING_HOLD_S = 1.2
+MOST_FAILED_ATTEMPTS = 10_000
+"""So many turns with failures are remembered, so that a settlement that is repeated reports none
+again; more than fail within the seconds for which one is repeated."""
 
 
 class SchedulerFigures(msgspec.Struct, frozen=True):
@@ -74,6 +79,7 @@
         self._programs = ProgramTable()
         self._services: dict[str, _Service] = {}
         self._learning_until = -math.inf
+        self._failed_attempts: OrderedDict[str, None] = OrderedDict()
 
     def begin(self, now: float) -> list[TurnDecision]:
         """Begin anew as a new leader: nothing is known of what is under way."""
@@ -90,9 +96,23 @@
         return list(lost)
 
     def replace_backends(self, records: Iterable[BackendRecord], now: float) -> list[TurnDecision]:
-        """Take over the list of back ends."""
+        """Take over the list of back ends; nodes choose for services that have none any more."""
         self._engines.replace_records(records)
-        return self._fill_all(now)
+        left: list[TurnDecision] = []
+        for name, service in self._services.items():
+            if not self._engines.of_service(name):
+                left += self._leave_to_nodes(service, now)
+        return left + self._fill_all(now)
+
+    def _leave_to_nodes(self, service: _Service, now: float) -> list[TurnPlaced]:
+        """Let nodes choose where turns go that wait here for engines that are gone."""
+        turns = list(service.queue.in_order(now))
+        for turn in turns:
+            self._leave_queue(service, turn.attempt_id)
+        return [
+            TurnPlaced(attempt_id=turn.attempt_id, engine="", waited_s=now - turn.arrived_at)
+            for turn in turns
+        ]
 
     def ask(self, asked: TurnAsked, now: float) -> list[TurnDecision]:
         """Place a turn, let it wait, or refuse it."""
@@ -128,11 +148,11 @@
     def end(self, ended: TurnEnded, now: float) -> list[TurnDecision]:
         """Note the end of a turn; those that waited for its place may follow."""
         for service in self._services.values():
-            if service.queue.remove(ended.attempt_id) is not None:
+            if self._leave_queue(service, ended.attempt_id):
                 return [TurnWithdrawn(ended.attempt_id)]
         given_back = self._engines.give_back(ended.attempt_id)
         if ended.outcome is not None:
-            self._note_failures(ended.outcome, now)
+            self._note_failures(ended.attempt_id, ended.outcome, now)
         placed = given_back or self._engines.take_expired(ended.attempt_id)
         if placed is None:
             return []
@@ -148,7 +168,9 @@
             engine.health.note_failure(now, STALL_WEIGHT)
         refused: list[TurnDecision] = []
         for name, service in self._services.items():
+            service.admission.forget_lapsed(now)
             for turn in service.queue.take_held_too_long(now):
+                self._note_left(service, turn)
                 refused.append(self._refuse(turn, name, service, now))
         return refused + self._fill_all(now)
 
@@ -236,24 +258,36 @@
         One that came back as it was told waits in any case.
         """
         if service.admission.came_as_told(turn.asked.program_id, now):
-            service.queue.add(turn)
-            return []
-        before = self._before(turn, service, now)
+            return self._hold(turn, service)
+        before = service.admission.programs_before(turn.asked, turn.asked_at, now)
         wait_s = service.admission.expected_wait_s(before, self._start_rate(turn, service), now)
         if wait_s > turn.hold_until - now:
             return [self._refuse(turn, turn.asked.demand.service, service, now)]
+        return self._hold(turn, service)
+
+    def _hold(self, turn: WaitingTurn, service: _Service) -> list[TurnDecision]:
         service.queue.add(turn)
+        service.admission.note_waits(turn.asked, turn.asked_at)
         return []
 
-    def _before(self, turn: WaitingTurn, service: _Service, now: float) -> int:
-        """Return how many new programs go before another."""
-        waiting = service.queue.waiting_programs()
-        return service.admission.programs_before(turn.asked, turn.asked_at, waiting, now)
+    def _leave_queue(self, service: _Service, attempt_id: str) -> bool:
+        """Take a turn out of the queue; return whether it was there."""
+        turn = service.queue.remove(attempt_id)
+        if turn is not None:
+            self._note_left(service, turn)
+        return turn is not None
+
+    @staticmethod
+    def _note_left(service: _Service, turn: WaitingTurn) -> None:
+        if turn.is_new_program:
+            service.admission.note_waits_no_longer(turn.asked.program_id)
 
     def _refuse(self, turn: WaitingTurn, name: str, service: _Service, now: float) -> TurnNotPlaced:
-        before = self._before(turn, service, now)
+        before = service.admission.programs_before(turn.asked, turn.asked_at, now)
         wait_s = service.admission.expected_wait_s(before, self._start_rate(turn, service), now)
-        retry_after_s = service.admission.note_refused(turn.asked, turn.asked_at, wait_s, now)
+        retry_after_s = retry_after(wait_s)
+        if turn.is_new_program:
+            service.admission.note_refused(turn.asked, turn.asked_at, retry_after_s, now)
         return TurnNotPlaced(
             attempt_id=turn.attempt_id,
             retry_after_s=retry_after_s,
@@ -299,7 +333,7 @@
                 turn = first
             else:
                 choice = choice_for_turn
-        service.queue.remove(turn.attempt_id)
+        self._leave_queue(service, turn.attempt_id)
         return self._place(turn, choice, service, now)
 
     def _choose(self, turn: WaitingTurn, service: _Service, now: float) -> EngineChoice | None:
@@ -347,7 +381,14 @@
         durations = self._durations_of(engine.record.service)
         durations.learn(outcome, engine.speed.against_fleet(now))
 
-    def _note_failures(self, outcome: TurnOutcome, now: float) -> None:
+    def _note_failures(self, attempt_id: str, outcome: TurnOutcome, now: float) -> None:
+        """Note what failed for a turn, once: its settlement may come again."""
+        has_failed = bool(outcome.failed_at or outcome.full_at)
+        if not has_failed or attempt_id in self._failed_attempts:
+            return
+        self._failed_attempts[attempt_id] = None
+        while len(self._failed_attempts) > MOST_FAILED_ATTEMPTS:
+            self._failed_attempts.popitem(last=False)
         for instance_id in outcome.failed_at:
             engine = self._engines.get(instance_id)
             if engine is not None:
@@ -356,8 +397,7 @@
             engine = self._engines.get(instance_id)
             if engine is not None:
                 engine.full_until = now + FULL_PAUSE_S
-        if outcome.failed_at or outcome.full_at:
-            self._engines.look_again()
+        self._engines.look_again()
 
     def _durations_of(self, name: str) -> TurnDurations:
         return self._services.setdefault(name, _Service()).durations
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -5,7 +5,12 @@
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.placement import TurnDemand, TurnOutcome
-from passlane.scheduling.program_admission import LONGEST_HOLD_AFTER_RETURN_S, LONGEST_HOLD_S
+from passlane.scheduling.program_admission import (
+    LONGEST_HOLD_AFTER_RETURN_S,
+    LONGEST_HOLD_S,
+    LONGEST_RETRY_S,
+    PROMISE_KEPT_S,
+)
 from passlane.scheduling.turn_events import (
     TurnAsked,
     TurnEnded,
@@ -14,7 +19,12 @@
     TurnWithdrawn,
 )
 from passlane.scheduling.turn_queue import LONGEST_LATE_WAIT_S
-from passlane.scheduling.turn_scheduler import LEARNING_S, SHORTEST_PLACE_S, TurnScheduler
+from passlane.scheduling.turn_scheduler import (
+    LEARNING_S,
+    LONGEST_LOOPING_HOLD_S,
+    SHORTEST_PLACE_S,
+    TurnScheduler,
+)
 
 URGENT, USUAL = 0, 2
 
@@ -83,6 +93,13 @@
         self.wait("urgent", "under-way1", urgency=URGENT, is_first=False)
         self.assertEqual(self.placed_after("full0", 0.1), ["urgent"])
 
+    def test_the_more_urgent_goes_first_though_it_came_last(self):
+        self.fill()
+        for number in range(3):
+            self.wait(f"usual{number}", f"under-way{number}", is_first=False)
+        self.wait("urgent", "under-way3", now=0.05, urgency=URGENT, is_first=False)
+        self.assertEqual(self.placed_after("full0", 0.1), ["urgent"])
+
     def test_an_urgent_new_program_goes_before_less_urgent_ones_under_way(self):
         self.fill()
         self.wait("usual", "under-way0", is_first=False)
@@ -353,6 +370,25 @@
         again = next(d for d in decisions if d.attempt_id == "back")
         self.assertLessEqual(again.waiting, waiting + 1)
 
+    def test_programs_that_do_not_come_back_are_not_waited_for(self):
+        self.fill()
+        waiting = self.crowd()
+        self.refuse("gone")
+        self.assertEqual(self.scheduler.figures("llm").told_to_return, 2)
+        for number in range(waiting):
+            self.scheduler.end(TurnEnded(attempt_id=f"crowd{number}"), 0.1)
+        self.scheduler.advance(LONGEST_RETRY_S + PROMISE_KEPT_S + 0.1)
+        self.assertEqual(self.scheduler.figures("llm").told_to_return, 0)
+
+    def test_two_first_turns_of_a_program_count_once(self):
+        self.list_engines(engine("e1", 6), engine("e2", 6))
+        self.fill(12)
+        for attempt in ("a1", "a2"):
+            self.wait(attempt, program="a")
+        self.scheduler.end(TurnEnded(attempt_id="a1"), 0.0)
+        waiting = self.crowd()
+        self.assertEqual(self.refuse("last").waiting, waiting + 2)
+
     def test_who_waited_here_before_it_was_refused_asked_when_it_came(self):
         self.fill()
         self.wait("held", program="held")
@@ -427,6 +463,27 @@
             self.scheduler.end(ended(f"full{number}"), 0.2)
         self.assertEqual(self.scheduler.figures("llm").running, 1)
 
+    def test_when_all_engines_are_gone_nodes_choose_for_those_that_wait(self):
+        self.fill()
+        self.wait("next", "under-way0", is_first=False)
+        self.wait("new")
+        decisions = self.scheduler.replace_backends([], 0.1)
+        self.assertEqual({(d.attempt_id, d.engine) for d in decisions}, {("next", ""), ("new", "")})
+        self.assertEqual(self.scheduler.figures("llm").waiting_new, 0)
+
+    def test_a_program_that_loops_goes_before_no_new_one(self):
+        self.fill()
+        for number in range(100):
+            self.scheduler.end(ended(f"full{number}", "e1"), 0.0)
+            self.place(f"loop{number}", "loops", is_first=False)
+            self.scheduler.end(ended(f"loop{number}", "e1"), 0.0)
+        for number in range(4):
+            self.place(f"again{number}", f"busy{number}")
+        self.wait("loop", "loops", is_first=False)
+        (refused,) = self.scheduler.advance(LONGEST_LOOPING_HOLD_S + 0.01)[:1]
+        self.assertEqual(refused.attempt_id, "loop")
+        self.assertEqual(self.scheduler.figures("llm").told_to_return, 0)
+
     def test_without_engines_nodes_choose(self):
         self.list_engines()
         self.assertEqual(self.place("a"), "")
