The planted defect of a lost leader's verdict moves from a simulated run to a test of processes

Ruled out: that the path is gone: the test that cuts a leader off in the middle of a charge fails with the defect.

Change: the defect is planted beside that test and must be noticed.

--- a/src/passlane/simulation/defects/programs.py
+++ b/src/passlane/simulation/defects/programs.py
@@ -80,10 +80,6 @@
     return True
 
 
-def _not_run_if_cut_off(_machine: CallMachine) -> Verdict:
-    return Verdict.NOT_RUN
-
-
 def _forget_final_release(loop: ReleaseLoop, release: PendingRelease) -> None:
     """Send no order for a program that has ended."""
     del loop, release
@@ -179,14 +175,6 @@
         "a charge without an answer is recorded as not run",
         replacing(Replacement(CallMachine, "_resolve_doubt", _record_doubt_as_not_run)),
     ),
-    Defect(
-        "lost-leader-promises-not-run",
-        "not-run",
-        "unnamed-calls",
-        0,
-        "a leader that loses its office says of calls under way that they did not run",
-        replacing(Replacement(CallMachine, "verdict_if_cut_off", property(_not_run_if_cut_off))),
-    ),
     Defect(
         "doubtful-charge-repeated",
         "at-most-once",
--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -1,5 +1,6 @@
 """What callers get, and what really ran, when back ends, store and leaders fail."""
 
+import io
 import unittest
 from collections.abc import Callable
 
@@ -15,6 +16,8 @@
 from passlane.messages.common import Amounts
 from passlane.messages.node import CallRefused, CallRequest, CreateProgramRequest
 from passlane.messages.store import BeginCall, CallState, FinishCall, ProgramResult, ProgramState
+from passlane.programs.call_machine import CallMachine
+from passlane.simulation.replacement import Replacement, replaced
 
 
 class ModelCallTest(unittest.TestCase):
@@ -516,5 +519,18 @@
         in_fleet(scenario)
 
 
+class PlantedDefectTest(unittest.TestCase):
+    def test_a_lost_leader_that_promises_not_run_is_noticed(self) -> None:
+        name = "test_unnamed_charge_cut_off_with_its_leader_is_not_refused_as_not_run"
+        suite = unittest.TestSuite([LeaderChangeTest(name)])
+        defect = Replacement(
+            CallMachine, "verdict_if_cut_off", property(lambda _machine: Verdict.NOT_RUN)
+        )
+        with replaced([defect]):
+            result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
+        self.assertEqual(result.testsRun, 1)
+        self.assertFalse(result.wasSuccessful())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -15,7 +15,6 @@
     "newest-call-first",
     "release-forgotten",
     "doubtful-charge-repeated",
-    "lost-leader-promises-not-run",
     "version-unchecked",
 )
 """Caught here each time; ``passlane sim defects`` checks all of them."""
