The stand-in engine of slow readers echoes the request's id

Cause: an answer without the id proves nothing any more, so the stand-in's answers were taken for none and the test of a caller that stops reading timed out.

Ruled out: load of the machine (it failed alone too).

Change: the stand-in echoes the id, as the protocol demands of engines; what the test asserts is unchanged.

--- a/tests/on_platform/test_slow_readers.py
+++ b/tests/on_platform/test_slow_readers.py
@@ -37,8 +37,9 @@
 CHUNK = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
 STREAM_HEAD = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
-    b"transfer-encoding: chunked\r\n%s: s\r\n\r\n" % names.SIGNATURE.encode()
+    b"transfer-encoding: chunked\r\n%s: s\r\n" % names.SIGNATURE.encode()
 )
+ATTEMPT_ID = names.ATTEMPT_ID.encode()
 BODY_BYTES = 4_000_000
 STALL_S = 1.0
 BEYOND_SAMPLING_S = 4.0
@@ -58,7 +59,10 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                await self._stream(writer, is_endless=b"endless" in head.partition(b"\r\n")[0])
+                request_line, *headers = head.split(b"\r\n")
+                echoed = next(line for line in headers if line.startswith(ATTEMPT_ID))
+                writer.write(STREAM_HEAD + echoed + b"\r\n\r\n")
+                await self._stream(writer, is_endless=b"endless" in request_line)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -66,7 +70,6 @@
             writer.close()
 
     async def _stream(self, writer, is_endless):
-        writer.write(STREAM_HEAD)
         count = 0
         while is_endless or count < 3:
             count += 1
