Soak of real processes: load, faults from outside, checks by callers and back ends

The promises of the relayed path were shown on a virtual clock, where processes, sockets and signals are models. Fleet runs of processes exist for the product's own interface only.

Ruled out: the emulated engines (another protocol), the fleets of the tests (virtual, and not to be imported), a simulator.

passlane soak starts control, store and node processes (3 each) on loopback addresses of their own, with turns placed by the store, and serves a list, four engines of unequal pace and two plain back ends itself. Processes are paused, killed, stopped and restarted by their ids, alone or as a whole role; back ends break answers off. A ledger without I/O compares what callers were told with what back ends ran. After the load all places must be filled at once.

FleetProcess lets a subclass name its command and variables.

Five planted defects, in daemons started by the tests, are caught: a place never given back, a limit counted by each node, a refusal after a send, a history without its end, a budget that nobody counts.

--- a/src/passlane/bench/fleet_process.py
+++ b/src/passlane/bench/fleet_process.py
@@ -43,7 +43,7 @@
         self.starts += 1
         with (folder / f"{self.file.name}.log").open("ab") as log:
             self.popen = subprocess.Popen(
-                self._command(), cwd=folder, env=process_environment(), stdout=log, stderr=log
+                self.command(), cwd=folder, env=self.environment(), stdout=log, stderr=log
             )
 
     def signal(self, number: signal.Signals) -> None:
@@ -72,7 +72,11 @@
             self.popen.kill()
             return self.popen.wait()
 
-    def _command(self) -> list[str]:
+    def environment(self) -> dict[str, str]:
+        """Return the variables that the process is started with."""
+        return process_environment()
+
+    def command(self) -> list[str]:
         """Return the command line."""
         settings = str(self.file.settings)
         if self.file.kind is ProcessKind.DAEMON:
--- a/src/passlane/cli/main.py
+++ b/src/passlane/cli/main.py
@@ -28,6 +28,7 @@
     TraceReplayCommand,
 )
 from passlane.cli.request_log import RequestsCommand
+from passlane.cli.soak import SoakCommand
 from passlane.cli.status import StatusCommand
 
 COMMANDS = (
@@ -51,6 +52,7 @@
     TraceReplayCommand,
     BenchListCommand,
     BenchRunCommand,
+    SoakCommand,
 )
 
 
--- /dev/null
+++ b/src/passlane/cli/soak.py
@@ -0,0 +1,44 @@
+"""Command ``soak``: the daemons of the relayed path as processes, under faults."""
+
+import importlib
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from passlane.cli.exit_codes import ExitCode
+from passlane.cli.running import RunningCommand
+from passlane.errors import ErrorCode, PasslaneError
+
+DEFAULT_SECONDS = "20"
+
+
+class SoakCommand(RunningCommand):
+    """Runs real processes under load and faults, and checks the promises from outside."""
+
+    name = "soak"
+    description = "Runs real processes under load and faults; exit code 1 if a promise broke."
+    extra_options: ClassVar[list[Option]] = [
+        option("seed", None, "Seed of load and faults.", flag=False, default="0"),
+        option("seconds", None, "How long new load begins.", flag=False, default=DEFAULT_SECONDS),
+        option("report", None, "New folder for the report and the processes' logs.", flag=False),
+    ]
+
+    def execute_command(self) -> ExitCode:
+        """Run the soak."""
+        seed = _whole_number("seed", self.option("seed"))
+        seconds = _whole_number("seconds", self.option("seconds"))
+        report = self.option("report")
+        folder = None if report is None else Path(report)
+        if folder is not None and folder.exists() and any(folder.iterdir()):
+            raise PasslaneError(ErrorCode.BAD_REQUEST, f"--report: {folder} is not empty")
+        soak = importlib.import_module("passlane.soak.run")
+        return self.run_and_report(lambda: int(soak.run(seed, float(seconds), folder)))
+
+
+def _whole_number(name: str, text: str) -> int:
+    """Return the number that an option holds."""
+    if not text.isdecimal():
+        raise PasslaneError(ErrorCode.BAD_REQUEST, f"--{name} is a whole number from 0")
+    return int(text)
--- /dev/null
+++ b/src/passlane/soak/back_ends.py
@@ -0,0 +1,206 @@
+"""Stand-ins of the platform: engines, plain back ends, and the list that names them.
+
+They are small on purpose. An engine streams events at its own pace, a plain back end answers
+after a moment; both refuse with the mark of "not executed" when all places are taken, and tell
+the ledger what they ran.
+"""
+
+from collections.abc import Sequence
+
+import anyio
+
+from passlane.api.asgi import (
+    EVENT_STREAM_TYPE,
+    JSON_TYPE,
+    Receive,
+    Request,
+    Response,
+    Scope,
+    Send,
+    json_response,
+    read_request,
+    send_chunk,
+    send_response,
+    start_stream,
+)
+from passlane.errors import PasslaneError
+from passlane.messages.common import Address
+from passlane.observability.logging import get_logger
+from passlane.platform import names
+from passlane.soak.configuration import FLOODING_TENANT, HEALTH_PATH, TOKENS_PER_EVENT
+from passlane.soak.ledger import Ledger
+from passlane.soak.outputs import events_of, plain_output
+
+OK = 200
+UNAVAILABLE = 503
+WRONG_INSTANCE = 421
+MOST_BODY_BYTES = 4_000_000
+EVENT_PAUSE_S = 0.06
+"""Pause before each event of an engine of pace 1."""
+PLAIN_RUN_S = 0.03
+
+_log = get_logger(__name__)
+
+
+class StandIn:
+    """What engines and plain back ends have in common.
+
+    Attributes
+    ----------
+    breaks_off
+        Whether it breaks its answers off: each second one before its head, others midway.
+    """
+
+    def __init__(
+        self, instance_id: str, address: Address, service: str, places: int, ledger: Ledger
+    ) -> None:
+        self.instance_id = instance_id
+        self.address = address
+        self.service = service
+        self.places = places
+        self.breaks_off = False
+        self._ledger = ledger
+        self._running = 0
+        self._broken = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        try:
+            request = await read_request(scope, receive, MOST_BODY_BYTES)
+        except PasslaneError as error:
+            _log.info("request_unreadable", instance=self.instance_id, error=error.message)
+            return
+        if request.path == HEALTH_PATH:
+            health = Response(OK, headers={names.INSTANCE_ID: self.instance_id})
+            await send_response(send, health)
+        elif request.headers.get(names.TARGET_INSTANCE) != self.instance_id:
+            await self._refuse(send, request, WRONG_INSTANCE)
+        elif self._running >= self.places:
+            await self._refuse(send, request, UNAVAILABLE)
+        else:
+            await self._hold_place(send, request)
+
+    async def _hold_place(self, send: Send, request: Request) -> None:
+        request_id = request.headers.get(names.ATTEMPT_ID, "")
+        signature = f"{request_id}.{self.instance_id}"
+        is_limited = request.headers.get(names.TENANT) == FLOODING_TENANT
+        self._running += 1
+        try:
+            self._ledger.note_run(
+                request_id, request.body, signature, is_limited=is_limited, now=_now()
+            )
+            if self._breaks_before_head():
+                return  # The server closes the connection, after an answer without an id.
+            marks = {names.ATTEMPT_ID: request_id, names.SIGNATURE: signature}
+            await self._run(send, request, request_id, marks)
+        finally:
+            self._running -= 1
+
+    def _breaks_before_head(self) -> bool:
+        self._broken += self.breaks_off
+        return self.breaks_off and self._broken % 2 == 0
+
+    async def _run(
+        self, send: Send, request: Request, request_id: str, marks: dict[str, str]
+    ) -> None:
+        raise NotImplementedError
+
+    async def _refuse(self, send: Send, request: Request, status: int) -> None:
+        headers = {
+            names.ATTEMPT_ID: request.headers.get(names.ATTEMPT_ID, ""),
+            names.INSTANCE_ID: self.instance_id,
+            names.NOT_EXECUTED: "1",
+        }
+        await send_response(send, Response(status, headers=headers))
+
+
+class StandInEngine(StandIn):
+    """Streams as many events as the request's most tokens fill.
+
+    Attributes
+    ----------
+    pace
+        Multiple of the usual pause before each event.
+    """
+
+    def __init__(
+        self, instance_id: str, address: Address, service: str, places: int, ledger: Ledger
+    ) -> None:
+        super().__init__(instance_id, address, service, places, ledger)
+        self.pace = 1.0
+
+    async def _run(
+        self, send: Send, request: Request, request_id: str, marks: dict[str, str]
+    ) -> None:
+        _, _, most_tokens = request.headers.get(names.TOKEN_USAGE, "0,0").partition(",")
+        events = events_of(request_id, int(most_tokens) // TOKENS_PER_EVENT)
+        self._ledger.note_turn_begun()
+        try:
+            await start_stream(send, OK, EVENT_STREAM_TYPE, marks)
+            await self._send_events(send, events, request, request_id)
+        finally:
+            self._ledger.note_turn_ended()
+
+    async def _send_events(
+        self, send: Send, events: list[bytes], request: Request, request_id: str
+    ) -> None:
+        program_id = request.headers.get(names.PROGRAM_ID, "")
+        for event in events:
+            await anyio.sleep(EVENT_PAUSE_S * self.pace)
+            if self.breaks_off:
+                # A return without an end makes the server close the connection.
+                await send_chunk(send, event[: len(event) // 2])
+                return
+            self._ledger.note_tokens(program_id, request_id, TOKENS_PER_EVENT, _now())
+            await send_chunk(send, event)
+        await send_chunk(send, b"", last=True)
+
+
+class StandInPlain(StandIn):
+    """Answers with one body that tells the request's id."""
+
+    async def _run(
+        self, send: Send, request: Request, request_id: str, marks: dict[str, str]
+    ) -> None:
+        await anyio.sleep(PLAIN_RUN_S)
+        body = plain_output(request_id)
+        head = marks | {"content-length": str(len(body))}
+        await start_stream(send, OK, JSON_TYPE, head)
+        if self.breaks_off:
+            await send_chunk(send, body[: len(body) // 2])
+            return
+        await send_chunk(send, body, last=True)
+
+
+class StandInList:
+    """The platform's list of back ends, in one page."""
+
+    def __init__(self, back_ends: Sequence[StandIn], zone: str) -> None:
+        self._back_ends = back_ends
+        self._zone = zone
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        instances = [self._entry(back_end) for back_end in self._back_ends]
+        page = {"instances": instances, "next_token": None}
+        await send_response(send, json_response(OK, page))
+
+    def _entry(self, back_end: StandIn) -> dict[str, object]:
+        return {
+            "id": back_end.instance_id,
+            "service": back_end.service,
+            "address": str(back_end.address),
+            "zone": self._zone,
+            "version": "v1",
+            "slots": back_end.places,
+            "state": "ready",
+            "cold_left_ms": 0,
+        }
+
+
+def _now() -> float:
+    return anyio.current_time()
--- /dev/null
+++ b/src/passlane/soak/outputs.py
@@ -0,0 +1,25 @@
+"""What stand-ins answer: each answer follows from its request's id."""
+
+PLAIN_BODY_REPEATS = 200
+"""Makes a plain body of some kilobytes, which can break off in its middle."""
+
+
+def events_of(request_id: str, count: int) -> list[bytes]:
+    """Return the events that an engine sends for a request."""
+    numbers = range(1, count + 1)
+    return [f"id: {n}\ndata: {request_id}.{n}\n\n".encode() for n in numbers]
+
+
+def kept_output(request_id: str, count: int) -> bytes:
+    """Return what a turn's events add to its history."""
+    return "".join(f"{request_id}.{n}\n" for n in range(1, count + 1)).encode()
+
+
+def plain_output(request_id: str) -> bytes:
+    """Return the body that a plain back end answers with."""
+    return f"<{request_id}>".encode() * PLAIN_BODY_REPEATS
+
+
+def output_of(request_id: str, events: int) -> bytes:
+    """Return a whole answer: a stream of so many events, or without any a plain body."""
+    return b"".join(events_of(request_id, events)) if events else plain_output(request_id)
--- /dev/null
+++ b/src/passlane/soak/run.py
@@ -0,0 +1,240 @@
+"""Runs a soak: starts the processes, lets load and faults go on, checks, reports."""
+
+import itertools
+import signal
+import tempfile
+from collections import Counter
+from collections.abc import Mapping
+from pathlib import Path
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from passlane.bench.report_files import write_report
+from passlane.messages.common import Address
+from passlane.observability.logging import configure_logging
+from passlane.observability.ring import RingLog
+from passlane.runtime.http_server import UvicornHttpServer
+from passlane.soak.back_ends import StandIn, StandInEngine, StandInList, StandInPlain
+from passlane.soak.callers import Callers
+from passlane.soak.calm import CalmChecks
+from passlane.soak.client import SoakClient
+from passlane.soak.configuration import ENGINES, LIMIT, TOOLS, ZONE
+from passlane.soak.faults import Faults
+from passlane.soak.ledger import Ledger
+from passlane.soak.machines import DAEMON, Machines, loopback_network
+from passlane.soak.programs import Load
+from passlane.soak.report import SoakReport
+from passlane.soak.tallies import Tallies
+from passlane.soak.watch import Watch
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+REPORT_FILE = "soak.json"
+RING_LINES = 2_000
+START_TIMEOUT_S = 60.0
+"""All processes import their code at the same time, on a machine that may be busy."""
+LIST_HOST = 200
+FIRST_BACK_END_HOST = 201
+PLATFORM_PORT = 8080
+ENGINE_PACES = (0.7, 1.0, 1.4, 2.0)
+ENGINE_PLACES = (2, 2, 1, 1)
+PLAIN_PLACES = (3, 3)
+
+
+class SoakSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a soak is asked for.
+
+    Attributes
+    ----------
+    folder
+        Holds settings, output and data of the processes.
+    daemon
+        Command line that starts any of the daemons.
+    has_faults
+        Whether faults are injected.
+    stops_at_finding
+        Whether the first finding ends the soak.
+    """
+
+    seed: int
+    load_s: float
+    folder: Path
+    daemon: tuple[str, ...] = DAEMON
+    has_faults: bool = True
+    stops_at_finding: bool = False
+
+
+class Soak:
+    """One soak and its parts."""
+
+    def __init__(self, settings: SoakSettings) -> None:
+        self._settings = settings
+        seed = settings.seed
+        network = loopback_network()
+        self._list_address = Address(f"{network}.{LIST_HOST}", PLATFORM_PORT)
+        self.machines = Machines(network, settings.folder, self._list_address, settings.daemon)
+        self._ledger = Ledger(LIMIT, anyio.current_time())
+        self._tallies = Tallies()
+        client = SoakClient()
+        self._watch = Watch(self.machines, self._ledger, client, seed)
+        self._engines, self._back_ends = _stand_ins(network, self._ledger)
+        self._callers = Callers(self._ledger, client, self._watch, self._tallies, seed)
+        self._faults = Faults(self.machines, self._back_ends, self._ledger, seed)
+        self._was_interrupted = False
+
+    async def run(self) -> SoakReport:
+        """Run to the end, or until a signal; no process outlives it."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                if self._settings.stops_at_finding:
+                    self._ledger.on_finding = tasks.cancel_scope.cancel
+                tasks.start_soon(self._take_signals, tasks)
+                self._serve(tasks)
+                for machine in self.machines.all:
+                    self.machines.start(machine)
+                await self._run_phases(tasks)
+                tasks.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._stop_machines()
+        return self._report()
+
+    def _serve(self, tasks: TaskGroup) -> None:
+        server = UvicornHttpServer()
+        listing = StandInList(self._back_ends, ZONE)
+        tasks.start_soon(server.serve, self._list_address, listing)
+        for back_end in self._back_ends:
+            tasks.start_soon(server.serve, back_end.address, back_end)
+
+    async def _take_signals(self, tasks: TaskGroup) -> None:
+        with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+            async for number in signals:
+                print(f"interrupted by signal {int(number)}")
+                self._was_interrupted = True
+                tasks.cancel_scope.cancel()
+                return
+
+    async def _run_phases(self, tasks: TaskGroup) -> None:
+        with anyio.move_on_after(START_TIMEOUT_S):
+            await self._watch.put_next()
+            tasks.start_soon(self._watch.run)
+            await self._watch.wait_until(self._watch.all_ready)
+        is_ready = self._watch.all_ready()
+        now = anyio.current_time()
+        self._ledger.check("ready-at-first", is_ready, "", "a node did not become ready", now)
+        if not is_ready:
+            return
+        print("all nodes are ready; load begins")
+        async with anyio.create_task_group() as changes:
+            changes.start_soon(self._watch.change_configuration)
+            await self._disturb_load()
+            changes.cancel_scope.cancel()
+        print("load and faults have ended")
+        calm = CalmChecks(
+            self._callers, self._ledger, self._watch, self._engines, self._settings.seed
+        )
+        await calm.run()
+        self._check_shares()
+
+    async def _disturb_load(self) -> None:
+        """Let load and faults go on together; return when both have ended."""
+        load = Load(self._callers, self._ledger, self._tallies, self._settings.seed)
+        ending = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            if self._settings.has_faults:
+                tasks.start_soon(self._faults.run, ending)
+            await load.run(self._settings.load_s)
+            ending.set()
+
+    def _check_shares(self) -> None:
+        starved = self._tallies.starved_kinds()
+        detail = f"programs by outcome: {_plain(self._tallies.programs)}"
+        self._ledger.check(
+            "no-kind-starves", not starved, ", ".join(starved), detail, anyio.current_time()
+        )
+
+    async def _stop_machines(self) -> None:
+        """Ask all processes to stop, and kill those that don't."""
+        async with anyio.create_task_group() as tasks:
+            for machine in self.machines.all:
+                if machine.is_running:
+                    tasks.start_soon(self.machines.stop, machine, self._ledger)
+
+    def _report(self) -> SoakReport:
+        ledger = self._ledger
+        return SoakReport(
+            seed=self._settings.seed,
+            load_s=self._settings.load_s,
+            programs=_plain(self._tallies.programs),
+            answers=_plain(self._tallies.answers),
+            faults=dict(sorted(self._faults.counts.items())),
+            checks=dict(sorted(ledger.checks.items())),
+            findings=tuple(ledger.findings),
+            finding_count=ledger.finding_count,
+            was_interrupted=self._was_interrupted,
+        )
+
+
+def _plain(counts: Mapping[str, Counter[str]]) -> dict[str, dict[str, int]]:
+    return {name: dict(sorted(counter.items())) for name, counter in sorted(counts.items())}
+
+
+def _stand_ins(network: str, ledger: Ledger) -> tuple[list[StandInEngine], list[StandIn]]:
+    """Return the engines, and all back ends."""
+    hosts = (f"{network}.{number}" for number in itertools.count(FIRST_BACK_END_HOST))
+    engines: list[StandInEngine] = []
+    for number, (pace, places) in enumerate(zip(ENGINE_PACES, ENGINE_PLACES, strict=True), 1):
+        address = Address(next(hosts), PLATFORM_PORT)
+        engine = StandInEngine(f"engine-{number}", address, ENGINES, places, ledger)
+        engine.pace = pace
+        engines.append(engine)
+    plain: list[StandIn] = []
+    for number, places in enumerate(PLAIN_PLACES, 1):
+        address = Address(next(hosts), PLATFORM_PORT)
+        plain.append(StandInPlain(f"plain-{number}", address, TOOLS, places, ledger))
+    return engines, [*engines, *plain]
+
+
+async def run_soak(settings: SoakSettings) -> SoakReport:
+    """Run one soak and return its report; whatever happens, its processes end."""
+    soak = Soak(settings)
+    try:
+        return await soak.run()
+    finally:
+        soak.machines.end_all()
+
+
+def run(seed: int, load_s: float, report_folder: Path | None) -> int:
+    """Run a soak, print what came of it, and return the exit code.
+
+    Parameters
+    ----------
+    report_folder
+        Gets ``soak.json`` and the folder of the processes; ``None`` keeps neither.
+    """
+    configure_logging(RingLog(RING_LINES))
+    with tempfile.TemporaryDirectory(prefix="passlane-soak-") as scratch:
+        parent = report_folder or Path(scratch)
+        folder = parent / "processes"
+        folder.mkdir(parents=True)
+        report = anyio.run(run_soak, SoakSettings(seed=seed, load_s=load_s, folder=folder))
+    _print(report)
+    write_report(report_folder, REPORT_FILE, report)
+    return EXIT_OK if report.has_passed else EXIT_FAILED
+
+
+def _print(report: SoakReport) -> None:
+    for title, counts in (("programs", report.programs), ("answers", report.answers)):
+        for name, outcomes in counts.items():
+            print(f"{title} {name}: {_joined(outcomes)}")
+    print(f"faults: {_joined(report.faults)}")
+    print(f"checks: {_joined(report.checks)}")
+    for finding in report.findings:
+        print(f"FINDING {finding.check} {finding.request_id} at {finding.at_s} s: {finding.detail}")
+    print("promises kept" if report.has_passed else "PROMISES BROKEN OR INTERRUPTED")
+
+
+def _joined(counts: Mapping[str, int]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in counts.items()) or "none"
--- /dev/null
+++ b/tests/soak/defective_daemon.py
@@ -0,0 +1,103 @@
+"""Starts a daemon in which one function is replaced: a soak must notice it.
+
+``PASSLANE_SOAK_DEFECT`` names the defect. Functions are replaced before the daemon imports them.
+"""
+
+import itertools
+import os
+import sys
+
+import anyio
+
+DEFECT_VARIABLE = "PASSLANE_SOAK_DEFECT"
+LEAK_PERIOD = 4
+
+
+def place_never_given_back():
+    """Forget the end of each fourth turn, and give nothing back by time."""
+    from passlane.scheduling.engine_places import EngineTable
+    from passlane.scheduling.turn_scheduler import TurnScheduler
+
+    numbers = itertools.count(1)
+    end = TurnScheduler.end
+
+    def end_of_some(self, ended, now):
+        return [] if next(numbers) % LEAK_PERIOD == 0 else end(self, ended, now)
+
+    TurnScheduler.end = end_of_some
+    EngineTable.overdue = lambda self, now: []
+
+
+def limit_counted_by_each_node():
+    """Let each node grant from a ledger of its own."""
+    from passlane.quotas.ledger import QuotaLedger, QuotaRules
+    from passlane.turns.client import TurnStoreClient
+
+    ledger = QuotaLedger(QuotaRules(window_s=5.0, overage=0.1, slack=10.0))
+
+    async def draw(self, draw, *, timeout_s):
+        return ledger.draw(draw, anyio.current_time())
+
+    TurnStoreClient.draw_quota = draw
+
+
+def refusal_after_a_send():
+    """Say "not run" of every request that got no answer."""
+    from passlane.relay import verdicts
+
+    verdicts.status_when_given_up = lambda verdict, *, is_late: verdicts.UNAVAILABLE
+    verdicts.truthful_status = lambda status, verdict: status
+
+
+def history_without_its_end():
+    """Keep each turn without its answer's last byte."""
+    from passlane.turns.client import TurnStoreClient
+
+    settle = TurnStoreClient.settle
+
+    async def settle_shortened(self, request, *, timeout_s):
+        if request.turn is not None:
+            import msgspec
+
+            turn = msgspec.structs.replace(request.turn, content=request.turn.content[:-1])
+            request = msgspec.structs.replace(request, turn=turn)
+        return await settle(self, request, timeout_s=timeout_s)
+
+    TurnStoreClient.settle = settle_shortened
+
+
+def budget_not_counted():
+    """Ask for turns as if they generated nothing."""
+    import msgspec
+
+    from passlane.turns.client import TurnStoreClient
+
+    reserve, settle = TurnStoreClient.reserve, TurnStoreClient.settle
+
+    async def reserve_nothing(self, request, *, timeout_s):
+        free = msgspec.structs.replace(request, most_tokens=0)
+        return await reserve(self, free, timeout_s=timeout_s)
+
+    async def settle_nothing(self, request, *, timeout_s):
+        free = msgspec.structs.replace(request, tokens=0)
+        return await settle(self, free, timeout_s=timeout_s)
+
+    TurnStoreClient.reserve, TurnStoreClient.settle = reserve_nothing, settle_nothing
+
+
+DEFECTS = {
+    defect.__name__: defect
+    for defect in (
+        place_never_given_back,
+        limit_counted_by_each_node,
+        refusal_after_a_send,
+        history_without_its_end,
+        budget_not_counted,
+    )
+}
+
+if __name__ == "__main__":
+    DEFECTS[os.environ[DEFECT_VARIABLE]]()
+    from passlane.daemon.fleet_start import main
+
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,110 @@
+"""Short soaks of real processes: without a defect nothing is found, with one it is."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import anyio
+
+from passlane.soak.run import SoakSettings, run_soak
+from soak.defective_daemon import DEFECT_VARIABLE
+
+SEED = 1
+LOAD_S = 10.0
+DEFECT_LOAD_S = 8.0
+SEED_WITH_BROKEN_ANSWERS = 4
+BROKEN_ANSWERS_LOAD_S = 12.0
+DEFECTIVE_DAEMON = (sys.executable, str(Path(__file__).with_name("defective_daemon.py")))
+
+
+def soak(**settings):
+    with tempfile.TemporaryDirectory(prefix="passlane-soak-test-") as folder:
+        return anyio.run(run_soak, SoakSettings(folder=Path(folder), **settings))
+
+
+def soak_with(defect, *, seed=SEED, load_s=DEFECT_LOAD_S, **settings):
+    with mock.patch.dict(os.environ, {DEFECT_VARIABLE: defect}):
+        return soak(
+            seed=seed,
+            load_s=load_s,
+            daemon=DEFECTIVE_DAEMON,
+            stops_at_finding=True,
+            **settings,
+        )
+
+
+class SoakTest(unittest.TestCase):
+    def test_nothing_is_found_under_faults(self):
+        report = soak(seed=SEED, load_s=LOAD_S)
+        self.assertEqual(report.findings, ())
+        self.assertTrue(report.has_passed)
+        self.assertTrue(report.faults)
+        self.assertLessEqual({"urgent", "long", "flood"}, set(report.programs))
+        for check in ("at-most-once", "history", "budget", "tenant-limit", "no-place-held"):
+            self.assertGreater(report.checks[check], 0, check)
+
+
+class InterruptionTest(unittest.TestCase):
+    def test_a_soak_that_is_interrupted_ends_its_processes(self):
+        with tempfile.TemporaryDirectory(prefix="passlane-soak-test-") as folder:
+            report = Path(folder) / "report"
+            running = subprocess.Popen(
+                [sys.executable, "-m", "passlane.cli.main", "soak", "--report", str(report)],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            for line in running.stdout:
+                if "load begins" in line:
+                    running.terminate()
+                    break
+            output, _ = running.communicate(timeout=60)
+            self.assertEqual(running.returncode, 1)
+            self.assertIn("interrupted", output)
+            self.assertTrue(json.loads((report / "soak.json").read_text())["was_interrupted"])
+            self.assertEqual(processes_in(folder), [])
+
+
+def processes_in(folder):
+    """Ids of the processes whose working folder lies in another one."""
+    found = []
+    for entry in Path("/proc").glob("[0-9]*/cwd"):
+        try:
+            if str(entry.readlink()).startswith(folder):
+                found.append(int(entry.parent.name))
+        except OSError:
+            continue  # Another user's process, or one that has just ended.
+    return found
+
+
+class DefectTest(unittest.TestCase):
+    def expect(self, check, report):
+        self.assertEqual({finding.check for finding in report.findings}, {check})
+
+    def test_a_place_that_is_never_given_back(self):
+        report = soak_with("place_never_given_back", has_faults=False)
+        self.expect("no-place-held", report)
+
+    def test_a_limit_that_each_node_counts_for_itself(self):
+        report = soak_with("limit_counted_by_each_node", has_faults=False)
+        self.expect("tenant-limit", report)
+
+    def test_a_refusal_after_a_send(self):
+        report = soak_with(
+            "refusal_after_a_send", seed=SEED_WITH_BROKEN_ANSWERS, load_s=BROKEN_ANSWERS_LOAD_S
+        )
+        self.expect("promise-of-not-run", report)
+
+    def test_a_history_without_its_end(self):
+        self.expect("history", soak_with("history_without_its_end", has_faults=False))
+
+    def test_a_budget_that_nobody_counts(self):
+        self.expect("budget", soak_with("budget_not_counted", has_faults=False))
+
+
+if __name__ == "__main__":
+    unittest.main()
