Soak: connections that are reset, late or silent; pages; limits told by runs and requests

Signals alone leave the sockets between nodes and back ends whole, so that what may be promised after a reset or a silence was not tried on real ones.

A small proxy of bytes stands before each back end: it delays, resets, holds, or doesn't read. Proxies between the daemons were ruled out for now: a machine announces the address that it listens on.

--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -175,25 +175,33 @@
 
 
 class StandInList:
-    """The platform's list of back ends, in one page."""
+    """The platform's list of back ends, in one page.
 
-    def __init__(self, back_ends: Sequence[StandIn], zone: str) -> None:
-        self._back_ends = back_ends
+    Parameters
+    ----------
+    addresses
+        Where each back end is listed, in their order.
+    """
+
+    def __init__(
+        self, back_ends: Sequence[StandIn], addresses: Sequence[Address], zone: str
+    ) -> None:
+        self._back_ends = list(zip(back_ends, addresses, strict=True))
         self._zone = zone
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
             return
-        instances = [self._entry(back_end) for back_end in self._back_ends]
+        instances = [self._entry(back_end, address) for back_end, address in self._back_ends]
         page = {"instances": instances, "next_token": None}
         await send_response(send, json_response(OK, page))
 
-    def _entry(self, back_end: StandIn) -> dict[str, object]:
+    def _entry(self, back_end: StandIn, address: Address) -> dict[str, object]:
         return {
             "id": back_end.instance_id,
             "service": back_end.service,
-            "address": str(back_end.address),
+            "address": str(address),
             "zone": self._zone,
             "version": "v1",
             "slots": back_end.places,
--- a/src/passlane/soak/calm.py
+++ b/src/passlane/soak/calm.py
@@ -6,10 +6,10 @@
 import anyio
 
 from passlane.soak.back_ends import EVENT_PAUSE_S, StandInEngine
-from passlane.soak.callers import Call, Callers
-from passlane.soak.configuration import LONG, TOKENS_PER_EVENT, USUAL_TENANT
+from passlane.soak.callers import Callers
+from passlane.soak.configuration import LONG
 from passlane.soak.ledger import Ledger
-from passlane.soak.programs import LONG_EVENTS, LONG_TIME_S, turn_headers
+from passlane.soak.programs import AMPLE_BUDGET_TURNS, LONG_EVENTS, PROGRAM_KINDS, Line
 from passlane.soak.watch import Watch
 
 LONGEST_RETURN_S = 30.0
@@ -77,17 +77,7 @@
         self._ledger.check("no-place-held", is_full, self._name, detail, now)
 
     async def _take_turn(self, program_id: str) -> None:
-        budget = LONG_EVENTS * TOKENS_PER_EVENT * ROUNDS
-        self._ledger.begin_program(program_id, budget, anyio.current_time())
-        body = program_id.encode()
-        turn = Call(
-            name=program_id,
-            route=LONG,
-            tenant=USUAL_TENANT,
-            headers=turn_headers(program_id, budget, LONG_EVENTS, LONG_TIME_S),
-            body=body,
-            expected_body=body,
-            events=LONG_EVENTS,
-        )
-        result = await self._callers.make(turn)
+        line = Line(program_id, PROGRAM_KINDS[LONG], budget_turns=AMPLE_BUDGET_TURNS)
+        self._ledger.begin_program(program_id, line.budget, anyio.current_time())
+        result = await self._callers.make(line.turn("0"))
         self._served += result.is_success
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -13,6 +13,7 @@
 from passlane.soak.configuration import ENGINES, TOOLS
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import Machine, Machines
+from passlane.soak.proxy import FaultyProxy, ProxyMode
 
 SHORTEST_GAP_S = 0.6
 LONGEST_GAP_S = 2.0
@@ -32,6 +33,10 @@
     RESTART = "restart"
     KILL_ROLE = "kill_role"
     BREAK_ANSWERS = "break_answers"
+    RESET = "reset"
+    DELAY = "delay"
+    SILENT = "silent"
+    NOT_READING = "not_reading"
 
 
 _WEIGHTS = {
@@ -41,6 +46,15 @@
     FaultKind.RESTART: 2,
     FaultKind.KILL_ROLE: 1,
     FaultKind.BREAK_ANSWERS: 4,
+    FaultKind.RESET: 3,
+    FaultKind.DELAY: 1,
+    FaultKind.SILENT: 2,
+    FaultKind.NOT_READING: 1,
+}
+_PROXY_MODES = {
+    FaultKind.DELAY: ProxyMode.DELAY,
+    FaultKind.SILENT: ProxyMode.SILENT,
+    FaultKind.NOT_READING: ProxyMode.NOT_READING,
 }
 
 
@@ -54,33 +68,53 @@
     """
 
     def __init__(
-        self, machines: Machines, back_ends: Sequence[StandIn], ledger: Ledger, seed: int
+        self,
+        machines: Machines,
+        back_ends: Sequence[StandIn],
+        proxies: Sequence[FaultyProxy],
+        ledger: Ledger,
+        seed: int,
     ) -> None:
         self._machines = machines
         self._back_ends = back_ends
+        self._proxies = proxies
         self._ledger = ledger
         self._random = random.Random(f"{seed} faults")
         self._struck: set[FleetRole] = set()
         self.counts: Counter[str] = Counter()
 
-    async def run(self, ending: anyio.Event) -> None:
+    async def run(self, ending: anyio.Event, kinds: Sequence[FaultKind]) -> None:
         """Strike again and again; return once the last fault has been taken back."""
+        weights = [_WEIGHTS[kind] for kind in kinds]
         async with anyio.create_task_group() as tasks:
             while not ending.is_set():
                 with anyio.move_on_after(self._random.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)):
                     await ending.wait()
                     return
-                kind = self._random.choices(list(_WEIGHTS), list(_WEIGHTS.values()))[0]
+                kind = self._random.choices(kinds, weights)[0]
                 duration_s = self._random.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
                 if kind is FaultKind.BREAK_ANSWERS:
                     service = self._random.choice((ENGINES, TOOLS))
                     tasks.start_soon(self._break_answers, service)
-                    continue
-                machine = self._random.choice(self._machines.all)
-                if machine.role not in self._struck:
+                elif kind is FaultKind.RESET or kind in _PROXY_MODES:
+                    proxy = self._random.choice(self._proxies)
+                    tasks.start_soon(self._disturb, kind, proxy, duration_s)
+                else:
+                    machine = self._random.choice(self._machines.all)
                     tasks.start_soon(self._strike, kind, machine, duration_s)
 
+    async def _disturb(self, kind: FaultKind, proxy: FaultyProxy, duration_s: float) -> None:
+        self.counts[f"{kind.value} {proxy.name}"] += 1
+        if kind is FaultKind.RESET:
+            proxy.reset_all()
+            return
+        proxy.set_mode(_PROXY_MODES[kind])
+        await anyio.sleep(duration_s)
+        proxy.set_mode(ProxyMode.PASS)
+
     async def _strike(self, kind: FaultKind, machine: Machine, duration_s: float) -> None:
+        if machine.role in self._struck:
+            return
         self.counts[f"{kind.value} {machine.role.value}"] += 1
         self._struck.add(machine.role)
         if kind is FaultKind.PAUSE:
--- a/src/passlane/soak/ledger.py
+++ b/src/passlane/soak/ledger.py
@@ -84,7 +84,7 @@
         self._programs: dict[str, Program] = {}
         self._programs_since: deque[tuple[float, str]] = deque()
         self._runs_of_operation: Counter[str] = Counter()
-        self._limited_runs: deque[float] = deque()
+        self._limited_runs: deque[tuple[float, str]] = deque()
         self.findings: list[Finding] = []
         self.finding_count = 0
         self.checks: Counter[str] = Counter()
@@ -195,11 +195,16 @@
 
     def _check_limit(self, request_id: str, now: float) -> None:
         runs = self._limited_runs
-        runs.append(now)
-        while runs[0] <= now - self._limit.window_s:
+        runs.append((now, request_id))
+        while runs[0][0] <= now - self._limit.window_s:
             runs.popleft()
-        detail = f"{len(runs)} runs in {self._limit.window_s} s, {self._limit.allowed:g} allowed"
-        self.check("tenant-limit", len(runs) <= self._limit.allowed, request_id, detail, now)
+        holds = len(runs) <= self._limit.allowed
+        requests = len({run_id for _, run_id in runs}) if not holds else len(runs)
+        detail = (
+            f"{len(runs)} runs of {requests} requests in {self._limit.window_s} s, "
+            f"{self._limit.allowed:g} allowed"
+        )
+        self.check("tenant-limit", holds, request_id, detail, now)
 
     def _forget(self, now: float) -> None:
         """Forget what is older than any request can be."""
--- a/src/passlane/soak/programs.py
+++ b/src/passlane/soak/programs.py
@@ -39,22 +39,76 @@
 CHARGE_SHARE = 0.5
 URGENT_TIME_S = 4.0
 LONG_TIME_S = 20.0
+PROMPT_TOKENS = 50
 MILLISECONDS = 1000
 BUDGET_SPENT = 402
 FLOOD = "flood"
 
 
-class _Line:
-    """One program's line of turns: the last whole one and the history up to it."""
-
-    def __init__(self) -> None:
-        self.previous: str | None = None
-        self.history = b""
+class ProgramKind(msgspec.Struct, frozen=True):
+    """What programs of one kind do.
+
+    Attributes
+    ----------
+    has_history
+        Whether its turns go on from each other.
+    time_s
+        Time within which a program should be over.
+    """
+
+    route: str
+    fewest_turns: int
+    most_turns: int
+    events: int
+    has_history: bool
+    time_s: float
+
+
+PROGRAM_KINDS = {
+    URGENT: ProgramKind(URGENT, 1, 2, URGENT_EVENTS, False, URGENT_TIME_S),
+    LONG: ProgramKind(LONG, FEWEST_LONG_TURNS, MOST_LONG_TURNS, LONG_EVENTS, True, LONG_TIME_S),
+}
+
+
+class Line:
+    """One program's line of turns: its budget, the last whole turn, the history up to it."""
+
+    def __init__(self, program_id: str, kind: ProgramKind, budget_turns: float) -> None:
+        self.program_id = program_id
+        self.budget = int(budget_turns * kind.events * TOKENS_PER_EVENT)
+        self._kind = kind
+        self._previous: str | None = None
+        self._history = b""
+
+    def turn(self, name: str) -> Call:
+        """Return the next turn."""
+        kind = self._kind
+        body = f"[{name}]".encode()
+        headers = {
+            names.PROGRAM_ID: self.program_id,
+            names.SESSION_ID: self.program_id,
+            names.PROGRAM_DEADLINE_MS: str(int(kind.time_s * MILLISECONDS)),
+            names.TOKEN_BUDGET: str(self.budget),
+            names.TOKEN_USAGE: f"{PROMPT_TOKENS},{kind.events * TOKENS_PER_EVENT}",
+        }
+        if self._previous is not None:
+            headers[names.PREVIOUS_TURN] = self._previous
+        return Call(
+            name=f"{self.program_id}-{name}",
+            route=kind.route,
+            tenant=USUAL_TENANT,
+            headers=headers,
+            body=body,
+            expected_body=self._history + body,
+            has_kept_history=self._previous is not None,
+            events=kind.events,
+        )
 
-    def take(self, turn: CallResult, body: bytes) -> None:
-        """Go on from a turn that ended whole."""
-        self.previous = turn.request_id
-        self.history = body + kept_output(turn.request_id, LONG_EVENTS)
+    def go_on_from(self, turn: Call, request_id: str) -> None:
+        """Note a turn whose whole answer has come, and the id of its attempt."""
+        if self._kind.has_history:
+            self._previous = request_id
+            self._history = turn.expected_body + kept_output(request_id, self._kind.events)
 
 
 class Load:
@@ -89,81 +143,46 @@
         self._under_way += 1
         choices = random.Random(number)
         program_id = f"{kind}-{self._seed}-{self._begun}"
-        run = {URGENT: self._run_urgent, LONG: self.run_long, FLOOD: self._run_flood}[kind]
         try:
-            self._tallies.note_program(kind, await run(program_id, choices))
+            if kind == FLOOD:
+                outcome = await self._run_flood(program_id)
+            else:
+                outcome = await self._run_turns(program_id, choices, PROGRAM_KINDS[kind])
+            self._tallies.note_program(kind, outcome)
         finally:
             self._under_way -= 1
 
-    async def _run_flood(self, program_id: str, choices: random.Random) -> Outcome:
+    async def _run_flood(self, program_id: str) -> Outcome:
         call = tool_call(program_id, "0", LOOKUP, FLOODING_TENANT, most_tries=1)
         return _outcome_of(await self._callers.make(call))
 
-    async def _run_urgent(self, program_id: str, choices: random.Random) -> Outcome:
-        budget = AMPLE_BUDGET_TURNS * URGENT_EVENTS * TOKENS_PER_EVENT
-        self._ledger.begin_program(program_id, budget, anyio.current_time())
-        for number in range(choices.randint(1, 2)):
-            body = f"[{program_id} {number}]".encode()
-            headers = turn_headers(program_id, budget, URGENT_EVENTS, URGENT_TIME_S)
-            turn = Call(
-                name=f"{program_id}-{number}",
-                route=URGENT,
-                tenant=USUAL_TENANT,
-                headers=headers,
-                body=body,
-                expected_body=body,
-                events=URGENT_EVENTS,
-            )
-            result = await self._callers.make(turn)
-            if not result.is_success:
-                return _outcome_of(result)
-            result = await self._callers.make(tool_call(program_id, f"{number}", LOOKUP))
+    async def _run_turns(
+        self, program_id: str, choices: random.Random, kind: ProgramKind
+    ) -> Outcome:
+        """Run a program with a tool call after each turn; some long ones have a tight budget."""
+        is_tight = kind.has_history and choices.random() < TIGHT_SHARE
+        line = Line(program_id, kind, TIGHT_BUDGET_TURNS if is_tight else AMPLE_BUDGET_TURNS)
+        self._ledger.begin_program(program_id, line.budget, anyio.current_time())
+        for number in range(choices.randint(kind.fewest_turns, kind.most_turns)):
+            result = await self._take_turn(line, f"{number}", is_doubled=is_tight)
             if not result.is_success:
                 return _outcome_of(result)
-        return Outcome.COMPLETED
-
-    async def run_long(self, program_id: str, choices: random.Random) -> Outcome:
-        """Run a program whose turns go on from each other; some have a tight budget."""
-        is_tight = choices.random() < TIGHT_SHARE
-        turns = TIGHT_BUDGET_TURNS if is_tight else AMPLE_BUDGET_TURNS
-        budget = int(turns * LONG_EVENTS * TOKENS_PER_EVENT)
-        self._ledger.begin_program(program_id, budget, anyio.current_time())
-        line = _Line()
-        for number in range(choices.randint(FEWEST_LONG_TURNS, MOST_LONG_TURNS)):
-            result = await self._take_turn(line, program_id, number, budget, is_doubled=is_tight)
-            if not result.is_success:
-                return _outcome_of(result)
-            route = CHARGE if choices.random() < CHARGE_SHARE else LOOKUP
+            charges = kind.has_history and choices.random() < CHARGE_SHARE
+            route = CHARGE if charges else LOOKUP
             result = await self._callers.make(tool_call(program_id, f"{number}", route))
-            if not result.is_success and route == LOOKUP:
+            if not result.is_success and not charges:
                 return _outcome_of(result)
         return Outcome.COMPLETED
 
-    async def _take_turn(
-        self, line: _Line, program_id: str, number: int, budget: int, *, is_doubled: bool
-    ) -> CallResult:
+    async def _take_turn(self, line: Line, name: str, *, is_doubled: bool) -> CallResult:
         """Take a turn; a doubled one has a twin at the same time, most likely elsewhere."""
-        new_input = f"[{program_id} {number}]".encode()
-        headers = turn_headers(program_id, budget, LONG_EVENTS, LONG_TIME_S)
-        if line.previous is not None:
-            headers[names.PREVIOUS_TURN] = line.previous
-        body = line.history + new_input
-        turn = Call(
-            name=f"{program_id}-{number}",
-            route=LONG,
-            tenant=USUAL_TENANT,
-            headers=headers,
-            body=new_input,
-            expected_body=body,
-            has_kept_history=line.previous is not None,
-            events=LONG_EVENTS,
-        )
+        turn = line.turn(name)
         if is_doubled:
             result = await self._make_twins(turn)
         else:
             result = await self._callers.make(turn)
         if result.is_success:
-            line.take(result, body)
+            line.go_on_from(turn, result.request_id)
         return result
 
     async def _make_twins(self, turn: Call) -> CallResult:
@@ -179,17 +198,6 @@
         return next((result for result in results if result.is_success), results[0])
 
 
-def turn_headers(program_id: str, budget: int, events: int, time_s: float) -> dict[str, str]:
-    """Return the headers of a turn of a program."""
-    return {
-        names.PROGRAM_ID: program_id,
-        names.SESSION_ID: program_id,
-        names.PROGRAM_DEADLINE_MS: str(int(time_s * MILLISECONDS)),
-        names.TOKEN_BUDGET: str(budget),
-        names.TOKEN_USAGE: f"50,{events * TOKENS_PER_EVENT}",
-    }
-
-
 def tool_call(
     program_id: str, name: str, route: str, tenant: str = USUAL_TENANT, most_tries: int = 5
 ) -> Call:
--- /dev/null
+++ b/src/passlane/soak/proxy.py
@@ -0,0 +1,114 @@
+"""A proxy of bytes on loopback before a back end: passes, delays, resets, stands still."""
+
+import socket
+import struct
+from enum import StrEnum
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from passlane.messages.common import Address
+from passlane.observability.logging import get_logger
+
+DELAY_S = 0.15
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` with no time: closing the socket resets its connection."""
+
+_log = get_logger(__name__)
+
+
+class ProxyMode(StrEnum):
+    """What becomes of bytes.
+
+    ``SILENT`` takes them and holds them; ``NOT_READING`` leaves what the caller sends in the
+    connection's buffers. Both let go of all bytes when the mode ends.
+    """
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    NOT_READING = "not_reading"
+
+
+class FaultyProxy:
+    """Passes connections on to a target.
+
+    Attributes
+    ----------
+    name, address
+        What it stands before, and where it listens.
+
+    Parameters
+    ----------
+    target
+        Where connections lead.
+    """
+
+    def __init__(self, name: str, address: Address, target: Address) -> None:
+        self.name = name
+        self.address = address
+        self._target = target
+        self._mode = ProxyMode.PASS
+        self._mode_ended = anyio.Event()
+        self._connections: dict[SocketStream, anyio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self.address.host, local_port=self.address.port
+        )
+        async with listener:
+            await listener.serve(self._serve)
+
+    def set_mode(self, mode: ProxyMode) -> None:
+        """Treat all bytes from now on by a mode."""
+        self._mode = mode
+        self._mode_ended.set()
+        self._mode_ended = anyio.Event()
+
+    def reset_all(self) -> None:
+        """Reset the connections that are open now."""
+        for connection, scope in self._connections.items():
+            raw = connection.extra(SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+            scope.cancel()
+
+    async def _serve(self, caller: SocketStream) -> None:
+        try:
+            target = await anyio.connect_tcp(self._target.host, self._target.port)
+        except OSError as error:
+            _log.info("proxy_target_not_reached", target=str(self._target), error=str(error))
+            await anyio.aclose_forcefully(caller)
+            return
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._connections[caller] = tasks.cancel_scope
+                tasks.start_soon(self._pump, caller, target, True)
+                await self._pump(target, caller, False)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._connections.pop(caller, None)
+            await anyio.aclose_forcefully(target)
+            await anyio.aclose_forcefully(caller)
+
+    async def _pump(self, source: SocketStream, sink: SocketStream, is_request: bool) -> None:
+        """Pass bytes on in one direction until either side has closed."""
+        try:
+            while True:
+                while is_request and self._mode is ProxyMode.NOT_READING:
+                    await self._mode_ended.wait()
+                try:
+                    data = await source.receive()
+                except anyio.EndOfStream:
+                    await sink.send_eof()
+                    return
+                await self._hold()
+                await sink.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
+            _log.info("proxy_connection_ended", target=str(self._target), error=repr(error))
+
+    async def _hold(self) -> None:
+        if self._mode is ProxyMode.DELAY:
+            await anyio.sleep(DELAY_S)
+        while self._mode is ProxyMode.SILENT:
+            await self._mode_ended.wait()
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -4,7 +4,7 @@
 import signal
 import tempfile
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import anyio
@@ -21,10 +21,11 @@
 from passlane.soak.calm import CalmChecks
 from passlane.soak.client import SoakClient
 from passlane.soak.configuration import ENGINES, LIMIT, TOOLS, ZONE
-from passlane.soak.faults import Faults
+from passlane.soak.faults import FaultKind, Faults
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import DAEMON, Machines, loopback_network
 from passlane.soak.programs import Load
+from passlane.soak.proxy import FaultyProxy
 from passlane.soak.report import SoakReport
 from passlane.soak.tallies import Tallies
 from passlane.soak.watch import Watch
@@ -37,6 +38,7 @@
 """All processes import their code at the same time, on a machine that may be busy."""
 LIST_HOST = 200
 FIRST_BACK_END_HOST = 201
+FIRST_PROXY_HOST = 221
 PLATFORM_PORT = 8080
 ENGINE_PACES = (0.7, 1.0, 1.4, 2.0)
 ENGINE_PLACES = (2, 2, 1, 1)
@@ -52,8 +54,8 @@
         Holds settings, output and data of the processes.
     daemon
         Command line that starts any of the daemons.
-    has_faults
-        Whether faults are injected.
+    fault_kinds
+        Faults that may be drawn.
     stops_at_finding
         Whether the first finding ends the soak.
     """
@@ -62,7 +64,7 @@
     load_s: float
     folder: Path
     daemon: tuple[str, ...] = DAEMON
-    has_faults: bool = True
+    fault_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     stops_at_finding: bool = False
 
 
@@ -81,7 +83,8 @@
         self._watch = Watch(self.machines, self._ledger, client, seed)
         self._engines, self._back_ends = _stand_ins(network, self._ledger)
         self._callers = Callers(self._ledger, client, self._watch, self._tallies, seed)
-        self._faults = Faults(self.machines, self._back_ends, self._ledger, seed)
+        self._proxies = _proxies(network, self._back_ends)
+        self._faults = Faults(self.machines, self._back_ends, self._proxies, self._ledger, seed)
         self._was_interrupted = False
 
     async def run(self) -> SoakReport:
@@ -103,10 +106,12 @@
 
     def _serve(self, tasks: TaskGroup) -> None:
         server = UvicornHttpServer()
-        listing = StandInList(self._back_ends, ZONE)
+        listing = StandInList(self._back_ends, [proxy.address for proxy in self._proxies], ZONE)
         tasks.start_soon(server.serve, self._list_address, listing)
         for back_end in self._back_ends:
             tasks.start_soon(server.serve, back_end.address, back_end)
+        for proxy in self._proxies:
+            tasks.start_soon(proxy.run)
 
     async def _take_signals(self, tasks: TaskGroup) -> None:
         with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
@@ -143,8 +148,8 @@
         load = Load(self._callers, self._ledger, self._tallies, self._settings.seed)
         ending = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            if self._settings.has_faults:
-                tasks.start_soon(self._faults.run, ending)
+            if self._settings.fault_kinds:
+                tasks.start_soon(self._faults.run, ending, self._settings.fault_kinds)
             await load.run(self._settings.load_s)
             ending.set()
 
@@ -197,6 +202,18 @@
     return engines, [*engines, *plain]
 
 
+def _proxies(network: str, back_ends: Sequence[StandIn]) -> list[FaultyProxy]:
+    """Return a proxy before each back end."""
+    return [
+        FaultyProxy(
+            back_end.instance_id,
+            Address(f"{network}.{FIRST_PROXY_HOST + number}", PLATFORM_PORT),
+            back_end.address,
+        )
+        for number, back_end in enumerate(back_ends)
+    ]
+
+
 async def run_soak(settings: SoakSettings) -> SoakReport:
     """Run one soak and return its report; whatever happens, its processes end."""
     soak = Soak(settings)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,14 +11,13 @@
 
 import anyio
 
+from passlane.soak.faults import FaultKind
 from passlane.soak.run import SoakSettings, run_soak
 from soak.defective_daemon import DEFECT_VARIABLE
 
 SEED = 1
 LOAD_S = 10.0
 DEFECT_LOAD_S = 8.0
-SEED_WITH_BROKEN_ANSWERS = 4
-BROKEN_ANSWERS_LOAD_S = 12.0
 DEFECTIVE_DAEMON = (sys.executable, str(Path(__file__).with_name("defective_daemon.py")))
 
 
@@ -27,11 +26,11 @@
         return anyio.run(run_soak, SoakSettings(folder=Path(folder), **settings))
 
 
-def soak_with(defect, *, seed=SEED, load_s=DEFECT_LOAD_S, **settings):
+def soak_with(defect, **settings):
     with mock.patch.dict(os.environ, {DEFECT_VARIABLE: defect}):
         return soak(
-            seed=seed,
-            load_s=load_s,
+            seed=SEED,
+            load_s=DEFECT_LOAD_S,
             daemon=DEFECTIVE_DAEMON,
             stops_at_finding=True,
             **settings,
@@ -86,24 +85,22 @@
         self.assertEqual({finding.check for finding in report.findings}, {check})
 
     def test_a_place_that_is_never_given_back(self):
-        report = soak_with("place_never_given_back", has_faults=False)
+        report = soak_with("place_never_given_back", fault_kinds=())
         self.expect("no-place-held", report)
 
     def test_a_limit_that_each_node_counts_for_itself(self):
-        report = soak_with("limit_counted_by_each_node", has_faults=False)
+        report = soak_with("limit_counted_by_each_node", fault_kinds=())
         self.expect("tenant-limit", report)
 
     def test_a_refusal_after_a_send(self):
-        report = soak_with(
-            "refusal_after_a_send", seed=SEED_WITH_BROKEN_ANSWERS, load_s=BROKEN_ANSWERS_LOAD_S
-        )
+        report = soak_with("refusal_after_a_send", fault_kinds=(FaultKind.BREAK_ANSWERS,))
         self.expect("promise-of-not-run", report)
 
     def test_a_history_without_its_end(self):
-        self.expect("history", soak_with("history_without_its_end", has_faults=False))
+        self.expect("history", soak_with("history_without_its_end", fault_kinds=()))
 
     def test_a_budget_that_nobody_counts(self):
-        self.expect("budget", soak_with("budget_not_counted", has_faults=False))
+        self.expect("budget", soak_with("budget_not_counted", fault_kinds=()))
 
 
 if __name__ == "__main__":
