Limits count each run of a request, not its first one only

A request drew once, before its first attempt.

Now a request draws again before it is sent once more after a run that counts; after a refusal, which proves that nothing ran, it doesn't. Where the limit leaves no room it ends with 502. It costs one round trip to the store for a limited tenant whose node holds nothing, after a failure alone.

--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -5,8 +5,9 @@
 
 import anyio
 
-from passlane.errors import Verdict
+from passlane.errors import PasslaneError, Verdict
 from passlane.messages.placement import TurnOutcome
+from passlane.messages.quotas import QuotaRefused
 from passlane.messages.routes import RouteKind
 from passlane.observability.logging import get_logger
 from passlane.relay.backends import BackendAnswer, BackendRequest
@@ -75,6 +76,7 @@
         self._call = context.call
         self._route = context.route
         self._service = context.service
+        self._quota = context.quota
         self._registry = context.registry
         self._backends = context.backends
         self._key = context.placement_key(used_last, assigned)
@@ -120,8 +122,30 @@
                 continue
             turn = None
             stall_limit = stall_limit_s(judgement.typical_s)
+            runs_before = self._runs
             if await self._attempt_and_note(load, stall_limit, limit_at, deliver):
                 return
+            if self._runs > runs_before:
+                await self._count_another_run(limit_at)
+
+    async def _count_another_run(self, limit_at: float) -> None:
+        """Count the run that is to follow one that may have run: limits hold for what runs.
+
+        Raises
+        ------
+        RequestFailedError
+            When the tenant's limit leaves no room for it, or whoever grants did not answer.
+        """
+        if self._quota.limit is None:
+            return
+        is_in_program = self._call.program is not None
+        try:
+            answer = await self._quota.admit(is_in_program=is_in_program, limit_at=limit_at)
+        except PasslaneError as error:
+            raise RequestFailedError(f"store_{error.code.value}") from error
+        if isinstance(answer, QuotaRefused):
+            raise RequestFailedError("quota_spent")
+        await anyio.sleep(answer.start_after_s)
 
     def outcome(self, *, is_whole: bool, events: int) -> TurnOutcome:
         """Return how the request went so far, for whoever places turns."""
--- a/tests/on_platform/test_quotas.py
+++ b/tests/on_platform/test_quotas.py
@@ -6,11 +6,16 @@
 
 import anyio
 
+from on_platform.fleet import CALLERS_PORT
+from on_platform.stand_in import StandInEngine
 from on_platform.test_fleet import on_seeds
+from passlane.api.asgi import read_request
+from passlane.messages.common import Address
 from passlane.messages.fleet import FleetRole
 from passlane.messages.quotas import QuotaGranted
 from passlane.quotas.ledger import QuotaLedger
 from passlane.relay.request_quota import RequestQuota
+from passlane.runtime.interfaces import HttpRequest
 
 WINDOW_S = 5.0
 OVERAGE = 0.1
@@ -19,6 +24,17 @@
 LARGE = CORNER | {"rate_per_s": 40, "burst": 40}
 FREE = {"name": "free", "api_keys": ["key-9"]}
 APPLY_S = 1.0
+LOOKUPS = {
+    "name": "lookups",
+    "host": "one.example",
+    "path_prefix": "/lookups/",
+    "kind": "safe",
+    "timeout_ms": 3000,
+    "target_latency_ms": 300,
+    "priority": 2,
+    "service": "models",
+    "max_attempts": 2,
+}
 
 
 def allowed(tenant):
@@ -166,6 +182,39 @@
         self.assertLessEqual(fullest_window(fleet), allowed(LARGE))
 
 
+class RepeatedRunTest(unittest.TestCase):
+    @on_seeds()
+    async def test_a_request_that_runs_again_elsewhere_counts_again(self, fleet):
+        await fleet.put_configuration(2, tenants=[CORNER], extra_routes=[LOOKUPS])
+        await anyio.sleep(APPLY_S)
+        with mock.patch.object(StandInEngine, "__call__", run_without_an_answer):
+            flood = LookupFlood(fleet, per_s=40)
+            await flood.run(8.0)
+        runs = sum(len(engine.run_times) for engine in fleet.engines)
+        self.assertGreater(runs, flood.statuses.count(502))
+        self.assertLessEqual(fullest_window(fleet), allowed(CORNER))
+
+
+async def run_without_an_answer(engine, scope, receive, send):
+    """Run a request and send what proves nothing: an answer without its id."""
+    await read_request(scope, receive, 10_000_000)
+    engine.run_times.append(anyio.current_time())
+    await engine._answer(send, 200, [], b"")
+
+
+class LookupFlood(Flood):
+    """Sends requests that may run at two engines each."""
+
+    async def _send(self, number):
+        self.sent += 1
+        node = self.fleet.machines[self.nodes[number % len(self.nodes)]]
+        headers = {"x-passlane-attempt-id": f"flood-{self.sent}", "x-api-key": self.key}
+        address = Address(node.host, CALLERS_PORT)
+        request = HttpRequest("POST", address, "/lookups/x", headers, b"", True, "one.example")
+        answer = await self.fleet._exchange(request, 6.0)
+        self.statuses.append(answer.status if answer is not None else None)
+
+
 async def flood_around_a_restart(fleet):
     """Flood, kill all processes at once, start them, flood again."""
     await begin(fleet, CORNER)
