--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -10,21 +10,21 @@
 import anyio
 
 DEFECT_VARIABLE = "PASSLANE_SOAK_DEFECT"
-LEAK_PERIOD = 4
+LEAKING_TURN = 30
 
 
 def place_never_given_back():
-    """Forget the end of each fourth turn, and give nothing back by time."""
+    """Forget the end of one turn, and give nothing back by time."""
     from passlane.scheduling.engine_places import EngineTable
     from passlane.scheduling.turn_scheduler import TurnScheduler
 
     numbers = itertools.count(1)
     end = TurnScheduler.end
 
-    def end_of_some(self, ended, now):
-        return [] if next(numbers) % LEAK_PERIOD == 0 else end(self, ended, now)
+    def end_of_all_but_one(self, ended, now):
+        return [] if next(numbers) == LEAKING_TURN else end(self, ended, now)
 
-    TurnScheduler.end = end_of_some
+    TurnScheduler.end = end_of_all_but_one
     EngineTable.overdue = lambda self, now: []
 
 
