A turn that outlasts its place speaks against its engine only if that ends no others

Change: only an engine that has ended no turn since that one was placed counts as hanging.

Figures: the new test of a silent engine among busy ones fails before.

--- a/src/passlane/scheduling/engine_places.py
+++ b/src/passlane/scheduling/engine_places.py
@@ -4,6 +4,7 @@
 whose end was lost with a node. Such a place is given back by time.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
@@ -54,6 +55,8 @@
         How much slower than others it is, as learnt and as of the last look.
     slots
         Turns that it runs at once.
+    ended_at
+        When it has last ended a turn whole.
     full_until
         Local time until which it refuses turns.
     """
@@ -67,6 +70,7 @@
         self.turns: dict[str, PlacedTurn] = {}
         self.tokens = 0
         self.full_until = 0.0
+        self.ended_at = -math.inf
         self.speed = EngineSpeed(fleet_speed, PACE_SMOOTHING)
         self._shared_parts: OrderedDict[str, int] = OrderedDict()
 
@@ -108,6 +112,7 @@
 
     def learn(self, turn: PlacedTurn, outcome: TurnOutcome, now: float) -> None:
         """Learn the engine's pace from a turn that it answered whole."""
+        self.ended_at = now
         self.health.note_success(now)
         self.speed.learn(outcome.engine_s, turn.expected_s, turn.expected_slowdown, now)
         self.slowdown = self.speed.slowdown(now)
@@ -184,7 +189,11 @@
         return (engine, turn) if engine is not None and turn is not None else None
 
     def expire(self, now: float) -> list[EnginePlaces]:
-        """Give back the places whose time is over; return their engines, one for each place."""
+        """Give back the places whose time is over; return engines that seem to hang.
+
+        Such an engine has ended no turn since that one was placed; it stands there once for each
+        place. One that ends others goes on: that turn is long, or its node is lost.
+        """
         overdue = [
             (engine, turn)
             for engine in self._engines.values()
@@ -195,7 +204,7 @@
             self.give_back(turn.attempt_id)
             self._expired[turn.attempt_id] = (engine, turn)
         self._forget_expired(now)
-        return [engine for engine, _ in overdue]
+        return [engine for engine, turn in overdue if engine.ended_at < turn.placed_at]
 
     def take_expired(self, attempt_id: str) -> tuple[EnginePlaces, PlacedTurn] | None:
         """Return a turn whose place was given back by time, once; ``None`` if it is none."""
--- a/tests/scheduling/test_turn_scheduler.py
+++ b/tests/scheduling/test_turn_scheduler.py
@@ -288,6 +288,26 @@
         engines = {self.place(f"a{number}") for number in range(4)}
         self.assertEqual(engines, {"e2", "e3"})
 
+    def engines_after_long_turns(self, *silent: str) -> set[str]:
+        """Let turns outlast their places while engines end others; return the next ones' engines.
+
+        Those that are ``silent`` end none.
+        """
+        self.list_engines(engine("e1", 4), engine("e2", 4), engine("e3", 4))
+        engine_of = {f"long{number}": self.place(f"long{number}") for number in range(12)}
+        for name in {"e1", "e2", "e3"} - set(silent):
+            attempt = next(attempt for attempt, at in engine_of.items() if at == name)
+            self.scheduler.end(ended(attempt, name), SHORTEST_PLACE_S / 2)
+        self.scheduler.advance(SHORTEST_PLACE_S + 0.1)
+        now = SHORTEST_PLACE_S + 0.1
+        return {self.place(f"next{number}", now=now) for number in range(6)}
+
+    def test_an_engine_whose_turns_are_long_is_not_left_alone_while_it_ends_others(self):
+        self.assertEqual(self.engines_after_long_turns(), {"e1", "e2", "e3"})
+
+    def test_an_engine_that_ends_no_turn_is_left_alone(self):
+        self.assertEqual(self.engines_after_long_turns("e1"), {"e2", "e3"})
+
     def test_when_most_engines_fail_none_is_left_alone(self):
         for number in range(3):
             self.scheduler.end(ended(f"x{number}", failed_at=("e1", "e2")), 0.0)
