The tenant's rank at engines: the test of the fleet expects the route's step in it

Cause: the number expected in place of the tenant's rank 2 was 8; the route that the test uses has rank 1, so it is 2 times three, and one.

Ruled out: a wrong rank (tests of the order of ranks hold).

--- a/tests/on_platform/test_tenants.py
+++ b/tests/on_platform/test_tenants.py
@@ -21,7 +21,7 @@
         self.assertEqual(answer.status, 200)
         (headers,) = [e.run_headers["one"] for e in fleet.engines if "one" in e.run_headers]
         self.assertEqual(headers["x-passlane-tenant"], "corner")
-        self.assertEqual(headers["x-passlane-request-priority"], "8")
+        self.assertEqual(headers["x-passlane-request-priority"], "7")
         self.assertNotIn("key-1", str(headers))
 
     @on_seeds()
