Documents and lists that the soak writes are made by the platform's folder

Cause: the soak wrote the platform's configuration and list by itself, so their names stood in its package; the test of names failed.

Ruled out: leaving the soak out of that test.

Change: `document_of` and `page_of` beside the readers of both, from the product's types; a document that is written is read back as it was, by a test.

Conclusion: names stand in one folder again.

--- a/src/passlane/platform/configuration_format.py
+++ b/src/passlane/platform/configuration_format.py
@@ -1,5 +1,6 @@
 """The platform's configuration document and the product's route configuration."""
 
+from collections.abc import Mapping
 from typing import Annotated, Literal
 
 import msgspec
@@ -19,11 +20,13 @@
 MILLISECONDS = 1_000.0
 WHOLE_WEIGHT = 1
 
-_KINDS = {
+_Kind = Literal["safe", "unsafe", "streaming"]
+_KINDS: dict[_Kind, RouteKind] = {
     "safe": RouteKind.REPEATABLE,
     "unsafe": RouteKind.AT_MOST_ONCE,
     "streaming": RouteKind.STREAM,
 }
+_WORDS: dict[RouteKind, _Kind] = {kind: word for word, kind in _KINDS.items()}
 
 
 class _Part(msgspec.Struct, frozen=True):
@@ -35,7 +38,7 @@
     name: str
     host: str
     path_prefix: str
-    kind: Literal["safe", "unsafe", "streaming"] = "unsafe"
+    kind: _Kind = "unsafe"
     timeout_ms: float
     target_latency_ms: float = 0.0
     priority: int = 5
@@ -114,6 +117,62 @@
     )
 
 
+def document_of(
+    configuration: RouteConfiguration, keys_of_tenant: Mapping[str, tuple[str, ...]]
+) -> bytes:
+    """Return the document that an operator sends for a configuration.
+
+    Parameters
+    ----------
+    keys_of_tenant
+        API keys by tenant; a configuration holds digests only.
+    """
+    document = _Document(
+        version=configuration.version,
+        routes=tuple(_route_document(route) for route in configuration.routes),
+        services=tuple(_service_document(service) for service in configuration.services),
+        tenants=tuple(
+            _Tenant(
+                name=tenant.name,
+                api_keys=keys_of_tenant[tenant.name],
+                priority=tenant.priority,
+                rate_per_s=tenant.rate_per_s,
+                burst=tenant.burst,
+            )
+            for tenant in configuration.tenants
+        ),
+    )
+    return msgspec.json.encode(document)
+
+
+def _route_document(route: Route) -> _Route:
+    (share,) = route.shares
+    return _Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=_WORDS[route.kind],
+        timeout_ms=route.timeout_s * MILLISECONDS,
+        target_latency_ms=route.target_latency_s * MILLISECONDS,
+        priority=route.priority,
+        service=share.service,
+        max_attempts=route.max_attempts,
+        retained=route.keeps_turns,
+        retention_s=route.retention_s,
+        target_gap_ms=route.target_gap_s * MILLISECONDS,
+    )
+
+
+def _service_document(service: RoutedService) -> _Service:
+    engine = _Engine(service.slots, service.tokens_per_event, service.memory_tokens)
+    return _Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_conns=service.max_connections,
+        engine=engine if service.tokens_per_event else None,
+    )
+
+
 def _route_of(route: _Route) -> Route:
     return Route(
         name=route.name,
--- a/src/passlane/platform/instance_list.py
+++ b/src/passlane/platform/instance_list.py
@@ -1,5 +1,6 @@
 """The platform's list of engines and applications."""
 
+from collections.abc import Iterable
 from urllib.parse import quote
 
 import msgspec
@@ -34,6 +35,23 @@
 
 
 _decoder = msgspec.json.Decoder(_Page)
+_encoder = msgspec.json.Encoder()
+
+
+def page_of(records: Iterable[BackendRecord]) -> bytes:
+    """Return the only page of a list, as the platform writes it."""
+    instances = tuple(
+        _Instance(
+            id=record.instance_id,
+            service=record.service,
+            address=str(record.address),
+            zone=record.zone,
+            state=record.state.value,
+            slots=record.slots,
+        )
+        for record in records
+    )
+    return _encoder.encode(_Page(instances))
 
 
 class InstanceList:
--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -17,7 +17,6 @@
     Response,
     Scope,
     Send,
-    json_response,
     read_request,
     send_chunk,
     send_response,
@@ -25,8 +24,10 @@
 )
 from passlane.errors import PasslaneError
 from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord, BackendState
 from passlane.observability.logging import get_logger
 from passlane.platform import names
+from passlane.platform.instance_list import page_of
 from passlane.soak.configuration import FLOODING_TENANT, HEALTH_PATH, TOKENS_PER_EVENT
 from passlane.soak.ledger import Ledger
 from passlane.soak.outputs import events_of, plain_output
@@ -193,21 +194,18 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        instances = [self._entry(back_end, address) for back_end, address in self._back_ends]
-        page = {"instances": instances, "next_token": None}
-        await send_response(send, json_response(OK, page))
-
-    def _entry(self, back_end: StandIn, address: Address) -> dict[str, object]:
-        return {
-            "id": back_end.instance_id,
-            "service": back_end.service,
-            "address": str(address),
-            "zone": self._zone,
-            "version": "v1",
-            "slots": back_end.places,
-            "state": "ready",
-            "cold_left_ms": 0,
-        }
+        records = [self._record(back_end, address) for back_end, address in self._back_ends]
+        await send_response(send, Response(OK, body=page_of(records)))
+
+    def _record(self, back_end: StandIn, address: Address) -> BackendRecord:
+        return BackendRecord(
+            instance_id=back_end.instance_id,
+            service=back_end.service,
+            address=address,
+            zone=self._zone,
+            slots=back_end.places,
+            state=BackendState.READY,
+        )
 
 
 def _now() -> float:
--- a/src/passlane/soak/configuration.py
+++ b/src/passlane/soak/configuration.py
@@ -4,6 +4,16 @@
 
 import msgspec
 
+from passlane.messages.routes import (
+    RequestLimits,
+    Route,
+    RouteConfiguration,
+    RoutedService,
+    RouteKind,
+    ServiceShare,
+    Tenant,
+)
+from passlane.platform.configuration_format import document_of
 from passlane.soak.ledger import LimitRule
 
 HOST = "soak.example"
@@ -37,41 +47,45 @@
 
 def configuration(version: int) -> bytes:
     """Return the document of a version."""
-    routes = [
-        _route(URGENT, "streaming", ENGINES, priority=0, target_latency_ms=300),
-        _route(LONG, "streaming", ENGINES, priority=3, retained=True, retention_s=60.0),
-        _route(LOOKUP, "safe", TOOLS, max_attempts=SAFE_RUNS),
-        _route(CHARGE, "unsafe", TOOLS),
-        _route("version", "safe", TOOLS) | {"path_prefix": version_path(version)},
-    ]
-    engine = {"slots": 2, "chunk_tokens": TOKENS_PER_EVENT, "kv_capacity": 100_000}
-    services = [
-        {"name": ENGINES, "health_path": HEALTH_PATH, "max_conns": 40, "engine": engine},
-        {"name": TOOLS, "health_path": HEALTH_PATH, "max_conns": 40},
-    ]
-    tenants = [
-        {"name": USUAL_TENANT, "api_keys": [KEYS[USUAL_TENANT]]},
-        {
-            "name": FLOODING_TENANT,
-            "api_keys": [KEYS[FLOODING_TENANT]],
-            "rate_per_s": LIMIT_PER_S,
-            "burst": LIMIT_BURST,
-        },
-    ]
-    document = {"version": version, "routes": routes, "services": services, "tenants": tenants}
-    return msgspec.json.encode(document)
+    routes = (
+        _route(URGENT, RouteKind.STREAM, ENGINES, priority=0, target_latency_s=0.3),
+        _route(LONG, RouteKind.STREAM, ENGINES, priority=3, keeps_turns=True, retention_s=60.0),
+        _route(LOOKUP, RouteKind.REPEATABLE, TOOLS, max_attempts=SAFE_RUNS),
+        _route(CHARGE, RouteKind.AT_MOST_ONCE, TOOLS),
+        _route("version", RouteKind.REPEATABLE, TOOLS, path_prefix=version_path(version)),
+    )
+    engines = RoutedService(
+        name=ENGINES, health_path=HEALTH_PATH, max_connections=40, slots=2,
+        tokens_per_event=TOKENS_PER_EVENT, memory_tokens=100_000,
+    )  # fmt: skip
+    tools = RoutedService(name=TOOLS, health_path=HEALTH_PATH, max_connections=40)
+    held = RouteConfiguration(
+        version=version,
+        routes=routes,
+        services=(engines, tools),
+        limits=RequestLimits(
+            max_header_bytes=0, max_body_bytes=0, header_timeout_s=0.0, idle_timeout_s=0.0
+        ),
+        source=b"",
+        tenants=(
+            Tenant(name=USUAL_TENANT),
+            Tenant(name=FLOODING_TENANT, rate_per_s=LIMIT_PER_S, burst=LIMIT_BURST),
+        ),
+    )
+    return document_of(held, {name: (key,) for name, key in KEYS.items()})
 
 
-def _route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
-    usual = {
-        "name": name,
-        "host": HOST,
-        "path_prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": 4000,
-        "target_latency_ms": 600,
-        "target_gap_ms": 600,
-        "priority": 2,
-        "service": service,
-    }
-    return usual | changes
+def _route(name: str, kind: RouteKind, service: str, **changes: Any) -> Route:
+    usual = Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        kind=kind,
+        timeout_s=4.0,
+        target_latency_s=0.6,
+        target_gap_s=0.6,
+        priority=2,
+        shares=(ServiceShare(service, 1),),
+        max_attempts=1,
+    )
+    return msgspec.structs.replace(usual, **changes)
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.messages.routes import RouteKind, ServiceShare
-from passlane.platform.configuration_format import parse_configuration
+from passlane.messages.routes import Route, RoutedService, RouteKind, ServiceShare, Tenant
+from passlane.platform.configuration_format import document_of, parse_configuration
 from passlane.platform.engine_client import EngineAnswer
 from passlane.platform.request_format import parse_call
 from passlane.relay.backends import Refusal
@@ -157,6 +157,26 @@
         self.assertEqual(parsed.services[0].tokens_per_event, 9)
         self.assertEqual(parsed.limits.idle_timeout_s, 15.0)
 
+    def test_a_document_that_is_written_is_read_back(self):
+        engine = RoutedService(
+            name="engines", health_path="/h", max_connections=4, slots=2, tokens_per_event=9,
+            memory_tokens=1_000,
+        )  # fmt: skip
+        route = Route(
+            name="r", host="one.example", path_prefix="/r/", kind=RouteKind.STREAM, timeout_s=4.0,
+            target_latency_s=0.3, priority=1, shares=(ServiceShare("engines", 1),),
+            max_attempts=2, keeps_turns=True, retention_s=60.0, target_gap_s=0.2,
+        )  # fmt: skip
+        tenant = Tenant(name="t", priority=2, rate_per_s=4.0, burst=5.0)
+        held = parse_configuration(msgspec.json.encode(DOCUMENT))
+        wanted = msgspec.structs.replace(
+            held, routes=(route,), services=(engine,), tenants=(tenant,)
+        )
+        read = parse_configuration(document_of(wanted, {"t": ("key",)}))
+        self.assertEqual((read.version, read.routes, read.services), (7, (route,), (engine,)))
+        with_key = msgspec.structs.replace(tenant, key_digests=(digest_of_key("key"),))
+        self.assertEqual(read.tenants, (with_key,))
+
     def test_what_cannot_be_read_whole_is_invalid(self):
         source = msgspec.json.encode(DOCUMENT)
         without_routes = {k: v for k, v in DOCUMENT.items() if k != "routes"}
