The planted leak of a place holds it for good again

Cause: the defect replaced a function that has another name now, so the place came back by time and the soak had nothing to notice.

Ruled out: the soak's check of places (it notices the leak as soon as it lasts).

Change: the function's name.

--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -25,7 +25,7 @@
         return [] if next(numbers) == LEAKING_TURN else end(self, ended, now)
 
     TurnScheduler.end = end_of_all_but_one
-    EngineTable.overdue = lambda self, now: []
+    EngineTable.expire = lambda self, now: []
 
 
 def limit_counted_by_each_node():
