Progress of programs keeps no state that nobody reads; slots are read in one place

Cause: on a last reading of the change, `ProgramProgress.has_ended` was set in two places and read in none, and `ProgramTable.get` had no caller. The number of turns that an engine runs at once was computed from its record in two places, for a new engine even twice.

Ruled out: removing `TurnDemand.time_left_s` and `TurnOutcome.first_part_s`, which the scheduler doesn't read: they are part of a message between nodes, and nodes of two versions run side by side during a reload. Merging the scheduling and store tables called `ProgramTable`: they hold different things.

Change: the field, its two assignments and the method are gone; `EnginePlaces.replace_record` is the one place that takes over a record. Behaviour is the same; no test is changed.

Conclusion: less to read, nothing gained for callers.

--- a/src/passlane/scheduling/engine_places.py
+++ b/src/passlane/scheduling/engine_places.py
@@ -62,9 +62,8 @@
     """
 
     def __init__(self, record: BackendRecord, fleet_speed: FleetSpeed) -> None:
-        self.record = record
+        self.replace_record(record)
         self.instance_id = record.instance_id
-        self.slots = max(1, record.slots)
         self.slowdown = 1.0
         self.health = BackendHealth()
         self.turns: dict[str, PlacedTurn] = {}
@@ -74,6 +73,11 @@
         self.speed = EngineSpeed(fleet_speed, PACE_SMOOTHING)
         self._shared_parts: OrderedDict[str, int] = OrderedDict()
 
+    def replace_record(self, record: BackendRecord) -> None:
+        """Take over what the list of back ends says of it."""
+        self.record = record
+        self.slots = max(1, record.slots)
+
     def is_usable(self, now: float) -> bool:
         """Whether it takes new turns at this moment."""
         return self.record.state is BackendState.READY and now >= self.full_until
@@ -140,8 +144,8 @@
             if engine is None:
                 speed = self._speeds.setdefault(record.service, FleetSpeed())
                 engine = EnginePlaces(record, speed)
-            engine.record = record
-            engine.slots = max(1, record.slots)
+            else:
+                engine.replace_record(record)
             self._engines[record.instance_id] = engine
             self._by_service.setdefault(record.service, []).append(engine)
         for instance_id in known.keys() - self._engines.keys():
--- a/src/passlane/scheduling/program_progress.py
+++ b/src/passlane/scheduling/program_progress.py
@@ -53,7 +53,6 @@
     waited_s: float = 0.0
     used_last: str = ""
     last_seen_at: float = 0.0
-    has_ended: bool = False
 
     @property
     def deadline_at(self) -> float:
@@ -101,16 +100,11 @@
         if program is None:
             time_s = NO_DEADLINE_S if time_left_s is None else time_left_s
             program = ProgramProgress(route, now, max(time_s, 0.05))
-        program.has_ended = False
         program.last_seen_at = now
         self._programs[program_id] = program
         self._programs.move_to_end(program_id)
         return program
 
-    def get(self, program_id: str) -> ProgramProgress | None:
-        """Return a program's progress, ``None`` if it had no turn lately."""
-        return self._programs.get(program_id)
-
     def note_placed(self, program_id: str, asked_at: float, now: float) -> None:
         """Note that a turn has a place; until its first one a program has waited all the time."""
         program = self._programs.get(program_id)
@@ -153,7 +147,6 @@
             if now - program.last_seen_at < ENDED_AFTER_S:
                 break
             del self._programs[program_id]
-            program.has_ended = True
             self._ended[program_id] = program
             if program.turns > 0 and not self.is_looping(program):
                 self._needs_of(program.route).learn(program)
