A run that may have happened counts in full against its program's budget

Cause: a turn was settled by the events that its caller had got. What an engine generated in a run that broke off, that its caller left, or that the route's time, a stop or the engine's own failure ended counted for nothing, and a second run of the same turn shared the first one's reservation. Besides, of two questions about a slot for one turn the older one released the reservation that the newer one relied on (turns/slot_waits.py); the turn then ran with none.

Change: each run has a reservation of its own (decisions/limits/turn_runs.py), asked for together with the tenant's limit before the run is sent; a run that may have happened without ending whole counts in full. A budget that does not hold another run ends the request with 502, never 402. Only the newest question releases. A further run is reserved by ReserveTurn under an id of its own, so no message or stored form changes. Lines budget_refused and turn_counted_in_full.

Ruled out: counting by what the caller got of the last attempt only (as before); charging the most again for a resumed run (it goes on behind the last event).

--- a/src/passlane/decisions/failure/answer_verdicts.py
+++ b/src/passlane/decisions/failure/answer_verdicts.py
@@ -13,6 +13,8 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run and never will."""
+FIRST_CLIENT_ERROR = 400
+FIRST_SERVER_ERROR = 500
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 UNAVAILABLE = 503
@@ -46,6 +48,11 @@
     return head.refusal is Refusal.WRONG_INSTANCE
 
 
+def is_client_error(head: AnswerHead) -> bool:
+    """Whether a trusted answer finds the request itself wrong: no output was made for it."""
+    return FIRST_CLIENT_ERROR <= head.status < FIRST_SERVER_ERROR
+
+
 def truthful_status(status: int, verdict: Verdict) -> int:
     """Return the status of a refusal, or one that promises nothing if the refusal would be false.
 
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -23,7 +23,8 @@
     """Reserves the most that a turn may generate, before it is sent to an engine.
 
     ``budget_tokens`` is what all turns of the program may generate; ``None`` for no limit.
-    Repeating it for the same attempt reserves nothing more. ``quota`` counts the turn against
+    Repeating it for the same attempt reserves nothing more; a further run of the same turn has an
+    ``attempt_id`` of its own (``decisions.limits.turn_runs``). ``quota`` counts the turn against
     its tenant's limit, ``None`` if there is none. ``demand`` asks for a place at an engine,
     ``None`` if the node chooses one itself. Neither is replicated.
     """
@@ -69,7 +70,7 @@
 
 
 class SettleTurn(Message, frozen=True, kw_only=True):
-    """Ends a reservation with the tokens that the client got; keeps a turn that ended whole.
+    """Ends a reservation with the tokens that count for it; keeps a turn that ended whole.
 
     ``served_by`` is the engine instance that holds what the turn has read; empty if none.
     ``quota`` asks for the tool calls that are expected to follow, ``outcome`` tells how the
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -16,7 +16,7 @@
 from passlane.relay.end_reasons import RequestEnd, RequestEndReason
 from passlane.relay.progress import RequestProgress
 from passlane.relay.request_errors import AnswerAbortedError
-from passlane.relay.turn_account import TurnAccount
+from passlane.relay.turn_account import TurnAccount, TurnSpending
 
 FIRST_FAILURE_STATUS = 300
 """From this status on, an answer of a route of streams is no event stream."""
@@ -47,6 +47,7 @@
         self._history = history
         self._progress = progress
         self._stream: StreamDelivery | None = None
+        self._events_before_run = 0
 
     @property
     def events(self) -> int:
@@ -63,6 +64,23 @@
         """Whether a stream came to its end."""
         return self._stream is not None and self._stream.is_whole
 
+    @property
+    def spending(self) -> TurnSpending:
+        """What the runs have shown of the tokens that they generated."""
+        return TurnSpending(
+            possible_runs=self._history.possible_runs,
+            passed_on_tokens=self.tokens,
+            whole_run_tokens=self._whole_run_tokens(),
+            served_by=self._history.served_by,
+        )
+
+    def _whole_run_tokens(self) -> int | None:
+        """Return what the last run generated; ``None`` if it isn't whole or tokens aren't told."""
+        tokens_per_event = self._context.service.tokens_per_event
+        if not self.is_whole or not tokens_per_event:
+            return None
+        return (self.events - self._events_before_run) * tokens_per_event
+
     async def deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         """Pass an answer on.
 
@@ -85,6 +103,7 @@
             self._stream = StreamDelivery(
                 self._writer, self._before_end, keeps_output=self._context.route.keeps_turns
             )
+        self._events_before_run = self._stream.events
         try:
             await self._stream.deliver(answer, watch)
         finally:
@@ -103,9 +122,8 @@
             return
         self._account.outcome = self._history.outcome(is_whole=self.is_whole, events=self.events)
         output = bytes(stream.output)
-        served_by = self._history.served_by
         try:
-            await self._account.settle_whole(self.tokens, output, served_by, TURN_SETTLE_TIMEOUT_S)
+            await self._account.settle_whole(self.spending, output, TURN_SETTLE_TIMEOUT_S)
         except PasslaneError as error:
             end = RequestEnd(RequestEndReason.TURN_NOT_DURABLE, error.code.value)
             self._progress.end = end
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -12,7 +12,12 @@
 
 from passlane.decisions.backends.health import AttemptWatch
 from passlane.decisions.backends.registry import BackendLoad
-from passlane.decisions.failure.answer_verdicts import Judgement, is_gone, judge_answer
+from passlane.decisions.failure.answer_verdicts import (
+    Judgement,
+    is_client_error,
+    is_gone,
+    judge_answer,
+)
 from passlane.decisions.failure.resending import AfterBreak, after_break, leaves_silent_backend
 from passlane.decisions.placement.request_placement import note_failure, note_success
 from passlane.errors import Verdict
@@ -106,6 +111,8 @@
             raise HttpConnectionError(BreakReason.NOT_AN_ANSWER.value, bytes_left=True)
         self._history.note_answering(load.record.instance_id, anyio.current_time())
         await deliver(answer, watch)
+        if is_client_error(answer.head):
+            self._history.note_rejected()
         note_success(load)
         return True
 
--- a/src/passlane/relay/attempt_history.py
+++ b/src/passlane/relay/attempt_history.py
@@ -19,6 +19,8 @@
         Whether the request may have run so far.
     runs
         Attempts that may have run and broke off.
+    is_sent
+        Whether an attempt may be running, or has answered with more than a refusal.
     tried
         Instances that were tried, in order; for the log.
     passed_over
@@ -41,6 +43,7 @@
         self.is_answer_final = False
         self.verdict = Verdict.NOT_RUN
         self.runs = 0
+        self.is_sent = False
         self.tried: list[str] = []
         self.passed_over: set[str] = set()
         self.served_by = ""
@@ -50,22 +53,34 @@
         """Whether the caller has got an event of the stream."""
         return self.last_event_id != self._first_event_id
 
+    @property
+    def possible_runs(self) -> int:
+        """Runs that engines may have begun, a whole one included."""
+        return self.runs + int(self.is_sent)
+
     def begin(self, instance_id: str, now: float) -> None:
         """Note an attempt; from here on a cancellation must not be taken for "not run"."""
+        self.is_sent = True
         self.tried.append(instance_id)
         self._sent_at = now
         self.verdict = Verdict.MAY_HAVE_RUN
 
     def note_refused(self, instance_id: str) -> None:
         """Note that the back end proved that it did not run the request."""
+        self.is_sent = False
         self.passed_over.add(instance_id)
         self._full_at.append(instance_id)
 
     def note_broken(self, instance_id: str) -> None:
         """Note that an attempt broke off."""
+        self.is_sent = False
         self.passed_over.add(instance_id)
         self._failed_at.append(instance_id)
 
+    def note_rejected(self) -> None:
+        """Note that the back end found the request itself wrong: nothing was generated for it."""
+        self.is_sent = False
+
     def note_answering(self, instance_id: str, now: float) -> None:
         """Note that an answer that is passed on has begun."""
         self.served_by = instance_id
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -5,21 +5,22 @@
 ``relay.attempt``.
 """
 
+from collections.abc import Awaitable, Callable
+
 import anyio
 
 from passlane.decisions.backends.health import stall_limit_s
 from passlane.decisions.backends.registry import BackendLoad
 from passlane.decisions.order.room_queue import RetryPermit
-from passlane.errors import PasslaneError
-from passlane.messages.quotas import QuotaRefused
 from passlane.relay.attempt import AttemptSender, Deliver
 from passlane.relay.attempt_history import AttemptHistory
 from passlane.relay.backend_choice import ChoiceMoment, backend_choice, judge_backends
 from passlane.relay.context import RequestContext
-from passlane.relay.end_reasons import RequestEndReason
-from passlane.relay.request_errors import RequestFailedError
 from passlane.relay.request_wait import RequestWait
 
+AdmitRun = Callable[[float], Awaitable[None]]
+"""Admits another run within a time limit; raises ``RequestFailedError`` when there is none."""
+
 
 class RequestAttempts:
     """Sends one request to back ends until one answers.
@@ -30,6 +31,8 @@
         What back ends are to get: the call's own body, behind the history of its turn.
     history
         What became of the attempts; told as they go.
+    admit_another_run
+        Called before the request is sent again after a run that broke off.
     used_last
         The instance that the request's program used last; empty if unknown.
     assigned
@@ -41,11 +44,13 @@
         context: RequestContext,
         body: bytes,
         history: AttemptHistory,
+        admit_another_run: AdmitRun,
         used_last: str = "",
         assigned: str = "",
     ) -> None:
         self._context = context
         self._history = history
+        self._admit_another_run = admit_another_run
         self._choice = backend_choice(context, history, used_last=used_last, assigned=assigned)
         self._sender = AttemptSender(context, body, history)
         self._wait = RequestWait(context, history)
@@ -78,7 +83,7 @@
             if await self._send(load, stall_limit_s(judgement.typical_s), limit_at, deliver):
                 return
             if self._history.runs > runs_before:
-                await self._count_another_run(limit_at)
+                await self._admit_another_run(limit_at)
 
     def _choose(self, moment: ChoiceMoment) -> BackendLoad | None:
         """Choose the back end for the next attempt; ``None`` to wait for room.
@@ -127,24 +132,3 @@
         plain = self._context.waits.room.plain
         if plain is not None:
             plain.note_refused(instance_id, now)
-
-    async def _count_another_run(self, limit_at: float) -> None:
-        """Count the run that is to follow one that may have run: limits hold for what runs.
-
-        Raises
-        ------
-        RequestFailedError
-            When the tenant's limit leaves no room for it, or whoever grants did not answer.
-        """
-        quota = self._context.quota
-        if quota.limit is None:
-            return
-        is_in_program = self._context.call.program is not None
-        try:
-            answer = await quota.admit(is_in_program=is_in_program, limit_at=limit_at)
-        except PasslaneError as error:
-            reason = RequestEndReason.STORE_DID_NOT_ANSWER
-            raise RequestFailedError(reason, error.code.value) from error
-        if isinstance(answer, QuotaRefused):
-            raise RequestFailedError(RequestEndReason.QUOTA_SPENT)
-        await anyio.sleep(answer.start_after_s)
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -77,7 +77,7 @@
     STORE_DID_NOT_ANSWER = ("store_{detail}", Told.REFUSAL, UNAVAILABLE, "turns.client")
     """The store group did not reserve the turn, or whoever grants did not count the request;
     the detail is an ``ErrorCode``. Where it was one more run that could not be counted, the
-    status goes by the verdict (``relay.attempts``)."""
+    status goes by the verdict (``relay.another_run``)."""
     QUOTA_SPENT = (
         "quota_spent",
         Told.REFUSAL,
@@ -85,9 +85,11 @@
         "decisions.limits.quota_ledger",
     )
     """The tenant's limit leaves no room: see the line ``quota_refused``. Where it was one more
-    run that found none, the status goes by the verdict (``relay.attempts``)."""
+    run that found none, the status goes by the verdict (``relay.another_run``)."""
     BUDGET_SPENT = ("budget_spent", Told.REFUSAL, PAYMENT_REQUIRED, "turns.state")
-    """What is left of the program's budget is less than the turn may generate."""
+    """What is left of the program's budget is less than the turn may generate. Where it was one
+    more run that found none left, the status goes by the verdict (``relay.another_run``). See the
+    line ``budget_refused``."""
     TURN_UNKNOWN = ("turn_unknown", Told.REFUSAL, NOT_FOUND, "turns.state")
     """The store group keeps no turn of the name that the request goes on with."""
     NO_ROOM = ("no_room", Told.REFUSAL, UNAVAILABLE, "decisions.admission.program_admission")
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -9,6 +9,7 @@
 from passlane.decisions.failure.answer_verdicts import UNAVAILABLE, status_when_given_up
 from passlane.decisions.failure.retry_after import retry_after_outage_s
 from passlane.errors import Verdict
+from passlane.relay.another_run import AnotherRun
 from passlane.relay.answer_delivery import AnswerDelivery
 from passlane.relay.attempt_history import AttemptHistory
 from passlane.relay.attempts import RequestAttempts
@@ -81,8 +82,14 @@
         admission = RequestAdmission(self._context, self._account, self._progress)
         reserved = await admission.admit(limit_at)
         body = reserved.history + self._context.call.body
+        another_run = AnotherRun(self._context, self._account, lambda: self._delivery.tokens)
         self._attempts = RequestAttempts(
-            self._context, body, self._history, reserved.used_last, reserved.engine
+            self._context,
+            body,
+            self._history,
+            another_run.admit,
+            reserved.used_last,
+            reserved.engine,
         )
         await self._attempts.run(limit_at, self._delivery.deliver)
 
@@ -127,4 +134,4 @@
             self._account.outcome = self._history.outcome(
                 is_whole=self._delivery.is_whole, events=self._delivery.events
             )
-        self._account.settle_in_background(self._delivery.tokens, self._history.served_by)
+        self._account.settle_in_background(self._delivery.spending)
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -1,19 +1,25 @@
-"""One turn's account in the store group: reservation, history, settlement.
+"""One turn's account in the store group: reservation of each run, history, settlement.
 
-Owns whether a reservation may stand and whether it was settled. The store group decides
-(``turns.state``); ``turns.client`` finds its leader and asks again.
+Owns whether reservations may stand and whether they were settled. What each run counts is decided
+by ``decisions.limits.turn_runs``, whether the budget holds it by the store group (``turns.state``);
+``turns.client`` finds its leader and asks again. Log lines: ``budget_refused``,
+``turn_counted_in_full``.
 """
 
+from collections.abc import Iterable
+
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
 from passlane.decisions.inputs.relayed_call import RelayedCall
+from passlane.decisions.limits.turn_runs import ReservedRun, SpentRun, TurnRuns
 from passlane.errors import PasslaneError
 from passlane.messages.placement import TurnDemand, TurnOutcome
 from passlane.messages.quotas import QuotaDraw
 from passlane.messages.routes import Route
 from passlane.messages.turns import (
+    BudgetSpent,
     KeptTurn,
     ReserveAnswer,
     ReserveTurn,
@@ -30,6 +36,27 @@
 _log = get_logger(__name__)
 
 
+class TurnSpending(msgspec.Struct, frozen=True, kw_only=True):
+    """What a turn's runs have shown when it is settled.
+
+    Attributes
+    ----------
+    possible_runs
+        Runs that engines may have begun.
+    passed_on_tokens
+        What the caller has got, of all runs.
+    whole_run_tokens
+        What the last run generated, if it ended whole; else ``None``.
+    served_by
+        Instance that holds what the turn has read; empty if none.
+    """
+
+    possible_runs: int
+    passed_on_tokens: int
+    whole_run_tokens: int | None = None
+    served_by: str = ""
+
+
 def needs_account(call: RelayedCall, route: Route) -> bool:
     """Whether a call is a turn whose budget or history the store group keeps."""
     has_budget = call.program is not None and call.program.budget_tokens is not None
@@ -37,7 +64,7 @@
 
 
 class TurnAccount:
-    """Reserves a turn before it is sent and settles it after, exactly once.
+    """Reserves each run of a turn before it is sent, and settles all after, exactly once.
 
     Parameters
     ----------
@@ -67,9 +94,20 @@
         self._quota = context.quota
         self._store = store
         self._tasks = tasks
+        self._runs = TurnRuns(self._call.request_id, self._call.most_tokens)
         self._is_reserved = False
         self._is_settled = False
 
+    @property
+    def has_budget(self) -> bool:
+        """Whether the turn's program may only spend so much."""
+        return self._budget_tokens is not None
+
+    @property
+    def _budget_tokens(self) -> int | None:
+        program = self._call.program
+        return program.budget_tokens if program is not None else None
+
     @property
     def _program_id(self) -> str:
         program = self._call.program
@@ -83,24 +121,59 @@
 
     async def reserve(self, limit_at: float) -> ReserveAnswer:
         """Reserve the most that the turn may generate; see ``TurnStoreClient.reserve``."""
-        program = self._call.program
         now = anyio.current_time()
-        request = ReserveTurn(
-            program_id=self._program_id,
-            attempt_id=self._call.request_id,
-            most_tokens=self._call.most_tokens,
-            budget_tokens=program.budget_tokens if program is not None else None,
+        run = self._runs.add()
+        request = msgspec.structs.replace(
+            self._reservation_of(run),
             previous=self._previous_id if self._route.keeps_turns else None,
-            retention_s=self._route.retention_s,
-            quota=self._quota.draw_for_turn(self._route.name),
             demand=self._demand_at(now, limit_at),
         )
         # Whatever becomes of the answer, the reservation may stand from here on.
         self._is_reserved = True
         reservation = await self._store.reserve(request, timeout_s=limit_at - now)
         self._is_reserved = reservation.may_stand
+        self._log_refusal(run, reservation.answer)
+        return reservation.answer
+
+    async def reserve_another_run(self, passed_on_tokens: int, limit_at: float) -> ReserveAnswer:
+        """Reserve what a further run may generate, after one that may have run.
+
+        Raises
+        ------
+        PasslaneError
+            When no leader answered in time; the run must not be sent.
+        """
+        run = self._runs.add(passed_on_tokens)
+        timeout_s = limit_at - anyio.current_time()
+        reservation = await self._store.reserve(self._reservation_of(run), timeout_s=timeout_s)
+        self._log_refusal(run, reservation.answer)
         return reservation.answer
 
+    def _log_refusal(self, run: ReservedRun, answer: ReserveAnswer) -> None:
+        """Log what decided that the budget does not hold a run."""
+        if not isinstance(answer, BudgetSpent):
+            return
+        _log.info(
+            "budget_refused",
+            request_id=self._call.request_id,
+            program_id=self._program_id,
+            run=self._runs.count,
+            wanted_tokens=run.most_tokens,
+            spent_tokens=answer.spent_tokens,
+            reserved_tokens=answer.reserved_tokens,
+            budget_tokens=self._budget_tokens,
+        )
+
+    def _reservation_of(self, run: ReservedRun) -> ReserveTurn:
+        return ReserveTurn(
+            program_id=self._program_id,
+            attempt_id=run.reservation_id,
+            most_tokens=run.most_tokens,
+            budget_tokens=self._budget_tokens,
+            retention_s=self._route.retention_s,
+            quota=self._quota.draw_for_turn(self._route.name),
+        )
+
     def _demand_at(self, now: float, limit_at: float) -> TurnDemand | None:
         """Return what the turn demands, with the times that are left at this moment."""
         if self._demand is None:
@@ -113,9 +186,7 @@
             program_time_left_s=deadline_at - now if deadline_at is not None else None,
         )
 
-    async def settle_whole(
-        self, tokens: int, output: bytes, served_by: str, timeout_s: float
-    ) -> None:
+    async def settle_whole(self, spending: TurnSpending, output: bytes, timeout_s: float) -> None:
         """Settle a turn that ended whole and keep it if its route says so.
 
         Raises
@@ -125,7 +196,7 @@
         """
         draw = self._quota.draw_after_turn()
         if not self._route.keeps_turns:
-            self.settle_in_background(tokens, served_by, draw)
+            self.settle_in_background(spending, draw)
             return
         turn = KeptTurn(
             turn_id=self._identity.scoped(self._call.request_id),
@@ -133,27 +204,53 @@
             content=self._call.body + output,
             retention_s=self._route.retention_s,
         )
-        await self._send(self._settlement(tokens, turn, served_by, draw), timeout_s)
+        first, *further = self._spent(spending)
+        settlement = self._settlement(first, spending.served_by, draw)
+        await self._send(msgspec.structs.replace(settlement, turn=turn), timeout_s)
         self._is_settled = True
+        self._settle_further(further)
 
-    def settle_in_background(
-        self, tokens: int, served_by: str, draw: QuotaDraw | None = None
-    ) -> None:
+    def settle_in_background(self, spending: TurnSpending, draw: QuotaDraw | None = None) -> None:
         """Settle a turn without waiting; does nothing if it was settled or never reserved."""
         if self._is_settled or not self._is_reserved:
             return
         self._is_settled = True
-        settlement = self._settlement(tokens, None, served_by, draw)
+        first, *further = self._spent(spending)
+        settlement = self._settlement(first, spending.served_by, draw)
         self._tasks.start_soon(self._settle_later, settlement)
+        self._settle_further(further)
+
+    def _settle_further(self, runs: Iterable[SpentRun]) -> None:
+        """Settle the runs after the first, which has told all that is known of the turn."""
+        for run in runs:
+            settlement = SettleTurn(
+                program_id=self._program_id, attempt_id=run.reservation_id, tokens=run.tokens
+            )
+            self._tasks.start_soon(self._settle_later, settlement)
+
+    def _spent(self, spending: TurnSpending) -> tuple[SpentRun, ...]:
+        """Return what each run counts; log it where a run counts though it did not end whole."""
+        spent = self._runs.spent(
+            spending.possible_runs, spending.passed_on_tokens, spending.whole_run_tokens
+        )
+        whole_runs = int(spending.whole_run_tokens is not None)
+        if self.has_budget and spending.possible_runs > whole_runs:
+            _log.info(
+                "turn_counted_in_full",
+                request_id=self._call.request_id,
+                program_id=self._program_id,
+                runs=spending.possible_runs,
+                passed_on_tokens=spending.passed_on_tokens,
+                counted_tokens=[run.tokens for run in spent],
+                budget_tokens=self._budget_tokens,
+            )
+        return spent
 
-    def _settlement(
-        self, tokens: int, turn: KeptTurn | None, served_by: str, draw: QuotaDraw | None
-    ) -> SettleTurn:
+    def _settlement(self, run: SpentRun, served_by: str, draw: QuotaDraw | None) -> SettleTurn:
         return SettleTurn(
             program_id=self._program_id,
-            attempt_id=self._call.request_id,
-            tokens=tokens,
-            turn=turn,
+            attempt_id=run.reservation_id,
+            tokens=run.tokens,
             served_by=served_by,
             quota=draw,
             outcome=self.outcome,
--- a/src/passlane/turns/slot_waits.py
+++ b/src/passlane/turns/slot_waits.py
@@ -1,9 +1,9 @@
 """Reserves turns that ask for a slot of an engine: the reservation beside the wait for the slot.
 
 It is for the service of turns on the leader. It owns the newest question of each attempt, so that
-an older one whose caller has gone ends nothing. It relies on ``TurnDispatcher`` for the decision
-and on ``TurnAccounts`` for the reservation itself; a new program has its slot first, since it
-reserves nothing if it is refused.
+an older one ends nothing and releases nothing. It relies on ``TurnDispatcher`` for the decision and
+on ``TurnAccounts`` for the reservation itself; a new program has its slot first, since it reserves
+nothing if it is refused.
 """
 
 import msgspec
@@ -51,18 +51,22 @@
         question = object()
         self._questions[request.attempt_id] = question
         try:
-            return await self._reserve_with_slot(request, asked, quota)
+            return await self._reserve_with_slot(request, asked, quota, question)
         except BaseException:
             # Also when the caller has gone: the slot, or the wait for it, must not outlive it.
-            if self._questions.get(request.attempt_id) is question:
+            if self._is_newest(request, question):
                 self._dispatcher.end(TurnEnded(attempt_id=request.attempt_id))
             raise
         finally:
-            if self._questions.get(request.attempt_id) is question:
+            if self._is_newest(request, question):
                 del self._questions[request.attempt_id]
 
+    def _is_newest(self, request: ReserveTurn, question: object) -> bool:
+        """Whether nobody has asked about the attempt again since."""
+        return self._questions.get(request.attempt_id) is question
+
     async def _reserve_with_slot(
-        self, request: ReserveTurn, asked: TurnAsked, quota: QuotaGranted
+        self, request: ReserveTurn, asked: TurnAsked, quota: QuotaGranted, question: object
     ) -> Message:
         pending = self._dispatcher.ask(asked)
         if asked.is_first:
@@ -75,7 +79,9 @@
             return answer
         decision = await self._wait_for_slot(pending)
         if isinstance(decision, TurnNotPlaced):
-            await self._accounts.release(request)
+            # A newer question may have found the reservation made, and rely on it.
+            if self._is_newest(request, question):
+                await self._accounts.release(request)
             return _refusal(decision)
         return _with_slot(answer, decision, quota)
 
--- /dev/null
+++ b/tests/turns/test_slot_waits.py
@@ -0,0 +1,99 @@
+"""A question about a slot that is asked twice: its reservation belongs to the newer one.
+
+What happens: the answer to a reservation is lost while the group is about to release it, since the
+turn found no slot. The node asks again and is given a slot; the older question then releases the
+reservation, and the turn runs without any.
+
+Why: each question released the reservation by itself, whether or not a newer one relied on it.
+"""
+
+import unittest
+
+import anyio
+import trio.testing
+
+from passlane.decisions.inputs.turn_events import TurnNotPlaced, TurnPlaced
+from passlane.decisions.limits.quota_ledger import QuotaLedger, QuotaRules
+from passlane.messages.placement import TurnDemand, TurnRefused
+from passlane.messages.quotas import QuotaGranted
+from passlane.messages.turns import ReserveTurn, SettleTurn, TurnReserved
+from passlane.turns.accounts import TurnAccounts
+from passlane.turns.dispatch import PendingTurn
+from passlane.turns.leadership import Leadership
+from passlane.turns.slot_waits import SlotWaits
+from passlane.turns.state.machine import TurnStateMachine
+from turns.test_service import LoneGroup
+
+DEMAND = TurnDemand(service="llm", route="r", urgency=1, zone="a")
+TURN = ReserveTurn(program_id="p", attempt_id="a", most_tokens=10, budget_tokens=100)
+REFUSED = TurnNotPlaced(attempt_id="a", waited_s=0.0, retry_after_s=1.0, waiting=1, busy_share=1.0)
+PLACED = TurnPlaced(attempt_id="a", engine="e1", waited_s=0.0)
+
+
+class ScriptedDispatcher:
+    """Decides each question as it is told."""
+
+    def __init__(self, *decisions):
+        self._decisions = list(decisions)
+        self.ended = []
+
+    def ask(self, asked):
+        pending = PendingTurn(asked, anyio.Event(), self._decisions.pop(0))
+        pending.decided.set()
+        return pending
+
+    def end(self, ended):
+        self.ended.append(ended.attempt_id)
+
+    def begin_term(self):
+        pass
+
+
+class RepeatedQuestionTest(unittest.TestCase):
+    def ask_twice(self, second_after_s, *decisions):
+        """Ask for the same turn twice; return both answers and the tokens that stay reserved."""
+        answers = {}
+
+        async def main():
+            machine = TurnStateMachine()
+            known = ReserveTurn(
+                program_id="p", attempt_id="first", most_tokens=1, budget_tokens=100
+            )
+            machine.execute(known)
+            machine.execute(SettleTurn(program_id="p", attempt_id="first", tokens=1))
+            dispatcher = ScriptedDispatcher(*decisions)
+            leadership = Leadership(LoneGroup(machine), QuotaLedger(QuotaRules()), dispatcher)
+            slots = SlotWaits(TurnAccounts(machine, leadership), machine, dispatcher, leadership)
+
+            async def ask(name):
+                answers[name] = await slots.reserve(TURN, DEMAND, QuotaGranted())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask, "older")
+                await anyio.sleep(second_after_s)
+                tasks.start_soon(ask, "newer")
+            probe = ReserveTurn(
+                program_id="p", attempt_id="probe", most_tokens=100, budget_tokens=100
+            )
+            answers["reserved"] = machine.execute(probe).reserved_tokens
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(main, backend="trio", backend_options={"clock": clock})
+        return answers["older"], answers["newer"], answers["reserved"]
+
+    def test_a_turn_that_is_placed_keeps_its_reservation(self):
+        for number in range(60):
+            _, newer, reserved = self.ask_twice(0.0005 * number, REFUSED, PLACED)
+            self.assertIsInstance(newer, TurnReserved)
+            self.assertEqual(reserved, TURN.most_tokens, f"asked again after {0.5 * number} ms")
+
+    def test_a_turn_that_is_refused_twice_keeps_none(self):
+        for number in range(60):
+            older, newer, reserved = self.ask_twice(0.0005 * number, REFUSED, REFUSED)
+            self.assertIsInstance(older, TurnRefused)
+            self.assertIsInstance(newer, TurnRefused)
+            self.assertEqual(reserved, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
