The list of back ends is read entry by entry; one of another writer names no engine

Symptom: one entry that lacks a field, has one of another type or holds bytes that can't be read cost the whole list for as long as it stood there; an address that is none raised ValueError past the reader's guard; an unknown state counted as draining.

Cause: a page was decoded as a whole, and only the page's own error was expected.

Change: platform/list_format.py decodes entry by entry and checks each field that every entry has; a page with bytes that are no text is decoded once more with those replaced, and the entries that hold them name no engine. A page whose frame can't be read keeps what is known, as before. Line backend_entries_unreadable (when the entries differ from the reading before), counter passlane_unreadable_backend_entries_total. born_ms is decoded and carried; it is left out of messages where the platform doesn't tell it, so older builds see the same bytes. Deadlines nan and inf in callers' headers are malformed. The soak's report folder may be relative.

--- a/.ci/dead_code_exceptions.py
+++ b/.ci/dead_code_exceptions.py
@@ -75,3 +75,6 @@
 _.within_seeds  # Within how many seeds it must be found.
 _.node_files  # Calls are recorded on a node's disk as they were made.
 _.runs_by_operation  # An application runs no operation twice that must run once.
+
+# Decoded to be checked: an entry without it, or with one of another type, is of another writer.
+_.cold_left_ms  # platform.list_format
--- a/src/passlane/cli/soak.py
+++ b/src/passlane/cli/soak.py
@@ -30,7 +30,7 @@
         seed = _whole_number("seed", self.option("seed"))
         seconds = _whole_number("seconds", self.option("seconds"))
         report = self.option("report")
-        folder = None if report is None else Path(report)
+        folder = None if report is None else Path(report).resolve()
         if folder is not None and folder.exists() and any(folder.iterdir()):
             raise PasslaneError(ErrorCode.BAD_REQUEST, f"--report: {folder} is not empty")
         soak = importlib.import_module("passlane.soak.run")
--- a/src/passlane/daemon/fleet/node.py
+++ b/src/passlane/daemon/fleet/node.py
@@ -61,7 +61,9 @@
         context = self._context
         settings = context.settings
         reader = BackendListReader(
-            InstanceList(context.environment.http_client, settings.backend_list.address),
+            InstanceList(
+                context.environment.http_client, settings.backend_list.address, context.metrics
+            ),
             self._registry,
             settings.backend_list.rate_per_s,
             lambda: self._follower.view.node_count,
--- a/src/passlane/messages/listing.py
+++ b/src/passlane/messages/listing.py
@@ -15,8 +15,15 @@
     DRAINING = "draining"
 
 
-class BackendRecord(msgspec.Struct, frozen=True):
-    """A back end as the platform lists it; ``instance_id`` changes with each start."""
+class BackendRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A back end as the platform lists it.
+
+    Attributes
+    ----------
+    born_ms
+        Unix time at which it started, in ms; ``None`` where the platform doesn't tell, and each
+        start has an ``instance_id`` of its own.
+    """
 
     instance_id: str
     service: str
@@ -24,6 +31,7 @@
     zone: str
     slots: int
     state: BackendState
+    born_ms: int | None = None
 
 
 class BackendChanges(msgspec.Struct, frozen=True):
--- a/src/passlane/platform/instance_list.py
+++ b/src/passlane/platform/instance_list.py
@@ -1,79 +1,91 @@
-"""The platform's list of engines and applications."""
+"""Reads the platform's list of engines and applications, page by page."""
 
-from collections.abc import Iterable
 from urllib.parse import quote
 
-import msgspec
-
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
-from passlane.messages.listing import BackendRecord, BackendState
+from passlane.messages.listing import BackendRecord
+from passlane.observability.logging import get_logger
+from passlane.observability.metrics import Metrics
 from passlane.platform import names
+from passlane.platform.list_format import ListPage, UnreadableEntry, decode_page
 from passlane.runtime.interfaces import HttpClient, HttpConnectionError, HttpRequest
 
 OK = 200
 TOO_MANY_CALLS = 429
 MAX_PAGES = 200
+MOST_REASONS_LOGGED = 5
+"""Entries of one reading whose reason is logged; the others are counted. Chosen."""
 
-
-class _Instance(msgspec.Struct, frozen=True):
-    """One entry of a page."""
-
-    id: str
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 1
-
-
-class _Page(msgspec.Struct, frozen=True):
-    """One page of the list."""
-
-    instances: tuple[_Instance, ...]
-    next_token: str | None = None
-
-
-_decoder = msgspec.json.Decoder(_Page)
-_encoder = msgspec.json.Encoder()
-
-
-def page_of(records: Iterable[BackendRecord]) -> bytes:
-    """Return the only page of a list, as the platform writes it."""
-    instances = tuple(
-        _Instance(
-            id=record.instance_id,
-            service=record.service,
-            address=str(record.address),
-            zone=record.zone,
-            state=record.state.value,
-            slots=record.slots,
-        )
-        for record in records
-    )
-    return _encoder.encode(_Page(instances))
+_log = get_logger(__name__)
 
 
 class InstanceList:
-    """Reads the list; implements ``relay.backends.BackendList``."""
+    """Reads the list; implements ``relay.backends.BackendList``.
+
+    Parameters
+    ----------
+    metrics
+        Gets the counter of entries that could not be read; ``None`` for none.
+    """
 
-    def __init__(self, http_client: HttpClient, address: Address) -> None:
+    def __init__(
+        self, http_client: HttpClient, address: Address, metrics: Metrics | None = None
+    ) -> None:
         self._http_client = http_client
         self._address = address
+        self._unreadable: list[UnreadableEntry] = []
+        self._unreadable_count = 0
+        if metrics is not None:
+            metrics.define_when_exposed(self._define_metrics)
 
     async def read(self) -> tuple[BackendRecord, ...]:
-        """Return the whole list, page by page."""
+        """Return the whole list but for entries that can't be read, which name no back end.
+
+        Raises
+        ------
+        PasslaneError
+            ``PROTOCOL_ERROR`` when a page can't be read; ``UNAVAILABLE`` when the list can't be
+            had; ``LIMIT_EXCEEDED`` over the rate of calls.
+        """
         records: list[BackendRecord] = []
+        unreadable: list[UnreadableEntry] = []
         token: str | None = None
         for _ in range(MAX_PAGES):
             page = await self._read_page(token)
-            records += [_record_of(instance) for instance in page.instances]
+            records += page.records
+            unreadable += page.unreadable
             token = page.next_token
             if token is None:
+                self._note_unreadable(unreadable)
                 return tuple(records)
         raise PasslaneError(ErrorCode.PROTOCOL_ERROR, "the list of engines has no end")
 
-    async def _read_page(self, token: str | None) -> _Page:
+    def _note_unreadable(self, entries: list[UnreadableEntry]) -> None:
+        """Count entries that can't be read, and log them when they are others than before."""
+        self._unreadable_count += len(entries)
+        if entries != self._unreadable:
+            _log.warning(
+                "backend_entries_unreadable",
+                entries=len(entries),
+                reasons=[entry.reason for entry in entries[:MOST_REASONS_LOGGED]],
+            )
+        self._unreadable = entries
+
+    def _define_metrics(self, metrics: Metrics) -> None:
+        counter = metrics.counter(
+            "unreadable_backend_entries", "Entries of the platform's list that could not be read"
+        )
+        reported = 0
+
+        def report() -> None:
+            nonlocal reported
+            counter.inc(self._unreadable_count - reported)
+            reported = self._unreadable_count
+
+        metrics.call_before_exposure(report)
+
+    async def _read_page(self, token: str | None) -> ListPage:
         path = names.INSTANCES_PATH
         if token is not None:
             path += f"?page_token={quote(token, safe='')}"
@@ -88,19 +100,4 @@
             raise PasslaneError(ErrorCode.LIMIT_EXCEEDED, "too many calls for the list of engines")
         if response.status != OK:
             raise PasslaneError(ErrorCode.UNAVAILABLE, f"list of engines: {response.status}")
-        try:
-            return _decoder.decode(body)
-        except msgspec.MsgspecError as error:
-            raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"list of engines: {error}") from error
-
-
-def _record_of(instance: _Instance) -> BackendRecord:
-    is_ready = instance.state == BackendState.READY.value
-    return BackendRecord(
-        instance_id=instance.id,
-        service=instance.service,
-        address=Address.parse(instance.address),
-        zone=instance.zone,
-        slots=instance.slots,
-        state=BackendState.READY if is_ready else BackendState.DRAINING,
-    )
+        return decode_page(body)
--- a/src/passlane/platform/request_format.py
+++ b/src/passlane/platform/request_format.py
@@ -1,5 +1,6 @@
 """Turns a client's request on the platform into the product's typed call."""
 
+import math
 from collections.abc import Sequence
 
 from passlane.decisions.inputs.relayed_call import Header, ProgramContext, PromptPart, RelayedCall
@@ -104,9 +105,12 @@
     if text is None:
         return None
     try:
-        return now + float(text) / MILLISECONDS
+        milliseconds = float(text)
     except ValueError:
         raise _malformed(name) from None
+    if not math.isfinite(milliseconds):
+        raise _malformed(name)
+    return now + milliseconds / MILLISECONDS
 
 
 def _whole_number(values: dict[str, str], name: str) -> int | None:
--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -27,7 +27,7 @@
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.observability.logging import get_logger
 from passlane.platform import names
-from passlane.platform.instance_list import page_of
+from passlane.platform.list_format import encode_page
 from passlane.soak.configuration import FLOODING_TENANT, HEALTH_PATH, TOKENS_PER_EVENT
 from passlane.soak.ledger import Ledger
 from passlane.soak.outputs import events_of, plain_output
@@ -195,7 +195,7 @@
         if scope["type"] != "http":
             return
         records = [self._record(back_end, address) for back_end, address in self._back_ends]
-        await send_response(send, Response(OK, body=page_of(records)))
+        await send_response(send, Response(OK, body=encode_page(records)))
 
     def _record(self, back_end: StandIn, address: Address) -> BackendRecord:
         return BackendRecord(
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -89,6 +89,8 @@
         for changes in (
             {"x_passlane_attempt_id": None},
             {"x_passlane_deadline_ms": "soon"},
+            {"x_passlane_deadline_ms": "nan"},
+            {"x_passlane_program_deadline_ms": "inf"},
             {"x_passlane_token_usage": "1840"},
             {"x_passlane_token_budget": "-1"},
             {"x_passlane_prompt_prefix": "5c1e"},
--- a/tests/on_platform/test_instance_list.py
+++ b/tests/on_platform/test_instance_list.py
@@ -14,7 +14,7 @@
 import copy
 import json
 import unittest
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import anyio
 from hypothesis import given
@@ -24,7 +24,8 @@
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.observability.metrics import Metrics
-from passlane.platform.instance_list import InstanceList, page_of
+from passlane.platform.instance_list import InstanceList
+from passlane.platform.list_format import encode_page
 
 ENTRY = {
     "service": "models",
@@ -172,10 +173,8 @@
 
     @given(st.binary(max_size=200))
     def test_any_bytes_are_a_list_or_an_error(self, body):
-        try:
+        with suppress(PasslaneError):
             read(body)
-        except PasslaneError:
-            pass
 
     @given(
         st.lists(
@@ -211,7 +210,7 @@
 class WrittenPageTest(unittest.TestCase):
     def test_a_page_that_is_written_is_read(self):
         records = read(page(*GOOD))
-        self.assertEqual(read(page_of(records)), records)
+        self.assertEqual(read(encode_page(records)), records)
 
 
 if __name__ == "__main__":
--- a/tests/recorded_machines/values.py
+++ b/tests/recorded_machines/values.py
@@ -11,8 +11,14 @@
 
 import msgspec
 
+from passlane.messages.listing import BackendRecord
+
 Kinds = Mapping[type[Any], str]
 
+ADDED_FIELDS: Mapping[type[Any], Mapping[str, Any]] = {BackendRecord: {"born_ms": None}}
+"""Fields that are newer than the digests, with the default at which they are not sent; held values
+other than that count in a digest."""
+
 
 def marker_of(kind: type[Any], kinds: Kinds) -> str:
     """Return the marker of a class; ``KeyError`` if the table lacks one that needs it."""
@@ -46,7 +52,9 @@
 def _held_by(value: Any) -> list[Any]:
     """Return what an object holds: its fields in order, or its bytes."""
     if isinstance(value, msgspec.Struct):
-        return [getattr(value, name) for name in value.__struct_fields__]
+        added = ADDED_FIELDS.get(type(value), {})
+        held = ((name, getattr(value, name)) for name in value.__struct_fields__)
+        return [held_value for name, held_value in held if added.get(name, ...) != held_value]
     if is_dataclass(value):
         return [getattr(value, field.name) for field in fields(value)]
     return [value[0 : len(value)]]
