An engine that starts again under its id is another one

Symptom: after such a start its slots stayed taken until the lost turns' time was over, its failures, pace, answer times and shared parts stayed noted, and requests went over connections to the process that had ended.

Cause: all of it was kept by the platform's id, which was taken to change with each start.

Change: BackendRecord.incarnation names one start (id, and the start where the platform tells it); registry, engine table, answer times and placement keep by it. Of several words about one back end the newest start counts (decisions/backends/incarnations.py). An idle connection is used for the start that it was opened to. Requests bear the platform's id as before, and where no start is told all bytes stay the same.

--- a/src/passlane/decisions/backends/engine_slots.py
+++ b/src/passlane/decisions/backends/engine_slots.py
@@ -82,7 +82,7 @@
 
     def __init__(self, record: BackendRecord, fleet_speed: FleetSpeed) -> None:
         self.replace_record(record)
-        self.instance_id = record.instance_id
+        self.incarnation = record.incarnation
         self.slowdown = 1.0
         self.health = BackendHealth()
         self.turns: dict[str, PlacedTurn] = {}
--- a/src/passlane/decisions/backends/engine_table.py
+++ b/src/passlane/decisions/backends/engine_table.py
@@ -15,6 +15,7 @@
 
 from passlane.decisions.backends.engine_slots import EngineSlots, PlacedTurn
 from passlane.decisions.backends.health import find_outliers
+from passlane.decisions.backends.incarnations import newest_starts
 from passlane.decisions.backends.speed import FleetSpeed
 from passlane.messages.listing import BackendRecord, BackendState
 
@@ -54,17 +55,18 @@
         self.replace_records(records)
 
     def replace_records(self, records: Iterable[BackendRecord]) -> None:
-        """Take over the list of back ends; turns at those that are gone have no slot."""
+        """Take over the list of back ends; turns at earlier starts have no slot."""
         known = self._engines
         self._usable = {}
         self._engines = {}
         self._by_service = {}
-        for record in records:
-            engine = self._engine_for(record, known.get(record.instance_id))
-            self._engines[record.instance_id] = engine
+        listed = newest_starts(records, [engine.record for engine in known.values()])
+        for record in listed:
+            engine = self._engine_for(record, known.get(record.incarnation))
+            self._engines[record.incarnation] = engine
             self._by_service.setdefault(record.service, []).append(engine)
-        for instance_id in known.keys() - self._engines.keys():
-            for attempt_id in known[instance_id].turns:
+        for incarnation in known.keys() - self._engines.keys():
+            for attempt_id in known[incarnation].turns:
                 self._engine_of.pop(attempt_id, None)
 
     def _engine_for(self, record: BackendRecord, known: EngineSlots | None) -> EngineSlots:
@@ -73,9 +75,9 @@
         known.replace_record(record)
         return known
 
-    def get(self, instance_id: str) -> EngineSlots | None:
-        """Return an engine, ``None`` if it is not listed."""
-        return self._engines.get(instance_id)
+    def get(self, incarnation: str) -> EngineSlots | None:
+        """Return an engine, ``None`` if that start of it is not listed."""
+        return self._engines.get(incarnation)
 
     def of_service(self, service: str) -> list[EngineSlots]:
         """Return the engines of a service, those that are leaving included."""
--- a/src/passlane/decisions/backends/registry.py
+++ b/src/passlane/decisions/backends/registry.py
@@ -1,7 +1,8 @@
 """Knows which back ends there are, and how much this node has under way at each.
 
-Owns the newest list and the outliers by the last judgement of each service, so that a change of
-them is seen (log line ``outliers_changed``). ``decisions.backends.health`` judges.
+Owns the newest list, what was seen of each start of a back end, and the outliers by the last
+judgement of each service, so that a change of them is seen (log line ``outliers_changed``).
+``decisions.backends.health`` judges.
 """
 
 from collections.abc import Iterable
@@ -9,7 +10,8 @@
 import msgspec
 
 from passlane.decisions.backends.health import BackendHealth, find_outliers, typical_latency_s
-from passlane.messages.listing import BackendRecord, BackendState
+from passlane.decisions.backends.incarnations import newest_starts
+from passlane.messages.listing import BackendRecord, BackendState, IncarnationId
 
 
 class BackendLoad(msgspec.Struct):
@@ -49,7 +51,7 @@
     typical_s
         Their typical time to the first part of an answer; 0 if unknown.
     outliers, outliers_before
-        Instances that do worse than most, now and by the judgement before.
+        Incarnations that do worse than most, now and by the judgement before.
     """
 
     loads: list[BackendLoad]
@@ -64,7 +66,7 @@
 
 
 class BackendRegistry:
-    """Back ends by instance, as the newest list tells.
+    """Back ends by incarnation, as the newest list tells.
 
     Attributes
     ----------
@@ -75,24 +77,27 @@
     """
 
     def __init__(self) -> None:
-        self._loads: dict[str, BackendLoad] = {}
+        self._loads: dict[IncarnationId, BackendLoad] = {}
         self._outliers: dict[str, frozenset[str]] = {}
         self.updated_at: float | None = None
         self.is_as_listed = True
 
     def update(self, records: Iterable[BackendRecord], now: float) -> list[BackendRecord]:
         """Take over a whole list; return the back ends that no longer take requests."""
-        loads: dict[str, BackendLoad] = {}
-        for record in records:
-            load = self._loads.get(record.instance_id) or BackendLoad(record)
+        loads: dict[IncarnationId, BackendLoad] = {}
+        for record in newest_starts(records, self._records()):
+            load = self._loads.get(record.incarnation) or BackendLoad(record)
             load.record = record
-            loads[record.instance_id] = load
+            loads[record.incarnation] = load
         gone = [load.record for load in self._loads.values() if load.is_ready]
-        usable = {instance_id for instance_id, load in loads.items() if load.is_ready}
+        usable = {incarnation for incarnation, load in loads.items() if load.is_ready}
         self._loads = loads
         self.updated_at = now
         self.is_as_listed = True
-        return [record for record in gone if record.instance_id not in usable]
+        return [record for record in gone if record.incarnation not in usable]
+
+    def _records(self) -> list[BackendRecord]:
+        return [load.record for load in self._loads.values()]
 
     def confirm(self, now: float) -> None:
         """Note that the list held is still right."""
@@ -112,14 +117,14 @@
         health = [load.health for load in loads]
         typical_s = typical_latency_s(health, now)
         found = find_outliers(health, typical_s, now)
-        outliers = frozenset(loads[index].record.instance_id for index in found)
+        outliers = frozenset(loads[index].record.incarnation for index in found)
         before = self._outliers.get(service, frozenset())
         self._outliers[service] = outliers
         return ServiceJudgement(loads, typical_s, outliers, before)
 
-    def remove(self, instance_id: str) -> None:
+    def remove(self, incarnation: IncarnationId) -> None:
         """Forget a back end that is known to be gone, until a list names it again."""
-        self._loads.pop(instance_id, None)
+        self._loads.pop(incarnation, None)
         self.is_as_listed = False
 
     def __len__(self) -> int:
--- a/src/passlane/decisions/placement/backend_subset.py
+++ b/src/passlane/decisions/placement/backend_subset.py
@@ -25,4 +25,4 @@
     """Return the instances of a service in the order in which a node prefers them."""
     weights = ZoneWeights.of(records, node.zone)
     ordered = sorted(records, key=lambda record: weights.score(node.name, record), reverse=True)
-    return tuple(record.instance_id for record in ordered)
+    return tuple(record.incarnation for record in ordered)
--- a/src/passlane/decisions/placement/plain_placement.py
+++ b/src/passlane/decisions/placement/plain_placement.py
@@ -185,7 +185,7 @@
         """
         self._take_over(view.loads)
         choices = [self._judge(load, call, view) for load in view.loads]
-        fresh = [each for each in choices if each.load.record.instance_id not in tried]
+        fresh = [each for each in choices if each.load.record.incarnation not in tried]
         if self._must_be_sound(call) and not all(each.rank.is_unsound for each in choices):
             fresh = [each for each in fresh if not each.rank.is_unsound]
         at_offered = _sound_choice_at(offered, fresh)
@@ -221,7 +221,7 @@
 
     def _take_over(self, loads: Sequence[BackendLoad]) -> None:
         """Order the back ends anew and forget those that are gone, if the list has changed."""
-        listed = frozenset(load.record.instance_id for load in loads)
+        listed = frozenset(load.record.incarnation for load in loads)
         if listed == self._listed:
             return
         self._listed = listed
@@ -230,7 +230,7 @@
 
     def _judge(self, load: BackendLoad, call: PlainCall, view: PlainView) -> PlainChoice:
         """Return what choosing this back end would go by."""
-        state = self._state(load.record.instance_id)
+        state = self._state(load.record.incarnation)
         slots = max(1, load.record.slots)
         chance = state.refusal_chance(self.times.typical_s / slots, slots, view.now)
         slowness = state.speed.slowness(view.now)
@@ -253,7 +253,7 @@
         refusal_chance: float,
         slowness: float,
     ) -> PlainRank:
-        instance_id = load.record.instance_id
+        instance_id = load.record.incarnation
         is_slow = slowness >= SLOW
         answer_s = self.times.of_route(call.route) * (slowness if is_slow else 1.0)
         connect_s = 0.0 if instance_id in view.connected else CONNECT_S
@@ -274,14 +274,14 @@
             return True
         if load.health.is_stalled(now, stall_limit_s(self.times.typical_s)):
             return True
-        broken_at = self._state(load.record.instance_id).broken_at
+        broken_at = self._state(load.record.incarnation).broken_at
         return call.runs_once and now - broken_at < UNSOUND_S
 
 
 def _sound_choice_at(instance_id: str, choices: Sequence[PlainChoice]) -> PlainChoice | None:
     """Return the choice of the instance whose place was offered, unless it is unsound."""
     for choice in choices:
-        if choice.load.record.instance_id == instance_id and not choice.rank.is_unsound:
+        if choice.load.record.incarnation == instance_id and not choice.rank.is_unsound:
             return choice
     return None
 
--- a/src/passlane/decisions/placement/request_placement.py
+++ b/src/passlane/decisions/placement/request_placement.py
@@ -169,7 +169,7 @@
         Instances to which a connection of this node rests unused; only looked at for requests
         without a program.
     """
-    fresh = [load for load in candidates if load.record.instance_id not in tried]
+    fresh = [load for load in candidates if load.record.incarnation not in tried]
     if not fresh:
         return None
     records = [load.record for load in candidates]
@@ -206,7 +206,7 @@
     weights: ZoneWeights
 
     def rank(self, load: BackendLoad) -> PlacementRank:
-        key, instance_id = self.key, load.record.instance_id
+        key, instance_id = self.key, load.record.incarnation
         return PlacementRank(
             is_not_assigned=instance_id != key.assigned,
             is_outlier=instance_id in self.outliers,
--- a/src/passlane/decisions/placement/shared_parts.py
+++ b/src/passlane/decisions/placement/shared_parts.py
@@ -42,4 +42,4 @@
     """Return the instances that are to hold a part, by rendezvous hashing."""
     count = max(FEWEST_ENGINES, math.ceil(ENGINE_SHARE * len(records)))
     by_score = sorted(records, key=lambda record: rendezvous_digest(part_id, record), reverse=True)
-    return frozenset(record.instance_id for record in by_score[:count])
+    return frozenset(record.incarnation for record in by_score[:count])
--- a/src/passlane/decisions/placement/turn_placement.py
+++ b/src/passlane/decisions/placement/turn_placement.py
@@ -149,7 +149,7 @@
     """
     demand = asked.demand
     running = len(engine.turns)
-    returns = engine.instance_id == asked.used_last
+    returns = engine.incarnation == asked.used_last
     if running >= engine.slots and not _may_wait_there(engine, demand, running, returns=returns):
         return None
     if not engine.has_memory_for(demand.prompt_tokens + asked.most_tokens, demand.memory_tokens):
--- a/src/passlane/decisions/scheduling/turn_outcomes.py
+++ b/src/passlane/decisions/scheduling/turn_outcomes.py
@@ -34,12 +34,12 @@
         if not has_failed or attempt_id in self._failed_attempts:
             return
         self._remember(attempt_id)
-        for instance_id in outcome.failed_at:
-            engine = self._engines.get(instance_id)
+        for incarnation in outcome.failed_at:
+            engine = self._engines.get(incarnation)
             if engine is not None:
                 engine.health.note_failure(now, FAILURE_WEIGHT)
-        for instance_id in outcome.full_at:
-            engine = self._engines.get(instance_id)
+        for incarnation in outcome.full_at:
+            engine = self._engines.get(incarnation)
             if engine is not None:
                 engine.pause_as_full(now)
         self._engines.look_again()
@@ -55,7 +55,7 @@
     outcome = ended.outcome
     if outcome is None or outcome.engine_s <= 0:
         return False
-    return ended.served_by == held.engine.instance_id
+    return ended.served_by == held.engine.incarnation
 
 
 def learn_pace(held: HeldSlot, outcome: TurnOutcome, durations: TurnDurations, now: float) -> None:
--- a/src/passlane/decisions/scheduling/turn_placing.py
+++ b/src/passlane/decisions/scheduling/turn_placing.py
@@ -51,7 +51,7 @@
         choice = self.choose(first, service, now)
         if choice is None:
             return None
-        turn = service.queue.first_for(choice.engine.instance_id, now) or first
+        turn = service.queue.first_for(choice.engine.incarnation, now) or first
         if turn is not first:
             own_choice = self.choose(turn, service, now)
             turn, choice = (first, choice) if own_choice is None else (turn, own_choice)
@@ -73,7 +73,7 @@
         service.queue.charge(asked, choice.run_s)
         return TurnPlaced(
             attempt_id=asked.attempt_id,
-            engine=engine.instance_id,
+            engine=engine.incarnation,
             waited_s=now - turn.arrived_at,
             expected_s=choice.end_s,
             running=running,
--- a/src/passlane/decisions/scheduling/turn_scheduler.py
+++ b/src/passlane/decisions/scheduling/turn_scheduler.py
@@ -108,8 +108,8 @@
         holder = self._engines.engine_of(asked.attempt_id)
         if holder is not None:
             # The answer to an earlier question of the same attempt was lost.
-            instance = holder.instance_id
-            return [TurnPlaced(attempt_id=asked.attempt_id, engine=instance, waited_s=0.0)]
+            engine = holder.incarnation
+            return [TurnPlaced(attempt_id=asked.attempt_id, engine=engine, waited_s=0.0)]
         program = self._programs.see(
             asked.program_id, demand.route, demand.program_time_left_s, now
         )
--- a/src/passlane/messages/listing.py
+++ b/src/passlane/messages/listing.py
@@ -1,12 +1,17 @@
 """The back ends that the platform lists, as nodes tell one another."""
 
 import enum
+from typing import NewType
 
 import msgspec
 
 from passlane.messages.base import Message
 from passlane.messages.common import Address
 
+IncarnationId = NewType("IncarnationId", str)
+"""One start of a back end: its id, and behind ``@`` the Unix time of its start in ms if the
+platform tells it. Compared whole; not the id that back ends are addressed by."""
+
 
 class BackendState(enum.StrEnum):
     """Whether a back end takes new requests."""
@@ -33,6 +38,19 @@
     state: BackendState
     born_ms: int | None = None
 
+    @property
+    def incarnation(self) -> IncarnationId:
+        """Names this start of the back end; what is known of it is known of this start alone."""
+        if self.born_ms is None:
+            return IncarnationId(self.instance_id)
+        return IncarnationId(f"{self.instance_id}@{self.born_ms}")
+
+    def is_older_than(self, other: "BackendRecord") -> bool:
+        """Whether this tells of an earlier start of the same back end."""
+        if self.instance_id != other.instance_id or self.born_ms is None or other.born_ms is None:
+            return False
+        return self.born_ms < other.born_ms
+
 
 class BackendChanges(msgspec.Struct, frozen=True):
     """How a list of back ends differs from an earlier one.
--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -66,6 +66,7 @@
             body=request.body,
             host=call.host,
             answer_key=call.request_id,
+            server=backend.incarnation,
         )
         async with self._http_client.exchange(http_request) as response:
             answer = EngineAnswer(response, call.request_id)
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -61,7 +61,7 @@
         load.in_flight += 1
         watch = load.health.watch(started_at)
         verdict_before = self._history.verdict
-        self._history.begin(load.record.instance_id, started_at)
+        self._history.begin(load.record.incarnation, started_at)
         silence_ends_at = self._silence_ends_at(started_at + stalled_after_s)
         try:
             with anyio.CancelScope(deadline=silence_ends_at) as silence:
@@ -109,7 +109,7 @@
         if judgement is Judgement.UNTRUSTED:
             log_untrusted_answer(answer, load, self._stamp())
             raise HttpConnectionError(BreakReason.NOT_AN_ANSWER.value, bytes_left=True)
-        self._history.note_answering(load.record.instance_id, anyio.current_time())
+        self._history.note_answering(load.record.incarnation, anyio.current_time())
         await deliver(answer, watch)
         if is_client_error(answer.head):
             self._history.note_rejected()
@@ -118,9 +118,9 @@
 
     def _note_refused(self, answer: BackendAnswer, load: BackendLoad) -> None:
         log_backend_refusal(answer, load, self._stamp())
-        self._history.note_refused(load.record.instance_id)
+        self._history.note_refused(load.record.incarnation)
         if is_gone(answer.head):
-            self._context.registry.remove(load.record.instance_id)
+            self._context.registry.remove(load.record.incarnation)
 
     def _stamp(self) -> AttemptStamp:
         """Return what names the attempt that is under way."""
@@ -135,7 +135,7 @@
     ) -> None:
         """Note a failed attempt; raise if the request must not be sent again."""
         note_failure(load, anyio.current_time())
-        self._history.note_broken(load.record.instance_id)
+        self._history.note_broken(load.record.incarnation)
         follows = after_break(
             self._context.route,
             self._history.runs,
--- a/src/passlane/relay/attempt_log.py
+++ b/src/passlane/relay/attempt_log.py
@@ -46,7 +46,7 @@
         "backend_chosen",
         request_id=stamp.request_id,
         service=stamp.service,
-        instance=choice.load.record.instance_id,
+        instance=choice.load.record.incarnation,
         attempt=stamp.attempt,
         candidates=choice.candidates,
         in_flight=choice.load.in_flight,
@@ -77,7 +77,7 @@
         "plain_backend_chosen",
         request_id=stamp.request_id,
         service=choice.load.record.service,
-        instance=choice.load.record.instance_id,
+        instance=choice.load.record.incarnation,
         attempt=stamp.attempt,
         candidates=choice.candidates,
         # Whether the request had waited and was given leave for this one try.
@@ -101,7 +101,7 @@
     _log.info(
         "backend_refused",
         request_id=stamp.request_id,
-        instance=load.record.instance_id,
+        instance=load.record.incarnation,
         attempt=stamp.attempt,
         status=answer.head.status,
         refusal=refusal.value if refusal is not None else None,
@@ -113,7 +113,7 @@
     _log.warning(
         "backend_answer_untrusted",
         request_id=stamp.request_id,
-        instance=load.record.instance_id,
+        instance=load.record.incarnation,
         attempt=stamp.attempt,
         status=answer.head.status,
         is_authentic=answer.head.is_authentic,
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -101,7 +101,7 @@
         self, load: BackendLoad, stalled_after_s: float, limit_at: float, deliver: Deliver
     ) -> bool:
         """Send the request to one back end, and note what that shows of its room."""
-        instance_id = load.record.instance_id
+        instance_id = load.record.incarnation
         avoided_before = load.avoid_until
         started_at = anyio.current_time()
         is_delivered = False
--- a/src/passlane/relay/backend_choice.py
+++ b/src/passlane/relay/backend_choice.py
@@ -173,4 +173,4 @@
 def _connected(context: RequestContext, loads: Sequence[BackendLoad]) -> frozenset[str]:
     """Return the instances to which a connection rests unused."""
     has_idle_connection = context.backends.has_idle_connection
-    return frozenset(load.record.instance_id for load in loads if has_idle_connection(load.record))
+    return frozenset(load.record.incarnation for load in loads if has_idle_connection(load.record))
--- a/src/passlane/relay/list_reader.py
+++ b/src/passlane/relay/list_reader.py
@@ -105,7 +105,7 @@
             _log.info(
                 "backends_changed",
                 backends=len(self._registry),
-                gone=[record.instance_id for record in gone],
+                gone=[record.incarnation for record in gone],
                 age_s=round(anyio.current_time() - confirmed_at, 3),
             )
 
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -186,10 +186,13 @@
     ----------
     answer_key
         That of the last request; see ``HttpRequest``.
+    server
+        Names the process that it was opened to; empty if unknown.
     """
 
-    def __init__(self, address: Address, stream: ByteStream) -> None:
+    def __init__(self, address: Address, server: str, stream: ByteStream) -> None:
         self.answer_key = ""
+        self.server = server
         self._address = address
         self._stream = _ByteStreamAdapter(stream)
         self.http = httpcore.AsyncHTTP11Connection(
@@ -262,7 +265,7 @@
         """Send a request and give its answer; leaving early closes the connection."""
         connection = await self._take_idle(request)
         if connection is None:
-            connection = await self._open(request.address)
+            connection = await self._open(request)
         expiry_s = IDLE_EXPIRY_S
         try:
             response = _Response(await connection.send(request), request.address)
@@ -287,7 +290,7 @@
         unusable: list[_IdleConnection] = []
         chosen: _Connection | None = None
         for candidate in reversed(tuple(idle)):
-            if not candidate.is_usable():
+            if not candidate.is_usable() or candidate.connection.server != request.server:
                 idle.remove(candidate)
                 unusable.append(candidate)
             elif not request.answer_key or candidate.connection.answer_key != request.answer_key:
@@ -298,7 +301,8 @@
             await idle_connection.connection.close()
         return chosen
 
-    async def _open(self, address: Address) -> _Connection:
+    async def _open(self, request: HttpRequest) -> _Connection:
+        address = request.address
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await self._network.connect(address)
@@ -307,7 +311,7 @@
             raise HttpConnectionError(
                 f"cannot connect to {address}: {error}", bytes_left=False
             ) from error
-        return _Connection(address, stream)
+        return _Connection(address, request.server, stream)
 
     async def _sweep(self) -> None:
         """Now and then close what will not be used again, such as for servers that are gone."""
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -49,6 +49,8 @@
     told from a server that closed it while the request was on its way.
     ``answer_key`` is what tells answers apart: a connection whose last request had the same
     one is not used, since an answer too many on it could not be told from the new answer.
+    ``server`` names the process that is to answer: a connection that was opened to another one,
+    which had the address before, is not used.
     """
 
     method: str
@@ -59,6 +61,7 @@
     fresh_connection: bool = False
     host: str | None = None
     answer_key: str = ""
+    server: str = ""
 
 
 class HttpResponse(Protocol):
--- a/tests/decisions/placement/test_turn_placement.py
+++ b/tests/decisions/placement/test_turn_placement.py
@@ -55,7 +55,7 @@
 class ChooseEngineTest(unittest.TestCase):
     def choice(self, turn: TurnAsked, *engines: EngineSlots) -> str:
         chosen = choose_engine(engines, turn, TurnDurations())
-        return chosen.engine.instance_id if chosen is not None else ""
+        return chosen.engine.incarnation if chosen is not None else ""
 
     def test_the_first_of_equal_engines(self):
         self.assertEqual(self.choice(asked(), engine("e1"), engine("e2")), "e1")
--- a/tests/on_platform/test_engine_answers.py
+++ b/tests/on_platform/test_engine_answers.py
@@ -82,7 +82,7 @@
     async def serve(self):
         await self.network.host(ENGINE.host).serve(ENGINE, self.engine.serve)
 
-    async def ask(self, request_id):
+    async def ask(self, request_id, *, record=RECORD):
         """Send a request; return the head and, unless it is a refusal, the body."""
         call = RelayedCall(
             request_id=request_id,
@@ -95,7 +95,7 @@
             deadline_at=anyio.current_time() + 5.0,
         )
         request = BackendRequest(call=call, body=b"body", remaining_s=5.0)
-        async with self.client.exchange(RECORD, request) as told:
+        async with self.client.exchange(record, request) as told:
             body = b""
             if told.head.refusal is None:
                 async with aclosing(told.chunks()) as chunks:
@@ -131,6 +131,13 @@
             self.assertIs(head.refusal, Refusal.NOT_EXECUTED)
         self.assertEqual((ground.engine.requests, ground.engine.connections), (5, 1))
 
+    @with_engine(*[answer(f"r-{number}") for number in range(4)])
+    async def test_an_engine_that_has_started_again_gets_a_new_connection(self, ground):
+        for number, born_ms in enumerate((None, 1_000, 2_000, 2_000)):
+            record = msgspec.structs.replace(RECORD, born_ms=born_ms)
+            await ground.ask(f"r-{number}", record=record)
+        self.assertEqual((ground.engine.requests, ground.engine.connections), (4, 3))
+
     @with_engine(*[answer(f"r-{number}", body=b"x" * 2 * MAX_REFUSAL_BYTES) for number in range(2)])
     async def test_a_long_refusal_closes_its_connection(self, ground):
         for number in range(2):
--- a/tests/recorded_decisions/names.py
+++ b/tests/recorded_decisions/names.py
@@ -213,7 +213,7 @@
 SHORTENED: dict[type, str] = {
     BackendLoad: "record.instance_id",
     BackendRecord: "instance_id",
-    EngineSlots: "instance_id",
+    EngineSlots: "incarnation",
     WaitingCall: "request_id",
 }
 """Objects with state of their own, for which the named path of attributes stands in a digest."""
--- a/tests/recorded_decisions/program_admission_load.py
+++ b/tests/recorded_decisions/program_admission_load.py
@@ -151,7 +151,7 @@
         choice.engine.take(turn)
         choice.engine.note_part(asked.demand)
         engine = choice.engine
-        run_s = self.random.lognormvariate(math.log(0.9), 0.4) * (1 + int(engine.instance_id[-1:]))
+        run_s = self.random.lognormvariate(math.log(0.9), 0.4) * (1 + int(engine.incarnation[-1:]))
         self.later(run_s, lambda: self.end(engine, turn, run_s))
         return self.step("begun", asked, choice)
 
