A soak's finding keeps its times and logs; the leader tells which slots are unused and by whom others are held

What could not be told apart when four of six turns ran at once: turns that began within the length of one on a machine that stood still, places that were held, or places that the leader would not give. So the report has, for each full set, when each turn was asked for and where and when it began; each fault's beginning and end; and the processes' logs outlive a soak that finds anything. The leader of the store writes a line engine_slots each second while turns wait: engines with free slots that get no turns (is_failing tells why), and those with the oldest turns (owner and age).

--- a/src/passlane/decisions/backends/engine_table.py
+++ b/src/passlane/decisions/backends/engine_table.py
@@ -31,6 +31,26 @@
     turn: PlacedTurn
 
 
+class EngineSlotState(msgspec.Struct, frozen=True):
+    """What an engine's slots are taken by, and whether turns are placed there.
+
+    Attributes
+    ----------
+    is_usable, is_failing
+        Whether it takes turns, and whether it fails more than the others.
+    oldest_attempt, oldest_s
+        The turn that has had its slot for longest, and for how long; empty and 0 without one.
+    """
+
+    engine: str
+    slots: int
+    running: int
+    is_usable: bool
+    is_failing: bool
+    oldest_attempt: str
+    oldest_s: float
+
+
 class EngineTable:
     """The engines of all services, and where each turn has its slot."""
 
@@ -148,6 +168,24 @@
                 return
             del self._expired[attempt_id]
 
+    def slot_states(self, service: str, now: float) -> list[EngineSlotState]:
+        """Return how each engine of a service stands at this moment."""
+        usable = {engine.incarnation for engine in self.usable(service, now)}
+        states = []
+        for engine in self.of_service(service):
+            oldest = min(engine.turns.values(), key=lambda turn: turn.placed_at, default=None)
+            state = EngineSlotState(
+                engine=engine.incarnation,
+                slots=engine.slots,
+                running=len(engine.turns),
+                is_usable=engine.incarnation in usable,
+                is_failing=engine.health.is_failing(now),
+                oldest_attempt=oldest.attempt_id if oldest is not None else "",
+                oldest_s=round(now - oldest.placed_at, 3) if oldest is not None else 0.0,
+            )
+            states.append(state)
+        return states
+
     def all_slots(self, service: str) -> int:
         """Return the slots of a service, those of engines that are leaving included."""
         return sum(engine.slots for engine in self.of_service(service))
--- a/src/passlane/decisions/scheduling/turn_scheduler.py
+++ b/src/passlane/decisions/scheduling/turn_scheduler.py
@@ -25,7 +25,7 @@
 
 import msgspec
 
-from passlane.decisions.backends.engine_table import EngineTable
+from passlane.decisions.backends.engine_table import EngineSlotState, EngineTable
 from passlane.decisions.backends.health import STALL_WEIGHT
 from passlane.decisions.inputs.turn_events import (
     TurnAsked,
@@ -64,6 +64,11 @@
     waiting_new: int
     told_to_return: int
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any turn waits, or a refused program is to retry."""
+        return bool(self.waiting_new or self.waiting_under_way or self.told_to_return)
+
 
 class TurnScheduler:
     """Places turns at engines in one order over all nodes."""
@@ -162,6 +167,10 @@
             told_to_return=len(service.admission),
         )
 
+    def slot_states(self, service_name: str, now: float) -> list[EngineSlotState]:
+        """Return how the slots of each engine of a service stand."""
+        return self._engines.slot_states(service_name, now)
+
     @property
     def service_names(self) -> tuple[str, ...]:
         """Services whose turns it has placed."""
--- a/src/passlane/soak/callers.py
+++ b/src/passlane/soak/callers.py
@@ -17,6 +17,8 @@
 DEADLINE_MS = 4000
 PATIENCE_S = 5.0
 """A caller gives up a little after the deadline that it has told."""
+MOST_TRIES = 5
+"""Attempts of one call, unless it tells otherwise."""
 FINAL_STATUSES = frozenset({400, 401, 402, 404, 413})
 LONGEST_RETURN_S = 1.0
 """The time to come back is heeded up to here."""
@@ -49,7 +51,7 @@
     body: bytes
     expected_body: bytes
     has_kept_history: bool = False
-    most_tries: int = 5
+    most_tries: int = MOST_TRIES
     most_runs: int = 1
     is_once: bool = False
     events: int = 0
--- a/src/passlane/soak/calm.py
+++ b/src/passlane/soak/calm.py
@@ -6,10 +6,11 @@
 import anyio
 
 from passlane.soak.back_ends import EVENT_PAUSE_S, StandInEngine
-from passlane.soak.callers import Callers
+from passlane.soak.callers import MOST_TRIES, Callers
 from passlane.soak.configuration import LONG
 from passlane.soak.ledger import Ledger
 from passlane.soak.programs import AMPLE_BUDGET_TURNS, LONG_EVENTS, PROGRAM_KINDS, Line
+from passlane.soak.report import FullSet, FullSetTurn, Run
 from passlane.soak.watch import Watch
 
 LONGEST_RETURN_S = 30.0
@@ -24,7 +25,13 @@
 
 
 class CalmChecks:
-    """Runs when load and faults have ended."""
+    """Runs when load and faults have ended.
+
+    Attributes
+    ----------
+    rounds
+        The full sets that were tried.
+    """
 
     def __init__(
         self,
@@ -40,6 +47,8 @@
         self._engines = engines
         self._name = f"full-set-{seed}-{random.Random(seed).getrandbits(32):08x}"
         self._served = 0
+        self._asked_at: dict[str, float] = {}
+        self.rounds: list[FullSet] = []
 
     async def run(self) -> None:
         """Make all checks."""
@@ -68,6 +77,7 @@
                 for place in range(places):
                     tasks.start_soon(self._take_turn, f"{self._name}-{number}-{place}")
             most_running = max(most_running, self._ledger.most_running)
+            self._note_round(number, places)
             if most_running >= places and self._served == places:
                 break
             await anyio.sleep(ROUND_PAUSE_S)
@@ -76,7 +86,20 @@
         is_full = most_running >= places and self._served == places
         self._ledger.check("no-place-held", is_full, self._name, detail, now)
 
+    def _note_round(self, number: int, places: int) -> None:
+        """Keep when each turn of the round was asked for and begun, and where."""
+        names = [f"{self._name}-{number}-{place}" for place in range(places)]
+        turns = [
+            FullSetTurn(name, self._asked_at.get(name, 0.0), self._runs(name)) for name in names
+        ]
+        self.rounds.append(FullSet(self._ledger.most_running, self._served, tuple(turns)))
+
+    def _runs(self, name: str) -> tuple[Run, ...]:
+        attempts = (f"{name}-0.{number}" for number in range(MOST_TRIES))
+        return tuple(run for attempt in attempts for run in self._ledger.runs_of(attempt))
+
     async def _take_turn(self, program_id: str) -> None:
+        self._asked_at[program_id] = round(anyio.current_time() - self._ledger.began_at, 3)
         line = Line(program_id, PROGRAM_KINDS[LONG], budget_turns=AMPLE_BUDGET_TURNS)
         self._ledger.begin_program(program_id, line.budget, anyio.current_time())
         result = await self._callers.make(line.turn("0"))
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -3,7 +3,8 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from enum import StrEnum
 
 import anyio
@@ -14,6 +15,7 @@
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import Machine, Machines
 from passlane.soak.proxy import FaultyProxy, ProxyMode
+from passlane.soak.report import FaultTime
 
 SHORTEST_GAP_S = 0.6
 LONGEST_GAP_S = 2.0
@@ -24,6 +26,9 @@
 """So long the back ends of a service break their answers off."""
 
 
+MOST_TIMES_KEPT = 1_000
+
+
 class FaultKind(StrEnum):
     """What is done to a process or a back end."""
 
@@ -65,6 +70,8 @@
     ----------
     counts
         Faults by kind and role.
+    times
+        The newest faults, in the order of their ends.
     """
 
     def __init__(
@@ -81,7 +88,9 @@
         self._ledger = ledger
         self._random = random.Random(f"{seed} faults")
         self._struck: set[FleetRole] = set()
+        self._began_at = ledger.began_at
         self.counts: Counter[str] = Counter()
+        self.times: list[FaultTime] = []
 
     async def run(self, ending: anyio.Event, kinds: Sequence[FaultKind]) -> None:
         """Strike again and again; return once the last fault has been taken back."""
@@ -103,20 +112,39 @@
                     machine = self._random.choice(self._machines.all)
                     tasks.start_soon(self._strike, kind, machine, duration_s)
 
+    @contextmanager
+    def _noted(self, name: str, target: str) -> Iterator[None]:
+        """Keep when a fault began and ended."""
+        began_at = anyio.current_time()
+        try:
+            yield
+        finally:
+            times = (began_at - self._began_at, anyio.current_time() - self._began_at)
+            began_s, ended_s = (round(moment, 3) for moment in times)
+            self.times.append(FaultTime(f"{name} {target}", began_s, ended_s))
+            del self.times[:-MOST_TIMES_KEPT]
+
     async def _disturb(self, kind: FaultKind, proxy: FaultyProxy, duration_s: float) -> None:
         self.counts[f"{kind.value} {proxy.name}"] += 1
-        if kind is FaultKind.RESET:
-            proxy.reset_all()
-            return
-        proxy.set_mode(_PROXY_MODES[kind])
-        await anyio.sleep(duration_s)
-        proxy.set_mode(ProxyMode.PASS)
+        with self._noted(kind.value, proxy.name):
+            if kind is FaultKind.RESET:
+                proxy.reset_all()
+                return
+            proxy.set_mode(_PROXY_MODES[kind])
+            await anyio.sleep(duration_s)
+            proxy.set_mode(ProxyMode.PASS)
 
     async def _strike(self, kind: FaultKind, machine: Machine, duration_s: float) -> None:
         if machine.role in self._struck:
             return
         self.counts[f"{kind.value} {machine.role.value}"] += 1
         self._struck.add(machine.role)
+        with self._noted(kind.value, machine.name):
+            await self._apply(kind, machine, duration_s)
+        self._struck.remove(machine.role)
+
+    async def _apply(self, kind: FaultKind, machine: Machine, duration_s: float) -> None:
+        """Do to a process what the kind says, and take it back."""
         if kind is FaultKind.PAUSE:
             machine.signal(signal.SIGSTOP)
             await anyio.sleep(duration_s)
@@ -127,7 +155,6 @@
             await self._kill(self._machines.of_role(machine.role), duration_s)
         else:
             await self._stop(machine, duration_s if kind is FaultKind.STOP else 0.0)
-        self._struck.remove(machine.role)
 
     async def _kill(self, machines: Sequence[Machine], duration_s: float) -> None:
         for machine in machines:
@@ -144,8 +171,9 @@
     async def _break_answers(self, service: str) -> None:
         self.counts[f"{FaultKind.BREAK_ANSWERS.value} {service}"] += 1
         struck = [back_end for back_end in self._back_ends if back_end.service == service]
-        for back_end in struck:
-            back_end.breaks_off = True
-        await anyio.sleep(BROKEN_S)
-        for back_end in struck:
-            back_end.breaks_off = False
+        with self._noted(FaultKind.BREAK_ANSWERS.value, service):
+            for back_end in struck:
+                back_end.breaks_off = True
+            await anyio.sleep(BROKEN_S)
+            for back_end in struck:
+                back_end.breaks_off = False
--- a/src/passlane/soak/ledger.py
+++ b/src/passlane/soak/ledger.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from passlane.soak.outputs import output_of
-from passlane.soak.report import Finding
+from passlane.soak.report import Finding, Run
 
 PROMISES_OF_NOT_RUN = frozenset({402, 408, 421, 429, 503})
 """Statuses by which a caller may believe that its request has not run and never will."""
@@ -37,6 +37,8 @@
         Events that the caller must get; 0 for a plain body.
     has_kept_history
         Whether it goes on from a turn whose whole answer its caller has.
+    signatures, begun_at
+        Of its runs: what its back end signs with, and when it began.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     events: int
     has_kept_history: bool = False
     signatures: list[str] = []
+    begun_at: list[float] = []
     promise: int | None = None
 
 
@@ -72,13 +75,15 @@
     ----------
     running, most_running
         Turns that run at engines now, and the most since ``most_running`` was last set.
+    began_at
+        When the soak began; findings and runs tell seconds since then.
     on_finding
         Called after each finding.
     """
 
     def __init__(self, limit: LimitRule, began_at: float) -> None:
         self._limit = limit
-        self._began_at = began_at
+        self.began_at = began_at
         self._attempts: dict[str, Attempt] = {}
         self._programs: dict[str, Program] = {}
         self._programs_since: deque[tuple[float, str]] = deque()
@@ -98,7 +103,7 @@
             return
         self.finding_count += 1
         if len(self.findings) < MOST_FINDINGS_KEPT:
-            self.findings.append(Finding(name, request_id, detail, round(now - self._began_at, 3)))
+            self.findings.append(Finding(name, request_id, detail, round(now - self.began_at, 3)))
         self.on_finding()
 
     # What callers do.
@@ -155,6 +160,7 @@
         if attempt is None:
             return
         attempt.signatures.append(signature)
+        attempt.begun_at.append(now)
         runs = len(attempt.signatures)
         self.check("runs-of-attempt", runs <= attempt.most_runs, request_id, f"{runs} runs", now)
         self._check_promise(attempt, now)
@@ -168,6 +174,17 @@
             runs = self._runs_of_operation[attempt.operation]
             self.check("at-most-once", runs <= 1, request_id, f"{runs} runs", now)
 
+    def runs_of(self, request_id: str) -> list[Run]:
+        """Return the runs of an attempt so far, in order."""
+        attempt = self._attempts.get(request_id)
+        if attempt is None:
+            return []
+        pairs = zip(attempt.signatures, attempt.begun_at, strict=True)
+        return [
+            Run(signature.rpartition(".")[2], round(begun_at - self.began_at, 3))
+            for signature, begun_at in pairs
+        ]
+
     def note_tokens(self, program_id: str, request_id: str, tokens: int, now: float) -> None:
         """Judge tokens that an engine has generated for a program."""
         program = self._programs.get(program_id)
--- a/src/passlane/soak/report.py
+++ b/src/passlane/soak/report.py
@@ -22,6 +22,37 @@
     at_s: float
 
 
+class Run(msgspec.Struct, frozen=True):
+    """A run of an attempt: the back end, and seconds from the soak's start to its beginning."""
+
+    back_end: str
+    begun_at_s: float
+
+
+class FaultTime(msgspec.Struct, frozen=True):
+    """A fault, and seconds from the soak's start to its beginning and its end."""
+
+    fault: str
+    began_at_s: float
+    ended_at_s: float
+
+
+class FullSetTurn(msgspec.Struct, frozen=True):
+    """One turn of a full set: when it was asked for, and its runs."""
+
+    program_id: str
+    asked_at_s: float
+    runs: tuple[Run, ...]
+
+
+class FullSet(msgspec.Struct, frozen=True):
+    """As many turns at once as engines have places: what ran at once, and what was served."""
+
+    most_running: int
+    served: int
+    turns: tuple[FullSetTurn, ...]
+
+
 class SoakReport(msgspec.Struct, frozen=True, kw_only=True):
     """Load, faults, checks and findings of one soak.
 
@@ -41,6 +72,12 @@
         All of them.
     was_interrupted
         Whether a signal ended it early.
+    full_sets
+        What was tried for the check ``no-place-held``.
+    fault_times
+        Each fault, and seconds from the soak's start to its beginning and its end.
+    kept_logs
+        Where the processes' logs stay after a finding; empty without one.
     """
 
     seed: int
@@ -52,6 +89,9 @@
     findings: tuple[Finding, ...]
     finding_count: int
     was_interrupted: bool = False
+    full_sets: tuple[FullSet, ...] = ()
+    fault_times: tuple[FaultTime, ...] = ()
+    kept_logs: str = ""
 
     @property
     def has_passed(self) -> bool:
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -21,6 +21,7 @@
 from passlane.soak.calm import CalmChecks
 from passlane.soak.client import SoakClient
 from passlane.soak.configuration import ENGINES, LIMIT, TOOLS, ZONE
+from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind, Faults
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import DAEMON, Machines, loopback_network
@@ -85,6 +86,7 @@
         self._callers = Callers(self._ledger, client, self._watch, self._tallies, seed)
         self._proxies = _proxies(network, self._back_ends)
         self._faults = Faults(self.machines, self._back_ends, self._proxies, self._ledger, seed)
+        self._calm: CalmChecks | None = None
         self._was_interrupted = False
 
     async def run(self) -> SoakReport:
@@ -140,6 +142,7 @@
         calm = CalmChecks(
             self._callers, self._ledger, self._watch, self._engines, self._settings.seed
         )
+        self._calm = calm
         await calm.run()
         self._check_shares()
 
@@ -179,6 +182,8 @@
             findings=tuple(ledger.findings),
             finding_count=ledger.finding_count,
             was_interrupted=self._was_interrupted,
+            full_sets=tuple(self._calm.rounds) if self._calm is not None else (),
+            fault_times=tuple(self._faults.times),
         )
 
 
@@ -215,12 +220,20 @@
 
 
 async def run_soak(settings: SoakSettings) -> SoakReport:
-    """Run one soak and return its report; whatever happens, its processes end."""
+    """Run one soak and return its report; whatever happens, its processes end.
+
+    After a finding the logs and times by which it can be traced outlive the folder.
+    """
     soak = Soak(settings)
     try:
-        return await soak.run()
+        report = await soak.run()
     finally:
         soak.machines.end_all()
+    if report.has_passed or settings.stops_at_finding:
+        return report
+    report = keep_evidence(report, settings.folder, REPORT_FILE)
+    print(f"logs and times are kept in {report.kept_logs}")
+    return report
 
 
 def run(seed: int, load_s: float, report_folder: Path | None) -> int:
--- a/src/passlane/turns/decision_log.py
+++ b/src/passlane/turns/decision_log.py
@@ -9,8 +9,11 @@
 seconds.
 """
 
+from collections.abc import Sequence
+
 import msgspec
 
+from passlane.decisions.backends.engine_table import EngineSlotState
 from passlane.decisions.inputs.turn_events import (
     TurnAsked,
     TurnDecision,
@@ -21,6 +24,10 @@
 from passlane.decisions.scheduling.turn_scheduler import SchedulerFigures
 from passlane.observability.logging import get_logger
 
+MOST_ENGINES_LOGGED = 10
+MOST_OLDEST_LOGGED = 3
+"""Engines in one line ``engine_slots``, a second. Chosen."""
+
 _log = get_logger(__name__)
 
 
@@ -39,10 +46,26 @@
 
     ``running`` of ``slots`` turns run; why the others wait: ``decisions.order.turn_precedence``.
     """
-    if figures.waiting_new or figures.waiting_under_way or figures.told_to_return:
+    if figures.has_waiting:
         _log.info("places", service=service, **msgspec.structs.asdict(figures))
 
 
+def log_slots(service: str, states: Sequence[EngineSlotState]) -> None:
+    """Log engines that have free slots and get no turns, and those with the oldest turns.
+
+    Why an engine gets none: ``EngineTable.usable``.
+    """
+    unused = [state for state in states if state.running < state.slots and not state.is_usable]
+    busy = [state for state in states if state.oldest_attempt]
+    oldest = sorted(busy, key=lambda state: -state.oldest_s)
+    _log.info(
+        "engine_slots",
+        service=service,
+        unused=[msgspec.structs.asdict(state) for state in unused[:MOST_ENGINES_LOGGED]],
+        oldest=[msgspec.structs.asdict(state) for state in oldest[:MOST_OLDEST_LOGGED]],
+    )
+
+
 def _log_placed(asked: TurnAsked, decision: TurnPlaced) -> None:
     """Log where a turn went that waited.
 
--- a/src/passlane/turns/dispatch.py
+++ b/src/passlane/turns/dispatch.py
@@ -18,7 +18,7 @@
 )
 from passlane.decisions.scheduling.turn_scheduler import TurnScheduler
 from passlane.messages.listing import BackendRecord
-from passlane.turns.decision_log import log_decision, log_figures
+from passlane.turns.decision_log import log_decision, log_figures, log_slots
 
 TICK_S = 0.05
 """Seconds after which slots are given back by time and long waits are ended; turns that wait bear
@@ -86,8 +86,12 @@
 
     def log_figures(self) -> None:
         """Write how full the services are, while any turn waits or is to retry."""
+        now = anyio.current_time()
         for name in self._scheduler.service_names:
-            log_figures(name, self._scheduler.figures(name))
+            figures = self._scheduler.figures(name)
+            log_figures(name, figures)
+            if figures.has_waiting:
+                log_slots(name, self._scheduler.slot_states(name, now))
 
     def _carry_out(self, decisions: Iterable[TurnDecision]) -> None:
         for decision in decisions:
