An engine that has failed is tried by turns that find no slot elsewhere

Cause: the leader left an engine that fails more than the others out of the choice altogether until its failures were forgotten, half of them in 4 s; nothing it served could show before that it was well.

Change: from 1 s after its last failure such an engine is on trial: a turn that finds no slot at any other engine tries it, one at a time; a whole answer ends the judgement.

--- a/.ci/dead_code_exceptions.py
+++ b/.ci/dead_code_exceptions.py
@@ -78,3 +78,7 @@
 
 # Decoded to be checked: an entry without it, or with one of another type, is of another writer.
 _.cold_left_ms  # platform.list_format
+
+# Written into the report of a soak, for whoever traces a finding.
+_.full_sets  # SoakReport
+_.fault_times  # SoakReport
--- a/src/passlane/decisions/backends/engine_slots.py
+++ b/src/passlane/decisions/backends/engine_slots.py
@@ -25,6 +25,12 @@
 SHARED_PARTS_SHARE = 0.4
 """Share of an engine's memory in which shared parts are taken to be kept; the rest is for the
 turns that run and for programs' own histories. Not measured; chosen."""
+TRIAL_AFTER_S = 1.0
+"""Seconds from an engine's last failure until a turn that finds no slot elsewhere may try it, one
+at a time; a whole answer to such a turn ends the judgement. As for callers of one node
+(``BreakerConfig.open_s``). With it all slots are used from the second full set on, after up to 29
+failures of an engine; without, up to five sets are needed
+(tests/decisions/scheduling/test_failing_engines.py). Other times were not measured; chosen."""
 FULL_PAUSE_S = 0.05
 """An engine that refused a turn as full gets none for so many seconds: about the time in which
 one of six turns of 0.3 s ends. Not measured; chosen."""
@@ -101,6 +107,11 @@
         """Whether it takes new turns at this moment."""
         return self.record.state is BackendState.READY and now >= self.full_until
 
+    def may_try(self, now: float) -> bool:
+        """Whether a turn may show if it serves again, after it has failed more than others."""
+        rests = now - self.health.last_failed_at < TRIAL_AFTER_S
+        return self.is_usable(now) and not self.turns and not rests
+
     def has_memory_for(self, tokens: int, memory_tokens: int) -> bool:
         """Whether the turns that run leave room for one of so many tokens.
 
@@ -144,5 +155,7 @@
         """Learn the engine's pace from a turn that it answered whole."""
         self.ended_at = now
         self.health.note_success(now)
+        if turn.placed_at - self.health.last_failed_at >= TRIAL_AFTER_S:
+            self.health.forgive()
         self.speed.learn(outcome.engine_s, turn.expected_s, turn.expected_slowdown, now)
         self.slowdown = self.speed.slowdown(now)
--- a/src/passlane/decisions/backends/engine_table.py
+++ b/src/passlane/decisions/backends/engine_table.py
@@ -119,6 +119,17 @@
             self._usable[service] = usable
         return usable
 
+    def on_trial(self, service: str, now: float) -> list[EngineSlots]:
+        """Return engines that fail more than the others and may show that they serve again.
+
+        They are for turns that find no slot at any other engine, one at a time.
+        """
+        usable = self.usable(service, now)
+        if len(usable) == len(self.of_service(service)):
+            return []
+        left_out = (engine for engine in self.of_service(service) if engine not in usable)
+        return [engine for engine in left_out if engine.may_try(now)]
+
     def look_again(self) -> None:
         """Judge all engines anew: time has passed, or one of them has failed."""
         self._usable = {}
@@ -198,5 +209,7 @@
         return running / slots if slots else 1.0
 
     def has_free_slot(self, service: str, now: float) -> bool:
-        """Whether an engine that takes turns has a slot that no turn has."""
-        return any(len(engine.turns) < engine.slots for engine in self.usable(service, now))
+        """Whether an engine that takes turns, or is on trial, has a slot that no turn has."""
+        if any(len(engine.turns) < engine.slots for engine in self.usable(service, now)):
+            return True
+        return bool(self.on_trial(service, now))
--- a/src/passlane/decisions/backends/health.py
+++ b/src/passlane/decisions/backends/health.py
@@ -97,6 +97,8 @@
     ----------
     watches
         Requests under way.
+    last_failed_at
+        When the last failure was noted.
     """
 
     watches: set[AttemptWatch] = msgspec.field(default_factory=set)
@@ -105,6 +107,7 @@
     _counted_at: float = 0.0
     _latency_s: float = 0.0
     _measured_at: float = -math.inf
+    last_failed_at: float = -math.inf
 
     def watch(self, now: float) -> AttemptWatch:
         """Begin to watch a request."""
@@ -119,6 +122,11 @@
         """Count a failure."""
         self._decay(now)
         self._failed += weight
+        self.last_failed_at = now
+
+    def forgive(self) -> None:
+        """Forget all failures: the back end has shown that it serves again."""
+        self._failed = 0.0
 
     def note_latency(self, latency_s: float, now: float) -> None:
         """Take a time to the first part of an answer into the typical latency."""
--- a/src/passlane/decisions/scheduling/turn_placing.py
+++ b/src/passlane/decisions/scheduling/turn_placing.py
@@ -33,7 +33,11 @@
     def choose(self, turn: WaitingTurn, service: ServiceTurns, now: float) -> EngineChoice | None:
         """Return where a turn goes; ``None`` if no engine has room for it."""
         engines = self._engines.usable(service.name, now)
-        return choose_engine(engines, turn.asked, service.durations)
+        choice = choose_engine(engines, turn.asked, service.durations)
+        if choice is not None:
+            return choice
+        on_trial = self._engines.on_trial(service.name, now)
+        return choose_engine(on_trial, turn.asked, service.durations)
 
     def fill(self, service: ServiceTurns, now: float) -> list[TurnPlaced]:
         """Give free slots to turns that wait, in order, until the first one has no room."""
--- a/tests/turns/test_slot_waits.py
+++ b/tests/turns/test_slot_waits.py
@@ -22,7 +22,7 @@
 from passlane.turns.leadership import Leadership
 from passlane.turns.slot_waits import SlotWaits
 from passlane.turns.state.machine import TurnStateMachine
-from turns.test_service import LoneGroup
+from turns.test_service import PROPOSE_S, LoneGroup
 
 DEMAND = TurnDemand(service="llm", route="r", urgency=1, zone="a")
 TURN = ReserveTurn(program_id="p", attempt_id="a", most_tokens=10, budget_tokens=100)
@@ -30,6 +30,15 @@
 PLACED = TurnPlaced(attempt_id="a", engine="e1", waited_s=0.0)
 
 
+class LoggedGroup(LoneGroup):
+    """Applies commands in the order in which they are proposed, as a log does."""
+
+    async def propose(self, command, *, may_be_deferred=False):
+        result = self.machine.apply(0, command)
+        await anyio.sleep(PROPOSE_S)
+        return result
+
+
 class ScriptedDispatcher:
     """Decides each question as it is told."""
 
@@ -62,7 +71,7 @@
             machine.execute(known)
             machine.execute(SettleTurn(program_id="p", attempt_id="first", tokens=1))
             dispatcher = ScriptedDispatcher(*decisions)
-            leadership = Leadership(LoneGroup(machine), QuotaLedger(QuotaRules()), dispatcher)
+            leadership = Leadership(LoggedGroup(machine), QuotaLedger(QuotaRules()), dispatcher)
             slots = SlotWaits(TurnAccounts(machine, leadership), machine, dispatcher, leadership)
 
             async def ask(name):
