--- a/.ci/dead_code_exceptions.py
+++ b/.ci/dead_code_exceptions.py
@@ -83,3 +83,7 @@
 _.full_sets  # SoakReport
 _.fault_times  # SoakReport
 _.served  # FullSet
+_.begun_at_s  # Run
+_.began_at_s  # FaultTime
+_.ended_at_s  # FaultTime
+_.asked_at_s  # FullSetTurn
