--- a/src/passlane/decisions/limits/quota_ledger.py
+++ b/src/passlane/decisions/limits/quota_ledger.py
@@ -130,6 +130,11 @@
     def __len__(self) -> int:
         return len(self._accounts)
 
+    @property
+    def history(self) -> UsageHistory:
+        """What replicas were told of grants; goes into the group's snapshots."""
+        return self._history
+
     def enter_term(self, term: int, now: float) -> None:
         """Go on from what was noted as a follower, if this is another term than the last."""
         if term == self._term:
--- a/src/passlane/decisions/limits/usage_history.py
+++ b/src/passlane/decisions/limits/usage_history.py
@@ -8,7 +8,8 @@
 last one. Moments are told on the group's own clock: each leader lets it go on from the newest
 moment that it has heard of. The time between two leaders is left out, so that clock never
 runs ahead of real time, and what a replica reads from its files, or hears from a leader
-before, counts for as long as it must, or longer.
+before, counts for as long as it must, or longer. A snapshot of the group stands for the commands
+before it, so it carries what they told.
 """
 
 from collections import deque
@@ -16,14 +17,7 @@
 
 import msgspec
 
-from passlane.messages.quotas import TenantUsage
-
-
-class _Noted(msgspec.Struct, frozen=True):
-    """Grants that a command told of at ``group_s`` on the group's clock."""
-
-    usage: TenantUsage
-    group_s: float
+from passlane.messages.quotas import NotedUsage, TenantUsage, UsageSnapshot
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -39,7 +33,7 @@
 
     def __init__(self, span_s: float) -> None:
         self._span_s = span_s
-        self._noted: deque[_Noted] = deque()
+        self._noted: deque[NotedUsage] = deque()
         self._newest_s = 0.0
         self._shift_s = 0.0
 
@@ -54,10 +48,22 @@
         """
         self._shift_s += max(0.0, self._newest_s - (group_s + self._shift_s))
         self._newest_s = group_s + self._shift_s
-        self._noted.extend(_Noted(usage, self._newest_s) for usage in usages)
+        self._noted.extend(NotedUsage(usage, self._newest_s) for usage in usages)
         while self._noted and self._noted[0].group_s <= self._newest_s - self._span_s:
             self._noted.popleft()
 
+    def snapshot(self) -> UsageSnapshot | None:
+        """Return what is known as it goes into a snapshot; ``None`` if nothing was heard of."""
+        if not self._noted:
+            return None
+        return UsageSnapshot(tuple(self._noted), self._newest_s, self._shift_s)
+
+    def restore(self, snapshot: UsageSnapshot) -> None:
+        """Know what another replica knew at the same place of the log."""
+        self._noted = deque(snapshot.noted)
+        self._newest_s = snapshot.newest_s
+        self._shift_s = snapshot.shift_s
+
     @property
     def newest_s(self) -> float:
         """The newest moment heard of, on the group's clock."""
--- a/src/passlane/messages/quotas.py
+++ b/src/passlane/messages/quotas.py
@@ -54,6 +54,29 @@
     last_in_s: float = 0.0
 
 
+class NotedUsage(msgspec.Struct, frozen=True):
+    """What replicas were told of grants at ``group_s`` on the group's clock."""
+
+    usage: TenantUsage
+    group_s: float
+
+
+class UsageSnapshot(msgspec.Struct, frozen=True):
+    """What a replica knows of the grants of the last window, as it stands in a snapshot.
+
+    Attributes
+    ----------
+    newest_s
+        The newest moment heard of, on the group's clock.
+    shift_s
+        By how much moments that leaders tell are moved on.
+    """
+
+    noted: tuple[NotedUsage, ...]
+    newest_s: float
+    shift_s: float
+
+
 class DrawQuota(Message, frozen=True):
     """Carries a draw that goes with no turn."""
 
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -9,11 +9,12 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
 
 import msgspec
 
 from passlane.messages.base import encode_message, message_decoder
-from passlane.messages.quotas import TenantUsage
+from passlane.messages.quotas import TenantUsage, UsageSnapshot
 from passlane.messages.turns import (
     AdvanceAge,
     AgeAdvanced,
@@ -58,14 +59,39 @@
     keep_until_s: float
 
 
-class SnapshotPart(msgspec.Struct, frozen=True):
-    """Some records of a snapshot."""
+class _RecordsPart(msgspec.Struct, frozen=True):
+    """Some records of a snapshot, as they are written."""
 
     age_s: float
     programs: dict[str, ProgramSpending] = {}
     turns: tuple[StoredTurn, ...] = ()
 
 
+class SnapshotPart(_RecordsPart, frozen=True):
+    """Any part of a snapshot, as it is read."""
+
+    usage: UsageSnapshot | None = None
+
+
+class UsagePart(msgspec.Struct, frozen=True):
+    """The part of a snapshot that tells of grants; older builds read it as one without records."""
+
+    age_s: float
+    usage: UsageSnapshot
+
+
+class UsageRecords(Protocol):
+    """Keeps what was granted to tenants, beside the state."""
+
+    def snapshot(self) -> UsageSnapshot | None:
+        """Return what is known; ``None`` if nothing is."""
+        ...
+
+    def restore(self, snapshot: UsageSnapshot) -> None:
+        """Know what a snapshot tells, and nothing else."""
+        ...
+
+
 UsageListener = Callable[[tuple[TenantUsage, ...], float], None]
 
 _part_decoder = msgspec.msgpack.Decoder(SnapshotPart)
@@ -78,10 +104,17 @@
     ----------
     note_usage
         Told what was granted to tenants, and when on the group's clock; no part of the state.
+    usage_records
+        Keeps what was told; goes into snapshots, since they stand for the commands that told it.
     """
 
-    def __init__(self, note_usage: UsageListener | None = None) -> None:
+    def __init__(
+        self,
+        note_usage: UsageListener | None = None,
+        usage_records: UsageRecords | None = None,
+    ) -> None:
         self._note_usage = note_usage
+        self._usage_records = usage_records
         self.age_s = 0.0
         self._programs: dict[str, ProgramSpending] = {}
         self._turns: dict[str, StoredTurn] = {}
@@ -195,29 +228,39 @@
             for program_id, program in self._programs.items()
         ]
         turns = list(self._turns.values())
-        return self._encode_parts(self.age_s, programs, turns)
+        usage = self._usage_records.snapshot() if self._usage_records is not None else None
+        return self._encode_parts(self.age_s, programs, turns, usage)
 
     @staticmethod
     def _encode_parts(
-        age_s: float, programs: list[tuple[str, ProgramSpending]], turns: list[StoredTurn]
+        age_s: float,
+        programs: list[tuple[str, ProgramSpending]],
+        turns: list[StoredTurn],
+        usage: UsageSnapshot | None,
     ) -> Iterator[bytes]:
-        yield msgspec.msgpack.encode(SnapshotPart(age_s))
+        yield msgspec.msgpack.encode(_RecordsPart(age_s))
+        if usage is not None:
+            yield msgspec.msgpack.encode(UsagePart(age_s, usage))
         for start in range(0, len(programs), RECORDS_IN_PART):
             some = dict(programs[start : start + RECORDS_IN_PART])
-            yield msgspec.msgpack.encode(SnapshotPart(age_s, programs=some))
+            yield msgspec.msgpack.encode(_RecordsPart(age_s, programs=some))
         for start in range(0, len(turns), RECORDS_IN_PART):
             some_turns = tuple(turns[start : start + RECORDS_IN_PART])
-            yield msgspec.msgpack.encode(SnapshotPart(age_s, turns=some_turns))
+            yield msgspec.msgpack.encode(_RecordsPart(age_s, turns=some_turns))
 
     def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
         """Replace the state by that of a snapshot."""
         restored = TurnStateMachine()
+        usage: UsageSnapshot | None = None
         for data in parts:
             part = _part_decoder.decode(data)
             restored.age_s = part.age_s
+            usage = part.usage or usage
             restored._programs.update(part.programs)
             restored._turns.update({stored.turn.turn_id: stored for stored in part.turns})
             yield
         self.age_s = restored.age_s
         self._programs = restored._programs
         self._turns = restored._turns
+        if usage is not None and self._usage_records is not None:
+            self._usage_records.restore(usage)
