The soak has profiles, engines that start again, bad entries of the list, and processes of an older build

What it could not show: faults in series and at the same time in one role, callers that use open connections until the process is gone, more than nine processes, engines that start again under their id, entries of another writer, and two builds side by side.

A planted defect (any state taken for ready) is found by entry-read alone.

--- a/src/passlane/cli/soak.py
+++ b/src/passlane/cli/soak.py
@@ -22,6 +22,13 @@
     extra_options: ClassVar[list[Option]] = [
         option("seed", None, "Seed of load and faults.", flag=False, default="0"),
         option("seconds", None, "How long new load begins.", flag=False, default=DEFAULT_SECONDS),
+        option(
+            "older",
+            None,
+            "Checkout with an older build installed: every second process begins with it.",
+            flag=False,
+        ),
+        option("profile", None, "Kind of soak: usual, overlapping or large.", flag=False),
         option("report", None, "New folder for the report and the processes' logs.", flag=False),
     ]
 
@@ -33,8 +40,13 @@
         folder = None if report is None else Path(report).resolve()
         if folder is not None and folder.exists() and any(folder.iterdir()):
             raise PasslaneError(ErrorCode.BAD_REQUEST, f"--report: {folder} is not empty")
+        older = self.option("older")
+        checkout = None if older is None else Path(older)
         soak = importlib.import_module("passlane.soak.run")
-        return self.run_and_report(lambda: int(soak.run(seed, float(seconds), folder)))
+        profile = self.option("profile") or soak.USUAL.name
+        return self.run_and_report(
+            lambda: int(soak.run(seed, float(seconds), folder, checkout, profile))
+        )
 
 
 def _whole_number(name: str, text: str) -> int:
--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -28,6 +28,7 @@
 from passlane.observability.logging import get_logger
 from passlane.platform import names
 from passlane.platform.list_format import encode_page
+from passlane.soak.bad_entries import BAD_ID_PREFIX, bad_entries
 from passlane.soak.configuration import FLOODING_TENANT, HEALTH_PATH, TOKENS_PER_EVENT
 from passlane.soak.ledger import Ledger
 from passlane.soak.outputs import events_of, plain_output
@@ -50,6 +51,8 @@
     ----------
     breaks_off
         Whether it breaks its answers off: each second one before its head, others midway.
+    born_ms
+        Unix time of its start, as the list tells it; ``None`` where the list tells none.
     """
 
     def __init__(
@@ -60,10 +63,16 @@
         self.service = service
         self.places = places
         self.breaks_off = False
+        self.born_ms: int | None = None
         self._ledger = ledger
         self._running = 0
         self._broken = 0
 
+    def start_again(self, born_ms: int) -> None:
+        """Be another process under the same id: what ran is lost, and all places are free."""
+        self.born_ms = born_ms
+        self._running = 0
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
@@ -77,17 +86,26 @@
             health = Response(OK, headers={names.INSTANCE_ID: self.instance_id})
             await send_response(send, health)
         elif request.headers.get(names.TARGET_INSTANCE) != self.instance_id:
+            self._check_target(request)
             await self._refuse(send, request, WRONG_INSTANCE)
         elif self._running >= self.places:
             await self._refuse(send, request, UNAVAILABLE)
         else:
             await self._hold_place(send, request)
 
+    def _check_target(self, request: Request) -> None:
+        """Judge a request for another back end: an entry that can't be read names none."""
+        target = request.headers.get(names.TARGET_INSTANCE, "")
+        request_id = request.headers.get(names.ATTEMPT_ID, "")
+        is_real = not target.startswith(BAD_ID_PREFIX)
+        self._ledger.check("entry-read", is_real, request_id, f"sent to {target}", _now())
+
     async def _hold_place(self, send: Send, request: Request) -> None:
         request_id = request.headers.get(names.ATTEMPT_ID, "")
         signature = f"{request_id}.{self.instance_id}"
         is_limited = request.headers.get(names.TENANT) == FLOODING_TENANT
         self._running += 1
+        born_ms = self.born_ms
         try:
             self._ledger.note_run(
                 request_id, request.body, signature, is_limited=is_limited, now=_now()
@@ -97,7 +115,8 @@
             marks = {names.ATTEMPT_ID: request_id, names.SIGNATURE: signature}
             await self._run(send, request, request_id, marks)
         finally:
-            self._running -= 1
+            if self.born_ms == born_ms:
+                self._running -= 1
 
     def _breaks_before_head(self) -> bool:
         self._broken += self.breaks_off
@@ -148,8 +167,11 @@
         self, send: Send, events: list[bytes], request: Request, request_id: str
     ) -> None:
         program_id = request.headers.get(names.PROGRAM_ID, "")
+        born_ms = self.born_ms
         for event in events:
             await anyio.sleep(EVENT_PAUSE_S * self.pace)
+            if self.born_ms != born_ms:
+                return  # The process that ran it has ended.
             if self.breaks_off:
                 # A return without an end makes the server close the connection.
                 await send_chunk(send, event[: len(event) // 2])
@@ -182,6 +204,11 @@
     ----------
     addresses
         Where each back end is listed, in their order.
+
+    Attributes
+    ----------
+    has_bad_entries
+        Whether entries of another writer stand between the others.
     """
 
     def __init__(
@@ -189,13 +216,24 @@
     ) -> None:
         self._back_ends = list(zip(back_ends, addresses, strict=True))
         self._zone = zone
+        self.has_bad_entries = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
             return
         records = [self._record(back_end, address) for back_end, address in self._back_ends]
-        await send_response(send, Response(OK, body=encode_page(records)))
+        body = encode_page(records)
+        if self.has_bad_entries:
+            body = self._with_bad_entries(body)
+        await send_response(send, Response(OK, body=body))
+
+    def _with_bad_entries(self, page: bytes) -> bytes:
+        """Return a page with a bad entry before the others and the rest of them behind."""
+        back_end, address = self._back_ends[0]
+        first, *others = bad_entries(address, back_end.service, self._zone)
+        page = page.replace(b'"instances":[', b'"instances":[' + first + b",", 1)
+        return page.replace(b"}]", b"}," + b",".join(others) + b"]", 1)
 
     def _record(self, back_end: StandIn, address: Address) -> BackendRecord:
         return BackendRecord(
@@ -205,6 +243,7 @@
             zone=self._zone,
             slots=back_end.places,
             state=BackendState.READY,
+            born_ms=back_end.born_ms,
         )
 
 
--- a/src/passlane/soak/callers.py
+++ b/src/passlane/soak/callers.py
@@ -10,7 +10,7 @@
 from passlane.soak.client import Answer, SoakClient
 from passlane.soak.configuration import HOST, KEYS
 from passlane.soak.ledger import OK, PROMISES_OF_NOT_RUN, Attempt, Ledger
-from passlane.soak.machines import CALLERS_PORT
+from passlane.soak.machines import CALLERS_PORT, Machine
 from passlane.soak.tallies import Tallies
 from passlane.soak.watch import Watch
 
@@ -78,8 +78,16 @@
     """Sends calls to nodes and tells the ledger what came back."""
 
     def __init__(
-        self, ledger: Ledger, client: SoakClient, watch: Watch, tallies: Tallies, seed: int
+        self,
+        ledger: Ledger,
+        client: SoakClient,
+        watch: Watch,
+        tallies: Tallies,
+        seed: int,
+        *,
+        keeps_connections: bool = False,
     ) -> None:
+        self._keeps_connections = keeps_connections
         self._ledger = ledger
         self._client = client
         self._watch = watch
@@ -103,7 +111,7 @@
     async def _send(self, call: Call, request_id: str) -> Answer | None:
         now = anyio.current_time()
         self._ledger.note_sent(_attempt(call, request_id, now))
-        node = self._random.choice(self._watch.nodes_for_callers())
+        node = self._random.choice(self._nodes())
         headers = call.headers | {
             names.ATTEMPT_ID: request_id,
             names.DEADLINE_MS: str(DEADLINE_MS),
@@ -115,7 +123,7 @@
             f"/{call.route}/x",
             headers,
             call.body,
-            fresh_connection=True,
+            fresh_connection=not self._keeps_connections,
             host=HOST,
         )
         answer = await self._client.fetch(request, PATIENCE_S)
@@ -131,6 +139,14 @@
             )
         return answer
 
+    def _nodes(self) -> list[Machine]:
+        """Return the nodes that a request may go to: ready ones, and those with a connection."""
+        ready = self._watch.nodes_for_callers()
+        if not self._keeps_connections:
+            return ready
+        others = (node for node in self._watch.nodes if node not in ready)
+        return ready + [n for n in others if self._client.keeps_connection(n.address(CALLERS_PORT))]
+
     def _pause_s(self, refusal: Answer | None) -> float:
         told = refusal.headers.get("retry-after") if refusal is not None else None
         if told is not None:
--- a/src/passlane/soak/client.py
+++ b/src/passlane/soak/client.py
@@ -19,11 +19,15 @@
 
 
 class SoakClient:
-    """Sends each request on a new connection, as callers that try again do."""
+    """Sends requests, each on a new connection or on a kept one as the request says."""
 
     def __init__(self) -> None:
         self._http = SingleConnectionHttpClient(TcpNetwork())
 
+    def keeps_connection(self, address: Address) -> bool:
+        """Whether a connection to this address is open and rests."""
+        return self._http.has_idle_connection(address)
+
     async def fetch(self, request: HttpRequest, timeout_s: float) -> Answer | None:
         """Return what came within the time; ``None`` without a head."""
         body = bytearray()
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -2,30 +2,31 @@
 
 import random
 import signal
+import time
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from enum import StrEnum
 
 import anyio
+import msgspec
+from anyio.abc import TaskGroup
 
-from passlane.messages.fleet import FleetRole
-from passlane.soak.back_ends import StandIn
+from passlane.soak.back_ends import StandIn, StandInList
 from passlane.soak.configuration import ENGINES, TOOLS
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import Machine, Machines
 from passlane.soak.proxy import FaultyProxy, ProxyMode
 from passlane.soak.report import FaultTime
 
-SHORTEST_GAP_S = 0.6
-LONGEST_GAP_S = 2.0
-"""Bounds of the time between two faults; they may overlap, but for two of one role."""
 SHORTEST_FAULT_S = 0.2
 LONGEST_FAULT_S = 2.0
 BROKEN_S = 0.6
 """So long the back ends of a service break their answers off."""
 
 
+UPGRADE = "upgrade"
+NANOSECONDS_IN_MS = 1_000_000
 MOST_TIMES_KEPT = 1_000
 
 
@@ -42,6 +43,8 @@
     DELAY = "delay"
     SILENT = "silent"
     NOT_READING = "not_reading"
+    RESTART_BACK_END = "restart_back_end"
+    BAD_ENTRIES = "bad_entries"
 
 
 _WEIGHTS = {
@@ -55,6 +58,8 @@
     FaultKind.DELAY: 1,
     FaultKind.SILENT: 2,
     FaultKind.NOT_READING: 1,
+    FaultKind.RESTART_BACK_END: 3,
+    FaultKind.BAD_ENTRIES: 2,
 }
 _PROXY_MODES = {
     FaultKind.DELAY: ProxyMode.DELAY,
@@ -63,6 +68,14 @@
 }
 
 
+class FaultPace(msgspec.Struct, frozen=True):
+    """Which faults are drawn, how close to one another, and whether they overlap in a role."""
+
+    kinds: tuple[FaultKind, ...]
+    gap_s: tuple[float, float]
+    overlaps: bool
+
+
 class Faults:
     """Applies faults until it is told to stop, then lets the last ones end.
 
@@ -79,38 +92,52 @@
         machines: Machines,
         back_ends: Sequence[StandIn],
         proxies: Sequence[FaultyProxy],
+        listing: StandInList,
         ledger: Ledger,
         seed: int,
     ) -> None:
         self._machines = machines
         self._back_ends = back_ends
         self._proxies = proxies
+        self._listing = listing
         self._ledger = ledger
         self._random = random.Random(f"{seed} faults")
-        self._struck: set[FleetRole] = set()
+        self._struck: set[str] = set()
+        self._released = anyio.Event()
         self._began_at = ledger.began_at
         self.counts: Counter[str] = Counter()
         self.times: list[FaultTime] = []
 
-    async def run(self, ending: anyio.Event, kinds: Sequence[FaultKind]) -> None:
+    async def run(self, ending: anyio.Event, pace: FaultPace) -> None:
         """Strike again and again; return once the last fault has been taken back."""
-        weights = [_WEIGHTS[kind] for kind in kinds]
+        weights = [_WEIGHTS[kind] for kind in pace.kinds]
         async with anyio.create_task_group() as tasks:
             while not ending.is_set():
-                with anyio.move_on_after(self._random.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)):
+                with anyio.move_on_after(self._random.uniform(*pace.gap_s)):
                     await ending.wait()
                     return
-                kind = self._random.choices(kinds, weights)[0]
+                kind = self._random.choices(pace.kinds, weights)[0]
                 duration_s = self._random.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
-                if kind is FaultKind.BREAK_ANSWERS:
-                    service = self._random.choice((ENGINES, TOOLS))
-                    tasks.start_soon(self._break_answers, service)
-                elif kind is FaultKind.RESET or kind in _PROXY_MODES:
-                    proxy = self._random.choice(self._proxies)
-                    tasks.start_soon(self._disturb, kind, proxy, duration_s)
-                else:
-                    machine = self._random.choice(self._machines.all)
-                    tasks.start_soon(self._strike, kind, machine, duration_s)
+                self._begin(tasks, kind, duration_s, overlaps=pace.overlaps)
+
+    def _begin(
+        self, tasks: TaskGroup, kind: FaultKind, duration_s: float, *, overlaps: bool
+    ) -> None:
+        """Begin a fault of a kind at whom the seed draws."""
+        if kind is FaultKind.BREAK_ANSWERS:
+            service = self._random.choice((ENGINES, TOOLS))
+            tasks.start_soon(self._break_answers, service)
+        elif kind is FaultKind.RESET or kind in _PROXY_MODES:
+            proxy = self._random.choice(self._proxies)
+            tasks.start_soon(self._disturb, kind, proxy, duration_s)
+        elif kind is FaultKind.RESTART_BACK_END:
+            number = self._random.randrange(len(self._back_ends))
+            tasks.start_soon(self._restart_back_end, number)
+        elif kind is FaultKind.BAD_ENTRIES:
+            tasks.start_soon(self._add_bad_entries, duration_s)
+        else:
+            machine = self._random.choice(self._machines.all)
+            tasks.start_soon(self._strike, kind, machine, duration_s, overlaps)
 
     @contextmanager
     def _noted(self, name: str, target: str) -> Iterator[None]:
@@ -134,14 +161,48 @@
             await anyio.sleep(duration_s)
             proxy.set_mode(ProxyMode.PASS)
 
-    async def _strike(self, kind: FaultKind, machine: Machine, duration_s: float) -> None:
-        if machine.role in self._struck:
+    async def _strike(
+        self, kind: FaultKind, machine: Machine, duration_s: float, overlaps: bool
+    ) -> None:
+        role = self._machines.of_role(machine.role)
+        struck = role if kind is FaultKind.KILL_ROLE else [machine]
+        if self._are_disturbed(struck if overlaps else role):
             return
         self.counts[f"{kind.value} {machine.role.value}"] += 1
-        self._struck.add(machine.role)
-        with self._noted(kind.value, machine.name):
+        with self._noted(kind.value, machine.name), self._held(struck):
             await self._apply(kind, machine, duration_s)
-        self._struck.remove(machine.role)
+
+    def _are_disturbed(self, machines: Sequence[Machine]) -> bool:
+        """Whether a fault of any of these processes has not ended."""
+        return any(machine.name in self._struck for machine in machines)
+
+    @contextmanager
+    def _held(self, machines: Sequence[Machine]) -> Iterator[None]:
+        """Keep other faults from processes while they are disturbed."""
+        names = [machine.name for machine in machines]
+        self._struck.update(names)
+        try:
+            yield
+        finally:
+            self._struck.difference_update(names)
+            self._released.set()
+            self._released = anyio.Event()
+
+    async def _restart_back_end(self, number: int) -> None:
+        """Have a back end start again under its id; its connections are reset."""
+        back_end, proxy = self._back_ends[number], self._proxies[number]
+        self.counts[f"{FaultKind.RESTART_BACK_END.value} {back_end.instance_id}"] += 1
+        with self._noted(FaultKind.RESTART_BACK_END.value, back_end.instance_id):
+            back_end.start_again(time.time_ns() // NANOSECONDS_IN_MS)
+            proxy.reset_all()
+
+    async def _add_bad_entries(self, duration_s: float) -> None:
+        """Have the list hold entries of another writer for a while."""
+        self.counts[FaultKind.BAD_ENTRIES.value] += 1
+        with self._noted(FaultKind.BAD_ENTRIES.value, "list"):
+            self._listing.has_bad_entries = True
+            await anyio.sleep(duration_s)
+            self._listing.has_bad_entries = False
 
     async def _apply(self, kind: FaultKind, machine: Machine, duration_s: float) -> None:
         """Do to a process what the kind says, and take it back."""
@@ -168,6 +229,15 @@
         await anyio.sleep(duration_s)
         self._machines.start(machine)
 
+    async def replace(self, machine: Machine, daemon: tuple[str, ...]) -> None:
+        """Stop a process and start it anew as one of another build, as in an upgrade."""
+        while self._are_disturbed(self._machines.of_role(machine.role)):
+            await self._released.wait()
+        self.counts[f"{UPGRADE} {machine.role.value}"] += 1
+        with self._noted(UPGRADE, machine.name), self._held([machine]):
+            machine.daemon = daemon
+            await self._stop(machine, 0.0)
+
     async def _break_answers(self, service: str) -> None:
         self.counts[f"{FaultKind.BREAK_ANSWERS.value} {service}"] += 1
         struck = [back_end for back_end in self._back_ends if back_end.service == service]
--- a/src/passlane/soak/machines.py
+++ b/src/passlane/soak/machines.py
@@ -7,13 +7,14 @@
 import os
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 import anyio
 
 from passlane.bench.fleet_files import ProcessFile, ProcessKind
 from passlane.bench.fleet_process import FleetProcess, process_environment
+from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
 from passlane.messages.fleet import FleetRole
 from passlane.platform import names
@@ -24,16 +25,33 @@
 CALLERS_PORT = 8001
 READINESS_PORT = 8002
 OPERATORS_PORT = 8003
-MACHINES_OF_ROLE = 3
+HOSTS_OF_ROLE = 60
+"""Addresses set apart for the machines of one role."""
 GRACE_S = 4.0
 """Time of a planned stop, shorter than usual so that a short soak holds several."""
 LIST_RATE_PER_S = 20.0
 DAEMON = (sys.executable, "-m", "passlane.daemon.fleet_start")
 COME_UP_S = 8.0
 """A process that is younger may still import its code, and end by the signal itself."""
+OLDER_PYTHON = Path(".venv") / "bin" / "python"
+"""Interpreter of a checkout's installation."""
 _NETWORK_PARTS = 250
 
 
+def daemon_of(checkout: Path) -> tuple[str, ...]:
+    """Return the command line that starts any of the daemons of another checkout's installation.
+
+    Raises
+    ------
+    PasslaneError
+        ``BAD_REQUEST`` when nothing is installed there.
+    """
+    python = checkout.resolve() / OLDER_PYTHON
+    if not python.is_file():
+        raise PasslaneError(ErrorCode.BAD_REQUEST, f"no installation at {python}")
+    return (str(python), *DAEMON[1:])
+
+
 def loopback_network() -> str:
     """Return the first three numbers of the addresses that a soak uses."""
     number = os.getpid()
@@ -47,7 +65,8 @@
     Parameters
     ----------
     daemon
-        Command line that starts any of the daemons.
+        Command line that starts any of the daemons; of the build that it runs from its next
+        start on.
     """
 
     def __init__(
@@ -58,7 +77,7 @@
         self.role = role
         self.host = host
         self.started_at = 0.0
-        self._daemon = daemon
+        self.daemon = daemon
 
     def address(self, port: int) -> Address:
         """Return one of its addresses."""
@@ -70,7 +89,7 @@
 
     def command(self) -> list[str]:
         """Return the command line."""
-        return list(self._daemon)
+        return list(self.daemon)
 
 
 class Machines:
@@ -82,18 +101,25 @@
         First three numbers of their addresses.
     folder
         Holds settings, output and data.
+    processes
+        How many there are of each role.
     """
 
     def __init__(
-        self, network: str, folder: Path, list_address: Address, daemon: tuple[str, ...] = DAEMON
+        self,
+        network: str,
+        folder: Path,
+        list_address: Address,
+        daemon: tuple[str, ...],
+        processes: Mapping[FleetRole, int],
     ) -> None:
         self._folder = folder
         self._list_address = list_address
         self.all: list[Machine] = []
         for place, role in enumerate(FleetRole):
-            for number in range(1, MACHINES_OF_ROLE + 1):
+            for number in range(1, processes[role] + 1):
                 name = f"{role.value}-{number}"
-                host = f"{network}.{10 * (place + 1) + number}"
+                host = f"{network}.{HOSTS_OF_ROLE * place + number}"
                 settings = folder / f"{name}.toml"
                 health = Address(host, OPERATORS_PORT)
                 file = ProcessFile(name, ProcessKind.DAEMON, settings, health)
--- /dev/null
+++ b/src/passlane/soak/profiles.py
@@ -0,0 +1,79 @@
+"""Kinds of soaks by name: how many processes, which faults, how close to one another.
+
+``docs/operations/soak.md`` says what each is for. The draws of a seed depend on the profile, so a
+profile that has shown a fault keeps its kinds and figures.
+"""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.fleet import FleetRole
+from passlane.soak.faults import FaultKind
+
+SMALL_FLEET = {FleetRole.CONTROL: 3, FleetRole.STORE: 3, FleetRole.NODE: 3}
+LARGE_FLEET = {FleetRole.CONTROL: 3, FleetRole.STORE: 5, FleetRole.NODE: 40}
+"""48 processes of some 45 MB, which all start at the same moment."""
+FIRST_KINDS = (
+    FaultKind.PAUSE,
+    FaultKind.KILL,
+    FaultKind.STOP,
+    FaultKind.RESTART,
+    FaultKind.KILL_ROLE,
+    FaultKind.BREAK_ANSWERS,
+    FaultKind.RESET,
+    FaultKind.DELAY,
+    FaultKind.SILENT,
+    FaultKind.NOT_READING,
+)
+
+
+class SoakProfile(msgspec.Struct, frozen=True, kw_only=True):
+    """One kind of soak.
+
+    Attributes
+    ----------
+    processes
+        How many of each role.
+    fault_kinds
+        Faults that may be drawn.
+    shortest_gap_s, longest_gap_s
+        Bounds of the time between the beginnings of two faults.
+    overlaps
+        Whether processes of one role may be disturbed at the same time.
+    keeps_connections
+        Whether callers use open connections until the process is gone; else each request has a
+        new connection to a node that is ready.
+    """
+
+    name: str
+    processes: Mapping[FleetRole, int]
+    fault_kinds: tuple[FaultKind, ...] = FIRST_KINDS
+    shortest_gap_s: float = 0.6
+    longest_gap_s: float = 2.0
+    overlaps: bool = False
+    keeps_connections: bool = False
+
+
+USUAL = SoakProfile(name="usual", processes=SMALL_FLEET)
+OVERLAPPING = SoakProfile(
+    name="overlapping",
+    processes=SMALL_FLEET,
+    fault_kinds=tuple(FaultKind),
+    shortest_gap_s=0.2,
+    longest_gap_s=1.0,
+    overlaps=True,
+    keeps_connections=True,
+)
+LARGE = msgspec.structs.replace(OVERLAPPING, name="large", processes=LARGE_FLEET)
+PROFILES = {profile.name: profile for profile in (USUAL, OVERLAPPING, LARGE)}
+
+
+def profile_named(name: str) -> SoakProfile:
+    """Return a profile; raise ``BAD_REQUEST`` if there is none of that name."""
+    profile = PROFILES.get(name)
+    if profile is None:
+        known = ", ".join(PROFILES)
+        raise PasslaneError(ErrorCode.BAD_REQUEST, f"--profile is one of {known}")
+    return profile
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -22,9 +22,10 @@
 from passlane.soak.client import SoakClient
 from passlane.soak.configuration import ENGINES, LIMIT, TOOLS, ZONE
 from passlane.soak.evidence import keep_evidence
-from passlane.soak.faults import FaultKind, Faults
+from passlane.soak.faults import FaultKind, FaultPace, Faults
 from passlane.soak.ledger import Ledger
-from passlane.soak.machines import DAEMON, Machines, loopback_network
+from passlane.soak.machines import DAEMON, Machine, Machines, daemon_of, loopback_network
+from passlane.soak.profiles import USUAL, SoakProfile, profile_named
 from passlane.soak.programs import Load
 from passlane.soak.proxy import FaultyProxy
 from passlane.soak.report import SoakReport
@@ -55,8 +56,13 @@
         Holds settings, output and data of the processes.
     daemon
         Command line that starts any of the daemons.
+    older_daemon
+        Command line that starts any of the daemons of an older build. Every second process begins
+        as one of it, and they are replaced one after the other under load; empty for none.
+    profile
+        What kind of soak it is.
     fault_kinds
-        Faults that may be drawn.
+        Faults that may be drawn in place of the profile's; ``None`` for those.
     stops_at_finding
         Whether the first finding ends the soak.
     """
@@ -65,7 +71,9 @@
     load_s: float
     folder: Path
     daemon: tuple[str, ...] = DAEMON
-    fault_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    older_daemon: tuple[str, ...] = ()
+    profile: SoakProfile = USUAL
+    fault_kinds: tuple[FaultKind, ...] | None = None
     stops_at_finding: bool = False
 
 
@@ -77,15 +85,29 @@
         seed = settings.seed
         network = loopback_network()
         self._list_address = Address(f"{network}.{LIST_HOST}", PLATFORM_PORT)
-        self.machines = Machines(network, settings.folder, self._list_address, settings.daemon)
+        profile = settings.profile
+        self.machines = Machines(
+            network, settings.folder, self._list_address, settings.daemon, profile.processes
+        )
         self._ledger = Ledger(LIMIT, anyio.current_time())
         self._tallies = Tallies()
         client = SoakClient()
         self._watch = Watch(self.machines, self._ledger, client, seed)
         self._engines, self._back_ends = _stand_ins(network, self._ledger)
-        self._callers = Callers(self._ledger, client, self._watch, self._tallies, seed)
+        self._callers = Callers(
+            self._ledger,
+            client,
+            self._watch,
+            self._tallies,
+            seed,
+            keeps_connections=profile.keeps_connections,
+        )
         self._proxies = _proxies(network, self._back_ends)
-        self._faults = Faults(self.machines, self._back_ends, self._proxies, self._ledger, seed)
+        addresses = [proxy.address for proxy in self._proxies]
+        self._listing = StandInList(self._back_ends, addresses, ZONE)
+        self._faults = Faults(
+            self.machines, self._back_ends, self._proxies, self._listing, self._ledger, seed
+        )
         self._calm: CalmChecks | None = None
         self._was_interrupted = False
 
@@ -97,6 +119,8 @@
                     self._ledger.on_finding = tasks.cancel_scope.cancel
                 tasks.start_soon(self._take_signals, tasks)
                 self._serve(tasks)
+                for machine in self._older_machines():
+                    machine.daemon = self._settings.older_daemon
                 for machine in self.machines.all:
                     self.machines.start(machine)
                 await self._run_phases(tasks)
@@ -106,10 +130,20 @@
                 await self._stop_machines()
         return self._report()
 
+    def _older_machines(self) -> list[Machine]:
+        """Return the machines that begin with the older build: every second one, of each role."""
+        return self.machines.all[::2] if self._settings.older_daemon else []
+
+    async def _upgrade(self) -> None:
+        """Replace the processes of the older build, one after the other over the time of load."""
+        older = self._older_machines()
+        for machine in older:
+            await anyio.sleep(self._settings.load_s / (len(older) + 1))
+            await self._faults.replace(machine, self._settings.daemon)
+
     def _serve(self, tasks: TaskGroup) -> None:
         server = UvicornHttpServer()
-        listing = StandInList(self._back_ends, [proxy.address for proxy in self._proxies], ZONE)
-        tasks.start_soon(server.serve, self._list_address, listing)
+        tasks.start_soon(server.serve, self._list_address, self._listing)
         for back_end in self._back_ends:
             tasks.start_soon(server.serve, back_end.address, back_end)
         for proxy in self._proxies:
@@ -151,11 +185,21 @@
         load = Load(self._callers, self._ledger, self._tallies, self._settings.seed)
         ending = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            if self._settings.fault_kinds:
-                tasks.start_soon(self._faults.run, ending, self._settings.fault_kinds)
+            tasks.start_soon(self._upgrade)
+            pace = self._pace()
+            if pace.kinds:
+                tasks.start_soon(self._faults.run, ending, pace)
             await load.run(self._settings.load_s)
             ending.set()
 
+    def _pace(self) -> FaultPace:
+        profile, kinds = self._settings.profile, self._settings.fault_kinds
+        return FaultPace(
+            kinds=profile.fault_kinds if kinds is None else kinds,
+            gap_s=(profile.shortest_gap_s, profile.longest_gap_s),
+            overlaps=profile.overlaps,
+        )
+
     def _check_shares(self) -> None:
         starved = self._tallies.starved_kinds()
         detail = f"programs by outcome: {_plain(self._tallies.programs)}"
@@ -236,20 +280,38 @@
     return report
 
 
-def run(seed: int, load_s: float, report_folder: Path | None) -> int:
+def run(
+    seed: int,
+    load_s: float,
+    report_folder: Path | None,
+    older: Path | None = None,
+    profile: str = USUAL.name,
+) -> int:
     """Run a soak, print what came of it, and return the exit code.
 
     Parameters
     ----------
     report_folder
         Gets ``soak.json`` and the folder of the processes; ``None`` keeps neither.
+    older
+        Checkout with the installation of an older build; see ``SoakSettings.older_daemon``.
+    profile
+        Name of the kind of soak, see ``soak.profiles``.
     """
     configure_logging(RingLog(RING_LINES))
     with tempfile.TemporaryDirectory(prefix="passlane-soak-") as scratch:
         parent = report_folder or Path(scratch)
         folder = parent / "processes"
         folder.mkdir(parents=True)
-        report = anyio.run(run_soak, SoakSettings(seed=seed, load_s=load_s, folder=folder))
+        older_daemon = daemon_of(older) if older is not None else ()
+        settings = SoakSettings(
+            seed=seed,
+            load_s=load_s,
+            folder=folder,
+            older_daemon=older_daemon,
+            profile=profile_named(profile),
+        )
+        report = anyio.run(run_soak, settings)
     _print(report)
     write_report(report_folder, REPORT_FILE, report)
     return EXIT_OK if report.has_passed else EXIT_FAILED
--- a/src/passlane/soak/watch.py
+++ b/src/passlane/soak/watch.py
@@ -60,12 +60,14 @@
     ----------
     acknowledged
         Highest version that was acknowledged.
+    nodes
+        All nodes, ready or not.
     """
 
     def __init__(self, machines: Machines, ledger: Ledger, client: SoakClient, seed: int) -> None:
-        self._nodes = machines.of_role(FleetRole.NODE)
+        self.nodes = machines.of_role(FleetRole.NODE)
         self._controls = machines.of_role(FleetRole.CONTROL)
-        self._views = {node.name: _NodeView() for node in self._nodes}
+        self._views = {node.name: _NodeView() for node in self.nodes}
         self._ledger = ledger
         self._client = client
         self._random = random.Random(f"{seed} operator")
@@ -75,8 +77,8 @@
 
     def nodes_for_callers(self) -> list[Machine]:
         """Return the nodes that get new connections: those that are ready, else all."""
-        ready = [node for node in self._nodes if self._views[node.name].is_ready]
-        return ready or self._nodes
+        ready = [node for node in self.nodes if self._views[node.name].is_ready]
+        return ready or self.nodes
 
     def all_ready(self) -> bool:
         """Whether each node was ready when it was last asked."""
@@ -94,7 +96,7 @@
     async def run(self) -> None:
         """Ask all nodes again and again."""
         async with anyio.create_task_group() as tasks:
-            for node in self._nodes:
+            for node in self.nodes:
                 tasks.start_soon(self._watch_node, node)
 
     async def change_configuration(self) -> None:
--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -66,6 +66,23 @@
     TurnStoreClient.settle = settle_shortened
 
 
+def any_state_taken_for_ready():
+    """Use an entry whatever its state is."""
+    import json
+
+    from passlane.platform import list_format
+
+    decode = list_format.decode_page
+
+    def decode_any_state(body):
+        page = json.loads(body.decode(errors="replace"))
+        entries = [entry for entry in page["instances"] if isinstance(entry, dict)]
+        ready = [entry | {"state": "ready"} for entry in entries]
+        return decode(json.dumps(page | {"instances": ready}).encode())
+
+    list_format.decode_page = decode_any_state
+
+
 def budget_not_counted():
     """Ask for turns as if they generated nothing."""
     import msgspec
@@ -92,6 +109,7 @@
         limit_counted_by_each_node,
         refusal_after_a_send,
         history_without_its_end,
+        any_state_taken_for_ready,
         budget_not_counted,
     )
 }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -11,13 +12,19 @@
 
 import anyio
 
+from passlane.errors import PasslaneError
+from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind
+from passlane.soak.machines import daemon_of
+from passlane.soak.profiles import OVERLAPPING, profile_named
+from passlane.soak.report import Finding, SoakReport
 from passlane.soak.run import SoakSettings, run_soak
 from soak.defective_daemon import DEFECT_VARIABLE
 
 RUNS_ALONE = "starts processes of the daemon that serve under time limits"
 
 SEED = 1
+OVERLAPPING_SEED = 2
 LOAD_S = 10.0
 DEFECT_LOAD_S = 8.0
 DEFECTIVE_DAEMON = (sys.executable, str(Path(__file__).with_name("defective_daemon.py")))
@@ -50,6 +57,40 @@
             self.assertGreater(report.checks[check], 0, check)
 
 
+class OverlappingSoakTest(unittest.TestCase):
+    """Faults in series and at the same time, callers that keep their connections."""
+
+    def test_nothing_is_found_under_overlapping_faults(self):
+        report = soak(seed=OVERLAPPING_SEED, load_s=LOAD_S, profile=OVERLAPPING)
+        self.assertEqual(report.findings, ())
+        self.assertTrue(report.has_passed)
+        self.assertGreater(len(report.fault_times), LOAD_S)
+        self.assertIn("bad_entries", report.faults)
+
+
+class EvidenceTest(unittest.TestCase):
+    def test_a_finding_keeps_its_times_and_logs(self):
+        finding = Finding("check", "r", "detail", 1.0)
+        report = SoakReport(
+            seed=1, load_s=1.0, programs={}, answers={}, faults={}, checks={},
+            findings=(finding,), finding_count=1,
+        )  # fmt: skip
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "node-1.log").write_text("line")
+            kept = Path(keep_evidence(report, Path(folder), "soak.json").kept_logs)
+        self.addCleanup(shutil.rmtree, kept)
+        self.assertEqual((kept / "node-1.log").read_text(), "line")
+        self.assertEqual(json.loads((kept / "soak.json").read_text())["finding_count"], 1)
+
+
+class ProfileTest(unittest.TestCase):
+    def test_an_unknown_profile_and_a_checkout_without_an_installation_are_refused(self):
+        with self.assertRaises(PasslaneError):
+            profile_named("none")
+        with tempfile.TemporaryDirectory() as folder, self.assertRaises(PasslaneError):
+            daemon_of(Path(folder))
+
+
 class InterruptionTest(unittest.TestCase):
     def test_a_soak_that_is_interrupted_ends_its_processes(self):
         with tempfile.TemporaryDirectory(prefix="passlane-soak-test-") as folder:
@@ -101,6 +142,10 @@
     def test_a_history_without_its_end(self):
         self.expect("history", soak_with("history_without_its_end", fault_kinds=()))
 
+    def test_an_entry_of_another_writer_that_is_used(self):
+        report = soak_with("any_state_taken_for_ready", fault_kinds=(FaultKind.BAD_ENTRIES,))
+        self.expect("entry-read", report)
+
     def test_a_budget_that_nobody_counts(self):
         self.expect("budget", soak_with("budget_not_counted", fault_kinds=()))
 
