A call counts what its broken attempts may have made, as far as it is reserved

Symptom: a call whose first attempt broke off counted 6 of 11 reserved tokens where engines may have made 18.

Cause: the outcome counted the tokens of the answer alone.

Change: an attempt that may have run and broke off counts all that it may have made.

--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -83,6 +83,8 @@
         self._caller_gone = False
         self._outcome: CallOutcome | None = None
         self._usage = AttemptFinished(attempt_id="")
+        self._resumed_from = 0
+        self._broken_tokens = 0
         self._last_failure: AttemptFailed | None = None
 
     @property
@@ -152,6 +154,7 @@
             self._may_have_run = True
             if not self._may_repeat_after_doubt:
                 return self._resolve_doubt()
+            self._broken_tokens += self.plan.max_tokens
         return self._place()
 
     # Placement and attempts.
@@ -171,6 +174,7 @@
         self.phase = CallPhase.RUNNING
         self.attempts += 1
         self._backend = event.backend
+        self._resumed_from = len(self.texts)
         self._attempt_id = f"{self._attempt_prefix}.{self.attempts}"
         return [
             StartAttempt(
@@ -226,7 +230,13 @@
         return self._record(self._ran(body))
 
     def _ran(self, body: str) -> CallOutcome:
-        return ran_outcome(self.plan, body, len(self.texts))
+        return ran_outcome(self.plan, body, self._most_generated())
+
+    def _most_generated(self) -> int:
+        """Return the tokens that engines may have generated, those of broken attempts included."""
+        if not self._broken_tokens:
+            return len(self.texts)
+        return self._broken_tokens + len(self.texts) - self._resumed_from
 
     def _failed(self, verdict: Verdict, code: ErrorCode, message: str) -> CallOutcome:
         return failed_outcome(self.plan, verdict, code, message)
@@ -239,6 +249,7 @@
         self._failed_backends.add(self._backend)
         if event.verdict is not Verdict.NOT_RUN:
             self._may_have_run = True
+            self._broken_tokens += self.plan.max_tokens - self._resumed_from
             if not self._may_repeat_after_doubt:
                 return self._resolve_doubt()
         if event.is_final:
--- a/src/passlane/programs/call_outcomes.py
+++ b/src/passlane/programs/call_outcomes.py
@@ -7,7 +7,11 @@
 
 
 def ran_outcome(plan: CallPlan, body: str, generated_tokens: int) -> CallOutcome:
-    """Return the outcome of a call that brought its answer ``body``."""
+    """Return the outcome of a call that brought its answer ``body``.
+
+    ``generated_tokens`` are all that engines may have generated, in attempts that broke off as
+    well; they count as far as they are reserved.
+    """
     spent = Amounts(
         tokens=min(plan.new_prompt_tokens + generated_tokens, plan.reserve.tokens),
         calls=1,
