A new leader counts turns that waited for slots from when they were sent

Symptom: after the loss of a store's leader, 96 requests of a tenant ran in a window of 5 s where 72 are allowed: they had drawn on the limit, waited 3 s for slots, and the new leader counted them from the draw.

Cause: QuotaLedger.note_sent moved a request in the leader's own account alone; replicas had been told the moment of the draw.

Change: the leader tells how many requests are sent only now (TenantUsage.moved), and replicas take as many of the tenant's oldest grants and count them from that moment. The field is left out at 0, and builds that don't know it count as before; what replicas note of grants is no part of the replicated state, so none differ in that.

Ruled out: telling such requests a second time (a new leader would count them twice for the rest of the window and refuse a tenant at half its limit); telling a late moment with each draw.

--- a/src/passlane/decisions/limits/quota_ledger.py
+++ b/src/passlane/decisions/limits/quota_ledger.py
@@ -187,11 +187,13 @@
     def note_sent(self, draw: QuotaDraw, granted_for: float, now: float) -> None:
         """Note that a request is sent now only, for it had to wait for something else.
 
-        It counts from now on. Such waits are shorter than a window, so it counted all the time.
+        It counts from now on, at the replicas too once they are told. Such waits are shorter than
+        a window, so it counted all the time.
         """
         account = self._accounts.get(draw.limit.tenant)
         if account is not None and now - granted_for > TRAVEL_S:
             account.sent.move(granted_for, now)
+            self._untold.note_moved(draw.limit.tenant)
 
     def give_back(self, draw: QuotaDraw) -> None:
         """Take back one request that was granted and will never be sent.
--- a/src/passlane/decisions/limits/untold_grants.py
+++ b/src/passlane/decisions/limits/untold_grants.py
@@ -15,10 +15,14 @@
 
 
 class _Untold(msgspec.Struct):
-    """What replicas have not been told yet, and the last moment that it was granted for."""
+    """What replicas have not been told yet, and the last moment that it was granted for.
+
+    ``moved`` are requests that were sent later than at the moment of their grant.
+    """
 
     granted: int = 0
     last_at: float = 0.0
+    moved: int = 0
 
 
 class UntoldGrants:
@@ -34,6 +38,10 @@
         untold.granted += count
         untold.last_at = max(untold.last_at, at)
 
+    def note_moved(self, tenant: str) -> None:
+        """Note that a request is sent now, later than at the moment that it was granted for."""
+        self._untold.setdefault(tenant, _Untold()).moved += 1
+
     def granted(self, tenant: str) -> int:
         """Return the requests of a tenant that are untold, those being told included."""
         untold = self._untold.get(tenant)
@@ -42,7 +50,7 @@
     def take(self, now: float) -> tuple[TenantUsage, ...]:
         """Return what is to be told now; it counts as untold until ``note_told``."""
         usages = tuple(
-            TenantUsage(tenant, untold.granted, max(0.0, untold.last_at - now))
+            TenantUsage(tenant, untold.granted, max(0.0, untold.last_at - now), moved=untold.moved)
             for tenant, untold in self._untold.items()
         )
         for usage in usages:
@@ -59,7 +67,9 @@
             else:
                 self._being_told.pop(usage.tenant, None)
             if not is_told:
-                self._untold.setdefault(usage.tenant, _Untold()).granted += usage.granted
+                untold = self._untold.setdefault(usage.tenant, _Untold())
+                untold.granted += usage.granted
+                untold.moved += usage.moved
 
     def _told_of(self, tenant: str) -> int:
         """Return the requests of a tenant that a telling under way tells of."""
--- a/src/passlane/decisions/limits/usage_history.py
+++ b/src/passlane/decisions/limits/usage_history.py
@@ -48,10 +48,33 @@
         """
         self._shift_s += max(0.0, self._newest_s - (group_s + self._shift_s))
         self._newest_s = group_s + self._shift_s
-        self._noted.extend(NotedUsage(usage, self._newest_s) for usage in usages)
+        for usage in usages:
+            self._note_one(usage)
         while self._noted and self._noted[0].group_s <= self._newest_s - self._span_s:
             self._noted.popleft()
 
+    def _note_one(self, usage: TenantUsage) -> None:
+        """Note what is told of one tenant; what is sent only now counts from now on."""
+        found = self._take_oldest(usage.tenant, usage.moved)
+        counted = TenantUsage(usage.tenant, usage.granted + found, usage.last_in_s)
+        if counted.granted:
+            self._noted.append(NotedUsage(counted, self._newest_s))
+
+    def _take_oldest(self, tenant: str, wanted: int) -> int:
+        """Take out that many of a tenant's oldest grants; return how many were found."""
+        left = wanted
+        if not left:
+            return 0
+        kept: deque[NotedUsage] = deque()
+        for noted in self._noted:
+            taken = min(left, noted.usage.granted) if noted.usage.tenant == tenant else 0
+            left -= taken
+            if noted.usage.granted > taken:
+                rest = msgspec.structs.replace(noted.usage, granted=noted.usage.granted - taken)
+                kept.append(NotedUsage(rest, noted.group_s) if taken else noted)
+        self._noted = kept
+        return wanted - left
+
     def snapshot(self) -> UsageSnapshot | None:
         """Return what is known as it goes into a snapshot; ``None`` if nothing was heard of."""
         if not self._noted:
--- a/src/passlane/messages/quotas.py
+++ b/src/passlane/messages/quotas.py
@@ -46,12 +46,20 @@
     ahead: int = 0
 
 
-class TenantUsage(msgspec.Struct, frozen=True):
-    """Requests that were granted to a tenant; the last of them for ``last_in_s`` from now."""
+class TenantUsage(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Requests that were granted to a tenant; the last of them for ``last_in_s`` from now.
+
+    Attributes
+    ----------
+    moved
+        Requests that were told of earlier, or are told of here, and are sent only now: they count
+        from now on. A build that doesn't know it counts them from the moment of their grant.
+    """
 
     tenant: str
     granted: int
     last_in_s: float = 0.0
+    moved: int = 0
 
 
 class NotedUsage(msgspec.Struct, frozen=True):
--- a/tests/recorded_machines/values.py
+++ b/tests/recorded_machines/values.py
@@ -12,10 +12,14 @@
 import msgspec
 
 from passlane.messages.listing import BackendRecord
+from passlane.messages.quotas import TenantUsage
 
 Kinds = Mapping[type[Any], str]
 
-ADDED_FIELDS: Mapping[type[Any], Mapping[str, Any]] = {BackendRecord: {"born_ms": None}}
+ADDED_FIELDS: Mapping[type[Any], Mapping[str, Any]] = {
+    BackendRecord: {"born_ms": None},
+    TenantUsage: {"moved": 0},
+}
 """Fields that are newer than the digests, with the default at which they are not sent; held values
 other than that count in a digest."""
 
