Log lines are written in blocks that a pipe takes whole

Symptom: lines of a process are missing from what is read of it, among them signal, draining and stopped of nodes that stopped in time.

Cause: up to 60,000 bytes went out in one write each half second, and a reader of blocks of 8 KiB kept the first 14 to 17 lines.

Change: blocks of whole lines up to PIPE_BUF.

--- a/src/passlane/observability/standard_output.py
+++ b/src/passlane/observability/standard_output.py
@@ -15,7 +15,10 @@
 
 MAX_WAITING_LINES = 2_000
 FLUSH_PERIOD_S = 0.5
-MAX_WRITE_BYTES = 60_000
+MAX_WRITE_BYTES = 4_096
+"""Bytes of one write, if it holds more than one line: what a pipe takes whole or not at all
+(``PIPE_BUF``), so that whoever reads in blocks sees whole lines. Of writes of up to 60,000 bytes
+a reader of blocks of 8 KiB lost what was beyond, 14 to 17 lines were left of each half second."""
 _HIDDEN_LEVEL = "debug"
 
 _encoder = msgspec.json.Encoder(enc_hook=str)
@@ -67,7 +70,7 @@
         if self._dropped:
             parts.append(_encoder.encode({"event": "log_lines_dropped", "count": self._dropped}))
             self._dropped = 0
-        while self._lines and size < MAX_WRITE_BYTES:
+        while self._lines and (not parts or size + len(self._lines[0]) < MAX_WRITE_BYTES):
             parts.append(self._lines.popleft())
-            size += len(parts[-1])
+            size += len(parts[-1]) + 1
         return b"\n".join(parts) + b"\n"
--- a/tests/observability/test_standard_output.py
+++ b/tests/observability/test_standard_output.py
@@ -3,8 +3,13 @@
 import json
 import os
 import unittest
+from unittest import mock
 
-from passlane.observability.standard_output import MAX_WAITING_LINES, StandardOutputLog
+from passlane.observability.standard_output import (
+    MAX_WAITING_LINES,
+    MAX_WRITE_BYTES,
+    StandardOutputLog,
+)
 
 
 class StandardOutputLogTest(unittest.TestCase):
@@ -44,6 +49,24 @@
         self.assertGreater(dropped, 0)
         self.assertEqual(numbers, sorted(numbers))
 
+    def test_each_write_holds_whole_lines_and_no_more_than_a_pipe_takes_at_once(self):
+        blocks = []
+
+        def write(descriptor, data):
+            blocks.append(data)
+            return len(data)
+
+        for number in range(40):
+            self.add(number, text="x" * 500)
+        self.add(40, text="x" * 2 * MAX_WRITE_BYTES)
+        with mock.patch("os.write", write):
+            self.log.flush()
+        lines = [json.loads(line) for block in blocks for line in block.splitlines()]
+        self.assertEqual([line["number"] for line in lines], list(range(41)))
+        self.assertTrue(all(block.endswith(b"\n") for block in blocks))
+        self.assertLessEqual(max(map(len, blocks[:-1])), MAX_WRITE_BYTES)
+        self.assertEqual(blocks[-1].count(b"\n"), 1)
+
     _rest = b""
 
     def read_whole_lines(self):
