--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -127,18 +127,21 @@
         self._proposals = self._new_pending(ErrorCode.TIMEOUT, Verdict.MAY_HAVE_RUN, timeout_s)
         self._reads = self._new_pending(ErrorCode.UNAVAILABLE, Verdict.NOT_RUN, timeout_s)
         self._batch = ProposalBatch(self._proposals)
-        changes = MembershipChanges(
+        self._changes = MembershipChanges(
             self._ready_driver,
             self._proposals,
             has_bounded_voters=settings.places is not None,
         )
-        self._changes = changes
+        self._take_messages(router)
+
+    def _take_messages(self, router: Router) -> None:
+        """Have this replica get the messages of its group."""
         handlers = GroupHandlers(
             on_raft_message=self._take_raft_message,
             on_status_request=self._answer_status,
-            on_join_request=changes.answer_join,
+            on_join_request=self._changes.answer_join,
         )
-        dispatch_for(router).add_group(group, handlers)
+        dispatch_for(router).add_group(self._group, handlers)
 
     @staticmethod
     def _new_pending(code: ErrorCode, verdict: Verdict, timeout_s: float) -> PendingRequests:
--- a/src/passlane/soak/report.py
+++ b/src/passlane/soak/report.py
@@ -1,5 +1,7 @@
 """What a soak tells at its end."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 
@@ -97,3 +99,19 @@
     def has_passed(self) -> bool:
         """Whether the soak ran to its end without a finding."""
         return self.finding_count == 0 and not self.was_interrupted
+
+
+def print_report(report: SoakReport) -> None:
+    """Print what came of a soak, a finding a line."""
+    for title, counts in (("programs", report.programs), ("answers", report.answers)):
+        for name, outcomes in counts.items():
+            print(f"{title} {name}: {_joined(outcomes)}")
+    print(f"faults: {_joined(report.faults)}")
+    print(f"checks: {_joined(report.checks)}")
+    for finding in report.findings:
+        print(f"FINDING {finding.check} {finding.request_id} at {finding.at_s} s: {finding.detail}")
+    print("promises kept" if report.has_passed else "PROMISES BROKEN OR INTERRUPTED")
+
+
+def _joined(counts: Mapping[str, int]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in counts.items()) or "none"
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -1,10 +1,9 @@
 """Runs a soak: starts the processes, lets load and faults go on, checks, reports."""
 
-import itertools
 import signal
 import tempfile
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from pathlib import Path
 
 import anyio
@@ -16,19 +15,19 @@
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
 from passlane.runtime.http_server import UvicornHttpServer
-from passlane.soak.back_ends import StandIn, StandInEngine, StandInList, StandInPlain
+from passlane.soak.back_ends import StandInList
 from passlane.soak.callers import Callers
 from passlane.soak.calm import CalmChecks
 from passlane.soak.client import SoakClient
-from passlane.soak.configuration import ENGINES, LIMIT, TOOLS, ZONE
+from passlane.soak.configuration import LIMIT, ZONE
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind, FaultPace, Faults
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import DAEMON, Machine, Machines, daemon_of, loopback_network
 from passlane.soak.profiles import USUAL, SoakProfile, profile_named
 from passlane.soak.programs import Load
-from passlane.soak.proxy import FaultyProxy
-from passlane.soak.report import SoakReport
+from passlane.soak.report import SoakReport, print_report
+from passlane.soak.surroundings import PLATFORM_PORT, proxies_before, stand_ins
 from passlane.soak.tallies import Tallies
 from passlane.soak.watch import Watch
 
@@ -39,12 +38,6 @@
 START_TIMEOUT_S = 60.0
 """All processes import their code at the same time, on a machine that may be busy."""
 LIST_HOST = 200
-FIRST_BACK_END_HOST = 201
-FIRST_PROXY_HOST = 221
-PLATFORM_PORT = 8080
-ENGINE_PACES = (0.7, 1.0, 1.4, 2.0)
-ENGINE_PLACES = (2, 2, 1, 1)
-PLAIN_PLACES = (3, 3)
 
 
 class SoakSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,7 +86,7 @@
         self._tallies = Tallies()
         client = SoakClient()
         self._watch = Watch(self.machines, self._ledger, client, seed)
-        self._engines, self._back_ends = _stand_ins(network, self._ledger)
+        self._engines, self._back_ends = stand_ins(network, self._ledger)
         self._callers = Callers(
             self._ledger,
             client,
@@ -102,7 +95,7 @@
             seed,
             keeps_connections=profile.keeps_connections,
         )
-        self._proxies = _proxies(network, self._back_ends)
+        self._proxies = proxies_before(network, self._back_ends)
         addresses = [proxy.address for proxy in self._proxies]
         self._listing = StandInList(self._back_ends, addresses, ZONE)
         self._faults = Faults(
@@ -235,34 +228,6 @@
     return {name: dict(sorted(counter.items())) for name, counter in sorted(counts.items())}
 
 
-def _stand_ins(network: str, ledger: Ledger) -> tuple[list[StandInEngine], list[StandIn]]:
-    """Return the engines, and all back ends."""
-    hosts = (f"{network}.{number}" for number in itertools.count(FIRST_BACK_END_HOST))
-    engines: list[StandInEngine] = []
-    for number, (pace, places) in enumerate(zip(ENGINE_PACES, ENGINE_PLACES, strict=True), 1):
-        address = Address(next(hosts), PLATFORM_PORT)
-        engine = StandInEngine(f"engine-{number}", address, ENGINES, places, ledger)
-        engine.pace = pace
-        engines.append(engine)
-    plain: list[StandIn] = []
-    for number, places in enumerate(PLAIN_PLACES, 1):
-        address = Address(next(hosts), PLATFORM_PORT)
-        plain.append(StandInPlain(f"plain-{number}", address, TOOLS, places, ledger))
-    return engines, [*engines, *plain]
-
-
-def _proxies(network: str, back_ends: Sequence[StandIn]) -> list[FaultyProxy]:
-    """Return a proxy before each back end."""
-    return [
-        FaultyProxy(
-            back_end.instance_id,
-            Address(f"{network}.{FIRST_PROXY_HOST + number}", PLATFORM_PORT),
-            back_end.address,
-        )
-        for number, back_end in enumerate(back_ends)
-    ]
-
-
 async def run_soak(settings: SoakSettings) -> SoakReport:
     """Run one soak and return its report; whatever happens, its processes end.
 
@@ -312,21 +277,6 @@
             profile=profile_named(profile),
         )
         report = anyio.run(run_soak, settings)
-    _print(report)
+    print_report(report)
     write_report(report_folder, REPORT_FILE, report)
     return EXIT_OK if report.has_passed else EXIT_FAILED
-
-
-def _print(report: SoakReport) -> None:
-    for title, counts in (("programs", report.programs), ("answers", report.answers)):
-        for name, outcomes in counts.items():
-            print(f"{title} {name}: {_joined(outcomes)}")
-    print(f"faults: {_joined(report.faults)}")
-    print(f"checks: {_joined(report.checks)}")
-    for finding in report.findings:
-        print(f"FINDING {finding.check} {finding.request_id} at {finding.at_s} s: {finding.detail}")
-    print("promises kept" if report.has_passed else "PROMISES BROKEN OR INTERRUPTED")
-
-
-def _joined(counts: Mapping[str, int]) -> str:
-    return ", ".join(f"{name} {count}" for name, count in counts.items()) or "none"
