--- a/tests/relay/test_turn_budget.py
+++ b/tests/relay/test_turn_budget.py
@@ -15,13 +15,15 @@
 import math
 import unittest
 
+import msgspec
+
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.turns import ReserveTurn, SettleTurn, TurnReserved
 from passlane.relay.turn_account import BACKGROUND_SETTLE_S
 from passlane.turns.client import Reservation
 from passlane.turns.state.machine import TurnStateMachine
 from relay.fakes import FULL, Mute, Reset, Script, ScriptedStore, Unreachable, head
-from relay.test_service import EVENT_1, EVENT_2, STREAM, TURNS, RelayCase
+from relay.test_service import CORNER, EVENT_1, EVENT_2, REFUSED, STREAM, TURNS, WITH_KEY, RelayCase
 
 TOKENS_PER_EVENT = 9
 """Of the service of engines in these tests' configuration."""
@@ -174,5 +176,35 @@
         self.assertFalse(self.store.machine._programs["p"].reserved)
 
 
+class LimitTest(TurnBudgetCase):
+    """A further run counts against its tenant's limit too, by the same reservation."""
+
+    def take_limited_turn(self, store):
+        limited = msgspec.structs.replace(CORNER, rate_per_s=1.0, burst=1)
+        changes = WITH_KEY | {"budget": BUDGET, "most": MOST}
+        scripts = [Reset(), Script(head(), *EVENTS)]
+        self.relay(scripts, call_changes=changes, store=store, tenants=(limited,), **RESUMABLE)
+
+    def test_each_run_draws_on_it_once(self):
+        store = AccountingStore()
+        self.take_limited_turn(store)
+        self.assertEqual(self.writer.status, 200)
+        self.assertEqual([request.quota is not None for request in store.reserved], [True, True])
+        self.assertEqual(store.drawn, [])
+
+    def test_without_room_in_it_there_is_no_further_run(self):
+        store = AccountingStore()
+        reserve = store.reserve
+
+        async def refuse_the_second(request, *, timeout_s):
+            if store.reserved:
+                return Reservation(REFUSED, False)
+            return await reserve(request, timeout_s=timeout_s)
+
+        store.reserve = refuse_the_second
+        self.take_limited_turn(store)
+        self.assertEqual((self.writer.status, len(self.backends.asked)), (502, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
