--- a/src/passlane/soak/bad_entries.py
+++ b/src/passlane/soak/bad_entries.py
@@ -1,8 +1,20 @@
 """Entries of the list of back ends that another writer has made: they name nobody to use."""
 
+from typing import Any
+
+import msgspec
+
 from passlane.messages.common import Address
+from passlane.messages.listing import BackendRecord, BackendState
+from passlane.platform.list_format import encode_page
 
 BAD_ID_PREFIX = "unreadable-"
+UNKNOWN_STATE = "starting"
+NO_TEXT = b"\xff\xfe"
+WRONG_VALUES: tuple[Any, ...] = (None, [])
+NO_ENTRIES = (b"null", b"[]", b'"entry"')
+
+_encoder = msgspec.json.Encoder()
 
 
 def bad_entries(address: Address, service: str, zone: str) -> list[bytes]:
@@ -10,34 +22,35 @@
 
     Each bears an id of its own and the address of a back end that would tell of a request for it.
     """
-    fields = {
-        b"service": _text(service),
-        b"address": _text(str(address)),
-        b"zone": _text(zone),
-        b"version": _text("v1"),
-        b"slots": b"1",
-        b"state": _text("ready"),
-        b"cold_left_ms": b"0",
-    }
-    changes: list[dict[bytes, bytes]] = [
-        {b"state": _text("starting")},
-        {b"slots": _text("4")},
-        {b"zone": b"null"},
-        {b"born": b"1.5"},
-        {b"version": b"[]"},
-        {b"service": b'"\xff\xfe"'},
-    ]
-    entries = [fields | change for change in changes]
-    entries += [{name: fields[name] for name in fields if name != left_out} for left_out in fields]
-    numbered = (
-        entry | {b"id": _text(f"{BAD_ID_PREFIX}{number}")} for number, entry in enumerate(entries)
+    names = list(_good_entry(0, address, service, zone))
+    entries: list[bytes] = []
+    for number, name in enumerate(names):
+        for value in WRONG_VALUES:
+            changed: dict[str, Any] = _good_entry(number, address, service, zone) | {name: value}
+            entries.append(_encoder.encode(changed))
+        lacking = _good_entry(number, address, service, zone)
+        del lacking[name]
+        entries.append(_encoder.encode(lacking))
+    good = _encoder.encode(_good_entry(len(names), address, service, zone))
+    entries.append(good.replace(_text(BackendState.READY.value), _text(UNKNOWN_STATE)))
+    entries.append(good.replace(_text(service), b'"' + NO_TEXT + b'"'))
+    return [*entries, *NO_ENTRIES]
+
+
+def _good_entry(number: int, address: Address, service: str, zone: str) -> dict[str, Any]:
+    """Return an entry as the platform writes it; its fields have the platform's names."""
+    record = BackendRecord(
+        instance_id=f"{BAD_ID_PREFIX}{number}",
+        service=service,
+        address=address,
+        zone=zone,
+        slots=1,
+        state=BackendState.READY,
     )
-    return [_entry(entry) for entry in numbered] + [b"null", b"[]", b'"entry"']
+    page: dict[str, Any] = msgspec.json.decode(encode_page([record]))
+    entry: dict[str, Any] = next(iter(page.values()))[0]
+    return entry
 
 
 def _text(value: str) -> bytes:
     return f'"{value}"'.encode()
-
-
-def _entry(fields: dict[bytes, bytes]) -> bytes:
-    return b"{" + b",".join(b'"%s":%s' % pair for pair in fields.items()) + b"}"
