--- a/src/passlane/decisions/failure/answer_verdicts.py
+++ b/src/passlane/decisions/failure/answer_verdicts.py
@@ -15,6 +15,8 @@
 """Statuses that promise a caller that its request has not run and never will."""
 FIRST_CLIENT_ERROR = 400
 FIRST_SERVER_ERROR = 500
+"""From this status on, an answer counts as a failure of the back end; from ``FIRST_CLIENT_ERROR``
+to below it, as a fault of the request."""
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 UNAVAILABLE = 503
--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -10,6 +10,7 @@
 import anyio
 
 from passlane.decisions.backends.health import AttemptWatch
+from passlane.decisions.failure.answer_verdicts import FIRST_SERVER_ERROR
 from passlane.event_streams.whole_events import EventSplitter
 from passlane.relay.backends import AnswerWriter, BackendAnswer
 from passlane.relay.end_reasons import BreakReason
@@ -18,9 +19,6 @@
 MAX_BUFFERED_BYTES = 256_000
 """Bytes. Longer bodies are passed on as they arrive. Not measured; chosen."""
 
-FIRST_SERVER_FAULT = 500
-"""From this status on, an answer counts as a failure of the back end."""
-
 BeforeEnd = Callable[["StreamDelivery"], Awaitable[None]]
 """Called when a stream is whole, before the caller learns that it is."""
 
@@ -126,7 +124,7 @@
 def _note_whole(answer: BackendAnswer, watch: AttemptWatch) -> None:
     """Note the end of an answer; what follows takes time of other parts of the system."""
     now = anyio.current_time()
-    if answer.head.status >= FIRST_SERVER_FAULT:
+    if answer.head.status >= FIRST_SERVER_ERROR:
         watch.failed(now)
     else:
         watch.succeeded(now)
