Logs tell of a stream that is taken up, and which software version an engine has

Of the hypotheses on the mixed streams, none could be told from the others by the logs: no line said that a request takes up a stream, which attempt began it, after which event, or which version an engine has. The list's version is now kept with each back end (a default of "" where an older build sends the record), backend_chosen shows it, and request_ended shows last_event_id and the header Resumes. No decision reads either yet. Recorded forms grow by these fields; none is gone.

--- a/src/passlane/decisions/inputs/relayed_call.py
+++ b/src/passlane/decisions/inputs/relayed_call.py
@@ -56,6 +56,9 @@
         The turn that this one continues; ``None`` for a first turn.
     last_event_id
         Last event that the caller received of a stream that it resumes.
+    resumes
+        The attempt that brought the caller the first event of that stream; ``None`` if it is not
+        named.
     """
 
     request_id: str
@@ -71,6 +74,7 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     previous_turn: str | None = None
     last_event_id: str | None = None
+    resumes: str | None = None
     dropped_headers: tuple[str, ...] = ()
     key_digests: tuple[bytes, ...] = ()
 
--- a/src/passlane/messages/listing.py
+++ b/src/passlane/messages/listing.py
@@ -28,6 +28,8 @@
     born_ms
         Unix time of its start, in ms; ``None`` if the platform does not report it. Each start
         then has its own ``instance_id``.
+    software_version
+        Version of the software that it runs, not of a model's weights; empty if unknown.
     """
 
     instance_id: str
@@ -37,6 +39,7 @@
     slots: int
     state: BackendState
     born_ms: int | None = None
+    software_version: str = ""
 
     @property
     def incarnation(self) -> IncarnationId:
--- a/src/passlane/platform/list_format.py
+++ b/src/passlane/platform/list_format.py
@@ -19,6 +19,8 @@
 MAX_PORT = 65_535
 MAX_REASON_CHARACTERS = 120
 """Maximum length of the logged reason why an entry is invalid."""
+DEFAULT_SOFTWARE_VERSION = "v1"
+"""Written for a record without a version, since each entry must have one."""
 REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 """Replaces bytes of a page that are not valid UTF-8."""
 
@@ -29,7 +31,8 @@
 class _Entry(msgspec.Struct, frozen=True):
     """One entry of a page, with all required fields, used or not.
 
-    ``born`` is the Unix time of the instance's start, in ms; older platforms omit it.
+    ``born`` is the Unix time of the instance's start, in ms; older platforms omit it. ``version``
+    is that of its software, not of a model's weights.
     """
 
     id: _Name
@@ -167,8 +170,8 @@
 
 def _record_of(entry: _Entry) -> BackendRecord:
     """Return the backend of an entry; raise ``ValueError`` for an invalid name or address."""
-    if not (entry.id + entry.service + entry.zone).isprintable():
-        raise ValueError("id, service or zone contains characters that aren't printable")
+    if not (entry.id + entry.service + entry.zone + entry.version).isprintable():
+        raise ValueError("id, service, zone or version contains characters that aren't printable")
     return BackendRecord(
         instance_id=entry.id,
         service=entry.service,
@@ -177,6 +180,7 @@
         slots=entry.slots,
         state=entry.state,
         born_ms=None if entry.born is msgspec.UNSET else entry.born,
+        software_version=entry.version,
     )
 
 
@@ -197,7 +201,7 @@
         service=record.service,
         address=str(record.address),
         zone=record.zone,
-        version="v1",
+        version=record.software_version or DEFAULT_SOFTWARE_VERSION,
         slots=record.slots,
         state=record.state,
         cold_left_ms=0,
--- a/src/passlane/platform/names.py
+++ b/src/passlane/platform/names.py
@@ -15,6 +15,8 @@
 PROGRAM_DEADLINE_MS = "x-passlane-program-deadline-ms"
 PREVIOUS_TURN = "x-passlane-previous-turn"
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"
+"""The attempt that brought the first event of the stream that a request resumes."""
 
 TENANT = "x-passlane-tenant"
 API_KEY = "x-api-key"
--- a/src/passlane/platform/request_format.py
+++ b/src/passlane/platform/request_format.py
@@ -56,6 +56,7 @@
         prompt_parts=_prompt_parts(values.get(names.PROMPT_PREFIX, "")),
         previous_turn=values.get(names.PREVIOUS_TURN) or None,
         last_event_id=values.get(names.LAST_EVENT_ID) or None,
+        resumes=values.get(names.RESUMES) or None,
     )
 
 
--- a/src/passlane/relay/attempt_log.py
+++ b/src/passlane/relay/attempt_log.py
@@ -47,6 +47,7 @@
         request_id=labels.request_id,
         service=labels.service,
         instance=choice.load.record.incarnation,
+        software_version=choice.load.record.software_version,
         attempt=labels.attempt,
         candidates=choice.candidates,
         in_flight=choice.load.in_flight,
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -234,6 +234,8 @@
             request_id=call.request_id,
             program_id=call.program.program_id if call.program is not None else None,
             previous_turn=call.previous_turn,
+            last_event_id=call.last_event_id,
+            resumes=call.resumes,
             tenant=progress.tenant,
             keys=len(call.key_digests),
             route=progress.route,
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -48,6 +48,11 @@
         self.assertEqual((call.most_tokens, call.previous_turn), (288, "40c8"))
         self.assertEqual(call.prompt_parts, (PromptPart("5c1e", 800), PromptPart("91bd", 410)))
 
+    def test_a_request_that_resumes_a_stream(self):
+        call = self.parse(last_event_id="7", resumes="48ee")
+        self.assertEqual((call.last_event_id, call.resumes), ("7", "48ee"))
+        self.assertIsNone(self.parse().resumes)
+
     def test_headers_of_a_single_connection_are_not_forwarded(self):
         names = {header.name for header in self.parse().headers}
         self.assertFalse(names & {"connection", "x-hop", "host"})
--- a/tests/on_platform/test_instance_list.py
+++ b/tests/on_platform/test_instance_list.py
@@ -142,6 +142,10 @@
         self.assertEqual(records[2].state, BackendState.DRAINING)
         self.assertEqual(ids(records), ["i-1", "i-2", "i-3"])
 
+    def test_each_record_has_the_version_of_its_software(self):
+        records = read(page(ENTRY, OTHER | {"version": "v1.2"}))
+        self.assertEqual([record.software_version for record in records], ["v1", "v1.2"])
+
     def test_unknown_fields_are_ignored(self):
         self.assertEqual(ids(read(page(ENTRY | {"rack": {"a": [1]}}))), ["i-1"])
 
