--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -73,7 +73,7 @@
 class Fleet:
     """The machines by name, with the requests of clients and operators to them."""
 
-    def __init__(self, tasks, seed, tolerated_losses):
+    def __init__(self, tasks, seed, tolerated_losses, engines):
         self.tolerated_losses = tolerated_losses
         self.places_turns = True
         self.tasks = tasks
@@ -82,7 +82,8 @@
         self.network = SimulatedNetwork(random.Random(seed), DelayModel({}), EventLog())
         self.machines = {}
         self.engines = [
-            StandInEngine(f"i-{n}", Address(f"10.7.0.{n}", 80), "models") for n in range(1, 4)
+            StandInEngine(f"i-{n}", Address(f"10.7.0.{n}", 80), "models")
+            for n in range(1, engines + 1)
         ]
         self.list = StandInList(self.engines)
         self.client = SingleConnectionHttpClient(self.network.host(CLIENT_HOST))
@@ -221,7 +222,24 @@
                     return answer
                 await anyio.sleep(0.1)
 
-    async def turn(self, request_id, *, node="node-1", previous=None, budget=10_000, **headers):
+    async def stream(
+        self, request_id, *, node="node-1", resumes=None, last_event_id=None, **headers
+    ):
+        """Send one request of a resumable stream to a node."""
+        resumed = {"last_event_id": last_event_id, "resumes": resumes}
+        headers |= {name: value for name, value in resumed.items() if value is not None}
+        return await self.turn(request_id, node=node, path="/streams/x", **headers)
+
+    async def turn(
+        self,
+        request_id,
+        *,
+        node="node-1",
+        previous=None,
+        budget=10_000,
+        path="/turns/x",
+        **headers,
+    ):
         """Send one turn of a program to a node."""
         address = Address(self.machines[node].host, CALLERS_PORT)
         all_headers = {
@@ -238,7 +256,7 @@
         request = HttpRequest(
             "POST",
             address,
-            "/turns/x",
+            path,
             all_headers,
             f"<{request_id}>".encode(),
             True,
@@ -271,6 +289,18 @@
     def running(self, role):
         return [m for m in self.machines.values() if m.role is role and m.scope is not None]
 
+    def engine_of(self, request_id):
+        """Return the engine that ran a request; ``None`` if none did."""
+        for engine in self.engines:
+            if any(run_id == request_id for run_id, _ in engine.runs):
+                return engine
+        return None
+
+    def lose_engine(self, engine):
+        """End an engine; the list names it still."""
+        self.network.drop_connections(engine.address.host, reset_peers=True)
+        self.network.remove_listeners(engine.address.host)
+
     def executed_body(self, request_id):
         """Return the body that an engine received for a request; ``None`` if no engine ran it."""
         for engine in self.engines:
@@ -321,10 +351,10 @@
 
 
 @asynccontextmanager
-async def running_fleet(seed, controls=3, stores=3, nodes=2, tolerated_losses=1):
+async def running_fleet(seed, controls=3, stores=3, nodes=2, tolerated_losses=1, engines=3):
     """Run a fleet with a configuration; it tolerates the loss of ``tolerated_losses`` machines."""
     async with anyio.create_task_group() as tasks:
-        fleet = Fleet(tasks, seed, tolerated_losses)
+        fleet = Fleet(tasks, seed, tolerated_losses, engines)
         for role, count in (
             (FleetRole.CONTROL, controls),
             (FleetRole.STORE, stores),
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -16,6 +16,10 @@
     ----------
     event_delay_s
         Pause before each event.
+    software_version
+        Version of its software, as the list names it.
+    breaks_after
+        Number of events after which it breaks an answer off; ``None`` to complete it.
     """
 
     def __init__(self, instance_id, address, service):
@@ -27,6 +31,8 @@
         self.run_headers = {}
         self.run_times = []
         self.event_delay_s = 0.01
+        self.software_version = "v1"
+        self.breaks_after = None
 
     async def __call__(self, scope, receive, send):
         request = await read_request(scope, receive, 10_000_000)
@@ -46,8 +52,11 @@
             (b"content-type", b"text/event-stream"),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": answer_headers})
-        for number in range(1, EVENTS + 1):
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
             await anyio.sleep(self.event_delay_s)
+            if self.breaks_after is not None and number > self.breaks_after:
+                return  # Without an end, the server closes the connection.
             event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
             await send({"type": "http.response.body", "body": event, "more_body": True})
         await send({"type": "http.response.body", "body": b""})
@@ -82,7 +91,7 @@
                     "service": engine.service,
                     "address": str(engine.address),
                     "zone": "a",
-                    "version": "v1",
+                    "version": engine.software_version,
                     "slots": 4,
                     "state": engine.state,
                     "cold_left_ms": 0,
@@ -97,6 +106,21 @@
         await send({"type": "http.response.body", "body": data})
 
 
+RESUMABLE_ROUTE = {
+    "name": "streams",
+    "host": "one.example",
+    "path_prefix": "/streams/",
+    "kind": "streaming",
+    "timeout_ms": 4000,
+    "target_latency_ms": 250,
+    "priority": 1,
+    "service": "models",
+    "max_attempts": 1,
+    "resumable": True,
+    "target_gap_ms": 200,
+}
+
+
 def configuration(
     version, *, budget_service="models", timeout_ms=4000, extra_routes=(), tenants=()
 ):
