A stream that breaks off goes on only at the software version that began it

What callers saw: on routes that allow two engines for an attempt, one answer joined events of two software versions of a service, with the head and signature of the first, and looked complete. Cause: the next engine of an answer was chosen by health, cache, load and zone; the version was read from the list and dropped, so no rule could use it. Change: the first head that is forwarded binds the stream to its engine's service and version (AttemptHistory.origin); later attempts see only such engines. Engines that refused or broke off before that don't bind it, so any version may begin it. Without such an engine the answer ends at once (no_further_engine_of_version). An unknown version, as an older build sends it, equals no other: then only the same start of the same engine may go on. Why it works: all attempts of an answer choose from the one list that is restricted here, engines and plain back ends alike.

--- /dev/null
+++ b/src/passlane/messages/streams.py
@@ -0,0 +1,24 @@
+"""Where streams began, as nodes and the store group tell each other."""
+
+import msgspec
+
+
+class StreamOrigin(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The engine that began a stream.
+
+    Attributes
+    ----------
+    stream_id
+        The caller's attempt that brought the first event; identifies the stream over all attempts.
+    service
+        Name of the engine's service in the configuration.
+    instance
+        Incarnation of the engine; empty if it is not known which engine of the version it was.
+    software_version
+        Version of the engine's software; empty if unknown.
+    """
+
+    stream_id: str
+    service: str
+    instance: str = ""
+    software_version: str = ""
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -103,6 +103,7 @@
             self._stream = StreamDelivery(
                 self._writer, self._before_end, keeps_output=self._context.route.keeps_turns
             )
+            self._history.record_stream_began(self._context.call.request_id)
         self._events_before_run = self._stream.events
         try:
             await self._stream.deliver(answer, watch)
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -113,7 +113,7 @@
         if judgement is Judgement.UNTRUSTED:
             log_untrusted_answer(answer, load, self._attempt_labels())
             raise HttpConnectionError(BreakReason.NOT_AN_ANSWER.value, bytes_left=True)
-        self._history.record_answer_started(load.record.incarnation, anyio.current_time())
+        self._history.record_answer_started(load.record, anyio.current_time())
         await deliver(answer, watch)
         if is_client_error(answer.head):
             self._history.record_rejected()
--- a/src/passlane/relay/attempt_history.py
+++ b/src/passlane/relay/attempt_history.py
@@ -6,8 +6,11 @@
 
 import anyio
 
+from passlane.decisions.placement.stream_versions import origin_at
 from passlane.errors import Verdict
+from passlane.messages.listing import BackendRecord
 from passlane.messages.placement import TurnOutcome
+from passlane.messages.streams import StreamOrigin
 
 
 class AttemptHistory:
@@ -32,6 +35,8 @@
         delivery.
     last_event_id
         The event after which a stream resumes; set by the delivery.
+    origin
+        Where the caller's stream began; ``None`` before it has begun.
     """
 
     def __init__(self, last_event_id: str | None) -> None:
@@ -48,6 +53,8 @@
         self.tried: list[str] = []
         self.excluded: set[str] = set()
         self.served_by = ""
+        self.origin: StreamOrigin | None = None
+        self._answering: BackendRecord | None = None
 
     @property
     def has_forwarded_events(self) -> bool:
@@ -82,11 +89,20 @@
         """Record that the backend rejected the request as invalid; it generated nothing."""
         self.is_sent = False
 
-    def record_answer_started(self, instance_id: str, now: float) -> None:
+    def record_answer_started(self, backend: BackendRecord, now: float) -> None:
         """Record that an answer is about to be forwarded."""
-        self.served_by = instance_id
+        self.served_by = backend.incarnation
+        self._answering = backend
         self._first_part_s = now - self._sent_at
 
+    def record_stream_began(self, stream_id: str) -> None:
+        """Record that the answer that is about to be forwarded begins the caller's stream.
+
+        A stream that has begun keeps its origin.
+        """
+        if self.origin is None and self._answering is not None:
+            self.origin = origin_at(self._answering, stream_id)
+
     def outcome(self, *, is_whole: bool, events: int) -> TurnOutcome:
         """Return the outcome of the request so far, for the placement of later turns."""
         engine_s = anyio.current_time() - self._sent_at if is_whole else 0.0
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -10,12 +10,16 @@
 import anyio
 
 from passlane.decisions.backends.health import stall_limit_s
-from passlane.decisions.backends.registry import BackendLoad
+from passlane.decisions.backends.registry import BackendLoad, ServiceHealth
 from passlane.decisions.order.capacity_queue import RetryPermit
+from passlane.decisions.placement.stream_versions import restrict_to_origin
+from passlane.errors import Verdict
 from passlane.relay.attempt import AttemptSender, Deliver
 from passlane.relay.attempt_history import AttemptHistory
 from passlane.relay.backend_choice import ChoiceInputs, backend_selector, evaluate_health
 from passlane.relay.context import RequestContext
+from passlane.relay.end_reasons import RequestEndReason
+from passlane.relay.request_errors import Refusal, RequestFailedError, RequestRefusedError
 from passlane.relay.request_wait import RequestWait
 
 AdmitRerun = Callable[[float], Awaitable[None]]
@@ -75,7 +79,7 @@
         permit: RetryPermit | None = None
         while True:
             now = anyio.current_time()
-            health = evaluate_health(self._context, now)
+            health = self._evaluate_health(now)
             load = self._choose(ChoiceInputs(health, permit, limit_at, now))
             if load is None:
                 permit = await self._wait.wait_for_permit(health, limit_at)
@@ -87,6 +91,22 @@
             if self._history.runs > runs_before:
                 await self._admit_rerun(limit_at)
 
+    def _evaluate_health(self, now: float) -> ServiceHealth:
+        """Return the health of the backends that may serve the next attempt.
+
+        Raises
+        ------
+        RequestRefusedError, RequestFailedError
+            When no listed engine has the software version of the caller's stream.
+        """
+        health = restrict_to_origin(evaluate_health(self._context, now), self._history.origin)
+        if self._history.origin is None or health.loads:
+            return health
+        if self._history.verdict is not Verdict.NOT_RUN:
+            raise RequestFailedError(RequestEndReason.NO_FURTHER_ENGINE_OF_VERSION)
+        # No such engine is known to return, so there is no time after which to retry.
+        raise RequestRefusedError(Refusal.of(RequestEndReason.NO_ENGINE_OF_VERSION))
+
     def _choose(self, inputs: ChoiceInputs) -> BackendLoad | None:
         """Choose the backend for the next attempt; ``None`` to wait for capacity.
 
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -117,6 +117,21 @@
         "decisions.order.service_capacity",
     )
     """As ``NO_BACK_END``, but after an attempt that may have run."""
+    NO_ENGINE_OF_VERSION = (
+        "no_engine_of_version",
+        CallerResponse.REFUSAL,
+        UNAVAILABLE,
+        "decisions.placement.stream_versions",
+    )
+    """The stream that the caller resumes began at a software version of which no ready engine is
+    listed at this node (field ``software_version``). It may be sent again from its start."""
+    NO_FURTHER_ENGINE_OF_VERSION = (
+        "no_further_engine_of_version",
+        CallerResponse.BY_VERDICT,
+        None,
+        "decisions.placement.stream_versions",
+    )
+    """As ``NO_ENGINE_OF_VERSION``, but after an attempt that may have run."""
     ATTEMPT_BROKEN = ("{detail}", CallerResponse.BY_VERDICT, None, "decisions.failure.resending")
     """An attempt that may have run returned no complete answer, and no further attempt is allowed;
     the detail is the error of the connection (``HttpConnectionError``)."""
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -41,6 +41,9 @@
         Seconds that it waited for backend capacity; 0 without such a wait.
     events
         Number of stream events written to the caller.
+    software_version
+        Version of the software that began the caller's stream; empty without a stream, or if it
+        is unknown.
     """
 
     request_id: str
@@ -56,6 +59,7 @@
     verdict: Verdict = Verdict.NOT_RUN
     tried: list[str] = msgspec.field(default_factory=list)
     events: int = 0
+    software_version: str = ""
     reserved_s: float | None = None
     quota_wait_s: float | None = None
     place_wait_s: float | None = None
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -236,6 +236,7 @@
             previous_turn=call.previous_turn,
             last_event_id=call.last_event_id,
             resumes=call.resumes,
+            software_version=progress.software_version,
             tenant=progress.tenant,
             keys=len(call.key_digests),
             route=progress.route,
--- a/tests/relay/test_end_reasons.py
+++ b/tests/relay/test_end_reasons.py
@@ -32,6 +32,8 @@
     RequestEndReason.NO_ROOM: "no_room",
     RequestEndReason.NO_BACK_END: "no back end took the request",
     RequestEndReason.NO_FURTHER_BACK_END: "no further back end took the request",
+    RequestEndReason.NO_ENGINE_OF_VERSION: "no_engine_of_version",
+    RequestEndReason.NO_FURTHER_ENGINE_OF_VERSION: "no_further_engine_of_version",
     RequestEndReason.ATTEMPT_BROKEN: "timeout",
     RequestEndReason.OUT_OF_TIME: "out_of_time",
     RequestEndReason.TURN_NOT_DURABLE: "turn_not_durable_timeout",
