A stream is taken up only at the software version that began it, at any node

Nothing failed, and the joined text looked whole. Cause: where a stream began was known to the node that began it for as long as it ran, and to no other; Resumes was passed over, and the list's version dropped. Class: a decision that needs what another process knew, made from what this one has. Change: a node reports a stream's service, engine and version to the store group's leader as the head is forwarded, without waiting; a request that resumes looks it up in its own memory, then there. What nobody reported goes on only if the service has had one version for 30 s and the list is fresh; else it is refused at once, as is a stream without an engine of its version: its caller may begin anew. Why it works: the origin of a stream never changes and is taken before the caller has any of it, so any copy of it is right, and where there is none the answer is no or the only version there was.

Reports and lookups are fields of FindTurnStore, the replicated origins a field of AdvanceAge, with defaults: older builds close a connection on a message that they don't know. The sending node tells the leader the version with the turn.

--- a/src/passlane/decisions/backends/registry.py
+++ b/src/passlane/decisions/backends/registry.py
@@ -1,11 +1,13 @@
 """Registry of the listed back ends with this node's load and health state for each.
 
-Owns the newest list, the state of each incarnation of a back end, and the outliers of each service
-as of the last evaluation, in order to detect changes (log line ``outliers_changed``). The rules for
-outliers are in ``decisions.backends.health``.
+Owns the newest list, the state of each incarnation of a back end, the software versions that were
+listed recently, and the outliers of each service as of the last evaluation, in order to detect
+changes (log line ``outliers_changed``). The rules for outliers are in
+``decisions.backends.health``.
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import msgspec
 
@@ -13,6 +15,17 @@
 from passlane.decisions.backends.incarnations import newest_incarnations
 from passlane.messages.listing import BackendRecord, BackendState, IncarnationId
 
+VERSION_MEMORY_S = 30.0
+"""Seconds for which a software version counts as recent after its last engine left the list; longer
+than callers take to resume a stream."""
+
+
+class _ServiceVersion(NamedTuple):
+    """A software version of a service."""
+
+    service: str
+    version: str
+
 
 class BackendLoad(msgspec.Struct):
     """A back end with this node's load and health state for it.
@@ -79,6 +92,7 @@
     def __init__(self) -> None:
         self._loads: dict[IncarnationId, BackendLoad] = {}
         self._outliers: dict[str, frozenset[str]] = {}
+        self._version_listed_until: dict[_ServiceVersion, float] = {}
         self.updated_at: float | None = None
         self.is_as_listed = True
 
@@ -91,6 +105,7 @@
             loads[record.incarnation] = load
         gone = [load.record for load in self._loads.values() if load.is_ready]
         usable = {incarnation for incarnation, load in loads.items() if load.is_ready}
+        self._remember_versions(self._records(), now)
         self._loads = loads
         self.updated_at = now
         self.is_as_listed = True
@@ -99,6 +114,27 @@
     def _records(self) -> list[BackendRecord]:
         return [load.record for load in self._loads.values()]
 
+    def recent_versions(self, service: str, now: float) -> frozenset[str]:
+        """Return the software versions of a service's engines, of draining and recent ones too."""
+        listed = {r.software_version for r in self._records() if r.service == service}
+        remembered = {
+            known.version
+            for known, until in self._version_listed_until.items()
+            if known.service == service and now - until <= VERSION_MEMORY_S
+        }
+        return frozenset(listed | remembered)
+
+    def _remember_versions(self, records: Iterable[BackendRecord], now: float) -> None:
+        """Record until when versions were listed, and drop those that are no longer recent."""
+        self._version_listed_until = {
+            known: until
+            for known, until in self._version_listed_until.items()
+            if now - until <= VERSION_MEMORY_S
+        }
+        for record in records:
+            known = _ServiceVersion(record.service, record.software_version)
+            self._version_listed_until[known] = now
+
     def confirm(self, now: float) -> None:
         """Record that the current list is up to date."""
         self.updated_at = now
@@ -124,7 +160,9 @@
 
     def remove(self, incarnation: IncarnationId) -> None:
         """Remove a back end that is known to be gone, until a list contains it again."""
-        self._loads.pop(incarnation, None)
+        load = self._loads.pop(incarnation, None)
+        if load is not None and self.updated_at is not None:
+            self._remember_versions([load.record], self.updated_at)
         self.is_as_listed = False
 
     def __len__(self) -> int:
--- a/src/passlane/decisions/placement/stream_versions.py
+++ b/src/passlane/decisions/placement/stream_versions.py
@@ -2,16 +2,89 @@
 
 The outputs of two software versions do not fit together, and engines do not check which version
 began a stream. So a stream goes on only at the service and the software version that began it.
-Owns nothing. The log line ``backend_chosen`` shows the version of the chosen engine, and
-``request_ended`` that of the stream.
+Owns nothing. The log line ``stream_resumption_decided`` shows the decision on a request that
+resumes a stream, ``backend_chosen`` the version of the chosen engine, and ``request_ended`` that of
+the stream.
 """
 
+import enum
+from collections.abc import Collection
+
 import msgspec
 
 from passlane.decisions.backends.registry import ServiceHealth
 from passlane.messages.listing import BackendRecord
 from passlane.messages.streams import StreamOrigin
 
+FRESH_LIST_S = 2.0
+"""Maximum age in seconds of a list from which the version of a stream may be inferred. Lists of
+other nodes may be newer and name a version that this one does not."""
+
+
+class OriginSource(enum.StrEnum):
+    """How it is known, or why it is not, at which version a resumed stream began."""
+
+    OWN = "own"
+    """This node forwarded its first event."""
+    STORE = "store"
+    """The store group's leader has it from the node that forwarded its first event."""
+    ONLY_VERSION = "only_version"
+    """It was not reported, but its service has had only one version recently."""
+    SERVICE_LEFT_ROUTE = "service_left_route"
+    """Its service is no longer one of the route's."""
+    UNKNOWN = "unknown"
+    """It was not reported, and it may have begun at any of several versions."""
+    STORE_DID_NOT_ANSWER = "store_did_not_answer"
+    """The store group could not be asked."""
+
+
+class ServiceVersions(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node knows of the software versions of one service.
+
+    Attributes
+    ----------
+    recent
+        Versions that were listed recently; an empty text stands for engines of unknown version.
+    list_age_s
+        Seconds since the list was confirmed; ``None`` without a list.
+    """
+
+    service: str
+    recent: frozenset[str]
+    list_age_s: float | None
+
+
+class Resumption(msgspec.Struct, frozen=True):
+    """The decision on a request that resumes a stream: where the stream began, or why it can't go
+    on (``origin`` is ``None``).
+    """
+
+    source: OriginSource
+    origin: StreamOrigin | None = None
+
+
+def resume_known(
+    origin: StreamOrigin, services: Collection[str], source: OriginSource
+) -> Resumption:
+    """Decide on a stream whose origin is known: it goes on if its service is still the route's."""
+    if origin.service not in services:
+        return Resumption(OriginSource.SERVICE_LEFT_ROUTE)
+    return Resumption(source, origin)
+
+
+def resume_unreported(stream_id: str, versions: ServiceVersions) -> Resumption:
+    """Decide on a stream that no node has reported.
+
+    Its version is certain only if its service has had a single one, which is known, and if the
+    list is fresh.
+    """
+    is_fresh = versions.list_age_s is not None and versions.list_age_s <= FRESH_LIST_S
+    if not is_fresh or len(versions.recent) != 1 or "" in versions.recent:
+        return Resumption(OriginSource.UNKNOWN)
+    (version,) = versions.recent
+    origin = StreamOrigin(stream_id=stream_id, service=versions.service, software_version=version)
+    return Resumption(OriginSource.ONLY_VERSION, origin)
+
 
 def origin_at(record: BackendRecord, stream_id: str) -> StreamOrigin:
     """Return the origin of a stream that an engine begins."""
--- a/src/passlane/messages/placement.py
+++ b/src/passlane/messages/placement.py
@@ -31,6 +31,9 @@
         Time until its program's deadline; ``None`` if unknown.
     memory_tokens
         Memory of one engine of the service, in tokens; 0 if unknown.
+    software_version
+        The only software version whose engines may serve the turn, because it resumes a stream;
+        empty for any.
     """
 
     service: str
@@ -44,6 +47,7 @@
     time_left_s: float = 0.0
     program_time_left_s: float | None = None
     memory_tokens: int = 0
+    software_version: str = ""
 
 
 class TurnOutcome(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -1,7 +1,7 @@
 """Commands, queries and results of the store group for turns of programs.
 
-They cover the reservation and settlement of turns, stored histories, token budgets and the
-replicated usage of tenants.
+They cover the reservation and settlement of turns, stored histories, token budgets, the
+replicated usage of tenants, and the engines that began resumable streams.
 """
 
 import msgspec
@@ -9,6 +9,7 @@
 from passlane.messages.base import Message
 from passlane.messages.placement import TurnDemand, TurnOutcome, TurnRefused
 from passlane.messages.quotas import QuotaRefused, QuotaRequest, TenantUsage
+from passlane.messages.streams import StreamOrigin
 
 
 class RetainedTurn(msgspec.Struct, frozen=True, kw_only=True):
@@ -126,9 +127,14 @@
 
 
 class AdvanceAge(Message, frozen=True):
-    """Advances the state's age by ``seconds`` of the leader's clock; removes expired data."""
+    """Advances the state's age by ``seconds`` of the leader's clock; removes expired data.
+
+    ``begun_streams`` are stored. They are a field of this command because replicas of older
+    builds can't decode a command that they don't know.
+    """
 
     seconds: float
+    begun_streams: tuple[StreamOrigin, ...] = ()
 
 
 class AgeAdvanced(Message, frozen=True):
@@ -138,13 +144,31 @@
 
 
 class FindTurnStore(Message, frozen=True):
-    """Asks whether the receiver leads the store group; other replicas answer as for a command."""
+    """Asks whether the receiver leads the store group; other replicas answer as for a command.
+
+    Nodes also report streams that began and look one up with it, because processes of older builds
+    close the connection on a message that they don't know.
+
+    Attributes
+    ----------
+    begun_streams
+        Streams that began at engines of the sender's requests.
+    stream_id
+        The stream whose origin is requested; empty for none.
+    """
+
+    begun_streams: tuple[StreamOrigin, ...] = ()
+    stream_id: str = ""
 
 
 class TurnStoreFound(Message, frozen=True):
-    """The leader's answer to ``FindTurnStore``, with its term."""
+    """The leader's answer to ``FindTurnStore``, with its term.
+
+    ``origin`` is that of the requested stream; ``None`` if it is unknown.
+    """
 
     term: int = 0
+    origin: StreamOrigin | None = None
 
 
 class NoteUsage(Message, frozen=True, kw_only=True):
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -98,12 +98,18 @@
         else:
             await self._deliver_stream(answer, watch)
 
+    def _record_stream_began(self) -> None:
+        """Bind the stream to its engine's version, before the caller receives any of it."""
+        self._history.record_stream_began(self._context.call.request_id)
+        if self._context.route.is_resumable and self._history.origin is not None:
+            self._context.streams.record(self._history.origin)
+
     async def _deliver_stream(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         if self._stream is None:
             self._stream = StreamDelivery(
                 self._writer, self._before_end, keeps_output=self._context.route.keeps_turns
             )
-            self._history.record_stream_began(self._context.call.request_id)
+            self._record_stream_began()
         self._events_before_run = self._stream.events
         try:
             await self._stream.deliver(answer, watch)
--- a/src/passlane/relay/attempt_history.py
+++ b/src/passlane/relay/attempt_history.py
@@ -36,10 +36,11 @@
     last_event_id
         The event after which a stream resumes; set by the delivery.
     origin
-        Where the caller's stream began; ``None`` before it has begun.
+        Where the caller's stream began, at this request or at the one that it resumes; ``None``
+        before it has begun.
     """
 
-    def __init__(self, last_event_id: str | None) -> None:
+    def __init__(self, last_event_id: str | None, origin: StreamOrigin | None = None) -> None:
         self._first_event_id = last_event_id
         self._failed_at: list[str] = []
         self._full_at: list[str] = []
@@ -53,7 +54,7 @@
         self.tried: list[str] = []
         self.excluded: set[str] = set()
         self.served_by = ""
-        self.origin: StreamOrigin | None = None
+        self.origin = origin
         self._answering: BackendRecord | None = None
 
     @property
--- /dev/null
+++ b/src/passlane/relay/begun_streams.py
@@ -0,0 +1,106 @@
+"""Where resumable streams began, as one node knows it.
+
+Owns the origins of the streams that this node has begun to forward recently, and their reports to
+the leader of the store group, where any node looks them up: callers resume a stream at another
+node. Which engines may continue it is decided in ``decisions.placement.stream_versions``.
+"""
+
+from collections import OrderedDict
+
+import anyio
+from anyio.abc import TaskGroup
+
+from passlane.errors import PasslaneError
+from passlane.messages.streams import StreamOrigin
+from passlane.observability.logging import get_logger
+from passlane.turns.client import TurnStoreClient
+
+MAX_ORIGINS = 5_000
+"""Streams that a node remembers; the oldest give way."""
+REPORT_TIMEOUT_S = 3.0
+REPORT_RETRY_DELAY_S = 0.1
+MAX_REPORT_DELAY_S = 10.0
+"""Seconds after which origins that could not be reported are dropped; callers have resumed their
+streams, or given up, long before."""
+
+_log = get_logger(__name__)
+
+
+class BegunStreams:
+    """Remembers, reports and looks up where streams began.
+
+    Parameters
+    ----------
+    tasks
+        Task group for the reports, which outlive a request.
+    """
+
+    def __init__(self, store: TurnStoreClient, tasks: TaskGroup) -> None:
+        self._store = store
+        self._tasks = tasks
+        self._origins: OrderedDict[str, StreamOrigin] = OrderedDict()
+        self._unreported: dict[str, StreamOrigin] = {}
+        self._is_reporting = False
+
+    def record(self, origin: StreamOrigin) -> None:
+        """Record a stream that is about to begin, and report it in the background."""
+        if origin.stream_id in self._origins:
+            return
+        self._origins[origin.stream_id] = origin
+        if len(self._origins) > MAX_ORIGINS:
+            self._origins.popitem(last=False)
+        self._unreported[origin.stream_id] = origin
+        if not self._is_reporting:
+            self._is_reporting = True
+            self._tasks.start_soon(self._report_all)
+
+    def find_own(self, stream_id: str) -> StreamOrigin | None:
+        """Return where a stream began, if it began at this node."""
+        return self._origins.get(stream_id)
+
+    async def find_at_store(self, stream_id: str, *, timeout_s: float) -> StreamOrigin | None:
+        """Return where a stream began, as the store group's leader knows it.
+
+        Raises
+        ------
+        PasslaneError
+            When the store group did not answer in time.
+        """
+        return await self._store.find_stream(stream_id, timeout_s=timeout_s)
+
+    async def _report_all(self) -> None:
+        """Report origins until there are none; those that arrive meanwhile follow together."""
+        failing_since: float | None = None
+        try:
+            while self._unreported:
+                if await self._report(tuple(self._unreported.values())):
+                    failing_since = None
+                    continue
+                now = anyio.current_time()
+                failing_since = failing_since if failing_since is not None else now
+                if now - failing_since > MAX_REPORT_DELAY_S:
+                    self._drop_unreported()
+                    return
+                await anyio.sleep(REPORT_RETRY_DELAY_S)
+        finally:
+            self._is_reporting = False
+
+    async def _report(self, origins: tuple[StreamOrigin, ...]) -> bool:
+        """Report some origins; return whether the leader has them."""
+        try:
+            await self._store.report_streams(origins, timeout_s=REPORT_TIMEOUT_S)
+        except PasslaneError as error:
+            _log.info("stream_reports_delayed", count=len(origins), code=error.code.value)
+            return False
+        for origin in origins:
+            self._unreported.pop(origin.stream_id, None)
+        return True
+
+    def _drop_unreported(self) -> None:
+        _log.warning(
+            "stream_origins_not_reported",
+            count=len(self._unreported),
+            first=next(iter(self._unreported)),
+            retried_s=MAX_REPORT_DELAY_S,
+        )
+        self._unreported.clear()
--- a/src/passlane/relay/context.py
+++ b/src/passlane/relay/context.py
@@ -11,14 +11,22 @@
 from passlane.decisions.placement.shared_parts import large_shared_part
 from passlane.messages.placement import TurnDemand
 from passlane.messages.routes import Route, RoutedService
+from passlane.messages.streams import StreamOrigin
 from passlane.relay.backends import RelayBackends
+from passlane.relay.begun_streams import BegunStreams
 from passlane.relay.capacity_waits import CapacityWaits
 from passlane.relay.request_quota import RequestQuota
 from passlane.routes.tenants import Identity
 
 
 class RequestContext(msgspec.Struct, frozen=True):
-    """One request with its route, its tenant and the components that serve it."""
+    """One request with its route, its tenant and the components that serve it.
+
+    Attributes
+    ----------
+    origin
+        Where the stream began that the request resumes; ``None`` if it resumes none.
+    """
 
     call: RelayedCall
     route: Route
@@ -29,6 +37,8 @@
     registry: BackendRegistry
     backends: RelayBackends
     waits: CapacityWaits
+    streams: BegunStreams
+    origin: StreamOrigin | None = None
 
     @property
     def is_for_model(self) -> bool:
@@ -55,6 +65,7 @@
             shared_part=parts[0].part_id if has_shared_prefix else "",
             shared_tokens=parts[0].tokens if has_shared_prefix else 0,
             memory_tokens=self.service.memory_tokens,
+            software_version=self.origin.software_version if self.origin is not None else "",
         )
 
     def placement_key(self, used_last: str, assigned: str = "") -> PlacementKey:
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -117,6 +117,14 @@
         "decisions.order.service_capacity",
     )
     """As ``NO_BACK_END``, but after an attempt that may have run."""
+    STREAM_ORIGIN_UNKNOWN = (
+        "stream_origin_unknown",
+        CallerResponse.REFUSAL,
+        UNAVAILABLE,
+        "decisions.placement.stream_versions",
+    )
+    """The request resumes a stream, and it is not known at which of several software versions it
+    began: see the line ``stream_resumption_decided``. It may be sent again from its start."""
     NO_ENGINE_OF_VERSION = (
         "no_engine_of_version",
         CallerResponse.REFUSAL,
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -44,7 +44,7 @@
         self._account = account
         self._progress = progress
         self._local_responses = LocalResponses(writer, progress)
-        self._history = AttemptHistory(context.call.last_event_id)
+        self._history = AttemptHistory(context.call.last_event_id, context.origin)
         self._delivery = AnswerDelivery(context, writer, account, self._history, progress)
         self._attempts: RequestAttempts | None = None
 
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -16,10 +16,12 @@
 from passlane.decisions.limits.allowances import Allowances
 from passlane.decisions.placement.request_placement import NodeLocation
 from passlane.messages.routes import Route, RouteConfiguration, RouteKind
+from passlane.messages.streams import StreamOrigin
 from passlane.observability.logging import get_logger
 from passlane.observability.metrics import Metrics
 from passlane.relay.admission import NodeAdmission
 from passlane.relay.backends import AnswerWriter, RelayBackends
+from passlane.relay.begun_streams import BegunStreams
 from passlane.relay.context import RequestContext
 from passlane.relay.end_reasons import RequestEnd, RequestEndReason, end_of_connection
 from passlane.relay.local_responses import LocalResponses
@@ -29,6 +31,7 @@
 from passlane.relay.request_metrics import RequestMetrics
 from passlane.relay.request_quota import RequestQuota, limit_of
 from passlane.relay.service_waits import ServiceWaits
+from passlane.relay.stream_resumption import ResumingRequest, StreamResumption
 from passlane.relay.turn_account import TurnAccount, needs_account
 from passlane.routes.table import RouteTable, ShareSelector
 from passlane.routes.tenants import Identity
@@ -84,6 +87,8 @@
         self._backends = backends
         self._store = store
         self._tasks = tasks
+        self._streams = BegunStreams(store, tasks)
+        self._resumption = StreamResumption(self._streams, registry, store)
         self._table: RouteTable | None = None
         self._table_received = anyio.Event()
         self._started_at = anyio.current_time()
@@ -191,14 +196,23 @@
     async def _serve(
         self, accepted: _AcceptedRequest, writer: AnswerWriter, progress: RequestProgress
     ) -> None:
-        context = self._build_context(accepted)
+        service = self._selector.choose(accepted.route)
+        resuming = ResumingRequest(accepted.call, accepted.route, service)
+        try:
+            origin = await self._resumption.find_origin(resuming)
+        except RequestRefusedError as error:
+            await LocalResponses(writer, progress).refuse(error.refusal)
+            return
+        context = self._build_context(accepted, origin.service if origin else service, origin)
         progress.service = context.service.name
         account = self._build_account(context)
         await RequestRelay(context, writer, account, progress).run()
 
-    def _build_context(self, accepted: _AcceptedRequest) -> RequestContext:
-        """Choose the service of a request, and bundle what the request needs."""
-        service = accepted.table.service(self._selector.choose(accepted.route))
+    def _build_context(
+        self, accepted: _AcceptedRequest, service_name: str, origin: StreamOrigin | None
+    ) -> RequestContext:
+        """Bundle what a request for a service needs."""
+        service = accepted.table.service(service_name)
         limit = limit_of(accepted.identity, accepted.table.version)
         return RequestContext(
             call=accepted.call,
@@ -210,6 +224,8 @@
             registry=self._registry,
             backends=self._backends,
             waits=self._waits.for_service(service),
+            streams=self._streams,
+            origin=origin,
         )
 
     def _build_account(self, context: RequestContext) -> TurnAccount | None:
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -22,12 +22,15 @@
     QuotaAnswer,
     QuotaRequest,
 )
+from passlane.messages.streams import StreamOrigin
 from passlane.messages.turns import (
+    FindTurnStore,
     ReserveAnswer,
     ReserveTurn,
     SettleTurn,
     TurnReserved,
     TurnSettled,
+    TurnStoreFound,
 )
 from passlane.transport.interfaces import Caller
 from passlane.turns.leader_finder import StoreLeaderFinder
@@ -170,6 +173,33 @@
             return answer
         raise self._unexpected_answer(answer)
 
+    async def report_streams(self, origins: tuple[StreamOrigin, ...], *, timeout_s: float) -> None:
+        """Report where streams began.
+
+        Raises
+        ------
+        PasslaneError
+            When no leader answered in time; it may know them.
+        """
+        await self._ask_about_streams(FindTurnStore(begun_streams=origins), timeout_s)
+
+    async def find_stream(self, stream_id: str, *, timeout_s: float) -> StreamOrigin | None:
+        """Return where a stream began; ``None`` if the leader does not know it.
+
+        Raises
+        ------
+        PasslaneError
+            When no leader answered in time.
+        """
+        timeout_s = self._limited_timeout_s(min(timeout_s, ANSWER_TIMEOUT_S))
+        return (await self._ask_about_streams(FindTurnStore(stream_id=stream_id), timeout_s)).origin
+
+    async def _ask_about_streams(self, request: FindTurnStore, timeout_s: float) -> TurnStoreFound:
+        answer = (await self._execute(request, timeout_s)).answer
+        if isinstance(answer, TurnStoreFound):
+            return answer
+        raise self._unexpected_answer(answer)
+
     async def _execute(
         self, request: Message, timeout_s: float, overdue_after_s: float = ANSWER_OVERDUE_S
     ) -> _Outcome:
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -1,9 +1,10 @@
 """Serves turns on one replica of the store group; only the leader answers.
 
-It is for the nodes that relay turns: it handles reservations, settlements, quota draws and probes
-for the leader. It owns the order of the steps of each request; the steps are implemented in
-``quota_grants`` (quotas), ``slot_waits`` (slots of engines) and ``accounts`` (replicated
-commands). It relies on ``Leadership`` for whether this replica may answer.
+It is for the nodes that relay turns: it handles reservations, settlements, quota draws, probes for
+the leader, and reports and lookups of streams. It owns the order of the steps of each request; the
+steps are implemented in ``quota_grants`` (quotas), ``slot_waits`` (slots of engines), ``accounts``
+(replicated commands) and ``reported_streams``. It relies on ``Leadership`` for whether this replica
+may answer.
 """
 
 import anyio
@@ -34,6 +35,7 @@
 from passlane.turns.dispatch import SLOT_LOG_INTERVAL_S, TICK_S, TurnDispatcher
 from passlane.turns.leadership import Leadership
 from passlane.turns.quota_grants import QuotaGrants
+from passlane.turns.reported_streams import ReportedStreams
 from passlane.turns.slot_waits import SlotWaits
 from passlane.turns.state.machine import TurnStateMachine
 
@@ -59,6 +61,7 @@
         self._quotas = QuotaGrants(quotas, self._leadership)
         self._accounts = TurnAccounts(machine, self._leadership)
         self._slots = SlotWaits(self._accounts, machine, dispatcher, self._leadership)
+        self._streams = ReportedStreams(machine, self._leadership)
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
         router.add_unary(FindTurnStore, self.find)
@@ -69,6 +72,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._accounts.run)
             tasks.start_soon(self._quotas.run)
+            tasks.start_soon(self._streams.run)
             tasks.start_soon(self._advance_dispatcher)
             tasks.start_soon(self._log_slot_usage)
 
@@ -160,6 +164,8 @@
         return await self._quotas.draw(request.draw)
 
     async def find(self, request: FindTurnStore) -> Message:
-        """Answer a probe for the leader with the current term."""
+        """Answer a probe for the leader with the current term; record and look up streams."""
         self._leadership.require_leadership()
-        return TurnStoreFound(term=self._leadership.term)
+        self._streams.record(request.begun_streams)
+        origin = self._streams.find(request.stream_id) if request.stream_id else None
+        return TurnStoreFound(term=self._leadership.term, origin=origin)
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -1,7 +1,8 @@
 """The replicated state of turns: programs' spending and reservations, and histories.
 
-It is for ``TurnService``. It owns programs' reservations and spending, and the stored turns. It
-relies on the group to apply the same commands in the same order at each replica.
+It is for ``TurnService``. It owns programs' reservations and spending, the stored turns, and the
+engines that began recent streams. It relies on the group to apply the same commands in the same
+order at each replica.
 
 Turns form a tree and are looked up by id alone, independent of their program. The machine has no
 clock: the leader advances its age by ``AdvanceAge``, so that a change of leader never expires a
@@ -15,6 +16,7 @@
 
 from passlane.messages.base import encode_message, message_decoder
 from passlane.messages.quotas import TenantUsage, UsageSnapshot
+from passlane.messages.streams import StreamOrigin
 from passlane.messages.turns import (
     AdvanceAge,
     AgeAdvanced,
@@ -35,8 +37,10 @@
 """Retention beyond the requested time, because the age of the state lags behind real time."""
 MIN_PROGRAM_RETENTION_S = 60.0
 """Minimum retention of a program's spending after its last turn."""
+STREAM_RETENTION_S = 30.0
+"""Retention of a stream's origin; callers resume a stream within a few seconds."""
 MAX_RECORDS_PER_PART = 100
-"""Programs or turns in one part of a snapshot."""
+"""Programs, turns or streams in one part of a snapshot."""
 
 _command_decoder = message_decoder(TurnCommand)
 
@@ -65,10 +69,18 @@
     turns: tuple[StoredTurn, ...] = ()
 
 
+class StoredStream(msgspec.Struct, frozen=True):
+    """Where a stream began, and the age of the state until which this is retained."""
+
+    origin: StreamOrigin
+    keep_until_s: float
+
+
 class SnapshotPart(_RecordsPart, frozen=True):
     """Any part of a snapshot, in the form in which it is read."""
 
     usage: UsageSnapshot | None = None
+    streams: tuple[StoredStream, ...] = ()
 
 
 class UsagePart(msgspec.Struct, frozen=True):
@@ -78,6 +90,13 @@
     usage: UsageSnapshot
 
 
+class StreamsPart(msgspec.Struct, frozen=True):
+    """A part of a snapshot with streams; older builds read it as one without records."""
+
+    age_s: float
+    streams: tuple[StoredStream, ...]
+
+
 class UsageRecords(Protocol):
     """Stores the replicated quota grants, outside the state machine."""
 
@@ -96,7 +115,7 @@
 
 
 class TurnStateMachine:
-    """Programs' spending and the tree of turns (a ``StateMachine``).
+    """Programs' spending, the tree of turns and recent streams (a ``StateMachine``).
 
     Parameters
     ----------
@@ -117,6 +136,7 @@
         self.age_s = 0.0
         self._programs: dict[str, ProgramSpending] = {}
         self._turns: dict[str, StoredTurn] = {}
+        self._streams: dict[str, StoredStream] = {}
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply one committed command and return its encoded result."""
@@ -145,6 +165,11 @@
         program = self._programs.get(program_id)
         return program.used_last if program is not None else ""
 
+    def stream_origin(self, stream_id: str) -> StreamOrigin | None:
+        """Return where a stream began; ``None`` if it is not stored."""
+        stored = self._streams.get(stream_id)
+        return stored.origin if stored is not None else None
+
     def history_of(self, turn_id: str | None) -> bytes:
         """Return the concatenated contents of the chain of turns that ends with ``turn_id``."""
         contents: list[bytes] = []
@@ -207,7 +232,20 @@
         return UsageNoted()
 
     def _advance_age(self, command: AdvanceAge) -> AgeAdvanced:
-        self.age_s += command.seconds
+        self._store_streams(command.begun_streams)
+        if command.seconds:
+            self._expire(command.seconds)
+        return AgeAdvanced(age_s=self.age_s)
+
+    def _store_streams(self, origins: Iterable[StreamOrigin]) -> None:
+        """Store where streams began; the first report of a stream applies."""
+        keep_until_s = self.age_s + STREAM_RETENTION_S
+        for origin in origins:
+            self._streams.setdefault(origin.stream_id, StoredStream(origin, keep_until_s))
+
+    def _expire(self, seconds: float) -> None:
+        """Advance the age and remove what is retained no longer."""
+        self.age_s += seconds
         self._turns = {
             turn_id: stored
             for turn_id, stored in self._turns.items()
@@ -218,7 +256,11 @@
             for program_id, program in self._programs.items()
             if program.keep_until_s >= self.age_s
         }
-        return AgeAdvanced(age_s=self.age_s)
+        self._streams = {
+            stream_id: stored
+            for stream_id, stored in self._streams.items()
+            if stored.keep_until_s >= self.age_s
+        }
 
     def snapshot_parts(self) -> Iterator[bytes]:
         """Return the state at the time of this call, encoded in parts."""
@@ -227,14 +269,16 @@
             for program_id, program in self._programs.items()
         ]
         turns = list(self._turns.values())
+        streams = list(self._streams.values())
         usage = self._usage_records.snapshot() if self._usage_records is not None else None
-        return self._encode_parts(self.age_s, programs, turns, usage)
+        return self._encode_parts(self.age_s, programs, turns, streams, usage)
 
     @staticmethod
     def _encode_parts(
         age_s: float,
         programs: list[tuple[str, ProgramSpending]],
         turns: list[StoredTurn],
+        streams: list[StoredStream],
         usage: UsageSnapshot | None,
     ) -> Iterator[bytes]:
         yield msgspec.msgpack.encode(_RecordsPart(age_s))
@@ -246,6 +290,9 @@
         for start in range(0, len(turns), MAX_RECORDS_PER_PART):
             part_turns = tuple(turns[start : start + MAX_RECORDS_PER_PART])
             yield msgspec.msgpack.encode(_RecordsPart(age_s, turns=part_turns))
+        for start in range(0, len(streams), MAX_RECORDS_PER_PART):
+            part_streams = tuple(streams[start : start + MAX_RECORDS_PER_PART])
+            yield msgspec.msgpack.encode(StreamsPart(age_s, part_streams))
 
     def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
         """Replace the state by that of a snapshot; yields after each part."""
@@ -257,9 +304,11 @@
             usage = part.usage or usage
             restored._programs.update(part.programs)
             restored._turns.update({stored.turn.turn_id: stored for stored in part.turns})
+            restored._streams.update({stored.origin.stream_id: stored for stored in part.streams})
             yield
         self.age_s = restored.age_s
         self._programs = restored._programs
         self._turns = restored._turns
+        self._streams = restored._streams
         if usage is not None and self._usage_records is not None:
             self._usage_records.restore(usage)
--- a/tests/decisions/placement/test_stream_versions.py
+++ b/tests/decisions/placement/test_stream_versions.py
@@ -2,11 +2,16 @@
 
 import unittest
 
-from passlane.decisions.backends.registry import BackendRegistry
+from passlane.decisions.backends.registry import VERSION_MEMORY_S, BackendRegistry
 from passlane.decisions.placement.stream_versions import (
+    FRESH_LIST_S,
+    OriginSource,
+    ServiceVersions,
     may_continue,
     origin_at,
     restrict_to_origin,
+    resume_known,
+    resume_unreported,
 )
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
@@ -51,5 +56,63 @@
         self.assertEqual(load.record.instance_id, "i-1")
 
 
+class ResumptionTest(unittest.TestCase):
+    def versions(self, *recent, list_age_s=0.0):
+        return ServiceVersions(service="models", recent=frozenset(recent), list_age_s=list_age_s)
+
+    def test_a_known_stream_goes_on_while_its_service_is_the_routes(self):
+        origin = origin_at(record(), "one")
+        resumed = resume_known(origin, {"models", "others"}, OriginSource.STORE)
+        self.assertEqual((resumed.origin, resumed.source), (origin, OriginSource.STORE))
+        moved = resume_known(origin, {"others"}, OriginSource.STORE)
+        self.assertEqual((moved.origin, moved.source), (None, OriginSource.SERVICE_LEFT_ROUTE))
+
+    def test_an_unreported_stream_goes_on_if_there_was_only_one_version(self):
+        resumed = resume_unreported("one", self.versions("v1", list_age_s=FRESH_LIST_S))
+        self.assertEqual(resumed.origin.software_version, "v1")
+        self.assertTrue(may_continue(resumed.origin, record("i-7")))
+        self.assertFalse(may_continue(resumed.origin, record("i-7", "v2")))
+
+    def test_an_unreported_stream_does_not_go_on_otherwise(self):
+        for versions in (
+            self.versions("v1", "v2"),
+            self.versions(),
+            self.versions(""),
+            self.versions("v1", ""),
+            self.versions("v1", list_age_s=FRESH_LIST_S + 0.1),
+            self.versions("v1", list_age_s=None),
+        ):
+            with self.subTest(versions):
+                resumed = resume_unreported("one", versions)
+                self.assertEqual((resumed.origin, resumed.source), (None, OriginSource.UNKNOWN))
+
+
+class RecentVersionsTest(unittest.TestCase):
+    def setUp(self):
+        self.registry = BackendRegistry()
+        self.registry.update([record(), record("i-2", "v2"), record("i-3", service="o")], 0.0)
+
+    def recent(self, now, service="models"):
+        return self.registry.recent_versions(service, now)
+
+    def test_versions_are_those_of_the_service(self):
+        self.assertEqual(self.recent(0.0), {"v1", "v2"})
+        self.assertEqual(self.recent(0.0, "o"), {"v1"})
+
+    def test_a_version_is_recent_for_a_while_after_its_last_engine_left_the_list(self):
+        self.registry.confirm(50.0)
+        self.registry.update([record("i-2", "v2")], 100.0)
+        self.assertEqual(self.recent(100.0 + VERSION_MEMORY_S), {"v1", "v2"})
+        self.assertEqual(self.recent(100.1 + VERSION_MEMORY_S), {"v2"})
+
+    def test_a_version_that_stays_listed_is_recent_without_further_updates(self):
+        self.registry.confirm(1000.0)
+        self.assertEqual(self.recent(1000.0), {"v1", "v2"})
+
+    def test_an_engine_that_is_gone_by_its_own_answer_was_recent(self):
+        self.registry.remove(record().incarnation)
+        self.assertEqual(self.recent(1.0), {"v1", "v2"})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -253,6 +253,7 @@
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         if previous is not None:
             all_headers["x-passlane-previous-turn"] = previous
+        all_headers = {name: value for name, value in all_headers.items() if value is not None}
         request = HttpRequest(
             "POST",
             address,
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -176,6 +176,7 @@
         self.settle_fails = settle_fails
         self.quota = quota or QuotaGranted()
         self.reserved = []
+        self.streams = {}
         self.settled = []
         self.drawn = []
 
@@ -192,6 +193,16 @@
         self.settled.append(request)
         return TurnSettled()
 
+    async def report_streams(self, origins, *, timeout_s):
+        if self.is_unavailable:
+            raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader")
+        self.streams |= {origin.stream_id: origin for origin in origins}
+
+    async def find_stream(self, stream_id, *, timeout_s):
+        if self.is_unavailable:
+            raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader")
+        return self.streams.get(stream_id)
+
     async def draw_quota(self, draw, *, timeout_s):
         self.drawn.append(draw)
         if self.is_unavailable:
--- a/tests/relay/test_end_reasons.py
+++ b/tests/relay/test_end_reasons.py
@@ -32,6 +32,7 @@
     RequestEndReason.NO_ROOM: "no_room",
     RequestEndReason.NO_BACK_END: "no back end took the request",
     RequestEndReason.NO_FURTHER_BACK_END: "no further back end took the request",
+    RequestEndReason.STREAM_ORIGIN_UNKNOWN: "stream_origin_unknown",
     RequestEndReason.NO_ENGINE_OF_VERSION: "no_engine_of_version",
     RequestEndReason.NO_FURTHER_ENGINE_OF_VERSION: "no_further_engine_of_version",
     RequestEndReason.ATTEMPT_BROKEN: "timeout",
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -4,10 +4,21 @@
 
 import msgspec
 
+from passlane.messages.routes import ServiceShare
+from passlane.messages.streams import StreamOrigin
 from passlane.relay.end_reasons import RequestEndReason
-from relay.fakes import AT_CAPACITY, WRONG_INSTANCE, Script, Unreachable, backend, head
+from relay.fakes import (
+    AT_CAPACITY,
+    WRONG_INSTANCE,
+    Script,
+    ScriptedStore,
+    Unreachable,
+    backend,
+    head,
+)
 from relay.test_service import EVENT_1, EVENT_2, STREAM, RelayCase
 
+RESUMED = {"last_event_id": "1", "resumes": "first"}
 RESUMABLE = STREAM | {"is_resumable": True, "max_attempts": 2}
 
 
@@ -62,5 +73,101 @@
         self.assertLess(self.elapsed_s, 0.5)
 
 
+class ResumedStreamTest(RelayCase):
+    """A request that resumes a stream of an earlier attempt."""
+
+    RECORDS = (engine("i-1", "v1"), engine("i-2", "v2"))
+
+    def resume(self, store, *, scripts=None, records=RECORDS, **route_changes):
+        self.relay(
+            scripts or [Script(head(), EVENT_2)],
+            call_changes=RESUMED,
+            store=store,
+            records=list(records),
+            **(RESUMABLE | route_changes),
+        )
+
+    def store_with(self, version, service="models"):
+        store = ScriptedStore()
+        origin = StreamOrigin(stream_id="first", service=service, software_version=version)
+        store.streams["first"] = origin
+        return store
+
+    def test_it_goes_to_the_version_that_began_the_stream(self):
+        for version, instance in (("v1", "i-1"), ("v2", "i-2")):
+            self.resume(self.store_with(version))
+            self.assertEqual(self.backends.requested, [instance])
+            self.assertEqual(self.backends.requests[0].last_event_id, "1")
+            self.assertTrue(self.writer.is_finished)
+
+    def test_a_second_engine_is_of_that_version_too(self):
+        records = (*self.RECORDS, engine("i-3", "v2"))
+        scripts = [Script(head(), b"id: 2\nda", broken=True), Script(head(), EVENT_2)]
+        self.resume(self.store_with("v2"), scripts=scripts, records=records)
+        self.assertEqual(set(self.backends.requested), {"i-2", "i-3"})
+        self.assertEqual(self.writer.body, EVENT_2)
+
+    def test_its_stream_stays_known_by_the_attempt_that_began_it(self):
+        store = self.store_with("v2")
+        self.resume(store)
+        self.assertEqual(set(store.streams), {"first"})
+
+    def test_an_unknown_stream_reaches_no_engine_while_two_versions_serve(self):
+        self.resume(ScriptedStore())
+        self.assertEqual((self.writer.status, self.backends.requested), (503, []))
+        self.assertIsNone(self.writer.retry_after_s)
+
+    def test_an_unknown_stream_goes_on_where_there_is_one_version(self):
+        self.resume(ScriptedStore(), records=[engine("i-1", "v1"), engine("i-2", "v1")])
+        self.assertTrue(self.writer.is_finished)
+
+    def test_without_the_store_it_is_refused_with_the_time_of_the_outage(self):
+        self.resume(ScriptedStore(is_unavailable=True, outage_s=0.4))
+        self.assertEqual((self.writer.status, self.writer.retry_after_s), (503, 0.4))
+        self.assertEqual(self.backends.requested, [])
+
+    def test_a_stream_whose_service_left_the_route_is_refused(self):
+        self.resume(self.store_with("v1", service="tools"))
+        self.assertEqual((self.writer.status, self.backends.requested), (503, []))
+
+    def test_it_goes_to_the_service_that_began_the_stream(self):
+        shares = (ServiceShare("models", 1), ServiceShare("tools", 99))
+        for _ in range(5):
+            self.resume(self.store_with("v1"), shares=shares)
+            self.assertEqual(self.backends.requested, ["i-1"])
+
+    def test_the_leader_is_told_the_version_that_the_turn_needs(self):
+        store = self.store_with("v2")
+        self.relay(
+            [Script(head(), EVENT_2)],
+            call_changes=RESUMED | {"budget": 100},
+            store=store,
+            records=list(self.RECORDS),
+            requests_placement=True,
+            **RESUMABLE,
+        )
+        self.assertEqual(store.reserved[0].demand.software_version, "v2")
+
+    def test_on_a_route_that_is_not_resumable_nothing_is_looked_up(self):
+        self.resume(ScriptedStore(is_unavailable=True), is_resumable=False)
+        self.assertTrue(self.writer.is_finished)
+
+
+class BegunStreamTest(RelayCase):
+    def test_a_stream_is_reported_with_its_engine(self):
+        self.relay([Script(head(), EVENT_1)], records=[engine("i-1", "v1")], **RESUMABLE)
+        origin = self.store.streams["r-1"]
+        self.assertEqual((origin.software_version, origin.instance), ("v1", "i-1"))
+
+    def test_streams_that_are_not_resumable_are_not_reported(self):
+        self.relay([Script(head(), EVENT_1)], records=[engine("i-1", "v1")], **STREAM)
+        self.assertEqual(self.store.streams, {})
+
+    def test_the_failure_of_a_report_fails_no_request(self):
+        store = ScriptedStore(is_unavailable=True)
+        self.relay([Script(head(), EVENT_1)], store=store, **RESUMABLE)
+        self.assertTrue(self.writer.is_finished)
+
+
 if __name__ == "__main__":
     unittest.main()
