The store's leader gives a resumed stream a slot of its software version, or none

What callers saw: a stream that is taken up could wait in the leader's queue for a slot at an engine that its node then doesn't use, while engines of its own version had room; and the slot was held at the wrong engine until the turn's settlement, so others waited for nothing. Cause: the leader placed turns by load and cache alone; the node's restriction came after it. Change: a turn's demand names the version that it needs, and engines of others are no choice. If no slot of the version is free, its node chooses at once: in the queue, a turn whose version has few engines left would hold up all turns behind it, and its caller has half an answer. Why it works: the same field decides at the leader and at the node. An older leader passes over the field; the node still goes to its version only.

--- a/src/passlane/decisions/inputs/turn_events.py
+++ b/src/passlane/decisions/inputs/turn_events.py
@@ -55,7 +55,8 @@
     Attributes
     ----------
     engine
-        Empty if the node must choose one: the leader is new, or no engine is listed.
+        Empty if the node must choose one: the leader is new, no engine is listed, or none of the
+        software version of a resumed stream has a free slot.
     waited_s
         Time since the request; reported to the node as ``place_wait_s``.
     expected_s
--- a/src/passlane/decisions/placement/turn_placement.py
+++ b/src/passlane/decisions/placement/turn_placement.py
@@ -130,9 +130,12 @@
 def _estimate(engine: EngineSlots, asked: TurnRequested, mean_s: float) -> EndEstimate | None:
     """Return the expected end of a turn at an engine; ``None`` if it lacks a slot or memory.
 
-    A turn may be queued beyond the slots if its history or large shared prefix is cached there.
+    An engine of another software version than the one that a turn needs is excluded. A turn may be
+    queued beyond the slots if its history or large shared prefix is cached there.
     """
     demand = asked.demand
+    if demand.software_version and engine.record.software_version != demand.software_version:
+        return None
     running = len(engine.turns)
     returns = engine.incarnation == asked.used_last
     if running >= engine.slots and not _may_queue(engine, demand, running, returns=returns):
--- a/src/passlane/decisions/scheduling/turn_admission.py
+++ b/src/passlane/decisions/scheduling/turn_admission.py
@@ -3,10 +3,12 @@
 It is a part of the turn scheduler and owns no state: ``ServiceTurns`` has the waiting turns and
 the refused programs. The rules:
 
-1. A turn that need not wait for others (``turn_precedence``) gets a free slot (``slot_assigner``).
-2. A new program that can't begin soon is refused (``program_admission``), unless it retried at
+1. A turn that resumes a stream gets a free slot of its software version at once; without one its
+   node chooses. Waiting for a version of which few engines are left, it would delay all others.
+2. A turn that need not wait for others (``turn_precedence``) gets a free slot (``slot_assigner``).
+3. A new program that can't begin soon is refused (``program_admission``), unless it retried at
    the time that it was given.
-3. Any other turn waits. New programs and looping programs are refused after a maximum wait.
+4. Any other turn waits. New programs and looping programs are refused after a maximum wait.
 
 Times are local monotonic seconds.
 """
@@ -15,7 +17,12 @@
 
 from passlane.decisions.admission.program_admission import ExpectedStart, hold_s
 from passlane.decisions.backends.engine_table import EngineTable
-from passlane.decisions.inputs.turn_events import TurnDecision, TurnNotPlaced, TurnRequested
+from passlane.decisions.inputs.turn_events import (
+    TurnDecision,
+    TurnNotPlaced,
+    TurnPlaced,
+    TurnRequested,
+)
 from passlane.decisions.order.program_progress import ProgramProgress, ProgramTable
 from passlane.decisions.order.turn_precedence import find_wait_reason
 from passlane.decisions.order.turn_queue import WaitingTurn
@@ -43,6 +50,8 @@
     ) -> list[TurnDecision]:
         """Place, queue or refuse a turn; return no decision if it is queued."""
         turn = self._waiting_turn(request, program, service, now)
+        if request.demand.software_version:
+            return [self._place_resumed(turn, service, now)]
         choice = self._immediate_choice(turn, service, now)
         if choice is not None:
             return [self._slot_assigner.assign(turn, choice, service, now)]
@@ -52,6 +61,13 @@
         service.enqueue(turn)
         return []
 
+    def _place_resumed(self, turn: WaitingTurn, service: ServiceTurns, now: float) -> TurnDecision:
+        """Place a turn that resumes a stream, or let its node choose the engine."""
+        choice = self._slot_assigner.choose(turn, service, now)
+        if choice is None:
+            return TurnPlaced(attempt_id=turn.attempt_id, engine="", waited_s=0.0)
+        return self._slot_assigner.assign(turn, choice, service, now)
+
     def refuse_expired(self, service: ServiceTurns, now: float) -> list[TurnDecision]:
         """Refuse the turns that have reached their maximum wait."""
         service.admission.forget_lapsed(now)
--- a/tests/decisions/scheduling/test_turn_scheduler.py
+++ b/tests/decisions/scheduling/test_turn_scheduler.py
@@ -28,13 +28,17 @@
 URGENT, NORMAL = 0, 2
 
 
-def engine(name: str, slots: int = 2, state: BackendState = BackendState.READY) -> BackendRecord:
-    return BackendRecord(name, "llm", Address("10.0.0.1", 80), "a", slots, state)
+def engine(
+    name: str, slots: int = 2, state: BackendState = BackendState.READY, version: str = "v1"
+) -> BackendRecord:
+    address = Address("10.0.0.1", 80)
+    return BackendRecord(name, "llm", address, "a", slots, state, software_version=version)
 
 
 def slot_request(attempt: str, program: str = "", **given: object) -> TurnRequested:
     """Return a turn's request; it is the first of its program unless ``is_first=False``."""
     demand = {"urgency": NORMAL, "program_time_left_s": 5.0, "tenant": "", "memory_tokens": 0}
+    demand["software_version"] = ""
     demand |= {key: given.pop(key) for key in list(given) if key in demand}
     prompt_tokens = given.pop("prompt_tokens", 1_000)
     attributes: dict[str, object] = {"is_first": True, "used_last": "", "most_tokens": 100} | given
@@ -535,3 +539,36 @@
     def test_without_engines_nodes_choose(self):
         self.list_engines()
         self.assertEqual(self.place("a"), "")
+
+
+class ResumedStreamTest(SchedulerTest):
+    """Turns that resume a stream run only at engines of the version that began it."""
+
+    def setUp(self) -> None:
+        self.scheduler = TurnScheduler()
+        self.list_engines(engine("e1"), engine("e2", version="v2"))
+
+    def resume(self, attempt: str, **given: object) -> str:
+        return self.place(attempt, is_first=False, **given)
+
+    def test_it_gets_a_slot_at_an_engine_of_its_version(self) -> None:
+        for version, expected in (("v2", "e2"), ("v1", "e1")):
+            placed = self.resume(f"to-{version}", software_version=version, used_last="e1")
+            self.assertEqual(placed, expected)
+
+    def test_without_a_free_slot_of_its_version_the_node_chooses_and_nobody_waits(self) -> None:
+        for number in range(2):
+            self.resume(f"full{number}", software_version="v2")
+        self.assertEqual(self.resume("third", software_version="v2"), "")
+        self.assertEqual(self.resume("other"), "e1")
+
+    def test_it_does_not_wait_behind_other_turns(self) -> None:
+        for number in range(2):
+            self.resume(f"full{number}", software_version="v1")
+        for number in range(2):
+            self.resume(f"busy{number}")
+        self.wait("waits", is_first=False)
+        self.assertEqual(self.resume("resumed", software_version="v1"), "")
+
+    def test_an_unknown_version_leaves_the_choice_to_the_node(self) -> None:
+        self.assertEqual(self.resume("resumed", software_version="v9"), "")
