A written configuration says whether a route is resumable, public or sticky

What was seen: the soak's resumable route was none at the nodes, so that streams were taken up at any engine. Cause: encode_configuration left out three fields of a route; the parser reads them, and no operator's document is made by it, so callers saw nothing.

--- a/src/passlane/platform/configuration_format.py
+++ b/src/passlane/platform/configuration_format.py
@@ -160,7 +160,10 @@
         max_attempts=route.max_attempts,
         retained=route.keeps_turns,
         retention_s=route.retention_s,
+        resumable=route.is_resumable,
         target_gap_ms=route.target_gap_s * MILLISECONDS_PER_SECOND,
+        public=route.is_public,
+        sticky=route.is_sticky,
     )
 
 
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -173,6 +173,7 @@
             name="r", host="one.example", path_prefix="/r/", kind=RouteKind.STREAM, timeout_s=4.0,
             target_latency_s=0.3, priority=1, shares=(ServiceShare("engines", 1),),
             max_attempts=2, keeps_turns=True, retention_s=60.0, target_gap_s=0.2,
+            is_resumable=True, is_public=True, is_sticky=True,
         )  # fmt: skip
         tenant = Tenant(name="t", priority=2, rate_per_s=4.0, burst=5.0)
         parsed_document = parse_configuration(msgspec.json.encode(DOCUMENT))
