The soak learns streams that are taken up while two software versions serve

A new profile, versions: engines of two versions, some replaced by others of the other version while load goes on, and callers that take their streams up at any node with the last event and the attempt that brought the first. The other profiles draw as before.

--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -27,11 +27,16 @@
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.observability.logging import get_logger
 from passlane.platform import names
-from passlane.platform.list_format import encode_page
+from passlane.platform.list_format import DEFAULT_SOFTWARE_VERSION, encode_page
 from passlane.soak.bad_entries import BAD_ID_PREFIX, bad_entries
-from passlane.soak.configuration import FLOODING_TENANT, HEALTH_PATH, TOKENS_PER_EVENT
+from passlane.soak.configuration import (
+    FLOODING_TENANT,
+    HEALTH_PATH,
+    STREAM,
+    TOKENS_PER_EVENT,
+)
 from passlane.soak.ledger import Ledger
-from passlane.soak.outputs import events_of, plain_output
+from passlane.soak.outputs import events_of, plain_output, stream_event
 
 OK = 200
 UNAVAILABLE = 503
@@ -53,6 +58,8 @@
         Whether it breaks its answers off: each second one before its head, others midway.
     born_ms
         Unix time of its start, as the list tells it; ``None`` where the list tells none.
+    software_version
+        Version of its software, as the list tells it.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
         self.places = places
         self.breaks_off = False
         self.born_ms: int | None = None
+        self.software_version = DEFAULT_SOFTWARE_VERSION
         self._ledger = ledger
         self._running = 0
         self._broken = 0
@@ -73,6 +81,12 @@
         self.born_ms = born_ms
         self._running = 0
 
+    def release(self, instance_id: str, software_version: str, started_ms: int) -> None:
+        """Be another instance of another version at the same address."""
+        self.start_again(started_ms)
+        self.instance_id = instance_id
+        self.software_version = software_version
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         if scope["type"] != "http":
@@ -143,6 +157,8 @@
     ----------
     pace
         Multiple of the usual pause before each event.
+    breaks_after
+        Events after which it breaks a resumable stream off; ``None`` to complete it.
     """
 
     def __init__(
@@ -150,12 +166,17 @@
     ) -> None:
         super().__init__(instance_id, address, service, places, ledger)
         self.pace = 1.0
+        self.breaks_after: int | None = None
 
     async def _run(
         self, send: Send, request: Request, request_id: str, marks: dict[str, str]
     ) -> None:
         _, _, most_tokens = request.headers.get(names.TOKEN_USAGE, "0,0").partition(",")
-        events = events_of(request_id, int(most_tokens) // TOKENS_PER_EVENT)
+        count = int(most_tokens) // TOKENS_PER_EVENT
+        if request.path.startswith(f"/{STREAM}/"):
+            events = self._stream_events(request, request_id, count)
+        else:
+            events = events_of(request_id, count)
         self._ledger.note_turn_begun()
         try:
             await start_stream(send, OK, EVENT_STREAM_TYPE, marks)
@@ -163,13 +184,22 @@
         finally:
             self._ledger.note_turn_ended()
 
+    def _stream_events(self, request: Request, request_id: str, count: int) -> list[bytes]:
+        """Return the events of a resumable stream after the last one that the caller has."""
+        last = int(request.headers.get(names.LAST_EVENT_ID, "0"))
+        numbers = range(last + 1, count + 1)
+        return [stream_event(self.software_version, request_id, number) for number in numbers]
+
     async def _send_events(
         self, send: Send, events: list[bytes], request: Request, request_id: str
     ) -> None:
         program_id = request.headers.get(names.PROGRAM_ID, "")
         born_ms = self.born_ms
-        for event in events:
+        is_resumable = request.path.startswith(f"/{STREAM}/")
+        for number, event in enumerate(events):
             await anyio.sleep(EVENT_PAUSE_S * self.pace)
+            if is_resumable and number == self.breaks_after:
+                return
             if self.born_ms != born_ms:
                 return  # The process that ran it has ended.
             if self.breaks_off:
@@ -244,6 +274,7 @@
             slots=back_end.places,
             state=BackendState.READY,
             born_ms=back_end.born_ms,
+            software_version=back_end.software_version,
         )
 
 
--- a/src/passlane/soak/callers.py
+++ b/src/passlane/soak/callers.py
@@ -105,10 +105,24 @@
                 break
             if call.is_once and not is_refused:
                 break
-            await anyio.sleep(self._pause_s(result.answer if is_refused else None))
+            await anyio.sleep(self.pause_s(result.answer if is_refused else None))
         return result
 
     async def _send(self, call: Call, request_id: str) -> Answer | None:
+        answer = await self.exchange(call, request_id)
+        if answer is not None:
+            self._ledger.note_answer(
+                request_id,
+                answer.status,
+                answer.headers.get(names.SIGNATURE, ""),
+                answer.body,
+                is_whole=answer.is_whole,
+                now=anyio.current_time(),
+            )
+        return answer
+
+    async def exchange(self, call: Call, request_id: str) -> Answer | None:
+        """Send one attempt and return what came of it, unjudged."""
         now = anyio.current_time()
         self._ledger.note_sent(_attempt(call, request_id, now))
         node = self._random.choice(self._nodes())
@@ -128,15 +142,6 @@
         )
         answer = await self._client.fetch(request, PATIENCE_S)
         self._tallies.note_answer(call.route, answer)
-        if answer is not None:
-            self._ledger.note_answer(
-                request_id,
-                answer.status,
-                answer.headers.get(names.SIGNATURE, ""),
-                answer.body,
-                is_whole=answer.is_whole,
-                now=anyio.current_time(),
-            )
         return answer
 
     def _nodes(self) -> list[Machine]:
@@ -147,7 +152,8 @@
         others = (node for node in self._watch.nodes if node not in ready)
         return ready + [n for n in others if self._client.keeps_connection(n.address(CALLERS_PORT))]
 
-    def _pause_s(self, refusal: Answer | None) -> float:
+    def pause_s(self, refusal: Answer | None) -> float:
+        """Return the pause before the next attempt: what a refusal tells, else a random one."""
         told = refusal.headers.get("retry-after") if refusal is not None else None
         if told is not None:
             return min(float(told), LONGEST_RETURN_S)
--- a/src/passlane/soak/configuration.py
+++ b/src/passlane/soak/configuration.py
@@ -23,11 +23,13 @@
 TOOLS = "tools"
 URGENT = "urgent"
 LONG = "long"
+STREAM = "stream"
 LOOKUP = "lookup"
 CHARGE = "charge"
 USUAL_TENANT = "usual"
 FLOODING_TENANT = "flooding"
 KEYS = {USUAL_TENANT: "key-of-usual", FLOODING_TENANT: "key-of-flooding"}
+SOFTWARE_VERSIONS = ("v1", "v2")
 TOKENS_PER_EVENT = 9
 SAFE_RUNS = 2
 """Back ends that one attempt of a repeatable call may be sent to."""
@@ -50,6 +52,7 @@
     routes = (
         _route(URGENT, RouteKind.STREAM, ENGINES, priority=0, target_latency_s=0.3),
         _route(LONG, RouteKind.STREAM, ENGINES, priority=3, keeps_turns=True, retention_s=60.0),
+        _route(STREAM, RouteKind.STREAM, ENGINES, max_attempts=2, is_resumable=True),
         _route(LOOKUP, RouteKind.REPEATABLE, TOOLS, max_attempts=SAFE_RUNS),
         _route(CHARGE, RouteKind.AT_MOST_ONCE, TOOLS),
         _route("version", RouteKind.REPEATABLE, TOOLS, path_prefix=version_path(version)),
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskGroup
 
 from passlane.soak.back_ends import StandIn, StandInList
-from passlane.soak.configuration import ENGINES, TOOLS
+from passlane.soak.configuration import ENGINES, SOFTWARE_VERSIONS, TOOLS
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import Machine, Machines
 from passlane.soak.proxy import FaultyProxy, ProxyMode
@@ -45,6 +45,7 @@
     NOT_READING = "not_reading"
     RESTART_BACK_END = "restart_back_end"
     BAD_ENTRIES = "bad_entries"
+    RELEASE = "release"
 
 
 _WEIGHTS = {
@@ -60,6 +61,7 @@
     FaultKind.NOT_READING: 1,
     FaultKind.RESTART_BACK_END: 3,
     FaultKind.BAD_ENTRIES: 2,
+    FaultKind.RELEASE: 3,
 }
 _PROXY_MODES = {
     FaultKind.DELAY: ProxyMode.DELAY,
@@ -105,6 +107,7 @@
         self._struck: set[str] = set()
         self._released = anyio.Event()
         self._began_at = ledger.began_at
+        self._releases = 0
         self.counts: Counter[str] = Counter()
         self.times: list[FaultTime] = []
 
@@ -133,6 +136,9 @@
         elif kind is FaultKind.RESTART_BACK_END:
             number = self._random.randrange(len(self._back_ends))
             tasks.start_soon(self._restart_back_end, number)
+        elif kind is FaultKind.RELEASE:
+            engines = [e for e in self._back_ends if e.service == ENGINES]
+            tasks.start_soon(self._release, self._random.randrange(len(engines)))
         elif kind is FaultKind.BAD_ENTRIES:
             tasks.start_soon(self._add_bad_entries, duration_s)
         else:
@@ -196,6 +202,18 @@
             back_end.start_again(time.time_ns() // NANOSECONDS_IN_MS)
             proxy.reset_all()
 
+    async def _release(self, number: int) -> None:
+        """Replace an engine by an instance of the other version; its connections are reset."""
+        engine, proxy = self._back_ends[number], self._proxies[number]
+        self._releases += 1
+        old_version = engine.software_version
+        (version,) = (known for known in SOFTWARE_VERSIONS if known != old_version)
+        name = f"{engine.instance_id.partition('.')[0]}.{self._releases}"
+        self.counts[f"{FaultKind.RELEASE.value} {version}"] += 1
+        with self._noted(FaultKind.RELEASE.value, name):
+            engine.release(name, version, time.time_ns() // NANOSECONDS_IN_MS)
+            proxy.reset_all()
+
     async def _add_bad_entries(self, duration_s: float) -> None:
         """Have the list hold entries of another writer for a while."""
         self.counts[FaultKind.BAD_ENTRIES.value] += 1
--- a/src/passlane/soak/outputs.py
+++ b/src/passlane/soak/outputs.py
@@ -10,6 +10,11 @@
     return [f"id: {n}\ndata: {request_id}.{n}\n\n".encode() for n in numbers]
 
 
+def stream_event(version: str, request_id: str, number: int) -> bytes:
+    """Return an event of a resumable stream, with the version of the engine that made it."""
+    return f"id: {number}\ndata: {version} {request_id}.{number}\n\n".encode()
+
+
 def kept_output(request_id: str, count: int) -> bytes:
     """Return what a turn's events add to its history."""
     return "".join(f"{request_id}.{n}\n" for n in range(1, count + 1)).encode()
--- a/src/passlane/soak/profiles.py
+++ b/src/passlane/soak/profiles.py
@@ -45,6 +45,8 @@
     keeps_connections
         Whether callers use open connections until the process is gone; else each request has a
         new connection to a node that is ready.
+    has_versions
+        Whether engines of two software versions serve, and callers take up resumable streams.
     """
 
     name: str
@@ -54,20 +56,24 @@
     longest_gap_s: float = 2.0
     overlaps: bool = False
     keeps_connections: bool = False
+    has_versions: bool = False
 
 
 USUAL = SoakProfile(name="usual", processes=SMALL_FLEET)
 OVERLAPPING = SoakProfile(
     name="overlapping",
     processes=SMALL_FLEET,
-    fault_kinds=tuple(FaultKind),
+    fault_kinds=tuple(kind for kind in FaultKind if kind is not FaultKind.RELEASE),
     shortest_gap_s=0.2,
     longest_gap_s=1.0,
     overlaps=True,
     keeps_connections=True,
 )
 LARGE = msgspec.structs.replace(OVERLAPPING, name="large", processes=LARGE_FLEET)
-PROFILES = {profile.name: profile for profile in (USUAL, OVERLAPPING, LARGE)}
+VERSIONS = msgspec.structs.replace(
+    OVERLAPPING, name="versions", fault_kinds=tuple(FaultKind), has_versions=True
+)
+PROFILES = {profile.name: profile for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS)}
 
 
 def profile_named(name: str) -> SoakProfile:
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -27,7 +27,14 @@
 from passlane.soak.profiles import USUAL, SoakProfile, profile_named
 from passlane.soak.programs import Load
 from passlane.soak.report import SoakReport, print_report
-from passlane.soak.surroundings import PLATFORM_PORT, proxies_before, stand_ins
+from passlane.soak.stream_checks import StreamChecks
+from passlane.soak.streams import StreamCallers
+from passlane.soak.surroundings import (
+    PLATFORM_PORT,
+    proxies_before,
+    set_versions,
+    stand_ins,
+)
 from passlane.soak.tallies import Tallies
 from passlane.soak.watch import Watch
 
@@ -87,6 +94,8 @@
         client = SoakClient()
         self._watch = Watch(self.machines, self._ledger, client, seed)
         self._engines, self._back_ends = stand_ins(network, self._ledger)
+        if profile.has_versions:
+            set_versions(self._engines)
         self._callers = Callers(
             self._ledger,
             client,
@@ -101,6 +110,7 @@
         self._faults = Faults(
             self.machines, self._back_ends, self._proxies, self._listing, self._ledger, seed
         )
+        self._streams = StreamCallers(self._callers, self._ledger, self._tallies, seed)
         self._calm: CalmChecks | None = None
         self._was_interrupted = False
 
@@ -171,6 +181,8 @@
         )
         self._calm = calm
         await calm.run()
+        if self._settings.profile.has_versions:
+            await StreamChecks(self._streams, self._ledger, self._engines).run()
         self._check_shares()
 
     async def _disturb_load(self) -> None:
@@ -182,7 +194,10 @@
             pace = self._pace()
             if pace.kinds:
                 tasks.start_soon(self._faults.run, ending, pace)
-            await load.run(self._settings.load_s)
+            async with anyio.create_task_group() as loads:
+                loads.start_soon(load.run, self._settings.load_s)
+                if self._settings.profile.has_versions:
+                    loads.start_soon(self._streams.run, loads, self._settings.load_s)
             ending.set()
 
     def _pace(self) -> FaultPace:
--- a/src/passlane/soak/surroundings.py
+++ b/src/passlane/soak/surroundings.py
@@ -5,7 +5,7 @@
 
 from passlane.messages.common import Address
 from passlane.soak.back_ends import StandIn, StandInEngine, StandInPlain
-from passlane.soak.configuration import ENGINES, TOOLS
+from passlane.soak.configuration import ENGINES, SOFTWARE_VERSIONS, TOOLS
 from passlane.soak.ledger import Ledger
 from passlane.soak.proxy import FaultyProxy
 
@@ -33,6 +33,12 @@
     return engines, [*engines, *plain]
 
 
+def set_versions(engines: Sequence[StandInEngine]) -> None:
+    """Let the engines run the software versions in turn."""
+    for engine, version in zip(engines, itertools.cycle(SOFTWARE_VERSIONS), strict=False):
+        engine.software_version = version
+
+
 def proxies_before(network: str, back_ends: Sequence[StandIn]) -> list[FaultyProxy]:
     """Return a proxy before each back end."""
     return [
--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -102,6 +102,13 @@
     TurnStoreClient.reserve, TurnStoreClient.settle = reserve_nothing, settle_nothing
 
 
+def any_version_taken_for_the_same():
+    """Let a stream go on at any engine."""
+    from passlane.decisions.placement import stream_versions
+
+    stream_versions.may_continue = lambda origin, record: True
+
+
 DEFECTS = {
     defect.__name__: defect
     for defect in (
@@ -111,6 +118,7 @@
         history_without_its_end,
         any_state_taken_for_ready,
         budget_not_counted,
+        any_version_taken_for_the_same,
     )
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind
 from passlane.soak.machines import daemon_of
-from passlane.soak.profiles import OVERLAPPING, profile_named
+from passlane.soak.profiles import OVERLAPPING, VERSIONS, profile_named
 from passlane.soak.report import Finding, SoakReport
 from passlane.soak.run import SoakSettings, run_soak
 from soak.defective_daemon import DEFECT_VARIABLE
@@ -25,6 +25,7 @@
 
 SEED = 1
 OVERLAPPING_SEED = 2
+VERSIONS_SEED = 3
 LOAD_S = 10.0
 DEFECT_LOAD_S = 8.0
 DEFECTIVE_DAEMON = (sys.executable, str(Path(__file__).with_name("defective_daemon.py")))
@@ -68,6 +69,17 @@
         self.assertIn("bad_entries", report.faults)
 
 
+class VersionsSoakTest(unittest.TestCase):
+    """Engines of two versions, releases, and callers that take their streams up."""
+
+    def test_no_stream_joins_two_versions_under_overlapping_faults(self):
+        report = soak(seed=VERSIONS_SEED, load_s=DEFECT_LOAD_S, profile=VERSIONS)
+        self.assertEqual(report.findings, ())
+        self.assertTrue(report.has_passed)
+        for check in ("one-version", "stream-in-order", "streams-go-on"):
+            self.assertGreater(report.checks[check], 0, check)
+
+
 class EvidenceTest(unittest.TestCase):
     def test_a_finding_keeps_its_times_and_logs(self):
         finding = Finding("check", "r", "detail", 1.0)
@@ -146,6 +158,12 @@
         report = soak_with("any_state_taken_for_ready", fault_kinds=(FaultKind.BAD_ENTRIES,))
         self.expect("entry-read", report)
 
+    def test_a_stream_that_goes_on_at_any_version(self):
+        report = soak_with(
+            "any_version_taken_for_the_same", profile=VERSIONS, fault_kinds=(FaultKind.RESET,)
+        )
+        self.expect("one-version", report)
+
     def test_a_budget_that_nobody_counts(self):
         self.expect("budget", soak_with("budget_not_counted", fault_kinds=()))
 
