An answer of a program's call goes on only at the software version that began it

What callers would see: an answer that joins two versions and is recorded as the program's turn. Change: engines tell software_version with each token, and are asked by resume_version to refuse the beginning of another one (412, not run). The machine of a call keeps the version of the first token and drops an attempt whose token tells another; the caller's node sends it on to the next leader. Such refusals don't use up the four attempts; the second one of the same engine shows that none is left: the call is refused, and its repeat begins anew in place of waiting for a version that is gone. Why it works: each token is compared before it is taken, so it doesn't matter which engine was asked. Engines that tell none go on as before among themselves. All new fields have defaults.

The emulator's engines have a version, and their answers follow from it, so that the check of whole answers sees a joined one. Not done: the scheduler of calls doesn't know versions.

--- a/src/passlane/emulator/answer_text.py
+++ b/src/passlane/emulator/answer_text.py
@@ -41,13 +41,22 @@
         Seed from the request.
     shortest, longest
         Bounds of the answer's length in tokens.
+    software_version
+        Version of the engine; empty if it tells none.
     """
 
     def __init__(
-        self, model: str, messages: Sequence[Turn], seed: int, shortest: int, longest: int
+        self,
+        model: str,
+        messages: Sequence[Turn],
+        seed: int,
+        shortest: int,
+        longest: int,
+        software_version: str = "",
     ) -> None:
         digest = xxhash.xxh64(seed=seed & 0xFFFF_FFFF)
         digest.update(model.encode())
+        digest.update(software_version.encode())
         for turn in messages:
             # Lengths keep neighbouring messages apart, so that no two prompts look the same.
             digest.update(f"{turn.role}:{len(turn.content)}:{turn.content}".encode())
--- a/src/passlane/emulator/engine_app.py
+++ b/src/passlane/emulator/engine_app.py
@@ -13,6 +13,7 @@
     STATUS_CONFLICT,
     STATUS_NOT_FOUND,
     STATUS_OK,
+    STATUS_OTHER_VERSION,
     STATUS_UNAVAILABLE,
     Exchange,
     Route,
@@ -25,6 +26,7 @@
     Submission,
 )
 from passlane.emulator.engine_service import EngineService, RequestRefusedError, StreamItem
+from passlane.emulator.engine_settings import EngineModelSettings
 from passlane.errors import ErrorCode
 from passlane.messages.backends import (
     EngineCancel,
@@ -63,6 +65,7 @@
     RefusalReason.MODEL_NOT_LOADED: _Refusal(STATUS_NOT_FOUND, ErrorCode.UNKNOWN_MODEL),
     RefusalReason.STALE_EPOCH: _Refusal(STATUS_CONFLICT, ErrorCode.STALE_FENCING_TOKEN),
     RefusalReason.TOO_LONG: _Refusal(STATUS_BAD_REQUEST, ErrorCode.LIMIT_EXCEEDED),
+    RefusalReason.OTHER_VERSION: _Refusal(STATUS_OTHER_VERSION, ErrorCode.BACKEND_REFUSED),
     RefusalReason.DUPLICATE_ATTEMPT: _Refusal(STATUS_CONFLICT, ErrorCode.BACKEND_REFUSED),
 }
 
@@ -135,8 +138,11 @@
             request.seed,
             settings.answer_tokens_min,
             settings.answer_tokens_max,
+            settings.software_version,
         )
         try:
+            if _is_of_other_version(request, settings):
+                raise RequestRefusedError(RefusalReason.OTHER_VERSION)
             async with (
                 self._service.stream(_submission(request, answer)) as items,
                 anyio.create_task_group() as watchers,
@@ -224,7 +230,12 @@
                 await self._send_end(exchange, request, answer, item)
             return
         chunks = (
-            EngineChunk(request.attempt_id, position, answer.token(position))
+            EngineChunk(
+                request.attempt_id,
+                position,
+                answer.token(position),
+                software_version=self._service.settings.software_version,
+            )
             for position in range(item.first_position, item.end_position)
         )
         await exchange.send_part(b"".join(_event(chunk) for chunk in chunks))
@@ -262,6 +273,13 @@
         )
 
 
+def _is_of_other_version(request: EngineChatRequest, settings: EngineModelSettings) -> bool:
+    """Whether the engine must refuse to continue an answer, as another version began it."""
+    own = settings.software_version
+    is_checked = settings.checks_version and bool(own)
+    return is_checked and request.resume_from > 0 and request.resume_version != own
+
+
 def _submission(request: EngineChatRequest, answer: Answer) -> Submission:
     """Return the request as numbers."""
     return Submission(
--- a/src/passlane/emulator/engine_outputs.py
+++ b/src/passlane/emulator/engine_outputs.py
@@ -46,6 +46,7 @@
     STALE_EPOCH = "stale_epoch"
     TOO_LONG = "too_long"
     DUPLICATE_ATTEMPT = "duplicate_attempt"
+    OTHER_VERSION = "other_version"
 
 
 class FinishReason(enum.StrEnum):
--- a/src/passlane/emulator/engine_settings.py
+++ b/src/passlane/emulator/engine_settings.py
@@ -44,8 +44,15 @@
         Share of the steps that take ``stall_s`` longer.
     failure_probability
         Share of the requests whose stream breaks off in the middle.
+    software_version
+        Version of its software, which it tells with each token. Answers differ between versions.
+        Empty: it tells none, and continues any answer.
+    checks_version
+        Whether it refuses to continue the answer of another version.
     """
 
+    software_version: str = ""
+    checks_version: bool = True
     models: tuple[str, ...] = ("agent",)
     max_batch: int = 16
     max_waiting: int = 256
--- a/src/passlane/messages/backends.py
+++ b/src/passlane/messages/backends.py
@@ -27,6 +27,9 @@
         A lower value is more urgent.
     resume_from, resume_text
         Number of tokens already received of this answer, and their text.
+    resume_version
+        Software version of the engine that generated them; an engine of another version must
+        refuse with status 412. Empty if that engine told none.
     """
 
     model: str
@@ -39,11 +42,16 @@
     seed: int = 0
     resume_from: int = 0
     resume_text: str = ""
+    resume_version: str = ""
     stream: bool = True
 
 
 class EngineChunk(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One server-sent event: a token, or with ``finish_reason`` the end and the usage."""
+    """One server-sent event: a token, or with ``finish_reason`` the end and the usage.
+
+    ``software_version`` is that of the engine, not of the model's weights; empty if the engine
+    tells none.
+    """
 
     attempt_id: str
     position: int = 0
@@ -53,6 +61,7 @@
     cached_tokens: int = 0
     generated_tokens: int = 0
     incarnation: int = 0
+    software_version: str = ""
 
 
 class EngineCancel(msgspec.Struct, frozen=True):
--- a/src/passlane/messages/node.py
+++ b/src/passlane/messages/node.py
@@ -27,6 +27,8 @@
     resume_from, resume_text
         Number of tokens of this answer that the caller has received, and their text; set
         when the request is sent again after its leader was lost.
+    resume_version
+        Software version of the engine that generated them; empty if unknown.
     is_named
         Whether the caller identified the call by a key or a sequence number, so that it can
         request the outcome again. Any other call is cancelled when its caller disconnects.
@@ -47,6 +49,7 @@
     timeout_s: float = 60.0
     resume_from: int = 0
     resume_text: str = ""
+    resume_version: str = ""
     is_named: bool = False
     is_resent: bool = False
 
@@ -84,12 +87,13 @@
 class TextChunk(Message, frozen=True):
     """Part of a generated answer: ``tokens`` tokens, the first of them at ``position``.
 
-    Positions count from 0.
+    Positions count from 0. ``software_version`` is that of the answer's engines; empty if unknown.
     """
 
     position: int
     text: str
     tokens: int = 1
+    software_version: str = ""
 
 
 class CallAnswered(Message, frozen=True):
--- a/src/passlane/node/call_planning.py
+++ b/src/passlane/node/call_planning.py
@@ -67,6 +67,7 @@
         new_prompt_tokens=new_prompt_tokens,
         is_named=request.is_named,
         resume_texts=_resume_texts(request),
+        resume_version=request.resume_version,
     )
     return PlannedCall(plan)
 
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -103,7 +103,7 @@
     def subscribe(self, subscription: Subscription) -> None:
         """Add a caller, starting with the tokens received so far."""
         for position, text in enumerate(self.machine.texts):
-            subscription.push(TextChunk(position, text))
+            subscription.push(self._chunk(position, text))
         if self._answer is None:
             self._subscriptions.append(subscription)
         else:
@@ -233,7 +233,10 @@
         if self._first_token_at is None:
             self._first_token_at = anyio.current_time()
         for subscription in self._subscriptions:
-            subscription.push(TextChunk(position, text))
+            subscription.push(self._chunk(position, text))
+
+    def _chunk(self, position: int, text: str) -> TextChunk:
+        return TextChunk(position, text, software_version=self.machine.software_version)
 
     def _send_answer(self, instruction: SendAnswer) -> None:
         answer = instruction.answer
--- a/src/passlane/node/forwarder.py
+++ b/src/passlane/node/forwarder.py
@@ -51,6 +51,7 @@
     def __init__(self, request: CallRequest, emit: Emit, reports: CallReports) -> None:
         self.texts: list[str] = [request.resume_text] if request.resume_from else []
         self.next_position = request.resume_from
+        self.software_version = request.resume_version
         self.is_finished = False
         self.is_resent = False
         self.may_have_run = may_be_repeat(request)
@@ -70,6 +71,7 @@
                 return
             self.next_position = event.position + event.tokens
             self.texts.append(event.text)
+            self.software_version = event.software_version
         else:
             self.is_finished = True
         if isinstance(event, CallRefused):
@@ -137,6 +139,7 @@
             request,
             resume_from=progress.next_position,
             resume_text="".join(progress.texts),
+            resume_version=progress.software_version,
             timeout_s=remaining_s,
             is_resent=progress.is_resent,
         )
--- a/src/passlane/node/led_program.py
+++ b/src/passlane/node/led_program.py
@@ -31,13 +31,16 @@
     Attributes
     ----------
     texts
-        Tokens of its answer that have been generated so far.
+        Tokens of its answer that have been generated so far, and that a repeat continues.
+    software_version
+        Version of the engines that generated them; empty if unknown.
     proved_not_run
         Whether this leader knows that no part of it has run.
     """
 
     call: CallRecord
     texts: tuple[str, ...] = ()
+    software_version: str = ""
     proved_not_run: bool = False
 
     def abandoned_outcome(self) -> CallOutcome:
--- a/src/passlane/node/model_attempt.py
+++ b/src/passlane/node/model_attempt.py
@@ -27,6 +27,8 @@
 
 MODEL_NOT_LOADED_STATUS = 404
 """HTTP status of an engine that has not loaded the model; another engine may have it."""
+OTHER_VERSION_STATUS = 412
+"""HTTP status of an engine that does not continue the answer of another software version."""
 
 
 @dataclass
@@ -113,13 +115,16 @@
             seed=xxhash.xxh32_intdigest(self.plan.call_id.encode()),
             resume_from=self.start.resume_from,
             resume_text=self.start.resume_text,
+            resume_version=self.start.resume_version,
         )
 
     def _on_chunk(self, chunk: EngineChunk) -> None:
         if not self._has_token:
             self._has_token = True
             self.services.models.report_first_token(self.plan.call_id)
-        self.post(TokenReceived(chunk.attempt_id, chunk.position, chunk.text))
+        self.post(
+            TokenReceived(chunk.attempt_id, chunk.position, chunk.text, chunk.software_version)
+        )
 
     def _record_incarnation(self, final: EngineChunk) -> None:
         self.services.engines.record_incarnation(self.engine_id, final.incarnation)
@@ -130,7 +135,14 @@
         is_final = isinstance(error, BackendError) and error.is_final
         if isinstance(error, BackendError) and error.status == MODEL_NOT_LOADED_STATUS:
             is_final = False
-        may_retry = not is_unrecoverable and self.services.models.try_retry(self.start.backend)
+        is_other_version = (
+            isinstance(error, BackendError)
+            and error.status == OTHER_VERSION_STATUS
+            and error.verdict is Verdict.NOT_RUN
+        )
+        may_retry = not is_unrecoverable and (
+            is_other_version or self.services.models.try_retry(self.start.backend)
+        )
         return AttemptFailed(
             attempt_id=self.start.attempt_id,
             verdict=error.verdict,
@@ -139,4 +151,5 @@
             is_final=is_final,
             retry_allowed=may_retry,
             retry_after_s=error.retry_after_s,
+            is_other_version=is_other_version,
         )
--- a/src/passlane/node/program_host.py
+++ b/src/passlane/node/program_host.py
@@ -218,7 +218,9 @@
         planned = waiting.planned
         plan = planned.plan
         if reopened is not None and len(reopened.texts) > len(plan.resume_texts):
-            plan = replace(plan, resume_texts=reopened.texts)
+            plan = replace(
+                plan, resume_texts=reopened.texts, resume_version=reopened.software_version
+            )
         context = CallContext(
             request=waiting.request,
             plan=plan,
@@ -263,9 +265,11 @@
         call = self.program.calls.get(runner.call_id)
         if call is None or call.state is CallState.FINISHED or runner.left_open is None:
             return
+        machine = runner.machine
         self.program.open_call = OpenCall(
             call=call,
-            texts=tuple(runner.machine.texts),
+            texts=() if machine.must_begin_anew else tuple(machine.texts),
+            software_version=machine.software_version,
             proved_not_run=runner.left_open.proved_not_run,
         )
 
--- a/src/passlane/node/subscription.py
+++ b/src/passlane/node/subscription.py
@@ -90,4 +90,4 @@
             self._events.popleft()
             texts.append(chunk.text)
             tokens += chunk.tokens
-        return TextChunk(first.position, "".join(texts), tokens)
+        return TextChunk(first.position, "".join(texts), tokens, first.software_version)
--- a/src/passlane/programs/call_events.py
+++ b/src/passlane/programs/call_events.py
@@ -54,11 +54,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenReceived:
-    """A token of an attempt's answer; ``position`` is its zero-based index in the answer."""
+    """A token of an attempt's answer; ``position`` is its zero-based index in the answer.
+
+    ``software_version`` is that of the engine; empty if it tells none.
+    """
 
     attempt_id: str
     position: int
     text: str
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +97,8 @@
         The back end rejected the request; a retry would be rejected too.
     retry_allowed
         Whether the back end's retry budget allows another attempt.
+    is_other_version
+        Whether the engine refused to continue an answer that another software version began.
     """
 
     attempt_id: str
@@ -102,6 +108,7 @@
     is_final: bool = False
     retry_allowed: bool = True
     retry_after_s: float | None = None
+    is_other_version: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/passlane/programs/call_instructions.py
+++ b/src/passlane/programs/call_instructions.py
@@ -26,13 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the call to a back end; the answer resumes after ``resume_from`` received tokens."""
+    """Send the call to a back end; the answer resumes after ``resume_from`` received tokens.
+
+    ``resume_version`` is the software version that generated them; empty if unknown.
+    """
 
     attempt_id: str
     backend: str
     priority: int
     resume_from: int
     resume_text: str
+    resume_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -66,6 +66,16 @@
         Prefix of the ids of its attempts; unique to this request.
     may_have_run
         Whether an earlier request for the same call may have run it.
+
+    Attributes
+    ----------
+    texts
+        Tokens of the answer so far.
+    software_version
+        Version of the engines that generate the answer, as the engine of its first token tells it.
+    must_begin_anew
+        Whether engines did not continue the answer because of their version, so that a repeat of
+        the call has to begin it again.
     """
 
     def __init__(self, plan: CallPlan, attempt_prefix: str, *, may_have_run: bool = False) -> None:
@@ -73,6 +83,8 @@
         self.phase = CallPhase.CREATED
         self.attempts = 0
         self.texts: list[str] = list(plan.resume_texts)
+        self.software_version = plan.resume_version
+        self.must_begin_anew = False
         self.sequence = -1
         self._attempt_prefix = attempt_prefix
         self._attempt_id: str | None = None
@@ -85,6 +97,7 @@
         self._usage = AttemptFinished(attempt_id="")
         self._resumed_from = 0
         self._failed_attempt_tokens = 0
+        self._other_versions: set[str] = set()
         self._last_failure: AttemptFailed | None = None
 
     @property
@@ -175,7 +188,7 @@
         self.attempts += 1
         self._backend = event.backend
         self._resumed_from = len(self.texts)
-        self._attempt_id = f"{self._attempt_prefix}.{self.attempts}"
+        self._attempt_id = f"{self._attempt_prefix}.{self.attempts + len(self._other_versions)}"
         return [
             StartAttempt(
                 attempt_id=self._attempt_id,
@@ -183,6 +196,7 @@
                 priority=event.priority,
                 resume_from=len(self.texts),
                 resume_text="".join(self.texts),
+                resume_version=self.software_version,
             )
         ]
 
@@ -200,6 +214,10 @@
             return self._fail_on_gap(event)
         if len(self.texts) >= self.plan.max_tokens:
             return []
+        if not self.texts:
+            self.software_version = event.software_version
+        elif event.software_version != self.software_version:
+            return self._fail_on_other_version(event)
         self._may_have_run = True
         self.texts.append(event.text)
         return [SendToken(position=event.position, text=event.text)]
@@ -214,6 +232,18 @@
         )
         return [CancelAttempt(event.attempt_id), *self._on_attempt_failed(failure)]
 
+    def _fail_on_other_version(self, event: TokenReceived) -> list[CallInstruction]:
+        """Abandon an attempt that continues the answer at another software version."""
+        self.must_begin_anew = True
+        failure = AttemptFailed(
+            attempt_id=event.attempt_id,
+            verdict=Verdict.MAY_HAVE_RUN,
+            code=ErrorCode.BACKEND_FAILED,
+            message=f"the engine's software version is {event.software_version!r}, that of the "
+            f"answer so far {self.software_version!r}",
+        )
+        return [CancelAttempt(event.attempt_id), *self._on_attempt_failed(failure)]
+
     def _on_attempt_finished(self, event: AttemptFinished) -> list[CallInstruction]:
         if self.phase is not CallPhase.RUNNING or event.attempt_id != self._attempt_id:
             return []
@@ -252,6 +282,8 @@
             self._failed_attempt_tokens += self.plan.max_tokens - self._resumed_from
             if not self._may_retry_in_doubt:
                 return self._resolve_doubt()
+        if event.is_other_version:
+            return self._place_elsewhere(event)
         if event.is_final:
             # The rejection covers this attempt only; an earlier one may have run.
             verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else event.verdict
@@ -265,6 +297,20 @@
         self.phase = CallPhase.PAUSED_BEFORE_RETRY
         return [WaitBeforeRetry(self._retry_delay(self.attempts))]
 
+    def _place_elsewhere(self, event: AttemptFailed) -> list[CallInstruction]:
+        """Try an engine of another version than the one that has just refused to continue.
+
+        Such a refusal does not count as an attempt. The second one of an engine shows that no other
+        engine is left.
+        """
+        if self._backend in self._other_versions:
+            self.must_begin_anew = True
+            message = f"no engine of software version {self.software_version!r} is available"
+            return self._refuse(event.code, message, None)
+        self._other_versions.add(self._backend)
+        self.attempts -= 1
+        return self._place()
+
     def _retry_delay(self, tries: int) -> float:
         return INITIAL_RETRY_DELAY_S * float(2 ** max(0, tries - 1))
 
--- a/src/passlane/programs/call_plan.py
+++ b/src/passlane/programs/call_plan.py
@@ -40,6 +40,8 @@
         Whether the caller can repeat the call to get its outcome again.
     resume_texts
         Texts of the tokens that the caller has already received.
+    resume_version
+        Software version of the engine that generated them; empty if unknown.
     """
 
     call_id: CallId
@@ -53,3 +55,4 @@
     offers_status: bool = False
     is_named: bool = False
     resume_texts: tuple[str, ...] = ()
+    resume_version: str = ""
--- a/src/passlane/simulation/answer_checks.py
+++ b/src/passlane/simulation/answer_checks.py
@@ -14,7 +14,8 @@
 def answers_are_whole_and_own(seen: Observations) -> list[str]:
     """Check that each answer is the one that its own prompt asks for, token by token.
 
-    Emulated answers follow from the prompt alone, so the right one can be computed.
+    Emulated answers follow from the prompt and the engine's software version, so the right ones can
+    be computed. An answer that joins two versions is none of them.
     """
     expected: dict[str, set[str]] = defaultdict(set)
     for prompt in seen.prompts:
@@ -44,6 +45,7 @@
         request.seed,
         engine.answer_tokens_min,
         engine.answer_tokens_max,
+        prompt.software_version,
     )
     return answer.text(0, min(answer.natural_tokens, request.max_tokens))
 
--- a/src/passlane/simulation/back_ends.py
+++ b/src/passlane/simulation/back_ends.py
@@ -101,7 +101,8 @@
             return
         event = await receive()
         prompt = msgspec.json.decode(event["body"], type=EngineChatRequest)
-        self._seen.prompts.append(SeenPrompt(anyio.current_time(), self.name, prompt))
+        version = self.service.settings.software_version
+        self._seen.prompts.append(SeenPrompt(anyio.current_time(), self.name, prompt, version))
         self._event_log.record("prompt", f"{self.name} {prompt.program_id}")
         pending = [event]
 
@@ -116,6 +117,12 @@
         self.service.restart()
         self._network.break_connections(self.host)
 
+    def release(self, software_version: str) -> None:
+        """Start again, as above, with another software version."""
+        settings = self.service.settings
+        self.service.settings = msgspec.structs.replace(settings, software_version=software_version)
+        self.crash_and_restart()
+
     def held_programs(self) -> dict[str, int]:
         """Return the tokens held for each program."""
         snapshot = self.service.model.cache_snapshot()
--- a/src/passlane/simulation/cluster.py
+++ b/src/passlane/simulation/cluster.py
@@ -1,7 +1,8 @@
 """A simulated fleet: daemons, back ends, callers, operators, and the faults between them."""
 
+import itertools
 import random
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -51,14 +52,23 @@
         Changes each new disk, to seed a defect.
     replacements
         Parts of the product that are replaced while the fleet runs, to seed a defect.
+    engine_versions
+        Software versions that the engines run in turn; empty: they tell none.
     """
 
     engine: EngineModelSettings = ENGINE_SETTINGS
+    engine_versions: tuple[str, ...] = ()
     application: ApplicationSettings = APPLICATION_SETTINGS
     wrap_disk: Callable[[SimulatedDisk], SimulatedDisk] = field(default=lambda disk: disk)
     replacements: tuple[Replacement, ...] = ()
 
 
+def _engine_settings(options: ClusterOptions) -> Iterator[EngineModelSettings]:
+    """Yield the settings of one engine after the other, without end."""
+    for version in itertools.cycle(options.engine_versions or ("",)):
+        yield msgspec.structs.replace(options.engine, software_version=version)
+
+
 class Cluster:
     """A running fleet; made by ``run_cluster``."""
 
@@ -79,8 +89,8 @@
         }
         witness = Witness(self.event_log, self.observations)
         self.engines = {
-            name: SimulatedEngine(self._machine_of(name), options.engine, witness)
-            for name in plan.engine_names()
+            name: SimulatedEngine(self._machine_of(name), settings, witness)
+            for name, settings in zip(plan.engine_names(), _engine_settings(options), strict=False)
         }
         self.applications = {
             name: SimulatedApplication(self._machine_of(name), options.application, witness)
--- a/src/passlane/simulation/observer.py
+++ b/src/passlane/simulation/observer.py
@@ -120,11 +120,15 @@
 
 @dataclass(frozen=True)
 class SeenPrompt:
-    """A chat request as it arrived at an engine."""
+    """A chat request as it arrived at an engine.
+
+    ``software_version`` is the engine's; empty if it tells none.
+    """
 
     time: float
     engine: str
     request: EngineChatRequest
+    software_version: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/passlane/simulation/scenarios/back_ends.py
+++ b/src/passlane/simulation/scenarios/back_ends.py
@@ -12,10 +12,14 @@
     Cluster,
     ClusterOptions,
 )
+from passlane.simulation.fleet_plan import FleetPlan
 from passlane.simulation.observer import Departure
 from passlane.simulation.scenarios.base import Scenario, load, load_script, pause
 
+SOFTWARE_VERSIONS = ("v1", "v2")
+RELEASE_SHARE = 0.3
 SLOW_ENGINE = EngineModelSettings(answer_tokens_min=30, answer_tokens_max=60, step_base_s=0.06)
+UNCHECKING_ENGINE = msgspec.structs.replace(SLOW_ENGINE, checks_version=False)
 FAULTY_ENGINE = msgspec.structs.replace(ENGINE_SETTINGS, failure_probability=0.15)
 FAULTY_APPLICATION = ApplicationSettings(
     tools=(TOOL,),
@@ -59,6 +63,18 @@
             cluster.engines[engine].crash_and_restart()
 
 
+async def engine_versions(cluster: Cluster) -> None:
+    """Restart engines of two software versions while they stream; some come back as the other."""
+    async with load(cluster, programs=8):
+        for _ in range(6):
+            await pause(cluster, 0.3, 1.5)
+            engine = cluster.engines[cluster.random.choice(cluster.plan.engine_names())]
+            if cluster.random.random() < RELEASE_SHARE:
+                engine.release(cluster.random.choice(SOFTWARE_VERSIONS))
+            else:
+                engine.crash_and_restart()
+
+
 async def engine_unreachable(cluster: Cluster) -> None:
     """Cut an engine off in silence for a while."""
     engine = cluster.random.choice(cluster.plan.engine_names())
@@ -160,6 +176,30 @@
         engine_restarted,
         options=_engine_options(SLOW_ENGINE),
     ),
+    Scenario(
+        "engine-versions",
+        ("answers",),
+        "engines of two software versions restart while they stream, some as the other version",
+        engine_versions,
+        plan=FleetPlan(engines=4),
+        options=ClusterOptions(
+            engine=SLOW_ENGINE,
+            application=APPLICATION_SETTINGS,
+            engine_versions=SOFTWARE_VERSIONS,
+        ),
+    ),
+    Scenario(
+        "engine-versions-unchecked",
+        ("answers",),
+        "the same with engines that continue the answers of any version",
+        engine_versions,
+        plan=FleetPlan(engines=4),
+        options=ClusterOptions(
+            engine=UNCHECKING_ENGINE,
+            application=APPLICATION_SETTINGS,
+            engine_versions=SOFTWARE_VERSIONS,
+        ),
+    ),
     Scenario(
         "engine-streams-break",
         ("answers",),
--- a/tests/node/fakes.py
+++ b/tests/node/fakes.py
@@ -92,6 +92,8 @@
     ----------
     break_after
         For each of the next requests: tokens after which the connection fails; ``None``: never.
+    software_version
+        Version that it tells with each token; empty for none.
     echo_attempt
         If set, each stream starts with a token of this earlier attempt.
     """
@@ -102,6 +104,7 @@
         self.incarnation = 1
         self.break_after: list[int | None] = []
         self.echo_attempt: str | None = None
+        self.software_version = ""
         self.requests: list[EngineChatRequest] = []
         self.cached: dict[str, int] = {}
         self.tokens_sent = 0
@@ -150,7 +153,7 @@
                     raise HttpConnectionError("the engine died", bytes_left=True)
                 await anyio.sleep(STEP_S)
                 self.tokens_sent += 1
-                yield _event(EngineChunk(chat.attempt_id, position, f"t{position} "))
+                yield _event(self._token(chat, position))
             final = EngineChunk(
                 chat.attempt_id, end, finish_reason="stop", incarnation=self.incarnation
             )
@@ -158,6 +161,10 @@
         finally:
             self.running -= 1
 
+    def _token(self, chat: EngineChatRequest, position: int) -> EngineChunk:
+        version = self.software_version
+        return EngineChunk(chat.attempt_id, position, f"t{position} ", software_version=version)
+
     def _order(self, order: EngineOrder) -> FakeResponse:
         if self.refuses_orders:
             raise HttpConnectionError("unreachable", bytes_left=False)
--- a/tests/node/test_calls_under_failure.py
+++ b/tests/node/test_calls_under_failure.py
@@ -304,12 +304,18 @@
     def test_call_resumes_under_a_new_leader(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             answer = Answer()
+            for engine in fleet.engines:
+                engine.software_version = "v1"
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(fleet.call, chat(), answer, 1)
                 await anyio.sleep(0.025)
                 fleet.network.cut_off(fleet.leaderships[0].address)
                 await anyio.sleep(0.5)
                 fleet.lead(1, announced=False)
+            resumed = [
+                one for engine in fleet.engines for one in engine.requests if one.resume_from
+            ]
+            self.assertEqual({one.resume_version for one in resumed}, {"v1"})
             self.assertEqual("".join(answer.texts), expected_answer())
             self.assertEqual(fleet.record().turns[-1].content, expected_answer())
 
--- a/tests/programs/call_driver.py
+++ b/tests/programs/call_driver.py
@@ -39,6 +39,7 @@
     offers_status: bool = True,
     is_named: bool = True,
     resume_texts: tuple[str, ...] = (),
+    resume_version: str = "",
 ) -> CallPlan:
     """Return the plan of a model call, or of a charge that by default must not be repeated."""
     is_model = kind is CallKind.MODEL
@@ -54,6 +55,7 @@
         offers_status=offers_status and not is_model,
         is_named=is_named,
         resume_texts=resume_texts,
+        resume_version=resume_version,
     )
 
 
@@ -124,9 +126,12 @@
         self.post(PlacementGranted(backend))
         return self.started[-1].attempt_id
 
-    def token(self, position: int, attempt_id: str | None = None) -> list[CallInstruction]:
+    def token(
+        self, position: int, attempt_id: str | None = None, version: str = ""
+    ) -> list[CallInstruction]:
         """Report a token of an attempt, by default of the last one."""
-        return self.post(TokenReceived(attempt_id or self._last(), position, f"t{position}"))
+        attempt_id = attempt_id or self._last()
+        return self.post(TokenReceived(attempt_id, position, f"t{position}", version))
 
     def finish(self, answer_tokens: int | None = None, body: str = "") -> list[CallInstruction]:
         """Report that the last attempt completed."""
@@ -139,6 +144,7 @@
         is_final: bool = False,
         retry_allowed: bool = True,
         retry_after_s: float | None = None,
+        is_other_version: bool = False,
     ) -> list[CallInstruction]:
         """Report that the last attempt failed."""
         return self.post(
@@ -150,6 +156,7 @@
                 is_final=is_final,
                 retry_allowed=retry_allowed,
                 retry_after_s=retry_after_s,
+                is_other_version=is_other_version,
             )
         )
 
