A stream whose version a late list doesn't name yet is refused with a time to come back

What callers saw: a stream that begins at the first engines of a new version and breaks off within a second of them is refused by a node whose list doesn't name them yet, without a time to come back, as if the version were gone. Cause: an engine that left and one that has not come yet looked the same. Evidence: test_a_node_with_a_late_list_mixes_no_versions with its new assertion fails on the code before (no retry-after). Change: if the node never listed the version of the stream, another node did, so its list is late: one second. A version that it listed lately is gone, and there is no such time. With it: the list counts as fresh up to 3 s in place of 2 (nodes read it themselves from 2 s on, and that takes a moment); a node remembers 1,000 origins in place of 5,000 and the store keeps them for 15 s in place of 30, since callers resume within some seconds and machines have 88 MB.

--- a/src/passlane/decisions/failure/retry_after.py
+++ b/src/passlane/decisions/failure/retry_after.py
@@ -1,7 +1,8 @@
 """Computes the retry-after time of refused requests, in seconds.
 
-There are two cases: the node can't serve requests (no configuration, no leader of the store group,
-or the node is overloaded), or the back ends have no free capacity.
+There are three cases: the node can't serve requests (no configuration, no leader of the store
+group, or the node is overloaded), the back ends have no free capacity, or the node's list of back
+ends is behind that of another node.
 """
 
 MIN_OUTAGE_RETRY_S = 0.1
@@ -13,6 +14,8 @@
 ROOM_RETRY_SPREAD = 0.5
 """Maximum share that jitter adds to a retry-after time, also at the upper bound, so that callers
 refused together don't retry together."""
+LATE_LIST_RETRY_S = 1.0
+"""Time until a node's list names the engines that the lists of other nodes name now."""
 
 
 def retry_after_outage_s(outage_s: float) -> float:
--- a/src/passlane/decisions/placement/stream_versions.py
+++ b/src/passlane/decisions/placement/stream_versions.py
@@ -16,9 +16,10 @@
 from passlane.messages.listing import BackendRecord
 from passlane.messages.streams import StreamOrigin
 
-FRESH_LIST_S = 2.0
-"""Maximum age in seconds of a list from which the version of a stream may be inferred. Lists of
-other nodes may be newer and name a version that this one does not."""
+FRESH_LIST_S = 3.0
+"""Maximum age in seconds of a list from which the version of a stream may be inferred; nodes read
+the list themselves before it is that old. Lists of other nodes may be newer and name a version that
+this one does not."""
 
 
 class OriginSource(enum.StrEnum):
--- a/src/passlane/relay/begun_streams.py
+++ b/src/passlane/relay/begun_streams.py
@@ -15,7 +15,7 @@
 from passlane.observability.logging import get_logger
 from passlane.turns.client import TurnStoreClient
 
-MAX_ORIGINS = 5_000
+MAX_ORIGINS = 1_000
 """Streams that a node remembers; the oldest give way."""
 REPORT_TIMEOUT_S = 3.0
 REPORT_RETRY_DELAY_S = 0.1
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -37,7 +37,7 @@
 """Retention beyond the requested time, because the age of the state lags behind real time."""
 MIN_PROGRAM_RETENTION_S = 60.0
 """Minimum retention of a program's spending after its last turn."""
-STREAM_RETENTION_S = 30.0
+STREAM_RETENTION_S = 15.0
 """Retention of a stream's origin; callers resume a stream within a few seconds."""
 MAX_RECORDS_PER_PART = 100
 """Programs, turns or streams in one part of a snapshot."""
--- a/tests/on_platform/test_stream_versions.py
+++ b/tests/on_platform/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 from on_platform.stand_in import RESUMABLE_ROUTE
 from on_platform.test_fleet import on_seeds
+from passlane.decisions.failure.retry_after import LATE_LIST_RETRY_S
 from passlane.messages.fleet import FleetRole
 
 
@@ -197,7 +198,8 @@
         await anyio.sleep(3.0)
         began = await begin_stream(fleet, "one")
         self.assertEqual(began.software_version, "v2")
-        await self.assert_refused(fleet, "one", b"no_engine_of_version")
+        _, answer = await self.assert_refused(fleet, "one", b"no_engine_of_version")
+        self.assertEqual(answer.headers["retry-after"], f"{LATE_LIST_RETRY_S:g}")
 
 
 class OnlyVersionTest(unittest.TestCase):
