A stream goes on at engines of its version that have just begun to drain

What callers would see: at the end of a release, when all engines of the old version drain, streams that they began and that break off are refused, though these engines serve on for seconds. Cause: a draining engine gets nothing new, whatever it is, and a stream of its version has nowhere else to go. Evidence: test_a_stream_goes_on_at_engines_that_have_just_begun_to_drain (503 where 200 is due) fails on the code before. Change: if no ready engine of the stream's version is left, those count that this node's lists named as ready before and as draining for a second at most. An engine that it never saw ready may have drained for long, so it doesn't.

--- a/src/passlane/decisions/backends/registry.py
+++ b/src/passlane/decisions/backends/registry.py
@@ -20,6 +20,11 @@
 than callers take to resume a stream."""
 
 
+SERVES_WHILE_DRAINING_S = 1.0
+"""Seconds after the first list that names a back end as draining during which it certainly still
+accepts requests; back ends drain for three seconds and more, and lists are up to a second late."""
+
+
 class _ServiceVersion(NamedTuple):
     """A software version of a service."""
 
@@ -40,6 +45,9 @@
         Number of consecutive failures.
     health
         Health as seen by this node's requests.
+    draining_since
+        Local time of the first list that named it as draining, if earlier ones named it as ready;
+        else ``None``.
     """
 
     record: BackendRecord
@@ -47,6 +55,7 @@
     avoid_until: float = 0.0
     failures: int = 0
     health: BackendHealth = msgspec.field(default_factory=BackendHealth)
+    draining_since: float | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -101,6 +110,7 @@
         loads: dict[IncarnationId, BackendLoad] = {}
         for record in newest_incarnations(records, self._records()):
             load = self._loads.get(record.incarnation) or BackendLoad(record)
+            load.draining_since = _draining_since(load, record, now)
             load.record = record
             loads[record.incarnation] = load
         gone = [load.record for load in self._loads.values() if load.is_ready]
@@ -147,6 +157,16 @@
             if load.record.service == service and load.is_ready
         ]
 
+    def just_draining(self, service: str, now: float) -> list[BackendLoad]:
+        """Return the back ends of a service that began to drain so lately that they still serve."""
+        return [
+            load
+            for load in self._loads.values()
+            if load.record.service == service
+            and load.draining_since is not None
+            and now - load.draining_since <= SERVES_WHILE_DRAINING_S
+        ]
+
     def evaluate_health(self, service: str, now: float) -> ServiceHealth:
         """Evaluate the health of a service's back ends and record its outliers."""
         loads = self.of_service(service)
@@ -167,3 +187,10 @@
 
     def __len__(self) -> int:
         return len(self._loads)
+
+
+def _draining_since(load: BackendLoad, record: BackendRecord, now: float) -> float | None:
+    """Return since when a back end drains, given its record in a new list."""
+    if record.state is BackendState.READY:
+        return None
+    return now if load.is_ready else load.draining_since
--- a/src/passlane/decisions/placement/stream_versions.py
+++ b/src/passlane/decisions/placement/stream_versions.py
@@ -111,12 +111,7 @@
     return bool(origin.software_version) and record.software_version == origin.software_version
 
 
-def restrict_to_origin(health: ServiceHealth, origin: StreamOrigin | None) -> ServiceHealth:
-    """Return a service's health with only the engines at which a stream may go on.
-
-    Without an origin the stream has not begun, and any engine may begin it.
-    """
-    if origin is None:
-        return health
+def restrict_to_origin(health: ServiceHealth, origin: StreamOrigin) -> ServiceHealth:
+    """Return a service's health with only the engines at which a stream may go on."""
     loads = [load for load in health.loads if may_continue(origin, load.record)]
     return msgspec.structs.replace(health, loads=loads)
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 
 from passlane.decisions.backends.health import stall_limit_s
 from passlane.decisions.backends.registry import BackendLoad, ServiceHealth
@@ -98,11 +99,18 @@
         Raises
         ------
         RequestRefusedError, RequestFailedError
-            When no listed engine has the software version of the caller's stream.
+            When no engine of the software version of the caller's stream is left.
         """
-        health = restrict_to_origin(evaluate_health(self._context, now), self._history.origin)
-        if self._history.origin is None or health.loads:
+        origin = self._history.origin
+        health = evaluate_health(self._context, now)
+        if origin is None:
             return health
+        allowed = restrict_to_origin(health, origin)
+        if not allowed.loads:
+            leaving = self._context.registry.just_draining(origin.service, now)
+            allowed = restrict_to_origin(msgspec.structs.replace(health, loads=leaving), origin)
+        if allowed.loads:
+            return allowed
         if self._history.verdict is not Verdict.NOT_RUN:
             raise RequestFailedError(RequestEndReason.NO_FURTHER_ENGINE_OF_VERSION)
         raise RequestRefusedError(
--- a/tests/decisions/placement/test_stream_versions.py
+++ b/tests/decisions/placement/test_stream_versions.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from passlane.decisions.backends.registry import VERSION_MEMORY_S, BackendRegistry
+import msgspec
+
+from passlane.decisions.backends.registry import (
+    SERVES_WHILE_DRAINING_S,
+    VERSION_MEMORY_S,
+    BackendRegistry,
+)
 from passlane.decisions.placement.stream_versions import (
     FRESH_LIST_S,
     OriginSource,
@@ -47,11 +53,10 @@
         self.assertTrue(may_continue(unknown, record(version="", born_ms=1)))
         self.assertFalse(may_continue(unknown, record(version="", born_ms=2)))
 
-    def test_a_stream_that_has_not_begun_is_not_restricted(self):
+    def test_only_engines_that_may_continue_are_left(self):
         registry = BackendRegistry()
         registry.update([record("i-1"), record("i-2", "v2")], 0.0)
         health = registry.evaluate_health("models", 0.0)
-        self.assertEqual(len(restrict_to_origin(health, None).loads), 2)
         (load,) = restrict_to_origin(health, self.origin).loads
         self.assertEqual(load.record.instance_id, "i-1")
 
@@ -114,5 +119,41 @@
         self.assertEqual(self.recent(1.0), {"v1", "v2"})
 
 
+class JustDrainingTest(unittest.TestCase):
+    def setUp(self):
+        self.registry = BackendRegistry()
+        self.registry.update([record()], 0.0)
+        self.drain(10.0)
+
+    def drain(self, now):
+        draining = msgspec.structs.replace(record(), state=BackendState.DRAINING)
+        self.registry.update([draining, record("i-2")], now)
+
+    def names(self, now):
+        loads = self.registry.just_draining("models", now)
+        return [load.record.instance_id for load in loads]
+
+    def test_an_engine_serves_for_a_moment_after_the_list_names_it_as_draining(self):
+        self.assertEqual(self.names(10.0 + SERVES_WHILE_DRAINING_S), ["i-1"])
+        self.assertEqual(self.names(10.1 + SERVES_WHILE_DRAINING_S), [])
+
+    def test_further_lists_do_not_extend_it(self):
+        self.drain(10.9)
+        self.assertEqual(self.names(10.1 + SERVES_WHILE_DRAINING_S), [])
+
+    def test_an_engine_that_was_never_seen_ready_may_have_drained_for_long(self):
+        self.registry = BackendRegistry()
+        self.drain(10.0)
+        self.assertEqual(self.names(10.0), [])
+
+    def test_an_engine_that_is_ready_again_does_not_drain(self):
+        self.registry.update([record()], 10.5)
+        self.assertEqual(self.names(10.5), [])
+
+    def test_an_engine_that_left_the_list_serves_no_more(self):
+        self.registry.update([record("i-2")], 10.5)
+        self.assertEqual(self.names(10.5), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/on_platform/test_stream_versions.py
+++ b/tests/on_platform/test_stream_versions.py
@@ -113,6 +113,17 @@
         version = fleet.engine_of("third").software_version
         self.assertEqual(version, began.software_version)
 
+    @on_seeds(0, 1, engines=4)
+    async def test_a_stream_goes_on_at_engines_that_have_just_begun_to_drain(self, fleet):
+        await serve_two_versions(fleet)
+        began = await begin_stream(fleet, "one")
+        for engine in fleet.engines:
+            if engine.software_version == began.software_version:
+                engine.state = "draining"
+        registry = fleet.machines["node-2"].process._registry
+        await fleet.wait_until(lambda: registry.just_draining("models", anyio.current_time()))
+        await self.assert_goes_on(fleet, "one", began, node="node-2")
+
     @on_seeds(0, 1, engines=4)
     async def test_nearly_all_streams_go_on_while_two_versions_serve(self, fleet):
         await serve_two_versions(fleet)
