Comments that a maintainer needs, taken away with the wording, are back

Compared constant by constant and comment by comment, decisions first: what came back is what the old comment held and what is still true, in today's names: why a quota keeps half of its excess and what a leader without a bound let through, what starves without the two waits of the queue of turns, what a prefill costs, how long slow periods last, what a batch saves and costs. Inline comments were complete.

--- a/src/passlane/decisions/admission/program_admission.py
+++ b/src/passlane/decisions/admission/program_admission.py
@@ -20,7 +20,7 @@
 
 MAX_ADMISSION_WAIT_S = 0.5
 """Maximum wait of a new program before it is refused, below the 2 s after which callers abandon a
-silent stream."""
+silent stream. A retry costs its caller a new connection and a round trip."""
 MAX_ADMISSION_WAIT_AFTER_RETRY_S = 1.5
 """Maximum wait of a program that retried on schedule. Longer than ``MAX_ADMISSION_WAIT_S``, because
 callers abandon a program after repeated refusals."""
@@ -37,8 +37,8 @@
 MIN_RETRY_S = 0.15
 """Lower bound of ``retry_after_s``."""
 MAX_RETRY_S = 3.0
-"""Upper bound of ``retry_after_s``. It may exceed what callers are willing to wait, so that they
-can choose another service."""
+"""Upper bound of ``retry_after_s``. It may exceed what callers are willing to wait (a third of
+their remaining time, mostly 1.3 s), so that they can choose another service."""
 
 
 class ExpectedStart(msgspec.Struct, frozen=True):
--- a/src/passlane/decisions/backends/answer_times.py
+++ b/src/passlane/decisions/backends/answer_times.py
@@ -17,7 +17,8 @@
 SPEED_WEIGHT = 0.3
 """Weight of a new sample in the moving average of a back end's speed."""
 SPEED_DECAY_S = 0.5
-"""Time constant, in seconds, with which a back end's slowness decays to 1 without calls."""
+"""Time constant, in seconds, with which a back end's slowness decays to 1 without calls. Slow
+periods last no longer, and an older sample does not describe the present."""
 
 
 class AnswerTimes:
--- a/src/passlane/decisions/backends/engine_slots.py
+++ b/src/passlane/decisions/backends/engine_slots.py
@@ -25,7 +25,8 @@
 of programs use the rest."""
 PROBE_AFTER_S = 1.0
 """Seconds after an engine's last failure until it may be probed by one turn at a time that finds
-no slot elsewhere. A complete answer clears its failures. Same as ``BreakerConfig.open_s``."""
+no slot elsewhere. A complete answer clears its failures. Same as ``BreakerConfig.open_s``. Without
+probes, up to five times as many turns as there are slots pass until all slots are in use again."""
 FULL_BACKOFF_S = 0.05
 """Seconds without new turns after an engine refused one as full; about the time until a slot is
 free with six slots and turns of 0.3 s."""
--- a/src/passlane/decisions/limits/allowances.py
+++ b/src/passlane/decisions/limits/allowances.py
@@ -11,7 +11,8 @@
 import msgspec
 
 ADVANCE_GRANT_TTL_S = 0.4
-"""Seconds after which an advance grant expires; tool calls follow their turn within 0.1 s."""
+"""Seconds after which an advance grant expires; tool calls follow their turn within 0.1 s. The
+bound over all nodes leaves room for at least half a second of the rate."""
 PRIOR_CALLS_PER_TURN = 2.0
 """Tool calls per turn that are assumed at the start."""
 PRIOR_TURNS = 20.0
--- a/src/passlane/decisions/limits/program_needs.py
+++ b/src/passlane/decisions/limits/program_needs.py
@@ -10,7 +10,7 @@
 from passlane.messages.quotas import QuotaPurpose
 
 PRIOR_TURNS_PER_PROGRAM = 5.0
-"""Turns per program that are assumed at the start."""
+"""Turns per program that are assumed at the start; known programs take 3 to 11."""
 PRIOR_PROGRAMS = 10.0
 """Weight of ``PRIOR_TURNS_PER_PROGRAM``, in programs."""
 DECAY_FACTOR = 0.99
--- a/src/passlane/decisions/limits/quota_ledger.py
+++ b/src/passlane/decisions/limits/quota_ledger.py
@@ -40,25 +40,29 @@
     QuotaPurpose.STANDALONE: 0.1,
 }
 """Maximum wait in seconds by use; a request that would wait longer is refused. The limit is higher
-for a running program, because a refusal would waste its work."""
+for a running program, because a refusal would waste its work. A program of some seconds that should
+end within 1.3 times its duration tolerates 0.25 s."""
 MIN_RETRY_AFTER_S = 0.05
 """Minimum retry interval of a refused request, in seconds."""
 EXCESS_SHARE = 0.5
 """Share of the allowed excess that running programs may use. The rest covers grants that were not
-replicated when a leader failed, and requests that reach an engine late."""
+replicated when a leader failed, and requests that reach an engine late. With 0.75, and two faults
+elsewhere, tenants got 121 requests where 119 are allowed on a day on which leaders failed."""
 UNREPORTED_SHARE = 0.2
 """Share of the allowed excess that may be granted before it is reported to the replicas. The grants
-lost with two failed leaders in one window stay within the excess."""
+lost with two failed leaders in one window stay within the excess. Without a bound, a partitioned
+leader let 742 requests through where 570 are allowed."""
 MIN_UNREPORTED = 1.0
-"""Requests that may be unreported even if no excess is allowed."""
+"""Requests that may be unreported even if no excess is allowed: then each grant but one is reported
+at once."""
 ADVANCE_SHARE = 0.5
 """Share of the limit up to which requests are granted in advance."""
 MIN_ADVANCE_CAPACITY = 200
 """Requests in a window; smaller limits get no advance grants, because unused ones would take too
-large a part of them."""
+large a part of them. Such tenants send few calls, so a request for each costs the leader little."""
 NEW_PROGRAM_FACTOR = 1.0
 """Multiple of the limit that the programs begun within a window may be expected to need. Above 1,
-running programs have to wait."""
+running programs have to wait: with 1.5, each of their turns waited for 0.8 s."""
 DELIVERY_JITTER_S = 0.1
 """Seconds; variation of the delay from a grant to the request's arrival at the engine, mostly the
 queueing at a busy node. Windows are extended by it."""
--- a/src/passlane/decisions/order/capacity_queue.py
+++ b/src/passlane/decisions/order/capacity_queue.py
@@ -8,6 +8,9 @@
    or many nodes don't retry together.
 3. When a request of this node ends at a back end, the first waiting request is sent there.
 4. A request leaves the queue when the time left is too short for an answer.
+
+It is for periods of a few response times in which all slots of a service are in use, seen by many
+nodes that each have one or two requests there.
 """
 
 import math
--- a/src/passlane/decisions/order/program_progress.py
+++ b/src/passlane/decisions/order/program_progress.py
@@ -27,7 +27,8 @@
 """Maximum share of its available time that a program may have waited for slots to count as a sample
 of the needed time."""
 LOOP_FACTOR = 4.0
-"""Multiple of the route's mean number of turns above which a program counts as an endless loop."""
+"""Multiple of the route's mean number of turns above which a program counts as an endless loop. Of
+programs with lognormal turns and sub-agents fewer than one in 100 has as many."""
 MIN_LOOP_TURNS = 24
 """Number of turns up to which no program counts as an endless loop."""
 DEFAULT_TIME_S = 10.0
--- a/src/passlane/decisions/order/turn_queue.py
+++ b/src/passlane/decisions/order/turn_queue.py
@@ -33,13 +33,14 @@
 program has taken twice its time, which leaves about this much for each turn.
 
 ``turn_precedence`` makes smaller turns wait once a large turn has waited this long, so that small
-turns can't starve it of memory."""
+turns can't starve it of memory: otherwise 16 of 30 small turns got a slot, the large turn none."""
 LOOKAHEAD_TURNS = 12
 """Number of turns of one urgency that are searched for one whose prefix the engine has cached.
 Recomputing a prefix delays all turns of the engine."""
 MAX_PASSED_OVER_S = 0.1
 """Wait after which a turn is not passed over any more, neither for a prefix that the engine has
-cached nor by less urgent turns that return to their engine (``turn_precedence``)."""
+cached nor by less urgent turns that return to their engine (``turn_precedence``), of which four
+preceded an urgent turn otherwise."""
 MAX_NEW_PROGRAMS = 2_000
 """Maximum number of waiting new programs; bounds memory."""
 _NEW_PROGRAM_QUEUE = QueueConfig(max_calls=MAX_NEW_PROGRAMS, class_step_s=0.0, urgent_s=0.0)
--- a/src/passlane/decisions/placement/plain_placement.py
+++ b/src/passlane/decisions/placement/plain_placement.py
@@ -4,6 +4,9 @@
 The log line ``plain_backend_chosen`` shows the decisive values. Owns the recent refusals, breaks
 and speed of each back end as seen by this node's calls. Relies on
 ``decisions.backends.answer_times`` and ``decisions.backends.health``.
+
+A node sees one or two of some thirty slots. A back end that has just refused a call is most likely
+still full, and one with six slots and calls of 30 ms has a free slot 5 ms later.
 """
 
 import math
--- a/src/passlane/decisions/placement/shared_parts.py
+++ b/src/passlane/decisions/placement/shared_parts.py
@@ -14,12 +14,13 @@
 from passlane.messages.listing import BackendRecord
 
 ENGINE_SHARE = 0.5
-"""Share of the engines that cache a prefix, large enough to balance its programs by load."""
+"""Share of the engines that cache a prefix, large enough to balance its programs by load. If all
+engines cache each prefix, they compute about 1.6 times as many tokens of prefixes again."""
 MIN_ENGINES = 2
 """Minimum number of engines that cache a prefix, so that one may fail."""
 MIN_LARGE_PART_TOKENS = 4_000
 """Minimum number of tokens of a large prefix. Computing a smaller one takes little more time than
-a round trip to another zone."""
+a round trip to another zone: engines compute 60 to 160 tokens in a millisecond."""
 
 
 def large_shared_part(parts: Sequence[PromptPart]) -> str:
--- a/src/passlane/decisions/placement/turn_placement.py
+++ b/src/passlane/decisions/placement/turn_placement.py
@@ -18,22 +18,26 @@
 from passlane.messages.placement import TurnDemand, TurnOutcome
 
 PREFILL_TOKENS_PER_S = 70_000.0
-"""Prompt tokens per second that an engine computes; close to the slowest engines."""
+"""Prompt tokens per second that an engine computes; close to the slowest engines, which compute 60
+tokens in a millisecond, others up to 160."""
 PREFILL_DELAY_SHARE = 2.0
 """Delay that a prefill causes for each running turn, as a multiple of the prefill time. It delays
-the turn and those that wait for its slot."""
+the turn and those that wait for its slot. That it counts matters, its size little: between 0.25 and
+4 the share of programs on time hardly changes."""
 OTHER_ZONE_S = 0.004
 """Seconds that a round trip to another zone adds to a turn."""
 FULL_BATCH_SLOWDOWN_SHARE = 0.1
 """Share by which a turn takes longer at an engine whose slots are all in use, since larger batches
-have longer steps."""
+have longer steps: by 0.2 to 0.6% for each turn, and by the prefills between its tokens."""
 INITIAL_DURATION_S = 0.15
 """Expected duration of a turn in seconds before any has ended."""
 SMOOTHING = 0.02
 """Weight of one turn in the moving average of a service's turn durations."""
 MAX_QUEUED_TURNS = 5
 """Maximum number of turns queued in an engine beyond its slots. Only turns whose history or large
-shared prefix it has cached are queued, since a short wait costs less than a prefill elsewhere."""
+shared prefix it has cached are queued, since a short wait costs less than a prefill elsewhere. With
+1, fewer programs are on time, and some of two kinds of programs beyond the engines' capacity never
+end."""
 
 
 class TurnDurations:
--- a/src/passlane/observability/standard_output.py
+++ b/src/passlane/observability/standard_output.py
@@ -17,7 +17,8 @@
 FLUSH_PERIOD_S = 0.5
 MAX_WRITE_BYTES = 4_096
 """Limit of a write of several lines. A pipe accepts writes up to this size (``PIPE_BUF``)
-atomically, so that a block-wise reader sees only whole lines."""
+atomically, so that a block-wise reader sees only whole lines. A reader of 8 KiB blocks loses most
+of the lines of larger writes."""
 _EXCLUDED_LEVEL = "debug"
 
 _encoder = msgspec.json.Encoder(enc_hook=str)
--- a/src/passlane/replication/proposal_batch.py
+++ b/src/passlane/replication/proposal_batch.py
@@ -10,7 +10,8 @@
 
 MAX_BATCH_DELAY_S = 0.004
 """Maximum time for which the next batch collects proposals while the last is not committed. A
-longer delay reduces the leader's processor time and increases the latency of proposals."""
+longer delay reduces the leader's processor time and increases the latency of proposals: 12 ms save
+3 to 12% and cost 3 to 12 ms. A batch costs a leader about 30 times as much as a proposal in it."""
 MAX_DEFERRAL_S = 0.02
 """Maximum time for which a deferrable proposal waits for others to share a batch with."""
 
