A stream of an unknown version is refused without a time to come back

What callers would see: a stream that began at an engine of unknown version (a list that came through an older build), whose engine is gone, was told to come back in a second, for nothing. Cause: a version that isn't known is none that the list named. Change: only a known version shows a late list; the rule is a decision of its own now. Evidence: test_a_list_is_late_only_if_it_never_named_a_known_version; the rule before said late for the third case.

--- a/src/passlane/decisions/placement/stream_versions.py
+++ b/src/passlane/decisions/placement/stream_versions.py
@@ -111,6 +111,14 @@
     return bool(origin.software_version) and record.software_version == origin.software_version
 
 
+def is_list_late(origin: StreamOrigin, recent_versions: Collection[str]) -> bool:
+    """Return whether the list does not name yet the version of a stream that another node began.
+
+    Otherwise no engine of the version is known to come back.
+    """
+    return bool(origin.software_version) and origin.software_version not in recent_versions
+
+
 def restrict_to_origin(health: ServiceHealth, origin: StreamOrigin) -> ServiceHealth:
     """Return a service's health with only the engines at which a stream may go on."""
     loads = [load for load in health.loads if may_continue(origin, load.record)]
--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -14,7 +14,7 @@
 from passlane.decisions.backends.registry import BackendLoad, ServiceHealth
 from passlane.decisions.failure.retry_after import LATE_LIST_RETRY_S
 from passlane.decisions.order.capacity_queue import RetryPermit
-from passlane.decisions.placement.stream_versions import restrict_to_origin
+from passlane.decisions.placement.stream_versions import is_list_late, restrict_to_origin
 from passlane.errors import Verdict
 from passlane.relay.attempt import AttemptSender, Deliver
 from passlane.relay.attempt_history import AttemptHistory
@@ -113,19 +113,9 @@
             return allowed
         if self._history.verdict is not Verdict.NOT_RUN:
             raise RequestFailedError(RequestEndReason.NO_FURTHER_ENGINE_OF_VERSION)
-        raise RequestRefusedError(
-            Refusal.of(RequestEndReason.NO_ENGINE_OF_VERSION, self._retry_after_s(now))
-        )
-
-    def _retry_after_s(self, now: float) -> float | None:
-        """Return when to resume a stream of whose version no engine is listed; ``None`` for never.
-
-        Another node has begun it, so if this node never had such an engine, its list is late.
-        """
-        origin = self._history.origin
-        assert origin is not None
         recent = self._context.registry.recent_versions(origin.service, now)
-        return None if origin.software_version in recent else LATE_LIST_RETRY_S
+        retry_after_s = LATE_LIST_RETRY_S if is_list_late(origin, recent) else None
+        raise RequestRefusedError(Refusal.of(RequestEndReason.NO_ENGINE_OF_VERSION, retry_after_s))
 
     def _choose(self, inputs: ChoiceInputs) -> BackendLoad | None:
         """Choose the backend for the next attempt; ``None`` to wait for capacity.
--- a/tests/decisions/placement/test_stream_versions.py
+++ b/tests/decisions/placement/test_stream_versions.py
@@ -13,6 +13,7 @@
     FRESH_LIST_S,
     OriginSource,
     ServiceVersions,
+    is_list_late,
     may_continue,
     origin_at,
     restrict_to_origin,
@@ -53,6 +54,11 @@
         self.assertTrue(may_continue(unknown, record(version="", born_ms=1)))
         self.assertFalse(may_continue(unknown, record(version="", born_ms=2)))
 
+    def test_a_list_is_late_only_if_it_never_named_a_known_version(self):
+        self.assertTrue(is_list_late(self.origin, {"v2"}))
+        self.assertFalse(is_list_late(self.origin, {"v1", "v2"}))
+        self.assertFalse(is_list_late(origin_at(record(version=""), "one"), {"v1"}))
+
     def test_only_engines_that_may_continue_are_left(self):
         registry = BackendRegistry()
         registry.update([record("i-1"), record("i-2", "v2")], 0.0)
