--- a/src/passlane/decisions/inputs/answer_head.py
+++ b/src/passlane/decisions/inputs/answer_head.py
@@ -16,6 +16,15 @@
     """Another instance now uses the address."""
 
 
+class BodyFraming(enum.StrEnum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """The end of the connection, which a back end that fails may cause as well."""
+
+
 class AnswerHead(msgspec.Struct, frozen=True):
     """Status and headers of a back end's response.
 
@@ -29,6 +38,8 @@
         Headers that are forwarded to the caller.
     length
         Length of the body in bytes, if it was declared.
+    framing
+        What marks the end of the body.
     """
 
     status: int
@@ -36,3 +47,4 @@
     refusal: Refusal | None
     is_authentic: bool
     length: int | None
+    framing: BodyFraming = BodyFraming.CHUNKS
--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from passlane.decisions.inputs.answer_head import AnswerHead, Refusal
+from passlane.decisions.inputs.answer_head import AnswerHead, BodyFraming, Refusal
 from passlane.decisions.inputs.relayed_call import Header
 from passlane.messages.listing import BackendRecord
 from passlane.observability.logging import get_logger
@@ -127,9 +127,16 @@
         refusal=_refusal_of(response) if is_matching else None,
         is_authentic=is_matching and _has_required_headers(response.status, headers),
         length=int(length) if length is not None else None,
+        framing=_framing_of(headers),
     )
 
 
+def _framing_of(headers: Mapping[str, str]) -> BodyFraming:
+    if "transfer-encoding" in headers:
+        return BodyFraming.CHUNKS
+    return BodyFraming.LENGTH if "content-length" in headers else BodyFraming.CONNECTION
+
+
 def _refusal_of(response: HttpResponse) -> Refusal | None:
     if response.status == WRONG_INSTANCE_STATUS:
         return Refusal.WRONG_INSTANCE
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -91,6 +91,7 @@
         AnswerAbortedError
             When the answer is complete, but its turn is not durable.
         """
+        self._progress.framing = answer.head.framing.value
         self._progress.first_part_s = anyio.current_time() - self._context.call.arrived_at
         is_event_stream = answer.head.status < FIRST_FAILURE_STATUS or self._stream is not None
         if self._context.route.kind is not RouteKind.STREAM or not is_event_stream:
@@ -114,6 +115,7 @@
         try:
             await self._stream.deliver(answer, watch)
         finally:
+            self._progress.unfinished_bytes = self._stream.unfinished_bytes
             if self._stream.last_event_id is not None:
                 self._history.last_event_id = self._stream.last_event_id
 
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -26,7 +26,12 @@
 from passlane.decisions.placement.request_placement import record_failure, record_success
 from passlane.errors import Verdict
 from passlane.relay.attempt_history import AttemptHistory
-from passlane.relay.attempt_log import AttemptLabels, log_backend_refusal, log_untrusted_answer
+from passlane.relay.attempt_log import (
+    AttemptLabels,
+    log_backend_refusal,
+    log_broken_attempt,
+    log_untrusted_answer,
+)
 from passlane.relay.backends import BackendAnswer, BackendRequest
 from passlane.relay.context import RequestContext
 from passlane.relay.end_reasons import BreakReason, RequestEndReason
@@ -146,6 +151,7 @@
             bytes_left=error.bytes_left,
             is_answer_final=self._history.is_answer_final,
         )
+        log_broken_attempt(error, next_step, load, self._attempt_labels())
         if next_step is RetryDecision.NOT_SENT:
             self._history.verdict = verdict_before
             return
--- a/src/passlane/relay/attempt_log.py
+++ b/src/passlane/relay/attempt_log.py
@@ -3,11 +3,13 @@
 import msgspec
 
 from passlane.decisions.backends.registry import BackendLoad, ServiceHealth
+from passlane.decisions.failure.resending import RetryDecision
 from passlane.decisions.order.capacity_queue import RetryPermit
 from passlane.decisions.placement.plain_placement import PlainChoice
 from passlane.decisions.placement.request_placement import PlacementChoice, PlacementKey
 from passlane.observability.logging import get_logger
 from passlane.relay.backends import BackendAnswer
+from passlane.runtime.interfaces import HttpConnectionError
 
 _log = get_logger(__name__)
 
@@ -111,6 +113,22 @@
     )
 
 
+def log_broken_attempt(
+    error: HttpConnectionError, next_step: RetryDecision, load: BackendLoad, labels: AttemptLabels
+) -> None:
+    """Log how an attempt broke off, and what follows (``decisions.failure.resending``)."""
+    _log.info(
+        "attempt_broke_off",
+        request_id=labels.request_id,
+        service=labels.service,
+        instance=load.record.incarnation,
+        attempt=labels.attempt,
+        reason=str(error),
+        may_have_run=error.bytes_left,
+        next_step=next_step.value,
+    )
+
+
 def log_untrusted_answer(answer: BackendAnswer, load: BackendLoad, labels: AttemptLabels) -> None:
     """Log an answer that is not trusted as one to this request."""
     _log.warning(
--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -69,6 +69,8 @@
         The data of each event, each followed by a line feed; empty unless ``keeps_output``.
     is_whole
         Whether the stream is complete.
+    unfinished_bytes
+        Bytes behind the last complete event of the answer that was read last.
 
     Parameters
     ----------
@@ -87,6 +89,7 @@
         self.output = bytearray()
         self.last_event_id: str | None = None
         self.is_whole = False
+        self.unfinished_bytes = 0
 
     async def deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         """Read a stream and write it; raise ``HttpConnectionError`` when it breaks off.
@@ -99,10 +102,13 @@
         elif answer.head.status != self.status:
             raise HttpConnectionError(BreakReason.STREAM_DID_NOT_GO_ON.value, bytes_left=True)
         splitter = EventSplitter()
-        async with aclosing(answer.chunks()) as chunks:
-            async for chunk in chunks:
-                watch.progressed(anyio.current_time())
-                await self._forward(splitter, chunk)
+        try:
+            async with aclosing(answer.chunks()) as chunks:
+                async for chunk in chunks:
+                    watch.progressed(anyio.current_time())
+                    await self._forward(splitter, chunk)
+        finally:
+            self.unfinished_bytes = len(splitter.pending)
         _record_complete(answer, watch)
         if splitter.pending:
             await self._writer.write(splitter.pending)
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -44,6 +44,10 @@
     software_version
         Version of the software that began the caller's stream; empty without a stream, or if it
         is unknown.
+    framing
+        What marks the end of the last answer of a backend; empty without one.
+    unfinished_bytes
+        Bytes behind the last complete event of the last answer of a stream.
     """
 
     request_id: str
@@ -60,6 +64,8 @@
     tried: list[str] = msgspec.field(default_factory=list)
     events: int = 0
     software_version: str = ""
+    framing: str = ""
+    unfinished_bytes: int = 0
     reserved_s: float | None = None
     quota_wait_s: float | None = None
     place_wait_s: float | None = None
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -267,6 +267,8 @@
             verdict=progress.verdict.value,
             tried=progress.tried,
             events=progress.events,
+            framing=progress.framing,
+            unfinished_bytes=progress.unfinished_bytes,
             reserved_s=_rounded(progress.reserved_s),
             quota_wait_s=_rounded(progress.quota_wait_s),
             place_wait_s=_rounded(progress.place_wait_s),
--- a/tests/relay/test_stream_ends.py
+++ b/tests/relay/test_stream_ends.py
@@ -1,7 +1,10 @@
 """What a stream that ends inside an event, without an error of its connection, is taken for."""
 
+from structlog.testing import capture_logs
+
+from passlane.decisions.inputs.answer_head import BodyFraming
 from passlane.messages.turns import TurnReserved
-from relay.fakes import Script, ScriptedStore, head
+from relay.fakes import Reset, Script, ScriptedStore, Unreachable, head
 from relay.test_service import EVENT_1, EVENT_2, STREAM, TURNS, RelayCase
 from relay.test_turn_budget import BUDGET, EVENTS, MAX_TOKENS, TurnBudgetCase
 
@@ -58,6 +61,31 @@
         self.assertEqual(left, BUDGET - MAX_TOKENS)
 
 
+class LogTest(RelayCase):
+    """The lines by which an operator finds why an answer broke off."""
+
+    def lines(self, event, scripts, **changes):
+        with capture_logs() as lines:
+            self.relay(scripts, **(STREAM | changes))
+        return [line for line in lines if line["event"] == event]
+
+    def test_the_end_of_a_request_tells_framing_and_unfinished_bytes(self):
+        for framing in BodyFraming:
+            scripts = [Script(head(framing=framing), EVENT_1, CUT_EVENT)]
+            (line,) = self.lines("request_ended", scripts)
+            self.assertEqual(line["framing"], framing.value)
+            self.assertEqual(line["unfinished_bytes"], len(CUT_EVENT))
+
+    def test_each_attempt_that_breaks_off_tells_what_follows(self):
+        scripts = [Unreachable(), Script(head(), EVENT_1, broken=True), Reset()]
+        changes = {"is_resumable": True, "max_attempts": 2}
+        lines = self.lines("attempt_broke_off", scripts, **changes)
+        self.assertEqual(
+            [(line["attempt"], line["may_have_run"], line["next_step"]) for line in lines],
+            [(1, False, "not_sent"), (2, True, "send_again"), (3, True, "fail")],
+        )
+
+
 class CrLfTest(RelayCase):
     """Streams whose lines end with CR LF."""
 
