Events whose lines end with CR LF or CR are seen by the relay

Callers of an engine that ends its lines with CR LF got all events at the end of the stream; a stream that broke off went on at another engine from its start, so that the caller missed the events that were held back; a turn was stored without its output and counted no tokens.

Cause: an event ended at two LF bytes only, so the whole stream stayed pending and was written as the rest at its end.

--- a/src/passlane/event_streams/whole_events.py
+++ b/src/passlane/event_streams/whole_events.py
@@ -1,13 +1,20 @@
 """Splits a server-sent event stream into complete events as its bytes arrive.
 
-Owns the bytes of the event that is still incomplete.
+Lines end with LF, CR LF or CR. Owns the bytes of the event that is still incomplete.
 """
 
+import re
+
 import msgspec
 
-EVENT_END = b"\n\n"
 _DATA_FIELD = b"data:"
 _ID_FIELD = b"id:"
+_COMMENT = b":"
+_LINE_END = re.compile(rb"\n|\r\n?")
+_LINE_ENDS = b"\r\n"
+_EVENT_END = re.compile(rb"(?:\n|\r\n?+)(?:\n|\r\n?+)")
+"""The end of a line and an empty line. A CR at the end of the received bytes counts as the end of a
+line; if an LF follows, it precedes the next event."""
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -26,19 +33,38 @@
 
     @property
     def pending(self) -> bytes:
-        """Bytes of the event that is still incomplete."""
+        """Bytes after the last complete event."""
         return self._pending
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a stream that ends here breaks off an event.
+
+        Empty lines and whole comment lines between events do not belong to an event.
+        """
+        *lines, unfinished_line = _LINE_END.split(self._pending)
+        return bool(unfinished_line) or any(
+            line and not line.startswith(_COMMENT) for line in lines
+        )
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that are now complete."""
-        *complete, self._pending = (self._pending + data).split(EVENT_END)
-        return [_parse(event + EVENT_END) for event in complete]
+        received = self._pending + data
+        events: list[StreamEvent] = []
+        start = 0
+        for match in _EVENT_END.finditer(received):
+            raw = received[start : match.end()]
+            if raw.strip(_LINE_ENDS):
+                events.append(_parse(raw))
+                start = match.end()
+        self._pending = received[start:]
+        return events
 
 
 def _parse(raw: bytes) -> StreamEvent:
     event_id: str | None = None
     data: list[bytes] = []
-    for line in raw.split(b"\n"):
+    for line in _LINE_END.split(raw):
         if line.startswith(_DATA_FIELD):
             data.append(_value_of(line, _DATA_FIELD))
         elif line.startswith(_ID_FIELD):
@@ -48,5 +74,5 @@
 
 def _value_of(line: bytes, field: bytes) -> bytes:
     """Return the value of a field, without the single optional space after the colon."""
-    value = line[len(field) :].rstrip(b"\r")
+    value = line[len(field) :]
     return value[1:] if value.startswith(b" ") else value
