A stream that ends inside an event has broken off, however it is framed

They didn't ask again, so the rest of the answer was lost.

Cause: an answer with neither a length nor chunks ends with its connection, and the HTTP client can't tell that from a crash. The relay took the end of the body for the end of the stream, forwarded the bytes of the unfinished event and wrote the last chunk to its caller. The same false 'complete' was recorded as a success of the engine, settled by the events forwarded, stored as a turn that later turns go on from, and ended the resume at another engine.

Why this works: the end of the last event is the stream's own mark of an end, which no crash writes inside an event, so it is checked before anything is recorded, and the attempt fails as any that breaks off: health, budget, outcome, turn and resume follow from there. Whatever else frames the body is checked before it. Answers of another declared type stay whole by their framing alone; an answer on a plain route is checked if it is declared as a stream of events.

--- a/src/passlane/api/answers.py
+++ b/src/passlane/api/answers.py
@@ -6,10 +6,11 @@
 import anyio
 import msgspec
 
-from passlane.api.asgi import EVENT_STREAM_TYPE, Receive, Send, send_chunk, start_stream
+from passlane.api.asgi import Receive, Send, send_chunk, start_stream
 from passlane.api.caller_output import DONE_EVENT, CompletionWriter, sse_event
 from passlane.api.problems import Problem, problem_of
 from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.event_streams.whole_events import EVENT_STREAM_TYPE
 from passlane.messages.node import CallAnswered, CallEvent, CallRefused, CallRequest, TextChunk
 
 Emit = Callable[[CallEvent], Awaitable[None]]
--- a/src/passlane/api/asgi.py
+++ b/src/passlane/api/asgi.py
@@ -19,7 +19,6 @@
 
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
-EVENT_STREAM_TYPE = "text/event-stream"
 
 _json_encoder = msgspec.json.Encoder()
 
--- a/src/passlane/decisions/inputs/answer_head.py
+++ b/src/passlane/decisions/inputs/answer_head.py
@@ -40,6 +40,8 @@
         Length of the body in bytes, if it was declared.
     framing
         What marks the end of the body.
+    media_type
+        Declared type of the body, in lower case and without parameters; empty if none is declared.
     """
 
     status: int
@@ -48,3 +50,4 @@
     is_authentic: bool
     length: int | None
     framing: BodyFraming = BodyFraming.CHUNKS
+    media_type: str = ""
--- a/src/passlane/emulator/asgi.py
+++ b/src/passlane/emulator/asgi.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from passlane.api.asgi import (
-    EVENT_STREAM_TYPE,
     JSON_TYPE,
     PROBLEM_TYPE,
     Receive,
@@ -22,6 +21,7 @@
 )
 from passlane.api.routing import PathRouter
 from passlane.errors import ErrorCode, PasslaneError, Verdict
+from passlane.event_streams.whole_events import EVENT_STREAM_TYPE
 from passlane.runtime.interfaces import AsgiApplication
 
 STATUS_OK = 200
--- a/src/passlane/event_streams/whole_events.py
+++ b/src/passlane/event_streams/whole_events.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+EVENT_STREAM_TYPE = "text/event-stream"
+"""Media type of event streams."""
+
 _DATA_FIELD = b"data:"
 _ID_FIELD = b"id:"
 _COMMENT = b":"
--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -128,9 +128,15 @@
         is_authentic=is_matching and _has_required_headers(response.status, headers),
         length=int(length) if length is not None else None,
         framing=_framing_of(headers),
+        media_type=_media_type_of(headers),
     )
 
 
+def _media_type_of(headers: Mapping[str, str]) -> str:
+    media_type, _, _ = headers.get("content-type", "").partition(";")
+    return media_type.strip().lower()
+
+
 def _framing_of(headers: Mapping[str, str]) -> BodyFraming:
     if "transfer-encoding" in headers:
         return BodyFraming.CHUNKS
--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -11,7 +11,7 @@
 
 from passlane.decisions.backends.health import AttemptWatch
 from passlane.decisions.failure.answer_verdicts import FIRST_SERVER_ERROR
-from passlane.event_streams.whole_events import EventSplitter
+from passlane.event_streams.whole_events import EVENT_STREAM_TYPE, EventSplitter
 from passlane.relay.backends import AnswerWriter, BackendAnswer
 from passlane.relay.end_reasons import BreakReason
 from passlane.runtime.interfaces import HttpConnectionError
@@ -36,23 +36,32 @@
         An answer that exceeds ``MAX_BUFFERED_BYTES`` is forwarded as it arrives.
         """
         body = bytearray()
-        has_started = False
+        splitter = EventSplitter() if answer.head.media_type == EVENT_STREAM_TYPE else None
         async with aclosing(answer.chunks()) as chunks:
             async for chunk in chunks:
                 watch.progressed(anyio.current_time())
                 body += chunk
-                if len(body) > MAX_BUFFERED_BYTES and not has_started:
-                    has_started = True
-                    await self._start(answer, answer.head.length)
-                if has_started:
-                    await self._writer.write(bytes(body))
-                    body.clear()
+                if splitter is not None:
+                    splitter.feed(chunk)
+                await self._forward_if_long(answer, body)
+        if splitter is not None:
+            _check_end(splitter)
         _record_complete(answer, watch)
-        if not has_started:
+        if self.status is None:
             await self._start(answer, len(body))
             await self._writer.write(bytes(body))
         await self._writer.finish()
 
+    async def _forward_if_long(self, answer: BackendAnswer, body: bytearray) -> None:
+        """Forward what was received of a body that is too long to be buffered."""
+        if self.status is None and len(body) > MAX_BUFFERED_BYTES:
+            # The end of a stream is checked after its last byte, so its length is not promised.
+            is_stream = answer.head.media_type == EVENT_STREAM_TYPE
+            await self._start(answer, None if is_stream else answer.head.length)
+        if self.status is not None:
+            await self._writer.write(bytes(body))
+            body.clear()
+
     async def _start(self, answer: BackendAnswer, length: int | None) -> None:
         self.status = answer.head.status
         await self._writer.start(answer.head.status, answer.head.headers, length)
@@ -109,6 +118,8 @@
                     await self._forward(splitter, chunk)
         finally:
             self.unfinished_bytes = len(splitter.pending)
+        if answer.head.media_type in ("", EVENT_STREAM_TYPE):
+            _check_end(splitter)
         _record_complete(answer, watch)
         if splitter.pending:
             await self._writer.write(splitter.pending)
@@ -129,6 +140,12 @@
         await self._writer.write(b"".join(event.raw for event in events))
 
 
+def _check_end(splitter: EventSplitter) -> None:
+    """Raise ``HttpConnectionError`` if a stream ended inside an event, however it is framed."""
+    if splitter.is_inside_event:
+        raise HttpConnectionError(BreakReason.ENDED_INSIDE_EVENT.value, bytes_left=True)
+
+
 def _record_complete(answer: BackendAnswer, watch: AttemptWatch) -> None:
     """Record the end of an answer before later steps add time of other components."""
     now = anyio.current_time()
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -180,6 +180,8 @@
     NOT_AN_ANSWER = "not an answer to this request"
     """The answer is not trusted as one to this request: see the line ``backend_answer_untrusted``
     (``decisions.failure.answer_verdicts``)."""
+    ENDED_INSIDE_EVENT = "the answer ended inside an event"
+    """A stream ended in an orderly way before the end of its last event (``relay.delivery``)."""
     STREAM_DID_NOT_GO_ON = "the stream did not go on"
     """The second engine of a resumed stream sent a different status (``relay.delivery``)."""
 
--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -10,7 +10,6 @@
 import anyio
 
 from passlane.api.asgi import (
-    EVENT_STREAM_TYPE,
     JSON_TYPE,
     Receive,
     Request,
@@ -23,6 +22,7 @@
     start_stream,
 )
 from passlane.errors import PasslaneError
+from passlane.event_streams.whole_events import EVENT_STREAM_TYPE
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.observability.logging import get_logger
--- a/tests/on_platform/test_answer_ends.py
+++ b/tests/on_platform/test_answer_ends.py
@@ -20,6 +20,7 @@
 from passlane.observability.metrics import Metrics
 from passlane.platform.client_ingress import ClientIngress
 from passlane.platform.engine_client import EngineClient
+from passlane.relay.delivery import MAX_BUFFERED_BYTES
 from passlane.relay.service import RelayService
 from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.runtime.http_server import UvicornHttpServer
@@ -347,6 +348,19 @@
             is_known = framing != "connection" or end == "reset"
             self.assertEqual(received.status, 502 if is_known else 200, (framing, end))
 
+    def test_an_answer_that_is_declared_as_a_stream_and_ends_inside_an_event_is_not_an_answer(self):
+        for kind in (RouteKind.AT_MOST_ONCE, RouteKind.REPEATABLE):
+            sent = Sent(framed("connection", cut(b"\n", "inside a line"), b""))
+            self.assertEqual(relay_one(sent, kind=kind).status, 502)
+            sent = Sent(framed("connection", cut(b"\n", "whole"), b""))
+            self.assertEqual(relay_one(sent, kind=kind).status, 200)
+
+    def test_a_long_one_that_ends_inside_an_event_is_not_complete(self):
+        body = b"id: 1\ndata: " + b"x" * 2 * MAX_BUFFERED_BYTES
+        for framing in FRAMINGS:
+            received = relay_one(Sent(framed(framing, body, body)), kind=RouteKind.AT_MOST_ONCE)
+            self.assertFalse(received.is_complete, framing)
+
     def test_a_whole_answer_stays_whole(self):
         for framing, end in itertools.product(FRAMINGS, ("closed", "half-closed")):
             sent = Sent(framed(framing, self.BODY, self.BODY), end, b"application/json")
