A stream with neither a length nor chunks and without an event has broken off

Callers could get a 200 with an empty body as a complete stream, from an engine that failed between its head and its first event.

A run generates at least one event, so an answer that nothing but the end of its connection ends, and that has none, is no proof of a run. It is accepted from an engine that declares the length or sends the last chunk, and for a caller that resumes a stream, whose last event it may already have. Answers that have no body by HTTP (HEAD, 204, 304) count as ones of declared length.

--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -6,7 +6,7 @@
 import anyio
 
 from passlane.decisions.inputs.answer_head import AnswerHead, BodyFraming, Refusal
-from passlane.decisions.inputs.relayed_call import Header
+from passlane.decisions.inputs.relayed_call import Header, RelayedCall
 from passlane.messages.listing import BackendRecord
 from passlane.observability.logging import get_logger
 from passlane.platform import names
@@ -21,6 +21,7 @@
 WRONG_INSTANCE_STATUS = 421
 MIN_FAILURE_STATUS = 300
 MIN_REFUSAL_STATUS = 400
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MAX_REFUSAL_BYTES = 4_096
 """Maximum size of a refusal's body that is read in order to reuse the connection."""
 REFUSAL_READ_TIMEOUT_S = 0.03
@@ -33,9 +34,9 @@
 class EngineAnswer:
     """An engine's answer; implements ``relay.backends.BackendAnswer``."""
 
-    def __init__(self, response: HttpResponse, request_id: str) -> None:
+    def __init__(self, response: HttpResponse, call: RelayedCall) -> None:
         self._response = response
-        self.head = _head_of(response, request_id)
+        self.head = _head_of(response, call)
 
     def chunks(self) -> AsyncGenerator[bytes, None]:
         """Return the chunks of the body as they arrive."""
@@ -69,7 +70,7 @@
             server=backend.incarnation,
         )
         async with self._http_client.exchange(http_request) as response:
-            answer = EngineAnswer(response, call.request_id)
+            answer = EngineAnswer(response, call)
             yield answer
             if answer.head.refusal is not None:
                 await _read_refusal_body(response, call.request_id)
@@ -113,9 +114,10 @@
     return headers.get(names.ATTEMPT_ID) == request_id
 
 
-def _head_of(response: HttpResponse, request_id: str) -> AnswerHead:
+def _head_of(response: HttpResponse, call: RelayedCall) -> AnswerHead:
     headers = response.headers
-    is_matching = _echoes_request_id(headers, request_id)
+    is_matching = _echoes_request_id(headers, call.request_id)
+    has_body = call.method != "HEAD" and response.status not in STATUSES_WITHOUT_BODY
     length = headers.get("content-length")
     return AnswerHead(
         status=response.status,
@@ -127,7 +129,7 @@
         refusal=_refusal_of(response) if is_matching else None,
         is_authentic=is_matching and _has_required_headers(response.status, headers),
         length=int(length) if length is not None else None,
-        framing=_framing_of(headers),
+        framing=_framing_of(headers) if has_body else BodyFraming.LENGTH,
         media_type=_media_type_of(headers),
     )
 
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -108,7 +108,10 @@
     async def _deliver_stream(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         if self._stream is None:
             self._stream = StreamDelivery(
-                self._writer, self._before_end, keeps_output=self._context.route.keeps_turns
+                self._writer,
+                self._before_end,
+                keeps_output=self._context.route.keeps_turns,
+                is_resumed=self._context.call.last_event_id is not None,
             )
             self._record_stream_began()
         self._events_before_run = self._stream.events
--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -11,6 +11,7 @@
 
 from passlane.decisions.backends.health import AttemptWatch
 from passlane.decisions.failure.answer_verdicts import FIRST_SERVER_ERROR
+from passlane.decisions.inputs.answer_head import BodyFraming
 from passlane.event_streams.whole_events import EVENT_STREAM_TYPE, EventSplitter
 from passlane.relay.backends import AnswerWriter, BackendAnswer
 from passlane.relay.end_reasons import BreakReason
@@ -85,11 +86,19 @@
     ----------
     keeps_output
         Whether the output is needed at the end.
+    is_resumed
+        Whether the caller has events of the stream from an earlier request.
     """
 
     def __init__(
-        self, writer: AnswerWriter, before_end: BeforeEnd, *, keeps_output: bool = True
+        self,
+        writer: AnswerWriter,
+        before_end: BeforeEnd,
+        *,
+        keeps_output: bool = True,
+        is_resumed: bool = False,
     ) -> None:
+        self._is_resumed = is_resumed
         self._writer = writer
         self._before_end = before_end
         self._keeps_output = keeps_output
@@ -120,6 +129,7 @@
             self.unfinished_bytes = len(splitter.pending)
         if answer.head.media_type in ("", EVENT_STREAM_TYPE):
             _check_end(splitter)
+            self._check_events(answer)
         _record_complete(answer, watch)
         if splitter.pending:
             await self._writer.write(splitter.pending)
@@ -127,6 +137,15 @@
         await self._before_end(self)
         await self._writer.finish()
 
+    def _check_events(self, answer: BackendAnswer) -> None:
+        """Raise ``HttpConnectionError`` if an empty stream ends only with its connection.
+
+        A run generates at least one event, unless the caller already has the last one.
+        """
+        is_empty = self.events == 0 and not self._is_resumed
+        if is_empty and answer.head.framing is BodyFraming.CONNECTION:
+            raise HttpConnectionError(BreakReason.NO_EVENT.value, bytes_left=True)
+
     async def _forward(self, splitter: EventSplitter, chunk: bytes) -> None:
         events = splitter.feed(chunk)
         if not events:
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -182,6 +182,9 @@
     (``decisions.failure.answer_verdicts``)."""
     ENDED_INSIDE_EVENT = "the answer ended inside an event"
     """A stream ended in an orderly way before the end of its last event (``relay.delivery``)."""
+    NO_EVENT = "the answer ended without an event"
+    """A stream with neither a length nor chunks ended before its first event
+    (``relay.delivery``)."""
     STREAM_DID_NOT_GO_ON = "the stream did not go on"
     """The second engine of a resumed stream sent a different status (``relay.delivery``)."""
 
--- a/tests/relay/test_end_reasons.py
+++ b/tests/relay/test_end_reasons.py
@@ -57,6 +57,7 @@
                 "NO_ANSWER": "no answer for too long",
                 "NOT_AN_ANSWER": "not an answer to this request",
                 "ENDED_INSIDE_EVENT": "the answer ended inside an event",
+                "NO_EVENT": "the answer ended without an event",
                 "STREAM_DID_NOT_GO_ON": "the stream did not go on",
             },
         )
