A body without events doesn't continue a stream

Callers of a stream that broke off could get the body of another type, with status 200, appended to their events and ended as complete.

Cause: a second engine's answer was compared by its status only, and bytes behind the last event were forwarded at its end. It is compared by its declared type now, too, and fails the attempt. test_a_body_without_events_does_not_continue_a_stream failed before: the caller got event 1 and {}.

--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -11,7 +11,7 @@
 
 from passlane.decisions.backends.health import AttemptWatch
 from passlane.decisions.failure.answer_verdicts import FIRST_SERVER_ERROR
-from passlane.decisions.inputs.answer_head import BodyFraming
+from passlane.decisions.inputs.answer_head import AnswerHead, BodyFraming
 from passlane.event_streams.whole_events import EVENT_STREAM_TYPE, EventSplitter
 from passlane.relay.backends import AnswerWriter, BackendAnswer
 from passlane.relay.end_reasons import BreakReason
@@ -99,6 +99,7 @@
         is_resumed: bool = False,
     ) -> None:
         self._is_resumed = is_resumed
+        self._has_events = True
         self._writer = writer
         self._before_end = before_end
         self._keeps_output = keeps_output
@@ -117,7 +118,8 @@
         if not self._writer.has_started:
             self.status = answer.head.status
             await self._writer.start(answer.head.status, answer.head.headers, None)
-        elif answer.head.status != self.status:
+            self._has_events = _is_event_stream(answer.head)
+        elif answer.head.status != self.status or _is_event_stream(answer.head) != self._has_events:
             raise HttpConnectionError(BreakReason.STREAM_DID_NOT_GO_ON.value, bytes_left=True)
         splitter = EventSplitter()
         try:
@@ -127,7 +129,7 @@
                     await self._forward(splitter, chunk)
         finally:
             self.unfinished_bytes = len(splitter.pending)
-        if answer.head.media_type in ("", EVENT_STREAM_TYPE):
+        if self._has_events:
             _check_end(splitter)
             self._check_events(answer)
         _record_complete(answer, watch)
@@ -159,6 +161,11 @@
         await self._writer.write(b"".join(event.raw for event in events))
 
 
+def _is_event_stream(head: AnswerHead) -> bool:
+    """Whether an answer on a stream route has events, by its type if one is declared."""
+    return head.media_type in ("", EVENT_STREAM_TYPE)
+
+
 def _check_end(splitter: EventSplitter) -> None:
     """Raise ``HttpConnectionError`` if a stream ended inside an event, however it is framed."""
     if splitter.is_inside_event:
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -186,7 +186,8 @@
     """A stream with neither a length nor chunks ended before its first event
     (``relay.delivery``)."""
     STREAM_DID_NOT_GO_ON = "the stream did not go on"
-    """The second engine of a resumed stream sent a different status (``relay.delivery``)."""
+    """The second engine of a resumed stream sent a different status, or a body without events
+    (``relay.delivery``)."""
 
 
 class RequestEnd(msgspec.Struct, frozen=True):
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -6,7 +6,7 @@
 import anyio
 import anyio.lowlevel
 
-from passlane.decisions.inputs.answer_head import AnswerHead, BodyFraming, Refusal
+from passlane.decisions.inputs.answer_head import AnswerHead, Refusal
 from passlane.decisions.inputs.relayed_call import Header, ProgramContext, RelayedCall
 from passlane.decisions.placement.request_placement import choose_backend
 from passlane.errors import ErrorCode, PasslaneError
@@ -48,8 +48,8 @@
     return RelayedCall(**(values | changes))
 
 
-def head(status=200, *, refusal=None, is_authentic=True, length=None, framing=BodyFraming.CHUNKS):
-    return AnswerHead(status, (SIGNATURE,), refusal, is_authentic, length, framing)
+def head(status=200, *, refusal=None, is_authentic=True, length=None, **more):
+    return AnswerHead(status, (SIGNATURE,), refusal, is_authentic, length, **more)
 
 
 AT_CAPACITY = head(503, refusal=Refusal.NOT_EXECUTED)
--- a/tests/relay/test_stream_ends.py
+++ b/tests/relay/test_stream_ends.py
@@ -55,6 +55,23 @@
         self.assertEqual(self.backends.requests[1].last_event_id, "1")
 
 
+class OtherBodyTest(RelayCase):
+    def test_a_body_without_events_does_not_continue_a_stream(self):
+        scripts = [
+            Script(head(), EVENT_1, broken=True),
+            Script(head(media_type="application/json"), b"{}"),
+        ]
+        self.relay(scripts, **STREAM, is_resumable=True, max_attempts=2)
+        self.assertEqual(self.writer.body, EVENT_1)
+        self.assertFalse(self.writer.is_finished)
+
+    def test_a_body_without_events_that_begins_an_answer_is_judged_by_its_framing(self):
+        for framing in BodyFraming:
+            answer_head = head(media_type="application/json", framing=framing)
+            self.relay([Script(answer_head, b"{}")], **STREAM)
+            self.assertEqual((self.writer.body, self.writer.is_finished), (b"{}", True))
+
+
 class CutTurnBudgetTest(TurnBudgetCase):
     def test_it_counts_all_tokens_that_it_may_have_generated(self):
         left = self.relay_turn([Script(head(), *EVENTS[:2], b"id: 3\nda")])
