--- a/tests/on_platform/test_answer_ends.py
+++ b/tests/on_platform/test_answer_ends.py
@@ -22,6 +22,7 @@
 from passlane.platform.engine_client import EngineClient
 from passlane.relay.delivery import MAX_BUFFERED_BYTES
 from passlane.relay.service import RelayService
+from passlane.runtime.early_listening import bound_socket
 from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.runtime.http_server import UvicornHttpServer
 from passlane.runtime.interfaces import HttpConnectionError, HttpRequest
@@ -193,28 +194,23 @@
         )
         changes = {"kind": RouteKind.STREAM, "timeout_s": 4.0} | route_changes
         service.replace_configuration(configuration(route(**changes)))
-        callers = Address(ENGINE_HOST, free_port())
-        server = UvicornHttpServer()
-        tasks.start_soon(server.serve, callers, ClientIngress(service, lambda: False))
-        await wait_until_served(callers)
-        yield Node(callers)
+        listening = ListeningSocket()
+        server = UvicornHttpServer(listening)
+        tasks.start_soon(server.serve, listening.address, ClientIngress(service, lambda: False))
+        yield Node(listening.address)
         tasks.cancel_scope.cancel()
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((ENGINE_HOST, 0))
-        return probe.getsockname()[1]
+class ListeningSocket:
+    """A socket that listens at a free port before its server runs."""
 
+    def __init__(self):
+        self._socket = bound_socket(ENGINE_HOST, 0)
+        self._socket.listen()
+        self.address = Address(ENGINE_HOST, self._socket.getsockname()[1])
 
-async def wait_until_served(address):
-    with anyio.fail_after(5.0):
-        while True:
-            try:
-                await (await anyio.connect_tcp(address.host, address.port)).aclose()
-                return
-            except OSError:
-                await anyio.sleep(0.01)
+    def take(self, address):
+        return self._socket
 
 
 def relay_one(sent, *, headers=None, **route_changes):
