Emulator and simulation learn answers without a length that break off

No stand-in could send an answer with neither a length nor chunks: uvicorn and h11 add chunks by themselves, so no test, scenario or soak could meet one. The h11 server moves from the simulation to the emulator, where it serves any byte-stream network, and can end a body with its connection.

The emulator's caller took any body that had ended for a tool's answer; it must be whole JSON now.

--- a/.ci/dead_code_exceptions.py
+++ b/.ci/dead_code_exceptions.py
@@ -20,6 +20,7 @@
 _.should_exit  # uvicorn's server.
 _.main_loop  # uvicorn's server.
 _.capture_signals  # uvicorn's server; signals are the daemon's own.
+_.their_http_version  # h11: to a client of HTTP 1.0 it sends no chunks.
 _.start_clock  # trio's clock.
 _.deadline_to_sleep_time  # trio's clock.
 _._ALLOW_DETERMINISTIC_SCHEDULING  # trio: the order of tasks follows from the seed.
--- a/src/passlane/emulator/asgi.py
+++ b/src/passlane/emulator/asgi.py
@@ -20,6 +20,7 @@
     start_stream,
 )
 from passlane.api.routing import PathRouter
+from passlane.emulator.http_server import start_stream_without_length
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.event_streams.whole_events import EVENT_STREAM_TYPE
 from passlane.runtime.interfaces import AsgiApplication
@@ -65,9 +66,16 @@
         headers = {} if retry_after_s is None else {"retry-after": f"{retry_after_s:g}"}
         await send_response(self.send, Response(status, body, PROBLEM_TYPE, headers))
 
-    async def start_events(self) -> None:
-        """Send the head of a stream of server-sent events."""
-        await start_stream(self.send, STATUS_OK, EVENT_STREAM_TYPE)
+    async def start_events(self, *, ends_with_connection: bool = False) -> None:
+        """Send the head of a stream of server-sent events.
+
+        Parameters
+        ----------
+        ends_with_connection
+            Whether it has neither a length nor chunks.
+        """
+        start = start_stream_without_length if ends_with_connection else start_stream
+        await start(self.send, STATUS_OK, EVENT_STREAM_TYPE)
 
     async def start_json(self) -> None:
         """Send the head of a JSON answer that comes in parts."""
--- a/src/passlane/emulator/caller_answers.py
+++ b/src/passlane/emulator/caller_answers.py
@@ -94,6 +94,9 @@
     if response.headers.get("content-type", "").startswith("text/event-stream"):
         return await _read_stream(response, began)
     answer = await _whole(response)
+    if not _is_json(answer):
+        # The end of a body is no proof of its completeness.
+        return _lost("the answer broke off")
     return Attempt(CallResult(verdict=Verdict.RAN, answer=answer.decode()))
 
 
@@ -118,8 +121,7 @@
                 attempt = reader.read(line)
                 if attempt is not None:
                     return attempt
-    broken = CallResult(code="connection_lost", message="the stream broke off")
-    return Attempt(broken, PAUSE_BEFORE_REPEAT_S)
+    return _lost("the stream broke off")
 
 
 class _StreamReader:
@@ -155,6 +157,20 @@
         self._result.answer += text
 
 
+def _lost(message: str) -> Attempt:
+    """Return an attempt whose answer was lost; it is repeated."""
+    return Attempt(CallResult(code="connection_lost", message=message), PAUSE_BEFORE_REPEAT_S)
+
+
+def _is_json(body: bytes) -> bool:
+    """Whether a body is a whole JSON value."""
+    try:
+        msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 def _failure(problem: CallProblem) -> CallResult:
     """Return the result that an error stands for."""
     return CallResult(verdict=problem.verdict, code=problem.code, message=problem.detail)
--- a/src/passlane/emulator/engine_app.py
+++ b/src/passlane/emulator/engine_app.py
@@ -43,6 +43,8 @@
 EVENT_PREFIX = b"data: "
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
+UNFINISHED_EVENT = b'data: {"attempt_id":'
+"""What an engine sends that breaks off inside an event."""
 
 CacheReader = Callable[[Address, str], Awaitable[int]]
 """Asks the engine at an address how many tokens it holds for a program."""
@@ -148,9 +150,13 @@
                 anyio.create_task_group() as watchers,
             ):
                 watchers.start_soon(_cancel_on_disconnect, exchange, watchers.cancel_scope)
-                await exchange.start_events()
+                await exchange.start_events(ends_with_connection=settings.ends_with_connection)
+                is_complete = False
                 async for item in items:
                     await self._send_item(exchange, request, answer, item)
+                    is_complete = _is_complete_with(item)
+                if settings.breaks_inside_event and not is_complete:
+                    await exchange.send_part(UNFINISHED_EVENT)
                 watchers.cancel_scope.cancel()
         except* RequestRefusedError as group:
             await self._refuse(exchange, group)
@@ -226,7 +232,7 @@
     ) -> None:
         """Send the events for one item of the stream."""
         if isinstance(item, FinishedRequest):
-            if item.reason is FinishReason.STOP:
+            if _is_complete_with(item):
                 await self._send_end(exchange, request, answer, item)
             return
         chunks = (
@@ -273,6 +279,11 @@
         )
 
 
+def _is_complete_with(item: StreamItem) -> bool:
+    """Whether this item ends an answer as whole."""
+    return isinstance(item, FinishedRequest) and item.reason is FinishReason.STOP
+
+
 def _is_of_other_version(request: EngineChatRequest, settings: EngineModelSettings) -> bool:
     """Whether the engine must refuse to continue an answer, as another version began it."""
     own = settings.software_version
--- a/src/passlane/emulator/engine_settings.py
+++ b/src/passlane/emulator/engine_settings.py
@@ -44,6 +44,10 @@
         Share of the steps that take ``stall_s`` longer.
     failure_probability
         Share of the requests whose stream breaks off in the middle.
+    ends_with_connection
+        Whether streams have neither a length nor chunks and end with their connection.
+    breaks_inside_event
+        Whether a stream that breaks off ends inside an event.
     software_version
         Version of its software, which it tells with each token. Answers differ between versions.
         Empty: it tells none, and continues any answer.
@@ -78,3 +82,5 @@
     stall_probability: float = 0.0
     stall_s: float = 0.5
     failure_probability: float = 0.0
+    ends_with_connection: bool = False
+    breaks_inside_event: bool = False
--- a/src/passlane/simulation/http_server.py
+++ b/src/passlane/emulator/http_server.py
@@ -1,10 +1,12 @@
-"""Serves ASGI applications over the simulated network, with h11 as parser.
+"""Serves ASGI applications over any byte-stream network, with h11 as parser.
 
-Daemons and emulated back ends run the same applications as under uvicorn, and
-clients use the product's own HTTP client, so that faults of the network meet the very
-code that decides whether a request may have run.
+In simulations, daemons and emulated back ends run the same applications as under uvicorn, and
+clients use the product's own HTTP client, so that faults of the network meet the very code that
+decides whether a request may have run. On real networks it serves emulated back ends whose answers
+have neither a length nor chunks, which uvicorn can't send.
 """
 
+from collections.abc import Mapping, MutableMapping
 from typing import Any
 from urllib.parse import unquote
 
@@ -12,13 +14,28 @@
 import h11
 from anyio.abc import ByteStream
 
+from passlane.api.asgi import Send, start_stream
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import AsgiApplication, HttpLimits, Network
 
 _RECEIVE_BYTES = 65_536
+ENDS_WITH_CONNECTION = "passlane.ends_with_connection"
+"""Key of ``http.response.start``: whether the body has neither a length nor chunks and ends with
+the connection. Other servers ignore it."""
 
 
-class SimulatedHttpServer:
+async def start_stream_without_length(
+    send: Send, status: int, content_type: str, headers: Mapping[str, str] | None = None
+) -> None:
+    """Send the head of an answer whose body ends with its connection."""
+
+    async def send_marked(event: MutableMapping[str, Any]) -> None:
+        await send({**event, ENDS_WITH_CONNECTION: True})
+
+    await start_stream(send_marked, status, content_type, headers)
+
+
+class ByteStreamHttpServer:
     """Implements ``runtime.interfaces.HttpServer`` over a byte-stream network."""
 
     def __init__(self, network: Network) -> None:
@@ -32,7 +49,7 @@
     ) -> None:
         """Serve until cancelled; raise ``OSError`` when the address is in use.
 
-        The simulated callers keep all limits.
+        ``limits`` are ignored: simulated callers keep all limits.
         """
 
         async def handle(stream: ByteStream) -> None:
@@ -139,6 +156,9 @@
             return
         if event["type"] == "http.response.start":
             headers = list(event.get("headers", []))
+            if event.get(ENDS_WITH_CONNECTION, False):
+                # To a client of HTTP 1.0, h11 sends no chunks.
+                self._parser.their_http_version = b"1.0"
             await self._write(h11.Response(status_code=event["status"], headers=headers))
             return
         if body := event.get("body", b""):
--- a/src/passlane/emulator/main.py
+++ b/src/passlane/emulator/main.py
@@ -17,6 +17,7 @@
 from passlane.emulator.application_model import ApplicationModel
 from passlane.emulator.engine_app import build_engine_application
 from passlane.emulator.engine_service import EngineService
+from passlane.emulator.http_server import ByteStreamHttpServer
 from passlane.emulator.platform_app import build_platform_application
 from passlane.emulator.platform_model import PlatformModel
 from passlane.emulator.program import EXIT_USAGE, run_commands
@@ -24,7 +25,7 @@
 from passlane.emulator.settings import EmulatorSettings, load_emulator_settings
 from passlane.errors import PasslaneError
 from passlane.identifiers import EngineId
-from passlane.runtime.interfaces import AsgiApplication, Environment
+from passlane.runtime.interfaces import AsgiApplication, Environment, HttpServer
 from passlane.runtime.real import build_environment
 
 KINDS = ("engine", "application", "platform")
@@ -78,13 +79,20 @@
     environment = build_environment(Path(), settings.seed)
     async with anyio.create_task_group() as tasks:
         application = _build(kind, settings, environment, tasks)
-        tasks.start_soon(environment.http_server.serve, settings.listen, application)
+        tasks.start_soon(_server(settings, environment).serve, settings.listen, application)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 break
         tasks.cancel_scope.cancel()
 
 
+def _server(settings: EmulatorSettings, environment: Environment) -> HttpServer:
+    """Return the HTTP server of a back end."""
+    if settings.engine.ends_with_connection:
+        return ByteStreamHttpServer(environment.network)
+    return environment.http_server
+
+
 def _build(
     kind: str, settings: EmulatorSettings, environment: Environment, tasks: TaskGroup
 ) -> AsgiApplication:
--- a/src/passlane/simulation/back_ends.py
+++ b/src/passlane/simulation/back_ends.py
@@ -12,6 +12,7 @@
 from passlane.emulator.engine_app import build_engine_application
 from passlane.emulator.engine_service import EngineService
 from passlane.emulator.engine_settings import EngineModelSettings
+from passlane.emulator.http_server import ByteStreamHttpServer
 from passlane.emulator.platform_app import build_platform_application
 from passlane.emulator.platform_model import PlatformModel
 from passlane.identifiers import EngineId
@@ -25,7 +26,6 @@
     PLATFORM_HOST,
     PLATFORM_PORT,
 )
-from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import SimulatedNetwork
 from passlane.simulation.observer import Observations, SeenPrompt, SeenToolRun
 
@@ -70,7 +70,7 @@
         raise NotImplementedError
 
     async def _serve(self, application: AsgiApplication) -> None:
-        server = SimulatedHttpServer(self._network.host(self.host))
+        server = ByteStreamHttpServer(self._network.host(self.host))
         await server.serve(self.address, application)
 
 
--- a/src/passlane/simulation/environment.py
+++ b/src/passlane/simulation/environment.py
@@ -2,10 +2,10 @@
 
 import random
 
+from passlane.emulator.http_server import ByteStreamHttpServer
 from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.runtime.interfaces import Environment
 from passlane.simulation.disk import SimulatedDisk
-from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import HostNetwork
 
 
@@ -20,7 +20,7 @@
     return Environment(
         network=network,
         http_client=SingleConnectionHttpClient(network),
-        http_server=SimulatedHttpServer(network),
+        http_server=ByteStreamHttpServer(network),
         disk=disk,
         random=random_source,
     )
--- a/src/passlane/simulation/replay_fleet.py
+++ b/src/passlane/simulation/replay_fleet.py
@@ -15,6 +15,7 @@
 from passlane.emulator.engine_app import build_engine_application
 from passlane.emulator.engine_service import EngineService
 from passlane.emulator.example_files import OUTSIDE_ZONE, SimulatedExample
+from passlane.emulator.http_server import ByteStreamHttpServer
 from passlane.emulator.platform_app import build_platform_application
 from passlane.emulator.platform_model import PlatformModel
 from passlane.emulator.remote_cache import remote_cache_reader
@@ -33,7 +34,6 @@
 from passlane.simulation.disk import SimulatedDisk
 from passlane.simulation.environment import build_simulated_environment
 from passlane.simulation.event_log import EventLog
-from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import DelayModel, SimulatedNetwork
 from passlane.simulation.process import SimulatedProcess
 from passlane.simulation.readiness import READY_PATH, READY_TIMEOUT_S, wait_for_ready
@@ -169,7 +169,7 @@
 
     def _serve(self, address: Address, application: AsgiApplication) -> None:
         """Serve a back end on its host."""
-        server = SimulatedHttpServer(self._network.host(address.host))
+        server = ByteStreamHttpServer(self._network.host(address.host))
         self._tasks.start_soon(server.serve, address, application)
 
     def _nodes(self) -> list[SimulatedProcess]:
--- a/src/passlane/simulation/scenarios/back_ends.py
+++ b/src/passlane/simulation/scenarios/back_ends.py
@@ -21,6 +21,9 @@
 SLOW_ENGINE = EngineModelSettings(answer_tokens_min=30, answer_tokens_max=60, step_base_s=0.06)
 UNCHECKING_ENGINE = msgspec.structs.replace(SLOW_ENGINE, checks_version=False)
 FAULTY_ENGINE = msgspec.structs.replace(ENGINE_SETTINGS, failure_probability=0.15)
+CUTTING_ENGINE = msgspec.structs.replace(
+    FAULTY_ENGINE, ends_with_connection=True, breaks_inside_event=True
+)
 FAULTY_APPLICATION = ApplicationSettings(
     tools=(TOOL,),
     hang_probability=0.05,
@@ -207,6 +210,13 @@
         engine_restarted,
         options=_engine_options(FAULTY_ENGINE),
     ),
+    Scenario(
+        "engine-streams-without-length",
+        ("answers",),
+        "engines break off streams without a length inside an event",
+        engine_restarted,
+        options=_engine_options(CUTTING_ENGINE),
+    ),
     Scenario(
         "engine-unreachable",
         ("answers", "memory"),
--- a/tests/emulator/test_application_app.py
+++ b/tests/emulator/test_application_app.py
@@ -8,11 +8,11 @@
 from passlane.backends.application_client import ApplicationClient
 from passlane.emulator.application_app import build_tool_application
 from passlane.emulator.application_model import ApplicationModel, ApplicationSettings
+from passlane.emulator.http_server import ByteStreamHttpServer
 from passlane.messages.backends import OperationState, ToolRequest
 from passlane.messages.common import Address
 from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.simulation.event_log import EventLog
-from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import DelayModel, SimulatedNetwork
 from passlane.simulation.runner import run_simulation
 
@@ -26,7 +26,7 @@
         async def ask() -> tuple[OperationState, str]:
             zones = {APPLICATION.host: "zone-a", CALLER_HOST: "zone-a"}
             network = SimulatedNetwork(random.Random(1), DelayModel(zones), EventLog())
-            server = SimulatedHttpServer(network.host(APPLICATION.host))
+            server = ByteStreamHttpServer(network.host(APPLICATION.host))
             model = ApplicationModel(ApplicationSettings(), random.Random(1))
             client = ApplicationClient(
                 SingleConnectionHttpClient(network.host(CALLER_HOST)), APPLICATION
--- a/tests/emulator/test_caller_answers.py
+++ b/tests/emulator/test_caller_answers.py
@@ -62,6 +62,15 @@
         self.assertEqual("connection_lost", attempt.result.code)
         self.assertIsNotNone(attempt.repeat_after_s)
 
+    def test_a_tools_answer_that_ends_early_is_lost_and_repeated(self) -> None:
+        whole = b'{"result":"done"}'
+        for answer, is_lost in ((whole, False), (whole[:9], True), (b"", True)):
+            response = StreamedResponse(answer)
+            response.headers = {"content-type": "application/json"}
+            attempt = self.read(response)
+            self.assertEqual(attempt.result.succeeded, not is_lost)
+            self.assertEqual(attempt.repeat_after_s is not None, is_lost)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/emulator/test_engine_app.py
+++ b/tests/emulator/test_engine_app.py
@@ -9,7 +9,7 @@
 import msgspec
 from trio.testing import MockClock
 
-from passlane.emulator.engine_app import build_engine_application
+from passlane.emulator.engine_app import UNFINISHED_EVENT, build_engine_application
 from passlane.emulator.engine_service import EngineService
 from passlane.emulator.engine_settings import EngineModelSettings
 from passlane.identifiers import EngineId, ProgramId
@@ -125,6 +125,20 @@
 
         self.run_with_engine(scenario)
 
+    def test_a_stream_that_breaks_off_can_end_inside_an_event(self) -> None:
+        async def scenario(service: EngineService, application: AsgiApplication) -> None:
+            whole, broken = Client(application), Client(application)
+            await whole.post_chat(CHAT)
+            self.assertTrue(whole.body.endswith(b"data: [DONE]\n\n"))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(broken.post_chat, msgspec.structs.replace(CHAT, attempt_id="a2"))
+                await anyio.sleep(0.015)
+                service.restart()
+            self.assertTrue(broken.body.endswith(UNFINISHED_EVENT))
+
+        settings = EngineModelSettings(ends_with_connection=True, breaks_inside_event=True)
+        self.run_with_engine(scenario, settings)
+
     def test_stale_epoch_is_refused_before_anything_runs(self) -> None:
         async def scenario(service: EngineService, application: AsgiApplication) -> None:
             await Client(application).post_chat(CHAT)
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -5,6 +5,7 @@
 import anyio
 
 from passlane.api.asgi import read_request
+from passlane.emulator.http_server import ENDS_WITH_CONNECTION
 
 EVENTS = 3
 
@@ -20,6 +21,9 @@
         Version of its software, as the list names it.
     breaks_after
         Number of events after which it breaks an answer off; ``None`` to complete it.
+    lacks_length
+        Whether its answers have neither a length nor chunks; one that breaks off ends inside an
+        event.
     """
 
     def __init__(self, instance_id, address, service):
@@ -33,6 +37,7 @@
         self.event_delay_s = 0.01
         self.software_version = "v1"
         self.breaks_after = None
+        self.lacks_length = False
 
     async def __call__(self, scope, receive, send):
         request = await read_request(scope, receive, 10_000_000)
@@ -51,13 +56,17 @@
             (b"x-passlane-response-signature", b"signed"),
             (b"content-type", b"text/event-stream"),
         ]
-        await send({"type": "http.response.start", "status": 200, "headers": answer_headers})
+        start = {"type": "http.response.start", "status": 200, "headers": answer_headers}
+        await send(start | {ENDS_WITH_CONNECTION: self.lacks_length})
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, EVENTS + 1):
             await anyio.sleep(self.event_delay_s)
+            event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
             if self.breaks_after is not None and number > self.breaks_after:
+                if self.lacks_length:
+                    part = event[: len(event) // 2]
+                    await send({"type": "http.response.body", "body": part, "more_body": True})
                 return  # Without an end, the server closes the connection.
-            event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
             await send({"type": "http.response.body", "body": event, "more_body": True})
         await send({"type": "http.response.body", "body": b""})
 
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -10,13 +10,13 @@
 import anyio
 import httpcore
 
+from passlane.emulator.http_server import ByteStreamHttpServer
 from passlane.messages.common import Address
 from passlane.runtime.early_listening import bound_socket
 from passlane.runtime.http_client import SingleConnectionHttpClient
 from passlane.runtime.http_server import UvicornHttpServer
 from passlane.runtime.interfaces import HttpConnectionError, HttpLimits, HttpRequest
 from passlane.runtime.network import TcpNetwork
-from passlane.simulation.http_server import SimulatedHttpServer
 from passlane.simulation.network import DelayModel, SimulatedNetwork
 from passlane.simulation.replacement import Replacement, replaced
 from passlane.simulation.runner import run_simulation
@@ -223,7 +223,7 @@
         self.client = SingleConnectionHttpClient(self.network.host(CLIENT_HOST))
 
     async def serve(self) -> None:
-        server = SimulatedHttpServer(self.network.host(BACKEND.host))
+        server = ByteStreamHttpServer(self.network.host(BACKEND.host))
         await server.serve(BACKEND, application)
 
     async def fetch(self, path: str) -> str:
--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -16,6 +16,7 @@
     "release-forgotten",
     "doubtful-charge-repeated",
     "version-unchecked",
+    "stream-end-taken-for-answer",
 )
 """Caught here each time; ``passlane sim defects`` checks all of them."""
 
