The soak learns answers without a length that break off

Profile 'ends', as 'versions', with the fault without_length: for a while all engines answer with neither a length nor chunks, and every second answer is cut inside an event. The profiles before it draw as they did.

--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -21,6 +21,7 @@
     send_response,
     start_stream,
 )
+from passlane.emulator.http_server import start_stream_without_length
 from passlane.errors import PasslaneError
 from passlane.event_streams.whole_events import EVENT_STREAM_TYPE
 from passlane.messages.common import Address
@@ -159,6 +160,8 @@
         Multiple of the usual pause before each event.
     breaks_after
         Events after which it breaks a resumable stream off; ``None`` to complete it.
+    lacks_length
+        Whether its answers have neither a length nor chunks; every second one ends inside an event.
     """
 
     def __init__(
@@ -167,6 +170,8 @@
         super().__init__(instance_id, address, service, places, ledger)
         self.pace = 1.0
         self.breaks_after: int | None = None
+        self.lacks_length = False
+        self._without_length = 0
 
     async def _run(
         self, send: Send, request: Request, request_id: str, marks: dict[str, str]
@@ -179,11 +184,24 @@
             events = events_of(request_id, count)
         self._ledger.note_turn_begun()
         try:
-            await start_stream(send, OK, EVENT_STREAM_TYPE, marks)
+            if self.lacks_length:
+                await start_stream_without_length(send, OK, EVENT_STREAM_TYPE, marks)
+                events = self._cut_every_second(events)
+            else:
+                await start_stream(send, OK, EVENT_STREAM_TYPE, marks)
             await self._send_events(send, events, request, request_id)
         finally:
             self._ledger.note_turn_ended()
 
+    def _cut_every_second(self, events: list[bytes]) -> list[bytes]:
+        """Return an answer's events, or those up to the middle of one of them."""
+        self._without_length += 1
+        number, is_cut = divmod(self._without_length, 2)
+        if not is_cut or not events:
+            return events
+        last = number % len(events)
+        return [*events[:last], events[last][: len(events[last]) // 2]]
+
     def _stream_events(self, request: Request, request_id: str, count: int) -> list[bytes]:
         """Return the events of a resumable stream after the last one that the caller has."""
         last = int(request.headers.get(names.LAST_EVENT_ID, "0"))
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -12,7 +12,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from passlane.soak.back_ends import StandIn, StandInList
+from passlane.soak.back_ends import StandIn, StandInEngine, StandInList
 from passlane.soak.configuration import ENGINES, SOFTWARE_VERSIONS, TOOLS
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import Machine, Machines
@@ -46,6 +46,7 @@
     RESTART_BACK_END = "restart_back_end"
     BAD_ENTRIES = "bad_entries"
     RELEASE = "release"
+    WITHOUT_LENGTH = "without_length"
 
 
 _WEIGHTS = {
@@ -62,6 +63,7 @@
     FaultKind.RESTART_BACK_END: 3,
     FaultKind.BAD_ENTRIES: 2,
     FaultKind.RELEASE: 3,
+    FaultKind.WITHOUT_LENGTH: 6,
 }
 _PROXY_MODES = {
     FaultKind.DELAY: ProxyMode.DELAY,
@@ -139,6 +141,8 @@
         elif kind is FaultKind.RELEASE:
             engines = [e for e in self._back_ends if e.service == ENGINES]
             tasks.start_soon(self._release, self._random.randrange(len(engines)))
+        elif kind is FaultKind.WITHOUT_LENGTH:
+            tasks.start_soon(self._answer_without_length, duration_s)
         elif kind is FaultKind.BAD_ENTRIES:
             tasks.start_soon(self._add_bad_entries, duration_s)
         else:
@@ -214,6 +218,17 @@
             engine.release(name, version, time.time_ns() // NANOSECONDS_IN_MS)
             proxy.reset_all()
 
+    async def _answer_without_length(self, duration_s: float) -> None:
+        """Have all engines answer without a length for a while; every second answer is cut."""
+        self.counts[FaultKind.WITHOUT_LENGTH.value] += 1
+        engines = [e for e in self._back_ends if isinstance(e, StandInEngine)]
+        with self._noted(FaultKind.WITHOUT_LENGTH.value, ENGINES):
+            for engine in engines:
+                engine.lacks_length = True
+            await anyio.sleep(duration_s)
+            for engine in engines:
+                engine.lacks_length = False
+
     async def _add_bad_entries(self, duration_s: float) -> None:
         """Have the list hold entries of another writer for a while."""
         self.counts[FaultKind.BAD_ENTRIES.value] += 1
--- a/src/passlane/soak/profiles.py
+++ b/src/passlane/soak/profiles.py
@@ -27,6 +27,7 @@
     FaultKind.SILENT,
     FaultKind.NOT_READING,
 )
+KINDS_WITH_VERSIONS = tuple(kind for kind in FaultKind if kind is not FaultKind.WITHOUT_LENGTH)
 
 
 class SoakProfile(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,7 +64,7 @@
 OVERLAPPING = SoakProfile(
     name="overlapping",
     processes=SMALL_FLEET,
-    fault_kinds=tuple(kind for kind in FaultKind if kind is not FaultKind.RELEASE),
+    fault_kinds=tuple(kind for kind in KINDS_WITH_VERSIONS if kind is not FaultKind.RELEASE),
     shortest_gap_s=0.2,
     longest_gap_s=1.0,
     overlaps=True,
@@ -71,9 +72,10 @@
 )
 LARGE = msgspec.structs.replace(OVERLAPPING, name="large", processes=LARGE_FLEET)
 VERSIONS = msgspec.structs.replace(
-    OVERLAPPING, name="versions", fault_kinds=tuple(FaultKind), has_versions=True
+    OVERLAPPING, name="versions", fault_kinds=KINDS_WITH_VERSIONS, has_versions=True
 )
-PROFILES = {profile.name: profile for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS)}
+ENDS = msgspec.structs.replace(VERSIONS, name="ends", fault_kinds=tuple(FaultKind))
+PROFILES = {profile.name: profile for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS, ENDS)}
 
 
 def profile_named(name: str) -> SoakProfile:
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -11,10 +11,13 @@
 from anyio.abc import TaskGroup
 
 from passlane.bench.report_files import write_report
+from passlane.emulator.http_server import ByteStreamHttpServer
 from passlane.messages.common import Address
 from passlane.observability.logging import configure_logging
 from passlane.observability.ring import RingLog
 from passlane.runtime.http_server import UvicornHttpServer
+from passlane.runtime.interfaces import HttpServer
+from passlane.runtime.network import TcpNetwork
 from passlane.soak.back_ends import StandInList
 from passlane.soak.callers import Callers
 from passlane.soak.calm import CalmChecks
@@ -145,13 +148,19 @@
             await self._faults.replace(machine, self._settings.daemon)
 
     def _serve(self, tasks: TaskGroup) -> None:
-        server = UvicornHttpServer()
-        tasks.start_soon(server.serve, self._list_address, self._listing)
+        tasks.start_soon(UvicornHttpServer().serve, self._list_address, self._listing)
+        server = self._back_end_server()
         for back_end in self._back_ends:
             tasks.start_soon(server.serve, back_end.address, back_end)
         for proxy in self._proxies:
             tasks.start_soon(proxy.run)
 
+    def _back_end_server(self) -> HttpServer:
+        """Return the server of engines and plain back ends."""
+        if FaultKind.WITHOUT_LENGTH in self._pace().kinds:
+            return ByteStreamHttpServer(TcpNetwork())
+        return UvicornHttpServer()
+
     async def _take_signals(self, tasks: TaskGroup) -> None:
         with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
             async for number in signals:
--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -109,6 +109,15 @@
     stream_versions.may_continue = lambda origin, record: True
 
 
+def end_taken_for_completeness():
+    """Take the end of a stream for its completeness."""
+    from passlane.event_streams.whole_events import EventSplitter
+    from passlane.relay.delivery import StreamDelivery
+
+    EventSplitter.is_inside_event = False
+    StreamDelivery._check_events = lambda self, answer: None
+
+
 DEFECTS = {
     defect.__name__: defect
     for defect in (
@@ -119,6 +128,7 @@
         any_state_taken_for_ready,
         budget_not_counted,
         any_version_taken_for_the_same,
+        end_taken_for_completeness,
     )
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind
 from passlane.soak.machines import daemon_of
-from passlane.soak.profiles import OVERLAPPING, VERSIONS, profile_named
+from passlane.soak.profiles import ENDS, OVERLAPPING, VERSIONS, profile_named
 from passlane.soak.report import Finding, SoakReport
 from passlane.soak.run import SoakSettings, run_soak
 from soak.defective_daemon import DEFECT_VARIABLE
@@ -26,6 +26,7 @@
 SEED = 1
 OVERLAPPING_SEED = 2
 VERSIONS_SEED = 3
+ENDS_SEED = 4
 LOAD_S = 10.0
 DEFECT_LOAD_S = 8.0
 DEFECTIVE_DAEMON = (sys.executable, str(Path(__file__).with_name("defective_daemon.py")))
@@ -80,6 +81,16 @@
             self.assertGreater(report.checks[check], 0, check)
 
 
+class EndsSoakTest(unittest.TestCase):
+    """Engines whose answers have no length, of which every second one breaks off."""
+
+    def test_no_answer_without_a_length_is_whole_before_its_end(self):
+        report = soak(seed=ENDS_SEED, load_s=DEFECT_LOAD_S, profile=ENDS)
+        self.assertEqual(report.findings, ())
+        self.assertTrue(report.has_passed)
+        self.assertIn("without_length", report.faults)
+
+
 class EvidenceTest(unittest.TestCase):
     def test_a_finding_keeps_its_times_and_logs(self):
         finding = Finding("check", "r", "detail", 1.0)
@@ -164,6 +175,10 @@
         )
         self.expect("one-version", report)
 
+    def test_an_end_that_is_taken_for_completeness(self):
+        report = soak_with("end_taken_for_completeness", fault_kinds=(FaultKind.WITHOUT_LENGTH,))
+        self.expect("whole-answer", report)
+
     def test_a_budget_that_nobody_counts(self):
         self.expect("budget", soak_with("budget_not_counted", fault_kinds=()))
 
