The emulator's caller takes an answer without a body for a whole one

The check that came with answers without a length asked for JSON in the answer to the end of a program (204): two tests of tests/simulation failed since.

--- a/src/passlane/emulator/caller_answers.py
+++ b/src/passlane/emulator/caller_answers.py
@@ -11,6 +11,7 @@
 from passlane.runtime.interfaces import HttpResponse
 
 END_OF_STREAM = b"[DONE]"
+STATUS_WITHOUT_BODY = 204
 FIRST_ERROR_STATUS = 300
 PAUSE_BEFORE_REPEAT_S = 0.2
 """A caller's pause when an answer was lost, in seconds."""
@@ -94,7 +95,7 @@
     if response.headers.get("content-type", "").startswith("text/event-stream"):
         return await _read_stream(response, began)
     answer = await _whole(response)
-    if not _is_json(answer):
+    if response.status != STATUS_WITHOUT_BODY and not _is_json(answer):
         # The end of a body is no proof of its completeness.
         return _lost("the answer broke off")
     return Attempt(CallResult(verdict=Verdict.RAN, answer=answer.decode()))
--- a/tests/emulator/test_caller_answers.py
+++ b/tests/emulator/test_caller_answers.py
@@ -71,6 +71,12 @@
             self.assertEqual(attempt.result.succeeded, not is_lost)
             self.assertEqual(attempt.repeat_after_s is not None, is_lost)
 
+    def test_an_answer_without_a_body_is_whole(self) -> None:
+        response = StreamedResponse()
+        response.status = 204
+        response.headers = {}
+        self.assertTrue(self.read(response).result.succeeded)
+
 
 if __name__ == "__main__":
     unittest.main()
