Tests of answers' heads give the whole call, and cover framing and type

The head of an answer depends on the call's method since an answer to HEAD has no body; six tests of test_formats called it with the id alone and failed since. Their assertions are unchanged.

--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from passlane.decisions.failure.answer_verdicts import Judgement, judge_answer
-from passlane.decisions.inputs.answer_head import Refusal
-from passlane.decisions.inputs.relayed_call import Header, PromptPart
+from passlane.decisions.inputs.answer_head import BodyFraming, Refusal
+from passlane.decisions.inputs.relayed_call import Header, PromptPart, RelayedCall
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.routes import Route, RoutedService, RouteKind, ServiceShare, Tenant
 from passlane.platform.configuration_format import encode_configuration, parse_configuration
@@ -241,11 +241,35 @@
         self.headers = {name.replace("_", "-"): value for name, value in headers.items()}
 
 
-def head_of(status, **headers):
-    return EngineAnswer(FakeResponse(status, **headers), "own").head
+def head_of(status, *, method="POST", **headers):
+    own_call = RelayedCall(
+        request_id="own",
+        method=method,
+        host="one.example",
+        target="/x",
+        headers=(),
+        body=b"",
+        arrived_at=0.0,
+        deadline_at=1.0,
+    )
+    return EngineAnswer(FakeResponse(status, **headers), own_call).head
 
 
 class EngineAnswerTest(unittest.TestCase):
+    def test_the_framing_tells_what_ends_the_body(self):
+        self.assertIs(head_of(200, content_length="5").framing, BodyFraming.LENGTH)
+        self.assertIs(head_of(200, transfer_encoding="chunked").framing, BodyFraming.CHUNKS)
+        self.assertIs(head_of(200).framing, BodyFraming.CONNECTION)
+
+    def test_an_answer_that_has_no_body_does_not_end_with_its_connection(self):
+        for answer_head in (head_of(204), head_of(304), head_of(200, method="HEAD")):
+            self.assertIs(answer_head.framing, BodyFraming.LENGTH)
+
+    def test_the_media_type_has_no_parameters(self):
+        for declared in ("text/event-stream", "Text/Event-Stream; charset=utf-8"):
+            self.assertEqual(head_of(200, content_type=declared).media_type, "text/event-stream")
+        self.assertEqual(head_of(200).media_type, "")
+
     def test_a_success_needs_the_signature_the_request_id_and_no_encoding(self):
         marks = {"x_passlane_attempt_id": "own", "x_passlane_response_signature": "s"}
         self.assertTrue(head_of(200, **marks).is_authentic)
