--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -86,6 +86,8 @@
             for n in range(1, engines + 1)
         ]
         self.list = StandInList(self.engines)
+        self.ended_engines = []
+        self.started_engines = 0
         self.client = SingleConnectionHttpClient(self.network.host(CLIENT_HOST))
 
     def add(self, role, number):
@@ -167,10 +169,13 @@
             (LIST_ADDRESS, self.list),
             *((engine.address, engine) for engine in self.engines),
         ]:
-            environment = build_simulated_environment(
-                self.network.host(address.host), None, random.Random(0)
-            )
-            self.tasks.start_soon(environment.http_server.serve, address, application)
+            self._serve(address, application)
+
+    def _serve(self, address, application):
+        environment = build_simulated_environment(
+            self.network.host(address.host), None, random.Random(0)
+        )
+        self.tasks.start_soon(environment.http_server.serve, address, application)
 
     async def fetch(self, address, method, path, headers=None, body=b"", timeout_s=6.0):
         """Send one request; return its answer or ``None``."""
@@ -238,9 +243,10 @@
         previous=None,
         budget=10_000,
         path="/turns/x",
+        body=None,
         **headers,
     ):
-        """Send one turn of a program to a node."""
+        """Send one turn of a program to a node; its id is in its body if that is not given."""
         address = Address(self.machines[node].host, CALLERS_PORT)
         all_headers = {
             "x-passlane-attempt-id": request_id,
@@ -259,13 +265,13 @@
             address,
             path,
             all_headers,
-            f"<{request_id}>".encode(),
+            f"<{request_id}>".encode() if body is None else body,
             True,
             "one.example",
         )
         return await self._exchange(request, 6.0)
 
-    async def tool_call(self, request_id, *, node="node-1", **headers):
+    async def tool_call(self, request_id, *, node="node-1", path="/calls/x", body=b"", **headers):
         """Send one tool call to a node."""
         address = Address(self.machines[node].host, CALLERS_PORT)
         all_headers = {
@@ -273,7 +279,7 @@
             "x-passlane-program-id": "program",
             "x-passlane-deadline-ms": "3000",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
-        request = HttpRequest("POST", address, "/calls/x", all_headers, b"", True, "one.example")
+        request = HttpRequest("POST", address, path, all_headers, body, True, "one.example")
         return await self._exchange(request, 6.0)
 
     async def retry_turn(self, request_id, **options):
@@ -302,6 +308,43 @@
         self.network.drop_connections(engine.address.host, reset_peers=True)
         self.network.remove_listeners(engine.address.host)
 
+    def end_engines_under(self, body, *, end_after_s=0.0, restart_s=0.3):
+        """Have each engine end after it began to run this body; another one starts later."""
+
+        def on_run(engine, run_body):
+            if run_body.endswith(body):
+                self.tasks.start_soon(self.replace_engine, engine, end_after_s, restart_s)
+
+        for engine in self.engines:
+            engine.on_run = on_run
+
+    async def replace_engine(self, engine, end_after_s, restart_s):
+        """End an engine, and start one with another id at its address."""
+        await anyio.sleep(end_after_s)
+        if engine not in self.engines or engine in self.ended_engines:
+            return
+        self.ended_engines.append(engine)
+        self.lose_engine(engine)
+        await anyio.sleep(restart_s)
+        self.started_engines += 1
+        instance_id = f"{engine.instance_id.partition('.')[0]}.{self.started_engines}"
+        started = StandInEngine(instance_id, engine.address, engine.service)
+        started.on_run = engine.on_run
+        self.engines[self.engines.index(engine)] = started
+        self._serve(engine.address, started)
+
+    def runs_of(self, body):
+        """Return the engines, present and ended, that ran a request with this body, in order."""
+        present = [engine for engine in self.engines if engine not in self.ended_engines]
+        engines = [*present, *self.ended_engines]
+        runs = [
+            (ran_at, engine.instance_id)
+            for engine in engines
+            for ran_at, (_, run_body) in zip(engine.run_times, engine.runs, strict=True)
+            if run_body.endswith(body)
+        ]
+        return [instance_id for _, instance_id in sorted(runs)]
+
     def executed_body(self, request_id):
         """Return the body that an engine received for a request; ``None`` if no engine ran it."""
         for engine in self.engines:
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -24,6 +24,8 @@
     lacks_length
         Whether its answers have neither a length nor chunks; one that breaks off ends inside an
         event.
+    on_run
+        Called with this engine and the body when it begins to run a request; ``None`` for nothing.
     """
 
     def __init__(self, instance_id, address, service):
@@ -38,6 +40,7 @@
         self.software_version = "v1"
         self.breaks_after = None
         self.lacks_length = False
+        self.on_run = None
 
     async def __call__(self, scope, receive, send):
         request = await read_request(scope, receive, 10_000_000)
@@ -51,6 +54,8 @@
         self.runs.append((request_id, request.body))
         self.run_headers[request_id] = headers
         self.run_times.append(anyio.current_time())
+        if self.on_run is not None:
+            self.on_run(self, request.body)
         answer_headers = [
             (b"x-passlane-attempt-id", request_id.encode()),
             (b"x-passlane-response-signature", b"signed"),
