--- a/src/passlane/decisions/inputs/relayed_call.py
+++ b/src/passlane/decisions/inputs/relayed_call.py
@@ -26,11 +26,14 @@
         Local time by which the program should end; ``None`` if unknown.
     budget_tokens
         Maximum tokens that all turns of the program may generate; ``None`` for no limit.
+    session_id
+        The line of turns that the request belongs to; empty if it is not named.
     """
 
     program_id: str
     deadline_at: float | None
     budget_tokens: int | None
+    session_id: str = ""
 
 
 class RelayedCall(msgspec.Struct, frozen=True):
@@ -48,6 +51,11 @@
         Names of headers that callers must not set and that are not forwarded.
     key_digests
         Digests of the API keys in the request, see ``routes.tenants.digest_of_key``.
+    content_headers
+        Values of those forwarded headers that are part of the request's content and don't differ
+        between its attempts.
+    caller_host
+        Host that the connection comes from; empty if unknown.
     arrived_at, deadline_at
         Local times of the request's arrival and of the caller's deadline.
     most_tokens
@@ -77,6 +85,8 @@
     resumes: str | None = None
     dropped_headers: tuple[str, ...] = ()
     key_digests: tuple[bytes, ...] = ()
+    content_headers: tuple[str, ...] = ()
+    caller_host: str = ""
 
     @property
     def path(self) -> str:
--- a/src/passlane/platform/client_ingress.py
+++ b/src/passlane/platform/client_ingress.py
@@ -53,7 +53,9 @@
         ]
         try:
             body = await self._read_body(scope, receive)
-            call = parse_call(scope["method"], _target(scope), headers, body, arrived_at)
+            call = parse_call(
+                scope["method"], _target(scope), headers, body, arrived_at, _caller_host(scope)
+            )
         except PasslaneError as error:
             await self._refuse(error, AsgiAnswerWriter(send, _always_close))
             return
@@ -111,6 +113,12 @@
             return
 
 
+def _caller_host(scope: Scope) -> str:
+    """Return the host that the connection comes from; empty if the server doesn't tell it."""
+    caller = scope.get("client")
+    return caller[0] if caller else ""
+
+
 def _target(scope: Scope) -> str:
     path: str = scope["raw_path"].decode("latin-1")
     query = scope["query_string"]
--- a/src/passlane/platform/names.py
+++ b/src/passlane/platform/names.py
@@ -10,6 +10,8 @@
 TOKEN_USAGE = "x-passlane-token-usage"
 TOKEN_BUDGET = "x-passlane-token-budget"
 PROMPT_PREFIX = "x-passlane-prompt-prefix"
+MODEL = "x-passlane-model"
+AFFINITY_KEY = "x-passlane-affinity-key"
 PROGRAM_ID = "x-passlane-program-id"
 SESSION_ID = "x-passlane-session-id"
 PROGRAM_DEADLINE_MS = "x-passlane-program-deadline-ms"
@@ -69,5 +71,8 @@
 )
 """Headers that only passlane may set: engines act on them, so those of clients are dropped."""
 
+CONTENT_HEADERS = frozenset({MODEL, AFFINITY_KEY, "authorization", "cookie", "content-type"})
+"""Headers that are part of a request's content: they are the same in all its attempts."""
+
 CREDENTIAL_HEADERS = frozenset({API_KEY})
 """Headers with credentials for passlane, which are not forwarded to backends."""
--- a/src/passlane/platform/request_format.py
+++ b/src/passlane/platform/request_format.py
@@ -19,6 +19,7 @@
     headers: Sequence[Header],
     body: bytes,
     now: float,
+    caller_host: str = "",
 ) -> RelayedCall:
     """Return the call of a request.
 
@@ -30,6 +31,8 @@
         In the order of the request, with names in lower case.
     now
         Local time, in seconds, at which the request arrived.
+    caller_host
+        Host that the connection comes from; empty if unknown.
 
     Raises
     ------
@@ -57,6 +60,8 @@
         previous_turn=values.get(names.PREVIOUS_TURN) or None,
         last_event_id=values.get(names.LAST_EVENT_ID) or None,
         resumes=values.get(names.RESUMES) or None,
+        content_headers=_content_headers(headers),
+        caller_host=caller_host,
     )
 
 
@@ -66,6 +71,12 @@
     return tuple(header for header in headers if header.name not in dropped)
 
 
+def _content_headers(headers: Sequence[Header]) -> tuple[str, ...]:
+    """Return the headers that are part of the content, with their names."""
+    found = [header for header in headers if header.name in names.CONTENT_HEADERS]
+    return tuple(f"{header.name}: {header.value}" for header in found)
+
+
 def _reserved_names(headers: Sequence[Header]) -> tuple[str, ...]:
     """Return the distinct names of reserved headers that a client has set."""
     found = [header.name for header in headers if header.name in names.RESERVED_HEADERS]
@@ -85,6 +96,7 @@
         program_id=program_id,
         deadline_at=_parse_deadline(values, names.PROGRAM_DEADLINE_MS, now),
         budget_tokens=_parse_optional_number(values, names.TOKEN_BUDGET),
+        session_id=values.get(names.SESSION_ID, ""),
     )
 
 
