A request is refused after three engines have ended under it, over all attempts

Callers saw: every request that ran at an engine broke off with it, again and again, as the request that ended the engine was sent to the next one: a turn sent anew, a resumed stream, a call called again. Each attempt was within its bounds.

Cause: nobody counted over attempts (hypothesis 1).

Change: after a broken attempt a node opens a connection to the engine. A refused one shows that its process is gone; one that is accepted, or not answered, shows nothing until another instance answers at the address or the list drops the engine without naming it as draining. An end is reported under the request's key to the leader of the store group, which answers once it is replicated; nodes hold one request to the leader that is answered when a request becomes refused.

--- a/src/passlane/daemon/fleet/node.py
+++ b/src/passlane/daemon/fleet/node.py
@@ -75,6 +75,7 @@
         async with anyio.create_task_group() as tasks:
             self._relay = self._build_relay(tasks)
             tasks.start_soon(self._fleet_client.run)
+            tasks.start_soon(self._relay.run)
             tasks.start_soon(reader.run)
             tasks.start_soon(self._store.run)
             tasks.start_soon(self._bounds.run)
--- a/src/passlane/decisions/backends/health.py
+++ b/src/passlane/decisions/backends/health.py
@@ -67,11 +67,16 @@
         if self._end():
             self._health.record_failure(now, 1.0)
 
-    def dropped(self, now: float, stall_limit_s: float) -> None:
-        """Record that the request was abandoned; counts as a failure if it had stalled."""
+    def dropped(self, now: float, stall_limit_s: float) -> bool:
+        """Record that the request was abandoned; counts as a failure if it had stalled.
+
+        Returns whether it was abandoned because of that.
+        """
         is_stalled = now - self.last_progress_at > stall_limit_s
-        if self._end() and is_stalled:
+        counts = self._end() and is_stalled
+        if counts:
             self._health.record_failure(now, STALL_WEIGHT)
+        return counts
 
     def _end(self) -> bool:
         """Stop tracking; return whether the request was still tracked."""
--- a/src/passlane/decisions/backends/registry.py
+++ b/src/passlane/decisions/backends/registry.py
@@ -124,6 +124,10 @@
     def _records(self) -> list[BackendRecord]:
         return [load.record for load in self._loads.values()]
 
+    def states(self) -> dict[str, BackendState]:
+        """Return the state of each listed back end, by incarnation."""
+        return {load.record.incarnation: load.record.state for load in self._loads.values()}
+
     def recent_versions(self, service: str, now: float) -> frozenset[str]:
         """Return the software versions of a service's engines, of draining and recent ones too."""
         listed = {r.software_version for r in self._records() if r.service == service}
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -1,12 +1,14 @@
 """Commands, queries and results of the store group for turns of programs.
 
 They cover the reservation and settlement of turns, stored histories, token budgets, the
-replicated usage of tenants, and the engines that began resumable streams.
+replicated usage of tenants, the engines that began resumable streams, and those that ended under
+requests.
 """
 
 import msgspec
 
 from passlane.messages.base import Message
+from passlane.messages.engine_ends import EngineEnd, RefusedRequest
 from passlane.messages.placement import TurnDemand, TurnOutcome, TurnRefused
 from passlane.messages.quotas import QuotaRefused, QuotaRequest, TenantUsage
 from passlane.messages.streams import StreamOrigin
@@ -129,12 +131,13 @@
 class AdvanceAge(Message, frozen=True):
     """Advances the state's age by ``seconds`` of the leader's clock; removes expired data.
 
-    ``begun_streams`` are stored. They are a field of this command because replicas of older
-    builds can't decode a command that they don't know.
+    ``begun_streams`` are stored, and ``engine_ends`` are counted. They are fields of this command
+    because replicas of older builds can't decode a command that they don't know.
     """
 
     seconds: float
     begun_streams: tuple[StreamOrigin, ...] = ()
+    engine_ends: tuple[EngineEnd, ...] = ()
 
 
 class AgeAdvanced(Message, frozen=True):
@@ -146,8 +149,9 @@
 class FindTurnStore(Message, frozen=True):
     """Asks whether the receiver leads the store group; other replicas answer as for a command.
 
-    Nodes also report streams that began and look one up with it, because processes of older builds
-    close the connection on a message that they don't know.
+    Nodes also report streams that began and engines that ended, look a stream up, and ask for the
+    refused requests with it, because processes of older builds close the connection on a message
+    that they don't know.
 
     Attributes
     ----------
@@ -155,20 +159,36 @@
         Streams that began at engines of the sender's requests.
     stream_id
         The stream whose origin is requested; empty for none.
+    engine_ends
+        Engines that ended under requests of the sender. Answered once they are replicated.
+    refused_revision
+        Revision of the refused requests that the sender knows, empty for none: asks for them, and
+        is answered once they have changed, or after a while. ``None`` if they are not requested.
     """
 
     begun_streams: tuple[StreamOrigin, ...] = ()
     stream_id: str = ""
+    engine_ends: tuple[EngineEnd, ...] = ()
+    refused_revision: str | None = None
 
 
 class TurnStoreFound(Message, frozen=True):
     """The leader's answer to ``FindTurnStore``, with its term.
 
-    ``origin`` is that of the requested stream; ``None`` if it is unknown.
+    Attributes
+    ----------
+    origin
+        That of the requested stream; ``None`` if it is unknown.
+    refused
+        All requests that are refused, if they were requested.
+    refused_revision
+        Revision of ``refused``; empty if they were not requested, or from an older build.
     """
 
     term: int = 0
     origin: StreamOrigin | None = None
+    refused: tuple[RefusedRequest, ...] = ()
+    refused_revision: str = ""
 
 
 class NoteUsage(Message, frozen=True, kw_only=True):
--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -10,7 +10,7 @@
 from passlane.messages.listing import BackendRecord
 from passlane.observability.logging import get_logger
 from passlane.platform import names
-from passlane.relay.backends import BackendRequest
+from passlane.relay.backends import BackendReach, BackendRequest
 from passlane.runtime.interfaces import (
     HttpClient,
     HttpConnectionError,
@@ -53,6 +53,14 @@
         """Whether a request can be sent without opening a connection."""
         return self._http_client.has_idle_connection(backend.address)
 
+    async def check_reach(self, backend: BackendRecord) -> BackendReach:
+        """Try to open a connection to a backend; return what came of it."""
+        try:
+            await self._http_client.try_connect(backend.address)
+        except HttpConnectionError as error:
+            return BackendReach.REFUSED if error.is_refused else BackendReach.NO_ANSWER
+        return BackendReach.ACCEPTED
+
     @asynccontextmanager
     async def exchange(
         self, backend: BackendRecord, request: BackendRequest
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -23,6 +23,7 @@
     decide_after_failure,
     leaves_silent_backend,
 )
+from passlane.decisions.inputs.answer_head import Refusal
 from passlane.decisions.placement.request_placement import record_failure, record_success
 from passlane.errors import Verdict
 from passlane.relay.attempt_history import AttemptHistory
@@ -35,6 +36,7 @@
 from passlane.relay.backends import BackendAnswer, BackendRequest
 from passlane.relay.context import RequestContext
 from passlane.relay.end_reasons import BreakReason, RequestEndReason
+from passlane.relay.engine_ends import EndEvidence
 from passlane.relay.request_errors import RequestFailedError
 from passlane.runtime.interfaces import HttpConnectionError
 
@@ -55,6 +57,7 @@
         self._context = context
         self._body = body
         self._history = history
+        self._engine_ends = context.engine_ends
 
     async def send(
         self, load: BackendLoad, stalled_after_s: float, limit_at: float, deliver: Deliver
@@ -71,6 +74,7 @@
         watch = load.health.watch(started_at)
         verdict_before = self._history.verdict
         self._history.record_attempt(load.record.incarnation, started_at)
+        broken: HttpConnectionError | None = None
         response_deadline_at = self._response_deadline_at(started_at + stalled_after_s)
         try:
             with anyio.CancelScope(deadline=response_deadline_at) as response_wait:
@@ -86,10 +90,13 @@
                 raise HttpConnectionError(BreakReason.NO_ANSWER.value, bytes_left=True)
         except HttpConnectionError as error:
             watch.failed(anyio.current_time())
-            self._record_broken(error, load, verdict_before)
+            broken = error
         finally:
-            watch.dropped(anyio.current_time(), stalled_after_s)
+            if watch.dropped(anyio.current_time(), stalled_after_s):
+                self._engine_ends.observe_silent(self._context.request_key, load.record)
             load.in_flight -= 1
+        if broken is not None:
+            await self._handle_broken(broken, load, verdict_before)
         return False
 
     def _response_deadline_at(self, stalled_at: float) -> float:
@@ -111,6 +118,8 @@
         self, answer: BackendAnswer, load: BackendLoad, deliver: Deliver, watch: AttemptWatch
     ) -> bool:
         """Deliver an answer or record a refusal; return whether it was delivered."""
+        if answer.head.is_authentic or answer.head.refusal is Refusal.NOT_EXECUTED:
+            self._engine_ends.record_answer(load.record.incarnation, self._history.sent_at)
         judgement = judge_answer(answer.head)
         if judgement is Judgement.NOT_RUN:
             self._record_refused(answer, load)
@@ -130,6 +139,7 @@
         self._history.record_refused(load.record.incarnation)
         if is_gone(answer.head):
             self._context.registry.remove(load.record.incarnation)
+            self._engine_ends.record_gone(load.record.incarnation, EndEvidence.OTHER_INSTANCE)
 
     def _attempt_labels(self) -> AttemptLabels:
         """Return the labels of the current attempt."""
@@ -139,10 +149,33 @@
             attempt=len(self._history.tried),
         )
 
-    def _record_broken(
+    async def _handle_broken(
         self, error: HttpConnectionError, load: BackendLoad, verdict_before: Verdict
     ) -> None:
-        """Record a broken attempt; raise if the request must not be sent again."""
+        """Record a broken attempt, and whether its engine is gone.
+
+        Raises
+        ------
+        RequestFailedError
+            When the request must not be sent again.
+        """
+        next_step = self._record_broken(error, load, verdict_before)
+        if error.is_refused:
+            self._engine_ends.record_gone(load.record.incarnation, EndEvidence.REFUSED_CONNECTION)
+        if next_step is RetryDecision.NOT_SENT:
+            return
+        key = self._context.request_key
+        if str(error) == BreakReason.NO_ANSWER.value:
+            self._engine_ends.observe_silent(key, load.record)
+        else:
+            await self._engine_ends.observe_broken(key, load.record)
+        if next_step is RetryDecision.FAIL:
+            raise RequestFailedError(RequestEndReason.ATTEMPT_BROKEN, str(error)) from error
+
+    def _record_broken(
+        self, error: HttpConnectionError, load: BackendLoad, verdict_before: Verdict
+    ) -> RetryDecision:
+        """Record a broken attempt; return what follows it."""
         record_failure(load, anyio.current_time())
         self._history.record_broken(load.record.incarnation)
         next_step = decide_after_failure(
@@ -151,10 +184,11 @@
             bytes_left=error.bytes_left,
             is_answer_final=self._history.is_answer_final,
         )
-        log_broken_attempt(error, next_step, load, self._attempt_labels())
+        # Attempts that were not sent are not looked up by their key, and there may be many.
+        key = self._context.request_key if error.bytes_left else ""
+        log_broken_attempt(error, next_step, load, self._attempt_labels(), key)
         if next_step is RetryDecision.NOT_SENT:
             self._history.verdict = verdict_before
-            return
-        self._history.runs += 1
-        if next_step is RetryDecision.FAIL:
-            raise RequestFailedError(RequestEndReason.ATTEMPT_BROKEN, str(error)) from error
+        else:
+            self._history.runs += 1
+        return next_step
--- a/src/passlane/relay/attempt_history.py
+++ b/src/passlane/relay/attempt_history.py
@@ -30,6 +30,8 @@
         Instances that refused or failed the request, and are not chosen again in this round.
     served_by
         The instance whose answer was forwarded last; empty without one.
+    sent_at
+        Local time at which the last attempt started.
     is_answer_final
         Whether the caller has received a part that no other answer can continue; set by the
         delivery.
@@ -44,7 +46,7 @@
         self._first_event_id = last_event_id
         self._failed_at: list[str] = []
         self._full_at: list[str] = []
-        self._sent_at = 0.0
+        self.sent_at = 0.0
         self._first_part_s = 0.0
         self.last_event_id = last_event_id
         self.is_answer_final = False
@@ -71,7 +73,7 @@
         """Record that an attempt starts; if it is cancelled, the request may have run."""
         self.is_sent = True
         self.tried.append(instance_id)
-        self._sent_at = now
+        self.sent_at = now
         self.verdict = Verdict.MAY_HAVE_RUN
 
     def record_refused(self, instance_id: str) -> None:
@@ -94,7 +96,7 @@
         """Record that an answer is about to be forwarded."""
         self.served_by = backend.incarnation
         self._answering = backend
-        self._first_part_s = now - self._sent_at
+        self._first_part_s = now - self.sent_at
 
     def record_stream_began(self, stream_id: str) -> None:
         """Record that the answer that is about to be forwarded begins the caller's stream.
@@ -106,7 +108,7 @@
 
     def outcome(self, *, is_whole: bool, events: int) -> TurnOutcome:
         """Return the outcome of the request so far, for the placement of later turns."""
-        engine_s = anyio.current_time() - self._sent_at if is_whole else 0.0
+        engine_s = anyio.current_time() - self.sent_at if is_whole else 0.0
         return TurnOutcome(
             engine_s=engine_s,
             first_part_s=self._first_part_s,
--- a/src/passlane/relay/attempt_log.py
+++ b/src/passlane/relay/attempt_log.py
@@ -114,9 +114,16 @@
 
 
 def log_broken_attempt(
-    error: HttpConnectionError, next_step: RetryDecision, load: BackendLoad, labels: AttemptLabels
+    error: HttpConnectionError,
+    next_step: RetryDecision,
+    load: BackendLoad,
+    labels: AttemptLabels,
+    request_key: str,
 ) -> None:
-    """Log how an attempt broke off, and what follows (``decisions.failure.resending``)."""
+    """Log how an attempt broke off, and what follows (``decisions.failure.resending``).
+
+    ``request_key`` is the same in all attempts at one request, whatever their ids.
+    """
     _log.info(
         "attempt_broke_off",
         request_id=labels.request_id,
@@ -124,6 +131,7 @@
         instance=load.record.incarnation,
         attempt=labels.attempt,
         reason=str(error),
+        request_key=request_key,
         may_have_run=error.bytes_left,
         next_step=next_step.value,
     )
--- a/src/passlane/relay/backends.py
+++ b/src/passlane/relay/backends.py
@@ -3,6 +3,7 @@
 Owns nothing; ``passlane.platform`` implements them.
 """
 
+import enum
 from collections.abc import AsyncGenerator, Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
@@ -53,6 +54,17 @@
     tenant_name: str = ""
 
 
+class BackendReach(enum.StrEnum):
+    """What came of opening a connection to a backend."""
+
+    ACCEPTED = "accepted"
+    """Something listens at its address: the backend, or another one after it."""
+    REFUSED = "refused"
+    """Nothing listens at its address, so its process has ended."""
+    NO_ANSWER = "no_answer"
+    """Its host did not answer: it may be gone, or the path to it may be cut."""
+
+
 class RelayBackends(Protocol):
     """Sends requests to backends."""
 
@@ -72,6 +84,10 @@
         """Whether a request can be sent without opening a connection."""
         ...
 
+    async def check_reach(self, backend: BackendRecord) -> BackendReach:
+        """Try to open a connection to a backend; return what came of it."""
+        ...
+
 
 class BackendList(Protocol):
     """The platform's list of backends."""
--- a/src/passlane/relay/context.py
+++ b/src/passlane/relay/context.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from passlane.decisions.backends.registry import BackendRegistry
+from passlane.decisions.failure.request_identity import request_key
 from passlane.decisions.inputs.relayed_call import RelayedCall
 from passlane.decisions.placement.request_placement import NodeLocation, PlacementKey
 from passlane.decisions.placement.shared_parts import large_shared_part
@@ -15,6 +16,7 @@
 from passlane.relay.backends import RelayBackends
 from passlane.relay.begun_streams import BegunStreams
 from passlane.relay.capacity_waits import CapacityWaits
+from passlane.relay.engine_ends import EngineEndWatch
 from passlane.relay.request_quota import RequestQuota
 from passlane.routes.tenants import Identity
 
@@ -38,6 +40,7 @@
     backends: RelayBackends
     waits: CapacityWaits
     streams: BegunStreams
+    engine_ends: EngineEndWatch
     origin: StreamOrigin | None = None
 
     @property
@@ -45,6 +48,11 @@
         """Whether the request goes to model engines."""
         return self.service.tokens_per_event > 0
 
+    @property
+    def request_key(self) -> str:
+        """Identifies the request over all its attempts; computed anew each time."""
+        return request_key(self.call, self.identity.tenant_name)
+
     @property
     def engine_priority(self) -> int | None:
         """Its priority at an engine, 0 is the most urgent; ``None`` for other backends."""
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -140,6 +140,21 @@
         "decisions.placement.stream_versions",
     )
     """As ``NO_ENGINE_OF_VERSION``, but after an attempt that may have run."""
+    ENGINES_ENDED = (
+        "engines_ended",
+        CallerResponse.REFUSAL,
+        UNAVAILABLE,
+        "decisions.failure.engine_ends",
+    )
+    """Too many engines have ended while they ran this request, over all attempts at it; it did not
+    run at this attempt. See the lines ``engine_ends_recorded`` with its ``request_key``."""
+    NO_FURTHER_ENGINE_MAY_END = (
+        "engines_ended_no_further_attempt",
+        CallerResponse.BY_VERDICT,
+        None,
+        "decisions.failure.engine_ends",
+    )
+    """As ``ENGINES_ENDED``, but after an attempt that may have run."""
     ATTEMPT_BROKEN = ("{detail}", CallerResponse.BY_VERDICT, None, "decisions.failure.resending")
     """An attempt that may have run returned no complete answer, and no further attempt is allowed;
     the detail is the error of the connection (``HttpConnectionError``)."""
--- a/src/passlane/relay/progress.py
+++ b/src/passlane/relay/progress.py
@@ -46,6 +46,8 @@
         is unknown.
     framing
         What marks the end of the last answer of a backend; empty without one.
+    request_key
+        Identifies the request over all its attempts; empty unless engines ended under it.
     unfinished_bytes
         Bytes behind the last complete event of the last answer of a stream.
     """
@@ -65,6 +67,7 @@
     events: int = 0
     software_version: str = ""
     framing: str = ""
+    request_key: str = ""
     unfinished_bytes: int = 0
     reserved_s: float | None = None
     quota_wait_s: float | None = None
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -126,6 +126,8 @@
         self._progress.verdict = self._history.verdict
         self._progress.tried = self._history.tried
         self._progress.events = self._delivery.events
+        if self._history.runs:
+            self._progress.request_key = self._context.request_key
         if self._history.origin is not None:
             self._progress.software_version = self._history.origin.software_version
         if self._attempts is not None:
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -15,6 +15,7 @@
 from passlane.decisions.inputs.relayed_call import RelayedCall
 from passlane.decisions.limits.allowances import Allowances
 from passlane.decisions.placement.request_placement import NodeLocation
+from passlane.errors import Verdict
 from passlane.messages.routes import Route, RouteConfiguration, RouteKind
 from passlane.messages.streams import StreamOrigin
 from passlane.observability.logging import get_logger
@@ -24,8 +25,10 @@
 from passlane.relay.begun_streams import BegunStreams
 from passlane.relay.context import RequestContext
 from passlane.relay.end_reasons import RequestEnd, RequestEndReason, end_of_connection
+from passlane.relay.engine_ends import EngineEndWatch
 from passlane.relay.local_responses import LocalResponses
 from passlane.relay.progress import RequestProgress
+from passlane.relay.refused_requests import require_not_refused
 from passlane.relay.request import RequestRelay
 from passlane.relay.request_errors import Refusal, RequestRefusedError
 from passlane.relay.request_metrics import RequestMetrics
@@ -89,6 +92,7 @@
         self._tasks = tasks
         self._streams = BegunStreams(store, tasks)
         self._resumption = StreamResumption(self._streams, registry, store)
+        self._engine_ends = EngineEndWatch(backends, registry, store, tasks)
         self._table: RouteTable | None = None
         self._table_received = anyio.Event()
         self._started_at = anyio.current_time()
@@ -111,6 +115,10 @@
         self._waits.retain(configuration.services)
         self._table_received.set()
 
+    async def run(self) -> None:
+        """Follow what the store group knows of engines that ended, until cancelled."""
+        await self._engine_ends.run()
+
     async def wait_for_answer(self) -> None:
         """Return once the first answer of a backend was forwarded."""
         await self._first_answer.wait()
@@ -205,6 +213,13 @@
             return
         context = self._build_context(accepted, origin.service if origin else service, origin)
         progress.service = context.service.name
+        await self._engine_ends.wait_until_known()
+        try:
+            require_not_refused(context, Verdict.NOT_RUN)
+        except RequestRefusedError as error:
+            progress.request_key = context.request_key
+            await LocalResponses(writer, progress).refuse(error.refusal)
+            return
         account = self._build_account(context)
         await RequestRelay(context, writer, account, progress).run()
 
@@ -225,6 +240,7 @@
             backends=self._backends,
             waits=self._waits.for_service(service),
             streams=self._streams,
+            engine_ends=self._engine_ends,
             origin=origin,
         )
 
@@ -269,6 +285,7 @@
             events=progress.events,
             framing=progress.framing,
             unfinished_bytes=progress.unfinished_bytes,
+            request_key=progress.request_key,
             reserved_s=_rounded(progress.reserved_s),
             quota_wait_s=_rounded(progress.quota_wait_s),
             place_wait_s=_rounded(progress.place_wait_s),
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -283,6 +283,11 @@
         idle = self._idle.get(address)
         return idle is not None and len(idle) > 0 and idle[-1].is_unexpired()
 
+    async def try_connect(self, address: Address) -> None:
+        """Open a connection, and close it without a request."""
+        stream = await self._connect(address)
+        await anyio.aclose_forcefully(stream)
+
     async def _acquire_idle(self, request: HttpRequest) -> _Connection | None:
         if request.fresh_connection:
             return None
@@ -302,16 +307,20 @@
         return chosen
 
     async def _open(self, request: HttpRequest) -> _Connection:
-        address = request.address
+        stream = await self._connect(request.address)
+        return _Connection(request.address, request.server, stream)
+
+    async def _connect(self, address: Address) -> ByteStream:
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await self._network.connect(address)
+                return await self._network.connect(address)
         except Exception as error:
             _log_unexpected(error, address)
             raise HttpConnectionError(
-                f"cannot connect to {address}: {error}", bytes_left=False
+                f"cannot connect to {address}: {error}",
+                bytes_left=False,
+                is_refused=_is_refused(error),
             ) from error
-        return _Connection(address, request.server, stream)
 
     async def _close_expired(self) -> None:
         """Close unusable idle connections, at most once per ``SWEEP_PERIOD_S``."""
@@ -344,6 +353,15 @@
         await connection.close()
 
 
+def _is_refused(error: BaseException | None) -> bool:
+    """Return whether an error, or what it was raised from, is a refused connection."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
+
+
 def _log_unexpected(error: Exception, address: Address) -> None:
     """Log an error that is not in ``EXPECTED_ERRORS``."""
     if not isinstance(error, EXPECTED_ERRORS):
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -94,11 +94,14 @@
     ----------
     bytes_left
         ``False`` only if it is certain that no byte of the request left this process.
+    is_refused
+        Whether a host answered that nothing listens at the address.
     """
 
-    def __init__(self, message: str, *, bytes_left: bool) -> None:
+    def __init__(self, message: str, *, bytes_left: bool, is_refused: bool = False) -> None:
         super().__init__(message)
         self.bytes_left = bytes_left
+        self.is_refused = is_refused
 
 
 class HttpClient(Protocol):
@@ -118,6 +121,16 @@
         """Return whether an idle connection to this address exists."""
         ...
 
+    async def try_connect(self, address: Address) -> None:
+        """Open a connection, and close it without a request.
+
+        Raises
+        ------
+        HttpConnectionError
+            When it can't be opened.
+        """
+        ...
+
 
 DEFAULT_HEADER_BYTES = 65_536
 DEFAULT_HEADER_TIMEOUT_S = 10.0
--- a/src/passlane/runtime/real.py
+++ b/src/passlane/runtime/real.py
@@ -31,6 +31,10 @@
         """Return ``False``."""
         return False
 
+    async def try_connect(self, address: Address) -> None:
+        """Raise ``HttpConnectionError``."""
+        raise HttpConnectionError("this process opens no connections", bytes_left=False)
+
 
 class _LazyHttpServer:
     """Imports the HTTP server on first use, so that replicas start before the import."""
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -17,6 +17,7 @@
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.base import Message
 from passlane.messages.common import Address, NotLeaderError
+from passlane.messages.engine_ends import EngineEnd
 from passlane.messages.quotas import (
     DrawQuota,
     QuotaAnswer,
@@ -49,6 +50,9 @@
 callers close a stream that is silent for two seconds or longer."""
 OVERDUE_CHECK_INTERVAL_S = 0.06
 """Interval between two checks for overdue answers."""
+REFUSED_REQUESTS_TIMEOUT_S = 12.0
+"""Timeout of a request for the refused requests, which the leader holds until they change; longer
+than it does so."""
 RETRY_DELAY_S = 0.02
 """Delay between a failed attempt and the next."""
 
@@ -75,7 +79,7 @@
 
 
 class _Attempt(msgspec.Struct, eq=False):
-    """A request in flight to a replica."""
+    """A request in flight to a replica; ``overdue_at`` is infinite if its answer may take long."""
 
     address: Address
     overdue_at: float
@@ -100,7 +104,8 @@
         self._caller = caller
         self._finder = StoreLeaderFinder(caller, addresses, random, self._cancel_stale_attempts)
         self._in_flight: set[_Attempt] = set()
-        self._has_attempts = anyio.Event()
+        self._watched: set[_Attempt] = set()
+        self._has_watched = anyio.Event()
 
     @property
     def is_unavailable(self) -> bool:
@@ -181,7 +186,7 @@
         PasslaneError
             When no leader answered in time; it may know them.
         """
-        await self._ask_about_streams(FindTurnStore(begun_streams=origins), timeout_s)
+        await self._find(FindTurnStore(begun_streams=origins), timeout_s)
 
     async def find_stream(self, stream_id: str, *, timeout_s: float) -> StreamOrigin | None:
         """Return where a stream began; ``None`` if the leader does not know it.
@@ -192,10 +197,41 @@
             When no leader answered in time.
         """
         timeout_s = self._limited_timeout_s(min(timeout_s, ANSWER_TIMEOUT_S))
-        return (await self._ask_about_streams(FindTurnStore(stream_id=stream_id), timeout_s)).origin
+        return (await self._find(FindTurnStore(stream_id=stream_id), timeout_s)).origin
 
-    async def _ask_about_streams(self, request: FindTurnStore, timeout_s: float) -> TurnStoreFound:
-        answer = (await self._execute(request, timeout_s)).answer
+    async def report_engine_ends(
+        self, ends: tuple[EngineEnd, ...], *, timeout_s: float
+    ) -> TurnStoreFound:
+        """Report engines that ended under requests; the answer has the refused requests.
+
+        Raises
+        ------
+        PasslaneError
+            When no leader answered in time; it may have recorded them.
+        """
+        # A revision that no leader has is answered at once.
+        request = FindTurnStore(engine_ends=ends, refused_revision="")
+        return await self._find(request, timeout_s)
+
+    async def wait_for_refused(self, known_revision: str) -> TurnStoreFound:
+        """Return the refused requests once they differ from those of a revision, or after a while.
+
+        Raises
+        ------
+        PasslaneError
+            When no leader answered in time.
+        """
+        request = FindTurnStore(refused_revision=known_revision)
+        timeout_s = REFUSED_REQUESTS_TIMEOUT_S
+        return await self._find(request, timeout_s, overdue_after_s=math.inf)
+
+    async def _find(
+        self,
+        request: FindTurnStore,
+        timeout_s: float,
+        overdue_after_s: float = ANSWER_OVERDUE_S,
+    ) -> TurnStoreFound:
+        answer = (await self._execute(request, timeout_s, overdue_after_s)).answer
         if isinstance(answer, TurnStoreFound):
             return answer
         raise self._unexpected_answer(answer)
@@ -229,25 +265,28 @@
         """Return a replica's answer; ``None`` when another replica became the leader."""
         attempt = _Attempt(address, anyio.current_time() + overdue_after_s, anyio.CancelScope())
         self._in_flight.add(attempt)
-        self._has_attempts.set()
+        if attempt.overdue_at < math.inf:
+            self._watched.add(attempt)
+            self._has_watched.set()
         try:
             with attempt.scope:
                 return await self._caller.call(address, request, Message, timeout_s=timeout_s)
         finally:
             self._in_flight.discard(attempt)
+            self._watched.discard(attempt)
         return None
 
     async def _check_overdue_attempts(self) -> None:
         """Suspect the leader while an answer of it is overdue."""
         while True:
-            await self._has_attempts.wait()
-            while self._in_flight:
+            await self._has_watched.wait()
+            while self._watched:
                 await anyio.sleep(OVERDUE_CHECK_INTERVAL_S)
                 now = anyio.current_time()
-                for attempt in self._in_flight:
+                for attempt in self._watched:
                     if attempt.overdue_at <= now:
                         self._finder.suspect(attempt.address)
-            self._has_attempts = anyio.Event()
+            self._has_watched = anyio.Event()
 
     def _cancel_stale_attempts(self) -> None:
         """Cancel attempts that wait for a replica that no longer leads."""
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -1,9 +1,10 @@
 """Serves turns on one replica of the store group; only the leader answers.
 
 It is for the nodes that relay turns: it handles reservations, settlements, quota draws, probes for
-the leader, and reports and lookups of streams. It owns the order of the steps of each request; the
-steps are implemented in ``quota_grants`` (quotas), ``slot_waits`` (slots of engines), ``accounts``
-(replicated commands) and ``reported_streams``. It relies on ``Leadership`` for whether this replica
+the leader, reports and lookups of streams, and reports of engines that ended. It owns the order of
+the steps of each request; the steps are implemented in ``quota_grants`` (quotas), ``slot_waits``
+(slots of engines), ``accounts`` (replicated commands), ``reported_streams`` and ``reported_ends``.
+It relies on ``Leadership`` for whether this replica
 may answer.
 """
 
@@ -35,6 +36,7 @@
 from passlane.turns.dispatch import SLOT_LOG_INTERVAL_S, TICK_S, TurnDispatcher
 from passlane.turns.leadership import Leadership
 from passlane.turns.quota_grants import QuotaGrants
+from passlane.turns.reported_ends import ReportedEnds
 from passlane.turns.reported_streams import ReportedStreams
 from passlane.turns.slot_waits import SlotWaits
 from passlane.turns.state.machine import TurnStateMachine
@@ -62,6 +64,7 @@
         self._accounts = TurnAccounts(machine, self._leadership)
         self._slots = SlotWaits(self._accounts, machine, dispatcher, self._leadership)
         self._streams = ReportedStreams(machine, self._leadership)
+        self._ends = ReportedEnds(machine, self._leadership)
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
         router.add_unary(FindTurnStore, self.find)
@@ -164,8 +167,23 @@
         return await self._quotas.draw(request.draw)
 
     async def find(self, request: FindTurnStore) -> Message:
-        """Answer a probe for the leader with the current term; record and look up streams."""
+        """Answer a probe for the leader with the current term; record and look up streams.
+
+        Reports of engines that ended are answered once they are replicated, and a request for the
+        refused requests once these have changed.
+        """
         self._leadership.require_leadership()
         self._streams.record(request.begun_streams)
         origin = self._streams.find(request.stream_id) if request.stream_id else None
-        return TurnStoreFound(term=self._leadership.term, origin=origin)
+        await self._ends.record(request.engine_ends)
+        found = TurnStoreFound(term=self._leadership.term, origin=origin)
+        if request.refused_revision is None:
+            return found
+        await self._ends.wait_for_change(request.refused_revision)
+        self._leadership.require_leadership()
+        return msgspec.structs.replace(
+            found,
+            term=self._leadership.term,
+            refused=self._ends.refused(),
+            refused_revision=self._ends.revision,
+        )
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -1,8 +1,8 @@
 """The replicated state of turns: programs' spending and reservations, and histories.
 
-It is for ``TurnService``. It owns programs' reservations and spending, the stored turns, and the
-engines that began recent streams. It relies on the group to apply the same commands in the same
-order at each replica.
+It is for ``TurnService``. It owns programs' reservations and spending, the stored turns, the
+engines that began recent streams, and those that ended under requests. It relies on the group to
+apply the same commands in the same order at each replica.
 
 Turns form a tree and are looked up by id alone, independent of their program. The machine has no
 clock: the leader advances its age by ``AdvanceAge``, so that a change of leader never expires a
@@ -14,7 +14,9 @@
 
 import msgspec
 
+from passlane.decisions.failure.engine_ends import EndedUnder, EngineEndCounts
 from passlane.messages.base import encode_message, message_decoder
+from passlane.messages.engine_ends import EngineEnd
 from passlane.messages.quotas import TenantUsage, UsageSnapshot
 from passlane.messages.streams import StreamOrigin
 from passlane.messages.turns import (
@@ -40,7 +42,7 @@
 STREAM_RETENTION_S = 15.0
 """Retention of a stream's origin; callers resume a stream within a few seconds."""
 MAX_RECORDS_PER_PART = 100
-"""Programs, turns or streams in one part of a snapshot."""
+"""Programs, turns, streams or requests in one part of a snapshot."""
 
 _command_decoder = message_decoder(TurnCommand)
 
@@ -81,6 +83,7 @@
 
     usage: UsageSnapshot | None = None
     streams: tuple[StoredStream, ...] = ()
+    engine_ends: tuple[EndedUnder, ...] = ()
 
 
 class UsagePart(msgspec.Struct, frozen=True):
@@ -97,6 +100,13 @@
     streams: tuple[StoredStream, ...]
 
 
+class EngineEndsPart(msgspec.Struct, frozen=True):
+    """A part of a snapshot with ended engines; older builds read it as one without records."""
+
+    age_s: float
+    engine_ends: tuple[EndedUnder, ...]
+
+
 class UsageRecords(Protocol):
     """Stores the replicated quota grants, outside the state machine."""
 
@@ -115,7 +125,7 @@
 
 
 class TurnStateMachine:
-    """Programs' spending, the tree of turns and recent streams (a ``StateMachine``).
+    """Programs' spending, the tree of turns, recent streams and ended engines (a ``StateMachine``).
 
     Parameters
     ----------
@@ -124,6 +134,13 @@
         not part of the state.
     usage_records
         Stores these grants; included in snapshots, which replace the commands with the grants.
+
+    Attributes
+    ----------
+    engine_ends
+        Engines that ended under requests; their times are ages of the state.
+    refused_changes
+        Number of times that the set of refused requests has grown or was replaced.
     """
 
     def __init__(
@@ -137,6 +154,13 @@
         self._programs: dict[str, ProgramSpending] = {}
         self._turns: dict[str, StoredTurn] = {}
         self._streams: dict[str, StoredStream] = {}
+        self.engine_ends = EngineEndCounts()
+        self.refused_changes = 0
+        self._refused_listener: Callable[[], None] | None = None
+
+    def on_refused(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever the set of refused requests has grown or was replaced."""
+        self._refused_listener = listener
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply one committed command and return its encoded result."""
@@ -233,6 +257,7 @@
 
     def _advance_age(self, command: AdvanceAge) -> AgeAdvanced:
         self._store_streams(command.begun_streams)
+        self._count_engine_ends(command.engine_ends)
         if command.seconds:
             self._expire(command.seconds)
         return AgeAdvanced(age_s=self.age_s)
@@ -243,6 +268,22 @@
         for origin in origins:
             self._streams.setdefault(origin.stream_id, StoredStream(origin, keep_until_s))
 
+    def _count_engine_ends(self, ends: Iterable[EngineEnd]) -> None:
+        """Count ended engines; a request is refused after too many of them."""
+        has_grown = False
+        for end in ends:
+            known = self.engine_ends.find(end.request_key)
+            was_refused = known is not None and known.is_refused
+            ended = self.engine_ends.record(end.request_key, end.instance, self.age_s)
+            has_grown |= ended.is_refused and not was_refused
+        if has_grown:
+            self._note_refused()
+
+    def _note_refused(self) -> None:
+        self.refused_changes += 1
+        if self._refused_listener is not None:
+            self._refused_listener()
+
     def _expire(self, seconds: float) -> None:
         """Advance the age and remove what is retained no longer."""
         self.age_s += seconds
@@ -261,6 +302,7 @@
             for stream_id, stored in self._streams.items()
             if stored.keep_until_s >= self.age_s
         }
+        self.engine_ends.expire(self.age_s)
 
     def snapshot_parts(self) -> Iterator[bytes]:
         """Return the state at the time of this call, encoded in parts."""
@@ -271,7 +313,8 @@
         turns = list(self._turns.values())
         streams = list(self._streams.values())
         usage = self._usage_records.snapshot() if self._usage_records is not None else None
-        return self._encode_parts(self.age_s, programs, turns, streams, usage)
+        ends = self.engine_ends.all()
+        return self._encode_parts(self.age_s, programs, turns, streams, ends, usage)
 
     @staticmethod
     def _encode_parts(
@@ -279,6 +322,7 @@
         programs: list[tuple[str, ProgramSpending]],
         turns: list[StoredTurn],
         streams: list[StoredStream],
+        ends: list[EndedUnder],
         usage: UsageSnapshot | None,
     ) -> Iterator[bytes]:
         yield msgspec.msgpack.encode(_RecordsPart(age_s))
@@ -293,6 +337,9 @@
         for start in range(0, len(streams), MAX_RECORDS_PER_PART):
             part_streams = tuple(streams[start : start + MAX_RECORDS_PER_PART])
             yield msgspec.msgpack.encode(StreamsPart(age_s, part_streams))
+        for start in range(0, len(ends), MAX_RECORDS_PER_PART):
+            part_ends = tuple(ends[start : start + MAX_RECORDS_PER_PART])
+            yield msgspec.msgpack.encode(EngineEndsPart(age_s, part_ends))
 
     def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
         """Replace the state by that of a snapshot; yields after each part."""
@@ -305,10 +352,13 @@
             restored._programs.update(part.programs)
             restored._turns.update({stored.turn.turn_id: stored for stored in part.turns})
             restored._streams.update({stored.origin.stream_id: stored for stored in part.streams})
+            restored.engine_ends.restore(part.engine_ends)
             yield
         self.age_s = restored.age_s
         self._programs = restored._programs
         self._turns = restored._turns
         self._streams = restored._streams
+        self.engine_ends = restored.engine_ends
+        self._note_refused()
         if usage is not None and self._usage_records is not None:
             self._usage_records.restore(usage)
--- a/tests/recorded_machines/values.py
+++ b/tests/recorded_machines/values.py
@@ -21,7 +21,7 @@
 Kinds = Mapping[type[Any], str]
 
 ADDED_FIELDS: Mapping[type[Any], Mapping[str, Any]] = {
-    AdvanceAge: {"begun_streams": ()},
+    AdvanceAge: {"begun_streams": (), "engine_ends": ()},
     AttemptFailed: {"is_other_version": False},
     BackendRecord: {"born_ms": None, "software_version": ""},
     CallPlan: {"resume_version": ""},
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -13,7 +13,8 @@
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.quotas import QuotaGranted
-from passlane.messages.turns import TurnReserved, TurnSettled
+from passlane.messages.turns import TurnReserved, TurnSettled, TurnStoreFound
+from passlane.relay.backends import BackendReach
 from passlane.runtime.interfaces import HttpConnectionError
 from passlane.turns.client import Reservation
 
@@ -98,10 +99,17 @@
         self.scripts = deque(scripts)
         self.requests = []
         self.requested = []
+        self.checked = []
+        self.reach = BackendReach.ACCEPTED
 
     def has_idle_connection(self, record):
         return record.instance_id in self.connected
 
+    async def check_reach(self, record):
+        self.checked.append(record.instance_id)
+        await anyio.lowlevel.checkpoint()
+        return self.reach
+
     @asynccontextmanager
     async def exchange(self, record, request):
         self.requests.append(request)
@@ -177,6 +185,7 @@
         self.quota = quota or QuotaGranted()
         self.reserved = []
         self.streams = {}
+        self.engine_ends = []
         self.settled = []
         self.drawn = []
 
@@ -203,6 +212,12 @@
             raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader")
         return self.streams.get(stream_id)
 
+    async def report_engine_ends(self, ends, *, timeout_s):
+        if self.is_unavailable:
+            raise PasslaneError(ErrorCode.UNAVAILABLE, "no leader")
+        self.engine_ends += ends
+        return TurnStoreFound()
+
     async def draw_quota(self, draw, *, timeout_s):
         self.drawn.append(draw)
         if self.is_unavailable:
--- /dev/null
+++ b/tests/relay/test_engine_ends.py
@@ -0,0 +1,271 @@
+"""What a node finds out of the engines of broken attempts, and what it tells the store group."""
+
+import functools
+import unittest
+
+import anyio
+import msgspec
+import trio.testing
+
+from passlane.decisions.backends.registry import BackendRegistry
+from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES, RETENTION_S
+from passlane.messages.engine_ends import RefusedRequest
+from passlane.messages.listing import BackendState
+from passlane.messages.turns import TurnStoreFound
+from passlane.relay.backends import BackendReach
+from passlane.relay.engine_ends import (
+    CHECK_INTERVAL_S,
+    FATE_WINDOW_S,
+    FIRST_ANSWER_TIMEOUT_S,
+    MAX_OBSERVATION_S,
+    REPORT_RETRY_DELAY_S,
+    EndEvidence,
+    EngineEndWatch,
+)
+from passlane.relay.request_errors import AnswerAbortedError
+from relay.fakes import Reset, Script, ScriptedBackends, ScriptedStore, Unreachable, backend, head
+from relay.test_service import EVENT_1, STREAM, RelayCase
+
+ENGINES = [backend(f"i-{number}") for number in range(1, 6)]
+
+
+class RefusingStore(ScriptedStore):
+    """Tells nodes which requests are refused, when ``refused`` is set."""
+
+    def __init__(self):
+        super().__init__()
+        self.refused = ()
+        self.revision = 0
+        self.changed = anyio.Event()
+        self.report_delay_s = 0.0
+
+    def refuse(self, *keys):
+        self.refused = tuple(RefusedRequest(request_key=key, remaining_s=50.0) for key in keys)
+        self.revision += 1
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def wait_for_refused(self, known_revision):
+        while known_revision == str(self.revision):
+            await self.changed.wait()
+        return TurnStoreFound(refused=self.refused, refused_revision=str(self.revision))
+
+    async def report_engine_ends(self, ends, *, timeout_s):
+        await anyio.sleep(self.report_delay_s)
+        return await super().report_engine_ends(ends, timeout_s=timeout_s)
+
+
+def with_watch(body):
+    """Run a test's body on a virtual clock with a running watch of five listed engines."""
+
+    @functools.wraps(body)
+    def test(self):
+        async def main():
+            self.backends = ScriptedBackends()
+            self.backends.reach = BackendReach.REFUSED
+            self.registry = BackendRegistry()
+            self.registry.update(ENGINES, anyio.current_time())
+            self.store = RefusingStore()
+            async with anyio.create_task_group() as tasks:
+                self.watch = EngineEndWatch(self.backends, self.registry, self.store, tasks)
+                tasks.start_soon(self.watch.run)
+                await anyio.sleep(0.01)
+                await body(self)
+                tasks.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+    return test
+
+
+class EngineEndWatchTest(unittest.TestCase):
+    async def break_attempt(self, number, key="one"):
+        await self.watch.observe_broken(key, ENGINES[number])
+
+    def reported(self, key="one"):
+        return [end.instance for end in self.store.engine_ends if end.request_key == key]
+
+    @with_watch
+    async def test_an_engine_whose_address_refuses_connections_has_ended(self):
+        await self.break_attempt(0)
+        self.assertEqual(self.reported(), ["i-1"])
+
+    @with_watch
+    async def test_an_engine_that_accepts_connections_or_is_silent_is_not_counted(self):
+        for reach in (BackendReach.ACCEPTED, BackendReach.NO_ANSWER):
+            self.backends.reach = reach
+            for number in range(5):
+                await self.break_attempt(number)
+        await anyio.sleep(FATE_WINDOW_S + 1.0)
+        self.assertEqual(self.store.engine_ends, [])
+
+    @with_watch
+    async def test_attempts_that_break_together_share_one_check(self):
+        async with anyio.create_task_group() as tasks:
+            for key in ("one", "two", "three"):
+                tasks.start_soon(self.break_attempt, 0, key)
+        self.assertEqual(self.backends.checked, ["i-1"])
+        self.assertEqual(len(self.store.engine_ends), 3)
+
+    @with_watch
+    async def test_this_node_refuses_by_its_own_counts_without_the_store_group(self):
+        self.store.is_unavailable = True
+        for number in range(MAX_ENDED_ENGINES):
+            self.assertIsNone(self.watch.refused_for_s("one"))
+            await self.break_attempt(number)
+        self.assertAlmostEqual(self.watch.refused_for_s("one"), RETENTION_S, delta=1.0)
+        self.assertIsNone(self.watch.refused_for_s("two"))
+        await anyio.sleep(RETENTION_S + 1.0)
+        self.assertFalse(self.watch.has_refused)
+
+    @with_watch
+    async def test_own_refusals_outlast_an_answer_that_does_not_name_them(self):
+        self.store.is_unavailable = True
+        for number in range(MAX_ENDED_ENGINES):
+            await self.break_attempt(number)
+        self.store.refuse("two")
+        await anyio.sleep(0.1)
+        self.assertIsNotNone(self.watch.refused_for_s("one"))
+        self.assertIsNotNone(self.watch.refused_for_s("two"))
+
+    @with_watch
+    async def test_what_the_store_group_refuses_is_followed(self):
+        self.store.refuse("one")
+        await anyio.sleep(0.1)
+        self.assertAlmostEqual(self.watch.refused_for_s("one"), 50.0, delta=1.0)
+        self.store.refuse()
+        await anyio.sleep(0.1)
+        self.assertIsNone(self.watch.refused_for_s("one"))
+
+    @with_watch
+    async def test_reports_are_repeated_until_the_store_group_has_them(self):
+        self.store.is_unavailable = True
+        await self.break_attempt(0)
+        self.store.is_unavailable = False
+        await anyio.sleep(2 * REPORT_RETRY_DELAY_S)
+        self.assertEqual(self.reported(), ["i-1"])
+
+    @with_watch
+    async def test_an_attempt_does_not_wait_long_for_a_slow_store_group(self):
+        self.store.report_delay_s = 5.0
+        began_at = anyio.current_time()
+        await self.break_attempt(0)
+        self.assertAlmostEqual(anyio.current_time() - began_at, MAX_OBSERVATION_S, places=3)
+        await anyio.sleep(6.0)
+        self.assertEqual(self.reported(), ["i-1"])
+
+
+class LaterEvidenceTest(EngineEndWatchTest):
+    """Engines of which nothing is known when the attempt breaks off."""
+
+    async def break_unresolved(self, number=0):
+        self.backends.reach = BackendReach.NO_ANSWER
+        await self.break_attempt(number)
+        self.assertEqual(self.reported(), [])
+
+    @with_watch
+    async def test_an_engine_that_the_list_drops_has_ended(self):
+        await self.break_unresolved()
+        await anyio.sleep(2.0)
+        self.registry.update(ENGINES[1:], anyio.current_time())
+        await anyio.sleep(2 * CHECK_INTERVAL_S)
+        self.assertEqual(self.reported(), ["i-1"])
+
+    @with_watch
+    async def test_an_engine_that_drains_before_it_leaves_the_list_has_not_ended(self):
+        await self.break_unresolved()
+        draining = msgspec.structs.replace(ENGINES[0], state=BackendState.DRAINING)
+        self.registry.update([draining, *ENGINES[1:]], anyio.current_time())
+        await anyio.sleep(2 * CHECK_INTERVAL_S)
+        self.registry.update(ENGINES[1:], anyio.current_time())
+        await anyio.sleep(2 * CHECK_INTERVAL_S)
+        self.assertEqual(self.reported(), [])
+
+    @with_watch
+    async def test_an_engine_that_answers_a_later_request_has_not_ended(self):
+        await self.break_unresolved()
+        await anyio.sleep(0.1)
+        self.watch.record_answer("i-1", anyio.current_time())
+        self.registry.update(ENGINES[1:], anyio.current_time())
+        await anyio.sleep(2 * CHECK_INTERVAL_S)
+        self.assertEqual(self.reported(), [])
+
+    @with_watch
+    async def test_an_answer_to_a_request_sent_before_the_break_shows_nothing(self):
+        sent_at = anyio.current_time()
+        await anyio.sleep(0.1)
+        await self.break_unresolved()
+        self.watch.record_answer("i-1", sent_at)
+        self.registry.update(ENGINES[1:], anyio.current_time())
+        await anyio.sleep(2 * CHECK_INTERVAL_S)
+        self.assertEqual(self.reported(), ["i-1"])
+
+    @with_watch
+    async def test_another_engine_at_the_address_shows_that_it_has_ended(self):
+        await self.break_unresolved()
+        self.watch.record_gone("i-1", EndEvidence.OTHER_INSTANCE)
+        await anyio.sleep(0.1)
+        self.assertEqual(self.reported(), ["i-1"])
+
+    @with_watch
+    async def test_an_engine_that_leaves_the_list_much_later_has_not_ended_under_it(self):
+        await self.break_unresolved()
+        await anyio.sleep(FATE_WINDOW_S + 1.0)
+        self.registry.update(ENGINES[1:], anyio.current_time())
+        await anyio.sleep(2 * CHECK_INTERVAL_S)
+        self.assertEqual(self.reported(), [])
+
+
+class StartTest(unittest.TestCase):
+    @with_watch
+    async def test_requests_wait_for_the_refused_ones_only_shortly_after_the_start(self):
+        async with anyio.create_task_group() as tasks:
+            watch = EngineEndWatch(self.backends, self.registry, self.store, tasks)
+            self.store.revision = ""
+            tasks.start_soon(watch.run)
+            await anyio.sleep(0.001)
+            began_at = anyio.current_time()
+            await watch.wait_until_known()
+            waited_s = anyio.current_time() - began_at
+            self.assertAlmostEqual(waited_s, FIRST_ANSWER_TIMEOUT_S, places=2)
+            await watch.wait_until_known()
+            self.assertEqual(anyio.current_time() - began_at, waited_s)
+            tasks.cancel_scope.cancel()
+
+
+class RelayedRequestTest(RelayCase):
+    """One request whose engines end."""
+
+    def relay_ending(self, scripts, **changes):
+        self.relay(scripts, records=ENGINES, reach=BackendReach.REFUSED, **changes)
+
+    def test_a_repeatable_request_is_not_sent_on_after_the_last_engine_that_may_end(self):
+        self.relay_ending([Reset()] * 4 + [Script(head(), b"ok")], max_attempts=5)
+        self.assertEqual(len(self.backends.requested), MAX_ENDED_ENGINES)
+        self.assertEqual(self.writer.status, 502)
+
+    def test_a_stream_that_has_begun_ends_without_being_complete(self):
+        script = Script(head(), EVENT_1, broken=True)
+        changes = STREAM | {"is_resumable": True, "max_attempts": 5}
+        versioned = [msgspec.structs.replace(e, software_version="v1") for e in ENGINES]
+        scripts = [script, Reset(), Reset(), Script(head(), b"")]
+        self.relay(scripts, records=versioned, reach=BackendReach.REFUSED, **changes)
+        self.assertEqual(len(self.backends.requested), MAX_ENDED_ENGINES)
+        self.assertIsInstance(self.error, AnswerAbortedError)
+        self.assertFalse(self.writer.is_finished)
+
+    def test_an_engine_that_could_not_be_reached_was_not_ended_by_the_request(self):
+        scripts = [Unreachable()] * 4 + [Script(head(), b"ok")]
+        self.relay_ending(scripts, max_attempts=5)
+        self.assertEqual((self.writer.status, self.writer.body), (200, b"ok"))
+        self.assertEqual(self.store.engine_ends, [])
+
+    def test_engines_that_live_do_not_count(self):
+        scripts = [Reset()] * 4 + [Script(head(), b"ok")]
+        self.relay(scripts, records=ENGINES, max_attempts=5)
+        self.assertEqual((self.writer.status, self.writer.body), (200, b"ok"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -26,6 +26,7 @@
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.metrics import Metrics
 from passlane.relay.attempts import RequestAttempts
+from passlane.relay.backends import BackendReach
 from passlane.relay.delivery import MAX_BUFFERED_BYTES
 from passlane.relay.request_errors import (
     AnswerAbortedError,
@@ -72,11 +73,13 @@
         requests_placement=False,
         stops_after_s=math.inf,
         has_disconnected=False,
+        reach=BackendReach.ACCEPTED,
         **route_changes,
     ):
         """Relay one call on a virtual clock; sets the writer, backends, store and error."""
         self.writer = RecordingWriter()
         self.backends = ScriptedBackends(*scripts)
+        self.backends.reach = reach
         self.store = store or ScriptedStore()
         self.error = None
 
