Failing tests: a call of a led program ends back end after back end

Engines that break streams off and live are not to be counted: that test passes and has to go on passing.

--- a/tests/node/fakes.py
+++ b/tests/node/fakes.py
@@ -84,6 +84,10 @@
         async with aclosing(response.parts):  # type: ignore[type-var]
             yield response
 
+    async def try_connect(self, address: Address) -> None:
+        if address not in self.servers:
+            raise HttpConnectionError("refused", bytes_left=False, is_refused=True)
+
 
 class FakeEngine:
     """An engine that generates ``answer_tokens`` tokens, one every ``STEP_S``.
@@ -96,6 +100,8 @@
         Version that it tells with each token; empty for none.
     echo_attempt
         If set, each stream starts with a token of this earlier attempt.
+    on_end
+        If set, called after the first token of each request, which ends the engine's process.
     """
 
     def __init__(self, engine_id: EngineId, answer_tokens: int = 12) -> None:
@@ -104,6 +110,7 @@
         self.incarnation = 1
         self.break_after: list[int | None] = []
         self.echo_attempt: str | None = None
+        self.on_end: Callable[[], None] | None = None
         self.software_version = ""
         self.requests: list[EngineChatRequest] = []
         self.cached: dict[str, int] = {}
@@ -154,6 +161,9 @@
                 await anyio.sleep(STEP_S)
                 self.tokens_sent += 1
                 yield _event(self._token(chat, position))
+                if self.on_end is not None:
+                    self.on_end()
+                    raise HttpConnectionError("the engine died", bytes_left=True)
             final = EngineChunk(
                 chat.attempt_id, end, finish_reason="stop", incarnation=self.incarnation
             )
