A call of a led program fails for good after three back ends have ended under it

Callers saw: a call that ended its engine was sent to the next one, up to four times in each request, and again with each repeat, with each new leader, and with each call of the same content; all else at those engines broke off.

Cause: MAX_ATTEMPTS holds for one request for the call; what ended was not known.

Change: after an attempt that may have run, the leading node asks the engine: a refused connection or a newer incarnation shows that its process has ended; for an application the refused connection alone. The number is recorded with the call (a field of BeginCall, which older replicas pass over) before the next attempt; an equal call directly after one that failed begins with its number. After the third end the call is recorded as failed, so a repeat gets that answer and ends nothing.

A call that must not be repeated is resolved by its status, as before.

--- /dev/null
+++ b/src/passlane/backends/process_checks.py
@@ -0,0 +1,53 @@
+"""Finds out whether the process of a back end has ended while it ran an attempt.
+
+An engine tells its incarnation, which grows with each start. An application tells none, so only a
+refused connection shows that it has ended.
+"""
+
+import enum
+
+from passlane.backends.engine_client import EngineClient, EngineTimeouts
+from passlane.backends.failures import BackendError
+from passlane.messages.common import Address
+from passlane.runtime.interfaces import HttpClient, HttpConnectionError
+
+CHECK_TIMEOUT_S = 0.3
+"""Timeout of one check, for which the next attempt waits."""
+
+
+class BackendProcess(enum.StrEnum):
+    """What is known of the process that ran an attempt."""
+
+    LIVES = "lives"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+    """It did not answer: it may have ended, or the path to it may be cut."""
+
+
+async def check_backend(http: HttpClient, address: Address) -> BackendProcess:
+    """Return whether a process listens at an address."""
+    try:
+        await http.try_connect(address)
+    except HttpConnectionError as error:
+        return BackendProcess.ENDED if error.is_refused else BackendProcess.UNKNOWN
+    return BackendProcess.LIVES
+
+
+async def check_engine(http: HttpClient, address: Address, incarnation: int) -> BackendProcess:
+    """Return whether the engine of an incarnation still runs.
+
+    Parameters
+    ----------
+    incarnation
+        Incarnation before the attempt; 0 if unknown.
+    """
+    reached = await check_backend(http, address)
+    if reached is not BackendProcess.LIVES or incarnation == 0:
+        return reached
+    client = EngineClient(http, address, EngineTimeouts(control_s=CHECK_TIMEOUT_S))
+    try:
+        load = await client.read_load()
+    except BackendError:
+        # The caller logs that it is unknown.
+        return BackendProcess.UNKNOWN
+    return BackendProcess.ENDED if load.incarnation > incarnation else BackendProcess.LIVES
--- a/src/passlane/messages/store.py
+++ b/src/passlane/messages/store.py
@@ -89,6 +89,9 @@
 class CallRecord(msgspec.Struct, frozen=True, gc=False):
     """The record of a call; ``outcome`` is set once ``state`` is ``FINISHED``.
 
+    ``ended_backends`` is the number of back ends that ended while they ran the call, or an equal
+    one directly before it.
+
     Stores have very many call records. They cannot be part of a reference cycle, so the
     garbage collector need not track them.
     """
@@ -104,6 +107,7 @@
     state: CallState = CallState.BEGUN
     application_id: ApplicationId | None = None
     outcome: CallOutcome | None = None
+    ended_backends: int = 0
 
 
 class ProgramRecord(msgspec.Struct, frozen=True):
@@ -157,7 +161,8 @@
 
     When it is sent again in the same epoch, it changes nothing. When a later leader sends it
     again for a repeatable call without an outcome, the call is about to run a second time:
-    the earlier reservation is counted as spent and a new one is made.
+    the earlier reservation is counted as spent and a new one is made. In any epoch the record
+    keeps the highest number of ``ended_backends``.
     """
 
     program_id: ProgramId
@@ -173,6 +178,7 @@
     turns: tuple[Turn, ...] = ()
     application_id: ApplicationId | None = None
     want_history: bool = False
+    ended_backends: int = 0
 
 
 class FinishCall(Message, frozen=True):
--- a/src/passlane/node/call_records.py
+++ b/src/passlane/node/call_records.py
@@ -7,8 +7,10 @@
 from passlane.node.call_context import CallContext
 from passlane.node.led_program import LedProgram, OpenCall
 from passlane.node.program_store import ProgramStore
+from passlane.observability.logging import get_logger
 from passlane.programs.call_events import (
     CallMachineEvent,
+    EndedBackendRecorded,
     IntentRecorded,
     IntentRefused,
     OutcomeRecorded,
@@ -20,6 +22,9 @@
 STORE_TIMEOUT_S = 15.0
 """Timeout of a command, which allows for a change of the store's leader."""
 
+ENDED_BACKEND_TIMEOUT_S = 2.0
+"""Timeout of recording that a back end ended, for which the next attempt waits."""
+
 DEFINITE_REFUSALS = frozenset(
     {
         ErrorCode.BUDGET_EXCEEDED,
@@ -31,6 +36,9 @@
 """Refusals of an intent after which the program in memory still matches the store."""
 
 
+_log = get_logger(__name__)
+
+
 class CallRecords:
     """Writes the records of one call to the store and applies them to the program in memory.
 
@@ -78,10 +86,13 @@
         reopened = self._context.reopened
         if reopened is not None and not self._needs_new_reservation(reopened):
             return BeginCallResult(call=reopened.call, already_recorded=True)
+        return await self._store.begin_call(self._begin_command(), STORE_TIMEOUT_S)
+
+    def _begin_command(self, ended_backends: int = 0) -> BeginCall:
         plan = self._context.plan
         request = self._context.request
         offer = self._context.offer
-        command = BeginCall(
+        return BeginCall(
             program_id=self._program.program_id,
             partition=self._program.partition,
             epoch=self._program.epoch,
@@ -94,8 +105,30 @@
             reserve=plan.reserve,
             turns=request.turns,
             application_id=None if offer is None else offer.application_id,
+            ended_backends=ended_backends,
         )
-        return await self._store.begin_call(command, STORE_TIMEOUT_S)
+
+    async def record_ended_backend(self, ended_backends: int) -> CallMachineEvent:
+        """Record the number of back ends that ended under the call, for later requests for it.
+
+        If the store does not confirm it, the call goes on, and the number is known to this leader
+        alone.
+        """
+        command = self._begin_command(ended_backends)
+        call_id = self._context.plan.call_id
+        self._program.apply_ended_backends(call_id, ended_backends)
+        try:
+            await self._store.begin_call(command, ENDED_BACKEND_TIMEOUT_S)
+        except PasslaneError as error:
+            _log.warning(
+                "ended_backend_not_recorded",
+                call_id=call_id,
+                ended_backends=ended_backends,
+                code=error.code.value,
+            )
+        else:
+            _log.info("ended_backend_recorded", call_id=call_id, ended_backends=ended_backends)
+        return EndedBackendRecorded()
 
     def _needs_new_reservation(self, reopened: OpenCall) -> bool:
         """Return whether running the reopened call again needs a new reservation."""
--- a/src/passlane/node/call_runner.py
+++ b/src/passlane/node/call_runner.py
@@ -7,6 +7,7 @@
 import anyio
 
 from passlane.configuration.view import ToolOffer
+from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.common import error_with_verdict
 from passlane.messages.node import CallAnswered, CallRefused, TextChunk
@@ -34,6 +35,7 @@
     CallInstruction,
     CancelAttempt,
     QueryStatus,
+    RecordEndedBackend,
     RecordIntent,
     RecordOutcome,
     RequestPlacement,
@@ -80,7 +82,10 @@
         self.program = program
         self.left_open: SendAnswer | None = None
         self.machine = CallMachine(
-            context.plan, context.attempt_prefix, may_have_run=context.may_have_run
+            context.plan,
+            context.attempt_prefix,
+            max_ended_backends=MAX_ENDED_ENGINES,
+            may_have_run=context.may_have_run,
         )
         self._services = services
         self._records = CallRecords(services.store, program, context, settle_open_call)
@@ -211,6 +216,8 @@
                 self._send_token(position, text)
             case RecordIntent():
                 self._start_store_task(self._record_intent)
+            case RecordEndedBackend(ended_backends):
+                self._start_store_task(partial(self._record_ended_backend, ended_backends))
             case RequestPlacement(excluded, _):
                 self._request_placement(excluded)
             case WithdrawPlacement():
@@ -288,6 +295,9 @@
     async def _record_intent(self) -> None:
         self.post(await self._records.record_intent())
 
+    async def _record_ended_backend(self, ended_backends: int) -> None:
+        self.post(await self._records.record_ended_backend(ended_backends))
+
     async def _record_outcome(self, instruction: RecordOutcome) -> None:
         self.post(await self._records.record_outcome(instruction, self._hold))
 
--- a/src/passlane/node/led_program.py
+++ b/src/passlane/node/led_program.py
@@ -105,6 +105,12 @@
         self.calls[call.call_id] = call
         self.next_sequence = max(self.next_sequence, call.sequence + 1)
 
+    def apply_ended_backends(self, call_id: CallId, ended_backends: int) -> None:
+        """Apply the number of back ends that have ended under a call."""
+        self.calls[call_id] = msgspec.structs.replace(
+            self.calls[call_id], ended_backends=ended_backends
+        )
+
     def apply_finished_call(
         self, call_id: CallId, outcome: CallOutcome, turns: tuple[Turn, ...]
     ) -> None:
--- a/src/passlane/node/model_attempt.py
+++ b/src/passlane/node/model_attempt.py
@@ -1,12 +1,13 @@
 """One attempt at a model call: records the hold, then reads the engine's stream."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 import xxhash
 
 from passlane.backends.failures import BackendError
+from passlane.backends.process_checks import BackendProcess, check_engine
 from passlane.decisions.inputs.call_events import CallEnded
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import EngineId
@@ -16,6 +17,7 @@
 from passlane.node.call_services import LEADERSHIP_CODES, CallServices
 from passlane.node.fencing import chat_token
 from passlane.node.led_program import LedProgram
+from passlane.observability.logging import get_logger
 from passlane.programs.call_events import (
     AttemptFailed,
     AttemptFinished,
@@ -31,6 +33,9 @@
 """HTTP status of an engine that does not continue the answer of another software version."""
 
 
+_log = get_logger(__name__)
+
+
 @dataclass
 class ModelAttempt:
     """Runs one attempt and reports its events to ``post``.
@@ -45,6 +50,7 @@
     post: Callable[[CallMachineEvent], None]
     on_hold: Callable[[EngineHold], None]
     _has_token: bool = False
+    _incarnation: int = 0
 
     @property
     def engine_id(self) -> EngineId:
@@ -73,6 +79,8 @@
             )
         except PasslaneError as error:
             event = self._failure(error)
+            if event.verdict is not Verdict.NOT_RUN:
+                event = replace(event, backend_ended=await self._has_engine_ended())
             if not isinstance(error, BackendError):
                 # The store failed or leadership was lost, which is no failure of the engine.
                 ended = None
@@ -97,6 +105,7 @@
             raise BackendError(
                 ErrorCode.UNAVAILABLE, "the engine was removed", verdict=Verdict.NOT_RUN
             )
+        self._incarnation = self.services.engines.incarnation_of(self.engine_id)
         await self.services.record_hold(self.program, self.engine_id)
         if not self.services.leads(self.program):
             raise self.services.not_leader_error(self.program)
@@ -130,6 +139,22 @@
         self.services.engines.record_incarnation(self.engine_id, final.incarnation)
         self.on_hold(EngineHold(engine_id=self.engine_id, incarnation=final.incarnation))
 
+    async def _has_engine_ended(self) -> bool:
+        """Return whether the engine's process is gone, or another one started in its place."""
+        engine = self.services.configuration().engines.get(self.engine_id)
+        if engine is None:
+            return False
+        state = await check_engine(self.services.http, engine.address, self._incarnation)
+        _log.info(
+            "engine_checked_after_attempt",
+            call_id=self.plan.call_id,
+            attempt_id=self.start.attempt_id,
+            engine_id=self.engine_id,
+            incarnation=self._incarnation,
+            state=state.value,
+        )
+        return state is BackendProcess.ENDED
+
     def _failure(self, error: PasslaneError) -> AttemptFailed:
         is_unrecoverable = error.code in LEADERSHIP_CODES or error.code is ErrorCode.PROGRAM_ENDED
         is_final = isinstance(error, BackendError) and error.is_final
--- a/src/passlane/node/tool_attempt.py
+++ b/src/passlane/node/tool_attempt.py
@@ -1,18 +1,20 @@
 """One attempt at a tool call, and the status query of an operation."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
 from passlane.backends.application_client import ApplicationClient
 from passlane.backends.failures import BackendError
+from passlane.backends.process_checks import BackendProcess, check_backend
 from passlane.configuration.view import ToolOffer
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.backends import ToolRequest
 from passlane.node.call_reports import AttemptReport
 from passlane.node.call_services import CallServices
 from passlane.node.led_program import LedProgram
+from passlane.observability.logging import get_logger
 from passlane.programs.call_events import (
     AttemptFailed,
     AttemptFinished,
@@ -22,6 +24,8 @@
 from passlane.programs.call_instructions import StartAttempt
 from passlane.programs.call_plan import CallPlan
 
+_log = get_logger(__name__)
+
 
 @dataclass(frozen=True)
 class ToolAttempt:
@@ -53,6 +57,8 @@
             healthy = _health_signal(error)
             verdict = error.verdict
             event = self._failure(error)
+            if verdict is not Verdict.NOT_RUN:
+                event = replace(event, backend_ended=await self._has_application_ended())
         finally:
             self.services.tools.finish(
                 self.offer.application_id, healthy=healthy, now=anyio.current_time()
@@ -71,6 +77,18 @@
             arguments=self.arguments,
         )
 
+    async def _has_application_ended(self) -> bool:
+        """Return whether the application's process is gone."""
+        state = await check_backend(self.services.http, self.offer.application.address)
+        _log.info(
+            "application_checked_after_attempt",
+            call_id=self.plan.call_id,
+            attempt_id=self.start.attempt_id,
+            application_id=self.offer.application_id,
+            state=state.value,
+        )
+        return state is BackendProcess.ENDED
+
     def _failure(self, error: PasslaneError) -> AttemptFailed:
         is_final = isinstance(error, BackendError) and error.is_final
         # Rejections and lost leadership are not retried and spend no retry budget.
--- a/src/passlane/programs/call_events.py
+++ b/src/passlane/programs/call_events.py
@@ -99,6 +99,8 @@
         Whether the back end's retry budget allows another attempt.
     is_other_version
         Whether the engine refused to continue an answer that another software version began.
+    backend_ended
+        Whether the back end's process ended while it ran the attempt.
     """
 
     attempt_id: str
@@ -109,6 +111,12 @@
     retry_allowed: bool = True
     retry_after_s: float | None = None
     is_other_version: bool = False
+    backend_ended: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EndedBackendRecorded:
+    """The store recorded that a back end ended, or could not be reached."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +171,7 @@
     | TokenReceived
     | AttemptFinished
     | AttemptFailed
+    | EndedBackendRecorded
     | StatusReceived
     | RetryDue
     | OutcomeRecorded
--- a/src/passlane/programs/call_instructions.py
+++ b/src/passlane/programs/call_instructions.py
@@ -11,6 +11,13 @@
     """Send ``BeginCall`` to the store and report ``IntentRecorded`` or ``IntentRefused``."""
 
 
+@dataclass(frozen=True, slots=True)
+class RecordEndedBackend:
+    """Record how many back ends have ended under the call; report ``EndedBackendRecorded``."""
+
+    ended_backends: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestPlacement:
     """Ask the scheduler for a back end; ``excluded`` ones have failed this call."""
@@ -93,6 +100,7 @@
 
 CallInstruction = (
     RecordIntent
+    | RecordEndedBackend
     | RequestPlacement
     | WithdrawPlacement
     | StartAttempt
--- a/src/passlane/programs/call_machine.py
+++ b/src/passlane/programs/call_machine.py
@@ -2,8 +2,9 @@
 
 A call passes through these steps: intent recorded, placed, attempt running, outcome recorded,
 answered. An attempt that did not run may be retried. After one that may have run, a model call
-resumes on another engine and a repeatable tool call is sent again. Any other tool call is never
-sent again; its outcome is resolved by status queries.
+resumes on another engine and a repeatable tool call is sent again, unless too many back ends have
+ended while they ran it, over all requests for it. Any other tool call is never sent again; its
+outcome is resolved by status queries.
 """
 
 from passlane.errors import ErrorCode, Verdict
@@ -16,6 +17,7 @@
     CallerDisconnected,
     CallMachineEvent,
     DeadlinePassed,
+    EndedBackendRecorded,
     IntentRecorded,
     IntentRefused,
     OutcomeRecorded,
@@ -31,6 +33,7 @@
     CallInstruction,
     CancelAttempt,
     QueryStatus,
+    RecordEndedBackend,
     RecordIntent,
     RecordOutcome,
     RequestPlacement,
@@ -66,6 +69,8 @@
         Prefix of the ids of its attempts; unique to this request.
     may_have_run
         Whether an earlier request for the same call may have run it.
+    max_ended_backends
+        Back ends that may end while they run the call; after that it fails.
 
     Attributes
     ----------
@@ -78,7 +83,14 @@
         the call has to begin it again.
     """
 
-    def __init__(self, plan: CallPlan, attempt_prefix: str, *, may_have_run: bool = False) -> None:
+    def __init__(
+        self,
+        plan: CallPlan,
+        attempt_prefix: str,
+        *,
+        max_ended_backends: int,
+        may_have_run: bool = False,
+    ) -> None:
         self.plan = plan
         self.phase = CallPhase.CREATED
         self.attempts = 0
@@ -99,6 +111,8 @@
         self._failed_attempt_tokens = 0
         self._other_versions: set[str] = set()
         self._last_failure: AttemptFailed | None = None
+        self._max_ended_backends = max_ended_backends
+        self._ended_backends = 0
 
     @property
     def attempt_id(self) -> str | None:
@@ -136,6 +150,8 @@
                 return self._on_attempt_finished(event)
             case AttemptFailed():
                 return self._on_attempt_failed(event)
+            case EndedBackendRecorded():
+                return self._on_ended_backend_recorded()
             case StatusReceived():
                 return self._on_status(event)
             case RetryDue():
@@ -160,6 +176,7 @@
         if event.call.state is CallState.FINISHED:
             self.phase = CallPhase.ANSWERED
             return [SendAnswer(recorded_answer(event.call))]
+        self._ended_backends = max(self._ended_backends, event.call.ended_backends)
         if self._caller_disconnected and not self.plan.is_named:
             return self._abandon_unnamed()
         if event.already_recorded and not event.proved_not_run:
@@ -168,6 +185,8 @@
             if not self._may_retry_in_doubt:
                 return self._resolve_doubt()
             self._failed_attempt_tokens += self.plan.max_tokens
+        if self._ended_backends >= self._max_ended_backends:
+            return self._record_too_many_ended()
         return self._place()
 
     # Placement and attempts.
@@ -280,8 +299,23 @@
         if event.verdict is not Verdict.NOT_RUN:
             self._may_have_run = True
             self._failed_attempt_tokens += self.plan.max_tokens - self._resumed_from
-            if not self._may_retry_in_doubt:
-                return self._resolve_doubt()
+        if event.backend_ended:
+            self._ended_backends += 1
+            self.phase = CallPhase.RECORDING_ENDED_BACKEND
+            return [RecordEndedBackend(self._ended_backends)]
+        return self._continue_after(event)
+
+    def _on_ended_backend_recorded(self) -> list[CallInstruction]:
+        if self.phase is not CallPhase.RECORDING_ENDED_BACKEND or self._last_failure is None:
+            return []
+        return self._continue_after(self._last_failure)
+
+    def _continue_after(self, event: AttemptFailed) -> list[CallInstruction]:
+        """Retry after a failed attempt, or end the call."""
+        if event.verdict is not Verdict.NOT_RUN and not self._may_retry_in_doubt:
+            return self._resolve_doubt()
+        if self._ended_backends >= self._max_ended_backends:
+            return self._record_too_many_ended()
         if event.is_other_version:
             return self._place_elsewhere(event)
         if event.is_final:
@@ -297,6 +331,15 @@
         self.phase = CallPhase.PAUSED_BEFORE_RETRY
         return [WaitBeforeRetry(self._retry_delay(self.attempts))]
 
+    def _record_too_many_ended(self) -> list[CallInstruction]:
+        """Record that the call failed, so that no repeat of it ends further back ends."""
+        verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
+        message = (
+            f"{self._ended_backends} back ends ended while they ran this call, "
+            "so it is not sent again"
+        )
+        return self._record(self._failed_outcome(verdict, ErrorCode.BACKEND_FAILED, message))
+
     def _place_elsewhere(self, event: AttemptFailed) -> list[CallInstruction]:
         """Try an engine of another version than the one that has just refused to continue.
 
--- a/src/passlane/programs/call_plan.py
+++ b/src/passlane/programs/call_plan.py
@@ -15,6 +15,7 @@
     RECORDING_INTENT = enum.auto()
     PLACING = enum.auto()
     RUNNING = enum.auto()
+    RECORDING_ENDED_BACKEND = enum.auto()
     PAUSED_BEFORE_RETRY = enum.auto()
     QUERYING_STATUS = enum.auto()
     PAUSED_BEFORE_STATUS = enum.auto()
--- a/src/passlane/store/calls.py
+++ b/src/passlane/store/calls.py
@@ -62,6 +62,7 @@
         reserved=command.reserve,
         epoch=command.epoch,
         application_id=command.application_id,
+        ended_backends=_inherited_ends(program, command),
     )
     program.calls[call.call_id] = call
     program.open_call = call.call_id
@@ -70,6 +71,18 @@
     return call
 
 
+def _inherited_ends(program: StoredProgram, command: BeginCall) -> int:
+    """Return the back ends that ended under an equal call directly before, if it did not succeed.
+
+    A caller that repeats a call without its identifier sends an equal one.
+    """
+    last = next(reversed(program.calls.values()), None)
+    if last is None or last.request_digest != command.request_digest:
+        return 0
+    has_succeeded = last.outcome is not None and last.outcome.error_code is None
+    return 0 if has_succeeded else last.ended_backends
+
+
 def _begin_repeated(
     program: StoredProgram, accounts: AccountChain, recorded: CallRecord, command: BeginCall
 ) -> CallRecord:
@@ -80,6 +93,7 @@
         raise CommandRefusedError(
             ErrorCode.IDEMPOTENCY_MISMATCH, "the call's identifier belongs to another request"
         )
+    recorded = _with_ended_backends(program, recorded, command)
     needs_rerun = (
         recorded.state is CallState.BEGUN
         and recorded.repeatable
@@ -94,6 +108,18 @@
     return call
 
 
+def _with_ended_backends(
+    program: StoredProgram, recorded: CallRecord, command: BeginCall
+) -> CallRecord:
+    """Record the number of ended back ends, if it has grown."""
+    has_grown = command.ended_backends > recorded.ended_backends
+    if not has_grown or recorded.state is CallState.FINISHED:
+        return recorded
+    call = msgspec.structs.replace(recorded, ended_backends=command.ended_backends)
+    program.calls[call.call_id] = call
+    return call
+
+
 def finish_call(program: StoredProgram, accounts: AccountChain, command: FinishCall) -> None:
     """Record the outcome of a call. The first outcome is final.
 
