An answer of another engine at an address is no sign of life of the one before it

Callers saw: one more engine ended under a request than may.

Cause: a 421 echoes the request's id like any trusted answer, so it was taken for an answer of the engine that was asked, and cleared what was open about it before the same 421 showed that it is gone. Evidence: engine_checked accepted, backend_refused with wrong_instance 0.47 s later, and no engine_end_counted for that engine.

Change: only an answer that doesn't show that the engine is gone shows that it lives.

--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -23,7 +23,7 @@
     decide_after_failure,
     leaves_silent_backend,
 )
-from passlane.decisions.inputs.answer_head import Refusal
+from passlane.decisions.inputs.answer_head import AnswerHead
 from passlane.decisions.placement.request_placement import record_failure, record_success
 from passlane.errors import Verdict
 from passlane.relay.attempt_history import AttemptHistory
@@ -118,7 +118,7 @@
         self, answer: BackendAnswer, load: BackendLoad, deliver: Deliver, watch: AttemptWatch
     ) -> bool:
         """Deliver an answer or record a refusal; return whether it was delivered."""
-        if answer.head.is_authentic or answer.head.refusal is Refusal.NOT_EXECUTED:
+        if _shows_life(answer.head):
             self._engine_ends.record_answer(load.record.incarnation, self._history.sent_at)
         judgement = judge_answer(answer.head)
         if judgement is Judgement.NOT_RUN:
@@ -192,3 +192,8 @@
         else:
             self._history.runs += 1
         return next_step
+
+
+def _shows_life(head: AnswerHead) -> bool:
+    """Return whether an answer was made by the engine that the request was sent to."""
+    return not is_gone(head) and (head.is_authentic or head.refusal is not None)
