An engine that the list no longer names when an attempt breaks off is gone at once

Cause: the check after a broken attempt opened a connection, which the next engine at the address accepts; the list was searched at intervals only.

--- a/src/passlane/relay/engine_ends.py
+++ b/src/passlane/relay/engine_ends.py
@@ -70,6 +70,13 @@
     broken_at: float
 
 
+class _GoneEngine(msgspec.Struct, frozen=True):
+    """An engine that is gone, and the local time until which this is remembered."""
+
+    evidence: EndEvidence
+    known_until: float
+
+
 class EngineEndWatch:
     """Counts engines that ended under requests of this node, and knows the refused requests.
 
@@ -95,7 +102,7 @@
         self._revision = ""
         self._known: anyio.Event | None = None
         self._started_at = anyio.current_time()
-        self._gone: dict[str, float] = {}
+        self._gone: dict[str, _GoneEngine] = {}
         self._checks: dict[str, anyio.Event] = {}
         self._unresolved: list[_BrokenAttempt] = []
         self._unreported: dict[EngineEnd, None] = {}
@@ -200,7 +207,8 @@
 
     def record_gone(self, instance: str, evidence: EndEvidence) -> None:
         """Record that an engine is gone; count its end under the attempts that it broke."""
-        self._gone[instance] = anyio.current_time() + GONE_RETENTION_S
+        known_until = anyio.current_time() + GONE_RETENTION_S
+        self._gone[instance] = _GoneEngine(evidence, known_until)
         found = [broken for broken in self._unresolved if broken.instance == instance]
         if not found:
             return
@@ -213,17 +221,21 @@
     ) -> None:
         try:
             await self._check(backend)
-            if broken.instance not in self._gone:
+            evidence = self._gone.get(broken.instance)
+            if evidence is None:
                 self._add_unresolved(broken, backend)
                 return
-            end = self._count(broken, EndEvidence.REFUSED_CONNECTION)
+            end = self._count(broken, evidence.evidence)
             while end in self._unreported:
                 await self._report_ended.wait()
         finally:
             is_observed.set()
 
     async def _check(self, backend: BackendRecord) -> None:
-        """Check whether an engine's address refuses connections; attempts share one check."""
+        """Check whether an engine has left the list, or its address refuses connections.
+
+        Attempts that break off together share one check.
+        """
         instance = backend.incarnation
         running = self._checks.get(instance)
         if running is not None:
@@ -231,6 +243,9 @@
             return
         if instance in self._gone:
             return
+        if self._has_left_list(instance):
+            self.record_gone(instance, EndEvidence.NOT_LISTED)
+            return
         self._checks[instance] = anyio.Event()
         try:
             reach = await self._backends.check_reach(backend)
@@ -286,6 +301,10 @@
             if self._unresolved and self._registry.updated_at is not None:
                 self._resolve_by_list()
 
+    def _has_left_list(self, instance: str) -> bool:
+        is_known = self._registry.updated_at is not None
+        return is_known and instance not in self._registry.states()
+
     def _resolve_by_list(self) -> None:
         """Resolve attempts whose engine is no longer listed, or is listed as draining."""
         listed = self._registry.states()
@@ -299,8 +318,10 @@
     def _expire(self) -> None:
         now = anyio.current_time()
         self._own.expire(now)
-        self._gone = _unexpired(self._gone, now)
-        self._refused_until = _unexpired(self._refused_until, now)
+        for instance in [name for name, gone in self._gone.items() if gone.known_until <= now]:
+            del self._gone[instance]
+        for key in [key for key, until in self._refused_until.items() if until <= now]:
+            del self._refused_until[key]
         if self._unresolved:
             self._unresolved = [
                 broken for broken in self._unresolved if now - broken.broken_at <= FATE_WINDOW_S
@@ -350,8 +371,3 @@
             self._unreported.pop(end, None)
         self._report_ended.set()
         self._report_ended = anyio.Event()
-
-
-def _unexpired(until: dict[str, float], now: float) -> dict[str, float]:
-    """Return the entries whose time has not passed; the same object if there are none."""
-    return {name: time for name, time in until.items() if time > now} if until else until
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -23,7 +23,17 @@
     EngineEndWatch,
 )
 from passlane.relay.request_errors import AnswerAbortedError
-from relay.fakes import Reset, Script, ScriptedBackends, ScriptedStore, Unreachable, backend, head
+from relay.fakes import (
+    AT_CAPACITY,
+    WRONG_INSTANCE,
+    Reset,
+    Script,
+    ScriptedBackends,
+    ScriptedStore,
+    Unreachable,
+    backend,
+    head,
+)
 from relay.test_service import EVENT_1, STREAM, RelayCase
 
 ENGINES = [backend(f"i-{number}") for number in range(1, 6)]
@@ -172,6 +182,13 @@
         await anyio.sleep(2 * CHECK_INTERVAL_S)
         self.assertEqual(self.reported(), ["i-1"])
 
+    @with_watch
+    async def test_an_engine_that_the_list_dropped_before_the_attempt_broke_has_ended(self):
+        self.registry.update(ENGINES[1:], anyio.current_time())
+        self.backends.reach = BackendReach.ACCEPTED
+        await self.break_attempt(0)
+        self.assertEqual(self.reported(), ["i-1"])
+
     @with_watch
     async def test_an_engine_that_drains_before_it_leaves_the_list_has_not_ended(self):
         await self.break_unresolved()
@@ -261,6 +278,11 @@
         self.assertEqual((self.writer.status, self.writer.body), (200, b"ok"))
         self.assertEqual(self.store.engine_ends, [])
 
+    def test_an_answer_of_another_engine_at_the_address_is_no_sign_of_life(self):
+        scripts = [Reset(), Script(WRONG_INSTANCE), *[Script(AT_CAPACITY)] * 400]
+        self.relay(scripts, records=ENGINES[:1], max_attempts=5)
+        self.assertEqual([end.instance for end in self.store.engine_ends], ["i-1"])
+
     def test_engines_that_live_do_not_count(self):
         scripts = [Reset()] * 4 + [Script(head(), b"ok")]
         self.relay(scripts, records=ENGINES, max_attempts=5)
