Emulator and simulation learn engines that end under a call

An emulated engine ends after the first token of a request whose last message holds a set text, and starts again. The scenario engine-ends-under-calls makes such calls beside the usual load, while nodes and stores lose power; the promise ended-engines counts the engines that got one, and the defect ended-engines-not-counted is caught.

--- a/src/passlane/emulator/engine_app.py
+++ b/src/passlane/emulator/engine_app.py
@@ -155,6 +155,9 @@
                 async for item in items:
                     await self._send_item(exchange, request, answer, item)
                     is_complete = _is_complete_with(item)
+                    if _ends_under(request, settings):
+                        # Closes this stream and all others.
+                        self._service.restart()
                 if settings.breaks_inside_event and not is_complete:
                     await exchange.send_part(UNFINISHED_EVENT)
                 watchers.cancel_scope.cancel()
@@ -284,6 +287,12 @@
     return isinstance(item, FinishedRequest) and item.reason is FinishReason.STOP
 
 
+def _ends_under(request: EngineChatRequest, settings: EngineModelSettings) -> bool:
+    """Return whether the request is one under which the engine ends."""
+    last = request.messages[-1].content if request.messages else ""
+    return bool(settings.ends_under) and settings.ends_under in last
+
+
 def _is_of_other_version(request: EngineChatRequest, settings: EngineModelSettings) -> bool:
     """Whether the engine must refuse to continue an answer, as another version began it."""
     own = settings.software_version
--- a/src/passlane/emulator/engine_settings.py
+++ b/src/passlane/emulator/engine_settings.py
@@ -53,10 +53,14 @@
         Empty: it tells none, and continues any answer.
     checks_version
         Whether it refuses to continue the answer of another version.
+    ends_under
+        Text in the last message of a request under which the engine ends: after the first token it
+        crashes and starts again. Empty for none.
     """
 
     software_version: str = ""
     checks_version: bool = True
+    ends_under: str = ""
     models: tuple[str, ...] = ("agent",)
     max_batch: int = 16
     max_waiting: int = 256
--- a/src/passlane/simulation/callers.py
+++ b/src/passlane/simulation/callers.py
@@ -20,6 +20,8 @@
 FINAL_STATUSES = frozenset({400, 403, 404, 409, 422})
 CREATED = 201
 NO_CONTENT = 204
+HARMFUL_TEXT = "under this, engines end"
+"""Part of a harmful call; see ``EngineModelSettings.ends_under``."""
 MODEL = "agent"
 TOOL = "charge"
 
@@ -28,6 +30,8 @@
 class CallScript:
     """One call of a scripted program; ``pause_s`` goes before it.
 
+    Engines end under one that is ``is_harmful`` (``HARMFUL_TEXT``).
+
     A call that is not ``is_named`` carries neither sequence number nor idempotency key. It
     is sent once, since a repeat of it would be another call.
     """
@@ -37,6 +41,7 @@
     is_streamed: bool = True
     max_tokens: int = 64
     pause_s: float = 0.2
+    is_harmful: bool = False
 
 
 @dataclass(frozen=True)
@@ -208,7 +213,8 @@
             body: Any = {"marker": call.marker}
         else:
             path = "/v1/chat/completions"
-            message = {"role": "user", "content": f"{call.marker} what comes next?"}
+            question = HARMFUL_TEXT if script.is_harmful else "what comes next?"
+            message = {"role": "user", "content": f"{call.marker} {question}"}
             body = {
                 "model": call.target,
                 "messages": [message],
--- a/src/passlane/simulation/defects/back_ends.py
+++ b/src/passlane/simulation/defects/back_ends.py
@@ -10,6 +10,7 @@
 from passlane.identifiers import EngineId
 from passlane.messages.backends import EngineChunk
 from passlane.node import service
+from passlane.node.model_attempt import ModelAttempt
 from passlane.runtime.interfaces import HttpResponse
 from passlane.simulation.defects.base import Defect, replacing
 from passlane.simulation.replacement import Replacement
@@ -35,6 +36,12 @@
         )
 
 
+async def _never_ended(_attempt: ModelAttempt) -> bool:
+    """Take every engine that breaks an attempt off for one that lives."""
+    await anyio.lowlevel.checkpoint()
+    return False
+
+
 async def _stop_at_once(daemon: Daemon) -> None:
     """Stop without letting anything finish."""
     daemon._scope.cancel()
@@ -58,6 +65,14 @@
         "a stream that ends is taken for a whole answer",
         replacing(Replacement(EngineClient, "_read_stream", _read_to_any_end)),
     ),
+    Defect(
+        "ended-engines-not-counted",
+        "ended-engines",
+        "engine-ends-under-calls",
+        0,
+        "an engine that ends under a call is taken for one that lives",
+        replacing(Replacement(ModelAttempt, "_has_engine_ended", _never_ended)),
+    ),
     Defect(
         "stop-without-drain",
         "planned-stop",
--- a/src/passlane/simulation/invariants.py
+++ b/src/passlane/simulation/invariants.py
@@ -1,4 +1,4 @@
-"""The ten promises, each judged by what was seen from outside.
+"""The promises, each judged by what was seen from outside.
 
 A check returns one line for each violation; an empty list means that the promise held.
 """
@@ -16,6 +16,7 @@
     leaving_back_ends_get_no_new_work,
     planned_stops_cut_nothing_off,
 )
+from passlane.simulation.ended_engine_checks import calls_end_few_engines
 from passlane.simulation.observer import Observations
 from passlane.simulation.program_checks import (
     budgets_are_kept,
@@ -41,6 +42,7 @@
     Invariant("budget", budgets_are_kept),
     Invariant("memory", no_memory_is_held_after_the_end),
     Invariant("answers", answers_are_whole_and_own),
+    Invariant("ended-engines", calls_end_few_engines),
     Invariant("not-run", refused_as_not_run_did_not_run),
     Invariant("at-most-once", charges_run_at_most_once),
     Invariant("leaving", leaving_back_ends_get_no_new_work),
--- a/src/passlane/simulation/scenarios/back_ends.py
+++ b/src/passlane/simulation/scenarios/back_ends.py
@@ -5,7 +5,7 @@
 
 from passlane.emulator.application_model import ApplicationSettings, Behaviour
 from passlane.emulator.engine_settings import EngineModelSettings
-from passlane.simulation.callers import TOOL, CallScript, ProgramScript
+from passlane.simulation.callers import HARMFUL_TEXT, TOOL, CallScript, ProgramScript
 from passlane.simulation.cluster import (
     APPLICATION_SETTINGS,
     ENGINE_SETTINGS,
@@ -24,6 +24,8 @@
 CUTTING_ENGINE = msgspec.structs.replace(
     FAULTY_ENGINE, ends_with_connection=True, breaks_inside_event=True
 )
+FRAGILE_ENGINE = msgspec.structs.replace(ENGINE_SETTINGS, ends_under=HARMFUL_TEXT)
+HARMFUL_PROGRAMS = 2
 FAULTY_APPLICATION = ApplicationSettings(
     tools=(TOOL,),
     hang_probability=0.05,
@@ -78,6 +80,21 @@
                 engine.crash_and_restart()
 
 
+async def engine_ends_under_calls(cluster: Cluster) -> None:
+    """Make calls under which engines end, while a node and a store's replica are lost."""
+    async with load(cluster), anyio.create_task_group() as tasks:
+        for number in range(HARMFUL_PROGRAMS):
+            tenant = cluster.plan.tenants[number % len(cluster.plan.tenants)]
+            script = ProgramScript(tenant, [CallScript(is_harmful=True)])
+            tasks.start_soon(cluster.callers.run_program, f"harmful-{number}", script)
+        for _ in range(2):
+            await pause(cluster, 0.2, 1.5)
+            name = cluster.random.choice(list(cluster.processes))
+            cluster.processes[name].kill(power_lost=True)
+            await pause(cluster, 2.0, 4.0)
+            cluster.start_process(name)
+
+
 async def engine_unreachable(cluster: Cluster) -> None:
     """Cut an engine off in silence for a while."""
     engine = cluster.random.choice(cluster.plan.engine_names())
@@ -217,6 +234,16 @@
         engine_restarted,
         options=_engine_options(CUTTING_ENGINE),
     ),
+    Scenario(
+        "engine-ends-under-calls",
+        ("ended-engines", "answers"),
+        "engines end under some calls, while nodes and stores die",
+        engine_ends_under_calls,
+        plan=FleetPlan(engines=4),
+        options=_engine_options(FRAGILE_ENGINE),
+        must_answer=0.8,
+        may_leave_doubt=True,
+    ),
     Scenario(
         "engine-unreachable",
         ("answers", "memory"),
