The soak learns back ends that end under requests

The proxy refuses connections before it closes the others, and a cancelled proxy closes both sides: it had left the caller's open.

--- a/src/passlane/cli/soak.py
+++ b/src/passlane/cli/soak.py
@@ -34,7 +34,12 @@
             "Checkout with an older build installed; every second process starts with it.",
             flag=False,
         ),
-        option("profile", None, "Kind of soak: usual, overlapping, large or versions.", flag=False),
+        option(
+            "profile",
+            None,
+            "Kind of soak: usual, overlapping, large, versions, ends, harmful or harmful-large.",
+            flag=False,
+        ),
         option("report", None, "New folder for the report and the processes' logs.", flag=False),
     ]
 
--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -5,7 +5,7 @@
 the ledger what they ran.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
 
@@ -43,6 +43,8 @@
 UNAVAILABLE = 503
 WRONG_INSTANCE = 421
 MOST_BODY_BYTES = 4_000_000
+HARMFUL = b"harmful"
+"""Part of the body of requests under which back ends end."""
 EVENT_PAUSE_S = 0.06
 """Pause before each event of an engine of pace 1."""
 PLAIN_RUN_S = 0.03
@@ -61,6 +63,8 @@
         Unix time of its start, as the list tells it; ``None`` where the list tells none.
     software_version
         Version of its software, as the list tells it.
+    on_harmful
+        Called with this back end and the request's id when it begins to run a harmful request.
     """
 
     def __init__(
@@ -73,6 +77,7 @@
         self.breaks_off = False
         self.born_ms: int | None = None
         self.software_version = DEFAULT_SOFTWARE_VERSION
+        self.on_harmful: Callable[[StandIn, str], None] | None = None
         self._ledger = ledger
         self._running = 0
         self._broken = 0
@@ -125,6 +130,8 @@
             self._ledger.note_run(
                 request_id, request.body, signature, is_limited=is_limited, now=_now()
             )
+            if HARMFUL in request.body and self.on_harmful is not None:
+                self.on_harmful(self, request_id)
             if self._breaks_before_head():
                 return  # The server closes the connection, after an answer without an id.
             marks = {names.ATTEMPT_ID: request_id, names.SIGNATURE: signature}
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -186,6 +186,10 @@
         """Whether a fault of any of these processes has not ended."""
         return any(machine.name in self._struck for machine in machines)
 
+    def struck(self) -> set[str]:
+        """Return the names of the processes that are disturbed now."""
+        return self._struck
+
     @contextmanager
     def _held(self, machines: Sequence[Machine]) -> Iterator[None]:
         """Keep other faults from processes while they are disturbed."""
--- /dev/null
+++ b/src/passlane/soak/harmful.py
@@ -0,0 +1,167 @@
+"""Requests under which back ends end, and what is checked of them.
+
+A harmful request ends each back end that runs it; another one starts later at the same address. Its
+caller sends it again and again, as turns, resumable streams and calls are sent anew.
+"""
+
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES
+from passlane.messages.fleet import FleetRole
+from passlane.platform import names
+from passlane.soak.back_ends import HARMFUL, StandIn
+from passlane.soak.callers import Call, Callers
+from passlane.soak.configuration import LOOKUP, STREAM, URGENT, USUAL_TENANT
+from passlane.soak.ledger import Ledger
+from passlane.soak.machines import Machine, Machines
+from passlane.soak.programs import tool_call
+from passlane.soak.proxy import FaultyProxy
+from passlane.soak.streams import stream_call
+
+REQUESTS_PER_S = 0.5
+ATTEMPTS = 10
+"""Attempts at one harmful request, more than twice what may end."""
+SHORTEST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.6
+DOWN_S = 0.4
+"""Time until another back end starts in place of one that has ended."""
+UNSETTLED_S = 2.0
+"""Time after a fault of a process during which an end may not be known to all nodes."""
+UNAVAILABLE = 503
+NANOSECONDS_IN_MS = 1_000_000
+
+
+class EndingBackEnds:
+    """Ends back ends that run harmful requests, and counts these ends by request.
+
+    Parameters
+    ----------
+    proxies
+        The proxy before each back end, by the id that the back end has at first.
+    is_disturbed
+        Returns whether a process is disturbed, or was a moment ago.
+    """
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        proxies: Mapping[str, FaultyProxy],
+        ledger: Ledger,
+        is_disturbed: Callable[[], bool],
+    ) -> None:
+        self._tasks = tasks
+        self._proxies = proxies
+        self._ledger = ledger
+        self._is_disturbed = is_disturbed
+        self._ends = 0
+        self._sent: Counter[str] = Counter()
+        self._unsettled: Counter[str] = Counter()
+
+    def end_under(self, back_end: StandIn, request_id: str) -> None:
+        """End a back end that begins to run a harmful request, and judge that it got it."""
+        request, _, _ = request_id.rpartition(".")
+        self._sent[request] += 1
+        allowed = MAX_ENDED_ENGINES + self._unsettled[request]
+        detail = f"run {self._sent[request]} of {request}, {allowed} allowed"
+        is_allowed = self._sent[request] <= allowed
+        self._ledger.check("ended-engines", is_allowed, request_id, detail, anyio.current_time())
+        self._unsettled[request] += self._is_disturbed()
+        self._tasks.start_soon(self._replace, back_end)
+
+    def note_unanswered(self, request: str) -> None:
+        """Note an attempt without an answer: its node may not have seen what it ended."""
+        self._unsettled[request] += 1
+
+    async def _replace(self, back_end: StandIn) -> None:
+        self._ends += 1
+        first_id = back_end.instance_id.partition(".")[0]
+        started_ms = time.time_ns() // NANOSECONDS_IN_MS
+        back_end.release(f"{first_id}.e{self._ends}", back_end.software_version, started_ms)
+        proxy = self._proxies[first_id]
+        proxy.stop_listening()
+        await anyio.sleep(DOWN_S)
+        proxy.listen_again()
+
+
+class HarmfulCallers:
+    """Sends harmful requests of each kind in turn."""
+
+    def __init__(self, callers: Callers, ledger: Ledger, ending: EndingBackEnds, seed: int) -> None:
+        self._callers = callers
+        self._ledger = ledger
+        self._ending = ending
+        self._seed = seed
+        self._random = random.Random(f"{seed} harmful")
+
+    async def run(self, tasks: TaskGroup, load_s: float) -> None:
+        """Begin harmful requests for some seconds."""
+        ends_at = anyio.current_time() + load_s
+        number = 0
+        while anyio.current_time() < ends_at:
+            number += 1
+            tasks.start_soon(self.send, self._call(number))
+            await anyio.sleep(self._random.expovariate(REQUESTS_PER_S))
+
+    async def send(self, call: Call) -> list[int | None]:
+        """Send a harmful request again and again; return the statuses."""
+        statuses: list[int | None] = []
+        for number in range(ATTEMPTS):
+            answer = await self._callers.exchange(call, f"{call.name}.{number}")
+            if answer is None:
+                self._ending.note_unanswered(call.name)
+            statuses.append(answer.status if answer is not None else None)
+            await anyio.sleep(self._random.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S))
+        return statuses
+
+    async def check_calm(self) -> None:
+        """Without faults, check that harmful requests are refused after the last allowed end."""
+        for number in range(3):
+            call = self._call(1_000 + number)
+            statuses = await self.send(call)
+            is_refused = all(status == UNAVAILABLE for status in statuses[MAX_ENDED_ENGINES:])
+            now = anyio.current_time()
+            self._ledger.check("refused-at-last", is_refused, call.name, f"{statuses}", now)
+
+    def _call(self, number: int) -> Call:
+        """Return a harmful request: a turn, a resumable stream or a repeatable call."""
+        name = f"{HARMFUL.decode()}-{self._seed}-{number}"
+        kind = (URGENT, STREAM, LOOKUP)[number % 3]
+        if kind == LOOKUP:
+            return msgspec.structs.replace(tool_call(name, "0", LOOKUP), name=name)
+        call = stream_call(name, {})
+        if kind == STREAM:
+            return call
+        headers = call.headers | {names.PROGRAM_DEADLINE_MS: "5000"}
+        return msgspec.structs.replace(
+            call, route=URGENT, tenant=USUAL_TENANT, headers=headers, most_runs=1
+        )
+
+
+class Disturbances:
+    """Tells whether nodes or stores were disturbed a moment ago."""
+
+    def __init__(self, machines: Machines, struck: Callable[[], set[str]]) -> None:
+        self._machines = machines
+        self._struck = struck
+        self._last_at = -UNSETTLED_S
+
+    async def run(self) -> None:
+        """Look at the disturbed processes until cancelled."""
+        while True:
+            if any(self._is_relevant(machine) for machine in self._machines.all):
+                self._last_at = anyio.current_time()
+            await anyio.sleep(0.02)
+
+    def are_recent(self) -> bool:
+        """Whether a node or a store is disturbed, or was within ``UNSETTLED_S``."""
+        return anyio.current_time() - self._last_at < UNSETTLED_S
+
+    def _is_relevant(self, machine: Machine) -> bool:
+        return machine.role is not FleetRole.CONTROL and machine.name in self._struck()
--- a/src/passlane/soak/profiles.py
+++ b/src/passlane/soak/profiles.py
@@ -48,6 +48,8 @@
         new connection to a node that is ready.
     has_versions
         Whether engines of two software versions serve, and callers take up resumable streams.
+    has_harmful
+        Whether back ends end under some requests, which their callers send again and again.
     """
 
     name: str
@@ -58,6 +60,7 @@
     overlaps: bool = False
     keeps_connections: bool = False
     has_versions: bool = False
+    has_harmful: bool = False
 
 
 USUAL = SoakProfile(name="usual", processes=SMALL_FLEET)
@@ -75,7 +78,12 @@
     OVERLAPPING, name="versions", fault_kinds=KINDS_WITH_VERSIONS, has_versions=True
 )
 ENDS = msgspec.structs.replace(VERSIONS, name="ends", fault_kinds=tuple(FaultKind))
-PROFILES = {profile.name: profile for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS, ENDS)}
+HARMFUL = msgspec.structs.replace(OVERLAPPING, name="harmful", has_harmful=True)
+HARMFUL_LARGE = msgspec.structs.replace(HARMFUL, name="harmful-large", processes=LARGE_FLEET)
+PROFILES = {
+    profile.name: profile
+    for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS, ENDS, HARMFUL, HARMFUL_LARGE)
+}
 
 
 def profile_named(name: str) -> SoakProfile:
--- a/src/passlane/soak/proxy.py
+++ b/src/passlane/soak/proxy.py
@@ -51,14 +51,32 @@
         self._mode = ProxyMode.PASS
         self._mode_ended = anyio.Event()
         self._connections: dict[SocketStream, anyio.CancelScope] = {}
+        self._may_listen = anyio.Event()
+        self._may_listen.set()
+        self._listening: anyio.CancelScope | None = None
 
     async def run(self) -> None:
-        """Serve until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=self.address.host, local_port=self.address.port
-        )
-        async with listener:
-            await listener.serve(self._serve)
+        """Serve until cancelled, but for times in which connections are refused."""
+        while True:
+            await self._may_listen.wait()
+            listener = await anyio.create_tcp_listener(
+                local_host=self.address.host, local_port=self.address.port
+            )
+            async with anyio.create_task_group() as connections:
+                async with listener:
+                    with anyio.CancelScope() as self._listening:
+                        await listener.serve(self._serve, connections)
+                connections.cancel_scope.cancel()
+
+    def stop_listening(self) -> None:
+        """Refuse new connections and close all others, as if the back end's process had ended."""
+        self._may_listen = anyio.Event()
+        if self._listening is not None:
+            self._listening.cancel()
+
+    def listen_again(self) -> None:
+        """Accept connections again."""
+        self._may_listen.set()
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Treat all bytes from now on by a mode."""
@@ -90,8 +108,10 @@
                 tasks.cancel_scope.cancel()
         finally:
             self._connections.pop(caller, None)
-            await anyio.aclose_forcefully(target)
-            await anyio.aclose_forcefully(caller)
+            # A cancelled scope would end the first of these before the second.
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(target)
+                await anyio.aclose_forcefully(caller)
 
     async def _pump(self, source: SocketStream, sink: SocketStream, is_request: bool) -> None:
         """Pass bytes on in one direction until either side has closed."""
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -25,6 +25,7 @@
 from passlane.soak.configuration import LIMIT, ZONE
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind, FaultPace, Faults
+from passlane.soak.harmful import Disturbances, EndingBackEnds, HarmfulCallers
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import DAEMON, Machine, Machines, daemon_of, loopback_network
 from passlane.soak.profiles import USUAL, SoakProfile, profile_named
@@ -114,6 +115,7 @@
             self.machines, self._back_ends, self._proxies, self._listing, self._ledger, seed
         )
         self._streams = StreamCallers(self._callers, self._ledger, self._tallies, seed)
+        self._harmful: HarmfulCallers | None = None
         self._calm: CalmChecks | None = None
         self._was_interrupted = False
 
@@ -125,6 +127,8 @@
                     self._ledger.on_finding = tasks.cancel_scope.cancel
                 tasks.start_soon(self._take_signals, tasks)
                 self._serve(tasks)
+                if self._settings.profile.has_harmful:
+                    self._prepare_harmful(tasks)
                 for machine in self._older_machines():
                     machine.daemon = self._settings.older_daemon
                 for machine in self.machines.all:
@@ -136,6 +140,16 @@
                 await self._stop_machines()
         return self._report()
 
+    def _prepare_harmful(self, tasks: TaskGroup) -> None:
+        """Let back ends end under harmful requests."""
+        disturbances = Disturbances(self.machines, self._faults.struck)
+        tasks.start_soon(disturbances.run)
+        proxies = {proxy.name: proxy for proxy in self._proxies}
+        ending = EndingBackEnds(tasks, proxies, self._ledger, disturbances.are_recent)
+        for back_end in self._back_ends:
+            back_end.on_harmful = ending.end_under
+        self._harmful = HarmfulCallers(self._callers, self._ledger, ending, self._settings.seed)
+
     def _older_machines(self) -> list[Machine]:
         """Return the machines that begin with the older build: every second one, of each role."""
         return self.machines.all[::2] if self._settings.older_daemon else []
@@ -190,6 +204,8 @@
         )
         self._calm = calm
         await calm.run()
+        if self._harmful is not None:
+            await self._harmful.check_calm()
         if self._settings.profile.has_versions:
             await StreamChecks(self._streams, self._ledger, self._engines).run()
         self._check_shares()
@@ -207,6 +223,8 @@
                 loads.start_soon(load.run, self._settings.load_s)
                 if self._settings.profile.has_versions:
                     loads.start_soon(self._streams.run, loads, self._settings.load_s)
+                if self._harmful is not None:
+                    loads.start_soon(self._harmful.run, loads, self._settings.load_s)
             ending.set()
 
     def _pace(self) -> FaultPace:
--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -8,6 +8,7 @@
 import sys
 
 import anyio
+import anyio.lowlevel
 
 DEFECT_VARIABLE = "PASSLANE_SOAK_DEFECT"
 LEAKING_TURN = 30
@@ -118,6 +119,17 @@
     StreamDelivery._check_events = lambda self, answer: None
 
 
+def ends_not_counted():
+    """Take every engine that breaks an attempt off for one that lives."""
+    from passlane.relay.engine_ends import EngineEndWatch
+
+    async def observe_nothing(self, request_key, backend):
+        await anyio.lowlevel.checkpoint()
+
+    EngineEndWatch.observe_broken = observe_nothing
+    EngineEndWatch.observe_silent = lambda self, request_key, backend: None
+
+
 DEFECTS = {
     defect.__name__: defect
     for defect in (
@@ -129,6 +141,7 @@
         budget_not_counted,
         any_version_taken_for_the_same,
         end_taken_for_completeness,
+        ends_not_counted,
     )
 }
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -46,6 +46,23 @@
         return closed
 
 
+class ListeningTest(unittest.TestCase):
+    def test_a_proxy_that_stops_listening_refuses_connections_before_it_closes_others(self):
+        async def check(proxy, stream):
+            proxy.stop_listening()
+            with self.assertRaises(anyio.EndOfStream):
+                await stream.receive()
+            with self.assertRaises(OSError):
+                await anyio.connect_tcp(proxy.address.host, PORT)
+            proxy.listen_again()
+            await anyio.sleep(HELD_S)
+            async with await anyio.connect_tcp(proxy.address.host, PORT) as again:
+                await again.send(b"again")
+                self.assertEqual(await again.receive(), b"again")
+
+        anyio.run(with_proxy, check)
+
+
 class ResetTest(unittest.TestCase):
     def test_a_connection_that_is_closed_already_holds_up_no_reset(self):
         async def check():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind
 from passlane.soak.machines import daemon_of
-from passlane.soak.profiles import ENDS, OVERLAPPING, VERSIONS, profile_named
+from passlane.soak.profiles import ENDS, HARMFUL, OVERLAPPING, VERSIONS, profile_named
 from passlane.soak.report import Finding, SoakReport
 from passlane.soak.run import SoakSettings, run_soak
 from soak.defective_daemon import DEFECT_VARIABLE
@@ -27,6 +27,7 @@
 OVERLAPPING_SEED = 2
 VERSIONS_SEED = 3
 ENDS_SEED = 4
+HARMFUL_SEED = 5
 LOAD_S = 10.0
 DEFECT_LOAD_S = 8.0
 DEFECTIVE_DAEMON = (sys.executable, str(Path(__file__).with_name("defective_daemon.py")))
@@ -91,6 +92,17 @@
         self.assertIn("without_length", report.faults)
 
 
+class HarmfulSoakTest(unittest.TestCase):
+    """Back ends that end under some requests, which their callers send again and again."""
+
+    def test_no_request_ends_more_back_ends_than_may_end_under_it(self):
+        report = soak(seed=HARMFUL_SEED, load_s=DEFECT_LOAD_S, profile=HARMFUL)
+        self.assertEqual(report.findings, ())
+        self.assertTrue(report.has_passed)
+        for check in ("ended-engines", "refused-at-last"):
+            self.assertGreater(report.checks[check], 0, check)
+
+
 class EvidenceTest(unittest.TestCase):
     def test_a_finding_keeps_its_times_and_logs(self):
         finding = Finding("check", "r", "detail", 1.0)
@@ -179,6 +191,10 @@
         report = soak_with("end_taken_for_completeness", fault_kinds=(FaultKind.WITHOUT_LENGTH,))
         self.expect("whole-answer", report)
 
+    def test_engines_that_end_and_are_not_counted(self):
+        report = soak_with("ends_not_counted", profile=HARMFUL, fault_kinds=())
+        self.expect("ended-engines", report)
+
     def test_a_budget_that_nobody_counts(self):
         self.expect("budget", soak_with("budget_not_counted", fault_kinds=()))
 
