An engine that answers is not taken for gone; unreported ends are bounded

By reading: an engine whose address had refused a connection was taken for gone for 30 s without another check, also if it answered in between, so that a broken answer of a living engine could count. An answer to a request that was sent later takes that back. While the store group doesn't answer, the ends that wait for a report are bounded to 5,000; the oldest give way, with a log line.

tests/relay/test_engine_ends.py: two tests more; the first failed by construction before (no check was made), 45 pass.

--- a/src/passlane/relay/engine_ends.py
+++ b/src/passlane/relay/engine_ends.py
@@ -43,6 +43,8 @@
 """Broken attempts whose engine's fate is unknown; the oldest give way."""
 REPORT_TIMEOUT_S = 3.0
 REPORT_RETRY_DELAY_S = 0.1
+MAX_UNREPORTED = 5_000
+"""Bounds memory while the store group doesn't answer; the oldest give way."""
 MAX_REPORT_DELAY_S = 30.0
 """Time after which ends that could not be reported are dropped; this node still counts them."""
 FIRST_ANSWER_TIMEOUT_S = 0.3
@@ -71,10 +73,10 @@
 
 
 class _GoneEngine(msgspec.Struct, frozen=True):
-    """An engine that is gone, and the local time until which this is remembered."""
+    """An engine that is gone, and the local time at which this was found out."""
 
     evidence: EndEvidence
-    known_until: float
+    found_at: float
 
 
 class EngineEndWatch:
@@ -198,6 +200,9 @@
 
     def record_answer(self, instance: str, sent_at: float) -> None:
         """Record that an engine answered a request sent at ``sent_at``, so it lived then."""
+        gone = self._gone.get(instance)
+        if gone is not None and gone.found_at < sent_at:
+            del self._gone[instance]
         if self._unresolved:
             self._unresolved = [
                 broken
@@ -207,8 +212,7 @@
 
     def record_gone(self, instance: str, evidence: EndEvidence) -> None:
         """Record that an engine is gone; count its end under the attempts that it broke."""
-        known_until = anyio.current_time() + GONE_RETENTION_S
-        self._gone[instance] = _GoneEngine(evidence, known_until)
+        self._gone[instance] = _GoneEngine(evidence, anyio.current_time())
         found = [broken for broken in self._unresolved if broken.instance == instance]
         if not found:
             return
@@ -221,11 +225,11 @@
     ) -> None:
         try:
             await self._check(backend)
-            evidence = self._gone.get(broken.instance)
-            if evidence is None:
+            gone = self._gone.get(broken.instance)
+            if gone is None:
                 self._add_unresolved(broken, backend)
                 return
-            end = self._count(broken, evidence.evidence)
+            end = self._count(broken, gone.evidence)
             while end in self._unreported:
                 await self._report_ended.wait()
         finally:
@@ -287,6 +291,8 @@
         )
         end = EngineEnd(request_key=broken.request_key, instance=broken.instance)
         self._unreported[end] = None
+        if len(self._unreported) > MAX_UNREPORTED:
+            self._drop_unreported(1)
         if not self._is_reporting:
             self._is_reporting = True
             self._tasks.start_soon(self._report_all)
@@ -318,7 +324,8 @@
     def _expire(self) -> None:
         now = anyio.current_time()
         self._own.expire(now)
-        for instance in [name for name, gone in self._gone.items() if gone.known_until <= now]:
+        forgotten_at = now - GONE_RETENTION_S
+        for instance in [name for name, gone in self._gone.items() if gone.found_at < forgotten_at]:
             del self._gone[instance]
         for key in [key for key, until in self._refused_until.items() if until <= now]:
             del self._refused_until[key]
@@ -340,7 +347,7 @@
                 now = anyio.current_time()
                 failing_since = failing_since if failing_since is not None else now
                 if now - failing_since > MAX_REPORT_DELAY_S:
-                    self._drop_unreported()
+                    self._drop_unreported(len(self._unreported))
                     return
                 await anyio.sleep(REPORT_RETRY_DELAY_S)
         finally:
@@ -357,14 +364,16 @@
         self._remove_unreported(ends)
         return True
 
-    def _drop_unreported(self) -> None:
+    def _drop_unreported(self, count: int) -> None:
+        """Drop the oldest ends that could not be reported."""
+        dropped = tuple(self._unreported)[:count]
         _log.warning(
             "engine_ends_not_reported",
-            count=len(self._unreported),
-            first=next(iter(self._unreported)).request_key,
-            retried_s=MAX_REPORT_DELAY_S,
+            count=count,
+            first=dropped[0].request_key,
+            kept=len(self._unreported) - count,
         )
-        self._remove_unreported(tuple(self._unreported))
+        self._remove_unreported(dropped)
 
     def _remove_unreported(self, ends: Iterable[EngineEnd]) -> None:
         for end in ends:
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -2,6 +2,7 @@
 
 import functools
 import unittest
+from unittest import mock
 
 import anyio
 import msgspec
@@ -12,6 +13,7 @@
 from passlane.messages.engine_ends import RefusedRequest
 from passlane.messages.listing import BackendState
 from passlane.messages.turns import TurnStoreFound
+from passlane.relay import engine_ends
 from passlane.relay.backends import BackendReach
 from passlane.relay.engine_ends import (
     CHECK_INTERVAL_S,
@@ -156,6 +158,25 @@
         await anyio.sleep(2 * REPORT_RETRY_DELAY_S)
         self.assertEqual(self.reported(), ["i-1"])
 
+    @with_watch
+    async def test_an_engine_that_was_taken_for_gone_and_answers_is_checked_again(self):
+        self.watch.record_gone("i-1", EndEvidence.REFUSED_CONNECTION)
+        await anyio.sleep(0.1)
+        self.watch.record_answer("i-1", anyio.current_time())
+        self.backends.reach = BackendReach.ACCEPTED
+        await self.break_attempt(0)
+        self.assertEqual((self.backends.checked, self.reported()), (["i-1"], []))
+
+    @with_watch
+    async def test_unreported_ends_are_bounded_and_the_oldest_give_way(self):
+        self.store.is_unavailable = True
+        with mock.patch.object(engine_ends, "MAX_UNREPORTED", 2):
+            for number in range(3):
+                await self.break_attempt(number, key=f"key-{number}")
+        self.store.is_unavailable = False
+        await anyio.sleep(2 * REPORT_RETRY_DELAY_S)
+        self.assertEqual([end.instance for end in self.store.engine_ends], ["i-2", "i-3"])
+
     @with_watch
     async def test_an_attempt_does_not_wait_long_for_a_slow_store_group(self):
         self.store.report_delay_s = 5.0
