A call that waited for a back end counts against its tenant's limit when it is sent

Callers saw: a limited tenant ran more in a window than its limit allows, at the cost of the others: 44 to 46 look-ups in 5 s where 43 are allowed.

Cause: the ledger counts a call from its grant. Calls that were granted at their arrival waited 0.7 to 2.8 s for a plain back end, and ran together in a later window.

Change: a node that sends a call more than 0.1 s after its grant tells the store's leader in the background once the call may have run (a field of the draw; an older leader grants nothing for it), and the leader moves the grant to that moment. The node sees the grant a little later than the leader made it, so a move looks 0.2 s back.

--- a/src/passlane/decisions/limits/sliding_window.py
+++ b/src/passlane/decisions/limits/sliding_window.py
@@ -11,6 +11,8 @@
 
 BUCKET_S = 0.05
 """Seconds; length of a bucket, whose grants count as of its end."""
+MOVE_TOLERANCE_S = 0.2
+"""Seconds; longer than a grant takes from the leader to a busy node."""
 
 
 class _Bucket(msgspec.Struct):
@@ -59,10 +61,15 @@
         self._total += count
 
     def move(self, scheduled_at: float, at: float) -> None:
-        """Move one request from its scheduled time to ``at``, if it is still in the window."""
+        """Move one request from its scheduled time to ``at``, if it is still in the window.
+
+        The scheduled time may be up to ``MOVE_TOLERANCE_S`` late, as the requester saw it.
+        """
         scheduled_at = math.ceil(scheduled_at / BUCKET_S) * BUCKET_S
         index = bisect_left(self._buckets, scheduled_at, key=_bucket_time)
         if index == len(self._buckets) or self._buckets[index].at != scheduled_at:
+            index -= 1
+        if index < 0 or self._buckets[index].at < scheduled_at - MOVE_TOLERANCE_S:
             return
         bucket = self._buckets[index]
         if bucket.count < 1:
--- a/src/passlane/messages/quotas.py
+++ b/src/passlane/messages/quotas.py
@@ -42,12 +42,16 @@
         Name of the route of a turn; empty for other requests.
     ahead
         Number of further requests that are expected soon.
+    sent_after_s
+        With ``use`` ``None``: seconds since the grant of a request that was sent only now, because
+        it waited for a back end; it counts from now on. 0 for none.
     """
 
     limit: QuotaLimit
     use: QuotaPurpose | None
     route: str = ""
     ahead: int = 0
+    sent_after_s: float = 0.0
 
 
 class TenantUsage(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -128,6 +128,7 @@
             log_untrusted_answer(answer, load, self._attempt_labels())
             raise HttpConnectionError(BreakReason.NOT_AN_ANSWER.value, bytes_left=True)
         self._history.record_answer_started(load.record, anyio.current_time())
+        self._context.quota.record_run(self._history.sent_at)
         await deliver(answer, watch)
         if is_client_error(answer.head):
             self._history.record_rejected()
@@ -191,6 +192,7 @@
             self._history.verdict = verdict_before
         else:
             self._history.runs += 1
+            self._context.quota.record_run(self._history.sent_at)
         return next_step
 
 
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -234,7 +234,7 @@
             route=accepted.route,
             service=service,
             identity=accepted.identity,
-            quota=RequestQuota(limit, self._allowances, self._store),
+            quota=RequestQuota(limit, self._allowances, self._store, self._tasks),
             node=self._node,
             registry=self._registry,
             backends=self._backends,
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -162,8 +162,11 @@
         return msgspec.structs.replace(result, ahead=granted.ahead)
 
     async def draw_quota(self, request: DrawQuota) -> Message:
-        """Draw a tenant's quota for a request outside turns."""
+        """Draw a tenant's quota for a request outside turns, or record that one is sent late."""
         self._leadership.require_leadership()
+        if request.draw.sent_after_s:
+            granted_at = anyio.current_time() - request.draw.sent_after_s
+            self._quotas.record_sent(request.draw, granted_at)
         return await self._quotas.draw(request.draw)
 
     async def find(self, request: FindTurnStore) -> Message:
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -377,6 +377,22 @@
         self.assertEqual(self.writer.body, b"ok")
         self.assertAlmostEqual(self.elapsed_s, 0.3, places=3)
 
+    def test_a_request_that_waited_for_a_back_end_is_reported_as_sent_late(self):
+        scripts = [*[Script(AT_CAPACITY)] * 20, Script(head(), b"ok")]
+        self.relay(scripts, tenants=[LIMITED], call_changes=WITH_KEY)
+        self.assertEqual(self.writer.body, b"ok")
+        drawn, late = self.store.drawn
+        self.assertIsNotNone(drawn.use)
+        self.assertIsNone(late.use)
+        self.assertAlmostEqual(late.sent_after_s, self.elapsed_s, places=3)
+
+    def test_a_request_that_is_sent_at_once_or_at_its_start_time_is_not_reported_again(self):
+        for granted in (QuotaGranted(), QuotaGranted(start_after_s=0.3)):
+            store = ScriptedStore(quota=granted)
+            answer = [Script(head(), b"ok")]
+            self.relay(answer, tenants=[LIMITED], call_changes=WITH_KEY, store=store)
+            self.assertEqual(len(store.drawn), 1)
+
     def test_the_wait_for_its_start_time_does_not_shorten_the_wait_for_capacity(self):
         store = ScriptedStore(quota=QuotaGranted(start_after_s=0.3))
         scripts = [*[Script(AT_CAPACITY)] * 6, Script(head(), b"ok")]
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -4,6 +4,7 @@
 import unittest
 
 import anyio
+import msgspec
 import trio.testing
 
 from passlane.decisions.limits.quota_ledger import QuotaLedger, QuotaRules
@@ -13,7 +14,13 @@
 from passlane.messages.common import Address, NotLeaderError
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.placement import TurnDemand, TurnRefused
-from passlane.messages.quotas import QuotaLimit, QuotaPurpose, QuotaRequest
+from passlane.messages.quotas import (
+    DrawQuota,
+    QuotaGranted,
+    QuotaLimit,
+    QuotaPurpose,
+    QuotaRequest,
+)
 from passlane.messages.turns import BudgetSpent, ReserveTurn, SettleTurn, TurnReserved
 from passlane.transport.router import MessageRouter
 from passlane.turns.dispatch import TICK_S, TurnDispatcher
@@ -21,6 +28,8 @@
 from passlane.turns.state.machine import TurnStateMachine
 
 PROPOSE_S = 0.01
+GRANT_TRANSIT_S = 0.004
+ANSWER_S = 0.03
 EARLIER_TURN = ReserveTurn(
     program_id="under-way", attempt_id="before", most_tokens=1, budget_tokens=100
 )
@@ -267,6 +276,33 @@
         await self.settle("b", "q", served_by="")
         self.assertIsInstance(await self.reserve("c", "q"), TurnRefused)
 
+    @with_leader
+    async def test_a_limit_holds_for_calls_that_waited_for_a_back_end(self):
+        call = msgspec.structs.replace(QUOTA, use=QuotaPurpose.STANDALONE, route="")
+        sent = []
+
+        async def make_call(wait_s):
+            answer = await self.service.draw_quota(DrawQuota(call))
+            if not isinstance(answer, QuotaGranted):
+                return
+            granted_at = anyio.current_time() + answer.start_after_s + GRANT_TRANSIT_S
+            await anyio.sleep(answer.start_after_s + wait_s)
+            sent.append(anyio.current_time())
+            await anyio.sleep(ANSWER_S)
+            sent_after_s = anyio.current_time() - granted_at
+            late = msgspec.structs.replace(call, use=None, sent_after_s=sent_after_s)
+            await self.service.draw_quota(DrawQuota(late))
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(20):
+                tasks.start_soon(make_call, 2.0)
+            for _ in range(200):
+                tasks.start_soon(make_call, 0.2)
+                await anyio.sleep(0.05)
+        self.assertGreaterEqual(len(sent), 30)
+        for sent_at in sent:
+            self.assertLessEqual(sum(sent_at <= other < sent_at + 5.0 for other in sent), 20)
+
     @with_leader
     async def test_a_limit_holds_for_turns_that_waited_for_slots(self):
         sent = []
