A back end that answered an attempt of a led call is not checked for its end; postmortem so far

An answer with an error shows that the process lives; only an attempt without an answer leaves a doubt, and a check costs a connection and up to 0.6 s at a silent host.

--- a/src/passlane/backends/failures.py
+++ b/src/passlane/backends/failures.py
@@ -47,6 +47,15 @@
         self.status = status
 
 
+def is_without_answer(error: PasslaneError) -> bool:
+    """Return whether a back end may have run a request and gave no answer: it may have ended."""
+    return (
+        isinstance(error, BackendError)
+        and error.status is None
+        and error.verdict is not Verdict.NOT_RUN
+    )
+
+
 class ProblemBody(msgspec.Struct, frozen=True):
     """The fields that are read from an error response's JSON body.
 
--- a/src/passlane/node/model_attempt.py
+++ b/src/passlane/node/model_attempt.py
@@ -6,7 +6,7 @@
 import anyio
 import xxhash
 
-from passlane.backends.failures import BackendError
+from passlane.backends.failures import BackendError, is_without_answer
 from passlane.backends.process_checks import BackendProcess, check_engine
 from passlane.decisions.inputs.call_events import CallEnded
 from passlane.errors import ErrorCode, PasslaneError, Verdict
@@ -79,7 +79,7 @@
             )
         except PasslaneError as error:
             event = self._failure(error)
-            if event.verdict is not Verdict.NOT_RUN:
+            if is_without_answer(error):
                 event = replace(event, backend_ended=await self._has_engine_ended())
             if not isinstance(error, BackendError):
                 # The store failed or leadership was lost, which is no failure of the engine.
--- a/src/passlane/node/tool_attempt.py
+++ b/src/passlane/node/tool_attempt.py
@@ -6,7 +6,7 @@
 import anyio
 
 from passlane.backends.application_client import ApplicationClient
-from passlane.backends.failures import BackendError
+from passlane.backends.failures import BackendError, is_without_answer
 from passlane.backends.process_checks import BackendProcess, check_backend
 from passlane.configuration.view import ToolOffer
 from passlane.errors import ErrorCode, PasslaneError, Verdict
@@ -57,7 +57,7 @@
             healthy = _health_signal(error)
             verdict = error.verdict
             event = self._failure(error)
-            if verdict is not Verdict.NOT_RUN:
+            if is_without_answer(error):
                 event = replace(event, backend_ended=await self._has_application_ended())
         finally:
             self.services.tools.finish(
