--- a/src/passlane/relay/attempts.py
+++ b/src/passlane/relay/attempts.py
@@ -21,7 +21,6 @@
 from passlane.relay.backend_choice import ChoiceInputs, backend_selector, evaluate_health
 from passlane.relay.context import RequestContext
 from passlane.relay.end_reasons import RequestEndReason
-from passlane.relay.refused_requests import require_not_refused
 from passlane.relay.request_errors import Refusal, RequestFailedError, RequestRefusedError
 from passlane.relay.request_wait import RequestWait
 
@@ -88,7 +87,7 @@
                 permit = await self._wait.wait_for_permit(health, limit_at)
                 continue
             permit = None
-            require_not_refused(self._context, self._history.verdict)
+            self._context.require_not_refused(self._history.verdict)
             runs_before = self._history.runs
             if await self._send(load, stall_limit_s(health.typical_s), limit_at, deliver):
                 return
--- a/src/passlane/relay/context.py
+++ b/src/passlane/relay/context.py
@@ -10,6 +10,7 @@
 from passlane.decisions.inputs.relayed_call import RelayedCall
 from passlane.decisions.placement.request_placement import NodeLocation, PlacementKey
 from passlane.decisions.placement.shared_parts import large_shared_part
+from passlane.errors import Verdict
 from passlane.messages.placement import TurnDemand
 from passlane.messages.routes import Route, RoutedService
 from passlane.messages.streams import StreamOrigin
@@ -17,6 +18,7 @@
 from passlane.relay.begun_streams import BegunStreams
 from passlane.relay.capacity_waits import CapacityWaits
 from passlane.relay.engine_ends import EngineEndWatch
+from passlane.relay.refused_requests import RefusedRequests
 from passlane.relay.request_quota import RequestQuota
 from passlane.routes.tenants import Identity
 
@@ -41,6 +43,7 @@
     waits: CapacityWaits
     streams: BegunStreams
     engine_ends: EngineEndWatch
+    refused: RefusedRequests
     origin: StreamOrigin | None = None
 
     @property
@@ -53,6 +56,11 @@
         """Identifies the request over all its attempts; computed anew each time."""
         return request_key(self.call, self.identity.tenant_name)
 
+    def require_not_refused(self, verdict: Verdict) -> None:
+        """Check that not too many engines have ended under the request; see ``RefusedRequests``."""
+        if not self.refused.is_empty:
+            self.refused.require_not_refused(self.request_key, verdict)
+
     @property
     def engine_priority(self) -> int | None:
         """Its priority at an engine, 0 is the most urgent; ``None`` for other backends."""
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -25,10 +25,11 @@
 from passlane.relay.begun_streams import BegunStreams
 from passlane.relay.context import RequestContext
 from passlane.relay.end_reasons import RequestEnd, RequestEndReason, end_of_connection
+from passlane.relay.end_reports import EndReports
 from passlane.relay.engine_ends import EngineEndWatch
 from passlane.relay.local_responses import LocalResponses
 from passlane.relay.progress import RequestProgress
-from passlane.relay.refused_requests import require_not_refused
+from passlane.relay.refused_requests import RefusedRequests
 from passlane.relay.request import RequestRelay
 from passlane.relay.request_errors import Refusal, RequestRefusedError
 from passlane.relay.request_metrics import RequestMetrics
@@ -92,7 +93,9 @@
         self._tasks = tasks
         self._streams = BegunStreams(store, tasks)
         self._resumption = StreamResumption(self._streams, registry, store)
-        self._engine_ends = EngineEndWatch(backends, registry, store, tasks)
+        self._refused = RefusedRequests(store)
+        reports = EndReports(store, self._refused, tasks)
+        self._engine_ends = EngineEndWatch(backends, registry, self._refused, reports, tasks)
         self._table: RouteTable | None = None
         self._table_received = anyio.Event()
         self._started_at = anyio.current_time()
@@ -117,7 +120,9 @@
 
     async def run(self) -> None:
         """Follow what the store group knows of engines that ended, until cancelled."""
-        await self._engine_ends.run()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._refused.follow)
+            tasks.start_soon(self._engine_ends.run)
 
     async def wait_for_answer(self) -> None:
         """Return once the first answer of a backend was forwarded."""
@@ -213,9 +218,9 @@
             return
         context = self._build_context(accepted, origin.service if origin else service, origin)
         progress.service = context.service.name
-        await self._engine_ends.wait_until_known()
+        await self._refused.wait_until_known()
         try:
-            require_not_refused(context, Verdict.NOT_RUN)
+            context.require_not_refused(Verdict.NOT_RUN)
         except RequestRefusedError as error:
             progress.request_key = context.request_key
             await LocalResponses(writer, progress).refuse(error.refusal)
@@ -241,6 +246,7 @@
             waits=self._waits.for_service(service),
             streams=self._streams,
             engine_ends=self._engine_ends,
+            refused=self._refused,
             origin=origin,
         )
 
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -13,17 +13,17 @@
 from passlane.messages.engine_ends import RefusedRequest
 from passlane.messages.listing import BackendState
 from passlane.messages.turns import TurnStoreFound
-from passlane.relay import engine_ends
+from passlane.relay import end_reports
 from passlane.relay.backends import BackendReach
+from passlane.relay.end_reports import REPORT_RETRY_DELAY_S, EndReports
 from passlane.relay.engine_ends import (
     CHECK_INTERVAL_S,
     FATE_WINDOW_S,
-    FIRST_ANSWER_TIMEOUT_S,
     MAX_OBSERVATION_S,
-    REPORT_RETRY_DELAY_S,
     EndEvidence,
     EngineEndWatch,
 )
+from passlane.relay.refused_requests import FIRST_ANSWER_TIMEOUT_S, RefusedRequests
 from passlane.relay.request_errors import AnswerAbortedError
 from relay.fakes import (
     AT_CAPACITY,
@@ -79,7 +79,12 @@
             self.registry.update(ENGINES, anyio.current_time())
             self.store = RefusingStore()
             async with anyio.create_task_group() as tasks:
-                self.watch = EngineEndWatch(self.backends, self.registry, self.store, tasks)
+                self.refused = RefusedRequests(self.store)
+                reports = EndReports(self.store, self.refused, tasks)
+                self.watch = EngineEndWatch(
+                    self.backends, self.registry, self.refused, reports, tasks
+                )
+                tasks.start_soon(self.refused.follow)
                 tasks.start_soon(self.watch.run)
                 await anyio.sleep(0.01)
                 await body(self)
@@ -124,12 +129,12 @@
     async def test_this_node_refuses_by_its_own_counts_without_the_store_group(self):
         self.store.is_unavailable = True
         for number in range(MAX_ENDED_ENGINES):
-            self.assertIsNone(self.watch.refused_for_s("one"))
+            self.assertIsNone(self.refused.remaining_s("one"))
             await self.break_attempt(number)
-        self.assertAlmostEqual(self.watch.refused_for_s("one"), RETENTION_S, delta=1.0)
-        self.assertIsNone(self.watch.refused_for_s("two"))
+        self.assertAlmostEqual(self.refused.remaining_s("one"), RETENTION_S, delta=1.0)
+        self.assertIsNone(self.refused.remaining_s("two"))
         await anyio.sleep(RETENTION_S + 1.0)
-        self.assertFalse(self.watch.has_refused)
+        self.assertTrue(self.refused.is_empty)
 
     @with_watch
     async def test_own_refusals_outlast_an_answer_that_does_not_name_them(self):
@@ -138,17 +143,17 @@
             await self.break_attempt(number)
         self.store.refuse("two")
         await anyio.sleep(0.1)
-        self.assertIsNotNone(self.watch.refused_for_s("one"))
-        self.assertIsNotNone(self.watch.refused_for_s("two"))
+        self.assertIsNotNone(self.refused.remaining_s("one"))
+        self.assertIsNotNone(self.refused.remaining_s("two"))
 
     @with_watch
     async def test_what_the_store_group_refuses_is_followed(self):
         self.store.refuse("one")
         await anyio.sleep(0.1)
-        self.assertAlmostEqual(self.watch.refused_for_s("one"), 50.0, delta=1.0)
+        self.assertAlmostEqual(self.refused.remaining_s("one"), 50.0, delta=1.0)
         self.store.refuse()
         await anyio.sleep(0.1)
-        self.assertIsNone(self.watch.refused_for_s("one"))
+        self.assertIsNone(self.refused.remaining_s("one"))
 
     @with_watch
     async def test_reports_are_repeated_until_the_store_group_has_them(self):
@@ -170,7 +175,7 @@
     @with_watch
     async def test_unreported_ends_are_bounded_and_the_oldest_give_way(self):
         self.store.is_unavailable = True
-        with mock.patch.object(engine_ends, "MAX_UNREPORTED", 2):
+        with mock.patch.object(end_reports, "MAX_UNREPORTED", 2):
             for number in range(3):
                 await self.break_attempt(number, key=f"key-{number}")
         self.store.is_unavailable = False
@@ -259,15 +264,15 @@
     @with_watch
     async def test_requests_wait_for_the_refused_ones_only_shortly_after_the_start(self):
         async with anyio.create_task_group() as tasks:
-            watch = EngineEndWatch(self.backends, self.registry, self.store, tasks)
+            refused = RefusedRequests(self.store)
             self.store.revision = ""
-            tasks.start_soon(watch.run)
+            tasks.start_soon(refused.follow)
             await anyio.sleep(0.001)
             began_at = anyio.current_time()
-            await watch.wait_until_known()
+            await refused.wait_until_known()
             waited_s = anyio.current_time() - began_at
             self.assertAlmostEqual(waited_s, FIRST_ANSWER_TIMEOUT_S, places=2)
-            await watch.wait_until_known()
+            await refused.wait_until_known()
             self.assertEqual(anyio.current_time() - began_at, waited_s)
             tasks.cancel_scope.cancel()
 
