--- a/src/passlane/soak/harmful.py
+++ b/src/passlane/soak/harmful.py
@@ -63,16 +63,25 @@
         self._ends = 0
         self._sent: Counter[str] = Counter()
         self._unsettled: Counter[str] = Counter()
+        self._settled: set[str] = set()
 
     def end_under(self, back_end: StandIn, request_id: str) -> None:
         """End a back end that begins to run a harmful request, and judge that it got it."""
         request, _, _ = request_id.rpartition(".")
+        is_disturbed = self._is_disturbed()
+        if is_disturbed and request in self._settled:
+            # The report of the end before may have met the fault that began after it.
+            self._unsettled[request] += 1
         self._sent[request] += 1
         allowed = MAX_ENDED_ENGINES + self._unsettled[request]
         detail = f"run {self._sent[request]} of {request}, {allowed} allowed"
         is_allowed = self._sent[request] <= allowed
         self._ledger.check("ended-engines", is_allowed, request_id, detail, anyio.current_time())
-        self._unsettled[request] += self._is_disturbed()
+        self._settled.discard(request)
+        if is_disturbed:
+            self._unsettled[request] += 1
+        else:
+            self._settled.add(request)
         self._tasks.start_soon(self._replace, back_end)
 
     def note_unanswered(self, request: str) -> None:
