--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -4,8 +4,7 @@
 the leader, reports and lookups of streams, and reports of engines that ended. It owns the order of
 the steps of each request; the steps are implemented in ``quota_grants`` (quotas), ``slot_waits``
 (slots of engines), ``accounts`` (replicated commands), ``reported_streams`` and ``reported_ends``.
-It relies on ``Leadership`` for whether this replica
-may answer.
+It relies on ``Leadership`` for whether this replica may answer.
 """
 
 import anyio
