One piece of code reports in the background, for streams and for ended engines

The reports of ended engines had written again the loop of relay/begun_streams.py: report until there is nothing left, repeat after a failure, give up after a while. Both use relay/background_reports.py now; what is sent and logged is theirs.

Also: a broken attempt's key is computed once in place of twice; the state of one back end is looked up in place of a table of all; whether an end is new is decided in one place; the two scenarios that cut the power of any process share that step; two constants of the soak stood twice. No change of behaviour; tests changed in imports alone.

--- a/src/passlane/decisions/backends/registry.py
+++ b/src/passlane/decisions/backends/registry.py
@@ -124,9 +124,10 @@
     def _records(self) -> list[BackendRecord]:
         return [load.record for load in self._loads.values()]
 
-    def states(self) -> dict[str, BackendState]:
-        """Return the state of each listed back end, by incarnation."""
-        return {load.record.incarnation: load.record.state for load in self._loads.values()}
+    def state_of(self, incarnation: IncarnationId) -> BackendState | None:
+        """Return the state of a listed back end; ``None`` if it is not listed."""
+        load = self._loads.get(incarnation)
+        return load.record.state if load is not None else None
 
     def recent_versions(self, service: str, now: float) -> frozenset[str]:
         """Return the software versions of a service's engines, of draining and recent ones too."""
--- a/src/passlane/decisions/failure/engine_ends.py
+++ b/src/passlane/decisions/failure/engine_ends.py
@@ -42,6 +42,10 @@
         """Whether the request is sent to no further engine."""
         return len(self.instances) >= MAX_ENDED_ENGINES
 
+    def is_changed_by(self, instance: str) -> bool:
+        """Whether the end of an engine is new and still counts."""
+        return not self.is_refused and instance not in self.instances
+
 
 class EngineEndCounts:
     """Engines that ended, by the key of the request (``decisions.failure.request_identity``)."""
@@ -55,9 +59,9 @@
         A repeated report, or one of a request that is refused already, changes nothing.
         """
         known = self._ended.get(request_key)
-        instances = known.instances if known is not None else ()
-        if known is not None and (known.is_refused or instance in instances):
+        if known is not None and not known.is_changed_by(instance):
             return known
+        instances = known.instances if known is not None else ()
         ended = EndedUnder(request_key, (*instances, instance), now_s + RETENTION_S)
         self._ended[request_key] = ended
         self._drop_excess()
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -160,12 +160,13 @@
         RequestFailedError
             When the request must not be sent again.
         """
-        next_step = self._record_broken(error, load, verdict_before)
+        # Attempts that were not sent are not looked up by their key, and there may be many.
+        key = self._context.request_key if error.bytes_left else ""
+        next_step = self._record_broken(error, load, verdict_before, key)
         if error.is_refused:
             self._engine_ends.record_gone(load.record.incarnation, EndEvidence.REFUSED_CONNECTION)
         if next_step is RetryDecision.NOT_SENT:
             return
-        key = self._context.request_key
         if str(error) == BreakReason.NO_ANSWER.value:
             self._engine_ends.observe_silent(key, load.record)
         else:
@@ -174,7 +175,7 @@
             raise RequestFailedError(RequestEndReason.ATTEMPT_BROKEN, str(error)) from error
 
     def _record_broken(
-        self, error: HttpConnectionError, load: BackendLoad, verdict_before: Verdict
+        self, error: HttpConnectionError, load: BackendLoad, verdict_before: Verdict, key: str
     ) -> RetryDecision:
         """Record a broken attempt; return what follows it."""
         record_failure(load, anyio.current_time())
@@ -185,8 +186,6 @@
             bytes_left=error.bytes_left,
             is_answer_final=self._history.is_answer_final,
         )
-        # Attempts that were not sent are not looked up by their key, and there may be many.
-        key = self._context.request_key if error.bytes_left else ""
         log_broken_attempt(error, next_step, load, self._attempt_labels(), key)
         if next_step is RetryDecision.NOT_SENT:
             self._history.verdict = verdict_before
--- a/src/passlane/relay/begun_streams.py
+++ b/src/passlane/relay/begun_streams.py
@@ -7,18 +7,16 @@
 
 from collections import OrderedDict
 
-import anyio
 from anyio.abc import TaskGroup
 
 from passlane.errors import PasslaneError
 from passlane.messages.streams import StreamOrigin
 from passlane.observability.logging import get_logger
+from passlane.relay.background_reports import REPORT_TIMEOUT_S, BackgroundReports
 from passlane.turns.client import TurnStoreClient
 
 MAX_ORIGINS = 1_000
 """Streams that a node remembers; the oldest give way."""
-REPORT_TIMEOUT_S = 3.0
-REPORT_RETRY_DELAY_S = 0.1
 MAX_REPORT_DELAY_S = 10.0
 """Seconds after which origins that could not be reported are dropped; callers have resumed their
 streams, or given up, long before."""
@@ -37,10 +35,8 @@
 
     def __init__(self, store: TurnStoreClient, tasks: TaskGroup) -> None:
         self._store = store
-        self._tasks = tasks
         self._origins: OrderedDict[str, StreamOrigin] = OrderedDict()
-        self._unreported: dict[str, StreamOrigin] = {}
-        self._is_reporting = False
+        self._reports = BackgroundReports(self._send, self._log_dropped, MAX_REPORT_DELAY_S, tasks)
 
     def record(self, origin: StreamOrigin) -> None:
         """Record a stream that is about to begin, and report it in the background."""
@@ -49,10 +45,7 @@
         self._origins[origin.stream_id] = origin
         if len(self._origins) > MAX_ORIGINS:
             self._origins.popitem(last=False)
-        self._unreported[origin.stream_id] = origin
-        if not self._is_reporting:
-            self._is_reporting = True
-            self._tasks.start_soon(self._report_all)
+        self._reports.add(origin)
 
     def find_own(self, stream_id: str) -> StreamOrigin | None:
         """Return where a stream began, if it began at this node."""
@@ -68,39 +61,20 @@
         """
         return await self._store.find_stream(stream_id, timeout_s=timeout_s)
 
-    async def _report_all(self) -> None:
-        """Report origins until there are none; those that arrive meanwhile follow together."""
-        failing_since: float | None = None
-        try:
-            while self._unreported:
-                if await self._report(tuple(self._unreported.values())):
-                    failing_since = None
-                    continue
-                now = anyio.current_time()
-                failing_since = failing_since if failing_since is not None else now
-                if now - failing_since > MAX_REPORT_DELAY_S:
-                    self._drop_unreported()
-                    return
-                await anyio.sleep(REPORT_RETRY_DELAY_S)
-        finally:
-            self._is_reporting = False
-
-    async def _report(self, origins: tuple[StreamOrigin, ...]) -> bool:
+    async def _send(self, origins: tuple[StreamOrigin, ...]) -> bool:
         """Report some origins; return whether the leader has them."""
         try:
             await self._store.report_streams(origins, timeout_s=REPORT_TIMEOUT_S)
         except PasslaneError as error:
             _log.info("stream_reports_delayed", count=len(origins), code=error.code.value)
             return False
-        for origin in origins:
-            self._unreported.pop(origin.stream_id, None)
         return True
 
-    def _drop_unreported(self) -> None:
+    @staticmethod
+    def _log_dropped(origins: tuple[StreamOrigin, ...]) -> None:
         _log.warning(
             "stream_origins_not_reported",
-            count=len(self._unreported),
-            first=next(iter(self._unreported)),
+            count=len(origins),
+            first=origins[0].stream_id,
             retried_s=MAX_REPORT_DELAY_S,
         )
-        self._unreported.clear()
--- a/src/passlane/relay/engine_ends.py
+++ b/src/passlane/relay/engine_ends.py
@@ -20,7 +20,7 @@
 from passlane.decisions.backends.registry import BackendRegistry
 from passlane.decisions.failure.engine_ends import EngineEndCounts
 from passlane.messages.engine_ends import EngineEnd
-from passlane.messages.listing import BackendRecord, BackendState
+from passlane.messages.listing import BackendRecord, BackendState, IncarnationId
 from passlane.observability.logging import get_logger
 from passlane.relay.backends import BackendReach, RelayBackends
 from passlane.relay.end_reports import EndReports
@@ -224,13 +224,12 @@
 
     def _has_left_list(self, instance: str) -> bool:
         is_known = self._registry.updated_at is not None
-        return is_known and instance not in self._registry.states()
+        return is_known and self._registry.state_of(IncarnationId(instance)) is None
 
     def _resolve_by_list(self) -> None:
         """Resolve attempts whose engine is no longer listed, or is listed as draining."""
-        listed = self._registry.states()
         for instance in {broken.instance for broken in self._unresolved}:
-            state = listed.get(instance)
+            state = self._registry.state_of(IncarnationId(instance))
             if state is None:
                 self.record_gone(instance, EndEvidence.NOT_LISTED)
             elif state is BackendState.DRAINING:
--- a/src/passlane/simulation/scenarios/back_ends.py
+++ b/src/passlane/simulation/scenarios/back_ends.py
@@ -89,10 +89,7 @@
             tasks.start_soon(cluster.callers.run_program, f"harmful-{number}", script)
         for _ in range(2):
             await pause(cluster, 0.2, 1.5)
-            name = cluster.random.choice(list(cluster.processes))
-            cluster.processes[name].kill(power_lost=True)
-            await pause(cluster, 2.0, 4.0)
-            cluster.start_process(name)
+            await _lose_power_of_any(cluster)
 
 
 async def engine_unreachable(cluster: Cluster) -> None:
@@ -171,10 +168,15 @@
             tasks.start_soon(cluster.callers.run_program, f"small-{number}", script)
         for _ in range(3):
             await pause(cluster, 0.5, 1.5)
-            name = cluster.random.choice(list(cluster.processes))
-            cluster.processes[name].kill(power_lost=True)
-            await pause(cluster, 2.0, 4.0)
-            cluster.start_process(name)
+            await _lose_power_of_any(cluster)
+
+
+async def _lose_power_of_any(cluster: Cluster) -> None:
+    """Cut the power of any process for some seconds."""
+    name = cluster.random.choice(list(cluster.processes))
+    cluster.processes[name].kill(power_lost=True)
+    await pause(cluster, 2.0, 4.0)
+    cluster.start_process(name)
 
 
 def _engine_options(engine: EngineModelSettings) -> ClusterOptions:
--- a/src/passlane/soak/harmful.py
+++ b/src/passlane/soak/harmful.py
@@ -16,9 +16,10 @@
 from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES
 from passlane.messages.fleet import FleetRole
 from passlane.platform import names
-from passlane.soak.back_ends import HARMFUL, StandIn
+from passlane.soak.back_ends import HARMFUL, UNAVAILABLE, StandIn
 from passlane.soak.callers import Call, Callers
 from passlane.soak.configuration import LOOKUP, STREAM, URGENT, USUAL_TENANT
+from passlane.soak.faults import NANOSECONDS_IN_MS
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import Machine, Machines
 from passlane.soak.programs import tool_call
@@ -34,8 +35,6 @@
 """Time until another back end starts in place of one that has ended."""
 UNSETTLED_S = 2.0
 """Time after a fault of a process during which an end may not be known to all nodes."""
-UNAVAILABLE = 503
-NANOSECONDS_IN_MS = 1_000_000
 
 
 class EndingBackEnds:
--- a/src/passlane/turns/reported_ends.py
+++ b/src/passlane/turns/reported_ends.py
@@ -73,7 +73,7 @@
 
     def _is_new(self, end: EngineEnd) -> bool:
         known = self._machine.engine_ends.find(end.request_key)
-        return known is None or not (known.is_refused or end.instance in known.instances)
+        return known is None or known.is_changed_by(end.instance)
 
     def _log_recorded(self, end: EngineEnd) -> None:
         known = self._machine.engine_ends.find(end.request_key)
--- a/tests/relay/test_begun_streams.py
+++ b/tests/relay/test_begun_streams.py
@@ -9,7 +9,8 @@
 
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.relay import begun_streams
-from passlane.relay.begun_streams import MAX_REPORT_DELAY_S, REPORT_RETRY_DELAY_S, BegunStreams
+from passlane.relay.background_reports import REPORT_RETRY_DELAY_S
+from passlane.relay.begun_streams import MAX_REPORT_DELAY_S, BegunStreams
 from relay.fakes import ScriptedStore
 from turns.state.test_streams import origin
 
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -15,7 +15,8 @@
 from passlane.messages.turns import TurnStoreFound
 from passlane.relay import end_reports
 from passlane.relay.backends import BackendReach
-from passlane.relay.end_reports import REPORT_RETRY_DELAY_S, EndReports
+from passlane.relay.background_reports import REPORT_RETRY_DELAY_S
+from passlane.relay.end_reports import EndReports
 from passlane.relay.engine_ends import (
     CHECK_INTERVAL_S,
     FATE_WINDOW_S,
