One check of what a new connection to a back end shows

The relay's client and the led calls had each turned a refused, an accepted and an unanswered connection into values of their own. runtime/reach.py does it for both; the led calls' values follow from it by a table. No change of behaviour; tests changed in imports alone.

--- a/src/passlane/backends/process_checks.py
+++ b/src/passlane/backends/process_checks.py
@@ -9,7 +9,8 @@
 from passlane.backends.engine_client import EngineClient, EngineTimeouts
 from passlane.backends.failures import BackendError
 from passlane.messages.common import Address
-from passlane.runtime.interfaces import HttpClient, HttpConnectionError
+from passlane.runtime.interfaces import HttpClient
+from passlane.runtime.reach import BackendReach, check_reach
 
 CHECK_TIMEOUT_S = 0.3
 """Timeout of one check, for which the next attempt waits."""
@@ -24,13 +25,16 @@
     """It did not answer: it may have ended, or the path to it may be cut."""
 
 
+_SHOWN_BY = {
+    BackendReach.ACCEPTED: BackendProcess.LIVES,
+    BackendReach.REFUSED: BackendProcess.ENDED,
+    BackendReach.NO_ANSWER: BackendProcess.UNKNOWN,
+}
+
+
 async def check_backend(http: HttpClient, address: Address) -> BackendProcess:
     """Return whether a process listens at an address."""
-    try:
-        await http.try_connect(address)
-    except HttpConnectionError as error:
-        return BackendProcess.ENDED if error.is_refused else BackendProcess.UNKNOWN
-    return BackendProcess.LIVES
+    return _SHOWN_BY[await check_reach(http, address)]
 
 
 async def check_engine(http: HttpClient, address: Address, incarnation: int) -> BackendProcess:
--- a/src/passlane/platform/engine_client.py
+++ b/src/passlane/platform/engine_client.py
@@ -10,13 +10,14 @@
 from passlane.messages.listing import BackendRecord
 from passlane.observability.logging import get_logger
 from passlane.platform import names
-from passlane.relay.backends import BackendReach, BackendRequest
+from passlane.relay.backends import BackendRequest
 from passlane.runtime.interfaces import (
     HttpClient,
     HttpConnectionError,
     HttpRequest,
     HttpResponse,
 )
+from passlane.runtime.reach import BackendReach, check_reach
 
 WRONG_INSTANCE_STATUS = 421
 MIN_FAILURE_STATUS = 300
@@ -55,11 +56,7 @@
 
     async def check_reach(self, backend: BackendRecord) -> BackendReach:
         """Try to open a connection to a backend; return what came of it."""
-        try:
-            await self._http_client.try_connect(backend.address)
-        except HttpConnectionError as error:
-            return BackendReach.REFUSED if error.is_refused else BackendReach.NO_ANSWER
-        return BackendReach.ACCEPTED
+        return await check_reach(self._http_client, backend.address)
 
     @asynccontextmanager
     async def exchange(
--- a/src/passlane/relay/backends.py
+++ b/src/passlane/relay/backends.py
@@ -3,7 +3,6 @@
 Owns nothing; ``passlane.platform`` implements them.
 """
 
-import enum
 from collections.abc import AsyncGenerator, Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
@@ -14,6 +13,7 @@
 from passlane.decisions.inputs.relayed_call import Header, RelayedCall
 from passlane.messages.listing import BackendRecord
 from passlane.relay.end_reasons import RequestEndReason
+from passlane.runtime.reach import BackendReach
 
 CLIENT_LEFT = RequestEndReason.CLIENT_LEFT.text
 """Abandon reason of an answer whose caller closed the connection."""
@@ -54,17 +54,6 @@
     tenant_name: str = ""
 
 
-class BackendReach(enum.StrEnum):
-    """What came of opening a connection to a backend."""
-
-    ACCEPTED = "accepted"
-    """Something listens at its address: the backend, or another one after it."""
-    REFUSED = "refused"
-    """Nothing listens at its address, so its process has ended."""
-    NO_ANSWER = "no_answer"
-    """Its host did not answer: it may be gone, or the path to it may be cut."""
-
-
 class RelayBackends(Protocol):
     """Sends requests to backends."""
 
--- a/src/passlane/relay/engine_ends.py
+++ b/src/passlane/relay/engine_ends.py
@@ -22,9 +22,10 @@
 from passlane.messages.engine_ends import EngineEnd
 from passlane.messages.listing import BackendRecord, BackendState, IncarnationId
 from passlane.observability.logging import get_logger
-from passlane.relay.backends import BackendReach, RelayBackends
+from passlane.relay.backends import RelayBackends
 from passlane.relay.end_reports import EndReports
 from passlane.relay.refused_requests import RefusedRequests
+from passlane.runtime.reach import BackendReach
 
 MAX_OBSERVATION_S = 0.15
 """Time for which a broken attempt waits until the end of its engine is counted; its caller, or the
--- /dev/null
+++ b/src/passlane/runtime/reach.py
@@ -0,0 +1,26 @@
+"""Finds out whether something listens at the address of a back end."""
+
+import enum
+
+from passlane.messages.common import Address
+from passlane.runtime.interfaces import HttpClient, HttpConnectionError
+
+
+class BackendReach(enum.StrEnum):
+    """What came of opening a connection to a backend."""
+
+    ACCEPTED = "accepted"
+    """Something listens at its address: the backend, or another one after it."""
+    REFUSED = "refused"
+    """Nothing listens at its address, so its process has ended."""
+    NO_ANSWER = "no_answer"
+    """Its host did not answer: it may be gone, or the path to it may be cut."""
+
+
+async def check_reach(http: HttpClient, address: Address) -> BackendReach:
+    """Try to open a connection; return what came of it."""
+    try:
+        await http.try_connect(address)
+    except HttpConnectionError as error:
+        return BackendReach.REFUSED if error.is_refused else BackendReach.NO_ANSWER
+    return BackendReach.ACCEPTED
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -14,8 +14,8 @@
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.quotas import QuotaGranted
 from passlane.messages.turns import TurnReserved, TurnSettled, TurnStoreFound
-from passlane.relay.backends import BackendReach
 from passlane.runtime.interfaces import HttpConnectionError
+from passlane.runtime.reach import BackendReach
 from passlane.turns.client import Reservation
 
 
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -14,7 +14,6 @@
 from passlane.messages.listing import BackendState
 from passlane.messages.turns import TurnStoreFound
 from passlane.relay import end_reports
-from passlane.relay.backends import BackendReach
 from passlane.relay.background_reports import REPORT_RETRY_DELAY_S
 from passlane.relay.end_reports import EndReports
 from passlane.relay.engine_ends import (
@@ -26,6 +25,7 @@
 )
 from passlane.relay.refused_requests import FIRST_ANSWER_TIMEOUT_S, RefusedRequests
 from passlane.relay.request_errors import AnswerAbortedError
+from passlane.runtime.reach import BackendReach
 from relay.fakes import (
     AT_CAPACITY,
     WRONG_INSTANCE,
--- a/tests/relay/test_service.py
+++ b/tests/relay/test_service.py
@@ -26,7 +26,6 @@
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.metrics import Metrics
 from passlane.relay.attempts import RequestAttempts
-from passlane.relay.backends import BackendReach
 from passlane.relay.delivery import MAX_BUFFERED_BYTES
 from passlane.relay.request_errors import (
     AnswerAbortedError,
@@ -36,6 +35,7 @@
 )
 from passlane.relay.service import FIRST_CONFIGURATION_TIMEOUT_S, RelayService
 from passlane.routes.tenants import Identity, digest_of_key
+from passlane.runtime.reach import BackendReach
 from passlane.simulation.replacement import Replacement, replaced
 from relay.fakes import (
     AT_CAPACITY,
