--- a/review/2/case.py
+++ b/review/2/case.py
@@ -183,4 +183,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    # A fault of this script itself would end it with 1, so run.sh expects 10 for a broken rule.
+    sys.exit({0: 0, 1: 10}.get(asyncio.run(main()), 2))
