--- a/src/passlane/daemon/fleet/store.py
+++ b/src/passlane/daemon/fleet/store.py
@@ -29,6 +29,7 @@
 from passlane.turns.service import TurnService
 from passlane.turns.slot_metrics import register_slot_metrics
 from passlane.turns.state.machine import TurnStateMachine
+from passlane.turns.state_metrics import register_state_metrics
 
 TURN_GROUP = "turns"
 HEARTBEAT_S = 0.08
@@ -88,6 +89,9 @@
         context.metrics.define_when_exposed(
             lambda metrics: register_slot_metrics(metrics, self._dispatcher.scheduler)
         )
+        context.metrics.define_when_exposed(
+            lambda metrics: register_state_metrics(metrics, machine)
+        )
         service = TurnService(host, machine, context.router, quotas, self._dispatcher)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
--- a/src/passlane/turns/accounts.py
+++ b/src/passlane/turns/accounts.py
@@ -40,6 +40,20 @@
             except PasslaneError as error:
                 # A skipped update only retains records for longer.
                 _log.info("age_not_advanced", code=error.code.value)
+                continue
+            self._log_advanced(AGE_UPDATE_INTERVAL_S)
+
+    def _log_advanced(self, seconds: float) -> None:
+        size = self._machine.size
+        _log.info(
+            "age_advanced",
+            seconds=round(seconds, 3),
+            age_s=round(self._machine.age_s, 3),
+            term=self._leadership.term,
+            programs=size.programs,
+            turns=size.turns,
+            turn_bytes=size.turn_bytes,
+        )
 
     async def reserve(self, request: ReserveTurn, quota: QuotaGranted) -> Message:
         """Reserve a turn's tokens; the answer contains the history that precedes its input.
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -124,6 +124,14 @@
 _part_decoder = msgspec.msgpack.Decoder(SnapshotPart)
 
 
+class StateSize(msgspec.Struct, frozen=True):
+    """What the state holds: programs, turns, and the bytes of the turns' contents."""
+
+    programs: int
+    turns: int
+    turn_bytes: int
+
+
 class TurnStateMachine:
     """Programs' spending, the tree of turns, recent streams and ended engines (a ``StateMachine``).
 
@@ -158,6 +166,12 @@
         self.refused_changes = 0
         self._refused_listener: Callable[[], None] | None = None
 
+    @property
+    def size(self) -> StateSize:
+        """What the state holds."""
+        turn_bytes = sum(len(stored.turn.content) for stored in self._turns.values())
+        return StateSize(len(self._programs), len(self._turns), turn_bytes)
+
     def on_refused(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` whenever the set of refused requests has grown or was replaced."""
         self._refused_listener = listener
