The state's age follows the clock, whichever leaders are lost

Callers got 404 turn_unknown for turns that were answered whole 50 s before, at a retention of 60 s, while the leading store was restarted every 6 s. Leaders that did not last for 5 s never advanced it.

Now each replica notes when it applied an age, and a new leader goes on from there, so the age grows by no more than the real time between two proposals. AdvanceAge names the age to reach, so one of unknown outcome may be made again; older builds pass over that field and get the seconds since the last proposal. A leader advances the age before the first other command of its term. Streams and ended engines get the margin that turns have.

--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -129,15 +129,25 @@
 
 
 class AdvanceAge(Message, frozen=True):
-    """Advances the state's age by ``seconds`` of the leader's clock; removes expired data.
+    """Advances the state's age; removes expired data.
 
     ``begun_streams`` are stored, and ``engine_ends`` are counted. They are fields of this command
     because replicas of older builds can't decode a command that they don't know.
+
+    Attributes
+    ----------
+    seconds
+        By how much replicas of older builds advance the age. Commands of such builds have this
+        alone.
+    target_age_s
+        Age to reach; a state that is older stays as it is. ``None`` if the command only stores or
+        counts, or comes from an older build.
     """
 
     seconds: float
     begun_streams: tuple[StreamOrigin, ...] = ()
     engine_ends: tuple[EngineEnd, ...] = ()
+    target_age_s: float | None = None
 
 
 class AgeAdvanced(Message, frozen=True):
--- a/src/passlane/turns/accounts.py
+++ b/src/passlane/turns/accounts.py
@@ -1,26 +1,17 @@
-"""Proposes commands on turns to the store group: reservations, settlements and the state's age.
+"""Proposes commands on turns to the store group: reservations and settlements.
 
 It is for ``TurnService`` on the leader. It owns no state: budgets and histories are part of
 ``turns.state``. It relies on ``Leadership`` for replication.
 """
 
-import anyio
 import msgspec
 
-from passlane.errors import PasslaneError
 from passlane.messages.base import Message
 from passlane.messages.quotas import QuotaGranted
-from passlane.messages.turns import AdvanceAge, ReserveTurn, SettleTurn, TurnReserved
-from passlane.observability.logging import get_logger
+from passlane.messages.turns import ReserveTurn, SettleTurn, TurnReserved
 from passlane.turns.leadership import Leadership
 from passlane.turns.state.machine import TurnStateMachine
 
-AGE_UPDATE_INTERVAL_S = 5.0
-"""Interval at which the leader advances the age of the state; records are retained for tens of
-seconds."""
-
-_log = get_logger(__name__)
-
 
 class TurnAccounts:
     """Reserves and settles the tokens of turns."""
@@ -29,32 +20,6 @@
         self._machine = machine
         self._leadership = leadership
 
-    async def run(self) -> None:
-        """Advance the age of the state while this replica leads."""
-        while True:
-            await anyio.sleep(AGE_UPDATE_INTERVAL_S)
-            if not self._leadership.is_leading:
-                continue
-            try:
-                await self._leadership.propose(AdvanceAge(seconds=AGE_UPDATE_INTERVAL_S))
-            except PasslaneError as error:
-                # A skipped update only retains records for longer.
-                _log.info("age_not_advanced", code=error.code.value)
-                continue
-            self._log_advanced(AGE_UPDATE_INTERVAL_S)
-
-    def _log_advanced(self, seconds: float) -> None:
-        size = self._machine.size
-        _log.info(
-            "age_advanced",
-            seconds=round(seconds, 3),
-            age_s=round(self._machine.age_s, 3),
-            term=self._leadership.term,
-            programs=size.programs,
-            turns=size.turns,
-            turn_bytes=size.turn_bytes,
-        )
-
     async def reserve(self, request: ReserveTurn, quota: QuotaGranted) -> Message:
         """Reserve a turn's tokens; the answer contains the history that precedes its input.
 
--- a/src/passlane/turns/leadership.py
+++ b/src/passlane/turns/leadership.py
@@ -12,6 +12,7 @@
 from passlane.messages.common import NotLeaderError
 from passlane.messages.turns import TurnResult
 from passlane.replication.interfaces import ReplicatedGroup
+from passlane.turns.age_updates import AgeUpdates
 from passlane.turns.dispatch import TurnDispatcher
 
 _result_decoder = message_decoder(TurnResult)
@@ -27,9 +28,14 @@
     """
 
     def __init__(
-        self, group: ReplicatedGroup, quotas: QuotaLedger, dispatcher: TurnDispatcher
+        self,
+        group: ReplicatedGroup,
+        quotas: QuotaLedger,
+        dispatcher: TurnDispatcher,
+        age: AgeUpdates,
     ) -> None:
         self._group = group
+        self._age = age
         self._quotas = quotas
         self._dispatcher = dispatcher
         self.served_term = -1
@@ -60,13 +66,14 @@
             self._dispatcher.begin_term()
 
     async def propose(self, command: Message, *, may_be_deferred: bool = False) -> Message:
-        """Replicate a command and return its result.
+        """Replicate a command and return its result; it is applied at the present age of the state.
 
         Raises
         ------
         PasslaneError
             When the command is not known to be replicated; the verdict says whether it may be.
         """
+        await self._age.advance_if_overdue()
         encoded = encode_message(command)
         result = await self._group.propose(encoded, may_be_deferred=may_be_deferred)
         decoded: Message = _result_decoder.decode(result)
--- a/src/passlane/turns/reported_ends.py
+++ b/src/passlane/turns/reported_ends.py
@@ -15,7 +15,7 @@
 from passlane.messages.turns import AdvanceAge
 from passlane.observability.logging import get_logger
 from passlane.turns.leadership import Leadership
-from passlane.turns.state.machine import TurnStateMachine
+from passlane.turns.state.machine import RETENTION_MARGIN_S, TurnStateMachine
 
 MAX_WAIT_S = 10.0
 """Time after which a node that waits for a change is answered without one."""
@@ -40,8 +40,11 @@
         return f"{self._leadership.term}.{self._machine.refused_changes}"
 
     def refused(self) -> tuple[RefusedRequest, ...]:
-        """Return the requests that are refused now."""
-        age_s = self._machine.age_s
+        """Return the requests that are refused now.
+
+        They are stored for the margin longer than nodes are to refuse them.
+        """
+        age_s = self._machine.age_s + RETENTION_MARGIN_S
         return tuple(
             RefusedRequest(
                 request_key=ended.request_key, remaining_s=max(0.0, ended.keep_until_s - age_s)
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -3,7 +3,8 @@
 It is for the nodes that relay turns: it handles reservations, settlements, quota draws, probes for
 the leader, reports and lookups of streams, and reports of engines that ended. It owns the order of
 the steps of each request; the steps are implemented in ``quota_grants`` (quotas), ``slot_waits``
-(slots of engines), ``accounts`` (replicated commands), ``reported_streams`` and ``reported_ends``.
+(slots of engines), ``accounts`` (replicated commands), ``age_updates`` (the age of the state),
+``reported_streams`` and ``reported_ends``.
 It relies on ``Leadership`` for whether this replica may answer.
 """
 
@@ -32,6 +33,7 @@
 from passlane.replication.interfaces import ReplicatedGroup
 from passlane.transport.interfaces import Router
 from passlane.turns.accounts import TurnAccounts
+from passlane.turns.age_updates import AgeUpdates
 from passlane.turns.dispatch import SLOT_LOG_INTERVAL_S, TICK_S, TurnDispatcher
 from passlane.turns.leadership import Leadership
 from passlane.turns.quota_grants import QuotaGrants
@@ -58,7 +60,8 @@
     ) -> None:
         self._machine = machine
         self._dispatcher = dispatcher
-        self._leadership = Leadership(group, quotas, dispatcher)
+        self._age = AgeUpdates(machine, group)
+        self._leadership = Leadership(group, quotas, dispatcher, self._age)
         self._quotas = QuotaGrants(quotas, self._leadership)
         self._accounts = TurnAccounts(machine, self._leadership)
         self._slots = SlotWaits(self._accounts, machine, dispatcher, self._leadership)
@@ -72,7 +75,7 @@
     async def run(self) -> None:
         """Run the leader's background tasks until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._accounts.run)
+            tasks.start_soon(self._age.run)
             tasks.start_soon(self._quotas.run)
             tasks.start_soon(self._streams.run)
             tasks.start_soon(self._advance_dispatcher)
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -5,8 +5,7 @@
 apply the same commands in the same order at each replica.
 
 Turns form a tree and are looked up by id alone, independent of their program. The machine has no
-clock: the leader advances its age by ``AdvanceAge``, so that a change of leader never expires a
-record early.
+clock: the leader advances its age by ``AdvanceAge`` (``turns.state.age_clock``).
 """
 
 from collections.abc import Callable, Iterable, Iterator
@@ -36,7 +35,8 @@
 )
 
 RETENTION_MARGIN_S = 15.0
-"""Retention beyond the requested time, because the age of the state lags behind real time."""
+"""Retention of all records beyond their time, because the age of the state lags behind real time.
+"""
 MIN_PROGRAM_RETENTION_S = 60.0
 """Minimum retention of a program's spending after its last turn."""
 STREAM_RETENTION_S = 15.0
@@ -165,6 +165,7 @@
         self.engine_ends = EngineEndCounts()
         self.refused_changes = 0
         self._refused_listener: Callable[[], None] | None = None
+        self._age_listener: Callable[[float], None] | None = None
 
     @property
     def size(self) -> StateSize:
@@ -176,6 +177,10 @@
         """Call ``listener`` whenever the set of refused requests has grown or was replaced."""
         self._refused_listener = listener
 
+    def on_age(self, listener: Callable[[float], None]) -> None:
+        """Call ``listener`` with the age whenever it was advanced or restored."""
+        self._age_listener = listener
+
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply one committed command and return its encoded result."""
         return encode_message(self.execute(_command_decoder.decode(command)))
@@ -272,13 +277,15 @@
     def _advance_age(self, command: AdvanceAge) -> AgeAdvanced:
         self._store_streams(command.begun_streams)
         self._count_engine_ends(command.engine_ends)
-        if command.seconds:
-            self._expire(command.seconds)
+        if command.target_age_s is not None:
+            self._expire(max(self.age_s, command.target_age_s))
+        elif command.seconds:
+            self._expire(self.age_s + command.seconds)
         return AgeAdvanced(age_s=self.age_s)
 
     def _store_streams(self, origins: Iterable[StreamOrigin]) -> None:
         """Store where streams began; the first report of a stream applies."""
-        keep_until_s = self.age_s + STREAM_RETENTION_S
+        keep_until_s = self.age_s + STREAM_RETENTION_S + RETENTION_MARGIN_S
         for origin in origins:
             self._streams.setdefault(origin.stream_id, StoredStream(origin, keep_until_s))
 
@@ -288,7 +295,8 @@
         for end in ends:
             known = self.engine_ends.find(end.request_key)
             was_refused = known is not None and known.is_refused
-            ended = self.engine_ends.record(end.request_key, end.instance, self.age_s)
+            counted_at_s = self.age_s + RETENTION_MARGIN_S
+            ended = self.engine_ends.record(end.request_key, end.instance, counted_at_s)
             has_grown |= ended.is_refused and not was_refused
         if has_grown:
             self._note_refused()
@@ -298,9 +306,10 @@
         if self._refused_listener is not None:
             self._refused_listener()
 
-    def _expire(self, seconds: float) -> None:
-        """Advance the age and remove what is retained no longer."""
-        self.age_s += seconds
+    def _expire(self, age_s: float) -> None:
+        """Advance the age to ``age_s`` and remove what is retained no longer."""
+        self.age_s = age_s
+        self._note_age()
         self._turns = {
             turn_id: stored
             for turn_id, stored in self._turns.items()
@@ -318,6 +327,10 @@
         }
         self.engine_ends.expire(self.age_s)
 
+    def _note_age(self) -> None:
+        if self._age_listener is not None:
+            self._age_listener(self.age_s)
+
     def snapshot_parts(self) -> Iterator[bytes]:
         """Return the state at the time of this call, encoded in parts."""
         programs = [
@@ -369,6 +382,7 @@
             restored.engine_ends.restore(part.engine_ends)
             yield
         self.age_s = restored.age_s
+        self._note_age()
         self._programs = restored._programs
         self._turns = restored._turns
         self._streams = restored._streams
