A tenant's window passes while leaders are lost in series

Each replica now notes when it applied a report, and a new leader goes on from there; while grants are recorded and none are new, the time alone is replicated each second (NoteUsage without usages, which older builds take). A leader that was asked nothing yet in its term enters it before it replicates, so that the time of an earlier term of its own is not used.

--- a/src/passlane/daemon/fleet/store.py
+++ b/src/passlane/daemon/fleet/store.py
@@ -80,7 +80,10 @@
         self._may_found = not is_member and context.settings.process.is_first_start
         initial = () if is_member else await self._wait_for_initial_members()
         quotas = QuotaLedger(self._quota_rules())
-        machine = TurnStateMachine(quotas.apply_replicated, quotas.history)
+        machine = TurnStateMachine(
+            lambda usages, group_s: quotas.apply_replicated(usages, group_s, anyio.current_time()),
+            quotas.history,
+        )
         host = self._build_host(machine, initial)
         self._host = host
         context.metrics.define_when_exposed(
--- a/src/passlane/decisions/limits/quota_ledger.py
+++ b/src/passlane/decisions/limits/quota_ledger.py
@@ -63,6 +63,8 @@
 NEW_PROGRAM_FACTOR = 1.0
 """Multiple of the limit that the programs begun within a window may be expected to need. Above 1,
 running programs have to wait: with 1.5, each of their turns waited for 0.8 s."""
+TIME_REPORT_INTERVAL_S = 1.0
+"""Interval at which the group's time is replicated while grants are recorded and none are new."""
 DELIVERY_JITTER_S = 0.1
 """Seconds; variation of the delay from a grant to the request's arrival at the engine, mostly the
 queueing at a busy node. Windows are extended by it."""
@@ -110,6 +112,7 @@
         self._term_started_at = 0.0
         self._term_started_group_s = 0.0
         self._term = -1
+        self._is_time_reported = False
 
     def __len__(self) -> int:
         return len(self._accounts)
@@ -126,13 +129,30 @@
         self._term = term
         self._accounts.forget_all()
         self._unreported = UnreportedGrants()
-        self._term_started_at, self._term_started_group_s = now, self._history.newest_s
+        self._term_started_at, self._term_started_group_s = now, self._history.time_s(now)
+        self._is_time_reported = False
         for grant in self._history.grants(now):
             self._accounts.get_or_create(grant.tenant).sent.add(grant.granted, grant.at)
 
-    def apply_replicated(self, usages: Iterable[TenantUsage], group_s: float) -> None:
-        """Apply the usage that a leader has replicated, as of a time on the group's clock."""
-        self._history.record(usages, group_s)
+    def apply_replicated(
+        self, usages: Iterable[TenantUsage], group_s: float, received_at: float | None = None
+    ) -> None:
+        """Apply the usage that a leader has replicated, as of a time on the group's clock.
+
+        ``received_at`` is the local time at which it was applied; ``None`` if unknown.
+        """
+        self._history.record(usages, group_s, received_at)
+        self._is_time_reported = True
+
+    def must_report_time(self, now: float) -> bool:
+        """Whether the group's time is to be replicated although nothing was granted.
+
+        Without it, the grants of a window would never expire while no leader lasts for a window.
+        """
+        if not len(self._history):
+            return False
+        since_report_s = self._history.unreported_s(now)
+        return not self._is_time_reported or since_report_s >= TIME_REPORT_INTERVAL_S
 
     def group_time_s(self, now: float) -> float:
         """Return the time on the group's clock, which the leader advances."""
--- a/src/passlane/decisions/limits/usage_history.py
+++ b/src/passlane/decisions/limits/usage_history.py
@@ -4,9 +4,9 @@
 carried in the group's snapshots. Times are seconds on the group's clock unless said to be local;
 amounts are requests.
 
-Each leader continues the group's clock from the newest time that it has received. The time
-without a leader is not counted, so the clock never runs ahead of real time and no grant expires
-too early.
+Each leader continues the group's clock from the newest time that it has received and the time that
+has passed on its own clock since then. It received that time after it was reported, so the clock
+never runs ahead of real time and no grant expires too early.
 """
 
 from collections import deque
@@ -33,15 +33,20 @@
         self._entries: deque[RecordedUsage] = deque()
         self._newest_s = 0.0
         self._shift_s = 0.0
+        self._received_at: float | None = None
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def record(self, usages: Iterable[TenantUsage], group_s: float) -> None:
+    def record(
+        self, usages: Iterable[TenantUsage], group_s: float, received_at: float | None = None
+    ) -> None:
         """Record the usage that a command reports for the time ``group_s``.
 
         The clock of a leader that lags behind this replica is shifted to the newest time here.
+        ``received_at`` is the local time at which the command was applied; ``None`` if unknown.
         """
+        self._received_at = received_at
         self._shift_s += max(0.0, self._newest_s - (group_s + self._shift_s))
         self._newest_s = group_s + self._shift_s
         for usage in usages:
@@ -82,19 +87,24 @@
         self._entries = deque(snapshot.noted)
         self._newest_s = snapshot.newest_s
         self._shift_s = snapshot.shift_s
+        self._received_at = None
 
-    @property
-    def newest_s(self) -> float:
-        """The newest time received, on the group's clock."""
-        return self._newest_s
+    def time_s(self, now: float) -> float:
+        """Return the time on the group's clock at a local time."""
+        return self._newest_s + self.unreported_s(now)
+
+    def unreported_s(self, now: float) -> float:
+        """Return the time since the newest report was received; 0 if that is unknown."""
+        return now - self._received_at if self._received_at is not None else 0.0
 
     def grants(self, now: float) -> list[Grant]:
-        """Return the recorded grants with local times; the newest report counts as of now."""
+        """Return the recorded grants with local times."""
+        time_s = self.time_s(now)
         return [
             Grant(
                 entry.usage.tenant,
                 entry.usage.granted,
-                now - (self._newest_s - entry.group_s) + entry.usage.last_in_s,
+                now - (time_s - entry.group_s) + entry.usage.last_in_s,
             )
             for entry in self._entries
         ]
--- a/src/passlane/turns/quota_grants.py
+++ b/src/passlane/turns/quota_grants.py
@@ -35,6 +35,7 @@
             await anyio.sleep(USAGE_REPLICATION_INTERVAL_S)
             if not self._leadership.is_leading:
                 continue
+            self._quotas.enter_term(self._leadership.term, anyio.current_time())
             try:
                 async with self._replication_lock:
                     await self._replicate_usage()
@@ -70,10 +71,10 @@
                 await self._replicate_usage()
 
     async def _replicate_usage(self) -> None:
-        """Replicate the recorded grants; on return a majority has stored them."""
+        """Replicate the recorded grants or the group's time; on return a majority has stored them."""
         now = anyio.current_time()
         usages = self._quotas.take_unreported(now)
-        if not usages:
+        if not usages and not self._quotas.must_report_time(now):
             return
         command = NoteUsage(usages=usages, group_s=self._quotas.group_time_s(now))
         is_replicated = False
--- a/tests/turns/store_group.py
+++ b/tests/turns/store_group.py
@@ -79,11 +79,13 @@
 
     def start(self) -> None:
         """Start with what is on the disk."""
-        self.machine = TurnStateMachine()
         quotas = QuotaLedger(QuotaRules())
+        self.machine = TurnStateMachine(
+            lambda usages, group_s: quotas.apply_replicated(usages, group_s, anyio.current_time()),
+            quotas.history,
+        )
         dispatcher = TurnDispatcher(TurnScheduler())
         self.service = TurnService(self, self.machine, MessageRouter(), quotas, dispatcher)
-        self.quotas = quotas
         parts, self.applied = self.group.snapshot
         for _ in self.machine.restore_parts(parts):
             pass
