Records of ended programs are removed though no store leader lasts for their retention

Each replica tracks ended programs now, and the one that leads removes those that are due. tests/store/test_service.py, leaders of 12 s at a retention of 30 s: 1 program left before, 0 now. A replica that is restarted still counts anew.

--- a/src/passlane/store/leader_term.py
+++ b/src/passlane/store/leader_term.py
@@ -19,7 +19,6 @@
 from passlane.store.machine import StoreStateMachine
 from passlane.store.platform_watch import PlatformWatch
 from passlane.store.proposals import propose_until_decided
-from passlane.store.retention import RetentionLoop
 
 PLANS_PER_HEARTBEAT = 5
 """Number of partition planning rounds per heartbeat interval."""
@@ -28,7 +27,7 @@
 
 
 class LeaderTerm:
-    """Runs leases, assignments, configuration, engines and retention during one term.
+    """Runs leases, assignments, configuration and engines during one term.
 
     Parameters
     ----------
@@ -47,7 +46,6 @@
         settings: Settings,
         environment: Environment,
         control: GroupClient | None,
-        retention_s: float,
         started_at: float,
     ) -> None:
         self.number = number
@@ -60,7 +58,6 @@
         self._engines = EngineReconciler(
             machine.configuration, self.lease_table, environment.http_client
         )
-        self._retention = RetentionLoop(group, machine, retention_s)
         self._plan_requested = anyio.Event()
         self._relay: ConfigurationRelay | None = None
         if control is not None:
@@ -78,7 +75,6 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._assign_partitions)
             tasks.start_soon(self._platform.run)
-            tasks.start_soon(self._retention.run)
             tasks.start_soon(self._engines.run)
             if self._relay is not None:
                 tasks.start_soon(self._relay.run)
--- a/src/passlane/store/retention.py
+++ b/src/passlane/store/retention.py
@@ -1,6 +1,7 @@
 """Removes the records of ended programs after the retention time.
 
-Runs on the store leader. The times at which programs ended are not replicated.
+Runs on every replica, so that a change of leader starts no retention time anew; only the leader
+removes records. The times at which programs ended are not replicated.
 """
 
 import anyio
@@ -24,7 +25,7 @@
 class RetentionTracker:
     """Tracks how long each ended program has been removable.
 
-    No timestamps are replicated. A new store leader counts from its own first check, so
+    No timestamps are replicated. Each replica counts from its own first check after a start, so
     a record may be kept for longer than the retention time but never for less.
     """
 
@@ -45,7 +46,7 @@
 
 
 class RetentionLoop:
-    """Removes ended programs periodically while this replica leads."""
+    """Tracks ended programs, and removes due ones while this replica leads."""
 
     def __init__(
         self, group: ReplicatedGroup, machine: StoreStateMachine, retention_s: float
@@ -55,7 +56,7 @@
         self._tracker = RetentionTracker(retention_s)
 
     async def run(self) -> None:
-        """Remove due programs periodically until cancelled."""
+        """Check for due programs periodically until cancelled."""
         while True:
             due = self._tracker.due(self._removable(), anyio.current_time())
             for start in range(0, len(due), MAX_REMOVALS_PER_COMMAND):
--- a/src/passlane/store/service.py
+++ b/src/passlane/store/service.py
@@ -32,7 +32,7 @@
 from passlane.store.machine import StoreStateMachine
 from passlane.store.proposals import propose
 from passlane.store.read_barriers import SharedReadBarrier
-from passlane.store.retention import DEFAULT_RETENTION_S
+from passlane.store.retention import DEFAULT_RETENTION_S, RetentionLoop
 from passlane.transport.interfaces import Router
 
 LEADERSHIP_POLL_S = 0.05
@@ -82,7 +82,7 @@
         self._settings = settings
         self._environment = environment
         self._control = control
-        self._retention_s = retention_s
+        self._retention = RetentionLoop(group, machine, retention_s)
         self._barrier = SharedReadBarrier(group)
         self._term: LeaderTerm | None = None
         for command in NODE_COMMANDS:
@@ -93,7 +93,12 @@
         router.add_unary(ReadMembers, self._handle_read_members)
 
     async def run(self) -> None:
-        """Run the leader's tasks whenever this replica leads, until cancelled."""
+        """Run until cancelled: the leader's tasks whenever this replica leads, and retention."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._retention.run)
+            await self._lead_repeatedly()
+
+    async def _lead_repeatedly(self) -> None:
         while True:
             if self._group.is_leader:
                 await self._lead()
@@ -113,7 +118,6 @@
             settings=self._settings,
             environment=self._environment,
             control=self._control,
-            retention_s=self._retention_s,
             started_at=anyio.current_time(),
         )
         logger.info("store_leadership_gained", term=term_number)
--- a/src/passlane/turns/quota_grants.py
+++ b/src/passlane/turns/quota_grants.py
@@ -71,7 +71,7 @@
                 await self._replicate_usage()
 
     async def _replicate_usage(self) -> None:
-        """Replicate the recorded grants or the group's time; on return a majority has stored them."""
+        """Replicate the grants or the group's time; on return a majority has stored them."""
         now = anyio.current_time()
         usages = self._quotas.take_unreported(now)
         if not usages and not self._quotas.must_report_time(now):
--- a/tests/store/test_service.py
+++ b/tests/store/test_service.py
@@ -209,6 +209,28 @@
 
         simulate(scenario, retention_s=30.0)
 
+    def test_ended_programs_are_removed_though_no_leader_lasts_for_the_retention_time(self) -> None:
+        async def scenario(region: Region) -> None:
+            names = (ProgramId("p"), Partition(0), Epoch(1))
+            region.start_node("n0")
+            await anyio.sleep(5)
+            await propose(
+                region.group,
+                CreateProgram(
+                    names[0], TenantId("t"), names[1], names[2], budget=Amounts(tokens=1)
+                ),
+            )
+            await propose(region.group, EndProgram(*names))
+            for _ in range(6):
+                await anyio.sleep(12)
+                region.group.is_leader = False
+                await anyio.sleep(1)
+                region.group.term += 1
+                region.group.is_leader = True
+            self.assertEqual(len(region.machine.programs), 0)
+
+        simulate(scenario, retention_s=30.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/turns/test_quota_clock.py
+++ b/tests/turns/test_quota_clock.py
@@ -7,6 +7,7 @@
 import unittest
 
 import anyio
+import anyio.lowlevel
 
 from passlane.errors import PasslaneError
 from passlane.messages.quotas import (
@@ -71,7 +72,7 @@
         self.assertGreaterEqual(len(granted), LEAST_GRANTED)
 
     def test_without_a_disruption(self):
-        self.assert_limited(self.granted_while(lambda group: anyio.sleep(0), 1.0))
+        self.assert_limited(self.granted_while(lambda group: anyio.lowlevel.checkpoint(), 1.0))
 
     def test_a_new_leader_each_second(self):
         self.assert_limited(self.granted_while(lambda group: group.hand_over(), 0.6))
