--- a/src/passlane/storage/records.py
+++ b/src/passlane/storage/records.py
@@ -15,11 +15,14 @@
 import google_crc32c
 import msgspec
 
+from passlane.errors import ErrorCode, PasslaneError
+
 FORMAT_VERSION = 1
 """Version of the format of segments and identity files; stored in each of them."""
 
 MARKER = b"\xd7\x5a"
-MAX_PAYLOAD_BYTES = 64_000_000
+MAX_PAYLOAD_BYTES = 2**32 - 1
+"""The largest length that a header can hold. A reader accepts every record that its file holds."""
 
 _HEADER = struct.Struct("<2sBBII")
 _KIND_AND_LENGTH = struct.Struct("<BI")
@@ -56,7 +59,18 @@
 
 
 def encode_record(kind: RecordKind, payload: bytes) -> bytes:
-    """Return the bytes of a record."""
+    """Return the bytes of a record.
+
+    Raises
+    ------
+    PasslaneError
+        ``BODY_TOO_LARGE`` when the payload is larger than ``MAX_PAYLOAD_BYTES``.
+    """
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        raise PasslaneError(
+            ErrorCode.BODY_TOO_LARGE,
+            f"a {kind.name} record of {len(payload)} bytes exceeds {MAX_PAYLOAD_BYTES} bytes",
+        )
     checksum = _checksum(kind, payload)
     return _HEADER.pack(MARKER, kind, 0, len(payload), checksum) + payload
 
@@ -66,7 +80,7 @@
     if len(header) < HEADER_BYTES:
         return None
     marker, _, _, length, _ = _HEADER.unpack_from(header, 0)
-    if marker != MARKER or length > MAX_PAYLOAD_BYTES:
+    if marker != MARKER:
         return None
     return HEADER_BYTES + int(length)
 
@@ -78,7 +92,7 @@
         return None
     marker, kind, reserved, length, checksum = _HEADER.unpack_from(data, start)
     end = payload_start + length
-    if marker != MARKER or reserved != 0 or length > MAX_PAYLOAD_BYTES or end > len(data):
+    if marker != MARKER or reserved != 0 or end > len(data):
         return None
     payload = data[payload_start:end]
     if _checksum(kind, bytes(payload)) != checksum or kind not in _VALID_KINDS:
--- a/src/passlane/store/snapshot.py
+++ b/src/passlane/store/snapshot.py
@@ -12,6 +12,7 @@
 from passlane.configuration.ledger import ConfigurationLedger
 from passlane.identifiers import ProgramId, Revision
 from passlane.messages.control import Document
+from passlane.messages.snapshot_parts import MAX_PART_BYTES, grouped
 from passlane.messages.store import (
     CallState,
     PartitionAssignment,
@@ -31,7 +32,8 @@
 MAX_DOCUMENTS_PER_PART = 500
 
 ITEMS_PER_PART = 200
-"""A part ends with the program whose turns and calls bring it to this number of items."""
+"""A part ends with the program whose turns and calls bring it to this number of items, or to
+``MAX_PART_BYTES``."""
 
 
 class ConfigurationHeader(msgspec.Struct, frozen=True):
@@ -131,24 +133,34 @@
 
 
 def _groups_of_documents(documents: tuple[Document, ...]) -> Iterator[tuple[Document, ...]]:
-    for start in range(0, len(documents), MAX_DOCUMENTS_PER_PART):
-        yield documents[start : start + MAX_DOCUMENTS_PER_PART]
+    return grouped(documents, MAX_DOCUMENTS_PER_PART, _document_bytes)
 
 
 def _groups_of_records(capture: SnapshotCapture) -> Iterator[tuple[ProgramRecord, ...]]:
     group: list[ProgramRecord] = []
     items = 0
+    group_bytes = 0
     for record in capture.records():
         group.append(record)
         items += 1 + len(record.turns) + len(record.calls)
-        if items >= ITEMS_PER_PART:
+        group_bytes += _program_bytes(record)
+        if items >= ITEMS_PER_PART or group_bytes >= MAX_PART_BYTES:
             yield tuple(group)
-            group = []
-            items = 0
+            group, items, group_bytes = [], 0, 0
     if group:
         yield tuple(group)
 
 
+def _document_bytes(document: Document) -> int:
+    return len(document.body or "")
+
+
+def _program_bytes(record: ProgramRecord) -> int:
+    """Return about the encoded size of a record: its texts."""
+    turn_bytes = sum(len(turn.content) for turn in record.turns)
+    return turn_bytes + sum(len(call.outcome.body) for call in record.calls if call.outcome)
+
+
 class RestoredState:
     """The state built from the parts of a snapshot, which are added in order."""
 
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -17,6 +17,7 @@
 from passlane.messages.base import encode_message, message_decoder
 from passlane.messages.engine_ends import EngineEnd
 from passlane.messages.quotas import TenantUsage, UsageSnapshot
+from passlane.messages.snapshot_parts import grouped
 from passlane.messages.streams import StreamOrigin
 from passlane.messages.turns import (
     AdvanceAge,
@@ -42,7 +43,8 @@
 STREAM_RETENTION_S = 15.0
 """Retention of a stream's origin; callers resume a stream within a few seconds."""
 MAX_RECORDS_PER_PART = 100
-"""Programs, turns, streams or requests in one part of a snapshot."""
+"""Programs, turns, streams or requests in one part of a snapshot, if they fit
+``MAX_PART_BYTES``."""
 
 _command_decoder = message_decoder(TurnCommand)
 
@@ -121,6 +123,24 @@
 
 UsageListener = Callable[[tuple[TenantUsage, ...], float], None]
 
+RECORD_BYTES = 300
+"""About the encoded size of a record without its content: names, numbers and their field names."""
+RESERVATION_BYTES = 60
+"""About the encoded size of one reservation."""
+
+
+def _program_bytes(named: tuple[str, ProgramSpending]) -> int:
+    return RECORD_BYTES + RESERVATION_BYTES * len(named[1].reserved)
+
+
+def _turn_bytes(stored: StoredTurn) -> int:
+    return RECORD_BYTES + len(stored.turn.content)
+
+
+def _small_record_bytes(record: StoredStream | EndedUnder) -> int:
+    return RECORD_BYTES
+
+
 _part_decoder = msgspec.msgpack.Decoder(SnapshotPart)
 
 
@@ -355,17 +375,13 @@
         yield msgspec.msgpack.encode(_RecordsPart(age_s))
         if usage is not None:
             yield msgspec.msgpack.encode(UsagePart(age_s, usage))
-        for start in range(0, len(programs), MAX_RECORDS_PER_PART):
-            part_programs = dict(programs[start : start + MAX_RECORDS_PER_PART])
-            yield msgspec.msgpack.encode(_RecordsPart(age_s, programs=part_programs))
-        for start in range(0, len(turns), MAX_RECORDS_PER_PART):
-            part_turns = tuple(turns[start : start + MAX_RECORDS_PER_PART])
+        for part_programs in grouped(programs, MAX_RECORDS_PER_PART, _program_bytes):
+            yield msgspec.msgpack.encode(_RecordsPart(age_s, programs=dict(part_programs)))
+        for part_turns in grouped(turns, MAX_RECORDS_PER_PART, _turn_bytes):
             yield msgspec.msgpack.encode(_RecordsPart(age_s, turns=part_turns))
-        for start in range(0, len(streams), MAX_RECORDS_PER_PART):
-            part_streams = tuple(streams[start : start + MAX_RECORDS_PER_PART])
+        for part_streams in grouped(streams, MAX_RECORDS_PER_PART, _small_record_bytes):
             yield msgspec.msgpack.encode(StreamsPart(age_s, part_streams))
-        for start in range(0, len(ends), MAX_RECORDS_PER_PART):
-            part_ends = tuple(ends[start : start + MAX_RECORDS_PER_PART])
+        for part_ends in grouped(ends, MAX_RECORDS_PER_PART, _small_record_bytes):
             yield msgspec.msgpack.encode(EngineEndsPart(age_s, part_ends))
 
     def restore_parts(self, parts: Iterable[bytes]) -> Iterator[None]:
