--- a/src/passlane/raft/config.py
+++ b/src/passlane/raft/config.py
@@ -9,6 +9,7 @@
 _DEFAULT_CHUNK_BYTES = 256_000
 _DEFAULT_IN_FLIGHT_BATCHES = 16
 _DEFAULT_TRAILING_ENTRIES = 1_000
+_DEFAULT_TRAILING_BYTES = 16_000_000
 _DEFAULT_REPLACED_VOTER_SILENCE_S = 2.0
 
 
@@ -44,9 +45,9 @@
         Seconds of silence after which the leader removes a voter that was already silent
         when another replica became a voter. With bounded ``places`` the leader replaces
         a voter that is silent for this long.
-    trailing_entries
-        Entries retained in memory before the snapshot's last index, so that a follower
-        that is slightly behind needs no snapshot.
+    trailing_entries, trailing_bytes
+        Entries retained in memory before the snapshot's last index, and their maximum bytes,
+        so that a follower that is slightly behind needs no snapshot.
     """
 
     group: str
@@ -61,3 +62,4 @@
     snapshot_chunk_bytes: int = _DEFAULT_CHUNK_BYTES
     replaced_voter_silence_s: float = _DEFAULT_REPLACED_VOTER_SILENCE_S
     trailing_entries: int = _DEFAULT_TRAILING_ENTRIES
+    trailing_bytes: int = _DEFAULT_TRAILING_BYTES
--- a/src/passlane/raft/log_view.py
+++ b/src/passlane/raft/log_view.py
@@ -88,6 +88,18 @@
             index -= 1
         return index
 
+    def index_before(self, last_index: int, max_entries: int, max_bytes: int) -> int:
+        """Return the index before the last entries up to ``last_index`` that fit both limits."""
+        index = last_index
+        retained_bytes = 0
+        while index > self.base_index and last_index - index < max_entries:
+            entry = self._entries[index - self.base_index - 1]
+            retained_bytes += len(entry.data) + _ENTRY_OVERHEAD_BYTES
+            if retained_bytes > max_bytes:
+                break
+            index -= 1
+        return index
+
     def compact(self, last_index: int) -> None:
         """Drop the entries up to ``last_index`` from memory."""
         if last_index <= self.base_index:
--- a/src/passlane/raft/state.py
+++ b/src/passlane/raft/state.py
@@ -200,7 +200,10 @@
             raise RaftInvariantError(f"snapshot at {last_index} runs ahead of what was applied")
         membership = self.memberships.at(last_index)
         self.snapshot = Snapshot(last_index, last_term, membership, data)
-        self.log.compact(last_index - self.config.trailing_entries)
+        config = self.config
+        self.log.compact(
+            self.log.index_before(last_index, config.trailing_entries, config.trailing_bytes)
+        )
         self.memberships.compact(self.log.base_index)
 
     def install_snapshot(self, snapshot: Snapshot) -> None:
--- a/src/passlane/replication/snapshot_policy.py
+++ b/src/passlane/replication/snapshot_policy.py
@@ -3,19 +3,25 @@
 MAX_LOG_BYTES = 1_000_000_000
 """Log growth that is sufficient for a snapshot of any size. The log is kept in memory and read
 at a restart."""
+LARGE_LOG_BYTES = 16_000_000
+"""Log growth from which a snapshot is due whatever the number of entries, unless the last snapshot
+is far larger."""
+LARGE_LOG_SHARE = 0.5
+"""The same as a share of the last snapshot."""
 
 
 class SnapshotPolicy:
     """Counts applied entries and bytes since the last snapshot.
 
-    A snapshot writes the whole state. It is due once both conditions hold:
+    A snapshot writes the whole state. It is due once either holds:
 
-    1. ``every_entries`` entries were applied since the last snapshot.
-    2. The log has grown by the size of the last snapshot, or by ``max_log_bytes`` if that
-       is less.
+    1. ``every_entries`` entries were applied since the last snapshot, and the log has grown by the
+       size of that snapshot, or by ``max_log_bytes`` if that is less.
+    2. The log has grown by ``LARGE_LOG_BYTES`` and by ``LARGE_LOG_SHARE`` of the last snapshot, or
+       by ``max_log_bytes`` if that is less.
 
-    Snapshots thus at most double the bytes written, and a restart reads about twice the
-    size of the state at most.
+    Snapshots thus write at most twice the bytes of the log, beyond the first ones of a small
+    state, and the log in memory is at most half of the state beyond ``LARGE_LOG_BYTES``.
     """
 
     def __init__(self, every_entries: int, max_log_bytes: int = MAX_LOG_BYTES) -> None:
@@ -43,4 +49,11 @@
     def is_due(self) -> bool:
         """Whether a snapshot should be taken now."""
         min_bytes = min(self._snapshot_bytes, self._max_log_bytes)
-        return self._entries >= self._every_entries and self._bytes >= min_bytes
+        has_many_entries = self._entries >= self._every_entries and self._bytes >= min_bytes
+        return has_many_entries or self._bytes >= self._large_log_bytes
+
+    @property
+    def _large_log_bytes(self) -> float:
+        """Log growth from which a snapshot is due whatever the number of entries."""
+        share_bytes = LARGE_LOG_SHARE * self._snapshot_bytes
+        return min(max(LARGE_LOG_BYTES, share_bytes), self._max_log_bytes)
--- a/tests/replication/test_snapshot_policy.py
+++ b/tests/replication/test_snapshot_policy.py
@@ -30,6 +30,15 @@
         policy.record_snapshot_size(1_000_000)
         self.assertEqual(self.count_applied_until_due(policy, 5), 60)
 
+    def test_due_by_the_bytes_of_the_log_alone(self) -> None:
+        """Guards against a log of large entries that fills a store's memory before it is let go."""
+        policy = SnapshotPolicy(every_entries=5_000)
+        size_bytes = 3_300_000
+        self.assertLessEqual(self.count_applied_until_due(policy, size_bytes), 5)
+        policy.record_snapshot_started()
+        policy.record_snapshot_size(20 * size_bytes)
+        self.assertEqual(self.count_applied_until_due(policy, size_bytes), 10)
+
 
 if __name__ == "__main__":
     unittest.main()
