A damaged store that discovers its group is repaired by it

A store of three with damaged files ended at each start, while the other two could repair it. Cause: a member that is restarted has only itself in its settings, and a replica without others in its settings raised the error.

--- a/src/passlane/replication/joining.py
+++ b/src/passlane/replication/joining.py
@@ -34,6 +34,8 @@
 INITIAL_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 1.0
 JOIN_TIMEOUT_S = 5.0
+MEMBER_SEARCH_INTERVAL_S = 0.5
+"""Interval between two searches for members that can repair this replica."""
 
 FindMembers = Callable[[], Sequence[PeerSettings]]
 """Returns replicas of a group that were discovered in addition to the settings."""
@@ -115,6 +117,23 @@
         """Whether any other replica is known."""
         return bool(self._peers)
 
+    @property
+    def can_discover(self) -> bool:
+        """Whether replicas beyond those in the settings may be discovered."""
+        return self._find_members is not None
+
+    async def wait_for_members(self, count: int, timeout_s: float) -> bool:
+        """Return whether ``count`` others report within ``timeout_s`` that they are members."""
+        with anyio.move_on_after(timeout_s):
+            while True:
+                statuses = await self._request_statuses()
+                members = sorted(name for name, status in statuses.items() if status.is_member)
+                logger.info("members_counted", group=self._group, members=members, expected=count)
+                if len(members) >= count:
+                    return True
+                await anyio.sleep(MEMBER_SEARCH_INTERVAL_S)
+        return False
+
     @property
     def own_address(self) -> Address:
         """Address of this replica in the settings."""
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -46,6 +46,9 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 MAX_REPAIR_PAUSE_S = 1.0
 """Maximum pause between detecting damage and starting the repair."""
+REPAIR_SEARCH_S = 10.0
+"""Time for which a damaged replica searches for members that can repair it; a process learns the
+others' addresses some seconds after its start."""
 REQUEST_TIMEOUT_IN_ELECTION_TIMEOUTS = 10
 """Timeout of a proposal or read, in election timeouts."""
 
@@ -246,7 +249,7 @@
         Raises
         ------
         PasslaneError
-            ``STORAGE_CORRUPT`` when the files are damaged and there is no other replica.
+            ``STORAGE_CORRUPT`` when the files are damaged and no other replicas can repair them.
         """
         while True:
             try:
@@ -255,6 +258,8 @@
                 error = corruption_error_in(group)
                 if error is None:
                     raise
+                # Others must not count this replica among those that can repair them.
+                self._identity = None
                 await self._abandon_files(error)
             # A permanently failing disk must not cause a busy loop.
             await anyio.sleep(self._environment.random.uniform(0.5, 1.0) * MAX_REPAIR_PAUSE_S)
@@ -290,11 +295,26 @@
     async def _abandon_files(self, error: PasslaneError) -> None:
         """Create a new identity in a new folder, to be repaired from the other replicas."""
         logger.error("storage_damaged", group=self._group, message=error.message)
-        if len(self._settings.members) < 2:
+        if not await self._can_be_repaired():
+            logger.error("repair_not_possible", group=self._group, message=error.message)
             raise error
         identity = await self._identity_file.create(self._environment.random, may_found=False)
         logger.warning("repair_under_new_identity", group=self._group, replica=identity.replica_id)
 
+    async def _can_be_repaired(self) -> bool:
+        """Return whether other replicas can repair this one.
+
+        A replica whose settings don't name the others waits until it has discovered a majority of
+        members. With fewer, a new identity would only hide what is left of the group's data.
+        """
+        if len(self._settings.members) > 1:
+            return True
+        if not self._joiner.can_discover:
+            return False
+        voters = self._settings.places
+        majority = voters // 2 + 1 if voters is not None else 1
+        return await self._joiner.wait_for_members(majority, REPAIR_SEARCH_S)
+
     async def _open_files(self, identity: Identity) -> ReplicaFiles:
         """Read snapshot and log."""
         return await open_files(
--- a/tests/replication/cluster.py
+++ b/tests/replication/cluster.py
@@ -20,6 +20,7 @@
 GROUP = "store"
 DELAY_S = 0.001
 COMMANDS_IN_PART = 7
+DISCOVERY_S = 1.5
 
 
 class ListMachine:
@@ -117,7 +118,8 @@
         is_cut = own in self.cut or member.peer.name in self.cut
         return member if member.scope is not None and not is_cut else None
 
-    def start(self, *names):
+    def start(self, *names, discovers=False):
+        """Start members; with ``discovers`` they know the others by discovery alone."""
         for name in names or self.members:
             member = self.members[name]
             member.router, member.machine = MessageRouter(), self.machine_class()
@@ -128,20 +130,31 @@
                 disk=member.disk,
                 random=random.Random(self.random.random()),
             )
+            settings, find_members = self.settings, None
+            if discovers:
+                settings = msgspec.structs.replace(settings, members=(member.peer,), places=3)
+                find_members = self._others_of(name)
             member.host = ReplicaHost(
                 GROUP,
                 name,
-                self.settings,
+                settings,
                 member.machine,
                 environment,
                 MemoryCaller(self, name),
                 member.router,
                 GROUP,
+                find_members=find_members,
             )
             member.failure = None
             member.scope = anyio.CancelScope()
             self.tasks.start_soon(self._run, member, member.scope)
 
+    def _others_of(self, name):
+        """Return a discovery that finds the other members a while after the start."""
+        found_at = anyio.current_time() + DISCOVERY_S
+        others = [member.peer for member in self.members.values() if member.peer.name != name]
+        return lambda: others if anyio.current_time() >= found_at else []
+
     async def _run(self, member, scope):
         try:
             with scope:
--- a/tests/replication/test_disk_faults.py
+++ b/tests/replication/test_disk_faults.py
@@ -134,6 +134,38 @@
         await cluster.until(lambda: broken.host.is_voter and broken.host.replica_id != old_id)
         await applied_everywhere(cluster, numbered(0, 10))
 
+    @on_seeds(snapshot_every_entries=20, segment_bytes=500)
+    async def test_replica_that_discovers_its_group_is_repaired(self, cluster):
+        """Guards against a store that ends at each start though two others could repair it."""
+        commands = numbered(0, 60)
+        await propose_all(cluster, commands)
+        await applied_everywhere(cluster, commands)
+        member = cluster.members["b"]
+        old_id = member.host.replica_id
+        cluster.kill("b", power=False)
+        member.disk.flip_bit(SNAPSHOT, cluster.random.randrange(len(member.disk.read(SNAPSHOT))))
+        cluster.start("b", discovers=True)
+        await cluster.until(lambda: member.failure is not None or member.host.is_voter)
+        self.assertIsNone(member.failure)
+        self.assertNotEqual(member.host.replica_id, old_id)
+        await applied_everywhere(cluster, commands)
+
+    @on_seeds(snapshot_every_entries=20, segment_bytes=500)
+    async def test_damaged_majority_keeps_its_files(self, cluster):
+        """Nobody could repair them, so a new identity would only hide what is left."""
+        await propose_all(cluster, numbered(0, 60))
+        await applied_everywhere(cluster, numbered(0, 60))
+        for name in "abc":
+            cluster.kill(name, power=False)
+        for name in "ab":
+            disk = cluster.members[name].disk
+            disk.flip_bit(SNAPSHOT, cluster.random.randrange(len(disk.read(SNAPSHOT))))
+        cluster.start("a", "b", "c", discovers=True)
+        for name in "ab":
+            member = cluster.members[name]
+            await cluster.until(lambda member=member: member.failure is not None, timeout_s=60.0)
+            self.assertEqual(folder_names(member), {"0001"})
+
     @on_seeds()
     async def test_single_replica_does_not_start_on_a_damaged_log(self, cluster):
         await propose_all(cluster, numbered(0, 20))
