What cannot be stored or served again is refused before it runs

A chain of kept turns above 16 MB was never served again: its turns were taken, run and stored, but the answer that carries the chain to a node did not fit a frame, the node took the store's leader for lost and asked again until its deadline. Stored turns had no bound on memory. And a command just below the largest frame did not fit the message that replicates it, which ended the leader.

The store's leader now knows the size of an input that is to be stored. Commands are bounded by 15 MB, frames by 17 MB; a request that is too large is not sent to another leader. The refusals are fields of TurnRefused, which older nodes take for one without capacity.

--- a/src/passlane/daemon/fleet/store.py
+++ b/src/passlane/daemon/fleet/store.py
@@ -14,6 +14,7 @@
 from passlane.daemon.fleet.context import FleetContext
 from passlane.daemon.shared.replicas import STORE_FOLDER, initial_members, transfer_leadership
 from passlane.decisions.limits.quota_ledger import QuotaLedger, QuotaRules
+from passlane.decisions.limits.turn_storage import max_stored_bytes
 from passlane.decisions.scheduling.turn_scheduler import TurnScheduler
 from passlane.fleet.client import FleetClient
 from passlane.messages.common import NotLeaderError
@@ -95,7 +96,14 @@
         context.metrics.define_when_exposed(
             lambda metrics: register_state_metrics(metrics, machine)
         )
-        service = TurnService(host, machine, context.router, quotas, self._dispatcher)
+        service = TurnService(
+            host,
+            machine,
+            context.router,
+            quotas,
+            self._dispatcher,
+            max_stored_bytes(context.settings.machine.memory_mb),
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             tasks.start_soon(service.run)
--- a/src/passlane/messages/placement.py
+++ b/src/passlane/messages/placement.py
@@ -77,8 +77,33 @@
     full_at: tuple[str, ...] = ()
 
 
+class TurnTooLarge(msgspec.Struct, frozen=True):
+    """A turn's chain would be too large to be served again.
+
+    ``history_bytes`` and ``input_bytes`` together exceed ``max_bytes``.
+    """
+
+    history_bytes: int
+    input_bytes: int
+    max_bytes: int
+
+
+class TurnsFull(msgspec.Struct, frozen=True):
+    """The stored turns leave no memory for another one.
+
+    ``stored_bytes`` and ``pending_bytes``, those of admitted turns that are not stored yet, are
+    bounded by ``max_bytes`` together.
+    """
+
+    stored_bytes: int
+    pending_bytes: int
+    max_bytes: int
+
+
 class TurnRefused(Message, frozen=True, kw_only=True):
-    """A program cannot start now; its turn has not run and nothing is reserved for it.
+    """A turn cannot start now; it has not run and nothing is reserved for it.
+
+    Older builds take each refusal for one of a program without capacity at engines.
 
     Attributes
     ----------
@@ -88,8 +113,14 @@
         Number of programs that wait ahead of it.
     busy_share
         Share of the service's slots that are in use.
+    too_large
+        Set if the turn is too large at any time.
+    full
+        Set if there is no memory to store the turn.
     """
 
     retry_after_s: float
     waiting: int
     busy_share: float
+    too_large: TurnTooLarge | None = None
+    full: TurnsFull | None = None
--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -43,6 +43,9 @@
     demand
         Requests a slot at an engine; ``None`` if the node chooses the engine itself. Not
         replicated.
+    input_bytes
+        Size of the turn's input if the turn is to be stored, else ``None``; older builds don't
+        send it. Not replicated.
     """
 
     program_id: str
@@ -53,6 +56,7 @@
     retention_s: float = 0.0
     quota: QuotaRequest | None = None
     demand: TurnDemand | None = None
+    input_bytes: int | None = None
 
 
 class TurnReserved(Message, frozen=True):
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -9,6 +9,7 @@
 from passlane.decisions.backends.health import AttemptWatch
 from passlane.errors import PasslaneError
 from passlane.messages.routes import RouteKind
+from passlane.observability.logging import get_logger
 from passlane.relay.attempt_history import AttemptHistory
 from passlane.relay.backends import AnswerWriter, BackendAnswer
 from passlane.relay.context import RequestContext
@@ -23,6 +24,8 @@
 TURN_SETTLE_TIMEOUT_S = 3.0
 """Seconds that the end of a stream waits for the store group."""
 
+_log = get_logger(__name__)
+
 
 class AnswerDelivery:
     """Delivers the answers of one request's attempts.
@@ -48,6 +51,7 @@
         self._progress = progress
         self._stream: StreamDelivery | None = None
         self._events_before_run = 0
+        self.max_output_bytes: int | None = None
 
     @property
     def events(self) -> int:
@@ -110,18 +114,31 @@
             self._stream = StreamDelivery(
                 self._writer,
                 self._before_end,
-                keeps_output=self._context.route.keeps_turns,
+                max_output_bytes=self.max_output_bytes,
                 is_resumed=self._context.call.last_event_id is not None,
             )
             self._record_stream_began()
         self._events_before_run = self._stream.events
         try:
             await self._stream.deliver(answer, watch)
+        except AnswerAbortedError as error:
+            self._record_aborted(error, self._stream)
+            raise
         finally:
             self._progress.unfinished_bytes = self._stream.unfinished_bytes
             if self._stream.last_event_id is not None:
                 self._history.last_event_id = self._stream.last_event_id
 
+    def _record_aborted(self, error: AnswerAbortedError, stream: StreamDelivery) -> None:
+        self._progress.end = error.end
+        if error.code is RequestEndReason.TURN_OUTGREW_BOUND:
+            _log.warning(
+                "turn_outgrew_its_bound",
+                request_id=self._context.call.request_id,
+                output_bytes=len(stream.output),
+                max_output_bytes=self.max_output_bytes,
+            )
+
     async def _deliver_buffered(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         try:
             await BufferedDelivery(self._writer).deliver(answer, watch)
@@ -138,5 +155,4 @@
             await self._account.settle_completed(self.spending, output, TURN_SETTLE_TIMEOUT_S)
         except PasslaneError as error:
             end = RequestEnd(RequestEndReason.TURN_NOT_DURABLE, error.code.value)
-            self._progress.end = end
             raise AnswerAbortedError(end) from error
--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -14,7 +14,8 @@
 from passlane.decisions.inputs.answer_head import AnswerHead, BodyFraming
 from passlane.event_streams.whole_events import EVENT_STREAM_TYPE, EventSplitter
 from passlane.relay.backends import AnswerWriter, BackendAnswer
-from passlane.relay.end_reasons import BreakReason
+from passlane.relay.end_reasons import BreakReason, RequestEnd, RequestEndReason
+from passlane.relay.request_errors import AnswerAbortedError
 from passlane.runtime.interfaces import HttpConnectionError
 
 MAX_BUFFERED_BYTES = 256_000
@@ -76,7 +77,7 @@
     events
         Number of events written to the caller.
     output
-        The data of each event, each followed by a line feed; empty unless ``keeps_output``.
+        The data of each event, each followed by a line feed; empty without ``max_output_bytes``.
     is_whole
         Whether the stream is complete.
     unfinished_bytes
@@ -84,8 +85,8 @@
 
     Parameters
     ----------
-    keeps_output
-        Whether the output is needed at the end.
+    max_output_bytes
+        Most output that is needed at the end; ``None`` if none is.
     is_resumed
         Whether the caller has events of the stream from an earlier request.
     """
@@ -95,14 +96,14 @@
         writer: AnswerWriter,
         before_end: BeforeEnd,
         *,
-        keeps_output: bool = True,
+        max_output_bytes: int | None = None,
         is_resumed: bool = False,
     ) -> None:
         self._is_resumed = is_resumed
         self._has_events = True
         self._writer = writer
         self._before_end = before_end
-        self._keeps_output = keeps_output
+        self._max_output_bytes = max_output_bytes
         self.status: int | None = None
         self.events = 0
         self.output = bytearray()
@@ -114,6 +115,11 @@
         """Read a stream and write it; raise ``HttpConnectionError`` when it breaks off.
 
         When a second engine resumes the stream, the head of the first answer stays in effect.
+
+        Raises
+        ------
+        AnswerAbortedError
+            When the output is larger than what can be kept.
         """
         if not self._writer.has_started:
             self.status = answer.head.status
@@ -154,12 +160,19 @@
             return
         self.events += len(events)
         for event in events:
-            if self._keeps_output:
+            if self._max_output_bytes is not None:
                 self.output += event.data + b"\n"
             if event.event_id is not None:
                 self.last_event_id = event.event_id
+        self._check_output()
         await self._writer.write(b"".join(event.raw for event in events))
 
+    def _check_output(self) -> None:
+        """Raise ``AnswerAbortedError`` if the output is larger than what can be kept."""
+        if self._max_output_bytes is None or len(self.output) <= self._max_output_bytes:
+            return
+        raise AnswerAbortedError(RequestEnd(RequestEndReason.TURN_OUTGREW_BOUND))
+
 
 def _is_event_stream(head: AnswerHead) -> bool:
     """Whether an answer on a stream route has events, by its type if one is declared."""
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -12,6 +12,7 @@
 PAYMENT_REQUIRED = 402
 NOT_FOUND = 404
 CONFLICT = 409
+CONTENT_TOO_LARGE = 413
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 
@@ -94,6 +95,21 @@
     (``relay.rerun_admission``)."""
     TURN_UNKNOWN = ("turn_unknown", CallerResponse.REFUSAL, NOT_FOUND, "turns.state")
     """The store group has no turn with the id that the request continues."""
+    TURN_TOO_LARGE = (
+        "turn_too_large",
+        CallerResponse.REFUSAL,
+        CONTENT_TOO_LARGE,
+        "decisions.limits.turn_storage",
+    )
+    """The turn with the conversation that it continues is too large to be stored and served again:
+    see the line ``turn_too_large``."""
+    TURNS_FULL = (
+        "turns_full",
+        CallerResponse.REFUSAL,
+        UNAVAILABLE,
+        "decisions.limits.turn_storage",
+    )
+    """The stored turns leave no memory for this one: see the line ``turns_full``."""
     NO_ROOM = (
         "no_room",
         CallerResponse.REFUSAL,
@@ -169,6 +185,15 @@
     """All events were forwarded, but the store group did not confirm the turn; the detail is an
     ``ErrorCode``."""
 
+    TURN_OUTGREW_BOUND = (
+        "turn_outgrew_its_bound",
+        CallerResponse.CLOSED_CONNECTION,
+        None,
+        "decisions.limits.turn_storage",
+    )
+    """The engine generated more than can be stored with the turn: see the line
+    ``turn_outgrew_its_bound``."""
+
     STOPPED = ("stopped", CallerResponse.REFUSAL, UNAVAILABLE, "relay.request")
     """The node is stopping. Only a request that did not run receives an answer."""
     CLIENT_LEFT = ("client_left", CallerResponse.NOTHING, None, "platform.client_ingress")
--- a/src/passlane/relay/request.py
+++ b/src/passlane/relay/request.py
@@ -8,6 +8,7 @@
 
 from passlane.decisions.failure.answer_verdicts import UNAVAILABLE, status_without_answer
 from passlane.decisions.failure.retry_after import retry_after_outage_s
+from passlane.decisions.limits.turn_storage import max_output_bytes
 from passlane.errors import Verdict
 from passlane.relay.answer_delivery import AnswerDelivery
 from passlane.relay.attempt_history import AttemptHistory
@@ -84,6 +85,8 @@
         admission = RequestAdmission(self._context, self._account, self._progress)
         reserved = await admission.admit(limit_at)
         body = reserved.history + self._context.call.body
+        if self._context.route.keeps_turns:
+            self._delivery.max_output_bytes = max_output_bytes(len(body))
         rerun_admission = RerunAdmission(
             self._context, self._account, lambda: self._delivery.tokens
         )
--- a/src/passlane/relay/request_admission.py
+++ b/src/passlane/relay/request_admission.py
@@ -8,8 +8,9 @@
 import anyio
 
 from passlane.decisions.failure.retry_after import retry_after_outage_s
+from passlane.decisions.limits.turn_storage import MAX_INPUT_BYTES, fits_chain
 from passlane.errors import PasslaneError
-from passlane.messages.placement import TurnRefused
+from passlane.messages.placement import TurnRefused, TurnsFull, TurnTooLarge
 from passlane.messages.quotas import QuotaRefused
 from passlane.messages.turns import BudgetSpent, TurnReserved, TurnUnknown
 from passlane.observability.logging import get_logger
@@ -76,14 +77,54 @@
             case QuotaRefused():
                 raise self._quota_refusal(answer)
             case TurnRefused():
-                raise self._capacity_refusal(answer)
+                raise self._refusal_of_turn(answer)
             case BudgetSpent():
                 raise RequestRefusedError(Refusal.of(RequestEndReason.BUDGET_SPENT))
             case TurnUnknown():
                 raise RequestRefusedError(Refusal.of(RequestEndReason.TURN_UNKNOWN))
         self._progress.place_wait_s = answer.place_wait_s
+        self._check_size(answer)
         return answer
 
+    def _refusal_of_turn(self, refused: TurnRefused) -> RequestRefusedError:
+        if refused.too_large is not None:
+            return self._size_refusal(refused.too_large)
+        if refused.full is not None:
+            return self._storage_refusal(refused.full, round(refused.retry_after_s, 3))
+        return self._capacity_refusal(refused)
+
+    def _check_size(self, reserved: TurnReserved) -> None:
+        """Refuse a turn that a store of an older build admitted although it is too large."""
+        input_bytes = len(self._context.call.body)
+        history_bytes = len(reserved.history)
+        if self._context.route.keeps_turns and not fits_chain(history_bytes, input_bytes):
+            raise self._size_refusal(TurnTooLarge(history_bytes, input_bytes, MAX_INPUT_BYTES))
+
+    def _size_refusal(self, refused: TurnTooLarge) -> RequestRefusedError:
+        """Log why a turn is too large to be stored; return the refusal."""
+        _log.info(
+            "turn_too_large",
+            request_id=self._context.call.request_id,
+            previous_turn=self._context.call.previous_turn,
+            history_bytes=refused.history_bytes,
+            input_bytes=refused.input_bytes,
+            max_bytes=refused.max_bytes,
+        )
+        return RequestRefusedError(Refusal.of(RequestEndReason.TURN_TOO_LARGE))
+
+    def _storage_refusal(self, refused: TurnsFull, retry_after_s: float) -> RequestRefusedError:
+        """Log why there is no memory to store a turn; return the refusal."""
+        _log.info(
+            "turns_full",
+            request_id=self._context.call.request_id,
+            input_bytes=len(self._context.call.body),
+            stored_bytes=refused.stored_bytes,
+            pending_bytes=refused.pending_bytes,
+            max_bytes=refused.max_bytes,
+            retry_after_s=retry_after_s,
+        )
+        return RequestRefusedError(Refusal.of(RequestEndReason.TURNS_FULL, retry_after_s))
+
     def _elapsed_s(self) -> float:
         return anyio.current_time() - self._context.call.arrived_at
 
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -126,6 +126,7 @@
             self._reservation_of(run),
             previous=self._previous_id if self._route.keeps_turns else None,
             demand=self._demand_at(now, limit_at),
+            input_bytes=len(self._call.body) if self._route.keeps_turns else None,
         )
         # From here on the reservation may exist, even if no answer is received.
         self._is_reserved = True
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -46,6 +46,8 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 MAX_REPAIR_PAUSE_S = 1.0
 """Maximum pause between detecting damage and starting the repair."""
+MAX_COMMAND_BYTES = 15_000_000
+"""Largest command; with what is sent beside an entry it fits a frame, also of older builds."""
 REPAIR_SEARCH_S = 10.0
 """Time for which a damaged replica searches for members that can repair it; a process learns the
 others' addresses some seconds after its start."""
@@ -211,6 +213,11 @@
     async def propose(self, command: bytes, *, may_be_deferred: bool = False) -> bytes:
         """Replicate a command and return its result; see ``ReplicatedGroup``."""
         driver = self._ready_driver()
+        if len(command) > MAX_COMMAND_BYTES:
+            raise PasslaneError(
+                ErrorCode.BODY_TOO_LARGE,
+                f"a command of {len(command)} bytes exceeds {MAX_COMMAND_BYTES} bytes",
+            )
         if driver.log.is_full:
             raise PasslaneError(
                 ErrorCode.DISK_FULL,
--- a/src/passlane/transport/frames.py
+++ b/src/passlane/transport/frames.py
@@ -17,8 +17,9 @@
 from passlane.errors import ErrorCode, PasslaneError
 
 PROTOCOL_VERSION = 1
-MAX_FRAME_BYTES = 16_000_000
-"""Maximum size of a body that is sent or accepted."""
+MAX_FRAME_BYTES = 17_000_000
+"""Maximum size of a body that is sent or accepted. Older builds accept 16 MB and have written
+commands up to that size, which are replicated with a header."""
 
 _HEADER = struct.Struct(">BBIQI")
 HEADER_BYTES = _HEADER.size
--- a/src/passlane/turns/accounts.py
+++ b/src/passlane/turns/accounts.py
@@ -53,9 +53,7 @@
 def _without_leader_fields(request: ReserveTurn | SettleTurn) -> ReserveTurn | SettleTurn:
     """Return the command without the fields that only the leader uses."""
     if isinstance(request, ReserveTurn):
-        if request.quota is None and request.demand is None:
-            return request
-        return msgspec.structs.replace(request, quota=None, demand=None)
+        return msgspec.structs.replace(request, quota=None, demand=None, input_bytes=None)
     if request.quota is None and request.outcome is None:
         return request
     return msgspec.structs.replace(request, quota=None, outcome=None)
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -55,6 +55,8 @@
 than it does so."""
 RETRY_DELAY_S = 0.02
 """Delay between a failed attempt and the next."""
+FINAL_ERRORS = frozenset({ErrorCode.BODY_TOO_LARGE, ErrorCode.FRAME_TOO_LARGE})
+"""Errors of the request itself: no leader would answer it otherwise."""
 
 
 class Reservation(msgspec.Struct, frozen=True):
@@ -250,6 +252,8 @@
             try:
                 answer = await self._attempt(address, request, remaining_s, overdue_after_s)
             except PasslaneError as error:
+                if error.code in FINAL_ERRORS:
+                    raise
                 may_have_run |= error.verdict is not Verdict.NOT_RUN
                 self._record_failure(error, address)
                 await anyio.sleep(RETRY_DELAY_S)
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -4,7 +4,7 @@
 the leader, reports and lookups of streams, and reports of engines that ended. It owns the order of
 the steps of each request; the steps are implemented in ``quota_grants`` (quotas), ``slot_waits``
 (slots of engines), ``accounts`` (replicated commands), ``age_updates`` (the age of the state),
-``reported_streams`` and ``reported_ends``.
+``stored_turns`` (what can be stored), ``reported_streams`` and ``reported_ends``.
 It relies on ``Leadership`` for whether this replica may answer.
 """
 
@@ -41,11 +41,17 @@
 from passlane.turns.reported_streams import ReportedStreams
 from passlane.turns.slot_waits import SlotWaits
 from passlane.turns.state.machine import TurnStateMachine
+from passlane.turns.stored_turns import StoredTurns
 
 
 class TurnService:
     """Handles nodes' requests for turns.
 
+    Parameters
+    ----------
+    max_stored_bytes
+        Bound on the bytes of stored turns; ``None`` for none.
+
     Each handler raises ``NotLeaderError`` when this replica does not lead, and
     ``PasslaneError`` when a command is not known to be replicated.
     """
@@ -57,6 +63,7 @@
         router: Router,
         quotas: QuotaLedger,
         dispatcher: TurnDispatcher,
+        max_stored_bytes: int | None = None,
     ) -> None:
         self._machine = machine
         self._dispatcher = dispatcher
@@ -67,6 +74,8 @@
         self._slots = SlotWaits(self._accounts, machine, dispatcher, self._leadership)
         self._streams = ReportedStreams(machine, self._leadership)
         self._ends = ReportedEnds(machine, self._leadership)
+        self._stored = StoredTurns(machine, max_stored_bytes)
+        self._stored_term = -1
         router.add_unary(ReserveTurn, self.reserve)
         router.add_unary(SettleTurn, self.settle)
         router.add_unary(FindTurnStore, self.find)
@@ -100,9 +109,29 @@
     async def reserve(self, request: ReserveTurn) -> Message:
         """Reserve a turn's tokens; the reply contains the history that precedes its input.
 
-        A turn that requests a slot of an engine is answered when it has one or is refused.
+        A turn that requests a slot of an engine is answered when it has one or is refused. One
+        that could not be stored is refused at once.
         """
         self._leadership.require_leadership()
+        self._enter_term()
+        refusal = self._stored.admit(request)
+        if refusal is not None:
+            return refusal
+        answer: Message | None = None
+        try:
+            answer = await self._reserve_admitted(request)
+            return answer
+        finally:
+            if not isinstance(answer, TurnReserved):
+                self._stored.release(request.attempt_id)
+
+    def _enter_term(self) -> None:
+        """Forget the turns that were admitted in an earlier term."""
+        if self._stored_term != self._leadership.served_term:
+            self._stored_term = self._leadership.served_term
+            self._stored.begin_term()
+
+    async def _reserve_admitted(self, request: ReserveTurn) -> Message:
         draw = self._draw_of(request)
         if draw is None:
             return await self._reserve_granted(request, QuotaGranted())
@@ -159,6 +188,7 @@
         if request.quota is not None:
             granted = await self._quotas.draw(request.quota)
         result = await self._accounts.settle(request)
+        self._stored.release(request.attempt_id)
         if not isinstance(result, TurnSettled) or not isinstance(granted, QuotaGranted):
             return result
         return msgspec.structs.replace(result, ahead=granted.ahead)
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -181,6 +181,7 @@
         self.age_s = 0.0
         self._programs: dict[str, ProgramSpending] = {}
         self._turns: dict[str, StoredTurn] = {}
+        self._turn_bytes = 0
         self._streams: dict[str, StoredStream] = {}
         self.engine_ends = EngineEndCounts()
         self.refused_changes = 0
@@ -190,8 +191,32 @@
     @property
     def size(self) -> StateSize:
         """What the state holds."""
-        turn_bytes = sum(len(stored.turn.content) for stored in self._turns.values())
-        return StateSize(len(self._programs), len(self._turns), turn_bytes)
+        return StateSize(len(self._programs), len(self._turns), self._turn_bytes)
+
+    def history_bytes(self, turn_id: str | None) -> int:
+        """Return the size of the chain that ends with ``turn_id``; 0 for an unknown one."""
+        size_bytes = 0
+        while turn_id is not None and turn_id in self._turns:
+            turn = self._turns[turn_id].turn
+            size_bytes += len(turn.content)
+            turn_id = turn.previous
+        return size_bytes
+
+    def time_until_freed_s(self, size_bytes: int) -> float:
+        """Return the time until turns of together ``size_bytes`` have expired.
+
+        Turns that are extended meanwhile expire later. Without so many turns it is the time until
+        the last one.
+        """
+        by_time = sorted(self._turns.values(), key=lambda stored: stored.keep_until_s)
+        freed_bytes = 0
+        until_s = self.age_s
+        for stored in by_time:
+            until_s = stored.keep_until_s
+            freed_bytes += len(stored.turn.content)
+            if freed_bytes >= size_bytes:
+                break
+        return max(0.0, until_s - self.age_s)
 
     def on_refused(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` whenever the set of refused requests has grown or was replaced."""
@@ -271,6 +296,7 @@
     def _store_turn(self, turn: RetainedTurn) -> None:
         keep_until_s = self.age_s + turn.retention_s + RETENTION_MARGIN_S
         self._turns[turn.turn_id] = StoredTurn(turn, keep_until_s)
+        self._turn_bytes += len(turn.content)
         if turn.previous is not None:
             self._extend_chain_retention(turn.previous, self.age_s + turn.retention_s)
 
@@ -335,6 +361,7 @@
             for turn_id, stored in self._turns.items()
             if stored.keep_until_s >= self.age_s
         }
+        self._count_turn_bytes()
         self._programs = {
             program_id: program
             for program_id, program in self._programs.items()
@@ -347,6 +374,9 @@
         }
         self.engine_ends.expire(self.age_s)
 
+    def _count_turn_bytes(self) -> None:
+        self._turn_bytes = sum(len(stored.turn.content) for stored in self._turns.values())
+
     def _note_age(self) -> None:
         if self._age_listener is not None:
             self._age_listener(self.age_s)
@@ -401,6 +431,7 @@
         self._note_age()
         self._programs = restored._programs
         self._turns = restored._turns
+        self._count_turn_bytes()
         self._streams = restored._streams
         self.engine_ends = restored.engine_ends
         self._note_refused()
--- a/tests/relay/test_delivery.py
+++ b/tests/relay/test_delivery.py
@@ -29,8 +29,8 @@
         return anyio.run(main), writer
 
     def test_the_output_of_a_stream_is_buffered_only_if_it_is_needed(self):
-        buffered, writer = self.deliver(keeps_output=True)
+        buffered, writer = self.deliver(max_output_bytes=EVENTS * 4_001)
         self.assertEqual(len(buffered.output), EVENTS * 4_001)
-        unbuffered, other_writer = self.deliver(keeps_output=False)
+        unbuffered, other_writer = self.deliver(max_output_bytes=None)
         self.assertEqual((len(unbuffered.output), unbuffered.events), (0, EVENTS))
         self.assertEqual(other_writer.body, writer.body)
--- a/tests/relay/test_end_reasons.py
+++ b/tests/relay/test_end_reasons.py
@@ -29,6 +29,8 @@
     RequestEndReason.QUOTA_SPENT: "quota_spent",
     RequestEndReason.BUDGET_SPENT: "budget_spent",
     RequestEndReason.TURN_UNKNOWN: "turn_unknown",
+    RequestEndReason.TURN_TOO_LARGE: "turn_too_large",
+    RequestEndReason.TURNS_FULL: "turns_full",
     RequestEndReason.NO_ROOM: "no_room",
     RequestEndReason.NO_BACK_END: "no back end took the request",
     RequestEndReason.NO_FURTHER_BACK_END: "no further back end took the request",
@@ -40,6 +42,7 @@
     RequestEndReason.ATTEMPT_BROKEN: "timeout",
     RequestEndReason.OUT_OF_TIME: "out_of_time",
     RequestEndReason.TURN_NOT_DURABLE: "turn_not_durable_timeout",
+    RequestEndReason.TURN_OUTGREW_BOUND: "turn_outgrew_its_bound",
     RequestEndReason.STOPPED: "stopped",
     RequestEndReason.CLIENT_LEFT: "client_left",
     RequestEndReason.CONNECTION_ENDED: "timeout",
@@ -91,6 +94,7 @@
                 RequestEndReason.REQUEST_UNDER_WAY,
                 RequestEndReason.BUDGET_SPENT,
                 RequestEndReason.TURN_UNKNOWN,
+                RequestEndReason.TURN_TOO_LARGE,
             },
         )
 
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -60,8 +60,10 @@
         return self.machine.apply(len(self.commands), command)
 
 
-def with_leader(body):
+def with_leader(body=None, *, max_stored_bytes=None):
     """Run a test's body with a leading service and one engine with one slot."""
+    if body is None:
+        return functools.partial(with_leader, max_stored_bytes=max_stored_bytes)
 
     @functools.wraps(body)
     def test(self):
@@ -71,7 +73,7 @@
             self.dispatcher = TurnDispatcher(TurnScheduler())
             quotas = QuotaLedger(QuotaRules())
             self.service = TurnService(
-                self.group, machine, MessageRouter(), quotas, self.dispatcher
+                self.group, machine, MessageRouter(), quotas, self.dispatcher, max_stored_bytes
             )
             self.dispatcher.replace_backends([ENGINE])
             async with anyio.create_task_group() as tasks:
