Chains up to 15 MB are served, as far as frames of older builds allow

A chain of four turns of 3.3 MB was refused a fourth turn at a bound of 13 MB, which had been served before. The bounds follow from the frame of 16 MB that older builds accept: commands 15.9 MB, a chain with its newest output 15.5 MB, with its newest input 15 MB.

--- a/src/passlane/decisions/limits/turn_storage.py
+++ b/src/passlane/decisions/limits/turn_storage.py
@@ -13,10 +13,10 @@
 
 import msgspec
 
-MAX_CHAIN_BYTES = 14_000_000
+MAX_CHAIN_BYTES = 15_500_000
 """Contents of a chain of turns; below the largest frame (``transport.frames``) and the largest
 command (``replication.replica_host``) by what is sent beside them."""
-OUTPUT_ROOM_BYTES = 1_000_000
+OUTPUT_ROOM_BYTES = 500_000
 """Room for a turn's output, which is unknown when the turn is admitted."""
 MAX_INPUT_BYTES = MAX_CHAIN_BYTES - OUTPUT_ROOM_BYTES
 """A chain with the input of its newest turn."""
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -46,7 +46,7 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 MAX_REPAIR_PAUSE_S = 1.0
 """Maximum pause between detecting damage and starting the repair."""
-MAX_COMMAND_BYTES = 15_000_000
+MAX_COMMAND_BYTES = 15_900_000
 """Largest command; with what is sent beside an entry it fits a frame, also of older builds."""
 REPAIR_SEARCH_S = 10.0
 """Time for which a damaged replica searches for members that can repair it; a process learns the
