--- a/tests/turns/test_stored_turns.py
+++ b/tests/turns/test_stored_turns.py
@@ -71,10 +71,10 @@
             await self.settle_turn(f"t{number}", LARGE_BYTES, previous)
             previous = f"t{number}"
         self.assertEqual(
-            answer.too_large, TurnTooLarge(3 * LARGE_BYTES, LARGE_BYTES, MAX_INPUT_BYTES)
+            answer.too_large, TurnTooLarge(4 * LARGE_BYTES, LARGE_BYTES, MAX_INPUT_BYTES)
         )
         answer = await self.reserve("next", 100, previous)
-        self.assertEqual(len(answer.history), 3 * LARGE_BYTES)
+        self.assertEqual(len(answer.history), 4 * LARGE_BYTES)
         self.assertLess(len(encode_message(answer)), OLDER_FRAME_BYTES)
 
     @with_leader
