--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -8,7 +8,9 @@
 clock: the leader advances its age by ``AdvanceAge`` (``turns.state.age_clock``).
 """
 
+from bisect import bisect_left
 from collections.abc import Callable, Iterable, Iterator
+from itertools import accumulate
 from typing import Protocol
 
 import msgspec
@@ -144,6 +146,26 @@
 _part_decoder = msgspec.msgpack.Decoder(SnapshotPart)
 
 
+class _Expiries(msgspec.Struct, frozen=True):
+    """When stored turns expire, and how many bytes are freed by then; in the order of time."""
+
+    keep_until_s: tuple[float, ...]
+    freed_bytes: tuple[int, ...]
+
+    @classmethod
+    def of(cls, turns: Iterable[StoredTurn]) -> "_Expiries":
+        by_time = sorted(turns, key=lambda stored: stored.keep_until_s)
+        freed_bytes = accumulate(len(stored.turn.content) for stored in by_time)
+        return cls(tuple(stored.keep_until_s for stored in by_time), tuple(freed_bytes))
+
+    def freed_at_s(self, size_bytes: int, default_s: float) -> float:
+        """Return when ``size_bytes`` are free, or all; ``default_s`` without turns."""
+        if not self.keep_until_s:
+            return default_s
+        index = bisect_left(self.freed_bytes, size_bytes)
+        return self.keep_until_s[min(index, len(self.keep_until_s) - 1)]
+
+
 class StateSize(msgspec.Struct, frozen=True):
     """What the state holds: programs, turns, and the bytes of the turns' contents."""
 
@@ -182,6 +204,7 @@
         self._programs: dict[str, ProgramSpending] = {}
         self._turns: dict[str, StoredTurn] = {}
         self._turn_bytes = 0
+        self._expiries: _Expiries | None = None
         self._streams: dict[str, StoredStream] = {}
         self.engine_ends = EngineEndCounts()
         self.refused_changes = 0
@@ -208,15 +231,9 @@
         Turns that are extended meanwhile expire later. Without so many turns it is the time until
         the last one.
         """
-        by_time = sorted(self._turns.values(), key=lambda stored: stored.keep_until_s)
-        freed_bytes = 0
-        until_s = self.age_s
-        for stored in by_time:
-            until_s = stored.keep_until_s
-            freed_bytes += len(stored.turn.content)
-            if freed_bytes >= size_bytes:
-                break
-        return max(0.0, until_s - self.age_s)
+        if self._expiries is None:
+            self._expiries = _Expiries.of(self._turns.values())
+        return max(0.0, self._expiries.freed_at_s(size_bytes, self.age_s) - self.age_s)
 
     def on_refused(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` whenever the set of refused requests has grown or was replaced."""
@@ -375,6 +392,7 @@
         self.engine_ends.expire(self.age_s)
 
     def _count_turn_bytes(self) -> None:
+        self._expiries = None
         self._turn_bytes = sum(len(stored.turn.content) for stored in self._turns.values())
 
     def _note_age(self) -> None:
