The soak restarts store leaders in series and keeps large turns

It reads the stores' age against the clock and their largest memory against 320 MB; a lost turn was judged already. The defect age_advanced_by_each_leader is found by age-not-ahead.

--- a/src/passlane/soak/configuration.py
+++ b/src/passlane/soak/configuration.py
@@ -34,6 +34,8 @@
 SAFE_RUNS = 2
 """Back ends that one attempt of a repeatable call may be sent to."""
 
+RETENTION_S = 60.0
+"""Time for which turns of long programs are kept."""
 LIMIT_PER_S = 5.0
 LIMIT_BURST = 5.0
 WINDOW_S = 5.0
@@ -51,7 +53,9 @@
     """Return the document of a version."""
     routes = (
         _route(URGENT, RouteKind.STREAM, ENGINES, priority=0, target_latency_s=0.3),
-        _route(LONG, RouteKind.STREAM, ENGINES, priority=3, keeps_turns=True, retention_s=60.0),
+        _route(
+            LONG, RouteKind.STREAM, ENGINES, priority=3, keeps_turns=True, retention_s=RETENTION_S
+        ),
         _route(STREAM, RouteKind.STREAM, ENGINES, max_attempts=2, is_resumable=True),
         _route(LOOKUP, RouteKind.REPEATABLE, TOOLS, max_attempts=SAFE_RUNS),
         _route(CHARGE, RouteKind.AT_MOST_ONCE, TOOLS),
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -26,6 +26,7 @@
 
 
 UPGRADE = "upgrade"
+RESTART_LEADER = "restart_leader"
 NANOSECONDS_IN_MS = 1_000_000
 MOST_TIMES_KEPT = 1_000
 
@@ -268,13 +269,26 @@
 
     async def replace(self, machine: Machine, daemon: tuple[str, ...]) -> None:
         """Stop a process and start it anew as one of another build, as in an upgrade."""
-        while self._are_disturbed(self._machines.of_role(machine.role)):
-            await self._released.wait()
+        await self._wait_until_calm(machine)
         self.counts[f"{UPGRADE} {machine.role.value}"] += 1
         with self._noted(UPGRADE, machine.name), self._held([machine]):
             machine.daemon = daemon
             await self._stop(machine, 0.0)
 
+    async def restart_leader(self, machine: Machine) -> None:
+        """Stop a process as planned and start it again, as one of a series."""
+        await self._wait_until_calm(machine)
+        self.counts[f"{RESTART_LEADER} {machine.role.value}"] += 1
+        # A process that was stopped is started again also when the series is cancelled.
+        with anyio.CancelScope(shield=True):
+            with self._noted(RESTART_LEADER, machine.name), self._held([machine]):
+                await self._stop(machine, 0.0)
+
+    async def _wait_until_calm(self, machine: Machine) -> None:
+        """Wait until no process of the machine's role is disturbed."""
+        while self._are_disturbed(self._machines.of_role(machine.role)):
+            await self._released.wait()
+
     async def _break_answers(self, service: str) -> None:
         self.counts[f"{FaultKind.BREAK_ANSWERS.value} {service}"] += 1
         struck = [back_end for back_end in self._back_ends if back_end.service == service]
--- a/src/passlane/soak/machines.py
+++ b/src/passlane/soak/machines.py
@@ -25,6 +25,9 @@
 CALLERS_PORT = 8001
 READINESS_PORT = 8002
 OPERATORS_PORT = 8003
+METRICS_PORT = 8004
+STORE_MEMORY_MB = 320.0
+"""Memory of a storage machine of the smallest sites."""
 HOSTS_OF_ROLE = 60
 """Addresses set apart for the machines of one role."""
 GRACE_S = 4.0
@@ -172,6 +175,10 @@
         yield f'readiness = "{machine.address(READINESS_PORT)}"'
     if machine.role is FleetRole.CONTROL:
         yield f'operators = "{machine.address(OPERATORS_PORT)}"'
+    if machine.role is FleetRole.STORE:
+        yield f'metrics = "{machine.address(METRICS_PORT)}"'
+        yield "[machine]"
+        yield f"memory_mb = {STORE_MEMORY_MB}"
     yield "[backend_list]"
     yield f'address = "{list_address}"'
     yield f"rate_per_s = {LIST_RATE_PER_S}"
--- a/src/passlane/soak/profiles.py
+++ b/src/passlane/soak/profiles.py
@@ -50,6 +50,9 @@
         Whether engines of two software versions serve, and callers take up resumable streams.
     has_harmful
         Whether back ends end under some requests, which their callers send again and again.
+    has_kept_turns
+        Whether conversations pause and hold large turns while the leading store is restarted in
+        series.
     """
 
     name: str
@@ -61,6 +64,7 @@
     keeps_connections: bool = False
     has_versions: bool = False
     has_harmful: bool = False
+    has_kept_turns: bool = False
 
 
 USUAL = SoakProfile(name="usual", processes=SMALL_FLEET)
@@ -80,9 +84,17 @@
 ENDS = msgspec.structs.replace(VERSIONS, name="ends", fault_kinds=tuple(FaultKind))
 HARMFUL = msgspec.structs.replace(OVERLAPPING, name="harmful", has_harmful=True)
 HARMFUL_LARGE = msgspec.structs.replace(HARMFUL, name="harmful-large", processes=LARGE_FLEET)
+KEPT = msgspec.structs.replace(
+    OVERLAPPING,
+    name="kept",
+    fault_kinds=(FaultKind.PAUSE, FaultKind.KILL, FaultKind.KILL_ROLE, FaultKind.BREAK_ANSWERS),
+    shortest_gap_s=2.0,
+    longest_gap_s=6.0,
+    has_kept_turns=True,
+)
 PROFILES = {
     profile.name: profile
-    for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS, ENDS, HARMFUL, HARMFUL_LARGE)
+    for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS, ENDS, HARMFUL, HARMFUL_LARGE, KEPT)
 }
 
 
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -26,6 +26,7 @@
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind, FaultPace, Faults
 from passlane.soak.harmful import Disturbances, EndingBackEnds, HarmfulCallers
+from passlane.soak.kept_turns import KeptDialogues, StoreWatch
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import DAEMON, Machine, Machines, daemon_of, loopback_network
 from passlane.soak.profiles import USUAL, SoakProfile, profile_named
@@ -115,6 +116,8 @@
             self.machines, self._back_ends, self._proxies, self._listing, self._ledger, seed
         )
         self._streams = StreamCallers(self._callers, self._ledger, self._tallies, seed)
+        self._dialogues = KeptDialogues(self._callers, self._ledger, seed)
+        self._store_watch = StoreWatch(self.machines, self._faults, client, self._ledger, seed)
         self._harmful: HarmfulCallers | None = None
         self._calm: CalmChecks | None = None
         self._was_interrupted = False
@@ -219,14 +222,27 @@
             pace = self._pace()
             if pace.kinds:
                 tasks.start_soon(self._faults.run, ending, pace)
+            if self._settings.profile.has_kept_turns:
+                tasks.start_soon(self._disturb_stores, ending)
             async with anyio.create_task_group() as loads:
                 loads.start_soon(load.run, self._settings.load_s)
                 if self._settings.profile.has_versions:
                     loads.start_soon(self._streams.run, loads, self._settings.load_s)
                 if self._harmful is not None:
                     loads.start_soon(self._harmful.run, loads, self._settings.load_s)
+                if self._settings.profile.has_kept_turns:
+                    loads.start_soon(self._dialogues.run, loads, self._settings.load_s)
             ending.set()
 
+    async def _disturb_stores(self, ending: anyio.Event) -> None:
+        """Watch the stores and restart their leaders until the load has ended."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._store_watch.run)
+            tasks.start_soon(self._store_watch.restart_leaders)
+            await ending.wait()
+            tasks.cancel_scope.cancel()
+        self._store_watch.check_progress()
+
     def _pace(self) -> FaultPace:
         profile, kinds = self._settings.profile, self._settings.fault_kinds
         return FaultPace(
--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -130,6 +130,19 @@
     EngineEndWatch.observe_silent = lambda self, request_key, backend: None
 
 
+def age_advanced_by_each_leader():
+    """Let each leader begin a step ahead of the age, whoever has advanced it before."""
+    from passlane.turns.state.age_clock import AgeClock
+
+    begin_term = AgeClock._begin_term
+
+    def begin_ahead(self, term, now):
+        begin_term(self, term, now)
+        self._term_age_s += 5.0
+
+    AgeClock._begin_term = begin_ahead
+
+
 DEFECTS = {
     defect.__name__: defect
     for defect in (
@@ -142,6 +155,7 @@
         any_version_taken_for_the_same,
         end_taken_for_completeness,
         ends_not_counted,
+        age_advanced_by_each_leader,
     )
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind
 from passlane.soak.machines import daemon_of
-from passlane.soak.profiles import ENDS, HARMFUL, OVERLAPPING, VERSIONS, profile_named
+from passlane.soak.profiles import ENDS, HARMFUL, KEPT, OVERLAPPING, VERSIONS, profile_named
 from passlane.soak.report import Finding, SoakReport
 from passlane.soak.run import SoakSettings, run_soak
 from soak.defective_daemon import DEFECT_VARIABLE
@@ -28,6 +28,8 @@
 VERSIONS_SEED = 3
 ENDS_SEED = 4
 HARMFUL_SEED = 5
+KEPT_SEED = 6
+KEPT_LOAD_S = 14.0
 LOAD_S = 10.0
 DEFECT_LOAD_S = 8.0
 DEFECTIVE_DAEMON = (sys.executable, str(Path(__file__).with_name("defective_daemon.py")))
@@ -113,6 +115,18 @@
         self.assertEqual(others, [])
 
 
+class KeptSoakTest(unittest.TestCase):
+    """Conversations that pause and hold large turns, while leaders are restarted in series."""
+
+    def test_kept_turns_outlive_leaders_that_are_restarted_in_series(self):
+        report = soak(seed=KEPT_SEED, load_s=KEPT_LOAD_S, profile=KEPT)
+        self.assertEqual(report.findings, ())
+        self.assertTrue(report.has_passed)
+        self.assertIn("restart_leader store", report.faults)
+        for check in ("age-not-ahead", "age-goes-on", "memory-of-stores", "history"):
+            self.assertGreater(report.checks[check], 0, check)
+
+
 class EvidenceTest(unittest.TestCase):
     def test_a_finding_keeps_its_times_and_logs(self):
         finding = Finding("check", "r", "detail", 1.0)
@@ -205,6 +219,10 @@
         report = soak_with("ends_not_counted", profile=HARMFUL, fault_kinds=())
         self.expect("ended-engines", report)
 
+    def test_an_age_that_each_leader_advances(self):
+        report = soak_with("age_advanced_by_each_leader", profile=KEPT, fault_kinds=())
+        self.expect("age-not-ahead", report)
+
     def test_a_budget_that_nobody_counts(self):
         self.expect("budget", soak_with("budget_not_counted", fault_kinds=()))
 
