Bounds of a store's memory follow the machine's; the age waits for a leader's own entry

Storage machines of the deployments have 98 to 320 MB.

By reading: a leader that had not applied an entry of its own term could propose an age from what it had applied before. It answers that it does not lead yet.

--- a/src/passlane/daemon/fleet/store.py
+++ b/src/passlane/daemon/fleet/store.py
@@ -14,7 +14,7 @@
 from passlane.daemon.fleet.context import FleetContext
 from passlane.daemon.shared.replicas import STORE_FOLDER, initial_members, transfer_leadership
 from passlane.decisions.limits.quota_ledger import QuotaLedger, QuotaRules
-from passlane.decisions.limits.turn_storage import max_stored_bytes
+from passlane.decisions.limits.turn_storage import large_log_bytes, max_stored_bytes
 from passlane.decisions.scheduling.turn_scheduler import TurnScheduler
 from passlane.fleet.client import FleetClient
 from passlane.messages.common import NotLeaderError
@@ -24,7 +24,7 @@
 from passlane.replication.replica_host import ReplicaHost
 from passlane.replication.replica_metrics import expose_replica
 from passlane.settings.fleet import FleetSettings
-from passlane.settings.model import GroupSettings, PeerSettings
+from passlane.settings.model import LARGE_LOG_BYTES, GroupSettings, PeerSettings
 from passlane.storage.identity import IdentityFile, process_name_from_replica_id
 from passlane.turns.dispatch import TurnDispatcher
 from passlane.turns.service import TurnService
@@ -142,6 +142,9 @@
                 election_timeout_s=ELECTION_TIMEOUT_S,
                 first_election_share=FIRST_ELECTION_SHARE,
                 places=context.settings.fault_tolerance.voters,
+                large_log_bytes=large_log_bytes(
+                    context.settings.machine.memory_mb, LARGE_LOG_BYTES
+                ),
             ),
             machine,
             context.environment,
--- a/src/passlane/decisions/limits/turn_storage.py
+++ b/src/passlane/decisions/limits/turn_storage.py
@@ -23,11 +23,13 @@
 
 TURN_OVERHEAD_BYTES = 1_000
 """About the memory of a stored turn and its program beside its content."""
-MEMORY_OF_PROCESS_MB = 64.0
+MEMORY_OF_PROCESS_MB = 56.0
 """Memory of a store process that stores nothing."""
-STORED_SHARE = 0.4
+STORED_SHARE = 0.5
 """Share of the remaining memory for stored turns; the log in memory, messages and snapshots need
 the rest."""
+LOG_SHARE = 0.1
+"""Share of it for the log before and after a snapshot, each."""
 BYTES_PER_MEGABYTE = 1_000_000
 PENDING_TIMEOUT_S = 60.0
 """Time after which an admitted turn that was never settled is not expected any more."""
@@ -35,10 +37,19 @@
 
 def max_stored_bytes(memory_mb: float | None) -> int | None:
     """Return the bytes of turns that a machine of this memory can store; ``None`` if unknown."""
+    return int(_spare_bytes(memory_mb) * STORED_SHARE) if memory_mb is not None else None
+
+
+def large_log_bytes(memory_mb: float | None, default_bytes: int) -> int:
+    """Return the bytes from which a log is large on a machine of this memory."""
     if memory_mb is None:
-        return None
-    spare_mb = max(0.0, memory_mb - MEMORY_OF_PROCESS_MB)
-    return int(spare_mb * STORED_SHARE * BYTES_PER_MEGABYTE)
+        return default_bytes
+    return min(default_bytes, int(_spare_bytes(memory_mb) * LOG_SHARE))
+
+
+def _spare_bytes(memory_mb: float) -> float:
+    """Return the memory beyond that of a process that stores nothing."""
+    return max(0.0, memory_mb - MEMORY_OF_PROCESS_MB) * BYTES_PER_MEGABYTE
 
 
 def fits_chain(history_bytes: int, input_bytes: int) -> bool:
--- a/src/passlane/replication/replica_host.py
+++ b/src/passlane/replication/replica_host.py
@@ -350,7 +350,9 @@
         snapshot = files.snapshot
         parts = snapshot.parts() if snapshot is not None else self._empty_state
         await restore_state(self._state_machine, parts)
-        policy = SnapshotPolicy(self._settings.snapshot_every_entries)
+        policy = SnapshotPolicy(
+            self._settings.snapshot_every_entries, large_log_bytes=self._settings.large_log_bytes
+        )
         policy.record_snapshot_size(files.snapshot_bytes)
         return ReplicaDriver(
             replica=build_replica(
@@ -377,6 +379,7 @@
             first_election_share=self._settings.first_election_share,
             places=self._settings.places,
             max_batch_bytes=self._settings.max_batch_bytes,
+            trailing_bytes=self._settings.large_log_bytes,
         )
 
     async def _finish_joining(self, identity: Identity) -> None:
--- a/src/passlane/replication/snapshot_policy.py
+++ b/src/passlane/replication/snapshot_policy.py
@@ -1,13 +1,12 @@
 """Decides when to take a snapshot."""
 
+from passlane.settings.model import LARGE_LOG_BYTES
+
 MAX_LOG_BYTES = 1_000_000_000
 """Log growth that is sufficient for a snapshot of any size. The log is kept in memory and read
 at a restart."""
-LARGE_LOG_BYTES = 16_000_000
-"""Log growth from which a snapshot is due whatever the number of entries, unless the last snapshot
-is far larger."""
 LARGE_LOG_SHARE = 0.5
-"""The same as a share of the last snapshot."""
+"""Log growth, as a share of the last snapshot, from which a large log makes the next one due."""
 
 
 class SnapshotPolicy:
@@ -17,15 +16,21 @@
 
     1. ``every_entries`` entries were applied since the last snapshot, and the log has grown by the
        size of that snapshot, or by ``max_log_bytes`` if that is less.
-    2. The log has grown by ``LARGE_LOG_BYTES`` and by ``LARGE_LOG_SHARE`` of the last snapshot, or
+    2. The log has grown by ``large_log_bytes`` and by ``LARGE_LOG_SHARE`` of the last snapshot, or
        by ``max_log_bytes`` if that is less.
 
     Snapshots thus write at most twice the bytes of the log, beyond the first ones of a small
-    state, and the log in memory is at most half of the state beyond ``LARGE_LOG_BYTES``.
+    state, and the log in memory is at most half of the state beyond ``large_log_bytes``.
     """
 
-    def __init__(self, every_entries: int, max_log_bytes: int = MAX_LOG_BYTES) -> None:
+    def __init__(
+        self,
+        every_entries: int,
+        max_log_bytes: int = MAX_LOG_BYTES,
+        large_log_bytes: int = LARGE_LOG_BYTES,
+    ) -> None:
         self._every_entries = every_entries
+        self._large_bytes = large_log_bytes
         self._max_log_bytes = max_log_bytes
         self._entries = 0
         self._bytes = 0
@@ -56,4 +61,4 @@
     def _large_log_bytes(self) -> float:
         """Log growth from which a snapshot is due whatever the number of entries."""
         share_bytes = LARGE_LOG_SHARE * self._snapshot_bytes
-        return min(max(LARGE_LOG_BYTES, share_bytes), self._max_log_bytes)
+        return min(max(self._large_bytes, share_bytes), self._max_log_bytes)
--- a/src/passlane/settings/model.py
+++ b/src/passlane/settings/model.py
@@ -55,6 +55,9 @@
     internal: Address
 
 
+LARGE_LOG_BYTES = 16_000_000
+
+
 class GroupSettings(_Section, frozen=True):
     """Timing and initial members of a replicated group.
 
@@ -69,6 +72,9 @@
     places
         Number of voters that a group maintains; without it, each replica that requests to vote
         becomes a voter.
+    large_log_bytes
+        Growth of the log from which a snapshot is due whatever the number of entries, and bytes
+        of the log that stay in memory behind a snapshot.
     """
 
     members: tuple[PeerSettings, ...] = ()
@@ -79,6 +85,7 @@
     snapshot_every_entries: int = 5_000
     max_batch_bytes: int = 1_000_000
     segment_bytes: int = 8_000_000
+    large_log_bytes: int = LARGE_LOG_BYTES
 
 
 class ControlSettings(_Section, frozen=True):
--- a/src/passlane/turns/age_updates.py
+++ b/src/passlane/turns/age_updates.py
@@ -55,8 +55,12 @@
         Raises
         ------
         PasslaneError
-            As from ``ReplicatedGroup.propose``, with verdict ``not_run`` for the caller's command.
+            As from ``ReplicatedGroup.propose``, with verdict ``not_run`` for the caller's command;
+            ``NOT_LEADER`` also while a new leader has not applied an entry of its own term.
         """
+        if not self._group.is_leader:
+            # Entries of earlier terms may not be applied yet, so the age is not known.
+            raise NotLeaderError("not the leader of the store group", self._group.leader_address)
         overdue_s = self._clock.overdue_s(self._group.term, anyio.current_time())
         if overdue_s <= MAX_AGE_LAG_S:
             return
