A store stores that it may found its group before it tells so

Cause: a store was chosen as a founder by its heartbeats before its identity was on disk, and one that is started again may not found.

--- a/src/passlane/daemon/fleet/store.py
+++ b/src/passlane/daemon/fleet/store.py
@@ -77,8 +77,11 @@
         disk = context.environment.disk
         identity_file = IdentityFile(disk, STORE_FOLDER, TURN_GROUP, context.replica_name)
         identity = identity_file.load()
+        if identity is None and context.settings.process.is_first_start:
+            # Stored before any heartbeat says so: only the first start of a process may tell.
+            identity = await identity_file.create(context.environment.random, may_found=True)
         is_member = identity is not None and identity.is_member
-        self._may_found = not is_member and context.settings.process.is_first_start
+        self._may_found = identity is not None and identity.may_found and not is_member
         initial = () if is_member else await self._wait_for_initial_members()
         quotas = QuotaLedger(self._quota_rules())
         machine = TurnStateMachine(
--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -395,8 +395,13 @@
 
 
 @asynccontextmanager
-async def running_fleet(seed, controls=3, stores=3, nodes=2, tolerated_losses=1, engines=3):
-    """Run a fleet with a configuration; it tolerates the loss of ``tolerated_losses`` machines."""
+async def running_fleet(
+    seed, controls=3, stores=3, nodes=2, tolerated_losses=1, engines=3, during_start=None
+):
+    """Run a fleet with a configuration; it tolerates the loss of ``tolerated_losses`` machines.
+
+    ``during_start`` is an async function of the fleet that runs while it starts.
+    """
     async with anyio.create_task_group() as tasks:
         fleet = Fleet(tasks, seed, tolerated_losses, engines)
         for role, count in (
@@ -409,6 +414,8 @@
         await fleet.serve_platform()
         for name in fleet.machines:
             fleet.start(name)
+        if during_start is not None:
+            tasks.start_soon(during_start, fleet)
         await fleet.put_configuration(1)
         for number in range(1, nodes + 1):
             await fleet.wait_until_ready(f"node-{number}")
--- a/tests/on_platform/test_fleet.py
+++ b/tests/on_platform/test_fleet.py
@@ -116,6 +116,37 @@
         self.assertEqual((answer.status, answer.body), (200, newest))
 
 
+class FirstStartTest(unittest.TestCase):
+    """Guards against a system that never serves because a store was killed as it first started.
+
+    The store had been chosen as a founder before it had stored that it may be one.
+    """
+
+    DOWN_S = 1.0
+
+    def serve_after_kill(self, name, killed_after_s):
+        async def kill_once(fleet):
+            await anyio.sleep(killed_after_s)
+            fleet.kill(name, power=False)
+            await anyio.sleep(self.DOWN_S)
+            fleet.start(name)
+
+        async def main():
+            async with running_fleet(0, during_start=kill_once) as fleet:
+                await anyio.sleep(killed_after_s + self.DOWN_S)
+                with anyio.move_on_after(30.0):
+                    return (await fleet.retry_turn("one")) is not None
+                return False
+
+        return run_on_virtual_clock(main)
+
+    def test_a_store_killed_during_the_first_start_is_a_founder_still(self):
+        for killed_after_s in (0.2, 0.5, 0.9, 1.2, 1.5, 1.8, 2.1, 2.6):
+            for name in ("store-1", "store-2"):
+                with self.subTest(name=name, killed_after_s=killed_after_s):
+                    self.assertTrue(self.serve_after_kill(name, killed_after_s))
+
+
 class PlacedTurnsTest(unittest.TestCase):
     @on_seeds()
     async def test_turns_of_all_nodes_share_the_slots_of_the_engines(self, fleet):
