--- a/src/passlane/simulation/callers.py
+++ b/src/passlane/simulation/callers.py
@@ -30,7 +30,8 @@
 class CallScript:
     """One call of a scripted program; ``pause_s`` goes before it.
 
-    Engines end under one that is ``is_harmful`` (``HARMFUL_TEXT``).
+    Engines end under one that is ``is_harmful`` (``HARMFUL_TEXT``). A model call's question has
+    ``padding_bytes`` more than usual.
 
     A call that is not ``is_named`` carries neither sequence number nor idempotency key. It
     is sent once, since a repeat of it would be another call.
@@ -42,6 +43,7 @@
     max_tokens: int = 64
     pause_s: float = 0.2
     is_harmful: bool = False
+    padding_bytes: int = 0
 
 
 @dataclass(frozen=True)
@@ -214,7 +216,8 @@
         else:
             path = "/v1/chat/completions"
             question = HARMFUL_TEXT if script.is_harmful else "what comes next?"
-            message = {"role": "user", "content": f"{call.marker} {question}"}
+            padding = "." * script.padding_bytes
+            message = {"role": "user", "content": f"{call.marker} {question}{padding}"}
             body = {
                 "model": call.target,
                 "messages": [message],
--- a/src/passlane/simulation/fleet_plan.py
+++ b/src/passlane/simulation/fleet_plan.py
@@ -168,6 +168,7 @@
         snapshot_every_entries=group.snapshot_every_entries,
         max_batch_bytes=group.max_batch_bytes,
         segment_bytes=group.segment_bytes,
+        large_log_bytes=group.large_log_bytes,
     )
 
 
--- a/src/passlane/simulation/scenarios/base.py
+++ b/src/passlane/simulation/scenarios/base.py
@@ -59,7 +59,9 @@
         return CONFIGURATION_QUIET_S if "configuration" in self.promises else QUIET_S
 
 
-def load_script(cluster: Cluster, number: int, calls: int = LOAD_CALLS) -> ProgramScript:
+def load_script(
+    cluster: Cluster, number: int, calls: int = LOAD_CALLS, padding_bytes: int = 0
+) -> ProgramScript:
     """Return a program of model calls with a charge now and then, drawn by the seed."""
     source = cluster.random
     scripts = [
@@ -68,6 +70,7 @@
             is_streamed=source.random() < 0.5,
             max_tokens=source.choice((8, 32, 64)),
             pause_s=source.uniform(0.0, 1.0),
+            padding_bytes=padding_bytes,
         )
         for place in range(calls)
     ]
@@ -77,12 +80,15 @@
 
 @asynccontextmanager
 async def load(
-    cluster: Cluster, programs: int = LOAD_PROGRAMS, calls: int = LOAD_CALLS
+    cluster: Cluster,
+    programs: int = LOAD_PROGRAMS,
+    calls: int = LOAD_CALLS,
+    padding_bytes: int = 0,
 ) -> AsyncIterator[None]:
     """Run programs in the background; wait for all of them on leaving."""
     async with anyio.create_task_group() as tasks:
         for number in range(programs):
-            script = load_script(cluster, number, calls)
+            script = load_script(cluster, number, calls, padding_bytes)
             delay_s = cluster.random.uniform(0.0, SPREAD_S)
             tasks.start_soon(_run_later, cluster, f"load-{number}", script, delay_s)
         yield
--- a/src/passlane/simulation/scenarios/groups.py
+++ b/src/passlane/simulation/scenarios/groups.py
@@ -60,6 +60,18 @@
             await cluster.wait_ready([leader])
 
 
+async def store_leaders_restarted_in_series(cluster: Cluster) -> None:
+    """Kill whoever leads the stores every second or so, while calls have large bodies."""
+    async with load(cluster, calls=5, padding_bytes=PADDING_BYTES):
+        for _ in range(8):
+            await pause(cluster, 0.3, 1.5)
+            leader = await wait_for_leader(cluster, "store")
+            cluster.processes[leader].kill(power_lost=cluster.random.random() < 0.5)
+            await pause(cluster, 0.2, 1.0)
+            cluster.start_process(leader)
+            await cluster.wait_ready([leader])
+
+
 async def second_machine_lost_after_repair(cluster: Cluster) -> None:
     """Wipe one replica, and lose a second machine right after the first came back."""
     first, second, _ = cluster.random.sample(cluster.plan.store_names(), 3)
@@ -177,6 +189,11 @@
         cluster.event_log.record("disk", "space again")
 
 
+PADDING_BYTES = 20_000
+LOG_OF_FEW_BODIES = msgspec.structs.replace(
+    GROUP, large_log_bytes=3 * PADDING_BYTES, segment_bytes=2 * PADDING_BYTES
+)
+"""Snapshots are due by bytes, long before the number of entries."""
 SNAPSHOTS_OFTEN = msgspec.structs.replace(GROUP, snapshot_every_entries=10)
 
 GROUP_SCENARIOS = (
@@ -194,6 +211,14 @@
         store_leader_killed,
         may_leave_doubt=True,
     ),
+    Scenario(
+        "store-leaders-in-series",
+        ("history", "order", "at-most-once"),
+        "store leaders die every second or so while calls have large bodies",
+        store_leaders_restarted_in_series,
+        plan=FleetPlan(group=LOG_OF_FEW_BODIES),
+        may_leave_doubt=True,
+    ),
     Scenario(
         "second-machine-lost-after-repair",
         ("history", "configuration"),
