--- a/tests/on_platform/fleet.py
+++ b/tests/on_platform/fleet.py
@@ -244,9 +244,13 @@
         budget=10_000,
         path="/turns/x",
         body=None,
+        timeout_s=6.0,
         **headers,
     ):
-        """Send one turn of a program to a node; its id is in its body if that is not given."""
+        """Send one turn of a program to a node; its id is in its body if that is not given.
+
+        Its caller leaves after ``timeout_s``.
+        """
         address = Address(self.machines[node].host, CALLERS_PORT)
         all_headers = {
             "x-passlane-attempt-id": request_id,
@@ -269,10 +273,12 @@
             True,
             "one.example",
         )
-        return await self._exchange(request, 6.0)
+        return await self._exchange(request, timeout_s)
 
-    async def tool_call(self, request_id, *, node="node-1", path="/calls/x", body=b"", **headers):
-        """Send one tool call to a node."""
+    async def tool_call(
+        self, request_id, *, node="node-1", path="/calls/x", body=b"", timeout_s=6.0, **headers
+    ):
+        """Send one tool call to a node; its caller leaves after ``timeout_s``."""
         address = Address(self.machines[node].host, CALLERS_PORT)
         all_headers = {
             "x-passlane-attempt-id": request_id,
@@ -280,7 +286,7 @@
             "x-passlane-deadline-ms": "3000",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         request = HttpRequest("POST", address, path, all_headers, body, True, "one.example")
-        return await self._exchange(request, 6.0)
+        return await self._exchange(request, timeout_s)
 
     async def retry_turn(self, request_id, **options):
         """Retry a turn with another id each time until it completes; return that id."""
@@ -318,21 +324,57 @@
         for engine in self.engines:
             engine.on_run = on_run
 
-    async def replace_engine(self, engine, end_after_s, restart_s):
-        """End an engine, and start one with another id at its address."""
+    async def replace_engine(
+        self, engine, end_after_s, restart_s, *, turns_silent=False, keeps_id=False
+    ):
+        """End an engine, and start one at its address; it has another id unless told."""
         await anyio.sleep(end_after_s)
         if engine not in self.engines or engine in self.ended_engines:
             return
         self.ended_engines.append(engine)
-        self.lose_engine(engine)
+        if turns_silent:
+            self.network.isolate(engine.address.host)
+        else:
+            self.lose_engine(engine)
         await anyio.sleep(restart_s)
+        if turns_silent:
+            self.lose_engine(engine)
+            self.network.reconnect(engine.address.host)
         self.started_engines += 1
         instance_id = f"{engine.instance_id.partition('.')[0]}.{self.started_engines}"
+        if keeps_id:
+            instance_id = engine.instance_id
         started = StandInEngine(instance_id, engine.address, engine.service)
         started.on_run = engine.on_run
+        started.harm = engine.harm
+        started.event_delay_s = engine.event_delay_s
+        if engine.born_ms is not None:
+            started.born_ms = engine.born_ms + 1
         self.engines[self.engines.index(engine)] = started
         self._serve(engine.address, started)
 
+    def harm_engines(self, harm):
+        """Have each engine suffer what ``harm`` says when it begins to run its body."""
+
+        def on_run(engine, run_body):
+            if harm.is_in(run_body) and engine not in self.ended_engines:
+                self.tasks.start_soon(self._harm_engine, engine, harm)
+
+        for number, engine in enumerate(self.engines):
+            engine.on_run = on_run
+            engine.harm = harm
+            if harm.keeps_id:
+                engine.born_ms = 1_000_000 * (number + 1)
+
+    async def _harm_engine(self, engine, harm):
+        await self.replace_engine(
+            engine,
+            harm.end_after_s,
+            harm.restart_s,
+            turns_silent=harm.turns_silent,
+            keeps_id=harm.keeps_id,
+        )
+
     def runs_of(self, body):
         """Return the engines, present and ended, that ran a request with this body, in order."""
         present = [engine for engine in self.engines if engine not in self.ended_engines]
@@ -345,6 +387,15 @@
         ]
         return [instance_id for _, instance_id in sorted(runs)]
 
+    def engines_under(self, body):
+        """Return the ids of the engines, present and ended, that ran this body, one a process."""
+        engines = {id(engine): engine for engine in [*self.engines, *self.ended_engines]}
+        return [
+            engine.instance_id
+            for engine in engines.values()
+            if any(run_body.endswith(body) for _, run_body in engine.runs)
+        ]
+
     def executed_body(self, request_id):
         """Return the body that an engine received for a request; ``None`` if no engine ran it."""
         for engine in self.engines:
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -8,6 +8,7 @@
 from passlane.emulator.http_server import ENDS_WITH_CONNECTION
 
 EVENTS = 3
+HEALTH_PATH = "/healthz"
 
 
 class StandInEngine:
@@ -26,6 +27,10 @@
         event.
     on_run
         Called with this engine and the body when it begins to run a request; ``None`` for nothing.
+    born_ms
+        Unix time of its start, as the list names it; ``None`` if the platform tells none.
+    harm
+        What a harmful request does to it (``on_platform.harmful_requests``); ``None`` for nothing.
     """
 
     def __init__(self, instance_id, address, service):
@@ -41,11 +46,18 @@
         self.breaks_after = None
         self.lacks_length = False
         self.on_run = None
+        self.born_ms = None
+        self.harm = None
+        self.checks = 0
 
     async def __call__(self, scope, receive, send):
         request = await read_request(scope, receive, 10_000_000)
         headers = request.headers
         own_id = [(b"x-passlane-instance-id", self.instance_id.encode())]
+        if request.path == HEALTH_PATH:
+            self.checks += 1
+            await self._answer(send, 200, own_id, b"")
+            return
         request_id = headers.get("x-passlane-attempt-id", "")
         if headers.get("x-passlane-target-instance") != self.instance_id:
             echo = [(b"x-passlane-attempt-id", request_id.encode())] if request_id else []
@@ -61,6 +73,13 @@
             (b"x-passlane-response-signature", b"signed"),
             (b"content-type", b"text/event-stream"),
         ]
+        harm = self.harm if self.harm is not None and self.harm.is_in(request.body) else None
+        if harm is not None and harm.breaks_off:
+            await send({"type": "http.response.start", "status": 200, "headers": answer_headers})
+            return  # Without an end, the server closes the connection.
+        if harm is not None and harm.answer_status is not None:
+            await self._answer(send, harm.answer_status, answer_headers, b"failed")
+            return
         start = {"type": "http.response.start", "status": 200, "headers": answer_headers}
         await send(start | {ENDS_WITH_CONNECTION: self.lacks_length})
         first = int(headers.get("last-event-id", "0")) + 1
@@ -110,6 +129,7 @@
                     "state": engine.state,
                     "cold_left_ms": 0,
                 }
+                | ({} if engine.born_ms is None else {"born": engine.born_ms})
                 for engine in page
             ],
             "next_token": str(end) if end < len(self.engines) else None,
@@ -170,7 +190,7 @@
     services = [
         {
             "name": "models",
-            "health_path": "/healthz",
+            "health_path": HEALTH_PATH,
             "max_conns": 10,
             "engine": {"slots": 4, "chunk_tokens": 9},
         }
