Bytes without end in a head or a body end as one broken attempt

Callers would have waited for, or been sent, what an engine sends without end: 7 of 14 ways had no bound.

Cause: only the deadline ended them; the HTTP client counted nothing.

An event has at most 1,000,000 bytes, and each byte of it is searched once. A call that states too great a length is not begun. Each ends as a broken attempt: its connection is closed, and the attempt counts as others do.

--- a/src/passlane/event_streams/whole_events.py
+++ b/src/passlane/event_streams/whole_events.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+MAX_EVENT_BYTES = 1_000_000
+"""Most bytes of an event; more without its end mean that the server is faulty."""
 EVENT_STREAM_TYPE = "text/event-stream"
 """Media type of event streams."""
 
@@ -20,6 +22,14 @@
 line; if an LF follows, it precedes the next event."""
 
 
+_MAX_PARTIAL_END_BYTES = 3
+"""Most bytes at the end of what was received that may begin the end of an event."""
+
+
+class EventTooLongError(Exception):
+    """The bytes behind the last complete event exceed ``MAX_EVENT_BYTES``."""
+
+
 class StreamEvent(msgspec.Struct, frozen=True):
     """One complete event: its raw bytes, its id and its data."""
 
@@ -51,16 +61,30 @@
         )
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Append bytes and return the events that are now complete."""
+        """Append bytes and return the events that are now complete.
+
+        Raises
+        ------
+        EventTooLongError
+            When the rest exceeds ``MAX_EVENT_BYTES``; the complete events before it are lost.
+        """
         received = self._pending + data
         events: list[StreamEvent] = []
         start = 0
-        for match in _EVENT_END.finditer(received):
-            raw = received[start : match.end()]
-            if raw.strip(_LINE_ENDS):
-                events.append(_parse(raw))
+        # Empty lines before an event belong to it; they are looked at once.
+        empty_until = 0
+        searched_bytes = max(0, len(self._pending) - _MAX_PARTIAL_END_BYTES)
+        for match in _EVENT_END.finditer(received, searched_bytes):
+            has_content = received[empty_until : match.start()].strip(_LINE_ENDS)
+            empty_until = match.end()
+            if has_content:
+                events.append(_parse(received[start : match.end()]))
                 start = match.end()
         self._pending = received[start:]
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise EventTooLongError(
+                f"an event has {len(self._pending)} bytes, expected at most {MAX_EVENT_BYTES}"
+            )
         return events
 
 
--- a/src/passlane/relay/delivery.py
+++ b/src/passlane/relay/delivery.py
@@ -12,11 +12,16 @@
 from passlane.decisions.backends.health import AttemptWatch
 from passlane.decisions.failure.answer_verdicts import FIRST_SERVER_ERROR
 from passlane.decisions.inputs.answer_head import AnswerHead, BodyFraming
-from passlane.event_streams.whole_events import EVENT_STREAM_TYPE, EventSplitter
+from passlane.event_streams.whole_events import (
+    EVENT_STREAM_TYPE,
+    EventSplitter,
+    EventTooLongError,
+    StreamEvent,
+)
 from passlane.relay.backends import AnswerWriter, BackendAnswer
 from passlane.relay.end_reasons import BreakReason, RequestEnd, RequestEndReason
 from passlane.relay.request_errors import AnswerAbortedError
-from passlane.runtime.interfaces import HttpConnectionError
+from passlane.runtime.interfaces import MAX_ANSWER_BYTES, HttpConnectionError
 
 MAX_BUFFERED_BYTES = 256_000
 """Bytes; longer bodies are forwarded as they arrive."""
@@ -37,6 +42,7 @@
 
         An answer that exceeds ``MAX_BUFFERED_BYTES`` is forwarded as it arrives.
         """
+        _check_length(answer)
         body = bytearray()
         splitter = EventSplitter() if answer.head.media_type == EVENT_STREAM_TYPE else None
         async with aclosing(answer.chunks()) as chunks:
@@ -44,7 +50,7 @@
                 watch.progressed(anyio.current_time())
                 body += chunk
                 if splitter is not None:
-                    splitter.feed(chunk)
+                    _feed(splitter, chunk)
                 await self._forward_if_long(answer, body)
         if splitter is not None:
             _check_end(splitter)
@@ -155,7 +161,7 @@
             raise HttpConnectionError(BreakReason.NO_EVENT.value, bytes_left=True)
 
     async def _forward(self, splitter: EventSplitter, chunk: bytes) -> None:
-        events = splitter.feed(chunk)
+        events = _feed(splitter, chunk)
         if not events:
             return
         self.events += len(events)
@@ -179,6 +185,24 @@
     return head.media_type in ("", EVENT_STREAM_TYPE)
 
 
+def _check_length(answer: BackendAnswer) -> None:
+    """Raise ``HttpConnectionError`` if an answer states a length above the bound."""
+    length = answer.head.length
+    if length is not None and length > MAX_ANSWER_BYTES:
+        raise HttpConnectionError(BreakReason.ANSWER_TOO_LONG.value, bytes_left=True)
+
+
+def _feed(splitter: EventSplitter, chunk: bytes) -> list[StreamEvent]:
+    """Return the events that are now complete.
+
+    Raises ``HttpConnectionError`` if an event has too many bytes.
+    """
+    try:
+        return splitter.feed(chunk)
+    except EventTooLongError as error:
+        raise HttpConnectionError(BreakReason.EVENT_TOO_LONG.value, bytes_left=True) from error
+
+
 def _check_end(splitter: EventSplitter) -> None:
     """Raise ``HttpConnectionError`` if a stream ended inside an event, however it is framed."""
     if splitter.is_inside_event:
--- a/src/passlane/relay/end_reasons.py
+++ b/src/passlane/relay/end_reasons.py
@@ -234,6 +234,11 @@
     NO_EVENT = "the answer ended without an event"
     """A stream with neither a length nor chunks ended before its first event
     (``relay.delivery``)."""
+    ANSWER_TOO_LONG = "the answer is too long"
+    """The answer states a length above ``MAX_ANSWER_BYTES``. One that states none breaks off once
+    it has more bytes, with the text of the HTTP client (``relay.delivery``)."""
+    EVENT_TOO_LONG = "an event is too long"
+    """An event of a stream has more than ``MAX_EVENT_BYTES`` (``event_streams.whole_events``)."""
     STREAM_DID_NOT_GO_ON = "the stream did not go on"
     """The second engine of a resumed stream sent a different status, or a body without events
     (``relay.delivery``)."""
--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -47,6 +47,8 @@
 """Errors that connections normally raise; others are logged."""
 INVALID_REQUEST_ERRORS = (httpcore.LocalProtocolError, ValueError)
 """Errors raised for a request that cannot be encoded as HTTP."""
+MAX_HEAD_BYTES = 131_072
+"""Most bytes before the body of an answer, with all interim answers."""
 SEND_CHUNK_BYTES = 65_536
 """Requests are sent in chunks of this size, so that the transport buffers only one chunk
 of a large request."""
@@ -72,22 +74,37 @@
         self.has_sent = False
         self._stream = stream
         self._unsent: list[bytes] = []
+        self._received_bytes = 0
+        self._max_bytes = MAX_HEAD_BYTES
 
     def begin_request(self) -> None:
         """Discard the state of the previous request."""
         self.has_sent = False
         self._unsent.clear()
+        self._received_bytes = 0
+        self._max_bytes = MAX_HEAD_BYTES
+
+    def begin_body(self, max_bytes: int) -> None:
+        """Bound the bytes of the whole answer, whose head was received."""
+        self._max_bytes = max_bytes
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         try:
             with _time_limit(timeout):
                 await self._send_unsent()
-                return await self._stream.receive(max_bytes)
+                data = await self._stream.receive(max_bytes)
         except anyio.EndOfStream:
             # httpcore expects empty bytes at the end of a stream.
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise httpcore.ReadError(str(error)) from error
+        self._received_bytes += len(data)
+        if self._received_bytes > self._max_bytes:
+            raise httpcore.ReadError(
+                f"{self._received_bytes} bytes received of an answer, expected at most"
+                f" {self._max_bytes}"
+            )
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         if buffer:
@@ -213,7 +230,9 @@
         self.answer_key = request.answer_key
         self._stream.begin_request()
         try:
-            return await self.http.handle_async_request(_to_httpcore(request))
+            response = await self.http.handle_async_request(_to_httpcore(request))
+            self._stream.begin_body(request.max_answer_bytes)
+            return response
         except Exception as error:
             _log_unexpected(error, self._address)
             is_invalid_request = isinstance(error, INVALID_REQUEST_ERRORS)
--- a/src/passlane/runtime/interfaces.py
+++ b/src/passlane/runtime/interfaces.py
@@ -40,6 +40,11 @@
         ...
 
 
+MAX_ANSWER_BYTES = 17_000_000
+"""Most bytes of an answer on the wire, unless its request says otherwise; above the largest answers
+of back ends, whose readers have bounds of their own."""
+
+
 class HttpRequest(msgspec.Struct, frozen=True):
     """A request to a backend.
 
@@ -60,6 +65,9 @@
     server
         Identifies the process that must answer. Connections that were opened to another
         process at the same address are not reused.
+    max_answer_bytes
+        Most bytes of the answer on the wire, its framing included. One with more is treated as
+        broken off.
     """
 
     method: str
@@ -71,6 +79,7 @@
     host: str | None = None
     answer_key: str = ""
     server: str = ""
+    max_answer_bytes: int = MAX_ANSWER_BYTES
 
 
 class HttpResponse(Protocol):
--- a/tests/event_streams/test_whole_events.py
+++ b/tests/event_streams/test_whole_events.py
@@ -6,7 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from passlane.event_streams.whole_events import EventSplitter
+from passlane.event_streams.whole_events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLongError,
+)
 
 STREAM = b"id: 1\ndata: a\n\ndata:b\ndata: c\nid: 2\n\n: comment\n\nid: 3\ndata: end"
 
@@ -62,6 +66,30 @@
         self.assertEqual(one.is_inside_event, each.is_inside_event)
 
 
+class LongEventTest(unittest.TestCase):
+    """Bytes without the end of an event."""
+
+    UNITS = (b"data: x" * 100, b"\n" * 700, b"\r\n" * 350, b"id: 1\n" * 100, b"\x00" * 700)
+
+    def test_bytes_without_the_end_of_an_event_are_bounded(self):
+        for unit in self.UNITS:
+            with self.subTest(unit=unit[:8]):
+                splitter = EventSplitter()
+                fed_bytes = 0
+                with self.assertRaises(EventTooLongError):
+                    while fed_bytes <= 2 * MAX_EVENT_BYTES:
+                        splitter.feed(unit)
+                        fed_bytes += len(unit)
+                self.assertLessEqual(fed_bytes, MAX_EVENT_BYTES + len(unit))
+
+    def test_an_event_of_the_largest_size_is_whole(self):
+        event = b"data: " + b"x" * (MAX_EVENT_BYTES - 6)
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(event), [])
+        (found,) = splitter.feed(b"\n\n")
+        self.assertEqual(found.raw, event + b"\n\n")
+
+
 class EndTest(unittest.TestCase):
     def ends_inside_event(self, stream):
         splitter = EventSplitter()
--- a/tests/on_platform/stand_in.py
+++ b/tests/on_platform/stand_in.py
@@ -9,6 +9,8 @@
 
 EVENTS = 3
 HEALTH_PATH = "/healthz"
+MAX_ENDLESS_PARTS = 1_000
+ENDLESS_PAUSE_S = 0.001
 
 
 class StandInEngine:
@@ -29,6 +31,10 @@
         Called with this engine and the body when it begins to run a request; ``None`` for nothing.
     born_ms
         Unix time of its start, as the list names it; ``None`` if the platform tells none.
+    endless_part
+        Part of a body that it sends again and again until its caller closes; empty to answer.
+    sent_parts
+        How many of these it has sent.
     harm
         What a harmful request does to it (``on_platform.harmful_requests``); ``None`` for nothing.
     """
@@ -49,6 +55,8 @@
         self.born_ms = None
         self.harm = None
         self.checks = 0
+        self.endless_part = b""
+        self.sent_parts = 0
 
     async def __call__(self, scope, receive, send):
         request = await read_request(scope, receive, 10_000_000)
@@ -82,6 +90,11 @@
             return
         start = {"type": "http.response.start", "status": 200, "headers": answer_headers}
         await send(start | {ENDS_WITH_CONNECTION: self.lacks_length})
+        while self.endless_part and self.sent_parts < MAX_ENDLESS_PARTS:
+            self.sent_parts += 1
+            part = {"type": "http.response.body", "body": self.endless_part, "more_body": True}
+            await send(part)
+            await anyio.sleep(ENDLESS_PAUSE_S)
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, EVENTS + 1):
             await anyio.sleep(self.event_delay_s)
--- a/tests/relay/test_end_reasons.py
+++ b/tests/relay/test_end_reasons.py
@@ -64,6 +64,8 @@
                 "NOT_AN_ANSWER": "not an answer to this request",
                 "ENDED_INSIDE_EVENT": "the answer ended inside an event",
                 "NO_EVENT": "the answer ended without an event",
+                "ANSWER_TOO_LONG": "the answer is too long",
+                "EVENT_TOO_LONG": "an event is too long",
                 "STREAM_DID_NOT_GO_ON": "the stream did not go on",
             },
         )
