The soak has back ends that end unseen, and bytes without an end

Profile unseen: back ends end under harmful requests at once, 0.3 s after they broke off, 0.3 s after an error, or behind a host that is silent for 1.5 s; and a fault in which one of them sends one line without an end.

The check ended-engines counts back ends, not runs: one that breaks off and has not ended yet may get the request again. refused-at-last is as strict as before where all end at once; elsewhere each attempt behind the third end must be refused. New check endless-answers: at most 3,000,000 bytes of a line are sent.

--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from enum import StrEnum
 
 import anyio
 
@@ -23,7 +24,7 @@
 )
 from passlane.emulator.http_server import start_stream_without_length
 from passlane.errors import PasslaneError
-from passlane.event_streams.whole_events import EVENT_STREAM_TYPE
+from passlane.event_streams.whole_events import EVENT_STREAM_TYPE, MAX_EVENT_BYTES
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.observability.logging import get_logger
@@ -40,6 +41,7 @@
 from passlane.soak.outputs import events_of, plain_output, stream_event
 
 OK = 200
+FAILED = 500
 UNAVAILABLE = 503
 WRONG_INSTANCE = 421
 MOST_BODY_BYTES = 4_000_000
@@ -48,10 +50,22 @@
 EVENT_PAUSE_S = 0.06
 """Pause before each event of an engine of pace 1."""
 PLAIN_RUN_S = 0.03
+ENDLESS_PART = b"data: " + b"x" * 50_000
+ENDLESS_PAUSE_S = 0.002
+MOST_ENDLESS_BYTES = 3 * MAX_EVENT_BYTES
+"""One event of the largest size, and what the buffers of both ends and of a proxy hold."""
 
 _log = get_logger(__name__)
 
 
+class HarmedAnswer(StrEnum):
+    """How a back end answers a harmful request before it ends."""
+
+    USUAL = "usual"
+    BREAKS_OFF = "breaks_off"
+    ERROR = "error"
+
+
 class StandIn:
     """What engines and plain back ends have in common.
 
@@ -63,8 +77,11 @@
         Unix time of its start, as the list tells it; ``None`` where the list tells none.
     software_version
         Version of its software, as the list tells it.
+    is_endless
+        Whether its answers are bytes without an end, until its caller closes.
     on_harmful
-        Called with this back end and the request's id when it begins to run a harmful request.
+        Called with this back end and the request's id when it begins to run a harmful request;
+        returns how the answer ends.
     """
 
     def __init__(
@@ -77,7 +94,8 @@
         self.breaks_off = False
         self.born_ms: int | None = None
         self.software_version = DEFAULT_SOFTWARE_VERSION
-        self.on_harmful: Callable[[StandIn, str], None] | None = None
+        self.is_endless = False
+        self.on_harmful: Callable[[StandIn, str], HarmedAnswer] | None = None
         self._ledger = ledger
         self._running = 0
         self._broken = 0
@@ -111,7 +129,7 @@
         elif self._running >= self.places:
             await self._refuse(send, request, UNAVAILABLE)
         else:
-            await self._hold_place(send, request)
+            await self._hold_place(receive, send, request)
 
     def _check_target(self, request: Request) -> None:
         """Judge a request for another back end: an entry that can't be read names none."""
@@ -120,7 +138,7 @@
         is_real = not target.startswith(BAD_ID_PREFIX)
         self._ledger.check("entry-read", is_real, request_id, f"sent to {target}", _now())
 
-    async def _hold_place(self, send: Send, request: Request) -> None:
+    async def _hold_place(self, receive: Receive, send: Send, request: Request) -> None:
         request_id = request.headers.get(names.ATTEMPT_ID, "")
         signature = f"{request_id}.{self.instance_id}"
         is_limited = request.headers.get(names.TENANT) == FLOODING_TENANT
@@ -130,16 +148,39 @@
             self._ledger.note_run(
                 request_id, request.body, signature, is_limited=is_limited, now=_now()
             )
+            marks = {names.ATTEMPT_ID: request_id, names.SIGNATURE: signature}
+            harmed = HarmedAnswer.USUAL
             if HARMFUL in request.body and self.on_harmful is not None:
-                self.on_harmful(self, request_id)
-            if self._breaks_before_head():
+                harmed = self.on_harmful(self, request_id)
+            if harmed is HarmedAnswer.BREAKS_OFF or self._breaks_before_head():
                 return  # The server closes the connection, after an answer without an id.
-            marks = {names.ATTEMPT_ID: request_id, names.SIGNATURE: signature}
+            if harmed is HarmedAnswer.ERROR:
+                await send_response(send, Response(FAILED, headers=marks))
+                return
+            if self.is_endless:
+                await self._send_without_end(receive, send, marks)
+                return
             await self._run(send, request, request_id, marks)
         finally:
             if self.born_ms == born_ms:
                 self._running -= 1
 
+    async def _send_without_end(self, receive: Receive, send: Send, marks: dict[str, str]) -> None:
+        """Send parts of one line until the caller closes; judge that it does so in time."""
+        sent_bytes = 0
+        has_left = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_wait_for_disconnect, receive, has_left)
+            await start_stream(send, OK, EVENT_STREAM_TYPE, marks)
+            while not has_left.is_set() and sent_bytes <= MOST_ENDLESS_BYTES:
+                await send_chunk(send, ENDLESS_PART)
+                sent_bytes += len(ENDLESS_PART)
+                await anyio.sleep(ENDLESS_PAUSE_S)
+            tasks.cancel_scope.cancel()
+        detail = f"{sent_bytes} bytes of one line sent, {MOST_ENDLESS_BYTES} allowed"
+        is_bounded = sent_bytes <= MOST_ENDLESS_BYTES
+        self._ledger.check("endless-answers", is_bounded, marks[names.ATTEMPT_ID], detail, _now())
+
     def _breaks_before_head(self) -> bool:
         self._broken += self.breaks_off
         return self.breaks_off and self._broken % 2 == 0
@@ -303,5 +344,12 @@
         )
 
 
+async def _wait_for_disconnect(receive: Receive, has_left: anyio.Event) -> None:
+    """Set an event once the caller has closed its connection."""
+    while (await receive())["type"] != "http.disconnect":
+        continue
+    has_left.set()
+
+
 def _now() -> float:
     return anyio.current_time()
--- a/src/passlane/soak/faults.py
+++ b/src/passlane/soak/faults.py
@@ -48,6 +48,7 @@
     BAD_ENTRIES = "bad_entries"
     RELEASE = "release"
     WITHOUT_LENGTH = "without_length"
+    ENDLESS = "endless"
 
 
 _WEIGHTS = {
@@ -65,6 +66,7 @@
     FaultKind.BAD_ENTRIES: 2,
     FaultKind.RELEASE: 3,
     FaultKind.WITHOUT_LENGTH: 6,
+    FaultKind.ENDLESS: 2,
 }
 _PROXY_MODES = {
     FaultKind.DELAY: ProxyMode.DELAY,
@@ -144,6 +146,8 @@
             tasks.start_soon(self._release, self._random.randrange(len(engines)))
         elif kind is FaultKind.WITHOUT_LENGTH:
             tasks.start_soon(self._answer_without_length, duration_s)
+        elif kind is FaultKind.ENDLESS:
+            tasks.start_soon(self._answer_without_end, self._random.choice((ENGINES, TOOLS)))
         elif kind is FaultKind.BAD_ENTRIES:
             tasks.start_soon(self._add_bad_entries, duration_s)
         else:
@@ -234,6 +238,15 @@
             for engine in engines:
                 engine.lacks_length = False
 
+    async def _answer_without_end(self, service: str) -> None:
+        """Have a back end of a service send bytes without end for a while."""
+        self.counts[f"{FaultKind.ENDLESS.value} {service}"] += 1
+        struck = next(back_end for back_end in self._back_ends if back_end.service == service)
+        with self._noted(FaultKind.ENDLESS.value, struck.instance_id):
+            struck.is_endless = True
+            await anyio.sleep(BROKEN_S)
+            struck.is_endless = False
+
     async def _add_bad_entries(self, duration_s: float) -> None:
         """Have the list hold entries of another writer for a while."""
         self.counts[FaultKind.BAD_ENTRIES.value] += 1
--- a/src/passlane/soak/profiles.py
+++ b/src/passlane/soak/profiles.py
@@ -27,7 +27,10 @@
     FaultKind.SILENT,
     FaultKind.NOT_READING,
 )
-KINDS_WITH_VERSIONS = tuple(kind for kind in FaultKind if kind is not FaultKind.WITHOUT_LENGTH)
+KINDS_WITH_ENDS = tuple(kind for kind in FaultKind if kind is not FaultKind.ENDLESS)
+KINDS_WITH_VERSIONS = tuple(
+    kind for kind in KINDS_WITH_ENDS if kind is not FaultKind.WITHOUT_LENGTH
+)
 
 
 class SoakProfile(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,6 +53,8 @@
         Whether engines of two software versions serve, and callers take up resumable streams.
     has_harmful
         Whether back ends end under some requests, which their callers send again and again.
+    has_unseen_ends
+        Whether these back ends also end later, in silence, or after an answer.
     has_kept_turns
         Whether conversations pause and hold large turns while the leading store is restarted in
         series.
@@ -64,6 +69,7 @@
     keeps_connections: bool = False
     has_versions: bool = False
     has_harmful: bool = False
+    has_unseen_ends: bool = False
     has_kept_turns: bool = False
 
 
@@ -81,8 +87,14 @@
 VERSIONS = msgspec.structs.replace(
     OVERLAPPING, name="versions", fault_kinds=KINDS_WITH_VERSIONS, has_versions=True
 )
-ENDS = msgspec.structs.replace(VERSIONS, name="ends", fault_kinds=tuple(FaultKind))
+ENDS = msgspec.structs.replace(VERSIONS, name="ends", fault_kinds=KINDS_WITH_ENDS)
 HARMFUL = msgspec.structs.replace(OVERLAPPING, name="harmful", has_harmful=True)
+UNSEEN = msgspec.structs.replace(
+    HARMFUL,
+    name="unseen",
+    fault_kinds=(*HARMFUL.fault_kinds, FaultKind.ENDLESS),
+    has_unseen_ends=True,
+)
 HARMFUL_LARGE = msgspec.structs.replace(HARMFUL, name="harmful-large", processes=LARGE_FLEET)
 KEPT = msgspec.structs.replace(
     OVERLAPPING,
@@ -94,7 +106,7 @@
 )
 PROFILES = {
     profile.name: profile
-    for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS, ENDS, HARMFUL, HARMFUL_LARGE, KEPT)
+    for profile in (USUAL, OVERLAPPING, LARGE, VERSIONS, ENDS, HARMFUL, UNSEEN, HARMFUL_LARGE, KEPT)
 }
 
 
--- a/src/passlane/soak/run.py
+++ b/src/passlane/soak/run.py
@@ -25,7 +25,7 @@
 from passlane.soak.configuration import LIMIT, ZONE
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind, FaultPace, Faults
-from passlane.soak.harmful import Disturbances, EndingBackEnds, HarmfulCallers
+from passlane.soak.harmful import Disturbances, EndingBackEnds, HarmfulCallers, HarmfulWay
 from passlane.soak.kept_turns import KeptDialogues, StoreWatch
 from passlane.soak.ledger import Ledger
 from passlane.soak.machines import DAEMON, Machine, Machines, daemon_of, loopback_network
@@ -148,7 +148,9 @@
         disturbances = Disturbances(self.machines, self._faults.struck)
         tasks.start_soon(disturbances.run)
         proxies = {proxy.name: proxy for proxy in self._proxies}
-        ending = EndingBackEnds(tasks, proxies, self._ledger, disturbances.are_recent)
+        has_all_ways = self._settings.profile.has_unseen_ends
+        ways = tuple(HarmfulWay) if has_all_ways else (HarmfulWay.AT_ONCE,)
+        ending = EndingBackEnds(tasks, proxies, self._ledger, disturbances.are_recent, ways)
         for back_end in self._back_ends:
             back_end.on_harmful = ending.end_under
         self._harmful = HarmfulCallers(self._callers, self._ledger, ending, self._settings.seed)
--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -131,6 +131,26 @@
     EngineEndWatch.unknown_under = lambda self, request_key: ()
 
 
+def unknown_fate_taken_for_harmless():
+    """Count an engine only once it is known to be gone, as soon as it breaks an attempt off."""
+    from passlane.decisions.failure.engine_ends import EndedUnder, EngineEndCounts
+
+    EngineEndCounts.record_unknown = lambda self, key, instance, now_s: self._known(key, now_s)
+    EngineEndCounts.begin_attempt = lambda self, key, attempt, now_s: None
+    EndedUnder.allows = lambda self, attempts, attempt: not self.is_refused
+
+
+def answers_without_a_bound():
+    """Read what a back end sends until it ends."""
+    from passlane.event_streams import whole_events
+    from passlane.runtime import http_client
+
+    whole_events.MAX_EVENT_BYTES = sys.maxsize
+    http_client._ByteStreamAdapter.begin_body = lambda self, max_bytes: setattr(
+        self, "_max_bytes", sys.maxsize
+    )
+
+
 def age_advanced_by_each_leader():
     """Let each leader begin a step ahead of the age, whoever has advanced it before."""
     from passlane.turns.state.age_clock import AgeClock
@@ -156,6 +176,8 @@
         any_version_taken_for_the_same,
         end_taken_for_completeness,
         ends_not_counted,
+        unknown_fate_taken_for_harmless,
+        answers_without_a_bound,
         age_advanced_by_each_leader,
     )
 }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 from passlane.soak.evidence import keep_evidence
 from passlane.soak.faults import FaultKind
 from passlane.soak.machines import daemon_of
-from passlane.soak.profiles import ENDS, HARMFUL, KEPT, OVERLAPPING, VERSIONS, profile_named
+from passlane.soak.profiles import ENDS, HARMFUL, KEPT, OVERLAPPING, UNSEEN, VERSIONS, profile_named
 from passlane.soak.report import Finding, SoakReport
 from passlane.soak.run import SoakSettings, run_soak
 from soak.defective_daemon import DEFECT_VARIABLE
@@ -29,6 +29,7 @@
 ENDS_SEED = 4
 HARMFUL_SEED = 5
 KEPT_SEED = 6
+UNSEEN_SEED = 7
 KEPT_LOAD_S = 14.0
 LOAD_S = 10.0
 DEFECT_LOAD_S = 8.0
@@ -115,6 +116,17 @@
         self.assertEqual(others, [])
 
 
+class UnseenSoakTest(unittest.TestCase):
+    """Back ends that end later, in silence or after an answer, and bytes without an end."""
+
+    def test_no_request_ends_more_back_ends_than_may_end_under_it_unseen(self):
+        report = soak(seed=UNSEEN_SEED, load_s=LOAD_S, profile=UNSEEN)
+        self.assertEqual(report.findings, ())
+        self.assertFalse(report.was_interrupted)
+        for check in ("ended-engines", "refused-at-last", "endless-answers"):
+            self.assertGreater(report.checks[check], 0, check)
+
+
 class KeptSoakTest(unittest.TestCase):
     """Conversations that pause and hold large turns, while leaders are restarted in series."""
 
@@ -219,6 +231,16 @@
         report = soak_with("ends_not_counted", profile=HARMFUL, fault_kinds=())
         self.expect("ended-engines", report)
 
+    def test_engines_whose_fate_is_unknown_and_are_not_counted(self):
+        report = soak_with("unknown_fate_taken_for_harmless", profile=UNSEEN, fault_kinds=())
+        self.expect("ended-engines", report)
+
+    def test_answers_without_a_bound(self):
+        report = soak_with(
+            "answers_without_a_bound", profile=UNSEEN, fault_kinds=(FaultKind.ENDLESS,)
+        )
+        self.expect("endless-answers", report)
+
     def test_an_age_that_each_leader_advances(self):
         report = soak_with("age_advanced_by_each_leader", profile=KEPT, fault_kinds=())
         self.expect("age-not-ahead", report)
