A led call counts a back end that may have ended

A call that a node leads was sent on after back ends whose hosts were silent, or that ended a moment after they broke it off: 6 back ends in 6 requests, where 3 may end (two new tests, failing before).

Cause: as in the relay, an unknown state counted as alive, and a process that still accepted a connection counted as alive for good.

Now a state that is unknown counts, and a process that lives is checked again after 0.5 s. A broken attempt at a live back end costs its call that time.

--- a/src/passlane/backends/process_checks.py
+++ b/src/passlane/backends/process_checks.py
@@ -1,10 +1,14 @@
 """Finds out whether the process of a back end has ended while it ran an attempt.
 
-An engine tells its incarnation, which grows with each start. An application tells none, so only a
+What is unknown counts as an end, and a process that lives must do so for a while: one that is about
+to end may still accept connections. An engine tells its incarnation, which grows with each start. An application tells none, so only a
 refused connection shows that it has ended.
 """
 
 import enum
+from collections.abc import Awaitable, Callable
+
+import anyio
 
 from passlane.backends.engine_client import EngineClient, EngineTimeouts
 from passlane.backends.failures import BackendError
@@ -16,6 +20,11 @@
 """Timeout of one check, for which the next attempt waits."""
 
 
+LIFE_PROOF_DELAY_S = 0.5
+"""Time after a broken attempt after which a process that lives has not ended under it; the next
+attempt waits as long."""
+
+
 class BackendProcess(enum.StrEnum):
     """What is known of the process that ran an attempt."""
 
@@ -34,6 +43,21 @@
 }
 
 
+async def check_lasting(check: Callable[[], Awaitable[BackendProcess]]) -> BackendProcess:
+    """Return whether a process lives now and after ``LIFE_PROOF_DELAY_S``.
+
+    Parameters
+    ----------
+    check
+        Checks the process once.
+    """
+    state = await check()
+    if state is not BackendProcess.LIVES:
+        return state
+    await anyio.sleep(LIFE_PROOF_DELAY_S)
+    return await check()
+
+
 async def check_backend(http: HttpClient, address: Address) -> BackendProcess:
     """Return whether a process listens at an address."""
     return _SHOWN_BY[await check_reach(http, address)]
--- a/src/passlane/node/model_attempt.py
+++ b/src/passlane/node/model_attempt.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import anyio
 import xxhash
 
 from passlane.backends.failures import BackendError, is_without_answer
-from passlane.backends.process_checks import BackendProcess, check_engine
+from passlane.backends.process_checks import BackendProcess, check_engine, check_lasting
 from passlane.decisions.inputs.call_events import CallEnded
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import EngineId
@@ -140,11 +141,12 @@
         self.on_hold(EngineHold(engine_id=self.engine_id, incarnation=final.incarnation))
 
     async def _has_engine_ended(self) -> bool:
-        """Return whether the engine's process is gone, or another one started in its place."""
+        """Return whether the engine's process may be gone, or replaced by another one."""
         engine = self.services.configuration().engines.get(self.engine_id)
         if engine is None:
             return False
-        state = await check_engine(self.services.http, engine.address, self._incarnation)
+        check = partial(check_engine, self.services.http, engine.address, self._incarnation)
+        state = await check_lasting(check)
         _log.info(
             "engine_checked_after_attempt",
             call_id=self.plan.call_id,
@@ -153,7 +155,7 @@
             incarnation=self._incarnation,
             state=state.value,
         )
-        return state is BackendProcess.ENDED
+        return state is not BackendProcess.LIVES
 
     def _failure(self, error: PasslaneError) -> AttemptFailed:
         is_unrecoverable = error.code in LEADERSHIP_CODES or error.code is ErrorCode.PROGRAM_ENDED
--- a/src/passlane/node/tool_attempt.py
+++ b/src/passlane/node/tool_attempt.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import anyio
 
 from passlane.backends.application_client import ApplicationClient
 from passlane.backends.failures import BackendError, is_without_answer
-from passlane.backends.process_checks import BackendProcess, check_backend
+from passlane.backends.process_checks import BackendProcess, check_backend, check_lasting
 from passlane.configuration.view import ToolOffer
 from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.messages.backends import ToolRequest
@@ -79,7 +80,8 @@
 
     async def _has_application_ended(self) -> bool:
         """Return whether the application's process is gone."""
-        state = await check_backend(self.services.http, self.offer.application.address)
+        check = partial(check_backend, self.services.http, self.offer.application.address)
+        state = await check_lasting(check)
         _log.info(
             "application_checked_after_attempt",
             call_id=self.plan.call_id,
@@ -87,7 +89,7 @@
             application_id=self.offer.application_id,
             state=state.value,
         )
-        return state is BackendProcess.ENDED
+        return state is not BackendProcess.LIVES
 
     def _failure(self, error: PasslaneError) -> AttemptFailed:
         is_final = isinstance(error, BackendError) and error.is_final
--- a/tests/node/fakes.py
+++ b/tests/node/fakes.py
@@ -74,17 +74,20 @@
 
     def __init__(self) -> None:
         self.servers: dict[Address, Server] = {}
+        self.silent: set[Address] = set()
 
     @asynccontextmanager
     async def exchange(self, request: HttpRequest) -> AsyncIterator[FakeResponse]:
         server = self.servers.get(request.address)
-        if server is None:
-            raise HttpConnectionError("connection refused", bytes_left=False)
+        if server is None or request.address in self.silent:
+            raise HttpConnectionError("no connection", bytes_left=False)
         response = await server(request)
         async with aclosing(response.parts):  # type: ignore[type-var]
             yield response
 
     async def try_connect(self, address: Address) -> None:
+        if address in self.silent:
+            raise HttpConnectionError("no answer", bytes_left=False)
         if address not in self.servers:
             raise HttpConnectionError("refused", bytes_left=False, is_refused=True)
 
--- a/tests/node/test_backends_that_end.py
+++ b/tests/node/test_backends_that_end.py
@@ -10,20 +10,40 @@
 
 MAX_ENDED = 3
 RESTART_S = 0.2
+END_DELAY_S = 0.3
+LATE_RESTART_S = 2.0
 REQUESTS = 6
 
 
-def end_engines(fleet: Fleet) -> None:
+def end_engines(fleet: Fleet, *, end_delay_s: float = 0.0, turns_silent: bool = False) -> None:
     """Have each engine end after the first token of a request, and start again later."""
     for engine in fleet.engines:
         address = fleet.addresses[engine.engine_id]
-        engine.on_end = lambda address=address: end_server(fleet, address)
+        engine.on_end = lambda address=address: end_server(
+            fleet, address, end_delay_s, turns_silent
+        )
+
+
+def end_server(
+    fleet: Fleet, address: Address, end_delay_s: float = 0.0, turns_silent: bool = False
+) -> None:
+    if end_delay_s:
+        fleet.tasks.start_soon(end_later, fleet, address, end_delay_s)
+        return
+    if turns_silent:
+        fleet.http.silent.add(address)
+        return
+    server = fleet.http.servers.pop(address, None)
+    if server is not None:
+        fleet.tasks.start_soon(start_again, fleet, address, server)
 
 
-def end_server(fleet: Fleet, address: Address) -> None:
+async def end_later(fleet: Fleet, address: Address, end_delay_s: float) -> None:
+    await anyio.sleep(end_delay_s)
     server = fleet.http.servers.pop(address, None)
     if server is not None:
-        fleet.tasks.start_soon(start_again, fleet, address, server)
+        await anyio.sleep(LATE_RESTART_S)
+        fleet.http.servers[address] = server
 
 
 async def start_again(fleet: Fleet, address: Address, server) -> None:
@@ -47,6 +67,27 @@
 
         run_in_fleet(scenario)
 
+    def test_engines_that_end_later_count(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            end_engines(fleet, end_delay_s=END_DELAY_S)
+            for _ in range(REQUESTS):
+                await fleet.call(chat(idempotency_key="a", is_named=True))
+                await anyio.sleep(5.0)
+            self.assertEqual(runs(fleet), MAX_ENDED)
+
+        run_in_fleet(scenario)
+
+    def test_engines_whose_hosts_turn_silent_count(self) -> None:
+        async def scenario(fleet: Fleet) -> None:
+            end_engines(fleet, turns_silent=True)
+            for _ in range(REQUESTS):
+                await fleet.call(chat(idempotency_key="a", is_named=True))
+                await anyio.sleep(5.0)
+                fleet.http.silent.clear()
+            self.assertEqual(runs(fleet), MAX_ENDED)
+
+        run_in_fleet(scenario)
+
     def test_a_call_that_is_called_anew_ends_three_engines_at_most(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             end_engines(fleet)
