A request that is not held for engines writes no line about it

Cause: whether a request had waited was told from the clock, which goes on between two lines of code; on the virtual clock of the tests it doesn't.

Now the line is written only behind a wait. The test uses the real clock; it failed before (100 lines).

--- a/src/passlane/relay/refused_requests.py
+++ b/src/passlane/relay/refused_requests.py
@@ -88,17 +88,17 @@
         RequestFailedError
             When it is refused, and may have run.
         """
-        held_at = anyio.current_time()
-        is_doubtful = self.is_doubtful(request_key)
-        while is_doubtful and self.remaining_s(request_key) is None:
-            if anyio.current_time() - held_at >= MAX_HOLD_S:
-                break
-            await anyio.sleep(HOLD_CHECK_INTERVAL_S)
-            is_doubtful = self.is_doubtful(request_key)
-        if anyio.current_time() > held_at:
+        if self._is_held(request_key):
+            held_at = anyio.current_time()
+            while self._is_held(request_key) and anyio.current_time() - held_at < MAX_HOLD_S:
+                await anyio.sleep(HOLD_CHECK_INTERVAL_S)
             self._log_held(request_key, held_at)
         self.require_not_refused(request_key, verdict)
 
+    def _is_held(self, request_key: str) -> bool:
+        """Whether a request is worth holding: what is unknown may yet turn out harmless."""
+        return self.remaining_s(request_key) is None and self.is_doubtful(request_key)
+
     def require_not_refused(self, request_key: str, verdict: Verdict) -> None:
         """Check the same without waiting."""
         remaining_s = self.remaining_s(request_key)
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 import trio.testing
+from structlog.testing import capture_logs
 
 from passlane.decisions.backends.registry import BackendRegistry
 from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES, RETENTION_S
@@ -390,6 +391,19 @@
         )
 
 
+class HeldLineTest(unittest.TestCase):
+    def test_a_request_that_is_not_held_writes_no_line(self):
+        async def main():
+            refused = RefusedRequests(RefusingStore())
+            refused.own.record_unknown("other", "i-1", anyio.current_time())
+            for _ in range(100):
+                await refused.require_allowed("one", Verdict.NOT_RUN)
+
+        with capture_logs() as lines:
+            anyio.run(main)
+        self.assertEqual(lines, [])
+
+
 class StartTest(unittest.TestCase):
     @with_watch
     async def test_requests_wait_for_the_refused_ones_only_shortly_after_the_start(self):
