Emulator and simulation have engines that end later and answers without an end

An emulated engine may break a stream off and restart some time after it, and answer a share of its requests with a line without an end. Scenarios engine-ends-late-under-calls and engine-answers-without-end.

--- a/src/passlane/backends/process_checks.py
+++ b/src/passlane/backends/process_checks.py
@@ -1,8 +1,8 @@
 """Finds out whether the process of a back end has ended while it ran an attempt.
 
 What is unknown counts as an end, and a process that lives must do so for a while: one that is about
-to end may still accept connections. An engine tells its incarnation, which grows with each start. An application tells none, so only a
-refused connection shows that it has ended.
+to end may still accept connections. An engine tells its incarnation, which grows with each start.
+An application tells none, so only a refused connection shows that it has ended.
 """
 
 import enum
--- a/src/passlane/emulator/engine_app.py
+++ b/src/passlane/emulator/engine_app.py
@@ -44,6 +44,7 @@
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 UNFINISHED_EVENT = b'data: {"attempt_id":'
+ENDLESS_PART = b"data: " + b"x" * 20_000
 """What an engine sends that breaks off inside an event."""
 
 CacheReader = Callable[[Address, str], Awaitable[int]]
@@ -152,18 +153,28 @@
                 watchers.start_soon(_cancel_on_disconnect, exchange, watchers.cancel_scope)
                 await exchange.start_events(ends_with_connection=settings.ends_with_connection)
                 is_complete = False
+                if self._is_endless():
+                    await _send_without_end(exchange, settings.step_base_s)
                 async for item in items:
                     await self._send_item(exchange, request, answer, item)
                     is_complete = _is_complete_with(item)
-                    if _ends_under(request, settings):
-                        # Closes this stream and all others.
-                        self._service.restart()
+                    if not _holds_text(request, settings.ends_under):
+                        continue
+                    if settings.ends_after_s:
+                        self._service.end_later(settings.ends_after_s)
+                        break
+                    # Closes this stream and all others.
+                    self._service.restart()
                 if settings.breaks_inside_event and not is_complete:
                     await exchange.send_part(UNFINISHED_EVENT)
                 watchers.cancel_scope.cancel()
         except* RequestRefusedError as group:
             await self._refuse(exchange, group)
 
+    def _is_endless(self) -> bool:
+        share = self._service.settings.endless_probability
+        return share > 0 and self._service.generator.random() < share
+
     async def cancel(self, exchange: Exchange) -> None:
         """Serve ``POST /v1/cancel``."""
         request = msgspec.json.decode(exchange.request.body, type=EngineCancel)
@@ -282,15 +293,22 @@
         )
 
 
+async def _send_without_end(exchange: Exchange, pause_s: float) -> None:
+    """Send parts of one line until cancelled, as it is when the client leaves."""
+    while True:
+        await exchange.send_part(ENDLESS_PART)
+        await anyio.sleep(pause_s)
+
+
 def _is_complete_with(item: StreamItem) -> bool:
     """Whether this item ends an answer as whole."""
     return isinstance(item, FinishedRequest) and item.reason is FinishReason.STOP
 
 
-def _ends_under(request: EngineChatRequest, settings: EngineModelSettings) -> bool:
-    """Return whether the request is one under which the engine ends."""
+def _holds_text(request: EngineChatRequest, text: str) -> bool:
+    """Return whether the last message of a request holds a text; never an empty one."""
     last = request.messages[-1].content if request.messages else ""
-    return bool(settings.ends_under) and settings.ends_under in last
+    return bool(text) and text in last
 
 
 def _is_of_other_version(request: EngineChatRequest, settings: EngineModelSettings) -> bool:
--- a/src/passlane/emulator/engine_service.py
+++ b/src/passlane/emulator/engine_service.py
@@ -48,6 +48,7 @@
     last_request_at: float | None = field(init=False, default=None)
     _streams: dict[str, MemoryObjectSendStream[StreamItem]] = field(init=False)
     _changed: anyio.Event | None = field(init=False, default=None)
+    _ends_at: float = field(init=False, default=math.inf)
 
     def __post_init__(self) -> None:
         """Start the first incarnation."""
@@ -60,9 +61,11 @@
             self._changed = anyio.Event()
             when = self.model.next_event_time()
             deadline = math.inf if when is None else when
-            with anyio.CancelScope(deadline=deadline):
+            with anyio.CancelScope(deadline=min(deadline, self._ends_at)):
                 await self._changed.wait()
             self.settle()
+            if anyio.current_time() >= self._ends_at:
+                self.restart()
 
     def settle(self) -> None:
         """Bring the model up to the present and pass its outputs on."""
@@ -74,10 +77,16 @@
         for stream in self._streams.values():
             stream.close()
         self._streams.clear()
+        self._ends_at = math.inf
         self.incarnation += 1
         self.model = self._new_model()
         self._wake()
 
+    def end_later(self, delay_s: float) -> None:
+        """Restart after some seconds; what runs until then goes on."""
+        self._ends_at = min(self._ends_at, anyio.current_time() + delay_s)
+        self._wake()
+
     @asynccontextmanager
     async def stream(
         self, submission: Submission
--- a/src/passlane/emulator/engine_settings.py
+++ b/src/passlane/emulator/engine_settings.py
@@ -56,11 +56,16 @@
     ends_under
         Text in the last message of a request under which the engine ends: after the first token it
         crashes and starts again. Empty for none.
+    ends_after_s
+        Time after which it does so; it breaks the request's stream off before.
+    endless_probability
+        Share of the requests that are answered with a line without an end.
     """
 
     software_version: str = ""
     checks_version: bool = True
     ends_under: str = ""
+    ends_after_s: float = 0.0
     models: tuple[str, ...] = ("agent",)
     max_batch: int = 16
     max_waiting: int = 256
@@ -88,3 +93,4 @@
     failure_probability: float = 0.0
     ends_with_connection: bool = False
     breaks_inside_event: bool = False
+    endless_probability: float = 0.0
--- a/src/passlane/relay/refused_requests.py
+++ b/src/passlane/relay/refused_requests.py
@@ -90,8 +90,10 @@
         """
         if self._is_held(request_key):
             held_at = anyio.current_time()
-            while self._is_held(request_key) and anyio.current_time() - held_at < MAX_HOLD_S:
+            while anyio.current_time() - held_at < MAX_HOLD_S:
                 await anyio.sleep(HOLD_CHECK_INTERVAL_S)
+                if not self._is_held(request_key):
+                    break
             self._log_held(request_key, held_at)
         self.require_not_refused(request_key, verdict)
 
--- a/src/passlane/simulation/scenarios/back_ends.py
+++ b/src/passlane/simulation/scenarios/back_ends.py
@@ -25,6 +25,8 @@
     FAULTY_ENGINE, ends_with_connection=True, breaks_inside_event=True
 )
 FRAGILE_ENGINE = msgspec.structs.replace(ENGINE_SETTINGS, ends_under=HARMFUL_TEXT)
+LATE_ENDING_ENGINE = msgspec.structs.replace(FRAGILE_ENGINE, ends_after_s=0.3)
+ENDLESS_ENGINE = msgspec.structs.replace(ENGINE_SETTINGS, endless_probability=0.1)
 HARMFUL_PROGRAMS = 2
 FAULTY_APPLICATION = ApplicationSettings(
     tools=(TOOL,),
@@ -246,6 +248,24 @@
         must_answer=0.8,
         may_leave_doubt=True,
     ),
+    Scenario(
+        "engine-ends-late-under-calls",
+        ("ended-engines", "answers"),
+        "the same with engines that break the call off and end later",
+        engine_ends_under_calls,
+        plan=FleetPlan(engines=4),
+        options=_engine_options(LATE_ENDING_ENGINE),
+        must_answer=0.8,
+        may_leave_doubt=True,
+    ),
+    Scenario(
+        "engine-answers-without-end",
+        ("answers",),
+        "engines restart, and answer some calls with a line without an end",
+        engine_restarted,
+        options=_engine_options(ENDLESS_ENGINE),
+        must_answer=0.9,
+    ),
     Scenario(
         "engine-unreachable",
         ("answers", "memory"),
--- a/tests/emulator/test_engine_app.py
+++ b/tests/emulator/test_engine_app.py
@@ -139,6 +139,18 @@
         settings = EngineModelSettings(ends_with_connection=True, breaks_inside_event=True)
         self.run_with_engine(scenario, settings)
 
+    def test_an_engine_can_break_a_stream_off_and_end_later(self) -> None:
+        async def scenario(service: EngineService, application: AsgiApplication) -> None:
+            broken = Client(application)
+            await broken.post_chat(CHAT)
+            self.assertFalse(broken.body.endswith(b"data: [DONE]\n\n"))
+            self.assertEqual(service.incarnation, 1)
+            await anyio.sleep(0.4)
+            self.assertEqual(service.incarnation, 2)
+
+        text = CHAT.messages[-1].content
+        self.run_with_engine(scenario, EngineModelSettings(ends_under=text, ends_after_s=0.3))
+
     def test_stale_epoch_is_refused_before_anything_runs(self) -> None:
         async def scenario(service: EngineService, application: AsgiApplication) -> None:
             await Client(application).post_chat(CHAT)
