--- a/tests/simulation/test_scenarios.py
+++ b/tests/simulation/test_scenarios.py
@@ -14,6 +14,7 @@
     ("rolling-restart", 6),
     ("unnamed-calls", 0),
     ("engine-ends-under-calls", 7),
+    ("engine-answers-without-end", 2),
 )
 """Runs that broke a promise before the cause was mended, or a check before it allowed for the loss
 of a node just after an engine ended under its call."""
@@ -48,6 +49,11 @@
         self.assertEqual(endangered, {invariant.name for invariant in INVARIANTS})
 
 
+class LostNodeTest(unittest.TestCase):
+    def test_a_led_call_ends_three_engines_over_the_loss_of_its_leading_node(self):
+        self.assertEqual(run("engine-ends-late-under-calls", 4).violations, ())
+
+
 class DefectTest(unittest.TestCase):
     def test_quick_defects_are_caught(self):
         for name in QUICK_DEFECTS:
