A turn waits for the fate of engines once, at the store's leader

A turn under which engines of unknown fate count could wait twice, 0.75 s at its node and 0.75 s at the store's leader. Cause: the node held every request alike, before the reservation, which is held with the counts of all nodes. The node now refuses turns only for certain ends; calls wait at the node as before.

Tests: relay, turns, outside and test_engine*.py pass; the freezing leader stays red.

--- a/src/passlane/backends/process_checks.py
+++ b/src/passlane/backends/process_checks.py
@@ -14,17 +14,12 @@
 from passlane.backends.failures import BackendError
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import HttpClient
-from passlane.runtime.reach import BackendReach, check_reach
+from passlane.runtime.reach import LIFE_PROOF_DELAY_S, BackendReach, check_reach
 
 CHECK_TIMEOUT_S = 0.3
 """Timeout of one check, for which the next attempt waits."""
 
 
-LIFE_PROOF_DELAY_S = 0.5
-"""Time after a broken attempt after which a process that lives has not ended under it; the next
-attempt waits as long."""
-
-
 class BackendProcess(enum.StrEnum):
     """What is known of the process that ran an attempt."""
 
@@ -46,6 +41,8 @@
 async def check_lasting(check: Callable[[], Awaitable[BackendProcess]]) -> BackendProcess:
     """Return whether a process lives now and after ``LIFE_PROOF_DELAY_S``.
 
+    The next attempt waits as long.
+
     Parameters
     ----------
     check
--- a/src/passlane/decisions/failure/engine_ends.py
+++ b/src/passlane/decisions/failure/engine_ends.py
@@ -19,6 +19,13 @@
 RETENTION_S = 120.0
 """Time after its last change for which a request is remembered: callers repeat a request within
 seconds, and a program that was stopped may come back while its turns are stored."""
+MAX_HOLD_S = 0.75
+"""Time for which a request waits for the fate of engines; an engine that lives is known to by
+then, and another leader of the store group may have taken over."""
+HOLD_CHECK_INTERVAL_S = 0.05
+"""Interval at which a request that waits is checked again."""
+DOUBT_RETRY_AFTER_S = 1.0
+"""Time after which the fate of an engine that answers is known; longer if its host is silent."""
 MAX_REQUESTS = 5_000
 """Bounds memory; requests with the fewest ends give way first."""
 _DROPPED_AT_ONCE = MAX_REQUESTS // 10
--- a/src/passlane/relay/attempt.py
+++ b/src/passlane/relay/attempt.py
@@ -37,7 +37,7 @@
 from passlane.relay.backends import BackendAnswer, BackendRequest
 from passlane.relay.context import RequestContext
 from passlane.relay.end_reasons import BreakReason, RequestEndReason
-from passlane.relay.engine_ends import EndEvidence, UnknownFate
+from passlane.relay.observed_attempts import EndEvidence, UnknownFate
 from passlane.relay.request_errors import RequestFailedError
 from passlane.runtime.interfaces import HttpConnectionError
 
--- a/src/passlane/relay/context.py
+++ b/src/passlane/relay/context.py
@@ -18,7 +18,8 @@
 from passlane.relay.backends import RelayBackends
 from passlane.relay.begun_streams import BegunStreams
 from passlane.relay.capacity_waits import CapacityWaits
-from passlane.relay.engine_ends import EngineEndWatch, ObservedAttempt
+from passlane.relay.engine_ends import EngineEndWatch
+from passlane.relay.observed_attempts import ObservedAttempt
 from passlane.relay.refused_requests import RefusedRequests
 from passlane.relay.request_quota import RequestQuota
 from passlane.routes.tenants import Identity
@@ -64,12 +65,20 @@
         )
 
     async def require_allowed(self, verdict: Verdict) -> None:
-        """Check the same; wait while the fate of engines is unknown."""
+        """Check that not too many engines have ended under the request; see ``RefusedRequests``.
+
+        Waits for a short time while the fate of engines is unknown.
+        """
         if not self.refused.is_empty:
             await self.refused.require_allowed(self.request_key, verdict)
 
+    def require_not_certain(self) -> None:
+        """Check that a request that has not run is not refused for certain."""
+        if not self.refused.is_empty:
+            self.refused.require_not_certain(self.request_key)
+
     def require_not_refused(self, verdict: Verdict) -> None:
-        """Check that not too many engines have ended under the request; see ``RefusedRequests``."""
+        """Check the same as ``require_allowed`` without waiting."""
         if not self.refused.is_empty:
             self.refused.require_not_refused(self.request_key, verdict)
 
--- a/src/passlane/relay/engine_ends.py
+++ b/src/passlane/relay/engine_ends.py
@@ -13,35 +13,34 @@
 Log lines: ``engine_fate_unknown``, ``engine_checked``, ``engine_end_counted``, ``engine_lived_on``.
 """
 
-import enum
-
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
 from passlane.decisions.backends.registry import BackendRegistry
+from passlane.decisions.failure.engine_ends import RETENTION_S
 from passlane.messages.engine_ends import AttemptFate, EngineEnd
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.observability.logging import get_logger
 from passlane.relay.backends import RelayBackends
 from passlane.relay.end_reports import EndReports
+from passlane.relay.observed_attempts import (
+    SHOWN_BY,
+    EndEvidence,
+    LifeEvidence,
+    ObservedAttempt,
+    UnknownFate,
+    UnresolvedAttempt,
+)
 from passlane.relay.refused_requests import RefusedRequests
-from passlane.runtime.reach import BackendReach
+from passlane.runtime.reach import LIFE_PROOF_DELAY_S, BackendReach
 
 MAX_OBSERVATION_S = 0.15
 """Time for which a broken attempt waits until what is known of its engine is counted; its caller
 waits as long. The observation itself goes on."""
-LIFE_PROOF_DELAY_S = 0.5
-"""Time for which an engine must live after an attempt that it did not complete: a process that is
-about to end may still answer."""
-BORN_PROOF_DELAY_S = 2.5
-"""The same for an engine that may start again under its id: only a list that was read since tells
-the starts apart."""
 FATE_WINDOW_S = 10.0
 """Time after an attempt during which its engine may be found to have ended under it; the list names
 engines that have crashed for some seconds."""
-RETENTION_S = 120.0
-"""Time for which an engine's fate is waited for; as long as the request is remembered."""
 RESOLUTION_INTERVAL_S = 0.1
 """Interval at which attempts of unknown fate are looked at."""
 MAX_CHECK_INTERVAL_S = 8.0
@@ -53,88 +52,6 @@
 _log = get_logger(__name__)
 
 
-class EndEvidence(enum.StrEnum):
-    """What shows that an engine is gone."""
-
-    REFUSED_CONNECTION = "refused_connection"
-    OTHER_INSTANCE = "other_instance"
-    NOT_LISTED = "not_listed"
-
-
-class LifeEvidence(enum.StrEnum):
-    """What shows that an engine lived on."""
-
-    ANSWERED = "answered"
-    DRAINING = "draining"
-
-
-class UnknownFate(enum.StrEnum):
-    """Why the fate of an attempt's engine is unknown."""
-
-    BROKE_OFF = "broke_off"
-    SILENT = "silent"
-    LEFT = "left"
-    """The caller left, the time was over, or this node ended the attempt."""
-    ERROR_ANSWER = "error_answer"
-
-
-_SHOWN_BY = {
-    BackendReach.REFUSED: EndEvidence.REFUSED_CONNECTION,
-    BackendReach.OTHER_INSTANCE: EndEvidence.OTHER_INSTANCE,
-}
-
-
-class ObservedAttempt(msgspec.Struct, frozen=True):
-    """An attempt at a request, and the engine that may have run it.
-
-    Attributes
-    ----------
-    attempt_id
-        The caller's id of the attempt.
-    health_path
-        Path of the health check of the engine's service.
-    """
-
-    request_key: str
-    attempt_id: str
-    backend: BackendRecord
-    health_path: str
-
-    @property
-    def instance(self) -> str:
-        """The start of the engine, as it was listed."""
-        return self.backend.incarnation
-
-    @property
-    def counted_as(self) -> str:
-        """The name under which its engine counts, once for each start.
-
-        An engine that may start again under its id may have done so since it was listed, so each
-        attempt counts by itself.
-        """
-        if self.backend.born_ms is None:
-            return self.instance
-        return f"{self.instance}/{self.attempt_id}"
-
-
-class _Unresolved(msgspec.Struct, frozen=True):
-    """An attempt whose engine's fate is unknown since a local time."""
-
-    attempt: ObservedAttempt
-    since: float
-
-    @property
-    def is_drained(self) -> bool:
-        """Whether the engine was leaving when the attempt began."""
-        return self.attempt.backend.state is BackendState.DRAINING
-
-    @property
-    def life_proof_at(self) -> float:
-        """Time from which a sent request proves by its answer that the engine lived on."""
-        may_keep_id = self.attempt.backend.born_ms is not None
-        return self.since + (BORN_PROOF_DELAY_S if may_keep_id else LIFE_PROOF_DELAY_S)
-
-
 class _GoneEngine(msgspec.Struct, frozen=True):
     """An engine that is gone, and the local time at which this was found out."""
 
@@ -178,7 +95,7 @@
         self._gone: dict[str, _GoneEngine] = {}
         self._reach_checks: dict[str, anyio.Event] = {}
         self._checks: dict[str, _Checks] = {}
-        self._unresolved: list[_Unresolved] = []
+        self._unresolved: list[UnresolvedAttempt] = []
         self._drained: set[str] = set()
 
     async def run(self) -> None:
@@ -229,27 +146,27 @@
             if now - unresolved.since <= FATE_WINDOW_S:
                 self._count(unresolved, evidence)
 
-    async def _observe(self, unresolved: _Unresolved, is_observed: anyio.Event) -> None:
+    async def _observe(self, unresolved: UnresolvedAttempt, is_observed: anyio.Event) -> None:
         attempt = unresolved.attempt
         try:
             await self._check_reach(attempt.backend)
             if attempt.instance in self._gone:
-                fact: EngineEnd | AttemptFate = _end_of(attempt)
+                fact: EngineEnd | AttemptFate = attempt.end
             else:
-                fact = _fate_of(attempt, is_alive=False)
+                fact = attempt.fate(is_alive=False)
             await self._reports.wait_until_reported(fact)
         finally:
             is_observed.set()
 
-    def _add_unresolved(self, attempt: ObservedAttempt, cause: UnknownFate) -> _Unresolved:
+    def _add_unresolved(self, attempt: ObservedAttempt, cause: UnknownFate) -> UnresolvedAttempt:
         """Count an attempt until its engine's fate is known; count an end if it is."""
-        unresolved = _Unresolved(attempt, anyio.current_time())
+        unresolved = UnresolvedAttempt(attempt, anyio.current_time())
         gone = self._gone.get(attempt.instance)
         if gone is not None:
             self._count(unresolved, gone.evidence)
             return unresolved
         self._own.record_unknown(attempt.request_key, attempt.counted_as, unresolved.since)
-        self._reports.add(_fate_of(attempt, is_alive=False))
+        self._reports.add(attempt.fate(is_alive=False))
         self._unresolved.append(unresolved)
         del self._unresolved[:-MAX_UNRESOLVED]
         self._checks.setdefault(attempt.instance, _Checks(unresolved.life_proof_at))
@@ -263,10 +180,10 @@
         )
         return unresolved
 
-    def _take(self, instance: str, until: float) -> list[_Unresolved]:
+    def _take(self, instance: str, until: float) -> list[UnresolvedAttempt]:
         """Remove and return the unresolved attempts of an engine up to a time."""
 
-        def is_taken(unresolved: _Unresolved) -> bool:
+        def is_taken(unresolved: UnresolvedAttempt) -> bool:
             return unresolved.attempt.instance == instance and unresolved.since <= until
 
         taken = [unresolved for unresolved in self._unresolved if is_taken(unresolved)]
@@ -290,7 +207,7 @@
         for unresolved in self._take(instance, until=max(proven)):
             self._count_alive(unresolved, evidence)
 
-    def _count(self, unresolved: _Unresolved, evidence: EndEvidence) -> None:
+    def _count(self, unresolved: UnresolvedAttempt, evidence: EndEvidence) -> None:
         """Count the end of an engine under a request, and report it."""
         attempt = unresolved.attempt
         now = anyio.current_time()
@@ -304,9 +221,9 @@
             counted_here=len(ended.instances),
             is_refused=ended.is_refused,
         )
-        self._reports.add(_end_of(attempt))
+        self._reports.add(attempt.end)
 
-    def _count_alive(self, unresolved: _Unresolved, evidence: LifeEvidence) -> None:
+    def _count_alive(self, unresolved: UnresolvedAttempt, evidence: LifeEvidence) -> None:
         """Count an engine no longer that lived on, and report it."""
         attempt = unresolved.attempt
         _log.info(
@@ -320,7 +237,7 @@
             # A later attempt is unresolved still.
             return
         self._own.record_alive(attempt.request_key, attempt.counted_as)
-        self._reports.add(_fate_of(attempt, is_alive=True))
+        self._reports.add(attempt.fate(is_alive=True))
 
     # Checks.
 
@@ -368,7 +285,7 @@
             checks.interval_s = min(2 * checks.interval_s, MAX_CHECK_INTERVAL_S)
 
     def _record_reach(self, backend: BackendRecord, reach: BackendReach) -> None:
-        evidence = _SHOWN_BY.get(reach)
+        evidence = SHOWN_BY.get(reach)
         _log.info(
             "engine_checked",
             service=backend.service,
@@ -413,13 +330,3 @@
         self._drained &= unresolved_instances
         for instance in [name for name in self._checks if name not in unresolved_instances]:
             del self._checks[instance]
-
-
-def _end_of(attempt: ObservedAttempt) -> EngineEnd:
-    return EngineEnd(request_key=attempt.request_key, instance=attempt.counted_as)
-
-
-def _fate_of(attempt: ObservedAttempt, *, is_alive: bool) -> AttemptFate:
-    return AttemptFate(
-        request_key=attempt.request_key, instance=attempt.counted_as, is_alive=is_alive
-    )
--- a/src/passlane/relay/refused_requests.py
+++ b/src/passlane/relay/refused_requests.py
@@ -9,7 +9,12 @@
 
 import anyio
 
-from passlane.decisions.failure.engine_ends import EngineEndCounts
+from passlane.decisions.failure.engine_ends import (
+    DOUBT_RETRY_AFTER_S,
+    HOLD_CHECK_INTERVAL_S,
+    MAX_HOLD_S,
+    EngineEndCounts,
+)
 from passlane.errors import PasslaneError, Verdict
 from passlane.messages.turns import TurnStoreFound
 from passlane.observability.logging import get_logger
@@ -24,13 +29,6 @@
 """Interval between requests for the refused requests while the store group doesn't answer them."""
 RETRY_AFTER_DIGITS = 1
 """Digits of the retry-after time, in seconds."""
-MAX_HOLD_S = 0.75
-"""Time for which a request waits for the fate of engines; an engine that lives is known to by
-then, and another leader of the store group may have taken over."""
-HOLD_CHECK_INTERVAL_S = 0.05
-"""Interval at which a request that waits is checked again."""
-DOUBT_RETRY_AFTER_S = 1.0
-"""Time after which the fate of an engine that answers is known; longer if its host is silent."""
 
 _log = get_logger(__name__)
 
@@ -101,8 +99,19 @@
         """Whether a request is worth holding: what is unknown may yet turn out harmless."""
         return self.remaining_s(request_key) is None and self.is_doubtful(request_key)
 
+    def require_not_certain(self, request_key: str) -> None:
+        """Check that a request that has not run is not refused for certain.
+
+        Raises
+        ------
+        RequestRefusedError
+            When it is refused, whatever the fate of further engines is.
+        """
+        if self.remaining_s(request_key) is not None:
+            self.require_not_refused(request_key, Verdict.NOT_RUN)
+
     def require_not_refused(self, request_key: str, verdict: Verdict) -> None:
-        """Check the same without waiting."""
+        """Check the same as ``require_allowed`` without waiting."""
         remaining_s = self.remaining_s(request_key)
         is_certain = remaining_s is not None
         if remaining_s is None and self.is_doubtful(request_key):
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -219,13 +219,17 @@
         context = self._build_context(accepted, origin.service if origin else service, origin)
         progress.service = context.service.name
         await self._refused.wait_until_known()
+        account = self._build_account(context)
         try:
-            await context.require_allowed(Verdict.NOT_RUN)
+            if account is None:
+                await context.require_allowed(Verdict.NOT_RUN)
+            else:
+                # Its reservation waits for what is unknown, with what all nodes know.
+                context.require_not_certain()
         except RequestRefusedError as error:
             progress.request_key = context.request_key
             await LocalResponses(writer, progress).refuse(error.refusal)
             return
-        account = self._build_account(context)
         await RequestRelay(context, writer, account, progress).run()
 
     def _build_context(
--- a/src/passlane/runtime/reach.py
+++ b/src/passlane/runtime/reach.py
@@ -5,6 +5,10 @@
 from passlane.messages.common import Address
 from passlane.runtime.interfaces import HttpClient, HttpConnectionError
 
+LIFE_PROOF_DELAY_S = 0.5
+"""Time for which a back end must live after an attempt that it did not complete to count as one
+that lives: a process that is about to end may still accept connections and answer."""
+
 
 class BackendReach(enum.StrEnum):
     """What came of opening a connection to a backend."""
--- a/src/passlane/turns/reported_ends.py
+++ b/src/passlane/turns/reported_ends.py
@@ -12,7 +12,13 @@
 
 import anyio
 
-from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES, EndedUnder
+from passlane.decisions.failure.engine_ends import (
+    DOUBT_RETRY_AFTER_S,
+    HOLD_CHECK_INTERVAL_S,
+    MAX_ENDED_ENGINES,
+    MAX_HOLD_S,
+    EndedUnder,
+)
 from passlane.messages.engine_ends import AttemptFate, EngineEnd, EnginesEnded, RefusedRequest
 from passlane.messages.placement import TurnRefused
 from passlane.messages.turns import AdvanceAge, ReserveTurn
@@ -24,12 +30,6 @@
 """Time after which a node that waits for a change is answered without one."""
 LEADERSHIP_CHECK_INTERVAL_S = 1.0
 """Interval at which a waiting request checks that this replica still leads."""
-MAX_HOLD_S = 0.75
-"""Time for which a turn waits for the fate of engines; an engine that lives is known to by then."""
-HOLD_CHECK_INTERVAL_S = 0.05
-"""Interval at which a turn that waits is checked again."""
-DOUBT_RETRY_AFTER_S = 1.0
-"""Time after which the fate of an engine that answers is known; longer if its host is silent."""
 
 _log = get_logger(__name__)
 
@@ -105,10 +105,10 @@
         Returns ``None`` when the turn may be sent, which the caller must record by ``admitted``
         before it waits for anything else.
         """
-        if self._refusal(request) is None:
+        refusal = self._refusal(request)
+        if refusal is None:
             return None
         held_at = anyio.current_time()
-        refusal = self._refusal(request)
         while self._is_held(refusal) and anyio.current_time() - held_at < MAX_HOLD_S:
             await anyio.sleep(HOLD_CHECK_INTERVAL_S)
             self._leadership.require_leadership()
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -10,7 +10,7 @@
 from structlog.testing import capture_logs
 
 from passlane.decisions.backends.registry import BackendRegistry
-from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES, RETENTION_S
+from passlane.decisions.failure.engine_ends import MAX_ENDED_ENGINES, MAX_HOLD_S, RETENTION_S
 from passlane.errors import Verdict
 from passlane.messages.engine_ends import RefusedRequest
 from passlane.messages.listing import BackendState
@@ -20,19 +20,20 @@
 from passlane.relay.end_reasons import RequestEndReason
 from passlane.relay.end_reports import EndReports
 from passlane.relay.engine_ends import (
-    BORN_PROOF_DELAY_S,
     FATE_WINDOW_S,
-    LIFE_PROOF_DELAY_S,
     MAX_OBSERVATION_S,
     RESOLUTION_INTERVAL_S,
-    EndEvidence,
     EngineEndWatch,
+)
+from passlane.relay.observed_attempts import (
+    BORN_PROOF_DELAY_S,
+    EndEvidence,
     ObservedAttempt,
     UnknownFate,
 )
-from passlane.relay.refused_requests import FIRST_ANSWER_TIMEOUT_S, MAX_HOLD_S, RefusedRequests
+from passlane.relay.refused_requests import FIRST_ANSWER_TIMEOUT_S, RefusedRequests
 from passlane.relay.request_errors import AnswerAbortedError, RequestRefusedError
-from passlane.runtime.reach import BackendReach
+from passlane.runtime.reach import LIFE_PROOF_DELAY_S, BackendReach
 from relay.fakes import (
     AT_CAPACITY,
     WRONG_INSTANCE,
