An answer of an engine without an attempt of unknown fate is passed over at once

Each answer looked through all attempts of unknown fate, up to 1,000. Those of an engine have checks, so an engine without checks has none. By reading; no behaviour changes.

--- a/src/passlane/relay/engine_ends.py
+++ b/src/passlane/relay/engine_ends.py
@@ -197,6 +197,8 @@
 
     def _record_life(self, instance: str, seen_at: float, evidence: LifeEvidence) -> None:
         """Resolve the attempts of an engine that lived at a time, if that is late enough."""
+        if instance not in self._checks:
+            return
         proven = [
             unresolved.since
             for unresolved in self._unresolved
