Equal turns side by side that belong to no line are all served

A program that sends one prompt four times at once, or a host with equal turns outside programs, would have got 503 engines_unknown for the fourth, though no engine had ended: seen by reading, then in a test (six turns, three refused).

Cause: an attempt under way counts as a possible end for other attempts at its request, and what makes attempts one request was taken from content alone. Turns of a line come one after the other, so equal ones side by side are attempts at one request; others may be several.

--- a/src/passlane/messages/turns.py
+++ b/src/passlane/messages/turns.py
@@ -48,8 +48,8 @@
         send it. Not replicated.
     request_key
         Identifies the turn's request over all its attempts; see
-        ``decisions.failure.request_identity``. Empty for a further run of an attempt, and from
-        older builds.
+        ``decisions.failure.request_identity``. Empty for a further run of an attempt, for a turn
+        that belongs to no line of turns, and from older builds.
     """
 
     program_id: str
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -62,6 +62,14 @@
     return has_budget or route.keeps_turns
 
 
+def _is_in_line(call: RelayedCall) -> bool:
+    """Whether a call is a turn of a line, whose turns come one after the other.
+
+    Equal turns side by side are then attempts at one request; elsewhere they may be several ones.
+    """
+    return call.program is not None and bool(call.program.session_id)
+
+
 class TurnAccount:
     """Reserves each run of a turn before it is sent, and settles all of them exactly once.
 
@@ -89,7 +97,7 @@
         self.outcome: TurnOutcome | None = None
         self._call = context.call
         self._engine_ends = context.engine_ends
-        self._request_key = context.request_key
+        self._request_key = context.request_key if _is_in_line(context.call) else ""
         self._route = context.route
         self._identity = context.identity
         self._quota = context.quota
--- a/tests/on_platform/test_engine_fates.py
+++ b/tests/on_platform/test_engine_fates.py
@@ -275,6 +275,24 @@
         for kind in KINDS:
             await self.assert_served(fleet, kind, f"{kind}-last")
 
+    @on_seeds(0, 1, engines=4)
+    async def test_equal_turns_side_by_side_that_belong_to_no_line_are_all_served(self, fleet):
+        for engine in fleet.engines:
+            engine.event_delay_s = 0.5
+        for outside in ({"x_passlane_session_id": None}, {"x_passlane_program_id": None}):
+            served = []
+            async with anyio.create_task_group() as tasks:
+                for number in range(6):
+                    tasks.start_soon(self.send_equal, fleet, number, outside, served)
+            self.assertEqual(served, [200] * 6)
+
+    async def send_equal(self, fleet, number, outside, served):
+        names = "-".join(outside)
+        answer = await self.send(
+            fleet, "turn", f"equal-{names}-{number}", node=NODES[number % 2], **outside
+        )
+        served.append(answer.status)
+
     @on_seeds(0, 1, engines=6)
     async def test_other_requests_are_served_while_engines_crash_in_series(self, fleet):
         await self.set_routes(fleet)
