The soak's check of refusals allows for a request that is refused sooner

Trace (logs kept with the finding): two attempts, 1.06 s apart, went to one back end whose host was silent; the list tells starts, so each counts by itself. With the second back end that ended, these were three, and the request was refused with two back ends ended in truth. The design says so; it is the price of an engine that may be back under its id. No back end got the request behind the third end.

The check asked for at least one attempt behind a third end. It now asks that each such attempt, and the last one whatever came before, is refused; where all back ends end at once it asks what it asked before.

--- a/src/passlane/soak/harmful.py
+++ b/src/passlane/soak/harmful.py
@@ -217,14 +217,15 @@
             self._ledger.check("refused-at-last", is_refused, call.name, detail, now)
 
     def _are_refused(self, attempts: list[HarmfulAttempt]) -> bool:
-        """Whether each attempt was refused that came after the last allowed end.
+        """Whether each attempt was refused that came after the last allowed end, and the last one.
 
-        Where all back ends end at once, each attempt before these ends one.
+        Where all back ends end at once, each attempt before these ends one. Elsewhere the request
+        may be refused sooner: two attempts at a silent back end may count as two.
         """
         late = [a for a in attempts if a.ended_before >= MAX_ENDED_ENGINES]
         if self._ending.ends_at_once:
             late = attempts[MAX_ENDED_ENGINES:]
-        return bool(late) and all(attempt.status == UNAVAILABLE for attempt in late)
+        return all(attempt.status == UNAVAILABLE for attempt in (*late, attempts[-1]))
 
     def _call(self, number: int) -> Call:
         """Return a harmful request: a turn, a resumable stream or a repeatable call."""
