The soak counts each run of a harmful request again where back ends end at once

They count runs again, as on; unseen counts back ends, as one that has broken off and not ended yet may get the request again.

--- a/src/passlane/soak/harmful.py
+++ b/src/passlane/soak/harmful.py
@@ -110,14 +110,15 @@
         self._ledger = ledger
         self._is_disturbed = is_disturbed
         self._ends = 0
+        self._runs: Counter[str] = Counter()
         self._ended: dict[str, set[str]] = defaultdict(set)
         self._ending: set[str] = set()
         self._unsettled: Counter[str] = Counter()
         self._settled: set[str] = set()
 
     def ended_under(self, request: str) -> int:
-        """Return how many back ends got a request."""
-        return len(self._ended[request])
+        """Return how many back ends got a request; each run counts where all end at once."""
+        return self._runs[request] if self.ends_at_once else len(self._ended[request])
 
     def end_under(self, back_end: StandIn, request_id: str) -> HarmedAnswer:
         """End a back end that begins to run a harmful request, and judge that it got it.
@@ -130,6 +131,7 @@
             # The report of the end before may have met the fault that began after it.
             self._unsettled[request] += 1
         start = f"{back_end.instance_id}@{back_end.born_ms}"
+        self._runs[request] += 1
         self._ended[request].add(start)
         allowed = MAX_ENDED_ENGINES + self._unsettled[request]
         ended = self.ended_under(request)
