--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -284,7 +284,7 @@
         if role != "node":
             (self.folder / "data" / name).mkdir(parents=True, exist_ok=True)
         environment = {
-            "PATH": os.environ["PATH"], "HOME": str(self.folder), "LANG": "C.UTF-8",
+            "PATH": os.environ["PATH"], "HOME": os.environ.get("HOME", str(self.folder)), "LANG": "C.UTF-8",
             "PYTHONPATH": str(REPOSITORY / "target" / "deps"), "PASSLANE_BOOT": str(path),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
