--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A configuration brings the first tenants; conversations that go on are not found any more."""
+"""A client resumes a kept turn after its node was killed; the next turn's prompt has a hole."""
 
 import asyncio
 import sys
@@ -7,38 +7,58 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
-from deployment import configuration, tenant, turn  # noqa: E402
-from rig import CannotRunError, Rig, plain, run_case, streams  # noqa: E402
+from deployment import configuration, turn  # noqa: E402
+from rig import FRONT, CannotRunError, Rig, plain, run_case, streams  # noqa: E402
 
-CONFIG_APPLY_S = 2.0
-RETENTION_S = 60.0
+EVENTS = 8
+MOST = 72
+
+
+def data_of(body: bytes) -> bytes:
+    """Return the data of the whole events of an answer, each with a line feed behind."""
+    events = body.split(b"\n\n")[:-1]
+    return b"".join(event.split(b"data: ", 1)[1] + b"\n" for event in events)
 
 
 async def case(rig: Rig) -> bool:
-    for number in (1, 2):
-        await rig.add_server("tutor", number, streams(4, 0.02))
+    engines = [await rig.add_server("tutor", number, streams(EVENTS, 0.15)) for number in (1, 2)]
     await rig.add_server("app", 3, plain)
-    await rig.up(configuration(1))
+    await rig.up(configuration(1, chat={"resumable": True}))
     await asyncio.sleep(1)
-    previous: str | None = None
-    answered_at = 0.0
-    lost = 0
-    for number in range(6):
-        if number == 3 and rig.with_trouble:
-            if not await rig.put(configuration(2, [tenant("shop-a", "key-a"), tenant("shop-b", "key-b")])):
-                raise CannotRunError("the configuration was not acknowledged")
-            await asyncio.sleep(CONFIG_APPLY_S + 0.5)
-        attempt, answer = await rig.request(
-            f"node-{number % 2 + 1}", "POST", "/chat/a",
-            turn("p", "line", 36, previous=previous, key="key-a"), f"turn {number} ".encode(),
+    first, answer = await rig.request("node-2", "POST", "/chat/a", turn("p", "line", MOST), b"first ")
+    expected = b"first " + data_of(answer.body)
+    headers = turn("p", "line", MOST, previous=first)
+    second = rig.next_attempt()
+    fields = {"X-Passlane-Attempt-Id": second, "X-Passlane-Deadline-Ms": "4000", **headers}
+    rig.record("send", node="node-1", attempt=second, headers=headers, body=b"second ")
+    under_way = asyncio.create_task(
+        rig.call(rig.hosts["node-1"], FRONT, "POST", "/chat/a", fields, b"second ")
+    )
+    while not any(request.attempt == second for engine in engines for request in engine.ran):
+        await asyncio.sleep(0.02)
+    # Some of the events, which come every 0.15 s, are out.
+    await asyncio.sleep(0.55)
+    if rig.with_trouble:
+        rig.kill("node-1")
+    begun = await under_way
+    rig.record("answer", attempt=second, whole=begun.is_whole, events=begun.events, body=begun.body[-120:])
+    expected += b"second " + data_of(begun.body)
+    if rig.with_trouble:
+        if begun.is_whole or not 0 < begun.events < EVENTS:
+            raise CannotRunError("the node was not killed in the middle of the stream")
+        second, rest = await rig.request(
+            "node-2", "POST", "/chat/a", {**headers, "Last-Event-Id": str(begun.events)}, b"second "
         )
-        if answer.status == 200 and answer.is_whole:
-            previous, answered_at = attempt, rig.now()
-        elif answer.status in (404, 410) and rig.now() - answered_at < RETENTION_S:
-            lost += 1
-            rig.record("lost", previous=previous, answered_s_ago=round(rig.now() - answered_at, 1))
-        await asyncio.sleep(0.2)
-    return lost > 0
+        if rest.status != 200 or not rest.is_whole:
+            return False
+        expected += data_of(rest.body)
+    third, answer = await rig.request(
+        "node-3", "POST", "/chat/a", turn("p", "line", MOST, previous=second), b"third "
+    )
+    expected += b"third "
+    got = [request.body for engine in engines for request in engine.ran if request.attempt == third]
+    rig.record("verdict", status=answer.status, expected=expected, got=got)
+    return any(body != expected for body in got)
 
 
-run_case(lambda: Rig(FOLDER), case)
+run_case(lambda: Rig(FOLDER, nodes=6), case)
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -363,6 +363,10 @@
                 await writer.drain()
         writer.close()
 
+    async def serve_list(self) -> None:
+        """Serve the platform's list."""
+        self._list_server = await asyncio.start_server(self._serve_list, f"{self.net}.5", LIST)
+
     async def add_server(self, service: str, number: int, behaviour: Behaviour) -> Server:
         server = Server(self, service, f"{self.net}.{100 + number}", 8080, behaviour)
         await server.start()
@@ -371,7 +375,7 @@
 
     async def up(self, configuration: dict[str, object]) -> None:
         """Start everything, put the first configuration, and wait until all nodes are ready."""
-        await asyncio.start_server(self._serve_list, f"{self.net}.5", LIST)
+        await self.serve_list()
         for name in self.hosts:
             if name not in self.late:
                 self.start(name)
