A process that ends on an unforeseen error logs it first

What callers saw: nodes ended by themselves, and their logs held no line on it.

Cause: an error that leaves the event loop of a daemon was written to standard error alone, and the lines that were still buffered for standard output were lost with it.

Change: `ended_by_error`, one line for each error of a group (five at most), with the class, the message (300 characters at most, printable) and the innermost eight calls, is logged and written out before the process ends. Exit code and traceback are as they were. The line tells apart whether a node ends in the encoder of a message, in a parser, or while it applies its view. The recorded form of the log has the new event.

tests/observability/test_unforeseen_errors.py: four tests, one of them with a process whose daemon raises; without the change its output had no such line.

--- a/src/passlane/daemon/fleet/process.py
+++ b/src/passlane/daemon/fleet/process.py
@@ -24,6 +24,7 @@
 from passlane.observability.metrics import Metrics
 from passlane.observability.ring import RingLog
 from passlane.observability.standard_output import StandardOutputLog
+from passlane.observability.unforeseen_errors import log_ending_errors
 from passlane.runtime.client_limiter import ClientLimiter
 from passlane.runtime.early_listening import ListeningSockets
 from passlane.runtime.interfaces import HttpLimits
@@ -202,6 +203,11 @@
         Sockets that already listen.
     started_at
         Monotonic time, in seconds, at which the process started.
+
+    Raises
+    ------
+    Exception
+        An unforeseen error, after it was logged.
     """
     try:
         settings = load_fleet_settings(path)
@@ -218,6 +224,10 @@
     except TooManyRestartsError as error:
         _log.error("failed", message=error.message)
         exit_code = EXIT_FAILED
+    except Exception as error:
+        log_ending_errors(error)
+        output.flush()
+        raise
     _log.info("stopped", exit_code=exit_code)
     output.flush()
     return exit_code
