Bounds of what an entry of the list may hold, in the types of its decoder

What callers saw: one entry with a whole number of 2^64 or more in slots or born ended every node: the number passed the check of its type and could not be encoded in the report of the list (OverflowError), which no task expects.

Cause: Python's int has no bound, the whole numbers of messages have 64 bits.

Change: the types of the entry's decoder bear the bounds, so an entry beyond them is invalid, is skipped alone and counted. Where each bound comes from: - born, cold_left_ms: 2^53 - 1, the whole numbers that all readers of JSON hold (RFC 8259, section 6); as a Unix time in ms that is in 285,000 years. - slots: 2^31 - 1, more than the connections that an address takes; sums over 2^32 entries fit into 63 bits. - id, service, zone, version: 1,024 characters. An id is sent to its instance as a header; that is a sixteenth of a head of 16,384 bytes, the platform's default limit. - id: characters that a header can carry (Latin-1); requests to any other could not be written. - address: 21 characters, the longest IP:PORT.

--- a/src/passlane/platform/list_format.py
+++ b/src/passlane/platform/list_format.py
@@ -15,8 +15,16 @@
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
+from passlane.messages.number_bounds import MAX_WHOLE_NUMBER, Count
 
 MAX_PORT = 65_535
+MAX_ADDRESS_CHARACTERS = len(f"255.255.255.255:{MAX_PORT}")
+MAX_NAME_CHARACTERS = 1_024
+"""Maximum length of a name. An instance's id is sent to it in a header: a sixteenth of a head of
+16,384 bytes, the platform's default limit (``limits.max_header_bytes``)."""
+MAX_SLOTS = 2**31 - 1
+"""Maximum of concurrent requests of an instance, far beyond the connections that an address takes.
+Sums over any list fit into the 63 bits of a whole number of messages."""
 MAX_REASON_CHARACTERS = 120
 """Maximum length of the logged reason why an entry is invalid."""
 DEFAULT_SOFTWARE_VERSION = "v1"
@@ -24,26 +32,29 @@
 REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 """Replaces bytes of a page that are not valid UTF-8."""
 
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+_AddressText = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 
 class _Entry(msgspec.Struct, frozen=True):
     """One entry of a page, with all required fields, used or not.
 
+    A valid entry can be encoded, stored and counted by every process.
     ``born`` is the Unix time of the instance's start, in ms; older platforms omit it. ``version``
     is that of its software, not of a model's weights.
     """
 
     id: _Name
     service: _Name
-    address: str
+    address: _AddressText
     zone: _Name
     version: _Name
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: _Slots
     state: BackendState
-    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
-    born: _Count | msgspec.UnsetType = msgspec.UNSET
+    cold_left_ms: _Milliseconds
+    born: Count | msgspec.UnsetType = msgspec.UNSET
     stage: str | msgspec.UnsetType = msgspec.UNSET
     models: list[Any] | msgspec.UnsetType = msgspec.UNSET
 
@@ -172,6 +183,8 @@
     """Return the backend of an entry; raise ``ValueError`` for an invalid name or address."""
     if not (entry.id + entry.service + entry.zone + entry.version).isprintable():
         raise ValueError("id, service, zone or version contains characters that aren't printable")
+    if not _fits_header(entry.id):
+        raise ValueError("id contains characters that a header can't carry")
     return BackendRecord(
         instance_id=entry.id,
         service=entry.service,
@@ -184,6 +197,15 @@
     )
 
 
+def _fits_header(text: str) -> bool:
+    """Whether a header, whose octets are those of Latin-1, can carry a text."""
+    try:
+        text.encode("latin-1")
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _address_of(text: str) -> Address:
     """Return the address of an entry; raise ``ValueError`` if it isn't IP:PORT."""
     if not text.isascii():
--- a/tests/on_platform/test_instance_list.py
+++ b/tests/on_platform/test_instance_list.py
@@ -13,11 +13,13 @@
 from hypothesis import strategies as st
 
 from passlane.errors import PasslaneError
+from passlane.messages.base import encode_message
 from passlane.messages.common import Address
-from passlane.messages.listing import BackendRecord, BackendState
+from passlane.messages.listing import BackendRecord, BackendState, ReportBackends
+from passlane.messages.registry import decode_any_message
 from passlane.observability.metrics import Metrics
 from passlane.platform.instance_list import InstanceList
-from passlane.platform.list_format import encode_page
+from passlane.platform.list_format import MAX_NAME_CHARACTERS, MAX_SLOTS, encode_page
 
 ENTRY = {
     "service": "models",
@@ -156,6 +158,51 @@
         self.assertIn("passlane_unreadable_backend_entries_total 3.0", exposed)
 
 
+class BoundsTest(unittest.TestCase):
+    """What is read of an entry can be sent, stored and counted by every process."""
+
+    def read_with(self, field, text):
+        """Return what is read of an entry with a value written as it is, before a valid one."""
+        entry = json.dumps(ENTRY | {field: "@@"}).replace('"@@"', text)
+        body = f'{{"instances":[{entry},{json.dumps(OTHER)}],"next_token":null}}'
+        return read(body.encode())
+
+    def test_a_number_beyond_the_bounds(self):
+        for field in ("slots", "born", "cold_left_ms"):
+            for number in (2**53, 2**63, 2**64, 10**20, 10**309, -(2**63) - 1):
+                with self.subTest(field, number=number):
+                    self.assertEqual(ids(self.read_with(field, str(number))), ["i-2"])
+            for text in ("9" * 5_000, "1e999", "-1e999", "1e400"):
+                with self.subTest(field, text=text[:9]):
+                    self.assertEqual(ids(self.read_with(field, text)), ["i-2"])
+
+    def test_slots_whose_sum_could_not_be_sent(self):
+        self.assertEqual(ids(self.read_with("slots", str(MAX_SLOTS + 1))), ["i-2"])
+
+    def test_a_name_beyond_its_bound(self):
+        for field in ("id", "service", "zone", "version"):
+            for length in (MAX_NAME_CHARACTERS + 1, 300_000):
+                with self.subTest(field, length=length):
+                    text = json.dumps("x" * length)
+                    self.assertEqual(ids(self.read_with(field, text)), ["i-2"])
+
+    def test_an_id_that_a_header_cannot_carry(self):
+        self.assertEqual(ids(self.read_with("id", '"\u043c"')), ["i-2"])
+
+    def test_the_largest_values_are_read_and_can_be_sent(self):
+        name = json.dumps("x" * MAX_NAME_CHARACTERS)
+        largest = {
+            "slots": str(MAX_SLOTS), "born": str(2**53 - 1), "cold_left_ms": str(2**53 - 1),
+            "id": name, "service": name, "zone": name, "version": name,
+        }  # fmt: skip
+        for field, text in largest.items():
+            with self.subTest(field):
+                records = self.read_with(field, text)
+                self.assertEqual(len(records), 2)
+                encoded = encode_message(ReportBackends(name="n", number=1, records=records))
+                self.assertEqual(decode_any_message(encoded).records, records)
+
+
 class InvalidPageTest(unittest.TestCase):
     def test_an_invalid_page_is_an_error_and_not_an_empty_list(self):
         for body in (b"", b"{", b"[]", b"null", b'{"instances":{}}', b'{"next_token":null}',
