Configurations are bounded where they are decoded

One with 2^64 in a time, with negative amounts or with bytes that are no text got 200.

Cause: the types of the decoder had no bounds, so that Python held numbers that no message carries (OverflowError in the encoder), and only errors of msgspec were taken for an invalid document, not its RecursionError. The decoder skips the bytes of unread fields, so they need not have been text.

Change: the types of the decoder have bounds, and what is beyond them is an invalid document (400). A whole number that is only compared may be up to 2^63 - 1, which some systems write for "no limit"; one that is added up or multiplied (weights, tokens in an event, the priority of a tenant) up to 2^53 - 1, which all readers of JSON hold exactly; a time or a rate up to 2^63. The check of a configuration refuses NaN, infinite and negative times as well, since it sees what replicas of other builds pass on. A reason names at most 100 characters of a name.

--- a/src/passlane/platform/configuration_format.py
+++ b/src/passlane/platform/configuration_format.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.number_bounds import ComparedNumber, Count, FiniteAmount
 from passlane.messages.routes import (
     RequestLimits,
     Route,
@@ -20,6 +21,7 @@
 MILLISECONDS_PER_SECOND = 1_000.0
 FULL_WEIGHT = 1
 """Weight of the only service of a route."""
+MAX_REASON_CHARACTERS = 300
 
 _Kind = Literal["safe", "unsafe", "streaming"]
 _KINDS: dict[_Kind, RouteKind] = {
@@ -32,7 +34,7 @@
 
 class _SplitService(msgspec.Struct, frozen=True):
     service: str
-    weight: int
+    weight: Count
 
 
 class _Route(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,38 +42,38 @@
     host: str
     path_prefix: str
     kind: _Kind = "unsafe"
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 5
+    timeout_ms: FiniteAmount
+    target_latency_ms: FiniteAmount = 0.0
+    priority: ComparedNumber = 5
     service: str | None = None
     traffic_split: tuple[_SplitService, ...] | None = None
-    max_attempts: int = 1
+    max_attempts: ComparedNumber = 1
     retained: bool = False
-    retention_s: float = 0.0
+    retention_s: FiniteAmount = 0.0
     resumable: bool = False
-    target_gap_ms: float = 0.0
+    target_gap_ms: FiniteAmount = 0.0
     public: bool = False
     sticky: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    slots: int = 0
-    chunk_tokens: int = 1
-    kv_capacity: int = 0
+    slots: ComparedNumber = 0
+    chunk_tokens: Count = 1
+    kv_capacity: ComparedNumber = 0
 
 
 class _Service(msgspec.Struct, frozen=True, kw_only=True):
     name: str
     health_path: str = "/"
-    max_conns: int = 0
+    max_conns: ComparedNumber = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: ComparedNumber = 16_384
+    max_body_bytes: ComparedNumber = 4_194_304
+    header_timeout_ms: FiniteAmount = 3_000
+    idle_timeout_ms: FiniteAmount = 15_000
 
 
 _Key = Annotated[str, msgspec.Meta(min_length=1)]
@@ -80,13 +82,13 @@
 class _Tenant(msgspec.Struct, frozen=True, kw_only=True):
     name: str
     api_keys: tuple[_Key, ...] = ()
-    priority: int | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    priority: Count | None = None
+    rate_per_s: FiniteAmount = 0.0
+    burst: FiniteAmount = 0.0
 
 
 class _Document(msgspec.Struct, frozen=True):
-    version: int
+    version: ComparedNumber
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
@@ -102,12 +104,10 @@
     Raises
     ------
     PasslaneError
-        ``INVALID_DOCUMENT`` when the document is not valid JSON or a field has another type.
+        ``INVALID_DOCUMENT`` when the document is not valid JSON, is nested too deeply, or a field
+        has another type or is beyond its bound.
     """
-    try:
-        document = _decoder.decode(source)
-    except msgspec.MsgspecError as error:
-        raise PasslaneError(ErrorCode.INVALID_DOCUMENT, str(error)) from error
+    document = _decode(source)
     return RouteConfiguration(
         version=document.version,
         routes=tuple(_route_of(route) for route in document.routes),
@@ -118,6 +118,20 @@
     )
 
 
+def _decode(source: bytes) -> _Document:
+    try:
+        # The decoder passes over the bytes of fields that it doesn't know.
+        source.decode("utf-8")
+        return _decoder.decode(source)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        reason = str(error)[:MAX_REASON_CHARACTERS]
+        raise PasslaneError(ErrorCode.INVALID_DOCUMENT, reason) from error
+    except RecursionError as error:
+        raise PasslaneError(
+            ErrorCode.INVALID_DOCUMENT, "the document is nested too deeply"
+        ) from error
+
+
 def encode_configuration(
     configuration: RouteConfiguration, keys_of_tenant: Mapping[str, tuple[str, ...]]
 ) -> bytes:
--- a/src/passlane/routes/checks.py
+++ b/src/passlane/routes/checks.py
@@ -3,11 +3,14 @@
 Reports each problem as one sentence for the operator; sentences never contain API keys.
 """
 
-import math
 from collections.abc import Iterable, Iterator
 
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.messages.routes import Route, RouteConfiguration, Tenant
+from passlane.messages.number_bounds import MAX_AMOUNT
+from passlane.messages.routes import RequestLimits, Route, RouteConfiguration, Tenant
+
+MAX_NAME_CHARACTERS = 100
+"""Characters of a name in a sentence; the configuration bounds no name."""
 
 
 def check_configuration(configuration: RouteConfiguration) -> None:
@@ -28,41 +31,62 @@
         yield from _route_problems(route, services)
         host_prefix = (route.host.lower(), route.path_prefix)
         if host_prefix in host_prefixes:
-            yield f"route {route.name}: another route has the same host and prefix"
+            yield f"route {_shown(route.name)}: another route has the same host and prefix"
         host_prefixes.add(host_prefix)
+    yield from _limit_problems(configuration.limits)
     yield from _tenant_problems(configuration.tenants)
 
 
+def _shown(name: str) -> str:
+    return name if len(name) <= MAX_NAME_CHARACTERS else f"{name[:MAX_NAME_CHARACTERS]}..."
+
+
+def _is_amount(amount: float) -> bool:
+    """Return whether a time or a rate is within its bounds, which no NaN is."""
+    return 0 <= amount <= MAX_AMOUNT
+
+
+def _limit_problems(limits: RequestLimits) -> Iterator[str]:
+    for name in ("header_timeout_s", "idle_timeout_s"):
+        if not _is_amount(getattr(limits, name)):
+            yield f"limits: {name} must be from 0 to {MAX_AMOUNT:g}"
+
+
 def _tenant_problems(tenants: Iterable[Tenant]) -> Iterator[str]:
     """Yield the problems of tenants; no sentence contains a key."""
     names: set[str] = set()
     owners: dict[bytes, str] = {}
     for tenant in tenants:
+        name = _shown(tenant.name)
         if not tenant.name:
             yield "a tenant has no name"
         if tenant.name in names:
-            yield f"two tenants are named {tenant.name}"
+            yield f"two tenants are named {name}"
         names.add(tenant.name)
         for amount in (tenant.rate_per_s, tenant.burst):
-            if amount < 0 or not math.isfinite(amount):
-                yield f"tenant {tenant.name}: the rate and the burst must be finite and at least 0"
+            if not _is_amount(amount):
+                yield f"tenant {name}: the rate and the burst must be finite and at least 0"
         for digest in tenant.key_digests:
             owner = owners.setdefault(digest, tenant.name)
             if owner != tenant.name:
-                yield f"tenant {tenant.name}: one of its keys also belongs to tenant {owner}"
+                yield f"tenant {name}: one of its keys also belongs to tenant {_shown(owner)}"
 
 
 def _route_problems(route: Route, services: set[str]) -> Iterator[str]:
+    name = _shown(route.name)
     for share in route.shares:
         if share.service not in services:
-            yield f"route {route.name}: unknown service {share.service}"
+            yield f"route {name}: unknown service {_shown(share.service)}"
         if share.weight < 0:
-            yield f"route {route.name}: the weight of service {share.service} is negative"
+            yield f"route {name}: the weight of service {_shown(share.service)} is negative"
     if sum(share.weight for share in route.shares) <= 0:
-        yield f"route {route.name}: the sum of the weights must be greater than 0"
+        yield f"route {name}: the sum of the weights must be greater than 0"
+    for field in ("timeout_s", "target_latency_s", "target_gap_s", "retention_s"):
+        if not _is_amount(getattr(route, field)):
+            yield f"route {name}: {field} must be from 0 to {MAX_AMOUNT:g}"
     if route.timeout_s <= 0:
-        yield f"route {route.name}: the timeout must be greater than 0"
+        yield f"route {name}: the timeout must be greater than 0"
     if route.max_attempts < 1:
-        yield f"route {route.name}: max_attempts must be at least 1"
+        yield f"route {name}: max_attempts must be at least 1"
     if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
-        yield f"route {route.name}: the prefix must start and end with a slash"
+        yield f"route {name}: the prefix must start and end with a slash"
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -1,5 +1,7 @@
 """Conversion of the platform's requests, configurations and answers to passlane's types."""
 
+import copy
+import json
 import unittest
 
 import msgspec
@@ -8,10 +10,23 @@
 from passlane.decisions.inputs.answer_head import BodyFraming, Refusal
 from passlane.decisions.inputs.relayed_call import Header, PromptPart, RelayedCall
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.messages.routes import Route, RoutedService, RouteKind, ServiceShare, Tenant
-from passlane.platform.configuration_format import encode_configuration, parse_configuration
+from passlane.messages.base import encode_message, message_decoder
+from passlane.messages.routes import (
+    ReplaceConfiguration,
+    Route,
+    RoutedService,
+    RouteKind,
+    ServiceShare,
+    Tenant,
+)
+from passlane.platform.configuration_format import (
+    MAX_REASON_CHARACTERS,
+    encode_configuration,
+    parse_configuration,
+)
 from passlane.platform.engine_client import EngineAnswer
 from passlane.platform.request_format import parse_call
+from passlane.routes.checks import check_configuration
 from passlane.routes.tenants import digest_of_key
 
 TURN_HEADERS = {
@@ -151,6 +166,36 @@
 }
 
 
+ROUTE = ("routes", 0)
+SERVICE = ("services", 0)
+TENANT = ("tenants", 0)
+COMPARED = (
+    ("version",),
+    (*ROUTE, "priority"),
+    (*ROUTE, "max_attempts"),
+    (*SERVICE, "max_conns"),
+    (*SERVICE, "engine", "slots"),
+    (*SERVICE, "engine", "kv_capacity"),
+    ("limits", "max_header_bytes"),
+    ("limits", "max_body_bytes"),
+)
+ADDED_UP = (
+    (*ROUTE, "traffic_split", 0, "weight"),
+    (*SERVICE, "engine", "chunk_tokens"),
+    (*TENANT, "priority"),
+)
+AMOUNTS = (
+    (*ROUTE, "timeout_ms"),
+    (*ROUTE, "target_latency_ms"),
+    (*ROUTE, "target_gap_ms"),
+    (*ROUTE, "retention_s"),
+    ("limits", "header_timeout_ms"),
+    ("limits", "idle_timeout_ms"),
+    (*TENANT, "rate_per_s"),
+    (*TENANT, "burst"),
+)
+
+
 class ConfigurationFormatTest(unittest.TestCase):
     def test_a_document_is_parsed(self):
         source = msgspec.json.encode(DOCUMENT)
@@ -193,6 +238,62 @@
                 parse_configuration(broken)
             self.assertIs(caught.exception.code, ErrorCode.INVALID_DOCUMENT)
 
+    def parse_with(self, place, text):
+        """Parse the document in which the value at ``place`` is ``text``, as written."""
+        document = copy.deepcopy(DOCUMENT | {"tenants": [{"name": "t"}]})
+        owner = document
+        for step in place[:-1]:
+            owner = owner[step]
+        owner[place[-1]] = "@odd@"
+        return parse_configuration(json.dumps(document).replace('"@odd@"', text).encode())
+
+    def assert_refused(self, place, text):
+        with self.subTest(place=place, text=text[:24]):
+            with self.assertRaises(PasslaneError) as caught:
+                self.parse_with(place, text)
+            self.assertIs(caught.exception.code, ErrorCode.INVALID_DOCUMENT)
+            self.assertLessEqual(len(caught.exception.message), MAX_REASON_CHARACTERS)
+
+    def test_numbers_up_to_their_bounds_can_be_sent_to_all_processes(self):
+        largest = {COMPARED: 2**63 - 1, ADDED_UP: 2**53 - 1, AMOUNTS: 2**63}
+        for places, number in largest.items():
+            for place in places:
+                with self.subTest(place=place):
+                    parsed = self.parse_with(place, str(number))
+                    check_configuration(parsed)
+                    command = ReplaceConfiguration(configuration=parsed)
+                    decoder = message_decoder(ReplaceConfiguration)
+                    self.assertEqual(decoder.decode(encode_message(command)), command)
+
+    def test_numbers_beyond_their_bounds_are_refused(self):
+        beyond = {COMPARED: 2**63, ADDED_UP: 2**53, AMOUNTS: 2**64}
+        for places, number in beyond.items():
+            for place in places:
+                for text in (str(number), str(2**64), "9" * 400, "9" * 5_000, "1e999", "NaN"):
+                    self.assert_refused(place, text)
+                for text in ("-1", str(-(2**63) - 1), "-" + "9" * 400):
+                    self.assert_refused(place, text)
+
+    def test_what_no_process_reads_whole_is_refused(self):
+        for text in ("[" * 3_000 + "]" * 3_000, "[" * 100_000, r'"\ud800"'):
+            for place in (("unread",), ("routes", 0, "unread"), ("routes", 0, "name")):
+                self.assert_refused(place, text)
+        self.assert_refused(("routes", 0, "kind"), json.dumps("n" * 300_000))
+
+    def test_bytes_that_are_no_text_are_refused(self):
+        for text in (b"\xff", b"\xed\xa0\x80"):
+            source = json.dumps(DOCUMENT | {"unread": "@odd@"}).encode().replace(b"@odd@", text)
+            with self.subTest(text), self.assertRaises(PasslaneError) as caught:
+                parse_configuration(source)
+            self.assertIs(caught.exception.code, ErrorCode.INVALID_DOCUMENT)
+
+    def test_long_names_and_unread_numbers_are_parsed(self):
+        name = "n" * 300_000
+        self.assertEqual(
+            self.parse_with(("services", 0, "name"), f'"{name}"').services[0].name, name
+        )
+        self.parse_with(("unread",), "9" * 5_000)
+
     def test_tenants_are_parsed(self):
         tenants = [
             {
--- a/tests/routes/test_checks.py
+++ b/tests/routes/test_checks.py
@@ -75,6 +75,23 @@
     def test_a_timeout_of_zero(self):
         self.assert_invalid(configuration(route(timeout_s=0.0)))
 
+    def test_times_that_are_negative_or_not_finite(self):
+        for field in ("timeout_s", "target_latency_s", "target_gap_s", "retention_s"):
+            for seconds in (-1.0, math.inf, math.nan):
+                with self.subTest(field=field, seconds=seconds):
+                    self.assert_invalid(configuration(route(**{field: seconds})))
+        for field in ("header_timeout_s", "idle_timeout_s"):
+            for seconds in (-1.0, math.inf, math.nan):
+                with self.subTest(field=field, seconds=seconds):
+                    valid = configuration()
+                    limits = msgspec.structs.replace(valid.limits, **{field: seconds})
+                    self.assert_invalid(msgspec.structs.replace(valid, limits=limits))
+
+    def test_a_long_name_makes_no_long_sentence(self):
+        with self.assertRaises(PasslaneError) as caught:
+            check_configuration(configuration(route(name="n" * 300_000, timeout_s=0.0)))
+        self.assertLess(len(caught.exception.message), 200)
+
     def test_a_prefix_needs_slashes_at_both_ends(self):
         self.assert_invalid(configuration(route(path_prefix="/first")))
         self.assert_invalid(configuration(route(path_prefix="first/")))
