Counts in headers of callers are bounded where they are decoded

What callers saw: an X-Passlane-Token-Budget of 2^64 or 400 digits, or an X-Passlane-Token-Usage or X-Passlane-Prompt-Prefix of that size on a route of turns, got a 500; 5,000 digits got it on every route, unknown ones too. On other routes such requests were served, and so were parts of a prompt whose sum exceeds 64 bits.

Cause: the header was read into a number without a bound, which no message to the store group carries (OverflowError in the encoder), and int() raises a ValueError for a text of more than 4,300 digits.

Change: parse_count reads a number in decimal digits within its bound, leading zeros included, and what is beyond is a malformed header (400). Tokens of a turn and of all parts of a prompt together: 2^53 - 1, since they are added up; a budget, which is only compared: 2^63 - 1. Deadlines are times that never leave the node as whole numbers; each finite one is served as before.

Served still, by the same module: numbers at their bounds, 30 leading zeros, deadlines of 2^64 and 1e300.

--- a/src/passlane/messages/number_bounds.py
+++ b/src/passlane/messages/number_bounds.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from passlane.errors import ErrorCode, PasslaneError
+
 MAX_WHOLE_NUMBER = 2**53 - 1
 """Largest whole number that all readers of JSON hold exactly (RFC 8259, section 6). The sum of a
 thousand of them fits into the 63 bits of ``MAX_COMPARED_NUMBER``."""
@@ -23,3 +25,20 @@
 """A whole number that is compared with others, and never added up."""
 FiniteAmount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 """A time, a rate or another amount that need not be whole."""
+
+
+def parse_count(text: str, most: int = MAX_WHOLE_NUMBER) -> int:
+    """Return the whole number in decimal digits, with leading zeros and spaces around it at most.
+
+    Raises
+    ------
+    PasslaneError
+        ``BAD_REQUEST`` when the text is not a whole number from 0 to ``most``.
+    """
+    digits = text.strip(" \t")
+    if digits.isascii() and digits.isdecimal():
+        # Python converts no text of thousands of digits.
+        significant = digits.lstrip("0") or "0"
+        if len(significant) <= len(str(most)) and int(significant) <= most:
+            return int(significant)
+    raise PasslaneError(ErrorCode.BAD_REQUEST, f"expected a whole number from 0 to {most}")
--- a/src/passlane/platform/request_format.py
+++ b/src/passlane/platform/request_format.py
@@ -5,11 +5,13 @@
 
 from passlane.decisions.inputs.relayed_call import Header, ProgramContext, PromptPart, RelayedCall
 from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.number_bounds import MAX_COMPARED_NUMBER, MAX_WHOLE_NUMBER, parse_count
 from passlane.platform import names
 from passlane.routes.tenants import digest_of_key
 
 MILLISECONDS_PER_SECOND = 1_000.0
 NO_DEADLINE = float("inf")
+EXPECTED_TIME = "expected a finite number of milliseconds"
 _NOT_FORWARDED = names.CONNECTION_HEADERS | names.RESERVED_HEADERS | names.CREDENTIAL_HEADERS
 
 
@@ -37,7 +39,7 @@
     Raises
     ------
     PasslaneError
-        ``BAD_REQUEST`` when a header is missing or malformed.
+        ``BAD_REQUEST`` when a header is missing, malformed, or has a number beyond its bound.
     """
     values = {header.name: header.value for header in headers}
     request_id = values.get(names.ATTEMPT_ID, "")
@@ -99,11 +101,18 @@
     return ProgramContext(
         program_id=program_id,
         deadline_at=_parse_deadline(values, names.PROGRAM_DEADLINE_MS, now),
-        budget_tokens=_parse_optional_number(values, names.TOKEN_BUDGET),
+        budget_tokens=_token_budget(values),
         session_id=values.get(names.SESSION_ID, ""),
     )
 
 
+def _token_budget(values: dict[str, str]) -> int | None:
+    text = values.get(names.TOKEN_BUDGET)
+    if text is None:
+        return None
+    return _parse_number(text, names.TOKEN_BUDGET, MAX_COMPARED_NUMBER)
+
+
 def _max_tokens(values: dict[str, str]) -> int:
     usage = values.get(names.TOKEN_USAGE)
     if usage is None:
@@ -114,10 +123,14 @@
 
 
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
-    parts = []
+    parts: list[PromptPart] = []
     for entry in filter(None, (item.strip() for item in text.split(","))):
         part_id, _, tokens = entry.rpartition(":")
         parts.append(PromptPart(part_id, _parse_number(tokens, names.PROMPT_PREFIX)))
+    if sum(part.tokens for part in parts) > MAX_WHOLE_NUMBER:
+        raise _malformed_header(
+            names.PROMPT_PREFIX, f"expected {MAX_WHOLE_NUMBER} tokens at most in all parts"
+        )
     return tuple(parts)
 
 
@@ -129,22 +142,18 @@
     try:
         milliseconds = float(text)
     except ValueError:
-        raise _malformed_header(name) from None
+        raise _malformed_header(name, EXPECTED_TIME) from None
     if not math.isfinite(milliseconds):
-        raise _malformed_header(name)
+        raise _malformed_header(name, EXPECTED_TIME)
     return now + milliseconds / MILLISECONDS_PER_SECOND
 
 
-def _parse_optional_number(values: dict[str, str], name: str) -> int | None:
-    text = values.get(name)
-    return _parse_number(text, name) if text is not None else None
-
-
-def _parse_number(text: str, name: str) -> int:
-    if not text.strip().isdecimal():
-        raise _malformed_header(name)
-    return int(text)
+def _parse_number(text: str, name: str, most: int = MAX_WHOLE_NUMBER) -> int:
+    try:
+        return parse_count(text, most)
+    except PasslaneError as error:
+        raise _malformed_header(name, error.message) from None
 
 
-def _malformed_header(name: str) -> PasslaneError:
-    return PasslaneError(ErrorCode.BAD_REQUEST, f"{name} is malformed")
+def _malformed_header(name: str, expected: str) -> PasslaneError:
+    return PasslaneError(ErrorCode.BAD_REQUEST, f"{name} is malformed: {expected}")
--- a/tests/on_platform/test_formats.py
+++ b/tests/on_platform/test_formats.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import math
 import unittest
 
 import msgspec
@@ -11,6 +12,7 @@
 from passlane.decisions.inputs.relayed_call import Header, PromptPart, RelayedCall
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.base import encode_message, message_decoder
+from passlane.messages.placement import TurnDemand
 from passlane.messages.routes import (
     ReplaceConfiguration,
     Route,
@@ -19,6 +21,7 @@
     ServiceShare,
     Tenant,
 )
+from passlane.messages.turns import ReserveTurn
 from passlane.platform.configuration_format import (
     MAX_REASON_CHARACTERS,
     encode_configuration,
@@ -119,6 +122,59 @@
                 self.parse(**changes)
             self.assertIs(caught.exception.code, ErrorCode.BAD_REQUEST)
 
+    def test_numbers_beyond_their_bounds_are_refused(self):
+        for name, form in (
+            ("x_passlane_token_budget", "{}"),
+            ("x_passlane_token_usage", "1840,{}"),
+            ("x_passlane_prompt_prefix", "5c1e:800,91bd:{}"),
+        ):
+            for text in (
+                str(2**64),
+                "9" * 400,
+                "9" * 5_000,
+                "-1",
+                "1e999",
+                "nan",
+                "\xb2",
+                "\u0663",
+            ):
+                with self.subTest(name=name, text=text[:24]):
+                    with self.assertRaises(PasslaneError) as caught:
+                        self.parse(**{name: form.format(text)})
+                    self.assertIs(caught.exception.code, ErrorCode.BAD_REQUEST)
+                    self.assertLess(len(caught.exception.message), 200)
+
+    def test_parts_of_a_prompt_are_refused_whose_sum_is_beyond_the_bound(self):
+        self.parse(x_passlane_prompt_prefix=f"a:{2**53 - 2},b:1")
+        with self.assertRaises(PasslaneError) as caught:
+            self.parse(x_passlane_prompt_prefix=f"a:{2**53 - 1},b:1")
+        self.assertIs(caught.exception.code, ErrorCode.BAD_REQUEST)
+
+    def test_numbers_up_to_their_bounds_can_be_sent_to_all_processes(self):
+        call = self.parse(
+            x_passlane_token_budget=str(2**63 - 1),
+            x_passlane_token_usage=f"1840, {2**53 - 1} ",
+            x_passlane_prompt_prefix=f"5c1e:{'0' * 5_000}{2**53 - 1}",
+        )
+        reserve = ReserveTurn(
+            program_id="p",
+            attempt_id="a",
+            most_tokens=call.most_tokens,
+            budget_tokens=call.program.budget_tokens,
+            demand=TurnDemand(
+                service="s", route="r", urgency=0, zone="a",
+                prompt_tokens=sum(part.tokens for part in call.prompt_parts),
+            ),
+        )  # fmt: skip
+        self.assertEqual(message_decoder(ReserveTurn).decode(encode_message(reserve)), reserve)
+
+    def test_times_are_served_that_are_far_away(self):
+        for text in (str(2**64), "1e300", "1" + "0" * 300):
+            with self.subTest(text[:24]):
+                call = self.parse(x_passlane_deadline_ms=text, x_passlane_program_deadline_ms=text)
+                self.assertTrue(1e15 < call.deadline_at < math.inf)
+                self.assertTrue(1e15 < call.program.deadline_at < math.inf)
+
 
 DOCUMENT = {
     "version": 7,
