A Keep-Alive of many digits keeps the answer

What callers saw: an engine's whole answer, with a Keep-Alive whose timeout has 400 or 5,000 digits, became a 500 of the node on each kind of route.

Cause: the HTTP client converted the digits with int(), which raises ValueError beyond 4,300 of them, and subtracted a float, which raises OverflowError beyond 1e308. Both were raised before the answer was passed on, as none of the errors of a connection.

Change: the time is read as a float, which takes any number of digits and is infinite in the end: the connection may be kept, as the engine says.

--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -476,7 +476,8 @@
     match = _KEEP_ALIVE_TIMEOUT.search(headers.get("keep-alive", ""))
     if match is None:
         return IDLE_EXPIRY_S
-    return max(0.0, int(match[1]) - KEEP_ALIVE_MARGIN_S)
+    # A float holds any number of digits, as infinity in the end.
+    return max(0.0, float(match[1]) - KEEP_ALIVE_MARGIN_S)
 
 
 def _to_httpcore(request: HttpRequest) -> httpcore.Request:
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -89,6 +89,23 @@
         self.assertTrue(stream.sent[0].endswith(b"body"))
 
 
+class KeepAliveTest(unittest.TestCase):
+    def test_a_time_of_many_digits_keeps_the_answer_and_the_connection(self) -> None:
+        for timeout in (b"5", str(2**64).encode(), b"9" * 400, b"9" * 5_000):
+            answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nkeep-alive: timeout=%b\r\n\r\nok"
+            stream = CountingStream(answer % timeout)
+
+            async def main(stream: CountingStream = stream) -> None:
+                client = SingleConnectionHttpClient(OneStreamNetwork(stream))  # type: ignore[arg-type]
+                async with client.exchange(HttpRequest("GET", BACKEND, "/x")) as response:
+                    parts = [part async for part in response.chunks()]
+                self.assertEqual(b"".join(parts), b"ok")
+                self.assertTrue(client.has_idle_connection(BACKEND))
+
+            with self.subTest(timeout[:24]):
+                run_simulation(main, 1)
+
+
 class FailingStream(CountingStream):
     """A byte stream that fails to send or receive after the given responses."""
 
