A back end that never answers is avoided after any number of failures

Cause: the pause after failures is computed as 0.5 s times 2 to the power of their number, and bounded afterwards; beyond 2^1024 Python's whole number converts to no float (OverflowError). The count starts anew only with a success or another start of the back end.

Change: the exponent is bounded, at the first doubling that exceeds the longest pause. The pauses stay 0.5, 1, 2, 4 and 5 s.

Before, as run: the new test of 3,000 failures raises OverflowError.

--- a/src/passlane/decisions/placement/request_placement.py
+++ b/src/passlane/decisions/placement/request_placement.py
@@ -35,6 +35,8 @@
 """Seconds for which a back end is avoided after a failure; doubles with each consecutive one."""
 MAX_AVOID_S = 5.0
 """Maximum time in seconds for which a back end is avoided after failures."""
+MAX_DOUBLINGS = 4
+"""Doublings of ``AVOID_S`` that exceed ``MAX_AVOID_S``."""
 
 
 class PlacementRank(NamedTuple):
@@ -234,7 +236,7 @@
 def record_failure(load: BackendLoad, now: float) -> None:
     """Avoid a back end for some time, with exponential backoff on consecutive failures."""
     load.failures += 1
-    pause_s = min(MAX_AVOID_S, AVOID_S * 2 ** (load.failures - 1))
+    pause_s = min(MAX_AVOID_S, AVOID_S * 2 ** min(load.failures - 1, MAX_DOUBLINGS))
     load.avoid_until = now + pause_s
 
 
--- a/tests/decisions/placement/test_request_placement.py
+++ b/tests/decisions/placement/test_request_placement.py
@@ -6,6 +6,7 @@
 from passlane.decisions.backends.registry import BackendLoad, BackendRegistry
 from passlane.decisions.inputs.relayed_call import PromptPart
 from passlane.decisions.placement.request_placement import (
+    MAX_AVOID_S,
     NodeLocation,
     PlacementKey,
     record_failure,
@@ -114,6 +115,15 @@
         record_success(first)
         self.assertIs(choose(candidates, key, (), 0.1), first)
 
+    def test_a_back_end_that_never_answers_is_avoided_no_longer_than_the_maximum(self):
+        load = BackendLoad(backend("i-1"))
+        pauses = []
+        for _ in range(3_000):
+            record_failure(load, 0.0)
+            pauses.append(load.avoid_until)
+        self.assertEqual(pauses[:6], [0.5, 1.0, 2.0, 4.0, 5.0, 5.0])
+        self.assertEqual(set(pauses[6:]), {MAX_AVOID_S})
+
     def test_plain_requests_fill_a_third_of_the_own_zone_before_another_zone(self):
         near, far = BackendLoad(backend("n", zone="a")), BackendLoad(backend("f", zone="b"))
         key = PlacementKey("", HERE)
