Tokens that are added up stay within what a message carries

What callers saw: a stream of 2,200 events on a service whose events have 2^53 - 1 tokens each was served, and right after it the node ended by itself: every connection was refused from then on.

Cause: each number passed its check and the sum or the product did not. The settlement is encoded in a task of the node's own, where an OverflowError is none of the expected errors.

Change: what the node counts of a stream, and what the state keeps and reports of a program's turns, ends at 2^63 - 1, which no budget exceeds, so that each decision stays the same.

--- a/src/passlane/messages/number_bounds.py
+++ b/src/passlane/messages/number_bounds.py
@@ -42,3 +42,11 @@
         if len(significant) <= len(str(most)) and int(significant) <= most:
             return int(significant)
     raise PasslaneError(ErrorCode.BAD_REQUEST, f"expected a whole number from 0 to {most}")
+
+
+def bounded(number: int) -> int:
+    """Return a sum or a product, or ``MAX_COMPARED_NUMBER`` if it is beyond that.
+
+    What is bounded still exceeds each ``ComparedNumber``, or equals the largest one.
+    """
+    return min(number, MAX_COMPARED_NUMBER)
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -12,6 +12,7 @@
 from passlane.decisions.backends.health import AttemptWatch
 from passlane.errors import PasslaneError
 from passlane.event_streams.whole_events import StreamEvent
+from passlane.messages.number_bounds import bounded
 from passlane.messages.routes import RouteKind
 from passlane.messages.turn_outputs import ForwardedEvent, ForwardedEvents
 from passlane.observability.logging import get_logger
@@ -68,7 +69,7 @@
     @property
     def tokens(self) -> int:
         """Tokens of these events; 0 for services without a token count."""
-        return self.events * self._context.service.tokens_per_event
+        return bounded(self.events * self._context.service.tokens_per_event)
 
     @property
     def is_whole(self) -> bool:
@@ -90,7 +91,7 @@
         tokens_per_event = self._context.service.tokens_per_event
         if not self.is_whole or not tokens_per_event:
             return None
-        return (self.events - self._events_before_run) * tokens_per_event
+        return bounded((self.events - self._events_before_run) * tokens_per_event)
 
     async def deliver(self, answer: BackendAnswer, watch: AttemptWatch) -> None:
         """Forward an answer.
--- a/src/passlane/turns/state/machine.py
+++ b/src/passlane/turns/state/machine.py
@@ -20,6 +20,7 @@
 from passlane.decisions.failure.engine_ends import EndedUnder, EngineEndCounts
 from passlane.messages.base import encode_message, message_decoder
 from passlane.messages.engine_ends import AttemptFate, EngineEnd
+from passlane.messages.number_bounds import bounded
 from passlane.messages.quotas import TenantUsage, UsageSnapshot
 from passlane.messages.snapshot_parts import grouped
 from passlane.messages.streams import ServedVersion, StreamOrigin
@@ -358,7 +359,7 @@
         reserved = sum(program.reserved.values())
         required = program.spent_tokens + reserved + command.most_tokens
         if command.budget_tokens is not None and required > command.budget_tokens:
-            return BudgetSpent(spent_tokens=program.spent_tokens, reserved_tokens=reserved)
+            return BudgetSpent(spent_tokens=program.spent_tokens, reserved_tokens=bounded(reserved))
         program.reserved[command.attempt_id] = command.most_tokens
         if command.request_key:
             self.engine_ends.begin_attempt(
@@ -385,7 +386,7 @@
     def _settle(self, command: SettleTurn) -> TurnSettled:
         program = self._programs.setdefault(command.program_id, ProgramSpending())
         if program.reserved.pop(command.attempt_id, None) is not None:
-            program.spent_tokens += command.tokens
+            program.spent_tokens = bounded(program.spent_tokens + command.tokens)
         program.used_last = command.served_by or program.used_last
         self._end_attempt(command)
         turn = command.turn
--- a/tests/processes/test_odd_numbers.py
+++ b/tests/processes/test_odd_numbers.py
@@ -32,6 +32,7 @@
 PROCESSES = {FleetRole.CONTROL: 1, FleetRole.STORE: 1, FleetRole.NODE: 1}
 BACK_ENDS = 6
 ANSWERED_WITHIN_S = 2.0
+MANY_EVENTS_WITHIN_S = 8.0
 APPLIED_WITHIN_S = 2.0
 POLL_S = 0.02
 MARK = "@odd@"
@@ -146,10 +147,12 @@
             answer = await self._request(kind, turn(f"after-{self.id()}-{kind}"))
             self.assertEqual((answer.status, answer.is_whole), (200, True), kind)
 
-    async def _request(self, kind, headers, body=b"x"):
+    async def _request(self, kind, headers, body=b"x", within_s=ANSWERED_WITHIN_S):
         """Return the answer to a request, which comes at once."""
-        with anyio.fail_after(ANSWERED_WITHIN_S):
-            answer, _ = await self.fleet.request("node-1", f"/{kind}/x", headers, body)
+        with anyio.fail_after(within_s):
+            answer, _ = await self.fleet.request(
+                "node-1", f"/{kind}/x", headers, body, deadline_ms=int(within_s * 2_000)
+            )
         return answer
 
     async def _put(self, body):
@@ -207,6 +210,25 @@
 
         self.portal.call(main)
 
+    def test_events_of_the_most_tokens(self):
+        """2,200 events of 2^53 - 1 tokens each have more than 64 bits together."""
+
+        async def main():
+            document = configuration(self._next_version())
+            document["services"][0]["engine"]["chunk_tokens"] = 2**53 - 1
+            for route in document["routes"]:
+                route["timeout_ms"] = 10_000
+            await self._put_in_force(document)
+            for back_end in self.fleet.back_ends:
+                back_end.answer = _many_events
+            headers = turn("events", budget=2**63 - 1)
+            answer = await self._request("streams", headers, within_s=MANY_EVENTS_WITHIN_S)
+            self.assertEqual((answer.status, answer.is_whole), (200, True))
+            again = await self._request("streams", headers)
+            self.assertEqual((again.status, again.is_whole), (402, True))
+
+        self.portal.call(main)
+
     def test_configurations_that_no_parser_follows(self):
         async def main():
             deep = (b"[" * depth + b"]" * depth for depth in (3_000, 100_000))
@@ -367,6 +389,12 @@
     await streams(3, 0.0)(engine, request, stream)
 
 
+async def _many_events(engine, request, stream):
+    fields = {"Content_Type": "text/event-stream", "Transfer_Encoding": "chunked"}
+    events = b"".join(event(engine, request, number) for number in range(1, 2_201))
+    await stream.send(head_of(request, "200 OK", **fields) + chunk(events) + chunk(b""))
+
+
 async def _broken_off(engine, request, stream):
     """Give no answer, so that the run counts with the most that it may generate."""
     await stream.aclose()
--- a/tests/turns/state/test_machine.py
+++ b/tests/turns/state/test_machine.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from passlane.messages.base import encode_message
+from passlane.messages.base import encode_message, message_decoder
+from passlane.messages.number_bounds import MAX_COMPARED_NUMBER, MAX_WHOLE_NUMBER
 from passlane.messages.quotas import TenantUsage
 from passlane.messages.turns import (
     AdvanceAge,
@@ -70,6 +71,20 @@
         self.machine.execute(AdvanceAge(seconds=60.0))
         self.assertIsInstance(self.machine.execute(reserve("b")), BudgetSpent)
 
+    def test_sums_of_the_largest_numbers_are_stored_and_sent(self):
+        most = MAX_WHOLE_NUMBER
+        for number in range(2_100):
+            self.machine.execute(reserve(f"spent-{number}", most=most, budget=None))
+            self.machine.execute(settle(f"spent-{number}", most))
+            self.machine.execute(reserve(f"reserved-{number}", most=most, budget=None))
+        restored = TurnStateMachine()
+        for _ in restored.restore_parts(list(self.machine.snapshot_parts())):
+            pass
+        for machine in (self.machine, restored):
+            refusal = machine.execute(reserve("next", most=1, budget=MAX_COMPARED_NUMBER))
+            self.assertEqual(refusal, BudgetSpent(MAX_COMPARED_NUMBER, MAX_COMPARED_NUMBER))
+            self.assertEqual(message_decoder(BudgetSpent).decode(encode_message(refusal)), refusal)
+
     def test_a_reservation_names_the_engine_that_was_used_last(self):
         self.assertEqual(self.machine.execute(reserve("a")), TurnReserved(used_last=""))
         self.machine.execute(msgspec.structs.replace(settle("a"), served_by="i-1"))
