A settings file with numbers that no process holds is an invalid one

What an operator would see: a settings file with a number of 5,000 digits or with 3,000 nested brackets, as a half-written or wrongly filled one may have, ended a running process at its next reload, since tomllib raises ValueError and RecursionError for them, which nothing caught. NaN, infinite numbers and numbers beyond 64 bits in machine, quotas, timing and other sections passed the checks.

Change: each error of the parser is an invalid file: a start ends with its message, a reload keeps the settings and is repeated. Numbers of all sections are within 64 bits. A message shows 30 characters of a value at most.

--- a/src/passlane/settings/checks.py
+++ b/src/passlane/settings/checks.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from passlane.messages.common import Address
+from passlane.messages.number_bounds import MAX_AMOUNT
 from passlane.settings.model import GroupSettings, Role, Settings
 
 NAME_PATTERN = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
@@ -16,6 +17,8 @@
 MIN_ELECTION_HEARTBEATS = 3.0
 MAX_CLOCK_DRIFT_FRACTION = 0.2
 MIN_TOKEN_LENGTH = 8
+MAX_VALUE_CHARACTERS = 30
+"""Characters of a value in a message."""
 
 _MAY_BE_ZERO = frozenset(
     {"delays.same_zone_s", "delays.other_zone_s", "membership.clock_drift_fraction"}
@@ -56,6 +59,18 @@
         yield SettingsProblem("process.roles", "a role occurs more than once")
 
 
+def find_unbounded_numbers(section: msgspec.Struct, prefix: str = "") -> Iterator[SettingsProblem]:
+    """Find numbers of a section and of those within it that are beyond 64 bits, or NaN."""
+    for name in section.__struct_fields__:
+        value = getattr(section, name)
+        if isinstance(value, msgspec.Struct):
+            yield from find_unbounded_numbers(value, f"{prefix}{name}.")
+        elif isinstance(value, int | float) and not -MAX_AMOUNT <= value <= MAX_AMOUNT:
+            yield SettingsProblem(
+                f"{prefix}{name}", f"expected a number from {-MAX_AMOUNT:g} to {MAX_AMOUNT:g}"
+            )
+
+
 def _number_problems(section: msgspec.Struct, prefix: str) -> Iterator[SettingsProblem]:
     """Find numbers that are not positive and finite; only a few settings may be zero."""
     for name in section.__struct_fields__:
@@ -67,8 +82,9 @@
             yield from _number_problems(value, f"{key}.")
         elif isinstance(value, int | float) and not isinstance(value, bool):
             is_in_range = value >= 0 if key in _MAY_BE_ZERO else value > 0
-            if not is_in_range or value == float("inf"):
-                yield SettingsProblem(key, f"expected a positive number, got {value}")
+            if not is_in_range or value > MAX_AMOUNT:
+                shown = str(value)[:MAX_VALUE_CHARACTERS]
+                yield SettingsProblem(key, f"expected a positive number, got {shown}")
 
 
 def _address_problems(value: object, key: str) -> Iterator[SettingsProblem]:
--- a/src/passlane/settings/fleet.py
+++ b/src/passlane/settings/fleet.py
@@ -19,7 +19,7 @@
 )
 from passlane.messages.common import Address
 from passlane.messages.fleet import FleetRole
-from passlane.settings.checks import SettingsProblem
+from passlane.settings.checks import SettingsProblem, find_unbounded_numbers
 from passlane.settings.loader import SettingsError, convert_settings, read_toml
 
 MAX_PORT = 65_535
@@ -202,6 +202,7 @@
 
 
 def _find_problems(settings: FleetSettings) -> Iterator[SettingsProblem]:
+    yield from find_unbounded_numbers(settings)
     role = settings.process.role
     if not settings.seeds:
         yield SettingsProblem("seeds", "expected at least one address")
--- a/src/passlane/settings/loader.py
+++ b/src/passlane/settings/loader.py
@@ -76,6 +76,8 @@
         raise SettingsError(path, [error.problem]) from None
     except msgspec.ValidationError as error:
         raise SettingsError(path, [_problem_of(error)]) from None
+    except RecursionError:
+        raise SettingsError(path, [SettingsProblem("file", "nested too deeply")]) from None
 
 
 def read_toml(path: Path) -> dict[str, Any]:
@@ -85,7 +87,9 @@
     except OSError as error:
         reason = error.strerror or str(error)
         raise SettingsError(path, [SettingsProblem("file", reason)]) from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
+        # Besides its own error, tomllib raises these for bytes that are no text, for numbers of
+        # thousands of digits and for deep nesting.
         raise SettingsError(path, [SettingsProblem("file", f"not TOML: {error}")]) from None
 
 
