Numbers of the product's own interface are bounded where they are decoded

What callers and operators saw: a program's budget of 2^64 or 400 digits got an answer without a code (500), as did an If-Match, a revision or a number of lines of 5,000 digits, a revision of 2^64 and a body of 3,000 brackets. A document with 2^64 in a field was recorded with 201.

--- a/src/passlane/api/caller_input.py
+++ b/src/passlane/api/caller_input.py
@@ -10,6 +10,7 @@
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.identifiers import ProgramId, TenantId
 from passlane.messages.common import Amounts
+from passlane.messages.number_bounds import MAX_COMPARED_NUMBER
 from passlane.messages.store import Turn
 
 MAX_IDENTIFIER_LENGTH = 128
@@ -110,8 +111,8 @@
     if deadline_s is not None and not (0 < deadline_s < math.inf):
         raise bad_request("deadline_s must be a positive number of seconds")
     budget = body.budget
-    if budget is not None and min(budget.tokens, budget.calls, budget.money_micros) < 0:
-        raise bad_request("a budget must not be negative")
+    if budget is not None and not budget.is_within(MAX_COMPARED_NUMBER):
+        raise bad_request(f"a budget must be from 0 to {MAX_COMPARED_NUMBER}")
 
 
 def parse_program_header(headers: Mapping[str, str]) -> ProgramId:
--- a/src/passlane/api/document_routes.py
+++ b/src/passlane/api/document_routes.py
@@ -31,12 +31,14 @@
     VersionConflict,
     WithdrawChange,
 )
+from passlane.messages.number_bounds import MAX_COMPARED_NUMBER, parse_count
 
 REQUEST_TIMEOUT_S = 10.0
 OK = 200
 CREATED = 201
 KEY_BITS = 128
 MAX_KEY_LENGTH = 200
+MAX_REASON_CHARACTERS = 300
 
 
 class Handler(Protocol):
@@ -174,9 +176,10 @@
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         return msgspec.json.decode(body, type=dict[str, Any])
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        reason = str(error)[:MAX_REASON_CHARACTERS]
         raise PasslaneError(
-            ErrorCode.BAD_REQUEST, f"the body is not a JSON object: {error}"
+            ErrorCode.BAD_REQUEST, f"the body is not a JSON object: {reason}"
         ) from error
 
 
@@ -193,14 +196,8 @@
             ErrorCode.PRECONDITION_REQUIRED,
             "If-Match with the document's version, or If-None-Match: * for a new one, is required",
         )
-    version = tag.strip().strip('"')
-    if not version.isdecimal():
-        raise PasslaneError(ErrorCode.BAD_REQUEST, "If-Match must be a document version")
-    return int(version)
+    return parse_count(tag.strip().strip('"'), MAX_COMPARED_NUMBER)
 
 
 def _parse_revision(parameters: Mapping[str, str]) -> Revision:
-    text = parameters["revision"]
-    if not text.isdecimal():
-        raise PasslaneError(ErrorCode.BAD_REQUEST, "the revision must be a whole number")
-    return Revision(int(text))
+    return Revision(parse_count(parameters["revision"], MAX_COMPARED_NUMBER))
--- a/src/passlane/api/operators.py
+++ b/src/passlane/api/operators.py
@@ -33,6 +33,7 @@
 from passlane.messages.base import Message
 from passlane.messages.control import NO_REVISION, ControlStatus, ReadControlStatus
 from passlane.messages.membership import Members, NodeView, ReadMembers
+from passlane.messages.number_bounds import parse_count
 from passlane.messages.store import (
     ListPrograms,
     ProgramList,
@@ -159,9 +160,7 @@
     async def read_log(self, request: Request, parameters: Mapping[str, str]) -> Response:
         """Respond with the newest lines of this process's log, oldest first."""
         text = request.query.get("lines", str(DEFAULT_LOG_LINES))
-        if not text.isdecimal():
-            raise PasslaneError(ErrorCode.BAD_REQUEST, "lines must be a whole number")
-        lines = [msgspec.Raw(line) for line in self._ring.lines(int(text))]
+        lines = [msgspec.Raw(line) for line in self._ring.lines(parse_count(text))]
         return json_response(OK, lines)
 
     async def read_status(self, request: Request, parameters: Mapping[str, str]) -> Response:
--- a/src/passlane/messages/common.py
+++ b/src/passlane/messages/common.py
@@ -118,6 +118,10 @@
             money_micros=self.money_micros - other.money_micros,
         )
 
+    def is_within(self, most: int) -> bool:
+        """Return whether each part is from 0 to ``most``."""
+        return all(0 <= part <= most for part in (self.tokens, self.calls, self.money_micros))
+
     def fits_within(self, limit: "Amounts") -> bool:
         """Return whether no part exceeds the same part of ``limit``."""
         return (
--- a/tests/api/test_callers.py
+++ b/tests/api/test_callers.py
@@ -192,6 +192,21 @@
                     "wrong_sequence",
                 ),
                 ("POST", chat, chat_body(), {**p1, "passlane-timeout": "nan"}, 400, "bad_request"),
+                ("POST", "/v1/programs", b"[" * 1_900, TOKEN, 400, "bad_request"),
+                *(
+                    ("POST", "/v1/programs", {"budget": {part: amount}}, TOKEN, 400, "bad_request")
+                    for part in ("tokens", "calls", "money_micros")
+                    for amount in (2**63, 2**64, 10**400, -(2**63) - 1)
+                ),
+                *(
+                    ("POST", chat, chat_body(max_tokens=amount), p1, 400, "bad_request")
+                    for amount in (2**63, 2**64, 10**400, -(2**63) - 1)
+                ),
+                *(
+                    ("POST", chat, chat_body(), {**p1, name: text}, 400, "bad_request")
+                    for name in ("passlane-sequence", "passlane-timeout")
+                    for text in ("9" * 400, "9" * 5_000, "1e999")
+                ),
             )
             for method, path, body, headers, status, code in cases:
                 with self.subTest(path=path, code=code, body=str(body)[:40]):
--- a/tests/api/test_operators.py
+++ b/tests/api/test_operators.py
@@ -77,6 +77,28 @@
             ("GET", POLICY_PATH, b"", {}, 404, "not_found"),
             ("GET", "/v1/programs", b"", {}, 503, "unavailable"),
             ("POST", "/v1/withdraw/9", b"", {}, 404, "not_found"),
+            ("PUT", POLICY_PATH, BODY, {"if-match": "9" * 5_000}, 400, "bad_request"),
+            ("PUT", POLICY_PATH, BODY, {"if-match": str(2**64)}, 400, "bad_request"),
+            ("POST", f"/v1/withdraw/{'9' * 5_000}", b"", {}, 400, "bad_request"),
+            ("POST", f"/v1/withdraw/{2**64}", b"", {}, 400, "bad_request"),
+            ("GET", f"/v1/log?lines={'9' * 5_000}", b"", {}, 400, "bad_request"),
+            ("PUT", POLICY_PATH, b"[" * 3_000, new, 400, "bad_request"),
+            (
+                "PUT",
+                POLICY_PATH,
+                b'{"source":"1","max_steps":%d}' % 2**64,
+                new,
+                422,
+                "invalid_document",
+            ),
+            (
+                "PUT",
+                POLICY_PATH,
+                b'{"source":"1","max_steps":' + b"9" * 400 + b"}",
+                new,
+                422,
+                "invalid_document",
+            ),
         ]
 
         async def scenario(cluster, http, client):
