A tenant's name that no header carries is refused with its configuration

What callers saw: under a configuration whose tenant has a line break, a blank at an end, a control character or a letter beyond ISO 8859-1 in its name, each request of that tenant got a 502, though no engine had been asked; the engines chosen for it counted as failing for the other tenants as well.

Cause: engines get the name in a header, the name was checked only for being there, and the HTTP client refuses to write such a header as it would refuse a broken connection.

Change: the check of a configuration asks for a name that a header carries (RFC 9110, section 5.5); others are an invalid configuration (400). Names of any length are served as before.

--- a/src/passlane/routes/checks.py
+++ b/src/passlane/routes/checks.py
@@ -3,6 +3,7 @@
 Reports each problem as one sentence for the operator; sentences never contain API keys.
 """
 
+import re
 from collections.abc import Iterable, Iterator
 
 from passlane.errors import ErrorCode, PasslaneError
@@ -11,6 +12,8 @@
 
 MAX_NAME_CHARACTERS = 100
 """Characters of a name in a sentence; the configuration bounds no name."""
+_HEADER_VALUE = re.compile(r"[!-~\x80-\xff]+(?:[ \t]+[!-~\x80-\xff]+)*")
+"""What a header can carry (RFC 9110, section 5.5); engines get the tenant's name in one."""
 
 
 def check_configuration(configuration: RouteConfiguration) -> None:
@@ -60,6 +63,8 @@
         name = _shown(tenant.name)
         if not tenant.name:
             yield "a tenant has no name"
+        elif not _HEADER_VALUE.fullmatch(tenant.name):
+            yield f"tenant {name!r}: the name has characters that no header carries"
         if tenant.name in names:
             yield f"two tenants are named {name}"
         names.add(tenant.name)
--- a/tests/processes/test_odd_numbers.py
+++ b/tests/processes/test_odd_numbers.py
@@ -247,6 +247,9 @@
             for place, text, status in (
                 ((*ROUTE, "name"), json.dumps("n" * 300_000), 200),
                 ((*SPLIT, "service"), json.dumps("n" * 300_000), 400),
+                ((*TENANT, "name"), json.dumps("n" * 300_000), 200),
+                ((*TENANT, "name"), json.dumps("a\r\nX-Odd: 1"), 400),
+                ((*TENANT, "name"), json.dumps("\u5e97"), 400),
                 (("unread",), "9" * 5_000, 200),
             ):
                 with self.subTest(place=place):
--- a/tests/routes/test_checks.py
+++ b/tests/routes/test_checks.py
@@ -124,6 +124,13 @@
         self.assert_invalid(configuration(tenants=(self.tenant(), self.tenant(keys=("key-2",)))))
         self.assert_invalid(configuration(tenants=(self.tenant(""),)))
 
+    def test_names_that_no_header_carries(self):
+        for name in ("\u5e97", "a\nb", "a\r\nX-Odd: 1", " a", "a ", "\t", "\x00", "a\x7f"):
+            with self.subTest(name):
+                self.assert_invalid(configuration(tenants=(self.tenant(name),)))
+        for name in ("a", "caf\xe9 2", "n" * 300_000, "a b\tc"):
+            check_configuration(configuration(tenants=(self.tenant(name),)))
+
     def test_amounts_that_are_negative_or_not_finite(self):
         for changes in (
             {"rate_per_s": -1},
