A configuration that fits no message gets 413

What operators saw: a valid configuration of more than 8.5 MB whose texts appear in its routes got a 503, which asks to send it again, while one of 8 MB, which exceeds the bound of a command, got 413.

Cause: the document and its parsed form are sent to the leader together, and a message that exceeds its bound (FRAME_TOO_LARGE) had no status of its own.

--- a/tests/processes/test_odd_numbers.py
+++ b/tests/processes/test_odd_numbers.py
@@ -247,6 +247,8 @@
             for place, text, status in (
                 ((*ROUTE, "name"), json.dumps("n" * 300_000), 200),
                 ((*SPLIT, "service"), json.dumps("n" * 300_000), 400),
+                ((*ROUTE, "name"), json.dumps("n" * 8_000_000), 413),
+                ((*ROUTE, "name"), json.dumps("n" * 9_000_000), 413),
                 ((*TENANT, "name"), json.dumps("n" * 300_000), 200),
                 ((*TENANT, "name"), json.dumps("a\r\nX-Odd: 1"), 400),
                 ((*TENANT, "name"), json.dumps("\u5e97"), 400),
