One bad entry of the list costs itself alone, whatever its text is

What callers saw: while one entry with 3,000 nested brackets, or a malformed one, stood in the list, the whole list was lost: back ends that had left got requests (10 of 20), and from a start no node became ready within 30 s. A next_token with a lone surrogate ended every node (UnicodeEncodeError where it is quoted).

Cause: a page was decoded as a whole before its entries, strictly, and if that failed by a second, lenient path with other limits (recursion, 4,300 digits). What no decoder accepts in one entry was an error of the page.

Change: platform/list_scan.py separates the members of the page and the entries by a scan that knows strings, brackets and commas only and doesn't recurse; each entry is decoded by the one typed decoder. The lenient path is gone. An invalid token of the next page, or one beyond 8,000 characters (the length of a request's target that all implementations support, RFC 9110, section 4.1), is a PROTOCOL_ERROR. A page whose entries can't be told apart stays an error and no shorter list: brackets or quotes that don't pair, two entries without a comma, a malformed entry with a string in which an entry ends and another starts. So does a page of more than 170,000 entries, which no report could carry.

The scan lets other tasks run between its steps.

--- a/src/passlane/platform/instance_list.py
+++ b/src/passlane/platform/instance_list.py
@@ -105,4 +105,4 @@
             )
         if response.status != OK:
             raise PasslaneError(ErrorCode.UNAVAILABLE, f"list of engines: status {response.status}")
-        return decode_page(body)
+        return await decode_page(body)
--- a/src/passlane/platform/list_format.py
+++ b/src/passlane/platform/list_format.py
@@ -1,21 +1,23 @@
 """Decodes pages of the platform's list of engines and applications, entry by entry.
 
 Entries may come from incompatible writers: fields may be missing, unknown or of other types, the
-state may be unknown, and texts may contain invalid bytes. An invalid entry is skipped and the
-others are used. Only a page that is invalid as a whole is an error.
+state may be unknown, texts may contain invalid bytes, and an entry may be malformed or nested too
+deep. An invalid entry is skipped and the others are used. Only a page whose entries can't be
+separated is an error.
 """
 
 import ipaddress
-import json
 from collections.abc import Iterable
 from typing import Annotated, Any
 
+import anyio.lowlevel
 import msgspec
 
 from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState
 from passlane.messages.number_bounds import MAX_WHOLE_NUMBER, Count
+from passlane.platform.list_scan import Span, elements, hides_elements, members
 
 MAX_PORT = 65_535
 MAX_ADDRESS_CHARACTERS = len(f"255.255.255.255:{MAX_PORT}")
@@ -29,12 +31,22 @@
 """Maximum length of the logged reason why an entry is invalid."""
 DEFAULT_SOFTWARE_VERSION = "v1"
 """Written for a record without a version, since each entry must have one."""
-REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
-"""Replaces bytes of a page that are not valid UTF-8."""
+MAX_TOKEN_CHARACTERS = 8_000
+"""Maximum length of a page's token. It is sent in a request's target, of which all
+implementations support 8,000 octets (RFC 9110, section 4.1)."""
+MAX_ENTRIES = 170_000
+"""Maximum number of entries of a page; a report of as many records, of more than 100 bytes each,
+exceeds a frame between processes."""
+ENTRIES_PER_STEP = 200
+"""Entries that are decoded in one step, which takes about a millisecond."""
+
+_ENTRIES_NAME = b"instances"
+_TOKEN_NAME = b"next_token"
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
 _AddressText = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+_Token = Annotated[str, msgspec.Meta(max_length=MAX_TOKEN_CHARACTERS)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 
@@ -59,20 +71,6 @@
     models: list[Any] | msgspec.UnsetType = msgspec.UNSET
 
 
-class _Page(msgspec.Struct, frozen=True):
-    """A page whose entries are not decoded yet."""
-
-    instances: list[msgspec.Raw]
-    next_token: str | None = None
-
-
-class _LenientPage(msgspec.Struct, frozen=True):
-    """A page that contains invalid UTF-8, with entries of any type."""
-
-    instances: list[Any]
-    next_token: str | None = None
-
-
 class _EncodedPage(msgspec.Struct, frozen=True):
     """A page to be encoded."""
 
@@ -104,25 +102,31 @@
     next_token: str | None
 
 
-_page_decoder = msgspec.json.Decoder(_Page)
 _entry_decoder = msgspec.json.Decoder(_Entry)
+_syntax_decoder = msgspec.json.Decoder(msgspec.Raw)
+_token_decoder = msgspec.json.Decoder(_Token | None)
 _encoder = msgspec.json.Encoder()
 
 
-def decode_page(body: bytes) -> ListPage:
+async def decode_page(body: bytes) -> ListPage:
     """Return the contents of a page.
 
     Raises
     ------
     PasslaneError
-        ``PROTOCOL_ERROR`` when the page is invalid as a whole.
+        ``PROTOCOL_ERROR`` when the entries can't be separated, there are more than
+        ``MAX_ENTRIES``, or the token of the next page is invalid.
     """
-    try:
-        page = _page_decoder.decode(body)
-        return _page_of([_decode_entry(entry) for entry in page.instances], page.next_token)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
-        # Invalid UTF-8 in one entry makes the strict decoder refuse the whole page.
-        return _decode_leniently(body)
+    entries: Span | None = None
+    next_token: str | None = None
+    async for member in members(body):
+        if member.name == _ENTRIES_NAME:
+            entries = member.value
+        elif member.name == _TOKEN_NAME:
+            next_token = _decode_token(member.value.of(body))
+    if entries is None:
+        raise _page_error("expected the member 'instances'")
+    return await _decode_entries(body, entries, next_token)
 
 
 def encode_page(records: Iterable[BackendRecord]) -> bytes:
@@ -130,53 +134,62 @@
     return _encoder.encode(_EncodedPage(tuple(_entry_of(record) for record in records)))
 
 
-def _decode_leniently(body: bytes) -> ListPage:
-    """Decode a page that contains invalid UTF-8; the entries that contain it are invalid."""
-    try:
-        content = json.loads(body.decode(errors="replace"), strict=False)
-        page = msgspec.convert(content, _LenientPage)
-    except (ValueError, RecursionError) as error:
-        # Errors of msgspec are subclasses of ValueError.
-        raise PasslaneError(ErrorCode.PROTOCOL_ERROR, f"list of engines: {error}") from error
-    return _page_of([_convert_entry(entry) for entry in page.instances], page.next_token)
-
-
-def _page_of(
-    entries: Iterable[BackendRecord | UnreadableEntry], next_token: str | None
-) -> ListPage:
-    decoded = list(entries)
-    return ListPage(
-        records=tuple(entry for entry in decoded if isinstance(entry, BackendRecord)),
-        unreadable=tuple(entry for entry in decoded if isinstance(entry, UnreadableEntry)),
-        next_token=next_token,
-    )
+async def _decode_entries(body: bytes, entries: Span, next_token: str | None) -> ListPage:
+    records: list[BackendRecord] = []
+    unreadable: list[UnreadableEntry] = []
+    count = 0
+    async for span in elements(body, entries):
+        count += 1
+        if count > MAX_ENTRIES:
+            raise _page_error(f"expected at most {MAX_ENTRIES} entries")
+        if count % ENTRIES_PER_STEP == 0:
+            await anyio.lowlevel.checkpoint()
+        decoded = await _decode_entry(span.of(body))
+        if isinstance(decoded, BackendRecord):
+            records.append(decoded)
+        else:
+            unreadable.append(decoded)
+    return ListPage(tuple(records), tuple(unreadable), next_token)
 
 
-def _decode_entry(entry: msgspec.Raw) -> BackendRecord | UnreadableEntry:
+async def _decode_entry(entry: bytes) -> BackendRecord | UnreadableEntry:
+    """Decode an entry.
+
+    Raises
+    ------
+    PasslaneError
+        ``PROTOCOL_ERROR`` when the entry is malformed and may hold other entries.
+    """
     try:
         return _record_of(_entry_decoder.decode(entry))
     except UnicodeDecodeError:
         return UnreadableEntry("a text contains invalid UTF-8 or control characters")
     except (ValueError, RecursionError) as error:
+        # Errors of msgspec are subclasses of ValueError.
+        if not _is_well_formed(entry) and await hides_elements(entry):
+            raise _page_error(f"can't separate entries: {error}") from error
         return UnreadableEntry(str(error)[:MAX_REASON_CHARACTERS])
 
 
-def _convert_entry(content: Any) -> BackendRecord | UnreadableEntry:
+def _is_well_formed(entry: bytes) -> bool:
     try:
-        if _has_invalid_text(content):
-            return UnreadableEntry("a text contains invalid UTF-8 or control characters")
-        return _record_of(msgspec.convert(content, _Entry))
+        _syntax_decoder.decode(entry)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
+def _decode_token(token: bytes) -> str | None:
+    try:
+        return _token_decoder.decode(token)
     except (ValueError, RecursionError) as error:
-        return UnreadableEntry(str(error)[:MAX_REASON_CHARACTERS])
+        raise _page_error(f"next_token: {error}") from error
 
 
-def _has_invalid_text(content: Any) -> bool:
-    """Whether any text of an entry contains replaced bytes or characters that aren't printable."""
-    if isinstance(content, dict):
-        return any(map(_has_invalid_text, (*content, *content.values())))
-    if isinstance(content, list):
-        return any(map(_has_invalid_text, content))
-    return isinstance(content, str) and (REPLACEMENT in content or not content.isprintable())
+def _page_error(reason: str) -> PasslaneError:
+    return PasslaneError(
+        ErrorCode.PROTOCOL_ERROR, f"list of engines: {reason[:MAX_REASON_CHARACTERS]}"
+    )
 
 
 def _record_of(entry: _Entry) -> BackendRecord:
--- a/tests/on_platform/test_instance_list.py
+++ b/tests/on_platform/test_instance_list.py
@@ -12,14 +12,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from passlane.errors import PasslaneError
+from passlane.errors import ErrorCode, PasslaneError
 from passlane.messages.base import encode_message
 from passlane.messages.common import Address
 from passlane.messages.listing import BackendRecord, BackendState, ReportBackends
 from passlane.messages.registry import decode_any_message
 from passlane.observability.metrics import Metrics
 from passlane.platform.instance_list import InstanceList
-from passlane.platform.list_format import MAX_NAME_CHARACTERS, MAX_SLOTS, encode_page
+from passlane.platform.list_format import (
+    MAX_ENTRIES,
+    MAX_NAME_CHARACTERS,
+    MAX_SLOTS,
+    encode_page,
+)
 
 ENTRY = {
     "service": "models",
@@ -134,6 +139,25 @@
                 with self.subTest(name, broken=broken):
                     self.assert_skipped(None, entry)
 
+    def test_an_entry_that_is_malformed_or_nested_too_deep(self):
+        values = ['{"a" 1}', "{,,}", "[1 2]", '{"a":[}]', "tru", '{"a":1,}', "NaN", "9" * 5_000]
+        for opening, closing in (("[", "]"), ('{"a":', "}"), ("[1,", ",2]")):
+            values += [opening * depth + "1" + closing * depth for depth in (3_000, 100_000)]
+        for value in values:
+            for name in ("slots", "id", "state", "models"):
+                with self.subTest(name, value=value[:20], length=len(value)):
+                    text = json.dumps(ENTRY | {name: "@@"}).replace('"@@"', value)
+                    self.assert_skipped(None, text)
+
+    def test_a_value_that_nothing_reads_hides_no_entry(self):
+        for value in ("[" * 3_000 + "]" * 3_000, "[" * 100_000 + "]" * 100_000, "9" * 5_000,
+                      '{"a" 1}', "1e999", '"\\ud800"', '"\udcff"',
+                      '"' + "x" * 300_000 + '"'):  # fmt: skip
+            with self.subTest(value[:20], length=len(value)):
+                entry = json.dumps(ENTRY | {"note": "@@"}).replace('"@@"', value)
+                body = f'{{"instances":[{json.dumps(OTHER)},{entry}],"next_token":null}}'
+                self.assertIn("i-2", ids(read(body.encode("utf-8", "surrogateescape"))))
+
     def test_valid_entries_are_read(self):
         records = read(page(ENTRY, *VALID_ENTRIES))
         expected = BackendRecord(
@@ -210,6 +234,27 @@
             with self.subTest(body[:30]), self.assertRaises(PasslaneError):
                 read(body)
 
+    def test_an_invalid_token_is_a_protocol_error(self):
+        for token in ("7", "{}", "true", "9" * 5_000, "1e999", "[" * 3_000 + "]" * 3_000,
+                      "[" * 100_000 + "]" * 100_000, '"\\ud800"', '"\udcff"', "nul",
+                      '"' + "x" * 300_000 + '"'):  # fmt: skip
+            body = f'{{"instances":[{json.dumps(ENTRY)}],"next_token":{token}}}'
+            with self.subTest(token[:20], length=len(token)):
+                with self.assertRaises(PasslaneError) as raised:
+                    read(body.encode("utf-8", "surrogateescape"), page())
+                self.assertIs(raised.exception.code, ErrorCode.PROTOCOL_ERROR)
+                self.assertLess(len(str(raised.exception)), 200)
+
+    def test_entries_hidden_by_quotes_of_others_are_an_error_and_not_missing(self):
+        broken = '{"id":"i-9}'
+        body = f'{{"instances":[{broken},{json.dumps(ENTRY)},{broken}],"next_token":null}}'
+        with self.assertRaises(PasslaneError):
+            read(body.encode())
+
+    def test_more_entries_than_any_report_can_carry_are_an_error(self):
+        with self.assertRaises(PasslaneError):
+            read(b'{"instances":[' + b"1," * MAX_ENTRIES + b'1],"next_token":null}')
+
     def test_an_invalid_second_page_is_an_error(self):
         with self.assertRaises(PasslaneError):
             read(page(ENTRY, next_token="t"), b"{")
