An unforeseen error while the list is read never ends a node

What callers saw: any error that the reader of the list doesn't expect ended the node, the next node was appointed, and ended too.

Cause: the reader ran as a bare task of the node; and a message with a value that has no encoding raised the encoder's own errors (OverflowError, TypeError, UnicodeEncodeError, RecursionError), which tasks that handle PasslaneError let through.

Change: - The reader is a supervised child of the node, restarted without a limit (max_restarts None). Each failure is logged (child_failed, child backend_list) and counted (backend_list_failures_total); the last good list is kept. - encode_message raises PasslaneError (internal) that names the message and what was expected. So a report that can't be encoded is logged as backends_not_reported, as one larger than a frame was already; a request fails as not run; a reply and an item of a stream as may have run. - A one-way message that can't be encoded or framed is dropped and logged (one_way_not_sent); senders tolerate a loss. Before, the error rose in the task that sent it. An error reply whose text can't be encoded is sent without its text (error_not_sent).

--- a/src/passlane/daemon/fleet/node.py
+++ b/src/passlane/daemon/fleet/node.py
@@ -30,6 +30,8 @@
 from passlane.relay.service import RelayService
 from passlane.runtime.interfaces import HttpLimits
 from passlane.settings.fleet import FleetSettings
+from passlane.supervision.specification import ChildSpecification
+from passlane.supervision.supervisor import Supervisor
 from passlane.turns.client import TurnStoreClient
 
 _log = get_logger(__name__)
@@ -74,12 +76,17 @@
             self._fleet_client.reporter.report,
             context.environment.random,
         )
+        context.metrics.define_when_exposed(reader.define_metrics)
         self._fleet_client.backends.on_confirmation(reader.apply)
+        # A node serves with the last list while the reader fails.
+        supervisor = Supervisor(
+            "node", [ChildSpecification("backend_list", reader.run, max_restarts=None)]
+        )
         async with anyio.create_task_group() as tasks:
             self._relay = self._build_relay(tasks)
             tasks.start_soon(self._fleet_client.run)
             tasks.start_soon(self._relay.run)
-            tasks.start_soon(reader.run)
+            tasks.start_soon(supervisor.run)
             tasks.start_soon(self._store.run)
             tasks.start_soon(self._bounds.run)
             tasks.start_soon(self._serve_readiness)
--- a/src/passlane/messages/base.py
+++ b/src/passlane/messages/base.py
@@ -8,6 +8,11 @@
 
 import msgspec
 
+from passlane.errors import ErrorCode, PasslaneError
+
+MAX_REASON_CHARACTERS = 120
+"""Maximum length of the encoder's reason in an error."""
+
 
 class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Base of every message, command and result; immutable, tagged by class name."""
@@ -17,8 +22,23 @@
 
 
 def encode_message(message: msgspec.Struct) -> bytes:
-    """Return the MessagePack encoding of ``message``, including its type tag."""
-    return _encoder.encode(message)
+    """Return the MessagePack encoding of ``message``, including its type tag.
+
+    Raises
+    ------
+    PasslaneError
+        ``INTERNAL`` when a value has no encoding: a whole number beyond 64 bits, text with lone
+        surrogates, another type, or nesting too deep.
+    """
+    try:
+        return _encoder.encode(message)
+    except (OverflowError, TypeError, ValueError, RecursionError) as error:
+        reason = str(error)[:MAX_REASON_CHARACTERS]
+        raise PasslaneError(
+            ErrorCode.INTERNAL,
+            f"{type(message).__name__} can't be encoded: expected whole numbers of 64 bits and"
+            f" text of Unicode characters, got: {reason}",
+        ) from error
 
 
 def message_decoder(union: Any) -> "msgspec.msgpack.Decoder[Any]":
--- a/src/passlane/relay/list_reader.py
+++ b/src/passlane/relay/list_reader.py
@@ -3,7 +3,8 @@
 The leader of the control group appoints one node to read the platform's list for all nodes, and
 distributes it. A node whose list is stale, because the leader or the appointed node is
 unreachable, reads the list itself. Owns the times of these reads; the list itself is in
-``decisions.backends.registry``. Log lines: ``backends_changed``, ``backend_list_lost``.
+``decisions.backends.registry``. Log lines: ``backends_changed``, ``backend_list_lost``. Metric:
+``backend_list_failures``.
 """
 
 import random as random_module
@@ -15,6 +16,7 @@
 from passlane.errors import PasslaneError
 from passlane.messages.listing import BackendRecord
 from passlane.observability.logging import get_logger
+from passlane.observability.metrics import Metrics
 from passlane.relay.backends import BackendList
 
 READ_INTERVAL_S = 0.9
@@ -78,14 +80,40 @@
         self._is_unavailable = False
         self._applied: Sequence[BackendRecord] | None = None
         self._next_own_read_at = 0.0
+        self._failures = 0
 
     async def run(self) -> None:
-        """Keep the list up to date until cancelled."""
-        while True:
-            if self._is_appointed():
-                await self._read_for_all()
-            else:
-                await self._read_if_stale()
+        """Keep the list up to date until cancelled.
+
+        Raises
+        ------
+        Exception
+            An unforeseen error, which is counted. The last list is kept, and the reader can run
+            again.
+        """
+        try:
+            while True:
+                if self._is_appointed():
+                    await self._read_for_all()
+                else:
+                    await self._read_if_stale()
+        except Exception:
+            self._failures += 1
+            raise
+
+    def define_metrics(self, metrics: Metrics) -> None:
+        """Define the counter of unforeseen errors."""
+        counter = metrics.counter(
+            "backend_list_failures", "Unforeseen errors while the list of backends was read"
+        )
+        reported = 0
+
+        def report() -> None:
+            nonlocal reported
+            counter.inc(self._failures - reported)
+            reported = self._failures
+
+        metrics.call_before_exposure(report)
 
     def apply(self, records: Sequence[BackendRecord], confirmed_at: float) -> None:
         """Apply a list that was valid at a local time; ignore it if the current list is newer."""
--- a/src/passlane/supervision/specification.py
+++ b/src/passlane/supervision/specification.py
@@ -33,11 +33,12 @@
     restart
         When the child is restarted.
     max_restarts, window_s
-        The supervisor fails after more restarts than this within the window.
+        The supervisor fails after more restarts than this within the window; ``None`` restarts
+        the child without a limit.
     """
 
     name: str
     start: Callable[[], Awaitable[None]]
     restart: RestartRule = RestartRule.PERMANENT
-    max_restarts: int = DEFAULT_MAX_RESTARTS
+    max_restarts: int | None = DEFAULT_MAX_RESTARTS
     window_s: float = DEFAULT_WINDOW_S
--- a/src/passlane/supervision/supervisor.py
+++ b/src/passlane/supervision/supervisor.py
@@ -37,7 +37,7 @@
 class RestartHistory:
     """Counts the restarts of one child within a sliding window."""
 
-    def __init__(self, max_restarts: int, window_s: float) -> None:
+    def __init__(self, max_restarts: int | None, window_s: float) -> None:
         self._max_restarts = max_restarts
         self._window_s = window_s
         self._times: deque[float] = deque()
@@ -51,7 +51,7 @@
 
     def is_exceeded(self) -> bool:
         """Return whether the window holds more restarts than allowed."""
-        return len(self._times) > self._max_restarts
+        return self._max_restarts is not None and len(self._times) > self._max_restarts
 
 
 class Supervisor:
--- a/src/passlane/transport/client_connection.py
+++ b/src/passlane/transport/client_connection.py
@@ -188,11 +188,23 @@
         self._sent_since_last_received = True
 
     def send_one_way(self, message: Message) -> bool:
-        """Queue a one-way message; return ``False`` if it was dropped."""
+        """Queue a one-way message; return ``False`` if it was dropped.
+
+        A message that can't be encoded, or is larger than a frame, is dropped and logged.
+        """
         if self.is_closed or self._channel.is_congested:
             return False
         self._record_use()
-        self._channel.enqueue(Frame(FrameKind.ONE_WAY, body=encode_message(message)))
+        try:
+            self._channel.enqueue(Frame(FrameKind.ONE_WAY, body=encode_message(message)))
+        except PasslaneError as error:
+            _log.warning(
+                "one_way_not_sent",
+                message=type(message).__name__,
+                code=error.code.value,
+                reason=error.message,
+            )
+            return False
         return True
 
     async def call(self, request: Message, timeout_s: float) -> Message:
--- a/src/passlane/transport/server_connection.py
+++ b/src/passlane/transport/server_connection.py
@@ -166,7 +166,7 @@
             raise self._router.not_served_error(request)
 
     def _send_message(self, request_id: int, reply: Message) -> None:
-        self._send_reply(Frame(FrameKind.REPLY, request_id, body=encode_message(reply)))
+        self._send_reply(FrameKind.REPLY, request_id, reply)
 
     async def _send_when_there_is_room(self, request_id: int, reply: Message | LargeReply) -> None:
         """Send a reply; build a large one once the connection and the process have room."""
@@ -188,14 +188,13 @@
             async for item in generator:
                 await gate.take()
                 await self._channel.wait_until_uncongested()
-                item_frame = Frame(FrameKind.STREAM_ITEM, request_id, body=encode_message(item))
-                self._send_reply(item_frame)
+                self._send_reply(FrameKind.STREAM_ITEM, request_id, item)
         self._send(Frame(FrameKind.STREAM_END, request_id))
 
-    def _send_reply(self, frame: Frame) -> None:
+    def _send_reply(self, kind: FrameKind, request_id: int, reply: Message) -> None:
         """Send a handler's reply; errors say that the request may have run."""
         try:
-            self._send(frame)
+            self._send(Frame(kind, request_id, body=encode_message(reply)))
         except PasslaneError as error:
             raise error_with_verdict(error, Verdict.MAY_HAVE_RUN) from error
 
@@ -204,7 +203,12 @@
             self._channel.enqueue(frame)
 
     def _send_error(self, request_id: int, error: PasslaneError) -> None:
-        body = encode_message(ErrorReply.from_exception(error))
+        try:
+            body = encode_message(ErrorReply.from_exception(error))
+        except PasslaneError as encoding_error:
+            _log.warning("error_not_sent", code=error.code.value, reason=encoding_error.message)
+            unsent = PasslaneError(error.code, "its message can't be sent", verdict=error.verdict)
+            body = encode_message(ErrorReply.from_exception(unsent))
         self._send(Frame(FrameKind.ERROR, request_id, body=body))
 
     def _queue_one_way(self, message: Message) -> None:
--- a/tests/relay/test_list_reader.py
+++ b/tests/relay/test_list_reader.py
@@ -1,4 +1,4 @@
-"""How a node applies lists of backends that other nodes have read."""
+"""How a node applies lists of backends, and goes on when reading them fails."""
 
 import random
 import unittest
@@ -6,9 +6,15 @@
 import anyio
 
 from passlane.decisions.backends.registry import BackendRegistry
+from passlane.observability.metrics import Metrics
 from passlane.relay.list_reader import BackendListReader
+from passlane.simulation.runner import run_simulation
+from passlane.supervision.specification import ChildSpecification
+from passlane.supervision.supervisor import Supervisor
 from relay.fakes import backend
 
+FAILED_READS = 30
+
 
 class TakeOverTest(unittest.TestCase):
     def take_over(self, *steps):
@@ -45,5 +51,48 @@
         self.assertEqual(len(registry), 2)
 
 
+class FailingSource:
+    """A list whose reads raise an error that nothing foresees, but for the first and last ones."""
+
+    def __init__(self, records):
+        self.records = records
+        self.reads = 0
+
+    async def read(self):
+        self.reads += 1
+        if 1 < self.reads <= 1 + FAILED_READS:
+            raise OverflowError("can't serialize")
+        return self.records
+
+
+class UnforeseenErrorTest(unittest.TestCase):
+    """Guards against an error of the reader that ends the node or the reading of the list."""
+
+    def test_reading_goes_on_with_the_last_list_kept(self):
+        source = FailingSource((backend("i-1"),))
+        registry, metrics, reports = BackendRegistry(), Metrics(), []
+
+        async def report(records):
+            reports.append(len(registry))
+
+        reader = BackendListReader(
+            source, registry, 40.0, lambda: 1, lambda: True, report, random.Random(0)
+        )
+        metrics.define_when_exposed(reader.define_metrics)
+        child = ChildSpecification("backend_list", reader.run, max_restarts=None)
+
+        async def main():
+            with anyio.move_on_after(30.0):
+                await Supervisor("node", [child]).run()
+                self.fail("the supervisor ended")
+
+        run_simulation(main, seed=1)
+        self.assertEqual(source.reads > FAILED_READS + 1, len(reports) > 1)
+        self.assertEqual(set(reports), {1})
+        self.assertEqual(len(registry), 1)
+        counted = f"passlane_backend_list_failures_total {min(source.reads - 1, FAILED_READS)}.0"
+        self.assertIn(counted, metrics.expose().decode())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/supervision/test_supervisor.py
+++ b/tests/supervision/test_supervisor.py
@@ -56,6 +56,13 @@
         self.assertEqual(self.start_count(Child(2, fails=False), RestartRule.TRANSIENT), 1)
         self.assertEqual(self.start_count(Child(2, fails=True), RestartRule.TEMPORARY), 1)
 
+    def test_a_child_without_a_limit_is_restarted_each_time(self) -> None:
+        child = Child(50, fails=True, run_s=0.0)
+        run_for(200.0, Supervisor("root", [
+            ChildSpecification("child", child.start, max_restarts=None)
+        ]).run)  # fmt: skip
+        self.assertEqual(child.starts, 51)
+
     def test_persistent_fault_is_reported_and_fails_the_parent(self) -> None:
         reported: list[str] = []
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 import passlane.messages
-from passlane.errors import ErrorCode, Verdict
+from passlane.errors import ErrorCode, PasslaneError, Verdict
 from passlane.identifiers import CallId, Epoch, Partition, ProgramId
 from passlane.messages.base import encode_message, message_decoder
 from passlane.messages.common import Address, Amounts, ErrorReply, NotLeaderError
@@ -34,6 +34,20 @@
         decoded = message_decoder(StoreCommand).decode(encode_message(command))
         self.assertEqual(decoded, command)
 
+    def test_a_value_without_an_encoding_is_an_error_of_the_project(self) -> None:
+        deep: object = []
+        for _ in range(100_000):
+            deep = [deep]
+        values = (2**64, -(2**63) - 1, 10**400, "\ud800", object(), deep)
+        for value in values:
+            reply = ErrorReply(code=ErrorCode.TIMEOUT, message="", verdict=Verdict.NOT_RUN)
+            odd = msgspec.structs.replace(reply, message=value)
+            with self.subTest(type(value)), self.assertRaises(PasslaneError) as raised:
+                encode_message(odd)
+            self.assertIs(raised.exception.code, ErrorCode.INTERNAL)
+            self.assertIn("ErrorReply can't be encoded: expected", raised.exception.message)
+            self.assertLess(len(raised.exception.message), 300)
+
     def test_message_of_another_union_is_refused(self) -> None:
         reply = ErrorReply(code=ErrorCode.TIMEOUT, message="late", verdict=Verdict.NOT_RUN)
         with self.assertRaises(msgspec.ValidationError):
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -38,6 +38,12 @@
 """Requests a stream whose first item exceeds the maximum frame size."""
 
 
+ODD_NUMBER = 2**64
+"""A position that no message can carry."""
+ODD_ITEM = Partition(-2)
+"""Requests a stream whose first item can't be encoded."""
+
+
 class Fleet:
     """One server, one client and the network between them."""
 
@@ -69,6 +75,10 @@
                 raise
         if request.program_id == "huge":
             return TextChunk(position=0, text="x" * MAX_FRAME_BYTES)
+        if request.program_id == "odd":
+            return TextChunk(position=ODD_NUMBER, text="")
+        if request.program_id == "odd error":
+            raise PasslaneError(ErrorCode.BAD_REQUEST, "a text with \ud800")
         if request.program_id == "broken":
             raise KeyError("an error in the handler")
         return StoreDone()
@@ -76,6 +86,8 @@
     async def _stream_chunks(self, request: ListPrograms) -> AsyncIterator[TextChunk]:
         if request.partition == HUGE_ITEM:
             yield TextChunk(position=0, text="x" * MAX_FRAME_BYTES)
+        if request.partition == ODD_ITEM:
+            yield TextChunk(position=ODD_NUMBER, text="")
         count = 0 if request.partition is None else int(request.partition)
         try:
             for position in range(count):
@@ -147,6 +159,40 @@
 
         simulate(body)
 
+    def test_a_message_that_cannot_be_encoded_costs_itself_alone(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            with self.assertRaises(PasslaneError) as sent:
+                await fleet.pool.call(
+                    SERVER, ListPrograms(partition=Partition(ODD_NUMBER)), StoreDone, timeout_s=1.0
+                )
+            self.assertEqual(sent.exception.verdict, Verdict.NOT_RUN)
+            await fleet.pool.send(SERVER, TextChunk(position=ODD_NUMBER, text=""))
+            await fleet.pool.send(SERVER, TextChunk(position=1, text="x" * MAX_FRAME_BYTES))
+            fleet.pool.send_if_connected(SERVER, TextChunk(position=2, text="\ud800"))
+            await fleet.pool.send(SERVER, TextChunk(position=3, text=""))
+            await fleet.call("after these")
+
+        self.assertCountEqual(simulate(body).seen, ["one-way 3", "after these"])
+
+    def test_a_reply_that_cannot_be_encoded_is_reported_as_may_have_run(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            with self.assertRaises(PasslaneError) as unary:
+                await fleet.call("odd")
+            with self.assertRaises(PasslaneError) as streamed:
+                request = ListPrograms(partition=ODD_ITEM)
+                async with fleet.pool.stream(SERVER, request, timeout_s=5.0) as items:
+                    await anext(items)
+            for caught in (unary, streamed):
+                self.assertEqual(caught.exception.code, ErrorCode.INTERNAL)
+                self.assertEqual(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+                self.assertIn("can't be encoded", caught.exception.message)
+            with self.assertRaises(PasslaneError) as refused:
+                await fleet.call("odd error")
+            self.assertEqual(refused.exception.code, ErrorCode.BAD_REQUEST)
+            await fleet.call("after these")
+
+        simulate(body)
+
     def test_unreachable_server_is_reached_soon_after_it_returns(self) -> None:
         async def body(fleet: Fleet) -> None:
             fleet.network.isolate(SERVER.host)
