--- a/tests/turns/state/test_machine.py
+++ b/tests/turns/state/test_machine.py
@@ -85,6 +85,26 @@
             self.assertEqual(refusal, BudgetSpent(MAX_COMPARED_NUMBER, MAX_COMPARED_NUMBER))
             self.assertEqual(message_decoder(BudgetSpent).decode(encode_message(refusal)), refusal)
 
+    def test_numbers_that_an_earlier_build_has_stored_are_read_and_sent(self):
+        largest = 2**64 - 1
+        part = {
+            "age_s": 0.0,
+            "programs": {
+                "p": {
+                    "spent_tokens": largest,
+                    "reserved": {"a": largest, "b": largest},
+                    "keep_until_s": 60.0,
+                }
+            },
+        }
+        for _ in self.machine.restore_parts([msgspec.msgpack.encode(part)]):
+            pass
+        refusal = self.machine.execute(reserve("next", most=1, budget=MAX_COMPARED_NUMBER))
+        self.assertEqual(message_decoder(BudgetSpent).decode(encode_message(refusal)), refusal)
+        self.machine.execute(settle("a", largest))
+        for _ in TurnStateMachine().restore_parts(list(self.machine.snapshot_parts())):
+            pass
+
     def test_a_reservation_names_the_engine_that_was_used_last(self):
         self.assertEqual(self.machine.execute(reserve("a")), TurnReserved(used_last=""))
         self.machine.execute(msgspec.structs.replace(settle("a"), served_by="i-1"))
