Answers to the product's own calls are bounded where they are decoded

What would have been seen: an answer of an engine, of an application or of the platform's list of machines with 3,000 nested brackets raised RecursionError, which none of the readers expects: a call ends with a 500 in place of its verdict, and the watch of the list, a task of the store, ends. A usage of 2^64 tokens or 400 digits was taken, and then could not be recorded.

Change: counts and numbers in these answers have the bounds of number_bounds, and a deep one is an invalid answer like any other that can't be decoded.

--- a/src/passlane/backends/application_client.py
+++ b/src/passlane/backends/application_client.py
@@ -74,7 +74,7 @@
     """Return the decoded reply; raise ``BackendError`` if it is about another operation."""
     try:
         reply = msgspec.json.decode(body, type=ToolReply)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BackendError(
             ErrorCode.BACKEND_FAILED,
             f"the application's answer is invalid: {error}",
--- a/src/passlane/backends/engine_client.py
+++ b/src/passlane/backends/engine_client.py
@@ -90,7 +90,7 @@
             for line in self._lines.feed(data):
                 if line != STREAM_END:
                     self._process(_chunk_decoder.decode(line))
-        except (ValueError, msgspec.MsgspecError) as error:
+        except (ValueError, msgspec.MsgspecError, RecursionError) as error:
             raise _invalid_answer(error) from error
 
     def _process(self, chunk: EngineChunk) -> None:
@@ -242,7 +242,7 @@
 def _decode(body: bytes, reply_type: type[ReplyBody]) -> ReplyBody:
     try:
         return msgspec.json.decode(body, type=reply_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise _invalid_answer(error) from error
 
 
--- a/src/passlane/backends/failures.py
+++ b/src/passlane/backends/failures.py
@@ -122,7 +122,7 @@
     try:
         body = await read_body(response, MAX_PROBLEM_BYTES)
         problem = msgspec.json.decode(body, type=ProblemBody)
-    except (OSError, BackendError, msgspec.MsgspecError):
+    except (OSError, BackendError, msgspec.MsgspecError, RecursionError):
         # The error is then reported from the status alone.
         return None
     return problem
--- a/src/passlane/messages/backends.py
+++ b/src/passlane/messages/backends.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from passlane.identifiers import EngineId, ProgramId
+from passlane.messages.number_bounds import ComparedNumber, Count, FiniteAmount
 from passlane.messages.store import Turn
 
 
@@ -54,13 +55,13 @@
     """
 
     attempt_id: str
-    position: int = 0
+    position: Count = 0
     text: str = ""
     finish_reason: str | None = None
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    generated_tokens: int = 0
-    incarnation: int = 0
+    prompt_tokens: Count = 0
+    cached_tokens: Count = 0
+    generated_tokens: Count = 0
+    incarnation: ComparedNumber = 0
     software_version: str = ""
 
 
@@ -78,14 +79,14 @@
     """
 
     engine_id: EngineId
-    incarnation: int
-    running: int
-    waiting: int
-    cached_tokens: int
-    held_programs: int
+    incarnation: ComparedNumber
+    running: Count
+    waiting: Count
+    cached_tokens: Count
+    held_programs: Count
     models: tuple[str, ...]
-    age_s: float = 0.0
-    last_cache_event: int | None = None
+    age_s: FiniteAmount = 0.0
+    last_cache_event: ComparedNumber | None = None
 
 
 class CacheEventKind(enum.StrEnum):
@@ -101,16 +102,16 @@
     ``number`` increases by 1 within an incarnation; a gap means that events were lost.
     """
 
-    number: int
+    number: ComparedNumber
     kind: CacheEventKind
     program_id: ProgramId
-    tokens: int
+    tokens: Count
 
 
 class CacheEvents(msgspec.Struct, frozen=True):
     """``GET /v1/cache/events?after=N``: the published events with numbers above N."""
 
-    incarnation: int
+    incarnation: ComparedNumber
     events: tuple[CacheEvent, ...]
 
 
@@ -118,14 +119,14 @@
     """Number of tokens of a program's prefix in an engine's cache."""
 
     program_id: ProgramId
-    tokens: int
+    tokens: Count
 
 
 class CacheSnapshot(msgspec.Struct, frozen=True):
     """``GET /v1/cache``: the whole cache by program, as of event ``number``."""
 
-    incarnation: int
-    number: int
+    incarnation: ComparedNumber
+    number: ComparedNumber
     entries: tuple[CacheEntry, ...]
 
 
@@ -159,8 +160,8 @@
     """Answer to an order; ``highest_token`` is the maximum token received for its scope."""
 
     done: bool
-    incarnation: int
-    highest_token: int
+    incarnation: ComparedNumber
+    highest_token: ComparedNumber
     message: str = ""
 
 
--- a/src/passlane/store/platform_watch.py
+++ b/src/passlane/store/platform_watch.py
@@ -62,7 +62,7 @@
                 self._log_failure(f"status {response.status}")
                 return
             listed = _decoder.decode(body)
-        except (OSError, msgspec.DecodeError) as error:
+        except (OSError, msgspec.DecodeError, RecursionError) as error:
             self._log_failure(str(error) or type(error).__name__)
             return
         self._is_available = True
--- a/tests/backends/test_application_client.py
+++ b/tests/backends/test_application_client.py
@@ -76,6 +76,11 @@
     def test_invalid_answer_may_have_run(self) -> None:
         self.check(ScriptedResponse([b"<html>"]), Verdict.MAY_HAVE_RUN, final=False)
 
+    def test_deep_answers_may_have_run(self) -> None:
+        deep = b'{"unread": ' + b"[" * 3_000 + b"]" * 3_000 + b"}"
+        self.check(ScriptedResponse([deep]), Verdict.MAY_HAVE_RUN, final=False)
+        self.check(ScriptedResponse([deep], 500, JSON), Verdict.MAY_HAVE_RUN, final=False)
+
     def test_busy_application_with_a_problem_proves_that_nothing_ran(self) -> None:
         for status in (409, 429, 503):
             headers = {**PROBLEM, "retry-after": "2"}
--- a/tests/backends/test_engine_client.py
+++ b/tests/backends/test_engine_client.py
@@ -79,6 +79,32 @@
         stream = read(event(0, "a-0"), event(0), event(1), event(9, "a-0", "stop"), FINAL, DONE)
         self.assertEqual(stream.texts, ["t0", "t1"])
 
+    def test_numbers_and_depth_that_no_process_holds_are_an_invalid_answer(self) -> None:
+        final = msgspec.to_builtins(EngineChunk("a-1", 2, "", "stop"))
+        for name in ("prompt_tokens", "cached_tokens", "generated_tokens", "position"):
+            for number in ("9" * 400, "9" * 5_000, str(2**64), str(2**53), "-1"):
+                line = msgspec.json.encode(final | {name: "@odd@"})
+                odd = b"data: " + line.replace(b'"@odd@"', number.encode()) + b"\n\n"
+                with self.subTest(name=name, number=number[:24]):
+                    self.assert_invalid(read(event(0), odd))
+        deep = b'data: {"unread": ' + b"[" * 3_000 + b"]" * 3_000 + b"}\n\n"
+        self.assert_invalid(read(event(0), deep))
+
+    def assert_invalid(self, stream: Stream) -> None:
+        assert stream.error is not None
+        self.assertIs(stream.error.code, ErrorCode.BACKEND_FAILED)
+        self.assertIs(stream.error.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_a_deep_load_report_is_an_invalid_answer(self) -> None:
+        body = b'{"unread": ' + b"[" * 3_000 + b"]" * 3_000 + b"}"
+
+        async def main() -> None:
+            client = EngineClient(ScriptedHttp([ScriptedResponse([body])]), ADDRESS)  # type: ignore[arg-type]
+            with self.assertRaises(BackendError):
+                await client.read_load()
+
+        run_simulation(main, seed=1)
+
     def test_engine_that_does_not_end_the_body_causes_no_long_wait(self) -> None:
         stream = read(event(0), FINAL, 3600.0)
         self.assertIsNotNone(stream.final)
--- a/tests/store/test_platform_watch.py
+++ b/tests/store/test_platform_watch.py
@@ -30,6 +30,7 @@
     def __init__(self) -> None:
         self.states = {"e0": "live", "e1": "live", "n0": "live", "n1": "live"}
         self.is_reachable = True
+        self.body = b""
 
     @asynccontextmanager
     async def exchange(self, request: HttpRequest) -> AsyncIterator[Any]:
@@ -39,6 +40,9 @@
         yield SimpleNamespace(status=200, chunks=self._chunks)
 
     async def _chunks(self) -> AsyncIterator[bytes]:
+        if self.body:
+            yield self.body
+            return
         machines = tuple(PlatformMachine(name, state) for name, state in self.states.items())
         yield msgspec.json.encode(PlatformList(machines))
 
@@ -73,6 +77,19 @@
 
         simulate(scenario, http_client=self.platform)
 
+    def test_a_deep_list_keeps_the_last_state(self) -> None:
+        async def scenario(region: Region) -> None:
+            loop, listener = region.start_node("n0")
+            self.platform.states["e1"] = "leaving"
+            await anyio.sleep(5)
+            self.platform.body = b'{"unread": ' + b"[" * 3_000 + b"]" * 3_000 + b"}"
+            self.platform.states["e1"] = "live"
+            await anyio.sleep(30)
+            self.assertEqual(listener.leaving, ("e1",))
+            self.assertTrue(loop.has_lease)
+
+        simulate(scenario, http_client=self.platform)
+
     def test_leaving_node_hands_over_its_partitions_and_gets_no_others(self) -> None:
         async def scenario(region: Region) -> None:
             leaving, listener = region.start_node("n0")
