--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -19,6 +19,7 @@
     loopback_network,
 )
 from processes.back_end import END_OF_HEAD, MAX_READ_BYTES, BackEnd, read_request, write_answer
+from processes.links import LINKED_DAEMON, Links
 
 HOST = "one.example"
 MODELS = "models"
@@ -127,18 +128,21 @@
 
 
 class ProcessFleet:
-    """The daemons, the platform's list and its back ends."""
+    """The daemons, the platform's list and its back ends; ``links`` if they can be cut."""
 
-    def __init__(self, tasks, folder, processes, daemon, sizes):
+    def __init__(self, tasks, folder, processes, daemon, sizes, is_linked):
         self._tasks = tasks
+        self._is_linked = is_linked
         self._network = loopback_network()
         list_address = Address(f"{self._network}.{LIST_HOST}", BACK_END_PORT)
         sizes = {} if sizes is None else {"sizes": sizes}
         self.machines = Machines(
             self._network, folder, list_address, daemon or DAEMON, processes, **sizes
         )
+        self.links = Links(self._network, folder, list_address)
         self.list = BackEnd("list", "list", list_address, self._answer_list)
         self.list_answer = None
+        self._list_read = anyio.Event()
         self.back_ends = []
         self._added = 0
         self._attempts = 0
@@ -150,6 +154,8 @@
     async def start(self, document):
         """Start all processes; return when the configuration is in force and nodes are ready."""
         self._tasks.start_soon(self._serve_list)
+        if self._is_linked:
+            self.links.connect(self.machines.all, self._tasks)
         for machine in self.machines.all:
             self.machines.start(machine)
         with anyio.fail_after(START_TIMEOUT_S):
@@ -178,6 +184,10 @@
         answer = await self._fetch(machine.address(READINESS_PORT), "GET", "/api/readyz")
         return answer is not None and answer.status == 200
 
+    async def wait_for_list_read(self):
+        """Return once a node has read the platform's list."""
+        await self._list_read.wait()
+
     def add_back_end(self, service, answer, *, version="v1"):
         """Start a back end at an address of its own."""
         host = f"{self._network}.{FIRST_BACK_END_HOST + self._added}"
@@ -266,6 +276,8 @@
                     request = await read_request(stream, received)
                     answer = self.list_answer or self._answer_list
                     await answer(self.list, request, stream)
+                    self._list_read.set()
+                    self._list_read = anyio.Event()
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
 
@@ -281,11 +293,17 @@
 
 
 @asynccontextmanager
-async def process_fleet(document, back_ends, *, processes=PROCESSES, daemon=None, sizes=None):
-    """Run a fleet; ``back_ends`` adds the first back ends to it."""
+async def process_fleet(
+    document, back_ends, *, processes=PROCESSES, daemon=None, sizes=None, is_linked=False
+):
+    """Run a fleet; ``back_ends`` adds the first back ends to it.
+
+    With ``is_linked`` its processes are connected by ``links`` that can be cut.
+    """
+    daemon = LINKED_DAEMON if is_linked else daemon
     with tempfile.TemporaryDirectory(prefix="passlane-processes-") as folder:
         async with anyio.create_task_group() as tasks:
-            fleet = ProcessFleet(tasks, Path(folder), processes, daemon, sizes)
+            fleet = ProcessFleet(tasks, Path(folder), processes, daemon, sizes, is_linked)
             try:
                 back_ends(fleet)
                 await fleet.start(document)
