Versions of streams are told by a store that leads for certain

What callers saw: a stream that had begun at an engine of a new version was taken up at a node that was cut off from control, the list and all stores but one, and went on at an engine of the old version, with and without the stream's name.

Cause: the store answered the look-up from its own state as long as it took itself for the leader. One that stands still or is cut off does so until it notices, and the versions that its successor records meanwhile are unknown to it. It takes late replies of the others for a sign of life, so on links that lag this lasts for as long as the lag. The node had to believe the store: its own list was fresh, and named the old version alone. A look-up was the only answer about streams that was not confirmed by a majority.

Evidence: `stream_versions_compared` had the old version alone as announced, at an age of the list of 2.3 to 2.6 s, while another store led in a later term and had recorded the new one.

Why it works: a read barrier lets the answer go out only after a majority has confirmed the leader after the question came, so it has all that was recorded before a stream began. The same holds for announcements that are renewed. It costs one round of heartbeats for each look-up of a stream that its node does not know itself. `stream_versions_compared` has the term of the store that told the versions.

--- a/src/passlane/relay/stream_resumption.py
+++ b/src/passlane/relay/stream_resumption.py
@@ -105,7 +105,7 @@
         if found.origin is not None:
             return resume_known(found.origin, request.services, OriginSource.STORE)
         versions = self._versions(request, found.served_versions)
-        self._log_versions(request, versions)
+        self._log_versions(request, versions, found.term)
         decided = resume_unreported(stream_id or request.call.request_id, versions)
         if decided.origin is None:
             return decided
@@ -130,8 +130,10 @@
             list_age_s=now - updated_at if updated_at is not None else None,
         )
 
-    def _log_versions(self, request: ResumingRequest, versions: RouteVersions) -> None:
-        """Log at which versions a stream that nobody has reported may have begun."""
+    def _log_versions(
+        self, request: ResumingRequest, versions: RouteVersions, store_term: int
+    ) -> None:
+        """Log at which versions a stream may have begun, and the term of the store that says so."""
         age_s = versions.list_age_s
         announced = versions.announced
         _log.info(
@@ -140,6 +142,7 @@
             listed=sorted(versions.listed),
             announced=sorted(announced) if announced is not None else None,
             list_age_s=round(age_s, 3) if age_s is not None else None,
+            store_term=store_term,
         )
 
     def _log(self, request: ResumingRequest, decided: Resumption) -> None:
--- a/src/passlane/turns/leadership.py
+++ b/src/passlane/turns/leadership.py
@@ -65,6 +65,20 @@
             self.served_term = self._group.term
             self._dispatcher.begin_term()
 
+    async def confirm(self) -> None:
+        """Return once this replica leads for certain, and has applied all that was committed.
+
+        One that stood still or was cut off leads by its own state until it notices, while another
+        one records what it doesn't know.
+
+        Raises
+        ------
+        NotLeaderError
+            When another replica may lead.
+        """
+        await self._group.read_barrier()
+        self.require_leadership()
+
     async def propose(self, command: Message, *, may_be_deferred: bool = False) -> Message:
         """Replicate a command and return its result; it is applied at the present age of the state.
 
--- a/src/passlane/turns/service.py
+++ b/src/passlane/turns/service.py
@@ -228,9 +228,12 @@
         """Answer a probe for the leader with the current term; record and look up streams.
 
         Reports on engines, versions and forwarded events are answered once they are replicated, and
-        a request for the refused requests once these have changed.
+        a request for the refused requests once these have changed. What is known of versions is
+        told and renewed only by a replica that leads for certain.
         """
         self._leadership.require_leadership()
+        if request.address or request.served_versions:
+            await self._leadership.confirm()
         self._streams.record(request.begun_streams)
         origin = self._streams.find(request.stream_id) if request.stream_id else None
         await self._outputs.record(request.forwarded_events)
--- a/tests/turns/store_group.py
+++ b/tests/turns/store_group.py
@@ -116,6 +116,12 @@
                 command = as_older_build_reads(command)
             self.results[self.applied] = self.machine.apply(self.applied, command)
 
+    async def read_barrier(self) -> None:
+        await self.woken.wait()
+        await anyio.sleep(PROPOSE_S)
+        if not self.is_leader:
+            raise NotLeaderError("another replica leads", None)
+
     async def propose(self, command: bytes, *, may_be_deferred: bool = False) -> bytes:
         await self.woken.wait()
         if not self.is_leader:
--- a/tests/turns/test_reported_versions.py
+++ b/tests/turns/test_reported_versions.py
@@ -5,6 +5,7 @@
 import anyio
 
 from passlane.errors import ErrorCode, PasslaneError
+from passlane.messages.common import NotLeaderError
 from passlane.messages.turns import FindTurnStore
 from passlane.turns.reported_versions import RENEWAL_INTERVAL_S
 from turns.state.test_versions import served
@@ -40,6 +41,20 @@
         with self.assertRaises(PasslaneError):
             await self.announce(served("v1"))
 
+    @with_leader
+    async def test_a_leader_that_has_been_replaced_tells_nothing_of_versions(self):
+        await self.announce(served("v1"))
+        reads_before_it_notices = self.service.find(FindTurnStore(address="one.example/streams/x"))
+
+        async def replaced():
+            raise NotLeaderError("another replica leads", None)
+
+        self.group.read_barrier = replaced
+        with self.assertRaises(NotLeaderError):
+            await reads_before_it_notices
+        with self.assertRaises(NotLeaderError):
+            await self.announce(served("v1"))
+
     @with_leader
     async def test_nodes_that_announce_at_the_same_moment_need_one_command(self):
         async with anyio.create_task_group() as tasks:
--- a/tests/turns/test_service.py
+++ b/tests/turns/test_service.py
@@ -52,6 +52,11 @@
         self.leader_address = None
         self.commands = []
 
+    async def read_barrier(self):
+        await anyio.sleep(PROPOSE_S)
+        if not self.is_leader:
+            raise NotLeaderError("not the leader any more", None)
+
     async def propose(self, command, *, may_be_deferred=False):
         await anyio.sleep(PROPOSE_S)
         if not self.is_leader:
