A node counts on an announced version only while the store group keeps it

What callers saw, 33 s after a version had left the list: streams that a node began at it as it woke from standing still, and a long stream that had begun before, went on at the new version when they were taken up elsewhere.

Cause: the store group keeps an announced version for 30 s behind its last renewal, but a node counted on its announcement for good, whatever time had passed, and renewed only what its list named, not what its streams had begun at. Then the store group had the new version alone, which was taken for the only one.

Why it works: a node counts on an announcement for 15 s from the moment it was sent, by its own clock, and announces anew before a further stream, so that the store group keeps the version for 12 s at least after the stream began. Renewals go by themselves each 5 s, no longer with the request for the refused requests, which is answered after 10 s, and name the versions of the streams under way too.

What it costs: without the store group, resumable streams begin for 9 to 15 s more; before, they began as long as their version was listed.

--- a/src/passlane/relay/announced_versions.py
+++ b/src/passlane/relay/announced_versions.py
@@ -2,12 +2,17 @@
 
 A process that has begun lately doesn't know which versions served before it, and all nodes may end
 at once. So a stream begins only at a version that the store group has recorded for its route; what
-it has recorded is then all that a stream whose origin was not reported may have begun at. Owns what
-this node has announced. It relies on ``turns.reported_versions`` to retain it. Log lines:
-``versions_announced``, ``versions_not_announced``.
+it has recorded is then all that a stream whose origin was not reported may have begun at. The store
+group forgets what is not renewed, so a node counts on an announcement for a shorter time, and
+renews it while the version is listed or a stream of it goes on. Owns what this node has announced.
+It relies on ``turns.reported_versions`` to retain it. Log lines: ``versions_announced``,
+``versions_not_announced``.
 """
 
+import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
 
 import anyio
 import msgspec
@@ -15,7 +20,7 @@
 from passlane.decisions.backends.registry import BackendRegistry, ServiceHealth
 from passlane.errors import PasslaneError
 from passlane.messages.routes import Route
-from passlane.messages.streams import ServedVersion
+from passlane.messages.streams import ServedVersion, StreamOrigin
 from passlane.observability.logging import get_logger
 from passlane.turns.client import TurnStoreClient
 
@@ -24,6 +29,11 @@
 group."""
 ANNOUNCE_INTERVAL_S = 1.0
 """Interval at which new versions are looked for in the list."""
+RENEWED_AFTER_S = 5.0
+"""Seconds after which an announcement is renewed."""
+COUNTED_ON_S = 15.0
+"""Seconds for which streams may begin at an announced version; the store group keeps it for 12 s
+more at least, in which callers resume a stream whose node is lost."""
 
 _log = get_logger(__name__)
 
@@ -39,15 +49,21 @@
     def __init__(self, registry: BackendRegistry, store: TurnStoreClient) -> None:
         self._registry = registry
         self._store = store
-        self._announced: set[ServedVersion] = set()
+        self._announced_at: dict[ServedVersion, float] = {}
+        self._under_way: Counter[ServedVersion] = Counter()
         self._report_ended: anyio.Event | None = None
 
     async def run(self, routes: Callable[[], Sequence[Route]]) -> None:
-        """Announce new versions as they are listed, so that no stream waits; until cancelled."""
+        """Announce new versions as they are listed, so that no stream waits; until cancelled.
+
+        Versions that were announced before are renewed.
+        """
         while True:
-            for route in _resumable(routes()):
-                for share in route.shares:
-                    await self.announce(route, share.service)
+            needed = self._needed(routes())
+            self._forget_all_but(needed)
+            due = self._older_than(RENEWED_AFTER_S, needed)
+            if due:
+                await self._announce(due)
             await anyio.sleep(ANNOUNCE_INTERVAL_S)
 
     async def announce(self, route: Route, service: str) -> None:
@@ -67,7 +83,7 @@
     def restrict(self, health: ServiceHealth, route: Route) -> ServiceHealth:
         """Return a service's health with only the engines whose version is announced."""
         listed = {(load.record.service, load.record.software_version) for load in health.loads}
-        announced = {pair for pair in listed if _served(route, *pair) in self._announced}
+        announced = {pair for pair in listed if self._is_announced(_served(route, *pair))}
         if len(announced) == len(listed):
             return health
         loads = [
@@ -77,25 +93,55 @@
         ]
         return msgspec.structs.replace(health, loads=loads)
 
-    def renewed(self, routes: Sequence[Route]) -> tuple[ServedVersion, ...]:
-        """Return the announced versions that serve resumable routes still; forget the others."""
+    @contextmanager
+    def under_way(self, route: Route, origin: StreamOrigin) -> Iterator[None]:
+        """Keep the version of a stream of a route announced while the stream goes on."""
+        version = _served(route, origin.service, origin.software_version)
+        self._under_way[version] += 1
+        try:
+            yield
+        finally:
+            self._under_way[version] -= 1
+            if not self._under_way[version]:
+                del self._under_way[version]
+
+    def _needed(self, routes: Iterable[Route]) -> set[ServedVersion]:
+        """Return the versions at which streams may begin, and those of streams that go on."""
         listed = {
             version
             for route in _resumable(routes)
             for share in route.shares
             for version in self._listed(route, share.service)
         }
-        self._announced &= listed
-        return tuple(sorted(self._announced, key=_sort_key))
+        return listed | set(self._under_way)
+
+    def _forget_all_but(self, needed: set[ServedVersion]) -> None:
+        for version in self._announced_at.keys() - needed:
+            del self._announced_at[version]
+
+    def _is_announced(self, version: ServedVersion) -> bool:
+        return not self._older_than(COUNTED_ON_S, {version})
 
     def _missing(self, route: Route, service: str) -> tuple[ServedVersion, ...]:
-        listed = self._listed(route, service)
-        return tuple(sorted(listed - self._announced, key=_sort_key))
+        return self._older_than(COUNTED_ON_S, self._listed(route, service))
+
+    def _older_than(
+        self, limit_s: float, versions: Iterable[ServedVersion]
+    ) -> tuple[ServedVersion, ...]:
+        """Return the versions that were not announced within a time, in order."""
+        announced_since = anyio.current_time() - limit_s
+        older = (v for v in versions if self._announced_at.get(v, -math.inf) < announced_since)
+        return tuple(sorted(older, key=_sort_key))
 
     def _listed(self, route: Route, service: str) -> set[ServedVersion]:
         versions = self._registry.listed_versions(service)
         return {_served(route, service, version) for version in versions}
 
+    async def _announce(self, versions: tuple[ServedVersion, ...]) -> None:
+        """Announce versions in the background, unless that is under way or futile."""
+        if self._report_ended is None and not self._store.is_unavailable:
+            await self._report(versions)
+
     async def _report(self, versions: tuple[ServedVersion, ...]) -> None:
         began_at = anyio.current_time()
         report_ended = self._report_ended = anyio.Event()
@@ -111,12 +157,16 @@
         finally:
             self._report_ended = None
             report_ended.set()
-        self._announced.update(versions)
-        _log.info(
-            "versions_announced",
-            versions=[str(version) for version in versions],
-            taken_s=round(anyio.current_time() - began_at, 4),
-        )
+        self._record(versions, began_at)
+
+    def _record(self, versions: tuple[ServedVersion, ...], announced_at: float) -> None:
+        """Count on versions from the time on at which their announcement was sent."""
+        new = [str(version) for version in versions if version not in self._announced_at]
+        for version in versions:
+            self._announced_at[version] = announced_at
+        if new:
+            taken_s = round(anyio.current_time() - announced_at, 4)
+            _log.info("versions_announced", versions=new, taken_s=taken_s)
 
 
 def _resumable(routes: Iterable[Route]) -> Iterator[Route]:
--- a/src/passlane/relay/answer_delivery.py
+++ b/src/passlane/relay/answer_delivery.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+from contextlib import AbstractContextManager, nullcontext
 
 import anyio
 
@@ -122,6 +123,13 @@
         if self._context.route.is_resumable and self._history.origin is not None:
             self._context.streams.record(self._history.origin)
 
+    def _announced(self) -> AbstractContextManager[None]:
+        """Return a context in which the version of a stream that may be resumed stays announced."""
+        route, origin = self._context.route, self._history.origin
+        if not route.is_resumable or origin is None:
+            return nullcontext()
+        return self._context.versions.under_way(route, origin)
+
     @property
     def _reports_events(self) -> bool:
         """Whether a stream may be resumed whose turn is stored with all its events."""
@@ -151,7 +159,8 @@
             self._record_stream_began()
         self._events_before_run = self._stream.events
         try:
-            await self._stream.deliver(answer, watch)
+            with self._announced():
+                await self._stream.deliver(answer, watch)
         except AnswerAbortedError as error:
             self._record_aborted(error, self._stream)
             raise
--- a/src/passlane/relay/refused_requests.py
+++ b/src/passlane/relay/refused_requests.py
@@ -7,8 +7,6 @@
 ``request_held_for_engines``.
 """
 
-from collections.abc import Callable
-
 import anyio
 
 from passlane.decisions.failure.engine_ends import (
@@ -18,7 +16,6 @@
     EngineEndCounts,
 )
 from passlane.errors import PasslaneError, Verdict
-from passlane.messages.streams import ServedVersion
 from passlane.messages.turns import TurnStoreFound
 from passlane.observability.logging import get_logger
 from passlane.relay.end_reasons import RequestEndReason
@@ -33,8 +30,6 @@
 RETRY_AFTER_DIGITS = 1
 """Digits of the retry-after time, in seconds."""
 
-ServedVersions = Callable[[], tuple[ServedVersion, ...]]
-
 _log = get_logger(__name__)
 
 
@@ -191,15 +186,12 @@
         with anyio.CancelScope(deadline=self._started_at + FIRST_ANSWER_TIMEOUT_S):
             await self._known.wait()
 
-    async def follow(self, served_versions: ServedVersions = tuple) -> None:
-        """Follow the refused requests of the leader until cancelled.
-
-        Each request renews the versions that ``served_versions`` returns.
-        """
+    async def follow(self) -> None:
+        """Follow the refused requests of the leader until cancelled."""
         self._known = anyio.Event()
         while True:
             try:
-                found = await self._store.wait_for_refused(self._revision, served_versions())
+                found = await self._store.wait_for_refused(self._revision)
             except PasslaneError as error:
                 _log.info("refused_requests_unknown", code=error.code.value)
                 await anyio.sleep(RETRY_INTERVAL_S)
--- a/src/passlane/relay/service.py
+++ b/src/passlane/relay/service.py
@@ -18,7 +18,7 @@
 from passlane.decisions.placement.request_placement import NodeLocation
 from passlane.errors import Verdict
 from passlane.messages.routes import Route, RouteConfiguration, RouteKind
-from passlane.messages.streams import ServedVersion, StreamOrigin
+from passlane.messages.streams import StreamOrigin
 from passlane.observability.logging import get_logger
 from passlane.observability.metrics import Metrics
 from passlane.relay.admission import NodeAdmission
@@ -126,14 +126,10 @@
     async def run(self) -> None:
         """Follow what the store group knows of engines that ended, until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._refused.follow, self._served_versions)
+            tasks.start_soon(self._refused.follow)
             tasks.start_soon(self._versions.run, self._routes)
             tasks.start_soon(self._engine_ends.run)
 
-    def _served_versions(self) -> tuple[ServedVersion, ...]:
-        """Return the versions at which streams of the present routes may begin."""
-        return self._versions.renewed(self._routes())
-
     def _routes(self) -> Sequence[Route]:
         return self.configuration.routes if self.configuration is not None else ()
 
--- a/src/passlane/turns/client.py
+++ b/src/passlane/turns/client.py
@@ -248,19 +248,15 @@
         request = FindTurnStore(engine_ends=ends, attempt_fates=fates, refused_revision="")
         return await self._find(request, timeout_s)
 
-    async def wait_for_refused(
-        self, known_revision: str, served_versions: tuple[ServedVersion, ...] = ()
-    ) -> TurnStoreFound:
+    async def wait_for_refused(self, known_revision: str) -> TurnStoreFound:
         """Return the refused requests once they differ from those of a revision, or after a while.
 
-        Versions that were announced before are renewed with the request.
-
         Raises
         ------
         PasslaneError
             When no leader answered in time.
         """
-        request = FindTurnStore(refused_revision=known_revision, served_versions=served_versions)
+        request = FindTurnStore(refused_revision=known_revision)
         timeout_s = REFUSED_REQUESTS_TIMEOUT_S
         return await self._find(request, timeout_s, overdue_after_s=math.inf)
 
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -243,7 +243,7 @@
         self.fates += fates
         return TurnStoreFound()
 
-    async def wait_for_refused(self, known_revision, served_versions=()):
+    async def wait_for_refused(self, known_revision):
         await anyio.sleep_forever()
 
     async def draw_quota(self, draw, *, timeout_s):
--- a/tests/relay/test_engine_ends.py
+++ b/tests/relay/test_engine_ends.py
@@ -66,7 +66,7 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    async def wait_for_refused(self, known_revision, served_versions=()):
+    async def wait_for_refused(self, known_revision):
         while known_revision == str(self.revision):
             await self.changed.wait()
         return TurnStoreFound(refused=self.refused, refused_revision=str(self.revision))
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -4,10 +4,18 @@
 
 import anyio
 import msgspec
+import trio.testing
 
-from passlane.messages.routes import ServiceShare
+from passlane.decisions.backends.registry import BackendRegistry
+from passlane.messages.routes import Route, RouteKind, ServiceShare
 from passlane.messages.streams import ServedVersion, StreamOrigin
-from passlane.relay.announced_versions import ANNOUNCE_TIMEOUT_S
+from passlane.relay.announced_versions import (
+    ANNOUNCE_INTERVAL_S,
+    ANNOUNCE_TIMEOUT_S,
+    COUNTED_ON_S,
+    RENEWED_AFTER_S,
+    AnnouncedVersions,
+)
 from passlane.relay.end_reasons import RequestEndReason
 from relay.fakes import (
     AT_CAPACITY,
@@ -24,6 +32,11 @@
 RESUMABLE = STREAM | {"is_resumable": True, "max_attempts": 2}
 
 
+def run_on_virtual_clock(main):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+
 def engine(instance_id, software_version):
     return msgspec.structs.replace(backend(instance_id), software_version=software_version)
 
@@ -180,6 +193,18 @@
     """A stream begins only at a version that the store group has recorded for its route."""
 
     RECORDS = (engine("i-1", "v1"), engine("i-2", "v2"))
+    ROUTE = Route(
+        name="first",
+        host="one.example",
+        path_prefix="/first/",
+        kind=RouteKind.STREAM,
+        timeout_s=4.0,
+        target_latency_s=1.0,
+        priority=1,
+        shares=(ServiceShare("models", 1),),
+        max_attempts=1,
+        is_resumable=True,
+    )
 
     def test_versions_are_announced_before_a_stream_begins(self):
         self.relay([Script(head(), EVENT_1)], records=list(self.RECORDS), **RESUMABLE)
@@ -203,6 +228,53 @@
         self.assertEqual((self.writer.status, self.backends.requested), (503, []))
         self.assertLess(self.elapsed_s, ANNOUNCE_TIMEOUT_S + 0.1)
 
+    def test_a_version_that_was_announced_long_ago_is_announced_again_first(self):
+        async def main():
+            versions, store = await self.announced_at_first()
+            await anyio.sleep(COUNTED_ON_S - 0.1)
+            self.assertEqual(len(self.allowed(versions)), 2)
+            await anyio.sleep(0.2)
+            self.assertEqual(self.allowed(versions), [])
+            store.versions.clear()
+            await versions.announce(self.ROUTE, "models")
+            self.assertEqual(len(store.versions), 2)
+            self.assertEqual(len(self.allowed(versions)), 2)
+
+        run_on_virtual_clock(main)
+
+    def test_the_version_of_a_stream_that_goes_on_is_renewed_when_it_has_left_the_list(self):
+        async def main():
+            versions, store = await self.announced_at_first()
+            self.registry.update([self.RECORDS[1]], anyio.current_time())
+            origin = StreamOrigin(stream_id="s", service="models", software_version="v1")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(versions.run, lambda: [self.ROUTE])
+                with versions.under_way(self.ROUTE, origin):
+                    self.assertEqual(await self.renewed(store), {"v1", "v2"})
+                self.assertEqual(await self.renewed(store), {"v2"})
+                tasks.cancel_scope.cancel()
+
+        run_on_virtual_clock(main)
+
+    async def announced_at_first(self):
+        """Return versions that were announced just now, and the store that has them."""
+        store = ScriptedStore()
+        self.registry = BackendRegistry()
+        self.registry.update(self.RECORDS, anyio.current_time())
+        versions = AnnouncedVersions(self.registry, store)
+        await versions.announce(self.ROUTE, "models")
+        return versions, store
+
+    def allowed(self, versions):
+        health = self.registry.evaluate_health("models", anyio.current_time())
+        return versions.restrict(health, self.ROUTE).loads
+
+    async def renewed(self, store):
+        """Return the versions that are announced within the time of a renewal."""
+        store.versions.clear()
+        await anyio.sleep(RENEWED_AFTER_S + 2 * ANNOUNCE_INTERVAL_S)
+        return {version.software_version for version in store.versions}
+
     def test_other_routes_wait_for_no_record(self):
         store = ScriptedStore(is_unavailable=True)
         self.relay([Script(head(), EVENT_1)], store=store, records=list(self.RECORDS), **STREAM)
