A log line with a value that has no encoding never fails the call that logs it

A text with a lone surrogate, a whole number of more than 4,300 digits or deep nesting in a field of a log line raised the encoder's error (UnicodeEncodeError, ValueError, RecursionError) out of the logging call, at any place that logs what others wrote, and so could end a task or a process. No caller was seen to be hurt; found by looking for the cause of the ends of nodes elsewhere.

Change: observability/line_format.py encodes the lines of the ring and of standard output; a value without an encoding is replaced by text alone.

Before: the new unit test fails with ValueError.

--- a/src/passlane/observability/ring.py
+++ b/src/passlane/observability/ring.py
@@ -3,14 +3,12 @@
 from collections import deque
 from typing import Any
 
-import msgspec
 import structlog
 from structlog.typing import EventDict, WrappedLogger
 
+from passlane.observability.line_format import encode_line
 from passlane.runtime.interfaces import Disk
 
-_encoder = msgspec.json.Encoder(enc_hook=str)
-
 
 class RingLog:
     """Retains the most recent log lines of a process.
@@ -33,7 +31,7 @@
         lines = list(self._lines)
         if newest is not None:
             lines = lines[-newest:] if newest > 0 else []
-        return [_encoder.encode(line) for line in lines]
+        return [encode_line(line) for line in lines]
 
     async def write_out(self, disk: Disk, folder: str, reason: str) -> str:
         """Write all lines to a new file in ``folder`` and return its name.
--- a/src/passlane/observability/standard_output.py
+++ b/src/passlane/observability/standard_output.py
@@ -10,9 +10,10 @@
 from typing import Any
 
 import anyio
-import msgspec
 from structlog.typing import EventDict, WrappedLogger
 
+from passlane.observability.line_format import encode_line
+
 MAX_BUFFERED_LINES = 2_000
 FLUSH_PERIOD_S = 0.5
 MAX_WRITE_BYTES = 4_096
@@ -21,8 +22,6 @@
 of the lines of larger writes."""
 _EXCLUDED_LEVEL = "debug"
 
-_encoder = msgspec.json.Encoder(enc_hook=str)
-
 
 class StandardOutputLog:
     """A structlog processor that buffers lines until ``run`` or ``flush`` writes them.
@@ -49,7 +48,7 @@
         if len(self._lines) >= MAX_BUFFERED_LINES:
             self._lines.popleft()
             self._dropped += 1
-        self._lines.append(_encoder.encode(line))
+        self._lines.append(encode_line(line))
 
     async def run(self) -> None:
         """Write buffered lines at each flush period until cancelled."""
@@ -74,7 +73,7 @@
         parts: list[bytes] = []
         size = 0
         if self._dropped:
-            parts.append(_encoder.encode({"event": "log_lines_dropped", "count": self._dropped}))
+            parts.append(encode_line({"event": "log_lines_dropped", "count": self._dropped}))
             self._dropped = 0
         while self._lines and (not parts or size + len(self._lines[0]) < MAX_WRITE_BYTES):
             parts.append(self._lines.popleft())
--- a/tests/observability/test_standard_output.py
+++ b/tests/observability/test_standard_output.py
@@ -33,6 +33,18 @@
         self.log.flush()
         self.assertEqual([line["number"] for line in self.read()], [0, 1, 2])
 
+    def test_a_value_without_an_encoding_costs_itself_alone(self):
+        deep = []
+        for _ in range(100_000):
+            deep = [deep]
+        for value in (10**5_000, "\ud800", ["\ud800"], deep):
+            self.add(1, text=value)
+        self.log.flush()
+        lines = self.read()
+        self.assertEqual([line["number"] for line in lines], [1, 1, 1, 1])
+        self.assertTrue(all(len(line["text"]) < 400 for line in lines))
+        self.assertIn(r"\ud800", lines[1]["text"])
+
     def test_a_stalled_reader_loses_lines_but_does_not_block(self):
         count = 2 * MAX_BUFFERED_LINES
         for number in range(count):
