--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -78,6 +78,28 @@
         await self.close()
         return self.answer
 
+    async def read_several(self, count, timeout_s=ANSWER_TIMEOUT_S):
+        """Read so many answers with lengths, one behind the other; fewer if it ends before."""
+        answers = []
+        with anyio.fail_after(timeout_s):
+            while len(answers) < count:
+                self._parse()
+                if self.answer.is_whole:
+                    answers.append(self._take_first())
+                elif not await self._read_more():
+                    break
+        await self.close()
+        return answers
+
+    def _take_first(self):
+        """Return the first answer, and keep what came behind it."""
+        first = self.answer
+        length = int(first.headers["content-length"])
+        self._received = first.body[length:]
+        first.body = first.body[:length]
+        self.answer = ClientAnswer()
+        return first
+
     async def discard(self):
         """Read until the connection ends, and keep nothing."""
         try:
@@ -204,6 +226,14 @@
             run for back_end in self.back_ends for run in back_end.ran if run.attempt == attempt
         ]
 
+    def engines_of(self, attempt):
+        """Return the ids of the back ends that ran an attempt."""
+        return [
+            back_end.instance_id
+            for back_end in self.back_ends
+            if any(run.attempt == attempt for run in back_end.ran)
+        ]
+
     def next_attempt(self):
         self._attempts += 1
         return f"{self._attempts:016x}"
@@ -214,7 +244,16 @@
         return await anyio.connect_tcp(address.host, address.port)
 
     async def begin(
-        self, node, path, headers, body, *, attempt=None, deadline_ms=4_000, connection=None
+        self,
+        node,
+        path,
+        headers,
+        body,
+        *,
+        method="POST",
+        attempt=None,
+        deadline_ms=4_000,
+        connection=None,
     ):
         """Send a request to a node, on a new connection unless one is given.
 
@@ -228,7 +267,7 @@
             "X-Passlane-Deadline-Ms": str(deadline_ms),
             "Content-Length": str(len(body)),
         } | headers
-        await connection.send(_request_bytes("POST", path, fields, body))
+        await connection.send(_request_bytes(method, path, fields, body))
         return ClientStream(connection), attempt
 
     async def request(self, node, path, headers, body, **more):
