The log tells an engine that closed inside its head from a silent one

Who traced a 502 saw the same reason in attempt_broke_off, "Server disconnected without sending a response", whether an engine had closed before its answer or in the middle of its head: the HTTP library has one message for both. The reason tells the bytes that were received now; for a reset too.

--- a/src/passlane/runtime/http_client.py
+++ b/src/passlane/runtime/http_client.py
@@ -75,13 +75,15 @@
     ----------
     has_sent
         Whether bytes of the current request may have left this process.
+    received_bytes
+        Bytes received of the answer to the current request.
     """
 
     def __init__(self, stream: ByteStream) -> None:
         self.has_sent = False
+        self.received_bytes = 0
         self._stream = stream
         self._unsent: list[bytes] = []
-        self._received_bytes = 0
         self._max_bytes = MAX_HEAD_BYTES
         self._held: HeldPart | None = None
         self._incomplete_bytes = 0
@@ -90,7 +92,7 @@
         """Discard the state of the previous request."""
         self.has_sent = False
         self._unsent.clear()
-        self._received_bytes = 0
+        self.received_bytes = 0
         self._max_bytes = MAX_HEAD_BYTES
         self._held = held
         self._incomplete_bytes = 0
@@ -115,10 +117,10 @@
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise httpcore.ReadError(str(error)) from error
-        self._received_bytes += len(data)
-        if self._received_bytes > self._max_bytes:
+        self.received_bytes += len(data)
+        if self.received_bytes > self._max_bytes:
             raise httpcore.ReadError(
-                f"{self._received_bytes} bytes received of an answer, expected at most"
+                f"{self.received_bytes} bytes received of an answer, expected at most"
                 f" {self._max_bytes}"
             )
         self._hold(len(data))
@@ -286,7 +288,8 @@
             _log_unexpected(error, self._address)
             is_invalid_request = isinstance(error, INVALID_REQUEST_ERRORS)
             raise HttpConnectionError(
-                f"no answer from {self._address}: {error!r}",
+                f"no answer from {self._address}: {error!r},"
+                f" {self._stream.received_bytes} bytes received",
                 bytes_left=self._stream.has_sent or is_invalid_request,
             ) from error
 
--- a/tests/processes/test_heads_cut_short.py
+++ b/tests/processes/test_heads_cut_short.py
@@ -52,6 +52,8 @@
 EVENTS_BEFORE = 3
 EVENTS_OF_STREAM = 6
 EVENT_PAUSE_S = 0.05
+LOGGED_S = 1.0
+"""Seconds after which a node has written its log lines."""
 REPORTED_S = 0.3
 """Seconds after which events that a node has forwarded are replicated."""
 
@@ -249,6 +251,29 @@
                 self.assertEqual((one.answer.body, one.runs), (expected, 1))
 
 
+class LogTest(HeadsTest):
+    def test_the_log_tells_how_much_of_a_head_had_come(self):
+        async def main():
+            cuts_by_end = {cut.end: cut for cut in all_cuts(0) if cut.packets is Packets.ONE}
+            for end, cut in cuts_by_end.items():
+                with self.subTest(end=end):
+                    await self._check_logged(cut)
+
+        self.portal.call(main)
+
+    async def _check_logged(self, cut):
+        done = await self.exchange("unsafe", cut.name, cut_answer(cut))
+        (instance_id,) = self.fleet.engines_of(done.attempt)
+        (request,) = self.fleet.ran(done.attempt)
+        sent = cut.bytes_before(request, instance_id, PLAIN)
+        await anyio.sleep(LOGGED_S)
+        lines = self.fleet.output_of(NODE).splitlines()
+        (line,) = [one for one in lines if done.attempt in one and "attempt_broke_off" in one]
+        # What a reset follows at once may be lost with it.
+        expected = r"\d+" if cut.end is End.RESET else len(sent)
+        self.assertRegex(line, f", {expected} bytes received")
+
+
 class InterimTest(HeadsTest):
     def calls_with_interim(self, kind):
         """Return exchanges: the interim answers take turns over the cuts."""
