A task that works for one request ends no node by an unforeseen error

What callers saw: a settlement that could not be encoded, and an engine's Keep-Alive that could not be converted, ended the node, since the task that met the error was a bare one of the node.

Change: settlements in the background, reports to the store group, checks of engines and reports of late sends run contained: an unforeseen error is logged (task_failed) and ends that task alone. What they hold is given back as before (their finally blocks), and a report is sent again with the next fact.

--- a/src/passlane/relay/background_reports.py
+++ b/src/passlane/relay/background_reports.py
@@ -10,6 +10,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from passlane.supervision.contained import run_contained
+
 REPORT_TIMEOUT_S = 3.0
 REPORT_RETRY_DELAY_S = 0.1
 
@@ -59,7 +61,7 @@
         self._unreported[fact] = None
         if not self._is_reporting:
             self._is_reporting = True
-            self._tasks.start_soon(self._report_all)
+            self._tasks.start_soon(run_contained, self._report_all)
         return is_new
 
     def drop_oldest(self) -> None:
--- a/src/passlane/relay/engine_ends.py
+++ b/src/passlane/relay/engine_ends.py
@@ -34,6 +34,7 @@
 )
 from passlane.relay.refused_requests import RefusedRequests
 from passlane.runtime.reach import LIFE_PROOF_DELAY_S, BackendReach
+from passlane.supervision.contained import run_contained
 
 MAX_OBSERVATION_S = 0.15
 """Time for which a broken attempt waits until what is known of its engine is counted; its caller
@@ -118,7 +119,7 @@
         """
         unresolved = self._add_unresolved(attempt, UnknownFate.BROKE_OFF)
         is_observed = anyio.Event()
-        self._tasks.start_soon(self._observe, unresolved, is_observed)
+        self._tasks.start_soon(run_contained, self._observe, unresolved, is_observed)
         with anyio.move_on_after(MAX_OBSERVATION_S):
             await is_observed.wait()
 
@@ -272,7 +273,9 @@
             if checks.is_running or now < checks.next_at:
                 continue
             checks.is_running = True
-            self._tasks.start_soon(self._check_instance, newest[instance].attempt, checks)
+            self._tasks.start_soon(
+                run_contained, self._check_instance, newest[instance].attempt, checks
+            )
 
     async def _check_instance(self, attempt: ObservedAttempt, checks: _Checks) -> None:
         asked_at = anyio.current_time()
--- a/src/passlane/relay/request_quota.py
+++ b/src/passlane/relay/request_quota.py
@@ -20,6 +20,7 @@
 from passlane.messages.turns import TurnSettled
 from passlane.observability.logging import get_logger
 from passlane.routes.tenants import Identity
+from passlane.supervision.contained import run_contained
 from passlane.turns.client import ANSWER_TIMEOUT_S, TurnStoreClient
 
 _log = get_logger(__name__)
@@ -104,7 +105,7 @@
         if self.limit is None or granted_at is None:
             return
         if sent_at - granted_at > DELIVERY_JITTER_S:
-            self._tasks.start_soon(self._report_late_send, self.limit, granted_at)
+            self._tasks.start_soon(run_contained, self._report_late_send, self.limit, granted_at)
 
     async def _report_late_send(self, limit: QuotaLimit, granted_at: float) -> None:
         sent_after_s = anyio.current_time() - granted_at
--- a/src/passlane/relay/turn_account.py
+++ b/src/passlane/relay/turn_account.py
@@ -29,6 +29,7 @@
 )
 from passlane.observability.logging import get_logger
 from passlane.relay.context import RequestContext
+from passlane.supervision.contained import run_contained
 from passlane.turns.client import TurnStoreClient
 
 BACKGROUND_SETTLE_TIMEOUT_S = 30.0
@@ -281,7 +282,7 @@
         self._is_settled = True
         first, *remaining = self._spent(spending)
         settlement = self._settlement(first, spending.served_by, draw)
-        self._tasks.start_soon(self._settle_later, settlement)
+        self._tasks.start_soon(run_contained, self._settle_later, settlement)
         self._settle_remaining(remaining)
 
     def _settle_remaining(self, runs: Iterable[SpentRun]) -> None:
@@ -290,7 +291,7 @@
             settlement = SettleTurn(
                 program_id=self._program_id, attempt_id=run.reservation_id, tokens=run.tokens
             )
-            self._tasks.start_soon(self._settle_later, settlement)
+            self._tasks.start_soon(run_contained, self._settle_later, settlement)
 
     def _spent(self, spending: TurnSpending) -> tuple[SpentRun, ...]:
         """Return the tokens that each run counts; log counted runs that did not complete."""
