--- a/src/passlane/soak/back_ends.py
+++ b/src/passlane/soak/back_ends.py
@@ -32,7 +32,7 @@
 from passlane.platform import names
 from passlane.platform.list_format import DEFAULT_SOFTWARE_VERSION, encode_page
 from passlane.runtime.early_listening import ListeningSockets, bound_socket
-from passlane.soak.bad_entries import BAD_ID_PREFIX, bad_entries
+from passlane.soak.bad_entries import BAD_ID_PREFIX, bad_entries, undecodable_entries
 from passlane.soak.configuration import (
     FLOODING_TENANT,
     HEALTH_PATH,
@@ -330,6 +330,7 @@
         self._back_ends = list(zip(back_ends, addresses, strict=True))
         self._zone = zone
         self.has_bad_entries = False
+        self._bad_pages = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -342,9 +343,15 @@
         await send_response(send, Response(OK, body=body))
 
     def _with_bad_entries(self, page: bytes) -> bytes:
-        """Return a page with a bad entry before the others and the rest of them behind."""
+        """Return a page with a bad entry before the others and the rest of them behind.
+
+        Pages take turns, so that entries that no decoder follows don't hide the other ones from a
+        reader that refuses a whole page for them.
+        """
         back_end, address = self._back_ends[0]
-        first, *others = bad_entries(address, back_end.service, self._zone)
+        self._bad_pages += 1
+        entries = bad_entries if self._bad_pages % 2 else undecodable_entries
+        first, *others = entries(address, back_end.service, self._zone)
         page = page.replace(b'"instances":[', b'"instances":[' + first + b",", 1)
         return page.replace(b"}]", b"}," + b",".join(others) + b"]", 1)
 
