--- a/src/passlane/messages/backends.py
+++ b/src/passlane/messages/backends.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from passlane.identifiers import EngineId, ProgramId
-from passlane.messages.number_bounds import ComparedNumber, Count, FiniteAmount
+from passlane.messages.number_bounds import ComparedNumber, Count, FiniteNumber
 from passlane.messages.store import Turn
 
 
@@ -85,7 +85,7 @@
     cached_tokens: Count
     held_programs: Count
     models: tuple[str, ...]
-    age_s: FiniteAmount = 0.0
+    age_s: FiniteNumber = 0.0
     last_cache_event: ComparedNumber | None = None
 
 
--- a/src/passlane/messages/number_bounds.py
+++ b/src/passlane/messages/number_bounds.py
@@ -23,6 +23,10 @@
 """A whole number that is added up or multiplied."""
 ComparedNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_COMPARED_NUMBER)]
 """A whole number that is compared with others, and never added up."""
+SignedNumber = Annotated[int, msgspec.Meta(ge=-(2**63), le=MAX_COMPARED_NUMBER)]
+"""A whole number that is compared with others, where a negative one has no meaning of its own."""
+FiniteNumber = Annotated[float, msgspec.Meta(gt=-MAX_AMOUNT, le=MAX_AMOUNT)]
+"""A time, where a negative one has no meaning of its own."""
 FiniteAmount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 """A time, a rate or another amount that need not be whole."""
 
--- a/src/passlane/platform/configuration_format.py
+++ b/src/passlane/platform/configuration_format.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from passlane.errors import ErrorCode, PasslaneError
-from passlane.messages.number_bounds import ComparedNumber, Count, FiniteAmount
+from passlane.messages.number_bounds import Count, FiniteAmount, FiniteNumber, SignedNumber
 from passlane.messages.routes import (
     RequestLimits,
     Route,
@@ -42,38 +42,38 @@
     host: str
     path_prefix: str
     kind: _Kind = "unsafe"
-    timeout_ms: FiniteAmount
-    target_latency_ms: FiniteAmount = 0.0
-    priority: ComparedNumber = 5
+    timeout_ms: FiniteNumber
+    target_latency_ms: FiniteNumber = 0.0
+    priority: SignedNumber = 5
     service: str | None = None
     traffic_split: tuple[_SplitService, ...] | None = None
-    max_attempts: ComparedNumber = 1
+    max_attempts: SignedNumber = 1
     retained: bool = False
-    retention_s: FiniteAmount = 0.0
+    retention_s: FiniteNumber = 0.0
     resumable: bool = False
-    target_gap_ms: FiniteAmount = 0.0
+    target_gap_ms: FiniteNumber = 0.0
     public: bool = False
     sticky: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    slots: ComparedNumber = 0
+    slots: SignedNumber = 0
     chunk_tokens: Count = 1
-    kv_capacity: ComparedNumber = 0
+    kv_capacity: SignedNumber = 0
 
 
 class _Service(msgspec.Struct, frozen=True, kw_only=True):
     name: str
     health_path: str = "/"
-    max_conns: ComparedNumber = 0
+    max_conns: SignedNumber = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: ComparedNumber = 16_384
-    max_body_bytes: ComparedNumber = 4_194_304
-    header_timeout_ms: FiniteAmount = 3_000
-    idle_timeout_ms: FiniteAmount = 15_000
+    max_header_bytes: SignedNumber = 16_384
+    max_body_bytes: SignedNumber = 4_194_304
+    header_timeout_ms: FiniteNumber = 3_000
+    idle_timeout_ms: FiniteNumber = 15_000
 
 
 _Key = Annotated[str, msgspec.Meta(min_length=1)]
@@ -88,7 +88,7 @@
 
 
 class _Document(msgspec.Struct, frozen=True):
-    version: ComparedNumber
+    version: SignedNumber
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
--- a/src/passlane/routes/checks.py
+++ b/src/passlane/routes/checks.py
@@ -45,14 +45,18 @@
 
 
 def _is_amount(amount: float) -> bool:
-    """Return whether a time or a rate is within its bounds, which no NaN is."""
+    """Return whether a rate is within its bounds, which no NaN is."""
     return 0 <= amount <= MAX_AMOUNT
 
 
+def _is_finite(seconds: float) -> bool:
+    return -MAX_AMOUNT <= seconds <= MAX_AMOUNT
+
+
 def _limit_problems(limits: RequestLimits) -> Iterator[str]:
     for name in ("header_timeout_s", "idle_timeout_s"):
-        if not _is_amount(getattr(limits, name)):
-            yield f"limits: {name} must be from 0 to {MAX_AMOUNT:g}"
+        if not _is_finite(getattr(limits, name)):
+            yield f"limits: {name} must be at most {MAX_AMOUNT:g}"
 
 
 def _tenant_problems(tenants: Iterable[Tenant]) -> Iterator[str]:
@@ -87,8 +91,8 @@
     if sum(share.weight for share in route.shares) <= 0:
         yield f"route {name}: the sum of the weights must be greater than 0"
     for field in ("timeout_s", "target_latency_s", "target_gap_s", "retention_s"):
-        if not _is_amount(getattr(route, field)):
-            yield f"route {name}: {field} must be from 0 to {MAX_AMOUNT:g}"
+        if not _is_finite(getattr(route, field)):
+            yield f"route {name}: {field} must be at most {MAX_AMOUNT:g}"
     if route.timeout_s <= 0:
         yield f"route {name}: the timeout must be greater than 0"
     if route.max_attempts < 1:
