Odd entries of the list: control characters, blanks around an id, escaped names

Cause: an entry with a control character counted as malformed, so that its strings might hide others; a control character moves no quote or bracket. An id was checked for the characters of a header, not for its ends. Names were matched without escapes.

--- a/src/passlane/platform/list_format.py
+++ b/src/passlane/platform/list_format.py
@@ -40,6 +40,7 @@
 ENTRIES_PER_STEP = 200
 """Entries that are decoded in one step, which takes about a millisecond."""
 
+_CONTROL_TO_SPACE = bytes.maketrans(bytes(range(0x20)), b" " * 0x20)
 _ENTRIES_NAME = b"instances"
 _TOKEN_NAME = b"next_token"
 
@@ -172,8 +173,9 @@
 
 
 def _is_well_formed(entry: bytes) -> bool:
+    """Whether an entry is JSON, but for control characters, which move no quote or bracket."""
     try:
-        _syntax_decoder.decode(entry)
+        _syntax_decoder.decode(entry.translate(_CONTROL_TO_SPACE))
     except (ValueError, RecursionError):
         return False
     return True
@@ -211,12 +213,12 @@
 
 
 def _fits_header(text: str) -> bool:
-    """Whether a header, whose octets are those of Latin-1, can carry a text."""
+    """Whether a header, whose octets are those of Latin-1, can carry a text to both its ends."""
     try:
         text.encode("latin-1")
     except UnicodeEncodeError:
         return False
-    return True
+    return text == text.strip()
 
 
 def _address_of(text: str) -> Address:
--- a/src/passlane/platform/list_scan.py
+++ b/src/passlane/platform/list_scan.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple, NoReturn
 
 import anyio.lowlevel
+import msgspec
 
 from passlane.errors import ErrorCode, PasslaneError
 
@@ -48,7 +49,7 @@
 _QUOTE = re.compile(rb'"')
 _IN_STRING = re.compile(_CHARACTERS, re.DOTALL)
 _SPACES = re.compile(rb"\s*+")
-_NAME = re.compile(rb'\s*+"([^"\\]*+)"\s*+:')
+_NAME = re.compile(rb'\s*+"(%s)"\s*+:' % _CHARACTERS, re.DOTALL)
 _END_AND_START = re.compile(rb"[\]}]\s*+,\s*+[\[{]")
 
 
@@ -105,7 +106,17 @@
         name = _NAME.match(text, part.start, part.end)
         if name is None:
             _refuse("expected a name and a value", part.start)
-        yield Member(name[1], Span(name.end(), part.end))
+        yield Member(_decoded_name(name[1]), Span(name.end(), part.end))
+
+
+def _decoded_name(name: bytes) -> bytes:
+    """Return the name that stands between two quotes; as it is, if it is no valid text."""
+    if b"\\" not in name:
+        return name
+    try:
+        return msgspec.json.decode(b'"' + name + b'"', type=str).encode()
+    except ValueError:
+        return name
 
 
 async def elements(text: bytes, array: Span) -> AsyncIterator[Span]:
--- a/src/passlane/relay/list_reader.py
+++ b/src/passlane/relay/list_reader.py
@@ -165,7 +165,8 @@
                 records = tuple(await self._source.read())
         except (PasslaneError, TimeoutError) as error:
             if not self._is_unavailable:
-                _log.warning("backend_list_lost", reason=str(error))
+                reason = str(error) or f"not read within {READ_TIMEOUT_S:g} s"
+                _log.warning("backend_list_lost", reason=reason)
             self._is_unavailable = True
             return None
         if self._is_unavailable:
--- a/tests/on_platform/test_entries_that_cost_others.py
+++ b/tests/on_platform/test_entries_that_cost_others.py
@@ -38,6 +38,12 @@
                 page = decode(entry("odd", note="@").replace(b"@", note), entry("good"))
                 self.assertEqual([record.instance_id for record in page.records], ["good"])
 
+    def test_escapes_in_names_of_members_cost_no_page(self) -> None:
+        for text in (rb'{"a\"b":1,"instances":[@]}', rb'{"inst\u0061nces":[@]}'):
+            with self.subTest(text=text):
+                page = anyio.run(decode_page, text.replace(b"@", entry("good")))
+                self.assertEqual([record.instance_id for record in page.records], ["good"])
+
 
 if __name__ == "__main__":
     unittest.main()
