The seeded defect of states changes them in the bytes of the page

The defect 'any state taken for ready' decoded each page with json, which follows neither a number of 5,000 digits nor deep entries. Since the soak's list holds them, the defect raised at each page, so no entry of an unknown state was used, and the soak had nothing to find: soak.test_soak.DefectTest.test_an_entry_of_another_writer_that_is_used failed in two of two runs of all tests on. It now writes 'ready' for every state in the page's bytes; the test is unchanged.

--- a/tests/soak/defective_daemon.py
+++ b/tests/soak/defective_daemon.py
@@ -69,17 +69,14 @@
 
 def any_state_taken_for_ready():
     """Use an entry whatever its state is."""
-    import json
+    import re
 
     from passlane.platform import list_format
 
     decode = list_format.decode_page
 
-    def decode_any_state(body):
-        page = json.loads(body.decode(errors="replace"))
-        entries = [entry for entry in page["instances"] if isinstance(entry, dict)]
-        ready = [entry | {"state": "ready"} for entry in entries]
-        return decode(json.dumps(page | {"instances": ready}).encode())
+    async def decode_any_state(body):
+        return await decode(re.sub(rb'"state":"[^"]*"', b'"state":"ready"', body))
 
     list_format.decode_page = decode_any_state
 
